Set up module, lint, interfaces between processes and the design page

Cause: nothing existed. The design page fixes modules, messages, state owners and failure handling; the drpc interfaces and the object types are generated or written from it, so that parts can be built side by side. Ruled out: freshness confirmations pushed over the watch stream, because a paused process would read old confirmations from its socket buffer as fresh; presence requests are timed from their sending instead.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+GO ?= go
+BIN := bin
+
+.PHONY: build test lint demo bench scenarios soak generate fmt tools
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+test:
+	$(GO) test -count=1 -timeout 20m -v ./... 2>&1 | ./.ci/summarize
+
+lint: tools
+	./.ci/lint
+
+demo: build
+	$(BIN)/wasabishunt-demo
+
+bench: build
+	$(BIN)/wasabishunt-bench
+
+scenarios:
+	$(GO) test -count=1 -timeout 20m -v ./scenarios/...
+
+soak:
+	$(GO) test -count=1 -timeout 60m -v -run TestSoak ./scenarios/... -args -soak=$(or $(DURATION),5m)
+
+generate:
+	./rpc/generate.sh
+
+tools:
+	cd tools && $(GO) build -o ../$(BIN)/tools/ honnef.co/go/tools/cmd/staticcheck mvdan.cc/gofumpt
+
+fmt: tools
+	$(BIN)/tools/gofumpt -w $$(git ls-files '*.go' | grep -v '\.pb\.go$$')
--- /dev/null
+++ b/objectset/objects.go
@@ -0,0 +1,118 @@
+// Package objectset is the aggregate of named objects that operators publish as one whole:
+// parsing, checking, comparing and patching a set. It does no I/O.
+package objectset
+
+import "time"
+
+// Set is one whole object set. All lists are sorted by name in canonical form.
+type Set struct {
+	Zones          []Zone          `json:"zones"`
+	Ranks          []Rank          `json:"ranks"`
+	Models         []Model         `json:"models"`
+	WeightVersions []WeightVersion `json:"weight_versions"`
+	Deployments    []Deployment    `json:"deployments"`
+	Upstreams      []Upstream      `json:"upstreams"`
+	Services       []Service       `json:"services"`
+	Stores         []Store         `json:"stores"`
+	Accounts       []Account       `json:"accounts"`
+}
+
+// Zone is an availability zone.
+type Zone struct {
+	Name   string `json:"name"`
+	Region string `json:"region"`
+}
+
+// Rank is a class of work.
+type Rank struct {
+	Name string `json:"name"`
+	// Order of urgency; 0 is the most urgent.
+	Order int `json:"order"`
+	// Floor is the share of an upstream's capacity that the rank keeps under any flood of other ranks, 0 to 1.
+	Floor float64 `json:"floor"`
+	// Worth weighs a request of the rank answered on time; default 1.
+	Worth float64 `json:"worth"`
+	// FirstTokenMs is the target for the first token in milliseconds.
+	FirstTokenMs int64 `json:"first_token_ms"`
+}
+
+// FirstToken returns the first-token target.
+func (r Rank) FirstToken() time.Duration { return time.Duration(r.FirstTokenMs) * time.Millisecond }
+
+// Model is a model name that callers use.
+type Model struct {
+	Name string `json:"name"`
+	// WeightVersion names the version that new work uses.
+	WeightVersion string `json:"weight_version"`
+	// DefaultRank is used for requests that name none.
+	DefaultRank string `json:"default_rank"`
+	// BytesPerToken is the size of kept KV cache for one token in bytes.
+	BytesPerToken int64 `json:"bytes_per_token"`
+}
+
+// WeightVersion is one version of a model's weights.
+type WeightVersion struct {
+	Name  string `json:"name"`
+	Model string `json:"model"`
+	// Source is the path in the weight store.
+	Source string `json:"source"`
+}
+
+// Deployment groups upstreams that serve the same model; weight loads are limited per deployment.
+type Deployment struct {
+	Name  string `json:"name"`
+	Model string `json:"model"`
+	// MaxLoading is how many engines may load weights at once; default 2.
+	MaxLoading int `json:"max_loading"`
+}
+
+// Upstream is one engine with its agent.
+type Upstream struct {
+	Name       string `json:"name"`
+	Deployment string `json:"deployment"`
+	Zone       string `json:"zone"`
+	// AgentAddress is the IP address and port of the agent.
+	AgentAddress string `json:"agent_address"`
+	// HonorsFencing is true when the engine refuses an order with an old fencing number.
+	HonorsFencing bool `json:"honors_fencing"`
+	// PrefillTokensPerSecond is the initial estimate, replaced by measured rates.
+	PrefillTokensPerSecond float64 `json:"prefill_tokens_per_second"`
+	// DecodeTokensPerSecond is the initial estimate for one stream.
+	DecodeTokensPerSecond float64 `json:"decode_tokens_per_second"`
+}
+
+// Service is a plain service beside the engines.
+type Service struct {
+	Name string `json:"name"`
+	Rank string `json:"rank"`
+	// NonIdempotent lists "METHOD /path-prefix" patterns whose calls may run at most once.
+	NonIdempotent []string `json:"non_idempotent"`
+	// AgentAddresses are the agents beside the service's instances.
+	AgentAddresses []string `json:"agent_addresses"`
+}
+
+// Store is a store VM.
+type Store struct {
+	Name    string `json:"name"`
+	Zone    string `json:"zone"`
+	Address string `json:"address"`
+	// LinkBytesPerSecond limits transfers to and from the store.
+	LinkBytesPerSecond int64 `json:"link_bytes_per_second"`
+}
+
+// Account is a client account.
+type Account struct {
+	Name string `json:"name"`
+	// KeySHA256 lists hex SHA-256 hashes of the account's API keys.
+	KeySHA256 []string `json:"key_sha256"`
+	// Weight is the account's share of tokens within a rank relative to others; default 1.
+	Weight float64 `json:"weight"`
+	// Models that the account may use.
+	Models []string `json:"models"`
+	// Services that the account may call.
+	Services []string `json:"services"`
+	// MaxConcurrent limits the account's requests in flight per entry; 0 means no limit.
+	MaxConcurrent int `json:"max_concurrent"`
+	// Ranks that the account may use; empty means all.
+	Ranks []string `json:"ranks"`
+}
--- /dev/null
+++ b/piece/name.go
@@ -0,0 +1,83 @@
+// Package piece defines kept pieces of KV cache: their names and their file format.
+package piece
+
+import (
+	"encoding/binary"
+	"encoding/hex"
+
+	"github.com/zeebo/blake3"
+)
+
+// TokensPerPiece is the length of a kept piece in tokens.
+const TokensPerPiece = 2000
+
+// affinityTokens is the length of the prefix, in tokens, that routes a prompt shorter than one piece.
+const affinityTokens = 64
+
+// Key is the secret of the keyed hash. Without it nobody can compute another account's piece names.
+type Key [32]byte
+
+// Name identifies a piece by everything its content depends on.
+type Name [32]byte
+
+func (n Name) String() string { return hex.EncodeToString(n[:]) }
+
+// Scope is what a piece depends on beside its tokens.
+type Scope struct {
+	Account       string
+	Model         string
+	WeightVersion string
+	Adapter       string
+}
+
+// Names returns the names of all whole pieces of the token sequence, in order.
+// Each name covers the whole prefix up to the end of its piece.
+func Names(key Key, scope Scope, tokens []string) []Name {
+	hasher := newHasher(key, scope)
+	names := make([]Name, 0, len(tokens)/TokensPerPiece)
+	for i, token := range tokens {
+		writeField(hasher, token)
+		if (i+1)%TokensPerPiece == 0 {
+			names = append(names, sum(hasher))
+		}
+	}
+	return names
+}
+
+// Affinity returns the name by which a prompt is routed: its first piece, or its first tokens if it is shorter.
+func Affinity(key Key, scope Scope, tokens []string) Name {
+	limit := affinityTokens
+	if len(tokens) >= TokensPerPiece {
+		limit = TokensPerPiece
+	}
+	hasher := newHasher(key, scope)
+	for _, token := range tokens[:min(limit, len(tokens))] {
+		writeField(hasher, token)
+	}
+	return sum(hasher)
+}
+
+func newHasher(key Key, scope Scope) *blake3.Hasher {
+	hasher, err := blake3.NewKeyed(key[:])
+	if err != nil {
+		panic(err) // Unreachable: the key has the only length that NewKeyed accepts.
+	}
+	for _, field := range []string{scope.Account, scope.Model, scope.WeightVersion, scope.Adapter} {
+		writeField(hasher, field)
+	}
+	return hasher
+}
+
+// writeField prefixes each field with its length, so that no two field lists hash alike.
+func writeField(hasher *blake3.Hasher, field string) {
+	var length [8]byte
+	binary.LittleEndian.PutUint64(length[:], uint64(len(field)))
+	_, _ = hasher.Write(length[:])
+	_, _ = hasher.WriteString(field)
+}
+
+func sum(hasher *blake3.Hasher) Name {
+	var name Name
+	hasher.Sum(name[:0])
+	return name
+}
--- /dev/null
+++ b/rpcpool/rpcpool.go
@@ -0,0 +1,79 @@
+// Package rpcpool keeps bounded pools of drpc connections, one pool per remote address.
+// A drpc connection carries one call or stream at a time, so each call takes a connection of its own.
+package rpcpool
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcpool"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+)
+
+// Options limits a Pool.
+type Options struct {
+	// Capacity is the number of idle connections kept over all addresses; default 256.
+	Capacity int
+	// KeyCapacity is the number of idle connections kept per address; default 8.
+	KeyCapacity int
+	// Expiration closes a connection that was idle for so long; default 60 s.
+	Expiration time.Duration
+	// DialTimeout limits connection set-up; default 1 s.
+	DialTimeout time.Duration
+}
+
+// Pool hands out connections by address.
+type Pool struct {
+	pool    *drpcpool.Pool[string, drpcpool.Conn]
+	options Options
+}
+
+// New returns a Pool with defaults for unset options.
+func New(options Options) *Pool {
+	if options.Capacity == 0 {
+		options.Capacity = 256
+	}
+	if options.KeyCapacity == 0 {
+		options.KeyCapacity = 8
+	}
+	if options.Expiration == 0 {
+		options.Expiration = time.Minute
+	}
+	if options.DialTimeout == 0 {
+		options.DialTimeout = time.Second
+	}
+	pool := drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
+		Expiration:  options.Expiration,
+		Capacity:    options.Capacity,
+		KeyCapacity: options.KeyCapacity,
+	})
+	return &Pool{pool: pool, options: options}
+}
+
+// Get returns a connection that dials on its first use. The caller closes it to give it back.
+func (p *Pool) Get(ctx context.Context, address string) drpc.Conn {
+	return p.pool.Get(ctx, address, func(ctx context.Context, address string) (drpcpool.Conn, error) {
+		conn, err := Dial(ctx, address, p.options.DialTimeout)
+		if err != nil {
+			return nil, err
+		}
+		return conn, nil
+	})
+}
+
+// Close closes all idle connections.
+func (p *Pool) Close() error { return p.pool.Close() }
+
+// Dial opens one connection. A dial error means that no byte of a call has left.
+func Dial(ctx context.Context, address string, timeout time.Duration) (*drpcconn.Conn, error) {
+	dialer := net.Dialer{Timeout: timeout, KeepAlive: 5 * time.Second}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.NoUpstream, failure.NotRun, "connect to %s", address)
+	}
+	return drpcconn.New(raw), nil
+}
