--- /dev/null
+++ b/raft/diskfs/simdisk/simdisk.go
@@ -0,0 +1,266 @@
+// Package simdisk is a simulated disk for tests. It keeps apart what is synced and what is not, so that a crash can
+// lose any part of the unsynced data, and it injects full disks and failed syncs.
+package simdisk
+
+import (
+	"io/fs"
+	"math/rand/v2"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+
+	"github.com/wasabishunt/wasabishunt/raft/diskfs"
+)
+
+type inode struct {
+	data []byte
+	// synced is the content that survives a crash.
+	synced []byte
+}
+
+// Disk implements diskfs.FS. Its lock is a leaf: no other lock is taken while it is held.
+type Disk struct {
+	mu    sync.Mutex
+	names map[string]*inode
+	// durable holds the names that survive a crash.
+	durable map[string]*inode
+	// epoch counts crashes; files opened before the last one are dead.
+	epoch int
+	// syncs counts successful syncs of files.
+	syncs    int
+	space    int
+	failSync error
+}
+
+var _ diskfs.FS = (*Disk)(nil)
+
+// New returns an empty disk without a size limit.
+func New() *Disk {
+	return &Disk{names: map[string]*inode{}, durable: map[string]*inode{}, space: -1}
+}
+
+// SetSpace limits the bytes that can still be written; a negative number means no limit.
+func (d *Disk) SetSpace(bytes int) { d.locked(func() { d.space = bytes }) }
+
+// FailSync makes the next syncs of files fail until it is called with nil. As on a real machine, the data of a failed
+// sync counts as written although it is not durable.
+func (d *Disk) FailSync(err error) { d.locked(func() { d.failSync = err }) }
+
+// Syncs returns the number of successful syncs of files.
+func (d *Disk) Syncs() (count int) {
+	d.locked(func() { count = d.syncs })
+	return count
+}
+
+// Corrupt inverts one byte of a file, also on the durable copy.
+func (d *Disk) Corrupt(name string, offset int) {
+	d.locked(func() {
+		f := d.names[name]
+		f.data = slices.Clone(f.data)
+		f.data[offset] ^= 0xff
+		f.synced = slices.Clone(f.data)
+	})
+}
+
+// Crash loses names that were not synced with their directory and a random part of the data that was not synced.
+func (d *Disk) Crash(random *rand.Rand) {
+	d.locked(func() {
+		d.epoch++
+		names := map[string]*inode{}
+		for _, name := range sortedNames(d.durable) {
+			f := d.durable[name]
+			f.data = survivors(f, random)
+			f.synced = slices.Clone(f.data)
+			names[name] = f
+		}
+		d.names = names
+		d.durable = copyNames(names)
+		d.failSync = nil
+	})
+}
+
+// survivors returns the synced data and a prefix of the unsynced data, whose last bytes may be zero.
+func survivors(f *inode, random *rand.Rand) []byte {
+	if len(f.data) <= len(f.synced) {
+		return slices.Clone(f.synced)
+	}
+	kept := len(f.synced) + random.IntN(len(f.data)-len(f.synced)+1)
+	data := slices.Clone(f.data[:kept])
+	copy(data, f.synced)
+	zeroed := len(f.synced) + random.IntN(kept-len(f.synced)+1)
+	if random.IntN(2) == 0 {
+		clear(data[zeroed:])
+	}
+	return data
+}
+
+func (d *Disk) locked(do func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	do()
+}
+
+func sortedNames(m map[string]*inode) []string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func copyNames(m map[string]*inode) map[string]*inode {
+	c := make(map[string]*inode, len(m))
+	for name, f := range m {
+		c[name] = f
+	}
+	return c
+}
+
+type file struct {
+	disk  *Disk
+	inode *inode
+	epoch int
+}
+
+func (f *file) Write(data []byte) (int, error) {
+	f.disk.mu.Lock()
+	defer f.disk.mu.Unlock()
+	if f.epoch != f.disk.epoch {
+		return 0, fs.ErrClosed
+	}
+	n := len(data)
+	if f.disk.space >= 0 {
+		n = min(n, f.disk.space)
+		f.disk.space -= n
+	}
+	f.inode.data = append(f.inode.data, data[:n]...)
+	if n < len(data) {
+		return n, syscall.ENOSPC
+	}
+	return n, nil
+}
+
+func (f *file) Sync() error {
+	f.disk.mu.Lock()
+	defer f.disk.mu.Unlock()
+	switch {
+	case f.epoch != f.disk.epoch:
+		return fs.ErrClosed
+	case f.disk.failSync != nil:
+		return f.disk.failSync
+	}
+	f.inode.synced = append(f.inode.synced[:0:0], f.inode.data...)
+	f.disk.syncs++
+	return nil
+}
+
+func (f *file) Close() error { return nil }
+
+// MkdirAll implements diskfs.FS; directories need no record.
+func (d *Disk) MkdirAll(string) error { return nil }
+
+// Create implements diskfs.FS.
+func (d *Disk) Create(name string) (diskfs.File, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.space == 0 {
+		return nil, syscall.ENOSPC
+	}
+	f := &inode{}
+	d.names[name] = f
+	return &file{disk: d, inode: f, epoch: d.epoch}, nil
+}
+
+// Append implements diskfs.FS.
+func (d *Disk) Append(name string) (diskfs.File, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f, ok := d.names[name]
+	if !ok {
+		return nil, fs.ErrNotExist
+	}
+	return &file{disk: d, inode: f, epoch: d.epoch}, nil
+}
+
+// ReadFile implements diskfs.FS.
+func (d *Disk) ReadFile(name string) ([]byte, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f, ok := d.names[name]
+	if !ok {
+		return nil, fs.ErrNotExist
+	}
+	return slices.Clone(f.data), nil
+}
+
+// Rename implements diskfs.FS.
+func (d *Disk) Rename(from, to string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f, ok := d.names[from]
+	if !ok {
+		return fs.ErrNotExist
+	}
+	delete(d.names, from)
+	d.names[to] = f
+	return nil
+}
+
+// Remove implements diskfs.FS.
+func (d *Disk) Remove(name string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, ok := d.names[name]; !ok {
+		return fs.ErrNotExist
+	}
+	delete(d.names, name)
+	return nil
+}
+
+// Truncate implements diskfs.FS.
+func (d *Disk) Truncate(name string, size int64) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f, ok := d.names[name]
+	if !ok {
+		return fs.ErrNotExist
+	}
+	f.data = slices.Clone(f.data[:size])
+	f.synced = slices.Clone(f.data)
+	return nil
+}
+
+// List implements diskfs.FS.
+func (d *Disk) List(dir string) ([]string, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var names []string
+	for _, name := range sortedNames(d.names) {
+		if filepath.Dir(name) == filepath.Clean(dir) {
+			names = append(names, filepath.Base(name))
+		}
+	}
+	return names, nil
+}
+
+// SyncDir implements diskfs.FS. It makes the current names of the directory durable.
+func (d *Disk) SyncDir(dir string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.failSync != nil {
+		return d.failSync
+	}
+	for name := range d.durable {
+		if filepath.Dir(name) == filepath.Clean(dir) && d.names[name] == nil {
+			delete(d.durable, name)
+		}
+	}
+	for name, f := range d.names {
+		if filepath.Dir(name) == filepath.Clean(dir) {
+			d.durable[name] = f
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/raft/election.go
@@ -0,0 +1,215 @@
+package raft
+
+import (
+	"time"
+
+	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
+)
+
+// campaignForced marks a vote request that a leader asked for; voters answer it although they hear that leader.
+const campaignForced = 1
+
+// Tick passes the driver's time, which must be above 0 and monotonic. It must not repeat after a restart, so a driver
+// adds the wall-clock time of its start to the monotonic time since then.
+func (n *Node) Tick(now time.Duration) {
+	n.now = max(n.now, now)
+	if n.electionAt == 0 {
+		n.firstStamp = uint64(n.now)
+		n.resetElection()
+	}
+	if n.role == Leader {
+		n.tickLeader()
+		return
+	}
+	if n.now >= n.electionAt {
+		n.preCampaign()
+	}
+}
+
+func (n *Node) tickLeader() {
+	n.noteQuorum()
+	if n.sinceStamp(n.quorumStamp) > n.config.CheckQuorum {
+		n.becomeFollower(n.term, 0)
+		return
+	}
+	if n.transferTo != 0 && n.now >= n.transferEnd {
+		n.transferTo = 0
+	}
+	n.retrySnapshots()
+	if n.now >= n.heartbeatAt {
+		n.heartbeatAll(n.nextStamp())
+	}
+}
+
+func (n *Node) sinceStamp(stamp uint64) time.Duration {
+	return n.now - time.Duration(stamp)
+}
+
+// resetElection draws a new election timeout. Before the first tick the time is not known.
+func (n *Node) resetElection() {
+	if n.now == 0 {
+		return
+	}
+	n.electionAt = n.now + n.config.Election + time.Duration(n.random.Int64N(int64(n.config.Election)))
+}
+
+// hearsLeader reports whether a leader was heard within the shortest election timeout. Such a member refuses votes,
+// so that a member that comes back from a partition does not disturb the group.
+func (n *Node) hearsLeader() bool {
+	if n.role == Leader {
+		return true
+	}
+	return n.leader != 0 && n.now-n.leaderHeard < n.config.Election
+}
+
+// mayCampaign reports whether this member's identity is established and its log says that it is a voter.
+//
+// Granting a vote needs only the identity: a candidate counts the votes of the voters in its own list, and a voter
+// whose promotion has not reached its log yet must answer, or the loss of one other member would block the group.
+//
+// A voter whose removal is in its log but perhaps not committed still campaigns: its log may be the only one that can
+// win and commit the removal.
+func (n *Node) mayCampaign() bool {
+	if !n.mayVote {
+		return false
+	}
+	if k := len(n.configs); k > 1 && n.current().index > n.log.commit && n.configs[k-2].isVoter(n.config.ID) {
+		return true
+	}
+	return n.isVoter()
+}
+
+func (n *Node) becomeFollower(term, leader uint64) {
+	if term > n.term {
+		n.term, n.vote = term, 0
+	}
+	if n.role == Leader {
+		n.dropLeadership()
+	}
+	n.role = Follower
+	n.leader = leader
+	n.ballots = nil
+	n.resetElection()
+}
+
+// preCampaign asks whether an election could be won, without changing the term.
+func (n *Node) preCampaign() {
+	n.resetElection()
+	if !n.mayCampaign() {
+		return
+	}
+	n.role = PreCandidate
+	n.leader = 0
+	n.ballots = map[uint64]bool{n.config.ID: true}
+	if n.wonBallot() {
+		n.campaign(0)
+		return
+	}
+	n.askVotes(raftpb.MessageType_PRE_VOTE, n.term+1, 0)
+}
+
+func (n *Node) campaign(flag uint64) {
+	n.role = Candidate
+	n.term++
+	n.vote = n.config.ID
+	n.leader = 0
+	n.ballots = map[uint64]bool{n.config.ID: true}
+	n.resetElection()
+	if n.wonBallot() {
+		n.becomeLeader()
+		return
+	}
+	n.askVotes(raftpb.MessageType_VOTE, n.term, flag)
+}
+
+func (n *Node) askVotes(kind raftpb.MessageType, term, flag uint64) {
+	for _, id := range n.current().voters() {
+		if id != n.config.ID {
+			n.send(&raftpb.Message{Type: kind, To: id, Term: term, LogIndex: n.log.last(), LogTerm: n.log.lastTerm(), Context: flag})
+		}
+	}
+}
+
+func (n *Node) wonBallot() bool {
+	granted := 0
+	for _, id := range n.current().voters() {
+		if n.ballots[id] {
+			granted++
+		}
+	}
+	return granted >= n.current().quorum()
+}
+
+func (n *Node) stepPreVote(m *raftpb.Message) {
+	granted := n.mayVote && m.GetTerm() > n.term && !n.hearsLeader() && n.log.upToDate(m.GetLogIndex(), m.GetLogTerm())
+	term := n.term
+	if granted {
+		term = m.GetTerm()
+	}
+	n.send(&raftpb.Message{Type: raftpb.MessageType_PRE_VOTE_REPLY, To: m.GetFrom(), Term: term, Reject: !granted})
+}
+
+func (n *Node) stepVote(m *raftpb.Message) {
+	free := n.vote == m.GetFrom() || (n.vote == 0 && n.leader == 0)
+	granted := n.mayVote && free && n.log.upToDate(m.GetLogIndex(), m.GetLogTerm())
+	if granted {
+		n.vote = m.GetFrom()
+		n.resetElection()
+	}
+	n.send(&raftpb.Message{Type: raftpb.MessageType_VOTE_REPLY, To: m.GetFrom(), Reject: !granted})
+}
+
+func (n *Node) stepBallot(m *raftpb.Message) {
+	pre := m.GetType() == raftpb.MessageType_PRE_VOTE_REPLY
+	switch {
+	case pre && n.role != PreCandidate, !pre && n.role != Candidate:
+		return
+	case pre && !m.GetReject() && m.GetTerm() != n.term+1:
+		return
+	}
+	if m.GetReject() {
+		return
+	}
+	n.ballots[m.GetFrom()] = true
+	if !n.wonBallot() {
+		return
+	}
+	if pre {
+		n.campaign(0)
+		return
+	}
+	n.becomeLeader()
+}
+
+func (n *Node) stepTimeoutNow(m *raftpb.Message) {
+	if n.role == Follower && n.mayCampaign() && m.GetFrom() == n.leader {
+		n.campaign(campaignForced)
+	}
+}
+
+func (n *Node) becomeLeader() {
+	n.role = Leader
+	n.leader = n.config.ID
+	n.peers = map[uint64]*progress{}
+	n.transferTo = 0
+	n.freshness = nil
+	stamp := n.nextStamp()
+	n.quorumStamp = stamp
+	n.syncPeers(stamp)
+	n.appendOwn(raftpb.EntryType_ENTRY_NOOP, nil)
+	n.heartbeatAll(n.nextStamp())
+	n.appendAll()
+}
+
+func (n *Node) dropLeadership() {
+	n.peers = nil
+	n.reads, n.stashed = nil, nil
+	n.transferTo = 0
+	n.quorumStamp = 0
+}
+
+// nextStamp returns a strictly increasing time stamp for a round of heartbeats.
+func (n *Node) nextStamp() uint64 {
+	n.lastStamp = max(n.lastStamp+1, uint64(n.now))
+	return n.lastStamp
+}
--- /dev/null
+++ b/raft/snap/snap.go
@@ -0,0 +1,243 @@
+// Package snap keeps the snapshots of a raft member: one checksummed file per snapshot, written aside, synced, renamed
+// and made durable by a directory sync. The two newest are kept; the newest valid one is used.
+package snap
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"path/filepath"
+	"strings"
+	"sync"
+
+	"github.com/zeebo/blake3"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/raft/diskfs"
+	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
+)
+
+// A file is: magic (8 bytes), length of the description (4, little-endian), description (protobuf SnapshotMeta), data,
+// blake3 checksum of all that (32).
+const (
+	fileMagic     = "WSNAPv1\n"
+	lengthBytes   = 4
+	checksumBytes = 32
+	suffix        = ".snap"
+	asideSuffix   = ".aside"
+)
+
+// kept is the number of snapshots that stay on disk: the newest, and one in case the newest is damaged.
+const kept = 2
+
+// Snapshot is a state machine's state up to Meta.Index.
+type Snapshot struct {
+	Meta *raftpb.SnapshotMeta
+	Data []byte
+}
+
+// Store is a directory of snapshots. It may be used by several goroutines; its lock is a leaf.
+type Store struct {
+	fs  diskfs.FS
+	dir string
+	// mu serializes writers.
+	mu sync.Mutex
+}
+
+// Open returns the store of a directory and removes files that were never finished. A nil file system is that of the
+// machine.
+func Open(fs diskfs.FS, dir string) (*Store, error) {
+	if fs == nil {
+		fs = diskfs.OS{}
+	}
+	s := &Store{fs: fs, dir: dir}
+	if err := fs.MkdirAll(dir); err != nil {
+		return nil, storageError(err, "create the directory of")
+	}
+	names, err := fs.List(dir)
+	if err != nil {
+		return nil, storageError(err, "list")
+	}
+	for _, name := range names {
+		if strings.HasSuffix(name, asideSuffix) {
+			if err := fs.Remove(filepath.Join(dir, name)); err != nil {
+				return nil, storageError(err, "clean up")
+			}
+		}
+	}
+	return s, nil
+}
+
+func storageError(cause error, operation string) error {
+	return failure.Wrap(cause, failure.StorageFailed, failure.Unknown, "%s snapshots", operation)
+}
+
+// Save makes a snapshot durable and removes all but the two newest. A snapshot that is not newer than the newest valid
+// one is refused.
+func (s *Store) Save(snapshot Snapshot) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	newest, err := s.newest()
+	if err != nil {
+		return err
+	}
+	if newest != nil && newest.Meta.GetIndex() >= snapshot.Meta.GetIndex() {
+		return failure.New(failure.VersionConflict, failure.NotRun, "snapshot %d is not newer than %d", snapshot.Meta.GetIndex(), newest.Meta.GetIndex())
+	}
+	content, err := encode(snapshot)
+	if err != nil {
+		return err
+	}
+	if err := s.write(s.path(snapshot.Meta.GetIndex()), content); err != nil {
+		return storageError(err, "write")
+	}
+	return s.removeOld()
+}
+
+func (s *Store) path(index uint64) string {
+	return filepath.Join(s.dir, fmt.Sprintf("%020d%s", index, suffix))
+}
+
+func (s *Store) write(name string, content []byte) error {
+	aside := name + asideSuffix
+	file, err := s.fs.Create(aside)
+	if err != nil {
+		return err
+	}
+	if _, err := file.Write(content); err != nil {
+		_ = file.Close()
+		return err
+	}
+	if err := file.Sync(); err != nil {
+		_ = file.Close()
+		return err
+	}
+	if err := file.Close(); err != nil {
+		return err
+	}
+	if err := s.fs.Rename(aside, name); err != nil {
+		return err
+	}
+	return s.fs.SyncDir(s.dir)
+}
+
+func (s *Store) removeOld() error {
+	indexes, err := s.indexes()
+	if err != nil {
+		return err
+	}
+	for i := kept; i < len(indexes); i++ {
+		if err := s.fs.Remove(s.path(indexes[i])); err != nil {
+			return storageError(err, "remove old")
+		}
+	}
+	return nil
+}
+
+// indexes returns the indexes of all files, newest first.
+func (s *Store) indexes() ([]uint64, error) {
+	names, err := s.fs.List(s.dir)
+	if err != nil {
+		return nil, storageError(err, "list")
+	}
+	var indexes []uint64
+	for _, name := range names {
+		var index uint64
+		if _, err := fmt.Sscanf(name, "%020d"+suffix, &index); err == nil && strings.HasSuffix(name, suffix) {
+			indexes = append([]uint64{index}, indexes...)
+		}
+	}
+	return indexes, nil
+}
+
+// Newest returns the newest valid snapshot, nil if there is none. Damaged files are passed over.
+func (s *Store) Newest() (*Snapshot, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.newest()
+}
+
+func (s *Store) newest() (*Snapshot, error) {
+	indexes, err := s.indexes()
+	if err != nil {
+		return nil, err
+	}
+	for _, index := range indexes {
+		if snapshot, err := s.read(index); err == nil {
+			return snapshot, nil
+		}
+	}
+	return nil, nil
+}
+
+// Load returns the snapshot of an index.
+func (s *Store) Load(index uint64) (*Snapshot, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.read(index)
+}
+
+// Oldest returns the index of the oldest snapshot that is kept besides the newest. The log before it is not needed.
+func (s *Store) Oldest() (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	indexes, err := s.indexes()
+	if err != nil || len(indexes) < kept {
+		return 0, err
+	}
+	return indexes[len(indexes)-1], nil
+}
+
+func (s *Store) read(index uint64) (*Snapshot, error) {
+	content, err := s.fs.ReadFile(s.path(index))
+	if err != nil {
+		return nil, storageError(err, "read")
+	}
+	snapshot, err := decode(content)
+	if err != nil {
+		return nil, err
+	}
+	if snapshot.Meta.GetIndex() != index {
+		return nil, damaged("index %d in the file of %d", snapshot.Meta.GetIndex(), index)
+	}
+	return snapshot, nil
+}
+
+func damaged(format string, args ...any) error {
+	return failure.New(failure.StorageFailed, failure.NotRun, "damaged snapshot: "+format, args...)
+}
+
+func encode(snapshot Snapshot) ([]byte, error) {
+	meta, err := proto.Marshal(snapshot.Meta)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.Internal, failure.NotRun, "encode a snapshot")
+	}
+	content := make([]byte, 0, len(fileMagic)+lengthBytes+len(meta)+len(snapshot.Data)+checksumBytes)
+	content = append(content, fileMagic...)
+	content = binary.LittleEndian.AppendUint32(content, uint32(len(meta)))
+	content = append(content, meta...)
+	content = append(content, snapshot.Data...)
+	sum := blake3.Sum256(content)
+	return append(content, sum[:]...), nil
+}
+
+func decode(content []byte) (*Snapshot, error) {
+	fixed := len(fileMagic) + lengthBytes
+	if len(content) < fixed+checksumBytes || !bytes.HasPrefix(content, []byte(fileMagic)) {
+		return nil, damaged("no header")
+	}
+	body := content[:len(content)-checksumBytes]
+	if sum := blake3.Sum256(body); !bytes.Equal(sum[:], content[len(body):]) {
+		return nil, damaged("checksum differs")
+	}
+	length := int64(binary.LittleEndian.Uint32(body[len(fileMagic):]))
+	if length > int64(len(body)-fixed) {
+		return nil, damaged("faulty length")
+	}
+	meta := &raftpb.SnapshotMeta{}
+	if err := proto.Unmarshal(body[fixed:int64(fixed)+length], meta); err != nil {
+		return nil, damaged("faulty description")
+	}
+	return &Snapshot{Meta: meta, Data: body[int64(fixed)+length:]}, nil
+}
--- /dev/null
+++ b/raft/wal/wal.go
@@ -0,0 +1,273 @@
+// Package wal is the write-ahead log of a raft member: segments of checksummed records that hold entries, hard states
+// and snapshot marks.
+//
+// Each Save writes one record and syncs once. A torn record at the end of the last segment is cut at open, because its
+// save was never acknowledged. Any other fault refuses the log with a *CorruptError. After a failed write or sync the
+// state of the file is unknown, so the log refuses all further work with a *FailedError; it never repeats the sync,
+// because the kernel may have dropped the dirty pages of the failed one.
+//
+// A Log is owned by one goroutine.
+package wal
+
+import (
+	"fmt"
+	"path/filepath"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/raft/diskfs"
+	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
+)
+
+// Options of a Log.
+type Options struct {
+	// FS is the file system; default is that of the machine.
+	FS diskfs.FS
+	// Dir is the directory of the segments, used by this log only.
+	Dir string
+	// Group and MemberID name the owner; segments of another owner are refused.
+	Group    string
+	MemberID uint64
+	// SegmentBytes is the size at which a new segment is started; default 64 MiB.
+	SegmentBytes int64
+}
+
+// Contents is what a log holds at open.
+type Contents struct {
+	HardState *raftpb.HardState
+	// Mark is the last snapshot mark, nil if there is none.
+	Mark *raftpb.SnapshotMeta
+	// Entries have consecutive indexes. They may begin before Mark.
+	Entries []*raftpb.Entry
+	// CutBytes is the length of the torn tail that was cut.
+	CutBytes int64
+}
+
+// Empty reports whether the log was never written.
+func (c Contents) Empty() bool {
+	return c.HardState == nil && c.Mark == nil && len(c.Entries) == 0
+}
+
+// CorruptError reports a fault before the tail of the log.
+type CorruptError struct {
+	Segment string
+	Offset  int64
+	Reason  string
+}
+
+func (e *CorruptError) Error() string {
+	return fmt.Sprintf("log segment %s is corrupt at byte %d: %s", e.Segment, e.Offset, e.Reason)
+}
+
+// Unwrap classifies the error for callers.
+func (e *CorruptError) Unwrap() error {
+	return failure.New(failure.StorageFailed, failure.NotRun, "write-ahead log is corrupt")
+}
+
+// FailedError reports a write or sync that failed now or earlier. Whether the data is durable is unknown.
+type FailedError struct {
+	Operation string
+	Cause     error
+}
+
+func (e *FailedError) Error() string {
+	return fmt.Sprintf("log is unusable after a failed %s: %v", e.Operation, e.Cause)
+}
+
+// Unwrap returns the cause, classified.
+func (e *FailedError) Unwrap() error {
+	return failure.Wrap(e.Cause, failure.StorageFailed, failure.Unknown, "write-ahead log %s", e.Operation)
+}
+
+type segment struct {
+	sequence uint64
+	// last is the highest entry index in the segment or before it.
+	last uint64
+}
+
+// Log is an open write-ahead log.
+type Log struct {
+	options  Options
+	segments []segment
+	file     diskfs.File
+	size     int64
+	last     uint64
+	hard     *raftpb.HardState
+	mark     *raftpb.SnapshotMeta
+	failed   *FailedError
+}
+
+const defaultSegmentBytes = 64 << 20
+
+func (o *Options) setDefaults() {
+	if o.FS == nil {
+		o.FS = diskfs.OS{}
+	}
+	if o.SegmentBytes == 0 {
+		o.SegmentBytes = defaultSegmentBytes
+	}
+}
+
+func (o *Options) path(sequence uint64) string {
+	return filepath.Join(o.Dir, fmt.Sprintf("%020d.wal", sequence))
+}
+
+// Save appends entries and the hard state and syncs them. An entry replaces earlier entries of the same and higher
+// indexes.
+func (l *Log) Save(hard *raftpb.HardState, entries []*raftpb.Entry) error {
+	var payload []byte
+	var err error
+	for _, e := range entries {
+		if payload, err = appendItem(payload, itemEntry, e); err != nil {
+			return err
+		}
+		if len(payload) >= maxItemBytes {
+			if err = l.write(payload, e.GetIndex()); err != nil {
+				return err
+			}
+			payload = nil
+		}
+	}
+	if hard != nil {
+		if payload, err = appendItem(payload, itemHardState, hard); err != nil {
+			return err
+		}
+	}
+	last := l.last
+	if k := len(entries); k > 0 {
+		last = entries[k-1].GetIndex()
+	}
+	if err = l.write(payload, last); err != nil {
+		return err
+	}
+	if hard != nil {
+		l.hard = hard
+	}
+	return l.rotateIfFull()
+}
+
+// Mark records that a snapshot up to meta is durable. With reset the snapshot came from another member and voids all
+// entries of the log.
+func (l *Log) Mark(meta *raftpb.SnapshotMeta, reset bool) error {
+	kind := itemMark
+	last := l.last
+	if reset {
+		kind, last = itemReset, meta.GetIndex()
+	}
+	payload, err := appendItem(nil, kind, meta)
+	if err != nil {
+		return err
+	}
+	if err := l.write(payload, last); err != nil {
+		return err
+	}
+	l.mark = meta
+	return nil
+}
+
+// DropBefore removes the whole segments whose entries are all at or below index. The newest segment stays.
+func (l *Log) DropBefore(index uint64) error {
+	if l.failed != nil {
+		return l.failed
+	}
+	dropped := 0
+	for dropped < len(l.segments)-1 && l.segments[dropped].last <= index {
+		if err := l.options.FS.Remove(l.options.path(l.segments[dropped].sequence)); err != nil {
+			return l.fail("remove", err)
+		}
+		// The name of the oldest segment goes first, so that a crash never leaves a hole.
+		if err := l.options.FS.SyncDir(l.options.Dir); err != nil {
+			return l.fail("directory sync", err)
+		}
+		dropped++
+	}
+	l.segments = l.segments[dropped:]
+	return nil
+}
+
+// Segments returns the number of segments.
+func (l *Log) Segments() int { return len(l.segments) }
+
+// Close closes the newest segment.
+func (l *Log) Close() error {
+	if l.file == nil {
+		return nil
+	}
+	err := l.file.Close()
+	l.file = nil
+	if l.failed == nil {
+		l.failed = &FailedError{Operation: "close", Cause: failure.New(failure.Draining, failure.NotRun, "the log is closed")}
+	}
+	if err != nil {
+		return &FailedError{Operation: "close", Cause: err}
+	}
+	return nil
+}
+
+// write appends one record and syncs it.
+func (l *Log) write(payload []byte, last uint64) error {
+	if l.failed != nil {
+		return l.failed
+	}
+	active := &l.segments[len(l.segments)-1]
+	record := encodeRecord(active.sequence, l.size, payload)
+	if _, err := l.file.Write(record); err != nil {
+		return l.fail("write", err)
+	}
+	if err := l.file.Sync(); err != nil {
+		return l.fail("sync", err)
+	}
+	l.size += int64(len(record))
+	l.last = last
+	active.last = max(active.last, last)
+	return nil
+}
+
+func (l *Log) fail(operation string, cause error) error {
+	l.failed = &FailedError{Operation: operation, Cause: cause}
+	return l.failed
+}
+
+func (l *Log) rotateIfFull() error {
+	if l.size < l.options.SegmentBytes {
+		return nil
+	}
+	if err := l.file.Close(); err != nil {
+		return l.fail("close", err)
+	}
+	return l.startSegment(l.segments[len(l.segments)-1].sequence + 1)
+}
+
+// startSegment creates a segment that begins with the owner and the current hard state and mark, so that older
+// segments can be dropped.
+func (l *Log) startSegment(sequence uint64) error {
+	file, err := l.options.FS.Create(l.options.path(sequence))
+	if err != nil {
+		return l.fail("create", err)
+	}
+	l.file, l.size = file, 0
+	l.segments = append(l.segments, segment{sequence: sequence, last: l.last})
+	payload, err := l.segmentHeader()
+	if err != nil {
+		return err
+	}
+	if err := l.write(payload, l.last); err != nil {
+		return err
+	}
+	if err := l.options.FS.SyncDir(l.options.Dir); err != nil {
+		return l.fail("directory sync", err)
+	}
+	return nil
+}
+
+func (l *Log) segmentHeader() ([]byte, error) {
+	// The owner is written as a message without type.
+	owner := &raftpb.Message{Group: l.options.Group, From: l.options.MemberID}
+	payload, err := appendItem(nil, itemHeader, owner)
+	if err == nil && l.hard != nil {
+		payload, err = appendItem(payload, itemHardState, l.hard)
+	}
+	if err == nil && l.mark != nil {
+		payload, err = appendItem(payload, itemMark, l.mark)
+	}
+	return payload, err
+}
--- /dev/null
+++ b/replica/applier.go
@@ -0,0 +1,131 @@
+package replica
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/raft/snap"
+	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
+)
+
+// applyJob is a batch of committed entries, or a received snapshot that is durable.
+type applyJob struct {
+	entries []*raftpb.Entry
+	waiters []*proposal
+	install *snap.Snapshot
+}
+
+// applier owns the state machine.
+type applier struct {
+	replica *Replica
+	machine StateMachine
+	// last describes the last applied entry and the members as of it.
+	last         *raftpb.SnapshotMeta
+	lastSnapshot uint64
+}
+
+func newApplier(r *Replica, snapshot *raftpb.SnapshotMeta) *applier {
+	a := &applier{replica: r, machine: r.options.StateMachine, last: &raftpb.SnapshotMeta{}}
+	if snapshot != nil {
+		a.last = proto.CloneOf(snapshot)
+		a.lastSnapshot = snapshot.GetIndex()
+	}
+	return a
+}
+
+func (a *applier) run() {
+	defer close(a.replica.saveJobs)
+	for job := range a.replica.applyJobs {
+		if err := a.do(job); err != nil {
+			a.replica.report(event{failed: err})
+			continue
+		}
+		a.replica.report(event{applied: a.last.GetIndex()})
+		a.maybeSnapshot()
+	}
+}
+
+func (a *applier) do(job applyJob) error {
+	if job.install != nil {
+		return a.install(job.install)
+	}
+	for i, e := range job.entries {
+		result, err := a.apply(e)
+		if err != nil {
+			return err
+		}
+		if p := job.waiters[i]; p != nil {
+			p.finish(outcome{result: result})
+		}
+	}
+	return nil
+}
+
+func (a *applier) apply(e *raftpb.Entry) (result proto.Message, err error) {
+	if e.GetIndex() <= a.last.GetIndex() {
+		return nil, failure.New(failure.Internal, failure.Unknown, "entry %d is applied again after %d", e.GetIndex(), a.last.GetIndex())
+	}
+	switch e.GetType() {
+	case raftpb.EntryType_ENTRY_COMMAND:
+		result = a.machine.Apply(e.GetIndex(), e.GetData())
+	case raftpb.EntryType_ENTRY_MEMBERS:
+		members := &raftpb.Members{}
+		if err := proto.Unmarshal(e.GetData(), members); err != nil {
+			return nil, failure.Wrap(err, failure.StorageFailed, failure.Unknown, "member list in entry %d", e.GetIndex())
+		}
+		a.last.Members = members
+		result = members
+	}
+	a.last.Index, a.last.Term = e.GetIndex(), e.GetTerm()
+	return result, nil
+}
+
+func (a *applier) install(s *snap.Snapshot) error {
+	if s.Meta.GetIndex() <= a.last.GetIndex() {
+		return nil
+	}
+	if err := a.machine.Restore(s.Data); err != nil {
+		return failure.Wrap(err, failure.StorageFailed, failure.Unknown, "install snapshot %d", s.Meta.GetIndex())
+	}
+	a.last = proto.CloneOf(s.Meta)
+	a.lastSnapshot = s.Meta.GetIndex()
+	return nil
+}
+
+// maybeSnapshot copies the state when enough entries were applied. Writing it is the saver's work, so that commands
+// wait for the copy only.
+func (a *applier) maybeSnapshot() {
+	if a.last.GetIndex()-a.lastSnapshot < a.replica.options.SnapshotEvery || len(a.replica.saveJobs) > 0 {
+		return
+	}
+	data, err := a.machine.Snapshot()
+	if err != nil {
+		a.replica.report(event{failed: failure.Wrap(err, failure.Internal, failure.Unknown, "take a snapshot at %d", a.last.GetIndex())})
+		return
+	}
+	a.lastSnapshot = a.last.GetIndex()
+	// The applier is the only sender and the queue was empty, so this does not block.
+	a.replica.saveJobs <- snap.Snapshot{Meta: proto.CloneOf(a.last), Data: data}
+}
+
+// saveSnapshots writes snapshots until the applier ends.
+func (r *Replica) saveSnapshots(ctx context.Context) {
+	for s := range r.saveJobs {
+		if ctx.Err() != nil {
+			continue
+		}
+		err := r.storage.snaps.Save(s)
+		switch {
+		case failure.Is(err, failure.VersionConflict):
+			// A newer snapshot was received meanwhile.
+		case err != nil:
+			r.report(event{failed: err})
+		default:
+			r.log.Info("snapshot saved", zap.Uint64("index", s.Meta.GetIndex()), zap.Int("bytes", len(s.Data)))
+			r.report(event{saved: s.Meta})
+		}
+	}
+}
--- /dev/null
+++ b/replica/propose.go
@@ -0,0 +1,152 @@
+package replica
+
+import (
+	"context"
+	"sync/atomic"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/raft"
+	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
+)
+
+// States of a proposal. Only a queued one can be withdrawn; once taken it may enter the log.
+const (
+	proposalQueued int32 = iota
+	proposalTaken
+	proposalWithdrawn
+)
+
+type outcome struct {
+	result proto.Message
+	err    error
+}
+
+// proposal is a command or membership change on its way through the log.
+type proposal struct {
+	data   []byte
+	change *raft.Change
+	state  atomic.Int32
+	term   uint64
+	done   chan outcome
+}
+
+// finish answers the proposer. It is called at most once.
+func (p *proposal) finish(o outcome) { p.done <- o }
+
+// Propose replicates a command and returns its applied result. An error says not_run only if the command cannot have
+// entered the log; otherwise the outcome is unknown and the caller must resend under the same operation id.
+func (r *Replica) Propose(ctx context.Context, data []byte) (proto.Message, error) {
+	if len(data) > r.options.MaxCommandBytes {
+		return nil, failure.New(failure.BodyTooLarge, failure.NotRun, "command of %d bytes, the limit is %d", len(data), r.options.MaxCommandBytes)
+	}
+	return r.propose(ctx, &proposal{data: data, done: make(chan outcome, 1)})
+}
+
+// ChangeMembers replicates one membership change and returns the new members.
+func (r *Replica) ChangeMembers(ctx context.Context, change raft.Change) ([]*raftpb.Member, error) {
+	result, err := r.propose(ctx, &proposal{change: &change, done: make(chan outcome, 1)})
+	if err != nil {
+		return nil, err
+	}
+	return result.(*raftpb.Members).GetMembers(), nil
+}
+
+func (r *Replica) propose(ctx context.Context, p *proposal) (proto.Message, error) {
+	select {
+	case <-r.done:
+		return nil, r.stopped()
+	case <-r.stopping:
+		return nil, r.stopped()
+	default:
+	}
+	select {
+	case r.proposals <- p:
+	default:
+		return nil, failure.New(failure.Overloaded, failure.NotRun, "%d proposals are queued", r.options.QueueLength)
+	}
+	select {
+	case o := <-p.done:
+		return o.result, o.err
+	case <-ctx.Done():
+		return p.withdraw(failure.Wrap(ctx.Err(), failure.DeadlineExceeded, failure.NotRun, "proposal withdrawn from the queue"))
+	case <-r.done:
+		return p.withdraw(r.stopped())
+	}
+}
+
+// withdraw gives up waiting. A proposal that was taken may already have an outcome.
+func (p *proposal) withdraw(notRun *failure.Error) (proto.Message, error) {
+	if p.state.CompareAndSwap(proposalQueued, proposalWithdrawn) {
+		return nil, notRun
+	}
+	select {
+	case o := <-p.done:
+		return o.result, o.err
+	default:
+		return nil, failure.Wrap(notRun.Cause, failure.OutcomeUnknown, failure.Unknown, "gave up waiting for a command in the log")
+	}
+}
+
+func (r *Replica) stopped() *failure.Error {
+	if e := r.failed.Load(); e != nil {
+		return failure.Wrap(e, failure.StorageFailed, failure.NotRun, "the member stopped after a failure")
+	}
+	return failure.New(failure.Draining, failure.NotRun, "the member is stopping")
+}
+
+// proposeBatch appends everything that is queued; the batch shares one sync and one round of messages.
+func (r *Replica) proposeBatch(p *proposal) {
+	r.proposeOne(p)
+	for range min(len(r.proposals), maxBatch) {
+		r.proposeOne(<-r.proposals)
+	}
+	r.node.Replicate()
+}
+
+func (r *Replica) proposeOne(p *proposal) {
+	if !p.state.CompareAndSwap(proposalQueued, proposalTaken) {
+		return
+	}
+	r.metrics.proposals.Inc(1)
+	index, term, err := r.appendProposal(p)
+	if err != nil {
+		p.finish(outcome{err: err})
+		return
+	}
+	p.term = term
+	r.pending[index] = p
+}
+
+func (r *Replica) appendProposal(p *proposal) (index, term uint64, err error) {
+	s := r.status.Load()
+	switch {
+	case r.drain.active:
+		return 0, 0, r.stopped()
+	case s.Commit-min(s.Applied, s.Commit) > r.options.MaxUnapplied:
+		return 0, 0, failure.New(failure.Overloaded, failure.NotRun, "the state machine is %d entries behind", s.Commit-s.Applied)
+	case p.change != nil:
+		return r.node.ProposeChange(*p.change)
+	}
+	return r.node.Propose(p.data)
+}
+
+// takeWaiters returns the proposers of committed entries, aligned with them. A proposer whose index was taken by an
+// entry of another term learns that the outcome is unknown.
+func (r *Replica) takeWaiters(entries []*raftpb.Entry) []*proposal {
+	waiters := make([]*proposal, len(entries))
+	for i, e := range entries {
+		p, ok := r.pending[e.GetIndex()]
+		if !ok {
+			continue
+		}
+		delete(r.pending, e.GetIndex())
+		if p.term != e.GetTerm() {
+			p.finish(outcome{err: failure.New(failure.OutcomeUnknown, failure.Unknown, "another leader's entry took the place of the command")})
+			continue
+		}
+		waiters[i] = p
+	}
+	return waiters
+}
--- /dev/null
+++ b/replica/replica.go
@@ -0,0 +1,280 @@
+// Package replica runs one member of a replicated group: it drives the pure core of package raft with a write-ahead
+// log, snapshots, a transport and a state machine.
+//
+// Goroutines: the loop owns the core and the log; the applier owns the state machine; the saver writes snapshots; each
+// peer has one sender. Stop waits for all of them. There is no lock order to keep: the goroutines talk over channels,
+// and the locks of transport and reads are leaves.
+package replica
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/raft"
+	"github.com/wasabishunt/wasabishunt/raft/diskfs"
+	"github.com/wasabishunt/wasabishunt/raft/snap"
+	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
+)
+
+// StateMachine is changed only by applied commands. All calls come from one goroutine.
+type StateMachine interface {
+	// Apply executes one command and returns its result. It must be deterministic.
+	Apply(index uint64, command []byte) proto.Message
+	// Snapshot returns the whole state as of the last Apply. The bytes must not change afterwards.
+	Snapshot() ([]byte, error)
+	// Restore replaces the whole state.
+	Restore(snapshot []byte) error
+}
+
+// Options of a Replica. The first five must be set.
+type Options struct {
+	// ID is the member id, never reused: a member whose disk was lost gets a new one.
+	ID uint64
+	// Group is the identity of the replicated group.
+	Group string
+	// Address is where this member's drpc server listens, an IP address and port.
+	Address string
+	// Dir is the data directory of this member.
+	Dir string
+	// StateMachine is empty at start; it is restored from the snapshot and the log.
+	StateMachine StateMachine
+	// Bootstrap is the list of the first members. It is set at the first start of the whole group only, and ignored
+	// when the data directory holds a log. Without it and with an empty directory the member joins: it waits until a
+	// leader contacts it as a learner.
+	Bootstrap []*raftpb.Member
+
+	// FS is the file system; default is that of the machine.
+	FS diskfs.FS
+	// Logger gets one line per event; default is none.
+	Logger *zap.Logger
+	// Metrics gets the metrics named raft.*; default is a registry of its own.
+	Metrics gometrics.Registry
+	// Dial opens connections to other members; default is TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+
+	// Tick is the interval of the core's clock; default 50 ms.
+	Tick time.Duration
+	// Election is the shortest election timeout; default 1 s.
+	Election time.Duration
+	// SnapshotEvery is the number of applied entries between snapshots; default 10,000.
+	SnapshotEvery uint64
+	// Trailing is the number of entries kept in memory behind a snapshot for slow members; default 5,000.
+	Trailing uint64
+	// SegmentBytes is the size of a log segment; default 64 MiB.
+	SegmentBytes int64
+	// MaxCommandBytes limits one command; default 3 MiB, below the 4 MiB of a drpc message.
+	MaxCommandBytes int
+	// MaxSnapshotBytes limits a received snapshot; default 1 GiB.
+	MaxSnapshotBytes int
+	// QueueLength limits the queues of proposals, of reads and of messages per peer, each; default 1,024.
+	QueueLength int
+	// MaxUnapplied limits the committed entries that wait for the state machine; beyond it commands are refused;
+	// default 20,000.
+	MaxUnapplied uint64
+	// WriteDeadline limits one write to a peer; default 2 s.
+	WriteDeadline time.Duration
+	// SilenceLimit is how long a connected peer may stay silent before its connection is opened again; default 3 s.
+	SilenceLimit time.Duration
+	// StopLimit limits how long a stopping leader finishes commands, and hands over leadership, each; default 2 s.
+	StopLimit time.Duration
+	// Seed of random election timeouts; default is taken from the clock.
+	Seed uint64
+}
+
+func (o *Options) setDefaults() {
+	setDefault[diskfs.FS](&o.FS, diskfs.OS{})
+	setDefault(&o.Logger, zap.NewNop())
+	setDefault(&o.Metrics, gometrics.NewRegistry())
+	setDefault(&o.Tick, 50*time.Millisecond)
+	setDefault(&o.Election, time.Second)
+	setDefault(&o.SnapshotEvery, 10_000)
+	setDefault(&o.Trailing, 5_000)
+	setDefault(&o.MaxCommandBytes, 3<<20)
+	setDefault(&o.MaxSnapshotBytes, 1<<30)
+	setDefault(&o.QueueLength, 1024)
+	setDefault(&o.MaxUnapplied, 20_000)
+	setDefault(&o.WriteDeadline, 2*time.Second)
+	setDefault(&o.SilenceLimit, 3*time.Second)
+	setDefault(&o.StopLimit, 2*time.Second)
+	setDefault(&o.Seed, uint64(time.Now().UnixNano()))
+	if o.Dial == nil {
+		dialer := net.Dialer{Timeout: time.Second, KeepAlive: 5 * time.Second}
+		o.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}
+	}
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+func (o *Options) validate() error {
+	if o.ID == 0 || o.Group == "" || o.Address == "" || o.Dir == "" || o.StateMachine == nil {
+		return failure.New(failure.InvalidRequest, failure.NotRun, "id, group, address, directory and state machine must be set")
+	}
+	return nil
+}
+
+// Replica is a running member.
+type Replica struct {
+	options   Options
+	log       *zap.Logger
+	metrics   meters
+	started   time.Time
+	node      *raft.Node
+	storage   *storage
+	transport *transport
+
+	inbox     chan inbound
+	events    chan event
+	proposals chan *proposal
+	reads     chan *readRequest
+	applyJobs chan applyJob
+	saveJobs  chan snap.Snapshot
+	stopping  chan struct{}
+	stopOnce  sync.Once
+	// done is closed after the loop has ended.
+	done   chan struct{}
+	cancel context.CancelFunc
+	group  sync.WaitGroup
+
+	status     atomic.Pointer[raft.Status]
+	freshUntil atomic.Int64
+	failed     atomic.Pointer[failure.Error]
+	receiving  sync.Mutex
+
+	// The rest belongs to the loop.
+	pending   map[uint64]*proposal
+	rounds    map[uint64]*readRound
+	nextRound uint64
+	confirmed []*readRound
+	// applying counts the jobs that the applier has not finished.
+	applying   int
+	received   map[uint64][]byte
+	lastLeader uint64
+	lastTerm   uint64
+	drain      drainState
+}
+
+// Start opens the data directory and starts the member. Register makes it reachable for the other members.
+func Start(options Options) (*Replica, error) {
+	options.setDefaults()
+	if err := options.validate(); err != nil {
+		return nil, err
+	}
+	r := newReplica(options)
+	storage, loaded, err := openStorage(options)
+	if err != nil {
+		return nil, err
+	}
+	r.storage = storage
+	if err := r.restore(loaded); err != nil {
+		_ = storage.close()
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r.cancel = cancel
+	r.transport = newTransport(ctx, r)
+	r.node.Tick(r.now())
+	r.publish()
+	applier := newApplier(r, loaded.state.Snapshot)
+	r.group.Go(applier.run)
+	r.group.Go(func() { r.saveSnapshots(ctx) })
+	r.group.Go(r.run)
+	r.log.Info("raft member started", zap.Uint64("last_index", r.Status().LastIndex), zap.Bool("may_vote", r.Status().MayVote),
+		zap.Int64("cut_bytes", loaded.cutBytes))
+	return r, nil
+}
+
+func newReplica(o Options) *Replica {
+	return &Replica{
+		options: o, log: o.Logger.With(zap.Uint64("member", o.ID)), metrics: newMeters(o.Metrics), started: time.Now(),
+		inbox: make(chan inbound, 4*o.QueueLength), events: make(chan event, o.QueueLength),
+		proposals: make(chan *proposal, o.QueueLength), reads: make(chan *readRequest, o.QueueLength),
+		applyJobs: make(chan applyJob, 1), saveJobs: make(chan snap.Snapshot, 1),
+		stopping: make(chan struct{}), done: make(chan struct{}),
+		pending: map[uint64]*proposal{}, rounds: map[uint64]*readRound{}, received: map[uint64][]byte{},
+		nextRound: uint64(time.Now().UnixNano()),
+	}
+}
+
+// restore brings the state machine to the newest snapshot and creates the core.
+func (r *Replica) restore(loaded loadedState) error {
+	if loaded.snapshot != nil {
+		if err := r.options.StateMachine.Restore(loaded.snapshot.Data); err != nil {
+			return failure.Wrap(err, failure.StorageFailed, failure.NotRun, "restore snapshot %d", loaded.snapshot.Meta.GetIndex())
+		}
+	}
+	node, err := raft.New(raft.Config{ID: r.options.ID, Group: r.options.Group, Election: r.options.Election, Seed: r.options.Seed}, loaded.state)
+	r.node = node
+	return err
+}
+
+// now returns a time that is monotonic and differs between incarnations, see raft.Node.Tick.
+func (r *Replica) now() time.Duration {
+	return time.Duration(r.started.UnixNano()) + time.Since(r.started)
+}
+
+// Register adds the raft service to a drpc server's mux.
+func (r *Replica) Register(mux drpc.Mux) error {
+	return raftpb.DRPCRegisterRaft(mux, &server{replica: r})
+}
+
+// Status returns the member's state as of the last step of the loop.
+func (r *Replica) Status() raft.Status { return *r.status.Load() }
+
+// Leader returns the id and address of the known leader, or 0 and an empty address.
+func (r *Replica) Leader() (id uint64, address string) {
+	s := r.status.Load()
+	for _, m := range s.Members.GetMembers() {
+		if m.GetId() == s.Leader {
+			return s.Leader, m.GetAddress()
+		}
+	}
+	return 0, ""
+}
+
+// Fresh reports whether the applied state holds everything that was committed up to 1 s ago, see design section 2.3.
+func (r *Replica) Fresh() bool {
+	select {
+	case <-r.done:
+		return false
+	default:
+		return int64(r.now()) < r.freshUntil.Load()
+	}
+}
+
+// Members returns the members in force.
+func (r *Replica) Members() []*raftpb.Member { return r.status.Load().Members.GetMembers() }
+
+// Done is closed when the member has stopped, also after a storage failure; see Err.
+func (r *Replica) Done() <-chan struct{} { return r.done }
+
+// Err returns the failure that stopped the member, nil if there was none.
+func (r *Replica) Err() error {
+	if e := r.failed.Load(); e != nil {
+		return e
+	}
+	return nil
+}
+
+// Stop finishes the commands in progress, hands leadership to another voter, and ends all goroutines. It is limited
+// by Options.StopLimit for each of the first two steps.
+func (r *Replica) Stop() {
+	r.stopOnce.Do(func() { close(r.stopping) })
+	<-r.done
+	r.group.Wait()
+}
--- /dev/null
+++ b/replica/snapshots.go
@@ -0,0 +1,170 @@
+package replica
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"github.com/zeebo/blake3"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
+)
+
+const (
+	// chunkBytes is the size of a snapshot chunk.
+	chunkBytes = 512 << 10
+	// transferLimit is how long a whole snapshot transfer may take.
+	transferLimit = 30 * time.Second
+	// chunkLimit is how long a receiver waits for the next chunk.
+	chunkLimit = 5 * time.Second
+)
+
+// sendSnapshot transfers a snapshot in a goroutine of its own, one at a time per member, so that heartbeats go on.
+func (t *transport) sendSnapshot(m *raftpb.Message) {
+	p := t.peer(m.GetTo())
+	if !p.transferring.CompareAndSwap(false, true) {
+		return
+	}
+	t.replica.group.Go(func() {
+		defer p.transferring.Store(false)
+		err := t.transfer(m)
+		if err != nil {
+			t.replica.log.Warn("snapshot transfer failed", zap.Uint64("peer", m.GetTo()), zap.Error(err))
+		}
+		t.replica.report(event{transferred: m.GetTo(), delivered: err == nil})
+	})
+}
+
+func (t *transport) transfer(m *raftpb.Message) error {
+	ctx, cancel := context.WithTimeout(t.ctx, transferLimit)
+	defer cancel()
+	snapshot, err := t.replica.storage.snaps.Load(m.GetSnapshot().GetIndex())
+	if err != nil {
+		return err
+	}
+	conn, err := t.dial(m.GetTo())
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	stream, err := raftpb.NewDRPCRaftClient(conn).InstallSnapshot(ctx)
+	if err != nil {
+		return err
+	}
+	m = proto.CloneOf(m)
+	m.FromAddress = t.replica.options.Address
+	if err := sendChunks(stream, m, snapshot.Data); err != nil {
+		return err
+	}
+	_, err = stream.CloseAndRecv()
+	return err
+}
+
+func sendChunks(stream raftpb.DRPCRaft_InstallSnapshotClient, m *raftpb.Message, data []byte) error {
+	sum := blake3.Sum256(data)
+	for first := true; ; first = false {
+		chunk := &raftpb.SnapshotChunk{Data: data[:min(len(data), chunkBytes)]}
+		data = data[len(chunk.GetData()):]
+		if first {
+			chunk.Message = m
+		}
+		if len(data) == 0 {
+			chunk.Last = true
+			chunk.Checksum = sum[:]
+		}
+		if err := stream.Send(chunk); err != nil {
+			return err
+		}
+		if chunk.GetLast() {
+			return nil
+		}
+	}
+}
+
+// server takes the messages of the other members.
+type server struct {
+	raftpb.DRPCRaftUnimplementedServer
+	replica *Replica
+}
+
+// Exchange implements the raft service.
+func (s *server) Exchange(stream raftpb.DRPCRaft_ExchangeStream) error {
+	for {
+		m, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		if m.GetType() == raftpb.MessageType_SNAPSHOT {
+			return failure.New(failure.InvalidRequest, failure.NotRun, "a snapshot without data")
+		}
+		if err := s.replica.receive(inbound{message: m}); err != nil {
+			return err
+		}
+	}
+}
+
+// receive queues a message of the own group, or drops it if the queue is full.
+func (r *Replica) receive(m inbound) error {
+	if g := m.message.GetGroup(); g != r.options.Group {
+		return failure.New(failure.Forbidden, failure.NotRun, "message of group %q, this is group %q", g, r.options.Group)
+	}
+	r.transport.heard(m.message)
+	select {
+	case <-r.done:
+		return r.stopped()
+	case r.inbox <- m:
+	default:
+		r.metrics.dropped.Inc(1)
+	}
+	return nil
+}
+
+// InstallSnapshot implements the raft service. The snapshot is checked before the core learns of it.
+func (s *server) InstallSnapshot(stream raftpb.DRPCRaft_InstallSnapshotStream) error {
+	if !s.replica.receiving.TryLock() {
+		return failure.New(failure.Overloaded, failure.NotRun, "another snapshot is being received")
+	}
+	defer s.replica.receiving.Unlock()
+	m, err := s.receiveChunks(stream)
+	if err != nil {
+		return err
+	}
+	if err := s.replica.receive(m); err != nil {
+		return err
+	}
+	return stream.SendAndClose(&raftpb.Ack{})
+}
+
+func (s *server) receiveChunks(stream raftpb.DRPCRaft_InstallSnapshotStream) (inbound, error) {
+	var m inbound
+	watchdog := time.AfterFunc(chunkLimit, func() { _ = stream.Close() })
+	defer watchdog.Stop()
+	for {
+		chunk, err := stream.Recv()
+		if err != nil {
+			return m, err
+		}
+		watchdog.Reset(chunkLimit)
+		if m.message == nil {
+			m.message = chunk.GetMessage()
+		}
+		m.data = append(m.data, chunk.GetData()...)
+		if len(m.data) > s.replica.options.MaxSnapshotBytes {
+			return m, failure.New(failure.BodyTooLarge, failure.NotRun, "snapshot of more than %d bytes", s.replica.options.MaxSnapshotBytes)
+		}
+		if chunk.GetLast() {
+			return m, checkSnapshot(m, chunk.GetChecksum())
+		}
+	}
+}
+
+func checkSnapshot(m inbound, checksum []byte) error {
+	sum := blake3.Sum256(m.data)
+	if !bytes.Equal(sum[:], checksum) || m.message.GetSnapshot() == nil {
+		return failure.New(failure.InvalidRequest, failure.NotRun, "received snapshot is damaged")
+	}
+	return nil
+}
--- /dev/null
+++ b/replica/storage.go
@@ -0,0 +1,135 @@
+package replica
+
+import (
+	"path/filepath"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/raft"
+	"github.com/wasabishunt/wasabishunt/raft/snap"
+	"github.com/wasabishunt/wasabishunt/raft/wal"
+	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
+)
+
+// Directories below Options.Dir.
+const (
+	walName  = "wal"
+	snapName = "snap"
+)
+
+// storage is the log and the snapshots of one member.
+type storage struct {
+	wal   *wal.Log
+	snaps *snap.Store
+}
+
+// loadedState is what the disk holds at start.
+type loadedState struct {
+	state    raft.State
+	snapshot *snap.Snapshot
+	cutBytes int64
+}
+
+func openStorage(o Options) (*storage, loadedState, error) {
+	snaps, err := snap.Open(o.FS, filepath.Join(o.Dir, snapName))
+	if err != nil {
+		return nil, loadedState{}, err
+	}
+	newest, err := snaps.Newest()
+	if err != nil {
+		return nil, loadedState{}, err
+	}
+	log, contents, err := wal.Open(wal.Options{
+		FS: o.FS, Dir: filepath.Join(o.Dir, walName), Group: o.Group, MemberID: o.ID, SegmentBytes: o.SegmentBytes,
+	})
+	if err != nil {
+		return nil, loadedState{}, err
+	}
+	s := &storage{wal: log, snaps: snaps}
+	loaded, err := s.load(o, contents, newest)
+	if err != nil {
+		_ = log.Close()
+		return nil, loadedState{}, err
+	}
+	return s, loaded, nil
+}
+
+func (s *storage) load(o Options, contents wal.Contents, newest *snap.Snapshot) (loadedState, error) {
+	loaded := loadedState{snapshot: newest, cutBytes: contents.CutBytes}
+	switch {
+	case contents.Empty() && newest != nil:
+		return loaded, failure.New(failure.StorageFailed, failure.NotRun, "snapshots exist but the log is missing; its votes are lost")
+	case contents.Empty() && len(o.Bootstrap) > 0:
+		return s.bootstrap(o)
+	}
+	loaded.state.HardState = contents.HardState
+	if newest != nil {
+		loaded.state.Snapshot = newest.Meta
+	}
+	entries, err := entriesAfter(contents, loaded.state.Snapshot)
+	loaded.state.Entries = entries
+	return loaded, err
+}
+
+// bootstrap makes the first state durable before the member takes part in anything.
+func (s *storage) bootstrap(o Options) (loadedState, error) {
+	state, err := raft.Bootstrap(o.Bootstrap)
+	if err != nil {
+		return loadedState{}, err
+	}
+	for _, m := range o.Bootstrap {
+		if m.GetId() == o.ID {
+			return loadedState{state: state}, s.wal.Save(state.HardState, state.Entries)
+		}
+	}
+	return loadedState{}, failure.New(failure.InvalidRequest, failure.NotRun, "the list of first members does not name member %d", o.ID)
+}
+
+// entriesAfter returns the entries that follow the snapshot. Entries of a log that differs from the snapshot are void:
+// the snapshot was installed, and the process ended before it was marked in the log.
+func entriesAfter(contents wal.Contents, snapshot *raftpb.SnapshotMeta) ([]*raftpb.Entry, error) {
+	index := snapshot.GetIndex()
+	entries := contents.Entries
+	if contents.Mark.GetIndex() > index && (len(entries) == 0 || entries[0].GetIndex() > index+1) {
+		return nil, failure.New(failure.StorageFailed, failure.NotRun, "the log needs snapshot %d, the newest valid one is %d", contents.Mark.GetIndex(), index)
+	}
+	for len(entries) > 0 && entries[0].GetIndex() < index {
+		entries = entries[1:]
+	}
+	if len(entries) > 0 && entries[0].GetIndex() == index {
+		if entries[0].GetTerm() != snapshot.GetTerm() {
+			return nil, nil
+		}
+		entries = entries[1:]
+	}
+	if len(entries) > 0 && entries[0].GetIndex() != index+1 {
+		return nil, failure.New(failure.StorageFailed, failure.NotRun, "the log begins at %d, the newest valid snapshot is %d", entries[0].GetIndex(), index)
+	}
+	return entries, nil
+}
+
+// persist saves what a Ready holds, in the order in which a crash in between is harmless.
+func (s *storage) persist(ready raft.Ready, received *snap.Snapshot) error {
+	if received != nil {
+		if err := s.snaps.Save(*received); err != nil && !failure.Is(err, failure.VersionConflict) {
+			return err
+		}
+		if err := s.wal.Mark(received.Meta, true); err != nil {
+			return err
+		}
+	}
+	return s.wal.Save(ready.HardState, ready.Entries)
+}
+
+// compact marks a durable snapshot in the log and drops the segments that no kept snapshot needs.
+func (s *storage) compact(meta *raftpb.SnapshotMeta) error {
+	if err := s.wal.Mark(meta, false); err != nil {
+		return err
+	}
+	oldest, err := s.snaps.Oldest()
+	if err != nil {
+		return err
+	}
+	return s.wal.DropBefore(oldest)
+}
+
+func (s *storage) close() error { return s.wal.Close() }
