--- /dev/null
+++ b/raft/guards_test.go
@@ -0,0 +1,294 @@
+package raft
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
+)
+
+// followersOf returns two running members besides the leader.
+func (c *cluster) followersOf(leader *member) (a, b *member) {
+	var others []*member
+	for _, m := range c.running() {
+		if m != leader {
+			others = append(others, m)
+		}
+	}
+	return others[0], others[1]
+}
+
+// newLeader returns the core of member 1 of three, leader in term 3 with an uncommitted entry of term 2.
+func newLeader(t *testing.T) *Node {
+	state, err := Bootstrap([]*raftpb.Member{{Id: 1}, {Id: 2}, {Id: 3}})
+	require.NoError(t, err)
+	state.HardState.Term = 2
+	state.Entries = append(state.Entries, &raftpb.Entry{Term: 2, Index: 2, Data: []byte("old")})
+	n, err := New(Config{ID: 1, Group: "g"}, state)
+	require.NoError(t, err)
+	n.Tick(time.Hour)
+	n.Tick(time.Hour + 3*time.Second)
+	require.NoError(t, n.Step(&raftpb.Message{Type: raftpb.MessageType_PRE_VOTE_REPLY, Group: "g", From: 2, To: 1, Term: 3}))
+	require.NoError(t, n.Step(&raftpb.Message{Type: raftpb.MessageType_VOTE_REPLY, Group: "g", From: 2, To: 1, Term: 3}))
+	require.Equal(t, Leader, n.role)
+	n.Advance(n.Ready())
+	return n
+}
+
+// TestVoteIsSavedWithItsReply guards against a second vote in one term after a restart.
+func TestVoteIsSavedWithItsReply(t *testing.T) {
+	state, err := Bootstrap([]*raftpb.Member{{Id: 1}, {Id: 2}, {Id: 3}})
+	require.NoError(t, err)
+	n, err := New(Config{ID: 1, Group: "g"}, state)
+	require.NoError(t, err)
+	require.NoError(t, n.Step(&raftpb.Message{Type: raftpb.MessageType_VOTE, Group: "g", From: 2, To: 1, Term: 1, LogIndex: 1, LogTerm: 1}))
+	ready := n.Ready()
+	require.Len(t, ready.Messages, 1)
+	require.False(t, ready.Messages[0].GetReject())
+	require.EqualValues(t, 2, ready.HardState.GetVote(), "the vote leaves without being saved")
+}
+
+// TestReturnFromSilentPartitionKeepsLeader guards against a member that raises its term while it is cut off and then
+// unseats the leader.
+func TestReturnFromSilentPartitionKeepsLeader(t *testing.T) {
+	c := newCluster(t, 3, 1)
+	leader := c.elect()
+	lost, _ := c.followersOf(leader)
+	term := leader.node.term
+	c.isolate(lost.id)
+	c.run(200, false)
+	require.Equal(t, term, lost.node.term, "a cut-off member raises its term")
+	c.heal()
+	c.run(100, false)
+	require.Equal(t, leader, c.leader())
+	require.Equal(t, term, leader.node.term)
+}
+
+// TestIsolatedLeaderStepsDown guards against a leader that believes in itself for longer than 1 s without a quorum.
+func TestIsolatedLeaderStepsDown(t *testing.T) {
+	c := newCluster(t, 3, 2)
+	leader := c.elect()
+	c.isolate(leader.id)
+	cut := c.now
+	for leader.node.role == Leader && c.now < cut+5*time.Second {
+		c.run(1, false)
+	}
+	require.LessOrEqual(t, c.now-cut, time.Second+tick)
+}
+
+// TestEarlierTermIsNotCommittedByCounting guards against the loss of an entry of an earlier term that was on a quorum
+// but could still be replaced.
+func TestEarlierTermIsNotCommittedByCounting(t *testing.T) {
+	n := newLeader(t)
+	ack := &raftpb.Message{Type: raftpb.MessageType_APPEND_REPLY, Group: "g", From: 2, To: 1, Term: 3, LogIndex: 2}
+	require.NoError(t, n.Step(ack))
+	require.EqualValues(t, 1, n.log.commit)
+	ack.LogIndex = 3
+	require.NoError(t, n.Step(ack))
+	require.EqualValues(t, 3, n.log.commit)
+}
+
+// TestOldLeaderAfterPauseServesNoRead guards against stale reads by a leader that was replaced while it was paused
+// and has not noticed yet.
+func TestOldLeaderAfterPauseServesNoRead(t *testing.T) {
+	c := newCluster(t, 3, 3)
+	old := c.elect()
+	paused := old.node
+	old.node = nil
+	require.NoError(t, c.propose(c.elect(), "newer"))
+	c.run(10, false)
+	old.node = paused
+	c.packets = nil
+	context := c.read(old)
+	require.Contains(t, old.reads, context, "the old leader confirms a read without a quorum")
+	c.run(5, false)
+	require.Contains(t, old.reads, context)
+	require.NotEqual(t, Leader, old.node.role)
+}
+
+// TestReadWaitsForOwnTerm guards against reads by a new leader that does not know the commit index yet.
+func TestReadWaitsForOwnTerm(t *testing.T) {
+	n := newLeader(t)
+	require.NoError(t, n.ReadIndex(7))
+	beat := &raftpb.Message{Type: raftpb.MessageType_HEARTBEAT_REPLY, Group: "g", From: 2, To: 1, Term: 3, Context: n.lastStamp + 1000}
+	require.NoError(t, n.Step(beat))
+	require.Empty(t, n.Ready().Reads)
+	require.Zero(t, n.FreshUntil(), "a new leader counts as fresh")
+}
+
+// TestLostDiskUnderOldIDDoesNotVote guards against the election of a leader without committed entries by the vote of a
+// member that forgot them with its disk.
+func TestLostDiskUnderOldIDDoesNotVote(t *testing.T) {
+	c := newCluster(t, 3, 4)
+	leader := c.elect()
+	holder, behind := c.followersOf(leader)
+	c.isolate(behind.id)
+	require.NoError(t, c.propose(leader, "committed by two"))
+	c.run(10, false)
+	c.loseDisk(holder)
+	c.stop(leader)
+	c.heal()
+	c.start(holder.id, nil)
+	c.run(200, false)
+	require.Nil(t, c.leader())
+	c.start(leader.id, nil)
+	require.Equal(t, leader.id, c.elect().id)
+}
+
+// TestRepeatedLogIsNoProofOfALearner guards against a voter whose disk was lost and that finds itself as a learner in
+// the history that the leader sends again.
+func TestRepeatedLogIsNoProofOfALearner(t *testing.T) {
+	c := newCluster(t, 3, 5)
+	leader := c.elect()
+	require.NoError(t, c.change(leader, AddLearner, 4))
+	joined := c.start(4, nil)
+	c.run(20, false)
+	require.True(t, joined.node.mayVote)
+	require.NoError(t, c.change(leader, Promote, 4))
+	c.run(20, false)
+	c.loseDisk(joined)
+	c.start(4, nil)
+	c.run(60, false)
+	// The old leader knows that member 4 held more than it has now; a new leader sends it the log from the start.
+	require.True(t, leader.node.TransferLeadership())
+	c.run(60, false)
+	require.Equal(t, c.highest, joined.applied)
+	require.False(t, joined.node.mayVote)
+}
+
+// TestLearnerIsPromotedOnlyAfterCatchingUp guards against a voter that counts before it holds the log, against two
+// changes at once and against reused ids.
+func TestLearnerIsPromotedOnlyAfterCatchingUp(t *testing.T) {
+	c := newCluster(t, 3, 6)
+	leader := c.elect()
+	require.NoError(t, c.change(leader, AddLearner, 4))
+	refused := c.change(leader, AddLearner, 5)
+	require.True(t, failure.Is(refused, failure.InProgress), "a second change is accepted: %v", refused)
+	c.run(5, false)
+	refused = c.change(leader, Promote, 4)
+	require.True(t, failure.Is(refused, failure.InProgress), "a silent learner is promoted: %v", refused)
+	c.start(4, nil)
+	c.run(20, false)
+	c.isolate(4)
+	require.NoError(t, c.propose(leader, "missed by the learner"))
+	c.run(5, false)
+	refused = c.change(leader, Promote, 4)
+	require.True(t, failure.Is(refused, failure.InProgress), "a learner that is behind is promoted: %v", refused)
+	c.heal()
+	c.run(20, false)
+	require.NoError(t, c.change(leader, Promote, 4))
+	c.run(5, false)
+	require.NoError(t, c.change(leader, Remove, 4))
+	c.run(5, false)
+	require.True(t, failure.Is(c.change(leader, AddLearner, 4), failure.InvalidRequest))
+}
+
+// TestSecondLossAfterRepair guards against a repaired group that does not survive the next loss.
+func TestSecondLossAfterRepair(t *testing.T) {
+	c := newCluster(t, 3, 7)
+	leader := c.elect()
+	lost, other := c.followersOf(leader)
+	require.NoError(t, c.propose(leader, "first"))
+	c.run(5, false)
+	c.stop(lost)
+	for _, step := range []struct {
+		kind ChangeKind
+		id   uint64
+	}{{AddLearner, 4}, {Promote, 4}, {Remove, lost.id}} {
+		require.NoError(t, c.change(leader, step.kind, step.id))
+		if step.kind == AddLearner {
+			c.start(4, nil)
+		}
+		c.run(20, false)
+	}
+	c.stop(leader)
+	next := c.elect()
+	require.NoError(t, c.propose(next, "second"))
+	c.run(5, false)
+	require.Equal(t, c.highest, c.members[4].applied)
+	require.Equal(t, c.highest, other.applied)
+}
+
+// TestPromotedVoterWithOldLogGrantsVotes guards against a group that blocks because a promotion has not reached the
+// promoted member when another member is lost.
+func TestPromotedVoterWithOldLogGrantsVotes(t *testing.T) {
+	c := newCluster(t, 2, 8)
+	leader := c.elect()
+	require.NoError(t, c.change(leader, AddLearner, 3))
+	c.start(3, nil)
+	c.run(20, false)
+	c.isolate(3)
+	require.NoError(t, c.change(leader, Promote, 3))
+	c.run(3, false)
+	c.stop(leader)
+	c.heal()
+	require.NotNil(t, c.elect())
+}
+
+// TestFreshnessEndsWithItsLeader guards against old sets in force for longer than design section 2.3 allows: 1 s after
+// contact for a cut-off member, 2 s for the follower of a cut-off leader.
+func TestFreshnessEndsWithItsLeader(t *testing.T) {
+	c := newCluster(t, 5, 9)
+	leader := c.elect()
+	c.run(20, false)
+	follower, _ := c.followersOf(leader)
+	for _, m := range c.running() {
+		require.Greater(t, m.node.FreshUntil(), c.now, "member %d is not fresh in a healthy group", m.id)
+	}
+	cut := c.now
+	c.isolate(leader.id, follower.id)
+	c.run(100, false)
+	require.LessOrEqual(t, leader.node.FreshUntil(), cut+time.Second)
+	require.LessOrEqual(t, follower.node.FreshUntil(), cut+2*time.Second)
+}
+
+// TestFreshnessNeedsAppliedEntries guards against a follower that answers fresh while its state machine is behind.
+func TestFreshnessNeedsAppliedEntries(t *testing.T) {
+	c := newCluster(t, 3, 10)
+	leader := c.elect()
+	c.run(20, false)
+	n := leader.node
+	before := n.FreshUntil()
+	n.addFreshness(freshPoint{stamp: uint64(c.now + tick), commit: leader.applied + 1})
+	require.Equal(t, before, n.FreshUntil())
+	n.Applied(leader.applied + 1)
+	require.Equal(t, c.now+tick+time.Second, n.FreshUntil())
+}
+
+// TestOlderSnapshotIsIgnored guards against an old snapshot that is installed over newer state.
+func TestOlderSnapshotIsIgnored(t *testing.T) {
+	c := newCluster(t, 3, 11)
+	leader := c.elect()
+	c.run(5, false)
+	m, _ := c.followersOf(leader)
+	require.NoError(t, m.node.Step(&raftpb.Message{
+		Type: raftpb.MessageType_SNAPSHOT, Group: "g", From: leader.id, To: m.id, Term: m.node.term,
+		Snapshot: &raftpb.SnapshotMeta{Index: m.node.log.commit, Term: 1},
+	}))
+	require.Nil(t, m.node.Ready().Snapshot)
+}
+
+// TestTransferHandsOverAtOnce guards against a graceful stop that costs an election timeout.
+func TestTransferHandsOverAtOnce(t *testing.T) {
+	c := newCluster(t, 3, 12)
+	leader := c.elect()
+	c.run(10, false)
+	require.True(t, leader.node.TransferLeadership())
+	require.True(t, failure.Is(c.propose(leader, "too late"), failure.NotLeader))
+	c.run(3, false)
+	require.NotNil(t, c.leader())
+	require.NotEqual(t, leader, c.leader())
+}
+
+// TestForeignMessagesAreRefused guards against a member that takes messages of another group or for another member.
+func TestForeignMessagesAreRefused(t *testing.T) {
+	n := newLeader(t)
+	err := n.Step(&raftpb.Message{Type: raftpb.MessageType_HEARTBEAT, Group: "other", From: 2, To: 1, Term: 9})
+	require.True(t, failure.Is(err, failure.Forbidden))
+	err = n.Step(&raftpb.Message{Type: raftpb.MessageType_HEARTBEAT, Group: "g", From: 2, To: 3, Term: 9})
+	require.True(t, failure.Is(err, failure.Forbidden))
+	require.EqualValues(t, 3, n.term)
+}
--- a/raft/replicate.go
+++ b/raft/replicate.go
@@ -238,7 +238,7 @@
 	var best *progress
 	for _, p := range n.sortedPeers() {
 		m := n.current().find(p.id)
-		if m == nil || m.GetLearner() || !p.answered || n.sinceStamp(p.ack) > n.config.CheckQuorum {
+		if m == nil || m.GetLearner() || !p.mayVote || n.sinceStamp(p.ack) > n.config.CheckQuorum {
 			continue
 		}
 		if best == nil || p.match > best.match {
--- /dev/null
+++ b/raft/wal/wal_test.go
@@ -0,0 +1,215 @@
+package wal
+
+import (
+	"errors"
+	"math/rand/v2"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/raft/diskfs/simdisk"
+	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
+)
+
+const firstSegment = "wal/00000000000000000001.wal"
+
+func open(t require.TestingT, disk *simdisk.Disk, segmentBytes int64) (*Log, Contents) {
+	l, contents, err := Open(Options{FS: disk, Dir: "wal", Group: "g", MemberID: 1, SegmentBytes: segmentBytes})
+	require.NoError(t, err)
+	return l, contents
+}
+
+func entries(term, from uint64, count int) []*raftpb.Entry {
+	all := make([]*raftpb.Entry, count)
+	for i := range all {
+		all[i] = &raftpb.Entry{Term: term, Index: from + uint64(i), Data: []byte("some data of a command")}
+	}
+	return all
+}
+
+func size(t *testing.T, disk *simdisk.Disk) int64 {
+	data, err := disk.ReadFile(firstSegment)
+	require.NoError(t, err)
+	return int64(len(data))
+}
+
+// TestTornTailIsCut guards against a member that cannot start after a crash in the middle of a write, and against one
+// that takes half a record.
+func TestTornTailIsCut(t *testing.T) {
+	disk := simdisk.New()
+	l, _ := open(t, disk, 0)
+	require.NoError(t, l.Save(&raftpb.HardState{Term: 1}, entries(1, 1, 2)))
+	whole := size(t, disk)
+	require.NoError(t, l.Save(&raftpb.HardState{Term: 2}, entries(2, 3, 2)))
+	for cut := size(t, disk) - 1; cut > whole; cut-- {
+		require.NoError(t, disk.Truncate(firstSegment, cut))
+		reopened, contents := open(t, disk, 0)
+		require.Len(t, contents.Entries, 2)
+		require.EqualValues(t, 1, contents.HardState.GetTerm())
+		require.Equal(t, cut-whole, contents.CutBytes)
+		require.NoError(t, reopened.Save(&raftpb.HardState{Term: 2}, entries(2, 3, 2)))
+		_, contents = open(t, disk, 0)
+		require.Len(t, contents.Entries, 4)
+		require.Zero(t, contents.CutBytes)
+	}
+}
+
+// TestCorruptionBeforeTheTailIsRefused guards against acknowledged entries that are cut away as if they were a torn
+// tail.
+func TestCorruptionBeforeTheTailIsRefused(t *testing.T) {
+	for offset := range 250 {
+		disk := simdisk.New()
+		l, _ := open(t, disk, 0)
+		require.NoError(t, l.Save(&raftpb.HardState{Term: 1}, entries(1, 1, 2)))
+		before := size(t, disk)
+		require.NoError(t, l.Save(&raftpb.HardState{Term: 2}, entries(2, 3, 2)))
+		if int64(offset) >= before {
+			return
+		}
+		disk.Corrupt(firstSegment, offset)
+		_, _, err := Open(Options{FS: disk, Dir: "wal", Group: "g", MemberID: 1})
+		var corrupt *CorruptError
+		require.ErrorAs(t, err, &corrupt, "byte %d", offset)
+		require.True(t, failure.Is(err, failure.StorageFailed))
+	}
+}
+
+// TestCorruptOldSegmentIsRefused guards against a fault at the end of an older segment that passes for a torn tail.
+func TestCorruptOldSegmentIsRefused(t *testing.T) {
+	disk := simdisk.New()
+	l, _ := open(t, disk, 100)
+	require.NoError(t, l.Save(nil, entries(1, 1, 4)))
+	require.NoError(t, l.Save(nil, entries(1, 5, 1)))
+	require.Greater(t, l.Segments(), 1)
+	disk.Corrupt(firstSegment, int(size(t, disk))-1)
+	_, _, err := Open(Options{FS: disk, Dir: "wal", Group: "g", MemberID: 1})
+	var corrupt *CorruptError
+	require.ErrorAs(t, err, &corrupt)
+}
+
+// TestFailedSyncMakesTheLogUnusable guards against a repeated sync that succeeds although the data is lost.
+func TestFailedSyncMakesTheLogUnusable(t *testing.T) {
+	disk := simdisk.New()
+	l, _ := open(t, disk, 0)
+	disk.FailSync(syscall.EIO)
+	err := l.Save(nil, entries(1, 1, 1))
+	var failed *FailedError
+	require.ErrorAs(t, err, &failed)
+	require.ErrorIs(t, err, syscall.EIO)
+	disk.FailSync(nil)
+	syncs := disk.Syncs()
+	require.ErrorAs(t, l.Save(nil, entries(1, 1, 1)), &failed)
+	require.ErrorAs(t, l.Mark(&raftpb.SnapshotMeta{Index: 1}, false), &failed)
+	require.ErrorAs(t, l.DropBefore(1), &failed)
+	require.Equal(t, syncs, disk.Syncs())
+}
+
+// TestFullDisk guards against an acknowledged save on a full disk, and against a log that does not open afterwards.
+func TestFullDisk(t *testing.T) {
+	disk := simdisk.New()
+	l, _ := open(t, disk, 0)
+	require.NoError(t, l.Save(nil, entries(1, 1, 1)))
+	disk.SetSpace(20)
+	err := l.Save(nil, entries(1, 2, 1))
+	require.ErrorIs(t, err, syscall.ENOSPC)
+	require.True(t, failure.Is(err, failure.StorageFailed))
+	disk.SetSpace(-1)
+	var failed *FailedError
+	require.ErrorAs(t, l.Save(nil, entries(1, 2, 1)), &failed)
+	_, contents := open(t, disk, 0)
+	require.Len(t, contents.Entries, 1)
+}
+
+// TestBatchSharesOneSync guards against a sync per entry, which limits the rate of commands to that of the disk.
+func TestBatchSharesOneSync(t *testing.T) {
+	disk := simdisk.New()
+	l, _ := open(t, disk, 0)
+	before := disk.Syncs()
+	require.NoError(t, l.Save(&raftpb.HardState{Term: 1}, entries(1, 1, 100)))
+	require.Equal(t, before+1, disk.Syncs())
+}
+
+// TestForeignLogIsRefused guards against a member that starts with the disk of another one.
+func TestForeignLogIsRefused(t *testing.T) {
+	disk := simdisk.New()
+	open(t, disk, 0)
+	_, _, err := Open(Options{FS: disk, Dir: "wal", Group: "g", MemberID: 2})
+	require.True(t, failure.Is(err, failure.StorageFailed))
+}
+
+// TestCrashKeepsSavedRecords guards against lost or changed records after crashes at any point, over rotation,
+// replaced entries, snapshot marks and dropped segments.
+func TestCrashKeepsSavedRecords(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		disk := simdisk.New()
+		l, _ := open(t, disk, 300)
+		var expected []*raftpb.Entry
+		term, dropped := uint64(0), uint64(0)
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			term++
+			hard := &raftpb.HardState{Term: term}
+			last := uint64(len(expected))
+			switch rapid.IntRange(0, 9).Draw(t, "action") {
+			case 0:
+				l = crash(t, disk, l, random, expected, term-1, dropped)
+				term--
+				continue
+			case 1:
+				dropped = max(dropped, last/2)
+				require.NoError(t, l.Mark(&raftpb.SnapshotMeta{Index: dropped}, false))
+				require.NoError(t, l.DropBefore(dropped))
+				require.NoError(t, l.Save(hard, nil))
+			default:
+				from := max(dropped, last-min(last, uint64(rapid.IntRange(0, 2).Draw(t, "replace")))) + 1
+				added := entries(term, from, rapid.IntRange(1, 5).Draw(t, "count"))
+				require.NoError(t, l.Save(hard, added))
+				expected = append(expected[:from-1:from-1], added...)
+			}
+		}
+		crash(t, disk, l, random, expected, term, dropped)
+	})
+}
+
+// crash loses an unacknowledged save and checks what is left of the acknowledged ones.
+func crash(t *rapid.T, disk *simdisk.Disk, l *Log, random *rand.Rand, expected []*raftpb.Entry, term, dropped uint64) *Log {
+	disk.FailSync(errors.New("crash"))
+	require.Error(t, l.Save(nil, entries(term, uint64(len(expected))+1, 1)))
+	disk.Crash(random)
+	l, contents := open(t, disk, 300)
+	require.Equal(t, term, contents.HardState.GetTerm())
+	require.Equal(t, dropped, contents.Mark.GetIndex())
+	for _, e := range expected[dropped:] {
+		require.NotEmpty(t, contents.Entries)
+		first := contents.Entries[0].GetIndex()
+		require.LessOrEqual(t, first, dropped+1)
+		require.True(t, proto.Equal(e, contents.Entries[e.GetIndex()-first]), "entry %d is lost", e.GetIndex())
+	}
+	return l
+}
+
+// FuzzDecodeRecord guards against faulty records that pass the check or crash the reader.
+func FuzzDecodeRecord(f *testing.F) {
+	payload, err := appendItem(nil, itemEntry, entries(1, 1, 1)[0])
+	require.NoError(f, err)
+	f.Add(encodeRecord(1, 0, payload), int64(0))
+	f.Add(encodeRecord(1, 5, payload), int64(5))
+	f.Add([]byte("WRAL\xff\xff\xff\xff1234"), int64(0))
+	f.Add([]byte{}, int64(0))
+	f.Fuzz(func(t *testing.T, data []byte, offset int64) {
+		if offset < 0 || offset > int64(len(data)) {
+			return
+		}
+		_ = eachItem(data, func(itemKind, []byte) error { return nil })
+		findRecord(1, data, offset)
+		payload, ok := decodeRecord(1, data, offset)
+		if ok {
+			again := encodeRecord(1, offset, payload)
+			require.Equal(t, data[offset:offset+int64(len(again))], again)
+		}
+	})
+}
