replica: test the driver, acknowledge raft streams

Cause: a member that was cut off silently did not come back, because hearing the peer does not show that one's own stream still works. The receiver of a raft stream now acknowledges it at most twice a second, and the sender replaces a stream whose messages stay unacknowledged for 3 s. Ruled out: the write deadline alone; small messages vanish into the socket buffer for minutes. Ruled out: a go-metrics Timer for sync times; it starts a goroutine that cannot be stopped (found by goleak).

--- /dev/null
+++ b/replica/cluster_test.go
@@ -0,0 +1,250 @@
+package replica
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/wrapperspb"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/raft"
+	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
+)
+
+// register is a state machine with one number. A command sets it; the result is the number before.
+type register struct {
+	mu      sync.Mutex
+	value   uint64
+	applied uint64
+	// hold, if set, blocks Apply until it is closed.
+	hold chan struct{}
+}
+
+func (r *register) Apply(index uint64, command []byte) proto.Message {
+	if r.hold != nil {
+		<-r.hold
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := r.value
+	r.value = binary.LittleEndian.Uint64(command)
+	r.applied = index
+	return wrapperspb.UInt64(before)
+}
+
+func (r *register) Snapshot() ([]byte, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return binary.LittleEndian.AppendUint64(nil, r.value), nil
+}
+
+func (r *register) Restore(data []byte) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.value = binary.LittleEndian.Uint64(data)
+	return nil
+}
+
+func (r *register) get() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.value
+}
+
+func set(value uint64) []byte { return binary.LittleEndian.AppendUint64(nil, value) }
+
+// process is one member with its drpc server.
+type process struct {
+	*Replica
+	machine *register
+	stop    func()
+}
+
+// fastElection shortens the tests that do not measure the time of an election.
+const fastElection = 300 * time.Millisecond
+
+// group runs members on loopback. Links can be cut; cut links lose what is written and stay open, as in a silent
+// partition.
+type group struct {
+	t       testing.TB
+	dir     string
+	first   []*raftpb.Member
+	members map[uint64]*process
+	tune    func(*Options)
+
+	mu  sync.Mutex
+	cut map[[2]uint64]bool
+	ids map[string]uint64
+}
+
+func newGroup(t testing.TB, size int, tune func(*Options)) *group {
+	g := &group{t: t, dir: t.TempDir(), members: map[uint64]*process{}, tune: tune, cut: map[[2]uint64]bool{}, ids: map[string]uint64{}}
+	for id := uint64(1); id <= uint64(size); id++ {
+		g.first = append(g.first, g.member(id))
+	}
+	for _, m := range g.first {
+		g.start(m, g.first)
+	}
+	t.Cleanup(func() {
+		for _, p := range g.members {
+			p.stop()
+		}
+	})
+	return g
+}
+
+// member reserves an address.
+func (g *group) member(id uint64) *raftpb.Member {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(g.t, err)
+	address := listener.Addr().String()
+	require.NoError(g.t, listener.Close())
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ids[address] = id
+	return &raftpb.Member{Id: id, Address: address}
+}
+
+func (g *group) start(m *raftpb.Member, bootstrap []*raftpb.Member) *process {
+	machine := &register{}
+	options := Options{
+		ID: m.GetId(), Group: "test", Address: m.GetAddress(), Dir: filepath.Join(g.dir, fmt.Sprint(m.GetId())),
+		StateMachine: machine, Bootstrap: bootstrap, Dial: g.dialFrom(m.GetId()), Election: fastElection,
+	}
+	if g.tune != nil {
+		g.tune(&options)
+	}
+	r, err := Start(options)
+	require.NoError(g.t, err)
+	p := &process{Replica: r, machine: machine}
+	p.stop = g.serve(r, m.GetAddress())
+	g.members[m.GetId()] = p
+	return p
+}
+
+// serve runs the member's drpc server and returns a function that stops both once.
+func (g *group) serve(r *Replica, address string) func() {
+	listener, err := net.Listen("tcp", address)
+	require.NoError(g.t, err)
+	mux := drpcmux.New()
+	require.NoError(g.t, r.Register(mux))
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = drpcserver.New(mux).Serve(ctx, listener)
+	}()
+	var once sync.Once
+	return func() {
+		once.Do(func() {
+			r.Stop()
+			cancel()
+			<-served
+		})
+	}
+}
+
+func (g *group) dialFrom(from uint64) func(context.Context, string) (net.Conn, error) {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return &faultyLink{Conn: conn, group: g, ends: [2]uint64{from, g.ids[address]}}, nil
+	}
+}
+
+// faultyLink loses what is written while it is cut, and from then on, because a stream with a hole cannot be used again.
+type faultyLink struct {
+	net.Conn
+	group *group
+	ends  [2]uint64
+	dead  bool
+}
+
+func (l *faultyLink) Write(data []byte) (int, error) {
+	l.group.mu.Lock()
+	l.dead = l.dead || l.group.cut[l.ends]
+	dead := l.dead
+	l.group.mu.Unlock()
+	if dead {
+		return len(data), nil
+	}
+	return l.Conn.Write(data)
+}
+
+// isolate cuts a member off silently; heal connects everything.
+func (g *group) isolate(id uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, other := range g.ids {
+		if other != id {
+			g.cut[[2]uint64{id, other}] = true
+			g.cut[[2]uint64{other, id}] = true
+		}
+	}
+}
+
+func (g *group) heal() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	clear(g.cut)
+}
+
+// kill ends a member without a graceful handover, as a lost VM does.
+func (g *group) kill(id uint64) {
+	p := g.members[id]
+	p.report(event{failed: failure.New(failure.Internal, failure.Unknown, "killed by the test")})
+	p.stop()
+	delete(g.members, id)
+}
+
+// write proposes until a member accepts, and returns that member.
+func (g *group) write(value uint64, limit time.Duration) *process {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	var accepted *process
+	require.Eventually(g.t, func() bool {
+		for _, p := range g.members {
+			if _, err := p.Propose(ctx, set(value)); err == nil {
+				accepted = p
+				return true
+			}
+		}
+		return false
+	}, limit, 5*time.Millisecond, "no write is accepted")
+	return accepted
+}
+
+func (g *group) read(p *process) uint64 {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	require.NoError(g.t, p.ReadBarrier(ctx))
+	return p.machine.get()
+}
+
+// change repeats a membership change until it is accepted.
+func (g *group) change(kind raft.ChangeKind, m *raftpb.Member) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	require.Eventually(g.t, func() bool {
+		for _, p := range g.members {
+			if _, err := p.ChangeMembers(ctx, raft.Change{Kind: kind, Member: m}); err == nil {
+				return true
+			}
+		}
+		return false
+	}, 10*time.Second, 10*time.Millisecond, "%s of member %d is not accepted", kind, m.GetId())
+}
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -159,7 +159,7 @@
 		if err := r.storage.persist(ready, received); err != nil {
 			return err
 		}
-		r.metrics.sync.UpdateSince(begin)
+		r.metrics.syncMicros.Update(time.Since(begin).Microseconds())
 	}
 	for _, m := range ready.Messages {
 		r.transport.send(m)
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -82,7 +82,7 @@
 	MaxUnapplied uint64
 	// WriteDeadline limits one write to a peer; default 2 s.
 	WriteDeadline time.Duration
-	// SilenceLimit is how long a connected peer may stay silent before its connection is opened again; default 3 s.
+	// SilenceLimit is how long messages may stay unacknowledged before a connection is opened again; default 3 s.
 	SilenceLimit time.Duration
 	// StopLimit limits how long a stopping leader finishes commands, and hands over leadership, each; default 2 s.
 	StopLimit time.Duration
--- a/replica/snapshots.go
+++ b/replica/snapshots.go
@@ -92,6 +92,7 @@
 
 // Exchange implements the raft service.
 func (s *server) Exchange(stream raftpb.DRPCRaft_ExchangeStream) error {
+	var acknowledged time.Time
 	for {
 		m, err := stream.Recv()
 		if err != nil {
@@ -103,6 +104,13 @@
 		if err := s.replica.receive(inbound{message: m}); err != nil {
 			return err
 		}
+		if time.Since(acknowledged) < ackInterval {
+			continue
+		}
+		if err := stream.Send(&raftpb.Ack{}); err != nil {
+			return err
+		}
+		acknowledged = time.Now()
 	}
 }
 
--- a/replica/transport.go
+++ b/replica/transport.go
@@ -61,16 +61,13 @@
 	return true
 }
 
-// heard notes a message of a member and the address that it told.
+// heard notes the address that a member told.
 func (t *transport) heard(m *raftpb.Message) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if a := m.GetFromAddress(); a != "" && (len(t.told) < maxTold || t.told[m.GetFrom()] != "") {
 		t.told[m.GetFrom()] = a
 	}
-	if p := t.peers[m.GetFrom()]; p != nil {
-		p.lastHeard.Store(time.Now().UnixNano())
-	}
 }
 
 func (t *transport) address(id uint64) string {
@@ -135,16 +132,26 @@
 	id        uint64
 	transport *transport
 	queue     chan *raftpb.Message
-	// lastHeard is the Unix time in ns of the last message from the member.
-	lastHeard atomic.Int64
 	// transferring is set while a snapshot is on its way.
 	transferring atomic.Bool
 
-	conn      *drpcconn.Conn
-	stream    raftpb.DRPCRaft_ExchangeClient
-	connected time.Time
+	link *link
+}
+
+// link is one connection to a peer.
+type link struct {
+	conn   *drpcconn.Conn
+	stream raftpb.DRPCRaft_ExchangeClient
+	// lastAck is the Unix time in ns of the last acknowledgement, and broken is set when no more can come.
+	lastAck atomic.Int64
+	broken  atomic.Bool
+	// waitingSince is the time of the first message that had to be acknowledged and was not yet.
+	waitingSince time.Time
 }
 
+// ackInterval is the shortest time between acknowledgements on one stream.
+const ackInterval = 500 * time.Millisecond
+
 func (p *peer) run() {
 	defer p.disconnect()
 	wait := backoff.NewExponentialBackOff()
@@ -184,23 +191,34 @@
 }
 
 func (p *peer) sendOne(m *raftpb.Message) error {
-	if p.silent() {
+	if p.link != nil && p.link.dead(p.transport.replica.options.SilenceLimit) {
 		p.disconnect()
 	}
-	if p.conn == nil {
+	if p.link == nil {
 		if err := p.connect(); err != nil {
 			return err
 		}
 		m = proto.CloneOf(m)
 		m.FromAddress = p.transport.replica.options.Address
 	}
-	return p.stream.Send(m)
+	return p.link.stream.Send(m)
 }
 
-// silent reports whether the connection may be half open: writes go into the socket buffer but nothing comes back.
-func (p *peer) silent() bool {
-	limit := p.transport.replica.options.SilenceLimit
-	return p.conn != nil && time.Since(p.connected) > limit && time.Now().UnixNano()-p.lastHeard.Load() > int64(limit)
+// dead reports whether the connection ended or loses what is written: a message that had to be acknowledged was not,
+// for longer than the limit. Acknowledgements are due for messages that follow the last one by twice their interval.
+func (l *link) dead(limit time.Duration) bool {
+	now := time.Now()
+	switch {
+	case l.broken.Load():
+		return true
+	case now.UnixNano()-l.lastAck.Load() < int64(2*ackInterval):
+		l.waitingSince = time.Time{}
+		return false
+	case l.waitingSince.IsZero():
+		l.waitingSince = now
+		return false
+	}
+	return now.Sub(l.waitingSince) > limit
 }
 
 func (p *peer) connect() error {
@@ -214,13 +232,25 @@
 		_ = conn.Close()
 		return err
 	}
-	p.conn, p.stream, p.connected = conn, stream, time.Now()
+	p.link = &link{conn: conn, stream: stream}
+	p.transport.replica.group.Go(p.link.readAcks)
 	return nil
 }
 
+// readAcks ends when the connection is closed.
+func (l *link) readAcks() {
+	defer l.broken.Store(true)
+	for {
+		if _, err := l.stream.Recv(); err != nil {
+			return
+		}
+		l.lastAck.Store(time.Now().UnixNano())
+	}
+}
+
 func (p *peer) disconnect() {
-	if p.conn != nil {
-		_ = p.conn.Close()
+	if p.link != nil {
+		_ = p.link.conn.Close()
 	}
-	p.conn, p.stream = nil, nil
+	p.link = nil
 }
