--- a/raft/diskfs/diskfs.go
+++ b/raft/diskfs/diskfs.go
@@ -42,9 +42,20 @@
 	dirPermission  = 0o700
 )
 
-// MkdirAll implements FS.
+// MkdirAll implements FS. It syncs the parent of each directory that it creates.
 func (o OS) MkdirAll(dir string) error {
-	if err := os.MkdirAll(dir, dirPermission); err != nil {
+	dir = filepath.Clean(dir)
+	err := os.Mkdir(dir, dirPermission)
+	if errors.Is(err, fs.ErrNotExist) {
+		if err = o.MkdirAll(filepath.Dir(dir)); err != nil {
+			return err
+		}
+		err = os.Mkdir(dir, dirPermission)
+	}
+	if errors.Is(err, fs.ErrExist) {
+		return nil
+	}
+	if err != nil {
 		return err
 	}
 	return o.SyncDir(filepath.Dir(dir))
--- a/raft/guards_test.go
+++ b/raft/guards_test.go
@@ -112,6 +112,7 @@
 // TestReadWaitsForOwnTerm guards against reads by a new leader that does not know the commit index yet.
 func TestReadWaitsForOwnTerm(t *testing.T) {
 	n := newLeader(t)
+	n.Applied(n.log.commit)
 	require.NoError(t, n.ReadIndex(7))
 	beat := &raftpb.Message{Type: raftpb.MessageType_HEARTBEAT_REPLY, Group: "g", From: 2, To: 1, Term: 3, Context: n.lastStamp + 1000}
 	require.NoError(t, n.Step(beat))
@@ -138,6 +139,20 @@
 	require.Equal(t, leader.id, c.elect().id)
 }
 
+// TestJoinModeRefusesVotes guards against a vote of a member with an empty disk, with and without a pre-vote.
+func TestJoinModeRefusesVotes(t *testing.T) {
+	n, err := New(Config{ID: 1, Group: "g"}, State{})
+	require.NoError(t, err)
+	n.Tick(time.Hour)
+	for _, kind := range []raftpb.MessageType{raftpb.MessageType_PRE_VOTE, raftpb.MessageType_VOTE} {
+		require.NoError(t, n.Step(&raftpb.Message{Type: kind, Group: "g", From: 2, To: 1, Term: 5, LogIndex: 9, LogTerm: 4}))
+		ready := n.Ready()
+		require.Len(t, ready.Messages, 1)
+		require.True(t, ready.Messages[0].GetReject(), "%v is granted", kind)
+		n.Advance(ready)
+	}
+}
+
 // TestRepeatedLogIsNoProofOfALearner guards against a voter whose disk was lost and that finds itself as a learner in
 // the history that the leader sends again.
 func TestRepeatedLogIsNoProofOfALearner(t *testing.T) {
--- a/replica/bench_test.go
+++ b/replica/bench_test.go
@@ -61,22 +61,27 @@
 	b.ReportMetric(total.Seconds()/float64(b.N), "s/failover")
 }
 
-// BenchmarkRestart measures the start of a member with a log of 100,000 entries and no snapshot.
+// BenchmarkRestart measures the start of a member with a log of 100,000 entries and no snapshot, until it takes part,
+// and as s/read until it has won an election, applied the log and served a read.
 func BenchmarkRestart(b *testing.B) {
 	const entries = 100_000
 	g := newGroup(b, 1, func(o *Options) { o.SnapshotEvery = 10 * entries })
 	leader := g.leader()
 	fill(b, leader, entries)
 	leader.stop()
+	var served time.Duration
 	b.ResetTimer()
 	for b.Loop() {
+		begin := time.Now()
 		p := g.start(g.first[0], nil)
 		require.GreaterOrEqual(b, p.Status().LastIndex, uint64(entries))
 		b.StopTimer()
 		g.read(p)
+		served += time.Since(begin)
 		p.stop()
 		b.StartTimer()
 	}
+	b.ReportMetric(served.Seconds()/float64(b.N), "s/read")
 }
 
 // fill writes commands from a bounded number of proposers.
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -269,3 +270,25 @@
 	require.NoError(t, <-done)
 	require.Equal(t, term, leader.Status().Term)
 }
+
+// TestBlockedPeerIsNoticed guards against a sender that blocks for good on a peer that accepts a connection and never
+// reads from it.
+func TestBlockedPeerIsNoticed(t *testing.T) {
+	t.Parallel()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	g := newGroup(t, 1, func(o *Options) { o.WriteDeadline = 100 * time.Millisecond })
+	p := g.leader()
+	reconnects := p.metrics.reconnects.Count()
+	_, err = p.ChangeMembers(t.Context(), raft.Change{Kind: raft.AddLearner, Member: &raftpb.Member{Id: 2, Address: listener.Addr().String()}})
+	require.NoError(t, err)
+	target := p.transport.peer(2)
+	require.Eventually(t, func() bool {
+		select {
+		case target.queue <- &raftpb.Message{Type: raftpb.MessageType_APPEND, To: 2, Entries: []*raftpb.Entry{{Data: make([]byte, 1<<20)}}}:
+		default:
+		}
+		return p.metrics.reconnects.Count() > reconnects+1
+	}, failoverLimit, 5*time.Millisecond)
+}
