--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,8 @@
 
 fmt: tools
 	$(BIN)/tools/gofumpt -w $$(git ls-files '*.go' | grep -v '\.pb\.go$$')
+
+# Removes each guard listed in docs/guards/ and checks that its test then fails.
+.PHONY: guards
+guards:
+	$(GO) run ./internal/guardcheck $(if $(ONLY),--only "$(ONLY)") docs/guards/*.txt
