--- /dev/null
+++ b/internal/launch/process.go
@@ -0,0 +1,132 @@
+// Package launch starts the system's programs on loopback addresses for the demo and the scenarios, and
+// injects faults from outside: signals to processes and relays that cut or slow their links.
+package launch
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// ProcessError reports a process that could not be started, signaled or stopped.
+type ProcessError struct {
+	Name  string
+	Op    string
+	Cause error
+}
+
+func (e *ProcessError) Error() string { return fmt.Sprintf("%s %s: %v", e.Op, e.Name, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *ProcessError) Unwrap() error { return e.Cause }
+
+// errTimeout is the cause when a process did not exit in time.
+var errTimeout = errors.New("did not exit in time")
+
+// Command describes one process.
+type Command struct {
+	// Name identifies the process in logs and scenarios.
+	Name string
+	Path string
+	Args []string
+	// Env is added to the environment of the launching process.
+	Env []string
+	// LogPath receives standard output and standard error, appended over restarts.
+	LogPath string
+}
+
+// Process is one running or exited program.
+type Process struct {
+	command Command
+	cmd     *exec.Cmd
+	exited  chan struct{}
+
+	mu  sync.Mutex
+	err error
+}
+
+// Start runs the command.
+func Start(command Command) (*Process, error) {
+	log, err := os.OpenFile(command.LogPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, &ProcessError{command.Name, "open log of", err}
+	}
+	defer func() { _ = log.Close() }()
+	cmd := exec.Command(command.Path, command.Args...)
+	cmd.Env = append(os.Environ(), command.Env...)
+	cmd.Stdout, cmd.Stderr = log, log
+	// The kernel kills the process when the launcher dies, so that an aborted run leaves nothing behind.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return nil, &ProcessError{command.Name, "start", err}
+	}
+	p := &Process{command: command, cmd: cmd, exited: make(chan struct{})}
+	go p.wait()
+	return p, nil
+}
+
+func (p *Process) wait() {
+	err := p.cmd.Wait()
+	p.mu.Lock()
+	p.err = err
+	p.mu.Unlock()
+	close(p.exited)
+}
+
+// Command returns the description that the process was started with.
+func (p *Process) Command() Command { return p.command }
+
+// Exited is closed when the process has exited.
+func (p *Process) Exited() <-chan struct{} { return p.exited }
+
+// ExitCode returns the exit code after Exited is closed; -1 if a signal ended the process.
+func (p *Process) ExitCode() int { return p.cmd.ProcessState.ExitCode() }
+
+// Kill sends SIGKILL and waits for the exit.
+func (p *Process) Kill() error {
+	if err := p.signal("kill", syscall.SIGKILL); err != nil {
+		return err
+	}
+	<-p.exited
+	return nil
+}
+
+// Freeze stops the process with SIGSTOP; its connections stay open.
+func (p *Process) Freeze() error { return p.signal("freeze", syscall.SIGSTOP) }
+
+// Thaw continues a frozen process.
+func (p *Process) Thaw() error { return p.signal("thaw", syscall.SIGCONT) }
+
+// Terminate sends SIGTERM and does not wait.
+func (p *Process) Terminate() error { return p.signal("terminate", syscall.SIGTERM) }
+
+// Stop sends SIGTERM and waits for the exit.
+func (p *Process) Stop(timeout time.Duration) error {
+	if err := p.Terminate(); err != nil {
+		return err
+	}
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-p.exited:
+		return nil
+	case <-timer.C:
+		return &ProcessError{p.command.Name, "stop", errTimeout}
+	}
+}
+
+func (p *Process) signal(op string, signal syscall.Signal) error {
+	select {
+	case <-p.exited:
+		return nil
+	default:
+	}
+	if err := p.cmd.Process.Signal(signal); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return &ProcessError{p.command.Name, op, err}
+	}
+	return nil
+}
--- a/rpcpool/rpcpool.go
+++ b/rpcpool/rpcpool.go
@@ -24,6 +24,9 @@
 	Expiration time.Duration
 	// DialTimeout limits connection set-up; default 1 s.
 	DialTimeout time.Duration
+	// LocalIP is the source address of connections; default: chosen by the kernel. A VM with several
+	// addresses sets it to the address by which other processes know it.
+	LocalIP string
 }
 
 // Pool hands out connections by address.
@@ -57,7 +60,7 @@
 // Get returns a connection that dials on its first use. The caller closes it to give it back.
 func (p *Pool) Get(ctx context.Context, address string) drpc.Conn {
 	return p.pool.Get(ctx, address, func(ctx context.Context, address string) (drpcpool.Conn, error) {
-		conn, err := Dial(ctx, address, p.options.DialTimeout)
+		conn, err := DialFrom(ctx, p.options.LocalIP, address, p.options.DialTimeout)
 		if err != nil {
 			return nil, err
 		}
@@ -70,7 +73,15 @@
 
 // Dial opens one connection. A dial error means that no byte of a call has left.
 func Dial(ctx context.Context, address string, timeout time.Duration) (*drpcconn.Conn, error) {
+	return DialFrom(ctx, "", address, timeout)
+}
+
+// DialFrom is Dial from a given source IP address; an empty one leaves the choice to the kernel.
+func DialFrom(ctx context.Context, localIP, address string, timeout time.Duration) (*drpcconn.Conn, error) {
 	dialer := net.Dialer{Timeout: timeout, KeepAlive: 5 * time.Second}
+	if localIP != "" {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(localIP)}
+	}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, failure.Wrap(err, failure.NoUpstream, failure.NotRun, "connect to %s", address)
