Add the queue of an upstream and admission

Cause: the agent needs one place that orders work by rank with floors, fair shares of tokens and deadlines, and that refuses what cannot be on time.

Ruled out: fairness by requests (a caller with long prompts would get more), strict priority (starves), a decaying service window for floors (a credit in tokens is exact and bounds the catch-up burst to two chunks).

--- /dev/null
+++ b/sched/late.go
@@ -0,0 +1,70 @@
+package sched
+
+import (
+	"container/heap"
+	"time"
+)
+
+// deadlineHeap orders entries by deadline. Entries that are gone or have finished their prefill stay until they
+// reach the top.
+type deadlineHeap []*entry
+
+func (h deadlineHeap) Len() int           { return len(h) }
+func (h deadlineHeap) Less(i, j int) bool { return h[i].item.Deadline.Before(h[j].item.Deadline) }
+func (h deadlineHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *deadlineHeap) Push(x any) { *h = append(*h, x.(*entry)) }
+
+// Pop implements heap.Interface.
+func (h *deadlineHeap) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return e
+}
+
+// prefilled is true when nothing of the prompt is left to grant.
+func (e *entry) prefilled() bool { return e.remaining == 0 }
+
+// expire drops requests whose deadline passed before their prefill was granted, so that they never displace work
+// that can still be on time.
+func (q *Queue) expire(now time.Time) {
+	q.compact()
+	for len(q.late) > 0 {
+		e := q.late[0]
+		if !e.gone && !e.prefilled() && now.Before(e.item.Deadline) {
+			return
+		}
+		heap.Pop(&q.late)
+		if !e.gone && !e.prefilled() && !q.settings.Off.DropLate {
+			q.drop(e, RemovedExpired)
+		}
+	}
+}
+
+// compact bounds the heap: entries with distant deadlines that are gone must not pile up under it.
+func (q *Queue) compact() {
+	if len(q.late) <= 2*(len(q.entries)+q.settings.MaxRunning) {
+		return
+	}
+	kept := q.late[:0]
+	for _, e := range q.late {
+		if !e.gone && !e.prefilled() {
+			kept = append(kept, e)
+		}
+	}
+	clear(q.late[len(kept):])
+	q.late = kept
+	heap.Init(&q.late)
+}
+
+// unreachable is true when even an idle engine could not finish the prefill before the deadline.
+func (q *Queue) unreachable(e *entry, now time.Time) bool {
+	if q.prefillRate <= 0 || e.item.Deadline.IsZero() || q.settings.Off.DropLate {
+		return false
+	}
+	need := time.Duration(float64(e.remaining) / q.prefillRate * float64(time.Second))
+	return now.Add(need).After(e.item.Deadline)
+}
--- /dev/null
+++ b/sched/queue.go
@@ -0,0 +1,212 @@
+package sched
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+)
+
+// Queue holds the waiting and running requests of one upstream.
+type Queue struct {
+	settings Settings
+	weights  map[string]float64
+	ranks    []*rankQueue // Most urgent first.
+	byName   map[string]*rankQueue
+	entries  map[string]*entry
+	late     deadlineHeap
+	budget   longBudget
+	dropped  []Removed
+	// prefillRate is the measured rate in tokens per second; 0 means unknown.
+	prefillRate float64
+	waiting     int
+	running     int
+	outstanding int64
+	sequence    uint64
+}
+
+// entry is one request from Push to Finish, Cancel or removal.
+type entry struct {
+	item      Item
+	rank      *rankQueue
+	account   *account
+	remaining int64 // Prompt tokens not yet granted.
+	granted   int64 // Tokens of the chunk in progress.
+	started   bool
+	gone      bool
+	sequence  uint64
+}
+
+// New returns an empty queue.
+func New(settings Settings, config Config) *Queue {
+	q := &Queue{settings: settings.withDefaults(), entries: map[string]*entry{}}
+	q.budget = longBudget{share: q.settings.LongShare, limit: float64(q.settings.ChunkTokens)}
+	q.Configure(config)
+	return q
+}
+
+// SetPrefillRate tells the measured prefill rate in tokens per second.
+func (q *Queue) SetPrefillRate(rate float64) { q.prefillRate = rate }
+
+// Push queues an item. A full queue displaces the newest request of the least urgent rank above its floor of places,
+// or refuses the item itself, not run.
+func (q *Queue) Push(item Item, now time.Time) error {
+	if _, ok := q.entries[item.ID]; ok {
+		return failure.New(failure.InvalidRequest, failure.NotRun, "request %s is already queued", item.ID)
+	}
+	q.expire(now)
+	rank := q.rankOf(item.Rank)
+	if q.waiting >= q.settings.MaxQueued && !q.displaceFor(rank, item) {
+		return failure.New(failure.Overloaded, failure.NotRun, "queue of %d requests is full", q.settings.MaxQueued)
+	}
+	q.insert(item, rank)
+	return nil
+}
+
+func (q *Queue) insert(item Item, rank *rankQueue) {
+	q.sequence++
+	e := &entry{item: item, rank: rank, remaining: max(1, item.PromptTokens), sequence: q.sequence}
+	e.account = rank.account(q.accountKey(item), q.weightOf(item.Account))
+	rank.activate(e.account)
+	e.account.wait(e, q.settings.Off.Deadlines)
+	e.account.queuedTokens += e.remaining
+	rank.queuedTokens += e.remaining
+	rank.waiting++
+	q.waiting++
+	q.entries[item.ID] = e
+	if !item.Deadline.IsZero() {
+		heap.Push(&q.late, e)
+	}
+}
+
+// Next grants the next prefill chunk, or nothing if no work may start now.
+func (q *Queue) Next(now time.Time) (Grant, bool) {
+	q.expire(now)
+	for {
+		e, why := q.choose()
+		if e == nil {
+			return Grant{}, false
+		}
+		if q.unreachable(e, now) {
+			q.drop(e, RemovedUnreachable)
+			continue
+		}
+		return q.grant(e, why)
+	}
+}
+
+func (q *Queue) grant(e *entry, why string) (Grant, bool) {
+	tokens := q.chunk(e)
+	if q.outstanding > 0 && q.outstanding+tokens > q.settings.MaxOutstanding {
+		return Grant{}, false
+	}
+	first := !e.started
+	if first {
+		q.start(e)
+	} else {
+		e.account.unready(e)
+	}
+	e.remaining -= tokens
+	e.granted = tokens
+	q.outstanding += tokens
+	q.settle(e, tokens)
+	q.charge(e, tokens, true)
+	return Grant{Item: e.item, Tokens: tokens, First: first, Last: e.remaining == 0, Why: why}, true
+}
+
+func (q *Queue) chunk(e *entry) int64 {
+	if q.settings.WholePrompts {
+		return e.remaining
+	}
+	return min(e.remaining, q.settings.ChunkTokens)
+}
+
+func (q *Queue) start(e *entry) {
+	e.account.unwait(e)
+	e.started = true
+	e.account.running++
+	e.rank.running++
+	e.rank.waiting--
+	q.running++
+	q.waiting--
+}
+
+// settle takes granted or abandoned prompt tokens out of the counts of queued tokens.
+func (q *Queue) settle(e *entry, tokens int64) {
+	e.account.queuedTokens -= tokens
+	e.rank.queuedTokens -= tokens
+}
+
+// charge counts tokens against the account's fair share, the ranks' floors and, for prefill, the long budget.
+func (q *Queue) charge(e *entry, tokens int64, prefill bool) {
+	e.rank.charge(e.account, tokens)
+	q.creditFloors(e.rank, tokens)
+	if prefill {
+		q.budget.charge(e.item.Long, tokens)
+	}
+}
+
+// ChunkDone reports that the granted chunk of a request has been computed.
+func (q *Queue) ChunkDone(id string) {
+	e, ok := q.entries[id]
+	if !ok || e.granted == 0 {
+		return
+	}
+	q.outstanding -= e.granted
+	e.granted = 0
+	if e.remaining > 0 {
+		e.account.ready = append(e.account.ready, e)
+	}
+}
+
+// Progress charges generated tokens to the request's account and rank.
+func (q *Queue) Progress(id string, tokens int64) {
+	if e, ok := q.entries[id]; ok {
+		q.charge(e, tokens, false)
+	}
+}
+
+// Finish ends a run and frees its slot.
+func (q *Queue) Finish(id string) { q.Cancel(id) }
+
+// Cancel removes a request in any state and frees its place at once. It reports whether the request had started.
+func (q *Queue) Cancel(id string) (started bool) {
+	e, ok := q.entries[id]
+	if !ok {
+		return false
+	}
+	q.remove(e)
+	return e.started
+}
+
+func (q *Queue) remove(e *entry) {
+	delete(q.entries, e.item.ID)
+	e.gone = true
+	q.settle(e, e.remaining)
+	if e.started {
+		q.outstanding -= e.granted
+		e.account.unready(e)
+		e.account.running--
+		e.rank.running--
+		q.running--
+	} else {
+		e.account.unwait(e)
+		e.rank.waiting--
+		q.waiting--
+	}
+	e.rank.deactivate(e.account)
+}
+
+// Dropped returns the requests removed since the last call because they expired, cannot meet their deadline any more
+// or were displaced. The caller answers them.
+func (q *Queue) Dropped(now time.Time) []Removed {
+	q.expire(now)
+	dropped := q.dropped
+	q.dropped = nil
+	return dropped
+}
+
+func (q *Queue) drop(e *entry, why string) {
+	q.remove(e)
+	q.dropped = append(q.dropped, Removed{Item: e.item, Started: e.started, Why: why})
+}
--- /dev/null
+++ b/sched/rank.go
@@ -0,0 +1,99 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/wasabishunt/wasabishunt/objectset"
+)
+
+// rankQueue is the work of one rank.
+type rankQueue struct {
+	objectset.Rank
+	accounts map[string]*account
+	// active accounts have waiting or running requests.
+	active []*account
+	// clock is the virtual time of the account served last.
+	clock float64
+	// credit is the floor service owed to the rank in tokens.
+	credit       float64
+	queuedTokens int64
+	waiting      int
+	running      int
+}
+
+// Configure takes ranks and weights of a new object set. Requests keep their places.
+func (q *Queue) Configure(config Config) {
+	q.weights = config.Weights
+	ranks := slices.Clone(config.Ranks)
+	if len(ranks) == 0 || q.settings.Off.Ranks {
+		ranks = []objectset.Rank{{Name: "default"}}
+	}
+	slices.SortStableFunc(ranks, func(a, b objectset.Rank) int { return cmp.Compare(a.Order, b.Order) })
+	old := q.byName
+	q.ranks, q.byName = nil, make(map[string]*rankQueue, len(ranks))
+	for _, rank := range ranks {
+		queue := old[rank.Name]
+		if queue == nil {
+			queue = &rankQueue{accounts: map[string]*account{}}
+		}
+		queue.Rank = rank
+		q.ranks = append(q.ranks, queue)
+		q.byName[rank.Name] = queue
+	}
+	q.keepRemoved(old)
+}
+
+// keepRemoved keeps ranks that a new set no longer names until their requests have ended, as the least urgent ones.
+func (q *Queue) keepRemoved(old map[string]*rankQueue) {
+	for name, queue := range old {
+		if q.byName[name] == nil && len(queue.active) > 0 {
+			queue.Floor = 0
+			q.byName[name] = queue
+			q.ranks = append(q.ranks, queue)
+		}
+	}
+}
+
+func (q *Queue) rankOf(name string) *rankQueue {
+	if rank, ok := q.byName[name]; ok {
+		return rank
+	}
+	return q.ranks[len(q.ranks)-1]
+}
+
+func (r *rankQueue) backlogged() bool { return r.queuedTokens > 0 }
+
+// choose returns the entry to serve next and the rule that chose it.
+func (q *Queue) choose() (*entry, string) {
+	longAllowed := q.settings.Off.LongBudget || q.budget.allows()
+	if e, why := q.chooseRank(longAllowed); e != nil || longAllowed {
+		return e, why
+	}
+	// Only long prefixes wait: the budget limits them against short work, not against an idle engine.
+	e, why := q.chooseRank(true)
+	return e, why
+}
+
+func (q *Queue) chooseRank(longAllowed bool) (*entry, string) {
+	for _, rank := range q.ranks {
+		if q.owedFloor(rank) {
+			if e := q.chooseAccount(rank, longAllowed); e != nil {
+				return e, whyFloor
+			}
+		}
+	}
+	for _, rank := range q.ranks {
+		if e := q.chooseAccount(rank, longAllowed); e != nil {
+			return e, q.whyOrdered(longAllowed)
+		}
+	}
+	return nil, ""
+}
+
+func (q *Queue) whyOrdered(longAllowed bool) string {
+	if longAllowed {
+		return whyOrder
+	}
+	return whyBudget
+}
--- /dev/null
+++ b/sched/sched_test.go
@@ -0,0 +1,261 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/objectset"
+)
+
+var start = time.Unix(1000, 0)
+
+func testRanks() []objectset.Rank {
+	return []objectset.Rank{
+		{Name: "urgent", Order: 0, Floor: 0.4},
+		{Name: "day", Order: 1, Floor: 0.2},
+		{Name: "night", Order: 2, Floor: 0.1},
+	}
+}
+
+func newQueue(change func(*Settings)) *Queue {
+	settings := Defaults()
+	settings.MaxRunning = 1 << 20
+	settings.MaxQueued = 1 << 20
+	if change != nil {
+		change(&settings)
+	}
+	return New(settings, Config{Ranks: testRanks()})
+}
+
+func push(t *testing.T, q *Queue, rank, account string, tokens int64, count int) {
+	t.Helper()
+	for range count {
+		item := Item{ID: fmt.Sprintf("%s-%d", account, q.sequence), Account: account, Rank: rank, PromptTokens: tokens}
+		require.NoError(t, q.Push(item, start))
+	}
+}
+
+// serve grants chunks and returns the tokens by a key of the item.
+func serve(q *Queue, chunks int, key func(Item) string) map[string]int64 {
+	tokens := map[string]int64{}
+	for range chunks {
+		grant, ok := q.Next(start)
+		if !ok {
+			break
+		}
+		tokens[key(grant.Item)] += grant.Tokens
+		q.ChunkDone(grant.Item.ID)
+		if grant.Last {
+			q.Finish(grant.Item.ID)
+		}
+	}
+	return tokens
+}
+
+func byRank(i Item) string    { return i.Rank }
+func byAccount(i Item) string { return i.Account }
+
+// TestFloors guards against strict priority: a flood of any rank leaves each other rank with work its floor, and the
+// less urgent ranks get no more than their floors.
+func TestFloors(t *testing.T) {
+	q := newQueue(nil)
+	for _, rank := range []string{"urgent", "day", "night"} {
+		push(t, q, rank, rank, 2048, 600)
+	}
+	tokens := serve(q, 2000, byRank)
+	total := float64(tokens["urgent"] + tokens["day"] + tokens["night"])
+	require.InDelta(t, 0.2, float64(tokens["day"])/total, 0.01)
+	require.InDelta(t, 0.1, float64(tokens["night"])/total, 0.01)
+}
+
+// TestFloorsWholePrompts guards against prompts granted whole that take more than the floor of their rank.
+func TestFloorsWholePrompts(t *testing.T) {
+	q := newQueue(func(s *Settings) { s.WholePrompts = true })
+	push(t, q, "urgent", "u", 1000, 4000)
+	push(t, q, "night", "n", 20000, 40)
+	tokens := serve(q, 2000, byRank)
+	total := float64(tokens["urgent"] + tokens["night"])
+	require.InDelta(t, 0.1, float64(tokens["night"])/total, 0.02)
+}
+
+// TestLowFloodCostsUrgentOneChunk guards against a backlog of the least urgent rank that delays urgent work.
+func TestLowFloodCostsUrgentOneChunk(t *testing.T) {
+	q := newQueue(nil)
+	push(t, q, "night", "n", 4096, 300)
+	serve(q, 50, byRank)
+	push(t, q, "urgent", "u", 512, 1)
+	grant, ok := q.Next(start)
+	require.True(t, ok)
+	require.Equal(t, "urgent", grant.Item.Rank)
+	require.Contains(t, grant.Reasons()[0], whyOrder)
+}
+
+// TestFairByTokens guards against fairness by requests: a caller with large prompts must not get more tokens than a
+// caller with small ones, and weights scale shares.
+func TestFairByTokens(t *testing.T) {
+	q := newQueue(nil)
+	q.Configure(Config{Ranks: testRanks(), Weights: map[string]float64{"heavy": 2}})
+	push(t, q, "day", "large", 8192, 200)
+	push(t, q, "day", "small", 128, 4000)
+	push(t, q, "day", "heavy", 1024, 2000)
+	tokens := serve(q, 3000, byAccount)
+	require.InDelta(t, 1, float64(tokens["large"])/float64(tokens["small"]), 0.02)
+	require.InDelta(t, 2, float64(tokens["heavy"])/float64(tokens["large"]), 0.02)
+}
+
+// TestGeneratedTokensCount guards against callers that ask for long answers at the price of short ones.
+func TestGeneratedTokensCount(t *testing.T) {
+	q := newQueue(nil)
+	push(t, q, "day", "talker", 512, 100)
+	push(t, q, "day", "quiet", 512, 100)
+	tokens := map[string]int64{}
+	for range 100 {
+		grant, ok := q.Next(start)
+		require.True(t, ok)
+		tokens[grant.Item.Account] += grant.Tokens
+		q.ChunkDone(grant.Item.ID)
+		if grant.Item.Account == "talker" {
+			q.Progress(grant.Item.ID, 512)
+		}
+		q.Finish(grant.Item.ID)
+	}
+	require.InDelta(t, 2, float64(tokens["quiet"])/float64(tokens["talker"]), 0.1)
+}
+
+// TestSmallCallerWaitsOneQuantum guards against a large caller whose backlog delays a small one by more than one chunk.
+func TestSmallCallerWaitsOneQuantum(t *testing.T) {
+	q := newQueue(nil)
+	push(t, q, "day", "large", 16384, 100)
+	serve(q, 77, byAccount)
+	running, ok := q.Next(start)
+	require.True(t, ok)
+	push(t, q, "day", "small", 300, 1)
+	q.ChunkDone(running.Item.ID)
+	grant, ok := q.Next(start)
+	require.True(t, ok)
+	require.Equal(t, "small", grant.Item.Account)
+}
+
+// TestLateWorkNeverRuns guards against queues that serve expired or hopeless work before work that can be on time.
+func TestLateWorkNeverRuns(t *testing.T) {
+	q := newQueue(nil)
+	q.SetPrefillRate(1000)
+	deadline := func(id string, d time.Duration, tokens int64) Item {
+		return Item{ID: id, Account: id, Rank: "day", Deadline: start.Add(d), PromptTokens: tokens}
+	}
+	require.NoError(t, q.Push(deadline("expired", time.Second, 100), start))
+	require.NoError(t, q.Push(deadline("hopeless", 4*time.Second, 9000), start))
+	require.NoError(t, q.Push(deadline("good", 5*time.Second, 512), start))
+	now := start.Add(2 * time.Second)
+	grant, ok := q.Next(now)
+	require.True(t, ok)
+	require.Equal(t, "good", grant.Item.ID)
+	reasons := map[string]string{}
+	for _, removed := range q.Dropped(now) {
+		require.False(t, removed.Started)
+		reasons[removed.Item.ID] = removed.Why
+	}
+	require.Equal(t, map[string]string{"expired": RemovedExpired, "hopeless": RemovedUnreachable}, reasons)
+}
+
+// TestLongBudget guards against recomputed long prefixes that starve short answers, and against a budget that leaves
+// an idle engine unused.
+func TestLongBudget(t *testing.T) {
+	q := newQueue(nil)
+	for i := range 50 {
+		item := Item{ID: fmt.Sprint("long", i), Account: "a", Rank: "day", PromptTokens: 30000, Long: true, Deadline: start.Add(time.Hour)}
+		require.NoError(t, q.Push(item, start))
+	}
+	require.Equal(t, int64(20*512), serve(q, 20, byAccount)["a"])
+	push(t, q, "day", "b", 512, 500)
+	push(t, q, "day", "a", 512, 500)
+	long := serve(q, 400, func(i Item) string { return fmt.Sprint(i.Long) })
+	require.LessOrEqual(t, long["true"], long["false"]+2*512)
+}
+
+// TestSlotsKeptForOthers guards against runs of one rank or caller that hold every slot of the engine.
+func TestSlotsKeptForOthers(t *testing.T) {
+	q := newQueue(func(s *Settings) { s.MaxRunning = 16 })
+	push(t, q, "night", "flood", 100, 40)
+	for range 40 {
+		if grant, ok := q.Next(start); ok {
+			q.ChunkDone(grant.Item.ID)
+		}
+	}
+	require.Less(t, q.running, 16)
+	push(t, q, "night", "small", 100, 1)
+	grant, ok := q.Next(start)
+	require.True(t, ok)
+	require.Equal(t, "small", grant.Item.Account)
+	q.ChunkDone(grant.Item.ID)
+	push(t, q, "urgent", "u", 100, 1)
+	grant, ok = q.Next(start)
+	require.True(t, ok)
+	require.Equal(t, "urgent", grant.Item.Rank)
+}
+
+// TestFullQueue guards against a flood that fills the queue and locks out other ranks and small callers.
+func TestFullQueue(t *testing.T) {
+	q := newQueue(func(s *Settings) { s.MaxQueued = 20 })
+	push(t, q, "night", "flood", 100, 20)
+	err := q.Push(Item{ID: "more", Account: "flood", Rank: "night", PromptTokens: 100}, start)
+	require.True(t, failure.Is(err, failure.Overloaded))
+	push(t, q, "urgent", "u", 100, 1)
+	push(t, q, "night", "small", 100, 1)
+	dropped := q.Dropped(start)
+	require.Len(t, dropped, 2)
+	require.Equal(t, "flood", dropped[0].Item.Account)
+	require.Equal(t, RemovedDisplaced, dropped[1].Why)
+	require.Equal(t, 20, q.Load().QueuedRequests)
+	push(t, q, "urgent", "u", 100, 17)
+	require.Equal(t, 2, q.Load().ByRank["night"].QueuedRequests, "the floor of places stays")
+}
+
+// TestCancelFreesPlaces guards against canceled callers that keep queue places, slots or prefill budget.
+func TestCancelFreesPlaces(t *testing.T) {
+	q := newQueue(func(s *Settings) { s.MaxQueued = 2; s.MaxRunning = 1; s.Off.Headroom = true })
+	push(t, q, "day", "a", 5000, 2)
+	grant, ok := q.Next(start)
+	require.True(t, ok)
+	require.True(t, grant.First)
+	_, ok = q.Next(start)
+	require.False(t, ok, "one chunk at a time")
+	require.True(t, q.Cancel(grant.Item.ID))
+	second, ok := q.Next(start)
+	require.True(t, ok)
+	q.Cancel(second.Item.ID)
+	require.False(t, q.Cancel("unknown"))
+	load := q.Load()
+	require.Zero(t, load.QueuedTokens)
+	require.Zero(t, load.QueuedRequests)
+	require.Zero(t, load.Running)
+	require.Zero(t, q.outstanding)
+}
+
+// TestAheadOf guards against estimates that ignore fair sharing or the order of ranks.
+func TestAheadOf(t *testing.T) {
+	q := newQueue(nil)
+	push(t, q, "day", "large", 10000, 10)
+	push(t, q, "urgent", "u", 300, 1)
+	require.InDelta(t, 1300, q.AheadOf("day", "small", 1000).Tokens, 1)
+	require.InDelta(t, 100300, q.AheadOf("day", "large", 1000).Tokens, 1)
+	require.InDelta(t, 300/0.8, q.AheadOf("urgent", "u", 500).Tokens, 1)
+	require.InDelta(t, 1000, q.AheadOf("day", "small", 1000).FloorTokens, 1)
+}
+
+// BenchmarkNext measures one scheduling step with 1,000 waiting requests of 100 accounts.
+func BenchmarkNext(b *testing.B) {
+	q := newQueue(nil)
+	for i := range 1000 {
+		_ = q.Push(Item{ID: fmt.Sprint(i), Account: fmt.Sprint(i % 100), Rank: "day", PromptTokens: 1 << 40, Deadline: start.Add(time.Hour)}, start)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		grant, _ := q.Next(start)
+		q.ChunkDone(grant.Item.ID)
+	}
+}
--- /dev/null
+++ b/sched/snapshot.go
@@ -0,0 +1,105 @@
+package sched
+
+// RankLoad is the load of one rank.
+type RankLoad struct {
+	QueuedTokens   int64
+	QueuedRequests int
+	Running        int
+}
+
+// Load is the load of a queue.
+type Load struct {
+	RankLoad
+	ByRank map[string]RankLoad
+}
+
+// Load returns the queued tokens, requests and runs, by rank and in total.
+func (q *Queue) Load() Load {
+	load := Load{ByRank: make(map[string]RankLoad, len(q.ranks))}
+	for _, rank := range q.ranks {
+		one := RankLoad{QueuedTokens: rank.queuedTokens, QueuedRequests: rank.waiting, Running: rank.running}
+		load.ByRank[rank.Name] = one
+		load.QueuedTokens += one.QueuedTokens
+	}
+	load.QueuedRequests = q.waiting
+	load.Running = q.running
+	return load
+}
+
+// QueuedTokens returns the prompt tokens not yet granted.
+func (q *Queue) QueuedTokens() int64 {
+	var tokens int64
+	for _, rank := range q.ranks {
+		tokens += rank.queuedTokens
+	}
+	return tokens
+}
+
+// Ahead is the work that would be served before a new request.
+type Ahead struct {
+	// Tokens of prompt that go first, at the whole prefill rate.
+	Tokens float64
+	// FloorTokens go first if the rank gets only its floor, FloorShare of the rate. FloorShare 0 means no floor.
+	FloorTokens float64
+	FloorShare  float64
+	// Slots is how many waiting requests go first to a run slot, 0 if a slot is free now.
+	Slots int
+	// Running is how many runs hold a slot.
+	Running int
+}
+
+// AheadOf estimates the work that is served before a new request of the account: all more urgent work, the part of its
+// own rank that fair sharing puts first, and the floors of less urgent ranks.
+func (q *Queue) AheadOf(rankName, accountName string, tokens int64) Ahead {
+	rank := q.rankOf(rankName)
+	ahead := Ahead{FloorShare: rank.Floor, Running: q.running}
+	own := q.sharedAhead(rank, accountName, tokens)
+	ahead.FloorTokens = own
+	ahead.Tokens = own
+	urgent := true
+	lowFloors := 0.0
+	for _, other := range q.ranks {
+		switch {
+		case other == rank:
+			urgent = false
+		case urgent:
+			ahead.Tokens += float64(other.queuedTokens)
+		case other.backlogged() && !q.settings.Off.Floors:
+			lowFloors += other.Floor
+		}
+	}
+	ahead.Tokens /= max(0.1, 1-lowFloors)
+	ahead.Tokens += float64(q.outstanding)
+	ahead.Slots = q.slotsAhead(rank, accountName)
+	return ahead
+}
+
+// sharedAhead sums, over the accounts of a rank, the tokens that are served before a new request is.
+func (q *Queue) sharedAhead(rank *rankQueue, name string, tokens int64) float64 {
+	if q.settings.Off.FairShare {
+		return float64(rank.queuedTokens)
+	}
+	weight := q.weightOf(name)
+	own := rank.accounts[name]
+	demand := float64(tokens)
+	if own != nil {
+		demand += float64(own.queuedTokens)
+	}
+	total := demand - float64(tokens)
+	for _, other := range rank.active {
+		if other != own {
+			total += min(float64(other.queuedTokens), demand*other.weight/weight)
+		}
+	}
+	return total
+}
+
+func (q *Queue) slotsAhead(rank *rankQueue, name string) int {
+	if q.slotsFor(rank) > rank.waiting {
+		return 0
+	}
+	if a := rank.accounts[name]; a != nil && !q.settings.Off.FairShare {
+		return min(rank.waiting, (len(a.short)+len(a.long)+1)*max(1, len(rank.active)))
+	}
+	return min(rank.waiting, len(rank.active)) + 1
+}
