Add routing over bounded candidates

Cause: entries need a choice of upstream whose cost does not grow with the fleet and that neither herds on stale load nor favors fast-failing engines.

Ruled out: rendezvous hashing over all upstreams for each request (cost grows with the fleet) and precomputed rendezvous tables (2,600 x slots hashes at each change).

--- /dev/null
+++ b/routing/prefix.go
@@ -0,0 +1,115 @@
+package routing
+
+import (
+	"container/list"
+	"slices"
+	"time"
+
+	"github.com/wasabishunt/wasabishunt/piece"
+)
+
+// PrefixSettings are the settings of Prefixes.
+type PrefixSettings struct {
+	// MaxPrefixes bounds the remembered piece names; default 65536.
+	MaxPrefixes int
+	// MaxHolders bounds the upstreams remembered for one name; default 4.
+	MaxHolders int
+	// HalfLife halves the belief that an upstream still holds a piece; default 60 s.
+	HalfLife time.Duration
+}
+
+// PrefixDefaults returns the default settings.
+func PrefixDefaults() PrefixSettings {
+	return PrefixSettings{MaxPrefixes: 65536, MaxHolders: 4, HalfLife: time.Minute}
+}
+
+// Prefixes remembers which upstreams computed or used which pieces. The least recently used names are forgotten.
+type Prefixes struct {
+	settings PrefixSettings
+	names    map[piece.Name]*list.Element
+	recent   *list.List // Most recently used first.
+}
+
+type prefix struct {
+	name    piece.Name
+	holders []holder
+}
+
+type holder struct {
+	upstream string
+	epoch    uint64
+	at       time.Time
+}
+
+// NewPrefixes returns an empty table.
+func NewPrefixes(settings PrefixSettings) *Prefixes {
+	return &Prefixes{settings: settings, names: map[piece.Name]*list.Element{}, recent: list.New()}
+}
+
+// Served notes that an upstream holds the pieces after answering a request.
+func (p *Prefixes) Served(upstream string, epoch uint64, pieces []piece.Name, now time.Time) {
+	for _, name := range pieces {
+		p.touch(name).add(holder{upstream, epoch, now}, p.settings.MaxHolders)
+	}
+	for len(p.names) > p.settings.MaxPrefixes {
+		oldest := p.recent.Back()
+		delete(p.names, oldest.Value.(*prefix).name)
+		p.recent.Remove(oldest)
+	}
+}
+
+// Missed notes that an upstream lacked the pieces although it was expected to hold them.
+func (p *Prefixes) Missed(upstream string, pieces []piece.Name) {
+	for _, name := range pieces {
+		if e := p.names[name]; e != nil {
+			held := e.Value.(*prefix)
+			held.holders = slices.DeleteFunc(held.holders, func(h holder) bool { return h.upstream == upstream })
+		}
+	}
+}
+
+func (p *Prefixes) touch(name piece.Name) *prefix {
+	if e := p.names[name]; e != nil {
+		p.recent.MoveToFront(e)
+		return e.Value.(*prefix)
+	}
+	held := &prefix{name: name}
+	p.names[name] = p.recent.PushFront(held)
+	return held
+}
+
+func (f *prefix) add(h holder, limit int) {
+	f.holders = slices.DeleteFunc(f.holders, func(o holder) bool { return o.upstream == h.upstream })
+	f.holders = append(f.holders, h)
+	if len(f.holders) > limit {
+		f.holders = slices.Delete(f.holders, 0, 1)
+	}
+}
+
+// expected returns the prompt tokens that the upstream is expected to hold, and whether any upstream holds the first
+// piece. A holder of another epoch has restarted and is cold.
+func (p *Prefixes) expected(upstream string, epoch uint64, pieces []piece.Name, now time.Time) (tokens int64, anywhere bool) {
+	if p == nil {
+		return 0, false
+	}
+	sum := 0.0
+	for i, name := range pieces {
+		e := p.names[name]
+		if e == nil {
+			break
+		}
+		held := e.Value.(*prefix)
+		anywhere = anywhere || (i == 0 && len(held.holders) > 0)
+		at := slices.IndexFunc(held.holders, func(h holder) bool { return h.upstream == upstream })
+		if at < 0 || (epoch != 0 && held.holders[at].epoch != epoch) {
+			break
+		}
+		sum += piece.TokensPerPiece * p.belief(now.Sub(held.holders[at].at))
+	}
+	return int64(sum), anywhere
+}
+
+// belief falls with the time since the upstream used the piece: 1, then 1/2 after a half-life, 1/3 after two.
+func (p *Prefixes) belief(age time.Duration) float64 {
+	return 1 / (1 + age.Seconds()/p.settings.HalfLife.Seconds())
+}
--- /dev/null
+++ b/routing/routing.go
@@ -0,0 +1,137 @@
+// Package routing picks an upstream for one request from a bounded set of candidates: filters remove the impossible
+// ones, scorers estimate the time to first token on the others, a picker chooses. It is pure: time and randomness are
+// passed in, and callers serialize access to Loads, Prefixes and RetryBudget.
+package routing
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/piece"
+)
+
+// Request is what routing weighs.
+type Request struct {
+	Model         string
+	WeightVersion string
+	// Affinity routes the prompt: the name of its first piece, or of its first tokens.
+	Affinity piece.Name
+	// Pieces are the names of the prompt's whole pieces, in order.
+	Pieces       []piece.Name
+	PromptTokens int64
+	// Zone is the entry's availability zone.
+	Zone string
+	// Exclude lists upstreams that failed or refused this request.
+	Exclude []string
+}
+
+// Settings of a Router.
+type Settings struct {
+	// AffinityChoices are candidates chosen by hash of the affinity name; default 4.
+	AffinityChoices int
+	// RandomChoices are candidates chosen at random; default 2.
+	RandomChoices int
+	// MaxExamined bounds the upstreams looked at per decision, usable or not; default 24.
+	MaxExamined int
+	// ZoneDelay is added for an upstream in another availability zone; default 3 ms, one round trip.
+	ZoneDelay time.Duration
+	// VersionDelay is added for an upstream that lacks the weight version; default 800 ms, one load.
+	VersionDelay time.Duration
+	// ColdShare is the share of a prompt of unknown placement expected in the cache of its first affinity choice,
+	// 0 to 1; default 0.3. It makes entries that know nothing agree on a place.
+	ColdShare float64
+	// Near is the difference in estimated time within which candidates count as equal; default 2 ms.
+	Near time.Duration
+	// Off switches mechanisms off, for comparison runs only; default none.
+	Off Off
+}
+
+// Off names mechanisms that a comparison run switches off.
+type Off struct {
+	Prefix   bool
+	Wait     bool
+	OwnSent  bool
+	Penalty  bool
+	Measured bool
+}
+
+// Defaults returns the default settings.
+func Defaults() Settings {
+	return Settings{
+		AffinityChoices: 4,
+		RandomChoices:   2,
+		MaxExamined:     24,
+		ZoneDelay:       3 * time.Millisecond,
+		VersionDelay:    800 * time.Millisecond,
+		ColdShare:       0.3,
+		Near:            2 * time.Millisecond,
+	}
+}
+
+// Snapshot is what a router knows at the time of a decision.
+type Snapshot struct {
+	Now      time.Time
+	Index    *Index
+	Loads    *Loads
+	Prefixes *Prefixes
+}
+
+// Decision is the outcome for one request.
+type Decision struct {
+	Upstream Upstream
+	// CachedTokens of the prompt are expected in the upstream's cache.
+	CachedTokens int64
+	// FirstToken is the estimated time to first token.
+	FirstToken time.Duration
+	// Examined counts the upstreams looked at, the cost of the decision.
+	Examined int
+	scored   []candidate
+	filtered []filteredOut
+}
+
+// Router picks upstreams. Its random numbers only break ties and choose random candidates.
+type Router struct {
+	settings Settings
+	random   *rand.Rand
+	buffer   []candidate
+}
+
+// New returns a router.
+func New(settings Settings, random *rand.Rand) *Router {
+	return &Router{settings: settings, random: random}
+}
+
+// candidate is one upstream under consideration.
+type candidate struct {
+	place *place
+	// choice is the position among the affinity choices; -1 for a random choice.
+	choice int
+	load   Estimate
+	cached int64
+	cost   cost
+}
+
+// Pick returns the upstream with the least estimated time to first token among the candidates.
+func (r *Router) Pick(request Request, snapshot Snapshot) (Decision, error) {
+	model := snapshot.Index.models[request.Model]
+	if model == nil {
+		return Decision{}, failure.New(failure.NoUpstream, failure.NotRun, "no upstream serves model %s", request.Model)
+	}
+	d := Decision{}
+	candidates := r.candidates(model, request, snapshot, &d)
+	if len(candidates) == 0 {
+		err := failure.New(failure.NoUpstream, failure.NotRun, "no usable upstream among %d examined", d.Examined)
+		err.RetryAfter = time.Second
+		return d, err
+	}
+	for i := range candidates {
+		r.score(&candidates[i], request, snapshot)
+	}
+	best := r.choose(candidates)
+	d.Upstream = best.place.Upstream
+	d.CachedTokens = best.cached
+	d.FirstToken = best.cost.total()
+	d.scored = append(d.scored, candidates...)
+	return d, nil
+}
--- /dev/null
+++ b/routing/routing_test.go
@@ -0,0 +1,290 @@
+package routing
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabishunt/wasabishunt/controlclient"
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/objectset"
+	"github.com/wasabishunt/wasabishunt/piece"
+)
+
+var start = time.Unix(1000, 0)
+
+func fleet(n int) []Upstream {
+	upstreams := make([]Upstream, n)
+	for i := range upstreams {
+		upstreams[i] = Upstream{Name: fmt.Sprintf("u%04d", i), Zone: "z1", PrefillRate: 10000, DecodeRate: 40, State: controlclient.Live}
+	}
+	return upstreams
+}
+
+func snapshotOf(upstreams []Upstream) Snapshot {
+	return Snapshot{
+		Now: start, Index: NewIndex(map[string][]Upstream{"m": upstreams}, nil),
+		Loads: NewLoads(LoadDefaults()), Prefixes: NewPrefixes(PrefixDefaults()),
+	}
+}
+
+func newRouter(off Off) *Router {
+	settings := Defaults()
+	settings.Off = off
+	return New(settings, rand.New(rand.NewPCG(1, 2)))
+}
+
+func named(n uint64) piece.Name {
+	var name piece.Name
+	binary.LittleEndian.PutUint64(name[:], mix(n))
+	return name
+}
+
+func request(n uint64) Request {
+	return Request{Model: "m", Affinity: named(n), Pieces: []piece.Name{named(n), named(n + 1<<32)}, PromptTokens: 5000, Zone: "z1"}
+}
+
+func pick(t *testing.T, r *Router, req Request, s Snapshot) Decision {
+	t.Helper()
+	d, err := r.Pick(req, s)
+	require.NoError(t, err)
+	return d
+}
+
+// TestFilters guards against work sent to upstreams that must not get any.
+func TestFilters(t *testing.T) {
+	upstreams := fleet(6)
+	upstreams[0].State = controlclient.Leaving
+	upstreams[1].State = controlclient.Dead
+	s := snapshotOf(upstreams)
+	s.Loads.Reported("u0002", Report{Draining: true}, start)
+	s.Loads.Unreachable("u0003", start)
+	req := request(1)
+	req.Exclude = []string{"u0004"}
+	for range 20 {
+		require.Equal(t, "u0005", pick(t, newRouter(Off{}), req, s).Upstream.Name)
+	}
+	req.Exclude = append(req.Exclude, "u0005")
+	_, err := newRouter(Off{}).Pick(req, s)
+	require.True(t, failure.Is(err, failure.NoUpstream))
+	require.Equal(t, failure.NotRun, failure.Of(err).Execution)
+}
+
+// TestOwnSentWork guards against herding: on one stale report an entry must not send a burst to a single upstream.
+func TestOwnSentWork(t *testing.T) {
+	s := snapshotOf(fleet(6))
+	for _, u := range fleet(6) {
+		s.Loads.Reported(u.Name, Report{QueuedTokens: 3000}, start)
+	}
+	s.Loads.Reported("u0002", Report{}, start)
+	r := newRouter(Off{})
+	counts := map[string]int{}
+	for range 60 {
+		d := pick(t, r, Request{Model: "m", PromptTokens: 1000}, s)
+		s.Loads.Sent(d.Upstream.Name, 1000, start)
+		counts[d.Upstream.Name]++
+	}
+	require.Len(t, counts, 6)
+	for name, count := range counts {
+		require.LessOrEqual(t, count, 16, name)
+	}
+}
+
+// TestReportKeepsLaterSends guards against a report that hides work it cannot include, and against work counted twice.
+func TestReportKeepsLaterSends(t *testing.T) {
+	l := NewLoads(LoadDefaults())
+	u := fleet(1)[0]
+	l.Sent(u.Name, 700, start)
+	l.Sent(u.Name, 300, start.Add(20*time.Millisecond))
+	l.Reported(u.Name, Report{QueuedTokens: 700}, start.Add(21*time.Millisecond))
+	require.EqualValues(t, 1000, l.Estimate(u, start.Add(22*time.Millisecond)).QueuedTokens)
+	require.EqualValues(t, 350, l.Estimate(u, start.Add(4*time.Second+21*time.Millisecond)).QueuedTokens-300)
+	require.Less(t, l.Estimate(u, start.Add(time.Minute)).QueuedTokens, int64(30))
+}
+
+// TestFastFailure guards against an upstream that fails at once, looks idle and attracts all work.
+func TestFastFailure(t *testing.T) {
+	s := snapshotOf(fleet(4))
+	for _, u := range fleet(4) {
+		s.Loads.Reported(u.Name, Report{QueuedTokens: 2000}, start)
+	}
+	s.Loads.Reported("u0001", Report{}, start)
+	r := newRouter(Off{})
+	failed := 0
+	for range 100 {
+		d := pick(t, r, Request{Model: "m", PromptTokens: 500}, s)
+		if d.Upstream.Name == "u0001" {
+			failed++
+			s.Loads.Failed("u0001", s.Now)
+		}
+		s.Now = s.Now.Add(5 * time.Millisecond)
+	}
+	require.LessOrEqual(t, failed, 5)
+	s.Now = s.Now.Add(time.Minute)
+	require.Less(t, s.Loads.Estimate(fleet(2)[1], s.Now).Penalty, time.Millisecond, "the penalty passes")
+}
+
+// TestFavourite guards against prompts computed away from their cache, and against a favourite that is kept although
+// it is overloaded or restarted cold.
+func TestFavourite(t *testing.T) {
+	s := snapshotOf(fleet(15))
+	r := newRouter(Off{})
+	req := request(7)
+	first := pick(t, r, req, s).Upstream.Name
+	s.Loads.Reported(first, Report{Epoch: 1}, start)
+	s.Prefixes.Served(first, 1, req.Pieces, start)
+	for range 20 {
+		d := pick(t, r, req, s)
+		require.Equal(t, first, d.Upstream.Name)
+		require.EqualValues(t, 4000, d.CachedTokens)
+	}
+	s.Loads.Reported(first, Report{Epoch: 1, QueuedTokens: 20000}, start)
+	require.NotEqual(t, first, pick(t, r, req, s).Upstream.Name, "a hot prefix spreads")
+	s.Loads.Reported(first, Report{Epoch: 2, QueuedTokens: 100}, start)
+	require.NotEqual(t, first, pick(t, r, req, s).Upstream.Name, "a cold favourite is left")
+}
+
+// TestEntriesAgree guards against entries that place the same new prompt differently and compute it several times.
+func TestEntriesAgree(t *testing.T) {
+	upstreams := fleet(100)
+	for n := range uint64(50) {
+		a := pick(t, newRouter(Off{}), request(n), snapshotOf(upstreams))
+		b := pick(t, New(Defaults(), rand.New(rand.NewPCG(n, 9))), request(n), snapshotOf(upstreams))
+		require.Equal(t, a.Upstream.Name, b.Upstream.Name)
+	}
+}
+
+// TestMeasuredRates guards against equal treatment of old and new hardware.
+func TestMeasuredRates(t *testing.T) {
+	s := snapshotOf(fleet(2))
+	s.Loads.Reported("u0000", Report{QueuedTokens: 4000, PrefillRate: 20000}, start)
+	s.Loads.Reported("u0001", Report{QueuedTokens: 4000, PrefillRate: 2000}, start)
+	d := pick(t, newRouter(Off{}), Request{Model: "m", PromptTokens: 1000}, s)
+	require.Equal(t, "u0000", d.Upstream.Name)
+	require.Equal(t, 250*time.Millisecond, d.FirstToken)
+}
+
+// TestVersionPreferred guards against work that waits for a weight load while another upstream is ready.
+func TestVersionPreferred(t *testing.T) {
+	s := snapshotOf(fleet(2))
+	s.Loads.Reported("u0000", Report{Versions: []string{"v1"}}, start)
+	s.Loads.Reported("u0001", Report{Versions: []string{"v2"}, QueuedTokens: 3000}, start)
+	d := pick(t, newRouter(Off{}), Request{Model: "m", PromptTokens: 1000, WeightVersion: "v2"}, s)
+	require.Equal(t, "u0001", d.Upstream.Name)
+	require.Len(t, d.Reasons(), 3)
+}
+
+// TestRingStable guards against a membership change that moves prompts away from upstreams that stay.
+func TestRingStable(t *testing.T) {
+	before := NewIndex(map[string][]Upstream{"m": fleet(100)}, nil)
+	after := NewIndex(map[string][]Upstream{"m": fleet(101)}, before)
+	moved := 0
+	for n := range uint64(2000) {
+		hash := mix(n)
+		a, b := before.models["m"], after.models["m"]
+		if a.places[a.ring[a.start(hash)].place].Name != b.places[b.ring[b.start(hash)].place].Name {
+			moved++
+		}
+	}
+	require.Less(t, moved, 80)
+	same := NewIndex(map[string][]Upstream{"m": fleet(101)}, after)
+	require.Same(t, after.models["m"], same.models["m"], "unchanged models cost nothing")
+}
+
+// TestBuildIndex guards against upstreams that are used before their agent was seen live.
+func TestBuildIndex(t *testing.T) {
+	set := &objectset.Set{
+		Deployments: []objectset.Deployment{{Name: "d", Model: "m"}},
+		Upstreams:   []objectset.Upstream{{Name: "a", Deployment: "d"}, {Name: "b", Deployment: "d"}},
+	}
+	s := snapshotOf(nil)
+	s.Index = BuildIndex(set, map[string]controlclient.ProcessState{"b": controlclient.Live}, nil)
+	require.Equal(t, "b", pick(t, newRouter(Off{}), request(1), s).Upstream.Name)
+}
+
+// TestRetryBudget guards against retries that multiply a flood.
+func TestRetryBudget(t *testing.T) {
+	b := NewRetryBudget()
+	retries := 0
+	for range 1000 {
+		b.Request()
+		if b.Retry() {
+			retries++
+		}
+	}
+	require.InDelta(t, 110, retries, 2)
+}
+
+// TestTablesBounded guards against tables that grow with the number of prompts or sends.
+func TestTablesBounded(t *testing.T) {
+	settings := PrefixDefaults()
+	settings.MaxPrefixes = 10
+	p := NewPrefixes(settings)
+	for n := range uint64(100) {
+		p.Served(fmt.Sprint(n), 1, []piece.Name{named(n), named(0)}, start)
+	}
+	require.Len(t, p.names, 10)
+	require.Len(t, p.names[named(0)].Value.(*prefix).holders, 4)
+	l := NewLoads(LoadDefaults())
+	for range 1000 {
+		l.Sent("u", 10, start)
+	}
+	require.Len(t, l.records["u"].sent.sends, maxSent)
+	require.EqualValues(t, 10000, l.records["u"].sent.sum)
+	l.Keep(nil)
+	require.Empty(t, l.records)
+}
+
+// TestDecisionCostBounded guards the target that a decision at 2,600 upstreams costs at most twice one at 15. It counts
+// upstreams examined and allocations, which do not depend on the machine's load.
+func TestDecisionCostBounded(t *testing.T) {
+	examined, allocations := map[int]int{}, map[int]float64{}
+	for _, n := range []int{15, 2600} {
+		s, r := snapshotOf(fleet(n)), newRouter(Off{})
+		req, i := request(0), uint64(0)
+		allocations[n] = testing.AllocsPerRun(2000, func() {
+			i++
+			req.Affinity = named(i)
+			d, err := r.Pick(req, s)
+			require.NoError(t, err)
+			examined[n] += d.Examined
+		})
+	}
+	require.LessOrEqual(t, examined[2600], 2*examined[15])
+	require.LessOrEqual(t, allocations[2600], 2*allocations[15])
+}
+
+func benchmarkPick(b *testing.B, n int) {
+	s, r := snapshotOf(fleet(n)), newRouter(Off{})
+	for _, u := range fleet(n) {
+		s.Loads.Reported(u.Name, Report{Epoch: 1, QueuedTokens: 2000, PrefillRate: 9000}, start)
+	}
+	req, i := request(0), uint64(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		i++
+		req.Affinity = named(i)
+		if _, err := r.Pick(req, s); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkPick15 measures a decision at the current size.
+func BenchmarkPick15(b *testing.B) { benchmarkPick(b, 15) }
+
+// BenchmarkPick2600 measures a decision at the target size.
+func BenchmarkPick2600(b *testing.B) { benchmarkPick(b, 2600) }
+
+// BenchmarkIndex2600 measures the preparation of one model with 2,600 upstreams.
+func BenchmarkIndex2600(b *testing.B) {
+	upstreams := fleet(2600)
+	b.ReportAllocs()
+	for b.Loop() {
+		_ = newRing(upstreams)
+	}
+}
