Add the HTTP dialect of the engine client

Cause: agents need a client of engines; none existed. GetBody is nil, so the transport cannot repeat a request.

--- /dev/null
+++ b/upstream/engine/http.go
@@ -0,0 +1,249 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+)
+
+// HTTPOptions limits an HTTP client.
+type HTTPOptions struct {
+	// ConnectTimeout limits connection set-up; default 1 s.
+	ConnectTimeout time.Duration
+	// HeaderTimeout limits the wait for the head of a response; default 5 s.
+	HeaderTimeout time.Duration
+	// CallTimeout limits a whole call other than a run or a KV transfer; default 5 s.
+	CallTimeout time.Duration
+	// TransferTimeout limits a whole KV transfer; default 60 s.
+	TransferTimeout time.Duration
+	// StreamIdleTimeout is the longest silence inside a stream, keep-alive comments included; default 5 s.
+	StreamIdleTimeout time.Duration
+	// MaxEventBytes limits one SSE line; default 1 MiB.
+	MaxEventBytes int
+	// MaxBodyBytes limits the body of a call other than a run or a KV transfer; default 4 MiB.
+	MaxBodyBytes int64
+	// MaxPieceBytes limits the KV blocks of one piece; default 256 MiB.
+	MaxPieceBytes int64
+	// MaxConns limits the connections to the engine; default 512.
+	MaxConns int
+}
+
+func (o HTTPOptions) withDefaults() HTTPOptions {
+	setDefault(&o.ConnectTimeout, time.Second)
+	setDefault(&o.HeaderTimeout, 5*time.Second)
+	setDefault(&o.CallTimeout, 5*time.Second)
+	setDefault(&o.TransferTimeout, time.Minute)
+	setDefault(&o.StreamIdleTimeout, 5*time.Second)
+	setDefault(&o.MaxEventBytes, 1<<20)
+	setDefault(&o.MaxBodyBytes, 4<<20)
+	setDefault(&o.MaxPieceBytes, 256<<20)
+	setDefault(&o.MaxConns, 512)
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// HTTP is the HTTP dialect of Client.
+type HTTP struct {
+	base    string
+	client  *http.Client
+	options HTTPOptions
+}
+
+var _ Client = (*HTTP)(nil)
+
+// NewHTTP returns a client of the engine at an IP address and port.
+func NewHTTP(address string, options HTTPOptions) *HTTP {
+	options = options.withDefaults()
+	dialer := net.Dialer{Timeout: options.ConnectTimeout, KeepAlive: 5 * time.Second}
+	transport := &http.Transport{
+		DialContext:           dialer.DialContext,
+		ResponseHeaderTimeout: options.HeaderTimeout,
+		MaxConnsPerHost:       options.MaxConns,
+		MaxIdleConnsPerHost:   16,
+		IdleConnTimeout:       30 * time.Second,
+		DisableCompression:    true,
+	}
+	return &HTTP{base: "http://" + address, client: &http.Client{Transport: transport, CheckRedirect: refuseRedirect}, options: options}
+}
+
+// refuseRedirect keeps a call from being sent to an address that the settings do not name.
+func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Close closes idle connections.
+func (h *HTTP) Close() { h.client.CloseIdleConnections() }
+
+// Generate starts a run.
+func (h *HTTP) Generate(ctx context.Context, request Request) (Stream, error) {
+	body, err := json.Marshal(completionRequest(request))
+	if err != nil {
+		return nil, failure.Wrap(err, failure.InvalidRequest, failure.NotRun, "encode completion request")
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	response, err := h.send(ctx, http.MethodPost, PathCompletions, bytes.NewReader(body), int64(len(body)))
+	if err != nil {
+		cancel(nil)
+		return nil, err
+	}
+	return newSSEStream(ctx, cancel, response.Body, int64(len(request.Emitted)), h.options), nil
+}
+
+func completionRequest(r Request) CompletionRequest {
+	return CompletionRequest{
+		Model: r.Model, Prompt: r.Prompt, MaxTokens: r.MaxTokens, Stream: true,
+		RequestID: r.RequestID, WeightVersion: r.WeightVersion, Adapter: r.Adapter, Priority: r.Priority,
+		Emitted: r.Emitted, CacheScope: r.CacheScope, PieceNames: r.PieceNames,
+	}
+}
+
+// Load returns the engine's load report.
+func (h *HTTP) Load(ctx context.Context) (Load, error) {
+	var body LoadBody
+	if err := h.call(ctx, http.MethodGet, PathLoad, nil, &body); err != nil {
+		return Load{}, err
+	}
+	return Load(body), nil
+}
+
+// CacheEvents returns the events after a sequence number.
+func (h *HTTP) CacheEvents(ctx context.Context, after uint64) ([]CacheEvent, bool, error) {
+	var body EventsBody
+	query := url.Values{QueryAfter: {strconv.FormatUint(after, 10)}}
+	if err := h.call(ctx, http.MethodGet, PathEvents+"?"+query.Encode(), nil, &body); err != nil {
+		return nil, false, err
+	}
+	events, gap := make([]CacheEvent, 0, len(body.Events)), body.Gap
+	last := after
+	for _, e := range body.Events {
+		if e.Sequence <= last {
+			return nil, false, failure.New(failure.UpstreamFailed, failure.Ran, "cache event %d follows event %d", e.Sequence, last)
+		}
+		gap = gap || e.Sequence != last+1
+		last = e.Sequence
+		events = append(events, CacheEvent(e))
+	}
+	return events, gap, nil
+}
+
+// LoadWeights orders a weight version. An error with an unknown outcome calls for a read of Weights.
+func (h *HTTP) LoadWeights(ctx context.Context, command WeightCommand) error {
+	return h.call(ctx, http.MethodPost, PathWeights, WeightOrder(command), nil)
+}
+
+// Weights reads which versions are loaded.
+func (h *HTTP) Weights(ctx context.Context) (Weights, error) {
+	var body WeightsBody
+	if err := h.call(ctx, http.MethodGet, PathWeights, nil, &body); err != nil {
+		return Weights{}, err
+	}
+	return Weights(body), nil
+}
+
+// call makes one call with JSON bodies; in and out may be nil.
+func (h *HTTP) call(ctx context.Context, method, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, h.options.CallTimeout)
+	defer cancel()
+	var body io.Reader
+	var length int64
+	if in != nil {
+		encoded, err := json.Marshal(in)
+		if err != nil {
+			return failure.Wrap(err, failure.InvalidRequest, failure.NotRun, "encode request")
+		}
+		body, length = bytes.NewReader(encoded), int64(len(encoded))
+	}
+	response, err := h.send(ctx, method, path, body, length)
+	if err != nil {
+		return err
+	}
+	defer closeBody(response.Body)
+	if out == nil {
+		return nil
+	}
+	if err := json.NewDecoder(io.LimitReader(response.Body, h.options.MaxBodyBytes)).Decode(out); err != nil {
+		return failure.Wrap(err, failure.UpstreamFailed, failure.Ran, "decode answer of %s %s", method, path)
+	}
+	return nil
+}
+
+// send returns a 2xx response or a typed error.
+func (h *HTTP) send(ctx context.Context, method, path string, body io.Reader, length int64) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, method, h.base+path, body)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.InvalidRequest, failure.NotRun, "build request for %s", path)
+	}
+	if body != nil {
+		request.ContentLength = length
+		request.Header.Set("Content-Type", "application/json")
+	}
+	// Without GetBody the transport cannot repeat the request on another connection.
+	request.GetBody = nil
+	response, err := h.client.Do(request)
+	if err != nil {
+		return nil, transportError(ctx, err, method+" "+path)
+	}
+	if response.StatusCode/100 != 2 {
+		defer closeBody(response.Body)
+		return nil, responseError(response)
+	}
+	return response, nil
+}
+
+// transportError classifies an error of the HTTP client. Only a failed connect proves that nothing was sent.
+func transportError(ctx context.Context, err error, call string) error {
+	if op, ok := errors.AsType[*net.OpError](err); ok && op.Op == "dial" {
+		return failure.Wrap(err, failure.NoUpstream, failure.NotRun, "%s", call)
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return failure.Wrap(err, failure.Canceled, failure.Unknown, "%s", call)
+	case errors.Is(err, context.DeadlineExceeded):
+		return failure.Wrap(err, failure.DeadlineExceeded, failure.Unknown, "%s", call)
+	default:
+		return failure.Wrap(err, failure.UpstreamFailed, failure.Unknown, "%s", call)
+	}
+}
+
+// maxErrorBytes limits the body of an error answer.
+const maxErrorBytes = 64 << 10
+
+func responseError(response *http.Response) error {
+	var body ErrorBody
+	err := json.NewDecoder(io.LimitReader(response.Body, maxErrorBytes)).Decode(&body)
+	if err != nil || body.Error.Type == "" {
+		return failure.New(failure.UpstreamFailed, failure.Unknown, "engine answered status %d", response.StatusCode)
+	}
+	detail := body.Error
+	e := failure.New(failure.Kind(detail.Type), execution(detail.Execution), "engine: %s", detail.Message)
+	e.RetryAfter = time.Duration(detail.RetryAfterMs) * time.Millisecond
+	return e
+}
+
+func execution(value string) failure.Execution {
+	switch e := failure.Execution(value); e {
+	case failure.NotRun, failure.Ran:
+		return e
+	default:
+		return failure.Unknown
+	}
+}
+
+// closeBody reads the rest of a short body so that the connection can be used again.
+func closeBody(body io.ReadCloser) {
+	_, _ = io.CopyN(io.Discard, body, maxErrorBytes)
+	_ = body.Close()
+}
