--- /dev/null
+++ b/cmd/wasabishunt-standin/main.go
@@ -0,0 +1,70 @@
+// Command wasabishunt-standin runs one simulated part of the platform: an engine, a plain service, the list of VMs
+// or the weight store.
+package main
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/logging"
+	"github.com/wasabishunt/wasabishunt/settings"
+)
+
+// options of the command line; exactly one subcommand must be named.
+type options struct {
+	Engine *engineOptions `arg:"subcommand:engine" help:"model engine"`
+
+	Listen string `arg:"--listen,env:WASABISHUNT_STANDIN_LISTEN" default:"127.0.0.1:0" help:"IP address and port to listen on"`
+}
+
+// part is one simulated part of the platform.
+type part interface {
+	Validate(c *settings.Checker)
+	// Build returns the handler, a name for the log, and a function that ends its goroutines.
+	Build() (handler http.Handler, name string, closePart func())
+}
+
+func (o *options) part() part {
+	if o.Engine != nil {
+		return o.Engine
+	}
+	return nil
+}
+
+// Validate lists all faults of the settings.
+func (o *options) Validate() []failure.Problem {
+	var c settings.Checker
+	c.Address("listen", o.Listen)
+	if p := o.part(); p != nil {
+		p.Validate(&c)
+	} else {
+		c.Fail("subcommand", "must be set")
+	}
+	return c.Problems()
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var o options
+	ok, code := settings.Parse(&o, "wasabishunt-standin", os.Args[1:], os.Stdout, os.Stderr)
+	if !ok {
+		return code
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	handler, name, closePart := o.part().Build()
+	log := logging.New("standin", name, zapcore.InfoLevel)
+	if err := serve(ctx, o.Listen, handler, closePart, log); err != nil {
+		log.Error("standin_failed", zap.Error(err))
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/cmd/wasabishunt-standin/serve.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	idleTimeout   = time.Minute
+	// drainTimeout is how long running requests may take after a signal.
+	drainTimeout = 3 * time.Second
+)
+
+// serve answers requests until ctx ends.
+func serve(ctx context.Context, address string, handler http.Handler, closePart func(), log *zap.Logger) error {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+	if err != nil {
+		closePart()
+		return failure.Wrap(err, failure.Internal, failure.NotRun, "listen on %s", address)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	log.Info("listening", zap.Stringer("address", listener.Addr()))
+	select {
+	case err = <-served:
+		closePart()
+		return failure.Wrap(err, failure.Internal, failure.Unknown, "serve")
+	case <-ctx.Done():
+	}
+	drain, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	defer cancel()
+	if err := server.Shutdown(drain); err != nil {
+		_ = server.Close()
+	}
+	closePart()
+	if err := <-served; !errors.Is(err, http.ErrServerClosed) {
+		return failure.Wrap(err, failure.Internal, failure.Unknown, "serve")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/engine/settings.go
@@ -0,0 +1,93 @@
+// Package engine is a stand-in of a model engine: a real-time model of continuous batching with a limited prefix
+// cache, behind the HTTP dialect of package upstream/engine.
+//
+// Locks: Server.mu guards all tables of one engine. It is never held during I/O or while waiting.
+package engine
+
+import (
+	"time"
+
+	"github.com/wasabishunt/wasabishunt/piece"
+)
+
+// Settings of one engine stand-in. Times are model times: they pass TimeScale times as fast in real time.
+type Settings struct {
+	// Model that the engine serves; default "model".
+	Model string
+	// WeightVersion loaded at start; empty means none.
+	WeightVersion string
+	// PrefillTokensPerSecond is shared by all runs; default 20,000.
+	PrefillTokensPerSecond float64
+	// DecodeTokensPerSecond of one run; default 50.
+	DecodeTokensPerSecond float64
+	// MaxBatch is the number of runs served at once; default 16.
+	MaxBatch int
+	// MaxQueued is the number of runs that may wait; default 1,024.
+	MaxQueued int
+	// MaxRunTokens limits the answer of one run, in tokens; default 16,384.
+	MaxRunTokens int64
+	// CacheTokens is the capacity of the prefix cache in tokens; default 200,000.
+	CacheTokens int64
+	// KVBytesPerToken is the size of exported KV blocks in bytes; default 64.
+	KVBytesPerToken int64
+	// TimeScale divides all times; default 1.
+	TimeScale float64
+	// EventDelay is how late cache events become visible; default 300 ms.
+	EventDelay time.Duration
+	// EventGapEvery drops each n-th cache event; 0 means none, the default.
+	EventGapEvery uint64
+	// LoadLag is how old the load report is; default 500 ms.
+	LoadLag time.Duration
+	// HonorFencing refuses weight orders with a token lower than the highest seen; default false.
+	HonorFencing bool
+	// LoadTime is how long weights load without a weight store; default 800 ms.
+	LoadTime time.Duration
+	// Weights fetches weights; nil waits LoadTime instead.
+	Weights WeightSource
+	// KeepAlive is the real time between comments on a silent stream; default 1 s.
+	KeepAlive time.Duration
+}
+
+const (
+	// maxEvents is the number of cache events kept for readers.
+	maxEvents = 4096
+	// maxRuns is the number of runs kept in the log.
+	maxRuns = 100_000
+	// minTick is the shortest step of the time model.
+	minTick = time.Millisecond
+	// tokensPerPiece is the length of a cached piece.
+	tokensPerPiece = piece.TokensPerPiece
+	// maxRequestBytes limits the body of a completion request.
+	maxRequestBytes = 64 << 20
+	// writeTimeout limits one write to a reader that does not read.
+	writeTimeout = 10 * time.Second
+)
+
+func (s Settings) withDefaults() Settings {
+	setDefault(&s.Model, "model")
+	setDefault(&s.PrefillTokensPerSecond, 20_000)
+	setDefault(&s.DecodeTokensPerSecond, 50)
+	setDefault(&s.MaxBatch, 16)
+	setDefault(&s.MaxQueued, 1024)
+	setDefault(&s.MaxRunTokens, 16_384)
+	setDefault(&s.CacheTokens, 200_000)
+	setDefault(&s.KVBytesPerToken, 64)
+	setDefault(&s.TimeScale, 1)
+	setDefault(&s.EventDelay, 300*time.Millisecond)
+	setDefault(&s.LoadLag, 500*time.Millisecond)
+	setDefault(&s.LoadTime, 800*time.Millisecond)
+	setDefault(&s.KeepAlive, time.Second)
+	return s
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// scaled converts a model time to real time.
+func (s Settings) scaled(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / s.TimeScale)
+}
