Add the service, VM list and weight store stand-ins

Cause: bookings, membership and weight swaps need their counterparts, with faults that checkers can count.

--- a/cmd/wasabishunt-standin/engine.go
+++ b/cmd/wasabishunt-standin/engine.go
@@ -6,6 +6,7 @@
 
 	"github.com/wasabishunt/wasabishunt/internal/standin/engine"
 	"github.com/wasabishunt/wasabishunt/settings"
+	"github.com/wasabishunt/wasabishunt/upstream/weightstore"
 )
 
 // engineOptions are the settings of an engine. Times are model times, see engine.Settings.
@@ -23,6 +24,7 @@
 	EventGapEvery   uint64        `arg:"--event-gap-every,env:WASABISHUNT_STANDIN_EVENT_GAP_EVERY" default:"0" help:"drop each n-th cache event; 0 is none"`
 	LoadLag         time.Duration `arg:"--load-lag,env:WASABISHUNT_STANDIN_LOAD_LAG" default:"500ms" help:"age of load reports"`
 	LoadTime        time.Duration `arg:"--load-time,env:WASABISHUNT_STANDIN_LOAD_TIME" default:"800ms" help:"time to load weights without a weight store"`
+	WeightStore     string        `arg:"--weight-store,env:WASABISHUNT_STANDIN_WEIGHT_STORE" help:"IP address and port of the weight store; empty loads without one"`
 	HonorFencing    bool          `arg:"--honor-fencing,env:WASABISHUNT_STANDIN_HONOR_FENCING" help:"refuse weight orders with an old fencing token"`
 }
 
@@ -39,16 +41,28 @@
 	settings.Positive(c, "event-delay", int64(o.EventDelay))
 	settings.Positive(c, "load-lag", int64(o.LoadLag))
 	settings.Positive(c, "load-time", int64(o.LoadTime))
+	if o.WeightStore != "" {
+		c.Address("weight-store", o.WeightStore)
+	}
 }
 
 // Build starts the engine.
 func (o *engineOptions) Build() (http.Handler, string, func()) {
+	var source engine.WeightSource
+	closeSource := func() {}
+	if o.WeightStore != "" {
+		client := weightstore.New(o.WeightStore, weightstore.Options{})
+		source, closeSource = client, client.Close
+	}
 	server := engine.New(engine.Settings{
 		Model: o.Model, WeightVersion: o.WeightVersion,
 		PrefillTokensPerSecond: o.PrefillRate, DecodeTokensPerSecond: o.DecodeRate, MaxBatch: o.MaxBatch,
 		CacheTokens: o.CacheTokens, KVBytesPerToken: o.KVBytesPerToken, TimeScale: o.TimeScale,
 		EventDelay: o.EventDelay, EventGapEvery: o.EventGapEvery, LoadLag: o.LoadLag, LoadTime: o.LoadTime,
-		HonorFencing: o.HonorFencing,
+		HonorFencing: o.HonorFencing, Weights: source,
 	})
-	return server, o.Name, server.Close
+	return server, o.Name, func() {
+		server.Close()
+		closeSource()
+	}
 }
--- a/cmd/wasabishunt-standin/main.go
+++ b/cmd/wasabishunt-standin/main.go
@@ -19,7 +19,10 @@
 
 // options of the command line; exactly one subcommand must be named.
 type options struct {
-	Engine *engineOptions `arg:"subcommand:engine" help:"model engine"`
+	Engine  *engineOptions  `arg:"subcommand:engine" help:"model engine"`
+	Service *serviceOptions `arg:"subcommand:service" help:"plain service"`
+	VMList  *vmlistOptions  `arg:"subcommand:vmlist" help:"lagging list of live and leaving VMs"`
+	Weights *weightsOptions `arg:"subcommand:weights" help:"rate-limited weight store"`
 
 	Listen string `arg:"--listen,env:WASABISHUNT_STANDIN_LISTEN" default:"127.0.0.1:0" help:"IP address and port to listen on"`
 }
@@ -32,10 +35,18 @@
 }
 
 func (o *options) part() part {
-	if o.Engine != nil {
+	switch {
+	case o.Engine != nil:
 		return o.Engine
+	case o.Service != nil:
+		return o.Service
+	case o.VMList != nil:
+		return o.VMList
+	case o.Weights != nil:
+		return o.Weights
+	default:
+		return nil
 	}
-	return nil
 }
 
 // Validate lists all faults of the settings.
