--- /dev/null
+++ b/objectset/history.go
@@ -0,0 +1,109 @@
+package objectset
+
+import (
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
+)
+
+// MaxDeltas is how many versions a watcher may be behind before it gets a whole set.
+const MaxDeltas = 64
+
+// History holds the current set and the deltas that led to it. It is not safe for concurrent use.
+type History struct {
+	set      *Set
+	version  uint64
+	operator string
+	unixMs   int64
+	deltas   []*controlpb.SetDelta
+}
+
+// NewHistory returns a History at version 0 with an empty set.
+func NewHistory() *History {
+	set := &Set{}
+	set.normalize()
+	return &History{set: set}
+}
+
+// Current returns the set in force and its version. The set must not be changed.
+func (h *History) Current() (*Set, uint64) { return h.set, h.version }
+
+// Author returns who published the current version and when.
+func (h *History) Author() (operator string, unixMs int64) { return h.operator, h.unixMs }
+
+// Accept puts a set in force if expect is the current version. It is the compare-and-set of a publish.
+func (h *History) Accept(expect uint64, next *Set, operator string, unixMs int64) error {
+	return h.accept(expect, next, Diff(h.set, next), operator, unixMs)
+}
+
+// AcceptChanges is Accept for changes against the expected version.
+func (h *History) AcceptChanges(expect uint64, changes []*controlpb.ObjectChange, operator string, unixMs int64) error {
+	if err := h.checkVersion(expect); err != nil {
+		return err
+	}
+	next, err := Patch(h.set, changes)
+	if err != nil {
+		return err
+	}
+	return h.accept(expect, next, changes, operator, unixMs)
+}
+
+func (h *History) checkVersion(expect uint64) error {
+	if expect != h.version {
+		return failure.New(failure.VersionConflict, failure.NotRun,
+			"expected version %d, but version %d was published by %q", expect, h.version, h.operator)
+	}
+	return nil
+}
+
+func (h *History) accept(expect uint64, next *Set, changes []*controlpb.ObjectChange, operator string, unixMs int64) error {
+	if err := h.checkVersion(expect); err != nil {
+		return err
+	}
+	h.deltas = append(h.deltas, &controlpb.SetDelta{FromVersion: h.version, ToVersion: h.version + 1, Changes: changes})
+	if len(h.deltas) > MaxDeltas {
+		h.deltas = slices.Clone(h.deltas[len(h.deltas)-MaxDeltas:])
+	}
+	h.set, h.version, h.operator, h.unixMs = next, h.version+1, operator, unixMs
+	return nil
+}
+
+// Since returns the deltas after a version; ok is false if a whole set is needed instead.
+func (h *History) Since(version uint64) (deltas []*controlpb.SetDelta, ok bool) {
+	if version >= h.version {
+		return nil, true
+	}
+	behind := h.version - version
+	if version == 0 || behind > uint64(len(h.deltas)) {
+		return nil, false
+	}
+	return slices.Clone(h.deltas[uint64(len(h.deltas))-behind:]), true
+}
+
+// Snapshot returns the whole history.
+func (h *History) Snapshot() *controlpb.HistorySnapshot {
+	return &controlpb.HistorySnapshot{
+		Version: h.version, Operator: h.operator, UnixMs: h.unixMs,
+		Document: h.set.Canonical(), Deltas: slices.Clone(h.deltas),
+	}
+}
+
+// RestoreHistory returns the history of a snapshot.
+func RestoreHistory(s *controlpb.HistorySnapshot) (*History, error) {
+	h := NewHistory()
+	if len(s.GetDocument()) > 0 {
+		set, err := FromCanonical(s.Document)
+		if err != nil {
+			return nil, err
+		}
+		h.set = set
+	}
+	h.version, h.operator, h.unixMs = s.GetVersion(), s.GetOperator(), s.GetUnixMs()
+	for _, delta := range s.GetDeltas() {
+		h.deltas = append(h.deltas, proto.Clone(delta).(*controlpb.SetDelta))
+	}
+	return h, nil
+}
