Add bookings, membership, audit trail and the control client

Entries and agents need a watcher and booking calls to build against. Confirmations count from the sending of the presence report.

--- /dev/null
+++ b/audit/trail.go
@@ -0,0 +1,65 @@
+// Package audit is the aggregate of operators' actions, accepted or refused. A Trail is not safe for
+// concurrent use.
+package audit
+
+import (
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
+)
+
+// MaxRecords is how many records a Trail keeps: about nine days at 11,000 changes a day.
+const MaxRecords = 100_000
+
+// MaxPage limits one page.
+const MaxPage = 1000
+
+// maxReason limits the stored reason in bytes.
+const maxReason = 500
+
+// Trail holds the most recent actions. Sequence numbers start at 1 and have no gaps.
+type Trail struct {
+	last    uint64
+	records []*controlpb.AuditRecord
+}
+
+// Append adds a record under the next sequence number.
+func (t *Trail) Append(record *controlpb.AuditRecord) {
+	t.last++
+	record.Sequence = t.last
+	if len(record.Reason) > maxReason {
+		record.Reason = record.Reason[:maxReason]
+	}
+	t.records = append(t.records, record)
+	if len(t.records) > MaxRecords+MaxRecords/10 {
+		t.records = slices.Clone(t.records[len(t.records)-MaxRecords:])
+	}
+}
+
+// Page returns copies of the records after a sequence number, oldest first.
+func (t *Trail) Page(after uint64, limit int) []*controlpb.AuditRecord {
+	if limit <= 0 || limit > MaxPage {
+		limit = MaxPage
+	}
+	start, _ := slices.BinarySearchFunc(t.records, after+1, func(r *controlpb.AuditRecord, sequence uint64) int {
+		return int(int64(r.Sequence) - int64(sequence))
+	})
+	end := min(start+limit, len(t.records))
+	page := make([]*controlpb.AuditRecord, 0, end-start)
+	for _, r := range t.records[start:end] {
+		page = append(page, proto.Clone(r).(*controlpb.AuditRecord))
+	}
+	return page
+}
+
+// Snapshot returns the whole trail. The records are shared; they never change.
+func (t *Trail) Snapshot() *controlpb.AuditSnapshot {
+	return &controlpb.AuditSnapshot{LastSequence: t.last, Records: slices.Clone(t.records)}
+}
+
+// Restore returns the trail of a snapshot.
+func Restore(s *controlpb.AuditSnapshot) *Trail {
+	return &Trail{last: s.GetLastSequence(), records: slices.Clone(s.GetRecords())}
+}
--- /dev/null
+++ b/booking/table.go
@@ -0,0 +1,244 @@
+// Package booking is the aggregate of non-idempotent calls: one record per client account and idempotency
+// key, which is dispatched at most once. It does no I/O and takes time from its caller. A Table is not safe
+// for concurrent use.
+package booking
+
+import (
+	"bytes"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
+)
+
+// Limits bounds a Table.
+type Limits struct {
+	// ReclaimAfterMs is the age in milliseconds at which a claim without dispatch may be taken over; default 5,000.
+	ReclaimAfterMs int64
+	// MaxRecords is the number of records kept; default 2,000,000.
+	MaxRecords int
+	// MaxClaims is how many claims of a record are remembered to recognize resends; default 16.
+	MaxClaims int
+}
+
+func (l *Limits) setDefaults() {
+	if l.ReclaimAfterMs == 0 {
+		l.ReclaimAfterMs = 5000
+	}
+	if l.MaxRecords == 0 {
+		l.MaxRecords = 2_000_000
+	}
+	if l.MaxClaims == 0 {
+		l.MaxClaims = 16
+	}
+}
+
+// key identifies a record.
+type key struct{ account, id string }
+
+func keyOf(k *controlpb.BookingKey) key { return key{k.GetAccount(), k.GetIdempotencyKey()} }
+
+// Table holds the bookings. Invariants: a record's claim epoch only rises; a record has at most one dispatch id,
+// set once; retiredBefore only rises and no record was issued before it.
+type Table struct {
+	limits        Limits
+	retiredBefore int64
+	records       map[key]*controlpb.BookingRecord
+	// dispatched lists the records in state DISPATCHED by process.
+	dispatched map[string]map[key]bool
+	// byMinute lists the keys by the minute of their issue, for retirement without a full scan.
+	byMinute map[int64]map[key]bool
+}
+
+// NewTable returns an empty Table with defaults for unset limits.
+func NewTable(limits Limits) *Table {
+	limits.setDefaults()
+	return &Table{
+		limits:     limits,
+		records:    map[key]*controlpb.BookingRecord{},
+		dispatched: map[string]map[key]bool{},
+		byMinute:   map[int64]map[key]bool{},
+	}
+}
+
+// Len returns the number of records.
+func (t *Table) Len() int { return len(t.records) }
+
+// RetiredBefore returns the issue time in Unix milliseconds before which every key is refused.
+func (t *Table) RetiredBefore() int64 { return t.retiredBefore }
+
+func refuse(r *controlpb.BookingRecord, kind failure.Kind, execution failure.Execution, message string) *controlpb.BookingResponse {
+	response := &controlpb.BookingResponse{
+		Failure: &controlpb.Failure{Kind: string(kind), Execution: string(execution), Message: message},
+	}
+	if r != nil {
+		response.State, response.ClaimEpoch = r.State, r.ClaimEpoch
+	}
+	return response
+}
+
+func describe(r *controlpb.BookingRecord, granted bool) *controlpb.BookingResponse {
+	response := &controlpb.BookingResponse{State: r.State, ClaimEpoch: r.ClaimEpoch, Granted: granted}
+	if r.State == controlpb.BookingState_FINISHED {
+		response.Status, response.Headers, response.Body = r.Status, r.Headers, r.Body
+	}
+	return response
+}
+
+// Claim gives a key to a claimant, or returns the outcome of the existing record.
+func (t *Table) Claim(unixMs int64, q *controlpb.ClaimBookingRequest) *controlpb.BookingResponse {
+	k := keyOf(q.Key)
+	r := t.records[k]
+	if r == nil {
+		return t.claimNew(unixMs, k, q)
+	}
+	if !bytes.Equal(r.PayloadHash, q.PayloadHash) {
+		return refuse(r, failure.KeyConflict, failure.NotRun, "the idempotency key was used with another payload")
+	}
+	if r.IssuedUnixMs != q.IssuedUnixMs {
+		return refuse(r, failure.KeyConflict, failure.NotRun, "the idempotency key was used with another issue time")
+	}
+	if r.State == controlpb.BookingState_FINISHED {
+		return describe(r, false)
+	}
+	if epoch := claimEpoch(r, q.ClaimId); epoch != 0 {
+		return repeatClaim(r, epoch)
+	}
+	switch r.State {
+	case controlpb.BookingState_IN_DOUBT:
+		return refuse(r, failure.OutcomeUnknown, failure.Unknown, "the call was dispatched and its outcome is not known")
+	case controlpb.BookingState_DISPATCHED:
+		return refuse(r, failure.InProgress, failure.Unknown, "the call is running")
+	case controlpb.BookingState_CLAIMED:
+		if unixMs-r.ClaimedUnixMs < t.limits.ReclaimAfterMs {
+			return refuse(r, failure.InProgress, failure.Unknown, "another request has claimed the key")
+		}
+	}
+	t.nextClaim(unixMs, r, q)
+	return describe(r, true)
+}
+
+func (t *Table) claimNew(unixMs int64, k key, q *controlpb.ClaimBookingRequest) *controlpb.BookingResponse {
+	if q.IssuedUnixMs < t.retiredBefore {
+		return refuse(nil, failure.KeyTooOld, failure.NotRun, "the idempotency key is older than the retention of bookings")
+	}
+	if len(t.records) >= t.limits.MaxRecords {
+		return refuse(nil, failure.Overloaded, failure.NotRun, "the table of bookings is full")
+	}
+	r := &controlpb.BookingRecord{Key: q.Key, PayloadHash: q.PayloadHash, IssuedUnixMs: q.IssuedUnixMs, Service: q.Service}
+	t.insert(k, r)
+	t.nextClaim(unixMs, r, q)
+	return describe(r, true)
+}
+
+// nextClaim fences the older claimants by a higher epoch.
+func (t *Table) nextClaim(unixMs int64, r *controlpb.BookingRecord, q *controlpb.ClaimBookingRequest) {
+	r.ClaimEpoch++
+	r.State = controlpb.BookingState_CLAIMED
+	r.ClaimedUnixMs = unixMs
+	r.RequestId = q.RequestId
+	r.Claims = append(r.Claims, &controlpb.BookingClaim{ClaimId: q.ClaimId, Epoch: r.ClaimEpoch})
+	if excess := len(r.Claims) - t.limits.MaxClaims; excess > 0 {
+		r.Claims = append([]*controlpb.BookingClaim(nil), r.Claims[excess:]...)
+	}
+}
+
+// claimEpoch returns the epoch that a claim id was given, or 0.
+func claimEpoch(r *controlpb.BookingRecord, claimID string) uint64 {
+	for _, c := range r.Claims {
+		if c.ClaimId == claimID {
+			return c.Epoch
+		}
+	}
+	return 0
+}
+
+// repeatClaim answers a resend of a claim without making a new one.
+func repeatClaim(r *controlpb.BookingRecord, epoch uint64) *controlpb.BookingResponse {
+	switch {
+	case epoch != r.ClaimEpoch:
+		return refuse(r, failure.Fenced, failure.Unknown, "a later claim has taken over the key")
+	case r.State == controlpb.BookingState_CLAIMED:
+		return describe(r, true)
+	case r.State == controlpb.BookingState_RELEASED:
+		return refuse(r, failure.Fenced, failure.NotRun, "the claim was released")
+	case r.State == controlpb.BookingState_IN_DOUBT:
+		return refuse(r, failure.OutcomeUnknown, failure.Unknown, "the call was dispatched and its outcome is not known")
+	}
+	return refuse(r, failure.InProgress, failure.Unknown, "the call is running")
+}
+
+// Dispatch permits one run of a claimed booking. A repeat with the same dispatch id gets the same answer.
+func (t *Table) Dispatch(q *controlpb.DispatchBookingRequest) *controlpb.BookingResponse {
+	k := keyOf(q.Key)
+	r := t.records[k]
+	if r == nil {
+		return refuse(nil, failure.Fenced, failure.NotRun, "there is no such booking")
+	}
+	if r.DispatchId != "" && r.DispatchId == q.DispatchId && r.ClaimEpoch == q.ClaimEpoch {
+		return describe(r, true)
+	}
+	if q.ClaimEpoch != r.ClaimEpoch {
+		return refuse(r, failure.Fenced, failure.NotRun, "the claim epoch is not the current one")
+	}
+	if r.State != controlpb.BookingState_CLAIMED || q.DispatchId == "" {
+		return refuse(r, failure.Fenced, failure.NotRun, "the booking cannot be dispatched in its state")
+	}
+	r.State = controlpb.BookingState_DISPATCHED
+	r.DispatchId, r.ProcessId = q.DispatchId, q.ProcessId
+	t.track(k, r)
+	return describe(r, true)
+}
+
+// Finish records the outcome of a dispatch. A true outcome replaces a doubt, never the reverse.
+func (t *Table) Finish(q *controlpb.FinishBookingRequest) *controlpb.BookingResponse {
+	k := keyOf(q.Key)
+	r := t.records[k]
+	if r == nil {
+		return refuse(nil, failure.NotFound, failure.Unknown, "there is no such booking")
+	}
+	if r.DispatchId == "" || r.DispatchId != q.DispatchId {
+		return refuse(r, failure.Fenced, failure.Unknown, "the booking was not dispatched under this id")
+	}
+	if r.State == controlpb.BookingState_FINISHED {
+		return describe(r, true)
+	}
+	t.untrack(k, r)
+	if q.InDoubt {
+		r.State = controlpb.BookingState_IN_DOUBT
+		return describe(r, true)
+	}
+	r.State = controlpb.BookingState_FINISHED
+	r.Status, r.Headers, r.Body = q.Status, q.Headers, q.Body
+	return describe(r, true)
+}
+
+// Release gives up a claim that was not dispatched.
+func (t *Table) Release(q *controlpb.ReleaseBookingRequest) *controlpb.BookingResponse {
+	r := t.records[keyOf(q.Key)]
+	if r == nil {
+		return refuse(nil, failure.NotFound, failure.Unknown, "there is no such booking")
+	}
+	if r.ClaimEpoch != q.ClaimEpoch {
+		return refuse(r, failure.Fenced, failure.Unknown, "a later claim has taken over the key")
+	}
+	switch r.State {
+	case controlpb.BookingState_CLAIMED, controlpb.BookingState_RELEASED:
+		r.State = controlpb.BookingState_RELEASED
+		return describe(r, true)
+	case controlpb.BookingState_DISPATCHED:
+		return refuse(r, failure.InProgress, failure.Unknown, "the call is running")
+	case controlpb.BookingState_FINISHED:
+		return refuse(r, failure.Fenced, failure.Ran, "the call has finished")
+	}
+	return refuse(r, failure.OutcomeUnknown, failure.Unknown, "the call was dispatched and its outcome is not known")
+}
+
+// ProcessLost puts the running bookings of a process in doubt. It returns their number.
+func (t *Table) ProcessLost(processID string) int {
+	lost := t.dispatched[processID]
+	for k := range lost {
+		t.records[k].State = controlpb.BookingState_IN_DOUBT
+	}
+	delete(t.dispatched, processID)
+	return len(lost)
+}
--- /dev/null
+++ b/controlclient/operator.go
@@ -0,0 +1,83 @@
+package controlclient
+
+import (
+	"context"
+	"time"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
+)
+
+// ProposalLost is the failure kind of a proposal whose outcome the answering member does not know.
+// It differs from outcome_unknown, which is the final answer about a booking in doubt.
+const ProposalLost = "proposal_lost"
+
+// Publish publishes one whole object set. The answer names the current version also beside a conflict.
+func (c *Client) Publish(ctx context.Context, request *controlpb.PublishRequest) (*controlpb.PublishResponse, error) {
+	return do(ctx, c, func(ctx context.Context, client controlpb.DRPCControlClient) (*controlpb.PublishResponse, error) {
+		return client.Publish(ctx, request)
+	})
+}
+
+// Drain marks an upstream as leaving, or takes the mark back.
+func (c *Client) Drain(ctx context.Context, request *controlpb.DrainRequest) (*controlpb.DrainResponse, error) {
+	return do(ctx, c, func(ctx context.Context, client controlpb.DRPCControlClient) (*controlpb.DrainResponse, error) {
+		return client.Drain(ctx, request)
+	})
+}
+
+// ChangeMembers adds, promotes or removes one control member.
+func (c *Client) ChangeMembers(ctx context.Context, request *controlpb.ChangeMembersRequest) (*controlpb.ChangeMembersResponse, error) {
+	return do(ctx, c, func(ctx context.Context, client controlpb.DRPCControlClient) (*controlpb.ChangeMembersResponse, error) {
+		return client.ChangeMembers(ctx, request)
+	})
+}
+
+// Audit returns one page of the audit trail.
+func (c *Client) Audit(ctx context.Context, request *controlpb.AuditRequest) (*controlpb.AuditResponse, error) {
+	return do(ctx, c, func(ctx context.Context, client controlpb.DRPCControlClient) (*controlpb.AuditResponse, error) {
+		return client.Audit(ctx, request)
+	})
+}
+
+// MemberStatus is the answer of one control member, or the error of asking it.
+type MemberStatus struct {
+	Address string
+	Status  *controlpb.StatusResponse
+	Err     error
+}
+
+// StatusAll asks every known member. Members learned from the answers are asked too.
+func (c *Client) StatusAll(ctx context.Context, brief bool) []MemberStatus {
+	var all []MemberStatus
+	asked := map[string]bool{}
+	for {
+		next := ""
+		for _, address := range c.directory.leaderFirst() {
+			if !asked[address] {
+				next = address
+				break
+			}
+		}
+		if next == "" || ctx.Err() != nil {
+			return all
+		}
+		asked[next] = true
+		status, err := c.StatusOf(ctx, next, brief)
+		all = append(all, MemberStatus{Address: next, Status: status, Err: err})
+	}
+}
+
+// StatusOf asks one member.
+func (c *Client) StatusOf(ctx context.Context, address string, brief bool) (*controlpb.StatusResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, min(c.options.AttemptTimeout, time.Second))
+	defer cancel()
+	conn := c.pool.Get(ctx, address)
+	defer func() { _ = conn.Close() }()
+	status, err := controlpb.NewDRPCControlClient(conn).Status(ctx, &controlpb.StatusRequest{Brief: brief})
+	if err != nil {
+		return nil, failure.Wrap(err, failure.NoUpstream, failure.NotRun, "status of %s", address)
+	}
+	c.directory.learn(status)
+	return status, nil
+}
--- /dev/null
+++ b/controlclient/watcher.go
@@ -0,0 +1,240 @@
+package controlclient
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"github.com/wasabishunt/wasabishunt/clock"
+	"github.com/wasabishunt/wasabishunt/objectset"
+	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
+)
+
+// WatcherOptions names the process that watches and its limits.
+type WatcherOptions struct {
+	// Addresses of control members; more are learned from their answers.
+	Addresses []string
+	ProcessID string
+	Role      string
+	// Address under which other processes reach this one.
+	Address string
+	Zone    string
+	// Serves names the upstream, store or service of the process.
+	Serves string
+	// StaleSetLimit ends new work after so long without confirmation; default 4 s.
+	StaleSetLimit time.Duration
+	// PresenceInterval is the time between presence reports; default 1 s.
+	PresenceInterval time.Duration
+	// CallTimeout limits a presence report and the wait for the next stream message; default 2 s.
+	CallTimeout time.Duration
+	// Draining reports whether the process takes no new work; default never.
+	Draining func() bool
+	Log      *zap.Logger
+	Clock    clock.Clock
+}
+
+func (o *WatcherOptions) setDefaults() {
+	if o.StaleSetLimit == 0 {
+		o.StaleSetLimit = 4 * time.Second
+	}
+	if o.PresenceInterval == 0 {
+		o.PresenceInterval = time.Second
+	}
+	if o.CallTimeout == 0 {
+		o.CallTimeout = 2 * time.Second
+	}
+	if o.Draining == nil {
+		o.Draining = func() bool { return false }
+	}
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	if o.Clock == nil {
+		o.Clock = clock.System{}
+	}
+}
+
+// Watcher keeps the view in force. Run does the work; the other methods may be called from any goroutine.
+// Its mutex is a leaf lock.
+type Watcher struct {
+	options     WatcherOptions
+	incarnation string
+	directory   *directory
+	client      *Client
+	// kick wakes the presence loop.
+	kick chan struct{}
+
+	mu       sync.Mutex
+	view     View
+	observed uint64
+	fenced   bool
+	changed  chan struct{}
+}
+
+var _ Source = (*Watcher)(nil)
+
+// NewWatcher returns a Watcher with an empty view.
+func NewWatcher(options WatcherOptions) *Watcher {
+	options.setDefaults()
+	client := NewClient(ClientOptions{Addresses: options.Addresses})
+	return &Watcher{
+		options:     options,
+		incarnation: uuid.NewString(),
+		directory:   client.directory,
+		client:      client,
+		kick:        make(chan struct{}, 1),
+		changed:     make(chan struct{}),
+		view:        View{Processes: map[string]Process{}},
+	}
+}
+
+// Current returns the view in force.
+func (w *Watcher) Current() View {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.view
+}
+
+// Changed returns a channel that is closed at the next change of the set, memberships or epoch.
+func (w *Watcher) Changed() <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.changed
+}
+
+// Fenced reports that a newer incarnation of this process has registered; the process must stop.
+func (w *Watcher) Fenced() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.fenced
+}
+
+// Observe reports a set version seen on the data path. A higher one ends new work until it has arrived.
+func (w *Watcher) Observe(version uint64) {
+	w.mu.Lock()
+	behind := version > w.view.Version
+	if behind {
+		w.observed = max(w.observed, version)
+		w.view.Behind = true
+	}
+	w.mu.Unlock()
+	if behind {
+		w.Kick()
+	}
+}
+
+// Kick sends a presence report at once, for example after the draining state changed.
+func (w *Watcher) Kick() {
+	select {
+	case w.kick <- struct{}{}:
+	default:
+	}
+}
+
+// update changes the view under the lock and wakes waiters.
+func (w *Watcher) update(change func(v *View)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	change(&w.view)
+	w.view.Behind = w.observed > w.view.Version
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+func (w *Watcher) adoptSet(set *objectset.Set, version uint64) {
+	if version <= w.Current().Version {
+		return
+	}
+	w.update(func(v *View) { v.Set, v.Version = set, version })
+	w.options.Log.Info("object set in force", zap.Uint64("version", version))
+	w.Kick()
+}
+
+func (w *Watcher) adoptMembership(update *controlpb.MembershipUpdate) {
+	w.update(func(v *View) {
+		// A member that lags may send a table older than the one in force.
+		if update.Revision <= v.Revision {
+			return
+		}
+		next := map[string]Process{}
+		if !update.Full {
+			next = maps.Clone(v.Processes)
+		}
+		for _, p := range update.Processes {
+			if p.State == removedState {
+				delete(next, p.ProcessId)
+				continue
+			}
+			next[p.ProcessId] = processOf(p)
+		}
+		v.Processes, v.Revision = next, update.Revision
+	})
+}
+
+// removedState marks a process that control has forgotten.
+const removedState = "removed"
+
+func processOf(p *controlpb.ProcessState) Process {
+	return Process{
+		ID: p.ProcessId, Role: p.Role, Address: p.Address, Zone: p.AvailabilityZone, Serves: p.Serves,
+		Epoch: p.Epoch, State: ProcessState(p.State), SetVersion: p.SetVersion, Reason: p.Reason,
+	}
+}
+
+// confirm counts a fresh answer from the moment its request was sent, so that an answer which lay in a
+// socket buffer does not look fresh. It returns false if the answer is not a confirmation.
+func (w *Watcher) confirm(sent time.Time, answer *controlpb.PresenceResponse) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if answer.Epoch > w.view.Epoch {
+		w.view.Epoch = answer.Epoch
+		close(w.changed)
+		w.changed = make(chan struct{})
+	}
+	if !answer.Fresh || answer.SetVersion > w.view.Version || w.fenced {
+		return false
+	}
+	until := sent.Add(w.options.StaleSetLimit)
+	if until.After(w.view.FreshUntil) {
+		w.view.FreshUntil = until
+	}
+	return true
+}
+
+func (w *Watcher) fence() {
+	w.update(func(v *View) {
+		v.FreshUntil = time.Time{}
+		w.fenced = true
+	})
+}
+
+// Run watches until the context ends. It returns after all its goroutines have ended.
+func (w *Watcher) Run(ctx context.Context) {
+	defer func() { _ = w.client.Close() }()
+	for ctx.Err() == nil {
+		w.learnMembers(ctx)
+		for _, address := range w.directory.watchOrder(w.options.ProcessID) {
+			if ctx.Err() != nil {
+				return
+			}
+			w.session(ctx, address)
+			wait(ctx, sessionPause)
+		}
+	}
+}
+
+// sessionPause limits reconnects to one in so long.
+const sessionPause = 50 * time.Millisecond
+
+// learnMembers asks the first member that answers who leads.
+func (w *Watcher) learnMembers(ctx context.Context) {
+	for _, address := range w.directory.watchOrder(w.options.ProcessID) {
+		if _, err := w.client.StatusOf(ctx, address, true); err == nil || ctx.Err() != nil {
+			return
+		}
+	}
+}
