Add the control server: publish, watch, presence, bookings

Members serve watches and presence locally and bring only changes to the log. Proposals whose outcome is not known get a kind of their own, because outcome_unknown is the final answer about a booking in doubt and must not be retried.

--- a/booking/table.go
+++ b/booking/table.go
@@ -168,7 +168,8 @@
 }
 
 // Dispatch permits one run of a claimed booking. A repeat with the same dispatch id gets the same answer.
-func (t *Table) Dispatch(q *controlpb.DispatchBookingRequest) *controlpb.BookingResponse {
+// A process that is not alive under the epoch it states gets no new permission.
+func (t *Table) Dispatch(q *controlpb.DispatchBookingRequest, alive bool) *controlpb.BookingResponse {
 	k := keyOf(q.Key)
 	r := t.records[k]
 	if r == nil {
@@ -180,6 +181,9 @@
 	if q.ClaimEpoch != r.ClaimEpoch {
 		return refuse(r, failure.Fenced, failure.NotRun, "the claim epoch is not the current one")
 	}
+	if !alive {
+		return refuse(r, failure.Fenced, failure.NotRun, "the dispatching process was declared dead or replaced")
+	}
 	if r.State != controlpb.BookingState_CLAIMED || q.DispatchId == "" {
 		return refuse(r, failure.Fenced, failure.NotRun, "the booking cannot be dispatched in its state")
 	}
--- /dev/null
+++ b/control/server.go
@@ -0,0 +1,218 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wasabishunt/wasabishunt/clock"
+	"github.com/wasabishunt/wasabishunt/controlclient"
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
+	"github.com/wasabishunt/wasabishunt/rpcpool"
+	"github.com/wasabishunt/wasabishunt/upstream/vmlist"
+)
+
+// VMLister reads the platform's VM list.
+type VMLister interface {
+	Read(ctx context.Context) ([]vmlist.VM, error)
+}
+
+// Options configures a Server.
+type Options struct {
+	MemberID  uint64
+	Operators *Operators
+	// VMList is nil where the platform has none.
+	VMList VMLister
+	// VMListInterval is the time between reads of the list by the leader; default 1 s.
+	VMListInterval time.Duration
+	// BookingRetention is how long a booking is kept after its issue; default 24 h.
+	BookingRetention time.Duration
+	// RetireInterval is the time between retirements; default 1 min.
+	RetireInterval time.Duration
+	// DeadAfter declares a silent process dead; default 3 s.
+	DeadAfter time.Duration
+	// MemberDeadAfter makes the leader declare the processes of a silent member dead; default 4 s.
+	MemberDeadAfter time.Duration
+	// MonitorInterval is the time between checks for silence; default 250 ms.
+	MonitorInterval time.Duration
+	// HeartbeatInterval is the time between messages on an idle watch stream; default 1 s.
+	HeartbeatInterval time.Duration
+	// CallTimeout limits a proposal or read barrier; default 2 s.
+	CallTimeout time.Duration
+	// MaxWatchers limits the watch streams of this member; default 4,096.
+	MaxWatchers int
+	// MaxPending limits the calls that wait for the log; default 4,096.
+	MaxPending int
+	// MaxBookingBytes limits the stored body of an answer; default 1 MiB.
+	MaxBookingBytes int
+	Log             *zap.Logger
+	Clock           clock.Clock
+	Metrics         gometrics.Registry
+}
+
+func orDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+func (o *Options) setDefaults() {
+	orDefault(&o.VMListInterval, time.Second)
+	orDefault(&o.BookingRetention, 24*time.Hour)
+	orDefault(&o.RetireInterval, time.Minute)
+	orDefault(&o.DeadAfter, 3*time.Second)
+	orDefault(&o.MemberDeadAfter, 4*time.Second)
+	orDefault(&o.MonitorInterval, 250*time.Millisecond)
+	orDefault(&o.HeartbeatInterval, time.Second)
+	orDefault(&o.CallTimeout, 2*time.Second)
+	orDefault(&o.MaxWatchers, 4096)
+	orDefault(&o.MaxPending, 4096)
+	orDefault(&o.MaxBookingBytes, 1<<20)
+	if o.Operators == nil {
+		o.Operators = &Operators{}
+	}
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	if o.Clock == nil {
+		o.Clock = clock.System{}
+	}
+	if o.Metrics == nil {
+		o.Metrics = gometrics.NewRegistry()
+	}
+}
+
+// Server is the drpc service of one control member.
+type Server struct {
+	options    Options
+	machine    *StateMachine
+	replicator Replicator
+	pool       *rpcpool.Pool
+	pending    chan struct{}
+	watchers   chan struct{}
+	started    time.Time
+	closing    chan struct{}
+	closeOnce  sync.Once
+
+	mu       sync.Mutex
+	presence map[string]presence
+	// memberSeen holds when each other member last sent something to this member as the leader.
+	memberSeen map[uint64]time.Time
+	// leaderSince is zero while this member is not the leader.
+	leaderSince time.Time
+}
+
+// presence is what this member knows about a process that reports to it.
+type presence struct {
+	seen        time.Time
+	incarnation string
+	setVersion  uint64
+}
+
+var _ controlpb.DRPCControlServer = (*Server)(nil)
+
+// NewServer returns a Server over a state machine and its replicator. Run does its periodic work.
+func NewServer(machine *StateMachine, replicator Replicator, options Options) *Server {
+	options.setDefaults()
+	return &Server{
+		options:    options,
+		machine:    machine,
+		replicator: replicator,
+		pool:       rpcpool.New(rpcpool.Options{}),
+		pending:    make(chan struct{}, options.MaxPending),
+		watchers:   make(chan struct{}, options.MaxWatchers),
+		started:    options.Clock.Now(),
+		closing:    make(chan struct{}),
+		presence:   map[string]presence{},
+		memberSeen: map[uint64]time.Time{},
+	}
+}
+
+// Run does the periodic work until the context ends: silence of processes, the VM list and retirement.
+// It ends the watch streams and returns after its goroutines have ended.
+func (s *Server) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return every(ctx, s.options.MonitorInterval, s.monitor) })
+	group.Go(func() error { return every(ctx, s.options.RetireInterval, s.retire) })
+	group.Go(func() error { return every(ctx, s.options.HeartbeatInterval, s.greetLeader) })
+	if s.options.VMList != nil {
+		group.Go(func() error { return every(ctx, s.options.VMListInterval, s.readVMList) })
+	}
+	err := group.Wait()
+	s.closeOnce.Do(func() { close(s.closing) })
+	_ = s.pool.Close()
+	return err
+}
+
+// every calls work at an interval until the context ends.
+func every(ctx context.Context, interval time.Duration, work func(context.Context)) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			work(ctx)
+		}
+	}
+}
+
+func (s *Server) isLeader() bool {
+	id, _ := s.replicator.Leader()
+	return id == s.options.MemberID
+}
+
+// notLeader redirects a write to the leader.
+func (s *Server) notLeader() *controlpb.Failure {
+	_, address := s.replicator.Leader()
+	f := failureMessage(failure.New(failure.NotLeader, failure.NotRun, "this member is not the leader"))
+	f.LeaderAddress = address
+	return f
+}
+
+// propose replicates a command with the leader's time. Pending proposals are bounded.
+func (s *Server) propose(ctx context.Context, command *controlpb.Command) (proto.Message, *controlpb.Failure) {
+	if !s.isLeader() {
+		return nil, s.notLeader()
+	}
+	select {
+	case s.pending <- struct{}{}:
+		defer func() { <-s.pending }()
+	default:
+		e := failure.New(failure.Overloaded, failure.NotRun, "too many calls wait for the replicated log")
+		e.RetryAfter = 200 * time.Millisecond
+		return nil, failureMessage(e)
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.options.CallTimeout)
+	defer cancel()
+	command.UnixMs = s.options.Clock.Now().UnixMilli()
+	result, err := s.replicator.Propose(ctx, command)
+	if err != nil {
+		return nil, s.proposalFailure(err)
+	}
+	return result, nil
+}
+
+// proposalFailure says that a command may have been applied unless the replicator excludes it.
+func (s *Server) proposalFailure(err error) *controlpb.Failure {
+	f := failureMessage(err)
+	_, f.LeaderAddress = s.replicator.Leader()
+	if f.Execution != string(failure.NotRun) {
+		f.Kind = controlclient.ProposalLost
+		f.Execution = string(failure.Unknown)
+	}
+	return f
+}
+
+// wrongResult is a command whose result has another type, which a repeated index would cause.
+func wrongResult() *controlpb.Failure {
+	return failureMessage(failure.New(failure.Internal, failure.Unknown, "the command has no result"))
+}
--- /dev/null
+++ b/control/server_bookings.go
@@ -0,0 +1,120 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
+)
+
+const (
+	// maxFuture limits the issue time of a key, so that retention can drop it.
+	maxFuture = 5 * time.Minute
+	// maxKeyBytes limits an idempotency key.
+	maxKeyBytes = 256
+)
+
+func checkKey(key *controlpb.BookingKey) error {
+	if key.GetAccount() == "" || key.GetIdempotencyKey() == "" {
+		return failure.New(failure.KeyRequired, failure.NotRun, "account and idempotency key must be set")
+	}
+	if len(key.IdempotencyKey) > maxKeyBytes {
+		return failure.New(failure.InvalidRequest, failure.NotRun, "the idempotency key is longer than %d bytes", maxKeyBytes)
+	}
+	return nil
+}
+
+func refused(err error) *controlpb.BookingResponse {
+	return &controlpb.BookingResponse{Failure: failureMessage(err)}
+}
+
+func (s *Server) proposeBooking(ctx context.Context, command *controlpb.Command) (*controlpb.BookingResponse, error) {
+	result, refusal := s.propose(ctx, command)
+	if refusal != nil {
+		return &controlpb.BookingResponse{Failure: refusal}, nil
+	}
+	response, ok := result.(*controlpb.BookingResponse)
+	if !ok {
+		return &controlpb.BookingResponse{Failure: wrongResult()}, nil
+	}
+	return response, nil
+}
+
+// ClaimBooking claims an idempotency key for one attempt.
+func (s *Server) ClaimBooking(ctx context.Context, q *controlpb.ClaimBookingRequest) (*controlpb.BookingResponse, error) {
+	if err := checkKey(q.Key); err != nil {
+		return refused(err), nil
+	}
+	if q.ClaimId == "" {
+		return refused(failure.New(failure.InvalidRequest, failure.NotRun, "claim id must be set")), nil
+	}
+	if q.IssuedUnixMs > s.options.Clock.Now().Add(maxFuture).UnixMilli() {
+		return refused(failure.New(failure.InvalidRequest, failure.NotRun, "the key was issued more than %s in the future", maxFuture)), nil
+	}
+	return s.proposeBooking(ctx, &controlpb.Command{Command: &controlpb.Command_ClaimBooking{ClaimBooking: q}})
+}
+
+// DispatchBooking permits the one run of a booking.
+func (s *Server) DispatchBooking(ctx context.Context, q *controlpb.DispatchBookingRequest) (*controlpb.BookingResponse, error) {
+	if err := checkKey(q.Key); err != nil {
+		return refused(err), nil
+	}
+	if q.DispatchId == "" || q.ProcessId == "" {
+		return refused(failure.New(failure.InvalidRequest, failure.NotRun, "dispatch id and process id must be set")), nil
+	}
+	return s.proposeBooking(ctx, &controlpb.Command{Command: &controlpb.Command_DispatchBooking{DispatchBooking: q}})
+}
+
+// FinishBooking records the outcome of a run.
+func (s *Server) FinishBooking(ctx context.Context, q *controlpb.FinishBookingRequest) (*controlpb.BookingResponse, error) {
+	if err := checkKey(q.Key); err != nil {
+		return refused(err), nil
+	}
+	if len(q.Body) > s.options.MaxBookingBytes {
+		return refused(failure.New(failure.BodyTooLarge, failure.Unknown, "the answer has more than %d bytes", s.options.MaxBookingBytes)), nil
+	}
+	return s.proposeBooking(ctx, &controlpb.Command{Command: &controlpb.Command_FinishBooking{FinishBooking: q}})
+}
+
+// ReleaseBooking gives up a claim.
+func (s *Server) ReleaseBooking(ctx context.Context, q *controlpb.ReleaseBookingRequest) (*controlpb.BookingResponse, error) {
+	if err := checkKey(q.Key); err != nil {
+		return refused(err), nil
+	}
+	return s.proposeBooking(ctx, &controlpb.Command{Command: &controlpb.Command_ReleaseBooking{ReleaseBooking: q}})
+}
+
+// AcquireLoadSlot takes or renews a slot for loading weights.
+func (s *Server) AcquireLoadSlot(ctx context.Context, q *controlpb.LoadSlotRequest) (*controlpb.LoadSlotResponse, error) {
+	return s.proposeSlot(ctx, &controlpb.Command{Command: &controlpb.Command_AcquireLoadSlot{AcquireLoadSlot: q}})
+}
+
+// ReleaseLoadSlot gives a slot back.
+func (s *Server) ReleaseLoadSlot(ctx context.Context, q *controlpb.LoadSlotRequest) (*controlpb.LoadSlotResponse, error) {
+	return s.proposeSlot(ctx, &controlpb.Command{Command: &controlpb.Command_ReleaseLoadSlot{ReleaseLoadSlot: q}})
+}
+
+func (s *Server) proposeSlot(ctx context.Context, command *controlpb.Command) (*controlpb.LoadSlotResponse, error) {
+	result, refusal := s.propose(ctx, command)
+	if refusal != nil {
+		return &controlpb.LoadSlotResponse{Failure: refusal}, nil
+	}
+	response, ok := result.(*controlpb.LoadSlotResponse)
+	if !ok {
+		return &controlpb.LoadSlotResponse{Failure: wrongResult()}, nil
+	}
+	return response, nil
+}
+
+// retire proposes a later retirement time. Only the leader's clock is used; the time is then in the log.
+func (s *Server) retire(ctx context.Context) {
+	if !s.isLeader() {
+		return
+	}
+	before := s.options.Clock.Now().Add(-s.options.BookingRetention).UnixMilli()
+	_, refusal := s.propose(ctx, &controlpb.Command{Command: &controlpb.Command_RetireBookings{
+		RetireBookings: &controlpb.RetireBookings{RetiredBeforeUnixMs: before},
+	}})
+	s.logRefusal("retirement of bookings failed", refusal)
+}
--- a/controlclient/watcher.go
+++ b/controlclient/watcher.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 
@@ -212,23 +213,37 @@
 	})
 }
 
-// Run watches until the context ends. It returns after all its goroutines have ended.
+// Run watches until the context ends or a newer incarnation fences this one. It returns after all its
+// goroutines have ended.
 func (w *Watcher) Run(ctx context.Context) {
 	defer func() { _ = w.client.Close() }()
+	pause := &backoff.ExponentialBackOff{
+		InitialInterval: minPause, MaxInterval: maxPause, Multiplier: 2, RandomizationFactor: 0.5,
+	}
+	pause.Reset()
 	for ctx.Err() == nil {
 		w.learnMembers(ctx)
 		for _, address := range w.directory.watchOrder(w.options.ProcessID) {
-			if ctx.Err() != nil {
+			started := w.options.Clock.Now()
+			w.session(ctx, address)
+			if ctx.Err() != nil || w.Fenced() {
 				return
 			}
-			w.session(ctx, address)
-			wait(ctx, sessionPause)
+			if w.options.Clock.Now().Sub(started) > stableSession {
+				pause.Reset()
+			}
+			wait(ctx, pause.NextBackOff())
 		}
 	}
 }
 
-// sessionPause limits reconnects to one in so long.
-const sessionPause = 50 * time.Millisecond
+const (
+	// minPause and maxPause limit reconnects, so that many processes do not overload the remaining members.
+	minPause = 50 * time.Millisecond
+	maxPause = time.Second
+	// stableSession resets the pause.
+	stableSession = 5 * time.Second
+)
 
 // learnMembers asks the first member that answers who leads.
 func (w *Watcher) learnMembers(ctx context.Context) {
--- a/membership/table.go
+++ b/membership/table.go
@@ -125,14 +125,10 @@
 // Drained reports whether an operator has drained an upstream.
 func (t *Table) Drained(upstream string) bool { return t.drained[upstream] }
 
-// ObserveVMs takes entries of the platform's VM list. An entry older than the known one is ignored.
+// ObserveVMs takes entries of the platform's VM list.
 func (t *Table) ObserveVMs(unixMs int64, vms []*controlpb.VMState) {
-	for _, vm := range vms {
-		known := t.vms[vm.Vm]
-		if known != nil && vm.Version < known.Version {
-			continue
-		}
-		if known == nil && len(t.vms) >= maxVMs {
+	for _, vm := range t.NewsOf(vms) {
+		if t.vms[vm.Vm] == nil && len(t.vms) >= maxVMs {
 			continue
 		}
 		t.vms[vm.Vm] = vm
@@ -141,15 +137,24 @@
 	t.refresh(unixMs)
 }
 
+// isNews ignores an entry older than the known one; at equal versions leaving wins.
+func isNews(known, vm *controlpb.VMState) bool {
+	switch {
+	case known == nil:
+		return vm.Leaving
+	case vm.Version < known.Version:
+		return false
+	case vm.Version == known.Version && known.Leaving && !vm.Leaving:
+		return false
+	}
+	return vm.Leaving != known.Leaving || vm.Address != known.Address
+}
+
 // NewsOf returns the entries that would change the table.
 func (t *Table) NewsOf(vms []*controlpb.VMState) []*controlpb.VMState {
 	var news []*controlpb.VMState
 	for _, vm := range vms {
-		known := t.vms[vm.Vm]
-		if known == nil && !vm.Leaving {
-			continue
-		}
-		if known == nil || vm.Version >= known.Version && (vm.Leaving != known.Leaving || vm.Address != known.Address) {
+		if isNews(t.vms[vm.Vm], vm) {
 			news = append(news, vm)
 		}
 	}
@@ -218,7 +223,22 @@
 	return ids
 }
 
-// Forget removes processes that have been dead for an hour.
+// forgetVMs removes the entries that match no process, so that the VM list cannot fill the table.
+func (t *Table) forgetVMs() {
+	used := map[string]bool{}
+	for _, r := range t.processes {
+		host, _, _ := net.SplitHostPort(r.Registration.Address)
+		used[r.Registration.Address], used[host] = true, true
+	}
+	for id, vm := range t.vms {
+		if !used[vm.Address] {
+			delete(t.vms, id)
+		}
+	}
+	t.indexVMs()
+}
+
+// Forget removes processes that have been dead for an hour, and the VMs without a process.
 func (t *Table) Forget(unixMs int64) {
 	for _, id := range t.ids() {
 		r := t.processes[id]
@@ -233,4 +253,5 @@
 		t.forgotten = t.removed[excess-1].Revision
 		t.removed = slices.Clone(t.removed[excess:])
 	}
+	t.forgetVMs()
 }
--- /dev/null
+++ b/upstream/vmlist/reader.go
@@ -0,0 +1,84 @@
+// Package vmlist reads the platform's list of live and leaving VMs over HTTP. The list lags, so nothing may
+// depend on it alone.
+package vmlist
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+)
+
+// States of a VM in the list.
+const (
+	Live    = "live"
+	Leaving = "leaving"
+)
+
+const (
+	// maxBytes limits the body of the list; 20,000 entries need about 2 MB.
+	maxBytes = 8 << 20
+	// defaultTimeout limits one read.
+	defaultTimeout = 2 * time.Second
+)
+
+// VM is one entry of the list.
+type VM struct {
+	VM string `json:"vm"`
+	// Address is the VM's IP address, with a port where several processes share an address.
+	Address string `json:"address"`
+	State   string `json:"state"`
+	// Version of the entry; a higher one is newer.
+	Version uint64 `json:"version"`
+}
+
+// Reader reads the list from one URL.
+type Reader struct {
+	url    string
+	client *http.Client
+}
+
+// NewReader returns a Reader. A timeout of 0 means 2 s.
+func NewReader(url string, timeout time.Duration) *Reader {
+	if timeout == 0 {
+		timeout = defaultTimeout
+	}
+	return &Reader{url: url, client: &http.Client{Timeout: timeout}}
+}
+
+// Read returns the list. Entries without a name or with an unknown state make the list invalid, because
+// acting on half of it could bring a leaving VM back.
+func (r *Reader) Read(ctx context.Context) ([]VM, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, r.url, nil)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.InvalidRequest, failure.NotRun, "VM list URL %q", r.url)
+	}
+	response, err := r.client.Do(request)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.UpstreamFailed, failure.Unknown, "read VM list")
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return nil, failure.New(failure.UpstreamFailed, failure.Unknown, "VM list answered status %d", response.StatusCode)
+	}
+	return decode(io.LimitReader(response.Body, maxBytes))
+}
+
+func decode(body io.Reader) ([]VM, error) {
+	var list []VM
+	if err := json.NewDecoder(body).Decode(&list); err != nil {
+		return nil, failure.Wrap(err, failure.UpstreamFailed, failure.Unknown, "decode VM list")
+	}
+	for _, vm := range list {
+		if vm.VM == "" || vm.State != Live && vm.State != Leaving {
+			return nil, failure.New(failure.UpstreamFailed, failure.Unknown, "VM list entry %q has state %q", vm.VM, vm.State)
+		}
+	}
+	return list, nil
+}
+
+// Close closes idle connections.
+func (r *Reader) Close() { r.client.CloseIdleConnections() }
