--- /dev/null
+++ b/controlclient/watcher_test.go
@@ -0,0 +1,164 @@
+package controlclient
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// stubControl sends one set and answers presence reports by a function.
+type stubControl struct {
+	controlpb.DRPCControlUnimplementedServer
+	presence func() *controlpb.PresenceResponse
+}
+
+func (s *stubControl) Status(context.Context, *controlpb.StatusRequest) (*controlpb.StatusResponse, error) {
+	return &controlpb.StatusResponse{}, nil
+}
+
+func (s *stubControl) ReportPresence(context.Context, *controlpb.PresenceRequest) (*controlpb.PresenceResponse, error) {
+	return s.presence(), nil
+}
+
+func (s *stubControl) WatchSet(_ *controlpb.WatchSetRequest, stream controlpb.DRPCControl_WatchSetStream) error {
+	// The document comes in two parts, as a large one does.
+	for _, part := range []*controlpb.SetSnapshot{
+		{Version: 3, Document: []byte(`{"zones":[{"name":"z",`), More: true},
+		{Version: 3, Document: []byte(`"region":"r"}]}`)},
+	} {
+		if err := stream.Send(&controlpb.SetUpdate{Update: &controlpb.SetUpdate_Snapshot{Snapshot: part}}); err != nil {
+			return err
+		}
+	}
+	<-stream.Context().Done()
+	return stream.Context().Err()
+}
+
+func serveStub(t *testing.T, stub *stubControl) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	mux := drpcmux.New()
+	require.NoError(t, controlpb.DRPCRegisterControl(mux, stub))
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = drpcserver.New(mux).Serve(ctx, listener) })
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	return listener.Addr().String()
+}
+
+func runWatcher(t *testing.T, options WatcherOptions) *Watcher {
+	w := NewWatcher(options)
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { w.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	return w
+}
+
+type fakeClock struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+func (c *fakeClock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *fakeClock) advance(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(d)
+}
+
+// Guards against a paused process that reads an old answer after it resumes and takes its set for fresh.
+func TestLateAnswerDoesNotLookFresh(t *testing.T) {
+	asked, release := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	stub := &stubControl{presence: func() *controlpb.PresenceResponse {
+		once.Do(func() { close(asked) })
+		<-release
+		return &controlpb.PresenceResponse{Epoch: 7, SetVersion: 3, Fresh: true}
+	}}
+	clock := &fakeClock{now: time.Unix(1000, 0)}
+	w := runWatcher(t, WatcherOptions{
+		Addresses: []string{serveStub(t, stub)}, ProcessID: "p", Clock: clock, CallTimeout: time.Minute, PresenceInterval: time.Hour,
+	})
+	<-asked
+	require.Eventually(t, func() bool { return w.Current().Version == 3 }, 5*time.Second, time.Millisecond)
+	clock.advance(4 * time.Second)
+	// The answer to the first report wakes the waiters by its epoch; the second report is the one after the set.
+	changed := w.Changed()
+	release <- struct{}{}
+	<-changed
+	require.Equal(t, uint64(7), w.Current().Epoch)
+	require.False(t, w.Current().Fresh(clock.Now()), "the confirmation is 4 s old")
+	close(release)
+	require.Eventually(t, func() bool { return w.Current().Fresh(clock.Now()) }, 5*time.Second, time.Millisecond)
+}
+
+// Guards against a confirmation of a version that the process does not have yet.
+func TestConfirmationOfANewerVersionDoesNotCount(t *testing.T) {
+	w := NewWatcher(WatcherOptions{Addresses: []string{"127.0.0.1:1"}, ProcessID: "p"})
+	defer func() { _ = w.client.Close() }()
+	now := time.Now()
+	require.False(t, w.confirm(now, &controlpb.PresenceResponse{SetVersion: 1, Fresh: true}))
+	require.False(t, w.confirm(now, &controlpb.PresenceResponse{SetVersion: 0, Fresh: false}))
+	require.True(t, w.confirm(now, &controlpb.PresenceResponse{SetVersion: 0, Fresh: true}))
+}
+
+// Guards against a membership table that goes back when the watched member lags, and against removed processes that stay.
+func TestMembershipNeverGoesBack(t *testing.T) {
+	w := NewWatcher(WatcherOptions{Addresses: []string{"127.0.0.1:1"}, ProcessID: "p"})
+	defer func() { _ = w.client.Close() }()
+	a, b := &controlpb.ProcessState{ProcessId: "a", State: "leaving"}, &controlpb.ProcessState{ProcessId: "b", State: "live"}
+	w.adoptMembership(&controlpb.MembershipUpdate{Revision: 5, Full: true, Processes: []*controlpb.ProcessState{a, b}})
+	w.adoptMembership(&controlpb.MembershipUpdate{Revision: 4, Full: true, Processes: []*controlpb.ProcessState{{ProcessId: "a", State: "live"}}})
+	require.Equal(t, Leaving, w.Current().Processes["a"].State)
+	w.adoptMembership(&controlpb.MembershipUpdate{Revision: 6, Processes: []*controlpb.ProcessState{{ProcessId: "b", State: removedState}}})
+	require.Len(t, w.Current().Processes, 1)
+}
+
+// Guards against a delta that is applied to a version it was not made for.
+func TestDeltaWithAGapIsRefused(t *testing.T) {
+	stub := &stubControl{presence: func() *controlpb.PresenceResponse { return &controlpb.PresenceResponse{SetVersion: 3, Fresh: true} }}
+	w := runWatcher(t, WatcherOptions{Addresses: []string{serveStub(t, stub)}, ProcessID: "p"})
+	require.Eventually(t, func() bool { return w.Current().Fresh(time.Now()) }, 5*time.Second, time.Millisecond)
+	require.Error(t, w.applyDelta(&controlpb.SetDelta{FromVersion: 4, ToVersion: 5}))
+	require.NoError(t, w.applyDelta(&controlpb.SetDelta{FromVersion: 1, ToVersion: 2}))
+	require.Equal(t, uint64(3), w.Current().Version)
+	require.NoError(t, w.applyDelta(&controlpb.SetDelta{FromVersion: 3, ToVersion: 4}))
+	require.Equal(t, uint64(4), w.Current().Version)
+}
+
+// Guards against a fenced process that keeps taking work or keeps reporting.
+func TestFencedProcessStops(t *testing.T) {
+	stub := &stubControl{presence: func() *controlpb.PresenceResponse {
+		return &controlpb.PresenceResponse{Failure: &controlpb.Failure{Kind: "fenced", Execution: "not_run"}}
+	}}
+	w := NewWatcher(WatcherOptions{Addresses: []string{serveStub(t, stub)}, ProcessID: "p"})
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	w.Run(ctx)
+	require.NoError(t, ctx.Err(), "Run ends by itself")
+	require.True(t, w.Fenced())
+	require.False(t, w.Current().Fresh(time.Now()))
+}
--- a/objectset/document.go
+++ b/objectset/document.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"io"
 
+	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/parser"
 )
@@ -60,9 +62,10 @@
 }
 
 func readYAML(document []byte) (*node, error) {
-	file, err := parser.ParseBytes(document, 0)
+	// Repeated keys are found later, together with all other faults.
+	file, err := parser.ParseBytes(document, 0, parser.AllowDuplicateMapKey())
 	if err != nil {
-		return nil, &syntaxError{message: err.Error()}
+		return nil, yamlSyntaxError(err)
 	}
 	if len(file.Docs) > 1 {
 		return nil, &syntaxError{message: "more than one YAML document"}
@@ -73,6 +76,15 @@
 	return fromYAML(file.Docs[0].Body, 0), nil
 }
 
+// yamlSyntaxError keeps the library's message and line without its excerpt of the source.
+func yamlSyntaxError(err error) error {
+	var located yaml.Error
+	if !errors.As(err, &located) || located.GetToken() == nil {
+		return &syntaxError{message: err.Error()}
+	}
+	return &syntaxError{line: located.GetToken().Position.Line, message: located.GetMessage()}
+}
+
 func yamlLine(n ast.Node) int {
 	if token := n.GetToken(); token != nil && token.Position != nil {
 		return token.Position.Line
