Compress published documents and bound stored answers

A set of the target size would exceed the 3 MiB that the log takes per command, and a delta of that size the 4 MiB of a drpc message. Large changes now travel as one compressed document, and watchers get a whole set instead of a delta above 1 MiB. The table of bookings also bounds the bytes of stored answers.

--- a/booking/retention.go
+++ b/booking/retention.go
@@ -22,6 +22,7 @@
 
 func (t *Table) insert(k key, r *controlpb.BookingRecord) {
 	t.records[k] = r
+	t.bytes += len(r.Body)
 	minute := minuteOf(r.IssuedUnixMs)
 	if t.byMinute[minute] == nil {
 		t.byMinute[minute] = map[key]bool{}
@@ -63,6 +64,7 @@
 				continue
 			}
 			t.untrack(k, r)
+			t.bytes -= len(r.Body)
 			delete(t.records, k)
 			delete(keys, k)
 			dropped++
--- a/booking/table.go
+++ b/booking/table.go
@@ -16,6 +16,8 @@
 	ReclaimAfterMs int64
 	// MaxRecords is the number of records kept; default 2,000,000.
 	MaxRecords int
+	// MaxBytes limits the stored answers over all records, in bytes; default 512 MiB. New keys are refused beyond it.
+	MaxBytes int
 	// MaxClaims is how many claims of a record are remembered to recognize resends; default 16.
 	MaxClaims int
 }
@@ -27,6 +29,9 @@
 	if l.MaxRecords == 0 {
 		l.MaxRecords = 2_000_000
 	}
+	if l.MaxBytes == 0 {
+		l.MaxBytes = 512 << 20
+	}
 	if l.MaxClaims == 0 {
 		l.MaxClaims = 16
 	}
@@ -43,6 +48,8 @@
 	limits        Limits
 	retiredBefore int64
 	records       map[key]*controlpb.BookingRecord
+	// bytes is the size of the stored answers.
+	bytes int
 	// dispatched lists the records in state DISPATCHED by process.
 	dispatched map[string]map[key]bool
 	// byMinute lists the keys by the minute of their issue, for retirement without a full scan.
@@ -121,7 +128,7 @@
 	if q.IssuedUnixMs < t.retiredBefore {
 		return refuse(nil, failure.KeyTooOld, failure.NotRun, "the idempotency key is older than the retention of bookings")
 	}
-	if len(t.records) >= t.limits.MaxRecords {
+	if len(t.records) >= t.limits.MaxRecords || t.bytes >= t.limits.MaxBytes {
 		return refuse(nil, failure.Overloaded, failure.NotRun, "the table of bookings is full")
 	}
 	r := &controlpb.BookingRecord{Key: q.Key, PayloadHash: q.PayloadHash, IssuedUnixMs: q.IssuedUnixMs, Service: q.Service}
@@ -213,6 +220,7 @@
 	}
 	r.State = controlpb.BookingState_FINISHED
 	r.Status, r.Headers, r.Body = q.Status, q.Headers, q.Body
+	t.bytes += len(r.Body)
 	return describe(r, true)
 }
 
--- a/booking/table_test.go
+++ b/booking/table_test.go
@@ -96,6 +96,14 @@
 	other := claim("c1", "h")
 	other.Key = &controlpb.BookingKey{Account: "a", IdempotencyKey: "k2"}
 	require.Equal(t, failure.Overloaded, kind(full.Claim(0, other)))
+	large := NewTable(Limits{MaxBytes: 1})
+	large.Claim(0, claim("c1", "h"))
+	large.Dispatch(dispatch(1, "d1"), true)
+	large.Finish(finish("d1"))
+	require.Equal(t, failure.Overloaded, kind(large.Claim(0, other)))
+	require.Equal(t, 1, large.Retire(1001))
+	other.IssuedUnixMs = 2000
+	require.True(t, large.Claim(0, other).Granted, "retirement frees the space")
 }
 
 // run is one random schedule over a table with what it has granted so far.
--- a/control/operations.go
+++ b/control/operations.go
@@ -93,7 +93,11 @@
 	if c.Delta {
 		return s.history.AcceptChanges(c.ExpectVersion, c.Changes, c.Operator, now)
 	}
-	set, err := objectset.FromCanonical(c.Document)
+	document, err := decompress(c.Document)
+	if err != nil {
+		return err
+	}
+	set, err := objectset.FromCanonical(document)
 	if err != nil {
 		return err
 	}
--- a/control/server_operator.go
+++ b/control/server_operator.go
@@ -6,6 +6,7 @@
 	"fmt"
 
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/objectset"
@@ -13,6 +14,9 @@
 	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
 )
 
+// maxChangesBytes is the size above which a command carries the compressed document instead of changes.
+const maxChangesBytes = 256 << 10
+
 // maxOperationID limits an operation id in bytes.
 const maxOperationID = 128
 
@@ -90,11 +94,14 @@
 	}
 	current, version := s.machine.CurrentSet()
 	if version == q.ExpectVersion {
-		command.Delta = true
 		command.Changes = objectset.Diff(current, set)
-	} else {
-		command.Document = canonical
 	}
+	if version == q.ExpectVersion && proto.Size(command) <= maxChangesBytes {
+		command.Delta = true
+		return command
+	}
+	command.Changes = nil
+	command.Document = compress(canonical)
 	return command
 }
 
--- a/control/statemachine_test.go
+++ b/control/statemachine_test.go
@@ -26,7 +26,7 @@
 
 func publishCommand(id string, expect uint64, operator string, document []byte) *controlpb.Command {
 	return &controlpb.Command{UnixMs: 1, Command: &controlpb.Command_Publish{Publish: &controlpb.PublishCommand{
-		Operator: operator, OperationId: id, ExpectVersion: expect, Document: document,
+		Operator: operator, OperationId: id, ExpectVersion: expect, Document: compress(document),
 		PayloadHash: fmt.Appendf(nil, "%s %d %s", operator, expect, document),
 	}}}
 }
--- a/objectset/history.go
+++ b/objectset/history.go
@@ -12,6 +12,9 @@
 // MaxDeltas is how many versions a watcher may be behind before it gets a whole set.
 const MaxDeltas = 64
 
+// maxDeltaBytes limits one delta: drpc refuses messages above 4 MiB. Watchers get a whole set instead of a larger one.
+const maxDeltaBytes = 1 << 20
+
 // History holds the current set and the deltas that led to it. It is not safe for concurrent use.
 type History struct {
 	set      *Set
@@ -63,12 +66,20 @@
 	if err := h.checkVersion(expect); err != nil {
 		return err
 	}
-	h.deltas = append(h.deltas, &controlpb.SetDelta{FromVersion: h.version, ToVersion: h.version + 1, Changes: changes})
+	h.remember(&controlpb.SetDelta{FromVersion: h.version, ToVersion: h.version + 1, Changes: changes})
+	h.set, h.version, h.operator, h.unixMs = next, h.version+1, operator, unixMs
+	return nil
+}
+
+func (h *History) remember(delta *controlpb.SetDelta) {
+	if proto.Size(delta) > maxDeltaBytes {
+		h.deltas = nil
+		return
+	}
+	h.deltas = append(h.deltas, delta)
 	if len(h.deltas) > MaxDeltas {
 		h.deltas = slices.Clone(h.deltas[len(h.deltas)-MaxDeltas:])
 	}
-	h.set, h.version, h.operator, h.unixMs = next, h.version+1, operator, unixMs
-	return nil
 }
 
 // Since returns the deltas after a version; ok is false if a whole set is needed instead.
--- a/upstream/vmlist/reader.go
+++ b/upstream/vmlist/reader.go
@@ -67,17 +67,22 @@
 	return decode(io.LimitReader(response.Body, maxBytes))
 }
 
+// list is the body of an answer.
+type list struct {
+	VMs []VM `json:"vms"`
+}
+
 func decode(body io.Reader) ([]VM, error) {
-	var list []VM
-	if err := json.NewDecoder(body).Decode(&list); err != nil {
+	var answer list
+	if err := json.NewDecoder(body).Decode(&answer); err != nil {
 		return nil, failure.Wrap(err, failure.UpstreamFailed, failure.Unknown, "decode VM list")
 	}
-	for _, vm := range list {
+	for _, vm := range answer.VMs {
 		if vm.VM == "" || vm.State != Live && vm.State != Leaving {
 			return nil, failure.New(failure.UpstreamFailed, failure.Unknown, "VM list entry %q has state %q", vm.VM, vm.State)
 		}
 	}
-	return list, nil
+	return answer.VMs, nil
 }
 
 // Close closes idle connections.
