Add the operators' command line

Exit code 3 prints the command with the operation id and the expected version, because a resend with another expected version is another change.

--- /dev/null
+++ b/cli/arguments.go
@@ -0,0 +1,145 @@
+// Package cli is the operators' command line: publishing object sets, watching their distribution, explaining
+// decisions and changing the control group.
+package cli
+
+import (
+	"os"
+	"strings"
+	"time"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/settings"
+)
+
+// Exit codes.
+const (
+	ExitOK = 0
+	// ExitRefused means that control refused the call, or that a check found faults.
+	ExitRefused = 1
+	// ExitUsage means wrong flags or settings.
+	ExitUsage = settings.ExitUsage
+	// ExitUnknown means that the outcome is not known; resending with the printed operation id is safe.
+	ExitUnknown = 3
+)
+
+type validateCommand struct {
+	File string `arg:"positional,required" help:"object set, YAML or JSON"`
+}
+
+type publishCommand struct {
+	File          string  `arg:"positional,required" help:"object set, YAML or JSON"`
+	ExpectVersion *uint64 `arg:"--expect-version" help:"version that the set replaces; default is the current one"`
+	OperationID   string  `arg:"--operation-id" help:"id of a publish to resend; default is a new id"`
+}
+
+type statusCommand struct{}
+
+type watchCommand struct {
+	Wait time.Duration `arg:"--wait" default:"0s" help:"wait so long for the version to be in force everywhere"`
+}
+
+type explainCommand struct {
+	RequestID string   `arg:"positional,required" help:"id that the entry gave to the request"`
+	Entries   []string `arg:"--entry,separate" help:"HTTP address of an entry; default are all registered entries"`
+}
+
+type auditCommand struct {
+	After uint64 `arg:"--after" help:"show records after this sequence number"`
+	Limit int    `arg:"--limit" default:"100" help:"records per page, at most 1000"`
+}
+
+type drainCommand struct {
+	Upstream    string `arg:"positional,required" help:"name of the upstream"`
+	Undo        bool   `arg:"--undo" help:"take the drain back"`
+	OperationID string `arg:"--operation-id" help:"id of a drain to resend; default is a new id"`
+}
+
+type memberCommand struct {
+	ID          uint64 `arg:"--id,required" help:"member id, never reused"`
+	Address     string `arg:"--address" help:"IP address and port; for add-learner"`
+	Zone        string `arg:"--zone" help:"availability zone; for add-learner"`
+	OperationID string `arg:"--operation-id" help:"id of a change to resend; default is a new id"`
+}
+
+type membersCommand struct {
+	AddLearner *memberCommand `arg:"subcommand:add-learner" help:"add a member without a vote"`
+	Promote    *memberCommand `arg:"subcommand:promote" help:"give a learner that has caught up a vote"`
+	Remove     *memberCommand `arg:"subcommand:remove" help:"remove a member"`
+}
+
+// arguments are the flags and environment variables.
+type arguments struct {
+	Check   *validateCommand `arg:"subcommand:validate" help:"check an object set without control"`
+	Publish *publishCommand  `arg:"subcommand:publish" help:"put an object set in force"`
+	Status  *statusCommand   `arg:"subcommand:status" help:"show the control members"`
+	Watch   *watchCommand    `arg:"subcommand:watch" help:"show which processes have the version in force"`
+	Explain *explainCommand  `arg:"subcommand:explain" help:"show the decisions taken for a request"`
+	Audit   *auditCommand    `arg:"subcommand:audit" help:"show operators' actions"`
+	Drain   *drainCommand    `arg:"subcommand:drain" help:"give an upstream no new work"`
+	Members *membersCommand  `arg:"subcommand:members" help:"change the control members"`
+
+	Control   []string      `arg:"--control,separate,env:WASABISHUNT_CONTROL" help:"IP addresses and ports of control members"`
+	Operator  string        `arg:"--operator,env:WASABISHUNT_OPERATOR" help:"name of the operator"`
+	TokenFile string        `arg:"--token-file,env:WASABISHUNT_TOKEN_FILE" help:"file with the operator's token"`
+	Token     string        `arg:"--,env:WASABISHUNT_TOKEN" help:"the operator's token, if there is no file"`
+	Timeout   time.Duration `arg:"--timeout,env:WASABISHUNT_TIMEOUT" default:"10s" help:"limit of one call over all attempts"`
+	Output    string        `arg:"-o,--output,env:WASABISHUNT_OUTPUT" default:"table" help:"table or json"`
+}
+
+// Validate lists all faults and reads the token.
+func (a *arguments) Validate() []failure.Problem {
+	c := &settings.Checker{}
+	if !a.hasCommand() {
+		c.Fail("command", "must be given; see --help")
+	}
+	if a.Output != "table" && a.Output != "json" {
+		c.Fail("--output", "must be table or json, is %q", a.Output)
+	}
+	if a.Timeout <= 0 {
+		c.Fail("--timeout", "must be above 0")
+	}
+	if a.needsControl() {
+		c.Addresses("--control", a.Control)
+	}
+	if a.needsOperator() {
+		c.Required("--operator", a.Operator)
+		a.readToken(c)
+	}
+	if a.Members != nil && a.Members.AddLearner != nil {
+		c.Address("--address", a.Members.AddLearner.Address)
+	}
+	return c.Problems()
+}
+
+func (a *arguments) hasCommand() bool {
+	if a.Members != nil {
+		return a.Members.AddLearner != nil || a.Members.Promote != nil || a.Members.Remove != nil
+	}
+	return a.Check != nil || a.Publish != nil || a.Status != nil || a.Watch != nil || a.Explain != nil ||
+		a.Audit != nil || a.Drain != nil
+}
+
+func (a *arguments) needsControl() bool {
+	if a.Explain != nil && len(a.Explain.Entries) > 0 {
+		return false
+	}
+	return a.Check == nil && a.hasCommand()
+}
+
+func (a *arguments) needsOperator() bool {
+	return a.Publish != nil || a.Audit != nil || a.Drain != nil || a.Members != nil || a.Explain != nil
+}
+
+func (a *arguments) readToken(c *settings.Checker) {
+	if a.TokenFile != "" {
+		content, err := os.ReadFile(a.TokenFile)
+		if err != nil {
+			c.Fail("--token-file", "%v", err)
+			return
+		}
+		a.Token = strings.TrimSpace(string(content))
+	}
+	if a.Token == "" {
+		c.Fail("--token-file", "must name a file with the token, or WASABISHUNT_TOKEN must be set")
+	}
+}
--- /dev/null
+++ b/cli/changes.go
@@ -0,0 +1,100 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/objectset"
+	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
+	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
+)
+
+func (p *program) validate(command *validateCommand) int {
+	document, err := readFile(command.File)
+	if err == nil {
+		_, err = objectset.Parse(document)
+	}
+	return p.finish(report{}, err, "valid", "")
+}
+
+func (p *program) publish(ctx context.Context, command *publishCommand) int {
+	document, err := readFile(command.File)
+	if err != nil {
+		return p.finish(report{}, err, "", "")
+	}
+	request := &controlpb.PublishRequest{
+		Operator: p.operator(), OperationId: operationID(command.OperationID), Document: document,
+	}
+	if request.ExpectVersion, err = p.expectedVersion(ctx, command, request); err != nil {
+		return p.finish(report{}, err, "", "")
+	}
+	response, err := p.client.Publish(ctx, request)
+	if failure.Is(err, failure.VersionConflict) {
+		err = describeConflict(err, response)
+	}
+	r := report{Version: response.GetVersion(), OperationID: request.OperationId}
+	done := fmt.Sprintf("version %d is accepted (operation %s)", r.Version, r.OperationID)
+	resend := fmt.Sprintf("wasabishunt publish %s --expect-version %d --operation-id %s",
+		strconv.Quote(command.File), request.ExpectVersion, request.OperationId)
+	return p.finish(r, err, done, resend)
+}
+
+// expectedVersion asks the leader for the current version unless it is given.
+func (p *program) expectedVersion(ctx context.Context, command *publishCommand, request *controlpb.PublishRequest) (uint64, error) {
+	if command.ExpectVersion != nil {
+		return *command.ExpectVersion, nil
+	}
+	// A dry run changes nothing, so its failure is never an unknown outcome. Faults are left to the publish
+	// itself, which records them in the audit trail.
+	response, err := p.client.Publish(ctx, &controlpb.PublishRequest{
+		Operator: request.Operator, Document: request.Document, DryRun: true,
+	})
+	if err != nil && !failure.Is(err, failure.InvalidSet) {
+		e := failure.Of(err)
+		return 0, failure.Wrap(err, e.Kind, failure.NotRun, "ask for the current version")
+	}
+	return response.CurrentVersion, nil
+}
+
+// describeConflict tells the losing operator who published and when.
+func describeConflict(err error, response *controlpb.PublishResponse) error {
+	at := time.UnixMilli(response.GetCurrentUnixMs()).UTC().Format(time.RFC3339)
+	return failure.New(failure.VersionConflict, failure.Of(err).Execution, "%s; version %d was published by %s at %s",
+		failure.Of(err).Message, response.GetCurrentVersion(), response.GetCurrentOperator(), at)
+}
+
+func (p *program) drain(ctx context.Context, command *drainCommand) int {
+	request := &controlpb.DrainRequest{
+		Operator: p.operator(), OperationId: operationID(command.OperationID), Upstream: command.Upstream, Undo: command.Undo,
+	}
+	_, err := p.client.Drain(ctx, request)
+	flags, done := "", command.Upstream+" gets no new work"
+	if command.Undo {
+		flags, done = " --undo", "the drain of "+command.Upstream+" is taken back"
+	}
+	resend := fmt.Sprintf("wasabishunt drain %s%s --operation-id %s", strconv.Quote(command.Upstream), flags, request.OperationId)
+	return p.finish(report{OperationID: request.OperationId}, err, done, resend)
+}
+
+func (p *program) members(ctx context.Context, command *membersCommand) int {
+	action, flag, member := "add_learner", "add-learner", command.AddLearner
+	switch {
+	case command.Promote != nil:
+		action, flag, member = "promote", "promote", command.Promote
+	case command.Remove != nil:
+		action, flag, member = "remove", "remove", command.Remove
+	}
+	request := &controlpb.ChangeMembersRequest{
+		Operator: p.operator(), OperationId: operationID(member.OperationID), Action: action,
+		Member: &raftpb.Member{Id: member.ID, Address: member.Address, AvailabilityZone: member.Zone, Learner: action == "add_learner"},
+	}
+	_, err := p.client.ChangeMembers(ctx, request)
+	resend := fmt.Sprintf("wasabishunt members %s --id %d --operation-id %s", flag, member.ID, request.OperationId)
+	if member.Address != "" {
+		resend += " --address " + member.Address + " --zone " + strconv.Quote(member.Zone)
+	}
+	return p.finish(report{OperationID: request.OperationId}, err, fmt.Sprintf("%s of member %d is done", flag, member.ID), resend)
+}
--- /dev/null
+++ b/cli/cli_test.go
@@ -0,0 +1,219 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
+	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
+)
+
+// stub answers as one control member.
+type stub struct {
+	controlpb.DRPCControlUnimplementedServer
+	mu        sync.Mutex
+	publishes []*controlpb.PublishRequest
+	respond   func(*controlpb.PublishRequest) *controlpb.PublishResponse
+	status    *controlpb.StatusResponse
+	audit     []*controlpb.AuditRecord
+	changes   []*controlpb.ChangeMembersRequest
+}
+
+func (s *stub) Publish(_ context.Context, q *controlpb.PublishRequest) (*controlpb.PublishResponse, error) {
+	if q.DryRun {
+		return &controlpb.PublishResponse{CurrentVersion: 7}, nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.publishes = append(s.publishes, q)
+	return s.respond(q), nil
+}
+
+func (s *stub) Status(context.Context, *controlpb.StatusRequest) (*controlpb.StatusResponse, error) {
+	return s.status, nil
+}
+
+func (s *stub) Audit(_ context.Context, q *controlpb.AuditRequest) (*controlpb.AuditResponse, error) {
+	return &controlpb.AuditResponse{Records: s.audit[q.After:min(int(q.After)+int(q.Limit), len(s.audit))]}, nil
+}
+
+func (s *stub) Drain(_ context.Context, q *controlpb.DrainRequest) (*controlpb.DrainResponse, error) {
+	return &controlpb.DrainResponse{Failure: &controlpb.Failure{Kind: "not_found", Execution: "not_run", Message: q.Upstream}}, nil
+}
+
+func (s *stub) ChangeMembers(_ context.Context, q *controlpb.ChangeMembersRequest) (*controlpb.ChangeMembersResponse, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.changes = append(s.changes, q)
+	return &controlpb.ChangeMembersResponse{}, nil
+}
+
+func serve(t *testing.T, s *stub) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	mux := drpcmux.New()
+	require.NoError(t, controlpb.DRPCRegisterControl(mux, s))
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = drpcserver.New(mux).Serve(ctx, listener) })
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	return listener.Addr().String()
+}
+
+// invoke runs the command line against a member as operator dana.
+func invoke(t *testing.T, address string, args ...string) (code int, stdout, stderr string) {
+	t.Setenv("WASABISHUNT_TOKEN", "token")
+	var out, errors bytes.Buffer
+	all := append([]string{"--control", address, "--operator", "dana", "--timeout", "500ms"}, args...)
+	code = Run(context.Background(), all, &out, &errors)
+	return code, out.String(), errors.String()
+}
+
+func writeFile(t *testing.T, content string) string {
+	path := filepath.Join(t.TempDir(), "set.yaml")
+	require.NoError(t, os.WriteFile(path, []byte(content), 0o600))
+	return path
+}
+
+// Guards against a refused set whose faults are not all shown, and against wrong exit codes of local commands.
+func TestValidate(t *testing.T) {
+	code, out, _ := invoke(t, "127.0.0.1:1", "validate", "../examples/qasr.yaml")
+	require.Equal(t, ExitOK, code)
+	require.Equal(t, "valid\n", out)
+	code, _, stderr := invoke(t, "127.0.0.1:1", "validate", writeFile(t, "zones: 3\nother: 1\n"))
+	require.Equal(t, ExitRefused, code)
+	require.Contains(t, stderr, "zones: line 1")
+	require.Contains(t, stderr, "other: line 2")
+	code, _, _ = invoke(t, "127.0.0.1:1", "validate", "missing.yaml")
+	require.Equal(t, ExitRefused, code)
+}
+
+// Guards against settings whose faults are reported one by one or with another code than usage.
+func TestUsage(t *testing.T) {
+	var out, stderr bytes.Buffer
+	require.Equal(t, ExitUsage, Run(context.Background(), []string{"-o", "xml", "publish", "f"}, &out, &stderr))
+	for _, fault := range []string{"--output", "--control", "--operator", "--token-file"} {
+		require.Contains(t, stderr.String(), fault)
+	}
+	require.Equal(t, ExitUsage, Run(context.Background(), nil, &out, &stderr))
+	require.Equal(t, ExitUsage, Run(context.Background(), []string{"members"}, &out, &stderr))
+	require.Equal(t, ExitUsage, Run(context.Background(), []string{"nonsense"}, &out, &stderr))
+}
+
+// Guards against a publish without compare-and-set, a loser who is not told who won, and a lost answer that cannot be
+// resent under its operation id.
+func TestPublish(t *testing.T) {
+	s := &stub{respond: func(q *controlpb.PublishRequest) *controlpb.PublishResponse {
+		return &controlpb.PublishResponse{Version: q.ExpectVersion + 1}
+	}}
+	address, file := serve(t, s), writeFile(t, "zones: []\n")
+	code, out, stderr := invoke(t, address, "-o", "json", "publish", file)
+	require.Equal(t, ExitOK, code, stderr)
+	var r report
+	require.NoError(t, json.Unmarshal([]byte(out), &r))
+	require.Equal(t, uint64(8), r.Version)
+	require.Equal(t, r.OperationID, s.publishes[0].OperationId)
+
+	s.respond = func(*controlpb.PublishRequest) *controlpb.PublishResponse {
+		return &controlpb.PublishResponse{CurrentOperator: "eli", CurrentVersion: 8, Failure: &controlpb.Failure{Kind: "version_conflict", Execution: "not_run"}}
+	}
+	code, _, stderr = invoke(t, address, "publish", file, "--expect-version", "7")
+	require.Equal(t, ExitRefused, code)
+	require.Contains(t, stderr, "published by eli at 1970")
+
+	s.respond = func(*controlpb.PublishRequest) *controlpb.PublishResponse {
+		return &controlpb.PublishResponse{Failure: &controlpb.Failure{Kind: "proposal_lost", Execution: "unknown"}}
+	}
+	code, _, stderr = invoke(t, address, "publish", file, "--operation-id", "op-9")
+	require.Equal(t, ExitUnknown, code)
+	require.Contains(t, stderr, "--expect-version 7 --operation-id op-9")
+}
+
+// Guards against a process without the version that is shown as having it, and against a missing reason.
+func TestWatchAndStatus(t *testing.T) {
+	s := &stub{status: &controlpb.StatusResponse{MemberId: 1, LeaderId: 1, SetVersion: 9, MembershipRevision: 1, Processes: []*controlpb.ProcessState{
+		{ProcessId: "a", State: "live", SetVersion: 9},
+		{ProcessId: "b", State: "live", SetVersion: 6},
+		{ProcessId: "c", State: "dead", Reason: "no presence report"},
+		{ProcessId: "d", State: "live"},
+	}}}
+	address := serve(t, s)
+	code, out, _ := invoke(t, address, "watch")
+	require.Equal(t, ExitRefused, code)
+	for _, text := range []string{"in force on 1 processes, missing on 2", "3 versions behind", "dead: no presence report", "has reported no version"} {
+		require.Contains(t, out, text)
+	}
+	code, out, _ = invoke(t, address, "status")
+	require.Equal(t, ExitOK, code)
+	require.Contains(t, out, "leader")
+	code, out, _ = invoke(t, "127.0.0.1:1", "status")
+	require.Equal(t, ExitRefused, code)
+	require.Contains(t, out, "unreachable")
+}
+
+// Guards against pages that repeat or lose records.
+func TestAudit(t *testing.T) {
+	s := &stub{}
+	for i := range 5 {
+		s.audit = append(s.audit, &controlpb.AuditRecord{Sequence: uint64(i + 1), Operator: "dana", Action: "publish"})
+	}
+	address := serve(t, s)
+	_, out, _ := invoke(t, address, "audit", "--limit", "3")
+	require.Contains(t, out, "next page: --after 3")
+	_, out, _ = invoke(t, address, "audit", "--limit", "3", "--after", "3")
+	require.Equal(t, 3, strings.Count(out, "\n"), out)
+}
+
+// Guards against changes that are sent with other fields than given, and refusals with exit code 0.
+func TestDrainAndMembers(t *testing.T) {
+	s := &stub{}
+	address := serve(t, s)
+	code, _, stderr := invoke(t, address, "drain", "u9")
+	require.Equal(t, ExitRefused, code)
+	require.Contains(t, stderr, "u9")
+	code, _, _ = invoke(t, address, "members", "add-learner", "--id", "4", "--address", "127.0.0.1:9", "--zone", "z")
+	require.Equal(t, ExitOK, code)
+	code, _, _ = invoke(t, address, "members", "promote", "--id", "4")
+	require.Equal(t, ExitOK, code)
+	code, _, _ = invoke(t, address, "members", "add-learner", "--id", "4")
+	require.Equal(t, ExitUsage, code)
+	require.Equal(t, "add_learner", s.changes[0].Action)
+	require.Equal(t, &raftpb.Member{Id: 4, Address: "127.0.0.1:9", AvailabilityZone: "z", Learner: true}, s.changes[0].Member)
+	require.Equal(t, "promote", s.changes[1].Action)
+}
+
+// Guards against an explanation that stops at the first entry that does not know the request.
+func TestExplain(t *testing.T) {
+	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/debug/requests/r1" || r.Header.Get("Authorization") != "Bearer token" {
+			http.NotFound(w, r)
+			return
+		}
+		_, _ = w.Write([]byte("{\"request_id\":\"r1\",\"decisions\":[\"routed to u1\",\"queued\"]}\n{\"outcome\":\"ok\"}\n"))
+	}))
+	defer entry.Close()
+	address := strings.TrimPrefix(entry.URL, "http://")
+	code, out, _ := invoke(t, "127.0.0.1:1", "explain", "r1", "--entry", "127.0.0.1:1", "--entry", address)
+	require.Equal(t, ExitOK, code)
+	require.Contains(t, out, "1  routed to u1\n")
+	require.Contains(t, out, "outcome  ok")
+	code, _, stderr := invoke(t, "127.0.0.1:1", "explain", "r2", "--entry", address)
+	require.Equal(t, ExitRefused, code)
+	require.Contains(t, stderr, "status 404")
+}
