Add the piece file format

Cause: pieces need a form that shows tearing, flipped bits and foreign content on every read. The header has its own checksum and holds that of the body.

--- /dev/null
+++ b/piece/format.go
@@ -0,0 +1,204 @@
+package piece
+
+import (
+	"encoding/binary"
+
+	"github.com/zeebo/blake3"
+)
+
+// Layout of a piece file, integers in little-endian order:
+//
+//	magic 8 | format 4 | header length 4 | name 32 | generation 8 | length 8 | tokens 8 | recompute 8 | body checksum 32
+//	| account length 2, bytes | weight version length 2, bytes | blake3 of all header bytes before 32 | body
+const (
+	magic         = "WSBKVPC\x00"
+	formatVersion = 1
+	fixedBytes    = 8 + 4 + 4 + 32 + 8 + 8 + 8 + 8 + 32
+	sumBytes      = 32
+	// MaxFieldBytes limits account and weight version.
+	MaxFieldBytes = 1024
+	// MaxHeaderBytes is the length of the longest header.
+	MaxHeaderBytes = fixedBytes + 2*(2+MaxFieldBytes) + sumBytes
+	minHeaderBytes = fixedBytes + 2*2 + sumBytes
+	// MaxBodyBytes limits a body: 2,000 tokens of 128 KiB each.
+	MaxBodyBytes = 256 << 20
+	// PrefixBytes of a file tell the length of its header.
+	PrefixBytes = 16
+)
+
+// Checksum is the blake3 hash of a body.
+type Checksum [32]byte
+
+// Sum returns the checksum of a body.
+func Sum(body []byte) Checksum { return blake3.Sum256(body) }
+
+// Header describes a piece.
+type Header struct {
+	Name       Name
+	Generation uint64
+	// Length of the body in bytes.
+	Length int64
+	// Tokens that the piece covers.
+	Tokens int64
+	// RecomputeMs is the prefill time saved by one hit, in milliseconds.
+	RecomputeMs   int64
+	Checksum      Checksum
+	Account       string
+	WeightVersion string
+}
+
+// Validate checks that the header can be encoded.
+func (h Header) Validate() error {
+	switch {
+	case h.Length < 0 || h.Length > MaxBodyBytes:
+		return refuse(Oversized, "body of %d bytes", h.Length)
+	case h.Tokens < 0 || h.RecomputeMs < 0:
+		return refuse(Malformed, "negative tokens or recompute time")
+	case len(h.Account) > MaxFieldBytes || len(h.WeightVersion) > MaxFieldBytes:
+		return refuse(Oversized, "account or weight version above %d bytes", MaxFieldBytes)
+	}
+	return nil
+}
+
+// EncodeHeader returns the bytes that stand before the body in a file.
+func EncodeHeader(h Header) ([]byte, error) {
+	if err := h.Validate(); err != nil {
+		return nil, err
+	}
+	total := minHeaderBytes + len(h.Account) + len(h.WeightVersion)
+	b := make([]byte, 0, total)
+	b = append(b, magic...)
+	b = binary.LittleEndian.AppendUint32(b, formatVersion)
+	b = binary.LittleEndian.AppendUint32(b, uint32(total))
+	b = append(b, h.Name[:]...)
+	b = binary.LittleEndian.AppendUint64(b, h.Generation)
+	b = binary.LittleEndian.AppendUint64(b, uint64(h.Length))
+	b = binary.LittleEndian.AppendUint64(b, uint64(h.Tokens))
+	b = binary.LittleEndian.AppendUint64(b, uint64(h.RecomputeMs))
+	b = append(b, h.Checksum[:]...)
+	b = appendField(b, h.Account)
+	b = appendField(b, h.WeightVersion)
+	sum := blake3.Sum256(b)
+	return append(b, sum[:]...), nil
+}
+
+func appendField(b []byte, field string) []byte {
+	b = binary.LittleEndian.AppendUint16(b, uint16(len(field)))
+	return append(b, field...)
+}
+
+// HeaderLength reads the length of the header from the first PrefixBytes of a file.
+func HeaderLength(prefix []byte) (int, error) {
+	if len(prefix) < PrefixBytes {
+		return 0, refuse(Torn, "file has %d bytes", len(prefix))
+	}
+	if string(prefix[:len(magic)]) != magic {
+		return 0, refuse(UnknownFormat, "no magic")
+	}
+	if version := binary.LittleEndian.Uint32(prefix[8:]); version != formatVersion {
+		return 0, refuse(UnknownFormat, "format %d", version)
+	}
+	length := binary.LittleEndian.Uint32(prefix[12:])
+	if length < minHeaderBytes || length > MaxHeaderBytes {
+		return 0, refuse(Oversized, "header of %d bytes", length)
+	}
+	return int(length), nil
+}
+
+// DecodeHeader reads a header and returns it with its length.
+func DecodeHeader(file []byte) (Header, int, error) {
+	length, err := HeaderLength(file)
+	if err != nil {
+		return Header{}, 0, err
+	}
+	if len(file) < length {
+		return Header{}, 0, refuse(Torn, "header of %d bytes, file of %d", length, len(file))
+	}
+	signed := file[:length-sumBytes]
+	if blake3.Sum256(signed) != [sumBytes]byte(file[length-sumBytes:length]) {
+		return Header{}, 0, refuse(Corrupt, "header checksum differs")
+	}
+	h, err := parseHeader(signed)
+	if err != nil {
+		return Header{}, 0, err
+	}
+	return h, length, h.Validate()
+}
+
+func parseHeader(b []byte) (Header, error) {
+	var h Header
+	b = b[PrefixBytes:]
+	b = b[copy(h.Name[:], b):]
+	numbers := make([]uint64, 4)
+	for i := range numbers {
+		numbers[i] = binary.LittleEndian.Uint64(b)
+		b = b[8:]
+	}
+	h.Generation, h.Length, h.Tokens, h.RecomputeMs = numbers[0], int64(numbers[1]), int64(numbers[2]), int64(numbers[3])
+	b = b[copy(h.Checksum[:], b):]
+	var ok1, ok2 bool
+	h.Account, b, ok1 = takeField(b)
+	h.WeightVersion, b, ok2 = takeField(b)
+	if !ok1 || !ok2 || len(b) != 0 {
+		return Header{}, refuse(Malformed, "field lengths do not add up to the header length")
+	}
+	return h, nil
+}
+
+func takeField(b []byte) (string, []byte, bool) {
+	if len(b) < 2 {
+		return "", nil, false
+	}
+	n := int(binary.LittleEndian.Uint16(b))
+	if len(b) < 2+n {
+		return "", nil, false
+	}
+	return string(b[2 : 2+n]), b[2+n:], true
+}
+
+// Decode checks a whole file and returns its header and body. The body is a part of file, not a copy.
+func Decode(file []byte) (Header, []byte, error) {
+	h, length, err := DecodeHeader(file)
+	if err != nil {
+		return Header{}, nil, err
+	}
+	body := file[length:]
+	if err := CheckBody(h, body); err != nil {
+		return Header{}, nil, err
+	}
+	return h, body, nil
+}
+
+// CheckBody checks that body is the one the header describes.
+func CheckBody(h Header, body []byte) error {
+	switch {
+	case int64(len(body)) < h.Length:
+		return refuse(Torn, "body of %d bytes, want %d", len(body), h.Length)
+	case int64(len(body)) > h.Length:
+		return refuse(Trailing, "%d bytes after the body", int64(len(body))-h.Length)
+	case Sum(body) != h.Checksum:
+		return refuse(Corrupt, "body checksum differs")
+	}
+	return nil
+}
+
+// Want is the identity of the piece that a reader asked for.
+type Want struct {
+	Name    Name
+	Account string
+	// Generation is checked unless it is 0.
+	Generation uint64
+}
+
+// Check refuses a piece that is whole but not the one asked for.
+func (w Want) Check(h Header) error {
+	switch {
+	case h.Name != w.Name:
+		return refuse(Foreign, "piece has another name")
+	case h.Account != w.Account:
+		return refuse(Foreign, "piece belongs to another account")
+	case w.Generation != 0 && h.Generation != w.Generation:
+		return refuse(Foreign, "piece has generation %d, want %d", h.Generation, w.Generation)
+	}
+	return nil
+}
