--- a/piece/format.go
+++ b/piece/format.go
@@ -19,7 +19,8 @@
 	MaxFieldBytes = 1024
 	// MaxHeaderBytes is the length of the longest header.
 	MaxHeaderBytes = fixedBytes + 2*(2+MaxFieldBytes) + sumBytes
-	minHeaderBytes = fixedBytes + 2*2 + sumBytes
+	// MinHeaderBytes is the length of a header without account and weight version.
+	MinHeaderBytes = fixedBytes + 2*2 + sumBytes
 	// MaxBodyBytes limits a body: 2,000 tokens of 128 KiB each.
 	MaxBodyBytes = 256 << 20
 	// PrefixBytes of a file tell the length of its header.
@@ -65,7 +66,7 @@
 	if err := h.Validate(); err != nil {
 		return nil, err
 	}
-	total := minHeaderBytes + len(h.Account) + len(h.WeightVersion)
+	total := MinHeaderBytes + len(h.Account) + len(h.WeightVersion)
 	b := make([]byte, 0, total)
 	b = append(b, magic...)
 	b = binary.LittleEndian.AppendUint32(b, formatVersion)
@@ -99,7 +100,7 @@
 		return 0, refuse(UnknownFormat, "format %d", version)
 	}
 	length := binary.LittleEndian.Uint32(prefix[12:])
-	if length < minHeaderBytes || length > MaxHeaderBytes {
+	if length < MinHeaderBytes || length > MaxHeaderBytes {
 		return 0, refuse(Oversized, "header of %d bytes", length)
 	}
 	return int(length), nil
