--- /dev/null
+++ b/linksched/linksched.go
@@ -0,0 +1,204 @@
+// Package linksched schedules transfers over one limited link: by rank, in chunks, with bulk transfers preempted by
+// any other, and with the link's bandwidth as measured. It is pure; the time is passed in and callers serialize calls.
+package linksched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Transfer is one piece to move.
+type Transfer struct {
+	ID    string
+	Bytes int64
+	// Order of the rank on whose behalf the transfer runs; 0 is the most urgent.
+	Order int
+	// Bulk transfers, such as refill, exports and prefetch, run only beside or after all others.
+	Bulk bool
+}
+
+// Settings of a Link.
+type Settings struct {
+	// ChunkBytes is the quantum after which a transfer may be preempted; default 1 MiB.
+	ChunkBytes int64
+	// MaxQueued bounds queued transfers; default 1024.
+	MaxQueued int
+	// BulkShare is the share of the link that bulk transfers keep under load, 0 to 1; default 0.05.
+	BulkShare float64
+	// BytesPerSecond is the configured bandwidth, used until it was measured.
+	BytesPerSecond float64
+	// Window is the busy time over which a measurement fades; default 2 s.
+	Window time.Duration
+}
+
+// Defaults returns the default settings for a link of the configured bandwidth.
+func Defaults(bytesPerSecond float64) Settings {
+	return Settings{
+		ChunkBytes: 1 << 20, MaxQueued: 1024, BulkShare: 0.05,
+		BytesPerSecond: bytesPerSecond, Window: 2 * time.Second,
+	}
+}
+
+// Grant allows one chunk of a transfer.
+type Grant struct {
+	ID    string
+	Bytes int64
+	// Last is true for the chunk that completes the transfer.
+	Last bool
+}
+
+// Link schedules the transfers of one link. One chunk is in progress at a time.
+type Link struct {
+	settings Settings
+	queue    []*transfer // By class, then arrival.
+	current  *transfer
+	chunk    int64
+	// bulkCredit is the service owed to bulk transfers in bytes.
+	bulkCredit float64
+	measured   meter
+	queued     int64
+}
+
+type transfer struct {
+	Transfer
+	remaining int64
+}
+
+// initialWeight is how many busy seconds the configured bandwidth counts against measurements.
+const initialWeight = 0.01
+
+// New returns an idle link.
+func New(settings Settings) *Link {
+	return &Link{settings: settings, measured: meter{rate: settings.BytesPerSecond, weight: initialWeight, window: settings.Window}}
+}
+
+// Push queues a transfer. It reports false if the queue is full; a full queue of bulk transfers gives way to others.
+func (l *Link) Push(t Transfer) bool {
+	if len(l.queue) >= l.settings.MaxQueued && !l.giveWay(t) {
+		return false
+	}
+	next := &transfer{Transfer: t, remaining: max(1, t.Bytes)}
+	at, _ := slices.BinarySearchFunc(l.queue, next, func(a, b *transfer) int {
+		return cmp.Or(cmp.Compare(a.class(), b.class()), -1) // After all of its class.
+	})
+	l.queue = slices.Insert(l.queue, at, next)
+	l.queued += next.remaining
+	return true
+}
+
+func (l *Link) giveWay(t Transfer) bool {
+	last := l.queue[len(l.queue)-1]
+	if !last.Bulk || t.Bulk || last == l.current {
+		return false
+	}
+	l.Cancel(last.ID)
+	return true
+}
+
+// bulkClass is after the order of every rank.
+const bulkClass = 1 << 30
+
+func (t *transfer) class() int {
+	if t.Bulk {
+		return bulkClass
+	}
+	return t.Order
+}
+
+// Next grants the next chunk, or nothing while one is in progress or none is queued.
+func (l *Link) Next() (Grant, bool) {
+	if l.current != nil || len(l.queue) == 0 {
+		return Grant{}, false
+	}
+	l.current = l.choose()
+	l.chunk = min(l.current.remaining, l.settings.ChunkBytes)
+	return Grant{ID: l.current.ID, Bytes: l.chunk, Last: l.chunk == l.current.remaining}, true
+}
+
+func (l *Link) choose() *transfer {
+	first := l.queue[0]
+	if first.Bulk || l.bulkCredit < float64(l.settings.ChunkBytes) {
+		return first
+	}
+	at := slices.IndexFunc(l.queue, func(t *transfer) bool { return t.Bulk })
+	if at < 0 {
+		return first
+	}
+	return l.queue[at]
+}
+
+// Done reports that the granted chunk took the given time. The last chunk ends the transfer.
+func (l *Link) Done(elapsed time.Duration) {
+	t := l.current
+	if t == nil {
+		return
+	}
+	l.current = nil
+	l.measured.observe(l.chunk, elapsed)
+	l.charge(t, l.chunk)
+	t.remaining -= l.chunk
+	if t.remaining <= 0 {
+		l.drop(t)
+	}
+}
+
+func (l *Link) charge(t *transfer, bytes int64) {
+	l.queued -= bytes
+	if t.Bulk {
+		l.bulkCredit = max(0, l.bulkCredit-float64(bytes))
+		return
+	}
+	l.bulkCredit = min(float64(l.settings.ChunkBytes), l.bulkCredit+float64(bytes)*l.settings.BulkShare)
+}
+
+func (l *Link) drop(t *transfer) {
+	if at := slices.Index(l.queue, t); at >= 0 {
+		l.queue = slices.Delete(l.queue, at, at+1)
+	}
+}
+
+// Cancel removes a transfer. A chunk in progress is no longer waited for.
+func (l *Link) Cancel(id string) bool {
+	at := slices.IndexFunc(l.queue, func(t *transfer) bool { return t.ID == id })
+	if at < 0 {
+		return false
+	}
+	t := l.queue[at]
+	if l.current == t {
+		l.current = nil
+	}
+	l.queued -= t.remaining
+	l.drop(t)
+	return true
+}
+
+// Wait estimates the time until a new transfer of the order would start.
+func (l *Link) Wait(order int) time.Duration {
+	bytes := int64(0)
+	for _, t := range l.queue {
+		if t == l.current || t.class() <= order {
+			bytes += l.ahead(t, order)
+		}
+	}
+	return l.Time(bytes)
+}
+
+// ahead is the part of a queued transfer that goes before a new one of the order.
+func (l *Link) ahead(t *transfer, order int) int64 {
+	if t.class() <= order {
+		return t.remaining
+	}
+	return min(t.remaining, l.settings.ChunkBytes)
+}
+
+// Time is how long the link needs for the bytes at its measured bandwidth.
+func (l *Link) Time(bytes int64) time.Duration {
+	return time.Duration(float64(bytes) / max(1, l.measured.rate) * float64(time.Second))
+}
+
+// BytesPerSecond is the measured bandwidth.
+func (l *Link) BytesPerSecond() float64 { return l.measured.rate }
+
+// Queued is the number of bytes not yet transferred.
+func (l *Link) Queued() int64 { return l.queued }
