Report and weigh queued tokens by rank

Cause: the total queue of an upstream says nothing to an urgent request; under a backlog of overnight work urgent prompts would leave their cache for nothing.

--- a/routing/candidates.go
+++ b/routing/candidates.go
@@ -47,7 +47,7 @@
 	if slices.ContainsFunc(r.buffer, func(c candidate) bool { return c.place == p }) {
 		return
 	}
-	load := snapshot.Loads.at(p, snapshot.Now, r.settings.Off)
+	load := snapshot.Loads.estimate(snapshot.Loads.of(p), p.Upstream, request, snapshot.Now, r.settings.Off)
 	if why := unusable(p, load, request); why != "" {
 		d.filtered = append(d.filtered, filteredOut{p.Name, why})
 		return
--- a/routing/load.go
+++ b/routing/load.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"time"
 )
 
@@ -8,7 +9,9 @@
 type Report struct {
 	Epoch        uint64
 	QueuedTokens int64
-	Running      int64
+	// QueuedAhead is, by rank, the queued tokens that are served before a new request of that rank.
+	QueuedAhead map[string]int64
+	Running     int64
 	// PrefillRate and DecodeRate are the upstream's own measured rates in tokens per second; 0 means unknown.
 	PrefillRate float64
 	DecodeRate  float64
@@ -97,9 +100,9 @@
 	return p.load
 }
 
-// Sent adds work that this entry sent, in prompt tokens that the upstream must compute.
-func (l *Loads) Sent(name string, tokens int64, now time.Time) {
-	l.record(name).sent.add(tokens, now)
+// Sent adds work that this entry sent, in prompt tokens that the upstream must compute, with the order of its rank.
+func (l *Loads) Sent(name string, tokens int64, order int, now time.Time) {
+	l.record(name).sent.add(send{now, tokens, order})
 }
 
 // Reported takes a report that came with a reply. Work sent since before the report was made stays counted, because
@@ -138,16 +141,13 @@
 	}
 }
 
-// Estimate returns the load of an upstream as far as it is known.
-func (l *Loads) Estimate(upstream Upstream, now time.Time) Estimate {
-	return l.estimate(l.record(upstream.Name), upstream, now, Off{})
+// Estimate returns the load of an upstream, as far as it is known, that a new request of the rank would meet.
+func (l *Loads) Estimate(upstream Upstream, rank string, order int, now time.Time) Estimate {
+	request := Request{Rank: rank, Order: order}
+	return l.estimate(l.record(upstream.Name), upstream, request, now, Off{})
 }
 
-func (l *Loads) at(p *place, now time.Time, off Off) Estimate {
-	return l.estimate(l.of(p), p.Upstream, now, off)
-}
-
-func (l *Loads) estimate(r *record, u Upstream, now time.Time, off Off) Estimate {
+func (l *Loads) estimate(r *record, u Upstream, request Request, now time.Time, off Off) Estimate {
 	e := Estimate{Report: r.report, Age: -1}
 	if !r.received.IsZero() {
 		e.Age = now.Sub(r.received)
@@ -158,9 +158,15 @@
 	if e.DecodeRate <= 0 || off.Measured {
 		e.DecodeRate = u.DecodeRate
 	}
+	order := request.Order
+	if ahead, ok := e.QueuedAhead[request.Rank]; ok && !off.ByRank {
+		e.QueuedTokens = ahead
+	} else {
+		order = math.MaxInt
+	}
 	queued := float64(e.QueuedTokens) * fresh(e.Age)
 	if !off.OwnSent {
-		queued += float64(r.sent.total(now.Add(-l.settings.SentLife)))
+		queued += float64(r.sent.total(now.Add(-l.settings.SentLife), order))
 	}
 	e.QueuedTokens = int64(queued)
 	e.SlotWait = time.Duration(float64(e.SlotWait) * fresh(e.Age))
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -20,6 +20,9 @@
 	// Pieces are the names of the prompt's whole pieces, in order.
 	Pieces       []piece.Name
 	PromptTokens int64
+	// Rank and Order of the request's rank; 0 is the most urgent order.
+	Rank  string
+	Order int
 	// Zone is the entry's availability zone.
 	Zone string
 	// Exclude lists upstreams that failed or refused this request.
@@ -54,6 +57,7 @@
 	OwnSent  bool
 	Penalty  bool
 	Measured bool
+	ByRank   bool
 }
 
 // Defaults returns the default settings.
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -85,7 +85,7 @@
 	counts := map[string]int{}
 	for range 60 {
 		d := pick(t, r, Request{Model: "m", PromptTokens: 1000}, s)
-		s.Loads.Sent(d.Upstream.Name, 1000, start)
+		s.Loads.Sent(d.Upstream.Name, 1000, 0, start)
 		counts[d.Upstream.Name]++
 	}
 	require.Len(t, counts, 6)
@@ -98,12 +98,12 @@
 func TestReportKeepsLaterSends(t *testing.T) {
 	l := NewLoads(LoadDefaults())
 	u := fleet(1)[0]
-	l.Sent(u.Name, 700, start)
-	l.Sent(u.Name, 300, start.Add(20*time.Millisecond))
+	l.Sent(u.Name, 700, 0, start)
+	l.Sent(u.Name, 300, 0, start.Add(20*time.Millisecond))
 	l.Reported(u.Name, Report{QueuedTokens: 700}, start.Add(21*time.Millisecond))
-	require.EqualValues(t, 1000, l.Estimate(u, start.Add(22*time.Millisecond)).QueuedTokens)
-	require.EqualValues(t, 350, l.Estimate(u, start.Add(4*time.Second+21*time.Millisecond)).QueuedTokens-300)
-	require.Less(t, l.Estimate(u, start.Add(time.Minute)).QueuedTokens, int64(30))
+	require.EqualValues(t, 1000, l.Estimate(u, "day", 1, start.Add(22*time.Millisecond)).QueuedTokens)
+	require.EqualValues(t, 350, l.Estimate(u, "day", 1, start.Add(4*time.Second+21*time.Millisecond)).QueuedTokens-300)
+	require.Less(t, l.Estimate(u, "day", 1, start.Add(time.Minute)).QueuedTokens, int64(30))
 }
 
 // TestFastFailure guards against an upstream that fails at once, looks idle and attracts all work.
@@ -125,7 +125,7 @@
 	}
 	require.LessOrEqual(t, failed, 5)
 	s.Now = s.Now.Add(time.Minute)
-	require.Less(t, s.Loads.Estimate(fleet(2)[1], s.Now).Penalty, time.Millisecond, "the penalty passes")
+	require.Less(t, s.Loads.Estimate(fleet(2)[1], "day", 1, s.Now).Penalty, time.Millisecond, "the penalty passes")
 }
 
 // TestFavourite guards against prompts computed away from their cache, and against a favourite that is kept although
@@ -168,6 +168,19 @@
 	require.Equal(t, 250*time.Millisecond, d.FirstToken)
 }
 
+// TestLoadByRank guards against urgent requests that leave their cache because of queued work that they go before.
+func TestLoadByRank(t *testing.T) {
+	l := NewLoads(LoadDefaults())
+	u := fleet(1)[0]
+	l.Reported(u.Name, Report{QueuedTokens: 90000, QueuedAhead: map[string]int64{"urgent": 500, "night": 90000}}, start)
+	l.Sent(u.Name, 3000, 2, start.Add(time.Second))
+	l.Sent(u.Name, 200, 0, start.Add(time.Second))
+	now := start.Add(time.Second)
+	require.EqualValues(t, 700, l.Estimate(u, "urgent", 0, now).QueuedTokens)
+	require.EqualValues(t, 93200, l.Estimate(u, "night", 2, now).QueuedTokens)
+	require.EqualValues(t, 93200, l.Estimate(u, "unknown", 0, now).QueuedTokens)
+}
+
 // TestVersionPreferred guards against work that waits for a weight load while another upstream is ready.
 func TestVersionPreferred(t *testing.T) {
 	s := snapshotOf(fleet(2))
@@ -231,10 +244,10 @@
 	require.Len(t, p.names[named(0)].Value.(*prefix).holders, 4)
 	l := NewLoads(LoadDefaults())
 	for range 1000 {
-		l.Sent("u", 10, start)
+		l.Sent("u", 10, 0, start)
 	}
-	require.Len(t, l.records["u"].sent.sends, maxSent)
-	require.EqualValues(t, 10000, l.records["u"].sent.sum)
+	require.Len(t, l.records["u"].sent, maxSent)
+	require.EqualValues(t, 10000, l.records["u"].sent.total(time.Time{}, 0))
 	l.Keep(nil)
 	require.Empty(t, l.records)
 }
--- a/routing/sent.go
+++ b/routing/sent.go
@@ -6,40 +6,44 @@
 const maxSent = 64
 
 // sentWork is the work sent to one upstream that no report includes yet, oldest first.
-type sentWork struct {
-	sends []send
-	sum   int64
-}
+type sentWork []send
 
 type send struct {
 	at     time.Time
 	tokens int64
+	order  int
 }
 
-func (s *sentWork) add(tokens int64, now time.Time) {
-	s.sum += tokens
-	if len(s.sends) < maxSent {
-		s.sends = append(s.sends, send{now, tokens})
+func (s *sentWork) add(next send) {
+	if len(*s) < maxSent {
+		*s = append(*s, next)
 		return
 	}
-	last := &s.sends[len(s.sends)-1]
-	last.at = now
-	last.tokens += tokens
+	last := &(*s)[len(*s)-1]
+	last.at = next.at
+	last.tokens += next.tokens
+	last.order = min(last.order, next.order)
 }
 
 // dropBefore forgets sends up to the given time.
 func (s *sentWork) dropBefore(limit time.Time) {
 	n := 0
-	for n < len(s.sends) && !s.sends[n].at.After(limit) {
-		s.sum -= s.sends[n].tokens
+	for n < len(*s) && !(*s)[n].at.After(limit) {
 		n++
 	}
 	if n > 0 {
-		s.sends = append(s.sends[:0], s.sends[n:]...)
+		*s = append((*s)[:0], (*s)[n:]...)
 	}
 }
 
-func (s *sentWork) total(limit time.Time) int64 {
+// total sums the work of at least the given urgency; less urgent work does not delay a request.
+func (s *sentWork) total(limit time.Time, order int) int64 {
 	s.dropBefore(limit)
-	return s.sum
+	sum := int64(0)
+	for _, one := range *s {
+		if one.order <= order {
+			sum += one.tokens
+		}
+	}
+	return sum
 }
--- a/sched/snapshot.go
+++ b/sched/snapshot.go
@@ -103,3 +103,18 @@
 	}
 	return min(rank.waiting, len(rank.active)) + 1
 }
+
+// AheadByRank returns, for each rank, the queued tokens that are served before a new request of the rank. Agents report
+// it, so that routing does not take less urgent work for a wait.
+func (q *Queue) AheadByRank() map[string]int64 {
+	ahead := make(map[string]int64, len(q.ranks))
+	for _, rank := range q.ranks {
+		one := q.AheadOf(rank.Name, "", q.settings.ChunkTokens)
+		tokens := one.Tokens
+		if one.FloorShare > 0 {
+			tokens = min(tokens, one.FloorTokens/one.FloorShare)
+		}
+		ahead[rank.Name] = int64(tokens)
+	}
+	return ahead
+}
