--- /dev/null
+++ b/bench/agent.go
@@ -0,0 +1,242 @@
+package bench
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/wasabishunt/wasabishunt/admission"
+	"github.com/wasabishunt/wasabishunt/cachevalue"
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/fetchplan"
+	"github.com/wasabishunt/wasabishunt/piece"
+	"github.com/wasabishunt/wasabishunt/routing"
+	"github.com/wasabishunt/wasabishunt/sched"
+)
+
+// agent is the agent of one engine together with the engine's time model.
+type agent struct {
+	run      *run
+	name     string
+	model    string
+	hardware hardware
+	queue    *sched.Queue
+	meter    *sched.Meter
+	cache    *cachevalue.Tier
+	returns  *cachevalue.Returns
+	flights  *fetchplan.Flights
+	work     map[string]*work
+	order    []*work // Work in order of arrival, because decisions must not depend on map order.
+	// waiters wait for the computation of a prefix by another request.
+	waiters  map[string][]*work
+	decoding []*work
+	held     []*request // Requests for a version that is not loaded yet.
+	loaded   uint64
+	// loadedBy is when the load in progress ends; zero while the agent waits for a load slot.
+	loadedBy time.Duration
+	stepping bool
+	frozen   bool
+	failed   bool
+	runTime  time.Duration
+	// freezes counts freezes, so that steps of a frozen engine are not taken for new ones.
+	freezes int
+}
+
+// work is a request at an agent.
+type work struct {
+	*request
+	plan    fetchplan.Plan
+	pending int // Pieces on their way.
+	lost    int64
+	started time.Duration
+	left    int64
+	gone    bool
+}
+
+func newAgent(r *run, i int, model string) *agent {
+	settings := sched.Defaults()
+	settings.MaxRunning = maxRunning
+	settings.Off = r.policy.Sched
+	a := &agent{
+		run: r, name: fmt.Sprintf("engine%02d", i), model: model, hardware: hardwareOf(i), meter: sched.NewMeter(configuredRate),
+		queue: sched.New(settings, sched.Config{Ranks: r.ranksOf()}), returns: cachevalue.New(cachevalue.Defaults()),
+		flights: fetchplan.NewFlights(), work: map[string]*work{}, waiters: map[string][]*work{}, loaded: 1, runTime: 3 * time.Second,
+	}
+	a.cache = cachevalue.NewTier(cachevalue.TierSettings{Capacity: engineCachePieces * pieceBytes, Sample: engineCachePieces, NoShares: true}, cachevalue.LRU{})
+	return a
+}
+
+func versionName(version uint64) string { return fmt.Sprint("v", version) }
+
+func (a *agent) report() routing.Report {
+	load := a.queue.Load()
+	return routing.Report{
+		Epoch: 1, QueuedTokens: load.QueuedTokens, QueuedAhead: a.queue.AheadByRank(), Running: int64(load.Running),
+		PrefillRate: a.meter.Rate(), Versions: []string{versionName(a.loaded)},
+	}
+}
+
+func (a *agent) receive(q *request) {
+	if a.failed {
+		a.refuse(q, failure.UpstreamFailed)
+		return
+	}
+	if q.version > a.loaded {
+		a.hold(q)
+		return
+	}
+	w := &work{request: q, left: q.output}
+	w.plan = a.planFor(w)
+	decision := a.admit(w)
+	if decision.Refusal != nil {
+		a.refuse(q, decision.Refusal.Kind)
+		return
+	}
+	q.work = w
+	a.work[q.id] = w
+	a.order = append(a.order, w)
+	a.observe(q)
+	a.begin(w)
+	q.entry.accepted(a, a.report())
+	a.kick()
+}
+
+// observe lets the value policies learn from each use.
+func (a *agent) observe(q *request) {
+	now := a.run.time()
+	for _, name := range q.names {
+		a.returns.Used(name, q.label(), now)
+		for _, s := range a.run.stores {
+			s.used(name, q.label(), now)
+		}
+	}
+}
+
+func (a *agent) refuse(q *request, kind failure.Kind) { q.entry.refusedBy(q, a, kind, a.report()) }
+
+func (a *agent) admit(w *work) admission.Decision {
+	settings := admission.Defaults()
+	settings.Off = a.run.policy.NoAdmission
+	now := a.run.time()
+	request := admission.Request{
+		Account: accountName(w.account), Rank: w.kind.Rank, Deadline: w.deadline, PromptTokens: w.plan.ComputeTokens, Fetch: w.plan.Ready,
+	}
+	ahead := a.queue.AheadOf(w.kind.Rank, request.Account, w.plan.ComputeTokens)
+	return admission.Decide(settings, request, admission.State{Now: now, Ahead: ahead, PrefillRate: a.meter.Rate(), RunTime: a.runTime})
+}
+
+func (a *agent) planFor(w *work) fetchplan.Plan {
+	now := a.run.time()
+	settings := fetchplan.Defaults()
+	settings.Off = a.run.policy.Fetch
+	ahead := a.queue.AheadOf(w.kind.Rank, accountName(w.account), w.prompt)
+	request := fetchplan.Request{
+		Pieces: w.names, CachedPieces: a.cachedPieces(w.names), PromptTokens: w.prompt, PieceBytes: pieceBytes,
+		PrefillRate: a.meter.Rate(), PrefillWait: admission.Estimate(admission.Request{}, admission.State{Ahead: ahead, PrefillRate: a.meter.Rate()}),
+	}
+	for _, s := range a.run.stores {
+		request.Sources = append(request.Sources, s.source(w.names, a.run.orders[w.kind.Rank]))
+	}
+	return fetchplan.Decide(settings, request, a.flights, now)
+}
+
+// cachedPieces is the length of the cached prefix; it counts as used.
+func (a *agent) cachedPieces(names []piece.Name) int {
+	for i, name := range names {
+		if !a.cache.Touch(name, a.run.time()) {
+			return i
+		}
+	}
+	return len(names)
+}
+
+// begin starts the fetches of a plan, waits for computations in progress, or queues the prefill.
+func (a *agent) begin(w *work) {
+	a.flights.Begin(w.id, w.names, w.plan, a.run.time())
+	for i, step := range w.plan.Steps {
+		switch step.Action {
+		case fetchplan.Fetch:
+			w.pending++
+			a.run.storeNamed(step.Source).fetch(w.names[i], a.run.orders[w.kind.Rank], func(ok bool) { a.fetched(w, i, ok) })
+		case fetchplan.Wait:
+			if owner, ok := a.flights.Owner(w.names[i], a.run.time()); ok && a.work[owner] != nil && len(w.plan.Steps) > 0 {
+				a.waiters[owner] = append(a.waiters[owner], w)
+				w.pending++
+			}
+		}
+	}
+	a.enqueueReady(w)
+}
+
+func (a *agent) fetched(w *work, i int, ok bool) {
+	if w.gone {
+		return
+	}
+	w.pending--
+	if ok {
+		a.keep(w, w.names[i])
+	} else {
+		w.lost += piece.TokensPerPiece
+	}
+	a.enqueueReady(w)
+	a.kick()
+}
+
+// enqueueReady queues the prefill once nothing is awaited any more.
+func (a *agent) enqueueReady(w *work) {
+	if w.pending > 0 || w.gone {
+		return
+	}
+	item := sched.Item{
+		ID: w.id, Account: accountName(w.account), Rank: w.kind.Rank, Deadline: w.deadline,
+		PromptTokens: w.plan.ComputeTokens + w.lost, Long: w.plan.Long,
+	}
+	if err := a.queue.Push(item, a.run.time()); err != nil {
+		a.forget(w)
+		a.refuse(w.request, failure.Of(err).Kind)
+	}
+}
+
+// keep puts a piece into the engine's cache and exports what that evicts.
+func (a *agent) keep(w *work, name piece.Name) {
+	evicted, _ := a.cache.Put(a.entryOf(w, name), a.run.time())
+	for _, entry := range evicted {
+		a.export(entry)
+	}
+}
+
+func (a *agent) entryOf(w *work, name piece.Name) cachevalue.Entry {
+	recompute := time.Duration(piece.TokensPerPiece / a.meter.Rate() * float64(time.Second))
+	return cachevalue.Entry{
+		Name: name, Account: accountName(w.account), Class: w.label(), Bytes: pieceBytes, Recompute: recompute, LastUse: a.run.time(),
+	}
+}
+
+// forget removes the traces of a request that ended or failed, and lets those that wait for it plan again.
+func (a *agent) forget(w *work) {
+	w.gone = true
+	delete(a.work, w.id)
+	a.release(w)
+}
+
+func (a *agent) release(w *work) {
+	a.flights.End(w.id, w.names)
+	waiting := a.waiters[w.id]
+	delete(a.waiters, w.id)
+	for _, other := range waiting {
+		a.replan(other)
+	}
+}
+
+// replan decides anew for a request whose awaited computation ended; it keeps its place and its deadline.
+func (a *agent) replan(w *work) {
+	if w.gone {
+		return
+	}
+	w.pending--
+	if w.pending > 0 {
+		return
+	}
+	w.lost = 0
+	w.plan = a.planFor(w)
+	a.begin(w)
+}
--- /dev/null
+++ b/bench/cases.go
@@ -0,0 +1,79 @@
+package bench
+
+import "time"
+
+// Case is one situation that a trace is run in.
+type Case struct {
+	Name string
+	// Extra returns the additional rate of a kind and account at a time, as a multiple of its calm rate; nil means none.
+	Extra func(d *Deployment, kind *Kind, account int, t time.Duration) float64
+	// Prepare schedules events of the case; nil means none.
+	Prepare func(r *run)
+}
+
+// Times of the events in a case.
+const (
+	lowFrom, lowTo       = 60 * time.Second, 130 * time.Second
+	urgentFrom, urgentTo = 140 * time.Second, 200 * time.Second
+	eventAt              = 60 * time.Second
+	largeFrom, largeTo   = 60 * time.Second, 200 * time.Second
+)
+
+// during gives the factor in a window.
+func during(t, from, to time.Duration, factor float64) float64 {
+	if t >= from && t < to {
+		return factor
+	}
+	return 0
+}
+
+// Cases returns all cases, calm first.
+func Cases() []*Case {
+	return []*Case{
+		{Name: "calm"},
+		{Name: "flood of least urgent x10", Extra: lowFlood},
+		{Name: "then flood of most urgent x5", Extra: bothFloods},
+		{Name: "flood of most urgent x30", Extra: urgentBeyond},
+		{Name: "links at a tenth", Prepare: func(r *run) { r.at(eventAt, func() { r.slowLinks(0.1) }) }},
+		{Name: "store lost and replaced", Prepare: func(r *run) {
+			r.at(eventAt, func() { r.stores[0].lose() })
+			r.at(eventAt+30*time.Second, func() { r.stores[0].replace() })
+		}},
+		{Name: "engine frozen", Prepare: func(r *run) {
+			r.at(eventAt, func() { r.agents[2].freeze() })
+			r.at(eventAt+60*time.Second, func() { r.agents[2].thaw() })
+		}},
+		{Name: "large callers x20", Extra: largeCallers},
+		{Name: "weight swap", Prepare: func(r *run) { r.at(eventAt+40*time.Second, r.swap) }},
+	}
+}
+
+func lowFlood(d *Deployment, kind *Kind, _ int, t time.Duration) float64 {
+	if kind.Name != d.Low {
+		return 0
+	}
+	return during(t, lowFrom, lowTo, 9)
+}
+
+func bothFloods(d *Deployment, kind *Kind, account int, t time.Duration) float64 {
+	if kind.Name == d.Urgent {
+		return during(t, urgentFrom, urgentTo, 4)
+	}
+	return lowFlood(d, kind, account, t)
+}
+
+// urgentBeyond is a flood of the most urgent work far beyond the capacity of all engines.
+func urgentBeyond(d *Deployment, kind *Kind, _ int, t time.Duration) float64 {
+	if kind.Name != d.Urgent {
+		return 0
+	}
+	return during(t, urgentFrom, urgentTo, 29)
+}
+
+// largeCallers lets two accounts ask for 20 times an equal share of every kind.
+func largeCallers(_ *Deployment, _ *Kind, account int, t time.Duration) float64 {
+	if account >= 2 {
+		return 0
+	}
+	return during(t, largeFrom, largeTo, 20/(accounts*accountShare(account))-1)
+}
--- /dev/null
+++ b/bench/engine.go
@@ -0,0 +1,186 @@
+package bench
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/fetchplan"
+	"github.com/wasabishunt/wasabishunt/sched"
+)
+
+// kick starts an iteration of the engine if it is idle.
+func (a *agent) kick() {
+	if a.stepping || a.frozen || a.failed {
+		return
+	}
+	a.answerDropped()
+	grants, tokens := a.grants()
+	if len(grants) == 0 && len(a.decoding) == 0 {
+		return
+	}
+	a.stepping = true
+	took := a.hardware.step(tokens, len(a.decoding))
+	freezes := a.freezes
+	a.run.after(took, func() {
+		if a.freezes == freezes {
+			a.stepped(grants, tokens, took)
+		}
+	})
+}
+
+// grants takes prefill chunks of at most one quantum together.
+func (a *agent) grants() (grants []sched.Grant, tokens int64) {
+	for {
+		grant, ok := a.queue.Next(a.run.time())
+		if !ok {
+			return grants, tokens
+		}
+		grants = append(grants, grant)
+		tokens += grant.Tokens
+	}
+}
+
+func (a *agent) stepped(grants []sched.Grant, tokens int64, took time.Duration) {
+	a.stepping = false
+	a.meter.Observe(tokens, took)
+	a.queue.SetPrefillRate(a.meter.Rate())
+	a.decode()
+	for _, grant := range grants {
+		w := a.work[grant.Item.ID]
+		a.queue.ChunkDone(grant.Item.ID)
+		if w == nil {
+			continue
+		}
+		if grant.First {
+			w.started = a.run.now
+		}
+		a.run.result.served(w.request, grant.Tokens)
+		if grant.Last {
+			a.prefilled(w)
+		}
+	}
+	a.kick()
+}
+
+// decode generates one token for each running request.
+func (a *agent) decode() {
+	kept := a.decoding[:0]
+	for _, w := range a.decoding {
+		w.left--
+		a.queue.Progress(w.id, 1)
+		a.run.result.served(w.request, 1)
+		if w.left > 0 {
+			kept = append(kept, w)
+			continue
+		}
+		a.finished(w)
+	}
+	clear(a.decoding[len(kept):])
+	a.decoding = kept
+}
+
+// prefilled is the end of the prefill: the first token leaves, and the prompt's pieces are in the cache.
+func (a *agent) prefilled(w *work) {
+	a.run.result.firstToken(w.request, a.run.now+network)
+	a.countComputed(w)
+	for _, name := range w.names {
+		a.keep(w, name)
+	}
+	a.release(w)
+	w.left--
+	if w.left > 0 {
+		a.decoding = append(a.decoding, w)
+		return
+	}
+	a.finished(w)
+}
+
+// countComputed counts the prompt tokens computed, and which of them some engine had computed before.
+func (a *agent) countComputed(w *work) {
+	recomputed := w.lost
+	for i, step := range w.plan.Steps {
+		name := w.names[i]
+		if step.Action == fetchplan.Recompute && a.run.computed[name] {
+			recomputed += 2000
+		}
+		a.run.computed[name] = true
+	}
+	a.run.result.computed(w.request, w.plan.ComputeTokens+w.lost, recomputed)
+}
+
+func (a *agent) finished(w *work) {
+	a.queue.Finish(w.id)
+	a.runTime = (7*a.runTime + (a.run.now - w.started)) / 8
+	a.forget(w)
+	w.entry.answered(w.request, a, a.report())
+}
+
+func (a *agent) answerDropped() {
+	for _, removed := range a.queue.Dropped(a.run.time()) {
+		if w := a.work[removed.Item.ID]; w != nil {
+			a.forget(w)
+			a.refuse(w.request, failure.DeadlineExceeded)
+		}
+	}
+}
+
+// freeze stops the engine. Its agent notices after the watchdog and fails all its work.
+func (a *agent) freeze() {
+	a.frozen = true
+	a.freezes++
+	a.run.after(watchdog, func() {
+		if !a.frozen {
+			return
+		}
+		a.failed = true
+		a.decoding = nil
+		works := slices.Clone(a.order)
+		a.order = nil
+		for _, w := range works {
+			if !w.gone {
+				a.queue.Cancel(w.id)
+				a.forget(w)
+				a.refuse(w.request, failure.UpstreamFailed)
+			}
+		}
+	})
+}
+
+// thaw lets a frozen engine work again.
+func (a *agent) thaw() {
+	a.frozen, a.failed, a.stepping = false, false, false
+	a.kick()
+}
+
+// hold keeps a request until its weight version is loaded, unless its deadline comes first.
+func (a *agent) hold(q *request) {
+	wait := 2 * loadWeights
+	if a.loadedBy > 0 {
+		wait = a.loadedBy - a.run.now
+	}
+	if a.run.time().Add(wait).After(q.deadline) && !a.run.policy.NoAdmission {
+		a.refuse(q, failure.DeadlineUnreachable)
+		return
+	}
+	a.held = append(a.held, q)
+}
+
+// wantVersion loads a weight version once one of the load slots is free.
+func (a *agent) wantVersion(version uint64) {
+	if a.run.loading[a.model] >= maxLoading {
+		a.run.after(50*time.Millisecond, func() { a.wantVersion(version) })
+		return
+	}
+	a.run.loading[a.model]++
+	a.loadedBy = a.run.now + loadWeights
+	a.run.after(loadWeights, func() {
+		a.run.loading[a.model]--
+		a.loaded, a.loadedBy = version, 0
+		held := a.held
+		a.held = nil
+		for _, q := range held {
+			a.receive(q)
+		}
+	})
+}
--- /dev/null
+++ b/bench/entry.go
@@ -0,0 +1,106 @@
+package bench
+
+import (
+	"math/rand/v2"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/routing"
+)
+
+// entry is one entry process: it routes and learns from replies.
+type entry struct {
+	run      *run
+	zone     string
+	router   *routing.Router
+	loads    *routing.Loads
+	prefixes *routing.Prefixes
+	budget   *routing.RetryBudget
+	turn     int
+}
+
+// maxTries bounds the attempts of one request.
+const maxTries = 3
+
+func newEntry(r *run, i int, random *rand.Rand) *entry {
+	settings := routing.Defaults()
+	settings.Off = r.policy.Routing
+	if r.policy.AffinityOnly {
+		settings.AffinityChoices, settings.RandomChoices = 1, 0
+	}
+	return &entry{
+		run: r, zone: zone(i), router: routing.New(settings, random), loads: routing.NewLoads(routing.LoadDefaults()),
+		prefixes: routing.NewPrefixes(routing.PrefixDefaults()), budget: routing.NewRetryBudget(),
+	}
+}
+
+func (e *entry) submit(q *request) {
+	q.tries++
+	name, cached := e.pick(q)
+	if name == "" {
+		e.run.result.refused(q)
+		return
+	}
+	e.loads.Sent(name, q.prompt-cached, e.run.orders[q.kind.Rank], e.run.time())
+	a := e.run.byName[name]
+	e.run.after(network, func() { a.receive(q) })
+}
+
+func (e *entry) pick(q *request) (name string, cached int64) {
+	if e.run.policy.RoundRobin {
+		return e.roundRobin(q), 0
+	}
+	affinity := nameOf(q.prefix, 0, q.version)
+	if len(q.names) > 0 {
+		affinity = q.names[0]
+	}
+	request := routing.Request{
+		Model: q.kind.Model, WeightVersion: versionName(q.version), Affinity: affinity, Pieces: q.names, PromptTokens: q.prompt,
+		Rank: q.kind.Rank, Order: e.run.orders[q.kind.Rank], Zone: e.zone, Exclude: q.exclude,
+	}
+	snapshot := routing.Snapshot{Now: e.run.time(), Index: e.run.index, Loads: e.loads, Prefixes: e.prefixes}
+	d, err := e.router.Pick(request, snapshot)
+	if err != nil {
+		return "", 0
+	}
+	return d.Upstream.Name, d.CachedTokens
+}
+
+func (e *entry) roundRobin(q *request) string {
+	for {
+		e.turn++
+		if a := e.run.agents[e.turn%len(e.run.agents)]; a.model == q.kind.Model {
+			return a.name
+		}
+	}
+}
+
+// accepted takes the reply to a request that was queued.
+func (e *entry) accepted(a *agent, report routing.Report) {
+	e.run.after(network, func() { e.loads.Reported(a.name, report, e.run.time()) })
+}
+
+// answered takes the end of an answer.
+func (e *entry) answered(q *request, a *agent, report routing.Report) {
+	e.run.after(network, func() {
+		e.loads.Reported(a.name, report, e.run.time())
+		e.loads.Succeeded(a.name)
+		e.prefixes.Served(a.name, report.Epoch, q.names, e.run.time())
+	})
+}
+
+// refusedBy takes a refusal and retries elsewhere within the retry budget.
+func (e *entry) refusedBy(q *request, a *agent, kind failure.Kind, report routing.Report) {
+	e.run.after(network, func() {
+		now := e.run.time()
+		e.loads.Reported(a.name, report, now)
+		if kind == failure.UpstreamFailed {
+			e.loads.Failed(a.name, now)
+		}
+		q.exclude = append(q.exclude, a.name)
+		if q.tries >= maxTries || e.run.policy.NoRetry || !now.Before(q.deadline) || !e.budget.Retry() {
+			e.run.result.refused(q)
+			return
+		}
+		e.submit(q)
+	})
+}
--- /dev/null
+++ b/bench/measure.go
@@ -0,0 +1,181 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Result is what one run measured.
+type Result struct {
+	Deployment, Case, Policy string
+	// Tallies by kind, for arrivals outside and inside the extra ones of the case.
+	Kinds map[string]*Tally
+	// Ranks' tokens served and asked for while a flood is on.
+	RankServed map[string]int64
+	// Small and Large callers within the window of the large callers, without bulk work.
+	Small, Large Tally
+	// Others are the base arrivals, without the extra ones of the case.
+	Others     Tally
+	SmallKinds map[string]*Tally
+	// ByRank counts all arrivals of a rank.
+	ByRank map[string]*Tally
+	First  *hdrhistogram.Histogram // Of urgent and day work, in microseconds.
+	// Urgent is the first token of urgent work, in microseconds.
+	Urgent *hdrhistogram.Histogram
+
+	promptTokens, computedTokens, recomputedTokens int64
+	linkBytes                                      int64
+	linkBusy                                       time.Duration
+}
+
+// Tally counts outcomes.
+type Tally struct {
+	Arrived, OnTime, Late, Refused int64
+	worth, earned                  float64
+}
+
+func newResult(d *Deployment, c *Case, p Policy) *Result {
+	r := &Result{
+		Deployment: d.Name, Case: c.Name, Policy: p.Name,
+		Kinds: map[string]*Tally{}, SmallKinds: map[string]*Tally{}, RankServed: map[string]int64{}, ByRank: map[string]*Tally{},
+		First: newHistogram(), Urgent: newHistogram(),
+	}
+	for _, kind := range d.Kinds {
+		r.Kinds[kind.Name], r.SmallKinds[kind.Name] = &Tally{}, &Tally{}
+		r.ByRank[kind.Rank] = &Tally{}
+	}
+	return r
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, (2 * time.Hour).Microseconds(), 3)
+}
+
+// each calls f for every tally that a request counts in.
+func (r *Result) each(q *request, f func(*Tally)) {
+	if q.at < warmup {
+		return
+	}
+	f(r.Kinds[q.kind.Name])
+	f(r.ByRank[q.kind.Rank])
+	if !q.extra {
+		f(&r.Others)
+	}
+	if q.at < largeFrom || q.at >= largeTo || q.kind.Rank == "night" {
+		return
+	}
+	if q.account >= largeAccounts {
+		f(r.SmallKinds[q.kind.Name])
+		f(&r.Small)
+	} else {
+		f(&r.Large)
+	}
+}
+
+func (r *Result) arrived(q *request) {
+	r.each(q, func(t *Tally) {
+		t.Arrived++
+		t.worth += q.kind.Worth
+	})
+}
+
+func (r *Result) refused(q *request) {
+	if q.ended {
+		return
+	}
+	q.ended = true
+	r.each(q, func(t *Tally) { t.Refused++ })
+}
+
+func (r *Result) firstToken(q *request, at time.Duration) {
+	if q.ended {
+		return
+	}
+	q.ended = true
+	took := at - q.at
+	r.each(q, func(t *Tally) {
+		if took > q.kind.Deadline {
+			t.Late++
+			return
+		}
+		t.OnTime++
+		t.earned += q.kind.Worth
+	})
+	if q.at < warmup {
+		return
+	}
+	if q.kind.Rank != "night" {
+		_ = r.First.RecordValue(took.Microseconds())
+	}
+	if q.kind.Rank == "urgent" {
+		_ = r.Urgent.RecordValue(took.Microseconds())
+	}
+}
+
+// served counts tokens by rank while the most urgent flood is on.
+func (r *Result) served(q *request, tokens int64) {
+	if q.at >= urgentFrom && q.at < urgentTo {
+		r.RankServed[q.kind.Rank] += tokens
+	}
+}
+
+func (r *Result) computed(q *request, tokens, recomputed int64) {
+	if q.at < warmup {
+		return
+	}
+	r.promptTokens += q.prompt
+	r.computedTokens += tokens
+	r.recomputedTokens += recomputed
+}
+
+// Share is the part of arrivals answered on time.
+func (t *Tally) Share() float64 { return ratio(float64(t.OnTime), float64(t.Arrived)) }
+
+// Weighted is the part of the arrivals' worth answered on time.
+func (t *Tally) Weighted() float64 { return ratio(t.earned, t.worth) }
+
+// Total sums the tallies of all kinds.
+func (r *Result) Total() Tally {
+	total := Tally{}
+	for _, t := range r.Kinds {
+		total.Arrived += t.Arrived
+		total.OnTime += t.OnTime
+		total.Late += t.Late
+		total.Refused += t.Refused
+		total.worth += t.worth
+		total.earned += t.earned
+	}
+	return total
+}
+
+// Recomputed is the share of prompt tokens that were computed although some engine had computed them before.
+func (r *Result) Recomputed() float64 {
+	return ratio(float64(r.recomputedTokens), float64(r.promptTokens))
+}
+
+// Computed is the share of prompt tokens that were computed, for the first time or again.
+func (r *Result) Computed() float64 {
+	return ratio(float64(r.computedTokens), float64(r.promptTokens))
+}
+
+// LinkUse is the share of time that the stores' links were busy.
+func (r *Result) LinkUse() float64 {
+	return ratio(r.linkBusy.Seconds(), 2*(horizon+time.Minute).Seconds())
+}
+
+// RankShare is a rank's share of the tokens served while the most urgent flood was on.
+func (r *Result) RankShare(rank string) float64 {
+	total := int64(0)
+	for _, tokens := range r.RankServed {
+		total += tokens
+	}
+	return ratio(float64(r.RankServed[rank]), float64(total))
+}
+
+func ratio(part, whole float64) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return part / whole
+}
--- /dev/null
+++ b/bench/model.go
@@ -0,0 +1,55 @@
+package bench
+
+import "time"
+
+// The time model. Its figures describe a mid-size model on one accelerator generation and a 10 Gbit/s store link.
+const (
+	entries = 3
+	// network is one hop between entry and agent.
+	network = 1500 * time.Microsecond
+	// bytesPerToken of KV cache; a piece is 80 MB.
+	bytesPerToken = 40_000
+	pieceBytes    = bytesPerToken * 2000
+	// linkBytes is the bandwidth of each store's link in bytes per second.
+	linkBytes = 1.25e9
+	linkChunk = 16 << 20
+	// engineCachePieces is the prefix cache of one engine, storePieces the capacity of one store.
+	engineCachePieces = 40
+	storePieces       = 1200
+	maxRunning        = 48
+	// configuredRate is the prefill rate in the object set; half of the engines differ from it.
+	configuredRate = 8000.0
+	loadWeights    = 800 * time.Millisecond
+	maxLoading     = 2
+	// watchdog is how long an agent waits for its engine before it reports it failed.
+	watchdog = time.Second
+)
+
+// hardware is the speed of one engine.
+type hardware struct {
+	prefill float64 // Tokens per second.
+	// A decode step takes base plus each for every running request.
+	base, each time.Duration
+}
+
+var (
+	newHardware = hardware{10_000, 14 * time.Millisecond, 300 * time.Microsecond}
+	oldHardware = hardware{6_000, 22 * time.Millisecond, 500 * time.Microsecond}
+)
+
+// hardwareOf makes every third engine an old one.
+func hardwareOf(i int) hardware {
+	if i%3 == 2 {
+		return oldHardware
+	}
+	return newHardware
+}
+
+// step is the time of one iteration of continuous batching: one prefill chunk and one token for each running request.
+func (h hardware) step(chunk int64, decoding int) time.Duration {
+	d := time.Duration(float64(chunk) / h.prefill * float64(time.Second))
+	if decoding > 0 {
+		d += h.base + time.Duration(decoding)*h.each
+	}
+	return d
+}
--- /dev/null
+++ b/bench/policies.go
@@ -0,0 +1,67 @@
+package bench
+
+import (
+	"github.com/wasabishunt/wasabishunt/fetchplan"
+	"github.com/wasabishunt/wasabishunt/routing"
+	"github.com/wasabishunt/wasabishunt/sched"
+)
+
+// Policy is one combination of mechanisms.
+type Policy struct {
+	Name string
+	// RoundRobin replaces routing.
+	RoundRobin bool
+	// AffinityOnly always takes the first affinity choice.
+	AffinityOnly bool
+	Routing      routing.Off
+	Sched        sched.Off
+	Fetch        fetchplan.Off
+	NoAdmission  bool
+	// LRU replaces the value policy of stores, and everything evicted is exported.
+	LRU         bool
+	NoShares    bool
+	OneCopy     bool
+	NoPlacement bool
+	NoRetry     bool
+}
+
+var fifo = sched.Off{Ranks: true, Floors: true, FairShare: true, Deadlines: true, DropLate: true, LongBudget: true, Headroom: true}
+
+// Baselines are serving systems without this one's mechanisms; the first policy is the whole system.
+func Baselines() []Policy {
+	plain := Policy{Sched: fifo, NoAdmission: true, LRU: true, NoShares: true, OneCopy: true, Fetch: fetchplan.Off{Fetch: true, Wait: true}}
+	roundRobin, leastLoad, affinity, stores := plain, plain, plain, plain
+	roundRobin.Name, roundRobin.RoundRobin = "round robin, FIFO", true
+	leastLoad.Name, leastLoad.Routing = "least load, FIFO", routing.Off{Prefix: true, ByRank: true, OwnSent: true, Penalty: true, Measured: true}
+	affinity.Name, affinity.AffinityOnly = "affinity only, FIFO", true
+	stores.Name, stores.Routing = "least load, FIFO, with stores", leastLoad.Routing
+	stores.Fetch = fetchplan.Off{Wait: true, Compare: true}
+	return []Policy{{Name: "wasabishunt"}, roundRobin, leastLoad, affinity, stores}
+}
+
+// Ablations switch one mechanism off each.
+func Ablations() []Policy {
+	return []Policy{
+		{Name: "without floors", Sched: sched.Off{Floors: true}},
+		{Name: "without fair share", Sched: sched.Off{FairShare: true}},
+		{Name: "without deadline order", Sched: sched.Off{Deadlines: true}},
+		{Name: "without dropping late work", Sched: sched.Off{DropLate: true}},
+		{Name: "without long budget", Sched: sched.Off{LongBudget: true}},
+		{Name: "without slot headroom", Sched: sched.Off{Headroom: true}},
+		{Name: "without admission", NoAdmission: true},
+		{Name: "without prefix routing", Routing: routing.Off{Prefix: true}},
+		{Name: "without wait scorer", Routing: routing.Off{Wait: true}},
+		{Name: "without own sent work", Routing: routing.Off{OwnSent: true}},
+		{Name: "without failure penalty", Routing: routing.Off{Penalty: true}},
+		{Name: "without measured rates", Routing: routing.Off{Measured: true}},
+		{Name: "without load by rank", Routing: routing.Off{ByRank: true}},
+		{Name: "without stores", Fetch: fetchplan.Off{Fetch: true}},
+		{Name: "without fetch comparison", Fetch: fetchplan.Off{Compare: true}},
+		{Name: "without shared recompute", Fetch: fetchplan.Off{Wait: true}},
+		{Name: "without cache value (LRU)", LRU: true},
+		{Name: "without export choice", NoPlacement: true},
+		{Name: "without cache shares", NoShares: true},
+		{Name: "without second copies", OneCopy: true},
+		{Name: "without retries", NoRetry: true},
+	}
+}
--- /dev/null
+++ b/bench/run.go
@@ -0,0 +1,145 @@
+package bench
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/wasabishunt/wasabishunt/controlclient"
+	"github.com/wasabishunt/wasabishunt/objectset"
+	"github.com/wasabishunt/wasabishunt/piece"
+	"github.com/wasabishunt/wasabishunt/routing"
+)
+
+// run is one deployment in one case under one policy.
+type run struct {
+	sim
+	deployment *Deployment
+	policy     Policy
+	agents     []*agent
+	byName     map[string]*agent
+	stores     []*store
+	entries    []*entry
+	index      *routing.Index
+	orders     map[string]int
+	version    uint64
+	// loading counts the engines of a model that load weights.
+	loading map[string]int
+	// computed holds the pieces that any engine has computed, to count recomputation.
+	computed map[piece.Name]bool
+	result   *Result
+	ids      uint64
+}
+
+// request is one arrival on its way.
+type request struct {
+	*arrival
+	id       string
+	version  uint64
+	names    []piece.Name
+	deadline time.Time
+	entry    *entry
+	tries    int
+	exclude  []string
+	work     *work
+	ended    bool
+}
+
+// Run measures one deployment in one case under one policy.
+func Run(d *Deployment, c *Case, p Policy, seed uint64) *Result {
+	r := &run{
+		deployment: d, policy: p, byName: map[string]*agent{}, computed: map[piece.Name]bool{},
+		orders: map[string]int{}, loading: map[string]int{}, version: 1, result: newResult(d, c, p),
+	}
+	for _, rank := range d.Ranks {
+		r.orders[rank.Name] = rank.Order
+	}
+	r.build(seed)
+	for _, a := range generate(d, c, seed) {
+		r.at(a.at, func() { r.arrive(&a) })
+	}
+	if c.Prepare != nil {
+		c.Prepare(r)
+	}
+	r.sim.run(horizon + time.Minute)
+	r.finish()
+	return r.result
+}
+
+func (r *run) build(seed uint64) {
+	for i := range 2 {
+		r.stores = append(r.stores, newStore(r, i))
+	}
+	byModel := map[string][]routing.Upstream{}
+	for _, model := range slices.Sorted(mapsKeys(r.deployment.Engines)) {
+		for range r.deployment.Engines[model] {
+			a := newAgent(r, len(r.agents), model)
+			r.agents = append(r.agents, a)
+			r.byName[a.name] = a
+			byModel[model] = append(byModel[model], routing.Upstream{
+				Name: a.name, Zone: zone(len(r.agents)), PrefillRate: configuredRate, DecodeRate: 40, State: controlclient.Live,
+			})
+		}
+	}
+	r.index = routing.NewIndex(byModel, nil)
+	for i := range entries {
+		r.entries = append(r.entries, newEntry(r, i, rand.New(rand.NewPCG(seed, uint64(i)+500))))
+	}
+}
+
+func mapsKeys(m map[string]int) func(func(string) bool) {
+	return func(yield func(string) bool) {
+		for _, key := range lo.Keys(m) {
+			if !yield(key) {
+				return
+			}
+		}
+	}
+}
+
+func zone(i int) string { return fmt.Sprintf("zone%d", i%3) }
+
+func (r *run) arrive(a *arrival) {
+	r.ids++
+	q := &request{
+		arrival: a, id: fmt.Sprint(r.ids), version: r.version, deadline: r.time().Add(a.kind.Deadline),
+		entry: r.entries[r.ids%entries],
+	}
+	q.names = a.names(r.version, r.ids)
+	r.result.arrived(q)
+	q.entry.budget.Request()
+	q.entry.submit(q)
+}
+
+// ranksOf returns the ranks of the deployment as the scheduler gets them.
+func (r *run) ranksOf() []objectset.Rank { return r.deployment.Ranks }
+
+func (r *run) slowLinks(factor float64) {
+	for _, s := range r.stores {
+		s.bandwidth *= factor
+	}
+}
+
+// swap publishes a new weight version; agents load it as load slots become free.
+func (r *run) swap() {
+	r.version++
+	for _, a := range r.agents {
+		a.wantVersion(r.version)
+	}
+}
+
+func (r *run) finish() {
+	for _, s := range r.stores {
+		r.result.linkBytes += s.moved
+		r.result.linkBusy += s.busy
+	}
+}
+
+// label names a class of prefixes that return alike.
+func (q *request) label() string {
+	return strings.Join([]string{accountName(q.account), q.kind.Name}, "/")
+}
--- /dev/null
+++ b/bench/store.go
@@ -0,0 +1,178 @@
+package bench
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/wasabishunt/wasabishunt/cachevalue"
+	"github.com/wasabishunt/wasabishunt/fetchplan"
+	"github.com/wasabishunt/wasabishunt/linksched"
+	"github.com/wasabishunt/wasabishunt/piece"
+)
+
+// store is one store VM with its link.
+type store struct {
+	run       *run
+	name      string
+	tier      *cachevalue.Tier
+	policy    cachevalue.Policy
+	link      *linksched.Link
+	bandwidth float64 // True bandwidth in bytes per second.
+	done      map[string]func(bool)
+	incoming  map[piece.Name]bool
+	down      bool
+	epoch     int
+	transfers int
+	moved     int64
+	busy      time.Duration
+}
+
+func newStore(r *run, i int) *store {
+	s := &store{run: r, name: fmt.Sprintf("store%d", i), bandwidth: linkBytes}
+	s.policy = cachevalue.LRU{}
+	if !r.policy.LRU {
+		s.policy = cachevalue.New(cachevalue.Defaults())
+	}
+	s.reset()
+	return s
+}
+
+func (s *store) reset() {
+	settings := linksched.Defaults(linkBytes)
+	settings.ChunkBytes = linkChunk
+	s.link = linksched.New(settings)
+	s.done = map[string]func(bool){}
+	s.incoming = map[piece.Name]bool{}
+	s.tier = cachevalue.NewTier(cachevalue.TierSettings{Capacity: storePieces * pieceBytes, NoShares: s.run.policy.NoShares}, s.policy)
+}
+
+func (r *run) storeNamed(name string) *store {
+	for _, s := range r.stores {
+		if s.name == name {
+			return s
+		}
+	}
+	return nil
+}
+
+func (s *store) used(name piece.Name, class string, now time.Time) { s.policy.Used(name, class, now) }
+
+func (s *store) source(names []piece.Name, order int) fetchplan.Source {
+	source := fetchplan.Source{Name: s.name, Wait: s.link.Wait(order), BytesPerSecond: s.link.BytesPerSecond(), Delay: 2 * network}
+	if s.down {
+		return source
+	}
+	for _, name := range names {
+		_, ok := s.tier.Get(name)
+		source.Has = append(source.Has, ok)
+	}
+	return source
+}
+
+// fetch moves a piece to an engine.
+func (s *store) fetch(name piece.Name, order int, done func(bool)) {
+	s.push(linksched.Transfer{Bytes: pieceBytes, Order: order}, func(ok bool) {
+		if ok {
+			ok = s.tier.Touch(name, s.run.time())
+		}
+		done(ok)
+	})
+}
+
+func (s *store) push(t linksched.Transfer, done func(bool)) {
+	s.transfers++
+	t.ID = fmt.Sprint(s.transfers)
+	if s.down || !s.link.Push(t) {
+		s.run.after(2*network, func() { done(false) })
+		return
+	}
+	s.done[t.ID] = done
+	s.kick()
+}
+
+func (s *store) kick() {
+	grant, ok := s.link.Next()
+	if !ok {
+		return
+	}
+	took := time.Duration(float64(grant.Bytes) / s.bandwidth * float64(time.Second))
+	epoch := s.epoch
+	s.run.after(took, func() {
+		if epoch != s.epoch {
+			return
+		}
+		s.moved += grant.Bytes
+		s.busy += took
+		s.link.Done(took)
+		if grant.Last {
+			done := s.done[grant.ID]
+			delete(s.done, grant.ID)
+			done(true)
+		}
+		s.kick()
+	})
+}
+
+// offer moves a piece into the store in the background.
+func (s *store) offer(entry cachevalue.Entry) {
+	if _, held := s.tier.Get(entry.Name); held || s.down || s.incoming[entry.Name] {
+		return
+	}
+	s.incoming[entry.Name] = true
+	s.push(linksched.Transfer{Bytes: entry.Bytes, Bulk: true}, func(ok bool) {
+		delete(s.incoming, entry.Name)
+		if ok {
+			s.tier.Put(entry, s.run.time())
+		}
+	})
+}
+
+// export decides on a piece that leaves an engine's cache.
+func (a *agent) export(entry cachevalue.Entry) {
+	if a.run.policy.Fetch.Fetch {
+		return
+	}
+	first := a.run.stores[int(entry.Name[0])%2]
+	second := a.run.stores[1-int(entry.Name[0])%2]
+	transfer := first.link.Time(first.link.Queued() + entry.Bytes)
+	placement := cachevalue.Placement{Export: true, Copies: 2}
+	if !a.run.policy.LRU && !a.run.policy.NoPlacement {
+		placement = a.returns.Place(cachevalue.PlaceDefaults(), entry, transfer, a.run.time())
+	}
+	if !placement.Export {
+		return
+	}
+	first.offer(entry)
+	if placement.Copies > 1 && !a.run.policy.OneCopy {
+		second.offer(entry)
+	}
+}
+
+// lose drops the store with all it holds; transfers in progress fail.
+func (s *store) lose() {
+	s.down = true
+	s.epoch++
+	failed := s.done
+	s.reset()
+	for i := 1; i <= s.transfers; i++ {
+		if done := failed[fmt.Sprint(i)]; done != nil {
+			done(false)
+		}
+	}
+}
+
+// replace brings an empty store up; it fills again from what engines export and from the other store.
+func (s *store) replace() {
+	s.down = false
+	other := s.run.stores[0]
+	if other == s {
+		other = s.run.stores[1]
+	}
+	entries := other.tier.Entries()
+	cachevalue.ByValue(s.policy, entries, s.run.time())
+	for _, entry := range entries[:min(len(entries), storePieces/2)] {
+		if int(entry.Name[0])%2 == 0 {
+			s.offer(entry)
+		}
+	}
+}
--- a/cachevalue/tier.go
+++ b/cachevalue/tier.go
@@ -211,3 +211,14 @@
 
 // Len is the number of entries.
 func (t *Tier) Len() int { return len(t.entries) }
+
+// Entries returns all entries, by account in order of first use.
+func (t *Tier) Entries() []Entry {
+	entries := make([]Entry, 0, len(t.entries))
+	for _, h := range t.order {
+		for _, k := range h.entries {
+			entries = append(entries, k.Entry)
+		}
+	}
+	return entries
+}
