Add the first entry and agent packages

Cause: a request needs a path from a caller through an entry and an agent to an engine. The entry checks, routes, relays and continues answers; the agent queues, runs and reports.

--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,183 @@
+// Package agent is the process beside one upstream: it owns the upstream's queue, its running streams, its
+// fencing token, its measured load and its cache contents, and it hands plain calls to a service.
+//
+// Lock order: Agent.mu (queue and table of jobs) is taken before no other lock. The locks of rates, weights
+// and cacheContents are leaves: none of them is held while another lock is taken.
+package agent
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+
+	"github.com/wasabishunt/wasabishunt/clock"
+	"github.com/wasabishunt/wasabishunt/connlimit"
+	"github.com/wasabishunt/wasabishunt/controlclient"
+	"github.com/wasabishunt/wasabishunt/objectset"
+	"github.com/wasabishunt/wasabishunt/rpc/agentpb"
+	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
+	"github.com/wasabishunt/wasabishunt/upstream/engine"
+	"github.com/wasabishunt/wasabishunt/upstream/service"
+)
+
+// Control is what the agent asks of the control members.
+type Control interface {
+	DispatchBooking(ctx context.Context, in *controlpb.DispatchBookingRequest) (*controlpb.BookingResponse, error)
+	FinishBooking(ctx context.Context, in *controlpb.FinishBookingRequest) (*controlpb.BookingResponse, error)
+	AcquireLoadSlot(ctx context.Context, in *controlpb.LoadSlotRequest) (*controlpb.LoadSlotResponse, error)
+	ReleaseLoadSlot(ctx context.Context, in *controlpb.LoadSlotRequest) (*controlpb.LoadSlotResponse, error)
+}
+
+// Dependencies are the parts that an Agent works with. Engine is nil for an agent beside a plain service,
+// and Service is nil for an agent beside an engine.
+type Dependencies struct {
+	Source    controlclient.Source
+	Control   Control
+	Engine    engine.Client
+	Service   *service.Client
+	Scheduler Scheduler
+	Clock     clock.Clock
+	Registry  gometrics.Registry
+	Log       *zap.Logger
+}
+
+// Agent serves one upstream.
+type Agent struct {
+	options Options
+	deps    Dependencies
+	rates   *rates
+	weights *weights
+	cache   *cacheContents
+
+	mu       sync.Mutex
+	jobs     map[string]*job
+	queue    Scheduler
+	running  int64
+	active   int
+	draining bool
+	// idle is closed when draining and no call is active.
+	idle chan struct{}
+	// wake has one slot; a value in it means that a worker may find work.
+	wake       chan struct{}
+	setVersion uint64
+	adoptedAt  time.Time
+}
+
+// New returns an Agent; Serve starts it.
+func New(options Options, deps Dependencies) *Agent {
+	options = options.withDefaults()
+	if deps.Clock == nil {
+		deps.Clock = clock.System{}
+	}
+	if deps.Registry == nil {
+		deps.Registry = gometrics.NewRegistry()
+	}
+	if deps.Log == nil {
+		deps.Log = zap.NewNop()
+	}
+	if deps.Scheduler == nil {
+		deps.Scheduler = NewFIFO(options.MaxQueued)
+	}
+	a := &Agent{
+		options: options,
+		deps:    deps,
+		jobs:    map[string]*job{},
+		queue:   deps.Scheduler,
+		idle:    make(chan struct{}),
+		wake:    make(chan struct{}, 1),
+		rates:   newRates(),
+		cache:   newCacheContents(options.MaxCachePieces),
+	}
+	a.weights = newWeights(a)
+	return a
+}
+
+// Serve accepts calls on the listener until ctx ends. It returns after all of the agent's goroutines have ended.
+// Callers drain first, see Drain; a canceled ctx breaks the calls that still run.
+func (a *Agent) Serve(ctx context.Context, listener net.Listener) error {
+	mux := drpcmux.New()
+	if err := agentpb.DRPCRegisterAgent(mux, a); err != nil {
+		return err
+	}
+	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: drpcmanager.Options{
+		Reader: drpcwire.ReaderOptions{MaximumBufferSize: a.options.MaxMessageBytes},
+	}})
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		return server.Serve(ctx, connlimit.Listen(listener, a.options.MaxConnections, a.options.WriteTimeout))
+	})
+	group.Go(func() error { a.followSet(ctx); return nil })
+	if a.deps.Engine != nil {
+		group.Go(func() error { a.weights.run(ctx); return nil })
+		group.Go(func() error { a.followCache(ctx); return nil })
+		for range a.options.Workers {
+			group.Go(func() error { a.work(ctx); return nil })
+		}
+	}
+	return group.Wait()
+}
+
+// followSet notes when a set version came into force, and drains when control says that this agent leaves.
+func (a *Agent) followSet(ctx context.Context) {
+	for {
+		changed := a.deps.Source.Changed()
+		view := a.deps.Source.Current()
+		a.adopt(view.Version)
+		if a.leaving(view) && a.beginDrain() {
+			a.deps.Log.Info("control reports this agent as leaving; no new work is taken")
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// adopt records the time at which a set version was first seen in force; it returns the time of the newest.
+func (a *Agent) adopt(version uint64) time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if version > a.setVersion {
+		a.setVersion = version
+		a.adoptedAt = a.deps.Clock.Now()
+	}
+	return a.adoptedAt
+}
+
+func (a *Agent) leaving(view controlclient.View) bool {
+	process, ok := view.Processes[a.options.ProcessID]
+	return ok && process.State == controlclient.Leaving
+}
+
+// upstream returns the agent's own upstream and its deployment in the set.
+func (a *Agent) upstream(set *objectset.Set) (objectset.Upstream, objectset.Deployment, bool) {
+	if set == nil {
+		return objectset.Upstream{}, objectset.Deployment{}, false
+	}
+	for _, u := range set.Upstreams {
+		if u.Name != a.options.Upstream {
+			continue
+		}
+		for _, d := range set.Deployments {
+			if d.Name == u.Deployment {
+				return u, d, true
+			}
+		}
+	}
+	return objectset.Upstream{}, objectset.Deployment{}, false
+}
+
+// Status implements the Agent service.
+func (a *Agent) Status(context.Context, *agentpb.StatusRequest) (*agentpb.UpstreamLoad, error) {
+	return a.load(), nil
+}
--- /dev/null
+++ b/agent/options.go
@@ -0,0 +1,78 @@
+package agent
+
+import "time"
+
+// Options are the limits of an Agent.
+type Options struct {
+	// ProcessID is the agent's id in the memberships.
+	ProcessID string
+	// Upstream is the agent's upstream name in the object set; empty beside a plain service.
+	Upstream string
+	// Service is the plain service's name in the object set; empty beside an engine.
+	Service string
+	// Workers is how many runs the engine is given at once; default 16.
+	Workers int
+	// MaxQueued is the limit of queued requests of the built-in queue; default 1024.
+	MaxQueued int
+	// EventBuffer is how many events of a run wait for the entry; default 64.
+	EventBuffer int
+	// WriteTimeout ends a connection whose peer takes no bytes; default 10 s.
+	WriteTimeout time.Duration
+	// Heartbeat is the time between signs of life on a stream without events; default 1 s.
+	Heartbeat time.Duration
+	// SetGrace is how long work sent under an older set version is taken after a newer one was adopted; default 1 s.
+	SetGrace time.Duration
+	// CatchUp is how long a request waits for a newer set that its sender has; default 500 ms.
+	CatchUp time.Duration
+	// MaxDeadline is the time given to requests that carry no deadline, and the limit for those that do; default 10 min.
+	MaxDeadline time.Duration
+	// WeightPoll is the time between reads of the engine's loaded versions; default 1 s.
+	WeightPoll time.Duration
+	// LoadTimeout is how long a load of weights may take before it is ordered again; default 60 s.
+	LoadTimeout time.Duration
+	// SlotPoll is the time between requests for a load slot; default 200 ms.
+	SlotPoll time.Duration
+	// CachePoll is the time between reads of the engine's cache events; default 500 ms.
+	CachePoll time.Duration
+	// MaxCachePieces is how many cached pieces are remembered; default 65,536.
+	MaxCachePieces int
+	// CallTimeout limits one call of control; default 2 s.
+	CallTimeout time.Duration
+	// FinishTimeout is how long the outcome of a booking is reported again and again; default 30 s.
+	FinishTimeout time.Duration
+	// ServiceTimeout limits one call of the plain service; default 30 s.
+	ServiceTimeout time.Duration
+	// MaxConnections is the limit of open connections; default 4096.
+	MaxConnections int
+	// MaxMessageBytes is the size limit of one message; default 32 MiB.
+	MaxMessageBytes int
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.Workers, 16)
+	setDefault(&o.MaxQueued, 1024)
+	setDefault(&o.EventBuffer, 64)
+	setDefault(&o.WriteTimeout, 10*time.Second)
+	setDefault(&o.Heartbeat, time.Second)
+	setDefault(&o.SetGrace, time.Second)
+	setDefault(&o.CatchUp, 500*time.Millisecond)
+	setDefault(&o.MaxDeadline, 10*time.Minute)
+	setDefault(&o.WeightPoll, time.Second)
+	setDefault(&o.LoadTimeout, time.Minute)
+	setDefault(&o.SlotPoll, 200*time.Millisecond)
+	setDefault(&o.CachePoll, 500*time.Millisecond)
+	setDefault(&o.MaxCachePieces, 65536)
+	setDefault(&o.CallTimeout, 2*time.Second)
+	setDefault(&o.FinishTimeout, 30*time.Second)
+	setDefault(&o.ServiceTimeout, 30*time.Second)
+	setDefault(&o.MaxConnections, 4096)
+	setDefault(&o.MaxMessageBytes, 32<<20)
+	return o
+}
+
+func setDefault[T comparable](value *T, fallback T) {
+	var zero T
+	if *value == zero {
+		*value = fallback
+	}
+}
--- /dev/null
+++ b/agent/run.go
@@ -0,0 +1,190 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+	"github.com/samber/lo"
+	"go.uber.org/zap"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/piece"
+	"github.com/wasabishunt/wasabishunt/rpc/agentpb"
+	"github.com/wasabishunt/wasabishunt/upstream/engine"
+)
+
+// work is one worker of the pool.
+func (a *Agent) work(ctx context.Context) {
+	for {
+		j, ok := a.next(ctx)
+		if !ok {
+			return
+		}
+		a.run(j)
+	}
+}
+
+// run executes one job. Its last event is End or Refusal.
+func (a *Agent) run(j *job) {
+	defer close(j.events)
+	run := &engineRun{agent: a, job: j, next: int64(len(j.request.GetEmitted())), started: a.deps.Clock.Now()}
+	err := run.execute()
+	a.finish(j, run.computed)
+	a.deps.Log.Info("run ended", zap.String("request_id", j.id), zap.String("account", j.account.Name),
+		zap.Int64("tokens", run.next), zap.Int64("computed_prompt_tokens", run.computed), zap.Error(err))
+	if err == nil {
+		a.count("runs.whole")
+		return
+	}
+	a.count("runs." + string(failure.Of(err).Kind))
+	j.events <- &agentpb.GenerateEvent{Event: &agentpb.GenerateEvent_Refusal{Refusal: a.refusal(err)}}
+}
+
+// engineRun is the run of one job on the engine.
+type engineRun struct {
+	agent *Agent
+	job   *job
+	// next is the index of the next token.
+	next     int64
+	computed int64
+	started  time.Time
+	first    time.Time
+}
+
+func (r *engineRun) execute() error {
+	if err := r.checkStart(); err != nil {
+		return err
+	}
+	stream, err := r.agent.deps.Engine.Generate(r.job.ctx, r.request())
+	if err != nil {
+		return r.failed(err)
+	}
+	defer func() { _ = stream.Close() }()
+	for {
+		event, err := stream.Next()
+		if err != nil {
+			return r.failed(err)
+		}
+		if err := r.checkEvent(event); err != nil {
+			return err
+		}
+		if event.Final {
+			return r.end(event)
+		}
+		r.delta(event)
+	}
+}
+
+// checkStart repeats the checks that may have changed while the job was queued: a stale agent starts nothing,
+// and no new work starts under a weight version that is no longer in force.
+func (r *engineRun) checkStart() error {
+	if r.job.ctx.Err() != nil {
+		return ended(r.job.ctx, failure.NotRun)
+	}
+	view := r.agent.deps.Source.Current()
+	if !view.Fresh(r.agent.deps.Clock.Now()) {
+		return retryable(failure.StaleSet, "the object set became stale while the request was queued")
+	}
+	if err := r.agent.checkWeights(view, r.job.request); err != nil {
+		return err
+	}
+	if !r.agent.weights.has(r.job.request.GetWeightVersion()) {
+		return retryable(failure.WrongWeightVersion, "weight version %q is not loaded", r.job.request.GetWeightVersion())
+	}
+	return nil
+}
+
+func (r *engineRun) request() engine.Request {
+	req := r.job.request
+	return engine.Request{
+		RequestID:     r.job.id,
+		Model:         req.GetModel(),
+		WeightVersion: req.GetWeightVersion(),
+		Adapter:       req.GetAdapter(),
+		Prompt:        req.GetPrompt(),
+		MaxTokens:     req.GetMaxTokens(),
+		Priority:      r.job.rank.Order,
+		Emitted:       req.GetEmitted(),
+		CacheScope:    r.job.account.Name,
+		PieceNames:    lo.Map(req.GetPieceNames(), func(name []byte, _ int) string { return hexName(name) }),
+	}
+}
+
+// failed classifies the end of a run without a final event.
+func (r *engineRun) failed(err error) error {
+	if r.job.ctx.Err() != nil {
+		return ended(r.job.ctx, failure.Ran)
+	}
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return failure.Wrap(err, failure.StreamBroken, failure.Ran, "the engine's stream ended without a final event")
+	}
+	return failure.Of(err)
+}
+
+// checkEvent refuses events that do not continue this run: a gap, a repeat, another weight version or a wrong count.
+func (r *engineRun) checkEvent(event engine.Event) error {
+	want := r.job.request.GetWeightVersion()
+	if event.WeightVersion != "" && event.WeightVersion != want {
+		return failure.New(failure.StreamBroken, failure.Ran, "the engine runs weight version %q instead of %q", event.WeightVersion, want)
+	}
+	if !event.Final && event.Index != r.next {
+		return failure.New(failure.StreamBroken, failure.Ran, "the engine sent token %d instead of %d", event.Index, r.next)
+	}
+	if event.Final && event.TotalTokens != r.next {
+		return failure.New(failure.StreamBroken, failure.Ran, "the engine counts %d tokens and sent %d", event.TotalTokens, r.next)
+	}
+	return nil
+}
+
+func (r *engineRun) delta(event engine.Event) {
+	if r.first.IsZero() {
+		r.first = r.agent.deps.Clock.Now()
+	}
+	r.next++
+	r.job.events <- &agentpb.GenerateEvent{Event: &agentpb.GenerateEvent_Delta{Delta: &agentpb.Delta{Index: event.Index, Text: event.Text}}}
+}
+
+// end records what the run measured and sends End, the mark of a whole answer.
+func (r *engineRun) end(event engine.Event) error {
+	req := r.job.request
+	r.computed = max(0, req.GetPromptTokens()-event.CachedTokens)
+	r.measure()
+	r.agent.cache.correct(req.GetPieceNames(), event.CachedTokens)
+	decisions := append(slices.Clone(r.job.decisions),
+		fmt.Sprintf("cache: expected %d cached prompt tokens, engine used %d", r.job.cached, event.CachedTokens))
+	r.job.events <- &agentpb.GenerateEvent{Event: &agentpb.GenerateEvent_End{End: &agentpb.End{
+		TotalTokens:          event.TotalTokens,
+		FinishReason:         event.FinishReason,
+		CachedPromptTokens:   event.CachedTokens,
+		ComputedPromptTokens: r.computed,
+		Load:                 r.agent.load(),
+		Decisions:            decisions,
+		RequestId:            r.job.id,
+	}}}
+	return nil
+}
+
+func (r *engineRun) measure() {
+	if r.first.IsZero() {
+		return
+	}
+	generated := r.next - int64(len(r.job.request.GetEmitted()))
+	r.agent.rates.recordPrefill(r.computed, r.first.Sub(r.started))
+	r.agent.rates.recordDecode(generated-1, r.agent.deps.Clock.Now().Sub(r.first))
+	gometrics.GetOrRegisterTimer("runs.first_token", r.agent.deps.Registry).Update(r.first.Sub(r.started))
+}
+
+func (a *Agent) count(name string) {
+	gometrics.GetOrRegisterCounter(name, a.deps.Registry).Inc(1)
+}
+
+func hexName(name []byte) string {
+	var n piece.Name
+	copy(n[:], name)
+	return n.String()
+}
--- /dev/null
+++ b/connlimit/listener.go
@@ -0,0 +1,60 @@
+// Package connlimit bounds the connections of a listener and the time of their writes.
+package connlimit
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// Listen bounds the number of open connections of a listener. Connections above the limit are closed at once:
+// their callers see a failed connection and use another process. With a writeTimeout above 0 each write has
+// that deadline, so that a peer that stops reading cannot hold a call.
+func Listen(inner net.Listener, limit int, writeTimeout time.Duration) net.Listener {
+	return &listener{Listener: inner, timeout: writeTimeout, slots: make(chan struct{}, limit)}
+}
+
+type listener struct {
+	net.Listener
+	timeout time.Duration
+	slots   chan struct{}
+}
+
+// Accept returns the next connection within the limit.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		inner, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		select {
+		case l.slots <- struct{}{}:
+			return &conn{Conn: inner, timeout: l.timeout, release: func() { <-l.slots }}, nil
+		default:
+			_ = inner.Close()
+		}
+	}
+}
+
+type conn struct {
+	net.Conn
+	timeout time.Duration
+	once    sync.Once
+	release func()
+}
+
+// Write sends bytes before the write deadline.
+func (c *conn) Write(p []byte) (int, error) {
+	if c.timeout > 0 {
+		if err := c.SetWriteDeadline(time.Now().Add(c.timeout)); err != nil {
+			return 0, err
+		}
+	}
+	return c.Conn.Write(p)
+}
+
+// Close closes the connection and frees its place.
+func (c *conn) Close() error {
+	c.once.Do(c.release)
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/entry/catalog.go
@@ -0,0 +1,107 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"strings"
+	"sync/atomic"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/objectset"
+)
+
+// catalog indexes one object set for lookups by name and by key.
+type catalog struct {
+	set      *objectset.Set
+	byKey    map[string]*objectset.Account
+	models   map[string]*objectset.Model
+	ranks    map[string]*objectset.Rank
+	services map[string]*objectset.Service
+}
+
+// catalogs keeps the index of the newest set.
+type catalogs struct{ newest atomic.Pointer[catalog] }
+
+// of returns the index of a set. Two requests may build it at the same time; both results are alike.
+func (c *catalogs) of(set *objectset.Set) *catalog {
+	if newest := c.newest.Load(); newest != nil && newest.set == set {
+		return newest
+	}
+	built := newCatalog(set)
+	c.newest.Store(built)
+	return built
+}
+
+func newCatalog(set *objectset.Set) *catalog {
+	c := &catalog{
+		set:      set,
+		byKey:    map[string]*objectset.Account{},
+		models:   byName(set.Models, func(m *objectset.Model) string { return m.Name }),
+		ranks:    byName(set.Ranks, func(r *objectset.Rank) string { return r.Name }),
+		services: byName(set.Services, func(s *objectset.Service) string { return s.Name }),
+	}
+	for i := range set.Accounts {
+		for _, hash := range set.Accounts[i].KeySHA256 {
+			c.byKey[strings.ToLower(hash)] = &set.Accounts[i]
+		}
+	}
+	return c
+}
+
+func byName[T any](list []T, name func(*T) string) map[string]*T {
+	index := make(map[string]*T, len(list))
+	for i := range list {
+		index[name(&list[i])] = &list[i]
+	}
+	return index
+}
+
+// account finds the account of an Authorization header. Only hashes are compared, so the time of the lookup
+// tells nothing about other keys.
+func (c *catalog) account(authorization string) (*objectset.Account, error) {
+	key, ok := strings.CutPrefix(authorization, "Bearer ")
+	if !ok || key == "" {
+		return nil, failure.New(failure.Unauthorized, failure.NotRun, "the Authorization header must be: Bearer KEY")
+	}
+	hash := sha256.Sum256([]byte(key))
+	account, ok := c.byKey[hex.EncodeToString(hash[:])]
+	if !ok {
+		return nil, failure.New(failure.Unauthorized, failure.NotRun, "unknown API key")
+	}
+	return account, nil
+}
+
+// model finds a model that the account may use. A model of others is not found, like one that does not exist.
+func (c *catalog) model(account *objectset.Account, name string) (*objectset.Model, error) {
+	model, ok := c.models[name]
+	if !ok || !slices.Contains(account.Models, name) {
+		return nil, failure.New(failure.ModelNotFound, failure.NotRun, "model %q does not exist or is not open to this account", name)
+	}
+	return model, nil
+}
+
+// service finds a service that the account may call.
+func (c *catalog) service(account *objectset.Account, name string) (*objectset.Service, error) {
+	service, ok := c.services[name]
+	if !ok || !slices.Contains(account.Services, name) {
+		return nil, failure.New(failure.ServiceNotFound, failure.NotRun, "service %q does not exist or is not open to this account", name)
+	}
+	return service, nil
+}
+
+// rank returns the rank of a request: the caller's choice, or the default.
+func (c *catalog) rank(account *objectset.Account, chosen, fallback string) (*objectset.Rank, error) {
+	name := chosen
+	if name == "" {
+		name = fallback
+	}
+	rank, ok := c.ranks[name]
+	if !ok {
+		return nil, failure.New(failure.InvalidRequest, failure.NotRun, "rank %q does not exist", name)
+	}
+	if len(account.Ranks) > 0 && !slices.Contains(account.Ranks, name) {
+		return nil, failure.New(failure.Forbidden, failure.NotRun, "this account may not use rank %q", name)
+	}
+	return rank, nil
+}
--- /dev/null
+++ b/entry/options.go
@@ -0,0 +1,83 @@
+package entry
+
+import "time"
+
+// Options are the limits of a Server.
+type Options struct {
+	// MaxBodyBytes limits a request body; default 8 MiB.
+	MaxBodyBytes int64
+	// MaxBufferedBytes limits the bodies of all requests in flight together; default 1 GiB.
+	MaxBufferedBytes int64
+	// MaxConcurrent limits requests in flight; default 2048.
+	MaxConcurrent int
+	// MaxConnections limits open connections of callers; default 8192.
+	MaxConnections int
+	// HeaderTimeout limits the arrival of a request's head; default 5 s.
+	HeaderTimeout time.Duration
+	// BodyTimeout limits the arrival of a request's body; default 10 s.
+	BodyTimeout time.Duration
+	// WriteTimeout limits one write to a caller; default 10 s.
+	WriteTimeout time.Duration
+	// IdleTimeout closes keep-alive connections; default 60 s.
+	IdleTimeout time.Duration
+	// DefaultDeadline is given to requests without X-Deadline-Ms; default 5 min.
+	DefaultDeadline time.Duration
+	// MaxDeadline is the largest X-Deadline-Ms; default 10 min.
+	MaxDeadline time.Duration
+	// StreamIdle ends a stream from an agent that is silent for so long; default 5 s (agents send a sign of life each second).
+	StreamIdle time.Duration
+	// ConnectTimeout limits connection set-up to an agent; default 1 s.
+	ConnectTimeout time.Duration
+	// CatchUp is how long a request waits for a set version that a reply named; default 1 s.
+	CatchUp time.Duration
+	// MaxAttempts limits the upstreams tried for one request, continuations included; default 3.
+	MaxAttempts int
+	// RetryShare is the retry budget as a share of requests; default 0.1.
+	RetryShare float64
+	// RetryBurst is the number of retries that may be saved up; default 10.
+	RetryBurst float64
+	// DefaultMaxTokens is used for chat requests that give no limit; default 1024.
+	DefaultMaxTokens int64
+	// MaxTokens is the largest limit that a chat request may give; default 32,768.
+	MaxTokens int64
+	// DebugRequests is how many past requests can be looked up; default 1024.
+	DebugRequests int
+	// OperatorTokenSHA256 is the hex SHA-256 of the token that may look up requests; empty means nobody may.
+	OperatorTokenSHA256 string
+	// DrainNotice is how long a stopping entry keeps accepting while readyz is false; default 5 s.
+	DrainNotice time.Duration
+	// DrainLimit is how long running requests may take after that; default 10 min.
+	DrainLimit time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.MaxBodyBytes, 8<<20)
+	setDefault(&o.MaxBufferedBytes, 1<<30)
+	setDefault(&o.MaxConcurrent, 2048)
+	setDefault(&o.MaxConnections, 8192)
+	setDefault(&o.HeaderTimeout, 5*time.Second)
+	setDefault(&o.BodyTimeout, 10*time.Second)
+	setDefault(&o.WriteTimeout, 10*time.Second)
+	setDefault(&o.IdleTimeout, time.Minute)
+	setDefault(&o.DefaultDeadline, 5*time.Minute)
+	setDefault(&o.MaxDeadline, 10*time.Minute)
+	setDefault(&o.StreamIdle, 5*time.Second)
+	setDefault(&o.ConnectTimeout, time.Second)
+	setDefault(&o.CatchUp, time.Second)
+	setDefault(&o.MaxAttempts, 3)
+	setDefault(&o.RetryShare, 0.1)
+	setDefault(&o.RetryBurst, 10)
+	setDefault(&o.DefaultMaxTokens, 1024)
+	setDefault(&o.MaxTokens, 32768)
+	setDefault(&o.DebugRequests, 1024)
+	setDefault(&o.DrainNotice, 5*time.Second)
+	setDefault(&o.DrainLimit, 10*time.Minute)
+	return o
+}
+
+func setDefault[T comparable](value *T, fallback T) {
+	var zero T
+	if *value == zero {
+		*value = fallback
+	}
+}
--- /dev/null
+++ b/entry/routes.go
@@ -0,0 +1,168 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net/http"
+	"reflect"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/danielgtaylor/huma/v2"
+	"github.com/danielgtaylor/huma/v2/adapters/humago"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/metrics"
+)
+
+// routes builds the HTTP interface. huma describes it (see /docs and /openapi.json); the handlers read requests
+// themselves, because every failure must have this package's typed body.
+func (s *Server) routes() http.Handler {
+	mux := http.NewServeMux()
+	config := huma.DefaultConfig("wasabishunt entry", "1")
+	api := humago.New(mux, config)
+	s.routeChat(api)
+	s.routeServices(api)
+	s.routeOperations(api)
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		s.writeError(w, failure.New(failure.NotFound, failure.NotRun, "%s %s does not exist", r.Method, r.URL.Path), "", "")
+	})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// A deadline left from an earlier response on the same connection must not end this one.
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.options.WriteTimeout))
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// route registers an operation whose handler works on the plain request.
+func route(api huma.API, operation huma.Operation, handler http.HandlerFunc) {
+	huma.Register(api, operation, func(context.Context, *struct{}) (*huma.StreamResponse, error) {
+		return &huma.StreamResponse{Body: func(ctx huma.Context) {
+			r, w := humago.Unwrap(ctx)
+			handler(w, r)
+		}}, nil
+	})
+}
+
+func headerParam(name, description string) *huma.Param {
+	return &huma.Param{Name: name, In: "header", Description: description, Schema: &huma.Schema{Type: "string"}}
+}
+
+// callerHeaders document the headers of all calls.
+func callerHeaders() []*huma.Param {
+	return []*huma.Param{
+		headerParam("Authorization", "Bearer KEY of the client account"),
+		headerParam(headerRank, "Rank of the request; the default is that of the model or service"),
+		headerParam(headerDeadline, "Time for the whole answer in milliseconds from the arrival of the request"),
+		headerParam(headerRequestID, "The caller's own id, echoed as client_request_id; the response carries the id of this system"),
+	}
+}
+
+// responses documents an operation's answer and its typed failures.
+func responses(api huma.API, answer reflect.Type) map[string]*huma.Response {
+	content := func(t reflect.Type) map[string]*huma.MediaType {
+		return map[string]*huma.MediaType{"application/json": {Schema: huma.SchemaFromType(api.OpenAPI().Components.Schemas, t)}}
+	}
+	ok := &huma.Response{Description: "Answer"}
+	if answer != nil {
+		ok.Content = content(answer)
+	}
+	return map[string]*huma.Response{
+		"200":     ok,
+		"default": {Description: "Failure", Content: content(reflect.TypeFor[ErrorBody]())},
+	}
+}
+
+func (s *Server) routeChat(api huma.API) {
+	schema := huma.SchemaFromType(api.OpenAPI().Components.Schemas, reflect.TypeFor[ChatRequest]())
+	route(api, huma.Operation{
+		OperationID: "create-chat-completion", Method: http.MethodPost, Path: "/v1/chat/completions",
+		Summary:     "Answer a conversation, streamed as server-sent events or whole",
+		Parameters:  callerHeaders(),
+		RequestBody: &huma.RequestBody{Required: true, Content: map[string]*huma.MediaType{"application/json": {Schema: schema}}},
+		Responses:   responses(api, reflect.TypeFor[ChatCompletion]()),
+	}, s.withCall(s.chat))
+	route(api, huma.Operation{
+		OperationID: "list-models", Method: http.MethodGet, Path: "/v1/models", Summary: "List the models that the account may use",
+		Parameters: callerHeaders(), Responses: responses(api, reflect.TypeFor[ModelList]()),
+	}, s.withCall(s.models))
+}
+
+func (s *Server) routeServices(api huma.API) {
+	parameters := append(callerHeaders(),
+		headerParam(headerKey, "Needed for calls that may run at most once"),
+		headerParam(headerIssuedAt, "Time at which the key was made (RFC 3339); not needed for a UUIDv7"),
+		&huma.Param{Name: "service", In: "path", Required: true, Schema: &huma.Schema{Type: "string"}},
+		&huma.Param{Name: "path", In: "path", Required: true, Schema: &huma.Schema{Type: "string"}})
+	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete} {
+		route(api, huma.Operation{
+			OperationID: "call-service-" + strings.ToLower(method), Method: method, Path: "/services/{service}/{path...}",
+			Summary: "Call a plain service", Parameters: parameters, Responses: responses(api, nil),
+		}, s.withCall(s.service))
+	}
+}
+
+func (s *Server) routeOperations(api huma.API) {
+	simple := func(id, path, summary string, handler http.HandlerFunc) {
+		route(api, huma.Operation{OperationID: id, Method: http.MethodGet, Path: path, Summary: summary, Responses: responses(api, nil)}, handler)
+	}
+	simple("health", "/healthz", "Whether the process runs", func(w http.ResponseWriter, _ *http.Request) {
+		s.writeJSON(w, http.StatusOK, map[string]bool{"ok": true})
+	})
+	simple("ready", "/readyz", "Whether callers should be sent here", func(w http.ResponseWriter, _ *http.Request) {
+		if err := s.ready(); err != nil {
+			s.writeError(w, failure.Of(err), "", "")
+			return
+		}
+		s.writeJSON(w, http.StatusOK, map[string]bool{"ok": true})
+	})
+	simple("metrics", "/metrics", "Metrics in the Prometheus text format", metrics.Handler(s.deps.Registry).ServeHTTP)
+	simple("debug-request", "/debug/requests/{id}", "Decisions and outcome of a past request, for operators", s.debugRequest)
+}
+
+// debugRequest shows a past request to the holder of the operator token.
+func (s *Server) debugRequest(w http.ResponseWriter, r *http.Request) {
+	token := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+	hash := sha256.Sum256([]byte(token))
+	want := strings.ToLower(s.options.OperatorTokenSHA256)
+	if want == "" || subtle.ConstantTimeCompare([]byte(hex.EncodeToString(hash[:])), []byte(want)) != 1 {
+		s.writeError(w, failure.New(failure.Unauthorized, failure.NotRun, "an operator token is needed"), "", "")
+		return
+	}
+	record, ok := s.history.find(r.PathValue("id"))
+	if !ok {
+		s.writeError(w, failure.New(failure.NotFound, failure.NotRun, "request %q is not among the last ones", r.PathValue("id")), "", "")
+		return
+	}
+	s.writeJSON(w, http.StatusOK, record)
+}
+
+// ModelList is the answer of GET /v1/models.
+type ModelList struct {
+	Object string      `json:"object"`
+	Data   []ModelInfo `json:"data"`
+}
+
+// ModelInfo is one model.
+type ModelInfo struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (s *Server) models(c *call) error {
+	list := ModelList{Object: "list", Data: []ModelInfo{}}
+	for _, name := range c.account.Models {
+		if _, ok := c.catalog.models[name]; ok {
+			list.Data = append(list.Data, ModelInfo{ID: name, Object: "model", OwnedBy: "wasabishunt"})
+		}
+	}
+	sort.Slice(list.Data, func(i, j int) bool { return list.Data[i].ID < list.Data[j].ID })
+	c.answered = true
+	s.writeJSON(c.writer, http.StatusOK, list)
+	return nil
+}
--- /dev/null
+++ b/entry/server.go
@@ -0,0 +1,153 @@
+// Package entry answers callers: it authenticates them, routes their requests to agents, relays the answers
+// and never reports an answer as whole, or a request as not run, unless that is true.
+//
+// Locks: accountLimits.mu, budget.mu and history.mu are leaves; none is held while another lock is taken.
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"golang.org/x/sync/semaphore"
+
+	"github.com/wasabishunt/wasabishunt/clock"
+	"github.com/wasabishunt/wasabishunt/connlimit"
+	"github.com/wasabishunt/wasabishunt/controlclient"
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/piece"
+	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
+	"github.com/wasabishunt/wasabishunt/rpcpool"
+)
+
+// Bookings is what the entry asks of the control members.
+type Bookings interface {
+	ClaimBooking(ctx context.Context, in *controlpb.ClaimBookingRequest) (*controlpb.BookingResponse, error)
+	ReleaseBooking(ctx context.Context, in *controlpb.ReleaseBookingRequest) (*controlpb.BookingResponse, error)
+}
+
+// Dependencies are the parts that a Server works with.
+type Dependencies struct {
+	Source   controlclient.Source
+	Bookings Bookings
+	Router   Router
+	Agents   *rpcpool.Pool
+	PieceKey piece.Key
+	Clock    clock.Clock
+	Registry gometrics.Registry
+	Log      *zap.Logger
+}
+
+// Server answers callers.
+type Server struct {
+	options  Options
+	deps     Dependencies
+	catalogs catalogs
+	slots    *semaphore.Weighted
+	buffered *semaphore.Weighted
+	accounts *accountLimits
+	budget   *retryBudget
+	history  *history
+	draining atomic.Bool
+	handler  http.Handler
+}
+
+// New returns a Server; Serve starts it.
+func New(options Options, deps Dependencies) *Server {
+	options = options.withDefaults()
+	if deps.Clock == nil {
+		deps.Clock = clock.System{}
+	}
+	if deps.Registry == nil {
+		deps.Registry = gometrics.NewRegistry()
+	}
+	if deps.Log == nil {
+		deps.Log = zap.NewNop()
+	}
+	s := &Server{
+		options:  options,
+		deps:     deps,
+		slots:    semaphore.NewWeighted(int64(options.MaxConcurrent)),
+		buffered: semaphore.NewWeighted(options.MaxBufferedBytes),
+		accounts: newAccountLimits(),
+		budget:   newRetryBudget(options.RetryShare, options.RetryBurst),
+		history:  newHistory(options.DebugRequests),
+	}
+	s.handler = s.routes()
+	return s
+}
+
+// Handler serves the HTTP interface.
+func (s *Server) Handler() http.Handler { return s.handler }
+
+// Serve answers callers on the listener until ctx ends, then stops gracefully: readyz is false while the load
+// balancer may still send, then the listener closes and running requests finish.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	server := &http.Server{
+		Handler:           s.handler,
+		ReadHeaderTimeout: s.options.HeaderTimeout,
+		IdleTimeout:       s.options.IdleTimeout,
+		MaxHeaderBytes:    64 << 10,
+		ErrorLog:          zap.NewStdLog(s.deps.Log),
+	}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(connlimit.Listen(listener, s.options.MaxConnections, 0)) }()
+	select {
+	case err := <-served:
+		return err
+	case <-ctx.Done():
+	}
+	err := s.stop(server)
+	if e := <-served; !errors.Is(e, http.ErrServerClosed) {
+		return e
+	}
+	return err
+}
+
+func (s *Server) stop(server *http.Server) error {
+	s.draining.Store(true)
+	s.deps.Log.Info("draining", zap.Duration("notice", s.options.DrainNotice))
+	notice := time.NewTimer(s.options.DrainNotice)
+	defer notice.Stop()
+	<-notice.C
+	ctx, cancel := context.WithTimeout(context.Background(), s.options.DrainLimit)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		_ = server.Close()
+		return failure.Wrap(err, failure.DeadlineExceeded, failure.Ran, "requests still ran at the end of the drain limit")
+	}
+	s.deps.Log.Info("all requests finished")
+	return nil
+}
+
+// Draining reports whether the server is stopping.
+func (s *Server) Draining() bool { return s.draining.Load() }
+
+// ready returns nil when callers should be sent here.
+func (s *Server) ready() error {
+	if s.draining.Load() {
+		return failure.New(failure.Draining, failure.NotRun, "this entry is stopping")
+	}
+	view := s.deps.Source.Current()
+	if !view.Fresh(s.deps.Clock.Now()) {
+		return failure.New(failure.StaleSet, failure.NotRun, "control has not confirmed the object set")
+	}
+	for _, process := range view.Processes {
+		if process.Role == agentRole && process.State == controlclient.Live {
+			return nil
+		}
+	}
+	return failure.New(failure.NoUpstream, failure.NotRun, "no agent is live")
+}
+
+// agentRole is the role under which agents report their presence.
+const agentRole = "agent"
+
+func (s *Server) count(name string) {
+	gometrics.GetOrRegisterCounter(name, s.deps.Registry).Inc(1)
+}
--- /dev/null
+++ b/entry/services.go
@@ -0,0 +1,174 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"path"
+	"strings"
+
+	"github.com/wasabishunt/wasabishunt/controlclient"
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/objectset"
+	"github.com/wasabishunt/wasabishunt/rpc/agentpb"
+	"github.com/wasabishunt/wasabishunt/rpcpool"
+
+	"storj.io/drpc/drpcconn"
+)
+
+// passedHeaders of a caller reach the service. Keys and credentials do not.
+var passedHeaders = []string{"Content-Type", "Accept", "Accept-Language"}
+
+// serviceCall is one call of a plain service.
+type serviceCall struct {
+	call    *call
+	service *objectset.Service
+	target  string
+	body    []byte
+	booking *agentpb.BookingRef
+	// ran is true once an agent may have handed the call over.
+	ran bool
+}
+
+// service answers /services/{service}/{path}.
+func (s *Server) service(c *call) error {
+	service, err := c.catalog.service(c.account, c.request.PathValue("service"))
+	if err != nil {
+		return err
+	}
+	c.record.Service = service.Name
+	if err := c.chooseRank(service.Rank); err != nil {
+		return err
+	}
+	target, err := servicePath(c.request)
+	if err != nil {
+		return err
+	}
+	once := service.RunsOnce(c.request.Method, target)
+	if once && c.request.Header.Get(headerKey) == "" {
+		return failure.New(failure.KeyRequired, failure.NotRun, "this call needs an %s header", headerKey)
+	}
+	body, err := c.readBody()
+	if err != nil {
+		return err
+	}
+	sc := &serviceCall{call: c, service: service, target: target, body: body}
+	if once {
+		return sc.book()
+	}
+	response, err := sc.run(c.ctx)
+	if err != nil {
+		return err
+	}
+	c.answer(response.GetStatus(), response.GetHeaders(), response.GetBody())
+	return nil
+}
+
+// servicePath returns the path and query for the service. Spellings that a service may read as another path are
+// refused, because the path decides whether a call may be repeated.
+func servicePath(r *http.Request) (string, error) {
+	prefix := "/services/" + r.PathValue("service")
+	decoded := strings.TrimPrefix(r.URL.Path, prefix)
+	if decoded == "" || path.Clean(decoded) != strings.TrimSuffix(decoded, "/") && decoded != "/" || strings.ContainsAny(decoded, "\\%;") {
+		return "", invalid("path %q is not in canonical form", decoded)
+	}
+	target := strings.TrimPrefix(r.URL.EscapedPath(), prefix)
+	if r.URL.RawQuery != "" {
+		target += "?" + r.URL.RawQuery
+	}
+	return target, nil
+}
+
+// answer passes a service's answer to the caller.
+func (c *call) answer(status int32, headers map[string]string, body []byte) {
+	c.answered = true
+	for name, value := range headers {
+		c.writer.Header().Set(name, value)
+	}
+	c.server.writeBody(c.writer, int(status), "", body)
+}
+
+// run tries the service's agents. Another one is tried only while nothing can have run.
+func (sc *serviceCall) run(ctx context.Context) (*agentpb.ServiceResponse, error) {
+	s := sc.call.server
+	last := noUpstream(sc.service.Name)
+	for i, address := range sc.agents() {
+		if i > 0 && (i >= s.options.MaxAttempts || !s.budget.take()) {
+			break
+		}
+		sc.call.decided("agent " + address)
+		response, err := sc.attempt(ctx, address)
+		if err == nil {
+			return response, nil
+		}
+		last = failure.Of(err)
+		if last.Execution != failure.NotRun {
+			sc.ran = true
+			return nil, last
+		}
+		sc.call.decided(fmt.Sprintf("agent %s refused: %s", address, last.Kind))
+		if !elsewhere[last.Kind] {
+			return nil, last
+		}
+	}
+	return nil, last
+}
+
+// agents returns the addresses of live agents in random order.
+func (sc *serviceCall) agents() []string {
+	live := map[string]bool{}
+	for _, process := range sc.call.view.Processes {
+		if process.State == controlclient.Live {
+			live[process.Address] = true
+		}
+	}
+	var addresses []string
+	for _, address := range sc.service.AgentAddresses {
+		if live[address] {
+			addresses = append(addresses, address)
+		}
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses
+}
+
+// attempt makes one call on a fresh connection: an error on a pooled one could not tell whether bytes had left.
+func (sc *serviceCall) attempt(ctx context.Context, address string) (*agentpb.ServiceResponse, error) {
+	conn, err := rpcpool.Dial(ctx, address, sc.call.server.options.ConnectTimeout)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = conn.Close() }()
+	return sc.send(ctx, conn)
+}
+
+func (sc *serviceCall) send(ctx context.Context, conn *drpcconn.Conn) (*agentpb.ServiceResponse, error) {
+	response, err := agentpb.NewDRPCAgentClient(conn).CallService(ctx, sc.message())
+	if err != nil {
+		return nil, failure.Wrap(err, failure.OutcomeUnknown, failure.Unknown, "the call of the service's agent broke")
+	}
+	sc.call.server.learn(response.GetLoad())
+	if refusal := response.GetRefusal(); refusal != nil {
+		return nil, refused(refusal)
+	}
+	return response, nil
+}
+
+func (sc *serviceCall) message() *agentpb.ServiceRequest {
+	headers := map[string]string{"Wasabishunt-Request-Id": sc.call.id, "Wasabishunt-Account": sc.call.account.Name}
+	for _, name := range passedHeaders {
+		if value := sc.call.request.Header.Get(name); value != "" {
+			headers[name] = value
+		}
+	}
+	return &agentpb.ServiceRequest{
+		Header:  sc.call.header(),
+		Service: sc.service.Name,
+		Method:  sc.call.request.Method,
+		Path:    sc.target,
+		Headers: headers,
+		Body:    sc.body,
+		Booking: sc.booking,
+	}
+}
--- a/failure/failure.go
+++ b/failure/failure.go
@@ -43,6 +43,7 @@
 	Fenced              Kind = "fenced"
 	SetVersionBehind    Kind = "set_version_behind"
 	StaleSet            Kind = "stale_set"
+	WrongWeightVersion  Kind = "wrong_weight_version"
 	NoUpstream          Kind = "no_upstream"
 	StreamBroken        Kind = "stream_broken"
 	UpstreamFailed      Kind = "upstream_failed"
