--- a/agent/agent.go
+++ b/agent/agent.go
@@ -25,6 +25,7 @@
 	"github.com/wasabishunt/wasabishunt/objectset"
 	"github.com/wasabishunt/wasabishunt/rpc/agentpb"
 	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
+	"github.com/wasabishunt/wasabishunt/sched"
 	"github.com/wasabishunt/wasabishunt/upstream/engine"
 	"github.com/wasabishunt/wasabishunt/upstream/service"
 )
@@ -40,14 +41,13 @@
 // Dependencies are the parts that an Agent works with. Engine is nil for an agent beside a plain service,
 // and Service is nil for an agent beside an engine.
 type Dependencies struct {
-	Source    controlclient.Source
-	Control   Control
-	Engine    engine.Client
-	Service   *service.Client
-	Scheduler Scheduler
-	Clock     clock.Clock
-	Registry  gometrics.Registry
-	Log       *zap.Logger
+	Source   controlclient.Source
+	Control  Control
+	Engine   engine.Client
+	Service  *service.Client
+	Clock    clock.Clock
+	Registry gometrics.Registry
+	Log      *zap.Logger
 }
 
 // Agent serves one upstream.
@@ -60,16 +60,20 @@
 
 	mu       sync.Mutex
 	jobs     map[string]*job
-	queue    Scheduler
+	queue    *sched.Queue
 	running  int64
 	active   int
 	draining bool
+	// drainStarted is closed when draining becomes true.
+	drainStarted chan struct{}
 	// idle is closed when draining and no call is active.
 	idle chan struct{}
 	// wake has one slot; a value in it means that a worker may find work.
 	wake       chan struct{}
 	setVersion uint64
 	adoptedAt  time.Time
+	// configured is the set version of the queue's ranks and weights; only followSet uses it.
+	configured uint64
 }
 
 // New returns an Agent; Serve starts it.
@@ -84,18 +88,16 @@
 	if deps.Log == nil {
 		deps.Log = zap.NewNop()
 	}
-	if deps.Scheduler == nil {
-		deps.Scheduler = NewFIFO(options.MaxQueued)
-	}
 	a := &Agent{
-		options: options,
-		deps:    deps,
-		jobs:    map[string]*job{},
-		queue:   deps.Scheduler,
-		idle:    make(chan struct{}),
-		wake:    make(chan struct{}, 1),
-		rates:   newRates(),
-		cache:   newCacheContents(options.MaxCachePieces),
+		options:      options,
+		deps:         deps,
+		jobs:         map[string]*job{},
+		queue:        newQueue(options),
+		idle:         make(chan struct{}),
+		drainStarted: make(chan struct{}),
+		wake:         make(chan struct{}, 1),
+		rates:        &rates{},
+		cache:        newCacheContents(options.MaxCachePieces),
 	}
 	a.weights = newWeights(a)
 	return a
@@ -131,7 +133,12 @@
 	for {
 		changed := a.deps.Source.Changed()
 		view := a.deps.Source.Current()
-		a.adopt(view.Version)
+		if a.setChanged(view) {
+			a.configure(view.Set)
+		}
+		if upstream, _, ok := a.upstream(view.Set); ok {
+			a.rates.start(upstream)
+		}
 		if a.leaving(view) && a.beginDrain() {
 			a.deps.Log.Info("control reports this agent as leaving; no new work is taken")
 		}
@@ -143,6 +150,14 @@
 	}
 }
 
+// setChanged reports whether the view's set is newer than the one that the queue was configured with.
+func (a *Agent) setChanged(view controlclient.View) bool {
+	a.adopt(view.Version)
+	changed := view.Set != nil && view.Version != a.configured
+	a.configured = view.Version
+	return changed
+}
+
 // adopt records the time at which a set version was first seen in force; it returns the time of the newest.
 func (a *Agent) adopt(version uint64) time.Time {
 	a.mu.Lock()
--- a/agent/drain.go
+++ b/agent/drain.go
@@ -25,6 +25,9 @@
 	return a.draining
 }
 
+// DrainStarted returns a channel that is closed once the agent refuses new work for good.
+func (a *Agent) DrainStarted() <-chan struct{} { return a.drainStarted }
+
 // beginDrain reports whether this call started the drain.
 func (a *Agent) beginDrain() bool {
 	a.mu.Lock()
@@ -33,6 +36,7 @@
 		return false
 	}
 	a.draining = true
+	close(a.drainStarted)
 	if a.active == 0 {
 		close(a.idle)
 	}
--- a/agent/generate.go
+++ b/agent/generate.go
@@ -19,13 +19,18 @@
 	request *agentpb.GenerateRequest
 	account objectset.Account
 	rank    objectset.Rank
-	// ctx ends at the request's deadline or when the entry closes the stream.
-	ctx context.Context
-	// events is written and closed by the worker that runs the job.
+	// ctx ends at the request's deadline, when the entry closes the stream, or when the queue drops the job;
+	// its cause is a typed failure in the last case.
+	ctx  context.Context
+	drop context.CancelCauseFunc
+	// events is written and closed by the worker that runs the job; it is closed empty if the queue drops the job.
 	events chan *agentpb.GenerateEvent
 	// queued is guarded by Agent.mu; it is false once a worker has the job.
-	queued    bool
+	queued bool
+	// ran is set by the worker before it closes events.
+	ran       bool
 	cached    int64
+	estimate  time.Duration
 	decisions []string
 }
 
@@ -37,7 +42,9 @@
 	defer a.leave()
 	ctx, cancel := context.WithTimeout(stream.Context(), a.remaining(req.GetHeader()))
 	defer cancel()
-	j, err := a.admit(ctx, req)
+	ctx, drop := context.WithCancelCause(ctx)
+	defer drop(nil)
+	j, err := a.admit(ctx, drop, req)
 	if err != nil {
 		return a.refuse(stream, req, err)
 	}
@@ -59,7 +66,7 @@
 }
 
 // admit checks a request and queues it.
-func (a *Agent) admit(ctx context.Context, req *agentpb.GenerateRequest) (*job, error) {
+func (a *Agent) admit(ctx context.Context, drop context.CancelCauseFunc, req *agentpb.GenerateRequest) (*job, error) {
 	if a.deps.Engine == nil {
 		return nil, failure.New(failure.NoUpstream, failure.NotRun, "this agent has no engine")
 	}
@@ -70,24 +77,22 @@
 	if err != nil {
 		return nil, err
 	}
-	j, err := a.newJob(ctx, view, req)
+	j, err := a.newJob(view, req)
 	if err != nil {
 		return nil, err
 	}
+	j.ctx = ctx
+	j.drop = drop
 	if err := a.checkWeights(view, req); err != nil {
 		return nil, err
 	}
 	if err := a.weights.available(); err != nil {
 		return nil, err
 	}
-	work := a.describe(ctx, j)
-	if err := a.checkDeadline(work); err != nil {
-		return nil, err
-	}
-	return j, a.enqueue(j, work)
+	return j, a.enqueue(j)
 }
 
-func (a *Agent) newJob(ctx context.Context, view controlclient.View, req *agentpb.GenerateRequest) (*job, error) {
+func (a *Agent) newJob(view controlclient.View, req *agentpb.GenerateRequest) (*job, error) {
 	account, err := findAccount(view.Set, req.GetHeader().GetAccount())
 	if err != nil {
 		return nil, err
@@ -104,59 +109,18 @@
 		request: req,
 		account: account,
 		rank:    rank,
-		ctx:     ctx,
 		events:  make(chan *agentpb.GenerateEvent, a.options.EventBuffer),
 		cached:  a.cache.prefixTokens(req.GetPieceNames()),
 	}, nil
 }
 
-func (a *Agent) describe(ctx context.Context, j *job) Work {
-	deadline, _ := ctx.Deadline()
-	weight := j.account.Weight
-	if weight <= 0 {
-		weight = 1
-	}
-	return Work{
-		ID:           j.id,
-		Account:      j.account.Name,
-		Rank:         j.rank.Name,
-		Weight:       weight,
-		PromptTokens: j.request.GetPromptTokens(),
-		CachedTokens: j.cached,
-		MaxTokens:    j.request.GetMaxTokens(),
-		Arrived:      a.deps.Clock.Now(),
-		Deadline:     deadline,
-	}
-}
-
-// checkDeadline refuses work whose first token cannot arrive before its deadline.
-func (a *Agent) checkDeadline(work Work) error {
-	estimate := a.estimateFirstToken(work.PromptTokens - work.CachedTokens)
-	if work.Deadline.Sub(work.Arrived) > estimate {
-		return nil
-	}
-	e := failure.New(failure.DeadlineUnreachable, failure.NotRun, "the first token is expected after %d ms", estimate.Milliseconds())
-	e.RetryAfter = max(retryAfter, estimate/2)
-	return e
-}
-
-// estimateFirstToken is the time to compute the queued prompts and then the given tokens.
-func (a *Agent) estimateFirstToken(tokens int64) time.Duration {
-	load := a.load()
-	if load.GetPrefillTokensPerSecond() <= 0 {
-		return 0
-	}
-	ahead := float64(load.GetQueuedTokens() + max(0, tokens))
-	return time.Duration(ahead / load.GetPrefillTokensPerSecond() * float64(time.Second))
-}
-
 // accepted is the first event of a stream; it is sent again as a sign of life while there are no other events.
 func (a *Agent) accepted(j *job) *agentpb.GenerateEvent {
 	load := a.load()
 	return &agentpb.GenerateEvent{Event: &agentpb.GenerateEvent_Accepted{Accepted: &agentpb.Accepted{
 		UpstreamEpoch:         load.GetUpstreamEpoch(),
 		WeightVersion:         j.request.GetWeightVersion(),
-		EstimatedFirstTokenMs: a.estimateFirstToken(0).Milliseconds(),
+		EstimatedFirstTokenMs: j.estimate.Milliseconds(),
 		Load:                  load,
 		RequestId:             j.id,
 	}}}
@@ -171,7 +135,7 @@
 		select {
 		case next, ok := <-j.events:
 			if !ok {
-				return nil
+				return a.relayEnd(stream, j)
 			}
 			event = next
 		case <-heartbeat.C:
@@ -190,6 +154,15 @@
 	}
 }
 
+// relayEnd ends a stream whose events are closed: after a run nothing is left to say, but a job that the queue
+// dropped has had no last event yet.
+func (a *Agent) relayEnd(stream agentpb.DRPCAgent_GenerateStream, j *job) error {
+	if j.ran {
+		return nil
+	}
+	return a.refuse(stream, j.request, ended(j.ctx, failure.NotRun))
+}
+
 // relayRest passes on the last events of a run whose context has ended; its worker is about to close them.
 func (a *Agent) relayRest(stream agentpb.DRPCAgent_GenerateStream, j *job) error {
 	var failed error
@@ -198,6 +171,9 @@
 			failed = stream.Send(event)
 		}
 	}
+	if failed == nil {
+		return a.relayEnd(stream, j)
+	}
 	return failed
 }
 
@@ -212,6 +188,9 @@
 
 // ended tells why a job's context ended.
 func ended(ctx context.Context, execution failure.Execution) *failure.Error {
+	if cause, ok := errors.AsType[*failure.Error](context.Cause(ctx)); ok {
+		return cause
+	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return failure.Wrap(ctx.Err(), failure.DeadlineExceeded, execution, "the deadline passed")
 	}
--- a/agent/load.go
+++ b/agent/load.go
@@ -4,77 +4,99 @@
 	"sync"
 	"time"
 
+	"github.com/wasabishunt/wasabishunt/objectset"
 	"github.com/wasabishunt/wasabishunt/rpc/agentpb"
+	"github.com/wasabishunt/wasabishunt/sched"
 )
 
-// rateWeight is the weight of the newest sample: about the last ten runs decide.
-const rateWeight = 0.2
+// runTimeWeight is the weight of the newest run in the mean run time: about the last ten runs decide.
+const runTimeWeight = 0.2
 
 // rates holds the measured speeds of the engine.
 type rates struct {
 	mu      sync.Mutex
-	prefill float64
-	decode  float64
+	prefill *sched.Meter
+	decode  *sched.Meter
+	run     time.Duration
 }
 
-func newRates() *rates { return &rates{} }
-
-// recordPrefill takes one run's computed prompt tokens and its time to first token.
-func (r *rates) recordPrefill(tokens int64, took time.Duration) {
-	r.record(&r.prefill, tokens, took)
+// start sets the configured estimates, once; measurements replace them.
+func (r *rates) start(upstream objectset.Upstream) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.prefill == nil {
+		r.prefill = sched.NewMeter(upstream.PrefillTokensPerSecond)
+		r.decode = sched.NewMeter(upstream.DecodeTokensPerSecond)
+	}
 }
 
-// recordDecode takes the tokens after the first one and the time they took.
-func (r *rates) recordDecode(tokens int64, took time.Duration) {
-	r.record(&r.decode, tokens, took)
+// recordFirst takes one run's computed prompt tokens and its time to first token.
+func (r *rates) recordFirst(tokens int64, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.prefill != nil {
+		r.prefill.Observe(tokens, took)
+	}
 }
 
-func (r *rates) record(rate *float64, tokens int64, took time.Duration) {
-	if tokens <= 0 || took <= 0 {
-		return
-	}
-	sample := float64(tokens) / took.Seconds()
+// recordRun takes one run's tokens after the first one, the time they took, and the time of the whole run.
+func (r *rates) recordRun(tokens int64, took, whole time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if *rate == 0 {
-		*rate = sample
-		return
+	if r.decode != nil {
+		r.decode.Observe(tokens, took)
+	}
+	if r.run == 0 {
+		r.run = whole
 	}
-	*rate += rateWeight * (sample - *rate)
+	r.run += time.Duration(runTimeWeight * float64(whole-r.run))
 }
 
-// current returns the measured rates, or the given initial estimates where nothing was measured.
-func (r *rates) current(prefill, decode float64) (float64, float64) {
+// current returns the rates in tokens per second; 0 means unknown.
+func (r *rates) current() (prefill, decode float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.prefill > 0 {
-		prefill = r.prefill
+	if r.prefill == nil {
+		return 0, 0
 	}
-	if r.decode > 0 {
-		decode = r.decode
-	}
-	return prefill, decode
+	return r.prefill.Rate(), r.decode.Rate()
+}
+
+func (r *rates) runTime() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.run
 }
 
 // load reports the upstream's state as the agent measures it.
 func (a *Agent) load() *agentpb.UpstreamLoad {
 	view := a.deps.Source.Current()
-	upstream, _, _ := a.upstream(view.Set)
-	prefill, decode := a.rates.current(upstream.PrefillTokensPerSecond, upstream.DecodeTokensPerSecond)
+	prefill, decode := a.rates.current()
 	versions := a.weights.loadedVersions()
+	runTime := a.rates.runTime()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	requests, tokens := a.queue.Queued()
+	queued := a.queue.Load()
 	return &agentpb.UpstreamLoad{
 		Upstream:               a.options.Upstream,
 		UpstreamEpoch:          view.Epoch,
 		SetVersion:             view.Version,
-		QueuedTokens:           tokens,
-		QueuedRequests:         requests,
+		QueuedTokens:           queued.QueuedTokens,
+		QueuedRequests:         int64(queued.QueuedRequests),
 		Running:                a.running,
 		PrefillTokensPerSecond: prefill,
 		DecodeTokensPerSecond:  decode,
 		Draining:               a.draining,
 		WeightVersions:         versions,
+		SlotWaitMs:             a.slotWait(queued, runTime).Milliseconds(),
+	}
+}
+
+// slotWait estimates how long a new request waits for a run slot: each queued request needs one to become free.
+func (a *Agent) slotWait(queued sched.Load, runTime time.Duration) time.Duration {
+	over := queued.Running + queued.QueuedRequests + 1 - a.options.Workers
+	if over <= 0 {
+		return 0
 	}
+	return runTime * time.Duration(over) / time.Duration(a.options.Workers)
 }
--- a/agent/options.go
+++ b/agent/options.go
@@ -1,6 +1,10 @@
 package agent
 
-import "time"
+import (
+	"time"
+
+	"github.com/wasabishunt/wasabishunt/admission"
+)
 
 // Options are the limits of an Agent.
 type Options struct {
@@ -10,10 +14,12 @@
 	Upstream string
 	// Service is the plain service's name in the object set; empty beside an engine.
 	Service string
-	// Workers is how many runs the engine is given at once; default 16.
+	// Workers is how many runs the engine is given at once; default 32.
 	Workers int
-	// MaxQueued is the limit of queued requests of the built-in queue; default 1024.
+	// MaxQueued is the limit of queued requests; default 1024.
 	MaxQueued int
+	// Admission settings; the default is admission.Defaults.
+	Admission admission.Settings
 	// EventBuffer is how many events of a run wait for the entry; default 64.
 	EventBuffer int
 	// WriteTimeout ends a connection whose peer takes no bytes; default 10 s.
@@ -49,8 +55,9 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.Workers, 16)
+	setDefault(&o.Workers, 32)
 	setDefault(&o.MaxQueued, 1024)
+	setDefault(&o.Admission, admission.Defaults())
 	setDefault(&o.EventBuffer, 64)
 	setDefault(&o.WriteTimeout, 10*time.Second)
 	setDefault(&o.Heartbeat, time.Second)
--- a/agent/queue.go
+++ b/agent/queue.go
@@ -4,107 +4,68 @@
 	"context"
 	"time"
 
+	"github.com/wasabishunt/wasabishunt/admission"
 	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/objectset"
+	"github.com/wasabishunt/wasabishunt/sched"
 )
 
-// Work is what a Scheduler sees of a request.
-type Work struct {
-	ID      string
-	Account string
-	Rank    string
-	// Weight is the account's share within a rank.
-	Weight       float64
-	PromptTokens int64
-	// CachedTokens of the prompt are expected in the engine's cache.
-	CachedTokens int64
-	MaxTokens    int64
-	Arrived      time.Time
-	Deadline     time.Time
+// newQueue returns the upstream's queue. An engine takes a prompt as a whole, so one chunk is a whole prompt;
+// the limit of outstanding tokens still keeps a long prompt from being joined by others.
+func newQueue(options Options) *sched.Queue {
+	settings := sched.Defaults()
+	settings.MaxQueued = options.MaxQueued
+	settings.MaxRunning = options.Workers
+	settings.WholePrompts = true
+	return sched.New(settings, sched.Config{})
 }
 
-// Scheduler orders queued work. It is called under the agent's lock and does no I/O.
-type Scheduler interface {
-	// Push queues work, or refuses it with a typed failure.
-	Push(work Work, now time.Time) error
-	// Next removes and returns the id of the work to run now.
-	Next(now time.Time) (id string, ok bool)
-	// Cancel removes queued work.
-	Cancel(id string)
-	// Done reports the end of a run that Next returned, with the prompt tokens it computed.
-	Done(id string, computedTokens int64)
-	// Queued returns the queued requests and their prompt tokens.
-	Queued() (requests, tokens int64)
-}
-
-// FIFO is a bounded queue in order of arrival.
-type FIFO struct {
-	limit  int
-	queue  []Work
-	tokens int64
-}
-
-// NewFIFO returns an empty queue that takes at most limit requests.
-func NewFIFO(limit int) *FIFO { return &FIFO{limit: limit} }
-
-// Push implements Scheduler.
-func (f *FIFO) Push(work Work, _ time.Time) error {
-	if len(f.queue) >= f.limit {
-		e := failure.New(failure.Overloaded, failure.NotRun, "the queue holds %d requests", len(f.queue))
-		e.RetryAfter = time.Second
-		return e
-	}
-	f.queue = append(f.queue, work)
-	f.tokens += work.PromptTokens
-	return nil
-}
-
-// Next implements Scheduler.
-func (f *FIFO) Next(time.Time) (string, bool) {
-	if len(f.queue) == 0 {
-		return "", false
-	}
-	work := f.queue[0]
-	f.remove(0)
-	return work.ID, true
-}
-
-// Cancel implements Scheduler.
-func (f *FIFO) Cancel(id string) {
-	for i, work := range f.queue {
-		if work.ID == id {
-			f.remove(i)
-			return
-		}
-	}
-}
-
-func (f *FIFO) remove(i int) {
-	f.tokens -= f.queue[i].PromptTokens
-	f.queue = append(f.queue[:i], f.queue[i+1:]...)
+// configure takes ranks and weights of a new set.
+func (a *Agent) configure(set *objectset.Set) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.queue.Configure(sched.ConfigOf(set))
 }
 
-// Done implements Scheduler.
-func (f *FIFO) Done(string, int64) {}
-
-// Queued implements Scheduler.
-func (f *FIFO) Queued() (int64, int64) { return int64(len(f.queue)), f.tokens }
-
-// enqueue registers and queues a job.
-func (a *Agent) enqueue(j *job, work Work) error {
+// enqueue decides whether a job can meet its deadline, then registers and queues it.
+func (a *Agent) enqueue(j *job) error {
+	prefill, _ := a.rates.current()
+	now := a.deps.Clock.Now()
+	deadline, _ := j.ctx.Deadline()
+	wait := a.weights.expectedWait()
+	runTime := a.rates.runTime()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.dropLate(now)
 	if _, exists := a.jobs[j.id]; exists {
 		return failure.New(failure.InvalidRequest, failure.NotRun, "request id %s is in use", j.id)
 	}
-	if err := a.queue.Push(work, a.deps.Clock.Now()); err != nil {
+	tokens := max(0, j.request.GetPromptTokens()-j.cached)
+	decision := admission.Decide(a.options.Admission, admission.Request{
+		Account: j.account.Name, Rank: j.rank.Name, Deadline: deadline,
+		PromptTokens: tokens, Draining: a.draining, VersionWait: wait,
+	}, admission.State{
+		Now: now, Ahead: a.queue.AheadOf(j.rank.Name, j.account.Name, tokens), PrefillRate: prefill, RunTime: runTime,
+	})
+	j.decisions = append(j.decisions, decision.Reasons()...)
+	if decision.Refusal != nil {
+		return decision.Refusal
+	}
+	j.estimate = decision.FirstToken
+	item := sched.Item{ID: j.id, Account: j.account.Name, Rank: j.rank.Name, Deadline: deadline, PromptTokens: tokens, Long: tokens > longTokens}
+	if err := a.queue.Push(item, now); err != nil {
 		return err
 	}
 	j.queued = true
 	a.jobs[j.id] = j
+	a.dropLate(now)
 	a.wakeWorker()
 	return nil
 }
 
+// longTokens marks prompts whose recomputation has its own prefill budget: two kept pieces or more.
+const longTokens = 4000
+
 // dequeue removes a job from the queue; it reports false when a worker already has it.
 func (a *Agent) dequeue(j *job) bool {
 	a.mu.Lock()
@@ -118,6 +79,37 @@
 	return true
 }
 
+// dropLate ends the jobs that the queue has given up. The caller holds Agent.mu.
+func (a *Agent) dropLate(now time.Time) {
+	for _, removed := range a.queue.Dropped(now) {
+		j, ok := a.jobs[removed.Item.ID]
+		if !ok {
+			continue
+		}
+		j.drop(dropFailure(removed))
+		if j.queued {
+			j.queued = false
+			delete(a.jobs, j.id)
+			close(j.events)
+		}
+	}
+}
+
+func dropFailure(removed sched.Removed) *failure.Error {
+	kind := failure.Overloaded
+	switch removed.Why {
+	case sched.RemovedExpired:
+		kind = failure.DeadlineExceeded
+	case sched.RemovedUnreachable:
+		kind = failure.DeadlineUnreachable
+	}
+	e := retryable(kind, "left the queue: %s", removed.Why)
+	if removed.Started {
+		e.Execution = failure.Ran
+	}
+	return e
+}
+
 // next waits for the next job to run. It gives out no work while the engine lacks the weight version in force.
 func (a *Agent) next(ctx context.Context) (*job, bool) {
 	for {
@@ -136,26 +128,46 @@
 	if !a.weights.ready() {
 		return nil, false
 	}
+	prefill, _ := a.rates.current()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	id, ok := a.queue.Next(a.deps.Clock.Now())
+	now := a.deps.Clock.Now()
+	a.queue.SetPrefillRate(prefill)
+	grant, ok := a.queue.Next(now)
+	a.dropLate(now)
 	if !ok {
 		return nil, false
 	}
-	j := a.jobs[id]
+	j := a.jobs[grant.Item.ID]
 	j.queued = false
+	j.decisions = append(j.decisions, grant.Reasons()...)
 	a.running++
 	// One wake-up value may stand for several pushed jobs, so each worker passes it on.
 	a.wakeWorker()
 	return j, true
 }
 
-func (a *Agent) finish(j *job, computed int64) {
+// firstToken reports that a job's prompt has been computed; the next prompt may start.
+func (a *Agent) firstToken(j *job) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.queue.ChunkDone(j.id)
+	a.wakeWorker()
+}
+
+// progress charges one generated token to the job's account.
+func (a *Agent) progress(j *job) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.queue.Progress(j.id, 1)
+}
+
+func (a *Agent) finish(j *job) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	delete(a.jobs, j.id)
 	a.running--
-	a.queue.Done(j.id, computed)
+	a.queue.Finish(j.id)
 	a.wakeWorker()
 }
 
--- a/agent/run.go
+++ b/agent/run.go
@@ -31,10 +31,11 @@
 
 // run executes one job. Its last event is End or Refusal.
 func (a *Agent) run(j *job) {
+	j.ran = true
 	defer close(j.events)
 	run := &engineRun{agent: a, job: j, next: int64(len(j.request.GetEmitted())), started: a.deps.Clock.Now()}
 	err := run.execute()
-	a.finish(j, run.computed)
+	a.finish(j)
 	a.deps.Log.Info("run ended", zap.String("request_id", j.id), zap.String("account", j.account.Name),
 		zap.Int64("tokens", run.next), zap.Int64("computed_prompt_tokens", run.computed), zap.Error(err))
 	if err == nil {
@@ -144,8 +145,10 @@
 func (r *engineRun) delta(event engine.Event) {
 	if r.first.IsZero() {
 		r.first = r.agent.deps.Clock.Now()
+		r.agent.firstToken(r.job)
 	}
 	r.next++
+	r.agent.progress(r.job)
 	r.job.events <- &agentpb.GenerateEvent{Event: &agentpb.GenerateEvent_Delta{Delta: &agentpb.Delta{Index: event.Index, Text: event.Text}}}
 }
 
@@ -174,8 +177,9 @@
 		return
 	}
 	generated := r.next - int64(len(r.job.request.GetEmitted()))
-	r.agent.rates.recordPrefill(r.computed, r.first.Sub(r.started))
-	r.agent.rates.recordDecode(generated-1, r.agent.deps.Clock.Now().Sub(r.first))
+	now := r.agent.deps.Clock.Now()
+	r.agent.rates.recordFirst(r.computed, r.first.Sub(r.started))
+	r.agent.rates.recordRun(generated-1, now.Sub(r.first), now.Sub(r.started))
 	gometrics.GetOrRegisterTimer("runs.first_token", r.agent.deps.Registry).Update(r.first.Sub(r.started))
 }
 
--- a/agent/weights.go
+++ b/agent/weights.go
@@ -46,6 +46,17 @@
 	return w.reached && slices.Contains(w.loaded, version)
 }
 
+// expectedWait is the time until the version in force is loaded, as far as loads take their usual time.
+func (w *weights) expectedWait() time.Duration {
+	if w.ready() {
+		return 0
+	}
+	return usualLoadTime
+}
+
+// usualLoadTime of new weights on an idle engine.
+const usualLoadTime = 800 * time.Millisecond
+
 // available refuses new work while the engine does not answer. While it loads, work may wait in the queue.
 func (w *weights) available() error {
 	w.mu.Lock()
--- a/entry/generation.go
+++ b/entry/generation.go
@@ -11,6 +11,7 @@
 
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/piece"
+	"github.com/wasabishunt/wasabishunt/routing"
 	"github.com/wasabishunt/wasabishunt/rpc/agentpb"
 )
 
@@ -125,43 +126,40 @@
 	if err := g.chooseVersion(); err != nil {
 		return err
 	}
-	request := g.routeRequest()
-	route, err := g.call.server.deps.Router.Pick(g.call.view, request)
+	route, err := g.call.server.deps.Router.Pick(g.call.view, g.routeRequest())
 	if err != nil {
 		return err
 	}
 	g.attempts++
 	g.excluded = append(g.excluded, route.Upstream)
 	g.call.decided(route.Reasons...)
-	err = g.stream(route, request)
+	err = g.stream(route)
 	if err == nil {
+		g.call.server.deps.Router.Answered(route, g.pieces)
 		return nil
 	}
 	e := failure.Of(err)
 	if e.Kind == failure.NoUpstream || e.Kind == failure.StreamBroken || e.Kind == failure.UpstreamFailed {
-		g.call.server.deps.Router.Failed(route.Upstream)
+		g.call.server.deps.Router.Failed(route, e.Kind == failure.NoUpstream)
 	}
 	g.call.server.deps.Log.Info("attempt failed", zap.String("request_id", g.call.id), zap.String("upstream", route.Upstream),
 		zap.Int("emitted", len(g.emitted)), zap.Error(e))
 	return e
 }
 
-func (g *generation) routeRequest() RouteRequest {
-	return RouteRequest{
-		RequestID:     g.call.id,
-		Account:       g.call.account.Name,
+func (g *generation) routeRequest() routing.Request {
+	return routing.Request{
 		Model:         g.model,
 		WeightVersion: g.version,
-		Rank:          *g.call.rank,
 		Affinity:      g.affinity,
 		Pieces:        g.pieces,
 		PromptTokens:  int64(len(g.tokens)),
-		Excluded:      g.excluded,
+		Exclude:       g.excluded,
 	}
 }
 
 // stream opens the agent's stream and relays it. Canceling its context closes the stream, which cancels the run.
-func (g *generation) stream(route Route, request RouteRequest) error {
+func (g *generation) stream(route Route) error {
 	s := g.call.server
 	ctx, cancel := context.WithCancel(g.call.ctx)
 	defer cancel()
@@ -170,7 +168,6 @@
 	defer idle.Stop()
 	conn := s.deps.Agents.Get(ctx, route.Address)
 	defer func() { _ = conn.Close() }()
-	s.deps.Router.Sent(route.Upstream, request)
 	stream, err := agentpb.NewDRPCAgentClient(conn).Generate(ctx, g.message(route))
 	if err != nil {
 		return broken(err)
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -6,6 +6,7 @@
 
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/objectset"
+	"github.com/wasabishunt/wasabishunt/routing"
 )
 
 // accountLimits counts requests in flight per account.
@@ -42,32 +43,29 @@
 	return e
 }
 
-// retryBudget allows retries as a share of requests, so that retries cannot multiply a flood.
+// retryBudget guards routing's budget of retries with a lock.
 type retryBudget struct {
-	mu    sync.Mutex
-	share float64
-	burst float64
-	saved float64
+	mu     sync.Mutex
+	budget *routing.RetryBudget
 }
 
 func newRetryBudget(share, burst float64) *retryBudget {
-	return &retryBudget{share: share, burst: burst, saved: burst}
+	budget := routing.NewRetryBudget()
+	budget.Ratio = share
+	budget.Burst = burst
+	return &retryBudget{budget: budget}
 }
 
 // request adds one request's share to the budget.
 func (b *retryBudget) request() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.saved = min(b.burst, b.saved+b.share)
+	b.budget.Request()
 }
 
 // take uses one retry, if the budget allows.
 func (b *retryBudget) take() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.saved < 1 {
-		return false
-	}
-	b.saved--
-	return true
+	return b.budget.Retry()
 }
--- a/entry/router.go
+++ b/entry/router.go
@@ -2,30 +2,17 @@
 
 import (
 	"math/rand/v2"
-	"slices"
+	"sync"
+	"time"
 
+	"github.com/wasabishunt/wasabishunt/clock"
 	"github.com/wasabishunt/wasabishunt/controlclient"
 	"github.com/wasabishunt/wasabishunt/failure"
-	"github.com/wasabishunt/wasabishunt/objectset"
 	"github.com/wasabishunt/wasabishunt/piece"
+	"github.com/wasabishunt/wasabishunt/routing"
 	"github.com/wasabishunt/wasabishunt/rpc/agentpb"
 )
 
-// RouteRequest is what a Router weighs.
-type RouteRequest struct {
-	RequestID     string
-	Account       string
-	Model         string
-	WeightVersion string
-	Rank          objectset.Rank
-	// Affinity routes prompts with the same beginning to the same upstreams.
-	Affinity     piece.Name
-	Pieces       []piece.Name
-	PromptTokens int64
-	// Excluded upstreams were already tried for this request.
-	Excluded []string
-}
-
 // Route is a chosen upstream.
 type Route struct {
 	Upstream string
@@ -38,65 +25,128 @@
 // Router picks upstreams and learns from replies.
 type Router interface {
 	// Pick returns a live upstream for the request, or a typed failure.
-	Pick(view controlclient.View, request RouteRequest) (Route, error)
-	// Sent notes work that was sent to an upstream.
-	Sent(upstream string, request RouteRequest)
+	Pick(view controlclient.View, request routing.Request) (Route, error)
 	// Learned takes a load report from a reply.
 	Learned(load *agentpb.UpstreamLoad)
-	// Failed notes a failed call to an upstream.
-	Failed(upstream string)
+	// Answered notes a whole answer.
+	Answered(route Route, pieces []piece.Name)
+	// Failed notes a failed call; unreachable is true if the connection could not be set up.
+	Failed(route Route, unreachable bool)
 }
 
-// RandomRouter picks any live upstream of the model.
-type RandomRouter struct{}
+// TableRouter routes with package routing over tables of learned loads and prefixes. Its lock is a leaf.
+type TableRouter struct {
+	zone  string
+	clock clock.Clock
 
-// Pick implements Router.
-func (RandomRouter) Pick(view controlclient.View, request RouteRequest) (Route, error) {
-	live := liveUpstreams(view)
-	var routes []Route
-	for _, u := range view.Set.Upstreams {
-		process, ok := live[u.Name]
-		if ok && serves(view.Set, u, request.Model) && !slices.Contains(request.Excluded, u.Name) {
-			routes = append(routes, Route{Upstream: u.Name, Address: u.AgentAddress, Epoch: process.Epoch, Reasons: []string{"random: " + u.Name}})
-		}
-	}
-	if len(routes) == 0 {
-		return Route{}, noUpstream(request.Model)
+	mu       sync.Mutex
+	router   *routing.Router
+	loads    *routing.Loads
+	prefixes *routing.Prefixes
+	index    *routing.Index
+	epochs   map[string]uint64
+	version  uint64
+	revision uint64
+}
+
+// NewTableRouter returns a router for an entry in an availability zone.
+func NewTableRouter(settings routing.Settings, zone string, clk clock.Clock) *TableRouter {
+	return &TableRouter{
+		zone:     zone,
+		clock:    clk,
+		router:   routing.New(settings, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		loads:    routing.NewLoads(routing.LoadDefaults()),
+		prefixes: routing.NewPrefixes(routing.PrefixDefaults()),
 	}
-	return routes[rand.IntN(len(routes))], nil
 }
 
-func noUpstream(model string) *failure.Error {
-	e := failure.New(failure.NoUpstream, failure.NotRun, "no live upstream serves %q", model)
-	e.RetryAfter = staleSet().RetryAfter
-	return e
+// Pick implements Router. The picked work counts as sent at once, so that the next request sees it.
+func (t *TableRouter) Pick(view controlclient.View, request routing.Request) (Route, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.refresh(view)
+	now := t.clock.Now()
+	request.Zone = t.zone
+	snapshot := routing.Snapshot{Now: now, Index: t.index, Loads: t.loads, Prefixes: t.prefixes}
+	decision, err := t.router.Pick(request, snapshot)
+	if err != nil {
+		return Route{}, err
+	}
+	upstream := decision.Upstream
+	t.loads.Sent(upstream.Name, max(0, request.PromptTokens-decision.CachedTokens), now)
+	return Route{Upstream: upstream.Name, Address: upstream.AgentAddress, Epoch: t.epochs[upstream.Name], Reasons: decision.Reasons()}, nil
 }
 
-// liveUpstreams returns the live agents by upstream name.
-func liveUpstreams(view controlclient.View) map[string]controlclient.Process {
-	live := map[string]controlclient.Process{}
+// refresh rebuilds the index after a change of the set or of the memberships.
+func (t *TableRouter) refresh(view controlclient.View) {
+	if t.index != nil && view.Version == t.version && view.Revision == t.revision {
+		return
+	}
+	states := map[string]controlclient.ProcessState{}
+	t.epochs = map[string]uint64{}
 	for _, process := range view.Processes {
-		if process.Role == agentRole && process.State == controlclient.Live {
-			live[process.Serves] = process
+		if process.Role != agentRole {
+			continue
 		}
+		// Of several incarnations or processes for one upstream only the newest counts.
+		if epoch, ok := t.epochs[process.Serves]; ok && epoch > process.Epoch {
+			continue
+		}
+		states[process.Serves] = process.State
+		t.epochs[process.Serves] = process.Epoch
 	}
-	return live
-}
-
-func serves(set *objectset.Set, upstream objectset.Upstream, model string) bool {
-	for _, d := range set.Deployments {
-		if d.Name == upstream.Deployment {
-			return d.Model == model
+	t.index = routing.BuildIndex(view.Set, states, t.index)
+	if view.Version != t.version {
+		names := map[string]bool{}
+		for _, upstream := range view.Set.Upstreams {
+			names[upstream.Name] = true
 		}
+		t.loads.Keep(names)
 	}
-	return false
+	t.version = view.Version
+	t.revision = view.Revision
 }
 
-// Sent implements Router.
-func (RandomRouter) Sent(string, RouteRequest) {}
-
 // Learned implements Router.
-func (RandomRouter) Learned(*agentpb.UpstreamLoad) {}
+func (t *TableRouter) Learned(load *agentpb.UpstreamLoad) {
+	if load.GetUpstream() == "" {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.loads.Reported(load.GetUpstream(), routing.Report{
+		Epoch:        load.GetUpstreamEpoch(),
+		QueuedTokens: load.GetQueuedTokens(),
+		Running:      load.GetRunning(),
+		PrefillRate:  load.GetPrefillTokensPerSecond(),
+		DecodeRate:   load.GetDecodeTokensPerSecond(),
+		SlotWait:     time.Duration(load.GetSlotWaitMs()) * time.Millisecond,
+		Draining:     load.GetDraining(),
+		Versions:     load.GetWeightVersions(),
+	}, t.clock.Now())
+}
+
+// Answered implements Router.
+func (t *TableRouter) Answered(route Route, pieces []piece.Name) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.loads.Succeeded(route.Upstream)
+	t.prefixes.Served(route.Upstream, route.Epoch, pieces, t.clock.Now())
+}
 
 // Failed implements Router.
-func (RandomRouter) Failed(string) {}
+func (t *TableRouter) Failed(route Route, unreachable bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if unreachable {
+		t.loads.Unreachable(route.Upstream, t.clock.Now())
+		return
+	}
+	t.loads.Failed(route.Upstream, t.clock.Now())
+}
+
+func noUpstream(name string) *failure.Error {
+	e := failure.New(failure.NoUpstream, failure.NotRun, "no live upstream serves %q", name)
+	e.RetryAfter = time.Second
+	return e
+}
