--- a/entry/router.go
+++ b/entry/router.go
@@ -73,7 +73,7 @@
 		return Route{}, err
 	}
 	upstream := decision.Upstream
-	t.loads.Sent(upstream.Name, max(0, request.PromptTokens-decision.CachedTokens), now)
+	t.loads.Sent(upstream.Name, max(0, request.PromptTokens-decision.CachedTokens), request.Order, now)
 	return Route{Upstream: upstream.Name, Address: upstream.AgentAddress, Epoch: t.epochs[upstream.Name], Reasons: decision.Reasons()}, nil
 }
 
@@ -117,6 +117,7 @@
 	t.loads.Reported(load.GetUpstream(), routing.Report{
 		Epoch:        load.GetUpstreamEpoch(),
 		QueuedTokens: load.GetQueuedTokens(),
+		QueuedAhead:  load.GetQueuedTokensAhead(),
 		Running:      load.GetRunning(),
 		PrefillRate:  load.GetPrefillTokensPerSecond(),
 		DecodeRate:   load.GetDecodeTokensPerSecond(),
