Add the piece store with its client, link and refill

Cause: retained KV cache needs a home that no reader can get wrong bytes from. A piece is published only after file sync, rename and directory sync. Each read checks account, generation, length and checksum. Bodies are counted blocks that return to a pool, so a lease is what keeps them in place. The link is paced by time and not by its receivers, so that one that does not read holds up nobody. Ruled out: an answer to a refused put while its body is still being sent. drpc does not deliver it until the body was read, so early refusals travel as error codes.

--- /dev/null
+++ b/store/fs.go
@@ -0,0 +1,98 @@
+package store
+
+import (
+	"errors"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// FS is the directory that holds piece files. Names are plain file names.
+type FS interface {
+	// Create makes a new file and fails if the name exists.
+	Create(name string) (File, error)
+	Open(name string) (File, error)
+	Rename(from, to string) error
+	Remove(name string) error
+	// Sync makes created, renamed and removed names durable.
+	Sync() error
+	List() ([]FileInfo, error)
+}
+
+// File is an open file of an FS.
+type File interface {
+	io.Reader
+	io.Writer
+	io.Closer
+	// Sync makes the content durable. After an error the content is in an unknown state.
+	Sync() error
+}
+
+// FileInfo is one file of an FS.
+type FileInfo struct {
+	Name    string
+	Size    int64
+	ModTime time.Time
+}
+
+// DirFS is a directory of the operating system.
+type DirFS struct {
+	path string
+}
+
+// NewDirFS creates the directory if it is missing.
+func NewDirFS(path string) (*DirFS, error) {
+	if err := os.MkdirAll(path, 0o750); err != nil {
+		return nil, err
+	}
+	return &DirFS{path: path}, syncDir(filepath.Dir(path))
+}
+
+// Create makes a new file.
+func (d *DirFS) Create(name string) (File, error) {
+	return os.OpenFile(filepath.Join(d.path, name), os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o640)
+}
+
+// Open opens a file for reading.
+func (d *DirFS) Open(name string) (File, error) { return os.Open(filepath.Join(d.path, name)) }
+
+// Rename gives a file its final name.
+func (d *DirFS) Rename(from, to string) error {
+	return os.Rename(filepath.Join(d.path, from), filepath.Join(d.path, to))
+}
+
+// Remove removes a file.
+func (d *DirFS) Remove(name string) error { return os.Remove(filepath.Join(d.path, name)) }
+
+// Sync syncs the directory.
+func (d *DirFS) Sync() error { return syncDir(d.path) }
+
+// List returns the regular files.
+func (d *DirFS) List() ([]FileInfo, error) {
+	listed, err := os.ReadDir(d.path)
+	if err != nil {
+		return nil, err
+	}
+	files := make([]FileInfo, 0, len(listed))
+	for _, entry := range listed {
+		info, err := entry.Info()
+		if errors.Is(err, fs.ErrNotExist) || err == nil && !info.Mode().IsRegular() {
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		files = append(files, FileInfo{Name: entry.Name(), Size: info.Size(), ModTime: info.ModTime()})
+	}
+	return files, nil
+}
+
+func syncDir(path string) error {
+	dir, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	return errors.Join(dir.Sync(), dir.Close())
+}
--- /dev/null
+++ b/store/get.go
@@ -0,0 +1,155 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"io/fs"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/piece"
+)
+
+// Lease is one reader's hold on one generation of a piece. Body may be read until Release.
+type Lease struct {
+	Header piece.Header
+	Body   []byte
+
+	store *Store
+	entry *entry
+	block *block
+}
+
+// Release ends the lease; it must be called exactly once.
+func (l *Lease) Release() {
+	l.Body = nil
+	l.block.release()
+	l.store.unlease(l.entry)
+}
+
+// Get returns a piece under a lease, or a NotFound failure. Every byte was checked.
+func (s *Store) Get(ctx context.Context, want piece.Want) (*Lease, error) {
+	e, b := s.lease(want)
+	if e == nil {
+		s.counters.misses.Inc(1)
+		return nil, missing()
+	}
+	b, err := s.load(ctx, e, b)
+	if err != nil {
+		s.unlease(e)
+		s.counters.misses.Inc(1)
+		return nil, err
+	}
+	s.counters.hits.Inc(1)
+	return &Lease{Header: e.header, Body: b.data, store: s, entry: e, block: b}, nil
+}
+
+func missing() error { return failure.New(failure.NotFound, failure.NotRun, "piece is not held") }
+
+// lease counts a reader in. The block is nil if the body must be read from the disk.
+func (s *Store) lease(want piece.Want) (*entry, *block) {
+	now := s.settings.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entries[want.Name]
+	// A piece of another account and another generation read like one that is not held.
+	if e == nil || want.Check(e.header) != nil {
+		s.settings.Policy.Used(want.Name, s.intern(want.Account), now)
+		return nil, nil
+	}
+	e.leases++
+	s.touchLocked(e, now)
+	if e.block != nil {
+		e.block.retain()
+	}
+	return e, e.block
+}
+
+func (s *Store) touchLocked(e *entry, now time.Time) {
+	s.memory.Touch(e.header.Name, now)
+	s.onDisk.Touch(e.header.Name, now)
+	s.settings.Policy.Used(e.header.Name, e.header.Account, now)
+}
+
+// unlease counts a reader out. The last one removes the file of an entry that has left the index.
+func (s *Store) unlease(e *entry) {
+	s.mu.Lock()
+	e.leases--
+	remove := e.gone && e.leases == 0
+	s.mu.Unlock()
+	if remove {
+		s.removeFiles([]*entry{e})
+	}
+}
+
+// load returns a checked body. It drops the entry if its bytes are not those of the piece.
+func (s *Store) load(ctx context.Context, e *entry, b *block) (*block, error) {
+	if b != nil {
+		if err := piece.CheckBody(e.header, b.data); err != nil {
+			b.release()
+			return nil, s.reject(e, err)
+		}
+		return b, nil
+	}
+	select {
+	case s.loads <- struct{}{}:
+		defer func() { <-s.loads }()
+	case <-ctx.Done():
+		return nil, failure.Wrap(ctx.Err(), failure.DeadlineExceeded, failure.NotRun, "wait for a disk read")
+	}
+	b, err := s.disk.read(e.header, s.blocks)
+	if err != nil {
+		return nil, s.reject(e, err)
+	}
+	s.promote(e, b)
+	return b, nil
+}
+
+func (s *Store) promote(e *entry, b *block) {
+	now := s.settings.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remember(e, b, now, now)
+}
+
+// reject handles a failed read, which is a miss. The caller holds a lease, so the file goes with the lease. A piece
+// whose disk failed stays in the index only if its file may still be whole.
+func (s *Store) reject(e *entry, err error) error {
+	_, bad := errors.AsType[*piece.FormatError](err)
+	bad = bad || errors.Is(err, fs.ErrNotExist)
+	s.settings.Log.Error("piece_read_failed", zap.Stringer("piece", e.header.Name), zap.Bool("dropped", bad), zap.Error(err))
+	if !bad {
+		s.counters.diskErrors.Inc(1)
+		return failure.Wrap(err, failure.NotFound, failure.NotRun, "piece cannot be read")
+	}
+	s.counters.corrupt.Inc(1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unpublishLocked(e)
+	return failure.Wrap(err, failure.NotFound, failure.NotRun, "piece is damaged")
+}
+
+// length returns the length of a held piece without a lease, for admission only.
+func (s *Store) length(want piece.Want) (int64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entries[want.Name]
+	if e == nil || want.Check(e.header) != nil {
+		return 0, false
+	}
+	return e.header.Length, true
+}
+
+// Has reports which pieces of an account are held.
+func (s *Store) Has(account string, names []piece.Name) []bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := make([]bool, len(names))
+	for i, name := range names {
+		e := s.entries[name]
+		held[i] = e != nil && e.header.Account == account
+	}
+	return held
+}
--- /dev/null
+++ b/store/link.go
@@ -0,0 +1,207 @@
+package store
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/linksched"
+)
+
+// RankBulk is the rank of transfers that give way to all others, such as refill.
+const RankBulk = "bulk"
+
+// Link paces the store's transfers at its configured bandwidth, by rank. A grant is paced by time and not by the
+// receiver, so a receiver that does not read holds up nobody else.
+type Link struct {
+	// order gives the order of a rank.
+	order func(rank string) int
+
+	mu        sync.Mutex
+	schedule  *linksched.Link // nil means no limit.
+	rate      float64
+	transfers map[string]*Transfer
+	sequence  uint64
+	// freeAt is when the chunks granted so far have passed.
+	freeAt time.Time
+	timer  *time.Timer
+	closed bool
+}
+
+// Transfer is one transfer that uses the link.
+type Transfer struct {
+	link    *Link
+	id      string
+	granted int64
+	wake    chan struct{}
+}
+
+// linkChunkBytes is the quantum after which a transfer may be preempted.
+const linkChunkBytes = chunkBytes
+
+// linkSlack is how far chunks may be granted ahead of time, so that short chunks do not each wait for a timer.
+const linkSlack = time.Millisecond
+
+// NewLink returns a link. A rate of 0 bytes per second means no limit.
+func NewLink(bytesPerSecond float64, order func(rank string) int) *Link {
+	l := &Link{order: order, transfers: map[string]*Transfer{}}
+	l.SetRate(bytesPerSecond)
+	return l
+}
+
+// SetRate changes the bandwidth. Transfers in progress finish without a limit, because the new schedule does not know
+// them.
+func (l *Link) SetRate(bytesPerSecond float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if bytesPerSecond == l.rate && (l.schedule != nil || bytesPerSecond == 0) {
+		return
+	}
+	for id := range l.transfers {
+		l.endLocked(id)
+	}
+	l.rate, l.schedule = bytesPerSecond, nil
+	if bytesPerSecond > 0 {
+		settings := linksched.Defaults(bytesPerSecond)
+		settings.ChunkBytes = linkChunkBytes
+		l.schedule = linksched.New(settings)
+	}
+}
+
+// Begin queues a transfer.
+func (l *Link) Begin(rank string, bytes int64) (*Transfer, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sequence++
+	t := &Transfer{link: l, id: strconv.FormatUint(l.sequence, 10), wake: make(chan struct{}, 1)}
+	if l.schedule == nil || l.closed {
+		t.granted = bytes
+		return t, nil
+	}
+	if !l.schedule.Push(linksched.Transfer{ID: t.id, Bytes: bytes, Order: l.order(rank), Bulk: rank == RankBulk}) {
+		return nil, failure.New(failure.Overloaded, failure.NotRun, "queue of the link is full")
+	}
+	l.transfers[t.id] = t
+	l.pumpLocked(time.Now())
+	return t, nil
+}
+
+// Take waits until up to want bytes may pass and returns their number.
+func (t *Transfer) Take(ctx context.Context, want int64) (int64, error) {
+	for {
+		if n := t.take(want); n > 0 || want == 0 {
+			return n, nil
+		}
+		select {
+		case <-t.wake:
+		case <-ctx.Done():
+			return 0, failure.Wrap(ctx.Err(), failure.DeadlineExceeded, failure.Unknown, "wait for the link")
+		}
+	}
+}
+
+func (t *Transfer) take(want int64) int64 {
+	t.link.mu.Lock()
+	defer t.link.mu.Unlock()
+	n := min(t.granted, want)
+	t.granted -= n
+	return n
+}
+
+// End leaves the link. It may be called before the whole transfer was granted.
+func (t *Transfer) End() {
+	t.link.mu.Lock()
+	defer t.link.mu.Unlock()
+	if t.link.transfers[t.id] == t {
+		delete(t.link.transfers, t.id)
+		t.link.schedule.Cancel(t.id)
+		t.link.pumpLocked(time.Now())
+	}
+}
+
+// endLocked lets a transfer go on without a limit.
+func (l *Link) endLocked(id string) {
+	t := l.transfers[id]
+	delete(l.transfers, id)
+	t.granted = 1 << 62
+	t.signal()
+}
+
+func (t *Transfer) signal() {
+	select {
+	case t.wake <- struct{}{}:
+	default:
+	}
+}
+
+// pumpLocked grants chunks up to the present and sets a timer for the next one.
+func (l *Link) pumpLocked(now time.Time) {
+	if l.schedule == nil || l.closed {
+		return
+	}
+	if l.freeAt.Before(now) {
+		l.freeAt = now
+	}
+	for l.freeAt.Sub(now) <= linkSlack {
+		grant, ok := l.schedule.Next()
+		if !ok {
+			return
+		}
+		elapsed := time.Duration(float64(grant.Bytes) / l.rate * float64(time.Second))
+		l.freeAt = l.freeAt.Add(elapsed)
+		l.schedule.Done(elapsed)
+		l.grantLocked(grant)
+	}
+	l.armLocked(l.freeAt.Sub(now))
+}
+
+func (l *Link) grantLocked(grant linksched.Grant) {
+	t := l.transfers[grant.ID]
+	if t == nil {
+		return
+	}
+	t.granted += grant.Bytes
+	t.signal()
+	if grant.Last {
+		delete(l.transfers, grant.ID)
+	}
+}
+
+func (l *Link) armLocked(wait time.Duration) {
+	if l.timer == nil {
+		l.timer = time.AfterFunc(wait, l.pump)
+		return
+	}
+	l.timer.Reset(wait)
+}
+
+func (l *Link) pump() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pumpLocked(time.Now())
+}
+
+// Wait estimates the time until a new transfer of the rank would start, and the bandwidth; 0 means no limit.
+func (l *Link) Wait(rank string) (time.Duration, float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.schedule == nil {
+		return 0, 0
+	}
+	return max(time.Until(l.freeAt), 0) + l.schedule.Wait(l.order(rank)), l.rate
+}
+
+// Close lets all transfers go on without a limit and stops the timer.
+func (l *Link) Close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	if l.timer != nil {
+		l.timer.Stop()
+	}
+	for id := range l.transfers {
+		l.endLocked(id)
+	}
+}
--- /dev/null
+++ b/store/listen.go
@@ -0,0 +1,162 @@
+package store
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/rpc/storepb"
+)
+
+// ListenOptions limits a Listener.
+type ListenOptions struct {
+	// MaxConns limits open connections; further ones wait to be accepted. Default 1,024.
+	MaxConns int
+	// IdleTimeout closes a connection without a byte in either direction; default 2 min.
+	IdleTimeout time.Duration
+	// WriteTimeout limits one write to a peer that does not read; default 10 s.
+	WriteTimeout time.Duration
+}
+
+func (o ListenOptions) withDefaults() ListenOptions {
+	setDefault(&o.MaxConns, 1024)
+	setDefault(&o.IdleTimeout, 2*time.Minute)
+	setDefault(&o.WriteTimeout, 10*time.Second)
+	return o
+}
+
+// maxMessageBytes limits one message; the largest is a page of ListPieces.
+const maxMessageBytes = 8 << 20
+
+// Listener serves the Store calls on a TCP port.
+type Listener struct {
+	listener net.Listener
+	server   *drpcserver.Server
+	options  ListenOptions
+	slots    chan struct{}
+	tasks    sync.WaitGroup
+	// ctx ends all calls.
+	ctx  context.Context
+	stop context.CancelFunc
+
+	mu sync.Mutex
+	// conns are the open connections; nil after Close.
+	conns map[net.Conn]struct{}
+}
+
+// Listen binds the port. Serve accepts connections.
+func Listen(ctx context.Context, address string, service *Server, options ListenOptions) (*Listener, error) {
+	options = options.withDefaults()
+	listener, err := (&net.ListenConfig{KeepAlive: 5 * time.Second}).Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.Internal, failure.NotRun, "listen on %s", address)
+	}
+	mux := drpcmux.New()
+	if err := storepb.DRPCRegisterStore(mux, service); err != nil {
+		return nil, failure.Wrap(err, failure.Internal, failure.NotRun, "register service")
+	}
+	calls, stop := context.WithCancel(context.WithoutCancel(ctx))
+	manager := drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes}}
+	return &Listener{
+		listener: listener, server: drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: manager}),
+		options: options, slots: make(chan struct{}, options.MaxConns), conns: map[net.Conn]struct{}{},
+		ctx: calls, stop: stop,
+	}, nil
+}
+
+// Address is the bound address.
+func (l *Listener) Address() string { return l.listener.Addr().String() }
+
+// Serve accepts connections until Close.
+func (l *Listener) Serve() error {
+	for {
+		l.slots <- struct{}{}
+		conn, err := l.listener.Accept()
+		if err != nil {
+			<-l.slots
+			if l.closed() {
+				return nil
+			}
+			return failure.Wrap(err, failure.Internal, failure.Unknown, "accept connection")
+		}
+		if !l.add(conn) {
+			<-l.slots
+			continue
+		}
+		l.tasks.Go(func() { l.serveConn(conn) })
+	}
+}
+
+func (l *Listener) serveConn(conn net.Conn) {
+	defer func() {
+		l.remove(conn)
+		<-l.slots
+	}()
+	_ = l.server.ServeOne(l.ctx, &timedConn{Conn: conn, idle: l.options.IdleTimeout, write: l.options.WriteTimeout})
+}
+
+func (l *Listener) add(conn net.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conns == nil {
+		_ = conn.Close()
+		return false
+	}
+	l.conns[conn] = struct{}{}
+	return true
+}
+
+func (l *Listener) remove(conn net.Conn) {
+	_ = conn.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, conn)
+}
+
+func (l *Listener) closed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conns == nil
+}
+
+// Close closes the listener and all connections, ends their calls and waits for them.
+func (l *Listener) Close() {
+	l.mu.Lock()
+	conns := l.conns
+	l.conns = nil
+	l.mu.Unlock()
+	_ = l.listener.Close()
+	// A call that is blocked between two messages does not notice a closed connection.
+	l.stop()
+	for conn := range conns {
+		_ = conn.Close()
+	}
+	l.tasks.Wait()
+}
+
+// timedConn ends half-open connections: each read and write gets a deadline of its own.
+type timedConn struct {
+	net.Conn
+	idle, write time.Duration
+}
+
+func (c *timedConn) Read(p []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(c.idle)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(p)
+}
+
+func (c *timedConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(c.write)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
--- /dev/null
+++ b/store/refill.go
@@ -0,0 +1,181 @@
+package store
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/piece"
+)
+
+// Peer is another store.
+type Peer struct {
+	Name    string
+	Address string
+}
+
+// RefillOptions limits a Refiller.
+type RefillOptions struct {
+	// Self is the name of this store.
+	Self string
+	// Interval between rounds; default 5 min.
+	Interval time.Duration
+	// RetryInterval is the wait after a round in which a peer failed; default 15 s.
+	RetryInterval time.Duration
+	// MaxPieces limits the pieces considered in one round; default 20,000.
+	MaxPieces int
+	// MaxFill is the share of the disk tier up to which refill fills it, 0 to 1; default 0.8. Refill must not evict
+	// what the store was given for its own.
+	MaxFill float64
+	Log     *zap.Logger
+}
+
+func (o RefillOptions) withDefaults() RefillOptions {
+	setDefault(&o.Interval, 5*time.Minute)
+	setDefault(&o.RetryInterval, 15*time.Second)
+	setDefault(&o.MaxPieces, 20_000)
+	setDefault(&o.MaxFill, 0.8)
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	return o
+}
+
+// Refiller copies the most valuable pieces that this store should hold from its peers, one at a time, as bulk
+// transfers of the link. It serves both the recovery of a lost store and the second copies.
+type Refiller struct {
+	store   *Store
+	link    *Link
+	client  *Client
+	options RefillOptions
+}
+
+// NewRefiller returns a refiller.
+func NewRefiller(store *Store, link *Link, client *Client, options RefillOptions) *Refiller {
+	return &Refiller{store: store, link: link, client: client, options: options.withDefaults()}
+}
+
+// Run makes rounds until ctx ends. A signal on kick starts the next round at once, for example when peers changed.
+func (r *Refiller) Run(ctx context.Context, peers func() []Peer, kick <-chan struct{}) {
+	for ctx.Err() == nil {
+		wait := r.options.Interval
+		if copied, err := r.Round(ctx, peers()); err != nil {
+			r.options.Log.Warn("refill_incomplete", zap.Int("copied", copied), zap.Error(err))
+			wait = r.options.RetryInterval
+		} else if copied > 0 {
+			r.options.Log.Info("refill_done", zap.Int("copied", copied))
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-timer.C:
+		case <-kick:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
+// candidate is a piece that a peer holds and this store should.
+type candidate struct {
+	Listed
+	address string
+}
+
+// Round copies missing pieces, most valuable first. It returns the number copied, and the first failure of a peer.
+func (r *Refiller) Round(ctx context.Context, peers []Peer) (int, error) {
+	candidates, firstErr := r.candidates(ctx, peers)
+	copied := 0
+	for _, c := range candidates {
+		if ctx.Err() != nil || !r.fits(c.Header) {
+			break
+		}
+		stored, err := r.copy(ctx, c)
+		if stored {
+			copied++
+		}
+		if firstErr == nil {
+			firstErr = err
+		}
+	}
+	return copied, firstErr
+}
+
+func (r *Refiller) candidates(ctx context.Context, peers []Peer) ([]candidate, error) {
+	names := []string{r.options.Self}
+	for _, peer := range peers {
+		names = append(names, peer.Name)
+	}
+	byName := map[piece.Name]candidate{}
+	var firstErr error
+	for _, peer := range peers {
+		if err := r.collect(ctx, peer, names, byName); err != nil && firstErr == nil {
+			firstErr = err
+		}
+	}
+	list := make([]candidate, 0, len(byName))
+	for _, c := range byName {
+		list = append(list, c)
+	}
+	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(b.Value, a.Value) })
+	return list[:min(len(list), r.options.MaxPieces)], firstErr
+}
+
+// collect adds the peer's pieces that this store should hold and does not.
+func (r *Refiller) collect(ctx context.Context, peer Peer, stores []string, into map[piece.Name]candidate) error {
+	after := ""
+	for seen := 0; seen < r.options.MaxPieces; {
+		page, next, err := r.client.List(ctx, peer.Address, after, maxListed)
+		if err != nil {
+			return err
+		}
+		for _, listed := range page {
+			if r.wants(listed.Header, stores) {
+				into[listed.Header.Name] = candidate{listed, peer.Address}
+			}
+		}
+		if next == "" || len(page) == 0 {
+			return nil
+		}
+		seen += len(page)
+		after = next
+	}
+	return nil
+}
+
+func (r *Refiller) wants(h piece.Header, stores []string) bool {
+	return slices.Contains(Holders(h.Name, stores), r.options.Self) && !r.store.Has(h.Account, []piece.Name{h.Name})[0]
+}
+
+func (r *Refiller) fits(h piece.Header) bool {
+	limit := r.options.MaxFill * float64(r.store.settings.DiskBytes)
+	return float64(r.store.Stats().DiskBytes+fileBytes(h)) <= limit
+}
+
+// copy fetches one piece. A piece that the peer has dropped meanwhile, or that the store refuses, is no failure.
+func (r *Refiller) copy(ctx context.Context, c candidate) (bool, error) {
+	transfer, err := r.link.Begin(RankBulk, c.Header.Length)
+	if err != nil {
+		return false, err
+	}
+	defer transfer.End()
+	if err := takeAll(ctx, transfer, int(c.Header.Length)); err != nil {
+		return false, err
+	}
+	want := piece.Want{Name: c.Header.Name, Account: c.Header.Account}
+	h, body, err := r.client.Get(ctx, c.address, want, RankBulk)
+	if failure.Is(err, failure.NotFound) {
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	outcome, err := r.store.Put(h, body, c.Idle)
+	if outcome == RefusedStorage {
+		return false, err
+	}
+	return outcome == Stored, nil
+}
--- /dev/null
+++ b/store/server.go
@@ -0,0 +1,235 @@
+package store
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"golang.org/x/sync/semaphore"
+	"storj.io/drpc"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/piece"
+	"github.com/wasabishunt/wasabishunt/rpc/storepb"
+)
+
+// ServerOptions limits a Server.
+type ServerOptions struct {
+	// MaxTransferBytes limits the bodies in transfer at once; default 512 MiB. It must not be below the store's
+	// MaxPieceBytes.
+	MaxTransferBytes int64
+	// QueueTimeout limits the wait for room among the transfers; default 2 s.
+	QueueTimeout time.Duration
+	// TransferTimeout limits one transfer; default 60 s.
+	TransferTimeout time.Duration
+}
+
+func (o ServerOptions) withDefaults() ServerOptions {
+	setDefault(&o.MaxTransferBytes, 512<<20)
+	setDefault(&o.QueueTimeout, 2*time.Second)
+	setDefault(&o.TransferTimeout, time.Minute)
+	return o
+}
+
+// Server answers the Store calls.
+type Server struct {
+	store   *Store
+	link    *Link
+	options ServerOptions
+	room    *semaphore.Weighted
+}
+
+var _ storepb.DRPCStoreServer = (*Server)(nil)
+
+// NewServer returns a server over a store and its link.
+func NewServer(store *Store, link *Link, options ServerOptions) *Server {
+	options = options.withDefaults()
+	return &Server{store: store, link: link, options: options, room: semaphore.NewWeighted(options.MaxTransferBytes)}
+}
+
+// enter waits for room for a body. leave gives it back.
+func (s *Server) enter(ctx context.Context, length int64) (leave func(), err error) {
+	ctx, cancel := context.WithTimeout(ctx, s.options.QueueTimeout)
+	defer cancel()
+	if err := s.room.Acquire(ctx, length); err != nil {
+		return nil, failure.New(failure.Overloaded, failure.NotRun, "too many transfers at once")
+	}
+	return func() { s.room.Release(length) }, nil
+}
+
+// guard ends a stream that takes longer than the transfer timeout. The returned function stops the watch.
+func (s *Server) guard(stream drpc.Stream) (context.Context, func()) {
+	ctx, cancel := context.WithTimeout(stream.Context(), s.options.TransferTimeout)
+	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
+// PutPiece receives a piece.
+func (s *Server) PutPiece(stream storepb.DRPCStore_PutPieceStream) error {
+	ctx, done := s.guard(stream)
+	defer done()
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	outcome, err := s.receivePiece(ctx, first, stream)
+	if err != nil {
+		return earlyRefusal(outcome, err)
+	}
+	result := &storepb.PutResult{Stored: outcome == Stored}
+	if !result.Stored {
+		result.Reason = string(outcome)
+	}
+	return stream.SendAndClose(result)
+}
+
+// receivePiece returns an error with the outcome if the piece was refused before its whole body was read.
+func (s *Server) receivePiece(ctx context.Context, first *storepb.PieceChunk, stream storepb.DRPCStore_PutPieceStream) (Outcome, error) {
+	h, err := headerFromWire(first.Header)
+	if err != nil {
+		return RefusedInvalid, err
+	}
+	if h.Length > min(s.store.settings.MaxPieceBytes, s.options.MaxTransferBytes) {
+		return RefusedOversize, failure.New(failure.BodyTooLarge, failure.NotRun, "body of %d bytes", h.Length)
+	}
+	leave, err := s.enter(ctx, h.Length)
+	if err != nil {
+		return RefusedOverloaded, err
+	}
+	defer leave()
+	b := s.store.blocks.get(h.Length)
+	defer b.release()
+	if outcome, err := s.fill(ctx, b.data, first.Rank, stream); err != nil {
+		return outcome, err
+	}
+	// The store has logged and counted the cause; the caller gets the outcome.
+	outcome, _ := s.store.putBlock(h, b, time.Duration(first.Header.IdleMs)*time.Millisecond)
+	return outcome, nil
+}
+
+// fill reads the body. The sender is held back by flow control while the receiver waits for its grant.
+func (s *Server) fill(ctx context.Context, body []byte, rank string, stream storepb.DRPCStore_PutPieceStream) (Outcome, error) {
+	transfer, err := s.link.Begin(rank, int64(len(body)))
+	if err != nil {
+		return RefusedOverloaded, err
+	}
+	defer transfer.End()
+	pace := func(n int) error { return takeAll(ctx, transfer, n) }
+	return RefusedTorn, receive(body, stream.Recv, pace)
+}
+
+func takeAll(ctx context.Context, transfer *Transfer, n int) error {
+	for n > 0 {
+		got, err := transfer.Take(ctx, int64(n))
+		if err != nil {
+			return err
+		}
+		n -= int(got)
+	}
+	return nil
+}
+
+// GetPiece sends a piece.
+func (s *Server) GetPiece(request *storepb.GetPieceRequest, stream storepb.DRPCStore_GetPieceStream) error {
+	ctx, done := s.guard(stream)
+	defer done()
+	name, err := nameFromWire(request.Name)
+	if err != nil {
+		return err
+	}
+	want := piece.Want{Name: name, Account: request.Account}
+	length, held := s.store.length(want)
+	if !held {
+		s.store.counters.misses.Inc(1)
+		return stream.Send(&storepb.PieceChunk{NotFound: true, Last: true})
+	}
+	leave, err := s.enter(ctx, length)
+	if err != nil {
+		return err
+	}
+	defer leave()
+	return s.sendPiece(ctx, want, request.Rank, stream)
+}
+
+func (s *Server) sendPiece(ctx context.Context, want piece.Want, rank string, stream storepb.DRPCStore_GetPieceStream) error {
+	lease, err := s.store.Get(ctx, want)
+	if failure.Is(err, failure.NotFound) {
+		return stream.Send(&storepb.PieceChunk{NotFound: true, Last: true})
+	}
+	if err != nil {
+		return err
+	}
+	defer lease.Release()
+	transfer, err := s.link.Begin(rank, lease.Header.Length)
+	if err != nil {
+		return err
+	}
+	defer transfer.End()
+	if err := stream.Send(&storepb.PieceChunk{Header: headerToWire(lease.Header)}); err != nil {
+		return err
+	}
+	take := func(want int) (int, error) {
+		n, err := transfer.Take(ctx, int64(want))
+		return int(n), err
+	}
+	return send(lease.Body, take, stream.Send)
+}
+
+// HasPieces reports which pieces are held, and how long the link is busy.
+func (s *Server) HasPieces(_ context.Context, request *storepb.HasPiecesRequest) (*storepb.HasPiecesResponse, error) {
+	if len(request.Names) > maxNames {
+		return nil, failure.New(failure.InvalidRequest, failure.NotRun, "%d names, at most %d are allowed", len(request.Names), maxNames)
+	}
+	names := make([]piece.Name, len(request.Names))
+	for i, raw := range request.Names {
+		name, err := nameFromWire(raw)
+		if err != nil {
+			return nil, err
+		}
+		names[i] = name
+	}
+	wait, rate := s.link.Wait("")
+	return &storepb.HasPiecesResponse{
+		Held: s.store.Has(request.Account, names), LinkWaitMs: wait.Milliseconds(), LinkBytesPerSecond: rate,
+	}, nil
+}
+
+// maxListed limits one page of ListPieces.
+const maxListed = 2000
+
+// ListPieces pages through the pieces by descending value. The cursor is an offset, so pieces that change their place
+// between two pages may be listed twice or not at all; the next refill round finds them.
+func (s *Server) ListPieces(_ context.Context, request *storepb.ListPiecesRequest) (*storepb.ListPiecesResponse, error) {
+	offset := 0
+	if request.After != "" {
+		parsed, err := strconv.Atoi(request.After)
+		if err != nil || parsed < 0 {
+			return nil, failure.New(failure.InvalidRequest, failure.NotRun, "cursor %q is not a number", request.After)
+		}
+		offset = parsed
+	}
+	limit := int(min(max(request.Limit, 1), maxListed))
+	listed := s.store.List(offset, limit)
+	response := &storepb.ListPiecesResponse{}
+	for _, l := range listed {
+		h := headerToWire(l.Header)
+		h.Value, h.IdleMs = l.Value, l.Idle.Milliseconds()
+		response.Pieces = append(response.Pieces, h)
+	}
+	if len(listed) == limit {
+		response.Next = strconv.Itoa(offset + limit)
+	}
+	return response, nil
+}
+
+// Status reports the store's figures.
+func (s *Server) Status(context.Context, *storepb.StoreStatusRequest) (*storepb.StoreStatus, error) {
+	stats := s.store.Stats()
+	return &storepb.StoreStatus{
+		Store: s.store.settings.Name, MemoryBytes: stats.MemoryBytes, DiskBytes: stats.DiskBytes, Pieces: stats.Pieces,
+		Hits: stats.Hits, Misses: stats.Misses, Draining: stats.Draining,
+	}, nil
+}
--- /dev/null
+++ b/store/store_test.go
@@ -0,0 +1,281 @@
+package store
+
+import (
+	"bytes"
+	"encoding/binary"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/zeebo/blake3"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/piece"
+)
+
+const testAccount = "account"
+
+// poison overwrites freed blocks, as the next piece would.
+func poison(data []byte) {
+	for i := range data {
+		data[i] = 0xEE
+	}
+}
+
+func open(t require.TestingT, fs FS, settings Settings) *Store {
+	settings.onFree = poison
+	s, err := New(fs, settings)
+	require.NoError(t, err)
+	return s
+}
+
+// sample returns a piece whose body depends on its number and a variant.
+func sample(number, variant, length int) (piece.Header, []byte) {
+	var seed [16]byte
+	binary.LittleEndian.PutUint64(seed[:], uint64(number))
+	binary.LittleEndian.PutUint64(seed[8:], uint64(variant))
+	body := make([]byte, length)
+	hasher := blake3.New()
+	_, _ = hasher.Write(seed[:])
+	_, _ = hasher.Digest().Read(body)
+	h := piece.Header{
+		Name: blake3.Sum256(seed[:8]), Length: int64(length), Tokens: 2000, RecomputeMs: 100,
+		Checksum: piece.Sum(body), Account: testAccount, WeightVersion: "v1",
+	}
+	return h, body
+}
+
+func put(t require.TestingT, s *Store, number, length int) (piece.Header, []byte) {
+	h, body := sample(number, 0, length)
+	outcome, err := s.Put(h, body, 0)
+	require.NoError(t, err)
+	require.Equal(t, Stored, outcome)
+	return h, body
+}
+
+func wanted(h piece.Header) piece.Want { return piece.Want{Name: h.Name, Account: h.Account} }
+
+// requireHeld checks that a get returns exactly the body.
+func requireHeld(t require.TestingT, s *Store, h piece.Header, body []byte) {
+	lease, err := s.Get(testContext(t), wanted(h))
+	require.NoError(t, err)
+	defer lease.Release()
+	require.True(t, bytes.Equal(body, lease.Body))
+}
+
+func requireMiss(t require.TestingT, s *Store, want piece.Want) {
+	_, err := s.Get(testContext(t), want)
+	require.True(t, failure.Is(err, failure.NotFound), "got %v", err)
+}
+
+// onDiskOnly has a memory tier too small for any piece.
+func onDiskOnly() Settings { return Settings{MemoryBytes: 1} }
+
+// Guards against pieces lost or changed by a restart, in either tier.
+func TestPieceIsHeldInBothTiersAndAfterARestart(t *testing.T) {
+	for _, settings := range []Settings{{}, onDiskOnly()} {
+		fs, err := NewDirFS(t.TempDir() + "/pieces")
+		require.NoError(t, err)
+		s := open(t, fs, settings)
+		h, body := put(t, s, 1, 100_000)
+		requireHeld(t, s, h, body)
+		s = open(t, fs, settings)
+		requireHeld(t, s, h, body)
+		assert.Equal(t, fileBytes(h), s.Stats().DiskBytes)
+	}
+}
+
+// Guards against an account that reads, probes or overwrites a piece of another one.
+func TestPieceOfAnotherAccountIsAMiss(t *testing.T) {
+	s := open(t, newMemFS(), Settings{})
+	h, body := put(t, s, 1, 100)
+	requireMiss(t, s, piece.Want{Name: h.Name, Account: "other"})
+	assert.Equal(t, []bool{false}, s.Has("other", []piece.Name{h.Name}))
+	other, otherBody := sample(1, 1, 100)
+	other.Account = "other"
+	outcome, err := s.Put(other, otherBody, 0)
+	require.Error(t, err)
+	assert.Equal(t, RefusedForeign, outcome)
+	requireHeld(t, s, h, body)
+}
+
+// Guards against damaged files that read as whole pieces, before and after a restart, and that stay in the index.
+func TestDamagedFileIsAMiss(t *testing.T) {
+	cases := map[string]func([]byte) []byte{
+		"flipped body bit": func(b []byte) []byte { b[len(b)-1] ^= 1; return b },
+		"flipped header":   func(b []byte) []byte { b[40] ^= 1; return b },
+		"torn":             func(b []byte) []byte { return b[:len(b)-1] },
+		"trailing byte":    func(b []byte) []byte { return append(b, 0) },
+		"empty":            func([]byte) []byte { return nil },
+		"other piece": func([]byte) []byte {
+			h, body := sample(2, 0, 1000)
+			h.Generation = 1
+			header, _ := piece.EncodeHeader(h)
+			return append(header, body...)
+		},
+		"other generation": func([]byte) []byte {
+			h, body := sample(1, 1, 1000)
+			h.Generation = 9
+			header, _ := piece.EncodeHeader(h)
+			return append(header, body...)
+		},
+	}
+	for name, damage := range cases {
+		for _, restart := range []bool{false, true} {
+			fs := newMemFS()
+			s := open(t, fs, onDiskOnly())
+			h, _ := put(t, s, 1, 1000)
+			fs.change(damage)
+			if restart {
+				s = open(t, fs, onDiskOnly())
+			}
+			requireMiss(t, s, wanted(h))
+			assert.Equal(t, []bool{false}, s.Has(testAccount, []piece.Name{h.Name}), name)
+			assert.Zero(t, fs.count(), name)
+		}
+	}
+}
+
+// Guards against a flipped bit in the memory tier.
+func TestDamagedMemoryIsAMiss(t *testing.T) {
+	s := open(t, newMemFS(), Settings{})
+	h, _ := put(t, s, 1, 1000)
+	s.entries[h.Name].block.data[5] ^= 1
+	requireMiss(t, s, wanted(h))
+	assert.Zero(t, s.Stats().Pieces)
+}
+
+// Guards against a body that is not the one the header describes.
+func TestPutChecksTheBody(t *testing.T) {
+	fs := newMemFS()
+	s := open(t, fs, Settings{MaxPieceBytes: 2000})
+	h, body := sample(1, 0, 1000)
+	check := func(want Outcome, h piece.Header, body []byte) {
+		outcome, err := s.Put(h, body, 0)
+		require.Error(t, err)
+		assert.Equal(t, want, outcome)
+	}
+	check(RefusedTorn, h, body[:999])
+	check(RefusedTorn, h, append(bytes.Clone(body), 0))
+	check(RefusedChecksum, h, make([]byte, 1000))
+	big, bigBody := sample(1, 0, 2001)
+	check(RefusedOversize, big, bigBody)
+	h.Account = ""
+	check(RefusedInvalid, h, body)
+	assert.Zero(t, fs.count())
+}
+
+// Guards against a full disk that leaves half a piece, counts lost space or stops the store for good.
+func TestFullDiskRefusesThePieceAndRecovers(t *testing.T) {
+	fs := newMemFS()
+	s := open(t, fs, Settings{})
+	first, firstBody := put(t, s, 1, 1000)
+	fs.set(func() { fs.space = 500 })
+	h, body := sample(2, 0, 1000)
+	outcome, err := s.Put(h, body, 0)
+	assert.Equal(t, RefusedFull, outcome)
+	assert.True(t, failure.Is(err, failure.StorageFailed))
+	requireMiss(t, s, wanted(h))
+	requireHeld(t, s, first, firstBody)
+	assert.Equal(t, 1, fs.count())
+	assert.Equal(t, fileBytes(first), s.Stats().DiskBytes)
+	fs.set(func() { fs.space = -1 })
+	put(t, s, 2, 1000)
+}
+
+// Guards against a failed sync that is ignored or retried: the piece must not be published, nor any later one.
+func TestFailedSyncStopsWrites(t *testing.T) {
+	for _, fail := range []func(*memFS){
+		func(fs *memFS) { fs.failSync = true },
+		func(fs *memFS) { fs.failDirSync = true },
+	} {
+		fs := newMemFS()
+		s := open(t, fs, Settings{})
+		first, firstBody := put(t, s, 1, 1000)
+		fail(fs)
+		for number := 2; number < 4; number++ {
+			h, body := sample(number, 0, 1000)
+			outcome, err := s.Put(h, body, 0)
+			assert.Equal(t, RefusedStorage, outcome)
+			assert.True(t, failure.Is(err, failure.StorageFailed))
+			requireMiss(t, s, wanted(h))
+		}
+		requireHeld(t, s, first, firstBody)
+		assert.True(t, s.Stats().SyncFailed)
+	}
+}
+
+// Guards against a piece that is acknowledged before its content and its name are durable.
+func TestAcknowledgedPieceSurvivesACrash(t *testing.T) {
+	fs := newMemFS()
+	s := open(t, fs, Settings{})
+	h, body := put(t, s, 1, 1000)
+	fs.crash(func() bool { return false }, func(int) int { return 0 })
+	requireHeld(t, open(t, fs, Settings{}), h, body)
+}
+
+// Guards against an evicted block that is written again while a reader has it: freed blocks are overwritten here.
+func TestLeaseKeepsTheBodyThroughEvictionAndReplacement(t *testing.T) {
+	fs := newMemFS()
+	s := open(t, fs, Settings{DiskBytes: 2500})
+	h, body := put(t, s, 1, 1000)
+	lease, err := s.Get(t.Context(), wanted(h))
+	require.NoError(t, err)
+	for number := 2; number < 6; number++ {
+		put(t, s, number, 1000) // Room for two pieces: these evict each other, not the leased one.
+	}
+	assert.Equal(t, []bool{true}, s.Has(testAccount, []piece.Name{h.Name}))
+	replacement, newBody := sample(1, 1, 1000)
+	outcome, err := s.Put(replacement, newBody, 0)
+	require.NoError(t, err)
+	require.Equal(t, Stored, outcome)
+	assert.Equal(t, body, lease.Body)
+	files := fs.count()
+	lease.Release()
+	assert.Equal(t, files-1, fs.count(), "the last lease removes the file of the replaced generation")
+	requireHeld(t, s, replacement, newBody)
+}
+
+// Guards against a reader that gets the new generation while it asked for the old one.
+func TestOldGenerationIsAMiss(t *testing.T) {
+	s := open(t, newMemFS(), Settings{})
+	h, _ := put(t, s, 1, 1000)
+	want := wanted(h)
+	want.Generation = 1
+	lease, err := s.Get(t.Context(), want)
+	require.NoError(t, err)
+	lease.Release()
+	replacement, newBody := sample(1, 1, 1000)
+	_, err = s.Put(replacement, newBody, 0)
+	require.NoError(t, err)
+	requireMiss(t, s, want)
+	requireHeld(t, s, replacement, newBody)
+}
+
+// Guards against a piece that is read while it is being written, or written twice at once.
+func TestPendingPieceIsAMiss(t *testing.T) {
+	fs := newMemFS()
+	s := open(t, fs, Settings{})
+	h, body := sample(1, 0, 1000)
+	var outcome Outcome
+	fs.onCreate = func(string) {
+		requireMiss(t, s, wanted(h))
+		outcome, _ = s.Put(h, body, 0)
+	}
+	put(t, s, 1, 1000)
+	assert.Equal(t, RefusedBusy, outcome)
+}
+
+// Guards against a large account that takes the space of a small one.
+func TestAccountAboveItsShareEvictsItsOwnPieces(t *testing.T) {
+	s := open(t, newMemFS(), Settings{DiskBytes: 20_000})
+	small, smallBody := sample(1000, 0, 1000)
+	small.Account, small.RecomputeMs = "small", 1
+	_, err := s.Put(small, smallBody, 0)
+	require.NoError(t, err)
+	for number := range 100 {
+		put(t, s, number, 1000)
+	}
+	requireHeld(t, s, small, smallBody)
+	assert.LessOrEqual(t, s.Stats().DiskBytes, int64(20_000))
+}
