Add the store process

Cause: the piece store needs a daemon that registers with control, follows the object set and drains. A drain reports leaving, serves reads for the notice time, then waits for running transfers by taking all room. Checked by hand: start, /metrics, /readyz, drain on SIGTERM, and the list of faults without settings.

--- /dev/null
+++ b/cmd/wasabishunt-store/main.go
@@ -0,0 +1,97 @@
+// Command wasabishunt-store keeps pieces of KV cache in memory and on disk.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+
+	gometrics "github.com/rcrowley/go-metrics"
+	"github.com/samber/do/v2"
+	"go.uber.org/zap"
+
+	"github.com/wasabishunt/wasabishunt/controlclient"
+	"github.com/wasabishunt/wasabishunt/logging"
+	"github.com/wasabishunt/wasabishunt/rpcpool"
+	"github.com/wasabishunt/wasabishunt/settings"
+	"github.com/wasabishunt/wasabishunt/store"
+)
+
+// piecesDir is the part of the data directory that holds piece files.
+const piecesDir = "pieces"
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	args := &arguments{}
+	if ok, code := settings.Parse(args, "wasabishunt-store", os.Args[1:], os.Stdout, os.Stderr); !ok {
+		return code
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	injector := wire(args)
+	log := do.MustInvoke[*zap.Logger](injector)
+	if err := serve(ctx, injector); err != nil {
+		log.Error("store_failed", zap.Error(err))
+		return 1
+	}
+	return 0
+}
+
+// wire names how each part of the process is made.
+func wire(args *arguments) do.Injector {
+	i := do.New()
+	do.ProvideValue(i, args)
+	do.ProvideValue(i, logging.New("store", args.ProcessID, args.LogLevel))
+	do.ProvideValue(i, store.NewFollower(args.Store))
+	do.Provide(i, func(do.Injector) (gometrics.Registry, error) { return gometrics.NewRegistry(), nil })
+	do.Provide(i, func(do.Injector) (*rpcpool.Pool, error) { return rpcpool.New(rpcpool.Options{}), nil })
+	do.Provide(i, openStore)
+	do.Provide(i, func(i do.Injector) (*store.Link, error) {
+		return store.NewLink(0, do.MustInvoke[*store.Follower](i).Order), nil
+	})
+	do.Provide(i, func(i do.Injector) (*store.Server, error) {
+		kept, err := do.Invoke[*store.Store](i)
+		return store.NewServer(kept, do.MustInvoke[*store.Link](i), args.serverOptions()), err
+	})
+	do.Provide(i, newRefiller)
+	do.Provide(i, newWatcher)
+	return i
+}
+
+func openStore(i do.Injector) (*store.Store, error) {
+	args := do.MustInvoke[*arguments](i)
+	fs, err := store.NewDirFS(filepath.Join(args.DataDir, piecesDir))
+	if err != nil {
+		return nil, err
+	}
+	return store.New(fs, store.Settings{
+		Name: args.Store, MemoryBytes: args.MemoryBytes, DiskBytes: args.DiskBytes, MaxPieceBytes: args.MaxPieceBytes,
+		Log: do.MustInvoke[*zap.Logger](i), Metrics: do.MustInvoke[gometrics.Registry](i),
+	})
+}
+
+func newRefiller(i do.Injector) (*store.Refiller, error) {
+	args := do.MustInvoke[*arguments](i)
+	client := store.NewClient(do.MustInvoke[*rpcpool.Pool](i), store.ClientOptions{
+		TransferTimeout: args.TransferTimeout, MaxPieceBytes: args.MaxPieceBytes,
+	})
+	kept, err := do.Invoke[*store.Store](i)
+	return store.NewRefiller(kept, do.MustInvoke[*store.Link](i), client, store.RefillOptions{
+		Self: args.Store, Interval: args.RefillInterval, MaxFill: args.RefillMaxFill, Log: do.MustInvoke[*zap.Logger](i),
+	}), err
+}
+
+func newWatcher(i do.Injector) (*controlclient.Watcher, error) {
+	args := do.MustInvoke[*arguments](i)
+	kept, err := do.Invoke[*store.Store](i)
+	if err != nil {
+		return nil, err
+	}
+	return controlclient.NewWatcher(controlclient.WatcherOptions{
+		Addresses: args.Control, ProcessID: args.ProcessID, Role: store.Role, Address: args.Advertise, Zone: args.Zone,
+		Serves: args.Store, Draining: kept.Draining, Log: do.MustInvoke[*zap.Logger](i),
+	}), nil
+}
--- /dev/null
+++ b/store/follow.go
@@ -0,0 +1,129 @@
+package store
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/wasabishunt/wasabishunt/controlclient"
+	"github.com/wasabishunt/wasabishunt/objectset"
+)
+
+// unknownOrder is the order of ranks that the set does not name: after all others, before bulk.
+const unknownOrder = 1 << 20
+
+// Follower applies the object set in force: account weights, the link's bandwidth, the order of ranks and the peers.
+// Its lock is a leaf lock.
+type Follower struct {
+	name string
+	kick chan struct{}
+
+	mu     sync.Mutex
+	orders map[string]int
+	peers  []Peer
+}
+
+// NewFollower returns a follower for the store with a name. The link of the store takes its orders from Order.
+func NewFollower(name string) *Follower {
+	return &Follower{name: name, kick: make(chan struct{}, 1), orders: map[string]int{}}
+}
+
+// Order returns the order of a rank.
+func (f *Follower) Order(rank string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if order, ok := f.orders[rank]; ok {
+		return order
+	}
+	return unknownOrder
+}
+
+// Peers returns the other stores.
+func (f *Follower) Peers() []Peer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.peers
+}
+
+// Kick has a signal after the peers changed.
+func (f *Follower) Kick() <-chan struct{} { return f.kick }
+
+// Run applies each view until ctx ends.
+func (f *Follower) Run(ctx context.Context, source controlclient.Source, store *Store, link *Link) {
+	for {
+		changed := source.Changed()
+		if view := source.Current(); view.Set != nil {
+			f.apply(view, store, link)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (f *Follower) apply(view controlclient.View, store *Store, link *Link) {
+	weights := map[string]float64{}
+	for _, account := range view.Set.Accounts {
+		weights[account.Name] = account.Weight
+	}
+	store.SetWeights(weights)
+	for _, s := range view.Set.Stores {
+		if s.Name == f.name {
+			link.SetRate(float64(s.LinkBytesPerSecond))
+		}
+	}
+	f.update(ordersOf(view.Set), f.peersOf(view))
+}
+
+func ordersOf(set *objectset.Set) map[string]int {
+	orders := map[string]int{}
+	for _, rank := range set.Ranks {
+		orders[rank.Name] = rank.Order
+	}
+	return orders
+}
+
+// peersOf lists the set's other stores.
+func (f *Follower) peersOf(view controlclient.View) []Peer {
+	var peers []Peer
+	for _, s := range view.Set.Stores {
+		if s.Name == f.name {
+			continue
+		}
+		peer := Peer{s.Name, s.Address}
+		if gone(view, s.Name) {
+			peer.Address = ""
+		}
+		peers = append(peers, peer)
+	}
+	return peers
+}
+
+// gone reports whether every known process of a store is dead or leaving.
+func gone(view controlclient.View, name string) bool {
+	known, live := false, false
+	for _, process := range view.Processes {
+		if process.Role == Role && process.Serves == name {
+			known = true
+			live = live || process.State == controlclient.Live
+		}
+	}
+	return known && !live
+}
+
+// Role of store processes in the membership table.
+const Role = "store"
+
+func (f *Follower) update(orders map[string]int, peers []Peer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !slices.Equal(f.peers, peers) {
+		select {
+		case f.kick <- struct{}{}:
+		default:
+		}
+	}
+	f.orders, f.peers = orders, peers
+}
--- a/store/fs.go
+++ b/store/fs.go
@@ -44,10 +44,10 @@
 
 // NewDirFS creates the directory if it is missing.
 func NewDirFS(path string) (*DirFS, error) {
-	if err := os.MkdirAll(path, 0o750); err != nil {
-		return nil, err
+	if err := errors.Join(os.MkdirAll(path, 0o750), syncDir(filepath.Dir(path))); err != nil {
+		return nil, diskError(err, "create directory of")
 	}
-	return &DirFS{path: path}, syncDir(filepath.Dir(path))
+	return &DirFS{path: path}, nil
 }
 
 // Create makes a new file.
--- a/store/refill.go
+++ b/store/refill.go
@@ -14,7 +14,8 @@
 
 // Peer is another store.
 type Peer struct {
-	Name    string
+	Name string
+	// Address is empty for a store that is dead or leaving: it still counts for the placement of pieces.
 	Address string
 }
 
@@ -112,6 +113,9 @@
 	byName := map[piece.Name]candidate{}
 	var firstErr error
 	for _, peer := range peers {
+		if peer.Address == "" {
+			continue
+		}
 		if err := r.collect(ctx, peer, names, byName); err != nil && firstErr == nil {
 			firstErr = err
 		}
--- a/store/server.go
+++ b/store/server.go
@@ -57,6 +57,14 @@
 	return func() { s.room.Release(length) }, nil
 }
 
+// Drain waits until all transfers have ended, or ctx has. Transfers that begin later are refused.
+func (s *Server) Drain(ctx context.Context) error {
+	if err := s.room.Acquire(ctx, s.options.MaxTransferBytes); err != nil {
+		return failure.Wrap(err, failure.DeadlineExceeded, failure.Unknown, "transfers still run")
+	}
+	return nil
+}
+
 // guard ends a stream that takes longer than the transfer timeout. The returned function stops the watch.
 func (s *Server) guard(stream drpc.Stream) (context.Context, func()) {
 	ctx, cancel := context.WithTimeout(stream.Context(), s.options.TransferTimeout)
