--- /dev/null
+++ b/store/bench_test.go
@@ -0,0 +1,91 @@
+package store
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabishunt/wasabishunt/piece"
+)
+
+const benchBytes = 4_000_000
+
+func benchNode(b *testing.B, memoryBytes int64) *node {
+	fs, err := NewDirFS(b.TempDir() + "/pieces")
+	require.NoError(b, err)
+	return serve(b, fs, Settings{MemoryBytes: memoryBytes, DiskBytes: 128 << 20}, 0, ServerOptions{})
+}
+
+// Guards against a put whose cost per byte grows: each piece is checked, synced and published.
+func BenchmarkPut4MB(b *testing.B) {
+	n := benchNode(b, 64<<20)
+	_, body := sample(0, 0, benchBytes)
+	b.SetBytes(benchBytes)
+	b.ReportAllocs()
+	number := 0
+	for b.Loop() {
+		number++
+		h, _ := sample(number, 0, 0)
+		h.Length, h.Checksum = benchBytes, piece.Sum(body)
+		outcome, err := n.client.Put(context.Background(), n.address, h, body, "")
+		require.NoError(b, err)
+		require.Equal(b, Stored, outcome)
+	}
+}
+
+// Guards against a get whose cost per byte grows, from the memory tier and from the disk tier.
+func BenchmarkGet4MB(b *testing.B) {
+	for _, memory := range []int64{64 << 20, 1} {
+		b.Run(fmt.Sprintf("memory=%t", memory > 1), func(b *testing.B) {
+			n := benchNode(b, memory)
+			h, _ := put(b, n.store, 1, benchBytes)
+			b.SetBytes(benchBytes)
+			b.ReportAllocs()
+			for b.Loop() {
+				_, _, err := n.client.Get(context.Background(), n.address, wanted(h), "")
+				require.NoError(b, err)
+			}
+		})
+	}
+}
+
+// Guards against an index whose memory grows faster than the number of pieces.
+func BenchmarkIndexMemory(b *testing.B) {
+	for _, count := range []int{10_000, 50_000, 100_000} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			for b.Loop() {
+				before := heap()
+				s, err := New(newMemFS(), Settings{DiskBytes: 1 << 50})
+				require.NoError(b, err)
+				fillIndex(s, count)
+				b.ReportMetric(float64(heap()-before)/float64(count), "bytes/piece")
+				runtime.KeepAlive(s)
+			}
+		})
+	}
+}
+
+// fillIndex publishes pieces without files, over 100 accounts.
+func fillIndex(s *Store, count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.settings.Clock.Now()
+	for number := range count {
+		h, _ := sample(number, 0, 0)
+		h.Length, h.Account = benchBytes, fmt.Sprintf("account-%d", number%100)
+		e := s.publishLocked(h)
+		s.onDisk.Put(s.valued(e.header, now), now)
+		s.settings.Policy.Used(h.Name, e.header.Account, now)
+	}
+}
+
+func heap() int64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
--- /dev/null
+++ b/store/follow_test.go
@@ -0,0 +1,121 @@
+package store
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabishunt/wasabishunt/controlclient"
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/objectset"
+)
+
+// source is a view that tests change.
+type source struct {
+	mu      sync.Mutex
+	view    controlclient.View
+	changed chan struct{}
+}
+
+func (s *source) Current() controlclient.View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view
+}
+
+func (s *source) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+func (s *source) Observe(uint64) {}
+
+func (s *source) set(view controlclient.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view = view
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Guards against a store that keeps working under an old set, and against a lost peer that changes the placement.
+func TestFollowerAppliesTheSetInForce(t *testing.T) {
+	s := open(t, newMemFS(), Settings{})
+	follower := NewFollower("a")
+	link := NewLink(0, follower.Order)
+	defer link.Close()
+	views := &source{changed: make(chan struct{})}
+	ctx, cancel := context.WithCancel(t.Context())
+	var tasks sync.WaitGroup
+	tasks.Go(func() { follower.Run(ctx, views, s, link) })
+	defer tasks.Wait()
+	defer cancel()
+	view := controlclient.View{
+		Set: &objectset.Set{
+			Ranks:    []objectset.Rank{{Name: "counter", Order: 1}},
+			Stores:   []objectset.Store{{Name: "a", LinkBytesPerSecond: 5e6}, {Name: "b", Address: "127.0.0.1:2"}},
+			Accounts: []objectset.Account{{Name: "large", Weight: 3}},
+		},
+		Processes: map[string]controlclient.Process{"p": {Role: Role, Serves: "b", State: controlclient.Live}},
+	}
+	views.set(view)
+	<-follower.Kick()
+	require.Eventually(t, func() bool { return len(follower.Peers()) == 1 }, 5*time.Second, time.Millisecond)
+	assert.Equal(t, []Peer{{"b", "127.0.0.1:2"}}, follower.Peers())
+	assert.Equal(t, 1, follower.Order("counter"))
+	assert.Equal(t, unknownOrder, follower.Order("other"))
+	_, rate := link.Wait("counter")
+	assert.InDelta(t, 5e6, rate, 0)
+	view.Processes = map[string]controlclient.Process{"p": {Role: Role, Serves: "b", State: controlclient.Dead}}
+	views.set(view)
+	require.Eventually(t, func() bool { return follower.Peers()[0].Address == "" }, 5*time.Second, time.Millisecond)
+}
+
+// Guards against a drain that interrupts a transfer, or that lets new ones begin.
+func TestDrainWaitsForTransfers(t *testing.T) {
+	link := NewLink(0, func(string) int { return 0 })
+	defer link.Close()
+	server := NewServer(open(t, newMemFS(), Settings{}), link, ServerOptions{QueueTimeout: 10 * time.Millisecond})
+	leave, err := server.enter(t.Context(), 1000)
+	require.NoError(t, err)
+	early, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	require.Error(t, server.Drain(early))
+	leave()
+	require.NoError(t, server.Drain(t.Context()))
+	_, err = server.enter(t.Context(), 1)
+	assert.True(t, failure.Is(err, failure.Overloaded))
+}
+
+// Guards against transfers that wait for ever when the link's rate changes or the link closes.
+func TestRateChangeAndCloseReleaseTransfers(t *testing.T) {
+	for _, release := range []func(*Link){
+		func(l *Link) { l.SetRate(2) }, func(l *Link) { l.SetRate(0) }, (*Link).Close,
+	} {
+		link := NewLink(1, func(string) int { return 0 }) // One byte a second: only the release lets it pass in time.
+		transfer, err := link.Begin("urgent", 10*linkChunkBytes)
+		require.NoError(t, err)
+		taken := make(chan error, 1)
+		go func() { taken <- takeAll(t.Context(), transfer, 10*linkChunkBytes) }()
+		release(link)
+		require.NoError(t, <-taken)
+		transfer.End()
+		link.Close()
+	}
+}
+
+// Guards against a link that passes more than its rate: 4 chunks at 4 MB/s take at least 3 chunk times.
+func TestLinkKeepsItsRate(t *testing.T) {
+	link := NewLink(4e6, func(string) int { return 0 })
+	defer link.Close()
+	begin := time.Now()
+	transfer, err := link.Begin("urgent", 4*linkChunkBytes)
+	require.NoError(t, err)
+	require.NoError(t, takeAll(t.Context(), transfer, 4*linkChunkBytes))
+	assert.GreaterOrEqual(t, time.Since(begin).Seconds(), 3*float64(linkChunkBytes)/4e6-linkSlack.Seconds())
+}
--- a/store/get.go
+++ b/store/get.go
@@ -135,11 +135,10 @@
 func (s *Store) length(want piece.Want) (int64, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e := s.entries[want.Name]
-	if e == nil || want.Check(e.header) != nil {
-		return 0, false
+	if e := s.entries[want.Name]; e != nil {
+		return e.header.Length, want.Check(e.header) == nil
 	}
-	return e.header.Length, true
+	return 0, false
 }
 
 // Has reports which pieces of an account are held.
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -259,6 +259,7 @@
 	h, body := sample(1, 0, 1000)
 	var outcome Outcome
 	fs.onCreate = func(string) {
+		fs.onCreate = nil
 		requireMiss(t, s, wanted(h))
 		outcome, _ = s.Put(h, body, 0)
 	}
