Cover reordered and skipped tokens in the dialect's test

Cause: guardcheck showed that the test passed without the index check, because the count of the final event caught the same cases.

--- a/upstream/engine/http_test.go
+++ b/upstream/engine/http_test.go
@@ -66,6 +66,8 @@
 		"end mark only":  tokens + "data: [DONE]\n\n",
 		"lost token":     tokens + fmt.Sprintf(tokenLine, 3, 3) + fmt.Sprintf(finalLine, 4, 4),
 		"repeated token": tokens + fmt.Sprintf(tokenLine, 1, 1) + fmt.Sprintf(finalLine, 2, 2),
+		"skipped index":  fmt.Sprintf(tokenLine, 0, 0) + fmt.Sprintf(tokenLine, 2, 2) + fmt.Sprintf(finalLine, 2, 2),
+		"swapped tokens": fmt.Sprintf(tokenLine, 1, 1) + fmt.Sprintf(tokenLine, 0, 0) + fmt.Sprintf(finalLine, 2, 2),
 		"wrong count":    tokens + fmt.Sprintf(finalLine, 3, 3),
 		"no usage":       tokens + `data: {"choices":[{"finish_reason":"length"}]}` + "\n\n",
 		"not JSON":       tokens + "data: {\n\n",
