--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,149 @@
+// Package demo runs the whole system on loopback under a mixed load with failures, and prints one table of what
+// callers saw. It fails if a promise of the system broke.
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/wasabishunt/wasabishunt/internal/fleet"
+	"github.com/wasabishunt/wasabishunt/internal/workload"
+)
+
+// Options of a run.
+type Options struct {
+	// Binaries is the directory with the built programs.
+	Binaries string
+	// Directory receives logs and data.
+	Directory string
+	// Seed of the load.
+	Seed uint64
+	// Load is how long the load runs; default 20 s.
+	Load   time.Duration
+	Output io.Writer
+}
+
+// StepError reports a step of the demo that failed.
+type StepError struct {
+	Step   string
+	Detail string
+	Cause  error
+}
+
+func (e *StepError) Error() string {
+	if e.Cause != nil {
+		return fmt.Sprintf("%s: %s: %v", e.Step, e.Detail, e.Cause)
+	}
+	return fmt.Sprintf("%s: %s", e.Step, e.Detail)
+}
+
+// Unwrap returns the cause.
+func (e *StepError) Unwrap() error { return e.Cause }
+
+// BrokenPromiseError lists the promises that broke.
+type BrokenPromiseError struct{ Violations []workload.Violation }
+
+func (e *BrokenPromiseError) Error() string {
+	return fmt.Sprintf("%d promises broke, first %s", len(e.Violations), e.Violations[0])
+}
+
+// demo is one run.
+type demo struct {
+	options Options
+	fleet   *fleet.Fleet
+	checker workload.Checker
+	started time.Time
+}
+
+// shape is the system that the demo starts.
+func shape() fleet.Shape {
+	return fleet.Shape{
+		Controls: 3, Entries: 2, Stores: 2, Services: 2, Accounts: 4,
+		Upstreams: []fleet.UpstreamShape{{}, {}, {IgnoresFencing: true, PrefillRate: 10_000, DecodeRate: 120}, {}},
+	}
+}
+
+// Run starts the system, sends the load, causes the failures, and reports.
+func Run(ctx context.Context, options Options) error {
+	if options.Load == 0 {
+		options.Load = 20 * time.Second
+	}
+	f, err := fleet.New(shape(), options.Binaries, options.Directory)
+	if err != nil {
+		return &StepError{"prepare", "addresses and files", err}
+	}
+	defer f.Close()
+	d := &demo{options: options, fleet: f, started: time.Now()}
+	if err := d.start(ctx); err != nil {
+		return err
+	}
+	if err := d.drive(ctx); err != nil {
+		return err
+	}
+	return d.report(ctx)
+}
+
+func (d *demo) say(format string, args ...any) {
+	_, _ = fmt.Fprintf(d.options.Output, "%6.1fs  %s\n", time.Since(d.started).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// start brings up all processes and publishes the first set.
+func (d *demo) start(ctx context.Context) error {
+	d.say("start %d processes; logs in %s", len(d.fleet.Names()), d.options.Directory)
+	if err := d.fleet.StartAll(); err != nil {
+		return &StepError{"start", "processes", err}
+	}
+	if err := d.publish(ctx, 0, fleet.Model+"-v1"); err != nil {
+		return err
+	}
+	for i := range d.fleet.Shape.Entries {
+		if err := d.fleet.AwaitReady(ctx, i); err != nil {
+			return &StepError{"start", "entries did not become ready", err}
+		}
+	}
+	return nil
+}
+
+// publish puts a set in force whose model uses the given weight version.
+func (d *demo) publish(ctx context.Context, expect int, version string) error {
+	set := d.fleet.ObjectSet()
+	set.Models[0].WeightVersion = version
+	document, err := json.Marshal(set)
+	if err != nil {
+		return &StepError{"publish", "encode set", err}
+	}
+	path := filepath.Join(d.options.Directory, "set.json")
+	if err := os.WriteFile(path, document, 0o600); err != nil {
+		return &StepError{"publish", "write set", err}
+	}
+	begin := time.Now()
+	if err := d.operate(ctx, "publish", path, "--expect-version", fmt.Sprint(expect)); err != nil {
+		return err
+	}
+	d.say("published version %d with weights %s in %d ms", expect+1, version, time.Since(begin).Milliseconds())
+	if err := d.operate(ctx, "watch", "--wait", "10s"); err != nil {
+		return err
+	}
+	d.say("version %d in force on all processes after %d ms", expect+1, time.Since(begin).Milliseconds())
+	return nil
+}
+
+// operateTimeout limits one operators' command with its repeats.
+const operateTimeout = 20 * time.Second
+
+// operate runs an operators' command; an unknown outcome or a group without a leader yet is tried again.
+func (d *demo) operate(ctx context.Context, args ...string) error {
+	result, err := d.fleet.OperateUntilDone(ctx, operateTimeout, fleet.Operator, args...)
+	if err != nil {
+		return &StepError{"operate", args[0], err}
+	}
+	if result.ExitCode != 0 {
+		return &StepError{Step: "operate", Detail: fmt.Sprintf("%v exited with %d: %s %s", args, result.ExitCode, result.Stdout, result.Stderr)}
+	}
+	return nil
+}
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -9,7 +9,10 @@
 	"net/http"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"time"
+
+	"github.com/google/uuid"
 )
 
 // EntryURL returns the base URL of an entry, counted from 0.
@@ -94,3 +97,81 @@
 	}
 	return json.NewDecoder(response.Body).Decode(answer)
 }
+
+// pollInterval is the time between checks of a condition in another process.
+const pollInterval = 50 * time.Millisecond
+
+// Poll calls a check until it succeeds or the context ends; it then returns the last error.
+func Poll(ctx context.Context, check func() error) error {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		err := check()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-ticker.C:
+		}
+	}
+}
+
+// readyTimeout limits the wait for an entry.
+const readyTimeout = 20 * time.Second
+
+// AwaitReady waits until an entry, counted from 0, tells the balancer that it is ready.
+func (f *Fleet) AwaitReady(ctx context.Context, entry int) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	return Poll(ctx, func() error {
+		url := f.EntryURL(entry) + "/readyz"
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+		if err != nil {
+			return err
+		}
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = response.Body.Close() }()
+		if response.StatusCode != http.StatusOK {
+			text, _ := io.ReadAll(io.LimitReader(response.Body, 1<<10))
+			return &StatusError{url, response.StatusCode, string(text)}
+		}
+		return nil
+	})
+}
+
+// exitUnknown is the exit code of an operators' command whose outcome is unknown; a resend is safe.
+const exitUnknown = 3
+
+// OperateUntilDone repeats a command while its outcome is unknown. A publish is resent with the same operation id.
+func (f *Fleet) OperateUntilDone(ctx context.Context, timeout time.Duration, operator string, args ...string) (CommandResult, error) {
+	if args[0] == "publish" {
+		args = append(args, "--operation-id", uuid.NewString())
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var result CommandResult
+	err := Poll(ctx, func() error {
+		var err error
+		result, err = f.Operate(ctx, operator, args...)
+		if err == nil && result.ExitCode == exitUnknown {
+			return &UnknownOutcomeError{args, result}
+		}
+		return err
+	})
+	return result, err
+}
+
+// UnknownOutcomeError reports a command whose outcome stayed unknown.
+type UnknownOutcomeError struct {
+	Args   []string
+	Result CommandResult
+}
+
+func (e *UnknownOutcomeError) Error() string {
+	return strings.Join(e.Args, " ") + ": outcome unknown: " + e.Result.Stderr
+}
