Test the entry with the official client, scripted agents and a real agent

Cause: answers must be whole or say that they are not; the official client must read them. huma's Register is not used: it closes the body after reading it under its own limits. go-metrics timers are not used: goleak shows that they start a goroutine that never ends. Conclusion: the request path works in one process (go test -race ./entry passes).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -57,6 +57,9 @@
 	rates   *rates
 	weights *weights
 	cache   *cacheContents
+	// firstTokenTimes are times to first token on the engine in milliseconds. It is a histogram, because the
+	// timers of go-metrics start a goroutine that never ends.
+	firstTokenTimes gometrics.Histogram
 
 	mu       sync.Mutex
 	jobs     map[string]*job
@@ -99,6 +102,7 @@
 		rates:        &rates{},
 		cache:        newCacheContents(options.MaxCachePieces),
 	}
+	a.firstTokenTimes = gometrics.GetOrRegisterHistogram("runs.first_token_ms", deps.Registry, gometrics.NewExpDecaySample(1028, 0.015))
 	a.weights = newWeights(a)
 	return a
 }
--- a/agent/run.go
+++ b/agent/run.go
@@ -180,7 +180,7 @@
 	now := r.agent.deps.Clock.Now()
 	r.agent.rates.recordFirst(r.computed, r.first.Sub(r.started))
 	r.agent.rates.recordRun(generated-1, now.Sub(r.first), now.Sub(r.started))
-	gometrics.GetOrRegisterTimer("runs.first_token", r.agent.deps.Registry).Update(r.first.Sub(r.started))
+	r.agent.firstTokenTimes.Update(r.first.Sub(r.started).Milliseconds())
 }
 
 func (a *Agent) count(name string) {
--- /dev/null
+++ b/entry/checks_test.go
@@ -0,0 +1,221 @@
+package entry_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabishunt/wasabishunt/controlclient"
+	"github.com/wasabishunt/wasabishunt/entry"
+	standin "github.com/wasabishunt/wasabishunt/internal/standin/engine"
+	"github.com/wasabishunt/wasabishunt/rpc/agentpb"
+)
+
+// TestRefusedRequests guards against requests that pass although they break a rule, and against wrong statuses.
+func TestRefusedRequests(t *testing.T) {
+	c := newCluster(t, entry.Options{MaxBodyBytes: 4096})
+	f := c.fake("u1", whole)
+	cases := []struct {
+		name, body string
+		headers    []string
+		status     int
+		kind       string
+	}{
+		{"wrong key", chatBody(false, ""), []string{"Authorization", "Bearer other"}, 401, "unauthorized"},
+		{"no bearer", chatBody(false, ""), []string{"Authorization", apiKey}, 401, "unauthorized"},
+		{"unknown model", `{"model":"x","messages":[{"role":"user","content":"a"}]}`, nil, 404, "model_not_found"},
+		{"model of others", `{"model":"secret","messages":[{"role":"user","content":"a"}]}`, nil, 404, "model_not_found"},
+		{"bad JSON", `{"model"`, nil, 400, "invalid_request"},
+		{"trailing data", chatBody(false, "") + "{}", nil, 400, "invalid_request"},
+		{"unknown field", chatBody(false, `,"tools":[]`), nil, 400, "invalid_request"},
+		{"unknown role", `{"model":"model","messages":[{"role":"|> x","content":"a"}]}`, nil, 400, "invalid_request"},
+		{"several choices", chatBody(false, `,"n":2`), nil, 400, "invalid_request"},
+		{"no messages", `{"model":"model","messages":[]}`, nil, 400, "invalid_request"},
+		{"too large", chatBody(false, "") + strings.Repeat(" ", 5000), nil, 413, "body_too_large"},
+		{"bad deadline", chatBody(false, ""), []string{"X-Deadline-Ms", "soon"}, 400, "invalid_request"},
+		{"negative deadline", chatBody(false, ""), []string{"X-Deadline-Ms", "-1"}, 400, "invalid_request"},
+		{"unknown rank", chatBody(false, ""), []string{"X-Rank", "top"}, 400, "invalid_request"},
+		{"rank of others", chatBody(false, ""), []string{"X-Rank", "overnight"}, 403, "forbidden"},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			response, body := c.do(http.MethodPost, chatPath, test.body, append(test.headers, "X-Request-Id", "mine")...)
+			failed := errorOf(t, body)
+			assert.Equal(t, test.status, response.StatusCode, string(body))
+			assert.Equal(t, test.kind, failed.Type)
+			assert.Equal(t, "not_run", failed.Execution)
+			assert.Equal(t, response.Header.Get("X-Request-Id"), failed.RequestID)
+			assert.Equal(t, "mine", failed.ClientRequestID)
+		})
+	}
+	assert.Empty(t, f.seen(), "no refused request reaches an upstream")
+}
+
+// TestStaleEntry guards against new work under a set that control has not confirmed.
+func TestStaleEntry(t *testing.T) {
+	c := newCluster(t, entry.Options{})
+	f := c.fake("u1", whole)
+	response, _ := c.do(http.MethodGet, "/readyz", "")
+	assert.Equal(t, http.StatusOK, response.StatusCode)
+	c.view.Change(func(v *controlclient.View) { v.FreshUntil = time.Now() })
+	response, body := c.do(http.MethodPost, chatPath, chatBody(false, ""))
+	assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	assert.Equal(t, "stale_set", errorOf(t, body).Code)
+	assert.Equal(t, "1", response.Header.Get("Retry-After"))
+	response, _ = c.do(http.MethodGet, "/readyz", "")
+	assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	assert.Empty(t, f.seen())
+}
+
+// TestObservedVersion guards against new work under a set that a reply has shown to be old.
+func TestObservedVersion(t *testing.T) {
+	c := newCluster(t, entry.Options{CatchUp: 20 * time.Millisecond})
+	c.fake("u1", func(req *agentpb.GenerateRequest, send send) error {
+		event := accepted(req)
+		event.GetAccepted().Load = &agentpb.UpstreamLoad{Upstream: "u1", SetVersion: 99}
+		send(event)
+		return whole(req, send)
+	})
+	response, _ := c.do(http.MethodPost, chatPath, chatBody(false, ""))
+	assert.Equal(t, http.StatusOK, response.StatusCode)
+	assert.Equal(t, uint64(99), c.view.Observed())
+	_, body := c.do(http.MethodPost, chatPath, chatBody(false, ""))
+	assert.Equal(t, "stale_set", errorOf(t, body).Code)
+}
+
+// TestAccountConcurrency guards against one account that takes all places.
+func TestAccountConcurrency(t *testing.T) {
+	c := newCluster(t, entry.Options{})
+	c.set.Accounts[0].MaxConcurrent = 1
+	started, release := make(chan struct{}), make(chan struct{})
+	c.fake("u1", func(req *agentpb.GenerateRequest, send send) error {
+		close(started)
+		<-release
+		return whole(req, send)
+	})
+	first := make(chan int, 1)
+	go func() {
+		response, _ := c.do(http.MethodPost, chatPath, chatBody(false, ""))
+		first <- response.StatusCode
+	}()
+	<-started
+	response, body := c.do(http.MethodPost, chatPath, chatBody(false, ""))
+	assert.Equal(t, http.StatusTooManyRequests, response.StatusCode)
+	assert.Equal(t, "overloaded", errorOf(t, body).Code)
+	close(release)
+	assert.Equal(t, http.StatusOK, <-first)
+}
+
+// rawRequest opens a connection and sends the head of a request with a body of the given length.
+func rawRequest(t *testing.T, address string, length int, body string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", chatPath, apiKey, length, body)
+	require.NoError(t, err)
+	return conn
+}
+
+// TestSlowBody guards against a caller that holds its place by never sending its body.
+func TestSlowBody(t *testing.T) {
+	c := newCluster(t, entry.Options{BodyTimeout: 50 * time.Millisecond})
+	conn := rawRequest(t, c.http.Listener.Addr().String(), 1000, "{")
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	assert.Equal(t, http.StatusBadRequest, response.StatusCode)
+}
+
+// TestSlowReader guards against a caller that holds a run by not reading its answer.
+func TestSlowReader(t *testing.T) {
+	c := newCluster(t, entry.Options{WriteTimeout: 50 * time.Millisecond})
+	ended := make(chan struct{})
+	c.fake("u1", func(req *agentpb.GenerateRequest, send send) error {
+		defer close(ended)
+		send(accepted(req))
+		// Far more than the socket buffers take; the entry must end the stream long before.
+		for i := range int64(1 << 20) {
+			if c.historySize() > 0 {
+				return nil
+			}
+			send(delta(i, strings.Repeat("x", 1<<16)))
+		}
+		return nil
+	})
+	body := chatBody(true, "")
+	rawRequest(t, c.http.Listener.Addr().String(), len(body), body)
+	select {
+	case <-ended:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the stream to a caller that does not read goes on")
+	}
+}
+
+// historySize reports whether the one request of a test has ended, by the metrics page.
+func (c *cluster) historySize() int {
+	response, err := http.Get(c.http.URL + "/metrics")
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	page, _ := io.ReadAll(response.Body)
+	return strings.Count(string(page), "wasabishunt_requests_canceled 1")
+}
+
+// TestGracefulStop guards against a stop that refuses callers before the load balancer knows, or that breaks
+// running answers.
+func TestGracefulStop(t *testing.T) {
+	c := newCluster(t, entry.Options{DrainNotice: 300 * time.Millisecond})
+	c.engineAgent("u1", standin.Settings{TimeScale: 1, DecodeTokensPerSecond: 20})
+	listener := listen(t)
+	c.http.URL = "http://" + listener.Addr().String()
+	ctx, stop := context.WithCancel(t.Context())
+	served := make(chan error, 1)
+	go func() { served <- c.server.Serve(ctx, listener) }()
+	running := make(chan string, 1)
+	go func() {
+		_, body := c.do(http.MethodPost, chatPath, chatBody(true, ""))
+		running <- string(body)
+	}()
+	response, _ := c.do(http.MethodGet, "/readyz", "")
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	stop()
+	require.Eventually(t, c.server.Draining, time.Second, time.Millisecond)
+	response, _ = c.do(http.MethodGet, "/readyz", "")
+	assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	response, _ = c.do(http.MethodGet, "/v1/models", "")
+	assert.Equal(t, http.StatusOK, response.StatusCode, "callers are served during the notice")
+	assert.True(t, response.Close, "callers are told to leave the connection")
+	assert.Contains(t, <-running, "[DONE]")
+	require.NoError(t, <-served)
+}
+
+// TestDebugRequest guards against past requests that anybody can look up, or that nobody can.
+func TestDebugRequest(t *testing.T) {
+	c := newCluster(t, entry.Options{OperatorTokenSHA256: hashOf("operator")})
+	c.fake("u1", whole)
+	response, _ := c.do(http.MethodPost, chatPath, chatBody(false, ""))
+	path := "/debug/requests/" + response.Header.Get("X-Request-Id")
+	response, _ = c.do(http.MethodGet, path, "")
+	assert.Equal(t, http.StatusUnauthorized, response.StatusCode)
+	response, body := c.do(http.MethodGet, path, "", "Authorization", "Bearer operator")
+	assert.Equal(t, http.StatusOK, response.StatusCode)
+	assert.Contains(t, string(body), `"outcome":"ok"`)
+	response, body = c.do(http.MethodGet, "/openapi.json", "")
+	assert.Equal(t, http.StatusOK, response.StatusCode)
+	assert.Contains(t, string(body), "X-Deadline-Ms")
+	response, body = c.do(http.MethodGet, "/nowhere", "")
+	assert.Equal(t, http.StatusNotFound, response.StatusCode)
+	assert.Equal(t, "not_found", errorOf(t, body).Code)
+}
--- a/entry/errors.go
+++ b/entry/errors.go
@@ -9,13 +9,13 @@
 	"github.com/wasabishunt/wasabishunt/failure"
 )
 
-// ErrorBody is the body of a failed response, and the data of an error event within a stream.
-type ErrorBody struct {
-	Error ErrorDetail `json:"error"`
+// FailureBody is the body of a failed response, and the data of an error event within a stream.
+type FailureBody struct {
+	Error FailureDetail `json:"error"`
 }
 
-// ErrorDetail describes a failure.
-type ErrorDetail struct {
+// FailureDetail describes a failure.
+type FailureDetail struct {
 	Type    string `json:"type" doc:"Kind of the failure"`
 	Message string `json:"message"`
 	Code    string `json:"code" doc:"Same as type"`
@@ -26,8 +26,8 @@
 	ClientRequestID string `json:"client_request_id,omitempty"`
 }
 
-func errorBody(e *failure.Error, requestID, clientID string) ErrorBody {
-	return ErrorBody{Error: ErrorDetail{
+func errorBody(e *failure.Error, requestID, clientID string) FailureBody {
+	return FailureBody{Error: FailureDetail{
 		Type: string(e.Kind), Message: e.Message, Code: string(e.Kind), Execution: string(e.Execution),
 		RetryAfterMs: e.RetryAfter.Milliseconds(), RequestID: requestID, ClientRequestID: clientID,
 	}}
--- /dev/null
+++ b/entry/fakeagent_test.go
@@ -0,0 +1,249 @@
+package entry_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/wasabishunt/wasabishunt/entry"
+	"github.com/wasabishunt/wasabishunt/rpc/agentpb"
+)
+
+// fakeAgent answers as its script says.
+type fakeAgent struct {
+	agentpb.DRPCAgentUnimplementedServer
+	name   string
+	script func(req *agentpb.GenerateRequest, send func(*agentpb.GenerateEvent)) error
+
+	mu       sync.Mutex
+	requests []*agentpb.GenerateRequest
+}
+
+// Generate runs the script; returning nil closes the stream cleanly.
+func (f *fakeAgent) Generate(req *agentpb.GenerateRequest, stream agentpb.DRPCAgent_GenerateStream) error {
+	f.mu.Lock()
+	f.requests = append(f.requests, req)
+	f.mu.Unlock()
+	return f.script(req, func(event *agentpb.GenerateEvent) { _ = stream.Send(event) })
+}
+
+func (f *fakeAgent) seen() []*agentpb.GenerateRequest {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.requests
+}
+
+type send = func(*agentpb.GenerateEvent)
+
+// fake starts a scripted agent for an upstream.
+func (c *cluster) fake(name string, script func(*agentpb.GenerateRequest, send) error) *fakeAgent {
+	c.t.Helper()
+	f := &fakeAgent{name: name, script: script}
+	mux := drpcmux.New()
+	require.NoError(c.t, agentpb.DRPCRegisterAgent(mux, f))
+	listener := listen(c.t)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- drpcserver.New(mux).Serve(ctx, listener) }()
+	c.t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	c.join(name, listener.Addr().String())
+	return f
+}
+
+func accepted(req *agentpb.GenerateRequest) *agentpb.GenerateEvent {
+	return &agentpb.GenerateEvent{Event: &agentpb.GenerateEvent_Accepted{Accepted: &agentpb.Accepted{
+		RequestId: req.GetHeader().GetRequestId(), WeightVersion: req.GetWeightVersion(),
+	}}}
+}
+
+func delta(index int64, text string) *agentpb.GenerateEvent {
+	return &agentpb.GenerateEvent{Event: &agentpb.GenerateEvent_Delta{Delta: &agentpb.Delta{Index: index, Text: text}}}
+}
+
+func end(req *agentpb.GenerateRequest, total int64) *agentpb.GenerateEvent {
+	return &agentpb.GenerateEvent{Event: &agentpb.GenerateEvent_End{End: &agentpb.End{
+		RequestId: req.GetHeader().GetRequestId(), TotalTokens: total, FinishReason: "stop",
+	}}}
+}
+
+func refusal(kind string, execution agentpb.Execution) *agentpb.GenerateEvent {
+	return &agentpb.GenerateEvent{Event: &agentpb.GenerateEvent_Refusal{Refusal: &agentpb.Refusal{Kind: kind, Execution: execution}}}
+}
+
+// whole answers "a b c " from the first token that the caller lacks.
+func whole(req *agentpb.GenerateRequest, send send) error {
+	send(accepted(req))
+	for i := len(req.GetEmitted()); i < 3; i++ {
+		send(delta(int64(i), string(rune('a'+i))+" "))
+	}
+	send(end(req, 3))
+	return nil
+}
+
+// TestUntrustworthyStreams guards against answers that are passed on as whole although the stream lacked its end
+// mark, had a gap or a repeat, counted wrongly, or belonged to another request.
+func TestUntrustworthyStreams(t *testing.T) {
+	cases := map[string]func(*agentpb.GenerateRequest, send) error{
+		"clean close without end mark": func(r *agentpb.GenerateRequest, send send) error {
+			send(accepted(r))
+			send(delta(0, "a "))
+			return nil
+		},
+		"gap": func(r *agentpb.GenerateRequest, send send) error {
+			send(accepted(r))
+			send(delta(0, "a "))
+			send(delta(2, "c "))
+			send(end(r, 2))
+			return nil
+		},
+		"repeat": func(r *agentpb.GenerateRequest, send send) error {
+			send(accepted(r))
+			send(delta(0, "a "))
+			send(delta(0, "a "))
+			send(end(r, 2))
+			return nil
+		},
+		"end mark with another count": func(r *agentpb.GenerateRequest, send send) error {
+			send(accepted(r))
+			send(delta(0, "a "))
+			send(end(r, 2))
+			return nil
+		},
+		"another request's events": func(r *agentpb.GenerateRequest, send send) error {
+			r.Header.RequestId = "another"
+			return whole(r, send)
+		},
+		"another request's end mark": func(r *agentpb.GenerateRequest, send send) error {
+			send(accepted(r))
+			r.Header.RequestId = "another"
+			send(end(r, 0))
+			return nil
+		},
+		"another weight version": func(r *agentpb.GenerateRequest, send send) error {
+			r.WeightVersion = "v2"
+			return whole(r, send)
+		},
+	}
+	for name, script := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, entry.Options{MaxAttempts: 1})
+			c.fake("u1", script)
+			response, body := c.do(http.MethodPost, chatPath, chatBody(false, ""))
+			assert.Equal(t, http.StatusBadGateway, response.StatusCode)
+			assert.Equal(t, "stream_broken", errorOf(t, body).Code)
+			assert.NotEqual(t, "not_run", errorOf(t, body).Execution)
+			_, body = c.do(http.MethodPost, chatPath, chatBody(true, ""))
+			assert.NotContains(t, string(body), "[DONE]")
+			assert.Contains(t, string(body), "stream_broken")
+		})
+	}
+}
+
+// TestContinuation guards against a broken stream that is not continued, or is continued with a gap, a repeat or
+// another weight version.
+func TestContinuation(t *testing.T) {
+	c := newCluster(t, entry.Options{})
+	script := func(req *agentpb.GenerateRequest, send send) error {
+		if len(req.GetEmitted()) == 2 {
+			return whole(req, send)
+		}
+		send(accepted(req))
+		send(delta(0, "a "))
+		send(delta(1, "b "))
+		return nil
+	}
+	agents := []*fakeAgent{c.fake("u1", script), c.fake("u2", script)}
+	response, body := c.do(http.MethodPost, chatPath, chatBody(true, ""))
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	assert.Contains(t, string(body), "[DONE]")
+	for _, token := range []string{`"a "`, `"b "`, `"c "`} {
+		assert.Equal(t, 1, strings.Count(string(body), token), token)
+	}
+	requests := append(agents[0].seen(), agents[1].seen()...)
+	require.Len(t, requests, 2)
+	assert.Equal(t, requests[0].GetWeightVersion(), requests[1].GetWeightVersion())
+	assert.NotEqual(t, requests[0].GetHeader().GetRequestId(), requests[1].GetHeader().GetRequestId())
+}
+
+// TestRetryOnlyWhenNotRun guards against a refusal that is passed on although another upstream is free,
+// and against retries beyond the budget.
+func TestRetryOnlyWhenNotRun(t *testing.T) {
+	c := newCluster(t, entry.Options{RetryBurst: 1, RetryShare: 0.001})
+	refuse := func(_ *agentpb.GenerateRequest, send send) error {
+		send(refusal("overloaded", agentpb.Execution_NOT_RUN))
+		return nil
+	}
+	agents := []*fakeAgent{c.fake("u1", refuse), c.fake("u2", refuse)}
+	response, body := c.do(http.MethodPost, chatPath, chatBody(false, ""))
+	assert.Equal(t, http.StatusTooManyRequests, response.StatusCode)
+	assert.Equal(t, "not_run", errorOf(t, body).Execution)
+	assert.Len(t, append(agents[0].seen(), agents[1].seen()...), 2, "one retry")
+	c.do(http.MethodPost, chatPath, chatBody(false, ""))
+	assert.Len(t, append(agents[0].seen(), agents[1].seen()...), 3, "the budget is spent")
+}
+
+// TestNotRunAfterRun guards against not_run for a request whose first attempt may have run.
+func TestNotRunAfterRun(t *testing.T) {
+	c := newCluster(t, entry.Options{})
+	var calls int
+	script := func(req *agentpb.GenerateRequest, send send) error {
+		calls++
+		if calls == 1 {
+			send(accepted(req))
+			return nil
+		}
+		send(refusal("overloaded", agentpb.Execution_NOT_RUN))
+		return nil
+	}
+	c.fake("u1", script)
+	c.fake("u2", script)
+	_, body := c.do(http.MethodPost, chatPath, chatBody(false, ""))
+	assert.Equal(t, 2, calls)
+	assert.Equal(t, "unknown", errorOf(t, body).Execution)
+}
+
+// TestSilentAgent guards against a caller that waits without limit for an agent behind a dead link.
+func TestSilentAgent(t *testing.T) {
+	c := newCluster(t, entry.Options{StreamIdle: 50 * time.Millisecond, MaxAttempts: 2})
+	release := make(chan struct{})
+	script := func(req *agentpb.GenerateRequest, send send) error {
+		send(accepted(req))
+		<-release
+		return nil
+	}
+	c.fake("u1", script)
+	t.Cleanup(func() { close(release) })
+	response, body := c.do(http.MethodPost, chatPath, chatBody(false, ""))
+	assert.Equal(t, http.StatusBadGateway, response.StatusCode, string(body))
+}
+
+// TestAccountScope guards against accounts that share cache: the names of the same prompt's pieces must differ.
+func TestAccountScope(t *testing.T) {
+	c := newCluster(t, entry.Options{})
+	set := *c.set
+	second := set.Accounts[0]
+	second.Name = "b"
+	second.KeySHA256 = []string{hashOf("key-b")}
+	set.Accounts = append(set.Accounts, second)
+	c.set = &set
+	f := c.fake("u1", whole)
+	long := `{"model":"model","messages":[{"role":"user","content":"` + strings.Repeat("word ", 2100) + `"}]}`
+	c.do(http.MethodPost, chatPath, long)
+	c.do(http.MethodPost, chatPath, long, "Authorization", "Bearer key-b")
+	requests := f.seen()
+	require.Len(t, requests, 2)
+	require.Len(t, requests[0].GetPieceNames(), 1)
+	assert.Equal(t, "b", requests[1].GetHeader().GetAccount())
+	assert.NotEqual(t, requests[0].GetPieceNames(), requests[1].GetPieceNames())
+}
--- a/entry/generation.go
+++ b/entry/generation.go
@@ -30,6 +30,9 @@
 	emitted  []string
 	excluded []string
 	attempts int
+	// exhausted is true when no other upstream is left to try.
+	exhausted bool
+	last      *failure.Error
 	// ran is true once an attempt may have run; then the request as a whole can no longer be not_run.
 	ran bool
 }
@@ -42,6 +45,7 @@
 			return nil
 		}
 		e := g.classify(err)
+		g.last = e
 		if !g.mayRetry(e) {
 			g.sink.fail(e)
 			return e
@@ -85,7 +89,7 @@
 // mayRetry allows another upstream after a refusal with not_run or after a broken stream, which is continued.
 func (g *generation) mayRetry(e *failure.Error) bool {
 	s := g.call.server
-	if g.call.ctx.Err() != nil || g.attempts >= s.options.MaxAttempts || !elsewhere[e.Kind] || g.sink.broken() {
+	if g.exhausted || g.call.ctx.Err() != nil || g.attempts >= s.options.MaxAttempts || !elsewhere[e.Kind] || g.sink.broken() {
 		return false
 	}
 	if s.budget.take() {
@@ -128,7 +132,8 @@
 	}
 	route, err := g.call.server.deps.Router.Pick(g.call.view, g.routeRequest())
 	if err != nil {
-		return err
+		g.exhausted = true
+		return g.reason(err)
 	}
 	g.attempts++
 	g.excluded = append(g.excluded, route.Upstream)
@@ -147,6 +152,14 @@
 	return e
 }
 
+// reason prefers the failure of the last attempt, with its advice, to the lack of another upstream.
+func (g *generation) reason(pick error) error {
+	if g.last != nil {
+		return g.last
+	}
+	return pick
+}
+
 func (g *generation) routeRequest() routing.Request {
 	return routing.Request{
 		Model:         g.model,
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
@@ -37,13 +36,15 @@
 	})
 }
 
-// route registers an operation whose handler works on the plain request.
+// route describes an operation and registers its handler with huma's adapter. huma.Register is not used, because
+// it would read the body under its own limits and answer failures with its own type.
 func route(api huma.API, operation huma.Operation, handler http.HandlerFunc) {
-	huma.Register(api, operation, func(context.Context, *struct{}) (*huma.StreamResponse, error) {
-		return &huma.StreamResponse{Body: func(ctx huma.Context) {
-			r, w := humago.Unwrap(ctx)
-			handler(w, r)
-		}}, nil
+	described := operation
+	described.Path = strings.ReplaceAll(operation.Path, "...}", "}")
+	api.OpenAPI().AddOperation(&described)
+	api.Adapter().Handle(&operation, func(ctx huma.Context) {
+		r, w := humago.Unwrap(ctx)
+		handler(w, r)
 	})
 }
 
@@ -72,7 +73,7 @@
 	}
 	return map[string]*huma.Response{
 		"200":     ok,
-		"default": {Description: "Failure", Content: content(reflect.TypeFor[ErrorBody]())},
+		"default": {Description: "Failure", Content: content(reflect.TypeFor[FailureBody]())},
 	}
 }
 
--- /dev/null
+++ b/internal/fixedview/fixedview.go
@@ -0,0 +1,178 @@
+// Package fixedview stands in for control inside one process: a view that its owner changes,
+// and the booking and load-slot calls over the real booking table. Tests of entry and agent use it.
+package fixedview
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/wasabishunt/wasabishunt/booking"
+	"github.com/wasabishunt/wasabishunt/controlclient"
+	"github.com/wasabishunt/wasabishunt/objectset"
+	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
+)
+
+// View is a controlclient.Source. Its lock is a leaf.
+type View struct {
+	mu       sync.Mutex
+	view     controlclient.View
+	changed  chan struct{}
+	observed uint64
+}
+
+var _ controlclient.Source = (*View)(nil)
+
+// New returns a fresh view of the set with version 1 and epoch 1.
+func New(set *objectset.Set, processes ...controlclient.Process) *View {
+	byID := map[string]controlclient.Process{}
+	for _, p := range processes {
+		byID[p.ID] = p
+	}
+	return &View{changed: make(chan struct{}), view: controlclient.View{
+		Set: set, Version: 1, Epoch: 1, Revision: 1, Processes: byID, FreshUntil: time.Now().Add(time.Hour),
+	}}
+}
+
+// Current implements controlclient.Source.
+func (v *View) Current() controlclient.View {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.view
+}
+
+// Changed implements controlclient.Source.
+func (v *View) Changed() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed
+}
+
+// Observe implements controlclient.Source.
+func (v *View) Observe(version uint64) {
+	v.Change(func(view *controlclient.View) {
+		v.observed = max(v.observed, version)
+		view.Behind = view.Version < v.observed
+	})
+}
+
+// Observed returns the highest version that was reported.
+func (v *View) Observed() uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.observed
+}
+
+// Change changes the view.
+func (v *View) Change(change func(*controlclient.View)) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	next := v.view
+	next.Processes = maps.Clone(v.view.Processes)
+	next.Revision++
+	change(&next)
+	if next.Version >= v.observed {
+		next.Behind = false
+	}
+	v.view = next
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+// Publish puts a new set in force.
+func (v *View) Publish(set *objectset.Set) {
+	v.Change(func(view *controlclient.View) {
+		view.Set = set
+		view.Version++
+	})
+}
+
+// Control answers booking and load-slot calls. Before, if set, may fail a call by its name before it takes effect.
+type Control struct {
+	mu     sync.Mutex
+	table  *booking.Table
+	calls  []string
+	slots  map[string]bool
+	Before func(call string) error
+	// MaxLoading is the number of load slots; default 2.
+	MaxLoading int
+}
+
+// NewControl returns a Control with an empty booking table.
+func NewControl() *Control {
+	return &Control{table: booking.NewTable(booking.Limits{}), slots: map[string]bool{}, MaxLoading: 2}
+}
+
+// Calls returns the names of the calls so far, in order.
+func (c *Control) Calls() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]string(nil), c.calls...)
+}
+
+func (c *Control) begin(call string) error {
+	c.mu.Lock()
+	c.calls = append(c.calls, call)
+	before := c.Before
+	c.mu.Unlock()
+	if before != nil {
+		return before(call)
+	}
+	return nil
+}
+
+func (c *Control) book(call string, apply func() *controlpb.BookingResponse) (*controlpb.BookingResponse, error) {
+	if err := c.begin(call); err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	response := apply()
+	return response, controlclient.FromFailure(response.GetFailure())
+}
+
+// ClaimBooking claims a key.
+func (c *Control) ClaimBooking(_ context.Context, in *controlpb.ClaimBookingRequest) (*controlpb.BookingResponse, error) {
+	return c.book("claim", func() *controlpb.BookingResponse { return c.table.Claim(time.Now().UnixMilli(), in) })
+}
+
+// DispatchBooking permits the one run of a claim.
+func (c *Control) DispatchBooking(_ context.Context, in *controlpb.DispatchBookingRequest) (*controlpb.BookingResponse, error) {
+	return c.book("dispatch", func() *controlpb.BookingResponse { return c.table.Dispatch(in) })
+}
+
+// FinishBooking records an outcome.
+func (c *Control) FinishBooking(_ context.Context, in *controlpb.FinishBookingRequest) (*controlpb.BookingResponse, error) {
+	return c.book("finish", func() *controlpb.BookingResponse { return c.table.Finish(in) })
+}
+
+// ReleaseBooking gives up a claim.
+func (c *Control) ReleaseBooking(_ context.Context, in *controlpb.ReleaseBookingRequest) (*controlpb.BookingResponse, error) {
+	return c.book("release", func() *controlpb.BookingResponse { return c.table.Release(in) })
+}
+
+// AcquireLoadSlot grants one of the slots.
+func (c *Control) AcquireLoadSlot(_ context.Context, in *controlpb.LoadSlotRequest) (*controlpb.LoadSlotResponse, error) {
+	if err := c.begin("acquire"); err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.slots[in.GetUpstream()] && len(c.slots) >= c.MaxLoading {
+		return &controlpb.LoadSlotResponse{}, nil
+	}
+	c.slots[in.GetUpstream()] = true
+	return &controlpb.LoadSlotResponse{Granted: true, LeaseMs: 10_000}, nil
+}
+
+// ReleaseLoadSlot gives a slot back.
+func (c *Control) ReleaseLoadSlot(_ context.Context, in *controlpb.LoadSlotRequest) (*controlpb.LoadSlotResponse, error) {
+	if err := c.begin("release-slot"); err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.slots, in.GetUpstream())
+	return &controlpb.LoadSlotResponse{}, nil
+}
