Name pieces at the agent, report queued tokens by rank, bind to a source address

Cause: what an account may read from a cache must not depend on names that another process sent; routing weighs the tokens ahead of a rank; VMs with several addresses need a source address.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -23,6 +23,7 @@
 	"github.com/wasabishunt/wasabishunt/connlimit"
 	"github.com/wasabishunt/wasabishunt/controlclient"
 	"github.com/wasabishunt/wasabishunt/objectset"
+	"github.com/wasabishunt/wasabishunt/piece"
 	"github.com/wasabishunt/wasabishunt/rpc/agentpb"
 	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
 	"github.com/wasabishunt/wasabishunt/sched"
@@ -41,10 +42,12 @@
 // Dependencies are the parts that an Agent works with. Engine is nil for an agent beside a plain service,
 // and Service is nil for an agent beside an engine.
 type Dependencies struct {
-	Source   controlclient.Source
-	Control  Control
-	Engine   engine.Client
-	Service  *service.Client
+	Source  controlclient.Source
+	Control Control
+	Engine  engine.Client
+	Service *service.Client
+	// PieceKey names pieces; it is the same on all entries and agents.
+	PieceKey piece.Key
 	Clock    clock.Clock
 	Registry gometrics.Registry
 	Log      *zap.Logger
--- a/agent/cache.go
+++ b/agent/cache.go
@@ -23,12 +23,12 @@
 }
 
 // prefixTokens returns the tokens of the leading pieces that are believed to be cached.
-func (c *cacheContents) prefixTokens(names [][]byte) int64 {
+func (c *cacheContents) prefixTokens(names []piece.Name) int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var tokens int64
 	for _, name := range names {
-		if _, ok := c.pieces[hexName(name)]; !ok {
+		if _, ok := c.pieces[name.String()]; !ok {
 			break
 		}
 		tokens += piece.TokensPerPiece
@@ -57,7 +57,7 @@
 }
 
 // correct applies a run's report: the pieces within the reported prefix were cached, the next one was not.
-func (c *cacheContents) correct(names [][]byte, cachedTokens int64) {
+func (c *cacheContents) correct(names []piece.Name, cachedTokens int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	whole := cachedTokens / piece.TokensPerPiece
@@ -65,7 +65,7 @@
 		if int64(i) > whole {
 			return
 		}
-		c.put(hexName(name), int64(i) < whole)
+		c.put(name.String(), int64(i) < whole)
 	}
 }
 
--- a/agent/generate.go
+++ b/agent/generate.go
@@ -10,6 +10,8 @@
 	"github.com/wasabishunt/wasabishunt/controlclient"
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/objectset"
+	"github.com/wasabishunt/wasabishunt/piece"
+	"github.com/wasabishunt/wasabishunt/prompt"
 	"github.com/wasabishunt/wasabishunt/rpc/agentpb"
 )
 
@@ -17,8 +19,12 @@
 type job struct {
 	id      string
 	request *agentpb.GenerateRequest
-	account objectset.Account
-	rank    objectset.Rank
+	// pieces and promptTokens are worked out here and not taken from the message: what an account may read from
+	// a cache must not depend on another process.
+	pieces       []piece.Name
+	promptTokens int64
+	account      objectset.Account
+	rank         objectset.Rank
 	// ctx ends at the request's deadline, when the entry closes the stream, or when the queue drops the job;
 	// its cause is a typed failure in the last case.
 	ctx  context.Context
@@ -104,16 +110,25 @@
 	if err != nil {
 		return nil, err
 	}
+	tokens := prompt.Tokens(req.GetPrompt())
+	names := piece.Names(a.deps.PieceKey, pieceScope(account, req), tokens)
 	return &job{
-		id:      req.GetHeader().GetRequestId(),
-		request: req,
-		account: account,
-		rank:    rank,
-		events:  make(chan *agentpb.GenerateEvent, a.options.EventBuffer),
-		cached:  a.cache.prefixTokens(req.GetPieceNames()),
+		id:           req.GetHeader().GetRequestId(),
+		request:      req,
+		pieces:       names,
+		promptTokens: int64(len(tokens)),
+		account:      account,
+		rank:         rank,
+		events:       make(chan *agentpb.GenerateEvent, a.options.EventBuffer),
+		cached:       a.cache.prefixTokens(names),
 	}, nil
 }
 
+// pieceScope holds all that a prompt's pieces depend on; the account keeps accounts' caches apart.
+func pieceScope(account objectset.Account, req *agentpb.GenerateRequest) piece.Scope {
+	return piece.Scope{Account: account.Name, Model: req.GetModel(), WeightVersion: req.GetWeightVersion(), Adapter: req.GetAdapter()}
+}
+
 // accepted is the first event of a stream; it is sent again as a sign of life while there are no other events.
 func (a *Agent) accepted(j *job) *agentpb.GenerateEvent {
 	load := a.load()
--- a/agent/load.go
+++ b/agent/load.go
@@ -83,6 +83,7 @@
 		SetVersion:             view.Version,
 		QueuedTokens:           queued.QueuedTokens,
 		QueuedRequests:         int64(queued.QueuedRequests),
+		QueuedTokensAhead:      a.queue.AheadByRank(),
 		Running:                a.running,
 		PrefillTokensPerSecond: prefill,
 		DecodeTokensPerSecond:  decode,
--- a/agent/queue.go
+++ b/agent/queue.go
@@ -40,7 +40,7 @@
 	if _, exists := a.jobs[j.id]; exists {
 		return failure.New(failure.InvalidRequest, failure.NotRun, "request id %s is in use", j.id)
 	}
-	tokens := max(0, j.request.GetPromptTokens()-j.cached)
+	tokens := max(0, j.promptTokens-j.cached)
 	decision := admission.Decide(a.options.Admission, admission.Request{
 		Account: j.account.Name, Rank: j.rank.Name, Deadline: deadline,
 		PromptTokens: tokens, Draining: a.draining, VersionWait: wait,
--- a/agent/run.go
+++ b/agent/run.go
@@ -112,7 +112,7 @@
 		Priority:      r.job.rank.Order,
 		Emitted:       req.GetEmitted(),
 		CacheScope:    r.job.account.Name,
-		PieceNames:    lo.Map(req.GetPieceNames(), func(name []byte, _ int) string { return hexName(name) }),
+		PieceNames:    lo.Map(r.job.pieces, func(name piece.Name, _ int) string { return name.String() }),
 	}
 }
 
@@ -154,10 +154,9 @@
 
 // end records what the run measured and sends End, the mark of a whole answer.
 func (r *engineRun) end(event engine.Event) error {
-	req := r.job.request
-	r.computed = max(0, req.GetPromptTokens()-event.CachedTokens)
+	r.computed = max(0, r.job.promptTokens-event.CachedTokens)
 	r.measure()
-	r.agent.cache.correct(req.GetPieceNames(), event.CachedTokens)
+	r.agent.cache.correct(r.job.pieces, event.CachedTokens)
 	decisions := append(slices.Clone(r.job.decisions),
 		fmt.Sprintf("cache: expected %d cached prompt tokens, engine used %d", r.job.cached, event.CachedTokens))
 	r.job.events <- &agentpb.GenerateEvent{Event: &agentpb.GenerateEvent_End{End: &agentpb.End{
@@ -186,9 +185,3 @@
 func (a *Agent) count(name string) {
 	gometrics.GetOrRegisterCounter(name, a.deps.Registry).Inc(1)
 }
-
-func hexName(name []byte) string {
-	var n piece.Name
-	copy(n[:], name)
-	return n.String()
-}
--- a/agent/service.go
+++ b/agent/service.go
@@ -142,6 +142,7 @@
 	defer cancel()
 	response, err := a.deps.Control.DispatchBooking(ctx, &controlpb.DispatchBookingRequest{
 		Key: key, ClaimEpoch: epoch, DispatchId: dispatchID, ProcessId: a.options.ProcessID,
+		ProcessEpoch: a.deps.Source.Current().Epoch,
 	})
 	if err != nil {
 		e := failure.Of(err)
--- a/cmd/wasabishunt-agent/main.go
+++ b/cmd/wasabishunt-agent/main.go
@@ -61,6 +61,7 @@
 		deps := agent.Dependencies{
 			Source:   do.MustInvoke[*controlclient.Watcher](i),
 			Control:  do.MustInvoke[*controlclient.Client](i),
+			PieceKey: args.pieceKey,
 			Registry: do.MustInvoke[gometrics.Registry](i),
 			Log:      do.MustInvoke[*zap.Logger](i),
 		}
--- a/cmd/wasabishunt-agent/settings.go
+++ b/cmd/wasabishunt-agent/settings.go
@@ -1,12 +1,15 @@
 package main
 
 import (
+	"net"
+	"os"
 	"time"
 
 	"go.uber.org/zap/zapcore"
 
 	"github.com/wasabishunt/wasabishunt/agent"
 	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/piece"
 	"github.com/wasabishunt/wasabishunt/settings"
 )
 
@@ -16,6 +19,7 @@
 	Listen         string        `arg:"--listen,env:WASABISHUNT_AGENT_LISTEN" default:"127.0.0.1:7300" help:"IP address and port for entries"`
 	Advertise      string        `arg:"--advertise,env:WASABISHUNT_AGENT_ADVERTISE" help:"IP address and port reported to control; default is that of --listen"`
 	Metrics        string        `arg:"--metrics,env:WASABISHUNT_AGENT_METRICS" help:"IP address and port of the metrics page; default none"`
+	SourceIP       string        `arg:"--source-ip,env:WASABISHUNT_AGENT_SOURCE_IP" help:"source IP address of connections to other processes; default is chosen by the kernel"`
 	Control        []string      `arg:"--control,env:WASABISHUNT_AGENT_CONTROL" help:"IP addresses and ports of control members"`
 	Zone           string        `arg:"--zone,env:WASABISHUNT_AGENT_ZONE" help:"availability zone"`
 	Upstream       string        `arg:"--upstream,env:WASABISHUNT_AGENT_UPSTREAM" help:"name of the upstream beside this agent"`
@@ -29,7 +33,10 @@
 	SetGrace       time.Duration `arg:"--set-grace,env:WASABISHUNT_AGENT_SET_GRACE" default:"1s" help:"work sent under an older set version is taken for so long"`
 	WriteTimeout   time.Duration `arg:"--write-timeout,env:WASABISHUNT_AGENT_WRITE_TIMEOUT" default:"10s" help:"time for one write to an entry"`
 	ServiceTimeout time.Duration `arg:"--service-timeout,env:WASABISHUNT_AGENT_SERVICE_TIMEOUT" default:"30s" help:"time for one call of the plain service"`
+	PieceKeyFile   string        `arg:"--piece-key-file,env:WASABISHUNT_AGENT_PIECE_KEY_FILE" help:"file with the 32 bytes of the piece-name key; needed beside an engine"`
 	LogLevel       zapcore.Level `arg:"--log-level,env:WASABISHUNT_AGENT_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
+
+	pieceKey piece.Key
 }
 
 // Validate lists all faults of the settings.
@@ -41,6 +48,9 @@
 		a.Advertise = a.Listen
 	}
 	c.Address("advertise", a.Advertise)
+	if a.SourceIP != "" && net.ParseIP(a.SourceIP) == nil {
+		c.Fail("source-ip", "%q is not an IP address", a.SourceIP)
+	}
 	if a.Metrics != "" {
 		c.Address("metrics", a.Metrics)
 	}
@@ -68,11 +78,28 @@
 		c.Fail("service", "only one of upstream and service may be set")
 	case a.Upstream != "":
 		c.Address("engine", a.Engine)
+		a.readPieceKey(c)
 	default:
 		c.Address("service-address", a.ServiceAddress)
 	}
 }
 
+func (a *arguments) readPieceKey(c *settings.Checker) {
+	if a.PieceKeyFile == "" {
+		c.Fail("piece-key-file", "must be set")
+		return
+	}
+	key, err := os.ReadFile(a.PieceKeyFile)
+	switch {
+	case err != nil:
+		c.Fail("piece-key-file", "%s", err.Error())
+	case len(key) != len(a.pieceKey):
+		c.Fail("piece-key-file", "must hold exactly %d bytes, holds %d", len(a.pieceKey), len(key))
+	default:
+		copy(a.pieceKey[:], key)
+	}
+}
+
 // serves is the name that the agent reports to control.
 func (a *arguments) serves() string {
 	if a.Upstream != "" {
--- a/cmd/wasabishunt-entry/main.go
+++ b/cmd/wasabishunt-entry/main.go
@@ -59,7 +59,9 @@
 	do.Provide(i, func(do.Injector) (*controlclient.Client, error) {
 		return controlclient.NewClient(controlclient.ClientOptions{Addresses: args.Control}), nil
 	})
-	do.Provide(i, func(do.Injector) (*rpcpool.Pool, error) { return rpcpool.New(rpcpool.Options{}), nil })
+	do.Provide(i, func(do.Injector) (*rpcpool.Pool, error) {
+		return rpcpool.New(rpcpool.Options{LocalIP: args.SourceIP}), nil
+	})
 	do.Provide(i, func(i do.Injector) (*entry.Server, error) {
 		return entry.New(args.options(), entry.Dependencies{
 			Source:   do.MustInvoke[*controlclient.Watcher](i),
--- a/cmd/wasabishunt-entry/settings.go
+++ b/cmd/wasabishunt-entry/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"net"
 	"os"
 	"time"
 
@@ -18,6 +19,7 @@
 	ProcessID           string        `arg:"--process-id,env:WASABISHUNT_ENTRY_PROCESS_ID" help:"unique id of this process"`
 	Listen              string        `arg:"--listen,env:WASABISHUNT_ENTRY_LISTEN" default:"127.0.0.1:7000" help:"IP address and port for callers"`
 	Advertise           string        `arg:"--advertise,env:WASABISHUNT_ENTRY_ADVERTISE" help:"IP address and port reported to control; default is that of --listen"`
+	SourceIP            string        `arg:"--source-ip,env:WASABISHUNT_ENTRY_SOURCE_IP" help:"source IP address of connections to other processes; default is chosen by the kernel"`
 	Control             []string      `arg:"--control,env:WASABISHUNT_ENTRY_CONTROL" help:"IP addresses and ports of control members"`
 	Zone                string        `arg:"--zone,env:WASABISHUNT_ENTRY_ZONE" help:"availability zone"`
 	PieceKeyFile        string        `arg:"--piece-key-file,env:WASABISHUNT_ENTRY_PIECE_KEY_FILE" help:"file with the 32 bytes of the piece-name key"`
@@ -50,6 +52,9 @@
 		a.Advertise = a.Listen
 	}
 	c.Address("advertise", a.Advertise)
+	if a.SourceIP != "" && net.ParseIP(a.SourceIP) == nil {
+		c.Fail("source-ip", "%q is not an IP address", a.SourceIP)
+	}
 	c.Addresses("control", a.Control)
 	c.Required("zone", a.Zone)
 	a.readPieceKey(&c)
@@ -100,6 +105,7 @@
 
 func (a *arguments) options() entry.Options {
 	return entry.Options{
+		SourceIP:            a.SourceIP,
 		MaxBodyBytes:        a.MaxBodyBytes,
 		MaxBufferedBytes:    a.MaxBufferedBytes,
 		MaxConcurrent:       a.MaxConcurrent,
--- a/entry/generation.go
+++ b/entry/generation.go
@@ -167,6 +167,8 @@
 		Affinity:      g.affinity,
 		Pieces:        g.pieces,
 		PromptTokens:  int64(len(g.tokens)),
+		Rank:          g.call.rank.Name,
+		Order:         g.call.rank.Order,
 		Exclude:       g.excluded,
 	}
 }
--- a/entry/options.go
+++ b/entry/options.go
@@ -28,6 +28,8 @@
 	StreamIdle time.Duration
 	// ConnectTimeout limits connection set-up to an agent; default 1 s.
 	ConnectTimeout time.Duration
+	// SourceIP is the source address of connections to agents; default: chosen by the kernel.
+	SourceIP string
 	// CatchUp is how long a request waits for a set version that a reply named; default 1 s.
 	CatchUp time.Duration
 	// MaxAttempts limits the upstreams tried for one request, continuations included; default 3.
--- a/entry/services.go
+++ b/entry/services.go
@@ -135,7 +135,7 @@
 
 // attempt makes one call on a fresh connection: an error on a pooled one could not tell whether bytes had left.
 func (sc *serviceCall) attempt(ctx context.Context, address string) (*agentpb.ServiceResponse, error) {
-	conn, err := rpcpool.Dial(ctx, address, sc.call.server.options.ConnectTimeout)
+	conn, err := rpcpool.DialFrom(ctx, sc.call.server.options.SourceIP, address, sc.call.server.options.ConnectTimeout)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/fixedview/fixedview.go
+++ b/internal/fixedview/fixedview.go
@@ -139,7 +139,7 @@
 
 // DispatchBooking permits the one run of a claim.
 func (c *Control) DispatchBooking(_ context.Context, in *controlpb.DispatchBookingRequest) (*controlpb.BookingResponse, error) {
-	return c.book("dispatch", func() *controlpb.BookingResponse { return c.table.Dispatch(in) })
+	return c.book("dispatch", func() *controlpb.BookingResponse { return c.table.Dispatch(in, true) })
 }
 
 // FinishBooking records an outcome.
