--- a/agent/agent.go
+++ b/agent/agent.go
@@ -23,6 +23,7 @@
 	"github.com/wasabishunt/wasabishunt/connlimit"
 	"github.com/wasabishunt/wasabishunt/controlclient"
 	"github.com/wasabishunt/wasabishunt/objectset"
+	"github.com/wasabishunt/wasabishunt/piece"
 	"github.com/wasabishunt/wasabishunt/rpc/agentpb"
 	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
 	"github.com/wasabishunt/wasabishunt/sched"
@@ -41,10 +42,12 @@
 // Dependencies are the parts that an Agent works with. Engine is nil for an agent beside a plain service,
 // and Service is nil for an agent beside an engine.
 type Dependencies struct {
-	Source   controlclient.Source
-	Control  Control
-	Engine   engine.Client
-	Service  *service.Client
+	Source  controlclient.Source
+	Control Control
+	Engine  engine.Client
+	Service *service.Client
+	// PieceKey names pieces; it is the same on all entries and agents.
+	PieceKey piece.Key
 	Clock    clock.Clock
 	Registry gometrics.Registry
 	Log      *zap.Logger
@@ -57,6 +60,9 @@
 	rates   *rates
 	weights *weights
 	cache   *cacheContents
+	// firstTokenTimes are times to first token on the engine in milliseconds. It is a histogram, because the
+	// timers of go-metrics start a goroutine that never ends.
+	firstTokenTimes gometrics.Histogram
 
 	mu       sync.Mutex
 	jobs     map[string]*job
@@ -99,6 +105,7 @@
 		rates:        &rates{},
 		cache:        newCacheContents(options.MaxCachePieces),
 	}
+	a.firstTokenTimes = gometrics.GetOrRegisterHistogram("runs.first_token_ms", deps.Registry, gometrics.NewExpDecaySample(1028, 0.015))
 	a.weights = newWeights(a)
 	return a
 }
