--- /dev/null
+++ b/agent/service_test.go
@@ -0,0 +1,126 @@
+package agent_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabishunt/wasabishunt/agent"
+	"github.com/wasabishunt/wasabishunt/failure"
+	standin "github.com/wasabishunt/wasabishunt/internal/standin/service"
+	"github.com/wasabishunt/wasabishunt/rpc/agentpb"
+	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
+	"github.com/wasabishunt/wasabishunt/upstream/service"
+)
+
+// startService starts an agent beside a service stand-in.
+func startService(t *testing.T) (*fixture, *standin.Server, *httptest.Server) {
+	t.Helper()
+	s := standin.New(nil)
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	client := service.New(strings.TrimPrefix(server.URL, "http://"), service.Options{})
+	return start(t, agent.Options{Service: "desk"}, agent.Dependencies{Service: client}), s, server
+}
+
+var bookingKey = &controlpb.BookingKey{Account: "a", IdempotencyKey: "k"}
+
+// claim makes the claim that the entry makes.
+func (f *fixture) claim() uint64 {
+	response, err := f.control.ClaimBooking(f.t.Context(), &controlpb.ClaimBookingRequest{Key: bookingKey, PayloadHash: []byte("h"), ClaimId: "c"})
+	require.NoError(f.t, err)
+	require.True(f.t, response.GetGranted())
+	return response.GetClaimEpoch()
+}
+
+func (f *fixture) book(epoch uint64) *agentpb.ServiceResponse {
+	f.t.Helper()
+	_, client := f.dial()
+	response, err := client.CallService(f.t.Context(), &agentpb.ServiceRequest{
+		Header:  &agentpb.Header{RequestId: "r", Account: "a", Rank: "urgent", DeadlineMs: 5000, SetVersion: 1},
+		Service: "desk", Method: http.MethodPost, Path: "/bookings", Body: []byte("{}"),
+		Booking: &agentpb.BookingRef{IdempotencyKey: "k", ClaimEpoch: epoch},
+	})
+	require.NoError(f.t, err)
+	return response
+}
+
+// TestBookingRuns guards against a call before its dispatch, and against an outcome that is not recorded.
+func TestBookingRuns(t *testing.T) {
+	f, s, _ := startService(t)
+	epoch := f.claim()
+	f.control.Before(func(call string) error {
+		if call == "dispatch" {
+			assert.Zero(t, s.Executions().Total, "the dispatch comes before the call")
+		}
+		return nil
+	})
+	response := f.book(epoch)
+	require.Nil(t, response.GetRefusal())
+	assert.Equal(t, int32(http.StatusOK), response.GetStatus())
+	assert.Equal(t, int64(1), s.Executions().Total)
+	assert.Equal(t, []string{"dispatch", "finish"}, f.control.Calls()[len(f.control.Calls())-2:])
+	f.control.Before(nil)
+	assert.NotNil(t, f.book(epoch).GetRefusal(), "a claim is dispatched once")
+	assert.Equal(t, int64(1), s.Executions().Total)
+}
+
+// TestBookingWithoutDispatch guards against a call whose dispatch was refused or not answered.
+func TestBookingWithoutDispatch(t *testing.T) {
+	f, s, _ := startService(t)
+	epoch := f.claim()
+	assert.NotNil(t, f.book(epoch+1).GetRefusal(), "another epoch")
+	f.control.Before(func(call string) error {
+		if call == "dispatch" {
+			return failure.New(failure.NoQuorum, failure.Unknown, "no answer")
+		}
+		return nil
+	})
+	response := f.book(epoch)
+	require.NotNil(t, response.GetRefusal())
+	assert.Equal(t, agentpb.Execution_EXECUTION_UNKNOWN, response.GetRefusal().GetExecution())
+	assert.Zero(t, s.Executions().Total)
+}
+
+// TestBrokenBooking guards against a repeated call, and against not_run, when the service closes the connection
+// after it has run the call.
+func TestBrokenBooking(t *testing.T) {
+	f, s, _ := startService(t)
+	s.SetFaults(standin.FaultSettings{CloseAfter: 1})
+	epoch := f.claim()
+	response := f.book(epoch)
+	require.NotNil(t, response.GetRefusal())
+	assert.Equal(t, "outcome_unknown", response.GetRefusal().GetKind())
+	assert.NotEqual(t, agentpb.Execution_NOT_RUN, response.GetRefusal().GetExecution())
+	assert.Equal(t, int64(1), s.Executions().Total)
+	assert.NotNil(t, f.book(epoch).GetRefusal())
+	assert.Equal(t, int64(1), s.Executions().Total)
+}
+
+// TestUnreachableService guards against a dispatch for a call that cannot be sent, and against not_run that is not said.
+func TestUnreachableService(t *testing.T) {
+	f, _, server := startService(t)
+	server.Close()
+	response := f.book(f.claim())
+	require.NotNil(t, response.GetRefusal())
+	assert.Equal(t, agentpb.Execution_NOT_RUN, response.GetRefusal().GetExecution())
+	assert.NotContains(t, f.control.Calls(), "dispatch")
+}
+
+// TestPlainCallThatRunsOnce guards against a non-idempotent call that arrives without a booking.
+func TestPlainCallThatRunsOnce(t *testing.T) {
+	f, s, _ := startService(t)
+	_, client := f.dial()
+	req := &agentpb.ServiceRequest{
+		Header:  &agentpb.Header{RequestId: "r", Account: "a", Rank: "urgent", SetVersion: 1},
+		Service: "desk", Method: http.MethodPost, Path: "/x/../BOOK%69ngs?q=1",
+	}
+	response, err := client.CallService(t.Context(), req)
+	require.NoError(t, err)
+	assert.Equal(t, "idempotency_key_required", response.GetRefusal().GetKind())
+	assert.Zero(t, s.Executions().Total)
+}
--- a/internal/fixedview/fixedview.go
+++ b/internal/fixedview/fixedview.go
@@ -88,20 +88,28 @@
 	})
 }
 
-// Control answers booking and load-slot calls. Before, if set, may fail a call by its name before it takes effect.
+// Control answers booking and load-slot calls. Its lock is a leaf.
 type Control struct {
 	mu     sync.Mutex
 	table  *booking.Table
 	calls  []string
 	slots  map[string]bool
-	Before func(call string) error
-	// MaxLoading is the number of load slots; default 2.
-	MaxLoading int
+	before func(call string) error
 }
 
 // NewControl returns a Control with an empty booking table.
 func NewControl() *Control {
-	return &Control{table: booking.NewTable(booking.Limits{}), slots: map[string]bool{}, MaxLoading: 2}
+	return &Control{table: booking.NewTable(booking.Limits{}), slots: map[string]bool{}}
+}
+
+// maxLoading is the number of load slots.
+const maxLoading = 2
+
+// Before sets a function that may fail a call, by its name, before it takes effect.
+func (c *Control) Before(before func(call string) error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.before = before
 }
 
 // Calls returns the names of the calls so far, in order.
@@ -114,7 +122,7 @@
 func (c *Control) begin(call string) error {
 	c.mu.Lock()
 	c.calls = append(c.calls, call)
-	before := c.Before
+	before := c.before
 	c.mu.Unlock()
 	if before != nil {
 		return before(call)
@@ -159,7 +167,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.slots[in.GetUpstream()] && len(c.slots) >= c.MaxLoading {
+	if !c.slots[in.GetUpstream()] && len(c.slots) >= maxLoading {
 		return &controlpb.LoadSlotResponse{}, nil
 	}
 	c.slots[in.GetUpstream()] = true
