--- /dev/null
+++ b/entry/bookings_test.go
@@ -0,0 +1,106 @@
+package entry_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabishunt/wasabishunt/entry"
+	"github.com/wasabishunt/wasabishunt/failure"
+	standinservice "github.com/wasabishunt/wasabishunt/internal/standin/service"
+)
+
+const bookingPath = "/services/desk/bookings"
+
+// TestBookingOnce guards against a booking that runs twice, an answer that is not replayed, and a key that is
+// reused for another call.
+func TestBookingOnce(t *testing.T) {
+	c := newCluster(t, entry.Options{})
+	s := c.serviceAgent()
+	key := uuid.Must(uuid.NewV7()).String()
+	response, first := c.do(http.MethodPost, bookingPath, "{}", "Idempotency-Key", key)
+	require.Equal(t, http.StatusOK, response.StatusCode, string(first))
+	response, again := c.do(http.MethodPost, bookingPath, "{}", "Idempotency-Key", key)
+	assert.Equal(t, http.StatusOK, response.StatusCode)
+	assert.Equal(t, "true", response.Header.Get("Idempotency-Replayed"))
+	assert.Equal(t, first, again)
+	response, body := c.do(http.MethodPost, bookingPath, `{"other":1}`, "Idempotency-Key", key)
+	assert.Equal(t, http.StatusConflict, response.StatusCode)
+	assert.Equal(t, "key_conflict", errorOf(t, body).Code)
+	assert.Equal(t, int64(1), s.Executions().Total)
+	assert.Len(t, s.Executions().ByBooking, 1, "the service is told the booking id")
+}
+
+// TestBookingHeaders guards against bookings without a usable key, and against other spellings of their path.
+func TestBookingHeaders(t *testing.T) {
+	c := newCluster(t, entry.Options{})
+	s := c.serviceAgent()
+	cases := map[string]struct {
+		path    string
+		headers []string
+		kind    string
+	}{
+		"no key":          {bookingPath, nil, "idempotency_key_required"},
+		"no time":         {bookingPath, []string{"Idempotency-Key", "k"}, "invalid_request"},
+		"bad time":        {bookingPath, []string{"Idempotency-Key", "k", "Idempotency-Issued-At", "now"}, "invalid_request"},
+		"case":            {"/services/desk/Bookings", nil, "idempotency_key_required"},
+		"escape":          {"/services/desk/book%69ngs", nil, "idempotency_key_required"},
+		"escaped dots":    {"/services/desk/x/%2e%2e/bookings", nil, "invalid_request"},
+		"escaped escape":  {"/services/desk/%2562ookings", nil, "invalid_request"},
+		"unknown service": {"/services/other/x", nil, "service_not_found"},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, body := c.do(http.MethodPost, test.path, "{}", test.headers...)
+			assert.Equal(t, test.kind, errorOf(t, body).Code)
+			assert.Equal(t, "not_run", errorOf(t, body).Execution)
+		})
+	}
+	assert.Zero(t, s.Executions().Total)
+	response, _ := c.do(http.MethodGet, "/services/desk/orders?id=1", "")
+	assert.Equal(t, http.StatusOK, response.StatusCode, "plain calls need no key")
+	response, _ = c.do(http.MethodPost, bookingPath, "{}", "Idempotency-Key", "k", "Idempotency-Issued-At", time.Now().Format(time.RFC3339))
+	assert.Equal(t, http.StatusOK, response.StatusCode)
+}
+
+// TestBrokenBooking guards against not_run, or a second run, after the service has run a call and closed the connection.
+func TestBrokenBooking(t *testing.T) {
+	c := newCluster(t, entry.Options{})
+	s := c.serviceAgent()
+	s.SetFaults(standinservice.FaultSettings{CloseAfter: 1})
+	key := uuid.Must(uuid.NewV7()).String()
+	for range 3 {
+		_, body := c.do(http.MethodPost, bookingPath, "{}", "Idempotency-Key", key)
+		assert.Equal(t, "outcome_unknown", errorOf(t, body).Code)
+		assert.Equal(t, "unknown", errorOf(t, body).Execution)
+	}
+	assert.Equal(t, int64(1), s.Executions().Total)
+}
+
+// TestReleasedBooking guards against a booking that failed before its dispatch and stays blocked, and against
+// not_run without a synced release.
+func TestReleasedBooking(t *testing.T) {
+	c := newCluster(t, entry.Options{})
+	s := c.serviceAgent()
+	down := map[string]bool{"dispatch": true}
+	c.control.Before(func(call string) error {
+		if down[call] {
+			return failure.New(failure.NoQuorum, failure.NotRun, "no quorum")
+		}
+		return nil
+	})
+	key := uuid.Must(uuid.NewV7()).String()
+	_, body := c.do(http.MethodPost, bookingPath, "{}", "Idempotency-Key", key)
+	assert.Equal(t, "not_run", errorOf(t, body).Execution, "the claim was released")
+	down["release"] = true
+	_, body = c.do(http.MethodPost, bookingPath, "{}", "Idempotency-Key", key)
+	assert.Equal(t, "unknown", errorOf(t, body).Execution, "the claim still stands")
+	down["claim"] = true
+	_, body = c.do(http.MethodPost, bookingPath, "{}", "Idempotency-Key", uuid.Must(uuid.NewV7()).String())
+	assert.Equal(t, "not_run", errorOf(t, body).Execution, "refused before a claim")
+	assert.Zero(t, s.Executions().Total)
+}
