--- a/agent/check.go
+++ b/agent/check.go
@@ -43,12 +43,12 @@
 		changed := a.deps.Source.Changed()
 		view := a.deps.Source.Current()
 		now := a.deps.Clock.Now()
-		if view.Set == nil || !now.Before(view.FreshUntil) {
-			return view, retryable(failure.StaleSet, "control has not confirmed the object set")
-		}
 		if view.Fresh(now) && view.Version >= version {
 			return view, nil
 		}
+		if view.Set == nil || !now.Before(view.FreshUntil) {
+			return view, retryable(failure.StaleSet, "control has not confirmed the object set")
+		}
 		select {
 		case <-changed:
 		case <-timer.C:
--- a/agent/drain.go
+++ b/agent/drain.go
@@ -32,7 +32,7 @@
 func (a *Agent) beginDrain() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.draining {
+	if started := a.draining; started {
 		return false
 	}
 	a.draining = true
--- a/agent/generate_test.go
+++ b/agent/generate_test.go
@@ -82,6 +82,42 @@
 	assert.Equal(t, "a", f.engine.seen()[0].CacheScope)
 }
 
+// TestAccountsApart guards against two accounts that share an engine's cache for the same prompt.
+func TestAccountsApart(t *testing.T) {
+	f := start(t, agent.Options{}, agent.Dependencies{})
+	for _, account := range []string{"a", "b"} {
+		req := request("r-" + account)
+		req.Header.Account = account
+		req.Prompt = strings.Repeat("word ", 2001)
+		// Names from the message are not trusted.
+		req.PieceNames = [][]byte{make([]byte, 32)}
+		require.NotNil(t, f.generate(req).end)
+	}
+	seen := f.engine.seen()
+	require.Len(t, seen[0].PieceNames, 1)
+	assert.NotEqual(t, seen[0].CacheScope, seen[1].CacheScope)
+	assert.NotEqual(t, seen[0].PieceNames, seen[1].PieceNames)
+}
+
+// TestStaleInQueue guards against queued work that starts under a set that has become stale meanwhile.
+func TestStaleInQueue(t *testing.T) {
+	f := start(t, agent.Options{Workers: 1}, agent.Dependencies{})
+	events := make(chan engine.Event, 1)
+	f.engine.run(func(engine.Request) <-chan engine.Event { return events })
+	running := f.open(t.Context(), request("running"))
+	require.Eventually(t, func() bool { return f.load().GetRunning() == 1 }, 5*time.Second, time.Millisecond)
+	queued := f.open(t.Context(), request("queued"))
+	require.Eventually(t, func() bool { return f.load().GetQueuedRequests() == 1 }, 5*time.Second, time.Millisecond)
+	f.view.Change(func(v *controlclient.View) { v.FreshUntil = time.Now() })
+	events <- engine.Event{Final: true}
+	assert.NotNil(t, read(running).end, "running work finishes")
+	got := read(queued)
+	require.NotNil(t, got.refusal)
+	assert.Equal(t, "stale_set", got.refusal.GetKind())
+	assert.Equal(t, agentpb.Execution_NOT_RUN, got.refusal.GetExecution())
+	assert.Len(t, f.engine.seen(), 1)
+}
+
 // TestUntrustworthyEngine guards against engine streams with a gap, a wrong count, another version or no end that
 // are passed on as whole.
 func TestUntrustworthyEngine(t *testing.T) {
--- a/agent/harness_test.go
+++ b/agent/harness_test.go
@@ -134,7 +134,9 @@
 		Deployments: []objectset.Deployment{{Name: "d", Model: "model", MaxLoading: 2}},
 		Upstreams:   []objectset.Upstream{{Name: "u1", Deployment: "d", PrefillTokensPerSecond: 1000, DecodeTokensPerSecond: 50}},
 		Services:    []objectset.Service{{Name: "desk", Rank: "urgent", NonIdempotent: []string{"POST /bookings"}}},
-		Accounts:    []objectset.Account{{Name: "a", Models: []string{"model"}, Services: []string{"desk"}}},
+		Accounts: []objectset.Account{
+			{Name: "a", Models: []string{"model"}, Services: []string{"desk"}}, {Name: "b", Models: []string{"model"}},
+		},
 	}
 }
 
@@ -246,5 +248,6 @@
 	require.Equal(f.t, string(kind), r.refusal.GetKind(), r.refusal.GetMessage())
 	require.Equal(f.t, agentpb.Execution_NOT_RUN, r.refusal.GetExecution())
 	require.Nil(f.t, r.end)
+	require.False(f.t, r.accepted, "refused before it is queued")
 	require.Empty(f.t, f.engine.seen())
 }
--- a/entry/fakeagent_test.go
+++ b/entry/fakeagent_test.go
@@ -121,8 +121,11 @@
 			return nil
 		},
 		"another request's events": func(r *agentpb.GenerateRequest, send send) error {
-			r.Header.RequestId = "another"
-			return whole(r, send)
+			other := accepted(r)
+			other.GetAccepted().RequestId = "another"
+			send(other)
+			send(end(r, 0))
+			return nil
 		},
 		"another request's end mark": func(r *agentpb.GenerateRequest, send send) error {
 			send(accepted(r))
@@ -131,8 +134,11 @@
 			return nil
 		},
 		"another weight version": func(r *agentpb.GenerateRequest, send send) error {
-			r.WeightVersion = "v2"
-			return whole(r, send)
+			other := accepted(r)
+			other.GetAccepted().WeightVersion = "v2"
+			send(other)
+			send(end(r, 0))
+			return nil
 		},
 	}
 	for name, script := range cases {
--- a/entry/generation.go
+++ b/entry/generation.go
@@ -192,7 +192,7 @@
 	for {
 		event, err := stream.Recv()
 		if err != nil {
-			return broken(err)
+			return unfinished(err)
 		}
 		idle.Reset(s.options.StreamIdle)
 		done, err := reader.handle(event)
@@ -202,13 +202,18 @@
 	}
 }
 
+// unfinished is the end of a stream before its end mark. A clean close is no different from a broken connection.
+func unfinished(err error) error {
+	if errors.Is(err, io.EOF) {
+		return failure.Wrap(err, failure.StreamBroken, failure.Unknown, "the stream closed without its end mark")
+	}
+	return broken(err)
+}
+
 // broken classifies a transport error. Only a failed connect, which comes typed, is not_run.
 func broken(err error) error {
 	if e, ok := errors.AsType[*failure.Error](err); ok {
 		return e
 	}
-	if errors.Is(err, io.EOF) {
-		return failure.Wrap(err, failure.StreamBroken, failure.Unknown, "the stream closed without its end mark")
-	}
 	return failure.Wrap(err, failure.StreamBroken, failure.Unknown, "the stream from the upstream broke")
 }
--- a/upstream/service/client_test.go
+++ b/upstream/service/client_test.go
@@ -50,6 +50,7 @@
 		var executions atomic.Int64
 		address := server(t, func(r *http.Request) {
 			executions.Add(1)
+			assert.True(t, r.Close, "the connection is not kept")
 			assert.Empty(t, r.Header.Get("Idempotency-Key"))
 			assert.Empty(t, r.Header.Get("X-Idempotency-Key"))
 			assert.Empty(t, r.Header.Get("Authorization"))
@@ -64,7 +65,7 @@
 		require.Error(t, err)
 		assert.Equal(t, failure.Unknown, failure.Of(err).Execution)
 		_, err = connection.Call(t.Context(), request)
-		require.Error(t, err, "a connection carries one call")
+		assert.True(t, failure.Is(err, failure.Internal), "a connection carries one call")
 		connection.Close()
 		assert.Equal(t, int64(1), executions.Load(), method)
 	}
