--- /dev/null
+++ b/routing/sent.go
@@ -0,0 +1,49 @@
+package routing
+
+import "time"
+
+// maxSent bounds the sends remembered for one upstream; further ones are merged into the newest.
+const maxSent = 64
+
+// sentWork is the work sent to one upstream that no report includes yet, oldest first.
+type sentWork []send
+
+type send struct {
+	at     time.Time
+	tokens int64
+	order  int
+}
+
+func (s *sentWork) add(next send) {
+	if len(*s) < maxSent {
+		*s = append(*s, next)
+		return
+	}
+	last := &(*s)[len(*s)-1]
+	last.at = next.at
+	last.tokens += next.tokens
+	last.order = min(last.order, next.order)
+}
+
+// dropBefore forgets sends up to the given time.
+func (s *sentWork) dropBefore(limit time.Time) {
+	n := 0
+	for n < len(*s) && !(*s)[n].at.After(limit) {
+		n++
+	}
+	if n > 0 {
+		*s = append((*s)[:0], (*s)[n:]...)
+	}
+}
+
+// total sums the work of at least the given urgency; less urgent work does not delay a request.
+func (s *sentWork) total(limit time.Time, order int) int64 {
+	s.dropBefore(limit)
+	sum := int64(0)
+	for _, one := range *s {
+		if one.order <= order {
+			sum += one.tokens
+		}
+	}
+	return sum
+}
