--- a/cmd/wasabishunt-agent/main.go
+++ b/cmd/wasabishunt-agent/main.go
@@ -50,12 +50,12 @@
 	do.Provide(i, func(i do.Injector) (*controlclient.Watcher, error) {
 		return controlclient.NewWatcher(controlclient.WatcherOptions{
 			Addresses: args.Control, ProcessID: args.ProcessID, Role: "agent", Address: args.Advertise, Zone: args.Zone,
-			Serves: args.serves(), StaleSetLimit: args.StaleSetLimit,
+			Serves: args.serves(), SourceIP: args.SourceIP, StaleSetLimit: args.StaleSetLimit,
 			Draining: do.MustInvoke[*drainFlag](i).Load, Log: do.MustInvoke[*zap.Logger](i),
 		}), nil
 	})
 	do.Provide(i, func(do.Injector) (*controlclient.Client, error) {
-		return controlclient.NewClient(controlclient.ClientOptions{Addresses: args.Control}), nil
+		return controlclient.NewClient(controlclient.ClientOptions{Addresses: args.Control, SourceIP: args.SourceIP}), nil
 	})
 	do.Provide(i, func(i do.Injector) (*agent.Agent, error) {
 		deps := agent.Dependencies{
--- a/cmd/wasabishunt-agent/settings.go
+++ b/cmd/wasabishunt-agent/settings.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"net"
 	"os"
 	"time"
 
@@ -48,9 +47,7 @@
 		a.Advertise = a.Listen
 	}
 	c.Address("advertise", a.Advertise)
-	if a.SourceIP != "" && net.ParseIP(a.SourceIP) == nil {
-		c.Fail("source-ip", "%q is not an IP address", a.SourceIP)
-	}
+	c.OptionalIP("source-ip", a.SourceIP)
 	if a.Metrics != "" {
 		c.Address("metrics", a.Metrics)
 	}
--- a/cmd/wasabishunt-entry/main.go
+++ b/cmd/wasabishunt-entry/main.go
@@ -53,11 +53,12 @@
 	do.Provide(i, func(i do.Injector) (*controlclient.Watcher, error) {
 		return controlclient.NewWatcher(controlclient.WatcherOptions{
 			Addresses: args.Control, ProcessID: args.ProcessID, Role: "entry", Address: args.Advertise, Zone: args.Zone,
-			StaleSetLimit: args.StaleSetLimit, Draining: do.MustInvoke[*drainFlag](i).Load, Log: do.MustInvoke[*zap.Logger](i),
+			SourceIP: args.SourceIP, StaleSetLimit: args.StaleSetLimit,
+			Draining: do.MustInvoke[*drainFlag](i).Load, Log: do.MustInvoke[*zap.Logger](i),
 		}), nil
 	})
 	do.Provide(i, func(do.Injector) (*controlclient.Client, error) {
-		return controlclient.NewClient(controlclient.ClientOptions{Addresses: args.Control}), nil
+		return controlclient.NewClient(controlclient.ClientOptions{Addresses: args.Control, SourceIP: args.SourceIP}), nil
 	})
 	do.Provide(i, func(do.Injector) (*rpcpool.Pool, error) {
 		return rpcpool.New(rpcpool.Options{LocalIP: args.SourceIP}), nil
--- a/cmd/wasabishunt-entry/settings.go
+++ b/cmd/wasabishunt-entry/settings.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/hex"
-	"net"
 	"os"
 	"time"
 
@@ -52,9 +51,7 @@
 		a.Advertise = a.Listen
 	}
 	c.Address("advertise", a.Advertise)
-	if a.SourceIP != "" && net.ParseIP(a.SourceIP) == nil {
-		c.Fail("source-ip", "%q is not an IP address", a.SourceIP)
-	}
+	c.OptionalIP("source-ip", a.SourceIP)
 	c.Addresses("control", a.Control)
 	c.Required("zone", a.Zone)
 	a.readPieceKey(&c)
--- a/cmd/wasabishunt-store/settings.go
+++ b/cmd/wasabishunt-store/settings.go
@@ -16,6 +16,7 @@
 	Store            string        `arg:"--store,env:WASABISHUNT_STORE_STORE" help:"name of the store in the object set"`
 	Listen           string        `arg:"--listen,env:WASABISHUNT_STORE_LISTEN" default:"127.0.0.1:7200" help:"IP address and port for agents and stores"`
 	Advertise        string        `arg:"--advertise,env:WASABISHUNT_STORE_ADVERTISE" help:"IP address and port reported to control; default is that of --listen"`
+	SourceIP         string        `arg:"--source-ip,env:WASABISHUNT_STORE_SOURCE_IP" help:"source IP address of connections to other processes; default is chosen by the kernel"`
 	Status           string        `arg:"--status,env:WASABISHUNT_STORE_STATUS" default:"127.0.0.1:7201" help:"IP address and port of /healthz, /readyz and /metrics"`
 	Control          []string      `arg:"--control,env:WASABISHUNT_STORE_CONTROL" help:"IP addresses and ports of control members"`
 	Zone             string        `arg:"--zone,env:WASABISHUNT_STORE_ZONE" help:"availability zone"`
@@ -47,6 +48,7 @@
 	}
 	c.Address("advertise", a.Advertise)
 	c.Address("status", a.Status)
+	c.OptionalIP("source-ip", a.SourceIP)
 	c.Addresses("control", a.Control)
 	a.validateLimits(&c)
 	return c.Problems()
--- a/controlclient/client.go
+++ b/controlclient/client.go
@@ -15,6 +15,8 @@
 type ClientOptions struct {
 	// Addresses of control members; more are learned from their answers.
 	Addresses []string
+	// SourceIP is the source address of connections; default: chosen by the kernel.
+	SourceIP string
 	// AttemptTimeout limits one call to one member; default 2 s.
 	AttemptTimeout time.Duration
 	// Timeout limits a call over all attempts, unless the context ends earlier; default 8 s.
@@ -42,7 +44,7 @@
 	if options.MaxAttempts == 0 {
 		options.MaxAttempts = 32
 	}
-	return &Client{options: options, pool: rpcpool.New(rpcpool.Options{}), directory: newDirectory(options.Addresses)}
+	return &Client{options: options, pool: rpcpool.New(rpcpool.Options{LocalIP: options.SourceIP}), directory: newDirectory(options.Addresses)}
 }
 
 // Close closes the idle connections.
--- a/controlclient/session.go
+++ b/controlclient/session.go
@@ -37,7 +37,7 @@
 
 // stream applies the updates of one WatchSet stream.
 func (w *Watcher) stream(ctx context.Context, address string) error {
-	conn, err := rpcpool.Dial(ctx, address, min(maxDial, w.options.CallTimeout))
+	conn, err := rpcpool.DialFrom(ctx, w.options.SourceIP, address, min(maxDial, w.options.CallTimeout))
 	if err != nil {
 		return err
 	}
@@ -118,7 +118,7 @@
 
 // reportPresence reports to one member every second until it fails or the member is not fresh.
 func (w *Watcher) reportPresence(ctx context.Context, address string) error {
-	conn, err := rpcpool.Dial(ctx, address, min(maxDial, w.options.CallTimeout))
+	conn, err := rpcpool.DialFrom(ctx, w.options.SourceIP, address, min(maxDial, w.options.CallTimeout))
 	if err != nil {
 		return err
 	}
--- a/controlclient/watcher.go
+++ b/controlclient/watcher.go
@@ -26,6 +26,8 @@
 	Zone    string
 	// Serves names the upstream, store or service of the process.
 	Serves string
+	// SourceIP is the source address of connections to control; default: chosen by the kernel.
+	SourceIP string
 	// StaleSetLimit ends new work after so long without confirmation; default 4 s.
 	StaleSetLimit time.Duration
 	// PresenceInterval is the time between presence reports; default 1 s.
@@ -81,7 +83,7 @@
 // NewWatcher returns a Watcher with an empty view.
 func NewWatcher(options WatcherOptions) *Watcher {
 	options.setDefaults()
-	client := NewClient(ClientOptions{Addresses: options.Addresses})
+	client := NewClient(ClientOptions{Addresses: options.Addresses, SourceIP: options.SourceIP})
 	return &Watcher{
 		options:     options,
 		incarnation: uuid.NewString(),
--- a/internal/fleet/nodes.go
+++ b/internal/fleet/nodes.go
@@ -124,7 +124,7 @@
 	n := f.newNode("wasabishunt-store", "store", storeGroup, i, rpcPort)
 	_, advertise := f.endpoint(storeGroup, i, rpcPort)
 	n.args = append(f.common(n, i, advertise),
-		"--serves", n.name, "--data-dir", f.DataDir(n.name), "--status-listen", address(n.ip, httpPort))
+		"--store", n.name, "--data-dir", f.DataDir(n.name), "--status", address(n.ip, httpPort))
 	return n
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -95,6 +95,13 @@
 	}
 }
 
+// OptionalIP checks that a value, if set, is an IP address.
+func (c *Checker) OptionalIP(path, value string) {
+	if value != "" && net.ParseIP(value) == nil {
+		c.Fail(path, "%q is not an IP address", value)
+	}
+}
+
 // Addresses checks a list that must not be empty.
 func (c *Checker) Addresses(path string, values []string) {
 	if len(values) == 0 {
