Demo: let the counts of missing processes decide whether a version is in force

Cause: 'watch' exits with 1 while a control member is dead, although no process misses the version. Conclusion: exit code 1 of 'watch' stays, because an unreachable member may know more processes.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -126,13 +126,33 @@
 		return err
 	}
 	d.say("published version %d with weights %s in %d ms", expect+1, version, time.Since(begin).Milliseconds())
-	if err := d.operate(ctx, "watch", "--wait", "10s"); err != nil {
+	if err := d.awaitInForce(ctx, expect+1); err != nil {
 		return err
 	}
 	d.say("version %d in force on all processes after %d ms", expect+1, time.Since(begin).Milliseconds())
 	return nil
 }
 
+// awaitInForce waits until no live process misses the version. A killed control member makes the command exit with
+// a failure although no process misses the version, so the counts decide.
+func (d *demo) awaitInForce(ctx context.Context, version int) error {
+	result, err := d.fleet.Operate(ctx, fleet.Operator, "-o", "json", "watch", "--wait", "10s")
+	if err != nil {
+		return &StepError{"watch", "run command", err}
+	}
+	var distribution struct {
+		Version int `json:"version"`
+		Missing int `json:"missing"`
+	}
+	if err := json.Unmarshal([]byte(result.Stdout), &distribution); err != nil {
+		return &StepError{"watch", result.Stdout + result.Stderr, err}
+	}
+	if distribution.Version != version || distribution.Missing > 0 {
+		return &StepError{Step: "watch", Detail: "version is not in force everywhere: " + result.Stdout}
+	}
+	return nil
+}
+
 // operateTimeout limits one operators' command with its repeats.
 const operateTimeout = 20 * time.Second
 
