--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -304,3 +304,15 @@
 	sum := sha256.Sum256([]byte(text))
 	return hex.EncodeToString(sum[:])
 }
+
+// AdvertisedAddress returns the address under which other processes reach a process.
+func (f *Fleet) AdvertisedAddress(name string) (string, error) {
+	node, err := f.node(name)
+	if err != nil {
+		return "", err
+	}
+	if node.relayed != "" {
+		return node.relayed, nil
+	}
+	return node.listen, nil
+}
--- /dev/null
+++ b/internal/scenario/conditions.go
@@ -0,0 +1,279 @@
+package scenario
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/wasabishunt/wasabishunt/internal/fleet"
+	"github.com/wasabishunt/wasabishunt/internal/standin/engine"
+	"github.com/wasabishunt/wasabishunt/internal/standin/service"
+	"github.com/wasabishunt/wasabishunt/internal/workload"
+)
+
+func (s *state) poll(check func() error) error {
+	ctx, cancel := context.WithTimeout(s.ctx, awaitTimeout)
+	defer cancel()
+	return fleet.Poll(ctx, check)
+}
+
+// await ready|unready ENTRY, await inforce [without=NAME], await state PROCESS STATE, await started LOAD N,
+// await ended LOAD N, await weights ENGINE VERSION, await voters N, await leader, await executions N
+func cmdAwait(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) == 0 {
+		ts.Fatalf("usage: await CONDITION [ARGUMENT...]")
+	}
+	s := stateOf(ts)
+	conditions := map[string]func(args []string) error{
+		"ready":      func(a []string) error { return s.readiness(a[0], http.StatusOK) },
+		"unready":    func(a []string) error { return s.readiness(a[0], http.StatusServiceUnavailable) },
+		"inforce":    s.inForce,
+		"state":      func(a []string) error { return s.processState(a[0], a[1]) },
+		"started":    func(a []string) error { return s.loadCount(a, func(l *load) int { n, _ := l.counts(); return n }) },
+		"ended":      func(a []string) error { return s.loadCount(a, func(l *load) int { _, n := l.counts(); return n }) },
+		"weights":    func(a []string) error { return s.loadedWeights(a[0], a[1]) },
+		"voters":     func(a []string) error { return s.voters(a[0]) },
+		"leader":     func([]string) error { _, err := s.leader(); return err },
+		"executions": s.executionCount,
+	}
+	condition := conditions[args[0]]
+	if condition == nil {
+		ts.Fatalf("unknown condition %s", args[0])
+	}
+	fail(ts, false, s.poll(func() error { return condition(args[1:]) }), "await "+strings.Join(args, " "))
+	if args[0] == "leader" {
+		name, err := s.leader()
+		ts.Check(err)
+		ts.Setenv("LEADER", name)
+		ts.Setenv("FOLLOWER", s.followerOf(name))
+	}
+}
+
+func (s *state) readiness(name string, want int) error {
+	n, err := strconv.Atoi(strings.TrimPrefix(name, "entry-"))
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, s.fleet.EntryURL(n-1)+"/readyz", nil)
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != want {
+		return notYet("%s answers %d to /readyz, want %d", name, response.StatusCode, want)
+	}
+	return nil
+}
+
+// distribution is what the scenarios read of `wasabishunt -o json watch`.
+type distribution struct {
+	Version   uint64 `json:"version"`
+	Processes []struct {
+		ID         string `json:"id"`
+		State      string `json:"state"`
+		SetVersion uint64 `json:"set_version"`
+		Missing    string `json:"missing"`
+	} `json:"processes"`
+}
+
+// memberRow is what the scenarios read of `wasabishunt -o json status`.
+type memberRow struct {
+	ID   uint64 `json:"id"`
+	Role string `json:"role"`
+}
+
+// operate runs an operators' command and decodes its JSON output, whatever its exit code.
+func (s *state) operate(into any, args ...string) error {
+	result, err := s.fleet.Operate(s.ctx, fleet.Operator, append([]string{"-o", "json"}, args...)...)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal([]byte(result.Stdout), into); err != nil {
+		return notYet("%v: %s%s", err, result.Stdout, result.Stderr)
+	}
+	return nil
+}
+
+// inForce checks that each live process, but those named as words, has the last accepted version.
+func (s *state) inForce(except []string) error {
+	var report distribution
+	if err := s.operate(&report, "watch"); err != nil {
+		return err
+	}
+	if report.Version < s.version {
+		return notYet("control shows version %d, want %d", report.Version, s.version)
+	}
+	for _, p := range report.Processes {
+		if p.State == "live" && p.SetVersion < s.version && !contains(except, p.ID) {
+			return notYet("%s has version %d, want %d", p.ID, p.SetVersion, s.version)
+		}
+	}
+	return nil
+}
+
+func (s *state) processState(name, want string) error {
+	var report distribution
+	if err := s.operate(&report, "watch"); err != nil {
+		return err
+	}
+	for _, p := range report.Processes {
+		if p.ID == name {
+			if p.State == want {
+				return nil
+			}
+			return notYet("%s is %s, want %s", name, p.State, want)
+		}
+	}
+	return notYet("%s is not registered", name)
+}
+
+func (s *state) loadCount(args []string, count func(*load) int) error {
+	l := s.loads[args[0]]
+	if l == nil {
+		return notYet("no load %s", args[0])
+	}
+	want, err := strconv.Atoi(args[1])
+	if err != nil {
+		return err
+	}
+	if got := count(l); got < want {
+		return notYet("load %s counts %d, want %d", args[0], got, want)
+	}
+	return nil
+}
+
+func (s *state) loadedWeights(name, version string) error {
+	var state engine.State
+	if err := s.fleet.CallStandin(s.ctx, name, http.MethodGet, "/standin/state", nil, &state); err != nil {
+		return err
+	}
+	if !contains(state.Weights.Loaded, version) {
+		return notYet("%s has loaded %v, want %s", name, state.Weights.Loaded, version)
+	}
+	return nil
+}
+
+func (s *state) allRuns() ([]engine.RunRecord, error) {
+	var runs []engine.RunRecord
+	for i := range s.fleet.Shape.Upstreams {
+		var records []engine.RunRecord
+		if err := s.fleet.CallStandin(s.ctx, "engine-"+strconv.Itoa(i+1), http.MethodGet, "/standin/runs", nil, &records); err != nil {
+			return nil, err
+		}
+		runs = append(runs, records...)
+	}
+	return runs, nil
+}
+
+func (s *state) allExecutions() ([]service.Executions, error) {
+	var all []service.Executions
+	for i := range s.fleet.Shape.Services {
+		var one service.Executions
+		if err := s.fleet.CallStandin(s.ctx, "service-"+strconv.Itoa(i+1), http.MethodGet, "/standin/executions", nil, &one); err != nil {
+			return nil, err
+		}
+		all = append(all, one)
+	}
+	return all, nil
+}
+
+func (s *state) executionTotal() (int64, error) {
+	all, err := s.allExecutions()
+	var total int64
+	for _, one := range all {
+		total += one.Total
+	}
+	return total, err
+}
+
+func (s *state) executionCount(args []string) error {
+	want, err := strconv.ParseInt(args[0], 10, 64)
+	if err != nil {
+		return err
+	}
+	got, err := s.executionTotal()
+	if err == nil && got < want {
+		err = notYet("%d executions, want %d", got, want)
+	}
+	return err
+}
+
+// executions N: the service instances must have executed exactly so many calls.
+func cmdExecutions(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) != 1 {
+		ts.Fatalf("usage: executions N")
+	}
+	want, err := strconv.ParseInt(args[0], 10, 64)
+	ts.Check(err)
+	got, err := stateOf(ts).executionTotal()
+	ts.Check(err)
+	if (got == want) == neg {
+		ts.Fatalf("%d executions, want %d (negated: %t)", got, want, neg)
+	}
+}
+
+// mark NAME: remembers this moment.
+func cmdMark(ts *testscript.TestScript, neg bool, args []string) {
+	stateOf(ts).marks[oneName(ts, neg, args)] = time.Now()
+}
+
+// within NAME DURATION: fails if more time has passed since a mark.
+func cmdWithin(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: within MARK DURATION")
+	}
+	limit, err := time.ParseDuration(args[1])
+	ts.Check(err)
+	passed := time.Since(stateOf(ts).marks[args[0]])
+	ts.Logf("%s since %s", passed.Round(time.Millisecond), args[0])
+	if passed > limit {
+		ts.Fatalf("%s since %s, at most %s allowed", passed, args[0], limit)
+	}
+}
+
+// check: compares all answers and bookings so far with the stand-ins' records.
+func cmdCheck(ts *testscript.TestScript, neg bool, args []string) {
+	s := stateOf(ts)
+	runs, err := s.allRuns()
+	ts.Check(err)
+	executions, err := s.allExecutions()
+	ts.Check(err)
+	var violations []workload.Violation
+	complete, failed := 0, map[string]int{}
+	for _, answer := range s.checker.Answers() {
+		violations = append(violations, workload.CheckAnswer(answer, s.weightVersions...)...)
+		violations = append(violations, workload.CheckRefusal(answer, runs)...)
+		if answer.Complete {
+			complete++
+		} else {
+			failed[outcome(answer)]++
+		}
+	}
+	violations = append(violations, workload.CheckBookings(s.checker.Bookings(), executions...)...)
+	for _, run := range runs {
+		if run.Corrupt {
+			violations = append(violations, workload.Violation{Invariant: "I1 no freed or torn block is read", Detail: run.RequestID})
+		}
+	}
+	ts.Logf("%d complete answers, failed %v, %d booking attempts", complete, failed, len(s.checker.Bookings()))
+	for _, v := range violations {
+		ts.Logf("violation %s", v)
+	}
+	if (len(violations) > 0) != neg {
+		ts.Fatalf("%d violations", len(violations))
+	}
+	if contains(args, "all-complete") && len(failed) > 0 {
+		ts.Fatalf("not all answers are complete: %v", failed)
+	}
+}
--- /dev/null
+++ b/internal/scenario/processes.go
@@ -0,0 +1,202 @@
+package scenario
+
+import (
+	"net/http"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/wasabishunt/wasabishunt/internal/fleet"
+	"github.com/wasabishunt/wasabishunt/internal/launch"
+)
+
+// fleet [controls=N] [spares=N] [entries=N] [stores=N] [upstreams=N] [services=N] [accounts=N] [unfenced=N]
+// [cache=TOKENS] [decode=RATE] [prefill=RATE] [vmlag=D] [notice=D] [link=BYTES] [norelays] [idle]
+//
+// Starts all processes, publishes the first set and waits until all entries are ready. With idle nothing is started.
+func cmdFleet(ts *testscript.TestScript, _ bool, args []string) {
+	s := stateOf(ts)
+	o := parse(ts, args, "controls", "spares", "entries", "stores", "upstreams", "services", "accounts", "unfenced",
+		"cache", "decode", "prefill", "vmlag", "notice", "link")
+	shape := fleet.Shape{
+		Controls: o.number("controls", 3), SpareControls: o.number("spares", 0), Entries: o.number("entries", 1),
+		Stores: o.number("stores", 0), Services: o.number("services", 0), Accounts: o.number("accounts", 2),
+		Relays: !o.flag("norelays"), VMListLag: o.duration("vmlag", 0), DrainNotice: o.duration("notice", 0),
+		StoreLinkRate: int64(o.number("link", 0)),
+	}
+	for i := range o.number("upstreams", 1) {
+		shape.Upstreams = append(shape.Upstreams, fleet.UpstreamShape{
+			IgnoresFencing: i < o.number("unfenced", 0), CacheTokens: int64(o.number("cache", 0)),
+			DecodeRate: float64(o.number("decode", 0)), PrefillRate: float64(o.number("prefill", 0)),
+		})
+	}
+	f, err := fleet.New(shape, s.binaries, ts.MkAbs("."))
+	ts.Check(err)
+	s.fleet = f
+	ts.Setenv("WASABISHUNT_CONTROL", strings.Join(f.ControlAddresses(), ","))
+	ts.Setenv("WASABISHUNT_OPERATOR", fleet.Operator)
+	ts.Setenv("WASABISHUNT_TOKEN_FILE", f.TokenFile())
+	if o.flag("idle") {
+		return
+	}
+	ts.Check(f.StartAll())
+	s.publishFirst(ts)
+	for i := range shape.Entries {
+		ts.Setenv("ENTRY"+strconv.Itoa(i+1), f.EntryURL(i))
+		ts.Check(f.AwaitReady(s.ctx, i))
+	}
+}
+
+func cmdStart(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) == 0 {
+		ts.Fatalf("usage: start NAME [ARGUMENT...]")
+	}
+	ts.Check(stateOf(ts).fleet.Start(args[0], args[1:]...))
+}
+
+func process(ts *testscript.TestScript, name string) *launch.Process {
+	p, err := stateOf(ts).fleet.Process(name)
+	ts.Check(err)
+	return p
+}
+
+func cmdKill(ts *testscript.TestScript, neg bool, args []string) {
+	ts.Check(process(ts, oneName(ts, neg, args)).Kill())
+}
+
+func cmdFreeze(ts *testscript.TestScript, neg bool, args []string) {
+	ts.Check(process(ts, oneName(ts, neg, args)).Freeze())
+}
+
+func cmdThaw(ts *testscript.TestScript, neg bool, args []string) {
+	ts.Check(process(ts, oneName(ts, neg, args)).Thaw())
+}
+
+// stop NAME: SIGTERM, then waits for an exit with code 0.
+func cmdStop(ts *testscript.TestScript, neg bool, args []string) {
+	p := process(ts, oneName(ts, neg, args))
+	ts.Check(p.Stop(stopTimeout))
+	if code := p.ExitCode(); code != 0 {
+		ts.Fatalf("%s exited with code %d", args[0], code)
+	}
+}
+
+func cmdTerminate(ts *testscript.TestScript, neg bool, args []string) {
+	ts.Check(process(ts, oneName(ts, neg, args)).Terminate())
+}
+
+// exited NAME: waits until a process has exited. With ! it must still run.
+func cmdExited(ts *testscript.TestScript, neg bool, args []string) {
+	p := process(ts, oneName(ts, false, args))
+	if neg {
+		select {
+		case <-p.Exited():
+			ts.Fatalf("%s has exited with code %d", args[0], p.ExitCode())
+		default:
+		}
+		return
+	}
+	timer := time.NewTimer(awaitTimeout)
+	defer timer.Stop()
+	select {
+	case <-p.Exited():
+	case <-timer.C:
+		ts.Fatalf("%s has not exited", args[0])
+	}
+}
+
+// isolate NAME: cuts all links of a process silently, in both directions.
+func cmdIsolate(ts *testscript.TestScript, neg bool, args []string) {
+	ts.Check(stateOf(ts).fleet.Isolate(oneName(ts, neg, args)))
+}
+
+// cut FROM TO: cuts the connections that FROM opened to TO.
+func cmdCut(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: cut FROM TO")
+	}
+	ts.Check(stateOf(ts).fleet.CutLink(args[0], args[1]))
+}
+
+func cmdHeal(ts *testscript.TestScript, _ bool, _ []string) { stateOf(ts).fleet.HealAll() }
+
+// slow NAME BYTES_PER_SECOND: limits the relay before a process.
+func cmdSlow(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: slow NAME BYTES_PER_SECOND")
+	}
+	relay, err := stateOf(ts).fleet.Relay(args[0])
+	ts.Check(err)
+	rate, err := strconv.ParseFloat(args[1], 64)
+	ts.Check(err)
+	relay.SetRate(rate)
+}
+
+// wipe NAME: removes the data directory of a process that has exited.
+func cmdWipe(ts *testscript.TestScript, neg bool, args []string) {
+	name := oneName(ts, neg, args)
+	ts.Check(os.RemoveAll(stateOf(ts).fleet.DataDir(name)))
+}
+
+// vm NAME STATE: sets the state of a VM in the platform's list; NAME is that of a process of the fleet.
+func cmdVM(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: vm NAME live|leaving")
+	}
+	s := stateOf(ts)
+	address, err := s.fleet.AdvertisedAddress(args[0])
+	ts.Check(err)
+	body := map[string]string{"vm": args[0], "address": address, "state": args[1]}
+	ts.Check(s.fleet.CallStandin(s.ctx, "vmlist", http.MethodPost, "/standin/vms", body, nil))
+}
+
+func cmdVMLag(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 1 {
+		ts.Fatalf("usage: vmlag DURATION")
+	}
+	lag, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	s := stateOf(ts)
+	body := map[string]int64{"lag_ms": lag.Milliseconds()}
+	ts.Check(s.fleet.CallStandin(s.ctx, "vmlist", http.MethodPost, "/standin/lag", body, nil))
+}
+
+// fault NAME JSON: replaces the fault settings of a stand-in.
+func cmdFault(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: fault NAME JSON")
+	}
+	s := stateOf(ts)
+	ts.Check(s.fleet.CallStandin(s.ctx, args[0], http.MethodPost, "/standin/faults", rawJSON(args[1]), nil))
+}
+
+type rawJSON string
+
+// MarshalJSON returns the text as it is.
+func (r rawJSON) MarshalJSON() ([]byte, error) { return []byte(r), nil }
+
+// logged NAME PATTERN: waits until the log of a process has a line that matches. With ! no line may match now.
+func cmdLogged(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) != 2 {
+		ts.Fatalf("usage: logged NAME PATTERN")
+	}
+	s := stateOf(ts)
+	pattern, err := regexp.Compile(args[1])
+	ts.Check(err)
+	find := func() error {
+		content, err := os.ReadFile(s.fleet.LogPath(args[0]))
+		if err == nil && !pattern.Match(content) {
+			err = notYet("log of %s has no line like %q", args[0], args[1])
+		}
+		return err
+	}
+	if neg {
+		fail(ts, true, find(), "logged")
+		return
+	}
+	fail(ts, false, s.poll(find), "logged")
+}
--- /dev/null
+++ b/internal/scenario/publish.go
@@ -0,0 +1,82 @@
+package scenario
+
+import (
+	"encoding/json"
+	"os"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/wasabishunt/wasabishunt/internal/fleet"
+	"github.com/wasabishunt/wasabishunt/objectset"
+)
+
+// publishTimeout limits the repeats of a publish whose outcome is unknown.
+const publishTimeout = 20 * time.Second
+
+func (s *state) publishFirst(ts *testscript.TestScript) {
+	s.weights = fleet.Model + "-v1"
+	result, err := s.fleet.OperateUntilDone(s.ctx, publishTimeout, fleet.Operator, "publish", s.writeSet(ts, "set.json", s.set(s.weights)), "--expect-version", "0")
+	ts.Check(err)
+	if result.ExitCode != 0 {
+		ts.Fatalf("first publish exited with %d: %s%s", result.ExitCode, result.Stdout, result.Stderr)
+	}
+	s.accepted(1, s.weights)
+}
+
+func (s *state) accepted(version uint64, weights string) {
+	s.version, s.weights = version, weights
+	if !slices.Contains(s.weightVersions, weights) {
+		s.weightVersions = append(s.weightVersions, weights)
+	}
+}
+
+func (s *state) set(weights string) *objectset.Set {
+	set := s.fleet.ObjectSet()
+	set.Models[0].WeightVersion = weights
+	return set
+}
+
+func (s *state) writeSet(ts *testscript.TestScript, name string, set *objectset.Set) string {
+	document, err := json.Marshal(set)
+	ts.Check(err)
+	path := ts.MkAbs(name)
+	ts.Check(os.WriteFile(path, document, 0o600))
+	return path
+}
+
+// publish [weights=V] [expect=N] [operation=ID] [operator=NAME] [weight=W] [drop=account-N] [key=K] [count=N]
+//
+// Publishes a set once; its outcome must be known. With ! it must be refused. weight changes the weight of account-1, so
+// that sets differ; drop leaves an account out. With count it publishes so many versions, each with another weight.
+func cmdPublish(ts *testscript.TestScript, neg bool, args []string) {
+	s := stateOf(ts)
+	o := parse(ts, args, "weights", "expect", "operation", "operator", "weight", "drop", "count")
+	for i := range o.number("count", 1) {
+		set := s.set(o.text("weights", s.weights))
+		set.Accounts[0].Weight = float64(o.number("weight", int(s.version)+1+i%2))
+		if name := o.text("drop", ""); name != "" {
+			set.Accounts = slices.DeleteFunc(set.Accounts, func(a objectset.Account) bool { return a.Name == name })
+		}
+		expect := o.number("expect", int(s.version))
+		command := []string{"publish", s.writeSet(ts, "set.json", set), "--expect-version", strconv.Itoa(expect)}
+		if id := o.text("operation", ""); id != "" {
+			command = append(command, "--operation-id", id)
+		}
+		result, err := s.fleet.Operate(s.ctx, o.text("operator", fleet.Operator), command...)
+		ts.Check(err)
+		ts.Setenv("PUBLISH_OUTPUT", result.Stdout+result.Stderr)
+		switch {
+		case result.ExitCode == 0 && neg:
+			ts.Fatalf("publish was accepted: %s", result.Stdout)
+		case result.ExitCode == 0:
+			s.accepted(uint64(expect)+1, set.Models[0].WeightVersion)
+		case result.ExitCode == 1 && neg:
+			ts.Logf("publish was refused: %s%s", result.Stdout, result.Stderr)
+		default:
+			ts.Fatalf("publish exited with %d: %s%s", result.ExitCode, result.Stdout, result.Stderr)
+		}
+	}
+}
--- /dev/null
+++ b/internal/scenario/requests.go
@@ -0,0 +1,238 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/wasabishunt/wasabishunt/internal/fleet"
+	"github.com/wasabishunt/wasabishunt/internal/workload"
+	"github.com/wasabishunt/wasabishunt/prompt"
+)
+
+var askOptions = []string{"count", "parallel", "account", "rank", "tokens", "long", "entry", "deadline", "expect", "topic", "key", "model"}
+
+// question builds one question from options; number makes its text unique.
+func question(o options, number int) workload.Question {
+	account := o.number("account", 1) - 1
+	q := workload.Question{
+		Account: fleet.AccountName(account), Key: o.text("key", fleet.AccountKey(account)), Model: o.text("model", fleet.Model),
+		Rank: o.text("rank", ""), Tokens: int64(o.number("tokens", 8)), Deadline: o.duration("deadline", 0), Whole: o.flag("whole"),
+	}
+	if long := o.number("long", 0); long > 0 {
+		var rulebook strings.Builder
+		for i := range long {
+			fmt.Fprintf(&rulebook, "%s%d ", o.text("topic", "rule"), i)
+		}
+		q.Messages = append(q.Messages, prompt.Message{Role: "system", Content: rulebook.String()})
+	}
+	q.Messages = append(q.Messages, prompt.Message{Role: "user", Content: fmt.Sprintf("question %d", number)})
+	return q
+}
+
+// ask [count=N] [parallel=N] [account=N] [rank=R] [tokens=N] [long=TOKENS] [topic=T] [entry=N] [deadline=D] [key=K]
+// [model=M] [whole] [expect=KIND/EXECUTION]
+//
+// Sends questions and waits for the answers. Each must be complete, or with expect fail in the given way.
+func cmdAsk(ts *testscript.TestScript, neg bool, args []string) {
+	s := stateOf(ts)
+	o := parse(ts, args, askOptions...)
+	answers := make([]workload.Answer, o.number("count", 1))
+	limit := make(chan struct{}, o.number("parallel", 1))
+	var group sync.WaitGroup
+	for i := range answers {
+		limit <- struct{}{}
+		group.Go(func() {
+			defer func() { <-limit }()
+			ctx, cancel := context.WithTimeout(s.ctx, requestTimeout)
+			defer cancel()
+			answers[i] = s.caller.Ask(ctx, s.fleet.EntryURL(o.number("entry", 1)-1), question(o, i))
+		})
+	}
+	group.Wait()
+	want := o.text("expect", "complete")
+	for _, answer := range answers {
+		s.checker.Answered(answer)
+		if got := outcome(answer); !neg && got != want {
+			ts.Fatalf("request %s: got %s after %d tokens, want %s: %v", answer.RequestID, got, answer.Tokens, want, answer.Failure)
+		} else if neg && got == want {
+			ts.Fatalf("request %s: got %s", answer.RequestID, got)
+		}
+		ts.Setenv("REQUEST", answer.RequestID)
+	}
+}
+
+func outcome(answer workload.Answer) string {
+	if answer.Complete {
+		return "complete"
+	}
+	return string(answer.Failure.Kind) + "/" + string(answer.Failure.Execution)
+}
+
+// book key=K [issued=AGE] [account=N] [entry=N] [body=B] [method=M] [path=P] [expect=answered|replayed|KIND/EXECUTION]
+//
+// Makes one attempt of a booking. A key stands for the same UUIDv7 in the whole script, or with issued for itself.
+func cmdBook(ts *testscript.TestScript, neg bool, args []string) {
+	s := stateOf(ts)
+	o := parse(ts, args, "key", "issued", "account", "entry", "body", "method", "path", "expect")
+	account := o.number("account", 1) - 1
+	key := o.text("key", "")
+	booking := workload.Booking{
+		Account: fleet.AccountName(account), Key: fleet.AccountKey(account), Service: fleet.Service,
+		Method: o.text("method", "POST"), Path: o.text("path", "/reservations"), Body: o.text("body", "booking "+key),
+	}
+	if _, aged := o.values["issued"]; aged {
+		booking.IdempotencyKey, booking.IssuedAt = key, time.Now().Add(-o.duration("issued", 0))
+	} else {
+		booking.IdempotencyKey = s.keyFor(ts, key)
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, requestTimeout)
+	defer cancel()
+	attempt := func() error {
+		result := s.caller.Book(ctx, s.fleet.EntryURL(o.number("entry", 1)-1), booking)
+		s.checker.Booked(result)
+		if got, want := bookingOutcome(result), o.text("expect", "answered"); got != want {
+			return notYet("booking %s: got %s, want %s: %v", key, got, want, result.Failure)
+		}
+		return nil
+	}
+	if o.flag("eventually") {
+		fail(ts, neg, s.poll(attempt), "book")
+		return
+	}
+	fail(ts, neg, attempt(), "book")
+}
+
+// keyFor returns the UUIDv7 for a key of the script.
+func (s *state) keyFor(ts *testscript.TestScript, key string) string {
+	name := "KEY_" + key
+	if id := ts.Getenv(name); id != "" {
+		return id
+	}
+	id, err := uuid.NewV7()
+	ts.Check(err)
+	ts.Setenv(name, id.String())
+	return id.String()
+}
+
+func bookingOutcome(result workload.BookingResult) string {
+	switch {
+	case result.Failure != nil:
+		return string(result.Failure.Kind) + "/" + string(result.Failure.Execution)
+	case result.Replayed:
+		return "replayed"
+	default:
+		return "answered"
+	}
+}
+
+// load NAME ask|book [OPTIONS of ask] [parallel=N] [count=N]: starts requests that run while the script goes on; without
+// count they go on until endload.
+func cmdLoad(ts *testscript.TestScript, neg bool, args []string) {
+	s := stateOf(ts)
+	if neg || len(args) < 2 || s.loads[args[0]] != nil {
+		ts.Fatalf("usage: load NAME ask|book [OPTIONS], with a new name")
+	}
+	o := parse(ts, args[2:], append([]string{"pause"}, askOptions...)...)
+	ctx, cancel := context.WithCancel(s.ctx)
+	l := &load{cancel: cancel}
+	s.loads[args[0]] = l
+	send := s.loadAsk
+	if args[1] == "book" {
+		send = s.loadBook
+	}
+	for worker := range o.number("parallel", 1) {
+		l.done.Go(func() {
+			for n := 0; ctx.Err() == nil && (n < o.number("count", n+1)); n++ {
+				send(l, o, args[0], worker, n)
+				wait(ctx, o.duration("pause", 0))
+			}
+		})
+	}
+}
+
+func wait(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// loadAsk sends one question. A load that ends lets its last requests finish, so that none is cut by the checker.
+func (s *state) loadAsk(l *load, o options, name string, worker, n int) {
+	ctx, cancel := context.WithTimeout(s.ctx, requestTimeout)
+	defer cancel()
+	q := question(o, worker*1_000_000+n)
+	q.Messages[len(q.Messages)-1].Content += " of load " + name
+	caller := workload.NewCaller()
+	defer caller.Close()
+	caller.OnToken = func(_ workload.Question, tokens int64) {
+		if tokens == 1 {
+			l.count(&l.started)
+		}
+	}
+	s.checker.Answered(caller.Ask(ctx, s.loadEntry(o, worker), q))
+	l.count(&l.ended)
+}
+
+// loadEntry spreads workers over the entries, unless one is chosen.
+func (s *state) loadEntry(o options, worker int) string {
+	if _, chosen := o.values["entry"]; chosen {
+		return s.fleet.EntryURL(o.number("entry", 1) - 1)
+	}
+	return s.fleet.EntryURL(worker % s.fleet.Shape.Entries)
+}
+
+// loadBook makes one booking with repeats until it is answered or in doubt.
+func (s *state) loadBook(l *load, o options, name string, worker, n int) {
+	id, err := uuid.NewV7()
+	if err != nil {
+		return
+	}
+	account := o.number("account", 1) - 1
+	booking := workload.Booking{
+		Account: fleet.AccountName(account), Key: fleet.AccountKey(account), Service: fleet.Service, Method: "POST", Path: "/reservations",
+		IdempotencyKey: id.String(), Body: fmt.Sprintf("booking %d of worker %d of load %s", n, worker, name),
+	}
+	l.count(&l.started)
+	for attempt := range 20 {
+		ctx, cancel := context.WithTimeout(s.ctx, requestTimeout)
+		result := s.caller.Book(ctx, s.loadEntry(o, worker+attempt), booking)
+		cancel()
+		s.checker.Booked(result)
+		if result.Failure == nil || result.Failure.Kind == "outcome_unknown" {
+			break
+		}
+		wait(s.ctx, max(200*time.Millisecond, result.Failure.RetryAfter))
+	}
+	l.count(&l.ended)
+}
+
+func (l *load) count(counter *int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	*counter++
+}
+
+func (l *load) counts() (started, ended int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.started, l.ended
+}
+
+// endload NAME: sends no more requests of a load and waits for those in flight.
+func cmdEndLoad(ts *testscript.TestScript, neg bool, args []string) {
+	l := stateOf(ts).loads[oneName(ts, neg, args)]
+	if l == nil {
+		ts.Fatalf("no load %s", args[0])
+	}
+	l.cancel()
+	l.done.Wait()
+}
