--- a/internal/scenario/conditions.go
+++ b/internal/scenario/conditions.go
@@ -40,6 +40,7 @@
 		"voters":     func(a []string) error { return s.voters(a[0]) },
 		"leader":     func([]string) error { _, err := s.leader(); return err },
 		"executions": s.executionCount,
+		"operated":   s.operated,
 	}
 	condition := conditions[args[0]]
 	if condition == nil {
@@ -54,6 +55,15 @@
 	}
 }
 
+// operated runs an operators' command, which must succeed.
+func (s *state) operated(args []string) error {
+	result, err := s.fleet.Operate(s.ctx, fleet.Operator, args...)
+	if err == nil && result.ExitCode != 0 {
+		err = notYet("%v exited with %d: %s", args, result.ExitCode, result.Stderr)
+	}
+	return err
+}
+
 func (s *state) readiness(name string, want int) error {
 	n, err := strconv.Atoi(strings.TrimPrefix(name, "entry-"))
 	if err != nil {
--- a/internal/scenario/processes.go
+++ b/internal/scenario/processes.go
@@ -40,6 +40,12 @@
 	ts.Setenv("WASABISHUNT_CONTROL", strings.Join(f.ControlAddresses(), ","))
 	ts.Setenv("WASABISHUNT_OPERATOR", fleet.Operator)
 	ts.Setenv("WASABISHUNT_TOKEN_FILE", f.TokenFile())
+	for i := range shape.Controls + shape.SpareControls {
+		name := "control-" + strconv.Itoa(i+1)
+		address, err := f.AdvertisedAddress(name)
+		ts.Check(err)
+		ts.Setenv("CONTROL"+strconv.Itoa(i+1), address)
+	}
 	if o.flag("idle") {
 		return
 	}
@@ -64,7 +70,8 @@
 	return p
 }
 
-func cmdKill(ts *testscript.TestScript, neg bool, args []string) {
+// crash NAME: SIGKILL.
+func cmdCrash(ts *testscript.TestScript, neg bool, args []string) {
 	ts.Check(process(ts, oneName(ts, neg, args)).Kill())
 }
 
--- a/internal/scenario/publish.go
+++ b/internal/scenario/publish.go
@@ -54,13 +54,13 @@
 func cmdPublish(ts *testscript.TestScript, neg bool, args []string) {
 	s := stateOf(ts)
 	o := parse(ts, args, "weights", "expect", "operation", "operator", "weight", "drop", "count")
-	for i := range o.number("count", 1) {
+	for range o.number("count", 1) {
+		expect := o.number("expect", int(s.version))
 		set := s.set(o.text("weights", s.weights))
-		set.Accounts[0].Weight = float64(o.number("weight", int(s.version)+1+i%2))
+		set.Accounts[0].Weight = float64(o.number("weight", expect+1))
 		if name := o.text("drop", ""); name != "" {
 			set.Accounts = slices.DeleteFunc(set.Accounts, func(a objectset.Account) bool { return a.Name == name })
 		}
-		expect := o.number("expect", int(s.version))
 		command := []string{"publish", s.writeSet(ts, "set.json", set), "--expect-version", strconv.Itoa(expect)}
 		if id := o.text("operation", ""); id != "" {
 			command = append(command, "--operation-id", id)
@@ -72,7 +72,7 @@
 		case result.ExitCode == 0 && neg:
 			ts.Fatalf("publish was accepted: %s", result.Stdout)
 		case result.ExitCode == 0:
-			s.accepted(uint64(expect)+1, set.Models[0].WeightVersion)
+			s.accepted(max(s.version, uint64(expect)+1), set.Models[0].WeightVersion)
 		case result.ExitCode == 1 && neg:
 			ts.Logf("publish was refused: %s%s", result.Stdout, result.Stderr)
 		default:
--- a/internal/scenario/requests.go
+++ b/internal/scenario/requests.go
@@ -15,7 +15,7 @@
 	"github.com/wasabishunt/wasabishunt/prompt"
 )
 
-var askOptions = []string{"count", "parallel", "account", "rank", "tokens", "long", "entry", "deadline", "expect", "topic", "key", "model"}
+var askOptions = []string{"count", "parallel", "account", "rank", "tokens", "long", "entry", "deadline", "expect", "topic", "key", "model", "cachedmin", "cachedmax"}
 
 // question builds one question from options; number makes its text unique.
 func question(o options, number int) workload.Question {
@@ -36,7 +36,7 @@
 }
 
 // ask [count=N] [parallel=N] [account=N] [rank=R] [tokens=N] [long=TOKENS] [topic=T] [entry=N] [deadline=D] [key=K]
-// [model=M] [whole] [expect=KIND/EXECUTION]
+// [model=M] [cachedmin=TOKENS] [cachedmax=TOKENS] [whole] [expect=KIND/EXECUTION]
 //
 // Sends questions and waits for the answers. Each must be complete, or with expect fail in the given way.
 func cmdAsk(ts *testscript.TestScript, neg bool, args []string) {
@@ -63,6 +63,9 @@
 		} else if neg && got == want {
 			ts.Fatalf("request %s: got %s", answer.RequestID, got)
 		}
+		if cached := int(answer.CachedTokens); cached < o.number("cachedmin", cached) || cached > o.number("cachedmax", cached) {
+			ts.Fatalf("request %s: %d of %d prompt tokens were cached, want %v", answer.RequestID, cached, answer.PromptTokens, o.values)
+		}
 		ts.Setenv("REQUEST", answer.RequestID)
 	}
 }
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -65,7 +65,7 @@
 		RequireExplicitExec: true,
 		Setup:               func(env *testscript.Env) error { return setup(env, binaries) },
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"fleet": cmdFleet, "start": cmdStart, "kill": cmdKill, "freeze": cmdFreeze, "thaw": cmdThaw,
+			"fleet": cmdFleet, "start": cmdStart, "crash": cmdCrash, "freeze": cmdFreeze, "thaw": cmdThaw,
 			"stop": cmdStop, "terminate": cmdTerminate, "exited": cmdExited,
 			"isolate": cmdIsolate, "cut": cmdCut, "heal": cmdHeal, "slow": cmdSlow, "wipe": cmdWipe,
 			"vm": cmdVM, "vmlag": cmdVMLag, "fault": cmdFault, "await": cmdAwait,
