--- a/control/server.go
+++ b/control/server.go
@@ -206,7 +206,7 @@
 	f := failureMessage(err)
 	_, f.LeaderAddress = s.replicator.Leader()
 	if f.Execution != string(failure.NotRun) {
-		f.Kind = controlclient.ProposalLost
+		f.Kind = string(controlclient.ProposalLost)
 		f.Execution = string(failure.Unknown)
 	}
 	return f
--- a/control/server_presence.go
+++ b/control/server_presence.go
@@ -190,7 +190,7 @@
 		})
 	}
 	response := s.forward(ctx, batch)
-	if kind := response.Failure.GetKind(); kind != controlclient.ProposalLost {
+	if kind := response.Failure.GetKind(); kind != string(controlclient.ProposalLost) {
 		s.logRefusal("declaration of dead processes failed", response.Failure)
 	}
 }
--- a/controlclient/client.go
+++ b/controlclient/client.go
@@ -64,13 +64,14 @@
 	return e
 }
 
-// retryable reports whether another attempt, perhaps at another member, can succeed.
+// retryable reports whether another attempt, perhaps at another member, can succeed. A member that stops or
+// gave up waiting has not run the call.
 func retryable(kind string) bool {
 	switch failure.Kind(kind) {
-	case failure.NotLeader, failure.NoQuorum, failure.StorageFailed:
+	case failure.NotLeader, failure.NoQuorum, failure.StorageFailed, failure.Draining, failure.DeadlineExceeded, ProposalLost:
 		return true
 	}
-	return kind == ProposalLost
+	return false
 }
 
 type call[A answer] func(ctx context.Context, client controlpb.DRPCControlClient) (A, error)
--- a/controlclient/operator.go
+++ b/controlclient/operator.go
@@ -10,7 +10,7 @@
 
 // ProposalLost is the failure kind of a proposal whose outcome the answering member does not know.
 // It differs from outcome_unknown, which is the final answer about a booking in doubt.
-const ProposalLost = "proposal_lost"
+const ProposalLost failure.Kind = "proposal_lost"
 
 // Publish publishes one whole object set. The answer names the current version also beside a conflict.
 func (c *Client) Publish(ctx context.Context, request *controlpb.PublishRequest) (*controlpb.PublishResponse, error) {
--- a/controlclient/watcher_test.go
+++ b/controlclient/watcher_test.go
@@ -12,6 +12,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
 )
 
@@ -98,6 +99,8 @@
 		<-release
 		return &controlpb.PresenceResponse{Epoch: 7, SetVersion: 3, Fresh: true}
 	}}
+	answerAll := sync.OnceFunc(func() { close(release) })
+	defer answerAll()
 	clock := &fakeClock{now: time.Unix(1000, 0)}
 	w := runWatcher(t, WatcherOptions{
 		Addresses: []string{serveStub(t, stub)}, ProcessID: "p", Clock: clock, CallTimeout: time.Minute, PresenceInterval: time.Hour,
@@ -111,7 +114,7 @@
 	<-changed
 	require.Equal(t, uint64(7), w.Current().Epoch)
 	require.False(t, w.Current().Fresh(clock.Now()), "the confirmation is 4 s old")
-	close(release)
+	answerAll()
 	require.Eventually(t, func() bool { return w.Current().Fresh(clock.Now()) }, 5*time.Second, time.Millisecond)
 }
 
@@ -162,3 +165,27 @@
 	require.True(t, w.Fenced())
 	require.False(t, w.Current().Fresh(time.Now()))
 }
+
+// Guards against not_run for a call that was sent and broke before its answer.
+func TestBrokenCallIsUnknown(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var running sync.WaitGroup
+	running.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Read(make([]byte, 1))
+			_ = conn.Close()
+		}
+	})
+	defer running.Wait()
+	defer func() { _ = listener.Close() }()
+	client := NewClient(ClientOptions{Addresses: []string{listener.Addr().String()}, Timeout: 300 * time.Millisecond})
+	defer func() { _ = client.Close() }()
+	_, err = client.ClaimBooking(context.Background(), &controlpb.ClaimBookingRequest{})
+	require.Equal(t, failure.Unknown, failure.Of(err).Execution)
+	require.True(t, failure.Is(err, failure.OutcomeUnknown))
+}
