--- /dev/null
+++ b/cmd/wasabishunt-control/settings.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.uber.org/zap/zapcore"
+
+	"github.com/wasabishunt/wasabishunt/control"
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
+	"github.com/wasabishunt/wasabishunt/settings"
+)
+
+// arguments are the flags and environment variables of a control member.
+type arguments struct {
+	MemberID         uint64        `arg:"--member-id,env:WASABISHUNT_CONTROL_MEMBER_ID" help:"id of this member, never reused"`
+	Group            string        `arg:"--group,env:WASABISHUNT_CONTROL_GROUP" help:"identity of the replicated group"`
+	Listen           string        `arg:"--listen,env:WASABISHUNT_CONTROL_LISTEN" default:"127.0.0.1:7100" help:"IP address and port for processes and members"`
+	Advertise        string        `arg:"--advertise,env:WASABISHUNT_CONTROL_ADVERTISE" help:"IP address and port under which others reach this member; default is that of --listen"`
+	Status           string        `arg:"--status-listen,env:WASABISHUNT_CONTROL_STATUS_LISTEN" default:"127.0.0.1:7101" help:"IP address and port for /healthz, /readyz and /metrics"`
+	DataDir          string        `arg:"--data-dir,env:WASABISHUNT_CONTROL_DATA_DIR" help:"data directory, on the state disk"`
+	Bootstrap        []string      `arg:"--bootstrap,separate,env:WASABISHUNT_CONTROL_BOOTSTRAP" help:"first members as ID=ADDRESS or ID=ADDRESS=ZONE, the same on each"`
+	Join             bool          `arg:"--join,env:WASABISHUNT_CONTROL_JOIN" help:"wait to be added to a running group"`
+	Zone             string        `arg:"--zone,env:WASABISHUNT_CONTROL_ZONE" help:"availability zone"`
+	OperatorsFile    string        `arg:"--operators-file,env:WASABISHUNT_CONTROL_OPERATORS_FILE" help:"file with lines of operator name and SHA-256 of the token"`
+	VMListURL        string        `arg:"--vm-list-url,env:WASABISHUNT_CONTROL_VM_LIST_URL" help:"URL of the platform's VM list; default none"`
+	VMListInterval   time.Duration `arg:"--vm-list-interval,env:WASABISHUNT_CONTROL_VM_LIST_INTERVAL" default:"1s" help:"time between reads of the VM list"`
+	BookingRetention time.Duration `arg:"--booking-retention,env:WASABISHUNT_CONTROL_BOOKING_RETENTION" default:"24h" help:"how long bookings are kept after their issue"`
+	DeadAfter        time.Duration `arg:"--dead-after,env:WASABISHUNT_CONTROL_DEAD_AFTER" default:"3s" help:"silence after which a process is dead"`
+	MaxWatchers      int           `arg:"--max-watchers,env:WASABISHUNT_CONTROL_MAX_WATCHERS" default:"4096" help:"limit of watch streams"`
+	MaxPending       int           `arg:"--max-pending,env:WASABISHUNT_CONTROL_MAX_PENDING" default:"4096" help:"limit of calls that wait for the log"`
+	SnapshotEvery    uint64        `arg:"--snapshot-every,env:WASABISHUNT_CONTROL_SNAPSHOT_EVERY" default:"10000" help:"log entries between snapshots"`
+	LogLevel         zapcore.Level `arg:"--log-level,env:WASABISHUNT_CONTROL_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
+
+	members   []*raftpb.Member
+	operators *control.Operators
+}
+
+// Validate lists all faults and reads the operators file.
+func (a *arguments) Validate() []failure.Problem {
+	c := &settings.Checker{}
+	if a.MemberID == 0 {
+		c.Fail("--member-id", "must be above 0")
+	}
+	c.Required("--group", a.Group)
+	c.Required("--data-dir", a.DataDir)
+	c.Required("--zone", a.Zone)
+	c.Address("--listen", a.Listen)
+	c.Address("--status-listen", a.Status)
+	if a.Advertise == "" {
+		a.Advertise = a.Listen
+	}
+	c.Address("--advertise", a.Advertise)
+	a.checkBootstrap(c)
+	a.checkOperators(c)
+	a.checkLimits(c)
+	return c.Problems()
+}
+
+func (a *arguments) checkLimits(c *settings.Checker) {
+	settings.Positive(c, "--vm-list-interval", int64(a.VMListInterval))
+	settings.Positive(c, "--booking-retention", int64(a.BookingRetention))
+	settings.Positive(c, "--dead-after", int64(a.DeadAfter))
+	settings.Positive(c, "--max-watchers", a.MaxWatchers)
+	settings.Positive(c, "--max-pending", a.MaxPending)
+	settings.Positive(c, "--snapshot-every", int64(a.SnapshotEvery))
+	if a.VMListURL == "" {
+		return
+	}
+	if u, err := url.Parse(a.VMListURL); err != nil || u.Scheme != "http" || u.Host == "" {
+		c.Fail("--vm-list-url", "%q is not an http URL", a.VMListURL)
+	}
+}
+
+// checkBootstrap wants either the first members, this one among them, or --join. Both missing would let a member
+// with an empty disk wait for ever without a stated reason.
+func (a *arguments) checkBootstrap(c *settings.Checker) {
+	if a.Join == (len(a.Bootstrap) > 0) {
+		c.Fail("--bootstrap", "either --bootstrap or --join must be given")
+	}
+	seen := map[uint64]bool{}
+	for _, text := range a.Bootstrap {
+		member, ok := parseMember(text)
+		if !ok {
+			c.Fail("--bootstrap", "%q is not of the form ID=ADDRESS or ID=ADDRESS=ZONE", text)
+			continue
+		}
+		c.Address("--bootstrap", member.Address)
+		if seen[member.Id] {
+			c.Fail("--bootstrap", "member %d is listed twice", member.Id)
+		}
+		seen[member.Id] = true
+		if member.Id == a.MemberID && member.Address != a.Advertise {
+			c.Fail("--bootstrap", "member %d is this member, but its address is not %s", member.Id, a.Advertise)
+		}
+		a.members = append(a.members, member)
+	}
+	if len(a.members) > 0 && !seen[a.MemberID] {
+		c.Fail("--bootstrap", "this member is not among the first ones")
+	}
+}
+
+func parseMember(text string) (*raftpb.Member, bool) {
+	parts := strings.Split(text, "=")
+	if len(parts) != 2 && len(parts) != 3 {
+		return nil, false
+	}
+	id, err := strconv.ParseUint(parts[0], 10, 64)
+	if err != nil || id == 0 {
+		return nil, false
+	}
+	member := &raftpb.Member{Id: id, Address: parts[1]}
+	if len(parts) == 3 {
+		member.AvailabilityZone = parts[2]
+	}
+	return member, true
+}
+
+func (a *arguments) checkOperators(c *settings.Checker) {
+	if a.OperatorsFile == "" {
+		c.Fail("--operators-file", "must be set")
+		return
+	}
+	file, err := os.Open(a.OperatorsFile)
+	if err != nil {
+		c.Fail("--operators-file", "%v", err)
+		return
+	}
+	defer func() { _ = file.Close() }()
+	operators, problems := control.ReadOperators(file)
+	for _, p := range problems {
+		c.Fail("--operators-file", "%s: %s", p.Path, p.Message)
+	}
+	a.operators = operators
+}
--- /dev/null
+++ b/control/member/replicator.go
@@ -0,0 +1,67 @@
+// Package member assembles one control member: replica, state machine, service and status port.
+package member
+
+import (
+	"context"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wasabishunt/wasabishunt/control"
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/raft"
+	"github.com/wasabishunt/wasabishunt/replica"
+	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
+	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
+)
+
+// commands decodes log entries for the state machine.
+type commands struct{ *control.StateMachine }
+
+// Apply executes one log entry. An entry that cannot be decoded changes nothing on any member.
+func (c commands) Apply(index uint64, encoded []byte) proto.Message {
+	command := &controlpb.Command{}
+	if err := proto.Unmarshal(encoded, command); err != nil {
+		return nil
+	}
+	return c.StateMachine.Apply(index, command)
+}
+
+// replicator encodes commands for the replica.
+type replicator struct{ replica *replica.Replica }
+
+var _ control.Replicator = replicator{}
+
+// Propose replicates a command and returns its applied result.
+func (r replicator) Propose(ctx context.Context, command *controlpb.Command) (proto.Message, error) {
+	encoded, err := proto.Marshal(command)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.InvalidRequest, failure.NotRun, "encode command")
+	}
+	return r.replica.Propose(ctx, encoded)
+}
+
+// ReadBarrier waits until the state holds everything committed before the call.
+func (r replicator) ReadBarrier(ctx context.Context) error { return r.replica.ReadBarrier(ctx) }
+
+// Leader returns the known leader.
+func (r replicator) Leader() (uint64, string) { return r.replica.Leader() }
+
+// Fresh reports whether the applied state is known to be current.
+func (r replicator) Fresh() bool { return r.replica.Fresh() }
+
+// Members returns the members in force.
+func (r replicator) Members() *raftpb.Members {
+	return &raftpb.Members{Members: r.replica.Members()}
+}
+
+// ChangeMembers replicates one membership change.
+func (r replicator) ChangeMembers(ctx context.Context, action string, member *raftpb.Member) error {
+	_, err := r.replica.ChangeMembers(ctx, raft.Change{Kind: raft.ChangeKind(action), Member: member})
+	return err
+}
+
+// Progress returns the term and the commit and applied indexes.
+func (r replicator) Progress() (term, commit, applied uint64) {
+	s := r.replica.Status()
+	return s.Term, s.Commit, s.Applied
+}
