--- a/store/client.go
+++ b/store/client.go
@@ -146,15 +146,15 @@
 type Holding struct {
 	// Held has one element for each name.
 	Held []bool
-	// LinkWait is the estimated wait before a new transfer starts.
+	// LinkWait is the estimated wait before a new transfer of the rank starts.
 	LinkWait time.Duration
 	// BytesPerSecond is the store's bandwidth; 0 means unknown.
 	BytesPerSecond float64
 }
 
-// Has asks which pieces of an account a store holds.
-func (c *Client) Has(ctx context.Context, address, account string, names []piece.Name) (Holding, error) {
-	request := &storepb.HasPiecesRequest{Account: account}
+// Has asks which pieces of an account a store holds, and how long a transfer of the rank would wait.
+func (c *Client) Has(ctx context.Context, address, account, rank string, names []piece.Name) (Holding, error) {
+	request := &storepb.HasPiecesRequest{Account: account, Rank: rank}
 	for _, name := range names {
 		request.Names = append(request.Names, name[:])
 	}
--- a/store/link.go
+++ b/store/link.go
@@ -41,6 +41,9 @@
 // linkChunkBytes is the quantum after which a transfer may be preempted.
 const linkChunkBytes = chunkBytes
 
+// bulkOrder is after the order of every rank, for the wait of a bulk transfer.
+const bulkOrder = 1 << 30
+
 // linkSlack is how far chunks may be granted ahead of time, so that short chunks do not each wait for a timer.
 const linkSlack = time.Millisecond
 
@@ -190,7 +193,11 @@
 	if l.schedule == nil {
 		return 0, 0
 	}
-	return max(time.Until(l.freeAt), 0) + l.schedule.Wait(l.order(rank)), l.rate
+	order := l.order(rank)
+	if rank == RankBulk {
+		order = bulkOrder
+	}
+	return max(time.Until(l.freeAt), 0) + l.schedule.Wait(order), l.rate
 }
 
 // Close lets all transfers go on without a limit and stops the timer.
--- a/store/listen.go
+++ b/store/listen.go
@@ -74,18 +74,29 @@
 // Address is the bound address.
 func (l *Listener) Address() string { return l.listener.Addr().String() }
 
+const (
+	// acceptPause is the wait after a failed accept, such as one for lack of file descriptors.
+	acceptPause = 100 * time.Millisecond
+	// maxAcceptFailures in a row end Serve.
+	maxAcceptFailures = 50
+)
+
 // Serve accepts connections until Close.
 func (l *Listener) Serve() error {
-	for {
+	for failures := 0; ; {
 		l.slots <- struct{}{}
 		conn, err := l.listener.Accept()
 		if err != nil {
 			<-l.slots
-			if l.closed() {
+			if failures++; failures == maxAcceptFailures {
+				return failure.Wrap(err, failure.Internal, failure.Unknown, "accept connection")
+			}
+			if !l.pause() {
 				return nil
 			}
-			return failure.Wrap(err, failure.Internal, failure.Unknown, "accept connection")
+			continue
 		}
+		failures = 0
 		if !l.add(conn) {
 			<-l.slots
 			continue
@@ -120,10 +131,16 @@
 	delete(l.conns, conn)
 }
 
-func (l *Listener) closed() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.conns == nil
+// pause waits before the next accept. It returns false after Close.
+func (l *Listener) pause() bool {
+	timer := time.NewTimer(acceptPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-l.ctx.Done():
+		return false
+	}
 }
 
 // Close closes the listener and all connections, ends their calls and waits for them.
--- a/store/server.go
+++ b/store/server.go
@@ -199,7 +199,7 @@
 		}
 		names[i] = name
 	}
-	wait, rate := s.link.Wait("")
+	wait, rate := s.link.Wait(request.Rank)
 	return &storepb.HasPiecesResponse{
 		Held: s.store.Has(request.Account, names), LinkWaitMs: wait.Milliseconds(), LinkBytesPerSecond: rate,
 	}, nil
