--- a/agent/agent.go
+++ b/agent/agent.go
@@ -64,6 +64,9 @@
 	// timers of go-metrics start a goroutine that never ends.
 	firstTokenTimes gometrics.Histogram
 
+	// background holds the reports of bookings that go on after their call; each is bounded by FinishTimeout.
+	background sync.WaitGroup
+
 	mu       sync.Mutex
 	jobs     map[string]*job
 	queue    *sched.Queue
@@ -132,7 +135,9 @@
 			group.Go(func() error { a.work(ctx); return nil })
 		}
 	}
-	return group.Wait()
+	err := group.Wait()
+	a.background.Wait()
+	return err
 }
 
 // followSet notes when a set version came into force, and drains when control says that this agent leaves.
--- a/agent/drain.go
+++ b/agent/drain.go
@@ -57,6 +57,13 @@
 	return nil
 }
 
+// hold counts background work of a call as active. It is used within a call, so the drain cannot have ended.
+func (a *Agent) hold() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.active++
+}
+
 func (a *Agent) leave() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/agent/generate_test.go
+++ b/agent/generate_test.go
@@ -106,7 +106,9 @@
 	f.engine.run(func(engine.Request) <-chan engine.Event { return events })
 	running := f.open(t.Context(), request("running"))
 	require.Eventually(t, func() bool { return f.load().GetRunning() == 1 }, 5*time.Second, time.Millisecond)
-	queued := f.open(t.Context(), request("queued"))
+	next := request("queued")
+	next.Header.DeadlineMs = 3000
+	queued := f.open(t.Context(), next)
 	require.Eventually(t, func() bool { return f.load().GetQueuedRequests() == 1 }, 5*time.Second, time.Millisecond)
 	f.view.Change(func(v *controlclient.View) { v.FreshUntil = time.Now() })
 	events <- engine.Event{Final: true}
--- a/agent/service.go
+++ b/agent/service.go
@@ -160,32 +160,62 @@
 	return nil
 }
 
-// finishBooking reports the outcome again and again within a limit. If all fail the record stays dispatched,
-// which is safe: the call never runs again.
+// finishBooking reports the outcome once, and goes on in the background if control does not take it now: the caller
+// need not wait for that. If all reports fail the record stays dispatched, which is safe: the call never runs again.
 func (a *Agent) finishBooking(ctx context.Context, requestID string, finish *controlpb.FinishBookingRequest) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.options.FinishTimeout)
-	defer cancel()
-	report := func() (struct{}, error) {
-		callCtx, cancelCall := context.WithTimeout(ctx, a.options.CallTimeout)
-		defer cancelCall()
-		response, err := a.deps.Control.FinishBooking(callCtx, finish)
-		if err != nil {
-			return struct{}{}, err
-		}
-		if f := response.GetFailure(); f != nil {
-			return struct{}{}, failure.New(failure.Kind(f.GetKind()), failure.Execution(f.GetExecution()), "%s", f.GetMessage())
-		}
-		return struct{}{}, nil
+	ctx = context.WithoutCancel(ctx)
+	err := a.reportOutcome(ctx, finish)
+	if err == nil {
+		return
+	}
+	a.deps.Log.Warn("booking outcome not recorded yet", zap.String("request_id", requestID), zap.Error(err))
+	if !transient(err) {
+		return
 	}
+	a.hold()
+	a.background.Go(func() {
+		defer a.leave()
+		a.keepReporting(ctx, requestID, finish)
+	})
+}
+
+// keepReporting repeats the report with backoff until FinishTimeout has passed.
+func (a *Agent) keepReporting(ctx context.Context, requestID string, finish *controlpb.FinishBookingRequest) {
 	policy := backoff.NewExponentialBackOff()
 	policy.InitialInterval = 50 * time.Millisecond
 	policy.MaxInterval = 2 * time.Second
-	_, err := backoff.Retry(ctx, report, backoff.WithBackOff(policy), backoff.WithMaxElapsedTime(a.options.FinishTimeout))
+	_, err := backoff.Retry(ctx, func() (struct{}, error) {
+		err := a.reportOutcome(ctx, finish)
+		if err != nil && !transient(err) {
+			return struct{}{}, backoff.Permanent(err)
+		}
+		return struct{}{}, err
+	}, backoff.WithBackOff(policy), backoff.WithMaxElapsedTime(a.options.FinishTimeout))
 	if err != nil {
 		a.deps.Log.Error("booking outcome not recorded", zap.String("request_id", requestID), zap.Bool("in_doubt", finish.GetInDoubt()), zap.Error(err))
 	}
 }
 
+func (a *Agent) reportOutcome(ctx context.Context, finish *controlpb.FinishBookingRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, a.options.CallTimeout)
+	defer cancel()
+	response, err := a.deps.Control.FinishBooking(ctx, finish)
+	if err != nil {
+		return err
+	}
+	return controlclient.FromFailure(response.GetFailure())
+}
+
+// transient reports whether a later report of the same outcome may succeed: control did not decide on this one.
+func transient(err error) bool {
+	e := failure.Of(err)
+	switch e.Kind {
+	case failure.NoQuorum, failure.NotLeader, failure.NoUpstream, failure.Overloaded:
+		return true
+	}
+	return e.Execution == failure.Unknown
+}
+
 // bookingID names a booking towards the service without showing the caller's key.
 func bookingID(key *controlpb.BookingKey) string {
 	hash := sha256.Sum256([]byte(key.GetAccount() + "\x00" + key.GetIdempotencyKey()))
--- a/agent/service_test.go
+++ b/agent/service_test.go
@@ -101,6 +101,36 @@
 	assert.Equal(t, int64(1), s.Executions().Total)
 }
 
+// TestFinishRetried guards against an outcome that is lost, and against a caller that waits, when control is
+// away after the call.
+func TestFinishRetried(t *testing.T) {
+	f, s, _ := startService(t)
+	epoch := f.claim()
+	finishes := make(chan struct{}, 64)
+	away := true
+	f.control.Before(func(call string) error {
+		if call != "finish" {
+			return nil
+		}
+		finishes <- struct{}{}
+		if len(finishes) < 3 && away {
+			return failure.New(failure.NoQuorum, failure.NotRun, "no quorum")
+		}
+		away = false
+		return nil
+	})
+	require.Nil(t, f.book(epoch).GetRefusal())
+	require.NoError(t, f.agent.Drain(t.Context()), "the drain waits for the report")
+	assert.Len(t, finishes, 3)
+	record, err := f.control.ClaimBooking(t.Context(), &controlpb.ClaimBookingRequest{Key: bookingKey, PayloadHash: []byte("h"), ClaimId: "d"})
+	require.NoError(t, err)
+	assert.Equal(t, controlpb.BookingState_FINISHED, record.GetState())
+	response := f.book(epoch)
+	assert.Equal(t, "draining", response.GetRefusal().GetKind())
+	assert.Equal(t, agentpb.Execution_NOT_RUN, response.GetRefusal().GetExecution())
+	assert.Equal(t, int64(1), s.Executions().Total)
+}
+
 // TestUnreachableService guards against a dispatch for a call that cannot be sent, and against not_run that is not said.
 func TestUnreachableService(t *testing.T) {
 	f, _, server := startService(t)
