--- a/admission/estimate.go
+++ b/admission/estimate.go
@@ -14,18 +14,19 @@
 	if state.PrefillRate <= 0 {
 		return maxEstimate
 	}
-	wait := max(seconds(waitTokens(state)/state.PrefillRate), slotWait(state))
-	wait = max(wait, request.Fetch, request.VersionWait)
-	return min(maxEstimate, wait+seconds(float64(request.PromptTokens)/state.PrefillRate))
+	first := max(slotWait(state), request.Fetch, request.VersionWait)
+	own := float64(request.PromptTokens)
+	byOrder := max(first, seconds(state.Ahead.Tokens/state.PrefillRate)) + seconds(own/state.PrefillRate)
+	return min(maxEstimate, byOrder, byFloor(first, own, state))
 }
 
-// waitTokens is the work ahead, bounded by what the rank's floor lets through under a flood of other ranks.
-func waitTokens(state State) float64 {
-	ahead := state.Ahead
-	if ahead.FloorShare <= 0 {
-		return ahead.Tokens
+// byFloor is the estimate if more urgent ranks leave the request's rank only its floor.
+func byFloor(first time.Duration, own float64, state State) time.Duration {
+	rate := state.PrefillRate * state.Ahead.FloorShare
+	if rate <= 0 {
+		return maxEstimate
 	}
-	return min(ahead.Tokens, ahead.FloorTokens/ahead.FloorShare)
+	return max(first, seconds(state.Ahead.FloorTokens/rate)) + seconds(own/rate)
 }
 
 // slotWait is the expected wait until enough of the running requests have ended.
--- a/bench/agent.go
+++ b/bench/agent.go
@@ -88,6 +88,7 @@
 	w.plan = a.planFor(w)
 	decision := a.admit(w)
 	if decision.Refusal != nil {
+		a.queue.Refused(q.kind.Rank, w.plan.ComputeTokens)
 		a.refuse(q, decision.Refusal.Kind)
 		return
 	}
--- a/sched/fair.go
+++ b/sched/fair.go
@@ -18,7 +18,7 @@
 	active       bool
 }
 
-// maxIdleAccounts bounds the virtual times kept for accounts without work. The oldest debts are forgotten first.
+// maxIdleAccounts bounds the virtual times kept for accounts without work.
 const maxIdleAccounts = 4096
 
 func (q *Queue) accountKey(item Item) string {
@@ -45,17 +45,23 @@
 	return a
 }
 
-// activate lets an account that was idle start at the rank's virtual time: idle time is not saved up, and a caller
-// that received little goes before one that received much.
-func (r *rankQueue) activate(a *account) {
+// activate lets an account that was idle start behind the rank's virtual time by at most the burst. A caller that asks
+// for less than its share thus has whole prompts served before a caller that asks for more, and an idle caller cannot
+// save up more than one burst.
+func (q *Queue) activate(r *rankQueue, a *account) {
 	if a.active {
 		return
 	}
 	a.active = true
-	a.served = max(a.served, r.clock)
+	a.served = q.resume(r, a.served)
 	r.active = append(r.active, a)
 }
 
+// resume is the virtual time at which an account that was served up to a time joins the active ones.
+func (q *Queue) resume(r *rankQueue, served float64) float64 {
+	return max(served, r.clock-float64(q.settings.AccountBurst))
+}
+
 func (r *rankQueue) deactivate(a *account) {
 	if a.running > 0 || len(a.short)+len(a.long) > 0 {
 		return
@@ -64,7 +70,7 @@
 	if i := slices.Index(r.active, a); i >= 0 {
 		r.active = slices.Delete(r.active, i, i+1)
 	}
-	if a.served <= r.clock || len(r.accounts) > maxIdleAccounts {
+	if len(r.accounts) > maxIdleAccounts {
 		delete(r.accounts, a.name)
 	}
 }
@@ -79,13 +85,15 @@
 		return nil
 	}
 	var best *entry
+	least := 0.0
 	slots := q.slotsFor(r)
 	for _, a := range r.active {
-		if best != nil && a.served >= best.account.served {
+		time := q.turn(a)
+		if best != nil && time >= least {
 			continue
 		}
 		if e := a.next(longAllowed, q.mayStart(slots, r, a), q.settings.Off.Deadlines); e != nil {
-			best = e
+			best, least = e, time
 		}
 	}
 	if best != nil {
@@ -94,6 +102,16 @@
 	return best
 }
 
+// turn is the virtual time by which accounts take turns. An account with a prompt half done keeps its turn until
+// another account is behind by the preemption lag: prompts of callers with about equal service, computed in turns,
+// would all finish late.
+func (q *Queue) turn(a *account) float64 {
+	if len(a.ready) > 0 {
+		return a.served - float64(q.settings.PreemptLag)
+	}
+	return a.served
+}
+
 // next returns the account's entry with the earliest deadline.
 func (a *account) next(longAllowed, mayStart, fifo bool) *entry {
 	var best *entry
--- a/sched/floor.go
+++ b/sched/floor.go
@@ -1,29 +1,41 @@
 package sched
 
-// floorBurst bounds the floor service that a rank may catch up at once, in chunks. A larger burst would let a less
-// urgent rank hold up urgent work for longer than a few chunks.
-const floorBurst = 2
-
-// owedFloor is true when a rank has earned a whole chunk of its floor.
+// owedFloor is true when a rank has earned a whole chunk of its floor. Two chunks by floor never follow each other, so
+// that a rank with saved credit cannot hold up more urgent work for longer than one chunk.
 func (q *Queue) owedFloor(r *rankQueue) bool {
-	return r.Floor > 0 && r.credit >= float64(q.settings.ChunkTokens) && !q.settings.Off.Floors
+	return r.Floor > 0 && r.credit >= float64(q.settings.ChunkTokens) && !q.lastByFloor && !q.settings.Off.Floors
 }
 
-// creditFloors gives each waiting rank its floor's share of the tokens just served and takes the tokens from the rank
-// served. A rank without waiting work earns nothing: a floor is kept for work, it is not saved up.
+// creditFloors gives each rank its floor's share of the tokens just served and takes the tokens from the rank served.
+// Only ranks with waiting or refused work earn: a floor is kept for work, it is not saved up by idle ranks.
 func (q *Queue) creditFloors(served *rankQueue, tokens int64) {
-	limit := float64(floorBurst * q.settings.ChunkTokens)
+	limit := float64(q.settings.FloorBurst)
 	for _, rank := range q.ranks {
 		if rank == served {
 			rank.credit = debit(rank.credit, float64(tokens)*(1-rank.Floor), limit)
 			continue
 		}
-		if rank.backlogged() {
-			rank.credit = min(limit, rank.credit+float64(tokens)*rank.Floor)
+		earned := float64(tokens) * rank.Floor
+		if rank.backlogged() || rank.unmet > 0 {
+			rank.credit = min(limit, rank.credit+earned)
+			rank.unmet = max(0, rank.unmet-earned)
 		}
 	}
 }
 
+// Refused notes prompt tokens that admission refused. A rank whose work is refused because other ranks fill the engine
+// is entitled to its floor although none of its work waits.
+func (q *Queue) Refused(rankName string, tokens int64) {
+	q.unmet(q.rankOf(rankName), tokens)
+}
+
+// unmetBurst bounds remembered unmet demand, in floor bursts, so that it is forgotten soon after a flood.
+const unmetBurst = 2
+
+func (q *Queue) unmet(r *rankQueue, tokens int64) {
+	r.unmet = min(unmetBurst*float64(q.settings.FloorBurst), r.unmet+float64(tokens))
+}
+
 // debit takes served tokens from a credit. Service that was earned is charged whole, however large the prompt;
 // service from idle capacity makes no more debt than the limit.
 func debit(credit, tokens, limit float64) float64 {
@@ -33,3 +45,17 @@
 	}
 	return max(after, min(credit, -limit))
 }
+
+// pacedShare is the share of the prefill rate that a rank gets while it uses saved floor credit.
+const pacedShare = 0.5
+
+// floorShare is the share of the prefill rate at which the rank's floor serves the tokens.
+func (q *Queue) floorShare(r *rankQueue, tokens float64) float64 {
+	if q.settings.Off.Floors {
+		return 0
+	}
+	if r.Floor > 0 && tokens <= r.credit {
+		return max(r.Floor, pacedShare)
+	}
+	return r.Floor
+}
--- a/sched/item.go
+++ b/sched/item.go
@@ -77,6 +77,14 @@
 	WholePrompts bool
 	// LongShare is the share of prefill that long prefixes may take while short work waits, 0 to 1; default 0.5.
 	LongShare float64
+	// AccountBurst is the service in tokens that an account which asked for less than its share may receive before
+	// others, for an account of weight 1; default 16384, a long prompt.
+	AccountBurst int64
+	// PreemptLag is how far in tokens an account must be behind another to interrupt its prompt; default 4096.
+	PreemptLag int64
+	// FloorBurst is the floor service in tokens that a rank may save up; default 8192. While it is used up, more urgent
+	// work still gets every second chunk.
+	FloorBurst int64
 	// Headroom is the share of run slots kept free for urgent ranks and small callers, 0 to 1; default 0.125.
 	Headroom float64
 	// Off switches mechanisms off, for comparison runs only; default none.
@@ -102,6 +110,9 @@
 		MaxRunning:     32,
 		MaxOutstanding: 512,
 		LongShare:      0.5,
+		AccountBurst:   16384,
+		PreemptLag:     8192,
+		FloorBurst:     8192,
 		Headroom:       0.125,
 	}
 }
@@ -123,6 +134,15 @@
 	if s.LongShare <= 0 || s.LongShare >= 1 {
 		s.LongShare = d.LongShare
 	}
+	if s.AccountBurst <= 0 {
+		s.AccountBurst = d.AccountBurst
+	}
+	if s.PreemptLag <= 0 {
+		s.PreemptLag = d.PreemptLag
+	}
+	if s.FloorBurst <= 0 {
+		s.FloorBurst = d.FloorBurst
+	}
 	if s.Headroom <= 0 {
 		s.Headroom = d.Headroom
 	}
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -22,6 +22,7 @@
 	waiting     int
 	running     int
 	outstanding int64
+	lastByFloor bool // The last chunk was granted by a floor.
 	sequence    uint64
 }
 
@@ -67,7 +68,7 @@
 	q.sequence++
 	e := &entry{item: item, rank: rank, remaining: max(1, item.PromptTokens), sequence: q.sequence}
 	e.account = rank.account(q.accountKey(item), q.weightOf(item.Account))
-	rank.activate(e.account)
+	q.activate(rank, e.account)
 	e.account.wait(e, q.settings.Off.Deadlines)
 	e.account.queuedTokens += e.remaining
 	rank.queuedTokens += e.remaining
@@ -100,6 +101,7 @@
 	if q.outstanding > 0 && q.outstanding+tokens > q.settings.MaxOutstanding {
 		return Grant{}, false
 	}
+	q.lastByFloor = why == whyFloor
 	first := !e.started
 	if first {
 		q.start(e)
@@ -208,5 +210,6 @@
 
 func (q *Queue) drop(e *entry, why string) {
 	q.remove(e)
+	q.unmet(e.rank, e.remaining)
 	q.dropped = append(q.dropped, Removed{Item: e.item, Started: e.started, Why: why})
 }
--- a/sched/rank.go
+++ b/sched/rank.go
@@ -17,6 +17,8 @@
 	clock float64
 	// credit is the floor service owed to the rank in tokens.
 	credit       float64
+	// unmet is the demand in tokens that was refused or dropped.
+	unmet        float64
 	queuedTokens int64
 	waiting      int
 	running      int
@@ -76,19 +78,20 @@
 }
 
 func (q *Queue) chooseRank(longAllowed bool) (*entry, string) {
+	var first *entry
 	for _, rank := range q.ranks {
-		if q.owedFloor(rank) {
-			if e := q.chooseAccount(rank, longAllowed); e != nil {
-				return e, whyFloor
-			}
+		if first != nil && !q.owedFloor(rank) {
+			continue
 		}
-	}
-	for _, rank := range q.ranks {
-		if e := q.chooseAccount(rank, longAllowed); e != nil {
-			return e, q.whyOrdered(longAllowed)
+		e := q.chooseAccount(rank, longAllowed)
+		if e != nil && first != nil {
+			return e, whyFloor
+		}
+		if e != nil {
+			first = e
 		}
 	}
-	return nil, ""
+	return first, q.whyOrdered(longAllowed)
 }
 
 func (q *Queue) whyOrdered(longAllowed bool) string {
--- a/sched/snapshot.go
+++ b/sched/snapshot.go
@@ -39,7 +39,8 @@
 type Ahead struct {
 	// Tokens of prompt that go first, at the whole prefill rate.
 	Tokens float64
-	// FloorTokens go first if the rank gets only its floor, FloorShare of the rate. FloorShare 0 means no floor.
+	// FloorTokens go first if the rank gets only its floor; they and the request itself are then computed at FloorShare
+	// of the rate. FloorShare 0 means no floor.
 	FloorTokens float64
 	FloorShare  float64
 	// Slots is how many waiting requests go first to a run slot, 0 if a slot is free now.
@@ -52,8 +53,8 @@
 // own rank that fair sharing puts first, and the floors of less urgent ranks.
 func (q *Queue) AheadOf(rankName, accountName string, tokens int64) Ahead {
 	rank := q.rankOf(rankName)
-	ahead := Ahead{FloorShare: rank.Floor, Running: q.running}
 	own := q.sharedAhead(rank, accountName, tokens)
+	ahead := Ahead{FloorShare: q.floorShare(rank, own+float64(tokens)), Running: q.running}
 	ahead.FloorTokens = own
 	ahead.Tokens = own
 	urgent := true
@@ -79,16 +80,16 @@
 	if q.settings.Off.FairShare {
 		return float64(rank.queuedTokens)
 	}
-	weight := q.weightOf(name)
 	own := rank.accounts[name]
-	demand := float64(tokens)
+	queued, served := 0.0, q.resume(rank, 0)
 	if own != nil {
-		demand += float64(own.queuedTokens)
+		queued, served = float64(own.queuedTokens), q.resume(rank, own.served)
 	}
-	total := demand - float64(tokens)
+	end := served + (queued+float64(tokens))/q.weightOf(name)
+	total := queued
 	for _, other := range rank.active {
 		if other != own {
-			total += min(float64(other.queuedTokens), demand*other.weight/weight)
+			total += min(float64(other.queuedTokens), max(0, end-other.served)*other.weight)
 		}
 	}
 	return total
