--- a/bench/measure.go
+++ b/bench/measure.go
@@ -9,15 +9,16 @@
 // Result is what one run measured.
 type Result struct {
 	Deployment, Case, Policy string
-	// Tallies by kind, for arrivals outside and inside the extra ones of the case.
+	// Kinds has a tally for each kind of work.
 	Kinds map[string]*Tally
-	// Ranks' tokens served and asked for while a flood is on.
+	// RankServed counts tokens by rank, of requests that arrived during the flood of the most urgent rank.
 	RankServed map[string]int64
-	// Small and Large callers within the window of the large callers, without bulk work.
+	// RankFlood are the outcomes of the same requests.
+	RankFlood map[string]*Tally
+	// Small and Large callers' urgent and day work while the large callers ask for more.
 	Small, Large Tally
 	// Others are the base arrivals, without the extra ones of the case.
-	Others     Tally
-	SmallKinds map[string]*Tally
+	Others Tally
 	// ByRank counts all arrivals of a rank.
 	ByRank map[string]*Tally
 	First  *hdrhistogram.Histogram // Of urgent and day work, in microseconds.
@@ -38,12 +39,12 @@
 func newResult(d *Deployment, c *Case, p Policy) *Result {
 	r := &Result{
 		Deployment: d.Name, Case: c.Name, Policy: p.Name,
-		Kinds: map[string]*Tally{}, SmallKinds: map[string]*Tally{}, RankServed: map[string]int64{}, ByRank: map[string]*Tally{},
+		Kinds: map[string]*Tally{}, RankServed: map[string]int64{}, RankFlood: map[string]*Tally{}, ByRank: map[string]*Tally{},
 		First: newHistogram(), Urgent: newHistogram(),
 	}
 	for _, kind := range d.Kinds {
-		r.Kinds[kind.Name], r.SmallKinds[kind.Name] = &Tally{}, &Tally{}
-		r.ByRank[kind.Rank] = &Tally{}
+		r.Kinds[kind.Name] = &Tally{}
+		r.ByRank[kind.Rank], r.RankFlood[kind.Rank] = &Tally{}, &Tally{}
 	}
 	return r
 }
@@ -62,11 +63,13 @@
 	if !q.extra {
 		f(&r.Others)
 	}
+	if q.at >= urgentFrom && q.at < urgentTo {
+		f(r.RankFlood[q.kind.Rank])
+	}
 	if q.at < largeFrom || q.at >= largeTo || q.kind.Rank == "night" {
 		return
 	}
 	if q.account >= largeAccounts {
-		f(r.SmallKinds[q.kind.Name])
 		f(&r.Small)
 	} else {
 		f(&r.Large)
--- a/bench/policies.go
+++ b/bench/policies.go
@@ -25,7 +25,7 @@
 	NoRetry     bool
 }
 
-var fifo = sched.Off{Ranks: true, Floors: true, FairShare: true, Deadlines: true, DropLate: true, LongBudget: true, Headroom: true}
+var fifo = sched.Off{Ranks: true, Floors: true, FairShare: true, Deadlines: true, DropLate: true, LongBudget: true, Headroom: true, Rescue: true}
 
 // Baselines are serving systems without this one's mechanisms; the first policy is the whole system.
 func Baselines() []Policy {
@@ -47,6 +47,7 @@
 		{Name: "without deadline order", Sched: sched.Off{Deadlines: true}},
 		{Name: "without dropping late work", Sched: sched.Off{DropLate: true}},
 		{Name: "without long budget", Sched: sched.Off{LongBudget: true}},
+		{Name: "without rescue", Sched: sched.Off{Rescue: true}},
 		{Name: "without slot headroom", Sched: sched.Off{Headroom: true}},
 		{Name: "without admission", NoAdmission: true},
 		{Name: "without prefix routing", Routing: routing.Off{Prefix: true}},
--- /dev/null
+++ b/bench/report.go
@@ -0,0 +1,87 @@
+package bench
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Write writes the results as markdown tables.
+func (s *Suite) Write(w io.Writer) error {
+	for _, d := range s.Deployments {
+		if err := s.writeDeployment(w, d); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+const caseHeader = `| policy | worth on time | urgent | day | night | first token p50/p95/p99 ms | urgent p99 ms | recomputed | computed | link | service urgent/day/night | others keep | small callers | large callers |
+| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |
+`
+
+func (s *Suite) writeDeployment(w io.Writer, d *Deployment) error {
+	if _, err := fmt.Fprintf(w, "## Deployment %s\n", d.Name); err != nil {
+		return err
+	}
+	for _, c := range s.Cases {
+		if _, err := fmt.Fprintf(w, "\n### %s: %s\n\n%s", d.Name, c.Name, caseHeader); err != nil {
+			return err
+		}
+		for _, p := range s.Baselines {
+			if _, err := io.WriteString(w, s.result(d, c, p).row()); err != nil {
+				return err
+			}
+		}
+	}
+	return s.writeAblations(w, d)
+}
+
+func (r *Result) row() string {
+	total := r.Total()
+	return fmt.Sprintf("| %s | %.1f | %.1f | %.1f | %.1f | %s | %d | %.1f | %.1f | %.0f | %.0f/%.0f/%.0f | %.1f | %.1f | %.1f |\n",
+		r.Policy, percent(total.Weighted()), percent(r.ByRank["urgent"].Share()), percent(r.ByRank["day"].Share()),
+		percent(r.ByRank["night"].Share()), quantiles(r.First), milliseconds(r.Urgent, 99), percent(r.Recomputed()),
+		percent(r.Computed()), percent(r.LinkUse()), percent(r.RankShare("urgent")), percent(r.RankShare("day")),
+		percent(r.RankShare("night")), percent(r.Others.Weighted()), percent(r.Small.Share()), percent(r.Large.Share()))
+}
+
+func percent(share float64) float64 { return 100 * share }
+
+func milliseconds(h *hdrhistogram.Histogram, quantile float64) int64 {
+	return h.ValueAtQuantile(quantile) / 1000
+}
+
+func quantiles(h *hdrhistogram.Histogram) string {
+	return fmt.Sprintf("%d/%d/%d", milliseconds(h, 50), milliseconds(h, 95), milliseconds(h, 99))
+}
+
+// writeAblations writes what each mechanism is worth: the change when it is switched off, in points.
+func (s *Suite) writeAblations(w io.Writer, d *Deployment) error {
+	header, line := "| mechanism off |", "| --- |"
+	for _, c := range s.Cases {
+		header += " " + c.Name + " |"
+		line += " --- |"
+	}
+	if _, err := fmt.Fprintf(w, "\n### %s: one mechanism off\n\n%s\n%s\n", d.Name, header, line); err != nil {
+		return err
+	}
+	for _, p := range s.Ablations {
+		row := "| " + p.Name + " |"
+		for _, c := range s.Cases {
+			row += " " + change(s.result(d, c, s.Baselines[0]), s.result(d, c, p)) + " |"
+		}
+		if _, err := fmt.Fprintln(w, row); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// change is the difference in worth on time, small callers on time and tokens recomputed, in points.
+func change(with, without *Result) string {
+	a, b := with.Total(), without.Total()
+	return fmt.Sprintf("%+.1f/%+.1f/%+.1f", percent(b.Weighted()-a.Weighted()),
+		percent(without.Small.Share()-with.Small.Share()), percent(without.Recomputed()-with.Recomputed()))
+}
--- a/sched/fair.go
+++ b/sched/fair.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"slices"
+	"time"
 )
 
 // account is the work of one client account within one rank.
@@ -80,36 +81,35 @@
 }
 
 // chooseAccount returns the next entry of the account with the least virtual time that may run now.
-func (q *Queue) chooseAccount(r *rankQueue, longAllowed bool) *entry {
+func (q *Queue) chooseAccount(r *rankQueue, longAllowed bool, now time.Time) *entry {
 	if !r.backlogged() {
 		return nil
 	}
 	var best *entry
-	least := 0.0
 	slots := q.slotsFor(r)
 	for _, a := range r.active {
-		time := q.turn(a)
-		if best != nil && time >= least {
+		if best != nil && a.served > best.account.served+float64(q.settings.PreemptLag) {
 			continue
 		}
-		if e := a.next(longAllowed, q.mayStart(slots, r, a), q.settings.Off.Deadlines); e != nil {
-			best, least = e, time
+		if e := a.next(longAllowed, q.mayStart(slots, r, a), q.settings.Off.Deadlines); e != nil && q.goesFirst(e, best) {
+			best = e
 		}
 	}
-	if best != nil {
-		r.clock = max(r.clock, best.account.served)
+	if best == nil {
+		return nil
 	}
-	return best
+	r.clock = max(r.clock, best.account.served)
+	return q.rescue(r, best, slots, longAllowed, now)
 }
 
-// turn is the virtual time by which accounts take turns. An account with a prompt half done keeps its turn until
-// another account is behind by the preemption lag: prompts of callers with about equal service, computed in turns,
-// would all finish late.
-func (q *Queue) turn(a *account) float64 {
-	if len(a.ready) > 0 {
-		return a.served - float64(q.settings.PreemptLag)
+// goesFirst compares entries of two accounts of a rank: the account that is behind by more than the lag goes first,
+// otherwise the earlier deadline.
+func (q *Queue) goesFirst(e, best *entry) bool {
+	lag := float64(q.settings.PreemptLag)
+	if best == nil || e.account.served < best.account.served-lag {
+		return true
 	}
-	return a.served
+	return e.account.served <= best.account.served+lag && e.before(best, q.settings.Off.Deadlines)
 }
 
 // next returns the account's entry with the earliest deadline.
--- a/sched/item.go
+++ b/sched/item.go
@@ -100,6 +100,7 @@
 	DropLate   bool
 	LongBudget bool
 	Headroom   bool
+	Rescue     bool
 }
 
 // Defaults returns the default settings.
@@ -110,8 +111,8 @@
 		MaxRunning:     32,
 		MaxOutstanding: 512,
 		LongShare:      0.5,
-		AccountBurst:   16384,
-		PreemptLag:     8192,
+		AccountBurst:   6144,
+		PreemptLag:     4096,
 		FloorBurst:     8192,
 		Headroom:       0.125,
 	}
--- a/sched/late.go
+++ b/sched/late.go
@@ -65,6 +65,5 @@
 	if q.prefillRate <= 0 || e.item.Deadline.IsZero() || q.settings.Off.DropLate {
 		return false
 	}
-	need := time.Duration(float64(e.remaining) / q.prefillRate * float64(time.Second))
-	return now.Add(need).After(e.item.Deadline)
+	return q.slack(e, now) < 0
 }
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -22,7 +22,9 @@
 	waiting     int
 	running     int
 	outstanding int64
-	lastByFloor bool // The last chunk was granted by a floor.
+	lastByFloor bool   // The last chunk was granted by a floor.
+	rescued     *entry // Chosen to save its deadline; see rescue.
+	lastRescue  bool
 	sequence    uint64
 }
 
@@ -84,7 +86,7 @@
 func (q *Queue) Next(now time.Time) (Grant, bool) {
 	q.expire(now)
 	for {
-		e, why := q.choose()
+		e, why := q.choose(now)
 		if e == nil {
 			return Grant{}, false
 		}
@@ -102,6 +104,7 @@
 		return Grant{}, false
 	}
 	q.lastByFloor = why == whyFloor
+	q.lastRescue = q.rescued == e
 	first := !e.started
 	if first {
 		q.start(e)
--- a/sched/rank.go
+++ b/sched/rank.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/wasabishunt/wasabishunt/objectset"
 )
@@ -16,7 +17,7 @@
 	// clock is the virtual time of the account served last.
 	clock float64
 	// credit is the floor service owed to the rank in tokens.
-	credit       float64
+	credit float64
 	// unmet is the demand in tokens that was refused or dropped.
 	unmet        float64
 	queuedTokens int64
@@ -67,23 +68,23 @@
 func (r *rankQueue) backlogged() bool { return r.queuedTokens > 0 }
 
 // choose returns the entry to serve next and the rule that chose it.
-func (q *Queue) choose() (*entry, string) {
+func (q *Queue) choose(now time.Time) (*entry, string) {
 	longAllowed := q.settings.Off.LongBudget || q.budget.allows()
-	if e, why := q.chooseRank(longAllowed); e != nil || longAllowed {
+	if e, why := q.chooseRank(longAllowed, now); e != nil || longAllowed {
 		return e, why
 	}
 	// Only long prefixes wait: the budget limits them against short work, not against an idle engine.
-	e, why := q.chooseRank(true)
+	e, why := q.chooseRank(true, now)
 	return e, why
 }
 
-func (q *Queue) chooseRank(longAllowed bool) (*entry, string) {
+func (q *Queue) chooseRank(longAllowed bool, now time.Time) (*entry, string) {
 	var first *entry
 	for _, rank := range q.ranks {
 		if first != nil && !q.owedFloor(rank) {
 			continue
 		}
-		e := q.chooseAccount(rank, longAllowed)
+		e := q.chooseAccount(rank, longAllowed, now)
 		if e != nil && first != nil {
 			return e, whyFloor
 		}
