List the guards of decisions; no second copies by default

Cause: each guard must make a named test fail when it is removed; the tests of the long budget, of slots and of queue places passed without theirs and are stricter now.

--- a/bench/policies.go
+++ b/bench/policies.go
@@ -18,9 +18,10 @@
 	Fetch        fetchplan.Off
 	NoAdmission  bool
 	// LRU replaces the value policy of stores, and everything evicted is exported.
-	LRU         bool
-	NoShares    bool
-	OneCopy     bool
+	LRU      bool
+	NoShares bool
+	// TwoCopies exports valuable pieces to both stores.
+	TwoCopies   bool
 	NoPlacement bool
 	NoRetry     bool
 }
@@ -29,7 +30,7 @@
 
 // Baselines are serving systems without this one's mechanisms; the first policy is the whole system.
 func Baselines() []Policy {
-	plain := Policy{Sched: fifo, NoAdmission: true, LRU: true, NoShares: true, OneCopy: true, Fetch: fetchplan.Off{Fetch: true, Wait: true}}
+	plain := Policy{Sched: fifo, NoAdmission: true, LRU: true, NoShares: true, Fetch: fetchplan.Off{Fetch: true, Wait: true}}
 	roundRobin, leastLoad, affinity, stores := plain, plain, plain, plain
 	roundRobin.Name, roundRobin.RoundRobin = "round robin, FIFO", true
 	leastLoad.Name, leastLoad.Routing = "least load, FIFO", routing.Off{Prefix: true, ByRank: true, OwnSent: true, Penalty: true, Measured: true}
@@ -62,7 +63,7 @@
 		{Name: "without cache value (LRU)", LRU: true},
 		{Name: "without export choice", NoPlacement: true},
 		{Name: "without cache shares", NoShares: true},
-		{Name: "without second copies", OneCopy: true},
+		{Name: "with second copies", TwoCopies: true},
 		{Name: "without retries", NoRetry: true},
 	}
 }
--- a/bench/store.go
+++ b/bench/store.go
@@ -127,6 +127,9 @@
 	})
 }
 
+// secondCopyGain is the gain from which the comparison run makes second copies.
+const secondCopyGain = 2
+
 // export decides on a piece that leaves an engine's cache.
 func (a *agent) export(entry cachevalue.Entry) {
 	if a.run.policy.Fetch.Fetch {
@@ -135,15 +138,19 @@
 	first := a.run.stores[int(entry.Name[0])%2]
 	second := a.run.stores[1-int(entry.Name[0])%2]
 	transfer := first.link.Time(first.link.Queued() + entry.Bytes)
-	placement := cachevalue.Placement{Export: true, Copies: 2}
+	placement := cachevalue.Placement{Export: true, Copies: 1}
 	if !a.run.policy.LRU && !a.run.policy.NoPlacement {
-		placement = a.returns.Place(cachevalue.PlaceDefaults(), entry, transfer, a.run.time())
+		settings := cachevalue.PlaceDefaults()
+		if a.run.policy.TwoCopies {
+			settings.BothGain = secondCopyGain
+		}
+		placement = a.returns.Place(settings, entry, transfer, a.run.time())
 	}
 	if !placement.Export {
 		return
 	}
 	first.offer(entry)
-	if placement.Copies > 1 && !a.run.policy.OneCopy {
+	if placement.Copies > 1 {
 		second.offer(entry)
 	}
 }
--- a/cachevalue/cachevalue_test.go
+++ b/cachevalue/cachevalue_test.go
@@ -135,7 +135,9 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			p := r.Place(PlaceDefaults(), entry(1, "a", test.class, start), test.transfer, start)
+			settings := PlaceDefaults()
+			settings.BothGain = 4
+			p := r.Place(settings, entry(1, "a", test.class, start), test.transfer, start)
 			require.NotEmpty(t, p.Reasons())
 			p.Why = ""
 			require.Equal(t, test.want, p)
--- a/cachevalue/place.go
+++ b/cachevalue/place.go
@@ -11,7 +11,8 @@
 type PlaceSettings struct {
 	// MinGain is the least ratio of expected saved prefill time to transfer time for an export; default 1.
 	MinGain float64
-	// BothGain is the least such ratio for a copy on a second store; default 4, because the copy pays only after a loss.
+	// BothGain is the least such ratio for a copy on a second store; default 0, no second copies: in the bench they
+	// displaced more hits than they saved after the loss of a store, see docs/measurements.md.
 	BothGain float64
 	// MemoryProbability is the least probability of a return within the horizon for the memory tier; default 0.3.
 	MemoryProbability float64
@@ -19,7 +20,7 @@
 
 // PlaceDefaults returns the default settings.
 func PlaceDefaults() PlaceSettings {
-	return PlaceSettings{MinGain: 1, BothGain: 4, MemoryProbability: 0.3}
+	return PlaceSettings{MinGain: 1, MemoryProbability: 0.3}
 }
 
 // Placement says where a piece belongs.
@@ -41,7 +42,7 @@
 	probability := r.Probability(entry, now)
 	gain := entry.Recompute.Seconds() * probability / max(1e-9, transfer.Seconds())
 	p := Placement{Export: gain >= settings.MinGain, Copies: 1, Memory: probability >= settings.MemoryProbability}
-	if gain >= settings.BothGain {
+	if settings.BothGain > 0 && gain >= settings.BothGain {
 		p.Copies = 2
 	}
 	p.Why = fmt.Sprintf("return %.2f, gain %.1f of transfer time, export %t, copies %d, memory %t", probability, gain, p.Export, p.Copies, p.Memory)
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -225,7 +225,7 @@
 		require.NoError(t, q.Push(item, start))
 	}
 	require.Equal(t, int64(20*512), serve(q, 20, byAccount)["a"])
-	push(t, q, "day", "b", 512, 500)
+	// The same account, and later than the long work by deadline: neither fair share nor deadlines help the short work.
 	push(t, q, "day", "a", 512, 500)
 	long := serve(q, 400, func(i Item) string { return fmt.Sprint(i.Long) })
 	require.LessOrEqual(t, long["true"], long["false"]+2*512)
@@ -252,6 +252,23 @@
 	require.Equal(t, "urgent", grant.Item.Rank)
 }
 
+// TestSlotsKeptForRanks guards against many callers of the least urgent rank that together hold every slot.
+func TestSlotsKeptForRanks(t *testing.T) {
+	q := newQueue(func(s *Settings) { s.MaxRunning = 16 })
+	for i := range 40 {
+		push(t, q, "night", fmt.Sprint("caller", i), 100, 1)
+	}
+	for range 40 {
+		if grant, ok := q.Next(start); ok {
+			q.ChunkDone(grant.Item.ID)
+		}
+	}
+	push(t, q, "urgent", "u", 100, 1)
+	grant, ok := q.Next(start)
+	require.True(t, ok)
+	require.Equal(t, "urgent", grant.Item.Rank)
+}
+
 // TestFullQueue guards against a flood that fills the queue and locks out other ranks and small callers.
 func TestFullQueue(t *testing.T) {
 	q := newQueue(func(s *Settings) { s.MaxQueued = 20 })
@@ -266,6 +283,8 @@
 	require.Equal(t, RemovedDisplaced, dropped[1].Why)
 	require.Equal(t, 20, q.Load().QueuedRequests)
 	push(t, q, "urgent", "u", 100, 17)
+	err = q.Push(Item{ID: "last", Account: "u", Rank: "urgent", PromptTokens: 100}, start)
+	require.True(t, failure.Is(err, failure.Overloaded))
 	require.Equal(t, 2, q.Load().ByRank["night"].QueuedRequests, "the floor of places stays")
 }
 
