--- a/cmd/wasabishunt-control/main.go
+++ b/cmd/wasabishunt-control/main.go
@@ -83,7 +83,7 @@
 	}
 	return member.Open(member.Options{
 		Replica: replica.Options{
-			ID: args.MemberID, Group: args.Group, Address: args.Advertise, Dir: args.DataDir,
+			ID: args.MemberID, Group: args.Group, Address: args.Advertise, Dir: args.DataDir, SourceIP: args.SourceIP,
 			Bootstrap: args.members, SnapshotEvery: args.SnapshotEvery, Logger: log, Metrics: registry,
 		},
 		Control:  args.control(log, registry),
--- a/cmd/wasabishunt-control/settings.go
+++ b/cmd/wasabishunt-control/settings.go
@@ -22,6 +22,7 @@
 	Listen           string        `arg:"--listen,env:WASABISHUNT_CONTROL_LISTEN" default:"127.0.0.1:7100" help:"IP address and port for processes and members"`
 	Advertise        string        `arg:"--advertise,env:WASABISHUNT_CONTROL_ADVERTISE" help:"IP address and port under which others reach this member; default is that of --listen"`
 	Status           string        `arg:"--status-listen,env:WASABISHUNT_CONTROL_STATUS_LISTEN" default:"127.0.0.1:7101" help:"IP address and port for /healthz, /readyz and /metrics"`
+	SourceIP         string        `arg:"--source-ip,env:WASABISHUNT_CONTROL_SOURCE_IP" help:"source IP address of connections to other members; default is chosen by the kernel"`
 	DataDir          string        `arg:"--data-dir,env:WASABISHUNT_CONTROL_DATA_DIR" help:"data directory, on the state disk"`
 	Bootstrap        []string      `arg:"--bootstrap,separate,env:WASABISHUNT_CONTROL_BOOTSTRAP" help:"first members as ID=ADDRESS or ID=ADDRESS=ZONE, the same on each"`
 	Join             bool          `arg:"--join,env:WASABISHUNT_CONTROL_JOIN" help:"wait to be added to a running group"`
@@ -51,6 +52,7 @@
 	c.Required("--zone", a.Zone)
 	c.Address("--listen", a.Listen)
 	c.Address("--status-listen", a.Status)
+	c.OptionalIP("--source-ip", a.SourceIP)
 	if a.Advertise == "" {
 		a.Advertise = a.Listen
 	}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -58,6 +58,8 @@
 	Logger *zap.Logger
 	// Metrics gets the metrics named raft.*; default is a registry of its own.
 	Metrics gometrics.Registry
+	// SourceIP is the source address of connections to other members; default: chosen by the kernel.
+	SourceIP string
 	// Dial opens connections to other members; default is TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 
@@ -108,6 +110,9 @@
 	setDefault(&o.Seed, uint64(time.Now().UnixNano()))
 	if o.Dial == nil {
 		dialer := net.Dialer{Timeout: time.Second, KeepAlive: 5 * time.Second}
+		if o.SourceIP != "" {
+			dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(o.SourceIP)}
+		}
 		o.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		}
