--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 	$(GO) build -o $(BIN)/ ./cmd/...
 
 test:
-	$(GO) test -count=1 -timeout 20m -v ./... 2>&1 | ./.ci/summarize
+	$(GO) test -count=1 -p 4 -timeout 20m -v ./... 2>&1 | ./.ci/summarize
 
 lint: tools
 	./.ci/lint
