Fetch missing pieces from stores, wait for computations in progress, keep computed pieces

Cause: prompts that return after their eviction are recomputed unless their pieces are kept and fetched. Pieces are gathered before a request is queued, so that a fetch holds no run slot and no prefill grant. Ruled out: fetching in the worker, where a slow link would keep the engine's prefill idle. Conclusion: go test -race -count=3 ./agent passes; not yet measured against real stores.

--- a/agent/generate.go
+++ b/agent/generate.go
@@ -9,6 +9,7 @@
 
 	"github.com/wasabishunt/wasabishunt/controlclient"
 	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/fetchplan"
 	"github.com/wasabishunt/wasabishunt/objectset"
 	"github.com/wasabishunt/wasabishunt/piece"
 	"github.com/wasabishunt/wasabishunt/prompt"
@@ -34,8 +35,13 @@
 	// queued is guarded by Agent.mu; it is false once a worker has the job.
 	queued bool
 	// ran is set by the worker before it closes events.
-	ran       bool
-	cached    int64
+	ran    bool
+	cached int64
+	// fetched tokens are among the cached ones.
+	fetched int64
+	plan    fetchplan.Plan
+	// addresses of stores by name, as of the plan.
+	addresses map[string]string
 	estimate  time.Duration
 	decisions []string
 }
@@ -54,6 +60,7 @@
 	if err != nil {
 		return a.refuse(stream, req, err)
 	}
+	defer a.endFlights(j)
 	if err := stream.Send(a.accepted(j)); err != nil {
 		cancel()
 		a.abandon(j)
@@ -95,7 +102,17 @@
 	if err := a.weights.available(); err != nil {
 		return nil, err
 	}
-	return j, a.enqueue(j)
+	a.plan(ctx, view, j)
+	if err := a.admissible(j); err != nil {
+		a.endFlights(j)
+		return nil, err
+	}
+	a.gather(ctx, j)
+	if err := a.enqueue(j); err != nil {
+		a.endFlights(j)
+		return nil, err
+	}
+	return j, nil
 }
 
 func (a *Agent) newJob(view controlclient.View, req *agentpb.GenerateRequest) (*job, error) {
--- a/agent/harness_test.go
+++ b/agent/harness_test.go
@@ -32,6 +32,7 @@
 	requests []engine.Request
 	canceled chan string
 	weights  engine.Weights
+	imports  []engine.PieceRef
 	orders   []engine.WeightCommand
 	// loadAtOnce makes an ordered version loaded.
 	loadAtOnce bool
--- a/agent/queue.go
+++ b/agent/queue.go
@@ -27,31 +27,44 @@
 	a.queue.Configure(sched.ConfigOf(set))
 }
 
-// enqueue decides whether a job can meet its deadline, then registers and queues it.
-func (a *Agent) enqueue(j *job) error {
+// admissible refuses a job that cannot meet its deadline before anything is fetched for it.
+func (a *Agent) admissible(j *job) error {
 	prefill, _ := a.rates.current()
-	now := a.deps.Clock.Now()
-	deadline, _ := j.ctx.Deadline()
-	wait := a.weights.expectedWait()
 	runTime := a.rates.runTime()
+	wait := a.weights.expectedWait()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.dropLate(now)
-	if _, exists := a.jobs[j.id]; exists {
-		return failure.New(failure.InvalidRequest, failure.NotRun, "request id %s is in use", j.id)
+	now := a.deps.Clock.Now()
+	deadline, _ := j.ctx.Deadline()
+	tokens := j.plan.ComputeTokens
+	if len(j.plan.Steps) == 0 {
+		tokens = max(0, j.promptTokens-j.cached)
 	}
-	tokens := max(0, j.promptTokens-j.cached)
 	decision := admission.Decide(a.options.Admission, admission.Request{
-		Account: j.account.Name, Rank: j.rank.Name, Deadline: deadline,
+		Account: j.account.Name, Rank: j.rank.Name, Deadline: deadline, Fetch: j.plan.Ready,
 		PromptTokens: tokens, Draining: a.draining, VersionWait: wait,
 	}, admission.State{
 		Now: now, Ahead: a.queue.AheadOf(j.rank.Name, j.account.Name, tokens), PrefillRate: prefill, RunTime: runTime,
 	})
 	j.decisions = append(j.decisions, decision.Reasons()...)
+	j.estimate = decision.FirstToken
 	if decision.Refusal != nil {
 		return decision.Refusal
 	}
-	j.estimate = decision.FirstToken
+	return nil
+}
+
+// enqueue registers and queues a job with the tokens that are left to compute.
+func (a *Agent) enqueue(j *job) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.deps.Clock.Now()
+	a.dropLate(now)
+	if _, exists := a.jobs[j.id]; exists {
+		return failure.New(failure.InvalidRequest, failure.NotRun, "request id %s is in use", j.id)
+	}
+	deadline, _ := j.ctx.Deadline()
+	tokens := max(0, j.promptTokens-j.cached)
 	item := sched.Item{ID: j.id, Account: j.account.Name, Rank: j.rank.Name, Deadline: deadline, PromptTokens: tokens, Long: tokens > longTokens}
 	if err := a.queue.Push(item, now); err != nil {
 		return err
@@ -149,6 +162,7 @@
 
 // firstToken reports that a job's prompt has been computed; the next prompt may start.
 func (a *Agent) firstToken(j *job) {
+	a.endFlights(j)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.queue.ChunkDone(j.id)
--- a/agent/run.go
+++ b/agent/run.go
@@ -157,12 +157,15 @@
 	r.computed = max(0, r.job.promptTokens-event.CachedTokens)
 	r.measure()
 	r.agent.cache.correct(r.job.pieces, event.CachedTokens)
+	r.agent.offerExports(r.job, event.CachedTokens)
+	fetched := min(r.job.fetched, event.CachedTokens)
 	decisions := append(slices.Clone(r.job.decisions),
 		fmt.Sprintf("cache: expected %d cached prompt tokens, engine used %d", r.job.cached, event.CachedTokens))
 	r.job.events <- &agentpb.GenerateEvent{Event: &agentpb.GenerateEvent_End{End: &agentpb.End{
 		TotalTokens:          event.TotalTokens,
 		FinishReason:         event.FinishReason,
-		CachedPromptTokens:   event.CachedTokens,
+		CachedPromptTokens:   event.CachedTokens - fetched,
+		FetchedPromptTokens:  fetched,
 		ComputedPromptTokens: r.computed,
 		Load:                 r.agent.load(),
 		Decisions:            decisions,
--- a/cmd/wasabishunt-agent/main.go
+++ b/cmd/wasabishunt-agent/main.go
@@ -15,7 +15,9 @@
 	"github.com/wasabishunt/wasabishunt/agent"
 	"github.com/wasabishunt/wasabishunt/controlclient"
 	"github.com/wasabishunt/wasabishunt/logging"
+	"github.com/wasabishunt/wasabishunt/rpcpool"
 	"github.com/wasabishunt/wasabishunt/settings"
+	"github.com/wasabishunt/wasabishunt/store"
 	"github.com/wasabishunt/wasabishunt/upstream/engine"
 	"github.com/wasabishunt/wasabishunt/upstream/service"
 )
@@ -57,6 +59,9 @@
 	do.Provide(i, func(do.Injector) (*controlclient.Client, error) {
 		return controlclient.NewClient(controlclient.ClientOptions{Addresses: args.Control, SourceIP: args.SourceIP}), nil
 	})
+	do.Provide(i, func(do.Injector) (*rpcpool.Pool, error) {
+		return rpcpool.New(rpcpool.Options{LocalIP: args.SourceIP}), nil
+	})
 	do.Provide(i, func(i do.Injector) (*agent.Agent, error) {
 		deps := agent.Dependencies{
 			Source:   do.MustInvoke[*controlclient.Watcher](i),
@@ -67,6 +72,7 @@
 		}
 		if args.Upstream != "" {
 			deps.Engine = engine.NewHTTP(args.Engine, engine.HTTPOptions{})
+			deps.Stores = store.NewClient(do.MustInvoke[*rpcpool.Pool](i), store.ClientOptions{})
 		} else {
 			deps.Service = service.New(args.ServiceAddress, service.Options{})
 		}
--- a/cmd/wasabishunt-agent/serve.go
+++ b/cmd/wasabishunt-agent/serve.go
@@ -15,6 +15,7 @@
 	"github.com/wasabishunt/wasabishunt/agent"
 	"github.com/wasabishunt/wasabishunt/controlclient"
 	"github.com/wasabishunt/wasabishunt/metrics"
+	"github.com/wasabishunt/wasabishunt/rpcpool"
 )
 
 // serve runs until a signal comes, control says that the agent leaves, or a newer incarnation has registered.
@@ -47,6 +48,7 @@
 	log.Info("listening", zap.String("address", listener.Addr().String()))
 	err = a.Serve(serveCtx, listener)
 	stopServing()
+	_ = do.MustInvoke[*rpcpool.Pool](i).Close()
 	return err
 }
 
