--- a/agent/export.go
+++ b/agent/export.go
@@ -99,7 +99,7 @@
 		if live[name] == "" {
 			continue
 		}
-		holding, err := a.deps.Stores.Has(ctx, live[name], e.header.Account, []piece.Name{e.name})
+		holding, err := a.deps.Stores.Has(ctx, live[name], e.header.Account, e.rank, []piece.Name{e.name})
 		if err == nil && !holding.Held[0] {
 			lacking = append(lacking, live[name])
 		}
--- a/agent/pieces.go
+++ b/agent/pieces.go
@@ -17,7 +17,7 @@
 
 // Stores is what the agent asks of store processes.
 type Stores interface {
-	Has(ctx context.Context, address, account string, names []piece.Name) (store.Holding, error)
+	Has(ctx context.Context, address, account, rank string, names []piece.Name) (store.Holding, error)
 	Get(ctx context.Context, address string, want piece.Want, rank string) (piece.Header, []byte, error)
 	Put(ctx context.Context, address string, h piece.Header, body []byte, rank string) (store.Outcome, error)
 }
@@ -129,7 +129,7 @@
 		names[i] = j.pieces[first+index]
 	}
 	sent := time.Now()
-	holding, err := a.deps.Stores.Has(ctx, address, j.account.Name, names)
+	holding, err := a.deps.Stores.Has(ctx, address, j.account.Name, j.rank.Name, names)
 	if err != nil {
 		return source
 	}
--- a/agent/pieces_test.go
+++ b/agent/pieces_test.go
@@ -49,7 +49,7 @@
 	pieces map[string]map[piece.Name]piece.Header
 }
 
-func (m *memoryStores) Has(_ context.Context, address, _ string, names []piece.Name) (store.Holding, error) {
+func (m *memoryStores) Has(_ context.Context, address, _, _ string, names []piece.Name) (store.Holding, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	holding := store.Holding{Held: make([]bool, len(names)), BytesPerSecond: 1e9}
