--- a/agent/export.go
+++ b/agent/export.go
@@ -20,7 +20,6 @@
 type export struct {
 	name   piece.Name
 	ref    engine.PieceRef
-	rank   string
 	header piece.Header
 }
 
@@ -41,7 +40,7 @@
 			Account: j.account.Name, WeightVersion: j.request.GetWeightVersion(),
 		}
 		select {
-		case a.exports <- export{name: name, ref: a.pieceRef(j, name), rank: j.rank.Name, header: header}:
+		case a.exports <- export{name: name, ref: a.pieceRef(j, name), header: header}:
 		default:
 			a.count("pieces.export_dropped")
 		}
@@ -63,7 +62,8 @@
 	}
 }
 
-// exportPiece reads the piece from the engine once and writes it to each of its stores that lacks it.
+// exportPiece reads the piece from the engine once and writes it to each of its stores that lacks it, as a bulk
+// transfer that gives way to fetches.
 func (a *Agent) exportPiece(ctx context.Context, e export) error {
 	lacking := a.lacking(ctx, e)
 	if len(lacking) == 0 {
@@ -76,7 +76,7 @@
 	e.header.Length = int64(len(body))
 	e.header.Checksum = piece.Sum(body)
 	for _, address := range lacking {
-		outcome, err := a.deps.Stores.Put(ctx, address, e.header, body, e.rank)
+		outcome, err := a.deps.Stores.Put(ctx, address, e.header, body, store.RankBulk)
 		if err != nil {
 			return err
 		}
@@ -99,7 +99,7 @@
 		if live[name] == "" {
 			continue
 		}
-		holding, err := a.deps.Stores.Has(ctx, live[name], e.header.Account, e.rank, []piece.Name{e.name})
+		holding, err := a.deps.Stores.Has(ctx, live[name], e.header.Account, store.RankBulk, []piece.Name{e.name})
 		if err == nil && !holding.Held[0] {
 			lacking = append(lacking, live[name])
 		}
