Bind a control member's connections; tell resends by operator and document

A publish that is resent without an expected version asks for the current one again, which its own first attempt may have raised; the expected version is no longer part of the operation's fingerprint, so the resend returns its first outcome instead of a conflict.

--- a/cmd/wasabishunt-control/main.go
+++ b/cmd/wasabishunt-control/main.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"strconv"
 	"syscall"
+	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/samber/do/v2"
@@ -84,7 +85,7 @@
 	return member.Open(member.Options{
 		Replica: replica.Options{
 			ID: args.MemberID, Group: args.Group, Address: args.Advertise, Dir: args.DataDir,
-			Bootstrap: args.members, SnapshotEvery: args.SnapshotEvery, Logger: log, Metrics: registry,
+			Bootstrap: args.members, SnapshotEvery: args.SnapshotEvery, Logger: log, Metrics: registry, Dial: args.dial(),
 		},
 		Control:  args.control(log, registry),
 		Listener: ports.rpc, Status: ports.status, Log: log, Metrics: registry,
@@ -93,7 +94,7 @@
 
 func (a *arguments) control(log *zap.Logger, registry gometrics.Registry) control.Options {
 	options := control.Options{
-		MemberID: a.MemberID, Operators: a.operators, VMListInterval: a.VMListInterval,
+		MemberID: a.MemberID, SourceIP: a.SourceIP, CallTimeout: a.CallTimeout, Operators: a.operators, VMListInterval: a.VMListInterval,
 		BookingRetention: a.BookingRetention, DeadAfter: a.DeadAfter,
 		MaxWatchers: a.MaxWatchers, MaxPending: a.MaxPending, Log: log, Metrics: registry,
 	}
@@ -102,3 +103,17 @@
 	}
 	return options
 }
+
+// dialTimeout limits a connection to another member.
+const dialTimeout = time.Second
+
+// dial opens connections to other members from the configured source address.
+func (a *arguments) dial() func(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: 5 * time.Second}
+	if a.SourceIP != "" {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(a.SourceIP)}
+	}
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp", address)
+	}
+}
--- a/cmd/wasabishunt-control/settings.go
+++ b/cmd/wasabishunt-control/settings.go
@@ -21,6 +21,7 @@
 	Group            string        `arg:"--group,env:WASABISHUNT_CONTROL_GROUP" help:"identity of the replicated group"`
 	Listen           string        `arg:"--listen,env:WASABISHUNT_CONTROL_LISTEN" default:"127.0.0.1:7100" help:"IP address and port for processes and members"`
 	Advertise        string        `arg:"--advertise,env:WASABISHUNT_CONTROL_ADVERTISE" help:"IP address and port under which others reach this member; default is that of --listen"`
+	SourceIP         string        `arg:"--source-ip,env:WASABISHUNT_CONTROL_SOURCE_IP" help:"source IP address of connections to other members; default is chosen by the kernel"`
 	Status           string        `arg:"--status-listen,env:WASABISHUNT_CONTROL_STATUS_LISTEN" default:"127.0.0.1:7101" help:"IP address and port for /healthz, /readyz and /metrics"`
 	DataDir          string        `arg:"--data-dir,env:WASABISHUNT_CONTROL_DATA_DIR" help:"data directory, on the state disk"`
 	Bootstrap        []string      `arg:"--bootstrap,separate,env:WASABISHUNT_CONTROL_BOOTSTRAP" help:"first members as ID=ADDRESS or ID=ADDRESS=ZONE, the same on each"`
@@ -34,6 +35,7 @@
 	MaxWatchers      int           `arg:"--max-watchers,env:WASABISHUNT_CONTROL_MAX_WATCHERS" default:"4096" help:"limit of watch streams"`
 	MaxPending       int           `arg:"--max-pending,env:WASABISHUNT_CONTROL_MAX_PENDING" default:"4096" help:"limit of calls that wait for the log"`
 	SnapshotEvery    uint64        `arg:"--snapshot-every,env:WASABISHUNT_CONTROL_SNAPSHOT_EVERY" default:"10000" help:"log entries between snapshots"`
+	CallTimeout      time.Duration `arg:"--call-timeout,env:WASABISHUNT_CONTROL_CALL_TIMEOUT" default:"2s" help:"limit of a proposal, a read barrier and a call to the leader"`
 	LogLevel         zapcore.Level `arg:"--log-level,env:WASABISHUNT_CONTROL_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
 
 	members   []*raftpb.Member
@@ -55,6 +57,7 @@
 		a.Advertise = a.Listen
 	}
 	c.Address("--advertise", a.Advertise)
+	c.OptionalIP("--source-ip", a.SourceIP)
 	a.checkBootstrap(c)
 	a.checkOperators(c)
 	a.checkLimits(c)
@@ -65,6 +68,7 @@
 	settings.Positive(c, "--vm-list-interval", int64(a.VMListInterval))
 	settings.Positive(c, "--booking-retention", int64(a.BookingRetention))
 	settings.Positive(c, "--dead-after", int64(a.DeadAfter))
+	settings.Positive(c, "--call-timeout", int64(a.CallTimeout))
 	settings.Positive(c, "--max-watchers", a.MaxWatchers)
 	settings.Positive(c, "--max-pending", a.MaxPending)
 	settings.Positive(c, "--snapshot-every", int64(a.SnapshotEvery))
--- a/control/server.go
+++ b/control/server.go
@@ -25,7 +25,9 @@
 
 // Options configures a Server.
 type Options struct {
-	MemberID  uint64
+	MemberID uint64
+	// SourceIP is the source address of connections to the leader; default: chosen by the kernel.
+	SourceIP  string
 	Operators *Operators
 	// VMList is nil where the platform has none.
 	VMList VMLister
@@ -125,7 +127,7 @@
 		options:    options,
 		machine:    machine,
 		replicator: replicator,
-		pool:       rpcpool.New(rpcpool.Options{}),
+		pool:       rpcpool.New(rpcpool.Options{LocalIP: options.SourceIP}),
 		pending:    make(chan struct{}, options.MaxPending),
 		watchers:   make(chan struct{}, options.MaxWatchers),
 		started:    options.Clock.Now(),
--- a/control/server_operator.go
+++ b/control/server_operator.go
@@ -81,12 +81,13 @@
 	return response
 }
 
-// publishCommand carries changes when the expected version is the local one, because the document of a large set
+// publishCommand identifies the operation by operator and document. The expected version is no part of it, so that a
+// resend which asked for the current version again still meets its first outcome. It carries changes when the expected version is the local one, because the document of a large set
 // would fill the log. The compare-and-set keeps the changes from being applied to another base.
 func (s *Server) publishCommand(q *controlpb.PublishRequest, set *objectset.Set) *controlpb.PublishCommand {
 	canonical := set.Canonical()
 	hash := sha256.New()
-	_, _ = fmt.Fprintf(hash, "%q %d ", q.Operator.GetName(), q.ExpectVersion)
+	_, _ = fmt.Fprintf(hash, "%q ", q.Operator.GetName())
 	_, _ = hash.Write(canonical)
 	command := &controlpb.PublishCommand{
 		Operator: q.Operator.GetName(), OperationId: q.OperationId,
