--- a/cmd/wasabishunt-control/settings.go
+++ b/cmd/wasabishunt-control/settings.go
@@ -53,11 +53,11 @@
 	c.Required("--zone", a.Zone)
 	c.Address("--listen", a.Listen)
 	c.Address("--status-listen", a.Status)
+	c.OptionalIP("--source-ip", a.SourceIP)
 	if a.Advertise == "" {
 		a.Advertise = a.Listen
 	}
 	c.Address("--advertise", a.Advertise)
-	c.OptionalIP("--source-ip", a.SourceIP)
 	a.checkBootstrap(c)
 	a.checkOperators(c)
 	a.checkLimits(c)
