Refuse keys older than the retention at once, with an unknown outcome

Ruled out: retiring at start; a new leader would still lag by the interval. Conclusion: the leader checks the age as well; both refusals say unknown.

--- a/booking/table.go
+++ b/booking/table.go
@@ -126,7 +126,8 @@
 
 func (t *Table) claimNew(unixMs int64, k key, q *controlpb.ClaimBookingRequest) *controlpb.BookingResponse {
 	if q.IssuedUnixMs < t.retiredBefore {
-		return refuse(nil, failure.KeyTooOld, failure.NotRun, "the idempotency key is older than the retention of bookings")
+		// Whether an earlier call with this key ran is no longer known, so the refusal cannot say not run.
+		return refuse(nil, failure.KeyTooOld, failure.Unknown, "the idempotency key is older than the retention of bookings")
 	}
 	if len(t.records) >= t.limits.MaxRecords || t.bytes >= t.limits.MaxBytes {
 		return refuse(nil, failure.Overloaded, failure.NotRun, "the table of bookings is full")
--- a/control/server_bookings.go
+++ b/control/server_bookings.go
@@ -52,6 +52,10 @@
 	if q.IssuedUnixMs > s.options.Clock.Now().Add(maxFuture).UnixMilli() {
 		return refused(failure.New(failure.InvalidRequest, failure.NotRun, "the key was issued more than %s in the future", maxFuture)), nil
 	}
+	// The replicated retirement time lags the retention by up to its interval; an old key is refused at once.
+	if q.IssuedUnixMs < s.options.Clock.Now().Add(-s.options.BookingRetention).UnixMilli() {
+		return refused(failure.New(failure.KeyTooOld, failure.Unknown, "the key was issued more than %s ago", s.options.BookingRetention)), nil
+	}
 	return s.proposeBooking(ctx, &controlpb.Command{Command: &controlpb.Command_ClaimBooking{ClaimBooking: q}})
 }
 
