--- a/cmd/wasabishunt-agent/main.go
+++ b/cmd/wasabishunt-agent/main.go
@@ -15,7 +15,9 @@
 	"github.com/wasabishunt/wasabishunt/agent"
 	"github.com/wasabishunt/wasabishunt/controlclient"
 	"github.com/wasabishunt/wasabishunt/logging"
+	"github.com/wasabishunt/wasabishunt/rpcpool"
 	"github.com/wasabishunt/wasabishunt/settings"
+	"github.com/wasabishunt/wasabishunt/store"
 	"github.com/wasabishunt/wasabishunt/upstream/engine"
 	"github.com/wasabishunt/wasabishunt/upstream/service"
 )
@@ -50,12 +52,15 @@
 	do.Provide(i, func(i do.Injector) (*controlclient.Watcher, error) {
 		return controlclient.NewWatcher(controlclient.WatcherOptions{
 			Addresses: args.Control, ProcessID: args.ProcessID, Role: "agent", Address: args.Advertise, Zone: args.Zone,
-			Serves: args.serves(), StaleSetLimit: args.StaleSetLimit,
+			Serves: args.serves(), SourceIP: args.SourceIP, StaleSetLimit: args.StaleSetLimit,
 			Draining: do.MustInvoke[*drainFlag](i).Load, Log: do.MustInvoke[*zap.Logger](i),
 		}), nil
 	})
 	do.Provide(i, func(do.Injector) (*controlclient.Client, error) {
-		return controlclient.NewClient(controlclient.ClientOptions{Addresses: args.Control}), nil
+		return controlclient.NewClient(controlclient.ClientOptions{Addresses: args.Control, SourceIP: args.SourceIP}), nil
+	})
+	do.Provide(i, func(do.Injector) (*rpcpool.Pool, error) {
+		return rpcpool.New(rpcpool.Options{LocalIP: args.SourceIP}), nil
 	})
 	do.Provide(i, func(i do.Injector) (*agent.Agent, error) {
 		deps := agent.Dependencies{
@@ -67,6 +72,7 @@
 		}
 		if args.Upstream != "" {
 			deps.Engine = engine.NewHTTP(args.Engine, engine.HTTPOptions{})
+			deps.Stores = store.NewClient(do.MustInvoke[*rpcpool.Pool](i), store.ClientOptions{})
 		} else {
 			deps.Service = service.New(args.ServiceAddress, service.Options{})
 		}
--- a/cmd/wasabishunt-store/main.go
+++ b/cmd/wasabishunt-store/main.go
@@ -7,6 +7,7 @@
 	"os/signal"
 	"path/filepath"
 	"syscall"
+	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/samber/do/v2"
@@ -22,6 +23,9 @@
 // piecesDir is the part of the data directory that holds piece files.
 const piecesDir = "pieces"
 
+// listTimeout limits one page of a peer's list, which the peer must sort first.
+const listTimeout = 10 * time.Second
+
 func main() { os.Exit(run()) }
 
 func run() int {
@@ -47,7 +51,9 @@
 	do.ProvideValue(i, logging.New("store", args.ProcessID, args.LogLevel))
 	do.ProvideValue(i, store.NewFollower(args.Store))
 	do.Provide(i, func(do.Injector) (gometrics.Registry, error) { return gometrics.NewRegistry(), nil })
-	do.Provide(i, func(do.Injector) (*rpcpool.Pool, error) { return rpcpool.New(rpcpool.Options{}), nil })
+	do.Provide(i, func(i do.Injector) (*rpcpool.Pool, error) {
+		return rpcpool.New(rpcpool.Options{LocalIP: do.MustInvoke[*arguments](i).SourceIP}), nil
+	})
 	do.Provide(i, openStore)
 	do.Provide(i, func(i do.Injector) (*store.Link, error) {
 		return store.NewLink(0, do.MustInvoke[*store.Follower](i).Order), nil
@@ -76,7 +82,7 @@
 func newRefiller(i do.Injector) (*store.Refiller, error) {
 	args := do.MustInvoke[*arguments](i)
 	client := store.NewClient(do.MustInvoke[*rpcpool.Pool](i), store.ClientOptions{
-		TransferTimeout: args.TransferTimeout, MaxPieceBytes: args.MaxPieceBytes,
+		CallTimeout: listTimeout, TransferTimeout: args.TransferTimeout, MaxPieceBytes: args.MaxPieceBytes,
 	})
 	kept, err := do.Invoke[*store.Store](i)
 	return store.NewRefiller(kept, do.MustInvoke[*store.Link](i), client, store.RefillOptions{
@@ -92,6 +98,6 @@
 	}
 	return controlclient.NewWatcher(controlclient.WatcherOptions{
 		Addresses: args.Control, ProcessID: args.ProcessID, Role: store.Role, Address: args.Advertise, Zone: args.Zone,
-		Serves: args.Store, Draining: kept.Draining, Log: do.MustInvoke[*zap.Logger](i),
+		Serves: args.Store, SourceIP: args.SourceIP, Draining: kept.Draining, Log: do.MustInvoke[*zap.Logger](i),
 	}), nil
 }
--- a/controlclient/client.go
+++ b/controlclient/client.go
@@ -15,6 +15,8 @@
 type ClientOptions struct {
 	// Addresses of control members; more are learned from their answers.
 	Addresses []string
+	// SourceIP is the source address of connections; default: chosen by the kernel.
+	SourceIP string
 	// AttemptTimeout limits one call to one member; default 2 s.
 	AttemptTimeout time.Duration
 	// Timeout limits a call over all attempts, unless the context ends earlier; default 8 s.
@@ -42,7 +44,7 @@
 	if options.MaxAttempts == 0 {
 		options.MaxAttempts = 32
 	}
-	return &Client{options: options, pool: rpcpool.New(rpcpool.Options{}), directory: newDirectory(options.Addresses)}
+	return &Client{options: options, pool: rpcpool.New(rpcpool.Options{LocalIP: options.SourceIP}), directory: newDirectory(options.Addresses)}
 }
 
 // Close closes the idle connections.
@@ -64,13 +66,14 @@
 	return e
 }
 
-// retryable reports whether another attempt, perhaps at another member, can succeed.
+// retryable reports whether another attempt, perhaps at another member, can succeed. A member that stops or
+// gave up waiting has not run the call.
 func retryable(kind string) bool {
 	switch failure.Kind(kind) {
-	case failure.NotLeader, failure.NoQuorum, failure.StorageFailed:
+	case failure.NotLeader, failure.NoQuorum, failure.StorageFailed, failure.Draining, failure.DeadlineExceeded, ProposalLost:
 		return true
 	}
-	return kind == ProposalLost
+	return false
 }
 
 type call[A answer] func(ctx context.Context, client controlpb.DRPCControlClient) (A, error)
--- a/sched/fair.go
+++ b/sched/fair.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"slices"
+	"time"
 )
 
 // account is the work of one client account within one rank.
@@ -18,7 +19,7 @@
 	active       bool
 }
 
-// maxIdleAccounts bounds the virtual times kept for accounts without work. The oldest debts are forgotten first.
+// maxIdleAccounts bounds the virtual times kept for accounts without work.
 const maxIdleAccounts = 4096
 
 func (q *Queue) accountKey(item Item) string {
@@ -45,17 +46,23 @@
 	return a
 }
 
-// activate lets an account that was idle start at the rank's virtual time: idle time is not saved up, and a caller
-// that received little goes before one that received much.
-func (r *rankQueue) activate(a *account) {
+// activate lets an account that was idle start behind the rank's virtual time by at most the burst. A caller that asks
+// for less than its share thus has whole prompts served before a caller that asks for more, and an idle caller cannot
+// save up more than one burst.
+func (q *Queue) activate(r *rankQueue, a *account) {
 	if a.active {
 		return
 	}
 	a.active = true
-	a.served = max(a.served, r.clock)
+	a.served = q.resume(r, a.served)
 	r.active = append(r.active, a)
 }
 
+// resume is the virtual time at which an account that was served up to a time joins the active ones.
+func (q *Queue) resume(r *rankQueue, served float64) float64 {
+	return max(served, r.clock-float64(q.settings.AccountBurst))
+}
+
 func (r *rankQueue) deactivate(a *account) {
 	if a.running > 0 || len(a.short)+len(a.long) > 0 {
 		return
@@ -64,7 +71,7 @@
 	if i := slices.Index(r.active, a); i >= 0 {
 		r.active = slices.Delete(r.active, i, i+1)
 	}
-	if a.served <= r.clock || len(r.accounts) > maxIdleAccounts {
+	if len(r.accounts) > maxIdleAccounts {
 		delete(r.accounts, a.name)
 	}
 }
@@ -74,24 +81,35 @@
 }
 
 // chooseAccount returns the next entry of the account with the least virtual time that may run now.
-func (q *Queue) chooseAccount(r *rankQueue, longAllowed bool) *entry {
+func (q *Queue) chooseAccount(r *rankQueue, longAllowed bool, now time.Time) *entry {
 	if !r.backlogged() {
 		return nil
 	}
 	var best *entry
 	slots := q.slotsFor(r)
 	for _, a := range r.active {
-		if best != nil && a.served >= best.account.served {
+		if best != nil && a.served > best.account.served+float64(q.settings.PreemptLag) {
 			continue
 		}
-		if e := a.next(longAllowed, q.mayStart(slots, r, a), q.settings.Off.Deadlines); e != nil {
+		if e := a.next(longAllowed, q.mayStart(slots, r, a), q.settings.Off.Deadlines); e != nil && q.goesFirst(e, best) {
 			best = e
 		}
 	}
-	if best != nil {
-		r.clock = max(r.clock, best.account.served)
+	if best == nil {
+		return nil
 	}
-	return best
+	r.clock = max(r.clock, best.account.served)
+	return q.rescue(r, best, slots, longAllowed, now)
+}
+
+// goesFirst compares entries of two accounts of a rank: the account that is behind by more than the lag goes first,
+// otherwise the earlier deadline.
+func (q *Queue) goesFirst(e, best *entry) bool {
+	lag := float64(q.settings.PreemptLag)
+	if best == nil || e.account.served < best.account.served-lag {
+		return true
+	}
+	return e.account.served <= best.account.served+lag && e.before(best, q.settings.Off.Deadlines)
 }
 
 // next returns the account's entry with the earliest deadline.
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -22,6 +22,10 @@
 	waiting     int
 	running     int
 	outstanding int64
+	sinceFloor  int    // Chunks granted since the last one by a floor.
+	pace        int    // Chunks by order between two by floor.
+	rescued     *entry // Chosen to save its deadline; see rescue.
+	lastRescue  bool
 	sequence    uint64
 }
 
@@ -67,7 +71,7 @@
 	q.sequence++
 	e := &entry{item: item, rank: rank, remaining: max(1, item.PromptTokens), sequence: q.sequence}
 	e.account = rank.account(q.accountKey(item), q.weightOf(item.Account))
-	rank.activate(e.account)
+	q.activate(rank, e.account)
 	e.account.wait(e, q.settings.Off.Deadlines)
 	e.account.queuedTokens += e.remaining
 	rank.queuedTokens += e.remaining
@@ -83,7 +87,7 @@
 func (q *Queue) Next(now time.Time) (Grant, bool) {
 	q.expire(now)
 	for {
-		e, why := q.choose()
+		e, why := q.choose(now)
 		if e == nil {
 			return Grant{}, false
 		}
@@ -100,6 +104,11 @@
 	if q.outstanding > 0 && q.outstanding+tokens > q.settings.MaxOutstanding {
 		return Grant{}, false
 	}
+	q.sinceFloor++
+	if why == whyFloor {
+		q.sinceFloor = 0
+	}
+	q.lastRescue = q.rescued == e
 	first := !e.started
 	if first {
 		q.start(e)
@@ -208,5 +217,6 @@
 
 func (q *Queue) drop(e *entry, why string) {
 	q.remove(e)
+	q.unmet(e.rank, e.remaining)
 	q.dropped = append(q.dropped, Removed{Item: e.item, Started: e.started, Why: why})
 }
--- a/store/server.go
+++ b/store/server.go
@@ -199,14 +199,15 @@
 		}
 		names[i] = name
 	}
-	wait, rate := s.link.Wait("")
+	wait, rate := s.link.Wait(request.Rank)
 	return &storepb.HasPiecesResponse{
 		Held: s.store.Has(request.Account, names), LinkWaitMs: wait.Milliseconds(), LinkBytesPerSecond: rate,
 	}, nil
 }
 
-// maxListed limits one page of ListPieces.
-const maxListed = 2000
+// maxListed limits one page of ListPieces, so that a page of headers with the longest fields stays below the 4 MB that
+// a drpc client accepts in one message.
+const maxListed = 1500
 
 // ListPieces pages through the pieces by descending value. The cursor is an offset, so pieces that change their place
 // between two pages may be listed twice or not at all; the next refill round finds them.
