Refuse keys older than the retention before the first retirement

The leader now brings the time into the log before such a claim. The fake replicator reports lost answers with the kind that the real one uses, which proves the guard of proposal failures.

--- a/control/fake_test.go
+++ b/control/fake_test.go
@@ -60,7 +60,7 @@
 	}
 	if m.loseAnswers > 0 {
 		m.loseAnswers--
-		return nil, failure.New(failure.NoQuorum, failure.Unknown, "answer lost")
+		return nil, failure.New(failure.OutcomeUnknown, failure.Unknown, "answer lost")
 	}
 	return result, nil
 }
--- a/control/reads.go
+++ b/control/reads.go
@@ -34,6 +34,13 @@
 	return s.bookings.Len()
 }
 
+// RetiredBefore returns the time in Unix milliseconds before which keys of bookings are refused.
+func (s *StateMachine) RetiredBefore() int64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.bookings.RetiredBefore()
+}
+
 // setNews returns what a watcher at a version lacks: deltas, or the whole document at the returned version.
 func (s *StateMachine) setNews(version uint64) (deltas []*controlpb.SetDelta, document []byte, current uint64) {
 	s.mu.RLock()
--- a/control/server_bookings.go
+++ b/control/server_bookings.go
@@ -52,9 +52,19 @@
 	if q.IssuedUnixMs > s.options.Clock.Now().Add(maxFuture).UnixMilli() {
 		return refused(failure.New(failure.InvalidRequest, failure.NotRun, "the key was issued more than %s in the future", maxFuture)), nil
 	}
+	s.retireBefore(ctx, q.IssuedUnixMs)
 	return s.proposeBooking(ctx, &controlpb.Command{Command: &controlpb.Command_ClaimBooking{ClaimBooking: q}})
 }
 
+// retireBefore brings the retirement time into the log before a claim whose key is older than the retention: the
+// periodic retirement has not run yet in a new group, and lags by up to its interval.
+func (s *Server) retireBefore(ctx context.Context, issuedUnixMs int64) {
+	oldest := s.options.Clock.Now().Add(-s.options.BookingRetention).UnixMilli()
+	if issuedUnixMs < oldest && issuedUnixMs >= s.machine.RetiredBefore() {
+		s.retire(ctx)
+	}
+}
+
 // DispatchBooking permits the one run of a booking.
 func (s *Server) DispatchBooking(ctx context.Context, q *controlpb.DispatchBookingRequest) (*controlpb.BookingResponse, error) {
 	if err := checkKey(q.Key); err != nil {
--- a/control/server_test.go
+++ b/control/server_test.go
@@ -186,6 +186,11 @@
 	response, err := client.ClaimBooking(context.Background(), request)
 	require.NoError(t, err)
 	require.True(t, response.Granted)
+	old := &controlpb.ClaimBookingRequest{
+		Key: &controlpb.BookingKey{Account: "a", IdempotencyKey: "old"}, ClaimId: "c", IssuedUnixMs: time.Now().Add(-25 * time.Hour).UnixMilli(),
+	}
+	_, err = client.ClaimBooking(context.Background(), old)
+	require.True(t, failure.Is(err, failure.KeyTooOld), "before the first periodic retirement")
 	servers[0].options.BookingRetention = -time.Hour
 	servers[0].retire(context.Background())
 	request.ClaimId = "c2"
