Fetch a set version seen on the data path at once

A process that sees a newer version takes no new work until it has it, and its member waited for the leader's next heartbeat. The presence report now names the observed version, and a member behind it passes a read barrier before it answers.

--- a/control/server_presence.go
+++ b/control/server_presence.go
@@ -22,6 +22,7 @@
 		return &controlpb.PresenceResponse{Failure: failureMessage(
 			failure.New(failure.InvalidRequest, failure.NotRun, "process id and incarnation must be set"))}, nil
 	}
+	s.catchUp(ctx, q.ObservedVersion)
 	known, ok := s.machine.lookup(q.ProcessId)
 	epoch := known.epoch
 	if !ok || s.isNews(known, q) {
@@ -40,16 +41,29 @@
 	return &controlpb.PresenceResponse{Epoch: epoch, SetVersion: version, MembershipRevision: revision, Fresh: fresh}, nil
 }
 
+// catchUp fetches a version that a process has seen on the data path and this member does not have yet. Waiting for
+// the leader's next heartbeat instead would keep the process from taking work for that time.
+func (s *Server) catchUp(ctx context.Context, observed uint64) {
+	if version, _ := s.machine.Positions(); observed <= version {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.options.CallTimeout)
+	defer cancel()
+	if err := s.replicator.ReadBarrier(ctx); err != nil {
+		s.logRefusal("member did not catch up", failureMessage(err))
+	}
+}
+
 // isNews reports whether a presence report changes the replicated table.
 func (s *Server) isNews(known registration, q *controlpb.PresenceRequest) bool {
 	before := proto.Clone(known.request).(*controlpb.PresenceRequest)
-	before.SetVersion = q.SetVersion
+	before.SetVersion, before.ObservedVersion = q.SetVersion, q.ObservedVersion
 	return known.dead || known.memberID != s.options.MemberID || !proto.Equal(before, q)
 }
 
 func (s *Server) register(ctx context.Context, q *controlpb.PresenceRequest) *controlpb.PresenceResponse {
 	registration := proto.Clone(q).(*controlpb.PresenceRequest)
-	registration.SetVersion = 0
+	registration.SetVersion, registration.ObservedVersion = 0, 0
 	return s.forward(ctx, &controlpb.PresenceBatch{
 		MemberId: s.options.MemberID, Registrations: []*controlpb.PresenceRequest{registration},
 	})
--- a/control/server_test.go
+++ b/control/server_test.go
@@ -139,6 +139,23 @@
 	eventually(t, func() bool { return w.Current().Version == 3 && fresh() }, "the watcher moves to the leader")
 }
 
+// Guards against a process that waits for its member's next heartbeat although the data path shows a newer version.
+func TestObservedVersionIsFetchedAtOnce(t *testing.T) {
+	group, servers, addresses := startGroup(t, 2, Options{})
+	client := newClient(t, addresses[:1])
+	_, err := publish(t, client, "op1", 0, setWith(t, "a"))
+	require.NoError(t, err)
+	w, _ := startWatcher(t, "p", addresses[1:])
+	// The member that the watcher has chosen must be the follower, which then lags.
+	eventually(t, func() bool { return w.Current().Fresh(time.Now()) && len(servers[1].watchers) == 1 }, "watches the follower")
+	group.members[1].setLagging(true)
+	_, err = publish(t, client, "op2", 1, setWith(t, "b"))
+	require.NoError(t, err)
+	w.Observe(2)
+	eventually(t, func() bool { return w.Current().Version == 2 }, "version 2")
+	require.Len(t, servers[1].watchers, 1, "by the same member")
+}
+
 // Guards against silent processes that stay live, and against a leaving VM that comes back by a lagging list.
 func TestSilenceAndVMList(t *testing.T) {
 	list := &fakeList{vms: []vmlist.VM{{VM: "vm1", Address: "127.0.1.1", State: vmlist.Leaving, Version: 3}}}
--- a/controlclient/session.go
+++ b/controlclient/session.go
@@ -151,11 +151,12 @@
 func (w *Watcher) presenceOnce(ctx context.Context, client controlpb.DRPCControlClient) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, w.options.CallTimeout)
 	defer cancel()
+	version, observed := w.versions()
 	sent := w.options.Clock.Now()
 	answer, err := client.ReportPresence(ctx, &controlpb.PresenceRequest{
 		ProcessId: w.options.ProcessID, Incarnation: w.incarnation, Role: w.options.Role, Address: w.options.Address,
 		AvailabilityZone: w.options.Zone, Serves: w.options.Serves,
-		SetVersion: w.Current().Version, Draining: w.options.Draining(),
+		SetVersion: version, ObservedVersion: observed, Draining: w.options.Draining(),
 	})
 	if err != nil {
 		return false, err
--- a/controlclient/watcher.go
+++ b/controlclient/watcher.go
@@ -130,6 +130,16 @@
 	}
 }
 
+// versions returns the version in force, and the highest one seen on the data path if it is higher.
+func (w *Watcher) versions() (version, observed uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.observed > w.view.Version {
+		observed = w.observed
+	}
+	return w.view.Version, observed
+}
+
 // Kick sends a presence report at once, for example after the draining state changed.
 func (w *Watcher) Kick() {
 	select {
