Bound the connections of a control member and measure proposals

Connections beyond 20,000 are closed at once; their callers try another member. The tests now also check for goroutines that nobody waits for, for which the proposal timer is a histogram: the library's timers start a goroutine that never ends.

--- a/control/fake_test.go
+++ b/control/fake_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
 	"google.golang.org/protobuf/proto"
 	"storj.io/drpc/drpcmux"
 
@@ -16,6 +17,9 @@
 	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
 )
 
+// TestMain guards against goroutines that nobody waits for.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 // fakeGroup replicates commands in process: every member that is not stopped applies each command at once.
 type fakeGroup struct {
 	mu      sync.Mutex
@@ -161,3 +165,34 @@
 	t.Helper()
 	require.Eventually(t, condition, 7*time.Second, 5*time.Millisecond, message)
 }
+
+// Guards against connections without a bound, and against a closed one whose place is lost.
+func TestConnectionsAreBounded(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	bounded := &boundedListener{Listener: listener, open: make(chan struct{}, 1)}
+	defer func() { _ = bounded.Close() }()
+	dial := func() net.Conn {
+		conn, err := net.DialTimeout("tcp", listener.Addr().String(), time.Second)
+		require.NoError(t, err)
+		return conn
+	}
+	first := dial()
+	defer func() { _ = first.Close() }()
+	accepted, err := bounded.Accept()
+	require.NoError(t, err)
+	next := make(chan net.Conn, 1)
+	go func() {
+		conn, _ := bounded.Accept()
+		next <- conn
+	}()
+	excess := dial()
+	defer func() { _ = excess.Close() }()
+	_, err = excess.Read(make([]byte, 1))
+	require.Error(t, err, "closed at once")
+	require.NoError(t, accepted.Close())
+	second := dial()
+	defer func() { _ = second.Close() }()
+	conn := <-next
+	require.NoError(t, conn.Close())
+}
--- a/control/listen.go
+++ b/control/listen.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"time"
 
 	"storj.io/drpc"
@@ -31,26 +32,50 @@
 			Reader:            drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes},
 		},
 	})
-	return server.Serve(ctx, deadlineListener{listener})
+	return server.Serve(ctx, &boundedListener{Listener: listener, open: make(chan struct{}, maxConnections)})
 }
 
-// deadlineListener gives every accepted connection a write deadline, so that a half-open one cannot hold a
-// watcher's place.
-type deadlineListener struct{ net.Listener }
+// maxConnections is several times the need of a fifth of 3,000 processes with ten connections each.
+const maxConnections = 20_000
 
-func (l deadlineListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+// boundedListener limits the open connections and gives each a write deadline, so that a half-open one cannot hold
+// a watcher's place. Connections beyond the limit are closed at once: their callers try another member.
+type boundedListener struct {
+	net.Listener
+	open chan struct{}
+}
+
+// Accept returns the next connection within the limit.
+func (l *boundedListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		select {
+		case l.open <- struct{}{}:
+			return &boundedConn{Conn: conn, release: sync.OnceFunc(func() { <-l.open })}, nil
+		default:
+			_ = conn.Close()
+		}
 	}
-	return deadlineConn{conn}, nil
 }
 
-type deadlineConn struct{ net.Conn }
+type boundedConn struct {
+	net.Conn
+	release func()
+}
 
-func (c deadlineConn) Write(data []byte) (int, error) {
+// Write sends data before the write deadline.
+func (c *boundedConn) Write(data []byte) (int, error) {
 	if err := c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return 0, err
 	}
 	return c.Conn.Write(data)
 }
+
+// Close gives the connection's place back.
+func (c *boundedConn) Close() error {
+	c.release()
+	return c.Conn.Close()
+}
--- a/control/member/member.go
+++ b/control/member/member.go
@@ -160,6 +160,9 @@
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		version, revision := m.machine.Positions()
+		watchers, pending := m.server.Load()
+		gauge("control.watchers", int64(watchers))
+		gauge("control.pending", int64(pending))
 		gauge("control.set_version", int64(version))
 		gauge("control.membership_revision", int64(revision))
 		gauge("control.bookings", int64(m.machine.Bookings()))
--- a/control/server.go
+++ b/control/server.go
@@ -91,6 +91,9 @@
 	}
 }
 
+// sampleSize is the number of proposals over which quantiles are estimated.
+const sampleSize = 1028
+
 // Server is the drpc service of one control member.
 type Server struct {
 	options    Options
@@ -99,9 +102,11 @@
 	pool       *rpcpool.Pool
 	pending    chan struct{}
 	watchers   chan struct{}
-	started    time.Time
-	closing    chan struct{}
-	closeOnce  sync.Once
+	// proposeTime is how long proposals take, in microseconds.
+	proposeTime gometrics.Histogram
+	started     time.Time
+	closing     chan struct{}
+	closeOnce   sync.Once
 
 	mu       sync.Mutex
 	presence map[string]presence
@@ -124,16 +129,17 @@
 func NewServer(machine *StateMachine, replicator Replicator, options Options) *Server {
 	options.setDefaults()
 	return &Server{
-		options:    options,
-		machine:    machine,
-		replicator: replicator,
-		pool:       rpcpool.New(rpcpool.Options{LocalIP: options.SourceIP}),
-		pending:    make(chan struct{}, options.MaxPending),
-		watchers:   make(chan struct{}, options.MaxWatchers),
-		started:    options.Clock.Now(),
-		closing:    make(chan struct{}),
-		presence:   map[string]presence{},
-		memberSeen: map[uint64]time.Time{},
+		options:     options,
+		machine:     machine,
+		replicator:  replicator,
+		pool:        rpcpool.New(rpcpool.Options{LocalIP: options.SourceIP}),
+		pending:     make(chan struct{}, options.MaxPending),
+		watchers:    make(chan struct{}, options.MaxWatchers),
+		proposeTime: gometrics.GetOrRegisterHistogram("control.propose_us", options.Metrics, gometrics.NewUniformSample(sampleSize)),
+		started:     options.Clock.Now(),
+		closing:     make(chan struct{}),
+		presence:    map[string]presence{},
+		memberSeen:  map[uint64]time.Time{},
 	}
 }
 
@@ -167,6 +173,9 @@
 	}
 }
 
+// Load returns the number of watch streams and of calls that wait for the log.
+func (s *Server) Load() (watchers, pending int) { return len(s.watchers), len(s.pending) }
+
 func (s *Server) isLeader() bool {
 	id, _ := s.replicator.Leader()
 	return id == s.options.MemberID
@@ -196,8 +205,11 @@
 	ctx, cancel := context.WithTimeout(ctx, s.options.CallTimeout)
 	defer cancel()
 	command.UnixMs = s.options.Clock.Now().UnixMilli()
+	started := time.Now()
 	result, err := s.replicator.Propose(ctx, command)
+	s.proposeTime.Update(time.Since(started).Microseconds())
 	if err != nil {
+		gometrics.GetOrRegisterCounter("control.proposals_failed", s.options.Metrics).Inc(1)
 		return nil, s.proposalFailure(err)
 	}
 	return result, nil
