--- /dev/null
+++ b/cmd/wasabishunt-agent/settings_test.go
@@ -0,0 +1,31 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabishunt/wasabishunt/settings"
+)
+
+// TestSettings guards against settings that are checked one at a time or not at all.
+func TestSettings(t *testing.T) {
+	var stderr bytes.Buffer
+	short := filepath.Join(t.TempDir(), "short")
+	require.NoError(t, os.WriteFile(short, []byte("short"), 0o600))
+	bad := []string{"--listen", "host:1", "--piece-key-file", short, "--upstream", "u", "--metrics", "x", "--workers", "-1", "--drain-limit", "0s", "--source-ip", "x"}
+	ok, code := settings.Parse(&arguments{}, "agent", bad, &stderr, &stderr)
+	assert.False(t, ok)
+	assert.Equal(t, settings.ExitUsage, code)
+	for _, name := range []string{"process-id", "listen", "control", "zone", "piece-key-file", "engine", "metrics", "workers", "drain-limit", "source-ip"} {
+		assert.Contains(t, stderr.String(), "  "+name)
+	}
+	whole := filepath.Join(t.TempDir(), "key")
+	require.NoError(t, os.WriteFile(whole, make([]byte, 32), 0o600))
+	ok, _ = settings.Parse(&arguments{}, "agent", []string{"--process-id", "e", "--zone", "z", "--control", "127.0.0.1:1", "--upstream", "u", "--engine", "127.0.0.1:2", "--piece-key-file", whole}, &stderr, &stderr)
+	assert.True(t, ok)
+}
--- /dev/null
+++ b/connlimit/listener_test.go
@@ -0,0 +1,57 @@
+package connlimit_test
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/wasabishunt/wasabishunt/connlimit"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// TestLimit guards against connections above the limit that stay open, and places that are not given back.
+func TestLimit(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	listener := connlimit.Listen(inner, 1, 0)
+	accepted := make(chan net.Conn, 4)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- conn
+		}
+	}()
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", inner.Addr().String())
+		require.NoError(t, err)
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+		t.Cleanup(func() { _ = conn.Close() })
+		return conn
+	}
+	dial()
+	first := <-accepted
+	_, err = dial().Read(make([]byte, 1))
+	require.Error(t, err)
+	assert.NotErrorIs(t, err, net.ErrClosed)
+	assert.Empty(t, accepted)
+	require.NoError(t, first.Close())
+	require.Error(t, first.Close())
+	dial()
+	second := <-accepted
+	_, err = dial().Read(make([]byte, 1))
+	require.Error(t, err, "a second close frees no second place")
+	assert.Empty(t, accepted)
+	_ = second.Close()
+	require.NoError(t, listener.Close())
+	<-done
+}
--- a/entry/checks_test.go
+++ b/entry/checks_test.go
@@ -201,6 +201,25 @@
 	require.NoError(t, <-served)
 }
 
+// TestSlowHeader guards against a caller that holds a connection by never sending its header.
+func TestSlowHeader(t *testing.T) {
+	c := newCluster(t, entry.Options{HeaderTimeout: 50 * time.Millisecond, DrainNotice: time.Millisecond})
+	listener := listen(t)
+	ctx, stop := context.WithCancel(t.Context())
+	served := make(chan error, 1)
+	go func() { served <- c.server.Serve(ctx, listener) }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost:")
+	require.NoError(t, err)
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+	_, err = io.ReadAll(conn)
+	require.NoError(t, err, "the entry closes the connection before the test's own limit")
+	stop()
+	require.NoError(t, <-served)
+}
+
 // TestDebugRequest guards against past requests that anybody can look up, or that nobody can.
 func TestDebugRequest(t *testing.T) {
 	c := newCluster(t, entry.Options{OperatorTokenSHA256: hashOf("operator")})
