Let a draining agent refuse calls for a while before its listener closes

Cause: an idle agent exited at once, so entries met closed connections until control had told them; a booking handed over at that moment ended without an answer.

--- a/cmd/wasabishunt-agent/serve.go
+++ b/cmd/wasabishunt-agent/serve.go
@@ -43,7 +43,7 @@
 		waitForStop(ctx, serveCtx, watcher, a)
 		do.MustInvoke[*drainFlag](i).Store(true)
 		watcher.Kick()
-		drain(a, args.DrainLimit, log)
+		drain(a, args, log)
 	})
 	log.Info("listening", zap.String("address", listener.Addr().String()))
 	err = a.Serve(serveCtx, listener)
@@ -71,10 +71,14 @@
 	}
 }
 
-func drain(a *agent.Agent, limit time.Duration, log *zap.Logger) {
+// drain finishes the running calls. The agent refuses new ones for at least the drain notice before it closes its
+// listener, so that entries hear of the drain from control and not from broken connections.
+func drain(a *agent.Agent, args *arguments, log *zap.Logger) {
 	log.Info("draining")
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	notice := time.NewTimer(args.DrainNotice)
+	ctx, cancel := context.WithTimeout(context.Background(), args.DrainLimit)
 	defer cancel()
+	defer func() { <-notice.C }()
 	if err := a.Drain(ctx); err != nil {
 		log.Warn("drain ended early", zap.Error(err))
 		return
--- a/cmd/wasabishunt-agent/settings.go
+++ b/cmd/wasabishunt-agent/settings.go
@@ -26,6 +26,7 @@
 	Service        string        `arg:"--service,env:WASABISHUNT_AGENT_SERVICE" help:"name of the plain service beside this agent"`
 	ServiceAddress string        `arg:"--service-address,env:WASABISHUNT_AGENT_SERVICE_ADDRESS" help:"IP address and port of the plain service"`
 	StaleSetLimit  time.Duration `arg:"--stale-set-limit,env:WASABISHUNT_AGENT_STALE_SET_LIMIT" default:"4s" help:"no new work after so long without confirmation of the set"`
+	DrainNotice    time.Duration `arg:"--drain-notice,env:WASABISHUNT_AGENT_DRAIN_NOTICE" default:"2s" help:"new calls are refused for so long before the listener closes"`
 	DrainLimit     time.Duration `arg:"--drain-limit,env:WASABISHUNT_AGENT_DRAIN_LIMIT" default:"10m" help:"time for running calls when the agent stops"`
 	Workers        int           `arg:"--workers,env:WASABISHUNT_AGENT_WORKERS" default:"32" help:"runs given to the engine at once"`
 	MaxQueued      int           `arg:"--max-queued,env:WASABISHUNT_AGENT_MAX_QUEUED" default:"1024" help:"limit of queued requests"`
@@ -57,7 +58,7 @@
 	settings.Positive(&c, "workers", a.Workers)
 	settings.Positive(&c, "max-queued", a.MaxQueued)
 	durations := map[string]time.Duration{
-		"stale-set-limit": a.StaleSetLimit, "drain-limit": a.DrainLimit, "set-grace": a.SetGrace,
+		"stale-set-limit": a.StaleSetLimit, "drain-notice": a.DrainNotice, "drain-limit": a.DrainLimit, "set-grace": a.SetGrace,
 		"write-timeout": a.WriteTimeout, "service-timeout": a.ServiceTimeout,
 	}
 	for name, value := range durations {
