Wait shortly after the deadline for the agent's own answer

Cause: entry and agent ended a request at the same moment, so work that the agent refused in its queue was reported as unknown instead of not_run. Conclusion: TestDeadlineInQueue.

--- a/agent/generate.go
+++ b/agent/generate.go
@@ -214,7 +214,8 @@
 	if a.dequeue(j) {
 		return
 	}
-	for range j.events { //nolint:revive // Reading lets the worker close the channel.
+	for range j.events {
+		continue // Reading lets the worker go on until it closes the channel.
 	}
 }
 
--- a/entry/bookings.go
+++ b/entry/bookings.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(sc.call.ctx), sc.call.deadline)
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(sc.call.ctx), sc.call.deadline.Add(deadlineGrace))
 	defer cancel()
 	claim, err := sc.claim(ctx, key, issued)
 	if err != nil {
--- a/entry/call.go
+++ b/entry/call.go
@@ -29,6 +29,10 @@
 // maxClientIDBytes limits the echoed id of the caller.
 const maxClientIDBytes = 128
 
+// deadlineGrace is how long after the deadline an entry still waits for the agent, which ends the request at the
+// deadline and alone knows whether it ran.
+const deadlineGrace = 250 * time.Millisecond
+
 // call is one authenticated request of a caller.
 type call struct {
 	server  *Server
@@ -41,7 +45,7 @@
 	catalog  *catalog
 	account  *objectset.Account
 	rank     *objectset.Rank
-	// ctx ends at the deadline or when the caller has gone.
+	// ctx ends shortly after the deadline or when the caller has gone.
 	ctx      context.Context
 	deadline time.Time
 	record   Record
@@ -87,7 +91,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(c.request.Context(), limit)
+	ctx, cancel := context.WithTimeout(c.request.Context(), limit+deadlineGrace)
 	defer cancel()
 	c.ctx = ctx
 	c.deadline = time.Now().Add(limit)
--- a/entry/fakeagent_test.go
+++ b/entry/fakeagent_test.go
@@ -219,6 +219,20 @@
 	assert.Equal(t, "unknown", errorOf(t, body).Execution)
 }
 
+// TestDeadlineInQueue guards against an unknown outcome for work that the agent refuses, not run, at its deadline.
+func TestDeadlineInQueue(t *testing.T) {
+	c := newCluster(t, entry.Options{})
+	c.fake("u1", func(req *agentpb.GenerateRequest, send send) error {
+		send(accepted(req))
+		<-time.After(time.Duration(req.GetHeader().GetDeadlineMs()) * time.Millisecond)
+		send(refusal("deadline_exceeded", agentpb.Execution_NOT_RUN))
+		return nil
+	})
+	response, body := c.do(http.MethodPost, chatPath, chatBody(false, ""), "X-Deadline-Ms", "50")
+	assert.Equal(t, http.StatusGatewayTimeout, response.StatusCode)
+	assert.Equal(t, "not_run", errorOf(t, body).Execution)
+}
+
 // TestSilentAgent guards against a caller that waits without limit for an agent behind a dead link.
 func TestSilentAgent(t *testing.T) {
 	c := newCluster(t, entry.Options{StreamIdle: 50 * time.Millisecond, MaxAttempts: 2})
