--- a/agent/check.go
+++ b/agent/check.go
@@ -12,8 +12,8 @@
 )
 
 // currentView returns the view under which a request may start, or the reason why it may not.
-func (a *Agent) currentView(ctx context.Context, header *agentpb.Header) (controlclient.View, error) {
-	view, err := a.catchUp(ctx, header.GetSetVersion())
+func (a *Agent) currentView(ctx context.Context, header *agentpb.Header, wait time.Duration) (controlclient.View, error) {
+	view, err := a.catchUp(ctx, header.GetSetVersion(), wait)
 	if err != nil {
 		return view, err
 	}
@@ -33,11 +33,11 @@
 }
 
 // catchUp reports the sender's set version to the source and waits, within a limit, until the agent has it too.
-func (a *Agent) catchUp(ctx context.Context, version uint64) (controlclient.View, error) {
+func (a *Agent) catchUp(ctx context.Context, version uint64, wait time.Duration) (controlclient.View, error) {
 	if version > a.deps.Source.Current().Version {
 		a.deps.Source.Observe(version)
 	}
-	timer := time.NewTimer(a.options.CatchUp)
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		changed := a.deps.Source.Changed()
--- a/agent/generate.go
+++ b/agent/generate.go
@@ -86,7 +86,7 @@
 	if req.GetHeader().GetRequestId() == "" {
 		return nil, failure.New(failure.InvalidRequest, failure.NotRun, "a request needs an id")
 	}
-	view, err := a.currentView(ctx, req.GetHeader())
+	view, err := a.currentView(ctx, req.GetHeader(), a.options.CatchUp)
 	if err != nil {
 		return nil, err
 	}
--- a/agent/options.go
+++ b/agent/options.go
@@ -42,8 +42,12 @@
 	Heartbeat time.Duration
 	// SetGrace is how long work sent under an older set version is taken after a newer one was adopted; default 1 s.
 	SetGrace time.Duration
-	// CatchUp is how long a request waits for a newer set that its sender has; default 500 ms.
+	// CatchUp is how long a prompt waits for a newer set that its sender has; default 500 ms, because its entry can
+	// use another upstream.
 	CatchUp time.Duration
+	// ServiceCatchUp is the same for calls of the plain service; default 3 s, because a service has few agents and
+	// an agent that lost its control member needs up to 2 s to find another one.
+	ServiceCatchUp time.Duration
 	// MaxDeadline is the time given to requests that carry no deadline, and the limit for those that do; default 10 min.
 	MaxDeadline time.Duration
 	// WeightPoll is the time between reads of the engine's loaded versions; default 1 s.
@@ -83,6 +87,7 @@
 	setDefault(&o.Heartbeat, time.Second)
 	setDefault(&o.SetGrace, time.Second)
 	setDefault(&o.CatchUp, 500*time.Millisecond)
+	setDefault(&o.ServiceCatchUp, 3*time.Second)
 	setDefault(&o.MaxDeadline, 10*time.Minute)
 	setDefault(&o.WeightPoll, time.Second)
 	setDefault(&o.LoadTimeout, time.Minute)
--- a/agent/service.go
+++ b/agent/service.go
@@ -47,7 +47,7 @@
 	timeout := min(a.options.ServiceTimeout, a.remaining(req.GetHeader()))
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
 	defer cancel()
-	view, err := a.currentView(ctx, req.GetHeader())
+	view, err := a.currentView(ctx, req.GetHeader(), a.options.ServiceCatchUp)
 	if err != nil {
 		return service.Response{}, err
 	}
--- a/agent/service_test.go
+++ b/agent/service_test.go
@@ -5,6 +5,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -141,6 +142,24 @@
 	assert.NotContains(t, f.control.Calls(), "dispatch")
 }
 
+// TestServiceCatchUp guards against a call that is refused although the newer set of its sender arrives soon.
+func TestServiceCatchUp(t *testing.T) {
+	f, s, _ := startService(t)
+	_, client := f.dial()
+	answered := make(chan *agentpb.ServiceResponse, 1)
+	go func() {
+		response, _ := client.CallService(t.Context(), &agentpb.ServiceRequest{
+			Header:  &agentpb.Header{RequestId: "r", Account: "a", Rank: "urgent", SetVersion: 2},
+			Service: "desk", Method: http.MethodGet, Path: "/orders",
+		})
+		answered <- response
+	}()
+	require.Eventually(t, func() bool { return f.view.Observed() == 2 }, 5*time.Second, time.Millisecond)
+	assert.Zero(t, s.Executions().Total, "no call under the older set")
+	f.view.Publish(newSet())
+	assert.Nil(t, (<-answered).GetRefusal())
+}
+
 // TestPlainCallThatRunsOnce guards against a non-idempotent call that arrives without a booking.
 func TestPlainCallThatRunsOnce(t *testing.T) {
 	f, s, _ := startService(t)
