--- a/agent/generate.go
+++ b/agent/generate.go
@@ -86,7 +86,7 @@
 	if req.GetHeader().GetRequestId() == "" {
 		return nil, failure.New(failure.InvalidRequest, failure.NotRun, "a request needs an id")
 	}
-	view, err := a.currentView(ctx, req.GetHeader())
+	view, err := a.currentView(ctx, req.GetHeader(), a.options.CatchUp)
 	if err != nil {
 		return nil, err
 	}
@@ -214,7 +214,8 @@
 	if a.dequeue(j) {
 		return
 	}
-	for range j.events { //nolint:revive // Reading lets the worker close the channel.
+	for range j.events {
+		continue // Reading lets the worker go on until it closes the channel.
 	}
 }
 
