--- a/bench/policies.go
+++ b/bench/policies.go
@@ -52,6 +52,7 @@
 		{Name: "without long budget", Sched: sched.Off{LongBudget: true}},
 		{Name: "without rescue", Sched: sched.Off{Rescue: true}},
 		{Name: "without slot headroom", Sched: sched.Off{Headroom: true}},
+		{Name: "without share left in estimates", Sched: sched.Off{ShareLeft: true}},
 		{Name: "without admission", NoAdmission: true},
 		{Name: "without prefix routing", Routing: routing.Off{Prefix: true}},
 		{Name: "without wait scorer", Routing: routing.Off{Wait: true}},
--- a/sched/item.go
+++ b/sched/item.go
@@ -101,6 +101,7 @@
 	LongBudget bool
 	Headroom   bool
 	Rescue     bool
+	ShareLeft  bool
 }
 
 // Defaults returns the default settings.
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -19,6 +19,7 @@
 	dropped  []Removed
 	// prefillRate is the measured rate in tokens per second; 0 means unknown.
 	prefillRate float64
+	now         time.Time // Of the last call that told the time.
 	waiting     int
 	running     int
 	outstanding int64
@@ -58,6 +59,7 @@
 	if _, ok := q.entries[item.ID]; ok {
 		return failure.New(failure.InvalidRequest, failure.NotRun, "request %s is already queued", item.ID)
 	}
+	q.now = now
 	q.expire(now)
 	rank := q.rankOf(item.Rank)
 	if q.waiting >= q.settings.MaxQueued && !q.displaceFor(rank, item) {
@@ -85,6 +87,7 @@
 
 // Next grants the next prefill chunk, or nothing if no work may start now.
 func (q *Queue) Next(now time.Time) (Grant, bool) {
+	q.now = now
 	q.expire(now)
 	for {
 		e, why := q.choose(now)
@@ -120,6 +123,7 @@
 	q.outstanding += tokens
 	q.settle(e, tokens)
 	q.charge(e, tokens, true)
+	e.rank.recent.add(tokens, q.now)
 	return Grant{Item: e.item, Tokens: tokens, First: first, Last: e.remaining == 0, Why: why}, true
 }
 
--- a/sched/rank.go
+++ b/sched/rank.go
@@ -20,6 +20,7 @@
 	credit float64
 	// unmet is the demand in tokens that was refused or dropped.
 	unmet        float64
+	recent       usage
 	queuedTokens int64
 	waiting      int
 	running      int
--- a/sched/snapshot.go
+++ b/sched/snapshot.go
@@ -43,6 +43,8 @@
 	// of the rate. FloorShare 0 means no floor.
 	FloorTokens float64
 	FloorShare  float64
+	// Share of the prefill rate that more urgent ranks have recently left for the rank, 0 to 1; 0 counts as 1.
+	Share float64
 	// Slots is how many waiting requests go first to a run slot, 0 if a slot is free now.
 	Slots int
 	// Running is how many runs hold a slot.
@@ -56,6 +58,7 @@
 	own := q.sharedAhead(rank, accountName, tokens)
 	ahead := Ahead{FloorShare: q.floorShare(rank, own+float64(tokens)), Running: q.running}
 	ahead.FloorTokens = own
+	ahead.Share = q.shareLeft(rank)
 	ahead.Tokens = own
 	urgent := true
 	lowFloors := 0.0
