--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 	$(GO) build -o $(BIN)/ ./cmd/...
 
 test:
-	$(GO) test -count=1 -timeout 20m -v ./... 2>&1 | ./.ci/summarize
+	$(GO) test -count=1 -p 4 -timeout 20m -v ./... 2>&1 | ./.ci/summarize
 
 lint: tools
 	./.ci/lint
@@ -32,3 +32,8 @@
 
 fmt: tools
 	$(BIN)/tools/gofumpt -w $$(git ls-files '*.go' | grep -v '\.pb\.go$$')
+
+# Removes each guard listed in docs/guards/ and checks that its test then fails.
+.PHONY: guards
+guards:
+	$(GO) run ./internal/guardcheck $(if $(ONLY),--only "$(ONLY)") docs/guards/*.txt
--- /dev/null
+++ b/agent/load.go
@@ -0,0 +1,103 @@
+package agent
+
+import (
+	"sync"
+	"time"
+
+	"github.com/wasabishunt/wasabishunt/objectset"
+	"github.com/wasabishunt/wasabishunt/rpc/agentpb"
+	"github.com/wasabishunt/wasabishunt/sched"
+)
+
+// runTimeWeight is the weight of the newest run in the mean run time: about the last ten runs decide.
+const runTimeWeight = 0.2
+
+// rates holds the measured speeds of the engine.
+type rates struct {
+	mu      sync.Mutex
+	prefill *sched.Meter
+	decode  *sched.Meter
+	run     time.Duration
+}
+
+// start sets the configured estimates, once; measurements replace them.
+func (r *rates) start(upstream objectset.Upstream) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.prefill == nil {
+		r.prefill = sched.NewMeter(upstream.PrefillTokensPerSecond)
+		r.decode = sched.NewMeter(upstream.DecodeTokensPerSecond)
+	}
+}
+
+// recordFirst takes one run's computed prompt tokens and its time to first token.
+func (r *rates) recordFirst(tokens int64, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.prefill != nil {
+		r.prefill.Observe(tokens, took)
+	}
+}
+
+// recordRun takes one run's tokens after the first one, the time they took, and the time of the whole run.
+func (r *rates) recordRun(tokens int64, took, whole time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.decode != nil {
+		r.decode.Observe(tokens, took)
+	}
+	if r.run == 0 {
+		r.run = whole
+	}
+	r.run += time.Duration(runTimeWeight * float64(whole-r.run))
+}
+
+// current returns the rates in tokens per second; 0 means unknown.
+func (r *rates) current() (prefill, decode float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.prefill == nil {
+		return 0, 0
+	}
+	return r.prefill.Rate(), r.decode.Rate()
+}
+
+func (r *rates) runTime() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.run
+}
+
+// load reports the upstream's state as the agent measures it.
+func (a *Agent) load() *agentpb.UpstreamLoad {
+	view := a.deps.Source.Current()
+	prefill, decode := a.rates.current()
+	versions := a.weights.loadedVersions()
+	runTime := a.rates.runTime()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	queued := a.queue.Load()
+	return &agentpb.UpstreamLoad{
+		Upstream:               a.options.Upstream,
+		UpstreamEpoch:          view.Epoch,
+		SetVersion:             view.Version,
+		QueuedTokens:           queued.QueuedTokens,
+		QueuedRequests:         int64(queued.QueuedRequests),
+		QueuedTokensAhead:      a.queue.AheadByRank(),
+		Running:                a.running,
+		PrefillTokensPerSecond: prefill,
+		DecodeTokensPerSecond:  decode,
+		Draining:               a.draining,
+		WeightVersions:         versions,
+		SlotWaitMs:             a.slotWait(queued, runTime).Milliseconds(),
+	}
+}
+
+// slotWait estimates how long a new request waits for a run slot: each queued request needs one to become free.
+func (a *Agent) slotWait(queued sched.Load, runTime time.Duration) time.Duration {
+	over := queued.Running + queued.QueuedRequests + 1 - a.options.Workers
+	if over <= 0 {
+		return 0
+	}
+	return runTime * time.Duration(over) / time.Duration(a.options.Workers)
+}
