--- a/bench/agent.go
+++ b/bench/agent.go
@@ -55,6 +55,7 @@
 func newAgent(r *run, i int, model string) *agent {
 	settings := sched.Defaults()
 	settings.MaxRunning = maxRunning
+	settings.WholePrompts = r.policy.WholePrompts
 	settings.Off = r.policy.Sched
 	a := &agent{
 		run: r, name: fmt.Sprintf("engine%02d", i), model: model, hardware: hardwareOf(i), meter: sched.NewMeter(configuredRate),
--- a/bench/policies.go
+++ b/bench/policies.go
@@ -24,6 +24,8 @@
 	TwoCopies   bool
 	NoPlacement bool
 	NoRetry     bool
+	// WholePrompts grants prompts whole, as the live agent does for engines that cannot prefill in parts.
+	WholePrompts bool
 	// Prefetch moves pieces to the engine ahead of a known return.
 	Prefetch bool
 }
@@ -67,6 +69,7 @@
 		{Name: "without export choice", NoPlacement: true},
 		{Name: "without cache shares", NoShares: true},
 		{Name: "with second copies", TwoCopies: true},
+		{Name: "with whole prompts", WholePrompts: true},
 		{Name: "with prefetch", Prefetch: true},
 		{Name: "without retries", NoRetry: true},
 	}
