Add a program that measures the costs of each role

Ruled out: a cluster simulator, which would measure its own model; processor time of one end only, which needs a second process. Both ends are counted, so the figures are upper bounds for each. Conclusion: wasabishunt-capacity prints slopes over several sizes, with their range over repeats.

--- /dev/null
+++ b/internal/capacity/sets.go
@@ -0,0 +1,94 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"time"
+
+	"github.com/wasabishunt/wasabishunt/controlclient"
+	"github.com/wasabishunt/wasabishunt/objectset"
+	"github.com/wasabishunt/wasabishunt/routing"
+)
+
+// patchRounds is how many changes of one account are timed.
+const patchRounds = 200
+
+// measureSets measures one process's copy of the set, the change of one account in it, and an entry's routing index.
+func measureSets(_ context.Context, o Options) ([]*Table, error) {
+	accounts, upstreams, index := &series{}, &series{}, &series{}
+	for repeat := range o.Repeats {
+		for _, count := range o.Accounts {
+			if err := measureSet(accounts, repeat, count, newSet(15, count)); err != nil {
+				return nil, err
+			}
+		}
+		for _, count := range o.Upstreams {
+			set := newSet(count, 100)
+			if err := measureSet(upstreams, repeat, count, set); err != nil {
+				return nil, err
+			}
+			measureIndex(index, repeat, count, set)
+		}
+		progress("sets: repeat %d", repeat)
+	}
+	return []*Table{
+		accounts.table("Set copy in one process, by accounts (15 upstreams)", "account"),
+		upstreams.table("Set copy in one process, by upstreams (100 accounts)", "upstream"),
+		index.table("Routing index of an entry, all upstreams of one model", "upstream"),
+	}, nil
+}
+
+func measureSet(results *series, repeat, size int, set *objectset.Set) error {
+	document := set.Canonical()
+	before, used := memory(), cpu()
+	copied, err := objectset.FromCanonical(document)
+	if err != nil {
+		return err
+	}
+	results.add(repeat, "read a whole set: CPU ms", size, 1000*(cpu()-used).Seconds())
+	results.add(repeat, "memory, bytes", size, memory()-before)
+	results.add(repeat, "document, bytes", size, float64(len(document)))
+	changed := *copied
+	changed.Accounts = append([]objectset.Account(nil), copied.Accounts...)
+	changed.Accounts[len(changed.Accounts)/2].Weight = 2
+	changes := objectset.Diff(copied, &changed)
+	if len(changes) != 1 {
+		return fmt.Errorf("%d changes instead of 1", len(changes))
+	}
+	allocated, used := allocations(), cpu()
+	for range patchRounds {
+		if _, err := objectset.Patch(copied, changes); err != nil {
+			return err
+		}
+	}
+	results.add(repeat, "apply one change: CPU us", size, 1e6*(cpu()-used).Seconds()/patchRounds)
+	results.add(repeat, "apply one change: allocated bytes", size, (allocations()-allocated)/patchRounds)
+	runtime.KeepAlive(set)
+	runtime.KeepAlive(document)
+	return nil
+}
+
+func measureIndex(results *series, repeat, size int, set *objectset.Set) {
+	states := map[string]controlclient.ProcessState{}
+	for _, upstream := range set.Upstreams {
+		states[upstream.Name] = controlclient.Live
+	}
+	before, began := memory(), time.Now()
+	index := routing.BuildIndex(set, states, nil)
+	results.add(repeat, "build: wall clock us", size, 1e6*time.Since(began).Seconds())
+	results.add(repeat, "memory, bytes", size, memory()-before)
+	states[set.Upstreams[0].Name] = controlclient.Leaving
+	began = time.Now()
+	next := routing.BuildIndex(set, states, index)
+	results.add(repeat, "rebuild after one upstream leaves: wall clock us", size, 1e6*time.Since(began).Seconds())
+	runtime.KeepAlive(next)
+	runtime.KeepAlive(index)
+}
+
+// allocations returns the bytes allocated since the process started.
+func allocations() float64 {
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.TotalAlloc)
+}
--- /dev/null
+++ b/internal/capacity/watchers.go
@@ -0,0 +1,71 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/wasabishunt/wasabishunt/controlclient"
+)
+
+// watchers are real watchers of one group, each as in a process of its own.
+type watchers struct {
+	list    []*controlclient.Watcher
+	running sync.WaitGroup
+	stop    context.CancelFunc
+	ctx     context.Context
+}
+
+func newWatchers(ctx context.Context) *watchers {
+	ctx, stop := context.WithCancel(ctx)
+	return &watchers{ctx: ctx, stop: stop}
+}
+
+// start adds watchers to the group's.
+func (w *watchers) start(g *group, count int) {
+	for range count {
+		id := fmt.Sprintf("process-%05d", len(w.list))
+		watcher := controlclient.NewWatcher(controlclient.WatcherOptions{
+			Addresses: g.addresses, ProcessID: id, Role: "agent", Zone: "zone-1",
+			Address: "127.0.0.1:7000", Serves: "upstream-" + id,
+		})
+		w.list = append(w.list, watcher)
+		w.running.Go(func() { watcher.Run(w.ctx) })
+	}
+}
+
+// await returns once all watchers satisfy the condition.
+func (w *watchers) await(ctx context.Context, ready func(controlclient.View) bool) error {
+	for _, watcher := range w.list {
+		for {
+			changed := watcher.Changed()
+			if ready(watcher.Current()) {
+				break
+			}
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+	}
+	return nil
+}
+
+// complete waits until all watchers have the version and know each other.
+func (w *watchers) complete(ctx context.Context, version uint64) error {
+	return w.await(ctx, func(v controlclient.View) bool {
+		return v.Version >= version && len(v.Processes) >= len(w.list)
+	})
+}
+
+// inForce waits until all watchers have the version.
+func (w *watchers) inForce(ctx context.Context, version uint64) error {
+	return w.await(ctx, func(v controlclient.View) bool { return v.Version >= version })
+}
+
+// close ends the watchers.
+func (w *watchers) close() {
+	w.stop()
+	w.running.Wait()
+}
