--- a/agent/harness_test.go
+++ b/agent/harness_test.go
@@ -143,7 +143,7 @@
 
 // fixture is an agent that serves on a loopback address.
 type fixture struct {
-	t       *testing.T
+	t       testing.TB
 	view    *fixedview.View
 	control *fixedview.Control
 	engine  *fakeEngine
@@ -151,7 +151,7 @@
 	address string
 }
 
-func start(t *testing.T, options agent.Options, deps agent.Dependencies) *fixture {
+func start(t testing.TB, options agent.Options, deps agent.Dependencies) *fixture {
 	t.Helper()
 	f := &fixture{t: t, view: fixedview.New(newSet()), control: fixedview.NewControl()}
 	options.ProcessID = "agent-1"
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -42,7 +42,7 @@
 
 // cluster is an entry with agents in one process, connected over loopback TCP.
 type cluster struct {
-	t       *testing.T
+	t       testing.TB
 	set     *objectset.Set
 	view    *fixedview.View
 	control *fixedview.Control
@@ -68,7 +68,7 @@
 }
 
 // newCluster starts an entry; agents are added afterwards.
-func newCluster(t *testing.T, options entry.Options) *cluster {
+func newCluster(t testing.TB, options entry.Options) *cluster {
 	t.Helper()
 	c := &cluster{t: t, set: newSet(), control: fixedview.NewControl()}
 	c.view = fixedview.New(c.set)
@@ -119,7 +119,7 @@
 	})
 }
 
-func listen(t *testing.T) net.Listener {
+func listen(t testing.TB) net.Listener {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
