--- /dev/null
+++ b/piece/bench_test.go
@@ -0,0 +1,51 @@
+package piece
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func benchTokens(count int) []string {
+	tokens := make([]string, count)
+	for i := range tokens {
+		tokens[i] = fmt.Sprint("word", i%1000)
+	}
+	return tokens
+}
+
+// BenchmarkNames measures the names of a prompt's pieces. It guards against a cost per token that grows with the prompt,
+// for example when each name hashes the whole prefix again.
+func BenchmarkNames(b *testing.B) {
+	scope := Scope{Account: "account", Model: "model", WeightVersion: "model-v1"}
+	for _, count := range []int{2_000, 8_000, 20_000} {
+		tokens := benchTokens(count)
+		b.Run(fmt.Sprintf("tokens=%d", count), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				require.Len(b, Names(Key{}, scope, tokens), count/TokensPerPiece)
+			}
+		})
+	}
+}
+
+// BenchmarkNamesHMAC measures the same names with HMAC-SHA-256, the alternative that was weighed.
+func BenchmarkNamesHMAC(b *testing.B) {
+	tokens := benchTokens(8_000)
+	var key Key
+	for b.Loop() {
+		mac := hmac.New(sha256.New, key[:])
+		var names [][]byte
+		for i, token := range tokens {
+			_, _ = mac.Write(make([]byte, 8))
+			_, _ = mac.Write([]byte(token))
+			if (i+1)%TokensPerPiece == 0 {
+				names = append(names, mac.Sum(nil))
+			}
+		}
+		require.Len(b, names, len(tokens)/TokensPerPiece)
+	}
+}
