raft: tell followers a new commit index at once

Cause: followers learned of the last commit with the next append or heartbeat, up to 100 ms later; entries then refused requests as stale after they had seen the new set version on the data path. Ruled out: a shorter heartbeat, which costs messages all the time. Conclusion: kept; TestCommitReachesFollowersAtOnce fails without it.

--- a/raft/guards_test.go
+++ b/raft/guards_test.go
@@ -323,3 +323,18 @@
 	require.True(t, failure.Is(err, failure.Forbidden))
 	require.EqualValues(t, 3, n.term)
 }
+
+// TestCommitReachesFollowersAtOnce guards against followers that apply the last entries only with the next heartbeat, which
+// delays a new object set on all processes that watch them.
+func TestCommitReachesFollowersAtOnce(t *testing.T) {
+	c := newCluster(t, 3, 3)
+	leader := c.elect()
+	c.run(20, false)
+	require.NoError(t, c.propose(leader, "change"))
+	for len(c.packets) > 0 {
+		c.deliver(0)
+	}
+	a, b := c.followersOf(leader)
+	require.Equal(t, leader.node.log.last(), a.node.log.commit)
+	require.Equal(t, leader.node.log.last(), b.node.log.commit)
+}
--- a/raft/replicate.go
+++ b/raft/replicate.go
@@ -207,6 +207,20 @@
 	if n.current().index <= index {
 		n.leaveIfRemoved()
 	}
+	n.announceCommit()
+}
+
+// announceCommit tells the new commit index to members that have all entries. Without it they would apply the last
+// entries only with the next heartbeat, and processes that watch them would learn of a new object set that much later.
+func (n *Node) announceCommit() {
+	if n.role != Leader {
+		return
+	}
+	for _, p := range n.sortedPeers() {
+		if !p.probing && p.next > n.log.last() {
+			n.appendTo(p, true)
+		}
+	}
 }
 
 func (n *Node) committedOwnTerm() bool {
