--- a/internal/capacity/sets.go
+++ b/internal/capacity/sets.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"runtime"
 	"time"
 
@@ -14,9 +15,12 @@
 // patchRounds is how many changes of one account are timed.
 const patchRounds = 200
 
+// processCounts are the sizes of a membership table.
+var processCounts = []int{100, 1000, 3000}
+
 // measureSets measures one process's copy of the set, the change of one account in it, and an entry's routing index.
 func measureSets(_ context.Context, o Options) ([]*Table, error) {
-	accounts, upstreams, index := &series{}, &series{}, &series{}
+	accounts, upstreams, index, processes := &series{}, &series{}, &series{}, &series{}
 	for repeat := range o.Repeats {
 		for _, count := range o.Accounts {
 			if err := measureSet(accounts, repeat, count, newSet(15, count)); err != nil {
@@ -30,12 +34,16 @@
 			}
 			measureIndex(index, repeat, count, set)
 		}
+		for _, count := range processCounts {
+			measureProcesses(processes, repeat, count)
+		}
 		progress("sets: repeat %d", repeat)
 	}
 	return []*Table{
 		accounts.table("Set copy in one process, by accounts (15 upstreams)", "account"),
 		upstreams.table("Set copy in one process, by upstreams (100 accounts)", "upstream"),
 		index.table("Routing index of an entry, all upstreams of one model", "upstream"),
+		processes.table("Membership table of one process; a change copies it", "process"),
 	}, nil
 }
 
@@ -86,6 +94,26 @@
 	runtime.KeepAlive(index)
 }
 
+func measureProcesses(results *series, repeat, size int) {
+	before := memory()
+	processes := make(map[string]controlclient.Process, size)
+	for i := range size {
+		id := fmt.Sprintf("process-%05d", i)
+		processes[id] = controlclient.Process{
+			ID: id, Role: string([]byte("agent")), Address: fmt.Sprintf("127.0.0.1:%d", i), Zone: string([]byte("zone-1")),
+			Serves: "upstream-" + id, Epoch: uint64(i), State: controlclient.Live,
+		}
+	}
+	results.add(repeat, "memory, bytes", size, memory()-before)
+	allocated, used := allocations(), cpu()
+	for range patchRounds {
+		processes = maps.Clone(processes)
+	}
+	results.add(repeat, "copy: CPU us", size, 1e6*(cpu()-used).Seconds()/patchRounds)
+	results.add(repeat, "copy: allocated bytes", size, (allocations()-allocated)/patchRounds)
+	runtime.KeepAlive(processes)
+}
+
 // allocations returns the bytes allocated since the process started.
 func allocations() float64 {
 	var stats runtime.MemStats
