--- a/agent/agent.go
+++ b/agent/agent.go
@@ -9,6 +9,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
@@ -88,8 +89,10 @@
 	// flights are the pieces in computation; flightsEnded is closed and replaced when one ends.
 	flights      *fetchplan.Flights
 	flightsEnded chan struct{}
-	setVersion   uint64
-	adoptedAt    time.Time
+	// serviceBroken is true while the last connection to the plain service failed.
+	serviceBroken atomic.Bool
+	setVersion    uint64
+	adoptedAt     time.Time
 	// configured is the set version of the queue's ranks and weights; only followSet uses it.
 	configured uint64
 }
--- a/agent/service.go
+++ b/agent/service.go
@@ -56,6 +56,7 @@
 	}
 	// The connection comes first: if it fails, nothing was dispatched and not_run is true.
 	connection, err := a.deps.Service.Open(ctx)
+	a.serviceBroken.Store(err != nil)
 	if err != nil {
 		return service.Response{}, err
 	}
--- a/cli/arguments.go
+++ b/cli/arguments.go
@@ -102,7 +102,7 @@
 		c.Addresses("--control", a.Control)
 	}
 	if a.needsOperator() {
-		c.Required("--operator", a.Operator)
+		c.Required("--operator", a.Operator, "sari")
 		a.readToken(c)
 	}
 	if a.Members != nil && a.Members.AddLearner != nil {
--- a/cmd/wasabishunt-agent/serve.go
+++ b/cmd/wasabishunt-agent/serve.go
@@ -25,6 +25,11 @@
 	if err != nil {
 		return err
 	}
+	status, err := net.Listen("tcp", args.Status)
+	if err != nil {
+		_ = listener.Close()
+		return err
+	}
 	log := do.MustInvoke[*zap.Logger](i)
 	watcher := do.MustInvoke[*controlclient.Watcher](i)
 	a := do.MustInvoke[*agent.Agent](i)
@@ -35,9 +40,7 @@
 	defer group.Wait()
 	defer stopWatcher()
 	group.Go(func() { watcher.Run(watchCtx) })
-	if args.Metrics != "" {
-		group.Go(func() { serveMetrics(watchCtx, args.Metrics, do.MustInvoke[gometrics.Registry](i), log) })
-	}
+	group.Go(func() { serveStatus(watchCtx, status, a, do.MustInvoke[gometrics.Registry](i), log) })
 	group.Go(func() {
 		defer stopServing()
 		waitForStop(ctx, serveCtx, watcher, a)
@@ -45,7 +48,7 @@
 		watcher.Kick()
 		drain(a, args, log)
 	})
-	log.Info("listening", zap.String("address", listener.Addr().String()))
+	log.Info("listening", zap.Stringer("address", listener.Addr()), zap.Stringer("status", status.Addr()))
 	err = a.Serve(serveCtx, listener)
 	stopServing()
 	_ = do.MustInvoke[*rpcpool.Pool](i).Close()
@@ -86,13 +89,12 @@
 	log.Info("all calls finished")
 }
 
-func serveMetrics(ctx context.Context, address string, registry gometrics.Registry, log *zap.Logger) {
-	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", metrics.Handler(registry))
-	server := &http.Server{Addr: address, Handler: mux, ReadHeaderTimeout: 5 * time.Second, WriteTimeout: 10 * time.Second}
+// serveStatus serves the status address until ctx ends. Losing it does not stop the agent.
+func serveStatus(ctx context.Context, listener net.Listener, a *agent.Agent, registry gometrics.Registry, log *zap.Logger) {
+	server := metrics.NewStatusServer(a.Ready, registry)
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
-		log.Error("metrics page not served", zap.Error(err))
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		log.Error("status address not served", zap.Error(err))
 	}
 }
--- a/cmd/wasabishunt-agent/settings.go
+++ b/cmd/wasabishunt-agent/settings.go
@@ -14,27 +14,27 @@
 
 // arguments are the flags and environment variables of the agent.
 type arguments struct {
-	ProcessID      string        `arg:"--process-id,env:WASABISHUNT_AGENT_PROCESS_ID" help:"unique id of this process"`
-	Listen         string        `arg:"--listen,env:WASABISHUNT_AGENT_LISTEN" default:"127.0.0.1:7300" help:"IP address and port for entries"`
-	Advertise      string        `arg:"--advertise,env:WASABISHUNT_AGENT_ADVERTISE" help:"IP address and port reported to control; default is that of --listen"`
-	Metrics        string        `arg:"--metrics,env:WASABISHUNT_AGENT_METRICS" help:"IP address and port of the metrics page; default none"`
-	SourceIP       string        `arg:"--source-ip,env:WASABISHUNT_AGENT_SOURCE_IP" help:"source IP address of connections to other processes; default is chosen by the kernel"`
-	Control        []string      `arg:"--control,env:WASABISHUNT_AGENT_CONTROL" help:"IP addresses and ports of control members"`
-	Zone           string        `arg:"--zone,env:WASABISHUNT_AGENT_ZONE" help:"availability zone"`
-	Upstream       string        `arg:"--upstream,env:WASABISHUNT_AGENT_UPSTREAM" help:"name of the upstream beside this agent"`
-	Engine         string        `arg:"--engine,env:WASABISHUNT_AGENT_ENGINE" help:"IP address and port of the engine"`
-	Service        string        `arg:"--service,env:WASABISHUNT_AGENT_SERVICE" help:"name of the plain service beside this agent"`
-	ServiceAddress string        `arg:"--service-address,env:WASABISHUNT_AGENT_SERVICE_ADDRESS" help:"IP address and port of the plain service"`
-	StaleSetLimit  time.Duration `arg:"--stale-set-limit,env:WASABISHUNT_AGENT_STALE_SET_LIMIT" default:"4s" help:"no new work after so long without confirmation of the set"`
-	DrainNotice    time.Duration `arg:"--drain-notice,env:WASABISHUNT_AGENT_DRAIN_NOTICE" default:"2s" help:"new calls are refused for so long before the listener closes"`
-	DrainLimit     time.Duration `arg:"--drain-limit,env:WASABISHUNT_AGENT_DRAIN_LIMIT" default:"10m" help:"time for running calls when the agent stops"`
-	Workers        int           `arg:"--workers,env:WASABISHUNT_AGENT_WORKERS" default:"32" help:"runs given to the engine at once"`
-	MaxQueued      int           `arg:"--max-queued,env:WASABISHUNT_AGENT_MAX_QUEUED" default:"1024" help:"limit of queued requests"`
-	SetGrace       time.Duration `arg:"--set-grace,env:WASABISHUNT_AGENT_SET_GRACE" default:"1s" help:"work sent under an older set version is taken for so long"`
-	WriteTimeout   time.Duration `arg:"--write-timeout,env:WASABISHUNT_AGENT_WRITE_TIMEOUT" default:"10s" help:"time for one write to an entry"`
-	ServiceTimeout time.Duration `arg:"--service-timeout,env:WASABISHUNT_AGENT_SERVICE_TIMEOUT" default:"30s" help:"time for one call of the plain service"`
-	PieceKeyFile   string        `arg:"--piece-key-file,env:WASABISHUNT_AGENT_PIECE_KEY_FILE" help:"file with the 32 bytes of the piece-name key; needed beside an engine"`
-	LogLevel       zapcore.Level `arg:"--log-level,env:WASABISHUNT_AGENT_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
+	ProcessID      string        `arg:"--process-id,env:WASABISHUNT_AGENT_PROCESS_ID" help:"unique id of this process (name)"`
+	Listen         string        `arg:"--listen,env:WASABISHUNT_AGENT_LISTEN" help:"IP address and port for entries (IP:port)"`
+	Advertise      string        `arg:"--advertise,env:WASABISHUNT_AGENT_ADVERTISE" help:"IP address and port reported to control; default is that of --listen (IP:port)"`
+	Status         string        `arg:"--status,env:WASABISHUNT_AGENT_STATUS" help:"IP address and port of /healthz, /readyz and /metrics (IP:port)"`
+	SourceIP       string        `arg:"--source-ip,env:WASABISHUNT_AGENT_SOURCE_IP" help:"source IP address of connections to other processes; default is chosen by the kernel (IP)"`
+	Control        []string      `arg:"--control,env:WASABISHUNT_AGENT_CONTROL" help:"IP addresses and ports of control members (IP:port, several)"`
+	Zone           string        `arg:"--zone,env:WASABISHUNT_AGENT_ZONE" help:"availability zone (name)"`
+	Upstream       string        `arg:"--upstream,env:WASABISHUNT_AGENT_UPSTREAM" help:"name of the upstream beside this agent (name)"`
+	Engine         string        `arg:"--engine,env:WASABISHUNT_AGENT_ENGINE" help:"IP address and port of the engine (IP:port)"`
+	Service        string        `arg:"--service,env:WASABISHUNT_AGENT_SERVICE" help:"name of the plain service beside this agent (name)"`
+	ServiceAddress string        `arg:"--service-address,env:WASABISHUNT_AGENT_SERVICE_ADDRESS" help:"IP address and port of the plain service (IP:port)"`
+	StaleSetLimit  time.Duration `arg:"--stale-set-limit,env:WASABISHUNT_AGENT_STALE_SET_LIMIT" default:"4s" help:"no new work after so long without confirmation of the set (duration)"`
+	DrainNotice    time.Duration `arg:"--drain-notice,env:WASABISHUNT_AGENT_DRAIN_NOTICE" default:"2s" help:"new calls are refused for so long before the listener closes (duration)"`
+	DrainLimit     time.Duration `arg:"--drain-limit,env:WASABISHUNT_AGENT_DRAIN_LIMIT" default:"10m" help:"time for running calls when the agent stops (duration)"`
+	Workers        int           `arg:"--workers,env:WASABISHUNT_AGENT_WORKERS" default:"32" help:"runs given to the engine at once (count)"`
+	MaxQueued      int           `arg:"--max-queued,env:WASABISHUNT_AGENT_MAX_QUEUED" default:"1024" help:"limit of queued requests (count)"`
+	SetGrace       time.Duration `arg:"--set-grace,env:WASABISHUNT_AGENT_SET_GRACE" default:"1s" help:"work sent under an older set version is taken for so long (duration)"`
+	WriteTimeout   time.Duration `arg:"--write-timeout,env:WASABISHUNT_AGENT_WRITE_TIMEOUT" default:"10s" help:"time for one write to an entry (duration)"`
+	ServiceTimeout time.Duration `arg:"--service-timeout,env:WASABISHUNT_AGENT_SERVICE_TIMEOUT" default:"30s" help:"time for one call of the plain service (duration)"`
+	PieceKeyFile   string        `arg:"--piece-key-file,env:WASABISHUNT_AGENT_PIECE_KEY_FILE" help:"file with the 32 bytes of the piece-name key; needed beside an engine (file)"`
+	LogLevel       zapcore.Level `arg:"--log-level,env:WASABISHUNT_AGENT_LOG_LEVEL" default:"info" help:"debug, info, warn or error (level)"`
 
 	pieceKey piece.Key
 }
@@ -42,28 +42,24 @@
 // Validate lists all faults of the settings.
 func (a *arguments) Validate() []failure.Problem {
 	var c settings.Checker
-	c.Required("process-id", a.ProcessID)
-	c.Address("listen", a.Listen)
+	c.Required("--process-id", a.ProcessID, "agent-1")
+	c.Address("--listen", a.Listen)
 	if a.Advertise == "" {
 		a.Advertise = a.Listen
+	} else {
+		c.Address("--advertise", a.Advertise)
 	}
-	c.Address("advertise", a.Advertise)
-	c.OptionalIP("source-ip", a.SourceIP)
-	if a.Metrics != "" {
-		c.Address("metrics", a.Metrics)
-	}
-	c.Addresses("control", a.Control)
-	c.Required("zone", a.Zone)
+	c.Address("--status", a.Status)
+	c.OptionalIP("--source-ip", a.SourceIP)
+	c.Addresses("--control", a.Control)
+	c.Required("--zone", a.Zone, "zone-a")
 	a.validateUpstream(&c)
-	settings.Positive(&c, "workers", a.Workers)
-	settings.Positive(&c, "max-queued", a.MaxQueued)
-	durations := map[string]time.Duration{
-		"stale-set-limit": a.StaleSetLimit, "drain-notice": a.DrainNotice, "drain-limit": a.DrainLimit, "set-grace": a.SetGrace,
-		"write-timeout": a.WriteTimeout, "service-timeout": a.ServiceTimeout,
-	}
-	for name, value := range durations {
-		settings.Positive(&c, name, int64(value))
-	}
+	settings.Positive(&c, "--workers", a.Workers)
+	settings.Positive(&c, "--max-queued", a.MaxQueued)
+	c.PositiveDurations(map[string]time.Duration{
+		"--stale-set-limit": a.StaleSetLimit, "--drain-notice": a.DrainNotice, "--drain-limit": a.DrainLimit, "--set-grace": a.SetGrace,
+		"--write-timeout": a.WriteTimeout, "--service-timeout": a.ServiceTimeout,
+	})
 	return c.Problems()
 }
 
@@ -71,28 +67,28 @@
 func (a *arguments) validateUpstream(c *settings.Checker) {
 	switch {
 	case a.Upstream == "" && a.Service == "":
-		c.Fail("upstream", "either upstream or service must be set")
+		c.Fail("--upstream", "either --upstream or --service must be set")
 	case a.Upstream != "" && a.Service != "":
-		c.Fail("service", "only one of upstream and service may be set")
+		c.Fail("--service", "only one of --upstream and --service may be set")
 	case a.Upstream != "":
-		c.Address("engine", a.Engine)
+		c.Address("--engine", a.Engine)
 		a.readPieceKey(c)
 	default:
-		c.Address("service-address", a.ServiceAddress)
+		c.Address("--service-address", a.ServiceAddress)
 	}
 }
 
 func (a *arguments) readPieceKey(c *settings.Checker) {
 	if a.PieceKeyFile == "" {
-		c.Fail("piece-key-file", "must be set")
+		c.Fail("--piece-key-file", "must be set, for example /etc/wasabishunt/piece.key")
 		return
 	}
 	key, err := os.ReadFile(a.PieceKeyFile)
 	switch {
 	case err != nil:
-		c.Fail("piece-key-file", "%s", err.Error())
+		c.Fail("--piece-key-file", "%s", err.Error())
 	case len(key) != len(a.pieceKey):
-		c.Fail("piece-key-file", "must hold exactly %d bytes, holds %d", len(a.pieceKey), len(key))
+		c.Fail("--piece-key-file", "must hold exactly %d bytes, holds %d", len(a.pieceKey), len(key))
 	default:
 		copy(a.pieceKey[:], key)
 	}
--- a/cmd/wasabishunt-control/settings.go
+++ b/cmd/wasabishunt-control/settings.go
@@ -17,26 +17,26 @@
 
 // arguments are the flags and environment variables of a control member.
 type arguments struct {
-	MemberID         uint64        `arg:"--member-id,env:WASABISHUNT_CONTROL_MEMBER_ID" help:"id of this member, never reused"`
-	Group            string        `arg:"--group,env:WASABISHUNT_CONTROL_GROUP" help:"identity of the replicated group"`
-	Listen           string        `arg:"--listen,env:WASABISHUNT_CONTROL_LISTEN" default:"127.0.0.1:7100" help:"IP address and port for processes and members"`
-	Advertise        string        `arg:"--advertise,env:WASABISHUNT_CONTROL_ADVERTISE" help:"IP address and port under which others reach this member; default is that of --listen"`
-	SourceIP         string        `arg:"--source-ip,env:WASABISHUNT_CONTROL_SOURCE_IP" help:"source IP address of connections to other members; default is chosen by the kernel"`
-	Status           string        `arg:"--status-listen,env:WASABISHUNT_CONTROL_STATUS_LISTEN" default:"127.0.0.1:7101" help:"IP address and port for /healthz, /readyz and /metrics"`
-	DataDir          string        `arg:"--data-dir,env:WASABISHUNT_CONTROL_DATA_DIR" help:"data directory, on the state disk"`
-	Bootstrap        []string      `arg:"--bootstrap,separate,env:WASABISHUNT_CONTROL_BOOTSTRAP" help:"first members as ID=ADDRESS or ID=ADDRESS=ZONE, the same on each"`
-	Join             bool          `arg:"--join,env:WASABISHUNT_CONTROL_JOIN" help:"wait to be added to a running group"`
-	Zone             string        `arg:"--zone,env:WASABISHUNT_CONTROL_ZONE" help:"availability zone"`
-	OperatorsFile    string        `arg:"--operators-file,env:WASABISHUNT_CONTROL_OPERATORS_FILE" help:"file with lines of operator name and SHA-256 of the token"`
-	VMListURL        string        `arg:"--vm-list-url,env:WASABISHUNT_CONTROL_VM_LIST_URL" help:"URL of the platform's VM list; default none"`
-	VMListInterval   time.Duration `arg:"--vm-list-interval,env:WASABISHUNT_CONTROL_VM_LIST_INTERVAL" default:"1s" help:"time between reads of the VM list"`
-	BookingRetention time.Duration `arg:"--booking-retention,env:WASABISHUNT_CONTROL_BOOKING_RETENTION" default:"24h" help:"how long bookings are kept after their issue"`
-	DeadAfter        time.Duration `arg:"--dead-after,env:WASABISHUNT_CONTROL_DEAD_AFTER" default:"3s" help:"silence after which a process is dead"`
-	MaxWatchers      int           `arg:"--max-watchers,env:WASABISHUNT_CONTROL_MAX_WATCHERS" default:"4096" help:"limit of watch streams"`
-	MaxPending       int           `arg:"--max-pending,env:WASABISHUNT_CONTROL_MAX_PENDING" default:"4096" help:"limit of calls that wait for the log"`
-	SnapshotEvery    uint64        `arg:"--snapshot-every,env:WASABISHUNT_CONTROL_SNAPSHOT_EVERY" default:"10000" help:"log entries between snapshots"`
-	CallTimeout      time.Duration `arg:"--call-timeout,env:WASABISHUNT_CONTROL_CALL_TIMEOUT" default:"2s" help:"limit of a proposal, a read barrier and a call to the leader"`
-	LogLevel         zapcore.Level `arg:"--log-level,env:WASABISHUNT_CONTROL_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
+	MemberID         uint64        `arg:"--member-id,env:WASABISHUNT_CONTROL_MEMBER_ID" help:"id of this member, never reused (number)"`
+	Group            string        `arg:"--group,env:WASABISHUNT_CONTROL_GROUP" help:"identity of the replicated group (name)"`
+	Listen           string        `arg:"--listen,env:WASABISHUNT_CONTROL_LISTEN" help:"IP address and port for processes and members (IP:port)"`
+	Advertise        string        `arg:"--advertise,env:WASABISHUNT_CONTROL_ADVERTISE" help:"IP address and port under which others reach this member; default is that of --listen (IP:port)"`
+	SourceIP         string        `arg:"--source-ip,env:WASABISHUNT_CONTROL_SOURCE_IP" help:"source IP address of connections to other members; default is chosen by the kernel (IP)"`
+	Status           string        `arg:"--status,env:WASABISHUNT_CONTROL_STATUS" help:"IP address and port of /healthz, /readyz and /metrics (IP:port)"`
+	DataDir          string        `arg:"--data-dir,env:WASABISHUNT_CONTROL_DATA_DIR" help:"data directory, on the state disk (directory)"`
+	Bootstrap        []string      `arg:"--bootstrap,separate,env:WASABISHUNT_CONTROL_BOOTSTRAP" help:"first members as ID=ADDRESS or ID=ADDRESS=ZONE, the same on each (ID=IP:port=ZONE, several)"`
+	Join             bool          `arg:"--join,env:WASABISHUNT_CONTROL_JOIN" help:"wait to be added to a running group (switch)"`
+	Zone             string        `arg:"--zone,env:WASABISHUNT_CONTROL_ZONE" help:"availability zone (name)"`
+	OperatorsFile    string        `arg:"--operators-file,env:WASABISHUNT_CONTROL_OPERATORS_FILE" help:"file with lines of operator name and SHA-256 of the token (file)"`
+	VMListURL        string        `arg:"--vm-list-url,env:WASABISHUNT_CONTROL_VM_LIST_URL" help:"URL of the platform's VM list; default none (URL)"`
+	VMListInterval   time.Duration `arg:"--vm-list-interval,env:WASABISHUNT_CONTROL_VM_LIST_INTERVAL" default:"1s" help:"time between reads of the VM list (duration)"`
+	BookingRetention time.Duration `arg:"--booking-retention,env:WASABISHUNT_CONTROL_BOOKING_RETENTION" default:"24h" help:"how long bookings are kept after their issue (duration)"`
+	DeadAfter        time.Duration `arg:"--dead-after,env:WASABISHUNT_CONTROL_DEAD_AFTER" default:"3s" help:"silence after which a process is dead (duration)"`
+	MaxWatchers      int           `arg:"--max-watchers,env:WASABISHUNT_CONTROL_MAX_WATCHERS" default:"4096" help:"limit of watch streams (count)"`
+	MaxPending       int           `arg:"--max-pending,env:WASABISHUNT_CONTROL_MAX_PENDING" default:"4096" help:"limit of calls that wait for the log (count)"`
+	SnapshotEvery    uint64        `arg:"--snapshot-every,env:WASABISHUNT_CONTROL_SNAPSHOT_EVERY" default:"10000" help:"log entries between snapshots (count)"`
+	CallTimeout      time.Duration `arg:"--call-timeout,env:WASABISHUNT_CONTROL_CALL_TIMEOUT" default:"2s" help:"limit of a proposal, a read barrier and a call to the leader (duration)"`
+	LogLevel         zapcore.Level `arg:"--log-level,env:WASABISHUNT_CONTROL_LOG_LEVEL" default:"info" help:"debug, info, warn or error (level)"`
 
 	members   []*raftpb.Member
 	operators *control.Operators
@@ -48,16 +48,17 @@
 	if a.MemberID == 0 {
 		c.Fail("--member-id", "must be above 0")
 	}
-	c.Required("--group", a.Group)
-	c.Required("--data-dir", a.DataDir)
-	c.Required("--zone", a.Zone)
+	c.Required("--group", a.Group, "qasr")
+	c.Required("--data-dir", a.DataDir, "/var/lib/wasabishunt")
+	c.Required("--zone", a.Zone, "zone-a")
 	c.Address("--listen", a.Listen)
-	c.Address("--status-listen", a.Status)
+	c.Address("--status", a.Status)
 	c.OptionalIP("--source-ip", a.SourceIP)
 	if a.Advertise == "" {
 		a.Advertise = a.Listen
+	} else {
+		c.Address("--advertise", a.Advertise)
 	}
-	c.Address("--advertise", a.Advertise)
 	a.checkBootstrap(c)
 	a.checkOperators(c)
 	a.checkLimits(c)
@@ -65,10 +66,10 @@
 }
 
 func (a *arguments) checkLimits(c *settings.Checker) {
-	settings.Positive(c, "--vm-list-interval", int64(a.VMListInterval))
-	settings.Positive(c, "--booking-retention", int64(a.BookingRetention))
-	settings.Positive(c, "--dead-after", int64(a.DeadAfter))
-	settings.Positive(c, "--call-timeout", int64(a.CallTimeout))
+	settings.Positive(c, "--vm-list-interval", a.VMListInterval)
+	settings.Positive(c, "--booking-retention", a.BookingRetention)
+	settings.Positive(c, "--dead-after", a.DeadAfter)
+	settings.Positive(c, "--call-timeout", a.CallTimeout)
 	settings.Positive(c, "--max-watchers", a.MaxWatchers)
 	settings.Positive(c, "--max-pending", a.MaxPending)
 	settings.Positive(c, "--snapshot-every", int64(a.SnapshotEvery))
@@ -126,7 +127,7 @@
 
 func (a *arguments) checkOperators(c *settings.Checker) {
 	if a.OperatorsFile == "" {
-		c.Fail("--operators-file", "must be set")
+		c.Fail("--operators-file", "must be set, for example /etc/wasabishunt/operators")
 		return
 	}
 	file, err := os.Open(a.OperatorsFile)
--- a/cmd/wasabishunt-entry/main.go
+++ b/cmd/wasabishunt-entry/main.go
@@ -3,10 +3,8 @@
 
 import (
 	"context"
-	"net"
 	"os"
 	"os/signal"
-	"sync"
 	"sync/atomic"
 	"syscall"
 
@@ -50,6 +48,7 @@
 	do.ProvideValue(i, args)
 	do.ProvideValue(i, &drainFlag{})
 	do.ProvideValue(i, logging.New("entry", args.ProcessID, args.LogLevel))
+	do.Provide(i, func(do.Injector) (gometrics.Registry, error) { return gometrics.NewRegistry(), nil })
 	do.Provide(i, func(i do.Injector) (*controlclient.Watcher, error) {
 		return controlclient.NewWatcher(controlclient.WatcherOptions{
 			Addresses: args.Control, ProcessID: args.ProcessID, Role: "entry", Address: args.Advertise, Zone: args.Zone,
@@ -70,38 +69,9 @@
 			Router:   entry.NewTableRouter(routing.Defaults(), args.Zone, clock.System{}),
 			Agents:   do.MustInvoke[*rpcpool.Pool](i),
 			PieceKey: args.pieceKey,
-			Registry: gometrics.NewRegistry(),
+			Registry: do.MustInvoke[gometrics.Registry](i),
 			Log:      do.MustInvoke[*zap.Logger](i),
 		}), nil
 	})
 	return i
 }
-
-// serve runs until ctx ends and all requests have finished. The watcher runs longest: running requests still need it.
-func serve(ctx context.Context, i do.Injector, args *arguments) error {
-	listener, err := net.Listen("tcp", args.Listen)
-	if err != nil {
-		return err
-	}
-	log := do.MustInvoke[*zap.Logger](i)
-	watcher := do.MustInvoke[*controlclient.Watcher](i)
-	server := do.MustInvoke[*entry.Server](i)
-	watchCtx, stopWatcher := context.WithCancel(context.Background())
-	var group sync.WaitGroup
-	group.Go(func() { watcher.Run(watchCtx) })
-	group.Go(func() {
-		select {
-		case <-ctx.Done():
-			do.MustInvoke[*drainFlag](i).Store(true)
-			watcher.Kick()
-		case <-watchCtx.Done():
-		}
-	})
-	log.Info("listening", zap.String("address", listener.Addr().String()))
-	err = server.Serve(ctx, listener)
-	stopWatcher()
-	group.Wait()
-	_ = do.MustInvoke[*rpcpool.Pool](i).Close()
-	_ = do.MustInvoke[*controlclient.Client](i).Close()
-	return err
-}
--- a/cmd/wasabishunt-entry/settings.go
+++ b/cmd/wasabishunt-entry/settings.go
@@ -15,29 +15,30 @@
 
 // arguments are the flags and environment variables of the entry.
 type arguments struct {
-	ProcessID           string        `arg:"--process-id,env:WASABISHUNT_ENTRY_PROCESS_ID" help:"unique id of this process"`
-	Listen              string        `arg:"--listen,env:WASABISHUNT_ENTRY_LISTEN" default:"127.0.0.1:7000" help:"IP address and port for callers"`
-	Advertise           string        `arg:"--advertise,env:WASABISHUNT_ENTRY_ADVERTISE" help:"IP address and port reported to control; default is that of --listen"`
-	SourceIP            string        `arg:"--source-ip,env:WASABISHUNT_ENTRY_SOURCE_IP" help:"source IP address of connections to other processes; default is chosen by the kernel"`
-	Control             []string      `arg:"--control,env:WASABISHUNT_ENTRY_CONTROL" help:"IP addresses and ports of control members"`
-	Zone                string        `arg:"--zone,env:WASABISHUNT_ENTRY_ZONE" help:"availability zone"`
-	PieceKeyFile        string        `arg:"--piece-key-file,env:WASABISHUNT_ENTRY_PIECE_KEY_FILE" help:"file with the 32 bytes of the piece-name key"`
-	OperatorTokenSHA256 string        `arg:"--operator-token-sha256,env:WASABISHUNT_ENTRY_OPERATOR_TOKEN_SHA256" help:"hex SHA-256 of the token for /debug/requests; default nobody may"`
-	StaleSetLimit       time.Duration `arg:"--stale-set-limit,env:WASABISHUNT_ENTRY_STALE_SET_LIMIT" default:"4s" help:"no new work after so long without confirmation of the set"`
-	DrainNotice         time.Duration `arg:"--drain-notice,env:WASABISHUNT_ENTRY_DRAIN_NOTICE" default:"5s" help:"time with readyz false before the listener closes"`
-	DrainLimit          time.Duration `arg:"--drain-limit,env:WASABISHUNT_ENTRY_DRAIN_LIMIT" default:"10m" help:"time for running requests after that"`
-	MaxBodyBytes        int64         `arg:"--max-body-bytes,env:WASABISHUNT_ENTRY_MAX_BODY_BYTES" default:"8388608" help:"limit of a request body in bytes"`
-	MaxBufferedBytes    int64         `arg:"--max-buffered-bytes,env:WASABISHUNT_ENTRY_MAX_BUFFERED_BYTES" default:"1073741824" help:"limit of all request bodies in flight in bytes"`
-	MaxConcurrent       int           `arg:"--max-concurrent,env:WASABISHUNT_ENTRY_MAX_CONCURRENT" default:"2048" help:"limit of requests in flight"`
-	MaxConnections      int           `arg:"--max-connections,env:WASABISHUNT_ENTRY_MAX_CONNECTIONS" default:"8192" help:"limit of open connections of callers"`
-	HeaderTimeout       time.Duration `arg:"--header-timeout,env:WASABISHUNT_ENTRY_HEADER_TIMEOUT" default:"5s" help:"time for a request's head to arrive"`
-	BodyTimeout         time.Duration `arg:"--body-timeout,env:WASABISHUNT_ENTRY_BODY_TIMEOUT" default:"10s" help:"time for a request's body to arrive"`
-	WriteTimeout        time.Duration `arg:"--write-timeout,env:WASABISHUNT_ENTRY_WRITE_TIMEOUT" default:"10s" help:"time for one write to a caller"`
-	DefaultDeadline     time.Duration `arg:"--default-deadline,env:WASABISHUNT_ENTRY_DEFAULT_DEADLINE" default:"5m" help:"deadline of requests that name none"`
-	MaxDeadline         time.Duration `arg:"--max-deadline,env:WASABISHUNT_ENTRY_MAX_DEADLINE" default:"10m" help:"largest deadline that a caller may ask for"`
-	MaxAttempts         int           `arg:"--max-attempts,env:WASABISHUNT_ENTRY_MAX_ATTEMPTS" default:"3" help:"upstreams tried for one request"`
-	RetryShare          float64       `arg:"--retry-share,env:WASABISHUNT_ENTRY_RETRY_SHARE" default:"0.1" help:"retries as a share of requests, 0 to 1"`
-	LogLevel            zapcore.Level `arg:"--log-level,env:WASABISHUNT_ENTRY_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
+	ProcessID           string        `arg:"--process-id,env:WASABISHUNT_ENTRY_PROCESS_ID" help:"unique id of this process (name)"`
+	Listen              string        `arg:"--listen,env:WASABISHUNT_ENTRY_LISTEN" help:"IP address and port for callers (IP:port)"`
+	Advertise           string        `arg:"--advertise,env:WASABISHUNT_ENTRY_ADVERTISE" help:"IP address and port reported to control; default is that of --listen (IP:port)"`
+	Status              string        `arg:"--status,env:WASABISHUNT_ENTRY_STATUS" help:"IP address and port of /healthz, /readyz and /metrics (IP:port)"`
+	SourceIP            string        `arg:"--source-ip,env:WASABISHUNT_ENTRY_SOURCE_IP" help:"source IP address of connections to other processes; default is chosen by the kernel (IP)"`
+	Control             []string      `arg:"--control,env:WASABISHUNT_ENTRY_CONTROL" help:"IP addresses and ports of control members (IP:port, several)"`
+	Zone                string        `arg:"--zone,env:WASABISHUNT_ENTRY_ZONE" help:"availability zone (name)"`
+	PieceKeyFile        string        `arg:"--piece-key-file,env:WASABISHUNT_ENTRY_PIECE_KEY_FILE" help:"file with the 32 bytes of the piece-name key (file)"`
+	OperatorTokenSHA256 string        `arg:"--operator-token-sha256,env:WASABISHUNT_ENTRY_OPERATOR_TOKEN_SHA256" help:"hex SHA-256 of the token for /debug/requests; default nobody may (64 hex digits)"`
+	StaleSetLimit       time.Duration `arg:"--stale-set-limit,env:WASABISHUNT_ENTRY_STALE_SET_LIMIT" default:"4s" help:"no new work after so long without confirmation of the set (duration)"`
+	DrainNotice         time.Duration `arg:"--drain-notice,env:WASABISHUNT_ENTRY_DRAIN_NOTICE" default:"5s" help:"time with readyz false before the listener closes (duration)"`
+	DrainLimit          time.Duration `arg:"--drain-limit,env:WASABISHUNT_ENTRY_DRAIN_LIMIT" default:"10m" help:"time for running requests after that (duration)"`
+	MaxBodyBytes        int64         `arg:"--max-body-bytes,env:WASABISHUNT_ENTRY_MAX_BODY_BYTES" default:"8388608" help:"limit of a request body (bytes)"`
+	MaxBufferedBytes    int64         `arg:"--max-buffered-bytes,env:WASABISHUNT_ENTRY_MAX_BUFFERED_BYTES" default:"1073741824" help:"limit of all request bodies in flight (bytes)"`
+	MaxConcurrent       int           `arg:"--max-concurrent,env:WASABISHUNT_ENTRY_MAX_CONCURRENT" default:"2048" help:"limit of requests in flight (count)"`
+	MaxConnections      int           `arg:"--max-connections,env:WASABISHUNT_ENTRY_MAX_CONNECTIONS" default:"8192" help:"limit of open connections of callers (count)"`
+	HeaderTimeout       time.Duration `arg:"--header-timeout,env:WASABISHUNT_ENTRY_HEADER_TIMEOUT" default:"5s" help:"time for a request's head to arrive (duration)"`
+	BodyTimeout         time.Duration `arg:"--body-timeout,env:WASABISHUNT_ENTRY_BODY_TIMEOUT" default:"10s" help:"time for a request's body to arrive (duration)"`
+	WriteTimeout        time.Duration `arg:"--write-timeout,env:WASABISHUNT_ENTRY_WRITE_TIMEOUT" default:"10s" help:"time for one write to a caller (duration)"`
+	DefaultDeadline     time.Duration `arg:"--default-deadline,env:WASABISHUNT_ENTRY_DEFAULT_DEADLINE" default:"5m" help:"deadline of requests that name none (duration)"`
+	MaxDeadline         time.Duration `arg:"--max-deadline,env:WASABISHUNT_ENTRY_MAX_DEADLINE" default:"10m" help:"largest deadline that a caller may ask for (duration)"`
+	MaxAttempts         int           `arg:"--max-attempts,env:WASABISHUNT_ENTRY_MAX_ATTEMPTS" default:"3" help:"upstreams tried for one request (count)"`
+	RetryShare          float64       `arg:"--retry-share,env:WASABISHUNT_ENTRY_RETRY_SHARE" default:"0.1" help:"retries as a share of requests, 0 to 1 (share)"`
+	LogLevel            zapcore.Level `arg:"--log-level,env:WASABISHUNT_ENTRY_LOG_LEVEL" default:"info" help:"debug, info, warn or error (level)"`
 
 	pieceKey piece.Key
 }
@@ -45,56 +46,55 @@
 // Validate lists all faults of the settings.
 func (a *arguments) Validate() []failure.Problem {
 	var c settings.Checker
-	c.Required("process-id", a.ProcessID)
-	c.Address("listen", a.Listen)
+	c.Required("--process-id", a.ProcessID, "entry-1")
+	c.Address("--listen", a.Listen)
 	if a.Advertise == "" {
 		a.Advertise = a.Listen
+	} else {
+		c.Address("--advertise", a.Advertise)
 	}
-	c.Address("advertise", a.Advertise)
-	c.OptionalIP("source-ip", a.SourceIP)
-	c.Addresses("control", a.Control)
-	c.Required("zone", a.Zone)
+	c.Address("--status", a.Status)
+	c.OptionalIP("--source-ip", a.SourceIP)
+	c.Addresses("--control", a.Control)
+	c.Required("--zone", a.Zone, "zone-a")
 	a.readPieceKey(&c)
 	if hash, err := hex.DecodeString(a.OperatorTokenSHA256); err != nil || (len(hash) != 32 && len(hash) != 0) {
-		c.Fail("operator-token-sha256", "must be 64 hex digits")
+		c.Fail("--operator-token-sha256", "must be 64 hex digits")
 	}
 	a.validateLimits(&c)
 	return c.Problems()
 }
 
 func (a *arguments) validateLimits(c *settings.Checker) {
-	settings.Positive(c, "max-body-bytes", a.MaxBodyBytes)
-	settings.Positive(c, "max-concurrent", a.MaxConcurrent)
-	settings.Positive(c, "max-connections", a.MaxConnections)
-	settings.Positive(c, "max-attempts", a.MaxAttempts)
-	settings.Positive(c, "retry-share", a.RetryShare)
+	settings.Positive(c, "--max-body-bytes", a.MaxBodyBytes)
+	settings.Positive(c, "--max-concurrent", a.MaxConcurrent)
+	settings.Positive(c, "--max-connections", a.MaxConnections)
+	settings.Positive(c, "--max-attempts", a.MaxAttempts)
+	settings.Positive(c, "--retry-share", a.RetryShare)
 	if a.RetryShare > 1 {
-		c.Fail("retry-share", "must be at most 1, is %v", a.RetryShare)
+		c.Fail("--retry-share", "must be at most 1, is %v", a.RetryShare)
 	}
 	if a.MaxBufferedBytes < a.MaxBodyBytes {
-		c.Fail("max-buffered-bytes", "must be at least max-body-bytes")
-	}
-	durations := map[string]time.Duration{
-		"stale-set-limit": a.StaleSetLimit, "drain-notice": a.DrainNotice, "drain-limit": a.DrainLimit,
-		"header-timeout": a.HeaderTimeout, "body-timeout": a.BodyTimeout, "write-timeout": a.WriteTimeout,
-		"default-deadline": a.DefaultDeadline, "max-deadline": a.MaxDeadline,
-	}
-	for name, value := range durations {
-		settings.Positive(c, name, int64(value))
+		c.Fail("--max-buffered-bytes", "must be at least --max-body-bytes")
 	}
+	c.PositiveDurations(map[string]time.Duration{
+		"--stale-set-limit": a.StaleSetLimit, "--drain-notice": a.DrainNotice, "--drain-limit": a.DrainLimit,
+		"--header-timeout": a.HeaderTimeout, "--body-timeout": a.BodyTimeout, "--write-timeout": a.WriteTimeout,
+		"--default-deadline": a.DefaultDeadline, "--max-deadline": a.MaxDeadline,
+	})
 }
 
 func (a *arguments) readPieceKey(c *settings.Checker) {
 	if a.PieceKeyFile == "" {
-		c.Fail("piece-key-file", "must be set")
+		c.Fail("--piece-key-file", "must be set, for example /etc/wasabishunt/piece.key")
 		return
 	}
 	key, err := os.ReadFile(a.PieceKeyFile)
 	switch {
 	case err != nil:
-		c.Fail("piece-key-file", "%s", err.Error())
+		c.Fail("--piece-key-file", "%s", err.Error())
 	case len(key) != len(a.pieceKey):
-		c.Fail("piece-key-file", "must hold exactly %d bytes, holds %d", len(a.pieceKey), len(key))
+		c.Fail("--piece-key-file", "must hold exactly %d bytes, holds %d", len(a.pieceKey), len(key))
 	default:
 		copy(a.pieceKey[:], key)
 	}
--- a/cmd/wasabishunt-standin/engine.go
+++ b/cmd/wasabishunt-standin/engine.go
@@ -30,19 +30,19 @@
 
 // Validate checks the settings.
 func (o *engineOptions) Validate(c *settings.Checker) {
-	c.Required("name", o.Name)
-	c.Required("model", o.Model)
-	settings.Positive(c, "prefill-rate", o.PrefillRate)
-	settings.Positive(c, "decode-rate", o.DecodeRate)
-	settings.Positive(c, "max-batch", o.MaxBatch)
-	settings.Positive(c, "cache-tokens", o.CacheTokens)
-	settings.Positive(c, "kv-bytes-per-token", o.KVBytesPerToken)
-	settings.Positive(c, "time-scale", o.TimeScale)
-	settings.Positive(c, "event-delay", int64(o.EventDelay))
-	settings.Positive(c, "load-lag", int64(o.LoadLag))
-	settings.Positive(c, "load-time", int64(o.LoadTime))
+	c.Required("--name", o.Name, "engine-1")
+	c.Required("--model", o.Model, "advice")
+	settings.Positive(c, "--prefill-rate", o.PrefillRate)
+	settings.Positive(c, "--decode-rate", o.DecodeRate)
+	settings.Positive(c, "--max-batch", o.MaxBatch)
+	settings.Positive(c, "--cache-tokens", o.CacheTokens)
+	settings.Positive(c, "--kv-bytes-per-token", o.KVBytesPerToken)
+	settings.Positive(c, "--time-scale", o.TimeScale)
+	settings.Positive(c, "--event-delay", o.EventDelay)
+	settings.Positive(c, "--load-lag", o.LoadLag)
+	settings.Positive(c, "--load-time", o.LoadTime)
 	if o.WeightStore != "" {
-		c.Address("weight-store", o.WeightStore)
+		c.Address("--weight-store", o.WeightStore)
 	}
 }
 
--- a/cmd/wasabishunt-standin/main.go
+++ b/cmd/wasabishunt-standin/main.go
@@ -52,7 +52,7 @@
 // Validate lists all faults of the settings.
 func (o *options) Validate() []failure.Problem {
 	var c settings.Checker
-	c.Address("listen", o.Listen)
+	c.Address("--listen", o.Listen)
 	if p := o.part(); p != nil {
 		p.Validate(&c)
 	} else {
--- a/cmd/wasabishunt-standin/others.go
+++ b/cmd/wasabishunt-standin/others.go
@@ -20,7 +20,7 @@
 }
 
 // Validate checks the settings.
-func (o *serviceOptions) Validate(c *settings.Checker) { c.Required("name", o.Name) }
+func (o *serviceOptions) Validate(c *settings.Checker) { c.Required("--name", o.Name, "engine-1") }
 
 // Build returns the service.
 func (o *serviceOptions) Build() (http.Handler, string, func()) {
@@ -35,7 +35,7 @@
 // Validate checks the settings.
 func (o *vmlistOptions) Validate(c *settings.Checker) {
 	if o.Lag < 0 {
-		c.Fail("lag", "must not be negative, is %v", o.Lag)
+		c.Fail("--lag", "must not be negative, is %v", o.Lag)
 	}
 }
 
@@ -56,12 +56,12 @@
 
 // Validate checks the settings.
 func (o *weightsOptions) Validate(c *settings.Checker) {
-	settings.Positive(c, "bytes", o.Bytes)
-	settings.Positive(c, "stream-rate", o.StreamRate)
-	settings.Positive(c, "total-rate", o.TotalRate)
-	settings.Positive(c, "max-transfers", o.MaxTransfers)
-	settings.Positive(c, "retry-after", int64(o.RetryAfter))
-	settings.Positive(c, "time-scale", o.TimeScale)
+	settings.Positive(c, "--bytes", o.Bytes)
+	settings.Positive(c, "--stream-rate", o.StreamRate)
+	settings.Positive(c, "--total-rate", o.TotalRate)
+	settings.Positive(c, "--max-transfers", o.MaxTransfers)
+	settings.Positive(c, "--retry-after", o.RetryAfter)
+	settings.Positive(c, "--time-scale", o.TimeScale)
 }
 
 // Build returns the weight store.
--- a/cmd/wasabishunt-store/serve.go
+++ b/cmd/wasabishunt-store/serve.go
@@ -86,10 +86,7 @@
 		_ = status.Close()
 		return nil, nil, err
 	}
-	p.status = &http.Server{
-		Handler: p.statusHandler(do.MustInvoke[gometrics.Registry](i)), ReadTimeout: 5 * time.Second,
-		WriteTimeout: 10 * time.Second, IdleTimeout: time.Minute,
-	}
+	p.status = metrics.NewStatusServer(p.ready, do.MustInvoke[gometrics.Registry](i))
 	return p, status, nil
 }
 
@@ -123,14 +120,13 @@
 	}
 }
 
-func (p *parts) statusHandler(registry gometrics.Registry) http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if p.kept.Draining() {
-			http.Error(w, string(failure.Draining), http.StatusServiceUnavailable)
-		}
-	})
-	mux.Handle("GET /metrics", metrics.Handler(registry))
-	return mux
+// ready is the answer of /readyz.
+func (p *parts) ready() error {
+	if err := p.kept.Ready(); err != nil {
+		return err
+	}
+	if !p.watcher.Current().Fresh(time.Now()) {
+		return failure.New(failure.StaleSet, failure.NotRun, "control has not confirmed the object set")
+	}
+	return nil
 }
--- a/cmd/wasabishunt-store/settings_test.go
+++ b/cmd/wasabishunt-store/settings_test.go
@@ -9,28 +9,28 @@
 	"github.com/wasabishunt/wasabishunt/settings"
 )
 
-func parse(flags ...string) (bool, string) {
+func parse(flags ...string) (int, string) {
 	var stderr bytes.Buffer
-	ok, _ := settings.Parse(&arguments{}, "wasabishunt-store", flags, &bytes.Buffer{}, &stderr)
-	return ok, stderr.String()
+	_, code := settings.Parse(&arguments{}, "wasabishunt-store", flags, &bytes.Buffer{}, &stderr)
+	return code, stderr.String()
 }
 
 // Guards against a store that starts with settings it cannot work with, and against faults reported one at a time.
 func TestAllFaultsAreReportedAtOnce(t *testing.T) {
-	ok, report := parse("--max-transfer-bytes", "1", "--refill-max-fill", "2", "--listen", "localhost:1")
-	assert.False(t, ok)
-	for _, name := range []string{"process-id", "store", "zone", "data-dir", "control", "listen", "max-transfer-bytes", "refill-max-fill"} {
-		assert.Contains(t, report, name+":")
+	code, report := parse("--max-transfer-bytes", "1", "--status", "x:y:z", "--memory-bytes", "much", "--refill-max-fill", "2", "--listen", "localhost:1")
+	assert.Equal(t, settings.ExitUsage, code)
+	for _, name := range []string{"process-id", "store", "zone", "data-dir", "control", "listen", "status", "memory-bytes", "max-transfer-bytes", "refill-max-fill"} {
+		assert.Contains(t, report, "  --"+name+": ")
 	}
 }
 
 // Guards against environment variables that are not read.
 func TestSettingsComeFromTheEnvironment(t *testing.T) {
 	for name, value := range map[string]string{
-		"PROCESS_ID": "p", "STORE": "a", "ZONE": "z", "DATA_DIR": "/d", "CONTROL": "127.0.0.1:1,127.0.0.1:2",
+		"PROCESS_ID": "p", "LISTEN": "127.0.0.1:1", "STATUS": "127.0.0.1:2", "STORE": "a", "ZONE": "z", "DATA_DIR": "/d", "CONTROL": "127.0.0.1:1,127.0.0.1:2",
 	} {
 		t.Setenv("WASABISHUNT_STORE_"+name, value)
 	}
-	ok, report := parse()
-	assert.True(t, ok, report)
+	code, report := parse()
+	assert.Zero(t, code, report)
 }
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -114,7 +114,7 @@
 		s.writeJSON(w, http.StatusOK, map[string]bool{"ok": true})
 	})
 	simple("ready", "/readyz", "Whether callers should be sent here", func(w http.ResponseWriter, _ *http.Request) {
-		if err := s.ready(); err != nil {
+		if err := s.Ready(); err != nil {
 			s.writeError(w, failure.Of(err), "", "")
 			return
 		}
--- a/entry/server.go
+++ b/entry/server.go
@@ -128,8 +128,8 @@
 // Draining reports whether the server is stopping.
 func (s *Server) Draining() bool { return s.draining.Load() }
 
-// ready returns nil when callers should be sent here.
-func (s *Server) ready() error {
+// Ready returns nil when callers should be sent here.
+func (s *Server) Ready() error {
 	if s.draining.Load() {
 		return failure.New(failure.Draining, failure.NotRun, "this entry is stopping")
 	}
--- a/internal/fleet/nodes.go
+++ b/internal/fleet/nodes.go
@@ -95,7 +95,7 @@
 	n.args = []string{
 		"--member-id", strconv.Itoa(i + 1), "--group", group, "--zone", zoneOf(i),
 		"--listen", n.listen, "--advertise", advertise, "--source-ip", n.ip,
-		"--status-listen", address(n.ip, httpPort),
+		"--status", address(n.ip, httpPort),
 		"--data-dir", f.DataDir(n.name), "--operators-file", f.file("operators"),
 		"--vm-list-url", "http://" + f.vmlist().listen + "/vms",
 	}
@@ -115,7 +115,7 @@
 	n := f.newNode("wasabishunt-entry", "entry", entryGroup, i, httpPort)
 	n.args = append(f.common(n, i, n.listen),
 		"--piece-key-file", f.file("piece.key"), "--operator-token-sha256", sha256Hex(operatorToken),
-		"--drain-notice", f.Shape.DrainNotice.String())
+		"--drain-notice", f.Shape.DrainNotice.String(), "--status", address(n.ip, metricsPort))
 	n.relayed = "" // Callers connect directly.
 	return n
 }
@@ -146,7 +146,7 @@
 	_, advertise := f.endpoint(agentGroup, i, rpcPort)
 	_, engine := f.endpoint(engineGroup, i, httpPort)
 	n.args = append(f.common(n, i, advertise), "--upstream", UpstreamName(i), "--engine", engine,
-		"--piece-key-file", f.file("piece.key"), "--metrics", address(n.ip, metricsPort))
+		"--piece-key-file", f.file("piece.key"), "--status", address(n.ip, metricsPort))
 	return n
 }
 
@@ -161,7 +161,7 @@
 	_, advertise := f.endpoint(serviceAgentGroup, i, rpcPort)
 	_, service := f.endpoint(serviceGroup, i, httpPort)
 	n.args = append(f.common(n, i, advertise), "--service", Service, "--service-address", service,
-		"--metrics", address(n.ip, metricsPort))
+		"--status", address(n.ip, metricsPort))
 	return n
 }
 
--- /dev/null
+++ b/settings/checker.go
@@ -0,0 +1,82 @@
+package settings
+
+import (
+	"fmt"
+	"maps"
+	"net"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+)
+
+// Checker collects faults; each method adds one problem when its check fails. Paths are named like the flags.
+type Checker struct {
+	problems []failure.Problem
+}
+
+// Problems returns all faults found.
+func (c *Checker) Problems() []failure.Problem { return c.problems }
+
+// Fail adds a fault.
+func (c *Checker) Fail(path, format string, args ...any) {
+	c.problems = append(c.problems, failure.Problem{Path: path, Message: fmt.Sprintf(format, args...)})
+}
+
+// Required checks that a value is set.
+func (c *Checker) Required(path, value, example string) {
+	if value == "" {
+		c.Fail(path, "must be set, for example %s", example)
+	}
+}
+
+// Address checks that a value is an IP address and port. Names are refused: processes find each other by IP number.
+func (c *Checker) Address(path, value string) {
+	if value == "" {
+		c.Fail(path, "must be set, for example 127.0.0.1:7000")
+		return
+	}
+	host, port, err := net.SplitHostPort(value)
+	if err != nil {
+		c.Fail(path, "%q is not an IP address and port", value)
+		return
+	}
+	if net.ParseIP(host) == nil {
+		c.Fail(path, "%q is not an IP address", host)
+	}
+	if _, err := strconv.ParseUint(port, 10, 16); err != nil {
+		c.Fail(path, "%q is not a port number", port)
+	}
+}
+
+// OptionalIP checks that a value, if set, is an IP address.
+func (c *Checker) OptionalIP(path, value string) {
+	if value != "" && net.ParseIP(value) == nil {
+		c.Fail(path, "%q is not an IP address", value)
+	}
+}
+
+// Addresses checks a list that must not be empty.
+func (c *Checker) Addresses(path string, values []string) {
+	if len(values) == 0 {
+		c.Fail(path, "at least one address must be set, for example 127.0.0.1:7100")
+	}
+	for i, v := range values {
+		c.Address(fmt.Sprintf("%s[%d]", path, i), v)
+	}
+}
+
+// PositiveDurations checks that each duration is above zero; faults are listed in the order of the names.
+func (c *Checker) PositiveDurations(values map[string]time.Duration) {
+	for _, path := range slices.Sorted(maps.Keys(values)) {
+		Positive(c, path, values[path])
+	}
+}
+
+// Positive checks that a number is above zero.
+func Positive[T int | int64 | uint64 | float64 | time.Duration](c *Checker, path string, value T) {
+	if value <= 0 {
+		c.Fail(path, "must be above 0, is %v", value)
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -4,7 +4,9 @@
 import (
 	"fmt"
 	"io"
-	"net"
+	"os"
+	"regexp"
+	"slices"
 	"strings"
 
 	"github.com/alexflint/go-arg"
@@ -42,79 +44,101 @@
 		_, _ = fmt.Fprintln(stderr, err)
 		return false, ExitUsage
 	}
-	err = parser.Parse(args)
-	switch {
-	case err == arg.ErrHelp:
+	problems, err := parseAll(parser, args)
+	if err == arg.ErrHelp {
 		parser.WriteHelp(stdout)
 		return false, 0
-	case err != nil:
-		_, _ = fmt.Fprintln(stderr, "error:", err)
-		parser.WriteUsage(stderr)
-		return false, ExitUsage
 	}
-	if problems := dest.Validate(); len(problems) > 0 {
+	unread := paths(problems)
+	for _, p := range dest.Validate() {
+		// A value that could not be read is reported once, not also as missing.
+		if !slices.Contains(unread, p.Path) {
+			problems = append(problems, p)
+		}
+	}
+	if len(problems) > 0 {
 		_, _ = fmt.Fprintln(stderr, "error:", (&Error{Problems: problems}).Error())
+		_, _ = fmt.Fprintf(stderr, "see %s --help\n", program)
 		return false, ExitUsage
 	}
 	return true, 0
 }
 
-// Checker collects faults; each method adds one problem when its check fails.
-type Checker struct {
-	problems []failure.Problem
+func paths(problems []failure.Problem) []string {
+	list := make([]string, 0, len(problems))
+	for _, p := range problems {
+		list = append(list, p.Path)
+	}
+	return list
 }
 
-// Problems returns all faults found.
-func (c *Checker) Problems() []failure.Problem { return c.problems }
-
-// Fail adds a fault.
-func (c *Checker) Fail(path, format string, args ...any) {
-	c.problems = append(c.problems, failure.Problem{Path: path, Message: fmt.Sprintf(format, args...)})
-}
+var (
+	namedFlag = regexp.MustCompile(`--[a-z0-9-]+`)
+	namedEnv  = regexp.MustCompile(`environment variable ([A-Z0-9_]+)`)
+)
 
-// Required checks that a value is set.
-func (c *Checker) Required(path, value string) {
-	if value == "" {
-		c.Fail(path, "must be set")
+// parseAll parses the arguments. The parser stops at its first fault, so each faulty argument or variable is taken
+// out and the rest is parsed again. Variables are set again before it returns.
+func parseAll(parser *arg.Parser, args []string) ([]failure.Problem, error) {
+	var problems []failure.Problem
+	rest := slices.Clone(args)
+	for {
+		err := parser.Parse(rest)
+		if err == nil || err == arg.ErrHelp {
+			return problems, err
+		}
+		if name := namedEnv.FindStringSubmatch(err.Error()); name != nil && os.Getenv(name[1]) != "" {
+			defer restore(name[1], os.Getenv(name[1]))
+			_ = os.Unsetenv(name[1])
+			problems = append(problems, failure.Problem{Path: name[1], Message: explain(err)})
+			continue
+		}
+		name := namedFlag.FindString(err.Error())
+		problems = append(problems, failure.Problem{Path: pathOf(name), Message: explain(err)})
+		shorter := without(rest, name)
+		if len(shorter) == len(rest) {
+			return problems, nil
+		}
+		rest = shorter
 	}
 }
 
-// Address checks that a value is an IP address and port. Names are refused: processes find each other by IP number.
-func (c *Checker) Address(path, value string) {
-	if value == "" {
-		c.Fail(path, "must be set, for example 127.0.0.1:7000")
-		return
-	}
-	host, _, err := net.SplitHostPort(value)
-	if err != nil {
-		c.Fail(path, "%q is not an IP address and port", value)
-		return
+var (
+	processing  = regexp.MustCompile(`^error processing (--[a-z0-9-]+|default value for [^:]+|environment variable [A-Z0-9_]+( with [^:]+)?): `)
+	notNumber   = regexp.MustCompile(`^strconv\.\w+: parsing ("[^"]*"): `)
+	notDuration = regexp.MustCompile(`^time: .*duration ("[^"]*")$`)
+)
+
+// explain turns the parser's fault into what an operator can act on.
+func explain(err error) string {
+	text := processing.ReplaceAllString(err.Error(), "")
+	if value := notNumber.FindStringSubmatch(text); value != nil {
+		return value[1] + " is not a number in range"
 	}
-	if net.ParseIP(host) == nil {
-		c.Fail(path, "%q is not an IP address", host)
+	if value := notDuration.FindStringSubmatch(text); value != nil {
+		return value[1] + " is not a duration, for example 4s or 10m"
 	}
+	return text
 }
 
-// OptionalIP checks that a value, if set, is an IP address.
-func (c *Checker) OptionalIP(path, value string) {
-	if value != "" && net.ParseIP(value) == nil {
-		c.Fail(path, "%q is not an IP address", value)
-	}
-}
+func restore(name, value string) { _ = os.Setenv(name, value) }
 
-// Addresses checks a list that must not be empty.
-func (c *Checker) Addresses(path string, values []string) {
-	if len(values) == 0 {
-		c.Fail(path, "at least one address must be set")
-	}
-	for i, v := range values {
-		c.Address(fmt.Sprintf("%s[%d]", path, i), v)
+func pathOf(flag string) string {
+	if flag == "" {
+		return "arguments"
 	}
+	return flag
 }
 
-// Positive checks that a number is above zero.
-func Positive[T int | int64 | float64](c *Checker, path string, value T) {
-	if value <= 0 {
-		c.Fail(path, "must be above 0, is %v", value)
+// without removes one flag and its values, up to the next flag.
+func without(args []string, flag string) []string {
+	at := slices.IndexFunc(args, func(a string) bool { return flag != "" && (a == flag || strings.HasPrefix(a, flag+"=")) })
+	if at < 0 {
+		return args
+	}
+	end := at + 1
+	for end < len(args) && args[at] == flag && !strings.HasPrefix(args[end], "--") {
+		end++
 	}
+	return slices.Concat(args[:at], args[end:])
 }
--- a/store/put.go
+++ b/store/put.go
@@ -157,6 +157,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.pending, h.Name)
+	s.writeFailed = false
 	s.settings.Policy.Used(h.Name, s.intern(h.Account), lastUse)
 	s.remember(s.publishLocked(h), b, lastUse, now)
 }
@@ -171,4 +172,5 @@
 	delete(s.pending, h.Name)
 	s.onDisk.Remove(h.Name)
 	s.syncFailed = s.syncFailed || syncFailed
+	s.writeFailed = true
 }
--- a/store/store.go
+++ b/store/store.go
@@ -92,7 +92,9 @@
 	generation uint64
 	// syncFailed is set after a failed sync; the disk tier then takes no writes until a restart.
 	syncFailed bool
-	draining   bool
+	// writeFailed is true while the last write of a piece failed, for example on a full disk.
+	writeFailed bool
+	draining    bool
 }
 
 // entry is one generation of a piece. Store.mu guards it.
