--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build test lint demo bench scenarios soak generate fmt tools
+.PHONY: build test lint demo bench scenarios soak generate fmt tools settingsdoc
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -27,6 +27,9 @@
 generate:
 	./rpc/generate.sh
 
+settingsdoc:
+	$(GO) run ./internal/settingsdoc
+
 tools:
 	cd tools && $(GO) build -o ../$(BIN)/tools/ honnef.co/go/tools/cmd/staticcheck mvdan.cc/gofumpt
 
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -171,7 +171,7 @@
 			a.rates.start(upstream)
 		}
 		if a.leaving(view) && a.beginDrain() {
-			a.deps.Log.Info("control reports this agent as leaving; no new work is taken")
+			a.deps.Log.Info("reported as leaving")
 		}
 		select {
 		case <-ctx.Done():
--- a/agent/weights.go
+++ b/agent/weights.go
@@ -208,7 +208,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), w.agent.options.CallTimeout)
 	defer cancel()
 	if _, err := w.agent.deps.Control.ReleaseLoadSlot(ctx, slot); err != nil {
-		w.agent.deps.Log.Info("load slot not released; its lease ends it", zap.Error(err))
+		w.agent.deps.Log.Info("load slot not released", zap.Error(err))
 	}
 }
 
--- a/cli/arguments.go
+++ b/cli/arguments.go
@@ -78,12 +78,12 @@
 	Drain   *drainCommand    `arg:"subcommand:drain" help:"give an upstream no new work"`
 	Members *membersCommand  `arg:"subcommand:members" help:"change the control members"`
 
-	Control   []string      `arg:"--control,separate,env:WASABISHUNT_CONTROL" help:"IP addresses and ports of control members"`
-	Operator  string        `arg:"--operator,env:WASABISHUNT_OPERATOR" help:"name of the operator"`
-	TokenFile string        `arg:"--token-file,env:WASABISHUNT_TOKEN_FILE" help:"file with the operator's token"`
-	Token     string        `arg:"--,env:WASABISHUNT_TOKEN" help:"the operator's token, if there is no file"`
-	Timeout   time.Duration `arg:"--timeout,env:WASABISHUNT_TIMEOUT" default:"10s" help:"limit of one call over all attempts"`
-	Output    string        `arg:"-o,--output,env:WASABISHUNT_OUTPUT" default:"table" help:"table or json"`
+	Control   []string      `arg:"--control,separate,env:WASABISHUNT_CONTROL" help:"IP addresses and ports of control members (IP:port, several)"`
+	Operator  string        `arg:"--operator,env:WASABISHUNT_OPERATOR" help:"name of the operator (name)"`
+	TokenFile string        `arg:"--token-file,env:WASABISHUNT_TOKEN_FILE" help:"file with the operator's token (file)"`
+	Token     string        `arg:"--,env:WASABISHUNT_TOKEN" help:"the operator's token, if there is no file (text)"`
+	Timeout   time.Duration `arg:"--timeout,env:WASABISHUNT_TIMEOUT" default:"10s" help:"limit of one call over all attempts (duration)"`
+	Output    string        `arg:"-o,--output,env:WASABISHUNT_OUTPUT" default:"table" help:"form of the output: table or json (word)"`
 }
 
 // Validate lists all faults and reads the token.
--- a/cmd/wasabishunt-agent/main.go
+++ b/cmd/wasabishunt-agent/main.go
@@ -34,7 +34,7 @@
 	injector := wire(args)
 	log := do.MustInvoke[*zap.Logger](injector)
 	if err := serve(ctx, injector, args); err != nil {
-		log.Error("agent_failed", zap.Error(err))
+		log.Error("process failed", zap.Error(err))
 		return 1
 	}
 	return 0
--- a/cmd/wasabishunt-agent/serve.go
+++ b/cmd/wasabishunt-agent/serve.go
@@ -83,7 +83,7 @@
 	defer cancel()
 	defer func() { <-notice.C }()
 	if err := a.Drain(ctx); err != nil {
-		log.Warn("drain ended early", zap.Error(err))
+		log.Warn("drain incomplete", zap.Error(err))
 		return
 	}
 	log.Info("all calls finished")
--- a/cmd/wasabishunt-control/main.go
+++ b/cmd/wasabishunt-control/main.go
@@ -34,12 +34,12 @@
 	log := do.MustInvoke[*zap.Logger](injector)
 	opened, err := do.Invoke[*member.Member](injector)
 	if err != nil {
-		log.Error("start_failed", zap.Error(err))
+		log.Error("start failed", zap.Error(err))
 		return 1
 	}
 	log.Info("listening", zap.String("address", args.Listen), zap.String("status", args.Status))
 	if err := opened.Run(ctx); err != nil {
-		log.Error("control_failed", zap.Error(err))
+		log.Error("process failed", zap.Error(err))
 		return 1
 	}
 	return 0
--- a/cmd/wasabishunt-standin/main.go
+++ b/cmd/wasabishunt-standin/main.go
@@ -74,7 +74,7 @@
 	handler, name, closePart := o.part().Build()
 	log := logging.New("standin", name, zapcore.InfoLevel)
 	if err := serve(ctx, o.Listen, handler, closePart, log); err != nil {
-		log.Error("standin_failed", zap.Error(err))
+		log.Error("process failed", zap.Error(err))
 		return 1
 	}
 	return 0
--- a/cmd/wasabishunt-store/main.go
+++ b/cmd/wasabishunt-store/main.go
@@ -38,7 +38,7 @@
 	injector := wire(args)
 	log := do.MustInvoke[*zap.Logger](injector)
 	if err := serve(ctx, injector); err != nil {
-		log.Error("store_failed", zap.Error(err))
+		log.Error("process failed", zap.Error(err))
 		return 1
 	}
 	return 0
--- a/cmd/wasabishunt-store/serve.go
+++ b/cmd/wasabishunt-store/serve.go
@@ -116,7 +116,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), p.args.DrainLimit)
 	defer cancel()
 	if err := p.server.Drain(ctx); err != nil {
-		p.log.Warn("drain_incomplete", zap.Error(err))
+		p.log.Warn("drain incomplete", zap.Error(err))
 	}
 }
 
--- a/control/server_operator.go
+++ b/control/server_operator.go
@@ -135,7 +135,7 @@
 	if !ok {
 		return &controlpb.PublishResponse{Failure: wrongResult()}
 	}
-	s.options.Log.Info("publish", zap.String("operator", command.Operator), zap.String("operation", command.OperationId),
+	s.options.Log.Info("publish", zap.String("operator", command.Operator), zap.String("operation_id", command.OperationId),
 		zap.Uint64("version", response.Version), zap.String("refused", response.Failure.GetKind()))
 	return response
 }
--- a/objectset/objects.go
+++ b/objectset/objects.go
@@ -19,20 +19,24 @@
 
 // Zone is an availability zone.
 type Zone struct {
-	Name   string `json:"name"`
+	// Name is the unique name; required.
+	Name string `json:"name"`
+	// Region is the region of the zone; informational, may be empty.
 	Region string `json:"region"`
 }
 
 // Rank is a class of work.
 type Rank struct {
+	// Name is the unique name; required.
 	Name string `json:"name"`
-	// Order of urgency; 0 is the most urgent.
+	// Order of urgency; 0 is the most urgent. Unique, not negative.
 	Order int `json:"order"`
-	// Floor is the share of an upstream's capacity that the rank keeps under any flood of other ranks, 0 to 1.
+	// Floor is the share of an upstream's capacity that the rank keeps under any flood of other ranks, 0 to 1. All floors
+	// together are at most 1. Default 0.
 	Floor float64 `json:"floor"`
-	// Worth weighs a request of the rank answered on time; default 1.
+	// Worth weighs a request of the rank answered on time; not negative, default 1.
 	Worth float64 `json:"worth"`
-	// FirstTokenMs is the target for the first token in milliseconds.
+	// FirstTokenMs is the target for the first token in milliseconds; required, above 0.
 	FirstTokenMs int64 `json:"first_token_ms"`
 }
 
@@ -41,18 +45,21 @@
 
 // Model is a model name that callers use.
 type Model struct {
+	// Name is the unique name; required.
 	Name string `json:"name"`
-	// WeightVersion names the version that new work uses.
+	// WeightVersion names the version that new work uses, from weight_versions and of this model; required.
 	WeightVersion string `json:"weight_version"`
-	// DefaultRank is used for requests that name none.
+	// DefaultRank is used for requests that name none, from ranks; required.
 	DefaultRank string `json:"default_rank"`
-	// BytesPerToken is the size of kept KV cache for one token in bytes.
+	// BytesPerToken is the size of kept KV cache for one token in bytes; not negative, default 0.
 	BytesPerToken int64 `json:"bytes_per_token"`
 }
 
 // WeightVersion is one version of a model's weights.
 type WeightVersion struct {
-	Name  string `json:"name"`
+	// Name is the unique name; required.
+	Name string `json:"name"`
+	// Model that the weights belong to, from models; required.
 	Model string `json:"model"`
 	// Source is the path in the weight store.
 	Source string `json:"source"`
@@ -60,59 +67,70 @@
 
 // Deployment groups upstreams that serve the same model; weight loads are limited per deployment.
 type Deployment struct {
-	Name  string `json:"name"`
+	// Name is the unique name; required.
+	Name string `json:"name"`
+	// Model that the upstreams serve, from models; required.
 	Model string `json:"model"`
-	// MaxLoading is how many engines may load weights at once; default 2.
+	// MaxLoading is how many engines may load weights at once; above 0, default 2.
 	MaxLoading int `json:"max_loading"`
 }
 
 // Upstream is one engine with its agent.
 type Upstream struct {
-	Name       string `json:"name"`
+	// Name is the unique name; required.
+	Name string `json:"name"`
+	// Deployment of the upstream, from deployments; required.
 	Deployment string `json:"deployment"`
-	Zone       string `json:"zone"`
-	// AgentAddress is the IP address and port of the agent.
+	// Zone is the availability zone, from zones; required.
+	Zone string `json:"zone"`
+	// AgentAddress is the IP address and port of the agent; required, unique.
 	AgentAddress string `json:"agent_address"`
-	// HonorsFencing is true when the engine refuses an order with an old fencing number.
+	// HonorsFencing is true when the engine refuses an order with an old fencing number; default false.
 	HonorsFencing bool `json:"honors_fencing"`
-	// PrefillTokensPerSecond is the initial estimate, replaced by measured rates.
+	// PrefillTokensPerSecond is the initial estimate in tokens per second, replaced by measured rates; not negative.
 	PrefillTokensPerSecond float64 `json:"prefill_tokens_per_second"`
-	// DecodeTokensPerSecond is the initial estimate for one stream.
+	// DecodeTokensPerSecond is the initial estimate for one stream in tokens per second; not negative.
 	DecodeTokensPerSecond float64 `json:"decode_tokens_per_second"`
 }
 
 // Service is a plain service beside the engines.
 type Service struct {
+	// Name is the unique name; required.
 	Name string `json:"name"`
+	// Rank of the service's calls, from ranks; required.
 	Rank string `json:"rank"`
-	// NonIdempotent lists "METHOD /path-prefix" patterns whose calls may run at most once.
+	// NonIdempotent lists "METHOD /path-prefix" patterns whose calls may run at most once; default none.
 	NonIdempotent []string `json:"non_idempotent"`
-	// AgentAddresses are the agents beside the service's instances.
+	// AgentAddresses are the IP addresses and ports of the agents beside the service's instances.
 	AgentAddresses []string `json:"agent_addresses"`
 }
 
 // Store is a store VM.
 type Store struct {
-	Name    string `json:"name"`
-	Zone    string `json:"zone"`
+	// Name is the unique name; required.
+	Name string `json:"name"`
+	// Zone is the availability zone, from zones; required.
+	Zone string `json:"zone"`
+	// Address is the IP address and port of the store; required.
 	Address string `json:"address"`
-	// LinkBytesPerSecond limits transfers to and from the store.
+	// LinkBytesPerSecond limits transfers to and from the store in bytes per second; not negative.
 	LinkBytesPerSecond int64 `json:"link_bytes_per_second"`
 }
 
 // Account is a client account.
 type Account struct {
+	// Name is the unique name; required.
 	Name string `json:"name"`
-	// KeySHA256 lists hex SHA-256 hashes of the account's API keys.
+	// KeySHA256 lists SHA-256 hashes of the account's API keys in lower-case hex; no key belongs to two accounts.
 	KeySHA256 []string `json:"key_sha256"`
-	// Weight is the account's share of tokens within a rank relative to others; default 1.
+	// Weight is the account's share of tokens within a rank relative to others; not negative, default 1.
 	Weight float64 `json:"weight"`
-	// Models that the account may use.
+	// Models that the account may use, from models; empty means none.
 	Models []string `json:"models"`
-	// Services that the account may call.
+	// Services that the account may call, from services; empty means none.
 	Services []string `json:"services"`
-	// MaxConcurrent limits the account's requests in flight per entry; 0 means no limit.
+	// MaxConcurrent limits the account's requests in flight per entry; not negative, 0 means no limit.
 	MaxConcurrent int `json:"max_concurrent"`
-	// Ranks that the account may use; empty means all.
+	// Ranks that the account may use, from ranks; empty means all.
 	Ranks []string `json:"ranks"`
 }
--- a/store/get.go
+++ b/store/get.go
@@ -119,7 +119,7 @@
 func (s *Store) reject(e *entry, err error) error {
 	_, bad := errors.AsType[*piece.FormatError](err)
 	bad = bad || errors.Is(err, fs.ErrNotExist)
-	s.settings.Log.Error("piece_read_failed", zap.Stringer("piece", e.header.Name), zap.Bool("dropped", bad), zap.Error(err))
+	s.settings.Log.Error("piece read failed", zap.Stringer("piece", e.header.Name), zap.Bool("dropped", bad), zap.Error(err))
 	if !bad {
 		s.counters.diskErrors.Inc(1)
 		return failure.Wrap(err, failure.NotFound, failure.NotRun, "piece cannot be read")
--- a/store/put.go
+++ b/store/put.go
@@ -165,7 +165,7 @@
 // abandon gives back the room of a piece that could not be written.
 func (s *Store) abandon(h piece.Header, err error) {
 	s.counters.diskErrors.Inc(1)
-	s.settings.Log.Error("piece_write_failed", zap.Stringer("piece", h.Name), zap.Error(err))
+	s.settings.Log.Error("piece write failed", zap.Stringer("piece", h.Name), zap.Error(err))
 	_, syncFailed := errors.AsType[*syncFailedError](err)
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/store/refill.go
+++ b/store/refill.go
@@ -65,10 +65,10 @@
 	for ctx.Err() == nil {
 		wait := r.options.Interval
 		if copied, err := r.Round(ctx, peers()); err != nil {
-			r.options.Log.Warn("refill_incomplete", zap.Int("copied", copied), zap.Error(err))
+			r.options.Log.Warn("refill incomplete", zap.Int("copied", copied), zap.Error(err))
 			wait = r.options.RetryInterval
 		} else if copied > 0 {
-			r.options.Log.Info("refill_done", zap.Int("copied", copied))
+			r.options.Log.Info("refill done", zap.Int("copied", copied))
 		}
 		timer := time.NewTimer(wait)
 		select {
--- a/store/store.go
+++ b/store/store.go
@@ -258,7 +258,7 @@
 	for _, e := range entries {
 		if err := s.disk.remove(e.header); err != nil {
 			s.counters.diskErrors.Inc(1)
-			s.settings.Log.Warn("piece_remove_failed", zap.Stringer("piece", e.header.Name), zap.Error(err))
+			s.settings.Log.Warn("piece remove failed", zap.Stringer("piece", e.header.Name), zap.Error(err))
 		}
 	}
 }
