--- /dev/null
+++ b/internal/docscheck/docs_test.go
@@ -0,0 +1,175 @@
+package docscheck
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const root = "../.."
+
+// notServed are directories whose code runs in no program of an operator.
+var notServed = []string{"internal", "bench", "rpc", "tools", "scenarios", ".git", "bin", "docs", "cmd/wasabishunt-standin"}
+
+// calls visits each call in the source of the programs.
+func calls(t *testing.T, visit func(dir string, name string, receiver string, call *ast.CallExpr)) {
+	t.Helper()
+	require.NoError(t, filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+		require.NoError(t, err)
+		relative, err := filepath.Rel(root, path)
+		require.NoError(t, err)
+		if entry.IsDir() && slices.Contains(notServed, relative) {
+			return filepath.SkipDir
+		}
+		if !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return nil
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.SkipObjectResolution)
+		require.NoError(t, err)
+		ast.Inspect(file, func(n ast.Node) bool {
+			if call, ok := n.(*ast.CallExpr); ok && len(call.Args) > 0 {
+				name, receiver := calledName(call.Fun)
+				visit(filepath.Dir(relative), name, receiver, call)
+			}
+			return true
+		})
+		return nil
+	}))
+}
+
+func calledName(e ast.Expr) (name, receiver string) {
+	switch f := e.(type) {
+	case *ast.Ident:
+		return f.Name, ""
+	case *ast.SelectorExpr:
+		_, receiver = f.X, ""
+		switch x := f.X.(type) {
+		case *ast.Ident:
+			receiver = x.Name
+		case *ast.SelectorExpr:
+			receiver = x.Sel.Name
+		}
+		return f.Sel.Name, receiver
+	}
+	return "", ""
+}
+
+// text returns a string literal; a literal followed by a value gets a placeholder.
+func text(e ast.Expr) (string, bool) {
+	switch x := e.(type) {
+	case *ast.BasicLit:
+		value, err := strconv.Unquote(x.Value)
+		return value, err == nil && x.Kind == token.STRING
+	case *ast.BinaryExpr:
+		value, ok := text(x.X)
+		return value + "KIND", ok
+	}
+	return "", false
+}
+
+func page(t *testing.T, name string) string {
+	t.Helper()
+	content, err := os.ReadFile(filepath.Join(root, "docs", name))
+	require.NoError(t, err)
+	return string(content)
+}
+
+var registers = regexp.MustCompile(`^(count|counter|gauge|GetOrRegister\w+|NewRegistered\w+|Register)$`)
+
+// metricNames returns the names as /metrics shows them.
+func metricNames(t *testing.T) []string {
+	var names []string
+	calls(t, func(dir, name, _ string, call *ast.CallExpr) {
+		metric, ok := text(call.Args[0])
+		if !ok || !registers.MatchString(name) || strings.HasPrefix(metric, "store.KIND") {
+			return
+		}
+		if dir == "store" {
+			metric = "store." + metric
+		}
+		names = append(names, "wasabishunt_"+strings.ReplaceAll(metric, ".", "_"))
+	})
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// Guards against metrics that operators find on /metrics but not on the page, and rows for metrics that are gone.
+func TestEachMetricIsDescribed(t *testing.T) {
+	names := metricNames(t)
+	require.Greater(t, len(names), 20)
+	content := page(t, "metrics.md")
+	for _, name := range names {
+		assert.Contains(t, content, "| `"+name+"` |", "docs/metrics.md lacks a metric")
+	}
+	for _, row := range regexp.MustCompile("(?m)^\\| `([a-zA-Z_]+)` \\|").FindAllStringSubmatch(content, -1) {
+		assert.Contains(t, names, row[1], "docs/metrics.md describes a metric that does not exist")
+	}
+}
+
+// logEvents returns the keys of each event.
+func logEvents(t *testing.T) map[string][]string {
+	events := map[string][]string{}
+	calls(t, func(_, name, receiver string, call *ast.CallExpr) {
+		isLog := strings.EqualFold(receiver, "log") && slices.Contains([]string{"Debug", "Info", "Warn", "Error"}, name)
+		event, ok := text(call.Args[0])
+		if !ok || !isLog && name != "logRefusal" {
+			return
+		}
+		events[event] = append(events[event], keys(call)...)
+		if name == "logRefusal" {
+			events[event] = append(events[event], "kind", "message")
+		}
+	})
+	return events
+}
+
+func keys(call *ast.CallExpr) []string {
+	var list []string
+	for _, argument := range call.Args[1:] {
+		field, ok := argument.(*ast.CallExpr)
+		if !ok || len(field.Args) == 0 {
+			continue
+		}
+		if name, receiver := calledName(field.Fun); receiver == "zap" && name == "Error" {
+			list = append(list, "error")
+		} else if key, ok := text(field.Args[0]); ok && receiver == "zap" {
+			list = append(list, key)
+		}
+	}
+	return list
+}
+
+var (
+	phrase    = regexp.MustCompile(`^(VM )?[a-z]+( [a-z]+){0,7}$`)
+	snakeCase = regexp.MustCompile(`^[a-z]+(_[a-z]+)*$`)
+)
+
+// Guards against events that are not on the page, and against phrases and keys that a log search cannot rely on.
+func TestEachLogEventIsDescribed(t *testing.T) {
+	events := logEvents(t)
+	require.Greater(t, len(events), 25)
+	content := page(t, "events.md")
+	for event, keys := range events {
+		assert.Regexp(t, phrase, event)
+		row := regexp.MustCompile("(?m)^\\| `" + regexp.QuoteMeta(event) + "` \\|.*$").FindString(content)
+		assert.NotEmpty(t, row, "docs/events.md lacks the event %q", event)
+		for _, key := range keys {
+			assert.Regexp(t, snakeCase, key, event)
+			assert.Contains(t, row, "`"+key+"`", "docs/events.md lacks a key of %q", event)
+		}
+	}
+	for _, row := range regexp.MustCompile("(?m)^\\| `([a-zA-Z ]+)` \\|").FindAllStringSubmatch(content, -1) {
+		assert.Contains(t, events, row[1], "docs/events.md describes an event that does not exist")
+	}
+}
