agent: ignore the leaving mark of an earlier incarnation

Cause: found by hand on a running fleet. After a graceful stop or an operator's drain, control's record of the agent says leaving until the next incarnation has registered. A restarted agent read that record first, took it for its own and drained 0.2 ms after the set came into force, so an agent with the same process id could not be restarted.

The mark now counts only for the agent's own epoch. The refusal test of a leaving agent gives its record the epoch that control would give it; records with epoch 0 do not exist.

Before: restarted agent ends at once, requests get no_upstream. After: the agent is ready and answers.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -200,9 +200,11 @@
 	return a.adoptedAt
 }
 
+// leaving reports whether control says that this agent leaves. The state of an earlier incarnation does not count: its
+// record says leaving after a graceful stop, and is read before this incarnation has registered.
 func (a *Agent) leaving(view controlclient.View) bool {
 	process, ok := view.Processes[a.options.ProcessID]
-	return ok && process.State == controlclient.Leaving
+	return ok && process.Epoch == view.Epoch && process.State == controlclient.Leaving
 }
 
 // upstream returns the agent's own upstream and its deployment in the set.
--- a/agent/generate_test.go
+++ b/agent/generate_test.go
@@ -28,7 +28,7 @@
 		"sender has a newer set": {func(_ *fixture, r *agentpb.GenerateRequest) { r.Header.SetVersion = 9 }, failure.StaleSet},
 		"leaving": {func(f *fixture, _ *agentpb.GenerateRequest) {
 			f.view.Change(func(v *controlclient.View) {
-				v.Processes["agent-1"] = controlclient.Process{ID: "agent-1", State: controlclient.Leaving}
+				v.Processes["agent-1"] = controlclient.Process{ID: "agent-1", Epoch: 1, State: controlclient.Leaving}
 			})
 		}, failure.Draining},
 		"newer incarnation":    {func(_ *fixture, r *agentpb.GenerateRequest) { r.Header.UpstreamEpoch = 2 }, failure.Fenced},
--- a/agent/ready_test.go
+++ b/agent/ready_test.go
@@ -50,3 +50,22 @@
 	require.NotNil(t, response.GetRefusal())
 	assert.True(t, failure.Is(f.agent.Ready(), failure.UpstreamFailed))
 }
+
+// Guards against an agent that stops at once after a restart, because control's record of its earlier incarnation,
+// read before the new one has registered, still says leaving.
+func TestLeavingOfAnEarlierIncarnationDoesNotCount(t *testing.T) {
+	f := start(t, agent.Options{}, agent.Dependencies{})
+	f.view.Change(func(v *controlclient.View) {
+		v.Epoch = 2
+		v.Processes["agent-1"] = controlclient.Process{ID: "agent-1", Epoch: 1, State: controlclient.Leaving}
+	})
+	require.Equal(t, "a b ", f.generate(request("r")).text)
+	f.view.Change(func(v *controlclient.View) {
+		v.Processes["agent-1"] = controlclient.Process{ID: "agent-1", Epoch: 2, State: controlclient.Leaving}
+	})
+	select {
+	case <-f.agent.DrainStarted():
+	case <-time.After(5 * time.Second):
+		t.Fatal("the agent does not drain")
+	}
+}
