--- a/cli/arguments.go
+++ b/cli/arguments.go
@@ -28,37 +28,37 @@
 
 type publishCommand struct {
 	File          string  `arg:"positional,required" help:"object set, YAML or JSON"`
-	ExpectVersion *uint64 `arg:"--expect-version" help:"version that the set replaces; default is the current one"`
-	OperationID   string  `arg:"--operation-id" help:"id of a publish to resend; default is a new id"`
+	ExpectVersion *uint64 `arg:"--expect-version" help:"version that the set replaces; default is the current one (version)"`
+	OperationID   string  `arg:"--operation-id" help:"id of a publish to resend; default is a new id (text)"`
 }
 
 type statusCommand struct{}
 
 type watchCommand struct {
-	Wait time.Duration `arg:"--wait" default:"0s" help:"wait so long for the version to be in force everywhere"`
+	Wait time.Duration `arg:"--wait" default:"0s" help:"wait so long for the version to be in force everywhere (duration)"`
 }
 
 type explainCommand struct {
 	RequestID string   `arg:"positional,required" help:"id that the entry gave to the request"`
-	Entries   []string `arg:"--entry,separate" help:"HTTP address of an entry; default are all registered entries"`
+	Entries   []string `arg:"--entry,separate" help:"IP address and port of an entry, repeated for each; default are all registered entries (IP:port, several)"`
 }
 
 type auditCommand struct {
-	After uint64 `arg:"--after" help:"show records after this sequence number"`
-	Limit int    `arg:"--limit" default:"100" help:"records per page, at most 1000"`
+	After uint64 `arg:"--after" help:"show records after this sequence number (number)"`
+	Limit int    `arg:"--limit" default:"100" help:"records per page, at most 1000 (count)"`
 }
 
 type drainCommand struct {
 	Upstream    string `arg:"positional,required" help:"name of the upstream"`
 	Undo        bool   `arg:"--undo" help:"take the drain back"`
-	OperationID string `arg:"--operation-id" help:"id of a drain to resend; default is a new id"`
+	OperationID string `arg:"--operation-id" help:"id of a drain to resend; default is a new id (text)"`
 }
 
 type memberCommand struct {
-	ID          uint64 `arg:"--id,required" help:"member id, never reused"`
-	Address     string `arg:"--address" help:"IP address and port; for add-learner"`
-	Zone        string `arg:"--zone" help:"availability zone; for add-learner"`
-	OperationID string `arg:"--operation-id" help:"id of a change to resend; default is a new id"`
+	ID          uint64 `arg:"--id,required" help:"member id, never reused (number)"`
+	Address     string `arg:"--address" help:"IP address and port; for add-learner (IP:port)"`
+	Zone        string `arg:"--zone" help:"availability zone; for add-learner (name)"`
+	OperationID string `arg:"--operation-id" help:"id of a change to resend; default is a new id (text)"`
 }
 
 type membersCommand struct {
@@ -75,28 +75,49 @@
 	Watch   *watchCommand    `arg:"subcommand:watch" help:"show which processes have the version in force"`
 	Explain *explainCommand  `arg:"subcommand:explain" help:"show the decisions taken for a request"`
 	Audit   *auditCommand    `arg:"subcommand:audit" help:"show operators' actions"`
-	Drain   *drainCommand    `arg:"subcommand:drain" help:"give an upstream no new work"`
+	Drain   *drainCommand    `arg:"subcommand:drain" help:"give an upstream no new work; its agent ends when running work has finished"`
 	Members *membersCommand  `arg:"subcommand:members" help:"change the control members"`
 
-	Control   []string      `arg:"--control,separate,env:WASABISHUNT_CONTROL" help:"IP addresses and ports of control members (IP:port, several)"`
-	Operator  string        `arg:"--operator,env:WASABISHUNT_OPERATOR" help:"name of the operator (name)"`
-	TokenFile string        `arg:"--token-file,env:WASABISHUNT_TOKEN_FILE" help:"file with the operator's token (file)"`
-	Token     string        `arg:"--,env:WASABISHUNT_TOKEN" help:"the operator's token, if there is no file (text)"`
-	Timeout   time.Duration `arg:"--timeout,env:WASABISHUNT_TIMEOUT" default:"10s" help:"limit of one call over all attempts (duration)"`
-	Output    string        `arg:"-o,--output,env:WASABISHUNT_OUTPUT" default:"table" help:"form of the output: table or json (word)"`
+	Control []string `arg:"--control,separate" help:"IP address and port of a control member, repeated for each; default those of WASABISHUNT_CONTROL (IP:port, several)"`
+	// ControlEnv is used if no flag is given. It is a field of its own because the parser adds repeated flags to the
+	// members of the environment, and a call meant for one group would then also reach another.
+	ControlEnv []string      `arg:"--,env:WASABISHUNT_CONTROL" help:"IP addresses and ports of control members, separated by commas (IP:port, several)"`
+	Operator   string        `arg:"--operator,env:WASABISHUNT_OPERATOR" help:"name of the operator (name)"`
+	TokenFile  string        `arg:"--token-file,env:WASABISHUNT_TOKEN_FILE" help:"file with the operator's token (file)"`
+	Token      string        `arg:"--,env:WASABISHUNT_TOKEN" help:"the operator's token, if there is no file (text)"`
+	Timeout    time.Duration `arg:"--timeout,env:WASABISHUNT_TIMEOUT" default:"10s" help:"limit of one call over all attempts (duration)"`
+	Output     string        `arg:"-o,--output,env:WASABISHUNT_OUTPUT" default:"table" help:"form of the output: table or json (word)"`
+}
+
+// Description is the first part of the help text.
+func (a *arguments) Description() string {
+	return "wasabishunt publishes object sets, shows their distribution, explains decisions and changes the control group."
+}
+
+// Epilogue is the last part of the help text.
+func (a *arguments) Epilogue() string {
+	return `Exit codes: 0 done; 1 refused, nothing was changed, or a check found faults; 2 wrong flags or settings;
+3 the outcome is not known: resend with the printed operation id, which is safe.
+"wasabishunt COMMAND --help" shows the flags of a command.`
 }
 
 // Validate lists all faults and reads the token.
 func (a *arguments) Validate() []failure.Problem {
 	c := &settings.Checker{}
-	if !a.hasCommand() {
-		c.Fail("command", "must be given; see --help")
+	if len(a.Control) == 0 {
+		a.Control = a.ControlEnv
+	}
+	switch {
+	case a.Members != nil && !a.hasCommand():
+		c.Fail("members", "must be followed by add-learner, promote or remove")
+	case !a.hasCommand():
+		c.Fail("command", "must be one of validate, publish, status, watch, explain, audit, drain and members")
 	}
 	if a.Output != "table" && a.Output != "json" {
 		c.Fail("--output", "must be table or json, is %q", a.Output)
 	}
 	if a.Timeout <= 0 {
-		c.Fail("--timeout", "must be above 0")
+		c.Fail("--timeout", "must be above 0, is %v", a.Timeout)
 	}
 	if a.needsControl() {
 		c.Addresses("--control", a.Control)
@@ -105,12 +126,31 @@
 		c.Required("--operator", a.Operator, "sari")
 		a.readToken(c)
 	}
+	a.checkCommand(c)
+	return c.Problems()
+}
+
+func (a *arguments) checkCommand(c *settings.Checker) {
 	if a.Members != nil && a.Members.AddLearner != nil {
 		c.Address("--address", a.Members.AddLearner.Address)
+		c.Required("--zone", a.Members.AddLearner.Zone, "zone-a")
+	}
+	if a.Watch != nil && a.Watch.Wait < 0 {
+		c.Fail("--wait", "must not be negative, is %v", a.Watch.Wait)
+	}
+	if a.Audit != nil && (a.Audit.Limit < 1 || a.Audit.Limit > maxAuditRecords) {
+		c.Fail("--limit", "must be from 1 to %d, is %d", maxAuditRecords, a.Audit.Limit)
+	}
+	if a.Explain != nil {
+		for _, entry := range a.Explain.Entries {
+			c.Address("--entry", entry)
+		}
 	}
-	return c.Problems()
 }
 
+// maxAuditRecords limits one page of the audit trail.
+const maxAuditRecords = 1000
+
 func (a *arguments) hasCommand() bool {
 	if a.Members != nil {
 		return a.Members.AddLearner != nil || a.Members.Promote != nil || a.Members.Remove != nil
--- a/cli/changes.go
+++ b/cli/changes.go
@@ -71,9 +71,9 @@
 		Operator: p.operator(), OperationId: operationID(command.OperationID), Upstream: command.Upstream, Undo: command.Undo,
 	}
 	_, err := p.client.Drain(ctx, request)
-	flags, done := "", command.Upstream+" gets no new work"
+	flags, done := "", command.Upstream+" gets no new work; its agent ends when running work has finished"
 	if command.Undo {
-		flags, done = " --undo", "the drain of "+command.Upstream+" is taken back"
+		flags, done = " --undo", "the drain of "+command.Upstream+" is taken back; start its agent again if it has ended"
 	}
 	resend := fmt.Sprintf("wasabishunt drain %s%s --operation-id %s", strconv.Quote(command.Upstream), flags, request.OperationId)
 	return p.finish(report{OperationID: request.OperationId}, err, done, resend)
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -143,6 +143,28 @@
 	code, _, stderr = invoke(t, address, "publish", file, "--operation-id", "op-9")
 	require.Equal(t, ExitUnknown, code)
 	require.Contains(t, stderr, "--expect-version 7 --operation-id op-9")
+	code, out, _ = invoke(t, address, "-o", "json", "publish", file, "--operation-id", "op-9")
+	require.Equal(t, ExitUnknown, code)
+	r = report{}
+	require.NoError(t, json.Unmarshal([]byte(out), &r))
+	require.Equal(t, "unknown", r.Execution)
+	require.Contains(t, r.Resend, "--expect-version 7 --operation-id op-9")
+}
+
+// Guards against help without the exit codes, and against a --control flag that adds to the members of the
+// environment instead of replacing them.
+func TestHelpAndEnvironment(t *testing.T) {
+	code, out, _ := invoke(t, "127.0.0.1:1", "--help")
+	require.Equal(t, ExitOK, code)
+	require.Contains(t, out, "Exit codes: 0")
+	address := serve(t, &stub{status: &controlpb.StatusResponse{MemberId: 1, LeaderId: 1}})
+	t.Setenv("WASABISHUNT_CONTROL", address)
+	code, out, _ = invoke(t, "127.0.0.1:1", "-o", "json", "status")
+	require.Equal(t, ExitRefused, code)
+	require.NotContains(t, out, address)
+	var stdout, stderr bytes.Buffer
+	require.Equal(t, ExitOK, Run(context.Background(), []string{"-o", "json", "status"}, &stdout, &stderr), stderr.String())
+	require.True(t, json.Valid(stdout.Bytes()))
 }
 
 // Guards against a process without the version that is shown as having it, and against a missing reason.
@@ -152,11 +174,12 @@
 		{ProcessId: "b", State: "live", SetVersion: 6},
 		{ProcessId: "c", State: "dead", Reason: "no presence report"},
 		{ProcessId: "d", State: "live"},
+		{ProcessId: "e", State: "leaving", SetVersion: 5, Reason: "the process is draining"},
 	}}}
 	address := serve(t, s)
 	code, out, _ := invoke(t, address, "watch")
 	require.Equal(t, ExitRefused, code)
-	for _, text := range []string{"in force on 1 processes, missing on 2", "3 versions behind", "dead: no presence report", "has reported no version"} {
+	for _, text := range []string{"in force on 1 processes, missing on 2", "3 versions behind", "dead: no presence report", "has reported no version", "leaving: the process is draining; 4 versions behind"} {
 		require.Contains(t, out, text)
 	}
 	code, out, _ = invoke(t, address, "status")
@@ -178,6 +201,11 @@
 	require.Contains(t, out, "next page: --after 3")
 	_, out, _ = invoke(t, address, "audit", "--limit", "3", "--after", "3")
 	require.Equal(t, 3, strings.Count(out, "\n"), out)
+	code, out, _ := invoke(t, address, "-o", "json", "audit")
+	require.Equal(t, ExitOK, code)
+	require.True(t, json.Valid([]byte(out)))
+	code, _, _ = invoke(t, address, "audit", "--limit", "1001")
+	require.Equal(t, ExitUsage, code)
 }
 
 // Guards against changes that are sent with other fields than given, and refusals with exit code 0.
@@ -187,6 +215,9 @@
 	code, _, stderr := invoke(t, address, "drain", "u9")
 	require.Equal(t, ExitRefused, code)
 	require.Contains(t, stderr, "u9")
+	code, out, _ := invoke(t, address, "-o", "json", "drain", "u9")
+	require.Equal(t, ExitRefused, code)
+	require.True(t, json.Valid([]byte(out)))
 	code, _, _ = invoke(t, address, "members", "add-learner", "--id", "4", "--address", "127.0.0.1:9", "--zone", "z")
 	require.Equal(t, ExitOK, code)
 	code, _, _ = invoke(t, address, "members", "promote", "--id", "4")
--- a/cli/explain.go
+++ b/cli/explain.go
@@ -74,11 +74,22 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		return nil, failure.New(failure.NotFound, failure.NotRun, "status %d", response.StatusCode)
+		return nil, refusalOf(response.StatusCode)
 	}
 	return readRecords(io.LimitReader(response.Body, maxExplainBytes))
 }
 
+// refusalOf says what an operator can do about an entry's answer.
+func refusalOf(status int) error {
+	switch status {
+	case http.StatusUnauthorized:
+		return failure.New(failure.Unauthorized, failure.NotRun, "status 401: the token is not that of the entry's --operator-token-sha256")
+	case http.StatusNotFound:
+		return failure.New(failure.NotFound, failure.NotRun, "status 404: the request is not among the last ones of this entry")
+	}
+	return failure.New(failure.NotFound, failure.NotRun, "status %d", status)
+}
+
 func readRecords(body io.Reader) ([]map[string]any, error) {
 	decoder := json.NewDecoder(body)
 	var records []map[string]any
@@ -115,7 +126,7 @@
 	slices.Sort(names)
 	var rows [][]string
 	for _, name := range names {
-		if _, list := record[name].([]any); !list {
+		if _, list := record[name].([]any); !list && record[name] != nil {
 			rows = append(rows, []string{name, fmt.Sprint(record[name])})
 		}
 	}
--- a/cli/run.go
+++ b/cli/run.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/google/uuid"
@@ -81,6 +82,8 @@
 	Message     string            `json:"message,omitempty"`
 	Execution   string            `json:"execution,omitempty"`
 	Problems    []failure.Problem `json:"problems,omitempty"`
+	// Resend is the command that repeats a call of unknown outcome.
+	Resend string `json:"resend,omitempty"`
 }
 
 // finish prints an outcome. resend is the command with which a call of unknown outcome can be sent again.
@@ -92,7 +95,7 @@
 		r.Kind, r.Message, r.Execution, r.Problems = string(e.Kind), e.Message, string(e.Execution), e.Problems
 		code = ExitRefused
 		if e.Execution == failure.Unknown {
-			code = ExitUnknown
+			code, r.Resend = ExitUnknown, resend
 		}
 	}
 	if p.args.Output == "json" {
@@ -103,12 +106,12 @@
 		_, _ = fmt.Fprintln(p.stdout, done)
 		return code
 	}
-	_, _ = fmt.Fprintf(p.stderr, "%s (%s): %v\n", r.Kind, r.Execution, err)
+	_, _ = fmt.Fprintf(p.stderr, "%s (%s): %s\n", r.Kind, r.Execution, strings.TrimPrefix(err.Error(), r.Kind+": "))
 	for _, problem := range r.Problems {
 		_, _ = fmt.Fprintf(p.stderr, "  %s: %s\n", problem.Path, problem.Message)
 	}
 	if code == ExitUnknown && resend != "" {
-		_, _ = fmt.Fprintf(p.stderr, "The outcome is not known. Resending is safe:\n  %s\n", resend)
+		_, _ = fmt.Fprintf(p.stderr, "The outcome is not known. Resending with this operation id is safe:\n  %s\n", resend)
 	}
 	return code
 }
--- a/cli/views.go
+++ b/cli/views.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/wasabishunt/wasabishunt/controlclient"
@@ -99,7 +100,7 @@
 	Zone       string `json:"zone,omitempty"`
 	State      string `json:"state"`
 	SetVersion uint64 `json:"set_version"`
-	// Missing says why the version is not in force; empty if it is.
+	// Missing says why the version is not in force, or that the process leaves; empty if it is in force and live.
 	Missing string `json:"missing,omitempty"`
 }
 
@@ -130,9 +131,9 @@
 	}
 	for _, state := range processes {
 		row := rowOfProcess(state, d.Version)
-		if row.Missing == "" {
+		if state.State != membership.Dead && state.SetVersion >= d.Version && d.Version > 0 {
 			d.InForce++
-		} else if state.State != membership.Dead {
+		} else if state.State == membership.Live {
 			d.Missing++
 		}
 		d.Processes = append(d.Processes, row)
@@ -153,6 +154,10 @@
 	case p.SetVersion < version:
 		row.Missing = fmt.Sprintf("%d versions behind", version-p.SetVersion)
 	}
+	if p.State == membership.Leaving {
+		// A leaving process takes no new work, and its record stays after it has ended.
+		row.Missing = strings.TrimSuffix("leaving: "+p.Reason+"; "+row.Missing, "; ")
+	}
 	return row
 }
 
@@ -195,7 +200,7 @@
 	for _, address := range d.Unreachable {
 		_, _ = fmt.Fprintf(p.stdout, "control member %s is unreachable\n", address)
 	}
-	lines := [][]string{{"PROCESS", "ROLE", "SERVES", "ZONE", "STATE", "SET", "MISSING BECAUSE"}}
+	lines := [][]string{{"PROCESS", "ROLE", "SERVES", "ZONE", "STATE", "SET", "NOTE"}}
 	for _, r := range d.Processes {
 		lines = append(lines, []string{r.ID, r.Role, r.Serves, r.Zone, r.State, number(r.SetVersion), r.Missing})
 	}
@@ -217,7 +222,7 @@
 
 func (p *program) audit(ctx context.Context, command *auditCommand) int {
 	response, err := p.client.Audit(ctx, &controlpb.AuditRequest{
-		Operator: p.operator(), After: command.After, Limit: int32(min(command.Limit, 1000)),
+		Operator: p.operator(), After: command.After, Limit: int32(command.Limit),
 	})
 	if err != nil {
 		// Reading changes nothing, so its outcome is never unknown.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -29,7 +29,7 @@
 
 func (e *Error) Error() string {
 	lines := make([]string, 0, len(e.Problems)+1)
-	lines = append(lines, fmt.Sprintf("%d invalid settings", len(e.Problems)))
+	lines = append(lines, fmt.Sprintf("invalid settings (%d)", len(e.Problems)))
 	for _, p := range e.Problems {
 		lines = append(lines, fmt.Sprintf("  %s: %s", p.Path, p.Message))
 	}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -45,7 +45,7 @@
 	}
 	assert.Contains(t, report, `--count: "many" is not a number in range`)
 	assert.Contains(t, report, `SAMPLE_PAUSE: "soon" is not a duration`)
-	assert.Contains(t, report, "6 invalid settings")
+	assert.Contains(t, report, "invalid settings (6)")
 	assert.Equal(t, "soon", os.Getenv("SAMPLE_PAUSE"))
 }
 
