--- a/cli/changes.go
+++ b/cli/changes.go
@@ -53,8 +53,11 @@
 		Operator: request.Operator, Document: request.Document, DryRun: true,
 	})
 	if err != nil && !failure.Is(err, failure.InvalidSet) {
-		e := failure.Of(err)
-		return 0, failure.Wrap(err, e.Kind, failure.NotRun, "ask for the current version")
+		kind := failure.Of(err).Kind
+		if kind == failure.OutcomeUnknown {
+			kind = failure.NoQuorum
+		}
+		return 0, failure.Wrap(err, kind, failure.NotRun, "nothing was published; control did not tell its current version")
 	}
 	return response.CurrentVersion, nil
 }
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -235,7 +235,7 @@
 func (r *Replica) noteRole() {
 	s := r.node.Status()
 	if s.Leader != r.lastLeader || s.Term != r.lastTerm {
-		r.log.Info("raft leadership changed", zap.Uint64("leader", s.Leader), zap.Uint64("term", s.Term), zap.Stringer("role", s.Role))
+		r.log.Info("raft leadership changed", zap.Uint64("leader", s.Leader), zap.Uint64("term", s.Term), zap.Stringer("raft_role", s.Role))
 		r.lastLeader, r.lastTerm = s.Leader, s.Term
 	}
 	if s.Role == raft.Leader {
