entry: serve metrics on the status address only

The test that watched the page for an ended request reads the same counter from the registry, and a new test requires 404 on the callers' listener.

--- a/entry/checks_test.go
+++ b/entry/checks_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -146,7 +147,7 @@
 		send(accepted(req))
 		// Far more than the socket buffers take; the entry must end the stream long before.
 		for i := range int64(1 << 20) {
-			if c.historySize() > 0 {
+			if c.canceled() > 0 {
 				return nil
 			}
 			send(delta(i, strings.Repeat("x", 1<<16)))
@@ -162,15 +163,19 @@
 	}
 }
 
-// historySize reports whether the one request of a test has ended, by the metrics page.
-func (c *cluster) historySize() int {
+// canceled returns the number of requests that ended because their caller took no more.
+func (c *cluster) canceled() int64 {
+	return gometrics.GetOrRegisterCounter("requests.canceled", c.registry).Count()
+}
+
+// TestMetricsAreNotForCallers guards against a client account that learns from the entry's counters how other
+// accounts fare.
+func TestMetricsAreNotForCallers(t *testing.T) {
+	c := newCluster(t, entry.Options{})
 	response, err := http.Get(c.http.URL + "/metrics")
-	if err != nil {
-		return 0
-	}
-	defer func() { _ = response.Body.Close() }()
-	page, _ := io.ReadAll(response.Body)
-	return strings.Count(string(page), "wasabishunt_requests_canceled 1")
+	require.NoError(t, err)
+	_ = response.Body.Close()
+	assert.Equal(t, http.StatusNotFound, response.StatusCode)
 }
 
 // TestGracefulStop guards against a stop that refuses callers before the load balancer knows, or that breaks
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
@@ -42,12 +43,13 @@
 
 // cluster is an entry with agents in one process, connected over loopback TCP.
 type cluster struct {
-	t       *testing.T
-	set     *objectset.Set
-	view    *fixedview.View
-	control *fixedview.Control
-	server  *entry.Server
-	http    *httptest.Server
+	registry gometrics.Registry
+	t        *testing.T
+	set      *objectset.Set
+	view     *fixedview.View
+	control  *fixedview.Control
+	server   *entry.Server
+	http     *httptest.Server
 }
 
 func newSet() *objectset.Set {
@@ -70,11 +72,11 @@
 // newCluster starts an entry; agents are added afterwards.
 func newCluster(t *testing.T, options entry.Options) *cluster {
 	t.Helper()
-	c := &cluster{t: t, set: newSet(), control: fixedview.NewControl()}
+	c := &cluster{t: t, set: newSet(), control: fixedview.NewControl(), registry: gometrics.NewRegistry()}
 	c.view = fixedview.New(c.set)
 	pool := rpcpool.New(rpcpool.Options{})
 	c.server = entry.New(options, entry.Dependencies{
-		Source: c.view, Bookings: c.control, Agents: pool,
+		Source: c.view, Bookings: c.control, Agents: pool, Registry: c.registry,
 		Router: entry.NewTableRouter(routing.Defaults(), "", clock.System{}),
 	})
 	c.http = httptest.NewServer(c.server.Handler())
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -14,7 +14,6 @@
 	"github.com/danielgtaylor/huma/v2/adapters/humago"
 
 	"github.com/wasabishunt/wasabishunt/failure"
-	"github.com/wasabishunt/wasabishunt/metrics"
 )
 
 // routes builds the HTTP interface. huma describes it (see /docs and /openapi.json); the handlers read requests
@@ -120,7 +119,6 @@
 		}
 		s.writeJSON(w, http.StatusOK, map[string]bool{"ok": true})
 	})
-	simple("metrics", "/metrics", "Metrics in the Prometheus text format", metrics.Handler(s.deps.Registry).ServeHTTP)
 	simple("debug-request", "/debug/requests/{id}", "Decisions and outcome of a past request, for operators", s.debugRequest)
 }
 
