--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,6 +40,8 @@
 	// Operator and OtherOperator are the two names in the operators file.
 	Operator      = "operator-1"
 	OtherOperator = "operator-2"
+	// OperatorIP is the address that operators' commands connect from.
+	OperatorIP    = "127.0.0.1"
 	operatorToken = "example-operator-token"
 	group         = "fleet"
 	pieceKey      = "example piece key with 32 bytes."
@@ -286,6 +289,17 @@
 	return names
 }
 
+// Watchers returns the names of the processes that watch control and register with it.
+func (f *Fleet) Watchers() []string {
+	var names []string
+	for _, node := range f.nodes() {
+		if slices.Contains(node.args, processIDFlag) {
+			names = append(names, node.name)
+		}
+	}
+	return names
+}
+
 // DataDir returns the data directory of a process.
 func (f *Fleet) DataDir(name string) string { return f.file(name + ".data") }
 
--- a/internal/fleet/nodes.go
+++ b/internal/fleet/nodes.go
@@ -73,9 +73,12 @@
 	return n
 }
 
+// processIDFlag is set for each process that watches control.
+const processIDFlag = "--process-id"
+
 // common are the flags of each process that watches control.
 func (f *Fleet) common(n node, i int, advertise string) []string {
-	args := []string{"--process-id", n.name, "--listen", n.listen, "--advertise", advertise, "--zone", zoneOf(i), "--source-ip", n.ip, "--control"}
+	args := []string{processIDFlag, n.name, "--listen", n.listen, "--advertise", advertise, "--zone", zoneOf(i), "--source-ip", n.ip, "--control"}
 	return append(args, f.ControlAddresses()...)
 }
 
--- a/internal/launch/relay.go
+++ b/internal/launch/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"time"
 
@@ -37,6 +38,9 @@
 // allSources is the key of a cut that applies to every source address.
 const allSources = "*"
 
+// answersTo precedes the source in the key of a cut that applies to one direction only.
+const answersTo = "answers to "
+
 // NewRelay listens on address and forwards to target.
 func NewRelay(address, target string) (*Relay, error) {
 	listener, err := net.Listen("tcp", address)
@@ -63,6 +67,9 @@
 	r.cut[source] = true
 }
 
+// CutAnswers holds back only the bytes that the target sends to callers from the source IP address.
+func (r *Relay) CutAnswers(source string) { r.Cut(answersTo + source) }
+
 // Heal ends all cuts. Held bytes are delivered.
 func (r *Relay) Heal() {
 	r.mu.Lock()
@@ -123,7 +130,7 @@
 	defer r.track(target)()
 	var copies sync.WaitGroup
 	copies.Go(func() { r.copy(target, caller, source) })
-	copies.Go(func() { r.copy(caller, target, source) })
+	copies.Go(func() { r.copy(caller, target, answersTo+source) })
 	copies.Wait()
 }
 
@@ -176,7 +183,7 @@
 func (r *Relay) awaitLink(source string) bool {
 	for {
 		r.mu.Lock()
-		cut := r.cut[source] || r.cut[allSources]
+		cut := r.cut[source] || r.cut[strings.TrimPrefix(source, answersTo)] || r.cut[allSources]
 		healed := r.healed
 		r.mu.Unlock()
 		if !cut {
--- a/internal/scenario/conditions.go
+++ b/internal/scenario/conditions.go
@@ -23,7 +23,8 @@
 }
 
 // await ready|unready ENTRY, await inforce [without=NAME], await state PROCESS STATE, await started LOAD N,
-// await ended LOAD N, await weights ENGINE VERSION, await voters N, await leader, await executions N
+// await ended LOAD N, await weights ENGINE VERSION, await voters N, await leader, await executions N,
+// await bookings N, await operated COMMAND...
 func cmdAwait(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) == 0 {
 		ts.Fatalf("usage: await CONDITION [ARGUMENT...]")
@@ -41,6 +42,7 @@
 		"leader":     func([]string) error { _, err := s.leader(); return err },
 		"executions": s.executionCount,
 		"operated":   s.operated,
+		"bookings":   s.bookingCount,
 	}
 	condition := conditions[args[0]]
 	if condition == nil {
@@ -101,6 +103,8 @@
 type memberRow struct {
 	ID   uint64 `json:"id"`
 	Role string `json:"role"`
+	// Bookings counts the booking records.
+	Bookings int64 `json:"bookings"`
 }
 
 // operate runs an operators' command and decodes its JSON output, whatever its exit code.
@@ -132,6 +136,24 @@
 	return nil
 }
 
+// allLive checks that the named processes are registered as live with the last accepted version in force.
+func (s *state) allLive(names []string) error {
+	var report distribution
+	if err := s.operate(&report, "watch"); err != nil {
+		return err
+	}
+	inForce := map[string]bool{}
+	for _, p := range report.Processes {
+		inForce[p.ID] = p.State == "live" && p.SetVersion >= s.version && p.Missing == ""
+	}
+	for _, name := range names {
+		if !inForce[name] {
+			return notYet("%s is not live with version %d", name, s.version)
+		}
+	}
+	return nil
+}
+
 func (s *state) processState(name, want string) error {
 	var report distribution
 	if err := s.operate(&report, "watch"); err != nil {
--- a/internal/scenario/processes.go
+++ b/internal/scenario/processes.go
@@ -17,7 +17,8 @@
 // fleet [controls=N] [spares=N] [entries=N] [stores=N] [upstreams=N] [services=N] [accounts=N] [unfenced=N]
 // [cache=TOKENS] [decode=RATE] [prefill=RATE] [vmlag=D] [notice=D] [link=BYTES] [norelays] [idle]
 //
-// Starts all processes, publishes the first set and waits until all entries are ready. With idle nothing is started.
+// Starts all processes, publishes the first set and waits until all entries are ready and each process
+// that watches control is live with that set. With idle nothing is started.
 func cmdFleet(ts *testscript.TestScript, _ bool, args []string) {
 	s := stateOf(ts)
 	o := parse(ts, args, "controls", "spares", "entries", "stores", "upstreams", "services", "accounts", "unfenced",
@@ -55,6 +56,7 @@
 		ts.Setenv("ENTRY"+strconv.Itoa(i+1), f.EntryURL(i))
 		ts.Check(f.AwaitReady(s.ctx, i))
 	}
+	fail(ts, false, s.poll(func() error { return s.allLive(f.Watchers()) }), "fleet")
 }
 
 func cmdStart(ts *testscript.TestScript, neg bool, args []string) {
@@ -131,6 +133,13 @@
 
 func cmdHeal(ts *testscript.TestScript, _ bool, _ []string) { stateOf(ts).fleet.HealAll() }
 
+// loseanswers NAME: holds back what a process sends to operators; their commands still arrive.
+func cmdLoseAnswers(ts *testscript.TestScript, neg bool, args []string) {
+	relay, err := stateOf(ts).fleet.Relay(oneName(ts, neg, args))
+	ts.Check(err)
+	relay.CutAnswers(fleet.OperatorIP)
+}
+
 // slow NAME BYTES_PER_SECOND: limits the relay before a process.
 func cmdSlow(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) != 2 {
--- a/internal/scenario/publish.go
+++ b/internal/scenario/publish.go
@@ -1,12 +1,14 @@
 package scenario
 
 import (
+	"context"
 	"encoding/json"
 	"os"
 	"slices"
 	"strconv"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/wasabishunt/wasabishunt/internal/fleet"
@@ -16,6 +18,23 @@
 // publishTimeout limits the repeats of a publish whose outcome is unknown.
 const publishTimeout = 20 * time.Second
 
+// exitUnknown is the exit code of an operators' command whose outcome is unknown.
+const exitUnknown = 3
+
+// operateUntilDone resends a publish with one operation id until control accepts it.
+func (s *state) operateUntilDone(_ context.Context, operator string, args ...string) (result fleet.CommandResult, err error) {
+	args = append(args, "--operation-id", uuid.NewString())
+	err = s.poll(func() error {
+		var err error
+		result, err = s.fleet.Operate(s.ctx, operator, args...)
+		if err == nil && result.ExitCode != 0 {
+			err = notYet("publish exited with %d: %s", result.ExitCode, result.Stderr)
+		}
+		return err
+	})
+	return result, err
+}
+
 func (s *state) publishFirst(ts *testscript.TestScript) {
 	s.weights = fleet.Model + "-v1"
 	result, err := s.fleet.OperateUntilDone(s.ctx, publishTimeout, fleet.Operator, "publish", s.writeSet(ts, "set.json", s.set(s.weights)), "--expect-version", "0")
@@ -47,9 +66,10 @@
 	return path
 }
 
-// publish [weights=V] [expect=N] [operation=ID] [operator=NAME] [weight=W] [drop=account-N] [key=K] [count=N]
+// publish [weights=V] [expect=N] [operation=ID] [operator=NAME] [weight=W] [drop=account-N] [count=N] [unknown] [eventually]
 //
-// Publishes a set once; its outcome must be known. With ! it must be refused. weight changes the weight of account-1, so
+// Publishes a set once; its outcome must be known, or with unknown must not be. With eventually it is resent, with the
+// same operation id, until control has decided. With ! it must be refused. weight changes the weight of account-1, so
 // that sets differ; drop leaves an account out. With count it publishes so many versions, each with another weight.
 func cmdPublish(ts *testscript.TestScript, neg bool, args []string) {
 	s := stateOf(ts)
@@ -65,14 +85,22 @@
 		if id := o.text("operation", ""); id != "" {
 			command = append(command, "--operation-id", id)
 		}
-		result, err := s.fleet.Operate(s.ctx, o.text("operator", fleet.Operator), command...)
+		operate := s.fleet.Operate
+		if o.flag("eventually") {
+			operate = s.operateUntilDone
+		}
+		result, err := operate(s.ctx, o.text("operator", fleet.Operator), command...)
 		ts.Check(err)
 		ts.Setenv("PUBLISH_OUTPUT", result.Stdout+result.Stderr)
 		switch {
+		case result.ExitCode == 0 && o.flag("unknown"):
+			ts.Fatalf("the outcome of publish is known: %s", result.Stdout)
 		case result.ExitCode == 0 && neg:
 			ts.Fatalf("publish was accepted: %s", result.Stdout)
 		case result.ExitCode == 0:
 			s.accepted(max(s.version, uint64(expect)+1), set.Models[0].WeightVersion)
+		case result.ExitCode == exitUnknown && o.flag("unknown"):
+			ts.Logf("outcome of publish is unknown: %s", result.Stderr)
 		case result.ExitCode == 1 && neg:
 			ts.Logf("publish was refused: %s%s", result.Stdout, result.Stderr)
 		default:
--- a/internal/scenario/requests.go
+++ b/internal/scenario/requests.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -15,7 +16,7 @@
 	"github.com/wasabishunt/wasabishunt/prompt"
 )
 
-var askOptions = []string{"count", "parallel", "account", "rank", "tokens", "long", "entry", "deadline", "expect", "topic", "key", "model", "cachedmin", "cachedmax"}
+var askOptions = []string{"count", "parallel", "account", "rank", "tokens", "long", "entry", "deadline", "expect", "topic", "key", "model", "cachedmin", "cachedmax", "booking"}
 
 // question builds one question from options; number makes its text unique.
 func question(o options, number int) workload.Question {
@@ -77,9 +78,9 @@
 	return string(answer.Failure.Kind) + "/" + string(answer.Failure.Execution)
 }
 
-// book key=K [issued=AGE] [account=N] [entry=N] [body=B] [method=M] [path=P] [expect=answered|replayed|KIND/EXECUTION]
+// book key=K [issued=AGE] [account=N] [entry=N] [body=B] [method=M] [path=P] [eventually] [expect=OUTCOME[|OUTCOME...]]
 //
-// Makes one attempt of a booking. A key stands for the same UUIDv7 in the whole script, or with issued for itself.
+// OUTCOME is answered, replayed or KIND/EXECUTION. Makes one attempt of a booking. A key stands for the same UUIDv7 in the whole script, or with issued for itself.
 func cmdBook(ts *testscript.TestScript, neg bool, args []string) {
 	s := stateOf(ts)
 	o := parse(ts, args, "key", "issued", "account", "entry", "body", "method", "path", "expect")
@@ -99,7 +100,7 @@
 	attempt := func() error {
 		result := s.caller.Book(ctx, s.fleet.EntryURL(o.number("entry", 1)-1), booking)
 		s.checker.Booked(result)
-		if got, want := bookingOutcome(result), o.text("expect", "answered"); got != want {
+		if got, want := bookingOutcome(result), o.text("expect", "answered"); !slices.Contains(strings.Split(want, "|"), got) {
 			return notYet("booking %s: got %s, want %s: %v", key, got, want, result.Failure)
 		}
 		return nil
@@ -145,6 +146,9 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	l := &load{cancel: cancel}
 	s.loads[args[0]] = l
+	if key := o.text("booking", ""); key != "" {
+		s.keyFor(ts, key)
+	}
 	send := s.loadAsk
 	if args[1] == "book" {
 		send = s.loadBook
@@ -181,7 +185,9 @@
 			l.count(&l.started)
 		}
 	}
-	s.checker.Answered(caller.Ask(ctx, s.loadEntry(o, worker), q))
+	answer := caller.Ask(ctx, s.loadEntry(o, worker), q)
+	s.checker.Answered(answer)
+	l.add(answer)
 	l.count(&l.ended)
 }
 
@@ -193,7 +199,8 @@
 	return s.fleet.EntryURL(worker % s.fleet.Shape.Entries)
 }
 
-// loadBook makes one booking with repeats until it is answered or in doubt.
+// loadBook makes one booking with repeats until it is answered or in doubt. With the option booking it makes one attempt
+// under that key of the script.
 func (s *state) loadBook(l *load, o options, name string, worker, n int) {
 	id, err := uuid.NewV7()
 	if err != nil {
@@ -204,8 +211,13 @@
 		Account: fleet.AccountName(account), Key: fleet.AccountKey(account), Service: fleet.Service, Method: "POST", Path: "/reservations",
 		IdempotencyKey: id.String(), Body: fmt.Sprintf("booking %d of worker %d of load %s", n, worker, name),
 	}
+	attempts := 20
+	if key := o.text("booking", ""); key != "" {
+		booking.IdempotencyKey, booking.Body = s.keyFor(o.ts, key), "booking "+key
+		attempts = 1
+	}
 	l.count(&l.started)
-	for attempt := range 20 {
+	for attempt := range attempts {
 		ctx, cancel := context.WithTimeout(s.ctx, requestTimeout)
 		result := s.caller.Book(ctx, s.loadEntry(o, worker+attempt), booking)
 		cancel()
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -42,6 +42,7 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	loads  map[string]*load
+	slow   map[string]*slowCallers
 	// marks are points in time that a script named.
 	marks map[string]time.Time
 }
@@ -54,6 +55,8 @@
 	// started counts answers whose first token arrived.
 	started int
 	ended   int
+	// answers are those of ended requests.
+	answers []workload.Answer
 }
 
 type stateKey struct{}
@@ -71,7 +74,8 @@
 			"vm": cmdVM, "vmlag": cmdVMLag, "fault": cmdFault, "await": cmdAwait,
 			"publish": cmdPublish, "ask": cmdAsk, "book": cmdBook, "load": cmdLoad, "endload": cmdEndLoad,
 			"mark": cmdMark, "within": cmdWithin, "check": cmdCheck, "executions": cmdExecutions, "runs": cmdRuns,
-			"logged": cmdLogged, "pieces": cmdPieces,
+			"logged": cmdLogged, "pieces": cmdPieces, "ontime": cmdOnTime, "share": cmdShare, "outcomes": cmdOutcomes,
+			"lasts": cmdLasts, "slowcallers": cmdSlowCallers, "turnedaway": cmdTurnedAway, "loseanswers": cmdLoseAnswers,
 		},
 	}
 }
@@ -80,7 +84,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &state{
 		binaries: binaries, checker: &workload.Checker{}, caller: workload.NewCaller(),
-		ctx: ctx, cancel: cancel, loads: map[string]*load{}, marks: map[string]time.Time{},
+		ctx: ctx, cancel: cancel, loads: map[string]*load{}, slow: map[string]*slowCallers{}, marks: map[string]time.Time{},
 	}
 	env.Values[stateKey{}] = s
 	env.Setenv("PATH", binaries+string(filepath.ListSeparator)+env.Getenv("PATH"))
@@ -93,6 +97,9 @@
 	for _, l := range s.loads {
 		l.done.Wait()
 	}
+	for _, callers := range s.slow {
+		callers.done.Wait()
+	}
 	s.caller.Close()
 	if s.fleet != nil {
 		s.fleet.Close()
