controlclient: try a member that gave no answer last

A dispatch of an agent has 2 s, as much as one attempt. An attempt now takes at most half of the remaining time, and a member without an answer is tried last.

--- a/controlclient/client.go
+++ b/controlclient/client.go
@@ -17,7 +17,8 @@
 	Addresses []string
 	// SourceIP is the source address of connections; default: chosen by the kernel.
 	SourceIP string
-	// AttemptTimeout limits one call to one member; default 2 s.
+	// AttemptTimeout limits one call to one member; default 2 s. An attempt takes at most half of the time left for the call,
+	// so that a member that keeps silent leaves time for another one.
 	AttemptTimeout time.Duration
 	// Timeout limits a call over all attempts, unless the context ends earlier; default 8 s.
 	Timeout time.Duration
@@ -114,13 +115,14 @@
 
 // attempt makes one call; done is false if another attempt should follow.
 func attempt[A answer](ctx context.Context, c *Client, address string, run call[A], state *attempts) (A, bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.options.AttemptTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.attemptTimeout(ctx))
 	defer cancel()
 	conn := c.pool.Get(ctx, address)
 	defer func() { _ = conn.Close() }()
 	response, err := run(ctx, controlpb.NewDRPCControlClient(conn))
 	if err != nil {
 		state.last = err
+		c.directory.noAnswer(address)
 		if !failure.Is(err, failure.NoUpstream) {
 			state.unknown = true
 		}
@@ -140,6 +142,13 @@
 	return response, false, state.last
 }
 
+func (c *Client) attemptTimeout(ctx context.Context) time.Duration {
+	if deadline, ok := ctx.Deadline(); ok {
+		return min(c.options.AttemptTimeout, time.Until(deadline)/2)
+	}
+	return c.options.AttemptTimeout
+}
+
 func (s *attempts) result(ctx context.Context) error {
 	last := s.last
 	if last == nil {
--- a/controlclient/directory.go
+++ b/controlclient/directory.go
@@ -15,6 +15,8 @@
 	seeds   []string
 	members []string
 	leader  string
+	// silent is the last address that gave no answer; it is tried last.
+	silent string
 }
 
 func newDirectory(seeds []string) *directory {
@@ -48,6 +50,16 @@
 	d.leader = address
 }
 
+// noAnswer notes a member that did not answer. A frozen leader must not be the first choice of each later call.
+func (d *directory) noAnswer(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.silent = address
+	if d.leader == address {
+		d.leader = ""
+	}
+}
+
 // all returns the members followed by the seeds that are not members, without repeats.
 func (d *directory) all() []string {
 	all := slices.Clone(d.members)
@@ -64,6 +76,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	all := d.all()
+	if i := slices.Index(all, d.silent); i >= 0 {
+		all = append(slices.Delete(all, i, i+1), d.silent)
+	}
 	if d.leader == "" {
 		return all
 	}
