entry: keep the read deadline of a refused body

The HTTP server reads the rest of a body below 256 KB that no handler read. The deadline now covers each body and is cleared only when the body has arrived whole.

--- a/entry/call.go
+++ b/entry/call.go
@@ -206,10 +206,7 @@
 		return nil, overloaded("the bodies of requests in flight fill the memory set aside for them")
 	}
 	c.heldBytes += hold
-	controller := http.NewResponseController(c.writer)
-	_ = controller.SetReadDeadline(time.Now().Add(s.options.BodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(c.writer, c.request.Body, limit))
-	_ = controller.SetReadDeadline(time.Time{})
 	if _, large := errors.AsType[*http.MaxBytesError](err); large {
 		return nil, tooLarge(limit)
 	}
@@ -217,6 +214,8 @@
 		c.writer.Header().Set("Connection", "close")
 		return nil, failure.Wrap(err, failure.InvalidRequest, failure.NotRun, "the body did not arrive whole within %s", s.options.BodyTimeout)
 	}
+	// The deadline stays in force after a failure: the server reads on in the rest of a refused body.
+	_ = http.NewResponseController(c.writer).SetReadDeadline(time.Time{})
 	return body, nil
 }
 
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -30,8 +30,13 @@
 		s.writeError(w, failure.New(failure.NotFound, failure.NotRun, "%s %s does not exist", r.Method, r.URL.Path), "", "")
 	})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		controller := http.NewResponseController(w)
 		// A deadline left from an earlier response on the same connection must not end this one.
-		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.options.WriteTimeout))
+		_ = controller.SetWriteDeadline(time.Now().Add(s.options.WriteTimeout))
+		// The server reads the rest of a body that no handler wanted; a slow caller must not hold the connection by that.
+		if r.ContentLength != 0 {
+			_ = controller.SetReadDeadline(time.Now().Add(s.options.BodyTimeout))
+		}
 		mux.ServeHTTP(w, r)
 	})
 }
