--- a/internal/scenario/slowcallers.go
+++ b/internal/scenario/slowcallers.go
@@ -23,16 +23,16 @@
 	lived []time.Duration
 }
 
-// slowcallers NAME header|body [count=N] [entry=N]: opens raw connections that send the head, or the body, of a request so
+// slowcallers NAME header|body [count=N] [entry=N] [key=K]: opens raw connections that send the head, or the body, of a request so
 // slowly that it never ends.
 func cmdSlowCallers(ts *testscript.TestScript, neg bool, args []string) {
 	s := stateOf(ts)
-	o := parse(ts, args, "count", "entry")
+	o := parse(ts, args, "count", "entry", "key")
 	if neg || len(o.words) != 2 {
 		ts.Fatalf("usage: slowcallers NAME header|body [OPTIONS]")
 	}
 	address := strings.TrimPrefix(s.fleet.EntryURL(o.number("entry", 1)-1), "http://")
-	first := "POST /v1/chat/completions HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer " + fleet.AccountKey(0) + "\r\n"
+	first := "POST /v1/chat/completions HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer " + o.text("key", fleet.AccountKey(0)) + "\r\n"
 	if o.words[1] == "body" {
 		first += "Content-Type: application/json\r\nContent-Length: 100000\r\n\r\n{"
 	} else {
