Name an upstream that routing passes over once

Cause: random choices may meet an unusable upstream again that the affinity choices had already passed over, and each time wrote one more line into the reasons. With 2 of 3 upstreams leaving a decision listed up to 22 lines for 4 facts. Conclusion: a line is recorded once; Examined still counts each look.

--- a/routing/candidates.go
+++ b/routing/candidates.go
@@ -49,7 +49,7 @@
 	}
 	load := snapshot.Loads.estimate(snapshot.Loads.of(p), p.Upstream, request, snapshot.Now, r.settings.Off)
 	if why := unusable(p, load, request); why != "" {
-		d.filtered = append(d.filtered, filteredOut{p.Name, why})
+		d.passOver(p.Name, why)
 		return
 	}
 	r.buffer = append(r.buffer, candidate{place: p, choice: choice, load: load})
--- a/routing/explain.go
+++ b/routing/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -19,6 +20,13 @@
 	return reasons
 }
 
+// passOver records an unusable upstream once, although random choices may meet it again.
+func (d *Decision) passOver(name, why string) {
+	if out := (filteredOut{name, why}); !slices.Contains(d.filtered, out) {
+		d.filtered = append(d.filtered, out)
+	}
+}
+
 func (c candidate) kind() string {
 	if c.choice < 0 {
 		return "random"
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/stretchr/testify/require"
 
 	"github.com/wasabishunt/wasabishunt/controlclient"
@@ -301,3 +302,13 @@
 		_ = newRing(upstreams)
 	}
 }
+
+// TestPassedOverOnce guards against reasons that repeat for an upstream met by both affinity and random choices.
+func TestPassedOverOnce(t *testing.T) {
+	upstreams := fleet(3)
+	upstreams[0].State, upstreams[1].State = controlclient.Leaving, controlclient.Leaving
+	for n := range uint64(20) {
+		reasons := pick(t, newRouter(Off{}), request(n), snapshotOf(upstreams)).Reasons()
+		require.Len(t, lo.Uniq(reasons), len(reasons))
+	}
+}
