Agent: count refused work as demand of its rank

Cause: the scheduler lets a rank earn its floor while its work waits or is refused, but the agent never told it about refusals, so a rank whose work admission refuses earned nothing on the live path. Ruled out: counting refusals of a draining agent; they are no demand on its engine. Not tested in package agent: nothing that the agent exports shows the credit; TestRefusedDemandEarnsFloor of sched covers the rule. Conclusion: admissible notes the tokens of each refusal.

--- a/agent/queue.go
+++ b/agent/queue.go
@@ -49,11 +49,20 @@
 	j.decisions = append(j.decisions, decision.Reasons()...)
 	j.estimate = decision.FirstToken
 	if decision.Refusal != nil {
+		a.noteRefused(j, tokens)
 		return decision.Refusal
 	}
 	return nil
 }
 
+// noteRefused counts refused work as demand of its rank, so that the rank earns its floor although none of its work waits.
+// The caller holds Agent.mu.
+func (a *Agent) noteRefused(j *job, tokens int64) {
+	if !a.draining {
+		a.queue.Refused(j.rank.Name, tokens)
+	}
+}
+
 // enqueue registers and queues a job with the tokens that are left to compute.
 func (a *Agent) enqueue(j *job) error {
 	a.mu.Lock()
