replica: give test members addresses that no outgoing connection can take

Cause: TestWritesAndReads failed once within 0.02 s in a full run: the port was reserved by a listener, closed, and could be taken before the member listened on it.

--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -17,6 +18,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/internal/launch"
 	"github.com/wasabishunt/wasabishunt/raft"
 	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
 )
@@ -73,11 +75,12 @@
 // group runs members on loopback. Links can be cut; cut links lose what is written and stay open, as in a silent
 // partition.
 type group struct {
-	t       testing.TB
-	dir     string
-	first   []*raftpb.Member
-	members map[uint64]*process
-	tune    func(*Options)
+	addresses *launch.Addresses
+	t         testing.TB
+	dir       string
+	first     []*raftpb.Member
+	members   map[uint64]*process
+	tune      func(*Options)
 
 	mu  sync.Mutex
 	cut map[[2]uint64]bool
@@ -85,7 +88,10 @@
 }
 
 func newGroup(t testing.TB, size int, tune func(*Options)) *group {
-	g := &group{t: t, dir: t.TempDir(), members: map[uint64]*process{}, tune: tune, cut: map[[2]uint64]bool{}, ids: map[string]uint64{}}
+	addresses, err := launch.ReserveAddresses()
+	require.NoError(t, err)
+	t.Cleanup(addresses.Release)
+	g := &group{t: t, addresses: addresses, dir: t.TempDir(), members: map[uint64]*process{}, tune: tune, cut: map[[2]uint64]bool{}, ids: map[string]uint64{}}
 	for id := uint64(1); id <= uint64(size); id++ {
 		g.first = append(g.first, g.member(id))
 	}
@@ -100,12 +106,13 @@
 	return g
 }
 
-// member reserves an address.
+// memberPort is below the range from which the kernel takes ports of outgoing connections. A port from that range,
+// reserved by a listener that is closed again, can be taken before the member listens on it.
+const memberPort = 7100
+
+// member names a new member with an address of its own.
 func (g *group) member(id uint64) *raftpb.Member {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(g.t, err)
-	address := listener.Addr().String()
-	require.NoError(g.t, listener.Close())
+	address := net.JoinHostPort(g.addresses.IP(1, int(id)), strconv.Itoa(memberPort))
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.ids[address] = id
