--- a/internal/launch/process.go
+++ b/internal/launch/process.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -95,8 +97,45 @@
 	return nil
 }
 
-// Freeze stops the process with SIGSTOP; its connections stay open.
-func (p *Process) Freeze() error { return p.signal("freeze", syscall.SIGSTOP) }
+// Freeze stops the process with SIGSTOP and waits until all its threads stand still; its connections stay open.
+func (p *Process) Freeze() error {
+	if err := p.signal("freeze", syscall.SIGSTOP); err != nil {
+		return err
+	}
+	ticker := time.NewTicker(time.Millisecond)
+	defer ticker.Stop()
+	timer := time.NewTimer(freezeTimeout)
+	defer timer.Stop()
+	for !p.stopped() {
+		select {
+		case <-p.exited:
+			return nil
+		case <-ticker.C:
+		case <-timer.C:
+			return &ProcessError{p.command.Name, "freeze", errTimeout}
+		}
+	}
+	return nil
+}
+
+// freezeTimeout limits the wait for threads that the kernel has not stopped yet, as happens on a busy machine.
+const freezeTimeout = 5 * time.Second
+
+// stopped reports whether the kernel shows every thread as stopped.
+func (p *Process) stopped() bool {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+	if err != nil || len(files) == 0 {
+		return false
+	}
+	for _, file := range files {
+		content, err := os.ReadFile(file)
+		// The state follows the name in parentheses.
+		if _, state, found := strings.Cut(string(content), ") "); err != nil || !found || !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return true
+}
 
 // Thaw continues a frozen process.
 func (p *Process) Thaw() error { return p.signal("thaw", syscall.SIGCONT) }
--- a/internal/scenario/conditions.go
+++ b/internal/scenario/conditions.go
@@ -24,7 +24,7 @@
 
 // await ready|unready ENTRY, await inforce [without=NAME], await state PROCESS STATE, await started LOAD N,
 // await ended LOAD N, await weights ENGINE VERSION, await voters N, await leader, await executions N,
-// await bookings N, await operated COMMAND...
+// await bookings N, await operated COMMAND..., await live
 func cmdAwait(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) == 0 {
 		ts.Fatalf("usage: await CONDITION [ARGUMENT...]")
@@ -42,6 +42,7 @@
 		"leader":     func([]string) error { _, err := s.leader(); return err },
 		"executions": s.executionCount,
 		"operated":   s.operated,
+		"live":       func([]string) error { return s.allLive(s.fleet.Watchers()) },
 		"bookings":   s.bookingCount,
 	}
 	condition := conditions[args[0]]
--- a/internal/scenario/loads.go
+++ b/internal/scenario/loads.go
@@ -16,6 +16,20 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.answers = append(l.answers, answer)
+	l.endedAt = append(l.endedAt, time.Now())
+}
+
+// since returns the answers that ended after a point in time.
+func (l *load) since(mark time.Time) []workload.Answer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var answers []workload.Answer
+	for i, answer := range l.answers {
+		if l.endedAt[i].After(mark) {
+			answers = append(answers, answer)
+		}
+	}
+	return answers
 }
 
 func (l *load) all() []workload.Answer {
@@ -68,16 +82,17 @@
 	}
 }
 
-// share LOAD OTHER... atleast=PERCENT [slack=TOKENS]: checks a load's share of the tokens that all named loads were served.
+// share LOAD OTHER... atleast=PERCENT [slack=TOKENS] [since=MARK]: checks a load's share of the tokens that all named loads were served.
 // slack is what a floor may lag behind: it is earned before it is served, by whole prefill chunks of each engine.
 func cmdShare(ts *testscript.TestScript, neg bool, args []string) {
-	o := parse(ts, args, "atleast", "slack")
+	o := parse(ts, args, "atleast", "slack", "since")
 	if neg || len(o.words) < 2 {
 		ts.Fatalf("usage: share LOAD OTHER... atleast=PERCENT")
 	}
+	mark := stateOf(ts).marks[o.text("since", "")]
 	var own, sum int64
 	for i, name := range o.words {
-		tokens := served(loadOf(ts, name).all())
+		tokens := served(loadOf(ts, name).since(mark))
 		ts.Logf("%s was served %d tokens", name, tokens)
 		if i == 0 {
 			own = tokens
--- a/internal/scenario/processes.go
+++ b/internal/scenario/processes.go
@@ -1,8 +1,10 @@
 package scenario
 
 import (
+	"io/fs"
 	"net/http"
 	"os"
+	"path/filepath"
 	"regexp"
 	"strconv"
 	"strings"
@@ -158,6 +160,30 @@
 	ts.Check(os.RemoveAll(stateOf(ts).fleet.DataDir(name)))
 }
 
+// corrupt NAME: flips the last byte of each file with a body in the data directory of a process that has exited.
+func cmdCorrupt(ts *testscript.TestScript, neg bool, args []string) {
+	name := oneName(ts, neg, args)
+	changed := 0
+	ts.Check(filepath.WalkDir(stateOf(ts).fleet.DataDir(name), func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() {
+			return err
+		}
+		content, err := os.ReadFile(path)
+		if err != nil || len(content) < smallestBody {
+			return err
+		}
+		content[len(content)-1] ^= 1
+		changed++
+		return os.WriteFile(path, content, 0o600)
+	}))
+	if changed == 0 {
+		ts.Fatalf("%s has no file to corrupt", name)
+	}
+}
+
+// smallestBody is the size in bytes from which a file is taken for a piece.
+const smallestBody = 1 << 10
+
 // vm NAME STATE: sets the state of a VM in the platform's list; NAME is that of a process of the fleet.
 func cmdVM(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) != 2 {
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -57,6 +57,7 @@
 	ended   int
 	// answers are those of ended requests.
 	answers []workload.Answer
+	endedAt []time.Time
 }
 
 type stateKey struct{}
@@ -76,6 +77,7 @@
 			"mark": cmdMark, "within": cmdWithin, "check": cmdCheck, "executions": cmdExecutions, "runs": cmdRuns,
 			"logged": cmdLogged, "pieces": cmdPieces, "ontime": cmdOnTime, "share": cmdShare, "outcomes": cmdOutcomes,
 			"lasts": cmdLasts, "slowcallers": cmdSlowCallers, "turnedaway": cmdTurnedAway, "loseanswers": cmdLoseAnswers,
+			"corrupt": cmdCorrupt,
 		},
 	}
 }
