--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 	$(GO) test -count=1 -timeout 20m -v ./scenarios/...
 
 soak:
-	$(GO) test -count=1 -timeout 60m -v -run TestSoak ./scenarios/... -args -soak=$(or $(DURATION),5m) -soak-seed=$(or $(SEED),0)
+	$(GO) test -count=1 -timeout 60m -v -run TestSoak ./scenarios/... -args -soak=$(or $(DURATION),5m) -soak-seed=$(or $(SEED),0) -soak-runs=$(or $(RUNS),1)
 
 generate:
 	./rpc/generate.sh
