Move the path between agent and stores into package agent/kv

Cause: the agent fetched and exported pieces in agent/pieces.go and agent/export.go. A fetch could last up to 3 s whatever the recomputation costs, pieces after a gap were fetched although engines use only a prefix, the long share and the own rank's queue were not part of the plan, flights of fetches were not known to others, a frozen store delayed each request anew, exports had neither order by value nor a limit by the store's link, and nothing was settable.

Package agent/kv now owns this path, one job per file; the agent keeps hooks in agent/pieces.go. A fetch may take as long as the recomputation it replaces plus 100 ms, and at most half of the time to the deadline. A request is checked by admission before anything is fetched for it and again when it enters the queue. Exports wait in a bounded queue, those close to their eviction first, then the most valuable; each exporter has its part of the store's link limit. store.Client.PutIdle sends the idle time of a piece, which the store already reads.

Ruled out: fetching after the queue has granted the prompt, because the grant keeps other prompts from the engine while the link is busy. Correcting the cache contents by the end of a run: the run has just computed the piece that the correction declared missing, so the next return fetched it from a store although the engine held it.

agent/pieces_test.go is unchanged but for the signature of the test's store. TestStaleInQueue took a run that counts as running for one that has passed its last checks; it now waits until the engine has seen the run, which is stricter.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -14,16 +14,15 @@
 	gometrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/sync/semaphore"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcwire"
 
+	"github.com/wasabishunt/wasabishunt/agent/kv"
 	"github.com/wasabishunt/wasabishunt/clock"
 	"github.com/wasabishunt/wasabishunt/connlimit"
 	"github.com/wasabishunt/wasabishunt/controlclient"
-	"github.com/wasabishunt/wasabishunt/fetchplan"
 	"github.com/wasabishunt/wasabishunt/objectset"
 	"github.com/wasabishunt/wasabishunt/piece"
 	"github.com/wasabishunt/wasabishunt/rpc/agentpb"
@@ -49,7 +48,7 @@
 	Engine  engine.Client
 	Service *service.Client
 	// Stores is nil when no pieces are kept outside the engine.
-	Stores Stores
+	Stores kv.Stores
 	// PieceKey names pieces; it is the same on all entries and agents.
 	PieceKey piece.Key
 	Clock    clock.Clock
@@ -59,13 +58,13 @@
 
 // Agent serves one upstream.
 type Agent struct {
-	options    Options
-	deps       Dependencies
-	rates      *rates
-	weights    *weights
-	cache      *cacheContents
-	fetchSlots *semaphore.Weighted
-	exports    chan export
+	options Options
+	deps    Dependencies
+	rates   *rates
+	weights *weights
+	cache   *cacheContents
+	// pieces moves KV pieces between the engine and the stores; nil beside a plain service.
+	pieces *kv.Mover
 	// firstTokenTimes are times to first token on the engine in milliseconds. It is a histogram, because the
 	// timers of go-metrics start a goroutine that never ends.
 	firstTokenTimes gometrics.Histogram
@@ -84,12 +83,9 @@
 	// idle is closed when draining and no call is active.
 	idle chan struct{}
 	// wake has one slot; a value in it means that a worker may find work.
-	wake chan struct{}
-	// flights are the pieces in computation; flightsEnded is closed and replaced when one ends.
-	flights      *fetchplan.Flights
-	flightsEnded chan struct{}
-	setVersion   uint64
-	adoptedAt    time.Time
+	wake       chan struct{}
+	setVersion uint64
+	adoptedAt  time.Time
 	// configured is the set version of the queue's ranks and weights; only followSet uses it.
 	configured uint64
 }
@@ -111,10 +107,6 @@
 		deps:         deps,
 		jobs:         map[string]*job{},
 		queue:        newQueue(options),
-		flights:      fetchplan.NewFlights(),
-		fetchSlots:   semaphore.NewWeighted(options.MaxFetches),
-		flightsEnded: make(chan struct{}),
-		exports:      make(chan export, options.MaxExports),
 		idle:         make(chan struct{}),
 		drainStarted: make(chan struct{}),
 		wake:         make(chan struct{}, 1),
@@ -123,6 +115,7 @@
 	}
 	a.firstTokenTimes = gometrics.GetOrRegisterHistogram("runs.first_token_ms", deps.Registry, gometrics.NewExpDecaySample(1028, 0.015))
 	a.weights = newWeights(a)
+	a.pieces = newMover(a)
 	return a
 }
 
@@ -144,9 +137,7 @@
 	if a.deps.Engine != nil {
 		group.Go(func() error { a.weights.run(ctx); return nil })
 		group.Go(func() error { a.followCache(ctx); return nil })
-		for range a.options.Exporters {
-			group.Go(func() error { a.exportPieces(ctx); return nil })
-		}
+		group.Go(func() error { a.pieces.Run(ctx); return nil })
 		for range a.options.Workers {
 			group.Go(func() error { a.work(ctx); return nil })
 		}
--- a/agent/cache.go
+++ b/agent/cache.go
@@ -11,7 +11,7 @@
 )
 
 // cacheContents is what the agent believes the engine's prefix cache holds: the engine's events, which arrive
-// late and with gaps, corrected by what each run reports. It serves estimates only; no correctness depends on it.
+// late and with gaps, and the pieces that runs have computed or that were imported. It serves estimates only; no correctness depends on it.
 type cacheContents struct {
 	mu     sync.Mutex
 	pieces map[string]struct{}
@@ -36,6 +36,14 @@
 	return tokens
 }
 
+// PrefixPieces counts the leading pieces that are believed to be cached.
+func (c *cacheContents) PrefixPieces(names []piece.Name) int {
+	return int(c.prefixTokens(names) / piece.TokensPerPiece)
+}
+
+// Stored notes a piece that the engine holds now.
+func (c *cacheContents) Stored(name piece.Name) { c.set(name.String(), true) }
+
 func (c *cacheContents) set(name string, stored bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -56,19 +64,6 @@
 	c.pieces[name] = struct{}{}
 }
 
-// correct applies a run's report: the pieces within the reported prefix were cached, the next one was not.
-func (c *cacheContents) correct(names []piece.Name, cachedTokens int64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	whole := cachedTokens / piece.TokensPerPiece
-	for i, name := range names {
-		if int64(i) > whole {
-			return
-		}
-		c.put(name.String(), int64(i) < whole)
-	}
-}
-
 func (c *cacheContents) clear() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -96,6 +91,9 @@
 		}
 		for _, event := range events {
 			a.cache.set(event.Piece, event.Stored)
+			if !event.Stored {
+				a.pieces.Evicted(event.Piece)
+			}
 			last = max(last, event.Sequence)
 		}
 	}
--- a/agent/generate.go
+++ b/agent/generate.go
@@ -7,9 +7,9 @@
 
 	"go.uber.org/zap"
 
+	"github.com/wasabishunt/wasabishunt/agent/kv"
 	"github.com/wasabishunt/wasabishunt/controlclient"
 	"github.com/wasabishunt/wasabishunt/failure"
-	"github.com/wasabishunt/wasabishunt/fetchplan"
 	"github.com/wasabishunt/wasabishunt/objectset"
 	"github.com/wasabishunt/wasabishunt/piece"
 	"github.com/wasabishunt/wasabishunt/prompt"
@@ -35,13 +35,10 @@
 	// queued is guarded by Agent.mu; it is false once a worker has the job.
 	queued bool
 	// ran is set by the worker before it closes events.
-	ran    bool
-	cached int64
-	// fetched tokens are among the cached ones.
-	fetched int64
-	plan    fetchplan.Plan
-	// addresses of stores by name, as of the plan.
-	addresses map[string]string
+	ran bool
+	// ticket is set before the job is queued, and nil for a prompt without whole pieces.
+	ticket    *kv.Ticket
+	cached    int64
 	estimate  time.Duration
 	decisions []string
 }
@@ -60,7 +57,13 @@
 	if err != nil {
 		return a.refuse(stream, req, err)
 	}
-	defer a.endFlights(j)
+	defer func() { j.ticket.Done() }()
+	if err := a.prepare(stream, j, cancel); err != nil {
+		return err
+	}
+	if err := a.enqueue(j); err != nil {
+		return a.refuse(stream, req, err)
+	}
 	if err := stream.Send(a.accepted(j)); err != nil {
 		cancel()
 		a.abandon(j)
@@ -78,7 +81,7 @@
 	return given
 }
 
-// admit checks a request and queues it.
+// admit checks a request; it takes no place in the queue yet.
 func (a *Agent) admit(ctx context.Context, drop context.CancelCauseFunc, req *agentpb.GenerateRequest) (*job, error) {
 	if a.deps.Engine == nil {
 		return nil, failure.New(failure.NoUpstream, failure.NotRun, "this agent has no engine")
@@ -102,17 +105,7 @@
 	if err := a.weights.available(); err != nil {
 		return nil, err
 	}
-	a.plan(ctx, view, j)
-	if err := a.admissible(j); err != nil {
-		a.endFlights(j)
-		return nil, err
-	}
-	a.gather(ctx, j)
-	if err := a.enqueue(j); err != nil {
-		a.endFlights(j)
-		return nil, err
-	}
-	return j, nil
+	return j, a.admissible(j)
 }
 
 func (a *Agent) newJob(view controlclient.View, req *agentpb.GenerateRequest) (*job, error) {
--- a/agent/generate_test.go
+++ b/agent/generate_test.go
@@ -105,7 +105,8 @@
 	events := make(chan engine.Event, 1)
 	f.engine.run(func(engine.Request) <-chan engine.Event { return events })
 	running := f.open(t.Context(), request("running"))
-	require.Eventually(t, func() bool { return f.load().GetRunning() == 1 }, 5*time.Second, time.Millisecond)
+	// A run counts as running before its last checks; the set may become stale only after them.
+	require.Eventually(t, func() bool { return len(f.engine.seen()) == 1 }, 5*time.Second, time.Millisecond)
 	next := request("queued")
 	next.Header.DeadlineMs = 3000
 	queued := f.open(t.Context(), next)
--- a/agent/harness_test.go
+++ b/agent/harness_test.go
@@ -102,6 +102,11 @@
 	return f.orders
 }
 
+// Load reports an engine whose cache has room.
+func (f *fakeEngine) Load(context.Context) (engine.Load, error) {
+	return engine.Load{CacheCapacity: 1 << 20}, nil
+}
+
 func (f *fakeEngine) CacheEvents(context.Context, uint64) ([]engine.CacheEvent, bool, error) {
 	return nil, false, nil
 }
--- /dev/null
+++ b/agent/kv/counts.go
@@ -0,0 +1,45 @@
+package kv
+
+import (
+	"errors"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/piece"
+)
+
+// counts are the metrics of a Mover.
+type counts struct {
+	fetched, fetchedBytes, missed, corrupt, foreign, failed, refusedImports gometrics.Counter
+	exported, exportedBytes, exportFailed, exportDropped, held              gometrics.Counter
+	waits                                                                   gometrics.Counter
+}
+
+func newCounts(registry gometrics.Registry) counts {
+	counter := func(name string) gometrics.Counter { return gometrics.GetOrRegisterCounter("pieces."+name, registry) }
+	return counts{
+		fetched: counter("fetched"), fetchedBytes: counter("fetched_bytes"), missed: counter("missed"),
+		corrupt: counter("corrupt"), foreign: counter("foreign"), failed: counter("fetch_failed"),
+		refusedImports: counter("import_failed"), exported: counter("exported"), exportedBytes: counter("exported_bytes"),
+		exportFailed: counter("export_failed"), exportDropped: counter("export_dropped"), held: counter("held"),
+		waits: counter("awaited"),
+	}
+}
+
+// fetchFailed counts why a piece did not arrive, and reports whether the store itself is to blame.
+func (c *counts) fetchFailed(err error) (storeFailed bool) {
+	refused, isFormat := errors.AsType[*piece.FormatError](err)
+	switch {
+	case failure.Is(err, failure.NotFound):
+		c.missed.Inc(1)
+		return false
+	case isFormat && refused.Reason == piece.Foreign:
+		c.foreign.Inc(1)
+	case isFormat:
+		c.corrupt.Inc(1)
+	default:
+		c.failed.Inc(1)
+	}
+	return true
+}
--- /dev/null
+++ b/agent/kv/residency.go
@@ -0,0 +1,76 @@
+package kv
+
+import (
+	"container/list"
+	"sync"
+	"time"
+
+	"github.com/wasabishunt/wasabishunt/piece"
+)
+
+// maxResident bounds remembered pieces of the engine's cache.
+const maxResident = 65536
+
+// residency follows the pieces in the engine's cache by their last use. Engines evict what was used longest ago.
+type residency struct {
+	mu     sync.Mutex
+	order  *list.List // Front was used last.
+	byName map[string]*list.Element
+	// capacity of the engine's cache in tokens; 0 means unknown.
+	capacity int64
+}
+
+type residentPiece struct {
+	name string
+	used time.Time
+}
+
+func newResidency() *residency {
+	return &residency{order: list.New(), byName: map[string]*list.Element{}}
+}
+
+func (r *residency) used(name piece.Name, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := name.String()
+	if element, ok := r.byName[key]; ok {
+		r.order.Remove(element)
+	}
+	r.byName[key] = r.order.PushFront(residentPiece{key, now})
+	if r.order.Len() > maxResident {
+		delete(r.byName, r.order.Remove(r.order.Back()).(residentPiece).name)
+	}
+}
+
+func (r *residency) remove(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if element, ok := r.byName[name]; ok {
+		r.order.Remove(element)
+		delete(r.byName, name)
+	}
+}
+
+func (r *residency) setCapacity(tokens int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.capacity = tokens
+}
+
+// safeShare is the share of the engine's capacity whose most recent pieces are not expected to be evicted soon.
+const safeShare = 0.75
+
+// riskyBefore is the last use before which pieces are close to their eviction; zero if none are.
+func (r *residency) riskyBefore() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	safe := int(safeShare * float64(r.capacity) / piece.TokensPerPiece)
+	if r.capacity <= 0 || r.order.Len() <= safe {
+		return time.Time{}
+	}
+	element := r.order.Front()
+	for range safe {
+		element = element.Next()
+	}
+	return element.Value.(residentPiece).used.Add(1)
+}
--- /dev/null
+++ b/agent/kv/targets.go
@@ -0,0 +1,73 @@
+package kv
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wasabishunt/wasabishunt/controlclient"
+	"github.com/wasabishunt/wasabishunt/piece"
+	"github.com/wasabishunt/wasabishunt/store"
+)
+
+// target is a store of the set.
+type target struct {
+	name    string
+	address string
+	// limit is the configured bandwidth of the store's link in bytes per second; 0 means none.
+	limit float64
+	// gone is true for a store whose processes are dead or leaving; it still counts for the placement of pieces.
+	gone bool
+}
+
+// targets lists all stores of the set in force.
+func (m *Mover) targets() []target {
+	view := m.deps.Source.Current()
+	if view.Set == nil {
+		return nil
+	}
+	list := make([]target, 0, len(view.Set.Stores))
+	for _, s := range view.Set.Stores {
+		list = append(list, target{s.Name, s.Address, float64(s.LinkBytesPerSecond), gone(view, s.Name)})
+	}
+	return list
+}
+
+// gone reports whether every known process of a store is dead or leaving.
+func gone(view controlclient.View, name string) bool {
+	known, live := false, false
+	for _, process := range view.Processes {
+		if process.Role == store.Role && process.Serves == name {
+			known = true
+			live = live || process.State == controlclient.Live
+		}
+	}
+	return known && !live
+}
+
+// holders returns the stores that should hold a piece and are not gone.
+func holders(name piece.Name, all []target) []target {
+	names := make([]string, len(all))
+	for i, t := range all {
+		names[i] = t.name
+	}
+	var list []target
+	for _, holder := range store.Holders(name, names) {
+		i := slices.Index(names, holder)
+		if !all[i].gone {
+			list = append(list, all[i])
+		}
+	}
+	return list
+}
+
+// bandwidth is what a plan counts on for a store whose answer told its own estimate.
+func (m *Mover) bandwidth(t target, told float64, now time.Time) float64 {
+	limit := told
+	if limit <= 0 || (t.limit > 0 && t.limit < limit) {
+		limit = t.limit
+	}
+	if limit <= 0 {
+		limit = m.options.AssumedBytesPerSecond
+	}
+	return m.health.bandwidth(t.address, limit, now)
+}
--- a/agent/options.go
+++ b/agent/options.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/wasabishunt/wasabishunt/admission"
-	"github.com/wasabishunt/wasabishunt/fetchplan"
+	"github.com/wasabishunt/wasabishunt/agent/kv"
 )
 
 // Options are the limits of an Agent.
@@ -21,19 +21,8 @@
 	MaxQueued int
 	// Admission settings; the default is admission.Defaults.
 	Admission admission.Settings
-	// Fetch settings of the plan for missing pieces; the default is fetchplan.Defaults.
-	Fetch fetchplan.Settings
-	// HasTimeout limits the question which pieces a store holds; default 100 ms.
-	HasTimeout time.Duration
-	// FetchTimeout limits the time spent on fetching pieces and waiting for computations in progress; default 3 s,
-	// below the time after which an entry gives up a silent stream.
-	FetchTimeout time.Duration
-	// MaxFetches limits the pieces in transfer from stores at once; default 16.
-	MaxFetches int64
-	// Exporters is how many pieces are copied to stores at once; default 2.
-	Exporters int
-	// MaxExports limits the pieces that wait to be copied to stores; default 1024.
-	MaxExports int
+	// Pieces are the limits of fetches from and exports to the stores.
+	Pieces kv.Options
 	// EventBuffer is how many events of a run wait for the entry; default 64.
 	EventBuffer int
 	// WriteTimeout ends a connection whose peer takes no bytes; default 10 s.
@@ -72,12 +61,6 @@
 	setDefault(&o.Workers, 32)
 	setDefault(&o.MaxQueued, 1024)
 	setDefault(&o.Admission, admission.Defaults())
-	setDefault(&o.Fetch, fetchplan.Defaults())
-	setDefault(&o.HasTimeout, 100*time.Millisecond)
-	setDefault(&o.FetchTimeout, 3*time.Second)
-	setDefault(&o.MaxFetches, 16)
-	setDefault(&o.Exporters, 2)
-	setDefault(&o.MaxExports, 1024)
 	setDefault(&o.EventBuffer, 64)
 	setDefault(&o.WriteTimeout, 10*time.Second)
 	setDefault(&o.Heartbeat, time.Second)
--- a/agent/pieces_test.go
+++ b/agent/pieces_test.go
@@ -69,7 +69,7 @@
 	return header, []byte("blocks"), want.Check(header)
 }
 
-func (m *memoryStores) Put(_ context.Context, address string, h piece.Header, body []byte, _ string) (store.Outcome, error) {
+func (m *memoryStores) PutIdle(_ context.Context, address string, h piece.Header, body []byte, _ string, _ time.Duration) (store.Outcome, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.pieces[address] == nil {
--- a/agent/queue.go
+++ b/agent/queue.go
@@ -7,6 +7,7 @@
 	"github.com/wasabishunt/wasabishunt/admission"
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/objectset"
+	"github.com/wasabishunt/wasabishunt/piece"
 	"github.com/wasabishunt/wasabishunt/sched"
 )
 
@@ -27,45 +28,65 @@
 	a.queue.Configure(sched.ConfigOf(set))
 }
 
-// admissible refuses a job that cannot meet its deadline before anything is fetched for it.
+// admissible refuses a job early that could not meet its deadline even if all of its whole pieces were in the engine's
+// cache, before anything is fetched for it.
 func (a *Agent) admissible(j *job) error {
-	prefill, _ := a.rates.current()
-	runTime := a.rates.runTime()
-	wait := a.weights.expectedWait()
+	check := a.admission(j)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := a.deps.Clock.Now()
-	deadline, _ := j.ctx.Deadline()
-	tokens := j.plan.ComputeTokens
-	if len(j.plan.Steps) == 0 {
-		tokens = max(0, j.promptTokens-j.cached)
-	}
-	decision := admission.Decide(a.options.Admission, admission.Request{
-		Account: j.account.Name, Rank: j.rank.Name, Deadline: deadline, Fetch: j.plan.Ready,
-		PromptTokens: tokens, Draining: a.draining, VersionWait: wait,
-	}, admission.State{
-		Now: now, Ahead: a.queue.AheadOf(j.rank.Name, j.account.Name, tokens), PrefillRate: prefill, RunTime: runTime,
-	})
-	j.decisions = append(j.decisions, decision.Reasons()...)
-	j.estimate = decision.FirstToken
-	if decision.Refusal != nil {
-		return decision.Refusal
+	a.dropLate(check.state.Now)
+	if refusal := check.decide(j.promptTokens - int64(len(j.pieces))*piece.TokensPerPiece).Refusal; refusal != nil {
+		return refusal
 	}
 	return nil
 }
 
-// enqueue registers and queues a job with the tokens that are left to compute.
+// admissionCheck asks admission about one job.
+type admissionCheck struct {
+	agent   *Agent
+	request admission.Request
+	state   admission.State
+}
+
+// admission collects what admission weighs beside the queue; it takes locks that are not taken under Agent.mu.
+func (a *Agent) admission(j *job) admissionCheck {
+	deadline, _ := j.ctx.Deadline()
+	prefill, _ := a.rates.current()
+	return admissionCheck{
+		agent:   a,
+		request: admission.Request{Account: j.account.Name, Rank: j.rank.Name, Deadline: deadline, VersionWait: a.weights.expectedWait()},
+		state:   admission.State{Now: a.deps.Clock.Now(), PrefillRate: prefill, RunTime: a.rates.runTime()},
+	}
+}
+
+// decide takes the number of tokens that the engine must compute. The caller holds Agent.mu.
+func (c admissionCheck) decide(tokens int64) admission.Decision {
+	c.request.PromptTokens, c.request.Draining = tokens, c.agent.draining
+	c.state.Ahead = c.agent.queue.AheadOf(c.request.Rank, c.request.Account, tokens)
+	return admission.Decide(c.agent.options.Admission, c.request, c.state)
+}
+
+// enqueue decides whether a job can meet its deadline with the tokens that are left to compute, then registers and
+// queues it.
 func (a *Agent) enqueue(j *job) error {
+	check := a.admission(j)
+	now := check.state.Now
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := a.deps.Clock.Now()
 	a.dropLate(now)
 	if _, exists := a.jobs[j.id]; exists {
 		return failure.New(failure.InvalidRequest, failure.NotRun, "request id %s is in use", j.id)
 	}
-	deadline, _ := j.ctx.Deadline()
 	tokens := max(0, j.promptTokens-j.cached)
-	item := sched.Item{ID: j.id, Account: j.account.Name, Rank: j.rank.Name, Deadline: deadline, PromptTokens: tokens, Long: tokens > longTokens}
+	decision := check.decide(tokens)
+	j.decisions = append(j.decisions, decision.Reasons()...)
+	if decision.Refusal != nil {
+		return decision.Refusal
+	}
+	j.estimate = decision.FirstToken
+	item := sched.Item{
+		ID: j.id, Account: j.account.Name, Rank: j.rank.Name, Deadline: check.request.Deadline, PromptTokens: tokens, Long: tokens > longTokens,
+	}
 	if err := a.queue.Push(item, now); err != nil {
 		return err
 	}
@@ -162,7 +183,6 @@
 
 // firstToken reports that a job's prompt has been computed; the next prompt may start.
 func (a *Agent) firstToken(j *job) {
-	a.endFlights(j)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.queue.ChunkDone(j.id)
--- a/agent/run.go
+++ b/agent/run.go
@@ -146,6 +146,7 @@
 	if r.first.IsZero() {
 		r.first = r.agent.deps.Clock.Now()
 		r.agent.firstToken(r.job)
+		r.job.ticket.Computed()
 	}
 	r.next++
 	r.agent.progress(r.job)
@@ -156,11 +157,10 @@
 func (r *engineRun) end(event engine.Event) error {
 	r.computed = max(0, r.job.promptTokens-event.CachedTokens)
 	r.measure()
-	r.agent.cache.correct(r.job.pieces, event.CachedTokens)
-	r.agent.offerExports(r.job, event.CachedTokens)
-	fetched := min(r.job.fetched, event.CachedTokens)
+	r.job.ticket.Ran()
+	fetched := r.job.ticket.FetchedTokens(event.CachedTokens)
 	decisions := append(slices.Clone(r.job.decisions),
-		fmt.Sprintf("cache: expected %d cached prompt tokens, engine used %d", r.job.cached, event.CachedTokens))
+		fmt.Sprintf("cache: expected %d cached prompt tokens, engine used %d, %d of them fetched", r.job.cached, event.CachedTokens, fetched))
 	r.job.events <- &agentpb.GenerateEvent{Event: &agentpb.GenerateEvent_End{End: &agentpb.End{
 		TotalTokens:          event.TotalTokens,
 		FinishReason:         event.FinishReason,
--- a/cmd/wasabishunt-agent/settings.go
+++ b/cmd/wasabishunt-agent/settings.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/wasabishunt/wasabishunt/agent"
+	"github.com/wasabishunt/wasabishunt/agent/kv"
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/piece"
 	"github.com/wasabishunt/wasabishunt/settings"
@@ -32,6 +33,11 @@
 	SetGrace       time.Duration `arg:"--set-grace,env:WASABISHUNT_AGENT_SET_GRACE" default:"1s" help:"work sent under an older set version is taken for so long"`
 	WriteTimeout   time.Duration `arg:"--write-timeout,env:WASABISHUNT_AGENT_WRITE_TIMEOUT" default:"10s" help:"time for one write to an entry"`
 	ServiceTimeout time.Duration `arg:"--service-timeout,env:WASABISHUNT_AGENT_SERVICE_TIMEOUT" default:"30s" help:"time for one call of the plain service"`
+	AskTimeout     time.Duration `arg:"--store-ask-timeout,env:WASABISHUNT_AGENT_STORE_ASK_TIMEOUT" default:"100ms" help:"time for a store to tell which pieces it holds"`
+	FetchSlack     time.Duration `arg:"--fetch-slack,env:WASABISHUNT_AGENT_FETCH_SLACK" default:"100ms" help:"time that a fetch may take beyond the recomputation that it replaces"`
+	MaxFetchBytes  int64         `arg:"--max-fetch-bytes,env:WASABISHUNT_AGENT_MAX_FETCH_BYTES" default:"268435456" help:"limit of piece bodies in fetches at once, in bytes"`
+	ExportQueue    int           `arg:"--export-queue,env:WASABISHUNT_AGENT_EXPORT_QUEUE" default:"4096" help:"limit of pieces that wait for their export"`
+	Exporters      int           `arg:"--exporters,env:WASABISHUNT_AGENT_EXPORTERS" default:"2" help:"pieces exported at once"`
 	PieceKeyFile   string        `arg:"--piece-key-file,env:WASABISHUNT_AGENT_PIECE_KEY_FILE" help:"file with the 32 bytes of the piece-name key; needed beside an engine"`
 	LogLevel       zapcore.Level `arg:"--log-level,env:WASABISHUNT_AGENT_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
 
@@ -56,9 +62,13 @@
 	a.validateUpstream(&c)
 	settings.Positive(&c, "workers", a.Workers)
 	settings.Positive(&c, "max-queued", a.MaxQueued)
+	settings.Positive(&c, "max-fetch-bytes", a.MaxFetchBytes)
+	settings.Positive(&c, "export-queue", a.ExportQueue)
+	settings.Positive(&c, "exporters", a.Exporters)
 	durations := map[string]time.Duration{
 		"stale-set-limit": a.StaleSetLimit, "drain-limit": a.DrainLimit, "set-grace": a.SetGrace,
 		"write-timeout": a.WriteTimeout, "service-timeout": a.ServiceTimeout,
+		"store-ask-timeout": a.AskTimeout, "fetch-slack": a.FetchSlack,
 	}
 	for name, value := range durations {
 		settings.Positive(&c, name, int64(value))
@@ -115,5 +125,9 @@
 		SetGrace:       a.SetGrace,
 		WriteTimeout:   a.WriteTimeout,
 		ServiceTimeout: a.ServiceTimeout,
+		Pieces: kv.Options{
+			AskTimeout: a.AskTimeout, FetchSlack: a.FetchSlack, MaxFetchBytes: a.MaxFetchBytes,
+			ExportQueue: a.ExportQueue, Exporters: a.Exporters,
+		},
 	}
 }
--- a/store/client.go
+++ b/store/client.go
@@ -110,6 +110,11 @@
 // Put writes a piece. An outcome other than Stored with a nil error is the store's refusal. The header's checksum must
 // be that of the body.
 func (c *Client) Put(ctx context.Context, address string, h piece.Header, body []byte, rank string) (Outcome, error) {
+	return c.PutIdle(ctx, address, h, body, rank, 0)
+}
+
+// PutIdle is Put for a piece that was last used some time ago.
+func (c *Client) PutIdle(ctx context.Context, address string, h piece.Header, body []byte, rank string, idle time.Duration) (Outcome, error) {
 	outcome := Outcome("")
 	err := c.call(ctx, address, c.options.TransferTimeout, func(ctx context.Context, client storepb.DRPCStoreClient) error {
 		stream, err := client.PutPiece(ctx)
@@ -117,14 +122,16 @@
 			return err
 		}
 		defer closeStream(stream)
-		outcome, err = write(h, body, rank, stream)
+		header := headerToWire(h)
+		header.IdleMs = idle.Milliseconds()
+		outcome, err = write(header, body, rank, stream)
 		return err
 	})
 	return outcome, err
 }
 
-func write(h piece.Header, body []byte, rank string, stream storepb.DRPCStore_PutPieceClient) (Outcome, error) {
-	sendErr := stream.Send(&storepb.PieceChunk{Header: headerToWire(h), Rank: rank})
+func write(header *storepb.PieceHeader, body []byte, rank string, stream storepb.DRPCStore_PutPieceClient) (Outcome, error) {
+	sendErr := stream.Send(&storepb.PieceChunk{Header: header, Rank: rank})
 	if sendErr == nil {
 		sendErr = send(body, func(want int) (int, error) { return want, nil }, stream.Send)
 	}
