Fetch pieces that were evicted while a request was queued; model the engine's evictions

Cause: in a load of three prompts that do not fit the engine's cache together, no piece was ever imported. Each request was planned on arrival, when the engine still held its pieces, and recomputed them after its wait in the queue. The agent also learnt of evictions up to a second late, and an event that was older than a new copy of a piece hid that copy.

The worker now compares its belief with that of the arrival, and fetches again what has gone, without waiting for other requests. Pieces beyond the engine's capacity in the order of their last use count as evicted at once; an event corrects what the agent knows from its own runs and imports only after the time by which events are late (2 s).

Ruled out: planning only at the grant, because then the queue counts tokens that will not be computed.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -111,7 +111,7 @@
 		drainStarted: make(chan struct{}),
 		wake:         make(chan struct{}, 1),
 		rates:        &rates{},
-		cache:        newCacheContents(options.MaxCachePieces),
+		cache:        newCacheContents(deps.Clock, options.MaxCachePieces, options.EventLag),
 	}
 	a.firstTokenTimes = gometrics.GetOrRegisterHistogram("runs.first_token_ms", deps.Registry, gometrics.NewExpDecaySample(1028, 0.015))
 	a.weights = newWeights(a)
--- a/agent/kv/export.go
+++ b/agent/kv/export.go
@@ -29,7 +29,6 @@
 	saves := recomputation(1, r.Engine().PrefillRate, 1)
 	all := m.targets()
 	for _, name := range r.Pieces {
-		m.resident.used(name, now)
 		value := m.values.used(cachevalue.Entry{
 			Name: name, Account: r.Scope.Account, Class: r.Scope.Account + "/" + r.Rank, Bytes: r.PieceBytes, Recompute: saves, LastUse: now,
 		})
--- a/agent/kv/export_test.go
+++ b/agent/kv/export_test.go
@@ -137,6 +137,8 @@
 	cutoff := r.riskyBefore()
 	assert.True(t, now.Add(time.Second).Before(cutoff), "two of eight are close to their eviction")
 	assert.False(t, now.Add(2*time.Second).Before(cutoff))
+	assert.Equal(t, []string{piece.Name{0}.String()}, r.used(piece.Name{8}, now.Add(time.Minute)), "the oldest one has made room")
+	r.remove(piece.Name{8}.String())
 	r.remove(piece.Name{1}.String())
 	r.remove(piece.Name{7}.String())
 	assert.True(t, r.riskyBefore().IsZero(), "there is room again")
--- a/agent/kv/fetch.go
+++ b/agent/kv/fetch.go
@@ -79,8 +79,7 @@
 	}
 	t.fetched[i] = true
 	m.counts.fetched.Inc(1)
-	m.deps.Cache.Stored(r.Pieces[i])
-	m.resident.used(r.Pieces[i], m.deps.Clock.Now())
+	m.holds(r.Pieces[i])
 	m.sent.add(s.name, r.Pieces[i], m.deps.Clock.Now())
 	return nil
 }
--- a/agent/kv/fetch_test.go
+++ b/agent/kv/fetch_test.go
@@ -37,6 +37,19 @@
 	assert.Zero(t, w.engine.State().CorruptImports)
 }
 
+// Guards against pieces that are recomputed because the engine evicted them while the request was queued.
+func TestPiecesEvictedInTheQueueAreFetched(t *testing.T) {
+	w := newWorld(t, Options{})
+	r := request("rulebook", 2)
+	w.keep(r)
+	ticket := w.mover.Prepare(t.Context(), r)
+	w.evict()
+	ticket.Refresh(t.Context())
+	assert.Equal(t, int64(2*piece.TokensPerPiece), w.run(r))
+	assert.Equal(t, int64(4), w.engine.State().Imports)
+	ticket.Done()
+}
+
 // Guards against two requests that compute the same prefix at the same time.
 func TestSamePrefixIsComputedOnce(t *testing.T) {
 	w := newWorld(t, Options{})
--- a/agent/kv/harness_test.go
+++ b/agent/kv/harness_test.go
@@ -126,6 +126,16 @@
 	b.names[name] = true
 }
 
+func (b *believed) Gone(name string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for known := range b.names {
+		if known.String() == name {
+			delete(b.names, known)
+		}
+	}
+}
+
 func (b *believed) forget() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/agent/kv/kv.go
+++ b/agent/kv/kv.go
@@ -39,6 +39,8 @@
 	PrefixPieces(names []piece.Name) int
 	// Stored notes a piece that the engine holds now.
 	Stored(name piece.Name)
+	// Gone notes a piece that the engine has evicted.
+	Gone(name string)
 }
 
 // Options are the limits of a Mover.
@@ -161,6 +163,15 @@
 	m.resident.remove(name)
 }
 
+// holds notes a piece that the engine has just stored or used.
+func (m *Mover) holds(name piece.Name) {
+	m.deps.Cache.Stored(name)
+	for _, gone := range m.resident.used(name, m.deps.Clock.Now()) {
+		m.deps.Cache.Gone(gone)
+		m.exports.remove(gone)
+	}
+}
+
 // Request describes the prompt of one request.
 type Request struct {
 	ID   string
--- a/agent/kv/prepare.go
+++ b/agent/kv/prepare.go
@@ -37,22 +37,36 @@
 func (m *Mover) Prepare(ctx context.Context, r Request) *Ticket {
 	r.owner = strconv.FormatUint(m.tickets.Add(1), 10)
 	t := &Ticket{mover: m, request: r, fetched: make([]bool, len(r.Pieces))}
+	t.gather(ctx)
+	return t
+}
+
+// Refresh brings back pieces that the engine has evicted while the request was queued. It waits for no other request,
+// because the engine is held for this one.
+func (t *Ticket) Refresh(ctx context.Context) {
+	t.alone = true
+	t.Decisions = nil
+	t.gather(ctx)
+}
+
+// gather plans and carries out until nothing is left to fetch or to wait for.
+func (t *Ticket) gather(ctx context.Context) {
+	m, r := t.mover, &t.request
 	cached := m.deps.Cache.PrefixPieces(r.Pieces)
 	if cached == len(r.Pieces) {
-		return t
+		return
 	}
-	sources := m.sources(ctx, &r, cached)
+	sources := m.sources(ctx, r, cached)
 	for round := range maxRounds {
 		plan, in := t.plan(sources, m.deps.Cache.PrefixPieces(r.Pieces))
 		last := round == maxRounds-1
 		if (plan.FetchedTokens == 0 && plan.WaitTokens == 0) || ctx.Err() != nil || last {
-			return t
+			return
 		}
 		if !t.carryOut(ctx, plan, in, sources) {
 			sources = nil
 		}
 	}
-	return t
 }
 
 func (t *Ticket) plan(sources []source, cached int) (fetchplan.Plan, fetchplan.Request) {
@@ -154,7 +168,7 @@
 		return
 	}
 	for _, name := range t.request.Pieces {
-		t.mover.deps.Cache.Stored(name)
+		t.mover.holds(name)
 	}
 	t.end()
 }
--- a/agent/kv/residency.go
+++ b/agent/kv/residency.go
@@ -29,7 +29,9 @@
 	return &residency{order: list.New(), byName: map[string]*list.Element{}}
 }
 
-func (r *residency) used(name piece.Name, now time.Time) {
+// used notes a use of a piece. It returns the pieces that the engine must have evicted to make room: its events tell the
+// same, but late.
+func (r *residency) used(name piece.Name, now time.Time) (evicted []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	key := name.String()
@@ -37,9 +39,20 @@
 		r.order.Remove(element)
 	}
 	r.byName[key] = r.order.PushFront(residentPiece{key, now})
-	if r.order.Len() > maxResident {
-		delete(r.byName, r.order.Remove(r.order.Back()).(residentPiece).name)
+	for r.order.Len() > r.limit() {
+		oldest := r.order.Remove(r.order.Back()).(residentPiece).name
+		delete(r.byName, oldest)
+		evicted = append(evicted, oldest)
 	}
+	return evicted
+}
+
+// limit is the number of pieces that fit the engine's cache.
+func (r *residency) limit() int {
+	if r.capacity <= 0 {
+		return maxResident
+	}
+	return min(maxResident, int(r.capacity/piece.TokensPerPiece))
 }
 
 func (r *residency) remove(name string) {
--- a/agent/options.go
+++ b/agent/options.go
@@ -43,6 +43,8 @@
 	SlotPoll time.Duration
 	// CachePoll is the time between reads of the engine's cache events; default 500 ms.
 	CachePoll time.Duration
+	// EventLag is how late a cache event may arrive; an older one does not correct what the agent knows; default 2 s.
+	EventLag time.Duration
 	// MaxCachePieces is how many cached pieces are remembered; default 65,536.
 	MaxCachePieces int
 	// CallTimeout limits one call of control; default 2 s.
@@ -71,6 +73,7 @@
 	setDefault(&o.LoadTimeout, time.Minute)
 	setDefault(&o.SlotPoll, 200*time.Millisecond)
 	setDefault(&o.CachePoll, 500*time.Millisecond)
+	setDefault(&o.EventLag, 2*time.Second)
 	setDefault(&o.MaxCachePieces, 65536)
 	setDefault(&o.CallTimeout, 2*time.Second)
 	setDefault(&o.FinishTimeout, 30*time.Second)
--- a/agent/pieces.go
+++ b/agent/pieces.go
@@ -52,6 +52,18 @@
 	}
 }
 
+// refresh brings back pieces that the engine has evicted while the job was queued. The worker has the engine's grant
+// then, so a fetch must be sooner than the recomputation, as always.
+func (a *Agent) refresh(j *job) {
+	if j.ticket == nil || a.cache.prefixTokens(j.pieces) >= j.cached {
+		return
+	}
+	j.ticket.Refresh(j.ctx)
+	j.decisions = append(j.decisions, "kv: pieces were evicted while the request was queued")
+	j.decisions = append(j.decisions, j.ticket.Decisions...)
+	j.cached = a.cache.prefixTokens(j.pieces)
+}
+
 func (a *Agent) pieceRequest(j *job) kv.Request {
 	deadline, _ := j.ctx.Deadline()
 	return kv.Request{
--- a/agent/run.go
+++ b/agent/run.go
@@ -61,6 +61,7 @@
 	if err := r.checkStart(); err != nil {
 		return err
 	}
+	r.agent.refresh(r.job)
 	stream, err := r.agent.deps.Engine.Generate(r.job.ctx, r.request())
 	if err != nil {
 		return r.failed(err)
