--- a/agent/agent.go
+++ b/agent/agent.go
@@ -9,6 +9,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
@@ -83,9 +84,11 @@
 	// idle is closed when draining and no call is active.
 	idle chan struct{}
 	// wake has one slot; a value in it means that a worker may find work.
-	wake       chan struct{}
-	setVersion uint64
-	adoptedAt  time.Time
+	wake chan struct{}
+	// serviceBroken is true while the last connection to the plain service failed.
+	serviceBroken atomic.Bool
+	setVersion    uint64
+	adoptedAt     time.Time
 	// configured is the set version of the queue's ranks and weights; only followSet uses it.
 	configured uint64
 }
@@ -159,7 +162,7 @@
 			a.rates.start(upstream)
 		}
 		if a.leaving(view) && a.beginDrain() {
-			a.deps.Log.Info("control reports this agent as leaving; no new work is taken")
+			a.deps.Log.Info("reported as leaving")
 		}
 		select {
 		case <-ctx.Done():
@@ -188,9 +191,11 @@
 	return a.adoptedAt
 }
 
+// leaving reports whether control says that this agent leaves. The state of an earlier incarnation does not count: its
+// record says leaving after a graceful stop, and is read before this incarnation has registered.
 func (a *Agent) leaving(view controlclient.View) bool {
 	process, ok := view.Processes[a.options.ProcessID]
-	return ok && process.State == controlclient.Leaving
+	return ok && process.Epoch == view.Epoch && process.State == controlclient.Leaving
 }
 
 // upstream returns the agent's own upstream and its deployment in the set.
--- a/agent/kv/counts.go
+++ b/agent/kv/counts.go
@@ -17,13 +17,13 @@
 }
 
 func newCounts(registry gometrics.Registry) counts {
-	counter := func(name string) gometrics.Counter { return gometrics.GetOrRegisterCounter("pieces."+name, registry) }
+	counter := func(name string) gometrics.Counter { return gometrics.GetOrRegisterCounter(name, registry) }
 	return counts{
-		fetched: counter("fetched"), fetchedBytes: counter("fetched_bytes"), missed: counter("missed"),
-		corrupt: counter("corrupt"), foreign: counter("foreign"), failed: counter("fetch_failed"),
-		refusedImports: counter("import_failed"), exported: counter("exported"), exportedBytes: counter("exported_bytes"),
-		exportFailed: counter("export_failed"), exportDropped: counter("export_dropped"), held: counter("held"),
-		waits: counter("awaited"),
+		fetched: counter("pieces.fetched"), fetchedBytes: counter("pieces.fetched_bytes"), missed: counter("pieces.missed"),
+		corrupt: counter("pieces.corrupt"), foreign: counter("pieces.foreign"), failed: counter("pieces.fetch_failed"),
+		refusedImports: counter("pieces.import_failed"), exported: counter("pieces.exported"), exportedBytes: counter("pieces.exported_bytes"),
+		exportFailed: counter("pieces.export_failed"), exportDropped: counter("pieces.export_dropped"), held: counter("pieces.held"),
+		waits: counter("pieces.awaited"),
 	}
 }
 
--- a/agent/kv/export.go
+++ b/agent/kv/export.go
@@ -91,13 +91,13 @@
 	body, err := m.read(ctx, e)
 	if err != nil {
 		m.counts.exportFailed.Inc(1)
-		m.deps.Log.Debug("piece_not_exported", zap.String("piece", e.name.String()), zap.Error(err))
+		m.deps.Log.Debug("piece not exported", zap.String("piece", e.name.String()), zap.Error(err))
 		return
 	}
 	for _, holder := range lacking {
 		if err := m.put(ctx, e, holder, body, limiter(limits, holder, m.options.Exporters)); err != nil {
 			m.counts.exportFailed.Inc(1)
-			m.deps.Log.Info("piece_not_stored", zap.String("piece", e.name.String()), zap.String("store", holder.name), zap.Error(err))
+			m.deps.Log.Info("piece not stored", zap.String("piece", e.name.String()), zap.String("store", holder.name), zap.Error(err))
 		}
 	}
 }
--- a/agent/kv/fetch.go
+++ b/agent/kv/fetch.go
@@ -69,12 +69,12 @@
 	defer m.fetching.Release(room)
 	body, err := m.get(ctx, s, r, r.Pieces[i])
 	if err != nil {
-		m.deps.Log.Info("piece_not_fetched", zap.String("request_id", r.ID), zap.String("store", s.Name), zap.Error(err))
+		m.deps.Log.Info("piece not fetched", zap.String("request_id", r.ID), zap.String("store", s.Name), zap.Error(err))
 		return err
 	}
 	if err := m.deps.Engine.ImportKV(ctx, r.ref(r.Pieces[i]), bytes.NewReader(body), int64(len(body))); err != nil {
 		m.counts.refusedImports.Inc(1)
-		m.deps.Log.Info("piece_not_imported", zap.String("request_id", r.ID), zap.Error(err))
+		m.deps.Log.Info("piece not imported", zap.String("request_id", r.ID), zap.Error(err))
 		return err
 	}
 	t.fetched[i] = true
--- a/bench/policies.go
+++ b/bench/policies.go
@@ -24,6 +24,10 @@
 	TwoCopies   bool
 	NoPlacement bool
 	NoRetry     bool
+	// WholePrompts grants prompts whole, as the live agent does for engines that cannot prefill in parts.
+	WholePrompts bool
+	// Prefetch moves pieces to the engine ahead of a known return.
+	Prefetch bool
 }
 
 var fifo = sched.Off{Ranks: true, Floors: true, FairShare: true, Deadlines: true, DropLate: true, LongBudget: true, Headroom: true, Rescue: true}
@@ -50,6 +54,7 @@
 		{Name: "without long budget", Sched: sched.Off{LongBudget: true}},
 		{Name: "without rescue", Sched: sched.Off{Rescue: true}},
 		{Name: "without slot headroom", Sched: sched.Off{Headroom: true}},
+		{Name: "without share left in estimates", Sched: sched.Off{ShareLeft: true}},
 		{Name: "without admission", NoAdmission: true},
 		{Name: "without prefix routing", Routing: routing.Off{Prefix: true}},
 		{Name: "without wait scorer", Routing: routing.Off{Wait: true}},
@@ -64,6 +69,8 @@
 		{Name: "without export choice", NoPlacement: true},
 		{Name: "without cache shares", NoShares: true},
 		{Name: "with second copies", TwoCopies: true},
+		{Name: "with whole prompts", WholePrompts: true},
+		{Name: "with prefetch", Prefetch: true},
 		{Name: "without retries", NoRetry: true},
 	}
 }
--- a/cli/changes.go
+++ b/cli/changes.go
@@ -53,8 +53,11 @@
 		Operator: request.Operator, Document: request.Document, DryRun: true,
 	})
 	if err != nil && !failure.Is(err, failure.InvalidSet) {
-		e := failure.Of(err)
-		return 0, failure.Wrap(err, e.Kind, failure.NotRun, "ask for the current version")
+		kind := failure.Of(err).Kind
+		if kind == failure.OutcomeUnknown {
+			kind = failure.NoQuorum
+		}
+		return 0, failure.Wrap(err, kind, failure.NotRun, "nothing was published; control did not tell its current version")
 	}
 	return response.CurrentVersion, nil
 }
@@ -71,9 +74,9 @@
 		Operator: p.operator(), OperationId: operationID(command.OperationID), Upstream: command.Upstream, Undo: command.Undo,
 	}
 	_, err := p.client.Drain(ctx, request)
-	flags, done := "", command.Upstream+" gets no new work"
+	flags, done := "", command.Upstream+" gets no new work; its agent ends when running work has finished"
 	if command.Undo {
-		flags, done = " --undo", "the drain of "+command.Upstream+" is taken back"
+		flags, done = " --undo", "the drain of "+command.Upstream+" is taken back; start its agent again if it has ended"
 	}
 	resend := fmt.Sprintf("wasabishunt drain %s%s --operation-id %s", strconv.Quote(command.Upstream), flags, request.OperationId)
 	return p.finish(report{OperationID: request.OperationId}, err, done, resend)
--- a/cmd/wasabishunt-standin/main.go
+++ b/cmd/wasabishunt-standin/main.go
@@ -52,7 +52,7 @@
 // Validate lists all faults of the settings.
 func (o *options) Validate() []failure.Problem {
 	var c settings.Checker
-	c.Address("listen", o.Listen)
+	c.Address("--listen", o.Listen)
 	if p := o.part(); p != nil {
 		p.Validate(&c)
 	} else {
@@ -74,7 +74,7 @@
 	handler, name, closePart := o.part().Build()
 	log := logging.New("standin", name, zapcore.InfoLevel)
 	if err := serve(ctx, o.Listen, handler, closePart, log); err != nil {
-		log.Error("standin_failed", zap.Error(err))
+		log.Error("process failed", zap.Error(err))
 		return 1
 	}
 	return 0
--- a/entry/call.go
+++ b/entry/call.go
@@ -29,6 +29,10 @@
 // maxClientIDBytes limits the echoed id of the caller.
 const maxClientIDBytes = 128
 
+// deadlineGrace is how long after the deadline an entry still waits for the agent, which ends the request at the
+// deadline and alone knows whether it ran.
+const deadlineGrace = 250 * time.Millisecond
+
 // call is one authenticated request of a caller.
 type call struct {
 	server  *Server
@@ -41,7 +45,7 @@
 	catalog  *catalog
 	account  *objectset.Account
 	rank     *objectset.Rank
-	// ctx ends at the deadline or when the caller has gone.
+	// ctx ends shortly after the deadline or when the caller has gone.
 	ctx      context.Context
 	deadline time.Time
 	record   Record
@@ -87,7 +91,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(c.request.Context(), limit)
+	ctx, cancel := context.WithTimeout(c.request.Context(), limit+deadlineGrace)
 	defer cancel()
 	c.ctx = ctx
 	c.deadline = time.Now().Add(limit)
@@ -202,10 +206,7 @@
 		return nil, overloaded("the bodies of requests in flight fill the memory set aside for them")
 	}
 	c.heldBytes += hold
-	controller := http.NewResponseController(c.writer)
-	_ = controller.SetReadDeadline(time.Now().Add(s.options.BodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(c.writer, c.request.Body, limit))
-	_ = controller.SetReadDeadline(time.Time{})
 	if _, large := errors.AsType[*http.MaxBytesError](err); large {
 		return nil, tooLarge(limit)
 	}
@@ -213,6 +214,8 @@
 		c.writer.Header().Set("Connection", "close")
 		return nil, failure.Wrap(err, failure.InvalidRequest, failure.NotRun, "the body did not arrive whole within %s", s.options.BodyTimeout)
 	}
+	// The deadline stays in force after a failure: the server reads on in the rest of a refused body.
+	_ = http.NewResponseController(c.writer).SetReadDeadline(time.Time{})
 	return body, nil
 }
 
