--- a/agent/options.go
+++ b/agent/options.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/wasabishunt/wasabishunt/admission"
-	"github.com/wasabishunt/wasabishunt/fetchplan"
+	"github.com/wasabishunt/wasabishunt/agent/kv"
 )
 
 // Options are the limits of an Agent.
@@ -21,19 +21,8 @@
 	MaxQueued int
 	// Admission settings; the default is admission.Defaults.
 	Admission admission.Settings
-	// Fetch settings of the plan for missing pieces; the default is fetchplan.Defaults.
-	Fetch fetchplan.Settings
-	// HasTimeout limits the question which pieces a store holds; default 100 ms.
-	HasTimeout time.Duration
-	// FetchTimeout limits the time spent on fetching pieces and waiting for computations in progress; default 3 s,
-	// below the time after which an entry gives up a silent stream.
-	FetchTimeout time.Duration
-	// MaxFetches limits the pieces in transfer from stores at once; default 16.
-	MaxFetches int64
-	// Exporters is how many pieces are copied to stores at once; default 2.
-	Exporters int
-	// MaxExports limits the pieces that wait to be copied to stores; default 1024.
-	MaxExports int
+	// Pieces are the limits of fetches from and exports to the stores.
+	Pieces kv.Options
 	// EventBuffer is how many events of a run wait for the entry; default 64.
 	EventBuffer int
 	// WriteTimeout ends a connection whose peer takes no bytes; default 10 s.
@@ -58,6 +47,8 @@
 	SlotPoll time.Duration
 	// CachePoll is the time between reads of the engine's cache events; default 500 ms.
 	CachePoll time.Duration
+	// EventLag is how late a cache event may arrive; an older one does not correct what the agent knows; default 2 s.
+	EventLag time.Duration
 	// MaxCachePieces is how many cached pieces are remembered; default 65,536.
 	MaxCachePieces int
 	// CallTimeout limits one call of control; default 2 s.
@@ -76,12 +67,6 @@
 	setDefault(&o.Workers, 32)
 	setDefault(&o.MaxQueued, 1024)
 	setDefault(&o.Admission, admission.Defaults())
-	setDefault(&o.Fetch, fetchplan.Defaults())
-	setDefault(&o.HasTimeout, 100*time.Millisecond)
-	setDefault(&o.FetchTimeout, 3*time.Second)
-	setDefault(&o.MaxFetches, 16)
-	setDefault(&o.Exporters, 2)
-	setDefault(&o.MaxExports, 1024)
 	setDefault(&o.EventBuffer, 64)
 	setDefault(&o.WriteTimeout, 10*time.Second)
 	setDefault(&o.Heartbeat, time.Second)
@@ -93,6 +78,7 @@
 	setDefault(&o.LoadTimeout, time.Minute)
 	setDefault(&o.SlotPoll, 200*time.Millisecond)
 	setDefault(&o.CachePoll, 500*time.Millisecond)
+	setDefault(&o.EventLag, 2*time.Second)
 	setDefault(&o.MaxCachePieces, 65536)
 	setDefault(&o.CallTimeout, 2*time.Second)
 	setDefault(&o.FinishTimeout, 30*time.Second)
