Return typed failures from the capacity measurements

Cause: errors of the package were bare strings, against the rule for API borders. Conclusion: all are failure.Error; the measurements are unchanged.

--- a/cmd/wasabishunt-capacity/main.go
+++ b/cmd/wasabishunt-capacity/main.go
@@ -14,6 +14,7 @@
 	"github.com/alexflint/go-arg"
 	"github.com/samber/lo"
 
+	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/internal/capacity"
 )
 
@@ -58,11 +59,11 @@
 	for _, name := range names {
 		measure := all[name]
 		if measure == nil {
-			return fmt.Errorf("unknown measurement %q; there are %s", name, strings.Join(lo.Keys(all), ", "))
+			return failure.New(failure.InvalidRequest, failure.NotRun, "unknown measurement %q; there are %s", name, strings.Join(lo.Keys(all), ", "))
 		}
 		tables, err := measure(ctx, options)
 		if err != nil {
-			return fmt.Errorf("%s: %w", name, err)
+			return failure.Wrap(err, failure.Internal, failure.Unknown, "%s", name)
 		}
 		for _, table := range tables {
 			if err := table.Write(os.Stdout); err != nil {
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -14,6 +14,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/wasabishunt/wasabishunt/failure"
 )
 
 // Options are the sizes of the measurements.
@@ -193,3 +195,8 @@
 		return ctx.Err()
 	}
 }
+
+// fault is a measurement that did not run as it should.
+func fault(format string, args ...any) error {
+	return failure.New(failure.Internal, failure.Unknown, format, args...)
+}
--- a/internal/capacity/group.go
+++ b/internal/capacity/group.go
@@ -79,7 +79,7 @@
 func (g *group) startMember(ctx context.Context, bootstrap []*raftpb.Member, i int, listener net.Listener) error {
 	operators, problems := control.ReadOperators(strings.NewReader(operatorName + " " + sha256Hex(operatorToken) + "\n"))
 	if len(problems) > 0 {
-		return fmt.Errorf("operators: %v", problems)
+		return fault("operators: %v", problems)
 	}
 	status, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/capacity/queue.go
+++ b/internal/capacity/queue.go
@@ -103,7 +103,7 @@
 			return nil
 		}
 		if time.Now().After(deadline) {
-			return fmt.Errorf("the agent holds %d of %d requests", held, size)
+			return fault("the agent holds %d of %d requests", held, size)
 		}
 		if err := pause(ctx, 10*time.Millisecond); err != nil {
 			return err
--- a/internal/capacity/relay.go
+++ b/internal/capacity/relay.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"github.com/wasabishunt/wasabishunt/failure"
 )
 
 const (
@@ -48,14 +50,14 @@
 			for _, tokens := range relayTokens {
 				used, began := cpu(), time.Now()
 				if err := callMany(ctx, path.call, tokens); err != nil {
-					return nil, fmt.Errorf("%s: %w", path.name, err)
+					return nil, failure.Wrap(err, failure.Internal, failure.Unknown, "%s", path.name)
 				}
 				work.add(repeat, path.name+": CPU per request, us", int(tokens), 1e6*(cpu()-used).Seconds()/relayRequests)
 				work.add(repeat, path.name+": requests/s", int(tokens), relayRequests/time.Since(began).Seconds())
 			}
 			median, tail, err := firstTokens(ctx, path.call)
 			if err != nil {
-				return nil, fmt.Errorf("%s: %w", path.name, err)
+				return nil, failure.Wrap(err, failure.Internal, failure.Unknown, "%s", path.name)
 			}
 			medians, tails = append(medians, median), append(tails, tail)
 		}
--- a/internal/capacity/sets.go
+++ b/internal/capacity/sets.go
@@ -62,7 +62,7 @@
 	changed.Accounts[len(changed.Accounts)/2].Weight = 2
 	changes := objectset.Diff(copied, &changed)
 	if len(changes) != 1 {
-		return fmt.Errorf("%d changes instead of 1", len(changes))
+		return fault("%d changes instead of 1", len(changes))
 	}
 	allocated, used := allocations(), cpu()
 	for range patchRounds {
--- a/internal/capacity/stack.go
+++ b/internal/capacity/stack.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -18,6 +17,7 @@
 	"github.com/wasabishunt/wasabishunt/clock"
 	"github.com/wasabishunt/wasabishunt/controlclient"
 	"github.com/wasabishunt/wasabishunt/entry"
+	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/internal/fixedview"
 	standin "github.com/wasabishunt/wasabishunt/internal/standin/engine"
 	"github.com/wasabishunt/wasabishunt/objectset"
@@ -116,7 +116,7 @@
 			return nil
 		}
 		if time.Now().After(deadline) {
-			return fmt.Errorf("the agent has no weight version: %w", err)
+			return failure.Wrap(err, failure.Internal, failure.NotRun, "the agent has no weight version")
 		}
 		if err := pause(ctx, 10*time.Millisecond); err != nil {
 			return err
@@ -173,7 +173,7 @@
 			return first, err
 		}
 		if refusal := event.GetRefusal(); refusal != nil {
-			return first, fmt.Errorf("refused: %s", refusal.GetMessage())
+			return first, fault("refused: %s", refusal.GetMessage())
 		}
 		if first == 0 && event.GetDelta() != nil {
 			first = time.Since(began)
@@ -228,7 +228,7 @@
 			continue
 		}
 		if err != io.EOF || !strings.Contains(tail, "[DONE]") || response.StatusCode != http.StatusOK {
-			return first, fmt.Errorf("status %d, answer without end: %q, %w", response.StatusCode, tail, err)
+			return first, failure.Wrap(err, failure.Internal, failure.Unknown, "status %d, answer without end: %q", response.StatusCode, tail)
 		}
 		return first, nil
 	}
