--- a/raft/cluster_test.go
+++ b/raft/cluster_test.go
@@ -282,12 +282,20 @@
 	c.packets = slices.Delete(c.packets, at, at+1)
 	m := c.members[p.GetTo()]
 	if m == nil || m.node == nil || m.paused || c.cut[[2]uint64{p.GetFrom(), p.GetTo()}] {
+		c.lose(p)
 		return
 	}
 	require.NoError(c.t, m.node.Step(p.Message))
 	c.work(m)
 }
 
+// lose drops a packet. The driver of a leader learns that a snapshot transfer failed, as over a broken stream.
+func (c *cluster) lose(p packet) {
+	if from := c.members[p.GetFrom()]; p.GetSnapshot() != nil && from != nil && from.node != nil {
+		from.node.ReportSnapshot(p.GetTo(), false)
+	}
+}
+
 // run lets time pass; each tick all packets are delivered in the order of sending, or in random order.
 func (c *cluster) run(ticks int, shuffle bool) {
 	for range ticks {
--- a/raft/guards_test.go
+++ b/raft/guards_test.go
@@ -338,3 +338,40 @@
 	require.Equal(t, leader.node.log.last(), a.node.log.commit)
 	require.Equal(t, leader.node.log.last(), b.node.log.commit)
 }
+
+// TestLostSnapshotReplyDelaysNothing guards against a leader that sends nothing to a member for the snapshot timeout of 30 s,
+// because the reply to an installed snapshot was lost.
+func TestLostSnapshotReplyDelaysNothing(t *testing.T) {
+	c := newCluster(t, 3, 4)
+	leader := c.elect()
+	behind, _ := c.followersOf(leader)
+	c.isolate(behind.id)
+	for range 5 {
+		require.NoError(t, c.propose(leader, "change"))
+		c.run(2, false)
+	}
+	c.snapshot(leader, 0)
+	c.heal()
+	lost := false
+	for end := c.now + 3*time.Second; c.now < end && behind.node.log.commit < leader.node.log.last(); {
+		c.now += tick
+		for _, m := range c.running() {
+			m.node.Tick(c.now)
+			c.work(m)
+		}
+		for len(c.packets) > 0 {
+			p := c.packets[0]
+			if p.GetType() == raftpb.MessageType_APPEND_REPLY && !p.GetReject() && p.GetFrom() == behind.id && !lost {
+				lost = true
+				c.packets = c.packets[1:]
+				continue
+			}
+			c.deliver(0)
+		}
+	}
+	require.True(t, lost, "no snapshot was installed")
+	require.NoError(t, c.propose(leader, "after"))
+	c.run(10, false)
+	require.Equal(t, leader.node.log.last(), behind.node.log.commit)
+	require.Zero(t, leader.node.peers[behind.id].installing)
+}
--- a/raft/read.go
+++ b/raft/read.go
@@ -113,6 +113,11 @@
 	if p.proofStamp == 0 {
 		p.proofStamp, p.proofRound = m.GetFollowerStamp(), n.nextStamp()
 	}
+	if p.installing != 0 && m.GetCommit() >= p.installing {
+		// The snapshot is installed and its reply was lost. What the member knows as committed is in this log too.
+		p.match = max(p.match, m.GetCommit())
+		p.restart(p.match + 1)
+	}
 	if p.match < n.log.last() {
 		// Appends may have been lost: forget those in flight and look whether the logs match.
 		p.inflight = 0
--- a/raft/schedule_test.go
+++ b/raft/schedule_test.go
@@ -114,7 +114,9 @@
 		at := s.pick(len(s.packets))
 		switch s.pick(4) {
 		case 0:
+			dropped := s.packets[at]
 			s.packets = append(s.packets[:at:at], s.packets[at+1:]...)
+			s.lose(dropped)
 		case 1:
 			s.packets = append(s.packets, s.packets[at])
 		default:
--- a/raft/step.go
+++ b/raft/step.go
@@ -171,7 +171,7 @@
 	n.establish(m.GetLearnerStamp())
 	n.send(&raftpb.Message{
 		Type: raftpb.MessageType_HEARTBEAT_REPLY, To: m.GetFrom(), Context: m.GetContext(), FollowerStamp: uint64(n.now),
-		LogIndex: n.log.last(), MayVote: n.mayVote,
+		LogIndex: n.log.last(), MayVote: n.mayVote, Commit: n.log.commit,
 	})
 }
 
