Keep a part of the retry budget for accounts that retry little

Cause: with large callers, all entries' retries went to the large callers' refused requests. Of the small callers' lost requests in deployment A nearly every one was refused once, on an engine that could not be in time, and never tried elsewhere. Change: an account with more than an equal part of the recent retries leaves a fifth of the burst to the others.

--- a/bench/entry.go
+++ b/bench/entry.go
@@ -97,7 +97,7 @@
 			e.loads.Failed(a.name, now)
 		}
 		q.exclude = append(q.exclude, a.name)
-		if q.tries >= maxTries || e.run.policy.NoRetry || !now.Before(q.deadline) || !e.budget.Retry() {
+		if q.tries >= maxTries || e.run.policy.NoRetry || !now.Before(q.deadline) || !e.budget.Retry(accountName(q.account)) {
 			e.run.result.refused(q)
 			return
 		}
--- a/entry/generation.go
+++ b/entry/generation.go
@@ -92,7 +92,7 @@
 	if g.exhausted || g.call.ctx.Err() != nil || g.attempts >= s.options.MaxAttempts || !elsewhere[e.Kind] || g.sink.broken() {
 		return false
 	}
-	if s.budget.take() {
+	if s.budget.take(g.call.account.Name) {
 		return true
 	}
 	s.count("retries_over_budget")
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -63,9 +63,9 @@
 	b.budget.Request()
 }
 
-// take uses one retry, if the budget allows.
-func (b *retryBudget) take() bool {
+// take uses one retry for an account, if the budget allows.
+func (b *retryBudget) take(account string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.budget.Retry()
+	return b.budget.Retry(account)
 }
--- a/entry/services.go
+++ b/entry/services.go
@@ -94,7 +94,7 @@
 	s := sc.call.server
 	last := noUpstream(sc.service.Name)
 	for i, address := range sc.agents() {
-		if i > 0 && (i >= s.options.MaxAttempts || !s.budget.take()) {
+		if i > 0 && (i >= s.options.MaxAttempts || !s.budget.take(sc.call.account.Name)) {
 			break
 		}
 		sc.call.decided("agent " + address)
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -226,13 +226,32 @@
 	retries := 0
 	for range 1000 {
 		b.Request()
-		if b.Retry() {
+		if b.Retry("a") {
 			retries++
 		}
 	}
 	require.InDelta(t, 110, retries, 2)
 }
 
+// TestRetryBudgetByAccount guards against a large caller whose refusals use up the retries of a small one, and against
+// a record of accounts that grows without bound.
+func TestRetryBudgetByAccount(t *testing.T) {
+	b := NewRetryBudget()
+	require.True(t, b.Retry("small"))
+	for range 1000 {
+		b.Request()
+		for b.Retry("large") {
+		}
+	}
+	require.True(t, b.Retry("small"))
+	require.False(t, b.Retry("large"))
+	for n := range 100 * recentRetries {
+		b.saved = b.Burst
+		b.Retry(fmt.Sprint(n))
+	}
+	require.LessOrEqual(t, len(b.recent), 2*recentRetries)
+}
+
 // TestTablesBounded guards against tables that grow with the number of prompts or sends.
 func TestTablesBounded(t *testing.T) {
 	settings := PrefixDefaults()
