Grant urgent prompts beside a long prompt to engines with priorities

Cause: the agent grants prompts whole and one at a time, so an urgent prompt of 300 tokens waited for the whole of a prompt of 10,000 tokens of a less urgent rank, although engines batch continuously and take a priority with each prompt. Change: Settings.EnginePriorities counts only work of the same or a more urgent priority towards MaxOutstanding; a grant carries the priority for the engine, and one by floor carries that of the most urgent rank, because strict priorities would starve it. The agent sets both.

--- a/agent/generate.go
+++ b/agent/generate.go
@@ -34,6 +34,8 @@
 	events chan *agentpb.GenerateEvent
 	// queued is guarded by Agent.mu; it is false once a worker has the job.
 	queued bool
+	// priority is the order on the engine, 0 first; it is set by the worker that takes the job.
+	priority int
 	// ran is set by the worker before it closes events.
 	ran    bool
 	cached int64
--- a/agent/queue.go
+++ b/agent/queue.go
@@ -10,13 +10,15 @@
 	"github.com/wasabishunt/wasabishunt/sched"
 )
 
-// newQueue returns the upstream's queue. An engine takes a prompt as a whole, so one chunk is a whole prompt;
-// the limit of outstanding tokens still keeps a long prompt from being joined by others.
+// newQueue returns the upstream's queue. An engine takes a prompt as a whole, so one chunk is a whole prompt. The engine
+// interleaves prompts by priority, so an urgent one is granted while a long one of a less urgent rank is computed; the
+// limit of outstanding tokens keeps prompts of the same rank apart.
 func newQueue(options Options) *sched.Queue {
 	settings := sched.Defaults()
 	settings.MaxQueued = options.MaxQueued
 	settings.MaxRunning = options.Workers
 	settings.WholePrompts = true
+	settings.EnginePriorities = true
 	return sched.New(settings, sched.Config{})
 }
 
@@ -162,6 +164,7 @@
 	}
 	j := a.jobs[grant.Item.ID]
 	j.queued = false
+	j.priority = grant.Priority
 	j.decisions = append(j.decisions, grant.Reasons()...)
 	a.running++
 	// One wake-up value may stand for several pushed jobs, so each worker passes it on.
--- a/agent/run.go
+++ b/agent/run.go
@@ -109,7 +109,7 @@
 		Adapter:       req.GetAdapter(),
 		Prompt:        req.GetPrompt(),
 		MaxTokens:     req.GetMaxTokens(),
-		Priority:      r.job.rank.Order,
+		Priority:      r.job.priority,
 		Emitted:       req.GetEmitted(),
 		CacheScope:    r.job.account.Name,
 		PieceNames:    lo.Map(r.job.pieces, func(name piece.Name, _ int) string { return name.String() }),
--- a/bench/agent.go
+++ b/bench/agent.go
@@ -29,6 +29,7 @@
 	// waiters wait for the computation of a prefix by another request.
 	waiters  map[string][]*work
 	decoding []*work
+	prompts  []prompt   // Granted and not yet computed.
 	held     []*request // Requests for a version that is not loaded yet.
 	loaded   uint64
 	// loadedBy is when the load in progress ends; zero while the agent waits for a load slot.
@@ -56,6 +57,10 @@
 	settings := sched.Defaults()
 	settings.MaxRunning = maxRunning
 	settings.WholePrompts = r.policy.WholePrompts
+	settings.EnginePriorities = r.policy.EnginePriorities
+	if r.policy.MaxOutstanding > 0 {
+		settings.MaxOutstanding = r.policy.MaxOutstanding
+	}
 	settings.Off = r.policy.Sched
 	a := &agent{
 		run: r, name: fmt.Sprintf("engine%02d", i), model: model, hardware: hardwareOf(i), meter: sched.NewMeter(configuredRate),
--- a/bench/engine.go
+++ b/bench/engine.go
@@ -15,8 +15,9 @@
 		return
 	}
 	a.answerDropped()
-	grants, tokens := a.grants()
-	if len(grants) == 0 && len(a.decoding) == 0 {
+	a.takeGrants()
+	grants, tokens := a.prefill()
+	if tokens == 0 && len(a.decoding) == 0 {
 		return
 	}
 	a.stepping = true
@@ -29,16 +30,41 @@
 	})
 }
 
-// grants takes prefill chunks of at most one quantum together.
-func (a *agent) grants() (grants []sched.Grant, tokens int64) {
+// prompt is a granted chunk that the engine computes.
+type prompt struct {
+	grant sched.Grant
+	left  int64
+}
+
+// takeGrants hands all granted chunks to the engine.
+func (a *agent) takeGrants() {
 	for {
 		grant, ok := a.queue.Next(a.run.time())
 		if !ok {
-			return grants, tokens
+			return
+		}
+		a.prompts = append(a.prompts, prompt{grant: grant, left: grant.Tokens})
+	}
+}
+
+// prefill computes at most one engine chunk of the granted prompts in a step, by priority and then by arrival, and
+// returns the prompts that it completes and the tokens computed.
+func (a *agent) prefill() (done []sched.Grant, tokens int64) {
+	slices.SortStableFunc(a.prompts, func(x, y prompt) int {
+		return x.grant.Priority - y.grant.Priority
+	})
+	kept := a.prompts[:0]
+	for _, p := range a.prompts {
+		n := min(p.left, engineChunk-tokens)
+		tokens += n
+		if p.left -= n; p.left > 0 {
+			kept = append(kept, p)
+			continue
 		}
-		grants = append(grants, grant)
-		tokens += grant.Tokens
+		done = append(done, p.grant)
 	}
+	a.prompts = kept
+	return done, tokens
 }
 
 func (a *agent) stepped(grants []sched.Grant, tokens int64, took time.Duration) {
@@ -135,7 +161,7 @@
 			return
 		}
 		a.failed = true
-		a.decoding = nil
+		a.decoding, a.prompts = nil, nil
 		works := slices.Clone(a.order)
 		a.order = nil
 		for _, w := range works {
--- a/bench/model.go
+++ b/bench/model.go
@@ -17,6 +17,8 @@
 	engineCachePieces = 40
 	storePieces       = 400
 	maxRunning        = 48
+	// engineChunk is the prefill of an engine in one step in tokens, of one or several prompts.
+	engineChunk = 512
 	// configuredRate is the prefill rate in the object set; half of the engines differ from it.
 	configuredRate = 8000.0
 	loadWeights    = 800 * time.Millisecond
--- a/bench/policies.go
+++ b/bench/policies.go
@@ -24,8 +24,12 @@
 	TwoCopies   bool
 	NoPlacement bool
 	NoRetry     bool
-	// WholePrompts grants prompts whole, as the live agent does for engines that cannot prefill in parts.
+	// WholePrompts grants prompts whole, as the live agent does, because engines take a prompt in one request.
 	WholePrompts bool
+	// EnginePriorities lets the engine order granted prompts, as the live agent does.
+	EnginePriorities bool
+	// MaxOutstanding bounds the prompt tokens granted to an engine in tokens; 0 means the default, one chunk.
+	MaxOutstanding int64
 	// Prefetch moves pieces to the engine ahead of a known return.
 	Prefetch bool
 }
@@ -70,6 +74,8 @@
 		{Name: "without cache shares", NoShares: true},
 		{Name: "with second copies", TwoCopies: true},
 		{Name: "with whole prompts", WholePrompts: true},
+		{Name: "with whole prompts by priority", WholePrompts: true, EnginePriorities: true},
+		{Name: "with whole prompts by priority, 4096 outstanding", WholePrompts: true, EnginePriorities: true, MaxOutstanding: 4096},
 		{Name: "with prefetch", Prefetch: true},
 		{Name: "without retries", NoRetry: true},
 	}
--- a/sched/item.go
+++ b/sched/item.go
@@ -30,6 +30,9 @@
 	First bool
 	// Last is true for the chunk after which the run generates.
 	Last bool
+	// Priority is the order in which an engine with priorities should compute the chunk, 0 first: the order of the rank,
+	// or that of the most urgent rank for a chunk by floor, because strict priorities would starve it.
+	Priority int
 	// Why names the rule that chose the item.
 	Why string
 }
@@ -75,6 +78,9 @@
 	MaxOutstanding int64
 	// WholePrompts grants each prompt as a single chunk, for engines that cannot prefill in parts; default false.
 	WholePrompts bool
+	// EnginePriorities says that the engine itself computes granted prompts by Grant.Priority; default false. Granted
+	// prompts of less urgent priorities then do not count towards MaxOutstanding for more urgent ones.
+	EnginePriorities bool
 	// LongShare is the share of prefill that long prefixes may take while short work waits, 0 to 1; default 0.5.
 	LongShare float64
 	// AccountBurst is the service in tokens that an account which asked for less than its share may receive before
--- /dev/null
+++ b/sched/outstanding.go
@@ -0,0 +1,29 @@
+package sched
+
+// outstanding counts the tokens granted and not yet done by the priority that the engine got with them.
+type outstanding map[int]int64
+
+func (o outstanding) add(priority int, tokens int64) {
+	if o[priority] += tokens; o[priority] == 0 {
+		delete(o, priority)
+	}
+}
+
+// outstandingBefore is the granted work that an engine computes before a chunk of a priority.
+func (q *Queue) outstandingBefore(priority int) int64 {
+	tokens := int64(0)
+	for p, n := range q.outstanding {
+		if p <= priority || !q.settings.EnginePriorities {
+			tokens += n
+		}
+	}
+	return tokens
+}
+
+// priority is the priority of an entry's next chunk.
+func (q *Queue) priority(e *entry, why string) int {
+	if why == whyFloor {
+		return min(e.rank.Order, q.ranks[0].Order)
+	}
+	return e.rank.Order
+}
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -22,7 +22,7 @@
 	now         time.Time // Of the last call that told the time.
 	waiting     int
 	running     int
-	outstanding int64
+	outstanding outstanding
 	sinceFloor  int    // Chunks granted since the last one by a floor.
 	pace        int    // Chunks by order between two by floor.
 	rescued     *entry // Chosen to save its deadline; see rescue.
@@ -37,6 +37,7 @@
 	account   *account
 	remaining int64 // Prompt tokens not yet granted.
 	granted   int64 // Tokens of the chunk in progress.
+	priority  int   // Of the chunk in progress.
 	started   bool
 	gone      bool
 	sequence  uint64
@@ -44,7 +45,7 @@
 
 // New returns an empty queue.
 func New(settings Settings, config Config) *Queue {
-	q := &Queue{settings: settings.withDefaults(), entries: map[string]*entry{}}
+	q := &Queue{settings: settings.withDefaults(), entries: map[string]*entry{}, outstanding: outstanding{}}
 	q.budget = longBudget{share: q.settings.LongShare, limit: float64(q.settings.ChunkTokens)}
 	q.Configure(config)
 	return q
@@ -103,8 +104,8 @@
 }
 
 func (q *Queue) grant(e *entry, why string) (Grant, bool) {
-	tokens := q.chunk(e)
-	if q.outstanding > 0 && q.outstanding+tokens > q.settings.MaxOutstanding {
+	tokens, priority := q.chunk(e), q.priority(e, why)
+	if before := q.outstandingBefore(priority); before > 0 && before+tokens > q.settings.MaxOutstanding {
 		return Grant{}, false
 	}
 	q.sinceFloor++
@@ -119,12 +120,12 @@
 		e.account.unready(e)
 	}
 	e.remaining -= tokens
-	e.granted = tokens
-	q.outstanding += tokens
+	e.granted, e.priority = tokens, priority
+	q.outstanding.add(priority, tokens)
 	q.settle(e, tokens)
 	q.charge(e, tokens, true)
 	e.rank.recent.add(tokens, q.now)
-	return Grant{Item: e.item, Tokens: tokens, First: first, Last: e.remaining == 0, Why: why}, true
+	return Grant{Item: e.item, Tokens: tokens, First: first, Last: e.remaining == 0, Priority: priority, Why: why}, true
 }
 
 func (q *Queue) chunk(e *entry) int64 {
@@ -165,7 +166,7 @@
 	if !ok || e.granted == 0 {
 		return
 	}
-	q.outstanding -= e.granted
+	q.outstanding.add(e.priority, -e.granted)
 	e.granted = 0
 	if e.remaining > 0 {
 		e.account.ready = append(e.account.ready, e)
@@ -197,7 +198,7 @@
 	e.gone = true
 	q.settle(e, e.remaining)
 	if e.started {
-		q.outstanding -= e.granted
+		q.outstanding.add(e.priority, -e.granted)
 		e.account.unready(e)
 		e.account.running--
 		e.rank.running--
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -306,7 +306,31 @@
 	require.Zero(t, load.QueuedTokens)
 	require.Zero(t, load.QueuedRequests)
 	require.Zero(t, load.Running)
-	require.Zero(t, q.outstanding)
+	require.Empty(t, q.outstanding)
+}
+
+// TestEnginePriorities guards against urgent prompts that wait for a long prompt which the engine would compute after
+// them, and against floors that an engine with strict priorities starves.
+func TestEnginePriorities(t *testing.T) {
+	q := newQueue(func(s *Settings) { s.WholePrompts, s.EnginePriorities = true, true })
+	push(t, q, "day", "d", 10000, 2)
+	_, ok := q.Next(start)
+	require.True(t, ok)
+	_, ok = q.Next(start)
+	require.False(t, ok, "one prompt of a rank at a time")
+	push(t, q, "urgent", "u", 300, 1)
+	require.InDelta(t, 300/0.8, q.AheadOf("urgent", "u2", 300).Tokens, 1)
+	grant, ok := q.Next(start)
+	require.True(t, ok)
+	require.Equal(t, "urgent", grant.Item.Rank)
+	q.ChunkDone(grant.Item.ID)
+	push(t, q, "urgent", "u", 5120, 30)
+	for grant.Why != whyFloor {
+		grant, ok = q.Next(start)
+		require.True(t, ok)
+		q.ChunkDone(grant.Item.ID)
+	}
+	require.Zero(t, grant.Priority)
 }
 
 // TestAheadOf guards against estimates that ignore fair sharing or the order of ranks.
--- a/sched/snapshot.go
+++ b/sched/snapshot.go
@@ -73,7 +73,7 @@
 		}
 	}
 	ahead.Tokens /= max(0.1, 1-lowFloors)
-	ahead.Tokens += float64(q.outstanding)
+	ahead.Tokens += float64(q.outstandingBefore(rank.Order))
 	ahead.Slots = q.slotsAhead(rank, accountName)
 	return ahead
 }
