--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build test lint demo bench scenarios soak generate fmt tools
+.PHONY: build test lint demo bench scenarios soak generate fmt tools settingsdoc
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -22,11 +22,14 @@
 	$(GO) test -count=1 -timeout 20m -v ./scenarios/...
 
 soak:
-	$(GO) test -count=1 -timeout 60m -v -run TestSoak ./scenarios/... -args -soak=$(or $(DURATION),5m)
+	$(GO) test -count=1 -timeout 60m -v -run TestSoak ./scenarios/... -args -soak=$(or $(DURATION),5m) -soak-seed=$(or $(SEED),0) -soak-runs=$(or $(RUNS),1)
 
 generate:
 	./rpc/generate.sh
 
+settingsdoc:
+	$(GO) run ./internal/settingsdoc
+
 tools:
 	cd tools && $(GO) build -o ../$(BIN)/tools/ honnef.co/go/tools/cmd/staticcheck mvdan.cc/gofumpt
 
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -9,21 +9,21 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/sync/semaphore"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcwire"
 
+	"github.com/wasabishunt/wasabishunt/agent/kv"
 	"github.com/wasabishunt/wasabishunt/clock"
 	"github.com/wasabishunt/wasabishunt/connlimit"
 	"github.com/wasabishunt/wasabishunt/controlclient"
-	"github.com/wasabishunt/wasabishunt/fetchplan"
 	"github.com/wasabishunt/wasabishunt/objectset"
 	"github.com/wasabishunt/wasabishunt/piece"
 	"github.com/wasabishunt/wasabishunt/rpc/agentpb"
@@ -49,7 +49,7 @@
 	Engine  engine.Client
 	Service *service.Client
 	// Stores is nil when no pieces are kept outside the engine.
-	Stores Stores
+	Stores kv.Stores
 	// PieceKey names pieces; it is the same on all entries and agents.
 	PieceKey piece.Key
 	Clock    clock.Clock
@@ -59,13 +59,13 @@
 
 // Agent serves one upstream.
 type Agent struct {
-	options    Options
-	deps       Dependencies
-	rates      *rates
-	weights    *weights
-	cache      *cacheContents
-	fetchSlots *semaphore.Weighted
-	exports    chan export
+	options Options
+	deps    Dependencies
+	rates   *rates
+	weights *weights
+	cache   *cacheContents
+	// pieces moves KV pieces between the engine and the stores; nil beside a plain service.
+	pieces *kv.Mover
 	// firstTokenTimes are times to first token on the engine in milliseconds. It is a histogram, because the
 	// timers of go-metrics start a goroutine that never ends.
 	firstTokenTimes gometrics.Histogram
@@ -85,11 +85,10 @@
 	idle chan struct{}
 	// wake has one slot; a value in it means that a worker may find work.
 	wake chan struct{}
-	// flights are the pieces in computation; flightsEnded is closed and replaced when one ends.
-	flights      *fetchplan.Flights
-	flightsEnded chan struct{}
-	setVersion   uint64
-	adoptedAt    time.Time
+	// serviceBroken is true while the last connection to the plain service failed.
+	serviceBroken atomic.Bool
+	setVersion    uint64
+	adoptedAt     time.Time
 	// configured is the set version of the queue's ranks and weights; only followSet uses it.
 	configured uint64
 }
@@ -111,18 +110,15 @@
 		deps:         deps,
 		jobs:         map[string]*job{},
 		queue:        newQueue(options),
-		flights:      fetchplan.NewFlights(),
-		fetchSlots:   semaphore.NewWeighted(options.MaxFetches),
-		flightsEnded: make(chan struct{}),
-		exports:      make(chan export, options.MaxExports),
 		idle:         make(chan struct{}),
 		drainStarted: make(chan struct{}),
 		wake:         make(chan struct{}, 1),
 		rates:        &rates{},
-		cache:        newCacheContents(options.MaxCachePieces),
+		cache:        newCacheContents(deps.Clock, options.MaxCachePieces, options.EventLag),
 	}
 	a.firstTokenTimes = gometrics.GetOrRegisterHistogram("runs.first_token_ms", deps.Registry, gometrics.NewExpDecaySample(1028, 0.015))
 	a.weights = newWeights(a)
+	a.pieces = newMover(a)
 	return a
 }
 
@@ -144,9 +140,7 @@
 	if a.deps.Engine != nil {
 		group.Go(func() error { a.weights.run(ctx); return nil })
 		group.Go(func() error { a.followCache(ctx); return nil })
-		for range a.options.Exporters {
-			group.Go(func() error { a.exportPieces(ctx); return nil })
-		}
+		group.Go(func() error { a.pieces.Run(ctx); return nil })
 		for range a.options.Workers {
 			group.Go(func() error { a.work(ctx); return nil })
 		}
@@ -168,7 +162,7 @@
 			a.rates.start(upstream)
 		}
 		if a.leaving(view) && a.beginDrain() {
-			a.deps.Log.Info("control reports this agent as leaving; no new work is taken")
+			a.deps.Log.Info("reported as leaving")
 		}
 		select {
 		case <-ctx.Done():
@@ -197,9 +191,11 @@
 	return a.adoptedAt
 }
 
+// leaving reports whether control says that this agent leaves. The state of an earlier incarnation does not count: its
+// record says leaving after a graceful stop, and is read before this incarnation has registered.
 func (a *Agent) leaving(view controlclient.View) bool {
 	process, ok := view.Processes[a.options.ProcessID]
-	return ok && process.State == controlclient.Leaving
+	return ok && process.Epoch == view.Epoch && process.State == controlclient.Leaving
 }
 
 // upstream returns the agent's own upstream and its deployment in the set.
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -14,7 +14,6 @@
 	"github.com/danielgtaylor/huma/v2/adapters/humago"
 
 	"github.com/wasabishunt/wasabishunt/failure"
-	"github.com/wasabishunt/wasabishunt/metrics"
 )
 
 // routes builds the HTTP interface. huma describes it (see /docs and /openapi.json); the handlers read requests
@@ -30,8 +29,13 @@
 		s.writeError(w, failure.New(failure.NotFound, failure.NotRun, "%s %s does not exist", r.Method, r.URL.Path), "", "")
 	})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		controller := http.NewResponseController(w)
 		// A deadline left from an earlier response on the same connection must not end this one.
-		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.options.WriteTimeout))
+		_ = controller.SetWriteDeadline(time.Now().Add(s.options.WriteTimeout))
+		// The server reads the rest of a body that no handler wanted; a slow caller must not hold the connection by that.
+		if r.ContentLength != 0 {
+			_ = controller.SetReadDeadline(time.Now().Add(s.options.BodyTimeout))
+		}
 		mux.ServeHTTP(w, r)
 	})
 }
@@ -114,13 +118,12 @@
 		s.writeJSON(w, http.StatusOK, map[string]bool{"ok": true})
 	})
 	simple("ready", "/readyz", "Whether callers should be sent here", func(w http.ResponseWriter, _ *http.Request) {
-		if err := s.ready(); err != nil {
+		if err := s.Ready(); err != nil {
 			s.writeError(w, failure.Of(err), "", "")
 			return
 		}
 		s.writeJSON(w, http.StatusOK, map[string]bool{"ok": true})
 	})
-	simple("metrics", "/metrics", "Metrics in the Prometheus text format", metrics.Handler(s.deps.Registry).ServeHTTP)
 	simple("debug-request", "/debug/requests/{id}", "Decisions and outcome of a past request, for operators", s.debugRequest)
 }
 
--- a/internal/scenario/processes.go
+++ b/internal/scenario/processes.go
@@ -1,8 +1,10 @@
 package scenario
 
 import (
+	"io/fs"
 	"net/http"
 	"os"
+	"path/filepath"
 	"regexp"
 	"strconv"
 	"strings"
@@ -17,7 +19,8 @@
 // fleet [controls=N] [spares=N] [entries=N] [stores=N] [upstreams=N] [services=N] [accounts=N] [unfenced=N]
 // [cache=TOKENS] [decode=RATE] [prefill=RATE] [vmlag=D] [notice=D] [link=BYTES] [norelays] [idle]
 //
-// Starts all processes, publishes the first set and waits until all entries are ready. With idle nothing is started.
+// Starts all processes, publishes the first set and waits until all entries are ready and each process
+// that watches control is live with that set. With idle nothing is started.
 func cmdFleet(ts *testscript.TestScript, _ bool, args []string) {
 	s := stateOf(ts)
 	o := parse(ts, args, "controls", "spares", "entries", "stores", "upstreams", "services", "accounts", "unfenced",
@@ -55,6 +58,7 @@
 		ts.Setenv("ENTRY"+strconv.Itoa(i+1), f.EntryURL(i))
 		ts.Check(f.AwaitReady(s.ctx, i))
 	}
+	fail(ts, false, s.poll(func() error { return s.allLive(f.Watchers()) }), "fleet")
 }
 
 func cmdStart(ts *testscript.TestScript, neg bool, args []string) {
@@ -131,6 +135,13 @@
 
 func cmdHeal(ts *testscript.TestScript, _ bool, _ []string) { stateOf(ts).fleet.HealAll() }
 
+// loseanswers NAME: holds back what a process sends to operators; their commands still arrive.
+func cmdLoseAnswers(ts *testscript.TestScript, neg bool, args []string) {
+	relay, err := stateOf(ts).fleet.Relay(oneName(ts, neg, args))
+	ts.Check(err)
+	relay.CutAnswers(fleet.OperatorIP)
+}
+
 // slow NAME BYTES_PER_SECOND: limits the relay before a process.
 func cmdSlow(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) != 2 {
@@ -149,6 +160,30 @@
 	ts.Check(os.RemoveAll(stateOf(ts).fleet.DataDir(name)))
 }
 
+// corrupt NAME: flips the last byte of each file with a body in the data directory of a process that has exited.
+func cmdCorrupt(ts *testscript.TestScript, neg bool, args []string) {
+	name := oneName(ts, neg, args)
+	changed := 0
+	ts.Check(filepath.WalkDir(stateOf(ts).fleet.DataDir(name), func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() {
+			return err
+		}
+		content, err := os.ReadFile(path)
+		if err != nil || len(content) < smallestBody {
+			return err
+		}
+		content[len(content)-1] ^= 1
+		changed++
+		return os.WriteFile(path, content, 0o600)
+	}))
+	if changed == 0 {
+		ts.Fatalf("%s has no file to corrupt", name)
+	}
+}
+
+// smallestBody is the size in bytes from which a file is taken for a piece.
+const smallestBody = 1 << 10
+
 // vm NAME STATE: sets the state of a VM in the platform's list; NAME is that of a process of the fleet.
 func cmdVM(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) != 2 {
