--- a/bench/agent.go
+++ b/bench/agent.go
@@ -29,6 +29,7 @@
 	// waiters wait for the computation of a prefix by another request.
 	waiters  map[string][]*work
 	decoding []*work
+	prompts  []prompt   // Granted and not yet computed.
 	held     []*request // Requests for a version that is not loaded yet.
 	loaded   uint64
 	// loadedBy is when the load in progress ends; zero while the agent waits for a load slot.
@@ -48,14 +49,20 @@
 	pending int // Pieces on their way.
 	lost    int64
 	started time.Duration
-	left    int64
-	gone    bool
+	// token is when the last token was generated.
+	token time.Duration
+	left  int64
+	gone  bool
 }
 
 func newAgent(r *run, i int, model string) *agent {
 	settings := sched.Defaults()
 	settings.MaxRunning = maxRunning
 	settings.WholePrompts = r.policy.WholePrompts
+	settings.EnginePriorities = r.policy.EnginePriorities
+	if r.policy.MaxOutstanding > 0 {
+		settings.MaxOutstanding = r.policy.MaxOutstanding
+	}
 	settings.Off = r.policy.Sched
 	a := &agent{
 		run: r, name: fmt.Sprintf("engine%02d", i), model: model, hardware: hardwareOf(i), meter: sched.NewMeter(configuredRate),
@@ -87,6 +94,7 @@
 	}
 	w := &work{request: q, left: q.output}
 	w.plan = a.planFor(w)
+	q.compute = w.plan.ComputeTokens
 	decision := a.admit(w)
 	if decision.Refusal != nil {
 		a.queue.Refused(q.kind.Rank, w.plan.ComputeTokens)
