--- a/agent/kv/fetch.go
+++ b/agent/kv/fetch.go
@@ -60,9 +60,16 @@
 	return arrived
 }
 
+// unknownSizeFetches is how many pieces are fetched at once if the set does not tell their size.
+const unknownSizeFetches = 16
+
 func (t *Ticket) fetchPiece(ctx context.Context, s source, i int) error {
 	m, r := t.mover, &t.request
-	room := max(1, min(r.PieceBytes, m.options.MaxFetchBytes))
+	room := r.PieceBytes
+	if room <= 0 {
+		room = m.options.MaxFetchBytes / unknownSizeFetches
+	}
+	room = max(1, min(room, m.options.MaxFetchBytes))
 	if err := m.fetching.Acquire(ctx, room); err != nil {
 		return failure.Wrap(err, failure.Overloaded, failure.NotRun, "too many fetches at once")
 	}
