--- a/agent/queue.go
+++ b/agent/queue.go
@@ -35,12 +35,22 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.dropLate(check.state.Now)
-	if refusal := check.decide(j.promptTokens - int64(len(j.pieces))*piece.TokensPerPiece).Refusal; refusal != nil {
+	tokens := j.promptTokens - int64(len(j.pieces))*piece.TokensPerPiece
+	if refusal := check.decide(tokens).Refusal; refusal != nil {
+		a.noteRefused(j, tokens)
 		return refusal
 	}
 	return nil
 }
 
+// noteRefused counts refused work as demand of its rank, so that the rank earns its floor although none of its work waits.
+// The caller holds Agent.mu.
+func (a *Agent) noteRefused(j *job, tokens int64) {
+	if !a.draining {
+		a.queue.Refused(j.rank.Name, tokens)
+	}
+}
+
 // admissionCheck asks admission about one job.
 type admissionCheck struct {
 	agent   *Agent
@@ -81,6 +91,7 @@
 	decision := check.decide(tokens)
 	j.decisions = append(j.decisions, decision.Reasons()...)
 	if decision.Refusal != nil {
+		a.noteRefused(j, tokens)
 		return decision.Refusal
 	}
 	j.estimate = decision.FirstToken
