controlclient: let the time limit end a call before the limit of attempts

With three members and pauses of up to 0.5 s, 32 attempts ended a call after about 4 s although its limit is 8 s (10 s for operators). The limit is now 100 attempts; the pauses and the time limit stay.

--- a/controlclient/client.go
+++ b/controlclient/client.go
@@ -22,7 +22,8 @@
 	AttemptTimeout time.Duration
 	// Timeout limits a call over all attempts, unless the context ends earlier; default 8 s.
 	Timeout time.Duration
-	// MaxAttempts limits the attempts of one call; default 32.
+	// MaxAttempts limits the attempts of one call; default 100, which is above what Timeout leaves room for with three
+	// members: 32 ended a call after 4 s of an election, before its Timeout.
 	MaxAttempts int
 }
 
@@ -43,7 +44,7 @@
 		options.Timeout = 8 * time.Second
 	}
 	if options.MaxAttempts == 0 {
-		options.MaxAttempts = 32
+		options.MaxAttempts = 100
 	}
 	return &Client{options: options, pool: rpcpool.New(rpcpool.Options{LocalIP: options.SourceIP}), directory: newDirectory(options.Addresses)}
 }
