store: refill past the pieces that are held already

Cause: refill counted the pieces it already holds towards the limit of a round, so a store with more pieces than one page stopped refilling for good (found by the capacity measurements: 1,500 pieces copied, then 0 in each round). Before, TestRefillGoesOnInTheNextRound: 750, 750, 0, 0 copied; after: 750, 750, 50, 0. Also: an export asks a store with the time limit of a put, not that of a request, because it delays nobody and a slow answer must not mark the store as failed.

--- a/agent/kv/export.go
+++ b/agent/kv/export.go
@@ -110,7 +110,7 @@
 		if m.sent.has(holder.name, e.name, now) || !m.health.usable(holder.address, now) {
 			continue
 		}
-		asking, cancel := context.WithTimeout(ctx, m.options.AskTimeout)
+		asking, cancel := context.WithTimeout(ctx, m.options.PutTimeout)
 		holding, err := m.deps.Stores.Has(asking, holder.address, e.scope.Account, store.RankBulk, []piece.Name{e.name})
 		cancel()
 		switch {
--- a/store/refill.go
+++ b/store/refill.go
@@ -27,7 +27,7 @@
 	Interval time.Duration
 	// RetryInterval is the wait after a round in which a peer failed; default 15 s.
 	RetryInterval time.Duration
-	// MaxPieces limits the pieces considered in one round; default 20,000.
+	// MaxPieces limits the missing pieces taken from a peer in one round; default 20,000.
 	MaxPieces int
 	// MaxFill is the share of the disk tier up to which refill fills it, 0 to 1; default 0.8. Refill must not evict
 	// what the store was given for its own.
@@ -69,6 +69,8 @@
 			wait = r.options.RetryInterval
 		} else if copied > 0 {
 			r.options.Log.Info("refill done", zap.Int("copied", copied))
+			// A round may have stopped at its limit, so another one follows soon.
+			wait = r.options.RetryInterval
 		}
 		timer := time.NewTimer(wait)
 		select {
@@ -131,20 +133,21 @@
 // collect adds the peer's pieces that this store should hold and does not.
 func (r *Refiller) collect(ctx context.Context, peer Peer, stores []string, into map[piece.Name]candidate) error {
 	after := ""
-	for seen := 0; seen < r.options.MaxPieces; {
+	// Only missing pieces count: pieces that this store holds already would fill the limit in the second round.
+	for missing := 0; missing < r.options.MaxPieces; {
 		page, next, err := r.client.List(ctx, peer.Address, after, maxListed)
 		if err != nil {
 			return err
 		}
 		for _, listed := range page {
-			if r.wants(listed.Header, stores) {
+			if missing < r.options.MaxPieces && r.wants(listed.Header, stores) {
 				into[listed.Header.Name] = candidate{listed, peer.Address}
+				missing++
 			}
 		}
 		if next == "" || len(page) == 0 {
 			return nil
 		}
-		seen += len(page)
 		after = next
 	}
 	return nil
--- a/store/rpc_test.go
+++ b/store/rpc_test.go
@@ -252,6 +252,25 @@
 	assert.Zero(t, copied)
 }
 
+// Guards against a refill that stops for good once the pieces it holds fill the limit of a round.
+func TestRefillGoesOnInTheNextRound(t *testing.T) {
+	a := serve(t, newMemFS(), Settings{Name: "a"}, 0, ServerOptions{})
+	for number := range maxListed + 50 {
+		h, body := sample(number, 0, 1000)
+		_, err := a.store.Put(h, body, 0)
+		require.NoError(t, err)
+	}
+	b := serve(t, newMemFS(), Settings{Name: "b"}, 0, ServerOptions{})
+	refiller := NewRefiller(b.store, b.link, b.client, RefillOptions{Self: "b", MaxPieces: maxListed / 2})
+	var rounds []int
+	for range 4 {
+		copied, err := refiller.Round(t.Context(), []Peer{{"a", a.address}})
+		require.NoError(t, err)
+		rounds = append(rounds, copied)
+	}
+	assert.Equal(t, []int{maxListed / 2, maxListed / 2, 50, 0}, rounds)
+}
+
 // Guards against a refill that takes the whole link: at 1 MB/s each way the refill takes 8 s; the bound for an urgent
 // piece of 64 KB, behind at most one chunk of 256 KiB, is a second.
 func TestRefillLeavesTheLinkToUrgentTransfers(t *testing.T) {
