--- a/cmd/wasabishunt-store/settings.go
+++ b/cmd/wasabishunt-store/settings.go
@@ -23,7 +23,7 @@
 	DataDir          string        `arg:"--data-dir,env:WASABISHUNT_STORE_DATA_DIR" help:"directory of the disk tier (directory)"`
 	MemoryBytes      int64         `arg:"--memory-bytes,env:WASABISHUNT_STORE_MEMORY_BYTES" default:"1073741824" help:"capacity of the memory tier (bytes)"`
 	DiskBytes        int64         `arg:"--disk-bytes,env:WASABISHUNT_STORE_DISK_BYTES" default:"17179869184" help:"capacity of the disk tier (bytes)"`
-	MaxPieceBytes    int64         `arg:"--max-piece-bytes,env:WASABISHUNT_STORE_MAX_PIECE_BYTES" default:"67108864" help:"limit of one piece (bytes)"`
+	MaxPieceBytes    int64         `arg:"--max-piece-bytes,env:WASABISHUNT_STORE_MAX_PIECE_BYTES" default:"134217728" help:"limit of one piece (bytes)"`
 	MaxTransferBytes int64         `arg:"--max-transfer-bytes,env:WASABISHUNT_STORE_MAX_TRANSFER_BYTES" default:"536870912" help:"limit of all pieces in transfer (bytes)"`
 	MaxConnections   int           `arg:"--max-connections,env:WASABISHUNT_STORE_MAX_CONNECTIONS" default:"1024" help:"limit of open connections (count)"`
 	QueueTimeout     time.Duration `arg:"--queue-timeout,env:WASABISHUNT_STORE_QUEUE_TIMEOUT" default:"2s" help:"time that a transfer may wait for room (duration)"`
--- a/store/client.go
+++ b/store/client.go
@@ -19,14 +19,14 @@
 	CallTimeout time.Duration
 	// TransferTimeout limits a transfer; default 30 s. The caller's context may end it earlier.
 	TransferTimeout time.Duration
-	// MaxPieceBytes limits one body; default 64 MiB.
+	// MaxPieceBytes limits one body; default 128 MiB.
 	MaxPieceBytes int64
 }
 
 func (o ClientOptions) withDefaults() ClientOptions {
 	setDefault(&o.CallTimeout, time.Second)
 	setDefault(&o.TransferTimeout, 30*time.Second)
-	setDefault(&o.MaxPieceBytes, 64<<20)
+	setDefault(&o.MaxPieceBytes, 128<<20)
 	return o
 }
 
