--- a/store/store.go
+++ b/store/store.go
@@ -32,7 +32,7 @@
 	MemoryBytes int64
 	// DiskBytes is the capacity of the disk tier; default 16 GiB.
 	DiskBytes int64
-	// MaxPieceBytes limits one body; default 64 MiB.
+	// MaxPieceBytes limits one body; default 128 MiB.
 	MaxPieceBytes int64
 	// Policy values pieces; default cachevalue.New with its defaults.
 	Policy Policy
@@ -48,7 +48,7 @@
 func (s Settings) withDefaults() Settings {
 	setDefault(&s.MemoryBytes, 1<<30)
 	setDefault(&s.DiskBytes, 16<<30)
-	setDefault(&s.MaxPieceBytes, 64<<20)
+	setDefault(&s.MaxPieceBytes, 128<<20)
 	setDefault[clock.Clock](&s.Clock, clock.System{})
 	if s.Policy == nil {
 		s.Policy = cachevalue.New(cachevalue.Defaults())
