--- a/cmd/wasabishunt-agent/settings.go
+++ b/cmd/wasabishunt-agent/settings.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"os"
 	"time"
 
 	"go.uber.org/zap/zapcore"
@@ -49,12 +48,7 @@
 func (a *arguments) Validate() []failure.Problem {
 	var c settings.Checker
 	c.Required("--process-id", a.ProcessID, "agent-1")
-	c.Address("--listen", a.Listen)
-	if a.Advertise == "" {
-		a.Advertise = a.Listen
-	} else {
-		c.Address("--advertise", a.Advertise)
-	}
+	c.ListenAdvertise(a.Listen, &a.Advertise)
 	c.Address("--status", a.Status)
 	c.OptionalIP("--source-ip", a.SourceIP)
 	c.Addresses("--control", a.Control)
@@ -82,28 +76,12 @@
 		c.Fail("--service", "only one of --upstream and --service may be set")
 	case a.Upstream != "":
 		c.Address("--engine", a.Engine)
-		a.readPieceKey(c)
+		c.KeyFile("--piece-key-file", a.PieceKeyFile, a.pieceKey[:])
 	default:
 		c.Address("--service-address", a.ServiceAddress)
 	}
 }
 
-func (a *arguments) readPieceKey(c *settings.Checker) {
-	if a.PieceKeyFile == "" {
-		c.Fail("--piece-key-file", "must be set, for example /etc/wasabishunt/piece.key")
-		return
-	}
-	key, err := os.ReadFile(a.PieceKeyFile)
-	switch {
-	case err != nil:
-		c.Fail("--piece-key-file", "%s", err.Error())
-	case len(key) != len(a.pieceKey):
-		c.Fail("--piece-key-file", "must hold exactly %d bytes, holds %d", len(a.pieceKey), len(key))
-	default:
-		copy(a.pieceKey[:], key)
-	}
-}
-
 // serves is the name that the agent reports to control.
 func (a *arguments) serves() string {
 	if a.Upstream != "" {
--- a/cmd/wasabishunt-control/settings.go
+++ b/cmd/wasabishunt-control/settings.go
@@ -51,14 +51,9 @@
 	c.Required("--group", a.Group, "qasr")
 	c.Required("--data-dir", a.DataDir, "/var/lib/wasabishunt")
 	c.Required("--zone", a.Zone, "zone-a")
-	c.Address("--listen", a.Listen)
+	c.ListenAdvertise(a.Listen, &a.Advertise)
 	c.Address("--status", a.Status)
 	c.OptionalIP("--source-ip", a.SourceIP)
-	if a.Advertise == "" {
-		a.Advertise = a.Listen
-	} else {
-		c.Address("--advertise", a.Advertise)
-	}
 	a.checkBootstrap(c)
 	a.checkOperators(c)
 	a.checkLimits(c)
--- a/cmd/wasabishunt-entry/settings.go
+++ b/cmd/wasabishunt-entry/settings.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/hex"
-	"os"
 	"time"
 
 	"go.uber.org/zap/zapcore"
@@ -47,17 +46,12 @@
 func (a *arguments) Validate() []failure.Problem {
 	var c settings.Checker
 	c.Required("--process-id", a.ProcessID, "entry-1")
-	c.Address("--listen", a.Listen)
-	if a.Advertise == "" {
-		a.Advertise = a.Listen
-	} else {
-		c.Address("--advertise", a.Advertise)
-	}
+	c.ListenAdvertise(a.Listen, &a.Advertise)
 	c.Address("--status", a.Status)
 	c.OptionalIP("--source-ip", a.SourceIP)
 	c.Addresses("--control", a.Control)
 	c.Required("--zone", a.Zone, "zone-a")
-	a.readPieceKey(&c)
+	c.KeyFile("--piece-key-file", a.PieceKeyFile, a.pieceKey[:])
 	if hash, err := hex.DecodeString(a.OperatorTokenSHA256); err != nil || (len(hash) != 32 && len(hash) != 0) {
 		c.Fail("--operator-token-sha256", "must be 64 hex digits")
 	}
@@ -84,22 +78,6 @@
 	})
 }
 
-func (a *arguments) readPieceKey(c *settings.Checker) {
-	if a.PieceKeyFile == "" {
-		c.Fail("--piece-key-file", "must be set, for example /etc/wasabishunt/piece.key")
-		return
-	}
-	key, err := os.ReadFile(a.PieceKeyFile)
-	switch {
-	case err != nil:
-		c.Fail("--piece-key-file", "%s", err.Error())
-	case len(key) != len(a.pieceKey):
-		c.Fail("--piece-key-file", "must hold exactly %d bytes, holds %d", len(a.pieceKey), len(key))
-	default:
-		copy(a.pieceKey[:], key)
-	}
-}
-
 func (a *arguments) options() entry.Options {
 	return entry.Options{
 		SourceIP:            a.SourceIP,
--- a/cmd/wasabishunt-store/settings.go
+++ b/cmd/wasabishunt-store/settings.go
@@ -42,12 +42,7 @@
 	c.Required("--store", a.Store, "store-a")
 	c.Required("--zone", a.Zone, "zone-a")
 	c.Required("--data-dir", a.DataDir, "/var/lib/wasabishunt")
-	c.Address("--listen", a.Listen)
-	if a.Advertise == "" {
-		a.Advertise = a.Listen
-	} else {
-		c.Address("--advertise", a.Advertise)
-	}
+	c.ListenAdvertise(a.Listen, &a.Advertise)
 	c.Address("--status", a.Status)
 	c.OptionalIP("--source-ip", a.SourceIP)
 	c.Addresses("--control", a.Control)
--- a/settings/checker.go
+++ b/settings/checker.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"net"
+	"os"
 	"slices"
 	"strconv"
 	"time"
@@ -50,6 +51,33 @@
 	}
 }
 
+// ListenAdvertise checks the address that a process listens on and the one that others use, which is the same by default.
+func (c *Checker) ListenAdvertise(listen string, advertise *string) {
+	c.Address("--listen", listen)
+	if *advertise == "" {
+		*advertise = listen
+		return
+	}
+	c.Address("--advertise", *advertise)
+}
+
+// KeyFile reads a file that must hold exactly as many bytes as the key.
+func (c *Checker) KeyFile(path, file string, key []byte) {
+	if file == "" {
+		c.Fail(path, "must be set, for example /etc/wasabishunt/piece.key")
+		return
+	}
+	content, err := os.ReadFile(file)
+	switch {
+	case err != nil:
+		c.Fail(path, "%s", err.Error())
+	case len(content) != len(key):
+		c.Fail(path, "must hold exactly %d bytes, holds %d", len(key), len(content))
+	default:
+		copy(key, content)
+	}
+}
+
 // OptionalIP checks that a value, if set, is an IP address.
 func (c *Checker) OptionalIP(path, value string) {
 	if value != "" && net.ParseIP(value) == nil {
