scenario: name the graceful stop command shutdown

testscript has a command stop that ends a script at once with success, so graceful_stop passed without its second half: agents and the leader were never stopped and nothing was checked. The guard check showed it: the script passed although the entry cut four streams.

--- a/internal/scenario/processes.go
+++ b/internal/scenario/processes.go
@@ -87,7 +87,7 @@
 	ts.Check(process(ts, oneName(ts, neg, args)).Thaw())
 }
 
-// stop NAME: SIGTERM, then waits for an exit with code 0.
+// shutdown NAME: SIGTERM, then waits for an exit with code 0. The name stop is taken: testscript ends a script by it.
 func cmdStop(ts *testscript.TestScript, neg bool, args []string) {
 	p := process(ts, oneName(ts, neg, args))
 	ts.Check(p.Stop(stopTimeout))
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -70,7 +70,7 @@
 		Setup:               func(env *testscript.Env) error { return setup(env, binaries) },
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"fleet": cmdFleet, "start": cmdStart, "crash": cmdCrash, "freeze": cmdFreeze, "thaw": cmdThaw,
-			"stop": cmdStop, "terminate": cmdTerminate, "exited": cmdExited,
+			"shutdown": cmdStop, "terminate": cmdTerminate, "exited": cmdExited,
 			"isolate": cmdIsolate, "cut": cmdCut, "heal": cmdHeal, "slow": cmdSlow, "wipe": cmdWipe,
 			"vm": cmdVM, "vmlag": cmdVMLag, "fault": cmdFault, "await": cmdAwait,
 			"publish": cmdPublish, "ask": cmdAsk, "book": cmdBook, "load": cmdLoad, "endload": cmdEndLoad,
