Bench: add a case of engines that fail at once

Cause: the failure penalty had no measurable worth in any case, because one failed engine costs one retry each. Case: four engines refuse all new work at once for 60 s and go on with the old.

--- a/bench/agent.go
+++ b/bench/agent.go
@@ -37,6 +37,8 @@
 	stepping bool
 	frozen   bool
 	failed   bool
+	// refusing engines fail all new work at once and go on with the old.
+	refusing bool
 	runTime  time.Duration
 	// freezes counts freezes, so that steps of a frozen engine are not taken for new ones.
 	freezes int
@@ -84,7 +86,7 @@
 }
 
 func (a *agent) receive(q *request) {
-	if a.failed {
+	if a.failed || a.refusing {
 		a.refuse(q, failure.UpstreamFailed)
 		return
 	}
--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -75,6 +75,13 @@
 	})
 }
 
+// TestUrgentBesideFastFailures guards against entries that take engines which fail at once for idle ones.
+func TestUrgentBesideFastFailures(t *testing.T) {
+	eachDeployment(t, func(t *testing.T, run func(string) *Result) {
+		require.GreaterOrEqual(t, run("fail fast").ByRank["urgent"].Share(), 0.99)
+	})
+}
+
 // requireFloors checks that each rank got its floor of the tokens served in the flood, or all that it offered if that is
 // less. Refused and dropped work counts as offered.
 func requireFloors(t *testing.T, r *Result) {
--- a/bench/cases.go
+++ b/bench/cases.go
@@ -43,6 +43,10 @@
 			r.at(eventAt, func() { r.agents[2].freeze() })
 			r.at(eventAt+60*time.Second, func() { r.agents[2].thaw() })
 		}},
+		{Name: "four engines fail fast", Prepare: func(r *run) {
+			r.at(eventAt, func() { r.failFast(4, true) })
+			r.at(eventAt+60*time.Second, func() { r.failFast(4, false) })
+		}},
 		{Name: "large callers x20", Extra: largeCallers},
 		{Name: "weight swap", Prepare: func(r *run) { r.at(eventAt+40*time.Second, r.swap) }},
 	}
--- a/bench/run.go
+++ b/bench/run.go
@@ -126,6 +126,13 @@
 	}
 }
 
+// failFast lets the first n engines refuse all new work at once, so that they look idle, or accept work again.
+func (r *run) failFast(n int, on bool) {
+	for _, a := range r.agents[:n] {
+		a.refusing = on
+	}
+}
+
 // swap publishes a new weight version; agents load it as load slots become free.
 func (r *run) swap() {
 	r.version++
