Share settings parsing, signals and exit codes between the programs' mains

Cause: four mains held the same lines; 'start failed' of control becomes 'process failed' as elsewhere.

--- a/cmd/wasabishunt-agent/serve.go
+++ b/cmd/wasabishunt-agent/serve.go
@@ -14,6 +14,7 @@
 
 	"github.com/wasabishunt/wasabishunt/agent"
 	"github.com/wasabishunt/wasabishunt/controlclient"
+	"github.com/wasabishunt/wasabishunt/daemon"
 	"github.com/wasabishunt/wasabishunt/metrics"
 	"github.com/wasabishunt/wasabishunt/rpcpool"
 )
@@ -44,7 +45,7 @@
 	group.Go(func() {
 		defer stopServing()
 		waitForStop(ctx, serveCtx, watcher, a)
-		do.MustInvoke[*drainFlag](i).Store(true)
+		do.MustInvoke[*daemon.DrainFlag](i).Store(true)
 		watcher.Kick()
 		drain(a, args, log)
 	})
--- a/cmd/wasabishunt-control/main.go
+++ b/cmd/wasabishunt-control/main.go
@@ -5,9 +5,7 @@
 	"context"
 	"net"
 	"os"
-	"os/signal"
 	"strconv"
-	"syscall"
 
 	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/samber/do/v2"
@@ -15,34 +13,24 @@
 
 	"github.com/wasabishunt/wasabishunt/control"
 	"github.com/wasabishunt/wasabishunt/control/member"
+	"github.com/wasabishunt/wasabishunt/daemon"
 	"github.com/wasabishunt/wasabishunt/logging"
 	"github.com/wasabishunt/wasabishunt/replica"
-	"github.com/wasabishunt/wasabishunt/settings"
 	"github.com/wasabishunt/wasabishunt/upstream/vmlist"
 )
 
-func main() { os.Exit(run()) }
+func main() {
+	os.Exit(daemon.Main("wasabishunt-control", &arguments{}, wire, serve))
+}
 
-func run() int {
-	args := &arguments{}
-	if ok, code := settings.Parse(args, "wasabishunt-control", os.Args[1:], os.Stdout, os.Stderr); !ok {
-		return code
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	injector := wire(args)
-	log := do.MustInvoke[*zap.Logger](injector)
-	opened, err := do.Invoke[*member.Member](injector)
+func serve(ctx context.Context, i do.Injector, args *arguments) error {
+	log := do.MustInvoke[*zap.Logger](i)
+	opened, err := do.Invoke[*member.Member](i)
 	if err != nil {
-		log.Error("start failed", zap.Error(err))
-		return 1
+		return err
 	}
 	log.Info("listening", zap.String("address", args.Listen), zap.String("status", args.Status))
-	if err := opened.Run(ctx); err != nil {
-		log.Error("process failed", zap.Error(err))
-		return 1
-	}
-	return 0
+	return opened.Run(ctx)
 }
 
 // listeners are opened before the replica, so that a taken port is found before the log is touched.
--- a/cmd/wasabishunt-entry/serve.go
+++ b/cmd/wasabishunt-entry/serve.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wasabishunt/wasabishunt/controlclient"
+	"github.com/wasabishunt/wasabishunt/daemon"
 	"github.com/wasabishunt/wasabishunt/entry"
 	"github.com/wasabishunt/wasabishunt/metrics"
 	"github.com/wasabishunt/wasabishunt/rpcpool"
@@ -37,7 +38,7 @@
 	group.Go(func() {
 		select {
 		case <-ctx.Done():
-			do.MustInvoke[*drainFlag](i).Store(true)
+			do.MustInvoke[*daemon.DrainFlag](i).Store(true)
 			watcher.Kick()
 		case <-watchCtx.Done():
 		}
--- a/cmd/wasabishunt-store/main.go
+++ b/cmd/wasabishunt-store/main.go
@@ -2,11 +2,8 @@
 package main
 
 import (
-	"context"
 	"os"
-	"os/signal"
 	"path/filepath"
-	"syscall"
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
@@ -14,9 +11,9 @@
 	"go.uber.org/zap"
 
 	"github.com/wasabishunt/wasabishunt/controlclient"
+	"github.com/wasabishunt/wasabishunt/daemon"
 	"github.com/wasabishunt/wasabishunt/logging"
 	"github.com/wasabishunt/wasabishunt/rpcpool"
-	"github.com/wasabishunt/wasabishunt/settings"
 	"github.com/wasabishunt/wasabishunt/store"
 )
 
@@ -26,22 +23,8 @@
 // listTimeout limits one page of a peer's list, which the peer must sort first.
 const listTimeout = 10 * time.Second
 
-func main() { os.Exit(run()) }
-
-func run() int {
-	args := &arguments{}
-	if ok, code := settings.Parse(args, "wasabishunt-store", os.Args[1:], os.Stdout, os.Stderr); !ok {
-		return code
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	injector := wire(args)
-	log := do.MustInvoke[*zap.Logger](injector)
-	if err := serve(ctx, injector); err != nil {
-		log.Error("process failed", zap.Error(err))
-		return 1
-	}
-	return 0
+func main() {
+	os.Exit(daemon.Main("wasabishunt-store", &arguments{}, wire, serve))
 }
 
 // wire names how each part of the process is made.
--- a/cmd/wasabishunt-store/serve.go
+++ b/cmd/wasabishunt-store/serve.go
@@ -34,7 +34,7 @@
 }
 
 // serve runs until ctx ends and the running transfers have finished.
-func serve(ctx context.Context, i do.Injector) error {
+func serve(ctx context.Context, i do.Injector, _ *arguments) error {
 	p, statusListener, err := start(ctx, i)
 	if err != nil {
 		return err
--- a/cmd/wasabishunt-store/status_test.go
+++ b/cmd/wasabishunt-store/status_test.go
@@ -32,7 +32,7 @@
 	do.OverrideValue(injector, zap.New(core))
 	ctx, cancel := context.WithCancel(t.Context())
 	served := make(chan error, 1)
-	go func() { served <- serve(ctx, injector) }()
+	go func() { served <- serve(ctx, injector, args) }()
 	listening := func() []observer.LoggedEntry { return logs.FilterMessage("listening").All() }
 	require.Eventually(t, func() bool { return len(listening()) == 1 }, 5*time.Second, time.Millisecond)
 	address, ok := listening()[0].ContextMap()["status"].(string)
