--- a/raft/replicate.go
+++ b/raft/replicate.go
@@ -27,7 +27,7 @@
 	stamp uint64
 	// proofStamp is a stamp of a member that may not vote yet, and proofRound the leader's stamp when it arrived.
 	proofStamp, proofRound uint64
-	// mayVote repeats the member's own last word on whether its identity is established.
+	// mayVote is what the member last reported about whether its identity is established.
 	mayVote bool
 }
 
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -15,15 +15,15 @@
 
 const testAccount = "account"
 
-// poison overwrites freed blocks, as the next piece would.
-func poison(data []byte) {
+// overwrite overwrites freed blocks, as the next piece would.
+func overwrite(data []byte) {
 	for i := range data {
 		data[i] = 0xEE
 	}
 }
 
 func open(t require.TestingT, fs FS, settings Settings) *Store {
-	settings.onFree = poison
+	settings.onFree = overwrite
 	s, err := New(fs, settings)
 	require.NoError(t, err)
 	return s
