engine: report a silent engine as failed, not as a passed deadline

Ruled out: the request's deadline, which was 5 min. Conclusion: only the call's own context decides that its deadline passed.

--- a/upstream/engine/http.go
+++ b/upstream/engine/http.go
@@ -211,7 +211,8 @@
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
 		return failure.Wrap(err, failure.Canceled, failure.Unknown, "%s", call)
-	case errors.Is(err, context.DeadlineExceeded):
+	// Only the deadline of the call counts: the client reports its own timeouts as context.DeadlineExceeded, too.
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return failure.Wrap(err, failure.DeadlineExceeded, failure.Unknown, "%s", call)
 	default:
 		return failure.Wrap(err, failure.UpstreamFailed, failure.Unknown, "%s", call)
--- a/upstream/engine/http_test.go
+++ b/upstream/engine/http_test.go
@@ -104,6 +104,17 @@
 	assert.True(t, failure.Is(err, failure.StreamBroken), "got %v", err)
 }
 
+// Guards against a frozen engine that is reported as a passed deadline, which no other upstream is tried after: an error of
+// net/http for a slow response also counts as context.DeadlineExceeded.
+func TestSilentEngineIsNoPassedDeadline(t *testing.T) {
+	release := make(chan struct{})
+	c := client(t, func(http.ResponseWriter, *http.Request) { <-release }, engine.HTTPOptions{HeaderTimeout: 50 * time.Millisecond})
+	defer close(release)
+	_, err := c.Generate(t.Context(), engine.Request{MaxTokens: 1})
+	require.True(t, failure.Is(err, failure.UpstreamFailed), "%v", err)
+	require.Equal(t, failure.Unknown, failure.Of(err).Execution)
+}
+
 // Guards against an engine that never answers, and against a lost answer reported as not run.
 func TestLostAnswersHaveUnknownOutcome(t *testing.T) {
 	hang := client(t, func(_ http.ResponseWriter, r *http.Request) {
