entry: end a service call when its agent is declared dead; watchers leave a cut-off member sooner

Ruled out: a lost claim or a dispatch. The claim stood undispatched all the time, so its release makes not_run true. Change: the entry cancels a service call once its agent is dead and releases the claim; a member that gave no answer comes last in the watch order, and a session of 1 s resets the reconnect pause. Both guards proved.

--- a/controlclient/directory.go
+++ b/controlclient/directory.go
@@ -86,14 +86,18 @@
 	return append([]string{d.leader}, rest...)
 }
 
-// watchOrder returns the addresses by rendezvous hash over the process id, with the leader last.
+// watchOrder returns the addresses by rendezvous hash over the process id, with the leader and then the silent
+// member last: a process whose member was cut off has about a second left before its set becomes stale.
 func (d *directory) watchOrder(processID string) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	all := d.all()
 	weight := func(address string) uint64 {
-		if address == d.leader {
+		switch address {
+		case d.silent:
 			return 0
+		case d.leader:
+			return 1
 		}
 		return xxhash.Sum64String(processID + "|" + address)
 	}
--- a/controlclient/watcher.go
+++ b/controlclient/watcher.go
@@ -241,6 +241,7 @@
 			if ctx.Err() != nil || w.Fenced() {
 				return
 			}
+			w.directory.noAnswer(address)
 			if w.options.Clock.Now().Sub(started) > stableSession {
 				pause.Reset()
 			}
@@ -253,8 +254,8 @@
 	// minPause and maxPause limit reconnects, so that many processes do not overload the remaining members.
 	minPause = 50 * time.Millisecond
 	maxPause = time.Second
-	// stableSession resets the pause.
-	stableSession = 5 * time.Second
+	// stableSession resets the pause: a session as long as the longest pause reconnects no more often than the pause allows.
+	stableSession = maxPause
 )
 
 // learnMembers asks the first member that answers who leads.
--- a/entry/bookings_test.go
+++ b/entry/bookings_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"context"
 	"net/http"
 	"testing"
 	"time"
@@ -9,9 +10,11 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/wasabishunt/wasabishunt/controlclient"
 	"github.com/wasabishunt/wasabishunt/entry"
 	"github.com/wasabishunt/wasabishunt/failure"
 	standinservice "github.com/wasabishunt/wasabishunt/internal/standin/service"
+	"github.com/wasabishunt/wasabishunt/rpc/agentpb"
 )
 
 const bookingPath = "/services/desk/bookings"
@@ -81,6 +84,40 @@
 	assert.Equal(t, int64(1), s.Executions().Total)
 }
 
+// stalledAgent takes service calls and never answers them, as an agent behind a silent cut.
+type stalledAgent struct {
+	agentpb.DRPCAgentUnimplementedServer
+	called chan struct{}
+}
+
+func (a *stalledAgent) CallService(ctx context.Context, _ *agentpb.ServiceRequest) (*agentpb.ServiceResponse, error) {
+	close(a.called)
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// TestCallEndsWhenItsAgentIsDead guards against a booking that waits until its deadline for an agent that control has
+// declared dead, and against unknown although its claim was released.
+func TestCallEndsWhenItsAgentIsDead(t *testing.T) {
+	c := newCluster(t, entry.Options{})
+	stalled := &stalledAgent{called: make(chan struct{})}
+	c.listenAs("desk", stalled)
+	go func() {
+		<-stalled.called
+		c.view.Change(func(v *controlclient.View) {
+			for id, process := range v.Processes {
+				process.State = controlclient.Dead
+				v.Processes[id] = process
+			}
+		})
+	}()
+	started := time.Now()
+	_, body := c.do(http.MethodPost, bookingPath, "{}", "Idempotency-Key", uuid.Must(uuid.NewV7()).String())
+	assert.Equal(t, "upstream_failed", errorOf(t, body).Code)
+	assert.Equal(t, "not_run", errorOf(t, body).Execution)
+	assert.Less(t, time.Since(started), 5*time.Second, "the default deadline is 5 min")
+}
+
 // TestReleasedBooking guards against a booking that failed before its dispatch and stays blocked, and against
 // not_run without a synced release.
 func TestReleasedBooking(t *testing.T) {
--- a/entry/fakeagent_test.go
+++ b/entry/fakeagent_test.go
@@ -47,8 +47,15 @@
 func (c *cluster) fake(name string, script func(*agentpb.GenerateRequest, send) error) *fakeAgent {
 	c.t.Helper()
 	f := &fakeAgent{name: name, script: script}
+	c.listenAs(name, f)
+	return f
+}
+
+// listenAs serves an agent's interface for an upstream or service.
+func (c *cluster) listenAs(name string, server agentpb.DRPCAgentServer) {
+	c.t.Helper()
 	mux := drpcmux.New()
-	require.NoError(c.t, agentpb.DRPCRegisterAgent(mux, f))
+	require.NoError(c.t, agentpb.DRPCRegisterAgent(mux, server))
 	listener := listen(c.t)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
@@ -58,7 +65,6 @@
 		<-done
 	})
 	c.join(name, listener.Addr().String())
-	return f
 }
 
 func accepted(req *agentpb.GenerateRequest) *agentpb.GenerateEvent {
--- a/entry/services.go
+++ b/entry/services.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"path"
 	"strings"
+	"sync"
 
 	"github.com/wasabishunt/wasabishunt/controlclient"
 	"github.com/wasabishunt/wasabishunt/failure"
@@ -140,12 +141,53 @@
 		return nil, err
 	}
 	defer func() { _ = conn.Close() }()
-	return sc.send(ctx, conn)
+	ctx, cancel := context.WithCancelCause(ctx)
+	var watching sync.WaitGroup
+	watching.Go(func() { sc.call.server.cancelWhenDead(ctx, address, cancel) })
+	response, err := sc.send(ctx, conn)
+	cancel(nil)
+	watching.Wait()
+	return response, err
+}
+
+// cancelWhenDead cancels a call once control has declared the process at the address dead. A silent cut leaves the
+// connection open, and the call would otherwise wait until its deadline although its claim could be released.
+func (s *Server) cancelWhenDead(ctx context.Context, address string, cancel context.CancelCauseFunc) {
+	for {
+		changed := s.deps.Source.Changed()
+		if deadAt(s.deps.Source.Current(), address) {
+			cancel(failure.New(failure.UpstreamFailed, failure.Unknown, "the agent at %s was declared dead", address))
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// deadAt reports whether an address has a dead process and none that may still answer.
+func deadAt(view controlclient.View, address string) bool {
+	dead := false
+	for _, process := range view.Processes {
+		if process.Address != address {
+			continue
+		}
+		if process.State != controlclient.Dead {
+			return false
+		}
+		dead = true
+	}
+	return dead
 }
 
 func (sc *serviceCall) send(ctx context.Context, conn *drpcconn.Conn) (*agentpb.ServiceResponse, error) {
 	response, err := agentpb.NewDRPCAgentClient(conn).CallService(ctx, sc.message())
 	if err != nil {
+		if cause := context.Cause(ctx); cause != nil {
+			err = cause
+		}
 		return nil, failure.Wrap(err, failure.OutcomeUnknown, failure.Unknown, "the call of the service's agent broke")
 	}
 	sc.call.server.learn(response.GetLoad())
