sched: report the whole queue of a rank, so that routing spreads one caller's work

In a failing run all eight night requests waited at one of two engines. explain showed a routing estimate of 142 ms where admission at the agent said 5.2 s: the report counted only the queue that goes before an account without service, which is nearly nothing when one account owns the whole queue, and it left out that urgent work keeps arriving. The other engine had no night work, so night earned no floor there. Ruled out: run slots kept by a starved prompt, debt of floor credit, failure penalties.

--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -109,6 +109,18 @@
 	require.Contains(t, grant.Reasons()[0], whyOrder)
 }
 
+// TestQueueOfOneAccountIsReported guards against reports that hide the queue of one account because another account
+// would be served before it: entries then sent all night work of one caller to the same of two engines.
+func TestQueueOfOneAccountIsReported(t *testing.T) {
+	q := newQueue(nil)
+	push(t, q, "night", "a", 20000, 1)
+	serve(q, 20, byAccount)
+	push(t, q, "night", "b", 400, 1)
+	push(t, q, "night", "a", 4000, 5)
+	require.GreaterOrEqual(t, q.AheadByRank()["night"], q.Load().ByRank["night"].QueuedTokens)
+	require.Zero(t, q.AheadByRank()["urgent"], "less urgent work is no wait")
+}
+
 // TestFairByTokens guards against fairness by requests: a caller with large prompts must not get more tokens than a
 // caller with small ones, and weights scale shares.
 func TestFairByTokens(t *testing.T) {
--- a/sched/snapshot.go
+++ b/sched/snapshot.go
@@ -1,5 +1,7 @@
 package sched
 
+import "time"
+
 // RankLoad is the load of one rank.
 type RankLoad struct {
 	QueuedTokens   int64
@@ -108,17 +110,29 @@
 	return min(rank.waiting, len(rank.active)) + 1
 }
 
+// maxContention bounds the time that AheadByRank adds for more urgent work that has not arrived yet.
+const maxContention = 2 * time.Second
+
 // AheadByRank returns, for each rank, the queued tokens that are served before a new request of the rank. Agents report
-// it, so that routing does not take less urgent work for a wait.
+// it, so that routing does not take less urgent work for a wait. The rank's whole queue counts: without it, the queue of a
+// large caller looks empty, and entries send all further requests of that caller to the same upstream.
 func (q *Queue) AheadByRank() map[string]int64 {
 	ahead := make(map[string]int64, len(q.ranks))
 	for _, rank := range q.ranks {
-		one := q.AheadOf(rank.Name, "", q.settings.ChunkTokens)
-		tokens := one.Tokens
-		if one.FloorShare > 0 {
-			tokens = min(tokens, one.FloorTokens/one.FloorShare)
-		}
-		ahead[rank.Name] = int64(tokens)
+		ahead[rank.Name] = int64(q.aheadOfRank(rank))
 	}
 	return ahead
 }
+
+func (q *Queue) aheadOfRank(rank *rankQueue) float64 {
+	one := q.AheadOf(rank.Name, "", q.settings.ChunkTokens)
+	own := float64(rank.queuedTokens)
+	tokens := one.Tokens - one.FloorTokens + own
+	if one.Share > 0 && one.Share < 1 {
+		tokens += min(maxContention.Seconds()*q.prefillRate, (own+float64(q.settings.ChunkTokens))*(1/one.Share-1))
+	}
+	if one.FloorShare > 0 {
+		tokens = min(tokens, own/one.FloorShare)
+	}
+	return tokens
+}
