capacity: measure the return of a zone

Cause: the slope of registrations on processes that stay was worked out from table copies, not measured.

--- a/cmd/wasabishunt-capacity/main.go
+++ b/cmd/wasabishunt-capacity/main.go
@@ -19,7 +19,7 @@
 )
 
 type arguments struct {
-	Only      []string      `arg:"positional" help:"measurements: bookings, control, idle, queue, relay, sets, state; default all"`
+	Only      []string      `arg:"positional" help:"measurements: bookings, control, idle, queue, relay, returns, sets, state; default all"`
 	Watchers  []int         `arg:"--watchers,env:WASABISHUNT_CAPACITY_WATCHERS" help:"numbers of watchers; default 50 100 200 400"`
 	Accounts  []int         `arg:"--accounts,env:WASABISHUNT_CAPACITY_ACCOUNTS" help:"numbers of client accounts; default 100 1000 10000"`
 	Upstreams []int         `arg:"--upstreams,env:WASABISHUNT_CAPACITY_UPSTREAMS" help:"numbers of upstreams; default 15 300 2600"`
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -69,6 +69,7 @@
 func Measurements() map[string]Measurement {
 	return map[string]Measurement{
 		"control":  measureControl,
+		"returns":  measureReturns,
 		"bookings": measureBookings,
 		"idle":     measureIdle,
 		"state":    measureState,
--- a/internal/capacity/watchers.go
+++ b/internal/capacity/watchers.go
@@ -64,6 +64,37 @@
 	return w.await(ctx, func(v controlclient.View) bool { return v.Version >= version })
 }
 
+// countUpdates counts the membership updates that the first watcher adopts until the returned function is called.
+// Without a watcher the count is 0. Updates that follow each other faster than the count may be counted as one.
+func (w *watchers) countUpdates(ctx context.Context) func() int {
+	if len(w.list) == 0 {
+		return func() int { return 0 }
+	}
+	ctx, stop := context.WithCancel(ctx)
+	done := make(chan int)
+	go func() { done <- countRevisions(ctx, w.list[0]) }()
+	return func() int {
+		stop()
+		return <-done
+	}
+}
+
+func countRevisions(ctx context.Context, watcher *controlclient.Watcher) (count int) {
+	last := watcher.Current().Revision
+	for {
+		changed := watcher.Changed()
+		if revision := watcher.Current().Revision; revision != last {
+			last = revision
+			count++
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return count
+		}
+	}
+}
+
 // close ends the watchers.
 func (w *watchers) close() {
 	w.stop()
