store: refill copies four pieces at once

Cause: one copy at a time waits in turn for its share of the link, the transfer and the synced put, and leaves most of the link unused.

A round starts the candidates in the order of their value, each queued at the link before the next one, so that the link serves the most valuable first. Space for pieces on their way counts against the fill limit. Copies stay bulk transfers of both links, after all others. At the sender, reads by other stores take at most half of the room for bodies in transfer: they hold room while they wait for the link, and four at once would have kept callers out.

Ruled out: 8 copies, which hold 1.3 GB of bodies at 80 MB a piece.

--- a/store/bench_test.go
+++ b/store/bench_test.go
@@ -89,3 +89,32 @@
 	runtime.ReadMemStats(&stats)
 	return int64(stats.HeapAlloc)
 }
+
+// Guards against a refill that leaves most of the link unused. Both stores share the machine and its disk.
+func BenchmarkRefill(b *testing.B) {
+	const pieces, bytes, rate = 12, 40_000_000, 1.25e9
+	for _, transfers := range []int{1, 2, 4, 8} {
+		b.Run(fmt.Sprintf("transfers=%d", transfers), func(b *testing.B) {
+			a := serveDir(b, "a", rate)
+			for number := range pieces {
+				put(b, a.store, number, bytes)
+			}
+			b.SetBytes(pieces * bytes)
+			for b.Loop() {
+				b.StopTimer()
+				to := serveDir(b, "b", rate)
+				refiller := NewRefiller(to.store, to.link, to.client, RefillOptions{Self: "b", Transfers: transfers})
+				b.StartTimer()
+				copied, err := refiller.Round(context.Background(), []Peer{{"a", a.address}})
+				require.NoError(b, err)
+				require.Equal(b, pieces, copied)
+			}
+		})
+	}
+}
+
+func serveDir(b *testing.B, name string, rate float64) *node {
+	fs, err := NewDirFS(b.TempDir() + "/pieces")
+	require.NoError(b, err)
+	return serve(b, fs, Settings{Name: name, MemoryBytes: 1, DiskBytes: 4 << 30}, rate, ServerOptions{})
+}
--- a/store/refill.go
+++ b/store/refill.go
@@ -32,7 +32,11 @@
 	// MaxFill is the share of the disk tier up to which refill fills it, 0 to 1; default 0.8. Refill must not evict
 	// what the store was given for its own.
 	MaxFill float64
-	Log     *zap.Logger
+	// Transfers limits the pieces that are copied at once; default 4. A piece of 80 MB uses the link for an eighth of the
+	// time of its copy. Eight transfers were faster still, but a copy holds its body twice, 160 MB, and a peer sends
+	// three bodies of that size to other stores at once.
+	Transfers int
+	Log       *zap.Logger
 }
 
 func (o RefillOptions) withDefaults() RefillOptions {
@@ -40,14 +44,15 @@
 	setDefault(&o.RetryInterval, 15*time.Second)
 	setDefault(&o.MaxPieces, 20_000)
 	setDefault(&o.MaxFill, 0.8)
+	setDefault(&o.Transfers, 4)
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
 	return o
 }
 
-// Refiller copies the most valuable pieces that this store should hold from its peers, one at a time, as bulk
-// transfers of the link. It serves both the recovery of a lost store and the second copies.
+// Refiller copies the most valuable pieces that this store should hold from its peers, a few at a time, as
+// bulk transfers of the link. It serves both the recovery of a lost store and the second copies.
 type Refiller struct {
 	store   *Store
 	link    *Link
@@ -90,21 +95,78 @@
 
 // Round copies missing pieces, most valuable first. It returns the number copied, and the first failure of a peer.
 func (r *Refiller) Round(ctx context.Context, peers []Peer) (int, error) {
-	candidates, firstErr := r.candidates(ctx, peers)
-	copied := 0
+	candidates, err := r.candidates(ctx, peers)
+	t := &transfers{refiller: r, ended: make(chan transferred, r.options.Transfers), err: err}
 	for _, c := range candidates {
-		if ctx.Err() != nil || !r.fits(c.Header) {
+		if !t.makeRoom(ctx, c.Header) {
 			break
 		}
-		stored, err := r.copy(ctx, c)
-		if stored {
-			copied++
-		}
-		if firstErr == nil {
-			firstErr = err
-		}
+		t.start(ctx, c)
+	}
+	for t.running > 0 {
+		t.await()
+	}
+	return t.copied, t.err
+}
+
+// transfers are the copies of one round. Only the goroutine of the round uses them; copies report to ended.
+type transfers struct {
+	refiller *Refiller
+	ended    chan transferred
+	running  int
+	// bytes is the space on disk that the running copies will take.
+	bytes  int64
+	copied int
+	// err is the first failure.
+	err error
+}
+
+// transferred is the end of one copy.
+type transferred struct {
+	bytes  int64
+	stored bool
+	err    error
+}
+
+// makeRoom waits until one more copy may run. It returns false if the piece does not fit or the round must end.
+func (t *transfers) makeRoom(ctx context.Context, h piece.Header) bool {
+	for t.running > 0 && (t.running >= t.refiller.options.Transfers || !t.refiller.fits(h, t.bytes)) {
+		t.await()
+	}
+	return ctx.Err() == nil && t.refiller.fits(h, t.bytes)
+}
+
+// start queues a piece at the link before the next one, so that the link serves the most valuable piece first.
+func (t *transfers) start(ctx context.Context, c candidate) {
+	transfer, err := t.refiller.link.Begin(RankBulk, c.Header.Length)
+	if err != nil {
+		t.note(err)
+		return
+	}
+	bytes := fileBytes(c.Header)
+	t.running++
+	t.bytes += bytes
+	go func() {
+		defer transfer.End()
+		stored, err := t.refiller.copy(ctx, c, transfer)
+		t.ended <- transferred{bytes, stored, err}
+	}()
+}
+
+func (t *transfers) await() {
+	end := <-t.ended
+	t.running--
+	t.bytes -= end.bytes
+	if end.stored {
+		t.copied++
+	}
+	t.note(end.err)
+}
+
+func (t *transfers) note(err error) {
+	if t.err == nil {
+		t.err = err
 	}
-	return copied, firstErr
 }
 
 func (r *Refiller) candidates(ctx context.Context, peers []Peer) ([]candidate, error) {
@@ -157,18 +219,15 @@
 	return slices.Contains(Holders(h.Name, stores), r.options.Self) && !r.store.Has(h.Account, []piece.Name{h.Name})[0]
 }
 
-func (r *Refiller) fits(h piece.Header) bool {
+// fits reports whether there is space for a piece beside others that are being copied. Those that are written already
+// count twice, so the answer may be false too early, never true too early.
+func (r *Refiller) fits(h piece.Header, copying int64) bool {
 	limit := r.options.MaxFill * float64(r.store.settings.DiskBytes)
-	return float64(r.store.Stats().DiskBytes+fileBytes(h)) <= limit
+	return float64(r.store.Stats().DiskBytes+copying+fileBytes(h)) <= limit
 }
 
 // copy fetches one piece. A piece that the peer has dropped meanwhile, or that the store refuses, is no failure.
-func (r *Refiller) copy(ctx context.Context, c candidate) (bool, error) {
-	transfer, err := r.link.Begin(RankBulk, c.Header.Length)
-	if err != nil {
-		return false, err
-	}
-	defer transfer.End()
+func (r *Refiller) copy(ctx context.Context, c candidate, transfer *Transfer) (bool, error) {
 	if err := takeAll(ctx, transfer, int(c.Header.Length)); err != nil {
 		return false, err
 	}
--- a/store/server.go
+++ b/store/server.go
@@ -37,14 +37,46 @@
 	link    *Link
 	options ServerOptions
 	room    *semaphore.Weighted
+	// bulkRoom is the part of the room that reads by other stores may take. They wait for the link while they hold room,
+	// so without this limit a refill would keep callers out.
+	bulkRoom *semaphore.Weighted
+	bulkSize int64
 }
 
+// bulkRoomShare is the part of MaxTransferBytes that reads by other stores may take together.
+const bulkRoomShare = 0.5
+
 var _ storepb.DRPCStoreServer = (*Server)(nil)
 
 // NewServer returns a server over a store and its link.
 func NewServer(store *Store, link *Link, options ServerOptions) *Server {
 	options = options.withDefaults()
-	return &Server{store: store, link: link, options: options, room: semaphore.NewWeighted(options.MaxTransferBytes)}
+	bulkSize := max(int64(bulkRoomShare*float64(options.MaxTransferBytes)), min(store.settings.MaxPieceBytes, options.MaxTransferBytes))
+	return &Server{
+		store: store, link: link, options: options, room: semaphore.NewWeighted(options.MaxTransferBytes),
+		bulkRoom: semaphore.NewWeighted(bulkSize), bulkSize: bulkSize,
+	}
+}
+
+// enterRead is enter for a body that is sent. A read by another store first waits for a place among those, up to the
+// time limit of its transfer.
+func (s *Server) enterRead(ctx context.Context, rank string, length int64) (leave func(), err error) {
+	if rank != RankBulk {
+		return s.enter(ctx, length)
+	}
+	share := min(length, s.bulkSize)
+	if err := s.bulkRoom.Acquire(ctx, share); err != nil {
+		return nil, failure.New(failure.Overloaded, failure.NotRun, "too many bulk transfers at once")
+	}
+	leaveRoom, err := s.enter(ctx, length)
+	if err != nil {
+		s.bulkRoom.Release(share)
+		return nil, err
+	}
+	return func() {
+		leaveRoom()
+		s.bulkRoom.Release(share)
+	}, nil
 }
 
 // enter waits for room for a body. leave gives it back.
@@ -154,7 +186,7 @@
 		s.store.counters.misses.Inc(1)
 		return stream.Send(&storepb.PieceChunk{NotFound: true, Last: true})
 	}
-	leave, err := s.enter(ctx, length)
+	leave, err := s.enterRead(ctx, request.Rank, length)
 	if err != nil {
 		return err
 	}
