--- a/cmd/wasabishunt-entry/main.go
+++ b/cmd/wasabishunt-entry/main.go
@@ -39,7 +39,7 @@
 		return controlclient.NewClient(controlclient.ClientOptions{Addresses: args.Control, SourceIP: args.SourceIP}), nil
 	})
 	do.Provide(i, func(do.Injector) (*rpcpool.Pool, error) {
-		return rpcpool.New(rpcpool.Options{LocalIP: args.SourceIP}), nil
+		return entry.NewPool(args.SourceIP), nil
 	})
 	do.Provide(i, func(i do.Injector) (*entry.Server, error) {
 		return entry.New(args.options(), entry.Dependencies{
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -27,7 +27,6 @@
 	standinservice "github.com/wasabishunt/wasabishunt/internal/standin/service"
 	"github.com/wasabishunt/wasabishunt/objectset"
 	"github.com/wasabishunt/wasabishunt/routing"
-	"github.com/wasabishunt/wasabishunt/rpcpool"
 	"github.com/wasabishunt/wasabishunt/upstream/engine"
 	"github.com/wasabishunt/wasabishunt/upstream/service"
 )
@@ -74,7 +73,7 @@
 	t.Helper()
 	c := &cluster{t: t, set: newSet(), control: fixedview.NewControl(), registry: gometrics.NewRegistry()}
 	c.view = fixedview.New(c.set)
-	pool := rpcpool.New(rpcpool.Options{})
+	pool := entry.NewPool("")
 	c.server = entry.New(options, entry.Dependencies{
 		Source: c.view, Bookings: c.control, Agents: pool, Registry: c.registry,
 		Router: entry.NewTableRouter(routing.Defaults(), "", clock.System{}),
--- a/rpcpool/bench_test.go
+++ b/rpcpool/bench_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"runtime"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -17,6 +21,8 @@
 
 type statusServer struct {
 	agentpb.DRPCAgentUnimplementedServer
+	// release ends all streams; without it they end at once.
+	release chan struct{}
 }
 
 // Status answers at once.
@@ -24,9 +30,18 @@
 	return &agentpb.UpstreamLoad{}, nil
 }
 
-func serveStatus(b *testing.B) string {
+// Generate sends one event and waits until the streams are released.
+func (s *statusServer) Generate(_ *agentpb.GenerateRequest, stream agentpb.DRPCAgent_GenerateStream) error {
+	err := stream.Send(&agentpb.GenerateEvent{})
+	if s.release != nil {
+		<-s.release
+	}
+	return err
+}
+
+func serveStatus(b *testing.B, release chan struct{}) string {
 	mux := drpcmux.New()
-	require.NoError(b, agentpb.DRPCRegisterAgent(mux, &statusServer{}))
+	require.NoError(b, agentpb.DRPCRegisterAgent(mux, &statusServer{release: release}))
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(b, err)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -42,7 +57,7 @@
 // BenchmarkCall compares calls over a pooled connection with a connection for each call. It guards against a pool
 // that dials although a connection is idle.
 func BenchmarkCall(b *testing.B) {
-	address := serveStatus(b)
+	address := serveStatus(b, nil)
 	call := func(conn drpc.Conn) {
 		_, err := agentpb.NewDRPCAgentClient(conn).Status(context.Background(), &agentpb.StatusRequest{})
 		require.NoError(b, err)
@@ -63,3 +78,97 @@
 		}
 	})
 }
+
+// generate makes one streamed call with a prompt of a size.
+func generate(b *testing.B, pool *rpcpool.Pool, address string, bytes int) {
+	conn := pool.Get(context.Background(), address)
+	stream, err := agentpb.NewDRPCAgentClient(conn).Generate(context.Background(), &agentpb.GenerateRequest{Prompt: strings.Repeat("x", bytes)})
+	require.NoError(b, err)
+	_, err = stream.Recv()
+	require.NoError(b, err)
+	_, err = stream.Recv()
+	require.Error(b, err, "end of the stream")
+	require.NoError(b, stream.Close())
+	require.NoError(b, conn.Close())
+}
+
+// BenchmarkStream compares the wall clock and processor time of a streamed call, both ends included, over an idle
+// connection with those over one that is dialled. It guards against a set-up that costs more than the call.
+func BenchmarkStream(b *testing.B) {
+	address := serveStatus(b, nil)
+	run := func(pooled bool, prompt, keep int) {
+		b.Run(fmt.Sprintf("pooled=%t/prompt=%d/keep=%d", pooled, prompt, keep), func(b *testing.B) {
+			pool := rpcpool.New(rpcpool.Options{KeepBuffer: keep})
+			used := processorTime(b)
+			for b.Loop() {
+				generate(b, pool, address, prompt)
+				if !pooled {
+					require.NoError(b, pool.Close())
+					pool = rpcpool.New(rpcpool.Options{KeepBuffer: keep})
+				}
+			}
+			b.ReportMetric(float64((processorTime(b)-used).Microseconds())/float64(b.N), "cpu-us/op")
+			require.NoError(b, pool.Close())
+		})
+	}
+	for _, pooled := range []bool{true, false} {
+		run(pooled, 2000, 0)
+		run(pooled, 100_000, 0)
+		run(pooled, 100_000, 8<<10)
+	}
+}
+
+// BenchmarkIdleConnections measures the live heap and the stacks of an idle connection after one call, both ends
+// included. It guards against idle connections that keep the memory of their last call.
+func BenchmarkIdleConnections(b *testing.B) {
+	const connections = 2600
+	for _, prompt := range []int{2000, 100_000} {
+		for _, keep := range []int{0, 8 << 10} {
+			b.Run(fmt.Sprintf("prompt=%d/keep=%d", prompt, keep), func(b *testing.B) {
+				for b.Loop() {
+					b.ReportMetric(idleBytes(b, connections, prompt, keep), "bytes/connection")
+				}
+			})
+		}
+	}
+}
+
+// idleBytes keeps all streams open until each has a connection of its own.
+func idleBytes(b *testing.B, count, prompt, keep int) float64 {
+	release := make(chan struct{})
+	address := serveStatus(b, release)
+	pool := rpcpool.New(rpcpool.Options{Capacity: count, KeyCapacity: count, KeepBuffer: keep})
+	defer func() { require.NoError(b, pool.Close()) }()
+	before := liveBytes()
+	streams := make([]agentpb.DRPCAgent_GenerateClient, count)
+	for i := range streams {
+		var err error
+		streams[i], err = agentpb.NewDRPCAgentClient(pool.Get(context.Background(), address)).
+			Generate(context.Background(), &agentpb.GenerateRequest{Prompt: strings.Repeat("x", prompt)})
+		require.NoError(b, err)
+		_, err = streams[i].Recv()
+		require.NoError(b, err)
+	}
+	close(release)
+	for _, stream := range streams {
+		_, err := stream.Recv()
+		require.Error(b, err, "end of the stream")
+		<-stream.Context().Done()
+	}
+	clear(streams)
+	return (liveBytes() - before) / float64(count)
+}
+
+func liveBytes() float64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc + stats.StackInuse)
+}
+
+func processorTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- a/rpcpool/rpcpool.go
+++ b/rpcpool/rpcpool.go
@@ -9,7 +9,9 @@
 
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcstream"
 
 	"github.com/wasabishunt/wasabishunt/failure"
 )
@@ -27,6 +29,9 @@
 	// LocalIP is the source address of connections; default: chosen by the kernel. A VM with several
 	// addresses sets it to the address by which other processes know it.
 	LocalIP string
+	// KeepBuffer limits each write buffer that a connection keeps after a call, and the size of its frames, in bytes;
+	// default: an idle connection keeps the buffers of its largest message.
+	KeepBuffer int
 }
 
 // Pool hands out connections by address.
@@ -60,11 +65,13 @@
 // Get returns a connection that dials on its first use. The caller closes it to give it back.
 func (p *Pool) Get(ctx context.Context, address string) drpc.Conn {
 	return p.pool.Get(ctx, address, func(ctx context.Context, address string) (drpcpool.Conn, error) {
-		conn, err := DialFrom(ctx, p.options.LocalIP, address, p.options.DialTimeout)
+		raw, err := dial(ctx, p.options.LocalIP, address, p.options.DialTimeout)
 		if err != nil {
 			return nil, err
 		}
-		return conn, nil
+		return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: drpcmanager.Options{
+			Stream: drpcstream.Options{SplitSize: p.options.KeepBuffer, MaximumBufferSize: p.options.KeepBuffer},
+		}}), nil
 	})
 }
 
@@ -78,6 +85,14 @@
 
 // DialFrom is Dial from a given source IP address; an empty one leaves the choice to the kernel.
 func DialFrom(ctx context.Context, localIP, address string, timeout time.Duration) (*drpcconn.Conn, error) {
+	raw, err := dial(ctx, localIP, address, timeout)
+	if err != nil {
+		return nil, err
+	}
+	return drpcconn.New(raw), nil
+}
+
+func dial(ctx context.Context, localIP, address string, timeout time.Duration) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: timeout, KeepAlive: 5 * time.Second}
 	if localIP != "" {
 		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(localIP)}
@@ -86,5 +101,5 @@
 	if err != nil {
 		return nil, failure.Wrap(err, failure.NoUpstream, failure.NotRun, "connect to %s", address)
 	}
-	return drpcconn.New(raw), nil
+	return raw, nil
 }
