operators: follow the file of keys without a restart, in control and entry

Cause: control read its operators file only at start, so a new or withdrawn key needed a restart of each member. An entry knew a single token.

Package operators holds the list and follows its file: it reads it once a second and compares the content.

Ruled out: comparing size and time, which misses a change within one tick of the file system; taking an empty file, which would lock out all operators while a file is written anew. Withdrawing the last operator needs a restart.

The wiring in the entry's main has no test of its own.

--- a/cmd/wasabishunt-control/main.go
+++ b/cmd/wasabishunt-control/main.go
@@ -81,7 +81,7 @@
 
 func (a *arguments) control(log *zap.Logger, registry gometrics.Registry) control.Options {
 	options := control.Options{
-		MemberID: a.MemberID, SourceIP: a.SourceIP, CallTimeout: a.CallTimeout, Operators: a.operators, VMListInterval: a.VMListInterval,
+		MemberID: a.MemberID, SourceIP: a.SourceIP, CallTimeout: a.CallTimeout, Operators: a.operators, OperatorsFile: a.OperatorsFile, VMListInterval: a.VMListInterval,
 		BookingRetention: a.BookingRetention, DeadAfter: a.DeadAfter,
 		MaxWatchers: a.MaxWatchers, MaxPending: a.MaxPending, Log: log, Metrics: registry,
 	}
--- a/cmd/wasabishunt-control/settings.go
+++ b/cmd/wasabishunt-control/settings.go
@@ -27,7 +27,7 @@
 	Bootstrap        []string      `arg:"--bootstrap,separate,env:WASABISHUNT_CONTROL_BOOTSTRAP" help:"first members as ID=ADDRESS or ID=ADDRESS=ZONE, the same on each (ID=IP:port=ZONE, several)"`
 	Join             bool          `arg:"--join,env:WASABISHUNT_CONTROL_JOIN" help:"wait to be added to a running group (switch)"`
 	Zone             string        `arg:"--zone,env:WASABISHUNT_CONTROL_ZONE" help:"availability zone (name)"`
-	OperatorsFile    string        `arg:"--operators-file,env:WASABISHUNT_CONTROL_OPERATORS_FILE" help:"file with lines of operator name and SHA-256 of the token (file)"`
+	OperatorsFile    string        `arg:"--operators-file,env:WASABISHUNT_CONTROL_OPERATORS_FILE" help:"file with lines of operator name and SHA-256 of the token; changes are taken without a restart (file)"`
 	VMListURL        string        `arg:"--vm-list-url,env:WASABISHUNT_CONTROL_VM_LIST_URL" help:"URL of the platform's VM list; default none (URL)"`
 	VMListInterval   time.Duration `arg:"--vm-list-interval,env:WASABISHUNT_CONTROL_VM_LIST_INTERVAL" default:"1s" help:"time between reads of the VM list (duration)"`
 	BookingRetention time.Duration `arg:"--booking-retention,env:WASABISHUNT_CONTROL_BOOKING_RETENTION" default:"24h" help:"how long bookings are kept after their issue (duration)"`
--- a/cmd/wasabishunt-entry/serve.go
+++ b/cmd/wasabishunt-entry/serve.go
@@ -15,6 +15,7 @@
 	"github.com/wasabishunt/wasabishunt/daemon"
 	"github.com/wasabishunt/wasabishunt/entry"
 	"github.com/wasabishunt/wasabishunt/metrics"
+	"github.com/wasabishunt/wasabishunt/operators"
 	"github.com/wasabishunt/wasabishunt/rpcpool"
 )
 
@@ -43,6 +44,9 @@
 		case <-watchCtx.Done():
 		}
 	})
+	if args.OperatorsFile != "" {
+		group.Go(func() { operators.NewFile(args.OperatorsFile, &args.operators, log).Follow(watchCtx) })
+	}
 	status := metrics.NewStatusServer(server.Ready, do.MustInvoke[gometrics.Registry](i))
 	group.Go(func() { serveStatus(status, statusListener, log) })
 	log.Info("listening", zap.Stringer("address", listener.Addr()), zap.Stringer("status", statusListener.Addr()))
--- a/cmd/wasabishunt-entry/settings.go
+++ b/cmd/wasabishunt-entry/settings.go
@@ -2,12 +2,14 @@
 
 import (
 	"encoding/hex"
+	"os"
 	"time"
 
 	"go.uber.org/zap/zapcore"
 
 	"github.com/wasabishunt/wasabishunt/entry"
 	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/operators"
 	"github.com/wasabishunt/wasabishunt/piece"
 	"github.com/wasabishunt/wasabishunt/settings"
 )
@@ -23,6 +25,7 @@
 	Zone                string        `arg:"--zone,env:WASABISHUNT_ENTRY_ZONE" help:"availability zone (name)"`
 	PieceKeyFile        string        `arg:"--piece-key-file,env:WASABISHUNT_ENTRY_PIECE_KEY_FILE" help:"file with the 32 bytes of the piece-name key (file)"`
 	OperatorTokenSHA256 string        `arg:"--operator-token-sha256,env:WASABISHUNT_ENTRY_OPERATOR_TOKEN_SHA256" help:"hex SHA-256 of the token for /debug/requests; default nobody may (64 hex digits)"`
+	OperatorsFile       string        `arg:"--operators-file,env:WASABISHUNT_ENTRY_OPERATORS_FILE" help:"file with lines of operator name and SHA-256 of the token, who may use /debug/requests as well; changes are taken without a restart; default nobody else (file)"`
 	StaleSetLimit       time.Duration `arg:"--stale-set-limit,env:WASABISHUNT_ENTRY_STALE_SET_LIMIT" default:"4s" help:"no new work after so long without confirmation of the set (duration)"`
 	DrainNotice         time.Duration `arg:"--drain-notice,env:WASABISHUNT_ENTRY_DRAIN_NOTICE" default:"5s" help:"time with readyz false before the listener closes (duration)"`
 	DrainLimit          time.Duration `arg:"--drain-limit,env:WASABISHUNT_ENTRY_DRAIN_LIMIT" default:"10m" help:"time for running requests after that (duration)"`
@@ -39,7 +42,8 @@
 	RetryShare          float64       `arg:"--retry-share,env:WASABISHUNT_ENTRY_RETRY_SHARE" default:"0.1" help:"retries as a share of requests, 0 to 1 (share)"`
 	LogLevel            zapcore.Level `arg:"--log-level,env:WASABISHUNT_ENTRY_LOG_LEVEL" default:"info" help:"debug, info, warn or error (level)"`
 
-	pieceKey piece.Key
+	pieceKey  piece.Key
+	operators operators.List
 }
 
 // Validate lists all faults of the settings.
@@ -55,10 +59,26 @@
 	if hash, err := hex.DecodeString(a.OperatorTokenSHA256); err != nil || (len(hash) != 32 && len(hash) != 0) {
 		c.Fail("--operator-token-sha256", "must be 64 hex digits")
 	}
+	a.checkOperators(&c)
 	a.validateLimits(&c)
 	return c.Problems()
 }
 
+func (a *arguments) checkOperators(c *settings.Checker) {
+	if a.OperatorsFile == "" {
+		return
+	}
+	file, err := os.Open(a.OperatorsFile)
+	if err != nil {
+		c.Fail("--operators-file", "%v", err)
+		return
+	}
+	defer func() { _ = file.Close() }()
+	for _, p := range a.operators.Load(file) {
+		c.Fail("--operators-file", "%s: %s", p.Path, p.Message)
+	}
+}
+
 func (a *arguments) validateLimits(c *settings.Checker) {
 	settings.Positive(c, "--max-body-bytes", a.MaxBodyBytes)
 	settings.Positive(c, "--max-concurrent", a.MaxConcurrent)
@@ -93,6 +113,7 @@
 		MaxAttempts:         a.MaxAttempts,
 		RetryShare:          a.RetryShare,
 		OperatorTokenSHA256: a.OperatorTokenSHA256,
+		Operators:           &a.operators,
 		DrainNotice:         a.DrainNotice,
 		DrainLimit:          a.DrainLimit,
 	}
--- a/control/fake_test.go
+++ b/control/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -124,7 +125,8 @@
 var testOperator = &controlpb.Operator{Name: "dana", Token: operatorToken}
 
 func testOperators() *Operators {
-	return &Operators{hashes: map[string]string{"dana": tokenHash(operatorToken), "eli": tokenHash("other-token")}}
+	operators, _ := ReadOperators(strings.NewReader("dana " + tokenHash(operatorToken) + "\neli " + tokenHash("other-token")))
+	return operators
 }
 
 // startGroup serves members on loopback; the first is the leader.
--- a/control/operators.go
+++ b/control/operators.go
@@ -1,57 +1,25 @@
 package control
 
 import (
-	"bufio"
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
 	"fmt"
 	"io"
-	"strings"
 
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/objectset"
+	"github.com/wasabishunt/wasabishunt/operators"
 	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
 )
 
-// Operators holds the SHA-256 hashes of the operators' tokens by name.
-type Operators struct {
-	hashes map[string]string
-}
+// Operators admits operators by their tokens.
+type Operators struct{ operators.List }
 
-// ReadOperators reads lines of a name and a hex SHA-256 hash. Empty lines and lines that start with # are skipped.
+// ReadOperators reads lines of a name and a hex SHA-256 hash.
 func ReadOperators(file io.Reader) (*Operators, []failure.Problem) {
-	o := &Operators{hashes: map[string]string{}}
-	var problems []failure.Problem
-	scanner := bufio.NewScanner(file)
-	for line := 1; scanner.Scan(); line++ {
-		text := strings.TrimSpace(scanner.Text())
-		if text == "" || strings.HasPrefix(text, "#") {
-			continue
-		}
-		if fault := o.add(strings.Fields(text)); fault != "" {
-			problems = append(problems, failure.Problem{Path: fmt.Sprintf("line %d", line), Message: fault})
-		}
-	}
-	if err := scanner.Err(); err != nil {
-		problems = append(problems, failure.Problem{Path: "file", Message: err.Error()})
-	}
-	return o, problems
-}
-
-func (o *Operators) add(fields []string) string {
-	if len(fields) != 2 {
-		return "must be a name and a SHA-256 hash"
-	}
-	name, hash := fields[0], strings.ToLower(fields[1])
-	if raw, err := hex.DecodeString(hash); err != nil || len(raw) != sha256.Size {
-		return "the second field is not a hex SHA-256 hash"
-	}
-	if o.hashes[name] != "" {
-		return fmt.Sprintf("operator %q is listed twice", name)
-	}
-	o.hashes[name] = hash
-	return ""
+	o := &Operators{}
+	return o, o.Load(file)
 }
 
 func tokenHash(token string) string {
@@ -62,7 +30,7 @@
 // Authenticate checks an operator's token. A key of a client account is refused even if it is listed.
 func (o *Operators) Authenticate(operator *controlpb.Operator, set *objectset.Set) error {
 	hash := tokenHash(operator.GetToken())
-	expected, ok := o.hashes[operator.GetName()]
+	expected, ok := o.Hash(operator.GetName())
 	if !ok || subtle.ConstantTimeCompare([]byte(hash), []byte(expected)) != 1 {
 		return failure.New(failure.Unauthorized, failure.NotRun, "operator %q is not known by this token", operator.GetName())
 	}
@@ -85,10 +53,7 @@
 
 // keysOfAccounts lists the accounts of a set that use an operator's token as a key.
 func (o *Operators) keysOfAccounts(set *objectset.Set) []failure.Problem {
-	owner := map[string]string{}
-	for name, hash := range o.hashes {
-		owner[hash] = name
-	}
+	owner := o.Names()
 	var problems []failure.Problem
 	for i := range set.Accounts {
 		for _, key := range set.Accounts[i].KeySHA256 {
--- a/control/server.go
+++ b/control/server.go
@@ -13,6 +13,7 @@
 	"github.com/wasabishunt/wasabishunt/clock"
 	"github.com/wasabishunt/wasabishunt/controlclient"
 	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/operators"
 	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
 	"github.com/wasabishunt/wasabishunt/rpcpool"
 	"github.com/wasabishunt/wasabishunt/upstream/vmlist"
@@ -29,6 +30,8 @@
 	// SourceIP is the source address of connections to the leader; default: chosen by the kernel.
 	SourceIP  string
 	Operators *Operators
+	// OperatorsFile is followed for changes of the operators; empty means that they stay.
+	OperatorsFile string
 	// VMList is nil where the platform has none.
 	VMList VMLister
 	// VMListInterval is the time between reads of the list by the leader; default 1 s.
@@ -154,6 +157,10 @@
 	group.Go(func() error { return every(ctx, s.options.RetireInterval, s.retire) })
 	group.Go(func() error { return every(ctx, s.options.HeartbeatInterval, s.greetLeader) })
 	group.Go(func() error { return s.publishMemberships(ctx) })
+	if path := s.options.OperatorsFile; path != "" {
+		file := operators.NewFile(path, &s.options.Operators.List, s.options.Log)
+		group.Go(func() error { file.Follow(ctx); return nil })
+	}
 	if s.options.VMList != nil {
 		group.Go(func() error { return every(ctx, s.options.VMListInterval, s.readVMList) })
 	}
--- a/control/server_test.go
+++ b/control/server_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"path/filepath"
 	"sync"
 	"testing"
 	"time"
@@ -230,3 +232,17 @@
 	_, err = nobody.ReleaseBooking(context.Background(), &controlpb.ReleaseBookingRequest{})
 	require.Equal(t, failure.NotRun, failure.Of(err).Execution)
 }
+
+// Guards against keys of operators that a member takes only at its start.
+func TestOperatorsFileIsFollowed(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "operators")
+	require.NoError(t, os.WriteFile(path, []byte("dana "+tokenHash("next-token")+"\n"), 0o600))
+	_, _, addresses := startGroup(t, 1, Options{OperatorsFile: path})
+	client := newClient(t, addresses)
+	audit := func(token string) error {
+		_, err := client.Audit(t.Context(), &controlpb.AuditRequest{Operator: &controlpb.Operator{Name: "dana", Token: token}})
+		return err
+	}
+	eventually(t, func() bool { return audit("next-token") == nil }, "the new key is taken")
+	require.True(t, failure.Is(audit(operatorToken), failure.Unauthorized), "the key before it")
+}
--- a/entry/checks_test.go
+++ b/entry/checks_test.go
@@ -18,6 +18,7 @@
 	"github.com/wasabishunt/wasabishunt/controlclient"
 	"github.com/wasabishunt/wasabishunt/entry"
 	standin "github.com/wasabishunt/wasabishunt/internal/standin/engine"
+	"github.com/wasabishunt/wasabishunt/operators"
 	"github.com/wasabishunt/wasabishunt/rpc/agentpb"
 )
 
@@ -227,15 +228,24 @@
 
 // TestDebugRequest guards against past requests that anybody can look up, or that nobody can.
 func TestDebugRequest(t *testing.T) {
-	c := newCluster(t, entry.Options{OperatorTokenSHA256: hashOf("operator")})
+	list := &operators.List{}
+	require.Empty(t, list.Load(strings.NewReader("dana "+hashOf("dana's")+"\neli "+hashOf("eli's"))))
+	c := newCluster(t, entry.Options{OperatorTokenSHA256: hashOf("operator"), Operators: list})
 	c.fake("u1", whole)
 	response, _ := c.do(http.MethodPost, chatPath, chatBody(false, ""))
 	path := "/debug/requests/" + response.Header.Get("X-Request-Id")
 	response, _ = c.do(http.MethodGet, path, "")
 	assert.Equal(t, http.StatusUnauthorized, response.StatusCode)
-	response, body := c.do(http.MethodGet, path, "", "Authorization", "Bearer operator")
-	assert.Equal(t, http.StatusOK, response.StatusCode)
-	assert.Contains(t, string(body), `"outcome":"ok"`)
+	for _, wrong := range []string{"", "other", "dana"} {
+		response, _ = c.do(http.MethodGet, path, "", "Authorization", "Bearer "+wrong)
+		assert.Equal(t, http.StatusUnauthorized, response.StatusCode, wrong)
+	}
+	var body []byte
+	for _, token := range []string{"operator", "dana's", "eli's"} {
+		response, body = c.do(http.MethodGet, path, "", "Authorization", "Bearer "+token)
+		assert.Equal(t, http.StatusOK, response.StatusCode, token)
+		assert.Contains(t, string(body), `"outcome":"ok"`)
+	}
 	response, body = c.do(http.MethodGet, "/openapi.json", "")
 	assert.Equal(t, http.StatusOK, response.StatusCode)
 	assert.Contains(t, string(body), "X-Deadline-Ms")
--- a/entry/options.go
+++ b/entry/options.go
@@ -1,6 +1,10 @@
 package entry
 
-import "time"
+import (
+	"time"
+
+	"github.com/wasabishunt/wasabishunt/operators"
+)
 
 // Options are the limits of a Server.
 type Options struct {
@@ -46,6 +50,8 @@
 	DebugRequests int
 	// OperatorTokenSHA256 is the hex SHA-256 of the token that may look up requests; empty means nobody may.
 	OperatorTokenSHA256 string
+	// Operators may look up requests as well; nil means nobody else.
+	Operators *operators.List
 	// DrainNotice is how long a stopping entry keeps accepting while readyz is false; default 5 s.
 	DrainNotice time.Duration
 	// DrainLimit is how long running requests may take after that; default 10 min.
--- /dev/null
+++ b/operators/list.go
@@ -0,0 +1,105 @@
+// Package operators keeps the hashes of the operators' tokens and follows the file that they come from. The lock of a
+// List is a leaf lock.
+package operators
+
+import (
+	"bufio"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"maps"
+	"strings"
+	"sync"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+)
+
+// List holds the SHA-256 hashes of the operators' tokens by name. The zero value knows nobody.
+type List struct {
+	mu     sync.RWMutex
+	hashes map[string]string
+}
+
+// Load replaces the list by lines of a name and a hex SHA-256 hash. Empty lines and lines that start with # are skipped.
+// If there are problems, the list stays as it is.
+func (l *List) Load(file io.Reader) []failure.Problem {
+	hashes, problems := read(file)
+	if len(problems) == 0 {
+		l.replace(hashes)
+	}
+	return problems
+}
+
+func (l *List) replace(hashes map[string]string) (changed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	changed = !maps.Equal(l.hashes, hashes)
+	l.hashes = hashes
+	return changed
+}
+
+func read(file io.Reader) (map[string]string, []failure.Problem) {
+	hashes := map[string]string{}
+	var problems []failure.Problem
+	scanner := bufio.NewScanner(file)
+	for line := 1; scanner.Scan(); line++ {
+		text := strings.TrimSpace(scanner.Text())
+		if text == "" || strings.HasPrefix(text, "#") {
+			continue
+		}
+		if fault := add(hashes, strings.Fields(text)); fault != "" {
+			problems = append(problems, failure.Problem{Path: fmt.Sprintf("line %d", line), Message: fault})
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		problems = append(problems, failure.Problem{Path: "file", Message: err.Error()})
+	}
+	return hashes, problems
+}
+
+func add(hashes map[string]string, fields []string) string {
+	if len(fields) != 2 {
+		return "must be a name and a SHA-256 hash"
+	}
+	name, hash := fields[0], strings.ToLower(fields[1])
+	if raw, err := hex.DecodeString(hash); err != nil || len(raw) != sha256.Size {
+		return "the second field is not a hex SHA-256 hash"
+	}
+	if hashes[name] != "" {
+		return fmt.Sprintf("operator %q is listed twice", name)
+	}
+	hashes[name] = hash
+	return ""
+}
+
+// Hash returns the hash of an operator's token.
+func (l *List) Hash(name string) (string, bool) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	hash, ok := l.hashes[name]
+	return hash, ok
+}
+
+// Names returns the operators by the hashes of their tokens.
+func (l *List) Names() map[string]string {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	names := map[string]string{}
+	for name, hash := range l.hashes {
+		names[hash] = name
+	}
+	return names
+}
+
+// Holds reports whether a token is that of any operator.
+func (l *List) Holds(token string) bool {
+	sum := sha256.Sum256([]byte(token))
+	hash := []byte(hex.EncodeToString(sum[:]))
+	held := 0
+	for expected := range l.Names() {
+		held |= subtle.ConstantTimeCompare(hash, []byte(expected))
+	}
+	return held == 1
+}
