--- a/control/server.go
+++ b/control/server.go
@@ -13,6 +13,7 @@
 	"github.com/wasabishunt/wasabishunt/clock"
 	"github.com/wasabishunt/wasabishunt/controlclient"
 	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/operators"
 	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
 	"github.com/wasabishunt/wasabishunt/rpcpool"
 	"github.com/wasabishunt/wasabishunt/upstream/vmlist"
@@ -29,6 +30,8 @@
 	// SourceIP is the source address of connections to the leader; default: chosen by the kernel.
 	SourceIP  string
 	Operators *Operators
+	// OperatorsFile is followed for changes of the operators; empty means that they stay.
+	OperatorsFile string
 	// VMList is nil where the platform has none.
 	VMList VMLister
 	// VMListInterval is the time between reads of the list by the leader; default 1 s.
@@ -107,6 +110,7 @@
 	started     time.Time
 	closing     chan struct{}
 	closeOnce   sync.Once
+	memberships *membershipFeed
 
 	mu       sync.Mutex
 	presence map[string]presence
@@ -140,16 +144,23 @@
 		closing:     make(chan struct{}),
 		presence:    map[string]presence{},
 		memberSeen:  map[uint64]time.Time{},
+		memberships: newMembershipFeed(),
 	}
 }
 
-// Run does the periodic work until the context ends: silence of processes, the VM list and retirement.
+// Run does the periodic work until the context ends: silence of processes, membership updates, the VM list
+// and retirement.
 // It ends the watch streams and returns after its goroutines have ended.
 func (s *Server) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return every(ctx, s.options.MonitorInterval, s.monitor) })
 	group.Go(func() error { return every(ctx, s.options.RetireInterval, s.retire) })
 	group.Go(func() error { return every(ctx, s.options.HeartbeatInterval, s.greetLeader) })
+	group.Go(func() error { return s.publishMemberships(ctx) })
+	if path := s.options.OperatorsFile; path != "" {
+		file := operators.NewFile(path, &s.options.Operators.List, s.options.Log)
+		group.Go(func() error { file.Follow(ctx); return nil })
+	}
 	if s.options.VMList != nil {
 		group.Go(func() error { return every(ctx, s.options.VMListInterval, s.readVMList) })
 	}
