agent: measure the prefill rate without time that prompts waited

Cause: the rate came from a run's time to first token, so a prompt that waited in the engine or was preempted by more urgent ones lowered it, and admission refused work that could have met its deadline.

The time in which the engine has prompts now counts for the one that it computes: the first by priority, then by arrival, as engines order them. Fetches before the run no longer count either.

Ruled out: only runs that were alone (no figures under load), the engine's load report (lags, and has no computed tokens), and equal parts of the time for all prompts in the engine (urgent prompts look twice as fast while one is preempted).

TestPreemptedTimeDoesNotLowerThePrefillRate: a prompt preempted for 8 of 10 s on an engine of 1,000 tokens/s gave 200 tokens/s, now 1,000. The time in which a single prompt waits for a run slot of the engine still counts, because the engine's protocol does not tell it; the agent's own limit of runs keeps that rare.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -1,7 +1,7 @@
 // Package agent is the process beside one upstream: it owns the upstream's queue, its running streams, its
 // fencing token, its measured load and its cache contents, and it hands plain calls to a service.
 //
-// Lock order: Agent.mu (queue and table of jobs) is taken before no other lock. The locks of rates, weights
+// Lock order: Agent.mu (queue and table of jobs) is taken before no other lock. The locks of rates, prefillTimes, weights
 // and cacheContents are leaves: none of them is held while another lock is taken.
 package agent
 
@@ -62,8 +62,10 @@
 	options Options
 	deps    Dependencies
 	rates   *rates
-	weights *weights
-	cache   *cacheContents
+	// prefills measures for how long the engine computes each prompt.
+	prefills prefillTimes
+	weights  *weights
+	cache    *cacheContents
 	// pieces moves KV pieces between the engine and the stores; nil beside a plain service.
 	pieces *kv.Mover
 	// firstTokenTimes are times to first token on the engine in milliseconds. It is a histogram, because the
--- a/agent/load.go
+++ b/agent/load.go
@@ -30,7 +30,7 @@
 	}
 }
 
-// recordFirst takes one run's computed prompt tokens and its time to first token.
+// recordFirst takes one run's computed prompt tokens and the time for which the engine computed them.
 func (r *rates) recordFirst(tokens int64, took time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- /dev/null
+++ b/agent/prefill_test.go
@@ -0,0 +1,107 @@
+package agent_test
+
+import (
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabishunt/wasabishunt/agent"
+	"github.com/wasabishunt/wasabishunt/controlclient"
+	"github.com/wasabishunt/wasabishunt/objectset"
+	"github.com/wasabishunt/wasabishunt/rpc/agentpb"
+	"github.com/wasabishunt/wasabishunt/upstream/engine"
+)
+
+// manualClock shows the time that a test sets.
+type manualClock struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+func (c *manualClock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *manualClock) pass(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(d)
+}
+
+// heldRuns are engine runs that wait for the test, by request.
+type heldRuns struct {
+	t      *testing.T
+	f      *fixture
+	events map[string]chan engine.Event
+	open   map[string]agentpb.DRPCAgent_GenerateClient
+}
+
+// start sends a prompt of so many words and waits until the engine has it.
+func (h *heldRuns) start(id, rank string, words int) {
+	h.t.Helper()
+	events := make(chan engine.Event, 2)
+	h.events[id] = events
+	h.f.engine.run(func(engine.Request) <-chan engine.Event { return events })
+	before := len(h.f.engine.seen())
+	req := request(id)
+	req.Header.Rank, req.Header.SetVersion = rank, h.f.view.Current().Version
+	req.Header.DeadlineMs = 600_000 // Deadlines run on the real clock, which the manual one overtakes.
+	req.Prompt, req.PromptTokens = strings.Repeat("word ", words), int64(words)
+	h.open[id] = h.f.open(h.t.Context(), req)
+	require.Eventually(h.t, func() bool { return len(h.f.engine.seen()) > before }, 5*time.Second, time.Millisecond)
+}
+
+// answer lets a run produce its only token and end.
+func (h *heldRuns) answer(id string) {
+	h.t.Helper()
+	h.events[id] <- engine.Event{Text: "a ", WeightVersion: "v1"}
+	h.events[id] <- engine.Event{Final: true, TotalTokens: 1, FinishReason: "stop", WeightVersion: "v1"}
+	require.NotNil(h.t, read(h.open[id]).end)
+}
+
+// Guards against estimates of admission that become too pessimistic because a prompt waited in the engine behind more
+// urgent ones: the engine of this test computes 1,000 tokens/s all the time, and a prompt of 2,000 tokens is preempted
+// for 8 s by four others.
+func TestPreemptedTimeDoesNotLowerThePrefillRate(t *testing.T) {
+	clock := &manualClock{now: time.Now()}
+	f := start(t, agent.Options{}, agent.Dependencies{Clock: clock})
+	f.view.Change(func(v *controlclient.View) {
+		set := *v.Set
+		set.Ranks = append(set.Ranks[:1:1], objectset.Rank{Name: "night", Order: 1, Worth: 1, FirstTokenMs: 60_000})
+		v.Set, v.Version = &set, 2
+	})
+	require.Eventually(t, func() bool { _, known := f.load().GetQueuedTokensAhead()["night"]; return known }, 5*time.Second, time.Millisecond)
+	h := &heldRuns{t: t, f: f, events: map[string]chan engine.Event{}, open: map[string]agentpb.DRPCAgent_GenerateClient{}}
+	h.start("long", "night", 2000)
+	clock.pass(time.Second)
+	for _, id := range []string{"u1", "u2", "u3", "u4"} {
+		h.start(id, "urgent", 2000)
+		clock.pass(2 * time.Second)
+		h.answer(id)
+	}
+	clock.pass(time.Second)
+	h.answer("long")
+	assert.InDelta(t, 1000, f.load().GetPrefillTokensPerSecond(), 1)
+}
+
+// Guards against time that an idle engine is charged with, and against prompts that were given up and go on counting.
+func TestIdleTimeDoesNotLowerThePrefillRate(t *testing.T) {
+	clock := &manualClock{now: time.Now()}
+	f := start(t, agent.Options{}, agent.Dependencies{Clock: clock})
+	h := &heldRuns{t: t, f: f, events: map[string]chan engine.Event{}, open: map[string]agentpb.DRPCAgent_GenerateClient{}}
+	h.start("broken", "urgent", 1000)
+	clock.pass(5 * time.Second)
+	close(h.events["broken"])
+	require.NotNil(t, read(h.open["broken"]).refusal)
+	clock.pass(time.Minute)
+	h.start("r", "urgent", 2000)
+	clock.pass(2 * time.Second)
+	h.answer("r")
+	assert.InDelta(t, 1000, f.load().GetPrefillTokensPerSecond(), 1)
+}
--- a/agent/run.go
+++ b/agent/run.go
@@ -55,6 +55,8 @@
 	computed int64
 	started  time.Time
 	first    time.Time
+	// prefill is the prompt as the engine has it.
+	prefill *prefillTime
 }
 
 func (r *engineRun) execute() error {
@@ -62,6 +64,8 @@
 		return err
 	}
 	r.agent.refresh(r.job)
+	r.prefill = r.agent.prefills.start(r.job.priority, r.agent.deps.Clock.Now())
+	defer func() { r.agent.prefills.end(r.prefill, r.agent.deps.Clock.Now()) }()
 	stream, err := r.agent.deps.Engine.Generate(r.job.ctx, r.request())
 	if err != nil {
 		return r.failed(err)
@@ -146,6 +150,7 @@
 func (r *engineRun) delta(event engine.Event) {
 	if r.first.IsZero() {
 		r.first = r.agent.deps.Clock.Now()
+		r.agent.prefills.end(r.prefill, r.first)
 		r.agent.firstToken(r.job)
 		r.job.ticket.Computed()
 	}
@@ -181,7 +186,7 @@
 	}
 	generated := r.next - int64(len(r.job.request.GetEmitted()))
 	now := r.agent.deps.Clock.Now()
-	r.agent.rates.recordFirst(r.computed, r.first.Sub(r.started))
+	r.agent.rates.recordFirst(r.computed, r.agent.prefills.end(r.prefill, r.first))
 	r.agent.rates.recordRun(generated-1, now.Sub(r.first), now.Sub(r.started))
 	r.agent.firstTokenTimes.Update(r.first.Sub(r.started).Milliseconds())
 }
