--- a/agent/kv/harness_test.go
+++ b/agent/kv/harness_test.go
@@ -33,6 +33,7 @@
 type node struct {
 	*store.Server
 	kept    *store.Store
+	link    *store.Link
 	address string
 	stop    context.CancelFunc
 	// onHas, onPut and onChunk run before a call or a sent chunk; nil does nothing.
@@ -85,7 +86,7 @@
 	kept, err := store.New(fs, store.Settings{Name: name})
 	require.NoError(t, err)
 	link := store.NewLink(0, func(string) int { return 0 })
-	n := &node{Server: store.NewServer(kept, link, store.ServerOptions{}), kept: kept}
+	n := &node{Server: store.NewServer(kept, link, store.ServerOptions{}), kept: kept, link: link}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	mux := drpcmux.New()
@@ -167,6 +168,12 @@
 }
 
 func worldBeside(t *testing.T, options Options, nodes ...*node) *world {
+	t.Helper()
+	return worldOf(t, options, bytesPerToken, nodes...)
+}
+
+// worldOf is a world whose engine keeps so many bytes for each token.
+func worldOf(t *testing.T, options Options, tokenBytes int64, nodes ...*node) *world {
 	t.Helper()
 	w := &world{t: t, stores: nodes, cache: &believed{names: map[piece.Name]bool{}}, registry: gometrics.NewRegistry()}
 	set := &objectset.Set{}
@@ -174,7 +181,7 @@
 		set.Stores = append(set.Stores, objectset.Store{Name: fmt.Sprintf("s%d", i+1), Address: n.address, LinkBytesPerSecond: 50_000_000})
 	}
 	w.view = fixedview.New(set)
-	w.engine = standin.New(standin.Settings{WeightVersion: "v1", TimeScale: 50, CacheTokens: 4 * piece.TokensPerPiece, KVBytesPerToken: bytesPerToken})
+	w.engine = standin.New(standin.Settings{WeightVersion: "v1", TimeScale: 50, CacheTokens: 4 * piece.TokensPerPiece, KVBytesPerToken: tokenBytes})
 	server := httptest.NewServer(w.engine)
 	w.client = engine.NewHTTP(strings.TrimPrefix(server.URL, "http://"), engine.HTTPOptions{})
 	if options.LossProbability == 0 {
