bench: add a case in which one account fills the caches; keep cache shares

Cause: cache shares showed no worth in the traces, in which no account floods the stores with prompts that never return.

Conclusion: shares stay, because they keep accounts apart.

--- a/bench/cases.go
+++ b/bench/cases.go
@@ -48,6 +48,7 @@
 			r.at(eventAt+60*time.Second, func() { r.failFast(4, false) })
 		}},
 		{Name: "large callers x20", Extra: largeCallers},
+		{Name: "one account fills the caches", Extra: cacheFlood},
 		{Name: "weight swap", Prepare: func(r *run) { r.at(eventAt+40*time.Second, r.swap) }},
 	}
 }
@@ -81,3 +82,14 @@
 	}
 	return during(t, largeFrom, largeTo, 20/(accounts*accountShare(account))-1)
 }
+
+// cacheFloodFactor makes the flood of one account about 20 pieces per second: both stores together hold 40 s of it.
+const cacheFloodFactor = 12
+
+// cacheFlood lets one account ask for long prompts of the least urgent kind, which never return.
+func cacheFlood(d *Deployment, kind *Kind, account int, t time.Duration) float64 {
+	if kind.Name != d.Low || account != 0 {
+		return 0
+	}
+	return during(t, largeFrom, largeTo, cacheFloodFactor)
+}
--- a/bench/measure.go
+++ b/bench/measure.go
@@ -32,6 +32,8 @@
 	RankOffered map[string]int64
 
 	promptTokens, computedTokens, recomputedTokens int64
+	// smallPrompt and smallRecomputed count the prompt tokens of small callers while the large ones ask for more.
+	smallPrompt, smallRecomputed int64
 	linkBytes                                      int64
 	linkBusy                                       time.Duration
 }
@@ -152,6 +154,10 @@
 	r.promptTokens += q.prompt
 	r.computedTokens += tokens
 	r.recomputedTokens += recomputed
+	if q.account >= largeAccounts && q.at >= largeFrom && q.at < largeTo {
+		r.smallPrompt += q.prompt
+		r.smallRecomputed += recomputed
+	}
 }
 
 // Share is the part of arrivals answered on time.
@@ -179,6 +185,11 @@
 	return ratio(float64(r.recomputedTokens), float64(r.promptTokens))
 }
 
+// SmallRecomputed is Recomputed for small callers while the large ones ask for more.
+func (r *Result) SmallRecomputed() float64 {
+	return ratio(float64(r.smallRecomputed), float64(r.smallPrompt))
+}
+
 // Computed is the share of prompt tokens that were computed, for the first time or again.
 func (r *Result) Computed() float64 {
 	return ratio(float64(r.computedTokens), float64(r.promptTokens))
--- /dev/null
+++ b/bench/shares_test.go
@@ -0,0 +1,19 @@
+package bench
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against an account whose prompts never return and push out the pieces of small accounts: with cache shares small
+// callers recompute less while one account fills the caches.
+func TestSharesKeepThePiecesOfSmallCallers(t *testing.T) {
+	for _, d := range []*Deployment{DeploymentA(), DeploymentB()} {
+		t.Run(d.Name, func(t *testing.T) {
+			with, without := measured(t, d, "fills the caches", "wasabishunt"), measured(t, d, "fills the caches", "without cache shares")
+			t.Logf("recomputed by small callers: %.2f with shares, %.2f without", percent(with.SmallRecomputed()), percent(without.SmallRecomputed()))
+			require.Less(t, with.SmallRecomputed(), without.SmallRecomputed())
+		})
+	}
+}
