replica: refuse a first member whose disk was lost

The runbook only warned.

A first member with an empty data directory now asks all other first members. Members that do not answer are waited for and logged.

Ruled out: asking a majority only, because the group may have formed without the members that answer; telling late members from lost ones by the term, because the others may elect before the last one has asked. So each data directory has a random identity that the others record before they take part. The first start therefore needs all first members once.

--- a/failure/failure.go
+++ b/failure/failure.go
@@ -51,6 +51,7 @@
 	NoQuorum            Kind = "no_quorum"
 	OutcomeUnknown      Kind = "outcome_unknown"
 	StorageFailed       Kind = "storage_failed"
+	IdentityLost        Kind = "identity_lost"
 	Canceled            Kind = "canceled"
 	Internal            Kind = "internal"
 )
--- a/raft/members.go
+++ b/raft/members.go
@@ -46,8 +46,8 @@
 func (c memberConfig) quorum() int { return len(c.voters())/2 + 1 }
 
 // Bootstrap returns the state of a member at the first start of a whole group. Every first member starts with the
-// same list. It must not be used for a member that replaces a lost disk: such a member starts with the zero State
-// under a new id.
+// same list. It must not be used for a member that replaces a lost disk, which package replica finds out: such a member
+// starts with the zero State under a new id.
 func Bootstrap(members []*raftpb.Member) (State, error) {
 	sorted := slices.Clone(members)
 	slices.SortFunc(sorted, func(a, b *raftpb.Member) int { return int(a.GetId()) - int(b.GetId()) })
--- /dev/null
+++ b/replica/formation.go
@@ -0,0 +1,290 @@
+package replica
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/samber/lo"
+	"github.com/zeebo/blake3"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc/drpcconn"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/raft"
+	"github.com/wasabishunt/wasabishunt/raft/diskfs"
+	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
+)
+
+// Formation is the first start of a group. A first member with an empty data directory cannot know whether it starts
+// for the first time or has lost its disk, with votes and entries that the group relies on. So it asks all other first
+// members before it takes part. One that has stored state and did not record the asker's data directory refuses it.
+// All have to answer: a group of a majority might have formed without the members that can be reached.
+//
+// The data directory has a random identity, the incarnation, which is recorded by the others before they take part.
+// Thereby a member that is late at a first start, or restarts during it, is told from one whose disk was lost.
+
+const (
+	formationName       = "formation"
+	formationAside      = formationName + ".aside"
+	formationSumBytes   = 32
+	incarnationBytes    = 16
+	inquireTimeout      = time.Second
+	joinAsNewMemberHint = "if its disk was lost, remove it and join a new member under a new id, with --join in place of --bootstrap"
+)
+
+// formation holds the incarnations of the first members. Its lock is a leaf.
+type formation struct {
+	fs  diskfs.FS
+	dir string
+
+	mu     sync.Mutex
+	record *raftpb.FormationRecord
+	// formed is set when the member has stored state of the group.
+	formed bool
+}
+
+// openFormation reads the record of the data directory; a directory of an older version or of a joined member has none.
+func openFormation(fs diskfs.FS, dir string, formed bool) (*formation, error) {
+	f := &formation{fs: fs, dir: dir, formed: formed, record: &raftpb.FormationRecord{}}
+	names, err := fs.List(dir)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.StorageFailed, failure.NotRun, "list the data directory")
+	}
+	if !slices.Contains(names, formationName) {
+		return f, nil
+	}
+	content, err := fs.ReadFile(filepath.Join(dir, formationName))
+	if err != nil {
+		return nil, failure.Wrap(err, failure.StorageFailed, failure.NotRun, "read the formation record")
+	}
+	body := content[:max(0, len(content)-formationSumBytes)]
+	sum := blake3.Sum256(body)
+	if !bytes.Equal(sum[:], content[len(body):]) || proto.Unmarshal(body, f.record) != nil {
+		return nil, failure.New(failure.StorageFailed, failure.NotRun, "the formation record is damaged")
+	}
+	return f, nil
+}
+
+// identify makes the incarnation durable before another member hears of it.
+func (f *formation) identify() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.record.GetIncarnation()) > 0 {
+		return nil
+	}
+	incarnation := make([]byte, incarnationBytes)
+	if _, err := rand.Read(incarnation); err != nil {
+		return failure.Wrap(err, failure.Internal, failure.NotRun, "draw an incarnation")
+	}
+	return f.save(&raftpb.FormationRecord{Incarnation: incarnation})
+}
+
+// notePeers makes the incarnations of the other first members durable. It precedes the first state of the log.
+func (f *formation) notePeers(peers []*raftpb.FormationPeer) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.save(&raftpb.FormationRecord{Incarnation: f.record.GetIncarnation(), Peers: peers}); err != nil {
+		return err
+	}
+	f.formed = true
+	return nil
+}
+
+func (f *formation) save(record *raftpb.FormationRecord) error {
+	content, err := proto.Marshal(record)
+	if err != nil {
+		return failure.Wrap(err, failure.Internal, failure.NotRun, "encode the formation record")
+	}
+	sum := blake3.Sum256(content)
+	if err := f.write(append(content, sum[:]...)); err != nil {
+		return failure.Wrap(err, failure.StorageFailed, failure.NotRun, "write the formation record")
+	}
+	f.record = record
+	return nil
+}
+
+func (f *formation) write(content []byte) error {
+	aside := filepath.Join(f.dir, formationAside)
+	file, err := f.fs.Create(aside)
+	if err != nil {
+		return err
+	}
+	if _, err := file.Write(content); err != nil {
+		_ = file.Close()
+		return err
+	}
+	if err := file.Sync(); err != nil {
+		_ = file.Close()
+		return err
+	}
+	if err := file.Close(); err != nil {
+		return err
+	}
+	if err := f.fs.Rename(aside, filepath.Join(f.dir, formationName)); err != nil {
+		return err
+	}
+	return f.fs.SyncDir(f.dir)
+}
+
+// answer tells another member what this one knows. joined is set if the member has got state from a leader.
+func (f *formation) answer(q *raftpb.InquireRequest, joined bool) *raftpb.InquireResponse {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	expected := slices.ContainsFunc(f.record.GetPeers(), func(p *raftpb.FormationPeer) bool {
+		return p.GetId() == q.GetFrom() && bytes.Equal(p.GetIncarnation(), q.GetIncarnation())
+	})
+	return &raftpb.InquireResponse{Formed: f.formed || joined, Expected: expected, Incarnation: f.record.GetIncarnation()}
+}
+
+func (f *formation) incarnation() []byte {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.record.GetIncarnation()
+}
+
+// formationServer answers first members that start.
+type formationServer struct {
+	raftpb.DRPCFormationUnimplementedServer
+	replica *Replica
+}
+
+// Inquire implements the formation service.
+func (s *formationServer) Inquire(_ context.Context, q *raftpb.InquireRequest) (*raftpb.InquireResponse, error) {
+	if q.GetGroup() != s.replica.options.Group {
+		return nil, failure.New(failure.Forbidden, failure.NotRun, "inquiry of group %q, this is group %q", q.GetGroup(), s.replica.options.Group)
+	}
+	status := s.replica.Status()
+	return s.replica.formation.answer(q, status.Term > 0 || status.LastIndex > 0), nil
+}
+
+// inquiry is the result of one round of questions.
+type inquiry struct {
+	peers []*raftpb.FormationPeer
+	// silent lists members that did not answer, or that do not bootstrap.
+	silent  []uint64
+	refused *failure.Error
+}
+
+// form takes part in the first start of the group, or ends the member if the group has formed without this data
+// directory. It reports whether the member goes on. Until then the member has no state: it refuses votes and calls.
+func (r *Replica) form(ctx context.Context) (bool, error) {
+	if !r.forming {
+		return true, nil
+	}
+	results := make(chan inquiry, 1)
+	r.group.Go(func() { results <- r.inquireAll(ctx) })
+	for {
+		select {
+		case <-r.stopping:
+			return false, nil
+		case <-r.inbox:
+			// A message of a leader that counts on what this member has lost, or that comes too early.
+		case p := <-r.proposals:
+			r.proposeBatch(p)
+		case q := <-r.reads:
+			r.readBatch(q)
+		case result := <-results:
+			if result.refused != nil {
+				return false, result.refused
+			}
+			return true, r.becomeFirst(result.peers)
+		}
+	}
+}
+
+// becomeFirst makes the first state durable and starts the core with it.
+func (r *Replica) becomeFirst(peers []*raftpb.FormationPeer) error {
+	if err := r.formation.notePeers(peers); err != nil {
+		return err
+	}
+	state, err := r.storage.bootstrap(r.options)
+	if err != nil {
+		return err
+	}
+	if r.node, err = raft.New(r.coreConfig(), state); err != nil {
+		return err
+	}
+	r.forming = false
+	r.tick()
+	r.publish()
+	return nil
+}
+
+// inquireAll repeats its questions until all other first members agree or one refuses.
+func (r *Replica) inquireAll(ctx context.Context) inquiry {
+	wait := backoff.NewExponentialBackOff()
+	wait.InitialInterval, wait.MaxInterval = firstReconnect, lastReconnect
+	var silent []uint64
+	for {
+		result := r.inquireOnce(ctx)
+		if result.refused != nil || len(result.silent) == 0 {
+			return result
+		}
+		if !slices.Equal(silent, result.silent) {
+			silent = result.silent
+			r.log.Warn("waiting for first members", zap.Uint64s("silent", silent))
+		}
+		timer := time.NewTimer(wait.NextBackOff())
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return inquiry{refused: r.stopped()}
+		case <-timer.C:
+		}
+	}
+}
+
+// inquireOnce asks all other first members at the same time.
+func (r *Replica) inquireOnce(ctx context.Context) inquiry {
+	others := lo.Reject(r.options.Bootstrap, func(m *raftpb.Member, _ int) bool { return m.GetId() == r.options.ID })
+	answers := make([]*raftpb.InquireResponse, len(others))
+	var group sync.WaitGroup
+	for i, m := range others {
+		group.Go(func() { answers[i] = r.inquire(ctx, m) })
+	}
+	group.Wait()
+	var result inquiry
+	for i, m := range others {
+		result.add(r.options.ID, m.GetId(), answers[i])
+	}
+	return result
+}
+
+// add judges the answer of one member, nil if there was none.
+func (q *inquiry) add(self, peer uint64, answer *raftpb.InquireResponse) {
+	switch {
+	case answer.GetFormed() && !answer.GetExpected():
+		q.refused = failure.New(failure.IdentityLost, failure.NotRun,
+			"member %d has an empty data directory, but member %d belongs to a group that formed without it; %s", self, peer, joinAsNewMemberHint)
+	case len(answer.GetIncarnation()) == 0:
+		q.silent = append(q.silent, peer)
+	default:
+		q.peers = append(q.peers, &raftpb.FormationPeer{Id: peer, Incarnation: answer.GetIncarnation()})
+	}
+}
+
+func (r *Replica) inquire(ctx context.Context, m *raftpb.Member) *raftpb.InquireResponse {
+	ctx, cancel := context.WithTimeout(ctx, inquireTimeout)
+	defer cancel()
+	raw, err := r.options.Dial(ctx, m.GetAddress())
+	if err != nil {
+		return nil
+	}
+	conn := drpcconn.New(&deadlineConn{Conn: raw, limit: r.options.WriteDeadline})
+	defer func() { _ = conn.Close() }()
+	answer, err := raftpb.NewDRPCFormationClient(conn).Inquire(ctx, &raftpb.InquireRequest{
+		Group: r.options.Group, From: r.options.ID, Incarnation: r.formation.incarnation(),
+	})
+	if err != nil {
+		r.log.Debug("a first member did not answer", zap.Uint64("peer", m.GetId()), zap.Error(err))
+		return nil
+	}
+	return answer
+}
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"context"
 	"time"
 
 	"go.uber.org/zap"
@@ -43,8 +44,14 @@
 const maxApplyBatch = 1024
 
 // run is the loop that owns the core and the log.
-func (r *Replica) run() {
+func (r *Replica) run(ctx context.Context) {
 	defer r.finish()
+	if goesOn, err := r.form(ctx); err != nil || !goesOn {
+		if err != nil {
+			r.fail(err)
+		}
+		return
+	}
 	ticker := time.NewTicker(r.options.Tick)
 	defer ticker.Stop()
 	stopping := r.stopping
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -47,9 +47,10 @@
 	Dir string
 	// StateMachine is empty at start; it is restored from the snapshot and the log.
 	StateMachine StateMachine
-	// Bootstrap is the list of the first members. It is set at the first start of the whole group only, and ignored
-	// when the data directory holds a log. Without it and with an empty directory the member joins: it waits until a
-	// leader contacts it as a learner.
+	// Bootstrap is the list of the first members, ignored when the data directory holds a log. With an empty directory
+	// the member takes part once all other first members have answered; if the group has formed without this directory,
+	// it fails with failure.IdentityLost. Without Bootstrap and with an empty directory the member joins: it waits until
+	// a leader contacts it as a learner.
 	Bootstrap []*raftpb.Member
 
 	// FS is the file system; default is that of the machine.
@@ -142,6 +143,7 @@
 	node      *raft.Node
 	storage   *storage
 	transport *transport
+	formation *formation
 
 	inbox     chan inbound
 	events    chan event
@@ -162,6 +164,8 @@
 	receiving  sync.Mutex
 
 	// The rest belongs to the loop.
+	// forming is set until a first member with an empty directory may take part.
+	forming   bool
 	pending   map[uint64]*proposal
 	rounds    map[uint64]*readRound
 	nextRound uint64
@@ -185,7 +189,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r.storage = storage
+	r.storage, r.formation, r.forming = storage, loaded.formation, loaded.forming
 	if err := r.restore(loaded); err != nil {
 		_ = storage.close()
 		return nil, err
@@ -198,7 +202,7 @@
 	applier := newApplier(r, loaded.state.Snapshot)
 	r.group.Go(applier.run)
 	r.group.Go(func() { r.saveSnapshots(ctx) })
-	r.group.Go(r.run)
+	r.group.Go(func() { r.run(ctx) })
 	r.log.Info("raft member started", zap.Uint64("last_index", r.Status().LastIndex), zap.Bool("may_vote", r.Status().MayVote),
 		zap.Int64("cut_bytes", loaded.cutBytes))
 	return r, nil
@@ -223,11 +227,15 @@
 			return failure.Wrap(err, failure.StorageFailed, failure.NotRun, "restore snapshot %d", loaded.snapshot.Meta.GetIndex())
 		}
 	}
-	node, err := raft.New(raft.Config{ID: r.options.ID, Group: r.options.Group, Election: r.options.Election, Seed: r.options.Seed}, loaded.state)
+	node, err := raft.New(r.coreConfig(), loaded.state)
 	r.node = node
 	return err
 }
 
+func (r *Replica) coreConfig() raft.Config {
+	return raft.Config{ID: r.options.ID, Group: r.options.Group, Election: r.options.Election, Seed: r.options.Seed}
+}
+
 // now returns a time that is monotonic and differs between incarnations, see raft.Node.Tick.
 func (r *Replica) now() time.Duration {
 	return time.Duration(r.started.UnixNano()) + time.Since(r.started)
@@ -235,6 +243,9 @@
 
 // Register adds the raft service to a drpc server's mux.
 func (r *Replica) Register(mux drpc.Mux) error {
+	if err := raftpb.DRPCRegisterFormation(mux, &formationServer{replica: r}); err != nil {
+		return err
+	}
 	return raftpb.DRPCRegisterRaft(mux, &server{replica: r})
 }
 
--- a/replica/storage.go
+++ b/replica/storage.go
@@ -2,6 +2,7 @@
 
 import (
 	"path/filepath"
+	"slices"
 
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/raft"
@@ -27,6 +28,9 @@
 	state    raft.State
 	snapshot *snap.Snapshot
 	cutBytes int64
+	// forming is set for a first member with an empty directory that has others to ask.
+	forming   bool
+	formation *formation
 }
 
 func openStorage(o Options) (*storage, loadedState, error) {
@@ -54,12 +58,23 @@
 }
 
 func (s *storage) load(o Options, contents wal.Contents, newest *snap.Snapshot) (loadedState, error) {
-	loaded := loadedState{snapshot: newest, cutBytes: contents.CutBytes}
+	formation, err := openFormation(o.FS, o.Dir, !contents.Empty() || newest != nil)
+	if err != nil {
+		return loadedState{}, err
+	}
+	loaded := loadedState{snapshot: newest, cutBytes: contents.CutBytes, formation: formation}
 	switch {
 	case contents.Empty() && newest != nil:
 		return loaded, failure.New(failure.StorageFailed, failure.NotRun, "snapshots exist but the log is missing; its votes are lost")
+	case contents.Empty() && len(o.Bootstrap) == 1:
+		loaded.state, err = s.bootstrap(o)
+		return loaded, err
 	case contents.Empty() && len(o.Bootstrap) > 0:
-		return s.bootstrap(o)
+		loaded.forming = true
+		if _, err := firstState(o); err != nil {
+			return loaded, err
+		}
+		return loaded, loaded.formation.identify()
 	}
 	loaded.state.HardState = contents.HardState
 	if newest != nil {
@@ -71,17 +86,19 @@
 }
 
 // bootstrap makes the first state durable before the member takes part in anything.
-func (s *storage) bootstrap(o Options) (loadedState, error) {
-	state, err := raft.Bootstrap(o.Bootstrap)
+func (s *storage) bootstrap(o Options) (raft.State, error) {
+	state, err := firstState(o)
 	if err != nil {
-		return loadedState{}, err
+		return raft.State{}, err
 	}
-	for _, m := range o.Bootstrap {
-		if m.GetId() == o.ID {
-			return loadedState{state: state}, s.wal.Save(state.HardState, state.Entries)
-		}
+	return state, s.wal.Save(state.HardState, state.Entries)
+}
+
+func firstState(o Options) (raft.State, error) {
+	if slices.ContainsFunc(o.Bootstrap, func(m *raftpb.Member) bool { return m.GetId() == o.ID }) {
+		return raft.Bootstrap(o.Bootstrap)
 	}
-	return loadedState{}, failure.New(failure.InvalidRequest, failure.NotRun, "the list of first members does not name member %d", o.ID)
+	return raft.State{}, failure.New(failure.InvalidRequest, failure.NotRun, "the list of first members does not name member %d", o.ID)
 }
 
 // entriesAfter returns the entries that follow the snapshot. Entries of a log that differs from the snapshot are void:
