raft: schedules that meet four rare faults

Cause: the random schedules did not notice the loss of four guards: commit of earlier terms by counting, the stored vote, the read that waits for an entry of the own term, and the undo of a truncated member list. Each needs several rare events in a row.

TestDirectedSchedules mixes four situations with random crashes and deliveries and keeps the checks of the random schedules. It adds one check: the member list in force is the newest one in the member's log.

--- /dev/null
+++ b/raft/directed_test.go
@@ -0,0 +1,263 @@
+package raft
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
+)
+
+// TestDirectedSchedules guards against the faults that need several rare events in a row, which random schedules hardly
+// ever meet: an entry of an earlier term that is committed by counting, a vote that is forgotten in a crash, a read right
+// after an election, and a member list whose entry was replaced. Each schedule mixes these situations with random
+// crashes and deliveries; the checks are those of TestRandomSchedules. A failure prints rapid's seed.
+func TestDirectedSchedules(t *testing.T) {
+	var reads, doubleCandidates int
+	property := func(t *rapid.T) {
+		size := rapid.SampledFrom([]int{3, 3, 5}).Draw(t, "size")
+		c := newCluster(t, size, rapid.Uint64().Draw(t, "seed"))
+		s := &directed{schedule: &schedule{cluster: c, t: t}}
+		mixes := []func(){s.alternateLeaders, s.contend, s.readAfterElection, s.changeUnderCut}
+		for range rapid.IntRange(1, 6).Draw(t, "rounds") {
+			mixes[s.pick(len(mixes))]()
+			s.checkLogs()
+			s.checkMemberLists()
+			s.settle()
+		}
+		s.recover()
+		s.checkMemberLists()
+		reads += c.served
+		doubleCandidates += s.doubleCandidates
+	}
+	// rapid runs 100 schedules at a time unless -rapid.checks says otherwise.
+	for range 10 {
+		rapid.Check(t, property)
+	}
+	t.Logf("%d reads, %d contended terms", reads, doubleCandidates)
+	require.Positive(t, reads, "the schedules serve no reads")
+	require.Positive(t, doubleCandidates, "no term is contended")
+}
+
+// directed adds situations to the random schedules.
+type directed struct {
+	*schedule
+	doubleCandidates int
+}
+
+// Limits of one situation: an election is over within 10 s of simulated time, and a round of messages has fewer packets.
+const (
+	electionTicks = 200
+	roundPackets  = 12
+)
+
+// settle starts all members and lets the group work again.
+func (s *directed) settle() {
+	s.heal()
+	for id := uint64(1); id < s.nextID; id++ {
+		if m := s.members[id]; m != nil && m.node == nil {
+			s.start(id, nil)
+		}
+	}
+	s.run(60, s.pick(2) == 1)
+}
+
+// electNow delivers packets one by one and returns a leader other than the given member at the moment of its election.
+func (s *directed) electNow(other *member) *member {
+	before := s.leader()
+	for range electionTicks {
+		s.now += tick
+		for _, m := range s.running() {
+			m.node.Tick(s.now)
+			s.work(m)
+		}
+		for steps := 0; len(s.packets) > 0 && steps < 2000; steps++ {
+			s.deliver(0)
+			if m := s.leader(); m != nil && m != other && m != before {
+				return m
+			}
+		}
+	}
+	return nil
+}
+
+// crashNow stops a member whose last messages are lost.
+func (s *directed) crashNow(m *member) {
+	s.packets = slices.DeleteFunc(s.packets, func(p packet) bool { return p.GetFrom() == m.id })
+	s.stop(m)
+}
+
+func (s *directed) deliverSome(limit int) {
+	for range s.pick(limit + 1) {
+		if len(s.packets) > 0 {
+			s.deliver(s.pick(min(len(s.packets), 2)))
+		}
+	}
+}
+
+// alternateLeaders leaves entries of several terms on different members: the leader keeps entries for itself, the next
+// one crashes right after its election, the first one leads again and crashes while it replicates.
+func (s *directed) alternateLeaders() {
+	first := s.leader()
+	if first == nil {
+		return
+	}
+	s.isolate(first.id)
+	for range 1 + s.pick(2) {
+		// An entry of this size is sent alone, so an entry of the next term follows in another message.
+		_ = s.propose(first, fmt.Sprint(s.now, strings.Repeat("x", 100)))
+	}
+	second := s.electNow(first)
+	if second == nil {
+		return
+	}
+	s.crashNow(second)
+	s.heal()
+	third := s.electNow(nil)
+	if third == nil {
+		return
+	}
+	s.deliverSome(2 * roundPackets)
+	s.crashNow(third)
+	s.start(second.id, nil)
+	s.run(60, false)
+	s.start(third.id, nil)
+}
+
+// contend lets two members campaign in one term and a third one learn of the term before it is asked; voters crash
+// between a vote and its reply, or after it.
+func (s *directed) contend() {
+	all := s.running()
+	if len(all) < 3 {
+		return
+	}
+	for _, a := range all {
+		for _, b := range all {
+			s.cut[[2]uint64{a.id, b.id}] = true
+		}
+	}
+	// Every leader steps down and nobody hears one.
+	s.run(60, false)
+	s.heal()
+	s.packets = nil
+	s.random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	s.timeOut(all[:2]...)
+	s.deliverOthers(raftpb.MessageType_VOTE)
+	if all[0].node.role == Candidate && all[1].node.role == Candidate && all[0].node.term == all[1].node.term {
+		s.doubleCandidates++
+	}
+	s.timeOut(all[2])
+	s.deliverOthers(raftpb.MessageType_VOTE)
+	for len(s.packets) > 0 {
+		at := s.pick(len(s.packets))
+		p := s.packets[at]
+		to := s.members[p.GetTo()]
+		crash := s.pick(3)
+		if p.GetType() == raftpb.MessageType_VOTE && to.node != nil && crash == 1 {
+			to.crash = 1 + s.pick(2)
+		}
+		s.deliver(at)
+		if p.GetType() == raftpb.MessageType_VOTE && to.node != nil && crash == 2 {
+			s.stop(to)
+		}
+		to.crash = 0
+		if to.node == nil {
+			s.start(to.id, nil)
+		}
+	}
+}
+
+// timeOut ends the election timeout of some members now.
+func (s *directed) timeOut(members ...*member) {
+	s.now += tick
+	for _, m := range members {
+		m.node.electionAt = s.now
+		m.node.Tick(s.now)
+		s.work(m)
+	}
+}
+
+// deliverOthers delivers all packets but those of one type, which stay in transit.
+func (s *directed) deliverOthers(held raftpb.MessageType) {
+	for at := 0; at < len(s.packets); {
+		if s.packets[at].GetType() == held {
+			at++
+			continue
+		}
+		s.deliver(at)
+		at = 0
+	}
+}
+
+// readAfterElection loses a leader at the moment at which it commits, so that no other member knows the commit index,
+// and reads from the next leader at the moment of its election.
+func (s *directed) readAfterElection() {
+	leader := s.leader()
+	if leader == nil {
+		return
+	}
+	before := s.highest
+	_ = s.propose(leader, fmt.Sprint("read", s.now))
+	for steps := 0; s.highest == before && len(s.packets) > 0 && steps < 2000; steps++ {
+		s.deliver(0)
+	}
+	s.crashNow(leader)
+	next := s.electNow(nil)
+	if next == nil {
+		return
+	}
+	s.read(next)
+	s.deliverSome(2 * roundPackets)
+	if next.node != nil {
+		s.read(next)
+	}
+	s.run(5, s.pick(2) == 1)
+}
+
+// changeUnderCut changes the member list on a leader that is cut off and whose entries are replaced afterwards.
+func (s *directed) changeUnderCut() {
+	old := s.leader()
+	if old == nil {
+		return
+	}
+	s.isolate(old.id)
+	if s.pick(2) == 0 {
+		_ = s.change(old, Remove, s.member().id)
+	} else {
+		_ = s.change(old, AddLearner, s.nextID)
+	}
+	next := s.electNow(old)
+	if next == nil {
+		return
+	}
+	_ = s.propose(next, fmt.Sprint("replace", s.now))
+	s.run(5+s.pick(20), s.pick(2) == 1)
+	s.heal()
+	s.run(20, s.pick(2) == 1)
+}
+
+// checkMemberLists checks that the member list in force is the newest one in the log, on each member.
+func (s *directed) checkMemberLists() {
+	for _, m := range s.running() {
+		n := m.node
+		newest := &raftpb.Entry{}
+		for _, e := range n.log.entries {
+			if e.GetType() == raftpb.EntryType_ENTRY_MEMBERS {
+				newest = e
+			}
+		}
+		if newest.GetIndex() == 0 {
+			require.LessOrEqual(s.t, n.current().index, n.log.base, "member %d uses a member list that is not in its log", m.id)
+			continue
+		}
+		members := &raftpb.Members{}
+		require.NoError(s.t, proto.Unmarshal(newest.GetData(), members))
+		require.Equal(s.t, newest.GetIndex(), n.current().index, "member %d uses a member list that is not in its log", m.id)
+		require.True(s.t, proto.Equal(members, n.current().proto()), "member %d uses another member list than entry %d", m.id, newest.GetIndex())
+	}
+}
