control: refuse the removal of an unknown member

Cause: a remove of an id that is not in the member list was taken for a remove that had happened, so a mistyped id was answered with "done".

Ruled out: looking for the operation id in the audit trail, because the record follows the change and is lost if the leader dies in between; then the resend would be refused. Ids are never used again, so a removed member answers done under each operation id.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -58,6 +58,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.changes = append(s.changes, q)
+	if q.Action == "remove" {
+		return &controlpb.ChangeMembersResponse{Failure: &controlpb.Failure{Kind: "not_found", Execution: "not_run", Message: "member 9"}}, nil
+	}
 	return &controlpb.ChangeMembersResponse{}, nil
 }
 
@@ -224,6 +227,10 @@
 	require.Equal(t, ExitOK, code)
 	code, _, _ = invoke(t, address, "members", "add-learner", "--id", "4")
 	require.Equal(t, ExitUsage, code)
+	code, out, stderr = invoke(t, address, "members", "remove", "--id", "9")
+	require.Equal(t, ExitRefused, code)
+	require.Empty(t, out)
+	require.Contains(t, stderr, "not_found (not_run): member 9")
 	require.Equal(t, "add_learner", s.changes[0].Action)
 	require.Equal(t, &raftpb.Member{Id: 4, Address: "127.0.0.1:9", AvailabilityZone: "z", Learner: true}, s.changes[0].Member)
 	require.Equal(t, "promote", s.changes[1].Action)
--- a/control/member/member_test.go
+++ b/control/member/member_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/wasabishunt/wasabishunt/control"
 	"github.com/wasabishunt/wasabishunt/controlclient"
+	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/replica"
 	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
 	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
@@ -162,3 +163,44 @@
 	require.Fail(t, "no leader")
 	return nil
 }
+
+func removeMember(client *controlclient.Client, operation string, id uint64) error {
+	_, err := client.ChangeMembers(context.Background(), &controlpb.ChangeMembersRequest{
+		Operator: &controlpb.Operator{Name: "dana", Token: "token"}, OperationId: operation, Action: "remove", Member: &raftpb.Member{Id: id},
+	})
+	return err
+}
+
+// Guards against a mistyped member id that answers as if the member had been removed, and against a resend of a remove
+// that is refused because the member is gone, also after a leader change.
+func TestRemoveOfUnknownMemberIsRefused(t *testing.T) {
+	members := startMembers(t, 3)
+	addresses := []string{members[0].rpc, members[1].rpc, members[2].rpc}
+	client := controlclient.NewClient(controlclient.ClientOptions{Addresses: addresses, Timeout: 20 * time.Second, MaxAttempts: 1000})
+	defer func() { _ = client.Close() }()
+	_, err := publish(client, "op0", 0)
+	require.NoError(t, err)
+	for range 2 {
+		err = removeMember(client, "remove-9", 9)
+		require.True(t, failure.Is(err, failure.NotFound), "%v", err)
+		require.Equal(t, failure.NotRun, failure.Of(err).Execution)
+	}
+	leader := leaderOf(t, client, members)
+	removed := members[leader.id%3]
+	operation := fmt.Sprint("remove-", removed.id)
+	for range 2 {
+		require.NoError(t, removeMember(client, operation, removed.id))
+	}
+	removed.stop()
+	leader.stop()
+	leader.start(listenOn(t, leader.rpc), listenOn(t, leader.status))
+	require.NoError(t, removeMember(client, operation, removed.id))
+	// A new leader takes member changes once it has committed an entry of its own term.
+	_, err = publish(client, "op1", 1)
+	require.NoError(t, err)
+	err = removeMember(client, "remove-9", 9)
+	require.True(t, failure.Is(err, failure.NotFound), "%v", err)
+	status, err := client.StatusOf(context.Background(), leader.rpc, true)
+	require.NoError(t, err)
+	require.Len(t, status.Members.Members, 2)
+}
--- a/control/member/replicator.go
+++ b/control/member/replicator.go
@@ -49,9 +49,9 @@
 // Fresh reports whether the applied state is known to be current.
 func (r replicator) Fresh() bool { return r.replica.Fresh() }
 
-// Members returns the members in force.
+// Members returns the members in force and the ids of removed ones.
 func (r replicator) Members() *raftpb.Members {
-	return &raftpb.Members{Members: r.replica.Members()}
+	return r.replica.Status().Members
 }
 
 // ChangeMembers replicates one membership change.
--- a/control/replicator.go
+++ b/control/replicator.go
@@ -24,6 +24,7 @@
 	Leader() (id uint64, address string)
 	// Fresh reports whether the local state is known to be current, see section 2.3 of the design.
 	Fresh() bool
+	// Members returns the members in force and the ids of removed ones.
 	Members() *raftpb.Members
 	// ChangeMembers adds a learner, promotes a learner or removes a member, one at a time.
 	ChangeMembers(ctx context.Context, action string, member *raftpb.Member) error
--- a/control/server_operator.go
+++ b/control/server_operator.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"fmt"
+	"slices"
 
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
@@ -164,7 +165,7 @@
 }
 
 // ChangeMembers adds, promotes or removes one control member. A change that is already in force succeeds, so a
-// resend after a lost answer is safe.
+// resend after a lost answer is safe. Ids are never used again, so a removed member needs no record of the operation.
 func (s *Server) ChangeMembers(ctx context.Context, q *controlpb.ChangeMembersRequest) (*controlpb.ChangeMembersResponse, error) {
 	if refusal := s.authorize(q.Operator); refusal != nil {
 		return &controlpb.ChangeMembersResponse{Failure: refusal}, nil
@@ -199,7 +200,8 @@
 	case "promote":
 		return found != nil && !found.Learner
 	case "remove":
-		return found == nil
+		// Only a member that was removed answers a resend; an id that was never used is the operator's mistake.
+		return found == nil && slices.Contains(members.GetRemovedIds(), member.Id)
 	}
 	return false
 }
