sched: limit the prefill of an engine step while requests decode

Cause: each engine step carried a chunk of 512 prompt tokens, which takes 51 ms on new hardware beside 14 ms and more of decoding, so the 95th percentile of gaps between tokens was 67 ms in the calm case (target 40).

Change: StepSettings.Limit grants what fits into 0.95 of the target beside the decode step, from costs that StepCost learns from the engine's steps. The limit is lifted when nothing decodes and when the queue has a deadline that would be missed at the limited rate (LateAt, with 0.7 of the time in reserve). Estimates go on using the rate without the limit.

--- a/bench/agent.go
+++ b/bench/agent.go
@@ -21,6 +21,7 @@
 	hardware hardware
 	queue    *sched.Queue
 	meter    *sched.Meter
+	cost     *sched.StepCost
 	cache    *cachevalue.Tier
 	returns  *cachevalue.Returns
 	flights  *fetchplan.Flights
@@ -35,8 +36,10 @@
 	// loadedBy is when the load in progress ends; zero while the agent waits for a load slot.
 	loadedBy time.Duration
 	stepping bool
-	frozen   bool
-	failed   bool
+	// limit is the prefill of the step in progress in tokens.
+	limit  int64
+	frozen bool
+	failed bool
 	// refusing engines fail all new work at once and go on with the old.
 	refusing bool
 	runTime  time.Duration
@@ -68,6 +71,7 @@
 	settings.Off = r.policy.Sched
 	a := &agent{
 		run: r, name: fmt.Sprintf("engine%02d", i), model: model, hardware: hardwareOf(i), meter: sched.NewMeter(configuredRate),
+		cost:  sched.NewStepCost(configuredRate, configuredDecode),
 		queue: sched.New(settings, sched.Config{Ranks: r.ranksOf()}), returns: cachevalue.New(cachevalue.Defaults()),
 		flights: fetchplan.NewFlights(), work: map[string]*work{}, waiters: map[string][]*work{}, loaded: 1, runTime: 3 * time.Second,
 	}
--- a/bench/engine.go
+++ b/bench/engine.go
@@ -15,6 +15,7 @@
 		return
 	}
 	a.answerDropped()
+	a.limitStep()
 	a.takeGrants()
 	grants, tokens := a.prefill()
 	if tokens == 0 && len(a.decoding) == 0 {
@@ -22,10 +23,11 @@
 	}
 	a.stepping = true
 	took := a.hardware.step(tokens, len(a.decoding))
-	freezes := a.freezes
+	decoding, freezes := len(a.decoding), a.freezes
 	a.run.after(took, func() {
 		if a.freezes == freezes {
-			a.stepped(grants, tokens, took)
+			a.cost.Observe(tokens, decoding, took)
+			a.stepped(grants, tokens, a.fullTime(decoding, took))
 		}
 	})
 }
@@ -36,6 +38,25 @@
 	left  int64
 }
 
+// limitStep bounds the prefill of the next step while requests decode. An engine that takes whole prompts fills its steps
+// itself.
+func (a *agent) limitStep() {
+	a.limit = engineChunk
+	if a.run.policy.NoStepLimit || a.run.policy.WholePrompts {
+		return
+	}
+	late := func(rate, reserve float64) bool { return a.queue.LateAt(rate, reserve, a.run.time()) }
+	a.limit = a.run.policy.step().Limit(a.cost, len(a.decoding), engineChunk, late)
+	a.queue.SetStepLimit(a.limit)
+}
+
+// fullTime is the time that a step's prefill would have taken in steps without limit. Estimates count on that rate,
+// because the limit is lifted for work that needs it.
+func (a *agent) fullTime(decoding int, took time.Duration) time.Duration {
+	saved := a.cost.Decode(decoding) * (1 - float64(a.limit)/engineChunk)
+	return max(0, took-time.Duration(saved*float64(time.Second)))
+}
+
 // takeGrants hands all granted chunks to the engine.
 func (a *agent) takeGrants() {
 	for {
--- a/bench/model.go
+++ b/bench/model.go
@@ -21,8 +21,10 @@
 	engineChunk = 512
 	// configuredRate is the prefill rate in the object set; half of the engines differ from it.
 	configuredRate = 8000.0
-	loadWeights    = 800 * time.Millisecond
-	maxLoading     = 2
+	// configuredDecode is the decode rate of one request in the object set.
+	configuredDecode = 40.0
+	loadWeights      = 800 * time.Millisecond
+	maxLoading       = 2
 	// watchdog is how long an agent waits for its engine before it reports it failed.
 	watchdog = time.Second
 )
--- a/bench/policies.go
+++ b/bench/policies.go
@@ -30,6 +30,10 @@
 	EnginePriorities bool
 	// MaxOutstanding bounds the prompt tokens granted to an engine in tokens; 0 means the default, one chunk.
 	MaxOutstanding int64
+	// NoStepLimit grants a whole chunk in each step, also while requests decode.
+	NoStepLimit bool
+	// Step replaces the settings of the step limit; the zero value means the defaults.
+	Step sched.StepSettings
 	// Prefetch moves pieces to the engine ahead of a known return.
 	Prefetch bool
 }
@@ -38,7 +42,7 @@
 
 // Baselines are serving systems without this one's mechanisms; the first policy is the whole system.
 func Baselines() []Policy {
-	plain := Policy{Sched: fifo, NoAdmission: true, LRU: true, NoShares: true, Fetch: fetchplan.Off{Fetch: true, Wait: true}}
+	plain := Policy{Sched: fifo, NoAdmission: true, LRU: true, NoShares: true, NoStepLimit: true, Fetch: fetchplan.Off{Fetch: true, Wait: true}}
 	roundRobin, leastLoad, affinity, stores := plain, plain, plain, plain
 	roundRobin.Name, roundRobin.RoundRobin = "round robin, FIFO", true
 	leastLoad.Name, leastLoad.Routing = "least load, FIFO", routing.Off{Prefix: true, ByRank: true, OwnSent: true, Penalty: true, Measured: true}
@@ -48,6 +52,13 @@
 	return []Policy{{Name: "wasabishunt"}, roundRobin, leastLoad, affinity, stores}
 }
 
+func (p Policy) step() sched.StepSettings {
+	if p.Step == (sched.StepSettings{}) {
+		return sched.StepDefaults()
+	}
+	return p.Step
+}
+
 // Ablations switch one mechanism off each.
 func Ablations() []Policy {
 	return []Policy{
@@ -57,6 +68,7 @@
 		{Name: "without dropping late work", Sched: sched.Off{DropLate: true}},
 		{Name: "without long budget", Sched: sched.Off{LongBudget: true}},
 		{Name: "without rescue", Sched: sched.Off{Rescue: true}},
+		{Name: "without step limit", NoStepLimit: true},
 		{Name: "without slot headroom", Sched: sched.Off{Headroom: true}},
 		{Name: "without share left in estimates", Sched: sched.Off{ShareLeft: true}},
 		{Name: "without admission", NoAdmission: true},
--- a/bench/run.go
+++ b/bench/run.go
@@ -83,7 +83,7 @@
 			r.agents = append(r.agents, a)
 			r.byName[a.name] = a
 			byModel[model] = append(byModel[model], routing.Upstream{
-				Name: a.name, Zone: zone(len(r.agents)), PrefillRate: configuredRate, DecodeRate: 40, State: controlclient.Live,
+				Name: a.name, Zone: zone(len(r.agents)), PrefillRate: configuredRate, DecodeRate: configuredDecode, State: controlclient.Live,
 			})
 		}
 	}
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -23,6 +23,7 @@
 	waiting     int
 	running     int
 	outstanding outstanding
+	stepLimit   int64  // Prefill of one engine step in tokens; 0 means no limit. See SetStepLimit.
 	sinceFloor  int    // Chunks granted since the last one by a floor.
 	pace        int    // Chunks by order between two by floor.
 	rescued     *entry // Chosen to save its deadline; see rescue.
@@ -105,7 +106,7 @@
 
 func (q *Queue) grant(e *entry, why string) (Grant, bool) {
 	tokens, priority := q.chunk(e), q.priority(e, why)
-	if before := q.outstandingBefore(priority); before > 0 && before+tokens > q.settings.MaxOutstanding {
+	if before := q.outstandingBefore(priority); before > 0 && before+tokens > q.limited(q.settings.MaxOutstanding) {
 		return Grant{}, false
 	}
 	q.sinceFloor++
@@ -132,7 +133,7 @@
 	if q.settings.WholePrompts {
 		return e.remaining
 	}
-	return min(e.remaining, q.settings.ChunkTokens)
+	return min(e.remaining, q.limited(q.settings.ChunkTokens))
 }
 
 func (q *Queue) start(e *entry) {
