--- a/bench/agent.go
+++ b/bench/agent.go
@@ -69,14 +69,10 @@
 		settings.MaxOutstanding = r.policy.MaxOutstanding
 	}
 	settings.Off = r.policy.Sched
-	if r.policy.Homes {
-		settings.FloorYield = floorYield
-	}
-	name := engineName(i)
 	a := &agent{
-		run: r, name: name, model: model, hardware: hardwareOf(i), meter: sched.NewMeter(configuredRate),
+		run: r, name: fmt.Sprintf("engine%02d", i), model: model, hardware: hardwareOf(i), meter: sched.NewMeter(configuredRate),
 		cost:  sched.NewStepCost(configuredRate, configuredDecode),
-		queue: sched.New(settings, r.configAt(name, model)), returns: cachevalue.New(cachevalue.Defaults()),
+		queue: sched.New(settings, sched.Config{Ranks: r.ranksOf()}), returns: cachevalue.New(cachevalue.Defaults()),
 		flights: fetchplan.NewFlights(), work: map[string]*work{}, waiters: map[string][]*work{}, loaded: 1, runTime: 3 * time.Second,
 	}
 	a.cache = cachevalue.NewTier(cachevalue.TierSettings{Capacity: engineCachePieces * pieceBytes, Sample: engineCachePieces, NoShares: true}, cachevalue.LRU{})
--- a/bench/entry.go
+++ b/bench/entry.go
@@ -57,9 +57,6 @@
 		Model: q.kind.Model, WeightVersion: versionName(q.version), Affinity: affinity, Pieces: q.names, PromptTokens: q.prompt,
 		Rank: q.kind.Rank, Order: e.run.orders[q.kind.Rank], Zone: e.zone, Exclude: q.exclude,
 	}
-	if q.tries > 1 {
-		request.Homes = e.run.homesFor(q)
-	}
 	snapshot := routing.Snapshot{Now: e.run.time(), Index: e.run.index, Loads: e.loads, Prefixes: e.prefixes}
 	d, err := e.router.Pick(request, snapshot)
 	if err != nil {
@@ -100,14 +97,10 @@
 			e.loads.Failed(a.name, now)
 		}
 		q.exclude = append(q.exclude, a.name)
-		if q.tries >= maxTries || e.run.policy.NoRetry || !now.Before(q.deadline) || !e.mayRetry(q) {
+		if q.tries >= maxTries || e.run.policy.NoRetry || !now.Before(q.deadline) || !e.budget.Retry(accountName(q.account)) {
 			e.run.result.refused(q)
 			return
 		}
 		e.submit(q)
 	})
 }
-
-func (e *entry) mayRetry(q *request) bool {
-	return e.run.sentHome(q) || e.budget.Retry(accountName(q.account))
-}
--- a/bench/policies.go
+++ b/bench/policies.go
@@ -34,8 +34,6 @@
 	NoStepLimit bool
 	// Step replaces the settings of the step limit; the zero value means the defaults.
 	Step sched.StepSettings
-	// Homes keeps floors of ranks at home upstreams.
-	Homes bool
 	// Prefetch moves pieces to the engine ahead of a known return.
 	Prefetch bool
 }
@@ -90,7 +88,6 @@
 		{Name: "with whole prompts", WholePrompts: true},
 		{Name: "with whole prompts by priority", WholePrompts: true, EnginePriorities: true},
 		{Name: "with whole prompts by priority, 4096 outstanding", WholePrompts: true, EnginePriorities: true, MaxOutstanding: 4096},
-		{Name: "with homes", Homes: true},
 		{Name: "with prefetch", Prefetch: true},
 		{Name: "without retries", NoRetry: true},
 	}
--- a/bench/run.go
+++ b/bench/run.go
@@ -13,7 +13,6 @@
 	"github.com/wasabishunt/wasabishunt/objectset"
 	"github.com/wasabishunt/wasabishunt/piece"
 	"github.com/wasabishunt/wasabishunt/routing"
-	"github.com/wasabishunt/wasabishunt/sched"
 )
 
 // run is one deployment in one case under one policy.
@@ -26,7 +25,6 @@
 	stores     []*store
 	entries    []*entry
 	index      *routing.Index
-	homes      map[string]sched.Homes // By model.
 	orders     map[string]int
 	version    uint64
 	// loading counts the engines of a model that load weights.
@@ -79,9 +77,7 @@
 		r.stores = append(r.stores, newStore(r, i))
 	}
 	byModel := map[string][]routing.Upstream{}
-	models := slices.Sorted(mapsKeys(r.deployment.Engines))
-	r.chooseHomes(models)
-	for _, model := range models {
+	for _, model := range slices.Sorted(mapsKeys(r.deployment.Engines)) {
 		for range r.deployment.Engines[model] {
 			a := newAgent(r, len(r.agents), model)
 			r.agents = append(r.agents, a)
--- a/routing/candidates.go
+++ b/routing/candidates.go
@@ -9,9 +9,6 @@
 // are passed over; the number examined is bounded, so the cost does not grow with the fleet.
 func (r *Router) candidates(model *modelIndex, request Request, snapshot Snapshot, d *Decision) []candidate {
 	r.buffer = r.buffer[:0]
-	if r.homeChoices(model, request, snapshot, d); len(r.buffer) > 0 {
-		return r.buffer
-	}
 	r.affinityChoices(model, request, snapshot, d)
 	r.randomChoices(model, request, snapshot, d)
 	if len(r.buffer) == 0 {
@@ -29,15 +26,6 @@
 	}
 }
 
-// homeChoices considers the requested homes, at most as many as any request may examine.
-func (r *Router) homeChoices(model *modelIndex, request Request, snapshot Snapshot, d *Decision) {
-	for _, name := range request.Homes[:min(len(request.Homes), r.settings.MaxExamined)] {
-		if p := model.byName[name]; p != nil {
-			r.consider(p, -1, request, snapshot, d)
-		}
-	}
-}
-
 func (r *Router) randomChoices(model *modelIndex, request Request, snapshot Snapshot, d *Decision) {
 	want := min(len(r.buffer)+r.settings.RandomChoices, len(model.places))
 	for tries := 0; tries < 2*r.settings.RandomChoices && len(r.buffer) < want; tries++ {
--- a/routing/index.go
+++ b/routing/index.go
@@ -45,7 +45,6 @@
 	upstreams []Upstream
 	places    []*place
 	ring      []point
-	byName    map[string]*place
 }
 
 // point is one position on a ring.
@@ -86,10 +85,9 @@
 	if old != nil && slices.Equal(old.upstreams, upstreams) {
 		return old
 	}
-	m := &modelIndex{upstreams: upstreams, places: make([]*place, len(upstreams)), byName: make(map[string]*place, len(upstreams))}
+	m := &modelIndex{upstreams: upstreams, places: make([]*place, len(upstreams))}
 	for i, u := range upstreams {
 		m.places[i] = &place{Upstream: u}
-		m.byName[u.Name] = m.places[i]
 	}
 	if old != nil && slices.EqualFunc(old.upstreams, upstreams, func(a, b Upstream) bool { return a.Name == b.Name }) {
 		m.ring = old.ring
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -25,8 +25,6 @@
 	Order int
 	// Zone is the entry's availability zone.
 	Zone string
-	// Homes, if any of them is usable, are the only candidates; see sched.HomesOf.
-	Homes []string
 	// Exclude lists upstreams that failed or refused this request.
 	Exclude []string
 }
--- a/sched/floor.go
+++ b/sched/floor.go
@@ -65,7 +65,7 @@
 
 // floorShare is the share of the prefill rate at which the rank's floor serves the tokens.
 func (q *Queue) floorShare(r *rankQueue, tokens float64) float64 {
-	if q.settings.Off.Floors || !q.keepsFloor(r, tokens) {
+	if q.settings.Off.Floors {
 		return 0
 	}
 	if r.Floor > 0 && tokens <= r.credit {
--- a/sched/item.go
+++ b/sched/item.go
@@ -91,9 +91,6 @@
 	// FloorBurst is the floor service in tokens that a rank may save up; default 8192. While it is used up, more urgent
 	// work still gets two of three chunks if the floors allow.
 	FloorBurst int64
-	// FloorYield puts a chunk by floor off while the most urgent rank has less than this time to spare, in chunks; default 0,
-	// never.
-	FloorYield int
 	// Headroom is the share of run slots kept free for urgent ranks and small callers, 0 to 1; default 0.125.
 	Headroom float64
 	// Off switches mechanisms off, for comparison runs only; default none.
@@ -166,8 +163,6 @@
 	Ranks []objectset.Rank
 	// Weights of client accounts by name.
 	Weights map[string]float64
-	// Places says how the floors of ranks are kept here, by name; see Homes.At.
-	Places map[string]Place
 }
 
 // ConfigOf takes a Config from an object set.
--- a/sched/rank.go
+++ b/sched/rank.go
@@ -21,7 +21,6 @@
 	// unmet is the demand in tokens that was refused or dropped.
 	unmet        float64
 	recent       usage
-	place        Place
 	queuedTokens int64
 	waiting      int
 	running      int
@@ -42,7 +41,7 @@
 		if queue == nil {
 			queue = &rankQueue{accounts: map[string]*account{}}
 		}
-		queue.Rank, queue.place = rank, config.Places[rank.Name]
+		queue.Rank = rank
 		q.ranks = append(q.ranks, queue)
 		q.byName[rank.Name] = queue
 	}
@@ -88,9 +87,6 @@
 			continue
 		}
 		e := q.chooseAccount(rank, longAllowed, now)
-		if e != nil && first != nil && (!q.keepsFloor(rank, float64(e.item.PromptTokens)) || q.yields(rank, first, now)) {
-			continue
-		}
 		if e != nil && first != nil {
 			return e, whyFloor
 		}
--- a/sched/snapshot.go
+++ b/sched/snapshot.go
@@ -68,7 +68,7 @@
 			urgent = false
 		case urgent:
 			ahead.Tokens += float64(other.queuedTokens)
-		case other.backlogged() && other.place != Away && !q.settings.Off.Floors:
+		case other.backlogged() && !q.settings.Off.Floors:
 			lowFloors += other.Floor
 		}
 	}
@@ -118,7 +118,7 @@
 		if one.FloorShare > 0 {
 			tokens = min(tokens, one.FloorTokens/one.FloorShare)
 		}
-		ahead[rank.Name] = int64(tokens + q.detour(rank))
+		ahead[rank.Name] = int64(tokens)
 	}
 	return ahead
 }
