bench: cases that fill run slots and that slow engines down; new tables

Change: "flood of least urgent x10, 12 slots", in which night runs fill the slots, and "four engines at a quarter of their rate".

--- a/bench/agent.go
+++ b/bench/agent.go
@@ -62,7 +62,7 @@
 
 func newAgent(r *run, i int, model string) *agent {
 	settings := sched.Defaults()
-	settings.MaxRunning = maxRunning
+	settings.MaxRunning = r.slots
 	settings.WholePrompts = r.policy.WholePrompts
 	settings.EnginePriorities = r.policy.EnginePriorities
 	if r.policy.MaxOutstanding > 0 {
--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -82,6 +82,20 @@
 	})
 }
 
+// TestUrgentBesideSlowEngines guards against entries and agents that trust configured rates which engines do not reach.
+func TestUrgentBesideSlowEngines(t *testing.T) {
+	eachDeployment(t, func(t *testing.T, run func(string) *Result) {
+		require.GreaterOrEqual(t, run("quarter").ByRank["urgent"].Share(), 0.99)
+	})
+}
+
+// TestUrgentBesideFullSlots guards the target through a flood of the least urgent work whose runs fill the engines' slots.
+func TestUrgentBesideFullSlots(t *testing.T) {
+	eachDeployment(t, func(t *testing.T, run func(string) *Result) {
+		require.GreaterOrEqual(t, run("12 slots").ByRank["urgent"].Share(), 0.99)
+	})
+}
+
 // requireFloors checks that each rank got its floor of the tokens served in the flood, or all that it offered if that is
 // less. Refused and dropped work counts as offered.
 func requireFloors(t *testing.T, r *Result) {
--- a/bench/cases.go
+++ b/bench/cases.go
@@ -7,6 +7,8 @@
 	Name string
 	// Extra returns the additional rate of a kind and account at a time, as a multiple of its calm rate; nil means none.
 	Extra func(d *Deployment, kind *Kind, account int, t time.Duration) float64
+	// Slots are the run slots of each engine; 0 means maxRunning.
+	Slots int
 	// Prepare schedules events of the case; nil means none.
 	Prepare func(r *run)
 }
@@ -48,6 +50,8 @@
 			r.at(eventAt+60*time.Second, func() { r.failFast(4, false) })
 		}},
 		{Name: "large callers x20", Extra: largeCallers},
+		{Name: "four engines at a quarter of their rate", Prepare: func(r *run) { r.throttle(4, 0.25) }},
+		{Name: "flood of least urgent x10, 12 slots", Extra: lowFlood, Slots: 12},
 		{Name: "weight swap", Prepare: func(r *run) { r.at(eventAt+40*time.Second, r.swap) }},
 	}
 }
--- a/bench/run.go
+++ b/bench/run.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -19,6 +20,7 @@
 type run struct {
 	sim
 	deployment *Deployment
+	slots      int
 	policy     Policy
 	agents     []*agent
 	byName     map[string]*agent
@@ -54,7 +56,7 @@
 // Run measures one deployment in one case under one policy.
 func Run(d *Deployment, c *Case, p Policy, seed uint64) *Result {
 	r := &run{
-		deployment: d, policy: p, byName: map[string]*agent{}, computed: map[piece.Name]bool{},
+		deployment: d, slots: cmp.Or(c.Slots, maxRunning), policy: p, byName: map[string]*agent{}, computed: map[piece.Name]bool{},
 		orders: map[string]int{}, loading: map[string]int{}, version: 1, result: newResult(d, c, p),
 	}
 	for _, rank := range d.Ranks {
@@ -126,6 +128,13 @@
 	}
 }
 
+// throttle lets the first n engines prefill at a part of the speed of their generation, such as with a failed fan.
+func (r *run) throttle(n int, factor float64) {
+	for _, a := range r.agents[:n] {
+		a.hardware.prefill *= factor
+	}
+}
+
 // failFast lets the first n engines refuse all new work at once, so that they look idle, or accept work again.
 func (r *run) failFast(n int, on bool) {
 	for _, a := range r.agents[:n] {
