--- a/sched/snapshot.go
+++ b/sched/snapshot.go
@@ -110,12 +110,16 @@
 	return min(rank.waiting, len(rank.active)) + 1
 }
 
+// ownQueuePart is the part that AheadByRank counts of the rank's queue that does not go before an account without service:
+// a report cannot know the account. Without it the queue of a large caller looks empty, and entries send all further
+// requests of that caller to the same upstream; counted whole, it drives small callers from their cached prefixes.
+const ownQueuePart = 0.5
+
 // maxContention bounds the time that AheadByRank adds for more urgent work that has not arrived yet.
 const maxContention = 2 * time.Second
 
 // AheadByRank returns, for each rank, the queued tokens that are served before a new request of the rank. Agents report
-// it, so that routing does not take less urgent work for a wait. The rank's whole queue counts: without it, the queue of a
-// large caller looks empty, and entries send all further requests of that caller to the same upstream.
+// it, so that routing does not take less urgent work for a wait.
 func (q *Queue) AheadByRank() map[string]int64 {
 	ahead := make(map[string]int64, len(q.ranks))
 	for _, rank := range q.ranks {
@@ -126,7 +130,7 @@
 
 func (q *Queue) aheadOfRank(rank *rankQueue) float64 {
 	one := q.AheadOf(rank.Name, "", q.settings.ChunkTokens)
-	own := float64(rank.queuedTokens)
+	own := one.FloorTokens + ownQueuePart*(float64(rank.queuedTokens)-one.FloorTokens)
 	tokens := one.Tokens - one.FloorTokens + own
 	if one.Share > 0 && one.Share < 1 {
 		tokens += min(maxContention.Seconds()*q.prefillRate, (own+float64(q.settings.ChunkTokens))*(1/one.Share-1))
