--- a/bench/measure.go
+++ b/bench/measure.go
@@ -34,8 +34,8 @@
 	promptTokens, computedTokens, recomputedTokens int64
 	// smallPrompt and smallRecomputed count the prompt tokens of small callers while the large ones ask for more.
 	smallPrompt, smallRecomputed int64
-	linkBytes                                      int64
-	linkBusy                                       time.Duration
+	linkBytes                    int64
+	linkBusy                     time.Duration
 }
 
 // Tally counts outcomes.
--- a/cachevalue/place.go
+++ b/cachevalue/place.go
@@ -54,19 +54,6 @@
 	return p
 }
 
-// Prefetch returns the entries whose known return is due within the lead, the earliest first. The lead should cover the
-// transfer over the link's queue.
-func Prefetch(entries []Entry, lead time.Duration, now time.Time) []Entry {
-	var due []Entry
-	for _, entry := range entries {
-		if ahead := entry.KnownReturn.Sub(now); !entry.KnownReturn.IsZero() && ahead >= 0 && ahead <= lead {
-			due = append(due, entry)
-		}
-	}
-	slices.SortStableFunc(due, func(a, b Entry) int { return a.KnownReturn.Compare(b.KnownReturn) })
-	return due
-}
-
 // ByValue sorts entries for refill after the loss of a store, most valuable first.
 func ByValue(policy Policy, entries []Entry, now time.Time) {
 	slices.SortStableFunc(entries, func(a, b Entry) int {
--- a/cachevalue/policy.go
+++ b/cachevalue/policy.go
@@ -1,5 +1,5 @@
 // Package cachevalue decides what retained KV cache is worth: what to export before eviction, what to keep in memory,
-// on disk and on both stores, what to evict and what to prefetch. Value is the recompute time that a hit saves times
+// on disk and on a second store, and what to evict. Value is the recompute time that a hit saves times
 // the probability of a return. It is pure; the time is passed in and callers serialize calls.
 package cachevalue
 
@@ -19,8 +19,6 @@
 	// Recompute is the prefill time that a hit saves.
 	Recompute time.Duration
 	LastUse   time.Time
-	// KnownReturn is when the prompt is known to return; zero means unknown.
-	KnownReturn time.Time
 }
 
 // Policy values entries; the tier evicts the least valuable.
@@ -50,13 +48,11 @@
 	MaxClasses int
 	// Memory is the number of observed gaps of a class after which older ones count half; default 2048.
 	Memory float64
-	// KnownReturn is the probability given to a known return within the horizon, 0 to 1; default 0.95.
-	KnownReturn float64
 }
 
 // Defaults returns the default settings.
 func Defaults() Settings {
-	return Settings{Horizon: 10 * time.Minute, MaxTracked: 65536, MaxClasses: 1024, Memory: 2048, KnownReturn: 0.95}
+	return Settings{Horizon: 10 * time.Minute, MaxTracked: 65536, MaxClasses: 1024, Memory: 2048}
 }
 
 // Returns is the policy that estimates returns from the gaps observed in each class.
@@ -93,11 +89,7 @@
 // Probability estimates that the entry is used within the horizon, given how long it has been idle.
 func (r *Returns) Probability(entry Entry, now time.Time) float64 {
 	idle := now.Sub(entry.LastUse)
-	estimate := r.class(entry.Class).probability(idle, r.settings.Horizon)
-	if ahead := entry.KnownReturn.Sub(now); !entry.KnownReturn.IsZero() && ahead >= 0 && ahead <= r.settings.Horizon {
-		return max(estimate, r.settings.KnownReturn)
-	}
-	return estimate
+	return r.class(entry.Class).probability(idle, r.settings.Horizon)
 }
 
 func (r *Returns) class(name string) *gaps {
--- a/cachevalue/tier.go
+++ b/cachevalue/tier.go
@@ -68,13 +68,6 @@
 	return k != nil
 }
 
-// ExpectReturn sets when an entry's prompt is known to return.
-func (t *Tier) ExpectReturn(name piece.Name, at time.Time) {
-	if k := t.entries[name]; k != nil {
-		k.KnownReturn = at
-	}
-}
-
 // Put adds an entry and returns what it evicts. It is not stored if it has less value than what it would evict.
 func (t *Tier) Put(entry Entry, now time.Time) (evicted []Entry, stored bool) {
 	if t.Touch(entry.Name, now) {
--- a/linksched/linksched.go
+++ b/linksched/linksched.go
@@ -14,7 +14,7 @@
 	Bytes int64
 	// Order of the rank on whose behalf the transfer runs; 0 is the most urgent.
 	Order int
-	// Bulk transfers, such as refill, exports and prefetch, run only beside or after all others.
+	// Bulk transfers, such as refill and exports, run only beside or after all others.
 	Bulk bool
 }
 
