bench: model the tiers of a store; compare promotion by value with LRU

Cause: the bench kept all pieces of a store in memory, so the store's promotion policy was not measured.

--- /dev/null
+++ b/bench/disk.go
@@ -0,0 +1,52 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/wasabishunt/wasabishunt/cachevalue"
+	"github.com/wasabishunt/wasabishunt/piece"
+)
+
+const (
+	// memoryPieces is the capacity of a store's memory tier: a tenth of the store.
+	memoryPieces = storePieces / 10
+	// diskBytes is the read bandwidth of a store's disk tier in bytes per second, half of the link's.
+	diskBytes = linkBytes / 2
+)
+
+// disk is the disk tier of a store, which holds all of its pieces, with the memory tier before it. Reads follow each
+// other; a piece that was read is promoted to memory.
+type disk struct {
+	store  *store
+	memory *cachevalue.Tier
+	// freeAt is when the reads asked for so far are done.
+	freeAt time.Duration
+}
+
+func newDisk(s *store) *disk {
+	settings := cachevalue.TierSettings{Capacity: memoryPieces * pieceBytes, NoShares: s.run.policy.NoShares}
+	policy := s.policy
+	if s.run.policy.MemoryLRU {
+		policy, settings.NoShares, settings.Sample = cachevalue.LRU{}, true, memoryPieces
+	}
+	return &disk{store: s, memory: cachevalue.NewTier(settings, policy)}
+}
+
+// read calls done once the piece is in memory.
+func (d *disk) read(name piece.Name, done func()) {
+	run := d.store.run
+	if d.memory.Touch(name, run.time()) {
+		run.result.memoryHits++
+		done()
+		return
+	}
+	run.result.diskReads++
+	d.freeAt = max(d.freeAt, run.now) + time.Duration(pieceBytes/diskBytes*float64(time.Second))
+	run.at(d.freeAt, func() {
+		if entry, ok := d.store.tier.Get(name); ok && d.store.disk == d {
+			entry.LastUse = run.time()
+			d.memory.Put(entry, run.time())
+		}
+		done()
+	})
+}
--- a/bench/measure.go
+++ b/bench/measure.go
@@ -35,6 +35,7 @@
 	// smallPrompt and smallRecomputed count the prompt tokens of small callers while the large ones ask for more.
 	smallPrompt, smallRecomputed int64
 	linkBytes                    int64
+	memoryHits, diskReads        int64 // Reads of stores by tier, if tiers are modelled.
 	linkBusy                     time.Duration
 }
 
@@ -200,6 +201,11 @@
 	return ratio(r.linkBusy.Seconds(), 2*(horizon+time.Minute).Seconds())
 }
 
+// MemoryHits is the share of the reads of stores that their memory tiers served.
+func (r *Result) MemoryHits() float64 {
+	return ratio(float64(r.memoryHits), float64(r.memoryHits+r.diskReads))
+}
+
 // RankShare is a rank's share of the tokens served while the most urgent flood was on.
 func (r *Result) RankShare(rank string) float64 {
 	return ratio(float64(r.RankServed[rank]), float64(lo.Sum(lo.Values(r.RankServed))))
--- a/bench/policies.go
+++ b/bench/policies.go
@@ -24,6 +24,10 @@
 	TwoCopies   bool
 	NoPlacement bool
 	NoRetry     bool
+	// Disk models the memory and disk tiers of stores; default all pieces are in memory.
+	Disk bool
+	// MemoryLRU replaces the value policy of the memory tier, and its shares.
+	MemoryLRU bool
 	// WholePrompts grants prompts whole, as the live agent does, because engines take a prompt in one request.
 	WholePrompts bool
 	// EnginePriorities lets the engine order granted prompts, as the live agent does.
--- a/bench/store.go
+++ b/bench/store.go
@@ -15,6 +15,7 @@
 	run       *run
 	name      string
 	tier      *cachevalue.Tier
+	disk      *disk // nil if all pieces are in memory.
 	policy    cachevalue.Policy
 	link      *linksched.Link
 	bandwidth float64 // True bandwidth in bytes per second.
@@ -43,6 +44,9 @@
 	s.link = linksched.New(settings)
 	s.done = map[string]func(bool){}
 	s.incoming = map[piece.Name]bool{}
+	if s.run.policy.Disk {
+		s.disk = newDisk(s)
+	}
 	s.tier = cachevalue.NewTier(cachevalue.TierSettings{Capacity: storePieces * pieceBytes, NoShares: s.run.policy.NoShares}, s.policy)
 }
 
@@ -71,12 +75,19 @@
 
 // fetch moves a piece to an engine.
 func (s *store) fetch(name piece.Name, order int, done func(bool)) {
-	s.push(linksched.Transfer{Bytes: pieceBytes, Order: order}, func(ok bool) {
-		if ok {
-			ok = s.tier.Touch(name, s.run.time())
-		}
-		done(ok)
-	})
+	send := func() {
+		s.push(linksched.Transfer{Bytes: pieceBytes, Order: order}, func(ok bool) {
+			if ok {
+				ok = s.tier.Touch(name, s.run.time())
+			}
+			done(ok)
+		})
+	}
+	if s.disk == nil || s.down {
+		send()
+		return
+	}
+	s.disk.read(name, send)
 }
 
 func (s *store) push(t linksched.Transfer, done func(bool)) {
@@ -122,11 +133,25 @@
 	s.push(linksched.Transfer{Bytes: entry.Bytes, Bulk: true}, func(ok bool) {
 		delete(s.incoming, entry.Name)
 		if ok {
-			s.tier.Put(entry, s.run.time())
+			s.keep(entry)
 		}
 	})
 }
 
+// keep puts a piece into the tiers.
+func (s *store) keep(entry cachevalue.Entry) {
+	evicted, stored := s.tier.Put(entry, s.run.time())
+	if s.disk == nil {
+		return
+	}
+	for _, gone := range evicted {
+		s.disk.memory.Remove(gone.Name)
+	}
+	if stored {
+		s.disk.memory.Put(entry, s.run.time())
+	}
+}
+
 // secondCopyLoss is the probability of a loss with which the comparison run makes second copies: from a gain of 2.
 const secondCopyLoss = 0.15
 
