--- a/store/rpc_test.go
+++ b/store/rpc_test.go
@@ -275,6 +275,24 @@
 	assert.Equal(t, []int{maxListed / 2, maxListed / 2, 50, 0}, rounds)
 }
 
+// Guards against pieces that a refill misses because their order by value changes between two pages of the list.
+func TestRefillReadsWholeLists(t *testing.T) {
+	a := serve(t, newMemFS(), Settings{Name: "a"}, 0, ServerOptions{})
+	held := 0
+	for number := range 2*maxListed + 50 {
+		h, body := sample(number, 0, 1000)
+		if Holders(h.Name, []string{"a", "b"})[0] == "b" {
+			held++
+		}
+		_, err := a.store.Put(h, body, 0)
+		require.NoError(t, err)
+	}
+	b := serve(t, newMemFS(), Settings{Name: "b"}, 0, ServerOptions{})
+	copied, err := NewRefiller(b.store, b.link, b.client, RefillOptions{Self: "b"}).Round(t.Context(), []Peer{{"a", a.address}})
+	require.NoError(t, err)
+	assert.Equal(t, held, copied)
+}
+
 // Guards against a refill that takes the whole link: at 1 MB/s each way the refill of about half of 16 MB takes 8 s; the bound for an urgent
 // piece of 64 KB, behind at most one chunk of 256 KiB, is a second.
 func TestRefillLeavesTheLinkToUrgentTransfers(t *testing.T) {
