--- a/bench/policies.go
+++ b/bench/policies.go
@@ -24,6 +24,10 @@
 	TwoCopies   bool
 	NoPlacement bool
 	NoRetry     bool
+	// Disk models the memory and disk tiers of stores; default all pieces are in memory.
+	Disk bool
+	// MemoryLRU replaces the value policy of the memory tier, and its shares.
+	MemoryLRU bool
 	// WholePrompts grants prompts whole, as the live agent does, because engines take a prompt in one request.
 	WholePrompts bool
 	// EnginePriorities lets the engine order granted prompts, as the live agent does.
@@ -34,8 +38,6 @@
 	NoStepLimit bool
 	// Step replaces the settings of the step limit; the zero value means the defaults.
 	Step sched.StepSettings
-	// Prefetch moves pieces to the engine ahead of a known return.
-	Prefetch bool
 }
 
 var fifo = sched.Off{Ranks: true, Floors: true, FairShare: true, Deadlines: true, DropLate: true, LongBudget: true, Headroom: true, Rescue: true}
@@ -88,7 +90,6 @@
 		{Name: "with whole prompts", WholePrompts: true},
 		{Name: "with whole prompts by priority", WholePrompts: true, EnginePriorities: true},
 		{Name: "with whole prompts by priority, 4096 outstanding", WholePrompts: true, EnginePriorities: true, MaxOutstanding: 4096},
-		{Name: "with prefetch", Prefetch: true},
 		{Name: "without retries", NoRetry: true},
 	}
 }
--- a/store/refill.go
+++ b/store/refill.go
@@ -52,7 +52,7 @@
 }
 
 // Refiller copies the most valuable pieces that this store should hold from its peers, a few at a time, as
-// bulk transfers of the link. It serves both the recovery of a lost store and the second copies.
+// bulk transfers of the link. It brings back what other stores took in place of a lost one.
 type Refiller struct {
 	store   *Store
 	link    *Link
