store: end a bulk transfer that lost its place in a full link queue

Cause: linksched drops the last of 1,024 queued bulk transfers when an urgent one arrives, but nobody told the waiting transfer, so a refill or export could wait until the process stopped. Found by reading; the new test waited for ever before. Change: Push returns the displaced id; the store's link ends that transfer with overloaded.

--- a/bench/store.go
+++ b/bench/store.go
@@ -93,10 +93,20 @@
 func (s *store) push(t linksched.Transfer, done func(bool)) {
 	s.transfers++
 	t.ID = fmt.Sprint(s.transfers)
-	if s.down || !s.link.Push(t) {
-		s.run.after(2*network, func() { done(false) })
+	refuse := func(done func(bool)) { s.run.after(2*network, func() { done(false) }) }
+	if s.down {
+		refuse(done)
 		return
 	}
+	displaced, ok := s.link.Push(t)
+	if !ok {
+		refuse(done)
+		return
+	}
+	if last := s.done[displaced]; last != nil {
+		delete(s.done, displaced)
+		refuse(last)
+	}
 	s.done[t.ID] = done
 	s.kick()
 }
--- a/linksched/linksched.go
+++ b/linksched/linksched.go
@@ -73,10 +73,13 @@
 	return &Link{settings: settings, measured: meter{rate: settings.BytesPerSecond, weight: initialWeight, window: settings.Window}}
 }
 
-// Push queues a transfer. It reports false if the queue is full; a full queue of bulk transfers gives way to others.
-func (l *Link) Push(t Transfer) bool {
-	if len(l.queue) >= l.settings.MaxQueued && !l.giveWay(t) {
-		return false
+// Push queues a transfer. It reports false if the queue is full. In a full queue the last bulk transfer gives way to
+// another one: its id is returned, and its owner must be told, because it gets no further grant.
+func (l *Link) Push(t Transfer) (displaced string, ok bool) {
+	if len(l.queue) >= l.settings.MaxQueued {
+		if displaced, ok = l.giveWay(t); !ok {
+			return "", false
+		}
 	}
 	next := &transfer{Transfer: t, remaining: max(1, t.Bytes)}
 	at, _ := slices.BinarySearchFunc(l.queue, next, func(a, b *transfer) int {
@@ -84,16 +87,16 @@
 	})
 	l.queue = slices.Insert(l.queue, at, next)
 	l.queued += next.remaining
-	return true
+	return displaced, true
 }
 
-func (l *Link) giveWay(t Transfer) bool {
+func (l *Link) giveWay(t Transfer) (displaced string, ok bool) {
 	last := l.queue[len(l.queue)-1]
 	if !last.Bulk || t.Bulk || last == l.current {
-		return false
+		return "", false
 	}
 	l.Cancel(last.ID)
-	return true
+	return last.ID, true
 }
 
 // bulkClass is after the order of every rank.
--- a/linksched/linksched_test.go
+++ b/linksched/linksched_test.go
@@ -24,12 +24,12 @@
 // TestBulkPreempted guards against refill that takes the link from callers, and against refill that never ends.
 func TestBulkPreempted(t *testing.T) {
 	l := New(Defaults(100 << 20))
-	require.True(t, l.Push(Transfer{ID: "bulk", Bytes: 100 << 20, Bulk: true}))
+	require.True(t, pushed(l, Transfer{ID: "bulk", Bytes: 100 << 20, Bulk: true}))
 	require.Equal(t, []string{"bulk", "bulk"}, run(l, 2, time.Millisecond))
 	for i := range 60 {
-		require.True(t, l.Push(Transfer{ID: fmt.Sprint(i), Bytes: 1 << 20, Order: 1}))
+		require.True(t, pushed(l, Transfer{ID: fmt.Sprint(i), Bytes: 1 << 20, Order: 1}))
 	}
-	require.True(t, l.Push(Transfer{ID: "urgent", Bytes: 2 << 20}))
+	require.True(t, pushed(l, Transfer{ID: "urgent", Bytes: 2 << 20}))
 	require.Equal(t, []string{"urgent", "urgent", "0"}, run(l, 3, time.Millisecond))
 	bulk := 0
 	for _, id := range run(l, 57, time.Millisecond) {
@@ -50,17 +50,24 @@
 	require.Equal(t, int64(80<<20), l.Queued())
 }
 
+func pushed(l *Link, t Transfer) bool {
+	_, ok := l.Push(t)
+	return ok
+}
+
 // TestCancelAndBounds guards against canceled transfers that keep the link and against unbounded queues.
 func TestCancelAndBounds(t *testing.T) {
 	settings := Defaults(1 << 20)
 	settings.MaxQueued = 2
 	l := New(settings)
-	require.True(t, l.Push(Transfer{ID: "a", Bytes: 5 << 20}))
-	require.True(t, l.Push(Transfer{ID: "b", Bytes: 5 << 20, Bulk: true}))
-	require.False(t, l.Push(Transfer{ID: "c", Bytes: 1, Bulk: true}))
-	require.True(t, l.Push(Transfer{ID: "c", Bytes: 1}), "bulk gives way")
+	require.True(t, pushed(l, Transfer{ID: "a", Bytes: 5 << 20}))
+	require.True(t, pushed(l, Transfer{ID: "b", Bytes: 5 << 20, Bulk: true}))
+	require.False(t, pushed(l, Transfer{ID: "c", Bytes: 1, Bulk: true}))
+	displaced, ok := l.Push(Transfer{ID: "c", Bytes: 1})
+	require.True(t, ok, "bulk gives way")
+	require.Equal(t, "b", displaced)
 	require.False(t, l.Cancel("b"))
-	_, ok := l.Next()
+	_, ok = l.Next()
 	require.True(t, ok)
 	require.True(t, l.Cancel("a"))
 	require.Equal(t, []string{"c"}, run(l, 5, time.Millisecond))
--- a/store/follow_test.go
+++ b/store/follow_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/wasabishunt/wasabishunt/controlclient"
 	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/linksched"
 	"github.com/wasabishunt/wasabishunt/objectset"
 )
 
@@ -109,6 +110,26 @@
 	}
 }
 
+// Guards against a bulk transfer that waits for ever after an urgent one took its place in a full queue.
+func TestDisplacedTransferEnds(t *testing.T) {
+	link := NewLink(1, func(string) int { return 0 }) // One byte a second: nothing but the first chunk passes.
+	defer link.Close()
+	begin := func(rank string) *Transfer {
+		transfer, err := link.Begin(rank, 10*linkChunkBytes)
+		require.NoError(t, err)
+		return transfer
+	}
+	begin("urgent")
+	last := begin(RankBulk)
+	taken := make(chan error, 1)
+	go func() { taken <- takeAll(t.Context(), last, 10*linkChunkBytes) }()
+	for range linksched.Defaults(1).MaxQueued - 1 {
+		begin("urgent")
+	}
+	require.ErrorContains(t, <-taken, string(failure.Overloaded))
+	last.End()
+}
+
 // Guards against a link that passes more than its rate: 4 chunks at 4 MB/s take at least 3 chunk times.
 func TestLinkKeepsItsRate(t *testing.T) {
 	link := NewLink(4e6, func(string) int { return 0 })
--- a/store/link.go
+++ b/store/link.go
@@ -35,7 +35,9 @@
 	link    *Link
 	id      string
 	granted int64
-	wake    chan struct{}
+	// displaced is set when the transfer has lost its place in a full queue.
+	displaced bool
+	wake      chan struct{}
 }
 
 // linkChunkBytes is the quantum after which a transfer may be preempted.
@@ -83,9 +85,15 @@
 		t.granted = bytes
 		return t, nil
 	}
-	if !l.schedule.Push(linksched.Transfer{ID: t.id, Bytes: bytes, Order: l.order(rank), Bulk: rank == RankBulk}) {
+	displaced, ok := l.schedule.Push(linksched.Transfer{ID: t.id, Bytes: bytes, Order: l.order(rank), Bulk: rank == RankBulk})
+	if !ok {
 		return nil, failure.New(failure.Overloaded, failure.NotRun, "queue of the link is full")
 	}
+	if last := l.transfers[displaced]; last != nil {
+		delete(l.transfers, displaced)
+		last.displaced = true
+		last.signal()
+	}
 	l.transfers[t.id] = t
 	l.pumpLocked(time.Now())
 	return t, nil
@@ -94,9 +102,13 @@
 // Take waits until up to want bytes may pass and returns their number.
 func (t *Transfer) Take(ctx context.Context, want int64) (int64, error) {
 	for {
-		if n := t.take(want); n > 0 || want == 0 {
+		n, displaced := t.take(want)
+		if n > 0 || want == 0 {
 			return n, nil
 		}
+		if displaced {
+			return 0, failure.New(failure.Overloaded, failure.Unknown, "a more urgent transfer took the place in the link's full queue")
+		}
 		select {
 		case <-t.wake:
 		case <-ctx.Done():
@@ -105,12 +117,12 @@
 	}
 }
 
-func (t *Transfer) take(want int64) int64 {
+func (t *Transfer) take(want int64) (n int64, displaced bool) {
 	t.link.mu.Lock()
 	defer t.link.mu.Unlock()
-	n := min(t.granted, want)
+	n = min(t.granted, want)
 	t.granted -= n
-	return n
+	return n, t.displaced
 }
 
 // End leaves the link. It may be called before the whole transfer was granted.
