--- a/booking/retention.go
+++ b/booking/retention.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
 )
 
@@ -22,7 +20,8 @@
 
 func (t *Table) insert(k key, r *controlpb.BookingRecord) {
 	t.records[k] = r
-	t.bytes += len(r.Body)
+	t.used.records++
+	t.used.bytes += len(r.Body)
 	minute := minuteOf(r.IssuedUnixMs)
 	if t.byMinute[minute] == nil {
 		t.byMinute[minute] = map[key]bool{}
@@ -64,7 +63,8 @@
 				continue
 			}
 			t.untrack(k, r)
-			t.bytes -= len(r.Body)
+			t.used.records--
+			t.used.bytes -= len(r.Body)
 			delete(t.records, k)
 			delete(keys, k)
 			dropped++
@@ -76,26 +76,43 @@
 	return dropped
 }
 
-// Snapshot returns the whole table, sorted by key so that equal tables have equal snapshots.
-// The records are copies.
-func (t *Table) Snapshot() *controlpb.BookingSnapshot {
-	s := &controlpb.BookingSnapshot{RetiredBeforeUnixMs: t.retiredBefore}
+// Capture is the state of a table at one moment. It stays the same while the table changes.
+type Capture struct {
+	retiredBefore int64
+	records       []*controlpb.BookingRecord
+}
+
+// Capture copies only the list of records, so that commands wait for little.
+func (t *Table) Capture() Capture {
+	c := Capture{retiredBefore: t.retiredBefore, records: make([]*controlpb.BookingRecord, 0, len(t.records))}
 	for _, r := range t.records {
-		s.Records = append(s.Records, proto.Clone(r).(*controlpb.BookingRecord))
+		c.records = append(c.records, r)
 	}
-	slices.SortFunc(s.Records, func(a, b *controlpb.BookingRecord) int {
+	return c
+}
+
+// Snapshot returns the captured state, sorted by key so that equal tables have equal snapshots.
+func (c Capture) Snapshot() *controlpb.BookingSnapshot {
+	slices.SortFunc(c.records, func(a, b *controlpb.BookingRecord) int {
 		return cmp.Or(cmp.Compare(a.Key.GetAccount(), b.Key.GetAccount()),
 			cmp.Compare(a.Key.GetIdempotencyKey(), b.Key.GetIdempotencyKey()))
 	})
-	return s
+	return &controlpb.BookingSnapshot{RetiredBeforeUnixMs: c.retiredBefore, Records: c.records}
 }
 
-// Restore returns the table of a snapshot.
+// Snapshot returns the whole table.
+func (t *Table) Snapshot() *controlpb.BookingSnapshot { return t.Capture().Snapshot() }
+
+// Restore returns the table of a snapshot, whose records it shares.
 func Restore(s *controlpb.BookingSnapshot, limits Limits) *Table {
 	t := NewTable(limits)
-	t.retiredBefore = s.GetRetiredBeforeUnixMs()
+	t.restore(s)
+	return t
+}
+
+func (t *Table) restore(s *controlpb.BookingSnapshot) {
+	t.retiredBefore = max(t.retiredBefore, s.GetRetiredBeforeUnixMs())
 	for _, r := range s.GetRecords() {
-		t.insert(keyOf(r.Key), proto.Clone(r).(*controlpb.BookingRecord))
+		t.insert(keyOf(r.Key), r)
 	}
-	return t
 }
--- /dev/null
+++ b/booking/shards.go
@@ -0,0 +1,109 @@
+package booking
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
+)
+
+// ShardCount is the number of shards. It is part of the snapshots and of a later division of shards among groups, so it
+// does not change. At most 7 VMs are dedicated to control, so 32 leaves each at least four shards to balance large
+// accounts with, and a shard of the largest state, 2 million records, holds 62,500 on average.
+const ShardCount = 32
+
+// Shards divides the bookings by client account. All records of an account are in one shard. The limits of records and
+// bytes hold over all shards, because a few accounts have most of the bookings.
+type Shards struct {
+	tables [ShardCount]*Table
+	used   *usage
+}
+
+// NewShards returns empty shards with defaults for unset limits.
+func NewShards(limits Limits) *Shards {
+	s := &Shards{used: &usage{}}
+	for i := range s.tables {
+		s.tables[i] = newTable(limits, s.used)
+	}
+	return s
+}
+
+// ShardOf returns the shard of an account.
+func ShardOf(account string) int { return int(xxhash.Sum64String(account) % ShardCount) }
+
+func (s *Shards) table(k *controlpb.BookingKey) *Table { return s.tables[ShardOf(k.GetAccount())] }
+
+// Len returns the number of records.
+func (s *Shards) Len() int { return s.used.records }
+
+// Claim calls Table.Claim on the shard of the account.
+func (s *Shards) Claim(unixMs int64, q *controlpb.ClaimBookingRequest) *controlpb.BookingResponse {
+	return s.table(q.Key).Claim(unixMs, q)
+}
+
+// Dispatch calls Table.Dispatch on the shard of the account.
+func (s *Shards) Dispatch(q *controlpb.DispatchBookingRequest, alive bool) *controlpb.BookingResponse {
+	return s.table(q.Key).Dispatch(q, alive)
+}
+
+// Finish calls Table.Finish on the shard of the account.
+func (s *Shards) Finish(q *controlpb.FinishBookingRequest) *controlpb.BookingResponse {
+	return s.table(q.Key).Finish(q)
+}
+
+// Release calls Table.Release on the shard of the account.
+func (s *Shards) Release(q *controlpb.ReleaseBookingRequest) *controlpb.BookingResponse {
+	return s.table(q.Key).Release(q)
+}
+
+// ProcessLost puts the running bookings of a process in doubt, in all shards. It returns their number.
+func (s *Shards) ProcessLost(processID string) (lost int) {
+	for _, t := range s.tables {
+		lost += t.ProcessLost(processID)
+	}
+	return lost
+}
+
+// Retire drops the records issued before a time, in all shards, and refuses their keys from now on.
+func (s *Shards) Retire(beforeUnixMs int64) (dropped int) {
+	for _, t := range s.tables {
+		dropped += t.Retire(beforeUnixMs)
+	}
+	return dropped
+}
+
+// Capture returns the state of all shards at this moment.
+func (s *Shards) Capture() [ShardCount]Capture {
+	var captures [ShardCount]Capture
+	for i, t := range s.tables {
+		captures[i] = t.Capture()
+	}
+	return captures
+}
+
+// RestoreShard puts the snapshot of one shard into empty shards.
+func (s *Shards) RestoreShard(shard int, snapshot *controlpb.BookingSnapshot) error {
+	if shard < 0 || shard >= ShardCount {
+		return failure.New(failure.StorageFailed, failure.NotRun, "snapshot of booking shard %d, there are %d", shard, ShardCount)
+	}
+	for _, r := range snapshot.GetRecords() {
+		if ShardOf(r.Key.GetAccount()) != shard {
+			return failure.New(failure.StorageFailed, failure.NotRun, "the snapshot of booking shard %d holds a record of shard %d", shard, ShardOf(r.Key.GetAccount()))
+		}
+	}
+	s.tables[shard].restore(snapshot)
+	return nil
+}
+
+// RestoreUndivided divides the snapshot of a single table, which older versions wrote.
+func (s *Shards) RestoreUndivided(snapshot *controlpb.BookingSnapshot) {
+	var parts [ShardCount]controlpb.BookingSnapshot
+	for _, r := range snapshot.GetRecords() {
+		part := &parts[ShardOf(r.Key.GetAccount())]
+		part.Records = append(part.Records, r)
+	}
+	for i := range parts {
+		parts[i].RetiredBeforeUnixMs = snapshot.GetRetiredBeforeUnixMs()
+		s.tables[i].restore(&parts[i])
+	}
+}
--- a/booking/table.go
+++ b/booking/table.go
@@ -42,14 +42,21 @@
 
 func keyOf(k *controlpb.BookingKey) key { return key{k.GetAccount(), k.GetIdempotencyKey()} }
 
+// usage counts what the limits bound, over all tables that share it.
+type usage struct {
+	records int
+	// bytes is the size of the stored answers.
+	bytes int
+}
+
 // Table holds the bookings. Invariants: a record's claim epoch only rises; a record has at most one dispatch id,
-// set once; retiredBefore only rises and no record was issued before it.
+// set once; retiredBefore only rises and no record was issued before it. A record is never changed in place, because
+// a snapshot that is being encoded may read it: a change puts a new record in its place.
 type Table struct {
 	limits        Limits
+	used          *usage
 	retiredBefore int64
 	records       map[key]*controlpb.BookingRecord
-	// bytes is the size of the stored answers.
-	bytes int
 	// dispatched lists the records in state DISPATCHED by process.
 	dispatched map[string]map[key]bool
 	// byMinute lists the keys by the minute of their issue, for retirement without a full scan.
@@ -57,10 +64,13 @@
 }
 
 // NewTable returns an empty Table with defaults for unset limits.
-func NewTable(limits Limits) *Table {
+func NewTable(limits Limits) *Table { return newTable(limits, &usage{}) }
+
+func newTable(limits Limits, used *usage) *Table {
 	limits.setDefaults()
 	return &Table{
 		limits:     limits,
+		used:       used,
 		records:    map[key]*controlpb.BookingRecord{},
 		dispatched: map[string]map[key]bool{},
 		byMinute:   map[int64]map[key]bool{},
@@ -120,21 +130,34 @@
 			return refuse(r, failure.InProgress, failure.Unknown, "another request has claimed the key")
 		}
 	}
+	r = t.change(k, r)
 	t.nextClaim(unixMs, r, q)
 	return describe(r, true)
 }
 
+// change puts a copy of a record in its place, which may be changed until the command ends.
+func (t *Table) change(k key, r *controlpb.BookingRecord) *controlpb.BookingRecord {
+	next := &controlpb.BookingRecord{
+		Key: r.Key, PayloadHash: r.PayloadHash, IssuedUnixMs: r.IssuedUnixMs, State: r.State,
+		ClaimEpoch: r.ClaimEpoch, ClaimedUnixMs: r.ClaimedUnixMs, Claims: r.Claims,
+		DispatchId: r.DispatchId, ProcessId: r.ProcessId, Status: r.Status, Headers: r.Headers, Body: r.Body,
+		Service: r.Service, RequestId: r.RequestId,
+	}
+	t.records[k] = next
+	return next
+}
+
 func (t *Table) claimNew(unixMs int64, k key, q *controlpb.ClaimBookingRequest) *controlpb.BookingResponse {
 	if q.IssuedUnixMs < t.retiredBefore {
 		// Whether an earlier call with this key ran is no longer known, so the refusal cannot say not run.
 		return refuse(nil, failure.KeyTooOld, failure.Unknown, "the idempotency key is older than the retention of bookings")
 	}
-	if len(t.records) >= t.limits.MaxRecords || t.bytes >= t.limits.MaxBytes {
+	if t.used.records >= t.limits.MaxRecords || t.used.bytes >= t.limits.MaxBytes {
 		return refuse(nil, failure.Overloaded, failure.NotRun, "the table of bookings is full")
 	}
 	r := &controlpb.BookingRecord{Key: q.Key, PayloadHash: q.PayloadHash, IssuedUnixMs: q.IssuedUnixMs, Service: q.Service}
-	t.insert(k, r)
 	t.nextClaim(unixMs, r, q)
+	t.insert(k, r)
 	return describe(r, true)
 }
 
@@ -195,6 +218,7 @@
 	if r.State != controlpb.BookingState_CLAIMED || q.DispatchId == "" {
 		return refuse(r, failure.Fenced, failure.NotRun, "the booking cannot be dispatched in its state")
 	}
+	r = t.change(k, r)
 	r.State = controlpb.BookingState_DISPATCHED
 	r.DispatchId, r.ProcessId = q.DispatchId, q.ProcessId
 	t.track(k, r)
@@ -215,19 +239,21 @@
 		return describe(r, true)
 	}
 	t.untrack(k, r)
+	r = t.change(k, r)
 	if q.InDoubt {
 		r.State = controlpb.BookingState_IN_DOUBT
 		return describe(r, true)
 	}
 	r.State = controlpb.BookingState_FINISHED
 	r.Status, r.Headers, r.Body = q.Status, q.Headers, q.Body
-	t.bytes += len(r.Body)
+	t.used.bytes += len(r.Body)
 	return describe(r, true)
 }
 
 // Release gives up a claim that was not dispatched.
 func (t *Table) Release(q *controlpb.ReleaseBookingRequest) *controlpb.BookingResponse {
-	r := t.records[keyOf(q.Key)]
+	k := keyOf(q.Key)
+	r := t.records[k]
 	if r == nil {
 		return refuse(nil, failure.NotFound, failure.Unknown, "there is no such booking")
 	}
@@ -236,6 +262,7 @@
 	}
 	switch r.State {
 	case controlpb.BookingState_CLAIMED, controlpb.BookingState_RELEASED:
+		r = t.change(k, r)
 		r.State = controlpb.BookingState_RELEASED
 		return describe(r, true)
 	case controlpb.BookingState_DISPATCHED:
@@ -250,7 +277,7 @@
 func (t *Table) ProcessLost(processID string) int {
 	lost := t.dispatched[processID]
 	for k := range lost {
-		t.records[k].State = controlpb.BookingState_IN_DOUBT
+		t.change(k, t.records[k]).State = controlpb.BookingState_IN_DOUBT
 	}
 	delete(t.dispatched, processID)
 	return len(lost)
--- a/control/member/replicator.go
+++ b/control/member/replicator.go
@@ -26,6 +26,9 @@
 	return c.StateMachine.Apply(index, command)
 }
 
+// Snapshot captures the state; the returned function encodes it.
+func (c commands) Snapshot() func() ([]byte, error) { return c.Capture() }
+
 // replicator encodes commands for the replica.
 type replicator struct{ replica *replica.Replica }
 
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -1,6 +1,9 @@
 package control
 
 import (
+	"bytes"
+	"encoding/binary"
+
 	"google.golang.org/protobuf/proto"
 
 	"github.com/wasabishunt/wasabishunt/audit"
@@ -11,35 +14,107 @@
 	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
 )
 
+// A snapshot is the magic, then sections, each with its length (8 bytes, little-endian): the state without the bookings,
+// and one section per booking shard. The magic starts with a byte that no encoded StateSnapshot starts with, so that
+// snapshots of older versions, which are one StateSnapshot, are told from these.
+const (
+	snapshotMagic = "\x00WSTATE2"
+	lengthBytes   = 8
+)
+
 // Snapshot returns the whole state; equal states have equal snapshots.
-func (s *StateMachine) Snapshot() ([]byte, error) {
-	snapshot := s.collect()
-	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
-	if err != nil {
-		return nil, failure.Wrap(err, failure.Internal, failure.NotRun, "encode snapshot")
-	}
-	return encoded, nil
-}
+func (s *StateMachine) Snapshot() ([]byte, error) { return s.Capture()() }
 
-func (s *StateMachine) collect() *controlpb.StateSnapshot {
+// Capture takes the state at this moment and returns a function that encodes it, on any goroutine and while commands are
+// applied. Only lists are copied under the lock; the objects in them never change.
+func (s *StateMachine) Capture() func() ([]byte, error) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return &controlpb.StateSnapshot{
+	state := &controlpb.StateSnapshot{
 		AppliedIndex: s.applied,
 		History:      s.history.Snapshot(),
 		Operations:   s.operations.list(),
-		Bookings:     s.bookings.Snapshot(),
 		Membership:   s.members.Snapshot(),
 		Audit:        s.trail.Snapshot(),
 		LoadSlots:    s.slots.list(),
 	}
+	shards := s.bookings.Capture()
+	return func() ([]byte, error) {
+		sections := []proto.Message{state}
+		for _, shard := range shards {
+			sections = append(sections, shard.Snapshot())
+		}
+		return encodeSections(sections)
+	}
+}
+
+// encodeSections allocates the whole snapshot at once, because growth would need several times its size.
+func encodeSections(sections []proto.Message) ([]byte, error) {
+	size := len(snapshotMagic)
+	for _, section := range sections {
+		size += lengthBytes + proto.Size(section)
+	}
+	encoded := append(make([]byte, 0, size), snapshotMagic...)
+	for _, section := range sections {
+		var err error
+		if encoded, err = appendSection(encoded, section); err != nil {
+			return nil, err
+		}
+	}
+	return encoded, nil
+}
+
+func appendSection(encoded []byte, section proto.Message) ([]byte, error) {
+	options := proto.MarshalOptions{Deterministic: true}
+	start := len(encoded)
+	encoded, err := options.MarshalAppend(binary.LittleEndian.AppendUint64(encoded, 0), section)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.Internal, failure.NotRun, "encode snapshot")
+	}
+	binary.LittleEndian.PutUint64(encoded[start:], uint64(len(encoded)-start-lengthBytes))
+	return encoded, nil
+}
+
+// decodeSnapshot returns the state without the bookings, and the bookings.
+func decodeSnapshot(encoded []byte) (*controlpb.StateSnapshot, *booking.Shards, error) {
+	state, bookings := &controlpb.StateSnapshot{}, booking.NewShards(booking.Limits{})
+	rest, divided := bytes.CutPrefix(encoded, []byte(snapshotMagic))
+	if !divided {
+		if err := proto.Unmarshal(encoded, state); err != nil {
+			return nil, nil, failure.Wrap(err, failure.StorageFailed, failure.NotRun, "decode snapshot")
+		}
+		bookings.RestoreUndivided(state.Bookings)
+		return state, bookings, nil
+	}
+	rest, err := cutSection(rest, state)
+	for shard := 0; shard < booking.ShardCount && err == nil; shard++ {
+		section := &controlpb.BookingSnapshot{}
+		if rest, err = cutSection(rest, section); err == nil {
+			err = bookings.RestoreShard(shard, section)
+		}
+	}
+	if err == nil && len(rest) > 0 {
+		err = failure.New(failure.StorageFailed, failure.NotRun, "the snapshot has %d bytes after its last section", len(rest))
+	}
+	return state, bookings, err
+}
+
+func cutSection(encoded []byte, section proto.Message) (rest []byte, err error) {
+	if len(encoded) < lengthBytes || binary.LittleEndian.Uint64(encoded) > uint64(len(encoded)-lengthBytes) {
+		return nil, failure.New(failure.StorageFailed, failure.NotRun, "a section of the snapshot is cut off")
+	}
+	end := lengthBytes + int(binary.LittleEndian.Uint64(encoded))
+	if err := proto.Unmarshal(encoded[lengthBytes:end], section); err != nil {
+		return nil, failure.Wrap(err, failure.StorageFailed, failure.NotRun, "decode snapshot")
+	}
+	return encoded[end:], nil
 }
 
 // Restore replaces the state by a snapshot. A snapshot older than the state is refused.
 func (s *StateMachine) Restore(encoded []byte) error {
-	snapshot := &controlpb.StateSnapshot{}
-	if err := proto.Unmarshal(encoded, snapshot); err != nil {
-		return failure.Wrap(err, failure.StorageFailed, failure.NotRun, "decode snapshot")
+	snapshot, bookings, err := decodeSnapshot(encoded)
+	if err != nil {
+		return err
 	}
 	history, err := objectset.RestoreHistory(snapshot.History)
 	if err != nil {
@@ -57,7 +132,7 @@
 	for _, outcome := range snapshot.Operations {
 		s.operations.add(outcome)
 	}
-	s.bookings = booking.Restore(snapshot.Bookings, booking.Limits{})
+	s.bookings = bookings
 	s.members = membership.Restore(snapshot.Membership)
 	s.trail = audit.Restore(snapshot.Audit)
 	s.slots = restoreLoadSlots(snapshot.LoadSlots)
--- a/control/statemachine.go
+++ b/control/statemachine.go
@@ -21,7 +21,7 @@
 	applied    uint64
 	history    *objectset.History
 	operations *outcomes
-	bookings   *booking.Table
+	bookings   *booking.Shards
 	members    *membership.Table
 	trail      *audit.Trail
 	slots      *loadSlots
@@ -37,7 +37,7 @@
 	return &StateMachine{
 		history:    objectset.NewHistory(),
 		operations: newOutcomes(maxOutcomes),
-		bookings:   booking.NewTable(booking.Limits{}),
+		bookings:   booking.NewShards(booking.Limits{}),
 		members:    membership.NewTable(),
 		trail:      &audit.Trail{},
 		slots:      newLoadSlots(),
--- a/replica/applier.go
+++ b/replica/applier.go
@@ -95,37 +95,43 @@
 	return nil
 }
 
-// maybeSnapshot copies the state when enough entries were applied. Writing it is the saver's work, so that commands
-// wait for the copy only.
+// saveJob is a captured state that is to be encoded and written.
+type saveJob struct {
+	meta   *raftpb.SnapshotMeta
+	encode func() ([]byte, error)
+}
+
+// maybeSnapshot captures the state when enough entries were applied. Encoding and writing it is the saver's work, so
+// that commands wait for the capture only.
 func (a *applier) maybeSnapshot() {
 	if a.last.GetIndex()-a.lastSnapshot < a.replica.options.SnapshotEvery || len(a.replica.saveJobs) > 0 {
 		return
 	}
-	data, err := a.machine.Snapshot()
-	if err != nil {
-		a.replica.report(event{failed: failure.Wrap(err, failure.Internal, failure.Unknown, "take a snapshot at %d", a.last.GetIndex())})
-		return
-	}
 	a.lastSnapshot = a.last.GetIndex()
 	// The applier is the only sender and the queue was empty, so this does not block.
-	a.replica.saveJobs <- snap.Snapshot{Meta: proto.CloneOf(a.last), Data: data}
+	a.replica.saveJobs <- saveJob{meta: proto.CloneOf(a.last), encode: a.machine.Snapshot()}
 }
 
-// saveSnapshots writes snapshots until the applier ends.
+// saveSnapshots encodes and writes snapshots until the applier ends.
 func (r *Replica) saveSnapshots(ctx context.Context) {
-	for s := range r.saveJobs {
+	for job := range r.saveJobs {
 		if ctx.Err() != nil {
 			continue
 		}
-		err := r.storage.snaps.Save(s)
+		data, err := job.encode()
+		if err != nil {
+			r.report(event{failed: failure.Wrap(err, failure.Internal, failure.Unknown, "encode the snapshot at %d", job.meta.GetIndex())})
+			continue
+		}
+		err = r.storage.snaps.Save(snap.Snapshot{Meta: job.meta, Data: data})
 		switch {
 		case failure.Is(err, failure.VersionConflict):
 			// A newer snapshot was received meanwhile.
 		case err != nil:
 			r.report(event{failed: err})
 		default:
-			r.log.Info("snapshot saved", zap.Uint64("index", s.Meta.GetIndex()), zap.Int("bytes", len(s.Data)))
-			r.report(event{saved: s.Meta})
+			r.log.Info("snapshot saved", zap.Uint64("index", job.meta.GetIndex()), zap.Int("bytes", len(data)))
+			r.report(event{saved: job.meta})
 		}
 	}
 }
--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -44,10 +44,9 @@
 	return wrapperspb.UInt64(before)
 }
 
-func (r *register) Snapshot() ([]byte, error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return binary.LittleEndian.AppendUint64(nil, r.value), nil
+func (r *register) Snapshot() func() ([]byte, error) {
+	value := r.get()
+	return func() ([]byte, error) { return binary.LittleEndian.AppendUint64(nil, value), nil }
 }
 
 func (r *register) Restore(data []byte) error {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -21,7 +21,6 @@
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/raft"
 	"github.com/wasabishunt/wasabishunt/raft/diskfs"
-	"github.com/wasabishunt/wasabishunt/raft/snap"
 	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
 )
 
@@ -29,8 +28,9 @@
 type StateMachine interface {
 	// Apply executes one command and returns its result. It must be deterministic.
 	Apply(index uint64, command []byte) proto.Message
-	// Snapshot returns the whole state as of the last Apply. The bytes must not change afterwards.
-	Snapshot() ([]byte, error)
+	// Snapshot captures the whole state as of the last Apply. The returned function encodes it; it is called once, on
+	// another goroutine and while further commands are applied.
+	Snapshot() func() ([]byte, error)
 	// Restore replaces the whole state.
 	Restore(snapshot []byte) error
 }
@@ -150,7 +150,7 @@
 	proposals chan *proposal
 	reads     chan *readRequest
 	applyJobs chan applyJob
-	saveJobs  chan snap.Snapshot
+	saveJobs  chan saveJob
 	stopping  chan struct{}
 	stopOnce  sync.Once
 	// done is closed after the loop has ended.
@@ -213,7 +213,7 @@
 		options: o, log: o.Logger.With(zap.Uint64("member", o.ID)), metrics: newMeters(o.Metrics), started: time.Now(),
 		inbox: make(chan inbound, 4*o.QueueLength), events: make(chan event, o.QueueLength),
 		proposals: make(chan *proposal, o.QueueLength), reads: make(chan *readRequest, o.QueueLength),
-		applyJobs: make(chan applyJob, 1), saveJobs: make(chan snap.Snapshot, 1),
+		applyJobs: make(chan applyJob, 1), saveJobs: make(chan saveJob, 1),
 		stopping: make(chan struct{}), done: make(chan struct{}),
 		pending: map[uint64]*proposal{}, rounds: map[uint64]*readRound{}, received: map[uint64][]byte{},
 		nextRound: uint64(time.Now().UnixNano()),
