guardcheck: take out guards that cover each other together

Cause: I3 rests on two checks (the piece names hold the weight version, the agent compares the version of a piece before it imports it). With either of them gone no scenario can fail, so a list with one change per line could not prove either. A line of a list may now hold several changes (file, text, replacement), then the command; lines with one change read as before. Ruled out: two lines that share a command, because each line is one trial. Conclusion: pairs of checks can be listed like single ones.

--- a/internal/guardcheck/main.go
+++ b/internal/guardcheck/main.go
@@ -1,6 +1,7 @@
 // Command guardcheck removes one guard at a time from the source and runs the test that must then fail.
-// It reads lists of tab-separated lines: file, exact line text, replacement text, test command. The
-// source tree is not changed: the go command gets the changed file as an overlay.
+// It reads lists of tab-separated lines: file, exact line text, replacement text, test command. Guards that cover each
+// other are removed together: their file, text and replacement follow each other in one line, before the command. The
+// source tree is not changed: the go command gets the changed files as an overlay.
 package main
 
 import (
@@ -10,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -24,13 +26,36 @@
 	Only string `arg:"--only" help:"check only guards whose file or test command contains this text"`
 }
 
-// guard is one source line whose loss a test must notice.
+// guard is one source line, or several that cover each other, whose loss a test must notice.
 type guard struct {
-	list        string
+	list    string
+	changes []change
+	command string
+}
+
+// change takes one line out of a file.
+type change struct {
 	file        string
 	line        string
 	replacement string
-	command     string
+}
+
+// files returns the names of the changed files.
+func (g guard) files() string {
+	var names []string
+	for _, c := range g.changes {
+		names = append(names, c.file)
+	}
+	return strings.Join(names, " ")
+}
+
+// lines returns the removed lines.
+func (g guard) lines() string {
+	var lines []string
+	for _, c := range g.changes {
+		lines = append(lines, strings.TrimSpace(c.line)+" -> "+strings.TrimSpace(c.replacement))
+	}
+	return strings.Join(lines, "; ")
 }
 
 // invalidGuardError reports a list entry that does not fit the source.
@@ -40,7 +65,7 @@
 }
 
 func (e *invalidGuardError) Error() string {
-	return fmt.Sprintf("%s: %s: %s", e.guard.list, e.guard.file, e.reason)
+	return fmt.Sprintf("%s: %s: %s", e.guard.list, e.guard.files(), e.reason)
 }
 
 func main() {
@@ -56,13 +81,13 @@
 			os.Exit(2)
 		}
 		for _, g := range guards {
-			if !strings.Contains(g.file+" "+g.command, args.Only) {
+			if !strings.Contains(g.files()+" "+g.command, args.Only) {
 				continue
 			}
 			checked++
 			if verdict := check(g, baseline); verdict != "" {
 				failed++
-				fmt.Printf("NOT PROVED %s: %s: %s\n", g.file, strings.TrimSpace(g.line), verdict)
+				fmt.Printf("NOT PROVED %s: %s: %s\n", g.files(), g.lines(), verdict)
 			}
 		}
 	}
@@ -86,14 +111,22 @@
 			continue
 		}
 		fields := strings.Split(text, "\t")
-		if len(fields) != 4 {
-			return nil, &invalidGuardError{guard{list: list, file: text}, "want four tab-separated fields"}
+		last := len(fields) - 1
+		if last < fieldsPerChange || last%fieldsPerChange != 0 {
+			return nil, &invalidGuardError{guard{list: list}, "want file, text and replacement, once or more, and a command: " + text}
+		}
+		g := guard{list: list, command: fields[last]}
+		for part := range slices.Chunk(fields[:last], fieldsPerChange) {
+			g.changes = append(g.changes, change{part[0], part[1], part[2]})
 		}
-		guards = append(guards, guard{list, fields[0], fields[1], fields[2], fields[3]})
+		guards = append(guards, g)
 	}
 	return guards, scanner.Err()
 }
 
+// fieldsPerChange are the file, the line text and the replacement.
+const fieldsPerChange = 3
+
 // check returns why the guard is not proved, or "" if its test passes with it and fails without it.
 func check(g guard, baseline map[string]bool) string {
 	if !baseline[g.command] {
@@ -111,36 +144,46 @@
 	if err != nil {
 		return err.Error()
 	}
-	if output, err := run("go vet "+"./"+filepath.Dir(g.file), overlay); err != nil {
-		return "does not compile without the guard:\n" + tail(output)
+	for _, c := range g.changes {
+		if output, err := run("go vet ./"+filepath.Dir(c.file), overlay); err != nil {
+			return "does not compile without the guard:\n" + tail(output)
+		}
 	}
 	start := time.Now()
 	output, err := run(g.command, overlay)
 	if err == nil {
 		return "test passes without the guard: " + g.command
 	}
-	fmt.Printf("proved %s: %s -> %s (%.1f s): %s\n", g.file, strings.TrimSpace(g.line),
-		strings.TrimSpace(g.replacement), time.Since(start).Seconds(), firstFailure(output))
+	fmt.Printf("proved %s: %s (%.1f s): %s\n", g.files(), g.lines(), time.Since(start).Seconds(), firstFailure(output))
 	return ""
 }
 
 func writeOverlay(g guard, directory string) (string, error) {
-	path, err := filepath.Abs(g.file)
-	if err != nil {
-		return "", err
-	}
-	source, err := os.ReadFile(path)
-	if err != nil {
-		return "", err
-	}
-	if count := strings.Count(string(source), g.line); count != 1 {
-		return "", &invalidGuardError{g, fmt.Sprintf("line text occurs %d times, want once: %s", count, g.line)}
-	}
-	changed := filepath.Join(directory, "changed.go")
-	if err := os.WriteFile(changed, []byte(strings.Replace(string(source), g.line, g.replacement, 1)), 0o600); err != nil {
-		return "", err
+	replace := map[string]string{}
+	for i, c := range g.changes {
+		path, err := filepath.Abs(c.file)
+		if err != nil {
+			return "", err
+		}
+		// A file that is changed twice is read back from its first change.
+		current := path
+		if changed, ok := replace[path]; ok {
+			current = changed
+		}
+		source, err := os.ReadFile(current)
+		if err != nil {
+			return "", err
+		}
+		if count := strings.Count(string(source), c.line); count != 1 {
+			return "", &invalidGuardError{g, fmt.Sprintf("line text occurs %d times, want once: %s", count, c.line)}
+		}
+		changed := filepath.Join(directory, fmt.Sprintf("changed-%d.go", i))
+		if err := os.WriteFile(changed, []byte(strings.Replace(string(source), c.line, c.replacement, 1)), 0o600); err != nil {
+			return "", err
+		}
+		replace[path] = changed
 	}
-	document, err := json.Marshal(map[string]map[string]string{"Replace": {path: changed}})
+	document, err := json.Marshal(map[string]map[string]string{"Replace": replace})
 	if err != nil {
 		return "", err
 	}
