engine stand-in: let KV blocks depend on the weight version

Cause: the blocks of a piece were made from its name alone. Ruled out: a separate count of foreign versions; the body that differs marks the run as corrupt and the answer as wrong. Conclusion: the checker of the scenarios can see blocks of another weight version.

--- a/internal/standin/engine/handlers.go
+++ b/internal/standin/engine/handlers.go
@@ -95,7 +95,7 @@
 	length := entry.tokens * s.settings.KVBytesPerToken
 	w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(time.Minute))
-	_, _ = io.Copy(w, KVBody(name, length))
+	_, _ = io.Copy(w, KVBody(entry.key.version, name, length))
 }
 
 func (s *Server) lookup(key cacheKey) (cacheEntry, bool) {
@@ -122,7 +122,7 @@
 		return
 	}
 	key := kvKey(r)
-	expected, _ := io.ReadAll(KVBody(key.piece, want))
+	expected, _ := io.ReadAll(KVBody(key.version, key.piece, want))
 	s.importPiece(cacheEntry{key: key, tokens: tokens, corrupt: !bytes.Equal(body, expected)})
 	if s.faults.takeLose() {
 		loseAnswer(w)
--- a/internal/standin/engine/server_test.go
+++ b/internal/standin/engine/server_test.go
@@ -164,14 +164,14 @@
 func TestForeignBlocksShowInTheAnswer(t *testing.T) {
 	s, c := start(t, engine.Settings{})
 	length := int64(2000 * 64)
-	body := func(name string) []byte {
-		data, err := io.ReadAll(engine.KVBody(name, length))
+	body := func(version, name string) []byte {
+		data, err := io.ReadAll(engine.KVBody(version, name, length))
 		require.NoError(t, err)
 		return data
 	}
-	answer := func(content string) bool {
+	answer := func(version, content string) bool {
 		ref := wire.PieceRef{Name: "p" + content, Model: "model", WeightVersion: "v1", CacheScope: "a", Tokens: 2000}
-		require.NoError(t, c.ImportKV(t.Context(), ref, bytes.NewReader(body(content)), length))
+		require.NoError(t, c.ImportKV(t.Context(), ref, bytes.NewReader(body(version, content)), length))
 		r := request("r")
 		r.Prompt, r.PieceNames = strings.Repeat("word ", 2001), []string{ref.Name}
 		tokens, final, err := collect(t, c, r)
@@ -179,7 +179,7 @@
 		assert.Equal(t, int64(2000), final.CachedTokens)
 		return assert.ObjectsAreEqual(engine.Answer(r.Prompt, "model", "v1", 20), tokens)
 	}
-	assert.False(t, answer("foreign"))
+	assert.False(t, answer("v1", "foreign"))
 	assert.Equal(t, int64(1), s.State().CorruptImports)
 	export, err := c.ExportKV(t.Context(), wire.PieceRef{Name: "pforeign", WeightVersion: "v1", CacheScope: "a"})
 	require.NoError(t, err)
@@ -187,7 +187,8 @@
 	require.NoError(t, err)
 	require.NoError(t, export.Close())
 	assert.Len(t, data, int(length))
-	assert.NotEqual(t, body("pforeign"), data)
+	assert.NotEqual(t, body("v1", "pforeign"), data)
+	assert.NotEqual(t, body("v1", "p"), body("v0", "p"), "blocks of another weight version are foreign too")
 }
 
 // Guards against an old agent's weight order on an engine that honors fencing, and against one that claims to.
--- a/internal/standin/engine/tokens.go
+++ b/internal/standin/engine/tokens.go
@@ -62,9 +62,10 @@
 	return hex.EncodeToString(sum[:16])
 }
 
-// KVBody returns the KV blocks of a piece: a pseudo-random stream seeded by the piece name.
-func KVBody(name string, length int64) io.Reader {
+// KVBody returns the KV blocks of a piece: a pseudo-random stream seeded by the weight version that computed them and by the
+// piece name, so that blocks of another version are told apart even under the same name.
+func KVBody(weightVersion, name string, length int64) io.Reader {
 	hasher := blake3.New()
-	_, _ = hasher.WriteString("kv\x00" + name)
+	_, _ = hasher.WriteString("kv\x00" + weightVersion + "\x00" + name)
 	return io.LimitReader(hasher.Digest(), length)
 }
