scenario: parted sides, file size limits, samples and answers that one process loses

Cause: no script could part the system in two, fill a disk, hold back the answers of control to one process or compare two kinds of questions. part cuts all links between two sides in the relays. filelimit sets RLIMIT_FSIZE of a running process by prlimit, which needs neither root nor mounts: writes fail with EFBIG, not ENOSPC. loseanswers takes a second process. alike compares the prompt tokens that the engines computed and the medians of the times to first token. await live takes names, await healthy and failing ask a store's readyz, book says tells a dispatched record from a claimed one. Ruled out: a flag of the programs that injects errors, because it would be code for tests in the product.

--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -27,6 +27,12 @@
 	return "http://" + node.listen, nil
 }
 
+// StatusURL returns the base URL of the status address of a control member or a store.
+func (f *Fleet) StatusURL(name string) (string, error) {
+	node, err := f.node(name)
+	return "http://" + address(node.ip, httpPort), err
+}
+
 // CommandResult is what an operator's command printed and how it ended.
 type CommandResult struct {
 	Stdout   string
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -256,6 +256,26 @@
 	return nil
 }
 
+// Part cuts the system in two silently: nothing passes between the named processes and all others.
+func (f *Fleet) Part(names ...string) error {
+	for _, name := range names {
+		if _, err := f.node(name); err != nil {
+			return err
+		}
+	}
+	nodes := f.nodes()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for target, relay := range f.relays {
+		for _, n := range nodes {
+			if n.ip != "" && slices.Contains(names, n.name) != slices.Contains(names, target) {
+				relay.Cut(n.ip)
+			}
+		}
+	}
+	return nil
+}
+
 // CutLink cuts the connections from one process to another silently.
 func (f *Fleet) CutLink(from, to string) error {
 	node, err := f.node(from)
@@ -319,6 +339,12 @@
 	return hex.EncodeToString(sum[:])
 }
 
+// IP returns the address that a process's connections come from.
+func (f *Fleet) IP(name string) (string, error) {
+	node, err := f.node(name)
+	return node.ip, err
+}
+
 // AdvertisedAddress returns the address under which other processes reach a process.
 func (f *Fleet) AdvertisedAddress(name string) (string, error) {
 	node, err := f.node(name)
--- /dev/null
+++ b/internal/launch/filelimit.go
@@ -0,0 +1,32 @@
+package launch
+
+import (
+	"syscall"
+	"unsafe"
+)
+
+// NoFileLimit takes a limit of LimitFiles off.
+const NoFileLimit = ^uint64(0)
+
+// rlimitFileSize is RLIMIT_FSIZE of Linux, which package syscall does not name.
+const rlimitFileSize = 1
+
+// LimitFiles sets the length in bytes beyond which the running process can extend no file: such writes fail with EFBIG. The
+// limit can be taken off again, because only the soft limit is set.
+func (p *Process) LimitFiles(bytes uint64) error {
+	var limit syscall.Rlimit
+	if err := p.rlimit(nil, &limit); err != nil {
+		return err
+	}
+	limit.Cur = min(bytes, limit.Max)
+	return p.rlimit(&limit, nil)
+}
+
+func (p *Process) rlimit(set, get *syscall.Rlimit) error {
+	_, _, errno := syscall.RawSyscall6(syscall.SYS_PRLIMIT64, uintptr(p.cmd.Process.Pid), rlimitFileSize,
+		uintptr(unsafe.Pointer(set)), uintptr(unsafe.Pointer(get)), 0, 0)
+	if errno != 0 {
+		return &ProcessError{p.command.Name, "limit files of", errno}
+	}
+	return nil
+}
--- a/internal/scenario/conditions.go
+++ b/internal/scenario/conditions.go
@@ -24,7 +24,7 @@
 
 // await ready|unready ENTRY, await inforce [without=NAME], await state PROCESS STATE, await started LOAD N,
 // await ended LOAD N, await weights ENGINE VERSION, await voters N, await leader, await executions N,
-// await bookings N, await operated COMMAND..., await live
+// await bookings N, await operated COMMAND..., await live [PROCESS...], await healthy|failing STORE
 func cmdAwait(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) == 0 {
 		ts.Fatalf("usage: await CONDITION [ARGUMENT...]")
@@ -42,7 +42,9 @@
 		"leader":     func([]string) error { _, err := s.leader(); return err },
 		"executions": s.executionCount,
 		"operated":   s.operated,
-		"live":       func([]string) error { return s.allLive(s.fleet.Watchers()) },
+		"live":       s.live,
+		"healthy":    func(a []string) error { return s.status(a[0], http.StatusOK) },
+		"failing":    func(a []string) error { return s.status(a[0], http.StatusServiceUnavailable) },
 		"bookings":   s.bookingCount,
 	}
 	condition := conditions[args[0]]
@@ -72,9 +74,22 @@
 	if err != nil {
 		return err
 	}
+	return s.answersReadyz(name, s.fleet.EntryURL(n-1), want)
+}
+
+// status checks what a store says at its status address.
+func (s *state) status(name string, want int) error {
+	base, err := s.fleet.StatusURL(name)
+	if err != nil {
+		return err
+	}
+	return s.answersReadyz(name, base, want)
+}
+
+func (s *state) answersReadyz(name, base string, want int) error {
 	ctx, cancel := context.WithTimeout(s.ctx, time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, s.fleet.EntryURL(n-1)+"/readyz", nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, base+"/readyz", nil)
 	if err != nil {
 		return err
 	}
@@ -137,6 +152,14 @@
 	return nil
 }
 
+// live checks the named processes, or all that watch control.
+func (s *state) live(names []string) error {
+	if len(names) == 0 {
+		names = s.fleet.Watchers()
+	}
+	return s.allLive(names)
+}
+
 // allLive checks that the named processes are registered as live with the last accepted version in force.
 func (s *state) allLive(names []string) error {
 	var report distribution
@@ -296,7 +319,7 @@
 	violations = append(violations, workload.CheckBookings(s.checker.Bookings(), executions...)...)
 	for _, run := range runs {
 		if run.Corrupt {
-			violations = append(violations, workload.Violation{Invariant: "I1 no freed or torn block is read", Detail: run.RequestID})
+			violations = append(violations, workload.Violation{Invariant: "I1, I3 no freed, torn or foreign block is read", Detail: run.RequestID})
 		}
 	}
 	ts.Logf("%d complete answers, failed %v, %d booking attempts", complete, failed, len(s.checker.Bookings()))
--- a/internal/scenario/processes.go
+++ b/internal/scenario/processes.go
@@ -125,6 +125,29 @@
 	ts.Check(stateOf(ts).fleet.Isolate(oneName(ts, neg, args)))
 }
 
+// part NAME...: cuts all links between the named processes and the others.
+func cmdPart(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) == 0 {
+		ts.Fatalf("usage: part NAME...")
+	}
+	ts.Check(stateOf(ts).fleet.Part(args...))
+}
+
+// filelimit NAME BYTES|off: from now on no file that a running process writes may grow beyond so many bytes. Its writes fail as
+// on a full disk, with another error number, until the limit is taken off.
+func cmdFileLimit(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: filelimit NAME BYTES|off")
+	}
+	limit := launch.NoFileLimit
+	if args[1] != "off" {
+		var err error
+		limit, err = strconv.ParseUint(args[1], 10, 64)
+		ts.Check(err)
+	}
+	ts.Check(process(ts, args[0]).LimitFiles(limit))
+}
+
 // cut FROM TO: cuts the connections that FROM opened to TO.
 func cmdCut(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) != 2 {
@@ -135,11 +158,20 @@
 
 func cmdHeal(ts *testscript.TestScript, _ bool, _ []string) { stateOf(ts).fleet.HealAll() }
 
-// loseanswers NAME: holds back what a process sends to operators; their commands still arrive.
+// loseanswers NAME [TO]: holds back what a process sends to operators, or to another process; what they send still arrives.
 func cmdLoseAnswers(ts *testscript.TestScript, neg bool, args []string) {
-	relay, err := stateOf(ts).fleet.Relay(oneName(ts, neg, args))
+	if neg || len(args) < 1 || len(args) > 2 {
+		ts.Fatalf("usage: loseanswers NAME [TO]")
+	}
+	f := stateOf(ts).fleet
+	relay, err := f.Relay(args[0])
 	ts.Check(err)
-	relay.CutAnswers(fleet.OperatorIP)
+	to := fleet.OperatorIP
+	if len(args) == 2 {
+		to, err = f.IP(args[1])
+		ts.Check(err)
+	}
+	relay.CutAnswers(to)
 }
 
 // slow NAME BYTES_PER_SECOND: limits the relay before a process.
--- a/internal/scenario/requests.go
+++ b/internal/scenario/requests.go
@@ -16,7 +16,7 @@
 	"github.com/wasabishunt/wasabishunt/prompt"
 )
 
-var askOptions = []string{"count", "parallel", "account", "rank", "tokens", "long", "entry", "deadline", "expect", "topic", "key", "model", "cachedmin", "cachedmax", "booking"}
+var askOptions = []string{"count", "parallel", "account", "rank", "tokens", "long", "entry", "deadline", "expect", "topic", "key", "model", "cachedmin", "cachedmax", "booking", "sample"}
 
 // question builds one question from options; number makes its text unique, and with unique also its long prompt.
 func question(o options, number int) workload.Question {
@@ -41,10 +41,11 @@
 }
 
 // ask [count=N] [parallel=N] [account=N] [rank=R] [tokens=N] [long=TOKENS] [topic=T] [entry=N] [deadline=D] [key=K]
-// [model=M] [cachedmin=TOKENS] [cachedmax=TOKENS] [unique] [whole] [whenfresh] [expect=KIND/EXECUTION]
+// [model=M] [cachedmin=TOKENS] [cachedmax=TOKENS] [sample=NAME] [unique] [whole] [whenfresh] [expect=KIND/EXECUTION]
 //
 // Sends questions and waits for the answers. Each must be complete, or with expect fail in the given way. With
-// whenfresh a question is repeated while it is refused as stale_set, which follows an outage of control.
+// whenfresh a question is repeated while it is refused as stale_set, which follows an outage of control. With sample the
+// answers are kept under a name for the command alike.
 func cmdAsk(ts *testscript.TestScript, neg bool, args []string) {
 	s := stateOf(ts)
 	o := parse(ts, args, askOptions...)
@@ -77,6 +78,9 @@
 		if cached := int(answer.CachedTokens); cached < o.number("cachedmin", cached) || cached > o.number("cachedmax", cached) {
 			ts.Fatalf("request %s: %d of %d prompt tokens were cached, want %v", answer.RequestID, cached, answer.PromptTokens, o.values)
 		}
+		if sample := o.text("sample", ""); sample != "" {
+			s.samples[sample] = append(s.samples[sample], answer)
+		}
 		ts.Setenv("REQUEST", answer.RequestID)
 	}
 }
@@ -97,12 +101,13 @@
 	return string(answer.Failure.Kind) + "/" + string(answer.Failure.Execution)
 }
 
-// book key=K [issued=AGE] [account=N] [entry=N] [body=B] [method=M] [path=P] [eventually] [expect=OUTCOME[|OUTCOME...]]
+// book key=K [issued=AGE] [account=N] [entry=N] [body=B] [method=M] [path=P] [eventually] [expect=OUTCOME[|OUTCOME...]] [says=TEXT]
 //
+// With says the message of the failure must hold a text, which tells the states of a booking apart.
 // OUTCOME is answered, replayed or KIND/EXECUTION. Makes one attempt of a booking. A key stands for the same UUIDv7 in the whole script, or with issued for itself.
 func cmdBook(ts *testscript.TestScript, neg bool, args []string) {
 	s := stateOf(ts)
-	o := parse(ts, args, "key", "issued", "account", "entry", "body", "method", "path", "expect")
+	o := parse(ts, args, "key", "issued", "account", "entry", "body", "method", "path", "expect", "says")
 	account := o.number("account", 1) - 1
 	key := o.text("key", "")
 	booking := workload.Booking{
@@ -122,6 +127,9 @@
 		if got, want := bookingOutcome(result), o.text("expect", "answered"); !slices.Contains(strings.Split(want, "|"), got) {
 			return notYet("booking %s: got %s, want %s: %v", key, got, want, result.Failure)
 		}
+		if says := o.text("says", ""); result.Failure != nil && !strings.Contains(result.Failure.Message, says) {
+			return notYet("booking %s: want %q in %v", key, says, result.Failure)
+		}
 		return nil
 	}
 	if o.flag("eventually") {
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -43,6 +43,8 @@
 	cancel context.CancelFunc
 	loads  map[string]*load
 	slow   map[string]*slowCallers
+	// samples are answers that a script compares.
+	samples map[string][]workload.Answer
 	// marks are points in time that a script named.
 	marks map[string]time.Time
 }
@@ -71,13 +73,13 @@
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"fleet": cmdFleet, "start": cmdStart, "crash": cmdCrash, "freeze": cmdFreeze, "thaw": cmdThaw,
 			"shutdown": cmdStop, "terminate": cmdTerminate, "exited": cmdExited,
-			"isolate": cmdIsolate, "cut": cmdCut, "heal": cmdHeal, "slow": cmdSlow, "wipe": cmdWipe,
+			"isolate": cmdIsolate, "part": cmdPart, "filelimit": cmdFileLimit, "cut": cmdCut, "heal": cmdHeal, "slow": cmdSlow, "wipe": cmdWipe,
 			"vm": cmdVM, "vmlag": cmdVMLag, "fault": cmdFault, "await": cmdAwait,
 			"publish": cmdPublish, "ask": cmdAsk, "book": cmdBook, "load": cmdLoad, "endload": cmdEndLoad,
 			"mark": cmdMark, "within": cmdWithin, "check": cmdCheck, "executions": cmdExecutions, "runs": cmdRuns,
 			"logged": cmdLogged, "pieces": cmdPieces, "ontime": cmdOnTime, "share": cmdShare, "outcomes": cmdOutcomes,
 			"lasts": cmdLasts, "slowcallers": cmdSlowCallers, "turnedaway": cmdTurnedAway, "loseanswers": cmdLoseAnswers,
-			"corrupt": cmdCorrupt,
+			"corrupt": cmdCorrupt, "alike": cmdAlike,
 		},
 	}
 }
@@ -87,6 +89,7 @@
 	s := &state{
 		binaries: binaries, checker: &workload.Checker{}, caller: workload.NewCaller(),
 		ctx: ctx, cancel: cancel, loads: map[string]*load{}, slow: map[string]*slowCallers{}, marks: map[string]time.Time{},
+		samples: map[string][]workload.Answer{},
 	}
 	env.Values[stateKey{}] = s
 	env.Setenv("PATH", binaries+string(filepath.ListSeparator)+env.Getenv("PATH"))
