sched: let service from idle capacity make less floor debt

Work served from idle capacity left a debt of up to the floor burst of 8,192 tokens, which a floor of 5 in 100 of 8,000 tokens/s makes up for in 20 s. Change: the debt is bounded by its own setting, 2,048 tokens.

--- a/sched/floor.go
+++ b/sched/floor.go
@@ -12,7 +12,7 @@
 	limit := float64(q.settings.FloorBurst)
 	for _, rank := range q.ranks {
 		if rank == served {
-			rank.credit = debit(rank.credit, float64(tokens)*(1-rank.Floor), limit)
+			rank.credit = debit(rank.credit, float64(tokens)*(1-rank.Floor), float64(q.settings.FloorDebt))
 			continue
 		}
 		earned := float64(tokens) * rank.Floor
--- a/sched/item.go
+++ b/sched/item.go
@@ -84,13 +84,17 @@
 	// LongShare is the share of prefill that long prefixes may take while short work waits, 0 to 1; default 0.5.
 	LongShare float64
 	// AccountBurst is the service in tokens that an account which asked for less than its share may receive before
-	// others, for an account of weight 1; default 16384, a long prompt.
+	// others, for an account of weight 1; default 6144.
 	AccountBurst int64
 	// PreemptLag is how far in tokens an account must be behind another to interrupt its prompt; default 4096.
 	PreemptLag int64
 	// FloorBurst is the floor service in tokens that a rank may save up; default 8192. While it is used up, more urgent
 	// work still gets two of three chunks if the floors allow.
 	FloorBurst int64
+	// FloorDebt is the service from idle capacity in tokens that a rank must make up for before it earns floor service
+	// again; default 2048. With the burst as the limit, a rank with a floor of 5 in 100 got nothing for the first 20 s of a flood of
+	// urgent work that followed its own.
+	FloorDebt int64
 	// Headroom is the share of run slots kept free for urgent ranks and small callers, 0 to 1; default 0.125.
 	Headroom float64
 	// Off switches mechanisms off, for comparison runs only; default none.
@@ -121,6 +125,7 @@
 		AccountBurst:   6144,
 		PreemptLag:     4096,
 		FloorBurst:     8192,
+		FloorDebt:      2048,
 		Headroom:       0.125,
 	}
 }
@@ -151,6 +156,9 @@
 	if s.FloorBurst <= 0 {
 		s.FloorBurst = d.FloorBurst
 	}
+	if s.FloorDebt <= 0 {
+		s.FloorDebt = d.FloorDebt
+	}
 	if s.Headroom <= 0 {
 		s.Headroom = d.Headroom
 	}
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -194,6 +194,19 @@
 	require.Equal(t, []string{"large", "small", "large", "small"}, order)
 }
 
+// TestFloorAfterOwnFlood guards against a rank that used idle capacity and then gets no floor for a long time: its flood is
+// followed by one of more urgent work.
+func TestFloorAfterOwnFlood(t *testing.T) {
+	q := newQueue(nil)
+	push(t, q, "night", "a", 512, 400)
+	serve(q, 200, byRank)
+	push(t, q, "urgent", "b", 512, 400)
+	// The debt of 2,048 tokens is made up for by 20,480 served at a floor of 10 in 100; a tenth of the next 160 chunks is due.
+	serve(q, 40, byRank)
+	served := serve(q, 160, byRank)
+	require.GreaterOrEqual(t, served["night"], int64(15*512))
+}
+
 // TestRefusedDemandEarnsFloor guards against ranks that lose their floor because admission refuses their work early.
 func TestRefusedDemandEarnsFloor(t *testing.T) {
 	q := newQueue(nil)
