scenario: wait until entries see all processes before a script goes on

Change: the entry has a gauge live_processes, and the fleet command polls it. Ruled out: a retry in the scripts, which would hide real refusals.

--- a/entry/server.go
+++ b/entry/server.go
@@ -79,9 +79,20 @@
 		history:  newHistory(options.DebugRequests),
 	}
 	s.handler = s.routes()
+	_ = deps.Registry.Register("live_processes", gometrics.NewFunctionalGauge(s.liveProcesses))
 	return s
 }
 
+// liveProcesses counts the processes that this entry sees as live.
+func (s *Server) liveProcesses() (live int64) {
+	for _, process := range s.deps.Source.Current().Processes {
+		if process.State == controlclient.Live {
+			live++
+		}
+	}
+	return live
+}
+
 // Handler serves the HTTP interface.
 func (s *Server) Handler() http.Handler { return s.handler }
 
--- a/internal/scenario/conditions.go
+++ b/internal/scenario/conditions.go
@@ -1,8 +1,10 @@
 package scenario
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -178,6 +180,37 @@
 	return nil
 }
 
+// liveMetric counts the processes that an entry sees as live.
+const liveMetric = "wasabishunt_live_processes "
+
+// seesLive checks that an entry sees at least so many processes as live.
+func (s *state) seesLive(entry, want int) error {
+	base, err := s.fleet.StatusURL(fmt.Sprintf("entry-%d", entry+1))
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, base+"/metrics", nil)
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	for lines := bufio.NewScanner(response.Body); lines.Scan(); {
+		if value, ok := strings.CutPrefix(lines.Text(), liveMetric); ok {
+			if live, err := strconv.ParseFloat(value, 64); err != nil || int(live) < want {
+				return notYet("entry-%d sees %s live processes, want %d", entry+1, value, want)
+			}
+			return nil
+		}
+	}
+	return notYet("entry-%d has no metric %s", entry+1, liveMetric)
+}
+
 func (s *state) processState(name, want string) error {
 	var report distribution
 	if err := s.operate(&report, "watch"); err != nil {
--- a/internal/scenario/processes.go
+++ b/internal/scenario/processes.go
@@ -59,6 +59,10 @@
 		ts.Check(f.AwaitReady(s.ctx, i))
 	}
 	fail(ts, false, s.poll(func() error { return s.allLive(f.Watchers()) }), "fleet")
+	// Entries learn of registrations up to 100 ms later than control.
+	for i := range shape.Entries {
+		fail(ts, false, s.poll(func() error { return s.seesLive(i, len(f.Watchers())) }), "fleet")
+	}
 }
 
 func cmdStart(ts *testscript.TestScript, neg bool, args []string) {
