--- /dev/null
+++ b/internal/scenario/distribution.go
@@ -0,0 +1,97 @@
+package scenario
+
+import (
+	"encoding/json"
+
+	"github.com/wasabishunt/wasabishunt/internal/fleet"
+)
+
+// distribution is what the scenarios read of `wasabishunt -o json watch`.
+type distribution struct {
+	Version   uint64 `json:"version"`
+	Processes []struct {
+		ID         string `json:"id"`
+		State      string `json:"state"`
+		SetVersion uint64 `json:"set_version"`
+		Missing    string `json:"missing"`
+	} `json:"processes"`
+}
+
+// memberRow is what the scenarios read of `wasabishunt -o json status`.
+type memberRow struct {
+	ID   uint64 `json:"id"`
+	Role string `json:"role"`
+	// Bookings counts the booking records.
+	Bookings int64 `json:"bookings"`
+}
+
+// operate runs an operators' command and decodes its JSON output, whatever its exit code.
+func (s *state) operate(into any, args ...string) error {
+	result, err := s.fleet.Operate(s.ctx, fleet.Operator, append([]string{"-o", "json"}, args...)...)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal([]byte(result.Stdout), into); err != nil {
+		return notYet("%v: %s%s", err, result.Stdout, result.Stderr)
+	}
+	return nil
+}
+
+// inForce checks that each live process, but those named as words, has the last accepted version.
+func (s *state) inForce(except []string) error {
+	var report distribution
+	if err := s.operate(&report, "watch"); err != nil {
+		return err
+	}
+	if report.Version < s.version {
+		return notYet("control shows version %d, want %d", report.Version, s.version)
+	}
+	for _, p := range report.Processes {
+		if p.State == "live" && p.SetVersion < s.version && !contains(except, p.ID) {
+			return notYet("%s has version %d, want %d", p.ID, p.SetVersion, s.version)
+		}
+	}
+	return nil
+}
+
+// live checks the named processes, or all that watch control.
+func (s *state) live(names []string) error {
+	if len(names) == 0 {
+		names = s.fleet.Watchers()
+	}
+	return s.allLive(names)
+}
+
+// allLive checks that the named processes are registered as live with the last accepted version in force.
+func (s *state) allLive(names []string) error {
+	var report distribution
+	if err := s.operate(&report, "watch"); err != nil {
+		return err
+	}
+	inForce := map[string]bool{}
+	for _, p := range report.Processes {
+		inForce[p.ID] = p.State == "live" && p.SetVersion >= s.version && p.Missing == ""
+	}
+	for _, name := range names {
+		if !inForce[name] {
+			return notYet("%s is not live with version %d", name, s.version)
+		}
+	}
+	return nil
+}
+
+func (s *state) processState(name, want string) error {
+	var report distribution
+	if err := s.operate(&report, "watch"); err != nil {
+		return err
+	}
+	for _, p := range report.Processes {
+		if p.ID == name {
+			if p.State == want {
+				return nil
+			}
+			return notYet("%s is %s, want %s", name, p.State, want)
+		}
+	}
+	return notYet("%s is not registered", name)
+}
