defaults: fill unset options in one place

Ruled out: cmp.Or, which names each field twice, and a change of sched, whose defaults also replace negative values. Conclusion: package defaults; no value changes, the tests of the packages pass.

--- a/agent/kv/kv.go
+++ b/agent/kv/kv.go
@@ -21,6 +21,7 @@
 	"github.com/wasabishunt/wasabishunt/cachevalue"
 	"github.com/wasabishunt/wasabishunt/clock"
 	"github.com/wasabishunt/wasabishunt/controlclient"
+	"github.com/wasabishunt/wasabishunt/defaults"
 	"github.com/wasabishunt/wasabishunt/fetchplan"
 	"github.com/wasabishunt/wasabishunt/piece"
 	"github.com/wasabishunt/wasabishunt/store"
@@ -75,28 +76,21 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.AskTimeout, 100*time.Millisecond)
-	setDefault(&o.FetchSlack, 100*time.Millisecond)
-	setDefault(&o.MaxFetchBytes, 256<<20)
-	setDefault(&o.ExportQueue, 4096)
-	setDefault(&o.Exporters, 2)
-	setDefault(&o.ExportTimeout, 30*time.Second)
-	setDefault(&o.PutTimeout, 10*time.Second)
-	setDefault(&o.SentMemory, time.Minute)
-	setDefault(&o.LoadPoll, time.Second)
-	setDefault(&o.AssumedBytesPerSecond, 100_000_000)
-	setDefault(&o.LossProbability, cachevalue.DefaultLossProbability)
-	setDefault(&o.Plan, fetchplan.Defaults())
+	defaults.Set(&o.AskTimeout, 100*time.Millisecond)
+	defaults.Set(&o.FetchSlack, 100*time.Millisecond)
+	defaults.Set(&o.MaxFetchBytes, 256<<20)
+	defaults.Set(&o.ExportQueue, 4096)
+	defaults.Set(&o.Exporters, 2)
+	defaults.Set(&o.ExportTimeout, 30*time.Second)
+	defaults.Set(&o.PutTimeout, 10*time.Second)
+	defaults.Set(&o.SentMemory, time.Minute)
+	defaults.Set(&o.LoadPoll, time.Second)
+	defaults.Set(&o.AssumedBytesPerSecond, 100_000_000)
+	defaults.Set(&o.LossProbability, cachevalue.DefaultLossProbability)
+	defaults.Set(&o.Plan, fetchplan.Defaults())
 	return o
 }
 
-func setDefault[T comparable](value *T, fallback T) {
-	var zero T
-	if *value == zero {
-		*value = fallback
-	}
-}
-
 // Dependencies are the parts that a Mover works with.
 type Dependencies struct {
 	Source controlclient.Source
--- a/agent/options.go
+++ b/agent/options.go
@@ -5,6 +5,7 @@
 
 	"github.com/wasabishunt/wasabishunt/admission"
 	"github.com/wasabishunt/wasabishunt/agent/kv"
+	"github.com/wasabishunt/wasabishunt/defaults"
 )
 
 // Options are the limits of an Agent.
@@ -64,33 +65,26 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.Workers, 32)
-	setDefault(&o.MaxQueued, 1024)
-	setDefault(&o.Admission, admission.Defaults())
-	setDefault(&o.EventBuffer, 64)
-	setDefault(&o.WriteTimeout, 10*time.Second)
-	setDefault(&o.Heartbeat, time.Second)
-	setDefault(&o.SetGrace, time.Second)
-	setDefault(&o.CatchUp, 500*time.Millisecond)
-	setDefault(&o.ServiceCatchUp, 3*time.Second)
-	setDefault(&o.MaxDeadline, 10*time.Minute)
-	setDefault(&o.WeightPoll, time.Second)
-	setDefault(&o.LoadTimeout, time.Minute)
-	setDefault(&o.SlotPoll, 200*time.Millisecond)
-	setDefault(&o.CachePoll, 500*time.Millisecond)
-	setDefault(&o.EventLag, 2*time.Second)
-	setDefault(&o.MaxCachePieces, 65536)
-	setDefault(&o.CallTimeout, 2*time.Second)
-	setDefault(&o.FinishTimeout, 30*time.Second)
-	setDefault(&o.ServiceTimeout, 30*time.Second)
-	setDefault(&o.MaxConnections, 4096)
-	setDefault(&o.MaxMessageBytes, 32<<20)
+	defaults.Set(&o.Workers, 32)
+	defaults.Set(&o.MaxQueued, 1024)
+	defaults.Set(&o.Admission, admission.Defaults())
+	defaults.Set(&o.EventBuffer, 64)
+	defaults.Set(&o.WriteTimeout, 10*time.Second)
+	defaults.Set(&o.Heartbeat, time.Second)
+	defaults.Set(&o.SetGrace, time.Second)
+	defaults.Set(&o.CatchUp, 500*time.Millisecond)
+	defaults.Set(&o.ServiceCatchUp, 3*time.Second)
+	defaults.Set(&o.MaxDeadline, 10*time.Minute)
+	defaults.Set(&o.WeightPoll, time.Second)
+	defaults.Set(&o.LoadTimeout, time.Minute)
+	defaults.Set(&o.SlotPoll, 200*time.Millisecond)
+	defaults.Set(&o.CachePoll, 500*time.Millisecond)
+	defaults.Set(&o.EventLag, 2*time.Second)
+	defaults.Set(&o.MaxCachePieces, 65536)
+	defaults.Set(&o.CallTimeout, 2*time.Second)
+	defaults.Set(&o.FinishTimeout, 30*time.Second)
+	defaults.Set(&o.ServiceTimeout, 30*time.Second)
+	defaults.Set(&o.MaxConnections, 4096)
+	defaults.Set(&o.MaxMessageBytes, 32<<20)
 	return o
 }
-
-func setDefault[T comparable](value *T, fallback T) {
-	var zero T
-	if *value == zero {
-		*value = fallback
-	}
-}
--- a/booking/table.go
+++ b/booking/table.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 
+	"github.com/wasabishunt/wasabishunt/defaults"
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
 )
@@ -23,18 +24,10 @@
 }
 
 func (l *Limits) setDefaults() {
-	if l.ReclaimAfterMs == 0 {
-		l.ReclaimAfterMs = 5000
-	}
-	if l.MaxRecords == 0 {
-		l.MaxRecords = 2_000_000
-	}
-	if l.MaxBytes == 0 {
-		l.MaxBytes = 512 << 20
-	}
-	if l.MaxClaims == 0 {
-		l.MaxClaims = 16
-	}
+	defaults.Set(&l.ReclaimAfterMs, 5000)
+	defaults.Set(&l.MaxRecords, 2_000_000)
+	defaults.Set(&l.MaxBytes, 512<<20)
+	defaults.Set(&l.MaxClaims, 16)
 }
 
 // key identifies a record.
--- a/control/server.go
+++ b/control/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/wasabishunt/wasabishunt/clock"
 	"github.com/wasabishunt/wasabishunt/controlclient"
+	"github.com/wasabishunt/wasabishunt/defaults"
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/operators"
 	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
@@ -61,25 +62,18 @@
 	Metrics         gometrics.Registry
 }
 
-func orDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 func (o *Options) setDefaults() {
-	orDefault(&o.VMListInterval, time.Second)
-	orDefault(&o.BookingRetention, 24*time.Hour)
-	orDefault(&o.RetireInterval, time.Minute)
-	orDefault(&o.DeadAfter, 3*time.Second)
-	orDefault(&o.MemberDeadAfter, 4*time.Second)
-	orDefault(&o.MonitorInterval, 250*time.Millisecond)
-	orDefault(&o.HeartbeatInterval, time.Second)
-	orDefault(&o.CallTimeout, 2*time.Second)
-	orDefault(&o.MaxWatchers, 4096)
-	orDefault(&o.MaxPending, 4096)
-	orDefault(&o.MaxBookingBytes, 1<<20)
+	defaults.Set(&o.VMListInterval, time.Second)
+	defaults.Set(&o.BookingRetention, 24*time.Hour)
+	defaults.Set(&o.RetireInterval, time.Minute)
+	defaults.Set(&o.DeadAfter, 3*time.Second)
+	defaults.Set(&o.MemberDeadAfter, 4*time.Second)
+	defaults.Set(&o.MonitorInterval, 250*time.Millisecond)
+	defaults.Set(&o.HeartbeatInterval, time.Second)
+	defaults.Set(&o.CallTimeout, 2*time.Second)
+	defaults.Set(&o.MaxWatchers, 4096)
+	defaults.Set(&o.MaxPending, 4096)
+	defaults.Set(&o.MaxBookingBytes, 1<<20)
 	if o.Operators == nil {
 		o.Operators = &Operators{}
 	}
--- a/controlclient/client.go
+++ b/controlclient/client.go
@@ -6,6 +6,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"github.com/wasabishunt/wasabishunt/defaults"
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
 	"github.com/wasabishunt/wasabishunt/rpcpool"
@@ -37,15 +38,9 @@
 
 // NewClient returns a Client with defaults for unset options.
 func NewClient(options ClientOptions) *Client {
-	if options.AttemptTimeout == 0 {
-		options.AttemptTimeout = 2 * time.Second
-	}
-	if options.Timeout == 0 {
-		options.Timeout = 8 * time.Second
-	}
-	if options.MaxAttempts == 0 {
-		options.MaxAttempts = 100
-	}
+	defaults.Set(&options.AttemptTimeout, 2*time.Second)
+	defaults.Set(&options.Timeout, 8*time.Second)
+	defaults.Set(&options.MaxAttempts, 100)
 	return &Client{options: options, pool: rpcpool.New(rpcpool.Options{LocalIP: options.SourceIP}), directory: newDirectory(options.Addresses)}
 }
 
--- a/controlclient/watcher.go
+++ b/controlclient/watcher.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wasabishunt/wasabishunt/clock"
+	"github.com/wasabishunt/wasabishunt/defaults"
 	"github.com/wasabishunt/wasabishunt/objectset"
 	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
 )
@@ -41,15 +42,9 @@
 }
 
 func (o *WatcherOptions) setDefaults() {
-	if o.StaleSetLimit == 0 {
-		o.StaleSetLimit = 4 * time.Second
-	}
-	if o.PresenceInterval == 0 {
-		o.PresenceInterval = time.Second
-	}
-	if o.CallTimeout == 0 {
-		o.CallTimeout = 2 * time.Second
-	}
+	defaults.Set(&o.StaleSetLimit, 4*time.Second)
+	defaults.Set(&o.PresenceInterval, time.Second)
+	defaults.Set(&o.CallTimeout, 2*time.Second)
 	if o.Draining == nil {
 		o.Draining = func() bool { return false }
 	}
--- a/entry/options.go
+++ b/entry/options.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/wasabishunt/wasabishunt/defaults"
 	"github.com/wasabishunt/wasabishunt/operators"
 )
 
@@ -59,33 +60,26 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.MaxBodyBytes, 8<<20)
-	setDefault(&o.MaxBufferedBytes, 1<<30)
-	setDefault(&o.MaxConcurrent, 2048)
-	setDefault(&o.MaxConnections, 8192)
-	setDefault(&o.HeaderTimeout, 5*time.Second)
-	setDefault(&o.BodyTimeout, 10*time.Second)
-	setDefault(&o.WriteTimeout, 10*time.Second)
-	setDefault(&o.IdleTimeout, time.Minute)
-	setDefault(&o.DefaultDeadline, 5*time.Minute)
-	setDefault(&o.MaxDeadline, 10*time.Minute)
-	setDefault(&o.StreamIdle, 5*time.Second)
-	setDefault(&o.ConnectTimeout, time.Second)
-	setDefault(&o.CatchUp, time.Second)
-	setDefault(&o.MaxAttempts, 3)
-	setDefault(&o.RetryShare, 0.1)
-	setDefault(&o.RetryBurst, 10)
-	setDefault(&o.DefaultMaxTokens, 1024)
-	setDefault(&o.MaxTokens, 32768)
-	setDefault(&o.DebugRequests, 1024)
-	setDefault(&o.DrainNotice, 5*time.Second)
-	setDefault(&o.DrainLimit, 10*time.Minute)
+	defaults.Set(&o.MaxBodyBytes, 8<<20)
+	defaults.Set(&o.MaxBufferedBytes, 1<<30)
+	defaults.Set(&o.MaxConcurrent, 2048)
+	defaults.Set(&o.MaxConnections, 8192)
+	defaults.Set(&o.HeaderTimeout, 5*time.Second)
+	defaults.Set(&o.BodyTimeout, 10*time.Second)
+	defaults.Set(&o.WriteTimeout, 10*time.Second)
+	defaults.Set(&o.IdleTimeout, time.Minute)
+	defaults.Set(&o.DefaultDeadline, 5*time.Minute)
+	defaults.Set(&o.MaxDeadline, 10*time.Minute)
+	defaults.Set(&o.StreamIdle, 5*time.Second)
+	defaults.Set(&o.ConnectTimeout, time.Second)
+	defaults.Set(&o.CatchUp, time.Second)
+	defaults.Set(&o.MaxAttempts, 3)
+	defaults.Set(&o.RetryShare, 0.1)
+	defaults.Set(&o.RetryBurst, 10)
+	defaults.Set(&o.DefaultMaxTokens, 1024)
+	defaults.Set(&o.MaxTokens, 32768)
+	defaults.Set(&o.DebugRequests, 1024)
+	defaults.Set(&o.DrainNotice, 5*time.Second)
+	defaults.Set(&o.DrainLimit, 10*time.Minute)
 	return o
 }
-
-func setDefault[T comparable](value *T, fallback T) {
-	var zero T
-	if *value == zero {
-		*value = fallback
-	}
-}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/wasabishunt/wasabishunt/defaults"
 	"github.com/wasabishunt/wasabishunt/internal/launch"
 )
 
@@ -82,18 +83,10 @@
 }
 
 func (s *Shape) setDefaults() {
-	if s.Accounts == 0 {
-		s.Accounts = 4
-	}
-	if s.VMListLag == 0 {
-		s.VMListLag = 2 * time.Second
-	}
-	if s.DrainNotice == 0 {
-		s.DrainNotice = 200 * time.Millisecond
-	}
-	if s.StoreLinkRate == 0 {
-		s.StoreLinkRate = 50_000_000
-	}
+	defaults.Set(&s.Accounts, 4)
+	defaults.Set(&s.VMListLag, 2*time.Second)
+	defaults.Set(&s.DrainNotice, 200*time.Millisecond)
+	defaults.Set(&s.StoreLinkRate, 50_000_000)
 	for i := range s.Upstreams {
 		u := &s.Upstreams[i]
 		if u.PrefillRate == 0 {
--- a/internal/standin/engine/settings.go
+++ b/internal/standin/engine/settings.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"github.com/wasabishunt/wasabishunt/defaults"
 	"github.com/wasabishunt/wasabishunt/piece"
 )
 
@@ -64,29 +65,22 @@
 )
 
 func (s Settings) withDefaults() Settings {
-	setDefault(&s.Model, "model")
-	setDefault(&s.PrefillTokensPerSecond, 20_000)
-	setDefault(&s.DecodeTokensPerSecond, 50)
-	setDefault(&s.MaxBatch, 16)
-	setDefault(&s.MaxQueued, 1024)
-	setDefault(&s.MaxRunTokens, 16_384)
-	setDefault(&s.CacheTokens, 200_000)
-	setDefault(&s.KVBytesPerToken, 64)
-	setDefault(&s.TimeScale, 1)
-	setDefault(&s.EventDelay, 300*time.Millisecond)
-	setDefault(&s.LoadLag, 500*time.Millisecond)
-	setDefault(&s.LoadTime, 800*time.Millisecond)
-	setDefault(&s.KeepAlive, time.Second)
+	defaults.Set(&s.Model, "model")
+	defaults.Set(&s.PrefillTokensPerSecond, 20_000)
+	defaults.Set(&s.DecodeTokensPerSecond, 50)
+	defaults.Set(&s.MaxBatch, 16)
+	defaults.Set(&s.MaxQueued, 1024)
+	defaults.Set(&s.MaxRunTokens, 16_384)
+	defaults.Set(&s.CacheTokens, 200_000)
+	defaults.Set(&s.KVBytesPerToken, 64)
+	defaults.Set(&s.TimeScale, 1)
+	defaults.Set(&s.EventDelay, 300*time.Millisecond)
+	defaults.Set(&s.LoadLag, 500*time.Millisecond)
+	defaults.Set(&s.LoadTime, 800*time.Millisecond)
+	defaults.Set(&s.KeepAlive, time.Second)
 	return s
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // scaled converts a model time to real time.
 func (s Settings) scaled(d time.Duration) time.Duration {
 	return time.Duration(float64(d) / s.TimeScale)
--- a/internal/standin/weights/weights.go
+++ b/internal/standin/weights/weights.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/wasabishunt/wasabishunt/defaults"
 	"github.com/wasabishunt/wasabishunt/upstream/weightstore"
 )
 
@@ -31,22 +32,15 @@
 }
 
 func (s Settings) withDefaults() Settings {
-	setDefault(&s.Bytes, 8_000_000)
-	setDefault(&s.StreamBytesPerSecond, 10_000_000)
-	setDefault(&s.TotalBytesPerSecond, 20_000_000)
-	setDefault(&s.MaxTransfers, 4)
-	setDefault(&s.RetryAfter, 500*time.Millisecond)
-	setDefault(&s.TimeScale, 1)
+	defaults.Set(&s.Bytes, 8_000_000)
+	defaults.Set(&s.StreamBytesPerSecond, 10_000_000)
+	defaults.Set(&s.TotalBytesPerSecond, 20_000_000)
+	defaults.Set(&s.MaxTransfers, 4)
+	defaults.Set(&s.RetryAfter, 500*time.Millisecond)
+	defaults.Set(&s.TimeScale, 1)
 	return s
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // blockBytes is written at once; it is small against a rate limit of one second.
 const blockBytes = 64 << 10
 
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/wasabishunt/wasabishunt/defaults"
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
 )
@@ -57,21 +58,14 @@
 }
 
 func (c *Config) setDefaults() {
-	setDefault(&c.Heartbeat, 100*time.Millisecond)
-	setDefault(&c.Election, time.Second)
-	setDefault(&c.CheckQuorum, time.Second)
-	setDefault(&c.SnapshotTimeout, 30*time.Second)
-	setDefault(&c.MaxAppendBytes, 1<<20)
-	setDefault(&c.MaxInflight, 64)
-	setDefault(&c.MaxUncommitted, 8192)
-	setDefault(&c.MaxReads, 4096)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	defaults.Set(&c.Heartbeat, 100*time.Millisecond)
+	defaults.Set(&c.Election, time.Second)
+	defaults.Set(&c.CheckQuorum, time.Second)
+	defaults.Set(&c.SnapshotTimeout, 30*time.Second)
+	defaults.Set(&c.MaxAppendBytes, 1<<20)
+	defaults.Set(&c.MaxInflight, 64)
+	defaults.Set(&c.MaxUncommitted, 8192)
+	defaults.Set(&c.MaxReads, 4096)
 }
 
 // State is what a member has on disk when it starts. The zero value is a member in join mode.
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -18,6 +18,7 @@
 	"google.golang.org/protobuf/proto"
 	"storj.io/drpc"
 
+	"github.com/wasabishunt/wasabishunt/defaults"
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/raft"
 	"github.com/wasabishunt/wasabishunt/raft/diskfs"
@@ -94,21 +95,21 @@
 }
 
 func (o *Options) setDefaults() {
-	setDefault[diskfs.FS](&o.FS, diskfs.OS{})
-	setDefault(&o.Logger, zap.NewNop())
-	setDefault(&o.Metrics, gometrics.NewRegistry())
-	setDefault(&o.Tick, 50*time.Millisecond)
-	setDefault(&o.Election, time.Second)
-	setDefault(&o.SnapshotEvery, 10_000)
-	setDefault(&o.Trailing, 5_000)
-	setDefault(&o.MaxCommandBytes, 3<<20)
-	setDefault(&o.MaxSnapshotBytes, 1<<30)
-	setDefault(&o.QueueLength, 1024)
-	setDefault(&o.MaxUnapplied, 20_000)
-	setDefault(&o.WriteDeadline, 2*time.Second)
-	setDefault(&o.SilenceLimit, 3*time.Second)
-	setDefault(&o.StopLimit, 2*time.Second)
-	setDefault(&o.Seed, uint64(time.Now().UnixNano()))
+	defaults.Set[diskfs.FS](&o.FS, diskfs.OS{})
+	defaults.Set(&o.Logger, zap.NewNop())
+	defaults.Set(&o.Metrics, gometrics.NewRegistry())
+	defaults.Set(&o.Tick, 50*time.Millisecond)
+	defaults.Set(&o.Election, time.Second)
+	defaults.Set(&o.SnapshotEvery, 10_000)
+	defaults.Set(&o.Trailing, 5_000)
+	defaults.Set(&o.MaxCommandBytes, 3<<20)
+	defaults.Set(&o.MaxSnapshotBytes, 1<<30)
+	defaults.Set(&o.QueueLength, 1024)
+	defaults.Set(&o.MaxUnapplied, 20_000)
+	defaults.Set(&o.WriteDeadline, 2*time.Second)
+	defaults.Set(&o.SilenceLimit, 3*time.Second)
+	defaults.Set(&o.StopLimit, 2*time.Second)
+	defaults.Set(&o.Seed, uint64(time.Now().UnixNano()))
 	if o.Dial == nil {
 		dialer := net.Dialer{Timeout: time.Second, KeepAlive: 5 * time.Second}
 		if o.SourceIP != "" {
@@ -120,13 +121,6 @@
 	}
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 func (o *Options) validate() error {
 	if o.ID == 0 || o.Group == "" || o.Address == "" || o.Dir == "" || o.StateMachine == nil {
 		return failure.New(failure.InvalidRequest, failure.NotRun, "id, group, address, directory and state machine must be set")
--- a/rpcpool/rpcpool.go
+++ b/rpcpool/rpcpool.go
@@ -13,6 +13,7 @@
 	"storj.io/drpc/drpcpool"
 	"storj.io/drpc/drpcstream"
 
+	"github.com/wasabishunt/wasabishunt/defaults"
 	"github.com/wasabishunt/wasabishunt/failure"
 )
 
@@ -42,18 +43,10 @@
 
 // New returns a Pool with defaults for unset options.
 func New(options Options) *Pool {
-	if options.Capacity == 0 {
-		options.Capacity = 256
-	}
-	if options.KeyCapacity == 0 {
-		options.KeyCapacity = 8
-	}
-	if options.Expiration == 0 {
-		options.Expiration = time.Minute
-	}
-	if options.DialTimeout == 0 {
-		options.DialTimeout = time.Second
-	}
+	defaults.Set(&options.Capacity, 256)
+	defaults.Set(&options.KeyCapacity, 8)
+	defaults.Set(&options.Expiration, time.Minute)
+	defaults.Set(&options.DialTimeout, time.Second)
 	pool := drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
 		Expiration:  options.Expiration,
 		Capacity:    options.Capacity,
--- a/store/client.go
+++ b/store/client.go
@@ -7,6 +7,7 @@
 
 	"storj.io/drpc"
 
+	"github.com/wasabishunt/wasabishunt/defaults"
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/piece"
 	"github.com/wasabishunt/wasabishunt/rpc/storepb"
@@ -24,9 +25,9 @@
 }
 
 func (o ClientOptions) withDefaults() ClientOptions {
-	setDefault(&o.CallTimeout, time.Second)
-	setDefault(&o.TransferTimeout, 30*time.Second)
-	setDefault(&o.MaxPieceBytes, 128<<20)
+	defaults.Set(&o.CallTimeout, time.Second)
+	defaults.Set(&o.TransferTimeout, 30*time.Second)
+	defaults.Set(&o.MaxPieceBytes, 128<<20)
 	return o
 }
 
--- a/store/listen.go
+++ b/store/listen.go
@@ -11,6 +11,7 @@
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcwire"
 
+	"github.com/wasabishunt/wasabishunt/defaults"
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/rpc/storepb"
 )
@@ -26,9 +27,9 @@
 }
 
 func (o ListenOptions) withDefaults() ListenOptions {
-	setDefault(&o.MaxConns, 1024)
-	setDefault(&o.IdleTimeout, 2*time.Minute)
-	setDefault(&o.WriteTimeout, 10*time.Second)
+	defaults.Set(&o.MaxConns, 1024)
+	defaults.Set(&o.IdleTimeout, 2*time.Minute)
+	defaults.Set(&o.WriteTimeout, 10*time.Second)
 	return o
 }
 
--- a/store/refill.go
+++ b/store/refill.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/wasabishunt/wasabishunt/defaults"
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/piece"
 )
@@ -40,11 +41,11 @@
 }
 
 func (o RefillOptions) withDefaults() RefillOptions {
-	setDefault(&o.Interval, 5*time.Minute)
-	setDefault(&o.RetryInterval, 15*time.Second)
-	setDefault(&o.MaxPieces, 20_000)
-	setDefault(&o.MaxFill, 0.8)
-	setDefault(&o.Transfers, 4)
+	defaults.Set(&o.Interval, 5*time.Minute)
+	defaults.Set(&o.RetryInterval, 15*time.Second)
+	defaults.Set(&o.MaxPieces, 20_000)
+	defaults.Set(&o.MaxFill, 0.8)
+	defaults.Set(&o.Transfers, 4)
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
--- a/store/server.go
+++ b/store/server.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/semaphore"
 	"storj.io/drpc"
 
+	"github.com/wasabishunt/wasabishunt/defaults"
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/piece"
 	"github.com/wasabishunt/wasabishunt/rpc/storepb"
@@ -25,9 +26,9 @@
 }
 
 func (o ServerOptions) withDefaults() ServerOptions {
-	setDefault(&o.MaxTransferBytes, 512<<20)
-	setDefault(&o.QueueTimeout, 2*time.Second)
-	setDefault(&o.TransferTimeout, time.Minute)
+	defaults.Set(&o.MaxTransferBytes, 512<<20)
+	defaults.Set(&o.QueueTimeout, 2*time.Second)
+	defaults.Set(&o.TransferTimeout, time.Minute)
 	return o
 }
 
--- a/store/store.go
+++ b/store/store.go
@@ -18,6 +18,7 @@
 
 	"github.com/wasabishunt/wasabishunt/cachevalue"
 	"github.com/wasabishunt/wasabishunt/clock"
+	"github.com/wasabishunt/wasabishunt/defaults"
 	"github.com/wasabishunt/wasabishunt/piece"
 )
 
@@ -46,10 +47,10 @@
 }
 
 func (s Settings) withDefaults() Settings {
-	setDefault(&s.MemoryBytes, 1<<30)
-	setDefault(&s.DiskBytes, 16<<30)
-	setDefault(&s.MaxPieceBytes, 128<<20)
-	setDefault[clock.Clock](&s.Clock, clock.System{})
+	defaults.Set(&s.MemoryBytes, 1<<30)
+	defaults.Set(&s.DiskBytes, 16<<30)
+	defaults.Set(&s.MaxPieceBytes, 128<<20)
+	defaults.Set[clock.Clock](&s.Clock, clock.System{})
 	if s.Policy == nil {
 		s.Policy = cachevalue.New(cachevalue.Defaults())
 	}
@@ -62,13 +63,6 @@
 	return s
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Store keeps pieces.
 type Store struct {
 	settings Settings
--- a/upstream/engine/http.go
+++ b/upstream/engine/http.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"github.com/wasabishunt/wasabishunt/defaults"
 	"github.com/wasabishunt/wasabishunt/failure"
 )
 
@@ -38,25 +39,18 @@
 }
 
 func (o HTTPOptions) withDefaults() HTTPOptions {
-	setDefault(&o.ConnectTimeout, time.Second)
-	setDefault(&o.HeaderTimeout, 5*time.Second)
-	setDefault(&o.CallTimeout, 5*time.Second)
-	setDefault(&o.TransferTimeout, time.Minute)
-	setDefault(&o.StreamIdleTimeout, 5*time.Second)
-	setDefault(&o.MaxEventBytes, 1<<20)
-	setDefault(&o.MaxBodyBytes, 4<<20)
-	setDefault(&o.MaxPieceBytes, 256<<20)
-	setDefault(&o.MaxConns, 512)
+	defaults.Set(&o.ConnectTimeout, time.Second)
+	defaults.Set(&o.HeaderTimeout, 5*time.Second)
+	defaults.Set(&o.CallTimeout, 5*time.Second)
+	defaults.Set(&o.TransferTimeout, time.Minute)
+	defaults.Set(&o.StreamIdleTimeout, 5*time.Second)
+	defaults.Set(&o.MaxEventBytes, 1<<20)
+	defaults.Set(&o.MaxBodyBytes, 4<<20)
+	defaults.Set(&o.MaxPieceBytes, 256<<20)
+	defaults.Set(&o.MaxConns, 512)
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // HTTP is the HTTP dialect of Client.
 type HTTP struct {
 	base    string
--- a/upstream/weightstore/client.go
+++ b/upstream/weightstore/client.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/wasabishunt/wasabishunt/defaults"
 	"github.com/wasabishunt/wasabishunt/failure"
 )
 
@@ -37,22 +38,15 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.ConnectTimeout, time.Second)
-	setDefault(&o.HeaderTimeout, 5*time.Second)
-	setDefault(&o.FetchTimeout, 10*time.Minute)
-	setDefault(&o.MaxAttempts, 20)
-	setDefault(&o.MaxRetryAfter, 10*time.Second)
-	setDefault(&o.MaxBytes, 1<<40)
+	defaults.Set(&o.ConnectTimeout, time.Second)
+	defaults.Set(&o.HeaderTimeout, 5*time.Second)
+	defaults.Set(&o.FetchTimeout, 10*time.Minute)
+	defaults.Set(&o.MaxAttempts, 20)
+	defaults.Set(&o.MaxRetryAfter, 10*time.Second)
+	defaults.Set(&o.MaxBytes, 1<<40)
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Client reads weights.
 type Client struct {
 	base    string
