tests: share one clock that is moved by hand

Cause: five test files had a clock type of their own under four names, two of them with the same lock. Conclusion: internal/clocktest; no check changes.

--- a/agent/cache_test.go
+++ b/agent/cache_test.go
@@ -6,17 +6,14 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/wasabishunt/wasabishunt/internal/clocktest"
 	"github.com/wasabishunt/wasabishunt/piece"
 )
 
-type manualClock struct{ now time.Time }
-
-func (c *manualClock) Now() time.Time { return c.now }
-
 // TestLateEvents guards against a late event that hides a newer copy of a piece or brings back an evicted one, and
 // against events that are never believed.
 func TestLateEvents(t *testing.T) {
-	clock := &manualClock{now: time.Unix(1000, 0)}
+	clock := clocktest.At(time.Unix(1000, 0))
 	c := newCacheContents(clock, 10, 2*time.Second)
 	names := []piece.Name{{1}, {2}}
 	c.Stored(names[0])
@@ -27,7 +24,7 @@
 	c.Gone(names[1].String())
 	assert.False(t, c.event(names[1].String(), true))
 	assert.Equal(t, 1, c.PrefixPieces(names))
-	clock.now = clock.now.Add(2 * time.Second)
+	clock.Advance(2 * time.Second)
 	assert.True(t, c.event(names[0].String(), false))
 	assert.Zero(t, c.PrefixPieces(names))
 	c.forgetOwn()
--- a/agent/kv/fetch_test.go
+++ b/agent/kv/fetch_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/wasabishunt/wasabishunt/internal/clocktest"
 	"github.com/wasabishunt/wasabishunt/internal/standin/engine"
 	"github.com/wasabishunt/wasabishunt/piece"
 	"github.com/wasabishunt/wasabishunt/rpc/storepb"
@@ -172,7 +173,7 @@
 // Guards against a frozen store that delays each request anew.
 func TestFrozenStoreDelaysOneRequest(t *testing.T) {
 	w := newWorld(t, Options{})
-	w.mover.deps.Clock = &stoppedClock{now: time.Now()}
+	w.mover.deps.Clock = clocktest.At(time.Now())
 	var asked atomic.Int64
 	for _, n := range w.stores {
 		n.onHas = func(ctx context.Context) error {
@@ -188,10 +189,6 @@
 	assert.False(t, w.mover.health.usable(w.stores[0].address, time.Now().Add(time.Second)), "only one")
 }
 
-type stoppedClock struct{ now time.Time }
-
-func (c *stoppedClock) Now() time.Time { return c.now }
-
 // Guards against fetches over a link that was measured as slow, and against a link that is never tried again.
 func TestSlowLinkIsAvoidedForAWhile(t *testing.T) {
 	h := newHealth()
--- a/agent/prefill_test.go
+++ b/agent/prefill_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -11,29 +10,12 @@
 
 	"github.com/wasabishunt/wasabishunt/agent"
 	"github.com/wasabishunt/wasabishunt/controlclient"
+	"github.com/wasabishunt/wasabishunt/internal/clocktest"
 	"github.com/wasabishunt/wasabishunt/objectset"
 	"github.com/wasabishunt/wasabishunt/rpc/agentpb"
 	"github.com/wasabishunt/wasabishunt/upstream/engine"
 )
 
-// manualClock shows the time that a test sets.
-type manualClock struct {
-	mu  sync.Mutex
-	now time.Time
-}
-
-func (c *manualClock) Now() time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.now
-}
-
-func (c *manualClock) pass(d time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.now = c.now.Add(d)
-}
-
 // heldRuns are engine runs that wait for the test, by request.
 type heldRuns struct {
 	t      *testing.T
@@ -69,7 +51,7 @@
 // urgent ones: the engine of this test computes 1,000 tokens/s all the time, and a prompt of 2,000 tokens is preempted
 // for 8 s by four others.
 func TestPreemptedTimeDoesNotLowerThePrefillRate(t *testing.T) {
-	clock := &manualClock{now: time.Now()}
+	clock := clocktest.At(time.Now())
 	f := start(t, agent.Options{}, agent.Dependencies{Clock: clock})
 	f.view.Change(func(v *controlclient.View) {
 		set := *v.Set
@@ -79,13 +61,13 @@
 	require.Eventually(t, func() bool { _, known := f.load().GetQueuedTokensAhead()["night"]; return known }, 5*time.Second, time.Millisecond)
 	h := &heldRuns{t: t, f: f, events: map[string]chan engine.Event{}, open: map[string]agentpb.DRPCAgent_GenerateClient{}}
 	h.start("long", "night", 2000)
-	clock.pass(time.Second)
+	clock.Advance(time.Second)
 	for _, id := range []string{"u1", "u2", "u3", "u4"} {
 		h.start(id, "urgent", 2000)
-		clock.pass(2 * time.Second)
+		clock.Advance(2 * time.Second)
 		h.answer(id)
 	}
-	clock.pass(time.Second)
+	clock.Advance(time.Second)
 	h.answer("long")
 	assert.InDelta(t, 1000, f.load().GetPrefillTokensPerSecond(), 1)
 }
@@ -93,16 +75,16 @@
 // Guards against time that an idle engine is charged with, and against prompts that were given up and go on counting. The
 // set says 1,000 tokens/s, the engine of this test computes 500.
 func TestIdleTimeDoesNotLowerThePrefillRate(t *testing.T) {
-	clock := &manualClock{now: time.Now()}
+	clock := clocktest.At(time.Now())
 	f := start(t, agent.Options{}, agent.Dependencies{Clock: clock})
 	h := &heldRuns{t: t, f: f, events: map[string]chan engine.Event{}, open: map[string]agentpb.DRPCAgent_GenerateClient{}}
 	h.start("broken", "urgent", 1000)
-	clock.pass(5 * time.Second)
+	clock.Advance(5 * time.Second)
 	close(h.events["broken"])
 	require.NotNil(t, read(h.open["broken"]).refusal)
-	clock.pass(time.Minute)
+	clock.Advance(time.Minute)
 	h.start("r", "urgent", 5000)
-	clock.pass(10 * time.Second)
+	clock.Advance(10 * time.Second)
 	h.answer("r")
 	assert.InDelta(t, 500, f.load().GetPrefillTokensPerSecond(), 1)
 }
--- a/control/memberships_test.go
+++ b/control/memberships_test.go
@@ -7,22 +7,20 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"github.com/wasabishunt/wasabishunt/internal/clocktest"
 )
 
 // paced is a server without watchers whose state and time a test changes.
 type paced struct {
 	*Server
-	clock *steppedClock
+	clock *clocktest.Manual
 	pace  membershipPace
 	index uint64
 }
 
-type steppedClock struct{ now time.Time }
-
-func (c *steppedClock) Now() time.Time { return c.now }
-
 func newPaced() *paced {
-	clock := &steppedClock{now: time.Unix(1_000_000, 0)}
+	clock := clocktest.At(time.Unix(1_000_000, 0))
 	return &paced{Server: NewServer(NewStateMachine(), &fakeMember{}, Options{Clock: clock}), clock: clock}
 }
 
@@ -45,15 +43,15 @@
 	require.True(t, p.due(), "nothing was published before")
 	p.register("b", false)
 	require.False(t, p.due())
-	p.clock.now = p.clock.now.Add(membershipInterval / 2)
+	p.clock.Advance(membershipInterval / 2)
 	p.register("c", false)
 	require.Equal(t, membershipInterval/2, p.publishDue(&p.pace))
-	p.clock.now = p.clock.now.Add(membershipInterval / 2)
+	p.clock.Advance(membershipInterval / 2)
 	require.True(t, p.due())
 	require.Len(t, p.memberships.after(1, p.machine).Processes, 2, "both changes in one update")
 	require.Nil(t, p.memberships.after(3, p.machine))
 	require.Zero(t, p.publishDue(&p.pace), "nothing waits")
-	p.clock.now = p.clock.now.Add(membershipInterval)
+	p.clock.Advance(membershipInterval)
 	p.register("d", false)
 	require.True(t, p.due(), "after a quiet time")
 }
@@ -91,7 +89,7 @@
 		p := newPaced()
 		var publishedAt, changedAt time.Time
 		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
-			p.clock.now = p.clock.now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "ms")) * time.Millisecond)
+			p.clock.Advance(time.Duration(rapid.IntRange(0, 60).Draw(t, "ms")) * time.Millisecond)
 			leaves := rapid.Bool().Draw(t, "leaves")
 			if rapid.Bool().Draw(t, "changes") {
 				p.register(fmt.Sprint(step), leaves)
@@ -99,18 +97,18 @@
 				leaves = false
 			}
 			if revision, _ := p.machine.memberRevisions(); revision > p.pace.published && changedAt.IsZero() {
-				changedAt = p.clock.now
+				changedAt = p.clock.Now()
 			}
 			published := p.due()
 			if published && !leaves {
-				require.GreaterOrEqual(t, p.clock.now.Sub(publishedAt), membershipInterval)
+				require.GreaterOrEqual(t, p.clock.Now().Sub(publishedAt), membershipInterval)
 			}
 			if published {
-				publishedAt, changedAt = p.clock.now, time.Time{}
+				publishedAt, changedAt = p.clock.Now(), time.Time{}
 			}
 			require.False(t, leaves && !published)
 			if !changedAt.IsZero() {
-				require.Less(t, p.clock.now.Sub(changedAt), membershipInterval)
+				require.Less(t, p.clock.Now().Sub(changedAt), membershipInterval)
 			}
 		}
 	})
--- a/controlclient/watcher_test.go
+++ b/controlclient/watcher_test.go
@@ -13,6 +13,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/internal/clocktest"
 	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
 )
 
@@ -73,23 +74,6 @@
 	return w
 }
 
-type fakeClock struct {
-	mu  sync.Mutex
-	now time.Time
-}
-
-func (c *fakeClock) Now() time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.now
-}
-
-func (c *fakeClock) advance(d time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.now = c.now.Add(d)
-}
-
 // Guards against a paused process that reads an old answer after it resumes and takes its set for fresh.
 func TestLateAnswerDoesNotLookFresh(t *testing.T) {
 	asked, release := make(chan struct{}), make(chan struct{})
@@ -101,13 +85,13 @@
 	}}
 	answerAll := sync.OnceFunc(func() { close(release) })
 	defer answerAll()
-	clock := &fakeClock{now: time.Unix(1000, 0)}
+	clock := clocktest.At(time.Unix(1000, 0))
 	w := runWatcher(t, WatcherOptions{
 		Addresses: []string{serveStub(t, stub)}, ProcessID: "p", Clock: clock, CallTimeout: time.Minute, PresenceInterval: time.Hour,
 	})
 	<-asked
 	require.Eventually(t, func() bool { return w.Current().Version == 3 }, 5*time.Second, time.Millisecond)
-	clock.advance(4 * time.Second)
+	clock.Advance(4 * time.Second)
 	// The answer to the first report wakes the waiters by its epoch; the second report is the one after the set.
 	changed := w.Changed()
 	release <- struct{}{}
--- /dev/null
+++ b/internal/clocktest/clocktest.go
@@ -0,0 +1,30 @@
+// Package clocktest provides a clock that tests move by hand.
+package clocktest
+
+import (
+	"sync"
+	"time"
+)
+
+// Manual is a clock.Clock that shows the time a test set. Its lock is a leaf.
+type Manual struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+// At returns a clock that shows a time.
+func At(now time.Time) *Manual { return &Manual{now: now} }
+
+// Now implements clock.Clock.
+func (m *Manual) Now() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.now
+}
+
+// Advance moves the clock forward.
+func (m *Manual) Advance(d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.now = m.now.Add(d)
+}
