--- a/raft/diskfs/diskfs.go
+++ b/raft/diskfs/diskfs.go
@@ -1,5 +1,5 @@
-// Package diskfs is the small part of a file system that the write-ahead log and the snapshots use. Tests replace it
-// to inject a full disk, a failed sync or a crash that loses unsynced data.
+// Package diskfs is the small part of a file system that the log, the snapshots and the formation record of a member use.
+// Tests replace it to inject a full disk, a failed sync or a crash that loses unsynced data.
 package diskfs
 
 import (
@@ -34,6 +34,37 @@
 	SyncDir(dir string) error
 }
 
+// asideSuffix marks a file that is still being written.
+const asideSuffix = ".aside"
+
+// IsAside reports whether a file was left by a WriteFile that did not end.
+func IsAside(name string) bool { return filepath.Ext(name) == asideSuffix }
+
+// WriteFile replaces a file durably: it is written aside, synced, renamed, and its directory synced. After a crash the name
+// holds the old or the new content, never a part.
+func WriteFile(disk FS, name string, content []byte) error {
+	aside := name + asideSuffix
+	file, err := disk.Create(aside)
+	if err != nil {
+		return err
+	}
+	if _, err := file.Write(content); err != nil {
+		_ = file.Close()
+		return err
+	}
+	if err := file.Sync(); err != nil {
+		_ = file.Close()
+		return err
+	}
+	if err := file.Close(); err != nil {
+		return err
+	}
+	if err := disk.Rename(aside, name); err != nil {
+		return err
+	}
+	return disk.SyncDir(filepath.Dir(name))
+}
+
 // OS is the file system of the machine.
 type OS struct{}
 
--- a/raft/snap/snap.go
+++ b/raft/snap/snap.go
@@ -25,7 +25,6 @@
 	lengthBytes   = 4
 	checksumBytes = 32
 	suffix        = ".snap"
-	asideSuffix   = ".aside"
 )
 
 // kept is the number of snapshots that stay on disk: the newest, and one in case the newest is damaged.
@@ -60,7 +59,7 @@
 		return nil, storageError(err, "list")
 	}
 	for _, name := range names {
-		if strings.HasSuffix(name, asideSuffix) {
+		if diskfs.IsAside(name) {
 			if err := fs.Remove(filepath.Join(dir, name)); err != nil {
 				return nil, storageError(err, "clean up")
 			}
@@ -89,7 +88,7 @@
 	if err != nil {
 		return err
 	}
-	if err := s.write(s.path(snapshot.Meta.GetIndex()), content); err != nil {
+	if err := diskfs.WriteFile(s.fs, s.path(snapshot.Meta.GetIndex()), content); err != nil {
 		return storageError(err, "write")
 	}
 	return s.removeOld()
@@ -99,29 +98,6 @@
 	return filepath.Join(s.dir, fmt.Sprintf("%020d%s", index, suffix))
 }
 
-func (s *Store) write(name string, content []byte) error {
-	aside := name + asideSuffix
-	file, err := s.fs.Create(aside)
-	if err != nil {
-		return err
-	}
-	if _, err := file.Write(content); err != nil {
-		_ = file.Close()
-		return err
-	}
-	if err := file.Sync(); err != nil {
-		_ = file.Close()
-		return err
-	}
-	if err := file.Close(); err != nil {
-		return err
-	}
-	if err := s.fs.Rename(aside, name); err != nil {
-		return err
-	}
-	return s.fs.SyncDir(s.dir)
-}
-
 func (s *Store) removeOld() error {
 	indexes, err := s.indexes()
 	if err != nil {
--- a/replica/formation.go
+++ b/replica/formation.go
@@ -32,7 +32,6 @@
 
 const (
 	formationName       = "formation"
-	formationAside      = formationName + ".aside"
 	formationSumBytes   = 32
 	incarnationBytes    = 16
 	inquireTimeout      = time.Second
@@ -103,36 +102,13 @@
 		return failure.Wrap(err, failure.Internal, failure.NotRun, "encode the formation record")
 	}
 	sum := blake3.Sum256(content)
-	if err := f.write(append(content, sum[:]...)); err != nil {
+	if err := diskfs.WriteFile(f.fs, filepath.Join(f.dir, formationName), append(content, sum[:]...)); err != nil {
 		return failure.Wrap(err, failure.StorageFailed, failure.NotRun, "write the formation record")
 	}
 	f.record = record
 	return nil
 }
 
-func (f *formation) write(content []byte) error {
-	aside := filepath.Join(f.dir, formationAside)
-	file, err := f.fs.Create(aside)
-	if err != nil {
-		return err
-	}
-	if _, err := file.Write(content); err != nil {
-		_ = file.Close()
-		return err
-	}
-	if err := file.Sync(); err != nil {
-		_ = file.Close()
-		return err
-	}
-	if err := file.Close(); err != nil {
-		return err
-	}
-	if err := f.fs.Rename(aside, filepath.Join(f.dir, formationName)); err != nil {
-		return err
-	}
-	return f.fs.SyncDir(f.dir)
-}
-
 // answer tells another member what this one knows. joined is set if the member has got state from a leader.
 func (f *formation) answer(q *raftpb.InquireRequest, joined bool) *raftpb.InquireResponse {
 	f.mu.Lock()
