fleet: one exchange over HTTP for readiness, metrics and stand-ins

Cause: four places in the fleet, the script commands and a measurement built the same request and read the same answer, two of them parsed metrics. Conclusion: Readyz and Metrics beside CallStandin; entries are counted from 1 where scripts name them. Four scripts and TestStoreLoss pass.

--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -93,23 +94,67 @@
 			return err
 		}
 	}
-	request, err := http.NewRequestWithContext(ctx, method, base+path, &content)
+	status, text, err := exchange(ctx, method, base+path, &content)
 	if err != nil {
 		return err
 	}
+	if status != http.StatusOK {
+		return &StatusError{base + path, status, text}
+	}
+	if answer == nil {
+		return nil
+	}
+	return json.Unmarshal([]byte(text), answer)
+}
+
+// exchange sends one request and returns the status and the body of its answer.
+func exchange(ctx context.Context, method, url string, body io.Reader) (status int, text string, err error) {
+	request, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return 0, "", err
+	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return err
+		return 0, "", err
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		text, _ := io.ReadAll(io.LimitReader(response.Body, 1<<10))
-		return &StatusError{base + path, response.StatusCode, string(text)}
+	content, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(content), err
+}
+
+// statusTimeout limits a question to a status address.
+const statusTimeout = time.Second
+
+// Readyz returns the HTTP status and the body with which a process answers /readyz at a base URL.
+func Readyz(ctx context.Context, base string) (status int, text string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	return exchange(ctx, http.MethodGet, base+"/readyz", http.NoBody)
+}
+
+// Metrics returns the metrics of a process by their names with labels.
+func (f *Fleet) Metrics(ctx context.Context, name string) (map[string]float64, error) {
+	base, err := f.StatusURL(name)
+	if err != nil {
+		return nil, err
 	}
-	if answer == nil {
-		return nil
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	status, text, err := exchange(ctx, http.MethodGet, base+"/metrics", http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	if status != http.StatusOK {
+		return nil, &StatusError{base + "/metrics", status, text}
+	}
+	metrics := map[string]float64{}
+	for line := range strings.Lines(text) {
+		metric, value, _ := strings.Cut(strings.TrimSpace(line), " ")
+		if number, err := strconv.ParseFloat(value, 64); err == nil {
+			metrics[metric] = number
+		}
 	}
-	return json.NewDecoder(response.Body).Decode(answer)
+	return metrics, nil
 }
 
 // pollInterval is the time between checks of a condition in another process.
@@ -140,21 +185,11 @@
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	return Poll(ctx, func() error {
-		url := f.EntryURL(entry) + "/readyz"
-		request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-		if err != nil {
-			return err
-		}
-		response, err := http.DefaultClient.Do(request)
-		if err != nil {
-			return err
+		status, text, err := Readyz(ctx, f.EntryURL(entry))
+		if err == nil && status != http.StatusOK {
+			err = &StatusError{f.EntryURL(entry) + "/readyz", status, text}
 		}
-		defer func() { _ = response.Body.Close() }()
-		if response.StatusCode != http.StatusOK {
-			text, _ := io.ReadAll(io.LimitReader(response.Body, 1<<10))
-			return &StatusError{url, response.StatusCode, string(text)}
-		}
-		return nil
+		return err
 	})
 }
 
--- a/internal/scenario/processes.go
+++ b/internal/scenario/processes.go
@@ -61,7 +61,7 @@
 	fail(ts, false, s.poll(func() error { return s.allLive(f.Watchers()) }), "fleet")
 	// Entries learn of registrations up to 100 ms later than control.
 	for i := range shape.Entries {
-		fail(ts, false, s.poll(func() error { return s.seesLive(i, len(f.Watchers())) }), "fleet")
+		fail(ts, false, s.poll(func() error { return s.seesLive(i+1, len(f.Watchers())) }), "fleet")
 	}
 }
 
--- a/scenarios/storeloss_test.go
+++ b/scenarios/storeloss_test.go
@@ -1,15 +1,12 @@
 package scenarios
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
-	"net/http"
 	"os"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -167,19 +164,15 @@
 func (m *lossRun) counters() map[string]int64 {
 	all := map[string]int64{}
 	for _, name := range []string{"agent-1", "agent-2", "store-1", "store-2"} {
-		url, err := m.fleet.StatusURL(name)
-		require.NoError(m.t, err)
-		response, err := http.Get(url + "/metrics")
+		metrics, err := m.fleet.Metrics(m.t.Context(), name)
 		if err != nil {
 			continue
 		}
-		for lines := bufio.NewScanner(response.Body); lines.Scan(); {
-			metric, value, _ := strings.Cut(lines.Text(), " ")
-			if number, err := strconv.ParseFloat(value, 64); err == nil && (strings.Contains(metric, "_pieces_") || strings.Contains(metric, "_store_")) {
-				all[name+" "+metric] = int64(number)
+		for metric, value := range metrics {
+			if strings.Contains(metric, "_pieces_") || strings.Contains(metric, "_store_") {
+				all[name+" "+metric] = int64(value)
 			}
 		}
-		_ = response.Body.Close()
 	}
 	return all
 }
