--- a/admission/estimate.go
+++ b/admission/estimate.go
@@ -16,24 +16,11 @@
 	}
 	first := max(slotWait(state), request.Fetch, request.VersionWait)
 	own := float64(request.PromptTokens)
-	byOrder := max(first, seconds(state.Ahead.Tokens/state.PrefillRate)) + seconds(own/state.PrefillRate) + contention(own, state)
+	byOrder := max(first, seconds(state.Ahead.Tokens/state.PrefillRate)) + seconds(own/state.PrefillRate) +
+		seconds(state.Ahead.Contention(state.Ahead.FloorTokens+own, state.PrefillRate)/state.PrefillRate)
 	return min(maxEstimate, byOrder, byFloor(first, own, state))
 }
 
-// maxContention bounds the time added for urgent work that has not arrived yet, because a flood does not last for ever.
-const maxContention = 2 * time.Second
-
-// contention is the time that more urgent work will take from the request and its own rank if it keeps arriving as in
-// the last seconds.
-func contention(own float64, state State) time.Duration {
-	share := state.Ahead.Share
-	if share <= 0 || share >= 1 {
-		return 0
-	}
-	alone := (state.Ahead.FloorTokens + own) / state.PrefillRate
-	return min(maxContention, seconds(alone*(1/share-1)))
-}
-
 // byFloor is the estimate if more urgent ranks leave the request's rank only its floor.
 func byFloor(first time.Duration, own float64, state State) time.Duration {
 	rate := state.PrefillRate * state.Ahead.FloorShare
--- a/sched/snapshot.go
+++ b/sched/snapshot.go
@@ -53,6 +53,18 @@
 	Running int
 }
 
+// maxContention bounds the time added for urgent work that has not arrived yet, because a flood does not last for ever.
+const maxContention = 2 * time.Second
+
+// Contention is the work that more urgent ranks will put before the given tokens if it keeps arriving as in the last
+// seconds, in tokens of prompt, at a prefill rate in tokens per second.
+func (a Ahead) Contention(tokens, prefillRate float64) float64 {
+	if a.Share <= 0 || a.Share >= 1 {
+		return 0
+	}
+	return min(maxContention.Seconds()*prefillRate, tokens*(1/a.Share-1))
+}
+
 // AheadOf estimates the work that is served before a new request of the account: all more urgent work, the part of its
 // own rank that fair sharing puts first, and the floors of less urgent ranks.
 func (q *Queue) AheadOf(rankName, accountName string, tokens int64) Ahead {
@@ -115,9 +127,6 @@
 // requests of that caller to the same upstream; counted whole, it drives small callers from their cached prefixes.
 const ownQueuePart = 0.5
 
-// maxContention bounds the time that AheadByRank adds for more urgent work that has not arrived yet.
-const maxContention = 2 * time.Second
-
 // AheadByRank returns, for each rank, the queued tokens that are served before a new request of the rank. Agents report
 // it, so that routing does not take less urgent work for a wait.
 func (q *Queue) AheadByRank() map[string]int64 {
@@ -132,9 +141,7 @@
 	one := q.AheadOf(rank.Name, "", q.settings.ChunkTokens)
 	own := one.FloorTokens + ownQueuePart*(float64(rank.queuedTokens)-one.FloorTokens)
 	tokens := one.Tokens - one.FloorTokens + own
-	if one.Share > 0 && one.Share < 1 {
-		tokens += min(maxContention.Seconds()*q.prefillRate, (own+float64(q.settings.ChunkTokens))*(1/one.Share-1))
-	}
+	tokens += one.Contention(own+float64(q.settings.ChunkTokens), q.prefillRate)
 	if one.FloorShare > 0 {
 		tokens = min(tokens, own/one.FloorShare)
 	}
