ratemeter: measure rates over busy time in one place

Cause: sched and linksched had the same exponential average, one exported and one not. Conclusion: package ratemeter, with the weights of the configured rates as named durations beside their use.

--- a/agent/load.go
+++ b/agent/load.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wasabishunt/wasabishunt/objectset"
+	"github.com/wasabishunt/wasabishunt/ratemeter"
 	"github.com/wasabishunt/wasabishunt/rpc/agentpb"
 	"github.com/wasabishunt/wasabishunt/sched"
 )
@@ -15,8 +16,8 @@
 // rates holds the measured speeds of the engine.
 type rates struct {
 	mu      sync.Mutex
-	prefill *sched.Meter
-	decode  *sched.Meter
+	prefill *ratemeter.Meter
+	decode  *ratemeter.Meter
 	run     time.Duration
 }
 
--- a/bench/agent.go
+++ b/bench/agent.go
@@ -9,6 +9,7 @@
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/fetchplan"
 	"github.com/wasabishunt/wasabishunt/piece"
+	"github.com/wasabishunt/wasabishunt/ratemeter"
 	"github.com/wasabishunt/wasabishunt/routing"
 	"github.com/wasabishunt/wasabishunt/sched"
 )
@@ -20,7 +21,7 @@
 	model    string
 	hardware hardware
 	queue    *sched.Queue
-	meter    *sched.Meter
+	meter    *ratemeter.Meter
 	cost     *sched.StepCost
 	cache    *cachevalue.Tier
 	returns  *cachevalue.Returns
--- a/linksched/linksched.go
+++ b/linksched/linksched.go
@@ -6,6 +6,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/wasabishunt/wasabishunt/ratemeter"
 )
 
 // Transfer is one piece to move.
@@ -56,7 +58,7 @@
 	chunk    int64
 	// bulkCredit is the service owed to bulk transfers in bytes.
 	bulkCredit float64
-	measured   meter
+	measured   *ratemeter.Meter
 	queued     int64
 }
 
@@ -65,12 +67,12 @@
 	remaining int64
 }
 
-// initialWeight is how many busy seconds the configured bandwidth counts against measurements.
-const initialWeight = 0.01
+// configuredCounts is the busy time that the configured bandwidth counts for against measurements.
+const configuredCounts = 10 * time.Millisecond
 
 // New returns an idle link.
 func New(settings Settings) *Link {
-	return &Link{settings: settings, measured: meter{rate: settings.BytesPerSecond, weight: initialWeight, window: settings.Window}}
+	return &Link{settings: settings, measured: ratemeter.New(settings.BytesPerSecond, configuredCounts, settings.Window)}
 }
 
 // Push queues a transfer. It reports false if the queue is full. In a full queue the last bulk transfer gives way to
@@ -138,7 +140,7 @@
 		return
 	}
 	l.current = nil
-	l.measured.observe(l.chunk, elapsed)
+	l.measured.Observe(l.chunk, elapsed)
 	l.charge(t, l.chunk)
 	t.remaining -= l.chunk
 	if t.remaining <= 0 {
@@ -197,11 +199,11 @@
 
 // Time is how long the link needs for the bytes at its measured bandwidth.
 func (l *Link) Time(bytes int64) time.Duration {
-	return time.Duration(float64(bytes) / max(1, l.measured.rate) * float64(time.Second))
+	return time.Duration(float64(bytes) / max(1, l.measured.Rate()) * float64(time.Second))
 }
 
 // BytesPerSecond is the measured bandwidth.
-func (l *Link) BytesPerSecond() float64 { return l.measured.rate }
+func (l *Link) BytesPerSecond() float64 { return l.measured.Rate() }
 
 // Queued is the number of bytes not yet transferred.
 func (l *Link) Queued() int64 { return l.queued }
