settings: declare shared settings once and take the prefix of variables from the program

The earlier obstacle was that one struct would rename the variables. Conclusion: settings.Process and settings.Registered are embedded, and the parser puts the program's name before each variable. A test guards the prefix.

--- a/cli/arguments.go
+++ b/cli/arguments.go
@@ -81,12 +81,12 @@
 	Control []string `arg:"--control,separate" help:"IP address and port of a control member, repeated for each; default those of WASABISHUNT_CONTROL (IP:port, several)"`
 	// ControlEnv is used if no flag is given. It is a field of its own because the parser adds repeated flags to the
 	// members of the environment, and a call meant for one group would then also reach another.
-	ControlEnv []string      `arg:"--,env:WASABISHUNT_CONTROL" help:"IP addresses and ports of control members, separated by commas (IP:port, several)"`
-	Operator   string        `arg:"--operator,env:WASABISHUNT_OPERATOR" help:"name of the operator (name)"`
-	TokenFile  string        `arg:"--token-file,env:WASABISHUNT_TOKEN_FILE" help:"file with the operator's token (file)"`
-	Token      string        `arg:"--,env:WASABISHUNT_TOKEN" help:"the operator's token, if there is no file (text)"`
-	Timeout    time.Duration `arg:"--timeout,env:WASABISHUNT_TIMEOUT" default:"10s" help:"limit of one call over all attempts (duration)"`
-	Output     string        `arg:"-o,--output,env:WASABISHUNT_OUTPUT" default:"table" help:"form of the output: table or json (word)"`
+	ControlEnv []string      `arg:"--,env:CONTROL" help:"IP addresses and ports of control members, separated by commas (IP:port, several)"`
+	Operator   string        `arg:"--operator,env:OPERATOR" help:"name of the operator (name)"`
+	TokenFile  string        `arg:"--token-file,env:TOKEN_FILE" help:"file with the operator's token (file)"`
+	Token      string        `arg:"--,env:TOKEN" help:"the operator's token, if there is no file (text)"`
+	Timeout    time.Duration `arg:"--timeout,env:TIMEOUT" default:"10s" help:"limit of one call over all attempts (duration)"`
+	Output     string        `arg:"-o,--output,env:OUTPUT" default:"table" help:"form of the output: table or json (word)"`
 }
 
 // Description is the first part of the help text.
--- a/cmd/wasabishunt-agent/settings.go
+++ b/cmd/wasabishunt-agent/settings.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"go.uber.org/zap/zapcore"
-
 	"github.com/wasabishunt/wasabishunt/agent"
 	"github.com/wasabishunt/wasabishunt/agent/kv"
 	"github.com/wasabishunt/wasabishunt/failure"
@@ -14,33 +12,28 @@
 
 // arguments are the flags and environment variables of the agent.
 type arguments struct {
-	ProcessID      string        `arg:"--process-id,env:WASABISHUNT_AGENT_PROCESS_ID" help:"unique id of this process (name)"`
-	Listen         string        `arg:"--listen,env:WASABISHUNT_AGENT_LISTEN" help:"IP address and port for entries (IP:port)"`
-	Advertise      string        `arg:"--advertise,env:WASABISHUNT_AGENT_ADVERTISE" help:"IP address and port reported to control; default is that of --listen (IP:port)"`
-	Status         string        `arg:"--status,env:WASABISHUNT_AGENT_STATUS" help:"IP address and port of /healthz, /readyz and /metrics (IP:port)"`
-	SourceIP       string        `arg:"--source-ip,env:WASABISHUNT_AGENT_SOURCE_IP" help:"source IP address of connections to other processes; default is chosen by the kernel (IP)"`
-	Control        []string      `arg:"--control,env:WASABISHUNT_AGENT_CONTROL" help:"IP addresses and ports of control members (IP:port, several)"`
-	Zone           string        `arg:"--zone,env:WASABISHUNT_AGENT_ZONE" help:"availability zone (name)"`
-	Upstream       string        `arg:"--upstream,env:WASABISHUNT_AGENT_UPSTREAM" help:"name of the upstream beside this agent (name)"`
-	Engine         string        `arg:"--engine,env:WASABISHUNT_AGENT_ENGINE" help:"IP address and port of the engine (IP:port)"`
-	Service        string        `arg:"--service,env:WASABISHUNT_AGENT_SERVICE" help:"name of the plain service beside this agent (name)"`
-	ServiceAddress string        `arg:"--service-address,env:WASABISHUNT_AGENT_SERVICE_ADDRESS" help:"IP address and port of the plain service (IP:port)"`
-	StaleSetLimit  time.Duration `arg:"--stale-set-limit,env:WASABISHUNT_AGENT_STALE_SET_LIMIT" default:"4s" help:"no new work after so long without confirmation of the set (duration)"`
-	DrainNotice    time.Duration `arg:"--drain-notice,env:WASABISHUNT_AGENT_DRAIN_NOTICE" default:"2s" help:"new calls are refused for so long before the listener closes (duration)"`
-	DrainLimit     time.Duration `arg:"--drain-limit,env:WASABISHUNT_AGENT_DRAIN_LIMIT" default:"10m" help:"time for running calls when the agent stops (duration)"`
-	Workers        int           `arg:"--workers,env:WASABISHUNT_AGENT_WORKERS" default:"32" help:"runs given to the engine at once (count)"`
-	MaxQueued      int           `arg:"--max-queued,env:WASABISHUNT_AGENT_MAX_QUEUED" default:"1024" help:"limit of queued requests (count)"`
-	SetGrace       time.Duration `arg:"--set-grace,env:WASABISHUNT_AGENT_SET_GRACE" default:"1s" help:"work sent under an older set version is taken for so long (duration)"`
-	WriteTimeout   time.Duration `arg:"--write-timeout,env:WASABISHUNT_AGENT_WRITE_TIMEOUT" default:"10s" help:"time for one write to an entry (duration)"`
-	ServiceTimeout time.Duration `arg:"--service-timeout,env:WASABISHUNT_AGENT_SERVICE_TIMEOUT" default:"30s" help:"time for one call of the plain service (duration)"`
-	AskTimeout     time.Duration `arg:"--store-ask-timeout,env:WASABISHUNT_AGENT_STORE_ASK_TIMEOUT" default:"100ms" help:"time for a store to tell which pieces it holds (duration)"`
-	FetchSlack     time.Duration `arg:"--fetch-slack,env:WASABISHUNT_AGENT_FETCH_SLACK" default:"100ms" help:"time that a fetch may take beyond the recomputation that it replaces (duration)"`
-	MaxFetchBytes  int64         `arg:"--max-fetch-bytes,env:WASABISHUNT_AGENT_MAX_FETCH_BYTES" default:"268435456" help:"limit of piece bodies in fetches at once (bytes)"`
-	ExportQueue    int           `arg:"--export-queue,env:WASABISHUNT_AGENT_EXPORT_QUEUE" default:"4096" help:"limit of pieces that wait for their export (count)"`
-	Exporters      int           `arg:"--exporters,env:WASABISHUNT_AGENT_EXPORTERS" default:"2" help:"pieces exported at once (count)"`
-	StoreLoss      float64       `arg:"--store-loss-probability,env:WASABISHUNT_AGENT_STORE_LOSS_PROBABILITY" default:"0.0001" help:"probability that a store is lost within 10 min; decides which pieces get a second copy (share, 0 to 1)"`
-	PieceKeyFile   string        `arg:"--piece-key-file,env:WASABISHUNT_AGENT_PIECE_KEY_FILE" help:"file with the 32 bytes of the piece-name key; needed beside an engine (file)"`
-	LogLevel       zapcore.Level `arg:"--log-level,env:WASABISHUNT_AGENT_LOG_LEVEL" default:"info" help:"debug, info, warn or error (level)"`
+	settings.Registered
+
+	Listen         string        `arg:"--listen,env:LISTEN" help:"IP address and port for entries (IP:port)"`
+	Upstream       string        `arg:"--upstream,env:UPSTREAM" help:"name of the upstream beside this agent (name)"`
+	Engine         string        `arg:"--engine,env:ENGINE" help:"IP address and port of the engine (IP:port)"`
+	Service        string        `arg:"--service,env:SERVICE" help:"name of the plain service beside this agent (name)"`
+	ServiceAddress string        `arg:"--service-address,env:SERVICE_ADDRESS" help:"IP address and port of the plain service (IP:port)"`
+	StaleSetLimit  time.Duration `arg:"--stale-set-limit,env:STALE_SET_LIMIT" default:"4s" help:"no new work after so long without confirmation of the set (duration)"`
+	DrainNotice    time.Duration `arg:"--drain-notice,env:DRAIN_NOTICE" default:"2s" help:"new calls are refused for so long before the listener closes (duration)"`
+	DrainLimit     time.Duration `arg:"--drain-limit,env:DRAIN_LIMIT" default:"10m" help:"time for running calls when the agent stops (duration)"`
+	Workers        int           `arg:"--workers,env:WORKERS" default:"32" help:"runs given to the engine at once (count)"`
+	MaxQueued      int           `arg:"--max-queued,env:MAX_QUEUED" default:"1024" help:"limit of queued requests (count)"`
+	SetGrace       time.Duration `arg:"--set-grace,env:SET_GRACE" default:"1s" help:"work sent under an older set version is taken for so long (duration)"`
+	WriteTimeout   time.Duration `arg:"--write-timeout,env:WRITE_TIMEOUT" default:"10s" help:"time for one write to an entry (duration)"`
+	ServiceTimeout time.Duration `arg:"--service-timeout,env:SERVICE_TIMEOUT" default:"30s" help:"time for one call of the plain service (duration)"`
+	AskTimeout     time.Duration `arg:"--store-ask-timeout,env:STORE_ASK_TIMEOUT" default:"100ms" help:"time for a store to tell which pieces it holds (duration)"`
+	FetchSlack     time.Duration `arg:"--fetch-slack,env:FETCH_SLACK" default:"100ms" help:"time that a fetch may take beyond the recomputation that it replaces (duration)"`
+	MaxFetchBytes  int64         `arg:"--max-fetch-bytes,env:MAX_FETCH_BYTES" default:"268435456" help:"limit of piece bodies in fetches at once (bytes)"`
+	ExportQueue    int           `arg:"--export-queue,env:EXPORT_QUEUE" default:"4096" help:"limit of pieces that wait for their export (count)"`
+	Exporters      int           `arg:"--exporters,env:EXPORTERS" default:"2" help:"pieces exported at once (count)"`
+	StoreLoss      float64       `arg:"--store-loss-probability,env:STORE_LOSS_PROBABILITY" default:"0.0001" help:"probability that a store is lost within 10 min; decides which pieces get a second copy (share, 0 to 1)"`
+	PieceKeyFile   string        `arg:"--piece-key-file,env:PIECE_KEY_FILE" help:"file with the 32 bytes of the piece-name key; needed beside an engine (file)"`
 
 	pieceKey piece.Key
 }
@@ -48,12 +41,7 @@
 // Validate lists all faults of the settings.
 func (a *arguments) Validate() []failure.Problem {
 	var c settings.Checker
-	c.Required("--process-id", a.ProcessID, "agent-1")
-	c.ListenAdvertise(a.Listen, &a.Advertise)
-	c.Address("--status", a.Status)
-	c.OptionalIP("--source-ip", a.SourceIP)
-	c.Addresses("--control", a.Control)
-	c.Required("--zone", a.Zone, "zone-a")
+	a.Registered.Check(&c, a.Listen, "agent-1")
 	a.validateUpstream(&c)
 	settings.Positive(&c, "--workers", a.Workers)
 	settings.Positive(&c, "--max-queued", a.MaxQueued)
--- a/cmd/wasabishunt-control/settings.go
+++ b/cmd/wasabishunt-control/settings.go
@@ -7,8 +7,6 @@
 	"strings"
 	"time"
 
-	"go.uber.org/zap/zapcore"
-
 	"github.com/wasabishunt/wasabishunt/control"
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
@@ -17,26 +15,23 @@
 
 // arguments are the flags and environment variables of a control member.
 type arguments struct {
-	MemberID         uint64        `arg:"--member-id,env:WASABISHUNT_CONTROL_MEMBER_ID" help:"id of this member, never reused (number)"`
-	Group            string        `arg:"--group,env:WASABISHUNT_CONTROL_GROUP" help:"identity of the replicated group (name)"`
-	Listen           string        `arg:"--listen,env:WASABISHUNT_CONTROL_LISTEN" help:"IP address and port for processes and members (IP:port)"`
-	Advertise        string        `arg:"--advertise,env:WASABISHUNT_CONTROL_ADVERTISE" help:"IP address and port under which others reach this member; default is that of --listen (IP:port)"`
-	SourceIP         string        `arg:"--source-ip,env:WASABISHUNT_CONTROL_SOURCE_IP" help:"source IP address of connections to other members; default is chosen by the kernel (IP)"`
-	Status           string        `arg:"--status,env:WASABISHUNT_CONTROL_STATUS" help:"IP address and port of /healthz, /readyz and /metrics (IP:port)"`
-	DataDir          string        `arg:"--data-dir,env:WASABISHUNT_CONTROL_DATA_DIR" help:"data directory, on the state disk (directory)"`
-	Bootstrap        []string      `arg:"--bootstrap,separate,env:WASABISHUNT_CONTROL_BOOTSTRAP" help:"first members as ID=ADDRESS or ID=ADDRESS=ZONE, the same on each (ID=IP:port=ZONE, several)"`
-	Join             bool          `arg:"--join,env:WASABISHUNT_CONTROL_JOIN" help:"wait to be added to a running group (switch)"`
-	Zone             string        `arg:"--zone,env:WASABISHUNT_CONTROL_ZONE" help:"availability zone (name)"`
-	OperatorsFile    string        `arg:"--operators-file,env:WASABISHUNT_CONTROL_OPERATORS_FILE" help:"file with lines of operator name and SHA-256 of the token; changes are taken without a restart (file)"`
-	VMListURL        string        `arg:"--vm-list-url,env:WASABISHUNT_CONTROL_VM_LIST_URL" help:"URL of the platform's VM list; default none (URL)"`
-	VMListInterval   time.Duration `arg:"--vm-list-interval,env:WASABISHUNT_CONTROL_VM_LIST_INTERVAL" default:"1s" help:"time between reads of the VM list (duration)"`
-	BookingRetention time.Duration `arg:"--booking-retention,env:WASABISHUNT_CONTROL_BOOKING_RETENTION" default:"24h" help:"how long bookings are kept after their issue (duration)"`
-	DeadAfter        time.Duration `arg:"--dead-after,env:WASABISHUNT_CONTROL_DEAD_AFTER" default:"3s" help:"silence after which a process is dead (duration)"`
-	MaxWatchers      int           `arg:"--max-watchers,env:WASABISHUNT_CONTROL_MAX_WATCHERS" default:"4096" help:"limit of watch streams (count)"`
-	MaxPending       int           `arg:"--max-pending,env:WASABISHUNT_CONTROL_MAX_PENDING" default:"4096" help:"limit of calls that wait for the log (count)"`
-	SnapshotEvery    uint64        `arg:"--snapshot-every,env:WASABISHUNT_CONTROL_SNAPSHOT_EVERY" default:"10000" help:"log entries between snapshots (count)"`
-	CallTimeout      time.Duration `arg:"--call-timeout,env:WASABISHUNT_CONTROL_CALL_TIMEOUT" default:"2s" help:"limit of a proposal, a read barrier and a call to the leader (duration)"`
-	LogLevel         zapcore.Level `arg:"--log-level,env:WASABISHUNT_CONTROL_LOG_LEVEL" default:"info" help:"debug, info, warn or error (level)"`
+	settings.Process
+
+	MemberID         uint64        `arg:"--member-id,env:MEMBER_ID" help:"id of this member, never reused (number)"`
+	Group            string        `arg:"--group,env:GROUP" help:"identity of the replicated group (name)"`
+	Listen           string        `arg:"--listen,env:LISTEN" help:"IP address and port for processes and members (IP:port)"`
+	DataDir          string        `arg:"--data-dir,env:DATA_DIR" help:"data directory, on the state disk (directory)"`
+	Bootstrap        []string      `arg:"--bootstrap,separate,env:BOOTSTRAP" help:"first members as ID=ADDRESS or ID=ADDRESS=ZONE, the same on each (ID=IP:port=ZONE, several)"`
+	Join             bool          `arg:"--join,env:JOIN" help:"wait to be added to a running group (switch)"`
+	OperatorsFile    string        `arg:"--operators-file,env:OPERATORS_FILE" help:"file with lines of operator name and SHA-256 of the token; changes are taken without a restart (file)"`
+	VMListURL        string        `arg:"--vm-list-url,env:VM_LIST_URL" help:"URL of the platform's VM list; default none (URL)"`
+	VMListInterval   time.Duration `arg:"--vm-list-interval,env:VM_LIST_INTERVAL" default:"1s" help:"time between reads of the VM list (duration)"`
+	BookingRetention time.Duration `arg:"--booking-retention,env:BOOKING_RETENTION" default:"24h" help:"how long bookings are kept after their issue (duration)"`
+	DeadAfter        time.Duration `arg:"--dead-after,env:DEAD_AFTER" default:"3s" help:"silence after which a process is dead (duration)"`
+	MaxWatchers      int           `arg:"--max-watchers,env:MAX_WATCHERS" default:"4096" help:"limit of watch streams (count)"`
+	MaxPending       int           `arg:"--max-pending,env:MAX_PENDING" default:"4096" help:"limit of calls that wait for the log (count)"`
+	SnapshotEvery    uint64        `arg:"--snapshot-every,env:SNAPSHOT_EVERY" default:"10000" help:"log entries between snapshots (count)"`
+	CallTimeout      time.Duration `arg:"--call-timeout,env:CALL_TIMEOUT" default:"2s" help:"limit of a proposal, a read barrier and a call to the leader (duration)"`
 
 	members   []*raftpb.Member
 	operators *control.Operators
@@ -50,10 +45,7 @@
 	}
 	c.Required("--group", a.Group, "qasr")
 	c.Required("--data-dir", a.DataDir, "/var/lib/wasabishunt")
-	c.Required("--zone", a.Zone, "zone-a")
-	c.ListenAdvertise(a.Listen, &a.Advertise)
-	c.Address("--status", a.Status)
-	c.OptionalIP("--source-ip", a.SourceIP)
+	a.Process.Check(c, a.Listen)
 	a.checkBootstrap(c)
 	a.checkOperators(c)
 	a.checkLimits(c)
--- a/cmd/wasabishunt-entry/settings.go
+++ b/cmd/wasabishunt-entry/settings.go
@@ -5,8 +5,6 @@
 	"os"
 	"time"
 
-	"go.uber.org/zap/zapcore"
-
 	"github.com/wasabishunt/wasabishunt/entry"
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/operators"
@@ -16,31 +14,26 @@
 
 // arguments are the flags and environment variables of the entry.
 type arguments struct {
-	ProcessID           string        `arg:"--process-id,env:WASABISHUNT_ENTRY_PROCESS_ID" help:"unique id of this process (name)"`
-	Listen              string        `arg:"--listen,env:WASABISHUNT_ENTRY_LISTEN" help:"IP address and port for callers (IP:port)"`
-	Advertise           string        `arg:"--advertise,env:WASABISHUNT_ENTRY_ADVERTISE" help:"IP address and port reported to control; default is that of --listen (IP:port)"`
-	Status              string        `arg:"--status,env:WASABISHUNT_ENTRY_STATUS" help:"IP address and port of /healthz, /readyz and /metrics (IP:port)"`
-	SourceIP            string        `arg:"--source-ip,env:WASABISHUNT_ENTRY_SOURCE_IP" help:"source IP address of connections to other processes; default is chosen by the kernel (IP)"`
-	Control             []string      `arg:"--control,env:WASABISHUNT_ENTRY_CONTROL" help:"IP addresses and ports of control members (IP:port, several)"`
-	Zone                string        `arg:"--zone,env:WASABISHUNT_ENTRY_ZONE" help:"availability zone (name)"`
-	PieceKeyFile        string        `arg:"--piece-key-file,env:WASABISHUNT_ENTRY_PIECE_KEY_FILE" help:"file with the 32 bytes of the piece-name key (file)"`
-	OperatorTokenSHA256 string        `arg:"--operator-token-sha256,env:WASABISHUNT_ENTRY_OPERATOR_TOKEN_SHA256" help:"hex SHA-256 of the token for /debug/requests; default nobody may (64 hex digits)"`
-	OperatorsFile       string        `arg:"--operators-file,env:WASABISHUNT_ENTRY_OPERATORS_FILE" help:"file with lines of operator name and SHA-256 of the token, who may use /debug/requests as well; changes are taken without a restart; default nobody else (file)"`
-	StaleSetLimit       time.Duration `arg:"--stale-set-limit,env:WASABISHUNT_ENTRY_STALE_SET_LIMIT" default:"4s" help:"no new work after so long without confirmation of the set (duration)"`
-	DrainNotice         time.Duration `arg:"--drain-notice,env:WASABISHUNT_ENTRY_DRAIN_NOTICE" default:"5s" help:"time with readyz false before the listener closes (duration)"`
-	DrainLimit          time.Duration `arg:"--drain-limit,env:WASABISHUNT_ENTRY_DRAIN_LIMIT" default:"10m" help:"time for running requests after that (duration)"`
-	MaxBodyBytes        int64         `arg:"--max-body-bytes,env:WASABISHUNT_ENTRY_MAX_BODY_BYTES" default:"8388608" help:"limit of a request body (bytes)"`
-	MaxBufferedBytes    int64         `arg:"--max-buffered-bytes,env:WASABISHUNT_ENTRY_MAX_BUFFERED_BYTES" default:"1073741824" help:"limit of all request bodies in flight (bytes)"`
-	MaxConcurrent       int           `arg:"--max-concurrent,env:WASABISHUNT_ENTRY_MAX_CONCURRENT" default:"2048" help:"limit of requests in flight (count)"`
-	MaxConnections      int           `arg:"--max-connections,env:WASABISHUNT_ENTRY_MAX_CONNECTIONS" default:"8192" help:"limit of open connections of callers (count)"`
-	HeaderTimeout       time.Duration `arg:"--header-timeout,env:WASABISHUNT_ENTRY_HEADER_TIMEOUT" default:"5s" help:"time for a request's head to arrive (duration)"`
-	BodyTimeout         time.Duration `arg:"--body-timeout,env:WASABISHUNT_ENTRY_BODY_TIMEOUT" default:"10s" help:"time for a request's body to arrive (duration)"`
-	WriteTimeout        time.Duration `arg:"--write-timeout,env:WASABISHUNT_ENTRY_WRITE_TIMEOUT" default:"10s" help:"time for one write to a caller (duration)"`
-	DefaultDeadline     time.Duration `arg:"--default-deadline,env:WASABISHUNT_ENTRY_DEFAULT_DEADLINE" default:"5m" help:"deadline of requests that name none (duration)"`
-	MaxDeadline         time.Duration `arg:"--max-deadline,env:WASABISHUNT_ENTRY_MAX_DEADLINE" default:"10m" help:"largest deadline that a caller may ask for (duration)"`
-	MaxAttempts         int           `arg:"--max-attempts,env:WASABISHUNT_ENTRY_MAX_ATTEMPTS" default:"3" help:"upstreams tried for one request (count)"`
-	RetryShare          float64       `arg:"--retry-share,env:WASABISHUNT_ENTRY_RETRY_SHARE" default:"0.1" help:"retries as a share of requests, 0 to 1 (share)"`
-	LogLevel            zapcore.Level `arg:"--log-level,env:WASABISHUNT_ENTRY_LOG_LEVEL" default:"info" help:"debug, info, warn or error (level)"`
+	settings.Registered
+
+	Listen              string        `arg:"--listen,env:LISTEN" help:"IP address and port for callers (IP:port)"`
+	PieceKeyFile        string        `arg:"--piece-key-file,env:PIECE_KEY_FILE" help:"file with the 32 bytes of the piece-name key (file)"`
+	OperatorTokenSHA256 string        `arg:"--operator-token-sha256,env:OPERATOR_TOKEN_SHA256" help:"hex SHA-256 of the token for /debug/requests; default nobody may (64 hex digits)"`
+	OperatorsFile       string        `arg:"--operators-file,env:OPERATORS_FILE" help:"file with lines of operator name and SHA-256 of the token, who may use /debug/requests as well; changes are taken without a restart; default nobody else (file)"`
+	StaleSetLimit       time.Duration `arg:"--stale-set-limit,env:STALE_SET_LIMIT" default:"4s" help:"no new work after so long without confirmation of the set (duration)"`
+	DrainNotice         time.Duration `arg:"--drain-notice,env:DRAIN_NOTICE" default:"5s" help:"time with readyz false before the listener closes (duration)"`
+	DrainLimit          time.Duration `arg:"--drain-limit,env:DRAIN_LIMIT" default:"10m" help:"time for running requests after that (duration)"`
+	MaxBodyBytes        int64         `arg:"--max-body-bytes,env:MAX_BODY_BYTES" default:"8388608" help:"limit of a request body (bytes)"`
+	MaxBufferedBytes    int64         `arg:"--max-buffered-bytes,env:MAX_BUFFERED_BYTES" default:"1073741824" help:"limit of all request bodies in flight (bytes)"`
+	MaxConcurrent       int           `arg:"--max-concurrent,env:MAX_CONCURRENT" default:"2048" help:"limit of requests in flight (count)"`
+	MaxConnections      int           `arg:"--max-connections,env:MAX_CONNECTIONS" default:"8192" help:"limit of open connections of callers (count)"`
+	HeaderTimeout       time.Duration `arg:"--header-timeout,env:HEADER_TIMEOUT" default:"5s" help:"time for a request's head to arrive (duration)"`
+	BodyTimeout         time.Duration `arg:"--body-timeout,env:BODY_TIMEOUT" default:"10s" help:"time for a request's body to arrive (duration)"`
+	WriteTimeout        time.Duration `arg:"--write-timeout,env:WRITE_TIMEOUT" default:"10s" help:"time for one write to a caller (duration)"`
+	DefaultDeadline     time.Duration `arg:"--default-deadline,env:DEFAULT_DEADLINE" default:"5m" help:"deadline of requests that name none (duration)"`
+	MaxDeadline         time.Duration `arg:"--max-deadline,env:MAX_DEADLINE" default:"10m" help:"largest deadline that a caller may ask for (duration)"`
+	MaxAttempts         int           `arg:"--max-attempts,env:MAX_ATTEMPTS" default:"3" help:"upstreams tried for one request (count)"`
+	RetryShare          float64       `arg:"--retry-share,env:RETRY_SHARE" default:"0.1" help:"retries as a share of requests, 0 to 1 (share)"`
 
 	pieceKey  piece.Key
 	operators operators.List
@@ -49,12 +42,7 @@
 // Validate lists all faults of the settings.
 func (a *arguments) Validate() []failure.Problem {
 	var c settings.Checker
-	c.Required("--process-id", a.ProcessID, "entry-1")
-	c.ListenAdvertise(a.Listen, &a.Advertise)
-	c.Address("--status", a.Status)
-	c.OptionalIP("--source-ip", a.SourceIP)
-	c.Addresses("--control", a.Control)
-	c.Required("--zone", a.Zone, "zone-a")
+	a.Registered.Check(&c, a.Listen, "entry-1")
 	c.KeyFile("--piece-key-file", a.PieceKeyFile, a.pieceKey[:])
 	if hash, err := hex.DecodeString(a.OperatorTokenSHA256); err != nil || (len(hash) != 32 && len(hash) != 0) {
 		c.Fail("--operator-token-sha256", "must be 64 hex digits")
--- a/cmd/wasabishunt-entry/settings_test.go
+++ b/cmd/wasabishunt-entry/settings_test.go
@@ -18,7 +18,7 @@
 	short := filepath.Join(t.TempDir(), "short")
 	require.NoError(t, os.WriteFile(short, []byte("short"), 0o600))
 	bad := []string{"--listen", "host:1", "--piece-key-file", short, "--operator-token-sha256", "zz", "--operators-file", "/does/not/exist", "--retry-share", "2", "--max-buffered-bytes", "1", "--drain-limit", "0s", "--source-ip", "x", "--max-attempts", "many", "--no-such-flag"}
-	ok, code := settings.Parse(&arguments{}, "entry", bad, &stderr, &stderr)
+	ok, code := settings.Parse(&arguments{}, "wasabishunt-entry", bad, &stderr, &stderr)
 	assert.False(t, ok)
 	assert.Equal(t, settings.ExitUsage, code)
 	for _, name := range []string{"process-id", "listen", "status", "control", "zone", "piece-key-file", "operator-token-sha256", "operators-file", "retry-share", "max-buffered-bytes", "drain-limit", "source-ip", "max-attempts", "no-such-flag"} {
@@ -26,6 +26,6 @@
 	}
 	whole := filepath.Join(t.TempDir(), "key")
 	require.NoError(t, os.WriteFile(whole, make([]byte, 32), 0o600))
-	ok, _ = settings.Parse(&arguments{}, "entry", []string{"--process-id", "e", "--listen", "127.0.0.1:1", "--status", "127.0.0.1:2", "--zone", "z", "--control", "127.0.0.1:1", "--piece-key-file", whole}, &stderr, &stderr)
+	ok, _ = settings.Parse(&arguments{}, "wasabishunt-entry", []string{"--process-id", "e", "--listen", "127.0.0.1:1", "--status", "127.0.0.1:2", "--zone", "z", "--control", "127.0.0.1:1", "--piece-key-file", whole}, &stderr, &stderr)
 	assert.True(t, ok)
 }
--- a/cmd/wasabishunt-standin/engine.go
+++ b/cmd/wasabishunt-standin/engine.go
@@ -11,21 +11,21 @@
 
 // engineOptions are the settings of an engine. Times are model times, see engine.Settings.
 type engineOptions struct {
-	Name            string        `arg:"--name,env:WASABISHUNT_STANDIN_NAME" default:"engine" help:"name in the log"`
-	Model           string        `arg:"--model,env:WASABISHUNT_STANDIN_MODEL" default:"model" help:"model served"`
-	WeightVersion   string        `arg:"--weight-version,env:WASABISHUNT_STANDIN_WEIGHT_VERSION" help:"weight version loaded at start"`
-	PrefillRate     float64       `arg:"--prefill-rate,env:WASABISHUNT_STANDIN_PREFILL_RATE" default:"20000" help:"prompt tokens per second"`
-	DecodeRate      float64       `arg:"--decode-rate,env:WASABISHUNT_STANDIN_DECODE_RATE" default:"50" help:"tokens per second of one run"`
-	MaxBatch        int           `arg:"--max-batch,env:WASABISHUNT_STANDIN_MAX_BATCH" default:"16" help:"runs served at once"`
-	CacheTokens     int64         `arg:"--cache-tokens,env:WASABISHUNT_STANDIN_CACHE_TOKENS" default:"200000" help:"prefix cache capacity in tokens"`
-	KVBytesPerToken int64         `arg:"--kv-bytes-per-token,env:WASABISHUNT_STANDIN_KV_BYTES_PER_TOKEN" default:"64" help:"size of KV blocks"`
-	TimeScale       float64       `arg:"--time-scale,env:WASABISHUNT_STANDIN_TIME_SCALE" default:"1" help:"divides all times"`
-	EventDelay      time.Duration `arg:"--event-delay,env:WASABISHUNT_STANDIN_EVENT_DELAY" default:"300ms" help:"delay of cache events"`
-	EventGapEvery   uint64        `arg:"--event-gap-every,env:WASABISHUNT_STANDIN_EVENT_GAP_EVERY" default:"0" help:"drop each n-th cache event; 0 is none"`
-	LoadLag         time.Duration `arg:"--load-lag,env:WASABISHUNT_STANDIN_LOAD_LAG" default:"500ms" help:"age of load reports"`
-	LoadTime        time.Duration `arg:"--load-time,env:WASABISHUNT_STANDIN_LOAD_TIME" default:"800ms" help:"time to load weights without a weight store"`
-	WeightStore     string        `arg:"--weight-store,env:WASABISHUNT_STANDIN_WEIGHT_STORE" help:"IP address and port of the weight store; empty loads without one"`
-	HonorFencing    bool          `arg:"--honor-fencing,env:WASABISHUNT_STANDIN_HONOR_FENCING" help:"refuse weight orders with an old fencing token"`
+	Name            string        `arg:"--name,env:NAME" default:"engine" help:"name in the log"`
+	Model           string        `arg:"--model,env:MODEL" default:"model" help:"model served"`
+	WeightVersion   string        `arg:"--weight-version,env:WEIGHT_VERSION" help:"weight version loaded at start"`
+	PrefillRate     float64       `arg:"--prefill-rate,env:PREFILL_RATE" default:"20000" help:"prompt tokens per second"`
+	DecodeRate      float64       `arg:"--decode-rate,env:DECODE_RATE" default:"50" help:"tokens per second of one run"`
+	MaxBatch        int           `arg:"--max-batch,env:MAX_BATCH" default:"16" help:"runs served at once"`
+	CacheTokens     int64         `arg:"--cache-tokens,env:CACHE_TOKENS" default:"200000" help:"prefix cache capacity in tokens"`
+	KVBytesPerToken int64         `arg:"--kv-bytes-per-token,env:KV_BYTES_PER_TOKEN" default:"64" help:"size of KV blocks"`
+	TimeScale       float64       `arg:"--time-scale,env:TIME_SCALE" default:"1" help:"divides all times"`
+	EventDelay      time.Duration `arg:"--event-delay,env:EVENT_DELAY" default:"300ms" help:"delay of cache events"`
+	EventGapEvery   uint64        `arg:"--event-gap-every,env:EVENT_GAP_EVERY" default:"0" help:"drop each n-th cache event; 0 is none"`
+	LoadLag         time.Duration `arg:"--load-lag,env:LOAD_LAG" default:"500ms" help:"age of load reports"`
+	LoadTime        time.Duration `arg:"--load-time,env:LOAD_TIME" default:"800ms" help:"time to load weights without a weight store"`
+	WeightStore     string        `arg:"--weight-store,env:WEIGHT_STORE" help:"IP address and port of the weight store; empty loads without one"`
+	HonorFencing    bool          `arg:"--honor-fencing,env:HONOR_FENCING" help:"refuse weight orders with an old fencing token"`
 }
 
 // Validate checks the settings.
--- a/cmd/wasabishunt-standin/main.go
+++ b/cmd/wasabishunt-standin/main.go
@@ -24,7 +24,7 @@
 	VMList  *vmlistOptions  `arg:"subcommand:vmlist" help:"lagging list of live and leaving VMs"`
 	Weights *weightsOptions `arg:"subcommand:weights" help:"rate-limited weight store"`
 
-	Listen string `arg:"--listen,env:WASABISHUNT_STANDIN_LISTEN" default:"127.0.0.1:0" help:"IP address and port to listen on"`
+	Listen string `arg:"--listen,env:LISTEN" default:"127.0.0.1:0" help:"IP address and port to listen on"`
 }
 
 // part is one simulated part of the platform.
--- a/cmd/wasabishunt-standin/others.go
+++ b/cmd/wasabishunt-standin/others.go
@@ -16,7 +16,7 @@
 
 // serviceOptions are the settings of a plain service.
 type serviceOptions struct {
-	Name string `arg:"--name,env:WASABISHUNT_STANDIN_NAME" default:"service" help:"name in the log"`
+	Name string `arg:"--name,env:NAME" default:"service" help:"name in the log"`
 }
 
 // Validate checks the settings.
@@ -29,7 +29,7 @@
 
 // vmlistOptions are the settings of the list of VMs.
 type vmlistOptions struct {
-	Lag time.Duration `arg:"--lag,env:WASABISHUNT_STANDIN_LAG" default:"2s" help:"age of the list that readers see"`
+	Lag time.Duration `arg:"--lag,env:LAG" default:"2s" help:"age of the list that readers see"`
 }
 
 // Validate checks the settings.
@@ -46,12 +46,12 @@
 
 // weightsOptions are the settings of the weight store.
 type weightsOptions struct {
-	Bytes        int64         `arg:"--bytes,env:WASABISHUNT_STANDIN_BYTES" default:"8000000" help:"size of a weight version"`
-	StreamRate   float64       `arg:"--stream-rate,env:WASABISHUNT_STANDIN_STREAM_RATE" default:"10000000" help:"bytes per second of one transfer"`
-	TotalRate    float64       `arg:"--total-rate,env:WASABISHUNT_STANDIN_TOTAL_RATE" default:"20000000" help:"bytes per second of all transfers"`
-	MaxTransfers int           `arg:"--max-transfers,env:WASABISHUNT_STANDIN_MAX_TRANSFERS" default:"4" help:"transfers at once"`
-	RetryAfter   time.Duration `arg:"--retry-after,env:WASABISHUNT_STANDIN_RETRY_AFTER" default:"500ms" help:"wait asked of refused readers"`
-	TimeScale    float64       `arg:"--time-scale,env:WASABISHUNT_STANDIN_TIME_SCALE" default:"1" help:"multiplies rates and divides times"`
+	Bytes        int64         `arg:"--bytes,env:BYTES" default:"8000000" help:"size of a weight version"`
+	StreamRate   float64       `arg:"--stream-rate,env:STREAM_RATE" default:"10000000" help:"bytes per second of one transfer"`
+	TotalRate    float64       `arg:"--total-rate,env:TOTAL_RATE" default:"20000000" help:"bytes per second of all transfers"`
+	MaxTransfers int           `arg:"--max-transfers,env:MAX_TRANSFERS" default:"4" help:"transfers at once"`
+	RetryAfter   time.Duration `arg:"--retry-after,env:RETRY_AFTER" default:"500ms" help:"wait asked of refused readers"`
+	TimeScale    float64       `arg:"--time-scale,env:TIME_SCALE" default:"1" help:"multiplies rates and divides times"`
 }
 
 // Validate checks the settings.
--- a/internal/settingsdoc/pages_test.go
+++ b/internal/settingsdoc/pages_test.go
@@ -27,7 +27,7 @@
 // Guards against a setting that was renamed in one program only.
 func TestProgramsShareTheNamesOfSharedSettings(t *testing.T) {
 	for _, p := range programs[:4] {
-		list, err := readSettings(filepath.Join("..", "..", p.file))
+		list, err := readSettings(filepath.Join("..", ".."), p.file, argumentsStruct)
 		require.NoError(t, err)
 		flags := map[string]bool{}
 		for _, s := range list {
--- a/internal/settingsdoc/settings.go
+++ b/internal/settingsdoc/settings.go
@@ -11,6 +11,8 @@
 	"regexp"
 	"strconv"
 	"strings"
+
+	"github.com/wasabishunt/wasabishunt/settings"
 )
 
 const settingsIntro = `# Settings
@@ -38,20 +40,24 @@
 	{"wasabishunt", "cli/arguments.go", "The operators' command line. Commands and their flags: `wasabishunt --help`, `wasabishunt publish --help`."},
 }
 
-// argumentsStruct is the name of each program's struct of settings.
-const argumentsStruct = "arguments"
+const (
+	// argumentsStruct is the name of each program's struct of settings.
+	argumentsStruct = "arguments"
+	// sharedFile declares the structs that several programs embed.
+	sharedFile = "settings/process.go"
+)
 
 func settingsPage(root string) ([]byte, error) {
 	b := bytes.NewBufferString(settingsIntro)
 	for _, p := range programs {
-		list, err := readSettings(filepath.Join(root, p.file))
+		list, err := readSettings(root, p.file, argumentsStruct)
 		if err != nil {
 			return nil, err
 		}
 		fmt.Fprintf(b, "## %s\n\n%s\n\n", p.name, p.about)
 		rows := make([][]string, 0, len(list))
 		for _, s := range list {
-			rows = append(rows, []string{code(s.flag), code(s.env), s.kind, code(s.value), s.help})
+			rows = append(rows, []string{code(s.flag), code(s.variable(p.name)), s.kind, code(s.value), s.help})
 		}
 		table(b, []string{"flag", "environment", "kind", "default", "meaning"}, rows)
 	}
@@ -68,6 +74,14 @@
 // setting is one documented setting.
 type setting struct{ flag, env, kind, value, help string }
 
+// variable returns the name of the environment variable, or nothing if only the flag sets it.
+func (s setting) variable(program string) string {
+	if s.env == "" {
+		return ""
+	}
+	return settings.EnvPrefix(program) + s.env
+}
+
 // kindSuffix is the kind of value in parentheses at the end of each help text.
 var kindSuffix = regexp.MustCompile(`^(.*) \(([^()]+)\)$`)
 
@@ -78,13 +92,22 @@
 	return e.File + ": the help of " + e.Field + " does not end with the kind of its value in parentheses"
 }
 
-func readSettings(file string) ([]setting, error) {
-	fields, err := structFields(file, argumentsStruct)
+// readSettings lists the settings of a struct and of those that it embeds.
+func readSettings(root, file, name string) ([]setting, error) {
+	fields, err := structFields(filepath.Join(root, file), name)
 	if err != nil {
 		return nil, err
 	}
 	var list []setting
 	for _, field := range fields {
+		if embedded := embeddedName(field); embedded != "" {
+			shared, err := readSettings(root, sharedFile, embedded)
+			if err != nil {
+				return nil, err
+			}
+			list = append(list, shared...)
+			continue
+		}
 		s, ok := settingOf(field)
 		if !ok {
 			continue
@@ -99,6 +122,20 @@
 	return list, nil
 }
 
+// embeddedName returns the name of the type that an anonymous field embeds, or nothing for another field.
+func embeddedName(field *ast.Field) string {
+	if len(field.Names) > 0 {
+		return ""
+	}
+	switch t := field.Type.(type) {
+	case *ast.Ident:
+		return t.Name
+	case *ast.SelectorExpr:
+		return t.Sel.Name
+	}
+	return ""
+}
+
 // settingOf reads the tag of a field; subcommands are no settings.
 func settingOf(field *ast.Field) (setting, bool) {
 	if field.Tag == nil {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -36,10 +36,15 @@
 	return strings.Join(lines, "\n")
 }
 
+// EnvPrefix starts the names of a program's environment variables: WASABISHUNT_AGENT_ for wasabishunt-agent.
+func EnvPrefix(program string) string {
+	return strings.ToUpper(strings.ReplaceAll(program, "-", "_")) + "_"
+}
+
 // Parse fills dest from the arguments and the environment. It returns false and an exit code
 // when the process should stop: after help was printed or a fault was reported on stderr.
 func Parse(dest Validator, program string, args []string, stdout, stderr io.Writer) (ok bool, exitCode int) {
-	parser, err := arg.NewParser(arg.Config{Program: program}, dest)
+	parser, err := arg.NewParser(arg.Config{Program: program, EnvPrefix: EnvPrefix(program)}, dest)
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, err)
 		return false, ExitUsage
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -13,9 +13,9 @@
 )
 
 type sample struct {
-	Name  string        `arg:"--name,env:SAMPLE_NAME"`
-	Count int           `arg:"--count,env:SAMPLE_COUNT" default:"1"`
-	Pause time.Duration `arg:"--pause,env:SAMPLE_PAUSE" default:"1s"`
+	Name  string        `arg:"--name,env:NAME"`
+	Count int           `arg:"--count,env:COUNT" default:"1"`
+	Pause time.Duration `arg:"--pause,env:PAUSE" default:"1s"`
 	Peers []string      `arg:"--peers"`
 }
 
@@ -56,3 +56,19 @@
 	assert.Contains(t, help, "--count")
 	assert.Empty(t, report)
 }
+
+// Guards against a variable of one program that another one reads on the same VM.
+func TestEnvironmentVariablesStartWithTheProgram(t *testing.T) {
+	type shared struct {
+		sample
+		settings.Process
+	}
+	t.Setenv("WASABISHUNT_AGENT_ZONE", "zone-a")
+	t.Setenv("WASABISHUNT_AGENT_NAME", "a")
+	t.Setenv("WASABISHUNT_ENTRY_ZONE", "zone-b")
+	t.Setenv("ZONE", "zone-c")
+	var args shared
+	ok, _ := settings.Parse(&args, "wasabishunt-agent", []string{"--peers", "127.0.0.1:1"}, &bytes.Buffer{}, &bytes.Buffer{})
+	assert.True(t, ok)
+	assert.Equal(t, "zone-a", args.Zone)
+}
