--- a/cli/explain.go
+++ b/cli/explain.go
@@ -83,7 +83,7 @@
 func refusalOf(status int) error {
 	switch status {
 	case http.StatusUnauthorized:
-		return failure.New(failure.Unauthorized, failure.NotRun, "status 401: the token is not that of the entry's --operator-token-sha256")
+		return failure.New(failure.Unauthorized, failure.NotRun, "status 401: the token is not in the entry's --operators-file")
 	case http.StatusNotFound:
 		return failure.New(failure.NotFound, failure.NotRun, "status 404: the request is not among the last ones of this entry")
 	}
--- a/cmd/wasabishunt-entry/settings.go
+++ b/cmd/wasabishunt-entry/settings.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/hex"
 	"os"
 	"time"
 
@@ -16,24 +15,23 @@
 type arguments struct {
 	settings.Registered
 
-	Listen              string        `arg:"--listen,env:LISTEN" help:"IP address and port for callers (IP:port)"`
-	PieceKeyFile        string        `arg:"--piece-key-file,env:PIECE_KEY_FILE" help:"file with the 32 bytes of the piece-name key (file)"`
-	OperatorTokenSHA256 string        `arg:"--operator-token-sha256,env:OPERATOR_TOKEN_SHA256" help:"hex SHA-256 of the token for /debug/requests; default nobody may (64 hex digits)"`
-	OperatorsFile       string        `arg:"--operators-file,env:OPERATORS_FILE" help:"file with lines of operator name and SHA-256 of the token, who may use /debug/requests as well; changes are taken without a restart; default nobody else (file)"`
-	StaleSetLimit       time.Duration `arg:"--stale-set-limit,env:STALE_SET_LIMIT" default:"4s" help:"no new work after so long without confirmation of the set (duration)"`
-	DrainNotice         time.Duration `arg:"--drain-notice,env:DRAIN_NOTICE" default:"5s" help:"time with readyz false before the listener closes (duration)"`
-	DrainLimit          time.Duration `arg:"--drain-limit,env:DRAIN_LIMIT" default:"10m" help:"time for running requests after that (duration)"`
-	MaxBodyBytes        int64         `arg:"--max-body-bytes,env:MAX_BODY_BYTES" default:"8388608" help:"limit of a request body (bytes)"`
-	MaxBufferedBytes    int64         `arg:"--max-buffered-bytes,env:MAX_BUFFERED_BYTES" default:"1073741824" help:"limit of all request bodies in flight (bytes)"`
-	MaxConcurrent       int           `arg:"--max-concurrent,env:MAX_CONCURRENT" default:"2048" help:"limit of requests in flight (count)"`
-	MaxConnections      int           `arg:"--max-connections,env:MAX_CONNECTIONS" default:"8192" help:"limit of open connections of callers (count)"`
-	HeaderTimeout       time.Duration `arg:"--header-timeout,env:HEADER_TIMEOUT" default:"5s" help:"time for a request's head to arrive (duration)"`
-	BodyTimeout         time.Duration `arg:"--body-timeout,env:BODY_TIMEOUT" default:"10s" help:"time for a request's body to arrive (duration)"`
-	WriteTimeout        time.Duration `arg:"--write-timeout,env:WRITE_TIMEOUT" default:"10s" help:"time for one write to a caller (duration)"`
-	DefaultDeadline     time.Duration `arg:"--default-deadline,env:DEFAULT_DEADLINE" default:"5m" help:"deadline of requests that name none (duration)"`
-	MaxDeadline         time.Duration `arg:"--max-deadline,env:MAX_DEADLINE" default:"10m" help:"largest deadline that a caller may ask for (duration)"`
-	MaxAttempts         int           `arg:"--max-attempts,env:MAX_ATTEMPTS" default:"3" help:"upstreams tried for one request (count)"`
-	RetryShare          float64       `arg:"--retry-share,env:RETRY_SHARE" default:"0.1" help:"retries as a share of requests, 0 to 1 (share)"`
+	Listen           string        `arg:"--listen,env:LISTEN" help:"IP address and port for callers (IP:port)"`
+	PieceKeyFile     string        `arg:"--piece-key-file,env:PIECE_KEY_FILE" help:"file with the 32 bytes of the piece-name key (file)"`
+	OperatorsFile    string        `arg:"--operators-file,env:OPERATORS_FILE" help:"file with lines of operator name and SHA-256 of the token, who may use /debug/requests; changes are taken without a restart; default nobody may (file)"`
+	StaleSetLimit    time.Duration `arg:"--stale-set-limit,env:STALE_SET_LIMIT" default:"4s" help:"no new work after so long without confirmation of the set (duration)"`
+	DrainNotice      time.Duration `arg:"--drain-notice,env:DRAIN_NOTICE" default:"5s" help:"time with readyz false before the listener closes (duration)"`
+	DrainLimit       time.Duration `arg:"--drain-limit,env:DRAIN_LIMIT" default:"10m" help:"time for running requests after that (duration)"`
+	MaxBodyBytes     int64         `arg:"--max-body-bytes,env:MAX_BODY_BYTES" default:"8388608" help:"limit of a request body (bytes)"`
+	MaxBufferedBytes int64         `arg:"--max-buffered-bytes,env:MAX_BUFFERED_BYTES" default:"1073741824" help:"limit of all request bodies in flight (bytes)"`
+	MaxConcurrent    int           `arg:"--max-concurrent,env:MAX_CONCURRENT" default:"2048" help:"limit of requests in flight (count)"`
+	MaxConnections   int           `arg:"--max-connections,env:MAX_CONNECTIONS" default:"8192" help:"limit of open connections of callers (count)"`
+	HeaderTimeout    time.Duration `arg:"--header-timeout,env:HEADER_TIMEOUT" default:"5s" help:"time for a request's head to arrive (duration)"`
+	BodyTimeout      time.Duration `arg:"--body-timeout,env:BODY_TIMEOUT" default:"10s" help:"time for a request's body to arrive (duration)"`
+	WriteTimeout     time.Duration `arg:"--write-timeout,env:WRITE_TIMEOUT" default:"10s" help:"time for one write to a caller (duration)"`
+	DefaultDeadline  time.Duration `arg:"--default-deadline,env:DEFAULT_DEADLINE" default:"5m" help:"deadline of requests that name none (duration)"`
+	MaxDeadline      time.Duration `arg:"--max-deadline,env:MAX_DEADLINE" default:"10m" help:"largest deadline that a caller may ask for (duration)"`
+	MaxAttempts      int           `arg:"--max-attempts,env:MAX_ATTEMPTS" default:"3" help:"upstreams tried for one request (count)"`
+	RetryShare       float64       `arg:"--retry-share,env:RETRY_SHARE" default:"0.1" help:"retries as a share of requests, 0 to 1 (share)"`
 
 	pieceKey  piece.Key
 	operators operators.List
@@ -44,9 +42,6 @@
 	var c settings.Checker
 	a.Registered.Check(&c, a.Listen, "entry-1")
 	c.KeyFile("--piece-key-file", a.PieceKeyFile, a.pieceKey[:])
-	if hash, err := hex.DecodeString(a.OperatorTokenSHA256); err != nil || (len(hash) != 32 && len(hash) != 0) {
-		c.Fail("--operator-token-sha256", "must be 64 hex digits")
-	}
 	a.checkOperators(&c)
 	a.validateLimits(&c)
 	return c.Problems()
@@ -88,21 +83,20 @@
 
 func (a *arguments) options() entry.Options {
 	return entry.Options{
-		SourceIP:            a.SourceIP,
-		MaxBodyBytes:        a.MaxBodyBytes,
-		MaxBufferedBytes:    a.MaxBufferedBytes,
-		MaxConcurrent:       a.MaxConcurrent,
-		MaxConnections:      a.MaxConnections,
-		HeaderTimeout:       a.HeaderTimeout,
-		BodyTimeout:         a.BodyTimeout,
-		WriteTimeout:        a.WriteTimeout,
-		DefaultDeadline:     a.DefaultDeadline,
-		MaxDeadline:         a.MaxDeadline,
-		MaxAttempts:         a.MaxAttempts,
-		RetryShare:          a.RetryShare,
-		OperatorTokenSHA256: a.OperatorTokenSHA256,
-		Operators:           &a.operators,
-		DrainNotice:         a.DrainNotice,
-		DrainLimit:          a.DrainLimit,
+		SourceIP:         a.SourceIP,
+		MaxBodyBytes:     a.MaxBodyBytes,
+		MaxBufferedBytes: a.MaxBufferedBytes,
+		MaxConcurrent:    a.MaxConcurrent,
+		MaxConnections:   a.MaxConnections,
+		HeaderTimeout:    a.HeaderTimeout,
+		BodyTimeout:      a.BodyTimeout,
+		WriteTimeout:     a.WriteTimeout,
+		DefaultDeadline:  a.DefaultDeadline,
+		MaxDeadline:      a.MaxDeadline,
+		MaxAttempts:      a.MaxAttempts,
+		RetryShare:       a.RetryShare,
+		Operators:        &a.operators,
+		DrainNotice:      a.DrainNotice,
+		DrainLimit:       a.DrainLimit,
 	}
 }
--- a/entry/options.go
+++ b/entry/options.go
@@ -49,9 +49,7 @@
 	MaxTokens int64
 	// DebugRequests is how many past requests can be looked up; default 1024.
 	DebugRequests int
-	// OperatorTokenSHA256 is the hex SHA-256 of the token that may look up requests; empty means nobody may.
-	OperatorTokenSHA256 string
-	// Operators may look up requests as well; nil means nobody else.
+	// Operators may look up requests; nil means nobody may.
 	Operators *operators.List
 	// DrainNotice is how long a stopping entry keeps accepting while readyz is false; default 5 s.
 	DrainNotice time.Duration
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -1,9 +1,6 @@
 package entry
 
 import (
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"net/http"
 	"reflect"
 	"sort"
@@ -127,20 +124,10 @@
 	simple("debug-request", "/debug/requests/{id}", "Decisions and outcome of a past request, for operators", s.debugRequest)
 }
 
-// isOperator compares a token with the one of the settings and those of the operators.
-func (o *Options) isOperator(token string) bool {
-	hash := sha256.Sum256([]byte(token))
-	want := strings.ToLower(o.OperatorTokenSHA256)
-	if want != "" && subtle.ConstantTimeCompare([]byte(hex.EncodeToString(hash[:])), []byte(want)) == 1 {
-		return true
-	}
-	return o.Operators != nil && o.Operators.Holds(token)
-}
-
 // debugRequest shows a past request to an operator.
 func (s *Server) debugRequest(w http.ResponseWriter, r *http.Request) {
 	token := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if !s.options.isOperator(token) {
+	if s.options.Operators == nil || !s.options.Operators.Holds(token) {
 		s.writeError(w, failure.New(failure.Unauthorized, failure.NotRun, "an operator token is needed"), "", "")
 		return
 	}
--- a/internal/fleet/nodes.go
+++ b/internal/fleet/nodes.go
@@ -117,7 +117,7 @@
 func (f *Fleet) entry(i int) node {
 	n := f.newNode("wasabishunt-entry", "entry", entryGroup, i, httpPort)
 	n.args = append(f.common(n, i, n.listen),
-		"--piece-key-file", f.file("piece.key"), "--operator-token-sha256", sha256Hex(operatorToken),
+		"--piece-key-file", f.file("piece.key"), "--operators-file", f.file("operators"),
 		"--drain-notice", f.Shape.DrainNotice.String(), "--status", address(n.ip, metricsPort))
 	n.relayed = "" // Callers connect directly.
 	return n
