--- a/agent/agent.go
+++ b/agent/agent.go
@@ -24,6 +24,7 @@
 	"github.com/wasabishunt/wasabishunt/clock"
 	"github.com/wasabishunt/wasabishunt/connlimit"
 	"github.com/wasabishunt/wasabishunt/controlclient"
+	"github.com/wasabishunt/wasabishunt/defaults"
 	"github.com/wasabishunt/wasabishunt/objectset"
 	"github.com/wasabishunt/wasabishunt/piece"
 	"github.com/wasabishunt/wasabishunt/rpc/agentpb"
@@ -98,15 +99,9 @@
 // New returns an Agent; Serve starts it.
 func New(options Options, deps Dependencies) *Agent {
 	options = options.withDefaults()
-	if deps.Clock == nil {
-		deps.Clock = clock.System{}
-	}
-	if deps.Registry == nil {
-		deps.Registry = gometrics.NewRegistry()
-	}
-	if deps.Log == nil {
-		deps.Log = zap.NewNop()
-	}
+	defaults.Set[clock.Clock](&deps.Clock, clock.System{})
+	defaults.Set(&deps.Registry, gometrics.NewRegistry())
+	defaults.Set(&deps.Log, zap.NewNop())
 	a := &Agent{
 		options:      options,
 		deps:         deps,
--- a/agent/kv/kv.go
+++ b/agent/kv/kv.go
@@ -123,15 +123,9 @@
 // New returns a Mover. Run must be called for exports to happen.
 func New(options Options, deps Dependencies) *Mover {
 	options = options.withDefaults()
-	if deps.Clock == nil {
-		deps.Clock = clock.System{}
-	}
-	if deps.Registry == nil {
-		deps.Registry = gometrics.NewRegistry()
-	}
-	if deps.Log == nil {
-		deps.Log = zap.NewNop()
-	}
+	defaults.Set[clock.Clock](&deps.Clock, clock.System{})
+	defaults.Set(&deps.Registry, gometrics.NewRegistry())
+	defaults.Set(&deps.Log, zap.NewNop())
 	return &Mover{
 		options:  options,
 		deps:     deps,
--- a/control/server.go
+++ b/control/server.go
@@ -77,15 +77,9 @@
 	if o.Operators == nil {
 		o.Operators = &Operators{}
 	}
-	if o.Log == nil {
-		o.Log = zap.NewNop()
-	}
-	if o.Clock == nil {
-		o.Clock = clock.System{}
-	}
-	if o.Metrics == nil {
-		o.Metrics = gometrics.NewRegistry()
-	}
+	defaults.Set(&o.Log, zap.NewNop())
+	defaults.Set[clock.Clock](&o.Clock, clock.System{})
+	defaults.Set(&o.Metrics, gometrics.NewRegistry())
 }
 
 // sampleSize is the number of proposals over which quantiles are estimated.
--- a/controlclient/watcher.go
+++ b/controlclient/watcher.go
@@ -48,12 +48,8 @@
 	if o.Draining == nil {
 		o.Draining = func() bool { return false }
 	}
-	if o.Log == nil {
-		o.Log = zap.NewNop()
-	}
-	if o.Clock == nil {
-		o.Clock = clock.System{}
-	}
+	defaults.Set(&o.Log, zap.NewNop())
+	defaults.Set[clock.Clock](&o.Clock, clock.System{})
 }
 
 // Watcher keeps the view in force. Run does the work; the other methods may be called from any goroutine.
--- a/entry/server.go
+++ b/entry/server.go
@@ -19,6 +19,7 @@
 	"github.com/wasabishunt/wasabishunt/clock"
 	"github.com/wasabishunt/wasabishunt/connlimit"
 	"github.com/wasabishunt/wasabishunt/controlclient"
+	"github.com/wasabishunt/wasabishunt/defaults"
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/piece"
 	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
@@ -60,15 +61,9 @@
 // New returns a Server; Serve starts it.
 func New(options Options, deps Dependencies) *Server {
 	options = options.withDefaults()
-	if deps.Clock == nil {
-		deps.Clock = clock.System{}
-	}
-	if deps.Registry == nil {
-		deps.Registry = gometrics.NewRegistry()
-	}
-	if deps.Log == nil {
-		deps.Log = zap.NewNop()
-	}
+	defaults.Set[clock.Clock](&deps.Clock, clock.System{})
+	defaults.Set(&deps.Registry, gometrics.NewRegistry())
+	defaults.Set(&deps.Log, zap.NewNop())
 	s := &Server{
 		options:  options,
 		deps:     deps,
--- a/store/refill.go
+++ b/store/refill.go
@@ -46,9 +46,7 @@
 	defaults.Set(&o.MaxPieces, 20_000)
 	defaults.Set(&o.MaxFill, 0.8)
 	defaults.Set(&o.Transfers, 4)
-	if o.Log == nil {
-		o.Log = zap.NewNop()
-	}
+	defaults.Set(&o.Log, zap.NewNop())
 	return o
 }
 
--- a/store/store.go
+++ b/store/store.go
@@ -54,12 +54,8 @@
 	if s.Policy == nil {
 		s.Policy = cachevalue.New(cachevalue.Defaults())
 	}
-	if s.Log == nil {
-		s.Log = zap.NewNop()
-	}
-	if s.Metrics == nil {
-		s.Metrics = gometrics.NewRegistry()
-	}
+	defaults.Set(&s.Log, zap.NewNop())
+	defaults.Set(&s.Metrics, gometrics.NewRegistry())
 	return s
 }
 
