store: do not end a round of refill while a copy is being written

Cause: makeRoom asked twice whether a piece fits; between the two a running copy can reach the disk, counts double until it is noted, and the round ended with room left. Ruled out: refused reads of the peer, eviction, the list (a trace showed 7 of 10 pieces on disk, two of them counted twice).

--- a/store/refill.go
+++ b/store/refill.go
@@ -127,12 +127,19 @@
 	err    error
 }
 
-// makeRoom waits until one more copy may run. It returns false if the piece does not fit or the round must end.
+// makeRoom waits until one more copy may run. It returns false if the piece does not fit or the round must end. Only
+// without running copies is a piece that does not fit the end: fits errs while one is being written.
 func (t *transfers) makeRoom(ctx context.Context, h piece.Header) bool {
-	for t.running > 0 && (t.running >= t.refiller.options.Transfers || !t.refiller.fits(h, t.bytes)) {
+	for ctx.Err() == nil {
+		if t.running < t.refiller.options.Transfers && t.refiller.fits(h, t.bytes) {
+			return true
+		}
+		if t.running == 0 {
+			return false
+		}
 		t.await()
 	}
-	return ctx.Err() == nil && t.refiller.fits(h, t.bytes)
+	return false
 }
 
 // start queues a piece at the link before the next one, so that the link serves the most valuable piece first.
