--- /dev/null
+++ b/cmd/wasabishunt-node/main.go
@@ -0,0 +1,128 @@
+// Command wasabishunt-node is one process on the users' platform: an entry, and with a state disk a core member.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+	gometrics "github.com/rcrowley/go-metrics"
+	"github.com/samber/do/v2"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/wasabishunt/wasabishunt/coregroup"
+	"github.com/wasabishunt/wasabishunt/logging"
+	"github.com/wasabishunt/wasabishunt/metrics"
+	"github.com/wasabishunt/wasabishunt/node"
+	"github.com/wasabishunt/wasabishunt/platform"
+)
+
+type arguments struct {
+	LogLevel zapcore.Level `arg:"--log-level,env:WASABISHUNT_NODE_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
+	Metrics  string        `arg:"--metrics,env:WASABISHUNT_NODE_METRICS" default:":9464" help:"address of /metrics, empty for none"`
+}
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+func main() {
+	var args arguments
+	arg.MustParse(&args)
+	settings, err := platform.ReadSettings()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitSettings)
+	}
+	if err := run(args, settings); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitFailed)
+	}
+}
+
+func run(args arguments, settings platform.Settings) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	sink := logging.NewSink(os.Stdout, logging.DefaultQueue)
+	defer sink.Close()
+	injector := wire(args, settings, sink)
+	log := do.MustInvoke[*zap.Logger](injector)
+	process, err := do.Invoke[*node.Node](injector)
+	if err != nil {
+		return err
+	}
+	go reload(ctx, hangup, process, log)
+	if args.Metrics != "" {
+		serveMetrics(args.Metrics, do.MustInvoke[gometrics.Registry](injector), log)
+	}
+	return process.Run(ctx)
+}
+
+// wire names how each part of the process is made.
+func wire(args arguments, settings platform.Settings, sink *logging.Sink) do.Injector {
+	i := do.New()
+	do.ProvideValue(i, settings)
+	do.ProvideValue(i, logging.NewTo(sink, "node", settings.Node.Name, args.LogLevel))
+	do.ProvideValue[gometrics.Registry](i, gometrics.NewRegistry())
+	do.Provide(i, provideNode)
+	return i
+}
+
+func provideNode(i do.Injector) (*node.Node, error) {
+	settings := do.MustInvoke[platform.Settings](i)
+	log := do.MustInvoke[*zap.Logger](i)
+	parts := node.Parts{
+		Dialect:   platform.Dialect{},
+		Lister:    &platform.InstanceList{Address: settings.ListAddress, Client: &http.Client{}},
+		DecodeSet: platform.DecodeSet,
+	}
+	if settings.ControlListen != "" {
+		listener, err := net.Listen("tcp", settings.ControlListen)
+		if err != nil {
+			return nil, err
+		}
+		parts.Operators = func(group *coregroup.Group) (*http.Server, net.Listener) {
+			operator := &platform.Operator{Group: group, ControlPort: settings.ControlPort, Log: log}
+			return operator.Server(), listener
+		}
+	}
+	return node.New(settings.Node, parts, log, do.MustInvoke[gometrics.Registry](i)), nil
+}
+
+// reload takes the seeds of changed settings at each SIGHUP.
+func reload(ctx context.Context, hangup <-chan os.Signal, process *node.Node, log *zap.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+			settings, err := platform.ReadSettings()
+			if err != nil {
+				log.Error("changed settings cannot be used", zap.Error(err))
+				continue
+			}
+			process.SetSeeds(settings.Node.Seeds)
+			log.Info("settings read again", zap.Strings("seeds", settings.Node.Seeds))
+		}
+	}
+}
+
+func serveMetrics(address string, registry gometrics.Registry, log *zap.Logger) {
+	server := &http.Server{Addr: address, Handler: metrics.Handler(registry)}
+	go func() {
+		if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+			log.Warn("metrics are not served", zap.String("address", address), zap.Error(err))
+		}
+	}()
+}
--- /dev/null
+++ b/coregroup/machine.go
@@ -0,0 +1,110 @@
+// Package coregroup runs the replicated group that keeps what operators publish: sets and the names of weight versions.
+package coregroup
+
+import (
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
+)
+
+// machine is the state machine of the group: the highest version of each thing wins. Its lock is a leaf.
+type machine struct {
+	mu    sync.RWMutex
+	state *nodepb.State
+	// changed is closed and replaced at each change.
+	changed chan struct{}
+}
+
+func newMachine() *machine {
+	return &machine{state: &nodepb.State{}, changed: make(chan struct{})}
+}
+
+// Apply executes one command. A command that cannot be decoded changes nothing on any member.
+func (m *machine) Apply(_ uint64, encoded []byte) proto.Message {
+	command := &nodepb.Command{}
+	if err := proto.Unmarshal(encoded, command); err != nil {
+		return &nodepb.Result{}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	// The state is replaced, never changed in place, so that readers and snapshots keep what they hold.
+	next := &nodepb.State{
+		SetVersion: m.state.GetSetVersion(), Document: m.state.GetDocument(), Weights: m.state.GetWeights(), Formed: m.state.GetFormed(),
+	}
+	if !apply(next, command) {
+		return &nodepb.Result{}
+	}
+	m.replace(next)
+	return &nodepb.Result{Changed: true}
+}
+
+func apply(next *nodepb.State, command *nodepb.Command) (changed bool) {
+	switch change := command.GetChange().(type) {
+	case *nodepb.Command_Publish:
+		if change.Publish.GetVersion() <= next.GetSetVersion() {
+			return false
+		}
+		next.SetVersion, next.Document = change.Publish.GetVersion(), change.Publish.GetDocument()
+		return true
+	case *nodepb.Command_NameWeights:
+		return nameWeights(next, change.NameWeights)
+	case *nodepb.Command_Formed:
+		changed = !next.GetFormed()
+		next.Formed = true
+		return changed
+	}
+	return false
+}
+
+func nameWeights(next *nodepb.State, named *nodepb.WeightVersion) bool {
+	weights := make([]*nodepb.WeightVersion, 0, len(next.GetWeights())+1)
+	for _, w := range next.GetWeights() {
+		if w.GetModel() != named.GetModel() {
+			weights = append(weights, w)
+		} else if w.GetVersion() >= named.GetVersion() {
+			return false
+		}
+	}
+	next.Weights = append(weights, named)
+	return true
+}
+
+func (m *machine) replace(next *nodepb.State) {
+	m.state = next
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// Snapshot captures the state.
+func (m *machine) Snapshot() func() ([]byte, error) {
+	state, _ := m.read()
+	return func() ([]byte, error) {
+		data, err := proto.Marshal(state)
+		if err != nil {
+			return nil, failure.Wrap(err, failure.Internal, failure.NotRun, "encode the state")
+		}
+		return data, nil
+	}
+}
+
+// Restore replaces the state.
+func (m *machine) Restore(snapshot []byte) error {
+	state := &nodepb.State{}
+	if err := proto.Unmarshal(snapshot, state); err != nil {
+		return failure.Wrap(err, failure.StorageFailed, failure.NotRun, "decode a snapshot")
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.replace(state)
+	return nil
+}
+
+// read returns the state, which must not be changed, and a channel that is closed at the next change.
+func (m *machine) read() (*nodepb.State, <-chan struct{}) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.state, m.changed
+}
--- /dev/null
+++ b/fleetview/server.go
@@ -0,0 +1,171 @@
+// Package fleetview carries the published state from the core members to every node.
+package fleetview
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/wasabishunt/wasabishunt/coregroup"
+	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
+	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
+	"github.com/wasabishunt/wasabishunt/upstreams"
+)
+
+const (
+	// beatInterval is the pause between updates without news.
+	beatInterval = 500 * time.Millisecond
+	// silenceLimit is four beats: a stream without them is dead or half open.
+	silenceLimit = 2 * time.Second
+	// nodeMemory is how long a node counts after its last sign of life; a restarted node may have spent its budgets.
+	nodeMemory = 15 * time.Second
+)
+
+// Server sends the state of one core member to watchers. Its lock is a leaf.
+type Server struct {
+	nodepb.DRPCNodeUnimplementedServer
+	Group     *coregroup.Group
+	Directory *upstreams.Directory
+	Reader    *upstreams.Reader
+	Placement *Placements
+
+	mu    sync.Mutex
+	nodes map[string]time.Time
+}
+
+// Join implements the node service.
+func (s *Server) Join(ctx context.Context, q *nodepb.JoinRequest) (*nodepb.JoinResponse, error) {
+	return s.Group.Join(ctx, q)
+}
+
+// Watch implements the node service.
+func (s *Server) Watch(stream nodepb.DRPCNode_WatchStream) error {
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	alive := make(chan struct{}, 1)
+	go func() {
+		defer cancel()
+		for {
+			q, err := stream.Recv()
+			if err != nil {
+				return
+			}
+			s.note(q.GetNode())
+			select {
+			case alive <- struct{}{}:
+			default:
+			}
+		}
+	}()
+	sent := &position{}
+	ticker := time.NewTicker(beatInterval)
+	defer ticker.Stop()
+	heard := time.Now()
+	for {
+		state, stateChanged := s.Group.State()
+		viewChanged, placementsChanged := s.Directory.Changed(), s.Placement.Changed()
+		if state != nil {
+			if err := stream.Send(s.update(state, sent)); err != nil {
+				return err
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-alive:
+			heard = time.Now()
+		case <-ticker.C:
+			if time.Since(heard) > silenceLimit {
+				return context.DeadlineExceeded
+			}
+		case <-stateChanged:
+		case <-viewChanged:
+		case <-placementsChanged:
+		}
+	}
+}
+
+// position is what a stream has sent.
+type position struct {
+	document   uint64
+	view       *upstreams.View
+	placements uint64
+	started    bool
+}
+
+func (s *Server) update(state *nodepb.State, sent *position) *nodepb.WatchUpdate {
+	u := &nodepb.WatchUpdate{
+		LeaderAddress: s.Group.Leader(), Fresh: s.Group.Fresh(), SetVersion: state.GetSetVersion(), Weights: state.GetWeights(),
+		Members: lo.Map(s.Group.Members(), func(m *raftpb.Member, _ int) *nodepb.CoreMember {
+			return &nodepb.CoreMember{Id: m.GetId(), Address: m.GetAddress(), Learner: m.GetLearner()}
+		}),
+	}
+	if state.GetSetVersion() > sent.document {
+		u.Document = state.GetDocument()
+		sent.document = state.GetSetVersion()
+	}
+	if u.Leads = u.Fresh && s.Group.Leads() && s.Reader.Current(); !u.Leads {
+		sent.view = nil
+		return u
+	}
+	u.Nodes = uint32(s.count())
+	if view := s.Directory.View(); view != sent.view {
+		u.Instances = encodeView(view)
+		sent.view = view
+	}
+	u.Placements = s.Placement.since(sent)
+	return u
+}
+
+func (s *Server) note(node string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.nodes == nil {
+		s.nodes = map[string]time.Time{}
+	}
+	s.nodes[node] = time.Now()
+}
+
+func (s *Server) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for node, heard := range s.nodes {
+		if now.Sub(heard) > nodeMemory {
+			delete(s.nodes, node)
+		}
+	}
+	return len(s.nodes)
+}
+
+func encodeView(view *upstreams.View) *nodepb.InstanceView {
+	out := &nodepb.InstanceView{Revision: view.Revision}
+	for i := range view.Instances {
+		instance := &view.Instances[i]
+		encoded := &nodepb.Instance{
+			Id: instance.ID, Service: instance.Service, Address: instance.Address, AvailabilityZone: instance.AvailabilityZone,
+			Draining: instance.Draining, BornMs: instance.Born, Slots: uint32(instance.Slots),
+		}
+		for model, version := range instance.Versions {
+			encoded.Models = append(encoded.Models, &nodepb.WeightVersion{Model: model, Version: version})
+		}
+		out.Instances = append(out.Instances, encoded)
+	}
+	return out
+}
+
+// DecodeView returns the instances of an update.
+func DecodeView(view *nodepb.InstanceView) []upstreams.Instance {
+	return lo.Map(view.GetInstances(), func(encoded *nodepb.Instance, _ int) upstreams.Instance {
+		instance := upstreams.Instance{
+			ID: encoded.GetId(), Service: encoded.GetService(), Address: encoded.GetAddress(), AvailabilityZone: encoded.GetAvailabilityZone(),
+			Draining: encoded.GetDraining(), Born: encoded.GetBornMs(), Slots: int(encoded.GetSlots()), Versions: map[string]uint64{},
+		}
+		for _, m := range encoded.GetModels() {
+			instance.Versions[m.GetModel()] = m.GetVersion()
+		}
+		return instance
+	})
+}
--- /dev/null
+++ b/gateway/forward.go
@@ -0,0 +1,262 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"net/url"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/placement"
+	"github.com/wasabishunt/wasabishunt/upstreams"
+)
+
+const (
+	// connectionShare of an upstream's connections is used by all nodes together; the rest is left to probes and to
+	// connections that the upstream still counts.
+	connectionShare = 0.8
+	// tryTargets is the time in first-byte targets after which a repeatable request goes to another upstream.
+	tryTargets = 2.5
+	// shortestTry is the least time that an upstream has to answer before another one is tried.
+	shortestTry = 700 * time.Millisecond
+	// maxRejections limits the sends that upstreams refuse without running the request.
+	maxRejections = 3
+	// spareTime is what must be left for another try to make sense.
+	spareTime = 50 * time.Millisecond
+)
+
+// forward sends the request until it is answered or nothing more may be tried.
+func (c *call) forward(ctx context.Context) error {
+	runs, rejections := 0, 0
+	var last error
+	for {
+		if ctx.Err() != nil {
+			return c.ended(ctx, last)
+		}
+		engine, work := c.pick()
+		if engine == nil {
+			if last != nil {
+				return last
+			}
+			e := failure.New(failure.NoUpstream, failure.NotRun, "no instance of service %s can take the request", c.service.Name)
+			e.RetryAfter = upstreamRetryAfter
+			return e
+		}
+		if c.sends == 0 {
+			c.gateway.options.Budget.Request(c.service.Name)
+		} else if !c.gateway.options.Budget.Repeat(c.service.Name) {
+			c.gateway.options.Log.Info("retry budget is spent", zap.String("request", c.attributes.ID), zap.String("service", c.service.Name))
+			return last
+		}
+		result := c.try(ctx, engine, work, c.mayRepeat(runs+1))
+		if result.done {
+			return result.err
+		}
+		last = result.err
+		c.exclude[engine.ID] = true
+		if result.notRun {
+			if rejections++; rejections >= maxRejections {
+				return last
+			}
+		} else {
+			c.unsure = true
+			if runs++; !c.mayRepeat(runs) {
+				return last
+			}
+		}
+		c.gateway.metrics.retries.Inc(1)
+	}
+}
+
+// mayRepeat reports whether the request may go to one more upstream after so many runs.
+func (c *call) mayRepeat(runs int) bool {
+	return c.route.Repeatable() && runs < c.route.Attempts
+}
+
+// ended explains a request whose time is over or whose caller left.
+func (c *call) ended(ctx context.Context, last error) error {
+	if c.isCanceled() {
+		return failure.New(failure.Canceled, failure.Unknown, "the caller left")
+	}
+	if !c.mayRun {
+		return failure.New(failure.Overloaded, failure.NotRun, "no upstream took the request in time")
+	}
+	if last != nil && !errors.Is(last, context.DeadlineExceeded) {
+		return last
+	}
+	return failure.Wrap(context.Cause(ctx), failure.DeadlineExceeded, failure.Unknown, "the upstream did not answer in time")
+}
+
+// pick chooses the next instance.
+func (c *call) pick() (*upstreams.Instance, placement.Work) {
+	o := c.gateway.options
+	view := o.Directory.View()
+	o.Tracker.Sync(view)
+	q := &placement.Request{Zone: o.AvailabilityZone, Exclude: c.exclude, Nodes: o.Nodes()}
+	if g := c.attributes.Generation; g != nil && c.service.Engine != nil {
+		q.Model, q.Parts, q.Tokens, q.CacheTokens = g.Model, g.Parts, g.PromptTokens, c.service.Engine.CacheTokens
+		q.Wanted = o.Sets.Wanted(g.Model)
+		if c.account != nil && c.account.Isolated {
+			q.Isolated = c.account.Name
+		}
+	}
+	candidates := o.Tracker.Candidates(view.Of(c.service.Name), time.Now(), q)
+	if q.CacheTokens > 0 {
+		placement.ApplyHomes(q, candidates)
+	}
+	best := placement.Pick(q, candidates)
+	if best == nil {
+		return nil, placement.Work{}
+	}
+	work := placement.Work{}
+	if g := c.attributes.Generation; g != nil {
+		work = placement.Work{PrefillTokens: placement.Uncached(q, best), HeldTokens: g.PromptTokens + g.OutputTokens}
+	}
+	return best.Instance, work
+}
+
+// result is the end of one send.
+type result struct {
+	// done is set when the caller has its answer, or cannot get one any more.
+	done bool
+	// notRun is set when the request did not run at this upstream.
+	notRun bool
+	err    error
+}
+
+// try sends the request to one instance and relays its answer.
+func (c *call) try(ctx context.Context, instance *upstreams.Instance, work placement.Work, repeatable bool) result {
+	o := c.gateway.options
+	c.instance = instance.ID
+	conn, err := o.Pool.Get(ctx, instance.Address, c.connectionLimit())
+	if err != nil {
+		if !failure.Is(err, failure.Overloaded) && ctx.Err() == nil {
+			o.Tracker.Begin(instance, work).End(placement.Failed, time.Now())
+		}
+		o.Log.Info("upstream cannot be reached", zap.String("request", c.attributes.ID), zap.String("instance", instance.ID), zap.Error(err))
+		return result{notRun: true, err: unreachable(err)}
+	}
+	out := c.outbound(instance, &work)
+	ticket := o.Tracker.Begin(instance, work)
+	c.sends++
+	c.mayRun = true
+	tryCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var slow *time.Timer
+	if repeatable {
+		slow = time.AfterFunc(c.tryLimit(), cancel)
+		defer slow.Stop()
+	}
+	exchange, err := conn.Send(tryCtx, c.upstreamRequest(instance.Address, out))
+	if err != nil {
+		return c.noAnswer(ctx, ticket, instance, err)
+	}
+	stop := exchange.AbortOn(tryCtx)
+	defer stop()
+	answer := o.Dialect.Answer(exchange.Response)
+	if answer.RequestID != c.attributes.ID {
+		exchange.Abort()
+		ticket.End(placement.Failed, time.Now())
+		o.Log.Warn("answer of another request", zap.String("request", c.attributes.ID), zap.String("answer_of", answer.RequestID), zap.String("instance", instance.ID))
+		return result{err: failure.New(failure.UpstreamFailed, failure.Unknown, "the upstream answered another request")}
+	}
+	model := ""
+	if c.attributes.Generation != nil {
+		model = c.attributes.Generation.Model
+	}
+	ticket.Told(answer.Load, model, answer.Version, time.Now())
+	s := &send{call: c, ctx: ctx, tryCtx: tryCtx, slow: slow, exchange: exchange, answer: answer, ticket: ticket, instance: instance, out: out, repeatable: repeatable}
+	return s.relay()
+}
+
+func unreachable(err error) error {
+	e := failure.Wrap(err, failure.NoUpstream, failure.NotRun, "no connection to an upstream")
+	e.RetryAfter = upstreamRetryAfter
+	return e
+}
+
+func (c *call) connectionLimit() int {
+	if c.service.MaxConnections == 0 {
+		return 0
+	}
+	return max(2, int(connectionShare*float64(c.service.MaxConnections)/float64(max(1, c.gateway.options.Nodes()))))
+}
+
+func (c *call) tryLimit() time.Duration {
+	return max(shortestTry, time.Duration(tryTargets*float64(c.route.FirstByteTarget)))
+}
+
+// noAnswer judges a send without an answer: it may have run.
+func (c *call) noAnswer(ctx context.Context, ticket *placement.Ticket, instance *upstreams.Instance, err error) result {
+	if c.isCanceled() {
+		ticket.End(placement.Canceled, time.Now())
+		return result{done: true, err: failure.New(failure.Canceled, failure.Unknown, "the caller left")}
+	}
+	ticket.End(placement.Failed, time.Now())
+	c.gateway.options.Log.Info("upstream did not answer", zap.String("request", c.attributes.ID), zap.String("instance", instance.ID),
+		zap.Duration("after", time.Since(c.started)), zap.Error(err))
+	if ctx.Err() != nil {
+		return result{done: true, err: failure.New(failure.DeadlineExceeded, failure.Unknown, "the upstream did not answer in time")}
+	}
+	return result{err: err}
+}
+
+// outbound tells the upstream what this node knows.
+func (c *call) outbound(instance *upstreams.Instance, work *placement.Work) Outbound {
+	o := c.gateway.options
+	out := Outbound{Left: time.Until(c.end), Instance: instance.ID, LastEventID: c.attributes.LastEventID, Urgency: c.urgency()}
+	if c.lastEvent != "" {
+		out.LastEventID = c.lastEvent
+	}
+	if c.account != nil {
+		out.Account = c.account.Name
+	}
+	g := c.attributes.Generation
+	if g == nil || c.service.Engine == nil {
+		return out
+	}
+	out.Version = o.Tracker.Version(instance, g.Model)
+	q := placement.Request{}
+	if c.account != nil && c.account.Isolated {
+		q.Isolated = c.account.Name
+	}
+	out.Salt = q.Salt(out.Version)
+	c.cached = g.PromptTokens - work.PrefillTokens
+	if o.Stores != nil && out.Version > 0 {
+		out.Fetch, out.Save, c.fetched = o.Stores.Plan(out.Salt, g.Parts, instance, c.cached)
+		work.PrefillTokens -= c.fetched
+	}
+	return out
+}
+
+// maxUrgency is the least urgent rank of an engine.
+const maxUrgency = 9
+
+func (c *call) urgency() int {
+	priority := c.route.Priority
+	if c.account != nil && c.account.Priority != nil {
+		priority = *c.account.Priority
+	}
+	return max(0, min(maxUrgency, priority))
+}
+
+func (c *call) upstreamRequest(address string, out Outbound) *http.Request {
+	request := &http.Request{
+		Method: c.request.Method, URL: &url.URL{Scheme: "http", Host: address, Opaque: c.request.RequestURI}, Host: c.request.Host,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: c.gateway.options.Dialect.Request(c.request.Header, out),
+		ContentLength: int64(len(c.body)),
+	}
+	if len(c.body) > 0 {
+		request.Body = bodyReader{bytes.NewReader(c.body)}
+	}
+	return request
+}
+
+type bodyReader struct{ *bytes.Reader }
+
+// Close implements io.Closer.
+func (bodyReader) Close() error { return nil }
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,372 @@
+// Package gateway takes requests of callers, forwards them to upstream instances and relays the answers.
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/placement"
+	"github.com/wasabishunt/wasabishunt/retrybudget"
+	"github.com/wasabishunt/wasabishunt/trafficset"
+	"github.com/wasabishunt/wasabishunt/upstreamconn"
+	"github.com/wasabishunt/wasabishunt/upstreams"
+)
+
+// Attributes is what a request says of itself.
+type Attributes struct {
+	ID string
+	// Deadline is how long the caller waits, 0 if it does not say.
+	Deadline time.Duration
+	Key      string
+	// LastEventID is the event after which a resumed stream goes on.
+	LastEventID string
+	// Generation is set for requests to model engines.
+	Generation *Generation
+}
+
+// Generation describes the prompt of a request to a model engine.
+type Generation struct {
+	Model        string
+	PromptTokens int
+	OutputTokens int
+	Parts        []placement.Part
+}
+
+// Outbound is what this node tells an upstream about a request.
+type Outbound struct {
+	Left        time.Duration
+	Instance    string
+	Account     string
+	LastEventID string
+	// Generation fields are empty for plain services.
+	Salt    string
+	Version uint64
+	// Urgency is the rank of the request at the engine, 0 is first.
+	Urgency int
+	// Fetch and Save name a store for each part of the prompt, "" for none.
+	Fetch, Save []string
+}
+
+// Answer is the head of an upstream's response.
+type Answer struct {
+	RequestID string
+	// NotRun is set when the upstream says that it did not run the request.
+	NotRun bool
+	// Replaced is set when another incarnation or another weight version answers.
+	Replaced bool
+	Signed   bool
+	Load     *placement.Load
+	Version  uint64
+	// Idle is how long the upstream promises to keep the connection.
+	Idle time.Duration
+}
+
+// Dialect translates between the wire and the types of this package.
+type Dialect interface {
+	Attributes(r *http.Request) (Attributes, error)
+	// Request fills the headers of the request to the upstream from those of the caller.
+	Request(in http.Header, out Outbound) http.Header
+	Answer(r *http.Response) Answer
+}
+
+// Sets gives the published set and the named weight versions.
+type Sets interface {
+	Set() *trafficset.Set
+	Wanted(model string) uint64
+}
+
+// Stores decides on fetching and saving parts of prompts.
+type Stores interface {
+	Plan(salt string, parts []placement.Part, engine *upstreams.Instance, cachedTokens int) (fetch, save []string, fetched int)
+}
+
+// Options of a Gateway.
+type Options struct {
+	AvailabilityZone string
+	Dialect          Dialect
+	Sets             Sets
+	Directory        *upstreams.Directory
+	Tracker          *placement.Tracker
+	Pool             *upstreamconn.Pool
+	Budget           *retrybudget.Budget
+	Stores           Stores
+	// Nodes returns the number of nodes that send to the same upstreams.
+	Nodes   func() int
+	Log     *zap.Logger
+	Metrics gometrics.Registry
+}
+
+// Gateway is the handler of callers' requests.
+type Gateway struct {
+	options Options
+	// closing makes answers end their connections.
+	closing atomic.Bool
+	// active counts requests in progress.
+	active  atomic.Int64
+	metrics meters
+}
+
+type meters struct {
+	requests, failed, refused, retries, broken, resumed gometrics.Counter
+	firstByte, total                                    gometrics.Timer
+}
+
+// New returns a Gateway.
+func New(options Options) *Gateway {
+	r := options.Metrics
+	return &Gateway{options: options, metrics: meters{
+		requests: gometrics.GetOrRegisterCounter("gateway.requests", r), failed: gometrics.GetOrRegisterCounter("gateway.failed", r),
+		refused: gometrics.GetOrRegisterCounter("gateway.refused", r), retries: gometrics.GetOrRegisterCounter("gateway.retries", r),
+		broken: gometrics.GetOrRegisterCounter("gateway.broken", r), resumed: gometrics.GetOrRegisterCounter("gateway.resumed", r),
+		firstByte: gometrics.GetOrRegisterTimer("gateway.first_byte", r), total: gometrics.GetOrRegisterTimer("gateway.total", r),
+	}}
+}
+
+// BeginClosing makes each answer end its connection.
+func (g *Gateway) BeginClosing() { g.closing.Store(true) }
+
+// Active returns the number of requests in progress.
+func (g *Gateway) Active() int { return int(g.active.Load()) }
+
+const (
+	// setRetryAfter is the advice of a node that has no published set yet.
+	setRetryAfter = 500 * time.Millisecond
+	// upstreamRetryAfter is the advice when no upstream can take a request: the list is read twice in that time.
+	upstreamRetryAfter = 400 * time.Millisecond
+	// defaultBodyBytes limits bodies that no set limits.
+	defaultBodyBytes = 4 << 20
+	// bodyTimeout limits the time to read a body, besides the caller's deadline.
+	bodyTimeout = 5 * time.Second
+	// defaultDeadline stands in for a caller that names none.
+	defaultDeadline = 30 * time.Second
+)
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	g.metrics.requests.Inc(1)
+	c := &call{gateway: g, writer: w, request: r, started: time.Now(), exclude: map[string]bool{}}
+	if g.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	err := c.serve()
+	c.finish(err)
+}
+
+// call is one request in progress.
+type call struct {
+	gateway *Gateway
+	writer  http.ResponseWriter
+	request *http.Request
+	started time.Time
+
+	set        *trafficset.Set
+	attributes Attributes
+	account    *trafficset.Account
+	route      *trafficset.Route
+	service    *trafficset.Service
+	body       []byte
+	// end is when the request must have its answer: the earlier of the caller's deadline and the route's timeout.
+	end time.Time
+	// deadline is when the caller stops waiting.
+	deadline time.Time
+
+	// Progress.
+	sends    int
+	exclude  map[string]bool
+	answered bool
+	status   int
+	// started events of a stream; last is the id of the newest event that was relayed whole.
+	relayed   int
+	lastEvent string
+	instance  string
+	cached    int
+	fetched   int
+	firstByte time.Duration
+	// unsure is set once a send ended without word of whether it ran, or ran and failed.
+	unsure bool
+	// mayRun is set while a send is in progress, and stays set unless the upstream says that it did not run.
+	mayRun bool
+}
+
+func (c *call) serve() error {
+	if c.set = c.gateway.options.Sets.Set(); c.set == nil {
+		e := failure.New(failure.StaleSet, failure.NotRun, "no published set is known yet")
+		e.RetryAfter = setRetryAfter
+		return e
+	}
+	var err error
+	if c.attributes, err = c.gateway.options.Dialect.Attributes(c.request); err != nil {
+		return err
+	}
+	if err := c.match(); err != nil {
+		return err
+	}
+	c.setDeadlines()
+	if err := c.readBody(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithDeadlineCause(c.request.Context(), c.end, errEnd)
+	defer cancel()
+	return c.forward(ctx)
+}
+
+// errEnd is the cause of a context whose request has no time left.
+var errEnd = failure.New(failure.DeadlineExceeded, failure.Unknown, "no time is left for the request")
+
+// match finds route and account.
+func (c *call) match() error {
+	c.route = c.set.Route(c.request.Host, c.request.URL.Path)
+	if c.route == nil {
+		return failure.New(failure.NotFound, failure.NotRun, "no route for %s%s", c.request.Host, c.request.URL.Path)
+	}
+	if !c.route.Public && len(c.set.Accounts) > 0 {
+		if c.account = c.set.Account(c.attributes.Key); c.account == nil {
+			return failure.New(failure.Unauthorized, failure.NotRun, "the API key is not known")
+		}
+	}
+	c.service = c.set.Service(c.route.Target(rand.Float64()))
+	return nil
+}
+
+func (c *call) setDeadlines() {
+	deadline := c.attributes.Deadline
+	if deadline == 0 {
+		deadline = defaultDeadline
+	}
+	c.deadline = c.started.Add(deadline)
+	c.end = c.started.Add(min(deadline, c.route.Timeout))
+}
+
+func (c *call) readBody() error {
+	limit := c.set.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if c.request.ContentLength > limit {
+		return failure.New(failure.BodyTooLarge, failure.NotRun, "a body of %d bytes, the limit is %d", c.request.ContentLength, limit)
+	}
+	if c.request.ContentLength == 0 {
+		return nil
+	}
+	until := c.started.Add(bodyTimeout)
+	if c.end.Before(until) {
+		until = c.end
+	}
+	control := http.NewResponseController(c.writer)
+	if err := control.SetReadDeadline(until); err != nil {
+		return failure.Wrap(err, failure.Internal, failure.NotRun, "limit the time to read a body")
+	}
+	var err error
+	if size := c.request.ContentLength; size > 0 {
+		c.body = make([]byte, size)
+		_, err = io.ReadFull(c.request.Body, c.body)
+	} else {
+		c.body, err = io.ReadAll(io.LimitReader(c.request.Body, limit+1))
+	}
+	if err != nil {
+		return failure.Wrap(err, failure.Canceled, failure.NotRun, "the body did not come")
+	}
+	if int64(len(c.body)) > limit {
+		return failure.New(failure.BodyTooLarge, failure.NotRun, "a body of more than %d bytes", limit)
+	}
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		return failure.Wrap(err, failure.Internal, failure.NotRun, "end the limit of the time to read a body")
+	}
+	return nil
+}
+
+// finish answers a failed request, logs and counts.
+func (c *call) finish(err error) {
+	elapsed := time.Since(c.started)
+	c.gateway.metrics.total.Update(elapsed)
+	if c.firstByte > 0 {
+		c.gateway.metrics.firstByte.Update(c.firstByte)
+	}
+	gone := c.request.Context().Err() != nil
+	if err != nil && !c.answered && !gone {
+		c.refuse(failure.Of(err))
+	}
+	c.log(err, gone, elapsed)
+	if err != nil && (c.answered || gone) {
+		c.gateway.metrics.broken.Inc(1)
+		// An answer that breaks off must not look complete.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// refuse writes the answer of a request that no upstream answered.
+func (c *call) refuse(e *failure.Error) {
+	status := e.Kind.HTTPStatus()
+	if c.mayRun && (status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable) {
+		status = http.StatusBadGateway
+	}
+	c.status = status
+	if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
+		c.gateway.metrics.refused.Inc(1)
+	} else {
+		c.gateway.metrics.failed.Inc(1)
+	}
+	header := c.writer.Header()
+	header.Set("Content-Type", "application/problem+json")
+	if e.RetryAfter > 0 && !c.mayRun {
+		header.Set("Retry-After", strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 2, 64))
+	}
+	body, err := json.Marshal(problem{Type: string(e.Kind), Detail: e.Message, Execution: string(e.Execution)})
+	if err != nil {
+		c.gateway.options.Log.Error("encoding of an error body failed", zap.Error(err))
+	}
+	c.writer.WriteHeader(status)
+	if _, err := c.writer.Write(body); err != nil {
+		c.gateway.options.Log.Debug("a caller did not take its refusal", zap.String("request", c.attributes.ID), zap.Error(err))
+	}
+}
+
+// problem is the body of a refusal.
+type problem struct {
+	Type      string `json:"type"`
+	Detail    string `json:"detail"`
+	Execution string `json:"execution"`
+}
+
+func (c *call) log(err error, gone bool, elapsed time.Duration) {
+	fields := []zap.Field{
+		zap.String("request", c.attributes.ID), zap.Int("status", c.status), zap.String("instance", c.instance), zap.Int("sends", c.sends),
+		zap.Int("events", c.relayed), zap.Duration("first_byte", c.firstByte), zap.Duration("elapsed", elapsed),
+		zap.Int("cached_tokens", c.cached), zap.Int("fetched_tokens", c.fetched),
+	}
+	if c.set != nil {
+		fields = append(fields, zap.Uint64("set_version", c.set.Version))
+	}
+	if c.route != nil {
+		fields = append(fields, zap.String("route", c.route.Name))
+	}
+	if c.account != nil {
+		fields = append(fields, zap.String("account", c.account.Name))
+	}
+	switch {
+	case gone:
+		c.gateway.options.Log.Info("caller left", append(fields, zap.Error(err))...)
+	case err != nil && c.answered:
+		c.gateway.options.Log.Warn("answer broken off", append(fields, zap.Error(err))...)
+	case err != nil:
+		c.gateway.options.Log.Warn("request refused", append(fields, zap.Error(err))...)
+	default:
+		c.gateway.options.Log.Info("request answered", fields...)
+	}
+}
+
+// isCanceled reports whether a failure follows from the caller's leave.
+func (c *call) isCanceled() bool { return errors.Is(c.request.Context().Err(), context.Canceled) }
--- /dev/null
+++ b/gateway/relay.go
@@ -0,0 +1,258 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/placement"
+	"github.com/wasabishunt/wasabishunt/trafficset"
+	"github.com/wasabishunt/wasabishunt/upstreamconn"
+	"github.com/wasabishunt/wasabishunt/upstreams"
+)
+
+// send is one answered send whose answer is being relayed.
+type send struct {
+	call        *call
+	ctx, tryCtx context.Context
+	slow        *time.Timer
+	exchange    *upstreamconn.Exchange
+	answer      Answer
+	ticket      *placement.Ticket
+	instance    *upstreams.Instance
+	out         Outbound
+	repeatable  bool
+	// begun is set with the first event of this send.
+	begun bool
+}
+
+const (
+	// maxBuffered limits an answer that is held back until it is known to be whole.
+	maxBuffered = 4 << 20
+	// writeLimit is how long a caller may take to read a part of its answer.
+	writeLimit = 5 * time.Second
+)
+
+func (s *send) relay() result {
+	status := s.exchange.Response.StatusCode
+	if s.answer.NotRun {
+		return s.rejected()
+	}
+	if s.call.route.Kind == trafficset.Stream && status == http.StatusOK {
+		return s.relayStream()
+	}
+	return s.relayWhole()
+}
+
+// rejected handles an answer that says the request did not run here.
+func (s *send) rejected() result {
+	c := s.call
+	c.mayRun = c.unsure
+	body, err := s.exchange.ReadAll(maxBuffered)
+	outcome := placement.Rejected
+	if s.exchange.Response.StatusCode == http.StatusMisdirectedRequest {
+		outcome = placement.Replaced
+	}
+	s.ticket.End(outcome, time.Now())
+	c.gateway.options.Log.Info("upstream rejected a request", zap.String("request", c.attributes.ID), zap.String("instance", s.instance.ID),
+		zap.Int("status", s.exchange.Response.StatusCode), zap.Int("bytes", len(body)))
+	if err != nil {
+		s.exchange.Abort()
+	} else {
+		s.exchange.Finish(s.answer.Idle)
+	}
+	e := failure.New(failure.Overloaded, failure.NotRun, "instance %s answered %d and did not run the request", s.instance.ID, s.exchange.Response.StatusCode)
+	e.RetryAfter = upstreamRetryAfter
+	return result{notRun: true, err: e}
+}
+
+// relayWhole passes an answer on once it is known to be whole.
+func (s *send) relayWhole() result {
+	c := s.call
+	body, err := s.exchange.ReadAll(maxBuffered)
+	if err != nil {
+		s.exchange.Abort()
+		return c.noAnswer(s.ctx, s.ticket, s.instance, err)
+	}
+	status := s.exchange.Response.StatusCode
+	s.exchange.Finish(s.answer.Idle)
+	if status >= http.StatusInternalServerError {
+		s.ticket.End(placement.Failed, time.Now())
+		if s.repeatable && c.relayed == 0 {
+			return result{err: failure.New(failure.UpstreamFailed, failure.Ran, "instance %s answered %d", s.instance.ID, status)}
+		}
+	} else {
+		s.ticket.End(placement.Answered, time.Now())
+	}
+	if c.answered {
+		return result{done: true, err: failure.New(failure.StreamBroken, failure.Ran, "instance %s answered %d to a resumed stream", s.instance.ID, status)}
+	}
+	if status < http.StatusInternalServerError && status < http.StatusBadRequest && !s.answer.Signed {
+		return result{done: true, err: failure.New(failure.UpstreamFailed, failure.Ran, "instance %s gave no signature", s.instance.ID)}
+	}
+	c.firstByte = time.Since(c.started)
+	c.copyHead(s.exchange.Response, int64(len(body)))
+	if err := c.write(body); err != nil {
+		return result{done: true, err: err}
+	}
+	return result{done: true}
+}
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length"}
+
+// copyHead passes the status and the headers of an answer on. A negative length is not told.
+func (c *call) copyHead(response *http.Response, length int64) {
+	header := c.writer.Header()
+	for name, values := range response.Header {
+		header[name] = values
+	}
+	for _, name := range hopHeaders {
+		header.Del(name)
+	}
+	for _, name := range strings.Split(response.Header.Get("Connection"), ",") {
+		header.Del(strings.TrimSpace(name))
+	}
+	if header.Get("Content-Type") == "" {
+		header["Content-Type"] = nil
+	}
+	if length >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	if c.gateway.closing.Load() {
+		header.Set("Connection", "close")
+	}
+	c.answered = true
+	c.status = response.StatusCode
+	c.writer.WriteHeader(response.StatusCode)
+}
+
+func (c *call) write(data []byte) error {
+	control := http.NewResponseController(c.writer)
+	if err := control.SetWriteDeadline(time.Now().Add(writeLimit)); err != nil {
+		return failure.Wrap(err, failure.Internal, failure.Ran, "limit the time to write")
+	}
+	if _, err := c.writer.Write(data); err != nil {
+		return failure.Wrap(err, failure.Canceled, failure.Ran, "the caller did not take its answer")
+	}
+	return nil
+}
+
+func (c *call) flush() error {
+	if err := http.NewResponseController(c.writer).Flush(); err != nil {
+		return failure.Wrap(err, failure.Canceled, failure.Ran, "the caller did not take its answer")
+	}
+	return nil
+}
+
+// relayStream passes events on as they come, each only when it is whole.
+func (s *send) relayStream() result {
+	c := s.call
+	if !s.answer.Signed && !c.answered {
+		s.exchange.Abort()
+		s.ticket.End(placement.Failed, time.Now())
+		return result{err: failure.New(failure.UpstreamFailed, failure.Ran, "instance %s gave no signature", s.instance.ID)}
+	}
+	var splitter eventSplitter
+	buffer := make([]byte, streamBuffer)
+	for {
+		n, err := s.exchange.Response.Body.Read(buffer)
+		events := splitter.add(buffer[:n])
+		if len(events) > 0 {
+			if err := s.passEvents(events, splitter.lastID); err != nil {
+				return s.stopped(err)
+			}
+		}
+		switch {
+		case err == nil:
+		case errors.Is(err, io.EOF):
+			return s.endOfStream(&splitter)
+		default:
+			return s.brokenStream(err)
+		}
+	}
+}
+
+// streamBuffer holds some events; an event of a few tokens has some hundred bytes.
+const streamBuffer = 2 << 10
+
+func (s *send) passEvents(events []byte, lastID string) error {
+	c := s.call
+	if s.slow != nil {
+		s.slow.Stop()
+	}
+	if !c.answered {
+		c.firstByte = time.Since(c.started)
+		c.copyHead(s.exchange.Response, -1)
+	}
+	if !s.begun {
+		s.begun = true
+		s.ticket.Prefilled()
+		if g := c.attributes.Generation; g != nil && c.service.Engine != nil && s.out.Salt != "" {
+			s.ticket.Cached(s.out.Salt, g.Parts, c.service.Engine.CacheTokens)
+		}
+	}
+	if err := c.write(events); err != nil {
+		return err
+	}
+	c.relayed++
+	if lastID != "" {
+		c.lastEvent = lastID
+	}
+	return c.flush()
+}
+
+// endOfStream handles an answer that ended as complete.
+func (s *send) endOfStream(splitter *eventSplitter) result {
+	c := s.call
+	s.ticket.End(placement.Answered, time.Now())
+	if !c.answered {
+		c.copyHead(s.exchange.Response, -1)
+	}
+	if rest := splitter.rest(); len(rest) > 0 {
+		if err := c.write(rest); err != nil {
+			return s.stopped(err)
+		}
+	}
+	s.exchange.Finish(s.answer.Idle)
+	return result{done: true}
+}
+
+// stopped handles a caller that does not take its answer.
+func (s *send) stopped(err error) result {
+	s.exchange.Abort()
+	s.ticket.End(placement.Canceled, time.Now())
+	return result{done: true, err: err}
+}
+
+// brokenStream handles an answer that broke off. A resumable stream goes on elsewhere after its last whole event.
+func (s *send) brokenStream(err error) result {
+	c := s.call
+	s.exchange.Abort()
+	cause := failure.Wrap(err, failure.StreamBroken, failure.Ran, "the stream of instance %s broke off", s.instance.ID)
+	if c.isCanceled() {
+		s.ticket.End(placement.Canceled, time.Now())
+		return result{done: true, err: cause}
+	}
+	if s.ctx.Err() != nil {
+		s.ticket.End(placement.Canceled, time.Now())
+		return result{done: true, err: cause}
+	}
+	s.ticket.End(placement.Failed, time.Now())
+	c.gateway.options.Log.Info("stream broke off", zap.String("request", c.attributes.ID), zap.String("instance", s.instance.ID),
+		zap.Int("events", c.relayed), zap.String("last_event", c.lastEvent), zap.Error(err))
+	if !s.repeatable || c.answered && c.lastEvent == "" {
+		return result{done: c.answered, err: cause}
+	}
+	if c.answered {
+		c.gateway.metrics.resumed.Inc(1)
+	}
+	return result{err: cause}
+}
--- /dev/null
+++ b/gateway/server.go
@@ -0,0 +1,160 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"log"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/trafficset"
+)
+
+// Server accepts callers' connections. A change of the limits holds for new connections.
+type Server struct {
+	Handler http.Handler
+	Log     *zap.Logger
+
+	mu      sync.Mutex
+	limits  trafficset.Limits
+	current *generation
+	all     []*generation
+	stopped bool
+}
+
+// generation is one http.Server with its limits.
+type generation struct {
+	server *http.Server
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+	addr   net.Addr
+}
+
+// Defaults for a node without a published set.
+const (
+	defaultHeaderBytes   = 64 << 10
+	defaultHeaderTimeout = 5 * time.Second
+	defaultIdleTimeout   = 30 * time.Second
+	// headerSlack is what net/http adds to its limit of header bytes.
+	headerSlack = 4096
+	// connBacklog is the number of accepted connections that wait for their goroutine.
+	connBacklog = 64
+	acceptPause = 20 * time.Millisecond
+)
+
+// Accept implements net.Listener.
+func (g *generation) Accept() (net.Conn, error) {
+	select {
+	case conn := <-g.conns:
+		return conn, nil
+	case <-g.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (g *generation) Close() error {
+	g.once.Do(func() { close(g.closed) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (g *generation) Addr() net.Addr { return g.addr }
+
+// SetLimits puts limits in force.
+func (s *Server) SetLimits(limits trafficset.Limits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.current == nil || s.limits == limits || s.stopped {
+		s.limits = limits
+		return
+	}
+	s.limits = limits
+	s.start(s.current.addr)
+}
+
+// start begins a new generation. The caller holds the lock.
+func (s *Server) start(addr net.Addr) {
+	limits := s.limits
+	if limits.HeaderBytes <= 0 {
+		limits.HeaderBytes = defaultHeaderBytes
+	}
+	if limits.HeaderTimeout <= 0 {
+		limits.HeaderTimeout = defaultHeaderTimeout
+	}
+	if limits.IdleTimeout <= 0 {
+		limits.IdleTimeout = defaultIdleTimeout
+	}
+	g := &generation{conns: make(chan net.Conn, connBacklog), closed: make(chan struct{}), addr: addr}
+	g.server = &http.Server{
+		Handler: s.Handler, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
+		MaxHeaderBytes: max(1, int(limits.HeaderBytes)-headerSlack), ErrorLog: log.New(discardLog{s.Log}, "", 0),
+	}
+	s.current = g
+	s.all = append(s.all, g)
+	go func() {
+		if err := g.server.Serve(g); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+			s.Log.Error("serving callers failed", zap.Error(err))
+		}
+	}()
+}
+
+// discardLog passes the lines of net/http on as debug lines: broken connections of callers are no news.
+type discardLog struct{ log *zap.Logger }
+
+// Write implements io.Writer.
+func (d discardLog) Write(line []byte) (int, error) {
+	d.log.Debug("connection of a caller", zap.ByteString("line", line))
+	return len(line), nil
+}
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(listener net.Listener) error {
+	s.mu.Lock()
+	s.start(listener.Addr())
+	s.mu.Unlock()
+	for {
+		conn, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			// Out of descriptors: connections wait in the kernel's queue until others end.
+			s.Log.Warn("accepting a connection failed", zap.Error(failure.Wrap(err, failure.Overloaded, failure.NotRun, "accept")))
+			time.Sleep(acceptPause)
+			continue
+		}
+		s.mu.Lock()
+		current := s.current
+		s.mu.Unlock()
+		select {
+		case current.conns <- conn:
+		case <-current.closed:
+			_ = conn.Close()
+		}
+	}
+}
+
+// Shutdown closes idle connections, waits for requests in progress until the context ends, and then closes all.
+func (s *Server) Shutdown(ctx context.Context) {
+	s.mu.Lock()
+	s.stopped = true
+	all := s.all
+	s.mu.Unlock()
+	var group sync.WaitGroup
+	for _, g := range all {
+		group.Go(func() {
+			if err := g.server.Shutdown(ctx); err != nil {
+				s.Log.Warn("requests were cut at the end of the stop", zap.Error(err))
+				_ = g.server.Close()
+			}
+		})
+	}
+	group.Wait()
+}
--- /dev/null
+++ b/logging/sink.go
@@ -0,0 +1,88 @@
+package logging
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// DefaultQueue is the number of lines that wait for the writer: about 1 MB, or some seconds of a busy node.
+const DefaultQueue = 4096
+
+// Sink writes lines from one goroutine. It never blocks: lines beyond its queue are dropped and counted.
+type Sink struct {
+	out     io.Writer
+	queue   chan []byte
+	dropped atomic.Int64
+	closing sync.Once
+	done    chan struct{}
+}
+
+// NewSink starts the writer.
+func NewSink(out io.Writer, queue int) *Sink {
+	s := &Sink{out: out, queue: make(chan []byte, queue), done: make(chan struct{})}
+	go s.run()
+	return s
+}
+
+// Write implements io.Writer. The logger reuses the line, so the sink keeps a copy.
+func (s *Sink) Write(line []byte) (int, error) {
+	select {
+	case s.queue <- append([]byte(nil), line...):
+	default:
+		s.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Sync implements zapcore.WriteSyncer.
+func (s *Sink) Sync() error { return nil }
+
+// Dropped returns the number of lines dropped since the last line that told it.
+func (s *Sink) Dropped() int64 { return s.dropped.Load() }
+
+// closeLimit is how long Close waits for a reader that does not read.
+const closeLimit = 200 * time.Millisecond
+
+// Close writes what is queued. Nothing may be written afterwards.
+func (s *Sink) Close() {
+	s.closing.Do(func() { close(s.queue) })
+	timer := time.NewTimer(closeLimit)
+	defer timer.Stop()
+	select {
+	case <-s.done:
+	case <-timer.C:
+	}
+}
+
+func (s *Sink) run() {
+	defer close(s.done)
+	for line := range s.queue {
+		if n := s.dropped.Swap(0); n > 0 {
+			line = append(line, fmt.Sprintf("level=warn event=\"log lines dropped\" count=%d\n", n)...)
+		}
+		if _, err := s.out.Write(line); err != nil {
+			return
+		}
+	}
+}
+
+// NewTo returns a logger that writes to a sink and names the process in each line.
+func NewTo(sink *Sink, role, processID string, level zapcore.Level) *zap.Logger {
+	return newLogger(sink, role, processID, level)
+}
+
+func newLogger(out zapcore.WriteSyncer, role, processID string, level zapcore.Level) *zap.Logger {
+	config := zap.NewProductionEncoderConfig()
+	config.TimeKey = "time"
+	config.MessageKey = "event"
+	config.EncodeTime = zapcore.TimeEncoderOfLayout(time.RFC3339Nano)
+	core := zapcore.NewCore(zaplogfmt.NewEncoder(config), out, level)
+	return zap.New(core).With(zap.String("role", role), zap.String("process", processID))
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,336 @@
+// Package node assembles one process of a deployment: an entry for callers, and on VMs with a state disk a core member.
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/wasabishunt/wasabishunt/connlimit"
+	"github.com/wasabishunt/wasabishunt/coregroup"
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/fleetview"
+	"github.com/wasabishunt/wasabishunt/gateway"
+	"github.com/wasabishunt/wasabishunt/metrics"
+	"github.com/wasabishunt/wasabishunt/placement"
+	"github.com/wasabishunt/wasabishunt/retrybudget"
+	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
+	"github.com/wasabishunt/wasabishunt/trafficset"
+	"github.com/wasabishunt/wasabishunt/upstreamconn"
+	"github.com/wasabishunt/wasabishunt/upstreams"
+)
+
+// Config of a node.
+type Config struct {
+	Name, AvailabilityZone, IP string
+	// DataDir is empty on a VM without a state disk.
+	DataDir string
+	// FirstStart is set at the first start of the whole deployment.
+	FirstStart bool
+	// Front, Ready and Internal are the addresses for callers, for the balancer's check and for other nodes.
+	Front, Ready, Internal string
+	GossipPort             int
+	// Seeds are internal addresses of some core members.
+	Seeds     []string
+	Tolerance coregroup.Tolerance
+	// Grace is the time between the signal to stop and the kill.
+	Grace          time.Duration
+	MemoryBytes    int64
+	MaxDescriptors int
+	Retries        retrybudget.Limits
+	// HolderLease is the silence after which another node may give orders to engines.
+	HolderLease time.Duration
+}
+
+// Parts that differ between platforms.
+type Parts struct {
+	Dialect   gateway.Dialect
+	Lister    upstreams.Lister
+	DecodeSet func(document []byte) (*trafficset.Set, error)
+	// Operators is the interface of operators, nil on a node that has none.
+	Operators func(group *coregroup.Group) (*http.Server, net.Listener)
+}
+
+// Node is one process.
+type Node struct {
+	config  Config
+	parts   Parts
+	log     *zap.Logger
+	metrics gometrics.Registry
+
+	seeds     atomic.Pointer[[]string]
+	set       atomic.Pointer[trafficset.Set]
+	weights   atomic.Pointer[map[string]uint64]
+	nodes     atomic.Int64
+	synced    atomic.Bool
+	stopping  atomic.Bool
+	adopting  sync.Mutex
+	group     *coregroup.Group
+	directory *upstreams.Directory
+	reader    *upstreams.Reader
+	placement *fleetview.Placements
+	budget    *retrybudget.Budget
+	gateway   *gateway.Gateway
+	server    *gateway.Server
+}
+
+const (
+	// memoryShare of the limit is the heap that the collector aims to stay below.
+	memoryShare = 0.7
+	// reservedDescriptors are kept for files, listeners and connections to other nodes.
+	reservedDescriptors = 600
+	// callerShare of the other descriptors is for callers; the rest is for upstreams.
+	callerShare = 0.6
+	// callerWriteTimeout ends a connection whose caller reads nothing.
+	callerWriteTimeout = 10 * time.Second
+	// firstNodes is taken as the number of nodes until the leader tells it.
+	firstNodes = 8
+)
+
+// New returns a node that is not running yet.
+func New(config Config, parts Parts, log *zap.Logger, registry gometrics.Registry) *Node {
+	n := &Node{config: config, parts: parts, log: log, metrics: registry, directory: upstreams.NewDirectory(), placement: fleetview.NewPlacements()}
+	n.SetSeeds(config.Seeds)
+	n.nodes.Store(firstNodes)
+	n.weights.Store(&map[string]uint64{})
+	n.group = coregroup.New(coregroup.Options{
+		Dir: config.DataDir, Address: config.Internal, AvailabilityZone: config.AvailabilityZone, Seeds: n.Seeds, FirstStart: config.FirstStart,
+		Tolerance: config.Tolerance, Log: log, Metrics: registry,
+	})
+	n.reader = &upstreams.Reader{Directory: n.directory, Lister: parts.Lister, Reads: func() bool { return n.group.Leads() && n.group.Fresh() }, Log: log}
+	n.budget = retrybudget.New(config.Retries, time.Now)
+	n.budget.SetNodes(firstNodes)
+	n.gateway = gateway.New(gateway.Options{
+		AvailabilityZone: config.AvailabilityZone, Dialect: parts.Dialect, Sets: n, Directory: n.directory, Tracker: placement.NewTracker(),
+		Pool: upstreamconn.NewPool(upstreamconn.Options{}), Budget: n.budget,
+		Nodes: func() int { return int(n.nodes.Load()) }, Log: log, Metrics: registry,
+	})
+	n.server = &gateway.Server{Handler: n.gateway, Log: log}
+	return n
+}
+
+// SetSeeds takes the seeds of changed settings.
+func (n *Node) SetSeeds(seeds []string) { n.seeds.Store(&seeds) }
+
+// Seeds returns the current seeds.
+func (n *Node) Seeds() []string { return *n.seeds.Load() }
+
+// Set implements gateway.Sets.
+func (n *Node) Set() *trafficset.Set { return n.set.Load() }
+
+// Wanted implements gateway.Sets.
+func (n *Node) Wanted(model string) uint64 { return (*n.weights.Load())[model] }
+
+// Run serves until the context ends, and then stops gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	debug.SetMemoryLimit(int64(memoryShare * float64(n.config.MemoryBytes)))
+	listeners, err := n.listen()
+	if err != nil {
+		return err
+	}
+	running, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	mux := drpcmux.New()
+	server := &fleetview.Server{Group: n.group, Directory: n.directory, Reader: n.reader, Placement: n.placement}
+	if err := errors.Join(nodepb.DRPCRegisterNode(mux, server), n.group.Register(mux)); err != nil {
+		return failure.Wrap(err, failure.Internal, failure.NotRun, "register the services of the node")
+	}
+	var tasks sync.WaitGroup
+	groupCtx, stopGroup := context.WithCancel(running)
+	defer stopGroup()
+	groupDone := make(chan struct{})
+	tasks.Go(func() { n.serveInternal(running, mux, listeners.internal) })
+	tasks.Go(func() { n.group.Run(groupCtx); close(groupDone) })
+	tasks.Go(func() { n.reader.Run(running) })
+	watcher := &fleetview.Watcher{Node: n.config.Name, AvailabilityZone: n.config.AvailabilityZone, Seeds: n.Seeds, Adopt: n.adopt, Log: n.log}
+	tasks.Go(func() { watcher.Run(running) })
+	tasks.Go(func() { n.serveStatus(running, listeners.ready) })
+	if n.parts.Operators != nil {
+		tasks.Go(func() { n.serveOperators(running) })
+	}
+	tasks.Go(func() {
+		if err := n.server.Serve(listeners.front); err != nil {
+			n.log.Error("the listener for callers failed", zap.Error(err))
+		}
+	})
+	n.log.Info("node started", zap.String("front", n.config.Front), zap.String("internal", n.config.Internal), zap.Bool("state_disk", n.config.DataDir != ""))
+	<-ctx.Done()
+	n.stop(stopGroup, groupDone, listeners.front)
+	cancel()
+	tasks.Wait()
+	n.log.Info("node stopped")
+	return nil
+}
+
+const (
+	// balancerNotice is the time in which the balancer looks twice and takes a node out, with one look to spare.
+	balancerNotice = 3 * time.Second
+	// stopMargin is kept between the last request that is cut and the kill.
+	stopMargin = 400 * time.Millisecond
+	drainPoll  = 20 * time.Millisecond
+)
+
+// stop ends the node: it fails the balancer's check first and hands over leadership, takes new connections until the
+// balancer has looked, and lets requests in progress end.
+func (n *Node) stop(stopGroup context.CancelFunc, groupDone <-chan struct{}, front net.Listener) {
+	deadline := time.Now().Add(n.config.Grace - stopMargin)
+	n.stopping.Store(true)
+	n.gateway.BeginClosing()
+	n.log.Info("stopping", zap.Int("active", n.gateway.Active()))
+	stopGroup()
+	timer := time.NewTimer(balancerNotice)
+	defer timer.Stop()
+	<-timer.C
+	if err := front.Close(); err != nil {
+		n.log.Warn("closing the listener for callers failed", zap.Error(err))
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	n.server.Shutdown(ctx)
+	select {
+	case <-groupDone:
+	case <-ctx.Done():
+	}
+}
+
+type listeners struct{ front, ready, internal net.Listener }
+
+// listen opens all ports before anything else is touched.
+func (n *Node) listen() (*listeners, error) {
+	l := &listeners{}
+	for _, port := range []struct {
+		at      *net.Listener
+		address string
+	}{{&l.front, n.config.Front}, {&l.ready, n.config.Ready}, {&l.internal, n.config.Internal}} {
+		listener, err := net.Listen("tcp", port.address)
+		if err != nil {
+			return nil, failure.Wrap(err, failure.Internal, failure.NotRun, "listen on %s", port.address)
+		}
+		*port.at = listener
+	}
+	callers := int(callerShare * float64(max(reservedDescriptors, n.config.MaxDescriptors-reservedDescriptors)))
+	l.front = connlimit.Listen(l.front, callers, callerWriteTimeout)
+	return l, nil
+}
+
+func (n *Node) serveInternal(ctx context.Context, mux *drpcmux.Mux, listener net.Listener) {
+	if err := drpcserver.New(mux).Serve(ctx, listener); err != nil && ctx.Err() == nil {
+		n.log.Error("serving other nodes failed", zap.Error(err))
+	}
+}
+
+func (n *Node) serveOperators(ctx context.Context) {
+	server, listener := n.parts.Operators(n.group)
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		n.log.Error("serving operators failed", zap.Error(err))
+	}
+}
+
+const statusTimeout = 3 * time.Second
+
+func (n *Node) serveStatus(ctx context.Context, listener net.Listener) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if err := n.Ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	mux.Handle("GET /metrics", metrics.Handler(n.metrics))
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: statusTimeout, ReadTimeout: statusTimeout, WriteTimeout: statusTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		n.log.Error("serving the status port failed", zap.Error(err))
+	}
+}
+
+// Ready returns nil if the balancer may send callers.
+func (n *Node) Ready() error {
+	switch {
+	case n.stopping.Load():
+		return failure.New(failure.Draining, failure.NotRun, "the node stops")
+	case n.set.Load() == nil || !n.synced.Load():
+		return failure.New(failure.StaleSet, failure.NotRun, "the newest published set is not known yet")
+	case n.directory.View().Revision == 0:
+		return failure.New(failure.NoUpstream, failure.NotRun, "the instance list is not known yet")
+	}
+	return nil
+}
+
+// adopt takes an update of a core member. Versions never go back.
+func (n *Node) adopt(from string, u *nodepb.WatchUpdate) {
+	n.adopting.Lock()
+	defer n.adopting.Unlock()
+	if len(u.GetDocument()) > 0 {
+		n.adoptSet(from, u)
+	}
+	n.adoptWeights(u.GetWeights())
+	if leader := u.GetLeaderAddress(); leader != "" && u.GetFresh() {
+		n.group.HintLeader(leader)
+	}
+	if set := n.set.Load(); set != nil && u.GetFresh() && u.GetSetVersion() >= 1 && set.Version >= u.GetSetVersion() && !n.synced.Load() {
+		n.synced.Store(true)
+		n.log.Info("node is in step with the core", zap.Uint64("set_version", set.Version), zap.String("from", from))
+	}
+	if !u.GetLeads() {
+		return
+	}
+	if nodes := int64(u.GetNodes()); nodes > 0 && nodes != n.nodes.Load() {
+		n.nodes.Store(nodes)
+		n.budget.SetNodes(int(nodes))
+	}
+	now := time.Now()
+	n.directory.Confirm(now)
+	// The reader's own view is newer than what its member sends back to it.
+	if u.GetInstances() != nil && !n.reader.Reads() {
+		n.directory.Adopt(fleetview.DecodeView(u.GetInstances()), now)
+	}
+}
+
+func (n *Node) adoptSet(from string, u *nodepb.WatchUpdate) {
+	old := n.set.Load()
+	if old != nil && old.Version >= u.GetSetVersion() {
+		return
+	}
+	set, err := n.parts.DecodeSet(u.GetDocument())
+	if err != nil {
+		n.log.Error("a published set cannot be read", zap.Uint64("set_version", u.GetSetVersion()), zap.Error(err))
+		return
+	}
+	n.set.Store(set)
+	n.server.SetLimits(set.Limits)
+	n.log.Info("set in force", zap.Uint64("set_version", set.Version), zap.Int("routes", len(set.Routes)), zap.String("from", from), zap.Bool("fresh", u.GetFresh()))
+}
+
+func (n *Node) adoptWeights(named []*nodepb.WeightVersion) {
+	current := *n.weights.Load()
+	next := make(map[string]uint64, len(named))
+	changed := false
+	for model, version := range current {
+		next[model] = version
+	}
+	for _, w := range named {
+		if w.GetVersion() > next[w.GetModel()] {
+			next[w.GetModel()] = w.GetVersion()
+			changed = true
+			n.log.Info("weights named", zap.String("model", w.GetModel()), zap.Uint64("weight_version", w.GetVersion()))
+		}
+	}
+	if changed {
+		n.weights.Store(&next)
+	}
+}
--- /dev/null
+++ b/placement/tracker.go
@@ -0,0 +1,241 @@
+// Package placement decides which upstream instance gets a request.
+package placement
+
+import (
+	"sync"
+	"time"
+
+	"github.com/wasabishunt/wasabishunt/upstreams"
+)
+
+// Load is what an upstream says of itself in an answer.
+type Load struct{ Running, Waiting, Slots int }
+
+// Outcome of one send.
+type Outcome int
+
+// Outcomes of a send.
+const (
+	// Answered counts for the instance.
+	Answered Outcome = iota
+	// Failed counts against the instance.
+	Failed
+	// Rejected means that the instance did not run the request because it is full.
+	Rejected
+	// Replaced means that another incarnation lives at the address, or that the weights differ.
+	Replaced
+	// Canceled says nothing about the instance.
+	Canceled
+)
+
+const (
+	// ejectAfter is the number of failures in a row at which an instance gets no more requests for a while.
+	ejectAfter = 3
+	// ejectShare is the share of failed sends at which an instance is ejected too.
+	ejectShare = 0.5
+	// failureWeight is the weight of one send in the share of failures: about the last ten count.
+	failureWeight = 0.1
+	firstEjection = 500 * time.Millisecond
+	lastEjection  = 4 * time.Second
+	// rejectPause is how long a full instance is avoided.
+	rejectPause = 60 * time.Millisecond
+	// loadMemory is how long a load told by an instance counts.
+	loadMemory = 300 * time.Millisecond
+)
+
+// state is what a node knows of one incarnation.
+type state struct {
+	requests, prefillTokens, heldTokens int
+	load                                Load
+	loadAt                              time.Time
+	failures                            int
+	failureShare                        float64
+	ejections                           int
+	ejectedUntil, avoidedUntil          time.Time
+	replaced                            bool
+	versions                            map[string]uint64
+	cache                               *partCache
+}
+
+// Tracker holds the state of all instances. Its lock is a leaf.
+type Tracker struct {
+	mu        sync.Mutex
+	instances map[upstreams.Key]*state
+	revision  uint64
+}
+
+// NewTracker returns an empty Tracker.
+func NewTracker() *Tracker { return &Tracker{instances: map[upstreams.Key]*state{}} }
+
+// Sync forgets instances that have left the list, and takes the weight versions of a new list.
+func (t *Tracker) Sync(view *upstreams.View) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if view.Revision == t.revision {
+		return
+	}
+	t.revision = view.Revision
+	present := make(map[upstreams.Key]bool, len(view.Instances))
+	for i := range view.Instances {
+		instance := &view.Instances[i]
+		key := instance.Key()
+		present[key] = true
+		s := t.state(key)
+		s.replaced = false
+		for model, version := range instance.Versions {
+			s.setVersion(model, max(version, s.versions[model]))
+		}
+	}
+	for key, s := range t.instances {
+		if !present[key] && s.requests == 0 {
+			delete(t.instances, key)
+		}
+	}
+}
+
+func (t *Tracker) state(key upstreams.Key) *state {
+	s := t.instances[key]
+	if s == nil {
+		s = &state{versions: map[string]uint64{}, cache: newPartCache()}
+		t.instances[key] = s
+	}
+	return s
+}
+
+// setVersion empties the cache of an engine whose weights changed.
+func (s *state) setVersion(model string, version uint64) {
+	if s.versions[model] != version {
+		s.versions[model] = version
+		s.cache = newPartCache()
+	}
+}
+
+// Work is the size of a request at an instance.
+type Work struct {
+	// PrefillTokens are expected to be read.
+	PrefillTokens int
+	// HeldTokens are the memory that the request takes.
+	HeldTokens int
+}
+
+// Ticket is one send in progress.
+type Ticket struct {
+	tracker   *Tracker
+	key       upstreams.Key
+	work      Work
+	prefilled bool
+	done      bool
+}
+
+// Begin notes a send.
+func (t *Tracker) Begin(instance *upstreams.Instance, work Work) *Ticket {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.state(instance.Key())
+	s.requests++
+	s.prefillTokens += work.PrefillTokens
+	s.heldTokens += work.HeldTokens
+	return &Ticket{tracker: t, key: instance.Key(), work: work}
+}
+
+// Prefilled notes that the prompt was read: the first event has come.
+func (k *Ticket) Prefilled() {
+	k.tracker.mu.Lock()
+	defer k.tracker.mu.Unlock()
+	k.prefill(k.tracker.state(k.key))
+}
+
+func (k *Ticket) prefill(s *state) {
+	if !k.prefilled {
+		k.prefilled = true
+		s.prefillTokens -= k.work.PrefillTokens
+	}
+}
+
+// Told notes the load and the weight version that an answer carries.
+func (k *Ticket) Told(load *Load, model string, version uint64, now time.Time) {
+	k.tracker.mu.Lock()
+	defer k.tracker.mu.Unlock()
+	s := k.tracker.state(k.key)
+	if load != nil {
+		s.load, s.loadAt = *load, now
+	}
+	if version > 0 && model != "" {
+		s.setVersion(model, version)
+	}
+}
+
+// Cached notes parts that the engine holds now.
+func (k *Ticket) Cached(salt string, parts []Part, capacity int) {
+	k.tracker.mu.Lock()
+	defer k.tracker.mu.Unlock()
+	k.tracker.state(k.key).cache.add(salt, parts, capacity)
+}
+
+// End notes how the send ended.
+func (k *Ticket) End(outcome Outcome, now time.Time) {
+	k.tracker.mu.Lock()
+	defer k.tracker.mu.Unlock()
+	if k.done {
+		return
+	}
+	k.done = true
+	s := k.tracker.state(k.key)
+	k.prefill(s)
+	s.requests--
+	s.heldTokens -= k.work.HeldTokens
+	switch outcome {
+	case Answered:
+		s.failures, s.ejections = 0, 0
+		s.failureShare *= 1 - failureWeight
+	case Failed:
+		s.fail(now)
+	case Rejected:
+		s.avoidedUntil = now.Add(rejectPause)
+	case Replaced:
+		s.replaced = true
+	case Canceled:
+	}
+}
+
+// fail ejects an instance after a run of failures, for longer each time until it answers again.
+func (s *state) fail(now time.Time) {
+	s.failures++
+	s.failureShare += failureWeight * (1 - s.failureShare)
+	if s.failures < ejectAfter && s.failureShare < ejectShare || now.Before(s.ejectedUntil) {
+		return
+	}
+	s.ejectedUntil = now.Add(min(firstEjection<<s.ejections, lastEjection))
+	s.ejections = min(s.ejections+1, 4)
+	s.failureShare = 0
+}
+
+// Candidates describes the instances for one request.
+func (t *Tracker) Candidates(list []*upstreams.Instance, now time.Time, q *Request) []Candidate {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]Candidate, 0, len(list))
+	for _, instance := range list {
+		s := t.state(instance.Key())
+		c := Candidate{
+			Instance: instance, Requests: s.requests, PrefillTokens: s.prefillTokens, HeldTokens: s.heldTokens,
+			FailureShare: s.failureShare, Ejected: now.Before(s.ejectedUntil), Avoided: now.Before(s.avoidedUntil), Replaced: s.replaced,
+			SameZone: instance.AvailabilityZone == q.Zone, Version: s.versions[q.Model],
+		}
+		if now.Sub(s.loadAt) < loadMemory {
+			c.Load = s.load
+		}
+		if len(q.Parts) > 0 {
+			c.CachedTokens = s.cache.prefix(q.Salt(c.Version), q.Parts)
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
+// Version returns the weight version that an instance is believed to have, 0 if it is not known.
+func (t *Tracker) Version(instance *upstreams.Instance, model string) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.state(instance.Key()).versions[model]
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -240,9 +240,13 @@
 	if err := raftpb.DRPCRegisterFormation(mux, &formationServer{replica: r}); err != nil {
 		return err
 	}
-	return raftpb.DRPCRegisterRaft(mux, &server{replica: r})
+	return raftpb.DRPCRegisterRaft(mux, r.Server())
 }
 
+// Server answers the raft calls of other members. It serves a process that starts a new Replica after a failure and
+// cannot register it again.
+func (r *Replica) Server() raftpb.DRPCRaftServer { return &server{replica: r} }
+
 // Status returns the member's state as of the last step of the loop.
 func (r *Replica) Status() raft.Status { return *r.status.Load() }
 
--- /dev/null
+++ b/retrybudget/retrybudget.go
@@ -0,0 +1,105 @@
+// Package retrybudget limits how many requests a node sends to a second upstream.
+//
+// The limit holds for all nodes together: each spends a share of its own first sends, and an equal part of a fixed
+// allowance. A node that has just started has no allowance, since its predecessor may have spent it.
+package retrybudget
+
+import (
+	"sync"
+	"time"
+)
+
+// Limits of a deployment.
+type Limits struct {
+	// Ratio of repeats to requests within a window.
+	Ratio float64
+	// Allowance is the number of repeats that all nodes may add to the ratio within a window.
+	Allowance float64
+	Window    time.Duration
+}
+
+const (
+	// buckets is the number of parts in which a window slides.
+	buckets = 20
+	// ratioShare and allowanceShare leave room for windows that end at different times on different nodes.
+	ratioShare     = 0.8
+	allowanceShare = 0.5
+)
+
+// Budget is the budget of one node. Its lock is a leaf.
+type Budget struct {
+	limits Limits
+	now    func() time.Time
+
+	mu       sync.Mutex
+	started  time.Time
+	nodes    int
+	services map[string]*window
+}
+
+type window struct {
+	slots   [buckets]count
+	current int64
+}
+
+type count struct{ requests, repeats float64 }
+
+// New returns a Budget.
+func New(limits Limits, now func() time.Time) *Budget {
+	return &Budget{limits: limits, now: now, started: now(), nodes: 1, services: map[string]*window{}}
+}
+
+// SetNodes tells the number of nodes that share the allowance.
+func (b *Budget) SetNodes(nodes int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.nodes = max(1, nodes)
+}
+
+// Request notes the first send of a request to a service.
+func (b *Budget) Request(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(service)
+	w.slots[w.current%buckets].requests++
+}
+
+// Repeat takes one further send from the budget, if there is one left.
+func (b *Budget) Repeat(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(service)
+	var sum count
+	for _, c := range w.slots {
+		sum.requests += c.requests
+		sum.repeats += c.repeats
+	}
+	limit := ratioShare * b.limits.Ratio * sum.requests
+	if b.now().Sub(b.started) >= b.limits.Window {
+		limit += allowanceShare * b.limits.Allowance / float64(b.nodes)
+	}
+	if sum.repeats+1 > limit {
+		return false
+	}
+	w.slots[w.current%buckets].repeats++
+	return true
+}
+
+// window advances the window of a service to the present.
+func (b *Budget) window(service string) *window {
+	step := int64(b.now().Sub(b.started) / (b.limits.Window / buckets))
+	w := b.services[service]
+	if w == nil {
+		w = &window{current: step}
+		b.services[service] = w
+	}
+	if step-w.current >= buckets {
+		w.slots = [buckets]count{}
+		w.current = step
+	}
+	for w.current < step {
+		w.current++
+		w.slots[w.current%buckets] = count{}
+	}
+	return w
+}
--- /dev/null
+++ b/upstreamconn/pool.go
@@ -0,0 +1,287 @@
+// Package upstreamconn exchanges HTTP/1.1 requests with upstreams over connections of its own.
+//
+// No request is ever sent twice by this package. A connection is kept only after a whole answer that belongs to its
+// request and that nothing follows.
+package upstreamconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+)
+
+// Options of a Pool.
+type Options struct {
+	// DialTimeout limits the time to open a connection.
+	DialTimeout time.Duration
+	// IdleLimit closes a connection that was idle for longer; upstreams drop idle connections without notice.
+	IdleLimit time.Duration
+	// MaxIdle limits the idle connections to one address.
+	MaxIdle int
+	// Dial opens a connection; default is TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	Now  func() time.Time
+}
+
+// Defaults of Options.
+const (
+	// defaultDialTimeout is far above the 3 ms round trip between zones, and below the first resend of a lost SYN.
+	defaultDialTimeout = 700 * time.Millisecond
+	defaultIdleLimit   = 3 * time.Second
+	defaultMaxIdle     = 16
+	keepAlivePeriod    = time.Second
+	readBuffer         = 4 << 10
+)
+
+// Pool keeps idle connections by address. Its lock is a leaf.
+type Pool struct {
+	options Options
+
+	mu    sync.Mutex
+	idle  map[string][]*Conn
+	open  map[string]int
+	swept time.Time
+}
+
+// NewPool returns a Pool with defaults for unset options.
+func NewPool(options Options) *Pool {
+	if options.DialTimeout == 0 {
+		options.DialTimeout = defaultDialTimeout
+	}
+	if options.IdleLimit == 0 {
+		options.IdleLimit = defaultIdleLimit
+	}
+	if options.MaxIdle == 0 {
+		options.MaxIdle = defaultMaxIdle
+	}
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	if options.Dial == nil {
+		dialer := &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: 3}}
+		options.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}
+	}
+	return &Pool{options: options, idle: map[string][]*Conn{}, open: map[string]int{}}
+}
+
+// Conn is one connection, used by one request at a time.
+type Conn struct {
+	pool    *Pool
+	address string
+	raw     net.Conn
+	reader  *bufio.Reader
+	// keepUntil is when the upstream may close the idle connection.
+	keepUntil time.Time
+	closeOnce sync.Once
+	// Reused is set after the first request.
+	Reused bool
+}
+
+// Get returns an idle connection or opens one. No byte of a request has left when it fails.
+func (p *Pool) Get(ctx context.Context, address string, limit int) (*Conn, error) {
+	for {
+		conn := p.takeIdle(address)
+		if conn == nil {
+			return p.dial(ctx, address, limit)
+		}
+		if conn.alive() {
+			return conn, nil
+		}
+		conn.Close()
+	}
+}
+
+func (p *Pool) takeIdle(address string) *Conn {
+	now := p.options.Now()
+	p.mu.Lock()
+	p.sweep(now)
+	var conn *Conn
+	for list := p.idle[address]; len(list) > 0 && conn == nil; list = p.idle[address] {
+		last := list[len(list)-1]
+		p.idle[address] = list[:len(list)-1]
+		if now.Before(last.keepUntil) {
+			conn = last
+		} else {
+			p.mu.Unlock()
+			last.Close()
+			p.mu.Lock()
+		}
+	}
+	p.mu.Unlock()
+	return conn
+}
+
+// sweep closes expired idle connections of all addresses once per idle limit.
+func (p *Pool) sweep(now time.Time) {
+	if now.Sub(p.swept) < p.options.IdleLimit {
+		return
+	}
+	p.swept = now
+	for address, list := range p.idle {
+		kept := list[:0]
+		for _, conn := range list {
+			if now.Before(conn.keepUntil) {
+				kept = append(kept, conn)
+			} else {
+				go conn.Close()
+			}
+		}
+		p.idle[address] = kept
+		if len(kept) == 0 {
+			delete(p.idle, address)
+		}
+	}
+}
+
+func (p *Pool) dial(ctx context.Context, address string, limit int) (*Conn, error) {
+	p.mu.Lock()
+	if limit > 0 && p.open[address] >= limit {
+		p.mu.Unlock()
+		return nil, failure.New(failure.Overloaded, failure.NotRun, "%d connections to %s are open", limit, address)
+	}
+	p.open[address]++
+	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, p.options.DialTimeout)
+	defer cancel()
+	raw, err := p.options.Dial(ctx, address)
+	if err != nil {
+		p.release(address)
+		return nil, failure.Wrap(err, failure.UpstreamFailed, failure.NotRun, "open a connection to %s", address)
+	}
+	return &Conn{pool: p, address: address, raw: raw, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+}
+
+func (p *Pool) release(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open[address]--; p.open[address] <= 0 {
+		delete(p.open, address)
+	}
+}
+
+// alive looks for a close or for bytes that belong to no request. It does not wait.
+func (c *Conn) alive() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	return !readable(c.raw)
+}
+
+// Close ends the connection.
+func (c *Conn) Close() {
+	c.closeOnce.Do(func() {
+		_ = c.raw.Close()
+		c.pool.release(c.address)
+	})
+}
+
+// Keep gives the connection back after a whole answer. Bytes after the answer end it.
+func (c *Conn) Keep(promised time.Duration) {
+	if c.reader.Buffered() > 0 || readable(c.raw) {
+		c.Close()
+		return
+	}
+	limit := c.pool.options.IdleLimit
+	if promised > 0 {
+		limit = min(limit, promised*2/3)
+	}
+	c.Reused = true
+	c.keepUntil = c.pool.options.Now().Add(limit)
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	if len(c.pool.idle[c.address]) >= c.pool.options.MaxIdle {
+		go c.Close()
+		return
+	}
+	c.pool.idle[c.address] = append(c.pool.idle[c.address], c)
+}
+
+// Exchange is one request on its way. Abort may be called from any goroutine.
+type Exchange struct {
+	conn    *Conn
+	written chan error
+	// Response is set by Send.
+	Response *http.Response
+}
+
+// Send writes the request and reads the head of its answer. An answer may come before the body is out; the writer goes
+// on, so that the upstream never reads other bytes in the place of the rest.
+// Once Send was called the request may have run, whatever it returns.
+func (c *Conn) Send(ctx context.Context, request *http.Request) (*Exchange, error) {
+	e := &Exchange{conn: c, written: make(chan error, 1)}
+	stop := context.AfterFunc(ctx, c.Close)
+	defer stop()
+	go func() {
+		w := bufio.NewWriterSize(c.raw, readBuffer)
+		err := request.Write(w)
+		if err == nil {
+			err = w.Flush()
+		}
+		e.written <- err
+	}()
+	response, err := http.ReadResponse(c.reader, request)
+	if err != nil {
+		c.Close()
+		if ctx.Err() != nil {
+			err = ctx.Err()
+		}
+		return nil, failure.Wrap(err, failure.UpstreamFailed, failure.Unknown, "no answer from %s", c.address)
+	}
+	e.Response = response
+	return e, nil
+}
+
+// AbortOn closes the connection when the context ends. The returned function takes that back and reports whether it
+// was in time.
+func (e *Exchange) AbortOn(ctx context.Context) (stop func() bool) {
+	return context.AfterFunc(ctx, e.conn.Close)
+}
+
+// Abort closes the connection, which cancels the request at the upstream.
+func (e *Exchange) Abort() { e.conn.Close() }
+
+// lateWrite is how long a complete answer waits for the rest of its request to be written.
+const lateWrite = 50 * time.Millisecond
+
+// Finish keeps the connection if the answer was read to its end and the request was written, and else closes it.
+func (e *Exchange) Finish(promisedIdle time.Duration) {
+	if e.Response.Close || e.Response.ContentLength < 0 && len(e.Response.TransferEncoding) == 0 {
+		e.conn.Close()
+		return
+	}
+	timer := time.NewTimer(lateWrite)
+	defer timer.Stop()
+	select {
+	case err := <-e.written:
+		if err == nil {
+			e.conn.Keep(promisedIdle)
+			return
+		}
+	case <-timer.C:
+	}
+	e.conn.Close()
+}
+
+// ReadAll reads a whole body of at most limit bytes. A body that ends before its length is an error.
+func (e *Exchange) ReadAll(limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(e.Response.Body, limit+1))
+	if err != nil {
+		return nil, failure.Wrap(err, failure.UpstreamFailed, failure.Unknown, "the answer of %s broke off", e.conn.address)
+	}
+	if int64(len(body)) > limit {
+		return nil, failure.New(failure.UpstreamFailed, failure.Unknown, "the answer of %s is longer than %d bytes", e.conn.address, limit)
+	}
+	return body, nil
+}
+
+// IsTimeout reports whether an error is a time limit that has passed.
+func IsTimeout(err error) bool { return errors.Is(err, context.DeadlineExceeded) }
--- /dev/null
+++ b/upstreams/upstreams.go
@@ -0,0 +1,205 @@
+// Package upstreams holds what a node knows about the upstream instances of all services, and who reads their list.
+package upstreams
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// Instance is one incarnation of an upstream.
+type Instance struct {
+	ID, Service, Address, AvailabilityZone string
+	Draining                               bool
+	// Born is the Unix time of the start in ms, 0 if unknown. An id may start again with another Born.
+	Born  int64
+	Slots int
+	// Versions maps models to the version of their weights.
+	Versions map[string]uint64
+}
+
+// Key names an incarnation.
+func (i *Instance) Key() Key { return Key{ID: i.ID, Born: i.Born} }
+
+// Key is the identity of an incarnation.
+type Key struct {
+	ID   string
+	Born int64
+}
+
+// Lister reads the platform's list of instances.
+type Lister interface {
+	List(ctx context.Context) ([]Instance, error)
+}
+
+// View is one state of the list, never changed after it is published.
+type View struct {
+	Revision  uint64
+	Instances []Instance
+	// Read is when this node got the view.
+	Read      time.Time
+	byService map[string][]*Instance
+}
+
+// Of returns the instances of a service.
+func (v *View) Of(service string) []*Instance { return v.byService[service] }
+
+func newView(revision uint64, instances []Instance, now time.Time) *View {
+	v := &View{Revision: revision, Instances: instances, Read: now, byService: map[string][]*Instance{}}
+	for i := range v.Instances {
+		instance := &v.Instances[i]
+		v.byService[instance.Service] = append(v.byService[instance.Service], instance)
+	}
+	return v
+}
+
+// Directory is the current view of a node. Its lock is a leaf.
+type Directory struct {
+	view atomic.Pointer[View]
+
+	mu sync.Mutex
+	// draining remembers instances that were seen leaving: a list that lags must not bring them back.
+	draining map[Key]bool
+	changed  chan struct{}
+	// confirmed is the last time at which the view was known to be current, Unix ns.
+	confirmed atomic.Int64
+}
+
+// NewDirectory returns an empty Directory.
+func NewDirectory() *Directory {
+	d := &Directory{draining: map[Key]bool{}, changed: make(chan struct{})}
+	d.view.Store(newView(0, nil, time.Time{}))
+	return d
+}
+
+// View returns the current view.
+func (d *Directory) View() *View { return d.view.Load() }
+
+// Changed returns a channel that is closed at the next change.
+func (d *Directory) Changed() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.changed
+}
+
+// Confirm notes that the view is current.
+func (d *Directory) Confirm(now time.Time) { d.confirmed.Store(now.UnixNano()) }
+
+// Age returns how long ago the view was known to be current.
+func (d *Directory) Age(now time.Time) time.Duration {
+	return time.Duration(now.UnixNano() - d.confirmed.Load())
+}
+
+// Adopt takes a list. It reports whether anything changed.
+func (d *Directory) Adopt(instances []Instance, now time.Time) bool {
+	d.Confirm(now)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	present := make(map[Key]bool, len(instances))
+	for i := range instances {
+		key := instances[i].Key()
+		present[key] = true
+		if instances[i].Draining {
+			d.draining[key] = true
+		}
+		instances[i].Draining = d.draining[key]
+	}
+	for key := range d.draining {
+		if !present[key] {
+			delete(d.draining, key)
+		}
+	}
+	old := d.view.Load()
+	if slices.EqualFunc(old.Instances, instances, sameInstance) {
+		return false
+	}
+	d.view.Store(newView(old.Revision+1, instances, now))
+	close(d.changed)
+	d.changed = make(chan struct{})
+	return true
+}
+
+func sameInstance(a, b Instance) bool {
+	if a.Key() != b.Key() || a.Draining != b.Draining || a.Address != b.Address || a.Service != b.Service || len(a.Versions) != len(b.Versions) {
+		return false
+	}
+	for model, version := range a.Versions {
+		if b.Versions[model] != version {
+			return false
+		}
+	}
+	return true
+}
+
+const (
+	// readInterval of the node that reads for all; a leaving instance is then known after the list's own lag and 0.5 s.
+	readInterval = 500 * time.Millisecond
+	// ownReadAge is the age of the view at which a node reads the list itself.
+	ownReadAge = 1500 * time.Millisecond
+	// ownReadInterval keeps 28 nodes without a reader below the platform's 40 reads per s.
+	ownReadInterval = time.Second
+	readTimeout     = time.Second
+	checkInterval   = 100 * time.Millisecond
+)
+
+// Reader keeps a Directory current: it reads the list while reads reports true, and otherwise only when the view of
+// the node that reads for all has become old.
+type Reader struct {
+	Directory *Directory
+	Lister    Lister
+	Reads     func() bool
+	Log       *zap.Logger
+	// Confirmed is the last successful read by this node, Unix ns.
+	confirmed atomic.Int64
+}
+
+// Current reports whether this node reads the list and has read it a moment ago.
+func (r *Reader) Current() bool {
+	return r.Reads() && time.Now().UnixNano()-r.confirmed.Load() < int64(ownReadAge)
+}
+
+// Run reads until the context ends.
+func (r *Reader) Run(ctx context.Context) {
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	var last time.Time
+	var failing bool
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			reads := r.Reads()
+			due := reads && now.Sub(last) >= readInterval ||
+				!reads && r.Directory.Age(now) > ownReadAge && now.Sub(last) >= ownReadInterval
+			if !due {
+				continue
+			}
+			last = now
+			err := r.read(ctx)
+			if (err != nil) != failing {
+				failing = err != nil
+				r.Log.Info("reading of the instance list changed", zap.Bool("failing", failing), zap.Bool("reads_for_all", reads), zap.Error(err))
+			}
+		}
+	}
+}
+
+func (r *Reader) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	instances, err := r.Lister.List(ctx)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	r.confirmed.Store(now.UnixNano())
+	if r.Directory.Adopt(instances, now) {
+		r.Log.Info("instance list changed", zap.Uint64("revision", r.Directory.View().Revision), zap.Int("instances", len(instances)))
+	}
+	return nil
+}
