--- a/coregroup/group.go
+++ b/coregroup/group.go
@@ -81,7 +81,7 @@
 	changed    chan struct{}
 
 	leaderHint atomic.Pointer[string]
-	group      sync.WaitGroup
+	contacts   contacts
 }
 
 // New returns a Group that is not running yet.
@@ -93,6 +93,9 @@
 
 // Run keeps the member running until the context ends, then hands leadership over.
 func (g *Group) Run(ctx context.Context) {
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	tasks.Go(func() { g.keepContacts(ctx) })
 	if g.options.Dir == "" {
 		<-ctx.Done()
 		return
@@ -237,6 +240,13 @@
 // HintLeader tells a node without a member who leads.
 func (g *Group) HintLeader(address string) { g.leaderHint.Store(&address) }
 
+// HandOver asks this node's member to hand its leadership over.
+func (g *Group) HandOver() {
+	if member, _ := g.current(); member != nil {
+		member.HandOver()
+	}
+}
+
 // Leads reports whether this node's member leads.
 func (g *Group) Leads() bool {
 	member, _ := g.current()
--- a/coregroup/join.go
+++ b/coregroup/join.go
@@ -60,10 +60,7 @@
 
 // askable lists whom to ask for the leader: the known one, the known members and the seeds.
 func (g *Group) askable() []string {
-	list := []string{g.Leader()}
-	for _, m := range g.Members() {
-		list = append(list, m.GetAddress())
-	}
+	list := append([]string{g.Leader()}, g.Contacts()...)
 	list = append(list, g.options.Seeds()...)
 	return lo.Uniq(lo.Without(list, "", g.options.Address))
 }
--- a/fleetview/server.go
+++ b/fleetview/server.go
@@ -40,6 +40,11 @@
 	return s.Group.Join(ctx, q)
 }
 
+// Meet implements the node service.
+func (s *Server) Meet(ctx context.Context, q *nodepb.Contacts) (*nodepb.Contacts, error) {
+	return s.Group.Meet(ctx, q)
+}
+
 // Watch implements the node service.
 func (s *Server) Watch(stream nodepb.DRPCNode_WatchStream) error {
 	ctx, cancel := context.WithCancel(stream.Context())
--- a/fleetview/watcher.go
+++ b/fleetview/watcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/lo"
@@ -26,12 +27,14 @@
 type Watcher struct {
 	// Node and AvailabilityZone name the watching node.
 	Node, AvailabilityZone string
-	// Seeds are addresses to begin with.
-	Seeds func() []string
+	// Contacts are addresses of core members, and Seeds of nodes that may be some.
+	Contacts, Seeds func() []string
 	// Adopt gets each update; it is called from several goroutines.
 	Adopt func(from string, u *nodepb.WatchUpdate)
 	Log   *zap.Logger
 
+	// heard is the time of the last update, Unix ns.
+	heard   atomic.Int64
 	mu      sync.Mutex
 	members []string
 	streams map[string]context.CancelFunc
@@ -64,11 +67,13 @@
 func (w *Watcher) wanted() []string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	targets := w.members
+	if time.Now().UnixNano()-w.heard.Load() > int64(2*silenceLimit) {
+		// All known members may be gone for good.
+		w.members = nil
+	}
+	targets := append([]string{}, w.members...)
 	if len(targets) == 0 {
-		targets = w.Seeds()
-	} else if len(targets) < maxStreams {
-		targets = lo.Uniq(append(append([]string{}, targets...), w.Seeds()...))
+		targets = lo.Uniq(append(w.Contacts(), w.Seeds()...))
 	}
 	targets = targets[:min(len(targets), maxStreams)]
 	for address, cancel := range w.streams {
@@ -142,6 +147,7 @@
 		if update.GetFresh() {
 			w.setMembers(update.GetMembers())
 		}
+		w.heard.Store(time.Now().UnixNano())
 		w.Adopt(address, update)
 	}
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -20,7 +20,9 @@
 	Handler http.Handler
 	Log     *zap.Logger
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// fresh are connections without a request so far.
+	fresh   map[net.Conn]struct{}
 	limits  trafficset.Limits
 	current *generation
 	all     []*generation
@@ -95,6 +97,7 @@
 	g.server = &http.Server{
 		Handler: s.Handler, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
 		MaxHeaderBytes: max(1, int(limits.HeaderBytes)-headerSlack), ErrorLog: log.New(discardLog{s.Log}, "", 0),
+		ConnState: s.track,
 	}
 	s.current = g
 	s.all = append(s.all, g)
@@ -141,6 +144,31 @@
 	}
 }
 
+// track keeps the set of connections without a request: http.Server waits 5 s for each of them at a shutdown.
+func (s *Server) track(conn net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state == http.StateNew {
+		if s.fresh == nil {
+			s.fresh = map[net.Conn]struct{}{}
+		}
+		s.fresh[conn] = struct{}{}
+		return
+	}
+	delete(s.fresh, conn)
+}
+
+func (s *Server) closeFresh() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.fresh {
+		_ = conn.Close()
+	}
+}
+
+// freshLimit is the time that a new connection has for its first request at a shutdown.
+const freshLimit = 300 * time.Millisecond
+
 // Shutdown closes idle connections, waits for requests in progress until the context ends, and then closes all.
 func (s *Server) Shutdown(ctx context.Context) {
 	s.mu.Lock()
@@ -148,6 +176,8 @@
 	all := s.all
 	s.mu.Unlock()
 	var group sync.WaitGroup
+	late := time.AfterFunc(freshLimit, s.closeFresh)
+	defer late.Stop()
 	for _, g := range all {
 		group.Go(func() {
 			if err := g.server.Shutdown(ctx); err != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -12,6 +12,7 @@
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -152,7 +153,7 @@
 	tasks.Go(func() { n.serveInternal(running, mux, listeners.internal) })
 	tasks.Go(func() { n.group.Run(groupCtx); close(groupDone) })
 	tasks.Go(func() { n.reader.Run(running) })
-	watcher := &fleetview.Watcher{Node: n.config.Name, AvailabilityZone: n.config.AvailabilityZone, Seeds: n.Seeds, Adopt: n.adopt, Log: n.log}
+	watcher := &fleetview.Watcher{Node: n.config.Name, AvailabilityZone: n.config.AvailabilityZone, Contacts: n.group.Contacts, Seeds: n.Seeds, Adopt: n.adopt, Log: n.log}
 	tasks.Go(func() { watcher.Run(running) })
 	tasks.Go(func() { n.serveStatus(running, listeners.ready) })
 	if n.parts.Operators != nil {
@@ -187,7 +188,7 @@
 	n.stopping.Store(true)
 	n.gateway.BeginClosing()
 	n.log.Info("stopping", zap.Int("active", n.gateway.Active()))
-	stopGroup()
+	n.group.HandOver()
 	timer := time.NewTimer(balancerNotice)
 	defer timer.Stop()
 	<-timer.C
@@ -197,6 +198,8 @@
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	n.server.Shutdown(ctx)
+	n.log.Info("callers served", zap.Int("active", n.gateway.Active()))
+	stopGroup()
 	select {
 	case <-groupDone:
 	case <-ctx.Done():
@@ -295,6 +298,7 @@
 	}
 	now := time.Now()
 	n.directory.Confirm(now)
+	n.group.Heard(lo.Map(u.GetMembers(), func(m *nodepb.CoreMember, _ int) string { return m.GetAddress() }))
 	// The reader's own view is newer than what its member sends back to it.
 	if u.GetInstances() != nil && !n.reader.Reads() {
 		n.directory.Adopt(fleetview.DecodeView(u.GetInstances()), now)
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -27,6 +27,8 @@
 	// transferred is the member to which a snapshot transfer ended.
 	transferred uint64
 	delivered   bool
+	// handOver asks a leader to hand its leadership over.
+	handOver bool
 	// failed ends the member.
 	failed error
 }
@@ -209,6 +211,8 @@
 	switch {
 	case e.failed != nil:
 		return e.failed
+	case e.handOver:
+		r.node.TransferLeadership()
 	case e.applied > 0:
 		r.applying--
 		r.node.Applied(e.applied)
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -285,6 +285,9 @@
 	return nil
 }
 
+// HandOver asks a leader to hand its leadership to another voter. The member goes on as a follower.
+func (r *Replica) HandOver() { r.report(event{handOver: true}) }
+
 // Stop finishes the commands in progress, hands leadership to another voter, and ends all goroutines. It is limited
 // by Options.StopLimit for each of the first two steps.
 func (r *Replica) Stop() {
