--- a/cmd/wasabishunt-node/main.go
+++ b/cmd/wasabishunt-node/main.go
@@ -85,6 +85,7 @@
 	parts := node.Parts{
 		Dialect:   platform.Dialect{},
 		Lister:    &platform.InstanceList{Address: settings.ListAddress, Client: &http.Client{}},
+		Stores:    &platform.StoreClient{Client: &http.Client{}},
 		DecodeSet: platform.DecodeSet,
 	}
 	if settings.ControlListen != "" {
--- a/fleetview/server.go
+++ b/fleetview/server.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,7 +33,13 @@
 	Placement *Placements
 
 	mu    sync.Mutex
-	nodes map[string]time.Time
+	nodes map[string]knownNode
+}
+
+// knownNode is a watcher as its last sign of life told.
+type knownNode struct {
+	heard       time.Time
+	loadAddress string
 }
 
 // Join implements the node service.
@@ -57,7 +64,7 @@
 			if err != nil {
 				return
 			}
-			s.note(q.GetNode())
+			s.note(q)
 			select {
 			case alive <- struct{}{}:
 			default:
@@ -98,6 +105,8 @@
 	view       *upstreams.View
 	placements uint64
 	started    bool
+	// loadAddresses of the other nodes.
+	loadAddresses []string
 }
 
 func (s *Server) update(state *nodepb.State, sent *position) *nodepb.WatchUpdate {
@@ -112,10 +121,14 @@
 		sent.document = state.GetSetVersion()
 	}
 	if u.Leads = u.Fresh && s.Group.Leads() && s.Reader.Current(); !u.Leads {
-		sent.view = nil
+		*sent = position{document: sent.document}
 		return u
 	}
-	u.Nodes = uint32(s.count())
+	count, addresses := s.known()
+	u.Nodes = uint32(count)
+	if !slices.Equal(addresses, sent.loadAddresses) {
+		u.LoadAddresses, sent.loadAddresses = addresses, addresses
+	}
 	if view := s.Directory.View(); view != sent.view {
 		u.Instances = encodeView(view)
 		sent.view = view
@@ -124,25 +137,31 @@
 	return u
 }
 
-func (s *Server) note(node string) {
+func (s *Server) note(q *nodepb.WatchRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.nodes == nil {
-		s.nodes = map[string]time.Time{}
+		s.nodes = map[string]knownNode{}
 	}
-	s.nodes[node] = time.Now()
+	s.nodes[q.GetNode()] = knownNode{heard: time.Now(), loadAddress: q.GetLoadAddress()}
 }
 
-func (s *Server) count() int {
+// known returns the number of nodes and their addresses for load reports, sorted.
+func (s *Server) known() (count int, loadAddresses []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	for node, heard := range s.nodes {
-		if now.Sub(heard) > nodeMemory {
-			delete(s.nodes, node)
+	for name, node := range s.nodes {
+		if now.Sub(node.heard) > nodeMemory {
+			delete(s.nodes, name)
+			continue
+		}
+		if node.loadAddress != "" {
+			loadAddresses = append(loadAddresses, node.loadAddress)
 		}
 	}
-	return len(s.nodes)
+	slices.Sort(loadAddresses)
+	return len(s.nodes), loadAddresses
 }
 
 func encodeView(view *upstreams.View) *nodepb.InstanceView {
--- a/fleetview/watcher.go
+++ b/fleetview/watcher.go
@@ -27,6 +27,8 @@
 type Watcher struct {
 	// Node and AvailabilityZone name the watching node.
 	Node, AvailabilityZone string
+	// LoadAddress is where this node takes load reports.
+	LoadAddress string
 	// Contacts are addresses of core members, and Seeds of nodes that may be some.
 	Contacts, Seeds func() []string
 	// Adopt gets each update; it is called from several goroutines.
@@ -157,7 +159,7 @@
 	ticker := time.NewTicker(signInterval)
 	defer ticker.Stop()
 	for {
-		if err := stream.Send(&nodepb.WatchRequest{Node: w.Node, AvailabilityZone: w.AvailabilityZone}); err != nil {
+		if err := stream.Send(&nodepb.WatchRequest{Node: w.Node, AvailabilityZone: w.AvailabilityZone, LoadAddress: w.LoadAddress}); err != nil {
 			return
 		}
 		select {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -37,8 +37,8 @@
 		if ctx.Err() != nil {
 			return c.ended(ctx, last)
 		}
-		engine, work := c.pick()
-		if engine == nil {
+		chosen := c.pick()
+		if chosen == nil {
 			if last != nil {
 				return last
 			}
@@ -52,12 +52,12 @@
 			c.gateway.options.Log.Info("retry budget is spent", zap.String("request", c.attributes.ID), zap.String("service", c.service.Name))
 			return last
 		}
-		result := c.try(ctx, engine, work, c.mayRepeat(runs+1))
+		result := c.try(ctx, chosen, c.mayRepeat(runs+1))
 		if result.done {
 			return result.err
 		}
 		last = result.err
-		c.exclude[engine.ID] = true
+		c.exclude[chosen.instance.ID] = true
 		if result.notRun {
 			if rejections++; rejections >= maxRejections {
 				return last
@@ -91,32 +91,57 @@
 	return failure.Wrap(context.Cause(ctx), failure.DeadlineExceeded, failure.Unknown, "the upstream did not answer in time")
 }
 
+// choice is an instance with what is known of the request there.
+type choice struct {
+	instance *upstreams.Instance
+	work     placement.Work
+	query    *placement.Request
+	version  uint64
+	// firstEvent is the expected time to the first event, 0 for plain services.
+	firstEvent time.Duration
+}
+
 // pick chooses the next instance.
-func (c *call) pick() (*upstreams.Instance, placement.Work) {
+func (c *call) pick() *choice {
 	o := c.gateway.options
 	view := o.Directory.View()
 	o.Tracker.Sync(view)
-	q := &placement.Request{Zone: o.AvailabilityZone, Exclude: c.exclude, Nodes: o.Nodes()}
-	if g := c.attributes.Generation; g != nil && c.service.Engine != nil {
-		q.Model, q.Parts, q.Tokens, q.CacheTokens = g.Model, g.Parts, g.PromptTokens, c.service.Engine.CacheTokens
-		q.Wanted = o.Sets.Wanted(g.Model)
-		if c.account != nil && c.account.Isolated {
-			q.Isolated = c.account.Name
-		}
+	q := &placement.Request{Zone: o.AvailabilityZone, Exclude: c.exclude}
+	g := c.attributes.Generation
+	if g != nil && c.service.Engine != nil {
+		c.describe(q)
 	}
 	candidates := o.Tracker.Candidates(view.Of(c.service.Name), time.Now(), q)
 	if q.CacheTokens > 0 {
-		placement.ApplyHomes(q, candidates)
+		placement.MarkHomes(q, candidates)
 	}
 	best := placement.Pick(q, candidates)
 	if best == nil {
-		return nil, placement.Work{}
+		return nil
+	}
+	chosen := &choice{instance: best.Instance, query: q, version: best.Version}
+	if q.CacheTokens > 0 {
+		tokens, _, transfers := placement.Read(q, best)
+		chosen.work = placement.Work{PrefillTokens: tokens, HeldTokens: g.PromptTokens + g.OutputTokens, Transfers: transfers}
+		chosen.firstEvent = placement.FirstEvent(q, best)
+		c.cached = best.CachedTokens
+	}
+	return chosen
+}
+
+// describe tells what the prompt is and where its parts are.
+func (c *call) describe(q *placement.Request) {
+	o := c.gateway.options
+	g := c.attributes.Generation
+	q.Model, q.Parts, q.Tokens, q.CacheTokens = g.Model, g.Parts, g.PromptTokens, c.service.Engine.CacheTokens
+	q.Wanted = o.Sets.Wanted(g.Model)
+	if c.account != nil && c.account.Isolated {
+		q.Isolated = c.account.Name
 	}
-	work := placement.Work{}
-	if g := c.attributes.Generation; g != nil {
-		work = placement.Work{PrefillTokens: placement.Uncached(q, best), HeldTokens: g.PromptTokens + g.OutputTokens}
+	q.StoredVersion = max(1, q.Wanted)
+	if o.Stores != nil && len(g.Parts) > 1 {
+		q.Stored = o.Stores.Locate(q.Salt(q.StoredVersion), g.Parts[:len(g.Parts)-1], o.Tracker.Backlog)
 	}
-	return best.Instance, work
 }
 
 // result is the end of one send.
@@ -129,8 +154,9 @@
 }
 
 // try sends the request to one instance and relays its answer.
-func (c *call) try(ctx context.Context, instance *upstreams.Instance, work placement.Work, repeatable bool) result {
+func (c *call) try(ctx context.Context, chosen *choice, repeatable bool) result {
 	o := c.gateway.options
+	instance, work := chosen.instance, chosen.work
 	c.instance = instance.ID
 	conn, err := o.Pool.Get(ctx, instance.Address, c.connectionLimit())
 	if err != nil {
@@ -140,7 +166,7 @@
 		o.Log.Info("upstream cannot be reached", zap.String("request", c.attributes.ID), zap.String("instance", instance.ID), zap.Error(err))
 		return result{notRun: true, err: unreachable(err)}
 	}
-	out := c.outbound(instance, &work)
+	out := c.outbound(chosen)
 	ticket := o.Tracker.Begin(instance, work)
 	c.sends++
 	c.mayRun = true
@@ -206,8 +232,9 @@
 }
 
 // outbound tells the upstream what this node knows.
-func (c *call) outbound(instance *upstreams.Instance, work *placement.Work) Outbound {
+func (c *call) outbound(chosen *choice) Outbound {
 	o := c.gateway.options
+	instance := chosen.instance
 	out := Outbound{Left: time.Until(c.end), Instance: instance.ID, LastEventID: c.attributes.LastEventID, Urgency: c.urgency()}
 	if c.lastEvent != "" {
 		out.LastEventID = c.lastEvent
@@ -219,16 +246,20 @@
 	if g == nil || c.service.Engine == nil {
 		return out
 	}
-	out.Version = o.Tracker.Version(instance, g.Model)
-	q := placement.Request{}
-	if c.account != nil && c.account.Isolated {
-		q.Isolated = c.account.Name
+	out.Version = chosen.version
+	out.Salt = chosen.query.Salt(out.Version)
+	if o.Stores == nil || out.Version == 0 {
+		return out
+	}
+	if out.Version == chosen.query.StoredVersion && len(chosen.query.Stored) > 0 {
+		out.Fetch = make([]string, len(g.Parts))
+		for i, stored := range chosen.query.Stored {
+			out.Fetch[i] = stored.Address
+			c.fetched += stored.Tokens
+		}
 	}
-	out.Salt = q.Salt(out.Version)
-	c.cached = g.PromptTokens - work.PrefillTokens
-	if o.Stores != nil && out.Version > 0 {
-		out.Fetch, out.Save, c.fetched = o.Stores.Plan(out.Salt, g.Parts, instance, c.cached)
-		work.PrefillTokens -= c.fetched
+	if out.Version == chosen.query.StoredVersion {
+		out.Save = o.Stores.Save(out.Salt, g.Parts, instance.AvailabilityZone, o.Tracker.Backlog)
 	}
 	return out
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -88,7 +88,10 @@
 
 // Stores decides on fetching and saving parts of prompts.
 type Stores interface {
-	Plan(salt string, parts []placement.Part, engine *upstreams.Instance, cachedTokens int) (fetch, save []string, fetched int)
+	// Locate returns where the leading parts are whole, one entry a part.
+	Locate(salt string, shared []placement.Part, backlog func(address string) time.Duration) []placement.Stored
+	// Save returns a store for each part that is to be saved, "" for none.
+	Save(salt string, parts []placement.Part, zone string, backlog func(address string) time.Duration) []string
 }
 
 // Options of a Gateway.
--- /dev/null
+++ b/kvstores/directory.go
@@ -0,0 +1,267 @@
+// Package kvstores decides what is saved to and fetched from remote stores of KV cache.
+//
+// The stores never evict. A node fetches only what the reader of the stores' events said to be whole, and only while it
+// is in contact with that reader. After a store restarts, nothing is saved to it until all nodes have stopped to fetch
+// what it held before.
+package kvstores
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wasabishunt/wasabishunt/placement"
+	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
+	"github.com/wasabishunt/wasabishunt/trafficset"
+)
+
+// Part names a cached part: its salt and its id.
+type Part struct{ Salt, ID string }
+
+// store is a store as a node knows it.
+type store struct {
+	spec    trafficset.StoreSpec
+	epoch   int64
+	accepts bool
+	used    int
+}
+
+// Directory is a node's knowledge of the stores. Its lock is a leaf.
+type Directory struct {
+	now func() time.Time
+
+	mu     sync.Mutex
+	stores map[string]*store
+	parts  map[Part]location
+	// saving are the parts that this node asked an engine to save a moment ago.
+	saving map[Part]time.Time
+	// contact is when the reader of the stores was last heard.
+	contact    time.Time
+	tokenBytes int
+}
+
+type location struct {
+	store  string
+	tokens int
+}
+
+const (
+	// contactLimit is two beats of the reader.
+	contactLimit = time.Second
+	// saveMemory is how long a part counts as being saved.
+	saveMemory = 4 * time.Second
+	// smallestPart is not worth a transfer below this size.
+	smallestPart = 64
+	// fillShare of a store is used; the rest is left to parts that broke off.
+	fillShare = 0.95
+	// longestWait is the time in a link's queue after which reading the prompt again is better.
+	longestWait = 1200 * time.Millisecond
+	bitsPerByte = 8
+	bitsPerMbit = 1e6
+)
+
+// NewDirectory returns an empty Directory.
+func NewDirectory(now func() time.Time) *Directory {
+	return &Directory{now: now, stores: map[string]*store{}, parts: map[Part]location{}, saving: map[Part]time.Time{}}
+}
+
+// Configure takes the stores and the size of a token from a published set.
+func (d *Directory) Configure(set *trafficset.Set) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	present := map[string]bool{}
+	for i := range set.Services {
+		service := &set.Services[i]
+		if service.Engine != nil && service.Engine.TokenBytes > 0 {
+			d.tokenBytes = service.Engine.TokenBytes
+		}
+		if service.Store == nil {
+			continue
+		}
+		present[service.Store.Address] = true
+		if s := d.stores[service.Store.Address]; s != nil {
+			s.spec = *service.Store
+			continue
+		}
+		d.stores[service.Store.Address] = &store{spec: *service.Store}
+	}
+	for address := range d.stores {
+		if !present[address] {
+			d.reset(address)
+			delete(d.stores, address)
+		}
+	}
+}
+
+// Contact notes that the reader of the stores was heard.
+func (d *Directory) Contact() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.contact = d.now()
+}
+
+// Adopt takes changes in order.
+func (d *Directory) Adopt(changes []*nodepb.StorePlacement) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, change := range changes {
+		s := d.stores[change.GetAddress()]
+		if s == nil {
+			s = &store{}
+			d.stores[change.GetAddress()] = s
+		}
+		if change.GetReset_() {
+			d.reset(change.GetAddress())
+		}
+		s.epoch, s.accepts = change.GetEpoch(), change.GetAccepts()
+		for _, part := range change.GetRemoved() {
+			d.remove(Part{part.GetSalt(), part.GetId()}, change.GetAddress())
+		}
+		for _, part := range change.GetAdded() {
+			d.add(Part{part.GetSalt(), part.GetId()}, location{change.GetAddress(), int(part.GetTokens())})
+		}
+	}
+}
+
+func (d *Directory) reset(address string) {
+	for part, at := range d.parts {
+		if at.store == address {
+			delete(d.parts, part)
+		}
+	}
+	if s := d.stores[address]; s != nil {
+		s.used = 0
+	}
+}
+
+func (d *Directory) remove(part Part, address string) {
+	if at, ok := d.parts[part]; ok && at.store == address {
+		delete(d.parts, part)
+		d.stores[address].used -= at.tokens
+	}
+}
+
+func (d *Directory) add(part Part, at location) {
+	if old, ok := d.parts[part]; ok {
+		d.stores[old.store].used -= old.tokens
+	}
+	d.parts[part] = at
+	d.stores[at.store].used += at.tokens
+	delete(d.saving, part)
+}
+
+// Locate returns where the leading shared parts of a prompt are whole, one entry a part up to the first gap.
+// Backlog is the known queue of a store's link.
+func (d *Directory) Locate(salt string, shared []placement.Part, backlog func(address string) time.Duration) []placement.Stored {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.now().Sub(d.contact) > contactLimit {
+		return nil
+	}
+	var out []placement.Stored
+	for _, part := range shared {
+		at, ok := d.parts[Part{salt, part.ID}]
+		if !ok {
+			break
+		}
+		spec := d.stores[at.store].spec
+		wait := backlog(at.store)
+		if spec.LinkMbps <= 0 || wait > longestWait {
+			break
+		}
+		out = append(out, placement.Stored{
+			Address: at.store, AvailabilityZone: spec.AvailabilityZone, Tokens: at.tokens, Wait: wait,
+			Transfer: spec.FirstByte + d.transfer(at.tokens, &spec),
+		})
+	}
+	return out
+}
+
+func (d *Directory) transfer(tokens int, spec *trafficset.StoreSpec) time.Duration {
+	bits := float64(tokens) * float64(d.tokenBytes) * bitsPerByte
+	return time.Duration(bits / (spec.LinkMbps * bitsPerMbit) * float64(time.Second))
+}
+
+// Save picks a store for each shared part that none holds, "" for none. The last part of a prompt is its own.
+func (d *Directory) Save(salt string, parts []placement.Part, zone string, backlog func(address string) time.Duration) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.now()
+	if len(parts) < 2 || now.Sub(d.contact) > contactLimit {
+		return nil
+	}
+	out := make([]string, len(parts))
+	any := false
+	for i, p := range parts[:len(parts)-1] {
+		part := Part{salt, p.ID}
+		if _, held := d.parts[part]; held || p.Tokens < smallestPart || now.Sub(d.saving[part]) < saveMemory {
+			continue
+		}
+		if out[i] = d.home(part, p.Tokens, backlog); out[i] != "" {
+			d.saving[part] = now
+			any = true
+		}
+	}
+	d.forgetSaves(now)
+	if !any {
+		return nil
+	}
+	return out
+}
+
+// maxSaves is the number of remembered saves at which old ones are forgotten.
+const maxSaves = 2048
+
+func (d *Directory) forgetSaves(now time.Time) {
+	if len(d.saving) < maxSaves {
+		return
+	}
+	for part, at := range d.saving {
+		if now.Sub(at) >= saveMemory {
+			delete(d.saving, part)
+		}
+	}
+}
+
+// home picks the store of a part in the same way on all nodes: of the stores with room whose delay suits the part's
+// size, by weighted rendezvous hashing.
+func (d *Directory) home(part Part, tokens int, backlog func(address string) time.Duration) string {
+	best, bestScore := "", 0.0
+	for address, s := range d.stores {
+		room := float64(s.spec.CacheTokens)*fillShare - float64(s.used)
+		if !s.accepts || room < float64(tokens) || backlog(address) > longestWait {
+			continue
+		}
+		score := room * d.suits(tokens, &s.spec) * unit(part.ID+"\x00"+address)
+		if score > bestScore || score == bestScore && address < best {
+			best, bestScore = address, score
+		}
+	}
+	return best
+}
+
+// preference of a store whose delay suits the size of a part over one whose room is better kept for other parts.
+const preference = 200
+
+// suits prefers stores with a short delay for small parts, whose transfer is mostly delay, and the others for large ones.
+func (d *Directory) suits(tokens int, spec *trafficset.StoreSpec) float64 {
+	shortest, longest := spec.FirstByte, spec.FirstByte
+	slowest := spec
+	for _, s := range d.stores {
+		if s.spec.FirstByte < shortest {
+			shortest = s.spec.FirstByte
+		}
+		if s.spec.FirstByte > longest {
+			longest, slowest = s.spec.FirstByte, &s.spec
+		}
+	}
+	small := d.transfer(tokens, slowest) < longest
+	if shortest == longest || small == (spec.FirstByte < longest) {
+		return preference
+	}
+	return 1
+}
+
+// unit maps a text to (0, 1).
+func unit(text string) float64 { return float64(xxhash.Sum64String(text)>>11) / (1 << 53) }
--- /dev/null
+++ b/kvstores/keeper.go
@@ -0,0 +1,321 @@
+package kvstores
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
+	"github.com/wasabishunt/wasabishunt/trafficset"
+)
+
+// Event is a part that became whole at a store, or left it.
+type Event struct {
+	Part   Part
+	Tokens int
+	Gone   bool
+}
+
+// Events is one answer to a call for events.
+type Events struct {
+	Epoch  int64
+	Next   uint64
+	Lost   bool
+	Events []Event
+}
+
+// Listing is all that a store holds.
+type Listing struct {
+	Epoch  int64
+	Next   uint64
+	Whole  []Event
+	Broken []Part
+}
+
+// Client speaks to stores.
+type Client interface {
+	Events(ctx context.Context, address string, since uint64, wait time.Duration) (Events, error)
+	List(ctx context.Context, address string) (Listing, error)
+	Free(ctx context.Context, address string, epoch int64, parts []Part) error
+}
+
+// Publisher distributes what the keeper reads.
+type Publisher interface {
+	Append(change *nodepb.StorePlacement, full func() []*nodepb.StorePlacement)
+	Clear()
+}
+
+// Keeper reads the events of all stores while its node leads, and frees what can no longer be used.
+type Keeper struct {
+	Client  Client
+	Leads   func() bool
+	Set     func() *trafficset.Set
+	Publish Publisher
+	// Usable reports whether a salt may still be used; nil keeps all.
+	Usable  func(salt string) bool
+	Log     *zap.Logger
+	Metrics gometrics.Registry
+
+	mu     sync.Mutex
+	stores map[string]*kept
+}
+
+// kept is a store as the keeper knows it. It belongs to the goroutine of the store, but for parts and epoch, which are
+// guarded by the keeper's lock.
+type kept struct {
+	address string
+	epoch   int64
+	accepts bool
+	parts   map[Part]int
+	broken  map[Part]time.Time
+}
+
+const (
+	// eventWait is the longest that a store holds a call for events; a store that is down is noticed after twice that.
+	eventWait = 300 * time.Millisecond
+	// eventTimeout is that and two slow round trips.
+	eventTimeout = eventWait + 250*time.Millisecond
+	// quietAfterRestart is longer than a node fetches without contact to the reader.
+	quietAfterRestart = contactLimit + 500*time.Millisecond
+	// listInterval repairs what lost events have hidden.
+	listInterval  = 8 * time.Second
+	listTimeout   = time.Second
+	failurePause  = 100 * time.Millisecond
+	manageEvery   = 200 * time.Millisecond
+	brokenFor     = 6 * time.Second
+	freeBatch     = 256
+	transferDrain = 5 * time.Second
+)
+
+// Run reads all stores whenever its node leads, until the context ends.
+func (k *Keeper) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if k.Leads() && k.Set() != nil {
+			k.lead(ctx)
+		}
+		sleep(ctx, manageEvery)
+	}
+}
+
+// lead keeps one reader a store until the node no longer leads.
+func (k *Keeper) lead(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	var readers sync.WaitGroup
+	defer readers.Wait()
+	defer cancel()
+	k.mu.Lock()
+	k.stores = map[string]*kept{}
+	k.mu.Unlock()
+	k.Publish.Clear()
+	for ctx.Err() == nil && k.Leads() {
+		set := k.Set()
+		for i := range set.Services {
+			if store := set.Services[i].Store; store != nil {
+				k.start(ctx, &readers, store.Address)
+			}
+		}
+		sleep(ctx, manageEvery)
+	}
+}
+
+func (k *Keeper) start(ctx context.Context, readers *sync.WaitGroup, address string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.stores[address] != nil {
+		return
+	}
+	s := &kept{address: address, parts: map[Part]int{}, broken: map[Part]time.Time{}}
+	k.stores[address] = s
+	readers.Go(func() { k.read(ctx, s) })
+}
+
+// read follows one store.
+func (k *Keeper) read(ctx context.Context, s *kept) {
+	var since uint64
+	var listed, restarted time.Time
+	failing := false
+	for ctx.Err() == nil {
+		if time.Since(listed) > listInterval {
+			listing, err := k.list(ctx, s)
+			if err != nil {
+				k.down(s, &failing, err)
+				sleep(ctx, failurePause)
+				continue
+			}
+			if failing || listing.Epoch != s.epoch {
+				restarted = time.Now()
+				k.restart(s, listing.Epoch)
+			}
+			failing = false
+			k.replace(s, listing)
+			k.freeUseless(ctx, s, listing)
+			since, listed = listing.Next, time.Now()
+		}
+		if !s.accepts && time.Since(restarted) > quietAfterRestart {
+			k.accept(s)
+		}
+		events, err := k.events(ctx, s, since)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil || events.Epoch != s.epoch {
+			k.down(s, &failing, err)
+			listed = time.Time{}
+			sleep(ctx, failurePause)
+			continue
+		}
+		if events.Lost {
+			k.Log.Info("events of a store were lost", zap.String("store", s.address), zap.Uint64("since", since))
+			listed = time.Time{}
+		}
+		since = events.Next
+		k.apply(s, events.Events)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (k *Keeper) list(ctx context.Context, s *kept) (Listing, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	return k.Client.List(ctx, s.address)
+}
+
+func (k *Keeper) events(ctx context.Context, s *kept, since uint64) (Events, error) {
+	ctx, cancel := context.WithTimeout(ctx, eventTimeout)
+	defer cancel()
+	return k.Client.Events(ctx, s.address, since, eventWait)
+}
+
+// down makes all nodes stop to use a store.
+func (k *Keeper) down(s *kept, failing *bool, cause error) {
+	if *failing {
+		return
+	}
+	*failing = true
+	k.Log.Warn("a store is down or was restarted", zap.String("store", s.address), zap.Int64("epoch", s.epoch), zap.Error(cause))
+	k.restart(s, 0)
+}
+
+// restart forgets what a store held and stops saves to it.
+func (k *Keeper) restart(s *kept, epoch int64) {
+	k.mu.Lock()
+	s.epoch, s.accepts = epoch, false
+	s.parts, s.broken = map[Part]int{}, map[Part]time.Time{}
+	k.mu.Unlock()
+	k.publish(&nodepb.StorePlacement{Address: s.address, Epoch: epoch, Reset_: true})
+}
+
+func (k *Keeper) accept(s *kept) {
+	k.mu.Lock()
+	s.accepts = true
+	k.mu.Unlock()
+	k.Log.Info("a store is in use", zap.String("store", s.address), zap.Int64("epoch", s.epoch), zap.Int("parts", len(s.parts)))
+	k.publish(&nodepb.StorePlacement{Address: s.address, Epoch: s.epoch, Accepts: true})
+}
+
+// replace makes the known parts those of a listing.
+func (k *Keeper) replace(s *kept, listing Listing) {
+	whole := make(map[Part]bool, len(listing.Whole))
+	changes := make([]Event, 0, len(listing.Whole))
+	for _, event := range listing.Whole {
+		whole[event.Part] = true
+		if s.parts[event.Part] != event.Tokens {
+			changes = append(changes, event)
+		}
+	}
+	for part := range s.parts {
+		if !whole[part] {
+			changes = append(changes, Event{Part: part, Gone: true})
+		}
+	}
+	k.apply(s, changes)
+}
+
+// apply takes events in order and tells the nodes.
+func (k *Keeper) apply(s *kept, events []Event) {
+	if len(events) == 0 {
+		return
+	}
+	change := &nodepb.StorePlacement{Address: s.address, Epoch: s.epoch, Accepts: s.accepts}
+	k.mu.Lock()
+	last := map[Part]Event{}
+	for _, event := range events {
+		last[event.Part] = event
+	}
+	for part, event := range last {
+		encoded := &nodepb.PlacedPart{Salt: part.Salt, Id: part.ID, Tokens: uint32(event.Tokens)}
+		if event.Gone {
+			delete(s.parts, part)
+			change.Removed = append(change.Removed, encoded)
+			continue
+		}
+		s.parts[part] = event.Tokens
+		change.Added = append(change.Added, encoded)
+	}
+	k.mu.Unlock()
+	k.publish(change)
+}
+
+func (k *Keeper) publish(change *nodepb.StorePlacement) { k.Publish.Append(change, k.full) }
+
+// full returns the state of all stores as changes.
+func (k *Keeper) full() []*nodepb.StorePlacement {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var out []*nodepb.StorePlacement
+	for _, s := range k.stores {
+		change := &nodepb.StorePlacement{Address: s.address, Epoch: s.epoch, Accepts: s.accepts, Reset_: true}
+		for part, tokens := range s.parts {
+			change.Added = append(change.Added, &nodepb.PlacedPart{Salt: part.Salt, Id: part.ID, Tokens: uint32(tokens)})
+		}
+		out = append(out, change)
+	}
+	return out
+}
+
+// freeUseless frees parts that broke off some time ago, and parts whose salt no request uses any more.
+func (k *Keeper) freeUseless(ctx context.Context, s *kept, listing Listing) {
+	now := time.Now()
+	broken := map[Part]time.Time{}
+	var free []Part
+	for _, part := range listing.Broken {
+		since, known := s.broken[part]
+		if !known {
+			since = now
+		}
+		broken[part] = since
+		if now.Sub(since) > brokenFor {
+			free = append(free, part)
+		}
+	}
+	s.broken = broken
+	if k.Usable != nil {
+		for part := range s.parts {
+			if !k.Usable(part.Salt) {
+				free = append(free, part)
+			}
+		}
+	}
+	for len(free) > 0 {
+		batch := free[:min(len(free), freeBatch)]
+		free = free[len(batch):]
+		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
+		err := k.Client.Free(callCtx, s.address, s.epoch, batch)
+		cancel()
+		k.Log.Info("freed parts of a store", zap.String("store", s.address), zap.Int("parts", len(batch)), zap.Error(err))
+		if err != nil {
+			return
+		}
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -22,7 +22,9 @@
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/fleetview"
 	"github.com/wasabishunt/wasabishunt/gateway"
+	"github.com/wasabishunt/wasabishunt/kvstores"
 	"github.com/wasabishunt/wasabishunt/metrics"
+	"github.com/wasabishunt/wasabishunt/peerload"
 	"github.com/wasabishunt/wasabishunt/placement"
 	"github.com/wasabishunt/wasabishunt/retrybudget"
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
@@ -40,7 +42,8 @@
 	FirstStart bool
 	// Front, Ready and Internal are the addresses for callers, for the balancer's check and for other nodes.
 	Front, Ready, Internal string
-	GossipPort             int
+	// LoadReports is the UDP address for load reports of other nodes.
+	LoadReports string
 	// Seeds are internal addresses of some core members.
 	Seeds     []string
 	Tolerance coregroup.Tolerance
@@ -57,6 +60,7 @@
 type Parts struct {
 	Dialect   gateway.Dialect
 	Lister    upstreams.Lister
+	Stores    kvstores.Client
 	DecodeSet func(document []byte) (*trafficset.Set, error)
 	// Operators is the interface of operators, nil on a node that has none.
 	Operators func(group *coregroup.Group) (*http.Server, net.Listener)
@@ -80,6 +84,10 @@
 	directory *upstreams.Directory
 	reader    *upstreams.Reader
 	placement *fleetview.Placements
+	stores    *kvstores.Directory
+	keeper    *kvstores.Keeper
+	tracker   *placement.Tracker
+	loads     *peerload.Exchange
 	budget    *retrybudget.Budget
 	gateway   *gateway.Gateway
 	server    *gateway.Server
@@ -111,8 +119,12 @@
 	n.reader = &upstreams.Reader{Directory: n.directory, Lister: parts.Lister, Reads: func() bool { return n.group.Leads() && n.group.Fresh() }, Log: log}
 	n.budget = retrybudget.New(config.Retries, time.Now)
 	n.budget.SetNodes(firstNodes)
+	n.stores = kvstores.NewDirectory(time.Now)
+	n.keeper = &kvstores.Keeper{Client: parts.Stores, Leads: n.reader.Current, Set: n.Set, Publish: n.placement, Log: log, Metrics: registry}
+	n.tracker = placement.NewTracker()
+	n.loads = &peerload.Exchange{Node: config.Name, Tracker: n.tracker, Log: log}
 	n.gateway = gateway.New(gateway.Options{
-		AvailabilityZone: config.AvailabilityZone, Dialect: parts.Dialect, Sets: n, Directory: n.directory, Tracker: placement.NewTracker(),
+		AvailabilityZone: config.AvailabilityZone, Dialect: parts.Dialect, Sets: n, Directory: n.directory, Tracker: n.tracker, Stores: n.stores,
 		Pool: upstreamconn.NewPool(upstreamconn.Options{}), Budget: n.budget,
 		Nodes: func() int { return int(n.nodes.Load()) }, Log: log, Metrics: registry,
 	})
@@ -153,7 +165,9 @@
 	tasks.Go(func() { n.serveInternal(running, mux, listeners.internal) })
 	tasks.Go(func() { n.group.Run(groupCtx); close(groupDone) })
 	tasks.Go(func() { n.reader.Run(running) })
-	watcher := &fleetview.Watcher{Node: n.config.Name, AvailabilityZone: n.config.AvailabilityZone, Contacts: n.group.Contacts, Seeds: n.Seeds, Adopt: n.adopt, Log: n.log}
+	tasks.Go(func() { n.keeper.Run(running) })
+	tasks.Go(func() { n.loads.Run(running, listeners.loads) })
+	watcher := &fleetview.Watcher{Node: n.config.Name, AvailabilityZone: n.config.AvailabilityZone, LoadAddress: n.config.LoadReports, Contacts: n.group.Contacts, Seeds: n.Seeds, Adopt: n.adopt, Log: n.log}
 	tasks.Go(func() { watcher.Run(running) })
 	tasks.Go(func() { n.serveStatus(running, listeners.ready) })
 	if n.parts.Operators != nil {
@@ -206,7 +220,10 @@
 	}
 }
 
-type listeners struct{ front, ready, internal net.Listener }
+type listeners struct {
+	front, ready, internal net.Listener
+	loads                  *net.UDPConn
+}
 
 // listen opens all ports before anything else is touched.
 func (n *Node) listen() (*listeners, error) {
@@ -221,6 +238,13 @@
 		}
 		*port.at = listener
 	}
+	address, err := net.ResolveUDPAddr("udp4", n.config.LoadReports)
+	if err == nil {
+		l.loads, err = net.ListenUDP("udp4", address)
+	}
+	if err != nil {
+		return nil, failure.Wrap(err, failure.Internal, failure.NotRun, "listen on %s", n.config.LoadReports)
+	}
 	callers := int(callerShare * float64(max(reservedDescriptors, n.config.MaxDescriptors-reservedDescriptors)))
 	l.front = connlimit.Listen(l.front, callers, callerWriteTimeout)
 	return l, nil
@@ -298,6 +322,13 @@
 	}
 	now := time.Now()
 	n.directory.Confirm(now)
+	n.stores.Contact()
+	if len(u.GetLoadAddresses()) > 0 {
+		n.loads.SetPeers(u.GetLoadAddresses(), n.config.LoadReports)
+	}
+	if u.GetPlacements() != nil {
+		n.stores.Adopt(u.GetPlacements().GetStores())
+	}
 	n.group.Heard(lo.Map(u.GetMembers(), func(m *nodepb.CoreMember, _ int) string { return m.GetAddress() }))
 	// The reader's own view is newer than what its member sends back to it.
 	if u.GetInstances() != nil && !n.reader.Reads() {
@@ -316,6 +347,7 @@
 		return
 	}
 	n.set.Store(set)
+	n.stores.Configure(set)
 	n.server.SetLimits(set.Limits)
 	n.log.Info("set in force", zap.Uint64("set_version", set.Version), zap.Int("routes", len(set.Routes)), zap.String("from", from), zap.Bool("fresh", u.GetFresh()))
 }
--- /dev/null
+++ b/peerload/peerload.go
@@ -0,0 +1,125 @@
+// Package peerload tells nodes what the others have in progress at upstreams and at the links of stores.
+//
+// Reports go by UDP: a lost one is replaced by the next. A node that is silent counts as idle after a while.
+package peerload
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wasabishunt/wasabishunt/placement"
+	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
+)
+
+const (
+	// shortestInterval between reports; a prompt of 9,000 tokens is read in three times that.
+	shortestInterval = 50 * time.Millisecond
+	// intervalPerNode keeps the reports that a node receives below 200/s.
+	intervalPerNode = 5 * time.Millisecond
+	maxDatagram     = 8 << 10
+)
+
+// Exchange sends and takes reports.
+type Exchange struct {
+	Node    string
+	Tracker *placement.Tracker
+	Log     *zap.Logger
+
+	mu    sync.Mutex
+	peers []*net.UDPAddr
+}
+
+// SetPeers takes the addresses of the other nodes.
+func (e *Exchange) SetPeers(addresses []string, own string) {
+	var peers []*net.UDPAddr
+	for _, address := range addresses {
+		if address == own {
+			continue
+		}
+		peer, err := net.ResolveUDPAddr("udp4", address)
+		if err != nil {
+			e.Log.Warn("address of a node cannot be used", zap.String("address", address), zap.Error(err))
+			continue
+		}
+		peers = append(peers, peer)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.peers = peers
+}
+
+func (e *Exchange) current() []*net.UDPAddr {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.peers
+}
+
+// Run exchanges reports until the context ends.
+func (e *Exchange) Run(ctx context.Context, conn *net.UDPConn) {
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	var receiver sync.WaitGroup
+	defer receiver.Wait()
+	receiver.Go(func() { e.receive(conn) })
+	sequence := uint64(time.Now().UnixNano())
+	timer := time.NewTimer(shortestInterval)
+	defer timer.Stop()
+	idle := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		peers := e.current()
+		timer.Reset(max(shortestInterval, time.Duration(len(peers))*intervalPerNode))
+		report := e.Tracker.Report()
+		empty := len(report.GetKeys()) == 0 && len(report.GetStoreKeys()) == 0
+		if empty && idle {
+			continue
+		}
+		idle = empty
+		sequence++
+		report.Node, report.Sequence = e.Node, sequence
+		e.send(conn, peers, report)
+	}
+}
+
+func (e *Exchange) send(conn *net.UDPConn, peers []*net.UDPAddr, report *nodepb.LoadReport) {
+	data, err := proto.Marshal(report)
+	if err != nil {
+		e.Log.Error("encoding of a load report failed", zap.Error(err))
+		return
+	}
+	for _, peer := range peers {
+		if _, err := conn.WriteToUDP(data, peer); err != nil {
+			e.Log.Debug("a load report was not sent", zap.Stringer("peer", peer), zap.Error(err))
+		}
+	}
+}
+
+func (e *Exchange) receive(conn *net.UDPConn) {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, _, err := conn.ReadFromUDP(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			e.Log.Debug("a load report was not read", zap.Error(err))
+			continue
+		}
+		report := &nodepb.LoadReport{}
+		if err := proto.Unmarshal(buffer[:n], report); err != nil {
+			e.Log.Warn("a load report cannot be read", zap.Error(err))
+			continue
+		}
+		e.Tracker.Peer(report, time.Now())
+	}
+}
--- a/placement/cache.go
+++ b/placement/cache.go
@@ -45,14 +45,14 @@
 	}
 }
 
-// prefix returns the tokens of the leading parts that are held.
-func (c *partCache) prefix(salt string, parts []Part) int {
-	tokens := 0
+// prefix returns the number and the tokens of the leading parts that are held.
+func (c *partCache) prefix(salt string, parts []Part) (held, tokens int) {
 	for _, part := range parts {
 		if _, ok := c.parts[partKey{salt, part.ID}]; !ok {
 			break
 		}
+		held++
 		tokens += part.Tokens
 	}
-	return tokens
+	return held, tokens
 }
--- /dev/null
+++ b/placement/peers.go
@@ -0,0 +1,123 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
+)
+
+// peerMemory is how long the last report of a node counts.
+const peerMemory = 600 * time.Millisecond
+
+// use is what is in progress at one instance.
+type use struct{ requests, prefillTokens, heldTokens int }
+
+// peer is the last report of another node.
+type peer struct {
+	sequence  uint64
+	heard     time.Time
+	instances map[uint32]use
+	stores    map[uint32]time.Duration
+}
+
+// peers sums the reports of all nodes.
+type peers struct {
+	byNode    map[string]*peer
+	instances map[uint32]use
+	stores    map[uint32]time.Duration
+}
+
+func newPeers() *peers {
+	return &peers{byNode: map[string]*peer{}, instances: map[uint32]use{}, stores: map[uint32]time.Duration{}}
+}
+
+func hashKey(text string) uint32 { return uint32(xxhash.Sum64String(text)) }
+
+// add counts a report in, or out with sign -1.
+func (p *peers) add(q *peer, sign int) {
+	for key, u := range q.instances {
+		sum := p.instances[key]
+		sum.requests += sign * u.requests
+		sum.prefillTokens += sign * u.prefillTokens
+		sum.heldTokens += sign * u.heldTokens
+		p.instances[key] = sum
+		if sum == (use{}) {
+			delete(p.instances, key)
+		}
+	}
+	for key, wait := range q.stores {
+		p.stores[key] += time.Duration(sign) * wait
+		if p.stores[key] == 0 {
+			delete(p.stores, key)
+		}
+	}
+}
+
+// expire counts out the nodes that have fallen silent.
+func (p *peers) expire(now time.Time) {
+	for node, q := range p.byNode {
+		if now.Sub(q.heard) > peerMemory {
+			p.add(q, -1)
+			delete(p.byNode, node)
+		}
+	}
+}
+
+// Peer takes the report of another node.
+func (t *Tracker) Peer(report *nodepb.LoadReport, now time.Time) {
+	keys, stores := report.GetKeys(), report.GetStoreKeys()
+	if len(report.GetRequests()) != len(keys) || len(report.GetPrefillTokens()) != len(keys) || len(report.GetHeldTokens()) != len(keys) ||
+		len(report.GetTransferMs()) != len(stores) {
+		return
+	}
+	q := &peer{sequence: report.GetSequence(), heard: now, instances: make(map[uint32]use, len(keys)), stores: make(map[uint32]time.Duration, len(stores))}
+	for i, key := range keys {
+		q.instances[key] = use{int(report.GetRequests()[i]), int(report.GetPrefillTokens()[i]), int(report.GetHeldTokens()[i])}
+	}
+	for i, key := range stores {
+		q.stores[key] = time.Duration(report.GetTransferMs()[i]) * time.Millisecond
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if old := t.peers.byNode[report.GetNode()]; old != nil {
+		if old.sequence >= q.sequence {
+			return
+		}
+		t.peers.add(old, -1)
+	}
+	t.peers.byNode[report.GetNode()] = q
+	t.peers.add(q, 1)
+}
+
+// Report describes what this node has in progress.
+func (t *Tracker) Report() *nodepb.LoadReport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	report := &nodepb.LoadReport{}
+	for key, s := range t.instances {
+		if s.requests == 0 {
+			continue
+		}
+		report.Keys = append(report.Keys, hashKey(key.ID))
+		report.Requests = append(report.Requests, uint32(s.requests))
+		report.PrefillTokens = append(report.PrefillTokens, uint32(max(0, s.prefillTokens)))
+		report.HeldTokens = append(report.HeldTokens, uint32(max(0, s.heldTokens)))
+	}
+	for address, wait := range t.transfers {
+		if ms := wait.Milliseconds(); ms > 0 {
+			report.StoreKeys = append(report.StoreKeys, hashKey(address))
+			report.TransferMs = append(report.TransferMs, uint32(ms))
+		}
+	}
+	return report
+}
+
+// Backlog returns the transfers in progress at a store's link, of all nodes.
+func (t *Tracker) Backlog(address string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.peers.expire(time.Now())
+	return t.transfers[address] + t.peers.stores[hashKey(address)]
+}
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -23,8 +24,17 @@
 	Exclude map[string]bool
 	// CacheTokens is the memory of one engine, 0 for a plain service.
 	CacheTokens int
-	// Nodes is the number of nodes that send to the same instances.
-	Nodes int
+	// Stored tells where the leading shared parts are whole, for engines with the weights of StoredVersion.
+	Stored        []Stored
+	StoredVersion uint64
+}
+
+// Stored is a part of a prompt in a store.
+type Stored struct {
+	Address, AvailabilityZone string
+	Tokens                    int
+	// Transfer takes twice as long to another zone. Wait is the known queue of the store's link.
+	Transfer, Wait time.Duration
 }
 
 // Salt keeps the cache of weight versions and of isolated accounts apart.
@@ -47,15 +57,19 @@
 // Candidate is one instance at the time of a decision.
 type Candidate struct {
 	Instance *upstreams.Instance
-	// Requests, PrefillTokens and HeldTokens are those of this node.
+	// Requests, PrefillTokens and HeldTokens are in progress from all nodes, as far as this one knows.
 	Requests, PrefillTokens, HeldTokens int
-	// PeerPrefillTokens and PeerHeldTokens are those that other nodes told.
+	// ReadRate is in prompt tokens per ms.
+	ReadRate                   float64
 	Load                       Load
 	FailureShare               float64
 	Ejected, Avoided, Replaced bool
 	SameZone                   bool
 	Version                    uint64
-	CachedTokens               int
+	// CachedParts and CachedTokens are the leading parts that the engine is believed to hold.
+	CachedParts, CachedTokens int
+	// home is the place of the engine among those that keep the prompt, from 1; 0 for others.
+	home int
 }
 
 // Filter tells whether a candidate may get a request.
@@ -131,55 +145,110 @@
 }
 
 const (
-	// homeShare is the part of a prompt's shared tokens that its home engine is taken to hold when this node did not
-	// send them there itself.
-	homeShare = 0.7
-	// overfullCost is the cost of a token beyond the memory of an engine, in tokens to read: it waits for a run to end.
-	overfullCost = 4
-	// zoneTokens is the cost of a send to another zone, in tokens to read.
-	zoneTokens = 100
-	// requestTokens is the cost of one more running request, whose steps slow down all others.
-	requestTokens = 60
-	// failureTokens is the cost of an instance that fails all.
-	failureTokens = 40_000
+	// overfullMs is the wait of a request that exceeds the memory of an engine by all of it.
+	overfullMs = 1500
+	// zoneMs is the cost of a send to another zone.
+	zoneMs = 2
+	// requestMs is the cost of one more running request, whose steps slow down all others.
+	requestMs = 1.5
+	// failureMs is the cost of an instance that fails all.
+	failureMs = 800
+	// rereadFactor is the cost of reading shared tokens again over that of reading new ones.
+	rereadFactor = 2
+	// transferFactor is the cost of a transfer over that of the same time of an engine.
+	transferFactor = 0.5
+	// homeMs is the advantage of the first engine that keeps a prompt; the second has half of it.
+	homeMs = 40
 	// homes is the number of engines that keep a prompt.
 	homes = 2
+	// otherZoneTransfer is the time of a transfer between zones over that within one.
+	otherZoneTransfer = 2
+	// firstTokenMs is the time from a read prompt to the first event at an idle engine, with the way there.
+	firstTokenMs = 30
 )
 
-// engineCost estimates the tokens that are read before the request's first token.
+// Read returns the tokens that the engine is expected to read, those of shared parts among them, and the transfers
+// that spare it the others.
+func Read(q *Request, c *Candidate) (tokens, shared int, transfers map[string]time.Duration) {
+	tokens = q.Tokens - c.CachedTokens
+	parts := q.shared()
+	for i := c.CachedParts; i < len(parts); i++ {
+		shared += parts[i].Tokens
+	}
+	if q.StoredVersion == 0 || c.Version != q.StoredVersion {
+		return tokens, shared, nil
+	}
+	for i := c.CachedParts; i < len(q.Stored); i++ {
+		tokens -= q.Stored[i].Tokens
+		shared -= q.Stored[i].Tokens
+		transfer := q.Stored[i].Transfer
+		if q.Stored[i].AvailabilityZone != c.Instance.AvailabilityZone {
+			transfer *= otherZoneTransfer
+		}
+		if transfers == nil {
+			transfers = map[string]time.Duration{}
+		}
+		transfers[q.Stored[i].Address] += transfer
+	}
+	return max(0, tokens), max(0, shared), transfers
+}
+
+func toMs(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// transferMs returns the time until the stored parts are there.
+func transferMs(q *Request, transfers map[string]time.Duration) float64 {
+	longest := time.Duration(0)
+	for address, transfer := range transfers {
+		for i := range q.Stored {
+			if q.Stored[i].Address == address {
+				transfer += q.Stored[i].Wait
+				break
+			}
+		}
+		longest = max(longest, transfer)
+	}
+	return toMs(longest)
+}
+
+// FirstEvent estimates the time to the first event.
+func FirstEvent(q *Request, c *Candidate) time.Duration {
+	tokens, _, transfers := Read(q, c)
+	ms := firstTokenMs + float64(c.PrefillTokens+tokens)/max(1, c.ReadRate) + overfull(q, c) + transferMs(q, transfers)
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+// overfull is the wait for memory of an engine.
+func overfull(q *Request, c *Candidate) float64 {
+	excess := float64(c.HeldTokens+q.Tokens-q.CacheTokens) / float64(q.CacheTokens)
+	return overfullMs * max(0, excess)
+}
+
+// engineCost is the estimated time to the first event, with what the request costs others.
 func engineCost(q *Request, c *Candidate) float64 {
-	nodes := float64(max(1, q.Nodes))
-	held := float64(c.HeldTokens) * nodes
-	cost := float64(c.PrefillTokens)*nodes + float64(Uncached(q, c))
-	cost += overfullCost * max(0, held+float64(q.Tokens)-float64(q.CacheTokens))
-	cost += requestTokens*float64(max(c.Requests, c.Load.Running)) + failureTokens*c.FailureShare
+	tokens, shared, transfers := Read(q, c)
+	rate := max(1, c.ReadRate)
+	cost := (float64(c.PrefillTokens+tokens)+(rereadFactor-1)*float64(shared))/rate + overfull(q, c) + transferFactor*transferMs(q, transfers)
+	cost += requestMs*float64(max(c.Requests, c.Load.Running)) + failureMs*c.FailureShare
 	if !c.SameZone {
-		cost += zoneTokens
+		cost += zoneMs
+	}
+	if c.home > 0 && len(transfers) > 0 || c.home > 0 && shared > 0 {
+		cost -= homeMs / float64(c.home)
 	}
 	return cost
 }
 
-// Uncached returns the tokens that the engine is expected to read.
-func Uncached(q *Request, c *Candidate) int {
-	return q.Tokens - c.CachedTokens
-}
-
 // homeRank orders engines for a prompt in the same way on all nodes: by rendezvous hashing of its longest shared part.
 func homeRank(part, instance string) uint64 {
 	return xxhash.Sum64String(part + "\x00" + instance)
 }
 
-// ApplyHomes credits the home engines of the prompt with the tokens that other nodes have sent there.
-func ApplyHomes(q *Request, candidates []Candidate) {
+// MarkHomes finds the engines that keep the prompt: other nodes have sent it there too.
+func MarkHomes(q *Request, candidates []Candidate) {
 	shared := q.shared()
 	if len(shared) == 0 {
 		return
 	}
-	tokens := 0
-	for _, part := range shared {
-		tokens += part.Tokens
-	}
-	credit := int(homeShare * float64(tokens))
 	document := shared[len(shared)-1].ID
 	var top [homes]int
 	found := 0
@@ -200,6 +269,6 @@
 		found = min(found+1, homes)
 	}
 	for place, i := range top[:found] {
-		candidates[i].CachedTokens = max(candidates[i].CachedTokens, credit/(place+1))
+		candidates[i].home = place + 1
 	}
 }
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -62,10 +62,19 @@
 	mu        sync.Mutex
 	instances map[upstreams.Key]*state
 	revision  uint64
+	// transfers in progress at the links of stores.
+	transfers map[string]time.Duration
+	peers     *peers
+	rate      readRate
 }
 
 // NewTracker returns an empty Tracker.
-func NewTracker() *Tracker { return &Tracker{instances: map[upstreams.Key]*state{}} }
+func NewTracker() *Tracker {
+	return &Tracker{
+		instances: map[upstreams.Key]*state{}, transfers: map[string]time.Duration{}, peers: newPeers(),
+		rate: readRate{tokensPerMs: firstReadRate},
+	}
+}
 
 // Sync forgets instances that have left the list, and takes the weight versions of a new list.
 func (t *Tracker) Sync(view *upstreams.View) {
@@ -116,13 +125,18 @@
 	PrefillTokens int
 	// HeldTokens are the memory that the request takes.
 	HeldTokens int
+	// Transfers are the times of transfers by the address of the store.
+	Transfers map[string]time.Duration
 }
 
 // Ticket is one send in progress.
 type Ticket struct {
-	tracker   *Tracker
-	key       upstreams.Key
-	work      Work
+	tracker *Tracker
+	key     upstreams.Key
+	work    Work
+	began   time.Time
+	// ahead are the tokens that the engine had to read for this request and those before it.
+	ahead     int
 	prefilled bool
 	done      bool
 }
@@ -135,13 +149,20 @@
 	s.requests++
 	s.prefillTokens += work.PrefillTokens
 	s.heldTokens += work.HeldTokens
-	return &Ticket{tracker: t, key: instance.Key(), work: work}
+	for address, transfer := range work.Transfers {
+		t.transfers[address] += transfer
+	}
+	ahead := s.prefillTokens + t.peers.instances[hashKey(instance.ID)].prefillTokens
+	return &Ticket{tracker: t, key: instance.Key(), work: work, began: time.Now(), ahead: ahead}
 }
 
 // Prefilled notes that the prompt was read: the first event has come.
 func (k *Ticket) Prefilled() {
 	k.tracker.mu.Lock()
 	defer k.tracker.mu.Unlock()
+	if !k.prefilled && len(k.work.Transfers) == 0 {
+		k.tracker.rate.learn(k.ahead, time.Since(k.began))
+	}
 	k.prefill(k.tracker.state(k.key))
 }
 
@@ -149,6 +170,11 @@
 	if !k.prefilled {
 		k.prefilled = true
 		s.prefillTokens -= k.work.PrefillTokens
+		for address, transfer := range k.work.Transfers {
+			if k.tracker.transfers[address] -= transfer; k.tracker.transfers[address] <= 0 {
+				delete(k.tracker.transfers, address)
+			}
+		}
 	}
 }
 
@@ -214,11 +240,14 @@
 func (t *Tracker) Candidates(list []*upstreams.Instance, now time.Time, q *Request) []Candidate {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.peers.expire(now)
 	out := make([]Candidate, 0, len(list))
 	for _, instance := range list {
 		s := t.state(instance.Key())
+		others := t.peers.instances[hashKey(instance.ID)]
 		c := Candidate{
-			Instance: instance, Requests: s.requests, PrefillTokens: s.prefillTokens, HeldTokens: s.heldTokens,
+			Instance: instance, Requests: s.requests + others.requests, PrefillTokens: s.prefillTokens + others.prefillTokens,
+			HeldTokens: s.heldTokens + others.heldTokens, ReadRate: t.rate.tokensPerMs,
 			FailureShare: s.failureShare, Ejected: now.Before(s.ejectedUntil), Avoided: now.Before(s.avoidedUntil), Replaced: s.replaced,
 			SameZone: instance.AvailabilityZone == q.Zone, Version: s.versions[q.Model],
 		}
@@ -226,7 +255,7 @@
 			c.Load = s.load
 		}
 		if len(q.Parts) > 0 {
-			c.CachedTokens = s.cache.prefix(q.Salt(c.Version), q.Parts)
+			c.CachedParts, c.CachedTokens = s.cache.prefix(q.Salt(c.Version), q.Parts)
 		}
 		out = append(out, c)
 	}
@@ -239,3 +268,25 @@
 	defer t.mu.Unlock()
 	return t.state(instance.Key()).versions[model]
 }
+
+const (
+	// firstReadRate is the rate taken for engines until requests have shown it, in prompt tokens per ms.
+	firstReadRate = 50
+	// rateWeight is the weight of one request in the learned rate.
+	rateWeight = 0.02
+	// learnFrom is the number of tokens from which reading dominates the time to the first event.
+	learnFrom = 4000
+	// slowestRate and fastestRate bound what is learned, in tokens per ms.
+	slowestRate, fastestRate = 5, 500
+)
+
+// readRate is the learned rate at which engines read prompts.
+type readRate struct{ tokensPerMs float64 }
+
+func (r *readRate) learn(tokens int, took time.Duration) {
+	if tokens < learnFrom || took <= 0 {
+		return
+	}
+	rate := float64(tokens) / (float64(took) / float64(time.Millisecond))
+	r.tokensPerMs += rateWeight * (max(slowestRate, min(fastestRate, rate)) - r.tokensPerMs)
+}
