placement: admission by expected first event, silent instances, queues of store links

Cause: in a flood of long prompts the engines' queues grew until every answer was late; requests went on to engines without power for up to 14 s; small parts waited behind large ones at a store's link. Ruled out: refusing by the caller's deadline alone (queues settle at the deadline, all late).

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -12,6 +12,7 @@
 
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/placement"
+	"github.com/wasabishunt/wasabishunt/upstreamconn"
 	"github.com/wasabishunt/wasabishunt/upstreams"
 )
 
@@ -46,6 +47,9 @@
 			e.RetryAfter = upstreamRetryAfter
 			return e
 		}
+		if err := c.admit(chosen); err != nil {
+			return err
+		}
 		if c.sends == 0 {
 			c.gateway.options.Budget.Request(c.service.Name)
 		} else if !c.gateway.options.Budget.Repeat(c.service.Name) {
@@ -72,6 +76,21 @@
 	}
 }
 
+// admit refuses a request that would be late, before it is sent for the first time.
+func (c *call) admit(chosen *choice) error {
+	if chosen.firstEvent == 0 || c.sends > 0 {
+		return nil
+	}
+	wish := placement.Wish{Target: c.route.FirstByteTarget, Left: time.Until(c.end), MostUrgent: c.urgency() <= c.set.MostUrgent(c.service.Name)}
+	admitted, retryAfter := placement.Admit(wish, chosen.firstEvent)
+	if admitted {
+		return nil
+	}
+	e := failure.New(failure.Overloaded, failure.NotRun, "first event expected after %v, target %v", chosen.firstEvent.Round(time.Millisecond), wish.Target)
+	e.RetryAfter = retryAfter
+	return e
+}
+
 // mayRepeat reports whether the request may go to one more upstream after so many runs.
 func (c *call) mayRepeat(runs int) bool {
 	return c.route.Repeatable() && runs < c.route.Attempts
@@ -140,7 +159,7 @@
 	}
 	q.StoredVersion = max(1, q.Wanted)
 	if o.Stores != nil && len(g.Parts) > 1 {
-		q.Stored = o.Stores.Locate(q.Salt(q.StoredVersion), g.Parts[:len(g.Parts)-1], o.Tracker.Backlog)
+		q.Stored = o.Stores.Locate(q.Salt(q.StoredVersion), g.Parts[:len(g.Parts)-1], c.longestFetch(), o.Tracker.Backlog)
 	}
 }
 
@@ -161,7 +180,7 @@
 	conn, err := o.Pool.Get(ctx, instance.Address, c.connectionLimit())
 	if err != nil {
 		if !failure.Is(err, failure.Overloaded) && ctx.Err() == nil {
-			o.Tracker.Begin(instance, work).End(placement.Failed, time.Now())
+			o.Tracker.Begin(instance, placement.Work{}).End(connectOutcome(err), time.Now())
 		}
 		o.Log.Info("upstream cannot be reached", zap.String("request", c.attributes.ID), zap.String("instance", instance.ID), zap.Error(err))
 		return result{notRun: true, err: unreachable(err)}
@@ -199,6 +218,14 @@
 	return s.relay()
 }
 
+// connectOutcome tells an instance whose VM does not answer from one that fails.
+func connectOutcome(err error) placement.Outcome {
+	if upstreamconn.IsTimeout(err) {
+		return placement.Silent
+	}
+	return placement.Failed
+}
+
 func unreachable(err error) error {
 	e := failure.Wrap(err, failure.NoUpstream, failure.NotRun, "no connection to an upstream")
 	e.RetryAfter = upstreamRetryAfter
@@ -222,7 +249,7 @@
 		ticket.End(placement.Canceled, time.Now())
 		return result{done: true, err: failure.New(failure.Canceled, failure.Unknown, "the caller left")}
 	}
-	ticket.End(placement.Failed, time.Now())
+	ticket.End(connectOutcome(err), time.Now())
 	c.gateway.options.Log.Info("upstream did not answer", zap.String("request", c.attributes.ID), zap.String("instance", instance.ID),
 		zap.Duration("after", time.Since(c.started)), zap.Error(err))
 	if ctx.Err() != nil {
@@ -259,11 +286,22 @@
 		}
 	}
 	if out.Version == chosen.query.StoredVersion {
-		out.Save = o.Stores.Save(out.Salt, g.Parts, instance.AvailabilityZone, o.Tracker.Backlog)
+		var transfers map[string]time.Duration
+		out.Save, transfers = o.Stores.Save(out.Salt, g.Parts, instance.AvailabilityZone, o.Tracker.Backlog)
+		for address, transfer := range transfers {
+			o.Tracker.Transfer(address, transfer)
+		}
 	}
 	return out
 }
 
+// fetchShare of the time to the first event may pass until the parts of a prompt are fetched.
+const fetchShare = 0.3
+
+func (c *call) longestFetch() time.Duration {
+	return time.Duration(fetchShare * float64(c.route.FirstByteTarget))
+}
+
 // maxUrgency is the least urgent rank of an engine.
 const maxUrgency = 9
 
--- a/kvstores/directory.go
+++ b/kvstores/directory.go
@@ -55,10 +55,10 @@
 	smallestPart = 64
 	// fillShare of a store is used; the rest is left to parts that broke off.
 	fillShare = 0.95
-	// longestWait is the time in a link's queue after which reading the prompt again is better.
-	longestWait = 1200 * time.Millisecond
-	bitsPerByte = 8
-	bitsPerMbit = 1e6
+	// longestSaveQueue is the queue of a link at which nothing more is saved over it: fetches go first.
+	longestSaveQueue = 150 * time.Millisecond
+	bitsPerByte      = 8
+	bitsPerMbit      = 1e6
 )
 
 // NewDirectory returns an empty Directory.
@@ -152,8 +152,8 @@
 }
 
 // Locate returns where the leading shared parts of a prompt are whole, one entry a part up to the first gap.
-// Backlog is the known queue of a store's link.
-func (d *Directory) Locate(salt string, shared []placement.Part, backlog func(address string) time.Duration) []placement.Stored {
+// Backlog is the known queue of a store's link; a part that would come later than longest counts as a gap.
+func (d *Directory) Locate(salt string, shared []placement.Part, longest time.Duration, backlog func(address string) time.Duration) []placement.Stored {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.now().Sub(d.contact) > contactLimit {
@@ -167,7 +167,7 @@
 		}
 		spec := d.stores[at.store].spec
 		wait := backlog(at.store)
-		if spec.LinkMbps <= 0 || wait > longestWait {
+		if spec.LinkMbps <= 0 || wait+spec.FirstByte+d.transfer(at.tokens, &spec) > longest {
 			break
 		}
 		out = append(out, placement.Stored{
@@ -184,15 +184,15 @@
 }
 
 // Save picks a store for each shared part that none holds, "" for none. The last part of a prompt is its own.
-func (d *Directory) Save(salt string, parts []placement.Part, zone string, backlog func(address string) time.Duration) []string {
+func (d *Directory) Save(salt string, parts []placement.Part, zone string, backlog func(address string) time.Duration) ([]string, map[string]time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
 	if len(parts) < 2 || now.Sub(d.contact) > contactLimit {
-		return nil
+		return nil, nil
 	}
 	out := make([]string, len(parts))
-	any := false
+	transfers := map[string]time.Duration{}
 	for i, p := range parts[:len(parts)-1] {
 		part := Part{salt, p.ID}
 		if _, held := d.parts[part]; held || p.Tokens < smallestPart || now.Sub(d.saving[part]) < saveMemory {
@@ -200,14 +200,22 @@
 		}
 		if out[i] = d.home(part, p.Tokens, backlog); out[i] != "" {
 			d.saving[part] = now
-			any = true
+			transfers[out[i]] += d.zoned(out[i], zone, d.transfer(p.Tokens, &d.stores[out[i]].spec))
 		}
 	}
 	d.forgetSaves(now)
-	if !any {
-		return nil
+	if len(transfers) == 0 {
+		return nil, nil
 	}
-	return out
+	return out, transfers
+}
+
+// zoned returns the time of a transfer between a store and an engine in a zone.
+func (d *Directory) zoned(address, zone string, transfer time.Duration) time.Duration {
+	if d.stores[address].spec.AvailabilityZone != zone {
+		return placement.OtherZoneTransfer * transfer
+	}
+	return transfer
 }
 
 // maxSaves is the number of remembered saves at which old ones are forgotten.
@@ -230,7 +238,7 @@
 	best, bestScore := "", 0.0
 	for address, s := range d.stores {
 		room := float64(s.spec.CacheTokens)*fillShare - float64(s.used)
-		if !s.accepts || room < float64(tokens) || backlog(address) > longestWait {
+		if !s.accepts || room < float64(tokens) || backlog(address) > longestSaveQueue {
 			continue
 		}
 		score := room * d.suits(tokens, &s.spec) * unit(part.ID+"\x00"+address)
--- a/node/node.go
+++ b/node/node.go
@@ -166,6 +166,7 @@
 	tasks.Go(func() { n.group.Run(groupCtx); close(groupDone) })
 	tasks.Go(func() { n.reader.Run(running) })
 	tasks.Go(func() { n.keeper.Run(running) })
+	tasks.Go(func() { n.gateway.Reach(running) })
 	tasks.Go(func() { n.loads.Run(running, listeners.loads) })
 	watcher := &fleetview.Watcher{Node: n.config.Name, AvailabilityZone: n.config.AvailabilityZone, LoadAddress: n.config.LoadReports, Contacts: n.group.Contacts, Seeds: n.Seeds, Adopt: n.adopt, Log: n.log}
 	tasks.Go(func() { watcher.Run(running) })
--- a/peerload/peerload.go
+++ b/peerload/peerload.go
@@ -80,7 +80,7 @@
 		peers := e.current()
 		timer.Reset(max(shortestInterval, time.Duration(len(peers))*intervalPerNode))
 		report := e.Tracker.Report()
-		empty := len(report.GetKeys()) == 0 && len(report.GetStoreKeys()) == 0
+		empty := len(report.GetKeys()) == 0
 		if empty && idle {
 			continue
 		}
--- a/placement/peers.go
+++ b/placement/peers.go
@@ -19,18 +19,16 @@
 	sequence  uint64
 	heard     time.Time
 	instances map[uint32]use
-	stores    map[uint32]time.Duration
 }
 
 // peers sums the reports of all nodes.
 type peers struct {
 	byNode    map[string]*peer
 	instances map[uint32]use
-	stores    map[uint32]time.Duration
 }
 
 func newPeers() *peers {
-	return &peers{byNode: map[string]*peer{}, instances: map[uint32]use{}, stores: map[uint32]time.Duration{}}
+	return &peers{byNode: map[string]*peer{}, instances: map[uint32]use{}}
 }
 
 func hashKey(text string) uint32 { return uint32(xxhash.Sum64String(text)) }
@@ -47,22 +45,18 @@
 			delete(p.instances, key)
 		}
 	}
-	for key, wait := range q.stores {
-		p.stores[key] += time.Duration(sign) * wait
-		if p.stores[key] == 0 {
-			delete(p.stores, key)
-		}
-	}
 }
 
-// expire counts out the nodes that have fallen silent.
-func (p *peers) expire(now time.Time) {
+// expire counts out the nodes that have fallen silent and returns them.
+func (p *peers) expire(now time.Time) (silent []string) {
 	for node, q := range p.byNode {
 		if now.Sub(q.heard) > peerMemory {
 			p.add(q, -1)
 			delete(p.byNode, node)
+			silent = append(silent, node)
 		}
 	}
+	return silent
 }
 
 // Peer takes the report of another node.
@@ -72,12 +66,13 @@
 		len(report.GetTransferMs()) != len(stores) {
 		return
 	}
-	q := &peer{sequence: report.GetSequence(), heard: now, instances: make(map[uint32]use, len(keys)), stores: make(map[uint32]time.Duration, len(stores))}
+	q := &peer{sequence: report.GetSequence(), heard: now, instances: make(map[uint32]use, len(keys))}
+	totals := make(map[uint32]time.Duration, len(stores))
 	for i, key := range keys {
 		q.instances[key] = use{int(report.GetRequests()[i]), int(report.GetPrefillTokens()[i]), int(report.GetHeldTokens()[i])}
 	}
 	for i, key := range stores {
-		q.stores[key] = time.Duration(report.GetTransferMs()[i]) * time.Millisecond
+		totals[key] = time.Duration(report.GetTransferMs()[i]) * time.Millisecond
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -89,6 +84,7 @@
 	}
 	t.peers.byNode[report.GetNode()] = q
 	t.peers.add(q, 1)
+	t.links.report(report.GetNode(), totals, now)
 }
 
 // Report describes what this node has in progress.
@@ -105,19 +101,30 @@
 		report.PrefillTokens = append(report.PrefillTokens, uint32(max(0, s.prefillTokens)))
 		report.HeldTokens = append(report.HeldTokens, uint32(max(0, s.heldTokens)))
 	}
-	for address, wait := range t.transfers {
-		if ms := wait.Milliseconds(); ms > 0 {
-			report.StoreKeys = append(report.StoreKeys, hashKey(address))
-			report.TransferMs = append(report.TransferMs, uint32(ms))
-		}
+	for address, total := range t.links.own {
+		report.StoreKeys = append(report.StoreKeys, hashKey(address))
+		report.TransferMs = append(report.TransferMs, uint32(total.Milliseconds()))
 	}
 	return report
 }
 
-// Backlog returns the transfers in progress at a store's link, of all nodes.
+// Backlog returns the time until a new transfer over a store's link would begin.
 func (t *Tracker) Backlog(address string) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.peers.expire(time.Now())
-	return t.transfers[address] + t.peers.stores[hashKey(address)]
+	return t.links.backlog(address, time.Now())
+}
+
+// Transfer notes a transfer over a store's link.
+func (t *Tracker) Transfer(address string, transfer time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.links.start(address, transfer, time.Now())
+}
+
+// expire forgets silent nodes. The caller holds the lock.
+func (t *Tracker) expire(now time.Time) {
+	for _, node := range t.peers.expire(now) {
+		t.links.forget(node)
+	}
 }
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -161,8 +161,8 @@
 	homeMs = 40
 	// homes is the number of engines that keep a prompt.
 	homes = 2
-	// otherZoneTransfer is the time of a transfer between zones over that within one.
-	otherZoneTransfer = 2
+	// OtherZoneTransfer is the time of a transfer between zones over that within one.
+	OtherZoneTransfer = 2
 	// firstTokenMs is the time from a read prompt to the first event at an idle engine, with the way there.
 	firstTokenMs = 30
 )
@@ -183,7 +183,7 @@
 		shared -= q.Stored[i].Tokens
 		transfer := q.Stored[i].Transfer
 		if q.Stored[i].AvailabilityZone != c.Instance.AvailabilityZone {
-			transfer *= otherZoneTransfer
+			transfer *= OtherZoneTransfer
 		}
 		if transfers == nil {
 			transfers = map[string]time.Duration{}
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -20,6 +20,8 @@
 	Answered Outcome = iota
 	// Failed counts against the instance.
 	Failed
+	// Silent means that the instance's VM does not answer at all; it gets no requests until it can be reached.
+	Silent
 	// Rejected means that the instance did not run the request because it is full.
 	Rejected
 	// Replaced means that another incarnation lives at the address, or that the weights differ.
@@ -35,8 +37,10 @@
 	ejectShare = 0.5
 	// failureWeight is the weight of one send in the share of failures: about the last ten count.
 	failureWeight = 0.1
-	firstEjection = 500 * time.Millisecond
-	lastEjection  = 4 * time.Second
+	// silentEjection bounds the ejection of an instance that cannot be reached, should nobody find that it can.
+	silentEjection = 20 * time.Second
+	firstEjection  = 500 * time.Millisecond
+	lastEjection   = 4 * time.Second
 	// rejectPause is how long a full instance is avoided.
 	rejectPause = 60 * time.Millisecond
 	// loadMemory is how long a load told by an instance counts.
@@ -52,9 +56,10 @@
 	failureShare                        float64
 	ejections                           int
 	ejectedUntil, avoidedUntil          time.Time
-	replaced                            bool
-	versions                            map[string]uint64
-	cache                               *partCache
+	// silent is set until the instance's VM can be reached again.
+	silent, replaced bool
+	versions         map[string]uint64
+	cache            *partCache
 }
 
 // Tracker holds the state of all instances. Its lock is a leaf.
@@ -62,8 +67,7 @@
 	mu        sync.Mutex
 	instances map[upstreams.Key]*state
 	revision  uint64
-	// transfers in progress at the links of stores.
-	transfers map[string]time.Duration
+	links     *links
 	peers     *peers
 	rate      readRate
 }
@@ -71,7 +75,7 @@
 // NewTracker returns an empty Tracker.
 func NewTracker() *Tracker {
 	return &Tracker{
-		instances: map[upstreams.Key]*state{}, transfers: map[string]time.Duration{}, peers: newPeers(),
+		instances: map[upstreams.Key]*state{}, links: newLinks(), peers: newPeers(),
 		rate: readRate{tokensPerMs: firstReadRate},
 	}
 }
@@ -150,7 +154,7 @@
 	s.prefillTokens += work.PrefillTokens
 	s.heldTokens += work.HeldTokens
 	for address, transfer := range work.Transfers {
-		t.transfers[address] += transfer
+		t.links.start(address, transfer, time.Now())
 	}
 	ahead := s.prefillTokens + t.peers.instances[hashKey(instance.ID)].prefillTokens
 	return &Ticket{tracker: t, key: instance.Key(), work: work, began: time.Now(), ahead: ahead}
@@ -170,11 +174,6 @@
 	if !k.prefilled {
 		k.prefilled = true
 		s.prefillTokens -= k.work.PrefillTokens
-		for address, transfer := range k.work.Transfers {
-			if k.tracker.transfers[address] -= transfer; k.tracker.transfers[address] <= 0 {
-				delete(k.tracker.transfers, address)
-			}
-		}
 	}
 }
 
@@ -213,9 +212,13 @@
 	switch outcome {
 	case Answered:
 		s.failures, s.ejections = 0, 0
+		s.reached(now)
 		s.failureShare *= 1 - failureWeight
 	case Failed:
 		s.fail(now)
+	case Silent:
+		s.silent = true
+		s.ejectedUntil = now.Add(silentEjection)
 	case Rejected:
 		s.avoidedUntil = now.Add(rejectPause)
 	case Replaced:
@@ -240,7 +243,7 @@
 func (t *Tracker) Candidates(list []*upstreams.Instance, now time.Time, q *Request) []Candidate {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.peers.expire(now)
+	t.expire(now)
 	out := make([]Candidate, 0, len(list))
 	for _, instance := range list {
 		s := t.state(instance.Key())
@@ -290,3 +293,31 @@
 	rate := float64(tokens) / (float64(took) / float64(time.Millisecond))
 	r.tokensPerMs += rateWeight * (max(slowestRate, min(fastestRate, rate)) - r.tokensPerMs)
 }
+
+// reached ends the ejection of an instance that can be reached again.
+func (s *state) reached(now time.Time) {
+	if s.silent {
+		s.silent = false
+		s.ejectedUntil = now
+	}
+}
+
+// SilentInstances returns the instances of a view that could not be reached.
+func (t *Tracker) SilentInstances(view *upstreams.View) []*upstreams.Instance {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []*upstreams.Instance
+	for i := range view.Instances {
+		if s := t.instances[view.Instances[i].Key()]; s != nil && s.silent && !view.Instances[i].Draining {
+			out = append(out, &view.Instances[i])
+		}
+	}
+	return out
+}
+
+// Reached notes that an instance can be reached again.
+func (t *Tracker) Reached(instance *upstreams.Instance, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.state(instance.Key()).reached(now)
+}
--- a/upstreamconn/pool.go
+++ b/upstreamconn/pool.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/wasabishunt/wasabishunt/failure"
@@ -33,7 +34,7 @@
 // Defaults of Options.
 const (
 	// defaultDialTimeout is far above the 3 ms round trip between zones, and below the first resend of a lost SYN.
-	defaultDialTimeout = 700 * time.Millisecond
+	defaultDialTimeout = 350 * time.Millisecond
 	defaultIdleLimit   = 3 * time.Second
 	defaultMaxIdle     = 16
 	keepAlivePeriod    = time.Second
@@ -65,7 +66,7 @@
 		options.Now = time.Now
 	}
 	if options.Dial == nil {
-		dialer := &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: 3}}
+		dialer := &net.Dialer{Control: limitUnacknowledged, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: 3}}
 		options.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		}
@@ -100,6 +101,11 @@
 	}
 }
 
+// Open opens a new connection.
+func (p *Pool) Open(ctx context.Context, address string) (*Conn, error) {
+	return p.dial(ctx, address, 0)
+}
+
 func (p *Pool) takeIdle(address string) *Conn {
 	now := p.options.Now()
 	p.mu.Lock()
@@ -283,5 +289,11 @@
 	return body, nil
 }
 
-// IsTimeout reports whether an error is a time limit that has passed.
-func IsTimeout(err error) bool { return errors.Is(err, context.DeadlineExceeded) }
+// IsTimeout reports whether the other side did not acknowledge anything, rather than refused or reset a connection.
+func IsTimeout(err error) bool {
+	if errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, syscall.EHOSTUNREACH) {
+		return true
+	}
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial" && op.Timeout()
+}
--- a/upstreamconn/readable.go
+++ b/upstreamconn/readable.go
@@ -1,6 +1,7 @@
 package upstreamconn
 
 import (
+	"errors"
 	"net"
 	"syscall"
 )
@@ -24,3 +25,18 @@
 	})
 	return err != nil || found
 }
+
+// unacknowledgedLimit is how long sent bytes may stay unacknowledged: an upstream that is cut off or has lost power is
+// noticed then. It is above the resend of one lost packet.
+const unacknowledgedLimit = 600 // ms
+
+// tcpUserTimeout is TCP_USER_TIMEOUT, which package syscall does not name on all platforms.
+const tcpUserTimeout = 18
+
+func limitUnacknowledged(_, _ string, raw syscall.RawConn) error {
+	var optionErr error
+	err := raw.Control(func(fd uintptr) {
+		optionErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, unacknowledgedLimit)
+	})
+	return errors.Join(err, optionErr)
+}
