gateway: rank at engines by route first, then by account

Cause: every account has a priority, so taking it alone made short urgent prompts wait behind long ones.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -81,7 +81,7 @@
 	if chosen.firstEvent == 0 || c.sends > 0 {
 		return nil
 	}
-	wish := placement.Wish{Target: c.route.FirstByteTarget, Left: time.Until(c.end), MostUrgent: c.urgency() <= c.set.MostUrgent(c.service.Name)}
+	wish := placement.Wish{Target: c.route.FirstByteTarget, Left: time.Until(c.end), MostUrgent: c.route.Priority <= c.set.MostUrgent(c.service.Name)}
 	admitted, retryAfter := placement.Admit(wish, chosen.firstEvent)
 	if admitted {
 		return nil
@@ -302,15 +302,21 @@
 	return time.Duration(fetchShare * float64(c.route.FirstByteTarget))
 }
 
-// maxUrgency is the least urgent rank of an engine.
-const maxUrgency = 9
+const (
+	// maxUrgency is the least urgent rank of an engine.
+	maxUrgency = 9
+	// accountRanks is the number of ranks within one priority of routes.
+	accountRanks = 3
+)
 
+// urgency is the rank of the request at an engine: by the priority of its route, and within that by its account's.
+// Short prompts with an early target thereby pass the long ones of all accounts, which delays those by little.
 func (c *call) urgency() int {
-	priority := c.route.Priority
+	rank := accountRanks * max(0, c.route.Priority)
 	if c.account != nil && c.account.Priority != nil {
-		priority = *c.account.Priority
+		rank += max(0, min(accountRanks-1, *c.account.Priority))
 	}
-	return max(0, min(maxUrgency, priority))
+	return min(maxUrgency, rank)
 }
 
 func (c *call) upstreamRequest(address string, out Outbound) *http.Request {
