rollout: the leader brings engines to named weights, a few at a time

Cause: nobody brought engines to named versions. One holder (the leader, its term as fence, after the lease of the one before) orders with the number of accepted orders as precondition, reads back, and gives an order without an answer again. Entries learn from the leader which engines load.

--- a/cmd/wasabishunt-node/main.go
+++ b/cmd/wasabishunt-node/main.go
@@ -86,6 +86,7 @@
 		Dialect:   platform.Dialect{},
 		Lister:    &platform.InstanceList{Address: settings.ListAddress, Client: &http.Client{}},
 		Stores:    &platform.StoreClient{Client: &http.Client{}},
+		Engines:   &platform.EngineClient{Client: &http.Client{}},
 		DecodeSet: platform.DecodeSet,
 	}
 	if settings.ControlListen != "" {
--- a/fleetview/server.go
+++ b/fleetview/server.go
@@ -170,7 +170,7 @@
 		instance := &view.Instances[i]
 		encoded := &nodepb.Instance{
 			Id: instance.ID, Service: instance.Service, Address: instance.Address, AvailabilityZone: instance.AvailabilityZone,
-			Draining: instance.Draining, BornMs: instance.Born, Slots: uint32(instance.Slots),
+			Draining: instance.Draining, Updating: instance.Updating, BornMs: instance.Born, Slots: uint32(instance.Slots),
 		}
 		for model, version := range instance.Versions {
 			encoded.Models = append(encoded.Models, &nodepb.WeightVersion{Model: model, Version: version})
@@ -185,7 +185,7 @@
 	return lo.Map(view.GetInstances(), func(encoded *nodepb.Instance, _ int) upstreams.Instance {
 		instance := upstreams.Instance{
 			ID: encoded.GetId(), Service: encoded.GetService(), Address: encoded.GetAddress(), AvailabilityZone: encoded.GetAvailabilityZone(),
-			Draining: encoded.GetDraining(), Born: encoded.GetBornMs(), Slots: int(encoded.GetSlots()), Versions: map[string]uint64{},
+			Draining: encoded.GetDraining(), Updating: encoded.GetUpdating(), Born: encoded.GetBornMs(), Slots: int(encoded.GetSlots()), Versions: map[string]uint64{},
 		}
 		for _, m := range encoded.GetModels() {
 			instance.Versions[m.GetModel()] = m.GetVersion()
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -153,7 +153,7 @@
 	o := c.gateway.options
 	g := c.attributes.Generation
 	q.Model, q.Parts, q.Tokens, q.CacheTokens = g.Model, g.Parts, g.PromptTokens, c.service.Engine.CacheTokens
-	q.Wanted = o.Sets.Wanted(g.Model)
+	q.Wanted, q.WantedOnly = o.Sets.Wanted(g.Model), o.Sets.WantedOnly(g.Model)
 	if c.account != nil && c.account.Isolated {
 		q.Isolated = c.account.Name
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -84,6 +84,8 @@
 type Sets interface {
 	Set() *trafficset.Set
 	Wanted(model string) uint64
+	// WantedOnly reports whether older weights must not be used any more.
+	WantedOnly(model string) bool
 }
 
 // Stores decides on fetching and saving parts of prompts.
--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -27,6 +28,7 @@
 	"github.com/wasabishunt/wasabishunt/peerload"
 	"github.com/wasabishunt/wasabishunt/placement"
 	"github.com/wasabishunt/wasabishunt/retrybudget"
+	"github.com/wasabishunt/wasabishunt/rollout"
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
 	"github.com/wasabishunt/wasabishunt/trafficset"
 	"github.com/wasabishunt/wasabishunt/upstreamconn"
@@ -52,6 +54,8 @@
 	MemoryBytes    int64
 	MaxDescriptors int
 	Retries        retrybudget.Limits
+	// WeightsWithin is the time after which requests must not start on older weights than those named.
+	WeightsWithin time.Duration
 	// HolderLease is the silence after which another node may give orders to engines.
 	HolderLease time.Duration
 }
@@ -61,6 +65,7 @@
 	Dialect   gateway.Dialect
 	Lister    upstreams.Lister
 	Stores    kvstores.Client
+	Engines   rollout.Client
 	DecodeSet func(document []byte) (*trafficset.Set, error)
 	// Operators is the interface of operators, nil on a node that has none.
 	Operators func(group *coregroup.Group) (*http.Server, net.Listener)
@@ -75,7 +80,7 @@
 
 	seeds     atomic.Pointer[[]string]
 	set       atomic.Pointer[trafficset.Set]
-	weights   atomic.Pointer[map[string]uint64]
+	weights   atomic.Pointer[map[string]namedWeights]
 	nodes     atomic.Int64
 	synced    atomic.Bool
 	stopping  atomic.Bool
@@ -86,6 +91,7 @@
 	placement *fleetview.Placements
 	stores    *kvstores.Directory
 	keeper    *kvstores.Keeper
+	holder    *rollout.Holder
 	tracker   *placement.Tracker
 	loads     *peerload.Exchange
 	budget    *retrybudget.Budget
@@ -111,7 +117,7 @@
 	n := &Node{config: config, parts: parts, log: log, metrics: registry, directory: upstreams.NewDirectory(), placement: fleetview.NewPlacements()}
 	n.SetSeeds(config.Seeds)
 	n.nodes.Store(firstNodes)
-	n.weights.Store(&map[string]uint64{})
+	n.weights.Store(&map[string]namedWeights{})
 	n.group = coregroup.New(coregroup.Options{
 		Dir: config.DataDir, Address: config.Internal, AvailabilityZone: config.AvailabilityZone, Seeds: n.Seeds, FirstStart: config.FirstStart,
 		Tolerance: config.Tolerance, Log: log, Metrics: registry,
@@ -122,6 +128,12 @@
 	n.stores = kvstores.NewDirectory(time.Now)
 	n.keeper = &kvstores.Keeper{Client: parts.Stores, Leads: n.reader.Current, Set: n.Set, Publish: n.placement, Log: log, Metrics: registry}
 	n.tracker = placement.NewTracker()
+	n.holder = &rollout.Holder{
+		Name: config.Name, Client: parts.Engines, Leads: func() bool { return n.group.Leads() && n.group.Fresh() }, Term: n.group.Term,
+		Lease: config.HolderLease, Within: config.WeightsWithin, Set: n.Set, Wanted: n.AllWanted, Directory: n.directory,
+		Requests: n.tracker.Requests, Log: log,
+	}
+	n.keeper.Usable = n.usable
 	n.loads = &peerload.Exchange{Node: config.Name, Tracker: n.tracker, Log: log}
 	n.gateway = gateway.New(gateway.Options{
 		AvailabilityZone: config.AvailabilityZone, Dialect: parts.Dialect, Sets: n, Directory: n.directory, Tracker: n.tracker, Stores: n.stores,
@@ -142,7 +154,27 @@
 func (n *Node) Set() *trafficset.Set { return n.set.Load() }
 
 // Wanted implements gateway.Sets.
-func (n *Node) Wanted(model string) uint64 { return (*n.weights.Load())[model] }
+func (n *Node) Wanted(model string) uint64 { return (*n.weights.Load())[model].version }
+
+// weightsMargin is kept between the last request on older weights and the limit for it.
+const weightsMargin = time.Second
+
+// WantedOnly implements gateway.Sets.
+func (n *Node) WantedOnly(model string) bool {
+	named, ok := (*n.weights.Load())[model]
+	return ok && n.config.WeightsWithin > 0 && time.Since(named.since) > n.config.WeightsWithin-weightsMargin
+}
+
+// AllWanted returns the named version of each model.
+func (n *Node) AllWanted() map[string]uint64 {
+	return lo.MapValues(*n.weights.Load(), func(named namedWeights, _ string) uint64 { return named.version })
+}
+
+// namedWeights is a version and when this node learned of it.
+type namedWeights struct {
+	version uint64
+	since   time.Time
+}
 
 // Run serves until the context ends, and then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
@@ -167,6 +199,7 @@
 	tasks.Go(func() { n.reader.Run(running) })
 	tasks.Go(func() { n.keeper.Run(running) })
 	tasks.Go(func() { n.gateway.Reach(running) })
+	tasks.Go(func() { n.holder.Run(running) })
 	tasks.Go(func() { n.loads.Run(running, listeners.loads) })
 	watcher := &fleetview.Watcher{Node: n.config.Name, AvailabilityZone: n.config.AvailabilityZone, LoadAddress: n.config.LoadReports, Contacts: n.group.Contacts, Seeds: n.Seeds, Adopt: n.adopt, Log: n.log}
 	tasks.Go(func() { watcher.Run(running) })
@@ -355,14 +388,11 @@
 
 func (n *Node) adoptWeights(named []*nodepb.WeightVersion) {
 	current := *n.weights.Load()
-	next := make(map[string]uint64, len(named))
+	next := maps.Clone(current)
 	changed := false
-	for model, version := range current {
-		next[model] = version
-	}
 	for _, w := range named {
-		if w.GetVersion() > next[w.GetModel()] {
-			next[w.GetModel()] = w.GetVersion()
+		if w.GetVersion() > next[w.GetModel()].version {
+			next[w.GetModel()] = namedWeights{version: w.GetVersion(), since: time.Now()}
 			changed = true
 			n.log.Info("weights named", zap.String("model", w.GetModel()), zap.Uint64("weight_version", w.GetVersion()))
 		}
@@ -371,3 +401,21 @@
 		n.weights.Store(&next)
 	}
 }
+
+// usable reports whether requests may still use parts of KV cache with a salt: those of the oldest weights that an
+// engine has, and of newer ones.
+func (n *Node) usable(salt string) bool {
+	version, ok := placement.SaltVersion(salt)
+	if !ok {
+		return true
+	}
+	view := n.directory.View()
+	for i := range view.Instances {
+		for _, has := range view.Instances[i].Versions {
+			if has <= version {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,6 +16,8 @@
 	Model string
 	// Wanted is the newest named version of the model's weights.
 	Wanted uint64
+	// WantedOnly is set when older weights must not be used any more.
+	WantedOnly bool
 	// Isolated names the account whose cache is kept apart, or is empty.
 	Isolated string
 	// Parts of the prompt in order; the last one is the request's own.
@@ -46,6 +49,13 @@
 	return salt
 }
 
+// SaltVersion returns the weight version of a salt.
+func SaltVersion(salt string) (uint64, bool) {
+	text, _, _ := strings.Cut(strings.TrimPrefix(salt, "v"), "/")
+	version, err := strconv.ParseUint(text, 10, 64)
+	return version, err == nil
+}
+
 // shared returns the parts without the request's own.
 func (q *Request) shared() []Part {
 	if len(q.Parts) == 0 {
@@ -76,10 +86,10 @@
 type Filter func(q *Request, c *Candidate) bool
 
 // required filters hold always.
-var required = []Filter{isStaying, isNotTried, isSameIncarnation}
+var required = []Filter{isStaying, isNotTried, isSameIncarnation, isRecentEnough}
 
 // preferred filters are dropped from the last to the first while they leave no candidate.
-var preferred = []Filter{isHealthy, hasWantedVersion, hasRoom}
+var preferred = []Filter{isHealthy, isNotUpdating, hasRoom}
 
 func isStaying(_ *Request, c *Candidate) bool         { return !c.Instance.Draining }
 func isNotTried(q *Request, c *Candidate) bool        { return !q.Exclude[c.Instance.ID] }
@@ -87,7 +97,10 @@
 func isHealthy(_ *Request, c *Candidate) bool         { return !c.Ejected }
 func hasRoom(_ *Request, c *Candidate) bool           { return !c.Avoided }
 
-func hasWantedVersion(q *Request, c *Candidate) bool { return c.Version >= q.Wanted }
+func isNotUpdating(_ *Request, c *Candidate) bool { return !c.Instance.Updating }
+
+// isRecentEnough keeps requests from old weights once these must not be used any more.
+func isRecentEnough(q *Request, c *Candidate) bool { return !q.WantedOnly || c.Version >= q.Wanted }
 
 // Pick returns the best candidate, nil if none may get the request.
 func Pick(q *Request, candidates []Candidate) *Candidate {
@@ -157,6 +170,8 @@
 	rereadFactor = 2
 	// transferFactor is the cost of a transfer over that of the same time of an engine.
 	transferFactor = 0.5
+	// oldWeightsMs is the cost of older weights than those wanted, whose answers callers value a fifth less.
+	oldWeightsMs = 60
 	// homeMs is the advantage of the first engine that keeps a prompt; the second has half of it.
 	homeMs = 40
 	// homes is the number of engines that keep a prompt.
@@ -232,6 +247,9 @@
 	if !c.SameZone {
 		cost += zoneMs
 	}
+	if c.Version < q.Wanted {
+		cost += oldWeightsMs
+	}
 	if c.home > 0 && len(transfers) > 0 || c.home > 0 && shared > 0 {
 		cost -= homeMs / float64(c.home)
 	}
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -321,3 +321,10 @@
 	defer t.mu.Unlock()
 	t.state(instance.Key()).reached(now)
 }
+
+// Requests returns the requests in progress at an instance, from all nodes.
+func (t *Tracker) Requests(instance *upstreams.Instance) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.state(instance.Key()).requests + t.peers.instances[hashKey(instance.ID)].requests
+}
--- a/upstreams/upstreams.go
+++ b/upstreams/upstreams.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -18,6 +19,8 @@
 	// Born is the Unix time of the start in ms, 0 if unknown. An id may start again with another Born.
 	Born  int64
 	Slots int
+	// Updating instances load weights and take no requests for a while.
+	Updating bool
 	// Versions maps models to the version of their weights.
 	Versions map[string]uint64
 }
@@ -64,6 +67,9 @@
 	mu sync.Mutex
 	// draining remembers instances that were seen leaving: a list that lags must not bring them back.
 	draining map[Key]bool
+	// updating and loaded are what the holder of orders knows of instances before the list does.
+	updating map[Key]time.Time
+	loaded   map[Key]map[string]uint64
 	changed  chan struct{}
 	// confirmed is the last time at which the view was known to be current, Unix ns.
 	confirmed atomic.Int64
@@ -71,7 +77,9 @@
 
 // NewDirectory returns an empty Directory.
 func NewDirectory() *Directory {
-	d := &Directory{draining: map[Key]bool{}, changed: make(chan struct{})}
+	d := &Directory{
+		draining: map[Key]bool{}, updating: map[Key]time.Time{}, loaded: map[Key]map[string]uint64{}, changed: make(chan struct{}),
+	}
 	d.view.Store(newView(0, nil, time.Time{}))
 	return d
 }
@@ -107,12 +115,82 @@
 			d.draining[key] = true
 		}
 		instances[i].Draining = d.draining[key]
+		d.overlay(&instances[i], now)
 	}
 	for key := range d.draining {
 		if !present[key] {
 			delete(d.draining, key)
 		}
 	}
+	for key := range d.loaded {
+		if !present[key] {
+			delete(d.loaded, key)
+			delete(d.updating, key)
+		}
+	}
+	return d.replace(instances, now)
+}
+
+// overlay adds what the holder of orders knows of an instance.
+func (d *Directory) overlay(instance *Instance, now time.Time) {
+	key := instance.Key()
+	since, updating := d.updating[key]
+	instance.Updating = instance.Updating || updating && now.Sub(since) < longestUpdate
+	for model, version := range d.loaded[key] {
+		if version > instance.Versions[model] {
+			instance.Versions[model] = version
+		}
+	}
+}
+
+// longestUpdate bounds the time in which an instance under order gets no requests.
+const longestUpdate = 8 * time.Second
+
+// Updating notes that an instance loads weights, or has ended to.
+func (d *Directory) Updating(key Key, updating bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, known := d.updating[key]; known == updating {
+		return
+	}
+	if updating {
+		d.updating[key] = time.Now()
+	} else {
+		delete(d.updating, key)
+	}
+	d.refresh(key, updating)
+}
+
+// Loaded notes the version that an instance has.
+func (d *Directory) Loaded(key Key, model string, version uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.loaded[key] == nil {
+		d.loaded[key] = map[string]uint64{}
+	}
+	d.loaded[key][model] = version
+	_, updating := d.updating[key]
+	d.refresh(key, updating)
+}
+
+// refresh publishes the view anew with what is known of one instance. The caller holds the lock.
+func (d *Directory) refresh(key Key, updating bool) {
+	old := d.view.Load()
+	now := time.Now()
+	instances := slices.Clone(old.Instances)
+	for i := range instances {
+		if instances[i].Key() != key {
+			continue
+		}
+		instances[i].Versions = maps.Clone(instances[i].Versions)
+		instances[i].Updating = updating
+		d.overlay(&instances[i], now)
+	}
+	d.replace(instances, now)
+}
+
+// replace publishes a list unless it is the current one. The caller holds the lock.
+func (d *Directory) replace(instances []Instance, now time.Time) bool {
 	old := d.view.Load()
 	if slices.EqualFunc(old.Instances, instances, sameInstance) {
 		return false
@@ -124,7 +202,7 @@
 }
 
 func sameInstance(a, b Instance) bool {
-	if a.Key() != b.Key() || a.Draining != b.Draining || a.Address != b.Address || a.Service != b.Service || len(a.Versions) != len(b.Versions) {
+	if a.Key() != b.Key() || a.Draining != b.Draining || a.Updating != b.Updating || a.Address != b.Address || a.Service != b.Service || len(a.Versions) != len(b.Versions) {
 		return false
 	}
 	for model, version := range a.Versions {
