--- /dev/null
+++ b/placement/pick_test.go
@@ -0,0 +1,145 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabishunt/wasabishunt/upstreams"
+)
+
+func instance(id string) *upstreams.Instance {
+	return &upstreams.Instance{ID: id, Service: "s", Address: id + ":1", AvailabilityZone: "z", Versions: map[string]uint64{"m": 1}}
+}
+
+func candidates(n int) []Candidate {
+	out := make([]Candidate, n)
+	for i := range out {
+		out[i] = Candidate{Instance: instance(fmt.Sprint("i", i)), SameZone: true, Version: 1, ReadRate: 50}
+	}
+	return out
+}
+
+// Guards against requests to instances that must not have them, and against no request at all when the preferred ones
+// are out.
+func TestPickFilters(t *testing.T) {
+	plain := &Request{}
+	for name, c := range map[string]struct {
+		q      *Request
+		change func(list []Candidate)
+		want   string
+	}{
+		"fewest requests":            {plain, func(l []Candidate) { l[0].Requests = 3; l[2].Requests = 3 }, "i1"},
+		"own zone first":             {plain, func(l []Candidate) { l[0].SameZone, l[1].SameZone = false, false }, "i2"},
+		"not a leaving one":          {plain, func(l []Candidate) { l[0].Instance.Draining = true; l[1].Instance.Draining = true }, "i2"},
+		"not one that had it":        {&Request{Exclude: map[string]bool{"i0": true, "i1": true}}, func([]Candidate) {}, "i2"},
+		"not a replaced one":         {plain, func(l []Candidate) { l[0].Replaced, l[1].Replaced = true, true }, "i2"},
+		"not an ejected one":         {plain, func(l []Candidate) { l[0].Ejected, l[1].Ejected = true, true; l[2].Requests = 50 }, "i2"},
+		"not one that loads weights": {plain, func(l []Candidate) { l[0].Instance.Updating, l[1].Instance.Updating = true, true }, "i2"},
+		"an ejected one if all are":  {plain, func(l []Candidate) { l[0].Ejected, l[1].Ejected, l[2].Ejected = true, true, true; l[0].Requests = 1 }, "i1"},
+		"none if all leave": {plain, func(l []Candidate) {
+			for i := range l {
+				l[i].Instance.Draining = true
+			}
+		}, ""},
+		"a failing one only if idle":  {plain, func(l []Candidate) { l[0].FailureShare = 0.5; l[1].Requests = 2; l[2].Requests = 9 }, "i1"},
+		"old weights while allowed":   {&Request{Model: "m", Wanted: 2, CacheTokens: 1000}, func(l []Candidate) { l[0].Version = 2; l[0].PrefillTokens = 100_000 }, "i1"},
+		"no old weights past the end": {&Request{Model: "m", Wanted: 2, WantedOnly: true, CacheTokens: 1000}, func(l []Candidate) { l[0].Version = 2; l[0].PrefillTokens = 100_000 }, "i0"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			list := candidates(3)
+			c.change(list)
+			best := Pick(c.q, list)
+			if c.want == "" {
+				require.Nil(t, best)
+				return
+			}
+			require.NotNil(t, best)
+			require.Equal(t, c.want, best.Instance.ID)
+		})
+	}
+}
+
+func document(id string) *Request {
+	return &Request{
+		Model: "m", Tokens: 9000, CacheTokens: 50_000, StoredVersion: 1,
+		Parts: []Part{{"common", 2500}, {id, 5000}, {"own", 1500}},
+	}
+}
+
+// Guards against a prompt that is read again at another engine although one holds it, and against queueing behind a
+// long queue for the sake of it.
+func TestPromptGoesWhereItIsHeldUnlessTheQueueIsLonger(t *testing.T) {
+	list := candidates(3)
+	list[1].CachedParts, list[1].CachedTokens = 2, 7500
+	require.Equal(t, "i1", Pick(document("d"), list).Instance.ID)
+	list[1].PrefillTokens = 40_000
+	require.NotEqual(t, "i1", Pick(document("d"), list).Instance.ID)
+}
+
+// Guards against nodes that choose different engines for the same prompt and thereby fill all memories with copies.
+func TestHomesAreTheSameOnAllNodes(t *testing.T) {
+	first, second := candidates(12), candidates(12)
+	for i, j := 0, len(second)-1; i < j; i, j = i+1, j-1 {
+		second[i], second[j] = second[j], second[i]
+	}
+	used := map[string]int{}
+	for i := range 500 {
+		q := document(fmt.Sprint("d", i))
+		for _, list := range [][]Candidate{first, second} {
+			for j := range list {
+				list[j].home = 0
+			}
+			MarkHomes(q, list)
+		}
+		a, b := Pick(q, first).Instance.ID, Pick(q, second).Instance.ID
+		require.Equal(t, a, b)
+		used[a]++
+	}
+	for id, n := range used {
+		require.Less(t, n, 80, "engine %s is home of too many of 500 prompts", id)
+	}
+	require.Len(t, used, 12)
+}
+
+// Guards against a fetch of what the engine holds, of parts behind a gap, and of parts made by other weights.
+func TestReadCountsOnlyWhatCanBeUsed(t *testing.T) {
+	q := document("d")
+	q.Stored = []Stored{
+		{Address: "s1", AvailabilityZone: "z", Tokens: 2500, Transfer: 10 * time.Millisecond},
+		{Address: "s2", AvailabilityZone: "other", Tokens: 5000, Transfer: 20 * time.Millisecond},
+	}
+	c := candidates(1)[0]
+	tokens, shared, transfers := Read(q, &c)
+	require.Equal(t, 1500, tokens)
+	require.Zero(t, shared)
+	require.Equal(t, map[string]time.Duration{"s1": 10 * time.Millisecond, "s2": 40 * time.Millisecond}, transfers)
+
+	c.CachedParts, c.CachedTokens = 1, 2500
+	_, _, transfers = Read(q, &c)
+	require.Equal(t, map[string]time.Duration{"s2": 40 * time.Millisecond}, transfers)
+
+	c = candidates(1)[0]
+	c.Version = 2
+	tokens, shared, transfers = Read(q, &c)
+	require.Equal(t, 9000, tokens)
+	require.Equal(t, 7500, shared)
+	require.Empty(t, transfers)
+}
+
+// Guards against cache that is shared between weight versions or with an isolated account.
+func TestSaltKeepsVersionsAndIsolatedAccountsApart(t *testing.T) {
+	open, isolated := &Request{}, &Request{Isolated: "a"}
+	require.NotEqual(t, open.Salt(1), open.Salt(2))
+	require.NotEqual(t, open.Salt(1), isolated.Salt(1))
+	require.NotEqual(t, isolated.Salt(1), (&Request{Isolated: "b"}).Salt(1))
+	for _, q := range []*Request{open, isolated} {
+		version, ok := SaltVersion(q.Salt(17))
+		require.True(t, ok)
+		require.EqualValues(t, 17, version)
+	}
+	_, ok := SaltVersion("other")
+	require.False(t, ok)
+}
--- /dev/null
+++ b/placement/tracker_test.go
@@ -0,0 +1,143 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
+	"github.com/wasabishunt/wasabishunt/upstreams"
+)
+
+func only(t *Tracker, i *upstreams.Instance, now time.Time) Candidate {
+	return t.Candidates([]*upstreams.Instance{i}, now, &Request{Model: "m"})[0]
+}
+
+// Guards against an instance that fails fast, looks idle and draws the traffic, and against one that stays out for good.
+func TestFailuresEjectForLongerEachTime(t *testing.T) {
+	tracker, i, now := NewTracker(), instance("i"), time.Now()
+	fail := func() {
+		for range ejectAfter {
+			tracker.Begin(i, Work{}).End(Failed, now)
+		}
+	}
+	fail()
+	require.True(t, only(tracker, i, now).Ejected)
+	now = now.Add(firstEjection + time.Millisecond)
+	require.False(t, only(tracker, i, now).Ejected)
+	tracker.Begin(i, Work{}).End(Failed, now)
+	now = now.Add(firstEjection + time.Millisecond)
+	require.True(t, only(tracker, i, now).Ejected, "the second ejection is longer")
+	now = now.Add(lastEjection)
+	tracker.Begin(i, Work{}).End(Answered, now)
+	tracker.Begin(i, Work{}).End(Failed, now)
+	require.False(t, only(tracker, i, now).Ejected, "an answer ends the run of failures")
+}
+
+// Guards against requests that go on to a VM without power, and against an instance that is never used again.
+func TestSilentInstanceIsOutUntilItIsReached(t *testing.T) {
+	tracker, i, now := NewTracker(), instance("i"), time.Now()
+	directory := upstreams.NewDirectory()
+	directory.Adopt([]upstreams.Instance{*i}, now)
+	tracker.Sync(directory.View())
+	tracker.Begin(i, Work{}).End(Silent, now)
+	require.True(t, only(tracker, i, now.Add(10*time.Second)).Ejected)
+	require.Len(t, tracker.SilentInstances(directory.View()), 1)
+	tracker.Reached(i, now)
+	require.False(t, only(tracker, i, now.Add(time.Millisecond)).Ejected)
+	require.Empty(t, tracker.SilentInstances(directory.View()))
+}
+
+// Guards against work that is counted twice or never given back.
+func TestTicketGivesBackItsWorkOnce(t *testing.T) {
+	tracker, i, now := NewTracker(), instance("i"), time.Now()
+	ticket := tracker.Begin(i, Work{PrefillTokens: 100, HeldTokens: 200})
+	c := only(tracker, i, now)
+	require.Equal(t, []int{1, 100, 200}, []int{c.Requests, c.PrefillTokens, c.HeldTokens})
+	ticket.Prefilled()
+	ticket.Prefilled()
+	require.Zero(t, only(tracker, i, now).PrefillTokens)
+	ticket.End(Answered, now)
+	ticket.End(Failed, now)
+	c = only(tracker, i, now)
+	require.Equal(t, []int{0, 0, 0}, []int{c.Requests, c.PrefillTokens, c.HeldTokens})
+}
+
+// Guards against a belief in cache that an engine dropped with its old weights.
+func TestNewWeightsEmptyTheBelievedCache(t *testing.T) {
+	tracker, i, now := NewTracker(), instance("i"), time.Now()
+	parts := []Part{{"a", 10}, {"own", 5}}
+	q := &Request{Model: "m", Parts: parts}
+	ticket := tracker.Begin(i, Work{})
+	ticket.Told(nil, "m", 1, now)
+	ticket.Cached(q.Salt(1), parts, 100)
+	require.Equal(t, 15, tracker.Candidates([]*upstreams.Instance{i}, now, q)[0].CachedTokens)
+	ticket.Told(nil, "m", 2, now)
+	require.Zero(t, tracker.Candidates([]*upstreams.Instance{i}, now, q)[0].CachedTokens)
+}
+
+// Guards against a belief in more cache than an engine has, and in parts behind one that it dropped.
+func TestBelievedCacheDropsTheOldestParts(t *testing.T) {
+	c := newPartCache()
+	c.add("s", []Part{{"a", 60}}, 100)
+	c.add("s", []Part{{"b", 60}}, 100)
+	held, tokens := c.prefix("s", []Part{{"a", 60}, {"b", 60}})
+	require.Zero(t, held)
+	require.Zero(t, tokens)
+	held, tokens = c.prefix("s", []Part{{"b", 60}, {"c", 1}})
+	require.Equal(t, []int{1, 60}, []int{held, tokens})
+	held, _ = c.prefix("other", []Part{{"b", 60}})
+	require.Zero(t, held)
+}
+
+func report(node string, sequence uint64, i *upstreams.Instance, requests, prefill, held uint32, transfer uint32) *nodepb.LoadReport {
+	return &nodepb.LoadReport{
+		Node: node, Sequence: sequence, Keys: []uint32{hashKey(i.ID)}, Requests: []uint32{requests}, PrefillTokens: []uint32{prefill},
+		HeldTokens: []uint32{held}, StoreKeys: []uint32{hashKey("store")}, TransferMs: []uint32{transfer},
+	}
+}
+
+// Guards against load of other nodes that is summed twice, taken from an overtaken report, or kept after they are gone.
+func TestReportsOfOtherNodesReplaceEachOther(t *testing.T) {
+	tracker, i, now := NewTracker(), instance("i"), time.Now()
+	tracker.Peer(report("n1", 2, i, 3, 300, 30, 0), now)
+	tracker.Peer(report("n1", 1, i, 9, 900, 90, 0), now)
+	tracker.Peer(report("n2", 1, i, 1, 100, 10, 0), now)
+	c := only(tracker, i, now)
+	require.Equal(t, []int{4, 400, 40}, []int{c.Requests, c.PrefillTokens, c.HeldTokens})
+	tracker.Peer(report("n1", 3, i, 1, 50, 5, 0), now)
+	require.Equal(t, 150, only(tracker, i, now).PrefillTokens)
+	require.Zero(t, only(tracker, i, now.Add(peerMemory+time.Millisecond)).PrefillTokens)
+	tracker.Peer(&nodepb.LoadReport{Node: "n3", Sequence: 1, Keys: []uint32{1}}, now)
+	require.Zero(t, only(tracker, i, now.Add(peerMemory+time.Millisecond)).Requests, "a report with missing fields counts for nothing")
+}
+
+// Guards against a store's link that looks idle while other nodes fill it, also when a report is lost, and against a
+// node's whole past counted as a queue.
+func TestQueueOfALinkFollowsTheTotals(t *testing.T) {
+	l, now := newLinks(), time.Now()
+	key := hashKey("store")
+	l.report("n1", map[uint32]time.Duration{key: time.Minute}, now)
+	require.Zero(t, l.backlog("store", now), "the first report tells nothing about the queue")
+	l.report("n1", map[uint32]time.Duration{key: time.Minute + 30*time.Millisecond}, now)
+	l.start("store", 20*time.Millisecond, now)
+	require.Equal(t, 50*time.Millisecond, l.backlog("store", now))
+	require.Equal(t, 20*time.Millisecond, l.backlog("store", now.Add(30*time.Millisecond)), "the link works it off")
+	l.report("n1", map[uint32]time.Duration{key: time.Minute + 130*time.Millisecond}, now.Add(time.Second))
+	require.Equal(t, 100*time.Millisecond, l.backlog("store", now.Add(time.Second)))
+	l.forget("n1")
+	l.report("n1", map[uint32]time.Duration{key: 5 * time.Millisecond}, now.Add(2*time.Second))
+	require.Zero(t, l.backlog("store", now.Add(2*time.Second)), "a restarted node begins at 0")
+}
+
+// Guards against an expected time to the first event that does not follow what engines show.
+func TestReadRateIsLearned(t *testing.T) {
+	r := readRate{tokensPerMs: firstReadRate}
+	for range 300 {
+		r.learn(10_000, 500*time.Millisecond)
+	}
+	require.InDelta(t, 20, r.tokensPerMs, 1)
+	r.learn(learnFrom-1, time.Hour)
+	require.InDelta(t, 20, r.tokensPerMs, 1)
+}
--- /dev/null
+++ b/rollout/rollout_test.go
@@ -0,0 +1,131 @@
+package rollout
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/trafficset"
+	"github.com/wasabishunt/wasabishunt/upstreams"
+)
+
+var limits = Limits{Within: 10 * time.Second}
+
+// Guards against orders to engines that leave, have the version or work on an order, and against too many at once.
+func TestNextOrders(t *testing.T) {
+	now := time.Now()
+	engines := []Engine{
+		{ID: "done", Version: 2},
+		{ID: "leaving", Version: 1, Leaving: true},
+		{ID: "loading", Version: 1, Ordered: now.Add(-2 * time.Second), Answered: true},
+		{ID: "silent", Version: 1, Ordered: now.Add(-silentOrder - time.Millisecond), Unreachable: true},
+		{ID: "busy", Version: 1, Requests: 7},
+		{ID: "idle", Version: 1, Requests: 1},
+	}
+	require.Equal(t, []Step{{"idle", AfterRuns}, {"busy", AfterRuns}}, Next(engines, 2, time.Second, now, limits))
+	require.Equal(t, Step{"idle", BesideRuns}, Next(engines, 2, 6*time.Second, now, limits)[0], "late in the time, runs are not waited for")
+	engines[4].Version, engines[5].Version = 2, 2
+	require.Equal(t, []Step{{"silent", AfterRuns}}, Next(engines, 2, time.Second, now, limits), "an order without an answer is given again")
+	require.Equal(t, 3, AtOnce(12))
+	require.Equal(t, 12, AtOnce(41))
+}
+
+// fakeEngines carries out orders at once, unless an engine is set to lose the answer.
+type fakeEngines struct {
+	mu       sync.Mutex
+	versions map[string]uint64
+	orders   []Order
+	fenced   bool
+	lost     map[string]int
+}
+
+func (f *fakeEngines) Report(_ context.Context, i *upstreams.Instance) (Report, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return Report{Versions: map[string]uint64{"m": f.versions[i.ID]}, Sequence: int64(f.versions[i.ID])}, nil
+}
+
+func (f *fakeEngines) Order(_ context.Context, i *upstreams.Instance, order Order) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.orders = append(f.orders, order)
+	if f.fenced {
+		return failure.New(failure.Fenced, failure.NotRun, "fenced")
+	}
+	if f.lost[i.ID] > 0 {
+		f.lost[i.ID]--
+		return failure.New(failure.UpstreamFailed, failure.Unknown, "no answer")
+	}
+	f.versions[i.ID] = order.Version
+	return nil
+}
+
+func (f *fakeEngines) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.orders)
+}
+
+func startHolder(t *testing.T, f *fakeEngines, lease time.Duration) *Holder {
+	t.Helper()
+	directory := upstreams.NewDirectory()
+	var list []upstreams.Instance
+	for i := range 5 {
+		id := fmt.Sprint("e", i)
+		f.versions[id] = 1
+		list = append(list, upstreams.Instance{ID: id, Service: "s", Address: id, Versions: map[string]uint64{"m": 1}})
+	}
+	directory.Adopt(list, time.Now())
+	h := &Holder{
+		Name: "n", Client: f, Leads: func() bool { return true }, Term: func() uint64 { return 7 }, Lease: lease, Within: time.Minute,
+		Set: func() *trafficset.Set {
+			return &trafficset.Set{Services: []trafficset.Service{{Name: "s", Engine: &trafficset.EngineSpec{Models: []string{"m"}}}}}
+		},
+		Wanted: func() map[string]uint64 { return map[string]uint64{"m": 3} }, Directory: directory,
+		Requests: func(*upstreams.Instance) int { return 0 }, Log: zap.NewNop(),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { h.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return h
+}
+
+// Guards against engines that are left behind when the answer to an order is lost, and against a view that tells
+// entries the version later than the engine has it.
+func TestHolderBringsAllEnginesToTheVersion(t *testing.T) {
+	f := &fakeEngines{versions: map[string]uint64{}, lost: map[string]int{"e1": 2}}
+	h := startHolder(t, f, 0)
+	require.Eventually(t, func() bool {
+		for _, i := range h.Directory.View().Instances {
+			if i.Versions["m"] != 3 || i.Updating {
+				return false
+			}
+		}
+		return true
+	}, 15*time.Second, 10*time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, order := range f.orders {
+		require.EqualValues(t, 7, order.Fence)
+		require.EqualValues(t, 1, order.Sequence, "the order holds only for the state that was read")
+	}
+}
+
+// Guards against two holders that take turns within the lease, and against a holder that goes on after it was overruled.
+func TestHolderWaitsForTheLeaseAndStopsWhenOverruled(t *testing.T) {
+	f := &fakeEngines{versions: map[string]uint64{}, fenced: true}
+	started := time.Now()
+	startHolder(t, f, 300*time.Millisecond)
+	require.Eventually(t, func() bool { return f.count() > 0 }, 5*time.Second, 5*time.Millisecond)
+	require.GreaterOrEqual(t, time.Since(started), 300*time.Millisecond+leaseMargin)
+	require.Eventually(t, func() bool { return f.count() >= 1 }, time.Second, time.Millisecond)
+	given := f.count()
+	require.Never(t, func() bool { return f.count() > given+AtOnce(5) }, time.Second, 50*time.Millisecond)
+}
--- /dev/null
+++ b/upstreamconn/pool_test.go
@@ -0,0 +1,273 @@
+package upstreamconn
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+)
+
+// upstream answers each request on each connection with what answer writes; it counts what arrives.
+type upstream struct {
+	net.Listener
+	requests, connections atomic.Int32
+}
+
+func startUpstream(t *testing.T, answer func(conn net.Conn, reader *bufio.Reader, number int) (goOn bool)) *upstream {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	u := &upstream{Listener: listener}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			u.connections.Add(1)
+			go func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					number := int(u.requests.Add(1))
+					if request.ContentLength < 100_000 {
+						_, _ = io.Copy(io.Discard, request.Body)
+					}
+					if !answer(conn, reader, number) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return u
+}
+
+func write(conn net.Conn, text string) { _, _ = io.WriteString(conn, text) }
+
+const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func post(address, body string) *http.Request {
+	return &http.Request{
+		Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: address, Opaque: "/x"}, Host: "h", Header: http.Header{},
+		ContentLength: int64(len(body)), Body: io.NopCloser(strings.NewReader(body)), ProtoMajor: 1, ProtoMinor: 1,
+	}
+}
+
+func exchange(t *testing.T, p *Pool, address string) (string, error) {
+	t.Helper()
+	conn, err := p.Get(context.Background(), address, 0)
+	require.NoError(t, err)
+	e, err := conn.Send(context.Background(), post(address, "body"))
+	if err != nil {
+		return "", err
+	}
+	body, err := e.ReadAll(1 << 20)
+	if err != nil {
+		e.Abort()
+		return "", err
+	}
+	e.Finish(0)
+	return string(body), nil
+}
+
+// Guards against a new connection for each request.
+func TestConnectionIsReusedAfterAWholeAnswer(t *testing.T) {
+	u := startUpstream(t, func(conn net.Conn, _ *bufio.Reader, _ int) bool { write(conn, whole); return true })
+	p := NewPool(Options{})
+	for range 5 {
+		body, err := exchange(t, p, u.Addr().String())
+		require.NoError(t, err)
+		require.Equal(t, "ok", body)
+	}
+	require.EqualValues(t, 1, u.connections.Load())
+}
+
+// Guards against an answer that is taken for the answer of the next request on the connection.
+func TestConnectionWithBytesAfterTheAnswerIsNotReused(t *testing.T) {
+	u := startUpstream(t, func(conn net.Conn, _ *bufio.Reader, _ int) bool {
+		write(conn, whole+"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra")
+		return true
+	})
+	p := NewPool(Options{})
+	for range 3 {
+		body, err := exchange(t, p, u.Addr().String())
+		require.NoError(t, err)
+		require.Equal(t, "ok", body)
+	}
+	require.EqualValues(t, 3, u.connections.Load())
+}
+
+// Guards against the same for bytes that come while the connection is idle.
+func TestConnectionWithLateBytesIsNotReused(t *testing.T) {
+	late := make(chan struct{})
+	u := startUpstream(t, func(conn net.Conn, _ *bufio.Reader, number int) bool {
+		write(conn, whole)
+		if number == 1 {
+			<-late
+			write(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra")
+			late <- struct{}{}
+		}
+		return true
+	})
+	p := NewPool(Options{})
+	_, err := exchange(t, p, u.Addr().String())
+	require.NoError(t, err)
+	late <- struct{}{}
+	<-late
+	require.Eventually(t, func() bool { return readable(p.idle[u.Addr().String()][0].raw) }, time.Second, time.Millisecond)
+	body, err := exchange(t, p, u.Addr().String())
+	require.NoError(t, err)
+	require.Equal(t, "ok", body)
+	require.EqualValues(t, 2, u.connections.Load())
+}
+
+// Guards against a request that is sent again by itself when a kept connection turns out to be dead: it may have run.
+func TestRequestOnADeadKeptConnectionIsNotSentAgain(t *testing.T) {
+	u := startUpstream(t, func(conn net.Conn, _ *bufio.Reader, number int) bool {
+		if number == 1 {
+			write(conn, whole)
+			return true
+		}
+		return false
+	})
+	p := NewPool(Options{})
+	_, err := exchange(t, p, u.Addr().String())
+	require.NoError(t, err)
+	_, err = exchange(t, p, u.Addr().String())
+	require.Error(t, err)
+	require.Equal(t, failure.Unknown, failure.Of(err).Execution)
+	require.EqualValues(t, 2, u.requests.Load())
+}
+
+// Guards against an answer that breaks off and is taken for whole.
+func TestBrokenAnswerIsAnError(t *testing.T) {
+	for name, answer := range map[string]string{
+		"length":  "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
+		"chunked": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+		"head":    "HTTP/1.1 200 OK\r\nContent-Le",
+		"garbage": "\x00\x01\x02 no HTTP\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := startUpstream(t, func(conn net.Conn, _ *bufio.Reader, _ int) bool { write(conn, answer); return false })
+			_, err := exchange(t, NewPool(Options{}), u.Addr().String())
+			require.Error(t, err)
+			require.NotEqual(t, failure.NotRun, failure.Of(err).Execution)
+		})
+	}
+}
+
+// Guards against other bytes in the place of the rest of a long body after an early answer.
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	const size = 8 << 20
+	rest := make(chan int64, 1)
+	u := startUpstream(t, func(conn net.Conn, reader *bufio.Reader, number int) bool {
+		write(conn, whole)
+		if number == 1 {
+			body, _ := io.Copy(io.Discard, io.LimitReader(reader, size))
+			rest <- body
+		}
+		return true
+	})
+	p := NewPool(Options{})
+	conn, err := p.Get(context.Background(), u.Addr().String(), 0)
+	require.NoError(t, err)
+	e, err := conn.Send(context.Background(), post(u.Addr().String(), strings.Repeat("b", size)))
+	require.NoError(t, err)
+	body, err := e.ReadAll(100)
+	require.NoError(t, err)
+	require.Equal(t, "ok", string(body))
+	e.Finish(0)
+	require.EqualValues(t, size, <-rest, "the whole body came, or the connection ended")
+	_, err = exchange(t, p, u.Addr().String())
+	require.NoError(t, err)
+}
+
+// Guards against work at an upstream for a caller that has left.
+func TestEndOfTheContextClosesTheConnection(t *testing.T) {
+	closed := make(chan struct{})
+	u := startUpstream(t, func(_ net.Conn, reader *bufio.Reader, _ int) bool {
+		_, _ = reader.ReadByte()
+		close(closed)
+		return false
+	})
+	conn, err := NewPool(Options{}).Get(context.Background(), u.Addr().String(), 0)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	sent := make(chan error, 1)
+	go func() { _, err := conn.Send(ctx, post(u.Addr().String(), "x")); sent <- err }()
+	require.Eventually(t, func() bool { return u.requests.Load() == 1 }, time.Second, time.Millisecond)
+	cancel()
+	require.ErrorIs(t, <-sent, context.Canceled)
+	<-closed
+}
+
+// Guards against more connections to an upstream than this node's part.
+func TestConnectionLimit(t *testing.T) {
+	u := startUpstream(t, func(conn net.Conn, _ *bufio.Reader, _ int) bool { write(conn, whole); return true })
+	p := NewPool(Options{})
+	var open []*Conn
+	for range 3 {
+		conn, err := p.Get(context.Background(), u.Addr().String(), 3)
+		require.NoError(t, err)
+		open = append(open, conn)
+	}
+	_, err := p.Get(context.Background(), u.Addr().String(), 3)
+	require.True(t, failure.Is(err, failure.Overloaded), "%v", err)
+	require.Equal(t, failure.NotRun, failure.Of(err).Execution)
+	open[0].Close()
+	open[0].Close()
+	_, err = p.Get(context.Background(), u.Addr().String(), 3)
+	require.NoError(t, err)
+}
+
+// Guards against a kept connection that is used after the time that the upstream promised.
+func TestIdleConnectionExpires(t *testing.T) {
+	now := time.Now()
+	u := startUpstream(t, func(conn net.Conn, _ *bufio.Reader, _ int) bool { write(conn, whole); return true })
+	p := NewPool(Options{Now: func() time.Time { return now }, IdleLimit: time.Minute})
+	conn, err := p.Get(context.Background(), u.Addr().String(), 0)
+	require.NoError(t, err)
+	e, err := conn.Send(context.Background(), post(u.Addr().String(), "x"))
+	require.NoError(t, err)
+	_, err = e.ReadAll(100)
+	require.NoError(t, err)
+	e.Finish(3 * time.Second)
+	now = now.Add(2100 * time.Millisecond)
+	_, err = exchange(t, p, u.Addr().String())
+	require.NoError(t, err)
+	require.EqualValues(t, 2, u.connections.Load())
+}
+
+// Guards against an unreachable address that is taken for one that may have run a request, and tells silence from refusal.
+func TestRefusedConnectionDidNotRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	_, err = NewPool(Options{}).Get(context.Background(), address, 0)
+	require.Equal(t, failure.NotRun, failure.Of(err).Execution)
+	require.False(t, IsTimeout(err))
+	silent := NewPool(Options{DialTimeout: 10 * time.Millisecond, Dial: func(ctx context.Context, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, &net.OpError{Op: "dial", Err: context.DeadlineExceeded}
+	}})
+	_, err = silent.Get(context.Background(), address, 0)
+	require.True(t, IsTimeout(err), "%v", fmt.Sprint(err))
+}
--- /dev/null
+++ b/upstreams/upstreams_test.go
@@ -0,0 +1,81 @@
+package upstreams
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+)
+
+func one(draining bool) []Instance {
+	return []Instance{{ID: "a", Service: "s", Address: "1", Born: 1, Draining: draining, Versions: map[string]uint64{"m": 1}}}
+}
+
+// Guards against a leaving instance that gets requests again because a list that lags calls it ready.
+func TestLeavingInstanceStaysLeaving(t *testing.T) {
+	d := NewDirectory()
+	now := time.Now()
+	d.Adopt(one(true), now)
+	d.Adopt(one(false), now)
+	require.True(t, d.View().Instances[0].Draining)
+	again := one(false)
+	again[0].Born = 2
+	d.Adopt(again, now)
+	require.False(t, d.View().Instances[0].Draining, "another incarnation under the id is not leaving")
+}
+
+// Guards against a list that lags and hides what an engine has reported, and against an order that blocks an engine for good.
+func TestKnowledgeOfTheHolderGoesBeforeTheList(t *testing.T) {
+	d := NewDirectory()
+	now := time.Now()
+	d.Adopt(one(false), now)
+	key := d.View().Instances[0].Key()
+	d.Updating(key, true)
+	require.True(t, d.View().Instances[0].Updating)
+	d.Loaded(key, "m", 2)
+	d.Updating(key, false)
+	d.Adopt(one(false), now)
+	require.EqualValues(t, 2, d.View().Instances[0].Versions["m"])
+	require.False(t, d.View().Instances[0].Updating)
+	d.Updating(key, true)
+	d.Adopt(one(false), now.Add(longestUpdate+time.Second))
+	require.False(t, d.View().Instances[0].Updating)
+}
+
+// Guards against watchers that are woken for lists without news.
+func TestSameListIsNoChange(t *testing.T) {
+	d := NewDirectory()
+	require.True(t, d.Adopt(one(false), time.Now()))
+	changed := d.Changed()
+	require.False(t, d.Adopt(one(false), time.Now()))
+	select {
+	case <-changed:
+		t.Fatal("the same list woke the watchers")
+	default:
+	}
+}
+
+type countingLister struct{ calls atomic.Int32 }
+
+func (l *countingLister) List(context.Context) ([]Instance, error) {
+	l.calls.Add(1)
+	return one(false), nil
+}
+
+// Guards against a node that does not notice the loss of the reader, and against all nodes reading while there is one.
+func TestNodeReadsItselfOnlyWithoutAReader(t *testing.T) {
+	d, lister := NewDirectory(), &countingLister{}
+	d.Confirm(time.Now().Add(time.Hour))
+	r := &Reader{Directory: d, Lister: lister, Reads: func() bool { return false }, Log: zap.NewNop()}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { r.Run(ctx); close(done) }()
+	defer func() { cancel(); <-done }()
+	require.Never(t, func() bool { return lister.calls.Load() > 0 }, 400*time.Millisecond, 50*time.Millisecond)
+	d.Confirm(time.Now().Add(-time.Minute))
+	require.Eventually(t, func() bool { return lister.calls.Load() > 0 }, 3*time.Second, 10*time.Millisecond)
+	require.False(t, r.Current(), "a node that does not read for all does not tell the others")
+}
