--- /dev/null
+++ b/coregroup/group_test.go
@@ -0,0 +1,255 @@
+package coregroup
+
+import (
+	"context"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/raft/diskfs"
+	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
+)
+
+// testNode is a node with only its part in the group.
+type testNode struct {
+	t       *testing.T
+	address string
+	dir     string
+	first   bool
+	seeds   []string
+	group   *Group
+	stop    func()
+}
+
+// nodeService answers the calls that a whole node answers.
+type nodeService struct {
+	nodepb.DRPCNodeUnimplementedServer
+	group *Group
+}
+
+func (s *nodeService) Join(ctx context.Context, q *nodepb.JoinRequest) (*nodepb.JoinResponse, error) {
+	return s.group.Join(ctx, q)
+}
+
+func (s *nodeService) Meet(ctx context.Context, q *nodepb.Contacts) (*nodepb.Contacts, error) {
+	return s.group.Meet(ctx, q)
+}
+
+func (n *testNode) start() {
+	n.t.Helper()
+	var listener net.Listener
+	require.Eventually(n.t, func() bool {
+		var err error
+		listener, err = net.Listen("tcp", n.address)
+		return err == nil
+	}, 5*time.Second, 10*time.Millisecond)
+	n.group = New(Options{
+		Dir: n.dir, Address: n.address, AvailabilityZone: n.address, Seeds: func() []string { return n.seeds }, FirstStart: n.first,
+		Tolerance: Tolerance{VMs: 1}, Log: zap.NewNop(), Metrics: gometrics.NewRegistry(),
+	})
+	mux := drpcmux.New()
+	require.NoError(n.t, n.group.Register(mux))
+	require.NoError(n.t, nodepb.DRPCRegisterNode(mux, &nodeService{group: n.group}))
+	ctx, cancel := context.WithCancel(context.Background())
+	var tasks sync.WaitGroup
+	tasks.Go(func() { _ = drpcserver.New(mux).Serve(ctx, listener) })
+	tasks.Go(func() { n.group.Run(ctx) })
+	n.first = false
+	n.stop = sync.OnceFunc(func() { cancel(); tasks.Wait() })
+	n.t.Cleanup(n.stop)
+}
+
+func startNodes(t *testing.T, disks ...bool) []*testNode {
+	var nodes []*testNode
+	var addresses []string
+	for range disks {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		addresses = append(addresses, listener.Addr().String())
+		require.NoError(t, listener.Close())
+	}
+	for i, disk := range disks {
+		n := &testNode{t: t, address: addresses[i], first: true, seeds: addresses[:min(3, len(addresses))]}
+		if disk {
+			n.dir = t.TempDir()
+		}
+		nodes = append(nodes, n)
+		n.start()
+	}
+	return nodes
+}
+
+func publish(nodes []*testNode, version uint64) func() bool {
+	return func() bool {
+		for _, n := range nodes {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			err := n.group.Propose(ctx, &nodepb.Command{Change: &nodepb.Command_Publish{Publish: &nodepb.PublishSet{Version: version, Document: []byte{byte(version)}}}})
+			cancel()
+			if err == nil {
+				return true
+			}
+		}
+		return false
+	}
+}
+
+func read(t *testing.T, n *testNode) uint64 {
+	t.Helper()
+	version := uint64(0)
+	require.Eventually(t, func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		state, err := n.group.Read(ctx)
+		version = state.GetSetVersion()
+		return err == nil
+	}, 15*time.Second, 20*time.Millisecond)
+	return version
+}
+
+const patience = 20 * time.Second
+
+// Guards against a group that does not form from seeds alone, that takes changes before it bears a loss, and against a
+// lost disk that comes back as a voter, as a second group, or never.
+func TestGroupFormsAndRepairsALostDisk(t *testing.T) {
+	nodes := startNodes(t, true, true, true)
+	require.Eventually(t, publish(nodes, 1), patience, 20*time.Millisecond)
+	voters := 0
+	for _, m := range nodes[0].group.Members() {
+		if !m.GetLearner() {
+			voters++
+		}
+	}
+	require.Equal(t, 3, voters, "a change was acknowledged before all voters were there")
+
+	for i := range nodes {
+		n := nodes[i]
+		n.stop()
+		require.NoError(t, os.RemoveAll(n.dir))
+		n.start()
+		require.EqualValues(t, i+1, read(t, n), "a member with a lost disk reads what was acknowledged")
+		require.Eventually(t, publish(nodes, uint64(i+2)), patience, 20*time.Millisecond)
+		require.Eventually(t, func() bool {
+			count := 0
+			for _, m := range n.group.Members() {
+				if m.GetLearner() {
+					return false
+				}
+				count++
+			}
+			return count == 3
+		}, patience, 20*time.Millisecond, "the lost voter is replaced")
+	}
+}
+
+// Guards against the loss of what was acknowledged when all members stop at once, and against entries and members that
+// find nobody because the seeds know nobody.
+func TestAllStopAndTheSeedsKnowNobody(t *testing.T) {
+	nodes := startNodes(t, true, true, true, false, false)
+	require.Eventually(t, publish(nodes, 5), patience, 20*time.Millisecond)
+	for _, n := range nodes {
+		n.stop()
+	}
+	for _, n := range nodes {
+		n.seeds = []string{nodes[3].address, nodes[4].address}
+	}
+	require.NoError(t, os.RemoveAll(nodes[0].dir))
+	for _, n := range nodes {
+		n.start()
+	}
+	require.EqualValues(t, 5, read(t, nodes[0]))
+	require.Eventually(t, func() bool { return len(nodes[4].group.Contacts()) >= 3 }, patience, 20*time.Millisecond)
+}
+
+// Guards against a group formed again by members that all lost their disks, or by a node that is not part of the first start.
+func TestNoSecondGroup(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	n := &testNode{t: t, address: address, dir: t.TempDir(), seeds: []string{address}}
+	n.start()
+	require.Never(t, func() bool { return n.group.Leads() }, 2*time.Second, 50*time.Millisecond)
+	err = n.group.Propose(context.Background(), &nodepb.Command{})
+	require.True(t, failure.Is(err, failure.NotLeader))
+	require.Equal(t, failure.NotRun, failure.Of(err).Execution)
+}
+
+// Guards against an old version that comes back, and against a change of one kind that undoes another.
+func TestHighestVersionWins(t *testing.T) {
+	m := newMachine()
+	put := func(version uint64) {
+		m.Apply(0, encode(t, &nodepb.Command{Change: &nodepb.Command_Publish{Publish: &nodepb.PublishSet{Version: version, Document: []byte{byte(version)}}}}))
+	}
+	name := func(model string, version uint64) {
+		m.Apply(0, encode(t, &nodepb.Command{Change: &nodepb.Command_NameWeights{NameWeights: &nodepb.WeightVersion{Model: model, Version: version}}}))
+	}
+	put(7)
+	_, changed := m.read()
+	put(3)
+	put(7)
+	select {
+	case <-changed:
+		t.Fatal("an older version changed the state")
+	default:
+	}
+	name("a", 2)
+	name("b", 1)
+	name("a", 1)
+	m.Apply(0, []byte("\xff not a command"))
+	data, err := m.Snapshot()()
+	require.NoError(t, err)
+	again := newMachine()
+	require.NoError(t, again.Restore(data))
+	state, _ := again.read()
+	require.EqualValues(t, 7, state.GetSetVersion())
+	require.Equal(t, []byte{7}, state.GetDocument())
+	versions := map[string]uint64{}
+	for _, w := range state.GetWeights() {
+		versions[w.GetModel()] = w.GetVersion()
+	}
+	require.Equal(t, map[string]uint64{"a": 2, "b": 1}, versions)
+}
+
+// Guards against the log of an earlier identity that is read under a new one.
+func TestDirectoryWithoutIdentityIsEmptied(t *testing.T) {
+	dir := t.TempDir()
+	own, found, err := loadIdentity(diskfs.OS{}, dir)
+	require.NoError(t, err)
+	require.False(t, found)
+	require.NoError(t, saveIdentity(diskfs.OS{}, dir, own))
+	again, found, err := loadIdentity(diskfs.OS{}, dir)
+	require.NoError(t, err)
+	require.True(t, found)
+	require.Equal(t, own, again)
+	require.NoError(t, os.MkdirAll(filepath.Join(dir, "raft", "wal"), 0o755))
+	require.NoError(t, os.Remove(filepath.Join(dir, identityName)))
+	other, found, err := loadIdentity(diskfs.OS{}, dir)
+	require.NoError(t, err)
+	require.False(t, found)
+	require.NotEqual(t, own.ID, other.ID)
+	entries, err := os.ReadDir(dir)
+	require.NoError(t, err)
+	require.Empty(t, entries)
+}
+
+// Guards against addresses that are remembered for good, or without a limit.
+func TestContactsExpire(t *testing.T) {
+	var c contacts
+	c.add([]string{"b", "a"}, start)
+	require.Equal(t, []string{"a", "b"}, c.list(start))
+	for i := range 2 * maxContacts {
+		c.add([]string{string(rune('A' + i))}, start)
+	}
+	require.Len(t, c.list(start), maxContacts)
+	require.Empty(t, c.list(start.Add(contactMemory+time.Second)))
+}
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,446 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/placement"
+	"github.com/wasabishunt/wasabishunt/retrybudget"
+	"github.com/wasabishunt/wasabishunt/trafficset"
+	"github.com/wasabishunt/wasabishunt/upstreamconn"
+	"github.com/wasabishunt/wasabishunt/upstreams"
+)
+
+// testDialect has short header names.
+type testDialect struct{}
+
+func (testDialect) Attributes(r *http.Request) (Attributes, error) {
+	a := Attributes{ID: r.Header.Get("Id"), Key: r.Header.Get("Key"), LastEventID: r.Header.Get("Last")}
+	if a.ID == "" {
+		return a, failure.New(failure.InvalidRequest, failure.NotRun, "no id")
+	}
+	if ms, err := strconv.Atoi(r.Header.Get("Deadline")); err == nil {
+		a.Deadline = time.Duration(ms) * time.Millisecond
+	}
+	return a, nil
+}
+
+func (testDialect) Request(in http.Header, out Outbound) http.Header {
+	h := http.Header{"Id": in["Id"], "Left": {strconv.FormatInt(out.Left.Milliseconds(), 10)}, "Instance": {out.Instance}, "Account": {out.Account}}
+	if out.LastEventID != "" {
+		h.Set("Last", out.LastEventID)
+	}
+	return h
+}
+
+func (testDialect) Answer(r *http.Response) Answer {
+	return Answer{RequestID: r.Header.Get("Id"), NotRun: r.Header.Get("Not-Run") != "", Signed: r.Header.Get("Signed") != ""}
+}
+
+type testSets struct {
+	set atomic.Pointer[trafficset.Set]
+}
+
+func (s *testSets) Set() *trafficset.Set   { return s.set.Load() }
+func (s *testSets) Wanted(string) uint64   { return 0 }
+func (s *testSets) WantedOnly(string) bool { return false }
+
+// system is a gateway before two upstreams.
+type system struct {
+	t       *testing.T
+	gateway *Gateway
+	sets    *testSets
+	front   *httptest.Server
+	mu      sync.Mutex
+	// runs are the requests that upstreams began, in order: instance and last event.
+	runs []string
+	done chan string
+}
+
+// reply is what an upstream does with a request; it returns false to close the connection.
+type reply func(conn net.Conn, r *http.Request, instance string) bool
+
+func newSystem(t *testing.T, replies ...reply) *system {
+	t.Helper()
+	s := &system{t: t, sets: &testSets{}, done: make(chan string, 16)}
+	directory := upstreams.NewDirectory()
+	var list []upstreams.Instance
+	for i, answer := range replies {
+		id := fmt.Sprint("u", i)
+		list = append(list, upstreams.Instance{ID: id, Service: "s", Address: s.upstream(id, answer), Versions: map[string]uint64{}})
+	}
+	directory.Adopt(list, time.Now())
+	set := &trafficset.Set{
+		Version: 1, Services: []trafficset.Service{{Name: "s"}}, Limits: trafficset.Limits{BodyBytes: 1000},
+		Accounts: []trafficset.Account{{Name: "acme", Keys: []string{"k"}}},
+		Routes: []trafficset.Route{
+			s.route("/safe/", trafficset.Idempotent, 2, false), s.route("/once/", trafficset.NonIdempotent, 2, false),
+			s.route("/stream/", trafficset.Stream, 1, false), s.route("/resume/", trafficset.Stream, 2, true),
+		},
+	}
+	require.NoError(t, set.Build())
+	s.sets.set.Store(set)
+	budget := retrybudget.New(retrybudget.Limits{Ratio: 10, Allowance: 100, Window: time.Second}, time.Now)
+	s.gateway = New(Options{
+		Dialect: testDialect{}, Sets: s.sets, Directory: directory, Tracker: placement.NewTracker(), Pool: upstreamconn.NewPool(upstreamconn.Options{}),
+		Budget: budget, Nodes: func() int { return 1 }, Log: zap.NewNop(), Metrics: gometrics.NewRegistry(),
+	})
+	s.front = httptest.NewServer(s.gateway)
+	t.Cleanup(s.front.Close)
+	return s
+}
+
+func (s *system) route(prefix string, kind trafficset.Kind, attempts int, resumable bool) trafficset.Route {
+	return trafficset.Route{
+		Name: prefix, Host: "h", Prefix: prefix, Kind: kind, Timeout: 2 * time.Second, FirstByteTarget: 100 * time.Millisecond,
+		Attempts: attempts, Resumable: resumable, Targets: []trafficset.Target{{Service: "s", Weight: 1}},
+	}
+}
+
+func (s *system) upstream(id string, answer reply) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(s.t, err)
+	s.t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(conn, id, answer)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func (s *system) serve(conn net.Conn, id string, answer reply) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.runs = append(s.runs, id+"/"+r.Header.Get("Last"))
+		s.mu.Unlock()
+		if !answer(conn, r, id) {
+			return
+		}
+	}
+}
+
+func (s *system) began() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.runs...)
+}
+
+func (s *system) request(method, path, body string, change ...func(*http.Request)) *http.Request {
+	r, err := http.NewRequest(method, s.front.URL+path, strings.NewReader(body))
+	require.NoError(s.t, err)
+	r.Host = "h"
+	r.Header = http.Header{"Id": {"r1"}, "Key": {"k"}, "Deadline": {"1500"}}
+	for _, c := range change {
+		c(r)
+	}
+	return r
+}
+
+// call returns status, body and the error of reading it.
+func (s *system) call(method, path, body string, change ...func(*http.Request)) (int, string, error) {
+	response, err := s.front.Client().Do(s.request(method, path, body, change...))
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(content), err
+}
+
+func answerText(conn net.Conn, r *http.Request, status int, headers, body string) bool {
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nId: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, r.Header.Get("Id"), headers, len(body), body)
+	return err == nil
+}
+
+func good(conn net.Conn, r *http.Request, instance string) bool {
+	return answerText(conn, r, 200, "Signed: "+instance+"\r\n", "from "+instance)
+}
+
+func failing(conn net.Conn, r *http.Request, instance string) bool {
+	return answerText(conn, r, 500, "Signed: "+instance+"\r\n", "error")
+}
+
+func full(conn net.Conn, r *http.Request, _ string) bool {
+	return answerText(conn, r, 503, "Not-Run: 1\r\n", "")
+}
+
+func hangUp(net.Conn, *http.Request, string) bool { return false }
+
+// events writes events from..to as a chunked answer, and its end if whole.
+func events(from, to int, whole bool) reply {
+	return func(conn net.Conn, r *http.Request, instance string) bool {
+		if last, err := strconv.Atoi(r.Header.Get("Last")); err == nil {
+			from = last + 1
+		}
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"), instance)
+		for i := from; i <= to; i++ {
+			event := fmt.Sprintf("id: %d\ndata: x\n\n", i)
+			_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event)
+		}
+		if !whole {
+			part := "id: 99\ndata: pa"
+			_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(part), part)
+			return false
+		}
+		_, _ = io.WriteString(conn, "0\r\n\r\n")
+		return true
+	}
+}
+
+// Guards against a caller that gets another answer than the upstream's, and an upstream that gets more time than is left.
+func TestAnswerIsPassedOn(t *testing.T) {
+	left := make(chan int, 1)
+	s := newSystem(t, func(conn net.Conn, r *http.Request, instance string) bool {
+		ms, _ := strconv.Atoi(r.Header.Get("Left"))
+		left <- ms
+		return answerText(conn, r, 201, "Signed: s\r\nExtra: e\r\n", r.Method+r.RequestURI+r.Header.Get("Account")+r.Header.Get("Instance"))
+	})
+	response, err := s.front.Client().Do(s.request("POST", "/once/a%2fb?q=1", "body"))
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Equal(t, 201, response.StatusCode)
+	require.Equal(t, "POST/once/a%2fb?q=1acmeu0", string(body))
+	require.Equal(t, "e", response.Header.Get("Extra"))
+	ms := <-left
+	require.LessOrEqual(t, ms, 1500)
+	require.Greater(t, ms, 1000)
+}
+
+// Guards against refusals that say the wrong thing: a node without a set must not answer 401 or 404.
+func TestRefusals(t *testing.T) {
+	s := newSystem(t, good)
+	for _, c := range []struct {
+		path   string
+		change func(*http.Request)
+		want   int
+	}{
+		{"/none/", func(*http.Request) {}, 404},
+		{"/safe/", func(r *http.Request) { r.Host = "other" }, 404},
+		{"/safe/", func(r *http.Request) { r.Header.Set("Key", "x") }, 401},
+		{"/safe/", func(r *http.Request) { r.Header.Del("Key") }, 401},
+		{"/safe/", func(r *http.Request) { r.Header.Del("Id") }, 400},
+	} {
+		status, _, err := s.call("GET", c.path, "", c.change)
+		require.NoError(t, err)
+		require.Equal(t, c.want, status, "%s", c.path)
+	}
+	status, _, err := s.call("POST", "/once/", strings.Repeat("x", 1001))
+	require.NoError(t, err)
+	require.Equal(t, 413, status)
+	s.sets.set.Store(nil)
+	response, err := s.front.Client().Do(s.request("GET", "/none/", ""))
+	require.NoError(t, err)
+	require.Equal(t, 503, response.StatusCode)
+	require.NotEmpty(t, response.Header.Get("Retry-After"))
+	require.Empty(t, s.began())
+}
+
+// Guards against a second run of what may run once, a repeat that is not made, and a promise "not run" that is not true.
+func TestRepeats(t *testing.T) {
+	for name, c := range map[string]struct {
+		path    string
+		replies []reply
+		status  []int
+		runs    int
+	}{
+		"idempotent, error":                {"/safe/", []reply{failing, failing}, []int{500}, 2},
+		"idempotent, hang-up":              {"/safe/", []reply{hangUp, hangUp}, []int{502}, 2},
+		"non-idempotent, error":            {"/once/", []reply{failing, failing}, []int{500}, 1},
+		"non-idempotent, hang-up":          {"/once/", []reply{hangUp, hangUp}, []int{502}, 1},
+		"non-idempotent, all full":         {"/once/", []reply{full, full}, []int{429, 503}, 2},
+		"stream that cannot be resumed":    {"/stream/", []reply{hangUp, hangUp}, []int{502}, 1},
+		"idempotent, one attempt is spent": {"/safe/", []reply{hangUp, hangUp, hangUp}, []int{502}, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSystem(t, c.replies...)
+			status, _, err := s.call("POST", c.path, "")
+			require.NoError(t, err)
+			require.Contains(t, c.status, status)
+			require.Len(t, s.began(), c.runs)
+		})
+	}
+}
+
+// Guards against a request that is given up although another upstream can take it.
+func TestRequestGoesToAnotherUpstream(t *testing.T) {
+	for name, first := range map[string]reply{"full": full, "hang-up": hangUp, "error": failing} {
+		t.Run(name, func(t *testing.T) {
+			s := newSystem(t, first, good)
+			for range 4 {
+				status, body, err := s.call("GET", "/safe/", "")
+				require.NoError(t, err)
+				require.Equal(t, 200, status)
+				require.Equal(t, "from u1", body)
+			}
+		})
+	}
+	s := newSystem(t, full, good)
+	status, _, err := s.call("POST", "/once/", "")
+	require.NoError(t, err)
+	require.Equal(t, 200, status, "what did not run may be sent again")
+}
+
+// Guards against a refusal that says "not run" after an earlier send may have run.
+func TestNoPromiseAfterAnUnknownRun(t *testing.T) {
+	var number atomic.Int32
+	answer := func(conn net.Conn, r *http.Request, instance string) bool {
+		if number.Add(1) == 1 {
+			return false
+		}
+		return full(conn, r, instance)
+	}
+	s := newSystem(t, answer, answer)
+	status, _, err := s.call("GET", "/safe/", "")
+	require.NoError(t, err)
+	require.Equal(t, 502, status)
+	require.Len(t, s.began(), 2)
+}
+
+// Guards against an answer to another request, an unsigned success, and an answer that breaks off.
+func TestWrongAnswersAreNotPassedOn(t *testing.T) {
+	for name, answer := range map[string]reply{
+		"other id": func(conn net.Conn, _ *http.Request, _ string) bool {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: r0\r\nSigned: s\r\nContent-Length: 2\r\n\r\nno")
+			return true
+		},
+		"unsigned": func(conn net.Conn, r *http.Request, _ string) bool { return answerText(conn, r, 200, "", "no") },
+		"short": func(conn net.Conn, r *http.Request, _ string) bool {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: s\r\nContent-Length: 9\r\n\r\nno", r.Header.Get("Id"))
+			return false
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSystem(t, answer)
+			status, body, err := s.call("POST", "/once/", "")
+			require.NoError(t, err)
+			require.Equal(t, 502, status)
+			require.NotContains(t, body, "\"no\"")
+		})
+	}
+}
+
+// Guards against a stream with a gap, a repeat or half an event, and against a broken one that looks complete.
+func TestStreams(t *testing.T) {
+	want := func(to int) string {
+		out := ""
+		for i := 1; i <= to; i++ {
+			out += fmt.Sprintf("id: %d\ndata: x\n\n", i)
+		}
+		return out
+	}
+	t.Run("whole", func(t *testing.T) {
+		s := newSystem(t, events(1, 5, true))
+		status, body, err := s.call("POST", "/stream/", "")
+		require.NoError(t, err)
+		require.Equal(t, 200, status)
+		require.Equal(t, want(5), body)
+	})
+	t.Run("broken", func(t *testing.T) {
+		s := newSystem(t, events(1, 3, false))
+		_, body, err := s.call("POST", "/stream/", "")
+		require.True(t, errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF), "%v", err)
+		require.Equal(t, want(3), body)
+	})
+	t.Run("resumed", func(t *testing.T) {
+		var number atomic.Int32
+		answer := func(conn net.Conn, r *http.Request, instance string) bool {
+			if number.Add(1) == 1 {
+				return events(1, 3, false)(conn, r, instance)
+			}
+			return events(1, 6, true)(conn, r, instance)
+		}
+		s := newSystem(t, answer, answer)
+		status, body, err := s.call("POST", "/resume/", "")
+		require.NoError(t, err)
+		require.Equal(t, 200, status)
+		require.Equal(t, want(6), body)
+		require.Len(t, s.began(), 2)
+		require.Contains(t, s.began()[1], "/3")
+	})
+	t.Run("resumed by the caller", func(t *testing.T) {
+		s := newSystem(t, events(1, 6, true))
+		_, body, err := s.call("POST", "/resume/", "", func(r *http.Request) { r.Header.Set("Last", "4") })
+		require.NoError(t, err)
+		require.Equal(t, "id: 5\ndata: x\n\nid: 6\ndata: x\n\n", body)
+	})
+}
+
+// Guards against an answer that comes long after the time that the caller or the route gives.
+func TestRequestEndsAtItsDeadline(t *testing.T) {
+	s := newSystem(t, func(conn net.Conn, _ *http.Request, _ string) bool {
+		_, _ = conn.Read(make([]byte, 1))
+		return false
+	})
+	started := time.Now()
+	status, _, err := s.call("POST", "/once/", "", func(r *http.Request) { r.Header.Set("Deadline", "300") })
+	require.NoError(t, err)
+	require.Equal(t, 504, status)
+	require.Less(t, time.Since(started), 700*time.Millisecond)
+}
+
+// Guards against an upstream that works on for a caller that has left.
+func TestCallerThatLeavesEndsTheRun(t *testing.T) {
+	gone := make(chan struct{})
+	s := newSystem(t, func(conn net.Conn, _ *http.Request, _ string) bool {
+		_, _ = conn.Read(make([]byte, 1))
+		close(gone)
+		return false
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		response, err := s.front.Client().Do(s.request("POST", "/once/", "").WithContext(ctx))
+		if err == nil {
+			_ = response.Body.Close()
+		}
+	}()
+	require.Eventually(t, func() bool { return len(s.began()) == 1 }, time.Second, time.Millisecond)
+	cancel()
+	select {
+	case <-gone:
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("the upstream was not told within 500 ms")
+	}
+}
+
+// Guards against callers that keep connections to a node that stops.
+func TestStoppingNodeEndsConnections(t *testing.T) {
+	s := newSystem(t, good)
+	s.gateway.BeginClosing()
+	response, err := s.front.Client().Do(s.request("GET", "/safe/", ""))
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	require.True(t, response.Close)
+}
--- /dev/null
+++ b/gateway/server_test.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/wasabishunt/wasabishunt/trafficset"
+)
+
+func startServer(t *testing.T, limits trafficset.Limits) (*Server, net.Listener) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(204) }), Log: zap.NewNop()}
+	s.SetLimits(limits)
+	go func() { _ = s.Serve(listener) }()
+	t.Cleanup(func() { _ = listener.Close() })
+	return s, listener
+}
+
+func connect(t *testing.T, listener net.Listener) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+	return conn, bufio.NewReader(conn)
+}
+
+func ask(t *testing.T, conn net.Conn, reader *bufio.Reader, extra string) int {
+	t.Helper()
+	_, err := fmt.Fprintf(conn, "GET / HTTP/1.1\r\nHost: h\r\n%s\r\n", extra)
+	require.NoError(t, err)
+	response, err := http.ReadResponse(reader, nil)
+	require.NoError(t, err)
+	return response.StatusCode
+}
+
+// Guards against limits that are not in force after a publish, and against connections cut by a change of limits.
+func TestChangedLimitsHoldForNewConnections(t *testing.T) {
+	s, listener := startServer(t, trafficset.Limits{HeaderBytes: 1 << 20})
+	conn, reader := connect(t, listener)
+	large := "X: " + string(make([]byte, 0)) + fmt.Sprintf("%030000d", 1) + "\r\n"
+	require.Equal(t, 204, ask(t, conn, reader, large))
+	s.SetLimits(trafficset.Limits{HeaderBytes: 8192, IdleTimeout: 100 * time.Millisecond})
+	require.Equal(t, 204, ask(t, conn, reader, ""))
+	second, secondReader := connect(t, listener)
+	require.Equal(t, 431, ask(t, second, secondReader, large))
+	third, thirdReader := connect(t, listener)
+	require.Equal(t, 204, ask(t, third, thirdReader, ""))
+	_, err := thirdReader.ReadByte()
+	require.Error(t, err, "an idle connection ends")
+}
+
+// Guards against a stop that waits for connections without a request until it is killed.
+func TestShutdownDoesNotWaitForSilentConnections(t *testing.T) {
+	s, listener := startServer(t, trafficset.Limits{})
+	conn, reader := connect(t, listener)
+	require.Equal(t, 204, ask(t, conn, reader, ""))
+	_, _ = connect(t, listener)
+	require.Eventually(t, func() bool { s.mu.Lock(); defer s.mu.Unlock(); return len(s.fresh) == 1 }, time.Second, time.Millisecond)
+	started := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	defer cancel()
+	s.Shutdown(ctx)
+	require.Less(t, time.Since(started), 2*time.Second)
+}
--- a/kvstores/keeper.go
+++ b/kvstores/keeper.go
@@ -61,6 +61,8 @@
 
 	mu     sync.Mutex
 	stores map[string]*kept
+	// useless is since when a salt is used no more.
+	useless map[string]time.Time
 }
 
 // kept is a store as the keeper knows it. It belongs to the goroutine of the store, but for parts and epoch, which are
@@ -81,12 +83,13 @@
 	// quietAfterRestart is longer than a node fetches without contact to the reader.
 	quietAfterRestart = contactLimit + 500*time.Millisecond
 	// listInterval repairs what lost events have hidden.
-	listInterval  = 8 * time.Second
-	listTimeout   = time.Second
-	failurePause  = 100 * time.Millisecond
-	manageEvery   = 200 * time.Millisecond
-	brokenFor     = 6 * time.Second
-	freeBatch     = 256
+	listInterval = 6 * time.Second
+	listTimeout  = time.Second
+	failurePause = 100 * time.Millisecond
+	manageEvery  = 200 * time.Millisecond
+	brokenFor    = 6 * time.Second
+	freeBatch    = 256
+	// transferDrain is longer than any fetch that may have begun while its salt was still used.
 	transferDrain = 5 * time.Second
 )
 
@@ -300,11 +303,9 @@
 		}
 	}
 	s.broken = broken
-	if k.Usable != nil {
-		for part := range s.parts {
-			if !k.Usable(part.Salt) {
-				free = append(free, part)
-			}
+	for part := range s.parts {
+		if k.isUseless(part.Salt, now) {
+			free = append(free, part)
 		}
 	}
 	for len(free) > 0 {
@@ -319,3 +320,25 @@
 		}
 	}
 }
+
+// isUseless reports whether a salt has been out of use for longer than a fetch takes.
+func (k *Keeper) isUseless(salt string, now time.Time) bool {
+	if k.Usable == nil {
+		return false
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.Usable(salt) {
+		delete(k.useless, salt)
+		return false
+	}
+	if k.useless == nil {
+		k.useless = map[string]time.Time{}
+	}
+	since, known := k.useless[salt]
+	if !known {
+		since = now
+		k.useless[salt] = now
+	}
+	return now.Sub(since) >= transferDrain
+}
--- /dev/null
+++ b/kvstores/kvstores_test.go
@@ -0,0 +1,279 @@
+package kvstores
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/internal/clocktest"
+	"github.com/wasabishunt/wasabishunt/placement"
+	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
+	"github.com/wasabishunt/wasabishunt/trafficset"
+)
+
+func idle(string) time.Duration { return 0 }
+
+// twoKinds has a small store with a short delay and a large one with a long delay.
+func twoKinds() *trafficset.Set {
+	return &trafficset.Set{Services: []trafficset.Service{
+		{Name: "e", Engine: &trafficset.EngineSpec{TokenBytes: 18432}},
+		{Name: "fast", Store: &trafficset.StoreSpec{Address: "fast", AvailabilityZone: "z", CacheTokens: 100_000, LinkMbps: 100_000, FirstByte: 500 * time.Microsecond}},
+		{Name: "large", Store: &trafficset.StoreSpec{Address: "large", AvailabilityZone: "z", CacheTokens: 1_000_000, LinkMbps: 29_000, FirstByte: 6 * time.Millisecond}},
+	}}
+}
+
+func newTestDirectory() (*Directory, *clocktest.Manual) {
+	clock := clocktest.At(time.Unix(1_000_000, 0))
+	d := NewDirectory(clock.Now)
+	d.Configure(twoKinds())
+	d.Contact()
+	d.Adopt([]*nodepb.StorePlacement{{Address: "fast", Epoch: 1, Accepts: true, Reset_: true}, {Address: "large", Epoch: 1, Accepts: true, Reset_: true}})
+	return d, clock
+}
+
+func placed(id string, tokens uint32) *nodepb.PlacedPart {
+	return &nodepb.PlacedPart{Salt: "v1", Id: id, Tokens: tokens}
+}
+
+var prompt = []placement.Part{{ID: "a", Tokens: 2500}, {ID: "b", Tokens: 5000}, {ID: "own", Tokens: 100}}
+
+// Guards against a fetch of a part that is not known to be whole, and of parts behind one.
+func TestLocateStopsAtTheFirstGap(t *testing.T) {
+	d, _ := newTestDirectory()
+	d.Adopt([]*nodepb.StorePlacement{{Address: "large", Epoch: 1, Accepts: true, Added: []*nodepb.PlacedPart{placed("b", 5000)}}})
+	require.Empty(t, d.Locate("v1", prompt[:2], time.Second, idle))
+	d.Adopt([]*nodepb.StorePlacement{{Address: "large", Epoch: 1, Accepts: true, Added: []*nodepb.PlacedPart{placed("a", 2500)}}})
+	found := d.Locate("v1", prompt[:2], time.Second, idle)
+	require.Len(t, found, 2)
+	require.InDelta(t, 31.4, float64(found[1].Transfer)/float64(time.Millisecond), 0.5, "6 ms and 92 MB at 29 Gbit/s")
+	require.Empty(t, d.Locate("v2", prompt[:2], time.Second, idle), "parts of other weights")
+	require.Len(t, d.Locate("v1", prompt[:2], 30*time.Millisecond, idle), 1, "a part that would come too late")
+	busy := func(string) time.Duration { return time.Second }
+	require.Empty(t, d.Locate("v1", prompt[:2], time.Second, busy))
+}
+
+// Guards against fetches and saves by a node that does not hear of restarts of stores.
+func TestNothingIsUsedWithoutContact(t *testing.T) {
+	d, clock := newTestDirectory()
+	d.Adopt([]*nodepb.StorePlacement{{Address: "large", Epoch: 1, Accepts: true, Added: []*nodepb.PlacedPart{placed("a", 2500)}}})
+	clock.Advance(contactLimit + time.Millisecond)
+	require.Empty(t, d.Locate("v1", prompt[:2], time.Second, idle))
+	save, _ := d.Save("v1", prompt, "z", idle)
+	require.Empty(t, save)
+	d.Contact()
+	require.Len(t, d.Locate("v1", prompt[:2], time.Second, idle), 1)
+}
+
+// Guards against a part that is fetched from a store that lost it, or saved while other nodes may still fetch it.
+func TestRestartEmptiesAStoreAndStopsSaves(t *testing.T) {
+	d, _ := newTestDirectory()
+	d.Adopt([]*nodepb.StorePlacement{{Address: "large", Epoch: 1, Accepts: true, Added: []*nodepb.PlacedPart{placed("a", 2500)}}})
+	d.Adopt([]*nodepb.StorePlacement{{Address: "large", Epoch: 2, Reset_: true}, {Address: "fast", Epoch: 2, Reset_: true}})
+	require.Empty(t, d.Locate("v1", prompt[:2], time.Second, idle))
+	save, _ := d.Save("v1", prompt, "z", idle)
+	require.Empty(t, save)
+	d.Adopt([]*nodepb.StorePlacement{{Address: "large", Epoch: 2, Accepts: true}})
+	save, transfers := d.Save("v1", prompt, "z", idle)
+	require.Equal(t, []string{"large", "large", ""}, save)
+	require.Len(t, transfers, 1)
+}
+
+// Guards against saves of what is held, is being saved, or belongs to one request only, and against saves that keep
+// fetches waiting.
+func TestSaveOnce(t *testing.T) {
+	d, clock := newTestDirectory()
+	d.Adopt([]*nodepb.StorePlacement{{Address: "large", Epoch: 1, Accepts: true, Added: []*nodepb.PlacedPart{placed("a", 2500)}}})
+	save, _ := d.Save("v1", prompt, "z", idle)
+	require.Equal(t, []string{"", "large", ""}, save)
+	save, _ = d.Save("v1", prompt, "z", idle)
+	require.Empty(t, save)
+	clock.Advance(saveMemory)
+	d.Contact()
+	save, _ = d.Save("v1", prompt, "z", func(string) time.Duration { return longestSaveQueue + 1 })
+	require.Empty(t, save)
+	save, _ = d.Save("v1", prompt, "z", idle)
+	require.Equal(t, []string{"", "large", ""}, save, "a save that came to nothing is tried again")
+}
+
+// Guards against small stores filled with large parts, and stores asked for more than they hold.
+func TestPartsGoToStoresThatSuitTheirSize(t *testing.T) {
+	d, _ := newTestDirectory()
+	used := map[string]int{}
+	for i := range 200 {
+		small, _ := d.Save("v1", []placement.Part{{ID: fmt.Sprint("s", i), Tokens: 500}, {ID: "own"}}, "z", idle)
+		large, _ := d.Save("v1", []placement.Part{{ID: fmt.Sprint("l", i), Tokens: 5000}, {ID: "own"}}, "z", idle)
+		used["small in "+small[0]]++
+		used["large in "+large[0]]++
+	}
+	require.Greater(t, used["small in fast"], 150, "%v", used)
+	require.Greater(t, used["large in large"], 190, "%v", used)
+	d.Adopt([]*nodepb.StorePlacement{
+		{Address: "fast", Epoch: 1, Accepts: true, Added: []*nodepb.PlacedPart{placed("x", 99_000)}},
+		{Address: "large", Epoch: 1, Accepts: true, Added: []*nodepb.PlacedPart{placed("y", 949_000)}},
+	})
+	save, _ := d.Save("v1", prompt, "z", idle)
+	require.Empty(t, save, "both are full")
+}
+
+// fakeStore is one store whose events and epoch a test sets.
+type fakeStore struct {
+	mu      sync.Mutex
+	epoch   int64
+	held    map[Part]int
+	broken  []Part
+	events  []Event
+	lost    bool
+	down    bool
+	freed   []Part
+	listed  int
+	waiting time.Duration
+}
+
+func (f *fakeStore) Events(ctx context.Context, _ string, since uint64, _ time.Duration) (Events, error) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(f.waiting):
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return Events{}, failure.New(failure.UpstreamFailed, failure.Unknown, "down")
+	}
+	out := Events{Epoch: f.epoch, Next: uint64(len(f.events)), Lost: f.lost, Events: f.events[min(int(since), len(f.events)):]}
+	f.lost = false
+	return out, nil
+}
+
+func (f *fakeStore) List(context.Context, string) (Listing, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return Listing{}, failure.New(failure.UpstreamFailed, failure.Unknown, "down")
+	}
+	f.listed++
+	out := Listing{Epoch: f.epoch, Next: uint64(len(f.events)), Broken: f.broken}
+	for part, tokens := range f.held {
+		out.Whole = append(out.Whole, Event{Part: part, Tokens: tokens})
+	}
+	return out, nil
+}
+
+func (f *fakeStore) Free(_ context.Context, _ string, epoch int64, parts []Part) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if epoch != f.epoch {
+		return failure.New(failure.UpstreamFailed, failure.NotRun, "another epoch")
+	}
+	f.freed = append(f.freed, parts...)
+	return nil
+}
+
+func (f *fakeStore) set(change func(*fakeStore)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f)
+}
+
+// recorder applies what a keeper publishes to a directory, as a node does.
+type recorder struct {
+	directory *Directory
+	mu        sync.Mutex
+	accepted  []time.Time
+	reset     time.Time
+}
+
+func (r *recorder) Append(change *nodepb.StorePlacement, _ func() []*nodepb.StorePlacement) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if change.GetReset_() {
+		r.reset = time.Now()
+	}
+	if change.GetAccepts() && len(change.GetAdded())+len(change.GetRemoved()) == 0 {
+		r.accepted = append(r.accepted, time.Now())
+	}
+	r.directory.Contact()
+	r.directory.Adopt([]*nodepb.StorePlacement{change})
+}
+
+func (r *recorder) Clear() {}
+
+func (r *recorder) located(id string) bool {
+	r.directory.Contact()
+	return len(r.directory.Locate("v1", []placement.Part{{ID: id, Tokens: 10}}, time.Hour, idle)) == 1
+}
+
+func startKeeper(t *testing.T, store *fakeStore, usable func(string) bool) *recorder {
+	t.Helper()
+	set := &trafficset.Set{Services: []trafficset.Service{
+		{Name: "e", Engine: &trafficset.EngineSpec{TokenBytes: 1}},
+		{Name: "s", Store: &trafficset.StoreSpec{Address: "s", CacheTokens: 1000, LinkMbps: 1000}},
+	}}
+	r := &recorder{directory: NewDirectory(time.Now)}
+	r.directory.Configure(set)
+	k := &Keeper{
+		Client: store, Leads: func() bool { return true }, Set: func() *trafficset.Set { return set }, Publish: r, Usable: usable,
+		Log: zap.NewNop(), Metrics: gometrics.NewRegistry(),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { k.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return r
+}
+
+// Guards against a store that restarted and whose parts are still fetched, or to which is saved too early.
+func TestKeeperNoticesARestart(t *testing.T) {
+	store := &fakeStore{epoch: 1, held: map[Part]int{{"v1", "a"}: 10}, waiting: 5 * time.Millisecond}
+	r := startKeeper(t, store, nil)
+	require.Eventually(t, func() bool { return r.located("a") }, 5*time.Second, 5*time.Millisecond)
+	require.Eventually(t, func() bool { r.mu.Lock(); defer r.mu.Unlock(); return len(r.accepted) == 1 }, 5*time.Second, 5*time.Millisecond)
+	store.set(func(f *fakeStore) { f.epoch, f.held, f.events = 2, map[Part]int{}, nil })
+	require.Eventually(t, func() bool { return !r.located("a") }, 2*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { r.mu.Lock(); defer r.mu.Unlock(); return len(r.accepted) == 2 }, 5*time.Second, 5*time.Millisecond)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	require.GreaterOrEqual(t, r.accepted[1].Sub(r.reset), quietAfterRestart, "nodes without contact still fetch for a while")
+}
+
+// Guards against a store that is down and still used.
+func TestKeeperNoticesAStoreThatIsDown(t *testing.T) {
+	store := &fakeStore{epoch: 1, held: map[Part]int{{"v1", "a"}: 10}, waiting: 5 * time.Millisecond}
+	r := startKeeper(t, store, nil)
+	require.Eventually(t, func() bool { return r.located("a") }, 5*time.Second, 5*time.Millisecond)
+	store.set(func(f *fakeStore) { f.down = true })
+	require.Eventually(t, func() bool { return !r.located("a") }, 2*time.Second, time.Millisecond)
+	store.set(func(f *fakeStore) { f.down = false })
+	require.Eventually(t, func() bool { return r.located("a") }, 2*time.Second, time.Millisecond)
+}
+
+// Guards against parts that stay unknown when their events are lost, and parts that are freed and still fetched.
+func TestKeeperFollowsEventsAndRepairsGaps(t *testing.T) {
+	store := &fakeStore{epoch: 1, held: map[Part]int{}, waiting: 5 * time.Millisecond}
+	r := startKeeper(t, store, nil)
+	require.Eventually(t, func() bool { store.mu.Lock(); defer store.mu.Unlock(); return store.listed > 0 }, 5*time.Second, 5*time.Millisecond)
+	store.set(func(f *fakeStore) { f.events = append(f.events, Event{Part: Part{"v1", "a"}, Tokens: 10}) })
+	require.Eventually(t, func() bool { return r.located("a") }, 2*time.Second, time.Millisecond)
+	store.set(func(f *fakeStore) { f.events = append(f.events, Event{Part: Part{"v1", "a"}, Gone: true}) })
+	require.Eventually(t, func() bool { return !r.located("a") }, 2*time.Second, time.Millisecond)
+	store.set(func(f *fakeStore) { f.held[Part{"v1", "b"}] = 10; f.lost = true })
+	require.Eventually(t, func() bool { return r.located("b") }, 2*time.Second, time.Millisecond)
+}
+
+// Guards against stores that fill with parts of old weights, and against parts freed below a fetch that has begun.
+func TestKeeperFreesPartsOfOldWeights(t *testing.T) {
+	store := &fakeStore{epoch: 1, held: map[Part]int{{"v1", "old"}: 10, {"v2", "new"}: 10}, waiting: 5 * time.Millisecond}
+	startKeeper(t, store, func(salt string) bool { return salt == "v2" })
+	started := time.Now()
+	require.Eventually(t, func() bool { store.mu.Lock(); defer store.mu.Unlock(); return len(store.freed) > 0 }, 20*time.Second, 5*time.Millisecond)
+	require.GreaterOrEqual(t, time.Since(started), transferDrain-time.Second, "a fetch may still be on its way")
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	require.Equal(t, Part{"v1", "old"}, store.freed[0])
+}
--- /dev/null
+++ b/peerload/peerload_test.go
@@ -0,0 +1,51 @@
+package peerload
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/wasabishunt/wasabishunt/placement"
+	"github.com/wasabishunt/wasabishunt/upstreams"
+)
+
+// Guards against nodes that do not hear of each other's load, and against a garbled datagram that ends the exchange.
+func TestNodesTellEachOtherTheirLoad(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	type node struct {
+		exchange *Exchange
+		conn     *net.UDPConn
+		done     chan struct{}
+	}
+	var nodes []*node
+	for _, name := range []string{"a", "b"} {
+		conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		require.NoError(t, err)
+		n := &node{exchange: &Exchange{Node: name, Tracker: placement.NewTracker(), Log: zap.NewNop()}, conn: conn, done: make(chan struct{})}
+		nodes = append(nodes, n)
+	}
+	addresses := []string{nodes[0].conn.LocalAddr().String(), nodes[1].conn.LocalAddr().String()}
+	for i, n := range nodes {
+		n.exchange.SetPeers(append(addresses, "not an address"), addresses[i])
+		go func() { n.exchange.Run(ctx, n.conn); close(n.done) }()
+	}
+	defer func() {
+		cancel()
+		<-nodes[0].done
+		<-nodes[1].done
+	}()
+	_, err := nodes[1].conn.WriteToUDP([]byte("\xff\xff"), nodes[0].conn.LocalAddr().(*net.UDPAddr))
+	require.NoError(t, err)
+	instance := &upstreams.Instance{ID: "i"}
+	ticket := nodes[1].exchange.Tracker.Begin(instance, placement.Work{PrefillTokens: 700})
+	prefill := func() int {
+		return nodes[0].exchange.Tracker.Candidates([]*upstreams.Instance{instance}, time.Now(), &placement.Request{})[0].PrefillTokens
+	}
+	require.Eventually(t, func() bool { return prefill() == 700 }, 5*time.Second, 5*time.Millisecond)
+	ticket.End(placement.Answered, time.Now())
+	require.Eventually(t, func() bool { return prefill() == 0 }, 5*time.Second, 5*time.Millisecond)
+}
