--- a/coregroup/group.go
+++ b/coregroup/group.go
@@ -102,7 +102,7 @@
 	}
 	for ctx.Err() == nil {
 		if err := g.runMember(ctx); err != nil {
-			g.options.Log.Error("core member stopped, will open its storage again", zap.Error(err))
+			g.options.Log.Error("core member stopped", zap.Error(err))
 		}
 		sleep(ctx, reopenPause)
 	}
@@ -145,7 +145,7 @@
 		member.Stop()
 		return member.Err()
 	case <-removed:
-		g.options.Log.Warn("this member was removed from the group, joining again under a new identity", zap.Uint64("member", own.ID))
+		g.options.Log.Warn("member removed from the group", zap.Uint64("member", own.ID))
 		member.Stop()
 		return discard(g.options.Dir)
 	}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -181,7 +181,7 @@
 	for _, g := range all {
 		group.Go(func() {
 			if err := g.server.Shutdown(ctx); err != nil {
-				s.Log.Warn("requests were cut at the end of the stop", zap.Error(err))
+				s.Log.Warn("requests cut at the end of a stop", zap.Error(err))
 				_ = g.server.Close()
 			}
 		})
--- a/trafficset/trafficset_test.go
+++ b/trafficset/trafficset_test.go
@@ -11,7 +11,8 @@
 	return &Set{
 		Version: 1,
 		Services: []Service{
-			{Name: "engines"}, {Name: "desk"},
+			{Name: "engines"},
+			{Name: "desk"},
 			{Name: "store", Store: &StoreSpec{Address: "10.0.0.1:1"}},
 		},
 		Routes: []Route{
--- a/upstreams/upstreams.go
+++ b/upstreams/upstreams.go
@@ -261,7 +261,7 @@
 			err := r.read(ctx)
 			if (err != nil) != failing {
 				failing = err != nil
-				r.Log.Info("reading of the instance list changed", zap.Bool("failing", failing), zap.Bool("reads_for_all", reads), zap.Error(err))
+				r.Log.Info("instance list reading changed", zap.Bool("failing", failing), zap.Bool("reads_for_all", reads), zap.Error(err))
 			}
 		}
 	}
