--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -26,8 +26,6 @@
 	shortestTry = 700 * time.Millisecond
 	// maxRejections limits the sends that upstreams refuse without running the request.
 	maxRejections = 3
-	// spareTime is what must be left for another try to make sense.
-	spareTime = 50 * time.Millisecond
 )
 
 // forward sends the request until it is answered or nothing more may be tried.
@@ -143,6 +141,7 @@
 		tokens, _, transfers := placement.Read(q, best)
 		chosen.work = placement.Work{PrefillTokens: tokens, HeldTokens: g.PromptTokens + g.OutputTokens, Transfers: transfers}
 		chosen.firstEvent = placement.FirstEvent(q, best)
+		chosen.work.FirstEvent = chosen.firstEvent
 		c.cached = best.CachedTokens
 	}
 	return chosen
@@ -159,7 +158,7 @@
 	}
 	q.StoredVersion = max(1, q.Wanted)
 	if o.Stores != nil && len(g.Parts) > 1 {
-		q.Stored = o.Stores.Locate(q.Salt(q.StoredVersion), g.Parts[:len(g.Parts)-1], c.longestFetch(), o.Tracker.Backlog)
+		q.Stored = o.Stores.Locate(q.Salt(q.StoredVersion), g.Parts[:len(g.Parts)-1], c.longestFetch(), o.Tracker)
 	}
 }
 
@@ -287,7 +286,7 @@
 	}
 	if out.Version == chosen.query.StoredVersion {
 		var transfers map[string]time.Duration
-		out.Save, transfers = o.Stores.Save(out.Salt, g.Parts, instance.AvailabilityZone, o.Tracker.Backlog)
+		out.Save, transfers = o.Stores.Save(out.Salt, g.Parts, instance.AvailabilityZone, o.Tracker)
 		for address, transfer := range transfers {
 			o.Tracker.Transfer(address, transfer)
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -91,9 +91,9 @@
 // Stores decides on fetching and saving parts of prompts.
 type Stores interface {
 	// Locate returns where the leading parts are whole, one entry a part.
-	Locate(salt string, shared []placement.Part, longest time.Duration, backlog func(address string) time.Duration) []placement.Stored
+	Locate(salt string, shared []placement.Part, longest time.Duration, links placement.LinkView) []placement.Stored
 	// Save returns a store for each part that is to be saved, "" for none.
-	Save(salt string, parts []placement.Part, zone string, backlog func(address string) time.Duration) ([]string, map[string]time.Duration)
+	Save(salt string, parts []placement.Part, zone string, links placement.LinkView) ([]string, map[string]time.Duration)
 }
 
 // Options of a Gateway.
--- a/kvstores/directory.go
+++ b/kvstores/directory.go
@@ -152,8 +152,8 @@
 }
 
 // Locate returns where the leading shared parts of a prompt are whole, one entry a part up to the first gap.
-// Backlog is the known queue of a store's link; a part that would come later than longest counts as a gap.
-func (d *Directory) Locate(salt string, shared []placement.Part, longest time.Duration, backlog func(address string) time.Duration) []placement.Stored {
+// A part that would come later than longest counts as a gap.
+func (d *Directory) Locate(salt string, shared []placement.Part, longest time.Duration, links placement.LinkView) []placement.Stored {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.now().Sub(d.contact) > contactLimit {
@@ -166,13 +166,17 @@
 			break
 		}
 		spec := d.stores[at.store].spec
-		wait := backlog(at.store)
-		if spec.LinkMbps <= 0 || wait+spec.FirstByte+d.transfer(at.tokens, &spec) > longest {
+		if spec.LinkMbps <= 0 {
+			break
+		}
+		wait := links.Backlog(at.store)
+		transfer := spec.FirstByte + time.Duration(links.Slowness(at.store)*float64(d.transfer(at.tokens, &spec)))
+		if wait+transfer > longest {
 			break
 		}
 		out = append(out, placement.Stored{
 			Address: at.store, AvailabilityZone: spec.AvailabilityZone, Tokens: at.tokens, Wait: wait,
-			Transfer: spec.FirstByte + d.transfer(at.tokens, &spec),
+			Transfer: transfer,
 		})
 	}
 	return out
@@ -184,7 +188,7 @@
 }
 
 // Save picks a store for each shared part that none holds, "" for none. The last part of a prompt is its own.
-func (d *Directory) Save(salt string, parts []placement.Part, zone string, backlog func(address string) time.Duration) ([]string, map[string]time.Duration) {
+func (d *Directory) Save(salt string, parts []placement.Part, zone string, links placement.LinkView) ([]string, map[string]time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
@@ -198,7 +202,7 @@
 		if _, held := d.parts[part]; held || p.Tokens < smallestPart || now.Sub(d.saving[part]) < saveMemory {
 			continue
 		}
-		if out[i] = d.home(part, p.Tokens, backlog); out[i] != "" {
+		if out[i] = d.home(part, p.Tokens, links); out[i] != "" {
 			d.saving[part] = now
 			transfers[out[i]] += d.zoned(out[i], zone, d.transfer(p.Tokens, &d.stores[out[i]].spec))
 		}
@@ -234,11 +238,11 @@
 
 // home picks the store of a part in the same way on all nodes: of the stores with room whose delay suits the part's
 // size, by weighted rendezvous hashing.
-func (d *Directory) home(part Part, tokens int, backlog func(address string) time.Duration) string {
+func (d *Directory) home(part Part, tokens int, links placement.LinkView) string {
 	best, bestScore := "", 0.0
 	for address, s := range d.stores {
 		room := float64(s.spec.CacheTokens)*fillShare - float64(s.used)
-		if !s.accepts || room < float64(tokens) || backlog(address) > longestSaveQueue {
+		if !s.accepts || room < float64(tokens) || links.Backlog(address) > longestSaveQueue {
 			continue
 		}
 		score := room * d.suits(tokens, &s.spec) * unit(part.ID+"\x00"+address)
--- a/kvstores/kvstores_test.go
+++ b/kvstores/kvstores_test.go
@@ -18,7 +18,16 @@
 	"github.com/wasabishunt/wasabishunt/trafficset"
 )
 
-func idle(string) time.Duration { return 0 }
+// link is the state of all links.
+type link struct {
+	backlog  time.Duration
+	slowness float64
+}
+
+func (l link) Backlog(string) time.Duration { return l.backlog }
+func (l link) Slowness(string) float64      { return l.slowness }
+
+var idle = link{slowness: 1}
 
 // twoKinds has a small store with a short delay and a large one with a long delay.
 func twoKinds() *trafficset.Set {
@@ -55,8 +64,8 @@
 	require.InDelta(t, 31.4, float64(found[1].Transfer)/float64(time.Millisecond), 0.5, "6 ms and 92 MB at 29 Gbit/s")
 	require.Empty(t, d.Locate("v2", prompt[:2], time.Second, idle), "parts of other weights")
 	require.Len(t, d.Locate("v1", prompt[:2], 30*time.Millisecond, idle), 1, "a part that would come too late")
-	busy := func(string) time.Duration { return time.Second }
-	require.Empty(t, d.Locate("v1", prompt[:2], time.Second, busy))
+	require.Empty(t, d.Locate("v1", prompt[:2], time.Second, link{backlog: time.Second, slowness: 1}))
+	require.Len(t, d.Locate("v1", prompt[:2], 100*time.Millisecond, link{slowness: 4}), 1, "a slow link")
 }
 
 // Guards against fetches and saves by a node that does not hear of restarts of stores.
@@ -96,7 +105,7 @@
 	require.Empty(t, save)
 	clock.Advance(saveMemory)
 	d.Contact()
-	save, _ = d.Save("v1", prompt, "z", func(string) time.Duration { return longestSaveQueue + 1 })
+	save, _ = d.Save("v1", prompt, "z", link{backlog: longestSaveQueue + 1, slowness: 1})
 	require.Empty(t, save)
 	save, _ = d.Save("v1", prompt, "z", idle)
 	require.Equal(t, []string{"", "large", ""}, save, "a save that came to nothing is tried again")
--- a/placement/links.go
+++ b/placement/links.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"math"
+	"slices"
+	"time"
+)
 
 // links models the queues of the links of stores: each transfer that a node starts, or that another node reports, is
 // added, and the link works them off in real time. Reports carry running totals, so that a lost one is made up for by
@@ -10,10 +14,12 @@
 	own   map[string]time.Duration
 	told  map[string]map[uint32]time.Duration
 	queue map[uint32]time.Time
+	// late is how much later than expected first events come that wait for a store, and those that wait for none under "".
+	late map[string]*lateness
 }
 
 func newLinks() *links {
-	return &links{own: map[string]time.Duration{}, told: map[string]map[uint32]time.Duration{}, queue: map[uint32]time.Time{}}
+	return &links{own: map[string]time.Duration{}, told: map[string]map[uint32]time.Duration{}, queue: map[uint32]time.Time{}, late: map[string]*lateness{}}
 }
 
 // start adds a transfer of this node.
@@ -50,3 +56,76 @@
 func (l *links) backlog(address string, now time.Time) time.Duration {
 	return max(0, l.queue[hashKey(address)].Sub(now))
 }
+
+// lateness of the first events that waited for one store.
+type lateness struct {
+	// ratio of the time to the first event to the expected one, as a moving mean of logarithms.
+	ratio   float64
+	samples int
+	// slowness is the learned time of a transfer over the one by the published speed of the link.
+	slowness float64
+	// updated is when slowness was learned; it fades from then on.
+	updated time.Time
+}
+
+// faded returns the slowness now.
+func (l *lateness) faded(now time.Time) float64 {
+	age := float64(now.Sub(l.updated)) / float64(slownessHalfLife)
+	return 1 + (l.slowness-1)*math.Exp2(-age)
+}
+
+const (
+	// latenessWeight is the weight of one request in a store's ratio.
+	latenessWeight = 0.3
+	// correction is the part of a store's excess lateness that one request adds to its slowness.
+	correction = 0.3
+	// enoughSamples is the number of requests from which a ratio counts.
+	enoughSamples = 4
+	// slowestLink bounds what is learned.
+	slowestLink = 10
+	// slownessHalfLife lets a store be used again that gets few requests because its link was slow.
+	slownessHalfLife = 3 * time.Second
+)
+
+// observe learns from a first event that waited for transfers from one store, or none. A store whose requests are later
+// against what was expected than those of the other stores has a slow link: the engines are the same for all.
+func (l *links) observe(address string, took, expected time.Duration, now time.Time) {
+	if took <= 0 || expected <= 0 {
+		return
+	}
+	own := l.late[address]
+	if own == nil {
+		own = &lateness{slowness: 1, updated: now}
+		l.late[address] = own
+	}
+	own.samples++
+	own.ratio += latenessWeight * (math.Log(float64(took)/float64(expected)) - own.ratio)
+	if address == "" || own.samples < enoughSamples {
+		return
+	}
+	excess := own.ratio - l.usual(address)
+	own.slowness = max(1, min(slowestLink, own.faded(now)*math.Exp(correction*excess)))
+	own.updated = now
+}
+
+// usual returns the median ratio of the other stores.
+func (l *links) usual(address string) float64 {
+	var ratios []float64
+	for other, late := range l.late {
+		if other != address && late.samples >= enoughSamples {
+			ratios = append(ratios, late.ratio)
+		}
+	}
+	if len(ratios) == 0 {
+		return 0
+	}
+	slices.Sort(ratios)
+	return ratios[(len(ratios)-1)/2]
+}
+
+func (l *links) slowness(address string, now time.Time) float64 {
+	if late := l.late[address]; late != nil {
+		return late.faded(now)
+	}
+	return 1
+}
--- a/placement/peers.go
+++ b/placement/peers.go
@@ -115,6 +115,13 @@
 	return t.links.backlog(address, time.Now())
 }
 
+// Slowness returns the learned time of a transfer over the one by the published speed of a store's link.
+func (t *Tracker) Slowness(address string) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.links.slowness(address, time.Now())
+}
+
 // Transfer notes a transfer over a store's link.
 func (t *Tracker) Transfer(address string, transfer time.Duration) {
 	t.mu.Lock()
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -64,6 +64,14 @@
 	return q.Parts[:len(q.Parts)-1]
 }
 
+// LinkView tells what a node knows of the links of stores.
+type LinkView interface {
+	// Backlog is the time until a new transfer would begin.
+	Backlog(address string) time.Duration
+	// Slowness is the time of a transfer over the one by the published speed.
+	Slowness(address string) float64
+}
+
 // Candidate is one instance at the time of a decision.
 type Candidate struct {
 	Instance *upstreams.Instance
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -129,6 +129,8 @@
 	PrefillTokens int
 	// HeldTokens are the memory that the request takes.
 	HeldTokens int
+	// FirstEvent is the expected time to the first event.
+	FirstEvent time.Duration
 	// Transfers are the times of transfers by the address of the store.
 	Transfers map[string]time.Duration
 }
@@ -164,8 +166,8 @@
 func (k *Ticket) Prefilled() {
 	k.tracker.mu.Lock()
 	defer k.tracker.mu.Unlock()
-	if !k.prefilled && len(k.work.Transfers) == 0 {
-		k.tracker.rate.learn(k.ahead, time.Since(k.began))
+	if !k.prefilled {
+		k.learn(time.Since(k.began))
 	}
 	k.prefill(k.tracker.state(k.key))
 }
@@ -328,3 +330,16 @@
 	defer t.mu.Unlock()
 	return t.state(instance.Key()).requests + t.peers.instances[hashKey(instance.ID)].requests
 }
+
+// learn takes the time to the first event of a request.
+func (k *Ticket) learn(took time.Duration) {
+	switch len(k.work.Transfers) {
+	case 0:
+		k.tracker.rate.learn(k.ahead, took)
+		k.tracker.links.observe("", took, k.work.FirstEvent, time.Now())
+	case 1:
+		for address := range k.work.Transfers {
+			k.tracker.links.observe(address, took, k.work.FirstEvent, time.Now())
+		}
+	}
+}
--- a/placement/tracker_test.go
+++ b/placement/tracker_test.go
@@ -141,3 +141,35 @@
 	r.learn(learnFrom-1, time.Hour)
 	require.InDelta(t, 20, r.tokensPerMs, 1)
 }
+
+// Guards against fetches over a link that has slowed to a quarter, and against a flood at all engines taken for slow links.
+func TestSlowLinkIsLearnedAgainstTheOthers(t *testing.T) {
+	l := newLinks()
+	stores := []string{"", "a", "b", "c"}
+	now := time.Now()
+	play := func(rounds int, factor func(address string) float64) {
+		for range rounds {
+			now = now.Add(100 * time.Millisecond)
+			for _, address := range stores {
+				expected := time.Duration(30+30*l.slowness(address, now)) * time.Millisecond
+				l.observe(address, time.Duration(float64(30+30*factor(address))*float64(time.Millisecond)), expected, now)
+			}
+		}
+	}
+	play(100, func(string) float64 { return 1 })
+	require.InDelta(t, 1, l.slowness("a", now), 0.1)
+	play(30, func(address string) float64 {
+		if address == "b" {
+			return 4
+		}
+		return 1
+	})
+	require.Greater(t, l.slowness("b", now), 2.0, "learned within 3 s at 10 requests a second")
+	require.Less(t, l.slowness("a", now), 1.3)
+	play(100, func(string) float64 { return 1 })
+	require.Less(t, l.slowness("b", now), 1.3, "the link is fast again")
+	play(200, func(string) float64 { return 20 })
+	for _, address := range stores {
+		require.Less(t, l.slowness(address, now), 1.5, "all are late alike")
+	}
+}
