--- a/placement/links.go
+++ b/placement/links.go
@@ -15,11 +15,23 @@
 	told  map[string]map[uint32]time.Duration
 	queue map[uint32]time.Time
 	// late is how much later than expected first events come that wait for a store, and those that wait for none under "".
-	late map[string]*lateness
+	late map[uint32]*lateness
+	// ownLate are totals of this node, toldLate those that other nodes told.
+	ownLate  map[uint32]lateTotal
+	toldLate map[string]map[uint32]lateTotal
+}
+
+// lateTotal is a running total of lateness.
+type lateTotal struct {
+	sum   float64
+	count uint64
 }
 
 func newLinks() *links {
-	return &links{own: map[string]time.Duration{}, told: map[string]map[uint32]time.Duration{}, queue: map[uint32]time.Time{}, late: map[string]*lateness{}}
+	return &links{
+		own: map[string]time.Duration{}, told: map[string]map[uint32]time.Duration{}, queue: map[uint32]time.Time{}, late: map[uint32]*lateness{},
+		ownLate: map[uint32]lateTotal{}, toldLate: map[string]map[uint32]lateTotal{},
+	}
 }
 
 // start adds a transfer of this node.
@@ -50,7 +62,10 @@
 }
 
 // forget drops a node that has fallen silent; it may come back with totals from 0.
-func (l *links) forget(node string) { delete(l.told, node) }
+func (l *links) forget(node string) {
+	delete(l.told, node)
+	delete(l.toldLate, node)
+}
 
 // backlog returns the time until a new transfer would begin.
 func (l *links) backlog(address string, now time.Time) time.Duration {
@@ -61,7 +76,7 @@
 type lateness struct {
 	// ratio of the time to the first event to the expected one, as a moving mean of logarithms.
 	ratio   float64
-	samples int
+	samples uint64
 	// slowness is the learned time of a transfer over the one by the published speed of the link.
 	slowness float64
 	// updated is when slowness was learned; it fades from then on.
@@ -76,11 +91,11 @@
 
 const (
 	// latenessWeight is the weight of one request in a store's ratio.
-	latenessWeight = 0.3
+	latenessWeight = 0.1
 	// correction is the part of a store's excess lateness that one request adds to its slowness.
-	correction = 0.3
+	correction = 0.08
 	// enoughSamples is the number of requests from which a ratio counts.
-	enoughSamples = 4
+	enoughSamples = 10
 	// slowestLink bounds what is learned.
 	slowestLink = 10
 	// slownessHalfLife lets a store be used again that gets few requests because its link was slow.
@@ -93,26 +108,47 @@
 	if took <= 0 || expected <= 0 {
 		return
 	}
-	own := l.late[address]
+	key, ratio := hashKey(address), math.Log(float64(took)/float64(expected))
+	total := l.ownLate[key]
+	l.ownLate[key] = lateTotal{total.sum + ratio, total.count + 1}
+	l.learn(key, ratio, 1, now)
+}
+
+// reportLate takes the totals of another node.
+func (l *links) reportLate(node string, totals map[uint32]lateTotal, now time.Time) {
+	if old, known := l.toldLate[node]; known {
+		for key, total := range totals {
+			if total.count > old[key].count {
+				count := total.count - old[key].count
+				l.learn(key, (total.sum-old[key].sum)/float64(count), count, now)
+			}
+		}
+	}
+	l.toldLate[node] = totals
+}
+
+// learn takes the mean of some ratios.
+func (l *links) learn(key uint32, ratio float64, count uint64, now time.Time) {
+	own := l.late[key]
 	if own == nil {
 		own = &lateness{slowness: 1, updated: now}
-		l.late[address] = own
+		l.late[key] = own
 	}
-	own.samples++
-	own.ratio += latenessWeight * (math.Log(float64(took)/float64(expected)) - own.ratio)
-	if address == "" || own.samples < enoughSamples {
+	own.samples += count
+	own.ratio += (1 - math.Pow(1-latenessWeight, float64(count))) * (ratio - own.ratio)
+	if key == hashKey("") || own.samples < enoughSamples {
 		return
 	}
-	excess := own.ratio - l.usual(address)
-	own.slowness = max(1, min(slowestLink, own.faded(now)*math.Exp(correction*excess)))
+	excess := own.ratio - l.usual(key)
+	own.slowness = max(1, min(slowestLink, own.faded(now)*math.Exp(correction*float64(count)*excess)))
 	own.updated = now
 }
 
 // usual returns the median ratio of the other stores.
-func (l *links) usual(address string) float64 {
+func (l *links) usual(key uint32) float64 {
 	var ratios []float64
 	for other, late := range l.late {
-		if other != address && late.samples >= enoughSamples {
+		if other != key && late.samples >= enoughSamples {
 			ratios = append(ratios, late.ratio)
 		}
 	}
@@ -124,7 +160,7 @@
 }
 
 func (l *links) slowness(address string, now time.Time) float64 {
-	if late := l.late[address]; late != nil {
+	if late := l.late[hashKey(address)]; late != nil {
 		return late.faded(now)
 	}
 	return 1
--- a/placement/peers.go
+++ b/placement/peers.go
@@ -85,6 +85,7 @@
 	t.peers.byNode[report.GetNode()] = q
 	t.peers.add(q, 1)
 	t.links.report(report.GetNode(), totals, now)
+	t.links.reportLate(report.GetNode(), lateTotals(report), now)
 }
 
 // Report describes what this node has in progress.
@@ -105,9 +106,29 @@
 		report.StoreKeys = append(report.StoreKeys, hashKey(address))
 		report.TransferMs = append(report.TransferMs, uint32(total.Milliseconds()))
 	}
+	for key, total := range t.links.ownLate {
+		report.LateKeys = append(report.LateKeys, key)
+		report.LateSums = append(report.LateSums, int64(lateScale*total.sum))
+		report.LateCounts = append(report.LateCounts, total.count)
+	}
 	return report
 }
 
+// lateScale is the factor of lateness in reports.
+const lateScale = 1000
+
+func lateTotals(report *nodepb.LoadReport) map[uint32]lateTotal {
+	keys := report.GetLateKeys()
+	if len(report.GetLateSums()) != len(keys) || len(report.GetLateCounts()) != len(keys) {
+		return nil
+	}
+	totals := make(map[uint32]lateTotal, len(keys))
+	for i, key := range keys {
+		totals[key] = lateTotal{float64(report.GetLateSums()[i]) / lateScale, report.GetLateCounts()[i]}
+	}
+	return totals
+}
+
 // Backlog returns the time until a new transfer over a store's link would begin.
 func (t *Tracker) Backlog(address string) time.Duration {
 	t.mu.Lock()
