kvstores: fetches have a limit on the engines' clock

Cause: a fetch queued at a slow link kept a request up to 2 s. With a limit of half the target the engine reads the prompt instead.

--- a/fleetview/server.go
+++ b/fleetview/server.go
@@ -31,6 +31,8 @@
 	Directory *upstreams.Directory
 	Reader    *upstreams.Reader
 	Placement *Placements
+	// EngineClock returns the time on the clock of engines in ms, 0 if it is not known.
+	EngineClock func() float64
 
 	mu    sync.Mutex
 	nodes map[string]knownNode
@@ -126,6 +128,7 @@
 	}
 	count, addresses := s.known()
 	u.Nodes = uint32(count)
+	u.EngineClockMs = s.EngineClock()
 	if !slices.Equal(addresses, sent.loadAddresses) {
 		u.LoadAddresses, sent.loadAddresses = addresses, addresses
 	}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -283,6 +283,7 @@
 			out.Fetch[i] = stored.Address
 			c.fetched += stored.Tokens
 		}
+		out.FetchUntil = o.Stores.Until(time.Duration(fetchLimitShare * float64(c.route.FirstByteTarget)))
 	}
 	if out.Version == chosen.query.StoredVersion {
 		var transfers map[string]time.Duration
@@ -294,6 +295,10 @@
 	return out
 }
 
+// fetchLimitShare of the time to the first event may pass until a fetch is given up: the prompt can then still be read
+// in time.
+const fetchLimitShare = 0.5
+
 // fetchShare of the time to the first event may pass until the parts of a prompt are fetched.
 const fetchShare = 0.3
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -56,6 +56,8 @@
 	Urgency int
 	// Fetch and Save name a store for each part of the prompt, "" for none.
 	Fetch, Save []string
+	// FetchUntil is the time on the engines' clock, in ms, after which the engine reads the prompt instead; 0 for no limit.
+	FetchUntil int64
 }
 
 // Answer is the head of an upstream's response.
@@ -90,6 +92,8 @@
 
 // Stores decides on fetching and saving parts of prompts.
 type Stores interface {
+	// Until returns the time on the engines' clock at which a fetch must have ended, in ms; 0 for no limit.
+	Until(limit time.Duration) int64
 	// Locate returns where the leading parts are whole, one entry a part.
 	Locate(salt string, shared []placement.Part, longest time.Duration, links placement.LinkView) []placement.Stored
 	// Save returns a store for each part that is to be saved, "" for none.
--- /dev/null
+++ b/kvstores/clock.go
@@ -0,0 +1,39 @@
+package kvstores
+
+import "time"
+
+// engineClock is the clock of engines and stores as it was told at a moment of the own steady clock.
+type engineClock struct {
+	ms float64
+	at time.Time
+}
+
+// read returns the time in ms, 0 if it was never told.
+func (c engineClock) read(now time.Time) float64 {
+	if c.ms <= 0 {
+		return 0
+	}
+	return c.ms + float64(now.Sub(c.at))/float64(time.Millisecond)
+}
+
+// SetClock takes the time on the clock of engines and stores.
+func (d *Directory) SetClock(ms float64) {
+	if ms <= 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.clock = engineClock{ms: ms, at: d.now()}
+}
+
+// Until returns the time on the clock of engines and stores at which a fetch that begins now must have ended, in ms; 0 if
+// the clock is not known.
+func (d *Directory) Until(limit time.Duration) int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock.read(d.now())
+	if now == 0 {
+		return 0
+	}
+	return int64(now + float64(limit)/float64(time.Millisecond))
+}
--- a/kvstores/directory.go
+++ b/kvstores/directory.go
@@ -39,6 +39,7 @@
 	// contact is when the reader of the stores was last heard.
 	contact    time.Time
 	tokenBytes int
+	clock      engineClock
 }
 
 type location struct {
--- a/kvstores/keeper.go
+++ b/kvstores/keeper.go
@@ -25,6 +25,8 @@
 	Next   uint64
 	Lost   bool
 	Events []Event
+	// ClockMs is the time on the clock of engines and stores, 0 if it was not told.
+	ClockMs float64
 }
 
 // Listing is all that a store holds.
@@ -61,6 +63,7 @@
 
 	mu     sync.Mutex
 	stores map[string]*kept
+	clock  engineClock
 	// useless is since when a salt is used no more.
 	useless map[string]time.Time
 }
@@ -174,6 +177,7 @@
 			k.Log.Info("events of a store were lost", zap.String("store", s.address), zap.Uint64("since", since))
 			listed = time.Time{}
 		}
+		k.noteClock(events.ClockMs)
 		since = events.Next
 		k.apply(s, events.Events)
 	}
@@ -342,3 +346,19 @@
 	}
 	return now.Sub(since) >= transferDrain
 }
+
+func (k *Keeper) noteClock(ms float64) {
+	if ms <= 0 {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.clock = engineClock{ms: ms, at: time.Now()}
+}
+
+// EngineClock returns the time on the clock of engines and stores in ms, 0 if it is not known.
+func (k *Keeper) EngineClock() float64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.clock.read(time.Now())
+}
--- a/kvstores/kvstores_test.go
+++ b/kvstores/kvstores_test.go
@@ -286,3 +286,14 @@
 	defer store.mu.Unlock()
 	require.Equal(t, Part{"v1", "old"}, store.freed[0])
 }
+
+// Guards against a limit of a fetch on the wrong clock: it would be thrown away at once, or never.
+func TestFetchLimitIsOnTheEnginesClock(t *testing.T) {
+	d, clock := newTestDirectory()
+	require.Zero(t, d.Until(time.Second), "no limit while the clock is not known")
+	d.SetClock(50_000.5)
+	clock.Advance(200 * time.Millisecond)
+	require.EqualValues(t, 50_700, d.Until(500*time.Millisecond))
+	d.SetClock(0)
+	require.EqualValues(t, 50_700, d.Until(500*time.Millisecond))
+}
--- a/node/node.go
+++ b/node/node.go
@@ -186,7 +186,7 @@
 	running, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	mux := drpcmux.New()
-	server := &fleetview.Server{Group: n.group, Directory: n.directory, Reader: n.reader, Placement: n.placement}
+	server := &fleetview.Server{Group: n.group, Directory: n.directory, Reader: n.reader, Placement: n.placement, EngineClock: n.keeper.EngineClock}
 	if err := errors.Join(nodepb.DRPCRegisterNode(mux, server), n.group.Register(mux)); err != nil {
 		return failure.Wrap(err, failure.Internal, failure.NotRun, "register the services of the node")
 	}
@@ -357,6 +357,7 @@
 	now := time.Now()
 	n.directory.Confirm(now)
 	n.stores.Contact()
+	n.stores.SetClock(u.GetEngineClockMs())
 	if len(u.GetLoadAddresses()) > 0 {
 		n.loads.SetPeers(u.GetLoadAddresses(), n.config.LoadReports)
 	}
