--- a/kvstores/directory.go
+++ b/kvstores/directory.go
@@ -152,35 +152,40 @@
 	delete(d.saving, part)
 }
 
-// Locate returns where the leading shared parts of a prompt are whole, one entry a part up to the first gap.
-// A part that would come later than longest counts as a gap.
+// Locate returns where the shared parts of a prompt are whole, one entry a part up to the last one that a store holds.
+// An entry without an address is a gap: no store holds the part, or it would come later than longest. Engines mostly
+// hold the first parts, which many prompts share, so a gap there does not make the later parts useless.
 func (d *Directory) Locate(salt string, shared []placement.Part, longest time.Duration, links placement.LinkView) []placement.Stored {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.now().Sub(d.contact) > contactLimit {
 		return nil
 	}
-	var out []placement.Stored
-	for _, part := range shared {
-		at, ok := d.parts[Part{salt, part.ID}]
-		if !ok {
-			break
+	out := make([]placement.Stored, len(shared))
+	last := 0
+	for i, part := range shared {
+		stored, ok := d.locate(Part{salt, part.ID}, longest, links)
+		if ok {
+			out[i], last = stored, i+1
 		}
-		spec := d.stores[at.store].spec
-		if spec.LinkMbps <= 0 {
-			break
-		}
-		wait := links.Backlog(at.store)
-		transfer := spec.FirstByte + time.Duration(links.Slowness(at.store)*float64(d.transfer(at.tokens, &spec)))
-		if wait+transfer > longest {
-			break
-		}
-		out = append(out, placement.Stored{
-			Address: at.store, AvailabilityZone: spec.AvailabilityZone, Tokens: at.tokens, Wait: wait,
-			Transfer: transfer,
-		})
 	}
-	return out
+	return out[:last]
+}
+
+func (d *Directory) locate(part Part, longest time.Duration, links placement.LinkView) (placement.Stored, bool) {
+	at, ok := d.parts[part]
+	if !ok {
+		return placement.Stored{}, false
+	}
+	spec := d.stores[at.store].spec
+	if spec.LinkMbps <= 0 {
+		return placement.Stored{}, false
+	}
+	wait := links.Backlog(at.store)
+	transfer := spec.FirstByte + time.Duration(links.Slowness(at.store)*float64(d.transfer(at.tokens, &spec)))
+	return placement.Stored{
+		Address: at.store, AvailabilityZone: spec.AvailabilityZone, Tokens: at.tokens, Wait: wait, Transfer: transfer,
+	}, wait+transfer <= longest
 }
 
 func (d *Directory) transfer(tokens int, spec *trafficset.StoreSpec) time.Duration {
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -27,7 +27,8 @@
 	Exclude map[string]bool
 	// CacheTokens is the memory of one engine, 0 for a plain service.
 	CacheTokens int
-	// Stored tells where the leading shared parts are whole, for engines with the weights of StoredVersion.
+	// Stored tells where shared parts are whole, for engines with the weights of StoredVersion. An entry without an
+	// address is a gap; the last entry is none.
 	Stored        []Stored
 	StoredVersion uint64
 }
@@ -202,6 +203,12 @@
 		return tokens, shared, nil
 	}
 	for i := c.CachedParts; i < len(q.Stored); i++ {
+		if q.Stored[i].Address == "" {
+			// Many prompts share a part before the last: the engine is taken to hold it.
+			tokens -= parts[i].Tokens
+			shared -= parts[i].Tokens
+			continue
+		}
 		tokens -= q.Stored[i].Tokens
 		shared -= q.Stored[i].Tokens
 		transfer := q.Stored[i].Transfer
--- a/placement/pick_test.go
+++ b/placement/pick_test.go
@@ -122,6 +122,11 @@
 	require.Equal(t, map[string]time.Duration{"s2": 40 * time.Millisecond}, transfers)
 
 	c = candidates(1)[0]
+	q.Stored[0] = Stored{}
+	tokens, _, transfers = Read(q, &c)
+	require.Equal(t, 1500, tokens, "the engine holds what many prompts share")
+	require.Equal(t, map[string]time.Duration{"s2": 40 * time.Millisecond}, transfers)
+
 	c.Version = 2
 	tokens, shared, transfers = Read(q, &c)
 	require.Equal(t, 9000, tokens)
