placement: prompts are kept by engines in the zone of their store, and saved there

Cause: transfers between zones take a store's link for twice the time; the links of the large stores bind at the grown site.

--- a/kvstores/directory.go
+++ b/kvstores/directory.go
@@ -208,7 +208,7 @@
 		if _, held := d.parts[part]; held || p.Tokens < smallestPart || now.Sub(d.saving[part]) < saveMemory {
 			continue
 		}
-		if out[i] = d.home(part, p.Tokens, links); out[i] != "" {
+		if out[i] = d.home(part, p.Tokens, zone, links); out[i] != "" {
 			d.saving[part] = now
 			transfers[out[i]] += d.zoned(out[i], zone, d.transfer(p.Tokens, &d.stores[out[i]].spec))
 		}
@@ -244,7 +244,7 @@
 
 // home picks the store of a part in the same way on all nodes: of the stores with room whose delay suits the part's
 // size, by weighted rendezvous hashing.
-func (d *Directory) home(part Part, tokens int, links placement.LinkView) string {
+func (d *Directory) home(part Part, tokens int, zone string, links placement.LinkView) string {
 	best, bestScore := "", 0.0
 	for address, s := range d.stores {
 		room := float64(s.spec.CacheTokens)*fillShare - float64(s.used)
@@ -252,6 +252,9 @@
 			continue
 		}
 		score := room * d.suits(tokens, &s.spec) * unit(part.ID+"\x00"+address)
+		if s.spec.AvailabilityZone == zone {
+			score *= zonePreference
+		}
 		if score > bestScore || score == bestScore && address < best {
 			best, bestScore = address, score
 		}
@@ -262,6 +265,9 @@
 // preference of a store whose delay suits the size of a part over one whose room is better kept for other parts.
 const preference = 200
 
+// zonePreference of a store in the engine's zone, whose link a transfer takes for half the time.
+const zonePreference = 3
+
 // suits prefers stores with a short delay for small parts, whose transfer is mostly delay, and the others for large ones.
 func (d *Directory) suits(tokens int, spec *trafficset.StoreSpec) float64 {
 	shortest, longest := spec.FirstByte, spec.FirstByte
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -283,10 +283,11 @@
 		return
 	}
 	document := shared[len(shared)-1].ID
+	zone := homeZone(q, candidates)
 	var top [homes]int
 	found := 0
 	for i := range candidates {
-		if candidates[i].Ejected || candidates[i].Instance.Draining {
+		if candidates[i].Ejected || candidates[i].Instance.Draining || zone != "" && candidates[i].Instance.AvailabilityZone != zone {
 			continue
 		}
 		rank := homeRank(document, candidates[i].Instance.ID)
@@ -305,3 +306,18 @@
 		candidates[i].home = place + 1
 	}
 }
+
+// homeZone returns the zone of the store that holds the last shared part, if it has engines: transfers within a zone
+// take half the time of the store's link.
+func homeZone(q *Request, candidates []Candidate) string {
+	if len(q.Stored) == 0 {
+		return ""
+	}
+	zone := q.Stored[len(q.Stored)-1].AvailabilityZone
+	for i := range candidates {
+		if candidates[i].Instance.AvailabilityZone == zone && !candidates[i].Ejected && !candidates[i].Instance.Draining {
+			return zone
+		}
+	}
+	return ""
+}
--- a/placement/pick_test.go
+++ b/placement/pick_test.go
@@ -148,3 +148,26 @@
 	_, ok := SaltVersion("other")
 	require.False(t, ok)
 }
+
+// Guards against transfers between zones, which take the link of a store for twice the time, while engines beside it
+// could keep the prompt; and against no home at all when the store's zone has no engine.
+func TestHomesAreInTheZoneOfTheStore(t *testing.T) {
+	list := candidates(12)
+	for i := range list {
+		list[i].Instance.AvailabilityZone = fmt.Sprint("z", i%3)
+	}
+	q := document("d")
+	q.Stored = []Stored{{}, {Address: "s", AvailabilityZone: "z2", Tokens: 5000}}
+	MarkHomes(q, list)
+	marked := 0
+	for _, c := range list {
+		if c.home > 0 {
+			marked++
+			require.Equal(t, "z2", c.Instance.AvailabilityZone)
+		}
+	}
+	require.Equal(t, homes, marked)
+	q.Stored[1].AvailabilityZone = "elsewhere"
+	MarkHomes(q, list)
+	require.NotEqual(t, 0, list[0].home+list[1].home+list[2].home+list[3].home+list[4].home+list[5].home+list[6].home)
+}
