--- a/fleetview/server.go
+++ b/fleetview/server.go
@@ -126,6 +126,7 @@
 		*sent = position{document: sent.document}
 		return u
 	}
+	u.Term = s.Group.Term()
 	count, addresses := s.known()
 	u.Nodes = uint32(count)
 	u.EngineClockMs = s.EngineClock()
--- a/node/node.go
+++ b/node/node.go
@@ -78,25 +78,27 @@
 	log     *zap.Logger
 	metrics gometrics.Registry
 
-	seeds     atomic.Pointer[[]string]
-	set       atomic.Pointer[trafficset.Set]
-	weights   atomic.Pointer[map[string]namedWeights]
-	nodes     atomic.Int64
-	synced    atomic.Bool
-	stopping  atomic.Bool
-	adopting  sync.Mutex
-	group     *coregroup.Group
-	directory *upstreams.Directory
-	reader    *upstreams.Reader
-	placement *fleetview.Placements
-	stores    *kvstores.Directory
-	keeper    *kvstores.Keeper
-	holder    *rollout.Holder
-	tracker   *placement.Tracker
-	loads     *peerload.Exchange
-	budget    *retrybudget.Budget
-	gateway   *gateway.Gateway
-	server    *gateway.Server
+	seeds    atomic.Pointer[[]string]
+	set      atomic.Pointer[trafficset.Set]
+	weights  atomic.Pointer[map[string]namedWeights]
+	nodes    atomic.Int64
+	synced   atomic.Bool
+	stopping atomic.Bool
+	// adopting guards the adoption of updates and leaderTerm, the term of the newest leader that was heard.
+	adopting   sync.Mutex
+	leaderTerm uint64
+	group      *coregroup.Group
+	directory  *upstreams.Directory
+	reader     *upstreams.Reader
+	placement  *fleetview.Placements
+	stores     *kvstores.Directory
+	keeper     *kvstores.Keeper
+	holder     *rollout.Holder
+	tracker    *placement.Tracker
+	loads      *peerload.Exchange
+	budget     *retrybudget.Budget
+	gateway    *gateway.Gateway
+	server     *gateway.Server
 }
 
 const (
@@ -347,9 +349,11 @@
 		n.synced.Store(true)
 		n.log.Info("node is in step with the core", zap.Uint64("set_version", set.Version), zap.String("from", from))
 	}
-	if !u.GetLeads() {
+	// A leader that was paused may take itself for one for a moment after it wakes.
+	if !u.GetLeads() || u.GetTerm() < n.leaderTerm {
 		return
 	}
+	n.leaderTerm = u.GetTerm()
 	if nodes := int64(u.GetNodes()); nodes > 0 && nodes != n.nodes.Load() {
 		n.nodes.Store(nodes)
 		n.budget.SetNodes(int(nodes))
--- /dev/null
+++ b/node/node_test.go
@@ -0,0 +1,100 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/placement"
+	"github.com/wasabishunt/wasabishunt/retrybudget"
+	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
+	"github.com/wasabishunt/wasabishunt/trafficset"
+)
+
+// decode makes a set whose document is its version.
+func decode(document []byte) (*trafficset.Set, error) {
+	if len(document) != 1 {
+		return nil, failure.New(failure.InvalidSet, failure.NotRun, "not one byte")
+	}
+	set := &trafficset.Set{Version: uint64(document[0]), Services: []trafficset.Service{
+		{Name: "e", Engine: &trafficset.EngineSpec{TokenBytes: 1}},
+		{Name: "s", Store: &trafficset.StoreSpec{Address: "s", CacheTokens: 100, LinkMbps: 1000}},
+	}}
+	return set, set.Build()
+}
+
+func newNode() *Node {
+	return New(Config{Name: "n", Retries: retrybudget.Limits{Window: time.Second}, WeightsWithin: 10 * time.Second},
+		Parts{DecodeSet: decode}, zap.NewNop(), gometrics.NewRegistry())
+}
+
+func update(version uint64) *nodepb.WatchUpdate {
+	return &nodepb.WatchUpdate{SetVersion: version, Document: []byte{byte(version)}, Fresh: true}
+}
+
+// idle links.
+type idle struct{}
+
+func (idle) Backlog(string) time.Duration { return 0 }
+func (idle) Slowness(string) float64      { return 1 }
+
+func (n *Node) holds(id string) bool {
+	return len(n.stores.Locate("v1", []placement.Part{{ID: id, Tokens: 1}}, time.Hour, idle{})) == 1
+}
+
+// Guards against a set that goes back when a member that is behind sends what it has, and against readiness before the
+// newest set is known.
+func TestSetsNeverGoBack(t *testing.T) {
+	n := newNode()
+	require.Error(t, n.Ready())
+	old := update(3)
+	old.Fresh = false
+	n.adopt("a", old)
+	require.EqualValues(t, 3, n.Set().Version)
+	require.False(t, n.synced.Load(), "the member may be behind")
+	n.adopt("b", update(7))
+	n.adopt("a", update(5))
+	require.EqualValues(t, 7, n.Set().Version)
+	require.True(t, n.synced.Load())
+	n.adopt("b", &nodepb.WatchUpdate{SetVersion: 9, Document: []byte("bad"), Fresh: true})
+	require.EqualValues(t, 7, n.Set().Version, "a set that cannot be read changes nothing")
+}
+
+// Guards against a leader that wakes from a pause and undoes what its successor told: on kiln-slots-grown trouble-1 it
+// emptied the nodes' knowledge of four stores for the rest of the day.
+func TestUpdatesOfADeposedLeaderAreIgnored(t *testing.T) {
+	n := newNode()
+	n.adopt("a", update(1))
+	tell := func(term uint64, change *nodepb.StorePlacement) {
+		n.adopt("leader", &nodepb.WatchUpdate{
+			SetVersion: 1, Fresh: true, Leads: true, Term: term, Placements: &nodepb.Placements{Stores: []*nodepb.StorePlacement{change}},
+			Instances: &nodepb.InstanceView{Instances: []*nodepb.Instance{{Id: "i", BornMs: int64(term)}}},
+		})
+	}
+	tell(2, &nodepb.StorePlacement{Address: "s", Epoch: 1, Reset_: true, Added: []*nodepb.PlacedPart{{Salt: "v1", Id: "a", Tokens: 1}}})
+	tell(3, &nodepb.StorePlacement{Address: "s", Epoch: 1, Reset_: true, Added: []*nodepb.PlacedPart{{Salt: "v1", Id: "b", Tokens: 1}}})
+	tell(2, &nodepb.StorePlacement{Address: "s", Reset_: true})
+	require.True(t, n.holds("b"))
+	require.EqualValues(t, 3, n.directory.View().Instances[0].Born)
+}
+
+// Guards against requests on old weights past the time for them.
+func TestWeightsNeverGoBack(t *testing.T) {
+	n := newNode()
+	named := func(version uint64) *nodepb.WatchUpdate {
+		return &nodepb.WatchUpdate{Weights: []*nodepb.WeightVersion{{Model: "m", Version: version}}}
+	}
+	n.adopt("a", named(2))
+	n.adopt("b", named(1))
+	require.EqualValues(t, 2, n.Wanted("m"))
+	require.Equal(t, map[string]uint64{"m": 2}, n.AllWanted())
+	require.False(t, n.WantedOnly("m"))
+	require.False(t, n.WantedOnly("other"))
+	late := map[string]namedWeights{"m": {version: 2, since: time.Now().Add(-10 * time.Second)}}
+	n.weights.Store(&late)
+	require.True(t, n.WantedOnly("m"))
+}
