--- a/cmd/wasabishunt-node/main.go
+++ b/cmd/wasabishunt-node/main.go
@@ -9,7 +9,9 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
+	"time"
 
 	"github.com/alexflint/go-arg"
 	gometrics "github.com/rcrowley/go-metrics"
@@ -102,18 +104,28 @@
 	return node.New(settings.Node, parts, log, do.MustInvoke[gometrics.Registry](i)), nil
 }
 
-// reload takes the seeds of changed settings at each SIGHUP.
+// settingsInterval is the pause between looks at the settings file, which may change without a signal.
+const settingsInterval = 5 * time.Second
+
+// reload takes the seeds of changed settings at each SIGHUP, and when the file is found changed.
 func reload(ctx context.Context, hangup <-chan os.Signal, process *node.Node, log *zap.Logger) {
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
 	for {
+		signaled := false
 		select {
 		case <-ctx.Done():
 			return
 		case <-hangup:
-			settings, err := platform.ReadSettings()
-			if err != nil {
-				log.Error("changed settings cannot be used", zap.Error(err))
-				continue
-			}
+			signaled = true
+		case <-ticker.C:
+		}
+		settings, err := platform.ReadSettings()
+		if err != nil {
+			log.Error("changed settings cannot be used", zap.Error(err))
+			continue
+		}
+		if signaled || !slices.Equal(settings.Node.Seeds, process.Seeds()) {
 			process.SetSeeds(settings.Node.Seeds)
 			log.Info("settings read again", zap.Strings("seeds", settings.Node.Seeds))
 		}
--- a/fleetview/server.go
+++ b/fleetview/server.go
@@ -112,8 +112,9 @@
 }
 
 func (s *Server) update(state *nodepb.State, sent *position) *nodepb.WatchUpdate {
+	// The term is read first: with a term that is too low, an update of a deposed leader counts for nothing.
 	u := &nodepb.WatchUpdate{
-		LeaderAddress: s.Group.Leader(), Fresh: s.Group.Fresh(), SetVersion: state.GetSetVersion(), Weights: state.GetWeights(),
+		Term: s.Group.Term(), LeaderAddress: s.Group.Leader(), Fresh: s.Group.Fresh(), SetVersion: state.GetSetVersion(), Weights: state.GetWeights(),
 		Members: lo.Map(s.Group.Members(), func(m *raftpb.Member, _ int) *nodepb.CoreMember {
 			return &nodepb.CoreMember{Id: m.GetId(), Address: m.GetAddress(), Learner: m.GetLearner()}
 		}),
@@ -126,7 +127,6 @@
 		*sent = position{document: sent.document}
 		return u
 	}
-	u.Term = s.Group.Term()
 	count, addresses := s.known()
 	u.Nodes = uint32(count)
 	u.EngineClockMs = s.EngineClock()
