--- a/coregroup/contacts.go
+++ b/coregroup/contacts.go
@@ -8,6 +8,7 @@
 
 	"github.com/samber/lo"
 
+	"github.com/wasabishunt/wasabishunt/clock"
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
 )
 
@@ -85,7 +86,7 @@
 		if len(g.Contacts()) == 0 {
 			pause = joinInterval
 		}
-		sleep(ctx, pause)
+		clock.Sleep(ctx, pause)
 	}
 }
 
--- a/coregroup/group.go
+++ b/coregroup/group.go
@@ -12,6 +12,7 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 
+	"github.com/wasabishunt/wasabishunt/clock"
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/raft"
 	"github.com/wasabishunt/wasabishunt/raft/diskfs"
@@ -104,7 +105,7 @@
 		if err := g.runMember(ctx); err != nil {
 			g.options.Log.Error("core member stopped", zap.Error(err))
 		}
-		sleep(ctx, reopenPause)
+		clock.Sleep(ctx, reopenPause)
 	}
 }
 
@@ -178,15 +179,6 @@
 	return g.member, g.machine
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // Register adds the services of the group to a drpc mux. Calls that arrive while no member runs are refused.
 func (g *Group) Register(mux *drpcmux.Mux) error {
 	return mux.Register(delegate{g}, raftpb.DRPCRaftDescription{})
--- a/coregroup/join.go
+++ b/coregroup/join.go
@@ -8,6 +8,7 @@
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 
+	"github.com/wasabishunt/wasabishunt/clock"
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/raft"
 	"github.com/wasabishunt/wasabishunt/replica"
@@ -39,7 +40,7 @@
 				return false, nil
 			}
 		}
-		sleep(ctx, joinInterval)
+		clock.Sleep(ctx, joinInterval)
 	}
 	return false, failure.New(failure.Draining, failure.NotRun, "stopped before the member joined the group")
 }
@@ -105,7 +106,7 @@
 				pause = joinInterval
 			}
 		}
-		sleep(ctx, pause)
+		clock.Sleep(ctx, pause)
 	}
 }
 
@@ -138,7 +139,7 @@
 func (g *Group) manageRoster(ctx context.Context, member *replica.Replica, state *machine) {
 	started := time.Now()
 	for ctx.Err() == nil {
-		sleep(ctx, rosterInterval)
+		clock.Sleep(ctx, rosterInterval)
 		status := member.Status()
 		if status.Role != raft.Leader {
 			continue
--- a/fleetview/watcher.go
+++ b/fleetview/watcher.go
@@ -9,6 +9,7 @@
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 
+	"github.com/wasabishunt/wasabishunt/clock"
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
 	"github.com/wasabishunt/wasabishunt/rpcpool"
 )
@@ -110,16 +111,7 @@
 			connected = false
 			w.Log.Warn("lost a core member", zap.String("address", address), zap.Error(err))
 		}
-		pause(ctx, connectPause)
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		clock.Sleep(ctx, connectPause)
 	}
 }
 
--- a/kvstores/keeper.go
+++ b/kvstores/keeper.go
@@ -8,6 +8,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"github.com/wasabishunt/wasabishunt/clock"
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
 	"github.com/wasabishunt/wasabishunt/trafficset"
 )
@@ -102,7 +103,7 @@
 		if k.Leads() && k.Set() != nil {
 			k.lead(ctx)
 		}
-		sleep(ctx, manageEvery)
+		clock.Sleep(ctx, manageEvery)
 	}
 }
 
@@ -123,7 +124,7 @@
 				k.start(ctx, &readers, store.Address)
 			}
 		}
-		sleep(ctx, manageEvery)
+		clock.Sleep(ctx, manageEvery)
 	}
 }
 
@@ -148,7 +149,7 @@
 			listing, err := k.list(ctx, s)
 			if err != nil {
 				k.down(s, &failing, err)
-				sleep(ctx, failurePause)
+				clock.Sleep(ctx, failurePause)
 				continue
 			}
 			if failing || listing.Epoch != s.epoch {
@@ -170,7 +171,7 @@
 		if err != nil || events.Epoch != s.epoch {
 			k.down(s, &failing, err)
 			listed = time.Time{}
-			sleep(ctx, failurePause)
+			clock.Sleep(ctx, failurePause)
 			continue
 		}
 		if events.Lost {
@@ -183,15 +184,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func (k *Keeper) list(ctx context.Context, s *kept) (Listing, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
--- a/node/node.go
+++ b/node/node.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -13,7 +12,6 @@
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
-	"github.com/samber/lo"
 	"go.uber.org/zap"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -152,32 +150,6 @@
 // Seeds returns the current seeds.
 func (n *Node) Seeds() []string { return *n.seeds.Load() }
 
-// Set implements gateway.Sets.
-func (n *Node) Set() *trafficset.Set { return n.set.Load() }
-
-// Wanted implements gateway.Sets.
-func (n *Node) Wanted(model string) uint64 { return (*n.weights.Load())[model].version }
-
-// weightsMargin is kept between the last request on older weights and the limit for it.
-const weightsMargin = time.Second
-
-// WantedOnly implements gateway.Sets.
-func (n *Node) WantedOnly(model string) bool {
-	named, ok := (*n.weights.Load())[model]
-	return ok && n.config.WeightsWithin > 0 && time.Since(named.since) > n.config.WeightsWithin-weightsMargin
-}
-
-// AllWanted returns the named version of each model.
-func (n *Node) AllWanted() map[string]uint64 {
-	return lo.MapValues(*n.weights.Load(), func(named namedWeights, _ string) uint64 { return named.version })
-}
-
-// namedWeights is a version and when this node learned of it.
-type namedWeights struct {
-	version uint64
-	since   time.Time
-}
-
 // Run serves until the context ends, and then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	debug.SetMemoryLimit(int64(memoryShare * float64(n.config.MemoryBytes)))
@@ -333,94 +305,3 @@
 	}
 	return nil
 }
-
-// adopt takes an update of a core member. Versions never go back.
-func (n *Node) adopt(from string, u *nodepb.WatchUpdate) {
-	n.adopting.Lock()
-	defer n.adopting.Unlock()
-	if len(u.GetDocument()) > 0 {
-		n.adoptSet(from, u)
-	}
-	n.adoptWeights(u.GetWeights())
-	if leader := u.GetLeaderAddress(); leader != "" && u.GetFresh() {
-		n.group.HintLeader(leader)
-	}
-	if set := n.set.Load(); set != nil && u.GetFresh() && u.GetSetVersion() >= 1 && set.Version >= u.GetSetVersion() && !n.synced.Load() {
-		n.synced.Store(true)
-		n.log.Info("node is in step with the core", zap.Uint64("set_version", set.Version), zap.String("from", from))
-	}
-	// A leader that was paused may take itself for one for a moment after it wakes.
-	if !u.GetLeads() || u.GetTerm() < n.leaderTerm {
-		return
-	}
-	n.leaderTerm = u.GetTerm()
-	if nodes := int64(u.GetNodes()); nodes > 0 && nodes != n.nodes.Load() {
-		n.nodes.Store(nodes)
-		n.budget.SetNodes(int(nodes))
-	}
-	now := time.Now()
-	n.directory.Confirm(now)
-	n.stores.Contact()
-	n.stores.SetClock(u.GetEngineClockMs())
-	if len(u.GetLoadAddresses()) > 0 {
-		n.loads.SetPeers(u.GetLoadAddresses(), n.config.LoadReports)
-	}
-	if u.GetPlacements() != nil {
-		n.stores.Adopt(u.GetPlacements().GetStores())
-	}
-	n.group.Heard(lo.Map(u.GetMembers(), func(m *nodepb.CoreMember, _ int) string { return m.GetAddress() }))
-	// The reader's own view is newer than what its member sends back to it.
-	if u.GetInstances() != nil && !n.reader.Reads() {
-		n.directory.Adopt(fleetview.DecodeView(u.GetInstances()), now)
-	}
-}
-
-func (n *Node) adoptSet(from string, u *nodepb.WatchUpdate) {
-	old := n.set.Load()
-	if old != nil && old.Version >= u.GetSetVersion() {
-		return
-	}
-	set, err := n.parts.DecodeSet(u.GetDocument())
-	if err != nil {
-		n.log.Error("a published set cannot be read", zap.Uint64("set_version", u.GetSetVersion()), zap.Error(err))
-		return
-	}
-	n.set.Store(set)
-	n.stores.Configure(set)
-	n.server.SetLimits(set.Limits)
-	n.log.Info("set in force", zap.Uint64("set_version", set.Version), zap.Int("routes", len(set.Routes)), zap.String("from", from), zap.Bool("fresh", u.GetFresh()))
-}
-
-func (n *Node) adoptWeights(named []*nodepb.WeightVersion) {
-	current := *n.weights.Load()
-	next := maps.Clone(current)
-	changed := false
-	for _, w := range named {
-		if w.GetVersion() > next[w.GetModel()].version {
-			next[w.GetModel()] = namedWeights{version: w.GetVersion(), since: time.Now()}
-			changed = true
-			n.log.Info("weights named", zap.String("model", w.GetModel()), zap.Uint64("weight_version", w.GetVersion()))
-		}
-	}
-	if changed {
-		n.weights.Store(&next)
-	}
-}
-
-// usable reports whether requests may still use parts of KV cache with a salt: those of the oldest weights that an
-// engine has, and of newer ones.
-func (n *Node) usable(salt string) bool {
-	version, ok := placement.SaltVersion(salt)
-	if !ok {
-		return true
-	}
-	view := n.directory.View()
-	for i := range view.Instances {
-		for _, has := range view.Instances[i].Versions {
-			if has <= version {
-				return true
-			}
-		}
-	}
-	return false
-}
