--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -195,9 +195,6 @@
 	if !s.begun {
 		s.begun = true
 		s.ticket.Prefilled()
-		if g := c.attributes.Generation; g != nil && c.service.Engine != nil && s.out.Salt != "" {
-			s.ticket.Cached(s.out.Salt, g.Parts, c.service.Engine.CacheTokens)
-		}
 	}
 	if err := c.write(events); err != nil {
 		return err
--- a/placement/cache.go
+++ b/placement/cache.go
@@ -1,6 +1,10 @@
 package placement
 
-import "container/list"
+import (
+	"container/list"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Part is one part of a prompt; parts are shared between requests.
 type Part struct {
@@ -8,51 +12,61 @@
 	Tokens int
 }
 
-type partKey struct{ salt, id string }
-
-// partCache is a node's belief of what an engine holds, from the requests that it sent there.
-type partCache struct {
-	order  *list.List
-	parts  map[partKey]*list.Element
+// keyedPart is a part under the salt of a request. Nodes tell each other parts by these keys.
+type keyedPart struct {
+	key    uint64
 	tokens int
 }
 
-type cachedPart struct {
-	key    partKey
+func keyParts(salt string, parts []Part) []keyedPart {
+	out := make([]keyedPart, len(parts))
+	for i, part := range parts {
+		out[i] = keyedPart{xxhash.Sum64String(salt + "\x00" + part.ID), part.Tokens}
+	}
+	return out
+}
+
+// partCache is a node's belief of what an engine holds, from the requests that all nodes sent there. It drops the oldest
+// parts first, as engines do.
+type partCache struct {
+	order  *list.List
+	parts  map[uint64]*list.Element
 	tokens int
 }
 
 func newPartCache() *partCache {
-	return &partCache{order: list.New(), parts: map[partKey]*list.Element{}}
+	return &partCache{order: list.New(), parts: map[uint64]*list.Element{}}
 }
 
 // add notes parts as the most recent ones and forgets the oldest beyond the capacity.
-func (c *partCache) add(salt string, parts []Part, capacity int) {
+func (c *partCache) add(parts []keyedPart, capacity int) {
 	for _, part := range parts {
-		key := partKey{salt, part.ID}
-		if old, ok := c.parts[key]; ok {
+		if old, ok := c.parts[part.key]; ok {
 			c.order.MoveToFront(old)
 			continue
 		}
-		c.parts[key] = c.order.PushFront(cachedPart{key, part.Tokens})
-		c.tokens += part.Tokens
+		c.parts[part.key] = c.order.PushFront(part)
+		c.tokens += part.tokens
 	}
 	for c.tokens > capacity && c.order.Len() > 0 {
-		oldest := c.order.Back()
-		part := c.order.Remove(oldest).(cachedPart)
-		delete(c.parts, part.key)
-		c.tokens -= part.tokens
+		c.drop(c.order.Back())
 	}
 }
 
+func (c *partCache) drop(element *list.Element) {
+	part := c.order.Remove(element).(keyedPart)
+	delete(c.parts, part.key)
+	c.tokens -= part.tokens
+}
+
 // prefix returns the number and the tokens of the leading parts that are held.
-func (c *partCache) prefix(salt string, parts []Part) (held, tokens int) {
+func (c *partCache) prefix(parts []keyedPart) (held, tokens int) {
 	for _, part := range parts {
-		if _, ok := c.parts[partKey{salt, part.ID}]; !ok {
+		if _, ok := c.parts[part.key]; !ok {
 			break
 		}
 		held++
-		tokens += part.Tokens
+		tokens += part.tokens
 	}
 	return held, tokens
 }
--- a/placement/peers.go
+++ b/placement/peers.go
@@ -86,9 +86,10 @@
 	t.peers.add(q, 1)
 	t.links.report(report.GetNode(), totals, now)
 	t.links.reportLate(report.GetNode(), lateTotals(report), now)
+	t.adoptReads(report.GetReads())
 }
 
-// Report describes what this node has in progress.
+// Report describes what this node has in progress, and which prompts it sent since the last report.
 func (t *Tracker) Report() *nodepb.LoadReport {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -111,6 +112,7 @@
 		report.LateSums = append(report.LateSums, int64(lateScale*total.sum))
 		report.LateCounts = append(report.LateCounts, total.count)
 	}
+	t.encodeReads(report)
 	return report
 }
 
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -66,7 +66,10 @@
 type Tracker struct {
 	mu        sync.Mutex
 	instances map[upstreams.Key]*state
-	revision  uint64
+	// byHash finds the states by the keys of reports.
+	byHash   map[uint32]*state
+	reads    []promptRead
+	revision uint64
 	links     *links
 	peers     *peers
 	rate      readRate
@@ -75,7 +78,7 @@
 // NewTracker returns an empty Tracker.
 func NewTracker() *Tracker {
 	return &Tracker{
-		instances: map[upstreams.Key]*state{}, links: newLinks(), peers: newPeers(),
+		instances: map[upstreams.Key]*state{}, byHash: map[uint32]*state{}, links: newLinks(), peers: newPeers(),
 		rate: readRate{tokensPerMs: firstReadRate},
 	}
 }
@@ -102,6 +105,9 @@
 	for key, s := range t.instances {
 		if !present[key] && s.requests == 0 {
 			delete(t.instances, key)
+			if t.byHash[hashKey(key.ID)] == s {
+				delete(t.byHash, hashKey(key.ID))
+			}
 		}
 	}
 }
@@ -111,6 +117,7 @@
 	if s == nil {
 		s = &state{versions: map[string]uint64{}, cache: newPartCache()}
 		t.instances[key] = s
+		t.byHash[hashKey(key.ID)] = s
 	}
 	return s
 }
@@ -133,6 +140,10 @@
 	FirstEvent time.Duration
 	// Transfers are the times of transfers by the address of the store.
 	Transfers map[string]time.Duration
+	// Salt and Parts name what an engine holds once it has read the prompt; CacheTokens is its memory.
+	Salt        string
+	Parts       []Part
+	CacheTokens int
 }
 
 // Ticket is one send in progress.
@@ -158,6 +169,9 @@
 	for address, transfer := range work.Transfers {
 		t.links.start(address, transfer, time.Now())
 	}
+	if len(work.Parts) > 0 {
+		t.noteRead(s, hashKey(instance.ID), keyParts(work.Salt, work.Parts), work.CacheTokens)
+	}
 	ahead := s.prefillTokens + t.peers.instances[hashKey(instance.ID)].prefillTokens
 	return &Ticket{tracker: t, key: instance.Key(), work: work, began: time.Now(), ahead: ahead}
 }
@@ -192,13 +206,6 @@
 	}
 }
 
-// Cached notes parts that the engine holds now.
-func (k *Ticket) Cached(salt string, parts []Part, capacity int) {
-	k.tracker.mu.Lock()
-	defer k.tracker.mu.Unlock()
-	k.tracker.state(k.key).cache.add(salt, parts, capacity)
-}
-
 // End notes how the send ended.
 func (k *Ticket) End(outcome Outcome, now time.Time) {
 	k.tracker.mu.Lock()
@@ -247,6 +254,8 @@
 	defer t.mu.Unlock()
 	t.expire(now)
 	out := make([]Candidate, 0, len(list))
+	var keyed []keyedPart
+	var keyedVersion uint64
 	for _, instance := range list {
 		s := t.state(instance.Key())
 		others := t.peers.instances[hashKey(instance.ID)]
@@ -260,7 +269,10 @@
 			c.Load = s.load
 		}
 		if len(q.Parts) > 0 {
-			c.CachedParts, c.CachedTokens = s.cache.prefix(q.Salt(c.Version), q.Parts)
+			if keyed == nil || keyedVersion != c.Version {
+				keyed, keyedVersion = keyParts(q.Salt(c.Version), q.Parts), c.Version
+			}
+			c.CachedParts, c.CachedTokens = s.cache.prefix(keyed)
 		}
 		out = append(out, c)
 	}
--- a/placement/tracker_test.go
+++ b/placement/tracker_test.go
@@ -70,25 +70,40 @@
 	tracker, i, now := NewTracker(), instance("i"), time.Now()
 	parts := []Part{{"a", 10}, {"own", 5}}
 	q := &Request{Model: "m", Parts: parts}
-	ticket := tracker.Begin(i, Work{})
-	ticket.Told(nil, "m", 1, now)
-	ticket.Cached(q.Salt(1), parts, 100)
+	tracker.Begin(i, Work{}).Told(nil, "m", 1, now)
+	ticket := tracker.Begin(i, Work{Salt: q.Salt(1), Parts: parts, CacheTokens: 100})
 	require.Equal(t, 15, tracker.Candidates([]*upstreams.Instance{i}, now, q)[0].CachedTokens)
 	ticket.Told(nil, "m", 2, now)
 	require.Zero(t, tracker.Candidates([]*upstreams.Instance{i}, now, q)[0].CachedTokens)
 }
 
+// Guards against nodes that know only of the prompts that they sent themselves: with 28 nodes each knew of a 28th of what
+// engines hold, and took most of it to be fetched over the stores' links.
+func TestNodesTellEachOtherWhatEnginesHold(t *testing.T) {
+	sender, receiver, i, now := NewTracker(), NewTracker(), instance("i"), time.Now()
+	q := &Request{Model: "m", Parts: []Part{{"a", 10}, {"b", 20}, {"own", 5}}}
+	sender.Begin(i, Work{Salt: q.Salt(0), Parts: q.Parts, CacheTokens: 100})
+	require.Zero(t, only(receiver, i, now).CachedTokens)
+	told := sender.Report()
+	told.Node, told.Sequence = "sender", 1
+	receiver.Peer(told, now)
+	c := receiver.Candidates([]*upstreams.Instance{i}, now, &Request{Model: "m", Parts: []Part{{"a", 10}, {"b", 20}, {"other", 7}}})[0]
+	require.Equal(t, []int{2, 30}, []int{c.CachedParts, c.CachedTokens})
+	require.Empty(t, sender.Report().GetReads(), "told once")
+	receiver.Peer(&nodepb.LoadReport{Node: "x", Sequence: 1, Reads: []*nodepb.PromptRead{{Instance: hashKey("i"), Parts: []uint64{1}}, {Instance: 7}}}, now)
+}
+
 // Guards against a belief in more cache than an engine has, and in parts behind one that it dropped.
 func TestBelievedCacheDropsTheOldestParts(t *testing.T) {
 	c := newPartCache()
-	c.add("s", []Part{{"a", 60}}, 100)
-	c.add("s", []Part{{"b", 60}}, 100)
-	held, tokens := c.prefix("s", []Part{{"a", 60}, {"b", 60}})
+	c.add(keyParts("s", []Part{{"a", 60}}), 100)
+	c.add(keyParts("s", []Part{{"b", 60}}), 100)
+	held, tokens := c.prefix(keyParts("s", []Part{{"a", 60}, {"b", 60}}))
 	require.Zero(t, held)
 	require.Zero(t, tokens)
-	held, tokens = c.prefix("s", []Part{{"b", 60}, {"c", 1}})
+	held, tokens = c.prefix(keyParts("s", []Part{{"b", 60}, {"c", 1}}))
 	require.Equal(t, []int{1, 60}, []int{held, tokens})
-	held, _ = c.prefix("other", []Part{{"b", 60}})
+	held, _ = c.prefix(keyParts("other", []Part{{"b", 60}}))
 	require.Zero(t, held)
 }
 
