--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -70,9 +70,9 @@
 	byHash   map[uint32]*state
 	reads    []promptRead
 	revision uint64
-	links     *links
-	peers     *peers
-	rate      readRate
+	links    *links
+	peers    *peers
+	rate     readRate
 }
 
 // NewTracker returns an empty Tracker.
