--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -138,14 +138,14 @@
 	}
 	chosen := &choice{instance: best.Instance, query: q, version: best.Version}
 	if q.CacheTokens > 0 {
-		tokens, _, transfers := placement.Read(q, best)
+		tokens, shared, transfers := placement.Read(q, best)
 		chosen.work = placement.Work{
 			PrefillTokens: tokens, HeldTokens: g.PromptTokens + g.OutputTokens, Transfers: transfers,
 			Salt: q.Salt(best.Version), Parts: g.Parts, CacheTokens: q.CacheTokens,
 		}
 		chosen.firstEvent = placement.FirstEvent(q, best)
 		chosen.work.FirstEvent = chosen.firstEvent
-		c.cached = best.CachedTokens
+		c.cached, c.reread, c.expected = best.CachedTokens, shared, chosen.firstEvent
 	}
 	return chosen
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -203,6 +203,9 @@
 	instance  string
 	cached    int
 	fetched   int
+	// reread are the tokens of shared parts that the engine was expected to read, expected the time to the first event.
+	reread    int
+	expected  time.Duration
 	firstByte time.Duration
 	// unsure is set once a send ended without word of whether it ran, or ran and failed.
 	unsure bool
@@ -355,6 +358,7 @@
 		zap.String("request", c.attributes.ID), zap.Int("status", c.status), zap.String("instance", c.instance), zap.Int("sends", c.sends),
 		zap.Int("events", c.relayed), zap.Duration("first_byte", c.firstByte), zap.Duration("elapsed", elapsed),
 		zap.Int("cached_tokens", c.cached), zap.Int("fetched_tokens", c.fetched),
+		zap.Int("reread_tokens", c.reread), zap.Duration("expected", c.expected),
 	}
 	if c.set != nil {
 		fields = append(fields, zap.Uint64("set_version", c.set.Version))
