--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -123,7 +123,7 @@
 	o := c.gateway.options
 	view := o.Directory.View()
 	o.Tracker.Sync(view)
-	q := &placement.Request{Zone: o.AvailabilityZone, Exclude: c.exclude}
+	q := &placement.Request{Zone: o.AvailabilityZone, Seed: c.attributes.ID, Exclude: c.exclude}
 	g := c.attributes.Generation
 	if g != nil && c.service.Engine != nil {
 		c.describe(q)
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -23,6 +24,8 @@
 	// Parts of the prompt in order; the last one is the request's own.
 	Parts  []Part
 	Tokens int
+	// Seed differs between requests: it draws the engines among which this one chooses.
+	Seed string
 	// Exclude lists instances that had the request before.
 	Exclude map[string]bool
 	// CacheTokens is the memory of one engine, 0 for a plain service.
@@ -116,7 +119,7 @@
 	allowed := keep(q, candidates, required)
 	for used := len(preferred); used >= 0; used-- {
 		if left := keep(q, allowed, preferred[:used]); len(left) > 0 {
-			return cheapest(q, left)
+			return cheapest(q, draw(q, left))
 		}
 	}
 	return nil
@@ -136,6 +139,30 @@
 	return kept
 }
 
+// choices is the mean number of engines among which one request chooses, besides those that hold its prompt.
+const choices = 8
+
+// draw leaves some engines at random, and those that hold or keep the prompt. Nodes learn of each other's requests up to
+// 0.15 s later; if all chose among all engines, they would send all requests of that time to the one that looks idle.
+func draw(q *Request, candidates []Candidate) []Candidate {
+	if q.CacheTokens == 0 || len(candidates) <= choices {
+		return candidates
+	}
+	share := float64(choices) / float64(len(candidates))
+	kept := make([]Candidate, 0, 2*choices)
+	for i := range candidates {
+		c := &candidates[i]
+		holds := c.home > 0 || len(q.Parts) > 1 && c.CachedParts >= len(q.shared())
+		if holds || float64(homeRank(q.Seed, c.Instance.ID)) < share*math.MaxUint64 {
+			kept = append(kept, *c)
+		}
+	}
+	if len(kept) == 0 {
+		return candidates
+	}
+	return kept
+}
+
 func cheapest(q *Request, candidates []Candidate) *Candidate {
 	cost := serviceCost
 	if q.CacheTokens > 0 {
--- a/placement/pick_test.go
+++ b/placement/pick_test.go
@@ -171,3 +171,35 @@
 	MarkHomes(q, list)
 	require.NotEqual(t, 0, list[0].home+list[1].home+list[2].home+list[3].home+list[4].home+list[5].home+list[6].home)
 }
+
+// Guards against a burst of prompts within the time in which nodes do not hear of each other's requests: with one view
+// of 47 engines, 28 nodes sent all of them to the engine that looked idle, and it answered seconds later.
+func TestBurstWithinOneReportIsSpread(t *testing.T) {
+	const engines, nodes, each = 47, 28, 12
+	view := candidates(engines)
+	for i := range view {
+		view[i].PrefillTokens = 100 * i
+	}
+	sent := map[string]int{}
+	for request := range nodes * each {
+		q := document(fmt.Sprint("d", request))
+		q.Seed = fmt.Sprint("request", request)
+		sent[Pick(q, view).Instance.ID]++
+	}
+	expected := float64(nodes*each) * choices / engines
+	for id, n := range sent {
+		require.Less(t, float64(n), 1.5*expected, "engine %s is first for the share of requests that draw it", id)
+	}
+	require.Greater(t, len(sent), engines/4)
+}
+
+// Guards against a draw that passes over the engine that holds the prompt.
+func TestDrawKeepsEnginesThatHoldThePrompt(t *testing.T) {
+	for request := range 100 {
+		view := candidates(47)
+		view[13].CachedParts, view[13].CachedTokens = 2, 7500
+		q := document("d")
+		q.Seed = fmt.Sprint("request", request)
+		require.Equal(t, "i13", Pick(q, view).Instance.ID)
+	}
+}
