--- a/placement/pick.go
+++ b/placement/pick.go
@@ -195,7 +195,7 @@
 
 const (
 	// overfullMs is the wait of a request that exceeds the memory of an engine by all of it.
-	overfullMs = 1500
+	overfullMs = 2500
 	// zoneMs is the cost of a send to another zone.
 	zoneMs = 2
 	// requestMs is the cost of one more running request, whose steps slow down all others.
