--- a/cmd/wasabishunt-node/main.go
+++ b/cmd/wasabishunt-node/main.go
@@ -29,6 +29,7 @@
 type arguments struct {
 	LogLevel zapcore.Level `arg:"--log-level,env:WASABISHUNT_NODE_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
 	Metrics  string        `arg:"--metrics,env:WASABISHUNT_NODE_METRICS" default:":9464" help:"address of /metrics, empty for none"`
+	Internal string        `arg:"--internal-listen,env:WASABISHUNT_NODE_INTERNAL_LISTEN" help:"address to listen on for other nodes where it differs from the one that they call, as behind a relay"`
 }
 
 // Exit codes.
@@ -58,6 +59,7 @@
 	signal.Notify(hangup, syscall.SIGHUP)
 	sink := logging.NewSink(os.Stdout, logging.DefaultQueue)
 	defer sink.Close()
+	settings.Node.InternalListen = args.Internal
 	injector := wire(args, settings, sink)
 	log := do.MustInvoke[*zap.Logger](injector)
 	process, err := do.Invoke[*node.Node](injector)
--- a/internal/launch/process.go
+++ b/internal/launch/process.go
@@ -143,6 +143,9 @@
 // Terminate sends SIGTERM and does not wait.
 func (p *Process) Terminate() error { return p.signal("terminate", syscall.SIGTERM) }
 
+// Hangup sends SIGHUP.
+func (p *Process) Hangup() error { return p.signal("hang up", syscall.SIGHUP) }
+
 // Stop sends SIGTERM and waits for the exit.
 func (p *Process) Stop(timeout time.Duration) error {
 	if err := p.Terminate(); err != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -2,6 +2,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -42,6 +43,8 @@
 	FirstStart bool
 	// Front, Ready and Internal are the addresses for callers, for the balancer's check and for other nodes.
 	Front, Ready, Internal string
+	// InternalListen is the address to listen on for other nodes where it differs from the one that they call.
+	InternalListen string
 	// LoadReports is the UDP address for load reports of other nodes.
 	LoadReports string
 	// Seeds are internal addresses of some core members.
@@ -239,7 +242,7 @@
 	for _, port := range []struct {
 		at      *net.Listener
 		address string
-	}{{&l.front, n.config.Front}, {&l.ready, n.config.Ready}, {&l.internal, n.config.Internal}} {
+	}{{&l.front, n.config.Front}, {&l.ready, n.config.Ready}, {&l.internal, cmp.Or(n.config.InternalListen, n.config.Internal)}} {
 		listener, err := net.Listen("tcp", port.address)
 		if err != nil {
 			return nil, failure.Wrap(err, failure.Internal, failure.NotRun, "listen on %s", port.address)
