--- a/coregroup/group.go
+++ b/coregroup/group.go
@@ -54,7 +54,12 @@
 	formingLimit = 6 * time.Second
 	// electionTimeout leaves room for a disk stall of some hundred ms.
 	electionTimeout = 600 * time.Millisecond
-	raftTick        = 40 * time.Millisecond
+	// firstElection is some ticks: after a loss of all power nobody is served until there is a leader.
+	firstElection = 160 * time.Millisecond
+	// dialTimeout is far above a round trip. A VM that is just starting drops the first packet of a connection, and the
+	// next one comes a second later.
+	dialTimeout = 200 * time.Millisecond
+	raftTick    = 40 * time.Millisecond
 	// snapshotEvery keeps the log of a small disk short.
 	snapshotEvery  = 200
 	segmentBytes   = 4 << 20
@@ -155,7 +160,7 @@
 func (g *Group) replicaOptions(own identity, state *machine) replica.Options {
 	o := replica.Options{
 		ID: own.ID, Group: groupName, Address: g.options.Address, Dir: g.options.Dir + "/raft", StateMachine: state,
-		Logger: g.options.Log, Metrics: g.options.Metrics, Tick: raftTick, Election: electionTimeout,
+		Logger: g.options.Log, Metrics: g.options.Metrics, Tick: raftTick, Election: electionTimeout, FirstElection: firstElection, DialTimeout: dialTimeout,
 		SnapshotEvery: snapshotEvery, Trailing: trailing, SegmentBytes: segmentBytes, MaxCommandBytes: maxCommand,
 		QueueLength: raftQueue, StopLimit: stopLimit,
 	}
--- a/fleetview/watcher.go
+++ b/fleetview/watcher.go
@@ -19,9 +19,11 @@
 	maxStreams = 8
 	// signInterval is the pause between the watcher's signs of life.
 	signInterval   = 700 * time.Millisecond
-	connectPause   = 200 * time.Millisecond
+	connectPause   = 100 * time.Millisecond
 	manageInterval = 300 * time.Millisecond
-	dialTimeout    = time.Second
+	// dialTimeout is far above a round trip. A VM that is just starting drops the first packet of a connection, and the
+	// next one comes a second later.
+	dialTimeout = 200 * time.Millisecond
 )
 
 // Watcher keeps streams to all core members, so that the loss of any of them delays nothing. Its lock is a leaf.
--- a/raft/cluster_test.go
+++ b/raft/cluster_test.go
@@ -28,6 +28,8 @@
 
 // member is one simulated member: the core, a disk and a state machine that is a chain of hashes.
 type member struct {
+	// early members always campaign soon after their start.
+	early   bool
 	id      uint64
 	node    *Node
 	disk    *simdisk.Disk
@@ -113,7 +115,11 @@
 			state.Entries = nil
 		}
 	}
-	m.node, err = New(Config{ID: id, Group: "g", Seed: c.random.Uint64(), MaxAppendBytes: 120}, state)
+	first := time.Duration(0)
+	if m.early || c.random.IntN(2) == 0 {
+		first = 3 * tick
+	}
+	m.node, err = New(Config{ID: id, Group: "g", Seed: c.random.Uint64(), MaxAppendBytes: 120, FirstElection: first}, state)
 	require.NoError(c.t, err)
 	m.node.Tick(c.now)
 	return m
--- a/raft/election.go
+++ b/raft/election.go
@@ -50,7 +50,11 @@
 	if n.now == 0 {
 		return
 	}
-	n.electionAt = n.now + n.config.Election + time.Duration(n.random.Int64N(int64(n.config.Election)))
+	shortest := n.config.Election
+	if !n.knewLeader {
+		shortest = n.config.FirstElection
+	}
+	n.electionAt = n.now + shortest + time.Duration(n.random.Int64N(int64(shortest)))
 }
 
 // hearsLeader reports whether a leader was heard within the shortest election timeout. Such a member refuses votes,
--- a/raft/guards_test.go
+++ b/raft/guards_test.go
@@ -375,3 +375,30 @@
 	require.Equal(t, leader.node.log.last(), behind.node.log.commit)
 	require.Zero(t, leader.node.peers[behind.id].installing)
 }
+
+// Guards against a wait for a leader that cannot be there: after a loss of all power nobody is served before an election.
+// And against a member that is elected in the place of a leader that all others hear, because it has just started.
+func TestFirstElectionIsEarlyAndDisturbsNobody(t *testing.T) {
+	for seed := range uint64(20) {
+		c := newCluster(t, 3, seed)
+		leader := c.elect()
+		for id, m := range c.members {
+			c.stop(m)
+			m.early = true
+			c.start(id, nil)
+		}
+		began := c.now
+		leader = c.elect()
+		require.Less(t, c.now-began, time.Second, "an election of members that have just started, seed %d", seed)
+		other := c.members[leader.id%3+1]
+		c.stop(other)
+		c.start(other.id, nil)
+		term := leader.node.term
+		c.isolate(leader.id)
+		c.run(1, false)
+		c.heal()
+		c.run(40, false)
+		require.Equal(t, leader.id, c.leader().id)
+		require.Equal(t, term, c.leader().node.term, "seed %d", seed)
+	}
+}
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -41,6 +41,9 @@
 	Heartbeat time.Duration
 	// Election is the shortest time without a leader before a campaign, and the longest addition at random; default 1 s.
 	Election time.Duration
+	// FirstElection stands in for Election until the member has known a leader since its start; default Election. Members
+	// that hear a leader refuse the ballot that goes before a campaign, so a short time disturbs nobody.
+	FirstElection time.Duration
 	// CheckQuorum is how long a leader stays leader, and a member fresh, without an answer; default 1 s.
 	CheckQuorum time.Duration
 	// SnapshotTimeout is how long a leader waits for a follower to install a snapshot before it tries again; default 30 s.
@@ -60,6 +63,7 @@
 func (c *Config) setDefaults() {
 	defaults.Set(&c.Heartbeat, 100*time.Millisecond)
 	defaults.Set(&c.Election, time.Second)
+	defaults.Set(&c.FirstElection, c.Election)
 	defaults.Set(&c.CheckQuorum, time.Second)
 	defaults.Set(&c.SnapshotTimeout, 30*time.Second)
 	defaults.Set(&c.MaxAppendBytes, 1<<20)
@@ -129,6 +133,8 @@
 	configs    []memberConfig
 
 	electionAt  time.Duration
+	// knewLeader is set once a leader was known since the start.
+	knewLeader bool
 	heartbeatAt time.Duration
 	leaderHeard time.Duration
 	ballots     map[uint64]bool
--- a/raft/step.go
+++ b/raft/step.go
@@ -114,6 +114,7 @@
 		n.becomeFollower(n.term, id)
 	}
 	n.leaderHeard = n.now
+	n.knewLeader = true
 	n.resetElection()
 }
 
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -69,6 +69,10 @@
 	Tick time.Duration
 	// Election is the shortest election timeout; default 1 s.
 	Election time.Duration
+	// FirstElection stands in for Election until the member has known a leader since its start; default Election.
+	FirstElection time.Duration
+	// DialTimeout limits the time to open a connection to another member; default 1 s.
+	DialTimeout time.Duration
 	// SnapshotEvery is the number of applied entries between snapshots; default 10,000.
 	SnapshotEvery uint64
 	// Trailing is the number of entries kept in memory behind a snapshot for slow members; default 5,000.
@@ -100,6 +104,8 @@
 	defaults.Set(&o.Metrics, gometrics.NewRegistry())
 	defaults.Set(&o.Tick, 50*time.Millisecond)
 	defaults.Set(&o.Election, time.Second)
+	defaults.Set(&o.FirstElection, o.Election)
+	defaults.Set(&o.DialTimeout, time.Second)
 	defaults.Set(&o.SnapshotEvery, 10_000)
 	defaults.Set(&o.Trailing, 5_000)
 	defaults.Set(&o.MaxCommandBytes, 3<<20)
@@ -111,7 +117,7 @@
 	defaults.Set(&o.StopLimit, 2*time.Second)
 	defaults.Set(&o.Seed, uint64(time.Now().UnixNano()))
 	if o.Dial == nil {
-		dialer := net.Dialer{Timeout: time.Second, KeepAlive: 5 * time.Second}
+		dialer := net.Dialer{Timeout: o.DialTimeout, KeepAlive: 5 * time.Second}
 		if o.SourceIP != "" {
 			dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(o.SourceIP)}
 		}
@@ -227,7 +233,7 @@
 }
 
 func (r *Replica) coreConfig() raft.Config {
-	return raft.Config{ID: r.options.ID, Group: r.options.Group, Election: r.options.Election, Seed: r.options.Seed}
+	return raft.Config{ID: r.options.ID, Group: r.options.Group, Election: r.options.Election, FirstElection: r.options.FirstElection, Seed: r.options.Seed}
 }
 
 // now returns a time that is monotonic and differs between incarnations, see raft.Node.Tick.
