placement: parts that no store gives in time are fetched from engines; upstreamconn: older connections for repeatable requests

And upstreams promise 10 s of idle time, of which 3 s were used: half of the requests to engines opened a connection.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"time"
 
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"github.com/wasabishunt/wasabishunt/failure"
@@ -114,6 +115,8 @@
 	work     placement.Work
 	query    *placement.Request
 	version  uint64
+	// sources are where the engine may fetch the shared parts of the prompt, one entry a part.
+	sources []placement.Stored
 	// firstEvent is the expected time to the first event, 0 for plain services.
 	firstEvent time.Duration
 }
@@ -131,6 +134,7 @@
 	candidates := o.Tracker.Candidates(view.Of(c.service.Name), time.Now(), q)
 	if q.CacheTokens > 0 {
 		placement.MarkHomes(q, candidates)
+		placement.MarkHeld(q, candidates)
 	}
 	best := placement.Pick(q, candidates)
 	if best == nil {
@@ -138,14 +142,17 @@
 	}
 	chosen := &choice{instance: best.Instance, query: q, version: best.Version}
 	if q.CacheTokens > 0 {
-		tokens, shared, transfers := placement.Read(q, best)
+		reading := placement.Read(q, best)
 		chosen.work = placement.Work{
-			PrefillTokens: tokens, HeldTokens: g.PromptTokens + g.OutputTokens, Transfers: transfers,
+			PrefillTokens: reading.Tokens, HeldTokens: g.PromptTokens + g.OutputTokens, Transfers: reading.Transfers,
 			Salt: q.Salt(best.Version), Parts: g.Parts, CacheTokens: q.CacheTokens,
 		}
 		chosen.firstEvent = placement.FirstEvent(q, best)
 		chosen.work.FirstEvent = chosen.firstEvent
-		c.cached, c.reread, c.expected = best.CachedTokens, shared, chosen.firstEvent
+		for i := range max(0, len(g.Parts)-1) {
+			chosen.sources = append(chosen.sources, q.Source(i, best))
+		}
+		c.cached, c.reread, c.expected = best.CachedTokens, reading.Shared, chosen.firstEvent
 	}
 	return chosen
 }
@@ -160,6 +167,7 @@
 		q.Isolated = c.account.Name
 	}
 	q.StoredVersion = max(1, q.Wanted)
+	q.TokenTransfer = c.service.Engine.TokenTransfer()
 	if o.Stores != nil && len(g.Parts) > 1 {
 		q.Stored = o.Stores.Locate(q.Salt(q.StoredVersion), g.Parts[:len(g.Parts)-1], c.longestFetch(), o.Tracker)
 	}
@@ -179,7 +187,7 @@
 	o := c.gateway.options
 	instance, work := chosen.instance, chosen.work
 	c.instance = instance.ID
-	conn, err := o.Pool.Get(ctx, instance.Address, c.connectionLimit())
+	conn, err := o.Pool.Get(ctx, instance.Address, c.connectionLimit(), repeatable)
 	if err != nil {
 		if !failure.Is(err, failure.Overloaded) && ctx.Err() == nil {
 			o.Tracker.Begin(instance, placement.Work{}).End(connectOutcome(err), time.Now())
@@ -280,11 +288,11 @@
 	if o.Stores == nil || out.Version == 0 {
 		return out
 	}
-	if out.Version == chosen.query.StoredVersion && len(chosen.query.Stored) > 0 {
+	if lo.SomeBy(chosen.sources, func(s placement.Stored) bool { return s.Address != "" }) {
 		out.Fetch = make([]string, len(g.Parts))
-		for i, stored := range chosen.query.Stored {
-			out.Fetch[i] = stored.Address
-			c.fetched += stored.Tokens
+		for i, source := range chosen.sources {
+			out.Fetch[i] = source.Address
+			c.fetched += source.Tokens
 		}
 		out.FetchUntil = o.Stores.Until(time.Duration(fetchLimitShare * float64(c.route.FirstByteTarget)))
 	}
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -34,6 +34,10 @@
 	// address is a gap; the last entry is none.
 	Stored        []Stored
 	StoredVersion uint64
+	// Held tells which engines are believed to hold shared parts, and is set by MarkHeld. TokenTransfer is the time of one
+	// token over an engine's link, 0 if engines don't fetch from each other.
+	Held          []Stored
+	TokenTransfer time.Duration
 }
 
 // Stored is a part of a prompt in a store.
@@ -218,44 +222,88 @@
 	firstTokenMs = 30
 )
 
-// Read returns the tokens that the engine is expected to read, those of shared parts among them, and the transfers
-// that spare it the others.
-func Read(q *Request, c *Candidate) (tokens, shared int, transfers map[string]time.Duration) {
-	tokens = q.Tokens - c.CachedTokens
+// MarkHeld finds an engine for each shared part that is believed to hold it and those before it.
+func MarkHeld(q *Request, candidates []Candidate) {
+	q.Held = nil
+	if q.TokenTransfer <= 0 || q.StoredVersion == 0 {
+		return
+	}
 	parts := q.shared()
-	for i := c.CachedParts; i < len(parts); i++ {
-		shared += parts[i].Tokens
+	for i := range candidates {
+		c := &candidates[i]
+		if c.Ejected || c.Replaced || c.Instance.Draining || c.Instance.Updating || c.Version != q.StoredVersion {
+			continue
+		}
+		for k := len(q.Held); k < min(c.CachedParts, len(parts)); k++ {
+			q.Held = append(q.Held, Stored{
+				Address: c.Instance.Address, AvailabilityZone: c.Instance.AvailabilityZone, Tokens: parts[k].Tokens,
+				Transfer: time.Duration(parts[k].Tokens) * q.TokenTransfer,
+			})
+		}
 	}
+}
+
+// Source returns where an engine may fetch a shared part, without an address if from nowhere. A store comes first: what it
+// holds is known, while an engine may have dropped the part since.
+func (q *Request) Source(part int, c *Candidate) Stored {
 	if q.StoredVersion == 0 || c.Version != q.StoredVersion {
-		return tokens, shared, nil
+		return Stored{}
 	}
-	for i := c.CachedParts; i < len(q.Stored); i++ {
-		if q.Stored[i].Address == "" {
-			// Many prompts share a part before the last: the engine is taken to hold it.
-			tokens -= parts[i].Tokens
-			shared -= parts[i].Tokens
+	if part < len(q.Stored) && q.Stored[part].Address != "" {
+		return q.Stored[part]
+	}
+	if part < len(q.Held) && q.Held[part].Address != c.Instance.Address {
+		return q.Held[part]
+	}
+	return Stored{}
+}
+
+// Reading is what an engine does before the first event of a request.
+type Reading struct {
+	// Tokens are expected to be read, Shared of them belong to shared parts.
+	Tokens, Shared int
+	// Transfers from stores, by address, spare the engine the other tokens; FromEngines is the time of those from engines.
+	Transfers   map[string]time.Duration
+	FromEngines time.Duration
+}
+
+// Read returns what a request needs at an engine.
+func Read(q *Request, c *Candidate) Reading {
+	r := Reading{Tokens: q.Tokens - c.CachedTokens}
+	parts := q.shared()
+	gap := 0
+	for i := c.CachedParts; i < len(parts); i++ {
+		source := q.Source(i, c)
+		if source.Address == "" {
+			gap += parts[i].Tokens
 			continue
 		}
-		tokens -= q.Stored[i].Tokens
-		shared -= q.Stored[i].Tokens
-		transfer := q.Stored[i].Transfer
-		if q.Stored[i].AvailabilityZone != c.Instance.AvailabilityZone {
+		// Many prompts share a part before the last: the engine is taken to hold it.
+		r.Tokens -= source.Tokens + gap
+		gap = 0
+		transfer := source.Transfer
+		if source.AvailabilityZone != c.Instance.AvailabilityZone {
 			transfer *= OtherZoneTransfer
 		}
-		if transfers == nil {
-			transfers = map[string]time.Duration{}
+		if i >= len(q.Stored) || q.Stored[i].Address == "" {
+			r.FromEngines += transfer
+			continue
+		}
+		if r.Transfers == nil {
+			r.Transfers = map[string]time.Duration{}
 		}
-		transfers[q.Stored[i].Address] += transfer
+		r.Transfers[source.Address] += transfer
 	}
-	return max(0, tokens), max(0, shared), transfers
+	r.Tokens, r.Shared = max(0, r.Tokens), gap
+	return r
 }
 
 func toMs(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
-// transferMs returns the time until the stored parts are there.
-func transferMs(q *Request, transfers map[string]time.Duration) float64 {
-	longest := time.Duration(0)
-	for address, transfer := range transfers {
+// transferMs returns the time until the parts are there.
+func transferMs(q *Request, r *Reading) float64 {
+	longest := r.FromEngines
+	for address, transfer := range r.Transfers {
 		for i := range q.Stored {
 			if q.Stored[i].Address == address {
 				transfer += q.Stored[i].Wait
@@ -269,8 +317,8 @@
 
 // FirstEvent estimates the time to the first event.
 func FirstEvent(q *Request, c *Candidate) time.Duration {
-	tokens, _, transfers := Read(q, c)
-	ms := firstTokenMs + float64(c.PrefillTokens+tokens)/max(1, c.ReadRate) + overfull(q, c) + transferMs(q, transfers)
+	r := Read(q, c)
+	ms := firstTokenMs + float64(c.PrefillTokens+r.Tokens)/max(1, c.ReadRate) + overfull(q, c) + transferMs(q, &r)
 	return time.Duration(ms * float64(time.Millisecond))
 }
 
@@ -282,9 +330,9 @@
 
 // engineCost is the estimated time to the first event, with what the request costs others.
 func engineCost(q *Request, c *Candidate) float64 {
-	tokens, shared, transfers := Read(q, c)
+	r := Read(q, c)
 	rate := max(1, c.ReadRate)
-	cost := (float64(c.PrefillTokens+tokens)+(rereadFactor-1)*float64(shared))/rate + overfull(q, c) + transferFactor*transferMs(q, transfers)
+	cost := (float64(c.PrefillTokens+r.Tokens)+(rereadFactor-1)*float64(r.Shared))/rate + overfull(q, c) + transferFactor*transferMs(q, &r)
 	cost += requestMs*float64(max(c.Requests, c.Load.Running)) + failureMs*c.FailureShare
 	if !c.SameZone {
 		cost += zoneMs
@@ -292,7 +340,7 @@
 	if c.Version < q.Wanted {
 		cost += oldWeightsMs
 	}
-	if c.home > 0 && len(transfers) > 0 || c.home > 0 && shared > 0 {
+	if c.home > 0 && (len(r.Transfers) > 0 || r.FromEngines > 0 || r.Shared > 0) {
 		cost -= homeMs / float64(c.home)
 	}
 	return cost
--- a/placement/pick_test.go
+++ b/placement/pick_test.go
@@ -112,23 +112,26 @@
 		{Address: "s2", AvailabilityZone: "other", Tokens: 5000, Transfer: 20 * time.Millisecond},
 	}
 	c := candidates(1)[0]
-	tokens, shared, transfers := Read(q, &c)
+	r := Read(q, &c)
+	tokens, shared, transfers := r.Tokens, r.Shared, r.Transfers
 	require.Equal(t, 1500, tokens)
 	require.Zero(t, shared)
 	require.Equal(t, map[string]time.Duration{"s1": 10 * time.Millisecond, "s2": 40 * time.Millisecond}, transfers)
 
 	c.CachedParts, c.CachedTokens = 1, 2500
-	_, _, transfers = Read(q, &c)
+	transfers = Read(q, &c).Transfers
 	require.Equal(t, map[string]time.Duration{"s2": 40 * time.Millisecond}, transfers)
 
 	c = candidates(1)[0]
 	q.Stored[0] = Stored{}
-	tokens, _, transfers = Read(q, &c)
+	r = Read(q, &c)
+	tokens, transfers = r.Tokens, r.Transfers
 	require.Equal(t, 1500, tokens, "the engine holds what many prompts share")
 	require.Equal(t, map[string]time.Duration{"s2": 40 * time.Millisecond}, transfers)
 
 	c.Version = 2
-	tokens, shared, transfers = Read(q, &c)
+	r = Read(q, &c)
+	tokens, shared, transfers = r.Tokens, r.Shared, r.Transfers
 	require.Equal(t, 9000, tokens)
 	require.Equal(t, 7500, shared)
 	require.Empty(t, transfers)
@@ -203,3 +206,28 @@
 		require.Equal(t, "i13", Pick(q, view).Instance.ID)
 	}
 }
+
+// Guards against a prompt that is read again although another engine holds it and its link is idle, while the stores'
+// links are full; and against a fetch from an engine that does not answer, or whose parts belong to other weights.
+func TestPartsThatNoStoreGivesComeFromEngines(t *testing.T) {
+	list := candidates(4)
+	for i := range list[:3] {
+		list[i].CachedParts, list[i].CachedTokens = 2, 7500
+	}
+	list[0].Ejected = true
+	list[1].Version = 2
+	q := document("d")
+	q.TokenTransfer = time.Microsecond
+	MarkHeld(q, list)
+	require.Equal(t, "i2:1", q.Source(1, &list[3]).Address)
+	require.Empty(t, q.Source(1, &list[2]).Address, "the engine holds it itself")
+	r := Read(q, &list[3])
+	require.Equal(t, []int{1500, 0}, []int{r.Tokens, r.Shared})
+	require.Equal(t, 7500*time.Microsecond, r.FromEngines)
+	require.Empty(t, r.Transfers, "stores' links are not used")
+	q.Stored = []Stored{{}, {Address: "store", AvailabilityZone: "z", Tokens: 5000, Transfer: time.Millisecond}}
+	require.Equal(t, "store", q.Source(1, &list[3]).Address, "what a store holds is known")
+	list[2].Instance.Updating = true
+	MarkHeld(q, list)
+	require.Empty(t, q.Source(0, &list[3]).Address)
+}
--- a/trafficset/trafficset.go
+++ b/trafficset/trafficset.go
@@ -63,6 +63,19 @@
 	Models     []string
 }
 
+// TokenTransfer is the time of one cached token over an engine's link, 0 if the link is not described.
+func (e *EngineSpec) TokenTransfer() time.Duration {
+	if e.LinkMbps <= 0 {
+		return 0
+	}
+	return time.Duration(float64(e.TokenBytes) * bitsPerByte / (e.LinkMbps * bitsPerMbit) * float64(time.Second))
+}
+
+const (
+	bitsPerByte = 8
+	bitsPerMbit = 1e6
+)
+
 // StoreSpec describes a remote store of KV cache.
 type StoreSpec struct {
 	Address          string
--- a/upstreamconn/pool.go
+++ b/upstreamconn/pool.go
@@ -22,8 +22,11 @@
 type Options struct {
 	// DialTimeout limits the time to open a connection.
 	DialTimeout time.Duration
-	// IdleLimit closes a connection that was idle for longer; upstreams drop idle connections without notice.
+	// IdleLimit is how long a connection may have been idle for a request that must not be sent twice: upstreams drop
+	// idle connections without notice, and then nobody knows whether the request ran.
 	IdleLimit time.Duration
+	// LongIdleLimit is the same for requests that may be sent again, where the upstream promised to keep the connection.
+	LongIdleLimit time.Duration
 	// MaxIdle limits the idle connections to one address.
 	MaxIdle int
 	// Dial opens a connection; default is TCP.
@@ -37,9 +40,13 @@
 	// 1 s. A VM whose share of a core is used up may stand still for a tenth of a second.
 	defaultDialTimeout = 150 * time.Millisecond
 	defaultIdleLimit   = 3 * time.Second
-	defaultMaxIdle     = 16
-	keepAlivePeriod    = time.Second
-	readBuffer         = 4 << 10
+	// defaultLongIdleLimit is above the time between two requests of one of 28 nodes to one of 47 engines, 4 s.
+	defaultLongIdleLimit = 8 * time.Second
+	// promisedShare of the idle time that an upstream promises is used.
+	promisedShare   = 2.0 / 3
+	defaultMaxIdle  = 16
+	keepAlivePeriod = time.Second
+	readBuffer      = 4 << 10
 )
 
 // Pool keeps idle connections by address. Its lock is a leaf.
@@ -60,6 +67,9 @@
 	if options.IdleLimit == 0 {
 		options.IdleLimit = defaultIdleLimit
 	}
+	if options.LongIdleLimit == 0 {
+		options.LongIdleLimit = defaultLongIdleLimit
+	}
 	if options.MaxIdle == 0 {
 		options.MaxIdle = defaultMaxIdle
 	}
@@ -81,17 +91,19 @@
 	address string
 	raw     net.Conn
 	reader  *bufio.Reader
-	// keepUntil is when the upstream may close the idle connection.
-	keepUntil time.Time
-	closeOnce sync.Once
+	// keepUntil is when the upstream may close the idle connection, freshUntil when it is too old for a request that must
+	// not be sent twice.
+	keepUntil, freshUntil time.Time
+	closeOnce             sync.Once
 	// Reused is set after the first request.
 	Reused bool
 }
 
-// Get returns an idle connection or opens one. No byte of a request has left when it fails.
-func (p *Pool) Get(ctx context.Context, address string, limit int) (*Conn, error) {
+// Get returns an idle connection or opens one, for a request that may be sent again or not. No byte of a request has left
+// when it fails.
+func (p *Pool) Get(ctx context.Context, address string, limit int, repeatable bool) (*Conn, error) {
 	for {
-		conn := p.takeIdle(address)
+		conn := p.takeIdle(address, repeatable)
 		if conn == nil {
 			return p.dial(ctx, address, limit)
 		}
@@ -107,29 +119,32 @@
 	return p.dial(ctx, address, 0)
 }
 
-func (p *Pool) takeIdle(address string) *Conn {
+// takeIdle takes the connection that was idle longest for a repeatable request, and a fresh one for others.
+func (p *Pool) takeIdle(address string, repeatable bool) *Conn {
 	now := p.options.Now()
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.sweep(now)
+	list := p.idle[address]
+	for len(list) > 0 && !now.Before(list[0].keepUntil) {
+		go list[0].Close()
+		list = list[1:]
+	}
 	var conn *Conn
-	for list := p.idle[address]; len(list) > 0 && conn == nil; list = p.idle[address] {
-		last := list[len(list)-1]
-		p.idle[address] = list[:len(list)-1]
-		if now.Before(last.keepUntil) {
-			conn = last
-		} else {
-			p.mu.Unlock()
-			last.Close()
-			p.mu.Lock()
+	if last := len(list) - 1; last >= 0 {
+		if repeatable {
+			conn, list = list[0], list[1:]
+		} else if now.Before(list[last].freshUntil) {
+			conn, list = list[last], list[:last]
 		}
 	}
-	p.mu.Unlock()
+	p.idle[address] = list
 	return conn
 }
 
 // sweep closes expired idle connections of all addresses once per idle limit.
 func (p *Pool) sweep(now time.Time) {
-	if now.Sub(p.swept) < p.options.IdleLimit {
+	if now.Sub(p.swept) < p.options.LongIdleLimit {
 		return
 	}
 	p.swept = now
@@ -151,6 +166,13 @@
 
 func (p *Pool) dial(ctx context.Context, address string, limit int) (*Conn, error) {
 	p.mu.Lock()
+	if list := p.idle[address]; limit > 0 && p.open[address] >= limit && len(list) > 0 {
+		// A connection that is too old for this request makes room.
+		p.idle[address] = list[1:]
+		p.mu.Unlock()
+		list[0].Close()
+		p.mu.Lock()
+	}
 	if limit > 0 && p.open[address] >= limit {
 		p.mu.Unlock()
 		return nil, failure.New(failure.Overloaded, failure.NotRun, "%d connections to %s are open", limit, address)
@@ -197,12 +219,15 @@
 		c.Close()
 		return
 	}
-	limit := c.pool.options.IdleLimit
+	fresh := c.pool.options.IdleLimit
+	long := fresh
 	if promised > 0 {
-		limit = min(limit, promised*2/3)
+		usable := time.Duration(promisedShare * float64(promised))
+		fresh, long = min(fresh, usable), min(c.pool.options.LongIdleLimit, usable)
 	}
 	c.Reused = true
-	c.keepUntil = c.pool.options.Now().Add(limit)
+	now := c.pool.options.Now()
+	c.freshUntil, c.keepUntil = now.Add(fresh), now.Add(long)
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
 	if len(c.pool.idle[c.address]) >= c.pool.options.MaxIdle {
--- a/upstreamconn/pool_test.go
+++ b/upstreamconn/pool_test.go
@@ -72,7 +72,7 @@
 
 func exchange(t *testing.T, p *Pool, address string) (string, error) {
 	t.Helper()
-	conn, err := p.Get(context.Background(), address, 0)
+	conn, err := p.Get(context.Background(), address, 0, false)
 	require.NoError(t, err)
 	e, err := conn.Send(context.Background(), post(address, "body"))
 	if err != nil {
@@ -186,7 +186,7 @@
 		return true
 	})
 	p := NewPool(Options{})
-	conn, err := p.Get(context.Background(), u.Addr().String(), 0)
+	conn, err := p.Get(context.Background(), u.Addr().String(), 0, false)
 	require.NoError(t, err)
 	e, err := conn.Send(context.Background(), post(u.Addr().String(), strings.Repeat("b", size)))
 	require.NoError(t, err)
@@ -207,7 +207,7 @@
 		close(closed)
 		return false
 	})
-	conn, err := NewPool(Options{}).Get(context.Background(), u.Addr().String(), 0)
+	conn, err := NewPool(Options{}).Get(context.Background(), u.Addr().String(), 0, false)
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	sent := make(chan error, 1)
@@ -224,16 +224,16 @@
 	p := NewPool(Options{})
 	var open []*Conn
 	for range 3 {
-		conn, err := p.Get(context.Background(), u.Addr().String(), 3)
+		conn, err := p.Get(context.Background(), u.Addr().String(), 3, false)
 		require.NoError(t, err)
 		open = append(open, conn)
 	}
-	_, err := p.Get(context.Background(), u.Addr().String(), 3)
+	_, err := p.Get(context.Background(), u.Addr().String(), 3, false)
 	require.True(t, failure.Is(err, failure.Overloaded), "%v", err)
 	require.Equal(t, failure.NotRun, failure.Of(err).Execution)
 	open[0].Close()
 	open[0].Close()
-	_, err = p.Get(context.Background(), u.Addr().String(), 3)
+	_, err = p.Get(context.Background(), u.Addr().String(), 3, false)
 	require.NoError(t, err)
 }
 
@@ -242,7 +242,7 @@
 	now := time.Now()
 	u := startUpstream(t, func(conn net.Conn, _ *bufio.Reader, _ int) bool { write(conn, whole); return true })
 	p := NewPool(Options{Now: func() time.Time { return now }, IdleLimit: time.Minute})
-	conn, err := p.Get(context.Background(), u.Addr().String(), 0)
+	conn, err := p.Get(context.Background(), u.Addr().String(), 0, false)
 	require.NoError(t, err)
 	e, err := conn.Send(context.Background(), post(u.Addr().String(), "x"))
 	require.NoError(t, err)
@@ -261,13 +261,41 @@
 	require.NoError(t, err)
 	address := listener.Addr().String()
 	require.NoError(t, listener.Close())
-	_, err = NewPool(Options{}).Get(context.Background(), address, 0)
+	_, err = NewPool(Options{}).Get(context.Background(), address, 0, false)
 	require.Equal(t, failure.NotRun, failure.Of(err).Execution)
 	require.False(t, IsTimeout(err))
 	silent := NewPool(Options{DialTimeout: 10 * time.Millisecond, Dial: func(ctx context.Context, _ string) (net.Conn, error) {
 		<-ctx.Done()
 		return nil, &net.OpError{Op: "dial", Err: context.DeadlineExceeded}
 	}})
-	_, err = silent.Get(context.Background(), address, 0)
+	_, err = silent.Get(context.Background(), address, 0, false)
 	require.True(t, IsTimeout(err), "%v", fmt.Sprint(err))
 }
+
+// Guards against a connection that an upstream may have dropped, used for a request that must not be sent twice, and
+// against a new connection for each request to an upstream that promised to keep the last one.
+func TestOldConnectionsAreForRepeatableRequests(t *testing.T) {
+	u := startUpstream(t, func(net.Conn, *bufio.Reader, int) bool { return true })
+	now := time.Unix(1_000_000, 0)
+	p := NewPool(Options{Now: func() time.Time { return now }})
+	get := func(repeatable bool) *Conn {
+		conn, err := p.Get(context.Background(), u.Addr().String(), 2, repeatable)
+		require.NoError(t, err)
+		return conn
+	}
+	old := get(true)
+	old.Keep(10 * time.Second)
+	now = now.Add(defaultIdleLimit + time.Second)
+	fresh := get(false)
+	require.NotSame(t, old, fresh)
+	fresh.Keep(10 * time.Second)
+	require.Same(t, old, get(true), "the oldest one that is still kept")
+	old.Keep(10 * time.Second)
+	require.NotNil(t, get(false))
+	now = now.Add(defaultIdleLimit + time.Second)
+	renewed := get(false)
+	require.NotSame(t, old, renewed, "at the limit of connections an old one makes room")
+	renewed.Keep(time.Second)
+	now = now.Add(time.Second)
+	require.Nil(t, p.takeIdle(u.Addr().String(), true), "the upstream promised one second")
+}
