kvstores: a new keeper goes on with stores in use; gateway: an unconfirmed set refuses nothing for good

Change: a store whose incarnation was in use by the keeper before is in use at once; 401 and 404 are 503 until the set is confirmed.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -85,6 +85,8 @@
 // Sets gives the published set and the named weight versions.
 type Sets interface {
 	Set() *trafficset.Set
+	// Confirmed reports whether the set was the newest one at some time since the start of the process.
+	Confirmed() bool
 	Wanted(model string) uint64
 	// WantedOnly reports whether older weights must not be used any more.
 	WantedOnly(model string) bool
@@ -238,8 +240,18 @@
 // errEnd is the cause of a context whose request has no time left.
 var errEnd = failure.New(failure.DeadlineExceeded, failure.Unknown, "no time is left for the request")
 
-// match finds route and account.
+// match finds route and account. Right after a start the set may be older than the newest one: what it lacks may exist.
 func (c *call) match() error {
+	err := c.find()
+	if err != nil && !c.gateway.options.Sets.Confirmed() {
+		e := failure.Wrap(err, failure.StaleSet, failure.NotRun, "the published set is not confirmed yet")
+		e.RetryAfter = setRetryAfter
+		return e
+	}
+	return err
+}
+
+func (c *call) find() error {
 	c.route = c.set.Route(c.request.Host, c.request.URL.Path)
 	if c.route == nil {
 		return failure.New(failure.NotFound, failure.NotRun, "no route for %s%s", c.request.Host, c.request.URL.Path)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -55,8 +55,12 @@
 
 type testSets struct {
 	set atomic.Pointer[trafficset.Set]
+	// unconfirmed is set while the set may be older than the newest one.
+	unconfirmed atomic.Bool
 }
 
+func (s *testSets) Confirmed() bool { return !s.unconfirmed.Load() }
+
 func (s *testSets) Set() *trafficset.Set   { return s.set.Load() }
 func (s *testSets) Wanted(string) uint64   { return 0 }
 func (s *testSets) WantedOnly(string) bool { return false }
@@ -238,6 +242,14 @@
 	status, _, err := s.call("POST", "/once/", strings.Repeat("x", 1001))
 	require.NoError(t, err)
 	require.Equal(t, 413, status)
+	// After a start with a set from the disk, a newer one may have the route or the key.
+	s.sets.unconfirmed.Store(true)
+	for _, change := range []func(*http.Request){func(r *http.Request) { r.Header.Set("Key", "x") }, func(r *http.Request) { r.Host = "other" }} {
+		status, _, err := s.call("GET", "/safe/", "", change)
+		require.NoError(t, err)
+		require.Equal(t, 503, status)
+	}
+	s.sets.unconfirmed.Store(false)
 	s.sets.set.Store(nil)
 	response, err := s.front.Client().Do(s.request("GET", "/none/", ""))
 	require.NoError(t, err)
--- a/kvstores/directory.go
+++ b/kvstores/directory.go
@@ -132,6 +132,16 @@
 	}
 }
 
+// Accepted returns the incarnation of a store that may be saved to, 0 if it may not.
+func (d *Directory) Accepted(address string) int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s := d.stores[address]; s != nil && s.accepts {
+		return s.epoch
+	}
+	return 0
+}
+
 func (d *Directory) reset(address string) {
 	for part := range d.parts {
 		d.remove(part, address)
--- a/kvstores/keeper.go
+++ b/kvstores/keeper.go
@@ -57,6 +57,8 @@
 	Leads   func() bool
 	Set     func() *trafficset.Set
 	Publish Publisher
+	// Accepted returns the incarnation of a store to which this node's last known keeper let nodes save, 0 for none.
+	Accepted func(address string) int64
 	// Usable reports whether a salt may still be used; nil keeps all.
 	Usable  func(salt string) bool
 	Log     *zap.Logger
@@ -152,7 +154,10 @@
 				clock.Sleep(ctx, failurePause)
 				continue
 			}
-			if failing || listing.Epoch != s.epoch {
+			if first := listed.IsZero() && s.epoch == 0 && !failing; first && listing.Epoch != 0 && listing.Epoch == k.Accepted(s.address) {
+				// The store has not restarted since the keeper before let nodes save to it.
+				k.resume(s, listing.Epoch)
+			} else if failing || listing.Epoch != s.epoch {
 				restarted = time.Now()
 				k.restart(s, listing.Epoch)
 			}
@@ -215,6 +220,12 @@
 	k.publish(&nodepb.StorePlacement{Address: s.address, Epoch: epoch, Reset_: true})
 }
 
+// resume goes on with a store that the keeper before had in use.
+func (k *Keeper) resume(s *kept, epoch int64) {
+	k.restart(s, epoch)
+	k.accept(s)
+}
+
 func (k *Keeper) accept(s *kept) {
 	k.mu.Lock()
 	s.accepts = true
--- a/kvstores/kvstores_test.go
+++ b/kvstores/kvstores_test.go
@@ -229,6 +229,8 @@
 	mu        sync.Mutex
 	accepted  []time.Time
 	reset     time.Time
+	// epochBefore is set before the keeper starts.
+	epochBefore int64
 }
 
 func (r *recorder) Append(change *nodepb.StorePlacement, _ func() []*nodepb.StorePlacement) {
@@ -244,6 +246,9 @@
 	r.directory.Adopt([]*nodepb.StorePlacement{change})
 }
 
+// before is the incarnation that a keeper before had in use.
+func (r *recorder) before(string) int64 { return r.epochBefore }
+
 func (r *recorder) Clear() {}
 
 func (r *recorder) located(id string) bool {
@@ -252,15 +257,20 @@
 }
 
 func startKeeper(t *testing.T, store *fakeStore, usable func(string) bool) *recorder {
+	t.Helper()
+	return startKeeperAfter(t, store, usable, 0)
+}
+
+func startKeeperAfter(t *testing.T, store *fakeStore, usable func(string) bool, epochBefore int64) *recorder {
 	t.Helper()
 	set := &trafficset.Set{Services: []trafficset.Service{
 		{Name: "e", Engine: &trafficset.EngineSpec{TokenBytes: 1}},
 		{Name: "s", Store: &trafficset.StoreSpec{Address: "s", CacheTokens: 1000, LinkMbps: 1000}},
 	}}
-	r := &recorder{directory: NewDirectory(time.Now)}
+	r := &recorder{directory: NewDirectory(time.Now), epochBefore: epochBefore}
 	r.directory.Configure(set)
 	k := &Keeper{
-		Client: store, Leads: func() bool { return true }, Set: func() *trafficset.Set { return set }, Publish: r, Usable: usable,
+		Client: store, Leads: func() bool { return true }, Set: func() *trafficset.Set { return set }, Publish: r, Usable: usable, Accepted: r.before,
 		Log: zap.NewNop(), Metrics: gometrics.NewRegistry(),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -284,6 +294,19 @@
 	require.GreaterOrEqual(t, r.accepted[1].Sub(r.reset), quietAfterRestart, "nodes without contact still fetch for a while")
 }
 
+// Guards against 1.5 s without saves after each change of the leader, in the seconds in which stores are filled; and
+// against saves to a store that restarted while there was no leader.
+func TestNewKeeperGoesOnWithStoresInUse(t *testing.T) {
+	accepted := func(r *recorder) bool { r.mu.Lock(); defer r.mu.Unlock(); return len(r.accepted) == 1 }
+	store := func() *fakeStore {
+		return &fakeStore{epoch: 7, held: map[Part]int{{"v1", "a"}: 10}, waiting: 5 * time.Millisecond}
+	}
+	same, restarted := startKeeperAfter(t, store(), nil, 7), startKeeperAfter(t, store(), nil, 6)
+	require.Eventually(t, func() bool { return accepted(same) && same.located("a") }, quietAfterRestart/2, time.Millisecond)
+	require.False(t, accepted(restarted))
+	require.Eventually(t, func() bool { return accepted(restarted) }, 5*time.Second, 5*time.Millisecond)
+}
+
 // Guards against a store that is down and still used.
 func TestKeeperNoticesAStoreThatIsDown(t *testing.T) {
 	store := &fakeStore{epoch: 1, held: map[Part]int{{"v1", "a"}: 10}, waiting: 5 * time.Millisecond}
--- a/node/adopt.go
+++ b/node/adopt.go
@@ -16,6 +16,9 @@
 // Set implements gateway.Sets.
 func (n *Node) Set() *trafficset.Set { return n.set.Load() }
 
+// Confirmed implements gateway.Sets.
+func (n *Node) Confirmed() bool { return n.synced.Load() }
+
 // Wanted implements gateway.Sets.
 func (n *Node) Wanted(model string) uint64 { return (*n.weights.Load())[model].version }
 
