--- a/fleetview/fleetview_test.go
+++ b/fleetview/fleetview_test.go
@@ -52,12 +52,13 @@
 // Guards against budgets divided among nodes that are gone, or forgotten too early: a restarted node may have spent its part.
 func TestNodesAreCountedForAWhile(t *testing.T) {
 	s := &Server{}
-	s.note(&nodepb.WatchRequest{Node: "a", LoadAddress: "2"})
-	s.note(&nodepb.WatchRequest{Node: "b", LoadAddress: "1"})
-	count, addresses := s.known()
+	s.note(&nodepb.WatchRequest{Node: "a", LoadAddress: "2", AvailabilityZone: "za"})
+	s.note(&nodepb.WatchRequest{Node: "b", LoadAddress: "1", AvailabilityZone: "zb"})
+	count, addresses, zones := s.known()
 	require.Equal(t, 2, count)
 	require.Equal(t, []string{"1", "2"}, addresses)
+	require.Equal(t, []string{"zb", "za"}, zones)
 	s.nodes["a"] = knownNode{heard: time.Now().Add(-nodeMemory - time.Second)}
-	count, _ = s.known()
+	count, _, _ = s.known()
 	require.Equal(t, 1, count)
 }
