--- a/coregroup/group.go
+++ b/coregroup/group.go
@@ -67,7 +67,6 @@
 	maxCommand     = 3 << 20
 	raftQueue      = 256
 	stopLimit      = time.Second
-	proposalRetry  = 50 * time.Millisecond
 	maxRememberIDs = 256
 )
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -130,7 +130,9 @@
 
 type meters struct {
 	requests, failed, refused, retries, broken, resumed gometrics.Counter
-	firstByte, total                                    gometrics.Timer
+	// cached, fetched and reread are tokens of prompts, as expected when requests were sent.
+	cached, fetched, reread gometrics.Counter
+	firstByte, total        gometrics.Timer
 }
 
 // New returns a Gateway.
@@ -140,6 +142,8 @@
 		requests: gometrics.GetOrRegisterCounter("gateway.requests", r), failed: gometrics.GetOrRegisterCounter("gateway.failed", r),
 		refused: gometrics.GetOrRegisterCounter("gateway.refused", r), retries: gometrics.GetOrRegisterCounter("gateway.retries", r),
 		broken: gometrics.GetOrRegisterCounter("gateway.broken", r), resumed: gometrics.GetOrRegisterCounter("gateway.resumed", r),
+		cached: gometrics.GetOrRegisterCounter("gateway.cached_tokens", r), fetched: gometrics.GetOrRegisterCounter("gateway.fetched_tokens", r),
+		reread:    gometrics.GetOrRegisterCounter("gateway.reread_tokens", r),
 		firstByte: gometrics.GetOrRegisterTimer("gateway.first_byte", r), total: gometrics.GetOrRegisterTimer("gateway.total", r),
 	}}
 }
@@ -319,6 +323,11 @@
 	if c.firstByte > 0 {
 		c.gateway.metrics.firstByte.Update(c.firstByte)
 	}
+	if c.sends > 0 {
+		c.gateway.metrics.cached.Inc(int64(c.cached))
+		c.gateway.metrics.fetched.Inc(int64(c.fetched))
+		c.gateway.metrics.reread.Inc(int64(c.reread))
+	}
 	gone := c.request.Context().Err() != nil
 	if err != nil && !c.answered && !gone {
 		c.refuse(failure.Of(err))
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -67,7 +67,7 @@
 
 // system is a gateway before two upstreams.
 type system struct {
-	t       *testing.T
+	t       testing.TB
 	gateway *Gateway
 	sets    *testSets
 	front   *httptest.Server
@@ -80,7 +80,7 @@
 // reply is what an upstream does with a request; it returns false to close the connection.
 type reply func(conn net.Conn, r *http.Request, instance string) bool
 
-func newSystem(t *testing.T, replies ...reply) *system {
+func newSystem(t testing.TB, replies ...reply) *system {
 	t.Helper()
 	s := &system{t: t, sets: &testSets{}, done: make(chan string, 16)}
 	directory := upstreams.NewDirectory()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -57,7 +57,7 @@
 	c.mayRun = c.unsure
 	body, err := s.exchange.ReadAll(maxBuffered)
 	outcome := placement.Rejected
-	if s.exchange.Response.StatusCode == http.StatusMisdirectedRequest {
+	if s.answer.Replaced {
 		outcome = placement.Replaced
 	}
 	s.ticket.End(outcome, time.Now())
--- a/kvstores/keeper.go
+++ b/kvstores/keeper.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	gometrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"github.com/wasabishunt/wasabishunt/clock"
@@ -60,9 +59,8 @@
 	// Accepted returns the incarnation of a store to which this node's last known keeper let nodes save, 0 for none.
 	Accepted func(address string) int64
 	// Usable reports whether a salt may still be used; nil keeps all.
-	Usable  func(salt string) bool
-	Log     *zap.Logger
-	Metrics gometrics.Registry
+	Usable func(salt string) bool
+	Log    *zap.Logger
 
 	mu     sync.Mutex
 	stores map[string]*kept
--- a/kvstores/kvstores_test.go
+++ b/kvstores/kvstores_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
@@ -271,7 +270,7 @@
 	r.directory.Configure(set)
 	k := &Keeper{
 		Client: store, Leads: func() bool { return true }, Set: func() *trafficset.Set { return set }, Publish: r, Usable: usable, Accepted: r.before,
-		Log: zap.NewNop(), Metrics: gometrics.NewRegistry(),
+		Log: zap.NewNop(),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/node/node.go
+++ b/node/node.go
@@ -129,7 +129,7 @@
 	n.budget = retrybudget.New(config.Retries, time.Now)
 	n.budget.SetNodes(firstNodes)
 	n.stores = kvstores.NewDirectory(time.Now)
-	n.keeper = &kvstores.Keeper{Client: parts.Stores, Leads: n.reader.Current, Set: n.Set, Publish: n.placement, Log: log, Metrics: registry}
+	n.keeper = &kvstores.Keeper{Client: parts.Stores, Leads: n.reader.Current, Set: n.Set, Publish: n.placement, Log: log}
 	n.tracker = placement.NewTracker()
 	n.holder = &rollout.Holder{
 		Name: config.Name, Client: parts.Engines, Leads: func() bool { return n.group.Leads() && n.group.Fresh() }, Term: n.group.Term,
--- a/peerload/peerload.go
+++ b/peerload/peerload.go
@@ -136,7 +136,9 @@
 			e.Log.Warn("a load report cannot be read", zap.Error(err))
 			continue
 		}
-		e.Tracker.Peer(report, time.Now())
+		if silenced := e.Tracker.Peer(report, time.Now()); len(silenced) > 0 {
+			e.Log.Info("instances silent by word of another node", zap.String("node", report.GetNode()), zap.Strings("instances", silenced))
+		}
 		e.Saves.NoteSaves(report.GetSaves())
 	}
 }
--- /dev/null
+++ b/placement/bench_test.go
@@ -0,0 +1,34 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/wasabishunt/wasabishunt/upstreams"
+)
+
+// BenchmarkDecision measures the choice of an engine for one long prompt, at the sizes of the users' sites and of the target.
+func BenchmarkDecision(b *testing.B) {
+	for _, engines := range []int{12, 47, 2600} {
+		b.Run(fmt.Sprintf("engines-%d", engines), func(b *testing.B) {
+			tracker := NewTracker()
+			var list []*upstreams.Instance
+			for i := range engines {
+				list = append(list, instance(fmt.Sprint("i", i)))
+				tracker.Begin(list[i], Work{Salt: "v1", Parts: document(fmt.Sprint("d", i)).Parts, CacheTokens: 50_000})
+			}
+			b.ReportAllocs()
+			for request := 0; b.Loop(); request++ {
+				q := document(fmt.Sprint("d", request%1000))
+				q.Seed, q.TokenTransfer = fmt.Sprint(request), time.Microsecond
+				found := tracker.Candidates(list, time.Now(), q)
+				MarkHomes(q, found)
+				MarkHeld(q, found)
+				if Pick(q, found) == nil {
+					b.Fatal("no engine")
+				}
+			}
+		})
+	}
+}
--- a/placement/peers.go
+++ b/placement/peers.go
@@ -62,12 +62,12 @@
 	return silent
 }
 
-// Peer takes the report of another node.
-func (t *Tracker) Peer(report *nodepb.LoadReport, now time.Time) {
+// Peer takes the report of another node. It returns the instances that are taken for silent from now on.
+func (t *Tracker) Peer(report *nodepb.LoadReport, now time.Time) (silenced []string) {
 	keys, stores := report.GetKeys(), report.GetStoreKeys()
 	if len(report.GetRequests()) != len(keys) || len(report.GetPrefillTokens()) != len(keys) || len(report.GetHeldTokens()) != len(keys) ||
 		len(report.GetTransferMs()) != len(stores) {
-		return
+		return nil
 	}
 	q := &peer{sequence: report.GetSequence(), heard: now, silent: report.GetSilent(), instances: make(map[uint32]use, len(keys))}
 	totals := make(map[uint32]time.Duration, len(stores))
@@ -82,29 +82,32 @@
 	old := t.peers.byNode[report.GetNode()]
 	if old != nil {
 		if old.sequence >= q.sequence {
-			return
+			return nil
 		}
 		t.peers.add(old, -1)
 	}
-	t.adoptSilent(old, q, now)
+	silenced = t.adoptSilent(old, q, now)
 	t.peers.byNode[report.GetNode()] = q
 	t.peers.add(q, 1)
 	t.links.report(report.GetNode(), totals, now)
 	t.links.reportLate(report.GetNode(), lateTotals(report), now)
 	t.adoptReads(report.GetReads())
+	return silenced
 }
 
 // adoptSilent ejects instances that a node newly tells to be silent, unless they answered this node a moment ago: each
 // node would else wait once for each of them. This node tries to reach them itself. The caller holds the lock.
-func (t *Tracker) adoptSilent(old, told *peer, now time.Time) {
+func (t *Tracker) adoptSilent(old, told *peer, now time.Time) (silenced []string) {
 	for _, key := range told.silent {
 		if old != nil && slices.Contains(old.silent, key) {
 			continue
 		}
-		if s := t.byHash[key]; s != nil && now.Sub(s.heard) > heardMemory {
+		if s := t.byHash[key]; s != nil && !s.silent && now.Sub(s.heard) > heardMemory {
 			s.silence(now)
+			silenced = append(silenced, s.id)
 		}
 	}
+	return silenced
 }
 
 // Report describes what this node has in progress, and which prompts it sent since the last report.
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -51,6 +51,7 @@
 
 // state is what a node knows of one incarnation.
 type state struct {
+	id                                  string
 	requests, prefillTokens, heldTokens int
 	load                                Load
 	loadAt                              time.Time
@@ -119,7 +120,7 @@
 func (t *Tracker) state(key upstreams.Key) *state {
 	s := t.instances[key]
 	if s == nil {
-		s = &state{versions: map[string]uint64{}, cache: newPartCache()}
+		s = &state{id: key.ID, versions: map[string]uint64{}, cache: newPartCache()}
 		t.instances[key] = s
 		t.byHash[hashKey(key.ID)] = s
 	}
--- a/placement/tracker_test.go
+++ b/placement/tracker_test.go
@@ -61,8 +61,8 @@
 	answered.Begin(i, Work{}).End(Answered, now)
 	told := finder.Report()
 	told.Node, told.Sequence = "finder", 1
-	other.Peer(told, now)
-	answered.Peer(told, now)
+	require.Equal(t, []string{"i"}, other.Peer(told, now))
+	require.Empty(t, answered.Peer(told, now))
 	require.True(t, only(other, i, now).Ejected)
 	require.False(t, only(answered, i, now).Ejected)
 	require.Empty(t, other.Report().GetSilent(), "what others found is not told on")
--- a/upstreamconn/pool.go
+++ b/upstreamconn/pool.go
@@ -95,8 +95,6 @@
 	// not be sent twice.
 	keepUntil, freshUntil time.Time
 	closeOnce             sync.Once
-	// Reused is set after the first request.
-	Reused bool
 }
 
 // Get returns an idle connection or opens one, for a request that may be sent again or not. No byte of a request has left
@@ -225,7 +223,6 @@
 		usable := time.Duration(promisedShare * float64(promised))
 		fresh, long = min(fresh, usable), min(c.pool.options.LongIdleLimit, usable)
 	}
-	c.Reused = true
 	now := c.pool.options.Now()
 	c.freshUntil, c.keepUntil = now.Add(fresh), now.Add(long)
 	c.pool.mu.Lock()
