--- a/Makefile
+++ b/Makefile
@@ -8,10 +8,10 @@
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
 
-# The scenarios run real processes with production timeouts, so they run after the other packages and not beside them.
+# Scenarios and the soak run real processes with production timeouts, so they run after the other packages and not beside them.
 test:
-	{ $(GO) test -count=1 -p 4 -timeout 20m -v $$($(GO) list ./... | grep -v '/scenarios$$'); \
-		$(GO) test -count=1 -timeout 20m -v ./scenarios; } 2>&1 | ./.ci/summarize
+	{ $(GO) test -count=1 -p 4 -timeout 20m -v $$($(GO) list ./... | grep -v '/scenarios$$\|/platform/soak$$'); \
+		$(GO) test -count=1 -p 1 -timeout 20m -v ./scenarios ./platform/soak; } 2>&1 | ./.ci/summarize
 
 lint: tools
 	./.ci/lint
