peerload: an idle node tells the prompts and saves since its last report

Cause: read again as a newcomer: a node without requests in progress skipped its report after the prompts and saves had been taken out of it.

--- a/peerload/peerload.go
+++ b/peerload/peerload.go
@@ -96,7 +96,7 @@
 		timer.Reset(max(shortestInterval, time.Duration(len(peers))*intervalPerNode))
 		report := e.Tracker.Report()
 		report.Saves = e.Saves.TakeSaves()
-		empty := len(report.GetKeys()) == 0 && len(report.GetSilent()) == 0
+		empty := len(report.GetKeys())+len(report.GetSilent())+len(report.GetReads())+len(report.GetSaves()) == 0
 		if empty && idle {
 			continue
 		}
--- a/peerload/peerload_test.go
+++ b/peerload/peerload_test.go
@@ -69,6 +69,8 @@
 		return nodes[0].exchange.Tracker.Candidates([]*upstreams.Instance{instance}, time.Now(), &placement.Request{})[0].PrefillTokens
 	}
 	require.Eventually(t, func() bool { return prefill() == 700 }, 5*time.Second, 5*time.Millisecond)
+	ticket.End(placement.Answered, time.Now())
+	require.Eventually(t, func() bool { return prefill() == 0 }, 5*time.Second, 5*time.Millisecond)
 	told, heard := nodes[1].exchange.Saves.(*saves), nodes[0].exchange.Saves.(*saves)
 	told.mu.Lock()
 	told.take = []uint64{1, 2}
@@ -77,9 +79,7 @@
 		heard.mu.Lock()
 		defer heard.mu.Unlock()
 		return len(heard.noted) == 2
-	}, 5*time.Second, 5*time.Millisecond, "saves are told")
-	ticket.End(placement.Answered, time.Now())
-	require.Eventually(t, func() bool { return prefill() == 0 }, 5*time.Second, 5*time.Millisecond)
+	}, 5*time.Second, 5*time.Millisecond, "an idle node still tells its saves")
 }
 
 // Guards against reports that take more of the links the more nodes there are: at 300 nodes they cost more than all else.
