--- a/internal/docscheck/docs_test.go
+++ b/internal/docscheck/docs_test.go
@@ -15,6 +15,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/wasabishunt/wasabishunt/internal/sourcepatch"
 )
 
 const root = "../.."
@@ -173,3 +175,21 @@
 		assert.Contains(t, events, row[1], "docs/events.md describes an event that does not exist")
 	}
 }
+
+// Guards against lists of guards and mechanisms that name lines which the source no longer has: the tools that read
+// them would then check nothing.
+func TestListsMatchTheSource(t *testing.T) {
+	lists, err := filepath.Glob(root + "/docs/guards/*.txt")
+	require.NoError(t, err)
+	mechanisms, err := filepath.Glob(root + "/docs/ablation/*.txt")
+	require.NoError(t, err)
+	for _, list := range append(lists, mechanisms...) {
+		entries, err := sourcepatch.ReadList(list)
+		require.NoError(t, err)
+		require.NotEmpty(t, entries, list)
+		for _, e := range entries {
+			_, err := e.Apply(root)
+			assert.NoError(t, err)
+		}
+	}
+}
