--- a/internal/ablation/measure.go
+++ b/internal/ablation/measure.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"os/exec"
@@ -48,15 +49,16 @@
 
 // measure runs all cases of all mechanisms and of the unchanged source.
 func (m *measurement) measure(mechanisms []mechanism) error {
-	var group errgroup.Group
+	group, ctx := errgroup.WithContext(context.Background())
 	group.SetLimit(max(1, m.args.Parallel))
 	for _, mechanism := range append([]mechanism{{name: unchanged}}, mechanisms...) {
-		group.Go(func() error { return m.measureOne(mechanism) })
+		group.Go(func() error { return m.measureOne(ctx, mechanism) })
 	}
 	return group.Wait()
 }
 
-func (m *measurement) measureOne(mech mechanism) error {
+// measureOne runs all cases of one mechanism until another one fails.
+func (m *measurement) measureOne(ctx context.Context, mech mechanism) error {
 	directory := copyPath(m.args.Copies, mech.name)
 	copied := false
 	for _, c := range m.cases {
@@ -65,6 +67,9 @@
 			if _, known := m.results.find(key); known {
 				continue
 			}
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
 			if !copied {
 				if err := makeCopy(directory, mech); err != nil {
 					return err
