gateway: requests wait up to 0.4 s for the published set after a start

A request that arrives at a node which has just started is not known to be lost, so it waits for the set, for a quarter of the caller's time and 0.4 s at most; a node that has not been confirmed 2 s after its start refuses at once, as before (TestStartupWait, TestRequestsWaitForTheSetAfterAStart).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -86,8 +86,9 @@
 // Sets provides the published set and the weight versions that operators have named.
 type Sets interface {
 	Set() *trafficset.Set
-	// Confirmed reports whether the set was the newest one at some time since the start of the process.
-	Confirmed() bool
+	// Confirmed returns a channel that is closed once the set was the newest one at some time since the start of the
+	// process.
+	Confirmed() <-chan struct{}
 	// WantedVersion returns the weight version that operators have named for a model.
 	WantedVersion(model string) uint64
 	// RequireWantedVersion reports whether requests must not use older weights any more.
@@ -127,6 +128,7 @@
 // Gateway is the handler of callers' requests.
 type Gateway struct {
 	options Options
+	started time.Time
 	// closing is set once answers must close the callers' connections.
 	closing atomic.Bool
 	// queueLimits tracks how much queue capacity must stay free for prompts of other sizes and routes.
@@ -152,7 +154,7 @@
 	if options.EventBytes == 0 {
 		options.EventBytes = defaultEventBytes
 	}
-	return &Gateway{options: options, queueLimits: placement.NewQueueLimitEstimator(), metrics: meters{
+	return &Gateway{options: options, started: time.Now(), queueLimits: placement.NewQueueLimitEstimator(), metrics: meters{
 		requests: gometrics.GetOrRegisterCounter("gateway.requests", r), failed: gometrics.GetOrRegisterCounter("gateway.failed", r),
 		refused: gometrics.GetOrRegisterCounter("gateway.refused", r), retries: gometrics.GetOrRegisterCounter("gateway.retries", r),
 		broken: gometrics.GetOrRegisterCounter("gateway.broken", r), resumed: gometrics.GetOrRegisterCounter("gateway.resumed", r),
@@ -169,8 +171,6 @@
 func (g *Gateway) Active() int { return int(g.active.Load()) }
 
 const (
-	// setRetryAfter is the retry advice of a node that has no published set yet.
-	setRetryAfter = 500 * time.Millisecond
 	// upstreamRetryAfter is the retry advice when no upstream can take a request. The instance list is read twice in that
 	// time.
 	upstreamRetryAfter = 400 * time.Millisecond
@@ -241,18 +241,14 @@
 }
 
 func (c *call) serve() error {
-	if c.set = c.gateway.options.Sets.Set(); c.set == nil {
-		return staleSet("no published set is known yet")
-	}
-	if !c.gateway.options.Sets.Confirmed() {
-		// Right after a start the set may be outdated: routes or keys withdrawn since then would be accepted again, and ones
-		// added since then would be refused.
-		return staleSet("the published set is not confirmed yet")
-	}
-	var err error
-	if c.attributes, err = c.gateway.options.Dialect.Attributes(c.request); err != nil {
+	attributes, invalid := c.gateway.options.Dialect.Attributes(c.request)
+	c.attributes = attributes
+	if err := c.awaitSet(); err != nil {
 		return err
 	}
+	if invalid != nil {
+		return invalid
+	}
 	if err := c.resolve(); err != nil {
 		return err
 	}
@@ -265,12 +261,6 @@
 	return c.forward(ctx)
 }
 
-func staleSet(message string) *failure.Error {
-	e := failure.New(failure.StaleSet, failure.NotRun, "%s", message)
-	e.RetryAfter = setRetryAfter
-	return e
-}
-
 // errNoTimeLeft is the cause of a context that ended at the request's answerBy time.
 var errNoTimeLeft = failure.New(failure.DeadlineExceeded, failure.Unknown, "no time is left for the request")
 
@@ -289,11 +279,16 @@
 	return nil
 }
 
-func (c *call) setDeadlines() {
-	deadline := c.attributes.Deadline
-	if deadline == 0 {
-		deadline = defaultDeadline
+// callerDeadline returns how long the caller waits.
+func (c *call) callerDeadline() time.Duration {
+	if c.attributes.Deadline == 0 {
+		return defaultDeadline
 	}
+	return c.attributes.Deadline
+}
+
+func (c *call) setDeadlines() {
+	deadline := c.callerDeadline()
 	c.deadline = c.started.Add(deadline)
 	c.answerBy = c.started.Add(min(deadline, c.route.Timeout))
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -55,11 +55,18 @@
 
 type testSets struct {
 	set atomic.Pointer[trafficset.Set]
-	// unconfirmed is set while the set may be older than the newest one.
-	unconfirmed atomic.Bool
+	// confirmed holds a channel that is closed once the set is known to be the newest one.
+	confirmed atomic.Pointer[chan struct{}]
 }
 
-func (s *testSets) Confirmed() bool { return !s.unconfirmed.Load() }
+func (s *testSets) Confirmed() <-chan struct{} { return *s.confirmed.Load() }
+
+// restart makes the set unconfirmed, as after a start of the process, and returns a function that confirms it.
+func (s *testSets) restart() (confirm func()) {
+	confirmed := make(chan struct{})
+	s.confirmed.Store(&confirmed)
+	return func() { close(confirmed) }
+}
 
 func (s *testSets) Set() *trafficset.Set             { return s.set.Load() }
 func (s *testSets) WantedVersion(string) uint64      { return 0 }
@@ -100,6 +107,7 @@
 	}
 	require.NoError(t, set.Build())
 	s.sets.set.Store(set)
+	s.sets.restart()()
 	budget := retrybudget.New(retrybudget.Limits{Ratio: 10, Allowance: 100, Window: time.Second}, time.Now)
 	s.gateway = New(Options{
 		Dialect: testDialect{}, Sets: s.sets, Directory: directory, Tracker: placement.NewTracker(), Pool: upstreamconn.NewPool(upstreamconn.Options{}),
@@ -243,7 +251,7 @@
 	require.NoError(t, err)
 	require.Equal(t, 413, status)
 	// After a start with a stored set, a newer set may have added or withdrawn the route or the key.
-	s.sets.unconfirmed.Store(true)
+	confirm := s.sets.restart()
 	for _, change := range []func(*http.Request){
 		func(*http.Request) {}, func(r *http.Request) { r.Header.Set("Key", "x") }, func(r *http.Request) { r.Host = "other" },
 	} {
@@ -251,7 +259,7 @@
 		require.NoError(t, err)
 		require.Equal(t, 503, status)
 	}
-	s.sets.unconfirmed.Store(false)
+	confirm()
 	s.sets.set.Store(nil)
 	response, err := s.front.Client().Do(s.request("GET", "/none/", ""))
 	require.NoError(t, err)
--- a/node/adopt.go
+++ b/node/adopt.go
@@ -18,7 +18,7 @@
 func (n *Node) Set() *trafficset.Set { return n.set.Load() }
 
 // Confirmed implements gateway.Sets.
-func (n *Node) Confirmed() bool { return n.synced.Load() }
+func (n *Node) Confirmed() <-chan struct{} { return n.confirmed }
 
 // WantedVersion implements gateway.Sets.
 func (n *Node) WantedVersion(model string) uint64 { return (*n.weights.Load())[model].version }
@@ -56,6 +56,7 @@
 	}
 	if set := n.set.Load(); set != nil && u.GetFresh() && u.GetSetVersion() >= 1 && set.Version >= u.GetSetVersion() && !n.synced.Load() {
 		n.synced.Store(true)
+		close(n.confirmed)
 		n.log.Info("node is in step with the core", zap.Uint64("set_version", set.Version), zap.String("from", from))
 	}
 	// A deposed leader that was paused may still claim to lead for a short time after it resumes.
--- a/node/node.go
+++ b/node/node.go
@@ -95,12 +95,14 @@
 	log     *zap.Logger
 	metrics gometrics.Registry
 
-	seeds    atomic.Pointer[[]string]
-	set      atomic.Pointer[trafficset.Set]
-	weights  atomic.Pointer[map[string]namedWeights]
-	nodes    atomic.Int64
-	synced   atomic.Bool
-	stopping atomic.Bool
+	seeds   atomic.Pointer[[]string]
+	set     atomic.Pointer[trafficset.Set]
+	weights atomic.Pointer[map[string]namedWeights]
+	nodes   atomic.Int64
+	synced  atomic.Bool
+	// confirmed is closed when synced is set.
+	confirmed chan struct{}
+	stopping  atomic.Bool
 	// updateMu is held while an update is applied, and guards leaderTerm, the highest term of a leader so far.
 	updateMu          sync.Mutex
 	leaderTerm        uint64
@@ -133,7 +135,7 @@
 
 // New returns a node; Run starts it.
 func New(config Config, parts Parts, log *zap.Logger, registry gometrics.Registry) *Node {
-	n := &Node{config: config, parts: parts, log: log, metrics: registry, directory: upstreams.NewDirectory(), placement: fleetview.NewPlacements()}
+	n := &Node{config: config, parts: parts, log: log, metrics: registry, confirmed: make(chan struct{}), directory: upstreams.NewDirectory(), placement: fleetview.NewPlacements()}
 	n.SetSeeds(config.Seeds)
 	n.nodes.Store(initialNodes)
 	n.weights.Store(&map[string]namedWeights{})
