placement: estimate what engines hold by the requests that still run, and fetch only what was read

Parts now count as used for the learned run time of the prompt's size class, and as readable only after the expected first event, which reports carry (PromptReads.read_ms; reports without it count as read).

--- a/placement/cache.go
+++ b/placement/cache.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -30,47 +31,126 @@
 	return out
 }
 
-// partCache estimates what an engine holds, from the requests that all nodes sent there. It evicts the oldest parts
-// first, as engines do.
+// promptUse is the use of the parts of one prompt by a request at an engine.
+type promptUse struct {
+	sentAt time.Time
+	// readAt is when the engine is expected to have read the prompt.
+	readAt time.Time
+	// size is the size class of the prompt, which determines how long the request is expected to run.
+	size int
+}
+
+// cachedPart is a part that an engine is expected to hold.
+type cachedPart struct {
+	keyedPart
+	// readAt is when the engine is expected to have read the part.
+	readAt time.Time
+	// usedAt and size describe the request that is expected to use the part longest.
+	usedAt time.Time
+	size   int
+}
+
+// runTimes are the expected times from the send to the end of a request, by size class of the prompt.
+type runTimes [sizeClasses]time.Duration
+
+const (
+	// initialRunTime is assumed until the first request of a size class has ended.
+	initialRunTime = time.Second
+	// runTimeWeight is the weight of one request in the learned time.
+	runTimeWeight = 0.05
+)
+
+func newRunTimes() runTimes { return runTimes{initialRunTime, initialRunTime, initialRunTime} }
+
+func (r *runTimes) observe(size int, took time.Duration) {
+	r[size] += time.Duration(runTimeWeight * float64(took-r[size]))
+}
+
+// partCache estimates what an engine holds, from the requests that all nodes sent there. An engine keeps the parts of
+// running requests, and evicts the parts of ended ones, the oldest first.
 type partCache struct {
-	order  *list.List
+	// lists hold the parts by size class of the request that uses them longest, the newest first.
+	lists  [sizeClasses]*list.List
 	parts  map[uint32]*list.Element
 	tokens int
 }
 
 func newPartCache() *partCache {
-	return &partCache{order: list.New(), parts: map[uint32]*list.Element{}}
+	c := &partCache{parts: map[uint32]*list.Element{}}
+	for i := range c.lists {
+		c.lists[i] = list.New()
+	}
+	return c
 }
 
-// add records parts as the most recent ones and evicts the oldest beyond the capacity.
-func (c *partCache) add(parts []keyedPart, capacity int) {
+// add records the use of parts and evicts those beyond the capacity whose requests ended first.
+func (c *partCache) add(parts []keyedPart, use promptUse, capacity int, times *runTimes) {
 	for _, part := range parts {
-		if old, ok := c.parts[part.key]; ok {
-			c.order.MoveToFront(old)
-			continue
+		added := cachedPart{keyedPart: part, readAt: use.readAt, usedAt: use.sentAt, size: use.size}
+		if element, ok := c.parts[part.key]; ok {
+			old := element.Value.(cachedPart)
+			added.tokens = old.tokens
+			if old.readAt.Before(added.readAt) {
+				added.readAt = old.readAt
+			}
+			if old.unusedAt(times).After(added.unusedAt(times)) {
+				added.usedAt, added.size = old.usedAt, old.size
+			}
+			c.lists[old.size].Remove(element)
+			c.tokens -= old.tokens
 		}
-		c.parts[part.key] = c.order.PushFront(part)
-		c.tokens += part.tokens
+		c.parts[part.key] = c.lists[added.size].PushFront(added)
+		c.tokens += added.tokens
 	}
-	for c.tokens > capacity && c.order.Len() > 0 {
-		c.evict(c.order.Back())
+	for c.tokens > capacity && len(c.parts) > 0 {
+		c.evictOldest(times)
 	}
 }
 
-func (c *partCache) evict(element *list.Element) {
-	part := c.order.Remove(element).(keyedPart)
+// unusedAt is when the last request that uses the part is expected to end.
+func (p *cachedPart) unusedAt(times *runTimes) time.Time { return p.usedAt.Add(times[p.size]) }
+
+func (c *partCache) evictOldest(times *runTimes) {
+	var oldest *list.Element
+	var unusedAt time.Time
+	for _, l := range c.lists {
+		if element := l.Back(); element != nil {
+			part := element.Value.(cachedPart)
+			if at := part.unusedAt(times); oldest == nil || at.Before(unusedAt) {
+				oldest, unusedAt = element, at
+			}
+		}
+	}
+	part := oldest.Value.(cachedPart)
+	c.lists[part.size].Remove(oldest)
 	delete(c.parts, part.key)
 	c.tokens -= part.tokens
 }
 
-// prefix returns the number and the tokens of the leading parts that are held.
-func (c *partCache) prefix(parts []keyedPart) (held, tokens int) {
+// cachedPrefix describes the leading parts of a prompt that an engine is expected to hold.
+type cachedPrefix struct {
+	parts, tokens int
+	// readParts is the number of leading parts that the engine has read already; the others wait or are being read.
+	readParts int
+	// usedTokens are the tokens of parts that running requests use.
+	usedTokens int
+}
+
+func (c *partCache) prefix(parts []keyedPart, now time.Time, times *runTimes) (p cachedPrefix) {
 	for _, part := range parts {
-		if _, ok := c.parts[part.key]; !ok {
+		element, ok := c.parts[part.key]
+		if !ok {
 			break
 		}
-		held++
-		tokens += part.tokens
+		held := element.Value.(cachedPart)
+		if p.readParts == p.parts && !now.Before(held.readAt) {
+			p.readParts++
+		}
+		p.parts++
+		p.tokens += part.tokens
+		if now.Before(held.unusedAt(times)) {
+			p.usedTokens += part.tokens
+		}
 	}
-	return held, tokens
+	return p
 }
--- a/placement/digest.go
+++ b/placement/digest.go
@@ -79,7 +79,7 @@
 	if len(t.pending.reads) > 0 {
 		d.Reads = &nodepb.PromptReads{}
 		for _, read := range t.pending.reads {
-			appendRead(d.Reads, read)
+			appendRead(d.Reads, read, now)
 		}
 	}
 	for name, source := range t.peers.byName {
@@ -176,7 +176,7 @@
 	t.links.applyTransferTotals(source.totalsName, false, totals, now)
 	t.links.applyLatenessTotals(source.totalsName, false, decodeLateness(d.GetLateKeys(), d.GetLateSums(), d.GetLateCounts()), now)
 	t.applyReplaced(d.GetReplaced())
-	t.applyReads(decodeReads(d.GetReads()))
+	t.applyReads(decodeReads(d.GetReads(), now))
 	return ejected, true
 }
 
--- a/placement/peers.go
+++ b/placement/peers.go
@@ -157,7 +157,7 @@
 	t.links.applyTransferTotals(report.GetNode(), true, totals, now)
 	t.links.applyLatenessTotals(report.GetNode(), true, decodeLateness(report.GetLateKeys(), report.GetLateSums(), report.GetLateCounts()), now)
 	t.applyReplaced(report.GetReplaced())
-	reads := decodeReads(report.GetReads())
+	reads := decodeReads(report.GetReads(), now)
 	t.applyReads(reads)
 	t.pending.add(reads, report.GetReplaced())
 	return ejected, true
@@ -245,7 +245,7 @@
 	report.Replaced = t.replaced
 	t.replaced = nil
 	t.pending.add(t.reads, report.GetReplaced())
-	report.Reads = t.drainReads()
+	report.Reads = t.drainReads(time.Now())
 	return report
 }
 
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -101,6 +101,9 @@
 	Version                    uint64
 	// CachedParts and CachedTokens count the leading parts of the prompt that the engine is expected to hold.
 	CachedParts, CachedTokens int
+	// ReadParts counts those of CachedParts that the engine has read already, and UsedTokens the tokens of those that
+	// running requests use.
+	ReadParts, UsedTokens int
 	// homePosition is the position of the engine among the homes of the prompt, from 1; 0 if it is none.
 	homePosition int
 }
@@ -233,7 +236,8 @@
 	firstTokenMs = 30
 )
 
-// MarkHeld finds, for each shared part, an engine that is expected to hold it and all parts before it.
+// MarkHeld finds, for each shared part, an engine that is expected to have read it and all parts before it. Engines that
+// still read it cannot be fetched from.
 func MarkHeld(q *Request, candidates []Candidate) {
 	q.Held = nil
 	if q.TokenTransfer <= 0 || q.StoredVersion == 0 {
@@ -245,7 +249,7 @@
 		if c.Ejected || c.Replaced || c.Instance.Draining || c.Instance.Updating || c.Version != q.StoredVersion {
 			continue
 		}
-		for k := len(q.Held); k < min(c.CachedParts, len(parts)); k++ {
+		for k := len(q.Held); k < min(c.ReadParts, len(parts)); k++ {
 			q.Held = append(q.Held, StoredPart{
 				Address: c.Instance.Address, AvailabilityZone: c.Instance.AvailabilityZone, Tokens: parts[k].Tokens,
 				Transfer: time.Duration(parts[k].Tokens) * q.TokenTransfer,
--- a/placement/reads.go
+++ b/placement/reads.go
@@ -1,6 +1,10 @@
 package placement
 
-import "github.com/wasabishunt/wasabishunt/rpc/nodepb"
+import (
+	"time"
+
+	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
+)
 
 // maxReads is the number of prompts in one report. The reports of a node are 25 ms or more apart; the limit is far
 // above what one node forwards between two of them.
@@ -12,34 +16,36 @@
 	parts    []keyedPart
 	// capacity is the cache size of the engine in tokens.
 	capacity int
+	use      promptUse
 }
 
 // recordRead adds the parts of a prompt to the estimated cache of the engine that reads it: later requests find them
 // there.
-func (t *Tracker) recordRead(s *instanceState, instance uint32, parts []keyedPart, capacity int) {
-	s.cache.add(parts, capacity)
+func (t *Tracker) recordRead(s *instanceState, read promptRead) {
+	s.cache.add(read.parts, read.use, read.capacity, &t.runTimes)
 	if len(t.reads) < maxReads {
-		t.reads = append(t.reads, promptRead{instance, parts, capacity})
+		t.reads = append(t.reads, read)
 	}
 }
 
 // drainReads returns and clears the prompts sent since the last report.
-func (t *Tracker) drainReads() *nodepb.PromptReads {
+func (t *Tracker) drainReads(now time.Time) *nodepb.PromptReads {
 	if len(t.reads) == 0 {
 		return nil
 	}
 	out := &nodepb.PromptReads{}
 	for _, read := range t.reads {
-		appendRead(out, read)
+		appendRead(out, read, now)
 	}
 	t.reads = t.reads[:0]
 	return out
 }
 
-func appendRead(out *nodepb.PromptReads, read promptRead) {
+func appendRead(out *nodepb.PromptReads, read promptRead, now time.Time) {
 	out.Instances = append(out.Instances, read.instance)
 	out.CacheTokens = append(out.CacheTokens, uint32(read.capacity))
 	out.PartCounts = append(out.PartCounts, uint32(len(read.parts)))
+	out.ReadMs = append(out.ReadMs, uint32(max(0, read.use.readAt.Sub(now).Milliseconds())))
 	for _, part := range read.parts {
 		out.Parts = append(out.Parts, part.key)
 		out.Tokens = append(out.Tokens, uint32(part.tokens))
@@ -58,8 +64,9 @@
 	return reads.CacheTokens[i]
 }
 
-// decodeReads returns nil for lists whose lengths don't match.
-func decodeReads(encoded *nodepb.PromptReads) []promptRead {
+// decodeReads returns nil for lists whose lengths don't match. Reports of the version before read_ms have none: their
+// prompts count as read.
+func decodeReads(encoded *nodepb.PromptReads, now time.Time) []promptRead {
 	n := len(encoded.GetInstances())
 	if len(encoded.GetCacheTokens()) != n || len(encoded.GetPartCounts()) != n || len(encoded.GetParts()) != len(encoded.GetTokens()) {
 		return nil
@@ -75,11 +82,17 @@
 			capacity = reported
 		}
 		parts := make([]keyedPart, count)
+		total := 0
 		for k := range parts {
 			parts[k] = keyedPart{encoded.GetParts()[next+k], int(encoded.GetTokens()[next+k])}
+			total += parts[k].tokens
 		}
 		next += count
-		reads[i] = promptRead{encoded.GetInstances()[i], parts, capacity}
+		use := promptUse{sentAt: now, readAt: now, size: Urgency{PromptTokens: total}.size()}
+		if i < len(encoded.GetReadMs()) {
+			use.readAt = now.Add(time.Duration(encoded.GetReadMs()[i]) * time.Millisecond)
+		}
+		reads[i] = promptRead{encoded.GetInstances()[i], parts, capacity, use}
 	}
 	return reads
 }
@@ -88,7 +101,7 @@
 func (t *Tracker) applyReads(reads []promptRead) {
 	for _, read := range reads {
 		if s := t.byHash[read.instance]; s != nil {
-			s.cache.add(read.parts, read.capacity)
+			s.cache.add(read.parts, read.use, read.capacity, &t.runTimes)
 		}
 	}
 }
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -93,6 +93,7 @@
 	ownZone    string
 	lastDigest digestState
 	rate       readRate
+	runTimes   runTimes
 	// priorities covers the requests that this node sends.
 	priorities priorities
 }
@@ -102,7 +103,7 @@
 	return &Tracker{
 		instances: map[upstreams.Key]*instanceState{}, byHash: map[uint32]*instanceState{}, links: newLinks(), peers: newLoadSources(), zones: newLoadSources(),
 		lastDigest: digestState{instances: map[uint32]usage{}, transfers: map[uint32]time.Duration{}},
-		rate:       readRate{tokensPerMs: initialReadRate},
+		rate:       readRate{tokensPerMs: initialReadRate}, runTimes: newRunTimes(),
 	}
 }
 
@@ -187,6 +188,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.state(instance.Key())
+	began := time.Now()
 	s.requests++
 	s.prefillTokens += work.PrefillTokens
 	if work.Urgency.isLong() {
@@ -195,14 +197,15 @@
 	t.priorities.record(work.Urgency, work.PrefillTokens)
 	s.heldTokens += work.HeldTokens
 	for address, transfer := range work.Transfers {
-		t.links.addTransfer(address, transfer, time.Now())
+		t.links.addTransfer(address, transfer, began)
 	}
 	if len(work.Parts) > 0 {
-		t.recordRead(s, hashKey(instance.ID), keyParts(work.Salt, work.Parts), work.CacheTokens)
+		use := promptUse{sentAt: began, readAt: began.Add(work.FirstEvent), size: work.Urgency.size()}
+		t.recordRead(s, promptRead{hashKey(instance.ID), keyParts(work.Salt, work.Parts), work.CacheTokens, use})
 	}
 	others := t.others(instance.ID)
 	ahead := t.priorities.aheadTokens(work.Urgency, s.prefillTokens+others.prefillTokens, s.longTokens+others.longTokens)
-	return &Ticket{tracker: t, key: instance.Key(), work: work, began: time.Now(), aheadTokens: ahead}
+	return &Ticket{tracker: t, key: instance.Key(), work: work, began: began, aheadTokens: ahead}
 }
 
 // Prefilled records that the prompt was read: the first event has arrived.
@@ -253,6 +256,9 @@
 	s.heldTokens -= k.work.HeldTokens
 	switch outcome {
 	case Answered:
+		if len(k.work.Parts) > 0 {
+			t.runTimes.observe(k.work.Urgency.size(), now.Sub(k.began))
+		}
 		s.answeredAt = now
 		s.failures, s.ejections = 0, 0
 		s.markReachable(now)
@@ -319,7 +325,8 @@
 			if keyed == nil || keyedVersion != c.Version {
 				keyed, keyedVersion = keyParts(q.Salt(c.Version), q.Parts), c.Version
 			}
-			c.CachedParts, c.CachedTokens = s.cache.prefix(keyed)
+			held := s.cache.prefix(keyed, now, &t.runTimes)
+			c.CachedParts, c.CachedTokens, c.ReadParts, c.UsedTokens = held.parts, held.tokens, held.readParts, held.usedTokens
 		}
 		out = append(out, c)
 	}
--- a/placement/urgency.go
+++ b/placement/urgency.go
@@ -28,18 +28,20 @@
 // isLong reports whether engines read the prompt after the others of its priority.
 func (u Urgency) isLong() bool { return u.PromptTokens > mediumPrompt }
 
-// Rank returns the rank at an engine; 0 is served first.
-func (u Urgency) Rank() int {
-	size := 0
+// size returns the size class of the prompt.
+func (u Urgency) size() int {
 	switch {
 	case u.isLong():
-		size = 2
+		return 2
 	case !u.IsShort():
-		size = 1
+		return 1
 	}
-	return min(maxRank, sizeClasses*u.Priority+size)
+	return 0
 }
 
+// Rank returns the rank at an engine; 0 is served first.
+func (u Urgency) Rank() int { return min(maxRank, sizeClasses*u.Priority+u.size()) }
+
 // priorityLevels is the number of distinct priorities; accounts and routes have three.
 const priorityLevels = 3
 
