placement: engines hold a shared part once, and a margin covers requests not reported yet

Cause: the model of an engine's memory counted a shared part once for each running request that uses it, and counted nothing for what other nodes send between two reports.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -151,7 +151,7 @@
 	if q.CacheTokens > 0 {
 		plan := placement.PlanPrefill(q, best)
 		chosen.work = placement.Work{
-			Urgency: q.Urgency, PrefillTokens: plan.Tokens, HeldTokens: g.PromptTokens + g.OutputTokens, Transfers: plan.Transfers,
+			Urgency: q.Urgency, PrefillTokens: plan.Tokens, HeldTokens: q.HeldTokens(best, g.OutputTokens), Transfers: plan.Transfers,
 			Salt: q.Salt(best.Version), Parts: g.Parts, CacheTokens: q.CacheTokens,
 		}
 		chosen.forecast = placement.EstimateFirstEvent(q, best)
--- a/placement/forecast.go
+++ b/placement/forecast.go
@@ -20,7 +20,7 @@
 	rate := max(1, c.ReadRate)
 	held := c.heldAhead(q)
 	wait := float64(c.AheadTokens)/rate + memoryWaitMs(q, held)
-	all := firstTokenMs + float64(c.AheadTokens+r.Tokens)/rate + memoryWaitMs(q, held+q.Tokens) + transferMs(q, &r)
+	all := firstTokenMs + float64(c.AheadTokens+r.Tokens)/rate + memoryWaitMs(q, held+q.newTokens(c)) + transferMs(q, &r)
 	return Forecast{Wait: fromMs(wait), Service: fromMs(all - wait), Queue: fromMs(float64(c.PrefillTokens)/rate + memoryWaitMs(q, c.HeldTokens))}
 }
 
@@ -30,6 +30,19 @@
 	return c.HeldTokens - waiting + int(c.MemoryShare*float64(waiting))
 }
 
+// memoryMargin is the memory counted for a request relative to what it takes. It makes up for the requests that other
+// nodes sent since their last report.
+const memoryMargin = 1.3
+
+// HeldTokens returns the memory to count for the request at an engine while it runs.
+func (q *Request) HeldTokens(c *Candidate, outputTokens int) int {
+	return int(memoryMargin * float64(q.newTokens(c)+outputTokens))
+}
+
+// newTokens is the memory that the prompt takes at an engine. Parts that running requests use take none: they are held
+// for these requests already, and requests that share a part hold it once.
+func (q *Request) newTokens(c *Candidate) int { return max(0, q.Tokens-c.UsedTokens) }
+
 func fromMs(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
 // memoryWaitMs is the wait for memory at an engine that is to hold heldTokens.
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -335,7 +335,7 @@
 func engineCost(q *Request, c *Candidate) float64 {
 	r := PlanPrefill(q, c)
 	rate := max(1, c.ReadRate)
-	cost := (float64(c.AheadTokens+r.Tokens)+(recomputeFactor-1)*float64(r.SharedTokens))/rate + memoryWaitMs(q, c.HeldTokens+q.Tokens) + transferFactor*transferMs(q, &r)
+	cost := (float64(c.AheadTokens+r.Tokens)+(recomputeFactor-1)*float64(r.SharedTokens))/rate + memoryWaitMs(q, c.HeldTokens+q.newTokens(c)) + transferFactor*transferMs(q, &r)
 	cost += requestCostMs*float64(max(c.Requests, c.Load.Running)) + failureCostMs*c.FailureShare
 	if !c.SameZone {
 		cost += zoneCostMs
