--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -97,6 +97,8 @@
 
 // Stores decides which parts of prompts engines fetch from and save to KV cache stores.
 type Stores interface {
+	// Known is closed once the contents of all stores have been reported since the start of the process.
+	Known() <-chan struct{}
 	// FetchDeadline returns the time on the engines' clock at which a fetch must have ended, in ms; 0 for no limit.
 	FetchDeadline(limit time.Duration) int64
 	// Locate returns where the leading parts are stored completely, one entry for each part. It ignores stores that need more
@@ -256,6 +258,7 @@
 	if err := c.readBody(); err != nil {
 		return err
 	}
+	c.awaitStores()
 	ctx, cancel := context.WithDeadlineCause(c.request.Context(), c.answerBy, errNoTimeLeft)
 	defer cancel()
 	return c.forward(ctx)
--- a/gateway/startup.go
+++ b/gateway/startup.go
@@ -49,6 +49,26 @@
 	return nil
 }
 
+// awaitStores waits, right after a start, until it is known what the stores hold: engines would read again what they
+// could fetch. It waits no longer than for the set, and then goes on without.
+func (c *call) awaitStores() {
+	stores, g := c.gateway.options.Stores, c.attributes.Generation
+	if stores == nil || c.service.Engine == nil || g == nil || len(g.Parts) < 2 {
+		return
+	}
+	wait := time.Until(c.started.Add(startupWait(c.started.Sub(c.gateway.started), c.callerDeadline())))
+	if wait <= 0 {
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-stores.Known():
+	case <-timer.C:
+	case <-c.request.Context().Done():
+	}
+}
+
 func staleSet(message string) *failure.Error {
 	e := failure.New(failure.StaleSet, failure.NotRun, "%s", message)
 	e.RetryAfter = setRetryAfter
--- a/kvstores/coordinator.go
+++ b/kvstores/coordinator.go
@@ -161,15 +161,17 @@
 				clock.Sleep(ctx, failurePause)
 				continue
 			}
-			if first := listed.IsZero() && s.epoch == 0 && !failing; first && listing.Epoch != 0 && listing.Epoch == c.AcceptedEpoch(s.address) {
-				// The store has not restarted since the previous coordinator let nodes save to it.
-				c.resume(s, listing.Epoch)
-			} else if failing || listing.Epoch != s.epoch {
+			// The previous coordinator let nodes save to the store, which has not restarted since.
+			inUse := listed.IsZero() && s.epoch == 0 && !failing && listing.Epoch != 0 && listing.Epoch == c.AcceptedEpoch(s.address)
+			if failing || listing.Epoch != s.epoch {
 				restarted = time.Now()
 				c.restart(s, listing.Epoch)
 			}
 			failing = false
 			c.replace(s, listing)
+			if inUse {
+				c.accept(s)
+			}
 			c.freeUnused(ctx, s, listing)
 			since, listed = listing.Next, time.Now()
 		}
@@ -192,7 +194,9 @@
 		}
 		c.recordClock(events.ClockMs)
 		since = events.Next
-		c.apply(s, events.Events)
+		if len(events.Events) > 0 {
+			c.apply(s, events.Events)
+		}
 	}
 }
 
@@ -227,12 +231,6 @@
 	c.publish(&nodepb.StorePlacement{Address: s.address, Epoch: epoch, Reset_: true})
 }
 
-// resume continues with a store that the previous coordinator had in use.
-func (c *Coordinator) resume(s *storeState, epoch int64) {
-	c.restart(s, epoch)
-	c.accept(s)
-}
-
 func (c *Coordinator) accept(s *storeState) {
 	c.mu.Lock()
 	s.accepts = true
@@ -241,7 +239,8 @@
 	c.publish(&nodepb.StorePlacement{Address: s.address, Epoch: s.epoch, Accepts: true})
 }
 
-// replace replaces the known parts by those of a listing.
+// replace replaces the known parts by those of a listing. A listing is published even if nothing has changed: nodes
+// wait for the first one after a start.
 func (c *Coordinator) replace(s *storeState, listing Listing) {
 	complete := make(map[Part]bool, len(listing.Complete))
 	changes := make([]Event, 0, len(listing.Complete))
@@ -261,9 +260,6 @@
 
 // apply applies events in order and publishes them to the nodes.
 func (c *Coordinator) apply(s *storeState, events []Event) {
-	if len(events) == 0 {
-		return
-	}
 	change := &nodepb.StorePlacement{Address: s.address, Epoch: s.epoch, Accepts: s.accepts}
 	c.mu.Lock()
 	last := map[Part]Event{}
--- a/kvstores/directory.go
+++ b/kvstores/directory.go
@@ -29,6 +29,8 @@
 	epoch   int64
 	accepts bool
 	used    int
+	// reported is set once the reader has reported the store's contents, or that it is down.
+	reported bool
 }
 
 // Directory is a node's view of the stores and their contents. Its mu is a leaf lock: no other lock is acquired while
@@ -48,6 +50,8 @@
 	lastContact time.Time
 	tokenBytes  int
 	clock       engineClock
+	// known is closed once all stores of a published set have been reported.
+	known chan struct{}
 }
 
 // location is a copy of a part in a store.
@@ -73,7 +77,7 @@
 
 // NewDirectory returns an empty Directory.
 func NewDirectory(now func() time.Time) *Directory {
-	return &Directory{now: now, stores: map[string]*store{}, parts: map[Part][]location{}, pendingSaves: map[uint64]time.Time{}}
+	return &Directory{now: now, stores: map[string]*store{}, parts: map[Part][]location{}, pendingSaves: map[uint64]time.Time{}, known: make(chan struct{})}
 }
 
 // Configure applies the stores and the size of a token from a published set.
@@ -102,6 +106,25 @@
 			delete(d.stores, address)
 		}
 	}
+	d.updateKnown()
+}
+
+// Known is closed once the contents of all stores have been reported since the start of the process.
+func (d *Directory) Known() <-chan struct{} { return d.known }
+
+// updateKnown closes known once all stores have been reported. The caller holds the lock.
+func (d *Directory) updateKnown() {
+	select {
+	case <-d.known:
+		return
+	default:
+	}
+	for _, s := range d.stores {
+		if !s.reported {
+			return
+		}
+	}
+	close(d.known)
 }
 
 // RecordContact records a message of the stores' reader.
@@ -125,6 +148,10 @@
 			d.reset(change.GetAddress())
 		}
 		s.epoch, s.accepts = change.GetEpoch(), change.GetAccepts()
+		// A reset comes before the contents, unless the store is down.
+		if !change.GetReset_() || s.epoch == 0 || len(change.GetAdded()) > 0 {
+			s.reported = true
+		}
 		for _, part := range change.GetRemoved() {
 			d.remove(Part{part.GetSalt(), part.GetId()}, change.GetAddress())
 		}
@@ -132,6 +159,7 @@
 			d.add(Part{part.GetSalt(), part.GetId()}, location{change.GetAddress(), int(part.GetTokens())})
 		}
 	}
+	d.updateKnown()
 }
 
 // AcceptedEpoch returns the epoch of a store that accepts saves, 0 if it accepts none.
--- a/kvstores/kvstores_test.go
+++ b/kvstores/kvstores_test.go
@@ -71,6 +71,25 @@
 	require.Len(t, d.Locate("v1", prompt[:2], 100*time.Millisecond, link{slowness: 4}), 1, "a slow link")
 }
 
+// Guards against requests that stop waiting after a start although the contents of a store are still to come: a reset
+// precedes them. A store that is down is reported without contents.
+func TestStoresAreKnownOnceAllAreReported(t *testing.T) {
+	d, _ := newTestDirectory()
+	isKnown := func() bool {
+		select {
+		case <-d.Known():
+			return true
+		default:
+			return false
+		}
+	}
+	require.False(t, isKnown())
+	d.ApplyChanges([]*nodepb.StorePlacement{{Address: "fast", Epoch: 1}})
+	require.False(t, isKnown())
+	d.ApplyChanges([]*nodepb.StorePlacement{{Address: "large", Reset_: true}})
+	require.True(t, isKnown())
+}
+
 // Guards against fetches and saves by a node that is not notified of restarts of stores.
 func TestNothingIsUsedWithoutContact(t *testing.T) {
 	d, clock := newTestDirectory()
