kvstores: a store that is nearly full evicts parts that were not used for 20 s

The reader of the stores withdraws the parts that were not used for longest from all nodes, and frees them once no fetch can still read them; the call is valid for 0.3 s on the stores' clock, and a new reader knows the withdrawals that its node received.

--- a/kvstores/coordinator.go
+++ b/kvstores/coordinator.go
@@ -44,7 +44,9 @@
 type Client interface {
 	Events(ctx context.Context, address string, since uint64, wait time.Duration) (Events, error)
 	List(ctx context.Context, address string) (Listing, error)
-	Free(ctx context.Context, address string, epoch int64, parts []Part) error
+	// Free removes parts from a store. The store rejects the call in another epoch, and after untilMs on its clock, so
+	// that a delayed call removes nothing; 0 is no limit.
+	Free(ctx context.Context, address string, epoch, untilMs int64, parts []Part) error
 }
 
 // Publisher distributes the coordinator's changes to the nodes.
@@ -61,6 +63,10 @@
 	Publisher Publisher
 	// AcceptedEpoch returns the epoch in which the previous coordinator let nodes save to a store, 0 if it did not.
 	AcceptedEpoch func(address string) int64
+	// LastUsed returns when a request that uses a part was last sent to an engine, by any node; zero if none is known.
+	LastUsed func(part Part) time.Time
+	// Withdrawn returns the parts of a store that the previous coordinator withdrew, as far as this node knows.
+	Withdrawn func(address string) []Part
 	// IsSaltUsable reports whether a salt may still be used; nil means that all may.
 	IsSaltUsable func(salt string) bool
 	Log          *zap.Logger
@@ -80,6 +86,11 @@
 	accepts    bool
 	parts      map[Part]int
 	incomplete map[Part]time.Time
+	withdrawn  map[Part]*withdrawal
+	// leadsSince is when the coordinator began to read the store: parts not known to have been used count as used then.
+	leadsSince time.Time
+	// checked is when the free space of the store was last checked.
+	checked time.Time
 }
 
 const (
@@ -102,6 +113,9 @@
 	incompleteTimeout = 6 * time.Second
 	// freeBatch is the number of parts in one call.
 	freeBatch = 256
+	// freeValidity is the time within which a store must receive a call that frees parts. It is shorter than listTimeout
+	// and than the time until another node can lead and use the parts.
+	freeValidity = 300 * time.Millisecond
 	// transferDrain is longer than any fetch that began while its salt was still in use.
 	transferDrain = 5 * time.Second
 )
@@ -143,7 +157,12 @@
 	if c.stores[address] != nil {
 		return
 	}
-	s := &storeState{address: address, parts: map[Part]int{}, incomplete: map[Part]time.Time{}}
+	s := &storeState{address: address, parts: map[Part]int{}, incomplete: map[Part]time.Time{}, withdrawn: map[Part]*withdrawal{}, leadsSince: time.Now()}
+	if c.Withdrawn != nil {
+		for _, part := range c.Withdrawn(address) {
+			s.withdrawn[part] = &withdrawal{at: s.leadsSince}
+		}
+	}
 	c.stores[address] = s
 	readers.Go(func() { supervise.Loop(ctx, c.Log, "reader of a store", func() { c.read(ctx, s) }) })
 }
@@ -197,6 +216,7 @@
 		if len(events.Events) > 0 {
 			c.apply(s, events.Events)
 		}
+		c.makeRoom(ctx, s)
 	}
 }
 
@@ -225,8 +245,11 @@
 // restart clears the known contents of a store and stops saves to it.
 func (c *Coordinator) restart(s *storeState, epoch int64) {
 	c.mu.Lock()
-	s.epoch, s.accepts = epoch, false
 	s.parts, s.incomplete = map[Part]int{}, map[Part]time.Time{}
+	if s.epoch != 0 && epoch != s.epoch {
+		clear(s.withdrawn)
+	}
+	s.epoch, s.accepts = epoch, false
 	c.mu.Unlock()
 	c.publish(&nodepb.StorePlacement{Address: s.address, Epoch: epoch, Reset_: true})
 }
@@ -246,6 +269,10 @@
 	changes := make([]Event, 0, len(listing.Complete))
 	for _, event := range listing.Complete {
 		complete[event.Part] = true
+		if w := s.withdrawn[event.Part]; w != nil {
+			w.tokens = event.Tokens
+			continue
+		}
 		if s.parts[event.Part] != event.Tokens {
 			changes = append(changes, event)
 		}
@@ -255,6 +282,11 @@
 			changes = append(changes, Event{Part: part, Removed: true})
 		}
 	}
+	for part := range s.withdrawn {
+		if !complete[part] {
+			delete(s.withdrawn, part)
+		}
+	}
 	c.apply(s, changes)
 }
 
@@ -267,6 +299,12 @@
 		last[event.Part] = event
 	}
 	for part, event := range last {
+		if s.withdrawn[part] != nil {
+			if event.Removed {
+				delete(s.withdrawn, part)
+			}
+			continue
+		}
 		encoded := &nodepb.PlacedPart{Salt: part.Salt, Id: part.ID, Tokens: uint32(event.Tokens)}
 		if event.Removed {
 			delete(s.parts, part)
@@ -318,17 +356,27 @@
 			free = append(free, part)
 		}
 	}
-	for len(free) > 0 {
-		batch := free[:min(len(free), freeBatch)]
-		free = free[len(batch):]
+	c.free(ctx, s, free)
+}
+
+// free removes parts from a store and returns those of the calls that succeeded.
+func (c *Coordinator) free(ctx context.Context, s *storeState, parts []Part) (freed []Part) {
+	for len(freed) < len(parts) {
+		batch := parts[len(freed):min(len(parts), len(freed)+freeBatch)]
+		untilMs := int64(0)
+		if clock := c.EngineClock(); clock > 0 {
+			untilMs = int64(clock) + freeValidity.Milliseconds()
+		}
 		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
-		err := c.Client.Free(callCtx, s.address, s.epoch, batch)
+		err := c.Client.Free(callCtx, s.address, s.epoch, untilMs, batch)
 		cancel()
 		c.Log.Info("freed parts of a store", zap.String("store", s.address), zap.Int("parts", len(batch)), zap.Error(err))
 		if err != nil {
-			return
+			break
 		}
+		freed = append(freed, batch...)
 	}
+	return freed
 }
 
 // isUnused reports whether a salt has been out of use for longer than a fetch takes.
--- a/kvstores/directory.go
+++ b/kvstores/directory.go
@@ -29,6 +29,8 @@
 	epoch   int64
 	accepts bool
 	used    int
+	// withdrawn holds when the reader removed parts, until it reports them again.
+	withdrawn map[Part]time.Time
 	// reported is set once the reader has reported the store's contents, or that it is down.
 	reported bool
 }
@@ -109,6 +111,44 @@
 	d.updateKnown()
 }
 
+// withdrawnFor is how long a removed part counts as withdrawn: longer than the reader takes to free it.
+const withdrawnFor = withdrawDelay + 4*time.Second
+
+func (s *store) recordWithdrawn(parts []*nodepb.PlacedPart, now time.Time) {
+	if len(parts) == 0 {
+		return
+	}
+	if s.withdrawn == nil {
+		s.withdrawn = map[Part]time.Time{}
+	}
+	for part, at := range s.withdrawn {
+		if now.Sub(at) > withdrawnFor {
+			delete(s.withdrawn, part)
+		}
+	}
+	for _, part := range parts {
+		s.withdrawn[Part{part.GetSalt(), part.GetId()}] = now
+	}
+}
+
+// Withdrawn returns the parts of a store that the reader withdrew a short time ago. A new reader must not use them: the
+// former one may still free them.
+func (d *Directory) Withdrawn(address string) []Part {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.stores[address]
+	if s == nil {
+		return nil
+	}
+	var out []Part
+	for part, at := range s.withdrawn {
+		if d.now().Sub(at) <= withdrawnFor {
+			out = append(out, part)
+		}
+	}
+	return out
+}
+
 // Known is closed once the contents of all stores have been reported since the start of the process.
 func (d *Directory) Known() <-chan struct{} { return d.known }
 
@@ -155,6 +195,7 @@
 		for _, part := range change.GetRemoved() {
 			d.remove(Part{part.GetSalt(), part.GetId()}, change.GetAddress())
 		}
+		s.recordWithdrawn(change.GetRemoved(), d.now())
 		for _, part := range change.GetAdded() {
 			d.add(Part{part.GetSalt(), part.GetId()}, location{change.GetAddress(), int(part.GetTokens())})
 		}
@@ -199,6 +240,7 @@
 	d.remove(part, held.store)
 	d.parts[part] = append(d.parts[part], held)
 	d.stores[held.store].used += held.tokens
+	delete(d.stores[held.store].withdrawn, part)
 	delete(d.pendingSaves, part.key())
 }
 
--- /dev/null
+++ b/kvstores/evict.go
@@ -0,0 +1,59 @@
+package kvstores
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// freeShare is the share of a store that is kept free for new parts, or is being freed.
+	freeShare = 0.05
+	// evictStep is the smallest share of a store that is freed at a time.
+	evictStep = 0.01
+	// minIdle is the time without use after which a part may be evicted. Prompts return after gaps: a part evicted sooner
+	// is often read again.
+	minIdle = 20 * time.Second
+)
+
+// heldPart is a part in a store, for the choice of what to evict.
+type heldPart struct {
+	part     Part
+	tokens   int
+	lastUsed time.Time
+}
+
+// selectEvictions returns the parts to evict from a store, those first that have not been used for the longest time.
+// Parts whose eviction is in progress are not among those held.
+func selectEvictions(held []heldPart, capacity int, now time.Time) []Part {
+	used := 0
+	for _, h := range held {
+		used += h.tokens
+	}
+	missing := int(freeShare*float64(capacity)) - (capacity - used)
+	if float64(missing) < evictStep*float64(capacity) {
+		return nil
+	}
+	slices.SortFunc(held, func(a, b heldPart) int { return a.lastUsed.Compare(b.lastUsed) })
+	var evicted []Part
+	for _, h := range held {
+		if missing <= 0 || now.Sub(h.lastUsed) < minIdle {
+			break
+		}
+		evicted = append(evicted, h.part)
+		missing -= h.tokens
+	}
+	return evicted
+}
+
+// withdrawal is a part that nodes no longer fetch, and that is freed once no fetch of it can still be in progress.
+type withdrawal struct {
+	at     time.Time
+	tokens int
+	// freed is set once the store was told to free the part. The part counts as withdrawn until the store reports that
+	// it is gone: an earlier report that it is complete may still arrive, and the part may be written anew meanwhile.
+	freed bool
+}
+
+// withdrawDelay is the time from the withdrawal of a part to its release: nodes without contact to the reader still
+// begin fetches for contactTimeout.
+const withdrawDelay = contactTimeout + transferDrain
--- a/kvstores/kvstores_test.go
+++ b/kvstores/kvstores_test.go
@@ -226,7 +226,7 @@
 	return out, nil
 }
 
-func (f *fakeStore) Free(_ context.Context, _ string, epoch int64, parts []Part) error {
+func (f *fakeStore) Free(_ context.Context, _ string, epoch, _ int64, parts []Part) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if epoch != f.epoch {
--- a/node/node.go
+++ b/node/node.go
@@ -154,6 +154,8 @@
 		Lease: config.HolderLease, Set: n.Set, WantedVersions: n.WantedVersions, Directory: n.directory,
 		Requests: n.tracker.Requests, Log: log,
 	}
+	n.storeCoordinator.LastUsed = func(part kvstores.Part) time.Time { return n.tracker.LastUsed(part.Salt, part.ID) }
+	n.storeCoordinator.Withdrawn = n.stores.Withdrawn
 	n.storeCoordinator.IsSaltUsable, n.storeCoordinator.AcceptedEpoch = n.isSaltUsable, n.stores.AcceptedEpoch
 	n.loadExchange = peerload.New(peerload.Options{
 		Node: config.Name, Self: peerload.Peer{Address: config.LoadReports, AvailabilityZone: config.AvailabilityZone, LinkMbps: config.LinkMbps, CPUMillis: config.CPUMillis},
--- a/placement/reads.go
+++ b/placement/reads.go
@@ -23,6 +23,7 @@
 // there.
 func (t *Tracker) recordRead(s *instanceState, read promptRead) {
 	s.cache.add(read.parts, read.use, read.capacity, &t.runTimes)
+	t.uses.record(read.parts, read.use.sentAt)
 	if len(t.reads) < maxReads {
 		t.reads = append(t.reads, read)
 	}
@@ -100,6 +101,7 @@
 // applyReads adds the prompts that other nodes sent to the estimated caches. The caller holds the lock.
 func (t *Tracker) applyReads(reads []promptRead) {
 	for _, read := range reads {
+		t.uses.record(read.parts, read.use.sentAt)
 		if s := t.byHash[read.instance]; s != nil {
 			s.cache.add(read.parts, read.use, read.capacity, &t.runTimes)
 		}
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -94,6 +94,7 @@
 	lastDigest digestState
 	rate       readRate
 	runTimes   runTimes
+	uses       partUses
 	// priorities covers the requests that this node sends.
 	priorities priorities
 }
@@ -103,7 +104,7 @@
 	return &Tracker{
 		instances: map[upstreams.Key]*instanceState{}, byHash: map[uint32]*instanceState{}, links: newLinks(), peers: newLoadSources(), zones: newLoadSources(),
 		lastDigest: digestState{instances: map[uint32]usage{}, transfers: map[uint32]time.Duration{}},
-		rate:       readRate{tokensPerMs: initialReadRate}, runTimes: newRunTimes(),
+		rate:       readRate{tokensPerMs: initialReadRate}, runTimes: newRunTimes(), uses: newPartUses(),
 	}
 }
 
