--- a/kvstores/coordinator.go
+++ b/kvstores/coordinator.go
@@ -120,6 +120,16 @@
 	transferDrain = 5 * time.Second
 )
 
+// newStoreState returns the state of a store that was not read yet. withdrawn are the parts that the previous coordinator
+// withdrew.
+func newStoreState(address string, withdrawn []Part) *storeState {
+	s := &storeState{address: address, parts: map[Part]int{}, incomplete: map[Part]time.Time{}, withdrawn: map[Part]*withdrawal{}, leadsSince: time.Now()}
+	for _, part := range withdrawn {
+		s.withdrawn[part] = &withdrawal{at: s.leadsSince}
+	}
+	return s
+}
+
 // Run reads all stores whenever its node leads, until the context ends.
 func (c *Coordinator) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -157,12 +167,11 @@
 	if c.stores[address] != nil {
 		return
 	}
-	s := &storeState{address: address, parts: map[Part]int{}, incomplete: map[Part]time.Time{}, withdrawn: map[Part]*withdrawal{}, leadsSince: time.Now()}
+	var withdrawn []Part
 	if c.Withdrawn != nil {
-		for _, part := range c.Withdrawn(address) {
-			s.withdrawn[part] = &withdrawal{at: s.leadsSince}
-		}
+		withdrawn = c.Withdrawn(address)
 	}
+	s := newStoreState(address, withdrawn)
 	c.stores[address] = s
 	readers.Go(func() { supervise.Loop(ctx, c.Log, "reader of a store", func() { c.read(ctx, s) }) })
 }
--- a/kvstores/kvstores_test.go
+++ b/kvstores/kvstores_test.go
@@ -193,6 +193,7 @@
 	lost       bool
 	down       bool
 	freed      []Part
+	freedUntil int64
 	listed     int
 	waiting    time.Duration
 }
@@ -226,13 +227,14 @@
 	return out, nil
 }
 
-func (f *fakeStore) Free(_ context.Context, _ string, epoch, _ int64, parts []Part) error {
+func (f *fakeStore) Free(_ context.Context, _ string, epoch, untilMs int64, parts []Part) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if epoch != f.epoch {
 		return failure.New(failure.UpstreamFailed, failure.NotRun, "another epoch")
 	}
 	f.freed = append(f.freed, parts...)
+	f.freedUntil = untilMs
 	return nil
 }
 
