--- a/entry/call.go
+++ b/entry/call.go
@@ -149,11 +149,10 @@
 	for {
 		changed := s.deps.Source.Changed()
 		view := s.deps.Source.Current()
-		now := s.deps.Clock.Now()
-		if view.Fresh(now) {
+		if s.hasConfirmedSet(view) {
 			return view, nil
 		}
-		if view.Set == nil || !now.Before(view.FreshUntil) {
+		if view.Set == nil || !view.Behind || !s.deps.Clock.Now().Before(view.FreshUntil) {
 			return view, staleSet()
 		}
 		select {
--- a/entry/checks_test.go
+++ b/entry/checks_test.go
@@ -95,6 +95,23 @@
 	assert.Equal(t, http.StatusOK, readyStatus(4*time.Second))
 }
 
+// TestAcceptsAgainWithTimeLeft guards against a stale entry that accepts a request on a late confirmation and refuses the
+// next one a moment later: after a cut, the confirmations of a session that has ended may still arrive.
+func TestAcceptsAgainWithTimeLeft(t *testing.T) {
+	c := newCluster(t, entry.Options{ReadyMargin: 2 * time.Second})
+	c.startFakeAgent("u1", completeAnswer)
+	status := func(remaining time.Duration) int {
+		c.view.Change(func(v *controlclient.View) { v.FreshUntil = time.Now().Add(remaining) })
+		response, _ := c.do(http.MethodPost, chatPath, chatBody(false, ""))
+		return response.StatusCode
+	}
+	assert.Equal(t, http.StatusOK, status(4*time.Second))
+	assert.Equal(t, http.StatusOK, status(time.Second), "an entry that accepts requests goes on")
+	assert.Equal(t, http.StatusServiceUnavailable, status(0))
+	assert.Equal(t, http.StatusServiceUnavailable, status(time.Second))
+	assert.Equal(t, http.StatusOK, status(4*time.Second))
+}
+
 // TestObservedVersion guards against new work under a set after a reply has named a newer version.
 func TestObservedVersion(t *testing.T) {
 	c := newCluster(t, entry.Options{SetVersionTimeout: 20 * time.Millisecond})
