placement: engines with old weights cost nothing more in the choice

The cost sent most requests of a rollout's first seconds to the few engines that had the new weights already.

--- a/placement/pick.go
+++ b/placement/pick.go
@@ -224,8 +224,6 @@
 	recomputeFactor = 2
 	// transferFactor is the cost of transfer time relative to the same engine time.
 	transferFactor = 0.5
-	// oldWeightsCostMs is the cost of weights older than WantedVersion: callers value their answers a fifth less.
-	oldWeightsCostMs = 60
 	// homeBonusMs is the advantage of the first home of a prompt; the second has half of it.
 	homeBonusMs = 40
 	// homeCount is the number of homes of a prompt.
@@ -340,9 +338,6 @@
 	if !c.SameZone {
 		cost += zoneCostMs
 	}
-	if c.Version < q.WantedVersion {
-		cost += oldWeightsCostMs
-	}
 	if c.homePosition > 0 && (len(r.Transfers) > 0 || r.EngineTransfer > 0 || r.SharedTokens > 0) {
 		cost -= homeBonusMs / float64(c.homePosition)
 	}
