kvstores: a withdrawal that could not be carried out for long is made anew; free space is checked before parts are sorted

Cause, by reading: other nodes remember a withdrawal for 10 s. If a store could not be reached for longer, the reader would still have freed the part afterwards, and a leader elected in that moment could have let nodes fetch it. TestOldWithdrawalIsRenewed fails without it.

--- a/kvstores/directory.go
+++ b/kvstores/directory.go
@@ -114,6 +114,7 @@
 // withdrawnFor is how long a removed part counts as withdrawn: longer than the reader takes to free it.
 const withdrawnFor = withdrawDelay + 4*time.Second
 
+// recordWithdrawn records parts that the reader removed, and forgets those removed long ago.
 func (s *store) recordWithdrawn(parts []*nodepb.PlacedPart, now time.Time) {
 	if len(parts) == 0 {
 		return
--- a/kvstores/evict.go
+++ b/kvstores/evict.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 const (
@@ -25,12 +27,8 @@
 // selectEvictions returns the parts to evict from a store, those first that have not been used for the longest time.
 // Parts whose eviction is in progress are not among those held.
 func selectEvictions(held []heldPart, capacity int, now time.Time) []Part {
-	used := 0
-	for _, h := range held {
-		used += h.tokens
-	}
-	missing := int(freeShare*float64(capacity)) - (capacity - used)
-	if float64(missing) < evictStep*float64(capacity) {
+	missing := missingRoom(lo.SumBy(held, func(h heldPart) int { return h.tokens }), capacity)
+	if missing <= 0 {
 		return nil
 	}
 	slices.SortFunc(held, func(a, b heldPart) int { return a.lastUsed.Compare(b.lastUsed) })
@@ -45,6 +43,15 @@
 	return evicted
 }
 
+// missingRoom returns how much must be evicted from a store that holds so much, 0 for less than evictStep.
+func missingRoom(used, capacity int) int {
+	missing := int(freeShare*float64(capacity)) - (capacity - used)
+	if float64(missing) < evictStep*float64(capacity) {
+		return 0
+	}
+	return missing
+}
+
 // withdrawal is a part that nodes no longer fetch, and that is freed once no fetch of it can still be in progress.
 type withdrawal struct {
 	at     time.Time
--- a/kvstores/room.go
+++ b/kvstores/room.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
@@ -22,39 +23,53 @@
 	}
 	s.checked = now
 	c.freeWithdrawn(ctx, s, now)
+	capacity := c.capacity(s.address)
+	if missingRoom(lo.Sum(lo.Values(s.parts)), capacity) <= 0 {
+		return
+	}
 	held := make([]heldPart, 0, len(s.parts))
 	for part, tokens := range s.parts {
 		held = append(held, heldPart{part, tokens, c.lastUsed(s, part)})
 	}
-	evicted := selectEvictions(held, c.capacity(s.address), now)
+	evicted := selectEvictions(held, capacity, now)
 	if len(evicted) == 0 {
 		return
 	}
-	change := &nodepb.StorePlacement{Address: s.address, Epoch: s.epoch, Accepts: s.accepts}
 	c.mu.Lock()
 	for _, part := range evicted {
 		s.withdrawn[part] = &withdrawal{at: now, tokens: s.parts[part]}
 		delete(s.parts, part)
-		change.Removed = append(change.Removed, &nodepb.PlacedPart{Salt: part.Salt, Id: part.ID})
 	}
 	c.mu.Unlock()
-	c.Log.Info("parts of a store are withdrawn", zap.String("store", s.address), zap.Int("parts", len(evicted)), zap.Int("kept", len(s.parts)))
+	c.publishWithdrawn(s, evicted)
+}
+
+func (c *Coordinator) publishWithdrawn(s *storeState, parts []Part) {
+	change := &nodepb.StorePlacement{Address: s.address, Epoch: s.epoch, Accepts: s.accepts}
+	for _, part := range parts {
+		change.Removed = append(change.Removed, &nodepb.PlacedPart{Salt: part.Salt, Id: part.ID})
+	}
+	c.Log.Info("parts of a store are withdrawn", zap.String("store", s.address), zap.Int("parts", len(parts)), zap.Int("kept", len(s.parts)))
 	c.publish(change)
 }
 
 // freeWithdrawn frees the parts that no fetch can still read. Parts that were requested since their withdrawal are used
-// again instead.
+// again instead, and parts that could not be freed for long are withdrawn anew: nodes, and with them the next leader,
+// remember a withdrawal for withdrawnFor only.
 func (c *Coordinator) freeWithdrawn(ctx context.Context, s *storeState, now time.Time) {
 	if !c.Leads() {
 		return
 	}
-	var due []Part
+	var due, renewed []Part
 	var restored []Event
 	for part, w := range s.withdrawn {
 		switch {
 		case w.freed || now.Sub(w.at) < withdrawDelay:
 		case w.tokens > 0 && c.lastUsed(s, part).After(w.at):
 			restored = append(restored, Event{Part: part, Tokens: w.tokens})
+		case now.Sub(w.at) > withdrawnFor/2+withdrawDelay/2:
+			w.at = now
+			renewed = append(renewed, part)
 		default:
 			due = append(due, part)
 		}
@@ -65,6 +80,9 @@
 	if len(restored) > 0 {
 		c.apply(s, restored)
 	}
+	if len(renewed) > 0 {
+		c.publishWithdrawn(s, renewed)
+	}
 	for _, part := range c.free(ctx, s, due) {
 		s.withdrawn[part].freed = true
 	}
--- a/kvstores/room_test.go
+++ b/kvstores/room_test.go
@@ -90,7 +90,7 @@
 	c.Leads = func() bool { return false }
 	c.makeRoom(context.Background(), s)
 	require.Empty(t, store.freed, "another node may lead")
-	delayPassed(s)
+	s.checked = time.Time{}
 	c.Leads = func() bool { return true }
 	c.makeRoom(context.Background(), s)
 	require.Equal(t, []Part{part}, store.freed)
@@ -116,6 +116,21 @@
 	require.True(t, r.located("a"), "a new copy")
 }
 
+// Guards against freeing a part whose withdrawal the other nodes have forgotten, because the store could not be reached
+// for long: a new leader would let nodes fetch it.
+func TestOldWithdrawalIsRenewed(t *testing.T) {
+	store := fullStore()
+	c, s, r := nearlyFull(t, store)
+	part := withdrawOne(t, c, s, r)
+	delayPassed(s)
+	s.withdrawn[part].at = s.withdrawn[part].at.Add(-withdrawnFor)
+	c.makeRoom(context.Background(), s)
+	require.Empty(t, store.freed)
+	delayPassed(s)
+	c.makeRoom(context.Background(), s)
+	require.Equal(t, []Part{part}, store.freed)
+}
+
 // Guards against freeing a part that callers have begun to ask for again.
 func TestWithdrawnPartIsUsedAgain(t *testing.T) {
 	store := fullStore()
