kvstores: a part whose release was requested is not used again

Cause, found by reading: if the answer to the call that frees a part was lost, and callers asked for the part since, it was published again although the store may have freed it; an engine could have fetched it while it was being written anew. TestPartThatMayBeFreedIsNotUsedAgain fails without the change.

--- a/kvstores/evict.go
+++ b/kvstores/evict.go
@@ -59,6 +59,8 @@
 	// freed is set once the store was told to free the part. The part counts as withdrawn until the store reports that
 	// it is gone: an earlier report that it is complete may still arrive, and the part may be written anew meanwhile.
 	freed bool
+	// requested is set once a call to free the part was sent, whose answer may have been lost: the part may be gone.
+	requested bool
 }
 
 // withdrawDelay is the time from the withdrawal of a part to its release: nodes without contact to the reader still
--- a/kvstores/room.go
+++ b/kvstores/room.go
@@ -65,12 +65,13 @@
 	for part, w := range s.withdrawn {
 		switch {
 		case w.freed || now.Sub(w.at) < withdrawDelay:
-		case w.tokens > 0 && c.lastUsed(s, part).After(w.at):
+		case w.tokens > 0 && !w.requested && c.lastUsed(s, part).After(w.at):
 			restored = append(restored, Event{Part: part, Tokens: w.tokens})
 		case now.Sub(w.at) > withdrawnFor/2+withdrawDelay/2:
 			w.at = now
 			renewed = append(renewed, part)
 		default:
+			w.requested = true
 			due = append(due, part)
 		}
 	}
--- a/kvstores/room_test.go
+++ b/kvstores/room_test.go
@@ -156,3 +156,18 @@
 	require.False(t, r.located("a"))
 	require.True(t, r.located("b"))
 }
+
+// Guards against fetches of a part that a store freed although its answer was lost: the part may be gone, or being written
+// anew.
+func TestPartThatMayBeFreedIsNotUsedAgain(t *testing.T) {
+	store := fullStore()
+	c, s, r := nearlyFull(t, store)
+	withdrawOne(t, c, s, r)
+	delayPassed(s)
+	store.set(func(f *fakeStore) { f.epoch++ })
+	c.makeRoom(context.Background(), s)
+	s.checked = time.Time{}
+	c.LastUsed = func(Part) time.Time { return time.Now() }
+	c.makeRoom(context.Background(), s)
+	require.False(t, r.located("a"))
+}
