--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -63,6 +63,20 @@
 	return f.versions[id]
 }
 
+const engineCount = 5
+
+func engineID(i int) string { return fmt.Sprint("e", i) }
+
+// list returns the platform's list of instances, which does not say which engines load weights.
+func (f *fakeEngines) list() []upstreams.Instance {
+	var list []upstreams.Instance
+	for i := range engineCount {
+		id := engineID(i)
+		list = append(list, upstreams.Instance{ID: id, Service: "s", Address: id, Versions: map[string]uint64{"m": f.version(id)}})
+	}
+	return list
+}
+
 func (f *fakeEngines) Report(_ context.Context, i *upstreams.Instance) (Report, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -93,13 +107,10 @@
 func startController(t *testing.T, f *fakeEngines, lease time.Duration) *Controller {
 	t.Helper()
 	directory := upstreams.NewDirectory()
-	var list []upstreams.Instance
-	for i := range 5 {
-		id := fmt.Sprint("e", i)
-		f.versions[id] = 1
-		list = append(list, upstreams.Instance{ID: id, Service: "s", Address: id, Versions: map[string]uint64{"m": 1}})
+	for i := range engineCount {
+		f.versions[engineID(i)] = 1
 	}
-	directory.ApplyList(list, time.Now())
+	directory.ApplyList(f.list(), time.Now())
 	c := &Controller{
 		Name: "n", Client: f, Leads: func() bool { return true }, Term: func() uint64 { return 7 }, Lease: lease,
 		Set: func() *trafficset.Set {
@@ -146,11 +157,7 @@
 		f.setWanted(version)
 		require.Eventually(t, func() bool { return slices.ContainsFunc(c.Directory.View().Instances, isUpdating) }, 5*time.Second, time.Millisecond)
 		require.Eventually(t, func() bool {
-			list := slices.Clone(c.Directory.View().Instances)
-			for i := range list {
-				list[i].Versions = map[string]uint64{"m": f.version(list[i].ID)}
-			}
-			c.Directory.ApplyList(list, time.Now())
+			c.Directory.ApplyList(f.list(), time.Now())
 			return !slices.ContainsFunc(c.Directory.View().Instances, func(i upstreams.Instance) bool { return i.Updating || i.Versions["m"] != version })
 		}, 5*time.Second, time.Millisecond)
 	}
