rollout: a former leader uses the engines again that it gave orders to

Cause, by reading: a node that loses the lead while engines load keeps its mark "updating" on them for up to 8 s, because it no longer reads their reports, and sends them nothing. An order whose node lost the lead before it was sent left the mark as well. TestFormerLeaderUsesTheEnginesItUpdated fails first.

--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -96,12 +98,15 @@
 		}
 		now := time.Now()
 		if !c.Leads() {
-			term = 0
+			if term != 0 {
+				term = 0
+				c.dropOrders()
+			}
 			continue
 		}
 		if current := c.Term(); current != term {
 			term, since = current, now
-			c.clearOrders()
+			c.dropOrders()
 		}
 		if now.Sub(since) < c.Lease+leaseMargin || c.isRejected(term) {
 			continue
@@ -110,10 +115,16 @@
 	}
 }
 
-func (c *Controller) clearOrders() {
+// dropOrders forgets the orders of a term that has ended. Their engines get requests again: this node would not learn when the
+// loads end, and an engine that still loads rejects requests without running them.
+func (c *Controller) dropOrders() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	keys := slices.Collect(maps.Keys(c.orders))
 	clear(c.orders)
+	c.mu.Unlock()
+	for _, key := range keys {
+		c.Directory.SetUpdating(key, false)
+	}
 }
 
 func (c *Controller) isRejected(term uint64) bool {
@@ -199,6 +210,7 @@
 		}
 		order.Sequence = report.Sequence
 		if !c.Leads() || c.Term() != order.Fence {
+			c.Directory.SetUpdating(instance.Key(), false)
 			return
 		}
 		err = c.Client.Order(ctx, instance, order)
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -43,6 +43,8 @@
 	fenced   bool
 	lost     map[string]int
 	wanted   uint64
+	// loading is set if loads do not end; follower, if the controller's node does not lead.
+	loading, follower bool
 }
 
 func (f *fakeEngines) setWanted(version uint64) {
@@ -51,6 +53,18 @@
 	f.wanted = version
 }
 
+func (f *fakeEngines) setFollower() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.follower = true
+}
+
+func (f *fakeEngines) leads() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.follower
+}
+
 func (f *fakeEngines) wantedVersions() map[string]uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -94,7 +108,9 @@
 		f.lost[i.ID]--
 		return failure.New(failure.UpstreamFailed, failure.Unknown, "no answer")
 	}
-	f.versions[i.ID] = order.Version
+	if !f.loading {
+		f.versions[i.ID] = order.Version
+	}
 	return nil
 }
 
@@ -112,7 +128,7 @@
 	}
 	directory.ApplyList(f.list(), time.Now())
 	c := &Controller{
-		Name: "n", Client: f, Leads: func() bool { return true }, Term: func() uint64 { return 7 }, Lease: lease,
+		Name: "n", Client: f, Leads: f.leads, Term: func() uint64 { return 7 }, Lease: lease,
 		Set: func() *trafficset.Set {
 			return &trafficset.Set{Services: []trafficset.Service{{Name: "s", Engine: &trafficset.EngineSpec{Models: []string{"m"}}}}}
 		},
@@ -147,12 +163,25 @@
 	}
 }
 
+func isUpdating(i upstreams.Instance) bool { return i.Updating }
+
+// Guards against a former leader that sends no requests to the engines it gave orders to: it no longer learns when their
+// loads end.
+func TestFormerLeaderUsesTheEnginesItUpdated(t *testing.T) {
+	f := &fakeEngines{versions: map[string]uint64{}, loading: true}
+	c := startController(t, f, 0)
+	updating := func() bool { return slices.ContainsFunc(c.Directory.View().Instances, isUpdating) }
+	require.Eventually(t, updating, 5*time.Second, time.Millisecond)
+	f.setFollower()
+	require.Eventually(t, func() bool { return !updating() }, time.Second, time.Millisecond)
+	require.Never(t, updating, time.Second, 10*time.Millisecond)
+}
+
 // Guards against an engine that gets no requests for seconds after its load: the instance list shows the new version
 // before the next report is read, and reports are not read any more then. The next rollout must mark the engine again.
 func TestLoadedEngineIsInUseOnceTheListShowsIt(t *testing.T) {
 	f := &fakeEngines{versions: map[string]uint64{}}
 	c := startController(t, f, 0)
-	isUpdating := func(i upstreams.Instance) bool { return i.Updating }
 	for _, version := range []uint64{3, 4} {
 		f.setWanted(version)
 		require.Eventually(t, func() bool { return slices.ContainsFunc(c.Directory.View().Instances, isUpdating) }, 5*time.Second, time.Millisecond)
