gateway: repeatable requests leave an instance that is known not to respond

Hypothesis: requests and resumable streams at an engine whose VM is off wait for their own timeout (1.25 s before the first event, 3.2 s after it), although the node knows after 0.2 to 0.6 s from other connections and other nodes that the engine does not respond. They now go on elsewhere once nothing arrived for 0.3 s as well; neither alone is enough, and a request that must not run twice waits as before.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -209,9 +209,16 @@
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var timer *time.Timer
+	var unresponsive *unresponsiveWatch
 	if repeatable {
 		timer = time.AfterFunc(c.attemptTimeout(), cancel)
 		defer timer.Stop()
+		unresponsive = newUnresponsiveWatch(ticket, func() bool { return c.reserveMove(instance) }, func() {
+			o.Log.Info("request leaves an unresponsive instance", zap.String("request", c.attributes.ID), zap.String("instance", instance.ID),
+				zap.Duration("after", time.Since(c.started)))
+			cancel()
+		})
+		defer unresponsive.timer.Stop()
 	}
 	exchange, err := conn.Send(attemptCtx, c.upstreamRequest(instance.Address, out))
 	if err != nil {
@@ -229,7 +236,7 @@
 		model = c.attributes.Generation.Model
 	}
 	ticket.RecordAnswer(answer.Load, model, answer.Version, time.Now())
-	s := &send{call: c, ctx: ctx, attemptCtx: attemptCtx, attemptTimer: timer, exchange: exchange, answer: answer, ticket: ticket, instance: instance, out: out, repeatable: repeatable}
+	s := &send{call: c, ctx: ctx, attemptCtx: attemptCtx, attemptTimer: timer, exchange: exchange, answer: answer, ticket: ticket, instance: instance, out: out, repeatable: repeatable, unresponsive: unresponsive}
 	return s.relay()
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -24,6 +24,8 @@
 	ctx, attemptCtx context.Context
 	// attemptTimer cancels a slow attempt; nil if the request is not repeatable.
 	attemptTimer *time.Timer
+	// unresponsive is nil if the request is not repeatable.
+	unresponsive *unresponsiveWatch
 	exchange     *upstreamconn.Exchange
 	answer       Answer
 	ticket       *placement.Ticket
@@ -183,6 +185,9 @@
 		}
 		if len(events) > 0 {
 			stall.stop()
+			if s.unresponsive != nil {
+				s.unresponsive.recordProgress()
+			}
 			if err := s.relayEvents(events, splitter.lastID); err != nil {
 				return s.writeFailed(err)
 			}
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -30,7 +30,7 @@
 }
 
 func (s *send) newStallWatch() *stallWatch {
-	w := &stallWatch{reserveMove: s.reserveMove, abort: s.exchange.Abort}
+	w := &stallWatch{reserveMove: func() bool { return s.call.reserveMove(s.instance) }, abort: s.exchange.Abort}
 	if s.repeatable {
 		w.limit = max(minStallTimeout, stallTimeoutFactor*s.call.route.EventGapTarget)
 	}
@@ -64,11 +64,10 @@
 }
 
 // reserveMove reports whether another instance can take the request. If so, it takes a retry from the budget.
-func (s *send) reserveMove() bool {
-	c := s.call
+func (c *call) reserveMove(from *upstreams.Instance) bool {
 	o := c.gateway.options
 	other := lo.SomeBy(o.Directory.View().OfService(c.service.Name), func(i *upstreams.Instance) bool {
-		return i.ID != s.instance.ID && !i.Draining
+		return i.ID != from.ID && !i.Draining
 	})
 	if !other || !o.Budget.TakeRepeat(c.service.Name) {
 		return false
--- /dev/null
+++ b/gateway/unresponsive.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/wasabishunt/wasabishunt/placement"
+)
+
+// unresponsiveSilence is how long a send to an unresponsive instance must have been silent before it moves: several times
+// the gap between two events of a busy engine.
+const unresponsiveSilence = 300 * time.Millisecond
+
+// unresponsiveWatch ends a repeatable send once its instance is known not to respond: other connections to the instance time
+// out, as this node or several others found, and nothing has arrived on this one for a while either. Neither alone is enough:
+// a stream on a slow instance goes on, and so does one that still delivers events.
+type unresponsiveWatch struct {
+	isUnresponsive func() bool
+	// reserveMove prepares the move to another instance and reports whether it is possible; abort ends the send.
+	reserveMove func() bool
+	abort       func()
+	timer       *time.Timer
+	// progressAt is when something last arrived from the instance, in Unix ns.
+	progressAt atomic.Int64
+}
+
+func newUnresponsiveWatch(ticket *placement.Ticket, reserveMove func() bool, abort func()) *unresponsiveWatch {
+	w := &unresponsiveWatch{isUnresponsive: ticket.IsUnresponsive, reserveMove: reserveMove, abort: abort}
+	w.recordProgress()
+	w.timer = time.AfterFunc(time.Hour, w.check)
+	w.timer.Stop()
+	ticket.NotifyUnresponsive(func() { w.timer.Reset(w.remaining()) })
+	return w
+}
+
+func (w *unresponsiveWatch) recordProgress() { w.progressAt.Store(time.Now().UnixNano()) }
+
+// remaining returns the time until the send has been silent for long enough.
+func (w *unresponsiveWatch) remaining() time.Duration {
+	return max(0, unresponsiveSilence-time.Since(time.Unix(0, w.progressAt.Load())))
+}
+
+func (w *unresponsiveWatch) check() {
+	if !w.isUnresponsive() {
+		return
+	}
+	if remaining := w.remaining(); remaining > 0 {
+		w.timer.Reset(remaining)
+		return
+	}
+	if w.reserveMove() {
+		w.abort()
+	}
+}
--- a/placement/peers.go
+++ b/placement/peers.go
@@ -172,32 +172,6 @@
 	}
 }
 
-// minReporters is the number of nodes that must report an instance as unresponsive before this node ejects it: a
-// single node may be busy or cut off.
-const minReporters = 2
-
-// applyUnresponsive ejects instances that enough nodes report as unresponsive, unless they answered this node within
-// answerValidity. Without these reports each node would wait for its own time-out at each such instance. The node then
-// probes the ejected instances itself. The
-// caller holds the lock.
-func (t *Tracker) applyUnresponsive(source *loadSource, reported map[uint32]int, now time.Time) (ejected []string) {
-	old := source.unresponsive
-	source.unresponsive = reported
-	for key, nodes := range reported {
-		if old[key] >= nodes {
-			continue
-		}
-		if t.peers.unresponsiveNodes(key)+t.zones.unresponsiveNodes(key) < min(minReporters, t.peers.nodeCount()+t.zones.nodeCount()) {
-			continue
-		}
-		if s := t.byHash[key]; s != nil && !s.unresponsive && now.Sub(s.answeredAt) > answerValidity {
-			s.markUnresponsive(now)
-			ejected = append(ejected, s.id)
-		}
-	}
-	return ejected
-}
-
 // fullReportInterval is the number of reports from one with all totals to the next: half a second at 28 nodes. The
 // reports between have only the transfer totals that changed, and no lateness.
 const fullReportInterval = 8
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -69,6 +69,8 @@
 	answeredAt time.Time
 	versions   map[string]uint64
 	cache      *partCache
+	// watchers are called when the instance is found unresponsive.
+	watchers map[*Ticket]func()
 }
 
 // Tracker holds the state of all instances. Its mu is a leaf lock: no other lock is acquired while it is held.
@@ -252,6 +254,7 @@
 	k.done = true
 	t := k.tracker
 	s := t.state(k.key)
+	delete(s.watchers, k)
 	k.prefill(s)
 	s.requests--
 	s.heldTokens -= k.work.HeldTokens
@@ -341,41 +344,6 @@
 	return t.state(instance.Key()).versions[model]
 }
 
-// markUnresponsive ejects an instance until it can be reached.
-func (s *instanceState) markUnresponsive(now time.Time) {
-	s.unresponsive = true
-	s.ejectedUntil = now.Add(unresponsiveEjection)
-}
-
-// markReachable ends the ejection of an instance that can be reached again.
-func (s *instanceState) markReachable(now time.Time) {
-	s.answeredAt = now
-	if s.unresponsive {
-		s.unresponsive, s.foundHere = false, false
-		s.ejectedUntil = now
-	}
-}
-
-// UnresponsiveInstances returns the instances of a view that could not be reached.
-func (t *Tracker) UnresponsiveInstances(view *upstreams.View) []*upstreams.Instance {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var out []*upstreams.Instance
-	for i := range view.Instances {
-		if s := t.instances[view.Instances[i].Key()]; s != nil && s.unresponsive && !view.Instances[i].Draining {
-			out = append(out, &view.Instances[i])
-		}
-	}
-	return out
-}
-
-// MarkReachable records that an instance can be reached again.
-func (t *Tracker) MarkReachable(instance *upstreams.Instance, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.state(instance.Key()).markReachable(now)
-}
-
 // Requests returns the requests in progress at an instance, from all nodes.
 func (t *Tracker) Requests(instance *upstreams.Instance) int {
 	t.mu.Lock()
