admission: a prompt whose shared parts the engine holds may join a longer queue

A document of 8,600 tokens that running requests use already costs no memory and no reading, but its next question was refused at the same queue as one that needs all of it.

--- a/placement/admit.go
+++ b/placement/admit.go
@@ -37,6 +37,9 @@
 // size, a flood of mixed sizes would hold the queue at a length at which only small prompts are admitted. MaxQueue
 // keeps prompts with a late target from filling the queue up to it while prompts with an earlier target wait behind.
 //
+// A prompt whose shared parts the engine holds already takes little of it, so it may join a longer queue: in a flood that fills
+// the engines' memory, more prompts are served than if the first ones to arrive took it.
+//
 // The wait includes the wait for memory: an engine with more requests than memory preempts running ones and reads them
 // again, and does not recover while new ones take their place.
 func Admit(requirements Requirements, f Forecast) (admitted bool, retryAfter time.Duration) {
@@ -46,7 +49,7 @@
 	} else {
 		excess = f.Wait + requirements.Limits.LargeService - time.Duration(targetShare*float64(requirements.Target))
 		if requirements.Limits.MaxQueue > 0 {
-			excess = max(excess, f.Queue-requirements.Limits.MaxQueue)
+			excess = max(excess, f.Queue-f.Reused-requirements.Limits.MaxQueue)
 		}
 	}
 	if excess <= 0 {
--- a/placement/admit_test.go
+++ b/placement/admit_test.go
@@ -19,6 +19,10 @@
 // outcomeCounts counts the outcomes of the prompts of one kind.
 type outcomeCounts struct{ onTime, late, refused int }
 
+func (t outcomeCounts) plus(other outcomeCounts) outcomeCounts {
+	return outcomeCounts{t.onTime + other.onTime, t.late + other.late, t.refused + other.refused}
+}
+
 func (t outcomeCounts) served() float64 {
 	return float64(t.onTime+t.late) / float64(max(1, t.onTime+t.late+t.refused))
 }
@@ -29,6 +33,8 @@
 	target float64
 	// first is set if the engine reads these prompts before the others.
 	first bool
+	// reused are the tokens that the engine need not read because it holds them.
+	reused float64
 }
 
 // simulateFlood replays five seconds of prompts at a multiple of what the engine can read. Kinds alternate, and
@@ -63,6 +69,7 @@
 				continue
 			}
 			f := Forecast{Wait: fromMs(q.tokens / q.rate), Service: fromMs(a.kind.tokens / q.rate), Queue: fromMs(q.tokens / q.rate)}
+			f.Reused = fromMs(a.kind.reused / q.rate)
 			if a.kind.first {
 				// Half of the queue belongs to more urgent accounts.
 				f.Wait /= 2
@@ -128,6 +135,25 @@
 	require.Greater(t, result[patient].served(), 0.3, "%+v", result[patient])
 }
 
+// Guards against a flood in which the prompts that arrive first take the engine, whatever they need: those whose document the
+// engine holds cost a quarter of the others.
+func TestFloodServesPromptsWithHeldParts(t *testing.T) {
+	cold, hasty := promptKind{tokens: 12_000, target: 2000}, promptKind{tokens: 2000, target: 600, first: true}
+	replay := func(hot promptKind) (all outcomeCounts, result map[promptKind]*outcomeCounts) {
+		result = simulateFlood(true, 2.5, hot, cold, hasty)
+		return result[hot].plus(*result[cold]).plus(*result[hasty]), result
+	}
+	hot := promptKind{tokens: 3000, target: 2000}
+	before, _ := replay(hot)
+	hot.reused = 9000
+	all, result := replay(hot)
+	require.Greater(t, all.onTime, before.onTime)
+	require.Greater(t, result[hot].served(), result[cold].served())
+	// A kind of request must be served at least a quarter as often as all.
+	require.Greater(t, result[cold].served(), 0.25*all.served(), "cold %+v, all %+v", result[cold], all)
+	require.Greater(t, float64(result[hasty].onTime), 0.7*float64(result[hasty].onTime+result[hasty].late), "%+v", result[hasty])
+}
+
 // Guards against refusals while the engine keeps up with the load.
 func TestNothingIsRefusedBelowCapacity(t *testing.T) {
 	k := promptKind{tokens: 6000, target: 1000}
--- a/placement/forecast.go
+++ b/placement/forecast.go
@@ -9,6 +9,9 @@
 	Wait, Service time.Duration
 	// Queue is the time for all queued work, whatever its rank.
 	Queue time.Duration
+	// Reused is the time that the engine does not need for this prompt because it holds or fetches parts of it: for reading
+	// them, less the fetch, and for the memory that running requests hold already.
+	Reused time.Duration
 }
 
 // FirstEvent returns the time to the first event.
@@ -21,7 +24,11 @@
 	held := c.heldAhead(q)
 	wait := float64(c.AheadTokens)/rate + memoryWaitMs(q, held)
 	all := firstTokenMs + float64(c.AheadTokens+r.Tokens)/rate + memoryWaitMs(q, held+q.newTokens(c)) + transferMs(q, &r)
-	return Forecast{Wait: fromMs(wait), Service: fromMs(all - wait), Queue: fromMs(float64(c.PrefillTokens)/rate + memoryWaitMs(q, c.HeldTokens))}
+	reused := float64(q.Tokens-r.Tokens)/rate - transferMs(q, &r) + memoryWaitPerCapacityMs*float64(q.Tokens-q.newTokens(c))/float64(q.CacheTokens)
+	return Forecast{
+		Wait: fromMs(wait), Service: fromMs(all - wait), Queue: fromMs(float64(c.PrefillTokens)/rate + memoryWaitMs(q, c.HeldTokens)),
+		Reused: fromMs(max(0, reused)),
+	}
 }
 
 // heldAhead is the memory of the running requests and of those waiting requests that get memory before this one.
