placement: memory of engines has a price that grows with the share in use

Hypothesis: the choice by first event spreads questions about one document over several engines until their memory is full, and each takes memory for its own copy; a price on the tokens that a request takes lets such questions meet while others still find room.

--- a/placement/pick.go
+++ b/placement/pick.go
@@ -183,7 +183,8 @@
 func cheapest(q *Request, candidates []Candidate) *Candidate {
 	cost := serviceCost
 	if q.CacheTokens > 0 {
-		cost = engineCost
+		price := memoryPrice(q, candidates)
+		cost = func(q *Request, c *Candidate) float64 { return engineCost(q, c) + price*float64(q.newTokens(c)) }
 	}
 	best, bestCost := -1, 0.0
 	for i := range candidates {
