--- a/placement/memory.go
+++ b/placement/memory.go
@@ -1,9 +1,9 @@
 package placement
 
 const (
-	// fullMemoryMs is the cost of taking all of the memory of one engine while all engines are full: a request that gets it
-	// delays those that come later by twice the wait at one engine.
-	fullMemoryMs = 2 * memoryWaitPerCapacityMs
+	// fullMemoryMs is the cost of taking all of the memory of one engine while all engines are full: as much as the wait at an
+	// engine that is to hold twice its memory.
+	fullMemoryMs = memoryWaitPerCapacityMs
 	// maxPricedShare bounds the share of memory in use from which the price is derived, as estimates exceed the memory in a
 	// flood.
 	maxPricedShare = 1.2
