--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -203,17 +203,17 @@
 		return result{notRun: true, err: unreachable(err)}
 	}
 	out := c.outbound(chosen)
-	ticket := o.Tracker.Begin(instance, work)
+	attempt := o.Tracker.Begin(instance, work)
 	c.sends++
 	c.mayHaveRun = true
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var timer *time.Timer
-	var unresponsive *unresponsiveWatch
+	var unresponsive *unresponsiveTimeout
 	if repeatable {
 		timer = time.AfterFunc(c.attemptTimeout(), cancel)
 		defer timer.Stop()
-		unresponsive = newUnresponsiveWatch(ticket, func() bool { return c.reserveMove(instance) }, func() {
+		unresponsive = newUnresponsiveTimeout(attempt, func() bool { return c.reserveMove(instance) }, func() {
 			o.Log.Info("request leaves an unresponsive instance", zap.String("request", c.attributes.ID), zap.String("instance", instance.ID),
 				zap.Duration("after", time.Since(c.started)))
 			cancel()
@@ -222,21 +222,21 @@
 	}
 	exchange, err := conn.Send(attemptCtx, c.upstreamRequest(instance.Address, out))
 	if err != nil {
-		return c.noAnswer(ctx, ticket, instance, err)
+		return c.noAnswer(ctx, attempt, instance, err)
 	}
 	stop := exchange.AbortOn(attemptCtx)
 	defer stop()
 	answer, err := c.matchingAnswer(exchange, instance)
 	if err != nil {
 		exchange.Abort()
-		return c.noAnswer(ctx, ticket, instance, err)
+		return c.noAnswer(ctx, attempt, instance, err)
 	}
 	model := ""
 	if c.attributes.Generation != nil {
 		model = c.attributes.Generation.Model
 	}
-	ticket.RecordAnswer(answer.Load, model, answer.Version, time.Now())
-	s := &send{call: c, ctx: ctx, attemptCtx: attemptCtx, attemptTimer: timer, exchange: exchange, answer: answer, ticket: ticket, instance: instance, out: out, repeatable: repeatable, unresponsive: unresponsive}
+	attempt.RecordAnswer(answer.Load, model, answer.Version, time.Now())
+	s := &send{call: c, ctx: ctx, attemptCtx: attemptCtx, attemptTimer: timer, exchange: exchange, answer: answer, attempt: attempt, instance: instance, out: out, repeatable: repeatable, unresponsive: unresponsive}
 	return s.relay()
 }
 
@@ -292,12 +292,12 @@
 }
 
 // noAnswer handles a send that got no complete answer. The request may have run.
-func (c *call) noAnswer(ctx context.Context, ticket *placement.Ticket, instance *upstreams.Instance, err error) result {
+func (c *call) noAnswer(ctx context.Context, attempt *placement.Attempt, instance *upstreams.Instance, err error) result {
 	if c.isCanceled() {
-		ticket.End(placement.Canceled, time.Now())
+		attempt.End(placement.Canceled, time.Now())
 		return result{done: true, err: failure.New(failure.Canceled, failure.Unknown, "the caller disconnected")}
 	}
-	ticket.End(connectOutcome(err), time.Now())
+	attempt.End(connectOutcome(err), time.Now())
 	c.gateway.options.Log.Info("upstream did not answer", zap.String("request", c.attributes.ID), zap.String("instance", instance.ID),
 		zap.Duration("after", time.Since(c.started)), zap.Error(err))
 	if ctx.Err() != nil {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -25,10 +25,10 @@
 	// attemptTimer cancels a slow attempt; nil if the request is not repeatable.
 	attemptTimer *time.Timer
 	// unresponsive is nil if the request is not repeatable.
-	unresponsive *unresponsiveWatch
+	unresponsive *unresponsiveTimeout
 	exchange     *upstreamconn.Exchange
 	answer       Answer
-	ticket       *placement.Ticket
+	attempt      *placement.Attempt
 	instance     *upstreams.Instance
 	out          Outbound
 	repeatable   bool
@@ -70,10 +70,10 @@
 	outcome := placement.Rejected
 	if s.answer.Replaced && (s.answer.Version == 0 || s.answer.Version == s.out.Version) {
 		// The instance has the expected weights, so another incarnation has replaced it. A different weight version is
-		// recorded by ticket.RecordAnswer.
+		// recorded by attempt.RecordAnswer.
 		outcome = placement.Replaced
 	}
-	s.ticket.End(outcome, time.Now())
+	s.attempt.End(outcome, time.Now())
 	c.gateway.options.Log.Info("upstream rejected a request", zap.String("request", c.attributes.ID), zap.String("instance", s.instance.ID),
 		zap.Int("status", s.exchange.Response.StatusCode), zap.Int("bytes", len(body)))
 	if err != nil {
@@ -92,17 +92,17 @@
 	body, err := s.exchange.ReadAll(c.gateway.options.AnswerBytes)
 	if err != nil {
 		s.exchange.Abort()
-		return c.noAnswer(s.ctx, s.ticket, s.instance, err)
+		return c.noAnswer(s.ctx, s.attempt, s.instance, err)
 	}
 	status := s.exchange.Response.StatusCode
 	s.exchange.Finish(s.answer.Idle)
 	if status >= http.StatusInternalServerError {
-		s.ticket.End(placement.Failed, time.Now())
+		s.attempt.End(placement.Failed, time.Now())
 		if s.repeatable && c.relayed == 0 {
 			return result{err: failure.New(failure.UpstreamFailed, failure.Ran, "instance %s answered %d", s.instance.ID, status)}
 		}
 	} else {
-		s.ticket.End(placement.Answered, time.Now())
+		s.attempt.End(placement.Answered, time.Now())
 	}
 	if c.answered {
 		return result{done: true, err: failure.New(failure.StreamBroken, failure.Ran, "instance %s answered %d to a resumed stream", s.instance.ID, status)}
@@ -170,12 +170,12 @@
 	c := s.call
 	if !s.answer.Signed && !c.answered {
 		s.exchange.Abort()
-		s.ticket.End(placement.Failed, time.Now())
+		s.attempt.End(placement.Failed, time.Now())
 		return result{err: failure.New(failure.UpstreamFailed, failure.Ran, "instance %s sent no response signature", s.instance.ID)}
 	}
 	splitter := eventSplitter{limit: c.gateway.options.EventBytes}
 	buffer := make([]byte, streamBuffer)
-	stall := s.newStallWatch()
+	stall := s.newStallTimeout()
 	defer stall.stop()
 	for {
 		n, err := s.exchange.Response.Body.Read(buffer)
@@ -219,7 +219,7 @@
 	}
 	if !s.begun {
 		s.begun = true
-		s.ticket.Prefilled()
+		s.attempt.Prefilled()
 	}
 	if err := c.write(events); err != nil {
 		return err
@@ -234,7 +234,7 @@
 // endOfStream handles a stream that ended normally.
 func (s *send) endOfStream(splitter *eventSplitter) result {
 	c := s.call
-	s.ticket.End(placement.Answered, time.Now())
+	s.attempt.End(placement.Answered, time.Now())
 	if !c.answered {
 		c.writeHead(s.exchange.Response, -1)
 	}
@@ -250,7 +250,7 @@
 // writeFailed handles a failed write to the caller.
 func (s *send) writeFailed(err error) result {
 	s.exchange.Abort()
-	s.ticket.End(placement.Canceled, time.Now())
+	s.attempt.End(placement.Canceled, time.Now())
 	return result{done: true, err: err}
 }
 
@@ -261,14 +261,14 @@
 	s.exchange.Abort()
 	cause := failure.Wrap(err, failure.StreamBroken, failure.Ran, "the stream of instance %s was cut off", s.instance.ID)
 	if c.isCanceled() {
-		s.ticket.End(placement.Canceled, time.Now())
+		s.attempt.End(placement.Canceled, time.Now())
 		return result{done: true, err: cause}
 	}
 	if s.ctx.Err() != nil {
-		s.ticket.End(placement.Canceled, time.Now())
+		s.attempt.End(placement.Canceled, time.Now())
 		return result{done: true, err: cause}
 	}
-	s.ticket.End(placement.Failed, time.Now())
+	s.attempt.End(placement.Failed, time.Now())
 	c.gateway.options.Log.Info("stream broke off", zap.String("request", c.attributes.ID), zap.String("instance", s.instance.ID),
 		zap.Int("events", c.relayed), zap.String("last_event", c.lastEvent), zap.Error(err))
 	if !s.repeatable || c.answered && c.lastEvent == "" {
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -17,10 +17,10 @@
 	minStallTimeout = 1200 * time.Millisecond
 )
 
-// stallWatch aborts a send whose stream has begun and no longer delivers complete events: the engine has failed, or sends
+// stallTimeout aborts a send whose stream has begun and no longer delivers complete events: the engine has failed, or sends
 // single bytes only. It does so only if the stream can continue at another engine, because a slow stream is better than a
 // broken one.
-type stallWatch struct {
+type stallTimeout struct {
 	limit time.Duration
 	// reserveMove prepares the move to another engine and reports whether it is possible; abort ends the send.
 	reserveMove func() bool
@@ -29,8 +29,8 @@
 	expired     atomic.Bool
 }
 
-func (s *send) newStallWatch() *stallWatch {
-	w := &stallWatch{reserveMove: func() bool { return s.call.reserveMove(s.instance) }, abort: s.exchange.Abort}
+func (s *send) newStallTimeout() *stallTimeout {
+	w := &stallTimeout{reserveMove: func() bool { return s.call.reserveMove(s.instance) }, abort: s.exchange.Abort}
 	if s.repeatable {
 		w.limit = max(minStallTimeout, stallTimeoutFactor*s.call.route.EventGapTarget)
 	}
@@ -38,7 +38,7 @@
 }
 
 // reset restarts the timer for the next event.
-func (w *stallWatch) reset() {
+func (w *stallTimeout) reset() {
 	switch {
 	case w.limit == 0:
 	case w.timer == nil:
@@ -48,7 +48,7 @@
 	}
 }
 
-func (w *stallWatch) expire() {
+func (w *stallTimeout) expire() {
 	if !w.reserveMove() {
 		w.timer.Reset(w.limit)
 		return
@@ -57,7 +57,7 @@
 	w.abort()
 }
 
-func (w *stallWatch) stop() {
+func (w *stallTimeout) stop() {
 	if w.timer != nil {
 		w.timer.Stop()
 	}
--- a/gateway/unresponsive.go
+++ b/gateway/unresponsive.go
@@ -11,10 +11,10 @@
 // the gap between two events of a busy engine.
 const unresponsiveSilence = 300 * time.Millisecond
 
-// unresponsiveWatch ends a repeatable send once its instance is known not to respond: other connections to the instance time
+// unresponsiveTimeout ends a repeatable send once its instance is known not to respond: other connections to the instance time
 // out, as this node or several others found, and nothing has arrived on this one for a while either. Neither alone is enough:
 // a stream on a slow instance goes on, and so does one that still delivers events.
-type unresponsiveWatch struct {
+type unresponsiveTimeout struct {
 	isUnresponsive func() bool
 	// reserveMove prepares the move to another instance and reports whether it is possible; abort ends the send.
 	reserveMove func() bool
@@ -24,23 +24,23 @@
 	progressAt atomic.Int64
 }
 
-func newUnresponsiveWatch(ticket *placement.Ticket, reserveMove func() bool, abort func()) *unresponsiveWatch {
-	w := &unresponsiveWatch{isUnresponsive: ticket.IsUnresponsive, reserveMove: reserveMove, abort: abort}
+func newUnresponsiveTimeout(attempt *placement.Attempt, reserveMove func() bool, abort func()) *unresponsiveTimeout {
+	w := &unresponsiveTimeout{isUnresponsive: attempt.IsUnresponsive, reserveMove: reserveMove, abort: abort}
 	w.recordProgress()
 	w.timer = time.AfterFunc(time.Hour, w.check)
 	w.timer.Stop()
-	ticket.NotifyUnresponsive(func() { w.timer.Reset(w.remaining()) })
+	attempt.NotifyUnresponsive(func() { w.timer.Reset(w.remaining()) })
 	return w
 }
 
-func (w *unresponsiveWatch) recordProgress() { w.progressAt.Store(time.Now().UnixNano()) }
+func (w *unresponsiveTimeout) recordProgress() { w.progressAt.Store(time.Now().UnixNano()) }
 
 // remaining returns the time until the send has been silent for long enough.
-func (w *unresponsiveWatch) remaining() time.Duration {
+func (w *unresponsiveTimeout) remaining() time.Duration {
 	return max(0, unresponsiveSilence-time.Since(time.Unix(0, w.progressAt.Load())))
 }
 
-func (w *unresponsiveWatch) check() {
+func (w *unresponsiveTimeout) check() {
 	if !w.isUnresponsive() {
 		return
 	}
--- a/peerload/peerload_test.go
+++ b/peerload/peerload_test.go
@@ -73,12 +73,12 @@
 	_, err := nodes[1].conn.WriteToUDP([]byte("\xff\xff"), nodes[0].conn.LocalAddr().(*net.UDPAddr))
 	require.NoError(t, err)
 	instance := &upstreams.Instance{ID: "i"}
-	ticket := nodes[1].exchange.options.Tracker.Begin(instance, placement.Work{PrefillTokens: 700})
+	attempt := nodes[1].exchange.options.Tracker.Begin(instance, placement.Work{PrefillTokens: 700})
 	prefill := func() int {
 		return nodes[0].exchange.options.Tracker.Candidates([]*upstreams.Instance{instance}, time.Now(), &placement.Request{})[0].PrefillTokens
 	}
 	require.Eventually(t, func() bool { return prefill() == 700 }, 5*time.Second, 5*time.Millisecond)
-	ticket.End(placement.Answered, time.Now())
+	attempt.End(placement.Answered, time.Now())
 	require.Eventually(t, func() bool { return prefill() == 0 }, 5*time.Second, 5*time.Millisecond)
 	sender, receiver := nodes[1].exchange.options.Saves.(*saves), nodes[0].exchange.options.Saves.(*saves)
 	sender.mu.Lock()
--- a/peerload/sim_test.go
+++ b/peerload/sim_test.go
@@ -178,9 +178,9 @@
 		{ID: fmt.Sprint("document", s.random.IntN(5000)), Tokens: 4900},
 		{ID: fmt.Sprint("own", s.random.Int()), Tokens: 1700},
 	}
-	ticket := n.tracker.Begin(engine, work)
-	s.schedule(simRequestTime/5, ticket.Prefilled)
-	s.schedule(simRequestTime, func() { ticket.End(placement.Canceled, s.now) })
+	attempt := n.tracker.Begin(engine, work)
+	s.schedule(simRequestTime/5, attempt.Prefilled)
+	s.schedule(simRequestTime, func() { attempt.End(placement.Canceled, s.now) })
 }
 
 func (s *simulation) send(from *simNode, to []string, d *nodepb.LoadDatagram) {
--- a/placement/forecast_test.go
+++ b/placement/forecast_test.go
@@ -28,10 +28,10 @@
 		if f.Service < 600*time.Millisecond {
 			admitted++
 		}
-		ticket := tracker.Begin(engine, Work{
+		attempt := tracker.Begin(engine, Work{
 			Urgency: q.Urgency, HeldTokens: q.HeldTokens(&c, output), Salt: q.Salt(0), Parts: q.Parts, CacheTokens: capacity,
 		})
-		t.Cleanup(func() { ticket.End(Canceled, time.Now()) })
+		t.Cleanup(func() { attempt.End(Canceled, time.Now()) })
 	}
 	require.Equal(t, 10, admitted)
 }
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -70,7 +70,7 @@
 	versions   map[string]uint64
 	cache      *partCache
 	// watchers are called when the instance is found unresponsive.
-	watchers map[*Ticket]func()
+	watchers map[*Attempt]func()
 }
 
 // Tracker holds the state of all instances. Its mu is a leaf lock: no other lock is acquired while it is held.
@@ -174,8 +174,8 @@
 	CacheTokens int
 }
 
-// Ticket is one send in progress.
-type Ticket struct {
+// Attempt is one send in progress.
+type Attempt struct {
 	tracker *Tracker
 	key     upstreams.Key
 	work    Work
@@ -187,7 +187,7 @@
 }
 
 // Begin records the start of a send.
-func (t *Tracker) Begin(instance *upstreams.Instance, work Work) *Ticket {
+func (t *Tracker) Begin(instance *upstreams.Instance, work Work) *Attempt {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.state(instance.Key())
@@ -208,34 +208,34 @@
 	}
 	others := t.others(instance.ID)
 	ahead := t.priorities.aheadTokens(work.Urgency, s.prefillTokens+others.prefillTokens, s.longTokens+others.longTokens)
-	return &Ticket{tracker: t, key: instance.Key(), work: work, began: began, aheadTokens: ahead}
+	return &Attempt{tracker: t, key: instance.Key(), work: work, began: began, aheadTokens: ahead}
 }
 
 // Prefilled records that the prompt was read: the first event has arrived.
-func (k *Ticket) Prefilled() {
-	k.tracker.mu.Lock()
-	defer k.tracker.mu.Unlock()
-	if !k.prefilled {
-		k.learnFrom(time.Since(k.began))
+func (a *Attempt) Prefilled() {
+	a.tracker.mu.Lock()
+	defer a.tracker.mu.Unlock()
+	if !a.prefilled {
+		a.learnFrom(time.Since(a.began))
 	}
-	k.prefill(k.tracker.state(k.key))
+	a.prefill(a.tracker.state(a.key))
 }
 
-func (k *Ticket) prefill(s *instanceState) {
-	if !k.prefilled {
-		k.prefilled = true
-		s.prefillTokens -= k.work.PrefillTokens
-		if k.work.Urgency.isLong() {
-			s.longTokens -= k.work.PrefillTokens
+func (a *Attempt) prefill(s *instanceState) {
+	if !a.prefilled {
+		a.prefilled = true
+		s.prefillTokens -= a.work.PrefillTokens
+		if a.work.Urgency.isLong() {
+			s.longTokens -= a.work.PrefillTokens
 		}
 	}
 }
 
 // RecordAnswer records the load and the weight version that an answer carries.
-func (k *Ticket) RecordAnswer(load *Load, model string, version uint64, now time.Time) {
-	k.tracker.mu.Lock()
-	defer k.tracker.mu.Unlock()
-	s := k.tracker.state(k.key)
+func (a *Attempt) RecordAnswer(load *Load, model string, version uint64, now time.Time) {
+	a.tracker.mu.Lock()
+	defer a.tracker.mu.Unlock()
+	s := a.tracker.state(a.key)
 	if load != nil {
 		s.load, s.loadAt = *load, now
 	}
@@ -245,23 +245,23 @@
 }
 
 // End records how the send ended. Calls after the first have no effect.
-func (k *Ticket) End(outcome Outcome, now time.Time) {
-	k.tracker.mu.Lock()
-	defer k.tracker.mu.Unlock()
-	if k.done {
+func (a *Attempt) End(outcome Outcome, now time.Time) {
+	a.tracker.mu.Lock()
+	defer a.tracker.mu.Unlock()
+	if a.done {
 		return
 	}
-	k.done = true
-	t := k.tracker
-	s := t.state(k.key)
-	delete(s.watchers, k)
-	k.prefill(s)
+	a.done = true
+	t := a.tracker
+	s := t.state(a.key)
+	delete(s.watchers, a)
+	a.prefill(s)
 	s.requests--
-	s.heldTokens -= k.work.HeldTokens
+	s.heldTokens -= a.work.HeldTokens
 	switch outcome {
 	case Answered:
-		if len(k.work.Parts) > 0 {
-			t.runTimes.observe(k.work.Urgency.size(), now.Sub(k.began))
+		if len(a.work.Parts) > 0 {
+			t.runTimes.observe(a.work.Urgency.size(), now.Sub(a.began))
 		}
 		s.answeredAt = now
 		s.failures, s.ejections = 0, 0
@@ -353,14 +353,14 @@
 
 // learnFrom updates the read rate and the slowness of links with the time to the first event of a request. A request
 // that waits for several stores is skipped: its time does not show which link was slow.
-func (k *Ticket) learnFrom(took time.Duration) {
-	switch len(k.work.Transfers) {
+func (a *Attempt) learnFrom(took time.Duration) {
+	switch len(a.work.Transfers) {
 	case 0:
-		k.tracker.rate.observe(k.aheadTokens, took)
-		k.tracker.links.observe("", took, k.work.FirstEvent, time.Now())
+		a.tracker.rate.observe(a.aheadTokens, took)
+		a.tracker.links.observe("", took, a.work.FirstEvent, time.Now())
 	case 1:
-		for address := range k.work.Transfers {
-			k.tracker.links.observe(address, took, k.work.FirstEvent, time.Now())
+		for address := range a.work.Transfers {
+			a.tracker.links.observe(address, took, a.work.FirstEvent, time.Now())
 		}
 	}
 }
--- a/placement/tracker_test.go
+++ b/placement/tracker_test.go
@@ -98,14 +98,14 @@
 // Guards against work that is counted twice or never released.
 func TestTicketGivesBackItsWorkOnce(t *testing.T) {
 	tracker, i, now := NewTracker(), instance("i"), time.Now()
-	ticket := tracker.Begin(i, Work{PrefillTokens: 100, HeldTokens: 200})
+	attempt := tracker.Begin(i, Work{PrefillTokens: 100, HeldTokens: 200})
 	c := onlyCandidate(tracker, i, now)
 	require.Equal(t, []int{1, 100, 200}, []int{c.Requests, c.PrefillTokens, c.HeldTokens})
-	ticket.Prefilled()
-	ticket.Prefilled()
+	attempt.Prefilled()
+	attempt.Prefilled()
 	require.Zero(t, onlyCandidate(tracker, i, now).PrefillTokens)
-	ticket.End(Answered, now)
-	ticket.End(Failed, now)
+	attempt.End(Answered, now)
+	attempt.End(Failed, now)
 	c = onlyCandidate(tracker, i, now)
 	require.Equal(t, []int{0, 0, 0}, []int{c.Requests, c.PrefillTokens, c.HeldTokens})
 }
@@ -116,9 +116,9 @@
 	parts := []Part{{"a", 10}, {"own", 5}}
 	q := &Request{Model: "m", Parts: parts}
 	tracker.Begin(i, Work{}).RecordAnswer(nil, "m", 1, now)
-	ticket := tracker.Begin(i, Work{Salt: q.Salt(1), Parts: parts, CacheTokens: 100})
+	attempt := tracker.Begin(i, Work{Salt: q.Salt(1), Parts: parts, CacheTokens: 100})
 	require.Equal(t, 15, tracker.Candidates([]*upstreams.Instance{i}, now, q)[0].CachedTokens)
-	ticket.RecordAnswer(nil, "m", 2, now)
+	attempt.RecordAnswer(nil, "m", 2, now)
 	require.Zero(t, tracker.Candidates([]*upstreams.Instance{i}, now, q)[0].CachedTokens)
 }
 
--- a/placement/unresponsive.go
+++ b/placement/unresponsive.go
@@ -46,24 +46,24 @@
 
 // NotifyUnresponsive makes the tracker call notify when the instance is found unresponsive, until the send ends. The tracker
 // is locked then: notify must neither block nor call it.
-func (k *Ticket) NotifyUnresponsive(notify func()) {
-	k.tracker.mu.Lock()
-	defer k.tracker.mu.Unlock()
-	s := k.tracker.state(k.key)
+func (a *Attempt) NotifyUnresponsive(notify func()) {
+	a.tracker.mu.Lock()
+	defer a.tracker.mu.Unlock()
+	s := a.tracker.state(a.key)
 	if s.watchers == nil {
-		s.watchers = map[*Ticket]func(){}
+		s.watchers = map[*Attempt]func(){}
 	}
-	s.watchers[k] = notify
+	s.watchers[a] = notify
 	if s.unresponsive {
 		notify()
 	}
 }
 
 // IsUnresponsive reports whether the send is in progress at an instance that does not respond.
-func (k *Ticket) IsUnresponsive() bool {
-	k.tracker.mu.Lock()
-	defer k.tracker.mu.Unlock()
-	return !k.done && k.tracker.state(k.key).unresponsive
+func (a *Attempt) IsUnresponsive() bool {
+	a.tracker.mu.Lock()
+	defer a.tracker.mu.Unlock()
+	return !a.done && a.tracker.state(a.key).unresponsive
 }
 
 // minReporters is the number of nodes that must report an instance as unresponsive before this node ejects it: a
--- a/replica/formation.go
+++ b/replica/formation.go
@@ -227,7 +227,7 @@
 	answers := make([]*raftpb.InquireResponse, len(others))
 	var group sync.WaitGroup
 	for i, m := range others {
-		group.Go(func() { answers[i] = r.inquire(ctx, m) })
+		group.Go(func() { answers[i] = r.queryMember(ctx, m) })
 	}
 	group.Wait()
 	var result inquiry
@@ -250,8 +250,8 @@
 	}
 }
 
-// inquire queries one first member and returns nil if it does not answer.
-func (r *Replica) inquire(ctx context.Context, m *raftpb.Member) *raftpb.InquireResponse {
+// queryMember queries one first member and returns nil if it does not answer.
+func (r *Replica) queryMember(ctx context.Context, m *raftpb.Member) *raftpb.InquireResponse {
 	ctx, cancel := context.WithTimeout(ctx, inquireTimeout)
 	defer cancel()
 	raw, err := r.options.Dial(ctx, m.GetAddress())
--- a/sched/fair.go
+++ b/sched/fair.go
@@ -92,7 +92,7 @@
 		if best != nil && a.served > best.account.served+float64(q.settings.PreemptLag) {
 			continue
 		}
-		if e := a.next(longAllowed, q.mayStart(slots, r, a), q.settings.Off.Deadlines); e != nil && q.goesFirst(e, best) {
+		if e := a.next(longAllowed, q.mayStart(slots, r, a), q.settings.Off.Deadlines); e != nil && q.precedes(e, best) {
 			best = e
 		}
 	}
@@ -103,9 +103,9 @@
 	return q.rescue(r, best, slots, longAllowed, now)
 }
 
-// goesFirst reports whether an entry is served before best, the best entry found so far in the other accounts of the rank. The
+// precedes reports whether an entry is served before best, the best entry found so far in the other accounts of the rank. The
 // account that is behind by more than PreemptLag goes first; otherwise the earlier deadline does.
-func (q *Queue) goesFirst(e, best *entry) bool {
+func (q *Queue) precedes(e, best *entry) bool {
 	lag := float64(q.settings.PreemptLag)
 	if best == nil || e.account.served < best.account.served-lag {
 		return true
