--- a/upstreamconn/limit.go
+++ b/upstreamconn/limit.go
@@ -6,8 +6,8 @@
 	"github.com/wasabishunt/wasabishunt/failure"
 )
 
-// errHeadTooLong is returned for an answer whose head exceeds Options.MaxHeadBytes.
-var errHeadTooLong = failure.New(failure.UpstreamFailed, failure.Unknown, "the head of the answer is too long")
+// errTooLong is returned for an answer whose head, or whose body with its framing, exceeds the limit.
+var errTooLong = failure.New(failure.UpstreamFailed, failure.Unknown, "the answer is too long")
 
 // limitedReader bounds the number of bytes read while a limit is set. It is not safe for concurrent use.
 type limitedReader struct {
@@ -26,7 +26,7 @@
 		return r.inner.Read(p)
 	}
 	if r.remaining <= 0 {
-		return 0, errHeadTooLong
+		return 0, errTooLong
 	}
 	n, err := r.inner.Read(p[:min(int64(len(p)), r.remaining)])
 	r.remaining -= int64(n)
--- a/upstreamconn/pool.go
+++ b/upstreamconn/pool.go
@@ -347,8 +347,17 @@
 	e.conn.Close()
 }
 
+const (
+	// framingShare is the part of a body that the framing of its chunks may add, and framingSlack what it may add to a small
+	// body. Chunks of a byte, or with long extensions, would otherwise cost many times the limit of the body to read.
+	framingShare = 0.25
+	framingSlack = 64 << 10
+)
+
 // ReadAll reads a complete body of at most limit bytes. A truncated body is an error.
 func (e *Exchange) ReadAll(limit int64) ([]byte, error) {
+	e.conn.limited.limit(limit + int64(framingShare*float64(limit)) + framingSlack)
+	defer e.conn.limited.unlimit()
 	body, err := io.ReadAll(io.LimitReader(e.Response.Body, limit+1))
 	if err != nil {
 		return nil, failure.Wrap(err, failure.UpstreamFailed, failure.Unknown, "the answer of %s was cut off", e.conn.address)
--- a/upstreamconn/pool_test.go
+++ b/upstreamconn/pool_test.go
@@ -301,3 +301,49 @@
 	now = now.Add(time.Second)
 	require.Nil(t, p.takeIdle(u.Addr().String(), true), "the upstream promised one second")
 }
+
+// countingConn counts the bytes read.
+type countingConn struct {
+	net.Conn
+	read *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
+}
+
+// Guards against a body without end in chunks of one byte, or with long extensions: the limit of the body would be reached only
+// after many times as many bytes.
+func TestFramingOfABodyIsBounded(t *testing.T) {
+	const limit = 1 << 20
+	for name, chunk := range map[string]string{"chunks of a byte": "1\r\nx\r\n", "extensions": "1;a=bcdefghijklmnopqrstuvwxyz\r\nx\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			block := strings.Repeat(chunk, 1000)
+			u := startUpstream(t, func(conn net.Conn, _ *bufio.Reader, _ int) bool {
+				_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+				for err == nil {
+					_, err = io.WriteString(conn, block)
+				}
+				return false
+			})
+			var read atomic.Int64
+			pool := NewPool(Options{Dial: func(ctx context.Context, address string) (net.Conn, error) {
+				conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+				return countingConn{conn, &read}, err
+			}})
+			conn, err := pool.Get(t.Context(), u.Addr().String(), 0, false)
+			require.NoError(t, err)
+			request, err := http.NewRequest(http.MethodGet, "http://"+u.Addr().String(), nil)
+			require.NoError(t, err)
+			exchange, err := conn.Send(t.Context(), request)
+			require.NoError(t, err)
+			_, err = exchange.ReadAll(limit)
+			require.Error(t, err)
+			exchange.Abort()
+			require.LessOrEqual(t, read.Load(), int64(limit+framingShare*limit+framingSlack+bufferBytes))
+		})
+	}
+}
