--- a/gateway/unresponsive.go
+++ b/gateway/unresponsive.go
@@ -27,6 +27,7 @@
 func newUnresponsiveTimeout(attempt *placement.Attempt, reserveMove func() bool, abort func()) *unresponsiveTimeout {
 	w := &unresponsiveTimeout{isUnresponsive: attempt.IsUnresponsive, reserveMove: reserveMove, abort: abort}
 	w.recordProgress()
+	// The timer runs only once the instance is found unresponsive.
 	w.timer = time.AfterFunc(time.Hour, w.check)
 	w.timer.Stop()
 	attempt.NotifyUnresponsive(func() { w.timer.Reset(w.remaining()) })
--- a/placement/unresponsive.go
+++ b/placement/unresponsive.go
@@ -72,8 +72,7 @@
 
 // applyUnresponsive ejects instances that enough nodes report as unresponsive, unless they answered this node within
 // answerValidity. Without these reports each node would wait for its own time-out at each such instance. The node then
-// probes the ejected instances itself. The
-// caller holds the lock.
+// probes the ejected instances itself. The caller holds the lock.
 func (t *Tracker) applyUnresponsive(source *loadSource, reported map[uint32]int, now time.Time) (ejected []string) {
 	old := source.unresponsive
 	source.unresponsive = reported
