gateway: record why callers' connections are closed

A caller whose connection ended without an answer left no trace unless its request had reached the handler: nothing told whether this node or the caller closed the connection, at which limit, and whether bytes were unread.

Each accepted connection now records its phase (new, head, request, idle) and the reason for its end. The peek at unread bytes is shared with upstreamconn.

--- a/connlimit/listener.go
+++ b/connlimit/listener.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -12,13 +13,19 @@
 // their callers fail early and use another process. With a writeTimeout above 0 each write has
 // that deadline, so that a peer that stops reading cannot hold a call.
 func Listen(inner net.Listener, limit int, writeTimeout time.Duration) net.Listener {
-	return &listener{Listener: inner, timeout: writeTimeout, slots: make(chan struct{}, limit)}
+	return ListenNotify(inner, limit, writeTimeout, func(net.Conn) {})
+}
+
+// ListenNotify is Listen with a function that is called with each connection above the limit before it is closed.
+func ListenNotify(inner net.Listener, limit int, writeTimeout time.Duration, onRefused func(net.Conn)) net.Listener {
+	return &listener{Listener: inner, timeout: writeTimeout, slots: make(chan struct{}, limit), onRefused: onRefused}
 }
 
 type listener struct {
 	net.Listener
-	timeout time.Duration
-	slots   chan struct{}
+	timeout   time.Duration
+	slots     chan struct{}
+	onRefused func(net.Conn)
 }
 
 // SetDeadline sets the deadline of pending and later calls of Accept.
@@ -41,6 +48,7 @@
 		case l.slots <- struct{}{}:
 			return &conn{Conn: inner, timeout: l.timeout, release: func() { <-l.slots }}, nil
 		default:
+			l.onRefused(inner)
 			_ = inner.Close()
 		}
 	}
@@ -63,6 +71,15 @@
 	return c.Conn.Write(p)
 }
 
+// SyscallConn implements syscall.Conn for connections with a descriptor.
+func (c *conn) SyscallConn() (syscall.RawConn, error) {
+	inner, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return inner.SyscallConn()
+}
+
 // Close closes the connection and releases its slot.
 func (c *conn) Close() error {
 	c.once.Do(c.release)
--- a/connlimit/listener_test.go
+++ b/connlimit/listener_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,7 +19,8 @@
 func TestLimit(t *testing.T) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	listener := connlimit.Listen(inner, 1, 0)
+	var refused atomic.Int64
+	listener := connlimit.ListenNotify(inner, 1, 0, func(net.Conn) { refused.Add(1) })
 	accepted := make(chan net.Conn, 4)
 	done := make(chan struct{})
 	go func() {
@@ -44,6 +46,7 @@
 	require.Error(t, err)
 	assert.NotErrorIs(t, err, net.ErrClosed)
 	assert.Empty(t, accepted)
+	assert.EqualValues(t, 1, refused.Load())
 	require.NoError(t, first.Close())
 	require.Error(t, first.Close())
 	dial()
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -4,13 +4,15 @@
 	"context"
 	"errors"
 	"log"
+	"maps"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
+	gometrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"github.com/wasabishunt/wasabishunt/clock"
@@ -22,6 +24,11 @@
 type Server struct {
 	Handler http.Handler
 	Log     *zap.Logger
+	// Metrics is the registry for counters of closed connections; nil for none.
+	Metrics gometrics.Registry
+
+	closeLogOnce sync.Once
+	closeLog     *closeLog
 
 	mu sync.Mutex
 	// newConns are accepted connections whose first request has not reached the handler yet.
@@ -39,6 +46,7 @@
 // limitedServer is an http.Server with fixed limits. It is the listener of its server and gets the connections from Server.
 type limitedServer struct {
 	server *http.Server
+	limits trafficset.Limits
 	conns  chan net.Conn
 	closed chan struct{}
 	once   sync.Once
@@ -101,13 +109,13 @@
 	if limits.IdleTimeout <= 0 {
 		limits.IdleTimeout = defaultIdleTimeout
 	}
-	g := &limitedServer{conns: make(chan net.Conn, connBacklog), closed: make(chan struct{}), addr: addr}
+	g := &limitedServer{conns: make(chan net.Conn, connBacklog), closed: make(chan struct{}), addr: addr, limits: limits}
 	g.server = &http.Server{
 		Handler: http.HandlerFunc(s.handle), ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
 		MaxHeaderBytes: max(1, int(limits.HeaderBytes)-headerSlack), ErrorLog: log.New(debugLog{s.Log}, "", 0),
 		ConnState: s.trackState,
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
-			return context.WithValue(ctx, firstRequestKey{}, &firstRequest{conn: conn})
+			return context.WithValue(ctx, callerConnKey{}, conn)
 		},
 	}
 	s.current = g
@@ -138,7 +146,7 @@
 	defer close(acceptDone)
 	emptyRounds := 0
 	for {
-		conn, err := listener.Accept()
+		accepted, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
@@ -157,6 +165,7 @@
 		emptyRounds = 0
 		s.mu.Lock()
 		current := s.current
+		conn := newCallerConn(accepted, s, current)
 		if s.newConns == nil {
 			s.newConns = map[net.Conn]struct{}{}
 		}
@@ -212,24 +221,77 @@
 	return listener.Close()
 }
 
-// firstRequest is in the context of the requests of a connection.
-type firstRequest struct {
-	conn    net.Conn
-	handled atomic.Bool
-}
-
-type firstRequestKey struct{}
+// callerConnKey is the key of the callerConn in the context of its requests.
+type callerConnKey struct{}
 
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
-	if first, ok := r.Context().Value(firstRequestKey{}).(*firstRequest); ok && !first.handled.Swap(true) {
-		s.removeNewConn(first.conn)
+	conn, ok := r.Context().Value(callerConnKey{}).(*callerConn)
+	if !ok {
+		s.Handler.ServeHTTP(w, r)
+		return
+	}
+	if conn.beginHandling() {
+		s.removeNewConn(conn)
 	}
+	completed := false
+	defer func() {
+		if !completed {
+			conn.recordReason(closedAborted)
+		}
+	}()
 	s.Handler.ServeHTTP(w, r)
+	completed = true
 }
 
 func (s *Server) trackState(conn net.Conn, state http.ConnState) {
-	if state == http.StateClosed || state == http.StateHijacked {
+	switch state {
+	case http.StateClosed, http.StateHijacked:
 		s.removeNewConn(conn)
+	case http.StateIdle:
+		if c, ok := conn.(*callerConn); ok {
+			c.setPhase(phaseIdle)
+		}
+	}
+}
+
+// closes returns the log of closed connections.
+func (s *Server) closes() *closeLog {
+	s.closeLogOnce.Do(func() { s.closeLog = newCloseLog(s.Log, s.Metrics) })
+	return s.closeLog
+}
+
+// RecordRefused records a connection that was closed because there were too many.
+func (s *Server) RecordRefused(conn net.Conn) { s.closes().recordRefused(conn) }
+
+// recordClose records the end of a connection.
+func (s *Server) recordClose(c *callerConn, e closeEvent) {
+	if e.reason == "" {
+		e.reason = s.closeReason(e.phase)
+	}
+	var limit time.Duration
+	switch e.reason {
+	case closedIdle:
+		limit = c.limited.limits.IdleTimeout
+	case closedHeaderTimeout:
+		limit = c.limited.limits.HeaderTimeout
+	}
+	if e.reason != closedByCaller {
+		e.unread = c.unread()
+	}
+	s.closes().record(c.RemoteAddr(), e, limit)
+}
+
+// closeReason returns why the server closed a connection in a phase if nothing else was recorded.
+func (s *Server) closeReason(phase connPhase) closeReason {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case phase == phaseRequest:
+		return closedAnswered
+	case s.stopped:
+		return closedAtStop
+	default:
+		return closedMalformed
 	}
 }
 
@@ -257,8 +319,9 @@
 
 func (s *Server) closeNewConns() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	for conn := range s.newConns {
+	conns := slices.Collect(maps.Keys(s.newConns))
+	s.mu.Unlock()
+	for _, conn := range conns {
 		_ = conn.Close()
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -167,7 +167,7 @@
 		AnswerBytes: config.UpstreamLimits.AnswerBytes, EventBytes: config.UpstreamLimits.EventBytes,
 		Nodes: func() int { return int(n.nodes.Load()) }, Log: log, Metrics: registry,
 	})
-	n.server = &gateway.Server{Handler: supervise.HTTP(log, "request", n.gateway), Log: log}
+	n.server = &gateway.Server{Handler: supervise.HTTP(log, "request", n.gateway), Log: log, Metrics: registry}
 	return n
 }
 
@@ -286,7 +286,7 @@
 		return nil, failure.Wrap(err, failure.Internal, failure.NotRun, "listen on %s", n.config.LoadReports)
 	}
 	callers := int(callerShare * float64(max(reservedDescriptors, n.config.MaxDescriptors-reservedDescriptors)))
-	l.front = connlimit.Listen(l.front, callers, callerWriteTimeout)
+	l.front = connlimit.ListenNotify(l.front, callers, callerWriteTimeout, n.server.RecordRefused)
 	return l, nil
 }
 
--- a/upstreamconn/readable.go
+++ b/upstreamconn/readable.go
@@ -4,6 +4,8 @@
 	"errors"
 	"net"
 	"syscall"
+
+	"github.com/wasabishunt/wasabishunt/socketinput"
 )
 
 // readable reports whether a read would return immediately, with data, end of file or an error.
@@ -19,8 +21,7 @@
 	found := true
 	err = raw.Read(func(fd uintptr) bool {
 		var probe [1]byte
-		n, _, peekErr := syscall.Recvfrom(int(fd), probe[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		found = n >= 0 && peekErr == nil || peekErr != syscall.EAGAIN && peekErr != syscall.EINTR
+		_, found = socketinput.Peek(fd, probe[:])
 		return true
 	})
 	return err != nil || found
