gateway: enforce the idle limit by the newest set and never over a request that arrived

Callers saw a reset instead of an answer or a refusal for a whole request that they sent on a kept connection within the idle limit.

Cause: the idle limit was a read deadline of net/http, fixed when a connection was accepted. - Package net reports an expired deadline without looking at the socket, and after a pause of the process timers run before the network poller. A request that arrived within the limit stayed unread, and closing reset it. - Each change of the limits started one more http.Server; open connections kept the limit of their first set. After a longer limit was published, this node closed at the shorter one while callers, who know the limit in force, sent. The list of servers only grew.

Why this works: callerConn enforces the idle limit itself. The limit is the longer one of those in force when the connection became idle and now. At the limit it closes only if a read is waiting and the socket holds nothing; the first bytes of a request are taken from the socket under the same lock, so a request is either read or had not arrived. Heads read at an expired header timeout get what had arrived. Servers exist by limits on heads only, are shared between equal ones, and end with their last connection.

--- a/gateway/callerconn.go
+++ b/gateway/callerconn.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"cmp"
 	"errors"
+	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -24,37 +27,115 @@
 	phaseIdle connPhase = "idle"
 )
 
-// callerConn is a caller's connection. It records what ends the connection.
+// callerConn is a caller's connection. It enforces the idle limit and records what ends the connection.
+//
+// A read deadline cannot serve as the idle limit: package net reports an expired deadline without looking at the socket, and
+// after a pause of the process, timers run before the network poller. A request that arrived within the limit would be lost.
 type callerConn struct {
 	net.Conn
 	server  *Server
 	limited *limitedServer
+	// raw is nil for connections without a descriptor. For these, bytes that arrive at the idle limit may be lost.
+	raw syscall.RawConn
 
 	// mu is a leaf lock.
 	mu    sync.Mutex
 	phase connPhase
 	// phaseSince is when the phase began.
 	phaseSince time.Time
+	// idleLimit is the limit that was in force when the last idle phase began, and idleTimer ends that phase.
+	idleLimit time.Duration
+	idleTimer *time.Timer
+	// waiting is set while a read waits for the first byte of a request.
+	waiting bool
 	// handled is set once the handler got the first request.
 	handled bool
-	reason  closeReason
-	closed  bool
+	// ended is set once the server has decided to close the connection.
+	ended  bool
+	reason closeReason
+	// limit is the time limit behind the reason, if any.
+	limit  time.Duration
+	closed bool
 }
 
 func newCallerConn(conn net.Conn, server *Server, limited *limitedServer) *callerConn {
-	return &callerConn{Conn: conn, server: server, limited: limited, phase: phaseNew, phaseSince: time.Now()}
+	return &callerConn{Conn: conn, server: server, limited: limited, raw: rawConn(conn), phase: phaseNew, phaseSince: time.Now()}
 }
 
-// setPhase begins a phase.
-func (c *callerConn) setPhase(phase connPhase) {
+// beginIdle begins the idle phase.
+func (c *callerConn) beginIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.beginPhase(phase)
+	c.beginPhase(phaseIdle)
+	if c.closed {
+		return
+	}
+	c.idleLimit = c.server.idleTimeout()
+	if c.idleTimer == nil {
+		c.idleTimer = time.AfterFunc(c.idleLimit, c.checkIdle)
+		return
+	}
+	c.idleTimer.Reset(c.idleLimit)
+}
+
+// checkIdle closes the connection if it has been idle for the limit.
+func (c *callerConn) checkIdle() {
+	if limit, ok := c.expireIdle(time.Now()); ok {
+		c.closeFor(closedIdle, limit)
+	}
+}
+
+// expireIdle reports whether the connection has been idle for the limit, and marks it as ended if so. The limit is the longer one
+// of those in force when the idle phase began and now, because the caller may know either.
+func (c *callerConn) expireIdle(now time.Time) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != phaseIdle || c.ended || c.closed {
+		return 0, false
+	}
+	limit := max(c.idleLimit, c.server.idleTimeout())
+	if left := limit - now.Sub(c.phaseSince); left > 0 {
+		c.idleTimer.Reset(left)
+		return 0, false
+	}
+	if !c.endIfSilent() {
+		c.idleTimer.Reset(limit)
+		return 0, false
+	}
+	return limit, true
+}
+
+// endIfSilent marks the connection as ended if no byte of a further request has arrived. No read returns bytes afterwards. The
+// caller holds c.mu.
+func (c *callerConn) endIfSilent() bool {
+	if !c.waiting || c.hasInput() {
+		return false
+	}
+	c.ended = true
+	return true
+}
+
+// hasInput reports whether a read would return immediately.
+func (c *callerConn) hasInput() bool {
+	if c.raw == nil {
+		return false
+	}
+	found := true
+	err := c.raw.Control(func(fd uintptr) { _, found = socketinput.Peek(fd, make([]byte, 1)) })
+	return err != nil || found
+}
+
+// closeFor closes the connection for a reason. limit is the time limit that ended it, if any.
+func (c *callerConn) closeFor(reason closeReason, limit time.Duration) {
+	c.mu.Lock()
+	c.reason, c.limit = reason, limit
+	c.mu.Unlock()
+	_ = c.Close()
 }
 
 // beginPhase begins a phase. The caller holds c.mu.
 func (c *callerConn) beginPhase(phase connPhase) {
-	c.phase, c.phaseSince, c.reason = phase, time.Now(), ""
+	c.phase, c.phaseSince, c.reason, c.limit = phase, time.Now(), "", 0
 }
 
 // beginHandling reports whether this is the first request of the connection.
@@ -78,15 +159,82 @@
 
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	awaitsRequest := c.phase == phaseNew || c.phase == phaseIdle
+	c.waiting = awaitsRequest
+	c.mu.Unlock()
+	var n int
+	var err error
+	if awaitsRequest && c.raw != nil {
+		n, err = c.readFirst(p)
+	} else {
+		n, err = c.Conn.Read(p)
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		n, err = c.readArrived(p, err)
+	}
 	c.recordRead(n, err)
 	return n, err
 }
 
+// readFirst reads the first bytes of a request. It takes them from the socket with c.mu held, so that the connection is
+// either closed before them or not closed for being idle.
+func (c *callerConn) readFirst(p []byte) (n int, err error) {
+	var readErr error
+	err = c.raw.Read(func(fd uintptr) bool {
+		n, readErr = c.receive(fd, p)
+		return readErr != syscall.EAGAIN
+	})
+	return n, cmp.Or(err, readErr)
+}
+
+// readArrived returns the bytes of a head that arrived before a read deadline that has expired.
+func (c *callerConn) readArrived(p []byte, deadlineErr error) (n int, err error) {
+	c.mu.Lock()
+	readsHead := c.phase != phaseRequest
+	c.mu.Unlock()
+	if c.raw == nil || !readsHead {
+		return 0, deadlineErr
+	}
+	controlErr := c.raw.Control(func(fd uintptr) { n, err = c.receive(fd, p) })
+	if controlErr != nil || n <= 0 {
+		return 0, deadlineErr
+	}
+	return n, err
+}
+
+// receive reads from the socket without waiting, unless the server has decided to close the connection.
+func (c *callerConn) receive(fd uintptr, p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
+		return 0, net.ErrClosed
+	}
+	for {
+		n, _, err := syscall.Recvfrom(int(fd), p, syscall.MSG_DONTWAIT)
+		switch {
+		case err == syscall.EINTR:
+		case err == syscall.EAGAIN:
+			return 0, err
+		case err != nil:
+			return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("recvfrom", err)}
+		case n == 0 && len(p) > 0:
+			return 0, io.EOF
+		default:
+			c.waiting = false
+			if n > 0 && c.phase != phaseHead {
+				c.beginPhase(phaseHead)
+			}
+			return n, nil
+		}
+	}
+}
+
 // recordRead records the outcome of a read for the phase and the reason.
 func (c *callerConn) recordRead(n int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.waiting = false
 	if n > 0 && (c.phase == phaseNew || c.phase == phaseIdle) {
 		c.beginPhase(phaseHead)
 	}
@@ -97,10 +245,8 @@
 		if !errors.Is(err, net.ErrClosed) {
 			c.reason = closedByCaller
 		}
-	case c.phase == phaseIdle:
-		c.reason = closedIdle
-	case c.phase == phaseNew || c.phase == phaseHead:
-		c.reason = closedHeaderTimeout
+	case c.phase != phaseRequest:
+		c.reason, c.limit = closedHeaderTimeout, c.limited.limits.timeout
 	}
 }
 
@@ -109,7 +255,10 @@
 	c.mu.Lock()
 	first := !c.closed
 	c.closed = true
-	event := closeEvent{reason: c.reason, phase: c.phase, inPhase: time.Since(c.phaseSince)}
+	event := closeEvent{reason: c.reason, phase: c.phase, inPhase: time.Since(c.phaseSince), limit: c.limit}
+	if c.idleTimer != nil {
+		c.idleTimer.Stop()
+	}
 	c.mu.Unlock()
 	if first {
 		c.server.recordClose(c, event)
@@ -122,12 +271,11 @@
 
 // unread returns how many bytes wait unread in the socket, up to maxUnreadCounted.
 func (c *callerConn) unread() int {
-	raw := rawConn(c.Conn)
-	if raw == nil {
+	if c.raw == nil {
 		return 0
 	}
 	count := 0
-	_ = raw.Control(func(fd uintptr) { count, _ = socketinput.Peek(fd, make([]byte, maxUnreadCounted)) })
+	_ = c.raw.Control(func(fd uintptr) { count, _ = socketinput.Peek(fd, make([]byte, maxUnreadCounted)) })
 	return count
 }
 
--- a/gateway/closelog.go
+++ b/gateway/closelog.go
@@ -30,7 +30,9 @@
 	phase  connPhase
 	// inPhase is how long the phase had lasted.
 	inPhase time.Duration
-	unread  int
+	// limit is the time limit that ended the connection, if any.
+	limit  time.Duration
+	unread int
 }
 
 // maxCloseLines is the number of log lines on closed connections in one second. Further ones are counted.
@@ -66,8 +68,8 @@
 	}, unread: gometrics.GetOrRegisterCounter("gateway.closed_unread", r), refused: gometrics.GetOrRegisterCounter("gateway.closed_over_limit", r)}
 }
 
-// record counts a closed connection. limit is the time limit that ended it, if any.
-func (l *closeLog) record(caller net.Addr, e closeEvent, limit time.Duration) {
+// record counts a closed connection.
+func (l *closeLog) record(caller net.Addr, e closeEvent) {
 	l.counts[e.reason].Inc(1)
 	if e.unread > 0 && e.reason != closedByCaller {
 		l.unread.Inc(1)
@@ -89,7 +91,7 @@
 		return
 	}
 	l.log.Info("connection of a caller closed", zap.Stringer("caller", caller), zap.String("reason", string(e.reason)), zap.String("phase", string(e.phase)),
-		zap.Duration("in_phase", e.inPhase), zap.Duration("limit", limit), zap.Int("unread", e.unread), zap.Int("suppressed", suppressed))
+		zap.Duration("in_phase", e.inPhase), zap.Duration("limit", e.limit), zap.Int("unread", e.unread), zap.Int("suppressed", suppressed))
 }
 
 // recordRefused records a connection above the limit.
@@ -115,3 +117,38 @@
 	suppressed, l.suppressed = l.suppressed, 0
 	return suppressed, true
 }
+
+// closes returns the log of closed connections.
+func (s *Server) closes() *closeLog {
+	s.closeLogOnce.Do(func() { s.closeLog = newCloseLog(s.Log, s.Metrics) })
+	return s.closeLog
+}
+
+// RecordRefused records a connection that was closed because there were too many.
+func (s *Server) RecordRefused(conn net.Conn) { s.closes().recordRefused(conn) }
+
+// recordClose records the end of a connection.
+func (s *Server) recordClose(c *callerConn, e closeEvent) {
+	if e.reason == "" {
+		e.reason = s.closeReason(e.phase)
+	}
+	if e.reason != closedByCaller {
+		e.unread = c.unread()
+	}
+	s.closes().record(c.RemoteAddr(), e)
+	s.release(c)
+}
+
+// closeReason returns why the server closed a connection in a phase if nothing else was recorded.
+func (s *Server) closeReason(phase connPhase) closeReason {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case phase == phaseRequest:
+		return closedAnswered
+	case s.stopped:
+		return closedAtStop
+	default:
+		return closedMalformed
+	}
+}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
-	"log"
 	"maps"
 	"net"
 	"net/http"
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
@@ -20,7 +20,7 @@
 	"github.com/wasabishunt/wasabishunt/trafficset"
 )
 
-// Server accepts callers' connections. Changed limits apply to new connections only.
+// Server accepts callers' connections. Changed limits on heads apply to new connections only, a changed idle limit to all.
 type Server struct {
 	Handler http.Handler
 	Log     *zap.Logger
@@ -30,102 +30,24 @@
 	closeLogOnce sync.Once
 	closeLog     *closeLog
 
+	// idleLimit is the published idle limit in ns.
+	idleLimit atomic.Int64
+
 	mu sync.Mutex
 	// newConns are accepted connections whose first request has not reached the handler yet.
 	newConns map[net.Conn]struct{}
 	limits   trafficset.Limits
 	current  *limitedServer
-	// servers are all servers that were started, with the current one last.
-	servers []*limitedServer
+	// servers has the current server, and earlier ones for as long as they have connections.
+	servers map[headLimits]*limitedServer
 	stopped bool
 	// closingAt is set by StopAccepting; acceptDone is closed when Serve has returned.
 	closingAt  time.Time
 	acceptDone chan struct{}
 }
 
-// limitedServer is an http.Server with fixed limits. It is the listener of its server and gets the connections from Server.
-type limitedServer struct {
-	server *http.Server
-	limits trafficset.Limits
-	conns  chan net.Conn
-	closed chan struct{}
-	once   sync.Once
-	addr   net.Addr
-}
-
-// Defaults for a node without a published set.
-const (
-	defaultHeaderBytes   = 64 << 10
-	defaultHeaderTimeout = 5 * time.Second
-	defaultIdleTimeout   = 30 * time.Second
-	// headerSlack is what net/http adds to its limit of header bytes.
-	headerSlack = 4096
-	// connBacklog is the number of accepted connections that may wait for http.Server to accept them.
-	connBacklog = 64
-	// acceptPause is the wait after a failed accept.
-	acceptPause = 20 * time.Millisecond
-)
-
-// Accept implements net.Listener.
-func (g *limitedServer) Accept() (net.Conn, error) {
-	select {
-	case conn := <-g.conns:
-		return conn, nil
-	case <-g.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-// Close implements net.Listener.
-func (g *limitedServer) Close() error {
-	g.once.Do(func() { close(g.closed) })
-	return nil
-}
-
-// Addr implements net.Listener.
-func (g *limitedServer) Addr() net.Addr { return g.addr }
-
-// SetLimits applies limits to new connections.
-func (s *Server) SetLimits(limits trafficset.Limits) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.current == nil || s.limits == limits || s.stopped {
-		s.limits = limits
-		return
-	}
-	s.limits = limits
-	s.start(s.current.addr)
-}
-
-// start starts a server with the current limits. The caller holds s.mu.
-func (s *Server) start(addr net.Addr) {
-	limits := s.limits
-	if limits.HeaderBytes <= 0 {
-		limits.HeaderBytes = defaultHeaderBytes
-	}
-	if limits.HeaderTimeout <= 0 {
-		limits.HeaderTimeout = defaultHeaderTimeout
-	}
-	if limits.IdleTimeout <= 0 {
-		limits.IdleTimeout = defaultIdleTimeout
-	}
-	g := &limitedServer{conns: make(chan net.Conn, connBacklog), closed: make(chan struct{}), addr: addr, limits: limits}
-	g.server = &http.Server{
-		Handler: http.HandlerFunc(s.handle), ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
-		MaxHeaderBytes: max(1, int(limits.HeaderBytes)-headerSlack), ErrorLog: log.New(debugLog{s.Log}, "", 0),
-		ConnState: s.trackState,
-		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
-			return context.WithValue(ctx, callerConnKey{}, conn)
-		},
-	}
-	s.current = g
-	s.servers = append(s.servers, g)
-	go func() {
-		if err := g.server.Serve(g); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-			s.Log.Error("serving callers failed", zap.Error(err))
-		}
-	}()
-}
+// acceptPause is the wait after a failed accept.
+const acceptPause = 20 * time.Millisecond
 
 // debugLog writes the log lines of net/http at debug level, because broken connections of callers are not errors.
 type debugLog struct{ log *zap.Logger }
@@ -166,6 +88,7 @@
 		s.mu.Lock()
 		current := s.current
 		conn := newCallerConn(accepted, s, current)
+		current.open[conn] = struct{}{}
 		if s.newConns == nil {
 			s.newConns = map[net.Conn]struct{}{}
 		}
@@ -249,52 +172,11 @@
 		s.removeNewConn(conn)
 	case http.StateIdle:
 		if c, ok := conn.(*callerConn); ok {
-			c.setPhase(phaseIdle)
+			c.beginIdle()
 		}
 	}
 }
 
-// closes returns the log of closed connections.
-func (s *Server) closes() *closeLog {
-	s.closeLogOnce.Do(func() { s.closeLog = newCloseLog(s.Log, s.Metrics) })
-	return s.closeLog
-}
-
-// RecordRefused records a connection that was closed because there were too many.
-func (s *Server) RecordRefused(conn net.Conn) { s.closes().recordRefused(conn) }
-
-// recordClose records the end of a connection.
-func (s *Server) recordClose(c *callerConn, e closeEvent) {
-	if e.reason == "" {
-		e.reason = s.closeReason(e.phase)
-	}
-	var limit time.Duration
-	switch e.reason {
-	case closedIdle:
-		limit = c.limited.limits.IdleTimeout
-	case closedHeaderTimeout:
-		limit = c.limited.limits.HeaderTimeout
-	}
-	if e.reason != closedByCaller {
-		e.unread = c.unread()
-	}
-	s.closes().record(c.RemoteAddr(), e, limit)
-}
-
-// closeReason returns why the server closed a connection in a phase if nothing else was recorded.
-func (s *Server) closeReason(phase connPhase) closeReason {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	switch {
-	case phase == phaseRequest:
-		return closedAnswered
-	case s.stopped:
-		return closedAtStop
-	default:
-		return closedMalformed
-	}
-}
-
 func (s *Server) removeNewConn(conn net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -333,7 +215,7 @@
 func (s *Server) Shutdown(ctx context.Context) {
 	s.mu.Lock()
 	s.stopped = true
-	servers := s.servers
+	servers := slices.Collect(maps.Values(s.servers))
 	s.mu.Unlock()
 	s.waitForNewConns(ctx)
 	// http.Server would wait 5 s for connections that have not sent a request.
