gateway: abort a silent send only once another instance can be reached

Callers lost streams that their engines would have completed, and got 502 for requests that were being answered.

Cause: a repeatable send was aborted after a silence if any other instance of the service was listed (or, before the first event, without a check), and only then did the request look for an instance. If all were excluded, or connections could not be opened, the begun answer was cut. A node that is itself slow finds engines unresponsive and its dials time out, so it cuts sound streams.

If one of these fails, or an event arrives meanwhile, the send goes on. The connection is handed to the next send, or back to the pool. The time limit of an attempt uses the same path. The other instance may still reject the request; that is not changed here.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -32,13 +32,20 @@
 
 // forward sends the request to instances until it is answered or no further attempt is allowed.
 func (c *call) forward(ctx context.Context) error {
+	defer c.dropMove()
 	runs, rejections := 0, 0
 	var last error
 	for {
 		if ctx.Err() != nil {
 			return c.contextError(ctx, last)
 		}
-		chosen := c.pick()
+		var chosen *choice
+		move := c.takeMove()
+		if move != nil {
+			chosen = move.chosen
+		} else {
+			chosen = c.choose(c.exclude)
+		}
 		if chosen == nil {
 			if last != nil {
 				return last
@@ -53,11 +60,11 @@
 		if !c.counted {
 			c.counted = true
 			c.gateway.options.Budget.RecordRequest(c.service.Name)
-		} else if c.sends > 0 && !c.retryReserved.Swap(false) && !c.gateway.options.Budget.TakeRepeat(c.service.Name) {
+		} else if c.sends > 0 && move == nil && !c.gateway.options.Budget.TakeRepeat(c.service.Name) {
 			c.gateway.options.Log.Info("retry budget is spent", zap.String("request", c.attributes.ID), zap.String("service", c.service.Name))
 			return last
 		}
-		result := c.attempt(ctx, chosen, c.mayRetry(runs+1))
+		result := c.attempt(ctx, chosen, move, c.mayRetry(runs+1))
 		if result.done {
 			return result.err
 		}
@@ -126,14 +133,16 @@
 	sources []placement.StoredPart
 	// forecast is empty for plain services.
 	forecast placement.Forecast
+	// cached and recomputed are the estimates of the call's fields of the same names.
+	cached, recomputed int
 }
 
-// pick chooses the next instance.
-func (c *call) pick() *choice {
+// choose chooses an instance that is not excluded. It may run beside the send in progress, and does not change the call.
+func (c *call) choose(exclude map[string]bool) *choice {
 	o := c.gateway.options
 	view := o.Directory.View()
 	o.Tracker.Sync(view)
-	q := &placement.Request{Zone: o.AvailabilityZone, Seed: c.attributes.ID, Exclude: c.exclude, Urgency: c.urgency()}
+	q := &placement.Request{Zone: o.AvailabilityZone, Seed: c.attributes.ID, Exclude: exclude, Urgency: c.urgency()}
 	g := c.attributes.Generation
 	if g != nil && c.service.Engine != nil {
 		c.describePrompt(q)
@@ -159,7 +168,7 @@
 		for i := range max(0, len(g.Parts)-1) {
 			chosen.sources = append(chosen.sources, q.Source(i, best))
 		}
-		c.cached, c.recomputed, c.expectedFirstEvent = best.CachedTokens, plan.SharedTokens, chosen.forecast.FirstEvent()
+		chosen.cached, chosen.recomputed = best.CachedTokens, plan.SharedTokens
 	}
 	return chosen
 }
@@ -190,17 +199,24 @@
 }
 
 // attempt sends the request to one instance and relays its answer.
-func (c *call) attempt(ctx context.Context, chosen *choice, repeatable bool) result {
+// move is set if the send takes over a prepared move.
+func (c *call) attempt(ctx context.Context, chosen *choice, move *moveTarget, repeatable bool) result {
 	o := c.gateway.options
 	instance, work := chosen.instance, chosen.work
 	c.instance = instance.ID
-	conn, err := o.Pool.Get(ctx, instance.Address, c.connectionLimit(), repeatable)
-	if err != nil {
-		if !failure.Is(err, failure.Overloaded) && ctx.Err() == nil {
-			o.Tracker.Begin(instance, placement.Work{}).End(connectOutcome(err), time.Now())
+	if work.CacheTokens > 0 {
+		c.cached, c.recomputed, c.expectedFirstEvent = chosen.cached, chosen.recomputed, chosen.forecast.FirstEvent()
+	}
+	var conn *upstreamconn.Conn
+	if move != nil {
+		conn = move.conn
+	} else {
+		var err error
+		if conn, err = o.Pool.Get(ctx, instance.Address, c.connectionLimit(), repeatable); err != nil {
+			c.recordUnreachable(ctx, instance, err)
+			o.Log.Info("upstream cannot be reached", zap.String("request", c.attributes.ID), zap.String("instance", instance.ID), zap.Error(err))
+			return result{notRun: true, err: unreachable(err)}
 		}
-		o.Log.Info("upstream cannot be reached", zap.String("request", c.attributes.ID), zap.String("instance", instance.ID), zap.Error(err))
-		return result{notRun: true, err: unreachable(err)}
 	}
 	out := c.outbound(chosen)
 	attempt := o.Tracker.Begin(instance, work)
@@ -208,17 +224,10 @@
 	c.mayHaveRun = true
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var timer *time.Timer
-	var unresponsive *unresponsiveTimeout
+	s := &send{call: c, ctx: ctx, attemptCtx: attemptCtx, attempt: attempt, instance: instance, out: out, repeatable: repeatable}
 	if repeatable {
-		timer = time.AfterFunc(c.attemptTimeout(), cancel)
-		defer timer.Stop()
-		unresponsive = newUnresponsiveTimeout(attempt, func() bool { return c.reserveMove(instance) }, func() {
-			o.Log.Info("request leaves an unresponsive instance", zap.String("request", c.attributes.ID), zap.String("instance", instance.ID),
-				zap.Duration("after", time.Since(c.started)))
-			cancel()
-		})
-		defer unresponsive.timer.Stop()
+		s.watchSilence(cancel)
+		defer s.stopWatching()
 	}
 	exchange, err := conn.Send(attemptCtx, c.upstreamRequest(instance.Address, out))
 	if err != nil {
@@ -236,7 +245,7 @@
 		model = c.attributes.Generation.Model
 	}
 	attempt.RecordAnswer(answer.Load, model, answer.Version, time.Now())
-	s := &send{call: c, ctx: ctx, attemptCtx: attemptCtx, attemptTimer: timer, exchange: exchange, answer: answer, attempt: attempt, instance: instance, out: out, repeatable: repeatable, unresponsive: unresponsive}
+	s.exchange, s.answer = exchange, answer
 	return s.relay()
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -236,8 +236,8 @@
 	firstByte          time.Duration
 	// earlierMayHaveRun is set once an earlier send ended with an unknown outcome, or ran and failed.
 	earlierMayHaveRun bool
-	// retryReserved is set once a stalled send has taken the next retry from the budget.
-	retryReserved atomic.Bool
+	// mover is that of the last repeatable send.
+	mover *mover
 	// mayHaveRun is set while a send is in progress, and stays set unless the upstream states that it did not run.
 	mayHaveRun bool
 }
--- /dev/null
+++ b/gateway/move.go
@@ -0,0 +1,170 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/placement"
+	"github.com/wasabishunt/wasabishunt/upstreamconn"
+	"github.com/wasabishunt/wasabishunt/upstreams"
+)
+
+// mover prepares the move of a repeatable send from a silent instance to another one. A send is aborted only once a connection to
+// the other instance is open and the retry budget allows it: the silent instance may be sound, and this node may be the one that
+// is slow or cut off.
+type mover struct {
+	call *call
+	// ctx ends with the send.
+	ctx     context.Context
+	exclude map[string]bool
+
+	mu sync.Mutex
+	// busy is set while a move is prepared.
+	busy   bool
+	target *moveTarget
+}
+
+// moveTarget is an instance that takes over a send, with an open connection to it.
+type moveTarget struct {
+	chosen *choice
+	conn   *upstreamconn.Conn
+}
+
+// newMover returns the mover of a send to an instance.
+func (c *call) newMover(ctx context.Context, from *upstreams.Instance) *mover {
+	exclude := maps.Clone(c.exclude)
+	exclude[from.ID] = true
+	return &mover{call: c, ctx: ctx, exclude: exclude}
+}
+
+// reserve prepares a move and reports whether the send may be aborted. isSilent is asked again once the connection is open.
+func (m *mover) reserve(isSilent func() bool) bool {
+	if !m.begin() {
+		return false
+	}
+	target := m.connect()
+	if target != nil && (!isSilent() || !m.call.gateway.options.Budget.TakeRepeat(m.call.service.Name)) {
+		target.conn.Release(0)
+		target = nil
+	}
+	return m.finish(target)
+}
+
+// begin reports whether a move may be prepared now.
+func (m *mover) begin() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.busy || m.target != nil || m.ctx.Err() != nil {
+		return false
+	}
+	m.busy = true
+	return true
+}
+
+// finish ends the preparation and reports whether there is a target.
+func (m *mover) finish(target *moveTarget) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.busy = false
+	if target != nil && m.ctx.Err() != nil {
+		target.conn.Release(0)
+		return false
+	}
+	m.target = target
+	return target != nil
+}
+
+// connect opens a connection to another instance, nil if there is none that can be reached.
+func (m *mover) connect() *moveTarget {
+	c, o := m.call, m.call.gateway.options
+	chosen := c.choose(m.exclude)
+	if chosen == nil {
+		return nil
+	}
+	conn, err := o.Pool.Get(m.ctx, chosen.instance.Address, c.connectionLimit(), true)
+	if err != nil {
+		c.recordUnreachable(m.ctx, chosen.instance, err)
+		return nil
+	}
+	return &moveTarget{chosen: chosen, conn: conn}
+}
+
+// ended reports whether the send has ended.
+func (m *mover) ended() bool { return m.ctx.Err() != nil }
+
+// recordUnreachable records that no connection to an instance could be opened.
+func (c *call) recordUnreachable(ctx context.Context, instance *upstreams.Instance, err error) {
+	if !failure.Is(err, failure.Overloaded) && ctx.Err() == nil {
+		c.gateway.options.Tracker.Begin(instance, placement.Work{}).End(connectOutcome(err), time.Now())
+	}
+}
+
+// takeMove returns the prepared move of the last send, nil if there is none. That send has ended.
+func (c *call) takeMove() *moveTarget {
+	if c.mover == nil {
+		return nil
+	}
+	c.mover.mu.Lock()
+	defer c.mover.mu.Unlock()
+	target := c.mover.target
+	c.mover.target = nil
+	return target
+}
+
+// dropMove releases the connection of a move that is not made.
+func (c *call) dropMove() {
+	if target := c.takeMove(); target != nil {
+		target.conn.Release(0)
+	}
+}
+
+// attemptTimeout moves a repeatable send that has not been answered in time.
+type attemptTimeout struct {
+	limit    time.Duration
+	mover    *mover
+	isSilent func() bool
+	abort    func()
+	timer    *time.Timer
+}
+
+func newAttemptTimeout(limit time.Duration, mover *mover, isSilent func() bool, abort func()) *attemptTimeout {
+	w := &attemptTimeout{limit: limit, mover: mover, isSilent: isSilent, abort: abort}
+	// expire reads w.timer, so that is set before the timer runs.
+	w.timer = time.AfterFunc(time.Hour, w.expire)
+	w.timer.Reset(limit)
+	return w
+}
+
+func (w *attemptTimeout) expire() {
+	switch {
+	case w.mover.ended() || !w.isSilent():
+	case w.mover.reserve(w.isSilent):
+		w.abort()
+	default:
+		w.timer.Reset(w.limit)
+	}
+}
+
+// watchSilence starts the timers that move a repeatable send; cancel ends the send.
+func (s *send) watchSilence(cancel context.CancelFunc) {
+	c := s.call
+	s.mover = c.newMover(s.attemptCtx, s.instance)
+	c.mover = s.mover
+	s.unresponsive = newUnresponsiveTimeout(s.attempt, s.mover, func() {
+		c.gateway.options.Log.Info("request leaves an unresponsive instance", zap.String("request", c.attributes.ID),
+			zap.String("instance", s.instance.ID), zap.Duration("after", time.Since(c.started)))
+		cancel()
+	})
+	began := s.unresponsive.progressAt.Load()
+	s.attemptTimeout = newAttemptTimeout(c.attemptTimeout(), s.mover, func() bool { return s.unresponsive.progressAt.Load() == began }, cancel)
+}
+
+func (s *send) stopWatching() {
+	s.attemptTimeout.timer.Stop()
+	s.unresponsive.timer.Stop()
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -22,16 +22,16 @@
 type send struct {
 	call            *call
 	ctx, attemptCtx context.Context
-	// attemptTimer cancels a slow attempt; nil if the request is not repeatable.
-	attemptTimer *time.Timer
-	// unresponsive is nil if the request is not repeatable.
-	unresponsive *unresponsiveTimeout
-	exchange     *upstreamconn.Exchange
-	answer       Answer
-	attempt      *placement.Attempt
-	instance     *upstreams.Instance
-	out          Outbound
-	repeatable   bool
+	// mover, attemptTimeout and unresponsive are nil if the request is not repeatable.
+	mover          *mover
+	attemptTimeout *attemptTimeout
+	unresponsive   *unresponsiveTimeout
+	exchange       *upstreamconn.Exchange
+	answer         Answer
+	attempt        *placement.Attempt
+	instance       *upstreams.Instance
+	out            Outbound
+	repeatable     bool
 	// begun is set when the first event of this send has been received.
 	begun bool
 }
@@ -210,8 +210,8 @@
 
 func (s *send) relayEvents(events []byte, lastID string) error {
 	c := s.call
-	if s.attemptTimer != nil {
-		s.attemptTimer.Stop()
+	if s.attemptTimeout != nil {
+		s.attemptTimeout.timer.Stop()
 	}
 	if !c.answered {
 		c.firstByte = time.Since(c.started)
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -3,10 +3,6 @@
 import (
 	"sync/atomic"
 	"time"
-
-	"github.com/samber/lo"
-
-	"github.com/wasabishunt/wasabishunt/upstreams"
 )
 
 const (
@@ -22,56 +18,47 @@
 // broken one.
 type stallTimeout struct {
 	limit time.Duration
-	// reserveMove prepares the move to another engine and reports whether it is possible; abort ends the send.
-	reserveMove func() bool
-	abort       func()
-	timer       *time.Timer
-	expired     atomic.Bool
+	mover *mover
+	abort func()
+	timer *time.Timer
+	// stops counts the calls of stop.
+	stops   atomic.Int64
+	expired atomic.Bool
 }
 
 func (s *send) newStallTimeout() *stallTimeout {
-	w := &stallTimeout{reserveMove: func() bool { return s.call.reserveMove(s.instance) }, abort: s.exchange.Abort}
+	w := &stallTimeout{mover: s.mover, abort: s.exchange.Abort}
 	if s.repeatable {
 		w.limit = max(minStallTimeout, stallTimeoutFactor*s.call.route.EventGapTarget)
+		// expire reads w.timer, so that is set before the timer runs.
+		w.timer = time.AfterFunc(time.Hour, w.expire)
+		w.timer.Stop()
 	}
 	return w
 }
 
 // reset restarts the timer for the next event.
 func (w *stallTimeout) reset() {
-	switch {
-	case w.limit == 0:
-	case w.timer == nil:
-		w.timer = time.AfterFunc(w.limit, w.expire)
-	default:
+	if w.timer != nil {
 		w.timer.Reset(w.limit)
 	}
 }
 
 func (w *stallTimeout) expire() {
-	if !w.reserveMove() {
+	stops := w.stops.Load()
+	isSilent := func() bool { return w.stops.Load() == stops }
+	switch {
+	case w.mover.reserve(isSilent):
+		w.expired.Store(true)
+		w.abort()
+	case isSilent() && !w.mover.ended():
 		w.timer.Reset(w.limit)
-		return
 	}
-	w.expired.Store(true)
-	w.abort()
 }
 
 func (w *stallTimeout) stop() {
+	w.stops.Add(1)
 	if w.timer != nil {
 		w.timer.Stop()
 	}
 }
-
-// reserveMove reports whether another instance can take the request. If so, it takes a retry from the budget.
-func (c *call) reserveMove(from *upstreams.Instance) bool {
-	o := c.gateway.options
-	other := lo.SomeBy(o.Directory.View().OfService(c.service.Name), func(i *upstreams.Instance) bool {
-		return i.ID != from.ID && !i.Draining
-	})
-	if !other || !o.Budget.TakeRepeat(c.service.Name) {
-		return false
-	}
-	c.retryReserved.Store(true)
-	return true
-}
--- a/gateway/unresponsive.go
+++ b/gateway/unresponsive.go
@@ -16,16 +16,15 @@
 // a stream on a slow instance goes on, and so does one that still delivers events.
 type unresponsiveTimeout struct {
 	isUnresponsive func() bool
-	// reserveMove prepares the move to another instance and reports whether it is possible; abort ends the send.
-	reserveMove func() bool
-	abort       func()
-	timer       *time.Timer
+	mover          *mover
+	abort          func()
+	timer          *time.Timer
 	// progressAt is when something last arrived from the instance, in Unix ns.
 	progressAt atomic.Int64
 }
 
-func newUnresponsiveTimeout(attempt *placement.Attempt, reserveMove func() bool, abort func()) *unresponsiveTimeout {
-	w := &unresponsiveTimeout{isUnresponsive: attempt.IsUnresponsive, reserveMove: reserveMove, abort: abort}
+func newUnresponsiveTimeout(attempt *placement.Attempt, mover *mover, abort func()) *unresponsiveTimeout {
+	w := &unresponsiveTimeout{isUnresponsive: attempt.IsUnresponsive, mover: mover, abort: abort}
 	w.recordProgress()
 	// The timer runs only once the instance is found unresponsive.
 	w.timer = time.AfterFunc(time.Hour, w.check)
@@ -49,7 +48,7 @@
 		w.timer.Reset(remaining)
 		return
 	}
-	if w.reserveMove() {
+	if w.mover.reserve(func() bool { return w.isUnresponsive() && w.remaining() == 0 }) {
 		w.abort()
 	}
 }
