gateway: log a stream cut at its time limit as deadline_exceeded

TestStreamCutAtItsDeadlineSaysSo before the change: "stream_broken: the stream of instance u0 was cut off: read tcp ...: use of closed network connection" does not contain "deadline_exceeded"

The cause is now that of the request's context, as docs/OPERATIONS.md says.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -266,7 +266,7 @@
 	}
 	if s.ctx.Err() != nil {
 		s.attempt.End(placement.Canceled, time.Now())
-		return result{done: true, err: cause}
+		return result{done: true, err: failure.Wrap(context.Cause(s.ctx), failure.DeadlineExceeded, failure.Ran, "the stream of instance %s was cut off", s.instance.ID)}
 	}
 	s.attempt.End(placement.Failed, time.Now())
 	c.gateway.options.Log.Info("stream broke off", zap.String("request", c.attributes.ID), zap.String("instance", s.instance.ID),
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -9,8 +9,11 @@
 	"strconv"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 )
 
 // events sends the events from..to as a chunked answer, which is terminated only if complete is true.
@@ -79,3 +82,16 @@
 		require.Equal(t, "id: 5\ndata: x\n\nid: 6\ndata: x\n\n", body)
 	})
 }
+
+// Guards against a stream that ends at its time limit and whose log line blames the connection to the engine.
+func TestStreamCutAtItsDeadlineSaysSo(t *testing.T) {
+	end := make(chan struct{})
+	t.Cleanup(func() { close(end) })
+	s := newSystem(t, silentAfter(2, end))
+	core, lines := observer.New(zap.WarnLevel)
+	s.gateway.options.Log = zap.New(core)
+	_, _, err := s.call("POST", "/stream/", "", func(r *http.Request) { r.Header.Set("Deadline", "200") })
+	require.Error(t, err)
+	require.Eventually(t, func() bool { return lines.FilterMessage("answer broken off").Len() == 1 }, time.Second, time.Millisecond)
+	require.Contains(t, lines.FilterMessage("answer broken off").All()[0].ContextMap()["error"], "deadline_exceeded")
+}
