gateway: keep looking for an instance for a stream that this node moved

Callers lost a begun stream after this node had taken it from a silent instance and the next ones were full: after three rejections, or with no instance or retry budget left, the answer was cut, although the first engine might have gone on.

Streams that their engine broke off still end at once, so that callers can turn to another node.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -21,11 +21,6 @@
 	// connectionShare is the part of an upstream's connection limit that all nodes together use. The rest is left for
 	// probes and for closed connections that the upstream still counts.
 	connectionShare = 0.8
-	// attemptTimeoutFactor is multiplied by the route's first-byte target to get the time without an answer after which a
-	// repeatable request goes to another upstream.
-	attemptTimeoutFactor = 2.5
-	// minAttemptTimeout is the lower bound of that time.
-	minAttemptTimeout = 700 * time.Millisecond
 	// maxRejections limits the number of sends that upstreams reject without running the request.
 	maxRejections = 3
 )
@@ -47,6 +42,9 @@
 			chosen = c.choose(c.exclude)
 		}
 		if chosen == nil {
+			if c.retryMoved(ctx) {
+				continue
+			}
 			if last != nil {
 				return last
 			}
@@ -61,6 +59,9 @@
 			c.counted = true
 			c.gateway.options.Budget.RecordRequest(c.service.Name)
 		} else if c.sends > 0 && move == nil && !c.gateway.options.Budget.TakeRepeat(c.service.Name) {
+			if c.retryMoved(ctx) {
+				continue
+			}
 			c.gateway.options.Log.Info("retry budget is spent", zap.String("request", c.attributes.ID), zap.String("service", c.service.Name))
 			return last
 		}
@@ -71,7 +72,7 @@
 		last = result.err
 		c.exclude[chosen.instance.ID] = true
 		if result.notRun {
-			if rejections++; rejections >= maxRejections {
+			if rejections++; rejections >= maxRejections && !c.retryMoved(ctx) {
 				return last
 			}
 		} else {
@@ -296,10 +297,6 @@
 	return max(2, int(connectionShare*float64(c.service.MaxConnections)/float64(max(1, c.gateway.options.Nodes()))))
 }
 
-func (c *call) attemptTimeout() time.Duration {
-	return max(minAttemptTimeout, time.Duration(attemptTimeoutFactor*float64(c.route.FirstByteTarget)))
-}
-
 // noAnswer handles a send that got no complete answer. The request may have run.
 func (c *call) noAnswer(ctx context.Context, attempt *placement.Attempt, instance *upstreams.Instance, err error) result {
 	if c.isCanceled() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -242,6 +242,8 @@
 	earlierMayHaveRun bool
 	// mover is that of the last repeatable send.
 	mover *mover
+	// moved is set once this node ended a send for a move.
+	moved bool
 	// mayHaveRun is set while a send is in progress, and stays set unless the upstream states that it did not run.
 	mayHaveRun bool
 }
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/wasabishunt/wasabishunt/clock"
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/placement"
 	"github.com/wasabishunt/wasabishunt/upstreamconn"
@@ -113,9 +114,24 @@
 	defer c.mover.mu.Unlock()
 	target := c.mover.target
 	c.mover.target = nil
+	c.moved = c.moved || target != nil
 	return target
 }
 
+// movedRetryPause is the time until a moved stream looks for an instance again.
+const movedRetryPause = 100 * time.Millisecond
+
+// retryMoved reports whether to look for an instance again, after a pause: this node ended a send whose stream had begun, and its
+// instance might have gone on. Other streams end here, so that their callers can turn to another node.
+func (c *call) retryMoved(ctx context.Context) bool {
+	if !c.moved || !c.answered {
+		return false
+	}
+	clear(c.exclude)
+	clock.Sleep(ctx, movedRetryPause)
+	return true
+}
+
 // dropMove releases the connection of a move that is not made.
 func (c *call) dropMove() {
 	if target := c.takeMove(); target != nil {
@@ -123,6 +139,18 @@
 	}
 }
 
+const (
+	// attemptTimeoutFactor is multiplied by the route's first-byte target to get the time without an answer after which a
+	// repeatable request goes to another upstream.
+	attemptTimeoutFactor = 2.5
+	// minAttemptTimeout is the lower bound of that time.
+	minAttemptTimeout = 700 * time.Millisecond
+)
+
+func (c *call) attemptTimeout() time.Duration {
+	return max(minAttemptTimeout, time.Duration(attemptTimeoutFactor*float64(c.route.FirstByteTarget)))
+}
+
 // attemptTimeout moves a repeatable send that has not been answered in time.
 type attemptTimeout struct {
 	limit    time.Duration
--- a/gateway/move_test.go
+++ b/gateway/move_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -87,3 +88,25 @@
 		return good(conn, r, instance)
 	}
 }
+
+// Guards against cutting a stream that this node took from a silent instance, because the other instances are full for a moment.
+func TestMovedStreamWaitsForAnInstance(t *testing.T) {
+	const fullFor = 300 * time.Millisecond
+	end := make(chan struct{})
+	t.Cleanup(func() { close(end) })
+	var movedAt atomic.Int64
+	fullAtFirst := func(conn net.Conn, r *http.Request, instance string) bool {
+		movedAt.CompareAndSwap(0, time.Now().UnixNano())
+		if time.Since(time.Unix(0, movedAt.Load())) < fullFor {
+			return full(conn, r, instance)
+		}
+		return events(1, 4, true)(conn, r, instance)
+	}
+	answer := firstThen(silentAfter(2, end), fullAtFirst)
+	s := newSystem(t, answer, answer, answer, answer)
+	go s.markFirstUnresponsive()
+	status, body, err := s.call("POST", "/resume/", "")
+	require.NoError(t, err)
+	require.Equal(t, 200, status)
+	require.Equal(t, "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\nid: 4\ndata: x\n\n", body)
+}
