gateway: read a body that arrived before its time limit

Callers got 499 for a request whose whole body had arrived in time while this process got no processor: the time limit of a body is a read deadline too, and package net reports an expired one without looking at the socket.

TestBodyThatArrivedBeforeTheDeadlineIsRead before the change: expected: "hello <nil>" actual : " read tcp ...: i/o timeout"

At an expired deadline callerConn returns what has arrived, in a body as in a head. A background read that net/http aborts may then return a byte of the next request, which net/http keeps.

--- a/gateway/callerconn.go
+++ b/gateway/callerconn.go
@@ -205,12 +205,9 @@
 	return n, cmp.Or(err, readErr)
 }
 
-// readArrived returns the bytes of a head that arrived before a read deadline that has expired.
+// readArrived returns the bytes that arrived before a read deadline that has expired.
 func (c *callerConn) readArrived(p []byte, deadlineErr error) (n int, err error) {
-	c.mu.Lock()
-	readsHead := c.phase != phaseRequest
-	c.mu.Unlock()
-	if c.raw == nil || !readsHead {
+	if c.raw == nil {
 		return 0, deadlineErr
 	}
 	controlErr := c.raw.Control(func(fd uintptr) { n, err = c.receive(fd, p) })
@@ -239,7 +236,7 @@
 			return 0, io.EOF
 		default:
 			c.waiting = false
-			if n > 0 && c.phase != phaseHead {
+			if n > 0 && (c.phase == phaseNew || c.phase == phaseIdle) {
 				c.beginPhase(phaseHead)
 			}
 			return n, nil
--- a/gateway/callerconn_test.go
+++ b/gateway/callerconn_test.go
@@ -239,3 +239,33 @@
 	defer cancel()
 	s.Shutdown(ctx)
 }
+
+// Guards against refusing a request whose body arrived before its time limit, while this process got no processor.
+func TestBodyThatArrivedBeforeTheDeadlineIsRead(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	reading, arrived := make(chan struct{}), make(chan struct{})
+	s := &Server{Log: zap.NewNop(), Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(reading)
+		<-arrived
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(-time.Millisecond))
+		body, err := io.ReadAll(r.Body)
+		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+		_, _ = fmt.Fprintf(w, "%s %v", body, err)
+	})}
+	go func() { _ = s.Serve(listener) }()
+	conn, reader := connect(t, listener)
+	_, err = fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n")
+	require.NoError(t, err)
+	<-reading
+	_, err = fmt.Fprint(conn, "hello")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return s.openConns()[0].unread() == 5 }, 5*time.Second, time.Millisecond)
+	close(arrived)
+	response, err := http.ReadResponse(reader, nil)
+	require.NoError(t, err)
+	answer, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Equal(t, "hello <nil>", string(answer))
+}
