--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/placement"
 	"github.com/wasabishunt/wasabishunt/retrybudget"
+	"github.com/wasabishunt/wasabishunt/supervise"
 	"github.com/wasabishunt/wasabishunt/trafficset"
 	"github.com/wasabishunt/wasabishunt/upstreamconn"
 	"github.com/wasabishunt/wasabishunt/upstreams"
@@ -193,7 +194,10 @@
 	if g.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	err := c.serve()
+	var err error
+	if panicked := supervise.Call(g.options.Log, "request", func() { err = c.serve() }); panicked != nil {
+		err = panicked
+	}
 	c.finish(err)
 }
 
@@ -236,8 +240,10 @@
 	firstByte          time.Duration
 	// earlierMayHaveRun is set once an earlier send ended with an unknown outcome, or ran and failed.
 	earlierMayHaveRun bool
-	// retryReserved is set once a stalled send has taken the next retry from the budget.
-	retryReserved atomic.Bool
+	// mover is that of the last repeatable send.
+	mover *mover
+	// moved is set once this node ended a send for a move.
+	moved bool
 	// mayHaveRun is set while a send is in progress, and stays set unless the upstream states that it did not run.
 	mayHaveRun bool
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -3,14 +3,16 @@
 import (
 	"context"
 	"errors"
-	"log"
+	"maps"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	gometrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"github.com/wasabishunt/wasabishunt/clock"
@@ -18,106 +20,34 @@
 	"github.com/wasabishunt/wasabishunt/trafficset"
 )
 
-// Server accepts callers' connections. Changed limits apply to new connections only.
+// Server accepts callers' connections. Changed limits on heads apply to new connections only, a changed idle limit to all.
 type Server struct {
 	Handler http.Handler
 	Log     *zap.Logger
+	// Metrics is the registry for counters of closed connections; nil for none.
+	Metrics gometrics.Registry
+
+	closeLogOnce sync.Once
+	closeLog     *closeLog
+
+	// idleLimit is the published idle limit in ns.
+	idleLimit atomic.Int64
 
 	mu sync.Mutex
 	// newConns are accepted connections whose first request has not reached the handler yet.
 	newConns map[net.Conn]struct{}
 	limits   trafficset.Limits
 	current  *limitedServer
-	// servers are all servers that were started, with the current one last.
-	servers []*limitedServer
+	// servers has the current server, and earlier ones for as long as they have connections.
+	servers map[headLimits]*limitedServer
 	stopped bool
 	// closingAt is set by StopAccepting; acceptDone is closed when Serve has returned.
 	closingAt  time.Time
 	acceptDone chan struct{}
 }
 
-// limitedServer is an http.Server with fixed limits. It is the listener of its server and gets the connections from Server.
-type limitedServer struct {
-	server *http.Server
-	conns  chan net.Conn
-	closed chan struct{}
-	once   sync.Once
-	addr   net.Addr
-}
-
-// Defaults for a node without a published set.
-const (
-	defaultHeaderBytes   = 64 << 10
-	defaultHeaderTimeout = 5 * time.Second
-	defaultIdleTimeout   = 30 * time.Second
-	// headerSlack is what net/http adds to its limit of header bytes.
-	headerSlack = 4096
-	// connBacklog is the number of accepted connections that may wait for http.Server to accept them.
-	connBacklog = 64
-	// acceptPause is the wait after a failed accept.
-	acceptPause = 20 * time.Millisecond
-)
-
-// Accept implements net.Listener.
-func (g *limitedServer) Accept() (net.Conn, error) {
-	select {
-	case conn := <-g.conns:
-		return conn, nil
-	case <-g.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-// Close implements net.Listener.
-func (g *limitedServer) Close() error {
-	g.once.Do(func() { close(g.closed) })
-	return nil
-}
-
-// Addr implements net.Listener.
-func (g *limitedServer) Addr() net.Addr { return g.addr }
-
-// SetLimits applies limits to new connections.
-func (s *Server) SetLimits(limits trafficset.Limits) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.current == nil || s.limits == limits || s.stopped {
-		s.limits = limits
-		return
-	}
-	s.limits = limits
-	s.start(s.current.addr)
-}
-
-// start starts a server with the current limits. The caller holds s.mu.
-func (s *Server) start(addr net.Addr) {
-	limits := s.limits
-	if limits.HeaderBytes <= 0 {
-		limits.HeaderBytes = defaultHeaderBytes
-	}
-	if limits.HeaderTimeout <= 0 {
-		limits.HeaderTimeout = defaultHeaderTimeout
-	}
-	if limits.IdleTimeout <= 0 {
-		limits.IdleTimeout = defaultIdleTimeout
-	}
-	g := &limitedServer{conns: make(chan net.Conn, connBacklog), closed: make(chan struct{}), addr: addr}
-	g.server = &http.Server{
-		Handler: http.HandlerFunc(s.handle), ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
-		MaxHeaderBytes: max(1, int(limits.HeaderBytes)-headerSlack), ErrorLog: log.New(debugLog{s.Log}, "", 0),
-		ConnState: s.trackState,
-		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
-			return context.WithValue(ctx, firstRequestKey{}, &firstRequest{conn: conn})
-		},
-	}
-	s.current = g
-	s.servers = append(s.servers, g)
-	go func() {
-		if err := g.server.Serve(g); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-			s.Log.Error("serving callers failed", zap.Error(err))
-		}
-	}()
-}
+// acceptPause is the wait after a failed accept.
+const acceptPause = 20 * time.Millisecond
 
 // debugLog writes the log lines of net/http at debug level, because broken connections of callers are not errors.
 type debugLog struct{ log *zap.Logger }
@@ -138,7 +68,7 @@
 	defer close(acceptDone)
 	emptyRounds := 0
 	for {
-		conn, err := listener.Accept()
+		accepted, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
@@ -157,6 +87,8 @@
 		emptyRounds = 0
 		s.mu.Lock()
 		current := s.current
+		conn := newCallerConn(accepted, s, current)
+		current.open[conn] = struct{}{}
 		if s.newConns == nil {
 			s.newConns = map[net.Conn]struct{}{}
 		}
@@ -212,24 +144,36 @@
 	return listener.Close()
 }
 
-// firstRequest is in the context of the requests of a connection.
-type firstRequest struct {
-	conn    net.Conn
-	handled atomic.Bool
-}
-
-type firstRequestKey struct{}
+// callerConnKey is the key of the callerConn in the context of its requests.
+type callerConnKey struct{}
 
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
-	if first, ok := r.Context().Value(firstRequestKey{}).(*firstRequest); ok && !first.handled.Swap(true) {
-		s.removeNewConn(first.conn)
+	conn, ok := r.Context().Value(callerConnKey{}).(*callerConn)
+	if !ok {
+		s.Handler.ServeHTTP(w, r)
+		return
+	}
+	if conn.beginHandling() {
+		s.removeNewConn(conn)
 	}
+	completed := false
+	defer func() {
+		if !completed {
+			conn.recordReason(closedAborted)
+		}
+	}()
 	s.Handler.ServeHTTP(w, r)
+	completed = true
 }
 
 func (s *Server) trackState(conn net.Conn, state http.ConnState) {
-	if state == http.StateClosed || state == http.StateHijacked {
+	switch state {
+	case http.StateClosed, http.StateHijacked:
 		s.removeNewConn(conn)
+	case http.StateIdle:
+		if c, ok := conn.(*callerConn); ok {
+			c.beginIdle()
+		}
 	}
 }
 
@@ -255,34 +199,69 @@
 	}
 }
 
+// closeNewConns closes connections whose first request has not reached the handler, except those whose first bytes have arrived
+// but have not been read.
 func (s *Server) closeNewConns() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	for conn := range s.newConns {
-		_ = conn.Close()
+	conns := slices.Collect(maps.Keys(s.newConns))
+	s.mu.Unlock()
+	for _, conn := range conns {
+		if c, ok := conn.(*callerConn); ok && c.isReadingHead() || !ok {
+			_ = conn.Close()
+		}
 	}
 }
 
 // newConnGrace is how long a new connection has to send its first request during a shutdown.
 const newConnGrace = 300 * time.Millisecond
 
-// Shutdown closes idle connections, waits for requests in progress until the context ends, and then closes all.
+// Shutdown closes idle connections, waits for requests in progress until the context ends, and then closes all. It does not
+// use http.Server.Shutdown, which closes connections with unread requests and drops requests that it has just read.
 func (s *Server) Shutdown(ctx context.Context) {
 	s.mu.Lock()
 	s.stopped = true
-	servers := s.servers
 	s.mu.Unlock()
 	s.waitForNewConns(ctx)
-	// http.Server would wait 5 s for connections that have not sent a request.
+	// A connection that has not sent a whole head would hold the stop up until its header timeout.
 	s.closeNewConns()
-	var group sync.WaitGroup
+	if open := s.drain(ctx); open > 0 {
+		s.Log.Warn("requests cut at the end of a stop", zap.Int("open", open), zap.Error(ctx.Err()))
+	}
+	s.mu.Lock()
+	servers := slices.Collect(maps.Values(s.servers))
+	s.mu.Unlock()
 	for _, g := range servers {
-		group.Go(func() {
-			if err := g.server.Shutdown(ctx); err != nil {
-				s.Log.Warn("requests cut at the end of a stop", zap.Error(err))
-				_ = g.server.Close()
-			}
-		})
+		_ = g.server.Close()
+	}
+}
+
+const (
+	minDrainPoll = time.Millisecond
+	maxDrainPoll = 50 * time.Millisecond
+)
+
+// drain closes connections once they wait for a request and none has arrived, until all are closed or the context ends. It returns
+// the number of open connections.
+func (s *Server) drain(ctx context.Context) int {
+	for poll := minDrainPoll; ; poll = min(2*poll, maxDrainPoll) {
+		conns := s.openConns()
+		for _, c := range conns {
+			c.closeIfSilent()
+		}
+		if len(conns) == 0 || ctx.Err() != nil {
+			return len(conns)
+		}
+		clock.Sleep(ctx, poll)
+	}
+}
+
+// openConns returns all open connections.
+func (s *Server) openConns() []*callerConn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var conns []*callerConn
+	for _, g := range s.servers {
+		conns = slices.AppendSeq(conns, maps.Keys(g.open))
 	}
-	group.Wait()
+	return conns
 }
