upstreams: an instance seen draining stays so when a list misses it

Callers' requests went to an engine that the list had shown as draining. Cause: ApplyList forgot the instance when one list did not name it, so a later, outdated list showed it as ready. Evidence: TestLeavingInstanceThatIsMissingFromOneListStaysLeaving failed with 'an instance that was draining is shown as ready after a list without it'. Fix: it is forgotten a minute after it was last listed. Another incarnation has another key and is used at once.

--- a/upstreams/upstreams.go
+++ b/upstreams/upstreams.go
@@ -67,8 +67,9 @@
 	view atomic.Pointer[View]
 
 	mu sync.Mutex
-	// draining holds instances that were seen draining: an outdated list must not show them as ready again.
-	draining map[Key]bool
+	// draining holds the instances that were seen draining, with the time when they were last listed: an outdated list must
+	// not show them as ready again.
+	draining map[Key]time.Time
 	// updating and loaded hold reports of the rollout controller, which are newer than the list.
 	updating map[Key]time.Time
 	loaded   map[Key]map[string]uint64
@@ -80,7 +81,7 @@
 // NewDirectory returns an empty Directory.
 func NewDirectory() *Directory {
 	d := &Directory{
-		draining: map[Key]bool{}, updating: map[Key]time.Time{}, loaded: map[Key]map[string]uint64{}, changed: make(chan struct{}),
+		draining: map[Key]time.Time{}, updating: map[Key]time.Time{}, loaded: map[Key]map[string]uint64{}, changed: make(chan struct{}),
 	}
 	d.view.Store(newView(0, nil, time.Time{}))
 	return d
@@ -113,17 +114,9 @@
 	for i := range instances {
 		key := instances[i].Key()
 		present[key] = true
-		if instances[i].Draining {
-			d.draining[key] = true
-		}
-		instances[i].Draining = d.draining[key]
 		d.overlay(&instances[i], now)
 	}
-	for key := range d.draining {
-		if !present[key] {
-			delete(d.draining, key)
-		}
-	}
+	d.applyDraining(instances, now)
 	for key := range d.loaded {
 		if !present[key] {
 			delete(d.loaded, key)
--- a/upstreams/upstreams_test.go
+++ b/upstreams/upstreams_test.go
@@ -27,6 +27,20 @@
 	require.False(t, d.View().Instances[0].Draining, "another incarnation under the id is not draining")
 }
 
+// Guards against a draining instance that gets requests again because one read of the list missed it.
+func TestLeavingInstanceThatIsMissingFromOneListStaysLeaving(t *testing.T) {
+	d := NewDirectory()
+	now := time.Now()
+	d.ApplyList(oneInstance(true), now)
+	d.ApplyList(nil, now.Add(time.Second))
+	d.ApplyList(oneInstance(false), now.Add(2*time.Second))
+	require.True(t, d.View().Instances[0].Draining, "an instance that was draining is shown as ready after a list without it")
+	d.ApplyList(nil, now.Add(3*time.Second))
+	d.ApplyList(nil, now.Add(10*time.Minute))
+	d.ApplyList(oneInstance(false), now.Add(10*time.Minute))
+	require.False(t, d.View().Instances[0].Draining, "what is known of an instance that is not listed any more is bounded in time")
+}
+
 // Guards against an outdated list that hides what an engine has reported, and against an engine that stays
 // without requests because an order never ends.
 func TestReportsOfTheControllerOverrideTheList(t *testing.T) {
