--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -73,6 +73,10 @@
 	Version  uint64
 	// Idle is how long the upstream promises to keep an idle connection open.
 	Idle time.Duration
+	// Leaving is set when the instance is about to stop.
+	Leaving bool
+	// PauseFor is how long the instance takes no requests from this node.
+	PauseFor time.Duration
 }
 
 // Dialect translates between HTTP headers and the types of this package.
