gateway, upstreams: no requests to an instance that says that it leaves

Callers' requests reached engines that had said in an answer that they leave, until the list showed it. Cause: only the list decided which instances are draining. Evidence: TestInstanceThatSaysItLeavesGetsNoRequests failed with 'after the answer: expected from u1, actual from u0' for successes, streams, rejections, failures and duplicates; TestInstanceLeavesWhileAConnectionIsOpened with a request at the instance; TestHeadOfAStreamSaysThatTheInstanceLeaves likewise. Fix: the head of each answer is recorded before anything of it is passed on. It is checked again when a connection has been opened.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -202,6 +202,10 @@
 		o.Log.Info("upstream cannot be reached", zap.String("request", c.attributes.ID), zap.String("instance", instance.ID), zap.Error(err))
 		return result{notRun: true, err: unreachable(err)}
 	}
+	if !c.takesRequests(instance) {
+		conn.Close()
+		return c.withdrawn(instance)
+	}
 	out := c.outbound(chosen)
 	attempt := o.Tracker.Begin(instance, work)
 	c.sends++
@@ -249,6 +253,9 @@
 func (c *call) matchingAnswer(exchange *upstreamconn.Exchange, instance *upstreams.Instance) (Answer, error) {
 	for skipped := 0; ; skipped++ {
 		answer := c.gateway.options.Dialect.Answer(exchange.Response)
+		if answer.RequestID != "" {
+			c.recordAvailability(instance, answer)
+		}
 		if answer.RequestID == c.attributes.ID {
 			return answer, nil
 		}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -50,7 +50,7 @@
 }
 
 func (testDialect) Answer(r *http.Response) Answer {
-	return Answer{RequestID: r.Header.Get("Id"), NotRun: r.Header.Get("Not-Run") != "", Signed: r.Header.Get("Signed") != ""}
+	return withAvailability(r, Answer{RequestID: r.Header.Get("Id"), NotRun: r.Header.Get("Not-Run") != "", Signed: r.Header.Get("Signed") != ""})
 }
 
 type testSets struct {
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -67,7 +67,7 @@
 func (c *call) reserveMove(from *upstreams.Instance) bool {
 	o := c.gateway.options
 	other := lo.SomeBy(o.Directory.View().OfService(c.service.Name), func(i *upstreams.Instance) bool {
-		return i.ID != from.ID && !i.Draining
+		return i.ID != from.ID && c.takesRequests(i)
 	})
 	if !other || !o.Budget.TakeRepeat(c.service.Name) {
 		return false
