gateway, placement: no requests to an instance that asked for a pause

Requests reached engines that had answered 503 with the time for which they want none, also as repeats. Cause: a rejected request only made its instance a less preferred candidate for 60 ms. Evidence: without the filter TestPausedInstanceGetsNoRequestsUntilTheEnd failed with 'a request reached an instance that wants none', TestPauseBeginsWhileAConnectionIsOpened and TestPauseIsNeverIgnored with the paused instance chosen, and TestStreamStaysWhileTheOthersArePaused with a slow stream that was ended for an instance that takes nothing. Fix: the tracker holds until when each incarnation takes no requests from this node, apart from the instance's state, which is dropped when a list misses the instance. The filter is a required one.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -253,12 +253,13 @@
 func (c *call) matchingAnswer(exchange *upstreamconn.Exchange, instance *upstreams.Instance) (Answer, error) {
 	for skipped := 0; ; skipped++ {
 		answer := c.gateway.options.Dialect.Answer(exchange.Response)
-		if answer.RequestID != "" {
-			c.recordAvailability(instance, answer)
-		}
 		if answer.RequestID == c.attributes.ID {
+			c.recordAvailability(instance, answer, true)
 			return answer, nil
 		}
+		if answer.RequestID != "" {
+			c.recordAvailability(instance, answer, false)
+		}
 		c.gateway.options.Log.Warn("answer of another request", zap.String("request", c.attributes.ID), zap.String("answer_of", answer.RequestID), zap.String("instance", instance.ID))
 		if answer.RequestID == "" || skipped >= maxUnexpectedAnswers {
 			return Answer{}, failure.New(failure.UpstreamFailed, failure.Unknown, "the upstream answered another request")
--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -21,7 +21,7 @@
 
 // withAvailability adds to an answer what its headers say about further requests.
 func withAvailability(r *http.Response, a Answer) Answer {
-	a.Leaving = r.Header.Get("Leaving") != ""
+	a.Leaving, a.PauseFor = r.Header.Get("Leaving") != "", pauseOf(r)
 	return a
 }
 
--- /dev/null
+++ b/gateway/pause_test.go
@@ -0,0 +1,106 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabishunt/wasabishunt/upstreamconn"
+	"github.com/wasabishunt/wasabishunt/upstreams"
+)
+
+func pauseOf(r *http.Response) time.Duration {
+	ms, _ := strconv.Atoi(r.Header.Get("Pause"))
+	return time.Duration(ms) * time.Millisecond
+}
+
+func pauseHeader(pause time.Duration) string {
+	return "Pause: " + strconv.FormatInt(pause.Milliseconds(), 10) + "\r\n"
+}
+
+// pausing rejects a request and all others for a while.
+func pausing(pause time.Duration) reply { return answers(503, "Not-Run: 1\r\n"+pauseHeader(pause)) }
+
+// Guards against requests to an instance that wants none for a while, also if it is the last one that has not failed, and
+// against one that gets none afterwards.
+func TestPausedInstanceGetsNoRequestsUntilTheEnd(t *testing.T) {
+	const pause = 400 * time.Millisecond
+	for name, c := range map[string]struct {
+		first  reply
+		other  reply
+		status []int
+	}{
+		"another one serves":     {pausing(pause), good, []int{200}},
+		"unclear rejection":      {answers(503, pauseHeader(pause)), good, []int{200}},
+		"another one fails":      {pausing(pause), failing, []int{500, 502}},
+		"another one rejects":    {pausing(pause), full, []int{429, 503}},
+		"another one hangs up":   {pausing(pause), closeConnection, []int{502}},
+		"another one also wants": {pausing(pause), pausing(time.Hour), []int{429, 503}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSystem(t, firstThen(c.first, good), c.other)
+			first := s.instances()
+			_, _, err := s.call("POST", "/once/", "")
+			require.NoError(t, err)
+			began := time.Now()
+			for number := 0; time.Since(began) < pause-100*time.Millisecond; number++ {
+				s.applyList(first, func(i *upstreams.Instance) bool { return i.ID != "u0" || number%2 == 1 })
+				path := []string{"/safe/", "/once/", "/resume/"}[number%3]
+				status, _, err := s.call("POST", path, "")
+				if err == nil {
+					require.Contains(t, c.status, status)
+				}
+				require.Equal(t, 1, s.runsAt("u0"), "a request reached an instance that wants none")
+			}
+			s.applyList(first, func(*upstreams.Instance) bool { return true })
+			require.Eventually(t, func() bool {
+				_, _, err := s.call("POST", "/safe/", "")
+				return err == nil && s.runsAt("u0") > 1
+			}, 5*time.Second, 20*time.Millisecond, "the instance gets no requests after the pause")
+			require.GreaterOrEqual(t, time.Since(began), pause-50*time.Millisecond)
+		})
+	}
+}
+
+// Guards against a restarted instance without requests, because its earlier incarnation wanted none.
+func TestRestartEndsAPause(t *testing.T) {
+	s := newSystem(t, firstThen(pausing(time.Hour), good))
+	first := s.instances()
+	_, _, err := s.call("POST", "/once/", "")
+	require.NoError(t, err)
+	s.applyList(first, func(i *upstreams.Instance) bool { i.Born = 2; return true })
+	status, _, err := s.call("POST", "/once/", "")
+	require.NoError(t, err)
+	require.Equal(t, 200, status)
+}
+
+// Guards against a send to an instance that began to want no requests while a connection to it was opened.
+func TestPauseBeginsWhileAConnectionIsOpened(t *testing.T) {
+	s := newSystem(t, good, good)
+	paused := s.instances()[0]
+	s.gateway.options.Pool = upstreamconn.NewPool(upstreamconn.Options{Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		if address == paused.Address {
+			s.gateway.options.Tracker.Pause(&paused, time.Hour, time.Now())
+		}
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	}})
+	s.requireServedBy("u1", "after the connection was opened")
+	require.Zero(t, s.runsAt("u0"), "a request reached an instance that wants none")
+}
+
+// Guards against ending a slow stream although no other instance takes requests.
+func TestStreamStaysWhileTheOthersArePaused(t *testing.T) {
+	s := newSystem(t, paced(minStallTimeout+200*time.Millisecond, "id: 1\ndata: x\n\n", "id: 2\ndata: x\n\n"), good)
+	other := s.instances()[1]
+	s.gateway.options.Tracker.Pause(&other, time.Hour, time.Now())
+	status, body, err := s.call("POST", "/resume/", "")
+	require.NoError(t, err)
+	require.Equal(t, 200, status)
+	require.Contains(t, body, "id: 2\n")
+	require.Len(t, s.startedRuns(), 1)
+}
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -98,7 +98,9 @@
 	FailureShare               float64
 	Ejected, Avoided, Replaced bool
 	SameZone                   bool
-	Version                    uint64
+	// PauseLeft is how long the instance still takes no requests from this node.
+	PauseLeft time.Duration
+	Version   uint64
 	// CachedParts and CachedTokens count the leading parts of the prompt that the engine is expected to hold.
 	CachedParts, CachedTokens int
 	// ReadParts counts those of CachedParts that the engine has read already, and UsedTokens the tokens of those that
@@ -112,7 +114,7 @@
 type Filter func(q *Request, c *Candidate) bool
 
 // required filters always apply.
-var required = []Filter{isNotDraining, isNotExcluded, isSameIncarnation, isRecentEnough}
+var required = []Filter{isNotDraining, isNotPaused, isNotExcluded, isSameIncarnation, isRecentEnough}
 
 // preferred filters are dropped from the last to the first as long as they leave no candidate.
 var preferred = []Filter{isHealthy, isNotUpdating, isNotAvoided}
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -89,6 +89,7 @@
 	// replaced are the instances that this node found replaced since its last report.
 	replaced []uint32
 	pending  pendingForwards
+	pauses   pauses
 	history  reportHistory
 	// merged is the report of this node that the newest digest of its own zone, ownZone, contains.
 	merged     sentReport
@@ -107,6 +108,7 @@
 		instances: map[upstreams.Key]*instanceState{}, byHash: map[uint32]*instanceState{}, links: newLinks(), peers: newLoadSources(), zones: newLoadSources(),
 		lastDigest: digestState{instances: map[uint32]usage{}, transfers: map[uint32]time.Duration{}},
 		rate:       readRate{tokensPerMs: initialReadRate}, runTimes: newRunTimes(), uses: newPartUses(),
+		pauses: pauses{},
 	}
 }
 
@@ -320,7 +322,7 @@
 			AheadTokens: t.priorities.aheadTokens(q.Urgency, s.prefillTokens+others.prefillTokens, s.longTokens+others.longTokens),
 			MemoryShare: memoryShare, ReadRate: t.rate.tokensPerMs,
 			FailureShare: s.failureShare, Ejected: now.Before(s.ejectedUntil), Avoided: now.Before(s.avoidedUntil), Replaced: s.replaced,
-			SameZone: instance.AvailabilityZone == q.Zone, Version: s.versions[q.Model],
+			SameZone: instance.AvailabilityZone == q.Zone, Version: s.versions[q.Model], PauseLeft: t.pauses.left(instance, now),
 		}
 		if now.Sub(s.loadAt) < loadValidity {
 			c.Load = s.load
