gateway: advice of a node whose instances have all asked for a pause

Callers were told to return after 0.4 s although every instance of the service wanted nothing for longer, and were refused again; each return costs them one of a few tries. Cause: the advice was fixed, also when the last rejection had been one too many. Evidence: TestAdviceWhileAllInstancesArePaused failed with 'difference between 1.5 and 0.4' (2 s: 'between 2 and 0.4'). Fix: the request is refused at once with the time until the first instance takes requests again, 2 s at most, because other nodes are not bound by the pause, and a third of the caller's time left at most, because callers do not wait longer. It does not wait on the node: a pause that matters is longer than what a caller should be held for, and all that wait would reach the instance together.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -38,14 +38,9 @@
 		if ctx.Err() != nil {
 			return c.contextError(ctx, last)
 		}
-		chosen := c.pick()
-		if chosen == nil {
-			if last != nil {
-				return last
-			}
-			e := failure.New(failure.NoUpstream, failure.NotRun, "no instance of service %s can take the request", c.service.Name)
-			e.RetryAfter = upstreamRetryAfter
-			return e
+		chosen, pauseLeft := c.pick()
+		if chosen == nil || rejections >= maxRejections {
+			return c.noInstance(last, pauseLeft)
 		}
 		if err := c.admit(chosen); err != nil {
 			return err
@@ -64,9 +59,7 @@
 		last = result.err
 		c.exclude[chosen.instance.ID] = true
 		if result.notRun {
-			if rejections++; rejections >= maxRejections {
-				return last
-			}
+			rejections++
 		} else {
 			c.earlierMayHaveRun = true
 			if runs++; !c.mayRetry(runs) {
@@ -128,8 +121,8 @@
 	forecast placement.Forecast
 }
 
-// pick chooses the next instance.
-func (c *call) pick() *choice {
+// pick chooses the next instance. If there is none, it returns nil and the time until a paused instance takes requests again.
+func (c *call) pick() (chosen *choice, pauseLeft time.Duration) {
 	o := c.gateway.options
 	view := o.Directory.View()
 	o.Tracker.Sync(view)
@@ -145,9 +138,9 @@
 	}
 	best := placement.Pick(q, candidates)
 	if best == nil {
-		return nil
+		return nil, placement.ShortestPause(q, candidates)
 	}
-	chosen := &choice{instance: best.Instance, query: q, version: best.Version}
+	chosen = &choice{instance: best.Instance, query: q, version: best.Version}
 	if q.CacheTokens > 0 {
 		plan := placement.PlanPrefill(q, best)
 		chosen.work = placement.Work{
@@ -161,7 +154,7 @@
 		}
 		c.cached, c.recomputed, c.expectedFirstEvent = best.CachedTokens, plan.SharedTokens, chosen.forecast.FirstEvent()
 	}
-	return chosen
+	return chosen, 0
 }
 
 // describePrompt fills in the properties of the prompt and the stores that hold its parts.
--- a/gateway/pause_test.go
+++ b/gateway/pause_test.go
@@ -93,6 +93,42 @@
 	require.Zero(t, s.runsAt("u0"), "a request reached an instance that wants none")
 }
 
+// Guards against a caller that waits for an instance that takes no requests, and against advice to come back too early, or
+// later than the caller honours.
+func TestAdviceWhileAllInstancesArePaused(t *testing.T) {
+	for name, c := range map[string]struct {
+		pauses   []time.Duration
+		deadline string
+		want     time.Duration
+	}{
+		"until the end":            {[]time.Duration{1500 * time.Millisecond}, "30000", 1500 * time.Millisecond},
+		"the earliest end":         {[]time.Duration{1800 * time.Millisecond, 900 * time.Millisecond}, "30000", 900 * time.Millisecond},
+		"as many as are tried":     {[]time.Duration{1800 * time.Millisecond, 900 * time.Millisecond, 1700 * time.Millisecond}, "30000", 900 * time.Millisecond},
+		"a third of the time left": {[]time.Duration{1500 * time.Millisecond}, "1500", 500 * time.Millisecond},
+		"a long pause":             {[]time.Duration{time.Hour}, "30000", maxPauseAdvice},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var replies []reply
+			for _, pause := range c.pauses {
+				replies = append(replies, pausing(pause))
+			}
+			s := newSystem(t, replies...)
+			for range 2 {
+				began := time.Now()
+				response, err := s.front.Client().Do(s.request("POST", "/once/", "", func(r *http.Request) { r.Header.Set("Deadline", c.deadline) }))
+				require.NoError(t, err)
+				require.NoError(t, response.Body.Close())
+				require.Contains(t, []int{429, 503}, response.StatusCode)
+				seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+				require.NoError(t, err)
+				require.InDelta(t, c.want.Seconds(), seconds, 0.2, "advice of a node whose instances all want no requests")
+				require.Less(t, time.Since(began), 250*time.Millisecond, "refused at once")
+			}
+			require.Len(t, s.startedRuns(), len(c.pauses))
+		})
+	}
+}
+
 // Guards against ending a slow stream although no other instance takes requests.
 func TestStreamStaysWhileTheOthersArePaused(t *testing.T) {
 	s := newSystem(t, paced(minStallTimeout+200*time.Millisecond, "id: 1\ndata: x\n\n", "id: 2\ndata: x\n\n"), good)
--- a/placement/pause.go
+++ b/placement/pause.go
@@ -41,3 +41,22 @@
 
 // isNotPaused rejects instances that take no requests from this node for a while.
 func isNotPaused(_ *Request, c *Candidate) bool { return c.PauseLeft == 0 }
+
+// ShortestPause returns the time until one of the candidates that could get the request otherwise takes requests again. It
+// returns 0 if there is none, or if one takes requests now. Instances that were already sent the request count as well.
+func ShortestPause(q *Request, candidates []Candidate) time.Duration {
+	var shortest time.Duration
+	for i := range candidates {
+		c := &candidates[i]
+		if !isNotDraining(q, c) || !isSameIncarnation(q, c) || !isRecentEnough(q, c) {
+			continue
+		}
+		if c.PauseLeft == 0 {
+			return 0
+		}
+		if shortest == 0 || c.PauseLeft < shortest {
+			shortest = c.PauseLeft
+		}
+	}
+	return shortest
+}
--- a/placement/pause_test.go
+++ b/placement/pause_test.go
@@ -38,3 +38,17 @@
 	require.Zero(t, onlyCandidate(tracker, restarted, now).PauseLeft)
 	require.True(t, tracker.Pause(i, time.Second, now.Add(3*time.Second)), "the first pause has ended")
 }
+
+// Guards against wrong advice: the time until the first instance takes requests again, of those that may get the request.
+func TestShortestPause(t *testing.T) {
+	list := candidates(4)
+	list[0].PauseLeft, list[1].PauseLeft, list[2].PauseLeft, list[3].PauseLeft = 3*time.Second, 2*time.Second, time.Second, time.Millisecond
+	draining := *list[2].Instance
+	draining.Draining = true
+	list[2].Instance = &draining
+	list[3].Replaced = true
+	require.Equal(t, 2*time.Second, ShortestPause(&Request{Exclude: map[string]bool{"i1": true}}, list))
+	require.Zero(t, ShortestPause(&Request{}, nil))
+	list[0].PauseLeft = 0
+	require.Zero(t, ShortestPause(&Request{Exclude: map[string]bool{"i0": true}}, list), "it takes requests, though not this one again")
+}
