placement, gateway: nodes tell each other which instances leave

Each node learned that an engine leaves only from the list or by a request of its own to that engine. Cause: reports and digests did not carry it. Evidence: with reports and digests that are not passed on, TestNewsOfALeavingInstance failed with 'news of another node that the instance leaves: should be true' and TestLeavingInstancesAreTold with nothing heard. Fix: reports and digests name for a second what a node, or one of its zone, found leaving; the gateway marks it in the directory, whose view the leader's rollout and the other nodes use too. The hash covers the time of start, so late news about an incarnation do not concern the next one under its id.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -160,7 +160,7 @@
 	if options.EventBytes == 0 {
 		options.EventBytes = defaultEventBytes
 	}
-	return &Gateway{options: options, started: time.Now(), queueLimits: placement.NewQueueLimitEstimator(), metrics: meters{
+	g := &Gateway{options: options, started: time.Now(), queueLimits: placement.NewQueueLimitEstimator(), metrics: meters{
 		requests: gometrics.GetOrRegisterCounter("gateway.requests", r), failed: gometrics.GetOrRegisterCounter("gateway.failed", r),
 		refused: gometrics.GetOrRegisterCounter("gateway.refused", r), retries: gometrics.GetOrRegisterCounter("gateway.retries", r),
 		broken: gometrics.GetOrRegisterCounter("gateway.broken", r), resumed: gometrics.GetOrRegisterCounter("gateway.resumed", r),
@@ -168,6 +168,8 @@
 		recomputed: gometrics.GetOrRegisterCounter("gateway.reread_tokens", r),
 		firstByte:  gometrics.GetOrRegisterTimer("gateway.first_byte", r), total: gometrics.GetOrRegisterTimer("gateway.total", r),
 	}}
+	options.Tracker.NotifyLeaving(g.applyLeaving)
+	return g
 }
 
 // BeginClosing makes each answer close the caller's connection.
--- a/gateway/leaving.go
+++ b/gateway/leaving.go
@@ -4,6 +4,7 @@
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"github.com/wasabishunt/wasabishunt/failure"
@@ -16,6 +17,7 @@
 	o := c.gateway.options
 	now := time.Now()
 	if answer.Leaving && len(o.Directory.MarkLeaving(now, instance.Key())) > 0 {
+		o.Tracker.ReportLeaving(instance.Key(), now)
 		gometrics.GetOrRegisterCounter("gateway.leaving", o.Metrics).Inc(1)
 		o.Log.Info("instance is leaving", zap.String("request", c.attributes.ID), zap.String("instance", instance.ID))
 	}
@@ -24,6 +26,20 @@
 	}
 }
 
+// applyLeaving marks instances that other nodes report as leaving, given the hashes of their keys.
+func (g *Gateway) applyLeaving(hashes []uint32) {
+	view := g.options.Directory.View()
+	var keys []upstreams.Key
+	for _, hash := range hashes {
+		if instance := view.ByHash(hash); instance != nil && !instance.Draining {
+			keys = append(keys, instance.Key())
+		}
+	}
+	if added := g.options.Directory.MarkLeaving(time.Now(), keys...); len(added) > 0 {
+		g.options.Log.Info("instances leaving by word of another node", zap.Strings("instances", lo.Map(added, func(k upstreams.Key, _ int) string { return k.ID })))
+	}
+}
+
 // takesRequests reports whether an instance neither leaves nor is paused.
 func (c *call) takesRequests(instance *upstreams.Instance) bool {
 	o := c.gateway.options
--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
 	"github.com/wasabishunt/wasabishunt/upstreamconn"
 	"github.com/wasabishunt/wasabishunt/upstreams"
 )
@@ -172,3 +173,15 @@
 	s.requireServedBy("u1", "after the connection was opened")
 	require.Zero(t, s.runsAt("u0"), "a request reached an instance that leaves")
 }
+
+// Guards against a node that does not use what other nodes know, and against late news about an earlier incarnation.
+func TestNewsOfALeavingInstance(t *testing.T) {
+	s := newSystem(t, good, good)
+	o := s.gateway.options
+	o.Tracker.ApplyReport(&nodepb.LoadReport{Node: "n", Sequence: 1, Leaving: []uint32{upstreams.Key{ID: "u0", Born: 7}.Hash(), 1}}, "z", time.Now())
+	require.False(t, o.Directory.View().Instances[0].Draining, "news about another incarnation")
+	o.Tracker.ApplyReport(&nodepb.LoadReport{Node: "n", Sequence: 2, Leaving: []uint32{upstreams.Key{ID: "u0"}.Hash()}}, "z", time.Now())
+	require.True(t, o.Directory.View().Instances[0].Draining, "news of another node that the instance leaves")
+	s.requireServedBy("u1", "after the news")
+	require.Zero(t, s.runsAt("u0"))
+}
--- a/placement/digest.go
+++ b/placement/digest.go
@@ -87,6 +87,7 @@
 		d.MergedSequences = append(d.MergedSequences, uint32(source.sequence))
 	}
 	d.Replaced = t.pending.replaced
+	d.Leaving = current(t.leaving.zone, now)
 	t.pending = pendingForwards{}
 	return d
 }
@@ -141,6 +142,7 @@
 	if !ok || !okTotals || len(d.GetSilentNodes()) != len(d.GetSilent()) || d.GetSlots() == 0 {
 		return nil, false
 	}
+	defer t.notifyLeaving()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
@@ -176,6 +178,7 @@
 	t.links.applyTransferTotals(source.totalsName, false, totals, now)
 	t.links.applyLatenessTotals(source.totalsName, false, decodeLateness(d.GetLateKeys(), d.GetLateSums(), d.GetLateCounts()), now)
 	t.applyReplaced(d.GetReplaced())
+	t.leaving.hear(d.GetLeaving(), false, now)
 	t.applyReads(decodeReads(d.GetReads(), now))
 	return ejected, true
 }
--- a/placement/peers.go
+++ b/placement/peers.go
@@ -136,6 +136,7 @@
 	if !ok || !okTotals {
 		return nil, false
 	}
+	defer t.notifyLeaving()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	source := t.peers.byName[report.GetNode()]
@@ -157,6 +158,7 @@
 	t.links.applyTransferTotals(report.GetNode(), true, totals, now)
 	t.links.applyLatenessTotals(report.GetNode(), true, decodeLateness(report.GetLateKeys(), report.GetLateSums(), report.GetLateCounts()), now)
 	t.applyReplaced(report.GetReplaced())
+	t.leaving.hear(report.GetLeaving(), true, now)
 	reads := decodeReads(report.GetReads(), now)
 	t.applyReads(reads)
 	t.pending.add(reads, report.GetReplaced())
@@ -218,6 +220,7 @@
 	}
 	report.Replaced = t.replaced
 	t.replaced = nil
+	report.Leaving = current(t.leaving.own, time.Now())
 	t.pending.add(t.reads, report.GetReplaced())
 	report.Reads = t.drainReads(time.Now())
 	return report
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -89,6 +89,7 @@
 	// replaced are the instances that this node found replaced since its last report.
 	replaced []uint32
 	pending  pendingForwards
+	leaving  leavingNews
 	pauses   pauses
 	history  reportHistory
 	// merged is the report of this node that the newest digest of its own zone, ownZone, contains.
@@ -108,7 +109,7 @@
 		instances: map[upstreams.Key]*instanceState{}, byHash: map[uint32]*instanceState{}, links: newLinks(), peers: newLoadSources(), zones: newLoadSources(),
 		lastDigest: digestState{instances: map[uint32]usage{}, transfers: map[uint32]time.Duration{}},
 		rate:       readRate{tokensPerMs: initialReadRate}, runTimes: newRunTimes(), uses: newPartUses(),
-		pauses: pauses{},
+		leaving: newLeavingNews(), pauses: pauses{},
 	}
 }
 
--- a/upstreams/leaving.go
+++ b/upstreams/leaving.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // leavingMemory is how long an instance that was seen draining is remembered after it was last listed. Lists and views that
@@ -10,6 +12,27 @@
 // after that time.
 const leavingMemory = time.Minute
 
+// Hash identifies the incarnation in messages between nodes. It differs between incarnations with the same id, so late news
+// about an earlier one does not concern a later one.
+func (k Key) Hash() uint32 {
+	var born [8]byte
+	for i := range born {
+		born[i] = byte(k.Born >> (8 * i))
+	}
+	return uint32(xxhash.Sum64String(k.ID + "\x00" + string(born[:])))
+}
+
+// ByHash returns the instance with this hash of its key, nil if there is none.
+func (v *View) ByHash(hash uint32) *Instance { return v.byHash()[hash] }
+
+func indexByHash(instances []Instance) map[uint32]*Instance {
+	index := make(map[uint32]*Instance, len(instances))
+	for i := range instances {
+		index[instances[i].Key().Hash()] = &instances[i]
+	}
+	return index
+}
+
 // MarkLeaving records that instances are leaving, which a node may learn before the list shows it. It returns those that were
 // not known to leave.
 func (d *Directory) MarkLeaving(now time.Time, keys ...Key) []Key {
--- a/upstreams/upstreams.go
+++ b/upstreams/upstreams.go
@@ -48,6 +48,7 @@
 	// ReceivedAt is when this node received the view.
 	ReceivedAt time.Time
 	byService  map[string][]*Instance
+	byHash     func() map[uint32]*Instance
 }
 
 // OfService returns the instances of a service.
@@ -55,6 +56,7 @@
 
 func newView(revision uint64, instances []Instance, now time.Time) *View {
 	v := &View{Revision: revision, Instances: instances, ReceivedAt: now, byService: map[string][]*Instance{}}
+	v.byHash = sync.OnceValue(func() map[uint32]*Instance { return indexByHash(instances) })
 	for i := range v.Instances {
 		instance := &v.Instances[i]
 		v.byService[instance.Service] = append(v.byService[instance.Service], instance)
