--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -35,22 +35,19 @@
 			return c.contextError(ctx, last)
 		}
 		var chosen *choice
+		var pauseLeft time.Duration
 		move := c.takeMove()
 		if move != nil {
 			chosen = move.chosen
 		} else {
-			chosen = c.choose(c.exclude)
+			chosen, pauseLeft = c.choose(c.exclude)
 		}
-		if chosen == nil {
-			if c.retryMoved(ctx) {
-				continue
+		if chosen == nil || move == nil && rejections >= maxRejections {
+			if !c.retryMoved(ctx) {
+				return c.noInstance(last, pauseLeft)
 			}
-			if last != nil {
-				return last
-			}
-			e := failure.New(failure.NoUpstream, failure.NotRun, "no instance of service %s can take the request", c.service.Name)
-			e.RetryAfter = upstreamRetryAfter
-			return e
+			rejections = min(rejections, maxRejections-1)
+			continue
 		}
 		if err := c.admit(chosen); err != nil {
 			return err
@@ -72,9 +69,7 @@
 		last = result.err
 		c.exclude[chosen.instance.ID] = true
 		if result.notRun {
-			if rejections++; rejections >= maxRejections && !c.retryMoved(ctx) {
-				return last
-			}
+			rejections++
 		} else {
 			c.earlierMayHaveRun = true
 			if runs++; !c.mayRetry(runs) {
@@ -138,8 +133,9 @@
 	cached, recomputed int
 }
 
-// choose chooses an instance that is not excluded. It may run beside the send in progress, and does not change the call.
-func (c *call) choose(exclude map[string]bool) *choice {
+// choose chooses an instance that is not excluded. If there is none, it returns nil and the time until a paused instance takes
+// requests again. It may run beside the send in progress, and does not change the call.
+func (c *call) choose(exclude map[string]bool) (chosen *choice, pauseLeft time.Duration) {
 	o := c.gateway.options
 	view := o.Directory.View()
 	o.Tracker.Sync(view)
@@ -155,9 +151,9 @@
 	}
 	best := placement.Pick(q, candidates)
 	if best == nil {
-		return nil
+		return nil, placement.ShortestPause(q, candidates)
 	}
-	chosen := &choice{instance: best.Instance, query: q, version: best.Version}
+	chosen = &choice{instance: best.Instance, query: q, version: best.Version}
 	if q.CacheTokens > 0 {
 		plan := placement.PlanPrefill(q, best)
 		chosen.work = placement.Work{
@@ -171,7 +167,7 @@
 		}
 		chosen.cached, chosen.recomputed = best.CachedTokens, plan.SharedTokens
 	}
-	return chosen
+	return chosen, 0
 }
 
 // describePrompt fills in the properties of the prompt and the stores that hold its parts.
@@ -219,6 +215,10 @@
 			return result{notRun: true, err: unreachable(err)}
 		}
 	}
+	if !c.takesRequests(instance) {
+		conn.Close()
+		return withdrawn(instance)
+	}
 	out := c.outbound(chosen)
 	attempt := o.Tracker.Begin(instance, work)
 	c.sends++
@@ -260,8 +260,12 @@
 	for skipped := 0; ; skipped++ {
 		answer := c.gateway.options.Dialect.Answer(exchange.Response)
 		if answer.RequestID == c.attributes.ID {
+			c.recordAvailability(instance, answer, true)
 			return answer, nil
 		}
+		if answer.RequestID != "" {
+			c.recordAvailability(instance, answer, false)
+		}
 		c.gateway.options.Log.Warn("answer of another request", zap.String("request", c.attributes.ID), zap.String("answer_of", answer.RequestID), zap.String("instance", instance.ID))
 		if answer.RequestID == "" || skipped >= maxUnexpectedAnswers {
 			return Answer{}, failure.New(failure.UpstreamFailed, failure.Unknown, "the upstream answered another request")
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -83,7 +83,7 @@
 // connect opens a connection to another instance, nil if there is none that can be reached.
 func (m *mover) connect() *moveTarget {
 	c, o := m.call, m.call.gateway.options
-	chosen := c.choose(m.exclude)
+	chosen, _ := c.choose(m.exclude)
 	if chosen == nil {
 		return nil
 	}
--- a/upstreams/upstreams.go
+++ b/upstreams/upstreams.go
@@ -48,6 +48,7 @@
 	// ReceivedAt is when this node received the view.
 	ReceivedAt time.Time
 	byService  map[string][]*Instance
+	byHash     func() map[uint32]*Instance
 }
 
 // OfService returns the instances of a service.
@@ -55,6 +56,7 @@
 
 func newView(revision uint64, instances []Instance, now time.Time) *View {
 	v := &View{Revision: revision, Instances: instances, ReceivedAt: now, byService: map[string][]*Instance{}}
+	v.byHash = sync.OnceValue(func() map[uint32]*Instance { return indexByHash(instances) })
 	for i := range v.Instances {
 		instance := &v.Instances[i]
 		v.byService[instance.Service] = append(v.byService[instance.Service], instance)
@@ -67,8 +69,9 @@
 	view atomic.Pointer[View]
 
 	mu sync.Mutex
-	// draining holds instances that were seen draining: an outdated list must not show them as ready again.
-	draining map[Key]bool
+	// draining holds the instances that were seen draining, with the time when they were last listed: an outdated list must
+	// not show them as ready again.
+	draining map[Key]time.Time
 	// updating and loaded hold reports of the rollout controller, which are newer than the list.
 	updating map[Key]time.Time
 	loaded   map[Key]map[string]uint64
@@ -80,7 +83,7 @@
 // NewDirectory returns an empty Directory.
 func NewDirectory() *Directory {
 	d := &Directory{
-		draining: map[Key]bool{}, updating: map[Key]time.Time{}, loaded: map[Key]map[string]uint64{}, changed: make(chan struct{}),
+		draining: map[Key]time.Time{}, updating: map[Key]time.Time{}, loaded: map[Key]map[string]uint64{}, changed: make(chan struct{}),
 	}
 	d.view.Store(newView(0, nil, time.Time{}))
 	return d
@@ -113,17 +116,9 @@
 	for i := range instances {
 		key := instances[i].Key()
 		present[key] = true
-		if instances[i].Draining {
-			d.draining[key] = true
-		}
-		instances[i].Draining = d.draining[key]
 		d.overlay(&instances[i], now)
 	}
-	for key := range d.draining {
-		if !present[key] {
-			delete(d.draining, key)
-		}
-	}
+	d.applyDraining(instances, now)
 	for key := range d.loaded {
 		if !present[key] {
 			delete(d.loaded, key)
