gateway: no data race between the stall timer and its first expiry

Under -race TestSlowStreamIsNotCut failed with 'race detected', also on main before this branch: expire read the field that reset assigned when it started the timer. Cause: the timer was created already running. Fix: it is created stopped, before the first event, and only restarted later.

--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -33,17 +33,16 @@
 	w := &stallTimeout{reserveMove: func() bool { return s.call.reserveMove(s.instance) }, abort: s.exchange.Abort}
 	if s.repeatable {
 		w.limit = max(minStallTimeout, stallTimeoutFactor*s.call.route.EventGapTarget)
+		// The timer runs only between events. It is assigned before its first start, because expire reads it.
+		w.timer = time.AfterFunc(time.Hour, w.expire)
+		w.timer.Stop()
 	}
 	return w
 }
 
 // reset restarts the timer for the next event.
 func (w *stallTimeout) reset() {
-	switch {
-	case w.limit == 0:
-	case w.timer == nil:
-		w.timer = time.AfterFunc(w.limit, w.expire)
-	default:
+	if w.timer != nil {
 		w.timer.Reset(w.limit)
 	}
 }
