upstreamconn: a connection never carries a request id twice

Callers of operators of similar systems were told that a request had not run although an engine ran it, or it ran at a second engine, after a faulty engine had written an earlier refusal once more on a kept connection. Answers are matched by request id, so a copy for another id was skipped here. But a caller that came again with the same id got the connection that had carried its refusal, and took the copy for its answer; so did a second send within one request when two instances had one address.

A connection remembers the ids that it has carried, as hashes, and is not used for them again.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -194,7 +194,7 @@
 	o := c.gateway.options
 	instance, work := chosen.instance, chosen.work
 	c.instance = instance.ID
-	conn, err := o.Pool.Get(ctx, instance.Address, c.connectionLimit(), repeatable)
+	conn, err := o.Pool.Get(ctx, c.attributes.ID, instance.Address, c.connectionLimit(), repeatable)
 	if err != nil {
 		if !failure.Is(err, failure.Overloaded) && ctx.Err() == nil {
 			o.Tracker.Begin(instance, placement.Work{}).End(connectOutcome(err), time.Now())
--- a/upstreamconn/pool.go
+++ b/upstreamconn/pool.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -103,22 +104,9 @@
 	// keepUntil is when the idle connection expires, freshUntil when it becomes too old for requests that must not be sent
 	// twice.
 	keepUntil, freshUntil time.Time
-	closeOnce             sync.Once
-}
-
-// Get returns an idle connection or opens one. repeatable states whether the request may be sent again. A limit above 0
-// bounds the open connections to the address. If Get fails, no byte of a request has been sent.
-func (p *Pool) Get(ctx context.Context, address string, limit int, repeatable bool) (*Conn, error) {
-	for {
-		conn := p.takeIdle(address, repeatable)
-		if conn == nil {
-			return p.dial(ctx, address, limit)
-		}
-		if conn.alive() {
-			return conn, nil
-		}
-		conn.Close()
-	}
+	// carried holds the hashes of the ids of the requests that the connection was used for.
+	carried   []uint64
+	closeOnce sync.Once
 }
 
 // Open opens a new connection.
@@ -126,9 +114,9 @@
 	return p.dial(ctx, address, 0)
 }
 
-// takeIdle removes and returns an idle connection: the one that was idle longest for a repeatable request, otherwise the
+// takeIdle removes and returns a usable idle connection: the one that was idle longest for a repeatable request, otherwise the
 // newest one if it is fresh enough. It returns nil if there is none.
-func (p *Pool) takeIdle(address string, repeatable bool) *Conn {
+func (p *Pool) takeIdle(address string, repeatable bool, usable func(*Conn) bool) *Conn {
 	now := p.options.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -138,14 +126,19 @@
 		go list[0].Close()
 		list = list[1:]
 	}
-	var conn *Conn
-	if last := len(list) - 1; last >= 0 {
-		if repeatable {
-			conn, list = list[0], list[1:]
-		} else if now.Before(list[last].freshUntil) {
-			conn, list = list[last], list[:last]
+	at := -1
+	for i, conn := range list {
+		if usable(conn) && (repeatable || now.Before(conn.freshUntil)) {
+			if at = i; repeatable {
+				break
+			}
 		}
 	}
+	var conn *Conn
+	if at >= 0 {
+		conn = list[at]
+		list = slices.Delete(list, at, at+1)
+	}
 	p.idle[address] = list
 	return conn
 }
@@ -226,7 +219,7 @@
 // Release returns the connection to the pool after a complete answer. It closes the connection if further bytes have arrived.
 // promised is the time for which the upstream promised to keep the idle connection, 0 if it did not promise any.
 func (c *Conn) Release(promised time.Duration) {
-	if c.reader.Buffered() > 0 || readable(c.raw) {
+	if c.isWornOut() || c.reader.Buffered() > 0 || readable(c.raw) {
 		c.Close()
 		return
 	}
--- a/upstreamconn/pool_test.go
+++ b/upstreamconn/pool_test.go
@@ -72,7 +72,7 @@
 
 func exchange(t *testing.T, p *Pool, address string) (string, error) {
 	t.Helper()
-	conn, err := p.Get(context.Background(), address, 0, false)
+	conn, err := p.Get(context.Background(), nextID(), address, 0, false)
 	require.NoError(t, err)
 	e, err := conn.Send(context.Background(), post(address, "body"))
 	if err != nil {
@@ -187,7 +187,7 @@
 		return true
 	})
 	p := NewPool(Options{})
-	conn, err := p.Get(context.Background(), u.Addr().String(), 0, false)
+	conn, err := p.Get(context.Background(), nextID(), u.Addr().String(), 0, false)
 	require.NoError(t, err)
 	e, err := conn.Send(context.Background(), post(u.Addr().String(), strings.Repeat("b", size)))
 	require.NoError(t, err)
@@ -208,7 +208,7 @@
 		close(closed)
 		return false
 	})
-	conn, err := NewPool(Options{}).Get(context.Background(), u.Addr().String(), 0, false)
+	conn, err := NewPool(Options{}).Get(context.Background(), nextID(), u.Addr().String(), 0, false)
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	sent := make(chan error, 1)
@@ -225,16 +225,16 @@
 	p := NewPool(Options{})
 	var open []*Conn
 	for range 3 {
-		conn, err := p.Get(context.Background(), u.Addr().String(), 3, false)
+		conn, err := p.Get(context.Background(), nextID(), u.Addr().String(), 3, false)
 		require.NoError(t, err)
 		open = append(open, conn)
 	}
-	_, err := p.Get(context.Background(), u.Addr().String(), 3, false)
+	_, err := p.Get(context.Background(), nextID(), u.Addr().String(), 3, false)
 	require.True(t, failure.Is(err, failure.Overloaded), "%v", err)
 	require.Equal(t, failure.NotRun, failure.Of(err).Execution)
 	open[0].Close()
 	open[0].Close()
-	_, err = p.Get(context.Background(), u.Addr().String(), 3, false)
+	_, err = p.Get(context.Background(), nextID(), u.Addr().String(), 3, false)
 	require.NoError(t, err)
 }
 
@@ -243,7 +243,7 @@
 	now := time.Now()
 	u := startUpstream(t, func(conn net.Conn, _ *bufio.Reader, _ int) bool { write(conn, okResponse); return true })
 	p := NewPool(Options{Now: func() time.Time { return now }, IdleLimit: time.Minute})
-	conn, err := p.Get(context.Background(), u.Addr().String(), 0, false)
+	conn, err := p.Get(context.Background(), nextID(), u.Addr().String(), 0, false)
 	require.NoError(t, err)
 	e, err := conn.Send(context.Background(), post(u.Addr().String(), "x"))
 	require.NoError(t, err)
@@ -263,14 +263,14 @@
 	require.NoError(t, err)
 	address := listener.Addr().String()
 	require.NoError(t, listener.Close())
-	_, err = NewPool(Options{}).Get(context.Background(), address, 0, false)
+	_, err = NewPool(Options{}).Get(context.Background(), nextID(), address, 0, false)
 	require.Equal(t, failure.NotRun, failure.Of(err).Execution)
 	require.False(t, IsTimeout(err))
 	unresponsive := NewPool(Options{DialTimeout: 10 * time.Millisecond, Dial: func(ctx context.Context, _ string) (net.Conn, error) {
 		<-ctx.Done()
 		return nil, &net.OpError{Op: "dial", Err: context.DeadlineExceeded}
 	}})
-	_, err = unresponsive.Get(context.Background(), address, 0, false)
+	_, err = unresponsive.Get(context.Background(), nextID(), address, 0, false)
 	require.True(t, IsTimeout(err), "%v", fmt.Sprint(err))
 }
 
@@ -281,7 +281,7 @@
 	now := time.Unix(1_000_000, 0)
 	p := NewPool(Options{Now: func() time.Time { return now }})
 	get := func(repeatable bool) *Conn {
-		conn, err := p.Get(context.Background(), u.Addr().String(), 2, repeatable)
+		conn, err := p.Get(context.Background(), nextID(), u.Addr().String(), 2, repeatable)
 		require.NoError(t, err)
 		return conn
 	}
@@ -299,7 +299,7 @@
 	require.NotSame(t, old, renewed, "at the limit, an old connection is closed for a new one")
 	renewed.Release(time.Second)
 	now = now.Add(time.Second)
-	require.Nil(t, p.takeIdle(u.Addr().String(), true), "the upstream promised one second")
+	require.Nil(t, p.takeIdle(u.Addr().String(), true, func(*Conn) bool { return true }), "the upstream promised one second")
 }
 
 // countingConn counts the bytes read.
@@ -334,7 +334,7 @@
 				conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
 				return countingConn{conn, &read}, err
 			}})
-			conn, err := pool.Get(t.Context(), u.Addr().String(), 0, false)
+			conn, err := pool.Get(t.Context(), nextID(), u.Addr().String(), 0, false)
 			require.NoError(t, err)
 			request, err := http.NewRequest(http.MethodGet, "http://"+u.Addr().String(), nil)
 			require.NoError(t, err)
