gateway: a second engine's success without a signature is no continuation of a stream

Callers of operators of similar systems found the error of a second engine in the middle of a stream, or a stream that ended as if it were complete. Here relayStream checked the signature only while the caller had no answer yet. After the first engine had broken off, a 200 without a signature of the next one (a page of an error, say) went on with the stream, and its end looked like the end of the stream.

The answer of a later engine is now checked too; anything but a signed one breaks the stream off, or goes on at another engine if the route has attempts left. The tests show for 33 other answers (errors with and without a body, chunked or cut off, refusals, garbage, answers of other requests) and for problems of the node itself that nothing of them reaches the caller and that the connection ends without a last chunk; these held before.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -173,6 +173,9 @@
 		s.attempt.End(placement.Failed, time.Now())
 		return result{err: failure.New(failure.UpstreamFailed, failure.Ran, "instance %s sent no response signature", s.instance.ID)}
 	}
+	if err := s.checkContinuation(); err != nil {
+		return s.brokenStream(err)
+	}
 	splitter := eventSplitter{limit: c.gateway.options.EventBytes}
 	buffer := make([]byte, streamBuffer)
 	stall := s.newStallTimeout()
