gateway: text of a second engine that is no event stays out of the stream

After a stream had broken off, a signed 200 of the next engine was passed on whatever it held: a page, text without an id, or text after the last line end, which endOfStream wrote before it ended the caller's stream as complete. A continuation must now be an event stream, if it names its type, and its first bytes must hold the id of an event. Without one it cannot be told where they belong in the stream. Anything else breaks the stream off or lets another engine go on.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -186,6 +186,9 @@
 		if tooLong != nil {
 			return s.brokenStream(tooLong)
 		}
+		if err := s.checkFirstEvents(events); err != nil {
+			return s.brokenStream(err)
+		}
 		if len(events) > 0 {
 			stall.stop()
 			if s.unresponsive != nil {
@@ -237,6 +240,9 @@
 // endOfStream handles a stream that ended normally.
 func (s *send) endOfStream(splitter *eventSplitter) result {
 	c := s.call
+	if err := s.checkFirstEvents(splitter.rest()); err != nil {
+		return s.brokenStream(err)
+	}
 	s.attempt.End(placement.Answered, time.Now())
 	if !c.answered {
 		c.writeHead(s.exchange.Response, -1)
--- a/gateway/second_engine_test.go
+++ b/gateway/second_engine_test.go
@@ -87,6 +87,21 @@
 	require.GreaterOrEqual(t, len(s.startedRuns()), 2)
 }
 
+// Guards against the body of a signed success that is no continuation of the stream.
+func TestSecondEngineWithoutEventsStaysOutOfTheStream(t *testing.T) {
+	const text = "secret text"
+	sized := func(body string) string { return fmt.Sprintf("Content-Length: %d\r\n", len(body)) }
+	chunked := func(text string) string { return fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(text), text) }
+	for name, second := range map[string]reply{
+		"signed page with an event": rawAnswer("200 X", "Signed: s\r\nContent-Type: text/html\r\n"+sized("id: 2\ndata: secret\n\n"), "id: 2\ndata: secret\n\n"),
+		"signed page":               rawAnswer("200 X", "Signed: s\r\nContent-Type: text/html\r\n"+sized(text+"\n\n"), text+"\n\n"), "signed page, chunked": rawAnswer("200 X", "Signed: s\r\nContent-Type: text/html; charset=utf-8\r\nTransfer-Encoding: chunked\r\n", chunked(text)),
+		"signed text without a type": rawAnswer("200 X", "Signed: s\r\n"+sized(text), text), "signed lines without a type": rawAnswer("200 X", "Signed: s\r\n"+sized(text+"\n\n"+text), text+"\n\n"+text),
+		"event without an id": rawAnswer("200 X", "Signed: s\r\nContent-Type: text/event-stream\r\n"+sized("data: secret\n\n"), "data: secret\n\n"),
+	} {
+		t.Run(name, func(t *testing.T) { requireNothingOf(t, second, 3) })
+	}
+}
+
 // Guards against a problem of this node's own in the middle of a stream: no instance is left, no connection can be opened, or
 // the deadline passes.
 func TestOwnProblemStaysOutOfTheStream(t *testing.T) {
