fleetview: a large set no longer ends every node's stream

A set of up to 3 MB is accepted, and a message of a stream has at most 4 MB. A node's first message held the set together with all instances and the contents of the stores; with more than 1 MB of those, the stream ended, and so did each new one, so no node could follow any change. The set now travels alone, and the rest follows at once.

--- a/fleetview/server.go
+++ b/fleetview/server.go
@@ -95,9 +95,14 @@
 		state, stateChanged := s.Group.State()
 		viewChanged, placementsChanged := s.Directory.Changed(), s.Placement.Changed()
 		if state != nil {
-			if err := stream.Send(s.update(state, sent)); err != nil {
+			update := s.update(state, sent)
+			if err := stream.Send(update); err != nil {
 				return err
 			}
+			if len(update.GetDocument()) > 0 && ctx.Err() == nil {
+				// The rest was left for the next update.
+				continue
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -144,7 +149,7 @@
 	return members
 }
 
-// update returns what was not yet sent on a stream. Instances, placements and nodes are included only while this member
+// update returns what was not yet sent on a stream; with a document, the rest is left for the next update. Instances, placements and nodes are included only while this member
 // is a fresh leader with a current directory.
 func (s *Server) update(state *nodepb.State, sent *position) *nodepb.WatchUpdate {
 	// The term is read before the leadership: if the leadership is lost in between, the update has the old term and the
@@ -163,6 +168,10 @@
 		u.Document = state.GetDocument()
 		sent.document = state.GetSetVersion()
 	}
+	// A message has at most 4 MB and a document up to 3 MB, so a document travels alone.
+	if len(u.Document) > 0 {
+		return u
+	}
 	if u.Leads = u.Fresh && s.Group.Leads() && s.Reader.Current(); !u.Leads {
 		*sent = position{document: sent.document, members: sent.members, membersAt: sent.membersAt}
 		return u
