--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -209,7 +209,7 @@
 		conn = move.conn
 	} else {
 		var err error
-		if conn, err = o.Pool.Get(ctx, instance.Address, c.connectionLimit(), repeatable); err != nil {
+		if conn, err = o.Pool.Get(ctx, c.attributes.ID, instance.Address, c.connectionLimit(), repeatable); err != nil {
 			c.recordUnreachable(ctx, instance, err)
 			o.Log.Info("upstream cannot be reached", zap.String("request", c.attributes.ID), zap.String("instance", instance.ID), zap.Error(err))
 			return result{notRun: true, err: unreachable(err)}
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -87,7 +87,7 @@
 	if chosen == nil {
 		return nil
 	}
-	conn, err := o.Pool.Get(m.ctx, chosen.instance.Address, c.connectionLimit(), true)
+	conn, err := o.Pool.Get(m.ctx, c.attributes.ID, chosen.instance.Address, c.connectionLimit(), true)
 	if err != nil {
 		c.recordUnreachable(m.ctx, chosen.instance, err)
 		return nil
