quarantine: find parts of prompts that crash instances

An instance that crashes takes along everything in progress there, so each crash names several parts, most of them sound. The list records crashes and answers per part: a part with crashes on two occasions and no answer in between is blocked, unless another such part accounts for all its crashes. Blocks grow with the number of crashes; at their end one node after the other tries the part with one prompt. Crashes and answers of other nodes are merged; ages are sent, and answers as the newest crash that they clear.

--- /dev/null
+++ b/quarantine/quarantine.go
@@ -0,0 +1,238 @@
+// Package quarantine finds parts of prompts that crash the instances that answer them, and keeps such parts away from
+// the instances.
+//
+// A crash takes along everything in progress at an instance, so each crash names several parts, most of them sound. An
+// answer tells them apart: it clears all earlier crashes of the parts of its prompt. A part without an answer between
+// two crashes is blocked. Crashes that follow each other at once count as one, because a rack or a zone that loses power
+// names whatever was in progress there.
+//
+// A block lasts longer with each crash. At its end the part is tried again, at one node after the other in an order that
+// differs from part to part, and with one prompt at a time: an answer ends the block, a crash prolongs it.
+//
+// Nodes exchange crashes and answers. A crash is identified by its part and instance and by its time, up to the tolerance
+// sameCrash; merging keeps the union of the crashes. Clocks of nodes differ, so ages are sent. An answer is sent as the
+// newest crash that it clears and not as a time of its own: the delay of each transfer makes a time later, and the
+// latest of several times would move on for as long as nodes exchange it.
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
+
+	"github.com/wasabishunt/wasabishunt/placement"
+)
+
+const (
+	// maxSuspects limits the parts with crashes, maxCrashes the crashes of each part.
+	maxSuspects = 64
+	maxCrashes  = 16
+	// maxAnswers limits each of the two generations of recent answers of this node.
+	maxAnswers = 4096
+	// answerPeriod is the time after which the older generation of answers is dropped.
+	answerPeriod = 30 * time.Second
+	// pauseGap is the time without a call of Revision after which the process counts as paused, and resumePeriod how
+	// long nothing is recorded after that: what was waiting in sockets has no known age.
+	pauseGap     = time.Second
+	resumePeriod = 500 * time.Millisecond
+	// expireInterval is the interval at which expired suspects are removed.
+	expireInterval = time.Second
+)
+
+// Hash returns the key of a part id.
+func Hash(id string) uint64 { return xxhash.Sum64String(id) }
+
+// Keys returns the keys of all parts but the last, which belongs to one request or session; nil if there is none.
+func Keys(parts []placement.Part) []uint64 {
+	if len(parts) < 2 {
+		return nil
+	}
+	return lo.Map(parts[:len(parts)-1], func(p placement.Part, _ int) uint64 { return Hash(p.ID) })
+}
+
+// Verdict describes why a prompt is not sent.
+type Verdict struct {
+	Part uint64
+	// Crashes is the number of crashes since the last answer, at most maxCrashes.
+	Crashes int
+	// RetryAfter is the time until the part is tried again.
+	RetryAfter time.Duration
+}
+
+// List holds the suspected parts. Its methods may be called concurrently.
+type List struct {
+	node string
+
+	mu       sync.Mutex
+	suspects map[uint64]*suspect
+	// answers and olderAnswers hold the newest answers of this node by part.
+	answers, olderAnswers map[uint64]time.Time
+	answersSince          time.Time
+	// own counts the changes by crashes and answers seen by this node, all those received from other nodes as well.
+	own, all               uint64
+	revisionAt, ignoreTill time.Time
+	expiredAt              time.Time
+}
+
+// New returns an empty List of a node.
+func New(node string) *List {
+	return &List{node: node, suspects: map[uint64]*suspect{}, answers: map[uint64]time.Time{}}
+}
+
+// RecordCrash records that an instance crashed while sends with prompts that have these parts were in progress there
+// without an answer. It returns the newly blocked parts.
+func (l *List) RecordCrash(instance string, parts []uint64, now time.Time) []uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.isResuming(now) {
+		return nil
+	}
+	key := uint32(xxhash.Sum64String(instance))
+	for _, part := range lo.Uniq(parts) {
+		s := l.suspect(part)
+		if s.add(crash{instance: key, at: now}) {
+			s.changedAt = now
+			l.changedHere()
+		}
+	}
+	l.evict()
+	return l.newlyBlocked()
+}
+
+// RecordAnswer records that an instance answered a prompt with these parts. The time is that of the answer's first
+// event, or of its end if it has no events; it may be in the past.
+func (l *List) RecordAnswer(parts []uint64, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.isResuming(now) {
+		return
+	}
+	if len(l.answers) >= maxAnswers || now.Sub(l.answersSince) > answerPeriod {
+		l.answers, l.olderAnswers, l.answersSince = map[uint64]time.Time{}, l.answers, now
+	}
+	for _, part := range parts {
+		if now.After(l.answers[part]) {
+			l.answers[part] = now
+		}
+		if s := l.suspects[part]; s != nil && s.clear(now) {
+			s.changedAt = now
+			l.changedHere()
+		}
+	}
+}
+
+// Check reports whether a prompt may be sent now. It is called right before each send, and only once for it: at the end
+// of a block, the call that returns true starts the trial, and calls return false until the trial has ended.
+func (l *List) Check(parts []uint64, now time.Time) (Verdict, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.suspects) == 0 {
+		return Verdict{}, true
+	}
+	var trials []*suspect
+	for _, part := range parts {
+		s := l.suspects[part]
+		if s == nil || !l.isBlocked(part, s) {
+			continue
+		}
+		if wait := s.heldUntil(l.node, part).Sub(now); wait > 0 {
+			return Verdict{Part: part, Crashes: len(s.open()), RetryAfter: wait}, false
+		}
+		trials = append(trials, s)
+	}
+	for _, s := range trials {
+		s.trialUntil = now.Add(trialTimeout)
+	}
+	return Verdict{}, true
+}
+
+// isBlocked reports whether a part is blocked: whether it is unanswered and no other such part accounts for all its
+// crashes. The other part must have more crashes, or have been answered less recently at this node; so the part that
+// all prompts of a route begin with is not blocked for a deadly one that came with it. The caller holds the lock.
+func (l *List) isBlocked(part uint64, s *suspect) bool {
+	if !s.isUnanswered() {
+		return false
+	}
+	for other, cause := range l.suspects {
+		if other != part && cause.isUnanswered() && cause.explains(s) &&
+			(len(cause.open()) > len(s.open()) || l.lastAnswer(part).After(l.lastAnswer(other))) {
+			return false
+		}
+	}
+	return true
+}
+
+// newlyBlocked returns the parts that were not blocked before. The caller holds the lock.
+func (l *List) newlyBlocked() (blocked []uint64) {
+	for part, s := range l.suspects {
+		if !s.blocked && l.isBlocked(part, s) {
+			s.blocked = true
+			blocked = append(blocked, part)
+		}
+	}
+	return blocked
+}
+
+// isResuming reports whether the process has been paused until a moment ago. The caller holds the lock.
+func (l *List) isResuming(now time.Time) bool {
+	if !l.revisionAt.IsZero() && now.Sub(l.revisionAt) > pauseGap {
+		l.revisionAt, l.ignoreTill = now, now.Add(resumePeriod)
+	}
+	return now.Before(l.ignoreTill)
+}
+
+func (l *List) changedHere() {
+	l.own++
+	l.all++
+}
+
+// suspect returns the entry of a part. The caller holds the lock.
+func (l *List) suspect(part uint64) *suspect {
+	s := l.suspects[part]
+	if s == nil {
+		s = &suspect{}
+		l.suspects[part] = s
+	}
+	return s
+}
+
+// lastAnswer returns when this node last saw an answer to a prompt with a part. The caller holds the lock.
+func (l *List) lastAnswer(part uint64) time.Time {
+	if at, found := l.answers[part]; found {
+		return at
+	}
+	return l.olderAnswers[part]
+}
+
+// evict removes suspects beyond the limit: those with the fewest crashes since the last answer first, and of these the
+// one with the oldest crash. The caller holds the lock.
+func (l *List) evict() {
+	excess := len(l.suspects) - maxSuspects
+	if excess <= 0 {
+		return
+	}
+	for _, part := range slices.SortedFunc(maps.Keys(l.suspects), func(a, b uint64) int { return -l.compare(a, b) })[:excess] {
+		delete(l.suspects, part)
+	}
+}
+
+// compare orders parts by crashes since the last answer, most first, and by the time of the last crash, newest first.
+// The caller holds the lock.
+func (l *List) compare(a, b uint64) int {
+	first, second := l.suspects[a], l.suspects[b]
+	return cmp.Or(cmp.Compare(len(second.open()), len(first.open())), second.last().Compare(first.last()), cmp.Compare(a, b))
+}
+
+// expire removes the suspects whose crashes no longer count. The caller holds the lock.
+func (l *List) expire(now time.Time) {
+	if now.Sub(l.expiredAt) < expireInterval {
+		return
+	}
+	l.expiredAt = now
+	maps.DeleteFunc(l.suspects, func(_ uint64, s *suspect) bool { return now.After(s.expiresAt()) })
+}
--- /dev/null
+++ b/quarantine/quarantine_test.go
@@ -0,0 +1,165 @@
+package quarantine
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabishunt/wasabishunt/placement"
+)
+
+const testDeadly, testShared, testOther, testRare uint64 = 1, 2, 3, 4
+
+// step is one observation at a node.
+type step struct {
+	at       time.Duration
+	instance string
+	parts    []uint64
+}
+
+func crashed(at time.Duration, instance string, parts ...uint64) step {
+	return step{at, instance, parts}
+}
+
+func answered(at time.Duration, parts ...uint64) step { return step{at: at, parts: parts} }
+
+func record(l *List, start time.Time, steps []step) (blocked []uint64) {
+	for _, s := range steps {
+		if s.instance == "" {
+			l.RecordAnswer(s.parts, start.Add(s.at))
+			continue
+		}
+		blocked = append(blocked, l.RecordCrash(s.instance, s.parts, start.Add(s.at))...)
+	}
+	return blocked
+}
+
+// Guards against a part that crashes engines and is sent on, and against sound parts that are refused.
+func TestBlockedParts(t *testing.T) {
+	for name, test := range map[string]struct {
+		steps   []step
+		blocked []uint64
+	}{
+		"one crash": {steps: []step{crashed(0, "a", testDeadly, testShared)}},
+		"two crashes without an answer": {
+			steps:   []step{crashed(0, "a", testDeadly), crashed(time.Second, "b", testDeadly)},
+			blocked: []uint64{testDeadly},
+		},
+		"an answer between the crashes": {
+			steps: []step{crashed(0, "a", testRare), answered(time.Second, testRare), crashed(2*time.Second, "b", testRare)},
+		},
+		"an answer that began before the crashes": {
+			steps:   []step{crashed(0, "a", testRare), crashed(time.Second, "b", testRare), answered(-time.Second, testRare)},
+			blocked: []uint64{testRare},
+		},
+		"an answer after the crashes": {
+			steps: []step{crashed(0, "a", testRare), crashed(time.Second, "b", testRare), answered(2*time.Second, testRare)},
+		},
+		"engines that crash together": {
+			steps: []step{crashed(0, "a", testRare), crashed(50*time.Millisecond, "b", testRare), crashed(300*time.Millisecond, "c", testRare)},
+		},
+		"one crash that is noticed twice": {
+			steps: []step{crashed(0, "a", testRare), crashed(1500*time.Millisecond, "a", testRare)},
+		},
+		"crashes without prompts": {steps: []step{crashed(0, "a"), crashed(time.Second, "b"), crashed(2*time.Second, "c")}},
+		"a part that came with the deadly one": {
+			steps: []step{
+				crashed(0, "a", testDeadly, testShared), answered(100*time.Millisecond, testShared),
+				crashed(time.Second, "b", testDeadly, testShared, testOther), crashed(2*time.Second, "c", testDeadly, testShared, testOther),
+				crashed(3*time.Second, "d", testDeadly),
+			},
+			blocked: []uint64{testDeadly},
+		},
+		"a part that was answered more recently than the deadly one": {
+			steps: []step{
+				answered(-time.Second, testDeadly, testShared), answered(-time.Millisecond, testShared),
+				crashed(0, "a", testDeadly, testShared), crashed(time.Second, "b", testDeadly, testShared),
+			},
+			blocked: []uint64{testDeadly},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, start := New("node"), time.Unix(1000, 0)
+			record(l, start, test.steps)
+			for _, part := range []uint64{testDeadly, testShared, testOther, testRare} {
+				verdict, ok := l.Check([]uint64{part}, start.Add(4*time.Second))
+				require.Equal(t, !slices.Contains(test.blocked, part), ok, "part %d", part)
+				if !ok {
+					require.Equal(t, part, verdict.Part)
+					require.Positive(t, verdict.RetryAfter)
+					require.GreaterOrEqual(t, verdict.Crashes, 2)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a block that is logged more than once, or not again after an answer.
+func TestNewlyBlockedPartsAreReturnedOnce(t *testing.T) {
+	l, start := New("node"), time.Unix(1000, 0)
+	crashes := []step{crashed(0, "a", testDeadly), crashed(time.Second, "b", testDeadly), crashed(2*time.Second, "c", testDeadly)}
+	require.Equal(t, []uint64{testDeadly}, record(l, start, crashes))
+	l.RecordAnswer([]uint64{testDeadly}, start.Add(3*time.Second))
+	require.Equal(t, []uint64{testDeadly}, record(l, start.Add(10*time.Second), crashes))
+}
+
+// Guards against several trials of a part at once, and against blocks that don't grow with the crashes.
+func TestTrialsAfterABlock(t *testing.T) {
+	l, now := New("node"), time.Unix(1000, 0)
+	parts := []uint64{testDeadly}
+	record(l, now, []step{crashed(0, "a", testDeadly), crashed(time.Second, "b", testDeadly)})
+	now = now.Add(time.Second)
+	earlier := time.Duration(0)
+	for crashes := 2; crashes < 8; crashes++ {
+		verdict, ok := l.Check(parts, now)
+		require.False(t, ok)
+		require.Equal(t, crashes, verdict.Crashes)
+		require.Greater(t, verdict.RetryAfter, blockTime(crashes)-time.Nanosecond)
+		require.Greater(t, verdict.RetryAfter, earlier)
+		earlier = verdict.RetryAfter
+		now = now.Add(verdict.RetryAfter)
+		_, ok = l.Check(parts, now)
+		require.True(t, ok, "the trial")
+		verdict, ok = l.Check(parts, now.Add(time.Second))
+		require.False(t, ok, "a second one beside it")
+		require.LessOrEqual(t, verdict.RetryAfter, trialTimeout)
+		now = now.Add(2 * time.Second)
+		l.RecordCrash(fmt.Sprint("engine-", crashes), parts, now)
+	}
+	verdict, _ := l.Check(parts, now)
+	now = now.Add(verdict.RetryAfter)
+	_, ok := l.Check(parts, now)
+	require.True(t, ok)
+	l.RecordAnswer(parts, now.Add(time.Second))
+	for range 3 {
+		_, ok = l.Check(parts, now.Add(2*time.Second))
+		require.True(t, ok, "an answer ends the block")
+	}
+}
+
+// Guards against a trial that blocks the part for good because its caller left, and against one that is used up by a
+// prompt that is refused for another part.
+func TestTrialWithoutOutcome(t *testing.T) {
+	l, start := New("node"), time.Unix(1000, 0)
+	record(l, start, []step{crashed(0, "a", testRare), crashed(time.Second, "b", testRare)})
+	verdict, _ := l.Check([]uint64{testRare}, start.Add(time.Second))
+	now := start.Add(time.Second + verdict.RetryAfter)
+	record(l, now, []step{crashed(-time.Second, "c", testDeadly), crashed(0, "d", testDeadly)})
+	_, ok := l.Check([]uint64{testRare, testDeadly}, now)
+	require.False(t, ok)
+	for range 2 {
+		_, ok = l.Check([]uint64{testRare}, now)
+		require.True(t, ok)
+		now = now.Add(trialTimeout)
+	}
+}
+
+// Guards against the last part, which belongs to one request, among the keys.
+func TestKeys(t *testing.T) {
+	require.Nil(t, Keys(nil))
+	require.Nil(t, Keys([]placement.Part{{ID: "own"}}))
+	require.Equal(t, []uint64{Hash("a"), Hash("b")}, Keys([]placement.Part{{ID: "a"}, {ID: "b"}, {ID: "own"}}))
+}
