peerload, node: exchange the parts that crash instances

Each node attaches its list of suspected parts to its load report when a crash or an answer of its own changed it, and to every eighth report; the relay of a zone does so with its digests for every change. Without suspects no byte is added.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/placement"
+	"github.com/wasabishunt/wasabishunt/quarantine"
 	"github.com/wasabishunt/wasabishunt/retrybudget"
 	"github.com/wasabishunt/wasabishunt/trafficset"
 	"github.com/wasabishunt/wasabishunt/upstreamconn"
@@ -118,6 +119,8 @@
 	Pool             *upstreamconn.Pool
 	Budget           *retrybudget.Budget
 	Stores           Stores
+	// Quarantine holds the parts of prompts that crash instances.
+	Quarantine *quarantine.List
 	// AnswerBytes limits an answer that is not a stream, EventBytes a single event of a stream.
 	AnswerBytes int64
 	EventBytes  int
--- a/node/node.go
+++ b/node/node.go
@@ -27,6 +27,7 @@
 	"github.com/wasabishunt/wasabishunt/metrics"
 	"github.com/wasabishunt/wasabishunt/peerload"
 	"github.com/wasabishunt/wasabishunt/placement"
+	"github.com/wasabishunt/wasabishunt/quarantine"
 	"github.com/wasabishunt/wasabishunt/retrybudget"
 	"github.com/wasabishunt/wasabishunt/rollout"
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
@@ -157,12 +158,13 @@
 	n.storeCoordinator.LastUsed = func(part kvstores.Part) time.Time { return n.tracker.LastUsed(part.Salt, part.ID) }
 	n.storeCoordinator.Withdrawn = n.stores.Withdrawn
 	n.storeCoordinator.IsSaltUsable, n.storeCoordinator.AcceptedEpoch = n.isSaltUsable, n.stores.AcceptedEpoch
+	suspects := quarantine.New(config.Name)
 	n.loadExchange = peerload.New(peerload.Options{
 		Node: config.Name, Self: peerload.Peer{Address: config.LoadReports, AvailabilityZone: config.AvailabilityZone, LinkMbps: config.LinkMbps, CPUMillis: config.CPUMillis},
-		Tracker: n.tracker, Saves: n.stores, Log: log, Metrics: registry,
+		Tracker: n.tracker, Saves: n.stores, Quarantine: suspects, Log: log, Metrics: registry,
 	})
 	n.gateway = gateway.New(gateway.Options{
-		AvailabilityZone: config.AvailabilityZone, Dialect: parts.Dialect, Sets: n, Directory: n.directory, Tracker: n.tracker, Stores: n.stores,
+		AvailabilityZone: config.AvailabilityZone, Dialect: parts.Dialect, Sets: n, Directory: n.directory, Tracker: n.tracker, Stores: n.stores, Quarantine: suspects,
 		Pool: upstreamconn.NewPool(upstreamconn.Options{MaxHeadBytes: config.UpstreamLimits.HeadBytes}), Budget: n.budget,
 		AnswerBytes: config.UpstreamLimits.AnswerBytes, EventBytes: config.UpstreamLimits.EventBytes,
 		Nodes: func() int { return int(n.nodes.Load()) }, Log: log, Metrics: registry,
--- a/peerload/core.go
+++ b/peerload/core.go
@@ -178,6 +178,7 @@
 func (c *core) sendReport(now time.Time, from source, out []packet) []packet {
 	c.sequence++
 	report := from.report(c.sequence)
+	// Suspects are repeated at any interval and need no shorter one.
 	empty := len(report.GetKeys())+len(report.GetSilent())+len(report.GetReads().GetInstances())+len(report.GetSaves())+len(report.GetReplaced()) == 0
 	c.nextReport = now.Add(c.interval())
 	if empty && c.lastReportEmpty {
--- a/peerload/peerload.go
+++ b/peerload/peerload.go
@@ -40,17 +40,21 @@
 	Self    Peer
 	Tracker *placement.Tracker
 	Saves   Saves
-	Log     *zap.Logger
-	Metrics gometrics.Registry
+	// Quarantine is the list of suspected parts of prompts, which the nodes exchange.
+	Quarantine Quarantine
+	Log        *zap.Logger
+	Metrics    gometrics.Registry
 }
 
-// Exchange sends and receives reports. Its lock is acquired before those of the tracker and of the saves.
+// Exchange sends and receives reports. Its lock is acquired before those of the tracker, of the saves and of the
+// quarantine.
 type Exchange struct {
 	options Options
 	metrics meters
 
-	mu   sync.Mutex
-	core *core
+	mu       sync.Mutex
+	core     *core
+	suspects suspectsSender
 	// resolved holds the resolved addresses of nodes.
 	resolved map[string]*net.UDPAddr
 	// changed wakes the sender when digests wait to be forwarded.
@@ -58,7 +62,7 @@
 }
 
 type meters struct {
-	sent, received, forwarded, unreadable, shrunk gometrics.Counter
+	sent, received, forwarded, unreadable, shrunk, blockedParts gometrics.Counter
 	// gap is the time between two digests of one zone in ms.
 	gap gometrics.Histogram
 	// lastDigest is when the last digest of each zone was applied.
@@ -71,12 +75,14 @@
 	r := options.Metrics
 	return &Exchange{
 		options: options, core: newCore(options.Self, uint64(now.UnixNano()), now), resolved: map[string]*net.UDPAddr{}, changed: make(chan struct{}, 1),
+		suspects: suspectsSender{list: options.Quarantine},
 		metrics: meters{
 			sent: gometrics.GetOrRegisterCounter("peerload.sent_bytes", r), received: gometrics.GetOrRegisterCounter("peerload.received_bytes", r),
 			forwarded: gometrics.GetOrRegisterCounter("peerload.passed_digests", r), unreadable: gometrics.GetOrRegisterCounter("peerload.unreadable", r),
-			shrunk:     gometrics.GetOrRegisterCounter("peerload.shrunk", r),
-			gap:        gometrics.GetOrRegisterHistogram("peerload.digest_gap_ms", r, gometrics.NewExpDecaySample(256, 0.015)),
-			lastDigest: map[string]time.Time{},
+			shrunk:       gometrics.GetOrRegisterCounter("peerload.shrunk", r),
+			blockedParts: gometrics.GetOrRegisterCounter("peerload.blocked_parts", r),
+			gap:          gometrics.GetOrRegisterHistogram("peerload.digest_gap_ms", r, gometrics.NewExpDecaySample(256, 0.015)),
+			lastDigest:   map[string]time.Time{},
 		},
 	}
 }
@@ -137,7 +143,7 @@
 // report implements source.
 func (e *Exchange) report(sequence uint64) *nodepb.LoadReport {
 	r := e.options.Tracker.Report(sequence)
-	r.Node, r.Saves = e.options.Node, e.options.Saves.DrainSaves()
+	r.Node, r.Saves, r.Suspects = e.options.Node, e.options.Saves.DrainSaves(), e.suspects.forReport(time.Now())
 	if shrink(r) {
 		e.metrics.shrunk.Inc(1)
 	}
@@ -145,7 +151,11 @@
 }
 
 // digest implements source.
-func (e *Exchange) digest(now time.Time) *nodepb.ZoneDigest { return e.options.Tracker.Digest(now) }
+func (e *Exchange) digest(now time.Time) *nodepb.ZoneDigest {
+	d := e.options.Tracker.Digest(now)
+	d.Suspects = e.suspects.forDigest(now)
+	return d
+}
 
 func (e *Exchange) send(conn *net.UDPConn, to []string, datagram *nodepb.LoadDatagram) {
 	data, err := proto.Marshal(datagram)
@@ -201,6 +211,7 @@
 		ejected, _ := e.options.Tracker.ApplyReport(r, e.options.Self.AvailabilityZone, now)
 		e.logUnresponsive(r.GetNode(), ejected)
 		e.options.Saves.RecordSaves(r.GetSaves())
+		e.applySuspects(r.GetNode(), r.GetSuspects(), now)
 	}
 	for _, d := range datagram.GetDigests() {
 		e.applyDigest(d, now)
@@ -212,6 +223,7 @@
 	if d.GetZone() == e.options.Self.AvailabilityZone {
 		ownNode = e.options.Node
 	}
+	e.applySuspects(d.GetZone(), d.GetSuspects(), now)
 	ejected, applied := e.options.Tracker.ApplyDigest(d, ownNode, now)
 	e.logUnresponsive(d.GetZone(), ejected)
 	if !applied {
--- a/peerload/peerload_test.go
+++ b/peerload/peerload_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wasabishunt/wasabishunt/placement"
+	"github.com/wasabishunt/wasabishunt/quarantine"
 	"github.com/wasabishunt/wasabishunt/upstreams"
 )
 
@@ -54,7 +55,7 @@
 		conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 		require.NoError(t, err)
 		self := Peer{Address: conn.LocalAddr().String(), AvailabilityZone: zone}
-		exchange := New(Options{Node: self.Address, Self: self, Tracker: placement.NewTracker(), Saves: &saves{}, Log: zap.NewNop(), Metrics: gometrics.NewRegistry()})
+		exchange := New(Options{Node: self.Address, Self: self, Tracker: placement.NewTracker(), Saves: &saves{}, Quarantine: quarantine.New(self.Address), Log: zap.NewNop(), Metrics: gometrics.NewRegistry()})
 		n := &node{exchange: exchange, conn: conn, done: make(chan struct{})}
 		nodes = append(nodes, n)
 	}
@@ -89,4 +90,13 @@
 		defer receiver.mu.Unlock()
 		return len(receiver.recorded) == 2
 	}, 5*time.Second, 5*time.Millisecond, "an idle node still reports its saves")
+	now := time.Now()
+	reported := nodes[1].exchange.options.Quarantine.(*quarantine.List)
+	reported.RecordCrash("a", []uint64{7}, now.Add(-time.Second))
+	reported.RecordCrash("b", []uint64{7}, now)
+	require.Eventually(t, func() bool {
+		_, allowed := nodes[0].exchange.options.Quarantine.(*quarantine.List).Check([]uint64{7}, time.Now())
+		return !allowed
+	}, 5*time.Second, 5*time.Millisecond)
+	require.EqualValues(t, 1, nodes[0].exchange.metrics.blockedParts.Count())
 }
--- a/peerload/sim_test.go
+++ b/peerload/sim_test.go
@@ -37,7 +37,8 @@
 	peer    Peer
 	core    *core
 	tracker *placement.Tracker
-	frozen  bool
+	simSuspects
+	frozen bool
 	// marks holds the times at which the node's own marker was incremented.
 	marks []time.Time
 	// receivedBytes counts the bytes received, starts the starts of the process.
@@ -47,11 +48,15 @@
 
 func (n *simNode) report(sequence uint64) *nodepb.LoadReport {
 	r := n.tracker.Report(sequence)
-	r.Node = n.peer.Address
+	r.Node, r.Suspects = n.peer.Address, n.suspects.forReport(n.now())
 	return r
 }
 
-func (n *simNode) digest(now time.Time) *nodepb.ZoneDigest { return n.tracker.Digest(now) }
+func (n *simNode) digest(now time.Time) *nodepb.ZoneDigest {
+	d := n.tracker.Digest(now)
+	d.Suspects = n.suspects.forDigest(now)
+	return d
+}
 
 func (n *simNode) marker() *upstreams.Instance {
 	return &upstreams.Instance{ID: "marker of " + n.peer.Address}
@@ -124,6 +129,7 @@
 	n.starts++
 	run := n.starts
 	n.core, n.tracker, n.marks = newCore(n.peer, uint64(s.now.UnixNano()), s.now), placement.NewTracker(), nil
+	n.startSuspects(s)
 	var peers []Peer
 	for _, other := range s.nodes {
 		peers = append(peers, other.peer)
@@ -213,6 +219,7 @@
 	n.core.apply(d, s.now)
 	if d.GetReport() != nil {
 		n.tracker.ApplyReport(d.GetReport(), n.peer.AvailabilityZone, s.now)
+		n.list.Apply(d.GetReport().GetSuspects(), s.now)
 	}
 	for _, digest := range d.GetDigests() {
 		ownNode := ""
@@ -220,6 +227,7 @@
 			ownNode = n.peer.Address
 		}
 		n.tracker.ApplyDigest(digest, ownNode, s.now)
+		n.list.Apply(digest.GetSuspects(), s.now)
 	}
 }
 
