gateway: prompts with a part that crashes instances are not sent

Cause: nothing remembered which prompts were in progress at an instance that crashed, so they and the next prompts with the same part went to the next instance. The crash counted as failures of the instance and of each send that met its closed port. Change: the gateway keeps the sends in progress by incarnation. When one breaks off within its answer, one new connection tells whether the instance crashed: refused means crashed, accepted or silent means that nobody is blamed. The parts of the sends there whose answer had not begun 250 ms earlier go to the list of package quarantine, which nodes exchange; answers clear parts. A prompt with a blocked part is refused before each send with 503 `quarantined` and Retry-After, or with 502 if it may have run. A crashed instance gets no requests until a connection to it can be opened, and its earlier failures don't count then. An answer that ends with its connection counts only if the instance goes on.

--- a/failure/failure.go
+++ b/failure/failure.go
@@ -52,6 +52,7 @@
 	OutcomeUnknown      Kind = "outcome_unknown"
 	StorageFailed       Kind = "storage_failed"
 	IdentityLost        Kind = "identity_lost"
+	Quarantined         Kind = "quarantined"
 	Canceled            Kind = "canceled"
 	Internal            Kind = "internal"
 )
--- /dev/null
+++ b/gateway/crash.go
@@ -0,0 +1,296 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"slices"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/samber/lo"
+	"go.uber.org/zap"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/quarantine"
+	"github.com/wasabishunt/wasabishunt/upstreamconn"
+	"github.com/wasabishunt/wasabishunt/upstreams"
+)
+
+const (
+	// settleTime is the time from the first event after which an instance is taken to have begun an answer safely: a prompt
+	// that crashes its instance does so when the answer begins.
+	settleTime = 250 * time.Millisecond
+	// crashPeriod is the time within which broken sends to one incarnation belong to the same crash. An instance needs
+	// longer to come back.
+	crashPeriod = time.Second
+	// maxLoggedSends limits the requests and parts in one log event.
+	maxLoggedSends = 16
+)
+
+// promptSend is a prompt that was sent to an instance.
+type promptSend struct {
+	detector *crashDetector
+	instance *upstreams.Instance
+	request  string
+	parts    []uint64
+
+	// firstEvent is when the first event was relayed. The detector's mu protects it.
+	firstEvent time.Time
+	// settled is set once the answer is recorded. Only the send's own goroutine uses it.
+	settled bool
+}
+
+// hasSettled reports whether the answer had begun safely at a time.
+func (p *promptSend) hasSettled(at time.Time) bool {
+	return !p.firstEvent.IsZero() && at.Sub(p.firstEvent) >= settleTime
+}
+
+// endedSend is a send that broke off, or whose answer may have been cut off at the end of an event.
+type endedSend struct {
+	*promptSend
+	at time.Time
+	// answered is set if the answer counts unless the instance crashed.
+	answered bool
+}
+
+// crashCheck is one probe of an instance after a send to it broke off.
+type crashCheck struct {
+	startedAt time.Time
+	// done is closed at the end of the probe; crashed is valid then.
+	done    chan struct{}
+	crashed bool
+}
+
+// crashDetector finds out which instances crash and reports the parts of the prompts that they had not begun to answer. Its
+// mu protects all fields below it. The quarantine's lock may be acquired while it is held.
+type crashDetector struct {
+	quarantine *quarantine.List
+	directory  *upstreams.Directory
+	pool       *upstreamconn.Pool
+	log        *zap.Logger
+	metrics    *meters
+
+	mu     sync.Mutex
+	active map[upstreams.Key]map[*promptSend]struct{}
+	checks map[upstreams.Key]*crashCheck
+	// ended are the sends that ended within crashPeriod without a certain answer, in order.
+	ended []endedSend
+}
+
+func newCrashDetector(o Options, metrics *meters) *crashDetector {
+	return &crashDetector{
+		quarantine: o.Quarantine, directory: o.Directory, pool: o.Pool, log: o.Log, metrics: metrics,
+		active: map[upstreams.Key]map[*promptSend]struct{}{}, checks: map[upstreams.Key]*crashCheck{},
+	}
+}
+
+// begin records a send. The caller must call end.
+func (d *crashDetector) begin(instance *upstreams.Instance, request string, parts []uint64) *promptSend {
+	p := &promptSend{detector: d, instance: instance, request: request, parts: parts}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.expire(time.Now())
+	key := instance.Key()
+	if d.active[key] == nil {
+		d.active[key] = map[*promptSend]struct{}{}
+	}
+	d.active[key][p] = struct{}{}
+	return p
+}
+
+// end removes the send.
+func (p *promptSend) end() {
+	p.detector.mu.Lock()
+	defer p.detector.mu.Unlock()
+	p.detector.remove(p)
+}
+
+// remove removes a send from the active ones. The caller holds the lock.
+func (d *crashDetector) remove(p *promptSend) {
+	key := p.instance.Key()
+	delete(d.active[key], p)
+	if len(d.active[key]) == 0 {
+		delete(d.active, key)
+	}
+}
+
+// recordEvent records that an event of the answer was relayed.
+func (p *promptSend) recordEvent() {
+	if p.settled {
+		return
+	}
+	d, now := p.detector, time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if p.firstEvent.IsZero() {
+		p.firstEvent = now
+	}
+	if p.hasSettled(now) {
+		p.settle()
+	}
+}
+
+// settle records the answer. The caller holds the lock.
+func (p *promptSend) settle() {
+	p.settled = true
+	if q := p.detector.quarantine; q != nil {
+		q.RecordAnswer(p.parts, p.firstEvent)
+	}
+}
+
+// recordAnswer records a whole answer. An answer that ends with its connection may have been cut off by a crash: it counts
+// only if the instance goes on.
+func (p *promptSend) recordAnswer(endedByClose bool) {
+	if p.settled {
+		return
+	}
+	d, now := p.detector, time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if p.firstEvent.IsZero() {
+		p.firstEvent = now
+	}
+	if endedByClose && !p.hasSettled(now) {
+		d.remove(p)
+		d.ended = append(d.ended, endedSend{p, now, true})
+		return
+	}
+	p.settle()
+}
+
+// expire removes old sends and checks, and records the answers after which the instance did not crash. The caller holds
+// the lock.
+func (d *crashDetector) expire(now time.Time) {
+	for len(d.ended) > 0 && now.Sub(d.ended[0].at) > crashPeriod {
+		if d.ended[0].answered {
+			d.ended[0].settle()
+		}
+		d.ended = d.ended[1:]
+	}
+	for key, check := range d.checks {
+		if now.Sub(check.startedAt) > crashPeriod {
+			delete(d.checks, key)
+		}
+	}
+}
+
+// isBreak reports whether an error means that the instance ended the connection within an answer.
+func isBreak(err error) bool {
+	return lo.SomeBy([]error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE}, func(target error) bool { return errors.Is(err, target) })
+}
+
+// brokeOff handles a send that ended with an error and reports whether its instance crashed. A single connection may break
+// at a sound instance, so a new one is opened to find out.
+func (p *promptSend) brokeOff(err error) bool {
+	if !isBreak(err) {
+		return false
+	}
+	d, key, now := p.detector, p.instance.Key(), time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.expire(now)
+	d.remove(p)
+	d.ended = append(d.ended, endedSend{promptSend: p, at: now})
+	for {
+		check := d.checks[key]
+		if check == nil {
+			return d.check(p, now)
+		}
+		d.mu.Unlock()
+		<-check.done
+		d.mu.Lock()
+		if check.crashed || !check.startedAt.Before(now) {
+			return check.crashed
+		}
+		if d.checks[key] == check {
+			// The instance accepted a connection before this send broke off.
+			delete(d.checks, key)
+		}
+	}
+}
+
+// check probes the instance of a broken send. The caller holds the lock, which is released during the probe.
+func (d *crashDetector) check(p *promptSend, brokenAt time.Time) bool {
+	key := p.instance.Key()
+	check := &crashCheck{startedAt: time.Now(), done: make(chan struct{})}
+	d.checks[key] = check
+	defer close(check.done)
+	d.mu.Unlock()
+	refused := d.refusesConnections(p.instance)
+	d.mu.Lock()
+	if refused {
+		check.crashed = true
+		d.recordCrash(p.instance, brokenAt)
+	}
+	return refused
+}
+
+// refusesConnections reports whether nothing listens at the address of an instance. A VM that does not respond may be cut
+// off, and its instance may still be at work.
+func (d *crashDetector) refusesConnections(instance *upstreams.Instance) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	conn, err := d.pool.Open(ctx, instance.Address)
+	if err == nil {
+		conn.Release(0)
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// recordCrash reports the parts of the prompts whose answers had not begun. The caller holds the lock.
+func (d *crashDetector) recordCrash(instance *upstreams.Instance, at time.Time) {
+	key := instance.Key()
+	inProgress := lo.Keys(d.active[key])
+	for i, ended := range d.ended {
+		if ended.instance.Key() == key {
+			inProgress = append(inProgress, ended.promptSend)
+			d.ended[i].answered = false
+		}
+	}
+	suspects := lo.Filter(inProgress, func(p *promptSend, _ int) bool { return !p.hasSettled(at) && len(p.parts) > 0 })
+	parts := lo.Uniq(lo.FlatMap(suspects, func(p *promptSend, _ int) []uint64 { return p.parts }))
+	d.metrics.crashes.Inc(1)
+	d.log.Warn("an instance crashed", zap.String("instance", instance.ID), zap.Int("sends", len(inProgress)), zap.Int("suspects", len(suspects)),
+		zap.Strings("requests", lo.Map(firstOf(suspects), func(p *promptSend, _ int) string { return p.request })), zap.Strings("parts", formatParts(firstOf(parts))))
+	if d.quarantine == nil || len(parts) == 0 || d.isLeaving(key) {
+		return
+	}
+	if blocked := d.quarantine.RecordCrash(instance.ID, parts, at); len(blocked) > 0 {
+		d.log.Warn("parts blocked after a crash", zap.Strings("parts", formatParts(blocked)))
+	}
+}
+
+// isLeaving reports whether an instance is draining or no longer listed, and may have ended as planned.
+func (d *crashDetector) isLeaving(key upstreams.Key) bool {
+	listed, found := lo.Find(d.directory.View().Instances, func(i upstreams.Instance) bool { return i.Key() == key })
+	return !found || listed.Draining
+}
+
+func firstOf[T any](list []T) []T { return slices.Clip(list[:min(len(list), maxLoggedSends)]) }
+
+func formatParts(parts []uint64) []string {
+	return lo.Map(parts, func(part uint64, _ int) string { return strconv.FormatUint(part, 16) })
+}
+
+// checkQuarantine refuses a prompt with a part that crashes instances. It is called right before a send.
+func (c *call) checkQuarantine() error {
+	list := c.gateway.options.Quarantine
+	if list == nil || c.attributes.Generation == nil {
+		return nil
+	}
+	verdict, allowed := list.Check(c.parts, time.Now())
+	if allowed {
+		return nil
+	}
+	c.gateway.metrics.quarantined.Inc(1)
+	execution := failure.NotRun
+	if c.mayHaveRun {
+		execution = failure.Unknown
+	}
+	e := failure.New(failure.Quarantined, execution, "%d instances crashed on prompts with part %x", verdict.Crashes, verdict.Part)
+	e.RetryAfter = verdict.RetryAfter
+	return e
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -50,6 +50,9 @@
 		if err := c.admit(chosen); err != nil {
 			return err
 		}
+		if err := c.checkQuarantine(); err != nil {
+			return err
+		}
 		if !c.counted {
 			c.counted = true
 			c.gateway.options.Budget.RecordRequest(c.service.Name)
@@ -206,6 +209,8 @@
 	attempt := o.Tracker.Begin(instance, work)
 	c.sends++
 	c.mayHaveRun = true
+	c.prompt = c.gateway.crashes.begin(instance, c.attributes.ID, c.parts)
+	defer c.prompt.end()
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var timer *time.Timer
@@ -297,7 +302,11 @@
 		attempt.End(placement.Canceled, time.Now())
 		return result{done: true, err: failure.New(failure.Canceled, failure.Unknown, "the caller disconnected")}
 	}
-	attempt.End(connectOutcome(err), time.Now())
+	outcome := connectOutcome(err)
+	if ctx.Err() == nil && c.prompt.brokeOff(err) {
+		outcome = placement.Unresponsive
+	}
+	attempt.End(outcome, time.Now())
 	c.gateway.options.Log.Info("upstream did not answer", zap.String("request", c.attributes.ID), zap.String("instance", instance.ID),
 		zap.Duration("after", time.Since(c.started)), zap.Error(err))
 	if ctx.Err() != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -119,7 +119,7 @@
 	Pool             *upstreamconn.Pool
 	Budget           *retrybudget.Budget
 	Stores           Stores
-	// Quarantine holds the parts of prompts that crash instances.
+	// Quarantine holds the parts of prompts that crash instances; nil if there is none.
 	Quarantine *quarantine.List
 	// AnswerBytes limits an answer that is not a stream, EventBytes a single event of a stream.
 	AnswerBytes int64
@@ -140,33 +140,21 @@
 	queueLimits *placement.QueueLimitEstimator
 	// active counts requests in progress.
 	active  atomic.Int64
+	crashes *crashDetector
 	metrics meters
 }
 
-type meters struct {
-	requests, failed, refused, retries, broken, resumed gometrics.Counter
-	// cached, fetched and recomputed count prompt tokens as estimated when requests were sent.
-	cached, fetched, recomputed gometrics.Counter
-	firstByte, total            gometrics.Timer
-}
-
 // New returns a Gateway.
 func New(options Options) *Gateway {
-	r := options.Metrics
 	if options.AnswerBytes == 0 {
 		options.AnswerBytes = defaultAnswerBytes
 	}
 	if options.EventBytes == 0 {
 		options.EventBytes = defaultEventBytes
 	}
-	return &Gateway{options: options, started: time.Now(), queueLimits: placement.NewQueueLimitEstimator(), metrics: meters{
-		requests: gometrics.GetOrRegisterCounter("gateway.requests", r), failed: gometrics.GetOrRegisterCounter("gateway.failed", r),
-		refused: gometrics.GetOrRegisterCounter("gateway.refused", r), retries: gometrics.GetOrRegisterCounter("gateway.retries", r),
-		broken: gometrics.GetOrRegisterCounter("gateway.broken", r), resumed: gometrics.GetOrRegisterCounter("gateway.resumed", r),
-		cached: gometrics.GetOrRegisterCounter("gateway.cached_tokens", r), fetched: gometrics.GetOrRegisterCounter("gateway.fetched_tokens", r),
-		recomputed: gometrics.GetOrRegisterCounter("gateway.reread_tokens", r),
-		firstByte:  gometrics.GetOrRegisterTimer("gateway.first_byte", r), total: gometrics.GetOrRegisterTimer("gateway.total", r),
-	}}
+	g := &Gateway{options: options, started: time.Now(), queueLimits: placement.NewQueueLimitEstimator(), metrics: newMeters(options.Metrics)}
+	g.crashes = newCrashDetector(options, &g.metrics)
+	return g
 }
 
 // BeginClosing makes each answer close the caller's connection.
@@ -213,6 +201,8 @@
 	route      *trafficset.Route
 	service    *trafficset.Service
 	body       []byte
+	// parts are the keys of the shared parts of the prompt.
+	parts []uint64
 	// answerBy is the earlier of the caller's deadline and the end of the route's timeout.
 	answerBy time.Time
 	// deadline is when the caller stops waiting.
@@ -243,6 +233,8 @@
 	retryReserved atomic.Bool
 	// mayHaveRun is set while a send is in progress, and stays set unless the upstream states that it did not run.
 	mayHaveRun bool
+	// prompt is the send in progress.
+	prompt *promptSend
 }
 
 func (c *call) serve() error {
@@ -257,6 +249,9 @@
 	if err := c.resolve(); err != nil {
 		return err
 	}
+	if c.attributes.Generation != nil {
+		c.parts = quarantine.Keys(c.attributes.Generation.Parts)
+	}
 	c.setDeadlines()
 	if err := c.readBody(); err != nil {
 		return err
--- /dev/null
+++ b/gateway/meters.go
@@ -0,0 +1,22 @@
+package gateway
+
+import gometrics "github.com/rcrowley/go-metrics"
+
+type meters struct {
+	requests, failed, refused, retries, broken, resumed, crashes, quarantined gometrics.Counter
+	// cached, fetched and recomputed count prompt tokens as estimated when requests were sent.
+	cached, fetched, recomputed gometrics.Counter
+	firstByte, total            gometrics.Timer
+}
+
+func newMeters(r gometrics.Registry) meters {
+	return meters{
+		requests: gometrics.GetOrRegisterCounter("gateway.requests", r), failed: gometrics.GetOrRegisterCounter("gateway.failed", r),
+		refused: gometrics.GetOrRegisterCounter("gateway.refused", r), retries: gometrics.GetOrRegisterCounter("gateway.retries", r),
+		broken: gometrics.GetOrRegisterCounter("gateway.broken", r), resumed: gometrics.GetOrRegisterCounter("gateway.resumed", r),
+		cached: gometrics.GetOrRegisterCounter("gateway.cached_tokens", r), fetched: gometrics.GetOrRegisterCounter("gateway.fetched_tokens", r),
+		recomputed: gometrics.GetOrRegisterCounter("gateway.reread_tokens", r),
+		crashes:    gometrics.GetOrRegisterCounter("gateway.crashes", r), quarantined: gometrics.GetOrRegisterCounter("gateway.quarantined", r),
+		firstByte: gometrics.GetOrRegisterTimer("gateway.first_byte", r), total: gometrics.GetOrRegisterTimer("gateway.total", r),
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -105,6 +105,9 @@
 	} else {
 		s.attempt.End(placement.Answered, time.Now())
 	}
+	if status < http.StatusBadRequest {
+		c.prompt.recordAnswer(isEndedByClose(s.exchange.Response))
+	}
 	if c.answered {
 		return result{done: true, err: failure.New(failure.StreamBroken, failure.Ran, "instance %s answered %d to a resumed stream", s.instance.ID, status)}
 	}
@@ -225,6 +228,7 @@
 	if err := c.write(events); err != nil {
 		return err
 	}
+	c.prompt.recordEvent()
 	c.relayed++
 	if lastID != "" {
 		c.lastEvent = lastID
@@ -238,12 +242,13 @@
 	c := s.call
 	rest := splitter.rest()
 	if len(bytes.TrimSpace(rest)) > 0 {
-		return s.brokenStream(failure.New(failure.UpstreamFailed, failure.Ran, "the stream ended inside an event"))
+		return s.brokenStream(failure.Wrap(io.ErrUnexpectedEOF, failure.UpstreamFailed, failure.Ran, "the stream ended inside an event"))
 	}
 	if !s.begun && s.out.LastEventID == "" && isEndedByClose(s.exchange.Response) {
-		return s.brokenStream(failure.New(failure.UpstreamFailed, failure.Ran, "the connection ended before the first event"))
+		return s.brokenStream(failure.Wrap(io.ErrUnexpectedEOF, failure.UpstreamFailed, failure.Ran, "the connection ended before the first event"))
 	}
 	s.attempt.End(placement.Answered, time.Now())
+	c.prompt.recordAnswer(isEndedByClose(s.exchange.Response))
 	if !c.answered {
 		c.writeHead(s.exchange.Response, -1)
 	}
@@ -282,7 +287,11 @@
 		s.attempt.End(placement.Canceled, time.Now())
 		return result{done: true, err: cause}
 	}
-	s.attempt.End(placement.Failed, time.Now())
+	outcome := placement.Failed
+	if c.prompt.brokeOff(err) {
+		outcome = placement.Unresponsive
+	}
+	s.attempt.End(outcome, time.Now())
 	c.gateway.options.Log.Info("stream broke off", zap.String("request", c.attributes.ID), zap.String("instance", s.instance.ID),
 		zap.Int("events", c.relayed), zap.String("last_event", c.lastEvent), zap.Error(err))
 	if !s.repeatable || c.answered && c.lastEvent == "" {
--- a/placement/unresponsive.go
+++ b/placement/unresponsive.go
@@ -21,6 +21,8 @@
 	if s.unresponsive {
 		s.unresponsive, s.foundHere = false, false
 		s.ejectedUntil = now
+		// Its process may have been restarted under the same id.
+		s.failures, s.failureShare = 0, 0
 	}
 }
 
