--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -195,7 +195,7 @@
 }
 
 func good(conn net.Conn, r *http.Request, instance string) bool {
-	return answerText(conn, r, 200, "Signed: "+instance+"\r\n", "from "+instance)
+	return answers(200, "")(conn, r, instance)
 }
 
 func failing(conn net.Conn, r *http.Request, instance string) bool {
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -134,8 +134,13 @@
 
 // dropMove releases the connection of a move that is not made.
 func (c *call) dropMove() {
-	if target := c.takeMove(); target != nil {
-		target.conn.Release(0)
+	c.takeMove().release()
+}
+
+// release gives the connection of a move that is not made back to the pool.
+func (t *moveTarget) release() {
+	if t != nil {
+		t.conn.Release(0)
 	}
 }
 
