--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -2,9 +2,9 @@
 // the instances.
 //
 // A crash takes along everything in progress at an instance, so each crash names several parts, most of them sound. An
-// answer tells them apart: it clears all earlier crashes of the parts of its prompt. A part without an answer between
-// two crashes is blocked. Crashes that follow each other at once count as one, because a rack or a zone that loses power
-// names whatever was in progress there.
+// answer tells them apart: it clears all earlier crashes of the parts of its prompt. A part with three crashes and no
+// answer is blocked, unless another such part accounts for all its crashes. Crashes that follow each other at once are not
+// enough, because a rack or a zone that loses power names whatever was in progress there.
 //
 // A block lasts longer with each crash. At its end the part is tried again, at one node after the other in an order that
 // differs from part to part, and with one prompt at a time: an answer ends the block, a crash prolongs it.
--- a/quarantine/scenarios_test.go
+++ b/quarantine/scenarios_test.go
@@ -90,3 +90,62 @@
 		t.Logf("%d crashes, refused: %v", len(s.deadlyCrashes), s.refused)
 	}
 }
+
+// Guards against sound parts that are refused because engines crash for other reasons.
+func TestCrashesForOtherReasons(t *testing.T) {
+	oneByOne := func(pause time.Duration) func(s *simulation) {
+		return func(s *simulation) {
+			for i, e := range s.engines {
+				s.after(time.Duration(i)*pause, func() { s.crash(e) })
+			}
+		}
+	}
+	atOnce := func(share int) func(s *simulation) {
+		return func(s *simulation) {
+			for _, e := range s.engines[:len(s.engines)/share] {
+				s.after(s.uniform(0, 200*time.Millisecond), func() { s.crash(e) })
+			}
+		}
+	}
+	for _, test := range []struct {
+		name  string
+		crash func(s *simulation)
+		// maxRefused is the largest share of requests refused for their document. Where half of the engines or more are
+		// down at a time, some documents get no answer between three crashes.
+		maxRefused float64
+	}{
+		{"one by one", oneByOne(1500 * time.Millisecond), 0},
+		{"one by one in a hurry", oneByOne(700 * time.Millisecond), 0.01},
+		{"a zone at once", atOnce(3), 0},
+		{"all at once", atOnce(1), 0.01},
+		{"one again and again", func(s *simulation) {
+			for i := range 4 {
+				s.after(time.Duration(i)*4*time.Second, func() { s.crash(s.engines[0]) })
+			}
+		}, 0},
+	} {
+		for seed := range uint64(10) {
+			t.Run(fmt.Sprint(test.name, seed), func(t *testing.T) {
+				s := newSimulation(seed, 8, 12)
+				for i := range 3 {
+					s.after(time.Duration(5+20*i)*time.Second, func() { test.crash(s) })
+				}
+				s.run(time.Minute)
+				t.Logf("refused: %v", s.refused)
+				require.Zero(t, s.refused[simShared])
+				require.LessOrEqual(t, float64(s.refused[simDocument])/float64(s.offeredTotal()), test.maxRefused)
+			})
+		}
+	}
+}
+
+// Guards against a part that stays allowed at nodes that lose half of all reports.
+func TestLostReports(t *testing.T) {
+	for seed := range uint64(5) {
+		s := newSimulation(seed, 8, 12)
+		s.deadlyShare, s.loss = 0.3, 0.5
+		s.run(s.deadlyFrom + time.Minute)
+		require.LessOrEqual(t, s.lateSends(), maxLateSends)
+		require.Greater(t, s.servedShare(s.deadlyFrom+8*time.Second, s.deadlyFrom+57*time.Second), 0.95)
+	}
+}
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -15,11 +15,13 @@
 	// sameOccasion is the time within which crashes of several instances count as one occasion. It also leaves other
 	// nodes the time to report an answer that followed the first crash.
 	sameOccasion = 400 * time.Millisecond
-	// blockOccasions is the number of occasions without an answer at which a part is blocked.
-	blockOccasions = 2
-	// firstBlock is the length of a block after two crashes; each further one up to manyCrashes makes it blockGrowth
+	// minCrashes and minOccasions are the numbers of crashes without an answer, and of occasions of such crashes, from which
+	// a part is unanswered. A sound prompt that is repeated after a crash is often in progress at a second one.
+	minCrashes   = 3
+	minOccasions = 2
+	// firstBlock is the length of a block after minCrashes crashes; each further one up to manyCrashes makes it blockGrowth
 	// times as long.
-	firstBlock  = 10 * time.Second
+	firstBlock  = time.Minute
 	blockGrowth = 6
 	// manyCrashes is the number of crashes from which a part almost certainly causes them. The block lasts manyBlock
 	// then, and twice as long after each further crash, up to maxBlock.
@@ -121,15 +123,16 @@
 
 func (s *suspect) last() time.Time { return s.crashes[len(s.crashes)-1].at }
 
-// isUnanswered reports whether the part had crashes on enough occasions since the last answer.
+// isUnanswered reports whether the part had enough crashes, on enough occasions, since the last answer.
 func (s *suspect) isUnanswered() bool {
+	crashes := s.open()
 	occasions, start := 0, time.Time{}
-	for _, c := range s.open() {
+	for _, c := range crashes {
 		if occasions == 0 || c.at.Sub(start) >= sameOccasion {
 			occasions, start = occasions+1, c.at
 		}
 	}
-	return occasions >= blockOccasions
+	return len(crashes) >= minCrashes && occasions >= minOccasions
 }
 
 // explains reports whether every crash of another part since its last answer is also one of this part.
@@ -145,7 +148,7 @@
 	if crashes >= manyCrashes {
 		return min(maxBlock, manyBlock<<(crashes-manyCrashes))
 	}
-	return firstBlock * time.Duration(math.Pow(blockGrowth, float64(crashes-2)))
+	return firstBlock * time.Duration(math.Pow(blockGrowth, float64(crashes-minCrashes)))
 }
 
 // spread returns the time over which the nodes try the part again.
