gateway, node: refuse requests that a stopping node cannot finish

Callers lost answers that a node had taken more than 3 s after SIGTERM and cut at the end of its stop.

Cause: nothing related the time that a request may last to the time that the stop has left.

From 0.2 s before the end of the balancer's delay a request whose time ends after the stop gets 503 with a short Retry-After: it has not run, and other nodes can take it. Shorter requests are still served.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -134,6 +134,8 @@
 	started time.Time
 	// closing is set once answers must close the callers' connections.
 	closing atomic.Bool
+	// finishBy is when a stop cuts requests in progress, in Unix ns; 0 until requests must end by then.
+	finishBy atomic.Int64
 	// queueLimits tracks how much queue capacity must stay free for prompts of other sizes and routes.
 	queueLimits *placement.QueueLimitEstimator
 	// active counts requests in progress.
@@ -167,9 +169,6 @@
 	}}
 }
 
-// BeginClosing makes each answer close the caller's connection.
-func (g *Gateway) BeginClosing() { g.closing.Store(true) }
-
 // Active returns the number of requests in progress.
 func (g *Gateway) Active() int { return int(g.active.Load()) }
 
@@ -264,6 +263,9 @@
 	if err := c.readBody(); err != nil {
 		return err
 	}
+	if err := c.checkStop(); err != nil {
+		return err
+	}
 	c.awaitStores()
 	ctx, cancel := context.WithDeadlineCause(c.request.Context(), c.answerBy, errNoTimeLeft)
 	defer cancel()
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -44,3 +44,17 @@
 	}
 	require.Zero(t, lost, "requests without an answer, of %d", rounds*callers)
 }
+
+// Guards against taking a request late in a stop, sending it to an instance, and cutting its answer at the end of the stop.
+func TestStoppingNodeRefusesWhatItCannotFinish(t *testing.T) {
+	s := newSystem(t, good)
+	s.gateway.FinishBy(time.Now().Add(time.Second))
+	status, body, err := s.call("POST", "/once/", "")
+	require.NoError(t, err)
+	require.Equal(t, 503, status)
+	require.Contains(t, body, `"execution":"not_run"`)
+	require.Empty(t, s.startedRuns())
+	status, _, err = s.call("POST", "/once/", "", func(r *http.Request) { r.Header.Set("Deadline", "500") })
+	require.NoError(t, err)
+	require.Equal(t, 200, status)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -230,6 +230,9 @@
 	// balancerDelay is the time after which the load balancer sends no more callers to the node: it needs two failed
 	// health checks, and the delay allows for a third.
 	balancerDelay = 3 * time.Second
+	// refusalLead is the time before the end of balancerDelay from which requests are refused that may last beyond the stop. The
+	// platform counts balancerDelay from the moment at which it sends the signal.
+	refusalLead = 200 * time.Millisecond
 	// stopMargin is the time between the end of the last requests and the kill at the end of Grace.
 	stopMargin = 400 * time.Millisecond
 	drainPoll  = 20 * time.Millisecond
@@ -243,9 +246,12 @@
 	n.gateway.BeginClosing()
 	n.log.Info("stopping", zap.Int("active", n.gateway.Active()))
 	n.group.TransferLeadership()
-	timer := time.NewTimer(balancerDelay)
+	timer := time.NewTimer(balancerDelay - refusalLead)
 	defer timer.Stop()
 	<-timer.C
+	n.gateway.FinishBy(deadline)
+	timer.Reset(refusalLead)
+	<-timer.C
 	if err := n.server.StopAccepting(front); err != nil {
 		n.log.Warn("closing the listener for callers failed", zap.Error(err))
 	}
