quarantine: keep the evidence of many crashes, and old answers old

Two faults that the simulation showed. Now each crash is cleared by itself, and times of answers are compared only at the node that saw them.

Parts that were in the crashes together are told apart by the last answer and the number of crashes; a part that this node saw answered just before an outage of its service is tried again after five seconds.

--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -13,6 +14,9 @@
 const (
 	// maxSentCrashes limits the crashes in one message, which then has at most about 2 kB.
 	maxSentCrashes = 128
+	// maxSentAtEnds limits the oldest and the newest crashes that are sent of one part. They tell its occasions and the
+	// end of its block.
+	maxSentAtEnds = 12
 	// sendPeriod is how long a part that is not blocked is sent after its last change. It covers lost datagrams and a
 	// change of the relay.
 	sendPeriod = 3 * time.Second
@@ -31,43 +35,47 @@
 	return l.own, l.all
 }
 
-// Suspects returns the state for other nodes: unanswered parts and those that changed within sendPeriod, the most suspected
-// ones first. It returns nil if there is nothing to tell.
+// Suspects returns the state for other nodes: unanswered parts and those that changed within sendPeriod, the most
+// suspected ones first. It returns nil if there is nothing to tell.
 func (l *List) Suspects(now time.Time) []*nodepb.SuspectPart {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var parts []uint64
-	for part, s := range l.suspects {
-		if s.isUnanswered() || now.Sub(s.changedAt) < sendPeriod {
-			parts = append(parts, part)
-		}
-	}
-	slices.SortFunc(parts, l.compare)
 	var out []*nodepb.SuspectPart
 	crashes := 0
-	for _, part := range parts {
-		encoded := l.suspects[part].encode(part, now)
-		if crashes += len(encoded.GetInstances()); crashes > maxSentCrashes {
-			break
+	for _, part := range slices.SortedFunc(maps.Keys(l.suspects), l.compare) {
+		for _, encoded := range l.suspects[part].encode(part, now) {
+			if crashes += len(encoded.GetInstances()); crashes > maxSentCrashes {
+				return out
+			}
+			out = append(out, encoded)
 		}
-		out = append(out, encoded)
 	}
 	return out
 }
 
-// encode encodes the crashes since the last answer and the newest cleared one.
-func (s *suspect) encode(part uint64, now time.Time) *nodepb.SuspectPart {
-	crashes := s.open()
-	out := &nodepb.SuspectPart{Part: part}
-	if cleared := len(s.crashes) - len(crashes); cleared > 0 {
-		crashes = s.crashes[cleared-1:]
-		out.AnsweredMs = encodeAge(now.Sub(crashes[0].at)) + 1
+// encode encodes what other nodes are told of a part, cleared crashes and the others separately.
+func (s *suspect) encode(part uint64, now time.Time) (out []*nodepb.SuspectPart) {
+	if s.isUnanswered() || now.Sub(s.changedAt) < sendPeriod {
+		crashes := s.open()
+		if len(crashes) > 2*maxSentAtEnds {
+			crashes = slices.Concat(crashes[:maxSentAtEnds], crashes[len(crashes)-maxSentAtEnds:])
+		}
+		out = appendEncoded(out, &nodepb.SuspectPart{Part: part}, crashes, now)
+	}
+	cleared := lo.Filter(s.crashes, func(c crash, _ int) bool { return c.cleared && now.Before(c.tellUntil) })
+	cleared = cleared[max(0, len(cleared)-maxSentAtEnds):]
+	return appendEncoded(out, &nodepb.SuspectPart{Part: part, AnsweredMs: 1}, cleared, now)
+}
+
+func appendEncoded(out []*nodepb.SuspectPart, encoded *nodepb.SuspectPart, crashes []crash, now time.Time) []*nodepb.SuspectPart {
+	if len(crashes) == 0 {
+		return out
 	}
 	for _, c := range crashes {
-		out.Instances = append(out.Instances, c.instance)
-		out.AgesMs = append(out.AgesMs, encodeAge(now.Sub(c.at)))
+		encoded.Instances = append(encoded.Instances, c.instance)
+		encoded.AgesMs = append(encoded.AgesMs, encodeAge(now.Sub(c.at)))
 	}
-	return out
+	return append(out, encoded)
 }
 
 func encodeAge(age time.Duration) uint32 {
@@ -84,14 +92,14 @@
 	if l.isResuming(now) {
 		return nil
 	}
-	for _, encoded := range suspects[:min(len(suspects), maxSuspects)] {
+	for _, encoded := range suspects[:min(len(suspects), 2*maxSuspects)] {
 		crashes := decode(encoded, now)
 		if len(crashes) == 0 {
 			continue
 		}
 		s := l.suspect(encoded.GetPart())
 		l.merge(s, crashes, now)
-		if s.clear(l.lastAnswer(encoded.GetPart())) {
+		if l.applyAnswers(encoded.GetPart(), s, now) {
 			s.changedAt = now
 			l.changedHere()
 		}
@@ -103,21 +111,17 @@
 // merge adds received crashes. The caller holds the lock.
 func (l *List) merge(s *suspect, crashes []crash, now time.Time) {
 	for _, c := range crashes {
-		if s.add(c) {
+		if s.add(c, now) {
 			s.changedAt = now
 			l.all++
 		}
 	}
-	// A node that does not know of an answer, because it was paused or cut off, is told of it.
-	if lo.CountBy(crashes, func(c crash) bool { return !c.cleared }) > len(s.open()) {
-		s.changedAt = now
-	}
 }
 
 // decode returns the crashes of a received part; nil if its lists don't match.
 func decode(encoded *nodepb.SuspectPart, now time.Time) []crash {
 	instances, ages, answered := encoded.GetInstances(), encoded.GetAgesMs(), encoded.GetAnsweredMs()
-	if len(instances) != len(ages) || len(instances) > 2*maxCrashes {
+	if len(instances) != len(ages) || len(instances) > maxCrashes {
 		return nil
 	}
 	var out []crash
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -9,10 +9,10 @@
 // A block lasts longer with each crash. At its end the part is tried again, at one node after the other in an order that
 // differs from part to part, and with one prompt at a time: an answer ends the block, a crash prolongs it.
 //
-// Nodes exchange crashes and answers. A crash is identified by its part and instance and by its time, up to the tolerance
-// sameCrash; merging keeps the union of the crashes. Clocks of nodes differ, so ages are sent. An answer is sent as the
-// newest crash that it clears and not as a time of its own: the delay of each transfer makes a time later, and the
-// latest of several times would move on for as long as nodes exchange it.
+// Nodes exchange crashes and which of them are cleared. A crash is identified by its part and instance and by its time, up
+// to the tolerance sameCrash; merging keeps the union of the crashes. Clocks of nodes differ, so ages are sent, and each
+// transfer makes a time a little later. A node therefore compares times of answers only with those of the crashes that
+// it knows, and tells others which crashes are cleared and not when the answer came.
 package quarantine
 
 import (
@@ -29,9 +29,8 @@
 )
 
 const (
-	// maxSuspects limits the parts with crashes, maxCrashes the crashes of each part.
+	// maxSuspects limits the parts with crashes.
 	maxSuspects = 64
-	maxCrashes  = 16
 	// maxAnswers limits each of the two generations of recent answers of this node.
 	maxAnswers = 4096
 	// answerPeriod is the time after which the older generation of answers is dropped.
@@ -85,7 +84,7 @@
 }
 
 // RecordCrash records that an instance crashed while sends with prompts that have these parts were in progress there
-// without an answer. It returns the newly blocked parts.
+// without an answer. The time may be in the past. It returns the newly blocked parts.
 func (l *List) RecordCrash(instance string, parts []uint64, now time.Time) []uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -95,10 +94,11 @@
 	key := uint32(xxhash.Sum64String(instance))
 	for _, part := range lo.Uniq(parts) {
 		s := l.suspect(part)
-		if s.add(crash{instance: key, at: now}) {
+		if s.add(crash{instance: key, at: now}, now) {
 			s.changedAt = now
 			l.changedHere()
 		}
+		l.applyAnswers(part, s, now)
 	}
 	l.evict()
 	return l.newlyBlocked()
@@ -119,7 +119,7 @@
 		if now.After(l.answers[part]) {
 			l.answers[part] = now
 		}
-		if s := l.suspects[part]; s != nil && s.clear(now) {
+		if s := l.suspects[part]; s != nil && s.clear(now, now) {
 			s.changedAt = now
 			l.changedHere()
 		}
@@ -152,21 +152,32 @@
 }
 
 // isBlocked reports whether a part is blocked: whether it is unanswered and no other such part accounts for all its
-// crashes. The other part must have more crashes, or have been answered less recently at this node; so the part that
-// all prompts of a route begin with is not blocked for a deadly one that came with it. The caller holds the lock.
+// crashes. The caller holds the lock.
 func (l *List) isBlocked(part uint64, s *suspect) bool {
 	if !s.isUnanswered() {
 		return false
 	}
 	for other, cause := range l.suspects {
-		if other != part && cause.isUnanswered() && cause.explains(s) &&
-			(len(cause.open()) > len(s.open()) || l.lastAnswer(part).After(l.lastAnswer(other))) {
+		if other != part && cause.isUnanswered() && cause.explains(s) && l.isLikelier(other, part) {
 			return false
 		}
 	}
 	return true
 }
 
+// isLikelier reports whether one unanswered part is more likely than another one to be the cause of crashes that both
+// had: it has half as many crashes at least, and this node saw it answered less recently; or it has more, and neither was
+// answered. So the part that all prompts of a route begin with is not blocked for a deadly one that came with it, nor the
+// deadly one for a document that came with it a few times. The caller holds the lock.
+func (l *List) isLikelier(part, other uint64) bool {
+	crashes, otherCrashes := len(l.suspects[part].open()), len(l.suspects[other].open())
+	answer, otherAnswer := l.lastAnswer(part), l.lastAnswer(other)
+	if answer.IsZero() && otherAnswer.IsZero() {
+		return crashes > otherCrashes
+	}
+	return answer.Before(otherAnswer) && 2*crashes >= otherCrashes
+}
+
 // newlyBlocked returns the parts that were not blocked before. The caller holds the lock.
 func (l *List) newlyBlocked() (blocked []uint64) {
 	for part, s := range l.suspects {
@@ -209,6 +220,16 @@
 	return l.olderAnswers[part]
 }
 
+// applyAnswers applies this node's answers to new crashes of a part. The caller holds the lock.
+func (l *List) applyAnswers(part uint64, s *suspect, now time.Time) (changed bool) {
+	at := l.lastAnswer(part)
+	changed = s.clear(at, now)
+	if open := s.open(); len(open) > 0 && open[0].at.Sub(at) <= recentAnswer {
+		s.answeredBefore = true
+	}
+	return changed
+}
+
 // evict removes suspects beyond the limit: those with the fewest crashes since the last answer first, and of these the
 // one with the oldest crash. The caller holds the lock.
 func (l *List) evict() {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -72,6 +72,12 @@
 				answered(3*time.Second, testRare),
 			},
 		},
+		"crashes that are found out after an answer": {
+			steps: []step{
+				answered(3*time.Second, testRare), crashed(0, "a", testRare), crashed(time.Second, "b", testRare),
+				crashed(2*time.Second, "c", testRare),
+			},
+		},
 		"engines that crash together": {
 			steps: []step{crashed(0, "a", testRare), crashed(50*time.Millisecond, "b", testRare), crashed(300*time.Millisecond, "c", testRare)},
 		},
@@ -155,6 +161,25 @@
 	}
 }
 
+// Guards against a block that ends early because many crashes are known, or because all of them were at one time.
+func TestManyCrashes(t *testing.T) {
+	l, now := New("node"), time.Unix(1_000_000, 0)
+	for i := range 5 * maxCrashes {
+		l.RecordCrash(fmt.Sprint("engine-", i), []uint64{testDeadly}, now.Add(time.Duration(i)*10*time.Millisecond))
+	}
+	now = now.Add(time.Minute)
+	for i := range 2 * maxCrashes {
+		verdict, ok := l.Check([]uint64{testDeadly}, now)
+		require.False(t, ok)
+		require.GreaterOrEqual(t, verdict.RetryAfter, manyBlock-time.Minute)
+		require.LessOrEqual(t, verdict.RetryAfter, 2*maxBlock)
+		now = now.Add(verdict.RetryAfter)
+		_, ok = l.Check([]uint64{testDeadly}, now)
+		require.True(t, ok)
+		l.RecordCrash(fmt.Sprint("later-", i), []uint64{testDeadly}, now)
+	}
+}
+
 // Guards against a trial that blocks the part for good because its caller left, and against one that is used up by a
 // prompt that is refused for another part.
 func TestTrialWithoutOutcome(t *testing.T) {
--- a/quarantine/scenarios_test.go
+++ b/quarantine/scenarios_test.go
@@ -16,23 +16,26 @@
 // are refused for it.
 func TestPartThatCrashesEngines(t *testing.T) {
 	for _, test := range []struct {
-		share  float64
-		nodes  int
-		length time.Duration
+		share          float64
+		nodes, engines int
+		rate           float64
+		length         time.Duration
 	}{
-		{0.05, 4, time.Minute},
-		{0.05, 28, time.Minute},
-		{0.1, 12, time.Minute},
-		{0.3, 4, time.Minute},
-		{0.3, 28, time.Minute},
-		{0.9, 12, time.Minute},
-		{0.05, 12, 5 * time.Minute},
-		{0.3, 12, 5 * time.Minute},
+		{0.05, 4, 12, simRequestRate, time.Minute},
+		{0.05, 28, 12, simRequestRate, time.Minute},
+		{0.1, 12, 12, simRequestRate, time.Minute},
+		{0.3, 4, 12, simRequestRate, time.Minute},
+		{0.3, 28, 12, simRequestRate, time.Minute},
+		{0.9, 12, 12, simRequestRate, time.Minute},
+		{0.05, 12, 12, simRequestRate, 5 * time.Minute},
+		{0.3, 12, 12, simRequestRate, 5 * time.Minute},
+		{0.05, 12, 100, 325, 20 * time.Second},
+		{0.3, 12, 100, 325, 20 * time.Second},
 	} {
 		for seed := range uint64(3) {
 			t.Run(fmt.Sprint(test, seed), func(t *testing.T) {
-				s := newSimulation(seed, test.nodes, 12)
-				s.deadlyShare = test.share
+				s := newSimulation(seed, test.nodes, test.engines)
+				s.deadlyShare, s.rate = test.share, test.rate
 				s.run(s.deadlyFrom + test.length)
 				t.Logf("%d crashes, %d late sends, refused: %v", len(s.deadlyCrashes), s.lateSends(), s.refused)
 				require.LessOrEqual(t, s.lateSends(), maxLateSends)
@@ -149,3 +152,19 @@
 		require.Greater(t, s.servedShare(s.deadlyFrom+8*time.Second, s.deadlyFrom+57*time.Second), 0.95)
 	}
 }
+
+// Guards against a part that is sent on because it was sound before: the most popular document turns deadly.
+func TestSoundPartTurnsDeadly(t *testing.T) {
+	for _, share := range []float64{0.05, 0.3, 0.6} {
+		for seed := range uint64(10) {
+			t.Run(fmt.Sprint(share, seed), func(t *testing.T) {
+				s := newSimulation(seed, 8, 12)
+				s.deadlyShare, s.turned = share, true
+				s.run(s.deadlyFrom + 40*time.Second)
+				t.Logf("%d crashes, %d late sends, refused: %v", len(s.deadlyCrashes), s.lateSends(), s.refused)
+				require.LessOrEqual(t, s.lateSends(), maxLateSends)
+				require.Greater(t, s.servedShare(s.deadlyFrom+8*time.Second, s.deadlyFrom+37*time.Second), 0.95)
+			})
+		}
+	}
+}
--- a/quarantine/sim_test.go
+++ b/quarantine/sim_test.go
@@ -102,8 +102,11 @@
 	// deadlyFrom is when requests with the deadly part begin, deadlyShare their share.
 	deadlyFrom  time.Duration
 	deadlyShare float64
-	documents   int
-	loss        float64
+	// turned is set if the deadly part is the most popular document until deadlyFrom.
+	turned    bool
+	documents int
+	rate      float64
+	loss      float64
 
 	// deadlyCrashes are the times of crashes by the deadly part, deadlySends of its sends to engines.
 	deadlyCrashes []time.Duration
@@ -117,7 +120,7 @@
 
 func newSimulation(seed uint64, nodes, engines int) *simulation {
 	s := &simulation{
-		random: rand.New(rand.NewPCG(seed, 1)), epoch: time.Unix(1_000_000, 0), documents: 400, deadlyFrom: 4 * time.Second, loss: 0.05,
+		random: rand.New(rand.NewPCG(seed, 1)), epoch: time.Unix(1_000_000, 0), documents: 400, rate: simRequestRate, deadlyFrom: 4 * time.Second, loss: 0.05,
 		offered: map[int]int{}, served: map[int]int{}, refused: map[string]int{},
 	}
 	for i := range nodes {
@@ -210,7 +213,7 @@
 
 // arrive lets one request come to a random node.
 func (s *simulation) arrive() {
-	s.after(time.Duration(s.random.ExpFloat64()/simRequestRate*float64(time.Second)), s.arrive)
+	s.after(time.Duration(s.random.ExpFloat64()/s.rate*float64(time.Second)), s.arrive)
 	node := s.nodes[s.random.IntN(len(s.nodes))]
 	if node.paused || node.starting {
 		return
@@ -218,10 +221,11 @@
 	r := &simRequest{node: node, sentAt: s.now, deadly: s.now > s.deadlyFrom && s.random.Float64() < s.deadlyShare}
 	// Squaring makes some documents popular and most of them rare.
 	share := s.random.Float64()
-	document := fmt.Sprint("document-", int(share*share*float64(s.documents)))
-	if r.deadly {
+	document := fmt.Sprint(simDocument, "-", int(share*share*float64(s.documents)))
+	if r.deadly || s.turned && s.now < s.deadlyFrom && document == simDocument+"-0" {
 		document = simDeadly
-	} else {
+	}
+	if !r.deadly {
 		s.offered[int(s.now/time.Second)]++
 	}
 	r.parts = []uint64{Hash(simShared), Hash(document)}
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 )
 
 const (
@@ -19,6 +20,8 @@
 	// a part is unanswered. A sound prompt that is repeated after a crash is often in progress at a second one.
 	minCrashes   = 3
 	minOccasions = 2
+	// maxCrashes limits the crashes of a part since its last answer, and its cleared ones.
+	maxCrashes = 128
 	// firstBlock is the length of a block after minCrashes crashes; each further one up to manyCrashes makes it blockGrowth
 	// times as long.
 	firstBlock  = time.Minute
@@ -28,6 +31,14 @@
 	manyCrashes = 5
 	manyBlock   = 15 * time.Minute
 	maxBlock    = 12 * time.Hour
+	// maxDoublings is the number of doublings from manyBlock to maxBlock.
+	maxDoublings = 6
+	// burst is the longest time in which all instances of a service lose power, and burstBlock the length of a block for a
+	// part whose crashes all lie within it and which this node saw answered within recentAnswer before. Without it, an
+	// outage of a service would block what its prompts have in common, and nobody would see it answered.
+	burst        = 3 * time.Second
+	burstBlock   = 5 * time.Second
+	recentAnswer = 2 * time.Second
 	// minSpread is the shortest time over which nodes try a part again, one after the other. A node's trial takes a
 	// second or two, and its news a few tenths of a second.
 	minSpread = 30 * time.Second
@@ -41,64 +52,86 @@
 type crash struct {
 	instance uint32
 	at       time.Time
-	// cleared is set after an answer to a later prompt with the part.
-	cleared bool
+	// cleared is set after an answer to a later prompt with the part. Other nodes are told of it until tellUntil.
+	cleared   bool
+	tellUntil time.Time
 }
 
 func (c crash) isSame(other crash) bool {
 	return c.instance == other.instance && c.at.Sub(other.at).Abs() <= sameCrash
 }
 
+func (c crash) isNear(other crash) bool { return c.at.Sub(other.at).Abs() <= sameOccasion }
+
 // suspect is a part with crashes.
 type suspect struct {
-	// crashes are ordered by time; those before a cleared one are cleared as well.
+	// crashes are ordered by time. Cleared ones are kept, so that nodes that don't know of the answer yet don't bring them
+	// back.
 	crashes []crash
 	// blocked is set once the part was returned as newly blocked.
-	blocked    bool
-	trialUntil time.Time
-	// changedAt is when a crash or an answer was last recorded, or found to be unknown to another node.
+	blocked bool
+	// answeredBefore is set if this node had seen an answer within recentAnswer before the crashes.
+	answeredBefore bool
+	trialUntil     time.Time
+	// changedAt is when a crash or an answer was last recorded.
 	changedAt time.Time
 }
 
 // add adds a crash and reports whether it changes which crashes are known or cleared.
-func (s *suspect) add(c crash) bool {
-	changed := false
+func (s *suspect) add(c crash, now time.Time) (changed bool) {
 	i := slices.IndexFunc(s.crashes, c.isSame)
 	switch {
 	case i >= 0:
 		known := &s.crashes[i]
-		changed = c.cleared && !known.cleared
-		known.cleared = known.cleared || c.cleared
 		if c.at.Before(known.at) {
 			known.at = c.at
 		}
-	case len(s.crashes) >= maxCrashes && !c.at.After(s.crashes[0].at):
-		return false
+		if c.cleared != known.cleared {
+			changed = c.cleared
+			known.cleared, known.tellUntil = true, now.Add(sendPeriod)
+		}
+	case c.cleared:
+		c.tellUntil = now.Add(sendPeriod)
+		s.crashes, changed = append(s.crashes, c), true
 	default:
-		s.crashes = append(s.crashes, c)
-		changed = true
+		changed = s.addOpen(c)
 	}
 	slices.SortFunc(s.crashes, func(a, b crash) int { return a.at.Compare(b.at) })
-	s.crashes = s.crashes[max(0, len(s.crashes)-maxCrashes):]
-	s.clear(s.newestCleared())
+	s.limitCleared()
+	s.endBlock()
 	return changed
 }
 
-// newestCleared returns the time of the newest cleared crash, or the zero time.
-func (s *suspect) newestCleared() (at time.Time) {
-	for _, c := range s.crashes {
-		if c.cleared {
-			at = c.at
+// addOpen adds a crash that is not cleared.
+func (s *suspect) addOpen(c crash) (added bool) {
+	if open := s.open(); len(open) >= maxCrashes {
+		newest := open[len(open)-1]
+		// The newest crash tells when the block ends. One that was left out before may come again from another node,
+		// with the delay of the transfer.
+		if c.at.Sub(newest.at) <= sameCrash {
+			return false
 		}
+		s.crashes = slices.DeleteFunc(s.crashes, newest.isSame)
 	}
-	return at
+	s.crashes = append(s.crashes, c)
+	return true
+}
+
+// limitCleared removes the oldest cleared crashes beyond the limit.
+func (s *suspect) limitCleared() {
+	excess := len(s.crashes) - len(s.open()) - maxCrashes
+	s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool {
+		excess--
+		return c.cleared && excess >= 0
+	})
 }
 
-// clear clears the crashes up to the time of an answer.
-func (s *suspect) clear(answered time.Time) (changed bool) {
+// clear clears the crashes up to the time of an answer. Transfers make the times of crashes later and never earlier, so
+// it clears none that followed the answer.
+func (s *suspect) clear(answered, now time.Time) (changed bool) {
 	for i, c := range s.crashes {
 		if !c.cleared && !c.at.After(answered) {
-			s.crashes[i].cleared, changed = true, true
+			s.crashes[i].cleared, s.crashes[i].tellUntil, changed = true, now.Add(sendPeriod), true
 		}
 	}
 	s.endBlock()
@@ -112,16 +145,22 @@
 	}
 }
 
-// open returns the crashes since the last answer.
+// open returns the crashes that are not cleared.
 func (s *suspect) open() []crash {
-	i := slices.IndexFunc(s.crashes, func(c crash) bool { return !c.cleared })
-	if i < 0 {
-		return nil
+	if i := slices.IndexFunc(s.crashes, func(c crash) bool { return c.cleared }); i < 0 {
+		return s.crashes
 	}
-	return s.crashes[i:]
+	return lo.Filter(s.crashes, func(c crash, _ int) bool { return !c.cleared })
 }
 
-func (s *suspect) last() time.Time { return s.crashes[len(s.crashes)-1].at }
+// last returns the time of the last crash that is not cleared, or of the last one if all are.
+func (s *suspect) last() time.Time {
+	crashes := s.open()
+	if len(crashes) == 0 {
+		crashes = s.crashes
+	}
+	return crashes[len(crashes)-1].at
+}
 
 // isUnanswered reports whether the part had enough crashes, on enough occasions, since the last answer.
 func (s *suspect) isUnanswered() bool {
@@ -135,18 +174,19 @@
 	return len(crashes) >= minCrashes && occasions >= minOccasions
 }
 
-// explains reports whether every crash of another part since its last answer is also one of this part.
+// explains reports whether each crash of another part since its last answer was at about the time of one of this part.
+// Not all crashes of a part are kept, so times are compared and not instances.
 func (s *suspect) explains(other *suspect) bool {
 	crashes := s.open()
 	return !slices.ContainsFunc(other.open(), func(c crash) bool {
-		return !slices.ContainsFunc(crashes, c.isSame)
+		return !slices.ContainsFunc(crashes, c.isNear)
 	})
 }
 
 // blockTime returns the length of a block after a number of crashes.
 func blockTime(crashes int) time.Duration {
 	if crashes >= manyCrashes {
-		return min(maxBlock, manyBlock<<(crashes-manyCrashes))
+		return min(maxBlock, manyBlock<<min(crashes-manyCrashes, maxDoublings))
 	}
 	return firstBlock * time.Duration(math.Pow(blockGrowth, float64(crashes-minCrashes)))
 }
@@ -154,9 +194,18 @@
 // spread returns the time over which the nodes try the part again.
 func spread(block time.Duration) time.Duration { return max(minSpread, block) }
 
+// blockTime returns the length of the block.
+func (s *suspect) blockTime() time.Duration {
+	crashes := s.open()
+	if s.answeredBefore && s.last().Sub(crashes[0].at) <= burst {
+		return burstBlock
+	}
+	return blockTime(len(crashes))
+}
+
 // heldUntil returns when a node may try a blocked part.
 func (s *suspect) heldUntil(node string, part uint64) time.Time {
-	block := blockTime(len(s.open()))
+	block := s.blockTime()
 	rank := float64(xxhash.Sum64String(node+" "+strconv.FormatUint(part, 16))) / (1 << 64)
 	at := s.last().Add(block + time.Duration(rank*float64(spread(block))))
 	if s.trialUntil.After(at) {
@@ -171,6 +220,6 @@
 	if !s.isUnanswered() {
 		return s.last().Add(suspicion)
 	}
-	block := blockTime(len(s.open()))
+	block := s.blockTime()
 	return s.last().Add(block + spread(block) + max(suspicion, block))
 }
