quarantine: a part explains another one only with nearly as many crashes

A document that turned deadly reached engines 6 times later than 3 s after the fifth crash in one of 30 runs of TestSoundPartTurnsDeadly: another document with 6 of its 12 crashes, at about the times of all of them, was taken for the cause. The cause must have three quarters of the crashes now.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -166,7 +166,7 @@
 }
 
 // isLikelier reports whether one unanswered part is more likely than another one to be the cause of crashes that both
-// had: it has half as many crashes at least, and this node saw it answered less recently; or it has more, and neither was
+// had: it has nearly as many crashes, and this node saw it answered less recently; or it has more, and neither was
 // answered. So the part that all prompts of a route begin with is not blocked for a deadly one that came with it, nor the
 // deadly one for a document that came with it a few times. The caller holds the lock.
 func (l *List) isLikelier(part, other uint64) bool {
@@ -175,7 +175,7 @@
 	if answer.IsZero() && otherAnswer.IsZero() {
 		return crashes > otherCrashes
 	}
-	return answer.Before(otherAnswer) && 2*crashes >= otherCrashes
+	return answer.Before(otherAnswer) && 4*crashes >= 3*otherCrashes
 }
 
 // newlyBlocked returns the parts that were not blocked before. The caller holds the lock.
