gateway: tests of crashes follow the list's limit of three crashes

Package quarantine blocks a part at three crashes instead of two. The tests take the number from one constant; what they check is unchanged.

--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -40,6 +40,8 @@
 
 const (
 	deadlyPart = "deadly"
+	// blockingCrashes is the number of crashes after which package quarantine blocks a part.
+	blockingCrashes = 3
 	// nextOccasion is longer than the time within which several crashes count as one.
 	nextOccasion = 500 * time.Millisecond
 )
@@ -165,7 +167,7 @@
 	ticker := time.NewTicker(nextOccasion)
 	defer ticker.Stop()
 	var refusal string
-	for range 2 {
+	for range blockingCrashes {
 		status, body, err := s.prompt("/once/", "a", deadlyPart, "b")
 		require.NoError(t, err)
 		require.Equal(t, 502, status)
@@ -185,7 +187,7 @@
 	}
 	require.Contains(t, refusal, `"quarantined"`)
 	require.Contains(t, refusal, "not_run")
-	require.EqualValues(t, 2, s.crashes.Load(), "no further prompt with the part is sent")
+	require.EqualValues(t, blockingCrashes, s.crashes.Load(), "no further prompt with the part is sent")
 	require.EqualValues(t, 4, s.gateway.metrics.quarantined.Count())
 	for _, shared := range [][]string{{"a"}, {"a", "b"}, {"a", "c"}} {
 		status, body, err := s.prompt("/once/", shared...)
@@ -197,18 +199,20 @@
 // Guards against a repeat of a prompt at one instance after the other, and against a promise that such a prompt did not run.
 func TestQuarantinedPromptIsNotRepeated(t *testing.T) {
 	s := newCrashSystem(t, 6, good)
-	status, _, err := s.prompt("/once/", deadlyPart)
-	require.NoError(t, err)
-	require.Equal(t, 502, status)
 	ticker := time.NewTicker(nextOccasion)
 	defer ticker.Stop()
-	<-ticker.C
+	for range blockingCrashes - 1 {
+		status, _, err := s.prompt("/once/", deadlyPart)
+		require.NoError(t, err)
+		require.Equal(t, 502, status)
+		<-ticker.C
+	}
 	status, body, err := s.prompt("/safe/", deadlyPart)
 	require.NoError(t, err)
 	require.Equal(t, 502, status)
 	require.Contains(t, body, "quarantined")
 	require.Contains(t, body, "unknown")
-	require.EqualValues(t, 2, s.crashes.Load())
+	require.EqualValues(t, blockingCrashes, s.crashes.Load())
 }
 
 // Guards against blaming a part for connections that break at a sound instance.
@@ -289,7 +293,9 @@
 	d, list := s.gateway.crashes, s.gateway.options.Quarantine
 	instance := s.gateway.options.Directory.View().OfService("s")[0]
 	parts := []uint64{1}
-	list.RecordCrash("x", parts, time.Now().Add(-time.Second))
+	for i := range blockingCrashes - 1 {
+		list.RecordCrash(fmt.Sprint("other", i), parts, time.Now().Add(-time.Second))
+	}
 	first := d.begin(instance, "r1", parts)
 	first.recordAnswer(true)
 	d.mu.Lock()
@@ -297,7 +303,7 @@
 	d.expire(time.Now().Add(2 * crashPeriod))
 	d.mu.Unlock()
 	_, allowed := list.Check(parts, time.Now())
-	require.False(t, allowed, "two crashes, and an answer that the second one cut off")
+	require.False(t, allowed, "crashes, and an answer that the last one cut off")
 	second := d.begin(instance, "r2", parts)
 	second.recordAnswer(true)
 	d.mu.Lock()
