upstreamconn: never close a connection for an exchange that has ended

Callers of requests that must not run twice got 502 although their instance was working on them. A buffered answer returns its connection to the pool before it is written to the caller, but until that write ended, the request's time limit, a caller that left, and the timers for silent sends still closed the connection. By then another request could be using it.

The first call of Abort or Finish ends an exchange, and later ones do nothing.

--- a/upstreamconn/pool.go
+++ b/upstreamconn/pool.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -249,6 +250,9 @@
 	Response *http.Response
 	// skipped is set once an answer to another request was skipped.
 	skipped bool
+	// ended is set by the first call of Abort or Finish. A later one must not touch the connection, which may already carry
+	// another request.
+	ended atomic.Bool
 }
 
 // Send writes the request and reads the head of its answer. If the answer arrives before the body is written, writing
@@ -308,14 +312,18 @@
 	return nil
 }
 
-// AbortOn closes the connection when the context ends. The returned function cancels that and reports whether it was
+// AbortOn aborts the exchange when the context ends. The returned function cancels that and reports whether it was
 // called before the context ended.
 func (e *Exchange) AbortOn(ctx context.Context) (stop func() bool) {
-	return context.AfterFunc(ctx, e.conn.Close)
+	return context.AfterFunc(ctx, e.Abort)
 }
 
-// Abort closes the connection, which cancels the request at the upstream.
-func (e *Exchange) Abort() { e.conn.Close() }
+// Abort closes the connection, which cancels the request at the upstream. It does nothing after Finish.
+func (e *Exchange) Abort() {
+	if !e.ended.Swap(true) {
+		e.conn.Close()
+	}
+}
 
 // finishWriteTimeout is how long Finish waits after a complete answer until the rest of the request has been written.
 const finishWriteTimeout = 50 * time.Millisecond
@@ -323,6 +331,9 @@
 // Finish returns the connection to the pool if it can be reused and the request was written, otherwise it closes the
 // connection. The caller must have read the answer to its end.
 func (e *Exchange) Finish(promisedIdle time.Duration) {
+	if e.ended.Swap(true) {
+		return
+	}
 	if e.skipped || e.Response.Close || e.Response.ContentLength < 0 && len(e.Response.TransferEncoding) == 0 {
 		e.conn.Close()
 		return
