gateway: limit the time of a head of which up to three bytes have arrived

A caller that sent one to three bytes on a kept connection held the connection, and its place below the limit of connections, until the process ended. net/http begins the time limit of a further head after four bytes.

TestFirstBytesOfAHeadHaveATimeLimit before: no end within 5 s after "G", with limits of 200 ms. callerConn now begins the limit of a head with its first bytes; net/http replaces it once it has read four.

--- a/gateway/callerconn.go
+++ b/gateway/callerconn.go
@@ -178,6 +178,7 @@
 func (c *callerConn) Read(p []byte) (int, error) {
 	c.mu.Lock()
 	awaitsRequest := c.phase == phaseNew || c.phase == phaseIdle
+	wasIdle := c.phase == phaseIdle
 	c.waiting = awaitsRequest
 	c.mu.Unlock()
 	var n int
@@ -191,6 +192,10 @@
 		n, err = c.readArrived(p, err)
 	}
 	c.recordRead(n, err)
+	if wasIdle && n > 0 {
+		// net/http sets the deadline of a further head only after its first four bytes.
+		_ = c.SetReadDeadline(time.Now().Add(c.limited.limits.timeout))
+	}
 	return n, err
 }
 
