gateway: close unfinished heads at a stop only if a read waits and nothing has arrived

A stop closed new connections in whose head it was 300 ms later, without looking at the socket: a process without a processor for that long dropped heads whose rest had arrived. And it waited for unfinished heads on kept connections until the header timeout, or until the end of the grace period, which left no time for the requests of others and for the group; http.Server.Shutdown closed those at once.

Heads are read with callerConn.mu held like first bytes, so waiting and an empty socket prove that nothing has arrived. drain closes such connections once newConnGrace is over, new and kept ones alike.

--- a/gateway/callerconn.go
+++ b/gateway/callerconn.go
@@ -46,7 +46,7 @@
 	// idleLimit is the limit that was in force when the last idle phase began, and idleTimer ends that phase.
 	idleLimit time.Duration
 	idleTimer *time.Timer
-	// waiting is set while a read waits for the first byte of a request.
+	// waiting is set while a read waits for bytes of a head.
 	waiting bool
 	// handled is set once the handler got the first request.
 	handled bool
@@ -105,24 +105,18 @@
 	return limit, true
 }
 
-// closeIfSilent closes the connection of a stopping server if it waits for a request and no byte of one has arrived.
-func (c *callerConn) closeIfSilent() {
+// closeIfSilent closes the connection of a stopping server if it waits for a request and no byte has arrived. With inHead it also
+// closes one that waits for the rest of a head.
+func (c *callerConn) closeIfSilent(inHead bool) {
 	c.mu.Lock()
-	ended := (c.phase == phaseNew || c.phase == phaseIdle) && !c.ended && !c.closed && c.endIfSilent()
+	ended := (c.phase != phaseHead || inHead) && !c.ended && !c.closed && c.endIfSilent()
 	c.mu.Unlock()
 	if ended {
 		c.closeFor(closedAtStop, 0)
 	}
 }
 
-// isReadingHead reports whether a part of a head has been read.
-func (c *callerConn) isReadingHead() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.phase == phaseHead
-}
-
-// endIfSilent marks the connection as ended if no byte of a further request has arrived. No read returns bytes afterwards. The
+// endIfSilent marks the connection as ended if a read waits for bytes of a head and none has arrived. No read returns bytes afterwards. The
 // caller holds c.mu.
 func (c *callerConn) endIfSilent() bool {
 	if !c.waiting || c.hasInput() {
@@ -177,14 +171,14 @@
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
 	c.mu.Lock()
-	awaitsRequest := c.phase == phaseNew || c.phase == phaseIdle
+	inHead := c.phase != phaseRequest
 	wasIdle := c.phase == phaseIdle
-	c.waiting = awaitsRequest
+	c.waiting = inHead
 	c.mu.Unlock()
 	var n int
 	var err error
-	if awaitsRequest && c.raw != nil {
-		n, err = c.readFirst(p)
+	if inHead && c.raw != nil {
+		n, err = c.readHead(p)
 	} else {
 		n, err = c.Conn.Read(p)
 	}
@@ -199,9 +193,9 @@
 	return n, err
 }
 
-// readFirst reads the first bytes of a request. It takes them from the socket with c.mu held, so that the connection is
-// either closed before them or not closed for being idle.
-func (c *callerConn) readFirst(p []byte) (n int, err error) {
+// readHead reads bytes of a head. It takes them from the socket with c.mu held, so that the connection is either closed before
+// them or not closed for being silent.
+func (c *callerConn) readHead(p []byte) (n int, err error) {
 	var readErr error
 	err = c.raw.Read(func(fd uintptr) bool {
 		n, readErr = c.receive(fd, p)
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -199,20 +199,7 @@
 	}
 }
 
-// closeNewConns closes connections whose first request has not reached the handler, except those whose first bytes have arrived
-// but have not been read.
-func (s *Server) closeNewConns() {
-	s.mu.Lock()
-	conns := slices.Collect(maps.Keys(s.newConns))
-	s.mu.Unlock()
-	for _, conn := range conns {
-		if c, ok := conn.(*callerConn); ok && c.isReadingHead() || !ok {
-			_ = conn.Close()
-		}
-	}
-}
-
-// newConnGrace is how long a new connection has to send its first request during a shutdown.
+// newConnGrace is how long a new connection has to send its first request during a shutdown, and a kept one the rest of a head.
 const newConnGrace = 300 * time.Millisecond
 
 // Shutdown closes idle connections, waits for requests in progress until the context ends, and then closes all. It does not
@@ -221,10 +208,9 @@
 	s.mu.Lock()
 	s.stopped = true
 	s.mu.Unlock()
+	headsUntil := time.Now().Add(newConnGrace)
 	s.waitForNewConns(ctx)
-	// A connection that has not sent a whole head would hold the stop up until its header timeout.
-	s.closeNewConns()
-	if open := s.drain(ctx); open > 0 {
+	if open := s.drain(ctx, headsUntil); open > 0 {
 		s.Log.Warn("requests cut at the end of a stop", zap.Int("open", open), zap.Error(ctx.Err()))
 	}
 	s.mu.Lock()
@@ -240,13 +226,14 @@
 	maxDrainPoll = 50 * time.Millisecond
 )
 
-// drain closes connections once they wait for a request and none has arrived, until all are closed or the context ends. It returns
+// drain closes connections once they wait for a request and none has arrived, until all are closed or the context ends. From
+// headsUntil it also closes those that wait for the rest of a head, which would hold the stop up until the header timeout. It returns
 // the number of open connections.
-func (s *Server) drain(ctx context.Context) int {
+func (s *Server) drain(ctx context.Context, headsUntil time.Time) int {
 	for poll := minDrainPoll; ; poll = min(2*poll, maxDrainPoll) {
 		conns := s.openConns()
 		for _, c := range conns {
-			c.closeIfSilent()
+			c.closeIfSilent(!time.Now().Before(headsUntil))
 		}
 		if len(conns) == 0 || ctx.Err() != nil {
 			return len(conns)
