gateway: keep a silent send if the other instance withdrew while it was connected to

Callers lost a begun stream although its engine went on: the instance that was to take it over said that it leaves, or asked for a pause, while a connection to it was opened. The send was aborted nevertheless, the new instance was skipped before the send, and there was no other one.

TestSilentSendStaysIfTheOtherInstanceWithdrawsMeanwhile before: "unexpected EOF" in both cases. The mover now asks for it again after the connection is open and before it pays for the retry; only the moment between that and the send is left.

--- a/gateway/move.go
+++ b/gateway/move.go
@@ -43,13 +43,14 @@
 	return &mover{call: c, ctx: ctx, exclude: exclude}
 }
 
-// reserve prepares a move and reports whether the send may be aborted. isSilent is asked again once the connection is open.
+// reserve prepares a move and reports whether the send may be aborted. Once the connection is open, isSilent is asked again, and the
+// other instance must still take requests.
 func (m *mover) reserve(isSilent func() bool) bool {
 	if !m.begin() {
 		return false
 	}
 	target := m.connect()
-	if target != nil && (!isSilent() || !m.call.gateway.options.Budget.TakeRepeat(m.call.service.Name)) {
+	if target != nil && (!isSilent() || !m.call.takesRequests(target.chosen.instance) || !m.call.gateway.options.Budget.TakeRepeat(m.call.service.Name)) {
 		target.conn.Release(0)
 		target = nil
 	}
