upstreamconn: keep the idle time of a connection that was returned without use

A mover of silent sends takes a kept connection for its possible move and often returns it without use. Release then began its idle time anew, although at the upstream it went on. Movers take the connection that has been idle longest.

TestUnusedConnectionStaysAsOldAsItWas, with Release(0) in place of PutBack: the old connection was used for such a request. PutBack keeps the limits of the connection and its place in the list.

--- a/gateway/move.go
+++ b/gateway/move.go
@@ -51,7 +51,7 @@
 	}
 	target := m.connect()
 	if target != nil && (!isSilent() || !m.call.takesRequests(target.chosen.instance) || !m.call.gateway.options.Budget.TakeRepeat(m.call.service.Name)) {
-		target.conn.Release(0)
+		target.conn.PutBack()
 		target = nil
 	}
 	return m.finish(target)
@@ -74,7 +74,7 @@
 	defer m.mu.Unlock()
 	m.busy = false
 	if target != nil && m.ctx.Err() != nil {
-		target.conn.Release(0)
+		target.conn.PutBack()
 		return false
 	}
 	m.target = target
@@ -136,7 +136,7 @@
 // dropMove releases the connection of a move that is not made.
 func (c *call) dropMove() {
 	if target := c.takeMove(); target != nil {
-		target.conn.Release(0)
+		target.conn.PutBack()
 	}
 }
 
--- a/upstreamconn/pool.go
+++ b/upstreamconn/pool.go
@@ -220,10 +220,6 @@
 // Release returns the connection to the pool after a complete answer. It closes the connection if further bytes have arrived.
 // promised is the time for which the upstream promised to keep the idle connection, 0 if it did not promise any.
 func (c *Conn) Release(promised time.Duration) {
-	if c.isWornOut() || c.reader.Buffered() > 0 || readable(c.raw) {
-		c.Close()
-		return
-	}
 	fresh := c.pool.options.IdleLimit
 	long := fresh
 	if promised > 0 {
@@ -232,13 +228,36 @@
 	}
 	now := c.pool.options.Now()
 	c.freshUntil, c.keepUntil = now.Add(fresh), now.Add(long)
+	c.keep(false)
+}
+
+// PutBack returns a connection of Get to the pool on which no request was sent. At the upstream its idle time goes on.
+func (c *Conn) PutBack() {
+	if c.keepUntil.IsZero() {
+		c.Release(0)
+		return
+	}
+	c.keep(true)
+}
+
+// keep adds the connection to the idle ones, as the one that was idle longest or shortest.
+func (c *Conn) keep(longest bool) {
+	if c.isWornOut() || c.reader.Buffered() > 0 || readable(c.raw) {
+		c.Close()
+		return
+	}
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
-	if len(c.pool.idle[c.address]) >= c.pool.options.MaxIdle {
+	list := c.pool.idle[c.address]
+	if len(list) >= c.pool.options.MaxIdle {
 		go c.Close()
 		return
 	}
-	c.pool.idle[c.address] = append(c.pool.idle[c.address], c)
+	at := len(list)
+	if longest {
+		at = 0
+	}
+	c.pool.idle[c.address] = slices.Insert(list, at, c)
 }
 
 // Exchange is one request and its answer. Abort may be called from any goroutine.
--- a/upstreamconn/pool_test.go
+++ b/upstreamconn/pool_test.go
@@ -347,3 +347,28 @@
 		})
 	}
 }
+
+// Guards against a request that must not be sent twice on a connection that was idle for long: it had been taken for another
+// request and was returned without use, and the upstream may close it at any moment.
+func TestUnusedConnectionStaysAsOldAsItWas(t *testing.T) {
+	now := time.Now()
+	u := startUpstream(t, func(conn net.Conn, _ *bufio.Reader, _ int) bool { write(conn, okResponse); return true })
+	p := NewPool(Options{Now: func() time.Time { return now }})
+	get := func(repeatable bool) *Conn {
+		conn, err := p.Get(context.Background(), nextID(), u.Addr().String(), 0, repeatable)
+		require.NoError(t, err)
+		return conn
+	}
+	get(false).Release(12 * time.Second)
+	now = now.Add(defaultIdleLimit + time.Second)
+	conn := get(true)
+	conn.PutBack()
+	require.NotSame(t, conn, get(false), "idle for longer than the limit")
+	require.Same(t, conn, get(true))
+	conn.PutBack()
+	now = now.Add(defaultLongIdleLimit - defaultIdleLimit)
+	require.NotSame(t, conn, get(true), "idle for longer than the upstream promised")
+	opened := get(false)
+	opened.PutBack()
+	require.Same(t, opened, get(false))
+}
