gateway: look into the accept queue once more after the time for it at a stop

Callers got resets for requests that they had sent on new connections shortly before a planned stop, if the process got no processor for a second then. The accept deadline expires without a look at the queue, like the read deadlines of kept connections, and after maxFinalAccept nothing looked there again before the listener was closed.

TestStopAcceptsWhatWaitedDuringAPause before: "connection reset by peer". The round that begins after maxFinalAccept is now the last one, instead of none.

--- a/gateway/server.go
+++ b/gateway/server.go
@@ -66,14 +66,19 @@
 	s.acceptDone = acceptDone
 	s.mu.Unlock()
 	defer close(acceptDone)
-	emptyRounds := 0
+	emptyRounds, isLastRound := 0, false
 	for {
 		accepted, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			if emptyRounds++; emptyRounds >= maxEmptyRounds || !s.extendAccept(listener) {
+			if emptyRounds++; emptyRounds >= maxEmptyRounds || isLastRound {
+				return nil
+			}
+			// An expired deadline says nothing about the queue, so there is one more round after maxFinalAccept.
+			var ok bool
+			if isLastRound, ok = s.extendAccept(listener); !ok {
 				return nil
 			}
 			continue
@@ -109,23 +114,23 @@
 	// maxEmptyRounds is the number of such waits without a connection after which the queue is taken for empty. On a busy VM the
 	// first one may end before anything was accepted.
 	maxEmptyRounds = 2
-	// maxFinalAccept bounds the time in which a stopping server still accepts connections.
+	// maxFinalAccept is the time after which a stopping server begins its last such wait.
 	maxFinalAccept = time.Second
 )
 
 // deadliner is a listener whose Accept can be limited in time.
 type deadliner interface{ SetDeadline(t time.Time) error }
 
-// extendAccept lets a stopping server wait for further connections. It reports whether it does.
-func (s *Server) extendAccept(listener net.Listener) bool {
+// extendAccept lets a stopping server wait for further connections. It reports whether it does, and whether for the last time.
+func (s *Server) extendAccept(listener net.Listener) (isLast, ok bool) {
 	s.mu.Lock()
 	closingAt := s.closingAt
 	s.mu.Unlock()
 	l, ok := listener.(deadliner)
-	if !ok || closingAt.IsZero() || time.Since(closingAt) > maxFinalAccept {
-		return false
+	if !ok || closingAt.IsZero() {
+		return false, false
 	}
-	return l.SetDeadline(time.Now().Add(finalAcceptTime)) == nil
+	return time.Since(closingAt) > maxFinalAccept, l.SetDeadline(time.Now().Add(finalAcceptTime)) == nil
 }
 
 // StopAccepting closes the listener of Serve after accepting the connections in the kernel's queue. The kernel resets
