gateway: prepare no move for a request whose answer is complete

Requests of other callers were refused a retry: while a complete answer was written to a slow caller, the timers for silent sends went on, opened a connection to another instance and took a retry from the budget of the service for a move that cannot happen.

TestAnsweredRequestPreparesNoMove before: 2 connections instead of 1. The timers now end with the answer, as they do with the first event of a stream.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -95,6 +95,9 @@
 		return c.noAnswer(s.ctx, s.attempt, s.instance, err)
 	}
 	status := s.exchange.Response.StatusCode
+	if s.repeatable {
+		s.stopWatching()
+	}
 	s.exchange.Finish(s.answer.Idle)
 	if status >= http.StatusInternalServerError {
 		s.attempt.End(placement.Failed, time.Now())
