--- a/gateway/move.go
+++ b/gateway/move.go
@@ -43,14 +43,15 @@
 	return &mover{call: c, ctx: ctx, exclude: exclude}
 }
 
-// reserve prepares a move and reports whether the send may be aborted. isSilent is asked again once the connection is open.
+// reserve prepares a move and reports whether the send may be aborted. Once the connection is open, isSilent is asked again, and the
+// other instance must still take requests.
 func (m *mover) reserve(isSilent func() bool) bool {
 	if !m.begin() {
 		return false
 	}
 	target := m.connect()
-	if target != nil && (!isSilent() || !m.call.gateway.options.Budget.TakeRepeat(m.call.service.Name)) {
-		target.conn.Release(0)
+	if target != nil && (!isSilent() || !m.call.takesRequests(target.chosen.instance) || !m.call.gateway.options.Budget.TakeRepeat(m.call.service.Name)) {
+		target.conn.PutBack()
 		target = nil
 	}
 	return m.finish(target)
@@ -73,7 +74,7 @@
 	defer m.mu.Unlock()
 	m.busy = false
 	if target != nil && m.ctx.Err() != nil {
-		target.conn.Release(0)
+		target.conn.PutBack()
 		return false
 	}
 	m.target = target
@@ -140,7 +141,7 @@
 // release gives the connection of a move that is not made back to the pool.
 func (t *moveTarget) release() {
 	if t != nil {
-		t.conn.Release(0)
+		t.conn.PutBack()
 	}
 }
 
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -66,14 +66,19 @@
 	s.acceptDone = acceptDone
 	s.mu.Unlock()
 	defer close(acceptDone)
-	emptyRounds := 0
+	emptyRounds, isLastRound := 0, false
 	for {
 		accepted, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			if emptyRounds++; emptyRounds >= maxEmptyRounds || !s.extendAccept(listener) {
+			if emptyRounds++; emptyRounds >= maxEmptyRounds || isLastRound {
+				return nil
+			}
+			// An expired deadline says nothing about the queue, so there is one more round after maxFinalAccept.
+			var ok bool
+			if isLastRound, ok = s.extendAccept(listener); !ok {
 				return nil
 			}
 			continue
@@ -109,23 +114,23 @@
 	// maxEmptyRounds is the number of such waits without a connection after which the queue is taken for empty. On a busy VM the
 	// first one may end before anything was accepted.
 	maxEmptyRounds = 2
-	// maxFinalAccept bounds the time in which a stopping server still accepts connections.
+	// maxFinalAccept is the time after which a stopping server begins its last such wait.
 	maxFinalAccept = time.Second
 )
 
 // deadliner is a listener whose Accept can be limited in time.
 type deadliner interface{ SetDeadline(t time.Time) error }
 
-// extendAccept lets a stopping server wait for further connections. It reports whether it does.
-func (s *Server) extendAccept(listener net.Listener) bool {
+// extendAccept lets a stopping server wait for further connections. It reports whether it does, and whether for the last time.
+func (s *Server) extendAccept(listener net.Listener) (isLast, ok bool) {
 	s.mu.Lock()
 	closingAt := s.closingAt
 	s.mu.Unlock()
 	l, ok := listener.(deadliner)
-	if !ok || closingAt.IsZero() || time.Since(closingAt) > maxFinalAccept {
-		return false
+	if !ok || closingAt.IsZero() {
+		return false, false
 	}
-	return l.SetDeadline(time.Now().Add(finalAcceptTime)) == nil
+	return time.Since(closingAt) > maxFinalAccept, l.SetDeadline(time.Now().Add(finalAcceptTime)) == nil
 }
 
 // StopAccepting closes the listener of Serve after accepting the connections in the kernel's queue. The kernel resets
@@ -199,20 +204,7 @@
 	}
 }
 
-// closeNewConns closes connections whose first request has not reached the handler, except those whose first bytes have arrived
-// but have not been read.
-func (s *Server) closeNewConns() {
-	s.mu.Lock()
-	conns := slices.Collect(maps.Keys(s.newConns))
-	s.mu.Unlock()
-	for _, conn := range conns {
-		if c, ok := conn.(*callerConn); ok && c.isReadingHead() || !ok {
-			_ = conn.Close()
-		}
-	}
-}
-
-// newConnGrace is how long a new connection has to send its first request during a shutdown.
+// newConnGrace is how long a new connection has to send its first request during a shutdown, and a kept one the rest of a head.
 const newConnGrace = 300 * time.Millisecond
 
 // Shutdown closes idle connections, waits for requests in progress until the context ends, and then closes all. It does not
@@ -221,10 +213,9 @@
 	s.mu.Lock()
 	s.stopped = true
 	s.mu.Unlock()
+	headsUntil := time.Now().Add(newConnGrace)
 	s.waitForNewConns(ctx)
-	// A connection that has not sent a whole head would hold the stop up until its header timeout.
-	s.closeNewConns()
-	if open := s.drain(ctx); open > 0 {
+	if open := s.drain(ctx, headsUntil); open > 0 {
 		s.Log.Warn("requests cut at the end of a stop", zap.Int("open", open), zap.Error(ctx.Err()))
 	}
 	s.mu.Lock()
@@ -240,13 +231,14 @@
 	maxDrainPoll = 50 * time.Millisecond
 )
 
-// drain closes connections once they wait for a request and none has arrived, until all are closed or the context ends. It returns
+// drain closes connections once they wait for a request and none has arrived, until all are closed or the context ends. From
+// headsUntil it also closes those that wait for the rest of a head, which would hold the stop up until the header timeout. It returns
 // the number of open connections.
-func (s *Server) drain(ctx context.Context) int {
+func (s *Server) drain(ctx context.Context, headsUntil time.Time) int {
 	for poll := minDrainPoll; ; poll = min(2*poll, maxDrainPoll) {
 		conns := s.openConns()
 		for _, c := range conns {
-			c.closeIfSilent()
+			c.closeIfSilent(!time.Now().Before(headsUntil))
 		}
 		if len(conns) == 0 || ctx.Err() != nil {
 			return len(conns)
--- a/upstreamconn/pool.go
+++ b/upstreamconn/pool.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -219,10 +220,6 @@
 // Release returns the connection to the pool after a complete answer. It closes the connection if further bytes have arrived.
 // promised is the time for which the upstream promised to keep the idle connection, 0 if it did not promise any.
 func (c *Conn) Release(promised time.Duration) {
-	if c.isWornOut() || c.reader.Buffered() > 0 || readable(c.raw) {
-		c.Close()
-		return
-	}
 	fresh := c.pool.options.IdleLimit
 	long := fresh
 	if promised > 0 {
@@ -231,13 +228,36 @@
 	}
 	now := c.pool.options.Now()
 	c.freshUntil, c.keepUntil = now.Add(fresh), now.Add(long)
+	c.keep(false)
+}
+
+// PutBack returns a connection of Get to the pool on which no request was sent. At the upstream its idle time goes on.
+func (c *Conn) PutBack() {
+	if c.keepUntil.IsZero() {
+		c.Release(0)
+		return
+	}
+	c.keep(true)
+}
+
+// keep adds the connection to the idle ones, as the one that was idle longest or shortest.
+func (c *Conn) keep(longest bool) {
+	if c.isWornOut() || c.reader.Buffered() > 0 || readable(c.raw) {
+		c.Close()
+		return
+	}
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
-	if len(c.pool.idle[c.address]) >= c.pool.options.MaxIdle {
+	list := c.pool.idle[c.address]
+	if len(list) >= c.pool.options.MaxIdle {
 		go c.Close()
 		return
 	}
-	c.pool.idle[c.address] = append(c.pool.idle[c.address], c)
+	at := len(list)
+	if longest {
+		at = 0
+	}
+	c.pool.idle[c.address] = slices.Insert(list, at, c)
 }
 
 // Exchange is one request and its answer. Abort may be called from any goroutine.
@@ -249,6 +269,9 @@
 	Response *http.Response
 	// skipped is set once an answer to another request was skipped.
 	skipped bool
+	// ended is set by the first call of Abort or Finish. A later one must not touch the connection, which may already carry
+	// another request.
+	ended atomic.Bool
 }
 
 // Send writes the request and reads the head of its answer. If the answer arrives before the body is written, writing
@@ -308,14 +331,18 @@
 	return nil
 }
 
-// AbortOn closes the connection when the context ends. The returned function cancels that and reports whether it was
+// AbortOn aborts the exchange when the context ends. The returned function cancels that and reports whether it was
 // called before the context ended.
 func (e *Exchange) AbortOn(ctx context.Context) (stop func() bool) {
-	return context.AfterFunc(ctx, e.conn.Close)
+	return context.AfterFunc(ctx, e.Abort)
 }
 
-// Abort closes the connection, which cancels the request at the upstream.
-func (e *Exchange) Abort() { e.conn.Close() }
+// Abort closes the connection, which cancels the request at the upstream. It does nothing after Finish.
+func (e *Exchange) Abort() {
+	if !e.ended.Swap(true) {
+		e.conn.Close()
+	}
+}
 
 // finishWriteTimeout is how long Finish waits after a complete answer until the rest of the request has been written.
 const finishWriteTimeout = 50 * time.Millisecond
@@ -323,6 +350,9 @@
 // Finish returns the connection to the pool if it can be reused and the request was written, otherwise it closes the
 // connection. The caller must have read the answer to its end.
 func (e *Exchange) Finish(promisedIdle time.Duration) {
+	if e.ended.Swap(true) {
+		return
+	}
 	if e.skipped || e.Response.Close || e.Response.ContentLength < 0 && len(e.Response.TransferEncoding) == 0 {
 		e.conn.Close()
 		return
