--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -1,11 +1,8 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"net/http"
-	"net/url"
 	"time"
 
 	"github.com/samber/lo"
@@ -52,6 +49,10 @@
 		if err := c.admit(chosen); err != nil {
 			return err
 		}
+		if err := c.checkQuarantine(); err != nil {
+			move.release()
+			return err
+		}
 		if !c.counted {
 			c.counted = true
 			c.gateway.options.Budget.RecordRequest(c.service.Name)
@@ -223,6 +224,8 @@
 	attempt := o.Tracker.Begin(instance, work)
 	c.sends++
 	c.mayHaveRun = true
+	c.prompt = c.gateway.crashes.begin(instance, c.attributes.ID, c.parts)
+	defer c.prompt.end()
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s := &send{call: c, ctx: ctx, attemptCtx: attemptCtx, attempt: attempt, instance: instance, out: out, repeatable: repeatable}
@@ -307,7 +310,11 @@
 		attempt.End(placement.Canceled, time.Now())
 		return result{done: true, err: failure.New(failure.Canceled, failure.Unknown, "the caller disconnected")}
 	}
-	attempt.End(connectOutcome(err), time.Now())
+	outcome := connectOutcome(err)
+	if ctx.Err() == nil && c.prompt.brokeOff(err) {
+		outcome = placement.Unresponsive
+	}
+	attempt.End(outcome, time.Now())
 	c.gateway.options.Log.Info("upstream did not answer", zap.String("request", c.attributes.ID), zap.String("instance", instance.ID),
 		zap.Duration("after", time.Since(c.started)), zap.Error(err))
 	if ctx.Err() != nil {
@@ -374,20 +381,3 @@
 	}
 	return u
 }
-
-func (c *call) upstreamRequest(address string, out Outbound) *http.Request {
-	request := &http.Request{
-		Method: c.request.Method, URL: &url.URL{Scheme: "http", Host: address, Opaque: c.request.RequestURI}, Host: c.request.Host,
-		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: c.gateway.options.Dialect.Request(c.request.Header, out),
-		ContentLength: int64(len(c.body)),
-	}
-	if len(c.body) > 0 {
-		request.Body = bodyReader{bytes.NewReader(c.body)}
-	}
-	return request
-}
-
-type bodyReader struct{ *bytes.Reader }
-
-// Close implements io.Closer.
-func (bodyReader) Close() error { return nil }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/placement"
+	"github.com/wasabishunt/wasabishunt/quarantine"
 	"github.com/wasabishunt/wasabishunt/retrybudget"
 	"github.com/wasabishunt/wasabishunt/supervise"
 	"github.com/wasabishunt/wasabishunt/trafficset"
@@ -123,6 +124,8 @@
 	Pool             *upstreamconn.Pool
 	Budget           *retrybudget.Budget
 	Stores           Stores
+	// Quarantine holds the parts of prompts that crash instances; nil if there is none.
+	Quarantine *quarantine.List
 	// AnswerBytes limits an answer that is not a stream, EventBytes a single event of a stream.
 	AnswerBytes int64
 	EventBytes  int
@@ -138,44 +141,30 @@
 	started time.Time
 	// closing is set once answers must close the callers' connections.
 	closing atomic.Bool
+	// finishBy is when a stop cuts requests in progress, in Unix ns; 0 until requests must end by then.
+	finishBy atomic.Int64
 	// queueLimits tracks how much queue capacity must stay free for prompts of other sizes and routes.
 	queueLimits *placement.QueueLimitEstimator
 	// active counts requests in progress.
 	active  atomic.Int64
+	crashes *crashDetector
 	metrics meters
 }
 
-type meters struct {
-	requests, failed, refused, retries, broken, resumed gometrics.Counter
-	// cached, fetched and recomputed count prompt tokens as estimated when requests were sent.
-	cached, fetched, recomputed gometrics.Counter
-	firstByte, total            gometrics.Timer
-}
-
 // New returns a Gateway.
 func New(options Options) *Gateway {
-	r := options.Metrics
 	if options.AnswerBytes == 0 {
 		options.AnswerBytes = defaultAnswerBytes
 	}
 	if options.EventBytes == 0 {
 		options.EventBytes = defaultEventBytes
 	}
-	g := &Gateway{options: options, started: time.Now(), queueLimits: placement.NewQueueLimitEstimator(), metrics: meters{
-		requests: gometrics.GetOrRegisterCounter("gateway.requests", r), failed: gometrics.GetOrRegisterCounter("gateway.failed", r),
-		refused: gometrics.GetOrRegisterCounter("gateway.refused", r), retries: gometrics.GetOrRegisterCounter("gateway.retries", r),
-		broken: gometrics.GetOrRegisterCounter("gateway.broken", r), resumed: gometrics.GetOrRegisterCounter("gateway.resumed", r),
-		cached: gometrics.GetOrRegisterCounter("gateway.cached_tokens", r), fetched: gometrics.GetOrRegisterCounter("gateway.fetched_tokens", r),
-		recomputed: gometrics.GetOrRegisterCounter("gateway.reread_tokens", r),
-		firstByte:  gometrics.GetOrRegisterTimer("gateway.first_byte", r), total: gometrics.GetOrRegisterTimer("gateway.total", r),
-	}}
+	g := &Gateway{options: options, started: time.Now(), queueLimits: placement.NewQueueLimitEstimator(), metrics: newMeters(options.Metrics)}
+	g.crashes = newCrashDetector(options, &g.metrics)
 	options.Tracker.NotifyLeaving(g.applyLeaving)
 	return g
 }
 
-// BeginClosing makes each answer close the caller's connection.
-func (g *Gateway) BeginClosing() { g.closing.Store(true) }
-
 // Active returns the number of requests in progress.
 func (g *Gateway) Active() int { return int(g.active.Load()) }
 
@@ -220,6 +209,8 @@
 	route      *trafficset.Route
 	service    *trafficset.Service
 	body       []byte
+	// parts are the keys of the shared parts of the prompt.
+	parts []uint64
 	// answerBy is the earlier of the caller's deadline and the end of the route's timeout.
 	answerBy time.Time
 	// deadline is when the caller stops waiting.
@@ -252,6 +243,8 @@
 	moved bool
 	// mayHaveRun is set while a send is in progress, and stays set unless the upstream states that it did not run.
 	mayHaveRun bool
+	// prompt is the send in progress.
+	prompt *promptSend
 }
 
 func (c *call) serve() error {
@@ -266,10 +259,16 @@
 	if err := c.resolve(); err != nil {
 		return err
 	}
+	if c.attributes.Generation != nil {
+		c.parts = quarantine.Keys(c.attributes.Generation.Parts)
+	}
 	c.setDeadlines()
 	if err := c.readBody(); err != nil {
 		return err
 	}
+	if err := c.checkStop(); err != nil {
+		return err
+	}
 	c.awaitStores()
 	ctx, cancel := context.WithDeadlineCause(c.request.Context(), c.answerBy, errNoTimeLeft)
 	defer cancel()
--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -29,10 +29,18 @@
 // answers answers with a status and headers.
 func answers(status int, headers string) reply {
 	return func(conn net.Conn, r *http.Request, instance string) bool {
-		return answerText(conn, r, status, "Signed: "+instance+"\r\n"+headers, "from "+instance)
+		return answerText(conn, r, status, "Signed: "+instance+"\r\n"+headers, bodyFrom(instance, r.URL.Path))
 	}
 }
 
+// bodyFrom returns the body of an answer that names its upstream: an event on a path of streams.
+func bodyFrom(instance, path string) string {
+	if path == "/stream/" || path == "/resume/" {
+		return "id: 1\ndata: from " + instance + "\n\n"
+	}
+	return "from " + instance
+}
+
 // applyList applies a list with the instances of the first list for which keep returns true, all ready.
 func (s *system) applyList(first []upstreams.Instance, keep func(i *upstreams.Instance) bool) {
 	var list []upstreams.Instance
@@ -67,7 +75,7 @@
 		status, body, err := s.call("POST", path, "")
 		require.NoError(s.t, err)
 		require.Equal(s.t, 200, status, message)
-		require.Equal(s.t, "from "+id, body, message)
+		require.Equal(s.t, bodyFrom(id, path), body, message)
 	}
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -107,6 +108,9 @@
 	} else {
 		s.attempt.End(placement.Answered, time.Now())
 	}
+	if status < http.StatusBadRequest {
+		c.prompt.recordAnswer(isEndedByClose(s.exchange.Response))
+	}
 	if c.answered {
 		return result{done: true, err: failure.New(failure.StreamBroken, failure.Ran, "instance %s answered %d to a resumed stream", s.instance.ID, status)}
 	}
@@ -233,6 +237,7 @@
 	if err := c.write(events); err != nil {
 		return err
 	}
+	c.prompt.recordEvent()
 	c.relayed++
 	if lastID != "" {
 		c.lastEvent = lastID
@@ -240,17 +245,23 @@
 	return c.flush()
 }
 
-// endOfStream handles a stream that ended normally.
+// endOfStream handles a stream whose body ended without an error. A body without length and chunks ends with its connection,
+// so only its last event shows whether the stream is complete.
 func (s *send) endOfStream(splitter *eventSplitter) result {
 	c := s.call
-	if err := s.checkFirstEvents(splitter.rest()); err != nil {
-		return s.brokenStream(err)
+	rest := splitter.rest()
+	if len(bytes.TrimSpace(rest)) > 0 {
+		return s.brokenStream(failure.Wrap(io.ErrUnexpectedEOF, failure.UpstreamFailed, failure.Ran, "the stream ended inside an event"))
+	}
+	if !s.begun && s.out.LastEventID == "" && isEndedByClose(s.exchange.Response) {
+		return s.brokenStream(failure.Wrap(io.ErrUnexpectedEOF, failure.UpstreamFailed, failure.Ran, "the connection ended before the first event"))
 	}
 	s.attempt.End(placement.Answered, time.Now())
+	c.prompt.recordAnswer(isEndedByClose(s.exchange.Response))
 	if !c.answered {
 		c.writeHead(s.exchange.Response, -1)
 	}
-	if rest := splitter.rest(); len(rest) > 0 {
+	if len(rest) > 0 {
 		if err := c.write(rest); err != nil {
 			return s.writeFailed(err)
 		}
@@ -259,6 +270,11 @@
 	return result{done: true}
 }
 
+// isEndedByClose reports whether the body has neither a length nor chunks and ends with its connection.
+func isEndedByClose(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // writeFailed handles a failed write to the caller.
 func (s *send) writeFailed(err error) result {
 	s.exchange.Abort()
@@ -280,7 +296,11 @@
 		s.attempt.End(placement.Canceled, time.Now())
 		return result{done: true, err: failure.Wrap(context.Cause(s.ctx), failure.DeadlineExceeded, failure.Ran, "the stream of instance %s was cut off", s.instance.ID)}
 	}
-	s.attempt.End(placement.Failed, time.Now())
+	outcome := placement.Failed
+	if c.prompt.brokeOff(err) {
+		outcome = placement.Unresponsive
+	}
+	s.attempt.End(outcome, time.Now())
 	c.gateway.options.Log.Info("stream broke off", zap.String("request", c.attributes.ID), zap.String("instance", s.instance.ID),
 		zap.Int("events", c.relayed), zap.String("last_event", c.lastEvent), zap.Error(err))
 	if !s.repeatable || c.answered && c.lastEvent == "" {
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -95,3 +95,17 @@
 	require.NoError(t, err)
 	require.Equal(t, rest, string(buffer[:n]))
 }
+
+// Guards against taking a request late in a stop, sending it to an instance, and cutting its answer at the end of the stop.
+func TestStoppingNodeRefusesWhatItCannotFinish(t *testing.T) {
+	s := newSystem(t, good)
+	s.gateway.FinishBy(time.Now().Add(time.Second))
+	status, body, err := s.call("POST", "/once/", "")
+	require.NoError(t, err)
+	require.Equal(t, 503, status)
+	require.Contains(t, body, `"execution":"not_run"`)
+	require.Empty(t, s.startedRuns())
+	status, _, err = s.call("POST", "/once/", "", func(r *http.Request) { r.Header.Set("Deadline", "500") })
+	require.NoError(t, err)
+	require.Equal(t, 200, status)
+}
