gateway: notice a crash that ends an answer without length and chunks

Callers saw 200 with the beginning of an answer, as if it were complete, and prompts with one part crashed one instance after the other without end.

Cause: an answer without length and chunks ends with its connection. When the instance crashes at an event, or anywhere in an answer that is not a stream, reading ends without an error, so brokeOff was never called and nothing probed the instance. Unless another send of the same node broke at that instance, the answer counted one second later, and cleared the crashes that other nodes had recorded for the part.

A crash ends these answers with the normal end of the connection.

The instance is now probed before the end of such an answer is passed on. A refused connection means that it crashed: the answer is handled as one that broke off, and the parts are reported. An instance that leaves may end as planned after its answer, so its answers stay complete. The probe costs one round trip, and its connection goes to the pool in place of the one that ended.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -188,12 +188,29 @@
 	if !isBreak(err) {
 		return false
 	}
-	d, key, now := p.detector, p.instance.Key(), time.Now()
+	d, now := p.detector, time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.expire(now)
 	d.remove(p)
 	d.ended = append(d.ended, endedSend{promptSend: p, at: now})
+	return d.hasCrashed(p, now)
+}
+
+// wasCutOff reports whether an answer that ended with its connection was cut off by a crash of its instance. Nothing else tells
+// such an answer from a complete one. An instance that leaves may end as planned after the answer.
+func (p *promptSend) wasCutOff() bool {
+	d, now := p.detector, time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.expire(now)
+	return d.hasCrashed(p, now) && !d.isLeaving(p.instance.Key())
+}
+
+// hasCrashed reports whether the instance of a send whose connection ended at a time has crashed. The caller holds the lock,
+// which is released during a probe.
+func (d *crashDetector) hasCrashed(p *promptSend, now time.Time) bool {
+	key := p.instance.Key()
 	for {
 		check := d.checks[key]
 		if check == nil {
@@ -206,7 +223,7 @@
 			return check.crashed
 		}
 		if d.checks[key] == check {
-			// The instance accepted a connection before this send broke off.
+			// The instance accepted a connection before this one ended.
 			delete(d.checks, key)
 		}
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -91,6 +91,9 @@
 func (s *send) relayBuffered() result {
 	c := s.call
 	body, err := s.exchange.ReadAll(c.gateway.options.AnswerBytes)
+	if err == nil && isEndedByClose(s.exchange.Response) && c.prompt.wasCutOff() {
+		err = errCutOff
+	}
 	if err != nil {
 		s.exchange.Abort()
 		return c.noAnswer(s.ctx, s.attempt, s.instance, err)
@@ -245,6 +248,9 @@
 	return c.flush()
 }
 
+// errCutOff is the error of an answer without length and chunks that ended with a crash of its instance.
+var errCutOff = failure.Wrap(io.ErrUnexpectedEOF, failure.UpstreamFailed, failure.Unknown, "the instance crashed, and its answer may be incomplete")
+
 // endOfStream handles a stream whose body ended without an error. A body without length and chunks ends with its connection,
 // so only its last event shows whether the stream is complete.
 func (s *send) endOfStream(splitter *eventSplitter) result {
@@ -256,6 +262,9 @@
 	if !s.begun && s.out.LastEventID == "" && isEndedByClose(s.exchange.Response) {
 		return s.brokenStream(failure.Wrap(io.ErrUnexpectedEOF, failure.UpstreamFailed, failure.Ran, "the connection ended before the first event"))
 	}
+	if isEndedByClose(s.exchange.Response) && c.prompt.wasCutOff() {
+		return s.brokenStream(errCutOff)
+	}
 	s.attempt.End(placement.Answered, time.Now())
 	c.prompt.recordAnswer(isEndedByClose(s.exchange.Response))
 	if !c.answered {
