quarantine: compare the crashes of two parts in linear time

Callers would see: requests wait for each other at the lock of the list while many parts with many crashes are suspected, after an outage of a large service. This has been seen in a test only.

Cause: isBlocked compared each crash of a part with each crash of all other unanswered parts, at most 64 x 128 x 128 comparisons for each request with such a part, and for each of them again when news of another node arrives.

Crashes are ordered by time, so one pass over both lists is enough, and the cheaper condition is asked first.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -158,7 +158,7 @@
 		return false
 	}
 	for other, cause := range l.suspects {
-		if other != part && cause.isUnanswered() && cause.explains(s) && l.isLikelier(other, part) {
+		if other != part && cause.isUnanswered() && l.isLikelier(other, part) && cause.explains(s) {
 			return false
 		}
 	}
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -178,9 +178,15 @@
 // Not all crashes of a part are kept, so times are compared and not instances.
 func (s *suspect) explains(other *suspect) bool {
 	crashes := s.open()
-	return !slices.ContainsFunc(other.open(), func(c crash) bool {
-		return !slices.ContainsFunc(crashes, c.isNear)
-	})
+	for _, c := range other.open() {
+		for len(crashes) > 0 && crashes[0].at.Before(c.at) && !crashes[0].isNear(c) {
+			crashes = crashes[1:]
+		}
+		if len(crashes) == 0 || !crashes[0].isNear(c) {
+			return false
+		}
+	}
+	return true
 }
 
 // blockTime returns the length of a block after a number of crashes.
