gateway: the retry advice of a quarantined prompt is a minute at most

Callers were told to come back after hours, although an answer at another node may end the block at any time. Cause: the advice was the time until this node tries the part again. TestAdviceOnAQuarantinedPromptIsBounded failed before: expected 1m0s, actual 37m55.626602761s.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -26,6 +26,8 @@
 	// crashPeriod is the time within which broken sends to one incarnation belong to the same crash. An instance needs
 	// longer to come back.
 	crashPeriod = time.Second
+	// maxQuarantineAdvice limits the retry advice: an answer at another node may end the block earlier.
+	maxQuarantineAdvice = time.Minute
 	// maxLoggedSends limits the requests and parts in one log event.
 	maxLoggedSends = 16
 )
@@ -308,6 +310,6 @@
 		execution = failure.Unknown
 	}
 	e := failure.New(failure.Quarantined, execution, "%d instances crashed on prompts with part %x", verdict.Crashes, verdict.Part)
-	e.RetryAfter = verdict.RetryAfter
+	e.RetryAfter = min(verdict.RetryAfter, maxQuarantineAdvice)
 	return e
 }
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -11,8 +11,10 @@
 	"testing"
 	"time"
 
+	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
+	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/placement"
 	"github.com/wasabishunt/wasabishunt/quarantine"
 	"github.com/wasabishunt/wasabishunt/upstreams"
@@ -312,3 +314,18 @@
 	_, allowed = list.Check(parts, time.Now())
 	require.True(t, allowed)
 }
+
+// Guards against advice to come back after hours for a part that another node may have cleared long before.
+func TestAdviceOnAQuarantinedPromptIsBounded(t *testing.T) {
+	list, parts := quarantine.New("n"), quarantine.Keys([]placement.Part{{ID: "deadly"}, {ID: "own"}})
+	now := time.Now()
+	for i := range 6 {
+		list.RecordCrash(fmt.Sprint("i", i), parts, now.Add(time.Duration(i-6)*nextOccasion))
+	}
+	c := &call{gateway: &Gateway{options: Options{Quarantine: list}, metrics: newMeters(gometrics.NewRegistry())}, parts: parts, attributes: Attributes{Generation: &Generation{}}}
+	var refusal *failure.Error
+	require.ErrorAs(t, c.checkQuarantine(), &refusal)
+	require.Equal(t, failure.Quarantined, refusal.Kind)
+	require.Equal(t, failure.NotRun, refusal.Execution)
+	require.Equal(t, time.Minute, refusal.RetryAfter)
+}
