gateway: answers state how long a connection is kept

Cause: callers use a connection until the node closes it. A request that is on its way when the node closes at the limit is reset. No server can avoid that once both act at the same time.

Fix: answers carry Keep-Alive with four fifths of the idle limit in whole seconds.

Headers of an engine that concern only its connection are now left out while copying, because deleting them afterwards would delete this node's own.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -128,17 +129,27 @@
 // hopHeaders are hop-by-hop headers, which are not forwarded.
 var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length"}
 
+// isHopHeader reports whether a header concerns only the connection to the upstream. connection is the value of Connection.
+func isHopHeader(name, connection string) bool {
+	if slices.Contains(hopHeaders, name) {
+		return true
+	}
+	for listed := range strings.SplitSeq(connection, ",") {
+		if strings.EqualFold(strings.TrimSpace(listed), name) {
+			return true
+		}
+	}
+	return false
+}
+
 // writeHead sends the status and the headers of an answer to the caller, without Content-Length if length is negative.
 func (c *call) writeHead(response *http.Response, length int64) {
 	header := c.writer.Header()
+	connection := response.Header.Get("Connection")
 	for name, values := range response.Header {
-		header[name] = values
-	}
-	for _, name := range hopHeaders {
-		header.Del(name)
-	}
-	for _, name := range strings.Split(response.Header.Get("Connection"), ",") {
-		header.Del(strings.TrimSpace(name))
+		if !isHopHeader(name, connection) {
+			header[name] = values
+		}
 	}
 	if header.Get("Content-Type") == "" {
 		header["Content-Type"] = nil
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -152,6 +153,10 @@
 // callerConnKey is the key of the callerConn in the context of its requests.
 type callerConnKey struct{}
 
+// statedIdleTime returns the whole seconds for which callers are told that they may use an idle connection again, 0 if the limit is too
+// short for that. It is four fifths of the limit: a request that crosses the close at the limit is lost.
+func statedIdleTime(limit time.Duration) int { return int(limit * 4 / 5 / time.Second) }
+
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	conn, ok := r.Context().Value(callerConnKey{}).(*callerConn)
 	if !ok {
@@ -161,6 +166,9 @@
 	if conn.beginHandling() {
 		s.removeNewConn(conn)
 	}
+	if stated := statedIdleTime(s.idleTimeout()); stated > 0 && !r.Close {
+		w.Header().Set("Keep-Alive", "timeout="+strconv.Itoa(stated))
+	}
 	completed := false
 	defer func() {
 		if !completed {
