--- a/upstreamconn/pool.go
+++ b/upstreamconn/pool.go
@@ -7,14 +7,12 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"io"
 	"net"
 	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/wasabishunt/wasabishunt/failure"
@@ -390,12 +388,3 @@
 	}
 	return body, nil
 }
-
-// IsTimeout reports whether the peer did not respond at all, as opposed to refusing or resetting the connection.
-func IsTimeout(err error) bool {
-	if errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, syscall.EHOSTUNREACH) {
-		return true
-	}
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial" && op.Timeout()
-}
--- a/upstreamconn/readable.go
+++ b/upstreamconn/socket.go
@@ -42,3 +42,12 @@
 	})
 	return errors.Join(err, optionErr)
 }
+
+// IsTimeout reports whether the peer did not respond at all, as opposed to refusing or resetting the connection.
+func IsTimeout(err error) bool {
+	if errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, syscall.EHOSTUNREACH) {
+		return true
+	}
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial" && op.Timeout()
+}
