review: a stream that a leaving engine cut off looks complete

Cause: an answer without length and chunks ends with its channel; if its engine is draining, the end of the engine is taken for planned and the answer for whole. Nothing is fixed.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -17,7 +17,7 @@
 // binary is the program of the deploy file.
 const binary = "target/wasabishunt-node"
 
-var cases = map[string]func(r *record, binary string, trouble bool) error{"keys": runKeys, "list": runList}
+var cases = map[string]func(r *record, binary string, trouble bool) error{"cut": runCut, "keys": runKeys, "list": runList}
 
 func main() { os.Exit(run(os.Args[1:])) }
 
