--- a/review/stand/cut.go
+++ b/review/stand/cut.go
@@ -118,8 +118,9 @@
 	}
 	time.Sleep(configApply + time.Second)
 	var streams sync.WaitGroup
+	events := make([]int, len(s.nodes))
 	for i, n := range s.nodes {
-		streams.Go(func() { s.readStream(n, fmt.Sprintf("stream-%d", i), client) })
+		streams.Go(func() { events[i] = s.readStream(n, fmt.Sprintf("stream-%d", i), client) })
 	}
 	if trouble {
 		time.Sleep(time.Second)
@@ -130,15 +131,20 @@
 		r.write("engine %s has ended", e.id)
 	}
 	streams.Wait()
+	for i, count := range events {
+		if count == 0 || !trouble && count < cutEvents {
+			return fmt.Errorf("stream-%d has %d of %d events", i, count, cutEvents)
+		}
+	}
 	return nil
 }
 
-// readStream sends a request for a stream and checks its end.
-func (s *system) readStream(n *node, id string, t tenant) {
+// readStream sends a request for a stream checks its end, and returns the number of its events.
+func (s *system) readStream(n *node, id string, t tenant) int {
 	request, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d/check/a", n.ip, portFront), strings.NewReader("prompt "+id))
 	if err != nil {
 		s.record.write("request %s: %v", id, err)
-		return
+		return 0
 	}
 	request.Host = hostName
 	for name, value := range map[string]string{
@@ -150,7 +156,7 @@
 	response, err := (&http.Client{Timeout: cutTimeout + time.Second}).Do(request)
 	if err != nil {
 		s.record.write("request %s to %s has no answer: %v", id, n.name, err)
-		return
+		return 0
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
@@ -159,4 +165,5 @@
 	if response.StatusCode == http.StatusOK && err == nil && events < cutEvents {
 		s.record.breakRule("ORDER: stream %s ends as complete after %d of %d events", id, events, cutEvents)
 	}
+	return events
 }
--- a/review/stand/keys.go
+++ b/review/stand/keys.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
@@ -37,17 +38,22 @@
 		return err
 	}
 	time.Sleep(configApply + time.Second)
-	send := func(label, key string, isKnown bool) {
+	send := func(label, key string, isKnown bool) error {
 		for _, n := range s.nodes {
 			id := label + "-" + n.name
 			mu.Lock()
 			unknown[id] = !isKnown
 			mu.Unlock()
-			s.sendWithKey(n, id, key)
+			status := s.sendWithKey(n, id, key)
+			if status == 0 || isKnown && status != http.StatusOK {
+				return fmt.Errorf("request %s got status %d", id, status)
+			}
 		}
+		return nil
+	}
+	if err := errors.Join(send("known-before", known.key(), true), send("unknown-before", "key-of-nobody", false)); err != nil {
+		return err
 	}
-	send("known-before", known.key(), true)
-	send("unknown-before", "key-of-nobody", false)
 	last := desiredState(7, known)
 	if trouble {
 		last["tenants"] = []any{}
@@ -57,16 +63,15 @@
 	}
 	r.write("desired state 7 has %d tenants", len(last["tenants"].([]any)))
 	time.Sleep(configApply + time.Second)
-	send("unknown-after", "key-of-nobody", false)
-	return nil
+	return send("unknown-after", "key-of-nobody", false)
 }
 
-// sendWithKey sends one request with a key.
-func (s *system) sendWithKey(n *node, id, key string) {
+// sendWithKey sends one request with a key, and returns the status of its answer, 0 if there is none.
+func (s *system) sendWithKey(n *node, id, key string) int {
 	request, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d/book/a", n.ip, portFront), bytes.NewReader([]byte(strings.Repeat("x", 600))))
 	if err != nil {
 		s.record.write("request %s: %v", id, err)
-		return
+		return 0
 	}
 	request.Host = hostName
 	for name, value := range map[string]string{"Request-Id": id, "Deadline-Ms": "3000", "X-Api-Key": key} {
@@ -75,8 +80,9 @@
 	response, err := (&http.Client{Timeout: callTimeout}).Do(request)
 	if err != nil {
 		s.record.write("request %s to %s with key %s has no answer: %v", id, n.name, key, err)
-		return
+		return 0
 	}
 	_ = response.Body.Close()
 	s.record.write("request %s to %s with key %s: status %d", id, n.name, key, response.StatusCode)
+	return response.StatusCode
 }
--- a/review/stand/process.go
+++ b/review/stand/process.go
@@ -28,6 +28,8 @@
 	p := &process{cmd: exec.Command(c.path), ended: make(chan struct{})}
 	p.cmd.Env = append(os.Environ(), c.env...)
 	p.cmd.Stdout, p.cmd.Stderr = log, log
+	// The kernel kills the process when the stand-in dies, so that an aborted run leaves none.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.cmd.Start(); err != nil {
 		return nil, err
 	}
