fleetview, node: say how far a set and a stream of updates have come

Logs could not tell whether a set is held back by the link, by streams that begin anew, or by decoding. "set in force" has the size of the document, the time to decode it and the time since a newer version was first named; "lost a core member" has the messages of the stream, the bytes of an unfinished one and the time since the last, and is written for streams that ended before their first message too. Counters: bytes of sets sent, time for which a node was behind. Logic unchanged.

--- a/fleetview/server.go
+++ b/fleetview/server.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 
@@ -45,6 +46,8 @@
 	// EngineClock returns the time on the engines' clock in ms, 0 if it is unknown.
 	EngineClock func() float64
 	Log         *zap.Logger
+	// Metrics is the registry for the counter of sent sets; nil for none.
+	Metrics gometrics.Registry
 
 	mu    sync.Mutex
 	nodes map[string]knownNode
@@ -99,6 +102,7 @@
 			if err := stream.Send(update); err != nil {
 				return err
 			}
+			s.recordSent(update)
 			if len(update.GetDocument()) > 0 && ctx.Err() == nil {
 				// The rest was left for the next update.
 				continue
@@ -121,6 +125,13 @@
 	}
 }
 
+// recordSent counts the bytes of sets that were sent.
+func (s *Server) recordSent(u *nodepb.WatchUpdate) {
+	if s.Metrics != nil && len(u.GetDocument()) > 0 {
+		gometrics.GetOrRegisterCounter("fleetview.set_bytes_sent", s.Metrics).Inc(int64(len(u.GetDocument())))
+	}
+}
+
 // position is the state that was already sent on a stream.
 type position struct {
 	// document is the version of the object set.
--- a/fleetview/watcher.go
+++ b/fleetview/watcher.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/samber/lo"
 	"go.uber.org/zap"
+	"storj.io/drpc/drpcconn"
 
 	"github.com/wasabishunt/wasabishunt/clock"
+	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
 	"github.com/wasabishunt/wasabishunt/rpcpool"
 	"github.com/wasabishunt/wasabishunt/supervise"
@@ -111,42 +114,97 @@
 func (w *Watcher) watch(ctx context.Context, address string) {
 	connected := false
 	for ctx.Err() == nil {
-		err := w.stream(ctx, address, func() {
+		var progress streamProgress
+		err := w.stream(ctx, address, &progress, func() {
 			if !connected {
 				connected = true
 				w.Log.Info("watching a core member", zap.String("address", address))
 			}
 		})
-		if connected && ctx.Err() == nil {
+		if ctx.Err() == nil && (connected || progress.unfinished() > 0) {
 			connected = false
-			w.Log.Warn("lost a core member", zap.String("address", address), zap.Error(err))
+			w.Log.Warn("lost a core member", zap.String("address", address), zap.Int("messages", progress.messages),
+				zap.Int64("unfinished_bytes", progress.unfinished()), zap.Duration("since_message", progress.sinceMessage()), zap.Error(err))
 		}
 		clock.Sleep(ctx, reconnectDelay)
 	}
 }
 
+// streamProgress is what one stream has received.
+type streamProgress struct {
+	conn     *countingConn
+	messages int
+	// wholeBytes is the number of bytes up to the end of the last whole message, which arrived at messageAt.
+	wholeBytes int64
+	messageAt  time.Time
+}
+
+// begin records the connection of the stream.
+func (p *streamProgress) begin(conn *countingConn) { p.conn, p.messageAt = conn, time.Now() }
+
+// recordMessage records a whole message.
+func (p *streamProgress) recordMessage() {
+	p.messages++
+	p.wholeBytes, p.messageAt = p.conn.received.Load(), time.Now()
+}
+
+// unfinished returns the number of bytes received since the last whole message.
+func (p *streamProgress) unfinished() int64 {
+	if p.conn == nil {
+		return 0
+	}
+	return p.conn.received.Load() - p.wholeBytes
+}
+
+func (p *streamProgress) sinceMessage() time.Duration {
+	if p.conn == nil {
+		return 0
+	}
+	return time.Since(p.messageAt)
+}
+
+// countingConn counts the bytes that are read from a connection.
+type countingConn struct {
+	net.Conn
+	received atomic.Int64
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(int64(n))
+	return n, err
+}
+
 // stream receives updates until the stream ends or delivers none for streamTimeout.
-func (w *Watcher) stream(ctx context.Context, address string, connected func()) error {
-	conn, err := rpcpool.Dial(ctx, address, dialTimeout)
+func (w *Watcher) stream(ctx context.Context, address string, progress *streamProgress, connected func()) error {
+	raw, err := rpcpool.DialTCP(ctx, "", address, dialTimeout)
 	if err != nil {
 		return err
 	}
+	counted := &countingConn{Conn: raw}
+	progress.begin(counted)
+	conn := drpcconn.New(counted)
 	defer func() { _ = conn.Close() }()
 	stream, err := nodepb.NewDRPCNodeClient(conn).Watch(ctx)
 	if err != nil {
 		return err
 	}
-	watchdog := time.AfterFunc(streamTimeout, func() { _ = conn.Close() })
+	var timedOut atomic.Bool
+	watchdog := time.AfterFunc(streamTimeout, func() { timedOut.Store(true); _ = conn.Close() })
 	defer watchdog.Stop()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	go w.sendKeepAlives(conn.Closed(), stream)
 	for {
 		update, err := stream.Recv()
+		if timedOut.Load() {
+			return failure.New(failure.DeadlineExceeded, failure.NotRun, "no whole message for %s", streamTimeout)
+		}
 		if err != nil {
 			return err
 		}
 		watchdog.Reset(streamTimeout)
+		progress.recordMessage()
 		connected()
 		if update.GetFresh() {
 			w.setMembers(update.GetMembers())
--- a/node/adopt.go
+++ b/node/adopt.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 
@@ -47,6 +48,7 @@
 func (n *Node) applyUpdate(from string, u *nodepb.WatchUpdate) {
 	n.updateMu.Lock()
 	defer n.updateMu.Unlock()
+	n.recordAnnounced(u.GetSetVersion(), time.Now())
 	if len(u.GetDocument()) > 0 {
 		n.applySet(from, u)
 	}
@@ -90,11 +92,26 @@
 	}
 }
 
+// recordAnnounced records a version of the set that a core member named.
+func (n *Node) recordAnnounced(version uint64, now time.Time) {
+	n.announced = max(n.announced, version)
+	if n.behindSince.IsZero() && n.isBehind() {
+		n.behindSince = now
+	}
+}
+
+// isBehind reports whether a version is named that is newer than the set in force.
+func (n *Node) isBehind() bool {
+	set := n.set.Load()
+	return n.announced > 0 && (set == nil || set.Version < n.announced)
+}
+
 func (n *Node) applySet(from string, u *nodepb.WatchUpdate) {
 	old := n.set.Load()
 	if old != nil && old.Version >= u.GetSetVersion() {
 		return
 	}
+	begin := time.Now()
 	set, err := n.parts.DecodeSet(u.GetDocument())
 	if err != nil {
 		n.log.Error("a published set cannot be read", zap.Uint64("set_version", u.GetSetVersion()), zap.Error(err))
@@ -103,9 +120,19 @@
 	n.set.Store(set)
 	n.stores.Configure(set)
 	n.server.SetLimits(set.Limits)
-	n.log.Info("set in force", zap.Uint64("set_version", set.Version), zap.Int("routes", len(set.Routes)), zap.String("from", from), zap.Bool("fresh", u.GetFresh()))
+	now := time.Now()
+	behindFor := now.Sub(n.behindSince)
+	if n.behindSince = (time.Time{}); n.isBehind() {
+		n.behindSince = now
+	}
+	gometrics.GetOrRegisterHistogram("node.set_behind_ms", n.metrics, gometrics.NewUniformSample(behindSamples)).Update(behindFor.Milliseconds())
+	n.log.Info("set in force", zap.Uint64("set_version", set.Version), zap.Int("routes", len(set.Routes)), zap.Int("bytes", len(u.GetDocument())),
+		zap.Duration("behind_for", behindFor), zap.Duration("decoded_in", now.Sub(begin)), zap.String("from", from), zap.Bool("fresh", u.GetFresh()))
 }
 
+// behindSamples is the number of values in the sample of the times for which the node was behind.
+const behindSamples = 256
+
 func (n *Node) applyWeights(named []*nodepb.WeightVersion) {
 	current := *n.weights.Load()
 	next := maps.Clone(current)
--- a/node/node.go
+++ b/node/node.go
@@ -104,8 +104,13 @@
 	// confirmed is closed when synced is set.
 	confirmed chan struct{}
 	stopping  atomic.Bool
-	// updateMu is held while an update is applied, and guards leaderTerm, the highest term of a leader so far.
-	updateMu          sync.Mutex
+	// updateMu is held while an update is applied, and guards the fields up to leaderTerm.
+	updateMu sync.Mutex
+	// announced is the newest version of the set that a core member named, and behindSince when the first version that is newer
+	// than the set in force was named, zero if there is none.
+	announced   uint64
+	behindSince time.Time
+	// leaderTerm is the highest term of a leader so far.
 	leaderTerm        uint64
 	group             *coregroup.Group
 	directory         *upstreams.Directory
@@ -189,7 +194,7 @@
 	running, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	mux := drpcmux.New()
-	server := &fleetview.Server{Group: n.group, Directory: n.directory, Reader: n.reader, Placement: n.placement, EngineClock: n.storeCoordinator.EngineClock, Log: n.log}
+	server := &fleetview.Server{Group: n.group, Directory: n.directory, Reader: n.reader, Placement: n.placement, EngineClock: n.storeCoordinator.EngineClock, Log: n.log, Metrics: n.metrics}
 	if err := errors.Join(nodepb.DRPCRegisterNode(mux, server), n.group.Register(mux)); err != nil {
 		return failure.Wrap(err, failure.Internal, failure.NotRun, "register the services of the node")
 	}
--- a/rpcpool/rpcpool.go
+++ b/rpcpool/rpcpool.go
@@ -58,7 +58,7 @@
 // Get returns a connection that is dialed on its first use. The caller closes it to return it to the pool.
 func (p *Pool) Get(ctx context.Context, address string) drpc.Conn {
 	return p.pool.Get(ctx, address, func(ctx context.Context, address string) (drpcpool.Conn, error) {
-		raw, err := dial(ctx, p.options.LocalIP, address, p.options.DialTimeout)
+		raw, err := DialTCP(ctx, p.options.LocalIP, address, p.options.DialTimeout)
 		if err != nil {
 			return nil, err
 		}
@@ -78,14 +78,15 @@
 
 // DialFrom is Dial with a source IP address; if it is empty, the kernel chooses one.
 func DialFrom(ctx context.Context, localIP, address string, timeout time.Duration) (*drpcconn.Conn, error) {
-	raw, err := dial(ctx, localIP, address, timeout)
+	raw, err := DialTCP(ctx, localIP, address, timeout)
 	if err != nil {
 		return nil, err
 	}
 	return drpcconn.New(raw), nil
 }
 
-func dial(ctx context.Context, localIP, address string, timeout time.Duration) (net.Conn, error) {
+// DialTCP opens a connection for callers that wrap it before they use drpc on it.
+func DialTCP(ctx context.Context, localIP, address string, timeout time.Duration) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: timeout, KeepAlive: 5 * time.Second}
 	if localIP != "" {
 		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(localIP)}
