--- a/fleetview/size_test.go
+++ b/fleetview/size_test.go
@@ -60,9 +60,12 @@
 	watcher := &Watcher{Node: "n", Contacts: addresses, Seeds: addresses, Log: zap.NewNop(), OnUpdate: func(_ string, u *nodepb.WatchUpdate) {
 		mu.Lock()
 		defer mu.Unlock()
-		got["set"] = got["set"] || bytes.Equal(u.GetDocument(), document)
 		got["instances"] = got["instances"] || len(u.GetInstances().GetInstances()) == 1
 		got["stores"] = got["stores"] || len(u.GetPlacements().GetStores()) == 1
+	}, OnSet: func(set PublishedSet) {
+		mu.Lock()
+		defer mu.Unlock()
+		got["set"] = got["set"] || set.Version == 7 && bytes.Equal(set.Document, document)
 	}}
 	tasks.Go(func() { watcher.Run(ctx) })
 	require.Eventually(t, func() bool {
--- a/fleetview/watcher.go
+++ b/fleetview/watcher.go
@@ -43,9 +43,12 @@
 	CPUMillis int
 	// Contacts returns addresses of core members, Seeds addresses of nodes that may be core members.
 	Contacts, Seeds func() []string
-	// OnUpdate is called with each update, from several goroutines.
+	// OnUpdate is called with each update, OnSet before it with the set that an update brings; both from several goroutines.
 	OnUpdate func(from string, u *nodepb.WatchUpdate)
-	Log      *zap.Logger
+	OnSet    func(set PublishedSet)
+	// Dial opens connections to core members; default is TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	Log  *zap.Logger
 
 	// lastUpdate is the Unix time of the last update in ns.
 	lastUpdate atomic.Int64
@@ -54,6 +57,15 @@
 	streams    map[string]context.CancelFunc
 }
 
+// PublishedSet is a set as a core member sent it.
+type PublishedSet struct {
+	Version  uint64
+	Document []byte
+	// From is the address of the core member; Fresh is set if it was sure to be current.
+	From  string
+	Fresh bool
+}
+
 // Run watches until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
 	var tasks sync.WaitGroup
@@ -175,9 +187,16 @@
 	return n, err
 }
 
+func (w *Watcher) dial(ctx context.Context, address string) (net.Conn, error) {
+	if w.Dial != nil {
+		return w.Dial(ctx, address)
+	}
+	return rpcpool.DialTCP(ctx, "", address, dialTimeout)
+}
+
 // stream receives updates until the stream ends or delivers none for streamTimeout.
 func (w *Watcher) stream(ctx context.Context, address string, progress *streamProgress, connected func()) error {
-	raw, err := rpcpool.DialTCP(ctx, "", address, dialTimeout)
+	raw, err := w.dial(ctx, address)
 	if err != nil {
 		return err
 	}
@@ -210,12 +229,19 @@
 			w.setMembers(update.GetMembers())
 		}
 		w.lastUpdate.Store(time.Now().UnixNano())
-		if err := supervise.Call(w.Log, "update of a core member", func() { w.OnUpdate(address, update) }); err != nil {
+		if err := supervise.Call(w.Log, "update of a core member", func() { w.apply(address, update) }); err != nil {
 			return err
 		}
 	}
 }
 
+func (w *Watcher) apply(from string, u *nodepb.WatchUpdate) {
+	if len(u.GetDocument()) > 0 {
+		w.OnSet(PublishedSet{Version: u.GetSetVersion(), Document: u.GetDocument(), From: from, Fresh: u.GetFresh()})
+	}
+	w.OnUpdate(from, u)
+}
+
 // sendKeepAlives sends keep-alives until the stream is closed. A failed send is also reported by the stream's receiver.
 func (w *Watcher) sendKeepAlives(closed <-chan struct{}, stream nodepb.DRPCNode_WatchClient) {
 	ticker := time.NewTicker(keepAliveInterval)
--- a/node/adopt.go
+++ b/node/adopt.go
@@ -49,9 +49,6 @@
 	n.updateMu.Lock()
 	defer n.updateMu.Unlock()
 	n.recordAnnounced(u.GetSetVersion(), time.Now())
-	if len(u.GetDocument()) > 0 {
-		n.applySet(from, u)
-	}
 	n.applyWeights(u.GetWeights())
 	if leader := u.GetLeaderAddress(); leader != "" && u.GetFresh() {
 		n.group.SetLeaderHint(leader)
@@ -106,15 +103,19 @@
 	return n.announced > 0 && (set == nil || set.Version < n.announced)
 }
 
-func (n *Node) applySet(from string, u *nodepb.WatchUpdate) {
+// applySet puts a published set in force unless the node has a newer one.
+func (n *Node) applySet(published fleetview.PublishedSet) {
+	n.updateMu.Lock()
+	defer n.updateMu.Unlock()
+	begin := time.Now()
+	n.recordAnnounced(published.Version, begin)
 	old := n.set.Load()
-	if old != nil && old.Version >= u.GetSetVersion() {
+	if old != nil && old.Version >= published.Version {
 		return
 	}
-	begin := time.Now()
-	set, err := n.parts.DecodeSet(u.GetDocument())
+	set, err := n.parts.DecodeSet(published.Document)
 	if err != nil {
-		n.log.Error("a published set cannot be read", zap.Uint64("set_version", u.GetSetVersion()), zap.Error(err))
+		n.log.Error("a published set cannot be read", zap.Uint64("set_version", published.Version), zap.Error(err))
 		return
 	}
 	n.set.Store(set)
@@ -126,8 +127,8 @@
 		n.behindSince = now
 	}
 	gometrics.GetOrRegisterHistogram("node.set_behind_ms", n.metrics, gometrics.NewUniformSample(behindSamples)).Update(behindFor.Milliseconds())
-	n.log.Info("set in force", zap.Uint64("set_version", set.Version), zap.Int("routes", len(set.Routes)), zap.Int("bytes", len(u.GetDocument())),
-		zap.Duration("behind_for", behindFor), zap.Duration("decoded_in", now.Sub(begin)), zap.String("from", from), zap.Bool("fresh", u.GetFresh()))
+	n.log.Info("set in force", zap.Uint64("set_version", set.Version), zap.Int("routes", len(set.Routes)), zap.Int("bytes", len(published.Document)),
+		zap.Duration("behind_for", behindFor), zap.Duration("decoded_in", now.Sub(begin)), zap.String("from", published.From), zap.Bool("fresh", published.Fresh))
 }
 
 // behindSamples is the number of values in the sample of the times for which the node was behind.
--- a/node/node.go
+++ b/node/node.go
@@ -204,7 +204,7 @@
 	groupDone := make(chan struct{})
 	tasks.Go(func() { n.serveInternal(running, mux, listeners.internal) })
 	tasks.Go(func() { n.group.Run(groupCtx); close(groupDone) })
-	watcher := &fleetview.Watcher{Node: n.config.Name, AvailabilityZone: n.config.AvailabilityZone, LoadAddress: n.config.LoadReports, LinkMbps: n.config.LinkMbps, CPUMillis: n.config.CPUMillis, Contacts: n.group.Contacts, Seeds: n.Seeds, OnUpdate: n.applyUpdate, Log: n.log}
+	watcher := &fleetview.Watcher{Node: n.config.Name, AvailabilityZone: n.config.AvailabilityZone, LoadAddress: n.config.LoadReports, LinkMbps: n.config.LinkMbps, CPUMillis: n.config.CPUMillis, Contacts: n.group.Contacts, Seeds: n.Seeds, OnUpdate: n.applyUpdate, OnSet: n.applySet, Log: n.log}
 	for name, run := range map[string]func(){
 		"instance list":     func() { n.reader.Run(running) },
 		"stores":            func() { n.storeCoordinator.Run(running) },
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/fleetview"
 	"github.com/wasabishunt/wasabishunt/placement"
 	"github.com/wasabishunt/wasabishunt/retrybudget"
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
@@ -36,6 +37,14 @@
 	return &nodepb.WatchUpdate{SetVersion: version, Document: []byte{byte(version)}, Fresh: true}
 }
 
+// receive applies an update as a watcher delivers it: the set first.
+func (n *Node) receive(from string, u *nodepb.WatchUpdate) {
+	if len(u.GetDocument()) > 0 {
+		n.applySet(fleetview.PublishedSet{Version: u.GetSetVersion(), Document: u.GetDocument(), From: from, Fresh: u.GetFresh()})
+	}
+	n.applyUpdate(from, u)
+}
+
 // idle describes links without backlog.
 type idle struct{}
 
@@ -53,14 +62,14 @@
 	require.Error(t, n.Ready())
 	old := update(3)
 	old.Fresh = false
-	n.applyUpdate("a", old)
+	n.receive("a", old)
 	require.EqualValues(t, 3, n.Set().Version)
 	require.False(t, n.synced.Load(), "a member that is not fresh may be behind")
-	n.applyUpdate("b", update(7))
-	n.applyUpdate("a", update(5))
+	n.receive("b", update(7))
+	n.receive("a", update(5))
 	require.EqualValues(t, 7, n.Set().Version)
 	require.True(t, n.synced.Load())
-	n.applyUpdate("b", &nodepb.WatchUpdate{SetVersion: 9, Document: []byte("bad"), Fresh: true})
+	n.receive("b", &nodepb.WatchUpdate{SetVersion: 9, Document: []byte("bad"), Fresh: true})
 	require.EqualValues(t, 7, n.Set().Version, "a set that cannot be read changes nothing")
 }
 
@@ -68,9 +77,9 @@
 // kiln-slots-grown trouble-1 it emptied the nodes' view of four stores for the rest of the day.
 func TestUpdatesOfADeposedLeaderAreIgnored(t *testing.T) {
 	n := newNode()
-	n.applyUpdate("a", update(1))
+	n.receive("a", update(1))
 	sendUpdate := func(term uint64, change *nodepb.StorePlacement) {
-		n.applyUpdate("leader", &nodepb.WatchUpdate{
+		n.receive("leader", &nodepb.WatchUpdate{
 			SetVersion: 1, Fresh: true, Leads: true, Term: term, Placements: &nodepb.Placements{Stores: []*nodepb.StorePlacement{change}},
 			Instances: &nodepb.InstanceView{Instances: []*nodepb.Instance{{Id: "i", BornMs: int64(term)}}},
 		})
@@ -89,8 +98,8 @@
 	named := func(version uint64) *nodepb.WatchUpdate {
 		return &nodepb.WatchUpdate{Weights: []*nodepb.WeightVersion{{Model: "m", Version: version}}}
 	}
-	n.applyUpdate("a", named(2))
-	n.applyUpdate("b", named(1))
+	n.receive("a", named(2))
+	n.receive("b", named(1))
 	require.EqualValues(t, 2, n.WantedVersion("m"))
 	require.Equal(t, map[string]uint64{"m": 2}, n.WantedVersions())
 	require.False(t, n.RequireWantedVersion("m"))
