fleetview: a stream of updates lives as long as bytes arrive on it

What callers saw: requests handled by an older set than the acknowledged one. Cause: a node closed a stream that brought no whole message within 2 s. A set that needs longer was broken off, and the next stream began anew, so that it never arrived and the link stayed full. The time without a byte is what tells a dead stream from a slow one: a core member sends something each 0.5 s.

--- a/fleetview/server.go
+++ b/fleetview/server.go
@@ -28,7 +28,7 @@
 	// membersInterval is the time after which an unchanged member list is sent again. It is long because each of up to 300
 	// nodes gets the list on the streams of eight members.
 	membersInterval = 10 * time.Second
-	// streamTimeout is four times updateInterval: a stream without messages for that long is dead or half-open.
+	// streamTimeout is four times updateInterval: a stream on which nothing arrives for that long is dead or half-open.
 	streamTimeout = 2 * time.Second
 	// nodeLifetime is how long a node is counted after its last keep-alive. A restarted node may have spent its share of
 	// the budgets, so the share is not divided among the others at once.
--- a/fleetview/watcher.go
+++ b/fleetview/watcher.go
@@ -175,18 +175,39 @@
 	return time.Since(p.messageAt)
 }
 
-// countingConn counts the bytes that are read from a connection.
+// countingConn counts the bytes that are read from a connection, and closes it once none has arrived for timeout.
 type countingConn struct {
 	net.Conn
 	received atomic.Int64
+	timeout  time.Duration
+	timer    *time.Timer
+	// silent is set when the connection was closed because nothing arrived.
+	silent atomic.Bool
+}
+
+func newCountingConn(conn net.Conn, timeout time.Duration) *countingConn {
+	c := &countingConn{Conn: conn, timeout: timeout}
+	c.timer = time.AfterFunc(timeout, func() {
+		c.silent.Store(true)
+		_ = conn.Close()
+	})
+	return c
 }
 
 func (c *countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.received.Add(int64(n))
+	if n > 0 {
+		c.received.Add(int64(n))
+		c.timer.Reset(c.timeout)
+	}
 	return n, err
 }
 
+func (c *countingConn) Close() error {
+	c.timer.Stop()
+	return c.Conn.Close()
+}
+
 func (w *Watcher) dial(ctx context.Context, address string) (net.Conn, error) {
 	if w.Dial != nil {
 		return w.Dial(ctx, address)
@@ -194,13 +215,13 @@
 	return rpcpool.DialTCP(ctx, "", address, dialTimeout)
 }
 
-// stream receives updates until the stream ends or delivers none for streamTimeout.
+// stream receives updates until the stream ends or nothing arrives on it for streamTimeout.
 func (w *Watcher) stream(ctx context.Context, address string, progress *streamProgress, connected func()) error {
 	raw, err := w.dial(ctx, address)
 	if err != nil {
 		return err
 	}
-	counted := &countingConn{Conn: raw}
+	counted := newCountingConn(raw, streamTimeout)
 	progress.begin(counted)
 	conn := drpcconn.New(counted)
 	defer func() { _ = conn.Close() }()
@@ -208,21 +229,17 @@
 	if err != nil {
 		return err
 	}
-	var timedOut atomic.Bool
-	watchdog := time.AfterFunc(streamTimeout, func() { timedOut.Store(true); _ = conn.Close() })
-	defer watchdog.Stop()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	go w.sendKeepAlives(conn.Closed(), stream)
 	for {
 		update, err := stream.Recv()
-		if timedOut.Load() {
-			return failure.New(failure.DeadlineExceeded, failure.NotRun, "no whole message for %s", streamTimeout)
+		if counted.silent.Load() {
+			return failure.New(failure.DeadlineExceeded, failure.NotRun, "nothing arrived for %s", streamTimeout)
 		}
 		if err != nil {
 			return err
 		}
-		watchdog.Reset(streamTimeout)
 		progress.recordMessage()
 		connected()
 		if update.GetFresh() {
