fleetview: a core member does not take a node for silent while it sends to it

Cause: one goroutine sent updates and noted keep-alives; a send that blocked for more than streamTimeout left the last keep-alive unnoted, and the tick that followed ended the stream. The goroutine that receives them notes them now, on the monotonic clock.

The tests of this file use small socket buffers, without which nothing blocks on loopback.

--- a/fleetview/distribution_test.go
+++ b/fleetview/distribution_test.go
@@ -63,7 +63,7 @@
 		mux := drpcmux.New()
 		require.NoError(t, group.Register(mux))
 		require.NoError(t, nodepb.DRPCRegisterNode(mux, server))
-		tasks.Go(func() { _ = drpcserver.New(mux).Serve(ctx, listener) })
+		tasks.Go(func() { _ = drpcserver.New(mux).Serve(ctx, smallWindows{listener}) })
 		tasks.Go(func() { group.Run(ctx) })
 		tasks.Go(func() { reader.Run(ctx) })
 		members = append(members, testMember{group, server})
@@ -71,6 +71,20 @@
 	return members, addresses
 }
 
+// windowBytes is the size of socket buffers. It is small, so that a peer that does not read blocks the writer.
+const windowBytes = 16 << 10
+
+// smallWindows accepts connections with small send buffers.
+type smallWindows struct{ net.Listener }
+
+func (l smallWindows) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return conn, conn.(*net.TCPConn).SetWriteBuffer(windowBytes)
+}
+
 // propose replicates a change through whichever member leads.
 func propose(t *testing.T, members []testMember, command *nodepb.Command) {
 	t.Helper()
@@ -119,10 +133,11 @@
 type thinNode struct {
 	watcher *Watcher
 	mu      sync.Mutex
-	// sets holds when each version arrived, weights the newest version named, received the bytes of all connections.
+	// sets holds when each version arrived, weights the newest version named, received the bytes of all connections, dials their number.
 	sets     map[uint64]time.Time
 	weights  uint64
 	received int
+	dials    int
 }
 
 // startThinNode starts a watcher behind a link of the given number of bytes per second.
@@ -134,7 +149,14 @@
 	n.watcher = &Watcher{
 		Node: "thin", Contacts: contacts, Seeds: contacts, Log: zap.NewNop(),
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			n.mu.Lock()
+			n.dials++
+			n.mu.Unlock()
 			conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+			if err != nil {
+				return nil, err
+			}
+			err = conn.(*net.TCPConn).SetReadBuffer(windowBytes)
 			return &linkConn{Conn: conn, node: n, limiter: limiter}, err
 		},
 		OnSet: func(set PublishedSet) {
@@ -245,6 +267,25 @@
 	require.Eventually(t, node.has(2), 2*2*streamTimeout, 5*time.Millisecond)
 }
 
+// Guards against a core member that takes a node for silent because it was busy sending to it itself.
+func TestNodeIsNotTakenForSilentDuringATransfer(t *testing.T) {
+	members, addresses := startMembers(t, 1)
+	publishSet(t, members, 1, routesDocument(1, 20))
+	const bytesPerSecond = 300_000
+	node := startThinNode(t, addresses, bytesPerSecond)
+	require.Eventually(t, node.has(1), applyLimit, 5*time.Millisecond)
+	random := rand.NewChaCha8([32]byte{})
+	for version := range uint64(4) {
+		document := make([]byte, int((streamTimeout+300*time.Millisecond).Seconds()*bytesPerSecond))
+		_, _ = random.Read(document)
+		publishSet(t, members, 2+version, document)
+		require.Eventually(t, node.has(2+version), 2*2*streamTimeout, 5*time.Millisecond)
+	}
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	require.Equal(t, 1, node.dials)
+}
+
 // Guards against small news that wait until a large set has been transferred.
 func TestNewsDoesNotWaitBehindASet(t *testing.T) {
 	members, addresses := startMembers(t, 5)
--- a/fleetview/server.go
+++ b/fleetview/server.go
@@ -6,6 +6,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
@@ -14,6 +15,7 @@
 
 	"github.com/wasabishunt/wasabishunt/clock"
 	"github.com/wasabishunt/wasabishunt/coregroup"
+	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
 	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
 	"github.com/wasabishunt/wasabishunt/supervise"
@@ -76,7 +78,10 @@
 func (s *Server) Watch(stream nodepb.DRPCNode_WatchStream) error {
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
-	received := make(chan struct{}, 1)
+	// lastMessage is when the last keep-alive arrived, in ns since started. The receiver sets it, because a large message to a
+	// slow node blocks this goroutine for longer than streamTimeout.
+	started := time.Now()
+	var lastMessage atomic.Int64
 	go func() {
 		defer cancel()
 		for {
@@ -84,16 +89,12 @@
 			if err != nil || supervise.Call(s.Log, "sign of life", func() { s.recordNode(q) }) != nil {
 				return
 			}
-			select {
-			case received <- struct{}{}:
-			default:
-			}
+			lastMessage.Store(int64(time.Since(started)))
 		}
 	}()
 	sent := &position{}
 	ticker := time.NewTicker(updateInterval)
 	defer ticker.Stop()
-	lastMessage := time.Now()
 	for {
 		state, stateChanged := s.Group.State()
 		viewChanged, placementsChanged := s.Directory.Changed(), s.Placement.Changed()
@@ -111,11 +112,9 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-received:
-			lastMessage = time.Now()
 		case <-ticker.C:
-			if time.Since(lastMessage) > streamTimeout {
-				return context.DeadlineExceeded
+			if silence := time.Since(started) - time.Duration(lastMessage.Load()); silence > streamTimeout {
+				return failure.New(failure.DeadlineExceeded, failure.NotRun, "no keep-alive for %s", silence)
 			}
 		case <-stateChanged:
 		case <-viewChanged:
