fleetview: a node fetches a set from one core member

What callers saw: requests handled by an older set than the acknowledged one, and late answers for as long as sets of thousands of routes were on their way. Cause: each core member sent each node the whole document of each version, so a set cost the link of a node its size times the number of members (six copies of 555 kB need 2.7 s of 10 Mbit/s), and all other news waited behind it.

Updates name only the version now. A node fetches the document by a call of its own from one member: itself if it has one, else one of its zone, else the nearest that has it; another one if nothing arrives for 0.4 s, a limit that doubles with each failure. Nodes of earlier versions still get sets within updates. Which member to ask is decided by a type without clock and sockets (setSources). A set may arrive after the word that it is the newest, so readiness is checked at both.

--- a/fleetview/distribution_test.go
+++ b/fleetview/distribution_test.go
@@ -38,7 +38,7 @@
 }
 
 // startMembers forms a group of core members and returns them with their addresses.
-func startMembers(t *testing.T, count int) ([]testMember, []string) {
+func startMembers(t *testing.T, count, window int) ([]testMember, []string) {
 	t.Helper()
 	var listeners []net.Listener
 	var addresses []string
@@ -63,7 +63,7 @@
 		mux := drpcmux.New()
 		require.NoError(t, group.Register(mux))
 		require.NoError(t, nodepb.DRPCRegisterNode(mux, server))
-		tasks.Go(func() { _ = drpcserver.New(mux).Serve(ctx, smallWindows{listener}) })
+		tasks.Go(func() { _ = drpcserver.New(mux).Serve(ctx, smallWindows{listener, window}) })
 		tasks.Go(func() { group.Run(ctx) })
 		tasks.Go(func() { reader.Run(ctx) })
 		members = append(members, testMember{group, server})
@@ -71,18 +71,25 @@
 	return members, addresses
 }
 
-// windowBytes is the size of socket buffers. It is small, so that a peer that does not read blocks the writer.
-const windowBytes = 16 << 10
+const (
+	// windowBytes is the size of socket buffers. They are small, so that a peer that does not read blocks the writer.
+	windowBytes = 128 << 10
+	// smallestWindowBytes is below the largest segment of the loopback device, so that most of a message waits in the writer.
+	smallestWindowBytes = 16 << 10
+)
 
 // smallWindows accepts connections with small send buffers.
-type smallWindows struct{ net.Listener }
+type smallWindows struct {
+	net.Listener
+	bytes int
+}
 
 func (l smallWindows) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return conn, conn.(*net.TCPConn).SetWriteBuffer(windowBytes)
+	return conn, conn.(*net.TCPConn).SetWriteBuffer(l.bytes)
 }
 
 // propose replicates a change through whichever member leads.
@@ -138,10 +145,12 @@
 	weights  uint64
 	received int
 	dials    int
+	// placements is the number of reports on stores.
+	placements int
 }
 
 // startThinNode starts a watcher behind a link of the given number of bytes per second.
-func startThinNode(t *testing.T, addresses []string, bytesPerSecond float64) *thinNode {
+func startThinNode(t *testing.T, addresses []string, bytesPerSecond float64, window int) *thinNode {
 	t.Helper()
 	n := &thinNode{sets: map[uint64]time.Time{}}
 	limiter := rate.NewLimiter(rate.Limit(bytesPerSecond), maxLinkRead)
@@ -156,7 +165,7 @@
 			if err != nil {
 				return nil, err
 			}
-			err = conn.(*net.TCPConn).SetReadBuffer(windowBytes)
+			err = conn.(*net.TCPConn).SetReadBuffer(window)
 			return &linkConn{Conn: conn, node: n, limiter: limiter}, err
 		},
 		OnSet: func(set PublishedSet) {
@@ -172,6 +181,7 @@
 			for _, w := range u.GetWeights() {
 				n.weights = max(n.weights, w.GetVersion())
 			}
+			n.placements += len(u.GetPlacements().GetStores())
 		},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -198,6 +208,14 @@
 	}
 }
 
+func (n *thinNode) hasPlacements(count int) func() bool {
+	return func() bool {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.placements >= count
+	}
+}
+
 func (n *thinNode) receivedBytes() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -228,9 +246,9 @@
 // Guards against sets that reach a node too late or never, because their copies from all core members fill its link and streams
 // that are still receiving one are closed.
 func TestSetsReachANodeBehindASlowLink(t *testing.T) {
-	members, addresses := startMembers(t, 5)
+	members, addresses := startMembers(t, 5, windowBytes)
 	publishSet(t, members, 1, routesDocument(1, 20))
-	node := startThinNode(t, addresses, thinLink)
+	node := startThinNode(t, addresses, thinLink, windowBytes)
 	require.Eventually(t, node.has(1), applyLimit, 5*time.Millisecond)
 	publishSet(t, members, 2, routesDocument(2, 2800))
 	<-time.After(time.Second)
@@ -240,9 +258,9 @@
 
 // Guards against a set that crosses the link of a node once for each core member.
 func TestSetCrossesALinkOnce(t *testing.T) {
-	members, addresses := startMembers(t, 5)
+	members, addresses := startMembers(t, 5, windowBytes)
 	publishSet(t, members, 1, routesDocument(1, 20))
-	node := startThinNode(t, addresses, 100*thinLink)
+	node := startThinNode(t, addresses, 100*thinLink, windowBytes)
 	require.Eventually(t, node.has(1), applyLimit, 5*time.Millisecond)
 	before := node.receivedBytes()
 	document := routesDocument(2, 2800)
@@ -254,10 +272,10 @@
 
 // Guards against a transfer that is broken off although it makes progress: it begins anew and never ends.
 func TestSlowButSoundTransferIsFinished(t *testing.T) {
-	members, addresses := startMembers(t, 1)
+	members, addresses := startMembers(t, 1, windowBytes)
 	publishSet(t, members, 1, routesDocument(1, 20))
 	const bytesPerSecond = 300_000
-	node := startThinNode(t, addresses, bytesPerSecond)
+	node := startThinNode(t, addresses, bytesPerSecond, windowBytes)
 	require.Eventually(t, node.has(1), applyLimit, 5*time.Millisecond)
 	// Random bytes cannot be compressed; their transfer takes twice streamTimeout.
 	document := make([]byte, 2*int(streamTimeout.Seconds())*bytesPerSecond)
@@ -269,29 +287,28 @@
 
 // Guards against a core member that takes a node for silent because it was busy sending to it itself.
 func TestNodeIsNotTakenForSilentDuringATransfer(t *testing.T) {
-	members, addresses := startMembers(t, 1)
+	members, addresses := startMembers(t, 1, smallestWindowBytes)
 	publishSet(t, members, 1, routesDocument(1, 20))
 	const bytesPerSecond = 300_000
-	node := startThinNode(t, addresses, bytesPerSecond)
+	node := startThinNode(t, addresses, bytesPerSecond, smallestWindowBytes)
 	require.Eventually(t, node.has(1), applyLimit, 5*time.Millisecond)
-	random := rand.NewChaCha8([32]byte{})
-	for version := range uint64(4) {
-		document := make([]byte, int((streamTimeout+300*time.Millisecond).Seconds()*bytesPerSecond))
-		_, _ = random.Read(document)
-		publishSet(t, members, 2+version, document)
-		require.Eventually(t, node.has(2+version), 2*2*streamTimeout, 5*time.Millisecond)
+	size := int((streamTimeout + 300*time.Millisecond).Seconds() * bytesPerSecond)
+	for round := range 4 {
+		members[0].server.Placement.Append(&nodepb.StorePlacement{Address: strings.Repeat("x", size)}, nil)
+		require.Eventually(t, node.hasPlacements(round+1), 2*2*streamTimeout, 5*time.Millisecond)
 	}
 	node.mu.Lock()
 	defer node.mu.Unlock()
-	require.Equal(t, 1, node.dials)
+	// One for the set, one for the updates.
+	require.Equal(t, 2, node.dials)
 }
 
 // Guards against small news that wait until a large set has been transferred.
 func TestNewsDoesNotWaitBehindASet(t *testing.T) {
-	members, addresses := startMembers(t, 5)
+	members, addresses := startMembers(t, 5, windowBytes)
 	publishSet(t, members, 1, routesDocument(1, 20))
 	const bytesPerSecond = 300_000
-	node := startThinNode(t, addresses, bytesPerSecond)
+	node := startThinNode(t, addresses, bytesPerSecond, windowBytes)
 	require.Eventually(t, node.has(1), applyLimit, 5*time.Millisecond)
 	document := make([]byte, 2*bytesPerSecond)
 	random := rand.NewChaCha8([32]byte{})
--- /dev/null
+++ b/fleetview/fetch.go
@@ -0,0 +1,166 @@
+package fleetview
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/zeebo/blake3"
+	"go.uber.org/zap"
+	"storj.io/drpc/drpcconn"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
+	"github.com/wasabishunt/wasabishunt/supervise"
+)
+
+// maxSetBytes limits the document of a set in bytes. It is above what operators can publish.
+const maxSetBytes = 4 << 20
+
+// PublishedSet is a set as a core member sent it.
+type PublishedSet struct {
+	Version  uint64
+	Document []byte
+	// From is the address of the core member, FetchedIn the time that the transfer took.
+	From      string
+	FetchedIn time.Duration
+}
+
+// setFetcher fetches new sets from one core member at a time. The streams of updates only name versions: the members have the same
+// sets, and copies from all of them would fill the link of the node. mu is a leaf lock: no other lock is acquired while it is held.
+type setFetcher struct {
+	watcher *Watcher
+	// news wakes run.
+	news chan struct{}
+
+	mu      sync.Mutex
+	sources *setSources
+}
+
+func newSetFetcher(w *Watcher) *setFetcher {
+	return &setFetcher{watcher: w, news: make(chan struct{}, 1), sources: newSetSources(w.Node, w.AvailabilityZone, w.Address)}
+}
+
+// announce records the version of the set that a core member named.
+func (f *setFetcher) announce(address, zone string, version uint64) {
+	f.mu.Lock()
+	news := f.sources.announce(address, zone, version, time.Now())
+	f.mu.Unlock()
+	if !news {
+		return
+	}
+	select {
+	case f.news <- struct{}{}:
+	default:
+	}
+}
+
+func (f *setFetcher) remove(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sources.remove(address)
+}
+
+// recordSet records that the node has a set, which a core member of an earlier version may have sent within an update.
+func (f *setFetcher) recordSet(version uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sources.recordSet(version, time.Now())
+}
+
+// next returns the core member to fetch from, the version that the node has and the limit for a stalled transfer.
+func (f *setFetcher) next() (address string, have uint64, stallLimit, wait time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	address, wait = f.sources.choose(time.Now())
+	return address, f.sources.have, f.sources.stallLimit(), wait
+}
+
+// run fetches sets until the context ends.
+func (f *setFetcher) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		address, have, stallLimit, wait := f.next()
+		if address == "" {
+			f.await(ctx, wait)
+			continue
+		}
+		begin := time.Now()
+		set, received, err := f.fetch(ctx, address, have, stallLimit)
+		if err != nil {
+			f.mu.Lock()
+			f.sources.recordFailure(address, time.Now())
+			f.mu.Unlock()
+			if ctx.Err() == nil {
+				f.watcher.Log.Info("a published set was not fetched", zap.String("address", address), zap.Uint64("have_version", have),
+					zap.Int64("received_bytes", received), zap.Duration("after", time.Since(begin)), zap.Error(err))
+			}
+			continue
+		}
+		set.FetchedIn = time.Since(begin)
+		f.recordSet(set.Version)
+		_ = supervise.Call(f.watcher.Log, "published set", func() { f.watcher.OnSet(set) })
+	}
+}
+
+// await waits for news, for the given time at most unless it is 0.
+func (f *setFetcher) await(ctx context.Context, wait time.Duration) {
+	var elapsed <-chan time.Time
+	if wait > 0 {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		elapsed = timer.C
+	}
+	select {
+	case <-ctx.Done():
+	case <-f.news:
+	case <-elapsed:
+	}
+}
+
+// fetch transfers the newest set of a core member. It also returns the number of bytes that arrived.
+func (f *setFetcher) fetch(ctx context.Context, address string, have uint64, stallLimit time.Duration) (set PublishedSet, received int64, err error) {
+	raw, err := f.watcher.dial(ctx, address)
+	if err != nil {
+		return set, 0, err
+	}
+	counted := newCountingConn(raw, stallLimit)
+	conn := drpcconn.New(counted)
+	defer func() { _ = conn.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	stream, err := nodepb.NewDRPCNodeClient(conn).FetchSet(ctx, &nodepb.FetchSetRequest{Node: f.watcher.Node, HaveVersion: have})
+	if err == nil {
+		set, err = receiveSet(stream)
+	}
+	if counted.silent.Load() {
+		err = failure.New(failure.DeadlineExceeded, failure.NotRun, "nothing arrived for %s", stallLimit)
+	}
+	set.From = address
+	return set, counted.received.Load(), err
+}
+
+// receiveSet joins the parts of a set and verifies the whole.
+func receiveSet(stream nodepb.DRPCNode_FetchSetClient) (PublishedSet, error) {
+	var first *nodepb.SetPart
+	var document []byte
+	for {
+		part, err := stream.Recv()
+		if err != nil {
+			return PublishedSet{}, err
+		}
+		if first == nil {
+			first = part
+		}
+		if first.GetDocumentBytes() > maxSetBytes || uint64(len(document)+len(part.GetData())) > first.GetDocumentBytes() {
+			return PublishedSet{}, failure.New(failure.BodyTooLarge, failure.NotRun, "the set is larger than %d bytes or than its first part says", maxSetBytes)
+		}
+		document = append(document, part.GetData()...)
+		if !part.GetLast() {
+			continue
+		}
+		if hash := blake3.Sum256(document); string(hash[:]) != string(first.GetDocumentHash()) {
+			return PublishedSet{}, failure.New(failure.InvalidRequest, failure.NotRun, "the set that was received is corrupt")
+		}
+		return PublishedSet{Version: first.GetSetVersion(), Document: document}, nil
+	}
+}
--- a/fleetview/server.go
+++ b/fleetview/server.go
@@ -78,6 +78,9 @@
 func (s *Server) Watch(stream nodepb.DRPCNode_WatchStream) error {
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
+	// identified is closed at the first keep-alive, which sets fetchesSets.
+	identified := make(chan struct{})
+	fetchesSets := false
 	// lastMessage is when the last keep-alive arrived, in ns since started. The receiver sets it, because a large message to a
 	// slow node blocks this goroutine for longer than streamTimeout.
 	started := time.Now()
@@ -89,21 +92,25 @@
 			if err != nil || supervise.Call(s.Log, "sign of life", func() { s.recordNode(q) }) != nil {
 				return
 			}
-			lastMessage.Store(int64(time.Since(started)))
+			if lastMessage.Swap(int64(time.Since(started))) == 0 {
+				fetchesSets = q.GetFetchesSets()
+				close(identified)
+			}
 		}
 	}()
 	sent := &position{}
+	sendsSets := false
 	ticker := time.NewTicker(updateInterval)
 	defer ticker.Stop()
 	for {
 		state, stateChanged := s.Group.State()
 		viewChanged, placementsChanged := s.Directory.Changed(), s.Placement.Changed()
 		if state != nil {
-			update := s.update(state, sent)
+			update := s.update(state, sent, sendsSets)
 			if err := stream.Send(update); err != nil {
 				return err
 			}
-			s.recordSent(update)
+			s.recordSent(len(update.GetDocument()))
 			if len(update.GetDocument()) > 0 && ctx.Err() == nil {
 				// The rest was left for the next update.
 				continue
@@ -116,6 +123,8 @@
 			if silence := time.Since(started) - time.Duration(lastMessage.Load()); silence > streamTimeout {
 				return failure.New(failure.DeadlineExceeded, failure.NotRun, "no keep-alive for %s", silence)
 			}
+		case <-identified:
+			identified, sendsSets = nil, !fetchesSets
 		case <-stateChanged:
 		case <-viewChanged:
 		case <-placementsChanged:
@@ -124,13 +133,6 @@
 	}
 }
 
-// recordSent counts the bytes of sets that were sent.
-func (s *Server) recordSent(u *nodepb.WatchUpdate) {
-	if s.Metrics != nil && len(u.GetDocument()) > 0 {
-		gometrics.GetOrRegisterCounter("fleetview.set_bytes_sent", s.Metrics).Inc(int64(len(u.GetDocument())))
-	}
-}
-
 // position is the state that was already sent on a stream.
 type position struct {
 	// document is the version of the object set.
@@ -159,22 +161,23 @@
 	return members
 }
 
-// update returns what was not yet sent on a stream; with a document, the rest is left for the next update. Instances, placements and nodes are included only while this member
+// update returns what was not yet sent on a stream. Nodes fetch sets themselves, unless sendsSets is set; with a document, the rest is
+// left for the next update. Instances, placements and nodes are included only while this member
 // is a fresh leader with a current directory.
-func (s *Server) update(state *nodepb.State, sent *position) *nodepb.WatchUpdate {
+func (s *Server) update(state *nodepb.State, sent *position, sendsSets bool) *nodepb.WatchUpdate {
 	// The term is read before the leadership: if the leadership is lost in between, the update has the old term and the
 	// watchers ignore it.
 	u := &nodepb.WatchUpdate{
 		Term: s.Group.Term(), LeaderAddress: s.Group.Leader(), Fresh: s.Group.Fresh(), SetVersion: state.GetSetVersion(), Weights: state.GetWeights(),
 	}
 	members := lo.Map(s.Group.Members(), func(m *raftpb.Member, _ int) *nodepb.CoreMember {
-		return &nodepb.CoreMember{Id: m.GetId(), Address: m.GetAddress(), Learner: m.GetLearner()}
+		return &nodepb.CoreMember{Id: m.GetId(), Address: m.GetAddress(), Learner: m.GetLearner(), AvailabilityZone: m.GetAvailabilityZone()}
 	})
 	// Watchers accept members only from fresh updates.
 	if u.Fresh {
 		u.Members = sent.membersToSend(members, time.Now())
 	}
-	if state.GetSetVersion() > sent.document {
+	if sendsSets && state.GetSetVersion() > sent.document {
 		u.Document = state.GetDocument()
 		sent.document = state.GetSetVersion()
 	}
--- a/fleetview/watcher.go
+++ b/fleetview/watcher.go
@@ -43,7 +43,9 @@
 	CPUMillis int
 	// Contacts returns addresses of core members, Seeds addresses of nodes that may be core members.
 	Contacts, Seeds func() []string
-	// OnUpdate is called with each update, OnSet before it with the set that an update brings; both from several goroutines.
+	// Address is where this node serves other nodes.
+	Address string
+	// OnUpdate is called with each update, OnSet with each new set; both from several goroutines.
 	OnUpdate func(from string, u *nodepb.WatchUpdate)
 	OnSet    func(set PublishedSet)
 	// Dial opens connections to core members; default is TCP.
@@ -52,18 +54,12 @@
 
 	// lastUpdate is the Unix time of the last update in ns.
 	lastUpdate atomic.Int64
+	sets       *setFetcher
 	mu         sync.Mutex
 	members    []string
-	streams    map[string]context.CancelFunc
-}
-
-// PublishedSet is a set as a core member sent it.
-type PublishedSet struct {
-	Version  uint64
-	Document []byte
-	// From is the address of the core member; Fresh is set if it was sure to be current.
-	From  string
-	Fresh bool
+	// zones holds the availability zones of the members.
+	zones   map[string]string
+	streams map[string]context.CancelFunc
 }
 
 // Run watches until the context ends.
@@ -73,6 +69,8 @@
 	ctx, cancelAll := context.WithCancel(ctx)
 	defer cancelAll()
 	w.streams = map[string]context.CancelFunc{}
+	w.sets = newSetFetcher(w)
+	tasks.Go(func() { supervise.Loop(ctx, w.Log, "published sets", func() { w.sets.run(ctx) }) })
 	ticker := time.NewTicker(streamCheckInterval)
 	defer ticker.Stop()
 	for {
@@ -120,6 +118,13 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.members = lo.Map(members, func(m *nodepb.CoreMember, _ int) string { return m.GetAddress() })
+	w.zones = lo.SliceToMap(members, func(m *nodepb.CoreMember) (string, string) { return m.GetAddress(), m.GetAvailabilityZone() })
+}
+
+func (w *Watcher) zoneOf(address string) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.zones[address]
 }
 
 // watch keeps a stream to one address open until the context ends.
@@ -138,6 +143,7 @@
 			w.Log.Warn("lost a core member", zap.String("address", address), zap.Int("messages", progress.messages),
 				zap.Int64("unfinished_bytes", progress.unfinished()), zap.Duration("since_message", progress.sinceMessage()), zap.Error(err))
 		}
+		w.sets.remove(address)
 		clock.Sleep(ctx, reconnectDelay)
 	}
 }
@@ -254,9 +260,11 @@
 
 func (w *Watcher) apply(from string, u *nodepb.WatchUpdate) {
 	if len(u.GetDocument()) > 0 {
-		w.OnSet(PublishedSet{Version: u.GetSetVersion(), Document: u.GetDocument(), From: from, Fresh: u.GetFresh()})
+		w.sets.recordSet(u.GetSetVersion())
+		w.OnSet(PublishedSet{Version: u.GetSetVersion(), Document: u.GetDocument(), From: from})
 	}
 	w.OnUpdate(from, u)
+	w.sets.announce(from, w.zoneOf(from), u.GetSetVersion())
 }
 
 // sendKeepAlives sends keep-alives until the stream is closed. A failed send is also reported by the stream's receiver.
@@ -264,7 +272,7 @@
 	ticker := time.NewTicker(keepAliveInterval)
 	defer ticker.Stop()
 	for {
-		if err := stream.Send(&nodepb.WatchRequest{Node: w.Node, AvailabilityZone: w.AvailabilityZone, LoadAddress: w.LoadAddress, LinkMbps: uint32(w.LinkMbps), CpuMillis: uint32(w.CPUMillis)}); err != nil {
+		if err := stream.Send(&nodepb.WatchRequest{Node: w.Node, AvailabilityZone: w.AvailabilityZone, LoadAddress: w.LoadAddress, LinkMbps: uint32(w.LinkMbps), CpuMillis: uint32(w.CPUMillis), FetchesSets: true}); err != nil {
 			return
 		}
 		select {
--- a/node/adopt.go
+++ b/node/adopt.go
@@ -53,11 +53,10 @@
 	if leader := u.GetLeaderAddress(); leader != "" && u.GetFresh() {
 		n.group.SetLeaderHint(leader)
 	}
-	if set := n.set.Load(); set != nil && u.GetFresh() && u.GetSetVersion() >= 1 && set.Version >= u.GetSetVersion() && !n.synced.Load() {
-		n.synced.Store(true)
-		close(n.confirmed)
-		n.log.Info("node is in step with the core", zap.Uint64("set_version", set.Version), zap.String("from", from))
+	if u.GetFresh() && n.currentVersion == 0 {
+		n.currentVersion = u.GetSetVersion()
 	}
+	n.checkSynced(from)
 	// A deposed leader that was paused may still claim to lead for a short time after it resumes.
 	if !u.GetLeads() || u.GetTerm() < n.leaderTerm {
 		return
@@ -97,6 +96,17 @@
 	}
 }
 
+// checkSynced confirms the set once it is at least as new as the one that a core member had that was sure to be current.
+func (n *Node) checkSynced(from string) {
+	set := n.set.Load()
+	if n.synced.Load() || set == nil || n.currentVersion == 0 || set.Version < n.currentVersion {
+		return
+	}
+	n.synced.Store(true)
+	close(n.confirmed)
+	n.log.Info("node is in step with the core", zap.Uint64("set_version", set.Version), zap.String("from", from))
+}
+
 // isBehind reports whether a version is named that is newer than the set in force.
 func (n *Node) isBehind() bool {
 	set := n.set.Load()
@@ -128,7 +138,9 @@
 	}
 	gometrics.GetOrRegisterHistogram("node.set_behind_ms", n.metrics, gometrics.NewUniformSample(behindSamples)).Update(behindFor.Milliseconds())
 	n.log.Info("set in force", zap.Uint64("set_version", set.Version), zap.Int("routes", len(set.Routes)), zap.Int("bytes", len(published.Document)),
-		zap.Duration("behind_for", behindFor), zap.Duration("decoded_in", now.Sub(begin)), zap.String("from", published.From), zap.Bool("fresh", published.Fresh))
+		zap.Duration("behind_for", behindFor), zap.Duration("fetched_in", published.FetchedIn), zap.Duration("decoded_in", now.Sub(begin)),
+		zap.String("from", published.From))
+	n.checkSynced(published.From)
 }
 
 // behindSamples is the number of values in the sample of the times for which the node was behind.
--- a/node/node.go
+++ b/node/node.go
@@ -110,6 +110,8 @@
 	// than the set in force was named, zero if there is none.
 	announced   uint64
 	behindSince time.Time
+	// currentVersion is the version of the set that the first core member had that was sure to be current, 0 before.
+	currentVersion uint64
 	// leaderTerm is the highest term of a leader so far.
 	leaderTerm        uint64
 	group             *coregroup.Group
@@ -204,7 +206,11 @@
 	groupDone := make(chan struct{})
 	tasks.Go(func() { n.serveInternal(running, mux, listeners.internal) })
 	tasks.Go(func() { n.group.Run(groupCtx); close(groupDone) })
-	watcher := &fleetview.Watcher{Node: n.config.Name, AvailabilityZone: n.config.AvailabilityZone, LoadAddress: n.config.LoadReports, LinkMbps: n.config.LinkMbps, CPUMillis: n.config.CPUMillis, Contacts: n.group.Contacts, Seeds: n.Seeds, OnUpdate: n.applyUpdate, OnSet: n.applySet, Log: n.log}
+	watcher := &fleetview.Watcher{
+		Node: n.config.Name, AvailabilityZone: n.config.AvailabilityZone, Address: n.config.Internal, LoadAddress: n.config.LoadReports,
+		LinkMbps: n.config.LinkMbps, CPUMillis: n.config.CPUMillis, Contacts: n.group.Contacts, Seeds: n.Seeds,
+		OnUpdate: n.applyUpdate, OnSet: n.applySet, Log: n.log,
+	}
 	for name, run := range map[string]func(){
 		"instance list":     func() { n.reader.Run(running) },
 		"stores":            func() { n.storeCoordinator.Run(running) },
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -40,7 +40,7 @@
 // receive applies an update as a watcher delivers it: the set first.
 func (n *Node) receive(from string, u *nodepb.WatchUpdate) {
 	if len(u.GetDocument()) > 0 {
-		n.applySet(fleetview.PublishedSet{Version: u.GetSetVersion(), Document: u.GetDocument(), From: from, Fresh: u.GetFresh()})
+		n.applySet(fleetview.PublishedSet{Version: u.GetSetVersion(), Document: u.GetDocument(), From: from})
 	}
 	n.applyUpdate(from, u)
 }
@@ -108,3 +108,14 @@
 	n.weights.Store(&late)
 	require.True(t, n.RequireWantedVersion("m"))
 }
+
+// Guards against a node that is never ready because the set arrives after the word of a core member that names it, and against
+// one that is ready with a set that was outdated then.
+func TestSetThatFollowsItsVersionMakesReady(t *testing.T) {
+	n := newNode()
+	n.applyUpdate("a", &nodepb.WatchUpdate{SetVersion: 5, Fresh: true})
+	n.applySet(fleetview.PublishedSet{Version: 4, Document: []byte{4}})
+	require.False(t, n.synced.Load())
+	n.applySet(fleetview.PublishedSet{Version: 6, Document: []byte{6}})
+	require.True(t, n.synced.Load())
+}
