fleetview: sets are sent as compressed differences from the set that a node has

A change of one route of a set of 2,800 routes cost each node the whole document. Package bindelta knows nothing of the documents' form: it finds blocks of the base in the target and compresses what is new.

TestSmallChangeOfALargeSetIsCheap guards the cost.

--- a/fleetview/distribution_test.go
+++ b/fleetview/distribution_test.go
@@ -270,6 +270,19 @@
 	require.Never(t, func() bool { return node.receivedBytes()-before > len(document)*5/4 }, 300*time.Millisecond, 10*time.Millisecond)
 }
 
+// Guards against small changes that cost as much as the whole set.
+func TestSmallChangeOfALargeSetIsCheap(t *testing.T) {
+	members, addresses := startMembers(t, 5, windowBytes)
+	document := routesDocument(1, 2800)
+	publishSet(t, members, 1, document)
+	node := startThinNode(t, addresses, 100*thinLink, windowBytes)
+	require.Eventually(t, node.has(1), applyLimit, 5*time.Millisecond)
+	before := node.receivedBytes()
+	publishSet(t, members, 2, append(routesDocument(1, 2800), ' '))
+	require.Eventually(t, node.has(2), applyLimit, 5*time.Millisecond)
+	require.Less(t, node.receivedBytes()-before, len(document)/20)
+}
+
 // Guards against a transfer that is broken off although it makes progress: it begins anew and never ends.
 func TestSlowButSoundTransferIsFinished(t *testing.T) {
 	members, addresses := startMembers(t, 1, windowBytes)
--- a/fleetview/fetch.go
+++ b/fleetview/fetch.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 	"storj.io/drpc/drpcconn"
 
+	"github.com/wasabishunt/wasabishunt/bindelta"
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
 	"github.com/wasabishunt/wasabishunt/supervise"
@@ -21,9 +22,10 @@
 type PublishedSet struct {
 	Version  uint64
 	Document []byte
-	// From is the address of the core member, FetchedIn the time that the transfer took.
-	From      string
-	FetchedIn time.Duration
+	// From is the address of the core member, FetchedIn the time that the transfer took, and TransferredBytes its size.
+	From             string
+	FetchedIn        time.Duration
+	TransferredBytes int64
 }
 
 // setFetcher fetches new sets from one core member at a time. The streams of updates only name versions: the members have the same
@@ -35,6 +37,8 @@
 
 	mu      sync.Mutex
 	sources *setSources
+	// have is the newest set of the node, the base of the next delta.
+	have PublishedSet
 }
 
 func newSetFetcher(w *Watcher) *setFetcher {
@@ -62,18 +66,21 @@
 }
 
 // recordSet records that the node has a set, which a core member of an earlier version may have sent within an update.
-func (f *setFetcher) recordSet(version uint64) {
+func (f *setFetcher) recordSet(set PublishedSet) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.sources.recordSet(version, time.Now())
+	if set.Version > f.have.Version {
+		f.have = set
+	}
+	f.sources.recordSet(set.Version, time.Now())
 }
 
-// next returns the core member to fetch from, the version that the node has and the limit for a stalled transfer.
-func (f *setFetcher) next() (address string, have uint64, stallLimit, wait time.Duration) {
+// next returns the core member to fetch from, the set that the node has and the limit for a stalled transfer.
+func (f *setFetcher) next() (address string, have PublishedSet, stallLimit, wait time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	address, wait = f.sources.choose(time.Now())
-	return address, f.sources.have, f.sources.stallLimit(), wait
+	return address, f.have, f.sources.stallLimit(), wait
 }
 
 // run fetches sets until the context ends.
@@ -91,13 +98,13 @@
 			f.sources.recordFailure(address, time.Now())
 			f.mu.Unlock()
 			if ctx.Err() == nil {
-				f.watcher.Log.Info("a published set was not fetched", zap.String("address", address), zap.Uint64("have_version", have),
+				f.watcher.Log.Info("a published set was not fetched", zap.String("address", address), zap.Uint64("have_version", have.Version),
 					zap.Int64("received_bytes", received), zap.Duration("after", time.Since(begin)), zap.Error(err))
 			}
 			continue
 		}
-		set.FetchedIn = time.Since(begin)
-		f.recordSet(set.Version)
+		set.FetchedIn, set.TransferredBytes = time.Since(begin), received
+		f.recordSet(set)
 		_ = supervise.Call(f.watcher.Log, "published set", func() { f.watcher.OnSet(set) })
 	}
 }
@@ -118,7 +125,7 @@
 }
 
 // fetch transfers the newest set of a core member. It also returns the number of bytes that arrived.
-func (f *setFetcher) fetch(ctx context.Context, address string, have uint64, stallLimit time.Duration) (set PublishedSet, received int64, err error) {
+func (f *setFetcher) fetch(ctx context.Context, address string, have PublishedSet, stallLimit time.Duration) (set PublishedSet, received int64, err error) {
 	raw, err := f.watcher.dial(ctx, address)
 	if err != nil {
 		return set, 0, err
@@ -128,9 +135,10 @@
 	defer func() { _ = conn.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	stream, err := nodepb.NewDRPCNodeClient(conn).FetchSet(ctx, &nodepb.FetchSetRequest{Node: f.watcher.Node, HaveVersion: have})
+	hash := blake3.Sum256(have.Document)
+	stream, err := nodepb.NewDRPCNodeClient(conn).FetchSet(ctx, &nodepb.FetchSetRequest{Node: f.watcher.Node, HaveVersion: have.Version, HaveHash: hash[:]})
 	if err == nil {
-		set, err = receiveSet(stream)
+		set, err = receiveSet(stream, have.Document)
 	}
 	if counted.silent.Load() {
 		err = failure.New(failure.DeadlineExceeded, failure.NotRun, "nothing arrived for %s", stallLimit)
@@ -139,10 +147,10 @@
 	return set, counted.received.Load(), err
 }
 
-// receiveSet joins the parts of a set and verifies the whole.
-func receiveSet(stream nodepb.DRPCNode_FetchSetClient) (PublishedSet, error) {
+// receiveSet joins the parts of a set that is sent as a delta against the document that the node has, and verifies the whole.
+func receiveSet(stream nodepb.DRPCNode_FetchSetClient, have []byte) (PublishedSet, error) {
 	var first *nodepb.SetPart
-	var document []byte
+	var delta []byte
 	for {
 		part, err := stream.Recv()
 		if err != nil {
@@ -151,16 +159,26 @@
 		if first == nil {
 			first = part
 		}
-		if first.GetDocumentBytes() > maxSetBytes || uint64(len(document)+len(part.GetData())) > first.GetDocumentBytes() {
+		if first.GetDeltaBytes() > maxSetBytes || uint64(len(delta)+len(part.GetData())) > first.GetDeltaBytes() {
 			return PublishedSet{}, failure.New(failure.BodyTooLarge, failure.NotRun, "the set is larger than %d bytes or than its first part says", maxSetBytes)
 		}
-		document = append(document, part.GetData()...)
-		if !part.GetLast() {
-			continue
-		}
-		if hash := blake3.Sum256(document); string(hash[:]) != string(first.GetDocumentHash()) {
-			return PublishedSet{}, failure.New(failure.InvalidRequest, failure.NotRun, "the set that was received is corrupt")
+		delta = append(delta, part.GetData()...)
+		if part.GetLast() {
+			return applyDelta(first, have, delta)
 		}
-		return PublishedSet{Version: first.GetSetVersion(), Document: document}, nil
 	}
 }
+
+func applyDelta(first *nodepb.SetPart, have, delta []byte) (PublishedSet, error) {
+	if !first.GetAgainstHave() {
+		have = nil
+	}
+	document, err := bindelta.Apply(have, delta, maxSetBytes)
+	if err != nil {
+		return PublishedSet{}, err
+	}
+	if hash := blake3.Sum256(document); string(hash[:]) != string(first.GetDocumentHash()) {
+		return PublishedSet{}, failure.New(failure.InvalidRequest, failure.NotRun, "the set that was received is corrupt")
+	}
+	return PublishedSet{Version: first.GetSetVersion(), Document: document}, nil
+}
--- a/fleetview/server.go
+++ b/fleetview/server.go
@@ -51,6 +51,8 @@
 	// Metrics is the registry for the counter of sent sets; nil for none.
 	Metrics gometrics.Registry
 
+	history setHistory
+
 	mu    sync.Mutex
 	nodes map[string]knownNode
 }
@@ -106,6 +108,7 @@
 		state, stateChanged := s.Group.State()
 		viewChanged, placementsChanged := s.Directory.Changed(), s.Placement.Changed()
 		if state != nil {
+			s.recordSet(state)
 			update := s.update(state, sent, sendsSets)
 			if err := stream.Send(update); err != nil {
 				return err
--- a/fleetview/sets.go
+++ b/fleetview/sets.go
@@ -2,7 +2,6 @@
 
 import (
 	gometrics "github.com/rcrowley/go-metrics"
-	"github.com/zeebo/blake3"
 
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
@@ -20,13 +19,18 @@
 	if state.GetSetVersion() <= q.GetHaveVersion() {
 		return failure.New(failure.SetVersionBehind, failure.NotRun, "this member has version %d of the set, the node has %d", state.GetSetVersion(), q.GetHaveVersion())
 	}
-	hash := blake3.Sum256(state.GetDocument())
-	part := &nodepb.SetPart{SetVersion: state.GetSetVersion(), DocumentBytes: uint64(len(state.GetDocument())), DocumentHash: hash[:]}
-	rest := state.GetDocument()
+	s.recordSet(state)
+	newest, delta, againstHave, err := s.history.encode(q.GetHaveVersion(), q.GetHaveHash())
+	if err != nil {
+		return err
+	}
+	part := &nodepb.SetPart{
+		SetVersion: newest.version, DocumentHash: newest.hash[:], AgainstHave: againstHave, DeltaBytes: uint64(len(delta)),
+	}
 	for !part.GetLast() {
-		part.Data = rest[:min(len(rest), setPartBytes)]
-		rest = rest[len(part.GetData()):]
-		part.Last = len(rest) == 0
+		part.Data = delta[:min(len(delta), setPartBytes)]
+		delta = delta[len(part.GetData()):]
+		part.Last = len(delta) == 0
 		if err := stream.Send(part); err != nil {
 			return err
 		}
@@ -38,6 +42,13 @@
 	return nil
 }
 
+// recordSet keeps a set of the group as the base of later deltas.
+func (s *Server) recordSet(state *nodepb.State) {
+	if state.GetSetVersion() > 0 {
+		s.history.record(state.GetSetVersion(), state.GetDocument())
+	}
+}
+
 // recordSent counts bytes of sets that were sent.
 func (s *Server) recordSent(bytes int) {
 	if s.Metrics != nil {
--- a/fleetview/source_test.go
+++ b/fleetview/source_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/zeebo/blake3"
 	"storj.io/drpc"
 
+	"github.com/wasabishunt/wasabishunt/bindelta"
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
 )
@@ -120,23 +122,78 @@
 
 // Guards against sets that are put in force although parts are missing or changed, and against parts without end.
 func TestIncompleteSetIsRefused(t *testing.T) {
-	hash := blake3.Sum256([]byte("abcd"))
-	first := func(data string) *nodepb.SetPart {
-		return &nodepb.SetPart{SetVersion: 3, DocumentBytes: 4, DocumentHash: hash[:], Data: []byte(data)}
+	have, document := []byte(strings.Repeat("have", 100)), []byte(strings.Repeat("have", 100)+"new")
+	delta, err := bindelta.Encode(have, document)
+	require.NoError(t, err)
+	hash, half := blake3.Sum256(document), len(delta)/2
+	first := func(data []byte) *nodepb.SetPart {
+		return &nodepb.SetPart{SetVersion: 3, DocumentHash: hash[:], AgainstHave: true, DeltaBytes: uint64(len(delta)), Data: data}
 	}
-	set, err := receiveSet(&partStream{parts: []*nodepb.SetPart{first("ab"), {Data: []byte("cd"), Last: true}}})
+	set, err := receiveSet(&partStream{parts: []*nodepb.SetPart{first(delta[:half]), {Data: delta[half:], Last: true}}}, have)
 	require.NoError(t, err)
-	require.Equal(t, PublishedSet{Version: 3, Document: []byte("abcd")}, set)
-	huge := first("ab")
-	huge.DocumentBytes = maxSetBytes + 1
+	require.Equal(t, PublishedSet{Version: 3, Document: document}, set)
+	huge := first(delta[:half])
+	huge.DeltaBytes = maxSetBytes + 1
+	whole := first(delta[:half])
+	whole.AgainstHave = false
+	changed := append([]byte{}, delta[half:]...)
+	changed[0]++
 	for name, parts := range map[string][]*nodepb.SetPart{
-		"missing part":     {first("ab"), {Last: true}},
-		"changed part":     {first("ab"), {Data: []byte("ce"), Last: true}},
-		"part without end": {first("ab"), {Data: []byte("cdef")}, {Data: []byte("gh")}},
-		"broken stream":    {first("ab")},
+		"missing part":     {first(delta[:half]), {Last: true}},
+		"changed part":     {first(delta[:half]), {Data: changed, Last: true}},
+		"part without end": {first(delta[:half]), {Data: delta[half:]}, {Data: delta}},
+		"broken stream":    {first(delta[:half])},
 		"too large":        {huge},
+		"without base":     {whole, {Data: delta[half:], Last: true}},
 	} {
-		_, err := receiveSet(&partStream{parts: parts})
+		_, err := receiveSet(&partStream{parts: parts}, have)
 		require.Error(t, err, name)
 	}
+	_, err = receiveSet(&partStream{parts: []*nodepb.SetPart{first(delta[:half]), {Data: delta[half:], Last: true}}}, []byte(strings.Repeat("had!", 100)))
+	require.Error(t, err, "other base")
+}
+
+// Guards against a delta against a document that the node does not have, and against a history without limit.
+func TestHistoryEncodesAgainstTheDocumentOfTheNode(t *testing.T) {
+	h := &setHistory{}
+	documents := map[uint64][]byte{}
+	for version := uint64(1); version <= 3*maxHistorySets; version++ {
+		documents[version] = routesDocument(int(version), 200)
+		h.record(version, documents[version])
+	}
+	require.Len(t, h.sets, maxHistorySets)
+	h.record(2, documents[2])
+	newest := uint64(3 * maxHistorySets)
+	require.Equal(t, newest, h.sets[len(h.sets)-1].version, "an older version changes nothing")
+	for _, test := range []struct {
+		name        string
+		version     uint64
+		document    []byte
+		againstHave bool
+	}{
+		{"no set", 0, nil, false},
+		{"known set", newest - 1, documents[newest-1], true},
+		{"forgotten set", 2, documents[2], false},
+		{"other content under the same version", newest - 1, []byte("other"), false},
+	} {
+		hash := blake3.Sum256(test.document)
+		got, delta, againstHave, err := h.encode(test.version, hash[:])
+		require.NoError(t, err)
+		require.Equal(t, test.againstHave, againstHave, test.name)
+		base := test.document
+		if !againstHave {
+			base = nil
+		}
+		document, err := bindelta.Apply(base, delta, maxSetBytes)
+		require.NoError(t, err)
+		require.Equal(t, documents[got.version], document, test.name)
+		if againstHave {
+			require.Less(t, len(delta), 200)
+		}
+	}
+	large := make([]byte, maxHistoryBytes/2)
+	for version := newest + 1; version < newest+5; version++ {
+		h.record(version, large)
+	}
+	require.Len(t, h.sets, 2)
 }
--- a/fleetview/watcher.go
+++ b/fleetview/watcher.go
@@ -260,8 +260,9 @@
 
 func (w *Watcher) apply(from string, u *nodepb.WatchUpdate) {
 	if len(u.GetDocument()) > 0 {
-		w.sets.recordSet(u.GetSetVersion())
-		w.OnSet(PublishedSet{Version: u.GetSetVersion(), Document: u.GetDocument(), From: from})
+		set := PublishedSet{Version: u.GetSetVersion(), Document: u.GetDocument(), From: from, TransferredBytes: int64(len(u.GetDocument()))}
+		w.sets.recordSet(set)
+		w.OnSet(set)
 	}
 	w.OnUpdate(from, u)
 	w.sets.announce(from, w.zoneOf(from), u.GetSetVersion())
--- a/node/adopt.go
+++ b/node/adopt.go
@@ -138,7 +138,7 @@
 	}
 	gometrics.GetOrRegisterHistogram("node.set_behind_ms", n.metrics, gometrics.NewUniformSample(behindSamples)).Update(behindFor.Milliseconds())
 	n.log.Info("set in force", zap.Uint64("set_version", set.Version), zap.Int("routes", len(set.Routes)), zap.Int("bytes", len(published.Document)),
-		zap.Duration("behind_for", behindFor), zap.Duration("fetched_in", published.FetchedIn), zap.Duration("decoded_in", now.Sub(begin)),
+		zap.Duration("behind_for", behindFor), zap.Duration("fetched_in", published.FetchedIn), zap.Int64("transferred_bytes", published.TransferredBytes), zap.Duration("decoded_in", now.Sub(begin)),
 		zap.String("from", published.From))
 	n.checkSynced(published.From)
 }
