trafficset: find routes by prefix in an index

Cause: each route was compared with all others of its host, and each request with all routes of its host. An index by prefix and the few lengths of prefixes makes the first linear and the second independent of their number.

--- a/trafficset/trafficset.go
+++ b/trafficset/trafficset.go
@@ -2,7 +2,6 @@
 package trafficset
 
 import (
-	"sort"
 	"strings"
 	"time"
 
@@ -133,7 +132,7 @@
 	Accounts []Account
 	Limits   Limits
 
-	hosts    map[string][]*Route
+	hosts    map[string]*routeIndex
 	keys     map[string]*Account
 	services map[string]*Service
 }
@@ -167,21 +166,23 @@
 }
 
 func (s *Set) indexRoutes(report func(path, message string)) {
-	s.hosts = map[string][]*Route{}
+	s.hosts = map[string]*routeIndex{}
 	for i := range s.Routes {
 		route := &s.Routes[i]
 		path := "routes." + route.Name
 		s.checkRoute(route, path, report)
 		host := strings.ToLower(route.Host)
-		for _, other := range s.hosts[host] {
-			if other.Prefix == route.Prefix {
-				report(path, "host and prefix are those of route "+other.Name)
-			}
+		index := s.hosts[host]
+		if index == nil {
+			index = &routeIndex{byPrefix: map[string]*Route{}}
+			s.hosts[host] = index
+		}
+		if other := index.add(route); other != nil {
+			report(path, "host and prefix are those of route "+other.Name)
 		}
-		s.hosts[host] = append(s.hosts[host], route)
 	}
-	for _, routes := range s.hosts {
-		sort.SliceStable(routes, func(a, b int) bool { return len(routes[a].Prefix) > len(routes[b].Prefix) })
+	for _, index := range s.hosts {
+		index.sortLengths()
 	}
 }
 
@@ -228,10 +229,8 @@
 	if i := strings.LastIndexByte(host, ':'); i >= 0 {
 		host = host[:i]
 	}
-	for _, route := range s.hosts[strings.ToLower(host)] {
-		if strings.HasPrefix(path, route.Prefix) {
-			return route
-		}
+	if index := s.hosts[strings.ToLower(host)]; index != nil {
+		return index.find(path)
 	}
 	return nil
 }
