node: decode a set before taking the lock of updates

The set is decoded first, and its version is compared again under the lock.

TestUpdatesDoNotWaitForADecoding failed before (a deadlock until the time limit of the test).

--- a/node/adopt.go
+++ b/node/adopt.go
@@ -48,7 +48,7 @@
 func (n *Node) applyUpdate(from string, u *nodepb.WatchUpdate) {
 	n.updateMu.Lock()
 	defer n.updateMu.Unlock()
-	n.recordAnnounced(u.GetSetVersion(), time.Now())
+	n.lag.announce(u.GetSetVersion(), time.Now())
 	n.applyWeights(u.GetWeights())
 	if leader := u.GetLeaderAddress(); leader != "" && u.GetFresh() {
 		n.group.SetLeaderHint(leader)
@@ -88,14 +88,6 @@
 	}
 }
 
-// recordAnnounced records a version of the set that a core member named.
-func (n *Node) recordAnnounced(version uint64, now time.Time) {
-	n.announced = max(n.announced, version)
-	if n.behindSince.IsZero() && n.isBehind() {
-		n.behindSince = now
-	}
-}
-
 // checkSynced confirms the set once it is at least as new as the one that a core member had that was sure to be current.
 func (n *Node) checkSynced(from string) {
 	set := n.set.Load()
@@ -107,39 +99,32 @@
 	n.log.Info("node is in step with the core", zap.Uint64("set_version", set.Version), zap.String("from", from))
 }
 
-// isBehind reports whether a version is named that is newer than the set in force.
-func (n *Node) isBehind() bool {
-	set := n.set.Load()
-	return n.announced > 0 && (set == nil || set.Version < n.announced)
-}
-
 // applySet puts a published set in force unless the node has a newer one.
 func (n *Node) applySet(published fleetview.PublishedSet) {
-	n.updateMu.Lock()
-	defer n.updateMu.Unlock()
-	begin := time.Now()
-	n.recordAnnounced(published.Version, begin)
-	old := n.set.Load()
-	if old != nil && old.Version >= published.Version {
+	if old := n.set.Load(); old != nil && old.Version >= published.Version {
 		return
 	}
+	begin := time.Now()
+	// Decoding a large set takes a thin VM some tenths of a second, in which updates must not wait.
 	set, err := n.parts.DecodeSet(published.Document)
+	decodedIn := time.Since(begin)
+	n.updateMu.Lock()
+	defer n.updateMu.Unlock()
+	behindFor := n.lag.advance(published.Version, time.Now())
 	if err != nil {
 		n.log.Error("a published set cannot be read", zap.Uint64("set_version", published.Version), zap.Error(err))
 		return
 	}
+	if old := n.set.Load(); old != nil && old.Version >= set.Version {
+		return
+	}
 	n.set.Store(set)
 	n.stores.Configure(set)
 	n.server.SetLimits(set.Limits)
-	now := time.Now()
-	behindFor := now.Sub(n.behindSince)
-	if n.behindSince = (time.Time{}); n.isBehind() {
-		n.behindSince = now
-	}
 	gometrics.GetOrRegisterHistogram("node.set_behind_ms", n.metrics, gometrics.NewUniformSample(behindSamples)).Update(behindFor.Milliseconds())
 	n.log.Info("set in force", zap.Uint64("set_version", set.Version), zap.Int("routes", len(set.Routes)), zap.Int("bytes", len(published.Document)),
-		zap.Duration("behind_for", behindFor), zap.Duration("fetched_in", published.FetchedIn), zap.Int64("transferred_bytes", published.TransferredBytes), zap.Duration("decoded_in", now.Sub(begin)),
-		zap.String("from", published.From))
+		zap.Duration("behind_for", behindFor), zap.Duration("fetched_in", published.FetchedIn), zap.Int64("transferred_bytes", published.TransferredBytes),
+		zap.Duration("decoded_in", decodedIn), zap.String("from", published.From))
 	n.checkSynced(published.From)
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -106,10 +106,7 @@
 	stopping  atomic.Bool
 	// updateMu is held while an update is applied, and guards the fields up to leaderTerm.
 	updateMu sync.Mutex
-	// announced is the newest version of the set that a core member named, and behindSince when the first version that is newer
-	// than the set in force was named, zero if there is none.
-	announced   uint64
-	behindSince time.Time
+	lag      versionLag
 	// currentVersion is the version of the set that the first core member had that was sure to be current, 0 before.
 	currentVersion uint64
 	// leaderTerm is the highest term of a leader so far.
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -119,3 +119,48 @@
 	n.applySet(fleetview.PublishedSet{Version: 6, Document: []byte{6}})
 	require.True(t, n.synced.Load())
 }
+
+// Guards against updates that wait while a large set is decoded.
+func TestUpdatesDoNotWaitForADecoding(t *testing.T) {
+	n := newNode()
+	decoding, done := make(chan struct{}), make(chan struct{})
+	n.parts.DecodeSet = func(document []byte) (*trafficset.Set, error) {
+		close(decoding)
+		<-done
+		return decode(document)
+	}
+	applied := make(chan struct{})
+	go func() {
+		defer close(applied)
+		n.applySet(fleetview.PublishedSet{Version: 3, Document: []byte{3}})
+	}()
+	<-decoding
+	n.applyUpdate("a", &nodepb.WatchUpdate{SetVersion: 3, Weights: []*nodepb.WeightVersion{{Model: "m", Version: 2}}})
+	require.EqualValues(t, 2, n.WantedVersion("m"))
+	close(done)
+	<-applied
+	require.EqualValues(t, 3, n.Set().Version)
+}
+
+// Guards against a set that replaces a newer one because it was decoded for longer.
+func TestSlowlyDecodedSetDoesNotReplaceANewerOne(t *testing.T) {
+	n := newNode()
+	decoding, done := make(chan struct{}), make(chan struct{})
+	n.parts.DecodeSet = func(document []byte) (*trafficset.Set, error) {
+		if document[0] == 3 {
+			close(decoding)
+			<-done
+		}
+		return decode(document)
+	}
+	applied := make(chan struct{})
+	go func() {
+		defer close(applied)
+		n.applySet(fleetview.PublishedSet{Version: 3, Document: []byte{3}})
+	}()
+	<-decoding
+	n.applySet(fleetview.PublishedSet{Version: 7, Document: []byte{7}})
+	close(done)
+	<-applied
+	require.EqualValues(t, 7, n.Set().Version)
+}
