node, gateway: a node that knows for too long that its set is outdated refuses requests

What callers saw: a request handled by a set that a newer one, acknowledged 2.7 s before, no longer allowed. A node that has lost the core knows of no newer set and serves by the one it has, as before; a set that cannot be read does not count either, because refusing would not bring it into force.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -95,6 +95,8 @@
 	// Confirmed returns a channel that is closed once the set was the newest one at some time since the start of the
 	// process.
 	Confirmed() <-chan struct{}
+	// Outdated reports whether a newer set must be in force by now.
+	Outdated() bool
 	// WantedVersion returns the weight version that operators have named for a model.
 	WantedVersion(model string) uint64
 	// RequireWantedVersion reports whether requests must not use older weights any more.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -57,8 +57,11 @@
 	set atomic.Pointer[trafficset.Set]
 	// confirmed holds a channel that is closed once the set is known to be the newest one.
 	confirmed atomic.Pointer[chan struct{}]
+	outdated  atomic.Bool
 }
 
+func (s *testSets) Outdated() bool { return s.outdated.Load() }
+
 func (s *testSets) Confirmed() <-chan struct{} { return *s.confirmed.Load() }
 
 // restart makes the set unconfirmed, as after a start of the process, and returns a function that confirms it.
--- a/gateway/startup.go
+++ b/gateway/startup.go
@@ -14,7 +14,7 @@
 	// longer one, a refusal leaves too little time for another node.
 	maxStartupWait   = 400 * time.Millisecond
 	startupWaitShare = 0.25
-	// setRetryAfter is the retry advice of a node whose published set is not confirmed.
+	// setRetryAfter is the retry advice of a node whose published set is not confirmed or outdated.
 	setRetryAfter = 500 * time.Millisecond
 )
 
@@ -27,7 +27,8 @@
 }
 
 // awaitSet sets the published set of the call once it is confirmed. Right after a start the set may be outdated: routes
-// or keys withdrawn since then would be accepted again, and ones added since then would be refused.
+// or keys withdrawn since then would be accepted again, and ones added since then would be refused. The same holds if a newer set
+// is known to exist and has not arrived in time.
 func (c *call) awaitSet() error {
 	sets := c.gateway.options.Sets
 	select {
@@ -43,6 +44,9 @@
 			return failure.New(failure.Canceled, failure.NotRun, "the caller disconnected")
 		}
 	}
+	if sets.Outdated() {
+		return staleSet("a newer set should be in force by now and has not arrived")
+	}
 	if c.set = sets.Set(); c.set == nil {
 		return staleSet("no published set is known yet")
 	}
--- a/gateway/startup_test.go
+++ b/gateway/startup_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"net/http/httptest"
 	"sync"
 	"testing"
@@ -76,3 +77,20 @@
 		require.Equal(t, c.want, startupWait(c.sinceStart, c.deadline))
 	}
 }
+
+// Guards against requests that are served by a set which should have been replaced by now, and against a refusal without the time of a
+// retry.
+func TestOutdatedSetServesNobody(t *testing.T) {
+	s := newSystem(t, good)
+	s.sets.outdated.Store(true)
+	response, err := http.DefaultClient.Do(s.request("POST", "/safe/", "x"))
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.Equal(t, "0.50", response.Header.Get("Retry-After"))
+	require.Empty(t, s.startedRuns())
+	s.sets.outdated.Store(false)
+	status, _, err := s.call("POST", "/safe/", "x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+}
--- a/node/adopt.go
+++ b/node/adopt.go
@@ -21,6 +21,25 @@
 // Confirmed implements gateway.Sets.
 func (n *Node) Confirmed() <-chan struct{} { return n.confirmed }
 
+// setMargin is the time before the end of SetsWithin from which a set counts as outdated: a version is announced to nodes some
+// hundred milliseconds after its acknowledgement at most.
+const setMargin = 500 * time.Millisecond
+
+// Outdated implements gateway.Sets. A node that has lost the core goes on with the set that it has: it knows of no newer one.
+func (n *Node) Outdated() bool {
+	since := n.behindSince.Load()
+	return since != nil && n.config.SetsWithin > 0 && time.Since(*since) > max(n.config.SetsWithin-setMargin, n.config.SetsWithin/2)
+}
+
+// recordLag makes the state of lag available to requests.
+func (n *Node) recordLag() {
+	if since := n.lag.behindSince(); !since.IsZero() {
+		n.behindSince.Store(&since)
+	} else {
+		n.behindSince.Store(nil)
+	}
+}
+
 // WantedVersion implements gateway.Sets.
 func (n *Node) WantedVersion(model string) uint64 { return (*n.weights.Load())[model].version }
 
@@ -49,6 +68,7 @@
 	n.updateMu.Lock()
 	defer n.updateMu.Unlock()
 	n.lag.announce(u.GetSetVersion(), time.Now())
+	n.recordLag()
 	n.applyWeights(u.GetWeights())
 	if leader := u.GetLeaderAddress(); leader != "" && u.GetFresh() {
 		n.group.SetLeaderHint(leader)
@@ -110,7 +130,9 @@
 	decodedIn := time.Since(begin)
 	n.updateMu.Lock()
 	defer n.updateMu.Unlock()
+	// A set that cannot be read counts as taken in: refusing all requests would not bring it into force.
 	behindFor := n.lag.advance(published.Version, time.Now())
+	n.recordLag()
 	if err != nil {
 		n.log.Error("a published set cannot be read", zap.Uint64("set_version", published.Version), zap.Error(err))
 		return
--- a/node/node.go
+++ b/node/node.go
@@ -64,6 +64,8 @@
 	CPUMillis      int
 	Retries        retrybudget.Limits
 	UpstreamLimits UpstreamLimits
+	// SetsWithin is the time after its acknowledgement in which a published set must be in force on each node that serves callers.
+	SetsWithin time.Duration
 	// WeightsWithin is the time after which requests must not start on weights older than those that operators named.
 	WeightsWithin time.Duration
 	// HolderLease is the time that a new leader waits before it sends orders to engines, so that no earlier one still
@@ -107,6 +109,8 @@
 	// updateMu is held while an update is applied, and guards the fields up to leaderTerm.
 	updateMu sync.Mutex
 	lag      versionLag
+	// behindSince is that of lag, nil if the node is not behind.
+	behindSince atomic.Pointer[time.Time]
 	// currentVersion is the version of the set that the first core member had that was sure to be current, 0 before.
 	currentVersion uint64
 	// leaderTerm is the highest term of a leader so far.
@@ -349,6 +353,8 @@
 		return failure.New(failure.Draining, failure.NotRun, "the node is stopping")
 	case n.set.Load() == nil || !n.synced.Load():
 		return failure.New(failure.StaleSet, failure.NotRun, "the newest published set is not known yet")
+	case n.Outdated():
+		return failure.New(failure.StaleSet, failure.NotRun, "a newer set should be in force by now and has not arrived")
 	case n.directory.View().Revision == 0:
 		return failure.New(failure.NoUpstream, failure.NotRun, "the instance list is not known yet")
 	}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -164,3 +164,29 @@
 	<-applied
 	require.EqualValues(t, 7, n.Set().Version)
 }
+
+// Guards against a node that serves by its set although it knows for longer than allowed that a newer one exists, and against one that
+// serves nobody because a set cannot be read or a core member is behind.
+func TestNodeThatIsBehindForTooLongIsOutdated(t *testing.T) {
+	n := newNode()
+	n.config.SetsWithin = 2 * time.Second
+	n.receive("a", update(3))
+	require.False(t, n.Outdated())
+	n.applyUpdate("a", &nodepb.WatchUpdate{SetVersion: 7})
+	n.applyUpdate("b", &nodepb.WatchUpdate{SetVersion: 3})
+	require.False(t, n.Outdated(), "there is time left")
+	behindFor := func(d time.Duration) {
+		since := time.Now().Add(-d)
+		n.behindSince.Store(&since)
+	}
+	behindFor(n.config.SetsWithin - setMargin + time.Millisecond)
+	require.True(t, n.Outdated())
+	require.Error(t, n.Ready())
+	n.receive("a", update(7))
+	require.False(t, n.Outdated())
+	n.receive("a", &nodepb.WatchUpdate{SetVersion: 9, Document: []byte("bad")})
+	require.Nil(t, n.behindSince.Load(), "a set that cannot be read")
+	n.config.SetsWithin = 0
+	behindFor(time.Hour)
+	require.False(t, n.Outdated(), "no limit is set")
+}
