controlclient: a session lasts while a newer set arrives

A process ended the stream of a control member if a message took over 2 s, and the session if the member did not confirm its set for 2 s; a set whose delta or part of 1 MiB needs longer was begun anew each time and never arrived. The time without a byte ends a stream now (rpcpool.IdleConn, shared with fleetview), and a member that has a newer set may go on sending it for as long as 4 kB arrive in a presence interval. A member that is not sure to be current is left as before.

--- a/controlclient/session.go
+++ b/controlclient/session.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"storj.io/drpc/drpcconn"
 
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/objectset"
@@ -25,29 +26,40 @@
 func (w *Watcher) runSession(ctx context.Context, address string) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	conn, err := w.dialStream(ctx, address)
+	if err != nil {
+		w.logSessionEnd(address, err)
+		return
+	}
+	defer func() { _ = conn.Close() }()
 	var presence sync.WaitGroup
-	presence.Go(func() { cancel(w.reportPresence(ctx, address)) })
-	err := w.watchStream(ctx, address)
+	presence.Go(func() { cancel(w.reportPresence(ctx, address, conn.Received)) })
+	err = w.watchStream(ctx, conn)
 	cancel(err)
 	presence.Wait()
-	if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, context.Canceled) {
+	w.logSessionEnd(address, context.Cause(ctx))
+}
+
+func (w *Watcher) logSessionEnd(address string, cause error) {
+	if cause != nil && !errors.Is(cause, context.Canceled) {
 		w.options.Log.Warn("control session ended", zap.String("member", address), zap.Error(cause))
 	}
 }
 
-// watchStream applies the updates of one WatchSet stream.
-func (w *Watcher) watchStream(ctx context.Context, address string) error {
-	conn, err := rpcpool.DialFrom(ctx, w.options.SourceIP, address, min(maxDialTime, w.options.CallTimeout))
+// dialStream opens the connection of a WatchSet stream. It is closed if nothing arrives for CallTimeout, for example on a
+// half-open connection.
+func (w *Watcher) dialStream(ctx context.Context, address string) (*rpcpool.IdleConn, error) {
+	raw, err := rpcpool.DialTCP(ctx, w.options.SourceIP, address, min(maxDialTime, w.options.CallTimeout))
 	if err != nil {
-		return err
+		return nil, err
 	}
+	return rpcpool.NewIdleConn(raw, w.options.CallTimeout), nil
+}
+
+// watchStream applies the updates of one WatchSet stream.
+func (w *Watcher) watchStream(ctx context.Context, idle *rpcpool.IdleConn) error {
+	conn := drpcconn.New(idle)
 	defer func() { _ = conn.Close() }()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	// Without messages for CallTimeout, for example on a half-open connection, the stream is canceled, which ends a
-	// blocked Recv.
-	receiveTimeout := time.AfterFunc(w.options.CallTimeout, cancel)
-	defer receiveTimeout.Stop()
 	view := w.Current()
 	stream, err := controlpb.NewDRPCControlClient(conn).WatchSet(ctx, &controlpb.WatchSetRequest{
 		ProcessId: w.options.ProcessID, Role: w.options.Role, AvailabilityZone: w.options.Zone,
@@ -60,10 +72,12 @@
 	var parts []byte
 	for {
 		update, err := stream.Recv()
+		if idle.TimedOut() {
+			return failure.New(failure.DeadlineExceeded, failure.NotRun, "nothing arrived on the stream for %s", w.options.CallTimeout)
+		}
 		if err != nil {
 			return err
 		}
-		receiveTimeout.Reset(w.options.CallTimeout)
 		if parts, err = w.applyUpdate(update, parts); err != nil {
 			return err
 		}
@@ -117,9 +131,13 @@
 	return nil
 }
 
+// minTransferBytes is the number of bytes in a presence interval that shows that a set is on its way; heartbeats are smaller.
+const minTransferBytes = 4 << 10
+
 // reportPresence reports to one member at each presence interval until a report fails or the member has not confirmed
-// the set for maxUnconfirmedIntervals.
-func (w *Watcher) reportPresence(ctx context.Context, address string) error {
+// the set for maxUnconfirmedIntervals. While a newer set arrives, the session goes on: another one would begin the transfer anew.
+// received returns the number of bytes that have arrived on the stream of the session.
+func (w *Watcher) reportPresence(ctx context.Context, address string, received func() int64) error {
 	conn, err := rpcpool.DialFrom(ctx, w.options.SourceIP, address, min(maxDialTime, w.options.CallTimeout))
 	if err != nil {
 		return err
@@ -128,15 +146,15 @@
 	client := controlpb.NewDRPCControlClient(conn)
 	ticker := time.NewTicker(w.options.PresenceInterval)
 	defer ticker.Stop()
-	confirmedAt := w.options.Clock.Now()
+	confirmedAt, arrived := w.options.Clock.Now(), received()
 	for {
 		confirmed, err := w.sendPresence(ctx, client)
 		if err != nil {
 			return err
 		}
 		now := w.options.Clock.Now()
-		if confirmed || w.Current().Set == nil {
-			confirmedAt = now
+		if confirmed == setConfirmed || confirmed == newerSet && received()-arrived >= minTransferBytes || w.Current().Set == nil {
+			confirmedAt, arrived = now, received()
 		}
 		if now.Sub(confirmedAt) >= maxUnconfirmedIntervals*w.options.PresenceInterval {
 			return failure.New(failure.StaleSet, failure.NotRun, "%s does not confirm the object set", address)
@@ -150,7 +168,7 @@
 	}
 }
 
-func (w *Watcher) sendPresence(ctx context.Context, client controlpb.DRPCControlClient) (bool, error) {
+func (w *Watcher) sendPresence(ctx context.Context, client controlpb.DRPCControlClient) (confirmation, error) {
 	ctx, cancel := context.WithTimeout(ctx, w.options.CallTimeout)
 	defer cancel()
 	version, observed := w.versions()
@@ -161,13 +179,13 @@
 		SetVersion: version, ObservedVersion: observed, Draining: w.options.Draining(),
 	})
 	if err != nil {
-		return false, err
+		return notConfirmed, err
 	}
 	if response.Failure != nil {
 		if response.Failure.Kind == string(failure.Fenced) {
 			w.fence()
 		}
-		return false, FromFailure(response.Failure)
+		return notConfirmed, FromFailure(response.Failure)
 	}
 	return w.confirm(sent, response), nil
 }
--- a/controlclient/watcher.go
+++ b/controlclient/watcher.go
@@ -191,10 +191,20 @@
 	}
 }
 
-// confirm applies a response to a presence report and returns false if it does not confirm the set. A confirmation is
-// valid from the time at which its request was sent, so that a response that was delayed in a socket buffer does not
-// make the set look fresh.
-func (w *Watcher) confirm(sent time.Time, response *controlpb.PresenceResponse) bool {
+// confirmation is what a response to a presence report says of the set.
+type confirmation int
+
+const (
+	// notConfirmed is also the result if the member is not sure to be current.
+	notConfirmed confirmation = iota
+	setConfirmed
+	// newerSet is the result if the member has a newer set.
+	newerSet
+)
+
+// confirm applies a response to a presence report. A confirmation is valid from the time at which its request was sent, so that a
+// response that was delayed in a socket buffer does not make the set look fresh.
+func (w *Watcher) confirm(sent time.Time, response *controlpb.PresenceResponse) confirmation {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if response.Epoch > w.view.Epoch {
@@ -202,14 +212,17 @@
 		close(w.changed)
 		w.changed = make(chan struct{})
 	}
-	if !response.Fresh || response.SetVersion > w.view.Version || w.fenced {
-		return false
+	switch {
+	case !response.Fresh || w.fenced:
+		return notConfirmed
+	case response.SetVersion > w.view.Version:
+		return newerSet
 	}
 	until := sent.Add(w.options.StaleSetLimit)
 	if until.After(w.view.FreshUntil) {
 		w.view.FreshUntil = until
 	}
-	return true
+	return setConfirmed
 }
 
 func (w *Watcher) fence() {
--- a/fleetview/fetch.go
+++ b/fleetview/fetch.go
@@ -12,6 +12,7 @@
 	"github.com/wasabishunt/wasabishunt/bindelta"
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
+	"github.com/wasabishunt/wasabishunt/rpcpool"
 	"github.com/wasabishunt/wasabishunt/supervise"
 )
 
@@ -130,8 +131,8 @@
 	if err != nil {
 		return set, 0, err
 	}
-	counted := newCountingConn(raw, stallLimit)
-	conn := drpcconn.New(counted)
+	idle := rpcpool.NewIdleConn(raw, stallLimit)
+	conn := drpcconn.New(idle)
 	defer func() { _ = conn.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
@@ -140,11 +141,11 @@
 	if err == nil {
 		set, err = receiveSet(stream, have.Document)
 	}
-	if counted.silent.Load() {
+	if idle.TimedOut() {
 		err = failure.New(failure.DeadlineExceeded, failure.NotRun, "nothing arrived for %s", stallLimit)
 	}
 	set.From = address
-	return set, counted.received.Load(), err
+	return set, idle.Received(), err
 }
 
 // receiveSet joins the parts of a set that is sent as a delta against the document that the node has, and verifies the whole.
--- a/fleetview/watcher.go
+++ b/fleetview/watcher.go
@@ -150,7 +150,7 @@
 
 // streamProgress is what one stream has received.
 type streamProgress struct {
-	conn     *countingConn
+	conn     *rpcpool.IdleConn
 	messages int
 	// wholeBytes is the number of bytes up to the end of the last whole message, which arrived at messageAt.
 	wholeBytes int64
@@ -158,12 +158,12 @@
 }
 
 // begin records the connection of the stream.
-func (p *streamProgress) begin(conn *countingConn) { p.conn, p.messageAt = conn, time.Now() }
+func (p *streamProgress) begin(conn *rpcpool.IdleConn) { p.conn, p.messageAt = conn, time.Now() }
 
 // recordMessage records a whole message.
 func (p *streamProgress) recordMessage() {
 	p.messages++
-	p.wholeBytes, p.messageAt = p.conn.received.Load(), time.Now()
+	p.wholeBytes, p.messageAt = p.conn.Received(), time.Now()
 }
 
 // unfinished returns the number of bytes received since the last whole message.
@@ -171,7 +171,7 @@
 	if p.conn == nil {
 		return 0
 	}
-	return p.conn.received.Load() - p.wholeBytes
+	return p.conn.Received() - p.wholeBytes
 }
 
 func (p *streamProgress) sinceMessage() time.Duration {
@@ -181,39 +181,6 @@
 	return time.Since(p.messageAt)
 }
 
-// countingConn counts the bytes that are read from a connection, and closes it once none has arrived for timeout.
-type countingConn struct {
-	net.Conn
-	received atomic.Int64
-	timeout  time.Duration
-	timer    *time.Timer
-	// silent is set when the connection was closed because nothing arrived.
-	silent atomic.Bool
-}
-
-func newCountingConn(conn net.Conn, timeout time.Duration) *countingConn {
-	c := &countingConn{Conn: conn, timeout: timeout}
-	c.timer = time.AfterFunc(timeout, func() {
-		c.silent.Store(true)
-		_ = conn.Close()
-	})
-	return c
-}
-
-func (c *countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.received.Add(int64(n))
-		c.timer.Reset(c.timeout)
-	}
-	return n, err
-}
-
-func (c *countingConn) Close() error {
-	c.timer.Stop()
-	return c.Conn.Close()
-}
-
 func (w *Watcher) dial(ctx context.Context, address string) (net.Conn, error) {
 	if w.Dial != nil {
 		return w.Dial(ctx, address)
@@ -227,9 +194,9 @@
 	if err != nil {
 		return err
 	}
-	counted := newCountingConn(raw, streamTimeout)
-	progress.begin(counted)
-	conn := drpcconn.New(counted)
+	idle := rpcpool.NewIdleConn(raw, streamTimeout)
+	progress.begin(idle)
+	conn := drpcconn.New(idle)
 	defer func() { _ = conn.Close() }()
 	stream, err := nodepb.NewDRPCNodeClient(conn).Watch(ctx)
 	if err != nil {
@@ -240,7 +207,7 @@
 	go w.sendKeepAlives(conn.Closed(), stream)
 	for {
 		update, err := stream.Recv()
-		if counted.silent.Load() {
+		if idle.TimedOut() {
 			return failure.New(failure.DeadlineExceeded, failure.NotRun, "nothing arrived for %s", streamTimeout)
 		}
 		if err != nil {
