upstream: limit the heads of answers to 64 kB

On the platform's wire heads are limited; the product's own clients of engines, services, the VM list and the weight store took 10 MB of a head each, which is the default of net/http: a few dozen answers of a faulty engine exhaust a small VM.

TestLongHeadsAreRefused failed before for all four (a head of 1 MB was taken). TestCutAnswersAreErrors passes with and without: these clients never take an answer that was cut in its head or body for complete. Bodies of many requests at once: not in this commit.

--- a/upstream/engine/http.go
+++ b/upstream/engine/http.go
@@ -14,6 +14,7 @@
 
 	"github.com/wasabishunt/wasabishunt/defaults"
 	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/upstream"
 )
 
 // HTTPOptions limits an HTTP client.
@@ -65,12 +66,13 @@
 	options = options.withDefaults()
 	dialer := net.Dialer{Timeout: options.ConnectTimeout, KeepAlive: 5 * time.Second}
 	transport := &http.Transport{
-		DialContext:           dialer.DialContext,
-		ResponseHeaderTimeout: options.HeaderTimeout,
-		MaxConnsPerHost:       options.MaxConns,
-		MaxIdleConnsPerHost:   16,
-		IdleConnTimeout:       30 * time.Second,
-		DisableCompression:    true,
+		DialContext:            dialer.DialContext,
+		ResponseHeaderTimeout:  options.HeaderTimeout,
+		MaxConnsPerHost:        options.MaxConns,
+		MaxIdleConnsPerHost:    16,
+		IdleConnTimeout:        30 * time.Second,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: upstream.MaxHeadBytes,
 	}
 	return &HTTP{base: "http://" + address, client: &http.Client{Transport: transport, CheckRedirect: refuseRedirect}, options: options}
 }
--- a/upstream/service/client.go
+++ b/upstream/service/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/upstream"
 )
 
 // BookingIDHeader is the header with the id of the booking that a call belongs to.
@@ -97,10 +98,11 @@
 		return Response{}, failure.Wrap(err, failure.InvalidRequest, failure.NotRun, "build the call")
 	}
 	transport := &http.Transport{
-		DialContext:        c.dialOnce(),
-		DisableKeepAlives:  true,
-		DisableCompression: true,
-		MaxConnsPerHost:    1,
+		DialContext:            c.dialOnce(),
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxConnsPerHost:        1,
+		MaxResponseHeaderBytes: upstream.MaxHeadBytes,
 	}
 	response, err := transport.RoundTrip(out)
 	if err != nil {
--- a/upstream/vmlist/reader.go
+++ b/upstream/vmlist/reader.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/upstream"
 )
 
 // States of a VM in the list.
@@ -23,6 +24,8 @@
 	maxBytes = 8 << 20
 	// defaultTimeout limits one read.
 	defaultTimeout = 2 * time.Second
+	// idleTimeout is far above the time between two reads.
+	idleTimeout = 30 * time.Second
 )
 
 // VM is one entry of the list.
@@ -46,7 +49,8 @@
 	if timeout == 0 {
 		timeout = defaultTimeout
 	}
-	return &Reader{url: url, client: &http.Client{Timeout: timeout}}
+	transport := &http.Transport{MaxResponseHeaderBytes: upstream.MaxHeadBytes, IdleConnTimeout: idleTimeout}
+	return &Reader{url: url, client: &http.Client{Timeout: timeout, Transport: transport}}
 }
 
 // Read returns the list. An entry without a name or with an unknown state makes the list invalid, because using only a part
--- a/upstream/weightstore/client.go
+++ b/upstream/weightstore/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/wasabishunt/wasabishunt/defaults"
 	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/upstream"
 )
 
 const (
@@ -61,6 +62,7 @@
 	transport := &http.Transport{
 		DialContext: dialer.DialContext, ResponseHeaderTimeout: options.HeaderTimeout,
 		MaxConnsPerHost: 4, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
+		MaxResponseHeaderBytes: upstream.MaxHeadBytes,
 	}
 	return &Client{base: "http://" + address, client: &http.Client{Transport: transport}, options: options}
 }
