upstreamconn: interim answers are skipped

Heads and bodies that are cut after any byte are never passed on as complete (TestAnswerCutAnywhereIsNotComplete, in all framings and kinds of routes; passes before as well). But an interim answer (status 100 to 199) with the id and the signature was taken for the answer, and net/http completes a handler that wrote only such a status by a 200 with a length of 0. Interim answers are skipped now, within the limit of the head; 101 is an error.

TestInterimAnswerIsNotTheAnswer failed before (status 100: the caller got a 200).

--- a/upstreamconn/pool.go
+++ b/upstreamconn/pool.go
@@ -299,12 +299,24 @@
 	return e, nil
 }
 
-// readHead reads the head of an answer, bounded by MaxHeadBytes: the limits of http.Transport do not apply to a plain
-// connection.
+// readHead reads the head of an answer and skips the heads of interim answers before it. Together they are bounded by MaxHeadBytes: the
+// limits of http.Transport do not apply to a plain connection.
 func (c *Conn) readHead(request *http.Request) (*http.Response, error) {
 	c.limited.limit(c.pool.options.MaxHeadBytes)
 	defer c.limited.unlimit()
-	return http.ReadResponse(c.reader, request)
+	for {
+		response, err := http.ReadResponse(c.reader, request)
+		if err != nil {
+			return nil, err
+		}
+		// net/http would complete an interim answer that is passed on by a 200 without a body.
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+		if response.StatusCode < http.StatusContinue || response.StatusCode == http.StatusSwitchingProtocols {
+			return nil, failure.New(failure.UpstreamFailed, failure.Unknown, "status %d is no answer to a request", response.StatusCode)
+		}
+	}
 }
 
 // maxSkippedBytes limits the body of a skipped answer.
