gateway: requests at the end of a stop are answered

A stream that has begun is cut as before, because it must not look complete.

TestEndOfAStopAnswersWhatIsInProgress fails without it (EOF for a request that may not be repeated).

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -318,7 +318,7 @@
 	c.gateway.options.Log.Info("upstream did not answer", zap.String("request", c.attributes.ID), zap.String("instance", instance.ID),
 		zap.Duration("after", time.Since(c.started)), zap.Error(err))
 	if ctx.Err() != nil {
-		return result{done: true, err: failure.New(failure.DeadlineExceeded, failure.Unknown, "the upstream did not answer in time")}
+		return result{done: true, err: failure.Wrap(context.Cause(ctx), failure.DeadlineExceeded, failure.Unknown, "the upstream did not answer in time")}
 	}
 	return result{err: err}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -145,6 +145,9 @@
 	closing atomic.Bool
 	// finishBy is when a stop cuts requests in progress, in Unix ns; 0 until requests must end by then.
 	finishBy atomic.Int64
+	// running ends with EndRequests.
+	running    context.Context
+	endRunning context.CancelCauseFunc
 	// queueLimits tracks how much queue capacity must stay free for prompts of other sizes and routes.
 	queueLimits *placement.QueueLimitEstimator
 	// active counts requests in progress.
@@ -162,6 +165,7 @@
 		options.EventBytes = defaultEventBytes
 	}
 	g := &Gateway{options: options, started: time.Now(), queueLimits: placement.NewQueueLimitEstimator(), metrics: newMeters(options.Metrics)}
+	g.running, g.endRunning = context.WithCancelCause(context.Background())
 	g.crashes = newCrashDetector(options, &g.metrics)
 	options.Tracker.NotifyLeaving(g.applyLeaving)
 	return g
@@ -274,6 +278,8 @@
 	c.awaitStores()
 	ctx, cancel := context.WithDeadlineCause(c.request.Context(), c.answerBy, errNoTimeLeft)
 	defer cancel()
+	ctx, release := c.gateway.endWithStop(ctx)
+	defer release()
 	return c.forward(ctx)
 }
 
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -27,6 +27,8 @@
 	Log     *zap.Logger
 	// Metrics is the registry for counters of closed connections; nil for none.
 	Metrics gometrics.Registry
+	// EndRequests is called shortly before the end of a stop and makes the handler answer the requests in progress; nil if it does not.
+	EndRequests func()
 
 	closeLogOnce sync.Once
 	closeLog     *closeLog
@@ -222,6 +224,10 @@
 	s.stopped = true
 	s.mu.Unlock()
 	headsUntil := time.Now().Add(newConnGrace)
+	if deadline, ok := ctx.Deadline(); ok && s.EndRequests != nil {
+		timer := time.AfterFunc(time.Until(deadline)-finalAnswerTime, s.EndRequests)
+		defer timer.Stop()
+	}
 	s.waitForNewConns(ctx)
 	if open := s.drain(ctx, headsUntil); open > 0 {
 		s.Log.Warn("requests cut at the end of a stop", zap.Int("open", open), zap.Error(ctx.Err()))
@@ -235,6 +241,9 @@
 }
 
 const (
+	// finalAnswerTime is the time before the end of a stop in which the last requests get their answers.
+	finalAnswerTime = 200 * time.Millisecond
+
 	minDrainPoll = time.Millisecond
 	maxDrainPoll = 50 * time.Millisecond
 )
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -109,3 +111,57 @@
 	require.NoError(t, err)
 	require.Equal(t, rest, string(buffer[:n]))
 }
+
+// Guards against requests that are cut without an answer at the end of a stop, although their caller could be told that they may have run.
+func TestEndOfAStopAnswersWhatIsInProgress(t *testing.T) {
+	released := make(chan struct{})
+	s := newSystem(t, func(conn net.Conn, r *http.Request, _ string) bool {
+		if strings.HasPrefix(r.URL.Path, "/stream/begun") {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\n\r\nid: 1\ndata: a\n\n", r.Header.Get("Id"))
+		}
+		<-released
+		return false
+	})
+	t.Cleanup(func() { close(released) })
+	server := &Server{Handler: s.gateway, Log: zap.NewNop(), EndRequests: s.gateway.EndRequests}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = server.Serve(listener) }()
+	type outcome struct {
+		status int
+		body   string
+		err    error
+	}
+	outcomes := map[string]chan outcome{}
+	for _, path := range []string{"/once/", "/safe/", "/stream/", "/resume/", "/stream/begun"} {
+		done := make(chan outcome, 1)
+		outcomes[path] = done
+		go func() {
+			r := s.request("POST", path, "x")
+			r.URL.Host = listener.Addr().String()
+			response, err := http.DefaultClient.Do(r)
+			if err != nil {
+				done <- outcome{err: err}
+				return
+			}
+			defer func() { _ = response.Body.Close() }()
+			body, err := io.ReadAll(response.Body)
+			done <- outcome{response.StatusCode, string(body), err}
+		}()
+	}
+	require.Eventually(t, func() bool { return len(s.startedRuns()) == len(outcomes) }, time.Second, time.Millisecond)
+	require.NoError(t, server.StopAccepting(listener))
+	ctx, cancel := context.WithTimeout(context.Background(), 2*finalAnswerTime)
+	defer cancel()
+	server.Shutdown(ctx)
+	for path, done := range outcomes {
+		got := <-done
+		if path == "/stream/begun" {
+			require.Error(t, got.err, "a stream that has begun must not look complete")
+			continue
+		}
+		require.NoError(t, got.err, path)
+		require.Equal(t, http.StatusGatewayTimeout, got.status, path)
+		require.Contains(t, got.body, `"execution":"unknown"`, path)
+	}
+}
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"github.com/wasabishunt/wasabishunt/failure"
@@ -15,6 +16,23 @@
 // FinishBy refuses further requests that may last beyond a time, at which a stop cuts requests in progress.
 func (g *Gateway) FinishBy(t time.Time) { g.finishBy.Store(t.UnixNano()) }
 
+// errStopEnds ends the requests that are still in progress shortly before the end of a stop.
+var errStopEnds = failure.New(failure.Draining, failure.Unknown, "the node stops before the upstream has answered")
+
+// EndRequests ends the requests in progress. Those without an answer get one which says that they may have run; a stream that has begun
+// is cut off.
+func (g *Gateway) EndRequests() { g.endRunning(errStopEnds) }
+
+// endWithStop returns a context that also ends with EndRequests.
+func (g *Gateway) endWithStop(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(g.running, func() { cancel(context.Cause(g.running)) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
 // checkStop refuses a request that may last beyond the end of the stop in progress.
 func (c *call) checkStop() error {
 	by := c.gateway.finishBy.Load()
--- a/node/node.go
+++ b/node/node.go
@@ -177,7 +177,7 @@
 		AnswerBytes: config.UpstreamLimits.AnswerBytes, EventBytes: config.UpstreamLimits.EventBytes,
 		Nodes: func() int { return int(n.nodes.Load()) }, Log: log, Metrics: registry,
 	})
-	n.server = &gateway.Server{Handler: supervise.HTTP(log, "request", n.gateway), Log: log, Metrics: registry}
+	n.server = &gateway.Server{Handler: supervise.HTTP(log, "request", n.gateway), Log: log, Metrics: registry, EndRequests: n.gateway.EndRequests}
 	return n
 }
 
