--- a/entry/call.go
+++ b/entry/call.go
@@ -93,10 +93,19 @@
 	}
 	ctx, cancel := context.WithTimeout(c.request.Context(), timeout+deadlineGrace)
 	defer cancel()
+	ctx, release := s.endWithStop(ctx)
+	defer release()
 	c.ctx = ctx
 	c.deadline = time.Now().Add(timeout)
 	s.budget.recordRequest()
-	return handle(c)
+	err = handle(c)
+	if err == nil {
+		return nil
+	}
+	if stopped := c.stopFailure(failure.Of(err)); stopped != nil {
+		return stopped
+	}
+	return err
 }
 
 func (c *call) authenticate() error {
--- a/entry/checks_test.go
+++ b/entry/checks_test.go
@@ -240,6 +240,55 @@
 	require.NoError(t, <-served)
 }
 
+// TestEndOfAStopAnswersWhatRuns guards against requests that are cut without an answer at the drain limit, although their callers could be
+// told that they may have run.
+func TestEndOfAStopAnswersWhatRuns(t *testing.T) {
+	c := newCluster(t, entry.Options{DrainNotice: time.Millisecond, DrainLimit: 400 * time.Millisecond})
+	released := make(chan struct{})
+	started := make(chan struct{}, 1)
+	c.startFakeAgent("u1", func(req *agentpb.GenerateRequest, send send) error {
+		send(accepted(req))
+		started <- struct{}{}
+		<-released
+		return nil
+	})
+	defer close(released)
+	listener := listen(t)
+	c.http.URL = "http://" + listener.Addr().String()
+	ctx, stop := context.WithCancel(t.Context())
+	served := make(chan error, 1)
+	go func() { served <- c.server.Serve(ctx, listener) }()
+	type answer struct {
+		status int
+		body   string
+		err    error
+	}
+	answers := make(chan answer, 1)
+	go func() {
+		request, err := http.NewRequest(http.MethodPost, c.http.URL+chatPath, strings.NewReader(chatBody(false, "")))
+		if err != nil {
+			answers <- answer{err: err}
+			return
+		}
+		request.Header.Set("Authorization", "Bearer "+apiKey)
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			answers <- answer{err: err}
+			return
+		}
+		defer func() { _ = response.Body.Close() }()
+		body, err := io.ReadAll(response.Body)
+		answers <- answer{response.StatusCode, string(body), err}
+	}()
+	<-started
+	stop()
+	got := <-answers
+	require.NoError(t, got.err)
+	assert.GreaterOrEqual(t, got.status, 500)
+	assert.Contains(t, got.body, "outcome_unknown")
+	require.NoError(t, <-served)
+}
+
 // TestSlowHeader guards against a caller that occupies a connection by never sending its header.
 func TestSlowHeader(t *testing.T) {
 	c := newCluster(t, entry.Options{HeaderTimeout: 50 * time.Millisecond, DrainNotice: time.Millisecond})
--- a/entry/generation.go
+++ b/entry/generation.go
@@ -77,6 +77,9 @@
 	if len(g.emitted) > 0 {
 		e.Execution = failure.Ran
 	}
+	if stopped := g.call.stopFailure(&e); stopped != nil {
+		return stopped
+	}
 	return &e
 }
 
--- a/entry/server.go
+++ b/entry/server.go
@@ -57,6 +57,9 @@
 	budget   *retryBudget
 	history  *history
 	draining atomic.Bool
+	// running ends shortly before the drain limit of a stop.
+	running    context.Context
+	endRunning context.CancelCauseFunc
 	// confirmed is the last result of hasConfirmedSet.
 	confirmed atomic.Bool
 	handler   http.Handler
@@ -77,6 +80,7 @@
 		budget:   newRetryBudget(options.RetryShare, options.RetryBurst),
 		history:  newHistory(options.MaxRequestRecords),
 	}
+	s.running, s.endRunning = context.WithCancelCause(context.Background())
 	s.handler = s.routes()
 	_ = deps.Registry.Register("live_processes", gometrics.NewFunctionalGauge(s.liveProcesses))
 	return s
@@ -128,6 +132,8 @@
 	<-notice.C
 	ctx, cancel := context.WithTimeout(context.Background(), s.options.DrainLimit)
 	defer cancel()
+	lastAnswers := time.AfterFunc(s.options.DrainLimit-finalAnswerTime, func() { s.endRunning(errStopEnds) })
+	defer lastAnswers.Stop()
 	if err := server.Shutdown(ctx); err != nil {
 		_ = server.Close()
 		return failure.Wrap(err, failure.DeadlineExceeded, failure.Ran, "requests still ran at the end of the drain limit")
