entry, callers: both fronts stop without dropping requests that have arrived

Cause: http.Server.Shutdown closes connections that it still takes for idle, and drops requests that it has just read. It moves into package callers, unchanged but for its own type of limits and the number of cut connections that Shutdown returns, and the entry uses it. Tests move with it; those that need a gateway stay there.

--- a/gateway/accept_test.go
+++ b/callers/accept_test.go
@@ -1,4 +1,4 @@
-package gateway
+package callers
 
 import (
 	"context"
@@ -10,8 +10,6 @@
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
-
-	"github.com/wasabishunt/wasabishunt/trafficset"
 )
 
 // expiredListener reports an expired deadline once, as after a pause of the process, although a connection waits.
@@ -42,7 +40,7 @@
 	listener := &expiredListener{Listener: inner, pause: maxFinalAccept + 100*time.Millisecond}
 	conn, reader := connect(t, inner)
 	s := &Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(204) }), Log: zap.NewNop()}
-	s.SetLimits(trafficset.Limits{})
+	s.SetLimits(Limits{})
 	go func() { _ = s.Serve(listener) }()
 	require.Eventually(t, func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.acceptDone != nil }, time.Second, time.Millisecond)
 	require.NoError(t, s.StopAccepting(listener))
--- a/gateway/callerconn.go
+++ b/callers/callerconn.go
@@ -1,4 +1,4 @@
-package gateway
+package callers
 
 import (
 	"cmp"
--- a/gateway/callerconn_test.go
+++ b/callers/callerconn_test.go
@@ -1,4 +1,4 @@
-package gateway
+package callers
 
 import (
 	"bufio"
@@ -19,7 +19,6 @@
 	"go.uber.org/zap"
 
 	"github.com/wasabishunt/wasabishunt/socketinput"
-	"github.com/wasabishunt/wasabishunt/trafficset"
 )
 
 // serverLimitVariable makes the test binary run a Server with this idle limit instead of tests.
@@ -45,7 +44,7 @@
 		panic(err)
 	}
 	s := &Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(204) }), Log: zap.NewNop()}
-	s.SetLimits(trafficset.Limits{IdleTimeout: idle})
+	s.SetLimits(Limits{IdleTimeout: idle})
 	go func() { _ = s.Serve(listener) }()
 	fmt.Println(listener.Addr())
 	go func() {
@@ -174,13 +173,13 @@
 // limit in force allows, so after a longer limit was published their requests met a closed connection.
 func TestLongerIdleLimitHoldsForOpenConnections(t *testing.T) {
 	const short, long = 500 * time.Millisecond, 30 * time.Second
-	s, listener := startServer(t, trafficset.Limits{IdleTimeout: short})
+	s, listener := startServer(t, Limits{IdleTimeout: short})
 	conn, reader := connect(t, listener)
 	idle, idleReader := connect(t, listener)
 	require.Equal(t, 204, sendRequest(t, conn, reader, ""))
 	require.Equal(t, 204, sendRequest(t, idle, idleReader, ""))
 	awaitIdle(t, s, 2)
-	s.SetLimits(trafficset.Limits{IdleTimeout: long})
+	s.SetLimits(Limits{IdleTimeout: long})
 	require.Equal(t, 204, sendRequest(t, conn, reader, ""))
 	time.Sleep(2 * short)
 	require.Equal(t, 204, sendRequest(t, idle, idleReader, ""), "idle since before the change")
@@ -191,11 +190,11 @@
 // never reaches connections which were open before.
 func TestShorterIdleLimitHoldsFromTheNextRequest(t *testing.T) {
 	const short, long = 200 * time.Millisecond, 30 * time.Second
-	s, listener := startServer(t, trafficset.Limits{IdleTimeout: long})
+	s, listener := startServer(t, Limits{IdleTimeout: long})
 	conn, reader := connect(t, listener)
 	require.Equal(t, 204, sendRequest(t, conn, reader, ""))
 	awaitIdle(t, s, 1)
-	s.SetLimits(trafficset.Limits{IdleTimeout: short})
+	s.SetLimits(Limits{IdleTimeout: short})
 	time.Sleep(2 * short)
 	require.Equal(t, 204, sendRequest(t, conn, reader, ""))
 	_, err := reader.ReadByte()
@@ -228,19 +227,19 @@
 
 // Guards against one more http.Server for each change of the limits, for as long as the process runs.
 func TestServersOfEarlierLimitsEnd(t *testing.T) {
-	s, listener := startServer(t, trafficset.Limits{HeaderBytes: 10_000})
+	s, listener := startServer(t, Limits{HeaderBytes: 10_000})
 	conn, reader := connect(t, listener)
 	require.Equal(t, 204, sendRequest(t, conn, reader, ""))
 	for i := range 1000 {
-		s.SetLimits(trafficset.Limits{HeaderBytes: 20_000 + int64(i), IdleTimeout: time.Duration(i+1) * time.Second})
+		s.SetLimits(Limits{HeaderBytes: 20_000 + int64(i), IdleTimeout: time.Duration(i+1) * time.Second})
 	}
 	require.Equal(t, 2, serverCount(s), "the current one and that of the open connection")
 	require.Equal(t, 204, sendRequest(t, conn, reader, ""))
-	s.SetLimits(trafficset.Limits{HeaderBytes: 10_000, IdleTimeout: time.Minute})
+	s.SetLimits(Limits{HeaderBytes: 10_000, IdleTimeout: time.Minute})
 	require.Equal(t, 1, serverCount(s))
 	second, secondReader := connect(t, listener)
 	require.Equal(t, 204, sendRequest(t, second, secondReader, ""))
-	s.SetLimits(trafficset.Limits{HeaderBytes: 30_000})
+	s.SetLimits(Limits{HeaderBytes: 30_000})
 	require.NoError(t, conn.Close())
 	require.NoError(t, second.Close())
 	require.Eventually(t, func() bool { return serverCount(s) == 1 }, 5*time.Second, time.Millisecond)
--- a/gateway/closelog_test.go
+++ b/callers/closelog_test.go
@@ -1,4 +1,4 @@
-package gateway
+package callers
 
 import (
 	"fmt"
@@ -11,8 +11,6 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
-
-	"github.com/wasabishunt/wasabishunt/trafficset"
 )
 
 // Guards against connections that this process ends without a trace of the reason.
@@ -26,7 +24,7 @@
 		}
 		w.WriteHeader(204)
 	})}
-	s.SetLimits(trafficset.Limits{HeaderTimeout: 100 * time.Millisecond, IdleTimeout: 150 * time.Millisecond})
+	s.SetLimits(Limits{HeaderTimeout: 100 * time.Millisecond, IdleTimeout: 150 * time.Millisecond})
 	go func() { _ = s.Serve(listener) }()
 	t.Cleanup(func() { _ = listener.Close() })
 	count := func(reason closeReason) int64 { return s.closes().counts[reason].Count() }
--- a/gateway/limits.go
+++ b/callers/limits.go
@@ -1,4 +1,4 @@
-package gateway
+package callers
 
 import (
 	"context"
@@ -10,10 +10,14 @@
 	"time"
 
 	"go.uber.org/zap"
-
-	"github.com/wasabishunt/wasabishunt/trafficset"
 )
 
+// Limits bounds the size of heads and how slowly callers may send them. A limit that is not positive has a default.
+type Limits struct {
+	HeaderBytes                int64
+	HeaderTimeout, IdleTimeout time.Duration
+}
+
 // headLimits are the limits on the heads of requests.
 type headLimits struct {
 	bytes   int64
@@ -32,7 +36,7 @@
 	addr   net.Addr
 }
 
-// Defaults for a node without a published set.
+// Defaults of Limits.
 const (
 	defaultHeaderBytes   = 64 << 10
 	defaultHeaderTimeout = 5 * time.Second
@@ -63,7 +67,7 @@
 func (g *limitedServer) Addr() net.Addr { return g.addr }
 
 // SetLimits applies limits to new connections, and the idle limit to open ones too.
-func (s *Server) SetLimits(limits trafficset.Limits) {
+func (s *Server) SetLimits(limits Limits) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.idleLimit.Store(int64(limits.IdleTimeout))
--- a/gateway/server.go
+++ b/callers/server.go
@@ -1,4 +1,6 @@
-package gateway
+// Package callers accepts the connections of callers, enforces time limits on them, and ends them at a stop without losing a request that
+// has arrived.
+package callers
 
 import (
 	"context"
@@ -18,7 +20,6 @@
 
 	"github.com/wasabishunt/wasabishunt/clock"
 	"github.com/wasabishunt/wasabishunt/failure"
-	"github.com/wasabishunt/wasabishunt/trafficset"
 )
 
 // Server accepts callers' connections. Changed limits on heads apply to new connections only, a changed idle limit to all.
@@ -39,7 +40,7 @@
 	mu sync.Mutex
 	// newConns are accepted connections whose first request has not reached the handler yet.
 	newConns map[net.Conn]struct{}
-	limits   trafficset.Limits
+	limits   Limits
 	current  *limitedServer
 	// servers has the current server, and earlier ones for as long as they have connections.
 	servers map[headLimits]*limitedServer
@@ -217,9 +218,10 @@
 // newConnGrace is how long a new connection has to send its first request during a shutdown, and a kept one the rest of a head.
 const newConnGrace = 300 * time.Millisecond
 
-// Shutdown closes idle connections, waits for requests in progress until the context ends, and then closes all. It does not
-// use http.Server.Shutdown, which closes connections with unread requests and drops requests that it has just read.
-func (s *Server) Shutdown(ctx context.Context) {
+// Shutdown closes idle connections, waits for requests in progress until the context ends, and then closes all. It returns the number of
+// connections that were cut. It does not use http.Server.Shutdown, which closes connections with unread requests and drops
+// requests that it has just read.
+func (s *Server) Shutdown(ctx context.Context) (cut int) {
 	s.mu.Lock()
 	s.stopped = true
 	s.mu.Unlock()
@@ -229,8 +231,8 @@
 		defer timer.Stop()
 	}
 	s.waitForNewConns(ctx)
-	if open := s.drain(ctx, headsUntil); open > 0 {
-		s.Log.Warn("requests cut at the end of a stop", zap.Int("open", open), zap.Error(ctx.Err()))
+	if cut = s.drain(ctx, headsUntil); cut > 0 {
+		s.Log.Warn("requests cut at the end of a stop", zap.Int("open", cut), zap.Error(ctx.Err()))
 	}
 	s.mu.Lock()
 	servers := slices.Collect(maps.Values(s.servers))
@@ -238,6 +240,7 @@
 	for _, g := range servers {
 		_ = g.server.Close()
 	}
+	return cut
 }
 
 const (
--- a/gateway/server_test.go
+++ b/callers/server_test.go
@@ -1,4 +1,4 @@
-package gateway
+package callers
 
 import (
 	"bufio"
@@ -13,10 +13,9 @@
 	"go.uber.org/zap"
 
 	"github.com/wasabishunt/wasabishunt/connlimit"
-	"github.com/wasabishunt/wasabishunt/trafficset"
 )
 
-func startServer(t *testing.T, limits trafficset.Limits) (*Server, net.Listener) {
+func startServer(t *testing.T, limits Limits) (*Server, net.Listener) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -47,11 +46,11 @@
 
 // Guards against limits that are not applied after a publish, and against a change of limits closing connections.
 func TestChangedLimitsHoldForNewConnections(t *testing.T) {
-	s, listener := startServer(t, trafficset.Limits{HeaderBytes: 1 << 20})
+	s, listener := startServer(t, Limits{HeaderBytes: 1 << 20})
 	conn, reader := connect(t, listener)
 	large := "X: " + string(make([]byte, 0)) + fmt.Sprintf("%030000d", 1) + "\r\n"
 	require.Equal(t, 204, sendRequest(t, conn, reader, large))
-	s.SetLimits(trafficset.Limits{HeaderBytes: 8192, IdleTimeout: 100 * time.Millisecond})
+	s.SetLimits(Limits{HeaderBytes: 8192, IdleTimeout: 100 * time.Millisecond})
 	require.Equal(t, 204, sendRequest(t, conn, reader, ""))
 	second, secondReader := connect(t, listener)
 	require.Equal(t, 431, sendRequest(t, second, secondReader, large))
@@ -63,7 +62,7 @@
 
 // Guards against a shutdown that waits for connections without a request until the process is killed.
 func TestShutdownDoesNotWaitForSilentConnections(t *testing.T) {
-	s, listener := startServer(t, trafficset.Limits{})
+	s, listener := startServer(t, Limits{})
 	conn, reader := connect(t, listener)
 	require.Equal(t, 204, sendRequest(t, conn, reader, ""))
 	_, _ = connect(t, listener)
@@ -78,7 +77,7 @@
 // Guards against dropping a request that arrives while the server begins to stop: http.Server closes a connection without an
 // answer if it has read a request once its Shutdown was called.
 func TestStopAnswersARequestThatIsBeingRead(t *testing.T) {
-	s, listener := startServer(t, trafficset.Limits{})
+	s, listener := startServer(t, Limits{})
 	conn, reader := connect(t, listener)
 	_, err := fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: h\r\n")
 	require.NoError(t, err)
@@ -99,6 +98,23 @@
 	<-stopped
 }
 
+// Guards against closing a connection that a caller has just opened before its first request can arrive.
+func TestStopGivesNewConnectionsTimeToSend(t *testing.T) {
+	s, listener := startServer(t, Limits{})
+	conn, reader := connect(t, listener)
+	require.Eventually(t, func() bool { s.mu.Lock(); defer s.mu.Unlock(); return len(s.newConns) == 1 }, time.Second, time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	defer cancel()
+	stopped := make(chan struct{})
+	go func() { s.Shutdown(ctx); close(stopped) }()
+	require.Eventually(t, func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.stopped }, time.Second, time.Millisecond)
+	timer := time.NewTimer(newConnGrace / 10)
+	defer timer.Stop()
+	<-timer.C
+	require.Equal(t, 204, sendRequest(t, conn, reader, ""))
+	<-stopped
+}
+
 // Guards against resetting connections whose requests were sent just before a planned stop, while they wait in the kernel's
 // accept queue or for their goroutine.
 func TestStopAnswersWhatWasAccepted(t *testing.T) {
--- a/entry/checks_test.go
+++ b/entry/checks_test.go
@@ -335,3 +335,51 @@
 	assert.Equal(t, http.StatusNotFound, response.StatusCode)
 	assert.Equal(t, "not_found", errorOf(t, body).Code)
 }
+
+// TestStopAnswersWhatHasArrived guards against closing kept connections at a stop without an answer to requests that had arrived:
+// http.Server.Shutdown closes connections that it still takes for idle, and drops requests that it has just read.
+func TestStopAnswersWhatHasArrived(t *testing.T) {
+	const callers, rounds = 100, 5
+	lost := 0
+	for range rounds {
+		c := newCluster(t, entry.Options{DrainNotice: time.Millisecond})
+		listener := listen(t)
+		ctx, stop := context.WithCancel(t.Context())
+		served := make(chan error, 1)
+		go func() { served <- c.server.Serve(ctx, listener) }()
+		conns, readers := make([]net.Conn, callers), make([]*bufio.Reader, callers)
+		call := "GET /v1/models HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + apiKey + "\r\n\r\n"
+		ask := func(i int) error {
+			_, err := io.WriteString(conns[i], call)
+			return err
+		}
+		answered := func(i int) bool {
+			response, err := http.ReadResponse(readers[i], nil)
+			if err != nil {
+				return false
+			}
+			_, err = io.Copy(io.Discard, response.Body)
+			return err == nil && response.StatusCode == http.StatusOK
+		}
+		for i := range conns {
+			conn, err := net.Dial("tcp", listener.Addr().String())
+			require.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+			require.NoError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+			conns[i], readers[i] = conn, bufio.NewReader(conn)
+			require.NoError(t, ask(i))
+			require.True(t, answered(i))
+		}
+		for i := range conns {
+			require.NoError(t, ask(i))
+		}
+		stop()
+		for i := range conns {
+			if !answered(i) {
+				lost++
+			}
+		}
+		require.NoError(t, <-served)
+	}
+	require.Zero(t, lost, "requests without an answer, of %d", rounds*callers)
+}
--- a/entry/server.go
+++ b/entry/server.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/semaphore"
 
+	"github.com/wasabishunt/wasabishunt/callers"
 	"github.com/wasabishunt/wasabishunt/clock"
 	"github.com/wasabishunt/wasabishunt/connlimit"
 	"github.com/wasabishunt/wasabishunt/controlclient"
@@ -103,40 +104,36 @@
 // requests while readyz fails, so that the load balancer can react; then it closes the listener and lets running
 // requests finish.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
-	server := &http.Server{
-		Handler:           s.handler,
-		ReadHeaderTimeout: s.options.HeaderTimeout,
-		IdleTimeout:       s.options.IdleTimeout,
-		MaxHeaderBytes:    64 << 10,
-		ErrorLog:          zap.NewStdLog(s.deps.Log),
-	}
+	server := &callers.Server{Handler: s.handler, Log: s.deps.Log, EndRequests: func() { s.endRunning(errStopEnds) }}
+	server.SetLimits(callers.Limits{HeaderBytes: maxHeaderBytes, HeaderTimeout: s.options.HeaderTimeout, IdleTimeout: s.options.IdleTimeout})
+	limited := connlimit.ListenNotify(listener, s.options.MaxConnections, 0, server.RecordRefused)
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(connlimit.Listen(listener, s.options.MaxConnections, 0)) }()
+	go func() { served <- server.Serve(limited) }()
 	select {
 	case err := <-served:
 		return err
 	case <-ctx.Done():
 	}
-	err := s.stop(server)
-	if e := <-served; !errors.Is(e, http.ErrServerClosed) {
-		return e
-	}
-	return err
+	err := s.stop(server, limited)
+	return errors.Join(err, <-served)
 }
 
-func (s *Server) stop(server *http.Server) error {
+// maxHeaderBytes limits the head of a request.
+const maxHeaderBytes = 64 << 10
+
+func (s *Server) stop(server *callers.Server, listener net.Listener) error {
 	s.draining.Store(true)
 	s.deps.Log.Info("draining", zap.Duration("notice", s.options.DrainNotice))
 	notice := time.NewTimer(s.options.DrainNotice)
 	defer notice.Stop()
 	<-notice.C
+	if err := server.StopAccepting(listener); err != nil {
+		s.deps.Log.Warn("closing the listener for callers failed", zap.Error(err))
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), s.options.DrainLimit)
 	defer cancel()
-	lastAnswers := time.AfterFunc(s.options.DrainLimit-finalAnswerTime, func() { s.endRunning(errStopEnds) })
-	defer lastAnswers.Stop()
-	if err := server.Shutdown(ctx); err != nil {
-		_ = server.Close()
-		return failure.Wrap(err, failure.DeadlineExceeded, failure.Ran, "requests still ran at the end of the drain limit")
+	if open := server.Shutdown(ctx); open > 0 {
+		return failure.New(failure.DeadlineExceeded, failure.Ran, "%d requests still ran at the end of the drain limit", open)
 	}
 	s.deps.Log.Info("all requests finished")
 	return nil
--- a/entry/stopping.go
+++ b/entry/stopping.go
@@ -3,14 +3,10 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"github.com/wasabishunt/wasabishunt/failure"
 )
 
-// finalAnswerTime is the time before the end of the drain limit in which the last requests get their answers.
-const finalAnswerTime = 200 * time.Millisecond
-
 // errStopEnds ends the requests that still run shortly before the drain limit.
 var errStopEnds = failure.New(failure.Draining, failure.Unknown, "the entry stops")
 
--- a/node/adopt.go
+++ b/node/adopt.go
@@ -8,6 +8,7 @@
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 
+	"github.com/wasabishunt/wasabishunt/callers"
 	"github.com/wasabishunt/wasabishunt/fleetview"
 	"github.com/wasabishunt/wasabishunt/peerload"
 	"github.com/wasabishunt/wasabishunt/placement"
@@ -142,7 +143,7 @@
 	}
 	n.set.Store(set)
 	n.stores.Configure(set)
-	n.server.SetLimits(set.Limits)
+	n.server.SetLimits(callers.Limits{HeaderBytes: set.Limits.HeaderBytes, HeaderTimeout: set.Limits.HeaderTimeout, IdleTimeout: set.Limits.IdleTimeout})
 	gometrics.GetOrRegisterHistogram("node.set_behind_ms", n.metrics, gometrics.NewUniformSample(behindSamples)).Update(behindFor.Milliseconds())
 	n.log.Info("set in force", zap.Uint64("set_version", set.Version), zap.Int("routes", len(set.Routes)), zap.Int("bytes", len(published.Document)),
 		zap.Duration("behind_for", behindFor), zap.Duration("fetched_in", published.FetchedIn), zap.Int64("transferred_bytes", published.TransferredBytes),
--- a/node/node.go
+++ b/node/node.go
@@ -18,6 +18,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/wasabishunt/wasabishunt/callers"
 	"github.com/wasabishunt/wasabishunt/connlimit"
 	"github.com/wasabishunt/wasabishunt/coregroup"
 	"github.com/wasabishunt/wasabishunt/failure"
@@ -126,7 +127,7 @@
 	loadExchange      *peerload.Exchange
 	budget            *retrybudget.Budget
 	gateway           *gateway.Gateway
-	server            *gateway.Server
+	server            *callers.Server
 }
 
 const (
@@ -177,7 +178,7 @@
 		AnswerBytes: config.UpstreamLimits.AnswerBytes, EventBytes: config.UpstreamLimits.EventBytes,
 		Nodes: func() int { return int(n.nodes.Load()) }, Log: log, Metrics: registry,
 	})
-	n.server = &gateway.Server{Handler: supervise.HTTP(log, "request", n.gateway), Log: log, Metrics: registry, EndRequests: n.gateway.EndRequests}
+	n.server = &callers.Server{Handler: supervise.HTTP(log, "request", n.gateway), Log: log, Metrics: registry, EndRequests: n.gateway.EndRequests}
 	return n
 }
 
@@ -305,8 +306,8 @@
 	if err != nil {
 		return nil, failure.Wrap(err, failure.Internal, failure.NotRun, "listen on %s", n.config.LoadReports)
 	}
-	callers := int(callerShare * float64(max(reservedDescriptors, n.config.MaxDescriptors-reservedDescriptors)))
-	l.front = connlimit.ListenNotify(l.front, callers, callerWriteTimeout, n.server.RecordRefused)
+	limit := int(callerShare * float64(max(reservedDescriptors, n.config.MaxDescriptors-reservedDescriptors)))
+	l.front = connlimit.ListenNotify(l.front, limit, callerWriteTimeout, n.server.RecordRefused)
 	return l, nil
 }
 
