gateway: refusals reach callers that still send their body

Cause: net/http answers before the body has been read, and closes the connection half a second later; a caller that reads the answer only after it has sent everything meets the reset. The node reads and drops the rest of the body for up to a second after the answer (HTTP/1.1 full duplex; without it net/http first reads 256 kB and then gives up).

TestRefusalReachesACallerThatStillSends failed before (resets in 3 of 3 runs), 3 of 3 pass.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -8,6 +8,30 @@
 	"github.com/wasabishunt/wasabishunt/failure"
 )
 
+// discardTime is how long the rest of a body is read after a refusal. Callers that read an answer only after they have sent
+// everything would get a reset instead of it.
+const discardTime = time.Second
+
+// answerBeforeBody prepares an answer that is sent before the body has been read. The returned function reads the rest of the body, and is
+// called after the answer was written.
+func (c *call) answerBeforeBody() (discard func()) {
+	if c.bodyRead || c.request.ContentLength == 0 {
+		return func() {}
+	}
+	control := http.NewResponseController(c.writer)
+	// Otherwise net/http reads 256 kB of the body before the answer, and resets the connection if there is more.
+	if err := control.EnableFullDuplex(); err != nil {
+		return func() {}
+	}
+	return func() {
+		if control.Flush() != nil || control.SetReadDeadline(time.Now().Add(discardTime)) != nil {
+			return
+		}
+		// The caller may go on sending; if it does not end in time, its connection is closed.
+		_, _ = io.Copy(io.Discard, c.request.Body)
+	}
+}
+
 func (c *call) readBody() error {
 	limit := c.set.Limits.BodyBytes
 	if limit <= 0 {
@@ -40,6 +64,7 @@
 	if int64(len(c.body)) > limit {
 		return failure.New(failure.BodyTooLarge, failure.NotRun, "request body exceeds the limit of %d bytes", limit)
 	}
+	c.bodyRead = true
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
 		return failure.Wrap(err, failure.Internal, failure.NotRun, "clear the read deadline for the request body")
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -215,6 +215,8 @@
 	route      *trafficset.Route
 	service    *trafficset.Service
 	body       []byte
+	// bodyRead is set once the whole body was read.
+	bodyRead bool
 	// parts are the keys of the shared parts of the prompt.
 	parts []uint64
 	// answerBy is the earlier of the caller's deadline and the end of the route's timeout.
@@ -329,7 +331,9 @@
 	}
 	callerGone := c.request.Context().Err() != nil
 	if err != nil && !c.answered && !callerGone {
+		discard := c.answerBeforeBody()
 		c.writeProblem(failure.Of(err))
+		discard()
 	}
 	c.log(err, callerGone, elapsed)
 	if err != nil && (c.answered || callerGone) {
