gateway, bytebudget: one bound for the bytes of bodies and answers in memory

Each body, answer and event has had a limit, but nothing bounded their sum: 30 endless answers, or 32 large bodies, exceed the 134 MB of a node.

A process holds three tenths of its memory limit at most (package bytebudget). Memory is taken as bytes arrive, so a caller that announces much and sends little holds little. A body without room is refused at once with 503, a time for the retry and a true "not run"; an answer waits 0.2 s for room, because it is ready. A quarter is kept for accounts below an equal share.

--- a/failure/failure.go
+++ b/failure/failure.go
@@ -53,6 +53,7 @@
 	StorageFailed       Kind = "storage_failed"
 	IdentityLost        Kind = "identity_lost"
 	Quarantined         Kind = "quarantined"
+	MemoryExhausted     Kind = "memory_exhausted"
 	Canceled            Kind = "canceled"
 	Internal            Kind = "internal"
 )
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -1,13 +1,43 @@
 package gateway
 
 import (
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
+	"github.com/wasabishunt/wasabishunt/bytebudget"
 	"github.com/wasabishunt/wasabishunt/failure"
 )
 
+const (
+	// defaultMemory is the number of bytes of bodies and answers that a Gateway without a limit holds.
+	defaultMemory = 64 << 20
+	// memoryRetryAfter is the retry advice when there is no room for a body. Bodies are held until their answers, most of them for less.
+	memoryRetryAfter = 500 * time.Millisecond
+	// answerPatience is how long an answer waits for room: it is ready, and refusing it would lose what has run.
+	answerPatience = 200 * time.Millisecond
+)
+
+// memoryOwner returns who shares the memory for bodies and answers of the call: the account, or the caller's address on a public route.
+func (c *call) memoryOwner() string {
+	if c.account != nil {
+		return "account " + c.account.Name
+	}
+	host, _, err := net.SplitHostPort(c.request.RemoteAddr)
+	if err != nil {
+		host = c.request.RemoteAddr
+	}
+	return "address " + host
+}
+
+func (c *call) memoryExhausted() error {
+	e := failure.New(failure.MemoryExhausted, failure.NotRun, "no memory is left for a request body")
+	e.RetryAfter = memoryRetryAfter
+	return e
+}
+
 // discardTime is how long the rest of a body is read after a refusal. Callers that read an answer only after they have sent
 // everything would get a reset instead of it.
 const discardTime = time.Second
@@ -52,11 +82,8 @@
 		return failure.Wrap(err, failure.Internal, failure.NotRun, "set the read deadline for the request body")
 	}
 	var err error
-	if size := c.request.ContentLength; size > 0 {
-		c.body = make([]byte, size)
-		_, err = io.ReadFull(c.request.Body, c.body)
-	} else {
-		c.body, err = io.ReadAll(io.LimitReader(c.request.Body, limit+1))
+	if c.body, err = c.memory.ReadAll(c.request.Body, c.request.ContentLength, limit); errors.Is(err, bytebudget.ErrExhausted) {
+		return c.memoryExhausted()
 	}
 	if err != nil {
 		return failure.Wrap(err, failure.Canceled, failure.NotRun, "request body not received")
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -3,18 +3,25 @@
 import (
 	"bytes"
 
+	"github.com/wasabishunt/wasabishunt/bytebudget"
 	"github.com/wasabishunt/wasabishunt/failure"
 )
 
 // eventSplitter splits the bytes of an event stream into complete events.
 type eventSplitter struct {
 	// limit bounds the pending bytes, so that an event without end cannot exhaust memory; 0 means no limit.
-	limit   int
+	limit int
+	// memory is charged for pending bytes; nil means no charge. charged is how many were.
+	memory  *bytebudget.Holder
+	charged int
 	pending []byte
 	// lastID is the id of the newest complete event.
 	lastID string
 }
 
+// freeEventBytes is the size up to which pending bytes are not charged; most events are smaller.
+const freeEventBytes = 8 << 10
+
 // eventEnds are the line ends that terminate an event.
 var eventEnds = [][]byte{[]byte("\n\n"), []byte("\n\r\n")}
 
@@ -32,6 +39,12 @@
 	if e.limit > 0 && len(e.pending)-end > e.limit {
 		return nil, failure.New(failure.UpstreamFailed, failure.Ran, "event exceeds the limit of %d bytes", e.limit)
 	}
+	if e.memory != nil && len(e.pending) > max(e.charged, freeEventBytes) {
+		if !e.memory.Grow(int64(2*len(e.pending) - e.charged)) {
+			return nil, bytebudget.ErrExhausted
+		}
+		e.charged = 2 * len(e.pending)
+	}
 	if end == 0 {
 		return nil, nil
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"github.com/wasabishunt/wasabishunt/bytebudget"
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/placement"
 	"github.com/wasabishunt/wasabishunt/quarantine"
@@ -131,6 +132,8 @@
 	// AnswerBytes limits an answer that is not a stream, EventBytes a single event of a stream.
 	AnswerBytes int64
 	EventBytes  int
+	// Memory bounds the bytes of bodies and answers in memory; nil means defaultMemory.
+	Memory *bytebudget.Budget
 	// Nodes returns the number of nodes that send to the same upstreams.
 	Nodes   func() int
 	Log     *zap.Logger
@@ -161,12 +164,16 @@
 	if options.AnswerBytes == 0 {
 		options.AnswerBytes = defaultAnswerBytes
 	}
+	if options.Memory == nil {
+		options.Memory = bytebudget.New(defaultMemory)
+	}
 	if options.EventBytes == 0 {
 		options.EventBytes = defaultEventBytes
 	}
 	g := &Gateway{options: options, started: time.Now(), queueLimits: placement.NewQueueLimitEstimator(), metrics: newMeters(options.Metrics)}
 	g.running, g.endRunning = context.WithCancelCause(context.Background())
 	g.crashes = newCrashDetector(options, &g.metrics)
+	_ = options.Metrics.Register("gateway.held_bytes", gometrics.NewFunctionalGauge(options.Memory.Used))
 	options.Tracker.NotifyLeaving(g.applyLeaving)
 	return g
 }
@@ -217,6 +224,8 @@
 	body       []byte
 	// bodyRead is set once the whole body was read.
 	bodyRead bool
+	// memory holds the bytes of the body and of a buffered answer.
+	memory *bytebudget.Holder
 	// parts are the keys of the shared parts of the prompt.
 	parts []uint64
 	// answerBy is the earlier of the caller's deadline and the end of the route's timeout.
@@ -271,6 +280,8 @@
 		c.parts = quarantine.Keys(c.attributes.Generation.Parts)
 	}
 	c.setDeadlines()
+	c.memory = c.gateway.options.Memory.Holder(c.memoryOwner())
+	defer c.memory.Close()
 	if err := c.readBody(); err != nil {
 		return err
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/wasabishunt/wasabishunt/bytebudget"
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/placement"
 	"github.com/wasabishunt/wasabishunt/trafficset"
@@ -91,7 +92,13 @@
 // relayBuffered reads the complete answer before it sends anything to the caller.
 func (s *send) relayBuffered() result {
 	c := s.call
-	body, err := s.exchange.ReadAll(c.gateway.options.AnswerBytes)
+	c.memory.Patience = answerPatience
+	body, err := s.exchange.ReadInto(c.memory, c.gateway.options.AnswerBytes)
+	if errors.Is(err, bytebudget.ErrExhausted) {
+		s.exchange.Abort()
+		s.attempt.End(placement.Canceled, time.Now())
+		return result{done: true, err: err}
+	}
 	if err == nil && isEndedByClose(s.exchange.Response) && c.prompt.wasCutOff() {
 		err = errCutOff
 	}
@@ -197,7 +204,7 @@
 	if err := s.checkContinuation(); err != nil {
 		return s.brokenStream(err)
 	}
-	splitter := eventSplitter{limit: c.gateway.options.EventBytes}
+	splitter := eventSplitter{limit: c.gateway.options.EventBytes, memory: c.memory}
 	buffer := make([]byte, streamBuffer)
 	stall := s.newStallTimeout()
 	defer stall.stop()
--- a/node/node.go
+++ b/node/node.go
@@ -18,6 +18,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/wasabishunt/wasabishunt/bytebudget"
 	"github.com/wasabishunt/wasabishunt/callers"
 	"github.com/wasabishunt/wasabishunt/connlimit"
 	"github.com/wasabishunt/wasabishunt/coregroup"
@@ -133,6 +134,8 @@
 const (
 	// memoryShare is the share of the memory limit that is set as the garbage collector's soft limit.
 	memoryShare = 0.7
+	// bodyMemoryShare is the share of the memory limit for request bodies and answers. The garbage collector may keep as much again.
+	bodyMemoryShare = 0.3
 	// reservedDescriptors is the number of descriptors for files, listeners and connections to other nodes.
 	reservedDescriptors = 600
 	// callerShare is the share of the remaining descriptors for callers; the rest is for upstreams.
@@ -176,12 +179,21 @@
 		AvailabilityZone: config.AvailabilityZone, Dialect: parts.Dialect, Sets: n, Directory: n.directory, Tracker: n.tracker, Stores: n.stores, Quarantine: suspects,
 		Pool: upstreamconn.NewPool(upstreamconn.Options{MaxHeadBytes: config.UpstreamLimits.HeadBytes}), Budget: n.budget,
 		AnswerBytes: config.UpstreamLimits.AnswerBytes, EventBytes: config.UpstreamLimits.EventBytes,
-		Nodes: func() int { return int(n.nodes.Load()) }, Log: log, Metrics: registry,
+		Memory: bodyMemory(config.MemoryBytes),
+		Nodes:  func() int { return int(n.nodes.Load()) }, Log: log, Metrics: registry,
 	})
 	n.server = &callers.Server{Handler: supervise.HTTP(log, "request", n.gateway), Log: log, Metrics: registry, EndRequests: n.gateway.EndRequests}
 	return n
 }
 
+// bodyMemory returns the budget for bodies and answers of a process with a memory limit, nil if there is no limit.
+func bodyMemory(limit int64) *bytebudget.Budget {
+	if limit <= 0 {
+		return nil
+	}
+	return bytebudget.New(int64(bodyMemoryShare * float64(limit)))
+}
+
 // SetSeeds replaces the seeds after a change of settings.
 func (n *Node) SetSeeds(seeds []string) { n.seeds.Store(&seeds) }
 
--- a/upstreamconn/pool.go
+++ b/upstreamconn/pool.go
@@ -7,6 +7,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -15,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/wasabishunt/wasabishunt/bytebudget"
 	"github.com/wasabishunt/wasabishunt/failure"
 )
 
@@ -387,11 +389,29 @@
 	framingSlack = 64 << 10
 )
 
+// Memory reads a body of the given size, below 0 if it is unknown, and of at most limit+1 bytes into memory.
+type Memory interface {
+	ReadAll(r io.Reader, size, limit int64) ([]byte, error)
+}
+
+// unlimitedMemory is for bodies with a small limit.
+type unlimitedMemory struct{}
+
+func (unlimitedMemory) ReadAll(r io.Reader, _, limit int64) ([]byte, error) {
+	return io.ReadAll(io.LimitReader(r, limit+1))
+}
+
 // ReadAll reads a complete body of at most limit bytes. A truncated body is an error.
-func (e *Exchange) ReadAll(limit int64) ([]byte, error) {
+func (e *Exchange) ReadAll(limit int64) ([]byte, error) { return e.ReadInto(unlimitedMemory{}, limit) }
+
+// ReadInto is ReadAll with memory that may refuse bytes.
+func (e *Exchange) ReadInto(memory Memory, limit int64) ([]byte, error) {
 	e.conn.limited.limit(limit + int64(framingShare*float64(limit)) + framingSlack)
 	defer e.conn.limited.unlimit()
-	body, err := io.ReadAll(io.LimitReader(e.Response.Body, limit+1))
+	body, err := memory.ReadAll(e.Response.Body, e.Response.ContentLength, limit)
+	if errors.Is(err, bytebudget.ErrExhausted) {
+		return nil, err
+	}
 	if err != nil {
 		return nil, failure.Wrap(err, failure.UpstreamFailed, failure.Unknown, "the answer of %s was cut off", e.conn.address)
 	}
