--- a/raft/wal/open.go
+++ b/raft/wal/open.go
@@ -75,7 +75,7 @@
 	if err != nil {
 		return r.log.fail("read", err)
 	}
-	r.log.segments = append(r.log.segments, segment{sequence: sequence, last: r.last()})
+	r.log.segments = append(r.log.segments, segment{sequence: sequence, last: r.last(), bytes: int64(len(data))})
 	r.tail = 0
 	for r.tail < int64(len(data)) {
 		payload, ok := decodeRecord(sequence, data, r.tail)
--- a/raft/wal/wal.go
+++ b/raft/wal/wal.go
@@ -82,6 +82,8 @@
 	sequence uint64
 	// last is the highest entry index in the segment or before it.
 	last uint64
+	// bytes is the length of a segment that is full; that of the newest one is Log.size.
+	bytes int64
 }
 
 // Log is an open write-ahead log.
@@ -190,6 +192,15 @@
 // Segments returns the number of segments.
 func (l *Log) Segments() int { return len(l.segments) }
 
+// Bytes returns the length of all segments.
+func (l *Log) Bytes() int64 {
+	total := l.size
+	for _, s := range l.segments[:max(0, len(l.segments)-1)] {
+		total += s.bytes
+	}
+	return total
+}
+
 // Close closes the newest segment.
 func (l *Log) Close() error {
 	if l.file == nil {
@@ -237,7 +248,9 @@
 	if err := l.file.Close(); err != nil {
 		return l.fail("close", err)
 	}
-	return l.startSegment(l.segments[len(l.segments)-1].sequence + 1)
+	full := &l.segments[len(l.segments)-1]
+	full.bytes = l.size
+	return l.startSegment(full.sequence + 1)
 }
 
 // startSegment creates a segment that begins with the owner and the current hard state and mark, so that it does not
--- a/replica/applier.go
+++ b/replica/applier.go
@@ -103,6 +103,7 @@
 	}
 	a.last = proto.CloneOf(s.Meta)
 	a.lastSnapshot = s.Meta.GetIndex()
+	a.replica.snapshotBytes.Store(int64(len(s.Data)))
 	return nil
 }
 
@@ -141,6 +142,7 @@
 		case err != nil:
 			r.report(event{failed: err})
 		default:
+			r.snapshotBytes.Store(int64(len(data)))
 			r.log.Info("snapshot saved", zap.Uint64("index", job.meta.GetIndex()), zap.Int("bytes", len(data)))
 			r.report(event{saved: job.meta})
 		}
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -105,7 +105,7 @@
 func (r *Replica) fail(err error) {
 	e := failure.Of(err)
 	r.failed.Store(e)
-	r.log.Error("raft member stopped after a failure", zap.Error(e))
+	r.log.Error("raft member stopped after a failure", zap.Error(e), r.logBytes(), r.lastSnapshotBytes())
 }
 
 // finish ends the other goroutines and answers all waiting callers.
@@ -229,7 +229,11 @@
 		r.releaseReads()
 	case e.saved != nil:
 		if r.node.Compact(e.saved, e.saved.GetIndex()-min(e.saved.GetIndex(), r.options.TrailingEntries)) {
-			return r.storage.compact(e.saved)
+			before := r.storage.wal.Bytes()
+			if err := r.storage.compact(e.saved); err != nil {
+				return err
+			}
+			r.log.Info("raft log compacted", zap.Uint64("index", e.saved.GetIndex()), zap.Int64("bytes", before-r.storage.wal.Bytes()), r.logBytes(), r.lastSnapshotBytes())
 		}
 	case e.transferred != 0:
 		r.node.ReportSnapshot(e.transferred, e.delivered)
@@ -250,6 +254,8 @@
 	s := r.node.Status()
 	r.status.Store(&s)
 	r.freshUntil.Store(int64(r.node.FreshUntil()))
+	r.metrics.logBytes.Update(r.storage.wal.Bytes())
+	r.metrics.snapshotBytes.Update(r.snapshotBytes.Load())
 	r.transport.setMembers(s.Members.GetMembers())
 }
 
--- a/replica/metrics.go
+++ b/replica/metrics.go
@@ -13,6 +13,8 @@
 	// dropped counts messages dropped because of a full queue or a reconnect.
 	dropped    gometrics.Counter
 	reconnects gometrics.Counter
+	// logBytes is the size of the log on disk, snapshotBytes that of the newest snapshot.
+	logBytes, snapshotBytes gometrics.Gauge
 }
 
 func newMeters(registry gometrics.Registry) meters {
@@ -21,5 +23,6 @@
 		proposals:  gometrics.GetOrRegisterCounter("raft.proposals", registry),
 		dropped:    gometrics.GetOrRegisterCounter("raft.messages_dropped", registry),
 		reconnects: gometrics.GetOrRegisterCounter("raft.reconnects", registry),
+		logBytes:   gometrics.GetOrRegisterGauge("raft.log_bytes", registry), snapshotBytes: gometrics.GetOrRegisterGauge("raft.snapshot_bytes", registry),
 	}
 }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -162,6 +162,8 @@
 	status     atomic.Pointer[raft.Status]
 	freshUntil atomic.Int64
 	failed     atomic.Pointer[failure.Error]
+	// snapshotBytes is the size of the newest snapshot.
+	snapshotBytes atomic.Int64
 	// receiving is held while a snapshot is received.
 	receiving sync.Mutex
 
@@ -212,7 +214,7 @@
 	r.goroutines.Go(func() { r.saveSnapshots(ctx) })
 	r.goroutines.Go(func() { r.run(ctx) })
 	r.log.Info("raft member started", zap.Uint64("last_index", r.Status().LastIndex), zap.Bool("may_vote", r.Status().MayVote),
-		zap.Int64("cut_bytes", loaded.truncatedBytes))
+		zap.Int64("cut_bytes", loaded.truncatedBytes), r.logBytes(), r.lastSnapshotBytes())
 	return r, nil
 }
 
@@ -234,12 +236,20 @@
 		if err := r.options.StateMachine.Restore(loaded.snapshot.Data); err != nil {
 			return failure.Wrap(err, failure.StorageFailed, failure.NotRun, "restore snapshot %d", loaded.snapshot.Meta.GetIndex())
 		}
+		r.snapshotBytes.Store(int64(len(loaded.snapshot.Data)))
 	}
 	node, err := raft.New(r.coreConfig(), loaded.state)
 	r.node = node
 	return err
 }
 
+// logBytes returns a log field with the size of the log. It is for the loop.
+func (r *Replica) logBytes() zap.Field { return zap.Int64("log_bytes", r.storage.wal.Bytes()) }
+
+func (r *Replica) lastSnapshotBytes() zap.Field {
+	return zap.Int64("snapshot_bytes", r.snapshotBytes.Load())
+}
+
 func (r *Replica) coreConfig() raft.Config {
 	return raft.Config{ID: r.options.ID, Group: r.options.Group, Election: r.options.Election, FirstElection: r.options.FirstElection, Seed: r.options.Seed}
 }
