--- /dev/null
+++ b/coregroup/disk_test.go
@@ -0,0 +1,59 @@
+package coregroup
+
+import (
+	"crypto/rand"
+	"io/fs"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
+)
+
+// diskBytes is the size of the disk of a core member, as users have it.
+const diskBytes = 64 << 20
+
+// usedBytes returns the size of all files of a directory.
+func usedBytes(t *testing.T, dir string) (total int64) {
+	t.Helper()
+	require.NoError(t, filepath.WalkDir(dir, func(_ string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() {
+			// Segments and snapshots are removed meanwhile.
+			return nil
+		}
+		if info, err := entry.Info(); err == nil {
+			total += info.Size()
+		}
+		return nil
+	}))
+	return total
+}
+
+// publishDocument publishes a set through whichever member leads.
+func publishDocument(t *testing.T, nodes []*testNode, version uint64, document []byte) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		for _, n := range nodes {
+			command := &nodepb.Command{Change: &nodepb.Command_Publish{Publish: &nodepb.PublishSet{Version: version, Document: document}}}
+			if n.group.Propose(t.Context(), command) == nil {
+				return true
+			}
+		}
+		return false
+	}, 15*time.Second, 10*time.Millisecond)
+}
+
+// Guards against a log that is bounded by the number of its entries only: large sets fill the disk of every member, and no change can be
+// made any more.
+func TestLargeSetsDoNotFillTheDisk(t *testing.T) {
+	t.Parallel()
+	nodes := startNodes(t, true)
+	document := make([]byte, 250_000)
+	_, _ = rand.Read(document)
+	for version := uint64(1); version <= 150; version++ {
+		publishDocument(t, nodes, version, document)
+		require.Less(t, usedBytes(t, nodes[0].dir), int64(diskBytes/4), "version %d", version)
+	}
+}
--- a/raft/diskfs/simdisk/simdisk.go
+++ b/raft/diskfs/simdisk/simdisk.go
@@ -30,7 +30,9 @@
 	// syncs counts successful syncs of files.
 	syncs int
 	// space is the number of bytes that can still be written, negative for no limit.
-	space    int
+	space int
+	// capacity limits the size of all files together, 0 for no limit.
+	capacity int
 	failSync error
 }
 
@@ -44,6 +46,35 @@
 // SetSpace limits the bytes that can still be written; a negative number means no limit.
 func (d *Disk) SetSpace(bytes int) { d.locked(func() { d.space = bytes }) }
 
+// SetCapacity limits the size of all files together; 0 means no limit. Removed files give their room back.
+func (d *Disk) SetCapacity(bytes int) { d.locked(func() { d.capacity = bytes }) }
+
+// Used returns the size of all files.
+func (d *Disk) Used() (bytes int) {
+	d.locked(func() { bytes = d.used() })
+	return bytes
+}
+
+// used returns the size of all files. The caller holds d.mu.
+func (d *Disk) used() (bytes int) {
+	for _, f := range d.names {
+		bytes += len(f.data)
+	}
+	return bytes
+}
+
+// room returns how many of n bytes can be written. The caller holds d.mu.
+func (d *Disk) room(n int) int {
+	if d.capacity > 0 {
+		n = min(n, max(0, d.capacity-d.used()))
+	}
+	if d.space >= 0 {
+		n = min(n, d.space)
+		d.space -= n
+	}
+	return n
+}
+
 // FailSync makes syncs fail with err until it is called with nil. As on a real disk, the data of a failed sync can be
 // read back although it is not durable.
 func (d *Disk) FailSync(err error) { d.locked(func() { d.failSync = err }) }
@@ -131,11 +162,7 @@
 	if f.epoch != f.disk.epoch {
 		return 0, fs.ErrClosed
 	}
-	n := len(data)
-	if f.disk.space >= 0 {
-		n = min(n, f.disk.space)
-		f.disk.space -= n
-	}
+	n := f.disk.room(len(data))
 	f.inode.data = append(f.inode.data, data[:n]...)
 	if n < len(data) {
 		return n, syscall.ENOSPC
@@ -166,7 +193,7 @@
 func (d *Disk) Create(name string) (diskfs.File, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.space == 0 {
+	if d.space == 0 || d.capacity > 0 && d.used() >= d.capacity {
 		return nil, syscall.ENOSPC
 	}
 	f := &inode{}
--- /dev/null
+++ b/replica/disk_test.go
@@ -0,0 +1,114 @@
+package replica
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/raft/diskfs/simdisk"
+	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
+)
+
+// paddedRegister is a register with a large snapshot.
+type paddedRegister struct{ register }
+
+const paddingBytes = 200 << 10
+
+func (r *paddedRegister) Snapshot() func() ([]byte, error) {
+	encode := r.register.Snapshot()
+	return func() ([]byte, error) {
+		data, err := encode()
+		return append(data, make([]byte, paddingBytes)...), err
+	}
+}
+
+// Guards against a member that ends itself, and starts an election after each start, because its disk has no room for a snapshot: it can
+// go on without.
+func TestSnapshotWithoutRoomDoesNotStopTheMember(t *testing.T) {
+	t.Parallel()
+	disk := simdisk.New()
+	machine := &paddedRegister{}
+	r, err := Start(Options{
+		ID: 1, Group: "test", Address: "127.0.0.1:1", Dir: "data", FS: disk, StateMachine: machine, SnapshotEvery: 10,
+		Bootstrap: []*raftpb.Member{{Id: 1, Address: "127.0.0.1:1"}},
+	})
+	require.NoError(t, err)
+	t.Cleanup(r.Stop)
+	require.Eventually(t, r.Fresh, failoverLimit, 5*time.Millisecond)
+	disk.SetCapacity(disk.Used() + paddingBytes/2)
+	for value := uint64(1); value <= 200; value++ {
+		_, err := r.Propose(t.Context(), set(value))
+		require.NoError(t, err, "command %d", value)
+	}
+	require.NoError(t, r.Err())
+	disk.SetCapacity(0)
+	require.Eventually(t, func() bool {
+		_, err := r.Propose(t.Context(), set(201))
+		return err == nil && r.Status().FirstIndex > 1
+	}, failoverLimit, 10*time.Millisecond, "no snapshot is saved once there is room")
+}
+
+// startWithDisks starts a group of three whose members have simulated disks.
+func startWithDisks(t *testing.T) (*group, map[uint64]*simdisk.Disk) {
+	disks := map[uint64]*simdisk.Disk{1: simdisk.New(), 2: simdisk.New(), 3: simdisk.New()}
+	return newGroup(t, 3, func(o *Options) { o.FS = disks[o.ID] }), disks
+}
+
+// fillDisk leaves no room on a disk; the other files on it take the rest.
+func fillDisk(disk *simdisk.Disk) { disk.SetCapacity(disk.Used()) }
+
+// Guards against members that end or elect a leader again and again while their disks are full, and against a group that does not go on by
+// itself once they have room.
+func TestGroupGoesOnOnceFullDisksHaveRoom(t *testing.T) {
+	t.Parallel()
+	g, disks := startWithDisks(t)
+	g.write(1, failoverLimit)
+	for _, disk := range disks {
+		fillDisk(disk)
+	}
+	for _, p := range g.members {
+		_, err := p.Propose(t.Context(), set(2))
+		require.Error(t, err)
+	}
+	time.Sleep(3 * time.Second)
+	term := uint64(0)
+	for _, p := range g.members {
+		require.NoError(t, p.Err())
+		_, err := p.Propose(t.Context(), set(3))
+		require.Equal(t, failure.NotRun, failure.Of(err).Execution, "%v", err)
+		term = max(term, p.Status().Term)
+	}
+	require.LessOrEqual(t, term, uint64(3), "the members elect without end")
+	for _, disk := range disks {
+		disk.SetCapacity(0)
+	}
+	g.write(4, failoverLimit)
+	for _, p := range g.members {
+		require.EqualValues(t, 4, g.read(p))
+	}
+}
+
+// Guards against a group that refuses or does not answer commands after the disks of its members were full one after another, each for a
+// moment.
+func TestDisksFullInTurnLeaveTheGroupWorking(t *testing.T) {
+	t.Parallel()
+	g, disks := startWithDisks(t)
+	value := uint64(1)
+	g.write(value, failoverLimit)
+	for range 3 {
+		for id := uint64(1); id <= 3; id++ {
+			fillDisk(disks[id])
+			for end := time.Now().Add(500 * time.Millisecond); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+				value++
+				g.write(value, failoverLimit)
+			}
+			disks[id].SetCapacity(0)
+		}
+	}
+	for _, p := range g.members {
+		require.NoError(t, p.Err())
+		require.EqualValues(t, value, g.read(p))
+	}
+}
