raft/wal: a record that a full disk refuses can be written again

Cause: after any failed write the log was unusable, and its member had to end and to read everything again, only to fail at the next record. What a refused write leaves behind is known, unlike that of a failed sync: it is cut off, and the log is as it was. A new segment that has no room is removed durably, and the segment before it goes on; the header of an unfinished one would set the hard state back at the next start. TestFullDisk asked for a log that stays unusable after a refused write. It now asks that the refused records leave nothing, not after a crash either, and that the next save is whole; TestFullDiskKeepsTheSegment does so for each length at which a new segment can be refused.

--- a/raft/diskfs/diskfs.go
+++ b/raft/diskfs/diskfs.go
@@ -8,6 +8,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"syscall"
 )
 
 // File is a file open for appending.
@@ -41,6 +42,11 @@
 // IsTemp reports whether a file is a temporary file of an unfinished WriteFile.
 func IsTemp(name string) bool { return filepath.Ext(name) == tempSuffix }
 
+// IsFull reports whether an operation failed because the disk or the quota has no room.
+func IsFull(err error) bool {
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
+}
+
 // WriteFile replaces a file atomically and durably: the content is written to a temporary file and synced, the file is
 // renamed, and its directory is synced. After a crash the file holds the complete old or the complete new content.
 func WriteFile(disk FS, name string, content []byte) error {
--- a/raft/diskfs/simdisk/simdisk.go
+++ b/raft/diskfs/simdisk/simdisk.go
@@ -112,6 +112,24 @@
 	})
 }
 
+// Clone returns a copy of the disk, to which what happens to this one does not happen.
+func (d *Disk) Clone() *Disk {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	copies := map[*inode]*inode{}
+	cloneNames := func(m map[string]*inode) map[string]*inode {
+		c := make(map[string]*inode, len(m))
+		for name, f := range m {
+			if copies[f] == nil {
+				copies[f] = &inode{data: slices.Clone(f.data), synced: slices.Clone(f.synced)}
+			}
+			c[name] = copies[f]
+		}
+		return c
+	}
+	return &Disk{names: cloneNames(d.names), durable: cloneNames(d.durable), epoch: d.epoch, space: d.space, capacity: d.capacity}
+}
+
 // dataAfterCrash returns the synced data and a random prefix of the unsynced data, whose last bytes may be zeroed.
 func dataAfterCrash(f *inode, random *rand.Rand) []byte {
 	if len(f.data) <= len(f.synced) {
--- a/raft/wal/open.go
+++ b/raft/wal/open.go
@@ -1,6 +1,7 @@
 package wal
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 
@@ -29,6 +30,9 @@
 	}
 	l.hard, l.mark, l.last = r.contents.HardState, r.contents.Mark, r.last()
 	if err := r.openTail(); err != nil {
+		if l.file != nil {
+			err = errors.Join(err, l.file.Close())
+		}
 		return nil, Contents{}, err
 	}
 	return l, r.contents, nil
--- a/raft/wal/wal.go
+++ b/raft/wal/wal.go
@@ -4,12 +4,14 @@
 // Each Save writes one record and syncs once. A torn record at the end of the last segment is truncated at open, because
 // its save was never acknowledged. Any other corruption makes Open fail with a *CorruptError. After a failed write or
 // sync the state of the file is unknown, so all further calls fail with a *FailedError; the sync is never retried,
-// because the kernel may have dropped the dirty pages of the failed one.
+// because the kernel may have dropped the dirty pages of the failed one. A write that a full disk refuses is the exception:
+// what it has written is removed again, the call fails with a *FullError, and it may be repeated.
 //
 // A Log is owned by one goroutine.
 package wal
 
 import (
+	"errors"
 	"fmt"
 	"path/filepath"
 
@@ -78,6 +80,18 @@
 	return failure.Wrap(e.Cause, failure.StorageFailed, failure.Unknown, "write-ahead log %s", e.Operation)
 }
 
+// FullError reports that the disk had no room for a record. The log is as it was before the call.
+type FullError struct{ Cause error }
+
+func (e *FullError) Error() string {
+	return fmt.Sprintf("no room for a record of the log: %v", e.Cause)
+}
+
+// Unwrap returns the cause with its failure class.
+func (e *FullError) Unwrap() error {
+	return failure.Wrap(e.Cause, failure.StorageFailed, failure.Unknown, "write-ahead log write")
+}
+
 type segment struct {
 	sequence uint64
 	// last is the highest entry index in the segment or before it.
@@ -225,7 +239,13 @@
 	active := &l.segments[len(l.segments)-1]
 	record := encodeRecord(active.sequence, l.size, payload)
 	if _, err := l.file.Write(record); err != nil {
-		return l.fail("write", err)
+		if !diskfs.IsFull(err) {
+			return l.fail("write", err)
+		}
+		if truncated := l.options.FS.Truncate(l.options.path(active.sequence), l.size); truncated != nil {
+			return l.fail("truncate", errors.Join(err, truncated))
+		}
+		return &FullError{Cause: err}
 	}
 	if err := l.file.Sync(); err != nil {
 		return l.fail("sync", err)
@@ -241,22 +261,53 @@
 	return l.failed
 }
 
+// rotateIfFull starts a new segment if the newest one has its size. Without room for it the newest one goes on.
 func (l *Log) rotateIfFull() error {
 	if l.size < l.options.SegmentBytes {
 		return nil
 	}
-	if err := l.file.Close(); err != nil {
+	full, size, file := len(l.segments)-1, l.size, l.file
+	sequence := l.segments[full].sequence + 1
+	err := l.startSegment(sequence)
+	if errors.As(err, new(*FullError)) {
+		return l.discardSegment(sequence, file, size)
+	}
+	if err != nil {
+		return err
+	}
+	l.segments[full].bytes = size
+	if err := file.Close(); err != nil {
 		return l.fail("close", err)
 	}
-	full := &l.segments[len(l.segments)-1]
-	full.bytes = l.size
-	return l.startSegment(full.sequence + 1)
+	return nil
+}
+
+// discardSegment removes a segment that could not be started, and goes on with the one before it. The removal has to be durable first:
+// the header of the removed segment would set the hard state back.
+func (l *Log) discardSegment(sequence uint64, file diskfs.File, size int64) error {
+	if l.file != file {
+		if err := l.file.Close(); err != nil {
+			return l.fail("close", err)
+		}
+		if err := l.options.FS.Remove(l.options.path(sequence)); err != nil {
+			return l.fail("remove", err)
+		}
+		if err := l.options.FS.SyncDir(l.options.Dir); err != nil {
+			return l.fail("directory sync", err)
+		}
+		l.segments = l.segments[:len(l.segments)-1]
+	}
+	l.file, l.size = file, size
+	return nil
 }
 
 // startSegment creates a segment that begins with the owner and the current hard state and mark, so that it does not
 // depend on older segments, which can then be removed.
 func (l *Log) startSegment(sequence uint64) error {
 	file, err := l.options.FS.Create(l.options.path(sequence))
+	if diskfs.IsFull(err) {
+		return &FullError{Cause: err}
+	}
 	if err != nil {
 		return l.fail("create", err)
 	}
