replica: a member whose disk is full waits for room instead of ending

Change: a record that a full disk refuses is repeated until it fits. Meanwhile the member is as if paused: it sends nothing that is not durable, takes no leadership, refuses calls at once, and counts as away for the membership. An unfinished file is removed.

--- a/coregroup/group.go
+++ b/coregroup/group.go
@@ -276,11 +276,11 @@
 	return member != nil && member.Fresh()
 }
 
-// State returns the local state, nil without a member, and a channel that is closed at the next change.
+// State returns the local state, nil without a member or while that waits for room on its disk, and a channel that is closed at the next change.
 func (g *Group) State() (*nodepb.State, <-chan struct{}) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.machine == nil {
+	if g.machine == nil || g.member.WaitsForRoom() {
 		return nil, g.changed
 	}
 	state, changed := g.machine.read()
--- a/coregroup/join.go
+++ b/coregroup/join.go
@@ -89,7 +89,8 @@
 func (g *Group) sendKeepAlives(ctx context.Context, member *replica.Replica, self identity, removed chan<- struct{}) {
 	for ctx.Err() == nil {
 		pause := keepAliveInterval
-		if member.Status().Role != raft.Leader {
+		// A member that waits for room counts as away, so that a spare can take its place.
+		if member.Status().Role != raft.Leader && !member.WaitsForRoom() {
 			accepted := false
 			for _, address := range g.joinTargets() {
 				response, err := g.join(ctx, address, self)
@@ -144,7 +145,7 @@
 	for ctx.Err() == nil {
 		clock.Sleep(ctx, membershipInterval)
 		status := member.Status()
-		if status.Role != raft.Leader {
+		if status.Role != raft.Leader || member.WaitsForRoom() {
 			continue
 		}
 		view := g.membershipView(status)
--- a/raft/diskfs/diskfs.go
+++ b/raft/diskfs/diskfs.go
@@ -55,16 +55,13 @@
 	if err != nil {
 		return err
 	}
-	if _, err := file.Write(content); err != nil {
-		_ = file.Close()
-		return err
-	}
-	if err := file.Sync(); err != nil {
-		_ = file.Close()
-		return err
+	_, err = file.Write(content)
+	if err == nil {
+		err = file.Sync()
 	}
-	if err := file.Close(); err != nil {
-		return err
+	if err = errors.Join(err, file.Close()); err != nil {
+		// On a full disk the temporary file would keep the room that others need.
+		return errors.Join(err, disk.Remove(temp))
 	}
 	if err := disk.Rename(temp, name); err != nil {
 		return err
--- a/raft/snap/snap.go
+++ b/raft/snap/snap.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"fmt"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 
@@ -104,8 +105,27 @@
 	if err != nil {
 		return err
 	}
-	for i := retainedSnapshots; i < len(indexes); i++ {
-		if err := s.fs.Remove(s.path(indexes[i])); err != nil {
+	return s.remove(indexes[min(retainedSnapshots, len(indexes)):])
+}
+
+// DropOld removes all snapshots but the newest valid one, to make room on a full disk.
+func (s *Store) DropOld() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	newest, err := s.newest()
+	if err != nil || newest == nil {
+		return err
+	}
+	indexes, err := s.indexes()
+	if err != nil {
+		return err
+	}
+	return s.remove(slices.DeleteFunc(indexes, func(index uint64) bool { return index == newest.Meta.GetIndex() }))
+}
+
+func (s *Store) remove(indexes []uint64) error {
+	for _, index := range indexes {
+		if err := s.fs.Remove(s.path(index)); err != nil {
 			return storageError(err, "remove old")
 		}
 	}
--- a/replica/applier.go
+++ b/replica/applier.go
@@ -12,11 +12,13 @@
 	"github.com/wasabishunt/wasabishunt/supervise"
 )
 
-// applyJob is a batch of committed entries, or a received snapshot that is already durable.
+// applyJob is a batch of committed entries, or a received snapshot that is already durable, or a request to take a snapshot.
 type applyJob struct {
 	entries []*raftpb.Entry
 	waiters []*proposal
 	install *snap.Snapshot
+	// snapshot asks for a snapshot, however little was applied since the last one.
+	snapshot bool
 }
 
 // applier owns the state machine.
@@ -27,6 +29,8 @@
 	last *raftpb.SnapshotMeta
 	// lastSnapshot is the index of the last captured or installed snapshot.
 	lastSnapshot uint64
+	// due is set if a snapshot was asked for.
+	due bool
 }
 
 func newApplier(r *Replica, snapshot *raftpb.SnapshotMeta) *applier {
@@ -46,6 +50,7 @@
 			continue
 		}
 		a.replica.report(event{applied: a.last.GetIndex()})
+		a.due = a.due || job.snapshot
 		a.maybeSnapshot()
 	}
 }
@@ -113,13 +118,23 @@
 	encode func() ([]byte, error)
 }
 
-// maybeSnapshot captures the state when SnapshotEvery entries were applied since the last snapshot. The saver encodes and
-// writes it, so that commands are delayed by the capture only.
+// isSnapshotDue reports whether enough was applied since the last snapshot, or the last one could not be saved a while ago.
+func (a *applier) isSnapshotDue() bool {
+	if retryAt := a.replica.snapshotRetryAt.Load(); retryAt != 0 {
+		return int64(a.replica.now()) >= retryAt
+	}
+	applied := a.last.GetIndex() - a.lastSnapshot
+	return applied >= a.replica.options.SnapshotEvery || applied > 0 && a.due
+}
+
+// maybeSnapshot captures the state when a snapshot is due. The saver encodes and writes it, so that commands are delayed by the
+// capture only.
 func (a *applier) maybeSnapshot() {
-	if a.last.GetIndex()-a.lastSnapshot < a.replica.options.SnapshotEvery || len(a.replica.saveJobs) > 0 {
+	if !a.isSnapshotDue() || len(a.replica.saveJobs) > 0 {
 		return
 	}
-	a.lastSnapshot = a.last.GetIndex()
+	a.lastSnapshot, a.due = a.last.GetIndex(), false
+	a.replica.snapshotRetryAt.Store(0)
 	// The applier is the only sender and the queue was empty, so this does not block.
 	a.replica.saveJobs <- saveJob{meta: proto.CloneOf(a.last), encode: a.machine.Snapshot()}
 }
@@ -135,12 +150,15 @@
 			r.report(event{failed: failure.Wrap(err, failure.Internal, failure.Unknown, "encode the snapshot at %d", job.meta.GetIndex())})
 			continue
 		}
-		err = r.storage.snaps.Save(snap.Snapshot{Meta: job.meta, Data: data})
+		err = r.storage.saveSnapshot(snap.Snapshot{Meta: job.meta, Data: data})
 		switch {
 		case failure.Is(err, failure.VersionConflict):
 			// A newer snapshot was received in the meantime.
 		case err != nil:
-			r.report(event{failed: err})
+			// The log holds everything that the snapshot would.
+			r.metrics.snapshotsFailed.Inc(1)
+			r.log.Warn("snapshot not saved", zap.Uint64("index", job.meta.GetIndex()), zap.Int("bytes", len(data)), zap.Error(err))
+			r.snapshotRetryAt.Store(int64(r.now() + snapshotRetryInterval))
 		default:
 			r.snapshotBytes.Store(int64(len(data)))
 			r.log.Info("snapshot saved", zap.Uint64("index", job.meta.GetIndex()), zap.Int("bytes", len(data)))
--- /dev/null
+++ b/replica/fulldisk.go
@@ -0,0 +1,116 @@
+package replica
+
+import (
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/raft/diskfs"
+	"github.com/wasabishunt/wasabishunt/raft/wal"
+)
+
+const (
+	// roomInterval is the pause between attempts to write to a full disk.
+	roomInterval = 100 * time.Millisecond
+	// snapshotRetryInterval is the pause after a snapshot that could not be saved.
+	snapshotRetryInterval = time.Second
+)
+
+// refusedByFullDisk reports whether an error is a write that can be repeated.
+func refusedByFullDisk(err error) bool {
+	return errors.As(err, new(*wal.FullError)) || diskfs.IsFull(err) && !errors.As(err, new(*wal.FailedError))
+}
+
+// WaitsForRoom reports whether the disk is full. The member then neither votes, leads, replicates nor answers reads.
+func (r *Replica) WaitsForRoom() bool { return r.waitsForRoom.Load() }
+
+// awaitRoom repeats the work that a full disk refused until it succeeds, or until the member is stopped. For the other members it is as if
+// this one were paused: it sends nothing, because what it would say is not durable, and drops what it receives. Calls are refused at once,
+// so that callers go to another member.
+func (r *Replica) awaitRoom(cause error) error {
+	r.waitsForRoom.Store(true)
+	defer r.waitsForRoom.Store(false)
+	began := time.Now()
+	r.log.Error("raft member waits for room on its disk", zap.Error(cause), r.logBytes(), r.lastSnapshotBytes())
+	ticker := time.NewTicker(roomInterval)
+	defer ticker.Stop()
+	for {
+		if err := r.freeRoom(); err != nil {
+			return err
+		}
+		err := r.processReady()
+		if err == nil {
+			r.log.Info("raft member has room on its disk again", zap.Duration("waited", time.Since(began)), r.logBytes(), r.lastSnapshotBytes())
+			r.tick()
+			return nil
+		}
+		if !refusedByFullDisk(err) {
+			return err
+		}
+		for wait := true; wait; {
+			select {
+			case <-ticker.C:
+				wait = false
+				// A snapshot that does not fit takes the last room for a moment. Only a wait that is longer fails the calls.
+				r.failWaiting()
+			case <-r.inbox:
+				r.metrics.dropped.Inc(1)
+			case p := <-r.proposals:
+				if p.state.CompareAndSwap(proposalQueued, proposalDequeued) {
+					p.finish(outcome{err: diskFull()})
+				}
+			case q := <-r.reads:
+				q.done <- diskFull()
+			case e := <-r.events:
+				if err := r.handle(e); err != nil && !refusedByFullDisk(err) {
+					return err
+				}
+			case <-r.stopping:
+				return err
+			}
+		}
+	}
+}
+
+func diskFull() error {
+	return failure.New(failure.StorageFailed, failure.NotRun, "the disk of this member is full")
+}
+
+// failWaiting answers the commands in the log, whose outcome is unknown, and refuses the reads that wait for a quorum or for the state
+// machine.
+func (r *Replica) failWaiting() {
+	for _, p := range r.pending {
+		p.finish(outcome{err: failure.New(failure.OutcomeUnknown, failure.Unknown, "the disk is full: the command is not durable yet")})
+	}
+	clear(r.pending)
+	for _, round := range r.rounds {
+		round.finish(diskFull())
+	}
+	clear(r.rounds)
+	for _, round := range r.confirmed {
+		round.finish(diskFull())
+	}
+	r.confirmed = nil
+}
+
+// freeRoom removes what the newest snapshot makes superfluous, and has the state machine take a new one.
+func (r *Replica) freeRoom() error {
+	before := r.storage.wal.Bytes()
+	if err := r.storage.dropSuperfluous(); err != nil {
+		return err
+	}
+	if freed := before - r.storage.wal.Bytes(); freed > 0 {
+		r.log.Info("raft log compacted", zap.Int64("bytes", freed), r.logBytes(), r.lastSnapshotBytes())
+	}
+	r.requestSnapshot()
+	return nil
+}
+
+// requestSnapshot has the applier take a snapshot if it is idle and something was applied since the last one.
+func (r *Replica) requestSnapshot() {
+	if r.applying == 0 && r.node.Status().Applied > 0 {
+		r.submit(applyJob{snapshot: true})
+	}
+}
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -66,7 +66,11 @@
 	defer ticker.Stop()
 	stopping := r.stopping
 	for {
-		if err := r.processReady(); err != nil {
+		err := r.processReady()
+		if refusedByFullDisk(err) {
+			err = r.awaitRoom(err)
+		}
+		if err != nil {
 			r.fail(err)
 			return
 		}
--- a/replica/metrics.go
+++ b/replica/metrics.go
@@ -13,16 +13,19 @@
 	// dropped counts messages dropped because of a full queue or a reconnect.
 	dropped    gometrics.Counter
 	reconnects gometrics.Counter
+	// snapshotsFailed counts snapshots that could not be saved.
+	snapshotsFailed gometrics.Counter
 	// logBytes is the size of the log on disk, snapshotBytes that of the newest snapshot.
 	logBytes, snapshotBytes gometrics.Gauge
 }
 
 func newMeters(registry gometrics.Registry) meters {
 	return meters{
-		syncMicros: gometrics.GetOrRegisterHistogram("raft.sync_us", registry, gometrics.NewUniformSample(sampleSize)),
-		proposals:  gometrics.GetOrRegisterCounter("raft.proposals", registry),
-		dropped:    gometrics.GetOrRegisterCounter("raft.messages_dropped", registry),
-		reconnects: gometrics.GetOrRegisterCounter("raft.reconnects", registry),
-		logBytes:   gometrics.GetOrRegisterGauge("raft.log_bytes", registry), snapshotBytes: gometrics.GetOrRegisterGauge("raft.snapshot_bytes", registry),
+		syncMicros:      gometrics.GetOrRegisterHistogram("raft.sync_us", registry, gometrics.NewUniformSample(sampleSize)),
+		proposals:       gometrics.GetOrRegisterCounter("raft.proposals", registry),
+		dropped:         gometrics.GetOrRegisterCounter("raft.messages_dropped", registry),
+		reconnects:      gometrics.GetOrRegisterCounter("raft.reconnects", registry),
+		snapshotsFailed: gometrics.GetOrRegisterCounter("raft.snapshots_failed", registry),
+		logBytes:        gometrics.GetOrRegisterGauge("raft.log_bytes", registry), snapshotBytes: gometrics.GetOrRegisterGauge("raft.snapshot_bytes", registry),
 	}
 }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -164,6 +164,9 @@
 	failed     atomic.Pointer[failure.Error]
 	// snapshotBytes is the size of the newest snapshot.
 	snapshotBytes atomic.Int64
+	// snapshotRetryAt is when a snapshot that could not be saved is taken again, as returned by now; 0 if the last one was saved.
+	snapshotRetryAt atomic.Int64
+	waitsForRoom    atomic.Bool
 	// receiving is held while a snapshot is received.
 	receiving sync.Mutex
 
@@ -210,11 +213,12 @@
 	r.node.Tick(r.now())
 	r.publish()
 	applier := newApplier(r, loaded.state.Snapshot)
+	logBytes := r.logBytes()
 	r.goroutines.Go(applier.run)
 	r.goroutines.Go(func() { r.saveSnapshots(ctx) })
 	r.goroutines.Go(func() { r.run(ctx) })
 	r.log.Info("raft member started", zap.Uint64("last_index", r.Status().LastIndex), zap.Bool("may_vote", r.Status().MayVote),
-		zap.Int64("cut_bytes", loaded.truncatedBytes), r.logBytes(), r.lastSnapshotBytes())
+		zap.Int64("cut_bytes", loaded.truncatedBytes), logBytes, r.lastSnapshotBytes())
 	return r, nil
 }
 
@@ -277,6 +281,9 @@
 // Leader returns the id and address of the current leader, or 0 and an empty address if it is unknown.
 func (r *Replica) Leader() (id uint64, address string) {
 	s := r.status.Load()
+	if r.WaitsForRoom() {
+		return 0, ""
+	}
 	for _, m := range s.Members.GetMembers() {
 		if m.GetId() == s.Leader {
 			return s.Leader, m.GetAddress()
@@ -291,7 +298,7 @@
 	case <-r.done:
 		return false
 	default:
-		return int64(r.now()) < r.freshUntil.Load()
+		return !r.WaitsForRoom() && int64(r.now()) < r.freshUntil.Load()
 	}
 }
 
--- a/replica/storage.go
+++ b/replica/storage.go
@@ -1,11 +1,13 @@
 package replica
 
 import (
+	"errors"
 	"path/filepath"
 	"slices"
 
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/raft"
+	"github.com/wasabishunt/wasabishunt/raft/diskfs"
 	"github.com/wasabishunt/wasabishunt/raft/snap"
 	"github.com/wasabishunt/wasabishunt/raft/wal"
 	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
@@ -127,7 +129,7 @@
 // persist saves a Ready in an order in which a crash between the steps is harmless: snapshot, mark in the log, entries.
 func (s *storage) persist(ready raft.Ready, received *snap.Snapshot) error {
 	if received != nil {
-		if err := s.snaps.Save(*received); err != nil && !failure.Is(err, failure.VersionConflict) {
+		if err := s.saveSnapshot(*received); err != nil && !failure.Is(err, failure.VersionConflict) {
 			return err
 		}
 		if err := s.wal.Mark(received.Meta, true); err != nil {
@@ -139,7 +141,13 @@
 
 // compact marks a durable snapshot in the log and drops the segments that no stored snapshot needs.
 func (s *storage) compact(meta *raftpb.SnapshotMeta) error {
-	if err := s.wal.Mark(meta, false); err != nil {
+	err := s.wal.Mark(meta, false)
+	if refusedByFullDisk(err) {
+		if err = s.dropSuperfluous(); err == nil {
+			err = s.wal.Mark(meta, false)
+		}
+	}
+	if err != nil {
 		return err
 	}
 	oldest, err := s.snaps.Oldest()
@@ -149,4 +157,29 @@
 	return s.wal.DropBefore(oldest)
 }
 
+// saveSnapshot saves a snapshot, on a full disk in the place of the older one of those that are kept.
+func (s *storage) saveSnapshot(snapshot snap.Snapshot) error {
+	err := s.snaps.Save(snapshot)
+	if !diskfs.IsFull(err) {
+		return err
+	}
+	if dropped := s.snaps.DropOld(); dropped != nil {
+		return errors.Join(err, dropped)
+	}
+	return s.snaps.Save(snapshot)
+}
+
+// dropSuperfluous removes all segments and snapshots that the newest snapshot makes superfluous. Without a full disk another one is kept, in
+// case the newest cannot be read; here it has been read.
+func (s *storage) dropSuperfluous() error {
+	if err := s.snaps.DropOld(); err != nil {
+		return err
+	}
+	newest, err := s.snaps.Newest()
+	if err != nil || newest == nil {
+		return err
+	}
+	return s.wal.DropBefore(newest.Meta.GetIndex())
+}
+
 func (s *storage) close() error { return s.wal.Close() }
