replica, coregroup: the log is cut by bytes, as shares of the disk of the settings

The size of the disk was not read from the settings. Class: a budget of bytes that is kept as a count.

--- a/coregroup/group.go
+++ b/coregroup/group.go
@@ -36,8 +36,10 @@
 	// FirstStart is set at the first start of the deployment.
 	FirstStart bool
 	Tolerance  Tolerance
-	Log        *zap.Logger
-	Metrics    gometrics.Registry
+	// DiskBytes is the size of the disk of the data directory; default 64 MiB.
+	DiskBytes int64
+	Log       *zap.Logger
+	Metrics   gometrics.Registry
 }
 
 const (
@@ -63,12 +65,18 @@
 	// VM that is just starting drops that packet.
 	dialTimeout = 200 * time.Millisecond
 	raftTick    = 40 * time.Millisecond
-	// snapshotEvery is the number of applied entries between snapshots. It is small, so that the log stays short on a
-	// small disk.
+	// snapshotEvery is the number of applied entries between snapshots.
 	snapshotEvery   = 200
-	segmentBytes    = 4 << 20
 	trailingEntries = 100
 	maxCommandBytes = 3 << 20
+	// defaultDiskBytes is the size of a disk that is not known.
+	defaultDiskBytes = 64 << 20
+	// The following are shares of the disk. Between snapshots the log of small sets grows by snapshotShare, and that of large ones by twice
+	// the size of a set. Two snapshots are kept, with the log since the older one. Changes are refused from maxLogShare on.
+	snapshotShare   = 128
+	trailingShare   = 128
+	segmentShare    = 64
+	maxLogShare     = 2
 	raftQueueLength = 256
 	stopTimeout     = time.Second
 	maxCandidates   = 256
@@ -170,10 +178,12 @@
 }
 
 func (g *Group) replicaOptions(self identity, state *machine) replica.Options {
+	disk := cmp.Or(g.options.DiskBytes, defaultDiskBytes)
 	o := replica.Options{
 		ID: self.ID, Group: groupName, Address: g.options.Address, Dir: g.options.Dir + "/raft", StateMachine: state,
 		Logger: g.options.Log, Metrics: g.options.Metrics, Tick: raftTick, Election: electionTimeout, FirstElection: firstElectionTimeout, DialTimeout: dialTimeout,
-		SnapshotEvery: snapshotEvery, TrailingEntries: trailingEntries, SegmentBytes: segmentBytes, MaxCommandBytes: maxCommandBytes,
+		SnapshotEvery: snapshotEvery, SnapshotBytes: disk / snapshotShare, TrailingEntries: trailingEntries, TrailingBytes: disk / trailingShare,
+		SegmentBytes: disk / segmentShare, MaxLogBytes: disk / maxLogShare, MaxCommandBytes: maxCommandBytes,
 		QueueLength: raftQueueLength, StopTimeout: stopTimeout,
 	}
 	if self.Founder {
--- a/node/node.go
+++ b/node/node.go
@@ -44,6 +44,8 @@
 	Name, AvailabilityZone, IP string
 	// DataDir is empty on a VM without a state disk.
 	DataDir string
+	// DiskBytes is the size of the state disk, 0 if unknown.
+	DiskBytes int64
 	// FirstStart is set at the first start of the whole deployment.
 	FirstStart bool
 	// Front, Ready and Internal are the addresses for callers, for the load balancer's health check and for other
@@ -154,7 +156,7 @@
 	n.weights.Store(&map[string]namedWeights{})
 	n.group = coregroup.New(coregroup.Options{
 		Dir: config.DataDir, Address: config.Internal, AvailabilityZone: config.AvailabilityZone, Seeds: n.Seeds, FirstStart: config.FirstStart,
-		Tolerance: config.Tolerance, Log: log, Metrics: registry,
+		Tolerance: config.Tolerance, DiskBytes: config.DiskBytes, Log: log, Metrics: registry,
 	})
 	n.reader = &upstreams.Reader{Directory: n.directory, Lister: parts.Lister, ReadsForAll: func() bool { return n.group.Leads() && n.group.Fresh() }, Log: log}
 	n.budget = retrybudget.New(config.Retries, time.Now)
--- a/raft/log.go
+++ b/raft/log.go
@@ -78,6 +78,26 @@
 	return all[:len(all):len(all)]
 }
 
+// trailingFrom returns the index up to which entries may be dropped after a snapshot, so that at most a number of entries and of bytes
+// before the snapshot stay.
+func (l *entryLog) trailingFrom(snapshot, entries uint64, maxBytes int64) uint64 {
+	from := min(snapshot, l.last())
+	for size := int64(0); from > l.base && snapshot-from < entries; from-- {
+		if size += int64(len(l.entries[from-l.base-1].GetData()) + entryOverhead); size > maxBytes {
+			break
+		}
+	}
+	return from
+}
+
+// bytesBetween returns the size of the entries after index from, up to and with index to.
+func (l *entryLog) bytesBetween(from, to uint64) (size uint64) {
+	for index := max(from, l.base) + 1; index <= min(to, l.last()); index++ {
+		size += uint64(len(l.entries[index-l.base-1].GetData()) + entryOverhead)
+	}
+	return size
+}
+
 // entryOverhead is the estimated encoded size of an entry without its data, in bytes.
 const entryOverhead = 24
 
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -274,6 +274,12 @@
 	return true
 }
 
+// TrailingFrom returns the index to pass to Compact, so that at most a number of entries and of bytes before a snapshot stay for members
+// that are a little behind.
+func (n *Node) TrailingFrom(snapshot, entries uint64, bytes int64) uint64 {
+	return n.log.trailingFrom(snapshot, entries, bytes)
+}
+
 // Status is a copy of the Node's state for operators and drivers.
 type Status struct {
 	ID, Term, Leader, Commit, Applied, LastIndex, FirstIndex uint64
--- a/replica/applier.go
+++ b/replica/applier.go
@@ -27,8 +27,9 @@
 	machine StateMachine
 	// last holds the index and term of the last applied entry and the member list at that entry.
 	last *raftpb.SnapshotMeta
-	// lastSnapshot is the index of the last captured or installed snapshot.
+	// lastSnapshot is the index of the last captured or installed snapshot, and bytes the size of the commands applied since.
 	lastSnapshot uint64
+	bytes        int64
 	// due is set if a snapshot was asked for.
 	due bool
 }
@@ -96,6 +97,7 @@
 		result = members
 	}
 	a.last.Index, a.last.Term = e.GetIndex(), e.GetTerm()
+	a.bytes += int64(len(e.GetData()))
 	return result, nil
 }
 
@@ -107,7 +109,7 @@
 		return failure.Wrap(err, failure.StorageFailed, failure.Unknown, "install snapshot %d", s.Meta.GetIndex())
 	}
 	a.last = proto.CloneOf(s.Meta)
-	a.lastSnapshot = s.Meta.GetIndex()
+	a.lastSnapshot, a.bytes = s.Meta.GetIndex(), 0
 	a.replica.snapshotBytes.Store(int64(len(s.Data)))
 	return nil
 }
@@ -118,13 +120,15 @@
 	encode func() ([]byte, error)
 }
 
-// isSnapshotDue reports whether enough was applied since the last snapshot, or the last one could not be saved a while ago.
+// isSnapshotDue reports whether enough was applied since the last snapshot, or the last one could not be saved a while ago. The bytes grow
+// with the state, so that the log stays within a small multiple of it and a large state is not written all the time.
 func (a *applier) isSnapshotDue() bool {
 	if retryAt := a.replica.snapshotRetryAt.Load(); retryAt != 0 {
 		return int64(a.replica.now()) >= retryAt
 	}
+	o := a.replica.options
 	applied := a.last.GetIndex() - a.lastSnapshot
-	return applied >= a.replica.options.SnapshotEvery || applied > 0 && a.due
+	return applied >= o.SnapshotEvery || applied > 0 && (a.due || a.bytes >= max(o.SnapshotBytes, 2*a.replica.snapshotBytes.Load()))
 }
 
 // maybeSnapshot captures the state when a snapshot is due. The saver encodes and writes it, so that commands are delayed by the
@@ -133,7 +137,7 @@
 	if !a.isSnapshotDue() || len(a.replica.saveJobs) > 0 {
 		return
 	}
-	a.lastSnapshot, a.due = a.last.GetIndex(), false
+	a.lastSnapshot, a.bytes, a.due = a.last.GetIndex(), 0, false
 	a.replica.snapshotRetryAt.Store(0)
 	// The applier is the only sender and the queue was empty, so this does not block.
 	a.replica.saveJobs <- saveJob{meta: proto.CloneOf(a.last), encode: a.machine.Snapshot()}
@@ -150,6 +154,7 @@
 			r.report(event{failed: failure.Wrap(err, failure.Internal, failure.Unknown, "encode the snapshot at %d", job.meta.GetIndex())})
 			continue
 		}
+		job.meta.Bytes = uint64(len(data))
 		err = r.storage.saveSnapshot(snap.Snapshot{Meta: job.meta, Data: data})
 		switch {
 		case failure.Is(err, failure.VersionConflict):
--- a/replica/disk_test.go
+++ b/replica/disk_test.go
@@ -148,3 +148,40 @@
 	require.NoError(t, err)
 	require.EqualValues(t, 1, machine.get())
 }
+
+const (
+	smallDiskBytes = 2 << 20
+	commandBytes   = 20 << 10
+)
+
+// startOnSmallDisk starts the only member of a group on a disk of smallDiskBytes.
+func startOnSmallDisk(t *testing.T, tune func(*Options)) (*Replica, *simdisk.Disk) {
+	disk := simdisk.New()
+	disk.SetCapacity(smallDiskBytes)
+	options := Options{
+		ID: 1, Group: "test", Address: "127.0.0.1:1", Dir: "data", FS: disk, StateMachine: &register{}, SegmentBytes: 64 << 10,
+		Bootstrap: []*raftpb.Member{{Id: 1, Address: "127.0.0.1:1"}},
+	}
+	tune(&options)
+	r, err := Start(options)
+	require.NoError(t, err)
+	t.Cleanup(r.Stop)
+	require.Eventually(t, r.Fresh, failoverLimit, 5*time.Millisecond)
+	return r, disk
+}
+
+// proposeLarge proposes a command of commandBytes.
+func proposeLarge(t *testing.T, r *Replica, value uint64) error {
+	_, err := r.Propose(t.Context(), append(set(value), make([]byte, commandBytes)...))
+	return err
+}
+
+// Guards against a log that is cut by the number of its entries only: large commands fill the disk long before.
+func TestLogIsCutByBytes(t *testing.T) {
+	t.Parallel()
+	r, disk := startOnSmallDisk(t, func(o *Options) { o.SnapshotBytes, o.TrailingBytes = 128<<10, 64<<10 })
+	for value := uint64(1); value <= 500; value++ {
+		require.NoError(t, proposeLarge(t, r, value))
+		require.Less(t, disk.Used(), smallDiskBytes/2)
+	}
+}
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -232,7 +232,7 @@
 		r.node.SetApplied(e.applied)
 		r.releaseReads()
 	case e.saved != nil:
-		if r.node.Compact(e.saved, e.saved.GetIndex()-min(e.saved.GetIndex(), r.options.TrailingEntries)) {
+		if r.node.Compact(e.saved, r.node.TrailingFrom(e.saved.GetIndex(), r.options.TrailingEntries, r.options.TrailingBytes)) {
 			before := r.storage.wal.Bytes()
 			if err := r.storage.compact(e.saved); err != nil {
 				return err
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -76,8 +76,16 @@
 	DialTimeout time.Duration
 	// SnapshotEvery is the number of applied entries between snapshots; default 10,000.
 	SnapshotEvery uint64
+	// SnapshotBytes is the number of bytes of commands between snapshots, or twice the size of the last snapshot if that is more; default
+	// 64 MiB. Whichever of SnapshotEvery and SnapshotBytes is reached first counts.
+	SnapshotBytes int64
 	// TrailingEntries is the number of entries before a snapshot that stay in memory for slow members; default 5,000.
 	TrailingEntries uint64
+	// TrailingBytes limits the bytes of these entries; default 16 MiB.
+	TrailingBytes int64
+	// MaxLogBytes is the size of the log on disk from which commands are refused, so that votes and a snapshot still have room; default no
+	// limit.
+	MaxLogBytes int64
 	// SegmentBytes is the size of a log segment; default 64 MiB.
 	SegmentBytes int64
 	// MaxCommandBytes limits one command; default 3 MiB, below the 4 MiB of a drpc message.
@@ -108,7 +116,9 @@
 	defaults.Set(&o.FirstElection, o.Election)
 	defaults.Set(&o.DialTimeout, time.Second)
 	defaults.Set(&o.SnapshotEvery, 10_000)
+	defaults.Set(&o.SnapshotBytes, 64<<20)
 	defaults.Set(&o.TrailingEntries, 5_000)
+	defaults.Set(&o.TrailingBytes, 16<<20)
 	defaults.Set(&o.MaxCommandBytes, 3<<20)
 	defaults.Set(&o.MaxSnapshotBytes, 1<<30)
 	defaults.Set(&o.QueueLength, 1024)
