--- a/raft/replicate.go
+++ b/raft/replicate.go
@@ -105,7 +105,7 @@
 	if p.installing != 0 || (p.probing && p.inflight > 0) || p.inflight >= n.config.MaxInflight {
 		return
 	}
-	if p.next <= n.log.base {
+	if p.next <= n.log.base || n.isSnapshotLess(p) {
 		n.sendSnapshot(p)
 		return
 	}
@@ -123,6 +123,14 @@
 	}
 }
 
+// isSnapshotLess reports whether the snapshot is less to send than the entries that it replaces, for a member without any entry.
+func (n *Node) isSnapshotLess(p *progress) bool {
+	if p.match > 0 || p.next != 1 || n.snapshot.GetBytes() == 0 {
+		return false
+	}
+	return n.log.bytesBetween(0, n.snapshot.GetIndex()) > n.snapshot.GetBytes()
+}
+
 func (n *Node) sendSnapshot(p *progress) {
 	if n.snapshot == nil {
 		return
