--- a/replica/disk_test.go
+++ b/replica/disk_test.go
@@ -185,3 +185,26 @@
 		require.Less(t, disk.Used(), smallDiskBytes/2)
 	}
 }
+
+// Guards against a leader that takes commands until its disk is full: it refuses them before, as not run, goes on voting and reading, and
+// takes them again once a snapshot has shortened the log.
+func TestCommandsAreRefusedBeforeTheDiskIsFull(t *testing.T) {
+	t.Parallel()
+	r, disk := startOnSmallDisk(t, func(o *Options) {
+		o.SnapshotBytes, o.MaxLogBytes, o.StateMachine = 1<<40, smallDiskBytes/2, &paddedRegister{}
+	})
+	// Other files leave room for the log, but not for a snapshot.
+	disk.SetCapacity(smallDiskBytes/2 + paddingBytes/2)
+	value := uint64(0)
+	for err := error(nil); err == nil; value++ {
+		if err = proposeLarge(t, r, value); err != nil {
+			require.True(t, failure.Is(err, failure.StorageFailed))
+			require.Equal(t, failure.NotRun, failure.Of(err).Execution, "%v", err)
+		}
+	}
+	require.NoError(t, r.ReadBarrier(t.Context()))
+	require.False(t, r.WaitsForRoom())
+	disk.SetCapacity(0)
+	require.Eventually(t, func() bool { return proposeLarge(t, r, value) == nil }, failoverLimit, 20*time.Millisecond)
+	require.NoError(t, r.Err())
+}
--- a/replica/fulldisk.go
+++ b/replica/fulldisk.go
@@ -108,6 +108,11 @@
 	return nil
 }
 
+// logIsTooLong reports whether commands are refused until a snapshot has shortened the log.
+func (r *Replica) logIsTooLong() bool {
+	return r.options.MaxLogBytes > 0 && r.storage.wal.Bytes() > r.options.MaxLogBytes
+}
+
 // requestSnapshot has the applier take a snapshot if it is idle and something was applied since the last one.
 func (r *Replica) requestSnapshot() {
 	if r.applying == 0 && r.node.Status().Applied > 0 {
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -90,7 +90,8 @@
 			r.tick()
 			r.readBatch(q)
 		case e := <-r.events:
-			if err := r.handle(e); err != nil {
+			// A compaction that a full disk refused is made up for after the next snapshot.
+			if err := r.handle(e); err != nil && !refusedByFullDisk(err) {
 				r.fail(err)
 				return
 			}
@@ -237,6 +238,11 @@
 			if err := r.storage.compact(e.saved); err != nil {
 				return err
 			}
+			if r.logIsTooLong() {
+				if err := r.storage.dropSuperfluous(); err != nil {
+					return err
+				}
+			}
 			r.log.Info("raft log compacted", zap.Uint64("index", e.saved.GetIndex()), zap.Int64("bytes", before-r.storage.wal.Bytes()), r.logBytes(), r.lastSnapshotBytes())
 		}
 	case e.transferred != 0:
--- a/replica/propose.go
+++ b/replica/propose.go
@@ -129,6 +129,9 @@
 		return 0, 0, failure.New(failure.Overloaded, failure.NotRun, "the state machine is %d entries behind", s.Commit-s.Applied)
 	case p.change != nil:
 		return r.node.ProposeChange(*p.change)
+	case r.logIsTooLong():
+		r.requestSnapshot()
+		return 0, 0, failure.New(failure.StorageFailed, failure.NotRun, "the log has reached %d bytes and waits for a snapshot", r.options.MaxLogBytes)
 	}
 	return r.node.Propose(p.data)
 }
