raft/wal, replica: a new member that ended before its first mark starts again

If it ended in between, by a kill or on a full disk, its log had nothing but its owner, which was taken for a lost log. A log that names its owner was not lost; one that is missing is refused before it is created, since a second start would have found the new one.

--- a/raft/wal/open.go
+++ b/raft/wal/open.go
@@ -28,6 +28,9 @@
 			return nil, Contents{}, err
 		}
 	}
+	if options.MustExist && !r.owned {
+		return nil, Contents{}, failure.New(failure.StorageFailed, failure.NotRun, "the log, which may have held votes, is missing")
+	}
 	l.hard, l.mark, l.last = r.contents.HardState, r.contents.Mark, r.last()
 	if err := r.openTail(); err != nil {
 		if l.file != nil {
@@ -62,6 +65,8 @@
 type reader struct {
 	log      *Log
 	contents Contents
+	// owned is set once the header of a segment has named this member.
+	owned bool
 	// tail is the offset in the newest segment after its last valid record.
 	tail int64
 }
@@ -125,6 +130,7 @@
 		}
 		return proto.Unmarshal(data, r.contents.Mark)
 	case itemHeader:
+		r.owned = true
 		return r.checkOwner(data)
 	}
 	return failure.New(failure.StorageFailed, failure.NotRun, "unknown item kind %d", kind)
--- a/raft/wal/wal.go
+++ b/raft/wal/wal.go
@@ -31,6 +31,8 @@
 	MemberID uint64
 	// SegmentBytes is the size at which a new segment is started; default 64 MiB.
 	SegmentBytes int64
+	// MustExist makes Open fail instead of creating a log. It is set if the member has other files: a lost log may have held votes.
+	MustExist bool
 }
 
 // Contents is the data that Open read from a log.
--- a/replica/disk_test.go
+++ b/replica/disk_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/raft/diskfs/simdisk"
+	"github.com/wasabishunt/wasabishunt/raft/snap"
 	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
 )
 
@@ -208,3 +209,26 @@
 	require.Eventually(t, func() bool { return proposeLarge(t, r, value) == nil }, failoverLimit, 20*time.Millisecond)
 	require.NoError(t, r.Err())
 }
+
+// Guards against a new member that can never start again because it ended between saving its first snapshot and marking it in the log.
+func TestNewMemberStartsAfterAnUnmarkedSnapshot(t *testing.T) {
+	t.Parallel()
+	disk := simdisk.New()
+	options := Options{ID: 2, Group: "test", Address: "127.0.0.1:1", Dir: "data", FS: disk, StateMachine: &register{}}
+	r, err := Start(options)
+	require.NoError(t, err)
+	meta := &raftpb.SnapshotMeta{Index: 7, Term: 2, Members: &raftpb.Members{Members: []*raftpb.Member{{Id: 1, Address: "127.0.0.1:2"}}}}
+	require.NoError(t, r.storage.snaps.Save(snap.Snapshot{Meta: meta, Data: set(5)}))
+	r.Stop()
+	machine := &register{}
+	options.StateMachine = machine
+	r, err = Start(options)
+	require.NoError(t, err)
+	t.Cleanup(r.Stop)
+	require.EqualValues(t, 5, machine.get())
+	require.NoError(t, disk.Remove("data/wal/00000000000000000001.wal"))
+	for range 2 {
+		_, err = Start(options)
+		require.True(t, failure.Is(err, failure.StorageFailed), "a lost log, which held votes, is taken for an empty one")
+	}
+}
--- a/replica/storage.go
+++ b/replica/storage.go
@@ -45,7 +45,7 @@
 		return nil, loadedState{}, err
 	}
 	log, contents, err := wal.Open(wal.Options{
-		FS: o.FS, Dir: filepath.Join(o.Dir, walName), Group: o.Group, MemberID: o.ID, SegmentBytes: o.SegmentBytes,
+		FS: o.FS, Dir: filepath.Join(o.Dir, walName), Group: o.Group, MemberID: o.ID, SegmentBytes: o.SegmentBytes, MustExist: newest != nil,
 	})
 	if err != nil {
 		return nil, loadedState{}, err
@@ -66,12 +66,10 @@
 	}
 	loaded := loadedState{snapshot: newest, truncatedBytes: contents.TruncatedBytes, formation: formation}
 	switch {
-	case contents.Empty() && newest != nil:
-		return loaded, failure.New(failure.StorageFailed, failure.NotRun, "snapshots exist but the log, which holds the member's votes, is missing")
-	case contents.Empty() && len(o.Bootstrap) == 1:
+	case contents.Empty() && newest == nil && len(o.Bootstrap) == 1:
 		loaded.state, err = s.bootstrap(o)
 		return loaded, err
-	case contents.Empty() && len(o.Bootstrap) > 0:
+	case contents.Empty() && newest == nil && len(o.Bootstrap) > 0:
 		loaded.forming = true
 		if _, err := firstState(o); err != nil {
 			return loaded, err
