coregroup: a founder whose disk is full at its appointment keeps its role

What operators would see: a deployment that never gets a configuration, although all processes run. Cause: a founder is appointed once; if the disk refused the file with its identity, the next attempt began with a new identity and asked for a role that was already given away. Change: the identity and its role stay until they are saved. The file system of the group can be replaced by tests. TestGroupFormsAfterAFullDiskAtItsFirstStart failed before: no change accepted within 20 s.

--- a/coregroup/disk_test.go
+++ b/coregroup/disk_test.go
@@ -4,11 +4,14 @@
 	"crypto/rand"
 	"io/fs"
 	"path/filepath"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/wasabishunt/wasabishunt/raft/diskfs"
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
 )
 
@@ -57,3 +60,27 @@
 		require.Less(t, usedBytes(t, nodes[0].dir), int64(diskBytes/4), "version %d", version)
 	}
 }
+
+// fullFS refuses to create files while full is set.
+type fullFS struct {
+	diskfs.OS
+	full *atomic.Bool
+}
+
+func (f fullFS) Create(name string) (diskfs.File, error) {
+	if f.full.Load() {
+		return nil, syscall.ENOSPC
+	}
+	return f.OS.Create(name)
+}
+
+// Guards against a group that never forms because the disk of its founder was full when it was appointed.
+func TestGroupFormsAfterAFullDiskAtItsFirstStart(t *testing.T) {
+	t.Parallel()
+	full := &atomic.Bool{}
+	full.Store(true)
+	nodes := startNodesOn(t, fullFS{full: full}, true, true, true)
+	time.Sleep(2 * restartDelay)
+	full.Store(false)
+	require.Eventually(t, publish(nodes, 1), convergenceTimeout, 20*time.Millisecond)
+}
--- a/coregroup/group.go
+++ b/coregroup/group.go
@@ -14,6 +14,7 @@
 	"storj.io/drpc/drpcmux"
 
 	"github.com/wasabishunt/wasabishunt/clock"
+	"github.com/wasabishunt/wasabishunt/defaults"
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/raft"
 	"github.com/wasabishunt/wasabishunt/raft/diskfs"
@@ -36,6 +37,8 @@
 	// FirstStart is set at the first start of the deployment.
 	FirstStart bool
 	Tolerance  Tolerance
+	// FS is the file system of the identity, the log and the snapshots; default is that of the operating system.
+	FS diskfs.FS
 	// DiskBytes is the size of the disk of the data directory; default 64 MiB.
 	DiskBytes int64
 	Log       *zap.Logger
@@ -92,6 +95,8 @@
 	machine    *machine
 	self       identity
 	candidates map[uint64]candidate
+	// appointed is the identity for which this node has a role in the group, until it is saved. Used by runMember only.
+	appointed *identity
 	// foundingGranted is set once this node has appointed the founder.
 	foundingGranted bool
 	// leaderSince is when this member became leader in leaderTerm.
@@ -106,6 +111,7 @@
 
 // New returns a Group that is not running yet.
 func New(options Options) *Group {
+	defaults.Set[diskfs.FS](&options.FS, diskfs.OS{})
 	return &Group{
 		options: options, pool: rpcpool.New(rpcpool.Options{}), candidates: map[uint64]candidate{}, changed: make(chan struct{}),
 	}
@@ -132,18 +138,10 @@
 
 // runMember runs one incarnation of the member until the context ends, the member fails or it is removed from the group.
 func (g *Group) runMember(ctx context.Context) error {
-	self, found, err := loadIdentity(diskfs.OS{}, g.options.Dir)
+	self, err := g.identify(ctx)
 	if err != nil {
 		return err
 	}
-	if !found {
-		if self.Founder, err = g.awaitRole(ctx, self); err != nil {
-			return err
-		}
-		if err := saveIdentity(diskfs.OS{}, g.options.Dir, self); err != nil {
-			return err
-		}
-	}
 	state := newMachine()
 	member, err := replica.Start(g.replicaOptions(self, state))
 	if err != nil {
@@ -177,10 +175,31 @@
 	}
 }
 
+// identify returns the identity of the data directory. A new one is saved once the node has its role in the group. A founder is appointed only
+// once, so a disk that refuses the file must not end its appointment.
+func (g *Group) identify(ctx context.Context) (identity, error) {
+	self, found, err := loadIdentity(g.options.FS, g.options.Dir)
+	if err != nil || found {
+		return self, err
+	}
+	if g.appointed == nil {
+		if self.Founder, err = g.awaitRole(ctx, self); err != nil {
+			return self, err
+		}
+		g.appointed = &self
+	}
+	self = *g.appointed
+	if err := saveIdentity(g.options.FS, g.options.Dir, self); err != nil {
+		return self, err
+	}
+	g.appointed = nil
+	return self, nil
+}
+
 func (g *Group) replicaOptions(self identity, state *machine) replica.Options {
 	disk := cmp.Or(g.options.DiskBytes, defaultDiskBytes)
 	o := replica.Options{
-		ID: self.ID, Group: groupName, Address: g.options.Address, Dir: g.options.Dir + "/raft", StateMachine: state,
+		ID: self.ID, Group: groupName, Address: g.options.Address, Dir: g.options.Dir + "/raft", FS: g.options.FS, StateMachine: state,
 		Logger: g.options.Log, Metrics: g.options.Metrics, Tick: raftTick, Election: electionTimeout, FirstElection: firstElectionTimeout, DialTimeout: dialTimeout,
 		SnapshotEvery: snapshotEvery, SnapshotBytes: disk / snapshotShare, TrailingEntries: trailingEntries, TrailingBytes: disk / trailingShare,
 		SegmentBytes: disk / segmentShare, MaxLogBytes: disk / maxLogShare, MaxCommandBytes: maxCommandBytes,
--- a/coregroup/group_test.go
+++ b/coregroup/group_test.go
@@ -25,6 +25,7 @@
 	t       *testing.T
 	address string
 	dir     string
+	fs      diskfs.FS
 	first   bool
 	seeds   []string
 	group   *Group
@@ -54,7 +55,7 @@
 		return err == nil
 	}, 5*time.Second, 10*time.Millisecond)
 	n.group = New(Options{
-		Dir: n.dir, Address: n.address, AvailabilityZone: n.address, Seeds: func() []string { return n.seeds }, FirstStart: n.first,
+		Dir: n.dir, FS: n.fs, Address: n.address, AvailabilityZone: n.address, Seeds: func() []string { return n.seeds }, FirstStart: n.first,
 		Tolerance: Tolerance{VMs: 1}, Log: zap.NewNop(), Metrics: gometrics.NewRegistry(),
 	})
 	mux := drpcmux.New()
@@ -70,6 +71,10 @@
 }
 
 func startNodes(t *testing.T, disks ...bool) []*testNode {
+	return startNodesOn(t, diskfs.OS{}, disks...)
+}
+
+func startNodesOn(t *testing.T, fs diskfs.FS, disks ...bool) []*testNode {
 	var nodes []*testNode
 	var addresses []string
 	for range disks {
@@ -79,7 +84,7 @@
 		require.NoError(t, listener.Close())
 	}
 	for i, disk := range disks {
-		n := &testNode{t: t, address: addresses[i], first: true, seeds: addresses[:min(3, len(addresses))]}
+		n := &testNode{t: t, fs: fs, address: addresses[i], first: true, seeds: addresses[:min(3, len(addresses))]}
 		if disk {
 			n.dir = t.TempDir()
 		}
