--- a/coregroup/disk_test.go
+++ b/coregroup/disk_test.go
@@ -84,3 +84,14 @@
 	full.Store(false)
 	require.Eventually(t, publish(nodes, 1), convergenceTimeout, 20*time.Millisecond)
 }
+
+// Guards against a member on a failing disk that is started, and takes part in an election, twice a second.
+func TestRestartsOfAFailingMemberBecomeRarer(t *testing.T) {
+	t.Parallel()
+	delay := restartDelay / 2
+	for _, want := range []time.Duration{restartDelay, 2 * restartDelay, 4 * restartDelay, maxRestartDelay, maxRestartDelay} {
+		delay = nextRestartDelay(delay, true)
+		require.Equal(t, want, delay)
+	}
+	require.Equal(t, restartDelay, nextRestartDelay(delay, false))
+}
--- a/coregroup/group.go
+++ b/coregroup/group.go
@@ -53,8 +53,11 @@
 	joinInterval = 150 * time.Millisecond
 	// membershipInterval is the pause between membership decisions of the leader.
 	membershipInterval = 100 * time.Millisecond
-	// restartDelay is the pause before a member that stopped is started again.
-	restartDelay = 500 * time.Millisecond
+	// restartDelay is the pause before a member that stopped is started again. It doubles up to maxRestartDelay while members fail within
+	// stableTime of their start, because each start may cost the group an election.
+	restartDelay    = 500 * time.Millisecond
+	maxRestartDelay = 4 * time.Second
+	stableTime      = 10 * time.Second
 	// callTimeout limits one call to another node.
 	callTimeout = 700 * time.Millisecond
 	// formingTimeout is how long a new group waits for all its voters before it accepts changes with fewer.
@@ -126,16 +129,27 @@
 		<-ctx.Done()
 		return
 	}
+	delay := restartDelay / 2
 	for ctx.Err() == nil {
+		started := time.Now()
 		var err error
 		panicked := supervise.Call(g.options.Log, "core member", func() { err = g.runMember(ctx) })
 		if err = cmp.Or(panicked, err); err != nil {
 			g.options.Log.Error("core member stopped", zap.Error(err))
 		}
-		clock.Sleep(ctx, restartDelay)
+		delay = nextRestartDelay(delay, err != nil && time.Since(started) < stableTime)
+		clock.Sleep(ctx, delay)
 	}
 }
 
+// nextRestartDelay returns the pause before the next start of a member.
+func nextRestartDelay(last time.Duration, failedEarly bool) time.Duration {
+	if !failedEarly {
+		return restartDelay
+	}
+	return min(2*last, maxRestartDelay)
+}
+
 // runMember runs one incarnation of the member until the context ends, the member fails or it is removed from the group.
 func (g *Group) runMember(ctx context.Context) error {
 	self, err := g.identify(ctx)
