--- a/coregroup/disk_test.go
+++ b/coregroup/disk_test.go
@@ -61,7 +61,7 @@
 	}
 }
 
-// fullFS refuses to create files while full is set.
+// fullFS refuses new files and writes while full is set.
 type fullFS struct {
 	diskfs.OS
 	full *atomic.Bool
@@ -71,7 +71,25 @@
 	if f.full.Load() {
 		return nil, syscall.ENOSPC
 	}
-	return f.OS.Create(name)
+	file, err := f.OS.Create(name)
+	return fullFile{file, f.full}, err
+}
+
+func (f fullFS) Append(name string) (diskfs.File, error) {
+	file, err := f.OS.Append(name)
+	return fullFile{file, f.full}, err
+}
+
+type fullFile struct {
+	diskfs.File
+	full *atomic.Bool
+}
+
+func (f fullFile) Write(data []byte) (int, error) {
+	if f.full.Load() {
+		return 0, syscall.ENOSPC
+	}
+	return f.File.Write(data)
 }
 
 // Guards against a group that never forms because the disk of its founder was full when it was appointed.
@@ -79,7 +97,7 @@
 	t.Parallel()
 	full := &atomic.Bool{}
 	full.Store(true)
-	nodes := startNodesOn(t, fullFS{full: full}, true, true, true)
+	nodes := startNodesOn(t, func(int) diskfs.FS { return fullFS{full: full} }, true, true, true)
 	time.Sleep(2 * restartDelay)
 	full.Store(false)
 	require.Eventually(t, publish(nodes, 1), convergenceTimeout, 20*time.Millisecond)
@@ -95,3 +113,30 @@
 	}
 	require.Equal(t, restartDelay, nextRestartDelay(delay, false))
 }
+
+// Guards against a group that accepts no changes after the disks of its members were full one after another, each for longer than the time
+// after which a spare takes the place of a member, which then comes back under a new identity.
+func TestDisksFullInTurnWithSparesLeaveTheGroupWorking(t *testing.T) {
+	t.Parallel()
+	var nodes []*testNode
+	var disks []*atomic.Bool
+	nodes = startNodesOn(t, func(int) diskfs.FS {
+		disks = append(disks, &atomic.Bool{})
+		return fullFS{full: disks[len(disks)-1]}
+	}, true, true, true, true, true)
+	version := uint64(1)
+	require.Eventually(t, publish(nodes, version), convergenceTimeout, 20*time.Millisecond)
+	for _, disk := range disks {
+		disk.Store(true)
+		for end := time.Now().Add(replaceAfter + time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+			version++
+			require.Eventually(t, publish(nodes, version), convergenceTimeout, 20*time.Millisecond)
+		}
+		disk.Store(false)
+	}
+	version++
+	require.Eventually(t, publish(nodes, version), convergenceTimeout, 20*time.Millisecond)
+	for _, n := range nodes {
+		require.Equal(t, version, read(t, n))
+	}
+}
--- a/coregroup/group_test.go
+++ b/coregroup/group_test.go
@@ -71,10 +71,11 @@
 }
 
 func startNodes(t *testing.T, disks ...bool) []*testNode {
-	return startNodesOn(t, diskfs.OS{}, disks...)
+	return startNodesOn(t, func(int) diskfs.FS { return diskfs.OS{} }, disks...)
 }
 
-func startNodesOn(t *testing.T, fs diskfs.FS, disks ...bool) []*testNode {
+// startNodesOn starts nodes with the file systems that fs returns for their indexes.
+func startNodesOn(t *testing.T, fs func(index int) diskfs.FS, disks ...bool) []*testNode {
 	var nodes []*testNode
 	var addresses []string
 	for range disks {
@@ -84,7 +85,7 @@
 		require.NoError(t, listener.Close())
 	}
 	for i, disk := range disks {
-		n := &testNode{t: t, fs: fs, address: addresses[i], first: true, seeds: addresses[:min(3, len(addresses))]}
+		n := &testNode{t: t, fs: fs(i), address: addresses[i], first: true, seeds: addresses[:min(3, len(addresses))]}
 		if disk {
 			n.dir = t.TempDir()
 		}
