gateway: a second engine that closes after its head does not end a stream

Cut heads were errors already, also those of a second engine. Cause: a continuation without events is allowed, because a stream may break off after its last event, and nothing remembered that more had begun to arrive.

A call remembers that its newest bytes are the beginning of an event; an empty continuation whose end is only the end of its connection is then a broken one. Continuations with a length or chunks state their end themselves and are taken as before.

TestSecondEngineThatStopsInItsHeadEndsNoStream cuts the second head after each byte in three framings.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -243,7 +243,9 @@
 	// relayed counts the writes of complete stream events to the caller; lastEvent is the id of the newest such event.
 	relayed   int
 	lastEvent string
-	instance  string
+	// partialEvent is set while the newest bytes of a stream are the beginning of an event that was never complete.
+	partialEvent bool
+	instance     string
 	// cached and fetched are the estimated numbers of prompt tokens in the engine's cache and fetched from stores.
 	cached  int
 	fetched int
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -227,6 +227,9 @@
 			}
 			stall.reset()
 		}
+		if err != nil && len(bytes.TrimSpace(splitter.rest())) > 0 {
+			c.partialEvent = true
+		}
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF):
@@ -260,6 +263,7 @@
 	}
 	c.prompt.recordEvent()
 	c.relayed++
+	c.partialEvent = false
 	if lastID != "" {
 		c.lastEvent = lastID
 	}
@@ -277,7 +281,8 @@
 	if len(bytes.TrimSpace(rest)) > 0 {
 		return s.brokenStream(failure.Wrap(io.ErrUnexpectedEOF, failure.UpstreamFailed, failure.Ran, "the stream ended inside an event"))
 	}
-	if !s.begun && s.out.LastEventID == "" && isEndedByClose(s.exchange.Response) {
+	// A continuation may be empty if the stream broke off after its last event.
+	if !s.begun && (s.out.LastEventID == "" || c.partialEvent) && isEndedByClose(s.exchange.Response) {
 		return s.brokenStream(failure.Wrap(io.ErrUnexpectedEOF, failure.UpstreamFailed, failure.Ran, "the connection ended before the first event"))
 	}
 	if isEndedByClose(s.exchange.Response) && c.prompt.wasCutOff() {
--- a/gateway/second_engine_test.go
+++ b/gateway/second_engine_test.go
@@ -62,6 +62,22 @@
 	}
 }
 
+// Guards against a second engine that stops within the head of its answer or before its first event, and ends the stream as if it
+// were complete.
+func TestSecondEngineThatStopsInItsHeadEndsNoStream(t *testing.T) {
+	for name, framing := range map[string]string{"with length": "Content-Length: 15\r\n", "in chunks": "Transfer-Encoding: chunked\r\n", "without length": ""} {
+		head := "HTTP/1.1 200 OK\r\nId: ID\r\nSigned: 1\r\nContent-Type: text/event-stream\r\n" + framing + "\r\n"
+		t.Run(name, func(t *testing.T) {
+			for bytes := range len(head) + 1 {
+				requireNothingOf(t, func(conn net.Conn, r *http.Request, _ string) bool {
+					_, _ = io.WriteString(conn, strings.ReplaceAll(head, "ID", r.Header.Get("Id"))[:bytes])
+					return false
+				}, 2)
+			}
+		})
+	}
+}
+
 // requireNothingOf lets a stream break off after its first event, and requires that the caller gets nothing of what the next
 // instances answer and sees that the stream is not complete.
 func requireNothingOf(t *testing.T, second reply, instances int) {
