gateway: test what a stop answers while an upstream's answer is in progress

TestEndOfAStopAnswersWhatIsInProgress covers upstreams that have sent nothing, and one stream that has begun. The new test covers answers of which a part has arrived and nothing has reached the caller: parts of heads, bodies, chunks and first events, and a refusal without its body, on all kinds of routes.

--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -83,3 +83,64 @@
 		require.Contains(t, got.body, `"execution":"unknown"`, path)
 	}
 }
+
+// Guards against requests that are cut without an answer at the end of a stop because their upstream has begun its answer, or because they
+// still look for an upstream.
+func TestEndOfAStopAnswersWhatHasNotReachedTheCaller(t *testing.T) {
+	head := func(more string) string { return "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\n" + more }
+	const refusal = "HTTP/1.1 503 X\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	for name, c := range map[string]struct {
+		begun string
+		paths []string
+	}{
+		"part of a head":           {head("Content-Le"), []string{"/once/", "/safe/", "/stream/", "/resume/"}},
+		"head":                     {head("Content-Length: 9\r\n\r\n"), []string{"/once/", "/safe/", "/stream/", "/resume/"}},
+		"head without a length":    {head("\r\n"), []string{"/once/", "/safe/", "/stream/", "/resume/"}},
+		"part of a body":           {head("Content-Length: 9\r\n\r\nbo"), []string{"/once/", "/safe/"}},
+		"part of a chunk":          {head("Transfer-Encoding: chunked\r\n\r\n9\r\nbo"), []string{"/once/", "/safe/"}},
+		"body without its end":     {head("\r\nbody"), []string{"/once/", "/safe/"}},
+		"part of the first event":  {head("\r\nid: 1\nda"), []string{"/stream/", "/resume/"}},
+		"refusal without its body": {strings.Replace(refusal, "Length: 0", "Length: 9", 1), []string{"/once/", "/safe/", "/stream/", "/resume/"}},
+	} {
+		for _, path := range c.paths {
+			t.Run(name+path, func(t *testing.T) {
+				t.Parallel()
+				released := make(chan struct{})
+				answer := func(conn net.Conn, r *http.Request, _ string) bool {
+					_, _ = fmt.Fprintf(conn, c.begun, r.Header.Get("Id"))
+					<-released
+					return false
+				}
+				s := newSystem(t, answer, answer)
+				t.Cleanup(func() { close(released) })
+				server := &callers.Server{Handler: s.gateway, Log: zap.NewNop(), EndRequests: s.gateway.EndRequests}
+				listener, err := net.Listen("tcp", "127.0.0.1:0")
+				require.NoError(t, err)
+				go func() { _ = server.Serve(listener) }()
+				answered := make(chan int, 1)
+				go func() {
+					r := s.request("POST", path, "x")
+					r.URL.Host = listener.Addr().String()
+					response, err := http.DefaultClient.Do(r)
+					if err != nil {
+						answered <- 0
+						return
+					}
+					defer func() { _ = response.Body.Close() }()
+					body, err := io.ReadAll(response.Body)
+					if err != nil || !strings.Contains(string(body), `"execution":`) {
+						answered <- 0
+						return
+					}
+					answered <- response.StatusCode
+				}()
+				require.Eventually(t, func() bool { return len(s.startedRuns()) > 0 }, time.Second, time.Millisecond)
+				require.NoError(t, server.StopAccepting(listener))
+				ctx, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
+				defer cancel()
+				server.Shutdown(ctx)
+				require.GreaterOrEqual(t, <-answered, http.StatusBadRequest)
+			})
+		}
+	}
+}
