trafficset, platform: an empty list of accounts refuses every key

Cause: the decoder turned a missing list and an empty one into the same empty list, and the gateway took a set without accounts for one that needs no keys.

A list without entries refuses every key.

Looked at, in platform/publish.go: routes and services (missing or null: refused as invalid; empty: no route matches, 404), the weights of a route (empty: the named service takes all; without a service: invalid), the keys of an account (missing, null or empty: none matches), priority of an account (missing differs from 0 already), models of engines (none: no weights are ordered). In the settings: seeds, serves, port-range (checked); nothing is opened by an empty one. In the product's own object sets: a call always needs a key of an account; models and services of an account open nothing if empty. Its ranks do: empty means all, as docs/object-set.md says, and the canonical form does not keep a missing list apart from an empty one. That is not changed here.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -305,7 +305,7 @@
 	if c.route == nil {
 		return failure.New(failure.NotFound, failure.NotRun, "no route for %s%s", c.request.Host, c.request.URL.Path)
 	}
-	if !c.route.Public && len(c.set.Accounts) > 0 {
+	if !c.route.Public && c.set.RequiresKeys() {
 		if c.account = c.set.Account(c.attributes.Key); c.account == nil {
 			return failure.New(failure.Unauthorized, failure.NotRun, "the API key is not known")
 		}
--- a/trafficset/trafficset.go
+++ b/trafficset/trafficset.go
@@ -129,6 +129,7 @@
 	Version  uint64
 	Routes   []Route
 	Services []Service
+	// Accounts is nil if callers need no key. With an empty list every key is refused.
 	Accounts []Account
 	Limits   Limits
 
@@ -235,6 +236,9 @@
 	return nil
 }
 
+// RequiresKeys reports whether callers of routes that are not public need the key of an account.
+func (s *Set) RequiresKeys() bool { return s.Accounts != nil }
+
 // Account returns the account that holds a key.
 func (s *Set) Account(key string) *Account { return s.keys[key] }
 
