gateway: an answer that ends together with a leaving instance is not complete

Cause: such an answer ends with its connection, and the node asks the instance for a new one to tell a whole answer from a broken one. Where the instance was draining or no longer listed, the outcome of that probe was ignored, because an instance that leaves may end after its answers. It may as well end within them.

The probe counts now. An answer of a leaving instance is complete only if the instance accepts a connection after it, and no other instance is listed at its address; a VM that is gone does not reply, so no reply counts as its end there, but not at other instances. The probe of a leaving instance waits 50 ms, since a process may close its connections before its listener. Cutting every such answer at a draining instance would have been simpler, but an instance serves for seconds while it drains, and those answers are whole.

Not covered: an instance whose process closes a connection more than 50 ms before its listener, and one that is not known to leave and listens again within a round trip.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -26,6 +26,9 @@
 	// crashPeriod is the time within which broken sends to one incarnation belong to the same crash. An instance needs
 	// longer to come back.
 	crashPeriod = time.Second
+	// leavingProbeDelay is the time between the end of an answer at a leaving instance and the probe: a process that ends may close
+	// its connections before its listener.
+	leavingProbeDelay = 50 * time.Millisecond
 	// maxQuarantineAdvice limits the retry advice: an answer at another node may end the block earlier.
 	maxQuarantineAdvice = time.Minute
 	// maxLoggedSends limits the requests and parts in one log event.
@@ -61,9 +64,10 @@
 // crashCheck is one probe of an instance after a send to it broke off.
 type crashCheck struct {
 	startedAt time.Time
-	// done is closed at the end of the probe; crashed is valid then.
-	done    chan struct{}
-	crashed bool
+	// done is closed at the end of the probe; the fields below are valid then.
+	done chan struct{}
+	// crashed is set if nothing listens at the instance's address, and reachable if a connection was opened.
+	crashed, reachable bool
 }
 
 // crashDetector finds out which instances crash and reports the parts of the prompts that they had not begun to answer. Its
@@ -196,22 +200,28 @@
 	d.expire(now)
 	d.remove(p)
 	d.ended = append(d.ended, endedSend{promptSend: p, at: now})
-	return d.hasCrashed(p, now)
+	return d.checkAfter(p, now).crashed
 }
 
-// wasCutOff reports whether an answer that ended with its connection was cut off by a crash of its instance. Nothing else tells
-// such an answer from a complete one. An instance that leaves may end as planned after the answer.
+// wasCutOff reports whether an answer that ended with its connection may have been cut off by the end of its instance. Nothing else
+// tells such an answer from a complete one. The end of a leaving instance is planned, but cuts off what it still answers, and its VM may
+// be gone as well: its answer is complete only if the instance accepts a connection afterwards.
 func (p *promptSend) wasCutOff() bool {
-	d, now := p.detector, time.Now()
+	d := p.detector
+	if d.isLeaving(p.instance.Key()) {
+		time.Sleep(leavingProbeDelay)
+	}
+	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.expire(now)
-	return d.hasCrashed(p, now) && !d.isLeaving(p.instance.Key())
+	check := d.checkAfter(p, now)
+	return check.crashed || d.isLeaving(p.instance.Key()) && (!check.reachable || d.isReplaced(p.instance))
 }
 
-// hasCrashed reports whether the instance of a send whose connection ended at a time has crashed. The caller holds the lock,
-// which is released during a probe.
-func (d *crashDetector) hasCrashed(p *promptSend, now time.Time) bool {
+// checkAfter returns the probe of the instance of a send whose connection ended at a time. It began after that time, unless an
+// earlier one showed that the instance crashed. The caller holds the lock, which is released during a probe.
+func (d *crashDetector) checkAfter(p *promptSend, now time.Time) *crashCheck {
 	key := p.instance.Key()
 	for {
 		check := d.checks[key]
@@ -222,7 +232,7 @@
 		<-check.done
 		d.mu.Lock()
 		if check.crashed || !check.startedAt.Before(now) {
-			return check.crashed
+			return check
 		}
 		if d.checks[key] == check {
 			// The instance accepted a connection before this one ended.
@@ -232,31 +242,31 @@
 }
 
 // check probes the instance of a broken send. The caller holds the lock, which is released during the probe.
-func (d *crashDetector) check(p *promptSend, brokenAt time.Time) bool {
+func (d *crashDetector) check(p *promptSend, brokenAt time.Time) *crashCheck {
 	key := p.instance.Key()
 	check := &crashCheck{startedAt: time.Now(), done: make(chan struct{})}
 	d.checks[key] = check
 	defer close(check.done)
 	d.mu.Unlock()
-	refused := d.refusesConnections(p.instance)
+	err := d.connect(p.instance)
 	d.mu.Lock()
-	if refused {
-		check.crashed = true
+	// A VM that does not respond may be cut off, and its instance may still be at work.
+	check.reachable, check.crashed = err == nil, errors.Is(err, syscall.ECONNREFUSED)
+	if check.crashed {
 		d.recordCrash(p.instance, brokenAt)
 	}
-	return refused
+	return check
 }
 
-// refusesConnections reports whether nothing listens at the address of an instance. A VM that does not respond may be cut
-// off, and its instance may still be at work.
-func (d *crashDetector) refusesConnections(instance *upstreams.Instance) bool {
+// connect opens a connection to an instance.
+func (d *crashDetector) connect(instance *upstreams.Instance) error {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	conn, err := d.pool.Open(ctx, instance.Address)
 	if err == nil {
 		conn.Release(0)
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return err
 }
 
 // recordCrash reports the parts of the prompts whose answers had not begun. The caller holds the lock.
@@ -288,6 +298,11 @@
 	return !found || listed.Draining
 }
 
+// isReplaced reports whether another instance is listed at the address of an instance.
+func (d *crashDetector) isReplaced(instance *upstreams.Instance) bool {
+	return lo.SomeBy(d.directory.View().Instances, func(i upstreams.Instance) bool { return i.Address == instance.Address && i.Key() != instance.Key() })
+}
+
 func firstOf[T any](list []T) []T { return slices.Clip(list[:min(len(list), maxLoggedSends)]) }
 
 func formatParts(parts []uint64) []string {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -266,8 +266,8 @@
 	return c.flush()
 }
 
-// errCutOff is the error of an answer without length and chunks that ended with a crash of its instance.
-var errCutOff = failure.Wrap(io.ErrUnexpectedEOF, failure.UpstreamFailed, failure.Unknown, "the instance crashed, and its answer may be incomplete")
+// errCutOff is the error of an answer without length and chunks whose instance had ended when its connection did.
+var errCutOff = failure.Wrap(io.ErrUnexpectedEOF, failure.UpstreamFailed, failure.Unknown, "the instance has ended, and its answer may be incomplete")
 
 // endOfStream handles a stream whose body ended without an error. A body without length and chunks ends with its connection,
 // so only its last event shows whether the stream is complete.
