trafficset, placement, gateway: an account that becomes isolated takes its cache from others

Cause: accounts that are not isolated share the salt "v1", which stayed the same when one of them became isolated.

Change: the shared salt carries a hash of the names of the isolated accounts. Parts under one hash are made and used only by accounts outside that list, so none of them is isolated in any set that gives this hash. It follows from the set alone: nodes that skip versions, restarts of all nodes and members of another release come to the same salt, and no state or message changes. Without isolated accounts the salt is "v1" as before. The price: shared parts are read once more when the list changes. Each send takes account and list from the newest set, both from the same one, as a repeat or a resumed stream may begin seconds after the request.

Not covered: a node that takes the set in later shares until then; one that has lost the core, until it is back. A request whose key is gone from the newest set goes on by the set it began with.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -177,8 +177,10 @@
 	g := c.attributes.Generation
 	q.Model, q.Parts, q.Tokens, q.CacheTokens = g.Model, g.Parts, g.PromptTokens, c.service.Engine.CacheTokens
 	q.WantedVersion, q.RequireWantedVersion = o.Sets.WantedVersion(g.Model), o.Sets.RequireWantedVersion(g.Model)
-	if c.account != nil && c.account.Isolated {
-		q.Isolated = c.account.Name
+	set, account := c.newestAccount()
+	q.SharedCache = set.SharedCache()
+	if account != nil && account.Isolated {
+		q.Isolated = account.Name
 	}
 	q.StoredVersion = max(1, q.WantedVersion)
 	q.TokenTransfer = c.service.Engine.TokenTransfer()
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -2,8 +2,6 @@
 
 import (
 	"math"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,6 +19,8 @@
 	RequireWantedVersion bool
 	// Isolated names the account whose cache is kept apart, or is empty.
 	Isolated string
+	// SharedCache names the cache that the accounts share that are not isolated; see trafficset.Set.SharedCache.
+	SharedCache string
 	// Parts of the prompt in order; the last one belongs to this request alone.
 	Parts  []Part
 	Tokens int
@@ -50,22 +50,6 @@
 	Transfer, Wait time.Duration
 }
 
-// Salt returns the cache namespace, which separates weight versions and isolated accounts.
-func (q *Request) Salt(version uint64) string {
-	salt := "v" + strconv.FormatUint(version, 10)
-	if q.Isolated != "" {
-		salt += "/" + q.Isolated
-	}
-	return salt
-}
-
-// SaltVersion returns the weight version of a salt.
-func SaltVersion(salt string) (uint64, bool) {
-	text, _, _ := strings.Cut(strings.TrimPrefix(salt, "v"), "/")
-	version, err := strconv.ParseUint(text, 10, 64)
-	return version, err == nil
-}
-
 // shared returns the parts without the last one, which belongs to this request alone.
 func (q *Request) shared() []Part {
 	if len(q.Parts) == 0 {
--- a/trafficset/trafficset.go
+++ b/trafficset/trafficset.go
@@ -135,6 +135,8 @@
 	hosts    map[string]*routeIndex
 	keys     map[string]*Account
 	services map[string]*Service
+	// sharedCache is returned by SharedCache.
+	sharedCache string
 }
 
 // Build validates the references of a set and builds its indexes.
@@ -222,6 +224,7 @@
 			s.keys[key] = account
 		}
 	}
+	s.sharedCache = nameSharedCache(s.Accounts)
 }
 
 // Route returns the route of a request: among those of the host, the one with the longest matching prefix.
