gateway, failure: a slow body has the time of its request, and its end is answered

What callers saw: a request whose body took longer than 5 s was cut off without an answer, though caller and route waited longer.

Cause: a constant of 5 s, and the same treatment for a late body and a caller that left.

Decision: a body may take until the end of the caller's time and of the route's timeout, which bounds what a request holds afterwards as well; within it a caller may pause for the idle limit of the set. What it holds until then is what has arrived, in the shared budget (bytebudget). A body that misses either is refused with 408, body_timeout, not_run: the platform's promise after which callers may repeat requests of every kind. A caller that left is treated as before. A body that is still being read when a stop ends is cut off without an answer, as one of under 5 s was.

--- a/failure/failure.go
+++ b/failure/failure.go
@@ -54,6 +54,7 @@
 	IdentityLost        Kind = "identity_lost"
 	Quarantined         Kind = "quarantined"
 	MemoryExhausted     Kind = "memory_exhausted"
+	BodyTimeout         Kind = "body_timeout"
 	Canceled            Kind = "canceled"
 	Internal            Kind = "internal"
 )
@@ -78,6 +79,7 @@
 	StreamBroken:        http.StatusBadGateway,
 	UpstreamFailed:      http.StatusBadGateway,
 	OutcomeUnknown:      http.StatusGatewayTimeout,
+	BodyTimeout:         http.StatusRequestTimeout,
 	Canceled:            499,
 	Internal:            http.StatusInternalServerError,
 }
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/wasabishunt/wasabishunt/bytebudget"
@@ -73,18 +74,21 @@
 	if c.request.ContentLength == 0 {
 		return nil
 	}
-	readBy := c.started.Add(bodyTimeout)
-	if c.answerBy.Before(readBy) {
-		readBy = c.answerBy
-	}
 	control := http.NewResponseController(c.writer)
-	if err := control.SetReadDeadline(readBy); err != nil {
+	if err := control.SetReadDeadline(c.answerBy); err != nil {
 		return failure.Wrap(err, failure.Internal, failure.NotRun, "set the read deadline for the request body")
 	}
+	var body io.Reader = c.request.Body
+	if pause := c.set.Limits.IdleTimeout; pause > 0 && pause < time.Until(c.answerBy) {
+		body = &pauseLimiter{inner: body, control: control, pause: pause, readBy: c.answerBy}
+	}
 	var err error
-	if c.body, err = c.memory.ReadAll(c.request.Body, c.request.ContentLength, limit); errors.Is(err, bytebudget.ErrExhausted) {
+	if c.body, err = c.memory.ReadAll(body, c.request.ContentLength, limit); errors.Is(err, bytebudget.ErrExhausted) {
 		return c.memoryExhausted()
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return failure.Wrap(err, failure.BodyTimeout, failure.NotRun, "request body not received in time")
+	}
 	if err != nil {
 		return failure.Wrap(err, failure.Canceled, failure.NotRun, "request body not received")
 	}
@@ -97,3 +101,24 @@
 	}
 	return nil
 }
+
+// pauseLimiter limits the time that a read of a body waits for the next byte. A caller that sends nothing more would otherwise hold
+// memory until the end of its request.
+type pauseLimiter struct {
+	inner   io.Reader
+	control *http.ResponseController
+	pause   time.Duration
+	readBy  time.Time
+}
+
+// Read implements io.Reader.
+func (l *pauseLimiter) Read(p []byte) (int, error) {
+	by := time.Now().Add(l.pause)
+	if l.readBy.Before(by) {
+		by = l.readBy
+	}
+	if err := l.control.SetReadDeadline(by); err != nil {
+		return 0, err
+	}
+	return l.inner.Read(p)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -187,8 +187,6 @@
 	upstreamRetryAfter = 400 * time.Millisecond
 	// defaultBodyBytes limits request bodies if the set has no limit.
 	defaultBodyBytes = 4 << 20
-	// bodyTimeout limits the time to read a request body, in addition to the caller's deadline.
-	bodyTimeout = 5 * time.Second
 	// defaultDeadline applies to requests that state no deadline.
 	defaultDeadline = 30 * time.Second
 )
@@ -340,7 +338,8 @@
 		c.gateway.metrics.fetched.Inc(int64(c.fetched))
 		c.gateway.metrics.recomputed.Inc(int64(c.recomputed))
 	}
-	callerGone := c.request.Context().Err() != nil
+	// net/http ends the context of a request whose body misses its read deadline, though the caller is there.
+	callerGone := c.request.Context().Err() != nil && !failure.Is(err, failure.BodyTimeout)
 	if err != nil && !c.answered && !callerGone {
 		discard := c.answerBeforeBody()
 		c.writeProblem(failure.Of(err))
