raft/wal: what Open reads is durable before it counts

What could happen: a member that is killed between a write and its sync, starts again and then loses power could lose a vote or an entry that it had told others of since. And a segment created by a killed process whose name was not yet durable could vanish with all that was saved in it after the restart, though each save was synced.

Cause: Open took for durable what the page cache had. It now syncs the newest segment and the directory before it returns; older segments were synced before the next one was created. If a sync fails, Open fails.

Not covered: data of a sync that failed, which the system may report as written at a later sync.

--- a/raft/wal/open.go
+++ b/raft/wal/open.go
@@ -182,5 +182,13 @@
 		return l.fail("open", err)
 	}
 	l.file, l.size = file, r.tail
+	// A killed process may have written the last record, or created the segment, without a sync. What counts from now on must
+	// survive a power loss.
+	if err := file.Sync(); err != nil {
+		return l.fail("sync", err)
+	}
+	if err := l.options.FS.SyncDir(l.options.Dir); err != nil {
+		return l.fail("directory sync", err)
+	}
 	return nil
 }
