agent/kv: TestExportersShareTheLinkLimit takes its time from a simulated clock

Seen: beside load the first wait of the test, which the burst covers, ended in deadline_exceeded. Cause: the test gave both waits a context that lasts 1 ms of real time. A process that is not scheduled for that long finds the context ended before the first wait; the limiter is not at fault. The test now runs in a bubble of testing/synctest, whose time stands still while the test computes.

--- a/agent/kv/export_test.go
+++ b/agent/kv/export_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
@@ -116,14 +117,16 @@
 
 // Guards against exporters that together exceed the limit of a store's link.
 func TestExportersShareTheLinkLimit(t *testing.T) {
-	limits := map[string]*rate.Limiter{}
-	limit := limiter(limits, target{address: "s", limit: 1000}, 4)
-	assert.Equal(t, rate.Limit(250), limit.Limit())
-	ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
-	defer cancel()
-	require.NoError(t, waitForLink(ctx, limit, limiterBurstBytes))
-	require.Error(t, waitForLink(ctx, limit, limiterBurstBytes))
-	require.Same(t, limit, limiter(limits, target{address: "s", limit: 1000}, 4))
+	synctest.Test(t, func(t *testing.T) {
+		limits := map[string]*rate.Limiter{}
+		limit := limiter(limits, target{address: "s", limit: 1000}, 4)
+		assert.Equal(t, rate.Limit(250), limit.Limit())
+		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+		defer cancel()
+		require.NoError(t, waitForLink(ctx, limit, limiterBurstBytes))
+		require.Error(t, waitForLink(ctx, limit, limiterBurstBytes))
+		require.Same(t, limit, limiter(limits, target{address: "s", limit: 1000}, 4))
+	})
 }
 
 // Guards against a wrong selection of the pieces close to eviction.
