agent/kv: TestRefusedImportFallsBack ends the calls of the mover before it lifts the refusals

Seen: beside load the prompt had 2,000 cached tokens, one piece, where 0 are wanted. Cause: the two pieces are fetched from two stores at once. The first refusal cancels the other import, and Prepare returns while that request can still be on its way to the engine. If the engine reads it after the test has lifted the refusals, it imports the piece. An engine that holds a correct piece more than the mover counts is allowed; the test compared two moments. The test now closes the server that the mover calls, which waits for its open requests, before it lifts the refusals; the run uses another server of the same engine. Without refusals the test fails.

--- a/agent/kv/fetch_test.go
+++ b/agent/kv/fetch_test.go
@@ -162,7 +162,10 @@
 	bed.storeAndEvict(r)
 	bed.engine.SetFaults(engine.FaultSettings{Refuse: true})
 	session := bed.mover.Prepare(t.Context(), r)
+	// The import that Prepare cancels after the first refusal may reach the engine later, also after the refusals end.
+	bed.endMoverCalls()
 	bed.engine.SetFaults(engine.FaultSettings{})
+	assert.Zero(t, bed.engine.State().Imports)
 	assert.NotZero(t, bed.count("import_failed"))
 	assert.Zero(t, session.FetchedTokens(2*piece.TokensPerPiece))
 	assert.Zero(t, bed.run(r))
--- a/agent/kv/harness_test.go
+++ b/agent/kv/harness_test.go
@@ -147,6 +147,7 @@
 type testbed struct {
 	t        *testing.T
 	engine   *standin.Server
+	server   *httptest.Server
 	client   *engine.HTTP
 	stores   []*testStore
 	view     *fixedview.View
@@ -182,8 +183,8 @@
 	}
 	bed.view = fixedview.New(set)
 	bed.engine = standin.New(standin.Settings{WeightVersion: "v1", TimeScale: 50, CacheTokens: 4 * piece.TokensPerPiece, KVBytesPerToken: tokenBytes})
-	server := httptest.NewServer(bed.engine)
-	bed.client = engine.NewHTTP(strings.TrimPrefix(server.URL, "http://"), engine.HTTPOptions{})
+	bed.server = httptest.NewServer(bed.engine)
+	bed.client = engine.NewHTTP(strings.TrimPrefix(bed.server.URL, "http://"), engine.HTTPOptions{})
 	if options.LossProbability == 0 {
 		options.LossProbability = 1 // A certain loss makes a second copy of each piece worth its cost, so both stores get every piece.
 	}
@@ -194,11 +195,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
 	tasks.Go(func() { bed.mover.Run(ctx) })
+	server, client := bed.server, bed.client
 	t.Cleanup(func() {
 		cancel()
 		tasks.Wait()
 		_ = pool.Close()
-		bed.client.Close()
+		client.Close()
 		server.CloseClientConnections()
 		bed.engine.Close()
 		server.Close()
@@ -206,6 +208,19 @@
 	return bed
 }
 
+// endMoverCalls ends the mover's connections to the engine, after which no call that the mover has sent can reach the engine.
+// Runs get a server and a client of their own.
+func (bed *testbed) endMoverCalls() {
+	bed.server.Close()
+	server := httptest.NewServer(bed.engine)
+	client := engine.NewHTTP(strings.TrimPrefix(server.URL, "http://"), engine.HTTPOptions{})
+	bed.server, bed.client = server, client
+	bed.t.Cleanup(func() {
+		client.Close()
+		server.Close()
+	})
+}
+
 // request describes a prompt of the given number of whole pieces and a partial one.
 func request(topic string, pieces int) Request {
 	scope := piece.Scope{Account: "a", Model: "model", WeightVersion: "v1"}
