replica: the limit of the log counts the commands that wait for the same sync

A leader that takes many large commands at once answers all of them as unknown and never takes part in the group again. Cause: a step takes up to 1,024 queued commands of up to 3 MiB each, and logIsTooLong compared only what the log already holds. With 256 queued commands 22 of them exceed a disk of 64 MB. The Ready is written as a whole or not at all, so the member waits for room that nothing frees. Why it works: the bytes that the core has taken and the log does not hold yet count towards MaxLogBytes until they are saved, so one sync exceeds the limit by one command at most. What is refused has not entered the core, so "not run" is right.

--- a/replica/disk_test.go
+++ b/replica/disk_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/raft/diskfs"
 	"github.com/wasabishunt/wasabishunt/raft/diskfs/simdisk"
 	"github.com/wasabishunt/wasabishunt/raft/snap"
 	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
@@ -261,3 +263,59 @@
 		require.Equal(t, c.want, a.isSnapshotDue(), "%+v", c)
 	}
 }
+
+// stallingDisk holds back syncs while stall is locked.
+type stallingDisk struct {
+	*simdisk.Disk
+	stall *sync.RWMutex
+}
+
+func (d stallingDisk) Create(name string) (diskfs.File, error) {
+	file, err := d.Disk.Create(name)
+	return stallingFile{file, d.stall}, err
+}
+
+func (d stallingDisk) Append(name string) (diskfs.File, error) {
+	file, err := d.Disk.Append(name)
+	return stallingFile{file, d.stall}, err
+}
+
+type stallingFile struct {
+	diskfs.File
+	stall *sync.RWMutex
+}
+
+func (f stallingFile) Sync() error {
+	f.stall.RLock()
+	defer f.stall.RUnlock()
+	return f.File.Sync()
+}
+
+// Guards against a leader that takes more commands for one sync than its disk has room for, because it compares only what is already in the
+// log with its limit: it waits without end for room that nothing frees.
+func TestCommandsOfOneSyncFitOnTheDisk(t *testing.T) {
+	t.Parallel()
+	stall := &sync.RWMutex{}
+	r, disk := startOnSmallDisk(t, func(o *Options) {
+		o.SnapshotBytes, o.TrailingBytes, o.MaxLogBytes = 128<<10, 64<<10, smallDiskBytes/2
+		o.FS = stallingDisk{o.FS.(*simdisk.Disk), stall}
+	})
+	require.NoError(t, proposeLarge(t, r, 1))
+	const commands = 2 * smallDiskBytes / commandBytes
+	stall.Lock()
+	results := make(chan error, commands)
+	for value := range uint64(commands) {
+		go func() { results <- proposeLarge(t, r, 2+value) }()
+	}
+	// The first command waits for its sync, and the others in the queue.
+	require.Eventually(t, func() bool { return len(r.proposals) >= commands-2 }, failoverLimit, time.Millisecond)
+	stall.Unlock()
+	require.Eventually(t, func() bool { return proposeLarge(t, r, 1000) == nil }, failoverLimit, 10*time.Millisecond)
+	for range commands {
+		if err := <-results; err != nil {
+			require.Equal(t, failure.NotRun, failure.Of(err).Execution, "%v", err)
+		}
+	}
+	require.Less(t, disk.Used(), smallDiskBytes*3/4)
+	require.NoError(t, r.Err())
+}
--- a/replica/fulldisk.go
+++ b/replica/fulldisk.go
@@ -108,9 +108,10 @@
 	return nil
 }
 
-// logIsTooLong reports whether commands are refused until a snapshot has shortened the log.
+// logIsTooLong reports whether commands are refused until a snapshot has shortened the log. The commands that share the next sync count,
+// because a queue of large ones is longer than a small disk.
 func (r *Replica) logIsTooLong() bool {
-	return r.options.MaxLogBytes > 0 && r.storage.wal.Bytes() > r.options.MaxLogBytes
+	return r.options.MaxLogBytes > 0 && r.storage.wal.Bytes()+r.unsavedBytes > r.options.MaxLogBytes
 }
 
 // requestSnapshot has the applier take a snapshot if it is idle and something was applied since the last one.
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -156,6 +156,7 @@
 		r.node.Advance(ready)
 	}
 	clear(r.received)
+	r.unsavedBytes = 0
 	r.updateRole()
 	r.publish()
 	return nil
--- a/replica/propose.go
+++ b/replica/propose.go
@@ -117,6 +117,7 @@
 		return
 	}
 	p.term = term
+	r.unsavedBytes += int64(len(p.data))
 	r.pending[index] = p
 }
 
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -186,6 +186,8 @@
 	forming bool
 	// pending maps log indexes to the proposals in the log.
 	pending map[uint64]*proposal
+	// unsavedBytes is the size of the commands that the core has taken and the log does not hold yet.
+	unsavedBytes int64
 	// rounds maps the contexts of ReadIndex calls to the read rounds that are not confirmed yet.
 	rounds map[uint64]*readRound
 	// lastRound is the context of the last started round.
