raft/wal: a mark starts the new segment that a full disk refused

Cause: a segment that cannot be followed by a new one goes on and grows, for example on a disk without free inodes, where appends still succeed. Only Save starts the next one.

Evidence: TestLongSegmentIsReplacedOnceThereIsRoom fails without the change after 8 s ("Condition never satisfied") and passes with it, with all of ./replica and ./raft/wal. A mark without room for a new segment succeeds as before.

--- a/raft/wal/wal.go
+++ b/raft/wal/wal.go
@@ -182,7 +182,9 @@
 		return err
 	}
 	l.mark = meta
-	return nil
+	// A segment that has its size goes on if there was no room for the next one. No Save may follow, because commands are refused while the
+	// log is too long.
+	return l.rotateIfFull()
 }
 
 // DropBefore removes the segments whose entries are all at or below index. The newest segment is always kept.
--- a/replica/disk_test.go
+++ b/replica/disk_test.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -319,3 +321,35 @@
 	require.Less(t, disk.Used(), smallDiskBytes*3/4)
 	require.NoError(t, r.Err())
 }
+
+// noNewFiles refuses new files while full is set, as a disk without free inodes does.
+type noNewFiles struct {
+	*simdisk.Disk
+	full *atomic.Bool
+}
+
+func (d noNewFiles) Create(name string) (diskfs.File, error) {
+	if d.full.Load() {
+		return nil, syscall.ENOSPC
+	}
+	return d.Disk.Create(name)
+}
+
+// Guards against a group that refuses commands for ever because its log could not start a new segment: the newest segment is never removed,
+// and without commands no new one is started.
+func TestLongSegmentIsReplacedOnceThereIsRoom(t *testing.T) {
+	t.Parallel()
+	full := &atomic.Bool{}
+	r, _ := startOnSmallDisk(t, func(o *Options) {
+		o.SnapshotBytes, o.TrailingBytes, o.MaxLogBytes = 128<<10, 64<<10, smallDiskBytes/2
+		o.FS = noNewFiles{o.FS.(*simdisk.Disk), full}
+	})
+	full.Store(true)
+	value := uint64(1)
+	for proposeLarge(t, r, value) == nil {
+		value++
+	}
+	full.Store(false)
+	require.Eventually(t, func() bool { return proposeLarge(t, r, value) == nil }, failoverLimit, 20*time.Millisecond)
+	require.NoError(t, r.Err())
+}
