raft/wal: a log whose newest segment was never finished opens without room

A member whose process ends while its log starts a new segment cannot start again as long as its disk is full. Cause: Open created the segment without a valid record again, which takes a file and a header, and a full disk refuses both. Evidence: TestUnfinishedSegmentNeedsNoRoom fails without the change in Open ("no room for a record of the log") and passes with it, with all of ./raft/wal and ./replica. Why it works: nothing was ever acknowledged from a segment without its header, so Open removes it, syncs the directory before anything is appended, and goes on with the segment before it, which holds the hard state. The next Save or Mark starts the segment again if there is room. The first segment of a log is created again as before.

--- a/raft/wal/open.go
+++ b/raft/wal/open.go
@@ -165,20 +165,29 @@
 	return nil
 }
 
-// openTail truncates the torn tail and opens the newest segment for appending. A segment without a valid record has no
-// header and is created again.
+// openTail truncates the torn tail and opens the newest segment for appending. A segment without a valid record has no header. It is removed,
+// durably before the log goes on with the one before it; the first one is created again, for which a full disk may have no room.
 func (r *reader) openTail() error {
 	l := r.log
 	if len(l.segments) == 0 {
 		return l.startSegment(1)
 	}
 	active := l.segments[len(l.segments)-1]
+	name := l.options.path(active.sequence)
 	if r.tail == 0 {
 		l.segments = l.segments[:len(l.segments)-1]
-		return l.startSegment(active.sequence)
-	}
-	name := l.options.path(active.sequence)
-	if r.contents.TruncatedBytes > 0 {
+		if len(l.segments) == 0 {
+			return l.startSegment(active.sequence)
+		}
+		if err := l.options.FS.Remove(name); err != nil {
+			return l.fail("remove", err)
+		}
+		if err := l.options.FS.SyncDir(l.options.Dir); err != nil {
+			return l.fail("directory sync", err)
+		}
+		active = l.segments[len(l.segments)-1]
+		name, r.tail = l.options.path(active.sequence), active.bytes
+	} else if r.contents.TruncatedBytes > 0 {
 		if err := l.options.FS.Truncate(name, r.tail); err != nil {
 			return l.fail("truncate", err)
 		}
--- a/raft/wal/wal_test.go
+++ b/raft/wal/wal_test.go
@@ -267,3 +267,34 @@
 		}
 	})
 }
+
+// TestUnfinishedSegmentNeedsNoRoom guards against a log that cannot be opened on a full disk because the process ended while it started a new
+// segment: a member that does not start removes nothing from its disk.
+func TestUnfinishedSegmentNeedsNoRoom(t *testing.T) {
+	for _, header := range []int{0, 1, 20} {
+		disk := simdisk.New()
+		l, _ := open(t, disk, 200)
+		index := uint64(1)
+		for ; l.Segments() < 3; index++ {
+			require.NoError(t, l.Save(&raftpb.HardState{Term: index}, entries(1, index, 1)))
+		}
+		require.NoError(t, l.Close())
+		newest := l.options.path(l.segments[2].sequence)
+		require.NoError(t, disk.Truncate(newest, int64(header)))
+		disk.SetCapacity(disk.Used())
+		l, contents := open(t, disk, 200)
+		require.EqualValues(t, index-1, contents.HardState.GetTerm())
+		require.Len(t, contents.Entries, int(index-1))
+		require.ErrorAs(t, l.Save(&raftpb.HardState{Term: index}, entries(1, index, 1)), new(*FullError))
+		disk.SetCapacity(0)
+		for range 5 {
+			require.NoError(t, l.Save(&raftpb.HardState{Term: index}, entries(1, index, 1)))
+			disk.Crash(rand.New(rand.NewPCG(index, 1)))
+			l, contents = open(t, disk, 200)
+			require.EqualValues(t, index, contents.HardState.GetTerm())
+			require.Len(t, contents.Entries, int(index))
+			index++
+		}
+		require.Greater(t, l.Segments(), 2)
+	}
+}
