--- a/raft/snap/snap.go
+++ b/raft/snap/snap.go
@@ -108,10 +108,14 @@
 	return s.remove(indexes[min(retainedSnapshots, len(indexes)):])
 }
 
-// DropOld removes all snapshots but the newest valid one, to make room on a full disk.
+// DropOld removes all snapshots but the newest valid one, to make room on a full disk. It syncs the directory first, because a Save that
+// failed in its last step leaves a readable snapshot that a crash may remove.
 func (s *Store) DropOld() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err := s.fs.SyncDir(s.dir); err != nil {
+		return storageError(err, "sync the directory of")
+	}
 	newest, err := s.newest()
 	if err != nil || newest == nil {
 		return err
--- a/replica/disk_test.go
+++ b/replica/disk_test.go
@@ -353,3 +353,55 @@
 	require.Eventually(t, func() bool { return proposeLarge(t, r, value) == nil }, failoverLimit, 20*time.Millisecond)
 	require.NoError(t, r.Err())
 }
+
+// unsyncedDirectory refuses to sync one directory while failing is set.
+type unsyncedDirectory struct {
+	*simdisk.Disk
+	dir     string
+	failing *atomic.Bool
+}
+
+func (d unsyncedDirectory) SyncDir(dir string) error {
+	if dir == d.dir && d.failing.Load() {
+		return syscall.EIO
+	}
+	return d.Disk.SyncDir(dir)
+}
+
+// Guards against entries that are lost because a full disk had the log cut by a snapshot whose name was never durable: its save had failed in
+// the last step, and the file was there to be read.
+func TestLogIsNotCutBySnapshotThatIsNotDurable(t *testing.T) {
+	t.Parallel()
+	disk := simdisk.New()
+	failing := &atomic.Bool{}
+	options := Options{
+		ID: 1, Group: "test", Address: "127.0.0.1:1", Dir: "data", FS: unsyncedDirectory{disk, "data/snap", failing}, SegmentBytes: 100,
+		Bootstrap: []*raftpb.Member{{Id: 1, Address: "127.0.0.1:1"}},
+	}
+	s, loaded, err := openStorage(options)
+	require.NoError(t, err)
+	term := loaded.state.HardState.GetTerm()
+	last := loaded.state.Entries[len(loaded.state.Entries)-1].GetIndex()
+	for range 10 {
+		last++
+		require.NoError(t, s.wal.Save(nil, []*raftpb.Entry{{Index: last, Term: term, Data: make([]byte, 100)}}))
+	}
+	require.NoError(t, s.saveSnapshot(snap.Snapshot{Meta: &raftpb.SnapshotMeta{Index: last - 8, Term: term}}))
+	failing.Store(true)
+	require.Error(t, s.saveSnapshot(snap.Snapshot{Meta: &raftpb.SnapshotMeta{Index: last - 2, Term: term}}))
+	for _, fails := range []bool{true, false} {
+		failing.Store(fails)
+		if err := s.dropSuperfluous(); fails {
+			require.ErrorIs(t, err, syscall.EIO)
+		} else {
+			require.NoError(t, err)
+		}
+		crashed := disk.Clone()
+		crashed.Crash(rand.New(rand.NewPCG(1, 1)))
+		again := options
+		again.FS = crashed
+		_, loaded, err := openStorage(again)
+		require.NoError(t, err)
+		require.Equal(t, last, loaded.state.Entries[len(loaded.state.Entries)-1].GetIndex())
+	}
+}
