--- a/replica/disk_test.go
+++ b/replica/disk_test.go
@@ -405,3 +405,31 @@
 		require.Equal(t, last, loaded.state.Entries[len(loaded.state.Entries)-1].GetIndex())
 	}
 }
+
+// Guards against a group that takes no commands, although a quorum of its members is well, because the disk of its leader has no room for a
+// snapshot and its log has reached its limit.
+func TestLeaderWithoutRoomForSnapshotsHandsOver(t *testing.T) {
+	t.Parallel()
+	full := map[uint64]*atomic.Bool{1: {}, 2: {}, 3: {}}
+	g := newGroup(t, 3, func(o *Options) {
+		o.FS = noNewFiles{simdisk.New(), full[o.ID]}
+		o.SnapshotBytes, o.TrailingBytes, o.MaxLogBytes, o.SegmentBytes = 64<<10, 32<<10, 512<<10, 64<<10
+	})
+	leader := g.write(1, failoverLimit)
+	full[leader.options.ID].Store(true)
+	for value := uint64(2); value < 60; value++ {
+		require.Eventually(t, func() bool {
+			for _, p := range g.members {
+				if proposeLarge(t, p.Replica, value) == nil {
+					return true
+				}
+			}
+			return false
+		}, 2*failoverLimit, 5*time.Millisecond, "command %d is refused by all members", value)
+	}
+	full[leader.options.ID].Store(false)
+	for _, p := range g.members {
+		require.NoError(t, p.Err())
+		g.requireValue(p, 59)
+	}
+}
--- a/replica/fulldisk.go
+++ b/replica/fulldisk.go
@@ -16,6 +16,9 @@
 	roomInterval = 100 * time.Millisecond
 	// snapshotRetryInterval is the pause after a snapshot that could not be saved.
 	snapshotRetryInterval = time.Second
+	// handOverInterval is the shortest time between two transfers of leadership for lack of room. Without a limit, members that all have
+	// no room would pass the leadership around all the time.
+	handOverInterval = 5 * time.Second
 )
 
 // refusedByFullDisk reports whether an error is a write that can be repeated.
@@ -114,6 +117,17 @@
 	return r.options.MaxLogBytes > 0 && r.storage.wal.Bytes()+r.unsavedBytes > r.options.MaxLogBytes
 }
 
+// handOver transfers the leadership if this member refuses commands because its disk has no room for the snapshot that would shorten the log.
+// The others may have room.
+func (r *Replica) handOver() {
+	if r.snapshotRetryAt.Load() == 0 || !r.logIsTooLong() || time.Since(r.handedOverAt) < handOverInterval {
+		return
+	}
+	if r.node.TransferLeadership() {
+		r.handedOverAt = time.Now()
+	}
+}
+
 // requestSnapshot has the applier take a snapshot if it is idle and something was applied since the last one.
 func (r *Replica) requestSnapshot() {
 	if r.applying == 0 && r.node.Status().Applied > 0 {
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -80,6 +80,8 @@
 		select {
 		case <-ticker.C:
 			r.retryReads()
+			r.tick()
+			r.handOver()
 		case m := <-r.inbox:
 			r.tick()
 			r.stepBatch(m)
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -188,6 +188,8 @@
 	pending map[uint64]*proposal
 	// unsavedBytes is the size of the commands that the core has taken and the log does not hold yet.
 	unsavedBytes int64
+	// handedOverAt is when leadership was last transferred for lack of room.
+	handedOverAt time.Time
 	// rounds maps the contexts of ReadIndex calls to the read rounds that are not confirmed yet.
 	rounds map[uint64]*readRound
 	// lastRound is the context of the last started round.
