trafficset: a request without a key belongs to no account

Callers would see: in a set whose account lists an empty key, requests without any key run for that account.

Cause: a missing key and an empty one are the same empty text, and the text was looked up among the keys of the accounts.

An empty key finds no account now. Sets with such a key are still accepted, and two accounts that share it are still refused. TestRequestWithoutKeyHasNoAccount failed before: status 200 instead of 401.

--- a/gateway/accounts_test.go
+++ b/gateway/accounts_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -29,3 +30,22 @@
 	require.NoError(t, err)
 	require.Equal(t, 200, status)
 }
+
+// Guards against requests without a key running for an account with an empty one.
+func TestRequestWithoutKeyHasNoAccount(t *testing.T) {
+	s := newSystem(t, good)
+	set := *s.sets.Set()
+	set.Accounts = []trafficset.Account{{Name: "acme", Keys: []string{"", "k"}}}
+	require.NoError(t, set.Build())
+	s.sets.set.Store(&set)
+	for _, change := range []func(*http.Request){
+		func(r *http.Request) { r.Header.Del("Key") }, func(r *http.Request) { r.Header.Set("Key", "") },
+	} {
+		status, _, err := s.call("POST", "/once/", "", change)
+		require.NoError(t, err)
+		require.Equal(t, 401, status)
+	}
+	status, _, err := s.call("POST", "/once/", "")
+	require.NoError(t, err)
+	require.Equal(t, 200, status)
+}
--- a/trafficset/trafficset.go
+++ b/trafficset/trafficset.go
@@ -239,8 +239,13 @@
 // RequiresKeys reports whether callers of routes that are not public need the key of an account.
 func (s *Set) RequiresKeys() bool { return s.Accounts != nil }
 
-// Account returns the account that holds a key.
-func (s *Set) Account(key string) *Account { return s.keys[key] }
+// Account returns the account that holds a key. A request without a key, which is empty here, has none, whatever the accounts list.
+func (s *Set) Account(key string) *Account {
+	if key == "" {
+		return nil
+	}
+	return s.keys[key]
+}
 
 // Service returns a service by name.
 func (s *Set) Service(name string) *Service { return s.services[name] }
