cli, controlclient: TestPublish does not depend on a time limit of 500 ms

Cause: all calls of the test had a limit of 500 ms of real time, over all attempts, and the first attempt gets half of it. If the stub does not answer the question for the current version in time, nothing is published and exit code 1 is right. The test then fails although the command line does what it must. Calls that are answered now have a limit of 1 min; only those to an address where no member listens keep 500 ms. The publish with lost answers is interrupted once it has been sent twice, so the time limit has no part in it any more.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"storj.io/drpc/drpcmux"
@@ -79,12 +80,25 @@
 	return listener.Addr().String()
 }
 
+const (
+	// unreachable is an address at which no member listens.
+	unreachable = "127.0.0.1:1"
+	// unreachableLimit ends calls to it.
+	unreachableLimit = 500 * time.Millisecond
+	// answerLimit is more than a loaded machine needs to answer a call.
+	answerLimit = time.Minute
+)
+
 // invoke runs the command line against a member as operator dana.
 func invoke(t *testing.T, address string, args ...string) (code int, stdout, stderr string) {
+	return invokeContext(t.Context(), t, answerLimit, address, args...)
+}
+
+func invokeContext(ctx context.Context, t *testing.T, limit time.Duration, address string, args ...string) (code int, stdout, stderr string) {
 	t.Setenv("WASABISHUNT_TOKEN", "token")
 	var out, errOut bytes.Buffer
-	argv := append([]string{"--control", address, "--operator", "dana", "--timeout", "500ms"}, args...)
-	code = Run(context.Background(), argv, &out, &errOut)
+	argv := append([]string{"--control", address, "--operator", "dana", "--timeout", limit.String()}, args...)
+	code = Run(ctx, argv, &out, &errOut)
 	return code, out.String(), errOut.String()
 }
 
@@ -96,14 +110,14 @@
 
 // Guards against a rejected set whose problems are not all shown, and against wrong exit codes of local commands.
 func TestValidate(t *testing.T) {
-	code, out, _ := invoke(t, "127.0.0.1:1", "validate", "../examples/qasr.yaml")
+	code, out, _ := invoke(t, unreachable, "validate", "../examples/qasr.yaml")
 	require.Equal(t, ExitOK, code)
 	require.Equal(t, "valid\n", out)
-	code, _, stderr := invoke(t, "127.0.0.1:1", "validate", writeFile(t, "zones: 3\nother: 1\n"))
+	code, _, stderr := invoke(t, unreachable, "validate", writeFile(t, "zones: 3\nother: 1\n"))
 	require.Equal(t, ExitRefused, code)
 	require.Contains(t, stderr, "zones: line 1")
 	require.Contains(t, stderr, "other: line 2")
-	code, _, _ = invoke(t, "127.0.0.1:1", "validate", "missing.yaml")
+	code, _, _ = invoke(t, unreachable, "validate", "missing.yaml")
 	require.Equal(t, ExitRefused, code)
 }
 
@@ -143,26 +157,57 @@
 	s.respond = func(*controlpb.PublishRequest) *controlpb.PublishResponse {
 		return &controlpb.PublishResponse{Failure: &controlpb.Failure{Kind: "proposal_lost", Execution: "unknown"}}
 	}
-	code, _, stderr = invoke(t, address, "publish", file, "--operation-id", "op-9")
+	code, _, stderr = s.invokeUntilResent(t, address, "op-9", "publish", file)
 	require.Equal(t, ExitUnknown, code)
 	require.Contains(t, stderr, "--expect-version 7 --operation-id op-9")
-	code, out, _ = invoke(t, address, "-o", "json", "publish", file, "--operation-id", "op-9")
+	code, out, _ = s.invokeUntilResent(t, address, "op-10", "-o", "json", "publish", file)
 	require.Equal(t, ExitUnknown, code)
 	r = report{}
 	require.NoError(t, json.Unmarshal([]byte(out), &r))
 	require.Equal(t, "unknown", r.Execution)
-	require.Contains(t, r.Resend, "--expect-version 7 --operation-id op-9")
+	require.Contains(t, r.Resend, "--expect-version 7 --operation-id op-10")
+
+	code, _, stderr = invokeContext(t.Context(), t, unreachableLimit, unreachable, "publish", file, "--operation-id", "op-9")
+	require.Equal(t, ExitRefused, code)
+	require.Contains(t, stderr, "nothing was published")
+}
+
+// invokeUntilResent runs the command line, and interrupts it once the operation has been sent twice: a time limit may end it
+// before a loaded machine has sent it once.
+func (s *stub) invokeUntilResent(t *testing.T, address, operation string, args ...string) (code int, stdout, stderr string) {
+	ctx, interrupt := context.WithCancel(t.Context())
+	defer interrupt()
+	respond, calls := s.respond, 0
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.respond = respond
+	}()
+	s.respond = func(q *controlpb.PublishRequest) *controlpb.PublishResponse {
+		if q.OperationId == operation && q.ExpectVersion == 7 {
+			calls++
+		}
+		if calls == 2 {
+			interrupt()
+		}
+		return respond(q)
+	}
+	code, stdout, stderr = invokeContext(ctx, t, answerLimit, address, append(args, "--operation-id", operation)...)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	require.Equal(t, 2, calls, stderr)
+	return code, stdout, stderr
 }
 
 // Guards against help without the exit codes, and against a --control flag that adds to the addresses of the
 // environment instead of replacing them.
 func TestHelpAndEnvironment(t *testing.T) {
-	code, out, _ := invoke(t, "127.0.0.1:1", "--help")
+	code, out, _ := invoke(t, unreachable, "--help")
 	require.Equal(t, ExitOK, code)
 	require.Contains(t, out, "Exit codes: 0")
 	address := serve(t, &stub{status: &controlpb.StatusResponse{MemberId: 1, LeaderId: 1}})
 	t.Setenv("WASABISHUNT_CONTROL", address)
-	code, out, _ = invoke(t, "127.0.0.1:1", "-o", "json", "status")
+	code, out, _ = invokeContext(t.Context(), t, unreachableLimit, unreachable, "-o", "json", "status")
 	require.Equal(t, ExitRefused, code)
 	require.NotContains(t, out, address)
 	var stdout, stderr bytes.Buffer
@@ -188,7 +233,7 @@
 	code, out, _ = invoke(t, address, "status")
 	require.Equal(t, ExitOK, code)
 	require.Contains(t, out, "leader")
-	code, out, _ = invoke(t, "127.0.0.1:1", "status")
+	code, out, _ = invokeContext(t.Context(), t, unreachableLimit, unreachable, "status")
 	require.Equal(t, ExitRefused, code)
 	require.Contains(t, out, "unreachable")
 }
@@ -247,11 +292,11 @@
 	}))
 	defer entry.Close()
 	address := strings.TrimPrefix(entry.URL, "http://")
-	code, out, _ := invoke(t, "127.0.0.1:1", "explain", "r1", "--entry", "127.0.0.1:1", "--entry", address)
+	code, out, _ := invoke(t, unreachable, "explain", "r1", "--entry", unreachable, "--entry", address)
 	require.Equal(t, ExitOK, code)
 	require.Contains(t, out, "1  routed to u1\n")
 	require.Contains(t, out, "outcome  ok")
-	code, _, stderr := invoke(t, "127.0.0.1:1", "explain", "r2", "--entry", address)
+	code, _, stderr := invoke(t, unreachable, "explain", "r2", "--entry", address)
 	require.Equal(t, ExitRefused, code)
 	require.Contains(t, stderr, "status 404")
 }
--- a/cli/explain_test.go
+++ b/cli/explain_test.go
@@ -51,15 +51,15 @@
 	id, address := response.Header.Get("X-Request-Id"), strings.TrimPrefix(server.URL, "http://")
 	require.NotEmpty(t, id)
 
-	code, out, stderr := invoke(t, "127.0.0.1:1", "explain", id, "--entry", address)
+	code, out, stderr := invoke(t, unreachable, "explain", id, "--entry", address)
 	require.Equal(t, ExitOK, code, stderr)
 	require.Contains(t, out, id)
 	require.Contains(t, out, "no_upstream")
-	code, out, _ = invoke(t, "127.0.0.1:1", "-o", "json", "explain", id, "--entry", address)
+	code, out, _ = invoke(t, unreachable, "-o", "json", "explain", id, "--entry", address)
 	require.Equal(t, ExitOK, code)
 	require.True(t, json.Valid([]byte(out)))
 	t.Setenv("WASABISHUNT_TOKEN_FILE", writeFile(t, "wrong"))
-	code, _, stderr = invoke(t, "127.0.0.1:1", "explain", id, "--entry", address)
+	code, _, stderr = invoke(t, unreachable, "explain", id, "--entry", address)
 	require.Equal(t, ExitRefused, code)
 	require.Contains(t, stderr, "--operators-file")
 }
