entry: a newer set that arrives does not make the entry refuse requests

Seen by callers: right after a request that is answered, the next one is refused as stale_set, although the confirmation of the set is still valid. Cause: a reply that names a newer set version makes the view unconfirmed until that version arrives. The entry took this for an expired confirmation, and asked for ReadyMargin (half of the limit, 2 s) before it accepted requests again. The set comes by the stream, the next confirmation with the next presence report. After a change of the member, or on a loaded machine, less than 2 s can be left when the set arrives; the request that waited for it was then refused at once, and readyz said not ready. Fix: only a confirmation that has expired, or no set at all, asks for the margin again.

--- a/entry/server.go
+++ b/entry/server.go
@@ -61,7 +61,7 @@
 	// running ends shortly before the drain limit of a stop.
 	running    context.Context
 	endRunning context.CancelCauseFunc
-	// confirmed is the last result of hasConfirmedSet.
+	// confirmed is whether hasConfirmedSet was true since the last confirmation expired.
 	confirmed atomic.Bool
 	handler   http.Handler
 }
@@ -148,7 +148,10 @@
 func (s *Server) hasConfirmedSet(view controlclient.View) bool {
 	now := s.deps.Clock.Now()
 	if !view.Fresh(now) {
-		s.confirmed.Store(false)
+		// While only a newer set is missing, the confirmation still holds: once that set arrives, the entry goes on.
+		if view.Set == nil || !now.Before(view.FreshUntil) {
+			s.confirmed.Store(false)
+		}
 		return false
 	}
 	if s.confirmed.Load() || view.FreshUntil.Sub(now) >= s.options.ReadyMargin {
