--- a/replica/applier.go
+++ b/replica/applier.go
@@ -159,12 +159,15 @@
 		switch {
 		case failure.Is(err, failure.VersionConflict):
 			// A newer snapshot was received in the meantime.
+			r.snapshotFailed.Store(false)
 		case err != nil:
 			// The log holds everything that the snapshot would.
 			r.metrics.snapshotsFailed.Inc(1)
 			r.log.Warn("snapshot not saved", zap.Uint64("index", job.meta.GetIndex()), zap.Int("bytes", len(data)), zap.Error(err))
+			r.snapshotFailed.Store(true)
 			r.snapshotRetryAt.Store(int64(r.now() + snapshotRetryInterval))
 		default:
+			r.snapshotFailed.Store(false)
 			r.snapshotBytes.Store(int64(len(data)))
 			r.log.Info("snapshot saved", zap.Uint64("index", job.meta.GetIndex()), zap.Int("bytes", len(data)))
 			r.report(event{saved: job.meta})
--- a/replica/disk_test.go
+++ b/replica/disk_test.go
@@ -433,3 +433,45 @@
 		g.requireValue(p, 59)
 	}
 }
+
+// paddedMachine is a register with a large snapshot.
+type paddedMachine struct{ *register }
+
+func (m paddedMachine) Snapshot() func() ([]byte, error) {
+	encode := m.register.Snapshot()
+	return func() ([]byte, error) {
+		data, err := encode()
+		return append(data, make([]byte, paddingBytes)...), err
+	}
+}
+
+// Guards against a follower that never comes back because its log has taken the whole disk while no snapshot could be saved: nothing of the log
+// can be removed then, and a snapshot has no room any more.
+func TestLogOfFollowerLeavesRoomForSnapshots(t *testing.T) {
+	t.Parallel()
+	full := map[uint64]*atomic.Bool{1: {}, 2: {}, 3: {}}
+	g := newGroup(t, 3, func(o *Options) {
+		disk := simdisk.New()
+		disk.SetCapacity(smallDiskBytes)
+		o.FS, o.StateMachine = noNewFiles{disk, full[o.ID]}, paddedMachine{o.StateMachine.(*register)}
+		o.SnapshotBytes, o.TrailingBytes, o.MaxLogBytes, o.SegmentBytes = 64<<10, 32<<10, smallDiskBytes/2, 64<<10
+	})
+	leader := g.write(1, failoverLimit)
+	follower := g.members[leader.options.ID%3+1]
+	full[follower.options.ID].Store(true)
+	for value := uint64(2); value < 200; value++ {
+		require.Eventually(t, func() bool {
+			for _, p := range g.members {
+				if proposeLarge(t, p.Replica, value) == nil {
+					return true
+				}
+			}
+			return false
+		}, 2*failoverLimit, 5*time.Millisecond, "command %d is refused by all members", value)
+	}
+	full[follower.options.ID].Store(false)
+	for _, p := range g.members {
+		require.NoError(t, p.Err())
+		g.requireValue(p, 199)
+	}
+}
--- a/replica/fulldisk.go
+++ b/replica/fulldisk.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/raft"
 	"github.com/wasabishunt/wasabishunt/raft/diskfs"
 	"github.com/wasabishunt/wasabishunt/raft/wal"
 )
@@ -117,10 +118,20 @@
 	return r.options.MaxLogBytes > 0 && r.storage.wal.Bytes()+r.unsavedBytes > r.options.MaxLogBytes
 }
 
+// checkLogLimit refuses entries as a full disk does once the log has one and a half times MaxLogBytes and no snapshot can be saved. A follower
+// cannot refuse the commands of its leader, and a log that has taken the whole disk leaves no room for the snapshot that would shorten it.
+func (r *Replica) checkLogLimit(ready raft.Ready) error {
+	limit := r.options.MaxLogBytes + r.options.MaxLogBytes/2
+	if limit == 0 || len(ready.Entries) == 0 || ready.Snapshot != nil || !r.snapshotFailed.Load() || r.storage.wal.Bytes() <= limit {
+		return nil
+	}
+	return &wal.FullError{Cause: failure.New(failure.StorageFailed, failure.NotRun, "the log has more than %d bytes and no snapshot could be saved", limit)}
+}
+
 // handOver transfers the leadership if this member refuses commands because its disk has no room for the snapshot that would shorten the log.
 // The others may have room.
 func (r *Replica) handOver() {
-	if r.snapshotRetryAt.Load() == 0 || !r.logIsTooLong() || time.Since(r.handedOverAt) < handOverInterval {
+	if !r.snapshotFailed.Load() || !r.logIsTooLong() || time.Since(r.handedOverAt) < handOverInterval {
 		return
 	}
 	if r.node.TransferLeadership() {
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -181,6 +181,9 @@
 // they depend on is durable.
 func (r *Replica) process(ready raft.Ready) error {
 	received := r.receivedSnapshot(ready)
+	if err := r.checkLogLimit(ready); err != nil {
+		return err
+	}
 	if ready.MustSync() {
 		begin := time.Now()
 		if err := r.storage.persist(ready, received); err != nil {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -176,7 +176,9 @@
 	snapshotBytes atomic.Int64
 	// snapshotRetryAt is when a snapshot that could not be saved is taken again, as returned by now; 0 if the last one was saved.
 	snapshotRetryAt atomic.Int64
-	waitsForRoom    atomic.Bool
+	// snapshotFailed is set if the last snapshot could not be saved, also while the next attempt runs.
+	snapshotFailed atomic.Bool
+	waitsForRoom   atomic.Bool
 	// receiving is held while a snapshot is received.
 	receiving sync.Mutex
 
