raft/diskfs: a file that could not be renamed leaves nothing behind

Cause: WriteFile removes its temporary file if writing fails, but not if renaming does, which a full disk refuses when the directory has to grow. Why it works: the temporary file is removed after a failure of any step before the new name is in place.

--- a/raft/diskfs/diskfs.go
+++ b/raft/diskfs/diskfs.go
@@ -59,13 +59,13 @@
 	if err == nil {
 		err = file.Sync()
 	}
-	if err = errors.Join(err, file.Close()); err != nil {
+	if err = errors.Join(err, file.Close()); err == nil {
+		err = disk.Rename(temp, name)
+	}
+	if err != nil {
 		// On a full disk the temporary file would keep the room that others need.
 		return errors.Join(err, disk.Remove(temp))
 	}
-	if err := disk.Rename(temp, name); err != nil {
-		return err
-	}
 	return disk.SyncDir(filepath.Dir(name))
 }
 
