--- a/raft/wal/open.go
+++ b/raft/wal/open.go
@@ -179,12 +179,9 @@
 		if len(l.segments) == 0 {
 			return l.startSegment(active.sequence)
 		}
-		if err := l.options.FS.Remove(name); err != nil {
+		if err := errors.Join(l.options.FS.Remove(name), l.options.FS.SyncDir(l.options.Dir)); err != nil {
 			return l.fail("remove", err)
 		}
-		if err := l.options.FS.SyncDir(l.options.Dir); err != nil {
-			return l.fail("directory sync", err)
-		}
 		active = l.segments[len(l.segments)-1]
 		name, r.tail = l.options.path(active.sequence), active.bytes
 	} else if r.contents.TruncatedBytes > 0 {
