raft/wal: a save that a full disk refuses takes back its first records

A member that waits for room takes more of its disk with each attempt, until it has taken what there is. Cause: a save of 64 MiB and more is written as several records. The log was not "as it was before the call", as FullError says. The length of a record is a field of the log for this test. Why it works: the segment is cut back to its length before the save, with a sync. The records in question were never acknowledged, and a save starts a new segment only at its end, so all of them are in the one that is cut.

--- a/raft/wal/open.go
+++ b/raft/wal/open.go
@@ -14,7 +14,7 @@
 // Open reads the log in a directory, or creates an empty one, and truncates a torn tail.
 func Open(options Options) (*Log, Contents, error) {
 	options.setDefaults()
-	l := &Log{options: options}
+	l := &Log{options: options, recordBytes: maxItemBytes}
 	if err := options.FS.MkdirAll(options.Dir); err != nil {
 		return nil, Contents{}, l.fail("create directory", err)
 	}
--- a/raft/wal/wal.go
+++ b/raft/wal/wal.go
@@ -115,6 +115,8 @@
 	hard   *raftpb.HardState
 	mark   *raftpb.SnapshotMeta
 	failed *FailedError
+	// recordBytes is the length from which Save begins another record; only tests change it.
+	recordBytes int
 }
 
 const defaultSegmentBytes = 64 << 20
@@ -135,13 +137,27 @@
 // Save appends entries and the hard state and syncs them. An entry replaces earlier entries of the same and higher
 // indexes.
 func (l *Log) Save(hard *raftpb.HardState, entries []*raftpb.Entry) error {
+	size, last, active := l.size, l.last, l.segments[len(l.segments)-1]
+	err := l.save(hard, entries)
+	if !errors.As(err, new(*FullError)) || l.size == size {
+		return err
+	}
+	// The first records of a long save are taken back: each repetition of it would add them again.
+	if truncated := l.options.FS.Truncate(l.options.path(active.sequence), size); truncated != nil {
+		return l.fail("truncate", errors.Join(err, truncated))
+	}
+	l.size, l.last, l.segments[len(l.segments)-1] = size, last, active
+	return err
+}
+
+func (l *Log) save(hard *raftpb.HardState, entries []*raftpb.Entry) error {
 	var payload []byte
 	var err error
 	for _, e := range entries {
 		if payload, err = appendItem(payload, itemEntry, e); err != nil {
 			return err
 		}
-		if len(payload) >= maxItemBytes {
+		if len(payload) >= l.recordBytes {
 			if err = l.write(payload, e.GetIndex()); err != nil {
 				return err
 			}
--- a/raft/wal/wal_test.go
+++ b/raft/wal/wal_test.go
@@ -298,3 +298,26 @@
 		require.Greater(t, l.Segments(), 2)
 	}
 }
+
+// TestFullDiskTakesBackTheFirstRecords guards against a save of several records that leaves the first ones behind when a full disk refuses a
+// later one: each repetition would take more of the disk.
+func TestFullDiskTakesBackTheFirstRecords(t *testing.T) {
+	disk := simdisk.New()
+	l, _ := open(t, disk, 0)
+	require.NoError(t, l.Save(&raftpb.HardState{Term: 1}, entries(1, 1, 1)))
+	l.recordBytes = 100
+	before := disk.Used()
+	disk.SetCapacity(before + 300)
+	for range 3 {
+		require.ErrorAs(t, l.Save(&raftpb.HardState{Term: 2}, entries(2, 2, 20)), new(*FullError))
+		require.Equal(t, before, disk.Used())
+		require.EqualValues(t, before, l.Bytes())
+		_, contents := open(t, disk.Clone(), 0)
+		require.Len(t, contents.Entries, 1)
+	}
+	disk.SetCapacity(0)
+	require.NoError(t, l.Save(&raftpb.HardState{Term: 2}, entries(2, 2, 20)))
+	_, contents := open(t, disk, 0)
+	require.Len(t, contents.Entries, 21)
+	require.EqualValues(t, 2, contents.HardState.GetTerm())
+}
