raft/wal: test of a kill and a crash at each step on a full disk

For 200 amounts of room, saves, marks and new segments are cut off after each operation on the disk, by the end of the process and by that of the machine, and the log is opened again on the disk that is still full. No fault was found in the code at hand.

--- a/raft/wal/wal_test.go
+++ b/raft/wal/wal_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/raft/diskfs"
 	"github.com/wasabishunt/wasabishunt/raft/diskfs/simdisk"
 	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
 )
@@ -321,3 +322,110 @@
 	require.Len(t, contents.Entries, 21)
 	require.EqualValues(t, 2, contents.HardState.GetTerm())
 }
+
+// steppedDisk calls after each operation that changes the disk, also after one that failed.
+type steppedDisk struct {
+	*simdisk.Disk
+	after func()
+}
+
+func (d steppedDisk) Create(name string) (diskfs.File, error) {
+	defer d.after()
+	file, err := d.Disk.Create(name)
+	if err != nil {
+		return nil, err
+	}
+	return &steppedFile{file, d.after}, nil
+}
+
+func (d steppedDisk) Append(name string) (diskfs.File, error) {
+	file, err := d.Disk.Append(name)
+	if err != nil {
+		return nil, err
+	}
+	return &steppedFile{file, d.after}, nil
+}
+
+func (d steppedDisk) Remove(name string) error {
+	defer d.after()
+	return d.Disk.Remove(name)
+}
+
+func (d steppedDisk) Truncate(name string, size int64) error {
+	defer d.after()
+	return d.Disk.Truncate(name, size)
+}
+
+func (d steppedDisk) SyncDir(dir string) error {
+	defer d.after()
+	return d.Disk.SyncDir(dir)
+}
+
+type steppedFile struct {
+	diskfs.File
+	after func()
+}
+
+func (f *steppedFile) Write(data []byte) (int, error) {
+	defer f.after()
+	return f.File.Write(data)
+}
+
+func (f *steppedFile) Sync() error {
+	defer f.after()
+	return f.File.Sync()
+}
+
+// TestFullDiskAndCrashAtEachStep guards against a log that loses acknowledged records, goes back in its term or cannot be opened, also on the
+// full disk, because the process or the machine ended between two steps of a save, a mark or a new segment without room.
+func TestFullDiskAndCrashAtEachStep(t *testing.T) {
+	steps := 0
+	for space := range 200 {
+		disk := simdisk.New()
+		acknowledged := uint64(0)
+		check := func() {
+			steps++
+			killed, crashed := disk.Clone(), disk.Clone()
+			crashed.Crash(rand.New(rand.NewPCG(uint64(steps), 1)))
+			for _, d := range []*simdisk.Disk{killed, crashed} {
+				if acknowledged == 0 {
+					// The first segment needs room.
+					continue
+				}
+				again, contents := open(t, d, 200)
+				require.GreaterOrEqual(t, contents.HardState.GetTerm(), acknowledged, "space %d, step %d", space, steps)
+				require.GreaterOrEqual(t, contents.Mark.GetIndex()+uint64(len(contents.Entries)), acknowledged, "space %d, step %d", space, steps)
+				d.SetSpace(-1)
+				d.SetCapacity(0)
+				next := contents.HardState.GetTerm() + 1
+				last := contents.Mark.GetIndex()
+				if k := len(contents.Entries); k > 0 {
+					last = contents.Entries[k-1].GetIndex()
+				}
+				require.NoError(t, again.Save(&raftpb.HardState{Term: next}, entries(next, last+1, 1)))
+				_, contents = open(t, d, 200)
+				require.Equal(t, next, contents.HardState.GetTerm())
+			}
+		}
+		l, _, err := Open(Options{FS: steppedDisk{disk, check}, Dir: "wal", Group: "g", MemberID: 1, SegmentBytes: 200})
+		require.NoError(t, err)
+		for term := uint64(1); term <= 20; term++ {
+			if term == 6 {
+				disk.SetCapacity(disk.Used() + space)
+			}
+			if err := l.Save(&raftpb.HardState{Term: acknowledged + 1}, entries(acknowledged+1, acknowledged+1, 1)); err != nil {
+				require.ErrorAs(t, err, new(*FullError))
+				marked := max(acknowledged, 2) - 2
+				if err := l.Mark(&raftpb.SnapshotMeta{Index: marked}, false); err != nil {
+					require.ErrorAs(t, err, new(*FullError))
+				}
+				if term%2 == 0 {
+					disk.SetCapacity(0)
+				}
+				continue
+			}
+			acknowledged++
+		}
+	}
+	require.Greater(t, steps, 1000)
+}
