--- /dev/null
+++ b/replica/logbytes_test.go
@@ -0,0 +1,235 @@
+package replica
+
+import (
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/raft/diskfs"
+	"github.com/wasabishunt/wasabishunt/raft/diskfs/simdisk"
+	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
+)
+
+const (
+	smallDiskBytes = 2 << 20
+	commandBytes   = 20 << 10
+)
+
+func startOnSmallDisk(t *testing.T, tune func(*Options)) (*Replica, *simdisk.Disk) {
+	disk := simdisk.New()
+	disk.SetCapacity(smallDiskBytes)
+	options := Options{
+		ID: 1, Group: "test", Address: "127.0.0.1:1", Dir: "data", FS: disk, StateMachine: &register{}, SegmentBytes: 64 << 10,
+		Bootstrap: []*raftpb.Member{{Id: 1, Address: "127.0.0.1:1"}},
+	}
+	tune(&options)
+	r, err := Start(options)
+	require.NoError(t, err)
+	t.Cleanup(r.Stop)
+	require.Eventually(t, r.Fresh, failoverLimit, 5*time.Millisecond)
+	return r, disk
+}
+
+func proposeLarge(t *testing.T, r *Replica, value uint64) error {
+	_, err := r.Propose(t.Context(), append(set(value), make([]byte, commandBytes)...))
+	return err
+}
+
+func TestLogIsCutByBytes(t *testing.T) {
+	t.Parallel()
+	r, disk := startOnSmallDisk(t, func(o *Options) { o.SnapshotBytes, o.TrailingBytes, o.MaxLogBytes = 128<<10, 64<<10, smallDiskBytes/2 })
+	for value := uint64(1); value <= 500; value++ {
+		require.Eventually(t, func() bool {
+			err := proposeLarge(t, r, value)
+			require.True(t, err == nil || failure.Of(err).Execution == failure.NotRun, "%v", err)
+			return err == nil
+		}, failoverLimit, time.Millisecond)
+		require.Less(t, disk.Used(), smallDiskBytes*3/4)
+	}
+	require.Eventually(t, func() bool { return disk.Used() < smallDiskBytes/2 }, failoverLimit, time.Millisecond)
+}
+
+func TestCommandsAreRefusedBeforeTheDiskIsFull(t *testing.T) {
+	t.Parallel()
+	r, disk := startOnSmallDisk(t, func(o *Options) {
+		o.SnapshotBytes, o.MaxLogBytes, o.StateMachine = 1<<40, smallDiskBytes/2, &paddedRegister{}
+	})
+	// Other files leave room for the log, but not for a snapshot.
+	disk.SetCapacity(smallDiskBytes/2 + paddingBytes/2)
+	value := uint64(0)
+	for err := error(nil); err == nil; value++ {
+		if err = proposeLarge(t, r, value); err != nil {
+			require.True(t, failure.Is(err, failure.StorageFailed))
+			require.Equal(t, failure.NotRun, failure.Of(err).Execution, "%v", err)
+		}
+	}
+	require.NoError(t, r.ReadBarrier(t.Context()))
+	require.False(t, r.WaitsForRoom())
+	disk.SetCapacity(0)
+	require.Eventually(t, func() bool { return proposeLarge(t, r, value) == nil }, failoverLimit, 20*time.Millisecond)
+	require.NoError(t, r.Err())
+}
+
+func TestSnapshotIsDueByBytes(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		applied             uint64
+		bytes, lastSnapshot int64
+		requested, want     bool
+	}{
+		{applied: 100, want: true},
+		{applied: 99, bytes: 999},
+		{applied: 1, bytes: 1000, want: true},
+		{applied: 1, bytes: 1000, lastSnapshot: 600},
+		{applied: 1, bytes: 1200, lastSnapshot: 600, want: true},
+		{applied: 1, requested: true, want: true},
+		{requested: true},
+	} {
+		r := &Replica{options: Options{SnapshotEvery: 100, SnapshotBytes: 1000}}
+		r.snapshotBytes.Store(c.lastSnapshot)
+		a := &applier{replica: r, last: &raftpb.SnapshotMeta{Index: 50 + c.applied}, lastSnapshot: 50, bytes: c.bytes, due: c.requested}
+		require.Equal(t, c.want, a.isSnapshotDue(), "%+v", c)
+	}
+}
+
+type stallingDisk struct {
+	*simdisk.Disk
+	stall *sync.RWMutex
+}
+
+func (d stallingDisk) Create(name string) (diskfs.File, error) {
+	file, err := d.Disk.Create(name)
+	return stallingFile{file, d.stall}, err
+}
+
+func (d stallingDisk) Append(name string) (diskfs.File, error) {
+	file, err := d.Disk.Append(name)
+	return stallingFile{file, d.stall}, err
+}
+
+type stallingFile struct {
+	diskfs.File
+	stall *sync.RWMutex
+}
+
+func (f stallingFile) Sync() error {
+	f.stall.RLock()
+	defer f.stall.RUnlock()
+	return f.File.Sync()
+}
+
+func TestCommandsOfOneSyncFitOnTheDisk(t *testing.T) {
+	t.Parallel()
+	stall := &sync.RWMutex{}
+	r, disk := startOnSmallDisk(t, func(o *Options) {
+		o.SnapshotBytes, o.TrailingBytes, o.MaxLogBytes = 128<<10, 64<<10, smallDiskBytes/2
+		o.FS = stallingDisk{o.FS.(*simdisk.Disk), stall}
+	})
+	require.NoError(t, proposeLarge(t, r, 1))
+	const commands = 2 * smallDiskBytes / commandBytes
+	stall.Lock()
+	results := make(chan error, commands)
+	for value := range uint64(commands) {
+		go func() { results <- proposeLarge(t, r, 2+value) }()
+	}
+	// The first command waits for its sync, and the others in the queue.
+	require.Eventually(t, func() bool { return len(r.proposals) >= commands-2 }, failoverLimit, time.Millisecond)
+	stall.Unlock()
+	require.Eventually(t, func() bool { return proposeLarge(t, r, 1000) == nil }, failoverLimit, 10*time.Millisecond)
+	for range commands {
+		if err := <-results; err != nil {
+			require.Equal(t, failure.NotRun, failure.Of(err).Execution, "%v", err)
+		}
+	}
+	require.Less(t, disk.Used(), smallDiskBytes*3/4)
+	require.NoError(t, r.Err())
+}
+
+type noNewFiles struct {
+	*simdisk.Disk
+	full *atomic.Bool
+}
+
+func (d noNewFiles) Create(name string) (diskfs.File, error) {
+	if d.full.Load() {
+		return nil, syscall.ENOSPC
+	}
+	return d.Disk.Create(name)
+}
+
+func TestLongSegmentIsReplacedOnceThereIsRoom(t *testing.T) {
+	t.Parallel()
+	full := &atomic.Bool{}
+	r, _ := startOnSmallDisk(t, func(o *Options) {
+		o.SnapshotBytes, o.TrailingBytes, o.MaxLogBytes = 128<<10, 64<<10, smallDiskBytes/2
+		o.FS = noNewFiles{o.FS.(*simdisk.Disk), full}
+	})
+	full.Store(true)
+	value := uint64(1)
+	for proposeLarge(t, r, value) == nil {
+		value++
+	}
+	full.Store(false)
+	require.Eventually(t, func() bool { return proposeLarge(t, r, value) == nil }, failoverLimit, 20*time.Millisecond)
+	require.NoError(t, r.Err())
+}
+
+func TestLeaderWithoutRoomForSnapshotsHandsOver(t *testing.T) {
+	t.Parallel()
+	full := map[uint64]*atomic.Bool{1: {}, 2: {}, 3: {}}
+	g := newGroup(t, 3, func(o *Options) {
+		o.FS = noNewFiles{simdisk.New(), full[o.ID]}
+		o.SnapshotBytes, o.TrailingBytes, o.MaxLogBytes, o.SegmentBytes = 64<<10, 32<<10, 512<<10, 64<<10
+	})
+	leader := g.write(1, failoverLimit)
+	full[leader.options.ID].Store(true)
+	for value := uint64(2); value < 60; value++ {
+		require.Eventually(t, func() bool {
+			for _, p := range g.members {
+				if proposeLarge(t, p.Replica, value) == nil {
+					return true
+				}
+			}
+			return false
+		}, 2*failoverLimit, 5*time.Millisecond, "command %d is refused by all members", value)
+	}
+	full[leader.options.ID].Store(false)
+	for _, p := range g.members {
+		require.NoError(t, p.Err())
+		g.requireValue(p, 59)
+	}
+}
+
+func TestLogOfFollowerLeavesRoomForSnapshots(t *testing.T) {
+	t.Parallel()
+	full := map[uint64]*atomic.Bool{1: {}, 2: {}, 3: {}}
+	g := newGroup(t, 3, func(o *Options) {
+		disk := simdisk.New()
+		disk.SetCapacity(smallDiskBytes)
+		o.FS, o.StateMachine = noNewFiles{disk, full[o.ID]}, paddedMachine{o.StateMachine.(*register)}
+		o.SnapshotBytes, o.TrailingBytes, o.MaxLogBytes, o.SegmentBytes = 64<<10, 32<<10, smallDiskBytes/2, 64<<10
+	})
+	leader := g.write(1, failoverLimit)
+	follower := g.members[leader.options.ID%3+1]
+	full[follower.options.ID].Store(true)
+	for value := uint64(2); value < 200; value++ {
+		require.Eventually(t, func() bool {
+			for _, p := range g.members {
+				if proposeLarge(t, p.Replica, value) == nil {
+					return true
+				}
+			}
+			return false
+		}, 2*failoverLimit, 5*time.Millisecond, "command %d is refused by all members", value)
+	}
+	full[follower.options.ID].Store(false)
+	for _, p := range g.members {
+		require.NoError(t, p.Err())
+		g.requireValue(p, 199)
+	}
+}
