--- a/replica/linearizable_test.go
+++ b/replica/linearizable_test.go
@@ -205,13 +205,13 @@
 // cutLeader isolates the leader until another one is elected, and waits until the old one follows it.
 func cutLeader(t *testing.T, g *group) {
 	old := g.leader()
+	defer g.logStatesIfFailed()
 	g.isolate(old.options.ID)
 	require.Eventually(t, func() bool {
 		id, _ := g.other(old).Leader()
 		return id != 0 && id != old.options.ID
 	}, 2*failoverLimit, 5*time.Millisecond)
 	g.heal()
-	defer g.logStatesIfFailed()
 	require.Eventually(t, func() bool {
 		id, _ := old.Leader()
 		return id != 0 && id != old.options.ID && old.Fresh()
