--- a/raft/wal/fulldisk_test.go
+++ b/raft/wal/fulldisk_test.go
@@ -12,6 +12,8 @@
 	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
 )
 
+// TestFullDisk guards against acknowledging a save on a full disk, against a refused record of which a part stays in the log, and against a
+// log that cannot be opened afterwards.
 func TestFullDisk(t *testing.T) {
 	disk := simdisk.New()
 	l, _ := open(t, disk, 0)
@@ -43,6 +45,8 @@
 	require.EqualValues(t, 4, contents.HardState.GetTerm())
 }
 
+// TestFullDiskKeepsTheSegment guards against a new segment that has no room: the log must go on with the one before it, and the header of
+// the unfinished one must not set the hard state back.
 func TestFullDiskKeepsTheSegment(t *testing.T) {
 	for space := range 80 {
 		disk := simdisk.New()
@@ -79,6 +83,8 @@
 	}
 }
 
+// TestUnfinishedSegmentNeedsNoRoom guards against a log that cannot be opened on a full disk because the process ended while it started a new
+// segment: a member that does not start removes nothing from its disk.
 func TestUnfinishedSegmentNeedsNoRoom(t *testing.T) {
 	for _, header := range []int{0, 1, 20} {
 		disk := simdisk.New()
@@ -108,6 +114,8 @@
 	}
 }
 
+// TestFullDiskTakesBackTheFirstRecords guards against a save of several records that leaves the first ones behind when a full disk refuses a
+// later one: each repetition would take more of the disk.
 func TestFullDiskTakesBackTheFirstRecords(t *testing.T) {
 	disk := simdisk.New()
 	l, _ := open(t, disk, 0)
@@ -129,6 +137,8 @@
 	require.EqualValues(t, 2, contents.HardState.GetTerm())
 }
 
+// TestFullDiskAndCrashAtEachStep guards against a log that loses acknowledged records, goes back in its term or cannot be opened, also on the
+// full disk, because the process or the machine ended between two steps of a save, a mark or a new segment without room.
 func TestFullDiskAndCrashAtEachStep(t *testing.T) {
 	steps := 0
 	for space := range 200 {
--- a/raft/wal/wal_test.go
+++ b/raft/wal/wal_test.go
@@ -39,9 +39,7 @@
 }
 
 // TestTornTailIsCut guards against a log that cannot be opened after a crash in the middle of a write, and against one
-
 // that accepts an incomplete record.
-
 func TestTornTailIsCut(t *testing.T) {
 	disk := simdisk.New()
 	l, _ := open(t, disk, 0)
@@ -62,7 +60,6 @@
 }
 
 // TestCorruptionBeforeTheTailIsRefused guards against the truncation of acknowledged entries as if they were a torn tail.
-
 func TestCorruptionBeforeTheTailIsRefused(t *testing.T) {
 	for offset := range 250 {
 		disk := simdisk.New()
@@ -82,7 +79,6 @@
 }
 
 // TestCorruptOldSegmentIsRefused guards against corruption at the end of an older segment that is treated as a torn tail.
-
 func TestCorruptOldSegmentIsRefused(t *testing.T) {
 	disk := simdisk.New()
 	l, _ := open(t, disk, 100)
@@ -96,7 +92,6 @@
 }
 
 // TestFailedSyncMakesTheLogUnusable guards against a retried sync that succeeds although the data is lost.
-
 func TestFailedSyncMakesTheLogUnusable(t *testing.T) {
 	disk := simdisk.New()
 	l, _ := open(t, disk, 0)
@@ -113,16 +108,7 @@
 	require.Equal(t, syncs, disk.Syncs())
 }
 
-// TestFullDisk guards against acknowledging a save on a full disk, against a refused record of which a part stays in the log, and against a
-
-// log that cannot be opened afterwards.
-
-// TestFullDiskKeepsTheSegment guards against a new segment that has no room: the log must go on with the one before it, and the header of
-
-// the unfinished one must not set the hard state back.
-
 // TestBatchSharesOneSync guards against one sync per entry, which limits the command rate to the sync rate of the disk.
-
 func TestBatchSharesOneSync(t *testing.T) {
 	disk := simdisk.New()
 	l, _ := open(t, disk, 0)
@@ -132,7 +118,6 @@
 }
 
 // TestForeignLogIsRefused guards against a member that starts with the log of another member.
-
 func TestForeignLogIsRefused(t *testing.T) {
 	disk := simdisk.New()
 	open(t, disk, 0)
@@ -141,9 +126,7 @@
 }
 
 // TestCrashKeepsSavedRecords guards against lost or changed records after crashes, combined with segment rotation,
-
 // replaced entries, snapshot marks and dropped segments.
-
 func TestCrashKeepsSavedRecords(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
@@ -177,7 +160,6 @@
 }
 
 // crash simulates a crash during a save and checks that all acknowledged saves can be read back.
-
 func crash(t *rapid.T, disk *simdisk.Disk, l *Log, random *rand.Rand, expected []*raftpb.Entry, term, dropped uint64) *Log {
 	disk.FailSync(errors.New("crash"))
 	require.Error(t, l.Save(nil, entries(term, uint64(len(expected))+1, 1)))
@@ -195,7 +177,6 @@
 }
 
 // FuzzDecodeRecord guards against invalid records that are accepted or crash the reader.
-
 func FuzzDecodeRecord(f *testing.F) {
 	payload, err := appendItem(nil, itemEntry, entries(1, 1, 1)[0])
 	require.NoError(f, err)
@@ -217,16 +198,7 @@
 	})
 }
 
-// TestUnfinishedSegmentNeedsNoRoom guards against a log that cannot be opened on a full disk because the process ended while it started a new
-
-// segment: a member that does not start removes nothing from its disk.
-
-// TestFullDiskTakesBackTheFirstRecords guards against a save of several records that leaves the first ones behind when a full disk refuses a
-
-// later one: each repetition would take more of the disk.
-
 // steppedDisk calls after each operation that changes the disk, also after one that failed.
-
 type steppedDisk struct {
 	*simdisk.Disk
 	after func()
@@ -278,7 +250,3 @@
 	defer f.after()
 	return f.File.Sync()
 }
-
-// TestFullDiskAndCrashAtEachStep guards against a log that loses acknowledged records, goes back in its term or cannot be opened, also on the
-
-// full disk, because the process or the machine ended between two steps of a save, a mark or a new segment without room.
--- a/replica/disk_test.go
+++ b/replica/disk_test.go
@@ -16,7 +16,6 @@
 )
 
 // paddedRegister is a register with a large snapshot.
-
 type paddedRegister struct{ register }
 
 const paddingBytes = 200 << 10
@@ -30,9 +29,7 @@
 }
 
 // Guards against a member that ends itself, and starts an election after each start, because its disk has no room for a snapshot: it can
-
 // go on without.
-
 func TestSnapshotWithoutRoomDoesNotStopTheMember(t *testing.T) {
 	t.Parallel()
 	disk := simdisk.New()
@@ -58,18 +55,15 @@
 }
 
 // startWithDisks starts a group of three whose members have simulated disks.
-
 func startWithDisks(t *testing.T) (*group, map[uint64]*simdisk.Disk) {
 	disks := map[uint64]*simdisk.Disk{1: simdisk.New(), 2: simdisk.New(), 3: simdisk.New()}
 	return newGroup(t, 3, func(o *Options) { o.FS = disks[o.ID] }), disks
 }
 
 // fillDisk leaves no room on a disk; the other files on it take the rest.
-
 func fillDisk(disk *simdisk.Disk) { disk.SetCapacity(disk.Used()) }
 
 // requireValue reads from a member, which may notice a moment later than the others that its disk has room.
-
 func (g *group) requireValue(p *process, want uint64) {
 	g.t.Helper()
 	require.Eventually(g.t, func() bool { return p.ReadBarrier(g.t.Context()) == nil }, failoverLimit, 10*time.Millisecond)
@@ -84,9 +78,7 @@
 }
 
 // Guards against members that end or elect a leader again and again while their disks are full, and against a group that does not go on by
-
 // itself once they have room.
-
 func TestGroupGoesOnOnceFullDisksHaveRoom(t *testing.T) {
 	t.Parallel()
 	g, disks := startWithDisks(t)
@@ -118,9 +110,7 @@
 }
 
 // Guards against a group that refuses or does not answer commands after the disks of its members were full one after another, each for a
-
 // moment.
-
 func TestDisksFullInTurnLeaveTheGroupWorking(t *testing.T) {
 	t.Parallel()
 	g, disks := startWithDisks(t)
@@ -143,9 +133,7 @@
 }
 
 // Guards against acknowledged writes that are not durable on a full disk, against reads of a member that may be outdated, and against a wait
-
 // that a stop does not end.
-
 func TestMemberWithFullDiskAcknowledgesNothing(t *testing.T) {
 	t.Parallel()
 	disk := simdisk.New()
@@ -172,20 +160,7 @@
 	require.EqualValues(t, 1, machine.get())
 }
 
-// startOnSmallDisk starts the only member of a group on a disk of smallDiskBytes.
-
-// proposeLarge proposes a command of commandBytes.
-
-// Guards against a log that is cut by the number of its entries only: large commands fill the disk long before. Snapshots are saved beside the
-
-// commands, so a busy machine may refuse some of them until the log is short again.
-
-// Guards against a leader that takes commands until its disk is full: it refuses them before, as not run, goes on voting and reading, and
-
-// takes them again once a snapshot has shortened the log.
-
 // Guards against a new member that can never start again because it ended between saving its first snapshot and marking it in the log.
-
 func TestNewMemberStartsAfterAnUnmarkedSnapshot(t *testing.T) {
 	t.Parallel()
 	disk := simdisk.New()
@@ -208,22 +183,7 @@
 	}
 }
 
-// Guards against snapshots that are due by the number of entries only, and against a large state that is written again after each command.
-
-// stallingDisk holds back syncs while stall is locked.
-
-// Guards against a leader that takes more commands for one sync than its disk has room for, because it compares only what is already in the
-
-// log with its limit: it waits without end for room that nothing frees.
-
-// noNewFiles refuses new files while full is set, as a disk without free inodes does.
-
-// Guards against a group that refuses commands for ever because its log could not start a new segment: the newest segment is never removed,
-
-// and without commands no new one is started.
-
 // unsyncedDirectory refuses to sync one directory while failing is set.
-
 type unsyncedDirectory struct {
 	*simdisk.Disk
 	dir     string
@@ -238,9 +198,7 @@
 }
 
 // Guards against entries that are lost because a full disk had the log cut by a snapshot whose name was never durable: its save had failed in
-
 // the last step, and the file was there to be read.
-
 func TestLogIsNotCutBySnapshotThatIsNotDurable(t *testing.T) {
 	t.Parallel()
 	disk := simdisk.New()
@@ -277,12 +235,7 @@
 	}
 }
 
-// Guards against a group that takes no commands, although a quorum of its members is well, because the disk of its leader has no room for a
-
-// snapshot and its log has reached its limit.
-
 // paddedMachine is a register with a large snapshot.
-
 type paddedMachine struct{ *register }
 
 func (m paddedMachine) Snapshot() func() ([]byte, error) {
@@ -292,7 +245,3 @@
 		return append(data, make([]byte, paddingBytes)...), err
 	}
 }
-
-// Guards against a follower that never comes back because its log has taken the whole disk while no snapshot could be saved: nothing of the log
-
-// can be removed then, and a snapshot has no room any more.
--- a/replica/logbytes_test.go
+++ b/replica/logbytes_test.go
@@ -21,6 +21,7 @@
 	commandBytes   = 20 << 10
 )
 
+// startOnSmallDisk starts the only member of a group on a disk of smallDiskBytes.
 func startOnSmallDisk(t *testing.T, tune func(*Options)) (*Replica, *simdisk.Disk) {
 	disk := simdisk.New()
 	disk.SetCapacity(smallDiskBytes)
@@ -36,11 +37,14 @@
 	return r, disk
 }
 
+// proposeLarge proposes a command of commandBytes.
 func proposeLarge(t *testing.T, r *Replica, value uint64) error {
 	_, err := r.Propose(t.Context(), append(set(value), make([]byte, commandBytes)...))
 	return err
 }
 
+// Guards against a log that is cut by the number of its entries only: large commands fill the disk long before. Snapshots are saved beside the
+// commands, so a busy machine may refuse some of them until the log is short again.
 func TestLogIsCutByBytes(t *testing.T) {
 	t.Parallel()
 	r, disk := startOnSmallDisk(t, func(o *Options) { o.SnapshotBytes, o.TrailingBytes, o.MaxLogBytes = 128<<10, 64<<10, smallDiskBytes/2 })
@@ -55,6 +59,8 @@
 	require.Eventually(t, func() bool { return disk.Used() < smallDiskBytes/2 }, failoverLimit, time.Millisecond)
 }
 
+// Guards against a leader that takes commands until its disk is full: it refuses them before, as not run, goes on voting and reading, and
+// takes them again once a snapshot has shortened the log.
 func TestCommandsAreRefusedBeforeTheDiskIsFull(t *testing.T) {
 	t.Parallel()
 	r, disk := startOnSmallDisk(t, func(o *Options) {
@@ -76,6 +82,7 @@
 	require.NoError(t, r.Err())
 }
 
+// Guards against snapshots that are due by the number of entries only, and against a large state that is written again after each command.
 func TestSnapshotIsDueByBytes(t *testing.T) {
 	t.Parallel()
 	for _, c := range []struct {
@@ -98,6 +105,7 @@
 	}
 }
 
+// stallingDisk holds back syncs while stall is locked.
 type stallingDisk struct {
 	*simdisk.Disk
 	stall *sync.RWMutex
@@ -124,6 +132,8 @@
 	return f.File.Sync()
 }
 
+// Guards against a leader that takes more commands for one sync than its disk has room for, because it compares only what is already in the
+// log with its limit: it waits without end for room that nothing frees.
 func TestCommandsOfOneSyncFitOnTheDisk(t *testing.T) {
 	t.Parallel()
 	stall := &sync.RWMutex{}
@@ -152,6 +162,7 @@
 	require.NoError(t, r.Err())
 }
 
+// noNewFiles refuses new files while full is set, as a disk without free inodes does.
 type noNewFiles struct {
 	*simdisk.Disk
 	full *atomic.Bool
@@ -164,6 +175,8 @@
 	return d.Disk.Create(name)
 }
 
+// Guards against a group that refuses commands for ever because its log could not start a new segment: the newest segment is never removed,
+// and without commands no new one is started.
 func TestLongSegmentIsReplacedOnceThereIsRoom(t *testing.T) {
 	t.Parallel()
 	full := &atomic.Bool{}
@@ -181,6 +194,8 @@
 	require.NoError(t, r.Err())
 }
 
+// Guards against a group that takes no commands, although a quorum of its members is well, because the disk of its leader has no room for a
+// snapshot and its log has reached its limit.
 func TestLeaderWithoutRoomForSnapshotsHandsOver(t *testing.T) {
 	t.Parallel()
 	full := map[uint64]*atomic.Bool{1: {}, 2: {}, 3: {}}
@@ -207,6 +222,8 @@
 	}
 }
 
+// Guards against a follower that never comes back because its log has taken the whole disk while no snapshot could be saved: nothing of the log
+// can be removed then, and a snapshot has no room any more.
 func TestLogOfFollowerLeavesRoomForSnapshots(t *testing.T) {
 	t.Parallel()
 	full := map[uint64]*atomic.Bool{1: {}, 2: {}, 3: {}}
