--- a/replica/logbytes_test.go
+++ b/replica/logbytes_test.go
@@ -38,11 +38,24 @@
 }
 
 // proposeLarge proposes a command of commandBytes.
-func proposeLarge(t *testing.T, r *Replica, value uint64) error {
+func proposeLarge(t testing.TB, r *Replica, value uint64) error {
 	_, err := r.Propose(t.Context(), append(set(value), make([]byte, commandBytes)...))
 	return err
 }
 
+// proposeLarge proposes a command of commandBytes on all members in turn until one accepts it.
+func (g *group) proposeLarge(value uint64) {
+	g.t.Helper()
+	require.Eventually(g.t, func() bool {
+		for _, p := range g.members {
+			if proposeLarge(g.t, p.Replica, value) == nil {
+				return true
+			}
+		}
+		return false
+	}, 2*failoverLimit, 5*time.Millisecond, "command %d is refused by all members", value)
+}
+
 // Guards against a log that is cut by the number of its entries only: large commands fill the disk long before. Snapshots are saved beside the
 // commands, so a busy machine may refuse some of them until the log is short again.
 func TestLogIsCutByBytes(t *testing.T) {
@@ -206,14 +219,7 @@
 	leader := g.write(1, failoverLimit)
 	full[leader.options.ID].Store(true)
 	for value := uint64(2); value < 60; value++ {
-		require.Eventually(t, func() bool {
-			for _, p := range g.members {
-				if proposeLarge(t, p.Replica, value) == nil {
-					return true
-				}
-			}
-			return false
-		}, 2*failoverLimit, 5*time.Millisecond, "command %d is refused by all members", value)
+		g.proposeLarge(value)
 	}
 	full[leader.options.ID].Store(false)
 	for _, p := range g.members {
@@ -237,14 +243,7 @@
 	follower := g.members[leader.options.ID%3+1]
 	full[follower.options.ID].Store(true)
 	for value := uint64(2); value < 200; value++ {
-		require.Eventually(t, func() bool {
-			for _, p := range g.members {
-				if proposeLarge(t, p.Replica, value) == nil {
-					return true
-				}
-			}
-			return false
-		}, 2*failoverLimit, 5*time.Millisecond, "command %d is refused by all members", value)
+		g.proposeLarge(value)
 	}
 	full[follower.options.ID].Store(false)
 	for _, p := range g.members {
