replica: lines about a disk name the errno and the size of the file system

The record of users names neither why a write was refused nor how large the disk was, so that a full disk, a failed device and a disk that is smaller than the settings say look alike. The errno stands before the error text, which begins with a long path and is cut off in records. No change of logic.

--- a/replica/applier.go
+++ b/replica/applier.go
@@ -163,7 +163,7 @@
 		case err != nil:
 			// The log holds everything that the snapshot would.
 			r.metrics.snapshotsFailed.Inc(1)
-			r.log.Warn("snapshot not saved", zap.Uint64("index", job.meta.GetIndex()), zap.Int("bytes", len(data)), zap.Error(err))
+			r.log.Warn("snapshot not saved", errno(err), zap.Uint64("index", job.meta.GetIndex()), zap.Int("bytes", len(data)), r.diskSpace(), zap.Error(err))
 			r.snapshotFailed.Store(true)
 			r.snapshotRetryAt.Store(int64(r.now() + snapshotRetryInterval))
 		default:
--- a/replica/fulldisk.go
+++ b/replica/fulldisk.go
@@ -37,7 +37,7 @@
 	r.waitsForRoom.Store(true)
 	defer r.waitsForRoom.Store(false)
 	began := time.Now()
-	r.log.Error("raft member waits for room on its disk", zap.Error(cause), r.logBytes(), r.lastSnapshotBytes())
+	r.log.Error("raft member waits for room on its disk", errno(cause), r.logBytes(), r.lastSnapshotBytes(), r.diskSpace(), zap.Error(cause))
 	ticker := time.NewTicker(roomInterval)
 	defer ticker.Stop()
 	for {
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -112,7 +112,7 @@
 func (r *Replica) fail(err error) {
 	e := failure.Of(err)
 	r.failed.Store(e)
-	r.log.Error("raft member stopped after a failure", zap.Error(e), r.logBytes(), r.lastSnapshotBytes())
+	r.log.Error("raft member stopped after a failure", errno(err), r.logBytes(), r.lastSnapshotBytes(), r.diskSpace(), zap.Error(e))
 }
 
 // finish ends the other goroutines and answers all waiting callers.
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -15,6 +15,7 @@
 
 	gometrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 	"google.golang.org/protobuf/proto"
 	"storj.io/drpc"
 
@@ -234,7 +235,7 @@
 	r.goroutines.Go(func() { r.saveSnapshots(ctx) })
 	r.goroutines.Go(func() { r.run(ctx) })
 	r.log.Info("raft member started", zap.Uint64("last_index", r.Status().LastIndex), zap.Bool("may_vote", r.Status().MayVote),
-		zap.Int64("cut_bytes", loaded.truncatedBytes), logBytes, r.lastSnapshotBytes())
+		zap.Int64("cut_bytes", loaded.truncatedBytes), logBytes, r.lastSnapshotBytes(), r.diskSpace())
 	return r, nil
 }
 
@@ -270,6 +271,22 @@
 	return zap.Int64("snapshot_bytes", r.snapshotBytes.Load())
 }
 
+// diskSpace returns log fields with the size of the file system, which may differ from the one that the settings name; -1 if it is unknown.
+func (r *Replica) diskSpace() zap.Field {
+	space, known := diskfs.SpaceOf(r.options.FS, r.options.Dir)
+	if !known {
+		space = diskfs.Space{Total: -1, Free: -1}
+	}
+	return zap.Inline(zapcore.ObjectMarshalerFunc(func(e zapcore.ObjectEncoder) error {
+		e.AddInt64("filesystem_bytes", space.Total)
+		e.AddInt64("filesystem_free_bytes", space.Free)
+		return nil
+	}))
+}
+
+// errno returns a log field with the number of the system call error. It stands before the error, whose text begins with a long path.
+func errno(err error) zap.Field { return zap.Int("errno", int(diskfs.Errno(err))) }
+
 func (r *Replica) coreConfig() raft.Config {
 	return raft.Config{ID: r.options.ID, Group: r.options.Group, Election: r.options.Election, FirstElection: r.options.FirstElection, Seed: r.options.Seed}
 }
