raft/diskfs: a limit on the size of files counts as a full disk

What operators saw: reads and changes of the configuration get no answer while core members end and start again. Cause: EFBIG, which a limit on the size of files gives, did not count as a full disk, so the member ended at the refused write instead of waiting for room. A node whose member has ended then sends operators to the leader that it knew last, which may be itself. Evidence: TestQuotaAndFileLimitDoNotEndTheMember failed before for EFBIG ('file too large', the member has ended) and passed for ENOSPC and EDQUOT. The refused write has left nothing that was acknowledged, as with the other two errors, so it can be repeated once there is room.

--- a/raft/diskfs/diskfs.go
+++ b/raft/diskfs/diskfs.go
@@ -42,9 +42,9 @@
 // IsTemp reports whether a file is a temporary file of an unfinished WriteFile.
 func IsTemp(name string) bool { return filepath.Ext(name) == tempSuffix }
 
-// IsFull reports whether an operation failed because the disk or the quota has no room.
+// IsFull reports whether an operation failed because the disk, the quota or the limit on the size of a file has no room.
 func IsFull(err error) bool {
-	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) || errors.Is(err, syscall.EFBIG)
 }
 
 // WriteFile replaces a file atomically and durably: the content is written to a temporary file and synced, the file is
--- a/raft/diskfs/simdisk/simdisk.go
+++ b/raft/diskfs/simdisk/simdisk.go
@@ -33,6 +33,8 @@
 	space int
 	// capacity limits the size of all files together, 0 for no limit.
 	capacity int
+	// refusal is the error of a write without room, ENOSPC if it is nil.
+	refusal  error
 	failSync error
 }
 
@@ -49,6 +51,17 @@
 // SetCapacity limits the size of all files together; 0 means no limit. Removed files give their room back.
 func (d *Disk) SetCapacity(bytes int) { d.locked(func() { d.capacity = bytes }) }
 
+// RefuseWith sets the error of writes without room; nil means ENOSPC.
+func (d *Disk) RefuseWith(err error) { d.locked(func() { d.refusal = err }) }
+
+// noRoom returns the error of a write without room. The caller holds d.mu.
+func (d *Disk) noRoom() error {
+	if d.refusal != nil {
+		return d.refusal
+	}
+	return syscall.ENOSPC
+}
+
 // Used returns the size of all files.
 func (d *Disk) Used() (bytes int) {
 	d.locked(func() { bytes = d.used() })
@@ -183,7 +196,7 @@
 	n := f.disk.room(len(data))
 	f.inode.data = append(f.inode.data, data[:n]...)
 	if n < len(data) {
-		return n, syscall.ENOSPC
+		return n, f.disk.noRoom()
 	}
 	return n, nil
 }
@@ -212,7 +225,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.space == 0 || d.capacity > 0 && d.used() >= d.capacity {
-		return nil, syscall.ENOSPC
+		return nil, d.noRoom()
 	}
 	f := &inode{}
 	d.names[name] = f
--- a/replica/disk_test.go
+++ b/replica/disk_test.go
@@ -109,6 +109,31 @@
 	}
 }
 
+// Guards against members that end, and start elections, because a quota or a limit on the size of files refuses writes, which has errors of
+// its own.
+func TestQuotaAndFileLimitDoNotEndTheMember(t *testing.T) {
+	t.Parallel()
+	for _, refusal := range []error{syscall.ENOSPC, syscall.EDQUOT, syscall.EFBIG} {
+		disk := simdisk.New()
+		disk.RefuseWith(refusal)
+		r, _, err := single(t, disk)
+		require.NoError(t, err)
+		_, err = r.Propose(t.Context(), set(1))
+		require.NoError(t, err)
+		fillDisk(disk)
+		_, err = r.Propose(t.Context(), set(2))
+		require.Error(t, err)
+		require.True(t, r.WaitsForRoom(), "%v", refusal)
+		disk.SetCapacity(0)
+		require.Eventually(t, func() bool {
+			_, err := r.Propose(t.Context(), set(3))
+			return err == nil
+		}, failoverLimit, 10*time.Millisecond, "%v", refusal)
+		require.NoError(t, r.Err())
+		r.Stop()
+	}
+}
+
 // Guards against a group that refuses or does not answer commands after the disks of its members were full one after another, each for a
 // moment.
 func TestDisksFullInTurnLeaveTheGroupWorking(t *testing.T) {
