coregroup: nodes without a running member forget a leader that no core member names any more

What operators saw: status 307 from all nodes, and silence at the node that they name. Cause: a node without a running member kept the address of the leader without an age, also its own, and nodes renewed it to each other in the answers to Join. So operators were sent to a member that had ended or waits, while the nodes could have said that there is no leader. What other nodes say is used for Join calls only.

--- a/coregroup/group.go
+++ b/coregroup/group.go
@@ -108,8 +108,10 @@
 	// changed is closed and replaced when the member starts or stops.
 	changed chan struct{}
 
-	leaderHint atomic.Pointer[string]
-	contacts   contacts
+	leaderHint atomic.Pointer[leaderHint]
+	// joinHint is an address that any node named as that of the leader, "" if none did. It is good enough for a Join call only.
+	joinHint atomic.Pointer[string]
+	contacts contacts
 }
 
 // New returns a Group that is not running yet.
@@ -275,22 +277,34 @@
 
 var _ drpc.Description = raftpb.DRPCRaftDescription{}
 
+// leaderHint is the address of the leader as a core member named it.
+type leaderHint struct {
+	address string
+	at      time.Time
+}
+
+// hintLifetime is three times the interval at which core members name the leader. An older hint may lead callers to a member that has ended
+// or waits for room, although another one leads.
+const hintLifetime = 1500 * time.Millisecond
+
 // Leader returns the address of the leader, or "" if this node does not know it.
 func (g *Group) Leader() string {
 	if member, _ := g.current(); member != nil {
-		if _, address := member.Leader(); address != "" {
-			return address
-		}
-		return ""
+		_, address := member.Leader()
+		return address
 	}
-	if hint := g.leaderHint.Load(); hint != nil {
-		return *hint
+	hint := g.leaderHint.Load()
+	if hint == nil || time.Since(hint.at) >= hintLifetime || hint.address == g.options.Address {
+		// A node whose own member led until it ended would send its callers in a circle.
+		return ""
 	}
-	return ""
+	return hint.address
 }
 
-// SetLeaderHint sets the leader's address for a node without a member.
-func (g *Group) SetLeaderHint(address string) { g.leaderHint.Store(&address) }
+// SetLeaderHint sets the leader's address for a node without a member. A core member that is in contact with the leader must have named it.
+func (g *Group) SetLeaderHint(address string) {
+	g.leaderHint.Store(&leaderHint{address: address, at: time.Now()})
+}
 
 // TransferLeadership starts a leadership transfer if this node's member leads.
 func (g *Group) TransferLeadership() {
--- a/coregroup/join.go
+++ b/coregroup/join.go
@@ -62,7 +62,11 @@
 
 // joinTargets returns the addresses to which Join calls are sent: the leader, the contacts and the seeds.
 func (g *Group) joinTargets() []string {
-	list := append([]string{g.Leader()}, g.Contacts()...)
+	list := []string{g.Leader()}
+	if hint := g.joinHint.Load(); hint != nil {
+		list = append(list, *hint)
+	}
+	list = append(list, g.Contacts()...)
 	list = append(list, g.options.Seeds()...)
 	return lo.Uniq(lo.Without(list, "", g.options.Address))
 }
@@ -79,7 +83,11 @@
 		return nil, err
 	}
 	if leader := response.GetLeaderAddress(); leader != "" {
-		g.SetLeaderHint(leader)
+		g.joinHint.Store(&leader)
+	}
+	if response.GetNoted() {
+		// Only the leader notes candidates.
+		g.SetLeaderHint(address)
 	}
 	return response, nil
 }
