coregroup: a member whose disk refuses writes starts again once the disk takes a test file

What operators saw: elections 1.5 times a second and no answer, while members start, win, and end at their first write. Cause: a member that had ended because of its disk was started again after a pause, whatever the disk did: each start costs the group an election, and after long pauses (up to 4 s) the group stays away although its disks take writes again. Why it works: a file of 64 kB is written, synced and removed each 200 ms; without a member nothing is voted for. The pause between restarts stays as it was for members that end for another reason.

--- a/coregroup/group.go
+++ b/coregroup/group.go
@@ -58,6 +58,8 @@
 	restartDelay    = 500 * time.Millisecond
 	maxRestartDelay = 4 * time.Second
 	stableTime      = 10 * time.Second
+	// probeInterval is the pause between attempts to write to a disk that refused a write.
+	probeInterval = 200 * time.Millisecond
 	// callTimeout limits one call to another node.
 	callTimeout = 700 * time.Millisecond
 	// formingTimeout is how long a new group waits for all its voters before it accepts changes with fewer.
@@ -139,11 +141,32 @@
 		if err = cmp.Or(panicked, err); err != nil {
 			g.options.Log.Error("core member stopped", zap.Error(err))
 		}
+		if failure.Is(err, failure.StorageFailed) && g.awaitWritableDisk(ctx) {
+			delay = restartDelay / 2
+			continue
+		}
 		delay = nextRestartDelay(delay, err != nil && time.Since(started) < stableTime)
 		clock.Sleep(ctx, delay)
 	}
 }
 
+// awaitWritableDisk waits until the data directory takes writes again, and reports whether it refused them at first. A member that starts on
+// such a disk stands for election and ends at its first write, which costs the group an election each time.
+func (g *Group) awaitWritableDisk(ctx context.Context) (refused bool) {
+	for ctx.Err() == nil {
+		err := diskfs.Probe(g.options.FS, g.options.Dir)
+		if err == nil {
+			return refused
+		}
+		if !refused {
+			g.options.Log.Error("core member waits for a writable disk", zap.Int("errno", int(diskfs.Errno(err))), zap.Error(err))
+		}
+		refused = true
+		clock.Sleep(ctx, probeInterval)
+	}
+	return refused
+}
+
 // nextRestartDelay returns the pause before the next start of a member.
 func nextRestartDelay(last time.Duration, failedEarly bool) time.Duration {
 	if !failedEarly {
--- a/coregroup/group_test.go
+++ b/coregroup/group_test.go
@@ -28,6 +28,7 @@
 	fs      diskfs.FS
 	first   bool
 	seeds   []string
+	log     *zap.Logger
 	group   *Group
 	stop    func()
 }
@@ -54,9 +55,12 @@
 		listener, err = net.Listen("tcp", n.address)
 		return err == nil
 	}, 5*time.Second, 10*time.Millisecond)
+	if n.log == nil {
+		n.log = zap.NewNop()
+	}
 	n.group = New(Options{
 		Dir: n.dir, FS: n.fs, Address: n.address, AvailabilityZone: n.address, Seeds: func() []string { return n.seeds }, FirstStart: n.first,
-		Tolerance: Tolerance{VMs: 1}, Log: zap.NewNop(), Metrics: gometrics.NewRegistry(),
+		Tolerance: Tolerance{VMs: 1}, Log: n.log, Metrics: gometrics.NewRegistry(),
 	})
 	mux := drpcmux.New()
 	require.NoError(n.t, n.group.Register(mux))
@@ -76,6 +80,10 @@
 
 // startNodesOn starts nodes with the file systems that fs returns for their indexes.
 func startNodesOn(t *testing.T, fs func(index int) diskfs.FS, disks ...bool) []*testNode {
+	return startNodesLogging(t, zap.NewNop(), fs, disks...)
+}
+
+func startNodesLogging(t *testing.T, log *zap.Logger, fs func(index int) diskfs.FS, disks ...bool) []*testNode {
 	var nodes []*testNode
 	var addresses []string
 	for range disks {
@@ -85,7 +93,7 @@
 		require.NoError(t, listener.Close())
 	}
 	for i, disk := range disks {
-		n := &testNode{t: t, fs: fs(i), address: addresses[i], first: true, seeds: addresses[:min(3, len(addresses))]}
+		n := &testNode{t: t, log: log, fs: fs(i), address: addresses[i], first: true, seeds: addresses[:min(3, len(addresses))]}
 		if disk {
 			n.dir = t.TempDir()
 		}
--- a/raft/diskfs/diskfs.go
+++ b/raft/diskfs/diskfs.go
@@ -69,6 +69,26 @@
 	return disk.SyncDir(filepath.Dir(name))
 }
 
+const (
+	probeName = "probe"
+	// probeBytes is more than a log record with a vote, and less than any disk is expected to have left when it counts as usable.
+	probeBytes = 64 << 10
+)
+
+// Probe writes a file to dir, syncs it and removes it again. It fails if the disk takes no writes.
+func Probe(disk FS, dir string) error {
+	name := filepath.Join(dir, probeName)
+	file, err := disk.Create(name)
+	if err != nil {
+		return err
+	}
+	_, err = file.Write(make([]byte, probeBytes))
+	if err == nil {
+		err = file.Sync()
+	}
+	return errors.Join(err, file.Close(), disk.Remove(name))
+}
+
 // OS is the file system of the operating system.
 type OS struct{}
 
