--- a/coregroup/group.go
+++ b/coregroup/group.go
@@ -235,8 +235,19 @@
 	return self, nil
 }
 
-func (g *Group) replicaOptions(self identity, state *machine) replica.Options {
+// diskBytes returns the size of the disk: the smaller one of the settings and the file system, whose tables take a part of the device and
+// which may be shared with others.
+func (g *Group) diskBytes() int64 {
 	disk := cmp.Or(g.options.DiskBytes, defaultDiskBytes)
+	if space, known := diskfs.SpaceOf(g.options.FS, g.options.Dir); known && space.Total < disk {
+		g.options.Log.Warn("file system is smaller than the settings say", zap.Int64("disk_bytes", disk), zap.Int64("filesystem_bytes", space.Total))
+		disk = space.Total
+	}
+	return disk
+}
+
+func (g *Group) replicaOptions(self identity, state *machine) replica.Options {
+	disk := g.diskBytes()
 	o := replica.Options{
 		ID: self.ID, Group: groupName, Address: g.options.Address, Dir: g.options.Dir + "/raft", FS: g.options.FS, StateMachine: state,
 		Logger: g.options.Log, Metrics: g.options.Metrics, Tick: raftTick, Election: electionTimeout, FirstElection: firstElectionTimeout, DialTimeout: dialTimeout,
