--- a/coregroup/group.go
+++ b/coregroup/group.go
@@ -58,8 +58,6 @@
 	restartDelay    = 500 * time.Millisecond
 	maxRestartDelay = 4 * time.Second
 	stableTime      = 10 * time.Second
-	// probeInterval is the pause between attempts to write to a disk that refused a write.
-	probeInterval = 200 * time.Millisecond
 	// callTimeout limits one call to another node.
 	callTimeout = 700 * time.Millisecond
 	// formingTimeout is how long a new group waits for all its voters before it accepts changes with fewer.
@@ -77,8 +75,6 @@
 	snapshotEvery   = 200
 	trailingEntries = 100
 	maxCommandBytes = 3 << 20
-	// defaultDiskBytes is the size of a disk that is not known.
-	defaultDiskBytes = 64 << 20
 	// The following are shares of the disk. Between snapshots the log of small sets grows by snapshotShare, and that of large ones by twice
 	// the size of a set. Two snapshots are kept, with the log since the older one. Changes are refused from maxLogShare on.
 	snapshotShare   = 128
@@ -150,23 +146,6 @@
 	}
 }
 
-// awaitWritableDisk waits until the data directory takes writes again, and reports whether it refused them at first. A member that starts on
-// such a disk stands for election and ends at its first write, which costs the group an election each time.
-func (g *Group) awaitWritableDisk(ctx context.Context) (refused bool) {
-	for ctx.Err() == nil {
-		err := diskfs.Probe(g.options.FS, g.options.Dir)
-		if err == nil {
-			return refused
-		}
-		if !refused {
-			g.options.Log.Error("core member waits for a writable disk", zap.Int("errno", int(diskfs.Errno(err))), zap.Error(err))
-		}
-		refused = true
-		clock.Sleep(ctx, probeInterval)
-	}
-	return refused
-}
-
 // nextRestartDelay returns the pause before the next start of a member.
 func nextRestartDelay(last time.Duration, failedEarly bool) time.Duration {
 	if !failedEarly {
@@ -235,17 +214,6 @@
 	return self, nil
 }
 
-// diskBytes returns the size of the disk: the smaller one of the settings and the file system, whose tables take a part of the device and
-// which may be shared with others.
-func (g *Group) diskBytes() int64 {
-	disk := cmp.Or(g.options.DiskBytes, defaultDiskBytes)
-	if space, known := diskfs.SpaceOf(g.options.FS, g.options.Dir); known && space.Total < disk {
-		g.options.Log.Warn("file system is smaller than the settings say", zap.Int64("disk_bytes", disk), zap.Int64("filesystem_bytes", space.Total))
-		disk = space.Total
-	}
-	return disk
-}
-
 func (g *Group) replicaOptions(self identity, state *machine) replica.Options {
 	disk := g.diskBytes()
 	o := replica.Options{
@@ -311,35 +279,6 @@
 
 var _ drpc.Description = raftpb.DRPCRaftDescription{}
 
-// leaderHint is the address of the leader as a core member named it.
-type leaderHint struct {
-	address string
-	at      time.Time
-}
-
-// hintLifetime is three times the interval at which core members name the leader. An older hint may lead callers to a member that has ended
-// or waits for room, although another one leads.
-const hintLifetime = 1500 * time.Millisecond
-
-// Leader returns the address of the leader, or "" if this node does not know it.
-func (g *Group) Leader() string {
-	if member, _ := g.current(); member != nil {
-		_, address := member.Leader()
-		return address
-	}
-	hint := g.leaderHint.Load()
-	if hint == nil || time.Since(hint.at) >= hintLifetime || hint.address == g.options.Address {
-		// A node whose own member led until it ended would send its callers in a circle.
-		return ""
-	}
-	return hint.address
-}
-
-// SetLeaderHint sets the leader's address for a node without a member. A core member that is in contact with the leader must have named it.
-func (g *Group) SetLeaderHint(address string) {
-	g.leaderHint.Store(&leaderHint{address: address, at: time.Now()})
-}
-
 // TransferLeadership starts a leadership transfer if this node's member leads.
 func (g *Group) TransferLeadership() {
 	if member, _ := g.current(); member != nil {
