raft: a member that cannot stand for election forgets a silent leader

Callers of a spare member, or of one that has just joined after the loss of its disk, were sent to a leader that had ended for as long as no other one was elected: by a redirection without a destination that answers, and by reads that wait for the dead leader. Only members that may campaign forgot a leader without contact, in the step that begins the pre-vote; a learner kept its name without an age.

The election timeout now ends the belief for all members. That is what a voter did already, so no vote becomes possible that was not possible before: a vote is still given once in a term.

TestLearnerForgetsASilentLeader failed before: 5 s after the leader had ended, the learner still named it.

--- a/raft/election.go
+++ b/raft/election.go
@@ -100,11 +100,12 @@
 // preCampaign starts a pre-vote, which determines whether an election could be won without changing the term.
 func (n *Node) preCampaign() {
 	n.resetElection()
+	// Without contact for an election timeout the leader is a guess, also for a learner: it would send its callers to a member that has ended.
+	n.leader = 0
 	if !n.mayCampaign() {
 		return
 	}
 	n.role = PreCandidate
-	n.leader = 0
 	n.votes = map[uint64]bool{n.config.ID: true}
 	if n.wonElection() {
 		n.campaign(0)
