coregroup, platform: a leader that hands over does not send operators to itself

The redirection led in a circle for up to the election timeout of 600 ms, the whole of it if the next leader waits for room on its disk.

TestLeaderInTransferDoesNotNameItself failed before, with the address that the operator's interface used.

--- a/coregroup/leader.go
+++ b/coregroup/leader.go
@@ -30,3 +30,12 @@
 func (g *Group) SetLeaderHint(address string) {
 	g.leaderHint.Store(&leaderHint{address: address, at: time.Now()})
 }
+
+// OtherLeader returns the address of the leader if that is another node, to which callers can be sent, and "" otherwise.
+func (g *Group) OtherLeader() string {
+	if leader := g.Leader(); leader != g.options.Address {
+		return leader
+	}
+	// This member hands the leadership over and refuses changes meanwhile.
+	return ""
+}
