raft/diskfs: the test file of a disk creates its directory

A member whose data directory could not be created at its start, because the disk refused writes at that moment, waited without end for a writable disk: the test file was created in the missing directory, which fails on any disk. Before the test file the start was repeated, and with it the directory.

The probe now creates the directory first.

--- a/coregroup/group_test.go
+++ b/coregroup/group_test.go
@@ -83,14 +83,19 @@
 	return startNodesLogging(t, zap.NewNop(), fs, disks...)
 }
 
+// freeAddress returns an address on which nothing listens.
+func freeAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, listener.Close())
+	return listener.Addr().String()
+}
+
 func startNodesLogging(t *testing.T, log *zap.Logger, fs func(index int) diskfs.FS, disks ...bool) []*testNode {
 	var nodes []*testNode
 	var addresses []string
 	for range disks {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		addresses = append(addresses, listener.Addr().String())
-		require.NoError(t, listener.Close())
+		addresses = append(addresses, freeAddress(t))
 	}
 	for i, disk := range disks {
 		n := &testNode{t: t, log: log, fs: fs(i), address: addresses[i], first: true, seeds: addresses[:min(3, len(addresses))]}
--- a/raft/diskfs/diskfs.go
+++ b/raft/diskfs/diskfs.go
@@ -75,8 +75,12 @@
 	probeBytes = 64 << 10
 )
 
-// Probe writes a file to dir, syncs it and removes it again. It fails if the disk takes no writes.
+// Probe writes a file to dir, syncs it and removes it again. It fails if the disk takes no writes. A directory that the disk has refused so
+// far is created.
 func Probe(disk FS, dir string) error {
+	if err := disk.MkdirAll(dir); err != nil {
+		return err
+	}
 	name := filepath.Join(dir, probeName)
 	file, err := disk.Create(name)
 	if err != nil {
