coregroup: a member starts on a disk that has less room than the test file

A member that finds no room waits by itself, without an election.

A disk without room for the test file is waited for no longer than the longest pause between restarts. TestMemberStartsOnADiskThatIsAlmostFull failed before: no change within 12 s although the log took writes.

--- a/coregroup/disk.go
+++ b/coregroup/disk.go
@@ -30,11 +30,13 @@
 }
 
 // awaitWritableDisk waits until the data directory takes writes again, and reports whether it refused them at first. A member that starts on
-// such a disk stands for election and ends at its first write, which costs the group an election each time.
-func (g *Group) awaitWritableDisk(ctx context.Context) (refused bool) {
+// such a disk stands for election and ends at its first write, which costs the group an election each time. A disk without room for the test
+// file is waited for no longer than limit: a member runs with less, and removes the part of its log that fills the disk.
+func (g *Group) awaitWritableDisk(ctx context.Context, limit time.Duration) (refused bool) {
+	began := time.Now()
 	for ctx.Err() == nil {
 		err := diskfs.Probe(g.options.FS, g.options.Dir)
-		if err == nil {
+		if err == nil || diskfs.IsFull(err) && time.Since(began) >= limit {
 			return refused
 		}
 		if !refused {
--- a/coregroup/group.go
+++ b/coregroup/group.go
@@ -137,7 +137,7 @@
 		if err = cmp.Or(panicked, err); err != nil {
 			g.options.Log.Error("core member stopped", zap.Error(err))
 		}
-		if failure.Is(err, failure.StorageFailed) && g.awaitWritableDisk(ctx) {
+		if failure.Is(err, failure.StorageFailed) && g.awaitWritableDisk(ctx, maxRestartDelay) {
 			delay = restartDelay / 2
 			continue
 		}
--- a/coregroup/probe_test.go
+++ b/coregroup/probe_test.go
@@ -10,8 +10,47 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/wasabishunt/wasabishunt/raft/diskfs"
+	"github.com/wasabishunt/wasabishunt/raft/diskfs/simdisk"
 )
 
+// brokenDisk is a simulated disk whose writes to the log fail once failing is set.
+type brokenDisk struct {
+	*simdisk.Disk
+	failing *atomic.Bool
+}
+
+func (d brokenDisk) Create(name string) (diskfs.File, error) {
+	file, err := d.Disk.Create(name)
+	return brokenFile(d, name, file), err
+}
+
+func (d brokenDisk) Append(name string) (diskfs.File, error) {
+	file, err := d.Disk.Append(name)
+	return brokenFile(d, name, file), err
+}
+
+func brokenFile(d brokenDisk, name string, file diskfs.File) diskfs.File {
+	if filepath.Ext(name) != ".wal" {
+		return file
+	}
+	return failingFile{file, d.failing}
+}
+
+// Guards against a member that waits for room which only it can make: after another failure of a disk that has a few bytes left, because the
+// log and the snapshots of the member take the rest.
+func TestMemberStartsOnADiskThatIsAlmostFull(t *testing.T) {
+	t.Parallel()
+	failing := &atomic.Bool{}
+	disk := brokenDisk{simdisk.New(), failing}
+	nodes := startNodesOn(t, func(int) diskfs.FS { return disk }, true)
+	require.Eventually(t, publish(nodes, 1), convergenceTimeout, 20*time.Millisecond)
+	disk.SetCapacity(disk.Used() + 16<<10)
+	failing.Store(true)
+	require.False(t, publish(nodes, 2)())
+	failing.Store(false)
+	require.Eventually(t, publish(nodes, 3), 3*maxRestartDelay, 20*time.Millisecond)
+}
+
 // missingDirFS refuses to create directories while failing is set.
 type missingDirFS struct {
 	diskfs.OS
