coregroup: restarts on a flickering disk become rarer

A disk that refuses the log, and test files now and then, had its member start and end several times a second, and each start may cost the group an election: a test file that was refused before it was written let the next start skip its pause, and reset it. Without the test file the pauses grow up to 4 s.

The pause before a start is counted from the end of the member, and the wait for a writable disk is a part of it: a long outage is followed by a start at once, a flicker is not. A disk that had no room is the exception, because a member waits there instead of ending.

--- a/coregroup/disk.go
+++ b/coregroup/disk.go
@@ -29,21 +29,27 @@
 	return disk
 }
 
-// awaitWritableDisk waits until the data directory takes writes again, and reports whether it refused them at first. A member that starts on
-// such a disk stands for election and ends at its first write, which costs the group an election each time. A disk without room for the test
-// file is waited for no longer than limit: a member runs with less, and removes the part of its log that fills the disk.
-func (g *Group) awaitWritableDisk(ctx context.Context, limit time.Duration) (refused bool) {
+// awaitWritableDisk waits until the data directory takes writes again, and for delay at least. A member that starts on such a disk stands for
+// election and ends at its first write, which costs the group an election each time. Without room for the test file the wait ends after
+// maxRestartDelay: a member runs with less, and removes the part of its log that fills the disk. It starts at once when there is room, since a
+// member on a full disk waits instead of ending.
+func (g *Group) awaitWritableDisk(ctx context.Context, delay time.Duration) {
 	began := time.Now()
-	for ctx.Err() == nil {
+	full := false
+	for refused := false; ctx.Err() == nil; refused = true {
 		err := diskfs.Probe(g.options.FS, g.options.Dir)
-		if err == nil || diskfs.IsFull(err) && time.Since(began) >= limit {
-			return refused
+		if err == nil {
+			if !full {
+				clock.Sleep(ctx, delay-time.Since(began))
+			}
+			return
+		}
+		if full = diskfs.IsFull(err); full && time.Since(began) >= maxRestartDelay {
+			return
 		}
 		if !refused {
 			g.options.Log.Error("core member waits for a writable disk", zap.Int("errno", int(diskfs.Errno(err))), zap.Error(err))
 		}
-		refused = true
 		clock.Sleep(ctx, probeInterval)
 	}
-	return refused
 }
--- a/coregroup/group.go
+++ b/coregroup/group.go
@@ -137,11 +137,11 @@
 		if err = cmp.Or(panicked, err); err != nil {
 			g.options.Log.Error("core member stopped", zap.Error(err))
 		}
-		if failure.Is(err, failure.StorageFailed) && g.awaitWritableDisk(ctx, maxRestartDelay) {
-			delay = restartDelay / 2
+		delay = nextRestartDelay(delay, err != nil && time.Since(started) < stableTime)
+		if failure.Is(err, failure.StorageFailed) {
+			g.awaitWritableDisk(ctx, delay)
 			continue
 		}
-		delay = nextRestartDelay(delay, err != nil && time.Since(started) < stableTime)
 		clock.Sleep(ctx, delay)
 	}
 }
--- a/coregroup/probe_test.go
+++ b/coregroup/probe_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"path/filepath"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/wasabishunt/wasabishunt/raft/diskfs"
 	"github.com/wasabishunt/wasabishunt/raft/diskfs/simdisk"
@@ -77,3 +81,36 @@
 	failing.Store(false)
 	require.Eventually(t, publish([]*testNode{n}, 1), 3*maxRestartDelay, 20*time.Millisecond)
 }
+
+// flickeringFS refuses writes to the log, and every second test file.
+type flickeringFS struct {
+	failingFS
+	probes *atomic.Int64
+}
+
+func (f flickeringFS) Create(name string) (diskfs.File, error) {
+	if filepath.Base(name) == "probe" && f.failing.Load() && f.probes.Add(1)%2 == 1 {
+		return nil, syscall.EIO
+	}
+	if strings.Contains(name, "wal") {
+		return f.failingFS.Create(name)
+	}
+	return f.OS.Create(name)
+}
+
+// Guards against members that start and end several times a second because test files are written now and then to a disk that refuses the
+// log.
+func TestRestartsBecomeRarerOnAFlickeringDisk(t *testing.T) {
+	t.Parallel()
+	failing := &atomic.Bool{}
+	core, logs := observer.New(zapcore.InfoLevel)
+	nodes := startNodesLogging(t, zap.New(core), func(int) diskfs.FS { return flickeringFS{failingFS{failing: failing}, &atomic.Int64{}} }, true)
+	require.Eventually(t, publish(nodes, 1), convergenceTimeout, 20*time.Millisecond)
+	failing.Store(true)
+	require.False(t, publish(nodes, 2)())
+	time.Sleep(2 * maxRestartDelay)
+	// The pauses before the starts are 0.2 s for the first test files, then 0.5, 1, 2 and 4 s.
+	require.LessOrEqual(t, logs.FilterMessage("raft member started").Len(), 1+5)
+	failing.Store(false)
+	require.Eventually(t, publish(nodes, 3), 2*maxRestartDelay, 20*time.Millisecond)
+}
