raft/wal: the last record is written again when a log is opened

What callers could lose: an acknowledged change of the configuration, or a vote, after a failed sync, a restart of the member and a power loss. Cause: a member ends after a failed sync and opens its log again. It reads the record from the page cache, where its pages count as clean, syncs successfully, and counts the record, although the disk never got it. Evidence: the simulated disk no longer writes what a failed sync has dropped. Real disks were not tried. Why it works: only the last record can be one whose sync failed, since each record is synced before the next. The same bytes are written in the same place, which makes the pages dirty again, takes no room, and changes nothing that was durable if the power is lost meanwhile. A new segment or a copy would need room that a full disk does not have.

--- a/raft/diskfs/diskfs.go
+++ b/raft/diskfs/diskfs.go
@@ -31,6 +31,8 @@
 	Remove(name string) error
 	// Truncate shortens a file to size and syncs it.
 	Truncate(name string, size int64) error
+	// Overwrite writes data over as many bytes of an existing file and syncs it.
+	Overwrite(name string, offset int64, data []byte) error
 	// List returns the sorted base names of the files in a directory.
 	List(dir string) ([]string, error)
 	SyncDir(dir string) error
@@ -152,6 +154,19 @@
 	return errors.Join(f.Truncate(size), f.Sync(), f.Close())
 }
 
+// Overwrite implements FS.
+func (OS) Overwrite(name string, offset int64, data []byte) error {
+	f, err := os.OpenFile(name, os.O_WRONLY, filePermission)
+	if err != nil {
+		return err
+	}
+	_, err = f.WriteAt(data, offset)
+	if err == nil {
+		err = f.Sync()
+	}
+	return errors.Join(err, f.Close())
+}
+
 // List implements FS.
 func (OS) List(dir string) ([]string, error) {
 	entries, err := os.ReadDir(dir)
--- a/raft/diskfs/simdisk/simdisk.go
+++ b/raft/diskfs/simdisk/simdisk.go
@@ -3,7 +3,9 @@
 package simdisk
 
 import (
+	"cmp"
 	"io/fs"
+	"math"
 	"math/rand/v2"
 	"path/filepath"
 	"slices"
@@ -13,12 +15,6 @@
 	"github.com/wasabishunt/wasabishunt/raft/diskfs"
 )
 
-type inode struct {
-	data []byte
-	// synced is the content that survives a crash.
-	synced []byte
-}
-
 // Disk implements diskfs.FS. Disk.mu is a leaf lock: no other lock is acquired while it is held.
 type Disk struct {
 	mu    sync.Mutex
@@ -36,6 +32,10 @@
 	// refusal is the error of a write without room, ENOSPC if it is nil.
 	refusal  error
 	failSync error
+	// lateRefusal makes a full disk refuse syncs instead of writes.
+	lateRefusal bool
+	// failNames is the error of SyncDir by directory.
+	failNames map[string]error
 }
 
 var _ diskfs.FS = (*Disk)(nil)
@@ -54,6 +54,14 @@
 // RefuseWith sets the error of writes without room; nil means ENOSPC.
 func (d *Disk) RefuseWith(err error) { d.locked(func() { d.refusal = err }) }
 
+// RefuseLate makes a disk without room accept writes and refuse their sync, as one that allocates blocks late does.
+func (d *Disk) RefuseLate(late bool) { d.locked(func() { d.lateRefusal = late }) }
+
+// FailNames makes SyncDir of one directory fail with err until it is called with nil. Names that were not synced can be read.
+func (d *Disk) FailNames(dir string, err error) {
+	d.locked(func() { d.failNames = map[string]error{filepath.Clean(dir): err} })
+}
+
 // noRoom returns the error of a write without room. The caller holds d.mu.
 func (d *Disk) noRoom() error {
 	if d.refusal != nil {
@@ -78,7 +86,7 @@
 
 // room returns how many of n bytes can be written. The caller holds d.mu.
 func (d *Disk) room(n int) int {
-	if d.capacity > 0 {
+	if d.capacity > 0 && !d.lateRefusal {
 		n = min(n, max(0, d.capacity-d.used()))
 	}
 	if d.space >= 0 {
@@ -89,7 +97,7 @@
 }
 
 // FailSync makes syncs fail with err until it is called with nil. As on a real disk, the data of a failed sync can be
-// read back although it is not durable.
+// read back although it is not durable, and later syncs do not write it.
 func (d *Disk) FailSync(err error) { d.locked(func() { d.failSync = err }) }
 
 // Syncs returns the number of successful syncs of files.
@@ -116,12 +124,12 @@
 		for _, name := range sortedNames(d.durable) {
 			f := d.durable[name]
 			f.data = dataAfterCrash(f, random)
-			f.synced = slices.Clone(f.data)
+			f.synced, f.dropped = slices.Clone(f.data), nil
 			names[name] = f
 		}
 		d.names = names
 		d.durable = copyNames(names)
-		d.failSync = nil
+		d.failSync, d.failNames = nil, nil
 	})
 }
 
@@ -134,28 +142,15 @@
 		c := make(map[string]*inode, len(m))
 		for name, f := range m {
 			if copies[f] == nil {
-				copies[f] = &inode{data: slices.Clone(f.data), synced: slices.Clone(f.synced)}
+				copies[f] = &inode{data: slices.Clone(f.data), synced: slices.Clone(f.synced), dropped: slices.Clone(f.dropped)}
 			}
 			c[name] = copies[f]
 		}
 		return c
 	}
-	return &Disk{names: cloneNames(d.names), durable: cloneNames(d.durable), epoch: d.epoch, space: d.space, capacity: d.capacity}
-}
-
-// dataAfterCrash returns the synced data and a random prefix of the unsynced data, whose last bytes may be zeroed.
-func dataAfterCrash(f *inode, random *rand.Rand) []byte {
-	if len(f.data) <= len(f.synced) {
-		return slices.Clone(f.synced)
-	}
-	kept := len(f.synced) + random.IntN(len(f.data)-len(f.synced)+1)
-	data := slices.Clone(f.data[:kept])
-	copy(data, f.synced)
-	zeroed := len(f.synced) + random.IntN(kept-len(f.synced)+1)
-	if random.IntN(2) == 0 {
-		clear(data[zeroed:])
+	return &Disk{
+		names: cloneNames(d.names), durable: cloneNames(d.durable), epoch: d.epoch, space: d.space, capacity: d.capacity, lateRefusal: d.lateRefusal,
 	}
-	return data
 }
 
 func (d *Disk) locked(do func()) {
@@ -207,11 +202,22 @@
 	switch {
 	case f.epoch != f.disk.epoch:
 		return fs.ErrClosed
-	case f.disk.failSync != nil:
-		return f.disk.failSync
 	}
-	f.inode.synced = append(f.inode.synced[:0:0], f.inode.data...)
-	f.disk.syncs++
+	return f.disk.sync(f.inode)
+}
+
+// sync makes the content of a file durable. The caller holds d.mu.
+func (d *Disk) sync(f *inode) error {
+	err := d.failSync
+	if late := d.lateRefusal && d.capacity > 0 && d.used() > d.capacity && len(f.data) > len(f.synced); err == nil && late {
+		err = d.noRoom()
+	}
+	if err != nil {
+		f.drop()
+		return err
+	}
+	f.synced = f.writable()
+	d.syncs++
 	return nil
 }
 
@@ -224,7 +230,7 @@
 func (d *Disk) Create(name string) (diskfs.File, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.space == 0 || d.capacity > 0 && d.used() >= d.capacity {
+	if d.space == 0 || d.capacity > 0 && !d.lateRefusal && d.used() >= d.capacity {
 		return nil, d.noRoom()
 	}
 	f := &inode{}
@@ -287,8 +293,27 @@
 		return fs.ErrNotExist
 	}
 	f.data = slices.Clone(f.data[:size])
-	f.synced = slices.Clone(f.data)
-	return nil
+	f.clip(int(size), math.MaxInt)
+	if len(f.synced) > int(size) {
+		f.synced = slices.Clone(f.synced[:size])
+	}
+	return d.sync(f)
+}
+
+// Overwrite implements diskfs.FS. It needs no room.
+func (d *Disk) Overwrite(name string, offset int64, data []byte) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f, ok := d.names[name]
+	if !ok {
+		return fs.ErrNotExist
+	}
+	f.overwrite(int(offset), data)
+	err := d.sync(f)
+	if err != nil {
+		f.dropOverwritten(int(offset), int(offset)+len(data))
+	}
+	return err
 }
 
 // List implements diskfs.FS.
@@ -308,8 +333,8 @@
 func (d *Disk) SyncDir(dir string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.failSync != nil {
-		return d.failSync
+	if err := cmp.Or(d.failSync, d.failNames[filepath.Clean(dir)]); err != nil {
+		return err
 	}
 	for name := range d.durable {
 		if filepath.Dir(name) == filepath.Clean(dir) && d.names[name] == nil {
--- a/raft/wal/open.go
+++ b/raft/wal/open.go
@@ -69,6 +69,8 @@
 	owned bool
 	// tail is the offset in the newest segment after its last valid record.
 	tail int64
+	// lastRecord is the last valid record of the log.
+	lastRecord []byte
 }
 
 func (r *reader) last() uint64 {
@@ -94,7 +96,9 @@
 		if err := eachItem(payload, r.readItem); err != nil {
 			return &CorruptError{Segment: name, Offset: r.tail, Reason: err.Error()}
 		}
-		r.tail += headerBytes + int64(len(payload))
+		end := r.tail + headerBytes + int64(len(payload))
+		r.lastRecord = data[r.tail:end]
+		r.tail = end
 	}
 	if r.tail == 0 && !newest {
 		return &CorruptError{Segment: name, Reason: "segment is empty"}
@@ -189,16 +193,17 @@
 			return l.fail("truncate", err)
 		}
 	}
+	// A killed process may have written the last record, or created the segment, without a sync. What counts from now on must
+	// survive a power loss. A sync alone is not enough: after a failed one the kernel keeps the record readable and does not write it any
+	// more. The same bytes in the same place need no room, and change nothing that was durable if the power is lost meanwhile.
+	if err := l.options.FS.Overwrite(name, r.tail-int64(len(r.lastRecord)), r.lastRecord); err != nil {
+		return l.fail("sync", err)
+	}
 	file, err := l.options.FS.Append(name)
 	if err != nil {
 		return l.fail("open", err)
 	}
 	l.file, l.size = file, r.tail
-	// A killed process may have written the last record, or created the segment, without a sync. What counts from now on must
-	// survive a power loss.
-	if err := file.Sync(); err != nil {
-		return l.fail("sync", err)
-	}
 	if err := l.options.FS.SyncDir(l.options.Dir); err != nil {
 		return l.fail("directory sync", err)
 	}
--- a/raft/wal/open_test.go
+++ b/raft/wal/open_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"github.com/wasabishunt/wasabishunt/raft/diskfs/simdisk"
 	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
@@ -44,6 +45,49 @@
 	})
 }
 
+// Guards against entries and terms that count, because a save succeeded or an opened log held them, and that are lost with the power after
+// failed syncs and restarts of the member, also ones that fail themselves.
+func TestFailedSyncsAndRestartsLoseNothingThatCounts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		disk := simdisk.New()
+		segmentBytes := rapid.Int64Range(100, 1000).Draw(t, "segment")
+		l, _ := open(t, disk, segmentBytes)
+		var last, term uint64
+		check := func(contents Contents) {
+			require.GreaterOrEqual(t, contents.HardState.GetTerm(), term, "a term is lost")
+			require.GreaterOrEqual(t, uint64(len(contents.Entries)), last, "an entry is lost")
+			last, term = uint64(len(contents.Entries)), contents.HardState.GetTerm()
+		}
+		for range rapid.IntRange(1, 15).Draw(t, "steps") {
+			count := rapid.IntRange(1, 4).Draw(t, "entries")
+			switch rapid.SampledFrom([]string{"save", "failed save", "restart", "power loss"}).Draw(t, "step") {
+			case "save":
+				require.NoError(t, l.Save(&raftpb.HardState{Term: term + 1}, entries(term+1, last+1, count)))
+				term, last = term+1, last+uint64(count)
+				continue
+			case "failed save":
+				disk.FailSync(syscall.EIO)
+				require.Error(t, l.Save(&raftpb.HardState{Term: term + 1}, entries(term+1, last+1, count)))
+			case "power loss":
+				disk.Crash(random)
+			}
+			for range rapid.IntRange(0, 2).Draw(t, "failed starts") {
+				disk.FailSync(syscall.EIO)
+				_, _, err := Open(Options{FS: disk, Dir: "wal", Group: "g", MemberID: 1, SegmentBytes: segmentBytes})
+				require.ErrorIs(t, err, syscall.EIO)
+			}
+			disk.FailSync(nil)
+			var contents Contents
+			l, contents = open(t, disk, segmentBytes)
+			check(contents)
+		}
+		disk.Crash(random)
+		_, contents := open(t, disk, segmentBytes)
+		check(contents)
+	})
+}
+
 // killedBeforeSyncDir is a disk of a process that is killed before it makes a name durable.
 type killedBeforeSyncDir struct {
 	*simdisk.Disk
--- a/raft/wal/wal.go
+++ b/raft/wal/wal.go
@@ -4,7 +4,8 @@
 // Each Save writes one record and syncs once. A torn record at the end of the last segment is truncated at open, because
 // its save was never acknowledged. Any other corruption makes Open fail with a *CorruptError. After a failed write or
 // sync the state of the file is unknown, so all further calls fail with a *FailedError; the sync is never retried,
-// because the kernel may have dropped the dirty pages of the failed one. A write that a full disk refuses is the exception:
+// because the kernel may have dropped the dirty pages of the failed one. Open writes the last record, which is the only one whose sync may
+// have failed, once more in its place. A write that a full disk refuses is the exception:
 // what it has written is removed again, the call fails with a *FullError, and it may be repeated.
 //
 // A Log is owned by one goroutine.
