raft/snap, replica, coregroup: names that a start reads are made durable before they count

What callers could lose: acknowledged changes of a member, after a failed sync of a directory (or a kill before it), a restart and a power loss. The sync at the start needs no room; a disk that refuses it keeps the member from starting.

--- a/coregroup/identity.go
+++ b/coregroup/identity.go
@@ -44,6 +44,10 @@
 	if err != nil || self.ID == 0 {
 		return self, false, failure.Wrap(err, failure.StorageFailed, failure.NotRun, "read the identity of the data directory")
 	}
+	// The process may have ended before the file had a durable name. Without it the log of this member would be discarded.
+	if err := fs.SyncDir(dir); err != nil {
+		return self, false, failure.Wrap(err, failure.StorageFailed, failure.NotRun, "sync the data directory")
+	}
 	return self, true, nil
 }
 
--- a/raft/snap/snap.go
+++ b/raft/snap/snap.go
@@ -67,6 +67,10 @@
 			}
 		}
 	}
+	// The last Save may have ended before its snapshot had a durable name. Entries that follow it count from now on.
+	if err := fs.SyncDir(dir); err != nil {
+		return nil, storageError(err, "sync the directory of")
+	}
 	return s, nil
 }
 
--- a/replica/storage.go
+++ b/replica/storage.go
@@ -51,7 +51,13 @@
 		return nil, loadedState{}, err
 	}
 	s := &storage{wal: log, snaps: snaps}
-	loaded, err := s.load(o, contents, newest)
+	// The directories and the formation record may have names that were not made durable before the last end of the process.
+	var loaded loadedState
+	if err = o.FS.SyncDir(o.Dir); err != nil {
+		err = failure.Wrap(err, failure.StorageFailed, failure.NotRun, "sync the data directory")
+	} else {
+		loaded, err = s.load(o, contents, newest)
+	}
 	if err != nil {
 		_ = log.Close()
 		return nil, loadedState{}, err
