--- a/coregroup/smalldisk_test.go
+++ b/coregroup/smalldisk_test.go
@@ -1,7 +1,9 @@
 package coregroup
 
 import (
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
@@ -28,14 +30,32 @@
 	return diskfs.Space{Total: int64(d.bytes), Free: int64(d.bytes - d.Used())}, nil
 }
 
+// slowSnapshots is a file system on which the sync of a snapshot takes long.
+type slowSnapshots struct{ smallDisk }
+
+func (s slowSnapshots) Create(name string) (diskfs.File, error) {
+	file, err := s.smallDisk.Create(name)
+	if err == nil && strings.Contains(name, "/snap/") {
+		return slowFile{file}, nil
+	}
+	return file, err
+}
+
+type slowFile struct{ diskfs.File }
+
+func (f slowFile) Sync() error {
+	time.Sleep(500 * time.Millisecond)
+	return f.File.Sync()
+}
+
 // Guards against shares of a disk that are taken from the settings alone: a file system that is smaller is filled before the log counts as
 // too long.
 func TestLogStaysWithinASmallerFileSystem(t *testing.T) {
 	t.Parallel()
 	const fileSystemBytes = 16 << 20
 	core, logs := observer.New(zapcore.WarnLevel)
-	nodes := startNodesLogging(t, zap.New(core), func(int) diskfs.FS { return newSmallDisk(fileSystemBytes) }, true, true, true)
-	document := make([]byte, 2<<20)
+	nodes := startNodesLogging(t, zap.New(core), func(int) diskfs.FS { return slowSnapshots{newSmallDisk(fileSystemBytes)} }, true)
+	document := make([]byte, 1<<20)
 	for version := uint64(1); version <= 40; version++ {
 		publishDocument(t, nodes, version, document)
 	}
