gateway, upstreamlimit: log and count the limits that instances name

No line said what a node knows of an instance's limit, so that 'not known' and 'kept by each node alone' look alike. The header is decoded (one decimal number; anything else is logged once and counted), and its begin, change and end are logged with the request whose answer says so. An answer without a limit ends it only if its request was sent after the limit was last named, since answers overtake each other. Requests are sent as before.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -225,6 +225,7 @@
 	out := c.outbound(chosen)
 	attempt := o.Tracker.Begin(instance, work)
 	c.sends++
+	c.sentAt = time.Now()
 	c.mayHaveRun = true
 	c.prompt = c.gateway.crashes.begin(instance, c.attributes.ID, c.parts)
 	defer c.prompt.end()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/wasabishunt/wasabishunt/supervise"
 	"github.com/wasabishunt/wasabishunt/trafficset"
 	"github.com/wasabishunt/wasabishunt/upstreamconn"
+	"github.com/wasabishunt/wasabishunt/upstreamlimit"
 	"github.com/wasabishunt/wasabishunt/upstreams"
 )
 
@@ -77,6 +78,16 @@
 	Leaving bool
 	// PauseFor is how long the instance takes no requests from this node.
 	PauseFor time.Duration
+	// RateLimit is what the instance says of the requests that it takes from all nodes together.
+	RateLimit RateLimit
+}
+
+// RateLimit is the number of requests a second that an instance takes from all nodes together, if it names one.
+type RateLimit struct {
+	Named     bool
+	PerSecond float64
+	// Malformed is set if the instance named something that is no limit.
+	Malformed bool
 }
 
 // Dialect translates between HTTP headers and the types of this package.
@@ -126,6 +137,8 @@
 	Stores           Stores
 	// Quarantine holds the parts of prompts that crash instances; nil if there is none.
 	Quarantine *quarantine.List
+	// Limiter keeps the limits that instances name; nil if they name none.
+	Limiter *upstreamlimit.Limiter
 	// AnswerBytes limits an answer that is not a stream, EventBytes a single event of a stream.
 	AnswerBytes int64
 	EventBytes  int
@@ -228,8 +241,9 @@
 	// deadline is when the caller stops waiting.
 	deadline time.Time
 
-	// sends is the number of times the request was sent to an upstream.
-	sends int
+	// sends is the number of times the request was sent to an upstream, sentAt when the last send began.
+	sends  int
+	sentAt time.Time
 	// counted is set once the request has been counted by the retry budget.
 	counted  bool
 	exclude  map[string]bool
--- a/gateway/leaving.go
+++ b/gateway/leaving.go
@@ -23,6 +23,7 @@
 	}
 	if own {
 		c.recordPause(instance, answer.PauseFor, now)
+		c.recordRateLimit(instance, answer, now)
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -36,6 +36,7 @@
 	"github.com/wasabishunt/wasabishunt/supervise"
 	"github.com/wasabishunt/wasabishunt/trafficset"
 	"github.com/wasabishunt/wasabishunt/upstreamconn"
+	"github.com/wasabishunt/wasabishunt/upstreamlimit"
 	"github.com/wasabishunt/wasabishunt/upstreams"
 )
 
@@ -129,6 +130,7 @@
 	tracker           *placement.Tracker
 	loadExchange      *peerload.Exchange
 	budget            *retrybudget.Budget
+	limiter           *upstreamlimit.Limiter
 	gateway           *gateway.Gateway
 	server            *callers.Server
 }
@@ -177,9 +179,11 @@
 		Node: config.Name, Self: peerload.Peer{Address: config.LoadReports, AvailabilityZone: config.AvailabilityZone, LinkMbps: config.LinkMbps, CPUMillis: config.CPUMillis},
 		Tracker: n.tracker, Saves: n.stores, Quarantine: suspects, Log: log, Metrics: registry,
 	})
+	n.limiter = upstreamlimit.New(upstreamlimit.Options{Log: log, Metrics: registry})
 	n.gateway = gateway.New(gateway.Options{
 		AvailabilityZone: config.AvailabilityZone, Dialect: parts.Dialect, Sets: n, Directory: n.directory, Tracker: n.tracker, Stores: n.stores, Quarantine: suspects,
-		Pool: upstreamconn.NewPool(upstreamconn.Options{MaxHeadBytes: config.UpstreamLimits.HeadBytes}), Budget: n.budget,
+		Limiter: n.limiter,
+		Pool:    upstreamconn.NewPool(upstreamconn.Options{MaxHeadBytes: config.UpstreamLimits.HeadBytes}), Budget: n.budget,
 		AnswerBytes: config.UpstreamLimits.AnswerBytes, EventBytes: config.UpstreamLimits.EventBytes,
 		Memory: bodyMemory(config.MemoryBytes),
 		Nodes:  func() int { return int(n.nodes.Load()) }, Log: log, Metrics: registry,
