upstreamlimit: one node hands out the permits of an instance with a limit

A limit is promised for all nodes together, so it has one owner: of each instance the first node by rendezvous hashing hands out permits at the limit's rate, and the others ask it. The bound by arithmetic, in 4 s with a limit L: the first owner hands out at most 4.25 L + 2, the second one (asked if the first does not answer) at most L + 1, permits live for 0.25 s; the platform allows 6 L + 5. An owner hands out a quarter while the list of nodes has just changed or the leader is not heard, so that two nodes that take each other's place, or two sides of a split, keep the bound as well. A limit of 0 is asked about with one request in 4 s, or nobody would learn of its end. Weighed: equal shares of each node (F + 4 L in 4 s: 102 of 11 allowed with 98 nodes and L = 1), sums told by reports (all decide within their age). Evidence: simulations with 1 to 300 nodes and limits of 0, 0.2, 1, 1.7, 20 and 500, with late and lost questions, restarts of nodes and of owners, and two sides that hold each other for dead: 6 L + 5 is kept, and over 0.7 L is used without faults.

--- /dev/null
+++ b/upstreamlimit/core.go
@@ -0,0 +1,227 @@
+package upstreamlimit
+
+import "time"
+
+const (
+	// permitValidity is how long a permit may be used: the requests of one second reach the instance in little more than that.
+	permitValidity = 250 * time.Millisecond
+	// askAhead is the time for whose requests a node asks at once.
+	askAhead = 100 * time.Millisecond
+	// maxWant bounds the permits of one question.
+	maxWant = 64
+	// ownerPause is how long an owner that did not answer is not asked.
+	ownerPause = time.Second
+	// refusedPause is the wait for an instance none of whose owners answers.
+	refusedPause = 500 * time.Millisecond
+	// minWait is the shortest wait: about the time that a question takes.
+	minWait = 5 * time.Millisecond
+)
+
+// Question asks an owner for permits. It carries what the asking node knows of the limit.
+type Question struct {
+	Hash      uint32
+	PerSecond float64
+	// Age is the time since the limit was last named.
+	Age  time.Duration
+	Want int
+}
+
+// Reply is the answer of an owner.
+type Reply struct {
+	Granted int
+	Wait    time.Duration
+	// Ended is set if the limit has ended since the asking node heard of it, EndedAge ago.
+	Ended    bool
+	EndedAge time.Duration
+}
+
+// Step is what a node has to do for a request to an instance: send it, ask Owner, or do without the instance for Wait.
+type Step struct {
+	Send     bool
+	Owner    string
+	Question Question
+	Wait     time.Duration
+}
+
+// permits are those that a node holds for one instance.
+type permits struct {
+	count int
+	until time.Time
+	// wanted is the number of requests in the last askAhead, smoothed, and wantedAt the time of the last one.
+	wanted   float64
+	wantedAt time.Time
+	// waitUntil is when an owner is asked again.
+	waitUntil time.Time
+}
+
+// Core decides for one node. It has neither a clock nor sockets.
+type Core struct {
+	notices Notices
+	grants  Grants
+	// held has an entry for each instance with a limit to which this node wanted to send.
+	held map[uint32]*permits
+	// silentUntil is until when an owner is not asked.
+	silentUntil map[string]time.Time
+}
+
+// NewCore returns the core of a node.
+func NewCore(self string) *Core {
+	return &Core{
+		grants: Grants{owners: owners{self: self}}, held: map[uint32]*permits{}, silentUntil: map[string]time.Time{},
+	}
+}
+
+// SetNodes replaces the list of all nodes. Until it is called, nothing is sent to an instance with a limit.
+func (c *Core) SetNodes(nodes []string, now time.Time) { c.grants.owners.set(nodes, now) }
+
+// Confirm records that this node is in contact with the leader, who keeps the list.
+func (c *Core) Confirm(now time.Time) { c.grants.owners.confirmedAt = now }
+
+// Retain drops what is known of instances that are not listed.
+func (c *Core) Retain(listed func(hash uint32) bool, now time.Time) {
+	c.notices.Retain(listed, now)
+	for hash := range c.held {
+		if _, limited := c.notices.Of(hash); !limited {
+			delete(c.held, hash)
+		}
+	}
+}
+
+// News returns the instances whose limit began, changed or ended within a time.
+func (c *Core) News(within time.Duration, now time.Time) map[uint32]Notice {
+	var news map[uint32]Notice
+	for hash, notice := range c.notices.byHash {
+		if now.Sub(notice.ChangedAt) <= within {
+			if news == nil {
+				news = map[uint32]Notice{}
+			}
+			news[hash] = notice
+		}
+	}
+	return news
+}
+
+// Named records that an instance named a limit in an answer that arrived at receivedAt, at this node or at another one.
+func (c *Core) Named(hash uint32, perSecond float64, receivedAt, now time.Time) Change {
+	return c.notices.Name(hash, perSecond, receivedAt, now)
+}
+
+// NotNamed records that an instance named no limit in the answer to a request that was sent at sentAt.
+func (c *Core) NotNamed(hash uint32, sentAt, now time.Time) Change {
+	change := c.notices.Clear(hash, sentAt, now)
+	if change == Ended {
+		delete(c.held, hash)
+	}
+	return change
+}
+
+// Next returns what to do for one request to an instance.
+func (c *Core) Next(hash uint32, now time.Time) Step {
+	perSecond, limited := c.notices.Of(hash)
+	if !limited {
+		return Step{Send: true}
+	}
+	p := c.held[hash]
+	if p == nil {
+		p = &permits{}
+		c.held[hash] = p
+	}
+	p.record(now)
+	if p.count > 0 && now.Before(p.until) {
+		p.count--
+		return Step{Send: true}
+	}
+	p.count = 0
+	if wait := p.waitUntil.Sub(now); wait > 0 {
+		return Step{Wait: wait}
+	}
+	if c.grants.owners.nodes == nil {
+		p.waitUntil = now.Add(refusedPause)
+		return Step{Wait: refusedPause}
+	}
+	notice, _ := c.notices.Known(hash)
+	question := Question{Hash: hash, PerSecond: perSecond, Age: now.Sub(notice.At), Want: p.want()}
+	first, second := Owners(hash, c.grants.owners.nodes)
+	for _, owner := range []string{first, second} {
+		if owner != "" && !now.Before(c.silentUntil[owner]) {
+			return Step{Owner: owner, Question: question}
+		}
+	}
+	p.waitUntil = now.Add(refusedPause)
+	return Step{Wait: refusedPause}
+}
+
+// record counts a request.
+func (p *permits) record(now time.Time) {
+	elapsed := now.Sub(p.wantedAt)
+	p.wanted = p.wanted*max(0, 1-float64(elapsed)/float64(askAhead)) + 1
+	p.wantedAt = now
+}
+
+func (p *permits) want() int { return max(1, min(maxWant, int(p.wanted))) }
+
+// Serve answers a question as an owner.
+func (c *Core) Serve(q Question, now time.Time) Reply {
+	c.notices.Name(q.Hash, q.PerSecond, now.Add(-q.Age), now)
+	notice, _ := c.notices.Known(q.Hash)
+	if !notice.Limited {
+		return Reply{Ended: true, EndedAge: now.Sub(notice.At)}
+	}
+	granted, wait := c.grants.Grant(q.Hash, notice.PerSecond, q.Want, now)
+	return Reply{Granted: granted, Wait: wait}
+}
+
+// Replied takes the reply of an owner to a question that was asked at asked, and returns what to do for the request.
+func (c *Core) Replied(q Question, r Reply, asked, now time.Time) Step {
+	if r.Ended {
+		c.NotNamed(q.Hash, now.Add(-r.EndedAge), now)
+		if _, limited := c.notices.Of(q.Hash); !limited {
+			return Step{Send: true}
+		}
+	}
+	p := c.held[q.Hash]
+	if p == nil {
+		// The limit has ended meanwhile.
+		return Step{Send: true}
+	}
+	if r.Granted > 0 {
+		until := asked.Add(permitValidity)
+		if !now.Before(until) {
+			p.waitUntil = now
+			return Step{Wait: minWait}
+		}
+		if p.count > 0 && p.until.Before(until) {
+			// Permits of an earlier reply keep their end.
+			until = p.until
+		}
+		p.count, p.until = p.count+r.Granted-1, until
+		return Step{Send: true}
+	}
+	wait := max(minWait, min(maxWait, r.Wait))
+	p.waitUntil = now.Add(wait)
+	return Step{Wait: wait}
+}
+
+// Waits returns how long the instances take no requests from this node, nil if there are none.
+func (c *Core) Waits(now time.Time) map[uint32]time.Duration {
+	var waits map[uint32]time.Duration
+	for hash, p := range c.held {
+		if left := p.waitUntil.Sub(now); left > 0 && (p.count == 0 || !now.Before(p.until)) {
+			if waits == nil {
+				waits = map[uint32]time.Duration{}
+			}
+			waits[hash] = left
+		}
+	}
+	return waits
+}
+
+// Failed records that an owner did not answer.
+func (c *Core) Failed(owner string, now time.Time) {
+	for name, until := range c.silentUntil {
+		if !now.Before(until) {
+			delete(c.silentUntil, name)
+		}
+	}
+	c.silentUntil[owner] = now.Add(ownerPause)
+}
--- /dev/null
+++ b/upstreamlimit/sim_test.go
@@ -0,0 +1,384 @@
+package upstreamlimit
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/samber/lo"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// contactWindow is the time after which a limit must be kept, knownAfter the time after which a node counts as knowing it.
+	contactWindow = 3 * time.Second
+	knownAfter    = 500 * time.Millisecond
+	// window, factor and slack say how many requests an instance may get: factor times what its limit allows in the window, and slack.
+	window = 4 * time.Second
+	factor = 1.5
+	slack  = 5
+)
+
+// event is something that happens in the simulation at a time since its start.
+type event struct {
+	at time.Duration
+	do func()
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// simNode is a node of the simulation.
+type simNode struct {
+	name string
+	core *Core
+	// down is set while the node does not answer questions and sends nothing.
+	down bool
+	// knowsAt is when the node first had an answer with the limit, and excusedUntil the end of its restart.
+	knowsAt      time.Duration
+	knows        bool
+	excusedUntil time.Duration
+}
+
+// sim plays nodes that send requests to one instance with a limit.
+type sim struct {
+	random *rand.Rand
+	queue  events
+	now    time.Duration
+	start  time.Time
+	nodes  []*simNode
+	limit  float64
+	// named is since when the instance has its limit, negative while it has none.
+	named time.Duration
+	// parted is set for two sides, the first and the second half of the nodes, between which no question passes. The first one has the leader.
+	parted bool
+	// lost is the share of questions that are lost, delay the longest time of one way.
+	lost  float64
+	delay time.Duration
+	// counted are the arrivals of requests from nodes that know the limit, arrived all of them.
+	counted []time.Duration
+	arrived int
+}
+
+const simAskTimeout = 100 * time.Millisecond
+
+func newSim(seed uint64, nodes int, limit float64) *sim {
+	s := &sim{random: rand.New(rand.NewPCG(seed, 1)), start: time.Unix(1_700_000_000, 0), limit: limit, named: -1, delay: 3 * time.Millisecond}
+	for i := range nodes {
+		n := &simNode{name: fmt.Sprintf("10.0.%d.%d:7000", i/200, i%200)}
+		n.core = NewCore(n.name)
+		s.nodes = append(s.nodes, n)
+	}
+	for _, n := range s.nodes {
+		n.core.SetNodes(s.names(), s.time().Add(-time.Minute))
+	}
+	s.confirm()
+	return s
+}
+
+func (s *sim) time() time.Time                  { return s.start.Add(s.now) }
+func (s *sim) after(d time.Duration, do func()) { heap.Push(&s.queue, event{s.now + d, do}) }
+func (s *sim) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(s.random.Int64N(int64(high-low)+1))
+}
+
+// isFirstSide reports whether a node is on the side with the leader.
+func (s *sim) isFirstSide(n *simNode) bool { return slices.Index(s.nodes, n) < (len(s.nodes)+1)/2 }
+
+// confirm lets the leader reach the nodes each half a second.
+func (s *sim) confirm() {
+	for _, n := range s.nodes {
+		if !n.down && (!s.parted || s.isFirstSide(n)) {
+			n.core.Confirm(s.time())
+		}
+	}
+	s.after(500*time.Millisecond, s.confirm)
+}
+
+func (s *sim) names() (list []string) {
+	for _, n := range s.nodes {
+		if !n.down {
+			list = append(list, n.name)
+		}
+	}
+	return list
+}
+
+func (s *sim) run(until time.Duration) {
+	for len(s.queue) > 0 && s.queue[0].at <= until {
+		e := heap.Pop(&s.queue).(event)
+		s.now = e.at
+		e.do()
+	}
+	s.now = until
+}
+
+// demand lets a node want to send with exponential pauses.
+func (s *sim) demand(n *simNode, perSecond float64) {
+	s.after(time.Duration(s.random.ExpFloat64()/perSecond*float64(time.Second)), func() {
+		if !n.down {
+			s.step(n, n.core.Next(engine, s.time()), 0)
+		}
+		s.demand(n, perSecond)
+	})
+}
+
+func (s *sim) node(name string) *simNode {
+	for _, n := range s.nodes {
+		if n.name == name {
+			return n
+		}
+	}
+	return nil
+}
+
+// step does what the core of a node decided for one request.
+func (s *sim) step(n *simNode, step Step, asked int) {
+	switch {
+	case step.Send:
+		s.send(n)
+	case step.Owner == "" || asked > 1:
+	case step.Owner == n.name:
+		s.step(n, n.core.Replied(step.Question, n.core.Serve(step.Question, s.time()), s.time(), s.time()), asked+1)
+	default:
+		s.ask(n, step, asked)
+	}
+}
+
+func (s *sim) ask(n *simNode, step Step, asked int) {
+	askedAt, core, done := s.time(), n.core, false
+	owner := s.node(step.Owner)
+	s.after(simAskTimeout, func() {
+		if !done && n.core == core {
+			done = true
+			core.Failed(step.Owner, s.time())
+			s.step(n, core.Next(engine, s.time()), asked+1)
+		}
+	})
+	if s.random.Float64() < s.lost || s.parted && s.isFirstSide(n) != s.isFirstSide(owner) {
+		return
+	}
+	s.after(s.between(time.Millisecond, s.delay), func() {
+		if owner.down {
+			return
+		}
+		reply := owner.core.Serve(step.Question, s.time())
+		s.after(s.between(time.Millisecond, s.delay), func() {
+			if !done && n.core == core && !n.down {
+				done = true
+				s.step(n, core.Replied(step.Question, reply, askedAt, s.time()), asked+1)
+			}
+		})
+	})
+}
+
+// send lets a request reach the instance, and its answer the node.
+func (s *sim) send(n *simNode) {
+	sentAt, core := s.time(), n.core
+	s.after(s.between(time.Millisecond, 3*time.Millisecond), func() {
+		s.arrived++
+		limited := s.named >= 0
+		if limited && s.now-s.named >= contactWindow && n.knows && s.now-n.knowsAt >= knownAfter && s.now >= n.excusedUntil {
+			s.counted = append(s.counted, s.now)
+		}
+		s.after(s.between(time.Millisecond, 300*time.Millisecond), func() {
+			if n.core != core {
+				return
+			}
+			if !limited {
+				if core.NotNamed(engine, sentAt, s.time()) == Ended {
+					s.tell(func(other *Core) { other.NotNamed(engine, sentAt, s.time()) })
+				}
+				return
+			}
+			if at := s.time(); core.Named(engine, s.limit, at, at) == Began {
+				s.tell(func(other *Core) { other.Named(engine, s.limit, at, s.time()) })
+			}
+			if !n.knows {
+				n.knows, n.knowsAt = true, s.now
+			}
+		})
+	})
+}
+
+// tell lets the nodes hear of a change, some of them late or not at all.
+func (s *sim) tell(apply func(core *Core)) {
+	for _, n := range s.nodes {
+		if s.random.Float64() < 0.3 {
+			continue
+		}
+		core := n.core
+		s.after(s.between(20*time.Millisecond, time.Second), func() { apply(core) })
+	}
+}
+
+// restart lets a node be away and come back with an empty core. The lists of the others change up to a second later.
+func (s *sim) restart(n *simNode, away time.Duration) {
+	n.down = true
+	s.spreadList()
+	s.after(away, func() {
+		n.down, n.knows = false, false
+		n.excusedUntil = s.now + contactWindow
+		n.core = NewCore(n.name)
+		s.spreadList()
+	})
+}
+
+func (s *sim) spreadList() {
+	names := s.names()
+	for _, n := range s.nodes {
+		s.after(s.between(100*time.Millisecond, time.Second), func() {
+			if !n.down {
+				n.core.SetNodes(names, s.time())
+			}
+		})
+	}
+}
+
+func (s *sim) requireLimitKept(t *testing.T) {
+	t.Helper()
+	first := 0
+	for last, at := range s.counted {
+		for at-s.counted[first] > window {
+			first++
+		}
+		require.LessOrEqual(t, float64(last-first+1), factor*window.Seconds()*s.limit+slack, "at %v", at)
+	}
+}
+
+var (
+	simNodes  = []int{1, 3, 6, 28, 98, 300}
+	simLimits = []float64{0, 0.2, 1, 1.7, 20, 500}
+)
+
+func eachSize(t *testing.T, play func(t *testing.T, nodes int, limit float64)) {
+	for _, nodes := range simNodes {
+		for _, limit := range simLimits {
+			t.Run(fmt.Sprintf("%d-nodes-%v", nodes, limit), func(t *testing.T) {
+				t.Parallel()
+				play(t, nodes, limit)
+			})
+		}
+	}
+}
+
+// Guards against nodes that together exceed a limit, or use a small part of it, though nothing disturbs them.
+func TestLimitIsKeptAndUsed(t *testing.T) {
+	eachSize(t, func(t *testing.T, nodes int, limit float64) {
+		s := newSim(1, nodes, limit)
+		for _, n := range s.nodes {
+			s.demand(n, max(0.5, 3*limit/float64(nodes)))
+		}
+		s.run(time.Second)
+		s.named = s.now
+		s.run(6 * time.Second)
+		before := s.arrived
+		s.run(26 * time.Second)
+		s.requireLimitKept(t)
+		if used := float64(s.arrived-before) / 20; limit >= 1 {
+			require.Greater(t, used, 0.7*limit, "requests a second")
+			require.Less(t, used, 1.1*limit+0.5, "requests a second")
+		}
+	})
+}
+
+// Guards against a limit that is exceeded while questions and replies are lost or late.
+func TestLimitIsKeptWithLateAndLostNews(t *testing.T) {
+	for seed := range uint64(3) {
+		eachSize(t, func(t *testing.T, nodes int, limit float64) {
+			s := newSim(seed, nodes, limit)
+			s.lost, s.delay = 0.2, time.Second
+			for _, n := range s.nodes {
+				s.demand(n, max(0.5, 3*limit/float64(nodes)))
+			}
+			s.named = 0
+			s.run(20 * time.Second)
+			s.requireLimitKept(t)
+		})
+	}
+}
+
+// Guards against a limit that is exceeded while nodes leave and return one after another, the owners among them.
+func TestLimitIsKeptWhileNodesRestart(t *testing.T) {
+	for seed := range uint64(3) {
+		eachSize(t, func(t *testing.T, nodes int, limit float64) {
+			s := newSim(seed, nodes, limit)
+			for _, n := range s.nodes {
+				s.demand(n, max(0.5, 3*limit/float64(nodes)))
+			}
+			s.named = 0
+			for at := time.Second; at < 25*time.Second; at += s.between(300*time.Millisecond, 3*time.Second) {
+				first, _ := Owners(engine, s.names())
+				victim := s.nodes[s.random.IntN(nodes)]
+				if s.random.IntN(2) == 0 {
+					victim = s.node(first)
+				}
+				s.run(at)
+				if victim != nil && !victim.down {
+					s.restart(victim, s.between(200*time.Millisecond, 4*time.Second))
+				}
+			}
+			s.run(30 * time.Second)
+			s.requireLimitKept(t)
+		})
+	}
+}
+
+// Guards against two sides that hold each other for dead, both in contact with the instance, and use its whole limit each.
+func TestLimitIsKeptByTwoSides(t *testing.T) {
+	eachSize(t, func(t *testing.T, nodes int, limit float64) {
+		s := newSim(1, nodes, limit)
+		for _, n := range s.nodes {
+			s.demand(n, max(0.5, 3*limit/float64(nodes)))
+		}
+		s.named = 0
+		s.run(5 * time.Second)
+		s.parted = true
+		s.run(12 * time.Second)
+		// The leader drops the nodes of the other side from the list, whose nodes keep the old one.
+		names := lo.FilterMap(s.nodes, func(n *simNode, _ int) (string, bool) { return n.name, s.isFirstSide(n) })
+		for _, n := range s.nodes {
+			if s.isFirstSide(n) {
+				n.core.SetNodes(names, s.time())
+			}
+		}
+		s.run(30 * time.Second)
+		s.parted = false
+		for _, n := range s.nodes {
+			n.core.SetNodes(s.names(), s.time())
+		}
+		s.run(40 * time.Second)
+		s.requireLimitKept(t)
+	})
+}
+
+// Guards against an instance that gets no requests any more after its limit, even one of 0, has ended.
+func TestInstanceIsUsedAgainAfterItsLimit(t *testing.T) {
+	eachSize(t, func(t *testing.T, nodes int, limit float64) {
+		s := newSim(1, nodes, limit)
+		for _, n := range s.nodes {
+			s.demand(n, max(1, 3*limit/float64(nodes)))
+		}
+		s.named = 0
+		s.run(10 * time.Second)
+		s.named = -1
+		// One node learns of the end with a permit of probeRate, the others by its word or when they ask next.
+		s.run(20 * time.Second)
+		before := s.arrived
+		s.run(25 * time.Second)
+		wanted := 5 * max(1, 3*limit/float64(nodes)) * float64(nodes)
+		require.GreaterOrEqual(t, float64(s.arrived-before), 0.4*wanted, "requests in 5 s")
+	})
+}
