gateway, node: requests to an instance keep the limit that it names for all nodes together

What upstreams saw: an engine that names 1.7 requests a second gets 22 to 29 in 4 s. Cause: nothing read the limit; and a limit for all nodes together cannot be kept by each on its own. Change: before a send, also a repeat and a stream that moves, a node takes a permit from the owner of the instance (a call of 50 ms at most, to the first owner and then to the second). Without one the instance counts as paused for this node until its turn, so another one is chosen; if all are, the request is refused at once as not run, with the time until a permit comes. Nodes tell each other of begins, changes and ends with the load reports. Without any limit nothing is asked. TestInstanceWithALimitGetsNoMoreThanThat, TestRequestBeyondAllLimitsIsRefusedAtOnce and TestLimitEndsWithASignedAnswerWithoutOne are new.

--- a/fleetview/server.go
+++ b/fleetview/server.go
@@ -47,7 +47,9 @@
 	Placement *Placements
 	// EngineClock returns the time on the engines' clock in ms, 0 if it is unknown.
 	EngineClock func() float64
-	Log         *zap.Logger
+	// Permits answers the questions of other nodes for permits to send to instances with limits.
+	Permits func(q *nodepb.PermitRequest) (*nodepb.PermitReply, error)
+	Log     *zap.Logger
 	// Metrics is the registry for the counter of sent sets; nil for none.
 	Metrics gometrics.Registry
 
@@ -76,6 +78,11 @@
 	return s.Group.Meet(ctx, q)
 }
 
+// TakePermits implements the node service.
+func (s *Server) TakePermits(_ context.Context, q *nodepb.PermitRequest) (*nodepb.PermitReply, error) {
+	return s.Permits(q)
+}
+
 // Watch implements the node service.
 func (s *Server) Watch(stream nodepb.DRPCNode_WatchStream) error {
 	ctx, cancel := context.WithCancel(stream.Context())
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -25,7 +26,9 @@
 // forward sends the request to instances until it is answered or no further attempt is allowed.
 func (c *call) forward(ctx context.Context) error {
 	defer c.dropMove()
-	runs, rejections := 0, 0
+	runs, rejections, denials := 0, 0, 0
+	// denied is the wait for the instance whose limit left no permit last.
+	var denied time.Duration
 	var last error
 	for {
 		if ctx.Err() != nil {
@@ -39,11 +42,11 @@
 		} else {
 			chosen, pauseLeft = c.choose(c.exclude)
 		}
-		if chosen == nil || move == nil && rejections >= maxRejections {
+		if chosen == nil || move == nil && (rejections >= maxRejections || denials >= maxDenials) {
 			if !c.retryMoved(ctx) {
-				return c.noInstance(last, pauseLeft)
+				return c.noInstance(last, cmp.Or(pauseLeft, denied))
 			}
-			rejections = min(rejections, maxRejections-1)
+			rejections, denials = min(rejections, maxRejections-1), 0
 			continue
 		}
 		if err := c.admit(chosen); err != nil {
@@ -53,6 +56,12 @@
 			move.release()
 			return err
 		}
+		if move == nil {
+			if denied = c.acquirePermit(ctx, chosen.instance); denied > 0 {
+				denials++
+				continue
+			}
+		}
 		if !c.counted {
 			c.counted = true
 			c.gateway.options.Budget.RecordRequest(c.service.Name)
@@ -145,7 +154,9 @@
 	if g != nil && c.service.Engine != nil {
 		c.describePrompt(q)
 	}
-	candidates := o.Tracker.Candidates(view.OfService(c.service.Name), time.Now(), q)
+	now := time.Now()
+	candidates := o.Tracker.Candidates(view.OfService(c.service.Name), now, q)
+	c.gateway.markLimited(candidates, now)
 	if q.CacheTokens > 0 {
 		placement.MarkHomes(q, candidates)
 		placement.MarkHeld(q, candidates)
--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -23,6 +24,9 @@
 // withAvailability adds to an answer what its headers say about further requests.
 func withAvailability(r *http.Response, a Answer) Answer {
 	a.Leaving, a.PauseFor = r.Header.Get("Leaving") != "", pauseOf(r)
+	if perSecond, err := strconv.ParseFloat(r.Header.Get("Limit"), 64); err == nil {
+		a.RateLimit = RateLimit{Named: true, PerSecond: perSecond}
+	}
 	return a
 }
 
--- a/gateway/ratelimit.go
+++ b/gateway/ratelimit.go
@@ -1,11 +1,16 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
+	"github.com/wasabishunt/wasabishunt/placement"
 	"github.com/wasabishunt/wasabishunt/upstreams"
 )
 
+// maxDenials limits how often one request asks for a permit: each question takes some ms.
+const maxDenials = 4
+
 // recordRateLimit records what the answer to this request says of the limit of its instance. Only a signed answer without a limit shows that
 // there is none any more: another process may answer at the address, and the head may be incomplete.
 func (c *call) recordRateLimit(instance *upstreams.Instance, answer Answer, now time.Time) {
@@ -20,3 +25,28 @@
 		limiter.NotNamed(instance, c.sentAt, c.attributes.ID, now)
 	}
 }
+
+// acquirePermit takes a permit to send the request to an instance, which is needed only if that has a limit. It returns 0 if there is one, and
+// otherwise the time after which the instance may take a request of this node.
+func (c *call) acquirePermit(ctx context.Context, instance *upstreams.Instance) time.Duration {
+	limiter := c.gateway.options.Limiter
+	if limiter == nil {
+		return 0
+	}
+	return limiter.Acquire(ctx, instance, c.attributes.ID)
+}
+
+// markLimited sets the pauses of candidates whose limit leaves no permit for this node yet.
+func (g *Gateway) markLimited(candidates []placement.Candidate, now time.Time) {
+	if g.options.Limiter == nil {
+		return
+	}
+	waits := g.options.Limiter.Waits(now)
+	if waits == nil {
+		return
+	}
+	for i := range candidates {
+		c := &candidates[i]
+		c.PauseLeft = max(c.PauseLeft, waits[c.Instance.Key().Hash()])
+	}
+}
--- /dev/null
+++ b/gateway/ratelimit_test.go
@@ -0,0 +1,97 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/wasabishunt/wasabishunt/upstreamlimit"
+)
+
+// limitSettled is how long before the tests the only node was first listed: it hands out whole limits.
+const limitSettled = time.Minute
+
+// withLimiter gives the gateway of a system the limiter of the only node.
+func (s *system) withLimiter() {
+	now := time.Now()
+	l := upstreamlimit.New(upstreamlimit.Options{Self: "10.0.0.1:7000", Log: zap.NewNop(), Metrics: gometrics.NewRegistry()})
+	l.SetNodes([]string{"10.0.0.1:7000"}, now.Add(-limitSettled))
+	// Confirmed for the time of the test.
+	l.Confirm(s.gateway.options.Directory.View(), now.Add(limitSettled))
+	s.gateway.options.Limiter = l
+}
+
+func limited(perSecond string) reply { return answers(200, "Limit: "+perSecond+"\r\n") }
+
+// Guards against requests that exceed the limit of an instance, and against refused requests that another instance could take.
+func TestInstanceWithALimitGetsNoMoreThanThat(t *testing.T) {
+	s := newSystem(t, limited("2"), good)
+	s.withLimiter()
+	for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); {
+		for _, path := range []string{"/safe/", "/once/", "/stream/"} {
+			status, _, err := s.call("POST", path, "")
+			require.NoError(t, err)
+			require.Equal(t, 200, status)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	// The first request, which learns of the limit, and two a second.
+	require.LessOrEqual(t, s.runsAt("u0"), 1+3)
+	require.GreaterOrEqual(t, s.runsAt("u0"), 2, "the limit is used")
+	require.Greater(t, s.runsAt("u1"), 30)
+}
+
+// Guards against requests that wait, or fail as if they may have run, because all instances of a service are at their limits.
+func TestRequestBeyondAllLimitsIsRefusedAtOnce(t *testing.T) {
+	s := newSystem(t, limited("0"))
+	s.withLimiter()
+	status, _, err := s.call("POST", "/once/", "")
+	require.NoError(t, err)
+	require.Equal(t, 200, status, "the limit is not known yet")
+	for _, path := range []string{"/once/", "/safe/", "/stream/"} {
+		began := time.Now()
+		response, err := http.DefaultClient.Do(s.request("POST", path, ""))
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		require.Equal(t, 503, response.StatusCode)
+		retryAfter, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+		require.NoError(t, err)
+		require.InDelta(t, 0.5, retryAfter, 0.02, "the next permit comes after seconds, and a third of the time is left for the return")
+		require.Less(t, time.Since(began), 300*time.Millisecond)
+	}
+	require.Equal(t, 1, s.runsAt("u0"))
+}
+
+// Guards against an instance that stays out of use after its limit, one of 0 as well, has ended, and against an unsigned answer that ends it.
+func TestLimitEndsWithASignedAnswerWithoutOne(t *testing.T) {
+	var mode atomic.Pointer[reply]
+	set := func(r reply) { mode.Store(&r) }
+	set(limited("4"))
+	s := newSystem(t, func(conn net.Conn, r *http.Request, instance string) bool { return (*mode.Load())(conn, r, instance) })
+	s.withLimiter()
+	served := func() int {
+		served := 0
+		for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+			if status, _, err := s.call("POST", "/once/", ""); err == nil && status == 200 {
+				served++
+			}
+		}
+		return served
+	}
+	served()
+	require.LessOrEqual(t, served(), 6)
+	set(func(conn net.Conn, r *http.Request, _ string) bool { return answerText(conn, r, 500, "", "broken") })
+	served()
+	set(limited("4"))
+	require.LessOrEqual(t, served(), 6, "an unsigned answer has ended the limit")
+	set(good)
+	served()
+	require.Greater(t, served(), 40)
+}
--- a/node/adopt.go
+++ b/node/adopt.go
@@ -92,13 +92,16 @@
 	n.stores.RecordContact()
 	n.stores.SetClock(u.GetEngineClockMs())
 	if len(u.GetLoadAddresses()) > 0 {
-		n.loadExchange.SetPeers(lo.Map(u.GetLoadAddresses(), func(address string, i int) peerload.Peer {
+		peers := lo.Map(u.GetLoadAddresses(), func(address string, i int) peerload.Peer {
 			return peerload.Peer{
 				Address: address, AvailabilityZone: lo.NthOrEmpty(u.GetLoadZones(), i), LinkMbps: int(lo.NthOrEmpty(u.GetLoadLinks(), i)),
 				CPUMillis: int(lo.NthOrEmpty(u.GetLoadCpu(), i)),
 			}
-		}))
+		})
+		n.loadExchange.SetPeers(peers)
+		n.setLimiterNodes(peers, now)
 	}
+	n.limiter.Confirm(n.directory.View(), now)
 	if u.GetPlacements() != nil {
 		n.stores.ApplyChanges(u.GetPlacements().GetStores())
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -33,6 +33,7 @@
 	"github.com/wasabishunt/wasabishunt/retrybudget"
 	"github.com/wasabishunt/wasabishunt/rollout"
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
+	"github.com/wasabishunt/wasabishunt/rpcpool"
 	"github.com/wasabishunt/wasabishunt/supervise"
 	"github.com/wasabishunt/wasabishunt/trafficset"
 	"github.com/wasabishunt/wasabishunt/upstreamconn"
@@ -175,11 +176,11 @@
 	n.storeCoordinator.Withdrawn = n.stores.Withdrawn
 	n.storeCoordinator.IsSaltUsable, n.storeCoordinator.AcceptedEpoch = n.isSaltUsable, n.stores.AcceptedEpoch
 	suspects := quarantine.New(config.Name)
+	n.limiter = upstreamlimit.New(upstreamlimit.Options{Self: config.Internal, Ask: askPermits(rpcpool.New(rpcpool.Options{DialTimeout: permitDialTimeout})), Log: log, Metrics: registry})
 	n.loadExchange = peerload.New(peerload.Options{
 		Node: config.Name, Self: peerload.Peer{Address: config.LoadReports, AvailabilityZone: config.AvailabilityZone, LinkMbps: config.LinkMbps, CPUMillis: config.CPUMillis},
-		Tracker: n.tracker, Saves: n.stores, Quarantine: suspects, Log: log, Metrics: registry,
+		Tracker: n.tracker, Saves: n.stores, Quarantine: suspects, Limits: n.limiter, Log: log, Metrics: registry,
 	})
-	n.limiter = upstreamlimit.New(upstreamlimit.Options{Log: log, Metrics: registry})
 	n.gateway = gateway.New(gateway.Options{
 		AvailabilityZone: config.AvailabilityZone, Dialect: parts.Dialect, Sets: n, Directory: n.directory, Tracker: n.tracker, Stores: n.stores, Quarantine: suspects,
 		Limiter: n.limiter,
@@ -216,7 +217,7 @@
 	running, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	mux := drpcmux.New()
-	server := &fleetview.Server{Group: n.group, Directory: n.directory, Reader: n.reader, Placement: n.placement, EngineClock: n.storeCoordinator.EngineClock, Log: n.log, Metrics: n.metrics}
+	server := &fleetview.Server{Group: n.group, Directory: n.directory, Reader: n.reader, Placement: n.placement, EngineClock: n.storeCoordinator.EngineClock, Permits: n.limiter.Serve, Log: n.log, Metrics: n.metrics}
 	if err := errors.Join(nodepb.DRPCRegisterNode(mux, server), n.group.Register(mux)); err != nil {
 		return failure.Wrap(err, failure.Internal, failure.NotRun, "register the services of the node")
 	}
--- a/peerload/peerload.go
+++ b/peerload/peerload.go
@@ -33,6 +33,12 @@
 	RecordSaves(parts []uint64)
 }
 
+// Limits holds the limits that instances name. See package upstreamlimit.
+type Limits interface {
+	News(now time.Time) []*nodepb.InstanceLimit
+	Apply(source string, news []*nodepb.InstanceLimit, now time.Time)
+}
+
 // Options of an Exchange.
 type Options struct {
 	Node string
@@ -42,12 +48,14 @@
 	Saves   Saves
 	// Quarantine is the list of suspected parts of prompts, which the nodes exchange.
 	Quarantine Quarantine
-	Log        *zap.Logger
-	Metrics    gometrics.Registry
+	// Limits holds the limits that instances name, which the nodes exchange; nil for none.
+	Limits  Limits
+	Log     *zap.Logger
+	Metrics gometrics.Registry
 }
 
-// Exchange sends and receives reports. Its lock is acquired before those of the tracker, of the saves and of the
-// quarantine.
+// Exchange sends and receives reports. Its lock is acquired before those of the tracker, of the saves, of the quarantine
+// and of the limits.
 type Exchange struct {
 	options Options
 	metrics meters
@@ -144,6 +152,9 @@
 func (e *Exchange) report(sequence uint64) *nodepb.LoadReport {
 	r := e.options.Tracker.Report(sequence)
 	r.Node, r.Saves, r.Suspects = e.options.Node, e.options.Saves.DrainSaves(), e.suspects.forReport(time.Now())
+	if e.options.Limits != nil {
+		r.Limits = e.options.Limits.News(time.Now())
+	}
 	if shrink(r) {
 		e.metrics.shrunk.Inc(1)
 	}
@@ -154,6 +165,9 @@
 func (e *Exchange) digest(now time.Time) *nodepb.ZoneDigest {
 	d := e.options.Tracker.Digest(now)
 	d.Suspects = e.suspects.forDigest(now)
+	if e.options.Limits != nil {
+		d.Limits = e.options.Limits.News(now)
+	}
 	return d
 }
 
@@ -212,6 +226,7 @@
 		e.logUnresponsive(r.GetNode(), ejected)
 		e.options.Saves.RecordSaves(r.GetSaves())
 		e.applySuspects(r.GetNode(), r.GetSuspects(), now)
+		e.applyLimits(r.GetNode(), r.GetLimits(), now)
 	}
 	for _, d := range datagram.GetDigests() {
 		e.applyDigest(d, now)
@@ -224,6 +239,7 @@
 		ownNode = e.options.Node
 	}
 	e.applySuspects(d.GetZone(), d.GetSuspects(), now)
+	e.applyLimits(d.GetZone(), d.GetLimits(), now)
 	ejected, applied := e.options.Tracker.ApplyDigest(d, ownNode, now)
 	e.logUnresponsive(d.GetZone(), ejected)
 	if !applied {
@@ -241,3 +257,9 @@
 		e.options.Log.Info("instances silent by word of another node", zap.String("node", source), zap.Strings("instances", instances))
 	}
 }
+
+func (e *Exchange) applyLimits(source string, limits []*nodepb.InstanceLimit, now time.Time) {
+	if e.options.Limits != nil && len(limits) > 0 {
+		e.options.Limits.Apply(source, limits, now)
+	}
+}
--- a/upstreamlimit/limiter.go
+++ b/upstreamlimit/limiter.go
@@ -1,40 +1,58 @@
 package upstreamlimit
 
 import (
+	"context"
 	"sync"
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
 	"github.com/wasabishunt/wasabishunt/upstreams"
 )
 
 // Options of a Limiter.
 type Options struct {
+	// Self is the address at which other nodes ask this one.
+	Self string
+	// Ask sends a question to another node.
+	Ask     func(ctx context.Context, address string, q *nodepb.PermitRequest) (*nodepb.PermitReply, error)
 	Log     *zap.Logger
 	Metrics gometrics.Registry
 }
 
-// Limiter records the limits that instances name. Limiter.mu is a leaf lock: no other lock is acquired while it is held.
+// Limiter keeps the limits that instances name. Limiter.mu is a leaf lock: no other lock is acquired while it is held.
 type Limiter struct {
 	options Options
 
-	mu      sync.Mutex
-	notices Notices
+	mu   sync.Mutex
+	core *Core
 	// malformed holds the instances whose limit could not be read, which is logged once.
 	malformed map[uint32]bool
 }
 
+const (
+	// askTimeout is a few round trips between availability zones, and below the eighth of a target for which holding a request costs its
+	// caller nothing.
+	askTimeout = 50 * time.Millisecond
+	// newsTime is how long other nodes are told of a change: a lost datagram is made up for.
+	newsTime = time.Second
+	// maxNews bounds the changes in one datagram.
+	maxNews = 96
+	// maxMalformed bounds the instances of which a limit that cannot be read is logged.
+	maxMalformed = 1024
+)
+
 // New returns a Limiter that knows of no limit.
 func New(options Options) *Limiter {
-	return &Limiter{options: options, malformed: map[uint32]bool{}}
+	return &Limiter{options: options, core: NewCore(options.Self), malformed: map[uint32]bool{}}
 }
 
 // Named records that an instance named a limit in the answer to a request.
 func (l *Limiter) Named(instance *upstreams.Instance, perSecond float64, request string, now time.Time) {
 	l.mu.Lock()
-	change := l.notices.Name(instance.Key().Hash(), perSecond, now, now)
+	change := l.core.Named(instance.Key().Hash(), perSecond, now, now)
 	l.mu.Unlock()
 	if change != Unchanged {
 		l.counter("upstreamlimit.changes").Inc(1)
@@ -45,7 +63,7 @@
 // NotNamed records that an instance named no limit in the answer to a request that was sent at sentAt.
 func (l *Limiter) NotNamed(instance *upstreams.Instance, sentAt time.Time, request string, now time.Time) {
 	l.mu.Lock()
-	change := l.notices.Clear(instance.Key().Hash(), sentAt, now)
+	change := l.core.NotNamed(instance.Key().Hash(), sentAt, now)
 	l.mu.Unlock()
 	if change == Ended {
 		l.counter("upstreamlimit.changes").Inc(1)
@@ -53,9 +71,6 @@
 	}
 }
 
-// maxMalformed bounds the instances of which a limit that cannot be read is logged.
-const maxMalformed = 1024
-
 // Malformed records that an instance named something that is no limit.
 func (l *Limiter) Malformed(instance *upstreams.Instance, request string) {
 	hash := instance.Key().Hash()
@@ -71,6 +86,135 @@
 	}
 }
 
+// Acquire takes a permit to send a request to an instance. It returns 0 if the request may be sent, and otherwise the time after which the
+// instance may take one. It asks at most two nodes, each for askTimeout.
+func (l *Limiter) Acquire(ctx context.Context, instance *upstreams.Instance, request string) (wait time.Duration) {
+	hash := instance.Key().Hash()
+	l.mu.Lock()
+	step := l.core.Next(hash, time.Now())
+	l.mu.Unlock()
+	owner := ""
+	for range 2 {
+		if step.Owner == "" || ctx.Err() != nil {
+			break
+		}
+		owner = step.Owner
+		step = l.ask(ctx, step)
+	}
+	if step.Send {
+		return 0
+	}
+	// An owner that is still to be asked counts as one without an answer.
+	wait = max(step.Wait, minWait)
+	l.counter("upstreamlimit.denied").Inc(1)
+	l.options.Log.Info("limit of an instance leaves no permit", zap.String("request", request), zap.String("instance", instance.ID),
+		zap.Float64("per_second", l.perSecond(hash)), zap.Duration("wait", wait), zap.String("owner", owner))
+	return wait
+}
+
+func (l *Limiter) perSecond(hash uint32) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	perSecond, _ := l.core.notices.Of(hash)
+	return perSecond
+}
+
+// ask asks an owner and returns what to do then.
+func (l *Limiter) ask(ctx context.Context, step Step) Step {
+	q, asked := step.Question, time.Now()
+	if step.Owner == l.options.Self {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.core.Replied(q, l.core.Serve(q, asked), asked, asked)
+	}
+	askCtx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	reply, err := l.options.Ask(askCtx, step.Owner, encodeQuestion(q))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.counter("upstreamlimit.unanswered").Inc(1)
+		l.options.Log.Debug("owner of a limit did not answer", zap.String("owner", step.Owner), zap.Error(err))
+		if ctx.Err() == nil {
+			l.core.Failed(step.Owner, time.Now())
+		}
+		return l.core.Next(q.Hash, time.Now())
+	}
+	return l.core.Replied(q, decodeReply(reply), asked, time.Now())
+}
+
+// Serve answers the question of another node.
+func (l *Limiter) Serve(request *nodepb.PermitRequest) (*nodepb.PermitReply, error) {
+	q, err := decodeQuestion(request)
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return encodeReply(l.core.Serve(q, time.Now())), nil
+}
+
+// Waits returns how long the instances take no requests from this node, by the hashes of their keys; nil if there are none.
+func (l *Limiter) Waits(now time.Time) map[uint32]time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.core.Waits(now)
+}
+
+// SetNodes replaces the list of the addresses of all nodes.
+func (l *Limiter) SetNodes(nodes []string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.core.SetNodes(nodes, now)
+}
+
+// Confirm records that this node is in contact with the leader, and drops what is known of instances that are not listed.
+func (l *Limiter) Confirm(view *upstreams.View, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.core.Confirm(now)
+	l.core.Retain(func(hash uint32) bool { return view.ByHash(hash) != nil }, now)
+}
+
+// News returns the changes that other nodes are told.
+func (l *Limiter) News(now time.Time) []*nodepb.InstanceLimit {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []*nodepb.InstanceLimit
+	for hash, notice := range l.core.News(newsTime, now) {
+		if len(out) == maxNews {
+			break
+		}
+		out = append(out, encodeNotice(hash, notice, now))
+	}
+	return out
+}
+
+// Apply takes what another node or zone tells.
+func (l *Limiter) Apply(source string, news []*nodepb.InstanceLimit, now time.Time) {
+	for _, n := range news[:min(len(news), maxNews)] {
+		l.apply(source, n, now)
+	}
+}
+
+func (l *Limiter) apply(source string, n *nodepb.InstanceLimit, now time.Time) {
+	at := now.Add(-decodeAge(n.GetAgeMs()))
+	l.mu.Lock()
+	change := Unchanged
+	switch {
+	case n.GetEnded():
+		change = l.core.NotNamed(n.GetInstance(), at, now)
+	case Usable(n.GetPerSecond()):
+		change = l.core.Named(n.GetInstance(), n.GetPerSecond(), at, now)
+	}
+	l.mu.Unlock()
+	if change != Unchanged {
+		l.counter("upstreamlimit.changes").Inc(1)
+		l.options.Log.Info("limit by word of another node", zap.String("node", source), zap.Uint32("instance_hash", n.GetInstance()),
+			zap.Float64("per_second", n.GetPerSecond()), zap.Bool("ended", n.GetEnded()), zap.Uint32("age_ms", n.GetAgeMs()))
+	}
+}
+
 func (l *Limiter) counter(name string) gometrics.Counter {
 	return gometrics.GetOrRegisterCounter(name, l.options.Metrics)
 }
