--- a/replica/fulldisk.go
+++ b/replica/fulldisk.go
@@ -20,6 +20,8 @@
 	// handOverInterval is the shortest time between two transfers of leadership for lack of room. Without a limit, members that all have
 	// no room would pass the leadership around all the time.
 	handOverInterval = 5 * time.Second
+	// slowSnapshotLimit is how long a leader refuses commands before another member takes over. A snapshot takes a few syncs of up to 500 ms.
+	slowSnapshotLimit = 2 * time.Second
 )
 
 // refusedByFullDisk reports whether an error is a write that can be repeated.
@@ -118,6 +120,17 @@
 	return r.options.MaxLogBytes > 0 && r.storage.wal.Bytes()+r.unsavedBytes > r.options.MaxLogBytes
 }
 
+// dropsEntries reports whether entries of the leader are dropped, as if the network had lost them, because the log is too long and a snapshot will
+// shorten it. Only the leader refuses commands, and its own snapshots may be faster: its entries would take the room of the snapshot that this
+// member is writing. The member goes on answering heartbeats and votes.
+func (r *Replica) dropsEntries() bool {
+	if r.snapshotFailed.Load() || !r.logIsTooLong() || r.node.Status().Applied <= r.savedIndex {
+		return false
+	}
+	r.requestSnapshot()
+	return true
+}
+
 // checkLogLimit refuses entries as a full disk does once the log has one and a half times MaxLogBytes and no snapshot can be saved. A follower
 // cannot refuse the commands of its leader, and a log that has taken the whole disk leaves no room for the snapshot that would shorten it.
 func (r *Replica) checkLogLimit(ready raft.Ready) error {
@@ -128,10 +141,18 @@
 	return &wal.FullError{Cause: failure.New(failure.StorageFailed, failure.NotRun, "the log has more than %d bytes and no snapshot could be saved", limit)}
 }
 
-// handOver transfers the leadership if this member refuses commands because its disk has no room for the snapshot that would shorten the log.
-// The others may have room.
+// handOver transfers the leadership if this member refuses commands because its disk has no room for the snapshot that would shorten the log, or
+// takes too long to write it. The disks of the others may be better.
 func (r *Replica) handOver() {
-	if !r.snapshotFailed.Load() || !r.logIsTooLong() || time.Since(r.handedOverAt) < handOverInterval {
+	if !r.logIsTooLong() {
+		r.tooLongSince = time.Time{}
+		return
+	}
+	if r.tooLongSince.IsZero() {
+		r.tooLongSince = time.Now()
+	}
+	failing := r.snapshotFailed.Load() || time.Since(r.tooLongSince) >= slowSnapshotLimit
+	if !failing || time.Since(r.handedOverAt) < handOverInterval {
 		return
 	}
 	if r.node.TransferLeadership() {
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -136,6 +136,13 @@
 }
 
 func (r *Replica) step(m inbound) {
+	if len(m.message.GetEntries()) > 0 && r.dropsEntries() {
+		r.metrics.dropped.Inc(1)
+		return
+	}
+	for _, e := range m.message.GetEntries() {
+		r.unsavedBytes += int64(len(e.GetData()))
+	}
 	if s := m.message.GetSnapshot(); s != nil {
 		r.received[s.GetIndex()] = m.data
 	}
@@ -195,6 +202,7 @@
 		r.transport.send(m)
 	}
 	if received != nil {
+		r.savedIndex = received.Meta.GetIndex()
 		r.failSkipped(received.Meta.GetIndex())
 		r.submit(applyJob{install: received})
 	} else if len(ready.Committed) > 0 {
@@ -239,6 +247,7 @@
 		r.node.SetApplied(e.applied)
 		r.releaseReads()
 	case e.saved != nil:
+		r.savedIndex = max(r.savedIndex, e.saved.GetIndex())
 		if r.node.Compact(e.saved, r.node.TrailingFrom(e.saved.GetIndex(), r.options.TrailingEntries, r.options.TrailingBytes)) {
 			before := r.storage.wal.Bytes()
 			if err := r.storage.compact(e.saved); err != nil {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -191,6 +191,10 @@
 	pending map[uint64]*proposal
 	// unsavedBytes is the size of the commands that the core has taken and the log does not hold yet.
 	unsavedBytes int64
+	// savedIndex is the index of the newest saved snapshot.
+	savedIndex uint64
+	// tooLongSince is when the log became too long, zero if it is not.
+	tooLongSince time.Time
 	// handedOverAt is when leadership was last transferred for lack of room.
 	handedOverAt time.Time
 	// rounds maps the contexts of ReadIndex calls to the read rounds that are not confirmed yet.
@@ -258,6 +262,7 @@
 			return failure.Wrap(err, failure.StorageFailed, failure.NotRun, "restore snapshot %d", loaded.snapshot.Meta.GetIndex())
 		}
 		r.snapshotBytes.Store(int64(len(loaded.snapshot.Data)))
+		r.savedIndex = loaded.snapshot.Meta.GetIndex()
 	}
 	node, err := raft.New(r.coreConfig(), loaded.state)
 	r.node = node
