--- a/replica/fulldisk.go
+++ b/replica/fulldisk.go
@@ -118,14 +118,22 @@
 	return r.options.MaxLogBytes > 0 && r.storage.wal.Bytes()+r.unsavedBytes > r.options.MaxLogBytes
 }
 
-// checkLogLimit refuses entries as a full disk does once the log has one and a half times MaxLogBytes and no snapshot can be saved. A follower
-// cannot refuse the commands of its leader, and a log that has taken the whole disk leaves no room for the snapshot that would shorten it.
+// checkLogLimit refuses entries as a full disk does if the log would get more than one and a half times MaxLogBytes and no snapshot can be
+// saved. A follower cannot refuse the commands of its leader, and a log that has taken the whole disk leaves no room for the snapshot that
+// would shorten it. The entries themselves count: large ones take the room of a snapshot.
 func (r *Replica) checkLogLimit(ready raft.Ready) error {
 	limit := r.options.MaxLogBytes + r.options.MaxLogBytes/2
-	if limit == 0 || len(ready.Entries) == 0 || ready.Snapshot != nil || !r.snapshotFailed.Load() || r.storage.wal.Bytes() <= limit {
+	if limit == 0 || len(ready.Entries) == 0 || ready.Snapshot != nil || !r.snapshotFailed.Load() {
 		return nil
 	}
-	return &wal.FullError{Cause: failure.New(failure.StorageFailed, failure.NotRun, "the log has more than %d bytes and no snapshot could be saved", limit)}
+	bytes := r.storage.wal.Bytes()
+	for _, e := range ready.Entries {
+		bytes += int64(len(e.GetData()))
+	}
+	if bytes <= limit {
+		return nil
+	}
+	return &wal.FullError{Cause: failure.New(failure.StorageFailed, failure.NotRun, "the log would have %d bytes and no snapshot could be saved", bytes)}
 }
 
 // handOver transfers the leadership if this member refuses commands because its disk has no room for the snapshot that would shorten the log.
