upstreams, fleetview, node: core members hand out the newest instance list that they know

Callers saw a node that started while nobody could read the instance list refuse everything until the list was back ("the instance list is not known yet"), although the core members knew the instances. A leader that alone could not read the list kept its old view for as long, and so did a node that got updates from that leader only and could not read the list either.

Cause: only a leader whose last read is at most 1.5 s old sends instances.

Now every other member announces the age of its view in its updates: an InstanceView without instances whose revision is the age in ms plus 1. A node whose view is 2 s older, or that has none, asks one of the members with the newest views, with a WatchRequest without a node name, and gets one update with the instances and their age. No message changes: receivers never used the revision, nodes of the release before ignore the instances of a member that does not lead, and a member of that release announces nothing and is never asked.

A copy is applied only if it is newer than the view by more than the error of the ages, and keeps its age (metric node_instance_list_age_ms, event "instance list from a core member"). What was seen leaving overrides it by id and time of start, as it does a list, and what a list left out within the last minute stays out: a member that was paused may take its view for current. The view is confirmed after it is applied, so that no member hands out an old view under a newer age, and the age keeps the monotonic clock.

--- a/fleetview/server.go
+++ b/fleetview/server.go
@@ -82,7 +82,7 @@
 	defer cancel()
 	// identified is closed at the first keep-alive, which sets fetchesSets.
 	identified := make(chan struct{})
-	fetchesSets := false
+	fetchesSets, asksForView := false, false
 	// lastMessage is when the last keep-alive arrived, in ns since started. The receiver sets it, because a large message to a
 	// slow node blocks this goroutine for longer than streamTimeout.
 	started := time.Now()
@@ -91,11 +91,11 @@
 		defer cancel()
 		for {
 			q, err := stream.Recv()
-			if err != nil || supervise.Call(s.Log, "sign of life", func() { s.recordNode(q) }) != nil {
+			if err != nil || q.GetNode() != "" && supervise.Call(s.Log, "sign of life", func() { s.recordNode(q) }) != nil {
 				return
 			}
 			if lastMessage.Swap(int64(time.Since(started))) == 0 {
-				fetchesSets = q.GetFetchesSets()
+				fetchesSets, asksForView = q.GetFetchesSets(), q.GetNode() == ""
 				close(identified)
 			}
 		}
@@ -127,6 +127,9 @@
 				return failure.New(failure.DeadlineExceeded, failure.NotRun, "no keep-alive for %s", silence)
 			}
 		case <-identified:
+			if asksForView {
+				return stream.Send(&nodepb.WatchUpdate{Instances: s.copyOfView(time.Now())})
+			}
 			identified, sendsSets = nil, !fetchesSets
 		case <-stateChanged:
 		case <-viewChanged:
@@ -166,7 +169,7 @@
 
 // update returns what was not yet sent on a stream. Nodes fetch sets themselves, unless sendsSets is set; with a document, the rest is
 // left for the next update. Instances, placements and nodes are included only while this member
-// is a fresh leader with a current directory.
+// is a fresh leader with a current directory; another member sends the age of its view, for which nodes may ask.
 func (s *Server) update(state *nodepb.State, sent *position, sendsSets bool) *nodepb.WatchUpdate {
 	// The term is read before the leadership: if the leadership is lost in between, the update has the old term and the
 	// watchers ignore it.
@@ -190,6 +193,7 @@
 	}
 	if u.Leads = u.Fresh && s.Group.Leads() && s.Reader.Current(); !u.Leads {
 		*sent = position{document: sent.document, members: sent.members, membersAt: sent.membersAt}
+		u.Instances = s.announceView(time.Now())
 		return u
 	}
 	count, known := s.activeNodes()
--- /dev/null
+++ b/fleetview/views_test.go
@@ -0,0 +1,130 @@
+package fleetview
+
+import (
+	"context"
+	"math"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
+	"github.com/wasabishunt/wasabishunt/upstreams"
+)
+
+// startViewNode starts a watcher that fills a directory and counts its connections. It applies what the leader sends if followsLeader is
+// set.
+func startViewNode(t *testing.T, addresses []string, followsLeader bool) (*upstreams.Directory, *atomic.Int32) {
+	t.Helper()
+	directory, dials := upstreams.NewDirectory(), &atomic.Int32{}
+	contacts := func() []string { return addresses }
+	watcher := &Watcher{
+		Node: "n", Contacts: contacts, Seeds: contacts, Directory: directory, Log: zap.NewNop(), OnSet: func(PublishedSet) {},
+		OnUpdate: func(_ string, u *nodepb.WatchUpdate) {
+			if !u.GetLeads() || !followsLeader {
+				return
+			}
+			if u.GetInstances() != nil {
+				directory.ApplyList(DecodeView(u.GetInstances()), time.Now())
+			}
+			directory.Confirm(time.Now())
+		},
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			dials.Add(1)
+			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var tasks sync.WaitGroup
+	tasks.Go(func() { watcher.Run(ctx) })
+	t.Cleanup(func() { cancel(); tasks.Wait() })
+	return directory, dials
+}
+
+// awaitViews waits until all members are in the group and have a view, and one of them sends its list.
+func awaitViews(t *testing.T, members []testMember) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		leads := false
+		for _, m := range members {
+			leads = leads || m.server.Reader.Current()
+			if m.server.Directory.View().Revision == 0 || len(m.server.Group.Members()) < len(members) {
+				return false
+			}
+		}
+		return leads
+	}, formLimit, 10*time.Millisecond)
+}
+
+// Guards against a node that gets no instances because only core members that do not lead have them, against one that asks again and
+// again for views that are not newer, and against an ask that counts as a node, which would divide the budgets among more nodes than there are.
+func TestMembersHandOutTheirViews(t *testing.T) {
+	members, addresses := startMembers(t, 3, windowBytes)
+	awaitViews(t, members)
+	directory, dials := startViewNode(t, addresses, false)
+	require.Eventually(t, func() bool { return directory.View().Revision > 0 }, 5*time.Second, 10*time.Millisecond)
+	require.Equal(t, "a", directory.View().Instances[0].ID)
+	before := dials.Load()
+	time.Sleep(2 * viewAskInterval)
+	require.LessOrEqual(t, dials.Load()-before, int32(3))
+	for _, m := range members {
+		m.server.mu.Lock()
+		require.NotContains(t, m.server.nodes, "")
+		m.server.mu.Unlock()
+	}
+}
+
+// Guards against transfers of the whole list from members that do not lead while the leader sends it.
+func TestNodeThatFollowsTheLeaderAsksNobody(t *testing.T) {
+	members, addresses := startMembers(t, 3, windowBytes)
+	awaitViews(t, members)
+	directory, dials := startViewNode(t, addresses, true)
+	require.Eventually(t, func() bool { return directory.View().Revision > 0 }, 5*time.Second, 10*time.Millisecond)
+	time.Sleep(3 * time.Second)
+	require.EqualValues(t, len(addresses), dials.Load(), "one connection for each stream")
+}
+
+// Guards against a member with an outdated view that is asked although another one has a newer view, against links between zones that
+// carry a view without need, and against a member that is asked at once again after it failed.
+func TestNewestViewIsAskedFor(t *testing.T) {
+	directory, now := upstreams.NewDirectory(), time.Now()
+	v := newViewCopies(&Watcher{Directory: directory, AvailabilityZone: "z", zones: map[string]string{"old": "z", "near": "z", "far": "y"}})
+	require.Empty(t, v.choose(now))
+	announce := func(address string, age time.Duration) {
+		v.announce(address, &nodepb.WatchUpdate{Instances: &nodepb.InstanceView{Revision: encodeViewAge(age)}}, now)
+	}
+	announce("old", time.Minute)
+	require.Empty(t, v.choose(now.Add(viewSettleTime-time.Millisecond)), "the other members have not announced their views yet")
+	announce("far", time.Second)
+	announce("near", 2*time.Second)
+	later := now.Add(viewSettleTime)
+	for range 20 {
+		require.Equal(t, "near", v.choose(later))
+	}
+	v.failedAt["near"] = later
+	require.Equal(t, "far", v.choose(later))
+	v.remove("far")
+	require.Equal(t, "old", v.choose(later))
+	announce("far", time.Second)
+	v.announce("far", &nodepb.WatchUpdate{Leads: true}, now)
+	require.Equal(t, "old", v.choose(later), "the leader sends its view itself")
+	directory.ApplyList(nil, now.Add(-time.Minute))
+	require.Empty(t, v.choose(later), "no view is newer than that of the node")
+}
+
+// Guards against ages that wrap around or are lost in encoding.
+func TestAgesOfViewsSurviveTheWire(t *testing.T) {
+	for _, age := range []time.Duration{0, time.Millisecond, time.Hour} {
+		got, ok := decodeViewAge(encodeViewAge(age))
+		require.True(t, ok)
+		require.Equal(t, age, got)
+	}
+	for _, revision := range []uint64{0, math.MaxUint64, math.MaxInt64} {
+		_, ok := decodeViewAge(revision)
+		require.False(t, ok)
+	}
+}
--- a/fleetview/watcher.go
+++ b/fleetview/watcher.go
@@ -16,6 +16,7 @@
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
 	"github.com/wasabishunt/wasabishunt/rpcpool"
 	"github.com/wasabishunt/wasabishunt/supervise"
+	"github.com/wasabishunt/wasabishunt/upstreams"
 )
 
 const (
@@ -48,6 +49,8 @@
 	// OnUpdate is called with each update, OnSet with each new set; both from several goroutines.
 	OnUpdate func(from string, u *nodepb.WatchUpdate)
 	OnSet    func(set PublishedSet)
+	// Directory gets the views of core members that are newer than its own; nil for none.
+	Directory *upstreams.Directory
 	// Dial opens connections to core members; default is TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	Log  *zap.Logger
@@ -55,6 +58,7 @@
 	// lastUpdate is the Unix time of the last update in ns.
 	lastUpdate atomic.Int64
 	sets       *setFetcher
+	views      *viewCopies
 	mu         sync.Mutex
 	members    []string
 	// zones holds the availability zones of the members.
@@ -71,6 +75,10 @@
 	w.streams = map[string]context.CancelFunc{}
 	w.sets = newSetFetcher(w)
 	tasks.Go(func() { supervise.Loop(ctx, w.Log, "published sets", func() { w.sets.run(ctx) }) })
+	w.views = newViewCopies(w)
+	if w.Directory != nil {
+		tasks.Go(func() { supervise.Loop(ctx, w.Log, "copies of the instance list", func() { w.views.run(ctx) }) })
+	}
 	ticker := time.NewTicker(streamCheckInterval)
 	defer ticker.Stop()
 	for {
@@ -144,6 +152,7 @@
 				zap.Int64("unfinished_bytes", progress.unfinished()), zap.Duration("since_message", progress.sinceMessage()), zap.Error(err))
 		}
 		w.sets.remove(address)
+		w.views.remove(address)
 		clock.Sleep(ctx, reconnectDelay)
 	}
 }
@@ -232,6 +241,7 @@
 		w.OnSet(set)
 	}
 	w.OnUpdate(from, u)
+	w.views.announce(from, u, time.Now())
 	w.sets.announce(from, w.zoneOf(from), u.GetSetVersion())
 }
 
--- a/node/adopt.go
+++ b/node/adopt.go
@@ -88,7 +88,6 @@
 		n.budget.SetNodes(int(nodes))
 	}
 	now := time.Now()
-	n.directory.Confirm(now)
 	n.stores.RecordContact()
 	n.stores.SetClock(u.GetEngineClockMs())
 	if len(u.GetLoadAddresses()) > 0 {
@@ -107,6 +106,16 @@
 	if u.GetInstances() != nil && !n.reader.ReadsForAll() {
 		n.directory.ApplyList(fleetview.DecodeView(u.GetInstances()), now)
 	}
+	// The view is confirmed after it is applied, so that other nodes do not get an old one as current.
+	n.directory.Confirm(now)
+}
+
+// listAgeMs returns how long ago the instance list was known to be current in ms, -1 if it is not known.
+func (n *Node) listAgeMs() int64 {
+	if _, age, ok := n.directory.Copy(time.Now()); ok {
+		return age.Milliseconds()
+	}
+	return -1
 }
 
 // checkSynced confirms the set once it is at least as new as the one that a core member had that was sure to be current.
--- /dev/null
+++ b/node/list_test.go
@@ -0,0 +1,183 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/wasabishunt/wasabishunt/coregroup"
+	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/retrybudget"
+	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
+	"github.com/wasabishunt/wasabishunt/trafficset"
+	"github.com/wasabishunt/wasabishunt/upstreams"
+)
+
+// testList is the list of instances as one node can read it.
+type testList struct {
+	unreadable atomic.Bool
+	instances  atomic.Pointer[[]upstreams.Instance]
+}
+
+func (l *testList) List(context.Context) ([]upstreams.Instance, error) {
+	if l.unreadable.Load() {
+		return nil, failure.New(failure.UpstreamFailed, failure.Unknown, "the list cannot be read")
+	}
+	var list []upstreams.Instance
+	for _, instance := range *l.instances.Load() {
+		instance.Versions = map[string]uint64{}
+		list = append(list, instance)
+	}
+	return list, nil
+}
+
+func (l *testList) show(instances ...upstreams.Instance) { l.instances.Store(&instances) }
+
+// runningNode is a node in the process of the test.
+type runningNode struct {
+	*Node
+	list *testList
+	stop func()
+}
+
+// fleet starts nodes with the same seeds.
+type fleet struct {
+	t     *testing.T
+	seeds []string
+	nodes int
+}
+
+func freeAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, listener.Close()) }()
+	return listener.Addr().String()
+}
+
+// start starts a node, as a core member if dir is not empty.
+func (f *fleet) start(dir, internal string, list *testList) *runningNode {
+	f.nodes++
+	n := New(Config{
+		Name: fmt.Sprintf("n%d", f.nodes), AvailabilityZone: "z", IP: "127.0.0.1", DataDir: dir, FirstStart: dir != "", Seeds: f.seeds,
+		Front: freeAddress(f.t), Ready: freeAddress(f.t), Internal: internal, LoadReports: freeAddress(f.t), Tolerance: coregroup.Tolerance{VMs: 1},
+		Grace: 4 * time.Second, MemoryBytes: 1 << 30, MaxDescriptors: 2000, Retries: retrybudget.Limits{Window: time.Second},
+	}, Parts{Lister: list, DecodeSet: func(document []byte) (*trafficset.Set, error) {
+		set := &trafficset.Set{Version: uint64(document[0])}
+		return set, set.Build()
+	}}, zap.NewNop(), gometrics.NewRegistry())
+	ctx, cancel := context.WithCancel(context.Background())
+	var tasks sync.WaitGroup
+	tasks.Go(func() { _ = n.Run(ctx) })
+	running := &runningNode{Node: n, list: list, stop: sync.OnceFunc(func() { cancel(); tasks.Wait() })}
+	return running
+}
+
+// startCore starts three core members with a published set that read a list with an engine, and one that leaves.
+func startCore(t *testing.T) (*fleet, []*runningNode) {
+	t.Helper()
+	f := &fleet{t: t}
+	for range 3 {
+		f.seeds = append(f.seeds, freeAddress(t))
+	}
+	var core []*runningNode
+	for _, address := range f.seeds {
+		list := &testList{}
+		list.show(upstreams.Instance{ID: "a", Service: "s", Address: "1", Born: 1}, upstreams.Instance{ID: "b", Service: "s", Address: "2", Born: 1, Draining: true})
+		core = append(core, f.start(t.TempDir(), address, list))
+	}
+	t.Cleanup(func() {
+		var stops sync.WaitGroup
+		for _, n := range core {
+			stops.Go(n.stop)
+		}
+		stops.Wait()
+	})
+	require.Eventually(t, func() bool {
+		for _, n := range core {
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			err := n.group.Propose(ctx, &nodepb.Command{Change: &nodepb.Command_Publish{Publish: &nodepb.PublishSet{Version: 1, Document: []byte{1}}}})
+			cancel()
+			if err == nil {
+				return true
+			}
+		}
+		return false
+	}, 15*time.Second, 20*time.Millisecond)
+	for _, n := range core {
+		require.Eventually(t, func() bool { return n.Ready() == nil }, 10*time.Second, 20*time.Millisecond)
+	}
+	return f, core
+}
+
+// draining returns for each instance of the node's view whether it is leaving.
+func (n *runningNode) draining() map[string]bool {
+	states := map[string]bool{}
+	for _, instance := range n.directory.View().Instances {
+		states[instance.ID] = instance.Draining
+	}
+	return states
+}
+
+// Guards against a node that starts while nobody can read the instance list and is not ready until it can be read again, although the
+// core members know the instances, and against a view that looks newer than it is.
+func TestNodeStartsWhileTheListIsAway(t *testing.T) {
+	f, core := startCore(t)
+	away := &testList{}
+	away.unreadable.Store(true)
+	for _, n := range core {
+		n.list.unreadable.Store(true)
+	}
+	since := time.Now()
+	time.Sleep(4 * time.Second)
+	started := f.start("", freeAddress(t), away)
+	t.Cleanup(started.stop)
+	if !assert.Eventually(t, func() bool { return started.Ready() == nil }, 6*time.Second, 20*time.Millisecond) {
+		require.NoError(t, started.Ready())
+	}
+	require.Equal(t, map[string]bool{"a": false, "b": true}, started.draining())
+	require.Greater(t, started.directory.Age(time.Now()), time.Since(since)-upstreams.CopyMargin, "the view looks newer than the last read")
+	started.list.show(upstreams.Instance{ID: "a", Service: "s", Address: "1", Born: 1}, upstreams.Instance{ID: "b", Service: "s", Address: "2", Born: 1})
+	started.list.unreadable.Store(false)
+	require.Eventually(t, func() bool { return started.directory.Age(time.Now()) < 1500*time.Millisecond }, 4*time.Second, 20*time.Millisecond)
+	require.Equal(t, map[string]bool{"a": false, "b": true}, started.draining(), "what another node saw leaving stays leaving")
+}
+
+// Guards against a node that goes on with an old view because neither it nor the leader can read the instance list, although another
+// core member can.
+func TestNodeGetsTheNewestListThatIsKnown(t *testing.T) {
+	_, core := startCore(t)
+	var others []*runningNode
+	for _, n := range core {
+		if n.group.Leads() {
+			n.list.unreadable.Store(true)
+		}
+		others = append(others, n)
+	}
+	time.Sleep(2500 * time.Millisecond)
+	var reader *runningNode
+	for _, n := range others {
+		if !n.group.Leads() && reader == nil {
+			reader = n
+			continue
+		}
+		n.list.unreadable.Store(true)
+	}
+	reader.list.show(upstreams.Instance{ID: "a", Service: "s", Address: "1", Born: 1, Draining: true}, upstreams.Instance{ID: "c", Service: "s", Address: "3", Born: 1})
+	for _, n := range core {
+		require.Eventually(t, func() bool {
+			states := n.draining()
+			_, goneListed := states["b"]
+			_, newListed := states["c"]
+			return states["a"] && newListed && !goneListed
+		}, 10*time.Second, 20*time.Millisecond)
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -184,6 +184,7 @@
 		Memory: bodyMemory(config.MemoryBytes),
 		Nodes:  func() int { return int(n.nodes.Load()) }, Log: log, Metrics: registry,
 	})
+	_ = registry.Register("node.instance_list_age_ms", gometrics.NewFunctionalGauge(n.listAgeMs))
 	n.server = &callers.Server{Handler: supervise.HTTP(log, "request", n.gateway), Log: log, Metrics: registry, EndRequests: n.gateway.EndRequests}
 	return n
 }
@@ -225,7 +226,7 @@
 	watcher := &fleetview.Watcher{
 		Node: n.config.Name, AvailabilityZone: n.config.AvailabilityZone, Address: n.config.Internal, LoadAddress: n.config.LoadReports,
 		LinkMbps: n.config.LinkMbps, CPUMillis: n.config.CPUMillis, Contacts: n.group.Contacts, Seeds: n.Seeds,
-		OnUpdate: n.applyUpdate, OnSet: n.applySet, Log: n.log,
+		OnUpdate: n.applyUpdate, OnSet: n.applySet, Directory: n.directory, Log: n.log,
 	}
 	for name, run := range map[string]func(){
 		"instance list":     func() { n.reader.Run(running) },
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -91,6 +91,16 @@
 	require.EqualValues(t, 3, n.directory.View().Instances[0].Born)
 }
 
+// Guards against the age of a follower's view, which an update carries in place of a revision, that is taken for a list without instances.
+func TestUpdateOfAFollowerIsNoList(t *testing.T) {
+	n := newNode()
+	n.receive("leader", &nodepb.WatchUpdate{Fresh: true, Leads: true, Term: 1, Instances: &nodepb.InstanceView{Instances: []*nodepb.Instance{{Id: "i"}}}})
+	confirmed := n.directory.Age(time.Now())
+	n.receive("a", &nodepb.WatchUpdate{Fresh: true, Term: 1, Instances: &nodepb.InstanceView{Revision: 5}})
+	require.Len(t, n.directory.View().Instances, 1)
+	require.GreaterOrEqual(t, n.directory.Age(time.Now()), confirmed, "only the leader confirms the view")
+}
+
 // Guards against a named version that is replaced by an older one, and against requests on old weights after their
 // time limit.
 func TestWeightsNeverGoBack(t *testing.T) {
--- a/upstreams/upstreams.go
+++ b/upstreams/upstreams.go
@@ -72,20 +72,24 @@
 	// draining holds the instances that were seen draining, with the time when they were last listed: an outdated list must
 	// not show them as ready again.
 	draining map[Key]time.Time
+	// gone holds the instances that a newer list left out, with the time when it did: a copy of another node's view must not bring them back.
+	gone map[Key]time.Time
 	// updating and loaded hold reports of the rollout controller, which are newer than the list.
 	updating map[Key]time.Time
 	loaded   map[Key]map[string]uint64
 	changed  chan struct{}
-	// confirmed is the last time at which the view was known to be current, Unix ns.
-	confirmed atomic.Int64
+	// confirmed is the last time at which the view was known to be current. It keeps its monotonic reading, so that the age does not
+	// follow steps of the clock.
+	confirmed atomic.Pointer[time.Time]
 }
 
 // NewDirectory returns an empty Directory.
 func NewDirectory() *Directory {
 	d := &Directory{
-		draining: map[Key]time.Time{}, updating: map[Key]time.Time{}, loaded: map[Key]map[string]uint64{}, changed: make(chan struct{}),
+		draining: map[Key]time.Time{}, gone: map[Key]time.Time{}, updating: map[Key]time.Time{}, loaded: map[Key]map[string]uint64{}, changed: make(chan struct{}),
 	}
 	d.view.Store(newView(0, nil, time.Time{}))
+	d.Confirm(time.Time{})
 	return d
 }
 
@@ -100,18 +104,20 @@
 }
 
 // Confirm records that the view is current.
-func (d *Directory) Confirm(now time.Time) { d.confirmed.Store(now.UnixNano()) }
+func (d *Directory) Confirm(now time.Time) { d.confirmed.Store(&now) }
 
 // Age returns how long ago the view was known to be current.
-func (d *Directory) Age(now time.Time) time.Duration {
-	return time.Duration(now.UnixNano() - d.confirmed.Load())
-}
+func (d *Directory) Age(now time.Time) time.Duration { return now.Sub(*d.confirmed.Load()) }
 
 // ApplyList applies a list. It reports whether anything changed.
 func (d *Directory) ApplyList(instances []Instance, now time.Time) bool {
-	d.Confirm(now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return d.apply(instances, now, now)
+}
+
+// apply applies a list that was current at the given time. The caller holds the lock.
+func (d *Directory) apply(instances []Instance, currentAt, now time.Time) bool {
 	present := make(map[Key]bool, len(instances))
 	for i := range instances {
 		key := instances[i].Key()
@@ -119,13 +125,17 @@
 		d.overlay(&instances[i], now)
 	}
 	d.applyDraining(instances, now)
+	d.recordGone(present, now)
 	for key := range d.loaded {
 		if !present[key] {
 			delete(d.loaded, key)
 			delete(d.updating, key)
 		}
 	}
-	return d.replace(instances, now)
+	changed := d.replace(instances, now)
+	// The view is replaced first, so that an old view never has the age of a newer one.
+	d.Confirm(currentAt)
+	return changed
 }
 
 // overlay applies the reports of the rollout controller on an instance to its list entry.
