--- a/raft/snap/snap.go
+++ b/raft/snap/snap.go
@@ -100,6 +100,21 @@
 	return s.removeOld()
 }
 
+// Confirm reports whether the newest valid snapshot was taken at index, and makes its name durable if so: a Save that failed in its last step
+// leaves a readable snapshot, and refuses to store it again.
+func (s *Store) Confirm(index uint64) (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	newest, err := s.newest()
+	if err != nil || newest == nil || newest.Meta.GetIndex() != index {
+		return false, err
+	}
+	if err = s.fs.SyncDir(s.dir); err != nil {
+		return false, storageError(err, "sync the directory of")
+	}
+	return true, nil
+}
+
 func (s *Store) path(index uint64) string {
 	return filepath.Join(s.dir, fmt.Sprintf("%020d%s", index, suffix))
 }
--- a/replica/lateerrors_test.go
+++ b/replica/lateerrors_test.go
@@ -4,9 +4,11 @@
 	"math/rand/v2"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/raft/diskfs/simdisk"
 	"github.com/wasabishunt/wasabishunt/raft/snap"
 	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
@@ -58,3 +60,26 @@
 	require.NoError(t, err)
 	require.Equal(t, incarnation, loaded.formation.incarnation())
 }
+
+// Guards against a group that refuses commands for ever because the directory of a snapshot could not be synced: the next attempt finds the
+// snapshot stored, and nothing shortens the log.
+func TestSnapshotWithAFailedLastStepShortensTheLog(t *testing.T) {
+	t.Parallel()
+	for _, cause := range []error{syscall.EIO, syscall.ENOSPC} {
+		r, disk := startOnSmallDisk(t, func(o *Options) { o.SnapshotBytes, o.TrailingBytes, o.MaxLogBytes = 128<<10, 64<<10, smallDiskBytes/2 })
+		disk.FailNames("data/snap", cause)
+		value := uint64(1)
+		for err := error(nil); err == nil; value++ {
+			if err = proposeLarge(t, r, value); err != nil {
+				require.Equal(t, failure.NotRun, failure.Of(err).Execution, "%v", err)
+			}
+		}
+		// Refused commands ask for further attempts, of which the first includes the last entry.
+		for end := time.Now().Add(2 * snapshotRetryInterval); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			require.Error(t, proposeLarge(t, r, value))
+		}
+		disk.FailNames("data/snap", nil)
+		require.Eventually(t, func() bool { return proposeLarge(t, r, value) == nil }, failoverLimit, 20*time.Millisecond, "%v", cause)
+		require.NoError(t, r.Err())
+	}
+}
--- a/replica/storage.go
+++ b/replica/storage.go
@@ -163,14 +163,26 @@
 
 // saveSnapshot saves a snapshot, on a full disk in the place of the older one of those that are kept.
 func (s *storage) saveSnapshot(snapshot snap.Snapshot) error {
-	err := s.snaps.Save(snapshot)
+	err := s.saveOrConfirm(snapshot)
 	if !diskfs.IsFull(err) {
 		return err
 	}
 	if dropped := s.snaps.DropOld(); dropped != nil {
 		return errors.Join(err, dropped)
 	}
-	return s.snaps.Save(snapshot)
+	return s.saveOrConfirm(snapshot)
+}
+
+// saveOrConfirm saves a snapshot, or completes an earlier attempt that failed in its last step.
+func (s *storage) saveOrConfirm(snapshot snap.Snapshot) error {
+	err := s.snaps.Save(snapshot)
+	if !failure.Is(err, failure.VersionConflict) {
+		return err
+	}
+	if saved, unsynced := s.snaps.Confirm(snapshot.Meta.GetIndex()); saved || unsynced != nil {
+		return unsynced
+	}
+	return err
 }
 
 // dropSuperfluous removes all segments and snapshots that the newest snapshot makes superfluous. Without a full disk another one is kept, in
