--- a/replica/fulldisk.go
+++ b/replica/fulldisk.go
@@ -131,14 +131,23 @@
 	return true
 }
 
-// checkLogLimit refuses entries as a full disk does once the log has one and a half times MaxLogBytes and no snapshot can be saved. A follower
-// cannot refuse the commands of its leader, and a log that has taken the whole disk leaves no room for the snapshot that would shorten it.
+// checkLogLimit refuses entries as a full disk does if the log would exceed MaxLogBytes by more than a command, or by a half, and no snapshot can
+// be saved. A follower cannot refuse the commands of its leader, and a log that has taken the whole disk leaves no room for the snapshot that
+// would shorten it. All entries of the sync count, because a follower that was behind gets many at once.
 func (r *Replica) checkLogLimit(ready raft.Ready) error {
-	limit := r.options.MaxLogBytes + r.options.MaxLogBytes/2
-	if limit == 0 || len(ready.Entries) == 0 || ready.Snapshot != nil || !r.snapshotFailed.Load() || r.storage.wal.Bytes() <= limit {
+	o := r.options
+	limit := o.MaxLogBytes + min(o.MaxLogBytes/2, int64(o.MaxCommandBytes))
+	if limit == 0 || len(ready.Entries) == 0 || ready.Snapshot != nil || !r.snapshotFailed.Load() {
 		return nil
 	}
-	return &wal.FullError{Cause: failure.New(failure.StorageFailed, failure.NotRun, "the log has more than %d bytes and no snapshot could be saved", limit)}
+	size := r.storage.wal.Bytes()
+	for _, e := range ready.Entries {
+		size += int64(len(e.GetData()))
+	}
+	if size <= limit {
+		return nil
+	}
+	return &wal.FullError{Cause: failure.New(failure.StorageFailed, failure.NotRun, "the log would have more than %d bytes and no snapshot could be saved", limit)}
 }
 
 // handOver transfers the leadership if this member refuses commands because its disk has no room for the snapshot that would shorten the log, or
--- a/replica/logbytes_test.go
+++ b/replica/logbytes_test.go
@@ -11,8 +11,10 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/raft"
 	"github.com/wasabishunt/wasabishunt/raft/diskfs"
 	"github.com/wasabishunt/wasabishunt/raft/diskfs/simdisk"
+	"github.com/wasabishunt/wasabishunt/raft/wal"
 	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
 )
 
@@ -251,3 +253,20 @@
 		g.requireValue(p, 199)
 	}
 }
+
+// Guards against a follower that takes many entries at once although no snapshot can be saved, so that none has room any more.
+func TestEntriesOfOneSyncLeaveRoomForSnapshots(t *testing.T) {
+	t.Parallel()
+	r, _ := startOnSmallDisk(t, func(o *Options) { o.MaxLogBytes = smallDiskBytes / 2 })
+	r.Stop()
+	ready := func(bytes int) raft.Ready {
+		return raft.Ready{Entries: []*raftpb.Entry{{Data: make([]byte, bytes/2)}, {Data: make([]byte, bytes/2)}}}
+	}
+	require.NoError(t, r.checkLogLimit(ready(smallDiskBytes)))
+	r.snapshotFailed.Store(true)
+	require.NoError(t, r.checkLogLimit(ready(smallDiskBytes/2)))
+	require.ErrorAs(t, r.checkLogLimit(ready(smallDiskBytes*3/4)), new(*wal.FullError))
+	r.options.MaxCommandBytes = smallDiskBytes / 16
+	require.NoError(t, r.checkLogLimit(ready(smallDiskBytes/2)))
+	require.ErrorAs(t, r.checkLogLimit(ready(smallDiskBytes*9/16)), new(*wal.FullError))
+}
