booking, control: the bytes of headers, keys and claims limit new bookings

Counting more in Table.Claim would make members of two versions answer the same command differently, and their states would part. So the command answers as before, and the size of the encoded records (Limits.MaxRecordBytes, 960 MiB) limits what a leader proposes. Before it refuses, it proposes a release with claim epoch 0, which fits no claim and changes nothing in any version: its answer says in the order of the log whether the key has a record, so "not run" stays true for a claim that is in the log and not applied yet. A key that retention has dropped still gets "too old". A leader of an earlier version counts bodies only, as before. The size is known in each member, so a leader that is elected knows it, and is the metric control_booking_bytes.

--- a/booking/retention.go
+++ b/booking/retention.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
 )
 
@@ -22,6 +24,7 @@
 	t.records[k] = r
 	t.used.records++
 	t.used.bytes += len(r.Body)
+	t.used.recordBytes += proto.Size(r)
 	minute := minuteOf(r.IssuedUnixMs)
 	if t.byMinute[minute] == nil {
 		t.byMinute[minute] = map[key]bool{}
@@ -66,6 +69,7 @@
 			t.untrackDispatched(k, r)
 			t.used.records--
 			t.used.bytes -= len(r.Body)
+			t.used.recordBytes -= proto.Size(r)
 			delete(t.records, k)
 			delete(keys, k)
 			dropped++
--- a/booking/shards.go
+++ b/booking/shards.go
@@ -41,6 +41,12 @@
 	return s.table(q.Key).Claim(unixMs, q)
 }
 
+// IsFullFor calls Table.IsFullFor on the shard of the account.
+func (s *Shards) IsFullFor(q *controlpb.ClaimBookingRequest) bool { return s.table(q.Key).IsFullFor(q) }
+
+// RecordBytes returns the total size of the encoded records.
+func (s *Shards) RecordBytes() int { return s.used.recordBytes }
+
 // Dispatch calls Table.Dispatch on the shard of the account.
 func (s *Shards) Dispatch(q *controlpb.DispatchBookingRequest, alive bool) *controlpb.BookingResponse {
 	return s.table(q.Key).Dispatch(q, alive)
--- a/booking/table.go
+++ b/booking/table.go
@@ -6,6 +6,8 @@
 import (
 	"bytes"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/wasabishunt/wasabishunt/defaults"
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
@@ -19,6 +21,10 @@
 	MaxRecords int
 	// MaxBytes limits the total size of the stored response bodies; new keys are refused beyond it; default 512 MiB.
 	MaxBytes int
+	// MaxRecordBytes is the total size of the encoded records beyond which IsFullFor refuses new keys; default 960 MiB. A member accepts a
+	// snapshot of 1 GiB, of which the rest is for the other state. Claim does not look at it, because members of an earlier version, which
+	// do not know it, must answer a command alike.
+	MaxRecordBytes int
 	// MaxClaims limits the claims that each record stores to recognize resends; default 16.
 	MaxClaims int
 }
@@ -27,6 +33,7 @@
 	defaults.Set(&l.ReclaimAfterMs, 5000)
 	defaults.Set(&l.MaxRecords, 2_000_000)
 	defaults.Set(&l.MaxBytes, 512<<20)
+	defaults.Set(&l.MaxRecordBytes, 960<<20)
 	defaults.Set(&l.MaxClaims, 16)
 }
 
@@ -40,6 +47,8 @@
 	records int
 	// bytes is the total size of the stored response bodies.
 	bytes int
+	// recordBytes is the total size of the encoded records: keys, claims, headers and bodies.
+	recordBytes int
 }
 
 // Table holds the bookings. Invariants: a record's claim epoch only increases; a record has at most one dispatch id, which
@@ -125,20 +134,19 @@
 			return refuse(r, failure.InProgress, failure.Unknown, "another request has claimed the key")
 		}
 	}
-	r = t.replaceWithCopy(k, r)
-	t.nextClaim(unixMs, r, q)
-	return respond(r, true)
+	return respond(t.replaceWithCopy(k, r, func(next *controlpb.BookingRecord) { t.nextClaim(unixMs, next, q) }), true)
 }
 
-// replaceWithCopy replaces a record in the table by a copy and returns the copy, which may be changed until the command
-// ends.
-func (t *Table) replaceWithCopy(k key, r *controlpb.BookingRecord) *controlpb.BookingRecord {
+// replaceWithCopy replaces a record in the table by a changed copy and returns the copy.
+func (t *Table) replaceWithCopy(k key, r *controlpb.BookingRecord, change func(*controlpb.BookingRecord)) *controlpb.BookingRecord {
 	next := &controlpb.BookingRecord{
 		Key: r.Key, PayloadHash: r.PayloadHash, IssuedUnixMs: r.IssuedUnixMs, State: r.State,
 		ClaimEpoch: r.ClaimEpoch, ClaimedUnixMs: r.ClaimedUnixMs, Claims: r.Claims,
 		DispatchId: r.DispatchId, ProcessId: r.ProcessId, Status: r.Status, Headers: r.Headers, Body: r.Body,
 		Service: r.Service, RequestId: r.RequestId,
 	}
+	change(next)
+	t.used.recordBytes += proto.Size(next) - proto.Size(r)
 	t.records[k] = next
 	return next
 }
@@ -157,6 +165,12 @@
 	return respond(r, true)
 }
 
+// IsFullFor reports whether a claim must be refused before it becomes a command, because the encoded records have reached
+// Limits.MaxRecordBytes. A claim of a key that has a record, or that is older than the retention, gets its answer from Claim.
+func (t *Table) IsFullFor(q *controlpb.ClaimBookingRequest) bool {
+	return t.used.recordBytes >= t.limits.MaxRecordBytes && t.records[keyOf(q.Key)] == nil && q.IssuedUnixMs >= t.retiredBefore
+}
+
 // nextClaim records a new claim, whose higher epoch fences the older claims.
 func (t *Table) nextClaim(unixMs int64, r *controlpb.BookingRecord, q *controlpb.ClaimBookingRequest) {
 	r.ClaimEpoch++
@@ -214,9 +228,10 @@
 	if r.State != controlpb.BookingState_CLAIMED || q.DispatchId == "" {
 		return refuse(r, failure.Fenced, failure.NotRun, "the booking cannot be dispatched in its current state")
 	}
-	r = t.replaceWithCopy(k, r)
-	r.State = controlpb.BookingState_DISPATCHED
-	r.DispatchId, r.ProcessId = q.DispatchId, q.ProcessId
+	r = t.replaceWithCopy(k, r, func(next *controlpb.BookingRecord) {
+		next.State = controlpb.BookingState_DISPATCHED
+		next.DispatchId, next.ProcessId = q.DispatchId, q.ProcessId
+	})
 	t.trackDispatched(k, r)
 	return respond(r, true)
 }
@@ -235,13 +250,14 @@
 		return respond(r, true)
 	}
 	t.untrackDispatched(k, r)
-	r = t.replaceWithCopy(k, r)
-	if q.InDoubt {
-		r.State = controlpb.BookingState_IN_DOUBT
-		return respond(r, true)
-	}
-	r.State = controlpb.BookingState_FINISHED
-	r.Status, r.Headers, r.Body = q.Status, q.Headers, q.Body
+	r = t.replaceWithCopy(k, r, func(next *controlpb.BookingRecord) {
+		if q.InDoubt {
+			next.State = controlpb.BookingState_IN_DOUBT
+			return
+		}
+		next.State = controlpb.BookingState_FINISHED
+		next.Status, next.Headers, next.Body = q.Status, q.Headers, q.Body
+	})
 	t.used.bytes += len(r.Body)
 	return respond(r, true)
 }
@@ -258,8 +274,7 @@
 	}
 	switch r.State {
 	case controlpb.BookingState_CLAIMED, controlpb.BookingState_RELEASED:
-		r = t.replaceWithCopy(k, r)
-		r.State = controlpb.BookingState_RELEASED
+		r = t.replaceWithCopy(k, r, func(next *controlpb.BookingRecord) { next.State = controlpb.BookingState_RELEASED })
 		return respond(r, true)
 	case controlpb.BookingState_DISPATCHED:
 		return refuse(r, failure.InProgress, failure.Unknown, "the call is running")
@@ -273,7 +288,7 @@
 func (t *Table) ProcessLost(processID string) int {
 	lost := t.dispatched[processID]
 	for k := range lost {
-		t.replaceWithCopy(k, t.records[k]).State = controlpb.BookingState_IN_DOUBT
+		t.replaceWithCopy(k, t.records[k], func(next *controlpb.BookingRecord) { next.State = controlpb.BookingState_IN_DOUBT })
 	}
 	delete(t.dispatched, processID)
 	return len(lost)
--- a/booking/table_test.go
+++ b/booking/table_test.go
@@ -203,17 +203,58 @@
 	})
 }
 
-// Guards against a table whose limit of bytes leaves out the response headers: the records outgrow the memory, the disk and the largest snapshot
-// that a new member accepts, with the limit never reached.
-func TestBytesOfHeadersCount(t *testing.T) {
-	table := NewTable(Limits{MaxBytes: 1000})
-	headers := map[string]string{"x-answer": strings.Repeat("h", 2000)}
-	key := &controlpb.BookingKey{Account: "a", IdempotencyKey: "1"}
-	claimed := table.Claim(1, &controlpb.ClaimBookingRequest{Key: key, ClaimId: "c", IssuedUnixMs: 1})
-	require.True(t, claimed.Granted)
-	require.True(t, table.Dispatch(&controlpb.DispatchBookingRequest{Key: key, ClaimEpoch: claimed.ClaimEpoch, DispatchId: "d", ProcessId: "p"}, true).Granted)
-	require.True(t, table.Finish(&controlpb.FinishBookingRequest{Key: key, DispatchId: "d", Status: 200, Headers: headers}).Granted)
-	next := &controlpb.BookingKey{Account: "a", IdempotencyKey: "2"}
-	refused := table.Claim(2, &controlpb.ClaimBookingRequest{Key: next, ClaimId: "c", IssuedUnixMs: 2})
-	require.Equal(t, string(failure.Overloaded), refused.GetFailure().GetKind())
+// Guards against members of two releases that answer the same command differently: an earlier release counts bodies only, and a replica that
+// refuses a claim which another one grants has another state from then on.
+func TestSizeOfRecordsChangesNoAnswer(t *testing.T) {
+	table, earlier := NewTable(Limits{MaxRecordBytes: 1, MaxBytes: 1000}), NewTable(Limits{MaxBytes: 1000})
+	for _, both := range []func(*Table) *controlpb.BookingResponse{
+		func(t *Table) *controlpb.BookingResponse { return t.Claim(0, claim("c1", "h")) },
+		func(t *Table) *controlpb.BookingResponse { return t.Dispatch(dispatch(1, "d1"), true) },
+		func(t *Table) *controlpb.BookingResponse {
+			q := finish("d1")
+			q.Headers = map[string]string{"x-answer": strings.Repeat("h", 2000)}
+			return t.Finish(q)
+		},
+		func(t *Table) *controlpb.BookingResponse {
+			q := claim("c2", "h")
+			q.Key = &controlpb.BookingKey{Account: "a", IdempotencyKey: "other"}
+			return t.Claim(0, q)
+		},
+	} {
+		require.True(t, proto.Equal(both(earlier), both(table)))
+	}
+	require.True(t, proto.Equal(earlier.Snapshot(), table.Snapshot()))
+	require.Equal(t, 2, table.Len())
+}
+
+// recordBytes returns the size of the records of a table as a snapshot holds them.
+func recordBytes(t *Table) (total int) {
+	for _, r := range t.records {
+		total += proto.Size(r)
+	}
+	return total
+}
+
+// Guards against a size of the records that drifts from what is stored: new keys are refused for ever, or never.
+func TestSizeOfRecordsIsKept(t *testing.T) {
+	table := NewTable(Limits{MaxClaims: 2})
+	change := func(f func()) {
+		before := table.used.recordBytes
+		f()
+		require.NotEqual(t, before, table.used.recordBytes)
+		require.Equal(t, recordBytes(table), table.used.recordBytes)
+	}
+	change(func() { table.Claim(0, claim("c1", "h")) })
+	change(func() { table.Claim(6000, claim("c2", "h")) })
+	table.Claim(12_000, claim("c3", "h"))
+	change(func() { table.Dispatch(dispatch(3, "d1"), true) })
+	table.ProcessLost("p")
+	change(func() {
+		q := finish("d1")
+		q.Headers = map[string]string{"x-answer": strings.Repeat("h", 2000)}
+		table.Finish(q)
+	})
+	require.Equal(t, recordBytes(table), Restore(table.Snapshot(), Limits{}).used.recordBytes)
+	change(func() { table.Retire(1 << 40) })
+	require.Zero(t, table.used.recordBytes)
 }
--- a/control/member/member.go
+++ b/control/member/member.go
@@ -168,6 +168,7 @@
 		gauge("control.set_version", int64(version))
 		gauge("control.membership_revision", int64(revision))
 		gauge("control.bookings", int64(m.machine.Bookings()))
+		gauge("control.booking_bytes", int64(m.machine.BookingBytes()))
 		next.ServeHTTP(w, r)
 	})
 }
--- a/control/reads.go
+++ b/control/reads.go
@@ -48,6 +48,20 @@
 	return s.bookings.Len()
 }
 
+// BookingBytes returns the total size of the encoded booking records.
+func (s *StateMachine) BookingBytes() int {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.bookings.RecordBytes()
+}
+
+// isFullFor reports whether the booking records leave no room for a new key.
+func (s *StateMachine) isFullFor(q *controlpb.ClaimBookingRequest) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.bookings.IsFullFor(q)
+}
+
 // setChangesSince returns what a watcher at the given version is missing: deltas, or the whole document of the returned
 // version.
 func (s *StateMachine) setChangesSince(version uint64) (deltas []*controlpb.SetDelta, document []byte, current uint64) {
--- a/control/server_bookings.go
+++ b/control/server_bookings.go
@@ -56,9 +56,42 @@
 	if q.IssuedUnixMs < s.options.Clock.Now().Add(-s.options.BookingRetention).UnixMilli() {
 		return bookingFailure(failure.New(failure.KeyTooOld, failure.Unknown, "the key was issued more than %s ago", s.options.BookingRetention)), nil
 	}
+	if refusal, err := s.refuseIfFull(ctx, q); refusal != nil || err != nil {
+		return refusal, err
+	}
 	return s.proposeBooking(ctx, &controlpb.Command{Command: &controlpb.Command_ClaimBooking{ClaimBooking: q}})
 }
 
+// fullRetryAfter is when a claim that found the records full has a chance: old bookings are dropped once a minute.
+const fullRetryAfter = time.Minute
+
+// refuseIfFull refuses the claim of a new key while the records have no room. The leader decides that alone, before the claim becomes a
+// command, because members of an earlier version count bodies only and would answer the command otherwise. So that "not run" is true, a
+// release that fits no claim asks in the order of the log whether a claim of the key was proposed before; it changes nothing.
+func (s *Server) refuseIfFull(ctx context.Context, q *controlpb.ClaimBookingRequest) (*controlpb.BookingResponse, error) {
+	if !s.isLeader() || !s.machine.isFullFor(q) {
+		return nil, nil
+	}
+	response, err := s.proposeBooking(ctx, &controlpb.Command{Command: &controlpb.Command_ReleaseBooking{
+		ReleaseBooking: &controlpb.ReleaseBookingRequest{Key: q.Key, ClaimEpoch: 0},
+	}})
+	if err != nil {
+		return nil, err
+	}
+	if response.GetState() != controlpb.BookingState_BOOKING_UNSPECIFIED {
+		return nil, nil
+	}
+	if response.GetFailure().GetKind() != string(failure.NotFound) {
+		return response, nil
+	}
+	if !s.machine.isFullFor(q) {
+		return nil, nil
+	}
+	e := failure.New(failure.Overloaded, failure.NotRun, "the records of bookings have reached their limit of bytes")
+	e.RetryAfter = fullRetryAfter
+	return bookingFailure(e), nil
+}
+
 // DispatchBooking permits the one run of a booking.
 func (s *Server) DispatchBooking(ctx context.Context, q *controlpb.DispatchBookingRequest) (*controlpb.BookingResponse, error) {
 	if err := checkKey(q.Key); err != nil {
