upstreams: an engine is not taken to load weights for as long as the list is away

Callers got no answer from an engine that loaded weights at the moment when the instance list became unreadable, until the list was back: only the leader with a current list, or a read of the list, ends the mark "updating" in a node's view.

A view that is older than the longest load (8 s) now loses these marks; those that the controller of the same node has set stay for as long as before. An engine that still loads rejects requests without running them.

TestOldViewDoesNotSayThatEnginesLoad fails before (the engine is still marked a second after the view has become 9 s old).

--- a/upstreams/copy.go
+++ b/upstreams/copy.go
@@ -39,11 +39,6 @@
 		at, gone := d.gone[i.Key()]
 		return gone && now.Sub(at) <= leavingMemory
 	})
-	if now.Sub(currentAt) > maxUpdateTime {
-		for i := range instances {
-			instances[i].Updating = false
-		}
-	}
 	d.apply(instances, currentAt, now)
 	return true
 }
--- a/upstreams/copy_test.go
+++ b/upstreams/copy_test.go
@@ -70,6 +70,7 @@
 		loading := oneInstance(false)
 		loading[0].Updating = true
 		require.True(t, d.ApplyCopy(loading, now.Add(-age), now))
+		d.expireUpdating(now)
 		require.Equal(t, age < maxUpdateTime, d.View().Instances[0].Updating)
 	}
 }
--- a/upstreams/upstreams.go
+++ b/upstreams/upstreams.go
@@ -153,6 +153,23 @@
 // maxUpdateTime bounds how long an instance that loads weights gets no requests.
 const maxUpdateTime = 8 * time.Second
 
+// expireUpdating ends the loading of weights in a view that is older than any load takes: while nobody reads the list, no view follows that
+// says so, and an instance that still loads rejects requests without running them. What the controller of this node reports counts on.
+func (d *Directory) expireUpdating(now time.Time) {
+	isUpdating := func(i Instance) bool { return i.Updating }
+	if d.Age(now) <= maxUpdateTime || !slices.ContainsFunc(d.View().Instances, isUpdating) {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	instances := slices.Clone(d.view.Load().Instances)
+	for i := range instances {
+		since, updating := d.updating[instances[i].Key()]
+		instances[i].Updating = instances[i].Updating && updating && now.Sub(since) < maxUpdateTime
+	}
+	d.replace(instances, now)
+}
+
 // SetUpdating records that an instance starts or stops loading weights.
 func (d *Directory) SetUpdating(key Key, updating bool) {
 	d.mu.Lock()
@@ -261,6 +278,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
+			r.Directory.expireUpdating(now)
 			reads := r.ReadsForAll()
 			due := reads && now.Sub(last) >= readInterval ||
 				!reads && r.Directory.Age(now) > fallbackReadAge && now.Sub(last) >= fallbackReadInterval
--- a/upstreams/upstreams_test.go
+++ b/upstreams/upstreams_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -95,3 +96,27 @@
 	require.Eventually(t, func() bool { return lister.calls.Load() > 0 }, 3*time.Second, 10*time.Millisecond)
 	require.False(t, r.Current(), "only a node that reads for all has a current list")
 }
+
+type failingLister struct{}
+
+func (failingLister) List(context.Context) ([]Instance, error) { return nil, errors.New("no list") }
+
+// Guards against engines that get no requests for as long as nobody can read the list, because they loaded weights when the last view was
+// sent, and against one that gets requests although the controller of this node has just ordered it to load.
+func TestOldViewDoesNotSayThatEnginesLoad(t *testing.T) {
+	d := NewDirectory()
+	loading := append(oneInstance(false), Instance{ID: "b", Service: "s", Updating: true})
+	loading[0].Updating = true
+	d.ApplyList(loading, time.Now())
+	d.SetUpdating(Key{ID: "b"}, true)
+	r := &Reader{Directory: d, Lister: failingLister{}, ReadsForAll: func() bool { return false }, Log: zap.NewNop()}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { r.Run(ctx); close(done) }()
+	defer func() { cancel(); <-done }()
+	time.Sleep(4 * checkInterval)
+	require.True(t, d.View().Instances[0].Updating, "the view is not old")
+	d.Confirm(time.Now().Add(-maxUpdateTime - time.Second))
+	require.Eventually(t, func() bool { return !d.View().Instances[0].Updating }, time.Second, checkInterval)
+	require.True(t, d.View().Instances[1].Updating)
+}
