upstreamlimit: an answer to an earlier request does not raise a limit

Callers saw nothing; an instance that lowers its limit got requests by the old one for as long as its answers take. An answer counted from its arrival, so one to a request that was sent before the change, which names the old limit, raised the limit again for all nodes until the next answer.

A higher limit, as the end of one, now counts from when the request of its answer was sent, and only if no answer has named the lower one since. A lower limit counts from its arrival. In doubt the lower one holds.

TestLoweredLimitIsKept (simulation, answers take up to 4 s, limit lowered to a twentieth or less) failed before with one request above the bound at all limits and most sizes; it passes on 3 seeds and all sizes. TestRaisedLimitIsUsed guards against the opposite and passed before.

--- a/gateway/ratelimit.go
+++ b/gateway/ratelimit.go
@@ -18,7 +18,7 @@
 	switch {
 	case limiter == nil || answer.Replaced:
 	case answer.RateLimit.Named:
-		limiter.Named(instance, answer.RateLimit.PerSecond, c.attributes.ID, now)
+		limiter.Named(instance, answer.RateLimit.PerSecond, c.sentAt, c.attributes.ID, now)
 	case answer.RateLimit.Malformed:
 		limiter.Malformed(instance, c.attributes.ID)
 	case answer.Signed:
--- a/upstreamlimit/core.go
+++ b/upstreamlimit/core.go
@@ -21,7 +21,7 @@
 type Question struct {
 	Hash      uint32
 	PerSecond float64
-	// Age is the time since the limit was last named.
+	// Age is the time since Notice.At.
 	Age  time.Duration
 	Want int
 }
@@ -101,9 +101,14 @@
 	return news
 }
 
-// Named records that an instance named a limit in an answer that arrived at receivedAt, at this node or at another one.
-func (c *Core) Named(hash uint32, perSecond float64, receivedAt, now time.Time) Change {
-	return c.notices.Name(hash, perSecond, receivedAt, now)
+// Named records that an instance named a limit in an answer that arrived now, to a request that was sent at sentAt.
+func (c *Core) Named(hash uint32, perSecond float64, sentAt, now time.Time) Change {
+	return c.notices.Name(hash, perSecond, sentAt, now, now)
+}
+
+// Told records that another node knows of a limit since at.
+func (c *Core) Told(hash uint32, perSecond float64, at, now time.Time) Change {
+	return c.notices.Name(hash, perSecond, at, at, now)
 }
 
 // NotNamed records that an instance named no limit in the answer to a request that was sent at sentAt.
@@ -162,7 +167,7 @@
 
 // Serve answers a question as an owner.
 func (c *Core) Serve(q Question, now time.Time) Reply {
-	c.notices.Name(q.Hash, q.PerSecond, now.Add(-q.Age), now)
+	c.Told(q.Hash, q.PerSecond, now.Add(-q.Age), now)
 	notice, _ := c.notices.Known(q.Hash)
 	if !notice.Limited {
 		return Reply{Ended: true, EndedAge: now.Sub(notice.At)}
--- a/upstreamlimit/limiter.go
+++ b/upstreamlimit/limiter.go
@@ -49,10 +49,10 @@
 	return &Limiter{options: options, core: NewCore(options.Self), malformed: map[uint32]bool{}}
 }
 
-// Named records that an instance named a limit in the answer to a request.
-func (l *Limiter) Named(instance *upstreams.Instance, perSecond float64, request string, now time.Time) {
+// Named records that an instance named a limit in the answer to a request that was sent at sentAt.
+func (l *Limiter) Named(instance *upstreams.Instance, perSecond float64, sentAt time.Time, request string, now time.Time) {
 	l.mu.Lock()
-	change := l.core.Named(instance.Key().Hash(), perSecond, now, now)
+	change := l.core.Named(instance.Key().Hash(), perSecond, sentAt, now)
 	l.mu.Unlock()
 	if change != Unchanged {
 		l.counter("upstreamlimit.changes").Inc(1)
@@ -205,7 +205,7 @@
 	case n.GetEnded():
 		change = l.core.NotNamed(n.GetInstance(), at, now)
 	case Usable(n.GetPerSecond()):
-		change = l.core.Named(n.GetInstance(), n.GetPerSecond(), at, now)
+		change = l.core.Told(n.GetInstance(), n.GetPerSecond(), at, now)
 	}
 	l.mu.Unlock()
 	if change != Unchanged {
--- a/upstreamlimit/notices.go
+++ b/upstreamlimit/notices.go
@@ -15,9 +15,11 @@
 	// PerSecond is the number of requests a second that the instance takes; it is only set if Limited is.
 	PerSecond float64
 	Limited   bool
-	// At is the time of the newest answer that says so: for a limit when the answer arrived, for the end of a limit when its request was sent.
-	// An answer to a request that was sent before a limit was named may be older than the limit.
+	// At is since when it is known to hold: for the begin of a limit and for a lower one when the answer arrived, for a higher one and for the end
+	// when the request of the answer was sent. An answer may be older than those that arrived since its request was sent.
 	At time.Time
+	// ArrivedAt is when the newest answer that says so arrived. Only the answer to a later request raises or ends the limit.
+	ArrivedAt time.Time
 	// ChangedAt is when this node learned of the newest change.
 	ChangedAt time.Time
 }
@@ -43,46 +45,56 @@
 // Notices holds the notices of instances by the hash of their keys. An incarnation of an instance has a key of its own.
 type Notices struct{ byHash map[uint32]Notice }
 
-// Name records that an answer named a limit.
-func (n *Notices) Name(hash uint32, perSecond float64, receivedAt, now time.Time) Change {
-	return n.merge(hash, Notice{PerSecond: perSecond, Limited: true, At: receivedAt}, now)
+// Name records that the answer to a request that was sent at sentAt and arrived at receivedAt named a limit.
+func (n *Notices) Name(hash uint32, perSecond float64, sentAt, receivedAt, now time.Time) Change {
+	known := n.byHash[hash]
+	notice := Notice{PerSecond: perSecond, Limited: true, At: receivedAt, ArrivedAt: receivedAt}
+	switch {
+	case known.Limited && perSecond == known.PerSecond:
+		known.At, known.ArrivedAt = later(known.At, sentAt), later(known.ArrivedAt, receivedAt)
+		n.byHash[hash] = known
+		return Unchanged
+	case known.Limited && perSecond > known.PerSecond:
+		if !sentAt.After(known.ArrivedAt) {
+			return Unchanged
+		}
+		notice.At = sentAt
+	case !receivedAt.After(known.At):
+		return Unchanged
+	}
+	n.set(hash, notice, now)
+	if known.Limited {
+		return Changed
+	}
+	return Began
 }
 
 // Clear records that an answer to a request that was sent at sentAt named no limit.
 func (n *Notices) Clear(hash uint32, sentAt, now time.Time) Change {
-	if known, ok := n.byHash[hash]; !ok || !known.Limited {
+	if known := n.byHash[hash]; !known.Limited || !sentAt.After(known.ArrivedAt) {
 		return Unchanged
 	}
-	return n.merge(hash, Notice{At: sentAt}, now)
+	n.set(hash, Notice{At: sentAt, ArrivedAt: sentAt}, now)
+	return Ended
 }
 
-// merge takes a notice that is newer than the known one.
-func (n *Notices) merge(hash uint32, notice Notice, now time.Time) Change {
-	known, ok := n.byHash[hash]
-	if ok && !notice.At.After(known.At) || !ok && !notice.Limited {
-		return Unchanged
-	}
-	change := Changed
-	switch {
-	case !notice.Limited && !known.Limited, notice.Limited && known.Limited && notice.PerSecond == known.PerSecond:
-		change = Unchanged
-	case !notice.Limited:
-		change = Ended
-	case !known.Limited:
-		change = Began
-	}
-	notice.ChangedAt = known.ChangedAt
-	if change != Unchanged {
-		notice.ChangedAt = now
-	}
+// set records a change.
+func (n *Notices) set(hash uint32, notice Notice, now time.Time) {
 	if n.byHash == nil {
 		n.byHash = map[uint32]Notice{}
 	}
-	if !ok && len(n.byHash) >= maxNotices {
+	if _, ok := n.byHash[hash]; !ok && len(n.byHash) >= maxNotices {
 		n.dropOldest()
 	}
+	notice.ChangedAt = now
 	n.byHash[hash] = notice
-	return change
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 func (n *Notices) dropOldest() {
--- a/upstreamlimit/sim_test.go
+++ b/upstreamlimit/sim_test.go
@@ -67,6 +67,8 @@
 	// lost is the share of questions that are lost, delay the longest time of one way.
 	lost  float64
 	delay time.Duration
+	// service is the longest time until an answer.
+	service time.Duration
 	// counted are the arrivals of requests from nodes that know the limit, arrived all of them.
 	counted []time.Duration
 	arrived int
@@ -75,7 +77,7 @@
 const simAskTimeout = 100 * time.Millisecond
 
 func newSim(seed uint64, nodes int, limit float64) *sim {
-	s := &sim{random: rand.New(rand.NewPCG(seed, 1)), start: time.Unix(1_700_000_000, 0), limit: limit, named: -1, delay: 3 * time.Millisecond}
+	s := &sim{random: rand.New(rand.NewPCG(seed, 1)), start: time.Unix(1_700_000_000, 0), limit: limit, named: -1, delay: 3 * time.Millisecond, service: 300 * time.Millisecond}
 	for i := range nodes {
 		n := &simNode{name: fmt.Sprintf("10.0.%d.%d:7000", i/200, i%200)}
 		n.core = NewCore(n.name)
@@ -189,11 +191,12 @@
 	sentAt, core := s.time(), n.core
 	s.after(s.between(time.Millisecond, 3*time.Millisecond), func() {
 		s.arrived++
-		limited := s.named >= 0
+		// The engine may write the head of its answer when it takes the request.
+		limited, named := s.named >= 0, s.limit
 		if limited && s.now-s.named >= contactWindow && n.knows && s.now-n.knowsAt >= knownAfter && s.now >= n.excusedUntil {
 			s.counted = append(s.counted, s.now)
 		}
-		s.after(s.between(time.Millisecond, 300*time.Millisecond), func() {
+		s.after(s.between(time.Millisecond, s.service), func() {
 			if n.core != core {
 				return
 			}
@@ -203,8 +206,9 @@
 				}
 				return
 			}
-			if at := s.time(); core.Named(engine, s.limit, at, at) == Began {
-				s.tell(func(other *Core) { other.Named(engine, s.limit, at, s.time()) })
+			if change := core.Named(engine, named, sentAt, s.time()); change != Unchanged {
+				notice, _ := core.notices.Known(engine)
+				s.tell(func(other *Core) { other.Told(engine, notice.PerSecond, notice.At, s.time()) })
 			}
 			if !n.knows {
 				n.knows, n.knowsAt = true, s.now
@@ -364,6 +368,46 @@
 	})
 }
 
+// Guards against answers to earlier requests that name the limit before, and raise it again for all nodes.
+func TestLoweredLimitIsKept(t *testing.T) {
+	const settled = time.Second
+	for seed := range uint64(3) {
+		eachSize(t, func(t *testing.T, nodes int, limit float64) {
+			s := newSim(seed, nodes, 20*limit+20)
+			s.service = 4 * time.Second
+			for _, n := range s.nodes {
+				s.demand(n, max(0.5, 2*s.limit/float64(nodes)))
+			}
+			s.named = 0
+			s.run(10 * time.Second)
+			s.limit = limit
+			s.run(s.now + settled)
+			s.counted = nil
+			s.run(25 * time.Second)
+			s.requireLimitKept(t)
+		})
+	}
+}
+
+// Guards against a limit that stays low after it was raised.
+func TestRaisedLimitIsUsed(t *testing.T) {
+	eachSize(t, func(t *testing.T, nodes int, limit float64) {
+		s := newSim(1, nodes, limit)
+		for _, n := range s.nodes {
+			s.demand(n, max(0.5, 3*(limit+20)/float64(nodes)))
+		}
+		s.named = 0
+		s.run(10 * time.Second)
+		s.limit += 20
+		// One request in 4 s is let through at a limit of 0.
+		s.run(20 * time.Second)
+		before := s.arrived
+		s.run(30 * time.Second)
+		require.Greater(t, float64(s.arrived-before)/10, 0.7*s.limit, "requests a second")
+		s.requireLimitKept(t)
+	})
+}
+
 // Guards against an instance that gets no requests any more after its limit, even one of 0, has ended.
 func TestInstanceIsUsedAgainAfterItsLimit(t *testing.T) {
 	eachSize(t, func(t *testing.T, nodes int, limit float64) {
