upstreamlimit: a late reply of an owner ends no limit that began since

An owner's reply says how long ago a limit has ended. The node that asked counted that back from the arrival of the reply, so the end seemed later by the time that the reply took, up to 50 ms, and ended a limit that the instance named meanwhile. The time is now counted back from when the question was sent, so the end never seems later than it was.

TestLateWordOfAnEndEndsNoNewLimit failed before; TestWordOfAnEndEndsTheLimit guards against the opposite and passed before.

--- a/upstreamlimit/core.go
+++ b/upstreamlimit/core.go
@@ -179,7 +179,8 @@
 // Replied takes the reply of an owner to a question that was asked at asked, and returns what to do for the request.
 func (c *Core) Replied(q Question, r Reply, asked, now time.Time) Step {
 	if r.Ended {
-		c.NotNamed(q.Hash, now.Add(-r.EndedAge), now)
+		// EndedAge was measured between asked and now. A limit may have begun meanwhile.
+		c.NotNamed(q.Hash, asked.Add(-r.EndedAge), now)
 		if _, limited := c.notices.Of(q.Hash); !limited {
 			return Step{Send: true}
 		}
