gateway: a request is sent only with a permit that is still valid

A permit to send to an instance with a limit is valid for 250 ms, so that the requests of one second reach it in little more than that. That was checked when a request took the permit, not when it was sent. Between the two a connection is opened (up to 150 ms), or the send that a move takes over ends, and the process may be stopped. Requests that were to be sent before the limit began needed no permit at all.

A request now checks its permit once its connection is open, and takes another one if it has expired or a limit has begun. Without one the connection is kept and the request goes elsewhere or is refused as not run.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -6,12 +6,12 @@
 	"errors"
 	"time"
 
-	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/placement"
 	"github.com/wasabishunt/wasabishunt/upstreamconn"
+	"github.com/wasabishunt/wasabishunt/upstreamlimit"
 	"github.com/wasabishunt/wasabishunt/upstreams"
 )
 
@@ -57,7 +57,7 @@
 			return err
 		}
 		if move == nil {
-			if denied = c.acquirePermit(ctx, chosen.instance); denied > 0 {
+			if denied = c.acquirePermit(ctx, chosen); denied > 0 {
 				denials++
 				continue
 			}
@@ -137,6 +137,8 @@
 	version  uint64
 	// sources are the stores from which the engine may fetch the shared parts of the prompt, one entry for each part.
 	sources []placement.StoredPart
+	// permit is that of an instance with a limit.
+	permit upstreamlimit.Permit
 	// forecast is empty for plain services.
 	forecast placement.Forecast
 	// cached and recomputed are the estimates of the call's fields of the same names.
@@ -231,7 +233,11 @@
 	}
 	if !c.takesRequests(instance) {
 		conn.Close()
-		return withdrawn(instance)
+		return withdrawn(instance, upstreamRetryAfter)
+	}
+	if wait := c.renewPermit(ctx, chosen); wait > 0 {
+		conn.PutBack()
+		return withdrawn(instance, wait)
 	}
 	out := c.outbound(chosen)
 	attempt := o.Tracker.Begin(instance, work)
@@ -337,48 +343,6 @@
 	return result{err: err}
 }
 
-// outbound returns the header values for the request to the chosen instance.
-func (c *call) outbound(chosen *choice) Outbound {
-	o := c.gateway.options
-	instance := chosen.instance
-	out := Outbound{TimeLeft: time.Until(c.answerBy), Instance: instance.ID, LastEventID: c.attributes.LastEventID, Urgency: c.urgency().Rank()}
-	if c.lastEvent != "" {
-		out.LastEventID = c.lastEvent
-	}
-	if c.account != nil {
-		out.Account = c.account.Name
-	}
-	g := c.attributes.Generation
-	if g == nil || c.service.Engine == nil {
-		return out
-	}
-	out.Version = chosen.version
-	out.Salt = chosen.query.Salt(out.Version)
-	if o.Stores == nil || out.Version == 0 {
-		return out
-	}
-	if lo.SomeBy(chosen.sources, func(s placement.StoredPart) bool { return s.Address != "" }) {
-		out.Fetch = make([]string, len(g.Parts))
-		for i, source := range chosen.sources {
-			out.Fetch[i] = source.Address
-			c.fetched += source.Tokens
-		}
-		out.FetchUntil = o.Stores.FetchDeadline(time.Duration(fetchLimitShare * float64(c.route.FirstByteTarget)))
-	}
-	if out.Version == chosen.query.StoredVersion {
-		var transfers map[string]time.Duration
-		out.Save, transfers = o.Stores.Save(out.Salt, g.Parts, instance.AvailabilityZone, o.Tracker)
-		for address, transfer := range transfers {
-			o.Tracker.RecordTransfer(address, transfer)
-		}
-	}
-	return out
-}
-
-// fetchLimitShare is the part of the first-byte target after which an engine aborts a fetch: it can then still compute the
-// prompt in time.
-const fetchLimitShare = 0.5
-
 // plannedFetchShare is the part of the first-byte target within which the parts of a prompt must be fetched for a fetch to
 // be planned.
 const plannedFetchShare = 0.3
--- a/gateway/leaving.go
+++ b/gateway/leaving.go
@@ -49,8 +49,8 @@
 
 // withdrawn is the outcome of a send that was not begun, because its instance ceased to take requests while a connection was
 // opened.
-func withdrawn(instance *upstreams.Instance) result {
+func withdrawn(instance *upstreams.Instance, retryAfter time.Duration) result {
 	e := failure.New(failure.NoUpstream, failure.NotRun, "instance %s takes no more requests", instance.ID)
-	e.RetryAfter = upstreamRetryAfter
+	e.RetryAfter = retryAfter
 	return result{notRun: true, err: e}
 }
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -50,7 +50,7 @@
 		return false
 	}
 	target := m.connect()
-	if target != nil && (!isSilent() || !m.call.takesRequests(target.chosen.instance) || m.call.acquirePermit(m.ctx, target.chosen.instance) > 0 ||
+	if target != nil && (!isSilent() || !m.call.takesRequests(target.chosen.instance) || m.call.acquirePermit(m.ctx, target.chosen) > 0 ||
 		!m.call.gateway.options.Budget.TakeRepeat(m.call.service.Name)) {
 		target.conn.PutBack()
 		target = nil
--- a/gateway/ratelimit.go
+++ b/gateway/ratelimit.go
@@ -26,14 +26,25 @@
 	}
 }
 
-// acquirePermit takes a permit to send the request to an instance, which is needed only if that has a limit. It returns 0 if there is one, and
-// otherwise the time after which the instance may take a request of this node.
-func (c *call) acquirePermit(ctx context.Context, instance *upstreams.Instance) time.Duration {
+// acquirePermit takes a permit to send the request to the chosen instance, which is needed only if that has a limit. It returns 0 if there is one,
+// and otherwise the time after which the instance may take a request of this node.
+func (c *call) acquirePermit(ctx context.Context, chosen *choice) (wait time.Duration) {
 	limiter := c.gateway.options.Limiter
 	if limiter == nil {
 		return 0
 	}
-	return limiter.Acquire(ctx, instance, c.attributes.ID)
+	chosen.permit, wait = limiter.Acquire(ctx, chosen.instance, c.attributes.ID)
+	return wait
+}
+
+// renewPermit returns 0 if the request may be sent to the chosen instance now, by its permit or another one: opening a connection, or ending the
+// send that a move takes over, may have taken longer than a permit is valid, and a limit may have begun meanwhile.
+func (c *call) renewPermit(ctx context.Context, chosen *choice) (wait time.Duration) {
+	limiter := c.gateway.options.Limiter
+	if limiter == nil || limiter.MaySend(chosen.instance, chosen.permit, time.Now()) {
+		return 0
+	}
+	return c.acquirePermit(ctx, chosen)
 }
 
 // markLimited sets the pauses of candidates whose limit leaves no permit for this node yet.
--- a/gateway/ratelimit_test.go
+++ b/gateway/ratelimit_test.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -12,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"github.com/wasabishunt/wasabishunt/upstreamconn"
 	"github.com/wasabishunt/wasabishunt/upstreamlimit"
 )
 
@@ -69,6 +72,46 @@
 	require.Equal(t, 1, s.runsAt("u0"))
 }
 
+// Guards against requests that exceed a limit together, because they got their permits, or needed none yet, while their connections were opened.
+func TestPermitIsValidWhenTheRequestIsSent(t *testing.T) {
+	const perSecond, openingTime = 40, time.Second
+	for name, namedAfter := range map[string]time.Duration{"limit before": 0, "limit meanwhile": openingTime} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSystem(t, limited(strconv.Itoa(perSecond)))
+			s.withLimiter()
+			open := make(chan struct{})
+			s.gateway.options.Pool = upstreamconn.NewPool(upstreamconn.Options{DialTimeout: 2 * openingTime, Dial: func(ctx context.Context, address string) (net.Conn, error) {
+				<-open
+				return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+			}})
+			name := func() {
+				now := time.Now()
+				s.gateway.options.Limiter.Named(&s.instances()[0], perSecond, now, "test", now)
+			}
+			if namedAfter == 0 {
+				name()
+			}
+			var calls sync.WaitGroup
+			for end := time.Now().Add(openingTime); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+				calls.Go(func() { _, _, _ = s.call("POST", "/once/", "") })
+			}
+			if namedAfter > 0 {
+				name()
+			}
+			close(open)
+			opened := time.Now()
+			calls.Wait()
+			// The permits of the last 250 ms, those that the owner keeps, and one in each 25 ms since.
+			require.LessOrEqual(t, s.runsAt("u0"), 10+10+2+int(perSecond*time.Since(opened).Seconds()))
+			require.Eventually(t, func() bool {
+				status, _, err := s.call("POST", "/once/", "")
+				return err == nil && status == 200
+			}, time.Second, 10*time.Millisecond, "the limit is used")
+		})
+	}
+}
+
 // Guards against an instance that stays out of use after its limit, one of 0 as well, has ended, and against an unsigned answer that ends it.
 func TestLimitEndsWithASignedAnswerWithoutOne(t *testing.T) {
 	var mode atomic.Pointer[reply]
--- a/gateway/upstreamrequest.go
+++ b/gateway/upstreamrequest.go
@@ -5,6 +5,11 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/wasabishunt/wasabishunt/placement"
 )
 
 func (c *call) upstreamRequest(address string, out Outbound) *http.Request {
@@ -37,3 +42,45 @@
 
 // Close implements io.Closer.
 func (bodyReader) Close() error { return nil }
+
+// outbound returns the header values for the request to the chosen instance.
+func (c *call) outbound(chosen *choice) Outbound {
+	o := c.gateway.options
+	instance := chosen.instance
+	out := Outbound{TimeLeft: time.Until(c.answerBy), Instance: instance.ID, LastEventID: c.attributes.LastEventID, Urgency: c.urgency().Rank()}
+	if c.lastEvent != "" {
+		out.LastEventID = c.lastEvent
+	}
+	if c.account != nil {
+		out.Account = c.account.Name
+	}
+	g := c.attributes.Generation
+	if g == nil || c.service.Engine == nil {
+		return out
+	}
+	out.Version = chosen.version
+	out.Salt = chosen.query.Salt(out.Version)
+	if o.Stores == nil || out.Version == 0 {
+		return out
+	}
+	if lo.SomeBy(chosen.sources, func(s placement.StoredPart) bool { return s.Address != "" }) {
+		out.Fetch = make([]string, len(g.Parts))
+		for i, source := range chosen.sources {
+			out.Fetch[i] = source.Address
+			c.fetched += source.Tokens
+		}
+		out.FetchUntil = o.Stores.FetchDeadline(time.Duration(fetchLimitShare * float64(c.route.FirstByteTarget)))
+	}
+	if out.Version == chosen.query.StoredVersion {
+		var transfers map[string]time.Duration
+		out.Save, transfers = o.Stores.Save(out.Salt, g.Parts, instance.AvailabilityZone, o.Tracker)
+		for address, transfer := range transfers {
+			o.Tracker.RecordTransfer(address, transfer)
+		}
+	}
+	return out
+}
+
+// fetchLimitShare is the part of the first-byte target after which an engine aborts a fetch: it can then still compute the
+// prompt in time.
+const fetchLimitShare = 0.5
--- a/upstreamlimit/core.go
+++ b/upstreamlimit/core.go
@@ -37,7 +37,9 @@
 
 // Step is what a node has to do for a request to an instance: send it, ask Owner, or do without the instance for Wait.
 type Step struct {
-	Send     bool
+	Send bool
+	// Until is when a permit to send expires; zero if none was needed.
+	Until    time.Time
 	Owner    string
 	Question Question
 	Wait     time.Duration
@@ -134,7 +136,7 @@
 	p.record(now)
 	if p.count > 0 && now.Before(p.until) {
 		p.count--
-		return Step{Send: true}
+		return Step{Send: true, Until: p.until}
 	}
 	p.count = 0
 	if wait := p.waitUntil.Sub(now); wait > 0 {
@@ -156,6 +158,12 @@
 	return Step{Wait: refusedPause}
 }
 
+// MaySend reports whether a request with a permit until this time may be sent to an instance now.
+func (c *Core) MaySend(hash uint32, until, now time.Time) bool {
+	_, limited := c.notices.Of(hash)
+	return !limited || now.Before(until)
+}
+
 // record counts a request.
 func (p *permits) record(now time.Time) {
 	elapsed := now.Sub(p.wantedAt)
@@ -201,7 +209,7 @@
 			until = p.until
 		}
 		p.count, p.until = p.count+r.Granted-1, until
-		return Step{Send: true}
+		return Step{Send: true, Until: asked.Add(permitValidity)}
 	}
 	wait := max(minWait, min(maxWait, r.Wait))
 	p.waitUntil = now.Add(wait)
--- a/upstreamlimit/limiter.go
+++ b/upstreamlimit/limiter.go
@@ -86,9 +86,19 @@
 	}
 }
 
-// Acquire takes a permit to send a request to an instance. It returns 0 if the request may be sent, and otherwise the time after which the
-// instance may take one. It asks at most two nodes, each for askTimeout.
-func (l *Limiter) Acquire(ctx context.Context, instance *upstreams.Instance, request string) (wait time.Duration) {
+// Permit allows to send one request to an instance that had a limit, or had none, when it was acquired.
+type Permit struct{ until time.Time }
+
+// MaySend reports whether a request with this permit may be sent now. The permit may have expired since it was acquired, and a limit may have begun.
+func (l *Limiter) MaySend(instance *upstreams.Instance, permit Permit, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.core.MaySend(instance.Key().Hash(), permit.until, now)
+}
+
+// Acquire takes a permit to send a request to an instance. Without one it returns the time after which the instance may take a request, otherwise 0.
+// It asks at most two nodes, each for askTimeout.
+func (l *Limiter) Acquire(ctx context.Context, instance *upstreams.Instance, request string) (permit Permit, wait time.Duration) {
 	hash := instance.Key().Hash()
 	l.mu.Lock()
 	step := l.core.Next(hash, time.Now())
@@ -102,14 +112,14 @@
 		step = l.ask(ctx, step)
 	}
 	if step.Send {
-		return 0
+		return Permit{until: step.Until}, 0
 	}
 	// An owner that is still to be asked counts as one without an answer.
 	wait = max(step.Wait, minWait)
 	l.counter("upstreamlimit.denied").Inc(1)
 	l.options.Log.Info("limit of an instance leaves no permit", zap.String("request", request), zap.String("instance", instance.ID),
 		zap.Float64("per_second", l.perSecond(hash)), zap.Duration("wait", wait), zap.String("owner", owner))
-	return wait
+	return Permit{}, wait
 }
 
 func (l *Limiter) perSecond(hash uint32) float64 {
