--- a/upstreamlimit/core.go
+++ b/upstreamlimit/core.go
@@ -21,7 +21,7 @@
 type Question struct {
 	Hash      uint32
 	PerSecond float64
-	// Age is the time since the limit was last named.
+	// Age is the time since Notice.At.
 	Age  time.Duration
 	Want int
 }
@@ -37,7 +37,9 @@
 
 // Step is what a node has to do for a request to an instance: send it, ask Owner, or do without the instance for Wait.
 type Step struct {
-	Send     bool
+	Send bool
+	// Until is when a permit to send expires; zero if none was needed.
+	Until    time.Time
 	Owner    string
 	Question Question
 	Wait     time.Duration
@@ -101,9 +103,14 @@
 	return news
 }
 
-// Named records that an instance named a limit in an answer that arrived at receivedAt, at this node or at another one.
-func (c *Core) Named(hash uint32, perSecond float64, receivedAt, now time.Time) Change {
-	return c.notices.Name(hash, perSecond, receivedAt, now)
+// Named records that an instance named a limit in an answer that arrived now, to a request that was sent at sentAt.
+func (c *Core) Named(hash uint32, perSecond float64, sentAt, now time.Time) Change {
+	return c.notices.Name(hash, perSecond, sentAt, now, now)
+}
+
+// Told records that another node knows of a limit since at.
+func (c *Core) Told(hash uint32, perSecond float64, at, now time.Time) Change {
+	return c.notices.Name(hash, perSecond, at, at, now)
 }
 
 // NotNamed records that an instance named no limit in the answer to a request that was sent at sentAt.
@@ -129,7 +136,7 @@
 	p.record(now)
 	if p.count > 0 && now.Before(p.until) {
 		p.count--
-		return Step{Send: true}
+		return Step{Send: true, Until: p.until}
 	}
 	p.count = 0
 	if wait := p.waitUntil.Sub(now); wait > 0 {
@@ -151,6 +158,12 @@
 	return Step{Wait: refusedPause}
 }
 
+// MaySend reports whether a request with a permit until this time may be sent to an instance now.
+func (c *Core) MaySend(hash uint32, until, now time.Time) bool {
+	_, limited := c.notices.Of(hash)
+	return !limited || now.Before(until)
+}
+
 // record counts a request.
 func (p *permits) record(now time.Time) {
 	elapsed := now.Sub(p.wantedAt)
@@ -162,7 +175,7 @@
 
 // Serve answers a question as an owner.
 func (c *Core) Serve(q Question, now time.Time) Reply {
-	c.notices.Name(q.Hash, q.PerSecond, now.Add(-q.Age), now)
+	c.Told(q.Hash, q.PerSecond, now.Add(-q.Age), now)
 	notice, _ := c.notices.Known(q.Hash)
 	if !notice.Limited {
 		return Reply{Ended: true, EndedAge: now.Sub(notice.At)}
@@ -174,7 +187,8 @@
 // Replied takes the reply of an owner to a question that was asked at asked, and returns what to do for the request.
 func (c *Core) Replied(q Question, r Reply, asked, now time.Time) Step {
 	if r.Ended {
-		c.NotNamed(q.Hash, now.Add(-r.EndedAge), now)
+		// EndedAge was measured between asked and now. A limit may have begun meanwhile.
+		c.NotNamed(q.Hash, asked.Add(-r.EndedAge), now)
 		if _, limited := c.notices.Of(q.Hash); !limited {
 			return Step{Send: true}
 		}
@@ -195,7 +209,7 @@
 			until = p.until
 		}
 		p.count, p.until = p.count+r.Granted-1, until
-		return Step{Send: true}
+		return Step{Send: true, Until: asked.Add(permitValidity)}
 	}
 	wait := max(minWait, min(maxWait, r.Wait))
 	p.waitUntil = now.Add(wait)
