fleetview: a node asks another core member while a transfer of a set is silent

What callers saw: 404 for a route of a set that was acknowledged 3.6 s before (soak, "does not serve the route of set 8"), while two core members had the set.

Cause: a node fetches a new set from one member at a time and waits for the end of each transfer: 0.4 s without a byte, twice as long after each failure. Members that stop for a moment are passed one after the other, so that two cost 1.2 s and three 2.8 s, although another member could have sent the set at once.

Fix: if nothing arrives on a transfer for 0.2 s, the next member is asked beside it, up to three at a time. Once one progresses the silent ones are given up, and the first whole set ends all, so the set still crosses the link of the node once. A transfer given up this way is no failure of its member.

--- a/fleetview/distribution_test.go
+++ b/fleetview/distribution_test.go
@@ -147,6 +147,8 @@
 	dials    int
 	// placements is the number of reports on stores.
 	placements int
+	// reroute returns the address to which a connection goes; nil for the address itself.
+	reroute func(address string) string
 }
 
 // startThinNode starts a watcher behind a link of the given number of bytes per second.
@@ -160,6 +162,9 @@
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			n.mu.Lock()
 			n.dials++
+			if n.reroute != nil {
+				address = n.reroute(address)
+			}
 			n.mu.Unlock()
 			conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
 			if err != nil {
--- a/fleetview/fetch.go
+++ b/fleetview/fetch.go
@@ -3,17 +3,16 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/blake3"
-	"go.uber.org/zap"
 	"storj.io/drpc/drpcconn"
 
 	"github.com/wasabishunt/wasabishunt/bindelta"
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
 	"github.com/wasabishunt/wasabishunt/rpcpool"
-	"github.com/wasabishunt/wasabishunt/supervise"
 )
 
 // maxSetBytes limits the document of a set in bytes. It is above what operators can publish.
@@ -29,7 +28,7 @@
 	TransferredBytes int64
 }
 
-// setFetcher fetches new sets from one core member at a time. The streams of updates only name versions: the members have the same
+// setFetcher fetches new sets from one core member at a time, and from others beside it only while that sends nothing. The streams of updates only name versions: the members have the same
 // sets, and copies from all of them would fill the link of the node. mu is a leaf lock: no other lock is acquired while it is held.
 type setFetcher struct {
 	watcher *Watcher
@@ -84,29 +83,39 @@
 	return address, f.have, f.sources.stallLimit(), wait
 }
 
+// begin records that a transfer from a core member runs, end that it does not run any more.
+func (f *setFetcher) begin(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sources.begin(address)
+}
+
+func (f *setFetcher) end(address string, failed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sources.end(address)
+	if failed {
+		f.sources.recordFailure(address, time.Now())
+	}
+}
+
 // run fetches sets until the context ends.
 func (f *setFetcher) run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	t := newTransfers(f)
+	defer t.tasks.Wait()
+	defer cancel()
 	for ctx.Err() == nil {
-		address, have, stallLimit, wait := f.next()
-		if address == "" {
-			f.await(ctx, wait)
-			continue
-		}
-		begin := time.Now()
-		set, received, err := f.fetch(ctx, address, have, stallLimit)
-		if err != nil {
-			f.mu.Lock()
-			f.sources.recordFailure(address, time.Now())
-			f.mu.Unlock()
-			if ctx.Err() == nil {
-				f.watcher.Log.Info("a published set was not fetched", zap.String("address", address), zap.Uint64("have_version", have.Version),
-					zap.Int64("received_bytes", received), zap.Duration("after", time.Since(begin)), zap.Error(err))
+		if t.mayBegin(time.Now()) {
+			address, have, stallLimit, wait := f.next()
+			if address != "" {
+				t.begin(ctx, address, have, stallLimit)
+			} else if len(t.active) == 0 {
+				f.await(ctx, wait)
+				continue
 			}
-			continue
 		}
-		set.FetchedIn, set.TransferredBytes = time.Since(begin), received
-		f.recordSet(set)
-		_ = supervise.Call(f.watcher.Log, "published set", func() { f.watcher.OnSet(set) })
+		t.await(ctx)
 	}
 }
 
@@ -125,13 +134,14 @@
 	}
 }
 
-// fetch transfers the newest set of a core member. It also returns the number of bytes that arrived.
-func (f *setFetcher) fetch(ctx context.Context, address string, have PublishedSet, stallLimit time.Duration) (set PublishedSet, received int64, err error) {
+// fetch transfers the newest set of a core member. It stores the connection in opened.
+func (f *setFetcher) fetch(ctx context.Context, address string, have PublishedSet, stallLimit time.Duration, opened *atomic.Pointer[rpcpool.IdleConn]) (set PublishedSet, err error) {
 	raw, err := f.watcher.dial(ctx, address)
 	if err != nil {
-		return set, 0, err
+		return set, err
 	}
 	idle := rpcpool.NewIdleConn(raw, stallLimit)
+	opened.Store(idle)
 	conn := drpcconn.New(idle)
 	defer func() { _ = conn.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
@@ -145,7 +155,7 @@
 		err = failure.New(failure.DeadlineExceeded, failure.NotRun, "nothing arrived for %s", stallLimit)
 	}
 	set.From = address
-	return set, idle.Received(), err
+	return set, err
 }
 
 // receiveSet joins the parts of a set that is sent as a delta against the document that the node has, and verifies the whole.
--- a/fleetview/source.go
+++ b/fleetview/source.go
@@ -25,6 +25,8 @@
 	// node, zone and self identify the node; self is its own address, which is a source if it has a core member.
 	node, zone, self string
 	sources          map[string]*setSource
+	// transferring has the core members from which a transfer is in progress, also those that were removed since.
+	transferring map[string]bool
 	// have is the version that the node has, newest the newest one named and newerSince when the first version above have was named.
 	have, newest uint64
 	newerSince   time.Time
@@ -41,7 +43,7 @@
 }
 
 func newSetSources(node, zone, self string) *setSources {
-	return &setSources{node: node, zone: zone, self: self, sources: map[string]*setSource{}}
+	return &setSources{node: node, zone: zone, self: self, sources: map[string]*setSource{}, transferring: map[string]bool{}}
 }
 
 // announce records the version that a core member has. It reports whether that is news.
@@ -63,12 +65,17 @@
 // remove forgets a core member whose stream has ended.
 func (s *setSources) remove(address string) { delete(s.sources, address) }
 
-// choose returns the core member to fetch from. If there is none now, wait is the time after which to ask again, 0 if only news can
+// begin records that a transfer from a core member has begun, end that it has ended.
+func (s *setSources) begin(address string) { s.transferring[address] = true }
+
+func (s *setSources) end(address string) { delete(s.transferring, address) }
+
+// choose returns the core member to fetch from, which is not one with a transfer in progress. If there is none now, wait is the time after which to ask again, 0 if only news can
 // change the answer.
 func (s *setSources) choose(now time.Time) (address string, wait time.Duration) {
 	var best *setSource
 	for _, source := range s.sources {
-		if source.version <= s.have {
+		if source.version <= s.have || s.transferring[source.address] {
 			continue
 		}
 		usableAt := source.retryAt
