internal/launch, platform/soak: a node that does not exit in time leaves the stacks of its goroutines

The soak now sends it SIGQUIT after the time limit, so the kept log has the stacks. The limit and the failure stay as they are.

--- a/internal/launch/process.go
+++ b/internal/launch/process.go
@@ -161,6 +161,24 @@
 	}
 }
 
+// DumpStacks makes a Go program that does not exit write the stacks of its goroutines to its log. It then exits.
+func (p *Process) DumpStacks() error {
+	if err := p.signal("dump", syscall.SIGQUIT); err != nil {
+		return err
+	}
+	timer := time.NewTimer(dumpTimeout)
+	defer timer.Stop()
+	select {
+	case <-p.exited:
+		return nil
+	case <-timer.C:
+		return &ProcessError{p.command.Name, "dump", errTimeout}
+	}
+}
+
+// dumpTimeout limits the wait for the stacks, which take longer on a busy machine.
+const dumpTimeout = 5 * time.Second
+
 func (p *Process) signal(op string, signal syscall.Signal) error {
 	select {
 	case <-p.exited:
--- a/internal/launch/relay_test.go
+++ b/internal/launch/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -10,7 +11,13 @@
 	"go.uber.org/goleak"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+func TestMain(m *testing.M) {
+	if ready := os.Getenv(waitVariable); ready != "" {
+		waitWithoutExit(ready)
+		return
+	}
+	goleak.VerifyTestMain(m)
+}
 
 // startEchoServer starts a server that sends back each line, and returns its address.
 func startEchoServer(t *testing.T) string {
