fleetview: the transfer of a large instance list over a slow link is not given up after 3 s

A node that asked a core member for its view over a thin or lossy link gave up after 3 s although bytes arrived, and began again, so that at the target size (0.3 MB) it might never have got a list. The ask now has 15 s and still ends when nothing arrives for 2 s; a member that failed is asked again after 3 s as before. TestLargeViewCrossesASlowLink fails before: no instance after 3 s on a link of 60 kB/s.

--- a/fleetview/views.go
+++ b/fleetview/views.go
@@ -36,8 +36,10 @@
 	viewAskInterval = 2 * time.Second
 	// viewBytesPerSecond limits what a node asks for while views are large: all nodes may ask a few members for a long time.
 	viewBytesPerSecond = 20_000
-	// viewAskTimeout limits one ask. A view of 3,000 instances takes a link of 10 Mbit/s 0.3 s.
-	viewAskTimeout = 3 * time.Second
+	// viewAskTimeout limits one ask; it ends sooner if nothing arrives for streamTimeout. A view of 3,000 instances has 0.3 MB.
+	viewAskTimeout = 15 * time.Second
+	// viewRetryDelay is the time after a failed ask in which the member is not asked again.
+	viewRetryDelay = 3 * time.Second
 )
 
 // encodeViewAge returns the revision that stands for an age.
@@ -130,7 +132,7 @@
 	var candidates []candidate
 	var newest time.Time
 	for address, at := range v.currentAt {
-		if !v.watcher.Directory.WantsCopy(at, now) || now.Sub(v.failedAt[address]) < viewAskTimeout {
+		if !v.watcher.Directory.WantsCopy(at, now) || now.Sub(v.failedAt[address]) < viewRetryDelay {
 			continue
 		}
 		candidates = append(candidates, candidate{address: address, at: at})
--- a/fleetview/views_test.go
+++ b/fleetview/views_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"net"
 	"sync"
@@ -11,6 +12,9 @@
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
 
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
 	"github.com/wasabishunt/wasabishunt/upstreams"
@@ -128,3 +132,43 @@
 		require.False(t, ok)
 	}
 }
+
+// viewServer answers each ask with one view.
+type viewServer struct {
+	nodepb.DRPCNodeUnimplementedServer
+	view *nodepb.InstanceView
+}
+
+func (s *viewServer) Watch(stream nodepb.DRPCNode_WatchStream) error {
+	if _, err := stream.Recv(); err != nil {
+		return err
+	}
+	return stream.Send(&nodepb.WatchUpdate{Instances: s.view})
+}
+
+// Guards against a transfer of a large view over a thin or lossy link that is given up although bytes arrive, and begun again and again.
+func TestLargeViewCrossesASlowLink(t *testing.T) {
+	server := &viewServer{view: &nodepb.InstanceView{Revision: encodeViewAge(time.Minute)}}
+	for i := range 3000 {
+		server.view.Instances = append(server.view.Instances, &nodepb.Instance{Id: fmt.Sprintf("i-%060d", i), Service: "s", Address: "127.0.0.1:1"})
+	}
+	mux := drpcmux.New()
+	require.NoError(t, nodepb.DRPCRegisterNode(mux, server))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	var tasks sync.WaitGroup
+	tasks.Go(func() { _ = drpcserver.New(mux).Serve(ctx, smallWindows{listener, smallestWindowBytes}) })
+	defer tasks.Wait()
+	defer cancel()
+	directory := upstreams.NewDirectory()
+	limiter := rate.NewLimiter(60_000, maxLinkRead)
+	v := newViewCopies(&Watcher{Directory: directory, Log: zap.NewNop(), Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		return &linkConn{Conn: conn, node: &thinNode{}, limiter: limiter}, err
+	}})
+	pause := v.askAndApply(ctx, listener.Addr().String())
+	require.Len(t, directory.View().Instances, 3000)
+	require.Greater(t, directory.Age(time.Now()), time.Minute+2*time.Second, "the time of the transfer counts")
+	require.Greater(t, pause, 10*time.Second, "a large view is not asked for again soon")
+}
