control/member: the limits of the log follow the size of the file system

Nodes of the platform are told the size; a control member can ask the file system.

The sizes that are not set are now shares of the file system, those of the core group of the platform, with the defaults as upper bounds. TestLogStaysWithinTheDisk failed before: 3,176 kB of a disk of 4,194 kB are used, three quarters are allowed.

--- a/control/member/member.go
+++ b/control/member/member.go
@@ -53,6 +53,7 @@
 	}
 	m := &Member{options: options, machine: control.NewStateMachine(), stopping: make(chan struct{})}
 	options.Replica.StateMachine = commandDecoder{m.machine}
+	limitLog(&options.Replica)
 	raftReplica, err := replica.Start(options.Replica)
 	if err != nil {
 		return nil, err
