replica: a member whose disk hangs forgets its leader

A member reports the leader from the state after the last step of its loop. While the loop waits for a disk that hangs, that state does not age: operators and processes were sent to a leader that had ended long before, for as long as the disk hung. A running member forgets a leader without contact after the longest election timeout; the same now holds for one whose loop makes no step.

--- a/replica/replica.go
+++ b/replica/replica.go
@@ -170,9 +170,11 @@
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
 
-	status     atomic.Pointer[raft.Status]
-	freshUntil atomic.Int64
-	failed     atomic.Pointer[failure.Error]
+	status atomic.Pointer[raft.Status]
+	// publishedAt is when status was last stored, as returned by now.
+	publishedAt atomic.Int64
+	freshUntil  atomic.Int64
+	failed      atomic.Pointer[failure.Error]
 	// snapshotBytes is the size of the newest snapshot.
 	snapshotBytes atomic.Int64
 	// snapshotRetryAt is when a snapshot that could not be saved is taken again, as returned by now; 0 if the last one was saved.
@@ -311,10 +313,11 @@
 // Status returns the member's state after the last step of the loop.
 func (r *Replica) Status() raft.Status { return *r.status.Load() }
 
-// Leader returns the id and address of the current leader, or 0 and an empty address if it is unknown.
+// Leader returns the id and address of the current leader, or 0 and an empty address if it is unknown. A member whose loop waits for its disk
+// hears nothing of a new leader. It forgets the last one after the longest election timeout, like a member without contact.
 func (r *Replica) Leader() (id uint64, address string) {
 	s := r.status.Load()
-	if r.WaitsForRoom() {
+	if r.WaitsForRoom() || r.now()-time.Duration(r.publishedAt.Load()) > 2*r.options.Election {
 		return 0, ""
 	}
 	for _, m := range s.Members.GetMembers() {
