coregroup: a member without a leader refuses reads in time

While the other members wait for room on their disks, a member that needs no write neither waits nor finds a leader. Each read at its node was refused 0.9 s after it came, and operators give up after 1 s: a machine at work or a slow link turns the refusal into silence. TestFullDisksOfTheCore/three failed so at a load of 68: "node-2 does not answer a read within 1s"; that this was the cause is not shown, since the log of that node had ended with the room for files.

Such a read now waits 0.5 s for a leader.

--- a/coregroup/group.go
+++ b/coregroup/group.go
@@ -67,6 +67,9 @@
 	// firstElectionTimeout is one tick, because after a power loss of all VMs no request is served until there is a leader.
 	// A restarted member does not disturb a running leader: its pre-vote is refused.
 	firstElectionTimeout = raftTick
+	// leaderWait is how long a read of a member without a leader waits for one. Operators give up after 1 s, of which links and slow machines
+	// take a part.
+	leaderWait = 500 * time.Millisecond
 	// dialTimeout is far above a round trip and below the 1 s after which TCP repeats the first packet of a connection. A
 	// VM that is just starting drops that packet.
 	dialTimeout = 200 * time.Millisecond
@@ -352,6 +355,11 @@
 	if member == nil {
 		return nil, failure.New(failure.NotLeader, failure.NotRun, "no member of the group runs on this node")
 	}
+	if _, leader := member.Leader(); leader == "" {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, leaderWait)
+		defer cancel()
+	}
 	if err := member.ReadBarrier(ctx); err != nil {
 		return nil, err
 	}
