fleetview: a node that hears nothing tries all addresses that it knows

The addresses of core members have an age of a minute, but nodes renew them to each other in the answers to Meet, so those of former members stay as long as two nodes run. A node that knew no member opened streams to the first eight of them in the order of the addresses, and to no others, not even to its seeds: after some replacements under new addresses a starting node could not find the core.

TestSearchReachesAddressesBehindFormerMembers failed before: no stream to the seed within 10 s, with 24 other addresses.

--- a/fleetview/watcher.go
+++ b/fleetview/watcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,6 +27,8 @@
 	reconnectDelay    = 100 * time.Millisecond
 	// streamCheckInterval is the time between checks of which members need a stream.
 	streamCheckInterval = 300 * time.Millisecond
+	// searchInterval is the time for which a node without an update tries one part of the addresses that it knows: a dial and the first update.
+	searchInterval = streamTimeout
 	// dialTimeout is far above a round trip and below the 1 s after which TCP repeats the first packet of a connection. A
 	// VM that is just starting drops that packet.
 	dialTimeout = 200 * time.Millisecond
@@ -57,6 +60,9 @@
 	sets       *setFetcher
 	mu         sync.Mutex
 	members    []string
+	// searched is the position among the contacts and seeds from which streams are opened, since searchedAt.
+	searched   int
+	searchedAt time.Time
 	// zones holds the availability zones of the members.
 	zones   map[string]string
 	streams map[string]context.CancelFunc
@@ -93,13 +99,15 @@
 func (w *Watcher) missingStreams() []string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if time.Now().UnixNano()-w.lastUpdate.Load() > int64(2*streamTimeout) {
+	now := time.Now()
+	silent := now.UnixNano()-w.lastUpdate.Load() > int64(2*streamTimeout)
+	if silent {
 		// All known members may have been replaced: start again from the contacts and seeds.
 		w.members = nil
 	}
 	targets := append([]string{}, w.members...)
 	if len(targets) == 0 {
-		targets = lo.Uniq(append(w.Contacts(), w.Seeds()...))
+		targets = w.search(silent, now)
 	}
 	targets = targets[:min(len(targets), maxStreams)]
 	for address, cancel := range w.streams {
@@ -111,6 +119,23 @@
 	return lo.Filter(targets, func(address string, _ int) bool { return w.streams[address] == nil })
 }
 
+// search returns the contacts and seeds in the order in which a node that knows no member tries them. Contacts may have been replaced long ago
+// and be more than maxStreams, so a node that hears nothing goes on to the next ones. The caller holds w.mu.
+func (w *Watcher) search(silent bool, now time.Time) []string {
+	all := lo.Uniq(append(w.Contacts(), w.Seeds()...))
+	if len(all) <= maxStreams {
+		return all
+	}
+	if silent && now.Sub(w.searchedAt) > searchInterval {
+		if !w.searchedAt.IsZero() {
+			w.searched += maxStreams
+		}
+		w.searchedAt = now
+	}
+	start := w.searched % len(all)
+	return append(slices.Clone(all[start:]), all[:start]...)
+}
+
 func (w *Watcher) setMembers(members []*nodepb.CoreMember) {
 	if len(members) == 0 {
 		return
