raft/diskfs: blocks of a file system are counted in their own size

The size of a file system was the number of its blocks times the preferred size of a transfer. File systems that give a larger one, as some of FUSE do, seemed to be many times as large, so a log could have a share that they do not have.

The size of reserved blocks is unchanged.

--- a/raft/diskfs/space.go
+++ b/raft/diskfs/space.go
@@ -1,6 +1,7 @@
 package diskfs
 
 import (
+	"cmp"
 	"errors"
 	"syscall"
 )
@@ -32,11 +33,18 @@
 	if err := syscall.Statfs(dir, &stat); err != nil {
 		return Space{}, err
 	}
+	return spaceOf(&stat), nil
+}
+
+// spaceOf converts the size in blocks.
+func spaceOf(stat *syscall.Statfs_t) Space {
+	// Blocks have the size Frsize; Bsize is that of transfers, and the same on most file systems.
+	block := cmp.Or(stat.Frsize, stat.Bsize)
 	reserved := stat.Bfree - min(stat.Bavail, stat.Bfree)
 	return Space{
-		Total: int64(stat.Blocks-min(reserved, stat.Blocks)) * stat.Bsize,
-		Free:  int64(stat.Bavail) * stat.Bsize,
-	}, nil
+		Total: int64(stat.Blocks-min(reserved, stat.Blocks)) * block,
+		Free:  int64(stat.Bavail) * block,
+	}
 }
 
 // Errno returns the error number of the system call that failed, and 0 if none is known.
