gateway: a send that goes on while a permit for its move is asked for stays

A silent send moves once another instance can take it. Since an instance with a limit needs a permit, another node is asked for it, up to 100 ms, after the last check that the send is still silent and that the other instance takes requests. A stream that went on in that time was ended; its caller got the rest from another instance, or a broken stream if that could not take it. Both are checked again after the question.

TestSendStaysIfItGoesOnDuringTheQuestion failed before (the caller gets a broken stream). TestMoveNeedsAPermit is new and passed before: a stream and a safe request stay without a permit at the other instance and move with one.

--- a/gateway/move.go
+++ b/gateway/move.go
@@ -50,14 +50,21 @@
 		return false
 	}
 	target := m.connect()
-	if target != nil && (!isSilent() || !m.call.takesRequests(target.chosen.instance) || m.call.acquirePermit(m.ctx, target.chosen) > 0 ||
-		!m.call.gateway.options.Budget.TakeRepeat(m.call.service.Name)) {
+	if target != nil && !m.mayMove(target, isSilent) {
 		target.conn.PutBack()
 		target = nil
 	}
 	return m.finish(target)
 }
 
+// mayMove reports whether the send may move to a target. Another node may be asked for a permit, which takes a while, so what comes before is checked
+// again afterwards.
+func (m *mover) mayMove(target *moveTarget, isSilent func() bool) bool {
+	c, instance := m.call, target.chosen.instance
+	isDue := func() bool { return isSilent() && c.takesRequests(instance) }
+	return isDue() && c.acquirePermit(m.ctx, target.chosen) == 0 && isDue() && c.gateway.options.Budget.TakeRepeat(c.service.Name)
+}
+
 // begin reports whether a move may be prepared now.
 func (m *mover) begin() bool {
 	m.mu.Lock()
