--- a/gateway/ratelimit_test.go
+++ b/gateway/ratelimit_test.go
@@ -26,8 +26,10 @@
 	now := time.Now()
 	l := upstreamlimit.New(upstreamlimit.Options{Self: "10.0.0.1:7000", Log: zap.NewNop(), Metrics: gometrics.NewRegistry()})
 	l.SetNodes([]string{"10.0.0.1:7000"}, now.Add(-limitSettled))
-	// Confirmed for the time of the test.
-	l.Confirm(s.gateway.options.Directory.View(), now.Add(limitSettled))
+	// In contact with the leader since long ago, and for the time of the test.
+	for at := -limitSettled; at <= limitSettled; at += time.Second {
+		l.Confirm(s.gateway.options.Directory.View(), now.Add(at))
+	}
 	s.gateway.options.Limiter = l
 }
 
--- a/upstreamlimit/core.go
+++ b/upstreamlimit/core.go
@@ -77,7 +77,7 @@
 func (c *Core) SetNodes(nodes []string, now time.Time) { c.grants.owners.set(nodes, now) }
 
 // Confirm records that this node is in contact with the leader, who keeps the list.
-func (c *Core) Confirm(now time.Time) { c.grants.owners.confirmedAt = now }
+func (c *Core) Confirm(now time.Time) { c.grants.owners.confirm(now) }
 
 // Retain drops what is known of instances that are not listed.
 func (c *Core) Retain(listed func(hash uint32) bool, now time.Time) {
--- a/upstreamlimit/core_test.go
+++ b/upstreamlimit/core_test.go
@@ -13,7 +13,9 @@
 func newOnlyNode(now time.Time) *Core {
 	c := NewCore(self)
 	c.SetNodes([]string{self}, now.Add(-2*settleTime))
-	c.Confirm(now)
+	for _, ago := range []time.Duration{settleTime, settleTime / 2, 0} {
+		c.Confirm(now.Add(-ago))
+	}
 	return c
 }
 
--- a/upstreamlimit/owners.go
+++ b/upstreamlimit/owners.go
@@ -37,8 +37,17 @@
 	// before is the list of settleTime ago, and changedAt the time of the newest change since.
 	before    []string
 	changedAt time.Time
-	// confirmedAt is when this node last heard from the leader, who keeps the list.
-	confirmedAt time.Time
+	// confirmedAt is when this node last heard from the leader, who keeps the list, and contactSince the begin of the contact.
+	confirmedAt  time.Time
+	contactSince time.Time
+}
+
+// confirm records a word of the leader.
+func (o *owners) confirm(now time.Time) {
+	if now.Sub(o.confirmedAt) > confirmTimeout {
+		o.contactSince = now
+	}
+	o.confirmedAt = now
 }
 
 // set replaces the list of nodes.
@@ -57,9 +66,10 @@
 }
 
 // share returns the share of an instance's limit that this node hands out: the whole only if it is the first owner, was so before the list
-// changed, and is in contact with the leader. Of two sides that hold each other for dead, one has no leader.
+// changed, and is in contact with the leader for settleTime. Of two sides that hold each other for dead, one has no leader. Once they meet again, nodes
+// still ask the owner of before, whose list may have changed unlike that of this node.
 func (o *owners) share(hash uint32, now time.Time) float64 {
-	if now.Sub(o.confirmedAt) > confirmTimeout {
+	if now.Sub(o.confirmedAt) > confirmTimeout || now.Sub(o.contactSince) < settleTime {
 		return doubtShare
 	}
 	if first, _ := Owners(hash, o.nodes); first != o.self {
