upstreamlimit: an instance with a huge limit gets requests

A limit of 1e20 requests a second and more filled the bucket beyond the integers, and the conversion of a float to an integer then gives the lowest one on x86-64 (the highest on arm64), so nothing was granted. The number is now bounded before it is converted.

TestHugeLimitIsNoHindrance failed before on x86-64: 13 of 100 requests are sent at a limit of 1e20.

--- a/upstreamlimit/core_test.go
+++ b/upstreamlimit/core_test.go
@@ -49,3 +49,25 @@
 	_, limited := node.notices.Of(engine)
 	require.False(t, limited)
 }
+
+// Guards against a limit beyond all integers, with which an instance gets no requests at all.
+func TestHugeLimitIsNoHindrance(t *testing.T) {
+	for _, perSecond := range []float64{1e6, 1e18, 1e20, 1e300} {
+		start := time.Now()
+		c := newOnlyNode(start)
+		c.Named(engine, perSecond, start, start)
+		now, sent := start, 0
+		for range 100 {
+			now = now.Add(10 * time.Millisecond)
+			step := c.Next(engine, now)
+			if step.Owner != "" {
+				step = c.Replied(step.Question, c.Serve(step.Question, now), now, now)
+			}
+			if step.Send {
+				sent++
+			}
+			c.Confirm(now)
+		}
+		require.Greater(t, sent, 95, "limit %v", perSecond)
+	}
+}
--- a/upstreamlimit/grants.go
+++ b/upstreamlimit/grants.go
@@ -57,7 +57,7 @@
 	}
 	b.tokens = math.Min(math.Max(depth, rate*depthTime.Seconds()), b.tokens+rate*now.Sub(b.at).Seconds())
 	b.at = now
-	if granted = min(want, int(b.tokens)); granted > 0 {
+	if granted = int(math.Min(float64(want), b.tokens)); granted > 0 {
 		b.tokens -= float64(granted)
 		return granted, 0
 	}
