--- a/upstreamlimit/limiter.go
+++ b/upstreamlimit/limiter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
@@ -30,6 +31,9 @@
 	core *Core
 	// malformed holds the instances whose limit could not be read, which is logged once.
 	malformed map[uint32]bool
+
+	// known is the number of instances that name a limit or have named one lately. Without any, requests take no lock.
+	known atomic.Int64
 }
 
 const (
@@ -49,11 +53,17 @@
 	return &Limiter{options: options, core: NewCore(options.Self), malformed: map[uint32]bool{}}
 }
 
+// unlock releases mu after a use of core.
+func (l *Limiter) unlock() {
+	l.known.Store(int64(len(l.core.notices.byHash)))
+	l.mu.Unlock()
+}
+
 // Named records that an instance named a limit in the answer to a request that was sent at sentAt.
 func (l *Limiter) Named(instance *upstreams.Instance, perSecond float64, sentAt time.Time, request string, now time.Time) {
 	l.mu.Lock()
 	change := l.core.Named(instance.Key().Hash(), perSecond, sentAt, now)
-	l.mu.Unlock()
+	l.unlock()
 	if change != Unchanged {
 		l.counter("upstreamlimit.changes").Inc(1)
 		l.options.Log.Info("instance names a limit", zap.String("instance", instance.ID), zap.Float64("per_second", perSecond), zap.String("request", request))
@@ -62,9 +72,12 @@
 
 // NotNamed records that an instance named no limit in the answer to a request that was sent at sentAt.
 func (l *Limiter) NotNamed(instance *upstreams.Instance, sentAt time.Time, request string, now time.Time) {
+	if l.known.Load() == 0 {
+		return
+	}
 	l.mu.Lock()
 	change := l.core.NotNamed(instance.Key().Hash(), sentAt, now)
-	l.mu.Unlock()
+	l.unlock()
 	if change == Ended {
 		l.counter("upstreamlimit.changes").Inc(1)
 		l.options.Log.Info("instance names no limit any more", zap.String("instance", instance.ID), zap.String("request", request))
@@ -79,7 +92,7 @@
 	if !logged {
 		l.malformed[hash] = true
 	}
-	l.mu.Unlock()
+	l.unlock()
 	l.counter("upstreamlimit.malformed").Inc(1)
 	if !logged {
 		l.options.Log.Warn("limit of an instance cannot be read", zap.String("instance", instance.ID), zap.String("request", request))
@@ -91,18 +104,24 @@
 
 // MaySend reports whether a request with this permit may be sent now. The permit may have expired since it was acquired, and a limit may have begun.
 func (l *Limiter) MaySend(instance *upstreams.Instance, permit Permit, now time.Time) bool {
+	if l.known.Load() == 0 {
+		return true
+	}
 	l.mu.Lock()
-	defer l.mu.Unlock()
+	defer l.unlock()
 	return l.core.MaySend(instance.Key().Hash(), permit.until, now)
 }
 
 // Acquire takes a permit to send a request to an instance. Without one it returns the time after which the instance may take a request, otherwise 0.
 // It asks at most two nodes, each for askTimeout.
 func (l *Limiter) Acquire(ctx context.Context, instance *upstreams.Instance, request string) (permit Permit, wait time.Duration) {
+	if l.known.Load() == 0 {
+		return Permit{}, 0
+	}
 	hash := instance.Key().Hash()
 	l.mu.Lock()
 	step := l.core.Next(hash, time.Now())
-	l.mu.Unlock()
+	l.unlock()
 	owner := ""
 	for range 2 {
 		if step.Owner == "" || ctx.Err() != nil {
@@ -124,7 +143,7 @@
 
 func (l *Limiter) perSecond(hash uint32) float64 {
 	l.mu.Lock()
-	defer l.mu.Unlock()
+	defer l.unlock()
 	perSecond, _ := l.core.notices.Of(hash)
 	return perSecond
 }
@@ -134,14 +153,14 @@
 	q, asked := step.Question, time.Now()
 	if step.Owner == l.options.Self {
 		l.mu.Lock()
-		defer l.mu.Unlock()
+		defer l.unlock()
 		return l.core.Replied(q, l.core.Serve(q, asked), asked, asked)
 	}
 	askCtx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	reply, err := l.options.Ask(askCtx, step.Owner, encodeQuestion(q))
 	l.mu.Lock()
-	defer l.mu.Unlock()
+	defer l.unlock()
 	if err != nil {
 		l.counter("upstreamlimit.unanswered").Inc(1)
 		l.options.Log.Debug("owner of a limit did not answer", zap.String("owner", step.Owner), zap.Error(err))
@@ -160,28 +179,31 @@
 		return nil, err
 	}
 	l.mu.Lock()
-	defer l.mu.Unlock()
+	defer l.unlock()
 	return encodeReply(l.core.Serve(q, time.Now())), nil
 }
 
 // Waits returns how long the instances take no requests from this node, by the hashes of their keys; nil if there are none.
 func (l *Limiter) Waits(now time.Time) map[uint32]time.Duration {
+	if l.known.Load() == 0 {
+		return nil
+	}
 	l.mu.Lock()
-	defer l.mu.Unlock()
+	defer l.unlock()
 	return l.core.Waits(now)
 }
 
 // SetNodes replaces the list of the addresses of all nodes.
 func (l *Limiter) SetNodes(nodes []string, now time.Time) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
+	defer l.unlock()
 	l.core.SetNodes(nodes, now)
 }
 
 // Confirm records that this node is in contact with the leader, and drops what is known of instances that are not listed.
 func (l *Limiter) Confirm(view *upstreams.View, now time.Time) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
+	defer l.unlock()
 	l.core.Confirm(now)
 	l.core.Retain(func(hash uint32) bool { return view.ByHash(hash) != nil }, now)
 }
@@ -189,7 +211,7 @@
 // News returns the changes that other nodes are told.
 func (l *Limiter) News(now time.Time) []*nodepb.InstanceLimit {
 	l.mu.Lock()
-	defer l.mu.Unlock()
+	defer l.unlock()
 	var out []*nodepb.InstanceLimit
 	for hash, notice := range l.core.News(newsTime, now) {
 		if len(out) == maxNews {
@@ -217,7 +239,7 @@
 	case Usable(n.GetPerSecond()):
 		change = l.core.Told(n.GetInstance(), n.GetPerSecond(), at, now)
 	}
-	l.mu.Unlock()
+	l.unlock()
 	if change != Unchanged {
 		l.counter("upstreamlimit.changes").Inc(1)
 		l.options.Log.Info("limit by word of another node", zap.String("node", source), zap.Uint32("instance_hash", n.GetInstance()),
