raft/wal: a sync that a full disk refuses leaves nothing behind and can be repeated as a new write

What callers saw: core members that end and start again while their disks are full, with elections and refused calls in between. Cause: ENOSPC counted as a full disk at the write of a record only. A disk that allocates blocks late, a quota or a network file system says it at the sync, which made the log unusable and ended the member. Evidence: TestLateRefusalsDoNotEndTheMembers (a group of three on simulated disks that refuse syncs) failed before: 'write-ahead log sync: no space left on device'. TestFailedSyncsAndRestartsLoseNothingThatCounts plays such refusals between saves, restarts and power losses and passes. Why it works: the sync is not repeated. The record is cut off durably, as after a refused write, and written again as new data. If the cut cannot be made durable, the log is unusable as before.

--- a/raft/wal/open_test.go
+++ b/raft/wal/open_test.go
@@ -61,7 +61,7 @@
 		}
 		for range rapid.IntRange(1, 15).Draw(t, "steps") {
 			count := rapid.IntRange(1, 4).Draw(t, "entries")
-			switch rapid.SampledFrom([]string{"save", "failed save", "restart", "power loss"}).Draw(t, "step") {
+			switch rapid.SampledFrom([]string{"save", "failed save", "late refusal", "restart", "power loss"}).Draw(t, "step") {
 			case "save":
 				require.NoError(t, l.Save(&raftpb.HardState{Term: term + 1}, entries(term+1, last+1, count)))
 				term, last = term+1, last+uint64(count)
@@ -69,6 +69,14 @@
 			case "failed save":
 				disk.FailSync(syscall.EIO)
 				require.Error(t, l.Save(&raftpb.HardState{Term: term + 1}, entries(term+1, last+1, count)))
+			case "late refusal":
+				disk.RefuseLate(true)
+				disk.SetCapacity(disk.Used())
+				require.ErrorAs(t, l.Save(&raftpb.HardState{Term: term + 1}, entries(term+1, last+1, count)), new(*FullError))
+				disk.SetCapacity(0)
+				if rapid.Bool().Draw(t, "goes on") {
+					continue
+				}
 			case "power loss":
 				disk.Crash(random)
 			}
--- a/raft/wal/wal.go
+++ b/raft/wal/wal.go
@@ -4,9 +4,9 @@
 // Each Save writes one record and syncs once. A torn record at the end of the last segment is truncated at open, because
 // its save was never acknowledged. Any other corruption makes Open fail with a *CorruptError. After a failed write or
 // sync the state of the file is unknown, so all further calls fail with a *FailedError; the sync is never retried,
-// because the kernel may have dropped the dirty pages of the failed one. Open writes the last record, which is the only one whose sync may
-// have failed, once more in its place. A write that a full disk refuses is the exception:
-// what it has written is removed again, the call fails with a *FullError, and it may be repeated.
+// because the kernel may have dropped the dirty pages of the failed one. Open writes the last record, which is the only
+// one whose sync may have failed, once more in its place. A write or sync that a full disk refuses is the exception:
+// what was written is removed again, the call fails with a *FullError, and it may be repeated.
 //
 // A Log is owned by one goroutine.
 package wal
@@ -260,16 +260,10 @@
 	active := &l.segments[len(l.segments)-1]
 	record := encodeRecord(active.sequence, l.size, payload)
 	if _, err := l.file.Write(record); err != nil {
-		if !diskfs.IsFull(err) {
-			return l.fail("write", err)
-		}
-		if truncated := l.options.FS.Truncate(l.options.path(active.sequence), l.size); truncated != nil {
-			return l.fail("truncate", errors.Join(err, truncated))
-		}
-		return &FullError{Cause: err}
+		return l.refused("write", err)
 	}
 	if err := l.file.Sync(); err != nil {
-		return l.fail("sync", err)
+		return l.refused("sync", err)
 	}
 	l.size += int64(len(record))
 	l.last = last
@@ -277,6 +271,19 @@
 	return nil
 }
 
+// refused removes what a full disk has taken of a record, so that it can be written again. A sync may be the first to say that the disk is full;
+// it is not repeated, since the record is new data then. After any other error the log is unusable.
+func (l *Log) refused(operation string, cause error) error {
+	if !diskfs.IsFull(cause) {
+		return l.fail(operation, cause)
+	}
+	active := l.segments[len(l.segments)-1]
+	if err := l.options.FS.Truncate(l.options.path(active.sequence), l.size); err != nil {
+		return l.fail("truncate", errors.Join(cause, err))
+	}
+	return &FullError{Cause: cause}
+}
+
 func (l *Log) fail(operation string, cause error) error {
 	l.failed = &FailedError{Operation: operation, Cause: cause}
 	return l.failed
--- a/replica/lateerrors_test.go
+++ b/replica/lateerrors_test.go
@@ -83,3 +83,32 @@
 		require.NoError(t, r.Err())
 	}
 }
+
+// Guards against members that end, and start elections, because their disks refuse the sync of a record for lack of room and not its write, as
+// those do that allocate blocks late.
+func TestLateRefusalsDoNotEndTheMembers(t *testing.T) {
+	t.Parallel()
+	g, disks := startWithDisks(t)
+	g.write(1, failoverLimit)
+	for _, disk := range disks {
+		disk.RefuseLate(true)
+		fillDisk(disk)
+	}
+	for _, p := range g.members {
+		_, err := p.Propose(t.Context(), set(2))
+		require.Error(t, err)
+	}
+	// Each member stands for election once, within twice the election timeout, and cannot store its own vote.
+	time.Sleep(3 * time.Second)
+	term := g.highestTerm()
+	time.Sleep(2 * time.Second)
+	require.Equal(t, term, g.highestTerm(), "the members elect without end")
+	for id, disk := range disks {
+		require.NoError(t, g.members[id].Err())
+		disk.SetCapacity(0)
+	}
+	g.write(3, failoverLimit)
+	for _, p := range g.members {
+		g.requireValue(p, 3)
+	}
+}
