replica: a member that waits for room goes on waiting if its directories cannot be synced for lack of room

What callers saw: members that end on a full disk instead of waiting. A log that cannot make the removal of a segment durable still ends the member.

--- a/replica/fulldisk.go
+++ b/replica/fulldisk.go
@@ -43,7 +43,7 @@
 	ticker := time.NewTicker(roomInterval)
 	defer ticker.Stop()
 	for {
-		if err := r.freeRoom(); err != nil {
+		if err := r.freeRoom(); err != nil && !refusedByFullDisk(err) {
 			return err
 		}
 		err := r.processReady()
--- a/replica/lateerrors_test.go
+++ b/replica/lateerrors_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -85,7 +86,7 @@
 }
 
 // Guards against members that end, and start elections, because their disks refuse the sync of a record for lack of room and not its write, as
-// those do that allocate blocks late.
+// those do that allocate blocks late, or the sync of a directory.
 func TestLateRefusalsDoNotEndTheMembers(t *testing.T) {
 	t.Parallel()
 	g, disks := startWithDisks(t)
@@ -94,7 +95,8 @@
 		disk.RefuseLate(true)
 		fillDisk(disk)
 	}
-	for _, p := range g.members {
+	for id, p := range g.members {
+		disks[id].FailNames(p.options.Dir+"/snap", syscall.ENOSPC)
 		_, err := p.Propose(t.Context(), set(2))
 		require.Error(t, err)
 	}
@@ -106,9 +108,63 @@
 	for id, disk := range disks {
 		require.NoError(t, g.members[id].Err())
 		disk.SetCapacity(0)
+		disk.FailNames(g.members[id].options.Dir+"/snap", nil)
 	}
 	g.write(3, failoverLimit)
 	for _, p := range g.members {
 		g.requireValue(p, 3)
 	}
 }
+
+// Guards against a member that ends because a snapshot of its leader is refused late: at its sync, at its rename or at the sync of its directory.
+func TestLateRefusalOfAReceivedSnapshot(t *testing.T) {
+	t.Parallel()
+	for _, step := range []func(disk lateDisk, full bool){
+		func(d lateDisk, full bool) {
+			d.RefuseLate(full)
+			if full {
+				fillDisk(d.Disk)
+			} else {
+				d.SetCapacity(0)
+			}
+		},
+		func(d lateDisk, full bool) { d.noRename.Store(full) },
+		func(d lateDisk, full bool) {
+			if full {
+				d.FailNames("data/snap", syscall.ENOSPC)
+			} else {
+				d.FailNames("data/snap", nil)
+			}
+		},
+	} {
+		disk := lateDisk{simdisk.New(), &atomic.Bool{}}
+		machine := &register{}
+		r, err := Start(Options{ID: 2, Group: "test", Address: "127.0.0.1:1", Dir: "data", FS: disk, StateMachine: machine})
+		require.NoError(t, err)
+		step(disk, true)
+		members := &raftpb.Members{Members: []*raftpb.Member{{Id: 1, Address: "127.0.0.1:2"}, {Id: 2, Address: "127.0.0.1:1"}}}
+		message := &raftpb.Message{
+			Type: raftpb.MessageType_SNAPSHOT, Group: "test", From: 1, To: 2, Term: 3,
+			Snapshot: &raftpb.SnapshotMeta{Index: 7, Term: 2, Members: members},
+		}
+		require.NoError(t, r.receive(inbound{message: message, data: set(5)}))
+		require.Eventually(t, r.WaitsForRoom, failoverLimit, time.Millisecond)
+		step(disk, false)
+		require.Eventually(t, func() bool { return machine.get() == 5 }, failoverLimit, 5*time.Millisecond)
+		require.NoError(t, r.Err())
+		r.Stop()
+	}
+}
+
+// lateDisk refuses renames for lack of room while noRename is set.
+type lateDisk struct {
+	*simdisk.Disk
+	noRename *atomic.Bool
+}
+
+func (d lateDisk) Rename(from, to string) error {
+	if d.noRename.Load() {
+		return syscall.ENOSPC
+	}
+	return d.Disk.Rename(from, to)
+}
