replica: messages that arrived during a slow sync are stepped before its time counts as silence

What callers saw: elections without end and no accepted change while syncs take some hundred ms. Cause: after each sync the clock was advanced before the messages that had arrived meanwhile were stepped. A leader whose quorum had answered stepped down, and a follower whose leader had sent heartbeats stood for election. An election timeout of 1.5 s instead of 0.6 s changed nothing (trial). Why it is safe: replies carry the leader's own stamps of sending, so that an answer read late does not look fresh; no read, vote or change is served between the messages and the check of the quorum.

--- a/raft/election.go
+++ b/raft/election.go
@@ -9,6 +9,12 @@
 // campaignForced marks a vote request of a leadership transfer; voters answer it although they have a recent leader.
 const campaignForced = 1
 
+// Resume sets the current time after the driver was busy, without the decisions of Tick, which follows once the messages that arrived meanwhile
+// have been stepped.
+func (n *Node) Resume(now time.Duration) {
+	n.now = max(n.now, now)
+}
+
 // Tick sets the current time, which must be above 0 and monotonic. Times must not repeat after a restart, so the driver
 // adds the wall-clock time of its start to the monotonic time since then.
 func (n *Node) Tick(now time.Duration) {
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -47,6 +47,13 @@
 // maxApplyBatch limits the entries of one job of the applier.
 const maxApplyBatch = 1024
 
+// closedChannel is always ready.
+var closedChannel = func() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
 // run is the loop that owns the core and the log.
 func (r *Replica) run(ctx context.Context) {
 	defer r.finish()
@@ -66,6 +73,7 @@
 	defer ticker.Stop()
 	stopping := r.stopping
 	for {
+		began := time.Now()
 		err := r.processReady()
 		if refusedByFullDisk(err) {
 			err = r.awaitRoom(err)
@@ -74,6 +82,11 @@
 			r.fail(err)
 			return
 		}
+		var resumed chan struct{}
+		if time.Since(began) >= r.options.Tick {
+			r.stepArrived()
+			resumed = closedChannel
+		}
 		if r.drained() {
 			return
 		}
@@ -91,6 +104,8 @@
 		case q := <-r.reads:
 			r.tick()
 			r.readBatch(q)
+		case <-resumed:
+			// What was stepped is processed without waiting for another event.
 		case e := <-r.events:
 			// A compaction that a full disk refused is made up for after the next snapshot.
 			if err := r.handle(e); err != nil && !refusedByFullDisk(err) {
@@ -128,6 +143,16 @@
 	}
 }
 
+// stepArrived steps the messages that arrived during a slow sync before the time of the sync counts: what this member has not looked at is no
+// silence of the others.
+func (r *Replica) stepArrived() {
+	r.node.Resume(r.now())
+	for range len(r.inbox) {
+		r.step(<-r.inbox)
+	}
+	r.tick()
+}
+
 func (r *Replica) stepBatch(m inbound) {
 	r.step(m)
 	for range min(len(r.inbox), maxBatch) {
