--- a/replica/fulldisk.go
+++ b/replica/fulldisk.go
@@ -33,7 +33,7 @@
 func (r *Replica) WaitsForRoom() bool { return r.waitsForRoom.Load() }
 
 // awaitRoom repeats the work that a full disk refused until it succeeds, or until the member is stopped. For the other members it is as if
-// this one were paused: it sends nothing, because what it would say is not durable, and drops what it receives. Calls are refused at once,
+// this one were paused: it sends nothing, because what it would say is not durable, and drops what it receives, except snapshots. Calls are refused at once,
 // so that callers go to another member.
 func (r *Replica) awaitRoom(cause error) error {
 	r.waitsForRoom.Store(true)
@@ -42,6 +42,8 @@
 	r.log.Error("raft member waits for room on its disk", errno(cause), r.logBytes(), r.lastSnapshotBytes(), r.diskSpace(), zap.Error(cause))
 	ticker := time.NewTicker(roomInterval)
 	defer ticker.Stop()
+	// The leader does not repeat a snapshot that was delivered, so the last one is kept.
+	var snapshot *inbound
 	for {
 		if err := r.freeRoom(); err != nil && !refusedByFullDisk(err) {
 			return err
@@ -50,6 +52,9 @@
 		if err == nil {
 			r.log.Info("raft member has room on its disk again", zap.Duration("waited", time.Since(began)), r.logBytes(), r.lastSnapshotBytes())
 			r.tick()
+			if snapshot != nil {
+				r.step(*snapshot)
+			}
 			return nil
 		}
 		if !refusedByFullDisk(err) {
@@ -61,7 +66,11 @@
 				wait = false
 				// A snapshot that does not fit takes the last room for a moment. Only a wait that is longer fails the calls.
 				r.failWaiting()
-			case <-r.inbox:
+			case m := <-r.inbox:
+				if m.message.GetSnapshot() != nil {
+					snapshot = &m
+					continue
+				}
 				r.metrics.dropped.Inc(1)
 			case p := <-r.proposals:
 				if p.state.CompareAndSwap(proposalQueued, proposalDequeued) {
--- a/replica/lateerrors_test.go
+++ b/replica/lateerrors_test.go
@@ -156,6 +156,28 @@
 	}
 }
 
+// Guards against a member that comes back only after the leader's timeout of 30 s, because it dropped a snapshot that counts as delivered while
+// it waited for room.
+func TestSnapshotThatArrivesWhileWaitingIsInstalled(t *testing.T) {
+	t.Parallel()
+	disk := simdisk.New()
+	machine := &register{}
+	r, err := Start(Options{ID: 2, Group: "test", Address: "127.0.0.1:1", Dir: "data", FS: disk, StateMachine: machine})
+	require.NoError(t, err)
+	t.Cleanup(r.Stop)
+	fillDisk(disk)
+	require.NoError(t, r.receive(inbound{message: &raftpb.Message{Type: raftpb.MessageType_HEARTBEAT, Group: "test", From: 1, To: 2, Term: 3}}))
+	require.Eventually(t, r.WaitsForRoom, failoverLimit, time.Millisecond)
+	members := &raftpb.Members{Members: []*raftpb.Member{{Id: 1, Address: "127.0.0.1:2"}, {Id: 2, Address: "127.0.0.1:1"}}}
+	require.NoError(t, r.receive(inbound{data: set(5), message: &raftpb.Message{
+		Type: raftpb.MessageType_SNAPSHOT, Group: "test", From: 1, To: 2, Term: 3,
+		Snapshot: &raftpb.SnapshotMeta{Index: 7, Term: 2, Members: members},
+	}}))
+	time.Sleep(2 * roomInterval)
+	disk.SetCapacity(0)
+	require.Eventually(t, func() bool { return machine.get() == 5 }, failoverLimit, 5*time.Millisecond)
+}
+
 // lateDisk refuses renames for lack of room while noRename is set.
 type lateDisk struct {
 	*simdisk.Disk
--- a/replica/snapshots.go
+++ b/replica/snapshots.go
@@ -128,6 +128,10 @@
 	case r.inbox <- m:
 	default:
 		r.metrics.dropped.Inc(1)
+		if m.message.GetSnapshot() != nil {
+			// The leader would wait for a snapshot that counts as delivered.
+			return failure.New(failure.Overloaded, failure.NotRun, "the message queue is full")
+		}
 	}
 	return nil
 }
