--- a/replica/fulldisk.go
+++ b/replica/fulldisk.go
@@ -44,10 +44,17 @@
 	defer ticker.Stop()
 	// The leader does not repeat a snapshot that was delivered, so the last one is kept.
 	var snapshot *inbound
+	// Only a newer snapshot makes more superfluous, and it takes reading a snapshot to know what that is.
+	freed := false
 	for {
-		if err := r.freeRoom(); err != nil && !refusedByFullDisk(err) {
-			return err
+		if !freed {
+			err := r.freeRoom()
+			if err != nil && !refusedByFullDisk(err) {
+				return err
+			}
+			freed = err == nil
 		}
+		r.requestSnapshot()
 		err := r.processReady()
 		if err == nil {
 			r.log.Info("raft member has room on its disk again", zap.Duration("waited", time.Since(began)), r.logBytes(), r.lastSnapshotBytes())
@@ -79,6 +86,7 @@
 			case q := <-r.reads:
 				q.done <- diskFull()
 			case e := <-r.events:
+				freed = freed && e.saved == nil
 				if err := r.handle(e); err != nil && !refusedByFullDisk(err) {
 					return err
 				}
@@ -110,7 +118,7 @@
 	r.confirmed = nil
 }
 
-// freeRoom removes what the newest snapshot makes superfluous, and has the state machine take a new one.
+// freeRoom removes what the newest snapshot makes superfluous.
 func (r *Replica) freeRoom() error {
 	before := r.storage.wal.Bytes()
 	if err := r.storage.dropSuperfluous(); err != nil {
@@ -119,7 +127,6 @@
 	if freed := before - r.storage.wal.Bytes(); freed > 0 {
 		r.log.Info("raft log compacted", zap.Int64("bytes", freed), r.logBytes(), r.lastSnapshotBytes())
 	}
-	r.requestSnapshot()
 	return nil
 }
 
--- a/replica/slowdisk_test.go
+++ b/replica/slowdisk_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -56,3 +57,38 @@
 		}
 	}
 }
+
+// countingDisk counts the reads of snapshots.
+type countingDisk struct {
+	*simdisk.Disk
+	reads *atomic.Int64
+}
+
+func (d countingDisk) ReadFile(name string) ([]byte, error) {
+	if strings.Contains(name, snapName) {
+		d.reads.Add(1)
+	}
+	return d.Disk.ReadFile(name)
+}
+
+// Guards against a waiting member that reads its newest snapshot, which may have some MB, with each attempt to write.
+func TestWaitingMemberDoesNotReadItsSnapshotsAllTheTime(t *testing.T) {
+	t.Parallel()
+	reads := &atomic.Int64{}
+	r, disk := startOnSmallDisk(t, func(o *Options) {
+		o.SnapshotBytes = 64 << 10
+		o.FS = countingDisk{o.FS.(*simdisk.Disk), reads}
+	})
+	for value := range uint64(20) {
+		require.NoError(t, proposeLarge(t, r, value))
+	}
+	require.Eventually(t, func() bool { return r.snapshotBytes.Load() > 0 }, failoverLimit, time.Millisecond)
+	disk.SetSpace(0)
+	require.Error(t, proposeLarge(t, r, 20))
+	require.True(t, r.WaitsForRoom())
+	before := reads.Load()
+	time.Sleep(10 * roomInterval)
+	require.LessOrEqual(t, reads.Load()-before, int64(6))
+	disk.SetSpace(-1)
+	require.Eventually(t, func() bool { return proposeLarge(t, r, 21) == nil }, failoverLimit, 20*time.Millisecond)
+}
