upstreamlimit, gateway: requests that are less urgent leave a reserve of permits

The owner of an instance with a limit served the questions in their order, so under load urgent requests got the same share of the few permits as all others, and a stream that had to go on elsewhere waited behind them.

A request is spare if other routes to its service are more urgent, unless it goes on with a stream that its caller already receives. For spare requests the owner grants only what is beyond a reserve of a third of the bucket, one permit at least. The bucket has three permits at low limits instead of two; what exceeds the reserve is still handed out, so the limit is used. A node that was told to wait for spare requests still asks for others. If all requests of a service have one rank, nothing changes.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -34,6 +34,7 @@
 		if ctx.Err() != nil {
 			return c.contextError(ctx, last)
 		}
+		c.bound.Store(c.answered)
 		var chosen *choice
 		var pauseLeft time.Duration
 		move := c.takeMove()
@@ -158,7 +159,7 @@
 	}
 	now := time.Now()
 	candidates := o.Tracker.Candidates(view.OfService(c.service.Name), now, q)
-	c.gateway.markLimited(candidates, now)
+	c.markLimited(candidates, now)
 	if q.CacheTokens > 0 {
 		placement.MarkHomes(q, candidates)
 		placement.MarkHeld(q, candidates)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -248,7 +248,9 @@
 	counted  bool
 	exclude  map[string]bool
 	answered bool
-	status   int
+	// bound is set if an earlier send of the request has begun to answer its caller.
+	bound  atomic.Bool
+	status int
 	// relayed counts the writes of complete stream events to the caller; lastEvent is the id of the newest such event.
 	relayed   int
 	lastEvent string
--- a/gateway/ratelimit.go
+++ b/gateway/ratelimit.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/wasabishunt/wasabishunt/placement"
+	"github.com/wasabishunt/wasabishunt/trafficset"
 	"github.com/wasabishunt/wasabishunt/upstreams"
 )
 
@@ -30,13 +32,29 @@
 // and otherwise the time after which the instance may take a request of this node.
 func (c *call) acquirePermit(ctx context.Context, chosen *choice) (wait time.Duration) {
 	limiter := c.gateway.options.Limiter
-	if limiter == nil {
+	if limiter == nil || limiter.Idle() {
 		return 0
 	}
-	chosen.permit, wait = limiter.Acquire(ctx, chosen.instance, c.attributes.ID)
+	chosen.permit, wait = limiter.Acquire(ctx, chosen.instance, c.isSpare(), c.attributes.ID)
 	return wait
 }
 
+// isSpare reports whether the request leaves the reserve of an instance with a limit to others: it does not go on with a stream that its caller
+// already receives, and other routes to the service are more urgent. It may run beside the send in progress.
+func (c *call) isSpare() bool {
+	if c.bound.Load() {
+		return false
+	}
+	priority := c.route.PriorityFor(c.account)
+	for i := range c.set.Routes {
+		r := &c.set.Routes[i]
+		if max(0, r.Priority) < priority && slices.ContainsFunc(r.Targets, func(t trafficset.Target) bool { return t.Service == c.service.Name }) {
+			return true
+		}
+	}
+	return false
+}
+
 // renewPermit returns 0 if the request may be sent to the chosen instance now, by its permit or another one: opening a connection, or ending the
 // send that a move takes over, may have taken longer than a permit is valid, and a limit may have begun meanwhile.
 func (c *call) renewPermit(ctx context.Context, chosen *choice) (wait time.Duration) {
@@ -48,16 +66,17 @@
 }
 
 // markLimited sets the pauses of candidates whose limit leaves no permit for this node yet.
-func (g *Gateway) markLimited(candidates []placement.Candidate, now time.Time) {
-	if g.options.Limiter == nil {
+func (c *call) markLimited(candidates []placement.Candidate, now time.Time) {
+	limiter := c.gateway.options.Limiter
+	if limiter == nil || limiter.Idle() {
 		return
 	}
-	waits := g.options.Limiter.Waits(now)
+	waits := limiter.Waits(c.isSpare(), now)
 	if waits == nil {
 		return
 	}
 	for i := range candidates {
-		c := &candidates[i]
-		c.PauseLeft = max(c.PauseLeft, waits[c.Instance.Key().Hash()])
+		candidate := &candidates[i]
+		candidate.PauseLeft = max(candidate.PauseLeft, waits[candidate.Instance.Key().Hash()])
 	}
 }
--- a/gateway/ratelimit_test.go
+++ b/gateway/ratelimit_test.go
@@ -142,3 +142,40 @@
 	served()
 	require.Greater(t, served(), 40)
 }
+
+// Guards against urgent requests that are refused because others take all permits of an instance.
+func TestUrgentRequestsGetThePermits(t *testing.T) {
+	const perSecond, floodTime = 10, 3 * time.Second
+	s := newSystem(t, limited(strconv.Itoa(perSecond)))
+	s.withLimiter()
+	for i := range s.sets.Set().Routes {
+		if r := &s.sets.Set().Routes[i]; r.Prefix == "/safe/" {
+			r.Priority = 1
+		}
+	}
+	_, _, _ = s.call("POST", "/once/", "")
+	var flood sync.WaitGroup
+	defer flood.Wait()
+	var served atomic.Int64
+	end := time.Now().Add(floodTime)
+	for range 4 {
+		flood.Go(func() {
+			for ; time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+				if status, _, err := s.call("POST", "/safe/", ""); err == nil && status == 200 {
+					served.Add(1)
+				}
+			}
+		})
+	}
+	urgent, refused := 0, 0
+	for time.Sleep(floodTime / 6); time.Now().Before(end); time.Sleep(time.Second / 4) {
+		urgent++
+		if status, _, err := s.call("POST", "/once/", ""); err != nil || status != 200 {
+			refused++
+		}
+	}
+	flood.Wait()
+	require.LessOrEqual(t, refused, urgent/5, "of %d urgent requests", urgent)
+	require.Greater(t, int(served.Load()), perSecond, "other requests get the rest of 10 permits a second in 3 s")
+	require.LessOrEqual(t, s.runsAt("u0"), 1+perSecond*int(floodTime/time.Second)+5)
+}
--- a/upstreamlimit/bench_test.go
+++ b/upstreamlimit/bench_test.go
@@ -20,7 +20,7 @@
 			b.ReportAllocs()
 			b.RunParallel(func(p *testing.PB) {
 				for p.Next() {
-					permit, _ := l.Acquire(context.Background(), instance, "request")
+					permit, _ := l.Acquire(context.Background(), instance, false, "request")
 					if !l.MaySend(instance, permit, now) {
 						b.Error("no limit, no permit")
 					}
@@ -37,11 +37,11 @@
 			l, now := newTestLimiter(), time.Now()
 			for hash := range uint32(limits) {
 				l.apply("node", encodeNotice(hash, Notice{PerSecond: 1, Limited: true, At: now}, now), now)
-				l.core.Next(hash, now)
+				l.core.Next(hash, false, now)
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				l.Waits(now)
+				l.Waits(false, now)
 			}
 		})
 	}
--- a/upstreamlimit/core.go
+++ b/upstreamlimit/core.go
@@ -24,6 +24,8 @@
 	// Age is the time since Notice.At.
 	Age  time.Duration
 	Want int
+	// Spare is set if the permits are for requests that leave a reserve to more urgent ones.
+	Spare bool
 }
 
 // Reply is the answer of an owner.
@@ -45,15 +47,24 @@
 	Wait     time.Duration
 }
 
-// permits are those that a node holds for one instance.
+// permits are those that a node holds for one instance, and what it knows of the next ones.
 type permits struct {
 	count int
 	until time.Time
 	// wanted is the number of requests in the last askAhead, smoothed, and wantedAt the time of the last one.
 	wanted   float64
 	wantedAt time.Time
-	// waitUntil is when an owner is asked again.
-	waitUntil time.Time
+	// waitUntil is when an owner is asked again, spareUntil when it is asked again for requests that leave a reserve.
+	waitUntil, spareUntil time.Time
+}
+
+// wait returns how long no owner is asked for a request.
+func (p *permits) wait(spare bool, now time.Time) time.Duration {
+	until := p.waitUntil
+	if spare {
+		until = later(until, p.spareUntil)
+	}
+	return max(0, until.Sub(now))
 }
 
 // Core decides for one node. It has neither a clock nor sockets.
@@ -122,8 +133,8 @@
 	return change
 }
 
-// Next returns what to do for one request to an instance.
-func (c *Core) Next(hash uint32, now time.Time) Step {
+// Next returns what to do for one request to an instance. A spare one leaves a reserve of permits to more urgent ones.
+func (c *Core) Next(hash uint32, spare bool, now time.Time) Step {
 	perSecond, limited := c.notices.Of(hash)
 	if !limited {
 		return Step{Send: true}
@@ -139,7 +150,7 @@
 		return Step{Send: true, Until: p.until}
 	}
 	p.count = 0
-	if wait := p.waitUntil.Sub(now); wait > 0 {
+	if wait := p.wait(spare, now); wait > 0 {
 		return Step{Wait: wait}
 	}
 	if c.grants.owners.nodes == nil {
@@ -147,7 +158,7 @@
 		return Step{Wait: refusedPause}
 	}
 	notice, _ := c.notices.Known(hash)
-	question := Question{Hash: hash, PerSecond: perSecond, Age: now.Sub(notice.At), Want: p.want()}
+	question := Question{Hash: hash, PerSecond: perSecond, Age: now.Sub(notice.At), Want: p.want(), Spare: spare}
 	first, second := Owners(hash, c.grants.owners.nodes)
 	for _, owner := range []string{first, second} {
 		if owner != "" && !now.Before(c.silentUntil[owner]) {
@@ -180,7 +191,7 @@
 	if !notice.Limited {
 		return Reply{Ended: true, EndedAge: now.Sub(notice.At)}
 	}
-	granted, wait := c.grants.Grant(q.Hash, notice.PerSecond, q.Want, now)
+	granted, wait := c.grants.Grant(q.Hash, notice.PerSecond, q.Want, q.Spare, now)
 	return Reply{Granted: granted, Wait: wait}
 }
 
@@ -212,15 +223,19 @@
 		return Step{Send: true, Until: asked.Add(permitValidity)}
 	}
 	wait := max(minWait, min(maxWait, r.Wait))
-	p.waitUntil = now.Add(wait)
+	if q.Spare {
+		p.spareUntil = now.Add(wait)
+	} else {
+		p.waitUntil = now.Add(wait)
+	}
 	return Step{Wait: wait}
 }
 
-// Waits returns how long the instances take no requests from this node, nil if there are none.
-func (c *Core) Waits(now time.Time) map[uint32]time.Duration {
+// Waits returns how long the instances take no requests, spare ones or others, from this node, nil if there are none.
+func (c *Core) Waits(spare bool, now time.Time) map[uint32]time.Duration {
 	var waits map[uint32]time.Duration
 	for hash, p := range c.held {
-		if left := p.waitUntil.Sub(now); left > 0 && (p.count == 0 || !now.Before(p.until)) {
+		if left := p.wait(spare, now); left > 0 && (p.count == 0 || !now.Before(p.until)) {
 			if waits == nil {
 				waits = map[uint32]time.Duration{}
 			}
--- a/upstreamlimit/core_test.go
+++ b/upstreamlimit/core_test.go
@@ -25,7 +25,7 @@
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 	node, owner := newOnlyNode(start), newOnlyNode(start)
 	node.Named(engine, 2, at(0), at(1))
-	q := node.Next(engine, at(100)).Question
+	q := node.Next(engine, false, at(100)).Question
 	owner.Named(engine, 2, at(0), at(1))
 	require.Equal(t, Ended, owner.NotNamed(engine, at(80), at(99)))
 	reply := owner.Serve(q, at(101))
@@ -42,7 +42,7 @@
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 	node, owner := newOnlyNode(start), newOnlyNode(start)
 	node.Named(engine, 2, at(0), at(1))
-	q := node.Next(engine, at(100)).Question
+	q := node.Next(engine, false, at(100)).Question
 	owner.Named(engine, 2, at(0), at(1))
 	require.Equal(t, Ended, owner.NotNamed(engine, at(60), at(99)))
 	require.True(t, node.Replied(q, owner.Serve(q, at(140)), at(100), at(149)).Send)
@@ -59,7 +59,7 @@
 		now, sent := start, 0
 		for range 100 {
 			now = now.Add(10 * time.Millisecond)
-			step := c.Next(engine, now)
+			step := c.Next(engine, false, now)
 			if step.Owner != "" {
 				step = c.Replied(step.Question, c.Serve(step.Question, now), now, now)
 			}
--- a/upstreamlimit/grants.go
+++ b/upstreamlimit/grants.go
@@ -9,9 +9,13 @@
 	// probeRate is the lowest number of permits a second. Without any request nobody would learn that a limit of 0 has ended.
 	probeRate = 0.25
 	// depthTime is the time for which unused permits are kept, and so the most that is granted at once. At low limits it is minDepth permits:
-	// with one, a permit is lost whenever the node whose turn it is has no request.
+	// one in reserve, one for other requests, and one more, as a permit is lost whenever the node whose turn it is has no request.
 	depthTime = 250 * time.Millisecond
-	minDepth  = 2
+	minDepth  = 3
+	// reserveShare is the share of the depth, at least one permit, that spare requests leave.
+	reserveShare = 1.0 / 3
+	// minSpareWait bounds how often a node asks for spare requests.
+	minSpareWait = 20 * time.Millisecond
 	// doubtShare is the share of a limit that a node hands out while another one may hand out permits as well.
 	doubtShare = 0.25
 	// settleTime is how long a new first owner hands out doubtShare only: the one before it may not have learned of the change yet.
@@ -38,9 +42,9 @@
 	buckets map[uint32]*bucket
 }
 
-// Grant grants up to want permits. Without any it returns the time after which to ask again. A new bucket is empty, since the owner before may
-// have granted all that the limit allows.
-func (g *Grants) Grant(hash uint32, perSecond float64, want int, now time.Time) (granted int, wait time.Duration) {
+// Grant grants up to want permits, for spare requests without the reserve. Without any it returns the time after which to ask again. A new bucket is
+// empty, since the owner before may have granted all that the limit allows.
+func (g *Grants) Grant(hash uint32, perSecond float64, want int, spare bool, now time.Time) (granted int, wait time.Duration) {
 	b := g.buckets[hash]
 	if b == nil {
 		if g.buckets == nil {
@@ -55,12 +59,21 @@
 	if share == 1 {
 		depth = minDepth
 	}
-	b.tokens = math.Min(math.Max(depth, rate*depthTime.Seconds()), b.tokens+rate*now.Sub(b.at).Seconds())
+	depth = math.Max(depth, rate*depthTime.Seconds())
+	b.tokens = math.Min(depth, b.tokens+rate*now.Sub(b.at).Seconds())
 	b.at = now
-	if granted = int(math.Min(float64(want), b.tokens)); granted > 0 {
+	reserve := 0.0
+	if spare && share == 1 {
+		reserve = math.Max(1, reserveShare*depth)
+	}
+	if granted = int(math.Min(float64(want), b.tokens-reserve)); granted > 0 {
 		b.tokens -= float64(granted)
 		return granted, 0
 	}
+	if spare {
+		missing := (1 + reserve - b.tokens) / rate
+		return 0, max(minSpareWait, time.Duration(math.Min(missing, maxWait.Seconds())*float64(time.Second)))
+	}
 	return 0, b.turn(rate, now)
 }
 
--- a/upstreamlimit/limiter.go
+++ b/upstreamlimit/limiter.go
@@ -72,7 +72,7 @@
 
 // NotNamed records that an instance named no limit in the answer to a request that was sent at sentAt.
 func (l *Limiter) NotNamed(instance *upstreams.Instance, sentAt time.Time, request string, now time.Time) {
-	if l.known.Load() == 0 {
+	if l.Idle() {
 		return
 	}
 	l.mu.Lock()
@@ -99,12 +99,15 @@
 	}
 }
 
+// Idle reports whether no instance names a limit or has named one lately.
+func (l *Limiter) Idle() bool { return l.known.Load() == 0 }
+
 // Permit allows to send one request to an instance that had a limit, or had none, when it was acquired.
 type Permit struct{ until time.Time }
 
 // MaySend reports whether a request with this permit may be sent now. The permit may have expired since it was acquired, and a limit may have begun.
 func (l *Limiter) MaySend(instance *upstreams.Instance, permit Permit, now time.Time) bool {
-	if l.known.Load() == 0 {
+	if l.Idle() {
 		return true
 	}
 	l.mu.Lock()
@@ -113,14 +116,14 @@
 }
 
 // Acquire takes a permit to send a request to an instance. Without one it returns the time after which the instance may take a request, otherwise 0.
-// It asks at most two nodes, each for askTimeout.
-func (l *Limiter) Acquire(ctx context.Context, instance *upstreams.Instance, request string) (permit Permit, wait time.Duration) {
-	if l.known.Load() == 0 {
+// A spare request leaves a reserve of permits to more urgent ones. It asks at most two nodes, each for askTimeout.
+func (l *Limiter) Acquire(ctx context.Context, instance *upstreams.Instance, spare bool, request string) (permit Permit, wait time.Duration) {
+	if l.Idle() {
 		return Permit{}, 0
 	}
 	hash := instance.Key().Hash()
 	l.mu.Lock()
-	step := l.core.Next(hash, time.Now())
+	step := l.core.Next(hash, spare, time.Now())
 	l.unlock()
 	owner := ""
 	for range 2 {
@@ -167,7 +170,7 @@
 		if ctx.Err() == nil {
 			l.core.Failed(step.Owner, time.Now())
 		}
-		return l.core.Next(q.Hash, time.Now())
+		return l.core.Next(q.Hash, q.Spare, time.Now())
 	}
 	return l.core.Replied(q, decodeReply(reply), asked, time.Now())
 }
@@ -183,14 +186,14 @@
 	return encodeReply(l.core.Serve(q, time.Now())), nil
 }
 
-// Waits returns how long the instances take no requests from this node, by the hashes of their keys; nil if there are none.
-func (l *Limiter) Waits(now time.Time) map[uint32]time.Duration {
-	if l.known.Load() == 0 {
+// Waits returns how long the instances take no requests, spare ones or others, from this node, by the hashes of their keys; nil if there are none.
+func (l *Limiter) Waits(spare bool, now time.Time) map[uint32]time.Duration {
+	if l.Idle() {
 		return nil
 	}
 	l.mu.Lock()
 	defer l.unlock()
-	return l.core.Waits(now)
+	return l.core.Waits(spare, now)
 }
 
 // SetNodes replaces the list of the addresses of all nodes.
--- a/upstreamlimit/notices.go
+++ b/upstreamlimit/notices.go
@@ -1,7 +1,8 @@
 // Package upstreamlimit keeps the number of requests a second that an instance takes from all nodes together.
 //
 // An instance in need names its limit in its answers. For each such instance one node, its first owner, hands out permits to send, and the
-// others ask it before each request. If the first owner does not answer, the second one hands out a share of the limit. Core and the types that
+// others ask it before each request. If the first owner does not answer, the second one hands out a share of the limit. Spare requests, which are less
+// urgent than others of their service, leave a reserve. Core and the types that
 // it is made of have no clock, no sockets and no goroutines; Limiter joins them with those.
 package upstreamlimit
 
--- a/upstreamlimit/sim_test.go
+++ b/upstreamlimit/sim_test.go
@@ -131,12 +131,16 @@
 }
 
 // demand lets a node want to send with exponential pauses.
-func (s *sim) demand(n *simNode, perSecond float64) {
+func (s *sim) demand(n *simNode, perSecond float64) { s.demandOf(n, perSecond, false, func(bool) {}) }
+
+// demandOf is demand for spare requests or others. It calls observe when a node wants to send and when it sends.
+func (s *sim) demandOf(n *simNode, perSecond float64, spare bool, observe func(isSent bool)) {
 	s.after(time.Duration(s.random.ExpFloat64()/perSecond*float64(time.Second)), func() {
 		if !n.down {
-			s.step(n, n.core.Next(engine, s.time()), 0)
+			observe(false)
+			s.step(n, n.core.Next(engine, spare, s.time()), 0, func() { observe(true) })
 		}
-		s.demand(n, perSecond)
+		s.demandOf(n, perSecond, spare, observe)
 	})
 }
 
@@ -150,26 +154,27 @@
 }
 
 // step does what the core of a node decided for one request.
-func (s *sim) step(n *simNode, step Step, asked int) {
+func (s *sim) step(n *simNode, step Step, asked int, sent func()) {
 	switch {
 	case step.Send:
+		sent()
 		s.send(n)
 	case step.Owner == "" || asked > 1:
 	case step.Owner == n.name:
-		s.step(n, n.core.Replied(step.Question, n.core.Serve(step.Question, s.time()), s.time(), s.time()), asked+1)
+		s.step(n, n.core.Replied(step.Question, n.core.Serve(step.Question, s.time()), s.time(), s.time()), asked+1, sent)
 	default:
-		s.ask(n, step, asked)
+		s.ask(n, step, asked, sent)
 	}
 }
 
-func (s *sim) ask(n *simNode, step Step, asked int) {
+func (s *sim) ask(n *simNode, step Step, asked int, sent func()) {
 	askedAt, core, done := s.time(), n.core, false
 	owner := s.node(step.Owner)
 	s.after(simAskTimeout, func() {
 		if !done && n.core == core {
 			done = true
 			core.Failed(step.Owner, s.time())
-			s.step(n, core.Next(engine, s.time()), asked+1)
+			s.step(n, core.Next(engine, step.Question.Spare, s.time()), asked+1, sent)
 		}
 	})
 	if s.random.Float64() < s.lost || s.parted && s.isFirstSide(n) != s.isFirstSide(owner) {
@@ -183,7 +188,7 @@
 		s.after(s.between(time.Millisecond, s.delay), func() {
 			if !done && n.core == core && !n.down {
 				done = true
-				s.step(n, core.Replied(step.Question, reply, askedAt, s.time()), asked+1)
+				s.step(n, core.Replied(step.Question, reply, askedAt, s.time()), asked+1, sent)
 			}
 		})
 	})
--- a/upstreamlimit/simlimits_test.go
+++ b/upstreamlimit/simlimits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -203,6 +204,38 @@
 	}
 }
 
+// Guards against urgent requests that get no permit because the others take all of them, and against a reserve that leaves the limit unused.
+func TestUrgentRequestsGetPermits(t *testing.T) {
+	const calm, end = 10 * time.Second, 70 * time.Second
+	for _, nodes := range []int{1, 3, 8, 28, 98} {
+		for _, limit := range []float64{1, 1.7, 5, 20, 500} {
+			t.Run(fmt.Sprintf("%d-nodes-%v", nodes, limit), func(t *testing.T) {
+				t.Parallel()
+				s := newSim(1, nodes, limit)
+				wanted, sent := 0, 0
+				for _, n := range s.nodes {
+					s.demandOf(n, 2.7*limit/float64(nodes), true, func(bool) {})
+					s.demandOf(n, 0.3*limit/float64(nodes), false, func(isSent bool) {
+						if s.now > calm && isSent {
+							sent++
+						}
+						if s.now > calm && !isSent {
+							wanted++
+						}
+					})
+				}
+				s.named = 0
+				s.run(calm)
+				before := s.arrived
+				s.run(end)
+				s.requireLimitKept(t)
+				require.Greater(t, float64(sent), 0.8*float64(wanted), "urgent requests sent")
+				require.Greater(t, float64(s.arrived-before)/(end-calm).Seconds(), 0.9*limit, "requests a second")
+			})
+		}
+	}
+}
+
 // Guards against a limit that stays low after it was raised.
 func TestRaisedLimitIsUsed(t *testing.T) {
 	eachSize(t, func(t *testing.T, nodes int, limit float64) {
