--- a/coregroup/smalldisk_test.go
+++ b/coregroup/smalldisk_test.go
@@ -36,14 +36,14 @@
 func (s slowSnapshots) Create(name string) (diskfs.File, error) {
 	file, err := s.smallDisk.Create(name)
 	if err == nil && strings.Contains(name, "/snap/") {
-		return slowFile{file}, nil
+		return slowSnapshotFile{file}, nil
 	}
 	return file, err
 }
 
-type slowFile struct{ diskfs.File }
+type slowSnapshotFile struct{ diskfs.File }
 
-func (f slowFile) Sync() error {
+func (f slowSnapshotFile) Sync() error {
 	time.Sleep(500 * time.Millisecond)
 	return f.File.Sync()
 }
--- a/replica/slowdisk_test.go
+++ b/replica/slowdisk_test.go
@@ -5,6 +5,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
