--- a/upstreamlimit/sim_test.go
+++ b/upstreamlimit/sim_test.go
@@ -144,6 +144,13 @@
 	})
 }
 
+// demandThriceTheLimit lets all nodes together want three times the limit, and each of them a request in 2 s at least.
+func (s *sim) demandThriceTheLimit() {
+	for _, n := range s.nodes {
+		s.demand(n, max(0.5, 3*s.limit/float64(len(s.nodes))))
+	}
+}
+
 func (s *sim) node(name string) *simNode {
 	for _, n := range s.nodes {
 		if n.name == name {
--- a/upstreamlimit/simlimits_test.go
+++ b/upstreamlimit/simlimits_test.go
@@ -15,9 +15,7 @@
 func TestLimitIsKeptAndUsed(t *testing.T) {
 	eachSize(t, func(t *testing.T, nodes int, limit float64) {
 		s := newSim(1, nodes, limit)
-		for _, n := range s.nodes {
-			s.demand(n, max(0.5, 3*limit/float64(nodes)))
-		}
+		s.demandThriceTheLimit()
 		s.run(time.Second)
 		s.named = s.now
 		s.run(6 * time.Second)
@@ -37,9 +35,7 @@
 		eachSize(t, func(t *testing.T, nodes int, limit float64) {
 			s := newSim(seed, nodes, limit)
 			s.lost, s.delay = 0.2, time.Second
-			for _, n := range s.nodes {
-				s.demand(n, max(0.5, 3*limit/float64(nodes)))
-			}
+			s.demandThriceTheLimit()
 			s.named = 0
 			s.run(20 * time.Second)
 			s.requireLimitKept(t)
@@ -52,9 +48,7 @@
 	for seed := range uint64(3) {
 		eachSize(t, func(t *testing.T, nodes int, limit float64) {
 			s := newSim(seed, nodes, limit)
-			for _, n := range s.nodes {
-				s.demand(n, max(0.5, 3*limit/float64(nodes)))
-			}
+			s.demandThriceTheLimit()
 			s.named = 0
 			for at := time.Second; at < 25*time.Second; at += s.between(300*time.Millisecond, 3*time.Second) {
 				first, _ := Owners(engine, s.names())
@@ -77,9 +71,7 @@
 func TestLimitIsKeptByTwoSides(t *testing.T) {
 	eachSize(t, func(t *testing.T, nodes int, limit float64) {
 		s := newSim(1, nodes, limit)
-		for _, n := range s.nodes {
-			s.demand(n, max(0.5, 3*limit/float64(nodes)))
-		}
+		s.demandThriceTheLimit()
 		s.named = 0
 		s.run(5 * time.Second)
 		s.parted = true
@@ -106,9 +98,7 @@
 	for seed := range uint64(3) {
 		eachSize(t, func(t *testing.T, nodes int, limit float64) {
 			s := newSim(seed, nodes, limit)
-			for _, n := range s.nodes {
-				s.demand(n, max(0.5, 3*limit/float64(nodes)))
-			}
+			s.demandThriceTheLimit()
 			s.named = 0
 			for range 3 {
 				s.run(s.now + 5*time.Second)
@@ -135,9 +125,7 @@
 	for seed := range uint64(3) {
 		eachSize(t, func(t *testing.T, nodes int, limit float64) {
 			s := newSim(seed, nodes, limit)
-			for _, n := range s.nodes {
-				s.demand(n, max(0.5, 3*limit/float64(nodes)))
-			}
+			s.demandThriceTheLimit()
 			s.named = 0
 			for s.now < 25*time.Second {
 				s.run(s.now + s.between(time.Second, 4*time.Second))
