callers: a stop spares requests whose callers are watched

What callers saw: at a stop, a connection could be closed without an answer although its request was being handled.

Cause: net/http reads the next byte of a connection while it handles a request, to notice that the caller leaves. The read begins in another goroutine just before the handler is called. If it ran before beginHandling, it was taken for a read that waits for a head, and stayed marked as such while the request was handled; drain then closed the connection as silent. From 300 ms after the begin of a stop this also held for requests whose handler had not been called yet.

Why the fix works: a read counts as waiting for a head only until net/http reports the head as read, which it does before it starts that other read, and no longer once the handler has begun.

--- a/callers/callerconn.go
+++ b/callers/callerconn.go
@@ -46,8 +46,11 @@
 	// idleLimit is the limit that was in force when the last idle phase began, and idleTimer ends that phase.
 	idleLimit time.Duration
 	idleTimer *time.Timer
-	// waiting is set while a read waits for bytes of a head.
+	// waiting is set while a read waits for bytes of a head. net/http also reads while a request is handled, to notice that its caller leaves;
+	// such a read does not count, although it may begin before the handler.
 	waiting bool
+	// headRead is set in phaseHead once net/http has read the head.
+	headRead bool
 	// handled is set once the handler got the first request.
 	handled bool
 	// ended is set once the server has decided to close the connection.
@@ -146,7 +149,14 @@
 
 // beginPhase begins a phase. The caller holds c.mu.
 func (c *callerConn) beginPhase(phase connPhase) {
-	c.phase, c.phaseSince, c.reason, c.limit = phase, time.Now(), "", 0
+	c.phase, c.phaseSince, c.reason, c.limit, c.headRead = phase, time.Now(), "", 0, false
+}
+
+// endHead records that net/http has read a head, and is about to call the handler.
+func (c *callerConn) endHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.headRead = c.phase == phaseHead
 }
 
 // beginHandling reports whether this is the first request of the connection.
@@ -154,6 +164,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.beginPhase(phaseRequest)
+	c.waiting = false
 	first := !c.handled
 	c.handled = true
 	return first
@@ -171,7 +182,7 @@
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
 	c.mu.Lock()
-	inHead := c.phase != phaseRequest
+	inHead := c.phase != phaseRequest && !c.headRead
 	wasIdle := c.phase == phaseIdle
 	c.waiting = inHead
 	c.mu.Unlock()
--- a/callers/server.go
+++ b/callers/server.go
@@ -186,6 +186,10 @@
 	switch state {
 	case http.StateClosed, http.StateHijacked:
 		s.removeNewConn(conn)
+	case http.StateActive:
+		if c, ok := conn.(*callerConn); ok {
+			c.endHead()
+		}
 	case http.StateIdle:
 		if c, ok := conn.(*callerConn); ok {
 			c.beginIdle()
--- a/callers/stop_test.go
+++ b/callers/stop_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -93,3 +94,74 @@
 	require.NoError(t, err)
 	require.Equal(t, rest, string(buffer[:n]))
 }
+
+// Guards against closing a connection at a stop although its request is being handled: net/http reads on to notice that the caller leaves, and on a
+// busy VM that read began before the handler and was taken for one that waits for a head.
+func TestStopSparesRequestsWhoseCallersAreWatched(t *testing.T) {
+	const head = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	// begin brings the connection from a complete head to the moment of the stop; watch begins the read that notices the end of the caller.
+	for name, begin := range map[string]func(s *Server, conn *callerConn, watch func()){
+		"read before handler": func(_ *Server, conn *callerConn, watch func()) {
+			watch()
+			conn.beginHandling()
+		},
+		"read after handler": func(_ *Server, conn *callerConn, watch func()) {
+			conn.beginHandling()
+			watch()
+		},
+		"read, handler not called yet": func(s *Server, conn *callerConn, watch func()) {
+			s.trackState(conn, http.StateActive)
+			watch()
+		},
+		"handler called after the read": func(s *Server, conn *callerConn, watch func()) {
+			s.trackState(conn, http.StateActive)
+			watch()
+			conn.beginHandling()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer listener.Close()
+			caller, reader := connect(t, listener)
+			accepted, err := listener.Accept()
+			require.NoError(t, err)
+			s := &Server{Log: zap.NewNop()}
+			conn := newCallerConn(accepted, s, &limitedServer{server: &http.Server{}, closed: make(chan struct{}), open: map[*callerConn]struct{}{}})
+			defer conn.Close()
+			_, err = fmt.Fprint(caller, head)
+			require.NoError(t, err)
+			buffer := make([]byte, 64)
+			n, err := conn.Read(buffer)
+			require.NoError(t, err)
+			require.Equal(t, head, string(buffer[:n]))
+			ended := make(chan struct{})
+			begin(s, conn, func() {
+				began := make(chan struct{})
+				go func() {
+					defer close(ended)
+					close(began)
+					_, _ = conn.Read(make([]byte, 1))
+				}()
+				<-began
+				// Only for the order that the test is about; a read that begins later changes nothing.
+				for end := time.Now().Add(50 * time.Millisecond); time.Now().Before(end) && !conn.isWaiting(); time.Sleep(time.Millisecond) {
+				}
+			})
+			conn.closeIfSilent(true)
+			_, err = conn.Write([]byte("answer"))
+			require.NoError(t, err)
+			answer := make([]byte, len("answer"))
+			_, err = io.ReadFull(reader, answer)
+			require.NoError(t, err)
+			require.NoError(t, caller.Close())
+			<-ended
+		})
+	}
+}
+
+func (c *callerConn) isWaiting() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.waiting
+}
