--- a/peerload/peerload.go
+++ b/peerload/peerload.go
@@ -60,8 +60,10 @@
 	options Options
 	metrics meters
 
-	mu       sync.Mutex
-	core     *core
+	mu   sync.Mutex
+	core *core
+	// relays is set while this node relays, for the log.
+	relays   bool
 	suspects suspectsSender
 	// resolved holds the resolved addresses of nodes.
 	resolved map[string]*net.UDPAddr
@@ -140,6 +142,10 @@
 func (e *Exchange) sendDue(conn *net.UDPConn) time.Time {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if now := time.Now(); e.core.isRelay(now) != e.relays {
+		e.relays = !e.relays
+		e.options.Log.Info("load relay changed", zap.Bool("relays", e.relays), zap.Int("position", e.core.position), zap.Int("zone_nodes", len(e.core.order)))
+	}
 	for _, p := range e.core.due(time.Now(), e) {
 		for _, part := range split(p.data) {
 			e.send(conn, p.to, part)
