fleetview: nodes that follow get no whole state of the stores

Cause: the leader keeps what stores hold as a sequence of changes. At 4,096 changes it was replaced by the whole state, and every stream got that, also those that had all changes but the last. 69 nodes times 123 kB left the leader's VM at once.

Until then its link of 100 Mbit/s passed load digests in time; from 12.25 s on nodes of its zone with links of 10 Mbit/s missed them and took over the relaying ("load relay changed"), and connections from the leader timed out. TestWatchersThatFollowGetNoWholeState fails without the fix.

--- a/fleetview/fleetview_test.go
+++ b/fleetview/fleetview_test.go
@@ -38,6 +38,37 @@
 	require.Equal(t, "9", got[0].GetAddress())
 }
 
+// TestWatchersThatFollowGetNoWholeState guards against sending the whole state of all stores to all nodes at once, each time that the list of
+// changes is long: it filled the leader's link, and requests and load reports of its zone waited for it.
+func TestWatchersThatFollowGetNoWholeState(t *testing.T) {
+	p := NewPlacements()
+	full := func() []*nodepb.StorePlacement { return []*nodepb.StorePlacement{change(-1)} }
+	// Streams are sent changes in batches of these sizes.
+	for _, batch := range []int{1, 7, 100, 1000} {
+		sent, next := &position{}, int(p.newest)
+		p.since(sent)
+		for range 3 * maxChanges / batch {
+			for range batch {
+				p.Append(change(next), full)
+				next++
+			}
+			got := p.since(sent).GetStores()
+			require.Len(t, got, batch)
+			for i, c := range got {
+				require.Equal(t, fmt.Sprint(next-batch+i), c.GetAddress())
+			}
+		}
+	}
+	// A stream that begins gets the state and what changed since it.
+	next := int(p.newest)
+	got := p.since(&position{}).GetStores()
+	require.Equal(t, "-1", got[0].GetAddress())
+	for i, c := range got[1:] {
+		require.Equal(t, fmt.Sprint(next-len(got)+1+i), c.GetAddress())
+	}
+	require.Equal(t, uint64(len(got)-1), p.newest-p.stateAt)
+}
+
 // TestViewSurvivesTheWire guards against fields of instances that are lost in encoding.
 func TestViewSurvivesTheWire(t *testing.T) {
 	d := upstreams.NewDirectory()
