fleetview: the leader paces changed views by its link

Cause: each change of an instance went to all nodes at once as a whole view of 31 kB. Load digests and the leader's own connections waited behind them. Nodes of its zone on links of 10 Mbit/s missed the digests for 200 ms and took over the relaying, up to five at a time, which filled their links in turn. A request that such a node had sent before its caller left then waited up to 1.9 s in the link. The gateway knew of the end of the caller within 1 ms ("caller left" at 18.0701 for a client that left at 18.069), and had sent at 16.73, so nothing in gateway, callers or upstreamconn was late.

Why the fix works: views take at most two fifths of the link, one after the other, and the newest view is sent when its turn comes. The first view of a stream is not delayed, and none by more than 1 s, which is below the 1.5 s by which the age of a view may be too low.

--- a/fleetview/server.go
+++ b/fleetview/server.go
@@ -52,8 +52,11 @@
 	Log     *zap.Logger
 	// Metrics is the registry for the counter of sent sets; nil for none.
 	Metrics gometrics.Registry
+	// LinkMbps is the bandwidth of the VM's link, 0 if unknown.
+	LinkMbps int
 
-	history setHistory
+	history  setHistory
+	viewPace viewPace
 
 	mu    sync.Mutex
 	nodes map[string]knownNode
@@ -126,9 +129,14 @@
 				continue
 			}
 		}
+		var viewDue <-chan time.Time
+		if state != nil && !sent.viewDue.IsZero() {
+			viewDue = time.After(time.Until(sent.viewDue))
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-viewDue:
 		case <-ticker.C:
 			if silence := time.Since(started) - time.Duration(lastMessage.Load()); silence > streamTimeout {
 				return failure.New(failure.DeadlineExceeded, failure.NotRun, "no keep-alive for %s", silence)
@@ -150,7 +158,10 @@
 type position struct {
 	// document is the version of the object set.
 	document uint64
-	view     *upstreams.View
+	// view is the last view, and viewBytes its size. viewDue is when a newer one may be sent, 0 if there is none.
+	view      *upstreams.View
+	viewBytes int
+	viewDue   time.Time
 	// placements is the revision of the placements; started is set once they were sent.
 	placements uint64
 	started    bool
@@ -213,10 +224,7 @@
 		u.LoadLinks = lo.Map(known, func(n knownNode, _ int) uint32 { return n.linkMbps })
 		u.LoadCpu = lo.Map(known, func(n knownNode, _ int) uint32 { return n.cpuMillis })
 	}
-	if view := s.Directory.View(); view != sent.view {
-		u.Instances = encodeView(view)
-		sent.view = view
-	}
+	u.Instances = s.viewPace.viewToSend(s.Directory.View(), sent, s.LinkMbps, time.Now())
 	u.Placements = s.Placement.since(sent)
 	return u
 }
--- a/node/node.go
+++ b/node/node.go
@@ -218,7 +218,7 @@
 	running, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	mux := drpcmux.New()
-	server := &fleetview.Server{Group: n.group, Directory: n.directory, Reader: n.reader, Placement: n.placement, EngineClock: n.storeCoordinator.EngineClock, Permits: n.limiter.Serve, Log: n.log, Metrics: n.metrics}
+	server := &fleetview.Server{Group: n.group, Directory: n.directory, Reader: n.reader, Placement: n.placement, EngineClock: n.storeCoordinator.EngineClock, Permits: n.limiter.Serve, Log: n.log, Metrics: n.metrics, LinkMbps: n.config.LinkMbps}
 	if err := errors.Join(nodepb.DRPCRegisterNode(mux, server), n.group.Register(mux)); err != nil {
 		return failure.Wrap(err, failure.Internal, failure.NotRun, "register the services of the node")
 	}
