--- a/replica/snapshots.go
+++ b/replica/snapshots.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/wasabishunt/wasabishunt/bindelta"
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
 )
@@ -56,25 +57,27 @@
 		return err
 	}
 	m = proto.CloneOf(m)
-	m.FromAddress = t.replica.options.Address
-	if err := sendChunks(stream, m, snapshot.Data); err != nil {
+	m.FromAddress, m.ReadsCompressed = t.replica.options.Address, true
+	checksum := blake3.Sum256(snapshot.Data)
+	data, compressed := snapshot.Data, false
+	if t.readsCompressed(m.GetTo()) {
+		data, compressed = compressSnapshot(snapshot.Data)
+	}
+	if err := sendChunks(stream, &raftpb.SnapshotChunk{Message: m, Compressed: compressed}, data, checksum[:]); err != nil {
 		return err
 	}
 	_, err = stream.CloseAndRecv()
 	return err
 }
 
-func sendChunks(stream raftpb.DRPCRaft_InstallSnapshotClient, m *raftpb.Message, data []byte) error {
-	sum := blake3.Sum256(data)
-	for first := true; ; first = false {
-		chunk := &raftpb.SnapshotChunk{Data: data[:min(len(data), chunkBytes)]}
+// sendChunks sends the data in chunks, of which first is the first.
+func sendChunks(stream raftpb.DRPCRaft_InstallSnapshotClient, first *raftpb.SnapshotChunk, data []byte, checksum []byte) error {
+	for chunk := first; ; chunk = new(raftpb.SnapshotChunk) {
+		chunk.Data = data[:min(len(data), chunkBytes)]
 		data = data[len(chunk.GetData()):]
-		if first {
-			chunk.Message = m
-		}
 		if len(data) == 0 {
 			chunk.Last = true
-			chunk.Checksum = sum[:]
+			chunk.Checksum = checksum
 		}
 		if err := stream.Send(chunk); err != nil {
 			return err
@@ -99,6 +102,9 @@
 		if err != nil {
 			return err
 		}
+		if err := decompressEntries(m); err != nil {
+			return err
+		}
 		if m.GetType() == raftpb.MessageType_SNAPSHOT {
 			return failure.New(failure.InvalidRequest, failure.NotRun, "snapshot message without data on the message stream")
 		}
@@ -120,7 +126,7 @@
 	if g := m.message.GetGroup(); g != r.options.Group {
 		return failure.New(failure.Forbidden, failure.NotRun, "message of group %q, this is group %q", g, r.options.Group)
 	}
-	r.transport.recordAddress(m.message)
+	r.transport.recordMember(m.message)
 	r.transport.recordContact(m.message.GetFrom(), time.Now())
 	select {
 	case <-r.done:
@@ -154,6 +160,7 @@
 
 func (s *server) receiveChunks(stream raftpb.DRPCRaft_InstallSnapshotStream) (inbound, error) {
 	var m inbound
+	compressed := false
 	watchdog := time.AfterFunc(chunkTimeout, func() { _ = stream.Close() })
 	defer watchdog.Stop()
 	for {
@@ -163,15 +170,21 @@
 		}
 		watchdog.Reset(chunkTimeout)
 		if m.message == nil {
-			m.message = chunk.GetMessage()
+			m.message, compressed = chunk.GetMessage(), chunk.GetCompressed()
 		}
 		m.data = append(m.data, chunk.GetData()...)
 		if len(m.data) > s.replica.options.MaxSnapshotBytes {
 			return m, failure.New(failure.BodyTooLarge, failure.NotRun, "snapshot exceeds the limit of %d bytes", s.replica.options.MaxSnapshotBytes)
 		}
-		if chunk.GetLast() {
-			return m, checkSnapshot(m, chunk.GetChecksum())
+		if !chunk.GetLast() {
+			continue
+		}
+		if compressed {
+			if m.data, err = bindelta.Apply(nil, m.data, s.replica.options.MaxSnapshotBytes); err != nil {
+				return m, err
+			}
 		}
+		return m, checkSnapshot(m, chunk.GetChecksum())
 	}
 }
 
--- a/replica/transport.go
+++ b/replica/transport.go
@@ -28,15 +28,24 @@
 
 	mu    sync.Mutex
 	peers map[uint64]*peer
-	// listed holds the addresses of the member list, reported those that members sent in their messages.
-	listed, reported map[uint64]string
+	// listed holds the addresses of the member list, reported what members sent in the first message of a connection.
+	listed   map[uint64]string
+	reported map[uint64]reportedMember
+	// packed holds the entries that were compressed last.
+	packed packedEntries
 }
 
-// maxReported limits the number of addresses that are stored from messages.
+// reportedMember is what a member says of itself in the first message of a connection.
+type reportedMember struct {
+	address         string
+	readsCompressed bool
+}
+
+// maxReported limits the number of members of which reports are stored.
 const maxReported = 64
 
 func newTransport(ctx context.Context, r *Replica) *transport {
-	return &transport{ctx: ctx, replica: r, peers: map[uint64]*peer{}, listed: map[uint64]string{}, reported: map[uint64]string{}}
+	return &transport{ctx: ctx, replica: r, peers: map[uint64]*peer{}, listed: map[uint64]string{}, reported: map[uint64]reportedMember{}}
 }
 
 // setMembers updates the addresses from the member list.
@@ -61,12 +70,15 @@
 	return true
 }
 
-// recordAddress stores the sender's address that a message carries.
-func (t *transport) recordAddress(m *raftpb.Message) {
+// recordMember stores what the sender of the first message of a connection says of itself.
+func (t *transport) recordMember(m *raftpb.Message) {
+	if m.GetFromAddress() == "" {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if a := m.GetFromAddress(); a != "" && (len(t.reported) < maxReported || t.reported[m.GetFrom()] != "") {
-		t.reported[m.GetFrom()] = a
+	if _, known := t.reported[m.GetFrom()]; known || len(t.reported) < maxReported {
+		t.reported[m.GetFrom()] = reportedMember{address: m.GetFromAddress(), readsCompressed: m.GetReadsCompressed()}
 	}
 }
 
@@ -76,7 +88,14 @@
 	if a := t.listed[id]; a != "" {
 		return a
 	}
-	return t.reported[id]
+	return t.reported[id].address
+}
+
+// readsCompressed reports whether a member said on its last connection that it reads compressed data.
+func (t *transport) readsCompressed(id uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reported[id].readsCompressed
 }
 
 // contactSilence is the time without a message from a member after which its next message shows that it is back. It is
@@ -237,9 +256,9 @@
 			return err
 		}
 		m = proto.CloneOf(m)
-		m.FromAddress = p.transport.replica.options.Address
+		m.FromAddress, m.ReadsCompressed = p.transport.replica.options.Address, true
 	}
-	return p.link.stream.Send(m)
+	return p.link.stream.Send(p.transport.compressEntries(m))
 }
 
 // dead reports whether the stream has ended, or a due acknowledgement is missing for longer than the limit, as on a
