fleetview, node, rpc: a core member gets the instance list from nodes that are no core members

Nodes without a disk go on with the view that they have. Cause: only core members announce and hand out views, so the last copies were with nodes that nobody asks.

Change: each node names its address and the age of its view in the keep-alives of its streams to core members (WatchRequest.address and view_age, some 25 bytes each 0.7 s). A core member, as any node with watchers, counts these views among those that it may ask for, when its own is more than upstreams.CopyMargin older. It asks with the same call as before, applies the answer with ApplyCopy, which keeps the age and brings back nothing that left, and asks every 2 s at most. So a leader that alone cannot read the list also follows a node that can. Nodes of the release before set neither field, so they are never asked, and ignore both; they answer the call already, as every node serves it.

Evidence: TestRestartedCoreGetsTheListFromOtherNodes (three core members and a node without a disk, all core members started again while the list is away) failed on: "the instance list is not known yet" for 10 s; it passes in 3 of 3. The nodes' ages stay those of the last read there. TestNewestViewIsAskedFor has the views of nodes too.

--- a/fleetview/server.go
+++ b/fleetview/server.go
@@ -66,6 +66,9 @@
 	zone        string
 	linkMbps    uint32
 	cpuMillis   uint32
+	// address is where the node serves other nodes; viewAt is when its view of the instances was current, zero if it has none.
+	address string
+	viewAt  time.Time
 }
 
 // Join implements the node service.
@@ -228,7 +231,15 @@
 	if s.nodes == nil {
 		s.nodes = map[string]knownNode{}
 	}
-	s.nodes[q.GetNode()] = knownNode{lastContact: time.Now(), loadAddress: q.GetLoadAddress(), zone: q.GetAvailabilityZone(), linkMbps: q.GetLinkMbps(), cpuMillis: q.GetCpuMillis()}
+	now := time.Now()
+	node := knownNode{
+		lastContact: now, loadAddress: q.GetLoadAddress(), zone: q.GetAvailabilityZone(), linkMbps: q.GetLinkMbps(), cpuMillis: q.GetCpuMillis(),
+		address: q.GetAddress(),
+	}
+	if age, ok := decodeViewAge(q.GetViewAge()); ok {
+		node.viewAt = now.Add(-age)
+	}
+	s.nodes[q.GetNode()] = node
 }
 
 // activeNodes returns the number of nodes with a recent keep-alive, and those of them that receive load reports, ordered
--- a/fleetview/views.go
+++ b/fleetview/views.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -24,6 +25,9 @@
 // instances, whose revision is the age in ms plus 1. A node asks with a WatchRequest that has no node name, and gets one update with the
 // instances and the age in the same form. Nodes of earlier versions ignore the instances of a member that does not lead, and a member of
 // an earlier version, which announces nothing, is never asked.
+//
+// Every node announces the age of its view in its keep-alives, too, and hands out its view in the same way: core members that have all
+// started again while nobody can read the list have no other copy.
 
 const (
 	// viewCheckInterval is the time between checks of whether a core member has a newer view.
@@ -76,7 +80,38 @@
 	return encoded
 }
 
-// viewCopies gets the views of core members that are newer than that of the node. mu is a leaf lock: no other lock is acquired while it
+// viewAge returns the age of the view of this node as it is announced, 0 if there is no view.
+func (w *Watcher) viewAge(now time.Time) uint64 {
+	if w.Directory == nil {
+		return 0
+	}
+	_, age, ok := w.Directory.Copy(now)
+	if !ok {
+		return 0
+	}
+	return encodeViewAge(age)
+}
+
+// NodeView is the view of a node that watches this one.
+type NodeView struct {
+	Address, AvailabilityZone string
+	CurrentAt                 time.Time
+}
+
+// NodeViews returns the views that nodes with a recent keep-alive announced.
+func (s *Server) NodeViews() []NodeView {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var views []NodeView
+	for _, node := range s.nodes {
+		if node.address != "" && !node.viewAt.IsZero() && time.Since(node.lastContact) <= streamTimeout {
+			views = append(views, NodeView{Address: node.address, AvailabilityZone: node.zone, CurrentAt: node.viewAt})
+		}
+	}
+	return views
+}
+
+// viewCopies gets the views of other nodes that are newer than that of the node. mu is a leaf lock: no other lock is acquired while it
 // is held.
 type viewCopies struct {
 	watcher *Watcher
@@ -86,7 +121,7 @@
 	currentAt map[string]time.Time
 	// firstAt is when the first announcement arrived.
 	firstAt time.Time
-	// failedAt is when an ask last failed, by address.
+	// failedAt is when an ask failed within viewRetryDelay, by address.
 	failedAt map[string]time.Time
 }
 
@@ -116,11 +151,18 @@
 	delete(v.failedAt, address)
 }
 
-// choose returns the core member to ask: one whose view is newer than that of the node and about as new as any, in the zone of the node
-// if possible. It returns an empty address if there is none.
+// choose returns the address to ask: that of a core member, or of a node that watches this one, whose view is newer than that of the node and
+// about as new as any, in the zone of the node if possible. It returns an empty address if there is none.
 func (v *viewCopies) choose(now time.Time) string {
+	var nodes []NodeView
+	if v.watcher.NodeViews != nil && v.watcher.Directory.WantsCopy(now, now) {
+		nodes = v.watcher.NodeViews()
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if v.firstAt.IsZero() && len(nodes) > 0 {
+		v.firstAt = now
+	}
 	if v.firstAt.IsZero() || now.Sub(v.firstAt) < viewSettleTime {
 		return ""
 	}
@@ -131,22 +173,25 @@
 	}
 	var candidates []candidate
 	var newest time.Time
-	for address, at := range v.currentAt {
+	add := func(address, zone string, at time.Time) {
 		if !v.watcher.Directory.WantsCopy(at, now) || now.Sub(v.failedAt[address]) < viewRetryDelay {
-			continue
+			return
 		}
-		candidates = append(candidates, candidate{address: address, at: at})
+		candidates = append(candidates, candidate{address: address, at: at, sameZone: zone == v.watcher.AvailabilityZone})
 		if at.After(newest) {
 			newest = at
 		}
 	}
+	for address, at := range v.currentAt {
+		add(address, v.watcher.zoneOf(address), at)
+	}
+	for _, node := range nodes {
+		add(node.Address, node.AvailabilityZone, node.CurrentAt)
+	}
 	candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return newest.Sub(c.at) > upstreams.CopyMargin })
 	if len(candidates) == 0 {
 		return ""
 	}
-	for i := range candidates {
-		candidates[i].sameZone = v.watcher.zoneOf(candidates[i].address) == v.watcher.AvailabilityZone
-	}
 	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 	return slices.MaxFunc(candidates, func(a, b candidate) int { return cmp.Compare(rank(a.sameZone), rank(b.sameZone)) }).address
 }
@@ -169,17 +214,18 @@
 	}
 }
 
-// askAndApply asks a core member and applies its view. It returns the time until the next ask.
+// askAndApply asks a node and applies its view. It returns the time until the next ask.
 func (v *viewCopies) askAndApply(ctx context.Context, address string) time.Duration {
 	w := v.watcher
 	asked := time.Now()
 	view, err := v.ask(ctx, address)
 	age, ok := decodeViewAge(view.GetRevision())
 	if err == nil && (!ok || len(view.GetInstances()) == 0) {
-		err = failure.New(failure.NoUpstream, failure.NotRun, "the core member has no instance list")
+		err = failure.New(failure.NoUpstream, failure.NotRun, "the node has no instance list")
 	}
 	if err != nil {
 		v.mu.Lock()
+		maps.DeleteFunc(v.failedAt, func(_ string, at time.Time) bool { return asked.Sub(at) >= viewRetryDelay })
 		v.failedAt[address] = time.Now()
 		v.mu.Unlock()
 		if ctx.Err() == nil {
@@ -195,7 +241,7 @@
 	return max(viewAskInterval, time.Duration(proto.Size(view))*time.Second/viewBytesPerSecond)
 }
 
-// ask gets the view of a core member.
+// ask gets the view of a node.
 func (v *viewCopies) ask(ctx context.Context, address string) (*nodepb.InstanceView, error) {
 	ctx, cancel := context.WithTimeout(ctx, viewAskTimeout)
 	defer cancel()
--- a/fleetview/views_test.go
+++ b/fleetview/views_test.go
@@ -116,7 +116,13 @@
 	announce("far", time.Second)
 	v.announce("far", &nodepb.WatchUpdate{Leads: true}, now)
 	require.Equal(t, "old", v.choose(later), "the leader sends its view itself")
+	v.watcher.NodeViews = func() []NodeView {
+		return []NodeView{{Address: "node", AvailabilityZone: "z", CurrentAt: now.Add(-20 * time.Second)}}
+	}
+	require.Equal(t, "node", v.choose(later), "a node that is no core member has a newer view than any of these")
 	directory.ApplyList(nil, now.Add(-time.Minute))
+	require.Equal(t, "node", v.choose(later))
+	directory.ApplyList(nil, now.Add(-10*time.Second))
 	require.Empty(t, v.choose(later), "no view is newer than that of the node")
 }
 
--- a/fleetview/watcher.go
+++ b/fleetview/watcher.go
@@ -52,8 +52,10 @@
 	// OnUpdate is called with each update, OnSet with each new set; both from several goroutines.
 	OnUpdate func(from string, u *nodepb.WatchUpdate)
 	OnSet    func(set PublishedSet)
-	// Directory gets the views of core members that are newer than its own; nil for none.
+	// Directory gets the views of other nodes that are newer than its own; nil for none.
 	Directory *upstreams.Directory
+	// NodeViews returns the views of the nodes that watch this one; nil for none.
+	NodeViews func() []NodeView
 	// Dial opens connections to core members; default is TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	Log  *zap.Logger
@@ -275,7 +277,11 @@
 	ticker := time.NewTicker(keepAliveInterval)
 	defer ticker.Stop()
 	for {
-		if err := stream.Send(&nodepb.WatchRequest{Node: w.Node, AvailabilityZone: w.AvailabilityZone, LoadAddress: w.LoadAddress, LinkMbps: uint32(w.LinkMbps), CpuMillis: uint32(w.CPUMillis), FetchesSets: true}); err != nil {
+		request := &nodepb.WatchRequest{
+			Node: w.Node, AvailabilityZone: w.AvailabilityZone, LoadAddress: w.LoadAddress, LinkMbps: uint32(w.LinkMbps), CpuMillis: uint32(w.CPUMillis),
+			FetchesSets: true, Address: w.Address, ViewAge: w.viewAge(time.Now()),
+		}
+		if err := stream.Send(request); err != nil {
 			return
 		}
 		select {
--- a/node/list_test.go
+++ b/node/list_test.go
@@ -46,6 +46,7 @@
 type runningNode struct {
 	*Node
 	list *testList
+	dir  string
 	stop func()
 }
 
@@ -77,7 +78,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
 	tasks.Go(func() { _ = n.Run(ctx) })
-	running := &runningNode{Node: n, list: list, stop: sync.OnceFunc(func() { cancel(); tasks.Wait() })}
+	running := &runningNode{Node: n, list: list, dir: dir, stop: sync.OnceFunc(func() { cancel(); tasks.Wait() })}
 	return running
 }
 
@@ -151,6 +152,37 @@
 	require.Equal(t, map[string]bool{"a": false, "b": true}, started.draining(), "what another node saw leaving stays leaving")
 }
 
+// Guards against a fleet without a ready core member after all of them have started again while nobody can read the instance list, although nodes
+// without a disk still know the instances, and against a copy from such a node that looks newer than it is.
+func TestRestartedCoreGetsTheListFromOtherNodes(t *testing.T) {
+	f, core := startCore(t)
+	list := &testList{}
+	list.show(*core[0].list.instances.Load()...)
+	node := f.start("", freeAddress(t), list)
+	t.Cleanup(node.stop)
+	require.Eventually(t, func() bool { return node.Ready() == nil }, 10*time.Second, 20*time.Millisecond)
+	for _, n := range append(core, node) {
+		n.list.unreadable.Store(true)
+	}
+	since := time.Now()
+	var stops sync.WaitGroup
+	for _, n := range core {
+		stops.Go(n.stop)
+	}
+	stops.Wait()
+	for i, n := range core {
+		core[i] = f.start(n.dir, f.seeds[i], n.list)
+	}
+	for _, n := range core {
+		if !assert.Eventually(t, func() bool { return n.Ready() == nil }, 10*time.Second, 20*time.Millisecond) {
+			require.NoError(t, n.Ready())
+		}
+		require.Equal(t, map[string]bool{"a": false, "b": true}, n.draining())
+		require.Greater(t, n.directory.Age(time.Now()), time.Since(since)-upstreams.CopyMargin, "the copy looks newer than the last read")
+	}
+	require.NoError(t, node.Ready())
+}
+
 // Guards against a node that goes on with an old view because neither it nor the leader can read the instance list, although another
 // core member can.
 func TestNodeGetsTheNewestListThatIsKnown(t *testing.T) {
--- a/node/node.go
+++ b/node/node.go
@@ -231,7 +231,7 @@
 	watcher := &fleetview.Watcher{
 		Node: n.config.Name, AvailabilityZone: n.config.AvailabilityZone, Address: n.config.Internal, LoadAddress: n.config.LoadReports,
 		LinkMbps: n.config.LinkMbps, CPUMillis: n.config.CPUMillis, Contacts: n.group.Contacts, Seeds: n.Seeds,
-		OnUpdate: n.applyUpdate, OnSet: n.applySet, Directory: n.directory, Log: n.log,
+		OnUpdate: n.applyUpdate, OnSet: n.applySet, Directory: n.directory, NodeViews: server.NodeViews, Log: n.log,
 	}
 	for name, run := range map[string]func(){
 		"instance list":     func() { n.reader.Run(running) },
