coregroup: a member that joins calls a node again while another call hangs

Cause: nodes that had answered during the election were called again only after the slowest call of the round had failed, up to 0.7 s later, and a lost first packet of a connection took all of that time, since TCP repeats it after 1 s.

Change: while a call is open, the nodes that have answered are called again after joinInterval, for one callTimeout a round. Connections to other nodes are given up after 0.2 s, as raft does.

--- a/coregroup/group.go
+++ b/coregroup/group.go
@@ -119,7 +119,7 @@
 func New(options Options) *Group {
 	defaults.Set[diskfs.FS](&options.FS, diskfs.OS{})
 	return &Group{
-		options: options, pool: rpcpool.New(rpcpool.Options{}), candidates: map[uint64]candidate{}, changed: make(chan struct{}),
+		options: options, pool: rpcpool.New(rpcpool.Options{DialTimeout: dialTimeout}), candidates: map[uint64]candidate{}, changed: make(chan struct{}),
 	}
 }
 
--- a/coregroup/join.go
+++ b/coregroup/join.go
@@ -71,8 +71,9 @@
 // a node that is away the whole callTimeout.
 const joinStagger = 100 * time.Millisecond
 
-// joinAny calls Join on one target after the other, without waiting longer than joinStagger for an answer before the next call. It returns the
-// first response that decides about this member, with the address that gave it, and nil if there is none.
+// joinAny calls Join on one target after the other, without waiting longer than joinStagger for an answer before the next call. While a call is
+// open it calls the others again, because a leader may be elected meanwhile. It returns the first response that decides about this member, with
+// the address that gave it, and nil if there is none.
 func (g *Group) joinAny(ctx context.Context, self identity) (*nodepb.JoinResponse, string) {
 	type answer struct {
 		address  string
@@ -81,16 +82,18 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers := make(chan answer)
-	called := map[string]bool{}
-	running := 0
+	begun := time.Now()
+	open := map[string]bool{}
+	answeredAt := map[string]time.Time{}
 	// callNext calls the next target. An answer may have named the leader, which is then the first of them.
 	callNext := func() {
-		address, found := lo.Find(g.joinTargets(), func(address string) bool { return !called[address] })
-		if !found {
+		address, found := lo.Find(g.joinTargets(), func(address string) bool {
+			return !open[address] && time.Since(answeredAt[address]) >= joinInterval
+		})
+		if !found || time.Since(begun) >= callTimeout {
 			return
 		}
-		called[address] = true
-		running++
+		open[address] = true
 		go func() {
 			a := answer{address: address}
 			_ = supervise.Call(g.options.Log, "joining", func() { a.response, _ = g.join(ctx, address, self) })
@@ -100,12 +103,13 @@
 			}
 		}()
 	}
-	for callNext(); running > 0; callNext() {
+	for callNext(); len(open) > 0; callNext() {
 		select {
 		case <-ctx.Done():
 			return nil, ""
 		case a := <-answers:
-			running--
+			delete(open, a.address)
+			answeredAt[a.address] = time.Now()
 			if r := a.response; r.GetFound() || r.GetNoted() || r.GetRemoved() {
 				return r, a.address
 			}
