raft, replica: members keep contact while their disks sync

What callers saw: on disks whose syncs take 50 to 500 ms the core group elected again and again and accepted almost no change; after a restart of all members on such disks it had no leader at all.

The loop of a member waits for its sync and neither sent nor answered heartbeats meanwhile, so that a round trip exceeded the 1 s after which a leader steps down and the 0.6 s after which a follower stands for election. A member that never had a leader stands for election after one tick. A candidate stood again, for the next term, before the others had stored their votes for the last.

What changed: while persist or a compaction runs, in a goroutine for which the loop waits, a leader goes on sending heartbeats and takes the replies, and a follower answers the heartbeats of its leader. All other messages wait in their order. A candidate or voter whose vote took long to store counts its election timeout from then on, and the full one. Reports of the applier and the saver are handled before the messages that arrived during a sync, because what a follower drops depends on them.

It says "my term is still T at this time", which confirms reads and the quorum of the leader as any reply does; a vote for a later term would have to be synced, and no vote leaves before. A heartbeat names only entries that are committed, and leaves only while the leader has heard a quorum for a stamp of the last second, so FreshUntil ends when it ended before. Reads are confirmed and appends repeated in the tick after the sync. The reply says (Reject) that appends before it may be unanswered, so that a leader does not repeat some MB with each heartbeat.

Bounds: contact is kept for 0.6 s of a sync. A leader whose disk hangs loses its leadership that much later; a member that waits for room keeps no contact.

Evidence: TestSlowSyncsKeepTheLeader failed before, at ("no write is accepted" within 14 s). TestLeaderOnAHungDiskIsReplaced and TestLeaderOnAFullSlowDiskIsReplaced pass before as well; they fail without the bound and without the condition.

--- a/raft/cluster_test.go
+++ b/raft/cluster_test.go
@@ -158,6 +158,9 @@
 		if ready.Snapshot != nil {
 			received = c.received(m, ready.Snapshot)
 		}
+		if ready.MustSync() {
+			c.keepContact(m)
+		}
 		if ready.MustSync() && m.crash == 1 {
 			m.disk.FailSync(syscall.EIO)
 			require.Error(c.t, m.log.Save(ready.HardState, ready.Entries))
--- a/raft/election.go
+++ b/raft/election.go
@@ -42,6 +42,7 @@
 		n.transferTo = 0
 	}
 	n.retrySnapshots()
+	n.finishContact()
 	if n.now >= n.nextHeartbeat {
 		n.heartbeatAll(n.nextStamp())
 	}
@@ -57,7 +58,7 @@
 		return
 	}
 	shortest := n.config.Election
-	if !n.hadLeader {
+	if !n.pastFirstElection {
 		shortest = n.config.FirstElection
 	}
 	n.electionDeadline = n.now + shortest + time.Duration(n.random.Int64N(int64(shortest)))
@@ -124,6 +125,7 @@
 	n.role = Candidate
 	n.term++
 	n.vote = n.config.ID
+	n.votedAt = n.now
 	n.leader = 0
 	n.votes = map[uint64]bool{n.config.ID: true}
 	n.resetElection()
@@ -178,11 +180,22 @@
 	granted := n.mayVote && voteAvailable && n.log.upToDate(m.GetLogIndex(), m.GetLogTerm())
 	if granted {
 		n.vote = m.GetFrom()
+		n.votedAt = n.now
 		n.resetElection()
 	}
 	n.send(&raftpb.Message{Type: raftpb.MessageType_VOTE_REPLY, To: m.GetFrom(), Reject: !granted})
 }
 
+// finishVote restarts the election timeout if it took long to store a vote: the requests of a candidate and the reply of a voter leave only now.
+// FirstElection, which may be shorter than a sync, no longer counts then: a candidate would stand again before the others have stored their votes.
+func (n *Node) finishVote() {
+	if n.votedAt != 0 && n.now-n.votedAt >= min(n.config.FirstElection, n.config.Heartbeat) {
+		n.pastFirstElection = true
+		n.resetElection()
+	}
+	n.votedAt = 0
+}
+
 func (n *Node) stepVoteReply(m *raftpb.Message) {
 	pre := m.GetType() == raftpb.MessageType_PRE_VOTE_REPLY
 	switch {
@@ -222,6 +235,8 @@
 	n.syncPeers(stamp)
 	n.appendLocal(raftpb.EntryType_ENTRY_NOOP, nil)
 	n.heartbeatAll(n.nextStamp())
+	// These wait for the sync of the first entry. If it takes long, others go ahead.
+	n.nextHeartbeat = n.now
 	n.appendAll()
 }
 
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -4,8 +4,8 @@
 // come from a seeded source.
 //
 // The driver repeats: Step, Tick, Propose or ReadIndex; Ready; save and sync Ready.HardState, Ready.Snapshot and
-// Ready.Entries; send Ready.Messages; apply Ready.Committed to the state machine; Advance. No other call on the Node
-// comes between Ready and Advance.
+// Ready.Entries; send Ready.Messages; apply Ready.Committed to the state machine; Advance. Of the other calls
+// on the Node only KeepContact and StepContact come between Ready and Advance.
 package raft
 
 import (
@@ -138,8 +138,10 @@
 	configs []memberConfig
 
 	electionDeadline time.Duration
-	// hadLeader is set once the member has had a leader since its start.
-	hadLeader     bool
+	// pastFirstElection is set once the member has had a leader since its start, or took long to store a vote.
+	pastFirstElection bool
+	// votedAt is when a vote was given that is not durable yet, 0 if there is none.
+	votedAt       time.Duration
 	nextHeartbeat time.Duration
 	leaderContact time.Duration
 	votes         map[uint64]bool
@@ -240,6 +242,7 @@
 func (n *Node) Advance(r Ready) {
 	if r.HardState != nil {
 		n.saved = r.HardState
+		n.finishVote()
 	}
 	n.installing = nil
 	n.messages = nil
--- a/raft/read.go
+++ b/raft/read.go
@@ -108,10 +108,7 @@
 }
 
 func (n *Node) stepHeartbeatReply(p *progress, m *raftpb.Message) {
-	p.answered = true
-	p.ack = max(p.ack, m.GetContext())
-	p.stamp = m.GetFollowerStamp()
-	p.mayVote = m.GetMayVote()
+	n.recordAnswer(p, m)
 	if p.learnerStamp == 0 {
 		p.learnerStamp, p.learnerRound = m.GetFollowerStamp(), n.nextStamp()
 	}
@@ -120,13 +117,27 @@
 		p.match = max(p.match, m.GetCommit())
 		p.probeFrom(p.match + 1)
 	}
+	if !m.GetReject() {
+		n.repeatAppends(p)
+	}
+	n.updateQuorumStamp()
+	n.confirmReads()
+}
+
+// recordAnswer records what a heartbeat reply says about its sender.
+func (n *Node) recordAnswer(p *progress, m *raftpb.Message) {
+	p.answered = true
+	p.ack = max(p.ack, m.GetContext())
+	p.stamp = m.GetFollowerStamp()
+	p.mayVote = m.GetMayVote()
+}
+
+// repeatAppends resets the count of the appends in flight, which may have been lost, and probes whether the logs match.
+func (n *Node) repeatAppends(p *progress) {
 	if p.match < n.log.last() {
-		// Appends may have been lost: reset the count of those in flight and probe whether the logs match.
 		p.inflight = 0
 		n.appendTo(p, true)
 	}
-	n.updateQuorumStamp()
-	n.confirmReads()
 }
 
 // updateQuorumStamp advances quorumStamp, the time at which this member was last confirmed as leader by a quorum.
@@ -164,6 +175,13 @@
 	n.updateFreshness()
 }
 
+// recordFreshness records the stamp of this member that a heartbeat carries.
+func (n *Node) recordFreshness(m *raftpb.Message) {
+	if n.isOwnStamp(m.GetFollowerStamp()) {
+		n.addFreshness(freshPoint{stamp: m.GetFollowerStamp(), commit: m.GetLeaderCommit()})
+	}
+}
+
 // updateFreshness advances freshStamp to the newest point whose entries are applied and drops the points it used.
 func (n *Node) updateFreshness() {
 	kept := n.freshness[:0]
--- a/raft/replicate.go
+++ b/raft/replicate.go
@@ -30,6 +30,8 @@
 	learnerStamp, learnerRound uint64
 	// mayVote is whether the member reported in its last heartbeat reply that its identity is confirmed.
 	mayVote bool
+	// repeat is set if a reply during a sync showed that appends may have been lost.
+	repeat bool
 }
 
 // syncPeers creates and deletes the progress of peers so that it matches the current member list.
--- a/raft/step.go
+++ b/raft/step.go
@@ -133,7 +133,7 @@
 		n.becomeFollower(n.term, id)
 	}
 	n.leaderContact = n.now
-	n.hadLeader = true
+	n.pastFirstElection = true
 	n.resetElection()
 }
 
@@ -185,9 +185,7 @@
 
 func (n *Node) stepHeartbeat(m *raftpb.Message) {
 	n.commitTo(m.GetCommit())
-	if n.isOwnStamp(m.GetFollowerStamp()) {
-		n.addFreshness(freshPoint{stamp: m.GetFollowerStamp(), commit: m.GetLeaderCommit()})
-	}
+	n.recordFreshness(m)
 	n.confirmIdentity(m.GetLearnerStamp())
 	n.send(&raftpb.Message{
 		Type: raftpb.MessageType_HEARTBEAT_REPLY, To: m.GetFrom(), Context: m.GetContext(), FollowerStamp: uint64(n.now),
--- /dev/null
+++ b/replica/contact_test.go
@@ -0,0 +1,123 @@
+package replica
+
+import (
+	"context"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabishunt/wasabishunt/raft/diskfs"
+)
+
+// slowSync is how long a sync of a slow disk takes, below contactLimit.
+const slowSync = 500 * time.Millisecond
+
+// slowFS is a file system whose syncs of files take slowSync.
+type slowFS struct{ diskfs.OS }
+
+func (d slowFS) Create(name string) (diskfs.File, error) {
+	file, err := d.OS.Create(name)
+	return slowFile{file}, err
+}
+
+type slowFile struct{ diskfs.File }
+
+func (f slowFile) Sync() error {
+	time.Sleep(slowSync)
+	return f.File.Sync()
+}
+
+// Guards against elections and refused commands because the loop of a member waits for a sync of half a second, which the other members take for
+// silence.
+func TestSlowSyncsKeepTheLeader(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t, 3, func(o *Options) { o.FS, o.Election, o.Tick = slowFS{}, 600*time.Millisecond, 40*time.Millisecond })
+	leader := g.write(1, 2*failoverLimit)
+	term := leader.Status().Term
+	accepted := uint64(0)
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); accepted++ {
+		_, err := leader.Propose(t.Context(), set(accepted))
+		require.NoError(t, err)
+	}
+	require.Equal(t, term, g.highestTerm())
+	// A command takes a sync of the leader and one of a follower.
+	require.GreaterOrEqual(t, accepted, uint64(5))
+}
+
+// Guards against a leader that keeps its leadership although its disk hangs, because it goes on sending heartbeats: no command is accepted then.
+func TestLeaderOnAHungDiskIsReplaced(t *testing.T) {
+	t.Parallel()
+	disks := map[uint64]*hangingFS{1: {}, 2: {}, 3: {}}
+	g := newGroup(t, 3, func(o *Options) { o.FS = disks[o.ID] })
+	leader := g.write(1, failoverLimit)
+	gate := make(chan struct{})
+	disks[leader.options.ID].gate.Store(&gate)
+	defer func() {
+		disks[leader.options.ID].gate.Store(nil)
+		close(gate)
+	}()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+	defer cancel()
+	_, err := leader.Propose(ctx, set(2))
+	require.Error(t, err)
+	g.awaitOtherLeader(leader, contactLimit+2*leader.options.Election+time.Second)
+	require.Eventually(t, func() bool { return !leader.Fresh() }, contactLimit+2*time.Second, time.Millisecond)
+}
+
+// awaitOtherLeader waits until another member than the old leader leads.
+func (g *group) awaitOtherLeader(old *process, limit time.Duration) {
+	began := time.Now()
+	require.Eventually(g.t, func() bool {
+		for _, p := range g.members {
+			if id, _ := p.Leader(); p != old && id == p.options.ID {
+				return true
+			}
+		}
+		return false
+	}, limit, time.Millisecond)
+	g.t.Logf("another leader after %v", time.Since(began))
+}
+
+// refusingFS is a file system whose writes take slowSync and are refused for lack of room while full is set.
+type refusingFS struct {
+	diskfs.OS
+	full atomic.Bool
+}
+
+func (d *refusingFS) Create(name string) (diskfs.File, error) {
+	file, err := d.OS.Create(name)
+	return refusingFile{file, d}, err
+}
+
+type refusingFile struct {
+	diskfs.File
+	disk *refusingFS
+}
+
+func (f refusingFile) Write(data []byte) (int, error) {
+	if f.disk.full.Load() {
+		time.Sleep(slowSync)
+		return 0, syscall.ENOSPC
+	}
+	return f.File.Write(data)
+}
+
+// Guards against a leader on a full disk that keeps its leadership, because each of its attempts to write is slow and it sends heartbeats meanwhile.
+func TestLeaderOnAFullSlowDiskIsReplaced(t *testing.T) {
+	t.Parallel()
+	disks := map[uint64]*refusingFS{1: {}, 2: {}, 3: {}}
+	g := newGroup(t, 3, func(o *Options) { o.FS = disks[o.ID] })
+	leader := g.write(1, failoverLimit)
+	disks[leader.options.ID].full.Store(true)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+	defer cancel()
+	_, err := leader.Propose(ctx, set(2))
+	require.Error(t, err)
+	g.awaitOtherLeader(leader, contactLimit+2*leader.options.Election+time.Second)
+	disks[leader.options.ID].full.Store(false)
+	g.write(3, failoverLimit)
+	g.requireValue(leader, 3)
+}
--- a/replica/fulldisk.go
+++ b/replica/fulldisk.go
@@ -44,6 +44,14 @@
 	defer ticker.Stop()
 	// The leader does not repeat a snapshot that was delivered, so the last one is kept.
 	var snapshot *inbound
+	for _, m := range r.held {
+		if m.message.GetSnapshot() != nil {
+			snapshot = &m
+			continue
+		}
+		r.metrics.dropped.Inc(1)
+	}
+	r.held = nil
 	// Only a newer snapshot makes more superfluous, and it takes reading a snapshot to know what that is.
 	freed := false
 	for {
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -83,8 +83,11 @@
 			return
 		}
 		var resumed chan struct{}
-		if time.Since(began) >= r.options.Tick {
-			r.stepArrived()
+		if len(r.held) > 0 || time.Since(began) >= r.options.Tick {
+			if err := r.stepArrived(); err != nil {
+				r.fail(err)
+				return
+			}
 			resumed = closedChannel
 		}
 		if r.drained() {
@@ -107,8 +110,7 @@
 		case <-resumed:
 			// What was stepped is processed without waiting for another event.
 		case e := <-r.events:
-			// A compaction that a full disk refused is made up for after the next snapshot.
-			if err := r.handle(e); err != nil && !refusedByFullDisk(err) {
+			if err := r.handle(e); err != nil {
 				r.fail(err)
 				return
 			}
@@ -116,7 +118,9 @@
 			stopping = nil
 			r.drain = drainState{active: true, deadline: time.Now().Add(r.options.StopTimeout)}
 		}
-		r.tick()
+		if len(r.held) == 0 {
+			r.tick()
+		}
 	}
 }
 
@@ -143,14 +147,25 @@
 	}
 }
 
-// stepArrived steps the messages that arrived during a slow sync before the time of the sync counts: what this member has not looked at is no
-// silence of the others.
-func (r *Replica) stepArrived() {
+// stepArrived handles what arrived during a slow sync before the time of the sync counts: what this member has not looked at is no silence of the
+// others. Reports come first, because the limit of the log depends on what is applied and compacted.
+func (r *Replica) stepArrived() error {
 	r.node.Resume(r.now())
+	for range len(r.events) {
+		if err := r.handle(<-r.events); err != nil {
+			return err
+		}
+	}
+	held := r.held
+	r.held = nil
+	for _, m := range held {
+		r.step(m)
+	}
 	for range len(r.inbox) {
 		r.step(<-r.inbox)
 	}
 	r.tick()
+	return nil
 }
 
 func (r *Replica) stepBatch(m inbound) {
@@ -218,7 +233,7 @@
 	}
 	if ready.MustSync() {
 		begin := time.Now()
-		if err := r.storage.persist(ready, received); err != nil {
+		if err := r.awaitDisk(func() error { return r.storage.persist(ready, received) }); err != nil {
 			return err
 		}
 		r.metrics.syncMicros.Update(time.Since(begin).Microseconds())
@@ -275,14 +290,12 @@
 		r.savedIndex = max(r.savedIndex, e.saved.GetIndex())
 		if r.node.Compact(e.saved, r.node.TrailingFrom(e.saved.GetIndex(), r.options.TrailingEntries, r.options.TrailingBytes)) {
 			before := r.storage.wal.Bytes()
-			if err := r.storage.compact(e.saved); err != nil {
+			if err := r.awaitDisk(func() error { return r.compact(e.saved) }); refusedByFullDisk(err) {
+				// The compaction is made up for after the next snapshot.
+				return nil
+			} else if err != nil {
 				return err
 			}
-			if r.logIsTooLong() {
-				if err := r.storage.dropSuperfluous(); err != nil {
-					return err
-				}
-			}
 			r.log.Info("raft log compacted", zap.Uint64("index", e.saved.GetIndex()), zap.Int64("bytes", before-r.storage.wal.Bytes()), r.logBytes(), r.lastSnapshotBytes())
 		}
 	case e.transferred != 0:
@@ -291,6 +304,13 @@
 	return nil
 }
 
+func (r *Replica) compact(saved *raftpb.SnapshotMeta) error {
+	if err := r.storage.compact(saved); err != nil || !r.logIsTooLong() {
+		return err
+	}
+	return r.storage.dropSuperfluous()
+}
+
 // report sends an event to the loop; it is dropped if the loop has ended.
 func (r *Replica) report(e event) {
 	select {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -1,7 +1,7 @@
 // Package replica runs one member of a replicated group: it drives the consensus core of package raft with a write-ahead
 // log, snapshots, a transport and a state machine.
 //
-// Goroutines: the loop owns the core and the log; the applier owns the state machine; the saver writes snapshots; each
+// Goroutines: the loop owns the core and the log, and gives the log to a goroutine that syncs while it keeps contact; the applier owns the state machine; the saver writes snapshots; each
 // peer has one sender. Stop waits for all of them. The goroutines communicate over channels, and all locks are leaf
 // locks, so there is no lock order.
 package replica
@@ -208,7 +208,9 @@
 	// applying counts the jobs that the applier has not finished.
 	applying int
 	// received maps indexes to the data of received snapshots.
-	received   map[uint64][]byte
+	received map[uint64][]byte
+	// held are the messages that wait for the end of a sync.
+	held       []inbound
 	lastLeader uint64
 	lastTerm   uint64
 	drain      drainState
