--- a/replica/replica.go
+++ b/replica/replica.go
@@ -1,7 +1,7 @@
 // Package replica runs one member of a replicated group: it drives the consensus core of package raft with a write-ahead
 // log, snapshots, a transport and a state machine.
 //
-// Goroutines: the loop owns the core and the log; the applier owns the state machine; the saver writes snapshots; each
+// Goroutines: the loop owns the core and the log, and gives the log to a goroutine that syncs while it keeps contact; the applier owns the state machine; the saver writes snapshots; each
 // peer has one sender. Stop waits for all of them. The goroutines communicate over channels, and all locks are leaf
 // locks, so there is no lock order.
 package replica
@@ -195,6 +195,8 @@
 	unsavedBytes int64
 	// savedIndex is the index of the newest saved snapshot.
 	savedIndex uint64
+	// shortenedFor is the index of the last snapshot for which shortenLog removed what it makes superfluous.
+	shortenedFor uint64
 	// tooLongSince is when the log became too long, zero if it is not.
 	tooLongSince time.Time
 	// handedOverAt is when leadership was last transferred for lack of room.
@@ -208,7 +210,9 @@
 	// applying counts the jobs that the applier has not finished.
 	applying int
 	// received maps indexes to the data of received snapshots.
-	received   map[uint64][]byte
+	received map[uint64][]byte
+	// held are the messages that wait for the end of a sync.
+	held       []inbound
 	lastLeader uint64
 	lastTerm   uint64
 	drain      drainState
