controlclient: a member that cannot be reached delays no session with another one

Cause: the watcher kept one delay for all members. It grew with each session that failed, also with members that were gone, and it was slept before each further member. During an election the members that are left refuse registrations, so the delay reaches 0.5 to 1.5 s; then each dead member in the order cost one such delay.

Now a member that sent nothing has a delay of its own, and only sessions that a member answered make the common delay grow, so the rate of sessions at members that are there stays what it was. Each member gets its turn in a pass, as before.

TestLostMembersDoNotDelayTheOneThatIsLeft failed on the code without the fix (4.3 s after the last refusal, at most 1.725 s allowed).

--- /dev/null
+++ b/controlclient/reconnect_test.go
@@ -0,0 +1,64 @@
+package controlclient
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a process that stays without control for seconds after an election, because each member that is gone adds a
+// growing delay before it tries the one that is left.
+func TestLostMembersDoNotDelayTheOneThatIsLeft(t *testing.T) {
+	left := startMembers(t, 1)[0]
+	// Reports that the member refuses, as it does while no leader is known.
+	left.refusals = 3
+	addresses := []string{"127.0.0.1:1", "127.0.0.2:1", "127.0.0.3:1", left.address}
+	w := runWatcher(t, WatcherOptions{Addresses: addresses, ProcessID: processWatching(addresses...)})
+	require.Eventually(t, func() bool { return w.Current().Fresh(time.Now()) }, 30*time.Second, 5*time.Millisecond)
+	left.mu.Lock()
+	after := time.Since(left.refusedAt)
+	left.mu.Unlock()
+	// The longest delay after a refusal and the shortest one after each lost member, each half as long again at random.
+	const bound = maxReconnectDelay*3/2 + 3*minReconnectDelay*3/2
+	require.Less(t, after, bound)
+}
+
+// Guards against processes that flood the members which are left: the delay after sessions that a member ends grows.
+func TestRefusedSessionsBecomeRarer(t *testing.T) {
+	r := newReconnects()
+	var waited time.Duration
+	for range 10 {
+		waited += r.ended("a", 10*time.Millisecond, true, time.Unix(0, 0))
+	}
+	// 50, 100, 200, 400 and 800 ms, then 1 s each, and at least half of them.
+	require.Greater(t, waited, 3*time.Second)
+	r.ended("a", 2*stableSessionTime, true, time.Unix(0, 0))
+	require.Less(t, r.ended("a", 2*stableSessionTime, true, time.Unix(0, 0)), 2*minReconnectDelay)
+}
+
+// Guards against a member that is never tried again after it could not be reached, or that is tried without a pause.
+func TestUnreachableMembersAreTriedAgain(t *testing.T) {
+	r, now := newReconnects(), time.Unix(0, 0)
+	order := []string{"a", "b"}
+	address, _ := r.next(order, now)
+	require.Equal(t, "a", address)
+	r.ended("a", 0, false, now)
+	address, _ = r.next(order, now)
+	require.Equal(t, "b", address)
+	r.ended("b", 10*time.Second, true, now)
+	r.beginPass()
+	address, _ = r.next(order, now)
+	require.Equal(t, "b", address, "a has a delay of its own")
+	address, wait := r.next(order, now)
+	require.Empty(t, address)
+	require.Zero(t, wait, "the next pass may begin, with b")
+	r.beginPass()
+	address, _ = r.next(order, now.Add(2*maxReconnectDelay))
+	require.Equal(t, "a", address)
+	for range 10 {
+		r.ended("a", 0, false, now)
+	}
+	require.Greater(t, r.delayLeft("a", now), 4*minReconnectDelay, "the delay grows")
+	require.LessOrEqual(t, r.ended("b", 0, true, now), 3*minReconnectDelay, "the delay of the others does not grow with it")
+}
--- a/controlclient/session.go
+++ b/controlclient/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,22 +23,24 @@
 // maxDialTime limits the connection set-up to one member, because other members may be reachable.
 const maxDialTime = time.Second
 
-// runSession watches one member and reports presence to it until either fails.
-func (w *Watcher) runSession(ctx context.Context, address string) {
+// runSession watches one member and reports presence to it until either fails. It returns whether the member sent anything.
+func (w *Watcher) runSession(ctx context.Context, address string) (answered bool) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	conn, err := w.dialStream(ctx, address)
 	if err != nil {
 		w.logSessionEnd(address, err)
-		return
+		return false
 	}
 	defer func() { _ = conn.Close() }()
+	var presenceAnswered atomic.Bool
 	var presence sync.WaitGroup
-	presence.Go(func() { cancel(w.reportPresence(ctx, address, conn.Received)) })
+	presence.Go(func() { cancel(w.reportPresence(ctx, address, conn.Received, &presenceAnswered)) })
 	err = w.watchStream(ctx, conn)
 	cancel(err)
 	presence.Wait()
 	w.logSessionEnd(address, context.Cause(ctx))
+	return presenceAnswered.Load() || conn.Received() > 0
 }
 
 func (w *Watcher) logSessionEnd(address string, cause error) {
@@ -136,8 +139,8 @@
 
 // reportPresence reports to one member at each presence interval until a report fails or the member has not confirmed
 // the set for maxUnconfirmedIntervals. While a newer set arrives, the session goes on: another one would begin the transfer anew.
-// received returns the number of bytes that have arrived on the stream of the session.
-func (w *Watcher) reportPresence(ctx context.Context, address string, received func() int64) error {
+// received returns the number of bytes that have arrived on the stream of the session; answered is set once the member responds to a report.
+func (w *Watcher) reportPresence(ctx context.Context, address string, received func() int64, answered *atomic.Bool) error {
 	conn, err := rpcpool.DialFrom(ctx, w.options.SourceIP, address, min(maxDialTime, w.options.CallTimeout))
 	if err != nil {
 		return err
@@ -148,7 +151,7 @@
 	defer ticker.Stop()
 	confirmedAt, arrived := w.options.Clock.Now(), received()
 	for {
-		confirmed, err := w.sendPresence(ctx, client)
+		confirmed, err := w.sendPresence(ctx, client, answered)
 		if err != nil {
 			return err
 		}
@@ -168,7 +171,7 @@
 	}
 }
 
-func (w *Watcher) sendPresence(ctx context.Context, client controlpb.DRPCControlClient) (confirmation, error) {
+func (w *Watcher) sendPresence(ctx context.Context, client controlpb.DRPCControlClient, answered *atomic.Bool) (confirmation, error) {
 	ctx, cancel := context.WithTimeout(ctx, w.options.CallTimeout)
 	defer cancel()
 	version, observed := w.versions()
@@ -181,6 +184,7 @@
 	if err != nil {
 		return notConfirmed, err
 	}
+	answered.Store(true)
 	if response.Failure != nil {
 		if response.Failure.Kind == string(failure.Fenced) {
 			w.fence()
--- a/controlclient/watcher.go
+++ b/controlclient/watcher.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 
@@ -236,37 +235,27 @@
 // have ended.
 func (w *Watcher) Run(ctx context.Context) {
 	defer func() { _ = w.client.Close() }()
-	retryDelay := &backoff.ExponentialBackOff{
-		InitialInterval: minReconnectDelay, MaxInterval: maxReconnectDelay, Multiplier: 2, RandomizationFactor: 0.5,
-	}
-	retryDelay.Reset()
+	reconnects := newReconnects()
+	w.refreshMembers(ctx)
 	for ctx.Err() == nil {
-		w.refreshMembers(ctx)
-		for _, address := range w.directory.watchOrder(w.options.ProcessID) {
-			started := w.options.Clock.Now()
-			w.runSession(ctx, address)
-			if ctx.Err() != nil || w.Fenced() {
-				return
-			}
-			w.directory.markUnresponsive(address)
-			if w.options.Clock.Now().Sub(started) > stableSessionTime {
-				retryDelay.Reset()
-			}
-			sleep(ctx, retryDelay.NextBackOff())
+		address, wait := reconnects.next(w.directory.watchOrder(w.options.ProcessID), time.Now())
+		if address == "" {
+			sleep(ctx, wait)
+			w.refreshMembers(ctx)
+			reconnects.beginPass()
+			continue
+		}
+		started := time.Now()
+		answered := w.runSession(ctx, address)
+		if ctx.Err() != nil || w.Fenced() {
+			return
 		}
+		w.directory.markUnresponsive(address)
+		now := time.Now()
+		sleep(ctx, reconnects.ended(address, now.Sub(started), answered, now))
 	}
 }
 
-const (
-	// minReconnectDelay and maxReconnectDelay bound the delay between sessions, so that many processes do not overload the
-	// remaining members.
-	minReconnectDelay = 50 * time.Millisecond
-	maxReconnectDelay = time.Second
-	// stableSessionTime is the length of a session after which the delay starts at its minimum again. Sessions of at least
-	// maxReconnectDelay cause no more reconnects than the longest delay does.
-	stableSessionTime = maxReconnectDelay
-)
-
 // refreshMembers updates the members and the leader from the first member that responds.
 func (w *Watcher) refreshMembers(ctx context.Context) {
 	for _, address := range w.directory.watchOrder(w.options.ProcessID) {
--- a/controlclient/watcher_test.go
+++ b/controlclient/watcher_test.go
@@ -47,11 +47,11 @@
 	return stream.Context().Err()
 }
 
-func serveStub(t *testing.T, stub *stubControl) string {
+func serveControl(t *testing.T, server controlpb.DRPCControlServer) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	mux := drpcmux.New()
-	require.NoError(t, controlpb.DRPCRegisterControl(mux, stub))
+	require.NoError(t, controlpb.DRPCRegisterControl(mux, server))
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { _ = drpcserver.New(mux).Serve(ctx, listener) })
@@ -87,7 +87,7 @@
 	defer respondAll()
 	clock := clocktest.NewManual(time.Unix(1000, 0))
 	w := runWatcher(t, WatcherOptions{
-		Addresses: []string{serveStub(t, stub)}, ProcessID: "p", Clock: clock, CallTimeout: time.Minute, PresenceInterval: time.Hour,
+		Addresses: []string{serveControl(t, stub)}, ProcessID: "p", Clock: clock, CallTimeout: time.Minute, PresenceInterval: time.Hour,
 	})
 	<-requested
 	require.Eventually(t, func() bool { return w.Current().Version == 3 }, 5*time.Second, time.Millisecond)
@@ -129,7 +129,7 @@
 // Guards against a delta that is applied to another version than its base.
 func TestDeltaWithAGapIsRefused(t *testing.T) {
 	stub := &stubControl{presence: func() *controlpb.PresenceResponse { return &controlpb.PresenceResponse{SetVersion: 3, Fresh: true} }}
-	w := runWatcher(t, WatcherOptions{Addresses: []string{serveStub(t, stub)}, ProcessID: "p"})
+	w := runWatcher(t, WatcherOptions{Addresses: []string{serveControl(t, stub)}, ProcessID: "p"})
 	require.Eventually(t, func() bool { return w.Current().Fresh(time.Now()) }, 5*time.Second, time.Millisecond)
 	require.Error(t, w.applyDelta(&controlpb.SetDelta{FromVersion: 4, ToVersion: 5}))
 	require.NoError(t, w.applyDelta(&controlpb.SetDelta{FromVersion: 1, ToVersion: 2}))
@@ -143,7 +143,7 @@
 	stub := &stubControl{presence: func() *controlpb.PresenceResponse {
 		return &controlpb.PresenceResponse{Failure: &controlpb.Failure{Kind: "fenced", Execution: "not_run"}}
 	}}
-	w := NewWatcher(WatcherOptions{Addresses: []string{serveStub(t, stub)}, ProcessID: "p"})
+	w := NewWatcher(WatcherOptions{Addresses: []string{serveControl(t, stub)}, ProcessID: "p"})
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	w.Run(ctx)
