controlclient: watch other members while that of the session does not confirm the set

Callers saw stale_set ("set version N has not arrived") for 2 s and more although members of control had the set.

Cause: a process took sets from one member at a time. A silent member was given up after 2 s without a byte or 2 s without an answer to a report, one that is cut off after 2 s without a confirmation, and the next one could be silent too; between sessions nothing was watched.

Now, while the set is unconfirmed (a report is not answered or not confirmed, a newer version was observed, or there is no session) and nothing has arrived on any stream for 0.2 s, the process opens a watch stream to one more member, three at most, until the set is confirmed. These streams only read, so they cause no registrations, and each is a usual WatchSet stream: the first read is linearizable, and versions are compared under the lock now that several streams apply them. A stream on which bytes arrive is never ended for another one, so that a large set over a slow link is not begun anew. That the code keeps these is shown by TestVersionNeverGoesBack, TestLargeSetArrivesOverSlowLinksToAllMembers and TestLargeSetReachesAProcessBehindASlowLink.

Failed on the code without the fix: TestSilentMemberDoesNotDelayAnObservedSet (2.1 s, 0.5 s allowed), TestSilentMembersDoNotDelayAnObservedSet (4.1 s, 0.7 s allowed), TestSilentMemberDoesNotDelayASet (2.1 s, 1.5 s allowed), TestMemberThatIsCutOffDoesNotDelayASet (2.1 s, 0.5 s allowed).

--- a/control/server_test.go
+++ b/control/server_test.go
@@ -24,9 +24,13 @@
 }
 
 func startWatcher(t testing.TB, id string, addresses []string) (*controlclient.Watcher, context.CancelFunc) {
-	w := controlclient.NewWatcher(controlclient.WatcherOptions{
+	return runWatcher(t, controlclient.WatcherOptions{
 		Addresses: addresses, ProcessID: id, Role: "agent", Address: "127.0.1.1:7300", Serves: "u1",
 	})
+}
+
+func runWatcher(t testing.TB, options controlclient.WatcherOptions) (*controlclient.Watcher, context.CancelFunc) {
+	w := controlclient.NewWatcher(options)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { w.Run(ctx) })
@@ -154,9 +158,16 @@
 	group.members[1].setLagging(true)
 	_, err = publish(t, client, "op2", 1, setWithAccounts(t, "b"))
 	require.NoError(t, err)
+	barriers := func() int {
+		group.mu.Lock()
+		defer group.mu.Unlock()
+		return group.members[1].barriers
+	}
+	before := barriers()
 	w.Observe(2)
 	eventually(t, func() bool { return w.Current().Version == 2 }, "version 2")
 	require.Len(t, servers[1].watchers, 1, "from the same member")
+	require.Greater(t, barriers(), before, "the member has caught up, no other one was needed")
 }
 
 // Guards against unresponsive processes that stay live, and against a leaving VM that an outdated list makes live
--- a/controlclient/session.go
+++ b/controlclient/session.go
@@ -27,12 +27,17 @@
 func (w *Watcher) runSession(ctx context.Context, address string) (answered bool) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	member := &watchedMember{address: address}
+	w.session.Store(member)
+	defer w.session.Store(nil)
+	w.doubt()
 	conn, err := w.dialStream(ctx, address)
 	if err != nil {
 		w.logSessionEnd(address, err)
 		return false
 	}
 	defer func() { _ = conn.Close() }()
+	member.conn.Store(conn)
 	var presenceAnswered atomic.Bool
 	var presence sync.WaitGroup
 	presence.Go(func() { cancel(w.reportPresence(ctx, address, conn.Received, &presenceAnswered)) })
@@ -176,6 +181,7 @@
 	defer cancel()
 	version, observed := w.versions()
 	sent := w.options.Clock.Now()
+	w.doubt()
 	response, err := client.ReportPresence(ctx, &controlpb.PresenceRequest{
 		ProcessId: w.options.ProcessID, Incarnation: w.incarnation, Role: w.options.Role, Address: w.options.Address,
 		AvailabilityZone: w.options.Zone, Serves: w.options.Serves,
--- a/controlclient/watcher.go
+++ b/controlclient/watcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -13,6 +14,7 @@
 	"github.com/wasabishunt/wasabishunt/defaults"
 	"github.com/wasabishunt/wasabishunt/objectset"
 	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
+	"github.com/wasabishunt/wasabishunt/supervise"
 )
 
 // WatcherOptions configures a Watcher.
@@ -60,13 +62,20 @@
 	client      *Client
 	// reportNow makes the presence loop send a report at once.
 	reportNow chan struct{}
+	// session is the member of the current session; nil between sessions.
+	session atomic.Pointer[watchedMember]
+	// doubted wakes assist when the set may be outdated.
+	doubted chan struct{}
 
 	mu   sync.Mutex
 	view View
 	// observed is the highest set version observed on the data path.
 	observed uint64
-	fenced   bool
-	changed  chan struct{}
+	// unconfirmedAt is when the set was last confirmed no more: a report was sent, a session began or a newer version was observed. It is
+	// zero once a report is confirmed.
+	unconfirmedAt time.Time
+	fenced        bool
+	changed       chan struct{}
 }
 
 var _ Source = (*Watcher)(nil)
@@ -81,6 +90,7 @@
 		directory:   client.directory,
 		client:      client,
 		reportNow:   make(chan struct{}, 1),
+		doubted:     make(chan struct{}, 1),
 		changed:     make(chan struct{}),
 		view:        View{Processes: map[string]Process{}},
 	}
@@ -115,6 +125,7 @@
 	if behind {
 		w.observed = max(w.observed, version)
 		w.view.Behind = true
+		w.beginDoubt()
 	}
 	w.mu.Unlock()
 	if behind {
@@ -122,6 +133,32 @@
 	}
 }
 
+// doubt records that the set is not confirmed from now on.
+func (w *Watcher) doubt() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.beginDoubt()
+}
+
+// beginDoubt is doubt for callers that hold w.mu.
+func (w *Watcher) beginDoubt() {
+	if !w.unconfirmedAt.IsZero() {
+		return
+	}
+	w.unconfirmedAt = time.Now()
+	select {
+	case w.doubted <- struct{}{}:
+	default:
+	}
+}
+
+// unconfirmedSince returns since when the set is not confirmed; zero if the last report was confirmed.
+func (w *Watcher) unconfirmedSince() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.unconfirmedAt
+}
+
 // versions returns the current version, and the highest one observed on the data path if that is higher.
 func (w *Watcher) versions() (version, observed uint64) {
 	w.mu.Lock()
@@ -140,30 +177,40 @@
 	}
 }
 
-// updateView changes the view under the lock and wakes the waiters of Changed.
-func (w *Watcher) updateView(change func(v *View)) {
+// updateView changes the view under the lock and wakes the waiters of Changed, unless change returns false.
+func (w *Watcher) updateView(change func(v *View) bool) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	change(&w.view)
+	if !change(&w.view) {
+		return false
+	}
 	w.view.Behind = w.observed > w.view.Version
 	close(w.changed)
 	w.changed = make(chan struct{})
+	return true
 }
 
+// applySet may be called for several streams at once: the version is compared under the lock, so that it never goes back.
 func (w *Watcher) applySet(set *objectset.Set, version uint64) {
-	if version <= w.Current().Version {
+	applied := w.updateView(func(v *View) bool {
+		if version <= v.Version {
+			return false
+		}
+		v.Set, v.Version = set, version
+		return true
+	})
+	if !applied {
 		return
 	}
-	w.updateView(func(v *View) { v.Set, v.Version = set, version })
 	w.options.Log.Info("object set in force", zap.Uint64("version", version))
 	w.ReportNow()
 }
 
 func (w *Watcher) applyMembership(update *controlpb.MembershipUpdate) {
-	w.updateView(func(v *View) {
+	w.updateView(func(v *View) bool {
 		// A lagging member may send an older table than the current one.
 		if update.Revision <= v.Revision {
-			return
+			return false
 		}
 		next := map[string]Process{}
 		if !update.Full {
@@ -177,6 +224,7 @@
 			next[p.ProcessId] = processOf(p)
 		}
 		v.Processes, v.Revision = next, update.Revision
+		return true
 	})
 }
 
@@ -221,13 +269,17 @@
 	if until.After(w.view.FreshUntil) {
 		w.view.FreshUntil = until
 	}
+	if w.observed <= w.view.Version {
+		w.unconfirmedAt = time.Time{}
+	}
 	return setConfirmed
 }
 
 func (w *Watcher) fence() {
-	w.updateView(func(v *View) {
+	w.updateView(func(v *View) bool {
 		v.FreshUntil = time.Time{}
 		w.fenced = true
+		return true
 	})
 }
 
@@ -235,6 +287,11 @@
 // have ended.
 func (w *Watcher) Run(ctx context.Context) {
 	defer func() { _ = w.client.Close() }()
+	ctx, cancel := context.WithCancel(ctx)
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	defer cancel()
+	tasks.Go(func() { supervise.Loop(ctx, w.options.Log, "watch of other control members", func() { w.assist(ctx) }) })
 	reconnects := newReconnects()
 	w.refreshMembers(ctx)
 	for ctx.Err() == nil {
