controlclient: the next session is with a member that is known to answer

Callers saw stale_set ("control has not confirmed the object set") although most members of control confirmed sets: the member of the process had fallen silent, and so had the next one that it tried. A silent member ends a session after up to 3 s and the next one after 2 s more, but a confirmation is valid for 4 s.

The watch streams beside the session show which members answer. The next session now tries such a member first, once in each pass, so that a member which sends sets but refuses reports keeps no other one from its turn.

--- a/controlclient/assist.go
+++ b/controlclient/assist.go
@@ -77,6 +77,7 @@
 	a := &assistants{watcher: w, active: map[*watchedMember]struct{}{}, ended: make(chan *watchedMember), retryAt: map[string]time.Time{}}
 	defer a.tasks.Wait()
 	defer cancel()
+	defer w.answering.Store(nil)
 	ticker := time.NewTicker(assistCheckInterval)
 	defer ticker.Stop()
 	for {
@@ -92,6 +93,7 @@
 			return
 		case ended := <-a.ended:
 			delete(a.active, ended)
+			w.answering.CompareAndSwap(ended, nil)
 			a.retryAt[ended.address] = time.Now().Add(assistRetryDelay)
 		case <-ticker.C:
 		}
@@ -107,6 +109,9 @@
 	}
 	for active := range a.active {
 		silent = active.isSilent(now) && silent
+		if active.bytes > 0 {
+			a.watcher.answering.Store(active)
+		}
 	}
 	return silent && len(a.active) < maxAssistants
 }
--- a/controlclient/reconnect_test.go
+++ b/controlclient/reconnect_test.go
@@ -62,3 +62,20 @@
 	require.Greater(t, r.delayLeft("a", now), 4*minReconnectDelay, "the delay grows")
 	require.LessOrEqual(t, r.ended("b", 0, true, now), 3*minReconnectDelay, "the delay of the others does not grow with it")
 }
+
+// Guards against a process that refuses work because its set is stale: its member falls silent, and so does the one that it would try next,
+// although others would confirm the set.
+func TestSilentMembersDoNotMakeTheSetStale(t *testing.T) {
+	members := startMembers(t, 5)
+	w := watchFirst(t, members)
+	members[0].relay.Cut("*")
+	members[1].relay.Cut("*")
+	began, staleAfter := time.Now(), time.Duration(0)
+	require.Eventually(t, func() bool {
+		if staleAfter == 0 && !w.Current().Fresh(time.Now()) {
+			staleAfter = time.Since(began)
+		}
+		return members[2].reported()+members[3].reported()+members[4].reported() > 0 && w.unconfirmedSince().IsZero()
+	}, 15*time.Second, 5*time.Millisecond)
+	require.Zero(t, staleAfter, "the set became stale")
+}
--- a/controlclient/watcher.go
+++ b/controlclient/watcher.go
@@ -64,6 +64,8 @@
 	reportNow chan struct{}
 	// session is the member of the current session; nil between sessions.
 	session atomic.Pointer[watchedMember]
+	// answering is a member that sends something while that of the session does not confirm the set; nil if none is known.
+	answering atomic.Pointer[watchedMember]
 	// doubted wakes assist when the set may be outdated.
 	doubted chan struct{}
 
@@ -295,7 +297,7 @@
 	reconnects := newReconnects()
 	w.refreshMembers(ctx)
 	for ctx.Err() == nil {
-		address, wait := reconnects.next(w.directory.watchOrder(w.options.ProcessID), time.Now())
+		address, wait := reconnects.next(w.sessionOrder(), time.Now())
 		if address == "" {
 			sleep(ctx, wait)
 			w.refreshMembers(ctx)
@@ -313,6 +315,16 @@
 	}
 }
 
+// sessionOrder returns the members in the order in which sessions try them: a member that is known to answer first. A process behind two
+// silent members would have no time left for the third one before its set is stale.
+func (w *Watcher) sessionOrder() []string {
+	order := w.directory.watchOrder(w.options.ProcessID)
+	if m := w.answering.Load(); m != nil {
+		order = append([]string{m.address}, order...)
+	}
+	return order
+}
+
 // refreshMembers updates the members and the leader from the first member that responds.
 func (w *Watcher) refreshMembers(ctx context.Context) {
 	for _, address := range w.directory.watchOrder(w.options.ProcessID) {
