controlclient: silent members do not delay the start of a process

Callers of a starting or restarted process saw it not ready for seconds although a member of control would have served it: before each pass the watcher asked one member after another for its status, 1 s each, and then began sessions with the silent ones again, 2 s each.

Now the next member is asked after 0.2 s without a response, and the members that did not respond get their turn in the next pass. A pass begins at most once in 50 ms, so that a member which only answers status calls is not asked without a pause.

--- a/controlclient/reconnect.go
+++ b/controlclient/reconnect.go
@@ -44,8 +44,13 @@
 	return &reconnects{delay: newReconnectDelay(), unreachable: map[string]*unreachableMember{}, tried: map[string]bool{}}
 }
 
-// beginPass makes all members eligible again.
-func (r *reconnects) beginPass() { clear(r.tried) }
+// beginPass makes all members eligible again, except for those that are known to be silent.
+func (r *reconnects) beginPass(silent []string) {
+	clear(r.tried)
+	for _, address := range silent {
+		r.tried[address] = true
+	}
+}
 
 // next returns the first member that is eligible. If there is none, it returns the time until the next pass may begin.
 func (r *reconnects) next(order []string, now time.Time) (address string, wait time.Duration) {
--- a/controlclient/reconnect_test.go
+++ b/controlclient/reconnect_test.go
@@ -47,13 +47,13 @@
 	address, _ = r.next(order, now)
 	require.Equal(t, "b", address)
 	r.ended("b", 10*time.Second, true, now)
-	r.beginPass()
+	r.beginPass(nil)
 	address, _ = r.next(order, now)
 	require.Equal(t, "b", address, "a has a delay of its own")
 	address, wait := r.next(order, now)
 	require.Empty(t, address)
 	require.Zero(t, wait, "the next pass may begin, with b")
-	r.beginPass()
+	r.beginPass(nil)
 	address, _ = r.next(order, now.Add(2*maxReconnectDelay))
 	require.Equal(t, "a", address)
 	for range 10 {
@@ -79,3 +79,16 @@
 	}, 15*time.Second, 5*time.Millisecond)
 	require.Zero(t, staleAfter, "the set became stale")
 }
+
+// Guards against a process that starts seconds late because the first members that it asks are silent.
+func TestSilentMembersDoNotDelayAStart(t *testing.T) {
+	members := startMembers(t, 3)
+	members[0].relay.Cut("*")
+	members[1].relay.Cut("*")
+	addresses := []string{members[0].address, members[1].address, members[2].address}
+	w := runWatcher(t, WatcherOptions{Addresses: addresses, ProcessID: processWatching(addresses...)})
+	began := time.Now()
+	require.Eventually(t, func() bool { return w.Current().Fresh(time.Now()) }, 20*time.Second, time.Millisecond)
+	// Each silent member may add silenceLimit.
+	require.Less(t, time.Since(began), setDelay+2*silenceLimit)
+}
--- a/controlclient/watcher.go
+++ b/controlclient/watcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -295,13 +296,12 @@
 	defer cancel()
 	tasks.Go(func() { supervise.Loop(ctx, w.options.Log, "watch of other control members", func() { w.assist(ctx) }) })
 	reconnects := newReconnects()
-	w.refreshMembers(ctx)
+	reconnects.beginPass(w.refreshMembers(ctx))
 	for ctx.Err() == nil {
 		address, wait := reconnects.next(w.sessionOrder(), time.Now())
 		if address == "" {
-			sleep(ctx, wait)
-			w.refreshMembers(ctx)
-			reconnects.beginPass()
+			sleep(ctx, max(wait, minReconnectDelay))
+			reconnects.beginPass(w.refreshMembers(ctx))
 			continue
 		}
 		started := time.Now()
@@ -325,11 +325,41 @@
 	return order
 }
 
-// refreshMembers updates the members and the leader from the first member that responds.
-func (w *Watcher) refreshMembers(ctx context.Context) {
-	for _, address := range w.directory.watchOrder(w.options.ProcessID) {
-		if _, err := w.client.StatusOf(ctx, address, true); err == nil || ctx.Err() != nil {
-			return
+// refreshMembers updates the members and the leader from the first member that responds. It returns the members that were asked before
+// and did not respond. Each of these delays it by silenceLimit only.
+func (w *Watcher) refreshMembers(ctx context.Context) (silent []string) {
+	ctx, cancel := context.WithCancel(ctx)
+	var asking sync.WaitGroup
+	defer asking.Wait()
+	defer cancel()
+	order := w.directory.watchOrder(w.options.ProcessID)
+	type result struct {
+		address string
+		err     error
+	}
+	results := make(chan result, len(order))
+	patience := time.NewTicker(silenceLimit)
+	defer patience.Stop()
+	asked := 0
+	for responses := 0; responses < len(order); {
+		if asked < len(order) {
+			address := order[asked]
+			asked++
+			asking.Go(func() {
+				_, err := w.client.StatusOf(ctx, address, true)
+				results <- result{address, err}
+			})
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case r := <-results:
+			if r.err == nil {
+				return slices.DeleteFunc(order[:asked], func(address string) bool { return address == r.address })
+			}
+			responses++
+		case <-patience.C:
 		}
 	}
+	return nil
 }
