controlclient: a process learns of new control members during its session

A process whose session outlasts the replacement of all members that it knows never finds control again: it refuses work until it is restarted with other settings. Members were asked for only before a session, so a process knew those of the time when its session began.

Now the process asks the member of its session every 30 s (a brief status, no processes in it), and only while that member confirms the set, since a removed one may name an old group.

--- a/controlclient/reconnect_test.go
+++ b/controlclient/reconnect_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
+	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
 )
 
 // Guards against a process that stays without control for seconds after an election, because each member that is gone adds a
@@ -92,3 +95,17 @@
 	// Each silent member may add silenceLimit.
 	require.Less(t, time.Since(began), setDelay+2*silenceLimit)
 }
+
+// Guards against a process that never finds control again because all members that it knew were replaced during its last session.
+func TestMembersReplacedDuringASessionAreFound(t *testing.T) {
+	members := startMembers(t, 2)
+	w := runWatcher(t, WatcherOptions{Addresses: []string{members[0].address}, ProcessID: "p", MembersInterval: 20 * time.Millisecond})
+	require.Eventually(t, func() bool { return w.Current().Fresh(time.Now()) }, 10*time.Second, time.Millisecond)
+	replaced := &controlpb.StatusResponse{Members: &raftpb.Members{Members: []*raftpb.Member{{Id: 2, Address: members[1].address}}}}
+	members[0].mu.Lock()
+	members[0].members = replaced
+	members[0].mu.Unlock()
+	require.Eventually(t, func() bool { return len(w.directory.watchOrder("p")) == 2 }, 10*time.Second, time.Millisecond)
+	members[0].relay.Close()
+	require.Eventually(t, func() bool { return members[1].reported() > 0 }, 10*time.Second, time.Millisecond)
+}
--- a/controlclient/watcher.go
+++ b/controlclient/watcher.go
@@ -37,6 +37,8 @@
 	PresenceInterval time.Duration
 	// CallTimeout limits a presence report and the wait for the next stream message; default 2 s.
 	CallTimeout time.Duration
+	// MembersInterval is the time between requests for the current members; default 30 s.
+	MembersInterval time.Duration
 	// Draining reports whether the process refuses new requests; default never.
 	Draining func() bool
 	Log      *zap.Logger
@@ -47,6 +49,7 @@
 	defaults.Set(&o.StaleSetLimit, 4*time.Second)
 	defaults.Set(&o.PresenceInterval, time.Second)
 	defaults.Set(&o.CallTimeout, 2*time.Second)
+	defaults.Set(&o.MembersInterval, 30*time.Second)
 	if o.Draining == nil {
 		o.Draining = func() bool { return false }
 	}
@@ -295,6 +298,7 @@
 	defer tasks.Wait()
 	defer cancel()
 	tasks.Go(func() { supervise.Loop(ctx, w.options.Log, "watch of other control members", func() { w.assist(ctx) }) })
+	tasks.Go(func() { supervise.Loop(ctx, w.options.Log, "members of control", func() { w.followMembers(ctx) }) })
 	reconnects := newReconnects()
 	reconnects.beginPass(w.refreshMembers(ctx))
 	for ctx.Err() == nil {
@@ -363,3 +367,20 @@
 	}
 	return nil
 }
+
+// followMembers refreshes the members now and then until the context ends. Else a process whose session lasts while all members are
+// replaced knows none of the new ones when it ends. It asks the member of the session, because a removed one may name an old group.
+func (w *Watcher) followMembers(ctx context.Context) {
+	ticker := time.NewTicker(w.options.MembersInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if session := w.session.Load(); session != nil && w.unconfirmedSince().IsZero() {
+				_, _ = w.client.StatusOf(ctx, session.address, true)
+			}
+		}
+	}
+}
