store: a limit on the size of files counts as a full disk

Callers got the outcome storage_failed instead of full for a piece that a file system refused with EFBIG, although smaller pieces still fit: store/disk.go had a list of its own with ENOSPC and EDQUOT only.

TestLimitsOfFilesAndQuotasCountAsFull failed before (storage_failed instead of full with EFBIG); ENOSPC and EDQUOT are guarded too.

--- a/store/disk.go
+++ b/store/disk.go
@@ -7,10 +7,10 @@
 	"io"
 	"strconv"
 	"strings"
-	"syscall"
 
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/piece"
+	"github.com/wasabishunt/wasabishunt/raft/diskfs"
 )
 
 const (
@@ -240,7 +240,7 @@
 func (e *syncFailedError) Unwrap() error { return e.cause }
 
 func diskError(err error, step string) error {
-	if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) {
+	if diskfs.IsFull(err) {
 		err = &diskFullError{err}
 	}
 	return failure.Wrap(err, failure.StorageFailed, failure.NotRun, "%s piece file", step)
--- a/store/fs_test.go
+++ b/store/fs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"io"
 	"maps"
@@ -20,6 +21,8 @@
 	durable map[string]*memFile
 	// space is the number of bytes that may still be written; negative means no limit.
 	space int64
+	// refusal is the error of a write without space; ENOSPC if it is nil.
+	refusal error
 	// failSync and failDirSync make the next sync of a file and of the directory fail.
 	failSync, failDirSync bool
 	// onCreate and onOpen are called, without the lock, for each file created or opened; they may be nil.
@@ -165,7 +168,7 @@
 	}
 	h.content = append(h.content, p[:n]...)
 	if n < len(p) {
-		return n, &os.PathError{Op: "write", Err: syscall.ENOSPC}
+		return n, &os.PathError{Op: "write", Err: cmp.Or[error](h.fs.refusal, syscall.ENOSPC)}
 	}
 	return n, nil
 }
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -183,6 +184,22 @@
 	put(t, s, 2, 1000)
 }
 
+// Guards against a file system whose files are limited in size, or a quota, that counts as a failed disk: callers are told that the store is out
+// of order, although smaller pieces still fit.
+func TestLimitsOfFilesAndQuotasCountAsFull(t *testing.T) {
+	for _, refusal := range []error{syscall.ENOSPC, syscall.EDQUOT, syscall.EFBIG} {
+		fs := newMemFS()
+		s := open(t, fs, Settings{})
+		fs.set(func() { fs.space, fs.refusal = 500, refusal })
+		h, body := sample(1, 0, 1000)
+		outcome, err := s.Put(h, body, 0)
+		assert.Equal(t, RefusedFull, outcome, "%v", err)
+		assert.Zero(t, fs.count())
+		fs.set(func() { fs.space = -1 })
+		put(t, s, 2, 1000)
+	}
+}
+
 // Guards against a failed sync that is ignored or retried: neither this piece nor a later one may be published.
 func TestFailedSyncStopsWrites(t *testing.T) {
 	for _, fail := range []func(*memFS){
