--- a/replica/snapshots.go
+++ b/replica/snapshots.go
@@ -23,10 +23,13 @@
 )
 
 // sendSnapshot transfers a snapshot in a separate goroutine, so that heartbeats are not delayed. There is at most one
-// transfer per member.
+// transfer per member. A member may ask for the next snapshot before the end of the last transfer is known here: that counts as not delivered,
+// so that the core tries again, instead of waiting for a transfer that never began.
 func (t *transport) sendSnapshot(m *raftpb.Message) {
 	p := t.peer(m.GetTo())
 	if !p.transferring.CompareAndSwap(false, true) {
+		// The loop itself reads the events, so it must not wait for room among them.
+		t.replica.goroutines.Go(func() { t.replica.report(event{transferred: m.GetTo()}) })
 		return
 	}
 	t.replica.goroutines.Go(func() {
