--- a/raft/raft.go
+++ b/raft/raft.go
@@ -280,6 +280,11 @@
 	return n.log.trailingFrom(snapshot, entries, bytes)
 }
 
+// Holds reports whether the log has an entry of this index and term, or has compacted it.
+func (n *Node) Holds(e *raftpb.Entry) bool {
+	return e.GetIndex() <= n.log.commit || n.log.matches(e.GetIndex(), e.GetTerm())
+}
+
 // Status is a copy of the Node's state for operators and drivers.
 type Status struct {
 	ID, Term, Leader, Commit, Applied, LastIndex, FirstIndex uint64
--- a/raft/wal/wal.go
+++ b/raft/wal/wal.go
@@ -120,7 +120,11 @@
 	recordBytes int
 }
 
-const defaultSegmentBytes = 64 << 20
+const (
+	defaultSegmentBytes = 64 << 20
+	// shortenedBytes is the size from which Shorten replaces the newest segment. A new one has some hundred bytes.
+	shortenedBytes = 64 << 10
+)
 
 func (o *Options) setDefaults() {
 	if o.FS == nil {
@@ -224,6 +228,19 @@
 	return nil
 }
 
+// Shorten is DropBefore for a disk with little room: if the newest segment is superfluous too, it starts a new one first.
+func (l *Log) Shorten(index uint64) error {
+	if l.failed != nil {
+		return l.failed
+	}
+	if l.segments[len(l.segments)-1].last <= index && l.size >= shortenedBytes {
+		if err := l.rotate(); err != nil {
+			return err
+		}
+	}
+	return l.DropBefore(index)
+}
+
 // Segments returns the number of segments.
 func (l *Log) Segments() int { return len(l.segments) }
 
@@ -289,11 +306,16 @@
 	return l.failed
 }
 
-// rotateIfFull starts a new segment if the newest one has its size. Without room for it the newest one goes on.
+// rotateIfFull starts a new segment if the newest one has its size.
 func (l *Log) rotateIfFull() error {
 	if l.size < l.options.SegmentBytes {
 		return nil
 	}
+	return l.rotate()
+}
+
+// rotate starts a new segment. Without room for it the newest one goes on.
+func (l *Log) rotate() error {
 	full, size, file := len(l.segments)-1, l.size, l.file
 	sequence := l.segments[full].sequence + 1
 	err := l.startSegment(sequence)
--- a/replica/applier.go
+++ b/replica/applier.go
@@ -155,7 +155,9 @@
 			continue
 		}
 		job.meta.Bytes = uint64(len(data))
+		r.saving.Store(true)
 		err = r.storage.saveSnapshot(snap.Snapshot{Meta: job.meta, Data: data})
+		r.saving.Store(false)
 		switch {
 		case failure.Is(err, failure.VersionConflict):
 			// A newer snapshot was received in the meantime.
--- a/replica/fulldisk.go
+++ b/replica/fulldisk.go
@@ -118,49 +118,25 @@
 	r.confirmed = nil
 }
 
-// freeRoom removes what the newest snapshot makes superfluous.
-func (r *Replica) freeRoom() error {
-	before := r.storage.wal.Bytes()
-	if err := r.storage.dropSuperfluous(); err != nil {
-		return err
-	}
-	if freed := before - r.storage.wal.Bytes(); freed > 0 {
-		r.log.Info("raft log compacted", zap.Int64("bytes", freed), r.logBytes(), r.lastSnapshotBytes())
-	}
-	return nil
-}
-
 // logIsTooLong reports whether commands are refused until a snapshot has shortened the log. The commands that share the next sync count,
 // because a queue of large ones is longer than a small disk.
 func (r *Replica) logIsTooLong() bool {
 	return r.options.MaxLogBytes > 0 && r.storage.wal.Bytes()+r.unsavedBytes > r.options.MaxLogBytes
 }
 
-// dropsEntries reports whether entries of the leader are dropped, as if the network had lost them, because the log is too long and a snapshot will
-// shorten it. Only the leader refuses commands, and its own snapshots may be faster: its entries would take the room of the snapshot that this
-// member is writing. The member goes on answering heartbeats and votes.
-func (r *Replica) dropsEntries() bool {
-	if r.snapshotFailed.Load() || !r.logIsTooLong() || r.node.Status().Applied <= r.savedIndex {
-		return false
-	}
-	r.requestSnapshot()
-	return true
-}
-
-// checkLogLimit refuses entries as a full disk does if the log would exceed MaxLogBytes by more than a command, or by a half, and no snapshot can
-// be saved. A follower cannot refuse the commands of its leader, and a log that has taken the whole disk leaves no room for the snapshot that
-// would shorten it. All entries of the sync count, because a follower that was behind gets many at once.
+// checkLogLimit refuses entries as a full disk does if no snapshot can be saved, and the log would exceed MaxLogBytes by more than a command, or by
+// a half, or take the room of the next snapshot. A follower cannot refuse the commands of its leader, and a log that has taken the whole disk
+// leaves no room for the snapshot that would shorten it. All entries of the sync count, because a follower that was behind gets many at once.
 func (r *Replica) checkLogLimit(ready raft.Ready) error {
-	o := r.options
-	limit := o.MaxLogBytes + min(o.MaxLogBytes/2, int64(o.MaxCommandBytes))
-	if limit == 0 || len(ready.Entries) == 0 || ready.Snapshot != nil || !r.snapshotFailed.Load() {
+	if len(ready.Entries) == 0 || ready.Snapshot != nil {
 		return nil
 	}
-	size := r.storage.wal.Bytes()
-	for _, e := range ready.Entries {
-		size += int64(len(e.GetData()))
+	if r.lacksRoomFor(ready.Entries) {
+		return &wal.FullError{Cause: failure.New(failure.StorageFailed, failure.NotRun, "the disk would have no room for the next snapshot")}
 	}
-	if size <= limit {
+	o := r.options
+	limit := o.MaxLogBytes + min(o.MaxLogBytes/2, int64(o.MaxCommandBytes))
+	if limit == 0 || !r.snapshotFailed.Load() || r.storage.wal.Bytes()+dataBytes(ready.Entries) <= limit {
 		return nil
 	}
 	return &wal.FullError{Cause: failure.New(failure.StorageFailed, failure.NotRun, "the log would have more than %d bytes and no snapshot could be saved", limit)}
@@ -169,7 +145,10 @@
 // handOver transfers the leadership if this member refuses commands because its disk has no room for the snapshot that would shorten the log, or
 // takes too long to write it. The disks of the others may be better.
 func (r *Replica) handOver() {
-	if !r.logIsTooLong() {
+	if r.refusedBytes > 0 && r.makeRoomFor(r.refusedBytes) {
+		r.refusedBytes = 0
+	}
+	if !r.logIsTooLong() && r.refusedBytes == 0 {
 		r.tooLongSince = time.Time{}
 		return
 	}
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -161,12 +161,18 @@
 }
 
 func (r *Replica) step(m inbound) {
-	if len(m.message.GetEntries()) > 0 && r.dropsEntries() {
-		r.metrics.dropped.Inc(1)
-		return
-	}
-	for _, e := range m.message.GetEntries() {
-		r.unsavedBytes += int64(len(e.GetData()))
+	if entries := m.message.GetEntries(); len(entries) > 0 {
+		accepted := r.acceptedEntries(entries)
+		if accepted == 0 {
+			r.metrics.dropped.Inc(1)
+			return
+		}
+		m.message.Entries = entries[:accepted]
+		for _, e := range m.message.GetEntries() {
+			if !r.node.Holds(e) {
+				r.addUnsaved(int64(len(e.GetData())))
+			}
+		}
 	}
 	if s := m.message.GetSnapshot(); s != nil {
 		r.received[s.GetIndex()] = m.data
@@ -273,15 +279,18 @@
 		r.releaseReads()
 	case e.saved != nil:
 		r.savedIndex = max(r.savedIndex, e.saved.GetIndex())
+		r.commandSizes.snapshotSaved()
+		r.room.askedAt = time.Time{}
 		if r.node.Compact(e.saved, r.node.TrailingFrom(e.saved.GetIndex(), r.options.TrailingEntries, r.options.TrailingBytes)) {
 			before := r.storage.wal.Bytes()
 			if err := r.storage.compact(e.saved); err != nil {
 				return err
 			}
-			if r.logIsTooLong() {
+			if r.logIsTooLong() || !r.hasRoomFor(r.nextSnapshotBytes()) {
 				if err := r.storage.dropSuperfluous(); err != nil {
 					return err
 				}
+				r.freedIndex = e.saved.GetIndex()
 			}
 			r.log.Info("raft log compacted", zap.Uint64("index", e.saved.GetIndex()), zap.Int64("bytes", before-r.storage.wal.Bytes()), r.logBytes(), r.lastSnapshotBytes())
 		}
--- a/replica/propose.go
+++ b/replica/propose.go
@@ -117,7 +117,7 @@
 		return
 	}
 	p.term = term
-	r.unsavedBytes += int64(len(p.data))
+	r.addUnsaved(int64(len(p.data)))
 	r.pending[index] = p
 }
 
@@ -133,6 +133,10 @@
 	case r.logIsTooLong():
 		r.requestSnapshot()
 		return 0, 0, failure.New(failure.StorageFailed, failure.NotRun, "the log has reached %d bytes and waits for a snapshot", r.options.MaxLogBytes)
+	case !r.makeRoomFor(int64(len(p.data))):
+		r.refusedBytes = int64(len(p.data))
+		r.requestSnapshot()
+		return 0, 0, failure.New(failure.StorageFailed, failure.NotRun, "the disk has no room for a command of %d bytes and the next snapshot", len(p.data))
 	}
 	return r.node.Propose(p.data)
 }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -182,6 +182,8 @@
 	// snapshotFailed is set if the last snapshot could not be saved, also while the next attempt runs.
 	snapshotFailed atomic.Bool
 	waitsForRoom   atomic.Bool
+	// saving is set while a snapshot is written.
+	saving atomic.Bool
 	// receiving is held while a snapshot is received.
 	receiving sync.Mutex
 
@@ -195,7 +197,15 @@
 	unsavedBytes int64
 	// savedIndex is the index of the newest saved snapshot.
 	savedIndex uint64
-	// tooLongSince is when the log became too long, zero if it is not.
+	// freedIndex is the index of the newest snapshot after which everything superfluous was removed.
+	freedIndex   uint64
+	room         room
+	commandSizes commandSizes
+	// noRoomSince is when entries of the leader were first dropped for lack of room, zero since some were taken.
+	noRoomSince time.Time
+	// refusedBytes is the size of the last command that was refused for lack of room, 0 since there is room for it.
+	refusedBytes int64
+	// tooLongSince is when the log became too long or a command was refused for lack of room, zero if neither is so.
 	tooLongSince time.Time
 	// handedOverAt is when leadership was last transferred for lack of room.
 	handedOverAt time.Time
@@ -266,6 +276,9 @@
 		r.snapshotBytes.Store(int64(len(loaded.snapshot.Data)))
 		r.savedIndex = loaded.snapshot.Meta.GetIndex()
 	}
+	for _, e := range loaded.state.Entries {
+		r.commandSizes.add(int64(len(e.GetData())))
+	}
 	node, err := raft.New(r.coreConfig(), loaded.state)
 	r.node = node
 	return err
--- a/replica/storage.go
+++ b/replica/storage.go
@@ -195,7 +195,7 @@
 	if err != nil || newest == nil {
 		return err
 	}
-	return s.wal.DropBefore(newest.Meta.GetIndex())
+	return s.wal.Shorten(newest.Meta.GetIndex())
 }
 
 func (s *storage) close() error { return s.wal.Close() }
