--- a/replica/loop.go
+++ b/replica/loop.go
@@ -183,12 +183,18 @@
 }
 
 func (r *Replica) step(m inbound) {
-	if len(m.message.GetEntries()) > 0 && r.dropsEntries() {
-		r.metrics.dropped.Inc(1)
-		return
-	}
-	for _, e := range m.message.GetEntries() {
-		r.unsavedBytes += int64(len(e.GetData()))
+	if entries := m.message.GetEntries(); len(entries) > 0 {
+		accepted := r.acceptedEntries(entries)
+		if accepted == 0 {
+			r.metrics.dropped.Inc(1)
+			return
+		}
+		m.message.Entries = entries[:accepted]
+		for _, e := range m.message.GetEntries() {
+			if !r.node.Holds(e) {
+				r.addUnsaved(int64(len(e.GetData())))
+			}
+		}
 	}
 	if s := m.message.GetSnapshot(); s != nil {
 		r.received[s.GetIndex()] = m.data
@@ -295,6 +301,8 @@
 		r.releaseReads()
 	case e.saved != nil:
 		r.savedIndex = max(r.savedIndex, e.saved.GetIndex())
+		r.commandSizes.snapshotSaved()
+		r.room.askedAt = time.Time{}
 		if r.node.Compact(e.saved, r.node.TrailingFrom(e.saved.GetIndex(), r.options.TrailingEntries, r.options.TrailingBytes)) {
 			before := r.storage.wal.Bytes()
 			if err := r.awaitDisk(func() error { return r.compact(e.saved) }); refusedByFullDisk(err) {
@@ -312,10 +320,17 @@
 }
 
 func (r *Replica) compact(saved *raftpb.SnapshotMeta) error {
-	if err := r.storage.compact(saved); err != nil || !r.logIsTooLong() {
+	if err := r.storage.compact(saved); err != nil {
 		return err
 	}
-	return r.storage.dropSuperfluous()
+	if !r.logIsTooLong() && r.hasRoomFor(r.nextSnapshotBytes()) {
+		return nil
+	}
+	if err := r.storage.dropSuperfluous(); err != nil {
+		return err
+	}
+	r.freedIndex = saved.GetIndex()
+	return nil
 }
 
 // report sends an event to the loop; it is dropped if the loop has ended.
