--- a/controlclient/assist_test.go
+++ b/controlclient/assist_test.go
@@ -136,3 +136,23 @@
 	require.Empty(t, wentBack)
 	require.EqualValues(t, versions, w.Current().Version)
 }
+
+// Guards against a set that is late by the delay between two sessions: the member that has just confirmed the set ends, and nobody is
+// watched until the next session.
+func TestEndOfASessionDoesNotDelayASet(t *testing.T) {
+	members := startMembers(t, 2)
+	for _, m := range members {
+		// The delay between sessions has grown by then to at least half of maxReconnectDelay.
+		m.refusals = 4
+	}
+	addresses := []string{members[0].address, members[1].address}
+	w := runWatcher(t, WatcherOptions{Addresses: addresses, ProcessID: processWatching(addresses...)})
+	require.Eventually(t, func() bool { return w.Current().Fresh(time.Now()) && w.unconfirmedSince().IsZero() }, 20*time.Second, time.Millisecond)
+	lost, left := members[0], members[1]
+	if w.session.Load().address == left.address {
+		lost, left = left, lost
+	}
+	lost.relay.Close()
+	left.publish(2)
+	requireVersion(t, w, 2, setDelay)
+}
--- a/controlclient/session.go
+++ b/controlclient/session.go
@@ -29,8 +29,12 @@
 	defer cancel(nil)
 	member := &watchedMember{address: address}
 	w.session.Store(member)
-	defer w.session.Store(nil)
 	w.doubt()
+	// Nobody confirms the set until the next session.
+	defer func() {
+		w.session.Store(nil)
+		w.doubt()
+	}()
 	conn, err := w.dialStream(ctx, address)
 	if err != nil {
 		w.logSessionEnd(address, err)
