controlclient: the end of a session by the member is logged

Operators saw a process change its control member without a line in its log: drpc reports a connection that the member closed as a canceled context, and the end of a session by cancellation was taken for the end of the process.

The line is now left out only if the process ends.

--- a/controlclient/reconnect_test.go
+++ b/controlclient/reconnect_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
 	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
@@ -109,3 +111,15 @@
 	members[0].relay.Close()
 	require.Eventually(t, func() bool { return members[1].reported() > 0 }, 10*time.Second, time.Millisecond)
 }
+
+// Guards against a change of the member that no log line explains, because the end of its connection looks like an end of the process.
+func TestEndOfASessionByTheMemberIsLogged(t *testing.T) {
+	members := startMembers(t, 2)
+	logged, events := observer.New(zap.WarnLevel)
+	addresses := []string{members[0].address, members[1].address}
+	w := runWatcher(t, WatcherOptions{Addresses: addresses, ProcessID: processWatching(addresses...), Log: zap.New(logged)})
+	require.Eventually(t, func() bool { return w.Current().Fresh(time.Now()) }, 10*time.Second, time.Millisecond)
+	members[0].relay.Reset()
+	require.Eventually(t, func() bool { return members[1].reported() > 0 }, 10*time.Second, time.Millisecond)
+	require.Equal(t, 1, events.FilterMessage("control session ended").Len())
+}
--- a/controlclient/session.go
+++ b/controlclient/session.go
@@ -24,8 +24,8 @@
 const maxDialTime = time.Second
 
 // runSession watches one member and reports presence to it until either fails. It returns whether the member sent anything.
-func (w *Watcher) runSession(ctx context.Context, address string) (answered bool) {
-	ctx, cancel := context.WithCancelCause(ctx)
+func (w *Watcher) runSession(process context.Context, address string) (answered bool) {
+	ctx, cancel := context.WithCancelCause(process)
 	defer cancel(nil)
 	member := &watchedMember{address: address}
 	w.session.Store(member)
@@ -37,7 +37,7 @@
 	}()
 	conn, err := w.dialStream(ctx, address)
 	if err != nil {
-		w.logSessionEnd(address, err)
+		w.logSessionEnd(process, address, err)
 		return false
 	}
 	defer func() { _ = conn.Close() }()
@@ -48,14 +48,19 @@
 	err = w.watchStream(ctx, conn)
 	cancel(err)
 	presence.Wait()
-	w.logSessionEnd(address, context.Cause(ctx))
+	w.logSessionEnd(process, address, context.Cause(ctx))
 	return presenceAnswered.Load() || conn.Received() > 0
 }
 
-func (w *Watcher) logSessionEnd(address string, cause error) {
-	if cause != nil && !errors.Is(cause, context.Canceled) {
-		w.options.Log.Warn("control session ended", zap.String("member", address), zap.Error(cause))
+// logSessionEnd logs why a session ended, unless the process ends. drpc reports a connection that the member closed as a canceled context.
+func (w *Watcher) logSessionEnd(process context.Context, address string, cause error) {
+	if process.Err() != nil {
+		return
 	}
+	if errors.Is(cause, context.Canceled) {
+		cause = failure.New(failure.NoUpstream, failure.NotRun, "the member closed the connection")
+	}
+	w.options.Log.Warn("control session ended", zap.String("member", address), zap.Error(cause))
 }
 
 // dialStream opens the connection of a WatchSet stream. It is closed if nothing arrives for CallTimeout, for example on a
