--- a/replica/slowlink_test.go
+++ b/replica/slowlink_test.go
@@ -67,7 +67,7 @@
 }
 
 const (
-	slowLinkBytesPerSecond = 250_000
+	slowLinkBytesPerSecond = 150_000
 	slowLinkPart           = 4 << 10
 )
 
