--- a/replica/fulldisk.go
+++ b/replica/fulldisk.go
@@ -134,12 +134,21 @@
 	if r.lacksRoomFor(ready.Entries) {
 		return &wal.FullError{Cause: failure.New(failure.StorageFailed, failure.NotRun, "the disk would have no room for the next snapshot")}
 	}
-	o := r.options
-	limit := o.MaxLogBytes + min(o.MaxLogBytes/2, int64(o.MaxCommandBytes))
-	if limit == 0 || !r.snapshotFailed.Load() || r.storage.wal.Bytes()+dataBytes(ready.Entries) <= limit {
+	if !r.exceedsLogLimit(dataBytes(ready.Entries)) {
 		return nil
 	}
-	return &wal.FullError{Cause: failure.New(failure.StorageFailed, failure.NotRun, "the log would have more than %d bytes and no snapshot could be saved", limit)}
+	return &wal.FullError{Cause: failure.New(failure.StorageFailed, failure.NotRun, "the log would have more than %d bytes and no snapshot could be saved", r.logLimit())}
+}
+
+// logLimit is the size that the log of a follower may have while no snapshot can be saved, 0 for no limit.
+func (r *Replica) logLimit() int64 {
+	return r.options.MaxLogBytes + min(r.options.MaxLogBytes/2, int64(r.options.MaxCommandBytes))
+}
+
+// exceedsLogLimit reports whether bytes more make the log too long for a member that could not save its last snapshot.
+func (r *Replica) exceedsLogLimit(bytes int64) bool {
+	limit := r.logLimit()
+	return limit > 0 && r.snapshotFailed.Load() && r.storage.wal.Bytes()+bytes > limit
 }
 
 // handOver transfers the leadership if this member refuses commands because its disk has no room for the snapshot that would shorten the log, or
--- a/replica/room.go
+++ b/replica/room.go
@@ -92,8 +92,8 @@
 
 // acceptedEntries returns how many entries of a message of the leader are taken. The others are dropped as if the network had lost them: their
 // leader has other disks, and its own snapshots may be faster, so its entries would take the room of the snapshot that shortens this log. The
-// member goes on answering heartbeats and votes. Where no snapshot will make room, the first entry is taken, and the member waits with it until
-// others free some.
+// member goes on answering heartbeats and votes. Where no snapshot will make room, only one entry is taken, and the member waits with it until
+// others free some: it writes what it waits with once a snapshot is saved, and that may not make room for more.
 func (r *Replica) acceptedEntries(entries []*raftpb.Entry) int {
 	if len(entries) == 0 {
 		return 0
@@ -109,7 +109,7 @@
 		if !r.node.Holds(e) {
 			size += int64(len(e.GetData()))
 		}
-		if size > 0 && !r.makeRoomFor(size) {
+		if size > 0 && (!r.makeRoomFor(size) || r.exceedsLogLimit(r.unsavedBytes+size)) {
 			break
 		}
 		count++
@@ -126,6 +126,9 @@
 		r.requestSnapshot()
 		return 0
 	}
+	if r.unsavedBytes > 0 {
+		return 0
+	}
 	return 1
 }
 
