--- a/controlclient/watcher.go
+++ b/controlclient/watcher.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 
@@ -14,6 +15,7 @@
 	"github.com/wasabishunt/wasabishunt/defaults"
 	"github.com/wasabishunt/wasabishunt/objectset"
 	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
+	"github.com/wasabishunt/wasabishunt/supervise"
 )
 
 // WatcherOptions configures a Watcher.
@@ -35,6 +37,8 @@
 	PresenceInterval time.Duration
 	// CallTimeout limits a presence report and the wait for the next stream message; default 2 s.
 	CallTimeout time.Duration
+	// MembersInterval is the time between requests for the current members; default 30 s.
+	MembersInterval time.Duration
 	// Draining reports whether the process refuses new requests; default never.
 	Draining func() bool
 	Log      *zap.Logger
@@ -45,6 +49,7 @@
 	defaults.Set(&o.StaleSetLimit, 4*time.Second)
 	defaults.Set(&o.PresenceInterval, time.Second)
 	defaults.Set(&o.CallTimeout, 2*time.Second)
+	defaults.Set(&o.MembersInterval, 30*time.Second)
 	if o.Draining == nil {
 		o.Draining = func() bool { return false }
 	}
@@ -61,13 +66,22 @@
 	client      *Client
 	// reportNow makes the presence loop send a report at once.
 	reportNow chan struct{}
+	// session is the member of the current session; nil between sessions.
+	session atomic.Pointer[watchedMember]
+	// answering is a member that sends something while that of the session does not confirm the set; nil if none is known.
+	answering atomic.Pointer[watchedMember]
+	// doubted wakes assist when the set may be outdated.
+	doubted chan struct{}
 
 	mu   sync.Mutex
 	view View
 	// observed is the highest set version observed on the data path.
 	observed uint64
-	fenced   bool
-	changed  chan struct{}
+	// unconfirmedAt is when the set was last confirmed no more: a report was sent, a session began or a newer version was observed. It is
+	// zero once a report is confirmed.
+	unconfirmedAt time.Time
+	fenced        bool
+	changed       chan struct{}
 }
 
 var _ Source = (*Watcher)(nil)
@@ -82,6 +96,7 @@
 		directory:   client.directory,
 		client:      client,
 		reportNow:   make(chan struct{}, 1),
+		doubted:     make(chan struct{}, 1),
 		changed:     make(chan struct{}),
 		view:        View{Processes: map[string]Process{}},
 	}
@@ -116,6 +131,7 @@
 	if behind {
 		w.observed = max(w.observed, version)
 		w.view.Behind = true
+		w.beginDoubt()
 	}
 	w.mu.Unlock()
 	if behind {
@@ -123,6 +139,32 @@
 	}
 }
 
+// doubt records that the set is not confirmed from now on.
+func (w *Watcher) doubt() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.beginDoubt()
+}
+
+// beginDoubt is doubt for callers that hold w.mu.
+func (w *Watcher) beginDoubt() {
+	if !w.unconfirmedAt.IsZero() {
+		return
+	}
+	w.unconfirmedAt = time.Now()
+	select {
+	case w.doubted <- struct{}{}:
+	default:
+	}
+}
+
+// unconfirmedSince returns since when the set is not confirmed; zero if the last report was confirmed.
+func (w *Watcher) unconfirmedSince() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.unconfirmedAt
+}
+
 // versions returns the current version, and the highest one observed on the data path if that is higher.
 func (w *Watcher) versions() (version, observed uint64) {
 	w.mu.Lock()
@@ -141,30 +183,40 @@
 	}
 }
 
-// updateView changes the view under the lock and wakes the waiters of Changed.
-func (w *Watcher) updateView(change func(v *View)) {
+// updateView changes the view under the lock and wakes the waiters of Changed, unless change returns false.
+func (w *Watcher) updateView(change func(v *View) bool) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	change(&w.view)
+	if !change(&w.view) {
+		return false
+	}
 	w.view.Behind = w.observed > w.view.Version
 	close(w.changed)
 	w.changed = make(chan struct{})
+	return true
 }
 
+// applySet may be called for several streams at once: the version is compared under the lock, so that it never goes back.
 func (w *Watcher) applySet(set *objectset.Set, version uint64) {
-	if version <= w.Current().Version {
+	applied := w.updateView(func(v *View) bool {
+		if version <= v.Version {
+			return false
+		}
+		v.Set, v.Version = set, version
+		return true
+	})
+	if !applied {
 		return
 	}
-	w.updateView(func(v *View) { v.Set, v.Version = set, version })
 	w.options.Log.Info("object set in force", zap.Uint64("version", version))
 	w.ReportNow()
 }
 
 func (w *Watcher) applyMembership(update *controlpb.MembershipUpdate) {
-	w.updateView(func(v *View) {
+	w.updateView(func(v *View) bool {
 		// A lagging member may send an older table than the current one.
 		if update.Revision <= v.Revision {
-			return
+			return false
 		}
 		next := map[string]Process{}
 		if !update.Full {
@@ -178,6 +230,7 @@
 			next[p.ProcessId] = processOf(p)
 		}
 		v.Processes, v.Revision = next, update.Revision
+		return true
 	})
 }
 
@@ -222,13 +275,17 @@
 	if until.After(w.view.FreshUntil) {
 		w.view.FreshUntil = until
 	}
+	if w.observed <= w.view.Version {
+		w.unconfirmedAt = time.Time{}
+	}
 	return setConfirmed
 }
 
 func (w *Watcher) fence() {
-	w.updateView(func(v *View) {
+	w.updateView(func(v *View) bool {
 		v.FreshUntil = time.Time{}
 		w.fenced = true
+		return true
 	})
 }
 
@@ -236,42 +293,94 @@
 // have ended.
 func (w *Watcher) Run(ctx context.Context) {
 	defer func() { _ = w.client.Close() }()
-	retryDelay := &backoff.ExponentialBackOff{
-		InitialInterval: minReconnectDelay, MaxInterval: maxReconnectDelay, Multiplier: 2, RandomizationFactor: 0.5,
-	}
-	retryDelay.Reset()
+	ctx, cancel := context.WithCancel(ctx)
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	defer cancel()
+	tasks.Go(func() { supervise.Loop(ctx, w.options.Log, "watch of other control members", func() { w.assist(ctx) }) })
+	tasks.Go(func() { supervise.Loop(ctx, w.options.Log, "members of control", func() { w.followMembers(ctx) }) })
+	reconnects := newReconnects()
+	reconnects.beginPass(w.refreshMembers(ctx))
 	for ctx.Err() == nil {
-		w.refreshMembers(ctx)
-		for _, address := range w.directory.watchOrder(w.options.ProcessID) {
-			started := w.options.Clock.Now()
-			w.runSession(ctx, address)
-			if ctx.Err() != nil || w.Fenced() {
-				return
-			}
-			w.directory.markUnresponsive(address)
-			if w.options.Clock.Now().Sub(started) > stableSessionTime {
-				retryDelay.Reset()
-			}
-			sleep(ctx, retryDelay.NextBackOff())
+		address, wait := reconnects.next(w.sessionOrder(), time.Now())
+		if address == "" {
+			sleep(ctx, max(wait, minReconnectDelay))
+			reconnects.beginPass(w.refreshMembers(ctx))
+			continue
 		}
+		started := time.Now()
+		answered := w.runSession(ctx, address)
+		if ctx.Err() != nil || w.Fenced() {
+			return
+		}
+		w.directory.markUnresponsive(address)
+		now := time.Now()
+		sleep(ctx, reconnects.ended(address, now.Sub(started), answered, now))
 	}
 }
 
-const (
-	// minReconnectDelay and maxReconnectDelay bound the delay between sessions, so that many processes do not overload the
-	// remaining members.
-	minReconnectDelay = 50 * time.Millisecond
-	maxReconnectDelay = time.Second
-	// stableSessionTime is the length of a session after which the delay starts at its minimum again. Sessions of at least
-	// maxReconnectDelay cause no more reconnects than the longest delay does.
-	stableSessionTime = maxReconnectDelay
-)
+// sessionOrder returns the members in the order in which sessions try them: a member that is known to answer first. A process behind two
+// silent members would have no time left for the third one before its set is stale.
+func (w *Watcher) sessionOrder() []string {
+	order := w.directory.watchOrder(w.options.ProcessID)
+	if m := w.answering.Load(); m != nil {
+		order = append([]string{m.address}, order...)
+	}
+	return order
+}
 
-// refreshMembers updates the members and the leader from the first member that responds.
-func (w *Watcher) refreshMembers(ctx context.Context) {
-	for _, address := range w.directory.watchOrder(w.options.ProcessID) {
-		if _, err := w.client.StatusOf(ctx, address, true); err == nil || ctx.Err() != nil {
+// refreshMembers updates the members and the leader from the first member that responds. It returns the members that were asked before
+// and did not respond. Each of these delays it by silenceLimit only.
+func (w *Watcher) refreshMembers(ctx context.Context) (silent []string) {
+	ctx, cancel := context.WithCancel(ctx)
+	var asking sync.WaitGroup
+	defer asking.Wait()
+	defer cancel()
+	order := w.directory.watchOrder(w.options.ProcessID)
+	type result struct {
+		address string
+		err     error
+	}
+	results := make(chan result, len(order))
+	patience := time.NewTicker(silenceLimit)
+	defer patience.Stop()
+	asked := 0
+	for responses := 0; responses < len(order); {
+		if asked < len(order) {
+			address := order[asked]
+			asked++
+			asking.Go(func() {
+				_, err := w.client.StatusOf(ctx, address, true)
+				results <- result{address, err}
+			})
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case r := <-results:
+			if r.err == nil {
+				return slices.DeleteFunc(order[:asked], func(address string) bool { return address == r.address })
+			}
+			responses++
+		case <-patience.C:
+		}
+	}
+	return nil
+}
+
+// followMembers refreshes the members now and then until the context ends. Else a process whose session lasts while all members are
+// replaced knows none of the new ones when it ends. It asks the member of the session, because a removed one may name an old group.
+func (w *Watcher) followMembers(ctx context.Context) {
+	ticker := time.NewTicker(w.options.MembersInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
 			return
+		case <-ticker.C:
+			if session := w.session.Load(); session != nil && w.unconfirmedSince().IsZero() {
+				_, _ = w.client.StatusOf(ctx, session.address, true)
+			}
 		}
 	}
 }
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -83,8 +83,11 @@
 			return
 		}
 		var resumed chan struct{}
-		if time.Since(began) >= r.options.Tick {
-			r.stepArrived()
+		if len(r.held) > 0 || time.Since(began) >= r.options.Tick {
+			if err := r.stepArrived(); err != nil {
+				r.fail(err)
+				return
+			}
 			resumed = closedChannel
 		}
 		if r.drained() {
@@ -95,6 +98,10 @@
 			r.retryReads()
 			r.tick()
 			r.handOver()
+			if err := r.shortenLog(); err != nil {
+				r.fail(err)
+				return
+			}
 		case m := <-r.inbox:
 			r.tick()
 			r.stepBatch(m)
@@ -107,8 +114,7 @@
 		case <-resumed:
 			// What was stepped is processed without waiting for another event.
 		case e := <-r.events:
-			// A compaction that a full disk refused is made up for after the next snapshot.
-			if err := r.handle(e); err != nil && !refusedByFullDisk(err) {
+			if err := r.handle(e); err != nil {
 				r.fail(err)
 				return
 			}
@@ -116,7 +122,9 @@
 			stopping = nil
 			r.drain = drainState{active: true, deadline: time.Now().Add(r.options.StopTimeout)}
 		}
-		r.tick()
+		if len(r.held) == 0 {
+			r.tick()
+		}
 	}
 }
 
@@ -143,14 +151,28 @@
 	}
 }
 
-// stepArrived steps the messages that arrived during a slow sync before the time of the sync counts: what this member has not looked at is no
-// silence of the others.
-func (r *Replica) stepArrived() {
+// stepArrived handles what arrived during a slow sync before the time of the sync counts: what this member has not looked at is no silence of the
+// others. Reports come first, because the limit of the log depends on what is applied and compacted.
+func (r *Replica) stepArrived() error {
 	r.node.Resume(r.now())
+	for range len(r.events) {
+		if err := r.handle(<-r.events); err != nil {
+			return err
+		}
+	}
+	if err := r.shortenLog(); err != nil {
+		return err
+	}
+	held := r.held
+	r.held = nil
+	for _, m := range held {
+		r.step(m)
+	}
 	for range len(r.inbox) {
 		r.step(<-r.inbox)
 	}
 	r.tick()
+	return nil
 }
 
 func (r *Replica) stepBatch(m inbound) {
@@ -161,12 +183,18 @@
 }
 
 func (r *Replica) step(m inbound) {
-	if len(m.message.GetEntries()) > 0 && r.dropsEntries() {
-		r.metrics.dropped.Inc(1)
-		return
-	}
-	for _, e := range m.message.GetEntries() {
-		r.unsavedBytes += int64(len(e.GetData()))
+	if entries := m.message.GetEntries(); len(entries) > 0 {
+		accepted := r.acceptedEntries(entries)
+		if accepted == 0 {
+			r.metrics.dropped.Inc(1)
+			return
+		}
+		m.message.Entries = entries[:accepted]
+		for _, e := range m.message.GetEntries() {
+			if !r.node.Holds(e) {
+				r.addUnsaved(int64(len(e.GetData())))
+			}
+		}
 	}
 	if s := m.message.GetSnapshot(); s != nil {
 		r.received[s.GetIndex()] = m.data
@@ -218,7 +246,7 @@
 	}
 	if ready.MustSync() {
 		begin := time.Now()
-		if err := r.storage.persist(ready, received); err != nil {
+		if err := r.awaitDisk(func() error { return r.storage.persist(ready, received) }); err != nil {
 			return err
 		}
 		r.metrics.syncMicros.Update(time.Since(begin).Microseconds())
@@ -273,16 +301,16 @@
 		r.releaseReads()
 	case e.saved != nil:
 		r.savedIndex = max(r.savedIndex, e.saved.GetIndex())
+		r.commandSizes.snapshotSaved()
+		r.room.askedAt = time.Time{}
 		if r.node.Compact(e.saved, r.node.TrailingFrom(e.saved.GetIndex(), r.options.TrailingEntries, r.options.TrailingBytes)) {
 			before := r.storage.wal.Bytes()
-			if err := r.storage.compact(e.saved); err != nil {
+			if err := r.awaitDisk(func() error { return r.compact(e.saved) }); refusedByFullDisk(err) {
+				// The compaction is made up for after the next snapshot.
+				return nil
+			} else if err != nil {
 				return err
 			}
-			if r.logIsTooLong() {
-				if err := r.storage.dropSuperfluous(); err != nil {
-					return err
-				}
-			}
 			r.log.Info("raft log compacted", zap.Uint64("index", e.saved.GetIndex()), zap.Int64("bytes", before-r.storage.wal.Bytes()), r.logBytes(), r.lastSnapshotBytes())
 		}
 	case e.transferred != 0:
@@ -291,6 +319,20 @@
 	return nil
 }
 
+func (r *Replica) compact(saved *raftpb.SnapshotMeta) error {
+	if err := r.storage.compact(saved); err != nil {
+		return err
+	}
+	if !r.logIsTooLong() && r.hasRoomFor(r.nextSnapshotBytes()) {
+		return nil
+	}
+	if err := r.storage.dropSuperfluous(); err != nil {
+		return err
+	}
+	r.freedIndex = saved.GetIndex()
+	return nil
+}
+
 // report sends an event to the loop; it is dropped if the loop has ended.
 func (r *Replica) report(e event) {
 	select {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -1,7 +1,7 @@
 // Package replica runs one member of a replicated group: it drives the consensus core of package raft with a write-ahead
 // log, snapshots, a transport and a state machine.
 //
-// Goroutines: the loop owns the core and the log; the applier owns the state machine; the saver writes snapshots; each
+// Goroutines: the loop owns the core and the log, and gives the log to a goroutine that syncs while it keeps contact; the applier owns the state machine; the saver writes snapshots; each
 // peer has one sender. Stop waits for all of them. The goroutines communicate over channels, and all locks are leaf
 // locks, so there is no lock order.
 package replica
@@ -182,6 +182,8 @@
 	// snapshotFailed is set if the last snapshot could not be saved, also while the next attempt runs.
 	snapshotFailed atomic.Bool
 	waitsForRoom   atomic.Bool
+	// saving is set while a snapshot is written.
+	saving atomic.Bool
 	// receiving is held while a snapshot is received.
 	receiving sync.Mutex
 
@@ -195,7 +197,15 @@
 	unsavedBytes int64
 	// savedIndex is the index of the newest saved snapshot.
 	savedIndex uint64
-	// tooLongSince is when the log became too long, zero if it is not.
+	// freedIndex is the index of the newest snapshot after which everything superfluous was removed.
+	freedIndex   uint64
+	room         room
+	commandSizes commandSizes
+	// noRoomSince is when entries of the leader were first dropped for lack of room, zero since some were taken.
+	noRoomSince time.Time
+	// refusedBytes is the size of the last command that was refused for lack of room, 0 since there is room for it.
+	refusedBytes int64
+	// tooLongSince is when the log became too long or a command was refused for lack of room, zero if neither is so.
 	tooLongSince time.Time
 	// handedOverAt is when leadership was last transferred for lack of room.
 	handedOverAt time.Time
@@ -208,7 +218,9 @@
 	// applying counts the jobs that the applier has not finished.
 	applying int
 	// received maps indexes to the data of received snapshots.
-	received   map[uint64][]byte
+	received map[uint64][]byte
+	// held are the messages that wait for the end of a sync.
+	held       []inbound
 	lastLeader uint64
 	lastTerm   uint64
 	drain      drainState
@@ -266,6 +278,9 @@
 		r.snapshotBytes.Store(int64(len(loaded.snapshot.Data)))
 		r.savedIndex = loaded.snapshot.Meta.GetIndex()
 	}
+	for _, e := range loaded.state.Entries {
+		r.commandSizes.add(int64(len(e.GetData())))
+	}
 	node, err := raft.New(r.coreConfig(), loaded.state)
 	r.node = node
 	return err
