controlclient: ask the next member beside one that is silent

What callers saw: a booking call (claim, dispatch, finish, release; 5 s at the entry) or a publish waited for the end of the attempt at each silent member, 2 s or half of the remaining time, before it asked the next one. With two silent members ahead of a sound one a claim took 4.0 s. A silent leader cost 2 s even if the others had named a new one meanwhile.

Cause: Client.do made one attempt at a time, as the transfers of sets and the watcher once did.

Evidence: on the code without the fix TestSilentMembersDoNotDelayACall fails with 4.003 s, at most 1.1 s allowed, and TestSilentLeaderDoesNotDelayACall with 2.002 s, at most 1.65 s allowed. TestSilentAttemptLeavesTheOutcomeUnknown and TestLateResponseOfTheLastAttempt fail there too, as no member is asked beside another. TestLargeSetIsSentToOneMember and TestCancelledAttemptIsNoSilence guard the new code only.

Why it works: after 0.3 s without a response the next member is asked beside the silent one, at most one attempt at a time at each member, and the first definite response ends the others. Repeats were made before as well, after a time limit, while the first copy could still be on its way: control returns the first outcome for a repeated id, and a member that does not lead refuses the copy. An attempt that ended without a response makes the outcome unknown as before, also if it was cut off by the end of the call; only a definite response of another attempt goes before it. Attempts beside others count towards MaxAttempts, and those in progress are awaited when it is reached.

A set or a body above 64 KiB is not copied beside a silent attempt: on a slow link the copies would delay the one at the leader beyond the end of its attempt. Such calls still wait for each silent member in turn.

--- a/controlclient/client.go
+++ b/controlclient/client.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
-
 	"github.com/wasabishunt/wasabishunt/defaults"
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
@@ -28,8 +26,8 @@
 	MaxAttempts int
 }
 
-// Client sends calls to the leader. It resends a call with the same ids until it gets a response. That is safe because
-// control returns the first outcome for a repeated id.
+// Client sends calls to the leader. It resends a call with the same ids until it gets a response, also while
+// another member is silent. That is safe because control returns the first outcome for a repeated id.
 type Client struct {
 	options   ClientOptions
 	pool      *rpcpool.Pool
@@ -85,58 +83,29 @@
 // do runs a call at the leader and retries it. A failure in the response is returned as an error together with the
 // response.
 func do[A responseWithFailure](ctx context.Context, c *Client, run call[A]) (A, error) {
+	return doBeside(ctx, c, silentAttemptLimit, run)
+}
+
+// doBeside is do with the time after which another member is asked beside a silent one.
+func doBeside[A responseWithFailure](ctx context.Context, c *Client, silence time.Duration, run call[A]) (A, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.options.Timeout)
 	defer cancel()
-	retryDelay := &backoff.ExponentialBackOff{
-		InitialInterval: 20 * time.Millisecond, MaxInterval: 500 * time.Millisecond, Multiplier: 2, RandomizationFactor: 0.5,
-	}
-	retryDelay.Reset()
-	var state callState
-	attemptsMade := 0
-	for attemptsMade < c.options.MaxAttempts && ctx.Err() == nil {
-		for _, address := range c.directory.leaderFirst() {
-			attemptsMade++
-			response, done, err := attempt(ctx, c, address, run, &state)
-			if done {
-				return response, err
-			}
-			if attemptsMade >= c.options.MaxAttempts || ctx.Err() != nil {
-				break
-			}
-		}
-		sleep(ctx, retryDelay.NextBackOff())
+	all := newAttempts(c, silence, run)
+	all.run(ctx)
+	if all.definite {
+		return all.response, all.err
 	}
 	var zero A
-	return zero, state.result(ctx)
+	return zero, all.state.result(ctx)
 }
 
-// attempt makes one attempt. It returns false if another attempt should follow.
-func attempt[A responseWithFailure](ctx context.Context, c *Client, address string, run call[A], state *callState) (A, bool, error) {
+// attempt makes one attempt at a member.
+func attempt[A responseWithFailure](ctx context.Context, c *Client, address string, run call[A]) (A, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.attemptTimeout(ctx))
 	defer cancel()
 	conn := c.pool.Get(ctx, address)
 	defer func() { _ = conn.Close() }()
-	response, err := run(ctx, controlpb.NewDRPCControlClient(conn))
-	if err != nil {
-		state.last = err
-		c.directory.markUnresponsive(address)
-		if !failure.Is(err, failure.NoUpstream) {
-			state.unknown = true
-		}
-		return response, false, err
-	}
-	refusal := response.GetFailure()
-	if refusal == nil {
-		c.directory.setLeader(address)
-		return response, true, nil
-	}
-	if !retryable(refusal.Kind) {
-		return response, true, FromFailure(refusal)
-	}
-	state.last = FromFailure(refusal)
-	state.unknown = state.unknown || refusal.Execution != string(failure.NotRun)
-	c.directory.setLeader(refusal.LeaderAddress)
-	return response, false, state.last
+	return run(ctx, controlpb.NewDRPCControlClient(conn))
 }
 
 func (c *Client) attemptTimeout(ctx context.Context) time.Duration {
@@ -182,7 +151,7 @@
 
 // FinishBooking records the outcome of a dispatched booking.
 func (c *Client) FinishBooking(ctx context.Context, request *controlpb.FinishBookingRequest) (*controlpb.BookingResponse, error) {
-	return do(ctx, c, func(ctx context.Context, client controlpb.DRPCControlClient) (*controlpb.BookingResponse, error) {
+	return doBeside(ctx, c, c.silence(len(request.GetBody())), func(ctx context.Context, client controlpb.DRPCControlClient) (*controlpb.BookingResponse, error) {
 		return client.FinishBooking(ctx, request)
 	})
 }
--- a/controlclient/fakemember_test.go
+++ b/controlclient/fakemember_test.go
@@ -33,13 +33,17 @@
 	open int
 	// members is the membership in Status responses.
 	members *controlpb.StatusResponse
+	// leader is the member that refusals of bookings name; empty: this member leads.
+	leader string
+	// publishedAs is the version in responses to Publish.
+	publishedAs uint64
 }
 
 // startMembers serves members behind relays, all with the first set.
 func startMembers(t *testing.T, count int) []*fakeMember {
 	members := make([]*fakeMember, count)
 	for i := range members {
-		m := &fakeMember{version: 1, changed: make(chan struct{}), members: &controlpb.StatusResponse{}}
+		m := &fakeMember{version: 1, publishedAs: uint64(i + 1), changed: make(chan struct{}), members: &controlpb.StatusResponse{}}
 		relay, err := launch.NewRelay("127.0.0.1:0", serveControl(t, m))
 		require.NoError(t, err)
 		t.Cleanup(relay.Close)
@@ -63,6 +67,27 @@
 	return m.members, nil
 }
 
+func (m *fakeMember) follow(leader string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.leader = leader
+}
+
+// ClaimBooking grants each claim at the leader.
+func (m *fakeMember) ClaimBooking(context.Context, *controlpb.ClaimBookingRequest) (*controlpb.BookingResponse, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.leader != "" {
+		return &controlpb.BookingResponse{Failure: &controlpb.Failure{Kind: string(failure.NotLeader), Execution: string(failure.NotRun), LeaderAddress: m.leader}}, nil
+	}
+	return &controlpb.BookingResponse{Granted: true}, nil
+}
+
+// Publish accepts each set.
+func (m *fakeMember) Publish(context.Context, *controlpb.PublishRequest) (*controlpb.PublishResponse, error) {
+	return &controlpb.PublishResponse{Version: m.publishedAs}, nil
+}
+
 func (m *fakeMember) ReportPresence(context.Context, *controlpb.PresenceRequest) (*controlpb.PresenceResponse, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/controlclient/operator.go
+++ b/controlclient/operator.go
@@ -15,7 +15,7 @@
 // Publish publishes one whole object set. The response holds the current version even if the publish fails with a
 // conflict.
 func (c *Client) Publish(ctx context.Context, request *controlpb.PublishRequest) (*controlpb.PublishResponse, error) {
-	return do(ctx, c, func(ctx context.Context, client controlpb.DRPCControlClient) (*controlpb.PublishResponse, error) {
+	return doBeside(ctx, c, c.silence(len(request.GetDocument())), func(ctx context.Context, client controlpb.DRPCControlClient) (*controlpb.PublishResponse, error) {
 		return client.Publish(ctx, request)
 	})
 }
