replica: freeing room does not block the loop

Callers saw a member that neither answers, votes nor stops: its loop waits for a message that nobody sends any more. A leader in this state loses its leadership; a group whose members all free room for the entries of the same leader has none.

Cause: since a step may free room, and messages that arrive while the loop waits for the disk move from the inbox to the held ones. stepBatch and stepArrived counted the messages of the inbox before they stepped the first, and then received as many, although the step had taken them. With one receive too many the loop stands until as many further messages arrive; the ticker and Stop are not looked at. Later messages also overtook the held ones.

The fix steps the messages in the order of their arrival, held ones first, and never waits for one.

--- a/replica/contact.go
+++ b/replica/contact.go
@@ -70,3 +70,21 @@
 	}
 	r.freshUntil.Store(int64(r.node.FreshUntil()))
 }
+
+// stepQueued steps up to limit messages in the order of their arrival. A step that frees room moves messages from the inbox to held.
+func (r *Replica) stepQueued(limit int) {
+	for range limit {
+		var m inbound
+		if len(r.held) > 0 {
+			m, r.held[0] = r.held[0], inbound{}
+			r.held = r.held[1:]
+		} else {
+			select {
+			case m = <-r.inbox:
+			default:
+				return
+			}
+		}
+		r.step(m)
+	}
+}
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -163,23 +163,14 @@
 	if err := r.shortenLog(); err != nil {
 		return err
 	}
-	held := r.held
-	r.held = nil
-	for _, m := range held {
-		r.step(m)
-	}
-	for range len(r.inbox) {
-		r.step(<-r.inbox)
-	}
+	r.stepQueued(len(r.held) + len(r.inbox))
 	r.tick()
 	return nil
 }
 
 func (r *Replica) stepBatch(m inbound) {
 	r.step(m)
-	for range min(len(r.inbox), maxBatch) {
-		r.step(<-r.inbox)
-	}
+	r.stepQueued(maxBatch)
 }
 
 func (r *Replica) step(m inbound) {
