replica: followers take entries without commands on disks with little room

A leader that refuses commands for lack of room hands over, so after two transfers two of three members wait, and none can be elected.

The fix counts only commands. Entries without them are covered by roomReserve; when that is used up as well, the disk itself refuses.

--- /dev/null
+++ b/replica/lowroom_test.go
@@ -0,0 +1,53 @@
+package replica
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a group that cannot be read while others take the room of the next snapshot on all disks: each leader that refuses commands hands
+// over, and the followers wait with the first entry of the next one, which has no data, until others free room.
+func TestLowRoomOnAllDisksLeavesReads(t *testing.T) {
+	t.Parallel()
+	disks := map[uint64]sharedDisk{1: newSharedDisk(4 * smallDiskBytes), 2: newSharedDisk(4 * smallDiskBytes), 3: newSharedDisk(4 * smallDiskBytes)}
+	g := newGroup(t, 3, func(o *Options) {
+		o.FS, o.StateMachine, o.SnapshotEvery = disks[o.ID], largeMachine{o.StateMachine.(*register)}, 10
+	})
+	for value := uint64(1); value <= 25; value++ {
+		g.write(value, failoverLimit)
+	}
+	var proposed, refused int
+	for end := time.Now().Add(2*handOverInterval + 2*time.Second); time.Now().Before(end); {
+		for id, disk := range disks {
+			// Enough for votes and entries without data, too little for a snapshot of ninthBytes.
+			disk.leave(min(int(disk.left.Load()), disk.Used()+roomReserve/2))
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			proposed++
+			if _, err := g.members[id].Propose(ctx, set(100)); err != nil {
+				refused++
+			}
+			cancel()
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Logf("%d of %d commands refused", refused, proposed)
+	require.Positive(t, refused)
+	for id, p := range g.members {
+		s := p.Status()
+		t.Logf("member %d: %s of term %d, leader %d, waits %v, applied %d, commit %d, last %d", id, s.Role, s.Term, s.Leader, p.WaitsForRoom(), s.Applied, s.Commit, s.LastIndex)
+	}
+	require.Eventually(t, func() bool {
+		for _, p := range g.members {
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			err := p.ReadBarrier(ctx)
+			cancel()
+			if err == nil {
+				return true
+			}
+		}
+		return false
+	}, failoverLimit, time.Millisecond, "no member can be read")
+}
--- a/replica/room.go
+++ b/replica/room.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -133,15 +134,16 @@
 	return 1
 }
 
-// lacksRoomFor reports whether a follower has no room for the entries of one sync and the next snapshot, and no snapshot will make any. A
-// leader refuses commands before.
+// lacksRoomFor reports whether a follower has no room for the commands of one sync and the next snapshot, and no snapshot will make any. A
+// leader refuses commands before. Entries without commands fit into the reserve: without them a group has no leader, and nobody can read.
 func (r *Replica) lacksRoomFor(entries []*raftpb.Entry) bool {
+	commands := slices.DeleteFunc(slices.Clone(entries), func(e *raftpb.Entry) bool { return e.GetType() != raftpb.EntryType_ENTRY_COMMAND })
 	s := r.node.Status()
-	if s.Role == raft.Leader || r.saving.Load() || !r.snapshotFailed.Load() && s.Applied > r.savedIndex {
+	if len(commands) == 0 || s.Role == raft.Leader || r.saving.Load() || !r.snapshotFailed.Load() && s.Applied > r.savedIndex {
 		return false
 	}
 	free, known := r.freeBytes()
-	return known && free-dataBytes(entries) < r.nextSnapshotBytes()+roomReserve
+	return known && free-dataBytes(commands) < r.nextSnapshotBytes()+roomReserve
 }
 
 func dataBytes(entries []*raftpb.Entry) (size int64) {
