replica: a follower without room for a command drops it and goes on voting

Callers saw a core that nobody can read, although the leader's disk has room and the others still take small writes: no member leads.

A waiting member answers no heartbeats. With two of three such disks one accepted command ends the leadership, and none follows. A change of the member list was held back in the same way.

The fix drops the command without end, as if the network had lost it: the member goes on answering heartbeats and votes, so the group keeps its leader and its reads, and takes the entries once there is room. The commands of the leader end as unknown by the callers' time limit meanwhile. The time of dropping before (noRoomSince) is not needed any more. Entries that are no commands are always taken, as in lacksRoomFor.

--- a/replica/lowroom_test.go
+++ b/replica/lowroom_test.go
@@ -51,3 +51,42 @@
 		return false
 	}, failoverLimit, time.Millisecond, "no member can be read")
 }
+
+// Guards against a group that cannot be read because the followers wait without end with a command of their leader, whose disk has more room.
+func TestLowRoomOfFollowersLeavesReads(t *testing.T) {
+	t.Parallel()
+	disks := map[uint64]sharedDisk{1: newSharedDisk(4 * smallDiskBytes), 2: newSharedDisk(4 * smallDiskBytes), 3: newSharedDisk(4 * smallDiskBytes)}
+	g := newGroup(t, 3, func(o *Options) {
+		o.FS, o.StateMachine, o.SnapshotEvery = disks[o.ID], largeMachine{o.StateMachine.(*register)}, 10
+	})
+	for value := uint64(1); value <= 25; value++ {
+		g.write(value, failoverLimit)
+	}
+	leader := g.leader()
+	term := leader.Status().Term
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		for id, disk := range disks {
+			if id != leader.options.ID {
+				disk.leave(min(int(disk.left.Load()), disk.Used()+roomReserve/2))
+			}
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		_, _ = leader.Propose(ctx, set(100))
+		cancel()
+	}
+	for id, p := range g.members {
+		s := p.Status()
+		t.Logf("member %d: %s of term %d, leader %d, waits %v, applied %d, commit %d, last %d", id, s.Role, s.Term, s.Leader, p.WaitsForRoom(), s.Applied, s.Commit, s.LastIndex)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), failoverLimit)
+	defer cancel()
+	require.NoError(t, leader.ReadBarrier(ctx))
+	require.Equal(t, term, leader.Status().Term)
+	for _, disk := range disks {
+		disk.leave(4 * smallDiskBytes)
+	}
+	g.write(101, failoverLimit)
+	for _, p := range g.members {
+		g.requireValue(p, 101)
+	}
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -201,8 +201,6 @@
 	freedIndex   uint64
 	room         room
 	commandSizes commandSizes
-	// noRoomSince is when entries of the leader were first dropped for lack of room, zero since some were taken.
-	noRoomSince time.Time
 	// refusedBytes is the size of the last command that was refused for lack of room, 0 since there is room for it.
 	refusedBytes int64
 	// tooLongSince is when the log became too long or a command was refused for lack of room, zero if neither is so.
--- a/replica/room.go
+++ b/replica/room.go
@@ -93,8 +93,8 @@
 
 // acceptedEntries returns how many entries of a message of the leader are taken. The others are dropped as if the network had lost them: their
 // leader has other disks, and its own snapshots may be faster, so its entries would take the room of the snapshot that shortens this log. The
-// member goes on answering heartbeats and votes. Where no snapshot will make room, the first entry is taken, and the member waits with it until
-// others free some.
+// member goes on answering heartbeats and votes, also where no snapshot will make room: a group whose followers wait has no leader, and nobody
+// can read.
 func (r *Replica) acceptedEntries(entries []*raftpb.Entry) int {
 	if len(entries) == 0 {
 		return 0
@@ -111,7 +111,7 @@
 	}
 	size, count := int64(0), 0
 	for _, e := range entries {
-		if !r.node.Holds(e) {
+		if e.GetType() == raftpb.EntryType_ENTRY_COMMAND && !r.node.Holds(e) {
 			size += int64(len(e.GetData()))
 		}
 		if size > 0 && !r.makeRoomFor(size) {
@@ -119,19 +119,10 @@
 		}
 		count++
 	}
-	if count > 0 {
-		r.noRoomSince = time.Time{}
-		return count
-	}
-	if r.noRoomSince.IsZero() {
-		r.noRoomSince = time.Now()
-	}
-	// Entries that the log holds may be committed, applied and part of a snapshot soon.
-	if shortens || s.LastIndex > s.Applied && time.Since(r.noRoomSince) < slowSnapshotLimit {
+	if count == 0 {
 		r.requestSnapshot()
-		return 0
 	}
-	return 1
+	return count
 }
 
 // lacksRoomFor reports whether a follower has no room for the commands of one sync and the next snapshot, and no snapshot will make any. A
