raft: a read after a pause makes no member count as fresh

A member could count as fresh for up to 1 s with an old commit index, and confirm an outdated set to the processes that watch it.

Cause: after a slow sync or a pause, messages are stepped before Tick, so that the time does not count as silence. A forwarded read among them starts a round of heartbeats, and these carry the stamp of a late reply although no quorum has confirmed the leader since. With five members the other three may have elected another leader and committed meanwhile. KeepContact checks the quorum before its heartbeats; this path did not.

Evidence: TestReadAfterAPauseConfirmsNoFreshness failed without the fix (a stamp just before the end of a pause of 3 s is echoed; the leader steps down in the same step).

The fix leaves out the stamps if the last confirmation by a quorum is older than CheckQuorum, the rule of Tick and KeepContact.

--- a/raft/read.go
+++ b/raft/read.go
@@ -74,16 +74,17 @@
 	n.send(&raftpb.Message{Type: raftpb.MessageType_READ_INDEX_REPLY, To: r.from, Context: r.context, LogIndex: r.index})
 }
 
-// heartbeatAll sends a round of heartbeats. Only a leader that has committed an entry of its term includes the stamps
-// from which followers derive freshness: before that its commit index may be too low.
+// heartbeatAll sends a round of heartbeats. Only a leader that has committed an entry of its term, and that a quorum confirmed within CheckQuorum,
+// includes the stamps from which followers derive freshness: else its commit index may be too low. After a pause messages are stepped before Tick.
 func (n *Node) heartbeatAll(stamp uint64) {
 	n.nextHeartbeat = n.now + n.config.Heartbeat
 	n.commitAtHeartbeat = n.log.commit
+	current := n.committedInCurrentTerm() && n.sinceStamp(n.quorumStamp) <= n.config.CheckQuorum
 	for _, p := range n.sortedPeers() {
 		m := &raftpb.Message{
 			Type: raftpb.MessageType_HEARTBEAT, To: p.id, Commit: min(p.match, n.log.commit), Context: stamp,
 		}
-		if n.committedInCurrentTerm() {
+		if current {
 			m.FollowerStamp = p.stamp
 			m.LeaderCommit = n.log.commit
 			m.LearnerStamp = n.learnerConfirmation(p)
