replica: a command that fits no disk moves the leadership once

Callers saw refused changes and unanswered reads every few seconds, without end, after one large set that no disk had room for.

Cause: since a member remembers the size of the last refused command until there is room for it, and hands over while it remembers one. With a command that never fits, each member that refused it hands over whenever it leads, each 5 s, though nobody repeats the command.

Evidence: TestLeadershipStaysAfterACommandThatFitsNoDisk failed without the fix (a new term 4 s after the last refusal).

The fix forgets the command with the transfer, and on members that do not lead: a new leader has to refuse one itself.

--- a/replica/fulldisk.go
+++ b/replica/fulldisk.go
@@ -167,7 +167,7 @@
 // handOver transfers the leadership if this member refuses commands because its disk has no room for the snapshot that would shorten the log, or
 // takes too long to write it. The disks of the others may be better.
 func (r *Replica) handOver() {
-	if r.refusedBytes > 0 && r.makeRoomFor(r.refusedBytes) {
+	if r.status.Load().Role != raft.Leader || r.refusedBytes > 0 && r.makeRoomFor(r.refusedBytes) {
 		r.refusedBytes = 0
 	}
 	if !r.logIsTooLong() && r.refusedBytes == 0 {
@@ -182,7 +182,8 @@
 		return
 	}
 	if r.node.TransferLeadership() {
-		r.handedOverAt = time.Now()
+		// A command that fits no disk causes one transfer each time it is refused.
+		r.handedOverAt, r.refusedBytes = time.Now(), 0
 	}
 }
 
--- a/replica/lowroom_test.go
+++ b/replica/lowroom_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/wasabishunt/wasabishunt/failure"
 )
 
 // Guards against a group that cannot be read while others take the room of the next snapshot on all disks: each leader that refuses commands hands
@@ -90,3 +92,20 @@
 		g.requireValue(p, 101)
 	}
 }
+
+// Guards against a leadership that changes every few seconds without end, because each member remembers a command that never fits its disk.
+func TestLeadershipStaysAfterACommandThatFitsNoDisk(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t, 2, func(o *Options) { o.FS = newSharedDisk(smallDiskBytes) })
+	leader := g.write(1, failoverLimit)
+	for range 2 {
+		_, err := leader.Propose(t.Context(), make([]byte, smallDiskBytes/2))
+		require.True(t, failure.Is(err, failure.StorageFailed), "%v", err)
+		g.awaitOtherLeader(leader, 2*handOverInterval)
+		leader = g.write(2, failoverLimit)
+	}
+	term := g.highestTerm()
+	for end := time.Now().Add(2 * handOverInterval); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		require.Equal(t, term, g.highestTerm(), "the leadership is handed over although no command is refused")
+	}
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -201,7 +201,7 @@
 	freedIndex   uint64
 	room         room
 	commandSizes commandSizes
-	// refusedBytes is the size of the last command that was refused for lack of room, 0 since there is room for it.
+	// refusedBytes is the size of the last command that was refused for lack of room, 0 since there is room for it or another member leads.
 	refusedBytes int64
 	// tooLongSince is when the log became too long or a command was refused for lack of room, zero if neither is so.
 	tooLongSince time.Time
