controlclient: members that fail are asked for the members less and less often

Members that came back, or refuse connections, met 12 times the connections of before from each process.

Cause: since each member that cannot be reached has a delay of its own, and a new pass begins whenever one of these delays ends. Each pass asked all members for the members, so the connections grow with the square of their number.

The fix gives the refresh a delay of its own, which grows to 1 s while no member responds and ends with the first response.

--- a/controlclient/reconnect.go
+++ b/controlclient/reconnect.go
@@ -32,6 +32,10 @@
 	unreachable map[string]*unreachableMember
 	// tried holds the members tried since beginPass, so that each one gets its turn.
 	tried map[string]bool
+	// refreshAt is when the members may be asked for the members again. The delay grows while none responds: passes begin
+	// whenever the delay of any member ends, and each refresh asks all of them.
+	refreshAt    time.Time
+	refreshDelay *backoff.ExponentialBackOff
 }
 
 // unreachableMember is a member that sent nothing in its last session. It is not tried before the time until.
@@ -41,7 +45,16 @@
 }
 
 func newReconnects() *reconnects {
-	return &reconnects{delay: newReconnectDelay(), unreachable: map[string]*unreachableMember{}, tried: map[string]bool{}}
+	return &reconnects{delay: newReconnectDelay(), unreachable: map[string]*unreachableMember{}, tried: map[string]bool{}, refreshDelay: newReconnectDelay()}
+}
+
+// refreshed records a refresh of the members, and whether any member responded.
+func (r *reconnects) refreshed(responded bool, now time.Time) {
+	if responded {
+		r.refreshDelay.Reset()
+		return
+	}
+	r.refreshAt = now.Add(r.refreshDelay.NextBackOff())
 }
 
 // beginPass makes all members eligible again, except for those that are known to be silent.
--- a/controlclient/watcher.go
+++ b/controlclient/watcher.go
@@ -300,12 +300,12 @@
 	tasks.Go(func() { supervise.Loop(ctx, w.options.Log, "watch of other control members", func() { w.assist(ctx) }) })
 	tasks.Go(func() { supervise.Loop(ctx, w.options.Log, "members of control", func() { w.followMembers(ctx) }) })
 	reconnects := newReconnects()
-	reconnects.beginPass(w.refreshMembers(ctx))
+	w.beginPass(ctx, reconnects)
 	for ctx.Err() == nil {
 		address, wait := reconnects.next(w.sessionOrder(), time.Now())
 		if address == "" {
 			sleep(ctx, max(wait, minReconnectDelay))
-			reconnects.beginPass(w.refreshMembers(ctx))
+			w.beginPass(ctx, reconnects)
 			continue
 		}
 		started := time.Now()
@@ -319,6 +319,17 @@
 	}
 }
 
+// beginPass refreshes the members if that is due, and makes them eligible again.
+func (w *Watcher) beginPass(ctx context.Context, r *reconnects) {
+	if time.Now().Before(r.refreshAt) {
+		r.beginPass(nil)
+		return
+	}
+	silent, responded := w.refreshMembers(ctx)
+	r.refreshed(responded, time.Now())
+	r.beginPass(silent)
+}
+
 // sessionOrder returns the members in the order in which sessions try them: a member that is known to answer first. A process behind two
 // silent members would have no time left for the third one before its set is stale.
 func (w *Watcher) sessionOrder() []string {
@@ -330,8 +341,8 @@
 }
 
 // refreshMembers updates the members and the leader from the first member that responds. It returns the members that were asked before
-// and did not respond. Each of these delays it by silenceLimit only.
-func (w *Watcher) refreshMembers(ctx context.Context) (silent []string) {
+// and did not respond, and whether any responded. Each of these delays it by silenceLimit only.
+func (w *Watcher) refreshMembers(ctx context.Context) (silent []string, responded bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	var asking sync.WaitGroup
 	defer asking.Wait()
@@ -356,16 +367,16 @@
 		}
 		select {
 		case <-ctx.Done():
-			return nil
+			return nil, false
 		case r := <-results:
 			if r.err == nil {
-				return slices.DeleteFunc(order[:asked], func(address string) bool { return address == r.address })
+				return slices.DeleteFunc(order[:asked], func(address string) bool { return address == r.address }), true
 			}
 			responses++
 		case <-patience.C:
 		}
 	}
-	return nil
+	return nil, false
 }
 
 // followMembers refreshes the members now and then until the context ends. Else a process whose session lasts while all members are
