--- /dev/null
+++ b/replica/lowroom_test.go
@@ -0,0 +1,111 @@
+package replica
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabishunt/wasabishunt/failure"
+)
+
+// Guards against a group that cannot be read while others take the room of the next snapshot on all disks: each leader that refuses commands hands
+// over, and the followers wait with the first entry of the next one, which has no data, until others free room.
+func TestLowRoomOnAllDisksLeavesReads(t *testing.T) {
+	t.Parallel()
+	disks := map[uint64]sharedDisk{1: newSharedDisk(4 * smallDiskBytes), 2: newSharedDisk(4 * smallDiskBytes), 3: newSharedDisk(4 * smallDiskBytes)}
+	g := newGroup(t, 3, func(o *Options) {
+		o.FS, o.StateMachine, o.SnapshotEvery = disks[o.ID], largeMachine{o.StateMachine.(*register)}, 10
+	})
+	for value := uint64(1); value <= 25; value++ {
+		g.write(value, failoverLimit)
+	}
+	var proposed, refused int
+	for end := time.Now().Add(2*handOverInterval + 2*time.Second); time.Now().Before(end); {
+		for id, disk := range disks {
+			// Enough for votes and entries without data, too little for a snapshot of ninthBytes.
+			disk.leave(min(int(disk.left.Load()), disk.Used()+roomReserve/2))
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			proposed++
+			if _, err := g.members[id].Propose(ctx, set(100)); err != nil {
+				refused++
+			}
+			cancel()
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Logf("%d of %d commands refused", refused, proposed)
+	require.Positive(t, refused)
+	for id, p := range g.members {
+		s := p.Status()
+		t.Logf("member %d: %s of term %d, leader %d, waits %v, applied %d, commit %d, last %d", id, s.Role, s.Term, s.Leader, p.WaitsForRoom(), s.Applied, s.Commit, s.LastIndex)
+	}
+	require.Eventually(t, func() bool {
+		for _, p := range g.members {
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			err := p.ReadBarrier(ctx)
+			cancel()
+			if err == nil {
+				return true
+			}
+		}
+		return false
+	}, failoverLimit, time.Millisecond, "no member can be read")
+}
+
+// Guards against a group that cannot be read because the followers wait without end with a command of their leader, whose disk has more room.
+func TestLowRoomOfFollowersLeavesReads(t *testing.T) {
+	t.Parallel()
+	disks := map[uint64]sharedDisk{1: newSharedDisk(4 * smallDiskBytes), 2: newSharedDisk(4 * smallDiskBytes), 3: newSharedDisk(4 * smallDiskBytes)}
+	g := newGroup(t, 3, func(o *Options) {
+		o.FS, o.StateMachine, o.SnapshotEvery = disks[o.ID], largeMachine{o.StateMachine.(*register)}, 10
+	})
+	for value := uint64(1); value <= 25; value++ {
+		g.write(value, failoverLimit)
+	}
+	leader := g.leader()
+	term := leader.Status().Term
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		for id, disk := range disks {
+			if id != leader.options.ID {
+				disk.leave(min(int(disk.left.Load()), disk.Used()+roomReserve/2))
+			}
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		_, _ = leader.Propose(ctx, set(100))
+		cancel()
+	}
+	for id, p := range g.members {
+		s := p.Status()
+		t.Logf("member %d: %s of term %d, leader %d, waits %v, applied %d, commit %d, last %d", id, s.Role, s.Term, s.Leader, p.WaitsForRoom(), s.Applied, s.Commit, s.LastIndex)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), failoverLimit)
+	defer cancel()
+	require.NoError(t, leader.ReadBarrier(ctx))
+	require.Equal(t, term, leader.Status().Term)
+	for _, disk := range disks {
+		disk.leave(4 * smallDiskBytes)
+	}
+	g.write(101, failoverLimit)
+	for _, p := range g.members {
+		g.requireValue(p, 101)
+	}
+}
+
+// Guards against a leadership that changes every few seconds without end, because each member remembers a command that never fits its disk.
+func TestLeadershipStaysAfterACommandThatFitsNoDisk(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t, 2, func(o *Options) { o.FS = newSharedDisk(smallDiskBytes) })
+	leader := g.write(1, failoverLimit)
+	for range 2 {
+		_, err := leader.Propose(t.Context(), make([]byte, smallDiskBytes/2))
+		require.True(t, failure.Is(err, failure.StorageFailed), "%v", err)
+		g.awaitOtherLeader(leader, 2*handOverInterval)
+		leader = g.write(2, failoverLimit)
+	}
+	term := g.highestTerm()
+	for end := time.Now().Add(2 * handOverInterval); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		require.Equal(t, term, g.highestTerm(), "the leadership is handed over although no command is refused")
+	}
+}
