--- a/replica/slowlink_test.go
+++ b/replica/slowlink_test.go
@@ -54,7 +54,7 @@
 	random := rand.New(rand.NewPCG(value, 1))
 	command := set(value)
 	for range count {
-		command = fmt.Appendf(command, `{"name":"r-%08x","hostname":"%06x.example","path-prefix":"/%07x/","kind":"safe","timeout-ms":1500,"attempts":2,"priority":1,"service":"%05x"},`,
+		command = fmt.Appendf(command, `{"name":"r-%08x","host":"%06x.example","prefix":"/%07x/","kind":"safe","timeout-ms":1500,"attempts":2,"priority":1,"service":"%05x"},`,
 			random.Uint32(), random.Uint32N(1<<24), random.Uint32N(1<<28), random.Uint32N(1<<20))
 	}
 	return command
