--- a/replica/replica.go
+++ b/replica/replica.go
@@ -1,9 +1,9 @@
 // Package replica runs one member of a replicated group: it drives the consensus core of package raft with a write-ahead
 // log, snapshots, a transport and a state machine.
 //
-// Goroutines: the loop owns the core and the log, and gives the log to a goroutine that syncs while it keeps contact; the applier owns the state machine; the saver writes snapshots; each
-// peer has one sender. Stop waits for all of them. The goroutines communicate over channels, and all locks are leaf
-// locks, so there is no lock order.
+// Goroutines: the loop owns the core and the log, and lends the log to a goroutine that syncs while the loop keeps contact; the
+// applier owns the state machine; the saver writes snapshots; each peer has one sender. Stop waits for all of them. The
+// goroutines communicate over channels, and all locks are leaf locks, so there is no lock order.
 package replica
 
 import (
