--- a/replica/logbytes_test.go
+++ b/replica/logbytes_test.go
@@ -275,21 +275,5 @@
 // shorten the log yet, and then the second snapshot has no room.
 func TestFollowerWithoutSnapshotsTakesEntriesUpToItsLimit(t *testing.T) {
 	t.Parallel()
-	const count = 60
-	options := Options{ID: 2, Group: "test", Address: "127.0.0.1:1", Dir: "data", FS: simdisk.New(), StateMachine: &register{}, MaxLogBytes: smallDiskBytes / 4}
-	r, err := Start(options)
-	require.NoError(t, err)
-	t.Cleanup(r.Stop)
-	r.snapshotFailed.Store(true)
-	message := &raftpb.Message{Type: raftpb.MessageType_APPEND, Group: "test", From: 1, To: 2, Term: 3}
-	for index := uint64(1); index <= count; index++ {
-		message.Entries = append(message.Entries, &raftpb.Entry{
-			Index: index, Term: 3, Type: raftpb.EntryType_ENTRY_COMMAND, Data: append(set(index), make([]byte, commandBytes)...),
-		})
-	}
-	require.NoError(t, r.receive(inbound{message: message}))
-	require.Eventually(t, func() bool { return r.Status().LastIndex > 0 }, failoverLimit, time.Millisecond)
-	require.Less(t, r.Status().LastIndex, uint64(count))
-	require.False(t, r.WaitsForRoom())
-	require.NoError(t, r.Err())
+	requireTakenInPart(t, Options{FS: simdisk.New(), MaxLogBytes: smallDiskBytes / 4}, func(r *Replica) { r.snapshotFailed.Store(true) })
 }
--- a/replica/room_test.go
+++ b/replica/room_test.go
@@ -93,11 +93,18 @@
 // do and a snapshot would then make room for the others.
 func TestEntriesOfOneMessageAreTakenAsFarAsTheyFit(t *testing.T) {
 	t.Parallel()
+	requireTakenInPart(t, Options{FS: newSharedDisk(smallDiskBytes / 2)}, func(*Replica) {})
+}
+
+// requireTakenInPart sends a member the entries of one message, of which some fit, and checks that it takes these and does not wait.
+func requireTakenInPart(t *testing.T, options Options, prepare func(r *Replica)) {
+	t.Helper()
 	const count = 60
-	options := Options{ID: 2, Group: "test", Address: "127.0.0.1:1", Dir: "data", FS: newSharedDisk(smallDiskBytes / 2), StateMachine: &register{}}
+	options.ID, options.Group, options.Address, options.Dir, options.StateMachine = 2, "test", "127.0.0.1:1", "data", &register{}
 	r, err := Start(options)
 	require.NoError(t, err)
 	t.Cleanup(r.Stop)
+	prepare(r)
 	message := &raftpb.Message{Type: raftpb.MessageType_APPEND, Group: "test", From: 1, To: 2, Term: 3}
 	for index := uint64(1); index <= count; index++ {
 		message.Entries = append(message.Entries, &raftpb.Entry{
