--- a/replica/lowroom_test.go
+++ b/replica/lowroom_test.go
@@ -10,10 +10,8 @@
 	"github.com/wasabishunt/wasabishunt/failure"
 )
 
-// Guards against a group that cannot be read while others take the room of the next snapshot on all disks: each leader that refuses commands hands
-// over, and the followers wait with the first entry of the next one, which has no data, until others free room.
-func TestLowRoomOnAllDisksLeavesReads(t *testing.T) {
-	t.Parallel()
+// newSharedDiskGroup returns a group that has taken snapshots, on disks that others may fill.
+func newSharedDiskGroup(t *testing.T) (*group, map[uint64]sharedDisk) {
 	disks := map[uint64]sharedDisk{1: newSharedDisk(4 * smallDiskBytes), 2: newSharedDisk(4 * smallDiskBytes), 3: newSharedDisk(4 * smallDiskBytes)}
 	g := newGroup(t, 3, func(o *Options) {
 		o.FS, o.StateMachine, o.SnapshotEvery = disks[o.ID], largeMachine{o.StateMachine.(*register)}, 10
@@ -21,6 +19,14 @@
 	for value := uint64(1); value <= 25; value++ {
 		g.write(value, failoverLimit)
 	}
+	return g, disks
+}
+
+// Guards against a group that cannot be read while others take the room of the next snapshot on all disks: each leader that refuses commands hands
+// over, and the followers wait with the first entry of the next one, which has no data, until others free room.
+func TestLowRoomOnAllDisksLeavesReads(t *testing.T) {
+	t.Parallel()
+	g, disks := newSharedDiskGroup(t)
 	var proposed, refused int
 	for end := time.Now().Add(2*handOverInterval + 2*time.Second); time.Now().Before(end); {
 		for id, disk := range disks {
@@ -57,13 +63,7 @@
 // Guards against a group that cannot be read because the followers wait without end with a command of their leader, whose disk has more room.
 func TestLowRoomOfFollowersLeavesReads(t *testing.T) {
 	t.Parallel()
-	disks := map[uint64]sharedDisk{1: newSharedDisk(4 * smallDiskBytes), 2: newSharedDisk(4 * smallDiskBytes), 3: newSharedDisk(4 * smallDiskBytes)}
-	g := newGroup(t, 3, func(o *Options) {
-		o.FS, o.StateMachine, o.SnapshotEvery = disks[o.ID], largeMachine{o.StateMachine.(*register)}, 10
-	})
-	for value := uint64(1); value <= 25; value++ {
-		g.write(value, failoverLimit)
-	}
+	g, disks := newSharedDiskGroup(t)
 	leader := g.leader()
 	term := leader.Status().Term
 	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
