--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -152,7 +152,10 @@
 	o := c.gateway.options
 	view := o.Directory.View()
 	o.Tracker.Sync(view)
-	q := &placement.Request{Zone: o.AvailabilityZone, Seed: c.attributes.ID, Exclude: exclude, Urgency: c.urgency()}
+	q := &placement.Request{
+		Zone: o.AvailabilityZone, Seed: c.attributes.ID, Exclude: exclude, Urgency: c.urgency(), Target: c.route.FirstByteTarget, GapTarget: c.route.EventGapTarget,
+		SeparatesLong: true,
+	}
 	g := c.attributes.Generation
 	if g != nil && c.service.Engine != nil {
 		c.describePrompt(q)
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -39,6 +39,9 @@
 	// time of one token over an engine's link, 0 if engines don't fetch from each other.
 	Held          []StoredPart
 	TokenTransfer time.Duration
+	// SeparatesLong is set if long prompts go to engines of their own, within Target and GapTarget of the request.
+	SeparatesLong     bool
+	Target, GapTarget time.Duration
 }
 
 // StoredPart is a part of a prompt in a store.
@@ -72,6 +75,10 @@
 	// Requests, PrefillTokens and HeldTokens count the work in progress from this node, and from the others as last
 	// reported.
 	Requests, PrefillTokens, HeldTokens int
+	// LongTokens is the part of PrefillTokens that belongs to long prompts. OtherPool is set if the engine belongs to the pool for prompts of the
+	// other length.
+	LongTokens int
+	OtherPool  bool
 	// AheadTokens is the part of PrefillTokens that the engine reads before the request. MemoryShare is the share of
 	// the requests waiting for memory that get memory before it.
 	AheadTokens int
@@ -144,6 +151,9 @@
 // sampleSize is the mean number of engines that one request considers, besides those that hold its prompt.
 const sampleSize = 8
 
+// otherPoolSample is the mean number of engines of the other pool that a request considers.
+const otherPoolSample = 3
+
 // sampleCandidates returns a random sample of the engines, with those that hold the prompt or are its homes. Nodes
 // learn of each other's requests up to 0.15 s later; if all considered all engines, they would send all requests of
 // that time to the one that looks idle.
@@ -151,10 +161,19 @@
 	if q.CacheTokens == 0 || len(candidates) <= sampleSize {
 		return candidates
 	}
-	share := float64(sampleSize) / float64(len(candidates))
+	own := 0
+	for i := range candidates {
+		if !candidates[i].OtherPool {
+			own++
+		}
+	}
 	kept := make([]Candidate, 0, 2*sampleSize)
 	for i := range candidates {
 		c := &candidates[i]
+		share := sampleSize / float64(max(1, own))
+		if c.OtherPool {
+			share = otherPoolSample / float64(len(candidates)-own)
+		}
 		holds := c.homePosition > 0 || len(q.Parts) > 1 && c.CachedParts >= len(q.shared())
 		if holds || float64(rendezvousScore(q.Seed, c.Instance.ID)) < share*math.MaxUint64 {
 			kept = append(kept, *c)
@@ -325,12 +344,35 @@
 	if !c.SameZone {
 		cost += zoneCostMs
 	}
+	cost += poolCost(q, c)
 	if c.homePosition > 0 && (len(r.Transfers) > 0 || r.EngineTransfer > 0 || r.SharedTokens > 0) {
 		cost -= homeBonusMs / float64(c.homePosition)
 	}
 	return cost
 }
 
+// overflowShare is the share of a request's target that it waits longer in its own pool before it goes to the other one.
+const overflowShare = 0.25
+
+// poolCost is the cost of an engine of the pool for prompts of the other length, and, for a short prompt, of the pause that the long prompts at the
+// engine cause in its stream.
+func poolCost(q *Request, c *Candidate) float64 {
+	if !q.SeparatesLong {
+		return 0
+	}
+	cost := 0.0
+	if c.OtherPool {
+		cost += overflowShare * toMs(q.Target)
+	}
+	if !q.Urgency.isLong() && q.GapTarget > 0 {
+		cost += float64(c.LongTokens) / max(1, c.ReadRate) * stallWeight
+	}
+	return cost
+}
+
+// stallWeight is the cost of a pause in a stream relative to the same time before its first event.
+const stallWeight = 0.3
+
 // rendezvousScore orders engines for a prompt in the same way on all nodes: by rendezvous hashing of its longest
 // shared part.
 func rendezvousScore(part, instance string) uint64 {
@@ -348,7 +390,7 @@
 	var top [homeCount]int
 	found := 0
 	for i := range candidates {
-		if candidates[i].Ejected || candidates[i].Instance.Draining || zone != "" && candidates[i].Instance.AvailabilityZone != zone {
+		if candidates[i].Ejected || candidates[i].Instance.Draining || candidates[i].OtherPool || zone != "" && candidates[i].Instance.AvailabilityZone != zone {
 			continue
 		}
 		score := rendezvousScore(document, candidates[i].Instance.ID)
@@ -376,7 +418,7 @@
 	}
 	zone := q.Stored[len(q.Stored)-1].AvailabilityZone
 	for i := range candidates {
-		if candidates[i].Instance.AvailabilityZone == zone && !candidates[i].Ejected && !candidates[i].Instance.Draining {
+		if candidates[i].Instance.AvailabilityZone == zone && !candidates[i].OtherPool && !candidates[i].Ejected && !candidates[i].Instance.Draining {
 			return zone
 		}
 	}
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/wasabishunt/wasabishunt/serving/prefillpool"
 	"github.com/wasabishunt/wasabishunt/upstreams"
 )
 
@@ -101,6 +102,8 @@
 	uses       partUses
 	// priorities covers the requests that this node sends.
 	priorities priorities
+	// longDemand is the demand for long prompts by service.
+	longDemand map[string]*prefillpool.Demand
 }
 
 // NewTracker returns an empty Tracker.
@@ -109,7 +112,7 @@
 		instances: map[upstreams.Key]*instanceState{}, byHash: map[uint32]*instanceState{}, links: newLinks(), peers: newLoadSources(), zones: newLoadSources(),
 		lastDigest: digestState{instances: map[uint32]usage{}, transfers: map[uint32]time.Duration{}},
 		rate:       readRate{tokensPerMs: initialReadRate}, runTimes: newRunTimes(), uses: newPartUses(),
-		leaving: newLeavingNews(), pauses: pauses{},
+		leaving: newLeavingNews(), pauses: pauses{}, longDemand: map[string]*prefillpool.Demand{},
 	}
 }
 
@@ -199,6 +202,9 @@
 	s.prefillTokens += work.PrefillTokens
 	if work.Urgency.isLong() {
 		s.longTokens += work.PrefillTokens
+		if d := t.longDemand[instance.Service]; d != nil {
+			d.RecordPrompt(work.PrefillTokens)
+		}
 	}
 	t.priorities.record(work.Urgency, work.PrefillTokens)
 	s.heldTokens += work.HeldTokens
@@ -319,7 +325,7 @@
 		others := t.others(instance.ID)
 		c := Candidate{
 			Instance: instance, Requests: s.requests + others.requests, PrefillTokens: s.prefillTokens + others.prefillTokens,
-			HeldTokens:  s.heldTokens + others.heldTokens,
+			HeldTokens: s.heldTokens + others.heldTokens, LongTokens: s.longTokens + others.longTokens,
 			AheadTokens: t.priorities.aheadTokens(q.Urgency, s.prefillTokens+others.prefillTokens, s.longTokens+others.longTokens),
 			MemoryShare: memoryShare, ReadRate: t.rate.tokensPerMs,
 			FailureShare: s.failureShare, Ejected: now.Before(s.ejectedUntil), Avoided: now.Before(s.avoidedUntil), Replaced: s.replaced,
@@ -337,9 +343,38 @@
 		}
 		out = append(out, c)
 	}
+	if q.SeparatesLong {
+		t.markPool(q, out, now)
+	}
 	return out
 }
 
+// markPool marks the engines that read long prompts. The caller holds the lock.
+func (t *Tracker) markPool(q *Request, candidates []Candidate, now time.Time) {
+	if len(candidates) == 0 {
+		return
+	}
+	service := candidates[0].Instance.Service
+	d := t.longDemand[service]
+	if d == nil {
+		d = &prefillpool.Demand{}
+		t.longDemand[service] = d
+	}
+	tokens := 0
+	for i := range candidates {
+		tokens += candidates[i].LongTokens
+	}
+	d.Observe(tokens, now)
+	share := d.Share(len(candidates))
+	if share == 0 {
+		return
+	}
+	for i := range candidates {
+		c := &candidates[i]
+		c.OtherPool = (prefillpool.Position(service, c.Instance.ID) < share) != q.Urgency.isLong()
+	}
+}
+
 // Version returns the last known weight version of an instance, 0 if there is none.
 func (t *Tracker) Version(instance *upstreams.Instance, model string) uint64 {
 	t.mu.Lock()
