--- a/placement/pick.go
+++ b/placement/pick.go
@@ -352,7 +352,7 @@
 }
 
 // overflowShare is the share of a request's target that it waits longer in its own pool before it goes to the other one.
-const overflowShare = 0.25
+const overflowShare = 0.6
 
 // poolCost is the cost of an engine of the pool for prompts of the other length, and, for a short prompt, of the pause that the long prompts at the
 // engine cause in its stream.
--- a/serving/prefillpool/prefillpool.go
+++ b/serving/prefillpool/prefillpool.go
@@ -19,8 +19,10 @@
 	targetUtilization = 0.5
 	// maxShare leaves engines to short prompts at any demand.
 	maxShare = 0.75
-	// demandTime is the time constant of the demand. It is above the duration of single prompts and below that of a flood.
-	demandTime = 2 * time.Second
+	// riseTime and fallTime are the time constants of a growing and of a falling demand. A short stream runs for seconds: it must not begin at an
+	// engine that long prompts need soon.
+	riseTime = 300 * time.Millisecond
+	fallTime = 6 * time.Second
 	// sizeWeight is the weight of one prompt in the learned size.
 	sizeWeight = 0.01
 )
@@ -61,7 +63,11 @@
 		d.busy, d.at = busy, now
 		return
 	}
-	d.busy += (busy - d.busy) * -math.Expm1(-float64(now.Sub(d.at))/float64(demandTime))
+	constant := riseTime
+	if busy < d.busy {
+		constant = fallTime
+	}
+	d.busy += (busy - d.busy) * -math.Expm1(-float64(now.Sub(d.at))/float64(constant))
 	d.at = now
 }
 
