--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -360,12 +360,13 @@
 		d = &prefillpool.Demand{}
 		t.longDemand[service] = d
 	}
-	tokens := 0
+	tokens, requests := 0, 0
 	for i := range candidates {
 		tokens += candidates[i].LongTokens
+		requests += candidates[i].Requests
 	}
-	d.Observe(tokens, now)
-	share := d.Share(len(candidates))
+	d.Observe(tokens, requests, candidates[0].Instance.Slots, now)
+	share := d.Share()
 	if share == 0 {
 		return
 	}
--- a/serving/prefillpool/prefillpool.go
+++ b/serving/prefillpool/prefillpool.go
@@ -14,13 +14,15 @@
 )
 
 const (
-	// targetUtilization is the share of their time that the engines of the pool read prompts. Nodes learn of each other's prompts up to 0.3 s
-	// late, so several prompts meet at one engine although others are idle.
-	targetUtilization = 0.5
+	// readingShare is the share of their time that the engines of the pool read prompts, and runningShare the share of the places of the other
+	// engines that are taken, if there are engines enough. Nodes learn of each other's prompts up to 0.3 s late, so several prompts meet at one
+	// engine although others are idle.
+	readingShare = 0.6
+	runningShare = 0.5
 	// maxShare leaves engines to short prompts at any demand.
-	maxShare = 0.75
-	// riseTime and fallTime are the time constants of a growing and of a falling demand. A short stream runs for seconds: it must not begin at an
-	// engine that long prompts need soon.
+	maxShare = 0.85
+	// riseTime and fallTime are the time constants of a growing and of a falling demand. A stream runs for seconds: it must not begin at an engine
+	// that long prompts need soon.
 	riseTime = 300 * time.Millisecond
 	fallTime = 6 * time.Second
 	// sizeWeight is the weight of one prompt in the learned size.
@@ -32,13 +34,13 @@
 	return float64(xxhash.Sum64String(service+"\x00"+instance)>>11) / (1 << 53)
 }
 
-// Demand estimates how many engines of a service the long prompts keep busy.
+// Demand estimates how many engines of a service long prompts and the other requests need.
 type Demand struct {
 	// size and square are moving means of the tokens that long prompts have to be read, and of their squares.
 	size, square float64
-	// busy is the smoothed number of busy engines, at the time at.
-	busy float64
-	at   time.Time
+	// long and other are the smoothed numbers of engines that are needed, at the time at.
+	long, other float64
+	at          time.Time
 }
 
 // RecordPrompt records a long prompt of which an engine has to read some tokens.
@@ -52,29 +54,37 @@
 	d.square += sizeWeight * (t*t - d.square)
 }
 
-// Observe records the tokens of all long prompts that are waiting or being read at all engines. By Little's law the mean of these tokens is the number
-// of busy engines times the mean size of the prompts, weighted by their size.
-func (d *Demand) Observe(tokens int, now time.Time) {
-	if d.square == 0 {
+// Observe records what is in progress at all engines: the tokens of the long prompts that wait or are being read, the number of requests, and the
+// places of one engine. By Little's law the mean of the tokens is the number of engines that read long prompts, times the mean size of the prompts
+// weighted by their size.
+func (d *Demand) Observe(longTokens, requests, slots int, now time.Time) {
+	if d.square == 0 || slots <= 0 {
 		return
 	}
-	busy := float64(tokens) * d.size / d.square
+	prompts := float64(longTokens) / d.size
+	reading := prompts * d.size * d.size / d.square
+	elapsed := now.Sub(d.at)
 	if d.at.IsZero() {
-		d.busy, d.at = busy, now
-		return
+		elapsed = riseTime
 	}
+	d.at = now
+	d.long = follow(d.long, reading/readingShare, elapsed)
+	d.other = follow(d.other, max(0, float64(requests)-prompts)/(runningShare*float64(slots)), elapsed)
+}
+
+// follow moves a smoothed value towards a new one.
+func follow(value, next float64, elapsed time.Duration) float64 {
 	constant := riseTime
-	if busy < d.busy {
+	if next < value {
 		constant = fallTime
 	}
-	d.busy += (busy - d.busy) * -math.Expm1(-float64(now.Sub(d.at))/float64(constant))
-	d.at = now
+	return value - (next-value)*math.Expm1(-float64(elapsed)/float64(constant))
 }
 
 // Share returns the share of the engines that read long prompts; 0 if there are no such prompts.
-func (d *Demand) Share(engines int) float64 {
-	if engines == 0 {
+func (d *Demand) Share() float64 {
+	if d.long == 0 {
 		return 0
 	}
-	return min(maxShare, d.busy/targetUtilization/float64(engines))
+	return min(maxShare, d.long/(d.long+d.other))
 }
