--- a/serving/prefillpool/prefillpool.go
+++ b/serving/prefillpool/prefillpool.go
@@ -18,7 +18,7 @@
 	// engines that are taken, if there are engines enough. Nodes learn of each other's prompts up to 0.3 s late, so several prompts meet at one
 	// engine although others are idle.
 	readingShare = 0.6
-	runningShare = 0.5
+	runningShare = 0.35
 	// maxShare leaves engines to short prompts at any demand.
 	maxShare = 0.85
 	// riseTime and fallTime are the time constants of a growing and of a falling demand. A stream runs for seconds: it must not begin at an engine
