node, coregroup, gateway: evacuation of availability zones

Operators could take a single instance out of service only at the instance itself, and a zone not at all.

The core group keeps the evacuated zones with a revision (command SetEvacuation), members send both in each WatchUpdate, and nodes replace their list only by one with a higher revision. A node is ready only after a fresh update. placement has a required filter and leaves engines in evacuated zones out of homes and of sources for fetches; gateway checks again just before the send, also for moves, and refuses requests of a service without another zone at once as not run, naming the zones. The operators' interface has POST /Evacuations.Start/ZONE and /Evacuations.End/ZONE; settings [zones] and bounds.evacuate-ms are read.

Tests: coregroup 73 s, fleetview 52 s, node 57 s, gateway 67 s, platform, placement, serving/evacuation, internal/docscheck pass, with a load average of 20 to 37 on the machine. The check of a send takes no allocation (BenchmarkContains).

--- a/cmd/wasabishunt-node/main.go
+++ b/cmd/wasabishunt-node/main.go
@@ -118,8 +118,8 @@
 		if err != nil {
 			return nil, err
 		}
-		parts.Operators = func(group *coregroup.Group) (*http.Server, net.Listener) {
-			operator := &platform.Operator{Group: group, ControlPort: settings.ControlPort, Log: log}
+		parts.Operators = func(group *coregroup.Group, setEvacuation func(ctx context.Context, zone string, evacuated bool) error) (*http.Server, net.Listener) {
+			operator := &platform.Operator{Group: group, SetEvacuation: setEvacuation, ControlPort: settings.ControlPort, Log: log}
 			return operator.Server(), listener
 		}
 	}
@@ -147,6 +147,7 @@
 			log.Error("changed settings cannot be used", zap.Error(err))
 			continue
 		}
+		process.SetZones(settings.Node.Zones)
 		if signaled || !slices.Equal(settings.Node.Seeds, process.Seeds()) {
 			process.SetSeeds(settings.Node.Seeds)
 			log.Info("settings read again", zap.Strings("seeds", settings.Node.Seeds))
--- a/coregroup/machine.go
+++ b/coregroup/machine.go
@@ -1,5 +1,5 @@
-// Package coregroup runs the replicated group that stores what operators publish: object sets and the current weight
-// version of each model.
+// Package coregroup runs the replicated group that stores what operators publish: object sets, the current weight
+// version of each model and the evacuated availability zones.
 package coregroup
 
 import (
@@ -11,7 +11,8 @@
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
 )
 
-// machine is the state machine of the group. It keeps the highest version of the object set and of each model's weights.
+// machine is the state machine of the group. It keeps the highest version of the object set and of each model's weights, and the evacuated
+// availability zones.
 // machine.mu is a leaf lock: no other lock is acquired while it is held.
 type machine struct {
 	mu    sync.RWMutex
@@ -35,6 +36,7 @@
 	// The state is replaced and never changed in place, because readers and snapshots may hold the old one.
 	next := &nodepb.State{
 		SetVersion: m.state.GetSetVersion(), Document: m.state.GetDocument(), Weights: m.state.GetWeights(), Formed: m.state.GetFormed(),
+		EvacuationsRevision: m.state.GetEvacuationsRevision(), EvacuatedZones: m.state.GetEvacuatedZones(), EvacuationCalls: m.state.GetEvacuationCalls(),
 	}
 	if !apply(next, command) {
 		return &nodepb.Result{}
@@ -57,6 +59,8 @@
 		changed = !next.GetFormed()
 		next.Formed = true
 		return changed
+	case *nodepb.Command_SetEvacuation:
+		return setEvacuation(next, change.SetEvacuation)
 	}
 	return false
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -152,7 +152,7 @@
 	o := c.gateway.options
 	view := o.Directory.View()
 	o.Tracker.Sync(view)
-	q := &placement.Request{Zone: o.AvailabilityZone, Seed: c.attributes.ID, Exclude: exclude, Urgency: c.urgency()}
+	q := &placement.Request{Zone: o.AvailabilityZone, Seed: c.attributes.ID, Exclude: exclude, Urgency: c.urgency(), Evacuated: c.evacuations().Zones()}
 	g := c.attributes.Generation
 	if g != nil && c.service.Engine != nil {
 		c.describePrompt(q)
@@ -232,6 +232,10 @@
 			return result{notRun: true, err: unreachable(err)}
 		}
 	}
+	if c.isEvacuated(instance) {
+		conn.PutBack()
+		return c.withdrawnEvacuated(instance)
+	}
 	if !c.takesRequests(instance) {
 		conn.Close()
 		return withdrawn(instance, upstreamRetryAfter)
@@ -240,6 +244,12 @@
 		conn.PutBack()
 		return withdrawn(instance, wait)
 	}
+	// Another node may have been asked for the permit, which takes a while.
+	if c.isEvacuated(instance) {
+		conn.PutBack()
+		return c.withdrawnEvacuated(instance)
+	}
+	c.dropEvacuatedSources(chosen)
 	out := c.outbound(chosen)
 	attempt := o.Tracker.Begin(instance, work)
 	c.sends++
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/wasabishunt/wasabishunt/placement"
 	"github.com/wasabishunt/wasabishunt/quarantine"
 	"github.com/wasabishunt/wasabishunt/retrybudget"
+	"github.com/wasabishunt/wasabishunt/serving/evacuation"
 	"github.com/wasabishunt/wasabishunt/supervise"
 	"github.com/wasabishunt/wasabishunt/trafficset"
 	"github.com/wasabishunt/wasabishunt/upstreamconn"
@@ -139,6 +140,8 @@
 	Quarantine *quarantine.List
 	// Limiter keeps the limits that instances name; nil if they name none.
 	Limiter *upstreamlimit.Limiter
+	// Evacuations returns the list of evacuated zones, nil if there is none; nil if zones are never evacuated.
+	Evacuations func() *evacuation.List
 	// AnswerBytes limits an answer that is not a stream, EventBytes a single event of a stream.
 	AnswerBytes int64
 	EventBytes  int
--- a/gateway/pause.go
+++ b/gateway/pause.go
@@ -32,23 +32,34 @@
 		zap.Duration("pause", pause))
 }
 
+// boundedAdvice returns the retry advice for a pause, given how long the caller waits.
+func boundedAdvice(pauseLeft, timeLeft time.Duration) time.Duration {
+	honoured := time.Duration(adviceShare * float64(timeLeft))
+	return max(adviceStep, min(pauseLeft, maxPauseAdvice, honoured)+adviceStep-1).Truncate(adviceStep)
+}
+
 // noInstance returns the error of a request that no instance can take, or that enough of them have rejected. pauseLeft is the
 // time until a paused instance takes requests again, 0 if none is paused. The request does not wait for that: the caller can
 // try another node meanwhile, and requests that wait here would all reach the instance at once.
 func (c *call) noInstance(last error, pauseLeft time.Duration) error {
 	advice := upstreamRetryAfter
 	if pauseLeft > 0 {
-		honoured := time.Duration(adviceShare * float64(time.Until(c.deadline)))
-		advice = max(adviceStep, min(pauseLeft, maxPauseAdvice, honoured)+adviceStep-1).Truncate(adviceStep)
+		advice = boundedAdvice(pauseLeft, time.Until(c.deadline))
 	}
 	var e *failure.Error
+	if last != nil && (!errors.As(last, &e) || e.RetryAfter == 0) {
+		return last
+	}
+	if pauseLeft == 0 {
+		if evacuated := c.evacuatedError(last); evacuated != nil {
+			return evacuated
+		}
+	}
 	switch {
 	case last == nil && pauseLeft > 0:
 		e = failure.New(failure.NoUpstream, failure.NotRun, "all instances of service %s refuse requests for %v", c.service.Name, pauseLeft.Round(time.Millisecond))
 	case last == nil:
 		e = failure.New(failure.NoUpstream, failure.NotRun, "no instance of service %s can take the request", c.service.Name)
-	case !errors.As(last, &e) || e.RetryAfter == 0:
-		return last
 	}
 	e.RetryAfter = advice
 	return e
--- a/node/adopt.go
+++ b/node/adopt.go
@@ -68,6 +68,7 @@
 func (n *Node) applyUpdate(from string, u *nodepb.WatchUpdate) {
 	n.updateMu.Lock()
 	defer n.updateMu.Unlock()
+	n.applyEvacuations(from, u, time.Now())
 	n.lag.announce(u.GetSetVersion(), time.Now())
 	n.recordLag()
 	n.applyWeights(u.GetWeights())
@@ -121,10 +122,11 @@
 	return -1
 }
 
-// checkSynced confirms the set once it is at least as new as the one that a core member had that was sure to be current.
+// checkSynced confirms the set once it is at least as new as the one that a core member had that was sure to be current, and such a member has
+// sent the evacuated zones.
 func (n *Node) checkSynced(from string) {
 	set := n.set.Load()
-	if n.synced.Load() || set == nil || n.currentVersion == 0 || set.Version < n.currentVersion {
+	if n.synced.Load() || set == nil || n.currentVersion == 0 || set.Version < n.currentVersion || n.evacuationsConfirmed.Load() == nil {
 		return
 	}
 	n.synced.Store(true)
--- a/node/node.go
+++ b/node/node.go
@@ -34,6 +34,7 @@
 	"github.com/wasabishunt/wasabishunt/rollout"
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
 	"github.com/wasabishunt/wasabishunt/rpcpool"
+	"github.com/wasabishunt/wasabishunt/serving/evacuation"
 	"github.com/wasabishunt/wasabishunt/supervise"
 	"github.com/wasabishunt/wasabishunt/trafficset"
 	"github.com/wasabishunt/wasabishunt/upstreamconn"
@@ -74,6 +75,10 @@
 	SetsWithin time.Duration
 	// WeightsWithin is the time after which requests must not start on weights older than those that operators named.
 	WeightsWithin time.Duration
+	// Zones are the availability zones that the settings name.
+	Zones []string
+	// EvacuateWithin is the time after its acknowledgement from which no request may reach an instance in an evacuated zone.
+	EvacuateWithin time.Duration
 	// HolderLease is the time that a new leader waits before it sends orders to engines, so that no earlier one still
 	// sends any.
 	HolderLease time.Duration
@@ -93,8 +98,9 @@
 	Stores    kvstores.Client
 	Engines   rollout.Client
 	DecodeSet func(document []byte) (*trafficset.Set, error)
-	// Operators returns the operators' HTTP server and its listener; nil on a node without them.
-	Operators func(group *coregroup.Group) (*http.Server, net.Listener)
+	// Operators returns the operators' HTTP server and its listener; nil on a node without them. The server calls setEvacuation to start or end
+	// the evacuation of a zone.
+	Operators func(group *coregroup.Group, setEvacuation func(ctx context.Context, zone string, evacuated bool) error) (*http.Server, net.Listener)
 }
 
 // Node is one process.
@@ -107,8 +113,14 @@
 	seeds   atomic.Pointer[[]string]
 	set     atomic.Pointer[trafficset.Set]
 	weights atomic.Pointer[map[string]namedWeights]
-	nodes   atomic.Int64
-	synced  atomic.Bool
+	// evacuations is nil until a list arrives; evacuationsConfirmed is when a fresh update last arrived, nil before the first one. Both are
+	// written with updateMu held.
+	evacuations          atomic.Pointer[evacuation.List]
+	evacuationsConfirmed atomic.Pointer[time.Time]
+	// zones are those of the settings.
+	zones  atomic.Pointer[[]string]
+	nodes  atomic.Int64
+	synced atomic.Bool
 	// confirmed is closed when synced is set.
 	confirmed chan struct{}
 	stopping  atomic.Bool
@@ -155,6 +167,7 @@
 func New(config Config, parts Parts, log *zap.Logger, registry gometrics.Registry) *Node {
 	n := &Node{config: config, parts: parts, log: log, metrics: registry, confirmed: make(chan struct{}), directory: upstreams.NewDirectory(), placement: fleetview.NewPlacements()}
 	n.SetSeeds(config.Seeds)
+	n.SetZones(config.Zones)
 	n.nodes.Store(initialNodes)
 	n.weights.Store(&map[string]namedWeights{})
 	n.group = coregroup.New(coregroup.Options{
@@ -183,13 +196,15 @@
 	})
 	n.gateway = gateway.New(gateway.Options{
 		AvailabilityZone: config.AvailabilityZone, Dialect: parts.Dialect, Sets: n, Directory: n.directory, Tracker: n.tracker, Stores: n.stores, Quarantine: suspects,
-		Limiter: n.limiter,
-		Pool:    upstreamconn.NewPool(upstreamconn.Options{MaxHeadBytes: config.UpstreamLimits.HeadBytes}), Budget: n.budget,
+		Limiter: n.limiter, Evacuations: n.Evacuations,
+		Pool: upstreamconn.NewPool(upstreamconn.Options{MaxHeadBytes: config.UpstreamLimits.HeadBytes}), Budget: n.budget,
 		AnswerBytes: config.UpstreamLimits.AnswerBytes, EventBytes: config.UpstreamLimits.EventBytes,
 		Memory: bodyMemory(config.MemoryBytes),
 		Nodes:  func() int { return int(n.nodes.Load()) }, Log: log, Metrics: registry,
 	})
 	_ = registry.Register("node.instance_list_age_ms", gometrics.NewFunctionalGauge(n.listAgeMs))
+	_ = registry.Register("node.evacuated_zones", gometrics.NewFunctionalGauge(n.evacuatedZones))
+	_ = registry.Register("node.evacuations_age_ms", gometrics.NewFunctionalGauge(n.evacuationsAgeMs))
 	n.server = &callers.Server{Handler: supervise.HTTP(log, "request", n.gateway), Log: log, Metrics: registry, EndRequests: n.gateway.EndRequests}
 	return n
 }
@@ -338,7 +353,7 @@
 }
 
 func (n *Node) serveOperators(ctx context.Context) {
-	server, listener := n.parts.Operators(n.group)
+	server, listener := n.parts.Operators(n.group, n.SetEvacuation)
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -374,6 +389,8 @@
 		return failure.New(failure.Draining, failure.NotRun, "the node is stopping")
 	case n.set.Load() == nil || !n.synced.Load():
 		return failure.New(failure.StaleSet, failure.NotRun, "the newest published set is not known yet")
+	case n.evacuationsConfirmed.Load() == nil:
+		return failure.New(failure.StaleSet, failure.NotRun, "the evacuated zones are not known yet")
 	case n.Outdated():
 		return failure.New(failure.StaleSet, failure.NotRun, "a newer set should be in force by now and has not arrived")
 	case n.directory.View().Revision == 0:
--- a/placement/pause.go
+++ b/placement/pause.go
@@ -48,7 +48,7 @@
 	var shortest time.Duration
 	for i := range candidates {
 		c := &candidates[i]
-		if !isNotDraining(q, c) || !isSameIncarnation(q, c) || !isRecentEnough(q, c) {
+		if !isNotDraining(q, c) || !isNotEvacuated(q, c) || !isSameIncarnation(q, c) || !isRecentEnough(q, c) {
 			continue
 		}
 		if c.PauseLeft == 0 {
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -39,6 +39,8 @@
 	// time of one token over an engine's link, 0 if engines don't fetch from each other.
 	Held          []StoredPart
 	TokenTransfer time.Duration
+	// Evacuated holds the availability zones whose instances get no requests.
+	Evacuated map[string]bool
 }
 
 // StoredPart is a part of a prompt in a store.
@@ -82,6 +84,8 @@
 	FailureShare               float64
 	Ejected, Avoided, Replaced bool
 	SameZone                   bool
+	// Evacuated is set if the instance's zone is evacuated.
+	Evacuated bool
 	// PauseLeft is how long the instance still takes no requests from this node.
 	PauseLeft time.Duration
 	Version   uint64
@@ -98,12 +102,13 @@
 type Filter func(q *Request, c *Candidate) bool
 
 // required filters always apply.
-var required = []Filter{isNotDraining, isNotPaused, isNotExcluded, isSameIncarnation, isRecentEnough}
+var required = []Filter{isNotDraining, isNotPaused, isNotExcluded, isSameIncarnation, isRecentEnough, isNotEvacuated}
 
 // preferred filters are dropped from the last to the first as long as they leave no candidate.
 var preferred = []Filter{isHealthy, isNotUpdating, isNotAvoided}
 
 func isNotDraining(_ *Request, c *Candidate) bool     { return !c.Instance.Draining }
+func isNotEvacuated(_ *Request, c *Candidate) bool    { return !c.Evacuated }
 func isNotExcluded(q *Request, c *Candidate) bool     { return !q.Exclude[c.Instance.ID] }
 func isSameIncarnation(_ *Request, c *Candidate) bool { return !c.Replaced }
 func isHealthy(_ *Request, c *Candidate) bool         { return !c.Ejected }
@@ -231,7 +236,7 @@
 	parts := q.shared()
 	for i := range candidates {
 		c := &candidates[i]
-		if c.Ejected || c.Replaced || c.Instance.Draining || c.Instance.Updating || c.Version != q.StoredVersion {
+		if c.Ejected || c.Replaced || c.Evacuated || c.Instance.Draining || c.Instance.Updating || c.Version != q.StoredVersion {
 			continue
 		}
 		for k := len(q.Held); k < min(c.ReadParts, len(parts)); k++ {
@@ -348,7 +353,7 @@
 	var top [homeCount]int
 	found := 0
 	for i := range candidates {
-		if candidates[i].Ejected || candidates[i].Instance.Draining || zone != "" && candidates[i].Instance.AvailabilityZone != zone {
+		if candidates[i].Ejected || candidates[i].Evacuated || candidates[i].Instance.Draining || zone != "" && candidates[i].Instance.AvailabilityZone != zone {
 			continue
 		}
 		score := rendezvousScore(document, candidates[i].Instance.ID)
@@ -376,7 +381,7 @@
 	}
 	zone := q.Stored[len(q.Stored)-1].AvailabilityZone
 	for i := range candidates {
-		if candidates[i].Instance.AvailabilityZone == zone && !candidates[i].Ejected && !candidates[i].Instance.Draining {
+		if candidates[i].Instance.AvailabilityZone == zone && !candidates[i].Ejected && !candidates[i].Evacuated && !candidates[i].Instance.Draining {
 			return zone
 		}
 	}
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -324,6 +324,7 @@
 			MemoryShare: memoryShare, ReadRate: t.rate.tokensPerMs,
 			FailureShare: s.failureShare, Ejected: now.Before(s.ejectedUntil), Avoided: now.Before(s.avoidedUntil), Replaced: s.replaced,
 			SameZone: instance.AvailabilityZone == q.Zone, Version: s.versions[q.Model], PauseLeft: t.pauses.left(instance, now),
+			Evacuated: q.Evacuated[instance.AvailabilityZone],
 		}
 		if now.Sub(s.loadAt) < loadValidity {
 			c.Load = s.load
