control, cli, routing: wasabishunt evacuate

The product's own control could drain one upstream, which ends its agent, and not take the upstreams of a zone out for a while.

Entries leave out upstreams (routing/filter.go) and agents of plain services (entry/services.go) in such zones; the processes stay live. status and watch list the zones. The messages are new fields and one new command: docs/upgrade.md says that all members of control must know it first.

--- a/cli/arguments.go
+++ b/cli/arguments.go
@@ -54,6 +54,12 @@
 	OperationID string `arg:"--operation-id" help:"id of a drain to resend; default is a new id (text)"`
 }
 
+type evacuateCommand struct {
+	Zone        string `arg:"positional,required" help:"name of the availability zone"`
+	Undo        bool   `arg:"--undo" help:"put the zone back into service"`
+	OperationID string `arg:"--operation-id" help:"id of an evacuation to resend; default is a new id (text)"`
+}
+
 type memberCommand struct {
 	ID          uint64 `arg:"--id,required" help:"member id, never reused (number)"`
 	Address     string `arg:"--address" help:"IP address and port; for add-learner (IP:port)"`
@@ -69,14 +75,15 @@
 
 // arguments are the flags and environment variables.
 type arguments struct {
-	Check   *validateCommand `arg:"subcommand:validate" help:"check an object set without control"`
-	Publish *publishCommand  `arg:"subcommand:publish" help:"put an object set in force"`
-	Status  *statusCommand   `arg:"subcommand:status" help:"show the control members"`
-	Watch   *watchCommand    `arg:"subcommand:watch" help:"show which processes have the version in force"`
-	Explain *explainCommand  `arg:"subcommand:explain" help:"show the decisions taken for a request"`
-	Audit   *auditCommand    `arg:"subcommand:audit" help:"show operators' actions"`
-	Drain   *drainCommand    `arg:"subcommand:drain" help:"give an upstream no new work; its agent ends when running work has finished"`
-	Members *membersCommand  `arg:"subcommand:members" help:"change the control members"`
+	Check    *validateCommand `arg:"subcommand:validate" help:"check an object set without control"`
+	Publish  *publishCommand  `arg:"subcommand:publish" help:"put an object set in force"`
+	Status   *statusCommand   `arg:"subcommand:status" help:"show the control members"`
+	Watch    *watchCommand    `arg:"subcommand:watch" help:"show which processes have the version in force"`
+	Explain  *explainCommand  `arg:"subcommand:explain" help:"show the decisions taken for a request"`
+	Audit    *auditCommand    `arg:"subcommand:audit" help:"show operators' actions"`
+	Drain    *drainCommand    `arg:"subcommand:drain" help:"give an upstream no new work; its agent ends when running work has finished"`
+	Evacuate *evacuateCommand `arg:"subcommand:evacuate" help:"give the upstreams of an availability zone no new work; running work finishes, and their agents stay"`
+	Members  *membersCommand  `arg:"subcommand:members" help:"change the control members"`
 
 	Control []string `arg:"--control,separate" help:"IP address and port of a control member, repeated for each; default those of WASABISHUNT_CONTROL (IP:port, several)"`
 	// ControlEnv is used if no flag is given. It is a separate field because the parser appends repeated flags to the
@@ -111,7 +118,7 @@
 	case a.Members != nil && !a.hasCommand():
 		c.AddProblem("members", "must be followed by add-learner, promote or remove")
 	case !a.hasCommand():
-		c.AddProblem("command", "must be one of validate, publish, status, watch, explain, audit, drain and members")
+		c.AddProblem("command", "must be one of validate, publish, status, watch, explain, audit, drain, evacuate and members")
 	}
 	if a.Output != "table" && a.Output != "json" {
 		c.AddProblem("--output", "must be table or json, is %q", a.Output)
@@ -156,7 +163,7 @@
 		return a.Members.AddLearner != nil || a.Members.Promote != nil || a.Members.Remove != nil
 	}
 	return a.Check != nil || a.Publish != nil || a.Status != nil || a.Watch != nil || a.Explain != nil ||
-		a.Audit != nil || a.Drain != nil
+		a.Audit != nil || a.Drain != nil || a.Evacuate != nil
 }
 
 func (a *arguments) needsControl() bool {
@@ -167,7 +174,7 @@
 }
 
 func (a *arguments) needsOperator() bool {
-	return a.Publish != nil || a.Audit != nil || a.Drain != nil || a.Members != nil || a.Explain != nil
+	return a.Publish != nil || a.Audit != nil || a.Drain != nil || a.Evacuate != nil || a.Members != nil || a.Explain != nil
 }
 
 func (a *arguments) readToken(c *settings.Checker) {
--- a/cli/changes.go
+++ b/cli/changes.go
@@ -82,6 +82,19 @@
 	return p.finish(report{OperationID: request.OperationId}, err, message, resend)
 }
 
+func (p *program) evacuate(ctx context.Context, command *evacuateCommand) int {
+	request := &controlpb.EvacuateRequest{
+		Operator: p.operator(), OperationId: operationID(command.OperationID), AvailabilityZone: command.Zone, Undo: command.Undo,
+	}
+	_, err := p.client.Evacuate(ctx, request)
+	flags, message := "", "upstreams in zone "+command.Zone+" get no new work; running work finishes"
+	if command.Undo {
+		flags, message = " --undo", "upstreams in zone "+command.Zone+" get work again"
+	}
+	resend := fmt.Sprintf("wasabishunt evacuate %s%s --operation-id %s", strconv.Quote(command.Zone), flags, request.OperationId)
+	return p.finish(report{OperationID: request.OperationId}, err, message, resend)
+}
+
 func (p *program) members(ctx context.Context, command *membersCommand) int {
 	action, flag, member := "add_learner", "add-learner", command.AddLearner
 	switch {
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -31,6 +31,8 @@
 	status    *controlpb.StatusResponse
 	audit     []*controlpb.AuditRecord
 	changes   []*controlpb.ChangeMembersRequest
+	// evacuations are the calls of Evacuate.
+	evacuations []*controlpb.EvacuateRequest
 }
 
 func (s *stub) Publish(_ context.Context, q *controlpb.PublishRequest) (*controlpb.PublishResponse, error) {
@@ -55,6 +57,16 @@
 	return &controlpb.DrainResponse{Failure: &controlpb.Failure{Kind: "not_found", Execution: "not_run", Message: q.Upstream}}, nil
 }
 
+func (s *stub) Evacuate(_ context.Context, q *controlpb.EvacuateRequest) (*controlpb.EvacuateResponse, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evacuations = append(s.evacuations, q)
+	if q.AvailabilityZone == "z9" {
+		return &controlpb.EvacuateResponse{Failure: &controlpb.Failure{Kind: "not_found", Execution: "not_run", Message: "zone z9"}}, nil
+	}
+	return &controlpb.EvacuateResponse{}, nil
+}
+
 func (s *stub) ChangeMembers(_ context.Context, q *controlpb.ChangeMembersRequest) (*controlpb.ChangeMembersResponse, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -281,6 +293,34 @@
 	require.Equal(t, "promote", s.changes[1].Action)
 }
 
+// Guards against an evacuation that is sent with fields other than those given, against a refusal with exit code 0, and against views that do not
+// show it.
+func TestEvacuate(t *testing.T) {
+	s := &stub{status: &controlpb.StatusResponse{MemberId: 1, LeaderId: 1, SetVersion: 9, MembershipRevision: 1, EvacuatedZones: []string{"z1", "z2"}}}
+	address := serve(t, s)
+	code, out, _ := invoke(t, address, "evacuate", "z1", "--operation-id", "op1")
+	require.Equal(t, ExitOK, code)
+	require.Contains(t, out, "z1")
+	code, _, _ = invoke(t, address, "evacuate", "z1", "--undo")
+	require.Equal(t, ExitOK, code)
+	code, _, stderr := invoke(t, address, "evacuate", "z9")
+	require.Equal(t, ExitRefused, code)
+	require.Contains(t, stderr, "not_found (not_run): zone z9")
+	code, _, _ = invoke(t, address, "evacuate")
+	require.Equal(t, ExitUsage, code)
+	require.Equal(t, "op1", s.evacuations[0].OperationId)
+	require.Equal(t, "dana", s.evacuations[0].Operator.Name)
+	require.False(t, s.evacuations[0].Undo)
+	require.True(t, s.evacuations[1].Undo)
+	require.NotEmpty(t, s.evacuations[1].OperationId)
+	for _, command := range []string{"status", "watch"} {
+		_, out, _ = invoke(t, address, command)
+		require.Contains(t, out, "evacuated zones: z1, z2")
+		_, out, _ = invoke(t, address, "-o", "json", command)
+		require.Contains(t, out, `"evacuated_zones"`)
+	}
+}
+
 // Guards against an explain that stops at the first entry without a record of the request.
 func TestExplain(t *testing.T) {
 	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/cli/run.go
+++ b/cli/run.go
@@ -49,6 +49,8 @@
 		return p.audit(ctx, args.Audit)
 	case args.Drain != nil:
 		return p.drain(ctx, args.Drain)
+	case args.Evacuate != nil:
+		return p.evacuate(ctx, args.Evacuate)
 	}
 	return p.members(ctx, args.Members)
 }
--- a/cli/views.go
+++ b/cli/views.go
@@ -25,7 +25,9 @@
 	Applied    uint64 `json:"applied,omitempty"`
 	SetVersion uint64 `json:"set_version"`
 	Bookings   int64  `json:"bookings"`
-	Error      string `json:"error,omitempty"`
+	// EvacuatedZones are those that the member knows.
+	EvacuatedZones []string `json:"evacuated_zones,omitempty"`
+	Error          string   `json:"error,omitempty"`
 }
 
 func memberRowOf(m controlclient.MemberStatus) memberRow {
@@ -44,7 +46,7 @@
 	}
 	return memberRow{
 		Address: m.Address, ID: s.MemberId, Role: role, Term: s.Term, Commit: s.CommitIndex,
-		Applied: s.AppliedIndex, SetVersion: s.SetVersion, Bookings: s.Bookings,
+		Applied: s.AppliedIndex, SetVersion: s.SetVersion, Bookings: s.Bookings, EvacuatedZones: s.EvacuatedZones,
 	}
 }
 
@@ -79,6 +81,18 @@
 		})
 	}
 	p.table(lines)
+	// A member that is behind may lack a change that the leader has.
+	for _, r := range rows {
+		if r.Role == "leader" {
+			p.printEvacuated(r.EvacuatedZones)
+		}
+	}
+}
+
+func (p *program) printEvacuated(zones []string) {
+	if len(zones) > 0 {
+		_, _ = fmt.Fprintf(p.stdout, "evacuated zones: %s\n", strings.Join(zones, ", "))
+	}
 }
 
 func number(n uint64) string { return strconv.FormatUint(n, 10) }
@@ -89,6 +103,8 @@
 	InForce   int          `json:"in_force"`
 	Missing   int          `json:"missing"`
 	Processes []processRow `json:"processes"`
+	// EvacuatedZones are those of the member with the newest memberships.
+	EvacuatedZones []string `json:"evacuated_zones,omitempty"`
 	// Unreachable lists members that did not answer. Processes that report to them may be shown as missing.
 	Unreachable []string `json:"unreachable_members,omitempty"`
 }
@@ -128,7 +144,9 @@
 			}
 			existing.SetVersion = version
 		}
-		newest = max(newest, m.Status.MembershipRevision)
+		if m.Status.MembershipRevision >= newest {
+			newest, d.EvacuatedZones = m.Status.MembershipRevision, m.Status.EvacuatedZones
+		}
 	}
 	for _, state := range processes {
 		row := processRowOf(state, d.Version)
@@ -202,6 +220,7 @@
 	for _, address := range d.Unreachable {
 		_, _ = fmt.Fprintf(p.stdout, "control member %s is unreachable\n", address)
 	}
+	p.printEvacuated(d.EvacuatedZones)
 	lines := [][]string{{"PROCESS", "ROLE", "SERVES", "ZONE", "STATE", "SET", "NOTE"}}
 	for _, r := range d.Processes {
 		lines = append(lines, []string{r.ID, r.Role, r.Serves, r.Zone, r.State, number(r.SetVersion), r.Missing})
--- a/control/operations.go
+++ b/control/operations.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -135,6 +136,54 @@
 	return response
 }
 
+func evacuateFingerprint(q *controlpb.EvacuateRequest) []byte {
+	return fmt.Appendf(nil, "evacuate %q %q %v", q.Operator.GetName(), q.AvailabilityZone, q.Undo)
+}
+
+// evacuate takes the upstreams of a zone out of service, or back into service. A zone that nothing names any more can still be taken back.
+func (s *StateMachine) evacuate(now int64, q *controlpb.EvacuateRequest) proto.Message {
+	fingerprint := evacuateFingerprint(q)
+	if outcome := s.operations.get(q.OperationId); outcome != nil {
+		if !bytes.Equal(outcome.PayloadHash, fingerprint) || outcome.Evacuate == nil {
+			return &controlpb.EvacuateResponse{Failure: failureMessage(errOperationReused)}
+		}
+		return outcome.Evacuate
+	}
+	response := &controlpb.EvacuateResponse{}
+	if slices.Contains(s.members.Evacuated(), q.AvailabilityZone) || s.knownZone(q.AvailabilityZone) {
+		s.members.Evacuate(q.AvailabilityZone, q.Undo)
+	} else {
+		response.Failure = failureMessage(failure.New(failure.NotFound, failure.NotRun, "there is no availability zone %q", q.AvailabilityZone))
+	}
+	reason := "evacuate " + q.AvailabilityZone
+	if q.Undo {
+		reason = "undo evacuation of " + q.AvailabilityZone
+	}
+	s.trail.Append(&controlpb.AuditRecord{
+		UnixMs: now, Operator: q.Operator.GetName(), OperationId: q.OperationId, Action: "evacuate",
+		Accepted: response.Failure == nil, Reason: reason,
+	})
+	s.operations.add(&controlpb.OperationOutcome{OperationId: q.OperationId, PayloadHash: fingerprint, Evacuate: response})
+	return response
+}
+
+// knownZone reports whether the set names an availability zone or a registered process is in it.
+func (s *StateMachine) knownZone(zone string) bool {
+	if zone == "" {
+		return false
+	}
+	set, _ := s.history.Current()
+	if slices.ContainsFunc(set.Zones, func(z objectset.Zone) bool { return z.Name == zone }) {
+		return true
+	}
+	found := false
+	s.members.Each(func(r *controlpb.ProcessRecord) bool {
+		found = r.Registration.AvailabilityZone == zone
+		return !found
+	})
+	return found
+}
+
 // knownUpstream reports whether a name is an upstream or service of the set, or is served by a registered process.
 func (s *StateMachine) knownUpstream(name string) bool {
 	set, _ := s.history.Current()
--- a/control/reads.go
+++ b/control/reads.go
@@ -151,6 +151,13 @@
 	return all
 }
 
+// evacuatedZones returns the evacuated availability zones in order, which must not be changed.
+func (s *StateMachine) evacuatedZones() []string {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.members.Evacuated()
+}
+
 func (s *StateMachine) changedVMs(vms []*controlpb.VMState) []*controlpb.VMState {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
--- a/control/server_operator.go
+++ b/control/server_operator.go
@@ -13,6 +13,7 @@
 	"github.com/wasabishunt/wasabishunt/objectset"
 	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
 	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
+	"github.com/wasabishunt/wasabishunt/serving/evacuation"
 )
 
 // maxChangesBytes limits the size of a publish command with changes; above it the command carries the compressed
@@ -167,6 +168,35 @@
 	return response, nil
 }
 
+// Evacuate takes the upstreams of an availability zone out of service, or back into service.
+func (s *Server) Evacuate(ctx context.Context, q *controlpb.EvacuateRequest) (*controlpb.EvacuateResponse, error) {
+	if refusal := s.authorize(q.Operator); refusal != nil {
+		return &controlpb.EvacuateResponse{Failure: refusal}, nil
+	}
+	if refusal := checkOperation(q.OperationId); refusal != nil {
+		return &controlpb.EvacuateResponse{Failure: refusal}, nil
+	}
+	if !evacuation.IsZoneName(q.AvailabilityZone) {
+		return &controlpb.EvacuateResponse{Failure: failureMessage(
+			failure.New(failure.InvalidRequest, failure.NotRun, "%q cannot be the name of an availability zone", q.AvailabilityZone))}, nil
+	}
+	// The operator's token is left out, because it must not be written to the replicated log.
+	command := &controlpb.EvacuateRequest{
+		Operator: &controlpb.Operator{Name: q.Operator.Name}, OperationId: q.OperationId, AvailabilityZone: q.AvailabilityZone, Undo: q.Undo,
+	}
+	result, refusal := s.propose(ctx, &controlpb.Command{Command: &controlpb.Command_Evacuate{Evacuate: command}})
+	if refusal != nil {
+		return &controlpb.EvacuateResponse{Failure: refusal}, nil
+	}
+	response, ok := result.(*controlpb.EvacuateResponse)
+	if !ok {
+		return &controlpb.EvacuateResponse{Failure: unexpectedResult()}, nil
+	}
+	s.options.Log.Info("evacuation", zap.String("operator", q.Operator.Name), zap.String("operation_id", q.OperationId),
+		zap.String("zone", q.AvailabilityZone), zap.Bool("undo", q.Undo), zap.String("refused", response.Failure.GetKind()))
+	return response, nil
+}
+
 // ChangeMembers adds, promotes or removes one control member. A change that is already in effect succeeds, so a resend
 // after a lost response is safe. Ids are never reused, so a removal is recognized without a record of the operation.
 func (s *Server) ChangeMembers(ctx context.Context, q *controlpb.ChangeMembersRequest) (*controlpb.ChangeMembersResponse, error) {
@@ -241,7 +271,7 @@
 	response := &controlpb.StatusResponse{
 		MemberId: s.options.MemberID, LeaderId: leader, Term: term, CommitIndex: commit, AppliedIndex: applied,
 		SetVersion: version, MembershipRevision: revision, Members: s.replicator.Members(),
-		Bookings: int64(s.machine.Bookings()),
+		Bookings: int64(s.machine.Bookings()), EvacuatedZones: s.machine.evacuatedZones(),
 	}
 	if !q.Brief {
 		response.Processes = s.machine.processes()
--- a/control/server_test.go
+++ b/control/server_test.go
@@ -76,6 +76,8 @@
 		require.True(t, failure.Is(err, failure.Unauthorized))
 		_, err = client.Drain(context.Background(), &controlpb.DrainRequest{Operator: operator, OperationId: "o"})
 		require.True(t, failure.Is(err, failure.Unauthorized))
+		_, err = client.Evacuate(context.Background(), &controlpb.EvacuateRequest{Operator: operator, OperationId: "o", AvailabilityZone: "z"})
+		require.True(t, failure.Is(err, failure.Unauthorized))
 		_, err = client.Audit(context.Background(), &controlpb.AuditRequest{Operator: operator})
 		require.True(t, failure.Is(err, failure.Unauthorized))
 	}
--- a/control/statemachine.go
+++ b/control/statemachine.go
@@ -96,6 +96,8 @@
 		return s.presence(now, c.Presence)
 	case *controlpb.Command_Drain:
 		return s.drain(now, c.Drain)
+	case *controlpb.Command_Evacuate:
+		return s.evacuate(now, c.Evacuate)
 	case *controlpb.Command_MemberAudit:
 		return s.memberAudit(now, c.MemberAudit)
 	case *controlpb.Command_AcquireLoadSlot:
--- a/control/statemachine_test.go
+++ b/control/statemachine_test.go
@@ -194,6 +194,7 @@
 		func() *controlpb.Command {
 			return &controlpb.Command{Command: &controlpb.Command_Drain{Drain: &controlpb.DrainRequest{OperationId: pick("op", 4), Upstream: "u1", Undo: epoch == 1}}}
 		},
+		func() *controlpb.Command { return evacuateCommand(pick("op", 4), pick("z", 2), epoch == 1) },
 		func() *controlpb.Command {
 			return &controlpb.Command{Command: &controlpb.Command_AcquireLoadSlot{AcquireLoadSlot: &controlpb.LoadSlotRequest{Deployment: "d", Upstream: pick("u", 3), Epoch: epoch}}}
 		},
--- a/controlclient/operator.go
+++ b/controlclient/operator.go
@@ -27,6 +27,13 @@
 	})
 }
 
+// Evacuate takes the upstreams of an availability zone out of service, or back into service.
+func (c *Client) Evacuate(ctx context.Context, request *controlpb.EvacuateRequest) (*controlpb.EvacuateResponse, error) {
+	return do(ctx, c, func(ctx context.Context, client controlpb.DRPCControlClient) (*controlpb.EvacuateResponse, error) {
+		return client.Evacuate(ctx, request)
+	})
+}
+
 // ChangeMembers adds, promotes or removes one control member.
 func (c *Client) ChangeMembers(ctx context.Context, request *controlpb.ChangeMembersRequest) (*controlpb.ChangeMembersResponse, error) {
 	return do(ctx, c, func(ctx context.Context, client controlpb.DRPCControlClient) (*controlpb.ChangeMembersResponse, error) {
--- a/controlclient/view.go
+++ b/controlclient/view.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wasabishunt/wasabishunt/objectset"
+	"github.com/wasabishunt/wasabishunt/serving/evacuation"
 )
 
 // ProcessState is the state of a process in control.
@@ -40,6 +41,8 @@
 	// Processes holds the registered processes by id.
 	Processes map[string]Process
 	Revision  uint64
+	// Evacuations are the availability zones whose upstreams get no new work.
+	Evacuations *evacuation.List
 	// Epoch is the epoch that control assigned to this process.
 	Epoch uint64
 	// FreshUntil is the time from which the process must not accept new requests unless control confirms the set again.
--- a/controlclient/watcher.go
+++ b/controlclient/watcher.go
@@ -15,6 +15,7 @@
 	"github.com/wasabishunt/wasabishunt/defaults"
 	"github.com/wasabishunt/wasabishunt/objectset"
 	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
+	"github.com/wasabishunt/wasabishunt/serving/evacuation"
 	"github.com/wasabishunt/wasabishunt/supervise"
 )
 
@@ -213,6 +214,8 @@
 }
 
 func (w *Watcher) applyMembership(update *controlpb.MembershipUpdate) {
+	var change evacuation.Change
+	evacuationsChanged := false
 	w.updateView(func(v *View) bool {
 		// A lagging member may send an older table than the current one.
 		if update.Revision <= v.Revision {
@@ -230,8 +233,13 @@
 			next[p.ProcessId] = processOf(p)
 		}
 		v.Processes, v.Revision = next, update.Revision
+		v.Evacuations, change, evacuationsChanged = v.Evacuations.Accept(update.EvacuationsRevision, update.EvacuatedZones, w.options.Clock.Now())
 		return true
 	})
+	if evacuationsChanged {
+		w.options.Log.Info("evacuated zones from control", zap.Uint64("revision", update.EvacuationsRevision), zap.Strings("zones", change.Zones),
+			zap.Strings("started", change.Started), zap.Strings("ended", change.Ended))
+	}
 }
 
 // removedState marks a process that control has removed from its table.
--- a/controlclient/watcher_test.go
+++ b/controlclient/watcher_test.go
@@ -126,6 +126,21 @@
 	require.Len(t, w.Current().Processes, 1)
 }
 
+// Guards against an evacuation that ends because a member of an earlier release, or one that is behind, sends an update without it.
+func TestEvacuationsNeverGoBack(t *testing.T) {
+	w := NewWatcher(WatcherOptions{ProcessID: "p"})
+	changed := w.Changed()
+	w.applyMembership(&controlpb.MembershipUpdate{Revision: 5, EvacuationsRevision: 5, EvacuatedZones: []string{"z1"}})
+	<-changed
+	require.True(t, w.Current().Evacuations.Contains("z1"))
+	w.applyMembership(&controlpb.MembershipUpdate{Revision: 6})
+	w.applyMembership(&controlpb.MembershipUpdate{Revision: 4, EvacuationsRevision: 3, Full: true})
+	require.True(t, w.Current().Evacuations.Contains("z1"))
+	w.applyMembership(&controlpb.MembershipUpdate{Revision: 7, EvacuationsRevision: 7, EvacuatedZones: []string{"z2"}})
+	require.False(t, w.Current().Evacuations.Contains("z1"))
+	require.True(t, w.Current().Evacuations.Contains("z2"))
+}
+
 // Guards against a delta that is applied to another version than its base.
 func TestDeltaWithAGapIsRefused(t *testing.T) {
 	stub := &stubControl{presence: func() *controlpb.PresenceResponse { return &controlpb.PresenceResponse{SetVersion: 3, Fresh: true} }}
--- a/entry/router.go
+++ b/entry/router.go
@@ -98,7 +98,7 @@
 		states[process.Serves] = process.State
 		t.epochs[process.Serves] = process.Epoch
 	}
-	t.index = routing.BuildIndex(view.Set, states, t.index)
+	t.index = routing.BuildIndex(view.Set, states, view.Evacuations, t.index)
 	if view.Version != t.version {
 		names := map[string]bool{}
 		for _, upstream := range view.Set.Upstreams {
--- a/entry/services.go
+++ b/entry/services.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"path"
+	"slices"
 	"strings"
 	"sync"
 
@@ -94,7 +96,11 @@
 func (sc *serviceCall) run(ctx context.Context) (*agentpb.ServiceResponse, error) {
 	s := sc.call.server
 	last := noUpstream(sc.service.Name)
-	for i, address := range sc.agents() {
+	agents := sc.agents()
+	if zones := sc.evacuatedZones(); len(agents) == 0 && len(zones) > 0 {
+		last.Message += "; evacuated zones: " + strings.Join(zones, ", ")
+	}
+	for i, address := range agents {
 		if i > 0 && (i >= s.options.MaxAttempts || !s.budget.takeRetry(sc.call.account.Name)) {
 			break
 		}
@@ -116,11 +122,11 @@
 	return nil, last
 }
 
-// agents returns the addresses of live agents in random order.
+// agents returns the addresses of live agents outside of evacuated zones in random order.
 func (sc *serviceCall) agents() []string {
 	live := map[string]bool{}
 	for _, process := range sc.call.view.Processes {
-		if process.State == controlclient.Live {
+		if process.State == controlclient.Live && !sc.call.view.Evacuations.Contains(process.Zone) {
 			live[process.Address] = true
 		}
 	}
@@ -134,6 +140,17 @@
 	return addresses
 }
 
+// evacuatedZones returns the evacuated zones in which the service has live agents, in order.
+func (sc *serviceCall) evacuatedZones() []string {
+	zones := map[string]bool{}
+	for _, process := range sc.call.view.Processes {
+		if process.State == controlclient.Live && slices.Contains(sc.service.AgentAddresses, process.Address) && sc.call.view.Evacuations.Contains(process.Zone) {
+			zones[process.Zone] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(zones))
+}
+
 // callAgent makes one call on a new connection: an error on a pooled connection leaves open whether bytes were sent.
 func (sc *serviceCall) callAgent(ctx context.Context, address string) (*agentpb.ServiceResponse, error) {
 	conn, err := rpcpool.DialFrom(ctx, sc.call.server.options.SourceIP, address, sc.call.server.options.ConnectTimeout)
--- a/internal/capacity/sets.go
+++ b/internal/capacity/sets.go
@@ -84,12 +84,12 @@
 		states[upstream.Name] = controlclient.Live
 	}
 	before, began := memory(), time.Now()
-	index := routing.BuildIndex(set, states, nil)
+	index := routing.BuildIndex(set, states, nil, nil)
 	results.add(repeat, "build: wall clock us", size, 1e6*time.Since(began).Seconds())
 	results.add(repeat, "memory, bytes", size, memory()-before)
 	states[set.Upstreams[0].Name] = controlclient.Leaving
 	began = time.Now()
-	next := routing.BuildIndex(set, states, index)
+	next := routing.BuildIndex(set, states, nil, index)
 	results.add(repeat, "rebuild after one upstream leaves: wall clock us", size, 1e6*time.Since(began).Seconds())
 	runtime.KeepAlive(next)
 	runtime.KeepAlive(index)
--- a/membership/table.go
+++ b/membership/table.go
@@ -41,6 +41,9 @@
 	processes map[string]*controlpb.ProcessRecord
 	// drained holds the upstreams that an operator has drained.
 	drained map[string]bool
+	// evacuated holds the availability zones whose upstreams get no new work, in order; evacuationsRevision is the revision of their last change.
+	evacuated           []string
+	evacuationsRevision uint64
 	// vms maps the names of the VM list to its last known entries.
 	vms map[string]*controlpb.VMState
 	// removed holds the last maxRemoved removals, oldest first.
@@ -134,6 +137,26 @@
 // Drained reports whether an operator has drained an upstream.
 func (t *Table) Drained(upstream string) bool { return t.drained[upstream] }
 
+// Evacuate adds an availability zone to the evacuated ones, or removes it if undo is set.
+func (t *Table) Evacuate(zone string, undo bool) {
+	at, evacuated := slices.BinarySearch(t.evacuated, zone)
+	if evacuated != undo {
+		return
+	}
+	// Updates to watchers share the list.
+	zones := slices.Clone(t.evacuated)
+	if undo {
+		zones = slices.Delete(zones, at, at+1)
+	} else {
+		zones = slices.Insert(zones, at, zone)
+	}
+	t.revision++
+	t.evacuated, t.evacuationsRevision = zones, t.revision
+}
+
+// Evacuated returns the evacuated zones in order, which must not be changed.
+func (t *Table) Evacuated() []string { return t.evacuated }
+
 // ObserveVMs applies entries of the platform's VM list.
 func (t *Table) ObserveVMs(unixMs int64, vms []*controlpb.VMState) {
 	for _, vm := range t.ChangedVMs(vms) {
--- a/membership/views.go
+++ b/membership/views.go
@@ -25,7 +25,7 @@
 		return nil
 	}
 	full := revision == 0 || revision < t.forgottenRevision
-	update := &controlpb.MembershipUpdate{Revision: t.revision, Full: full}
+	update := &controlpb.MembershipUpdate{Revision: t.revision, Full: full, EvacuationsRevision: t.evacuationsRevision, EvacuatedZones: t.evacuated}
 	for _, r := range t.processes {
 		if full || r.Revision > revision {
 			update.Processes = append(update.Processes, StateMessage(r))
@@ -53,6 +53,7 @@
 func (t *Table) Snapshot() *controlpb.MembershipSnapshot {
 	s := &controlpb.MembershipSnapshot{
 		Revision: t.revision, LastEpoch: t.lastEpoch, ForgottenRevision: t.forgottenRevision, Removed: slices.Clone(t.removed),
+		EvacuationsRevision: t.evacuationsRevision, EvacuatedZones: t.evacuated,
 	}
 	for _, id := range t.sortedIDs() {
 		s.Processes = append(s.Processes, proto.Clone(t.processes[id]).(*controlpb.ProcessRecord))
@@ -73,6 +74,7 @@
 	t := NewTable()
 	t.revision, t.lastEpoch, t.forgottenRevision = s.GetRevision(), s.GetLastEpoch(), s.GetForgottenRevision()
 	t.removed = slices.Clone(s.GetRemoved())
+	t.evacuated, t.evacuationsRevision = slices.Clone(s.GetEvacuatedZones()), s.GetEvacuationsRevision()
 	for _, r := range s.GetProcesses() {
 		t.processes[r.Registration.GetProcessId()] = proto.Clone(r).(*controlpb.ProcessRecord)
 		if r.State == Leaving {
--- a/routing/index.go
+++ b/routing/index.go
@@ -10,6 +10,7 @@
 
 	"github.com/wasabishunt/wasabishunt/controlclient"
 	"github.com/wasabishunt/wasabishunt/objectset"
+	"github.com/wasabishunt/wasabishunt/serving/evacuation"
 )
 
 // pointsPerUpstream is the number of points of an upstream on its model's hash ring. With 48 points the busiest of 100
@@ -27,6 +28,8 @@
 	DecodeRate  float64
 	// State is the membership state; only live upstreams get new work.
 	State controlclient.ProcessState
+	// Evacuated is set if an operator has taken the upstreams of its zone out of service.
+	Evacuated bool
 }
 
 // indexEntry is one upstream of an index.
@@ -54,8 +57,8 @@
 }
 
 // BuildIndex builds an index from an object set and the states of agents by upstream name. An upstream without a state is
-// not live. Rings of the previous index are reused for models whose upstreams have not changed.
-func BuildIndex(set *objectset.Set, states map[string]controlclient.ProcessState, previous *Index) *Index {
+// not live. evacuations may be nil. Rings of the previous index are reused for models whose upstreams have not changed.
+func BuildIndex(set *objectset.Set, states map[string]controlclient.ProcessState, evacuations *evacuation.List, previous *Index) *Index {
 	deployments := lo.KeyBy(set.Deployments, func(d objectset.Deployment) string { return d.Name })
 	byModel := map[string][]Upstream{}
 	for _, u := range set.Upstreams {
@@ -63,6 +66,7 @@
 		byModel[model] = append(byModel[model], Upstream{
 			Name: u.Name, Deployment: u.Deployment, Zone: u.Zone, AgentAddress: u.AgentAddress,
 			PrefillRate: u.PrefillTokensPerSecond, DecodeRate: u.DecodeTokensPerSecond, State: states[u.Name],
+			Evacuated: evacuations.Contains(u.Zone),
 		})
 	}
 	return NewIndex(byModel, previous)
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -125,7 +125,7 @@
 	d := Decision{}
 	candidates := r.candidates(model, request, snapshot, &d)
 	if len(candidates) == 0 {
-		err := failure.New(failure.NoUpstream, failure.NotRun, "no usable upstream among %d examined", d.Examined)
+		err := failure.New(failure.NoUpstream, failure.NotRun, "no usable upstream among %d examined%s", d.Examined, d.evacuatedNote())
 		err.RetryAfter = time.Second
 		return d, err
 	}
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -14,6 +14,7 @@
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/objectset"
 	"github.com/wasabishunt/wasabishunt/piece"
+	"github.com/wasabishunt/wasabishunt/serving/evacuation"
 )
 
 var start = time.Unix(1000, 0)
@@ -218,10 +219,38 @@
 		Upstreams:   []objectset.Upstream{{Name: "a", Deployment: "d"}, {Name: "b", Deployment: "d"}},
 	}
 	s := snapshotOf(nil)
-	s.Index = BuildIndex(set, map[string]controlclient.ProcessState{"b": controlclient.Live}, nil)
+	s.Index = BuildIndex(set, map[string]controlclient.ProcessState{"b": controlclient.Live}, nil, nil)
 	require.Equal(t, "b", pick(t, newRouter(Off{}), request(1), s).Upstream.Name)
 }
 
+// TestEvacuatedZoneGetsNoWork guards against work for upstreams in an evacuated zone, also as a last resort, against a refusal without its cause, and
+// against a zone that stays unused after its evacuation.
+func TestEvacuatedZoneGetsNoWork(t *testing.T) {
+	set := &objectset.Set{
+		Deployments: []objectset.Deployment{{Name: "d", Model: "m"}},
+		Upstreams:   []objectset.Upstream{{Name: "a", Deployment: "d", Zone: "z1"}, {Name: "b", Deployment: "d", Zone: "z2"}},
+	}
+	states := map[string]controlclient.ProcessState{"a": controlclient.Live, "b": controlclient.Live}
+	var evacuations *evacuation.List
+	evacuate := func(zones ...string) Snapshot {
+		evacuations, _, _ = evacuations.Accept(evacuations.Revision()+1, zones, start)
+		s := snapshotOf(nil)
+		s.Index = BuildIndex(set, states, evacuations, nil)
+		return s
+	}
+	s := evacuate("z1")
+	for n := range uint64(50) {
+		require.Equal(t, "b", pick(t, newRouter(Off{}), request(n), s).Upstream.Name)
+	}
+	_, err := newRouter(Off{}).Pick(request(1), evacuate("z2", "z1"))
+	require.True(t, failure.Is(err, failure.NoUpstream))
+	require.Equal(t, failure.NotRun, failure.Of(err).Execution)
+	require.Positive(t, failure.Of(err).RetryAfter)
+	require.Contains(t, failure.Of(err).Message, "evacuated zones: z1, z2")
+	s = evacuate("z2")
+	require.Equal(t, "a", pick(t, newRouter(Off{}), request(1), s).Upstream.Name)
+}
+
 // TestRetryBudget guards against retries that multiply an overload.
 func TestRetryBudget(t *testing.T) {
 	b := NewRetryBudget()
