--- a/coregroup/evacuations_test.go
+++ b/coregroup/evacuations_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -12,6 +13,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/raft/diskfs"
+	"github.com/wasabishunt/wasabishunt/raft/diskfs/simdisk"
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
 )
 
@@ -219,3 +222,35 @@
 	require.True(t, errors.Is(setEvacuationAt(t, nodes, "a", false, "one"), errOperationReused))
 	require.Equal(t, []string{"a"}, evacuatedAt(t, nodes[0]).GetEvacuatedZones())
 }
+
+// Guards against an acknowledged evacuation, or an acknowledged end, that is lost with the power of all machines and one disk.
+func TestEvacuationsSurviveAPowerLoss(t *testing.T) {
+	t.Parallel()
+	var disks []*simdisk.Disk
+	for range 3 {
+		disks = append(disks, simdisk.New())
+	}
+	nodes := startNodesOn(t, func(i int) diskfs.FS { return disks[i] }, true, true, true)
+	for round := range 6 {
+		evacuated := round%2 == 0
+		require.NoError(t, setEvacuationAt(t, nodes, "a", evacuated, ""))
+		random := rand.New(rand.NewPCG(1, uint64(round)))
+		for i := range disks {
+			disks[i] = disks[i].Clone()
+			disks[i].Crash(random)
+		}
+		if round == 3 {
+			disks[1] = simdisk.New()
+		}
+		for i, n := range nodes {
+			n.stop()
+			n.fs = disks[i]
+		}
+		for _, n := range nodes {
+			n.start()
+		}
+		state := evacuatedAt(t, nodes[round%3])
+		require.EqualValues(t, round+1, state.GetEvacuationsRevision(), "round %d", round)
+		require.Equal(t, evacuated, slices.Contains(state.GetEvacuatedZones(), "a"), "round %d", round)
+	}
+}
--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -11,13 +11,16 @@
 	"testing"
 	"time"
 
+	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/wasabishunt/wasabishunt/placement"
+	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
 	"github.com/wasabishunt/wasabishunt/serving/evacuation"
 	"github.com/wasabishunt/wasabishunt/upstreamconn"
+	"github.com/wasabishunt/wasabishunt/upstreamlimit"
 	"github.com/wasabishunt/wasabishunt/upstreams"
 )
 
@@ -123,6 +126,29 @@
 	}
 }
 
+// Guards against cutting a silent request for a move into a zone that is evacuated by then: it goes on where it is.
+func TestSilentSendStaysIfTheOtherZoneIsEvacuated(t *testing.T) {
+	t.Parallel()
+	answer := pausedAnswer(minAttemptTimeout + 300*time.Millisecond)
+	s, e := newZonedSystem(t, answer, answer)
+	s.extendTime()
+	var first atomic.Pointer[string]
+	instances := s.instances()
+	s.gateway.options.Pool = upstreamconn.NewPool(upstreamconn.Options{Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		for _, i := range instances {
+			if i.Address == address && !first.CompareAndSwap(nil, &i.ID) {
+				e.set(i.AvailabilityZone)
+			}
+		}
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	}})
+	status, _, err := s.call("POST", "/safe/", "")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	require.Len(t, s.startedRuns(), 1)
+	require.NotEmpty(t, e.current().Zones(), "no move was prepared")
+}
+
 // Guards against cutting a request that runs in a zone when its evacuation begins.
 func TestRunningRequestsEndInTheEvacuatedZone(t *testing.T) {
 	for _, path := range []string{"/safe/", "/once/"} {
@@ -184,3 +210,41 @@
 	c.dropEvacuatedSources(chosen)
 	require.Equal(t, []placement.StoredPart{store, {}, other, {}}, chosen.sources)
 }
+
+// Guards against a send to a zone whose evacuation began while another node was asked for a permit, after the connection was open.
+func TestEvacuationBeginsWhileAPermitIsAsked(t *testing.T) {
+	s, e := newZonedSystem(t, good)
+	s.deadlineMs = 5000
+	now := time.Now()
+	var asked atomic.Int64
+	var opened atomic.Bool
+	l := upstreamlimit.New(upstreamlimit.Options{
+		Self: "10.0.0.1:7000", Log: zap.NewNop(), Metrics: gometrics.NewRegistry(),
+		Ask: func(context.Context, string, *nodepb.PermitRequest) (*nodepb.PermitReply, error) {
+			asked.Add(1)
+			if opened.Load() {
+				e.set("z0")
+			}
+			return &nodepb.PermitReply{Granted: 1}, nil
+		},
+	})
+	instance := s.instances()[0]
+	// The owner is another node.
+	l.SetNodes([]string{"10.0.0.2:7000"}, now.Add(-limitSettled))
+	for at := -limitSettled; at <= limitSettled; at += time.Second {
+		l.Confirm(s.gateway.options.Directory.View(), now.Add(at))
+	}
+	l.Named(&instance, 50, now, "r0", now)
+	s.gateway.options.Limiter = l
+	s.gateway.options.Pool = upstreamconn.NewPool(upstreamconn.Options{DialTimeout: 5 * time.Second, Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		// The first permit expires meanwhile.
+		time.Sleep(600 * time.Millisecond)
+		opened.Store(true)
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	}})
+	status, _, err := s.call("POST", "/once/", "")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.GreaterOrEqual(t, asked.Load(), int64(2), "no permit was asked for after the connection was open")
+	require.Empty(t, s.startedRuns(), "a request reached an evacuated zone")
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -232,10 +232,6 @@
 			return result{notRun: true, err: unreachable(err)}
 		}
 	}
-	if c.isEvacuated(instance) {
-		conn.PutBack()
-		return c.withdrawnEvacuated(instance)
-	}
 	if !c.takesRequests(instance) {
 		conn.Close()
 		return withdrawn(instance, upstreamRetryAfter)
@@ -244,7 +240,7 @@
 		conn.PutBack()
 		return withdrawn(instance, wait)
 	}
-	// Another node may have been asked for the permit, which takes a while.
+	// Opening the connection and asking another node for the permit take a while.
 	if c.isEvacuated(instance) {
 		conn.PutBack()
 		return c.withdrawnEvacuated(instance)
--- a/gateway/leaving.go
+++ b/gateway/leaving.go
@@ -41,10 +41,10 @@
 	}
 }
 
-// takesRequests reports whether an instance neither leaves nor is paused, and its zone is not evacuated.
+// takesRequests reports whether an instance neither leaves nor is paused.
 func (c *call) takesRequests(instance *upstreams.Instance) bool {
 	o := c.gateway.options
-	return !c.isEvacuated(instance) && !o.Directory.IsLeaving(instance.Key()) && o.Tracker.PauseLeft(instance, time.Now()) == 0
+	return !o.Directory.IsLeaving(instance.Key()) && o.Tracker.PauseLeft(instance, time.Now()) == 0
 }
 
 // withdrawn is the outcome of a send that was not begun, because its instance ceased to take requests while a connection was
