Permits for cold instances from their owners

Cause: 28 requests reached one engine in a second, two seconds after a zone of 14 had returned; it accepts 12 a second. All nodes see empty engines as the cheapest ones and do not know of each other's requests.

Change: the set's cold-start-s and cold-per-s, the settings' cold-overshoot and cold-slack, and cold-left-ms of the instance list are read. serving/coldstart decides which instances count as cold for a node and derives the rates of the owners from the bound; upstreamlimit hands out permits from buckets of their own. The gateway takes a permit before a send and checks it again just before it, and counts instances without one as paused. Load reports carry signs of restarts.

--- a/fleetview/fleetview_test.go
+++ b/fleetview/fleetview_test.go
@@ -77,7 +77,7 @@
 	}, {ID: "b", Service: "s", Versions: map[string]uint64{}}}
 	d.ApplyList(list, time.Now())
 	d.SetUpdating(upstreams.Key{ID: "b"}, true)
-	require.Equal(t, d.View().Instances, DecodeView(encodeView(d.View())))
+	require.Equal(t, d.View().Instances, DecodeView(encodeView(d.View(), time.Now())))
 }
 
 // TestNodesAreCountedForAWhile guards against budgets that are divided among lost nodes for too long, or divided without
--- a/fleetview/server.go
+++ b/fleetview/server.go
@@ -4,6 +4,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -271,13 +272,20 @@
 	return len(s.nodes), nodes
 }
 
-func encodeView(view *upstreams.View) *nodepb.InstanceView {
+// coldLeftMs rounds up, so that the time does not end earlier at the receiver.
+func coldLeftMs(instance *upstreams.Instance, now time.Time) uint32 {
+	left := max(0, instance.ColdUntil.Sub(now)) + time.Millisecond - 1
+	return uint32(min(left.Milliseconds(), math.MaxUint32))
+}
+
+func encodeView(view *upstreams.View, now time.Time) *nodepb.InstanceView {
 	out := &nodepb.InstanceView{Revision: view.Revision}
 	for i := range view.Instances {
 		instance := &view.Instances[i]
 		encoded := &nodepb.Instance{
 			Id: instance.ID, Service: instance.Service, Address: instance.Address, AvailabilityZone: instance.AvailabilityZone,
 			Draining: instance.Draining, Updating: instance.Updating, BornMs: instance.Born, Slots: uint32(instance.Slots),
+			ColdLeftMs: coldLeftMs(instance, now),
 		}
 		for model, version := range instance.Versions {
 			encoded.Models = append(encoded.Models, &nodepb.WeightVersion{Model: model, Version: version})
@@ -293,6 +301,7 @@
 		instance := upstreams.Instance{
 			ID: encoded.GetId(), Service: encoded.GetService(), Address: encoded.GetAddress(), AvailabilityZone: encoded.GetAvailabilityZone(),
 			Draining: encoded.GetDraining(), Updating: encoded.GetUpdating(), Born: encoded.GetBornMs(), Slots: int(encoded.GetSlots()), Versions: map[string]uint64{},
+			ColdLeft: time.Duration(encoded.GetColdLeftMs()) * time.Millisecond,
 		}
 		for _, m := range encoded.GetModels() {
 			instance.Versions[m.GetModel()] = m.GetVersion()
--- a/fleetview/viewpace.go
+++ b/fleetview/viewpace.go
@@ -58,7 +58,7 @@
 			return nil
 		}
 	}
-	encoded := encodeView(view)
+	encoded := encodeView(view, now)
 	sent.view, sent.viewBytes, sent.viewDue = view, proto.Size(encoded), time.Time{}
 	return encoded
 }
--- a/fleetview/views.go
+++ b/fleetview/views.go
@@ -75,7 +75,7 @@
 	if !ok {
 		return nil
 	}
-	encoded := encodeView(view)
+	encoded := encodeView(view, now)
 	encoded.Revision = encodeViewAge(age)
 	return encoded
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -140,6 +140,8 @@
 	sources []placement.StoredPart
 	// permit is that of an instance with a limit.
 	permit upstreamlimit.Permit
+	// coldPermit is that of a cold instance.
+	coldPermit upstreamlimit.ColdPermit
 	// forecast is empty for plain services.
 	forecast placement.Forecast
 	// cached and recomputed are the estimates of the call's fields of the same names.
@@ -160,6 +162,7 @@
 	now := time.Now()
 	candidates := o.Tracker.Candidates(view.OfService(c.service.Name), now, q)
 	c.markLimited(candidates, now)
+	c.markCold(candidates, now)
 	if q.CacheTokens > 0 {
 		placement.MarkHomes(q, candidates)
 		placement.MarkHeld(q, candidates)
@@ -231,12 +234,13 @@
 			o.Log.Info("upstream cannot be reached", zap.String("request", c.attributes.ID), zap.String("instance", instance.ID), zap.Error(err))
 			return result{notRun: true, err: unreachable(err)}
 		}
+		c.recordColdConnection(instance, conn)
 	}
 	if !c.takesRequests(instance) {
 		conn.Close()
 		return withdrawn(instance, upstreamRetryAfter)
 	}
-	if wait := c.renewPermit(ctx, chosen); wait > 0 {
+	if wait := c.renewPermit(ctx, chosen, conn); wait > 0 {
 		conn.PutBack()
 		return withdrawn(instance, wait)
 	}
@@ -332,6 +336,9 @@
 		return result{done: true, err: failure.New(failure.Canceled, failure.Unknown, "the caller disconnected")}
 	}
 	outcome := connectOutcome(err)
+	if ctx.Err() == nil && (isBreak(err) || outcome == placement.Unresponsive) {
+		c.recordRestartSign(instance, err)
+	}
 	if ctx.Err() == nil && c.prompt.brokeOff(err) {
 		outcome = placement.Unresponsive
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/wasabishunt/wasabishunt/placement"
 	"github.com/wasabishunt/wasabishunt/quarantine"
 	"github.com/wasabishunt/wasabishunt/retrybudget"
+	"github.com/wasabishunt/wasabishunt/serving/coldstart"
 	"github.com/wasabishunt/wasabishunt/supervise"
 	"github.com/wasabishunt/wasabishunt/trafficset"
 	"github.com/wasabishunt/wasabishunt/upstreamconn"
@@ -139,6 +140,8 @@
 	Quarantine *quarantine.List
 	// Limiter keeps the limits that instances name; nil if they name none.
 	Limiter *upstreamlimit.Limiter
+	// Cold knows which instances are cold; nil if none are. It needs a Limiter.
+	Cold *coldstart.Guard
 	// AnswerBytes limits an answer that is not a stream, EventBytes a single event of a stream.
 	AnswerBytes int64
 	EventBytes  int
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -101,6 +101,7 @@
 		c.recordUnreachable(m.ctx, chosen.instance, err)
 		return nil
 	}
+	c.recordColdConnection(chosen.instance, conn)
 	return &moveTarget{chosen: chosen, conn: conn}
 }
 
@@ -111,6 +112,7 @@
 func (c *call) recordUnreachable(ctx context.Context, instance *upstreams.Instance, err error) {
 	if !failure.Is(err, failure.Overloaded) && ctx.Err() == nil {
 		c.gateway.options.Tracker.Begin(instance, placement.Work{}).End(connectOutcome(err), time.Now())
+		c.recordRestartSign(instance, err)
 	}
 }
 
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -47,5 +47,6 @@
 	}
 	conn.Release(0)
 	g.options.Tracker.MarkReachable(instance, time.Now())
+	g.options.Cold.Reached(instance, time.Now())
 	g.options.Log.Info("a silent instance can be reached again", zap.String("instance", instance.ID))
 }
--- a/gateway/ratelimit.go
+++ b/gateway/ratelimit.go
@@ -7,6 +7,7 @@
 
 	"github.com/wasabishunt/wasabishunt/placement"
 	"github.com/wasabishunt/wasabishunt/trafficset"
+	"github.com/wasabishunt/wasabishunt/upstreamconn"
 	"github.com/wasabishunt/wasabishunt/upstreams"
 )
 
@@ -28,9 +29,17 @@
 	}
 }
 
-// acquirePermit takes a permit to send the request to the chosen instance, which is needed only if that has a limit. It returns 0 if there is one,
-// and otherwise the time after which the instance may take a request of this node.
+// acquirePermit takes the permits to send the request to the chosen instance, which are needed only if that has a limit or is cold. It returns 0
+// if there are, and otherwise the time after which the instance may take a request of this node.
 func (c *call) acquirePermit(ctx context.Context, chosen *choice) (wait time.Duration) {
+	if wait = c.acquireNamedPermit(ctx, chosen); wait > 0 {
+		return wait
+	}
+	return c.acquireColdPermit(ctx, chosen, nil)
+}
+
+// acquireNamedPermit takes a permit if the chosen instance names a limit.
+func (c *call) acquireNamedPermit(ctx context.Context, chosen *choice) (wait time.Duration) {
 	limiter := c.gateway.options.Limiter
 	if limiter == nil || limiter.Idle() {
 		return 0
@@ -57,12 +66,20 @@
 
 // renewPermit returns 0 if the request may be sent to the chosen instance now, by its permit or another one: opening a connection, or ending the
 // send that a move takes over, may have taken longer than a permit is valid, and a limit may have begun meanwhile.
-func (c *call) renewPermit(ctx context.Context, chosen *choice) (wait time.Duration) {
+func (c *call) renewPermit(ctx context.Context, chosen *choice, conn *upstreamconn.Conn) (wait time.Duration) {
 	limiter := c.gateway.options.Limiter
-	if limiter == nil || limiter.MaySend(chosen.instance, chosen.permit, time.Now()) {
-		return 0
+	if wait = c.acquireColdPermit(ctx, chosen, conn); wait > 0 {
+		return wait
+	}
+	if limiter != nil && !limiter.MaySend(chosen.instance, chosen.permit, time.Now()) {
+		if wait = c.acquireNamedPermit(ctx, chosen); wait > 0 {
+			return wait
+		}
+	}
+	if !c.mayUseColdPermit(chosen, conn) {
+		return expiredWait
 	}
-	return c.acquirePermit(ctx, chosen)
+	return 0
 }
 
 // markLimited sets the pauses of candidates whose limit leaves no permit for this node yet.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -329,6 +329,9 @@
 		return result{done: true, err: failure.Wrap(context.Cause(s.ctx), failure.DeadlineExceeded, failure.Ran, "the stream of instance %s was cut off", s.instance.ID)}
 	}
 	outcome := placement.Failed
+	if isBreak(err) {
+		c.recordRestartSign(s.instance, err)
+	}
 	if c.prompt.brokeOff(err) {
 		outcome = placement.Unresponsive
 	}
--- a/node/adopt.go
+++ b/node/adopt.go
@@ -101,6 +101,7 @@
 		n.setLimiterNodes(peers, now)
 	}
 	n.limiter.Confirm(n.directory.View(), now)
+	n.cold.Retain(n.directory.View())
 	if u.GetPlacements() != nil {
 		n.stores.ApplyChanges(u.GetPlacements().GetStores())
 	}
@@ -113,6 +114,24 @@
 	n.directory.Confirm(now)
 }
 
+// coldLimit returns the cold limit of a service in the set in force.
+func (n *Node) coldLimit(service string) trafficset.ColdLimit {
+	if set := n.set.Load(); set != nil {
+		if s := set.Service(service); s != nil {
+			return s.Cold
+		}
+	}
+	return trafficset.ColdLimit{}
+}
+
+// coldPerSecond returns what an instance accepts while it is cold, 0 if that is not known.
+func (n *Node) coldPerSecond(hash uint32) float64 {
+	if instance := n.directory.View().ByHash(hash); instance != nil {
+		return n.coldLimit(instance.Service).PerSecond
+	}
+	return 0
+}
+
 // listAgeMs returns how long ago the instance list was known to be current in ms, -1 if it is not known.
 func (n *Node) listAgeMs() int64 {
 	if _, age, ok := n.directory.Copy(time.Now()); ok {
--- a/node/node.go
+++ b/node/node.go
@@ -34,6 +34,7 @@
 	"github.com/wasabishunt/wasabishunt/rollout"
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
 	"github.com/wasabishunt/wasabishunt/rpcpool"
+	"github.com/wasabishunt/wasabishunt/serving/coldstart"
 	"github.com/wasabishunt/wasabishunt/supervise"
 	"github.com/wasabishunt/wasabishunt/trafficset"
 	"github.com/wasabishunt/wasabishunt/upstreamconn"
@@ -77,6 +78,9 @@
 	// HolderLease is the time that a new leader waits before it sends orders to engines, so that no earlier one still
 	// sends any.
 	HolderLease time.Duration
+	// ColdBound bounds the requests that reach a cold instance in any second; ListLag is the age of what the instance list says, 0 if unknown.
+	ColdBound coldstart.Bound
+	ListLag   time.Duration
 }
 
 // UpstreamLimits bounds what an upstream may send; 0 means the default.
@@ -132,6 +136,7 @@
 	loadExchange      *peerload.Exchange
 	budget            *retrybudget.Budget
 	limiter           *upstreamlimit.Limiter
+	cold              *coldstart.Guard
 	gateway           *gateway.Gateway
 	server            *callers.Server
 }
@@ -176,15 +181,17 @@
 	n.storeCoordinator.Withdrawn = n.stores.Withdrawn
 	n.storeCoordinator.IsSaltUsable, n.storeCoordinator.AcceptedEpoch = n.isSaltUsable, n.stores.AcceptedEpoch
 	suspects := quarantine.New(config.Name)
-	n.limiter = upstreamlimit.New(upstreamlimit.Options{Self: config.Internal, Ask: askPermits(rpcpool.New(rpcpool.Options{DialTimeout: permitDialTimeout})), Log: log, Metrics: registry})
+	n.limiter = upstreamlimit.New(upstreamlimit.Options{Self: config.Internal, Ask: askPermits(rpcpool.New(rpcpool.Options{DialTimeout: permitDialTimeout})), ColdPerSecond: n.coldPerSecond, Log: log, Metrics: registry})
+	n.limiter.SetColdBound(config.ColdBound)
+	n.cold = coldstart.New(coldstart.Options{Directory: n.directory, ListLag: config.ListLag, Limit: n.coldLimit, Log: log, Metrics: registry})
 	n.loadExchange = peerload.New(peerload.Options{
 		Node: config.Name, Self: peerload.Peer{Address: config.LoadReports, AvailabilityZone: config.AvailabilityZone, LinkMbps: config.LinkMbps, CPUMillis: config.CPUMillis},
-		Tracker: n.tracker, Saves: n.stores, Quarantine: suspects, Limits: n.limiter, Log: log, Metrics: registry,
+		Tracker: n.tracker, Saves: n.stores, Quarantine: suspects, Limits: n.limiter, Cold: n.cold, Log: log, Metrics: registry,
 	})
 	n.gateway = gateway.New(gateway.Options{
 		AvailabilityZone: config.AvailabilityZone, Dialect: parts.Dialect, Sets: n, Directory: n.directory, Tracker: n.tracker, Stores: n.stores, Quarantine: suspects,
-		Limiter: n.limiter,
-		Pool:    upstreamconn.NewPool(upstreamconn.Options{MaxHeadBytes: config.UpstreamLimits.HeadBytes}), Budget: n.budget,
+		Limiter: n.limiter, Cold: n.cold,
+		Pool: upstreamconn.NewPool(upstreamconn.Options{MaxHeadBytes: config.UpstreamLimits.HeadBytes}), Budget: n.budget,
 		AnswerBytes: config.UpstreamLimits.AnswerBytes, EventBytes: config.UpstreamLimits.EventBytes,
 		Memory: bodyMemory(config.MemoryBytes),
 		Nodes:  func() int { return int(n.nodes.Load()) }, Log: log, Metrics: registry,
--- a/peerload/peerload.go
+++ b/peerload/peerload.go
@@ -39,6 +39,13 @@
 	Apply(source string, news []*nodepb.InstanceLimit, now time.Time)
 }
 
+// Cold holds the instances that may have restarted. See package coldstart.
+type Cold interface {
+	News(zone bool, now time.Time) []*nodepb.ColdInstance
+	Apply(source string, zone bool, news []*nodepb.ColdInstance, now time.Time)
+	ApplyUnresponsive(source string, ids []string, now time.Time)
+}
+
 // Options of an Exchange.
 type Options struct {
 	Node string
@@ -49,7 +56,9 @@
 	// Quarantine is the list of suspected parts of prompts, which the nodes exchange.
 	Quarantine Quarantine
 	// Limits holds the limits that instances name, which the nodes exchange; nil for none.
-	Limits  Limits
+	Limits Limits
+	// Cold holds the instances that may have restarted, which the nodes exchange; nil for none.
+	Cold    Cold
 	Log     *zap.Logger
 	Metrics gometrics.Registry
 }
@@ -161,6 +170,9 @@
 	if e.options.Limits != nil {
 		r.Limits = e.options.Limits.News(time.Now())
 	}
+	if e.options.Cold != nil {
+		r.Cold = e.options.Cold.News(false, time.Now())
+	}
 	if shrink(r) {
 		e.metrics.shrunk.Inc(1)
 	}
@@ -174,6 +186,9 @@
 	if e.options.Limits != nil {
 		d.Limits = e.options.Limits.News(now)
 	}
+	if e.options.Cold != nil {
+		d.Cold = e.options.Cold.News(true, now)
+	}
 	return d
 }
 
@@ -233,6 +248,7 @@
 		e.options.Saves.RecordSaves(r.GetSaves())
 		e.applySuspects(r.GetNode(), r.GetSuspects(), now)
 		e.applyLimits(r.GetNode(), r.GetLimits(), now)
+		e.applyCold(r.GetNode(), true, r.GetCold(), ejected, now)
 	}
 	for _, d := range datagram.GetDigests() {
 		e.applyDigest(d, now)
@@ -248,6 +264,7 @@
 	e.applyLimits(d.GetZone(), d.GetLimits(), now)
 	ejected, applied := e.options.Tracker.ApplyDigest(d, ownNode, now)
 	e.logUnresponsive(d.GetZone(), ejected)
+	e.applyCold(d.GetZone(), false, d.GetCold(), ejected, now)
 	if !applied {
 		return
 	}
@@ -269,3 +286,12 @@
 		e.options.Limits.Apply(source, limits, now)
 	}
 }
+
+// applyCold takes what a node or zone reports of restarts. zone is set for a node of the own zone.
+func (e *Exchange) applyCold(source string, zone bool, news []*nodepb.ColdInstance, ejected []string, now time.Time) {
+	if e.options.Cold == nil || len(news)+len(ejected) == 0 {
+		return
+	}
+	e.options.Cold.Apply(source, zone, news, now)
+	e.options.Cold.ApplyUnresponsive(source, ejected, now)
+}
--- a/trafficset/trafficset.go
+++ b/trafficset/trafficset.go
@@ -106,8 +106,19 @@
 	MaxConnections int
 	Engine         *EngineSpec
 	Store          *StoreSpec
+	Cold           ColdLimit
 }
 
+// ColdLimit describes how instances of a service behave after their start. The zero value means that they take requests at once.
+type ColdLimit struct {
+	// Duration is how long an instance is cold, PerSecond how many requests a second a cold instance accepts from all nodes together.
+	Duration  time.Duration
+	PerSecond float64
+}
+
+// Applies reports whether instances of the service are ever cold.
+func (l ColdLimit) Applies() bool { return l.Duration > 0 && l.PerSecond > 0 }
+
 // Account is a client account.
 type Account struct {
 	Name string
--- a/upstreamconn/carried.go
+++ b/upstreamconn/carried.go
@@ -20,6 +20,7 @@
 // request that runs.
 func (p *Pool) Get(ctx context.Context, id, address string, limit int, repeatable bool) (*Conn, error) {
 	hash := maphash.String(carriedSeed, id)
+	broke := false
 	for {
 		conn := p.takeIdle(address, repeatable, func(c *Conn) bool { return !slices.Contains(c.carried, hash) })
 		if conn == nil {
@@ -27,7 +28,9 @@
 			if conn, err = p.dial(ctx, address, limit); err != nil {
 				return nil, err
 			}
+			conn.followsBreak = broke
 		} else if !conn.alive() {
+			broke = true
 			conn.Close()
 			continue
 		}
--- a/upstreamconn/pool.go
+++ b/upstreamconn/pool.go
@@ -106,8 +106,10 @@
 	// twice.
 	keepUntil, freshUntil time.Time
 	// carried holds the hashes of the ids of the requests that the connection was used for.
-	carried   []uint64
-	closeOnce sync.Once
+	carried []uint64
+	// followsBreak is set if an idle connection to the address had ended when this one was opened, and openedWarm by SetOpenedWarm.
+	followsBreak, openedWarm bool
+	closeOnce                sync.Once
 }
 
 // Open opens a new connection.
--- a/upstreamlimit/core.go
+++ b/upstreamlimit/core.go
@@ -1,10 +1,14 @@
 package upstreamlimit
 
-import "time"
+import (
+	"time"
+
+	"github.com/wasabishunt/wasabishunt/serving/coldstart"
+)
 
 const (
 	// permitValidity is how long a permit may be used: the requests of one second reach the instance in little more than that.
-	permitValidity = 250 * time.Millisecond
+	permitValidity = coldstart.PermitValidity
 	// askAhead is the time for whose requests a node asks at once.
 	askAhead = 100 * time.Millisecond
 	// maxWant bounds the permits of one question.
@@ -26,6 +30,8 @@
 	Want int
 	// Spare is set if the permits are for requests that leave a reserve to more urgent ones.
 	Spare bool
+	// Cold is set for permits for a cold instance, whose limit follows from the published set; Age is not used then.
+	Cold bool
 }
 
 // Reply is the answer of an owner.
@@ -71,6 +77,7 @@
 type Core struct {
 	notices Notices
 	grants  Grants
+	cold    cold
 	// held has an entry for each instance with a limit to which this node wanted to send.
 	held map[uint32]*permits
 	// silentUntil is until when an owner is not asked.
@@ -80,7 +87,7 @@
 // NewCore returns the core of a node.
 func NewCore(self string) *Core {
 	return &Core{
-		grants: Grants{owners: owners{self: self}}, held: map[uint32]*permits{}, silentUntil: map[string]time.Time{},
+		grants: Grants{owners: owners{self: self}}, cold: newCold(), held: map[uint32]*permits{}, silentUntil: map[string]time.Time{},
 	}
 }
 
@@ -93,6 +100,7 @@
 // Retain drops what is known of instances that are not listed.
 func (c *Core) Retain(listed func(hash uint32) bool, now time.Time) {
 	c.notices.Retain(listed, now)
+	c.retainCold(listed, now)
 	for hash := range c.held {
 		if _, limited := c.notices.Of(hash); !limited {
 			delete(c.held, hash)
@@ -186,6 +194,9 @@
 
 // Serve answers a question as an owner.
 func (c *Core) Serve(q Question, now time.Time) Reply {
+	if q.Cold {
+		return c.serveCold(q, now)
+	}
 	c.Told(q.Hash, q.PerSecond, now.Add(-q.Age), now)
 	notice, _ := c.notices.Known(q.Hash)
 	if !notice.Limited {
@@ -197,6 +208,9 @@
 
 // Replied takes the reply of an owner to a question that was asked at asked, and returns what to do for the request.
 func (c *Core) Replied(q Question, r Reply, asked, now time.Time) Step {
+	if q.Cold {
+		return c.repliedCold(q, r, asked, now)
+	}
 	if r.Ended {
 		// EndedAge was measured between asked and now. A limit may have begun meanwhile.
 		c.NotNamed(q.Hash, asked.Add(-r.EndedAge), now)
@@ -210,20 +224,30 @@
 		return Step{Send: true}
 	}
 	if r.Granted > 0 {
-		until := asked.Add(permitValidity)
-		if !now.Before(until) {
-			p.waitUntil = now
-			return Step{Wait: minWait}
-		}
-		if p.count > 0 && p.until.Before(until) {
-			// Permits of an earlier reply keep their end.
-			until = p.until
-		}
-		p.count, p.until = p.count+r.Granted-1, until
-		return Step{Send: true, Until: asked.Add(permitValidity)}
+		return p.take(r.Granted, asked, now)
+	}
+	return p.deny(q.Spare, r.Wait, now)
+}
+
+// take takes permits that were asked for at asked, and uses one of them.
+func (p *permits) take(granted int, asked, now time.Time) Step {
+	until := asked.Add(permitValidity)
+	if !now.Before(until) {
+		p.waitUntil = now
+		return Step{Wait: minWait}
 	}
-	wait := max(minWait, min(maxWait, r.Wait))
-	if q.Spare {
+	if p.count > 0 && p.until.Before(until) {
+		// Permits of an earlier reply keep their end.
+		until = p.until
+	}
+	p.count, p.until = p.count+granted-1, until
+	return Step{Send: true, Until: asked.Add(permitValidity)}
+}
+
+// deny records that an owner granted nothing.
+func (p *permits) deny(spare bool, wait time.Duration, now time.Time) Step {
+	wait = max(minWait, min(maxWait, wait))
+	if spare {
 		p.spareUntil = now.Add(wait)
 	} else {
 		p.waitUntil = now.Add(wait)
@@ -233,8 +257,12 @@
 
 // Waits returns how long the instances take no requests, spare ones or others, from this node, nil if there are none.
 func (c *Core) Waits(spare bool, now time.Time) map[uint32]time.Duration {
+	return waits(c.held, spare, now)
+}
+
+func waits(held map[uint32]*permits, spare bool, now time.Time) map[uint32]time.Duration {
 	var waits map[uint32]time.Duration
-	for hash, p := range c.held {
+	for hash, p := range held {
 		if left := p.wait(spare, now); left > 0 && (p.count == 0 || !now.Before(p.until)) {
 			if waits == nil {
 				waits = map[uint32]time.Duration{}
--- a/upstreamlimit/encode.go
+++ b/upstreamlimit/encode.go
@@ -15,14 +15,14 @@
 func decodeAge(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
 
 func encodeQuestion(q Question) *nodepb.PermitRequest {
-	return &nodepb.PermitRequest{Instance: q.Hash, PerSecond: q.PerSecond, AgeMs: encodeAge(q.Age), Want: uint32(q.Want), Spare: q.Spare}
+	return &nodepb.PermitRequest{Instance: q.Hash, PerSecond: q.PerSecond, AgeMs: encodeAge(q.Age), Want: uint32(q.Want), Spare: q.Spare, Cold: q.Cold}
 }
 
 func decodeQuestion(q *nodepb.PermitRequest) (Question, error) {
 	if !Usable(q.GetPerSecond()) {
 		return Question{}, failure.New(failure.InvalidRequest, failure.NotRun, "%v is no limit", q.GetPerSecond())
 	}
-	return Question{Hash: q.GetInstance(), PerSecond: q.GetPerSecond(), Age: decodeAge(q.GetAgeMs()), Want: int(min(q.GetWant(), maxWant)), Spare: q.GetSpare()}, nil
+	return Question{Hash: q.GetInstance(), PerSecond: q.GetPerSecond(), Age: decodeAge(q.GetAgeMs()), Want: int(min(q.GetWant(), maxWant)), Spare: q.GetSpare(), Cold: q.GetCold()}, nil
 }
 
 // encodeReply rounds the wait up, so that nobody asks too early.
--- a/upstreamlimit/limiter.go
+++ b/upstreamlimit/limiter.go
@@ -18,9 +18,11 @@
 	// Self is the address at which other nodes ask this one.
 	Self string
 	// Ask sends a question to another node.
-	Ask     func(ctx context.Context, address string, q *nodepb.PermitRequest) (*nodepb.PermitReply, error)
-	Log     *zap.Logger
-	Metrics gometrics.Registry
+	Ask func(ctx context.Context, address string, q *nodepb.PermitRequest) (*nodepb.PermitReply, error)
+	// ColdPerSecond returns what a cold instance accepts by the set of this node, 0 if that is not known; nil if no set has such limits.
+	ColdPerSecond func(hash uint32) float64
+	Log           *zap.Logger
+	Metrics       gometrics.Registry
 }
 
 // Limiter keeps the limits that instances name. Limiter.mu is a leaf lock: no other lock is acquired while it is held.
@@ -34,6 +36,8 @@
 
 	// known is the number of instances that name a limit or have named one lately. Without any, requests take no lock.
 	known atomic.Int64
+	// heldCold is the number of cold instances to which this node wanted to send.
+	heldCold atomic.Int64
 }
 
 const (
@@ -56,6 +60,7 @@
 // unlock releases mu after a use of core.
 func (l *Limiter) unlock() {
 	l.known.Store(int64(len(l.core.notices.byHash)))
+	l.heldCold.Store(int64(len(l.core.cold.held)))
 	l.mu.Unlock()
 }
 
@@ -170,6 +175,9 @@
 		if ctx.Err() == nil {
 			l.core.Failed(step.Owner, time.Now())
 		}
+		if q.Cold {
+			return l.core.nextColdAgain(q, time.Now())
+		}
 		return l.core.Next(q.Hash, q.Spare, time.Now())
 	}
 	return l.core.Replied(q, decodeReply(reply), asked, time.Now())
@@ -181,6 +189,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if q.Cold && l.options.ColdPerSecond != nil {
+		// The asking node may have another version of the set.
+		if own := l.options.ColdPerSecond(q.Hash); own > 0 {
+			q.PerSecond = own
+		}
+	}
 	l.mu.Lock()
 	defer l.unlock()
 	return encodeReply(l.core.Serve(q, time.Now())), nil
--- a/upstreams/upstreams.go
+++ b/upstreams/upstreams.go
@@ -25,6 +25,11 @@
 	Updating bool
 	// Versions maps models to the version of their weights.
 	Versions map[string]uint64
+	// ColdLeft is how long the instance remains cold after a list or a view of another node is applied. It is an input of the Directory,
+	// whose views have ColdUntil instead.
+	ColdLeft time.Duration
+	// ColdUntil is the end of that time, zero if the list shows the instance as warm.
+	ColdUntil time.Time
 }
 
 // Key returns the identity of the incarnation.
@@ -122,6 +127,7 @@
 	for i := range instances {
 		key := instances[i].Key()
 		present[key] = true
+		instances[i].setCold(now)
 		d.overlay(&instances[i], now)
 	}
 	d.applyDraining(instances, now)
@@ -235,7 +241,7 @@
 			return false
 		}
 	}
-	return true
+	return !b.isColdForLonger(&a)
 }
 
 const (
