--- a/fleetview/fleetview_test.go
+++ b/fleetview/fleetview_test.go
@@ -80,6 +80,29 @@
 	require.Equal(t, d.View().Instances, DecodeView(encodeView(d.View(), time.Now())))
 }
 
+// TestColdTimeSurvivesTheWire guards against nodes that do not learn how long an instance remains cold, and against a view that is sent to all
+// nodes whenever the list is read, because that time has become shorter.
+func TestColdTimeSurvivesTheWire(t *testing.T) {
+	d, now := upstreams.NewDirectory(), time.Now()
+	list := func(left time.Duration) []upstreams.Instance {
+		return []upstreams.Instance{{ID: "a", Service: "s", ColdLeft: left}}
+	}
+	d.ApplyList(list(3*time.Second), now)
+	left := DecodeView(encodeView(d.View(), now.Add(time.Second)))[0].ColdLeft
+	require.GreaterOrEqual(t, left, 2*time.Second)
+	require.Less(t, left, 2300*time.Millisecond)
+	revision := d.View().Revision
+	require.False(t, d.ApplyList(list(2500*time.Millisecond), now.Add(500*time.Millisecond)))
+	require.False(t, d.ApplyList(list(2100*time.Millisecond), now.Add(time.Second)), "the read took longer")
+	require.False(t, d.ApplyList(list(0), now.Add(2*time.Second)))
+	require.Equal(t, revision, d.View().Revision)
+	require.Zero(t, DecodeView(encodeView(d.View(), now.Add(4*time.Second)))[0].ColdLeft)
+	require.True(t, d.ApplyList(list(time.Second), now.Add(10*time.Second)), "it is cold again")
+	require.True(t, d.ApplyList(list(3*time.Second), now.Add(10500*time.Millisecond)), "and again")
+	d.MarkLeaving(now, upstreams.Key{ID: "a"})
+	require.NotZero(t, d.View().Instances[0].ColdUntil)
+}
+
 // TestNodesAreCountedForAWhile guards against budgets that are divided among lost nodes for too long, or divided without
 // a node too early: a restarted node may have spent its share.
 func TestNodesAreCountedForAWhile(t *testing.T) {
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -8,7 +8,6 @@
 	"github.com/wasabishunt/wasabishunt/placement"
 	"github.com/wasabishunt/wasabishunt/serving/coldstart"
 	"github.com/wasabishunt/wasabishunt/upstreamconn"
-	"github.com/wasabishunt/wasabishunt/upstreamlimit"
 	"github.com/wasabishunt/wasabishunt/upstreams"
 )
 
@@ -71,8 +70,8 @@
 	return c.isSpare() || c.attributes.Generation != nil && !urgency.IsShort()
 }
 
-// markCold sets the pauses of candidates that are cold and leave no permit for this node yet.
-func (c *call) markCold(candidates []placement.Candidate, now time.Time) {
+// markCold sets the pauses of those candidates, all instances of the service in a view, that are cold and leave no permit for this node yet.
+func (c *call) markCold(view *upstreams.View, candidates []placement.Candidate, now time.Time) {
 	if !c.isColdLimited() {
 		return
 	}
@@ -81,22 +80,13 @@
 	if waits == nil {
 		return
 	}
-	view := o.Directory.View()
-	waiting := make(map[upstreams.Key]upstreamlimit.ColdWait, len(waits))
 	for hash, wait := range waits {
-		if instance := view.ByHash(hash); instance != nil && instance.Service == c.service.Name && c.needsColdPermit(instance, nil, now) {
-			waiting[instance.Key()] = wait
-		}
-	}
-	if len(waiting) == 0 {
-		return
-	}
-	for i := range candidates {
-		candidate := &candidates[i]
-		wait, ok := waiting[candidate.Instance.Key()]
-		if !ok {
+		instance := view.ByHash(hash)
+		if instance == nil || instance.Service != c.service.Name || !c.needsColdPermit(instance, nil, now) {
 			continue
 		}
+		// The candidates are those of the view, in its order.
+		candidate := &candidates[view.Position(instance)]
 		left := wait.Urgent
 		if c.leavesColdReserve(candidate.CachedTokens) {
 			left = wait.Spare
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -162,7 +162,7 @@
 	now := time.Now()
 	candidates := o.Tracker.Candidates(view.OfService(c.service.Name), now, q)
 	c.markLimited(candidates, now)
-	c.markCold(candidates, now)
+	c.markCold(view, candidates, now)
 	if q.CacheTokens > 0 {
 		placement.MarkHomes(q, candidates)
 		placement.MarkHeld(q, candidates)
--- a/peerload/peerload_test.go
+++ b/peerload/peerload_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/wasabishunt/wasabishunt/placement"
 	"github.com/wasabishunt/wasabishunt/quarantine"
+	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
+	"github.com/wasabishunt/wasabishunt/serving/coldstart"
 	"github.com/wasabishunt/wasabishunt/upstreams"
 )
 
@@ -36,6 +38,84 @@
 	s.recorded = append(s.recorded, parts...)
 }
 
+// coldNews records the restarts that other nodes report.
+type coldNews struct {
+	mu   sync.Mutex
+	own  []*nodepb.ColdInstance
+	from map[uint32]bool
+}
+
+func (c *coldNews) News(bool, time.Time) []*nodepb.ColdInstance {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.own
+}
+
+func (c *coldNews) Apply(_ string, zone bool, news []*nodepb.ColdInstance, _ time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, n := range news {
+		if c.from == nil {
+			c.from = map[uint32]bool{}
+		}
+		c.from[n.GetInstance()] = zone
+	}
+}
+
+func (c *coldNews) ApplyUnresponsive(string, []string, time.Time) {}
+
+// Guards against nodes that do not hear of an instance that may have restarted, and against a report of the own zone that the other zones are not
+// told of, or a digest of another zone that goes round.
+func TestNodesTellEachOtherOfRestarts(t *testing.T) {
+	for name, zones := range map[string][2]string{"one zone": {"z0", "z0"}, "two zones": {"z0", "z1"}} {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			var done sync.WaitGroup
+			defer done.Wait()
+			defer cancel()
+			var exchanges []*Exchange
+			var conns []*net.UDPConn
+			var peers []Peer
+			for i, zone := range zones {
+				conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+				require.NoError(t, err)
+				peer := Peer{Address: conn.LocalAddr().String(), AvailabilityZone: zone}
+				conns, peers = append(conns, conn), append(peers, peer)
+				news := &coldNews{}
+				if i == 0 {
+					news.own = []*nodepb.ColdInstance{{Instance: 7, AgeMs: 1, LeftMs: 3000}}
+				}
+				exchanges = append(exchanges, New(Options{
+					Node: peer.Address, Self: peer, Tracker: placement.NewTracker(), Saves: &saves{}, Quarantine: quarantine.New(peer.Address), Cold: news,
+					Log: zap.NewNop(), Metrics: gometrics.NewRegistry(),
+				}))
+			}
+			for i, e := range exchanges {
+				e.SetPeers(peers)
+				done.Go(func() { e.Run(ctx, conns[i]) })
+			}
+			heard := exchanges[1].options.Cold.(*coldNews)
+			require.Eventually(t, func() bool {
+				heard.mu.Lock()
+				defer heard.mu.Unlock()
+				zone, known := heard.from[7]
+				return known && zone == (zones[0] == zones[1])
+			}, 5*time.Second, 5*time.Millisecond)
+		})
+	}
+}
+
+// Guards against datagrams that grow in deployments without cold instances.
+func TestReportsWithoutColdInstancesAreUnchanged(t *testing.T) {
+	now := time.Now()
+	e := New(Options{
+		Node: "n", Self: Peer{Address: "127.0.0.1:1"}, Tracker: placement.NewTracker(), Saves: &saves{}, Quarantine: quarantine.New("n"), Cold: coldstart.New(coldstart.Options{}),
+		Log: zap.NewNop(), Metrics: gometrics.NewRegistry(),
+	})
+	require.Nil(t, e.report(1).GetCold())
+	require.Nil(t, e.digest(now).GetCold())
+}
+
 // Guards against nodes that do not receive each other's load, and against a malformed datagram that ends the
 // exchange.
 func TestNodesTellEachOtherTheirLoad(t *testing.T) {
--- a/serving/coldstart/guard.go
+++ b/serving/coldstart/guard.go
@@ -41,6 +41,42 @@
 	reasons map[uint32]Reason
 	// known is the number of states. Without any, load reports take no lock.
 	known atomic.Int64
+	// pulse tells suspensions of the process.
+	pulse pulse
+}
+
+const (
+	// suspensionGap is the time between two load reports after which the process counts as suspended. Reports are sent each 75 ms at least,
+	// and a VM that has used up its CPU share is stalled for a tenth of a second.
+	suspensionGap = time.Second
+	// suspensionMemory bounds the time for which a node without contact to the leader remembers that it was suspended.
+	suspensionMemory = 3 * time.Second
+)
+
+// pulse holds when load reports were sent, in ns since started, 0 before the first one.
+type pulse struct {
+	started time.Time
+	// beatAt is when the last one was sent, wokeAt the first one after a suspension.
+	beatAt, wokeAt atomic.Int64
+}
+
+// beat records that a report is sent.
+func (p *pulse) beat(now time.Time) {
+	at := int64(now.Sub(p.started))
+	if last := p.beatAt.Swap(at); last > 0 && at-last > int64(suspensionGap) {
+		p.wokeAt.Store(at)
+	}
+}
+
+// wasSuspended reports whether the process was suspended and has not heard from the leader since, who was last heard at heardAt.
+func (p *pulse) wasSuspended(heardAt, now time.Time) bool {
+	beatAt, wokeAt := p.beatAt.Load(), p.wokeAt.Load()
+	if at := int64(now.Sub(p.started)); beatAt > 0 && at-beatAt > int64(suspensionGap) {
+		// No report was sent since: the process has just woken up.
+		return heardAt.Before(now.Add(-suspensionGap))
+	}
+	woke := p.started.Add(time.Duration(wokeAt))
+	return wokeAt > 0 && heardAt.Before(woke) && now.Sub(woke) < suspensionMemory
 }
 
 // New returns a Guard.
@@ -48,7 +84,7 @@
 	if options.ListLag <= 0 {
 		options.ListLag = defaultListLag
 	}
-	return &Guard{options: options, reasons: map[uint32]Reason{}}
+	return &Guard{options: options, reasons: map[uint32]Reason{}, pulse: pulse{started: time.Now()}}
 }
 
 func (g *Guard) unlock() {
@@ -58,7 +94,8 @@
 
 // list returns what the node knows of the list: the view may be CopyMargin older than its confirmation.
 func (g *Guard) list(now time.Time) List {
-	return List{ContentAt: now.Add(-g.options.Directory.Age(now) - upstreams.CopyMargin - g.options.ListLag)}
+	heardAt := now.Add(-g.options.Directory.Age(now))
+	return List{ContentAt: heardAt.Add(-upstreams.CopyMargin - g.options.ListLag), Suspended: g.pulse.wasSuspended(heardAt, now)}
 }
 
 func (g *Guard) zone(instance *upstreams.Instance) Zone {
@@ -134,6 +171,7 @@
 
 // News returns the instances that may have restarted, as this node saw, and with zone set as the nodes of its zone saw.
 func (g *Guard) News(zone bool, now time.Time) []*nodepb.ColdInstance {
+	g.pulse.beat(now)
 	if g.known.Load() == 0 {
 		return nil
 	}
--- a/serving/coldstart/rates.go
+++ b/serving/coldstart/rates.go
@@ -44,10 +44,10 @@
 // time there are one first owner, one second owner, and two isolated ones. Their permits are used up to PermitValidity after they were handed
 // out.
 func RatesFor(perSecond float64, b Bound) Rates {
-	if b == (Bound{}) {
+	bound := b.Requests(perSecond)
+	if b == (Bound{}) || math.IsNaN(bound) || bound < 0 {
 		return ratesAt(perSecond, wholeDepth, 1)
 	}
-	bound := b.Requests(perSecond)
 	for _, depth := range []float64{wholeDepth, 1} {
 		// Below half of the rate, the first owner alone serves more.
 		for step := rateSteps; step > rateSteps/2; step-- {
--- a/serving/coldstart/states.go
+++ b/serving/coldstart/states.go
@@ -35,6 +35,8 @@
 	MayHaveRestarted Reason = "may_have_restarted"
 	// Reported: another node saw a sign of a restart.
 	Reported Reason = "reported"
+	// Suspended: this node was suspended, and may have missed the return of the zone.
+	Suspended Reason = "suspended"
 	// Unknown: the list has not shown the instance as warm, and this node has not sent anything to it.
 	Unknown Reason = "unknown"
 )
@@ -44,6 +46,8 @@
 	// ContentAt is a time at which the content of the list was still current: the list is older than its read, and the read older than
 	// the word of the leader.
 	ContentAt time.Time
+	// Suspended is set if the node was suspended and has not heard from the leader since: an evacuation may have begun and ended meanwhile.
+	Suspended bool
 }
 
 // Zone is what a node knows of the evacuation of a zone.
@@ -145,6 +149,9 @@
 	if zone.Evacuated || !zone.ReturnedAt.IsZero() && now.Sub(zone.ReturnedAt) < limit.Duration {
 		return AllConnections, ZoneReturned
 	}
+	if list.Suspended {
+		return AllConnections, Suspended
+	}
 	// The list shows an instance as warm from the end of the cold time on that it last gave.
 	shownWarm := !instance.ColdUntil.After(list.ContentAt)
 	st := s.byHash[instance.Key().Hash()]
--- a/upstreamlimit/cold.go
+++ b/upstreamlimit/cold.go
@@ -106,7 +106,7 @@
 		return Step{Send: true, Until: p.until}
 	}
 	p.count = 0
-	if wait := p.wait(spare, now); wait > 0 {
+	if wait := p.coldWait(spare, now); wait > 0 {
 		return Step{Wait: wait}
 	}
 	first, second := Owners(hash, c.grants.owners.nodes)
@@ -116,6 +116,7 @@
 	question := Question{Hash: hash, PerSecond: perSecond, Want: p.want(), Spare: spare, Cold: true}
 	for _, owner := range []string{first, second} {
 		if owner != "" && !now.Before(c.silentUntil[owner]) {
+			p.askingUntil = now.Add(askTimeout)
 			return Step{Owner: owner, Question: question}
 		}
 	}
@@ -129,9 +130,19 @@
 	if p == nil {
 		return Step{Wait: minWait}
 	}
+	p.askingUntil = time.Time{}
 	return c.nextCold(p, q.Hash, q.PerSecond, q.Spare, now)
 }
 
+// coldWait returns how long no owner is asked for a request to a cold instance.
+func (p *permits) coldWait(spare bool, now time.Time) time.Duration {
+	wait := p.wait(spare, now)
+	if now.Before(p.askingUntil) {
+		wait = max(wait, minWait)
+	}
+	return wait
+}
+
 // serveCold answers a question for permits for a cold instance. Ended means that this node is no owner.
 func (c *Core) serveCold(q Question, now time.Time) Reply {
 	rate, depth := c.grants.owners.coldRate(q.Hash, c.cold.ratesFor(q.PerSecond), now)
@@ -179,6 +190,7 @@
 		// Dropped meanwhile, because the instance is no longer listed.
 		return Step{Wait: minWait}
 	}
+	p.askingUntil = time.Time{}
 	if r.Ended {
 		if now.Before(c.cold.secondUntil[q.Hash]) {
 			p.waitUntil = now.Add(refusedPause)
@@ -206,7 +218,7 @@
 		if p.count > 0 && now.Before(p.until) {
 			continue
 		}
-		if wait := (ColdWait{Urgent: p.wait(false, now), Spare: p.wait(true, now)}); wait.Spare > 0 {
+		if wait := (ColdWait{Urgent: p.coldWait(false, now), Spare: p.coldWait(true, now)}); wait.Spare > 0 {
 			if out == nil {
 				out = map[uint32]ColdWait{}
 			}
--- a/upstreamlimit/core.go
+++ b/upstreamlimit/core.go
@@ -62,6 +62,9 @@
 	wantedAt time.Time
 	// waitUntil is when an owner is asked again, spareUntil when it is asked again for requests that leave a reserve.
 	waitUntil, spareUntil time.Time
+	// askingUntil is until when the reply to a question for a cold instance may arrive. Meanwhile no other one is asked: each would get a turn
+	// of its own, and the last one would count.
+	askingUntil time.Time
 }
 
 // wait returns how long no owner is asked for a request.
--- a/upstreams/upstreams.go
+++ b/upstreams/upstreams.go
@@ -54,11 +54,16 @@
 	ReceivedAt time.Time
 	byService  map[string][]*Instance
 	byHash     func() map[uint32]*Instance
+	// positions holds the position of each instance in the list of its service.
+	positions func() map[*Instance]int
 }
 
 // OfService returns the instances of a service.
 func (v *View) OfService(service string) []*Instance { return v.byService[service] }
 
+// Position returns the position of an instance of the view in the list of its service.
+func (v *View) Position(instance *Instance) int { return v.positions()[instance] }
+
 func newView(revision uint64, instances []Instance, now time.Time) *View {
 	v := &View{Revision: revision, Instances: instances, ReceivedAt: now, byService: map[string][]*Instance{}}
 	v.byHash = sync.OnceValue(func() map[uint32]*Instance { return indexByHash(instances) })
@@ -66,6 +71,15 @@
 		instance := &v.Instances[i]
 		v.byService[instance.Service] = append(v.byService[instance.Service], instance)
 	}
+	v.positions = sync.OnceValue(func() map[*Instance]int {
+		positions := make(map[*Instance]int, len(instances))
+		for _, list := range v.byService {
+			for i, instance := range list {
+				positions[instance] = i
+			}
+		}
+		return positions
+	})
 	return v
 }
 
