Cold instances: an empty list and an earlier view end no cold time

Cause: one list without an instance dropped the signs of its restart, and a request checked the view from which it had chosen its instance, not the newest one.

Change: signs are kept for a minute after an instance was last listed; the check before the send uses the newest view.

--- a/node/adopt.go
+++ b/node/adopt.go
@@ -101,7 +101,7 @@
 		n.setLimiterNodes(peers, now)
 	}
 	n.limiter.Confirm(n.directory.View(), now)
-	n.cold.Retain(n.directory.View())
+	n.cold.Retain(n.directory.View(), now)
 	if u.GetPlacements() != nil {
 		n.stores.ApplyChanges(u.GetPlacements().GetStores())
 	}
--- a/serving/coldstart/guard.go
+++ b/serving/coldstart/guard.go
@@ -110,7 +110,12 @@
 	if g == nil || !limit.Applies() {
 		return NoPermit
 	}
-	list, zone, hash := g.list(now), g.zone(instance), instance.Key().Hash()
+	hash := instance.Key().Hash()
+	// The caller may have chosen the instance from an earlier view.
+	if current := g.options.Directory.View().ByHash(hash); current != nil {
+		instance = current
+	}
+	list, zone := g.list(now), g.zone(instance)
 	g.mu.Lock()
 	need, reason := g.states.Need(instance, limit, list, zone, now)
 	old := g.reasons[hash]
@@ -230,15 +235,15 @@
 	}
 }
 
-// Retain drops what is known of instances that are not listed.
-func (g *Guard) Retain(view *upstreams.View) {
+// Retain drops what is known of instances that have not been listed for a while.
+func (g *Guard) Retain(view *upstreams.View, now time.Time) {
 	if g.known.Load() == 0 {
 		return
 	}
 	g.mu.Lock()
 	defer g.unlock()
 	listed := func(hash uint32) bool { return view.ByHash(hash) != nil }
-	g.states.Retain(listed)
+	g.states.Retain(listed, now)
 	for hash := range g.reasons {
 		if !listed(hash) {
 			delete(g.reasons, hash)
--- a/serving/coldstart/guard_test.go
+++ b/serving/coldstart/guard_test.go
@@ -65,7 +65,9 @@
 	require.Equal(t, NewConnections, b.Need(cold, limit, now.Add(limit.Duration-time.Millisecond)))
 	require.Equal(t, NoPermit, b.Need(cold, limit, now.Add(limit.Duration)))
 	b.options.Directory.ApplyList([]upstreams.Instance{{ID: "other", Service: "s"}}, now)
-	b.Retain(b.options.Directory.View())
+	b.Retain(b.options.Directory.View(), now)
+	require.NotEmpty(t, b.states.byHash, "one list may miss the instance")
+	b.Retain(b.options.Directory.View(), now.Add(missingMemory+time.Second))
 	b.Apply("a", true, news, now)
 	require.Empty(t, b.states.byHash)
 }
@@ -115,3 +117,26 @@
 	require.Equal(t, AllConnections, need(17900*time.Millisecond))
 	require.Equal(t, NoPermit, need(18*time.Second))
 }
+
+// Guards against an instance that becomes cold after it was chosen, and gets the request without a permit.
+func TestNewestViewCounts(t *testing.T) {
+	now := time.Now()
+	g := newGuard(1, now)
+	chosen := g.options.Directory.View().OfService("s")[0]
+	require.Equal(t, NoPermit, g.Need(chosen, limit, now))
+	g.options.Directory.ApplyList([]upstreams.Instance{{ID: "s0", Service: "s", ColdLeft: 2 * time.Second}}, now)
+	require.Equal(t, AllConnections, g.Need(chosen, limit, now.Add(time.Second)))
+}
+
+// Guards against an empty list that ends what is known of restarts: the next one shows the instances as they were.
+func TestEmptyListEndsNoSign(t *testing.T) {
+	now := time.Now()
+	g := newGuard(1, now)
+	instance := g.options.Directory.View().OfService("s")[0]
+	g.Sign(instance, limit, "r", nil, now)
+	g.options.Directory.ApplyList(nil, now.Add(time.Second))
+	g.Retain(g.options.Directory.View(), now.Add(time.Second))
+	g.options.Directory.ApplyList([]upstreams.Instance{{ID: "s0", Service: "s"}}, now.Add(1500*time.Millisecond))
+	g.Retain(g.options.Directory.View(), now.Add(1500*time.Millisecond))
+	require.Equal(t, NewConnections, g.Need(g.options.Directory.View().OfService("s")[0], limit, now.Add(2*time.Second)))
+}
--- a/serving/coldstart/states.go
+++ b/serving/coldstart/states.go
@@ -68,6 +68,8 @@
 	byZone              bool
 	// sentAt is when this node first sent a request to the incarnation.
 	sentAt time.Time
+	// missingSince is since when the incarnation is not listed, zero if it is.
+	missingSince time.Time
 }
 
 // States holds what a node knows of instances of services with a cold limit, by the hashes of their keys.
@@ -207,10 +209,18 @@
 	return out
 }
 
-// Retain drops what is known of instances that are not listed.
-func (s *States) Retain(listed func(hash uint32) bool) {
-	for hash := range s.byHash {
-		if !listed(hash) {
+// missingMemory is how long the state of an instance is kept that is not listed: a list may be empty or miss an instance once.
+const missingMemory = time.Minute
+
+// Retain drops what is known of instances that have not been listed for missingMemory.
+func (s *States) Retain(listed func(hash uint32) bool, now time.Time) {
+	for hash, st := range s.byHash {
+		switch {
+		case listed(hash):
+			st.missingSince = time.Time{}
+		case st.missingSince.IsZero():
+			st.missingSince = now
+		case now.Sub(st.missingSince) > missingMemory:
 			delete(s.byHash, hash)
 		}
 	}
