--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/wasabishunt/wasabishunt/placement"
 	"github.com/wasabishunt/wasabishunt/quarantine"
 	"github.com/wasabishunt/wasabishunt/retrybudget"
+	"github.com/wasabishunt/wasabishunt/serving/coldstart"
 	"github.com/wasabishunt/wasabishunt/serving/evacuation"
 	"github.com/wasabishunt/wasabishunt/supervise"
 	"github.com/wasabishunt/wasabishunt/trafficset"
@@ -142,6 +143,8 @@
 	Limiter *upstreamlimit.Limiter
 	// Evacuations returns the list of evacuated zones, nil if there is none; nil if zones are never evacuated.
 	Evacuations func() *evacuation.List
+	// Cold knows which instances are cold; nil if none are. It needs a Limiter.
+	Cold *coldstart.Guard
 	// AnswerBytes limits an answer that is not a stream, EventBytes a single event of a stream.
 	AnswerBytes int64
 	EventBytes  int
--- a/node/evacuations.go
+++ b/node/evacuations.go
@@ -10,12 +10,19 @@
 	"github.com/wasabishunt/wasabishunt/coregroup"
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
+	"github.com/wasabishunt/wasabishunt/serving/coldstart"
 	"github.com/wasabishunt/wasabishunt/serving/evacuation"
 )
 
 // Evacuations returns the evacuated zones as this node knows them, nil before the first evacuation.
 func (n *Node) Evacuations() *evacuation.List { return n.evacuations.Load() }
 
+// zoneState returns what this node knows of the evacuation of a zone.
+func (n *Node) zoneState(zone string) coldstart.Zone {
+	list := n.Evacuations()
+	return coldstart.Zone{Evacuated: list.Contains(zone), ReturnedAt: list.EndedAt(zone)}
+}
+
 // applyEvacuations applies the evacuated zones of an update. A list with a higher revision is newer whoever sends it: members execute the same
 // log. Revision 0 means that no zone was ever evacuated. The caller holds updateMu.
 func (n *Node) applyEvacuations(from string, u *nodepb.WatchUpdate, now time.Time) {
--- a/serving/evacuation/evacuation.go
+++ b/serving/evacuation/evacuation.go
@@ -32,6 +32,8 @@
 	zones    map[string]bool
 	// ended is when this node learned that the evacuation of a zone ended.
 	ended map[string]time.Time
+	// skippedAt is when this node last received a list after it had missed one: in a missed list any zone may have been evacuated.
+	skippedAt time.Time
 }
 
 // Change is the difference between two lists.
@@ -53,6 +55,10 @@
 		}
 	}
 	if l != nil {
+		next.skippedAt = l.skippedAt
+		if revision > l.revision+1 {
+			next.skippedAt = now
+		}
 		maps.Copy(next.ended, l.ended)
 		for zone := range l.zones {
 			if !next.zones[zone] {
@@ -88,10 +94,13 @@
 }
 
 // EndedAt returns when this node learned that the evacuation of a zone ended, zero if it did not learn of an end in the last minutes. A zone
-// that is evacuated again keeps the time.
+// that is evacuated again keeps the time. After a missed list the evacuation of any zone may have ended.
 func (l *List) EndedAt(zone string) time.Time {
 	if l == nil {
 		return time.Time{}
 	}
-	return l.ended[zone]
+	if at := l.ended[zone]; at.After(l.skippedAt) {
+		return at
+	}
+	return l.skippedAt
 }
--- a/serving/evacuation/evacuation_test.go
+++ b/serving/evacuation/evacuation_test.go
@@ -108,3 +108,22 @@
 		}
 	})
 }
+
+// Guards against a zone whose instances count as warm although its evacuation began and ended in lists that this node missed.
+func TestMissedListMayHaveEndedAnEvacuation(t *testing.T) {
+	begin := time.Unix(100, 0)
+	var none *List
+	list, _, ok := none.Accept(1, nil, begin)
+	require.True(t, ok)
+	require.Zero(t, list.EndedAt("a"))
+	later := begin.Add(time.Second)
+	list, _, ok = list.Accept(2, nil, later)
+	require.True(t, ok)
+	require.Zero(t, list.EndedAt("a"))
+	list, _, ok = list.Accept(4, nil, later)
+	require.True(t, ok)
+	require.Equal(t, later, list.EndedAt("a"))
+	list, _, ok = list.Accept(5, nil, later.Add(time.Second))
+	require.True(t, ok)
+	require.Equal(t, later, list.EndedAt("a"))
+}
