upstreamlimit: the simulation of cold engines has links that fail in one direction

Cause: no disturbance changed the first owners while they live and hear of the leader.

Change: the list leaves out the first owners of all engines for some seconds.

--- a/upstreamlimit/coldsim_test.go
+++ b/upstreamlimit/coldsim_test.go
@@ -44,6 +44,8 @@
 	// side is the side of a partition on which the node is; side 0 has the leader.
 	side int
 	gone bool
+	// unlisted is set while the leader does not hear of the node, which hears of the leader.
+	unlisted bool
 }
 
 // coldSend is one request that reached an engine.
@@ -111,7 +113,7 @@
 
 func (s *coldSim) names() (list []string) {
 	for _, n := range s.nodes {
-		if !n.gone {
+		if !n.gone && !n.unlisted {
 			list = append(list, n.name)
 		}
 	}
@@ -311,7 +313,7 @@
 		}
 		s.flood()
 		for range rapid.IntRange(0, 6).Draw(t, "disturbances") {
-			s.after(s.between(0, coldEnd), rapid.SampledFrom([]func(){s.suspendSome, s.suspendOwner, s.part, s.join, s.leave}).Draw(t, "disturbance"))
+			s.after(s.between(0, coldEnd), rapid.SampledFrom([]func(){s.suspendSome, s.suspendOwner, s.part, s.join, s.leave, s.unlistOwners}).Draw(t, "disturbance"))
 		}
 		s.run(coldEnd)
 		most = max(most, s.most())
@@ -338,6 +340,26 @@
 	}
 }
 
+// unlistOwners lets the link of the first owners of all engines to the leader fail in one direction, so that the list leaves them out for some time.
+func (s *coldSim) unlistOwners() {
+	var owners []*coldNode
+	for engine := range uint32(coldEngines) {
+		if first, _ := Owners(engine, s.names()); first != "" && !slices.Contains(owners, s.node(first)) {
+			owners = append(owners, s.node(first))
+		}
+	}
+	for _, n := range owners {
+		n.unlisted = true
+	}
+	s.spread()
+	s.after(s.between(time.Second, 4*time.Second), func() {
+		for _, n := range owners {
+			n.unlisted = false
+		}
+		s.spread()
+	})
+}
+
 // part parts the nodes into three sides for some seconds. The lists change or not.
 func (s *coldSim) part() {
 	if s.parted {
