fairshare: accounts above their equal share wait less while a service is short of capacity

Cause: in a shortage each account gets engines in proportion to what it sends, so an account that floods takes them from the others.

Change: serving/fairshare keeps decayed upstream time by service and account, exchanged in load reports and digests, and derives the max-min share. placement.Admit scales its limits by the factor in Requirements.

--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -17,6 +17,7 @@
 func (c *call) finish(err error) {
 	elapsed := time.Since(c.started)
 	c.gateway.metrics.total.Update(elapsed)
+	c.settleShare(time.Now())
 	if c.firstByte > 0 {
 		c.gateway.metrics.firstByte.Update(c.firstByte)
 	}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -100,10 +100,17 @@
 		Target: c.route.FirstByteTarget, TimeLeft: time.Until(c.answerBy), Short: c.urgency().IsShort(),
 		Limits: c.gateway.queueLimits.Observe(c.service.Name, c.route.Name, chosen.query.Urgency, c.route.FirstByteTarget, chosen.forecast.Service, time.Now()),
 	}
+	share := c.share(chosen.forecast)
+	requirements.Factor = share.Factor
 	admitted, retryAfter := placement.Admit(requirements, chosen.forecast)
 	if admitted {
+		c.recordAdmitted(chosen)
 		return nil
 	}
+	c.recordRefused()
+	if e := c.aboveShare(share, requirements, chosen.forecast); e != nil {
+		return e
+	}
 	e := failure.New(failure.Overloaded, failure.NotRun, "first event expected after %v, target %v; queued work takes %v, limit %v; a large prompt takes %v",
 		chosen.forecast.FirstEvent().Round(time.Millisecond), requirements.Target, chosen.forecast.Queue.Round(time.Millisecond),
 		requirements.Limits.MaxQueue.Round(time.Millisecond), requirements.Limits.LargeService.Round(time.Millisecond))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/wasabishunt/wasabishunt/placement"
 	"github.com/wasabishunt/wasabishunt/quarantine"
 	"github.com/wasabishunt/wasabishunt/retrybudget"
+	"github.com/wasabishunt/wasabishunt/serving/fairshare"
 	"github.com/wasabishunt/wasabishunt/supervise"
 	"github.com/wasabishunt/wasabishunt/trafficset"
 	"github.com/wasabishunt/wasabishunt/upstreamconn"
@@ -139,6 +140,8 @@
 	Quarantine *quarantine.List
 	// Limiter keeps the limits that instances name; nil if they name none.
 	Limiter *upstreamlimit.Limiter
+	// Shares holds the upstream time of accounts; nil if accounts are not limited to shares.
+	Shares *fairshare.Ledger
 	// AnswerBytes limits an answer that is not a stream, EventBytes a single event of a stream.
 	AnswerBytes int64
 	EventBytes  int
@@ -273,6 +276,7 @@
 	moved bool
 	// mayHaveRun is set while a send is in progress, and stays set unless the upstream states that it did not run.
 	mayHaveRun bool
+	charge     shareCharge
 	// prompt is the send in progress.
 	prompt *promptSend
 }
--- a/node/node.go
+++ b/node/node.go
@@ -34,6 +34,7 @@
 	"github.com/wasabishunt/wasabishunt/rollout"
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
 	"github.com/wasabishunt/wasabishunt/rpcpool"
+	"github.com/wasabishunt/wasabishunt/serving/fairshare"
 	"github.com/wasabishunt/wasabishunt/supervise"
 	"github.com/wasabishunt/wasabishunt/trafficset"
 	"github.com/wasabishunt/wasabishunt/upstreamconn"
@@ -74,6 +75,8 @@
 	SetsWithin time.Duration
 	// WeightsWithin is the time after which requests must not start on weights older than those that operators named.
 	WeightsWithin time.Duration
+	// AccountShares limits accounts above their share of a service that is short of capacity.
+	AccountShares bool
 	// HolderLease is the time that a new leader waits before it sends orders to engines, so that no earlier one still
 	// sends any.
 	HolderLease time.Duration
@@ -177,14 +180,20 @@
 	n.storeCoordinator.IsSaltUsable, n.storeCoordinator.AcceptedEpoch = n.isSaltUsable, n.stores.AcceptedEpoch
 	suspects := quarantine.New(config.Name)
 	n.limiter = upstreamlimit.New(upstreamlimit.Options{Self: config.Internal, Ask: askPermits(rpcpool.New(rpcpool.Options{DialTimeout: permitDialTimeout})), Log: log, Metrics: registry})
-	n.loadExchange = peerload.New(peerload.Options{
+	exchange := peerload.Options{
 		Node: config.Name, Self: peerload.Peer{Address: config.LoadReports, AvailabilityZone: config.AvailabilityZone, LinkMbps: config.LinkMbps, CPUMillis: config.CPUMillis},
 		Tracker: n.tracker, Saves: n.stores, Quarantine: suspects, Limits: n.limiter, Log: log, Metrics: registry,
-	})
+	}
+	var shares *fairshare.Ledger
+	if config.AccountShares {
+		shares = fairshare.New()
+		exchange.Accounts = shares
+	}
+	n.loadExchange = peerload.New(exchange)
 	n.gateway = gateway.New(gateway.Options{
 		AvailabilityZone: config.AvailabilityZone, Dialect: parts.Dialect, Sets: n, Directory: n.directory, Tracker: n.tracker, Stores: n.stores, Quarantine: suspects,
-		Limiter: n.limiter,
-		Pool:    upstreamconn.NewPool(upstreamconn.Options{MaxHeadBytes: config.UpstreamLimits.HeadBytes}), Budget: n.budget,
+		Limiter: n.limiter, Shares: shares,
+		Pool: upstreamconn.NewPool(upstreamconn.Options{MaxHeadBytes: config.UpstreamLimits.HeadBytes}), Budget: n.budget,
 		AnswerBytes: config.UpstreamLimits.AnswerBytes, EventBytes: config.UpstreamLimits.EventBytes,
 		Memory: bodyMemory(config.MemoryBytes),
 		Nodes:  func() int { return int(n.nodes.Load()) }, Log: log, Metrics: registry,
--- a/peerload/peerload.go
+++ b/peerload/peerload.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,6 +40,14 @@
 	Apply(source string, news []*nodepb.InstanceLimit, now time.Time)
 }
 
+// Accounts holds the recent upstream time of client accounts. See package fairshare.
+type Accounts interface {
+	Report(sequence uint64, now time.Time) []*nodepb.AccountLoad
+	Digest(now time.Time) []*nodepb.AccountLoad
+	ApplyReport(node string, sequence uint64, accounts []*nodepb.AccountLoad, now time.Time)
+	ApplyDigest(d *nodepb.ZoneDigest, own bool, merged uint32, now time.Time)
+}
+
 // Options of an Exchange.
 type Options struct {
 	Node string
@@ -49,9 +58,11 @@
 	// Quarantine is the list of suspected parts of prompts, which the nodes exchange.
 	Quarantine Quarantine
 	// Limits holds the limits that instances name, which the nodes exchange; nil for none.
-	Limits  Limits
-	Log     *zap.Logger
-	Metrics gometrics.Registry
+	Limits Limits
+	// Accounts holds the upstream time of accounts, which the nodes exchange; nil for none.
+	Accounts Accounts
+	Log      *zap.Logger
+	Metrics  gometrics.Registry
 }
 
 // Exchange sends and receives reports. Its lock is acquired before those of the tracker, of the saves, of the quarantine
@@ -161,6 +172,9 @@
 	if e.options.Limits != nil {
 		r.Limits = e.options.Limits.News(time.Now())
 	}
+	if e.options.Accounts != nil {
+		r.Accounts = e.options.Accounts.Report(sequence, time.Now())
+	}
 	if shrink(r) {
 		e.metrics.shrunk.Inc(1)
 	}
@@ -174,6 +188,9 @@
 	if e.options.Limits != nil {
 		d.Limits = e.options.Limits.News(now)
 	}
+	if e.options.Accounts != nil {
+		d.Accounts = e.options.Accounts.Digest(now)
+	}
 	return d
 }
 
@@ -233,6 +250,9 @@
 		e.options.Saves.RecordSaves(r.GetSaves())
 		e.applySuspects(r.GetNode(), r.GetSuspects(), now)
 		e.applyLimits(r.GetNode(), r.GetLimits(), now)
+		if e.options.Accounts != nil {
+			e.options.Accounts.ApplyReport(r.GetNode(), r.GetSequence(), r.GetAccounts(), now)
+		}
 	}
 	for _, d := range datagram.GetDigests() {
 		e.applyDigest(d, now)
@@ -246,6 +266,7 @@
 	}
 	e.applySuspects(d.GetZone(), d.GetSuspects(), now)
 	e.applyLimits(d.GetZone(), d.GetLimits(), now)
+	e.applyAccounts(d, ownNode, now)
 	ejected, applied := e.options.Tracker.ApplyDigest(d, ownNode, now)
 	e.logUnresponsive(d.GetZone(), ejected)
 	if !applied {
@@ -269,3 +290,16 @@
 		e.options.Limits.Apply(source, limits, now)
 	}
 }
+
+// applyAccounts applies the sums of a zone. ownNode is the name of this node if the zone is its own: the digest then contains what this
+// node reported.
+func (e *Exchange) applyAccounts(d *nodepb.ZoneDigest, ownNode string, now time.Time) {
+	if e.options.Accounts == nil {
+		return
+	}
+	merged := uint32(0)
+	if i := slices.Index(d.GetMergedNodes(), placement.NodeHash(ownNode)); ownNode != "" && i >= 0 && i < len(d.GetMergedSequences()) {
+		merged = d.GetMergedSequences()[i]
+	}
+	e.options.Accounts.ApplyDigest(d, ownNode != "", merged, now)
+}
--- a/placement/admit.go
+++ b/placement/admit.go
@@ -14,6 +14,9 @@
 	// Short is set for prompts that engines read before the others of their priority.
 	Short  bool
 	Limits QueueLimits
+	// Factor multiplies the limits on the wait; 0 means 1. It is below 1 for an account that uses more than its share of a
+	// service that is short of capacity. See package fairshare.
+	Factor float64
 }
 
 const (
@@ -43,6 +46,8 @@
 // The wait includes the wait for memory: an engine with more requests than memory preempts running ones and reads them
 // again, and does not recover while new ones take their place.
 func Admit(requirements Requirements, f Forecast) (admitted bool, retryAfter time.Duration) {
+	timeLeft := requirements.TimeLeft
+	requirements.applyFactor()
 	var excess time.Duration
 	if requirements.Short || requirements.Target == 0 {
 		excess = f.FirstEvent() - time.Duration(timeLeftShare*float64(requirements.TimeLeft))
@@ -55,8 +60,25 @@
 	if excess <= 0 {
 		return true, 0
 	}
-	maxRetryAfter := time.Duration(maxRetryShare * float64(requirements.TimeLeft))
-	return false, min(maxRetryAfter, max(minRetryAfter, excess))
+	return false, BoundRetryAfter(excess, timeLeft)
+}
+
+// BoundRetryAfter returns the advice for a refused request after whose wait there is room.
+func BoundRetryAfter(wait, timeLeft time.Duration) time.Duration {
+	return min(time.Duration(maxRetryShare*float64(timeLeft)), max(minRetryAfter, wait))
+}
+
+// applyFactor scales the limits on the wait. A short prompt, which may be late otherwise, has to be on time if its account is above its
+// share: prompts of other accounts could be on time in its place.
+func (r *Requirements) applyFactor() {
+	if r.Factor == 0 || r.Factor == 1 {
+		return
+	}
+	scale := func(limit time.Duration) time.Duration { return time.Duration(r.Factor * float64(limit)) }
+	r.Target, r.Limits.MaxQueue = scale(r.Target), scale(r.Limits.MaxQueue)
+	if r.Short && r.Factor < 1 && r.Target > 0 {
+		r.TimeLeft = min(r.TimeLeft, time.Duration(float64(r.Target)/timeLeftShare))
+	}
 }
 
 // QueueLimits limits the length of a queue, so that other prompts can still be served on time.
--- a/placement/forecast.go
+++ b/placement/forecast.go
@@ -12,6 +12,8 @@
 	// Reused is the time that the engine does not need for this prompt because it holds or fetches parts of it: for reading
 	// them, less the fetch, and for the memory that running requests hold already.
 	Reused time.Duration
+	// Read is the time in which the engine reads the prompt.
+	Read time.Duration
 }
 
 // FirstEvent returns the time to the first event.
@@ -27,7 +29,7 @@
 	reused := float64(q.Tokens-r.Tokens)/rate - transferMs(q, &r) + memoryWaitPerCapacityMs*float64(q.Tokens-q.newTokens(c))/float64(q.CacheTokens)
 	return Forecast{
 		Wait: fromMs(wait), Service: fromMs(all - wait), Queue: fromMs(float64(c.PrefillTokens)/rate + memoryWaitMs(q, c.HeldTokens)),
-		Reused: fromMs(max(0, reused)),
+		Reused: fromMs(max(0, reused)), Read: fromMs(float64(r.Tokens) / rate),
 	}
 }
 
--- a/placement/peers.go
+++ b/placement/peers.go
@@ -51,6 +51,9 @@
 	return &loadSources{byName: map[string]*loadSource{}, instances: map[uint32]usage{}}
 }
 
+// NodeHash returns the hash of a node's name in ZoneDigest.merged_nodes.
+func NodeHash(name string) uint32 { return hashKey(name) }
+
 func hashKey(text string) uint32 { return uint32(xxhash.Sum64String(text)) }
 
 // set replaces what a source has in progress at one instance.
