--- a/node/node.go
+++ b/node/node.go
@@ -135,8 +135,10 @@
 	loadExchange      *peerload.Exchange
 	budget            *retrybudget.Budget
 	limiter           *upstreamlimit.Limiter
-	gateway           *gateway.Gateway
-	server            *callers.Server
+	// shares is nil unless accounts are limited to shares.
+	shares  *fairshare.Ledger
+	gateway *gateway.Gateway
+	server  *callers.Server
 }
 
 const (
@@ -184,15 +186,14 @@
 		Node: config.Name, Self: peerload.Peer{Address: config.LoadReports, AvailabilityZone: config.AvailabilityZone, LinkMbps: config.LinkMbps, CPUMillis: config.CPUMillis},
 		Tracker: n.tracker, Saves: n.stores, Quarantine: suspects, Limits: n.limiter, Log: log, Metrics: registry,
 	}
-	var shares *fairshare.Ledger
 	if config.AccountShares {
-		shares = fairshare.New()
-		exchange.Accounts = shares
+		n.shares = fairshare.New()
+		exchange.Accounts = n.shares
 	}
 	n.loadExchange = peerload.New(exchange)
 	n.gateway = gateway.New(gateway.Options{
 		AvailabilityZone: config.AvailabilityZone, Dialect: parts.Dialect, Sets: n, Directory: n.directory, Tracker: n.tracker, Stores: n.stores, Quarantine: suspects,
-		Limiter: n.limiter, Shares: shares,
+		Limiter: n.limiter, Shares: n.shares,
 		Pool: upstreamconn.NewPool(upstreamconn.Options{MaxHeadBytes: config.UpstreamLimits.HeadBytes}), Budget: n.budget,
 		AnswerBytes: config.UpstreamLimits.AnswerBytes, EventBytes: config.UpstreamLimits.EventBytes,
 		Memory: bodyMemory(config.MemoryBytes),
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -55,6 +55,13 @@
 	return len(n.stores.Locate("v1", []placement.Part{{ID: id, Tokens: 1}}, time.Hour, idle{})) == 1
 }
 
+// Guards against shares of accounts on a node whose settings don't ask for them, and against settings that have no effect.
+func TestAccountSharesFollowTheSettings(t *testing.T) {
+	require.Nil(t, newNode().shares)
+	n := New(Config{Name: "n", Retries: retrybudget.Limits{Window: time.Second}, AccountShares: true}, Parts{DecodeSet: decode}, zap.NewNop(), gometrics.NewRegistry())
+	require.NotNil(t, n.shares)
+}
+
 // Guards against a set that is replaced by an older one from a core member that is behind, and against readiness
 // before the newest set is known.
 func TestSetsNeverGoBack(t *testing.T) {
--- a/serving/fairshare/replay_test.go
+++ b/serving/fairshare/replay_test.go
@@ -372,17 +372,22 @@
 // Guards against served fractions below the floors with the load of a deployment of 58 engines in a burst of 1.7 times its traffic, and
 // against a flood of a large account that takes the engines from the small accounts.
 func TestBurstOfCompetingAccounts(t *testing.T) {
-	for _, flood := range []float64{1, 6} {
-		before, after := simulate(1, false, 1.7, flood), simulate(1, true, 1.7, flood)
-		before.log(t, fmt.Sprintf("flood %v, without shares", flood))
-		after.log(t, fmt.Sprintf("flood %v, with shares", flood))
-		requireFloors(t, after)
-		gain := 0.0
-		for i := largeAccounts; i < accountCount; i++ {
-			require.GreaterOrEqual(t, after.accounts[i].fraction(), before.accounts[i].fraction()-0.03, "small account %d", i)
-			gain += (after.accounts[i].fraction() - before.accounts[i].fraction()) / (accountCount - largeAccounts)
+	for _, seed := range []uint64{1, 2} {
+		for _, flood := range []float64{1, 6} {
+			t.Run(fmt.Sprintf("seed %d, flood %v", seed, flood), func(t *testing.T) {
+				t.Parallel()
+				before, after := simulate(seed, false, 1.7, flood), simulate(seed, true, 1.7, flood)
+				before.log(t, "without shares")
+				after.log(t, "with shares")
+				requireFloors(t, after)
+				gain := 0.0
+				for i := largeAccounts; i < accountCount; i++ {
+					require.GreaterOrEqual(t, after.accounts[i].fraction(), before.accounts[i].fraction()-0.03, "small account %d", i)
+					gain += (after.accounts[i].fraction() - before.accounts[i].fraction()) / (accountCount - largeAccounts)
+				}
+				require.Greater(t, gain, 0.03, "small accounts are served before the large ones")
+				require.Greater(t, after.worth, 0.98*before.worth)
+			})
 		}
-		require.Greater(t, gain, 0.03, "small accounts are served before the large ones")
-		require.Greater(t, after.worth, 0.98*before.worth)
 	}
 }
