--- a/peerload/peerload.go
+++ b/peerload/peerload.go
@@ -169,12 +169,12 @@
 func (e *Exchange) report(sequence uint64) *nodepb.LoadReport {
 	r := e.options.Tracker.Report(sequence)
 	r.Node, r.Saves, r.Suspects = e.options.Node, e.options.Saves.DrainSaves(), e.suspects.forReport(time.Now())
-	if e.options.Limits != nil {
-		r.Limits = e.options.Limits.News(time.Now())
-	}
 	if e.options.Accounts != nil {
 		r.Accounts = e.options.Accounts.Report(sequence, time.Now())
 	}
+	if e.options.Limits != nil {
+		r.Limits = e.options.Limits.News(time.Now())
+	}
 	if shrink(r) {
 		e.metrics.shrunk.Inc(1)
 	}
