--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/wasabishunt/wasabishunt/retrybudget"
 	"github.com/wasabishunt/wasabishunt/serving/coldstart"
 	"github.com/wasabishunt/wasabishunt/serving/evacuation"
+	"github.com/wasabishunt/wasabishunt/serving/fairshare"
 	"github.com/wasabishunt/wasabishunt/supervise"
 	"github.com/wasabishunt/wasabishunt/trafficset"
 	"github.com/wasabishunt/wasabishunt/upstreamconn"
@@ -145,6 +146,8 @@
 	Evacuations func() *evacuation.List
 	// Cold knows which instances are cold; nil if none are. It needs a Limiter.
 	Cold *coldstart.Guard
+	// Shares holds the upstream time of accounts; nil if accounts are not limited to shares.
+	Shares *fairshare.Ledger
 	// AnswerBytes limits an answer that is not a stream, EventBytes a single event of a stream.
 	AnswerBytes int64
 	EventBytes  int
@@ -279,6 +282,7 @@
 	moved bool
 	// mayHaveRun is set while a send is in progress, and stays set unless the upstream states that it did not run.
 	mayHaveRun bool
+	charge     shareCharge
 	// prompt is the send in progress.
 	prompt *promptSend
 }
--- a/node/node.go
+++ b/node/node.go
@@ -36,6 +36,7 @@
 	"github.com/wasabishunt/wasabishunt/rpcpool"
 	"github.com/wasabishunt/wasabishunt/serving/coldstart"
 	"github.com/wasabishunt/wasabishunt/serving/evacuation"
+	"github.com/wasabishunt/wasabishunt/serving/fairshare"
 	"github.com/wasabishunt/wasabishunt/supervise"
 	"github.com/wasabishunt/wasabishunt/trafficset"
 	"github.com/wasabishunt/wasabishunt/upstreamconn"
@@ -80,6 +81,8 @@
 	Zones []string
 	// EvacuateWithin is the time after its acknowledgement from which no request may reach an instance in an evacuated zone.
 	EvacuateWithin time.Duration
+	// AccountShares limits accounts above their share of a service that is short of capacity.
+	AccountShares bool
 	// HolderLease is the time that a new leader waits before it sends orders to engines, so that no earlier one still
 	// sends any.
 	HolderLease time.Duration
@@ -149,8 +152,10 @@
 	budget            *retrybudget.Budget
 	limiter           *upstreamlimit.Limiter
 	cold              *coldstart.Guard
-	gateway           *gateway.Gateway
-	server            *callers.Server
+	// shares is nil unless accounts are limited to shares.
+	shares  *fairshare.Ledger
+	gateway *gateway.Gateway
+	server  *callers.Server
 }
 
 const (
@@ -197,13 +202,18 @@
 	n.limiter = upstreamlimit.New(upstreamlimit.Options{Self: config.Internal, Ask: askPermits(rpcpool.New(rpcpool.Options{DialTimeout: permitDialTimeout})), ColdPerSecond: n.coldPerSecond, Log: log, Metrics: registry})
 	n.limiter.SetColdBound(config.ColdBound)
 	n.cold = coldstart.New(coldstart.Options{Directory: n.directory, ListLag: config.ListLag, Limit: n.coldLimit, Zone: n.zoneState, Log: log, Metrics: registry})
-	n.loadExchange = peerload.New(peerload.Options{
+	exchange := peerload.Options{
 		Node: config.Name, Self: peerload.Peer{Address: config.LoadReports, AvailabilityZone: config.AvailabilityZone, LinkMbps: config.LinkMbps, CPUMillis: config.CPUMillis},
 		Tracker: n.tracker, Saves: n.stores, Quarantine: suspects, Limits: n.limiter, Cold: n.cold, Log: log, Metrics: registry,
-	})
+	}
+	if config.AccountShares {
+		n.shares = fairshare.New()
+		exchange.Accounts = n.shares
+	}
+	n.loadExchange = peerload.New(exchange)
 	n.gateway = gateway.New(gateway.Options{
 		AvailabilityZone: config.AvailabilityZone, Dialect: parts.Dialect, Sets: n, Directory: n.directory, Tracker: n.tracker, Stores: n.stores, Quarantine: suspects,
-		Limiter: n.limiter, Evacuations: n.Evacuations, Cold: n.cold,
+		Limiter: n.limiter, Evacuations: n.Evacuations, Cold: n.cold, Shares: n.shares,
 		Pool: upstreamconn.NewPool(upstreamconn.Options{MaxHeadBytes: config.UpstreamLimits.HeadBytes}), Budget: n.budget,
 		AnswerBytes: config.UpstreamLimits.AnswerBytes, EventBytes: config.UpstreamLimits.EventBytes,
 		Memory: bodyMemory(config.MemoryBytes),
--- a/peerload/peerload.go
+++ b/peerload/peerload.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -46,6 +47,14 @@
 	ApplyUnresponsive(source string, ids []string, now time.Time)
 }
 
+// Accounts holds the recent upstream time of client accounts. See package fairshare.
+type Accounts interface {
+	Report(sequence uint64, now time.Time) []*nodepb.AccountLoad
+	Digest(now time.Time) []*nodepb.AccountLoad
+	ApplyReport(node string, sequence uint64, accounts []*nodepb.AccountLoad, now time.Time)
+	ApplyDigest(d *nodepb.ZoneDigest, own bool, merged uint32, now time.Time)
+}
+
 // Options of an Exchange.
 type Options struct {
 	Node string
@@ -58,9 +67,11 @@
 	// Limits holds the limits that instances name, which the nodes exchange; nil for none.
 	Limits Limits
 	// Cold holds the instances that may have restarted, which the nodes exchange; nil for none.
-	Cold    Cold
-	Log     *zap.Logger
-	Metrics gometrics.Registry
+	Cold Cold
+	// Accounts holds the upstream time of accounts, which the nodes exchange; nil for none.
+	Accounts Accounts
+	Log      *zap.Logger
+	Metrics  gometrics.Registry
 }
 
 // Exchange sends and receives reports. Its lock is acquired before those of the tracker, of the saves, of the quarantine
@@ -167,6 +178,9 @@
 func (e *Exchange) report(sequence uint64) *nodepb.LoadReport {
 	r := e.options.Tracker.Report(sequence)
 	r.Node, r.Saves, r.Suspects = e.options.Node, e.options.Saves.DrainSaves(), e.suspects.forReport(time.Now())
+	if e.options.Accounts != nil {
+		r.Accounts = e.options.Accounts.Report(sequence, time.Now())
+	}
 	if e.options.Limits != nil {
 		r.Limits = e.options.Limits.News(time.Now())
 	}
@@ -189,6 +203,9 @@
 	if e.options.Cold != nil {
 		d.Cold = e.options.Cold.News(true, now)
 	}
+	if e.options.Accounts != nil {
+		d.Accounts = e.options.Accounts.Digest(now)
+	}
 	return d
 }
 
@@ -249,6 +266,9 @@
 		e.applySuspects(r.GetNode(), r.GetSuspects(), now)
 		e.applyLimits(r.GetNode(), r.GetLimits(), now)
 		e.applyCold(r.GetNode(), true, r.GetCold(), ejected, now)
+		if e.options.Accounts != nil {
+			e.options.Accounts.ApplyReport(r.GetNode(), r.GetSequence(), r.GetAccounts(), now)
+		}
 	}
 	for _, d := range datagram.GetDigests() {
 		e.applyDigest(d, now)
@@ -262,6 +282,7 @@
 	}
 	e.applySuspects(d.GetZone(), d.GetSuspects(), now)
 	e.applyLimits(d.GetZone(), d.GetLimits(), now)
+	e.applyAccounts(d, ownNode, now)
 	ejected, applied := e.options.Tracker.ApplyDigest(d, ownNode, now)
 	e.logUnresponsive(d.GetZone(), ejected)
 	e.applyCold(d.GetZone(), false, d.GetCold(), ejected, now)
@@ -295,3 +316,16 @@
 	e.options.Cold.Apply(source, zone, news, now)
 	e.options.Cold.ApplyUnresponsive(source, ejected, now)
 }
+
+// applyAccounts applies the sums of a zone. ownNode is the name of this node if the zone is its own: the digest then contains what this
+// node reported.
+func (e *Exchange) applyAccounts(d *nodepb.ZoneDigest, ownNode string, now time.Time) {
+	if e.options.Accounts == nil {
+		return
+	}
+	merged := uint32(0)
+	if i := slices.Index(d.GetMergedNodes(), placement.NodeHash(ownNode)); ownNode != "" && i >= 0 && i < len(d.GetMergedSequences()) {
+		merged = d.GetMergedSequences()[i]
+	}
+	e.options.Accounts.ApplyDigest(d, ownNode != "", merged, now)
+}
