gateway: read streams on into bounded memory while their callers read slowly

The relay read the next part of a stream only after the caller had taken the previous one, so an engine waited for a slow caller for up to 5 s per write, and engines cut off answers that remain unread.

A write that takes longer than 50 ms now starts a goroutine that reads the stream into reclaimable memory of the process's budget until the caller has caught up. Bytes are taken back from the account that holds most when bodies, answers or other streams need them; the caller concerned is reset with the log line "slow caller cut off", as is one that does not take a write within 5 s or keeps the engine unread for 2 s. The engine is released at the end of its stream, not when the caller has taken it.

Without the takeover seven of the new tests fail (engine waits, no memory is held, no end before 5 s).

--- a/bytebudget/bytebudget.go
+++ b/bytebudget/bytebudget.go
@@ -22,10 +22,14 @@
 	used int64
 	// held is what each owner holds; owners without bytes are not listed.
 	held map[string]int64
+	// reclaimable holds what may be taken back for others.
+	reclaimable map[*Reclaimable]struct{}
 }
 
 // New returns a Budget of limit bytes.
-func New(limit int64) *Budget { return &Budget{limit: limit, held: map[string]int64{}} }
+func New(limit int64) *Budget {
+	return &Budget{limit: limit, held: map[string]int64{}, reclaimable: map[*Reclaimable]struct{}{}}
+}
 
 // Used returns the number of bytes that are held.
 func (b *Budget) Used() int64 {
@@ -34,16 +38,26 @@
 	return b.used
 }
 
-// acquire takes bytes for an owner and reports whether there was room for them.
+// acquire takes bytes for an owner and reports whether there was room for them. It takes reclaimable bytes back if that makes room.
 func (b *Budget) acquire(owner string, bytes int64) bool {
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	if !b.hasRoom(owner, bytes) {
-		return false
+	reclaimed, ok := b.makeRoom(owner, bytes)
+	if ok {
+		b.add(owner, bytes)
 	}
+	b.mu.Unlock()
+	for _, r := range reclaimed {
+		r.onReclaim()
+	}
+	return ok
+}
+
+// add counts bytes of an owner, which are negative if they are released. The caller holds mu.
+func (b *Budget) add(owner string, bytes int64) {
 	b.used += bytes
-	b.held[owner] += bytes
-	return true
+	if b.held[owner] += bytes; b.held[owner] <= 0 {
+		delete(b.held, owner)
+	}
 }
 
 // hasRoom reports whether an owner may take bytes. Up to the reserve any owner may; from the reserve only those that stay within an equal
@@ -65,10 +79,7 @@
 func (b *Budget) release(owner string, bytes int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.used -= bytes
-	if b.held[owner] -= bytes; b.held[owner] <= 0 {
-		delete(b.held, owner)
-	}
+	b.add(owner, -bytes)
 }
 
 // Holder is what one request holds. It is not safe for concurrent use.
--- a/callers/callerconn.go
+++ b/callers/callerconn.go
@@ -204,6 +204,15 @@
 	return n, err
 }
 
+// Write implements net.Conn.
+func (c *callerConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.recordReason(closedSlow)
+	}
+	return n, err
+}
+
 // readHead reads bytes of a head. It takes them from the socket with c.mu held, so that the connection is either closed before
 // them or not closed for being silent.
 func (c *callerConn) readHead(p []byte) (n int, err error) {
@@ -287,6 +296,10 @@
 	if first {
 		c.server.recordClose(c, event)
 	}
+	if linger, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok && event.reason == closedSlow {
+		// The kernel would keep the unread bytes until the caller takes them, and then close in order.
+		_ = linger.SetLinger(0)
+	}
 	return c.Conn.Close()
 }
 
--- a/callers/closelog.go
+++ b/callers/closelog.go
@@ -18,6 +18,8 @@
 	closedHeaderTimeout closeReason = "header_timeout"
 	closedAtStop        closeReason = "stop"
 	closedAborted       closeReason = "aborted"
+	// closedSlow is the end after a write that the caller did not take in time.
+	closedSlow closeReason = "slow"
 	// closedAnswered is the planned end after an answer.
 	closedAnswered closeReason = "answered"
 	// closedMalformed is the end after a head that is no request or too long.
@@ -63,6 +65,7 @@
 		closedHeaderTimeout: gometrics.GetOrRegisterCounter("gateway.closed_header_timeout", r),
 		closedAtStop:        gometrics.GetOrRegisterCounter("gateway.closed_at_stop", r),
 		closedAborted:       gometrics.GetOrRegisterCounter("gateway.closed_aborted", r),
+		closedSlow:          gometrics.GetOrRegisterCounter("gateway.closed_slow", r),
 		closedAnswered:      gometrics.GetOrRegisterCounter("gateway.closed_answered", r),
 		closedMalformed:     gometrics.GetOrRegisterCounter("gateway.closed_malformed", r),
 	}, unread: gometrics.GetOrRegisterCounter("gateway.closed_unread", r), refused: gometrics.GetOrRegisterCounter("gateway.closed_over_limit", r)}
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -44,8 +45,8 @@
 
 	// firstEvent is when the first event was relayed. The detector's mu protects it.
 	firstEvent time.Time
-	// settled is set once the answer is recorded. Only the send's own goroutine uses it.
-	settled bool
+	// settled is set once the answer is recorded.
+	settled atomic.Bool
 }
 
 // hasSettled reports whether the answer had begun safely at a time.
@@ -125,7 +126,7 @@
 
 // recordEvent records that an event of the answer was relayed.
 func (p *promptSend) recordEvent() {
-	if p.settled {
+	if p.settled.Load() {
 		return
 	}
 	d, now := p.detector, time.Now()
@@ -141,7 +142,7 @@
 
 // settle records the answer. The caller holds the lock.
 func (p *promptSend) settle() {
-	p.settled = true
+	p.settled.Store(true)
 	if q := p.detector.quarantine; q != nil {
 		q.RecordAnswer(p.parts, p.firstEvent)
 	}
@@ -150,7 +151,7 @@
 // recordAnswer records a whole answer. An answer that ends with its connection may have been cut off by a crash: it counts
 // only if the instance goes on.
 func (p *promptSend) recordAnswer(endedByClose bool) {
-	if p.settled {
+	if p.settled.Load() {
 		return
 	}
 	d, now := p.detector, time.Now()
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -26,7 +26,8 @@
 		c.gateway.metrics.recomputed.Inc(int64(c.recomputed))
 	}
 	// net/http ends the context of a request whose body misses its read deadline, though the caller is there.
-	callerGone := c.request.Context().Err() != nil && !failure.Is(err, failure.BodyTimeout)
+	// It also ends the context after a write that fails, so a caller that read too slowly would look like one that left.
+	callerGone := c.request.Context().Err() != nil && !failure.Is(err, failure.BodyTimeout) && c.slow.Load() == nil
 	if err != nil && !c.answered && !callerGone {
 		discard := c.answerBeforeBody()
 		c.writeProblem(failure.Of(err))
@@ -93,6 +94,9 @@
 	switch {
 	case callerGone:
 		c.gateway.options.Log.Info("caller left", append(fields, zap.Error(err))...)
+	case err != nil && c.slow.Load() != nil:
+		c.gateway.metrics.slowCallers.Inc(1)
+		c.gateway.options.Log.Warn("slow caller cut off", append(fields, zap.String("out_of", *c.slow.Load()), zap.Error(err))...)
 	case err != nil && c.answered:
 		c.gateway.options.Log.Warn("answer broken off", append(fields, zap.Error(err))...)
 	case err != nil:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -275,6 +275,8 @@
 	mayHaveRun bool
 	// prompt is the send in progress.
 	prompt *promptSend
+	// slow is why the connection of a caller that reads too slowly is ended, nil for others.
+	slow atomic.Pointer[string]
 }
 
 func (c *call) serve() error {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -180,15 +181,28 @@
 	if err := control.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return failure.Wrap(err, failure.Internal, failure.Ran, "set the write deadline")
 	}
+	if c.slow.Load() != nil {
+		return errTooSlow
+	}
 	if _, err := c.writer.Write(data); err != nil {
-		return failure.Wrap(err, failure.Canceled, failure.Ran, "writing to the caller failed")
+		return c.writeError(err)
 	}
 	return nil
 }
 
+// writeError returns the error of a write to the caller. A caller that did not read in time is marked as slow.
+func (c *call) writeError(err error) error {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		reason := cutForTime
+		c.slow.CompareAndSwap(nil, &reason)
+		return failure.Wrap(err, failure.Canceled, failure.Ran, "the caller reads too slowly")
+	}
+	return failure.Wrap(err, failure.Canceled, failure.Ran, "writing to the caller failed")
+}
+
 func (c *call) flush() error {
 	if err := http.NewResponseController(c.writer).Flush(); err != nil {
-		return failure.Wrap(err, failure.Canceled, failure.Ran, "writing to the caller failed")
+		return c.writeError(err)
 	}
 	return nil
 }
@@ -204,40 +218,34 @@
 	if err := s.checkContinuation(); err != nil {
 		return s.brokenStream(err)
 	}
-	splitter := eventSplitter{limit: c.gateway.options.EventBytes, memory: c.memory}
-	buffer := make([]byte, streamBuffer)
-	stall := s.newStallTimeout()
-	defer stall.stop()
+	ahead := newReadAhead(s)
+	defer ahead.close()
 	for {
-		n, err := s.exchange.Response.Body.Read(buffer)
-		events, tooLong := splitter.add(buffer[:n])
-		if tooLong != nil {
-			return s.brokenStream(tooLong)
+		part := ahead.next()
+		if errors.Is(part.broken, errTooSlow) {
+			return s.writeFailed(part.broken)
 		}
-		if err := s.checkFirstEvents(events); err != nil {
-			return s.brokenStream(err)
+		if part.broken != nil {
+			return s.brokenStream(part.broken)
 		}
-		if len(events) > 0 {
-			stall.stop()
-			if s.unresponsive != nil {
-				s.unresponsive.recordProgress()
-			}
-			if err := s.relayEvents(events, splitter.lastID); err != nil {
+		if len(part.events) > 0 {
+			if err := s.relayEvents(ahead, part.events, part.lastID); err != nil {
 				return s.writeFailed(err)
 			}
-			stall.reset()
 		}
-		if err != nil && len(bytes.TrimSpace(splitter.rest())) > 0 {
+		if part.err == nil {
+			continue
+		}
+		if len(bytes.TrimSpace(part.rest)) > 0 {
 			c.partialEvent = true
 		}
 		switch {
-		case err == nil:
-		case errors.Is(err, io.EOF):
-			return s.endOfStream(&splitter)
-		case stall.expired.Load():
-			return s.brokenStream(failure.New(failure.UpstreamFailed, failure.Unknown, "no complete event for %v", stall.limit))
+		case errors.Is(part.err, io.EOF):
+			return s.endOfStream(part.rest, part.finished)
+		case ahead.stall.expired.Load():
+			return s.brokenStream(failure.New(failure.UpstreamFailed, failure.Unknown, "no complete event for %v", ahead.stall.limit))
 		default:
-			return s.brokenStream(err)
+			return s.brokenStream(part.err)
 		}
 	}
 }
@@ -245,7 +253,7 @@
 // streamBuffer is the size of the read buffer in bytes; an event of a few tokens has a few hundred bytes.
 const streamBuffer = 2 << 10
 
-func (s *send) relayEvents(events []byte, lastID string) error {
+func (s *send) relayEvents(ahead *readAhead, events []byte, lastID string) error {
 	c := s.call
 	if s.attemptTimeout != nil {
 		s.attemptTimeout.timer.Stop()
@@ -258,6 +266,8 @@
 		s.begun = true
 		s.attempt.Prefilled()
 	}
+	ahead.beginWrite()
+	defer ahead.endWrite()
 	if err := c.write(events); err != nil {
 		return err
 	}
@@ -274,10 +284,9 @@
 var errCutOff = failure.Wrap(io.ErrUnexpectedEOF, failure.UpstreamFailed, failure.Unknown, "the instance has ended, and its answer may be incomplete")
 
 // endOfStream handles a stream whose body ended without an error. A body without length and chunks ends with its connection,
-// so only its last event shows whether the stream is complete.
-func (s *send) endOfStream(splitter *eventSplitter) result {
+// so only its last event shows whether the stream is complete. rest is what follows that event, and finished is set if endAnswer was called.
+func (s *send) endOfStream(rest []byte, finished bool) result {
 	c := s.call
-	rest := splitter.rest()
 	if len(bytes.TrimSpace(rest)) > 0 {
 		return s.brokenStream(failure.Wrap(io.ErrUnexpectedEOF, failure.UpstreamFailed, failure.Ran, "the stream ended inside an event"))
 	}
@@ -285,11 +294,12 @@
 	if !s.begun && (s.out.LastEventID == "" || c.partialEvent) && isEndedByClose(s.exchange.Response) {
 		return s.brokenStream(failure.Wrap(io.ErrUnexpectedEOF, failure.UpstreamFailed, failure.Ran, "the connection ended before the first event"))
 	}
-	if isEndedByClose(s.exchange.Response) && c.prompt.wasCutOff() {
+	if !finished && s.endedByCrash() {
 		return s.brokenStream(errCutOff)
 	}
-	s.attempt.End(placement.Answered, time.Now())
-	c.prompt.recordAnswer(isEndedByClose(s.exchange.Response))
+	if !finished {
+		s.recordAnswer()
+	}
 	if !c.answered {
 		c.writeHead(s.exchange.Response, -1)
 	}
@@ -302,6 +312,23 @@
 	return result{done: true}
 }
 
+// recordAnswer records that the instance has answered the request completely.
+func (s *send) recordAnswer() {
+	s.attempt.End(placement.Answered, time.Now())
+	s.call.prompt.recordAnswer(isEndedByClose(s.exchange.Response))
+}
+
+// endAnswer records the answer and returns the connection to the pool.
+func (s *send) endAnswer() {
+	s.recordAnswer()
+	s.exchange.Finish(s.answer.Idle)
+}
+
+// endedByCrash reports whether the body ended with a connection whose instance had ended.
+func (s *send) endedByCrash() bool {
+	return isEndedByClose(s.exchange.Response) && s.call.prompt.wasCutOff()
+}
+
 // isEndedByClose reports whether the body has neither a length nor chunks and ends with its connection.
 func isEndedByClose(response *http.Response) bool {
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
