upstreamconn: an answer that a reset cuts off while its request is written is not complete

The kernel reports a reset once per socket. If the write of a long request took it, the read after it ended with io.EOF, and an answer without a length counted as complete. http.Request.Write also hides the error of the write in one that cannot be unwrapped.

The end of such a body now waits for the outcome of the write, for 50 ms as Finish does: no error, or EPIPE, which Linux reports for a reset after the peer's FIN, is a complete answer. Anything else, also a write that has not ended by then, is an answer that was cut off.

--- a/upstreamconn/pool.go
+++ b/upstreamconn/pool.go
@@ -6,6 +6,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -17,6 +18,7 @@
 	"time"
 
 	"github.com/wasabishunt/wasabishunt/bytebudget"
+	"github.com/wasabishunt/wasabishunt/duplexconn"
 	"github.com/wasabishunt/wasabishunt/failure"
 )
 
@@ -263,8 +265,9 @@
 // Exchange is one request and its answer. Abort may be called from any goroutine.
 type Exchange struct {
 	conn *Conn
-	// written receives the result of writing the request.
-	written chan error
+	// written is closed once the request was written, or could not be; writeErr is valid then.
+	written  chan struct{}
+	writeErr error
 	// Response is set by Send.
 	Response *http.Response
 	// skipped is set once an answer to another request was skipped.
@@ -278,16 +281,18 @@
 // continues, so that the upstream never reads other bytes in place of the rest of the body.
 // Once Send has been called, the request may have run, whatever Send returns.
 func (c *Conn) Send(ctx context.Context, request *http.Request) (*Exchange, error) {
-	e := &Exchange{conn: c, written: make(chan error, 1)}
+	e := &Exchange{conn: c, written: make(chan struct{})}
 	stop := context.AfterFunc(ctx, c.Close)
 	defer stop()
 	go func() {
-		w := bufio.NewWriterSize(c.raw, bufferBytes)
+		defer close(e.written)
+		recorder := &errorRecorder{writer: c.raw}
+		w := bufio.NewWriterSize(recorder, bufferBytes)
 		err := request.Write(w)
 		if err == nil {
 			err = w.Flush()
 		}
-		e.written <- err
+		e.writeErr = cmp.Or(recorder.err, err)
 	}()
 	response, err := c.readHead(request)
 	if err != nil {
@@ -297,10 +302,30 @@
 		}
 		return nil, failure.Wrap(err, failure.UpstreamFailed, failure.Unknown, "no answer from %s", c.address)
 	}
-	e.Response = response
+	e.setResponse(response)
 	return e, nil
 }
 
+// errorRecorder keeps the first error of a writer. http.Request.Write hides it in an error that cannot be unwrapped.
+type errorRecorder struct {
+	writer io.Writer
+	err    error
+}
+
+// Write implements io.Writer.
+func (r *errorRecorder) Write(p []byte) (int, error) {
+	n, err := r.writer.Write(p)
+	r.err = cmp.Or(r.err, err)
+	return n, err
+}
+
+// ReadFrom implements io.ReaderFrom, so that a long body is not copied in pieces of the buffer's size.
+func (r *errorRecorder) ReadFrom(source io.Reader) (int64, error) {
+	n, err := io.Copy(r.writer, source)
+	r.err = cmp.Or(r.err, err)
+	return n, err
+}
+
 // readHead reads the head of an answer and skips the heads of interim answers before it. Together they are bounded by MaxHeadBytes: the
 // limits of http.Transport do not apply to a plain connection.
 func (c *Conn) readHead(request *http.Request) (*http.Response, error) {
@@ -329,7 +354,7 @@
 func (e *Exchange) Skip() error {
 	e.skipped = true
 	request := e.Response.Request
-	if e.Response.Close || e.Response.ContentLength < 0 && len(e.Response.TransferEncoding) == 0 {
+	if e.Response.Close || isEndedByClose(e.Response) {
 		return failure.New(failure.UpstreamFailed, failure.Unknown, "%s answered another request and closed the connection", e.conn.address)
 	}
 	if _, err := e.ReadAll(maxSkippedBytes); err != nil {
@@ -339,10 +364,56 @@
 	if err != nil {
 		return failure.Wrap(err, failure.UpstreamFailed, failure.Unknown, "no answer from %s after an answer to another request", e.conn.address)
 	}
-	e.Response = response
+	e.setResponse(response)
 	return nil
 }
 
+func (e *Exchange) setResponse(response *http.Response) {
+	if isEndedByClose(response) {
+		response.Body = &closedBody{ReadCloser: response.Body, exchange: e}
+	}
+	e.Response = response
+}
+
+// isEndedByClose reports whether the body has neither a length nor chunks and ends with its connection.
+func isEndedByClose(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
+// closedBody is a body that ends with its connection. It is complete only if the write of the request has not met a reset.
+type closedBody struct {
+	io.ReadCloser
+	exchange *Exchange
+}
+
+// Read implements io.Reader.
+func (b *closedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		if cut := duplexconn.CutOff(b.exchange.awaitWrite()); cut != nil {
+			return n, cut
+		}
+	}
+	return n, err
+}
+
+// awaitWrite waits until the request was written, for duplexconn.WriteWait at most, and returns the error of the write.
+func (e *Exchange) awaitWrite() error {
+	select {
+	case <-e.written:
+		return e.writeErr
+	default:
+	}
+	timer := time.NewTimer(duplexconn.WriteWait)
+	defer timer.Stop()
+	select {
+	case <-e.written:
+		return e.writeErr
+	case <-timer.C:
+		return duplexconn.ErrStillWriting
+	}
+}
+
 // AbortOn aborts the exchange when the context ends. The returned function cancels that and reports whether it was
 // called before the context ended.
 func (e *Exchange) AbortOn(ctx context.Context) (stop func() bool) {
@@ -356,30 +427,17 @@
 	}
 }
 
-// finishWriteTimeout is how long Finish waits after a complete answer until the rest of the request has been written.
-const finishWriteTimeout = 50 * time.Millisecond
-
 // Finish returns the connection to the pool if it can be reused and the request was written, otherwise it closes the
 // connection. The caller must have read the answer to its end.
 func (e *Exchange) Finish(promisedIdle time.Duration) {
 	if e.ended.Swap(true) {
 		return
 	}
-	if e.skipped || e.Response.Close || e.Response.ContentLength < 0 && len(e.Response.TransferEncoding) == 0 {
+	if e.skipped || e.Response.Close || isEndedByClose(e.Response) || e.awaitWrite() != nil {
 		e.conn.Close()
 		return
 	}
-	timer := time.NewTimer(finishWriteTimeout)
-	defer timer.Stop()
-	select {
-	case err := <-e.written:
-		if err == nil {
-			e.conn.Release(promisedIdle)
-			return
-		}
-	case <-timer.C:
-	}
-	e.conn.Close()
+	e.conn.Release(promisedIdle)
 }
 
 const (
