duplexconn: clients of stores, engines and services see resets that a write has met

net/http pairs a reading and a writing goroutine as upstreamconn did: in tests with real connections, an answer without a length that was reset while its request was written counted as complete in calls to stores and engines, in KV imports and in calls of plain services. KV imports and orders also read their answers to the end, because a status alone may precede the failure.

A caller's reset that a write of its answer meets is counted as closed by the caller, no longer as aborted by the node.

--- a/callers/callerconn.go
+++ b/callers/callerconn.go
@@ -207,8 +207,13 @@
 // Write implements net.Conn.
 func (c *callerConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	switch {
+	case err == nil:
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.recordReason(closedSlow)
+	case !errors.Is(err, net.ErrClosed):
+		// The kernel reports a reset once, so a read would only find an end of file, and not before the handler has aborted.
+		c.recordReason(closedByCaller)
 	}
 	return n, err
 }
--- a/upstream/engine/http.go
+++ b/upstream/engine/http.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/wasabishunt/wasabishunt/defaults"
+	"github.com/wasabishunt/wasabishunt/duplexconn"
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/upstream"
 )
@@ -66,7 +67,7 @@
 	options = options.withDefaults()
 	dialer := net.Dialer{Timeout: options.ConnectTimeout, KeepAlive: 5 * time.Second}
 	transport := &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            duplexconn.Dial(dialer.DialContext),
 		ResponseHeaderTimeout:  options.HeaderTimeout,
 		MaxConnsPerHost:        options.MaxConns,
 		MaxIdleConnsPerHost:    16,
@@ -166,10 +167,10 @@
 	if err != nil {
 		return err
 	}
-	defer closeBody(response.Body)
 	if out == nil {
-		return nil
+		return endBody(response.Body)
 	}
+	defer closeBody(response.Body)
 	if err := json.NewDecoder(io.LimitReader(response.Body, h.options.MaxBodyBytes)).Decode(out); err != nil {
 		return failure.Wrap(err, failure.UpstreamFailed, failure.Ran, "decode response of %s %s", method, path)
 	}
@@ -245,3 +246,14 @@
 	_, _ = io.CopyN(io.Discard, body, maxErrorBytes)
 	_ = body.Close()
 }
+
+// endBody is closeBody for an answer of which only the status matters. It is an error if the connection broke within the answer: an engine may
+// answer before it has read the request, and fail afterwards.
+func endBody(body io.ReadCloser) error {
+	_, err := io.CopyN(io.Discard, body, maxErrorBytes)
+	_ = body.Close()
+	if err != nil && err != io.EOF {
+		return failure.Wrap(err, failure.UpstreamFailed, failure.Unknown, "the engine's answer was cut off")
+	}
+	return nil
+}
--- a/upstream/engine/kv.go
+++ b/upstream/engine/kv.go
@@ -38,8 +38,7 @@
 	if err != nil {
 		return err
 	}
-	closeBody(response.Body)
-	return nil
+	return endBody(response.Body)
 }
 
 func kvPath(ref PieceRef) string {
--- a/upstream/service/client.go
+++ b/upstream/service/client.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/wasabishunt/wasabishunt/duplexconn"
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/upstream"
 )
@@ -75,7 +76,7 @@
 	if err != nil {
 		return nil, failure.Wrap(err, failure.NoUpstream, failure.NotRun, "connect to the service")
 	}
-	return &Connection{client: c, raw: raw}, nil
+	return &Connection{client: c, raw: duplexconn.New(raw)}, nil
 }
 
 // Close closes the connection.
