--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -285,6 +285,8 @@
 	charge     shareCharge
 	// prompt is the send in progress.
 	prompt *promptSend
+	// slow is why the connection of a caller that reads too slowly is ended, nil for others.
+	slow atomic.Pointer[string]
 }
 
 func (c *call) serve() error {
