--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -100,10 +100,17 @@
 		Target: c.route.FirstByteTarget, TimeLeft: time.Until(c.answerBy), Short: c.urgency().IsShort(),
 		Limits: c.gateway.queueLimits.Observe(c.service.Name, c.route.Name, chosen.query.Urgency, c.route.FirstByteTarget, chosen.forecast.Service, time.Now()),
 	}
+	share := c.share(chosen.forecast)
+	requirements.Factor = share.Factor
 	admitted, retryAfter := placement.Admit(requirements, chosen.forecast)
 	if admitted {
+		c.recordAdmitted(chosen)
 		return nil
 	}
+	c.recordRefused()
+	if e := c.aboveShare(share, requirements, chosen.forecast); e != nil {
+		return e
+	}
 	e := failure.New(failure.Overloaded, failure.NotRun, "first event expected after %v, target %v; queued work takes %v, limit %v; a large prompt takes %v",
 		chosen.forecast.FirstEvent().Round(time.Millisecond), requirements.Target, chosen.forecast.Queue.Round(time.Millisecond),
 		requirements.Limits.MaxQueue.Round(time.Millisecond), requirements.Limits.LargeService.Round(time.Millisecond))
@@ -140,6 +147,8 @@
 	sources []placement.StoredPart
 	// permit is that of an instance with a limit.
 	permit upstreamlimit.Permit
+	// coldPermit is that of a cold instance.
+	coldPermit upstreamlimit.ColdPermit
 	// forecast is empty for plain services.
 	forecast placement.Forecast
 	// cached and recomputed are the estimates of the call's fields of the same names.
@@ -153,8 +162,8 @@
 	view := o.Directory.View()
 	o.Tracker.Sync(view)
 	q := &placement.Request{
-		Zone: o.AvailabilityZone, Seed: c.attributes.ID, Exclude: exclude, Urgency: c.urgency(), Target: c.route.FirstByteTarget, GapTarget: c.route.EventGapTarget,
-		SeparatesLong: true,
+		Zone: o.AvailabilityZone, Seed: c.attributes.ID, Exclude: exclude, Urgency: c.urgency(), Evacuated: c.evacuations().Zones(),
+		Target: c.route.FirstByteTarget, GapTarget: c.route.EventGapTarget,
 	}
 	g := c.attributes.Generation
 	if g != nil && c.service.Engine != nil {
@@ -163,6 +172,7 @@
 	now := time.Now()
 	candidates := o.Tracker.Candidates(view.OfService(c.service.Name), now, q)
 	c.markLimited(candidates, now)
+	c.markCold(view, candidates, now)
 	if q.CacheTokens > 0 {
 		placement.MarkHomes(q, candidates)
 		placement.MarkHeld(q, candidates)
@@ -234,15 +244,22 @@
 			o.Log.Info("upstream cannot be reached", zap.String("request", c.attributes.ID), zap.String("instance", instance.ID), zap.Error(err))
 			return result{notRun: true, err: unreachable(err)}
 		}
+		c.recordColdConnection(instance, conn)
 	}
 	if !c.takesRequests(instance) {
 		conn.Close()
 		return withdrawn(instance, upstreamRetryAfter)
 	}
-	if wait := c.renewPermit(ctx, chosen); wait > 0 {
+	if wait := c.renewPermit(ctx, chosen, conn); wait > 0 {
 		conn.PutBack()
 		return withdrawn(instance, wait)
 	}
+	// Opening the connection and asking another node for the permit take a while.
+	if c.isEvacuated(instance) {
+		conn.PutBack()
+		return c.withdrawnEvacuated(instance)
+	}
+	c.dropEvacuatedSources(chosen)
 	out := c.outbound(chosen)
 	attempt := o.Tracker.Begin(instance, work)
 	c.sends++
@@ -335,6 +352,9 @@
 		return result{done: true, err: failure.New(failure.Canceled, failure.Unknown, "the caller disconnected")}
 	}
 	outcome := connectOutcome(err)
+	if ctx.Err() == nil && (isBreak(err) || outcome == placement.Unresponsive) {
+		c.recordRestartSign(instance, err)
+	}
 	if ctx.Err() == nil && c.prompt.brokeOff(err) {
 		outcome = placement.Unresponsive
 	}
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -61,7 +61,7 @@
 // again afterwards.
 func (m *mover) mayMove(target *moveTarget, isSilent func() bool) bool {
 	c, instance := m.call, target.chosen.instance
-	isDue := func() bool { return isSilent() && c.takesRequests(instance) }
+	isDue := func() bool { return isSilent() && c.takesRequests(instance) && !c.isEvacuated(instance) }
 	return isDue() && c.acquirePermit(m.ctx, target.chosen) == 0 && isDue() && c.gateway.options.Budget.TakeRepeat(c.service.Name)
 }
 
@@ -101,6 +101,7 @@
 		c.recordUnreachable(m.ctx, chosen.instance, err)
 		return nil
 	}
+	c.recordColdConnection(chosen.instance, conn)
 	return &moveTarget{chosen: chosen, conn: conn}
 }
 
@@ -111,6 +112,7 @@
 func (c *call) recordUnreachable(ctx context.Context, instance *upstreams.Instance, err error) {
 	if !failure.Is(err, failure.Overloaded) && ctx.Err() == nil {
 		c.gateway.options.Tracker.Begin(instance, placement.Work{}).End(connectOutcome(err), time.Now())
+		c.recordRestartSign(instance, err)
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -34,6 +34,9 @@
 	"github.com/wasabishunt/wasabishunt/rollout"
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
 	"github.com/wasabishunt/wasabishunt/rpcpool"
+	"github.com/wasabishunt/wasabishunt/serving/coldstart"
+	"github.com/wasabishunt/wasabishunt/serving/evacuation"
+	"github.com/wasabishunt/wasabishunt/serving/fairshare"
 	"github.com/wasabishunt/wasabishunt/supervise"
 	"github.com/wasabishunt/wasabishunt/trafficset"
 	"github.com/wasabishunt/wasabishunt/upstreamconn"
@@ -74,9 +77,18 @@
 	SetsWithin time.Duration
 	// WeightsWithin is the time after which requests must not start on weights older than those that operators named.
 	WeightsWithin time.Duration
+	// Zones are the availability zones that the settings name.
+	Zones []string
+	// EvacuateWithin is the time after its acknowledgement from which no request may reach an instance in an evacuated zone.
+	EvacuateWithin time.Duration
+	// AccountShares limits accounts above their share of a service that is short of capacity.
+	AccountShares bool
 	// HolderLease is the time that a new leader waits before it sends orders to engines, so that no earlier one still
 	// sends any.
 	HolderLease time.Duration
+	// ColdBound bounds the requests that reach a cold instance in any second; ListLag is the age of what the instance list says, 0 if unknown.
+	ColdBound coldstart.Bound
+	ListLag   time.Duration
 }
 
 // UpstreamLimits bounds what an upstream may send; 0 means the default.
@@ -93,8 +105,9 @@
 	Stores    kvstores.Client
 	Engines   rollout.Client
 	DecodeSet func(document []byte) (*trafficset.Set, error)
-	// Operators returns the operators' HTTP server and its listener; nil on a node without them.
-	Operators func(group *coregroup.Group) (*http.Server, net.Listener)
+	// Operators returns the operators' HTTP server and its listener; nil on a node without them. The server calls setEvacuation to start or end
+	// the evacuation of a zone.
+	Operators func(group *coregroup.Group, setEvacuation func(ctx context.Context, zone string, evacuated bool) error) (*http.Server, net.Listener)
 }
 
 // Node is one process.
@@ -107,8 +120,14 @@
 	seeds   atomic.Pointer[[]string]
 	set     atomic.Pointer[trafficset.Set]
 	weights atomic.Pointer[map[string]namedWeights]
-	nodes   atomic.Int64
-	synced  atomic.Bool
+	// evacuations is nil until a list arrives; evacuationsConfirmed is when a fresh update last arrived, nil before the first one. Both are
+	// written with updateMu held.
+	evacuations          atomic.Pointer[evacuation.List]
+	evacuationsConfirmed atomic.Pointer[time.Time]
+	// zones are those of the settings.
+	zones  atomic.Pointer[[]string]
+	nodes  atomic.Int64
+	synced atomic.Bool
 	// confirmed is closed when synced is set.
 	confirmed chan struct{}
 	stopping  atomic.Bool
@@ -132,8 +151,11 @@
 	loadExchange      *peerload.Exchange
 	budget            *retrybudget.Budget
 	limiter           *upstreamlimit.Limiter
-	gateway           *gateway.Gateway
-	server            *callers.Server
+	cold              *coldstart.Guard
+	// shares is nil unless accounts are limited to shares.
+	shares  *fairshare.Ledger
+	gateway *gateway.Gateway
+	server  *callers.Server
 }
 
 const (
@@ -155,6 +177,7 @@
 func New(config Config, parts Parts, log *zap.Logger, registry gometrics.Registry) *Node {
 	n := &Node{config: config, parts: parts, log: log, metrics: registry, confirmed: make(chan struct{}), directory: upstreams.NewDirectory(), placement: fleetview.NewPlacements()}
 	n.SetSeeds(config.Seeds)
+	n.SetZones(config.Zones)
 	n.nodes.Store(initialNodes)
 	n.weights.Store(&map[string]namedWeights{})
 	n.group = coregroup.New(coregroup.Options{
@@ -176,20 +199,29 @@
 	n.storeCoordinator.Withdrawn = n.stores.Withdrawn
 	n.storeCoordinator.IsSaltUsable, n.storeCoordinator.AcceptedEpoch = n.isSaltUsable, n.stores.AcceptedEpoch
 	suspects := quarantine.New(config.Name)
-	n.limiter = upstreamlimit.New(upstreamlimit.Options{Self: config.Internal, Ask: askPermits(rpcpool.New(rpcpool.Options{DialTimeout: permitDialTimeout})), Log: log, Metrics: registry})
-	n.loadExchange = peerload.New(peerload.Options{
+	n.limiter = upstreamlimit.New(upstreamlimit.Options{Self: config.Internal, Ask: askPermits(rpcpool.New(rpcpool.Options{DialTimeout: permitDialTimeout})), ColdPerSecond: n.coldPerSecond, Log: log, Metrics: registry})
+	n.limiter.SetColdBound(config.ColdBound)
+	n.cold = coldstart.New(coldstart.Options{Directory: n.directory, ListLag: config.ListLag, Limit: n.coldLimit, Zone: n.zoneState, Log: log, Metrics: registry})
+	exchange := peerload.Options{
 		Node: config.Name, Self: peerload.Peer{Address: config.LoadReports, AvailabilityZone: config.AvailabilityZone, LinkMbps: config.LinkMbps, CPUMillis: config.CPUMillis},
-		Tracker: n.tracker, Saves: n.stores, Quarantine: suspects, Limits: n.limiter, Log: log, Metrics: registry,
-	})
+		Tracker: n.tracker, Saves: n.stores, Quarantine: suspects, Limits: n.limiter, Cold: n.cold, Log: log, Metrics: registry,
+	}
+	if config.AccountShares {
+		n.shares = fairshare.New()
+		exchange.Accounts = n.shares
+	}
+	n.loadExchange = peerload.New(exchange)
 	n.gateway = gateway.New(gateway.Options{
 		AvailabilityZone: config.AvailabilityZone, Dialect: parts.Dialect, Sets: n, Directory: n.directory, Tracker: n.tracker, Stores: n.stores, Quarantine: suspects,
-		Limiter: n.limiter,
-		Pool:    upstreamconn.NewPool(upstreamconn.Options{MaxHeadBytes: config.UpstreamLimits.HeadBytes}), Budget: n.budget,
+		Limiter: n.limiter, Evacuations: n.Evacuations, Cold: n.cold, Shares: n.shares,
+		Pool: upstreamconn.NewPool(upstreamconn.Options{MaxHeadBytes: config.UpstreamLimits.HeadBytes}), Budget: n.budget,
 		AnswerBytes: config.UpstreamLimits.AnswerBytes, EventBytes: config.UpstreamLimits.EventBytes,
 		Memory: bodyMemory(config.MemoryBytes),
 		Nodes:  func() int { return int(n.nodes.Load()) }, Log: log, Metrics: registry,
 	})
 	_ = registry.Register("node.instance_list_age_ms", gometrics.NewFunctionalGauge(n.listAgeMs))
+	_ = registry.Register("node.evacuated_zones", gometrics.NewFunctionalGauge(n.evacuatedZones))
+	_ = registry.Register("node.evacuations_age_ms", gometrics.NewFunctionalGauge(n.evacuationsAgeMs))
 	n.server = &callers.Server{Handler: supervise.HTTP(log, "request", n.gateway), Log: log, Metrics: registry, EndRequests: n.gateway.EndRequests}
 	return n
 }
@@ -338,7 +370,7 @@
 }
 
 func (n *Node) serveOperators(ctx context.Context) {
-	server, listener := n.parts.Operators(n.group)
+	server, listener := n.parts.Operators(n.group, n.SetEvacuation)
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -374,6 +406,8 @@
 		return failure.New(failure.Draining, failure.NotRun, "the node is stopping")
 	case n.set.Load() == nil || !n.synced.Load():
 		return failure.New(failure.StaleSet, failure.NotRun, "the newest published set is not known yet")
+	case n.evacuationsConfirmed.Load() == nil:
+		return failure.New(failure.StaleSet, failure.NotRun, "the evacuated zones are not known yet")
 	case n.Outdated():
 		return failure.New(failure.StaleSet, failure.NotRun, "a newer set should be in force by now and has not arrived")
 	case n.directory.View().Revision == 0:
--- a/peerload/peerload.go
+++ b/peerload/peerload.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,6 +40,21 @@
 	Apply(source string, news []*nodepb.InstanceLimit, now time.Time)
 }
 
+// Cold holds the instances that may have restarted. See package coldstart.
+type Cold interface {
+	News(zone bool, now time.Time) []*nodepb.ColdInstance
+	Apply(source string, zone bool, news []*nodepb.ColdInstance, now time.Time)
+	ApplyUnresponsive(source string, ids []string, now time.Time)
+}
+
+// Accounts holds the recent upstream time of client accounts. See package fairshare.
+type Accounts interface {
+	Report(sequence uint64, now time.Time) []*nodepb.AccountLoad
+	Digest(now time.Time) []*nodepb.AccountLoad
+	ApplyReport(node string, sequence uint64, accounts []*nodepb.AccountLoad, now time.Time)
+	ApplyDigest(d *nodepb.ZoneDigest, own bool, merged uint32, now time.Time)
+}
+
 // Options of an Exchange.
 type Options struct {
 	Node string
@@ -49,9 +65,13 @@
 	// Quarantine is the list of suspected parts of prompts, which the nodes exchange.
 	Quarantine Quarantine
 	// Limits holds the limits that instances name, which the nodes exchange; nil for none.
-	Limits  Limits
-	Log     *zap.Logger
-	Metrics gometrics.Registry
+	Limits Limits
+	// Cold holds the instances that may have restarted, which the nodes exchange; nil for none.
+	Cold Cold
+	// Accounts holds the upstream time of accounts, which the nodes exchange; nil for none.
+	Accounts Accounts
+	Log      *zap.Logger
+	Metrics  gometrics.Registry
 }
 
 // Exchange sends and receives reports. Its lock is acquired before those of the tracker, of the saves, of the quarantine
@@ -158,9 +178,15 @@
 func (e *Exchange) report(sequence uint64) *nodepb.LoadReport {
 	r := e.options.Tracker.Report(sequence)
 	r.Node, r.Saves, r.Suspects = e.options.Node, e.options.Saves.DrainSaves(), e.suspects.forReport(time.Now())
+	if e.options.Accounts != nil {
+		r.Accounts = e.options.Accounts.Report(sequence, time.Now())
+	}
 	if e.options.Limits != nil {
 		r.Limits = e.options.Limits.News(time.Now())
 	}
+	if e.options.Cold != nil {
+		r.Cold = e.options.Cold.News(false, time.Now())
+	}
 	if shrink(r) {
 		e.metrics.shrunk.Inc(1)
 	}
@@ -174,6 +200,12 @@
 	if e.options.Limits != nil {
 		d.Limits = e.options.Limits.News(now)
 	}
+	if e.options.Cold != nil {
+		d.Cold = e.options.Cold.News(true, now)
+	}
+	if e.options.Accounts != nil {
+		d.Accounts = e.options.Accounts.Digest(now)
+	}
 	return d
 }
 
@@ -233,6 +265,10 @@
 		e.options.Saves.RecordSaves(r.GetSaves())
 		e.applySuspects(r.GetNode(), r.GetSuspects(), now)
 		e.applyLimits(r.GetNode(), r.GetLimits(), now)
+		e.applyCold(r.GetNode(), true, r.GetCold(), ejected, now)
+		if e.options.Accounts != nil {
+			e.options.Accounts.ApplyReport(r.GetNode(), r.GetSequence(), r.GetAccounts(), now)
+		}
 	}
 	for _, d := range datagram.GetDigests() {
 		e.applyDigest(d, now)
@@ -246,8 +282,10 @@
 	}
 	e.applySuspects(d.GetZone(), d.GetSuspects(), now)
 	e.applyLimits(d.GetZone(), d.GetLimits(), now)
+	e.applyAccounts(d, ownNode, now)
 	ejected, applied := e.options.Tracker.ApplyDigest(d, ownNode, now)
 	e.logUnresponsive(d.GetZone(), ejected)
+	e.applyCold(d.GetZone(), false, d.GetCold(), ejected, now)
 	if !applied {
 		return
 	}
@@ -269,3 +307,25 @@
 		e.options.Limits.Apply(source, limits, now)
 	}
 }
+
+// applyCold takes what a node or zone reports of restarts. zone is set for a node of the own zone.
+func (e *Exchange) applyCold(source string, zone bool, news []*nodepb.ColdInstance, ejected []string, now time.Time) {
+	if e.options.Cold == nil || len(news)+len(ejected) == 0 {
+		return
+	}
+	e.options.Cold.Apply(source, zone, news, now)
+	e.options.Cold.ApplyUnresponsive(source, ejected, now)
+}
+
+// applyAccounts applies the sums of a zone. ownNode is the name of this node if the zone is its own: the digest then contains what this
+// node reported.
+func (e *Exchange) applyAccounts(d *nodepb.ZoneDigest, ownNode string, now time.Time) {
+	if e.options.Accounts == nil {
+		return
+	}
+	merged := uint32(0)
+	if i := slices.Index(d.GetMergedNodes(), placement.NodeHash(ownNode)); ownNode != "" && i >= 0 && i < len(d.GetMergedSequences()) {
+		merged = d.GetMergedSequences()[i]
+	}
+	e.options.Accounts.ApplyDigest(d, ownNode != "", merged, now)
+}
--- a/upstreams/upstreams.go
+++ b/upstreams/upstreams.go
@@ -25,6 +25,11 @@
 	Updating bool
 	// Versions maps models to the version of their weights.
 	Versions map[string]uint64
+	// ColdLeft is how long the instance remains cold after a list or a view of another node is applied. It is an input of the Directory,
+	// whose views have ColdUntil instead.
+	ColdLeft time.Duration
+	// ColdUntil is the end of that time, zero if the list shows the instance as warm.
+	ColdUntil time.Time
 }
 
 // Key returns the identity of the incarnation.
@@ -49,11 +54,16 @@
 	ReceivedAt time.Time
 	byService  map[string][]*Instance
 	byHash     func() map[uint32]*Instance
+	// positions holds the position of each instance in the list of its service.
+	positions func() map[*Instance]int
 }
 
 // OfService returns the instances of a service.
 func (v *View) OfService(service string) []*Instance { return v.byService[service] }
 
+// Position returns the position of an instance of the view in the list of its service.
+func (v *View) Position(instance *Instance) int { return v.positions()[instance] }
+
 func newView(revision uint64, instances []Instance, now time.Time) *View {
 	v := &View{Revision: revision, Instances: instances, ReceivedAt: now, byService: map[string][]*Instance{}}
 	v.byHash = sync.OnceValue(func() map[uint32]*Instance { return indexByHash(instances) })
@@ -61,6 +71,15 @@
 		instance := &v.Instances[i]
 		v.byService[instance.Service] = append(v.byService[instance.Service], instance)
 	}
+	v.positions = sync.OnceValue(func() map[*Instance]int {
+		positions := make(map[*Instance]int, len(instances))
+		for _, list := range v.byService {
+			for i, instance := range list {
+				positions[instance] = i
+			}
+		}
+		return positions
+	})
 	return v
 }
 
@@ -122,6 +141,7 @@
 	for i := range instances {
 		key := instances[i].Key()
 		present[key] = true
+		instances[i].setCold(now)
 		d.overlay(&instances[i], now)
 	}
 	d.applyDraining(instances, now)
@@ -235,7 +255,7 @@
 			return false
 		}
 	}
-	return true
+	return !b.isColdForLonger(&a)
 }
 
 const (
