serving/speed: estimate how long work takes at each instance

Some services state a fourth figure in Server-Load: how long work takes at the instance now. Their header was dropped as a whole, and instances that are slow for some hundred milliseconds got as many requests as the others.

--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -81,6 +81,9 @@
 		zap.Int("cached_tokens", c.cached), zap.Int("fetched_tokens", c.fetched),
 		zap.Int("reread_tokens", c.recomputed), zap.Duration("expected", c.expectedFirstEvent),
 	}
+	if c.speedPercent > 0 {
+		fields = append(fields, zap.Int("speed_percent", c.speedPercent))
+	}
 	if c.set != nil {
 		fields = append(fields, zap.Uint64("set_version", c.set.Version))
 	}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -144,6 +145,8 @@
 	forecast placement.Forecast
 	// cached and recomputed are the estimates of the call's fields of the same names.
 	cached, recomputed int
+	// speedPercent is the estimate of the call's field of the same name.
+	speedPercent int
 }
 
 // choose chooses an instance that is not excluded. If there is none, it returns nil and the time until a paused instance takes
@@ -168,7 +171,7 @@
 	if best == nil {
 		return nil, placement.ShortestPause(q, candidates)
 	}
-	chosen = &choice{instance: best.Instance, query: q, version: best.Version}
+	chosen = &choice{instance: best.Instance, query: q, version: best.Version, speedPercent: int(math.Round(100 * best.Slowness))}
 	if q.CacheTokens > 0 {
 		plan := placement.PlanPrefill(q, best)
 		chosen.work = placement.Work{
@@ -177,6 +180,9 @@
 		}
 		chosen.forecast = placement.EstimateFirstEvent(q, best)
 		chosen.work.FirstEvent = chosen.forecast.FirstEvent()
+		if q.Uneven {
+			chosen.work.UsualFirstEvent = placement.EstimateUsualFirstEvent(q, best).FirstEvent()
+		}
 		for i := range max(0, len(g.Parts)-1) {
 			chosen.sources = append(chosen.sources, q.Source(i, best))
 		}
@@ -217,7 +223,7 @@
 func (c *call) attempt(ctx context.Context, chosen *choice, move *moveTarget, repeatable bool) result {
 	o := c.gateway.options
 	instance, work := chosen.instance, chosen.work
-	c.instance = instance.ID
+	c.instance, c.speedPercent = instance.ID, chosen.speedPercent
 	if work.CacheTokens > 0 {
 		c.cached, c.recomputed, c.expectedFirstEvent = chosen.cached, chosen.recomputed, chosen.forecast.FirstEvent()
 	}
@@ -270,6 +276,9 @@
 		model = c.attributes.Generation.Model
 	}
 	attempt.RecordAnswer(answer.Load, model, answer.Version, time.Now())
+	if answer.TimePercent > 0 && !answer.Replaced {
+		attempt.RecordSpeed(answer.TimePercent, time.Now())
+	}
 	s.exchange, s.answer = exchange, answer
 	return s.relay()
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,7 +71,9 @@
 	Replaced bool
 	Signed   bool
 	Load     *placement.Load
-	Version  uint64
+	// TimePercent is how long work takes at the instance at this moment, in percent of the usual time; 0 if it is not stated.
+	TimePercent int
+	Version     uint64
 	// Idle is how long the upstream promises to keep an idle connection open.
 	Idle time.Duration
 	// Leaving is set when the instance is about to stop.
@@ -265,6 +267,8 @@
 	recomputed         int
 	expectedFirstEvent time.Duration
 	firstByte          time.Duration
+	// speedPercent is the estimated time of work at the instance relative to the usual time, 0 if estimates are not used.
+	speedPercent int
 	// earlierMayHaveRun is set once an earlier send ended with an unknown outcome, or ran and failed.
 	earlierMayHaveRun bool
 	// mover is that of the last repeatable send.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -208,6 +208,7 @@
 	buffer := make([]byte, streamBuffer)
 	stall := s.newStallTimeout()
 	defer stall.stop()
+	gaps := newGapMeter(s.attempt, time.Now())
 	for {
 		n, err := s.exchange.Response.Body.Read(buffer)
 		events, tooLong := splitter.add(buffer[:n])
@@ -219,12 +220,14 @@
 		}
 		if len(events) > 0 {
 			stall.stop()
+			gaps.arrived(time.Now())
 			if s.unresponsive != nil {
 				s.unresponsive.recordProgress()
 			}
 			if err := s.relayEvents(events, splitter.lastID); err != nil {
 				return s.writeFailed(err)
 			}
+			gaps.written(time.Now())
 			stall.reset()
 		}
 		if err != nil && len(bytes.TrimSpace(splitter.rest())) > 0 {
--- a/node/node.go
+++ b/node/node.go
@@ -77,6 +77,9 @@
 	// HolderLease is the time that a new leader waits before it sends orders to engines, so that no earlier one still
 	// sends any.
 	HolderLease time.Duration
+	// EstimateSpeeds makes the node estimate the speeds of the instances of all services, also of those whose answers don't state how
+	// long work takes.
+	EstimateSpeeds bool
 }
 
 // UpstreamLimits bounds what an upstream may send; 0 means the default.
@@ -167,6 +170,9 @@
 	n.stores = kvstores.NewDirectory(time.Now)
 	n.storeCoordinator = &kvstores.Coordinator{Client: parts.Stores, Leads: n.reader.Current, Set: n.Set, Publisher: n.placement, Log: log}
 	n.tracker = placement.NewTracker()
+	if config.EstimateSpeeds {
+		n.tracker.RequireSpeeds()
+	}
 	n.rolloutController = &rollout.Controller{
 		Name: config.Name, Client: parts.Engines, Leads: func() bool { return n.group.Leads() && n.group.Fresh() }, Term: n.group.Term,
 		Lease: config.HolderLease, Set: n.Set, WantedVersions: n.WantedVersions, Directory: n.directory,
--- a/peerload/peerload.go
+++ b/peerload/peerload.go
@@ -64,6 +64,7 @@
 	core *core
 	// relays is set while this node relays, for the log.
 	relays   bool
+	speeds   speedLog
 	suspects suspectsSender
 	// resolved holds the resolved addresses of nodes.
 	resolved map[string]*net.UDPAddr
@@ -86,6 +87,7 @@
 	return &Exchange{
 		options: options, core: newCore(options.Self, uint64(now.UnixNano()), now), resolved: map[string]*net.UDPAddr{}, changed: make(chan struct{}, 1),
 		suspects: suspectsSender{list: options.Quarantine},
+		speeds:   newSpeedLog(r),
 		metrics: meters{
 			sent: gometrics.GetOrRegisterCounter("peerload.sent_bytes", r), received: gometrics.GetOrRegisterCounter("peerload.received_bytes", r),
 			forwarded: gometrics.GetOrRegisterCounter("peerload.passed_digests", r), unreadable: gometrics.GetOrRegisterCounter("peerload.unreadable", r),
@@ -146,6 +148,7 @@
 		e.relays = !e.relays
 		e.options.Log.Info("load relay changed", zap.Bool("relays", e.relays), zap.Int("position", e.core.position), zap.Int("zone_nodes", len(e.core.order)))
 	}
+	e.logSpeeds(time.Now())
 	for _, p := range e.core.due(time.Now(), e) {
 		for _, part := range split(p.data) {
 			e.send(conn, p.to, part)
@@ -161,6 +164,7 @@
 	if e.options.Limits != nil {
 		r.Limits = e.options.Limits.News(time.Now())
 	}
+	e.speeds.sent.Inc(int64(len(r.GetSpeeds())))
 	if shrink(r) {
 		e.metrics.shrunk.Inc(1)
 	}
@@ -170,6 +174,7 @@
 // digest implements source.
 func (e *Exchange) digest(now time.Time) *nodepb.ZoneDigest {
 	d := e.options.Tracker.Digest(now)
+	e.speeds.sent.Inc(int64(len(d.GetSpeeds())))
 	d.Suspects = e.suspects.forDigest(now)
 	if e.options.Limits != nil {
 		d.Limits = e.options.Limits.News(now)
@@ -230,6 +235,7 @@
 	if r := datagram.GetReport(); r != nil {
 		ejected, _ := e.options.Tracker.ApplyReport(r, e.options.Self.AvailabilityZone, now)
 		e.logUnresponsive(r.GetNode(), ejected)
+		e.speeds.received.Inc(int64(len(r.GetSpeeds())))
 		e.options.Saves.RecordSaves(r.GetSaves())
 		e.applySuspects(r.GetNode(), r.GetSuspects(), now)
 		e.applyLimits(r.GetNode(), r.GetLimits(), now)
@@ -251,6 +257,7 @@
 	if !applied {
 		return
 	}
+	e.speeds.received.Inc(int64(len(d.GetSpeeds())))
 	e.options.Saves.RecordSaves(d.GetSaves())
 	if last, known := e.metrics.lastDigest[d.GetZone()]; known {
 		e.metrics.gap.Update(now.Sub(last).Milliseconds())
--- a/peerload/size.go
+++ b/peerload/size.go
@@ -34,7 +34,7 @@
 	if proto.Size(r) <= maxDatagram {
 		return false
 	}
-	r.LateKeys, r.LateSums, r.LateCounts = nil, nil, nil
+	r.LateKeys, r.LateSums, r.LateCounts, r.Speeds = nil, nil, nil, nil
 	if proto.Size(r) > maxDatagram {
 		r.Reads = nil
 	}
--- a/placement/digest.go
+++ b/placement/digest.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
+	"github.com/wasabishunt/wasabishunt/serving/speed"
 )
 
 const (
@@ -87,6 +88,7 @@
 		d.MergedSequences = append(d.MergedSequences, uint32(source.sequence))
 	}
 	d.Replaced = t.pending.replaced
+	d.Speeds = encodeSpeeds(t.speeds.Digest(now))
 	d.Leaving = current(t.leaving.zone, now)
 	t.pending = pendingForwards{}
 	return d
@@ -159,7 +161,7 @@
 		t.zones.set(source, key, u)
 	}
 	if ownNode != "" {
-		t.dropReports()
+		t.dropReports(now)
 		t.ownZone = d.GetZone()
 		t.merged = t.history.find(mergedSequence(d, ownNode))
 		if t.merged.instances == nil {
@@ -180,6 +182,7 @@
 	t.applyReplaced(d.GetReplaced())
 	t.leaving.hear(d.GetLeaving(), false, now)
 	t.applyReads(decodeReads(d.GetReads(), now))
+	t.applyZoneSpeeds(source, d, ownNode != "", now)
 	return ejected, true
 }
 
@@ -196,6 +199,7 @@
 	}
 	if source.relay != d.GetRelay() || source.totalsName == "" {
 		t.links.dropSource(source.totalsName)
+		t.speeds.Drop(source.totalsName, now)
 		source.relay, source.totalsName = d.GetRelay(), d.GetZone()+"/"+strconv.FormatUint(uint64(d.GetRelay()), 16)
 	}
 	source.sequence, source.receivedAt, source.nodes = d.GetSequence(), now, int(d.GetNodes())
@@ -213,17 +217,19 @@
 }
 
 // dropReports drops the reports that the digest of the own zone contains too.
-func (t *Tracker) dropReports() {
+func (t *Tracker) dropReports(now time.Time) {
 	for name, source := range t.peers.byName {
 		t.peers.replace(source, nil)
+		t.speeds.Drop(source.totalsName, now)
 		t.links.dropSource(source.totalsName)
 		delete(t.peers.byName, name)
 	}
 }
 
 // dropOwnZoneDigest drops the digest of the own zone once its reports arrive directly.
-func (t *Tracker) dropOwnZoneDigest(zone string) {
+func (t *Tracker) dropOwnZoneDigest(zone string, now time.Time) {
 	if source := t.zones.byName[zone]; source != nil {
+		t.speeds.Drop(source.totalsName, now)
 		t.zones.replace(source, nil)
 		t.links.dropSource(source.totalsName)
 		delete(t.zones.byName, zone)
@@ -236,6 +242,7 @@
 	sequence  uint32
 	instances map[uint32]usage
 	transfers map[uint32]time.Duration
+	speeds    speed.Sent
 }
 
 // subtractFrom takes this node's part out of the totals of its zone.
--- a/placement/forecast.go
+++ b/placement/forecast.go
@@ -20,10 +20,10 @@
 // EstimateFirstEvent estimates the time to the first event of a request at an engine.
 func EstimateFirstEvent(q *Request, c *Candidate) Forecast {
 	r := PlanPrefill(q, c)
-	rate := max(1, c.ReadRate)
+	rate := c.readRate()
 	held := c.heldAhead(q)
 	wait := float64(c.AheadTokens)/rate + memoryWaitMs(q, held)
-	all := firstTokenMs + float64(c.AheadTokens+r.Tokens)/rate + memoryWaitMs(q, held+q.newTokens(c)) + transferMs(q, &r)
+	all := firstTokenMs*c.slowness() + float64(c.AheadTokens+r.Tokens)/rate + memoryWaitMs(q, held+q.newTokens(c)) + transferMs(q, &r)
 	reused := float64(q.Tokens-r.Tokens)/rate - transferMs(q, &r) + memoryWaitPerCapacityMs*float64(q.Tokens-q.newTokens(c))/float64(q.CacheTokens)
 	return Forecast{
 		Wait: fromMs(wait), Service: fromMs(all - wait), Queue: fromMs(float64(c.PrefillTokens)/rate + memoryWaitMs(q, c.HeldTokens)),
--- a/placement/peers.go
+++ b/placement/peers.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
+	"github.com/wasabishunt/wasabishunt/serving/speed"
 )
 
 // sourceTimeout is how long the last report of a source counts.
@@ -148,7 +149,7 @@
 		return nil, false
 	}
 	source.sequence, source.receivedAt, source.nodes = report.GetSequence(), now, 1
-	t.dropOwnZoneDigest(zone)
+	t.dropOwnZoneDigest(zone, now)
 	t.peers.replace(source, instances)
 	unresponsive := make(map[uint32]int, len(report.GetSilent()))
 	for _, key := range report.GetSilent() {
@@ -162,6 +163,7 @@
 	reads := decodeReads(report.GetReads(), now)
 	t.applyReads(reads)
 	t.pending.add(reads, report.GetReplaced())
+	t.speeds.Apply(report.GetNode(), true, decodeSpeeds(report.GetSpeeds()), speed.Sent{}, now)
 	return ejected, true
 }
 
@@ -223,6 +225,9 @@
 	report.Leaving = current(t.leaving.own, time.Now())
 	t.pending.add(t.reads, report.GetReplaced())
 	report.Reads = t.drainReads(time.Now())
+	var readings []speed.Reading
+	readings, sent.speeds = t.speeds.Report(time.Now())
+	report.Speeds = encodeSpeeds(readings)
 	return report
 }
 
@@ -266,6 +271,7 @@
 func (t *Tracker) expire(now time.Time) {
 	for _, source := range append(t.peers.expire(now), t.zones.expire(now)...) {
 		t.links.dropSource(source)
+		t.speeds.Drop(source, now)
 	}
 	if t.zones.byName[t.ownZone] == nil {
 		t.merged = sentReport{}
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -39,6 +39,8 @@
 	// time of one token over an engine's link, 0 if engines don't fetch from each other.
 	Held          []StoredPart
 	TokenTransfer time.Duration
+	// Uneven is set by Tracker.Candidates if the instances of the service are known to differ in speed.
+	Uneven bool
 }
 
 // StoredPart is a part of a prompt in a store.
@@ -92,6 +94,8 @@
 	ReadParts, UsedTokens int
 	// homePosition is the position of the engine among the homes of the prompt, from 1; 0 if it is none.
 	homePosition int
+	// Slowness is the expected time of work at the instance relative to the usual time of its service, 0 if it is not used.
+	Slowness float64
 }
 
 // Filter reports whether a candidate may get a request.
@@ -148,6 +152,9 @@
 // learn of each other's requests up to 0.15 s later; if all considered all engines, they would send all requests of
 // that time to the one that looks idle.
 func sampleCandidates(q *Request, candidates []Candidate) []Candidate {
+	if q.CacheTokens == 0 && q.Uneven {
+		return samplePlain(q, candidates)
+	}
 	if q.CacheTokens == 0 || len(candidates) <= sampleSize {
 		return candidates
 	}
@@ -191,6 +198,8 @@
 // serviceCost is the cost of an instance of a plain service, in requests.
 func serviceCost(q *Request, c *Candidate) float64 {
 	requests := float64(max(c.Requests, c.Load.Running+c.Load.Waiting))
+	// The request itself takes longer too at a slow instance.
+	requests += (c.slowness() - 1) * (requests + 1)
 	if !c.SameZone {
 		requests += zoneCostRequests
 	}
@@ -319,9 +328,9 @@
 // engineCost is the estimated time to the first event plus the cost to other requests.
 func engineCost(q *Request, c *Candidate) float64 {
 	r := PlanPrefill(q, c)
-	rate := max(1, c.ReadRate)
+	rate := c.readRate()
 	cost := (float64(c.AheadTokens+r.Tokens)+(recomputeFactor-1)*float64(r.SharedTokens))/rate + memoryWaitMs(q, c.HeldTokens+q.newTokens(c)) + transferFactor*transferMs(q, &r)
-	cost += requestCostMs*float64(max(c.Requests, c.Load.Running)) + failureCostMs*c.FailureShare
+	cost += requestCostMs*float64(max(c.Requests, c.Load.Running)) + failureCostMs*c.FailureShare + slownessCostMs*(c.slowness()-1)
 	if !c.SameZone {
 		cost += zoneCostMs
 	}
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/wasabishunt/wasabishunt/serving/speed"
 	"github.com/wasabishunt/wasabishunt/upstreams"
 )
 
@@ -71,6 +72,8 @@
 	cache      *partCache
 	// watchers are called when the instance is found unresponsive.
 	watchers map[*Attempt]func()
+	// speed is the estimate of how long work takes at the instance.
+	speed *speed.Instance
 }
 
 // Tracker holds the state of all instances. Its mu is a leaf lock: no other lock is acquired while it is held.
@@ -101,6 +104,7 @@
 	uses       partUses
 	// priorities covers the requests that this node sends.
 	priorities priorities
+	speeds     *speed.Table
 }
 
 // NewTracker returns an empty Tracker.
@@ -109,7 +113,7 @@
 		instances: map[upstreams.Key]*instanceState{}, byHash: map[uint32]*instanceState{}, links: newLinks(), peers: newLoadSources(), zones: newLoadSources(),
 		lastDigest: digestState{instances: map[uint32]usage{}, transfers: map[uint32]time.Duration{}},
 		rate:       readRate{tokensPerMs: initialReadRate}, runTimes: newRunTimes(), uses: newPartUses(),
-		leaving: newLeavingNews(), pauses: pauses{},
+		leaving: newLeavingNews(), pauses: pauses{}, speeds: speed.NewTable(false),
 	}
 }
 
@@ -128,6 +132,7 @@
 		present[key] = true
 		s := t.state(key)
 		s.replaced = false
+		t.speedOf(s, instance)
 		for model, version := range instance.Versions {
 			s.setVersion(model, max(version, s.versions[model]))
 		}
@@ -135,6 +140,7 @@
 	for key, s := range t.instances {
 		if !present[key] && s.requests == 0 {
 			delete(t.instances, key)
+			t.forgetSpeed(s)
 			if t.byHash[hashKey(key.ID)] == s {
 				delete(t.byHash, hashKey(key.ID))
 			}
@@ -169,6 +175,8 @@
 	HeldTokens int
 	// FirstEvent is the expected time to the first event.
 	FirstEvent time.Duration
+	// UsualFirstEvent is what FirstEvent would be if work took the usual time at the instance.
+	UsualFirstEvent time.Duration
 	// Transfers holds the transfer times by the address of the store.
 	Transfers map[string]time.Duration
 	// Salt and Parts identify what an engine holds once it has read the prompt; CacheTokens is the size of its cache.
@@ -186,7 +194,9 @@
 	// aheadTokens is the number of tokens that the engine reads up to the end of this prompt.
 	aheadTokens int
 	prefilled   bool
-	done        bool
+	// prefilledByEvent is set once the first event of a stream has arrived.
+	prefilledByEvent bool
+	done             bool
 }
 
 // Begin records the start of a send.
@@ -209,6 +219,7 @@
 		use := promptUse{sentAt: began, readAt: began.Add(work.FirstEvent), size: work.Urgency.size()}
 		t.recordRead(s, promptRead{hashKey(instance.ID), keyParts(work.Salt, work.Parts), work.CacheTokens, use})
 	}
+	t.speedOf(s, instance)
 	others := t.others(instance.ID)
 	ahead := t.priorities.aheadTokens(work.Urgency, s.prefillTokens+others.prefillTokens, s.longTokens+others.longTokens)
 	return &Attempt{tracker: t, key: instance.Key(), work: work, began: began, aheadTokens: ahead}
@@ -220,7 +231,9 @@
 	defer a.tracker.mu.Unlock()
 	if !a.prefilled {
 		a.learnFrom(time.Since(a.began))
+		a.observeFirstEvent(time.Now())
 	}
+	a.prefilledByEvent = true
 	a.prefill(a.tracker.state(a.key))
 }
 
@@ -263,6 +276,7 @@
 	s.heldTokens -= a.work.HeldTokens
 	switch outcome {
 	case Answered:
+		a.observeAnswer(s, now)
 		if len(a.work.Parts) > 0 {
 			t.runTimes.observe(a.work.Urgency.size(), now.Sub(a.began))
 		}
@@ -311,6 +325,7 @@
 	defer t.mu.Unlock()
 	t.expire(now)
 	memoryShare := t.priorities.memoryShare(q.Urgency)
+	q.Uneven = len(list) > 0 && t.speeds.Service(list[0].Service).IsActive(now)
 	out := make([]Candidate, 0, len(list))
 	var keyed []keyedPart
 	var keyedVersion uint64
@@ -325,6 +340,9 @@
 			FailureShare: s.failureShare, Ejected: now.Before(s.ejectedUntil), Avoided: now.Before(s.avoidedUntil), Replaced: s.replaced,
 			SameZone: instance.AvailabilityZone == q.Zone, Version: s.versions[q.Model], PauseLeft: t.pauses.left(instance, now),
 		}
+		if q.Uneven {
+			c.Slowness = s.speed.Estimate(now)
+		}
 		if now.Sub(s.loadAt) < loadValidity {
 			c.Load = s.load
 		}
--- /dev/null
+++ b/serving/speed/exchange.go
@@ -0,0 +1,184 @@
+package speed
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// maxReadings limits the readings in one datagram.
+	maxReadings = 96
+	// maxReadingAge is the age of the newest observation from which a reading is no longer sent.
+	maxReadingAge = time.Second
+	// minDeviation is the difference from 100 from which an instance is reported.
+	minDeviation = 10
+	// maxSamples bounds the weight of a reading.
+	maxSamples = 10_000
+)
+
+// Reading is what a node or a zone reports of an instance.
+type Reading struct {
+	Key uint32
+	// Percent is the mean relative time, never 100.
+	Percent int
+	// Age is the time since the newest observation.
+	Age time.Duration
+	// Samples is the weight of the observations at the time of the report.
+	Samples int
+}
+
+// source is another node of the zone, or a zone.
+type source struct {
+	// local is set for a node of the own zone.
+	local bool
+	means map[uint32]mean
+}
+
+// Sent is what the reports of this node contained up to one of them.
+type Sent struct{ means map[uint32]mean }
+
+// Report returns what this node observed itself, and what to subtract from a digest of the own zone that contains this report.
+func (t *Table) Report(now time.Time) ([]Reading, Sent) {
+	readings := t.readings(now, func(i *Instance) (mean, time.Time) { return i.own, i.observedAt })
+	for _, r := range readings {
+		t.reported[r.Key] = r.mean(now)
+	}
+	maps.DeleteFunc(t.reported, func(key uint32, m mean) bool {
+		i := t.instances[key]
+		return i == nil || m.decayed(now, i.halfLife()).weight < 1./2
+	})
+	if len(t.reported) == 0 {
+		return readings, Sent{}
+	}
+	return readings, Sent{maps.Clone(t.reported)}
+}
+
+// Digest returns what this node and the others of its zone observed.
+func (t *Table) Digest(now time.Time) []Reading {
+	return t.readings(now, func(i *Instance) (mean, time.Time) { return i.own.plus(i.local, 1, now, i.halfLife()), i.localAt })
+}
+
+// readings returns the readings to send: those with new observations first, then those that deviate most.
+//
+// An instance that is as usual is listed only if it was listed as slow before or others report it as slow: its recovery is news. It
+// is then listed with 101, as 100 is not sent.
+func (t *Table) readings(now time.Time, part func(*Instance) (mean, time.Time)) []Reading {
+	var out []Reading
+	for key, i := range t.live {
+		if !i.isLive(now) {
+			delete(t.live, key)
+			continue
+		}
+		m, at := part(i)
+		if m.weight == 0 || now.Sub(at) >= maxReadingAge || i.figures != i.service.figures || !i.service.IsActive(now) {
+			continue
+		}
+		m = m.decayed(now, i.halfLife())
+		r := Reading{i.key, percentOf(m.value()), max(0, now.Sub(at)), int(math.Round(min(maxSamples, m.weight)))}
+		if r.Samples == 0 {
+			continue
+		}
+		if r.deviates() {
+			i.deviatedAt = now
+		} else if !i.isReportedSlow(now) {
+			continue
+		}
+		if r.Percent == 100 {
+			r.Percent++
+		}
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(a, b Reading) int {
+		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(abs(b.Percent-100), abs(a.Percent-100)), cmp.Compare(a.Key, b.Key))
+	})
+	return out[:min(len(out), maxReadings)]
+}
+
+// minLiveWeight is the weight below which observations no longer have an effect on an estimate.
+const minLiveWeight = 0.01
+
+func (i *Instance) isLive(now time.Time) bool {
+	weight := 0.0
+	for _, m := range []mean{i.own, i.local, i.remote} {
+		weight += m.decayed(now, i.halfLife()).weight
+	}
+	return weight > minLiveWeight
+}
+
+func (r Reading) deviates() bool { return abs(r.Percent-100) >= minDeviation }
+
+func abs(n int) int { return max(n, -n) }
+
+// isReportedSlow reports whether this node or others lately reported the instance as other than usual.
+func (i *Instance) isReportedSlow(now time.Time) bool {
+	if !i.deviatedAt.IsZero() && now.Sub(i.deviatedAt) < maxReadingAge {
+		return true
+	}
+	others := i.local.plus(i.remote, 1, now, i.halfLife())
+	return others.weight >= 1 && math.Abs(others.value()) > math.Log(1+minDeviation/100.)
+}
+
+func (r Reading) mean(now time.Time) mean {
+	weight := float64(max(0, min(maxSamples, r.Samples)))
+	return mean{weight, weight * math.Log(float64(max(minPercent, min(maxPercent, r.Percent)))/100), now}
+}
+
+// Apply replaces what a source reported of the listed instances. local is set for a node of the own zone. sent is what this node's
+// own reports contributed to the readings.
+func (t *Table) Apply(name string, local bool, readings []Reading, sent Sent, now time.Time) (applied int) {
+	if len(readings) == 0 {
+		return 0
+	}
+	s := t.sources[name]
+	if s == nil {
+		s = &source{local: local, means: map[uint32]mean{}}
+		t.sources[name] = s
+	}
+	for _, r := range readings {
+		i := t.instances[r.Key]
+		if i == nil || r.Percent <= 0 || r.Age >= 2*maxReadingAge || !i.service.IsActive(now) {
+			continue
+		}
+		t.sync(i)
+		m := r.mean(now).plus(sent.means[r.Key], -1, now, i.halfLife())
+		i.replace(s, m, now)
+		t.live[r.Key] = i
+		if at := now.Add(-r.Age); local && at.After(i.localAt) {
+			i.localAt = at
+		}
+		t.noteSpeed(i, now)
+		applied++
+	}
+	maps.DeleteFunc(s.means, func(key uint32, m mean) bool {
+		return m.decayed(now, t.instances[key].halfLife()).weight == 0
+	})
+	return applied
+}
+
+// replace replaces the contribution of a source.
+func (i *Instance) replace(s *source, m mean, now time.Time) {
+	total := &i.remote
+	if s.local {
+		total = &i.local
+	}
+	*total = total.plus(s.means[i.key], -1, now, i.halfLife()).plus(m, 1, now, i.halfLife())
+	s.means[i.key] = m
+	if m.weight == 0 {
+		delete(s.means, i.key)
+	}
+}
+
+// Drop removes what a source reported.
+func (t *Table) Drop(name string, now time.Time) {
+	s := t.sources[name]
+	if s == nil {
+		return
+	}
+	for key := range s.means {
+		t.instances[key].replace(s, mean{}, now)
+	}
+	delete(t.sources, name)
+}
