--- a/serving/speed/exchange.go
+++ b/serving/speed/exchange.go
@@ -15,6 +15,8 @@
 	maxReadingAge = time.Second
 	// minDeviation is the difference from 100 from which an instance is reported.
 	minDeviation = 10
+	// transit is the usual time that a report or digest is on its way and waits to be forwarded, which its ages don't include.
+	transit = 30 * time.Millisecond
 	// maxSamples bounds the weight of a reading.
 	maxSamples = 10_000
 )
@@ -42,14 +44,18 @@
 
 // Report returns what this node observed itself, and what to subtract from a digest of the own zone that contains this report.
 func (t *Table) Report(now time.Time) ([]Reading, Sent) {
-	readings := t.readings(now, func(i *Instance) (mean, time.Time) { return i.own, i.observedAt })
+	readings := t.readings(now, func(i *Instance) (mean, time.Time) {
+		if i.figures {
+			return i.ownFigure.mean(now), i.ownFigure.at
+		}
+		return i.own, i.observedAt
+	})
 	for _, r := range readings {
-		t.reported[r.Key] = r.mean(now)
+		if !t.instances[r.Key].figures {
+			t.reported[r.Key] = r.mean(now)
+		}
 	}
-	maps.DeleteFunc(t.reported, func(key uint32, m mean) bool {
-		i := t.instances[key]
-		return i == nil || m.decayed(now, i.halfLife()).weight < 1./2
-	})
+	maps.DeleteFunc(t.reported, func(_ uint32, m mean) bool { return m.decayed(now, observedHalfLife).weight < 1./2 })
 	if len(t.reported) == 0 {
 		return readings, Sent{}
 	}
@@ -58,7 +64,12 @@
 
 // Digest returns what this node and the others of its zone observed.
 func (t *Table) Digest(now time.Time) []Reading {
-	return t.readings(now, func(i *Instance) (mean, time.Time) { return i.own.plus(i.local, 1, now, i.halfLife()), i.localAt })
+	return t.readings(now, func(i *Instance) (mean, time.Time) {
+		if i.figures {
+			return i.localFigure.mean(now), i.localFigure.at
+		}
+		return i.own.plus(i.local, 1, now, observedHalfLife), i.localAt
+	})
 }
 
 // readings returns the readings to send: those with new observations first, then those that deviate most.
@@ -67,17 +78,19 @@
 // is then listed with 101, as 100 is not sent.
 func (t *Table) readings(now time.Time, part func(*Instance) (mean, time.Time)) []Reading {
 	var out []Reading
-	for key, i := range t.live {
-		if !i.isLive(now) {
-			delete(t.live, key)
+	for key, i := range t.observed {
+		if i.total(now).weight < minLiveWeight {
+			delete(t.observed, key)
 			continue
 		}
 		m, at := part(i)
 		if m.weight == 0 || now.Sub(at) >= maxReadingAge || i.figures != i.service.figures || !i.service.IsActive(now) {
 			continue
 		}
-		m = m.decayed(now, i.halfLife())
-		r := Reading{i.key, percentOf(m.value()), max(0, now.Sub(at)), int(math.Round(min(maxSamples, m.weight)))}
+		r := Reading{i.key, percentOf(m.value()), max(0, now.Sub(at)), 1}
+		if !i.figures {
+			r.Samples = int(math.Round(min(maxSamples, m.decayed(now, observedHalfLife).weight)))
+		}
 		if r.Samples == 0 {
 			continue
 		}
@@ -100,14 +113,6 @@
 // minLiveWeight is the weight below which observations no longer have an effect on an estimate.
 const minLiveWeight = 0.01
 
-func (i *Instance) isLive(now time.Time) bool {
-	weight := 0.0
-	for _, m := range []mean{i.own, i.local, i.remote} {
-		weight += m.decayed(now, i.halfLife()).weight
-	}
-	return weight > minLiveWeight
-}
-
 func (r Reading) deviates() bool { return abs(r.Percent-100) >= minDeviation }
 
 func abs(n int) int { return max(n, -n) }
@@ -117,13 +122,20 @@
 	if !i.deviatedAt.IsZero() && now.Sub(i.deviatedAt) < maxReadingAge {
 		return true
 	}
-	others := i.local.plus(i.remote, 1, now, i.halfLife())
+	others := i.local.plus(i.remote, 1, now, observedHalfLife)
+	if i.figures {
+		others = i.newestFigure.mean(now)
+	}
 	return others.weight >= 1 && math.Abs(others.value()) > math.Log(1+minDeviation/100.)
 }
 
+func (r Reading) log() float64 {
+	return math.Log(float64(max(minPercent, min(maxPercent, r.Percent))) / 100)
+}
+
 func (r Reading) mean(now time.Time) mean {
 	weight := float64(max(0, min(maxSamples, r.Samples)))
-	return mean{weight, weight * math.Log(float64(max(minPercent, min(maxPercent, r.Percent)))/100), now}
+	return mean{weight, weight * r.log(), now}
 }
 
 // Apply replaces what a source reported of the listed instances. local is set for a node of the own zone. sent is what this node's
@@ -143,18 +155,23 @@
 			continue
 		}
 		t.sync(i)
-		m := r.mean(now).plus(sent.means[r.Key], -1, now, i.halfLife())
-		i.replace(s, m, now)
-		t.live[r.Key] = i
-		if at := now.Add(-r.Age); local && at.After(i.localAt) {
-			i.localAt = at
+		at := now.Add(-max(0, r.Age) - transit)
+		if i.figures {
+			i.newestFigure.update(reading{r.log(), at})
+			if local {
+				i.localFigure.update(reading{r.log(), at})
+			}
+		} else {
+			i.replace(s, r.mean(now).plus(sent.means[r.Key], -1, now, observedHalfLife), now)
+			if local && at.After(i.localAt) {
+				i.localAt = at
+			}
 		}
+		t.live(i)
 		t.noteSpeed(i, now)
 		applied++
 	}
-	maps.DeleteFunc(s.means, func(key uint32, m mean) bool {
-		return m.decayed(now, t.instances[key].halfLife()).weight == 0
-	})
+	maps.DeleteFunc(s.means, func(_ uint32, m mean) bool { return m.decayed(now, observedHalfLife).weight == 0 })
 	return applied
 }
 
@@ -164,14 +181,14 @@
 	if s.local {
 		total = &i.local
 	}
-	*total = total.plus(s.means[i.key], -1, now, i.halfLife()).plus(m, 1, now, i.halfLife())
+	*total = total.plus(s.means[i.key], -1, now, observedHalfLife).plus(m, 1, now, observedHalfLife)
 	s.means[i.key] = m
 	if m.weight == 0 {
 		delete(s.means, i.key)
 	}
 }
 
-// Drop removes what a source reported.
+// Drop removes what a source reported. Figures stay: the newest one counts, no matter which node reported it.
 func (t *Table) Drop(name string, now time.Time) {
 	s := t.sources[name]
 	if s == nil {
--- a/serving/speed/speed.go
+++ b/serving/speed/speed.go
@@ -100,15 +100,19 @@
 	key     uint32
 	name    string
 	service *Service
-	// figures is the value of the service's field for which the means were computed: the half-life depends on it.
+	// figures is the value of the service's field for which the estimate was computed: the fields below are used for figures, or for
+	// observations.
 	figures bool
+	// ownFigure is the newest figure that this node received, localFigure the newest one of its zone, and newestFigure the newest one of
+	// all nodes. In a mean of several figures the older ones would hide what has changed since.
+	ownFigure, localFigure, newestFigure reading
 	// own are the observations of this node, local those reported by other nodes of its zone, and remote those reported by zones.
 	own, local, remote mean
 	// observedAt is the newest of own, localAt the newest of own and local.
 	observedAt, localAt time.Time
 	// deviatedAt is when a report or digest of this node last showed the instance as other than usual.
 	deviatedAt time.Time
-	// figure is the last figure of the instance as a logarithm.
+	// figure is the logarithm of the last figure of the instance.
 	figure   float64
 	figureAt time.Time
 	// check compares observations with figures, observed are these observations.
@@ -146,9 +150,9 @@
 	required  bool
 	services  map[string]*Service
 	instances map[uint32]*Instance
-	// live are the instances with recent observations.
-	live    map[uint32]*Instance
-	sources map[string]*source
+	// observed are the instances with recent observations.
+	observed map[uint32]*Instance
+	sources  map[string]*source
 	// reported is what this node last reported of each instance.
 	reported map[uint32]mean
 	changes  []Change
@@ -156,7 +160,7 @@
 
 // NewTable returns an empty table. required is set if estimates are used also for services whose answers carry no figure.
 func NewTable(required bool) *Table {
-	return &Table{required: required, services: map[string]*Service{}, instances: map[uint32]*Instance{}, live: map[uint32]*Instance{}, sources: map[string]*source{}, reported: map[uint32]mean{}}
+	return &Table{required: required, services: map[string]*Service{}, instances: map[uint32]*Instance{}, observed: map[uint32]*Instance{}, sources: map[string]*source{}, reported: map[uint32]mean{}}
 }
 
 // Service returns the state of a service.
@@ -185,7 +189,7 @@
 		return
 	}
 	delete(t.instances, i.key)
-	delete(t.live, i.key)
+	delete(t.observed, i.key)
 	delete(t.reported, i.key)
 	for _, s := range t.sources {
 		delete(s.means, i.key)
@@ -211,20 +215,35 @@
 	return changes
 }
 
-func (i *Instance) halfLife() time.Duration {
-	if i.figures {
-		return figureHalfLife
+// reading is a figure as a logarithm.
+type reading struct {
+	value float64
+	at    time.Time
+}
+
+// update keeps the newer reading, so that a repeated one has no effect.
+func (r *reading) update(other reading) {
+	if other.at.After(r.at) {
+		*r = other
+	}
+}
+
+// mean returns the reading with the weight of its age.
+func (r reading) mean(now time.Time) mean {
+	if r.at.IsZero() {
+		return mean{}
 	}
-	return observedHalfLife
+	return mean{figureWeight, figureWeight * r.value, r.at}.decayed(now, figureHalfLife)
 }
 
-// sync drops the means if the half-life has changed.
+// sync drops the observations if the service's answers began or ceased to carry figures.
 func (t *Table) sync(i *Instance) {
 	if i.figures == i.service.figures {
 		return
 	}
 	i.figures = i.service.figures
 	i.own, i.local, i.remote, i.check, i.observed = mean{}, mean{}, mean{}, mean{}, mean{}
+	i.ownFigure, i.localFigure, i.newestFigure = reading{}, reading{}, reading{}
 	delete(t.reported, i.key)
 	for _, s := range t.sources {
 		delete(s.means, i.key)
@@ -245,7 +264,11 @@
 	if i.contradicted {
 		value = i.observed.value()
 	}
-	t.add(i, value, figureWeight, now)
+	r := reading{value, now}
+	i.ownFigure = r
+	i.localFigure.update(r)
+	i.newestFigure.update(r)
+	t.live(i)
 	t.noteSpeed(i, now)
 }
 
@@ -269,7 +292,9 @@
 		t.compare(i, relative, now)
 		return
 	}
-	t.add(i, relative, 1, now)
+	i.own = i.own.plus(mean{1, relative, now}, 1, now, observedHalfLife)
+	i.observedAt, i.localAt = now, now
+	t.live(i)
 	t.noteSpeed(i, now)
 }
 
@@ -293,12 +318,11 @@
 	}
 }
 
-func (t *Table) add(i *Instance, value, weight float64, now time.Time) {
+// live records that an instance has observations to report.
+func (t *Table) live(i *Instance) {
 	if t.instances[i.key] == i {
-		t.live[i.key] = i
+		t.observed[i.key] = i
 	}
-	i.own = i.own.plus(mean{weight, weight * value, now}, 1, now, i.halfLife())
-	i.observedAt, i.localAt = now, now
 }
 
 // noteSpeed records for the log that an instance is slow for a while, or as usual again.
@@ -324,18 +348,24 @@
 	if i == nil || i.figures != i.service.figures || !i.service.IsActive(now) {
 		return 1
 	}
-	halfLife := i.halfLife()
-	own, local, remote := i.own.decayed(now, halfLife), i.local.decayed(now, halfLife), i.remote.decayed(now, halfLife)
-	weight := own.weight + local.weight + remote.weight
-	if weight == 0 {
+	m := i.total(now)
+	if m.weight == 0 {
 		return 1
 	}
-	return math.Exp((own.sum + local.sum + remote.sum) / (weight + priorWeight))
+	return math.Exp(m.sum / (m.weight + priorWeight))
+}
+
+// total returns all that is known of the instance.
+func (i *Instance) total(now time.Time) mean {
+	if i.figures {
+		return i.newestFigure.mean(now)
+	}
+	return i.own.plus(i.local, 1, now, observedHalfLife).plus(i.remote, 1, now, observedHalfLife)
 }
 
 // SlowCount returns the number of instances whose estimate is above slowFactor.
 func (t *Table) SlowCount(now time.Time) (slow int) {
-	for _, i := range t.live {
+	for _, i := range t.observed {
 		if i.Estimate(now) > slowFactor {
 			slow++
 		}
