--- a/serving/speed/sim_test.go
+++ b/serving/speed/sim_test.go
@@ -74,6 +74,22 @@
 	return s
 }
 
+// noise returns a factor with a standard deviation of its logarithm.
+func (s *simulation) noise(deviation float64) float64 {
+	return math.Exp(deviation * s.random.NormFloat64())
+}
+
+// share returns the share of the requests since the last call that an instance got, relative to an equal share.
+func (s *simulation) share(instance int) float64 {
+	total := 0
+	for _, count := range s.sent {
+		total += count
+	}
+	share := float64(s.sent[instance]) / float64(total) * float64(s.instances)
+	clear(s.sent)
+	return share
+}
+
 func (s *simulation) pick(n *simNode) int {
 	best, bestCost := -1, 0.0
 	for range min(simSample, max(2, s.instances/2)) {
