--- a/gateway/readahead.go
+++ b/gateway/readahead.go
@@ -85,7 +85,7 @@
 	c := s.call
 	a := &readAhead{
 		send: s, splitter: eventSplitter{limit: c.gateway.options.EventBytes, memory: c.memory}, stall: s.newStallTimeout(),
-		gaps: newGapMeter(s.attempt, time.Now()),
+		gaps:   newGapMeter(s.attempt, time.Now()),
 		buffer: make([]byte, streamBuffer),
 	}
 	a.changed = sync.NewCond(&a.mu)
