--- a/gateway/readahead.go
+++ b/gateway/readahead.go
@@ -60,6 +60,7 @@
 	send     *send
 	splitter eventSplitter
 	stall    *stallTimeout
+	gaps     *gapMeter
 	buffer   []byte
 	state    atomic.Int32
 	// timer runs during a write.
@@ -84,6 +85,7 @@
 	c := s.call
 	a := &readAhead{
 		send: s, splitter: eventSplitter{limit: c.gateway.options.EventBytes, memory: c.memory}, stall: s.newStallTimeout(),
+		gaps:   newGapMeter(s.attempt, time.Now()),
 		buffer: make([]byte, streamBuffer),
 	}
 	a.changed = sync.NewCond(&a.mu)
@@ -102,6 +104,7 @@
 	}
 	if len(events) > 0 && broken == nil {
 		a.stall.stop()
+		a.gaps.arrived(time.Now())
 		if s.unresponsive != nil {
 			s.unresponsive.recordProgress()
 		}
@@ -124,6 +127,7 @@
 func (a *readAhead) endWrite() {
 	if a.state.CompareAndSwap(stateWriting, stateRelay) {
 		a.timer.Stop()
+		a.gaps.written(time.Now())
 		a.stall.reset()
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -89,6 +89,9 @@
 	// ColdBound bounds the requests that reach a cold instance in any second; ListLag is the age of what the instance list says, 0 if unknown.
 	ColdBound coldstart.Bound
 	ListLag   time.Duration
+	// EstimateSpeeds makes the node estimate the speeds of the instances of all services, also of those whose answers don't state how
+	// long work takes.
+	EstimateSpeeds bool
 }
 
 // UpstreamLimits bounds what an upstream may send; 0 means the default.
@@ -190,6 +193,9 @@
 	n.stores = kvstores.NewDirectory(time.Now)
 	n.storeCoordinator = &kvstores.Coordinator{Client: parts.Stores, Leads: n.reader.Current, Set: n.Set, Publisher: n.placement, Log: log}
 	n.tracker = placement.NewTracker()
+	if config.EstimateSpeeds {
+		n.tracker.RequireSpeeds()
+	}
 	n.rolloutController = &rollout.Controller{
 		Name: config.Name, Client: parts.Engines, Leads: func() bool { return n.group.Leads() && n.group.Fresh() }, Term: n.group.Term,
 		Lease: config.HolderLease, Set: n.Set, WantedVersions: n.WantedVersions, Directory: n.directory,
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -41,6 +41,10 @@
 	TokenTransfer time.Duration
 	// Evacuated holds the availability zones whose instances get no requests.
 	Evacuated map[string]bool
+	// Target and GapTarget are the times to the first event and between events within which an answer is on time; 0 for none.
+	Target, GapTarget time.Duration
+	// Uneven is set by Tracker.Candidates if the instances of the service are known to differ in speed.
+	Uneven bool
 }
 
 // StoredPart is a part of a prompt in a store.
@@ -74,6 +78,10 @@
 	// Requests, PrefillTokens and HeldTokens count the work in progress from this node, and from the others as last
 	// reported.
 	Requests, PrefillTokens, HeldTokens int
+	// LongTokens is the part of PrefillTokens that belongs to long prompts. OtherPool is set if the engine belongs to the pool for prompts of the
+	// other length.
+	LongTokens int
+	OtherPool  bool
 	// AheadTokens is the part of PrefillTokens that the engine reads before the request. MemoryShare is the share of
 	// the requests waiting for memory that get memory before it.
 	AheadTokens int
@@ -96,6 +104,8 @@
 	ReadParts, UsedTokens int
 	// homePosition is the position of the engine among the homes of the prompt, from 1; 0 if it is none.
 	homePosition int
+	// Slowness is the expected time of work at the instance relative to the usual time of its service, 0 if it is not used.
+	Slowness float64
 }
 
 // Filter reports whether a candidate may get a request.
@@ -149,17 +159,32 @@
 // sampleSize is the mean number of engines that one request considers, besides those that hold its prompt.
 const sampleSize = 8
 
+// otherPoolSample is the mean number of engines of the other pool that a request considers.
+const otherPoolSample = 3
+
 // sampleCandidates returns a random sample of the engines, with those that hold the prompt or are its homes. Nodes
 // learn of each other's requests up to 0.15 s later; if all considered all engines, they would send all requests of
 // that time to the one that looks idle.
 func sampleCandidates(q *Request, candidates []Candidate) []Candidate {
+	if q.CacheTokens == 0 && q.Uneven {
+		return samplePlain(q, candidates)
+	}
 	if q.CacheTokens == 0 || len(candidates) <= sampleSize {
 		return candidates
 	}
-	share := float64(sampleSize) / float64(len(candidates))
+	own := 0
+	for i := range candidates {
+		if !candidates[i].OtherPool {
+			own++
+		}
+	}
 	kept := make([]Candidate, 0, 2*sampleSize)
 	for i := range candidates {
 		c := &candidates[i]
+		share := sampleSize / float64(max(1, own))
+		if c.OtherPool {
+			share = otherPoolSample / float64(len(candidates)-own)
+		}
 		holds := c.homePosition > 0 || len(q.Parts) > 1 && c.CachedParts >= len(q.shared())
 		if holds || float64(rendezvousScore(q.Seed, c.Instance.ID)) < share*math.MaxUint64 {
 			kept = append(kept, *c)
@@ -196,6 +221,8 @@
 // serviceCost is the cost of an instance of a plain service, in requests.
 func serviceCost(q *Request, c *Candidate) float64 {
 	requests := float64(max(c.Requests, c.Load.Running+c.Load.Waiting))
+	// The request itself takes longer too at a slow instance.
+	requests += (c.slowness() - 1) * (requests + 1)
 	if !c.SameZone {
 		requests += zoneCostRequests
 	}
@@ -324,18 +351,41 @@
 // engineCost is the estimated time to the first event plus the cost to other requests.
 func engineCost(q *Request, c *Candidate) float64 {
 	r := PlanPrefill(q, c)
-	rate := max(1, c.ReadRate)
+	rate := c.readRate()
 	cost := (float64(c.AheadTokens+r.Tokens)+(recomputeFactor-1)*float64(r.SharedTokens))/rate + memoryWaitMs(q, c.HeldTokens+q.newTokens(c)) + transferFactor*transferMs(q, &r)
-	cost += requestCostMs*float64(max(c.Requests, c.Load.Running)) + failureCostMs*c.FailureShare
+	cost += requestCostMs*float64(max(c.Requests, c.Load.Running)) + failureCostMs*c.FailureShare + slownessCostMs*(c.slowness()-1)
 	if !c.SameZone {
 		cost += zoneCostMs
 	}
+	cost += poolCost(q, c)
 	if c.homePosition > 0 && (len(r.Transfers) > 0 || r.EngineTransfer > 0 || r.SharedTokens > 0) {
 		cost -= homeBonusMs / float64(c.homePosition)
 	}
 	return cost
 }
 
+// overflowShare is the share of a request's target that it waits longer in its own pool before it goes to the other one.
+const overflowShare = 0.6
+
+// poolCost is the cost of an engine of the pool for prompts of the other length, and, for a short prompt, of the pause that the long prompts at the
+// engine cause in its stream.
+func poolCost(q *Request, c *Candidate) float64 {
+	if !q.Uneven {
+		return 0
+	}
+	cost := 0.0
+	if c.OtherPool {
+		cost += overflowShare * toMs(q.Target)
+	}
+	if !q.Urgency.isLong() && q.GapTarget > 0 {
+		cost += float64(c.LongTokens) / max(1, c.ReadRate) * stallWeight
+	}
+	return cost
+}
+
+// stallWeight is the cost of a pause in a stream relative to the same time before its first event.
+const stallWeight = 0.3
+
 // rendezvousScore orders engines for a prompt in the same way on all nodes: by rendezvous hashing of its longest
 // shared part.
 func rendezvousScore(part, instance string) uint64 {
@@ -353,7 +403,7 @@
 	var top [homeCount]int
 	found := 0
 	for i := range candidates {
-		if candidates[i].Ejected || candidates[i].Evacuated || candidates[i].Instance.Draining || zone != "" && candidates[i].Instance.AvailabilityZone != zone {
+		if candidates[i].Ejected || candidates[i].Evacuated || candidates[i].Instance.Draining || candidates[i].OtherPool || zone != "" && candidates[i].Instance.AvailabilityZone != zone {
 			continue
 		}
 		score := rendezvousScore(document, candidates[i].Instance.ID)
@@ -381,7 +431,7 @@
 	}
 	zone := q.Stored[len(q.Stored)-1].AvailabilityZone
 	for i := range candidates {
-		if candidates[i].Instance.AvailabilityZone == zone && !candidates[i].Ejected && !candidates[i].Evacuated && !candidates[i].Instance.Draining {
+		if candidates[i].Instance.AvailabilityZone == zone && !candidates[i].OtherPool && !candidates[i].Ejected && !candidates[i].Evacuated && !candidates[i].Instance.Draining {
 			return zone
 		}
 	}
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/wasabishunt/wasabishunt/serving/prefillpool"
+	"github.com/wasabishunt/wasabishunt/serving/speed"
 	"github.com/wasabishunt/wasabishunt/upstreams"
 )
 
@@ -71,6 +73,8 @@
 	cache      *partCache
 	// watchers are called when the instance is found unresponsive.
 	watchers map[*Attempt]func()
+	// speed is the estimate of how long work takes at the instance.
+	speed *speed.Instance
 }
 
 // Tracker holds the state of all instances. Its mu is a leaf lock: no other lock is acquired while it is held.
@@ -101,6 +105,9 @@
 	uses       partUses
 	// priorities covers the requests that this node sends.
 	priorities priorities
+	// longDemand is the demand for long prompts by service.
+	longDemand map[string]*prefillpool.Demand
+	speeds     *speed.Table
 }
 
 // NewTracker returns an empty Tracker.
@@ -109,7 +116,7 @@
 		instances: map[upstreams.Key]*instanceState{}, byHash: map[uint32]*instanceState{}, links: newLinks(), peers: newLoadSources(), zones: newLoadSources(),
 		lastDigest: digestState{instances: map[uint32]usage{}, transfers: map[uint32]time.Duration{}},
 		rate:       readRate{tokensPerMs: initialReadRate}, runTimes: newRunTimes(), uses: newPartUses(),
-		leaving: newLeavingNews(), pauses: pauses{},
+		leaving: newLeavingNews(), pauses: pauses{}, longDemand: map[string]*prefillpool.Demand{}, speeds: speed.NewTable(false),
 	}
 }
 
@@ -128,6 +135,7 @@
 		present[key] = true
 		s := t.state(key)
 		s.replaced = false
+		t.speedOf(s, instance)
 		for model, version := range instance.Versions {
 			s.setVersion(model, max(version, s.versions[model]))
 		}
@@ -135,6 +143,7 @@
 	for key, s := range t.instances {
 		if !present[key] && s.requests == 0 {
 			delete(t.instances, key)
+			t.forgetSpeed(s)
 			if t.byHash[hashKey(key.ID)] == s {
 				delete(t.byHash, hashKey(key.ID))
 			}
@@ -169,6 +178,8 @@
 	HeldTokens int
 	// FirstEvent is the expected time to the first event.
 	FirstEvent time.Duration
+	// UsualFirstEvent is what FirstEvent would be if work took the usual time at the instance.
+	UsualFirstEvent time.Duration
 	// Transfers holds the transfer times by the address of the store.
 	Transfers map[string]time.Duration
 	// Salt and Parts identify what an engine holds once it has read the prompt; CacheTokens is the size of its cache.
@@ -186,7 +197,9 @@
 	// aheadTokens is the number of tokens that the engine reads up to the end of this prompt.
 	aheadTokens int
 	prefilled   bool
-	done        bool
+	// prefilledByEvent is set once the first event of a stream has arrived.
+	prefilledByEvent bool
+	done             bool
 }
 
 // Begin records the start of a send.
@@ -199,6 +212,9 @@
 	s.prefillTokens += work.PrefillTokens
 	if work.Urgency.isLong() {
 		s.longTokens += work.PrefillTokens
+		if d := t.longDemand[instance.Service]; d != nil {
+			d.RecordPrompt(work.PrefillTokens)
+		}
 	}
 	t.priorities.record(work.Urgency, work.PrefillTokens)
 	s.heldTokens += work.HeldTokens
@@ -209,6 +225,7 @@
 		use := promptUse{sentAt: began, readAt: began.Add(work.FirstEvent), size: work.Urgency.size()}
 		t.recordRead(s, promptRead{hashKey(instance.ID), keyParts(work.Salt, work.Parts), work.CacheTokens, use})
 	}
+	t.speedOf(s, instance)
 	others := t.others(instance.ID)
 	ahead := t.priorities.aheadTokens(work.Urgency, s.prefillTokens+others.prefillTokens, s.longTokens+others.longTokens)
 	return &Attempt{tracker: t, key: instance.Key(), work: work, began: began, aheadTokens: ahead}
@@ -220,7 +237,9 @@
 	defer a.tracker.mu.Unlock()
 	if !a.prefilled {
 		a.learnFrom(time.Since(a.began))
+		a.observeFirstEvent(time.Now())
 	}
+	a.prefilledByEvent = true
 	a.prefill(a.tracker.state(a.key))
 }
 
@@ -263,6 +282,7 @@
 	s.heldTokens -= a.work.HeldTokens
 	switch outcome {
 	case Answered:
+		a.observeAnswer(s, now)
 		if len(a.work.Parts) > 0 {
 			t.runTimes.observe(a.work.Urgency.size(), now.Sub(a.began))
 		}
@@ -311,6 +331,7 @@
 	defer t.mu.Unlock()
 	t.expire(now)
 	memoryShare := t.priorities.memoryShare(q.Urgency)
+	q.Uneven = len(list) > 0 && t.speeds.Service(list[0].Service).IsActive(now)
 	out := make([]Candidate, 0, len(list))
 	var keyed []keyedPart
 	var keyedVersion uint64
@@ -319,13 +340,16 @@
 		others := t.others(instance.ID)
 		c := Candidate{
 			Instance: instance, Requests: s.requests + others.requests, PrefillTokens: s.prefillTokens + others.prefillTokens,
-			HeldTokens:  s.heldTokens + others.heldTokens,
+			HeldTokens: s.heldTokens + others.heldTokens, LongTokens: s.longTokens + others.longTokens,
 			AheadTokens: t.priorities.aheadTokens(q.Urgency, s.prefillTokens+others.prefillTokens, s.longTokens+others.longTokens),
 			MemoryShare: memoryShare, ReadRate: t.rate.tokensPerMs,
 			FailureShare: s.failureShare, Ejected: now.Before(s.ejectedUntil), Avoided: now.Before(s.avoidedUntil), Replaced: s.replaced,
 			SameZone: instance.AvailabilityZone == q.Zone, Version: s.versions[q.Model], PauseLeft: t.pauses.left(instance, now),
 			Evacuated: q.Evacuated[instance.AvailabilityZone],
 		}
+		if q.Uneven {
+			c.Slowness = s.speed.Estimate(now)
+		}
 		if now.Sub(s.loadAt) < loadValidity {
 			c.Load = s.load
 		}
@@ -338,9 +362,39 @@
 		}
 		out = append(out, c)
 	}
+	if q.Uneven && q.CacheTokens > 0 {
+		t.markPool(q, out, now)
+	}
 	return out
 }
 
+// markPool marks the engines that read long prompts. The caller holds the lock.
+func (t *Tracker) markPool(q *Request, candidates []Candidate, now time.Time) {
+	if len(candidates) == 0 {
+		return
+	}
+	service := candidates[0].Instance.Service
+	d := t.longDemand[service]
+	if d == nil {
+		d = &prefillpool.Demand{}
+		t.longDemand[service] = d
+	}
+	tokens, requests := 0, 0
+	for i := range candidates {
+		tokens += candidates[i].LongTokens
+		requests += candidates[i].Requests
+	}
+	d.Observe(tokens, requests, candidates[0].Instance.Slots, now)
+	share := d.Share()
+	if share == 0 {
+		return
+	}
+	for i := range candidates {
+		c := &candidates[i]
+		c.OtherPool = (prefillpool.Position(service, c.Instance.ID) < share) != q.Urgency.isLong()
+	}
+}
+
 // Version returns the last known weight version of an instance, 0 if there is none.
 func (t *Tracker) Version(instance *upstreams.Instance, model string) uint64 {
 	t.mu.Lock()
