upstreamconn: a request that is still being written is no doubt while writes succeed

Under the race detector, at a load of 18, 4 of 20 sound answers without a length whose upstream closed its sending side and read on counted as cut off: 4 MB took longer than 50 ms to write. After a reset no write succeeds, so two writes that succeed in that time show that there was none.

--- a/duplexconn/duplexconn.go
+++ b/duplexconn/duplexconn.go
@@ -39,8 +39,9 @@
 	// writing is the number of writes in progress. idle is closed once there is none, and nil if nothing waits for that.
 	writing int
 	idle    chan struct{}
-	// writeErr is the first error of a write.
+	// writeErr is the first error of a write, and writes the number of those without one.
 	writeErr error
+	writes   int64
 }
 
 // New returns a Conn.
@@ -68,7 +69,9 @@
 	n, err := c.Conn.Write(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if err != nil && c.writeErr == nil {
+	if err == nil {
+		c.writes++
+	} else if c.writeErr == nil {
 		c.writeErr = err
 	}
 	if c.writing--; c.writing == 0 && c.idle != nil {
@@ -91,6 +94,13 @@
 	return c.writeErr
 }
 
+// Writes returns the number of writes that have succeeded.
+func (c *Conn) Writes() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writes
+}
+
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/upstreamconn/pool.go
+++ b/upstreamconn/pool.go
@@ -372,13 +372,25 @@
 func (b *closedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF {
-		if cut := duplexconn.CutOff(b.exchange.awaitWrite()); cut != nil {
+		if cut := duplexconn.CutOff(b.exchange.writeOutcome()); cut != nil {
 			return n, cut
 		}
 	}
 	return n, err
 }
 
+// writeOutcome returns the outcome of the write at the end of the input. A write that goes on is no doubt: after a reset, no write succeeds.
+func (e *Exchange) writeOutcome() error {
+	duplex := e.conn.duplex
+	before := duplex.Writes()
+	err := e.awaitWrite()
+	// One write may have begun before the input ended.
+	if errors.Is(err, duplexconn.ErrStillWriting) && duplex.WriteErr() == nil && duplex.Writes() > before+1 {
+		return nil
+	}
+	return err
+}
+
 // awaitWrite waits until the request was written, for duplexconn.WriteWait at most, and returns the error of the write.
 func (e *Exchange) awaitWrite() error {
 	select {
