--- a/duplexconn/duplexconn.go
+++ b/internal/duplexconn/duplexconn.go
@@ -31,7 +31,7 @@
 // ErrStillWriting is the outcome of a write that has not ended when the input has.
 var ErrStillWriting = failure.New(failure.UpstreamFailed, failure.Unknown, "the connection ended while bytes were still sent")
 
-// Conn is a connection whose Read returns an error in place of io.EOF if a Write has met a reset.
+// Conn is a connection whose Read returns an error in place of io.EOF if a Write has met a reset or another failure of the connection.
 type Conn struct {
 	net.Conn
 
@@ -39,8 +39,9 @@
 	// writing is the number of writes in progress. idle is closed once there is none, and nil if nothing waits for that.
 	writing int
 	idle    chan struct{}
-	// writeErr is the first error of a write.
+	// writeErr is the first error of a write, and writes the number of those without one.
 	writeErr error
+	writes   int64
 }
 
 // New returns a Conn.
@@ -68,7 +69,9 @@
 	n, err := c.Conn.Write(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if err != nil && c.writeErr == nil {
+	if err == nil {
+		c.writes++
+	} else if c.writeErr == nil {
 		c.writeErr = err
 	}
 	if c.writing--; c.writing == 0 && c.idle != nil {
@@ -78,6 +81,26 @@
 	return n, err
 }
 
+// ReadFrom implements io.ReaderFrom for writers with a buffer, which otherwise pass a long body on in pieces of the buffer's size. The time
+// for which the source blocks does not count as a write.
+func (c *Conn) ReadFrom(source io.Reader) (int64, error) {
+	return io.Copy(struct{ io.Writer }{c}, source)
+}
+
+// WriteErr returns the first error of a write, nil if there was none. net/http hides it in one that cannot be unwrapped.
+func (c *Conn) WriteErr() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writeErr
+}
+
+// Writes returns the number of writes that have succeeded.
+func (c *Conn) Writes() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writes
+}
+
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/duplexconn/duplexconn_test.go
+++ b/internal/duplexconn/duplexconn_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/wasabishunt/wasabishunt/duplexconn/earlyreset"
+	"github.com/wasabishunt/wasabishunt/internal/duplexconn/earlyreset"
 )
 
 // halfConn is a connection whose write ends with an error once release is closed, and whose input has ended.
--- a/upstream/engine/reset_test.go
+++ b/upstream/engine/reset_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/wasabishunt/wasabishunt/duplexconn/earlyreset"
+	"github.com/wasabishunt/wasabishunt/internal/duplexconn/earlyreset"
 	"github.com/wasabishunt/wasabishunt/failure"
 )
 
--- a/upstream/service/client.go
+++ b/upstream/service/client.go
@@ -13,7 +13,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/wasabishunt/wasabishunt/duplexconn"
+	"github.com/wasabishunt/wasabishunt/internal/duplexconn"
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/upstream"
 )
