node: a missed first evacuation counts as a return of all zones

A node that had never received a revision above 0 kept a nil list, as a node that has just started does. If it was partitioned during the first evacuation of a deployment, its next list had revision 2 and no zones, and it took the returned instances for warm. The node now keeps an empty list from the first update of a member that is in contact with the others.

--- a/node/evacuations.go
+++ b/node/evacuations.go
@@ -14,7 +14,7 @@
 	"github.com/wasabishunt/wasabishunt/serving/evacuation"
 )
 
-// Evacuations returns the evacuated zones as this node knows them, nil before the first evacuation.
+// Evacuations returns the evacuated zones as this node knows them, nil before the first update of a core member that is in contact with the others.
 func (n *Node) Evacuations() *evacuation.List { return n.evacuations.Load() }
 
 // zoneState returns what this node knows of the evacuation of a zone.
@@ -34,6 +34,9 @@
 	if !u.GetFresh() {
 		return
 	}
+	if n.evacuations.Load() == nil {
+		n.evacuations.Store(evacuation.None())
+	}
 	if last := n.evacuationsConfirmed.Swap(&now); last != nil && n.config.EvacuateWithin > 0 && now.Sub(*last) > n.config.EvacuateWithin {
 		n.log.Warn("evacuated zones were not confirmed for a while", zap.Duration("unconfirmed_for", now.Sub(*last)), zap.String("from", from))
 	}
--- a/node/evacuations_test.go
+++ b/node/evacuations_test.go
@@ -66,6 +66,16 @@
 	require.Len(t, logs.FilterMessage("evacuated zones changed").All(), 1)
 }
 
+// Guards against a node that was partitioned during the first evacuation of a deployment as a whole, and takes the returned instances for warm.
+func TestMissedFirstEvacuationCounts(t *testing.T) {
+	n := New(Config{Name: "n", Retries: retrybudget.Limits{Window: time.Second}}, Parts{DecodeSet: decode}, zap.NewNop(), gometrics.NewRegistry())
+	now := time.Now()
+	n.applyEvacuations("a", &nodepb.WatchUpdate{Fresh: true}, now)
+	require.Zero(t, n.zoneState("z").ReturnedAt)
+	n.applyEvacuations("a", &nodepb.WatchUpdate{EvacuationsRevision: 2, Fresh: true}, now.Add(time.Minute))
+	require.Equal(t, now.Add(time.Minute), n.zoneState("z").ReturnedAt)
+}
+
 // setEvacuationAt calls the nodes in turn until one acknowledges or the call is refused as invalid, as operators do.
 func setEvacuationAt(t *testing.T, nodes []*runningNode, zone string, evacuated bool) error {
 	t.Helper()
--- a/serving/evacuation/evacuation.go
+++ b/serving/evacuation/evacuation.go
@@ -82,6 +82,10 @@
 	return l.revision
 }
 
+// None returns the list before the first evacuation. Unlike a nil list it was received: a node that had it and next receives a revision above 1
+// has missed a list.
+func None() *List { return &List{} }
+
 // Contains reports whether a zone is evacuated.
 func (l *List) Contains(zone string) bool { return l != nil && l.zones[zone] }
 
