serving/coldstart: drop signs of restarts that the list has refuted

Only Need dropped a sign that is older than a list that shows the instance as warm. A node that saw an instance refuse a connection and sent nothing more to it therefore reported the sign in every load report, as one that never ends, and each receiver logged each of these reports as a new one.

--- a/serving/coldstart/guard.go
+++ b/serving/coldstart/guard.go
@@ -180,8 +180,15 @@
 	if g.known.Load() == 0 {
 		return nil
 	}
+	view, list := g.options.Directory.View(), g.list(now)
 	g.mu.Lock()
 	defer g.unlock()
+	// A sign of an instance to which this node sends nothing more would otherwise be reported until the instance is gone.
+	for hash := range g.states.byHash {
+		if instance := view.ByHash(hash); instance != nil {
+			g.states.Forget(instance, list)
+		}
+	}
 	var out []*nodepb.ColdInstance
 	for _, n := range g.states.News(zone, maxNews, now) {
 		out = append(out, &nodepb.ColdInstance{Instance: n.Hash, AgeMs: encodeDuration(n.Age), LeftMs: encodeDuration(n.Left)})
@@ -222,7 +229,7 @@
 
 // hear records that another node saw a sign of a restart at a time, after which the instance is cold for some time.
 func (g *Guard) hear(source string, instance *upstreams.Instance, at time.Time, left time.Duration, zone bool, now time.Time) {
-	if left <= 0 || !g.options.Limit(instance.Service).Applies() {
+	if left <= 0 || !g.options.Limit(instance.Service).Applies() || g.list(now).ShowsWarmSince(instance, at) {
 		return
 	}
 	g.mu.Lock()
--- a/serving/coldstart/guard_test.go
+++ b/serving/coldstart/guard_test.go
@@ -54,6 +54,26 @@
 	require.Len(t, b.states.byHash, 2)
 }
 
+// Guards against a node that goes on to report an old sign of an instance that the list shows as warm, because it sends nothing to it any more, and
+// against one log line at the other nodes for each of these reports.
+func TestSignsBeforeANewerListAreNotReported(t *testing.T) {
+	now := time.Now()
+	a, b := newGuard(1, now), newGuard(1, now)
+	a.Sign(a.options.Directory.View().OfService("s")[0], limit, "r", errors.New("refused"), now)
+	old := a.News(false, now)
+	require.Len(t, old, 1)
+	at := now.Add(time.Minute)
+	a.options.Directory.Confirm(at)
+	b.options.Directory.Confirm(at)
+	require.Empty(t, a.News(false, at))
+	old[0].AgeMs = 60_000
+	for range 3 {
+		b.Apply("a", true, old, at)
+		require.Equal(t, NoPermit, b.Need(b.options.Directory.View().OfService("s")[0], limit, at))
+	}
+	require.Zero(t, b.counter("coldstart.reported").Count())
+}
+
 // Guards against news of another node with a longer cold time than that of the set, or about instances that are not listed.
 func TestNewsAreBounded(t *testing.T) {
 	now := time.Now()
--- a/serving/coldstart/states.go
+++ b/serving/coldstart/states.go
@@ -174,17 +174,26 @@
 
 // forget drops signs that are older than a list that shows the instance as warm.
 func (st *state) forget(instance *upstreams.Instance, list List) {
-	if instance.ColdUntil.After(list.ContentAt) {
-		return
-	}
-	if list.ContentAt.After(st.signAt) {
+	if list.ShowsWarmSince(instance, st.signAt) {
 		st.signAt, st.reachedAt = time.Time{}, time.Time{}
 	}
-	if list.ContentAt.After(st.heardAt) {
+	if list.ShowsWarmSince(instance, st.heardAt) {
 		st.heardUntil = time.Time{}
 	}
 }
 
+// Forget drops what is known of restarts of an instance that are older than a list that shows it as warm.
+func (s *States) Forget(instance *upstreams.Instance, list List) {
+	if st := s.byHash[instance.Key().Hash()]; st != nil {
+		st.forget(instance, list)
+	}
+}
+
+// ShowsWarmSince reports whether the content of the list is newer than a time and shows the instance as warm.
+func (l List) ShowsWarmSince(instance *upstreams.Instance, at time.Time) bool {
+	return l.ContentAt.After(at) && !instance.ColdUntil.After(l.ContentAt)
+}
+
 // News is an instance that may have restarted, for other nodes.
 type News struct {
 	Hash      uint32
