node: a call for an unknown zone is no 400 while the instance list is empty

A store that returned an empty list made the leader answer 400 for a zone that only the list names, which ends the operator's call. It now answers 503, as for a list that cannot be read.

--- a/node/evacuations.go
+++ b/node/evacuations.go
@@ -75,7 +75,8 @@
 	if slices.Contains(n.Zones(), zone) || n.listsZone(zone) || !n.group.Leads() {
 		return nil
 	}
-	listed := n.reader.Current()
+	// An empty list is more likely a fault of its store than a deployment without instances.
+	listed := n.reader.Current() && len(n.directory.View().Instances) > 0
 	// The local state of a new leader may lack a change that another one acknowledged.
 	state, err := n.group.Read(ctx)
 	switch {
@@ -84,7 +85,7 @@
 	case coregroup.HasSeenZone(state, zone) || n.listsZone(zone):
 		return nil
 	case !listed:
-		return failure.New(failure.NoUpstream, failure.NotRun, "the settings do not name zone %q and the instance list is not known", zone)
+		return failure.New(failure.NoUpstream, failure.NotRun, "the settings do not name zone %q and the instance list is not known or empty", zone)
 	}
 	return failure.New(failure.InvalidRequest, failure.NotRun, "neither the settings nor the instance list name zone %q", zone)
 }
--- a/node/evacuations_test.go
+++ b/node/evacuations_test.go
@@ -160,3 +160,18 @@
 	require.NoError(t, leader.SetEvacuation(t.Context(), "zone-1", true))
 	require.True(t, failure.Is(leader.SetEvacuation(t.Context(), "zone-2", true), failure.NoUpstream))
 }
+
+// Guards against a 400, which ends the operator's call, for a zone that only the list names while the store of the list returns an empty one.
+func TestEvacuationsWhileTheListIsEmpty(t *testing.T) {
+	_, core := startCore(t)
+	leader := core[0]
+	for _, n := range core {
+		n.list.show()
+		if n.group.Leads() {
+			leader = n
+		}
+	}
+	require.Eventually(t, func() bool { return len(leader.directory.View().Instances) == 0 && leader.reader.Current() }, 5*time.Second, 10*time.Millisecond)
+	err := leader.SetEvacuation(t.Context(), "zone-1", true)
+	require.True(t, failure.Is(err, failure.NoUpstream), "%v", err)
+}
