--- a/node/evacuations.go
+++ b/node/evacuations.go
@@ -14,7 +14,7 @@
 	"github.com/wasabishunt/wasabishunt/serving/evacuation"
 )
 
-// Evacuations returns the evacuated zones as this node knows them, nil before the first evacuation.
+// Evacuations returns the evacuated zones as this node knows them, nil before the first update of a core member that is in contact with the others.
 func (n *Node) Evacuations() *evacuation.List { return n.evacuations.Load() }
 
 // zoneState returns what this node knows of the evacuation of a zone.
@@ -34,6 +34,9 @@
 	if !u.GetFresh() {
 		return
 	}
+	if n.evacuations.Load() == nil {
+		n.evacuations.Store(evacuation.None())
+	}
 	if last := n.evacuationsConfirmed.Swap(&now); last != nil && n.config.EvacuateWithin > 0 && now.Sub(*last) > n.config.EvacuateWithin {
 		n.log.Warn("evacuated zones were not confirmed for a while", zap.Duration("unconfirmed_for", now.Sub(*last)), zap.String("from", from))
 	}
@@ -72,7 +75,8 @@
 	if slices.Contains(n.Zones(), zone) || n.listsZone(zone) || !n.group.Leads() {
 		return nil
 	}
-	listed := n.reader.Current()
+	// An empty list is more likely a fault of its store than a deployment without instances.
+	listed := n.reader.Current() && len(n.directory.View().Instances) > 0
 	// The local state of a new leader may lack a change that another one acknowledged.
 	state, err := n.group.Read(ctx)
 	switch {
@@ -81,7 +85,7 @@
 	case coregroup.HasSeenZone(state, zone) || n.listsZone(zone):
 		return nil
 	case !listed:
-		return failure.New(failure.NoUpstream, failure.NotRun, "the settings do not name zone %q and the instance list is not known", zone)
+		return failure.New(failure.NoUpstream, failure.NotRun, "the settings do not name zone %q and the instance list is not known or empty", zone)
 	}
 	return failure.New(failure.InvalidRequest, failure.NotRun, "neither the settings nor the instance list name zone %q", zone)
 }
--- a/node/evacuations_test.go
+++ b/node/evacuations_test.go
@@ -66,6 +66,16 @@
 	require.Len(t, logs.FilterMessage("evacuated zones changed").All(), 1)
 }
 
+// Guards against a node that was partitioned during the first evacuation of a deployment as a whole, and takes the returned instances for warm.
+func TestMissedFirstEvacuationCounts(t *testing.T) {
+	n := New(Config{Name: "n", Retries: retrybudget.Limits{Window: time.Second}}, Parts{DecodeSet: decode}, zap.NewNop(), gometrics.NewRegistry())
+	now := time.Now()
+	n.applyEvacuations("a", &nodepb.WatchUpdate{Fresh: true}, now)
+	require.Zero(t, n.zoneState("z").ReturnedAt)
+	n.applyEvacuations("a", &nodepb.WatchUpdate{EvacuationsRevision: 2, Fresh: true}, now.Add(time.Minute))
+	require.Equal(t, now.Add(time.Minute), n.zoneState("z").ReturnedAt)
+}
+
 // setEvacuationAt calls the nodes in turn until one acknowledges or the call is refused as invalid, as operators do.
 func setEvacuationAt(t *testing.T, nodes []*runningNode, zone string, evacuated bool) error {
 	t.Helper()
@@ -150,3 +160,18 @@
 	require.NoError(t, leader.SetEvacuation(t.Context(), "zone-1", true))
 	require.True(t, failure.Is(leader.SetEvacuation(t.Context(), "zone-2", true), failure.NoUpstream))
 }
+
+// Guards against a 400, which ends the operator's call, for a zone that only the list names while the store of the list returns an empty one.
+func TestEvacuationsWhileTheListIsEmpty(t *testing.T) {
+	_, core := startCore(t)
+	leader := core[0]
+	for _, n := range core {
+		n.list.show()
+		if n.group.Leads() {
+			leader = n
+		}
+	}
+	require.Eventually(t, func() bool { return len(leader.directory.View().Instances) == 0 && leader.reader.Current() }, 5*time.Second, 10*time.Millisecond)
+	err := leader.SetEvacuation(t.Context(), "zone-1", true)
+	require.True(t, failure.Is(err, failure.NoUpstream), "%v", err)
+}
