--- a/upstream/engine/http.go
+++ b/upstream/engine/http.go
@@ -13,8 +13,8 @@
 	"time"
 
 	"github.com/wasabishunt/wasabishunt/defaults"
-	"github.com/wasabishunt/wasabishunt/internal/duplexconn"
 	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/internal/duplexconn"
 	"github.com/wasabishunt/wasabishunt/upstream"
 )
 
--- a/upstream/engine/reset_test.go
+++ b/upstream/engine/reset_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/wasabishunt/wasabishunt/internal/duplexconn/earlyreset"
 	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/internal/duplexconn/earlyreset"
 )
 
 // Guards against a KV piece that counts as imported although the engine answered before it had read the piece and then reset the connection.
--- a/upstream/service/client.go
+++ b/upstream/service/client.go
@@ -13,8 +13,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/wasabishunt/wasabishunt/internal/duplexconn"
 	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/internal/duplexconn"
 	"github.com/wasabishunt/wasabishunt/upstream"
 )
 
--- a/upstream/service/reset_test.go
+++ b/upstream/service/reset_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/wasabishunt/wasabishunt/internal/duplexconn/earlyreset"
 	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/internal/duplexconn/earlyreset"
 )
 
 // Guards against an answer without a length that counts as complete although the service reset the connection while the call was written.
--- a/upstreamconn/pool.go
+++ b/upstreamconn/pool.go
@@ -18,8 +18,8 @@
 	"time"
 
 	"github.com/wasabishunt/wasabishunt/bytebudget"
-	"github.com/wasabishunt/wasabishunt/internal/duplexconn"
 	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/internal/duplexconn"
 )
 
 // Options of a Pool.
