serving/prefillpool: a delayed request does not move the demand away from what was observed

Requests read the clock before they take the tracker's lock. With an earlier time than the last one the smoothing extrapolated: 0.1 s on a throttled node moved the demand by 0.4 of the difference in the wrong direction, 2 s made it negative or left it many times too large for seconds.

--- a/serving/prefillpool/prefillpool.go
+++ b/serving/prefillpool/prefillpool.go
@@ -67,6 +67,10 @@
 	if d.at.IsZero() {
 		elapsed = riseTime
 	}
+	if elapsed < 0 {
+		// Requests read the clock before they take the caller's lock, so a delayed one brings an earlier time.
+		return
+	}
 	d.at = now
 	d.long = follow(d.long, reading/readingShare, elapsed)
 	d.other = follow(d.other, max(0, float64(requests)-prompts)/(runningShare*float64(slots)), elapsed)
--- a/serving/prefillpool/prefillpool_test.go
+++ b/serving/prefillpool/prefillpool_test.go
@@ -197,6 +197,26 @@
 	require.Greater(t, d.Share(), 0.9*busy)
 }
 
+// Guards against a demand that moves away from what was observed, up to a negative one, because a request that was delayed after it read the clock
+// is recorded after later ones.
+func TestDelayedRequestDoesNotMoveTheDemand(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d, inOrder := &Demand{}, &Demand{}
+		now := time.Unix(1000, 0)
+		d.RecordPrompt(9000)
+		inOrder.RecordPrompt(9000)
+		for range rapid.IntRange(1, 50).Draw(t, "steps") {
+			tokens, requests := rapid.IntRange(0, 1_000_000).Draw(t, "tokens"), rapid.IntRange(0, 2000).Draw(t, "requests")
+			d.Observe(tokens, requests, slots, now)
+			inOrder.Observe(tokens, requests, slots, now)
+			delay := time.Duration(rapid.IntRange(1, 2000).Draw(t, "delay")) * time.Millisecond
+			d.Observe(rapid.IntRange(0, 1_000_000).Draw(t, "old tokens"), requests, slots, now.Add(-delay))
+			require.Equal(t, inOrder.Share(), d.Share())
+			now = now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "ms")) * time.Millisecond)
+		}
+	})
+}
+
 // Guards against nodes that order the engines differently, and against an order in which neighbors of a list stay together.
 func TestPositionIsTheSameForAllNodes(t *testing.T) {
 	below := 0
