placement: prompts whose pool has no available engine keep their homes

With a small share, or if the zone of the pool's engines is evacuated, all engines counted as those of the other pool. The prompts then had no home and a sample of three engines, so their shared parts were read again at any engine.

--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -389,9 +389,18 @@
 	if share == 0 {
 		return
 	}
+	available := false
 	for i := range candidates {
 		c := &candidates[i]
 		c.OtherPool = (prefillpool.Position(service, c.Instance.ID) < share) != q.Urgency.isLong()
+		available = available || !c.OtherPool && !c.Evacuated && !c.Ejected && !c.Instance.Draining
+	}
+	if available {
+		return
+	}
+	// A small share may contain no engine. Without an engine of its pool the request would have no home and only a small sample.
+	for i := range candidates {
+		candidates[i].OtherPool = false
 	}
 }
 
