gateway, fairshare: a request is charged to its account once, and only if it is sent

Cause: a request is admitted again for each instance that has no permit or can't be reached, and each time its account was charged and counted as served; a request that ended without a send stayed charged. An account whose requests wait for permits of cold instances was then limited for time that it did not get. Change: the first admission is charged, and it is taken back if the request is refused or ends before its first send.

--- a/gateway/shares.go
+++ b/gateway/shares.go
@@ -46,23 +46,43 @@
 	if !c.hasShare() {
 		return
 	}
+	former := c.charge
 	c.charge = shareCharge{key: c.shareKey(), read: chosen.forecast.Read, at: time.Now()}
 	if chosen.work.CacheTokens > 0 {
 		c.charge.memory = float64(chosen.work.HeldTokens) / float64(chosen.work.CacheTokens)
 	}
-	c.gateway.options.Shares.Admitted(c.charge.key, c.charge.read, c.charge.at)
+	if former.at.IsZero() {
+		c.gateway.options.Shares.Admitted(c.charge.key, c.charge.read, c.charge.at)
+		return
+	}
+	// The instance chosen before had no permit or could not be reached: the request counts once.
+	c.charge.read, c.charge.at = former.read, former.at
 }
 
 func (c *call) recordRefused() {
-	if c.hasShare() {
+	switch {
+	case !c.hasShare():
+	case c.charge.at.IsZero():
 		c.gateway.options.Shares.Refused(c.shareKey(), time.Now())
+	default:
+		c.withdrawCharge(time.Now())
 	}
 }
 
+// withdrawCharge takes back the charge of a request that was admitted and not sent.
+func (c *call) withdrawCharge(now time.Time) {
+	c.gateway.options.Shares.Withdraw(c.charge.key, c.charge.read, c.charge.at, now)
+	c.charge = shareCharge{}
+}
+
 // settleShare charges the rest of the request's upstream time: the time that it ran, by its share of the engine's memory, if that is
 // more than the time for reading its prompt.
 func (c *call) settleShare(now time.Time) {
-	if c.charge.at.IsZero() || c.sends == 0 {
+	if c.charge.at.IsZero() {
+		return
+	}
+	if c.sends == 0 {
+		c.withdrawCharge(now)
 		return
 	}
 	if rest := time.Duration(c.charge.memory*float64(now.Sub(c.charge.at))) - c.charge.read; rest > 0 {
--- a/gateway/shares_test.go
+++ b/gateway/shares_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/wasabishunt/wasabishunt/placement"
 	"github.com/wasabishunt/wasabishunt/serving/fairshare"
+	"github.com/wasabishunt/wasabishunt/trafficset"
 )
 
 // newShortSystem returns a system whose only engine has 100 ms of work before a prompt, and a ledger in which the account alpha is far
@@ -82,3 +83,32 @@
 	c.settleShare(began.Add(time.Second))
 	require.InDelta(t, 0.49, (ledger.Decide(key, 0, time.Second, time.Now()).Work - before).Seconds(), 0.2)
 }
+
+// Guards against an account that is charged for upstream time that it did not get, and is then limited for it: a request is admitted again for
+// each instance that has no permit or can't be reached, and may end without a send.
+func TestRequestIsChargedOnceAndOnlyIfSent(t *testing.T) {
+	s, ledger, _ := newShortSystem(t)
+	s.gateway.options.Shares = ledger
+	account := &trafficset.Account{Name: "alpha"}
+	key := fairshare.NewKey("s", "alpha")
+	work := func() float64 { return ledger.Decide(key, 0, time.Second, time.Now()).Work.Seconds() }
+	chosen := &choice{forecast: placement.Forecast{Read: 10 * time.Second}}
+	admitted := func() *call {
+		c := &call{gateway: s.gateway, account: account, service: &trafficset.Service{Name: "s"}}
+		for range 3 {
+			c.recordAdmitted(chosen)
+		}
+		return c
+	}
+	before := work()
+	unsent := admitted()
+	require.InDelta(t, 10, work()-before, 1, "charged once")
+	unsent.settleShare(time.Now())
+	require.InDelta(t, before, work(), 1, "not sent")
+	admitted().recordRefused()
+	require.InDelta(t, before, work(), 1, "refused before its first send")
+	sent := admitted()
+	sent.sends = 1
+	sent.settleShare(time.Now())
+	require.InDelta(t, 10, work()-before, 1, "sent")
+}
--- a/serving/fairshare/fairshare.go
+++ b/serving/fairshare/fairshare.go
@@ -200,6 +200,17 @@
 	l.record(key, 1, work, now)
 }
 
+// Withdraw takes back the work of a request that was recorded as admitted at a time and was never sent; it counts as refused then.
+func (l *Ledger) Withdraw(key Key, work time.Duration, at, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	weight, s := l.scale(now)*fade(at, now), l.service(key.Service)
+	a := s.account(key.Account)
+	s.all.served = max(0, s.all.served-weight)
+	a.served = max(0, a.served-weight)
+	a.own = max(0, a.own-weight*toMs(work))
+}
+
 // Refused records a request that was refused.
 func (l *Ledger) Refused(key Key, now time.Time) { l.record(key, 0, 0, now) }
 
