--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -21,7 +21,7 @@
 
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/placement"
-	"github.com/wasabishunt/wasabishunt/retrybudget"
+	"github.com/wasabishunt/wasabishunt/serving/retrybudget"
 	"github.com/wasabishunt/wasabishunt/trafficset"
 	"github.com/wasabishunt/wasabishunt/upstreamconn"
 	"github.com/wasabishunt/wasabishunt/upstreams"
--- a/node/evacuations_test.go
+++ b/node/evacuations_test.go
@@ -12,8 +12,8 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/wasabishunt/wasabishunt/failure"
-	"github.com/wasabishunt/wasabishunt/retrybudget"
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
+	"github.com/wasabishunt/wasabishunt/serving/retrybudget"
 	"github.com/wasabishunt/wasabishunt/upstreams"
 )
 
--- a/node/list_test.go
+++ b/node/list_test.go
@@ -16,8 +16,8 @@
 
 	"github.com/wasabishunt/wasabishunt/coregroup"
 	"github.com/wasabishunt/wasabishunt/failure"
-	"github.com/wasabishunt/wasabishunt/retrybudget"
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
+	"github.com/wasabishunt/wasabishunt/serving/retrybudget"
 	"github.com/wasabishunt/wasabishunt/trafficset"
 	"github.com/wasabishunt/wasabishunt/upstreams"
 )
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -11,8 +11,8 @@
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/fleetview"
 	"github.com/wasabishunt/wasabishunt/placement"
-	"github.com/wasabishunt/wasabishunt/retrybudget"
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
+	"github.com/wasabishunt/wasabishunt/serving/retrybudget"
 	"github.com/wasabishunt/wasabishunt/trafficset"
 )
 
