--- a/bytebudget/bytebudget.go
+++ b/bytebudget/bytebudget.go
@@ -22,13 +22,14 @@
 	used int64
 	// held is what each owner holds; owners without bytes are not listed.
 	held map[string]int64
-	// reclaimable holds what may be taken back for others.
-	reclaimable map[*Reclaimable]struct{}
+	// reclaimable holds what may be taken back for others, and reclaimableOf the sum of its bytes by owner; owners without bytes are not listed.
+	reclaimable   map[*Reclaimable]struct{}
+	reclaimableOf map[string]int64
 }
 
 // New returns a Budget of limit bytes.
 func New(limit int64) *Budget {
-	return &Budget{limit: limit, held: map[string]int64{}, reclaimable: map[*Reclaimable]struct{}{}}
+	return &Budget{limit: limit, held: map[string]int64{}, reclaimable: map[*Reclaimable]struct{}{}, reclaimableOf: map[string]int64{}}
 }
 
 // Used returns the number of bytes that are held.
@@ -63,17 +64,21 @@
 // hasRoom reports whether an owner may take bytes. Up to the reserve any owner may; from the reserve only those that stay within an equal
 // share for each owner and a further one.
 func (b *Budget) hasRoom(owner string, bytes int64) bool {
-	if b.used+bytes > b.limit {
+	return b.wouldHaveRoom(bytes, b.used, b.held[owner], len(b.held))
+}
+
+// wouldHaveRoom is hasRoom if so many bytes were used, an owner held a part of them, and there were so many owners with bytes.
+func (b *Budget) wouldHaveRoom(bytes, used, held int64, owners int) bool {
+	if used+bytes > b.limit {
 		return false
 	}
-	if float64(b.used+bytes) <= (1-reservedShare)*float64(b.limit) {
+	if float64(used+bytes) <= (1-reservedShare)*float64(b.limit) {
 		return true
 	}
-	owners := int64(len(b.held))
-	if b.held[owner] == 0 {
+	if held == 0 {
 		owners++
 	}
-	return b.held[owner]+bytes <= b.limit/(owners+1)
+	return held+bytes <= b.limit/int64(owners+1)
 }
 
 func (b *Budget) release(owner string, bytes int64) {
--- a/bytebudget/reclaimable.go
+++ b/bytebudget/reclaimable.go
@@ -35,7 +35,7 @@
 	reclaimed, ok := b.makeRoom(r.owner, bytes)
 	ok = ok && !r.ended
 	if ok {
-		b.add(r.owner, bytes)
+		b.addReclaimable(r.owner, bytes)
 		r.bytes += bytes
 	}
 	b.mu.Unlock()
@@ -53,7 +53,7 @@
 	defer r.budget.mu.Unlock()
 	if !r.ended {
 		r.bytes -= bytes
-		r.budget.add(r.owner, -bytes)
+		r.budget.addReclaimable(r.owner, -bytes)
 	}
 }
 
@@ -72,7 +72,7 @@
 	r.ended = true
 	delete(b.reclaimable, r)
 	if r.bytes > 0 {
-		b.add(r.owner, -r.bytes)
+		b.addReclaimable(r.owner, -r.bytes)
 		r.bytes = 0
 	}
 }
@@ -97,25 +97,34 @@
 	return reclaimed, true
 }
 
-// canMakeRoom reports whether there would be room if all reclaimable bytes were taken back.
+// canMakeRoom reports whether there would be room if all reclaimable bytes were taken back. Its cost grows with the owners of such bytes only:
+// requests without room may ask every few ms.
 func (b *Budget) canMakeRoom(owner string, bytes int64) bool {
-	rest := Budget{limit: b.limit, used: b.used, held: map[string]int64{}}
-	for o, held := range b.held {
-		rest.held[o] = held
+	if len(b.reclaimableOf) == 0 {
+		return false
 	}
-	for r := range b.reclaimable {
-		rest.add(r.owner, -r.bytes)
+	used, owners := b.used, len(b.held)
+	for o, reclaimable := range b.reclaimableOf {
+		used -= reclaimable
+		if b.held[o] == reclaimable {
+			owners--
+		}
+	}
+	return b.wouldHaveRoom(bytes, used, b.held[owner]-b.reclaimableOf[owner], owners)
+}
+
+// addReclaimable counts reclaimable bytes of an owner, which are negative if they are released. The caller holds mu.
+func (b *Budget) addReclaimable(owner string, bytes int64) {
+	if b.reclaimableOf[owner] += bytes; b.reclaimableOf[owner] <= 0 {
+		delete(b.reclaimableOf, owner)
 	}
-	return rest.hasRoom(owner, bytes)
+	b.add(owner, bytes)
 }
 
 // mostExpendable returns the largest reclaimable memory of the owner that holds most of it, so that an owner with many small ones does not
 // displace those of others. It returns nil if there is none with bytes.
 func (b *Budget) mostExpendable() *Reclaimable {
-	sums := map[string]int64{}
-	for r := range b.reclaimable {
-		sums[r.owner] += r.bytes
-	}
+	sums := b.reclaimableOf
 	var found *Reclaimable
 	for r := range b.reclaimable {
 		if r.bytes > 0 && (found == nil || sums[r.owner] > sums[found.owner] || sums[r.owner] == sums[found.owner] && r.bytes > found.bytes) {
--- a/bytebudget/reclaimable_test.go
+++ b/bytebudget/reclaimable_test.go
@@ -1,6 +1,7 @@
 package bytebudget
 
 import (
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -68,3 +69,17 @@
 	require.Zero(t, b.Used())
 	require.Positive(t, reclaims.Load())
 }
+
+// Guards against a refusal whose cost grows with the owners of memory: requests without room ask every few ms, and all of them wait for one lock.
+func TestRefusalDoesNotLookAtAllOwners(t *testing.T) {
+	b := New(1 << 20)
+	for i := range 1000 {
+		require.True(t, b.Holder(fmt.Sprint("owner ", i)).Grow(700))
+	}
+	require.Zero(t, testing.AllocsPerRun(100, func() { b.acquire("further", 1<<19) }))
+	r := b.Reclaimable("slow", func() {})
+	defer r.Close()
+	require.True(t, r.Grow(1000))
+	require.Zero(t, testing.AllocsPerRun(100, func() { b.acquire("further", 1<<19) }))
+	require.EqualValues(t, 1000*700+1000, b.Used())
+}
