cli, control/configcheck: check a configuration before it is submitted

Cause: validate reports only what control refuses, and only for object sets. Entries without effect, limits that contradict each other and differences from the version in force were found after the submission.

Change: wasabishunt check FILE [--against FILE] [--json] reports them for object sets and for published sets of the platform.

--- a/cli/arguments.go
+++ b/cli/arguments.go
@@ -26,6 +26,12 @@
 	File string `arg:"positional,required" help:"object set, YAML or JSON"`
 }
 
+type checkCommand struct {
+	File    string `arg:"positional,required" help:"object set, YAML or JSON, or published set of the platform, JSON"`
+	Against string `arg:"--against" help:"the configuration in force, to report the differences from it (file)"`
+	JSON    bool   `arg:"--json" help:"print the findings as JSON"`
+}
+
 type publishCommand struct {
 	File          string  `arg:"positional,required" help:"object set, YAML or JSON"`
 	ExpectVersion *uint64 `arg:"--expect-version" help:"version that the set replaces; default is the current one (version)"`
@@ -76,6 +82,7 @@
 // arguments are the flags and environment variables.
 type arguments struct {
 	Check    *validateCommand `arg:"subcommand:validate" help:"check an object set without control"`
+	Findings *checkCommand    `arg:"subcommand:check" help:"report mistakes and contradictions in a configuration without control"`
 	Publish  *publishCommand  `arg:"subcommand:publish" help:"put an object set in force"`
 	Status   *statusCommand   `arg:"subcommand:status" help:"show the control members"`
 	Watch    *watchCommand    `arg:"subcommand:watch" help:"show which processes have the version in force"`
@@ -118,7 +125,7 @@
 	case a.Members != nil && !a.hasCommand():
 		c.AddProblem("members", "must be followed by add-learner, promote or remove")
 	case !a.hasCommand():
-		c.AddProblem("command", "must be one of validate, publish, status, watch, explain, audit, drain, evacuate and members")
+		c.AddProblem("command", "must be one of validate, check, publish, status, watch, explain, audit, drain, evacuate and members")
 	}
 	if a.Output != "table" && a.Output != "json" {
 		c.AddProblem("--output", "must be table or json, is %q", a.Output)
@@ -162,7 +169,7 @@
 	if a.Members != nil {
 		return a.Members.AddLearner != nil || a.Members.Promote != nil || a.Members.Remove != nil
 	}
-	return a.Check != nil || a.Publish != nil || a.Status != nil || a.Watch != nil || a.Explain != nil ||
+	return a.Check != nil || a.Findings != nil || a.Publish != nil || a.Status != nil || a.Watch != nil || a.Explain != nil ||
 		a.Audit != nil || a.Drain != nil || a.Evacuate != nil
 }
 
@@ -170,7 +177,7 @@
 	if a.Explain != nil && len(a.Explain.Entries) > 0 {
 		return false
 	}
-	return a.Check == nil && a.hasCommand()
+	return a.Check == nil && a.Findings == nil && a.hasCommand()
 }
 
 func (a *arguments) needsOperator() bool {
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -110,7 +110,7 @@
 	t.Setenv("WASABISHUNT_TOKEN", "token")
 	var out, errOut bytes.Buffer
 	argv := append([]string{"--control", address, "--operator", "dana", "--timeout", limit.String()}, args...)
-	code = Run(ctx, argv, &out, &errOut)
+	code = Run(ctx, argv, &out, &errOut, nil)
 	return code, out.String(), errOut.String()
 }
 
@@ -136,13 +136,13 @@
 // Guards against problems of settings that are reported one at a time, or with an exit code other than ExitUsage.
 func TestUsage(t *testing.T) {
 	var out, stderr bytes.Buffer
-	require.Equal(t, ExitUsage, Run(context.Background(), []string{"-o", "xml", "publish", "f"}, &out, &stderr))
+	require.Equal(t, ExitUsage, Run(context.Background(), []string{"-o", "xml", "publish", "f"}, &out, &stderr, nil))
 	for _, flag := range []string{"--output", "--control", "--operator", "--token-file"} {
 		require.Contains(t, stderr.String(), flag)
 	}
-	require.Equal(t, ExitUsage, Run(context.Background(), nil, &out, &stderr))
-	require.Equal(t, ExitUsage, Run(context.Background(), []string{"members"}, &out, &stderr))
-	require.Equal(t, ExitUsage, Run(context.Background(), []string{"nonsense"}, &out, &stderr))
+	require.Equal(t, ExitUsage, Run(context.Background(), nil, &out, &stderr, nil))
+	require.Equal(t, ExitUsage, Run(context.Background(), []string{"members"}, &out, &stderr, nil))
+	require.Equal(t, ExitUsage, Run(context.Background(), []string{"nonsense"}, &out, &stderr, nil))
 }
 
 // Guards against a publish without compare-and-set, a conflict that does not name the operator of the current
@@ -223,7 +223,7 @@
 	require.Equal(t, ExitRefused, code)
 	require.NotContains(t, out, address)
 	var stdout, stderr bytes.Buffer
-	require.Equal(t, ExitOK, Run(context.Background(), []string{"-o", "json", "status"}, &stdout, &stderr), stderr.String())
+	require.Equal(t, ExitOK, Run(context.Background(), []string{"-o", "json", "status"}, &stdout, &stderr, nil), stderr.String())
 	require.True(t, json.Valid(stdout.Bytes()))
 }
 
--- a/cli/run.go
+++ b/cli/run.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/wasabishunt/wasabishunt/control/configcheck"
 	"github.com/wasabishunt/wasabishunt/controlclient"
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
@@ -23,20 +24,24 @@
 	client *controlclient.Client
 	stdout io.Writer
 	stderr io.Writer
+	// decodeTraffic decodes published sets of the platform; nil if they are not supported.
+	decodeTraffic configcheck.DecodeFunc
 }
 
-// Run executes one command and returns the exit code.
-func Run(ctx context.Context, argv []string, stdout, stderr io.Writer) int {
+// Run executes one command and returns the exit code. decodeTraffic decodes published sets of the platform; it may be nil.
+func Run(ctx context.Context, argv []string, stdout, stderr io.Writer, decodeTraffic configcheck.DecodeFunc) int {
 	args := &arguments{}
 	if ok, code := settings.Parse(args, "wasabishunt", argv, stdout, stderr); !ok {
 		return code
 	}
 	client := controlclient.NewClient(controlclient.ClientOptions{Addresses: args.Control, Timeout: args.Timeout})
 	defer func() { _ = client.Close() }()
-	p := &program{args: args, client: client, stdout: stdout, stderr: stderr}
+	p := &program{args: args, client: client, stdout: stdout, stderr: stderr, decodeTraffic: decodeTraffic}
 	switch {
 	case args.Check != nil:
 		return p.validate(args.Check)
+	case args.Findings != nil:
+		return p.check(args.Findings)
 	case args.Publish != nil:
 		return p.publish(ctx, args.Publish)
 	case args.Status != nil:
--- a/cmd/wasabishunt/main.go
+++ b/cmd/wasabishunt/main.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"github.com/wasabishunt/wasabishunt/cli"
+	"github.com/wasabishunt/wasabishunt/platform"
 )
 
 func main() { os.Exit(run()) }
@@ -15,5 +16,5 @@
 func run() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return cli.Run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	return cli.Run(ctx, os.Args[1:], os.Stdout, os.Stderr, platform.DecodeSet)
 }
--- a/internal/settingsdoc/pages_test.go
+++ b/internal/settingsdoc/pages_test.go
@@ -51,7 +51,7 @@
 	require.Len(t, files, 2)
 	for _, file := range files {
 		var stdout, stderr bytes.Buffer
-		code := cli.Run(t.Context(), []string{"validate", file}, &stdout, &stderr)
+		code := cli.Run(t.Context(), []string{"validate", file}, &stdout, &stderr, nil)
 		assert.Equal(t, cli.ExitOK, code, stderr.String())
 	}
 }
