--- a/placement/pick.go
+++ b/placement/pick.go
@@ -4,8 +4,6 @@
 	"math"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/wasabishunt/wasabishunt/upstreams"
 )
 
@@ -363,77 +361,3 @@
 	}
 	return cost
 }
-
-// overflowShare is the share of a request's target that it waits longer in its own pool before it goes to the other one.
-const overflowShare = 0.6
-
-// poolCost is the cost of an engine of the pool for prompts of the other length, and, for a short prompt, of the pause that the long prompts at the
-// engine cause in its stream.
-func poolCost(q *Request, c *Candidate) float64 {
-	if !q.Uneven {
-		return 0
-	}
-	cost := 0.0
-	if c.OtherPool {
-		cost += overflowShare * toMs(q.Target)
-	}
-	if !q.Urgency.isLong() && q.GapTarget > 0 {
-		cost += float64(c.LongTokens) / max(1, c.ReadRate) * stallWeight
-	}
-	return cost
-}
-
-// stallWeight is the cost of a pause in a stream relative to the same time before its first event.
-const stallWeight = 0.3
-
-// rendezvousScore orders engines for a prompt in the same way on all nodes: by rendezvous hashing of its longest
-// shared part.
-func rendezvousScore(part, instance string) uint64 {
-	return xxhash.Sum64String(part + "\x00" + instance)
-}
-
-// MarkHomes finds the homes of the prompt: the engines to which all nodes prefer to send it.
-func MarkHomes(q *Request, candidates []Candidate) {
-	shared := q.shared()
-	if len(shared) == 0 {
-		return
-	}
-	document := shared[len(shared)-1].ID
-	zone := homeZone(q, candidates)
-	var top [homeCount]int
-	found := 0
-	for i := range candidates {
-		if candidates[i].Ejected || candidates[i].Evacuated || candidates[i].Instance.Draining || candidates[i].OtherPool || zone != "" && candidates[i].Instance.AvailabilityZone != zone {
-			continue
-		}
-		score := rendezvousScore(document, candidates[i].Instance.ID)
-		insertAt := found
-		for insertAt > 0 && score > rendezvousScore(document, candidates[top[insertAt-1]].Instance.ID) {
-			insertAt--
-		}
-		if insertAt >= homeCount {
-			continue
-		}
-		copy(top[insertAt+1:], top[insertAt:homeCount-1])
-		top[insertAt] = i
-		found = min(found+1, homeCount)
-	}
-	for position, i := range top[:found] {
-		candidates[i].homePosition = position + 1
-	}
-}
-
-// homeZone returns the zone of the store that holds the last shared part, if the zone has engines: transfers within a
-// zone take half the time of the store's link.
-func homeZone(q *Request, candidates []Candidate) string {
-	if len(q.Stored) == 0 {
-		return ""
-	}
-	zone := q.Stored[len(q.Stored)-1].AvailabilityZone
-	for i := range candidates {
-		if candidates[i].Instance.AvailabilityZone == zone && !candidates[i].OtherPool && !candidates[i].Ejected && !candidates[i].Evacuated && !candidates[i].Instance.Draining {
-			return zone
-		}
-	}
-	return ""
-}
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -368,42 +368,6 @@
 	return out
 }
 
-// markPool marks the engines that read long prompts. The caller holds the lock.
-func (t *Tracker) markPool(q *Request, candidates []Candidate, now time.Time) {
-	if len(candidates) == 0 {
-		return
-	}
-	service := candidates[0].Instance.Service
-	d := t.longDemand[service]
-	if d == nil {
-		d = &prefillpool.Demand{}
-		t.longDemand[service] = d
-	}
-	tokens, requests := 0, 0
-	for i := range candidates {
-		tokens += candidates[i].LongTokens
-		requests += candidates[i].Requests
-	}
-	d.Observe(tokens, requests, candidates[0].Instance.Slots, now)
-	share := d.Share()
-	if share == 0 {
-		return
-	}
-	available := false
-	for i := range candidates {
-		c := &candidates[i]
-		c.OtherPool = (prefillpool.Position(service, c.Instance.ID) < share) != q.Urgency.isLong()
-		available = available || !c.OtherPool && !c.Evacuated && !c.Ejected && !c.Instance.Draining
-	}
-	if available {
-		return
-	}
-	// A small share may contain no engine. Without an engine of its pool the request would have no home and only a small sample.
-	for i := range candidates {
-		candidates[i].OtherPool = false
-	}
-}
-
 // Version returns the last known weight version of an instance, 0 if there is none.
 func (t *Tracker) Version(instance *upstreams.Instance, model string) uint64 {
 	t.mu.Lock()
