--- a/serving/fairshare/fairshare.go
+++ b/serving/fairshare/fairshare.go
@@ -25,9 +25,8 @@
 	refreshPerAccount = 50 * time.Microsecond
 	// tolerance is the excess over the equal share that changes nothing: sums of other nodes are some percent too low or too high.
 	tolerance = 1.1
-	// minFactor and maxFactor bound the factor. With 0.25 urgent short prompts of a flooding account, which cost the engines little, are
-	// refused in vain: 2 to 3 in 100 less worth in TestBurstOfCompetingAccounts. At maxFactor a request uses up its whole target; see
-	// placement.Admit.
+	// minFactor and maxFactor bound the factor. A lower minFactor refuses urgent short prompts of a flooding account, which cost the engines
+	// little. At maxFactor a request uses up its whole target; see placement.Admit.
 	minFactor, maxFactor = 0.5, 1.1
 	// floorShare is the served fraction of an account, relative to that of all requests, below which it is not limited any more. The
 	// required floor is 0.25; the rest covers the variation of small counts.
