node: test nodes take ports that no outgoing connection gets

Change: ports below the range of outgoing connections, free for TCP and UDP, each given once in a process.

--- a/node/list_test.go
+++ b/node/list_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -57,11 +59,35 @@
 	nodes int
 }
 
+const (
+	// firstPort and lastPort bound the ports of nodes. They lie below those that the kernel gives to outgoing connections: between the search for a port
+	// and its use a connection of another test could take it.
+	firstPort, lastPort = 12_000, 32_000
+)
+
+var nextPort atomic.Int32
+
+// freeAddress returns an address whose port was free for TCP and UDP and is not given again in this process.
 func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { require.NoError(t, listener.Close()) }()
-	return listener.Addr().String()
+	t.Helper()
+	nextPort.CompareAndSwap(0, int32(firstPort+rand.IntN(lastPort-firstPort)))
+	for range lastPort - firstPort {
+		port := firstPort + (int(nextPort.Add(1))-firstPort)%(lastPort-firstPort)
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		packets, err := net.ListenPacket("udp", address)
+		require.NoError(t, listener.Close())
+		if err != nil {
+			continue
+		}
+		require.NoError(t, packets.Close())
+		return address
+	}
+	require.Fail(t, "no port is free")
+	return ""
 }
 
 // start starts a node, as a core member if dir is not empty.
