placement: one condition for engines that can be homes in a pool

Cause: the same four conditions stood three times, in the choice of homes, of their zone, and of the pool. Change: Candidate.isAvailableInPool; the constants of pools stand together. No decision changes. Result: the tests of placement pass, with the hash of unchanged choices.

--- a/placement/homes.go
+++ b/placement/homes.go
@@ -19,7 +19,7 @@
 	var top [homeCount]int
 	found := 0
 	for i := range candidates {
-		if candidates[i].Ejected || candidates[i].Evacuated || candidates[i].Instance.Draining || candidates[i].OtherPool || zone != "" && candidates[i].Instance.AvailabilityZone != zone {
+		if !candidates[i].isAvailableInPool() || zone != "" && candidates[i].Instance.AvailabilityZone != zone {
 			continue
 		}
 		score := rendezvousScore(document, candidates[i].Instance.ID)
@@ -47,7 +47,7 @@
 	}
 	zone := q.Stored[len(q.Stored)-1].AvailabilityZone
 	for i := range candidates {
-		if candidates[i].Instance.AvailabilityZone == zone && !candidates[i].OtherPool && !candidates[i].Ejected && !candidates[i].Evacuated && !candidates[i].Instance.Draining {
+		if candidates[i].Instance.AvailabilityZone == zone && candidates[i].isAvailableInPool() {
 			return zone
 		}
 	}
--- a/placement/pools.go
+++ b/placement/pools.go
@@ -6,8 +6,17 @@
 	"github.com/wasabishunt/wasabishunt/serving/prefillpool"
 )
 
-// overflowShare is the share of a request's target that it waits longer in its own pool before it goes to the other one.
-const overflowShare = 0.6
+const (
+	// overflowShare is the share of a request's target that it waits longer in its own pool before it goes to the other one.
+	overflowShare = 0.6
+	// stallWeight is the cost of a pause in a stream relative to the same time before its first event.
+	stallWeight = 0.3
+)
+
+// isAvailableInPool reports whether an engine belongs to the pool of the request and can be a home of its prompt.
+func (c *Candidate) isAvailableInPool() bool {
+	return !c.OtherPool && !c.Evacuated && !c.Ejected && !c.Instance.Draining
+}
 
 // poolCost is the cost of an engine of the pool for prompts of the other length, and, for a short prompt, of the pause that the long prompts at the
 // engine cause in its stream.
@@ -25,9 +34,6 @@
 	return cost
 }
 
-// stallWeight is the cost of a pause in a stream relative to the same time before its first event.
-const stallWeight = 0.3
-
 // markPool marks the engines that read long prompts. The caller holds the lock.
 func (t *Tracker) markPool(q *Request, candidates []Candidate, now time.Time) {
 	if len(candidates) == 0 {
@@ -53,7 +59,7 @@
 	for i := range candidates {
 		c := &candidates[i]
 		c.OtherPool = (prefillpool.Position(service, c.Instance.ID) < share) != q.Urgency.isLong()
-		available = available || !c.OtherPool && !c.Evacuated && !c.Ejected && !c.Instance.Draining
+		available = available || c.isAvailableInPool()
 	}
 	if available {
 		return
