--- a/upstreamlimit/cold.go
+++ b/upstreamlimit/cold.go
@@ -70,8 +70,8 @@
 }
 
 // coldRate returns the rate and the depth at which this node hands out permits for a cold instance, 0 if it is no owner. It is an owner only if
-// it was one before the list of nodes changed: until then the others ask the owners of before, and each more of them adds to the sum. A node that has just started knows no
-// list of before.
+// it was one before the list of nodes changed: until then the others ask the owners of before, and each more of them adds to the sum. A node
+// that has just started knows no list of before.
 func (o *owners) coldRate(hash uint32, rates coldstart.Rates, now time.Time) (rate, depth float64) {
 	current := o.role(hash, o.nodes)
 	before := current
