coregroup: limit the wait for proposals in the test of a leadership transfer

Cause: TransferLeadership is an event of the member's loop, and proposals come by another channel. Change: each proposal waits 100 ms at most. The checks are unchanged.

--- a/coregroup/transfer_test.go
+++ b/coregroup/transfer_test.go
@@ -1,6 +1,7 @@
 package coregroup
 
 import (
+	"context"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -32,7 +33,7 @@
 		n.group.TransferLeadership()
 		refused := 0
 		for end := time.Now().Add(electionTimeout / 2); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-			err := n.group.Propose(t.Context(), &nodepb.Command{Change: &nodepb.Command_Publish{Publish: &nodepb.PublishSet{Version: 2, Document: []byte{2}}}})
+			err := proposeWithin(n, 100*time.Millisecond, &nodepb.Command{Change: &nodepb.Command_Publish{Publish: &nodepb.PublishSet{Version: 2, Document: []byte{2}}}})
 			if failure.Is(err, failure.NotLeader) {
 				refused++
 				require.NotEqual(t, n.address, n.group.OtherLeader())
@@ -43,3 +44,11 @@
 	}
 	require.Fail(t, "no leader")
 }
+
+// proposeWithin limits the wait for the outcome: a change that is accepted before the transfer starts is not committed while the other
+// members have no room.
+func proposeWithin(n *testNode, limit time.Duration, command *nodepb.Command) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	return n.group.Propose(ctx, command)
+}
