fleetview, rpcpool: reach starting core members sooner

Cause: after a loss of all power, nodes and core members start within half a second of each other. And after its first fresh update it opened streams to the other members only at the next check, up to 300 ms later. Change: until its first update a node dials again each 50 ms while no attempt has ended, and pauses for 25 ms; named members get streams at once. The time of the last update is stored before the members, which are forgotten without one.

--- a/fleetview/watcher.go
+++ b/fleetview/watcher.go
@@ -33,6 +33,10 @@
 	// dialTimeout is far above a round trip and below the 1 s after which TCP repeats the first packet of a connection. A
 	// VM that is just starting drops that packet.
 	dialTimeout = 200 * time.Millisecond
+	// firstDialInterval and firstReconnectDelay apply to a node that has not had an update since its start. After a loss of all power
+	// the core members start at the same time as the node, and its requests wait for the first update.
+	firstDialInterval   = 50 * time.Millisecond
+	firstReconnectDelay = 25 * time.Millisecond
 )
 
 // Watcher keeps streams open to all core members, so that the loss of one of them delays no update. Watcher.mu is a leaf
@@ -72,6 +76,8 @@
 	// zones holds the availability zones of the members.
 	zones   map[string]string
 	streams map[string]context.CancelFunc
+	// membersChanged has a value after members has changed.
+	membersChanged chan struct{}
 }
 
 // Run watches until the context ends.
@@ -81,6 +87,7 @@
 	ctx, cancelAll := context.WithCancel(ctx)
 	defer cancelAll()
 	w.streams = map[string]context.CancelFunc{}
+	w.membersChanged = make(chan struct{}, 1)
 	w.sets = newSetFetcher(w)
 	tasks.Go(func() { supervise.Loop(ctx, w.Log, "published sets", func() { w.sets.run(ctx) }) })
 	w.views = newViewCopies(w)
@@ -101,6 +108,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-w.membersChanged:
 		}
 	}
 }
@@ -152,7 +160,14 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.members = lo.Map(members, func(m *nodepb.CoreMember, _ int) string { return m.GetAddress() })
+	addresses := lo.Map(members, func(m *nodepb.CoreMember, _ int) string { return m.GetAddress() })
+	if !slices.Equal(addresses, w.members) {
+		select {
+		case w.membersChanged <- struct{}{}:
+		default:
+		}
+	}
+	w.members = addresses
 	w.zones = lo.SliceToMap(members, func(m *nodepb.CoreMember) (string, string) { return m.GetAddress(), m.GetAvailabilityZone() })
 }
 
@@ -180,8 +195,15 @@
 		}
 		w.sets.remove(address)
 		w.views.remove(address)
-		clock.Sleep(ctx, reconnectDelay)
+		clock.Sleep(ctx, w.reconnectDelay())
+	}
+}
+
+func (w *Watcher) reconnectDelay() time.Duration {
+	if w.lastUpdate.Load() == 0 {
+		return firstReconnectDelay
 	}
+	return reconnectDelay
 }
 
 // streamProgress is what one stream has received.
@@ -218,10 +240,18 @@
 }
 
 func (w *Watcher) dial(ctx context.Context, address string) (net.Conn, error) {
-	if w.Dial != nil {
-		return w.Dial(ctx, address)
+	dial := w.Dial
+	if dial == nil {
+		dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return rpcpool.DialTCP(ctx, "", address, dialTimeout)
+		}
+	}
+	if w.lastUpdate.Load() != 0 {
+		return dial(ctx, address)
 	}
-	return rpcpool.DialTCP(ctx, "", address, dialTimeout)
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return rpcpool.DialRepeated(ctx, firstDialInterval, func(ctx context.Context) (net.Conn, error) { return dial(ctx, address) })
 }
 
 // stream receives updates until the stream ends or nothing arrives on it for streamTimeout.
@@ -251,10 +281,11 @@
 		}
 		progress.recordMessage()
 		connected()
+		// Before setMembers: the members are forgotten while no update has arrived lately.
+		w.lastUpdate.Store(time.Now().UnixNano())
 		if update.GetFresh() {
 			w.setMembers(update.GetMembers())
 		}
-		w.lastUpdate.Store(time.Now().UnixNano())
 		if err := supervise.Call(w.Log, "update of a core member", func() { w.apply(address, update) }); err != nil {
 			return err
 		}
