replica, coregroup: tell watchers at once when a member's state becomes fresh

Cause: a core member sends an update when its state changes or after 500 ms. A member that got a leader after the first update of a stream was shown as fresh up to 500 ms late, and restarted nodes refuse requests until a fresh member has named the current set. Change: Options.OnFresh, which wakes up the readers of the state.

--- a/coregroup/group.go
+++ b/coregroup/group.go
@@ -224,7 +224,7 @@
 		Logger: g.options.Log, Metrics: g.options.Metrics, Tick: raftTick, Election: electionTimeout, FirstElection: firstElectionTimeout, DialTimeout: dialTimeout,
 		SnapshotEvery: snapshotEvery, SnapshotBytes: disk / snapshotShare, TrailingEntries: trailingEntries, TrailingBytes: disk / trailingShare,
 		SegmentBytes: disk / segmentShare, MaxLogBytes: disk / maxLogShare, MaxCommandBytes: maxCommandBytes,
-		QueueLength: raftQueueLength, StopTimeout: stopTimeout,
+		QueueLength: raftQueueLength, StopTimeout: stopTimeout, OnFresh: state.becameFresh,
 	}
 	if self.Founder {
 		o.Bootstrap = []*raftpb.Member{{Id: self.ID, Address: g.options.Address, AvailabilityZone: g.options.AvailabilityZone}}
@@ -309,7 +309,8 @@
 	return member != nil && member.Fresh()
 }
 
-// State returns the local state, nil without a member or while that waits for room on its disk, and a channel that is closed at the next change.
+// State returns the local state, nil without a member or while that waits for room on its disk, and a channel that is closed at the next change and
+// when the state becomes fresh.
 func (g *Group) State() (*nodepb.State, <-chan struct{}) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/coregroup/machine.go
+++ b/coregroup/machine.go
@@ -81,10 +81,22 @@
 
 func (m *machine) replace(next *nodepb.State) {
 	m.state = next
+	m.notify()
+}
+
+// notify wakes up the readers of the state. The caller holds m.mu.
+func (m *machine) notify() {
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
 
+// becameFresh wakes up the readers of the state, which send on with it whether it is fresh.
+func (m *machine) becameFresh() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.notify()
+}
+
 // Snapshot captures the state.
 func (m *machine) Snapshot() func() ([]byte, error) {
 	state, _ := m.read()
--- a/replica/contact.go
+++ b/replica/contact.go
@@ -68,7 +68,14 @@
 	if reply != nil {
 		r.transport.send(reply)
 	}
-	r.freshUntil.Store(int64(r.node.FreshUntil()))
+	r.setFreshUntil(r.node.FreshUntil())
+}
+
+func (r *Replica) setFreshUntil(until time.Duration) {
+	before := time.Duration(r.freshUntil.Swap(int64(until)))
+	if now := r.now(); before <= now && now < until && r.options.OnFresh != nil {
+		r.options.OnFresh()
+	}
 }
 
 // stepQueued steps up to limit messages in the order of their arrival. A step that frees room moves messages from the inbox to held.
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -337,7 +337,7 @@
 	s := r.node.Status()
 	r.status.Store(&s)
 	r.publishedAt.Store(int64(r.now()))
-	r.freshUntil.Store(int64(r.node.FreshUntil()))
+	r.setFreshUntil(r.node.FreshUntil())
 	r.metrics.logBytes.Update(r.storage.wal.Bytes())
 	r.metrics.snapshotBytes.Update(r.snapshotBytes.Load())
 	r.transport.setMembers(s.Members.GetMembers())
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -58,6 +58,9 @@
 
 	// FS is the file system; default is that of the operating system.
 	FS diskfs.FS
+	// OnFresh is called, by the goroutines of the member, when Fresh becomes true after the start or after it was false; nil for none. It must
+	// not block.
+	OnFresh func()
 	// Logger receives one line per event; default is no logging.
 	Logger *zap.Logger
 	// Metrics is the registry of the metrics named raft.*; default is a private registry.
