agent/kv: count lookups of a frozen store where they begin

TestFrozenStoreDelaysOneRequest failed once beside load (54): no store was queried, want each once. The test counted the lookups in the stand-in of the store, but a lookup has 100 ms of real time to open its connection and to be read there. If it does not get that far, the mover has asked each store once and the store has not noticed. Lookups are now counted, by store, where the mover begins them, so one more of a frozen store is still found; what the mover does about a lookup that ends with its limit is the same whether it reached the store or not.

--- a/agent/kv/fetch_test.go
+++ b/agent/kv/fetch_test.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"strings"
-	"sync/atomic"
+	"sync"
 	"testing"
 	"time"
 
@@ -14,6 +14,7 @@
 	"github.com/wasabishunt/wasabishunt/internal/standin/engine"
 	"github.com/wasabishunt/wasabishunt/piece"
 	"github.com/wasabishunt/wasabishunt/rpc/storepb"
+	"github.com/wasabishunt/wasabishunt/store"
 )
 
 // Guards against recomputing an evicted prompt that the stores hold, and against wrong counts of fetched tokens.
@@ -172,21 +173,38 @@
 	session.Close()
 }
 
-// Guards against a frozen store that delays every request.
+// countingStores counts the lookups that a Mover makes, by address of the store.
+type countingStores struct {
+	Stores
+	mu      sync.Mutex
+	lookups map[string]int
+}
+
+func (s *countingStores) Has(ctx context.Context, address, account, rank string, names []piece.Name) (store.HasResult, error) {
+	s.mu.Lock()
+	s.lookups[address]++
+	s.mu.Unlock()
+	return s.Stores.Has(ctx, address, account, rank, names)
+}
+
+// Guards against a frozen store that delays every request. Lookups are counted where they begin: on a busy machine one may reach the store after
+// its time limit, or not at all.
 func TestFrozenStoreDelaysOneRequest(t *testing.T) {
 	bed := newTestbed(t, Options{})
 	bed.mover.deps.Clock = clocktest.NewManual(time.Now())
-	var lookups atomic.Int64
+	stores := &countingStores{Stores: bed.mover.deps.Stores, lookups: map[string]int{}}
+	bed.mover.deps.Stores = stores
+	want := map[string]int{}
 	for _, s := range bed.stores {
+		want[s.address] = 1
 		s.onHas = func(ctx context.Context) error {
-			lookups.Add(1)
 			<-ctx.Done()
 			return ctx.Err()
 		}
 	}
 	bed.mover.Prepare(t.Context(), request("first", 4)).Close()
 	bed.mover.Prepare(t.Context(), request("second", 4)).Close()
-	assert.Equal(t, int64(2), lookups.Load(), "each store is queried once")
+	assert.Equal(t, want, stores.lookups, "each store is queried once")
 	assert.True(t, bed.mover.health.allow(bed.stores[0].address, time.Now().Add(time.Second)), "after the backoff one request may call the store")
 	assert.False(t, bed.mover.health.allow(bed.stores[0].address, time.Now().Add(time.Second)), "only one")
 }
