node: a stop ends before the kill although a sync of the core member hangs

Cause: Run waits for all tasks, and the core member ends only after the sync that it waits for, without a limit. Change: Run returns 100 ms before the end of the grace. The log on the disk is safe at any end of the process. Parts.FS sets the file system.

--- a/node/list_test.go
+++ b/node/list_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/wasabishunt/wasabishunt/coregroup"
 	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/raft/diskfs"
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
 	"github.com/wasabishunt/wasabishunt/serving/retrybudget"
 	"github.com/wasabishunt/wasabishunt/trafficset"
@@ -57,6 +58,8 @@
 	t     *testing.T
 	seeds []string
 	nodes int
+	// fs is the file system of the state disks, nil for that of the operating system.
+	fs diskfs.FS
 }
 
 const (
@@ -90,14 +93,17 @@
 	return ""
 }
 
+// testGrace is the time between the stop signal and the kill.
+const testGrace = 4 * time.Second
+
 // start starts a node, as a core member if dir is not empty.
 func (f *fleet) start(dir, internal string, list *testList) *runningNode {
 	f.nodes++
 	n := New(Config{
 		Name: fmt.Sprintf("n%d", f.nodes), AvailabilityZone: "z", IP: "127.0.0.1", DataDir: dir, FirstStart: dir != "", Seeds: f.seeds,
 		Front: freeAddress(f.t), Ready: freeAddress(f.t), Internal: internal, LoadReports: freeAddress(f.t), Tolerance: coregroup.Tolerance{VMs: 1},
-		Grace: 4 * time.Second, MemoryBytes: 1 << 30, MaxDescriptors: 2000, Retries: retrybudget.Limits{Window: time.Second},
-	}, Parts{Lister: list, DecodeSet: func(document []byte) (*trafficset.Set, error) {
+		Grace: testGrace, MemoryBytes: 1 << 30, MaxDescriptors: 2000, Retries: retrybudget.Limits{Window: time.Second},
+	}, Parts{Lister: list, FS: f.fs, DecodeSet: func(document []byte) (*trafficset.Set, error) {
 		set := &trafficset.Set{Version: uint64(document[0])}
 		return set, set.Build()
 	}}, zap.NewNop(), gometrics.NewRegistry())
--- a/node/node.go
+++ b/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/wasabishunt/wasabishunt/peerload"
 	"github.com/wasabishunt/wasabishunt/placement"
 	"github.com/wasabishunt/wasabishunt/quarantine"
+	"github.com/wasabishunt/wasabishunt/raft/diskfs"
 	"github.com/wasabishunt/wasabishunt/rollout"
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
 	"github.com/wasabishunt/wasabishunt/rpcpool"
@@ -104,6 +105,8 @@
 	Stores    kvstores.Client
 	Engines   rollout.Client
 	DecodeSet func(document []byte) (*trafficset.Set, error)
+	// FS is the file system of the state disk; default is that of the operating system.
+	FS diskfs.FS
 	// Operators returns the operators' HTTP server and its listener; nil on a node without them. The server calls setEvacuation to start or end
 	// the evacuation of a zone.
 	Operators func(group *coregroup.Group, setEvacuation func(ctx context.Context, zone string, evacuated bool) error) (*http.Server, net.Listener)
@@ -180,7 +183,7 @@
 	n.nodes.Store(initialNodes)
 	n.weights.Store(&map[string]namedWeights{})
 	n.group = coregroup.New(coregroup.Options{
-		Dir: config.DataDir, Address: config.Internal, AvailabilityZone: config.AvailabilityZone, Seeds: n.Seeds, FirstStart: config.FirstStart,
+		Dir: config.DataDir, FS: parts.FS, Address: config.Internal, AvailabilityZone: config.AvailabilityZone, Seeds: n.Seeds, FirstStart: config.FirstStart,
 		Tolerance: config.Tolerance, DiskBytes: config.DiskBytes, Log: log, Metrics: registry,
 	})
 	n.reader = &upstreams.Reader{Directory: n.directory, Lister: parts.Lister, ReadsForAll: func() bool { return n.group.Leads() && n.group.Fresh() }, Log: log}
@@ -288,13 +291,35 @@
 	})
 	n.log.Info("node started", zap.String("front", n.config.Front), zap.String("internal", n.config.Internal), zap.Bool("state_disk", n.config.DataDir != ""))
 	<-ctx.Done()
+	exitBy := time.Now().Add(n.config.Grace - exitMargin)
 	n.stop(stopGroup, groupDone, listeners.front)
 	cancel()
-	tasks.Wait()
+	if !finishBy(exitBy, &tasks) {
+		// A core member waits for its disk without a limit. Its log is safe at any end of the process.
+		n.log.Warn("node stopped before all its tasks have ended")
+		return nil
+	}
 	n.log.Info("node stopped")
 	return nil
 }
 
+// finishBy waits until the tasks have ended, at most until the given time, and reports whether they have.
+func finishBy(end time.Time, tasks *sync.WaitGroup) bool {
+	ended := make(chan struct{})
+	go func() {
+		tasks.Wait()
+		close(ended)
+	}()
+	timer := time.NewTimer(time.Until(end))
+	defer timer.Stop()
+	select {
+	case <-ended:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
 const (
 	// balancerDelay is the time after which the load balancer sends no more callers to the node: it needs two failed
 	// health checks, and the delay allows for a third.
@@ -304,6 +329,8 @@
 	refusalLead = 200 * time.Millisecond
 	// stopMargin is the time between the end of the last requests and the kill at the end of Grace.
 	stopMargin = 400 * time.Millisecond
+	// exitMargin is the time between the end of the process and the kill, if a task does not end.
+	exitMargin = 100 * time.Millisecond
 	drainPoll  = 20 * time.Millisecond
 )
 
