replica: a failed test of a blocked state machine ends

Cause: TestSlowStateMachineDoesNotBlock unblocked the state machine only in its last lines. Change: the state machine is unblocked at any end of the test.

--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -248,6 +248,9 @@
 	unblock := make(chan struct{})
 	require.NoError(t, leader.ReadBarrier(t.Context()))
 	leader.machine.unblock = unblock
+	// The members cannot stop while the state machine is blocked, also after a failure.
+	release := sync.OnceFunc(func() { close(unblock) })
+	defer release()
 	done := make(chan error, 1)
 	go func() {
 		_, err := leader.Propose(t.Context(), set(2))
@@ -261,7 +264,7 @@
 	}
 	require.Eventually(t, func() bool { return !leader.Fresh() && other.Fresh() }, failoverLimit, 5*time.Millisecond)
 	require.Equal(t, term, other.Status().Term)
-	close(unblock)
+	release()
 	require.NoError(t, <-done)
 	require.Equal(t, term, leader.Status().Term)
 }
