objectset: refuse deeply nested YAML before it is parsed

objectset.Parse gave any document to the YAML parser, whose memory grows with the square of the nesting: 100,000 opening brackets end the process, also in validate and in the publish call of control. Only control/configcheck had a guard, and quoted closing brackets got past it.

Panics of the parser become syntax errors there as well. configcheck has no guard of its own any more.

TestParseRefusesDeepNesting without the guard, under 9 GB: "fatal error: out of memory" with 7.2 GB in use. With it the test passes, and the packages objectset, control/configcheck and cli pass.

--- a/control/configcheck/configcheck.go
+++ b/control/configcheck/configcheck.go
@@ -100,7 +100,7 @@
 	return true
 }
 
-// decode never panics: the YAML parser panics on some malformed documents.
+// decode never panics, also if the decoder of published sets does.
 func decode(document []byte, decodeTraffic DecodeFunc) (c configuration) {
 	defer func() {
 		if r := recover(); r != nil {
@@ -109,8 +109,6 @@
 	}()
 	c.published = IsPublishedSet(document)
 	switch {
-	case !c.published && nestedTooDeeply(document):
-		c.err = fmt.Errorf("the document is nested too deeply")
 	case !c.published:
 		c.objects, c.err = objectset.Parse(document)
 	case decodeTraffic == nil:
--- a/objectset/document.go
+++ b/objectset/document.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/lexer"
 	"github.com/goccy/go-yaml/parser"
 )
 
@@ -61,9 +63,19 @@
 	return readYAML(document)
 }
 
-func readYAML(document []byte) (*node, error) {
+// readYAML never panics: the YAML parser panics on some malformed documents.
+func readYAML(document []byte) (root *node, err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			root, err = nil, &syntaxError{message: fmt.Sprintf("the document cannot be parsed: %v", r)}
+		}
+	}()
+	tokens := lexer.Tokenize(string(document))
+	if err := checkNesting(tokens); err != nil {
+		return nil, err
+	}
 	// Duplicate keys are allowed here, so that the binder can report them together with all other problems.
-	file, err := parser.ParseBytes(document, 0, parser.AllowDuplicateMapKey())
+	file, err := parser.Parse(tokens, 0, parser.AllowDuplicateMapKey())
 	if err != nil {
 		return nil, yamlSyntaxError(err)
 	}
--- a/objectset/parse_test.go
+++ b/objectset/parse_test.go
@@ -142,6 +142,36 @@
 	require.False(t, ok)
 }
 
+// Guards against documents that use up the memory or the stack of the parser, which ends the process, and against quoted brackets that hide open
+// ones.
+func TestParseRefusesDeepNesting(t *testing.T) {
+	const repeats = 100_000
+	for _, part := range []string{"[", "- {", "a: [", "- ", "? ", "!a ", "!a\n", "&a ", "? ! ", "- !a ", `["]",`, "['}',", "a\n---\n", "[?\n", "!!map\n"} {
+		problems := problemsOf(t, strings.Repeat(part, repeats))
+		require.Len(t, problems, 1, part)
+		require.Regexp(t, "nested too deeply|more than one YAML document", problems[0].Message, part)
+	}
+	var blocks strings.Builder
+	for depth := range 3 * maxNesting {
+		blocks.WriteString(strings.Repeat(" ", depth) + "a:\n")
+	}
+	require.Contains(t, problemsOf(t, blocks.String())[0].Message, "nested too deeply")
+}
+
+// Guards against long lists and lines taken for nesting.
+func TestParseAcceptsLongLists(t *testing.T) {
+	var block, flow []string
+	for i := range 10 * maxNesting {
+		block = append(block, fmt.Sprintf("  - {name: \"[z%d\", region: r}", i))
+		flow = append(flow, fmt.Sprintf("{name: \"]z%d\", region: '{'}", i))
+	}
+	for _, document := range []string{"zones:\n" + strings.Join(block, "\n"), "zones: [" + strings.Join(flow, ", ") + "]"} {
+		set, err := Parse([]byte(document))
+		require.NoError(t, err)
+		require.Len(t, set.Zones, 10*maxNesting)
+	}
+}
+
 // Guards against a document that crashes the parser, or a set that changes in a round trip through the canonical form.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(validSet))
