coldstart: a node that has just started does not take instances for warm

A node that started within about 1.3 s after a zone returned did not learn of the evacuation, and its instance list, which is that old, showed the engines without cold time: States.Need took them for warm at once. An instance without a cold time counted as shown as warm whatever the age of the list.

The list of evacuations now tells when the node received its first one. Until the content of the instance list is newer than that, at most for cold-start-s, sends need permits, and a send does not end it. Nodes that know that no zone was ever evacuated need none.

TestNodeThatStartsAfterAReturnNeedsPermits and TestStartedNodeTakesInstancesForWarmByANewerListOnly fail without the change (NoPermit instead of NewConnections) and pass with it.

--- a/node/evacuations.go
+++ b/node/evacuations.go
@@ -20,7 +20,10 @@
 // zoneState returns what this node knows of the evacuation of a zone.
 func (n *Node) zoneState(zone string) coldstart.Zone {
 	list := n.Evacuations()
-	return coldstart.Zone{Evacuated: list.Contains(zone), ReturnedAt: list.EndedAt(zone)}
+	if list == nil {
+		return coldstart.Zone{LearnedAt: time.Now()}
+	}
+	return coldstart.Zone{Evacuated: list.Contains(zone), ReturnedAt: list.EndedAt(zone), LearnedAt: list.LearnedAt()}
 }
 
 // applyEvacuations applies the evacuated zones of an update. A list with a higher revision is newer whoever sends it: members execute the same
--- a/node/evacuations_test.go
+++ b/node/evacuations_test.go
@@ -13,7 +13,9 @@
 
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
+	"github.com/wasabishunt/wasabishunt/serving/coldstart"
 	"github.com/wasabishunt/wasabishunt/serving/retrybudget"
+	"github.com/wasabishunt/wasabishunt/trafficset"
 	"github.com/wasabishunt/wasabishunt/upstreams"
 )
 
@@ -76,6 +78,31 @@
 	require.Equal(t, now.Add(time.Minute), n.zoneState("z").ReturnedAt)
 }
 
+// Guards against a node that started within the delay of the instance list after a zone returned, does not know of the evacuation, and takes the
+// zone's engines for warm.
+func TestNodeThatStartsAfterAReturnNeedsPermits(t *testing.T) {
+	limit := trafficset.ColdLimit{PerSecond: 12, Duration: 3 * time.Second}
+	for name, c := range map[string]struct {
+		revision uint64
+		need     coldstart.Need
+	}{
+		"after an evacuation":            {2, coldstart.NewConnections},
+		"nothing was evacuated, no wait": {0, coldstart.NoPermit},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := New(Config{Name: "n", Retries: retrybudget.Limits{Window: time.Second}}, Parts{DecodeSet: decode}, zap.NewNop(), gometrics.NewRegistry())
+			now := time.Now()
+			n.directory.ApplyList([]upstreams.Instance{{ID: "i", Service: "s", AvailabilityZone: "z"}}, now)
+			instance := &n.directory.View().Instances[0]
+			n.applyEvacuations("a", &nodepb.WatchUpdate{EvacuationsRevision: c.revision, Fresh: true}, now)
+			require.Equal(t, c.need, n.cold.Need(instance, limit, now.Add(time.Millisecond)))
+			n.cold.Sent(instance, now.Add(time.Millisecond))
+			require.Equal(t, c.need, n.cold.Need(instance, limit, now.Add(2900*time.Millisecond)), "a request does not show that the engine is warm")
+			require.Equal(t, coldstart.NoPermit, n.cold.Need(instance, limit, now.Add(limit.Duration)))
+		})
+	}
+}
+
 // setEvacuationAt calls the nodes in turn until one acknowledges or the call is refused as invalid, as operators do.
 func setEvacuationAt(t *testing.T, nodes []*runningNode, zone string, evacuated bool) error {
 	t.Helper()
--- a/serving/coldstart/states.go
+++ b/serving/coldstart/states.go
@@ -37,7 +37,7 @@
 	Reported Reason = "reported"
 	// Suspended: this node was suspended, and may have missed the return of the zone.
 	Suspended Reason = "suspended"
-	// Unknown: the list has not shown the instance as warm, and this node has not sent anything to it.
+	// Unknown: the list has not shown the instance as warm since this node started, or never, and this node has not sent anything to it.
 	Unknown Reason = "unknown"
 )
 
@@ -55,6 +55,15 @@
 	Evacuated bool
 	// ReturnedAt is when this node learned that the evacuation ended, zero if there was none.
 	ReturnedAt time.Time
+	// LearnedAt is when this node received its first list of evacuations, zero if no zone had ever been evacuated then. What it does not know
+	// of are evacuations that ended before.
+	LearnedAt time.Time
+}
+
+// mayHaveReturned reports whether the evacuation of the zone may have ended shortly before this node learned of evacuations. What this node sends
+// meanwhile does not tell: an instance that accepts few requests answers them as a warm one does.
+func (z Zone) mayHaveReturned(instance *upstreams.Instance, limit trafficset.ColdLimit, list List, now time.Time) bool {
+	return !z.LearnedAt.IsZero() && now.Sub(z.LearnedAt) < limit.Duration && !list.ShowsWarmSince(instance, z.LearnedAt)
 }
 
 // state is what a node knows of one incarnation beside the list.
@@ -166,7 +175,7 @@
 			return NewConnections, Reported
 		}
 	}
-	if !shownWarm && (st == nil || st.sentAt.IsZero()) {
+	if zone.mayHaveReturned(instance, limit, list, now) || !shownWarm && (st == nil || st.sentAt.IsZero()) {
 		return NewConnections, Unknown
 	}
 	return NoPermit, Warm
--- a/serving/coldstart/states_test.go
+++ b/serving/coldstart/states_test.go
@@ -62,6 +62,29 @@
 	}
 }
 
+// Guards against a node that has just started, missed the return of a zone and takes what an older list shows for warm, and against one that needs
+// permits although a newer list shows the instance as warm.
+func TestStartedNodeTakesInstancesForWarmByANewerListOnly(t *testing.T) {
+	var s States
+	zone := Zone{LearnedAt: at(0)}
+	for _, c := range []struct {
+		content, coldUntil, now time.Time
+		need                    Need
+	}{
+		{at(-2800), time.Time{}, at(10), NewConnections},
+		{at(0), time.Time{}, at(2800), NewConnections},
+		{at(1), time.Time{}, at(2801), NoPermit},
+		{at(1), at(900), at(1000), NewConnections},
+		{at(-2800), time.Time{}, at(2999), NewConnections},
+		{at(-2800), time.Time{}, at(3000), NoPermit},
+	} {
+		i := instance()
+		i.ColdUntil = c.coldUntil
+		need, _ := s.Need(i, limit, List{ContentAt: c.content}, zone, c.now)
+		require.Equal(t, c.need, need, "%+v", c)
+	}
+}
+
 // Guards against an instance that restarts under its identity and gets requests without permits, and against one sign that needs permits for ever.
 func TestSignOfARestart(t *testing.T) {
 	var s States
--- a/serving/evacuation/evacuation.go
+++ b/serving/evacuation/evacuation.go
@@ -32,6 +32,8 @@
 	zones    map[string]bool
 	// ended is when this node learned that the evacuation of a zone ended.
 	ended map[string]time.Time
+	// learnedAt is when this node received its first list, zero if no zone had ever been evacuated then.
+	learnedAt time.Time
 	// skippedAt is when this node last received a list after it had missed one: in a missed list any zone may have been evacuated.
 	skippedAt time.Time
 }
@@ -54,8 +56,10 @@
 			change.Started = append(change.Started, zone)
 		}
 	}
-	if l != nil {
-		next.skippedAt = l.skippedAt
+	if l == nil {
+		next.learnedAt = now
+	} else {
+		next.learnedAt, next.skippedAt = l.learnedAt, l.skippedAt
 		if revision > l.revision+1 {
 			next.skippedAt = now
 		}
@@ -86,6 +90,15 @@
 // has missed a list.
 func None() *List { return &List{} }
 
+// LearnedAt returns when this node received its first list, zero if no zone had ever been evacuated then. The evacuation of any zone may have
+// ended just before.
+func (l *List) LearnedAt() time.Time {
+	if l == nil {
+		return time.Time{}
+	}
+	return l.learnedAt
+}
+
 // Contains reports whether a zone is evacuated.
 func (l *List) Contains(zone string) bool { return l != nil && l.zones[zone] }
 
