evacuation: missed revisions that the zones explain concern no other zone

A node that missed revisions of the evacuations counted all zones as returned, so all instances of services with a cold limit needed permits for 3 s. That is the safe rule if a zone was evacuated and returned in between, but it also took effect when several evacuations began or ended at once. Each revision changes one zone: if as many zones differ as revisions were missed, no other zone changed. Otherwise the rule stays.

TestChangesThatAllShowConcernNoOtherZone fails without the change; TestReturnsBetweenListsAreNeverMissed checks that no return is missed.

--- a/serving/evacuation/evacuation.go
+++ b/serving/evacuation/evacuation.go
@@ -34,7 +34,7 @@
 	ended map[string]time.Time
 	// learnedAt is when this node received its first list, zero if no zone had ever been evacuated then.
 	learnedAt time.Time
-	// skippedAt is when this node last received a list after it had missed one: in a missed list any zone may have been evacuated.
+	// skippedAt is when this node last received a list after it had missed some in which any zone may have been evacuated.
 	skippedAt time.Time
 }
 
@@ -60,9 +60,6 @@
 		next.learnedAt = now
 	} else {
 		next.learnedAt, next.skippedAt = l.learnedAt, l.skippedAt
-		if revision > l.revision+1 {
-			next.skippedAt = now
-		}
 		maps.Copy(next.ended, l.ended)
 		for zone := range l.zones {
 			if !next.zones[zone] {
@@ -70,6 +67,11 @@
 				next.ended[zone] = now
 			}
 		}
+		// Each revision starts or ends one evacuation. If the differences explain all of them, no other zone was evacuated meanwhile.
+		missed := revision - l.revision
+		if missed > 1 && missed != uint64(len(change.Started)+len(change.Ended)) {
+			next.skippedAt = now
+		}
 	}
 	maps.DeleteFunc(next.ended, func(_ string, at time.Time) bool { return now.Sub(at) > endedLifetime })
 	change.Zones = slices.Sorted(maps.Keys(next.zones))
@@ -111,7 +113,7 @@
 }
 
 // EndedAt returns when this node learned that the evacuation of a zone ended, zero if it did not learn of an end in the last minutes. A zone
-// that is evacuated again keeps the time. After a missed list the evacuation of any zone may have ended.
+// that is evacuated again keeps the time. After missed lists the evacuation of any zone may have ended.
 func (l *List) EndedAt(zone string) time.Time {
 	if l == nil {
 		return time.Time{}
--- a/serving/evacuation/evacuation_test.go
+++ b/serving/evacuation/evacuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"testing"
@@ -127,3 +128,47 @@
 	require.True(t, ok)
 	require.Equal(t, later, list.EndedAt("a"))
 }
+
+// Guards against permits for all zones when several evacuations begin or end at once and one update tells of all of them.
+func TestChangesThatAllShowConcernNoOtherZone(t *testing.T) {
+	list, _, ok := None().Accept(2, []string{"a", "b"}, start)
+	require.True(t, ok)
+	require.Zero(t, list.EndedAt("c"))
+	later := start.Add(time.Second)
+	list, _, ok = list.Accept(5, []string{"d"}, later)
+	require.True(t, ok)
+	require.Zero(t, list.EndedAt("c"), "a and b ended and d started: three revisions")
+	require.Zero(t, list.EndedAt("d"))
+	require.Equal(t, later, list.EndedAt("a"))
+	require.Equal(t, later, list.EndedAt("b"))
+	list, _, ok = list.Accept(8, nil, later.Add(time.Second))
+	require.True(t, ok)
+	require.Equal(t, later.Add(time.Second), list.EndedAt("c"), "two of three revisions do not show")
+}
+
+// Guards against a zone whose evacuation ended between two lists and counts as warm, whichever lists a node misses.
+func TestReturnsBetweenListsAreNeverMissed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		evacuated, revision, now := map[string]bool{}, uint64(0), start
+		list := None()
+		for range rapid.IntRange(1, 6).Draw(t, "lists") {
+			now = now.Add(time.Second)
+			var returned []string
+			for range rapid.IntRange(1, 5).Draw(t, "changes") {
+				zone := fmt.Sprint("z", rapid.IntRange(0, 3).Draw(t, "zone"))
+				if revision++; evacuated[zone] {
+					delete(evacuated, zone)
+					returned = append(returned, zone)
+				} else {
+					evacuated[zone] = true
+				}
+			}
+			list, _, _ = list.Accept(revision, slices.Sorted(maps.Keys(evacuated)), now)
+			for _, zone := range returned {
+				if !list.Contains(zone) {
+					require.Equal(t, now, list.EndedAt(zone), zone)
+				}
+			}
+		}
+	})
+}
