gateway: record a send to a cold instance when it is made

A request counted as sent to a new incarnation as soon as it had a permit. If it was withdrawn while its connection was opened (evacuation, leaving instance, expired permit), the node took the incarnation for known and sent to it without permits. The send is now recorded just before the first byte.

TestWithdrawnRequestDoesNotCountAsSent fails without the change (NoPermit instead of NewConnections) and passes with it.

--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -8,6 +8,7 @@
 	"github.com/wasabishunt/wasabishunt/placement"
 	"github.com/wasabishunt/wasabishunt/serving/coldstart"
 	"github.com/wasabishunt/wasabishunt/upstreamconn"
+	"github.com/wasabishunt/wasabishunt/upstreamlimit"
 	"github.com/wasabishunt/wasabishunt/upstreams"
 )
 
@@ -50,10 +51,15 @@
 	}
 	spare := c.leavesColdReserve(chosen.cached)
 	chosen.coldPermit, wait = c.gateway.options.Limiter.AcquireCold(ctx, chosen.instance, c.service.Cold.PerSecond, spare, c.attributes.ID)
-	if wait == 0 {
+	return wait
+}
+
+// recordColdSend records that the request is sent to the chosen instance with a permit. A request that is withdrawn after it got one counts as not
+// sent.
+func (c *call) recordColdSend(chosen *choice, now time.Time) {
+	if c.isColdLimited() && chosen.coldPermit != (upstreamlimit.ColdPermit{}) {
 		c.gateway.options.Cold.Sent(chosen.instance, now)
 	}
-	return wait
 }
 
 // mayUseColdPermit reports whether the request may be sent to the chosen instance at this moment.
--- a/gateway/cold_test.go
+++ b/gateway/cold_test.go
@@ -74,6 +74,43 @@
 	require.Greater(t, s.runsAt("u0")-before, 30, "the instance is warm")
 }
 
+// Guards against an instance that counts as warm because a request to it got a permit, and was withdrawn while its connection was opened.
+func TestWithdrawnRequestDoesNotCountAsSent(t *testing.T) {
+	const coldFor = 20 * time.Millisecond
+	s, e := newZonedSystem(t, good)
+	s.withLimiter()
+	limit := trafficset.ColdLimit{Duration: time.Second, PerSecond: 12}
+	guard := s.withColdLimit(limit, coldFor, "u0")
+	// The cold time is over, and the list is too old to show the instance as warm.
+	instance := &s.gateway.options.Directory.View().Instances[0]
+	time.Sleep(time.Until(instance.ColdUntil) + time.Millisecond)
+	var evacuates atomic.Bool
+	evacuates.Store(true)
+	s.gateway.options.Pool = upstreamconn.NewPool(upstreamconn.Options{Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		if evacuates.Load() {
+			e.set("z0")
+		}
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	}})
+	need := func() coldstart.Need { return guard.Need(instance, limit, time.Now()) }
+	require.Eventually(t, func() bool {
+		status, _, err := s.call("POST", "/once/", "")
+		require.NoError(t, err)
+		require.Equal(t, 503, status)
+		return e.current().Contains("z0")
+	}, 2*time.Second, 10*time.Millisecond, "no request got a permit")
+	require.Zero(t, s.runsAt("u0"))
+	require.Equal(t, coldstart.NewConnections, need(), "nothing was sent")
+	evacuates.Store(false)
+	e.set()
+	require.Eventually(t, func() bool {
+		status, _, err := s.call("POST", "/once/", "")
+		require.NoError(t, err)
+		return status == 200
+	}, 2*time.Second, 10*time.Millisecond)
+	require.Equal(t, coldstart.NoPermit, need(), "a request was sent")
+}
+
 // Guards against requests that wait, or fail as if they may have run, because all instances of a service are cold.
 func TestRequestBeyondAllColdInstancesIsRefusedAtOnce(t *testing.T) {
 	s := newSystem(t, good)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -270,6 +270,7 @@
 	attempt := o.Tracker.Begin(instance, work)
 	c.sends++
 	c.sentAt = time.Now()
+	c.recordColdSend(chosen, c.sentAt)
 	c.mayHaveRun = true
 	c.prompt = c.gateway.crashes.begin(instance, c.attributes.ID, c.parts)
 	defer c.prompt.end()
