fairshare: late digests of a former relay do not replace newer ones

ApplyDigest compared sequence numbers only with the digest before, and took any digest of another relay for newer. After a change of the relay, a repeated or delayed digest of the former one replaced the sums of its successor. A report and a digest of the own zone also forgot each other's sequence numbers.

Sequence numbers are kept for each relay of a zone, and digests of a relay that was replaced are ignored for 1 s, in which what it sent before may arrive. The sources keep their sequence numbers when others replace their sums.

TestLateDigestOfAFormerRelayIsIgnored (1000 instead of 2000 ms) and TestLateNewsOfTheOwnZoneIsIgnored (90 instead of 400) fail without the change; the package passes with it.

--- a/serving/fairshare/news.go
+++ b/serving/fairshare/news.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -19,6 +20,9 @@
 	maxNews = 16
 	// maxSources bounds the nodes and zones whose sums are kept.
 	maxSources = 1024
+	// lateDigests is how long digests of a relay that was replaced are ignored: what it sent before may arrive meanwhile. It is above the time
+	// that datagrams take, and relays are replaced after 0.2 s without digests.
+	lateDigests = time.Second
 	// sentReports is the number of own reports whose sums are kept: a digest contains one of the last second.
 	sentReports = 16
 )
@@ -26,10 +30,48 @@
 // source is what another node of the zone, or a zone, reported last.
 type source struct {
 	sequence uint64
-	// relay is the node that merged the digest of a zone.
+	// relay is the node that merged the digest of a zone, former are those before it.
 	relay      uint32
+	former     map[uint32]formerRelay
 	receivedAt time.Time
-	sums       map[Key]float64
+	// sums is nil if other sources have replaced them.
+	sums map[Key]float64
+}
+
+// formerRelay is a relay that was replaced, with the newest sequence number of its digests.
+type formerRelay struct {
+	sequence   uint64
+	replacedAt time.Time
+}
+
+// follow records the relay and the sequence number of a digest, and reports whether the digest is newer than that before. Sequence numbers of
+// different relays cannot be compared.
+func (s *source) follow(relay uint32, sequence uint64, now time.Time) bool {
+	if s.receivedAt.IsZero() {
+		s.relay, s.sequence = relay, sequence
+		return true
+	}
+	if s.relay == relay {
+		newer := sequence > s.sequence
+		s.sequence = max(s.sequence, sequence)
+		return newer
+	}
+	if former, known := s.former[relay]; known {
+		if sequence <= former.sequence {
+			return false
+		}
+		if now.Sub(former.replacedAt) < lateDigests {
+			s.former[relay] = formerRelay{sequence, former.replacedAt}
+			return false
+		}
+	}
+	maps.DeleteFunc(s.former, func(other uint32, f formerRelay) bool { return other == relay || now.Sub(f.replacedAt) > newsTimeout })
+	if s.former == nil {
+		s.former = map[uint32]formerRelay{}
+	}
+	s.former[s.relay] = formerRelay{s.sequence, now}
+	s.relay, s.sequence = relay, sequence
+	return true
 }
 
 // sentReport is one report of this node.
@@ -168,12 +210,15 @@
 	if s == nil || s.sequence >= sequence {
 		return
 	}
-	// The digest of the own zone contains the same sums.
-	delete(l.news.zones, l.news.ownZone)
+	// The digest of the own zone contains the same sums. Its sequence number still tells which digests are late.
+	if digest := l.news.zones[l.news.ownZone]; digest != nil {
+		digest.sums = nil
+	}
 	s.sequence, s.receivedAt, s.sums = sequence, now, decode(list)
 }
 
-// ApplyDigest records the sums in the digest of a zone. If the zone is that of this node, own is set, and merged is the low part of the
+// ApplyDigest records the sums in the digest of a zone, unless a newer one of the same relay, or one of a relay that replaced it lately, came
+// before. If the zone is that of this node, own is set, and merged is the low part of the
 // sequence number of its newest report in the digest, 0 if there is none.
 func (l *Ledger) ApplyDigest(d *nodepb.ZoneDigest, own bool, merged uint32, now time.Time) {
 	if len(d.GetAccounts()) == 0 {
@@ -182,15 +227,17 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.news.source(l.news.zones, d.GetZone(), now)
-	if s == nil || s.relay == d.GetRelay() && s.sequence >= d.GetSequence() {
+	if s == nil || !s.follow(d.GetRelay(), d.GetSequence(), now) {
 		return
 	}
-	s.relay, s.sequence, s.receivedAt, s.sums = d.GetRelay(), d.GetSequence(), now, decode(d.GetAccounts())
+	s.receivedAt, s.sums = now, decode(d.GetAccounts())
 	if !own {
 		return
 	}
 	l.news.ownZone = d.GetZone()
-	clear(l.news.nodes)
+	for _, node := range l.news.nodes {
+		node.sums = nil
+	}
 	for key, ms := range l.news.merged(merged, now) {
 		if left := s.sums[key] - ms; left > 0 {
 			s.sums[key] = left
--- a/serving/fairshare/nodes_test.go
+++ b/serving/fairshare/nodes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -255,3 +256,49 @@
 	l.news.expire(now)
 	require.Zero(t, sum())
 }
+
+// Guards against sums of a former relay that arrive late and replace newer ones of its successor.
+func TestLateDigestOfAFormerRelayIsIgnored(t *testing.T) {
+	l, now, k := New(), time.Unix(1000, 0), NewKey("s", "a")
+	apply := func(relay uint32, sequence uint64, ms uint32) float64 {
+		l.ApplyDigest(&nodepb.ZoneDigest{
+			Zone: "far", Relay: relay, Sequence: sequence, Accounts: []*nodepb.AccountLoad{{Service: k.Service, Account: k.Account, WorkMs: ms}},
+		}, false, 0, now)
+		return math.Round(l.news.sums(now)[k])
+	}
+	require.EqualValues(t, 1000, apply(1, 8, 1000))
+	require.EqualValues(t, 2000, apply(2, 3, 2000), "another relay counts its digests on its own")
+	require.EqualValues(t, 2000, apply(1, 8, 1000), "repeated")
+	require.EqualValues(t, 2000, apply(1, 9, 1100), "sent before the change, and late")
+	require.EqualValues(t, 2100, apply(2, 4, 2100))
+	now = now.Add(lateDigests)
+	require.EqualValues(t, 2200, apply(2, 5, 2200))
+	require.EqualValues(t, 2200, apply(1, 9, 1100), "repeated after a while")
+	require.EqualValues(t, 1200, apply(1, 20, 1200), "the former relay is back")
+	require.EqualValues(t, 1200, apply(2, 5, 2200))
+	require.EqualValues(t, 1200, apply(2, 6, 2300))
+	require.EqualValues(t, 1300, apply(1, 21, 1300))
+	require.Len(t, l.news.zones["far"].former, 1)
+}
+
+// Guards against late reports after a digest of the own zone, and late digests after a report, that count because the source was forgotten.
+func TestLateNewsOfTheOwnZoneIsIgnored(t *testing.T) {
+	l, now, k := New(), time.Unix(1000, 0), NewKey("s", "a")
+	loads := func(ms uint32) []*nodepb.AccountLoad {
+		return []*nodepb.AccountLoad{{Service: k.Service, Account: k.Account, WorkMs: ms}}
+	}
+	report := func(sequence uint64, ms uint32) float64 {
+		l.ApplyReport("n", sequence, loads(ms), now)
+		return l.news.sums(now)[k]
+	}
+	digest := func(sequence uint64, ms uint32) float64 {
+		l.ApplyDigest(&nodepb.ZoneDigest{Zone: "own", Relay: 1, Sequence: sequence, Accounts: loads(ms)}, true, 0, now)
+		return l.news.sums(now)[k]
+	}
+	require.EqualValues(t, 100, report(5, 100))
+	require.EqualValues(t, 400, digest(7, 400))
+	require.EqualValues(t, 400, report(4, 90), "a late report")
+	require.EqualValues(t, 120, report(6, 120))
+	require.EqualValues(t, 120, digest(6, 300), "a late digest")
+	require.EqualValues(t, 500, digest(8, 500))
+}
