cli: show evacuated zones of the member that answers, with the age of its state

`wasabishunt status` printed the evacuated zones of the leader only, so it showed none while no member led, and nothing told an old state from a current one. status and watch now take the zones of the answering member that has applied most, name it, and say how long ago its state was known to hold everything committed. Without zones they say so only if the state is older than 1 s.

TestEvacuatedZonesWithoutALeader and TestEvacuatedZonesOfTheNewestMember fail with the former views and pass with the new ones.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -321,6 +321,44 @@
 	}
 }
 
+// Guards against views that hide the evacuated zones while no member leads, and against old ones that pass for current.
+func TestEvacuatedZonesWithoutALeader(t *testing.T) {
+	address := serve(t, &stub{status: &controlpb.StatusResponse{
+		MemberId: 2, AppliedIndex: 7, SetVersion: 9, MembershipRevision: 1, EvacuatedZones: []string{"z1"}, StateAgeMs: 90_500,
+	}})
+	for _, command := range []string{"status", "watch"} {
+		code, out, _ := invoke(t, address, command)
+		if command == "status" {
+			require.Equal(t, ExitRefused, code, "no member leads")
+		}
+		require.Contains(t, out, "evacuated zones: z1 (by member "+address+", its state is 1m30.5s old)", command)
+		_, out, _ = invoke(t, address, "-o", "json", command)
+		require.Contains(t, out, `"state_age_ms": 90500`, command)
+	}
+	for age, text := range map[uint64]string{5: "", 5000: "evacuated zones: none known", 0: "the age of its state is unknown"} {
+		address = serve(t, &stub{status: &controlpb.StatusResponse{MemberId: 1, LeaderId: 1, SetVersion: 9, StateAgeMs: age}})
+		_, out, _ := invoke(t, address, "status")
+		if text == "" {
+			require.NotContains(t, out, "evacuated")
+		} else {
+			require.Contains(t, out, text)
+		}
+	}
+}
+
+// Guards against zones of a member that is behind, although another one answers that is not.
+func TestEvacuatedZonesOfTheNewestMember(t *testing.T) {
+	var out strings.Builder
+	p := &program{stdout: &out}
+	p.printMembers([]memberRow{
+		{Address: "a", Applied: 5, StateAgeMs: 9000, EvacuatedZones: []string{"old"}},
+		{Address: "b", Applied: 8, StateAgeMs: 40, EvacuatedZones: []string{"new"}},
+		{Address: "c", Role: "unreachable", Error: "refused"},
+	})
+	require.Contains(t, out.String(), "evacuated zones: new (by member b, its state is 40ms old)")
+	require.NotContains(t, out.String(), "old (")
+}
+
 // Guards against an explain that stops at the first entry without a record of the request.
 func TestExplain(t *testing.T) {
 	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/cli/views.go
+++ b/cli/views.go
@@ -27,7 +27,9 @@
 	Bookings   int64  `json:"bookings"`
 	// EvacuatedZones are those that the member knows.
 	EvacuatedZones []string `json:"evacuated_zones,omitempty"`
-	Error          string   `json:"error,omitempty"`
+	// StateAgeMs is how long ago the member's state was known to be current, 0 if unknown.
+	StateAgeMs uint64 `json:"state_age_ms,omitempty"`
+	Error      string `json:"error,omitempty"`
 }
 
 func memberRowOf(m controlclient.MemberStatus) memberRow {
@@ -47,6 +49,7 @@
 	return memberRow{
 		Address: m.Address, ID: s.MemberId, Role: role, Term: s.Term, Commit: s.CommitIndex,
 		Applied: s.AppliedIndex, SetVersion: s.SetVersion, Bookings: s.Bookings, EvacuatedZones: s.EvacuatedZones,
+		StateAgeMs: s.StateAgeMs,
 	}
 }
 
@@ -81,18 +84,32 @@
 		})
 	}
 	p.table(lines)
-	// A member that is behind may lack a change that the leader has.
-	for _, r := range rows {
-		if r.Role == "leader" {
-			p.printEvacuated(r.EvacuatedZones)
+	// Members execute the same log: the one that has applied most has the newest zones, whether it leads or not.
+	newest := -1
+	for i, r := range rows {
+		if r.Error == "" && (newest < 0 || r.Applied > rows[newest].Applied || r.Applied == rows[newest].Applied && r.Role == "leader") {
+			newest = i
 		}
 	}
+	if newest >= 0 {
+		r := rows[newest]
+		p.printEvacuated(r.EvacuatedZones, r.Address, r.StateAgeMs)
+	}
 }
 
-func (p *program) printEvacuated(zones []string) {
-	if len(zones) > 0 {
-		_, _ = fmt.Fprintf(p.stdout, "evacuated zones: %s\n", strings.Join(zones, ", "))
+// currentStateMs is the age up to which the state of a member counts as current: members are in contact each few hundred milliseconds.
+const currentStateMs = 1000
+
+// printEvacuated prints the evacuated zones that a member knows, and how old its state is. It prints nothing if there are none by a current state.
+func (p *program) printEvacuated(zones []string, member string, ageMs uint64) {
+	if len(zones) == 0 && ageMs > 0 && ageMs <= currentStateMs {
+		return
 	}
+	age := "the age of its state is unknown"
+	if ageMs > 0 {
+		age = fmt.Sprintf("its state is %v old", time.Duration(ageMs)*time.Millisecond)
+	}
+	_, _ = fmt.Fprintf(p.stdout, "evacuated zones: %s (by member %s, %s)\n", cmp.Or(strings.Join(zones, ", "), "none known"), member, age)
 }
 
 func number(n uint64) string { return strconv.FormatUint(n, 10) }
@@ -105,6 +122,9 @@
 	Processes []processRow `json:"processes"`
 	// EvacuatedZones are those of the member with the newest memberships.
 	EvacuatedZones []string `json:"evacuated_zones,omitempty"`
+	// EvacuatedZonesFrom is the address of that member, StateAgeMs how long ago its state was known to be current, 0 if unknown.
+	EvacuatedZonesFrom string `json:"evacuated_zones_from,omitempty"`
+	StateAgeMs         uint64 `json:"state_age_ms,omitempty"`
 	// Unreachable lists members that did not answer. Processes that report to them may be shown as missing.
 	Unreachable []string `json:"unreachable_members,omitempty"`
 }
@@ -144,8 +164,10 @@
 			}
 			existing.SetVersion = version
 		}
-		if m.Status.MembershipRevision >= newest {
+		isFresher := d.StateAgeMs == 0 || m.Status.StateAgeMs > 0 && m.Status.StateAgeMs < d.StateAgeMs
+		if m.Status.MembershipRevision > newest || m.Status.MembershipRevision == newest && isFresher {
 			newest, d.EvacuatedZones = m.Status.MembershipRevision, m.Status.EvacuatedZones
+			d.EvacuatedZonesFrom, d.StateAgeMs = m.Address, m.Status.StateAgeMs
 		}
 	}
 	for _, state := range processes {
@@ -220,7 +242,9 @@
 	for _, address := range d.Unreachable {
 		_, _ = fmt.Fprintf(p.stdout, "control member %s is unreachable\n", address)
 	}
-	p.printEvacuated(d.EvacuatedZones)
+	if d.EvacuatedZonesFrom != "" {
+		p.printEvacuated(d.EvacuatedZones, d.EvacuatedZonesFrom, d.StateAgeMs)
+	}
 	lines := [][]string{{"PROCESS", "ROLE", "SERVES", "ZONE", "STATE", "SET", "NOTE"}}
 	for _, r := range d.Processes {
 		lines = append(lines, []string{r.ID, r.Role, r.Serves, r.Zone, r.State, number(r.SetVersion), r.Missing})
--- a/control/evacuations_test.go
+++ b/control/evacuations_test.go
@@ -116,4 +116,5 @@
 	status, err := client.StatusOf(t.Context(), addresses[0], true)
 	require.NoError(t, err)
 	require.Equal(t, []string{"z1"}, status.EvacuatedZones)
+	require.EqualValues(t, 2, status.StateAgeMs, "1.5 ms, rounded up")
 }
--- a/control/fake_test.go
+++ b/control/fake_test.go
@@ -95,6 +95,8 @@
 	return m.applied == len(m.group.log)
 }
 
+func (m *fakeMember) StateAge() (time.Duration, bool) { return 1500 * time.Microsecond, m.Fresh() }
+
 func (m *fakeMember) Members() *raftpb.Members {
 	members := &raftpb.Members{}
 	for _, other := range m.group.members {
--- a/control/member/replicator.go
+++ b/control/member/replicator.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -52,6 +53,9 @@
 // Fresh reports whether the applied state is known to be current.
 func (r replicator) Fresh() bool { return r.replica.Fresh() }
 
+// StateAge returns how long ago the applied state was known to be current.
+func (r replicator) StateAge() (age time.Duration, known bool) { return r.replica.StateAge() }
+
 // Members returns the current members and the ids of removed ones.
 func (r replicator) Members() *raftpb.Members {
 	return r.replica.Status().Members
--- a/control/replicator.go
+++ b/control/replicator.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -24,6 +25,8 @@
 	Leader() (id uint64, address string)
 	// Fresh reports whether the local state is known to be current, see section 2.3 of the design.
 	Fresh() bool
+	// StateAge returns how long ago the local state was known to be current, and false if it never was since the start.
+	StateAge() (age time.Duration, known bool)
 	// Members returns the current members and the ids of removed ones.
 	Members() *raftpb.Members
 	// ChangeMembers adds a learner, promotes a learner or removes a member, one at a time.
--- a/control/server_operator.go
+++ b/control/server_operator.go
@@ -273,6 +273,9 @@
 		SetVersion: version, MembershipRevision: revision, Members: s.replicator.Members(),
 		Bookings: int64(s.machine.Bookings()), EvacuatedZones: s.machine.evacuatedZones(),
 	}
+	if age, known := s.replicator.StateAge(); known {
+		response.StateAgeMs = uint64(age.Milliseconds()) + 1
+	}
 	if !q.Brief {
 		response.Processes = s.machine.processes()
 		s.fillSetVersions(response.Processes)
--- a/raft/read.go
+++ b/raft/read.go
@@ -196,6 +196,9 @@
 	n.freshness = kept
 }
 
+// FreshAt returns a time on the driver's clock up to which the applied state holds everything committed, 0 if none is known.
+func (n *Node) FreshAt() time.Duration { return time.Duration(n.freshStamp) }
+
 // FreshUntil returns the time on the driver's clock until which the applied state counts as fresh, 0 if it never was.
 func (n *Node) FreshUntil() time.Duration {
 	if n.freshStamp == 0 {
--- a/replica/contact.go
+++ b/replica/contact.go
@@ -69,6 +69,7 @@
 		r.transport.send(reply)
 	}
 	r.freshUntil.Store(int64(r.node.FreshUntil()))
+	r.freshAt.Store(int64(r.node.FreshAt()))
 }
 
 // stepQueued steps up to limit messages in the order of their arrival. A step that frees room moves messages from the inbox to held.
--- a/replica/contact_test.go
+++ b/replica/contact_test.go
@@ -67,6 +67,26 @@
 	require.Eventually(t, func() bool { return !leader.Fresh() }, contactLimit+2*time.Second, time.Millisecond)
 }
 
+// Guards against the state of a member without contact that passes for current.
+func TestStateAgeGrowsWithoutContact(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t, 3, func(*Options) {})
+	leader := g.write(1, failoverLimit)
+	age := func() time.Duration {
+		age, known := leader.StateAge()
+		require.True(t, known)
+		return age
+	}
+	require.Eventually(t, func() bool { return age() < contactLimit }, failoverLimit, time.Millisecond)
+	g.isolate(leader.options.ID)
+	at := time.Now()
+	require.Eventually(t, func() bool { return !leader.Fresh() }, contactLimit+2*time.Second, time.Millisecond)
+	require.GreaterOrEqual(t, age(), time.Second, "not fresh")
+	time.Sleep(500 * time.Millisecond)
+	// What was on its way when the links ended may still have arrived.
+	require.Greater(t, age(), time.Since(at)-500*time.Millisecond)
+}
+
 // awaitOtherLeader waits until another member than the old leader leads.
 func (g *group) awaitOtherLeader(old *process, limit time.Duration) {
 	began := time.Now()
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -338,6 +338,7 @@
 	r.status.Store(&s)
 	r.publishedAt.Store(int64(r.now()))
 	r.freshUntil.Store(int64(r.node.FreshUntil()))
+	r.freshAt.Store(int64(r.node.FreshAt()))
 	r.metrics.logBytes.Update(r.storage.wal.Bytes())
 	r.metrics.snapshotBytes.Update(r.snapshotBytes.Load())
 	r.transport.setMembers(s.Members.GetMembers())
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -174,6 +174,7 @@
 	// publishedAt is when status was last stored, as returned by now.
 	publishedAt atomic.Int64
 	freshUntil  atomic.Int64
+	freshAt     atomic.Int64
 	failed      atomic.Pointer[failure.Error]
 	// snapshotBytes is the size of the newest snapshot.
 	snapshotBytes atomic.Int64
@@ -356,6 +357,12 @@
 	}
 }
 
+// StateAge returns how long ago the applied state was known to hold everything committed, and false if it never was since the start.
+func (r *Replica) StateAge() (age time.Duration, known bool) {
+	at := r.freshAt.Load()
+	return max(0, r.now()-time.Duration(at)), at != 0
+}
+
 // Members returns the current member list.
 func (r *Replica) Members() []*raftpb.Member { return r.status.Load().Members.GetMembers() }
 
