coldstart: nodes that start long after an evacuation need no permits

Cause: since a node that has just started needs permits for 3 s if any zone was ever evacuated. Change: the replicated state keeps the time of the last change, from the clock of the leader that proposed it, and updates carry it. A node that starts later than cold-start-s and 2 s after it, by its own clock, needs no permits. Without a time, from members of an earlier version, it does.

--- a/coregroup/evacuations.go
+++ b/coregroup/evacuations.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
@@ -41,6 +42,7 @@
 	}
 	next.EvacuatedZones = zones
 	next.EvacuationsRevision++
+	next.EvacuationsChangedUnixMs = call.GetUnixMs()
 	return true
 }
 
@@ -84,6 +86,7 @@
 // SetEvacuation makes the start or the end of the evacuation of a zone durable. It fails with failure.NotLeader on a node that is not the leader,
 // and with failure.KeyConflict if the operation id was used for another call.
 func (g *Group) SetEvacuation(ctx context.Context, call *nodepb.SetEvacuation) error {
+	call.UnixMs = time.Now().UnixMilli()
 	if err := g.Propose(ctx, &nodepb.Command{Change: &nodepb.Command_SetEvacuation{SetEvacuation: call}}); err != nil {
 		return err
 	}
--- a/fleetview/server.go
+++ b/fleetview/server.go
@@ -198,6 +198,7 @@
 	u := &nodepb.WatchUpdate{
 		Term: s.Group.Term(), LeaderAddress: s.Group.Leader(), Fresh: s.Group.Fresh(), SetVersion: state.GetSetVersion(), Weights: state.GetWeights(),
 		EvacuationsRevision: state.GetEvacuationsRevision(), EvacuatedZones: state.GetEvacuatedZones(),
+		EvacuationsChangedUnixMs: state.GetEvacuationsChangedUnixMs(),
 	}
 	members := lo.Map(s.Group.Members(), func(m *raftpb.Member, _ int) *nodepb.CoreMember {
 		return &nodepb.CoreMember{Id: m.GetId(), Address: m.GetAddress(), Learner: m.GetLearner(), AvailabilityZone: m.GetAvailabilityZone()}
--- a/node/evacuations.go
+++ b/node/evacuations.go
@@ -23,13 +23,19 @@
 	if list == nil {
 		return coldstart.Zone{LearnedAt: time.Now()}
 	}
-	return coldstart.Zone{Evacuated: list.Contains(zone), ReturnedAt: list.EndedAt(zone), LearnedAt: list.LearnedAt()}
+	return coldstart.Zone{
+		Evacuated: list.Contains(zone), ReturnedAt: list.EndedAt(zone), LearnedAt: list.LearnedAt(), ChangeAge: time.Duration(n.evacuationChangeAge.Load()),
+	}
 }
 
 // applyEvacuations applies the evacuated zones of an update. A list with a higher revision is newer whoever sends it: members execute the same
 // log. Revision 0 means that no zone was ever evacuated. The caller holds updateMu.
 func (n *Node) applyEvacuations(from string, u *nodepb.WatchUpdate, now time.Time) {
+	first := n.evacuations.Load() == nil
 	if list, change, ok := n.evacuations.Load().Accept(u.GetEvacuationsRevision(), u.GetEvacuatedZones(), now); ok {
+		if changed := u.GetEvacuationsChangedUnixMs(); first && changed != 0 {
+			n.evacuationChangeAge.Store(int64(now.Sub(time.UnixMilli(changed))))
+		}
 		n.evacuations.Store(list)
 		n.log.Info("evacuated zones changed", zap.Uint64("revision", list.Revision()), zap.Strings("zones", change.Zones),
 			zap.Strings("started", change.Started), zap.Strings("ended", change.Ended), zap.String("from", from))
--- a/node/evacuations_test.go
+++ b/node/evacuations_test.go
@@ -84,17 +84,25 @@
 	limit := trafficset.ColdLimit{PerSecond: 12, Duration: 3 * time.Second}
 	for name, c := range map[string]struct {
 		revision uint64
-		need     coldstart.Need
+		// changedAgo is the age of the last change, 0 if the update does not tell it.
+		changedAgo time.Duration
+		need       coldstart.Need
 	}{
-		"after an evacuation":            {2, coldstart.NewConnections},
-		"nothing was evacuated, no wait": {0, coldstart.NoPermit},
+		"after an evacuation":            {2, 0, coldstart.NewConnections},
+		"just after an evacuation":       {2, time.Second, coldstart.NewConnections},
+		"long after an evacuation":       {2, 10 * time.Second, coldstart.NoPermit},
+		"nothing was evacuated, no wait": {0, 0, coldstart.NoPermit},
 	} {
 		t.Run(name, func(t *testing.T) {
 			n := New(Config{Name: "n", Retries: retrybudget.Limits{Window: time.Second}}, Parts{DecodeSet: decode}, zap.NewNop(), gometrics.NewRegistry())
 			now := time.Now()
 			n.directory.ApplyList([]upstreams.Instance{{ID: "i", Service: "s", AvailabilityZone: "z"}}, now)
 			instance := &n.directory.View().Instances[0]
-			n.applyEvacuations("a", &nodepb.WatchUpdate{EvacuationsRevision: c.revision, Fresh: true}, now)
+			update := &nodepb.WatchUpdate{EvacuationsRevision: c.revision, Fresh: true}
+			if c.changedAgo > 0 {
+				update.EvacuationsChangedUnixMs = now.Add(-c.changedAgo).UnixMilli()
+			}
+			n.applyEvacuations("a", update, now)
 			require.Equal(t, c.need, n.cold.Need(instance, limit, now.Add(time.Millisecond)))
 			n.cold.Sent(instance, now.Add(time.Millisecond))
 			require.Equal(t, c.need, n.cold.Need(instance, limit, now.Add(2900*time.Millisecond)), "a request does not show that the engine is warm")
--- a/node/node.go
+++ b/node/node.go
@@ -123,6 +123,8 @@
 	// written with updateMu held.
 	evacuations          atomic.Pointer[evacuation.List]
 	evacuationsConfirmed atomic.Pointer[time.Time]
+	// evacuationChangeAge is how old the last change was when the first list arrived, in ns; 0 if unknown.
+	evacuationChangeAge atomic.Int64
 	// zones are those of the settings.
 	zones  atomic.Pointer[[]string]
 	nodes  atomic.Int64
--- a/serving/coldstart/states.go
+++ b/serving/coldstart/states.go
@@ -58,12 +58,17 @@
 	// LearnedAt is when this node received its first list of evacuations, zero if no zone had ever been evacuated then. What it does not know
 	// of are evacuations that ended before.
 	LearnedAt time.Time
+	// ChangeAge is how long before LearnedAt an evacuation last began or ended, by the clocks of two VMs; 0 if unknown.
+	ChangeAge time.Duration
 }
 
+// clockTolerance is the difference between the clocks of two VMs up to which ChangeAge is relied on.
+const clockTolerance = 2 * time.Second
+
 // mayHaveReturned reports whether the evacuation of the zone may have ended shortly before this node learned of evacuations. What this node sends
 // meanwhile does not tell: an instance that accepts few requests answers them as a warm one does.
 func (z Zone) mayHaveReturned(instance *upstreams.Instance, limit trafficset.ColdLimit, list List, now time.Time) bool {
-	return !z.LearnedAt.IsZero() && now.Sub(z.LearnedAt) < limit.Duration && !list.ShowsWarmSince(instance, z.LearnedAt)
+	return !z.LearnedAt.IsZero() && z.ChangeAge < limit.Duration+clockTolerance && now.Sub(z.LearnedAt) < limit.Duration && !list.ShowsWarmSince(instance, z.LearnedAt)
 }
 
 // state is what a node knows of one incarnation beside the list.
--- a/serving/coldstart/states_test.go
+++ b/serving/coldstart/states_test.go
@@ -85,6 +85,24 @@
 	}
 }
 
+// Guards against a group that serves a fifth of its load for seconds after a restart of all nodes, because some zone was evacuated long ago: its nodes need
+// permits, and their owners hand out few.
+func TestStartedNodeNeedsNoPermitsLongAfterAnEvacuation(t *testing.T) {
+	for _, c := range []struct {
+		age  time.Duration
+		need Need
+	}{
+		{0, NewConnections},
+		{-time.Hour, NewConnections},
+		{limit.Duration + clockTolerance - time.Millisecond, NewConnections},
+		{limit.Duration + clockTolerance, NoPermit},
+	} {
+		var s States
+		need, _ := s.Need(instance(), limit, List{ContentAt: at(-2800)}, Zone{LearnedAt: at(0), ChangeAge: c.age}, at(10))
+		require.Equal(t, c.need, need, "%s", c.age)
+	}
+}
+
 // Guards against an instance that restarts under its identity and gets requests without permits, and against one sign that needs permits for ever.
 func TestSignOfARestart(t *testing.T) {
 	var s States
