--- a/replica/contact.go
+++ b/replica/contact.go
@@ -68,6 +68,7 @@
 	if reply != nil {
 		r.transport.send(reply)
 	}
+	r.freshAt.Store(int64(r.node.FreshAt()))
 	r.setFreshUntil(r.node.FreshUntil())
 }
 
--- a/serving/evacuation/evacuation.go
+++ b/serving/evacuation/evacuation.go
@@ -32,7 +32,9 @@
 	zones    map[string]bool
 	// ended is when this node learned that the evacuation of a zone ended.
 	ended map[string]time.Time
-	// skippedAt is when this node last received a list after it had missed one: in a missed list any zone may have been evacuated.
+	// learnedAt is when this node received its first list, zero if no zone had ever been evacuated then.
+	learnedAt time.Time
+	// skippedAt is when this node last received a list after it had missed some in which any zone may have been evacuated.
 	skippedAt time.Time
 }
 
@@ -54,11 +56,10 @@
 			change.Started = append(change.Started, zone)
 		}
 	}
-	if l != nil {
-		next.skippedAt = l.skippedAt
-		if revision > l.revision+1 {
-			next.skippedAt = now
-		}
+	if l == nil {
+		next.learnedAt = now
+	} else {
+		next.learnedAt, next.skippedAt = l.learnedAt, l.skippedAt
 		maps.Copy(next.ended, l.ended)
 		for zone := range l.zones {
 			if !next.zones[zone] {
@@ -66,6 +67,11 @@
 				next.ended[zone] = now
 			}
 		}
+		// Each revision starts or ends one evacuation. If the differences explain all of them, no other zone was evacuated meanwhile.
+		missed := revision - l.revision
+		if missed > 1 && missed != uint64(len(change.Started)+len(change.Ended)) {
+			next.skippedAt = now
+		}
 	}
 	maps.DeleteFunc(next.ended, func(_ string, at time.Time) bool { return now.Sub(at) > endedLifetime })
 	change.Zones = slices.Sorted(maps.Keys(next.zones))
@@ -86,6 +92,15 @@
 // has missed a list.
 func None() *List { return &List{} }
 
+// LearnedAt returns when this node received its first list, zero if no zone had ever been evacuated then. The evacuation of any zone may have
+// ended just before.
+func (l *List) LearnedAt() time.Time {
+	if l == nil {
+		return time.Time{}
+	}
+	return l.learnedAt
+}
+
 // Contains reports whether a zone is evacuated.
 func (l *List) Contains(zone string) bool { return l != nil && l.zones[zone] }
 
@@ -98,7 +113,7 @@
 }
 
 // EndedAt returns when this node learned that the evacuation of a zone ended, zero if it did not learn of an end in the last minutes. A zone
-// that is evacuated again keeps the time. After a missed list the evacuation of any zone may have ended.
+// that is evacuated again keeps the time. After missed lists the evacuation of any zone may have ended.
 func (l *List) EndedAt(zone string) time.Time {
 	if l == nil {
 		return time.Time{}
