gateway: the other instances refuse connections from the start of the test

TestSilentSendStaysIfNoOtherInstanceCanBeReached raced with its own set-up: a goroutine waited for at most 1 s for the first run and then gave the other instance an address at which nobody listens, while the request was on its way. It also failed if the first connection was not open within the 150 ms that the pool allows: the request went to the instance that refuses, and got 503.

Connections to all instances but the first one are now refused from the start, and extendTime, which already lengthens the deadline, also gives the opening of connections that time. markFirstUnresponsive waits 10 s for the first run, which is no property of the product.

--- a/gateway/move_test.go
+++ b/gateway/move_test.go
@@ -1,19 +1,18 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"slices"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/wasabishunt/wasabishunt/upstreams"
+	"github.com/wasabishunt/wasabishunt/upstreamconn"
 )
 
 // pausingStream sends two events, the second one after a pause.
@@ -32,30 +31,31 @@
 	}
 }
 
-// replaceOthers gives all instances but that of the first run an address at which nobody listens.
-func (s *system) replaceOthers() {
-	require.Eventually(s.t, func() bool { return len(s.startedRuns()) > 0 }, time.Second, time.Millisecond)
-	id, _, _ := strings.Cut(s.startedRuns()[0], "/")
+// refuseOthers makes connections to all instances but that of the first one be refused.
+func (s *system) refuseOthers() {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(s.t, err)
 	require.NoError(s.t, listener.Close())
-	directory := s.gateway.options.Directory
-	list := slices.Clone(directory.View().Instances)
-	for i := range list {
-		if list[i].ID != id {
-			list[i] = upstreams.Instance{ID: list[i].ID, Service: "s", Address: listener.Addr().String(), Versions: map[string]uint64{}}
+	var first atomic.Pointer[string]
+	s.gateway.options.Pool = upstreamconn.NewPool(upstreamconn.Options{DialTimeout: s.deadline(), Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		if !first.CompareAndSwap(nil, &address) && *first.Load() != address {
+			address = listener.Addr().String()
 		}
-	}
-	directory.ApplyList(list, time.Now())
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	}})
 }
 
-// extendTime gives requests more time, for tests whose answers take up to 1.4 s: on a busy machine they were cut off at the end of the 1.5 s that
-// requests have otherwise.
+// deadline is how long callers wait.
+func (s *system) deadline() time.Duration { return time.Duration(s.deadlineMs) * time.Millisecond }
+
+// extendTime gives requests and the opening of connections more time. On a busy machine requests were cut off at the end of the 1.5 s that they
+// have otherwise, or refused after 150 ms without a connection.
 func (s *system) extendTime() {
 	s.deadlineMs = 10_000
+	s.gateway.options.Pool = upstreamconn.NewPool(upstreamconn.Options{DialTimeout: s.deadline()})
 	routes := s.sets.Set().Routes
 	for i := range routes {
-		routes[i].Timeout = time.Duration(s.deadlineMs) * time.Millisecond
+		routes[i].Timeout = s.deadline()
 	}
 }
 
@@ -76,12 +76,10 @@
 			t.Parallel()
 			s := newSystem(t, c.answer, c.answer)
 			s.extendTime()
-			go func() {
-				s.replaceOthers()
-				if c.unresponsive {
-					s.markFirstUnresponsive()
-				}
-			}()
+			s.refuseOthers()
+			if c.unresponsive {
+				go s.markFirstUnresponsive()
+			}
 			status, body, err := s.call("POST", c.path, "")
 			require.NoError(t, err)
 			require.Equal(t, 200, status)
--- a/gateway/unresponsive_test.go
+++ b/gateway/unresponsive_test.go
@@ -18,7 +18,7 @@
 
 // markFirstUnresponsive waits for the first run and then records that its instance did not respond to another send.
 func (s *system) markFirstUnresponsive() {
-	require.Eventually(s.t, func() bool { return len(s.startedRuns()) > 0 }, time.Second, time.Millisecond)
+	require.Eventually(s.t, func() bool { return len(s.startedRuns()) > 0 }, 10*time.Second, time.Millisecond)
 	id, _, _ := strings.Cut(s.startedRuns()[0], "/")
 	list := s.gateway.options.Directory.View().OfService("s")
 	i := slices.IndexFunc(list, func(i *upstreams.Instance) bool { return i.ID == id })
