--- a/replica/slowdisk_test.go
+++ b/replica/slowdisk_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -48,13 +50,15 @@
 		unstall := sync.OnceFunc(stall.Unlock)
 		t.Cleanup(unstall)
 		for value := uint64(2); value < 200; value++ {
-			// The slow member does not answer while it stores a snapshot of its leader after its own.
+			command := append(set(value), make([]byte, commandBytes)...)
 			require.Eventually(t, func() bool {
-				for _, p := range g.members {
+				// The slow member does not answer while it stores a snapshot of its leader after its own, so the last leader is asked first.
+				for _, p := range slices.Concat([]*process{leader}, slices.Collect(maps.Values(g.members))) {
 					ctx, cancel := context.WithTimeout(t.Context(), time.Second)
-					_, err := p.Propose(ctx, append(set(value), make([]byte, commandBytes)...))
+					_, err := p.Propose(ctx, command)
 					cancel()
 					if err == nil {
+						leader = p
 						return true
 					}
 				}
