gateway: more time for requests in TestEarlyAnswerWithoutLengthIsComplete

With -race beside load the test fails for two reasons, seen in a trace. Four callers send 4 MB each, and the 1.5 s of a request end before its body is read (408), sent (429) or answered (504), or within the answer. And the write of the request makes no progress for 50 ms at the end of the answer, which counts as a cut. The test is about the second rule only, so extendTime takes the first limit away.

--- a/gateway/resetanswer_test.go
+++ b/gateway/resetanswer_test.go
@@ -121,6 +121,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newEarlySystem(t, upstream)
+			s.extendTime()
 			for _, path := range []string{"/stream/", "/once/"} {
 				require.Equal(t, tries, s.callMany(path, strings.Repeat("x", 4<<20), tries), path)
 			}
