--- a/upstreamlimit/coldstatessim_test.go
+++ b/upstreamlimit/coldstatessim_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"time"
 
-
 	"github.com/wasabishunt/wasabishunt/serving/coldstart"
 	"github.com/wasabishunt/wasabishunt/trafficset"
 	"github.com/wasabishunt/wasabishunt/upstreams"
