--- a/logging/sink_test.go
+++ b/logging/sink_test.go
@@ -58,3 +58,19 @@
 		require.Contains(t, line, part)
 	}
 }
+
+// Guards against a process that ends with a panic because a task that outlives its stop logs after the log was closed.
+func TestLinesAfterCloseAreLost(t *testing.T) {
+	t.Parallel()
+	var out bytes.Buffer
+	s := NewSink(&out, 4)
+	_, err := s.Write([]byte("before\n"))
+	require.NoError(t, err)
+	s.Close()
+	for range 10 {
+		_, err = s.Write([]byte("after\n"))
+		require.NoError(t, err)
+	}
+	require.Equal(t, "before\n", out.String())
+	require.Zero(t, s.Dropped())
+}
--- a/node/node.go
+++ b/node/node.go
@@ -331,8 +331,8 @@
 	refusalLead = 200 * time.Millisecond
 	// stopMargin is the time between the end of the last requests and the kill at the end of Grace.
 	stopMargin = 400 * time.Millisecond
-	// exitMargin is the time between the end of the process and the kill, if a task does not end.
-	exitMargin = 100 * time.Millisecond
+	// exitMargin is the time between the end of Run and the kill, if a task does not end. Closing the log may take 200 ms of it.
+	exitMargin = 250 * time.Millisecond
 	drainPoll  = 20 * time.Millisecond
 )
 
--- a/raft/election.go
+++ b/raft/election.go
@@ -38,10 +38,6 @@
 		n.becomeFollower(n.term, 0)
 		return
 	}
-	if n.isRefused() {
-		n.yield()
-		return
-	}
 	if n.transferTo != 0 && n.now >= n.transferDeadline {
 		n.transferTo = 0
 	}
@@ -52,30 +48,6 @@
 	}
 }
 
-// isRefused reports whether the other members answer but have taken none of this leader's entries for longer than an election takes, three syncs of a
-// slow disk included, and it has not committed one in its term: followers drop commands that their disks have no room for, and the first entry of
-// the term stands behind those of earlier terms. Such a leader serves neither commands nor reads. The others must be a quorum, so that one with a
-// shorter log can be elected.
-func (n *Node) isRefused() bool {
-	if n.committedInCurrentTerm() || n.now-n.takenAt < 2*n.config.Election+n.config.CheckQuorum {
-		return false
-	}
-	refusing := 0
-	for _, p := range n.peers {
-		if n.currentConfig().isVoter(p.id) && p.mayVote && p.installing == 0 && p.match < n.log.last() && n.sinceStamp(p.ack) <= n.config.CheckQuorum {
-			refusing++
-		}
-	}
-	return refusing >= n.currentConfig().quorum()
-}
-
-// yield ends the leadership of this member and leaves the others two election timeouts to elect one of them. It would win again otherwise, because
-// its log is the longest.
-func (n *Node) yield() {
-	n.becomeFollower(n.term, 0)
-	n.electionDeadline += 2 * n.config.Election
-}
-
 func (n *Node) sinceStamp(stamp uint64) time.Duration {
 	return n.now - time.Duration(stamp)
 }
@@ -255,7 +227,6 @@
 func (n *Node) becomeLeader() {
 	n.role = Leader
 	n.leader = n.config.ID
-	n.takenAt = n.now
 	n.peers = map[uint64]*progress{}
 	n.transferTo = 0
 	n.freshness = nil
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -151,8 +151,6 @@
 	lastStamp uint64
 	// quorumStamp is the latest stamp whose heartbeat was answered by a quorum.
 	quorumStamp uint64
-	// takenAt is when another member last took entries of this leader, or when the leadership began.
-	takenAt time.Duration
 	// commitAtHeartbeat is the commit index at the last round of heartbeats.
 	commitAtHeartbeat uint64
 	transferTo        uint64
--- a/raft/replicate.go
+++ b/raft/replicate.go
@@ -179,9 +179,6 @@
 	if m.GetLogIndex() >= p.installing {
 		p.installing = 0
 	}
-	if m.GetLogIndex() > p.match {
-		n.takenAt = n.now
-	}
 	if m.GetLogIndex() >= p.match {
 		p.match = m.GetLogIndex()
 		p.next = max(p.next, p.match+1)
