placement: one call for the choice of an instance, with an equivalence test

It consists of calls between which callers change the descriptions, so it can't be made cheaper without a change of its interface. Change: Tracker.Choose makes the whole choice; the gateway passes the pauses of limited and cold instances as arguments. A property test compares it with the previous implementation, which it contains, over random states of a node with 1 to 200 instances.

--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -70,29 +70,30 @@
 	return c.isSpare() || c.attributes.Generation != nil && !urgency.IsShort()
 }
 
-// markCold sets the pauses of those candidates, all instances of the service in a view, that are cold and leave no permit for this node yet.
-func (c *call) markCold(view *upstreams.View, candidates []placement.Candidate, now time.Time) {
+// coldPauses returns the pauses of those instances of the service in a view that are cold and leave no permit for this node yet, by their
+// positions in the list of the service's instances.
+func (c *call) coldPauses(view *upstreams.View, q *placement.Request, now time.Time) map[int]time.Duration {
 	if !c.isColdLimited() {
-		return
+		return nil
 	}
 	o := c.gateway.options
 	waits := o.Limiter.ColdWaits(now)
 	if waits == nil {
-		return
+		return nil
 	}
+	pauses := make(map[int]time.Duration, len(waits))
 	for hash, wait := range waits {
 		instance := view.ByHash(hash)
 		if instance == nil || instance.Service != c.service.Name || !c.needsColdPermit(instance, nil, now) {
 			continue
 		}
-		// The candidates are those of the view, in its order.
-		candidate := &candidates[view.Position(instance)]
 		left := wait.Urgent
-		if c.leavesColdReserve(candidate.CachedTokens) {
+		if c.leavesColdReserve(o.Tracker.CachedTokens(instance, now, q)) {
 			left = wait.Spare
 		}
-		candidate.PauseLeft = max(candidate.PauseLeft, left)
+		pauses[view.Position(instance)] = left
 	}
+	return pauses
 }
 
 // recordColdConnection records what a new connection shows of an instance.
--- a/gateway/cold_test.go
+++ b/gateway/cold_test.go
@@ -214,8 +214,8 @@
 	}
 }
 
-// BenchmarkMarkCold measures what each choice among instances pays while the zone of some of them returns.
-func BenchmarkMarkCold(b *testing.B) {
+// BenchmarkColdPauses measures what each choice among instances pays while the zone of some of them returns.
+func BenchmarkColdPauses(b *testing.B) {
 	const cold = 14
 	for _, engines := range []int{15, 2600} {
 		for name, limit := range map[string]trafficset.ColdLimit{"cold": {Duration: time.Hour, PerSecond: 1}, "no limit": {}} {
@@ -238,10 +238,10 @@
 					}
 				}
 				c := &call{gateway: s.gateway, set: s.sets.Set(), route: &s.sets.Set().Routes[0], service: s.sets.Set().Service("s")}
-				candidates := s.gateway.options.Tracker.Candidates(instances, time.Now(), &placement.Request{})
+				q := &placement.Request{}
 				b.ReportAllocs()
 				for b.Loop() {
-					c.markCold(view, candidates, time.Now())
+					c.coldPauses(view, q, time.Now())
 				}
 			})
 		}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -173,16 +173,10 @@
 		c.describePrompt(q)
 	}
 	now := time.Now()
-	candidates := o.Tracker.Candidates(view.OfService(c.service.Name), now, q)
-	c.markLimited(candidates, now)
-	c.markCold(view, candidates, now)
-	if q.CacheTokens > 0 {
-		placement.MarkHomes(q, candidates)
-		placement.MarkHeld(q, candidates)
-	}
-	best := placement.Pick(q, candidates)
+	pauses := placement.Pauses{ByHash: c.limitedPauses(now), ByPosition: c.coldPauses(view, q, now)}
+	best, pauseLeft := o.Tracker.Choose(view.OfService(c.service.Name), now, q, pauses)
 	if best == nil {
-		return nil, placement.ShortestPause(q, candidates)
+		return nil, pauseLeft
 	}
 	chosen = &choice{instance: best.Instance, query: q, version: best.Version, speedPercent: int(math.Round(100 * best.Slowness))}
 	if q.CacheTokens > 0 {
--- a/gateway/ratelimit.go
+++ b/gateway/ratelimit.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/wasabishunt/wasabishunt/placement"
 	"github.com/wasabishunt/wasabishunt/trafficset"
 	"github.com/wasabishunt/wasabishunt/upstreamconn"
 	"github.com/wasabishunt/wasabishunt/upstreams"
@@ -82,18 +81,11 @@
 	return 0
 }
 
-// markLimited sets the pauses of candidates whose limit leaves no permit for this node yet.
-func (c *call) markLimited(candidates []placement.Candidate, now time.Time) {
+// limitedPauses returns the pauses of instances whose limit leaves no permit for this node yet, by the hashes of their keys.
+func (c *call) limitedPauses(now time.Time) map[uint32]time.Duration {
 	limiter := c.gateway.options.Limiter
 	if limiter == nil || limiter.Idle() {
-		return
-	}
-	waits := limiter.Waits(c.isSpare(), now)
-	if waits == nil {
-		return
-	}
-	for i := range candidates {
-		candidate := &candidates[i]
-		candidate.PauseLeft = max(candidate.PauseLeft, waits[candidate.Instance.Key().Hash()])
+		return nil
 	}
+	return limiter.Waits(c.isSpare(), now)
 }
--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -11,7 +11,7 @@
 // BenchmarkDecision measures the choice of an engine for one long prompt, at the numbers of engines of the
 // users' sites and of the target size.
 func BenchmarkDecision(b *testing.B) {
-	for _, engines := range []int{12, 47, 2600} {
+	for _, engines := range []int{12, 15, 47, 2600} {
 		b.Run(fmt.Sprintf("engines-%d", engines), func(b *testing.B) {
 			tracker := NewTracker()
 			var list []*upstreams.Instance
@@ -23,10 +23,7 @@
 			for request := 0; b.Loop(); request++ {
 				q := document(fmt.Sprint("d", request%1000))
 				q.Seed, q.TokenTransfer = fmt.Sprint(request), time.Microsecond
-				found := tracker.Candidates(list, time.Now(), q)
-				MarkHomes(q, found)
-				MarkHeld(q, found)
-				if Pick(q, found) == nil {
+				if best, _ := tracker.Choose(list, time.Now(), q, Pauses{}); best == nil {
 					b.Fatal("no engine")
 				}
 			}
--- /dev/null
+++ b/placement/choose_test.go
@@ -0,0 +1,608 @@
+package placement
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
+	"github.com/wasabishunt/wasabishunt/serving/prefillpool"
+	"github.com/wasabishunt/wasabishunt/upstreams"
+)
+
+// choiceWorld is a node's state that is changed at random. Random choices are drawn from a generator with a drawn seed: drawn one by one they
+// would be too many.
+type choiceWorld struct {
+	random   *rand.Rand
+	tracker  *Tracker
+	now      time.Time
+	list     []upstreams.Instance
+	attempts []*Attempt
+	sequence uint64
+	// share is the probability of each unusual condition of an instance.
+	share float64
+}
+
+func (w *choiceWorld) chance(probability float64) bool { return w.random.Float64() < probability }
+
+func (w *choiceWorld) duration(limit time.Duration) time.Duration {
+	return time.Duration(w.random.Int64N(int64(limit)))
+}
+
+func (w *choiceWorld) parts() []Part {
+	if w.chance(0.1) {
+		return nil
+	}
+	parts := []Part{{"common", 2500}, {fmt.Sprint("document", w.random.IntN(12)), 3000}, {fmt.Sprint("chapter", w.random.IntN(3)), 800}}
+	parts = parts[w.random.IntN(3):]
+	return append(parts[:w.random.IntN(len(parts)+1):len(parts)], Part{fmt.Sprint("own", w.random.IntN(1000)), 500})
+}
+
+func (w *choiceWorld) zone() string { return fmt.Sprint("z", w.random.IntN(3)) }
+
+func (w *choiceWorld) salt() string {
+	return (&Request{SharedCache: "all"}).Salt(uint64(w.random.IntN(3)))
+}
+
+// changeList replaces the list of instances by one with other properties.
+func (w *choiceWorld) changeList(count int) {
+	size := len(w.list)
+	if size == 0 || w.chance(0.3) {
+		size = count
+	}
+	old := w.list
+	w.list = nil
+	for i := range size {
+		instance := upstreams.Instance{
+			ID: fmt.Sprint("i", i), Service: "s", AvailabilityZone: w.zone(), Slots: 8,
+			Draining: w.chance(w.share), Updating: w.chance(w.share),
+		}
+		if i < len(old) {
+			instance.AvailabilityZone, instance.Born = old[i].AvailabilityZone, old[i].Born
+		}
+		if w.chance(0.05) {
+			instance.Born++
+		}
+		if i > 0 && w.chance(0.02) {
+			// The list may show the former incarnation of an instance for a while.
+			instance.ID, instance.Born = fmt.Sprint("i", i-1), 1000
+		}
+		instance.Address = instance.ID + ":1"
+		if w.chance(0.8) {
+			instance.Versions = map[string]uint64{"m": uint64(w.random.IntN(3))}
+		}
+		w.list = append(w.list, instance)
+	}
+}
+
+// view returns the list as a node gets it.
+func (w *choiceWorld) view() []*upstreams.Instance {
+	directory := upstreams.NewDirectory()
+	for range 1 + w.random.IntN(3) {
+		// The revisions of other views differ.
+		directory.ApplyList([]upstreams.Instance{{ID: fmt.Sprint(w.random.Int())}}, w.now)
+	}
+	directory.ApplyList(slices.Clone(w.list), w.now)
+	if w.chance(0.7) {
+		w.tracker.Sync(directory.View())
+	}
+	return directory.View().OfService("s")
+}
+
+func (w *choiceWorld) instance() *upstreams.Instance {
+	i := w.list[w.random.IntN(len(w.list))]
+	return &i
+}
+
+// usages returns the lists of a report.
+func (w *choiceWorld) usages() (keys, requests, prefill, long, held []uint32) {
+	for range w.random.IntN(len(w.list) + 1) {
+		key := hashKey(w.instance().ID)
+		if slices.Contains(keys, key) {
+			continue
+		}
+		tokens := uint32(w.random.IntN(9000))
+		keys, requests, prefill, held = append(keys, key), append(requests, uint32(w.random.IntN(4))), append(prefill, tokens), append(held, tokens)
+		long = append(long, tokens*uint32(w.random.IntN(2)))
+	}
+	return keys, requests, prefill, long, held
+}
+
+func (w *choiceWorld) reads() *nodepb.PromptReads {
+	reads := &nodepb.PromptReads{}
+	for range w.random.IntN(20) {
+		use := promptUse{sentAt: w.now, readAt: w.now.Add(w.duration(300 * time.Millisecond)), size: w.random.IntN(sizeClasses)}
+		appendRead(reads, promptRead{hashKey(w.instance().ID), keyParts(w.salt(), w.parts()), 9000 + w.random.IntN(30_000), use}, w.now)
+	}
+	return reads
+}
+
+func (w *choiceWorld) hashes(probability float64) (hashes []uint32) {
+	for w.chance(probability) {
+		hashes = append(hashes, hashKey(w.instance().ID))
+	}
+	return hashes
+}
+
+// change makes one change of the tracker's state.
+func (w *choiceWorld) change() {
+	w.now = w.now.Add(w.duration(20 * time.Millisecond))
+	switch w.random.IntN(9) {
+	case 0, 1, 2:
+		tokens := w.random.IntN(12_000)
+		work := Work{
+			Urgency: Urgency{w.random.IntN(3), tokens}, PrefillTokens: tokens, HeldTokens: tokens, FirstEvent: w.duration(300 * time.Millisecond),
+			Salt: w.salt(), Parts: w.parts(), CacheTokens: 9000 + w.random.IntN(30_000),
+		}
+		w.attempts = append(w.attempts, w.tracker.Begin(w.instance(), work))
+	case 3:
+		if len(w.attempts) > 0 {
+			attempt := w.attempts[w.random.IntN(len(w.attempts))]
+			if w.chance(0.5) {
+				attempt.Prefilled()
+			}
+			outcomes := []Outcome{Answered, Answered, Answered, Failed, Failed, Unresponsive, Rejected, Replaced, Canceled}
+			attempt.End(outcomes[w.random.IntN(len(outcomes))], w.now)
+		}
+	case 4:
+		if len(w.attempts) > 0 {
+			attempt := w.attempts[w.random.IntN(len(w.attempts))]
+			attempt.RecordAnswer(&Load{w.random.IntN(9), w.random.IntN(3), 8}, "m", uint64(w.random.IntN(3)), w.now)
+			if w.share > 0 {
+				attempt.RecordSpeed(50+w.random.IntN(250), w.now)
+			}
+		}
+	case 5:
+		if w.chance(w.share) {
+			w.tracker.Pause(w.instance(), w.duration(400*time.Millisecond), w.now)
+		}
+	case 6, 7:
+		w.sequence++
+		r := &nodepb.LoadReport{Node: fmt.Sprint("node", w.random.IntN(4)), Sequence: w.sequence, Reads: w.reads(), Silent: w.hashes(w.share), Replaced: w.hashes(w.share)}
+		r.Keys, r.Requests, r.PrefillTokens, r.LongTokens, r.HeldTokens = w.usages()
+		w.tracker.ApplyReport(r, "z0", w.now)
+	case 8:
+		w.sequence++
+		zone := w.random.IntN(3)
+		d := &nodepb.ZoneDigest{
+			Zone: fmt.Sprint("z", zone), Relay: uint32(w.random.IntN(2)), Sequence: w.sequence, Nodes: 3, Slots: 2, Slot: uint32(w.random.IntN(2)), Reads: w.reads(),
+			Replaced: w.hashes(w.share), MergedNodes: []uint32{hashKey("this")}, MergedSequences: []uint32{uint32(w.sequence)},
+		}
+		d.Keys, d.Requests, d.PrefillTokens, d.LongTokens, d.HeldTokens = w.usages()
+		for range d.GetKeys() {
+			d.SilentNodes = append(d.SilentNodes, uint32(w.random.IntN(2)))
+		}
+		d.Silent = d.GetKeys()
+		if !w.chance(w.share) {
+			d.Silent, d.SilentNodes = nil, nil
+		}
+		own := ""
+		if zone == 0 {
+			own = "this"
+			if w.chance(0.7) {
+				w.tracker.Report(w.sequence)
+			}
+		}
+		w.tracker.ApplyDigest(d, own, w.now)
+	}
+}
+
+// request returns a random request and pauses for a list of instances.
+func (w *choiceWorld) request(list []*upstreams.Instance) (*Request, Pauses) {
+	q := &Request{
+		Zone: w.zone(), Model: "m", WantedVersion: uint64(w.random.IntN(3)), RequireWantedVersion: w.chance(w.share), SharedCache: "all", Seed: fmt.Sprint("request-", w.random.Int()),
+		Urgency: Urgency{Priority: w.random.IntN(3)}, Exclude: map[string]bool{}, Evacuated: map[string]bool{},
+		Target: w.duration(2 * time.Second), GapTarget: w.duration(time.Second),
+	}
+	for w.chance(0.4) {
+		q.Exclude[w.instance().ID] = true
+	}
+	for w.chance(w.share) {
+		q.Evacuated[w.zone()] = w.chance(0.9)
+	}
+	if w.chance(0.8) {
+		q.Parts, q.CacheTokens = w.parts(), 20_000+w.random.IntN(40_000)
+		q.Tokens = 300 + w.random.IntN(12_000)
+		q.Urgency.PromptTokens = q.Tokens
+		q.StoredVersion, q.TokenTransfer = uint64(w.random.IntN(3)), time.Duration(w.random.IntN(3))*time.Microsecond
+		for _, part := range q.shared() {
+			stored := StoredPart{Tokens: part.Tokens, Transfer: w.duration(30 * time.Millisecond), Wait: w.duration(30 * time.Millisecond)}
+			if w.chance(0.5) {
+				stored.Address, stored.AvailabilityZone = "store", w.zone()
+				q.Stored = append(q.Stored, stored)
+			}
+		}
+	}
+	pauses := Pauses{ByHash: map[uint32]time.Duration{}, ByPosition: map[int]time.Duration{}}
+	for w.chance(w.share) {
+		pauses.ByHash[w.instance().Key().Hash()] = w.duration(time.Second)
+	}
+	for w.chance(w.share) {
+		pauses.ByPosition[w.random.IntN(len(list))] = w.duration(time.Second)
+	}
+	return q, pauses
+}
+
+// Guards against a choice that depends on how it is computed: Choose must return what the previous implementation returns, which described
+// all instances in full, for all states of a node.
+func TestChoicesAreThoseOfThePreviousImplementation(t *testing.T) {
+	counts := map[string]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.OneOf(rapid.IntRange(1, 20), rapid.IntRange(1, 200)).Draw(t, "instances")
+		changes := rapid.IntRange(0, 300).Draw(t, "changes")
+		seed := rapid.Uint64().Draw(t, "seed")
+		w := &choiceWorld{
+			random: rand.New(rand.NewPCG(seed, 1)), tracker: NewTracker(), now: time.Now(),
+			share: rapid.SampledFrom([]float64{0, 0.05, 0.05, 0.3, 0.9}).Draw(t, "share"),
+		}
+		if rapid.Bool().Draw(t, "uneven") {
+			w.tracker.RequireSpeeds()
+		}
+		for range 4 {
+			w.changeList(count)
+			list := w.view()
+			for range 3 {
+				for range changes / 12 {
+					w.change()
+				}
+				for range 4 {
+					// Requests read the clock before they wait for the tracker.
+					w.choose(t, list, w.now.Add(w.duration(40*time.Millisecond)-20*time.Millisecond), counts)
+				}
+				if w.chance(0.2) {
+					w.now = w.now.Add(w.duration(time.Second))
+				}
+			}
+		}
+	})
+	for _, kind := range []string{"uneven", "plain", "other pool", "no instance", "paused", "home", "holder", "fetch from an engine", "evacuated", "ejected"} {
+		require.Greater(t, counts[kind], 20, kind)
+	}
+}
+
+// choose compares the choices of both implementations for a random request.
+func (w *choiceWorld) choose(t *rapid.T, list []*upstreams.Instance, now time.Time, counts map[string]int) {
+	q, pauses := w.request(list)
+	old := *q
+	demand := func() (d prefillpool.Demand) {
+		if current := w.tracker.longDemand["s"]; current != nil {
+			d = *current
+		}
+		return d
+	}
+	before := demand()
+	best, pauseLeft := w.tracker.Choose(list, now, q, pauses)
+	after := demand()
+	if d := w.tracker.longDemand["s"]; d != nil {
+		*d = before
+	}
+	wantedBest, wantedPause, all := referenceChoose(w.tracker, list, now, &old, pauses)
+	require.Equal(t, demand(), after)
+	require.Equal(t, old, *q)
+	require.Equal(t, wantedPause, pauseLeft)
+	require.Equal(t, wantedBest, best)
+	if best != nil {
+		require.Same(t, wantedBest.Instance, best.Instance)
+	}
+	for kind, seen := range map[string]bool{
+		"uneven": q.Uneven, "plain": q.CacheTokens == 0, "no instance": best == nil, "paused": pauseLeft > 0, "fetch from an engine": len(q.Held) > 0,
+		"home": best != nil && best.homePosition > 0, "holder": best != nil && best.CachedParts > 1,
+		"other pool": slices.ContainsFunc(all, func(c Candidate) bool { return c.OtherPool }),
+		"evacuated":  slices.ContainsFunc(all, func(c Candidate) bool { return c.Evacuated }),
+		"ejected":    slices.ContainsFunc(all, func(c Candidate) bool { return c.Ejected }),
+	} {
+		if seen {
+			counts[kind]++
+		}
+	}
+}
+
+// referenceChoose and the functions below are the previous implementation of Choose.
+func referenceChoose(t *Tracker, list []*upstreams.Instance, now time.Time, q *Request, pauses Pauses) (best *Candidate, pauseLeft time.Duration, all []Candidate) {
+	candidates := referenceCandidates(t, list, now, q)
+	for i := range candidates {
+		c := &candidates[i]
+		c.PauseLeft = max(c.PauseLeft, pauses.ByPosition[i], pauses.ByHash[c.Instance.Key().Hash()])
+	}
+	if q.CacheTokens > 0 {
+		referenceMarkHomes(q, candidates)
+		referenceMarkHeld(q, candidates)
+	}
+	if best = referencePick(q, candidates); best == nil {
+		return nil, referenceShortestPause(q, candidates), candidates
+	}
+	return best, 0, candidates
+}
+
+type referenceFilter func(q *Request, c *Candidate) bool
+
+var referenceRequired = []referenceFilter{
+	referenceIsNotDraining,
+	func(_ *Request, c *Candidate) bool { return c.PauseLeft == 0 },
+	func(q *Request, c *Candidate) bool { return !q.Exclude[c.Instance.ID] },
+	referenceIsSameIncarnation,
+	referenceIsRecentEnough,
+	referenceIsNotEvacuated,
+}
+
+var referencePreferred = []referenceFilter{
+	func(_ *Request, c *Candidate) bool { return !c.Ejected },
+	func(_ *Request, c *Candidate) bool { return !c.Instance.Updating },
+	func(_ *Request, c *Candidate) bool { return !c.Avoided },
+}
+
+func referenceIsNotDraining(_ *Request, c *Candidate) bool     { return !c.Instance.Draining }
+func referenceIsNotEvacuated(_ *Request, c *Candidate) bool    { return !c.Evacuated }
+func referenceIsSameIncarnation(_ *Request, c *Candidate) bool { return !c.Replaced }
+
+func referenceIsRecentEnough(q *Request, c *Candidate) bool {
+	return !q.RequireWantedVersion || c.Version >= q.WantedVersion
+}
+
+func referenceMemoryPrice(q *Request, engines []Candidate) float64 {
+	held := 0
+	for i := range engines {
+		held += engines[i].HeldTokens
+	}
+	share := min(maxPricedShare, float64(held)/float64(len(engines)*q.CacheTokens))
+	return fullMemoryMs * share * share / float64(q.CacheTokens)
+}
+
+func referenceCandidates(t *Tracker, list []*upstreams.Instance, now time.Time, q *Request) []Candidate {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	memoryShare := t.priorities.memoryShare(q.Urgency)
+	q.Uneven = len(list) > 0 && t.speeds.Service(list[0].Service).IsActive(now)
+	out := make([]Candidate, 0, len(list))
+	var keyed []keyedPart
+	var keyedVersion uint64
+	for _, instance := range list {
+		s := t.state(instance.Key())
+		others := referenceOthers(t, instance.ID)
+		c := Candidate{
+			Instance: instance, Requests: s.requests + others.requests, PrefillTokens: s.prefillTokens + others.prefillTokens,
+			HeldTokens: s.heldTokens + others.heldTokens, LongTokens: s.longTokens + others.longTokens,
+			AheadTokens: t.priorities.aheadTokens(q.Urgency, s.prefillTokens+others.prefillTokens, s.longTokens+others.longTokens),
+			MemoryShare: memoryShare, ReadRate: t.rate.tokensPerMs,
+			FailureShare: s.failureShare, Ejected: now.Before(s.ejectedUntil), Avoided: now.Before(s.avoidedUntil), Replaced: s.replaced,
+			SameZone: instance.AvailabilityZone == q.Zone, Version: s.versions[q.Model], PauseLeft: t.pauses.left(instance, now),
+			Evacuated: q.Evacuated[instance.AvailabilityZone],
+		}
+		if q.Uneven {
+			c.Slowness = s.speed.Estimate(now)
+		}
+		if now.Sub(s.loadAt) < loadValidity {
+			c.Load = s.load
+		}
+		if len(q.Parts) > 0 {
+			if keyed == nil || keyedVersion != c.Version {
+				keyed, keyedVersion = keyParts(q.Salt(c.Version), q.Parts), c.Version
+			}
+			held := s.cache.prefix(keyed, now, &t.runTimes)
+			c.CachedParts, c.CachedTokens, c.ReadParts, c.UsedTokens = held.parts, held.tokens, held.readParts, held.usedTokens
+		}
+		out = append(out, c)
+	}
+	if q.Uneven && q.CacheTokens > 0 {
+		referenceMarkPool(t, q, out, now)
+	}
+	return out
+}
+
+func referenceOthers(t *Tracker, id string) usage {
+	key := hashKey(id)
+	sum := t.peers.instances[key].plus(t.zones.instances[key], 1).plus(t.merged.instances[key], -1)
+	return usage{max(0, sum.requests), max(0, sum.prefillTokens), max(0, sum.longTokens), max(0, sum.heldTokens)}
+}
+
+func referenceMarkPool(t *Tracker, q *Request, candidates []Candidate, now time.Time) {
+	if len(candidates) == 0 {
+		return
+	}
+	service := candidates[0].Instance.Service
+	d := t.longDemand[service]
+	if d == nil {
+		d = &prefillpool.Demand{}
+		t.longDemand[service] = d
+	}
+	tokens, requests := 0, 0
+	for i := range candidates {
+		tokens += candidates[i].LongTokens
+		requests += candidates[i].Requests
+	}
+	d.Observe(tokens, requests, candidates[0].Instance.Slots, now)
+	share := d.Share()
+	if share == 0 {
+		return
+	}
+	available := false
+	for i := range candidates {
+		c := &candidates[i]
+		c.OtherPool = (prefillpool.Position(service, c.Instance.ID) < share) != q.Urgency.isLong()
+		available = available || c.isAvailableInPool()
+	}
+	if available {
+		return
+	}
+	// A small share may contain no engine. Without an engine of its pool the request would have no home and only a small sample.
+	for i := range candidates {
+		candidates[i].OtherPool = false
+	}
+}
+
+func referenceMarkHomes(q *Request, candidates []Candidate) {
+	shared := q.shared()
+	if len(shared) == 0 {
+		return
+	}
+	document := shared[len(shared)-1].ID
+	zone := referenceHomeZone(q, candidates)
+	var top [homeCount]int
+	found := 0
+	for i := range candidates {
+		if !candidates[i].isAvailableInPool() || zone != "" && candidates[i].Instance.AvailabilityZone != zone {
+			continue
+		}
+		score := rendezvousScore(document, candidates[i].Instance.ID)
+		insertAt := found
+		for insertAt > 0 && score > rendezvousScore(document, candidates[top[insertAt-1]].Instance.ID) {
+			insertAt--
+		}
+		if insertAt >= homeCount {
+			continue
+		}
+		copy(top[insertAt+1:], top[insertAt:homeCount-1])
+		top[insertAt] = i
+		found = min(found+1, homeCount)
+	}
+	for position, i := range top[:found] {
+		candidates[i].homePosition = position + 1
+	}
+}
+
+func referenceHomeZone(q *Request, candidates []Candidate) string {
+	if len(q.Stored) == 0 {
+		return ""
+	}
+	zone := q.Stored[len(q.Stored)-1].AvailabilityZone
+	for i := range candidates {
+		if candidates[i].Instance.AvailabilityZone == zone && candidates[i].isAvailableInPool() {
+			return zone
+		}
+	}
+	return ""
+}
+
+func referenceMarkHeld(q *Request, candidates []Candidate) {
+	q.Held = nil
+	if q.TokenTransfer <= 0 || q.StoredVersion == 0 {
+		return
+	}
+	parts := q.shared()
+	for i := range candidates {
+		c := &candidates[i]
+		if c.Ejected || c.Replaced || c.Evacuated || c.Instance.Draining || c.Instance.Updating || c.Version != q.StoredVersion {
+			continue
+		}
+		for k := len(q.Held); k < min(c.ReadParts, len(parts)); k++ {
+			q.Held = append(q.Held, StoredPart{
+				Address: c.Instance.Address, AvailabilityZone: c.Instance.AvailabilityZone, Tokens: parts[k].Tokens,
+				Transfer: time.Duration(parts[k].Tokens) * q.TokenTransfer,
+			})
+		}
+	}
+}
+
+func referencePick(q *Request, candidates []Candidate) *Candidate {
+	allowed := referenceFilterCandidates(q, candidates, referenceRequired)
+	for count := len(referencePreferred); count >= 0; count-- {
+		if remaining := referenceFilterCandidates(q, allowed, referencePreferred[:count]); len(remaining) > 0 {
+			return referenceCheapest(q, referenceSampleCandidates(q, remaining))
+		}
+	}
+	return nil
+}
+
+func referenceFilterCandidates(q *Request, candidates []Candidate, filters []referenceFilter) []Candidate {
+	var kept []Candidate
+next:
+	for i := range candidates {
+		for _, filter := range filters {
+			if !filter(q, &candidates[i]) {
+				continue next
+			}
+		}
+		kept = append(kept, candidates[i])
+	}
+	return kept
+}
+
+func referenceSampleCandidates(q *Request, candidates []Candidate) []Candidate {
+	if q.CacheTokens == 0 && q.Uneven {
+		return referenceSamplePlain(q, candidates)
+	}
+	if q.CacheTokens == 0 || len(candidates) <= sampleSize {
+		return candidates
+	}
+	own := 0
+	for i := range candidates {
+		if !candidates[i].OtherPool {
+			own++
+		}
+	}
+	kept := make([]Candidate, 0, 2*sampleSize)
+	for i := range candidates {
+		c := &candidates[i]
+		share := sampleSize / float64(max(1, own))
+		if c.OtherPool {
+			share = otherPoolSample / float64(len(candidates)-own)
+		}
+		holds := c.homePosition > 0 || len(q.Parts) > 1 && c.CachedParts >= len(q.shared())
+		if holds || float64(rendezvousScore(q.Seed, c.Instance.ID)) < share*math.MaxUint64 {
+			kept = append(kept, *c)
+		}
+	}
+	if len(kept) == 0 {
+		return candidates
+	}
+	return kept
+}
+
+func referenceSamplePlain(q *Request, candidates []Candidate) []Candidate {
+	size := max(minPlainSample, min(sampleSize, len(candidates)/2))
+	if len(candidates) < size {
+		return candidates
+	}
+	random := rand.New(rand.NewPCG(xxhash.Sum64String(q.Seed), 0))
+	var taken [sampleSize]int
+	kept := make([]Candidate, 0, size)
+	for len(kept) < size {
+		i := random.IntN(len(candidates))
+		if slices.Contains(taken[:len(kept)], i) {
+			continue
+		}
+		taken[len(kept)] = i
+		kept = append(kept, candidates[i])
+	}
+	return kept
+}
+
+func referenceCheapest(q *Request, candidates []Candidate) *Candidate {
+	cost := serviceCost
+	if q.CacheTokens > 0 {
+		price := referenceMemoryPrice(q, candidates)
+		cost = func(q *Request, c *Candidate) float64 { return engineCost(q, c) + price*float64(q.newTokens(c)) }
+	}
+	best, bestCost := -1, 0.0
+	for i := range candidates {
+		if c := cost(q, &candidates[i]); best < 0 || c < bestCost {
+			best, bestCost = i, c
+		}
+	}
+	return &candidates[best]
+}
+
+func referenceShortestPause(q *Request, candidates []Candidate) time.Duration {
+	var shortest time.Duration
+	for i := range candidates {
+		c := &candidates[i]
+		if !referenceIsNotDraining(q, c) || !referenceIsNotEvacuated(q, c) || !referenceIsSameIncarnation(q, c) || !referenceIsRecentEnough(q, c) {
+			continue
+		}
+		if c.PauseLeft == 0 {
+			return 0
+		}
+		if shortest == 0 || c.PauseLeft < shortest {
+			shortest = c.PauseLeft
+		}
+	}
+	return shortest
+}
--- a/placement/speedbench_test.go
+++ b/placement/speedbench_test.go
@@ -30,7 +30,7 @@
 						if !isPlain {
 							q.CacheTokens = 50_000
 						}
-						if Pick(q, tracker.Candidates(list, now.Add(time.Duration(request)*time.Microsecond), q)) == nil {
+						if best, _ := tracker.Choose(list, now.Add(time.Duration(request)*time.Microsecond), q, Pauses{}); best == nil {
 							b.Fatal("no instance")
 						}
 					}
