placement: describe only the instances that a request considers

Cause: a choice described all instances in full, several map lookups and 300 bytes each, and copied the descriptions for each filter. Change: a fleet holds what the choices among the instances of one list have in common. Properties that decide whether an instance may get a request are bits of one word; only the instances that have unusual ones are looked up. Homes and the sample are found from these bits and the ids, and only the instances of the sample are described.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -16,25 +16,46 @@
 
 // Choose returns the best of the instances for a request, and marks the sources of its prompt in the request. If no instance may get the
 // request, it returns nil and the time until a paused instance takes requests again, see ShortestPause.
+//
+// The choice is the same as that of MarkHomes, MarkHeld and Pick from all Candidates, but only the instances that the request considers
+// are described in full.
 func (t *Tracker) Choose(list []*upstreams.Instance, now time.Time, q *Request, pauses Pauses) (best *Candidate, pauseLeft time.Duration) {
-	candidates := t.Candidates(list, now, q)
-	for i := range candidates {
-		c := &candidates[i]
-		c.PauseLeft = max(c.PauseLeft, pauses.ByPosition[i])
-		if len(pauses.ByHash) > 0 {
-			c.PauseLeft = max(c.PauseLeft, pauses.ByHash[c.Instance.Key().Hash()])
-		}
-	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d := &t.decision
+	d.begin(t, list, now, q, pauses)
+	defer d.end()
 	if q.CacheTokens > 0 {
-		MarkHomes(q, candidates)
-		MarkHeld(q, candidates)
+		d.markRelated()
+		d.findHeld()
+	}
+	considered := d.consider(q)
+	if len(considered) == 0 {
+		return nil, d.shortestPause(func(i int) time.Duration { return d.pauseLeft[i] })
 	}
-	if best = Pick(q, candidates); best == nil {
-		return nil, ShortestPause(q, candidates)
+	d.candidates = d.candidates[:0]
+	for _, i := range considered {
+		d.candidates = append(d.candidates, Candidate{})
+		d.describe(int(i), &d.candidates[len(d.candidates)-1])
 	}
+	best = new(Candidate)
+	*best = *cheapest(q, d.candidates)
 	return best, 0
 }
 
+// Candidates describes the instances for one request.
+func (t *Tracker) Candidates(list []*upstreams.Instance, now time.Time, q *Request) []Candidate {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d := &decision{}
+	d.begin(t, list, now, q, Pauses{})
+	out := make([]Candidate, len(list))
+	for i := range out {
+		d.describe(i, &out[i])
+	}
+	return out
+}
+
 // CachedTokens returns how many tokens of a request's prompt an instance is expected to hold.
 func (t *Tracker) CachedTokens(instance *upstreams.Instance, now time.Time, q *Request) int {
 	t.mu.Lock()
@@ -42,3 +63,218 @@
 	s := t.state(instance.Key())
 	return s.cache.prefix(keyParts(q.Salt(s.versions[q.Model]), q.Parts), now, &t.runTimes).tokens
 }
+
+// decision is the choice of an instance for one request at one time. All its methods need the tracker's lock.
+type decision struct {
+	selection
+	tracker     *Tracker
+	q           *Request
+	now         time.Time
+	memoryShare float64
+	// pauseLeft holds how long instances still take no requests from this node; pausedAt are the positions that are not 0.
+	pauseLeft []time.Duration
+	pausedAt  []int32
+	// homePositions are the homes of the prompt, the first home first.
+	homePositions []int32
+	// prompts holds the parts of the prompt under the salt of each version that was needed.
+	prompts    []keyedPrompt
+	candidates []Candidate
+}
+
+type keyedPrompt struct {
+	version uint64
+	parts   []keyedPart
+}
+
+// begin begins a decision with the marks of all instances.
+func (d *decision) begin(t *Tracker, list []*upstreams.Instance, now time.Time, q *Request, pauses Pauses) {
+	t.expire(now)
+	q.Uneven = len(list) > 0 && t.speeds.Service(list[0].Service).IsActive(now)
+	d.tracker, d.q, d.now, d.fleet = t, q, now, t.fleetOf(list)
+	d.memoryShare = t.priorities.memoryShare(q.Urgency)
+	d.marks = append(d.marks[:0], d.fleet.base...)
+	d.markStates()
+	d.markPauses(pauses)
+	d.markRequest()
+	if q.Uneven && q.CacheTokens > 0 {
+		d.markPool()
+	}
+}
+
+// end drops the references to the request and its candidates.
+func (d *decision) end() {
+	clear(d.candidates)
+	if cap(d.candidates) > maxKeptCandidates {
+		d.candidates = nil
+	}
+	d.q, d.prompts, d.homePositions = nil, d.prompts[:0], nil
+}
+
+// maxKeptCandidates is the size up to which the memory of candidates is reused: more are described only if most engines hold the prompt.
+const maxKeptCandidates = 128
+
+// unusualTime is how long a state stays in Tracker.unusual after the end of its ejection. Requests read the clock before they take the lock, so
+// a delayed one brings an earlier time.
+const unusualTime = time.Second
+
+// markStates marks the instances that are ejected, avoided or replaced.
+func (d *decision) markStates() {
+	for s := range d.tracker.unusual {
+		var m marks
+		m.set(isEjected, d.now.Before(s.ejectedUntil))
+		m.set(isAvoided, d.now.Before(s.avoidedUntil))
+		m.set(isReplaced, s.replaced)
+		if m == 0 {
+			if d.now.Sub(s.ejectedUntil) > unusualTime && d.now.Sub(s.avoidedUntil) > unusualTime {
+				delete(d.tracker.unusual, s)
+			}
+			continue
+		}
+		for i := d.fleet.positions.find(s); i >= 0; i = d.fleet.positions.next[i] {
+			d.marks[i] |= m
+		}
+	}
+}
+
+// markPauses marks the instances that take no requests from this node for a while.
+func (d *decision) markPauses(pauses Pauses) {
+	for _, i := range d.pausedAt {
+		d.pauseLeft[i] = 0
+	}
+	d.pausedAt = d.pausedAt[:0]
+	if n := len(d.marks); len(d.pauseLeft) < n {
+		d.pauseLeft = make([]time.Duration, n)
+	}
+	for key, until := range d.tracker.pauses {
+		if left := until.Sub(d.now); left > 0 {
+			if s := d.tracker.instances[key]; s != nil {
+				for i := d.fleet.positions.find(s); i >= 0; i = d.fleet.positions.next[i] {
+					d.pause(i, left)
+				}
+			}
+		}
+	}
+	if len(pauses.ByHash) > 0 {
+		index := d.fleet.positionsByHash()
+		for hash, left := range pauses.ByHash {
+			for i := index.find(hash); i >= 0; i = index.next[i] {
+				d.pause(i, left)
+			}
+		}
+	}
+	for i, left := range pauses.ByPosition {
+		d.pause(int32(i), left)
+	}
+}
+
+func (d *decision) pause(i int32, left time.Duration) {
+	if left <= d.pauseLeft[i] {
+		return
+	}
+	d.pauseLeft[i] = left
+	d.pausedAt = append(d.pausedAt, i)
+	d.marks[i] |= isPaused
+}
+
+// markRequest sets the marks that follow from the request.
+func (d *decision) markRequest() {
+	q, f := d.q, d.fleet
+	for id, excluded := range q.Exclude {
+		if !excluded {
+			continue
+		}
+		index := f.positionsByID()
+		for i := index.find(id); i >= 0; i = index.next[i] {
+			d.marks[i] |= isExcluded
+		}
+	}
+	for number, name := range f.zoneNames {
+		if !q.Evacuated[name] {
+			continue
+		}
+		for i, zone := range f.zones {
+			d.marks[i].set(isEvacuated, zone == int32(number))
+		}
+	}
+	if q.RequireWantedVersion {
+		for i, version := range d.tracker.versionsOf(f, q.Model).values {
+			d.marks[i].set(isOutdated, version < q.WantedVersion)
+		}
+	}
+}
+
+// prompt returns the parts of the prompt under the salt of a version.
+func (d *decision) prompt(version uint64) []keyedPart {
+	for i := range d.prompts {
+		if d.prompts[i].version == version {
+			return d.prompts[i].parts
+		}
+	}
+	parts := keyParts(d.q.Salt(version), d.q.Parts)
+	d.prompts = append(d.prompts, keyedPrompt{version, parts})
+	return parts
+}
+
+// held describes the leading parts of the prompt that an engine is expected to hold.
+func (d *decision) held(s *instanceState) cachedPrefix {
+	return s.cache.prefix(d.prompt(s.versions[d.q.Model]), d.now, &d.tracker.runTimes)
+}
+
+// markRelated marks the homes of the prompt and the engines that hold all its shared parts.
+func (d *decision) markRelated() {
+	d.homePositions = d.homes(d.q)
+	for _, i := range d.homePositions {
+		d.marks[i] |= isRelated
+	}
+	shared := d.q.shared()
+	if len(shared) == 0 {
+		return
+	}
+	for i, s := range d.fleet.states {
+		d.marks[i].set(isRelated, d.held(s).parts >= len(shared))
+	}
+}
+
+// findHeld is MarkHeld for the instances of the decision.
+func (d *decision) findHeld() {
+	d.q.Held = nil
+	parts := d.q.partsToFetch()
+	var c Candidate
+	for i := range d.fleet.list {
+		if len(d.q.Held) == len(parts) {
+			return
+		}
+		d.describe(i, &c)
+		d.q.addHeld(&c, parts)
+	}
+}
+
+// describe describes an instance.
+func (d *decision) describe(i int, c *Candidate) {
+	t, q, s, instance := d.tracker, d.q, d.fleet.states[i], d.fleet.list[i]
+	others := t.others(instance.ID)
+	*c = Candidate{
+		Instance: instance, Requests: s.requests + others.requests, PrefillTokens: s.prefillTokens + others.prefillTokens,
+		HeldTokens: s.heldTokens + others.heldTokens, LongTokens: s.longTokens + others.longTokens,
+		AheadTokens: t.priorities.aheadTokens(q.Urgency, s.prefillTokens+others.prefillTokens, s.longTokens+others.longTokens),
+		MemoryShare: d.memoryShare, ReadRate: t.rate.tokensPerMs,
+		FailureShare: s.failureShare, Ejected: d.now.Before(s.ejectedUntil), Avoided: d.now.Before(s.avoidedUntil), Replaced: s.replaced,
+		SameZone: instance.AvailabilityZone == q.Zone, Version: s.versions[q.Model], PauseLeft: d.pauseLeft[i],
+		Evacuated: d.marks[i]&isEvacuated != 0, OtherPool: d.marks[i]&isInOtherPool != 0,
+	}
+	for position, home := range d.homePositions {
+		if int(home) == i {
+			c.homePosition = position + 1
+		}
+	}
+	if q.Uneven {
+		c.Slowness = s.speed.Estimate(d.now)
+	}
+	if d.now.Sub(s.loadAt) < loadValidity {
+		c.Load = s.load
+	}
+	if len(q.Parts) > 0 {
+		held := d.held(s)
+		c.CachedParts, c.CachedTokens, c.ReadParts, c.UsedTokens = held.parts, held.tokens, held.readParts, held.usedTokens
+	}
+}
--- a/placement/choose_test.go
+++ b/placement/choose_test.go
@@ -346,6 +346,10 @@
 	return !q.RequireWantedVersion || c.Version >= q.WantedVersion
 }
 
+func referenceIsAvailableInPool(c *Candidate) bool {
+	return !c.OtherPool && !c.Evacuated && !c.Ejected && !c.Instance.Draining
+}
+
 func referenceMemoryPrice(q *Request, engines []Candidate) float64 {
 	held := 0
 	for i := range engines {
@@ -427,7 +431,7 @@
 	for i := range candidates {
 		c := &candidates[i]
 		c.OtherPool = (prefillpool.Position(service, c.Instance.ID) < share) != q.Urgency.isLong()
-		available = available || c.isAvailableInPool()
+		available = available || referenceIsAvailableInPool(c)
 	}
 	if available {
 		return
@@ -448,7 +452,7 @@
 	var top [homeCount]int
 	found := 0
 	for i := range candidates {
-		if !candidates[i].isAvailableInPool() || zone != "" && candidates[i].Instance.AvailabilityZone != zone {
+		if !referenceIsAvailableInPool(&candidates[i]) || zone != "" && candidates[i].Instance.AvailabilityZone != zone {
 			continue
 		}
 		score := rendezvousScore(document, candidates[i].Instance.ID)
@@ -474,7 +478,7 @@
 	}
 	zone := q.Stored[len(q.Stored)-1].AvailabilityZone
 	for i := range candidates {
-		if candidates[i].Instance.AvailabilityZone == zone && candidates[i].isAvailableInPool() {
+		if candidates[i].Instance.AvailabilityZone == zone && referenceIsAvailableInPool(&candidates[i]) {
 			return zone
 		}
 	}
--- /dev/null
+++ b/placement/fleet.go
@@ -0,0 +1,144 @@
+package placement
+
+import (
+	"slices"
+
+	"github.com/wasabishunt/wasabishunt/serving/prefillpool"
+	"github.com/wasabishunt/wasabishunt/upstreams"
+)
+
+// fleet holds what the choices among the instances of one list have in common. Instances are immutable, see upstreams.View.
+type fleet struct {
+	list []*upstreams.Instance
+	ids  []string
+	// base are the marks that follow from the list.
+	base []marks
+	// zones are the numbers of the instances' availability zones, in the order of zoneNames.
+	zones     []int32
+	zoneNames []string
+
+	// states are those of the instances in a tracker at the time of statesRevision, positions their positions.
+	states         []*instanceState
+	positions      positionIndex[*instanceState]
+	statesRevision uint64
+	// The fields below are computed once they are needed.
+	byID          *positionIndex[string]
+	byHash        *positionIndex[uint32]
+	poolPositions []float64
+	versions      map[string]*versionColumn
+}
+
+// versionColumn holds the weight versions of the instances for one model at the time of a revision.
+type versionColumn struct {
+	revision         uint64
+	values, distinct []uint64
+}
+
+func newFleet(list []*upstreams.Instance) *fleet {
+	f := &fleet{list: slices.Clone(list), ids: make([]string, len(list)), base: make([]marks, len(list)), zones: make([]int32, len(list))}
+	for i, instance := range list {
+		f.ids[i] = instance.ID
+		f.base[i].set(isDraining, instance.Draining)
+		f.base[i].set(isUpdating, instance.Updating)
+		zone := slices.Index(f.zoneNames, instance.AvailabilityZone)
+		if zone < 0 {
+			zone = len(f.zoneNames)
+			f.zoneNames = append(f.zoneNames, instance.AvailabilityZone)
+		}
+		f.zones[i] = int32(zone)
+	}
+	return f
+}
+
+// positionIndex finds the positions of the instances that have the same key.
+type positionIndex[K comparable] struct {
+	first map[K]int32
+	// next is the following position with the same key, -1 if there is none.
+	next []int32
+}
+
+func newPositionIndex[K comparable](count int, key func(position int) K) positionIndex[K] {
+	x := positionIndex[K]{make(map[K]int32, count), make([]int32, count)}
+	for i := count - 1; i >= 0; i-- {
+		x.next[i] = x.find(key(i))
+		x.first[key(i)] = int32(i)
+	}
+	return x
+}
+
+// find returns the first position of a key, -1 if there is none.
+func (x *positionIndex[K]) find(key K) int32 {
+	if i, found := x.first[key]; found {
+		return i
+	}
+	return -1
+}
+
+// positionsByID returns the index of the instances' ids.
+func (f *fleet) positionsByID() *positionIndex[string] {
+	if f.byID == nil {
+		x := newPositionIndex(len(f.list), func(i int) string { return f.ids[i] })
+		f.byID = &x
+	}
+	return f.byID
+}
+
+// positionsByHash returns the index of the hashes of the instances' keys.
+func (f *fleet) positionsByHash() *positionIndex[uint32] {
+	if f.byHash == nil {
+		x := newPositionIndex(len(f.list), func(i int) uint32 { return f.list[i].Key().Hash() })
+		f.byHash = &x
+	}
+	return f.byHash
+}
+
+// poolOrder returns the positions of the engines in the order by which they are divided into pools.
+func (f *fleet) poolOrder() []float64 {
+	if f.poolPositions == nil {
+		f.poolPositions = make([]float64, len(f.list))
+		for i, id := range f.ids {
+			f.poolPositions[i] = prefillpool.Position(f.list[0].Service, id)
+		}
+	}
+	return f.poolPositions
+}
+
+// fleetOf returns the fleet of a list, one for each service. The caller holds the lock.
+func (t *Tracker) fleetOf(list []*upstreams.Instance) *fleet {
+	if len(list) == 0 {
+		return newFleet(nil)
+	}
+	f := t.fleets[list[0].Service]
+	if f == nil || !slices.Equal(f.list, list) {
+		f = newFleet(list)
+		t.fleets[list[0].Service] = f
+	}
+	if f.states == nil || f.statesRevision != t.statesRevision {
+		f.states = make([]*instanceState, len(list))
+		for i, instance := range list {
+			f.states[i] = t.state(instance.Key())
+		}
+		f.positions = newPositionIndex(len(list), func(i int) *instanceState { return f.states[i] })
+		f.versions = map[string]*versionColumn{}
+		f.statesRevision = t.statesRevision
+	}
+	return f
+}
+
+// versionsOf returns the weight versions of the instances of a fleet. The caller holds the lock.
+func (t *Tracker) versionsOf(f *fleet, model string) *versionColumn {
+	column := f.versions[model]
+	if column != nil && column.revision == t.versionsRevision {
+		return column
+	}
+	column = &versionColumn{revision: t.versionsRevision, values: make([]uint64, len(f.states))}
+	for i, s := range f.states {
+		version := s.versions[model]
+		column.values[i] = version
+		if !slices.Contains(column.distinct, version) {
+			column.distinct = append(column.distinct, version)
+		}
+	}
+	f.versions[model] = column
+	return column
+}
--- a/placement/pause.go
+++ b/placement/pause.go
@@ -39,23 +39,23 @@
 	return max(0, p[instance.Key()].Sub(now))
 }
 
-// isNotPaused rejects instances that take no requests from this node for a while.
-func isNotPaused(_ *Request, c *Candidate) bool { return c.PauseLeft == 0 }
-
 // ShortestPause returns the time until one of the candidates that could get the request otherwise takes requests again. It
 // returns 0 if there is none, or if one takes requests now. Instances that were already sent the request count as well.
 func ShortestPause(q *Request, candidates []Candidate) time.Duration {
-	var shortest time.Duration
-	for i := range candidates {
-		c := &candidates[i]
-		if !isNotDraining(q, c) || !isNotEvacuated(q, c) || !isSameIncarnation(q, c) || !isRecentEnough(q, c) {
+	return selectionOf(q, candidates).shortestPause(func(i int) time.Duration { return candidates[i].PauseLeft })
+}
+
+func (s *selection) shortestPause(pauseLeft func(position int) time.Duration) (shortest time.Duration) {
+	for i, m := range s.marks {
+		if m&(isDraining|isEvacuated|isReplaced|isOutdated) != 0 {
 			continue
 		}
-		if c.PauseLeft == 0 {
+		left := pauseLeft(i)
+		if left == 0 {
 			return 0
 		}
-		if shortest == 0 || c.PauseLeft < shortest {
-			shortest = c.PauseLeft
+		if shortest == 0 || left < shortest {
+			shortest = left
 		}
 	}
 	return shortest
--- a/placement/peers.go
+++ b/placement/peers.go
@@ -175,6 +175,7 @@
 	for _, key := range keys {
 		if s := t.byHash[key]; s != nil {
 			s.replaced = true
+			t.unusual[s] = struct{}{}
 		}
 	}
 }
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math"
 	"time"
 
 	"github.com/wasabishunt/wasabishunt/upstreams"
@@ -106,107 +105,16 @@
 	Slowness float64
 }
 
-// Filter reports whether a candidate may get a request.
-type Filter func(q *Request, c *Candidate) bool
-
-// required filters always apply.
-var required = []Filter{isNotDraining, isNotPaused, isNotExcluded, isSameIncarnation, isRecentEnough, isNotEvacuated}
-
-// preferred filters are dropped from the last to the first as long as they leave no candidate.
-var preferred = []Filter{isHealthy, isNotUpdating, isNotAvoided}
-
-func isNotDraining(_ *Request, c *Candidate) bool     { return !c.Instance.Draining }
-func isNotEvacuated(_ *Request, c *Candidate) bool    { return !c.Evacuated }
-func isNotExcluded(q *Request, c *Candidate) bool     { return !q.Exclude[c.Instance.ID] }
-func isSameIncarnation(_ *Request, c *Candidate) bool { return !c.Replaced }
-func isHealthy(_ *Request, c *Candidate) bool         { return !c.Ejected }
-func isNotAvoided(_ *Request, c *Candidate) bool      { return !c.Avoided }
-
-func isNotUpdating(_ *Request, c *Candidate) bool { return !c.Instance.Updating }
-
-// isRecentEnough rejects old weights once these must not be used any more.
-func isRecentEnough(q *Request, c *Candidate) bool {
-	return !q.RequireWantedVersion || c.Version >= q.WantedVersion
-}
-
 // Pick returns the best candidate, nil if none may get the request.
 func Pick(q *Request, candidates []Candidate) *Candidate {
-	allowed := filterCandidates(q, candidates, required)
-	for count := len(preferred); count >= 0; count-- {
-		if remaining := filterCandidates(q, allowed, preferred[:count]); len(remaining) > 0 {
-			return cheapest(q, sampleCandidates(q, remaining))
-		}
+	var considered []Candidate
+	for _, i := range selectionOf(q, candidates).consider(q) {
+		considered = append(considered, candidates[i])
 	}
-	return nil
-}
-
-func filterCandidates(q *Request, candidates []Candidate, filters []Filter) []Candidate {
-	var kept []Candidate
-next:
-	for i := range candidates {
-		for _, filter := range filters {
-			if !filter(q, &candidates[i]) {
-				continue next
-			}
-		}
-		kept = append(kept, candidates[i])
-	}
-	return kept
-}
-
-// sampleSize is the mean number of engines that one request considers, besides those that hold its prompt.
-const sampleSize = 8
-
-// otherPoolSample is the mean number of engines of the other pool that a request considers.
-const otherPoolSample = 3
-
-// sampleCandidates returns a random sample of the engines, with those that hold the prompt or are its homes. Nodes
-// learn of each other's requests up to 0.15 s later; if all considered all engines, they would send all requests of
-// that time to the one that looks idle.
-func sampleCandidates(q *Request, candidates []Candidate) []Candidate {
-	if q.CacheTokens == 0 && q.Uneven {
-		return samplePlain(q, candidates)
-	}
-	if q.CacheTokens == 0 || len(candidates) <= sampleSize {
-		return candidates
-	}
-	own := 0
-	for i := range candidates {
-		if !candidates[i].OtherPool {
-			own++
-		}
-	}
-	kept := make([]Candidate, 0, 2*sampleSize)
-	for i := range candidates {
-		c := &candidates[i]
-		share := sampleSize / float64(max(1, own))
-		if c.OtherPool {
-			share = otherPoolSample / float64(len(candidates)-own)
-		}
-		holds := c.homePosition > 0 || len(q.Parts) > 1 && c.CachedParts >= len(q.shared())
-		if holds || float64(rendezvousScore(q.Seed, c.Instance.ID)) < share*math.MaxUint64 {
-			kept = append(kept, *c)
-		}
-	}
-	if len(kept) == 0 {
-		return candidates
-	}
-	return kept
-}
-
-func cheapest(q *Request, candidates []Candidate) *Candidate {
-	cost := serviceCost
-	if q.CacheTokens > 0 {
-		price := memoryPrice(q, candidates)
-		cost = func(q *Request, c *Candidate) float64 { return engineCost(q, c) + price*float64(q.newTokens(c)) }
-	}
-	best, bestCost := -1, 0.0
-	for i := range candidates {
-		if c := cost(q, &candidates[i]); best < 0 || c < bestCost {
-			best, bestCost = i, c
-		}
+	if len(considered) == 0 {
+		return nil
 	}
-	return &candidates[best]
+	return cheapest(q, considered)
 }
 
 const (
@@ -255,21 +163,35 @@
 // still read it cannot be fetched from.
 func MarkHeld(q *Request, candidates []Candidate) {
 	q.Held = nil
+	parts := q.partsToFetch()
+	for i := range candidates {
+		q.addHeld(&candidates[i], parts)
+	}
+}
+
+// partsToFetch returns the shared parts that engines may fetch from each other.
+func (q *Request) partsToFetch() []Part {
 	if q.TokenTransfer <= 0 || q.StoredVersion == 0 {
-		return
+		return nil
 	}
-	parts := q.shared()
-	for i := range candidates {
-		c := &candidates[i]
-		if c.Ejected || c.Replaced || c.Evacuated || c.Instance.Draining || c.Instance.Updating || c.Version != q.StoredVersion {
-			continue
-		}
-		for k := len(q.Held); k < min(c.ReadParts, len(parts)); k++ {
-			q.Held = append(q.Held, StoredPart{
-				Address: c.Instance.Address, AvailabilityZone: c.Instance.AvailabilityZone, Tokens: parts[k].Tokens,
-				Transfer: time.Duration(parts[k].Tokens) * q.TokenTransfer,
-			})
-		}
+	return q.shared()
+}
+
+// fetchableParts returns the number of leading parts that others may fetch from an engine.
+func (c *Candidate) fetchableParts(q *Request, parts []Part) int {
+	if c.Ejected || c.Replaced || c.Evacuated || c.Instance.Draining || c.Instance.Updating || c.Version != q.StoredVersion {
+		return 0
+	}
+	return min(c.ReadParts, len(parts))
+}
+
+// addHeld makes an engine the source of those parts for which there is none yet.
+func (q *Request) addHeld(c *Candidate, parts []Part) {
+	for k := len(q.Held); k < c.fetchableParts(q, parts); k++ {
+		q.Held = append(q.Held, StoredPart{
+			Address: c.Instance.Address, AvailabilityZone: c.Instance.AvailabilityZone, Tokens: parts[k].Tokens,
+			Transfer: time.Duration(parts[k].Tokens) * q.TokenTransfer,
+		})
 	}
 }
 
--- a/placement/pools.go
+++ b/placement/pools.go
@@ -1,8 +1,6 @@
 package placement
 
 import (
-	"time"
-
 	"github.com/wasabishunt/wasabishunt/serving/prefillpool"
 )
 
@@ -13,11 +11,6 @@
 	stallWeight = 0.3
 )
 
-// isAvailableInPool reports whether an engine belongs to the pool of the request and can be a home of its prompt.
-func (c *Candidate) isAvailableInPool() bool {
-	return !c.OtherPool && !c.Evacuated && !c.Ejected && !c.Instance.Draining
-}
-
 // poolCost is the cost of an engine of the pool for prompts of the other length, and, for a short prompt, of the pause that the long prompts at the
 // engine cause in its stream.
 func poolCost(q *Request, c *Candidate) float64 {
@@ -34,38 +27,38 @@
 	return cost
 }
 
-// markPool marks the engines that read long prompts. The caller holds the lock.
-func (t *Tracker) markPool(q *Request, candidates []Candidate, now time.Time) {
-	if len(candidates) == 0 {
+// markPool marks the engines that read prompts of the other length. The caller holds the lock.
+func (d *decision) markPool() {
+	if len(d.fleet.list) == 0 {
 		return
 	}
-	service := candidates[0].Instance.Service
-	d := t.longDemand[service]
-	if d == nil {
-		d = &prefillpool.Demand{}
-		t.longDemand[service] = d
+	t, service := d.tracker, d.fleet.list[0].Service
+	demand := t.longDemand[service]
+	if demand == nil {
+		demand = &prefillpool.Demand{}
+		t.longDemand[service] = demand
 	}
 	tokens, requests := 0, 0
-	for i := range candidates {
-		tokens += candidates[i].LongTokens
-		requests += candidates[i].Requests
+	for _, s := range d.fleet.states {
+		others := t.others(s.id)
+		tokens += s.longTokens + others.longTokens
+		requests += s.requests + others.requests
 	}
-	d.Observe(tokens, requests, candidates[0].Instance.Slots, now)
-	share := d.Share()
+	demand.Observe(tokens, requests, d.fleet.list[0].Slots, d.now)
+	share := demand.Share()
 	if share == 0 {
 		return
 	}
-	available := false
-	for i := range candidates {
-		c := &candidates[i]
-		c.OtherPool = (prefillpool.Position(service, c.Instance.ID) < share) != q.Urgency.isLong()
-		available = available || c.isAvailableInPool()
+	available, isLong := false, d.q.Urgency.isLong()
+	for i, position := range d.fleet.poolOrder() {
+		d.marks[i].set(isInOtherPool, (position < share) != isLong)
+		available = available || d.marks[i]&unavailable == 0
 	}
 	if available {
 		return
 	}
 	// A small share may contain no engine. Without an engine of its pool the request would have no home and only a small sample.
-	for i := range candidates {
-		candidates[i].OtherPool = false
+	for i := range d.marks {
+		d.marks[i] &^= isInOtherPool
 	}
 }
--- a/placement/speeds.go
+++ b/placement/speeds.go
@@ -2,12 +2,8 @@
 
 import (
 	"math"
-	"math/rand/v2"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
 	"github.com/wasabishunt/wasabishunt/serving/speed"
 	"github.com/wasabishunt/wasabishunt/upstreams"
@@ -34,30 +30,6 @@
 	return EstimateFirstEvent(q, &usual)
 }
 
-// minPlainSample is the smallest sample of the instances of a plain service.
-const minPlainSample = 2
-
-// samplePlain returns a random sample of the instances of a plain service, in random order. All nodes have almost the same estimates:
-// without a sample they would send all requests of the time until the next reports to the fastest instance.
-func samplePlain(q *Request, candidates []Candidate) []Candidate {
-	size := max(minPlainSample, min(sampleSize, len(candidates)/2))
-	if len(candidates) < size {
-		return candidates
-	}
-	random := rand.New(rand.NewPCG(xxhash.Sum64String(q.Seed), 0))
-	var taken [sampleSize]int
-	kept := make([]Candidate, 0, size)
-	for len(kept) < size {
-		i := random.IntN(len(candidates))
-		if slices.Contains(taken[:len(kept)], i) {
-			continue
-		}
-		taken[len(kept)] = i
-		kept = append(kept, candidates[i])
-	}
-	return kept
-}
-
 // RequireSpeeds makes the tracker estimate the speeds of the instances of all services, also of those whose answers don't state how
 // long work takes. It must be called before the first request.
 func (t *Tracker) RequireSpeeds() {
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -56,6 +56,7 @@
 
 // instanceState is what a node has recorded about one incarnation of an instance.
 type instanceState struct {
+	tracker                                         *Tracker
 	id                                              string
 	requests, prefillTokens, longTokens, heldTokens int
 	load                                            Load
@@ -108,6 +109,13 @@
 	// longDemand is the demand for long prompts by service.
 	longDemand map[string]*prefillpool.Demand
 	speeds     *speed.Table
+	// fleets holds the fleet of each service. statesRevision changes with the set of states, versionsRevision with their versions.
+	fleets                           map[string]*fleet
+	statesRevision, versionsRevision uint64
+	// unusual are the states that may be ejected, avoided or replaced.
+	unusual map[*instanceState]struct{}
+	// decision is reused, with the memory of its slices.
+	decision decision
 }
 
 // NewTracker returns an empty Tracker.
@@ -117,6 +125,7 @@
 		lastDigest: digestState{instances: map[uint32]usage{}, transfers: map[uint32]time.Duration{}},
 		rate:       readRate{tokensPerMs: initialReadRate}, runTimes: newRunTimes(), uses: newPartUses(),
 		leaving: newLeavingNews(), pauses: pauses{}, longDemand: map[string]*prefillpool.Demand{}, speeds: speed.NewTable(false),
+		fleets: map[string]*fleet{}, unusual: map[*instanceState]struct{}{},
 	}
 }
 
@@ -143,6 +152,8 @@
 	for key, s := range t.instances {
 		if !present[key] && s.requests == 0 {
 			delete(t.instances, key)
+			delete(t.unusual, s)
+			t.statesRevision++
 			t.forgetSpeed(s)
 			if t.byHash[hashKey(key.ID)] == s {
 				delete(t.byHash, hashKey(key.ID))
@@ -154,8 +165,9 @@
 func (t *Tracker) state(key upstreams.Key) *instanceState {
 	s := t.instances[key]
 	if s == nil {
-		s = &instanceState{id: key.ID, versions: map[string]uint64{}, cache: newPartCache()}
+		s = &instanceState{tracker: t, id: key.ID, versions: map[string]uint64{}, cache: newPartCache()}
 		t.instances[key] = s
+		t.statesRevision++
 		t.byHash[hashKey(key.ID)] = s
 	}
 	return s
@@ -165,6 +177,7 @@
 func (s *instanceState) setVersion(model string, version uint64) {
 	if s.versions[model] != version {
 		s.versions[model] = version
+		s.tracker.versionsRevision++
 		s.cache = newPartCache()
 	}
 }
@@ -297,11 +310,13 @@
 		s.markUnresponsive(now)
 	case Rejected:
 		s.avoidedUntil = now.Add(rejectPause)
+		t.unusual[s] = struct{}{}
 	case Replaced:
 		if !s.replaced {
 			t.replaced = append(t.replaced, hashKey(s.id))
 		}
 		s.replaced = true
+		t.unusual[s] = struct{}{}
 	case Canceled:
 	}
 }
@@ -320,54 +335,12 @@
 	if s.failures < ejectAfter && s.failureShare < ejectShare || now.Before(s.ejectedUntil) {
 		return
 	}
+	s.tracker.unusual[s] = struct{}{}
 	s.ejectedUntil = now.Add(min(firstEjection<<s.ejections, lastEjection))
 	s.ejections = min(s.ejections+1, 4)
 	s.failureShare = 0
 }
 
-// Candidates describes the instances for one request.
-func (t *Tracker) Candidates(list []*upstreams.Instance, now time.Time, q *Request) []Candidate {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.expire(now)
-	memoryShare := t.priorities.memoryShare(q.Urgency)
-	q.Uneven = len(list) > 0 && t.speeds.Service(list[0].Service).IsActive(now)
-	out := make([]Candidate, 0, len(list))
-	var keyed []keyedPart
-	var keyedVersion uint64
-	for _, instance := range list {
-		s := t.state(instance.Key())
-		others := t.others(instance.ID)
-		c := Candidate{
-			Instance: instance, Requests: s.requests + others.requests, PrefillTokens: s.prefillTokens + others.prefillTokens,
-			HeldTokens: s.heldTokens + others.heldTokens, LongTokens: s.longTokens + others.longTokens,
-			AheadTokens: t.priorities.aheadTokens(q.Urgency, s.prefillTokens+others.prefillTokens, s.longTokens+others.longTokens),
-			MemoryShare: memoryShare, ReadRate: t.rate.tokensPerMs,
-			FailureShare: s.failureShare, Ejected: now.Before(s.ejectedUntil), Avoided: now.Before(s.avoidedUntil), Replaced: s.replaced,
-			SameZone: instance.AvailabilityZone == q.Zone, Version: s.versions[q.Model], PauseLeft: t.pauses.left(instance, now),
-			Evacuated: q.Evacuated[instance.AvailabilityZone],
-		}
-		if q.Uneven {
-			c.Slowness = s.speed.Estimate(now)
-		}
-		if now.Sub(s.loadAt) < loadValidity {
-			c.Load = s.load
-		}
-		if len(q.Parts) > 0 {
-			if keyed == nil || keyedVersion != c.Version {
-				keyed, keyedVersion = keyParts(q.Salt(c.Version), q.Parts), c.Version
-			}
-			held := s.cache.prefix(keyed, now, &t.runTimes)
-			c.CachedParts, c.CachedTokens, c.ReadParts, c.UsedTokens = held.parts, held.tokens, held.readParts, held.usedTokens
-		}
-		out = append(out, c)
-	}
-	if q.Uneven && q.CacheTokens > 0 {
-		t.markPool(q, out, now)
-	}
-	return out
-}
-
 // Version returns the last known weight version of an instance, 0 if there is none.
 func (t *Tracker) Version(instance *upstreams.Instance, model string) uint64 {
 	t.mu.Lock()
--- a/placement/unresponsive.go
+++ b/placement/unresponsive.go
@@ -9,6 +9,7 @@
 // markUnresponsive ejects an instance until it can be reached.
 func (s *instanceState) markUnresponsive(now time.Time) {
 	s.unresponsive = true
+	s.tracker.unusual[s] = struct{}{}
 	s.ejectedUntil = now.Add(unresponsiveEjection)
 	for _, notify := range s.watchers {
 		notify()
