placement: find the holders of parts by an index

Cause: each choice looked for the parts of its prompt in the estimated caches of all engines. Change: an index holds the instances of each part. The caches of the few holders of the last shared part are looked at, and for fetches those of the holders of each part; if many hold a part, the first engine in the list that can be fetched from is found soon without it. The engines of BenchmarkDecision have the weights of the requests now: before, no cache was that of the request's version. The equivalence test passes with 3,000 random states.

--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -17,6 +17,7 @@
 			var list []*upstreams.Instance
 			for i := range engines {
 				list = append(list, instance(fmt.Sprint("i", i)))
+				tracker.state(list[i].Key()).setVersion("m", 1)
 				tracker.Begin(list[i], Work{Salt: "v1", Parts: document(fmt.Sprint("d", i)).Parts, CacheTokens: 50_000})
 			}
 			b.ReportAllocs()
--- a/placement/cache.go
+++ b/placement/cache.go
@@ -73,10 +73,13 @@
 	lists  [sizeClasses]*list.List
 	parts  map[uint32]*list.Element
 	tokens int
+	// holders is the index of the parts of all caches, in which this one is that of owner.
+	holders *partHolders
+	owner   *instanceState
 }
 
-func newPartCache() *partCache {
-	c := &partCache{parts: map[uint32]*list.Element{}}
+func newPartCache(holders *partHolders, owner *instanceState) *partCache {
+	c := &partCache{parts: map[uint32]*list.Element{}, holders: holders, owner: owner}
 	for i := range c.lists {
 		c.lists[i] = list.New()
 	}
@@ -98,6 +101,8 @@
 			}
 			c.lists[old.size].Remove(element)
 			c.tokens -= old.tokens
+		} else {
+			c.holders.add(part.key, c.owner)
 		}
 		c.parts[part.key] = c.lists[added.size].PushFront(added)
 		c.tokens += added.tokens
@@ -124,9 +129,17 @@
 	part := oldest.Value.(cachedPart)
 	c.lists[part.size].Remove(oldest)
 	delete(c.parts, part.key)
+	c.holders.remove(part.key, c.owner)
 	c.tokens -= part.tokens
 }
 
+// drop removes the cache from the index of the parts of all caches.
+func (c *partCache) drop() {
+	for key := range c.parts {
+		c.holders.remove(key, c.owner)
+	}
+}
+
 // cachedPrefix describes the leading parts of a prompt that an engine is expected to hold.
 type cachedPrefix struct {
 	parts, tokens int
--- a/placement/cache_test.go
+++ b/placement/cache_test.go
@@ -17,7 +17,7 @@
 
 // Guards against counting on more cache than an engine has, and on parts behind an evicted one.
 func TestBelievedCacheDropsTheOldestParts(t *testing.T) {
-	c, times, now := newPartCache(), newRunTimes(), time.Now()
+	c, times, now := newPartCache(newPartHolders(), nil), newRunTimes(), time.Now()
 	c.add(keyParts("s", []Part{{"a", 60}}), promptUse{sentAt: now, readAt: now}, 100, &times)
 	c.add(keyParts("s", []Part{{"b", 60}}), promptUse{sentAt: now, readAt: now}, 100, &times)
 	require.Equal(t, cachedPrefix{}, c.prefix(keyParts("s", []Part{{"a", 60}, {"b", 60}}), now, &times))
@@ -29,7 +29,7 @@
 // Guards against an estimate that keeps the parts of short requests, which have ended, and drops those of a long request
 // that still runs: engines do the opposite, and a fetch of the evicted parts finds nothing.
 func TestPartsOfRunningRequestsStay(t *testing.T) {
-	c, now := newPartCache(), time.Now()
+	c, now := newPartCache(newPartHolders(), nil), time.Now()
 	times := runTimes{100 * time.Millisecond, time.Second, 3 * time.Second}
 	long, short := keyParts("s", []Part{{"manual", 60}}), keyParts("s", []Part{{"call", 30}})
 	c.add(long, promptUse{sentAt: now, readAt: now, size: sizeLong}, 100, &times)
@@ -46,7 +46,7 @@
 
 // Guards against an estimate in which a short request ends the use of a part by a long one.
 func TestLongestUseOfAPartCounts(t *testing.T) {
-	c, now := newPartCache(), time.Now()
+	c, now := newPartCache(newPartHolders(), nil), time.Now()
 	times := runTimes{100 * time.Millisecond, time.Second, 3 * time.Second}
 	shared := keyParts("s", []Part{{"common", 10}})
 	c.add(shared, promptUse{sentAt: now, readAt: now, size: sizeLong}, 100, &times)
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/wasabishunt/wasabishunt/upstreams"
@@ -230,25 +231,74 @@
 	if len(shared) == 0 {
 		return
 	}
-	for i, s := range d.fleet.states {
-		d.marks[i].set(isRelated, d.held(s).parts >= len(shared))
+	for _, version := range d.tracker.versionsOf(d.fleet, d.q.Model).distinct {
+		last := d.prompt(version)[len(shared)-1].key
+		d.tracker.holders.of(last, func(s *instanceState) {
+			if i := d.fleet.positions.find(s); i >= 0 && s.versions[d.q.Model] == version && d.held(s).parts >= len(shared) {
+				for ; i >= 0; i = d.fleet.positions.next[i] {
+					d.marks[i] |= isRelated
+				}
+			}
+		})
 	}
 }
 
+// fewHolders is the share of the instances up to which the holders of a part are looked up. If more hold it, the first one in the list is found
+// soon without the index.
+const fewHolders = 1. / 16
+
 // findHeld is MarkHeld for the instances of the decision.
 func (d *decision) findHeld() {
-	d.q.Held = nil
-	parts := d.q.partsToFetch()
-	var c Candidate
-	for i := range d.fleet.list {
-		if len(d.q.Held) == len(parts) {
+	q := d.q
+	q.Held = nil
+	parts := q.partsToFetch()
+	first := int32(0)
+	for len(q.Held) < len(parts) {
+		// An engine that is the first with one more part is not before the first one with the parts so far.
+		if first = d.firstWithParts(len(q.Held)+1, parts, first); first < 0 {
 			return
 		}
-		d.describe(i, &c)
-		d.q.addHeld(&c, parts)
+		var c Candidate
+		d.describe(int(first), &c)
+		q.addHeld(&c, parts)
 	}
 }
 
+// firstWithParts returns the first position, not before from, of an engine from which others may fetch so many leading parts; -1 if there is
+// none.
+func (d *decision) firstWithParts(count int, parts []Part, from int32) int32 {
+	column, prompt := d.tracker.versionsOf(d.fleet, d.q.Model), d.prompt(d.q.StoredVersion)
+	if !slices.Contains(column.distinct, d.q.StoredVersion) {
+		return -1
+	}
+	canFetch := func(i int32) bool {
+		if column.values[i] != d.q.StoredVersion || d.fleet.states[i].cache.prefix(prompt, d.now, &d.tracker.runTimes).parts < count {
+			return false
+		}
+		var c Candidate
+		d.describe(int(i), &c)
+		return c.fetchableParts(d.q, parts) >= count
+	}
+	key := prompt[count-1].key
+	if float64(d.tracker.holders.count(key)) > fewHolders*float64(len(d.marks)) {
+		for i := from; int(i) < len(d.marks); i++ {
+			if canFetch(i) {
+				return i
+			}
+		}
+		return -1
+	}
+	first := int32(-1)
+	d.tracker.holders.of(key, func(s *instanceState) {
+		for i := d.fleet.positions.find(s); i >= 0 && (first < 0 || i < first); i = d.fleet.positions.next[i] {
+			if canFetch(i) {
+				first = i
+			}
+		}
+	})
+	return first
+}
+
 // describe describes an instance.
 func (d *decision) describe(i int, c *Candidate) {
 	t, q, s, instance := d.tracker, d.q, d.fleet.states[i], d.fleet.list[i]
--- a/placement/choose_test.go
+++ b/placement/choose_test.go
@@ -45,10 +45,18 @@
 	return append(parts[:w.random.IntN(len(parts)+1):len(parts)], Part{fmt.Sprint("own", w.random.IntN(1000)), 500})
 }
 
+// version returns a weight version; most instances, requests and parts have the same one.
+func (w *choiceWorld) version() uint64 {
+	if w.chance(0.8) {
+		return 1
+	}
+	return uint64(w.random.IntN(3))
+}
+
 func (w *choiceWorld) zone() string { return fmt.Sprint("z", w.random.IntN(3)) }
 
 func (w *choiceWorld) salt() string {
-	return (&Request{SharedCache: "all"}).Salt(uint64(w.random.IntN(3)))
+	return (&Request{SharedCache: "all"}).Salt(w.version())
 }
 
 // changeList replaces the list of instances by one with other properties.
@@ -76,7 +84,7 @@
 		}
 		instance.Address = instance.ID + ":1"
 		if w.chance(0.8) {
-			instance.Versions = map[string]uint64{"m": uint64(w.random.IntN(3))}
+			instance.Versions = map[string]uint64{"m": w.version()}
 		}
 		w.list = append(w.list, instance)
 	}
@@ -154,7 +162,7 @@
 	case 4:
 		if len(w.attempts) > 0 {
 			attempt := w.attempts[w.random.IntN(len(w.attempts))]
-			attempt.RecordAnswer(&Load{w.random.IntN(9), w.random.IntN(3), 8}, "m", uint64(w.random.IntN(3)), w.now)
+			attempt.RecordAnswer(&Load{w.random.IntN(9), w.random.IntN(3), 8}, "m", w.version(), w.now)
 			if w.share > 0 {
 				attempt.RecordSpeed(50+w.random.IntN(250), w.now)
 			}
@@ -197,7 +205,7 @@
 // request returns a random request and pauses for a list of instances.
 func (w *choiceWorld) request(list []*upstreams.Instance) (*Request, Pauses) {
 	q := &Request{
-		Zone: w.zone(), Model: "m", WantedVersion: uint64(w.random.IntN(3)), RequireWantedVersion: w.chance(w.share), SharedCache: "all", Seed: fmt.Sprint("request-", w.random.Int()),
+		Zone: w.zone(), Model: "m", WantedVersion: w.version(), RequireWantedVersion: w.chance(w.share), SharedCache: "all", Seed: fmt.Sprint("request-", w.random.Int()),
 		Urgency: Urgency{Priority: w.random.IntN(3)}, Exclude: map[string]bool{}, Evacuated: map[string]bool{},
 		Target: w.duration(2 * time.Second), GapTarget: w.duration(time.Second),
 	}
@@ -211,7 +219,7 @@
 		q.Parts, q.CacheTokens = w.parts(), 20_000+w.random.IntN(40_000)
 		q.Tokens = 300 + w.random.IntN(12_000)
 		q.Urgency.PromptTokens = q.Tokens
-		q.StoredVersion, q.TokenTransfer = uint64(w.random.IntN(3)), time.Duration(w.random.IntN(3))*time.Microsecond
+		q.StoredVersion, q.TokenTransfer = w.version(), time.Duration(w.random.IntN(3))*time.Microsecond
 		for _, part := range q.shared() {
 			stored := StoredPart{Tokens: part.Tokens, Transfer: w.duration(30 * time.Millisecond), Wait: w.duration(30 * time.Millisecond)}
 			if w.chance(0.5) {
@@ -252,7 +260,7 @@
 				for range changes / 12 {
 					w.change()
 				}
-				for range 4 {
+				for range 6 {
 					// Requests read the clock before they wait for the tracker.
 					w.choose(t, list, w.now.Add(w.duration(40*time.Millisecond)-20*time.Millisecond), counts)
 				}
@@ -262,7 +270,7 @@
 			}
 		}
 	})
-	for _, kind := range []string{"uneven", "plain", "other pool", "no instance", "paused", "home", "holder", "fetch from an engine", "evacuated", "ejected"} {
+	for _, kind := range []string{"uneven", "plain", "other pool", "no instance", "paused", "home", "holder", "holders", "fetch from an engine", "evacuated", "ejected"} {
 		require.Greater(t, counts[kind], 20, kind)
 	}
 }
@@ -294,6 +302,7 @@
 	for kind, seen := range map[string]bool{
 		"uneven": q.Uneven, "plain": q.CacheTokens == 0, "no instance": best == nil, "paused": pauseLeft > 0, "fetch from an engine": len(q.Held) > 0,
 		"home": best != nil && best.homePosition > 0, "holder": best != nil && best.CachedParts > 1,
+		"holders":    slices.ContainsFunc(all, func(c Candidate) bool { return len(q.Parts) > 2 && c.CachedParts >= len(q.shared()) }),
 		"other pool": slices.ContainsFunc(all, func(c Candidate) bool { return c.OtherPool }),
 		"evacuated":  slices.ContainsFunc(all, func(c Candidate) bool { return c.Evacuated }),
 		"ejected":    slices.ContainsFunc(all, func(c Candidate) bool { return c.Ejected }),
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -114,6 +114,8 @@
 	statesRevision, versionsRevision uint64
 	// unusual are the states that may be ejected, avoided or replaced.
 	unusual map[*instanceState]struct{}
+	// holders are the holders of all parts.
+	holders *partHolders
 	// decision is reused, with the memory of its slices.
 	decision decision
 }
@@ -125,7 +127,7 @@
 		lastDigest: digestState{instances: map[uint32]usage{}, transfers: map[uint32]time.Duration{}},
 		rate:       readRate{tokensPerMs: initialReadRate}, runTimes: newRunTimes(), uses: newPartUses(),
 		leaving: newLeavingNews(), pauses: pauses{}, longDemand: map[string]*prefillpool.Demand{}, speeds: speed.NewTable(false),
-		fleets: map[string]*fleet{}, unusual: map[*instanceState]struct{}{},
+		fleets: map[string]*fleet{}, unusual: map[*instanceState]struct{}{}, holders: newPartHolders(),
 	}
 }
 
@@ -153,6 +155,7 @@
 		if !present[key] && s.requests == 0 {
 			delete(t.instances, key)
 			delete(t.unusual, s)
+			s.cache.drop()
 			t.statesRevision++
 			t.forgetSpeed(s)
 			if t.byHash[hashKey(key.ID)] == s {
@@ -165,7 +168,8 @@
 func (t *Tracker) state(key upstreams.Key) *instanceState {
 	s := t.instances[key]
 	if s == nil {
-		s = &instanceState{tracker: t, id: key.ID, versions: map[string]uint64{}, cache: newPartCache()}
+		s = &instanceState{tracker: t, id: key.ID, versions: map[string]uint64{}}
+		s.cache = newPartCache(t.holders, s)
 		t.instances[key] = s
 		t.statesRevision++
 		t.byHash[hashKey(key.ID)] = s
@@ -178,7 +182,8 @@
 	if s.versions[model] != version {
 		s.versions[model] = version
 		s.tracker.versionsRevision++
-		s.cache = newPartCache()
+		s.cache.drop()
+		s.cache = newPartCache(s.tracker.holders, s)
 	}
 }
 
