placement: keep what other nodes have in progress at the instance's state

Cause: choices among the instances of a plain service, and the demand for long prompts, add up what all nodes have in progress, with three map lookups and a hash for each instance. Change: the sum of the other nodes is kept with the state of the instance and changes with their reports; a report that repeats a figure changes nothing. The instances of a plain service are compared without full descriptions.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -34,13 +34,24 @@
 	if len(considered) == 0 {
 		return nil, d.shortestPause(func(i int) time.Duration { return d.pauseLeft[i] })
 	}
-	d.candidates = d.candidates[:0]
-	for _, i := range considered {
-		d.candidates = append(d.candidates, Candidate{})
-		d.describe(int(i), &d.candidates[len(d.candidates)-1])
+	var position int32
+	if q.CacheTokens > 0 {
+		d.candidates = d.candidates[:0]
+		for _, i := range considered {
+			d.candidates = append(d.candidates, Candidate{})
+			d.describe(int(i), &d.candidates[len(d.candidates)-1])
+		}
+		position = considered[cheapest(len(considered), costOf(q, d.candidates))]
+	} else {
+		// All instances of a plain service may be considered.
+		var c Candidate
+		position = considered[cheapest(len(considered), func(i int) float64 {
+			d.describeLoad(int(considered[i]), &c)
+			return serviceCost(q, &c)
+		})]
 	}
 	best = new(Candidate)
-	*best = *cheapest(q, d.candidates)
+	d.describe(int(position), best)
 	return best, 0
 }
 
@@ -72,6 +83,8 @@
 	q           *Request
 	now         time.Time
 	memoryShare float64
+	// ownZone is the number of the request's zone, -1 if it has no instances.
+	ownZone int32
 	// pauseLeft holds how long instances still take no requests from this node; pausedAt are the positions that are not 0.
 	pauseLeft []time.Duration
 	pausedAt  []int32
@@ -92,6 +105,7 @@
 	t.expire(now)
 	q.Uneven = len(list) > 0 && t.speeds.Service(list[0].Service).IsActive(now)
 	d.tracker, d.q, d.now, d.fleet = t, q, now, t.fleetOf(list)
+	d.ownZone = int32(slices.Index(d.fleet.zoneNames, q.Zone))
 	d.memoryShare = t.priorities.memoryShare(q.Urgency)
 	d.marks = append(d.marks[:0], d.fleet.base...)
 	d.markStates()
@@ -108,7 +122,7 @@
 	if cap(d.candidates) > maxKeptCandidates {
 		d.candidates = nil
 	}
-	d.q, d.prompts, d.homePositions = nil, d.prompts[:0], nil
+	d.q, d.fleet, d.prompts, d.homePositions = nil, nil, d.prompts[:0], nil
 }
 
 // maxKeptCandidates is the size up to which the memory of candidates is reused: more are described only if most engines hold the prompt.
@@ -302,29 +316,37 @@
 // describe describes an instance.
 func (d *decision) describe(i int, c *Candidate) {
 	t, q, s, instance := d.tracker, d.q, d.fleet.states[i], d.fleet.list[i]
-	others := t.others(instance.ID)
 	*c = Candidate{
-		Instance: instance, Requests: s.requests + others.requests, PrefillTokens: s.prefillTokens + others.prefillTokens,
-		HeldTokens: s.heldTokens + others.heldTokens, LongTokens: s.longTokens + others.longTokens,
-		AheadTokens: t.priorities.aheadTokens(q.Urgency, s.prefillTokens+others.prefillTokens, s.longTokens+others.longTokens),
+		Instance: instance, PrefillTokens: s.prefillTokens + s.others.prefillTokens,
+		HeldTokens: s.heldTokens + s.others.heldTokens, LongTokens: s.longTokens + s.others.longTokens,
+		AheadTokens: t.priorities.aheadTokens(q.Urgency, s.prefillTokens+s.others.prefillTokens, s.longTokens+s.others.longTokens),
 		MemoryShare: d.memoryShare, ReadRate: t.rate.tokensPerMs,
-		FailureShare: s.failureShare, Ejected: d.now.Before(s.ejectedUntil), Avoided: d.now.Before(s.avoidedUntil), Replaced: s.replaced,
-		SameZone: instance.AvailabilityZone == q.Zone, Version: s.versions[q.Model], PauseLeft: d.pauseLeft[i],
+		Ejected: d.now.Before(s.ejectedUntil), Avoided: d.now.Before(s.avoidedUntil), Replaced: s.replaced,
+		Version: s.versions[q.Model], PauseLeft: d.pauseLeft[i],
 		Evacuated: d.marks[i]&isEvacuated != 0, OtherPool: d.marks[i]&isInOtherPool != 0,
 	}
+	d.describeLoad(i, c)
 	for position, home := range d.homePositions {
 		if int(home) == i {
 			c.homePosition = position + 1
 		}
 	}
-	if q.Uneven {
-		c.Slowness = s.speed.Estimate(d.now)
+	if len(q.Parts) > 0 {
+		held := d.held(s)
+		c.CachedParts, c.CachedTokens, c.ReadParts, c.UsedTokens = held.parts, held.tokens, held.readParts, held.usedTokens
 	}
+}
+
+// describeLoad describes what the cost of an instance of a plain service depends on.
+func (d *decision) describeLoad(i int, c *Candidate) {
+	s := d.fleet.states[i]
+	c.Requests, c.FailureShare = s.requests+s.others.requests, s.failureShare
+	c.SameZone = d.fleet.zones[i] == d.ownZone
+	c.Load = Load{}
 	if d.now.Sub(s.loadAt) < loadValidity {
 		c.Load = s.load
 	}
-	if len(q.Parts) > 0 {
-		held := d.held(s)
-		c.CachedParts, c.CachedTokens, c.ReadParts, c.UsedTokens = held.parts, held.tokens, held.readParts, held.usedTokens
+	if d.q.Uneven {
+		c.Slowness = s.speed.Estimate(d.now)
 	}
 }
--- a/placement/digest.go
+++ b/placement/digest.go
@@ -163,7 +163,7 @@
 	if ownNode != "" {
 		t.dropReports(now)
 		t.ownZone = d.GetZone()
-		t.merged = t.history.find(mergedSequence(d, ownNode))
+		t.setMerged(t.history.find(mergedSequence(d, ownNode)))
 		if t.merged.instances == nil {
 			// The relay has no recent report of this node: the node's part of the totals is unknown and would count
 			// as a queue.
@@ -234,7 +234,19 @@
 		t.links.dropSource(source.totalsName)
 		delete(t.zones.byName, zone)
 	}
-	t.merged = sentReport{}
+	t.setMerged(sentReport{})
+}
+
+// setMerged records which report of this node the newest digest of its own zone contains.
+func (t *Tracker) setMerged(r sentReport) {
+	before := t.merged.instances
+	t.merged = r
+	for key := range before {
+		t.updateOthers(key)
+	}
+	for key := range r.instances {
+		t.updateOthers(key)
+	}
 }
 
 // sentReport is what this node sent in one report.
--- a/placement/peers.go
+++ b/placement/peers.go
@@ -46,10 +46,12 @@
 type loadSources struct {
 	byName    map[string]*loadSource
 	instances map[uint32]usage
+	// changed is called with the keys of instances whose sum has changed.
+	changed func(key uint32)
 }
 
-func newLoadSources() *loadSources {
-	return &loadSources{byName: map[string]*loadSource{}, instances: map[uint32]usage{}}
+func newLoadSources(changed func(key uint32)) *loadSources {
+	return &loadSources{byName: map[string]*loadSource{}, instances: map[uint32]usage{}, changed: changed}
 }
 
 // NodeHash returns the hash of a node's name in ZoneDigest.merged_nodes.
@@ -59,6 +61,9 @@
 
 // set replaces what a source has in progress at one instance.
 func (p *loadSources) set(source *loadSource, key uint32, u usage) {
+	if u == source.instances[key] {
+		return
+	}
 	p.instances[key] = p.instances[key].plus(source.instances[key], -1).plus(u, 1)
 	if p.instances[key] == (usage{}) {
 		delete(p.instances, key)
@@ -67,6 +72,7 @@
 	if u == (usage{}) {
 		delete(source.instances, key)
 	}
+	p.changed(key)
 }
 
 // replace replaces everything that a source has in progress.
@@ -278,6 +284,6 @@
 		t.speeds.Drop(source, now)
 	}
 	if t.zones.byName[t.ownZone] == nil {
-		t.merged = sentReport{}
+		t.setMerged(sentReport{})
 	}
 }
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -114,7 +114,7 @@
 	if len(considered) == 0 {
 		return nil
 	}
-	return cheapest(q, considered)
+	return &considered[cheapest(len(considered), costOf(q, considered))]
 }
 
 const (
--- a/placement/pools.go
+++ b/placement/pools.go
@@ -40,9 +40,8 @@
 	}
 	tokens, requests := 0, 0
 	for _, s := range d.fleet.states {
-		others := t.others(s.id)
-		tokens += s.longTokens + others.longTokens
-		requests += s.requests + others.requests
+		tokens += s.longTokens + s.others.longTokens
+		requests += s.requests + s.others.requests
 	}
 	demand.Observe(tokens, requests, d.fleet.list[0].Slots, d.now)
 	share := demand.Share()
--- a/placement/selection.go
+++ b/placement/selection.go
@@ -187,18 +187,22 @@
 	return append(all[:0], taken[:size]...)
 }
 
-// cheapest returns the candidate with the lowest cost, the first of equal ones.
-func cheapest(q *Request, candidates []Candidate) *Candidate {
-	cost := serviceCost
-	if q.CacheTokens > 0 {
-		price := memoryPrice(q, candidates)
-		cost = func(q *Request, c *Candidate) float64 { return engineCost(q, c) + price*float64(q.newTokens(c)) }
+// costOf returns the cost of a candidate for a request.
+func costOf(q *Request, considered []Candidate) func(i int) float64 {
+	if q.CacheTokens == 0 {
+		return func(i int) float64 { return serviceCost(q, &considered[i]) }
 	}
+	price := memoryPrice(q, considered)
+	return func(i int) float64 { return engineCost(q, &considered[i]) + price*float64(q.newTokens(&considered[i])) }
+}
+
+// cheapest returns the candidate with the lowest cost, the first of equal ones.
+func cheapest(count int, cost func(i int) float64) int {
 	best, bestCost := -1, 0.0
-	for i := range candidates {
-		if c := cost(q, &candidates[i]); best < 0 || c < bestCost {
+	for i := range count {
+		if c := cost(i); best < 0 || c < bestCost {
 			best, bestCost = i, c
 		}
 	}
-	return &candidates[best]
+	return best
 }
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -2,6 +2,7 @@
 package placement
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -59,12 +60,14 @@
 	tracker                                         *Tracker
 	id                                              string
 	requests, prefillTokens, longTokens, heldTokens int
-	load                                            Load
-	loadAt                                          time.Time
-	failures                                        int
-	failureShare                                    float64
-	ejections                                       int
-	ejectedUntil, avoidedUntil                      time.Time
+	// others is what the other nodes have in progress at the instance.
+	others                     usage
+	load                       Load
+	loadAt                     time.Time
+	failures                   int
+	failureShare               float64
+	ejections                  int
+	ejectedUntil, avoidedUntil time.Time
 	// unresponsive is set until the instance's VM can be reached again. foundHere is set if this node found that out
 	// itself.
 	unresponsive, foundHere, replaced bool
@@ -84,7 +87,9 @@
 	instances map[upstreams.Key]*instanceState
 	// byHash indexes the states by the keys used in reports.
 	byHash map[uint32]*instanceState
-	reads  []promptRead
+	// sameHash holds all states with a key, also if several instances have the same one.
+	sameHash map[uint32][]*instanceState
+	reads    []promptRead
 	// reports counts the reports of this node.
 	reports  uint64
 	revision uint64
@@ -122,13 +127,15 @@
 
 // NewTracker returns an empty Tracker.
 func NewTracker() *Tracker {
-	return &Tracker{
-		instances: map[upstreams.Key]*instanceState{}, byHash: map[uint32]*instanceState{}, links: newLinks(), peers: newLoadSources(), zones: newLoadSources(),
+	t := &Tracker{
+		instances: map[upstreams.Key]*instanceState{}, byHash: map[uint32]*instanceState{}, sameHash: map[uint32][]*instanceState{}, links: newLinks(),
 		lastDigest: digestState{instances: map[uint32]usage{}, transfers: map[uint32]time.Duration{}},
 		rate:       readRate{tokensPerMs: initialReadRate}, runTimes: newRunTimes(), uses: newPartUses(),
 		leaving: newLeavingNews(), pauses: pauses{}, longDemand: map[string]*prefillpool.Demand{}, speeds: speed.NewTable(false),
 		fleets: map[string]*fleet{}, unusual: map[*instanceState]struct{}{}, holders: newPartHolders(),
 	}
+	t.peers, t.zones = newLoadSources(t.updateOthers), newLoadSources(t.updateOthers)
+	return t
 }
 
 // Sync removes instances that are no longer listed, and applies the weight versions of a new list.
@@ -139,6 +146,8 @@
 		return
 	}
 	t.revision = view.Revision
+	// Fleets keep the instances of the former view in memory.
+	clear(t.fleets)
 	present := make(map[upstreams.Key]bool, len(view.Instances))
 	for i := range view.Instances {
 		instance := &view.Instances[i]
@@ -156,6 +165,10 @@
 			delete(t.instances, key)
 			delete(t.unusual, s)
 			s.cache.drop()
+			t.sameHash[hashKey(key.ID)] = slices.DeleteFunc(t.sameHash[hashKey(key.ID)], func(other *instanceState) bool { return other == s })
+			if len(t.sameHash[hashKey(key.ID)]) == 0 {
+				delete(t.sameHash, hashKey(key.ID))
+			}
 			t.statesRevision++
 			t.forgetSpeed(s)
 			if t.byHash[hashKey(key.ID)] == s {
@@ -172,7 +185,10 @@
 		s.cache = newPartCache(t.holders, s)
 		t.instances[key] = s
 		t.statesRevision++
-		t.byHash[hashKey(key.ID)] = s
+		hash := hashKey(key.ID)
+		t.byHash[hash] = s
+		t.sameHash[hash] = append(t.sameHash[hash], s)
+		s.others = t.others(hash)
 	}
 	return s
 }
@@ -244,8 +260,7 @@
 		t.recordRead(s, promptRead{hashKey(instance.ID), keyParts(work.Salt, work.Parts), work.CacheTokens, use})
 	}
 	t.speedOf(s, instance)
-	others := t.others(instance.ID)
-	ahead := t.priorities.aheadTokens(work.Urgency, s.prefillTokens+others.prefillTokens, s.longTokens+others.longTokens)
+	ahead := t.priorities.aheadTokens(work.Urgency, s.prefillTokens+s.others.prefillTokens, s.longTokens+s.others.longTokens)
 	return &Attempt{tracker: t, key: instance.Key(), work: work, began: began, aheadTokens: ahead}
 }
 
@@ -327,12 +342,21 @@
 }
 
 // others returns what the other nodes have in progress at an instance. The caller holds the lock.
-func (t *Tracker) others(id string) usage {
-	key := hashKey(id)
+func (t *Tracker) others(key uint32) usage {
 	sum := t.peers.instances[key].plus(t.zones.instances[key], 1).plus(t.merged.instances[key], -1)
 	return usage{max(0, sum.requests), max(0, sum.prefillTokens), max(0, sum.longTokens), max(0, sum.heldTokens)}
 }
 
+// updateOthers updates the states with a key after a change of what other nodes have in progress.
+func (t *Tracker) updateOthers(key uint32) {
+	if states := t.sameHash[key]; len(states) > 0 {
+		others := t.others(key)
+		for _, s := range states {
+			s.others = others
+		}
+	}
+}
+
 // fail ejects an instance after consecutive failures, for longer each time until it answers again.
 func (s *instanceState) fail(now time.Time) {
 	s.failures++
@@ -357,7 +381,8 @@
 func (t *Tracker) Requests(instance *upstreams.Instance) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.state(instance.Key()).requests + t.others(instance.ID).requests
+	s := t.state(instance.Key())
+	return s.requests + s.others.requests
 }
 
 // learnFrom updates the read rate and the slowness of links with the time to the first event of a request. A request
