placement: keep the order of the engines for a part of a prompt

Cause: each choice computed the scores of all engines for the document of its prompt, to find its two homes. Change: a fleet of at least 64 instances keeps the first 16 engines in the order for each of the last 1,024 to 2,048 documents. The homes are the first two of them that can be homes; if there are fewer, all scores are computed as before.

--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -26,6 +26,7 @@
 	byHash        *positionIndex[uint32]
 	poolPositions []float64
 	versions      map[string]*versionColumn
+	rankings      rankings
 }
 
 // versionColumn holds the weight versions of the instances for one model at the time of a revision.
--- a/placement/homes.go
+++ b/placement/homes.go
@@ -43,31 +43,110 @@
 	if len(shared) == 0 {
 		return nil
 	}
-	zone := s.homeZone(q)
-	score := newRendezvous(shared[len(shared)-1].ID)
-	var top [homeCount]int32
-	var scores [homeCount]uint64
-	found := 0
+	key := rankingKey{shared[len(shared)-1].ID, s.homeZone(q)}
+	cached := len(s.fleet.ids) >= minRankedFleet
+	if cached {
+		if known, found := s.fleet.rankings.find(key); found {
+			if homes, complete := s.availableOf(known); complete {
+				return homes
+			}
+		}
+	}
+	score := newRendezvous(key.part)
+	all, available := topScores{size: rankingSize}, topScores{size: homeCount}
 	for i, m := range s.marks {
-		if m&unavailable != 0 || zone >= 0 && s.fleet.zones[i] != zone {
+		if key.zone >= 0 && s.fleet.zones[i] != key.zone || !cached && m&unavailable != 0 {
 			continue
 		}
 		current := score.of(s.fleet.ids[i])
-		insertAt := found
-		for insertAt > 0 && current > scores[insertAt-1] {
-			insertAt--
+		if m&unavailable == 0 {
+			available.add(int32(i), current)
 		}
-		if insertAt >= homeCount {
+		if cached {
+			all.add(int32(i), current)
+		}
+	}
+	if cached {
+		s.fleet.rankings.add(key, slices.Clone(all.positions()))
+	}
+	return slices.Clone(available.positions())
+}
+
+// availableOf returns the first engines of a ranking that can be homes, and whether these are the homes: a ranking that is full leaves out
+// engines.
+func (s *selection) availableOf(ranking []int32) (homes []int32, complete bool) {
+	for _, i := range ranking {
+		if s.marks[i]&unavailable != 0 {
 			continue
 		}
-		copy(top[insertAt+1:], top[insertAt:homeCount-1])
-		copy(scores[insertAt+1:], scores[insertAt:homeCount-1])
-		top[insertAt], scores[insertAt] = int32(i), current
-		found = min(found+1, homeCount)
+		if homes = append(homes, i); len(homes) == homeCount {
+			return homes, true
+		}
 	}
-	return top[:found]
+	return homes, len(ranking) < rankingSize
 }
 
+const (
+	// rankingSize is the number of engines in a ranking. Most rankings have two that can be homes.
+	rankingSize = 16
+	// minRankedFleet is the number of instances from which rankings are kept: for fewer ones the scores cost less.
+	minRankedFleet = 64
+	// maxRankings is the number of rankings from which the older ones are dropped.
+	maxRankings = 1024
+)
+
+// rankingKey identifies the order of the engines of a zone for a part of a prompt. The zone is -1 for all engines.
+type rankingKey struct {
+	part string
+	zone int32
+}
+
+// rankings holds the first engines in the order for each part, whether they can be homes at the time or not. The map older holds those of the
+// time before recent was begun.
+type rankings struct{ recent, older map[rankingKey][]int32 }
+
+func (r *rankings) find(key rankingKey) ([]int32, bool) {
+	if known, found := r.recent[key]; found {
+		return known, true
+	}
+	known, found := r.older[key]
+	if found {
+		r.add(key, known)
+	}
+	return known, found
+}
+
+func (r *rankings) add(key rankingKey, ranking []int32) {
+	if r.recent == nil || len(r.recent) >= maxRankings {
+		r.older, r.recent = r.recent, map[rankingKey][]int32{}
+	}
+	r.recent[key] = ranking
+}
+
+// topScores holds the positions with the highest scores, the first position first among equal ones.
+type topScores struct {
+	size, count int
+	order       [rankingSize]int32
+	scores      [rankingSize]uint64
+}
+
+// add adds a position that is higher than those before.
+func (t *topScores) add(position int32, score uint64) {
+	insertAt := t.count
+	for insertAt > 0 && score > t.scores[insertAt-1] {
+		insertAt--
+	}
+	if insertAt >= t.size {
+		return
+	}
+	t.count = min(t.count+1, t.size)
+	copy(t.order[insertAt+1:t.count], t.order[insertAt:])
+	copy(t.scores[insertAt+1:t.count], t.scores[insertAt:])
+	t.order[insertAt], t.scores[insertAt] = position, score
+}
+
+func (t *topScores) positions() []int32 { return t.order[:t.count] }
+
 // homeZone returns the number of the zone of the store that holds the last shared part, if the zone has engines: transfers within a
 // zone take half the time of the store's link. Otherwise it returns -1.
 func (s *selection) homeZone(q *Request) int32 {
