placement: compare times of loads only where there is a load

Cause: the difference of two times took half of the cost of an instance of a plain service, also where no load is known.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -343,7 +343,8 @@
 	c.Requests, c.FailureShare = s.requests+s.others.requests, s.failureShare
 	c.SameZone = d.fleet.zones[i] == d.ownZone
 	c.Load = Load{}
-	if d.now.Sub(s.loadAt) < loadValidity {
+	// Most instances of a large service have not answered this node lately; the difference of times is the dearest part here.
+	if s.load != (Load{}) && d.now.Sub(s.loadAt) < loadValidity {
 		c.Load = s.load
 	}
 	if d.q.Uneven {
