placement: keep the indexes of a list of instances when only properties change

During a load of weights the list changes with each instance. Change: the fleet of a new list takes over the indexes of the former one if it has the same instances. The equivalence test also checks that the index of the holders of parts does not keep parts that no cache has.

--- a/placement/choose_test.go
+++ b/placement/choose_test.go
@@ -260,6 +260,7 @@
 				for range changes / 12 {
 					w.change()
 				}
+				w.requireIndexes(t)
 				for range 6 {
 					// Requests read the clock before they wait for the tracker.
 					w.choose(t, list, w.now.Add(w.duration(40*time.Millisecond)-20*time.Millisecond), counts)
@@ -275,6 +276,29 @@
 	}
 }
 
+// requireIndexes checks that the index of the holders of parts has those parts that the caches have, and no others: it would grow without bound.
+func (w *choiceWorld) requireIndexes(t *rapid.T) {
+	parts := 0
+	for _, s := range w.tracker.instances {
+		parts += len(s.cache.parts)
+		for key := range s.cache.parts {
+			found := 0
+			w.tracker.holders.of(key, func(holder *instanceState) {
+				if holder == s {
+					found++
+				}
+			})
+			require.Equal(t, 1, found)
+		}
+	}
+	indexed := len(w.tracker.holders.single)
+	for _, holders := range w.tracker.holders.several {
+		require.Greater(t, len(holders), 1)
+		indexed += len(holders)
+	}
+	require.Equal(t, parts, indexed)
+}
+
 // choose compares the choices of both implementations for a random request.
 func (w *choiceWorld) choose(t *rapid.T, list []*upstreams.Instance, now time.Time, counts map[string]int) {
 	q, pauses := w.request(list)
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -109,23 +109,45 @@
 	if len(list) == 0 {
 		return newFleet(nil)
 	}
-	f := t.fleets[list[0].Service]
-	if f == nil || !slices.Equal(f.list, list) {
-		f = newFleet(list)
-		t.fleets[list[0].Service] = f
+	service := list[0].Service
+	old := t.fleets[service]
+	if old != nil && old.statesRevision == t.statesRevision && slices.Equal(old.list, list) {
+		return old
 	}
-	if f.states == nil || f.statesRevision != t.statesRevision {
-		f.states = make([]*instanceState, len(list))
-		for i, instance := range list {
-			f.states[i] = t.state(instance.Key())
-		}
+	f := newFleet(list)
+	f.states, f.statesRevision = make([]*instanceState, len(list)), t.statesRevision
+	for i, instance := range list {
+		f.states[i] = t.state(instance.Key())
+	}
+	if old != nil && slices.Equal(old.states, f.states) {
+		f.keepIndexes(old)
+	} else {
 		f.positions = newPositionIndex(len(list), func(i int) *instanceState { return f.states[i] })
 		f.versions = map[string]*versionColumn{}
-		f.statesRevision = t.statesRevision
 	}
+	t.fleets[service] = f
 	return f
 }
 
+// keepIndexes takes over what the fleet of an older list of the same instances has computed: most new lists differ in properties only.
+func (f *fleet) keepIndexes(old *fleet) {
+	f.positions, f.byID, f.byHash, f.poolPositions, f.versions = old.positions, old.byID, old.byHash, old.poolPositions, old.versions
+	if slices.Equal(old.zones, f.zones) && slices.Equal(old.zoneNames, f.zoneNames) {
+		f.rankings = old.rankings
+	}
+}
+
+// forgetLists drops the lists of instances that a new view replaces, and the fleets of services that it does not have. Fleets would keep the
+// former view in memory until the next request for their service. The caller holds the lock.
+func (t *Tracker) forgetLists(view *upstreams.View) {
+	for service, f := range t.fleets {
+		f.list = nil
+		if len(view.OfService(service)) == 0 {
+			delete(t.fleets, service)
+		}
+	}
+}
+
 // versionsOf returns the weight versions of the instances of a fleet. The caller holds the lock.
 func (t *Tracker) versionsOf(f *fleet, model string) *versionColumn {
 	column := f.versions[model]
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -114,7 +114,7 @@
 	// longDemand is the demand for long prompts by service.
 	longDemand map[string]*prefillpool.Demand
 	speeds     *speed.Table
-	// fleets holds the fleet of each service. statesRevision changes with the set of states, versionsRevision with their versions.
+	// fleets holds the fleet of each service. statesRevision changes when states are removed, versionsRevision with their versions.
 	fleets                           map[string]*fleet
 	statesRevision, versionsRevision uint64
 	// unusual are the states that may be ejected, avoided or replaced.
@@ -146,8 +146,7 @@
 		return
 	}
 	t.revision = view.Revision
-	// Fleets keep the instances of the former view in memory.
-	clear(t.fleets)
+	t.forgetLists(view)
 	present := make(map[upstreams.Key]bool, len(view.Instances))
 	for i := range view.Instances {
 		instance := &view.Instances[i]
@@ -184,7 +183,6 @@
 		s = &instanceState{tracker: t, id: key.ID, versions: map[string]uint64{}}
 		s.cache = newPartCache(t.holders, s)
 		t.instances[key] = s
-		t.statesRevision++
 		hash := hashKey(key.ID)
 		t.byHash[hash] = s
 		t.sameHash[hash] = append(t.sameHash[hash], s)
