placement: compare engines without a list of their descriptions

Cause: if all engines hold the shared parts of a prompt, a request considers all of them. Each was described in 300 bytes of a list, which was kept until all costs were known, and its holders were looked up with two further maps. Change: the sum of the memory in use comes from the states, so that one description is enough at a time. Weight versions come from the column of the fleet.

--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -22,10 +22,11 @@
 }
 
 // BenchmarkDecision measures the choice of an engine for one long prompt, at the numbers of engines of the users' sites and of the
-// target size: for documents that were used before, for new ones, and after a change of the list of instances.
+// target size: for documents that were used before, for new ones, for a prompt whose shared part all engines hold, and after a change of the list of
+// instances.
 func BenchmarkDecision(b *testing.B) {
 	for _, engines := range []int{12, 15, 47, 2600} {
-		for _, kind := range []string{"", "/new-document", "/new-list"} {
+		for _, kind := range []string{"", "/new-document", "/no-document", "/new-list"} {
 			b.Run(fmt.Sprintf("engines-%d%s", engines, kind), func(b *testing.B) {
 				tracker, list := benchmarkEngines(engines)
 				b.ReportAllocs()
@@ -34,6 +35,9 @@
 					if kind == "/new-document" {
 						q = document(fmt.Sprint("n", request))
 					}
+					if kind == "/no-document" {
+						q.Parts = []Part{q.Parts[0], q.Parts[2]}
+					}
 					if kind == "/new-list" {
 						changed := *list[0]
 						list = slices.Clone(list)
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -34,24 +34,18 @@
 	if len(considered) == 0 {
 		return nil, d.shortestPause(func(i int) time.Duration { return d.pauseLeft[i] })
 	}
-	var position int32
-	if q.CacheTokens > 0 {
-		d.candidates = d.candidates[:0]
-		for _, i := range considered {
-			d.candidates = append(d.candidates, Candidate{})
-			d.describe(int(i), &d.candidates[len(d.candidates)-1])
-		}
-		position = considered[cheapest(len(considered), costOf(q, d.candidates))]
-	} else {
-		// All instances of a plain service may be considered.
-		var c Candidate
-		position = considered[cheapest(len(considered), func(i int) float64 {
-			d.describeLoad(int(considered[i]), &c)
-			return serviceCost(q, &c)
-		})]
+	describe := d.describe
+	if q.CacheTokens == 0 {
+		describe = d.describeLoad
 	}
-	best = new(Candidate)
-	d.describe(int(position), best)
+	best = &Candidate{}
+	position := cheapest(q, len(considered),
+		func(i int) int { return d.fleet.states[considered[i]].held() },
+		func(i int) *Candidate {
+			describe(int(considered[i]), best)
+			return best
+		})
+	d.describe(int(considered[position]), best)
 	return best, 0
 }
 
@@ -91,8 +85,9 @@
 	// homePositions are the homes of the prompt, the first home first.
 	homePositions []int32
 	// prompts holds the parts of the prompt under the salt of each version that was needed.
-	prompts    []keyedPrompt
-	candidates []Candidate
+	prompts []keyedPrompt
+	// versions are the weight versions of the instances for the request's model.
+	versions *versionColumn
 }
 
 type keyedPrompt struct {
@@ -107,6 +102,7 @@
 	d.tracker, d.q, d.now, d.fleet = t, q, now, t.fleetOf(list)
 	d.ownZone = int32(slices.Index(d.fleet.zoneNames, q.Zone))
 	d.memoryShare = t.priorities.memoryShare(q.Urgency)
+	d.versions = t.versionsOf(d.fleet, q.Model)
 	d.marks = append(d.marks[:0], d.fleet.base...)
 	d.markStates()
 	d.markPauses(pauses)
@@ -116,18 +112,11 @@
 	}
 }
 
-// end drops the references to the request and its candidates.
+// end drops the references to the request and the list.
 func (d *decision) end() {
-	clear(d.candidates)
-	if cap(d.candidates) > maxKeptCandidates {
-		d.candidates = nil
-	}
 	d.q, d.fleet, d.prompts, d.homePositions = nil, nil, d.prompts[:0], nil
 }
 
-// maxKeptCandidates is the size up to which the memory of candidates is reused: more are described only if most engines hold the prompt.
-const maxKeptCandidates = 128
-
 // unusualTime is how long a state stays in Tracker.unusual after the end of its ejection. Requests read the clock before they take the lock, so
 // a delayed one brings an earlier time.
 const unusualTime = time.Second
@@ -212,7 +201,7 @@
 		}
 	}
 	if q.RequireWantedVersion {
-		for i, version := range d.tracker.versionsOf(f, q.Model).values {
+		for i, version := range d.versions.values {
 			d.marks[i].set(isOutdated, version < q.WantedVersion)
 		}
 	}
@@ -231,8 +220,8 @@
 }
 
 // held describes the leading parts of the prompt that an engine is expected to hold.
-func (d *decision) held(s *instanceState) cachedPrefix {
-	return s.cache.prefix(d.prompt(s.versions[d.q.Model]), d.now, &d.tracker.runTimes)
+func (d *decision) held(i int) cachedPrefix {
+	return d.fleet.states[i].cache.prefix(d.prompt(d.versions.values[i]), d.now, &d.tracker.runTimes)
 }
 
 // markRelated marks the homes of the prompt and the engines that hold all its shared parts.
@@ -245,11 +234,12 @@
 	if len(shared) == 0 {
 		return
 	}
-	for _, version := range d.tracker.versionsOf(d.fleet, d.q.Model).distinct {
+	for _, version := range d.versions.distinct {
 		last := d.prompt(version)[len(shared)-1].key
 		d.tracker.holders.of(last, func(s *instanceState) {
-			if i := d.fleet.positions.find(s); i >= 0 && s.versions[d.q.Model] == version && d.held(s).parts >= len(shared) {
-				for ; i >= 0; i = d.fleet.positions.next[i] {
+			for i := d.fleet.positions.find(s); i >= 0; i = d.fleet.positions.next[i] {
+				// A holder of the last one holds the only shared part.
+				if d.versions.values[i] == version && (len(shared) == 1 || d.held(int(i)).parts >= len(shared)) {
 					d.marks[i] |= isRelated
 				}
 			}
@@ -281,19 +271,18 @@
 // firstWithParts returns the first position, not before from, of an engine from which others may fetch so many leading parts; -1 if there is
 // none.
 func (d *decision) firstWithParts(count int, parts []Part, from int32) int32 {
-	column, prompt := d.tracker.versionsOf(d.fleet, d.q.Model), d.prompt(d.q.StoredVersion)
-	if !slices.Contains(column.distinct, d.q.StoredVersion) {
+	if !slices.Contains(d.versions.distinct, d.q.StoredVersion) {
 		return -1
 	}
 	canFetch := func(i int32) bool {
-		if column.values[i] != d.q.StoredVersion || d.fleet.states[i].cache.prefix(prompt, d.now, &d.tracker.runTimes).parts < count {
+		if d.versions.values[i] != d.q.StoredVersion || d.held(int(i)).parts < count {
 			return false
 		}
 		var c Candidate
 		d.describe(int(i), &c)
 		return c.fetchableParts(d.q, parts) >= count
 	}
-	key := prompt[count-1].key
+	key := d.prompt(d.q.StoredVersion)[count-1].key
 	if float64(d.tracker.holders.count(key)) > fewHolders*float64(len(d.marks)) {
 		for i := from; int(i) < len(d.marks); i++ {
 			if canFetch(i) {
@@ -318,11 +307,11 @@
 	t, q, s, instance := d.tracker, d.q, d.fleet.states[i], d.fleet.list[i]
 	*c = Candidate{
 		Instance: instance, PrefillTokens: s.prefillTokens + s.others.prefillTokens,
-		HeldTokens: s.heldTokens + s.others.heldTokens, LongTokens: s.longTokens + s.others.longTokens,
+		HeldTokens: s.held(), LongTokens: s.longTokens + s.others.longTokens,
 		AheadTokens: t.priorities.aheadTokens(q.Urgency, s.prefillTokens+s.others.prefillTokens, s.longTokens+s.others.longTokens),
 		MemoryShare: d.memoryShare, ReadRate: t.rate.tokensPerMs,
 		Ejected: d.now.Before(s.ejectedUntil), Avoided: d.now.Before(s.avoidedUntil), Replaced: s.replaced,
-		Version: s.versions[q.Model], PauseLeft: d.pauseLeft[i],
+		Version: d.versions.values[i], PauseLeft: d.pauseLeft[i],
 		Evacuated: d.marks[i]&isEvacuated != 0, OtherPool: d.marks[i]&isInOtherPool != 0,
 	}
 	d.describeLoad(i, c)
@@ -332,11 +321,14 @@
 		}
 	}
 	if len(q.Parts) > 0 {
-		held := d.held(s)
+		held := d.held(i)
 		c.CachedParts, c.CachedTokens, c.ReadParts, c.UsedTokens = held.parts, held.tokens, held.readParts, held.usedTokens
 	}
 }
 
+// held returns the memory that requests of all nodes take at the instance, in tokens.
+func (s *instanceState) held() int { return s.heldTokens + s.others.heldTokens }
+
 // describeLoad describes what the cost of an instance of a plain service depends on.
 func (d *decision) describeLoad(i int, c *Candidate) {
 	s := d.fleet.states[i]
--- a/placement/choose_test.go
+++ b/placement/choose_test.go
@@ -232,7 +232,7 @@
 	for w.chance(w.share) {
 		pauses.ByHash[w.instance().Key().Hash()] = w.duration(time.Second)
 	}
-	for w.chance(w.share) {
+	for len(list) > 0 && w.chance(w.share) {
 		pauses.ByPosition[w.random.IntN(len(list))] = w.duration(time.Second)
 	}
 	return q, pauses
@@ -253,6 +253,8 @@
 		if rapid.Bool().Draw(t, "uneven") {
 			w.tracker.RequireSpeeds()
 		}
+		w.changeList(count)
+		w.choose(t, nil, w.now, counts)
 		for range 4 {
 			w.changeList(count)
 			list := w.view()
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -36,7 +36,7 @@
 }
 
 func newFleet(list []*upstreams.Instance) *fleet {
-	f := &fleet{list: slices.Clone(list), ids: make([]string, len(list)), base: make([]marks, len(list)), zones: make([]int32, len(list))}
+	f := &fleet{list: slices.Clone(list), ids: make([]string, len(list)), base: make([]marks, len(list)), zones: make([]int32, len(list)), versions: map[string]*versionColumn{}}
 	for i, instance := range list {
 		f.ids[i] = instance.ID
 		f.base[i].set(isDraining, instance.Draining)
@@ -123,7 +123,6 @@
 		f.keepIndexes(old)
 	} else {
 		f.positions = newPositionIndex(len(list), func(i int) *instanceState { return f.states[i] })
-		f.versions = map[string]*versionColumn{}
 	}
 	t.fleets[service] = f
 	return f
--- a/placement/homes.go
+++ b/placement/homes.go
@@ -43,7 +43,8 @@
 	if len(shared) == 0 {
 		return nil
 	}
-	key := rankingKey{shared[len(shared)-1].ID, s.homeZone(q)}
+	zone := s.homeZone(q)
+	key := rankingKey{shared[len(shared)-1].ID, zone}
 	cached := len(s.fleet.ids) >= minRankedFleet
 	if cached {
 		if known, found := s.fleet.rankings.find(key); found {
@@ -55,7 +56,7 @@
 	score := newRendezvous(key.part)
 	all, available := topScores{size: rankingSize}, topScores{size: homeCount}
 	for i, m := range s.marks {
-		if key.zone >= 0 && s.fleet.zones[i] != key.zone || !cached && m&unavailable != 0 {
+		if zone >= 0 && s.fleet.zones[i] != zone || !cached && m&unavailable != 0 {
 			continue
 		}
 		current := score.of(s.fleet.ids[i])
--- a/placement/memory.go
+++ b/placement/memory.go
@@ -9,16 +9,12 @@
 	maxPricedShare = 1.2
 )
 
-// memoryPrice returns the cost in ms of each token of memory that a request takes at one of the engines.
+// memoryPrice returns the cost in ms of each token of memory that a request takes at one of the engines, which hold so many tokens together.
 //
 // A flood of long prompts uses up the engines' memory while they still have time to read. A question about a document takes a
 // quarter of the memory at an engine whose running requests use the document already, so such questions should meet. The price
 // grows with the square of the share in use: while there is room, the first event decides.
-func memoryPrice(q *Request, engines []Candidate) float64 {
-	held := 0
-	for i := range engines {
-		held += engines[i].HeldTokens
-	}
-	share := min(maxPricedShare, float64(held)/float64(len(engines)*q.CacheTokens))
+func memoryPrice(q *Request, held, engines int) float64 {
+	share := min(maxPricedShare, float64(held)/float64(engines*q.CacheTokens))
 	return fullMemoryMs * share * share / float64(q.CacheTokens)
 }
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -114,7 +114,8 @@
 	if len(considered) == 0 {
 		return nil
 	}
-	return &considered[cheapest(len(considered), costOf(q, considered))]
+	best := cheapest(q, len(considered), func(i int) int { return considered[i].HeldTokens }, func(i int) *Candidate { return &considered[i] })
+	return &considered[best]
 }
 
 const (
--- a/placement/selection.go
+++ b/placement/selection.go
@@ -187,21 +187,27 @@
 	return append(all[:0], taken[:size]...)
 }
 
-// costOf returns the cost of a candidate for a request.
-func costOf(q *Request, considered []Candidate) func(i int) float64 {
-	if q.CacheTokens == 0 {
-		return func(i int) float64 { return serviceCost(q, &considered[i]) }
+// cheapest returns which of the instances considered has the lowest cost, the first of equal ones. heldTokens returns the HeldTokens of one of
+// them, and candidate its description.
+func cheapest(q *Request, count int, heldTokens func(i int) int, candidate func(i int) *Candidate) int {
+	price := 0.0
+	if q.CacheTokens > 0 {
+		held := 0
+		for i := range count {
+			held += heldTokens(i)
+		}
+		price = memoryPrice(q, held, count)
 	}
-	price := memoryPrice(q, considered)
-	return func(i int) float64 { return engineCost(q, &considered[i]) + price*float64(q.newTokens(&considered[i])) }
-}
-
-// cheapest returns the candidate with the lowest cost, the first of equal ones.
-func cheapest(count int, cost func(i int) float64) int {
 	best, bestCost := -1, 0.0
 	for i := range count {
-		if c := cost(i); best < 0 || c < bestCost {
-			best, bestCost = i, c
+		cost, c := 0.0, candidate(i)
+		if q.CacheTokens > 0 {
+			cost = engineCost(q, c) + price*float64(q.newTokens(c))
+		} else {
+			cost = serviceCost(q, c)
+		}
+		if best < 0 || cost < bestCost {
+			best, bestCost = i, cost
 		}
 	}
 	return best
