--- a/placement/choose_test.go
+++ b/placement/choose_test.go
@@ -255,9 +255,15 @@
 		}
 		w.changeList(count)
 		w.choose(t, nil, w.now, counts)
+		var list []*upstreams.Instance
 		for range 4 {
 			w.changeList(count)
-			list := w.view()
+			former := list
+			list = w.view()
+			if len(former) > 0 {
+				// A request may have read the former view before another one applied the new one.
+				w.choose(t, former, w.now, counts)
+			}
 			for range 3 {
 				for range changes / 12 {
 					w.change()
