placement: identify rankings by the hash of the part

Cause: the key of a ranking was the text of the part, a substring of a request header of up to 64 KB, which it kept in memory: 5,000 prompts with headers of 20 to 32 KB added 66.8 MB. Change: the key has the 64-bit hash of the part, and the score of the ranking's first engine is compared, so that a ranking of another part with the same hash is not used. The bound's test allows only numbers in the key; TestRankingOfAnotherPartIsNotUsed fails without the comparison. The equivalence test passes with its 100 random states.

--- a/placement/homes.go
+++ b/placement/homes.go
@@ -44,16 +44,16 @@
 		return nil
 	}
 	zone := s.homeZone(q)
-	key := rankingKey{shared[len(shared)-1].ID, zone}
+	score := newRendezvous(shared[len(shared)-1].ID)
+	key := rankingKey{score.prefix.Sum64(), zone}
 	cached := len(s.fleet.ids) >= minRankedFleet
 	if cached {
-		if known, found := s.fleet.rankings.find(key); found {
-			if homes, complete := s.availableOf(known); complete {
+		if known, found := s.fleet.rankings.find(key); found && known.isOf(score, s.fleet.ids) {
+			if homes, complete := s.availableOf(known.positions); complete {
 				return homes
 			}
 		}
 	}
-	score := newRendezvous(key.part)
 	all, available := topScores{size: rankingSize}, topScores{size: homeCount}
 	for i, m := range s.marks {
 		if zone >= 0 && s.fleet.zones[i] != zone || !cached && m&unavailable != 0 {
@@ -68,15 +68,15 @@
 		}
 	}
 	if cached {
-		s.fleet.rankings.add(key, slices.Clone(all.positions()))
+		s.fleet.rankings.add(key, ranking{slices.Clone(all.positions()), all.scores[0]})
 	}
 	return slices.Clone(available.positions())
 }
 
 // availableOf returns the first engines of a ranking that can be homes, and whether these are the homes: a ranking that is full leaves out
 // engines.
-func (s *selection) availableOf(ranking []int32) (homes []int32, complete bool) {
-	for _, i := range ranking {
+func (s *selection) availableOf(ranked []int32) (homes []int32, complete bool) {
+	for _, i := range ranked {
 		if s.marks[i]&unavailable != 0 {
 			continue
 		}
@@ -84,7 +84,7 @@
 			return homes, true
 		}
 	}
-	return homes, len(ranking) < rankingSize
+	return homes, len(ranked) < rankingSize
 }
 
 const (
@@ -98,15 +98,28 @@
 
 // rankingKey identifies the order of the engines of a zone for a part of a prompt. The zone is -1 for all engines.
 type rankingKey struct {
-	part string
+	// part is the hash of the part: callers choose parts of up to the size of a request header.
+	part uint64
 	zone int32
 }
 
-// rankings holds the first engines in the order for each part, whether they can be homes at the time or not. The map older holds those of the
-// time before recent was begun.
-type rankings struct{ recent, older map[rankingKey][]int32 }
+// ranking holds the first engines in the order for a part, whether they can be homes at the time or not.
+type ranking struct {
+	positions []int32
+	// firstScore is the score of the first engine.
+	firstScore uint64
+}
+
+// isOf reports whether the ranking is that of a part. The score of the first engine is a second hash of 64 bits that tells parts with the same
+// key apart; where the hash has the same internal state after two parts, all their scores are the same.
+func (r *ranking) isOf(score *rendezvous, ids []string) bool {
+	return len(r.positions) == 0 || score.of(ids[r.positions[0]]) == r.firstScore
+}
+
+// rankings holds the ranking for each part. The map older holds those of the time before recent was begun.
+type rankings struct{ recent, older map[rankingKey]ranking }
 
-func (r *rankings) find(key rankingKey) ([]int32, bool) {
+func (r *rankings) find(key rankingKey) (ranking, bool) {
 	if known, found := r.recent[key]; found {
 		return known, true
 	}
@@ -117,11 +130,11 @@
 	return known, found
 }
 
-func (r *rankings) add(key rankingKey, ranking []int32) {
+func (r *rankings) add(key rankingKey, added ranking) {
 	if r.recent == nil || len(r.recent) >= maxRankings {
-		r.older, r.recent = r.recent, map[rankingKey][]int32{}
+		r.older, r.recent = r.recent, map[rankingKey]ranking{}
 	}
-	r.recent[key] = ranking
+	r.recent[key] = added
 }
 
 // topScores holds the positions with the highest scores, the first position first among equal ones.
