placement: mark instances that are reached long after their ejection as unusual

Cause: a state leaves Tracker.unusual one second after the end of its ejection. If a probe reaches the instance later than that, the ejection ends anew at this time, but the state was not added again: a request that had read the clock before chose the instance, and the previous implementation did not. Change: markReachable adds the state. Result: TestInstanceReachedAfterItsEjectionIsEjectedForEarlierRequests fails without the change (the reached instance is chosen) and passes with it; the equivalence test passes with its 100 random states.

--- a/placement/choose_test.go
+++ b/placement/choose_test.go
@@ -284,6 +284,28 @@
 	}
 }
 
+// Guards against an unresponsive instance that delayed requests choose after it was reached, if its ejection ended by time before: the choice
+// must not depend on whether another request has removed the instance from the unusual ones since.
+func TestInstanceReachedAfterItsEjectionIsEjectedForEarlierRequests(t *testing.T) {
+	now := time.Now()
+	tracker := NewTracker()
+	list := []*upstreams.Instance{{ID: "a", Service: "s", AvailabilityZone: "z"}, {ID: "b", Service: "s"}}
+	tracker.Begin(list[0], Work{}).End(Unresponsive, now)
+	q := &Request{Zone: "z"}
+	now = now.Add(unresponsiveEjection + 2*unusualTime)
+	best, _ := tracker.Choose(list, now, q, Pauses{})
+	require.Equal(t, "a", best.Instance.ID)
+	require.Empty(t, tracker.unusual)
+	tracker.MarkReachable(list[0], now)
+	earlier := now.Add(-5 * time.Millisecond)
+	wanted, _, _ := referenceChoose(tracker, list, earlier, q, Pauses{})
+	require.Equal(t, "b", wanted.Instance.ID)
+	best, _ = tracker.Choose(list, earlier, q, Pauses{})
+	require.Equal(t, "b", best.Instance.ID)
+	best, _ = tracker.Choose(list, now, q, Pauses{})
+	require.Equal(t, "a", best.Instance.ID)
+}
+
 // requireIndexes checks that the index of the holders of parts has those parts that the caches have, and no others: it would grow without bound.
 func (w *choiceWorld) requireIndexes(t *rapid.T) {
 	parts := 0
--- a/placement/unresponsive.go
+++ b/placement/unresponsive.go
@@ -21,6 +21,8 @@
 	s.answeredAt = now
 	if s.unresponsive {
 		s.unresponsive, s.foundHere = false, false
+		// The former end may have passed long ago; a request that read the clock before still finds the instance ejected.
+		s.tracker.unusual[s] = struct{}{}
 		s.ejectedUntil = now
 		// Its process may have been restarted under the same id.
 		s.failures, s.failureShare = 0, 0
