placement: drop the prompt and the versions with each decision

Cause: the tracker's decision kept the keys of the last prompt, and the column of weight versions of its fleet also after the service was removed, until the next decision. Change: both are cleared at the end of a decision; the memory of the list of prompts is still reused. Result: TestDecisionKeepsNothingOfItsRequest fails without the change (the keys of the parts are found) and passes with it.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -112,9 +112,10 @@
 	}
 }
 
-// end drops the references to the request and the list.
+// end drops the references to the request, its prompt and the fleet, which would stay in memory until the next decision.
 func (d *decision) end() {
-	d.q, d.fleet, d.prompts, d.homePositions = nil, nil, d.prompts[:0], nil
+	clear(d.prompts)
+	d.q, d.fleet, d.prompts, d.homePositions, d.versions = nil, nil, d.prompts[:0], nil, nil
 }
 
 // unusualTime is how long a state stays in Tracker.unusual after the end of its ejection. Requests read the clock before they take the lock, so
--- a/placement/fleet_test.go
+++ b/placement/fleet_test.go
@@ -26,6 +26,22 @@
 	require.Len(t, tracker.fleets["s"].versions, 1)
 }
 
+// Guards against the prompt of the last request and the fleet of a removed service that stay in memory until the next decision.
+func TestDecisionKeepsNothingOfItsRequest(t *testing.T) {
+	tracker, list := benchmarkEngines(2)
+	tracker.state(list[1].Key()).setVersion("m", 2)
+	best, _ := tracker.Choose(list, time.Now(), document("d"), Pauses{})
+	require.NotNil(t, best)
+	d := &tracker.decision
+	require.Greater(t, cap(d.prompts), 1, "the prompt has keys for each version")
+	for _, prompt := range d.prompts[:cap(d.prompts)] {
+		require.Zero(t, prompt)
+	}
+	require.Nil(t, d.versions)
+	require.Nil(t, d.fleet)
+	require.Nil(t, d.q)
+}
+
 // Guards against the column of zeros for a model whose first version is recorded later, and against columns and counts of models that no
 // instance has any more.
 func TestColumnsFollowTheVersionsOfTheInstances(t *testing.T) {
