placement: test choices from lists that shrink and return, and forbidden instances

Cause: the equivalence test had one service, one model and lists that only grow, and no jumps beyond one second; it did not find the missing state of an instance that is reached long after its ejection. No test called Choose directly for instances that must never get a request. Change: a second equivalence test, from the reviewer's, with several services and models, lists that shrink and return, requests with older lists, MarkReachable and jumps of up to 30 s. A direct test that evacuated, paused and draining instances are never chosen. Both equivalence tests also compare models without versions and the count of the models that have some. It fails without the state in markReachable, the dropped columns and the count of removed states; both tests fail without the marks for evacuation, pauses and draining.

--- a/placement/choose_test.go
+++ b/placement/choose_test.go
@@ -28,6 +28,8 @@
 	sequence uint64
 	// share is the probability of each unusual condition of an instance.
 	share float64
+	// all are the instances of which changeServices lists a part.
+	all []upstreams.Instance
 }
 
 func (w *choiceWorld) chance(probability float64) bool { return w.random.Float64() < probability }
@@ -55,6 +57,14 @@
 
 func (w *choiceWorld) zone() string { return fmt.Sprint("z", w.random.IntN(3)) }
 
+// model returns the name of a model; some names have no versions.
+func (w *choiceWorld) model() string {
+	if w.chance(0.6) {
+		return "m"
+	}
+	return []string{"n", "unknown", ""}[w.random.IntN(3)]
+}
+
 func (w *choiceWorld) salt() string {
 	return (&Request{SharedCache: "all"}).Salt(w.version())
 }
@@ -90,6 +100,46 @@
 	}
 }
 
+// addInstances makes instances of two services, some of which are in no zone.
+func (w *choiceWorld) addInstances(count int) {
+	for i := range count {
+		instance := upstreams.Instance{ID: fmt.Sprint("i", i), Service: []string{"s", "s", "s2"}[i%3], Address: fmt.Sprint("i", i, ":1"), Slots: 8}
+		if w.chance(0.9) {
+			instance.AvailabilityZone = w.zone()
+		}
+		w.all = append(w.all, instance)
+	}
+}
+
+// changeServices replaces the list of instances by one of a part of all instances, which may have moved, restarted or changed.
+func (w *choiceWorld) changeServices() {
+	absent := max(0, 0.8*w.random.Float64()-0.4)
+	w.list = nil
+	for i := range w.all {
+		if w.chance(0.02) {
+			w.all[i].AvailabilityZone = w.zone()
+		}
+		if w.chance(0.02) {
+			w.all[i].Born++
+		}
+		if w.chance(absent) {
+			continue
+		}
+		instance := w.all[i]
+		instance.Draining, instance.Updating, instance.Versions = w.chance(w.share/2), w.chance(w.share), map[string]uint64{}
+		if w.chance(0.9) {
+			instance.Versions["m"] = w.version()
+		}
+		if instance.Service == "s" && w.chance(0.5) {
+			instance.Versions["n"] = w.version()
+		}
+		w.list = append(w.list, instance)
+	}
+	if len(w.list) == 0 {
+		w.list = append(w.list, w.all[0])
+	}
+}
+
 // view returns the list as a node gets it.
 func (w *choiceWorld) view() []*upstreams.Instance {
 	directory := upstreams.NewDirectory()
@@ -205,7 +255,7 @@
 // request returns a random request and pauses for a list of instances.
 func (w *choiceWorld) request(list []*upstreams.Instance) (*Request, Pauses) {
 	q := &Request{
-		Zone: w.zone(), Model: "m", WantedVersion: w.version(), RequireWantedVersion: w.chance(w.share), SharedCache: "all", Seed: fmt.Sprint("request-", w.random.Int()),
+		Zone: w.zone(), Model: w.model(), WantedVersion: w.version(), RequireWantedVersion: w.chance(w.share), SharedCache: "all", Seed: fmt.Sprint("request-", w.random.Int()),
 		Urgency: Urgency{Priority: w.random.IntN(3)}, Exclude: map[string]bool{}, Evacuated: map[string]bool{},
 		Target: w.duration(2 * time.Second), GapTarget: w.duration(time.Second),
 	}
@@ -214,6 +264,8 @@
 	}
 	for w.chance(w.share) {
 		q.Evacuated[w.zone()] = w.chance(0.9)
+		// The name of no zone is that of instances in no zone.
+		q.Evacuated[""] = w.chance(0.2)
 	}
 	if w.chance(0.8) {
 		q.Parts, q.CacheTokens = w.parts(), 20_000+w.random.IntN(40_000)
@@ -284,6 +336,112 @@
 	}
 }
 
+// Guards against a choice that depends on what a node has kept of other lists: services and models share a tracker, lists shrink and return,
+// requests come with older lists, and much time may pass between two requests.
+func TestChoicesFromListsThatShrinkAndReturn(t *testing.T) {
+	counts := map[string]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.SampledFrom([]int{3, 12, 40, 100, 200}).Draw(t, "instances")
+		changes := rapid.SampledFrom([]int{0, 5, 30, 200}).Draw(t, "changes")
+		seed := rapid.Uint64().Draw(t, "seed")
+		w := &choiceWorld{
+			random: rand.New(rand.NewPCG(seed, 2)), tracker: NewTracker(), now: time.Now(),
+			share: rapid.SampledFrom([]float64{0, 0.02, 0.05, 0.3}).Draw(t, "share"),
+		}
+		if rapid.Bool().Draw(t, "uneven") {
+			w.tracker.RequireSpeeds()
+		}
+		w.addInstances(count)
+		directory := upstreams.NewDirectory()
+		var views []*upstreams.View
+		for range 5 {
+			w.changeServices()
+			directory.ApplyList(slices.Clone(w.list), w.now)
+			views = append(views, directory.View())
+			for range 3 {
+				for range changes / 15 {
+					w.change()
+				}
+				if w.chance(0.3) {
+					w.tracker.MarkReachable(w.instance(), w.now)
+				}
+				if w.chance(0.7) {
+					w.tracker.Sync(directory.View())
+				}
+				w.requireIndexes(t)
+				for range 5 {
+					w.chooseFromViews(t, views, counts)
+				}
+				if w.chance(0.2) {
+					w.now = w.now.Add(w.duration(time.Second))
+				}
+				if w.chance(0.05) {
+					w.now = w.now.Add(w.duration(30 * time.Second))
+				}
+			}
+		}
+	})
+	for _, kind := range []string{"uneven", "plain", "other pool", "no instance", "home", "holder", "evacuated", "ejected", "avoided", "replaced", "loaded", "slow", "ranked", "no version", "older view"} {
+		require.Greater(t, counts[kind], 20, kind)
+	}
+}
+
+// chooseFromViews compares the choices for a service of the last view or of an older one.
+func (w *choiceWorld) chooseFromViews(t *rapid.T, views []*upstreams.View, counts map[string]int) {
+	view := views[len(views)-1]
+	if w.chance(0.25) {
+		view = views[w.random.IntN(len(views))]
+	}
+	if view != views[len(views)-1] {
+		counts["older view"]++
+	}
+	if w.chance(0.1) {
+		w.tracker.Sync(views[w.random.IntN(len(views))])
+	}
+	service := "s"
+	if w.chance(0.3) {
+		service = "s2"
+	}
+	w.choose(t, view.OfService(service), w.now.Add(w.duration(40*time.Millisecond)-20*time.Millisecond), counts)
+}
+
+// Guards against requests to instances that must not get them, also if no other instance is left.
+func TestChooseNeverReturnsForbiddenInstances(t *testing.T) {
+	for name, c := range map[string]struct {
+		forbid    func(tracker *Tracker, i *upstreams.Instance, q *Request, now time.Time)
+		pauseLeft time.Duration
+	}{
+		"evacuated": {func(_ *Tracker, i *upstreams.Instance, q *Request, _ time.Time) {
+			q.Evacuated = map[string]bool{i.AvailabilityZone: true}
+		}, 0},
+		"paused": {func(tracker *Tracker, i *upstreams.Instance, _ *Request, now time.Time) {
+			tracker.Pause(i, time.Second, now)
+		}, time.Second},
+		"draining": {func(_ *Tracker, i *upstreams.Instance, _ *Request, _ time.Time) { i.Draining = true }, 0},
+	} {
+		for kind, q := range map[string]*Request{"engine": document("d"), "plain": {Zone: "z"}} {
+			t.Run(name+"/"+kind, func(t *testing.T) {
+				tracker, now := NewTracker(), time.Now()
+				wanted, other := instance("forbidden"), instance("other")
+				other.AvailabilityZone = "z2"
+				// All preferences are for the instance that is forbidden later.
+				tracker.state(wanted.Key()).setVersion("m", 1)
+				tracker.Begin(wanted, Work{Salt: q.Salt(1), Parts: q.Parts, CacheTokens: 1 << 30}).End(Answered, now)
+				tracker.Begin(other, Work{}).End(Unresponsive, now)
+				best, _ := tracker.Choose([]*upstreams.Instance{wanted, other}, now, q, Pauses{})
+				require.Equal(t, "forbidden", best.Instance.ID)
+				forbidden := *wanted
+				c.forbid(tracker, &forbidden, q, now)
+				best, _ = tracker.Choose([]*upstreams.Instance{&forbidden, other}, now, q, Pauses{})
+				require.Equal(t, "other", best.Instance.ID)
+				best, left := tracker.Choose([]*upstreams.Instance{&forbidden}, now, q, Pauses{})
+				require.Nil(t, best)
+				require.Equal(t, c.pauseLeft, left)
+			})
+		}
+	}
+}
+
 // Guards against an unresponsive instance that delayed requests choose after it was reached, if its ejection ended by time before: the choice
 // must not depend on whether another request has removed the instance from the unusual ones since.
 func TestInstanceReachedAfterItsEjectionIsEjectedForEarlierRequests(t *testing.T) {
@@ -307,9 +465,13 @@
 }
 
 // requireIndexes checks that the index of the holders of parts has those parts that the caches have, and no others: it would grow without bound.
+// The same holds for the models that have versions.
 func (w *choiceWorld) requireIndexes(t *rapid.T) {
-	parts := 0
+	parts, versioned := 0, map[string]int{}
 	for _, s := range w.tracker.instances {
+		for model := range s.versions {
+			versioned[model]++
+		}
 		parts += len(s.cache.parts)
 		for key := range s.cache.parts {
 			found := 0
@@ -327,14 +489,19 @@
 		indexed += len(holders)
 	}
 	require.Equal(t, parts, indexed)
+	require.Equal(t, versioned, w.tracker.versioned)
 }
 
 // choose compares the choices of both implementations for a random request.
 func (w *choiceWorld) choose(t *rapid.T, list []*upstreams.Instance, now time.Time, counts map[string]int) {
 	q, pauses := w.request(list)
 	old := *q
+	service := "s"
+	if len(list) > 0 {
+		service = list[0].Service
+	}
 	demand := func() (d prefillpool.Demand) {
-		if current := w.tracker.longDemand["s"]; current != nil {
+		if current := w.tracker.longDemand[service]; current != nil {
 			d = *current
 		}
 		return d
@@ -342,7 +509,7 @@
 	before := demand()
 	best, pauseLeft := w.tracker.Choose(list, now, q, pauses)
 	after := demand()
-	if d := w.tracker.longDemand["s"]; d != nil {
+	if d := w.tracker.longDemand[service]; d != nil {
 		*d = before
 	}
 	wantedBest, wantedPause, all := referenceChoose(w.tracker, list, now, &old, pauses)
@@ -360,6 +527,12 @@
 		"other pool": slices.ContainsFunc(all, func(c Candidate) bool { return c.OtherPool }),
 		"evacuated":  slices.ContainsFunc(all, func(c Candidate) bool { return c.Evacuated }),
 		"ejected":    slices.ContainsFunc(all, func(c Candidate) bool { return c.Ejected }),
+		"avoided":    slices.ContainsFunc(all, func(c Candidate) bool { return c.Avoided }),
+		"replaced":   slices.ContainsFunc(all, func(c Candidate) bool { return c.Replaced }),
+		"loaded":     slices.ContainsFunc(all, func(c Candidate) bool { return c.Load != Load{} }),
+		"slow":       slices.ContainsFunc(all, func(c Candidate) bool { return c.Slowness != 0 && c.Slowness != 1 }),
+		"ranked":     len(list) >= minRankedFleet && q.CacheTokens > 0 && len(q.shared()) > 0,
+		"no version": !slices.ContainsFunc(all, func(c Candidate) bool { return c.Version > 0 }),
 	} {
 		if seen {
 			counts[kind]++
