placement: keep a ranking whose engines are unavailable

Cause: if fewer than two of the first engines for a part can be homes, for example because the others are in the other pool, all engines are scored. Each such request also made the ranking again, and scored the unavailable engines for it. Change: the known ranking stays, and only the available engines are scored. TestRankingWithoutAvailableEnginesIsKept fails without the change; the equivalence tests pass with 100 random states each.

--- a/placement/homes.go
+++ b/placement/homes.go
@@ -46,28 +46,30 @@
 	zone := s.homeZone(q)
 	score := newRendezvous(shared[len(shared)-1].ID)
 	key := rankingKey{score.prefix.Sum64(), zone}
-	cached := len(s.fleet.ids) >= minRankedFleet
-	if cached {
+	rank := len(s.fleet.ids) >= minRankedFleet
+	if rank {
 		if known, found := s.fleet.rankings.find(key); found && known.isOf(score, s.fleet.ids) {
 			if homes, complete := s.availableOf(known.positions); complete {
 				return homes
 			}
+			// Too few of the first engines are available, for example because the others are in the other pool. The ranking stays.
+			rank = false
 		}
 	}
 	all, available := topScores{size: rankingSize}, topScores{size: homeCount}
 	for i, m := range s.marks {
-		if zone >= 0 && s.fleet.zones[i] != zone || !cached && m&unavailable != 0 {
+		if zone >= 0 && s.fleet.zones[i] != zone || !rank && m&unavailable != 0 {
 			continue
 		}
 		current := score.of(s.fleet.ids[i])
 		if m&unavailable == 0 {
 			available.add(int32(i), current)
 		}
-		if cached {
+		if rank {
 			all.add(int32(i), current)
 		}
 	}
-	if cached {
+	if rank {
 		s.fleet.rankings.add(key, ranking{slices.Clone(all.positions()), all.scores[0]})
 	}
 	return slices.Clone(available.positions())
--- a/placement/homes_test.go
+++ b/placement/homes_test.go
@@ -65,3 +65,27 @@
 		ranked.marks[homes[0]] |= isEjected
 	}
 }
+
+// Guards against a ranking that is stored again for each request while most engines are in the other pool.
+func TestRankingWithoutAvailableEnginesIsKept(t *testing.T) {
+	var list []*upstreams.Instance
+	for i := range minRankedFleet {
+		list = append(list, instance(fmt.Sprint("i", i)))
+	}
+	s, q := &selection{fleet: newFleet(list), marks: make([]marks, len(list))}, document("d")
+	s.homes(q)
+	stored := func() *int32 {
+		for _, known := range s.fleet.rankings.recent {
+			return &known.positions[0]
+		}
+		return nil
+	}
+	first := stored()
+	for _, known := range s.fleet.rankings.recent {
+		for _, i := range known.positions {
+			s.marks[i] |= isInOtherPool
+		}
+	}
+	require.Len(t, s.homes(q), homeCount)
+	require.Same(t, first, stored())
+}
