placement: more holders and reached instances in the equivalence tests

Cause: with models that have no versions in a third of the requests, the equivalence tests saw as few as 40 choices of an engine that holds the document; they require more than 20 for their 100 random states. Change: other models are asked for in the test with several models only, in a fifth of its requests, and its states have more changes. MarkReachable is called for unresponsive instances, as probes do. The three guards of the indexes still fail the equivalence test.

--- a/placement/choose_test.go
+++ b/placement/choose_test.go
@@ -28,6 +28,8 @@
 	sequence uint64
 	// share is the probability of each unusual condition of an instance.
 	share float64
+	// otherModels is the probability of a request for another model than m.
+	otherModels float64
 	// all are the instances of which changeServices lists a part.
 	all []upstreams.Instance
 }
@@ -59,7 +61,7 @@
 
 // model returns the name of a model; some names have no versions.
 func (w *choiceWorld) model() string {
-	if w.chance(0.6) {
+	if !w.chance(w.otherModels) {
 		return "m"
 	}
 	return []string{"n", "unknown", ""}[w.random.IntN(3)]
@@ -342,11 +344,12 @@
 	counts := map[string]int{}
 	rapid.Check(t, func(t *rapid.T) {
 		count := rapid.SampledFrom([]int{3, 12, 40, 100, 200}).Draw(t, "instances")
-		changes := rapid.SampledFrom([]int{0, 5, 30, 200}).Draw(t, "changes")
+		changes := rapid.SampledFrom([]int{0, 30, 150, 300}).Draw(t, "changes")
 		seed := rapid.Uint64().Draw(t, "seed")
 		w := &choiceWorld{
 			random: rand.New(rand.NewPCG(seed, 2)), tracker: NewTracker(), now: time.Now(),
-			share: rapid.SampledFrom([]float64{0, 0.02, 0.05, 0.3}).Draw(t, "share"),
+			share:       rapid.SampledFrom([]float64{0, 0.02, 0.05, 0.3}).Draw(t, "share"),
+			otherModels: 0.2,
 		}
 		if rapid.Bool().Draw(t, "uneven") {
 			w.tracker.RequireSpeeds()
@@ -362,8 +365,10 @@
 				for range changes / 15 {
 					w.change()
 				}
-				if w.chance(0.3) {
-					w.tracker.MarkReachable(w.instance(), w.now)
+				for _, unresponsive := range w.tracker.UnresponsiveInstances(directory.View()) {
+					if w.chance(0.3) {
+						w.tracker.MarkReachable(unresponsive, w.now)
+					}
 				}
 				if w.chance(0.7) {
 					w.tracker.Sync(directory.View())
@@ -375,7 +380,7 @@
 				if w.chance(0.2) {
 					w.now = w.now.Add(w.duration(time.Second))
 				}
-				if w.chance(0.05) {
+				if w.chance(0.1) {
 					w.now = w.now.Add(w.duration(30 * time.Second))
 				}
 			}
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -208,10 +208,11 @@
 
 // dropVersions removes the versions of a state that is removed from the tracker.
 func (s *instanceState) dropVersions() {
+	t := s.tracker
 	for model := range s.versions {
-		if s.tracker.versioned[model]--; s.tracker.versioned[model] == 0 {
-			delete(s.tracker.versioned, model)
-			s.tracker.versionsRevision++
+		if t.versioned[model]--; t.versioned[model] == 0 {
+			delete(t.versioned, model)
+			t.versionsRevision++
 		}
 	}
 }
