--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -2,6 +2,7 @@
 package placement
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -56,14 +57,17 @@
 
 // instanceState is what a node has recorded about one incarnation of an instance.
 type instanceState struct {
+	tracker                                         *Tracker
 	id                                              string
 	requests, prefillTokens, longTokens, heldTokens int
-	load                                            Load
-	loadAt                                          time.Time
-	failures                                        int
-	failureShare                                    float64
-	ejections                                       int
-	ejectedUntil, avoidedUntil                      time.Time
+	// others is what the other nodes have in progress at the instance.
+	others                     usage
+	load                       Load
+	loadAt                     time.Time
+	failures                   int
+	failureShare               float64
+	ejections                  int
+	ejectedUntil, avoidedUntil time.Time
 	// unresponsive is set until the instance's VM can be reached again. foundHere is set if this node found that out
 	// itself.
 	unresponsive, foundHere, replaced bool
@@ -83,7 +87,9 @@
 	instances map[upstreams.Key]*instanceState
 	// byHash indexes the states by the keys used in reports.
 	byHash map[uint32]*instanceState
-	reads  []promptRead
+	// sameHash holds all states with a key, also if several instances have the same one.
+	sameHash map[uint32][]*instanceState
+	reads    []promptRead
 	// reports counts the reports of this node.
 	reports  uint64
 	revision uint64
@@ -108,16 +114,30 @@
 	// longDemand is the demand for long prompts by service.
 	longDemand map[string]*prefillpool.Demand
 	speeds     *speed.Table
+	// fleets holds the fleet of each service. versionsRevision changes with the weight versions of the states.
+	fleets           map[string]*fleet
+	versionsRevision uint64
+	// versioned is the number of states with a version of each model.
+	versioned map[string]int
+	// unusual are the states that may be ejected, avoided or replaced.
+	unusual map[*instanceState]struct{}
+	// holders are the holders of all parts.
+	holders *partHolders
+	// decision is reused, with the memory of its slices.
+	decision decision
 }
 
 // NewTracker returns an empty Tracker.
 func NewTracker() *Tracker {
-	return &Tracker{
-		instances: map[upstreams.Key]*instanceState{}, byHash: map[uint32]*instanceState{}, links: newLinks(), peers: newLoadSources(), zones: newLoadSources(),
+	t := &Tracker{
+		instances: map[upstreams.Key]*instanceState{}, byHash: map[uint32]*instanceState{}, sameHash: map[uint32][]*instanceState{}, links: newLinks(),
 		lastDigest: digestState{instances: map[uint32]usage{}, transfers: map[uint32]time.Duration{}},
 		rate:       readRate{tokensPerMs: initialReadRate}, runTimes: newRunTimes(), uses: newPartUses(),
 		leaving: newLeavingNews(), pauses: pauses{}, longDemand: map[string]*prefillpool.Demand{}, speeds: speed.NewTable(false),
+		fleets: map[string]*fleet{}, versioned: map[string]int{}, unusual: map[*instanceState]struct{}{}, holders: newPartHolders(),
 	}
+	t.peers, t.zones = newLoadSources(t.updateOthers), newLoadSources(t.updateOthers)
+	return t
 }
 
 // Sync removes instances that are no longer listed, and applies the weight versions of a new list.
@@ -128,6 +148,7 @@
 		return
 	}
 	t.revision = view.Revision
+	t.forgetLists(view)
 	present := make(map[upstreams.Key]bool, len(view.Instances))
 	for i := range view.Instances {
 		instance := &view.Instances[i]
@@ -143,6 +164,13 @@
 	for key, s := range t.instances {
 		if !present[key] && s.requests == 0 {
 			delete(t.instances, key)
+			delete(t.unusual, s)
+			s.cache.drop()
+			s.dropVersions()
+			t.sameHash[hashKey(key.ID)] = slices.DeleteFunc(t.sameHash[hashKey(key.ID)], func(other *instanceState) bool { return other == s })
+			if len(t.sameHash[hashKey(key.ID)]) == 0 {
+				delete(t.sameHash, hashKey(key.ID))
+			}
 			t.forgetSpeed(s)
 			if t.byHash[hashKey(key.ID)] == s {
 				delete(t.byHash, hashKey(key.ID))
@@ -154,9 +182,13 @@
 func (t *Tracker) state(key upstreams.Key) *instanceState {
 	s := t.instances[key]
 	if s == nil {
-		s = &instanceState{id: key.ID, versions: map[string]uint64{}, cache: newPartCache()}
+		s = &instanceState{tracker: t, id: key.ID, versions: map[string]uint64{}}
+		s.cache = newPartCache(t.holders, s)
 		t.instances[key] = s
-		t.byHash[hashKey(key.ID)] = s
+		hash := hashKey(key.ID)
+		t.byHash[hash] = s
+		t.sameHash[hash] = append(t.sameHash[hash], s)
+		s.others = t.others(hash)
 	}
 	return s
 }
@@ -164,8 +196,24 @@
 // setVersion records a weight version; the cache of an engine is empty once its weights change.
 func (s *instanceState) setVersion(model string, version uint64) {
 	if s.versions[model] != version {
+		if _, found := s.versions[model]; !found {
+			s.tracker.versioned[model]++
+		}
 		s.versions[model] = version
-		s.cache = newPartCache()
+		s.tracker.versionsRevision++
+		s.cache.drop()
+		s.cache = newPartCache(s.tracker.holders, s)
+	}
+}
+
+// dropVersions removes the versions of a state that is removed from the tracker.
+func (s *instanceState) dropVersions() {
+	t := s.tracker
+	for model := range s.versions {
+		if t.versioned[model]--; t.versioned[model] == 0 {
+			delete(t.versioned, model)
+			t.versionsRevision++
+		}
 	}
 }
 
@@ -226,8 +274,7 @@
 		t.recordRead(s, promptRead{hashKey(instance.ID), keyParts(work.Salt, work.Parts), work.CacheTokens, use})
 	}
 	t.speedOf(s, instance)
-	others := t.others(instance.ID)
-	ahead := t.priorities.aheadTokens(work.Urgency, s.prefillTokens+others.prefillTokens, s.longTokens+others.longTokens)
+	ahead := t.priorities.aheadTokens(work.Urgency, s.prefillTokens+s.others.prefillTokens, s.longTokens+s.others.longTokens)
 	return &Attempt{tracker: t, key: instance.Key(), work: work, began: began, aheadTokens: ahead}
 }
 
@@ -297,22 +344,33 @@
 		s.markUnresponsive(now)
 	case Rejected:
 		s.avoidedUntil = now.Add(rejectPause)
+		t.unusual[s] = struct{}{}
 	case Replaced:
 		if !s.replaced {
 			t.replaced = append(t.replaced, hashKey(s.id))
 		}
 		s.replaced = true
+		t.unusual[s] = struct{}{}
 	case Canceled:
 	}
 }
 
 // others returns what the other nodes have in progress at an instance. The caller holds the lock.
-func (t *Tracker) others(id string) usage {
-	key := hashKey(id)
+func (t *Tracker) others(key uint32) usage {
 	sum := t.peers.instances[key].plus(t.zones.instances[key], 1).plus(t.merged.instances[key], -1)
 	return usage{max(0, sum.requests), max(0, sum.prefillTokens), max(0, sum.longTokens), max(0, sum.heldTokens)}
 }
 
+// updateOthers updates the states with a key after a change of what other nodes have in progress.
+func (t *Tracker) updateOthers(key uint32) {
+	if states := t.sameHash[key]; len(states) > 0 {
+		others := t.others(key)
+		for _, s := range states {
+			s.others = others
+		}
+	}
+}
+
 // fail ejects an instance after consecutive failures, for longer each time until it answers again.
 func (s *instanceState) fail(now time.Time) {
 	s.failures++
@@ -320,54 +378,12 @@
 	if s.failures < ejectAfter && s.failureShare < ejectShare || now.Before(s.ejectedUntil) {
 		return
 	}
+	s.tracker.unusual[s] = struct{}{}
 	s.ejectedUntil = now.Add(min(firstEjection<<s.ejections, lastEjection))
 	s.ejections = min(s.ejections+1, 4)
 	s.failureShare = 0
 }
 
-// Candidates describes the instances for one request.
-func (t *Tracker) Candidates(list []*upstreams.Instance, now time.Time, q *Request) []Candidate {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.expire(now)
-	memoryShare := t.priorities.memoryShare(q.Urgency)
-	q.Uneven = len(list) > 0 && t.speeds.Service(list[0].Service).IsActive(now)
-	out := make([]Candidate, 0, len(list))
-	var keyed []keyedPart
-	var keyedVersion uint64
-	for _, instance := range list {
-		s := t.state(instance.Key())
-		others := t.others(instance.ID)
-		c := Candidate{
-			Instance: instance, Requests: s.requests + others.requests, PrefillTokens: s.prefillTokens + others.prefillTokens,
-			HeldTokens: s.heldTokens + others.heldTokens, LongTokens: s.longTokens + others.longTokens,
-			AheadTokens: t.priorities.aheadTokens(q.Urgency, s.prefillTokens+others.prefillTokens, s.longTokens+others.longTokens),
-			MemoryShare: memoryShare, ReadRate: t.rate.tokensPerMs,
-			FailureShare: s.failureShare, Ejected: now.Before(s.ejectedUntil), Avoided: now.Before(s.avoidedUntil), Replaced: s.replaced,
-			SameZone: instance.AvailabilityZone == q.Zone, Version: s.versions[q.Model], PauseLeft: t.pauses.left(instance, now),
-			Evacuated: q.Evacuated[instance.AvailabilityZone],
-		}
-		if q.Uneven {
-			c.Slowness = s.speed.Estimate(now)
-		}
-		if now.Sub(s.loadAt) < loadValidity {
-			c.Load = s.load
-		}
-		if len(q.Parts) > 0 {
-			if keyed == nil || keyedVersion != c.Version {
-				keyed, keyedVersion = keyParts(q.Salt(c.Version), q.Parts), c.Version
-			}
-			held := s.cache.prefix(keyed, now, &t.runTimes)
-			c.CachedParts, c.CachedTokens, c.ReadParts, c.UsedTokens = held.parts, held.tokens, held.readParts, held.usedTokens
-		}
-		out = append(out, c)
-	}
-	if q.Uneven && q.CacheTokens > 0 {
-		t.markPool(q, out, now)
-	}
-	return out
-}
-
 // Version returns the last known weight version of an instance, 0 if there is none.
 func (t *Tracker) Version(instance *upstreams.Instance, model string) uint64 {
 	t.mu.Lock()
@@ -379,7 +395,8 @@
 func (t *Tracker) Requests(instance *upstreams.Instance) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.state(instance.Key()).requests + t.others(instance.ID).requests
+	s := t.state(instance.Key())
+	return s.requests + s.others.requests
 }
 
 // learnFrom updates the read rate and the slowness of links with the time to the first event of a request. A request
