--- a/replica/contact_test.go
+++ b/replica/contact_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/wasabishunt/wasabishunt/raft/diskfs"
+	"github.com/wasabishunt/wasabishunt/raft/diskfs/hangdisk"
 	"github.com/wasabishunt/wasabishunt/raft/diskfs/simdisk"
 )
 
@@ -61,15 +62,10 @@
 // Guards against a leader that keeps its leadership although its disk hangs, because it goes on sending heartbeats: no command is accepted then.
 func TestLeaderOnAHungDiskIsReplaced(t *testing.T) {
 	t.Parallel()
-	disks := map[uint64]*hangingFS{1: {}, 2: {}, 3: {}}
+	disks := map[uint64]*hangdisk.Disk{1: hangdisk.New(), 2: hangdisk.New(), 3: hangdisk.New()}
 	g := newGroup(t, 3, func(o *Options) { o.FS = disks[o.ID] })
 	leader := g.write(1, failoverLimit)
-	gate := make(chan struct{})
-	disks[leader.options.ID].gate.Store(&gate)
-	defer func() {
-		disks[leader.options.ID].gate.Store(nil)
-		close(gate)
-	}()
+	defer disks[leader.options.ID].Hang()()
 	ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
 	defer cancel()
 	_, err := leader.Propose(ctx, set(2))
--- a/replica/hungdisk_test.go
+++ b/replica/hungdisk_test.go
@@ -1,53 +1,23 @@
 package replica
 
 import (
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/wasabishunt/wasabishunt/raft/diskfs"
+	"github.com/wasabishunt/wasabishunt/raft/diskfs/hangdisk"
 )
 
-// hangingFS is a file system whose writes wait for a channel while one is set.
-type hangingFS struct {
-	diskfs.OS
-	gate atomic.Pointer[chan struct{}]
-}
-
-type hangingFile struct {
-	diskfs.File
-	disk *hangingFS
-}
-
-func (d *hangingFS) Create(name string) (diskfs.File, error) {
-	file, err := d.OS.Create(name)
-	return &hangingFile{file, d}, err
-}
-
-func (f *hangingFile) Write(data []byte) (int, error) {
-	if gate := f.disk.gate.Load(); gate != nil {
-		<-*gate
-	}
-	return f.File.Write(data)
-}
-
 // Guards against a member that names the leader of the time before its disk hung: callers are sent to a member that has ended meanwhile.
 func TestMemberOnAHungDiskForgetsItsLeader(t *testing.T) {
 	t.Parallel()
-	disks := map[uint64]*hangingFS{1: {}, 2: {}, 3: {}}
+	disks := map[uint64]*hangdisk.Disk{1: hangdisk.New(), 2: hangdisk.New(), 3: hangdisk.New()}
 	g := newGroup(t, 3, func(o *Options) { o.FS = disks[o.ID] })
 	leader := g.write(1, failoverLimit)
 	hung := g.members[leader.options.ID%3+1]
 	require.Eventually(t, func() bool { id, _ := hung.Leader(); return id == leader.options.ID }, failoverLimit, time.Millisecond)
-	gate := make(chan struct{})
-	disks[hung.options.ID].gate.Store(&gate)
-	release := sync.OnceFunc(func() {
-		disks[hung.options.ID].gate.Store(nil)
-		close(gate)
-	})
+	release := disks[hung.options.ID].Hang()
 	defer release()
 	g.write(2, failoverLimit)
 	g.kill(leader.options.ID)
