--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -12,15 +12,9 @@
 const (
 	// deadline is the time limit of a request.
 	deadline = 4 * time.Second
-)
-
-// sizes are the tokens of the parts of a prompt.
-type sizes struct{ document, question int }
-
-// Sizes of long prompts, whose two documents have 7,520 tokens, and of short ones.
-var (
-	longPrompts  = sizes{3760, 1670}
-	shortPrompts = sizes{650, 177}
+	// documentTokens and questionTokens are the tokens of the parts of a prompt.
+	documentTokens = 3760
+	questionTokens = 1670
 )
 
 // request is one client attempt.
@@ -47,12 +41,12 @@
 	}
 	var prefix []string
 	for _, part := range parts {
-		prefix = append(prefix, fmt.Sprintf("%s:%d", part, s.sizes.document))
+		prefix = append(prefix, fmt.Sprintf("%s:%d", part, documentTokens))
 	}
-	prefix = append(prefix, fmt.Sprintf("%x:%d", r.id, s.sizes.question))
+	prefix = append(prefix, fmt.Sprintf("%x:%d", r.id, questionTokens))
 	call.Host = host
 	for name, value := range map[string]string{
-		"Request-Id": r.id, "Model": modelName, "Token-Usage": fmt.Sprintf("%d,%d", len(parts)*s.sizes.document+s.sizes.question, streamEvents),
+		"Request-Id": r.id, "Model": modelName, "Token-Usage": fmt.Sprintf("%d,%d", len(parts)*documentTokens+questionTokens, streamEvents),
 		"Prefix-Hash": strings.Join(prefix, ","), "Deadline-Ms": fmt.Sprint(deadline.Milliseconds()), "X-Api-Key": tenants[tenant],
 	} {
 		call.Header.Set(name, value)
--- a/review/stand2/engine.go
+++ b/review/stand2/engine.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -66,6 +65,7 @@
 	entry := map[string]any{
 		"id": e.id, "service": serviceModel, "address": e.address, "zone": e.zone, "version": "v1", "slots": 64, "state": "ready",
 		"stage": "both", "models": []any{map[string]any{"name": modelName, "version": e.version, "adapters": []any{}}}, "born": e.born,
+		"cold-left-ms": 0,
 	}
 	e.entries = append(e.entries, listedEntry{time.Now().Add(listLag), entry})
 	go func(server *http.Server) { _ = server.Serve(listener) }(e.server)
@@ -82,13 +82,6 @@
 			entry = l.entry
 		}
 	}
-	if entry == nil {
-		return nil
-	}
-	entry = maps.Clone(entry)
-	if born, ok := entry["born"].(int64); ok {
-		entry["cold-left-ms"] = max(0, e.system.coldFor-now.Add(-listLag).Sub(time.UnixMilli(born))).Milliseconds()
-	}
 	return entry
 }
 
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -22,7 +22,6 @@
 	"neighbours": playNeighbours,
 	"batches":    playBatches,
 	"odd-entry":  playOddEntry,
-	"cold-entry": playColdEntry,
 }
 
 func main() {
--- a/review/stand2/system.go
+++ b/review/stand2/system.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -79,11 +78,8 @@
 	list      *http.Server
 	client    *http.Client
 	sent      atomic.Int64
-	sizes     sizes
 	// deployment holds the settings that differ between deployments.
 	deployment deployment
-	// coldFor is how long an engine is cold after its start, 0 if engines never are.
-	coldFor time.Duration
 
 	mu sync.Mutex
 	// odd are entries of the instance list by another writer.
@@ -96,7 +92,7 @@
 
 func newSystem(r *record) *system {
 	return &system{
-		record: r, sizes: longPrompts, deployment: kilnSlots, arrivals: map[string][]arrival{}, runs: map[string]int{},
+		record: r, deployment: kilnSlots, arrivals: map[string][]arrival{}, runs: map[string]int{},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, DisableCompression: true}},
 	}
 }
@@ -239,7 +235,7 @@
 // Tenants and their keys.
 var tenants = map[string]string{"jeye930": "nu6wsjnbanfqasnmgkcu", "mola114": "yj8pjbvk9m68k7b2ex5w"}
 
-func document(coldFor time.Duration) []byte {
+func document() []byte {
 	tenant := func(name string) map[string]any {
 		return map[string]any{"name": name, "api-keys": []string{tenants[name]}, "priority": 1}
 	}
@@ -251,7 +247,7 @@
 		}},
 		"services": []any{map[string]any{
 			"name": serviceModel, "health-path": "/healthz", "max-conns": 390, "protocol": "h1", "tls": false,
-			"cold-start-s": coldFor.Seconds(), "cold-per-s": coldPerS,
+			"cold-start-s": 0, "cold-per-s": 0,
 			"engine": map[string]any{
 				"slots": 64, "kv-capacity": 46549, "kv-token-bytes": 18432, "link-mbps": 280000.0, "moves": true, "backups": true, "managed": true, "stride": 6,
 				"max-inflight": 12, "pin-ms": 4000.0, "hold-ms": 2000.0, "handle_s": 5.0, "models": []any{map[string]any{"name": modelName}},
@@ -271,7 +267,7 @@
 	published := false
 	for until := time.Now().Add(readyLimit); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
 		if !published {
-			published = s.status(http.MethodPost, "http://"+s.at(groupNode, 1, portControl)+"/Config.Put", document(s.coldFor)) == http.StatusOK
+			published = s.status(http.MethodPost, "http://"+s.at(groupNode, 1, portControl)+"/Config.Put", document()) == http.StatusOK
 			continue
 		}
 		ready := 0
@@ -392,33 +388,3 @@
 	defer s.mu.Unlock()
 	return append([]arrival(nil), s.arrivals[request]...)
 }
-
-// mostInASecond returns the largest number of requests that an engine got in one second while it was cold.
-func (s *system) mostInASecond(engine string, cold time.Duration) int {
-	var times []time.Time
-	for _, e := range s.engines {
-		id, _ := e.current()
-		if id != engine {
-			continue
-		}
-		warm := time.UnixMilli(e.born).Add(cold)
-		s.mu.Lock()
-		for _, list := range s.arrivals {
-			for _, a := range list {
-				if a.engine == engine && a.at.Before(warm) {
-					times = append(times, a.at)
-				}
-			}
-		}
-		s.mu.Unlock()
-	}
-	slices.SortFunc(times, time.Time.Compare)
-	most := 0
-	for i, from := 0, 0; i < len(times); i++ {
-		for times[i].Sub(times[from]) >= time.Second {
-			from++
-		}
-		most = max(most, i-from+1)
-	}
-	return most
-}
