quarantine: try prompts that hold only some of the parts that crashed together

Cause: the list blocks each part whose crashes no likelier part explains. Parts that came together in all crashes are all blocked, also for prompts that hold one of them, and as no such prompt is sent, no answer can tell them apart. Evidence: the log line 'parts blocked after a crash' names the document and the annex, the bodies of all refusals say quarantined, and without the deadly part the case holds. Change: such a part is doubtful for a prompt without the other parts that may be the cause. A prompt with doubtful parts is sent with the trial of each of them; one node for each part grants one in 2 s for all nodes (RPC TakeTrial). An answer clears the parts, a crash narrows them down, and after two crashes of trials in a minute no further one follows.

--- a/fleetview/server.go
+++ b/fleetview/server.go
@@ -50,7 +50,9 @@
 	EngineClock func() float64
 	// Permits answers the questions of other nodes for permits to send to instances with limits.
 	Permits func(q *nodepb.PermitRequest) (*nodepb.PermitReply, error)
-	Log     *zap.Logger
+	// Trials answers the questions of other nodes for the trial of a part of prompts.
+	Trials func(part uint64, now time.Time) (wait time.Duration)
+	Log    *zap.Logger
 	// Metrics is the registry for the counter of sent sets; nil for none.
 	Metrics gometrics.Registry
 	// LinkMbps is the bandwidth of the VM's link, 0 if unknown.
@@ -90,6 +92,13 @@
 	return s.Permits(q)
 }
 
+// TakeTrial implements the node service.
+func (s *Server) TakeTrial(_ context.Context, q *nodepb.TrialRequest) (*nodepb.TrialReply, error) {
+	// Rounded up, so that nobody asks too early.
+	wait := s.Trials(q.GetPart(), time.Now()) + time.Millisecond - 1
+	return &nodepb.TrialReply{WaitMs: uint32(wait.Milliseconds())}, nil
+}
+
 // Watch implements the node service.
 func (s *Server) Watch(stream nodepb.DRPCNode_WatchStream) error {
 	ctx, cancel := context.WithCancel(stream.Context())
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -14,7 +14,6 @@
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 
-	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/quarantine"
 	"github.com/wasabishunt/wasabishunt/upstreamconn"
 	"github.com/wasabishunt/wasabishunt/upstreams"
@@ -30,8 +29,6 @@
 	// leavingProbeDelay is the time between the end of an answer at a leaving instance and the probe: a process that ends may close
 	// its connections before its listener.
 	leavingProbeDelay = 50 * time.Millisecond
-	// maxQuarantineAdvice limits the retry advice: an answer at another node may end the block earlier.
-	maxQuarantineAdvice = time.Minute
 	// maxLoggedSends limits the requests and parts in one log event.
 	maxLoggedSends = 16
 )
@@ -309,23 +306,3 @@
 func formatParts(parts []uint64) []string {
 	return lo.Map(parts, func(part uint64, _ int) string { return strconv.FormatUint(part, 16) })
 }
-
-// checkQuarantine refuses a prompt with a part that crashes instances. It is called right before a send.
-func (c *call) checkQuarantine() error {
-	list := c.gateway.options.Quarantine
-	if list == nil || c.attributes.Generation == nil {
-		return nil
-	}
-	verdict, allowed := list.Check(c.parts, time.Now())
-	if allowed {
-		return nil
-	}
-	c.gateway.metrics.quarantined.Inc(1)
-	execution := failure.NotRun
-	if c.mayHaveRun {
-		execution = failure.Unknown
-	}
-	e := failure.New(failure.Quarantined, execution, "%d instances crashed on prompts with part %x", verdict.Crashes, verdict.Part)
-	e.RetryAfter = min(verdict.RetryAfter, maxQuarantineAdvice)
-	return e
-}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -54,7 +54,7 @@
 		if err := c.admit(chosen); err != nil {
 			return err
 		}
-		if err := c.checkQuarantine(); err != nil {
+		if err := c.checkQuarantine(ctx); err != nil {
 			move.release()
 			return err
 		}
@@ -84,6 +84,7 @@
 			rejections++
 		} else {
 			c.earlierMayHaveRun = true
+			c.trials = nil
 			if runs++; !c.mayRetry(runs) {
 				return last
 			}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -142,6 +142,8 @@
 	Stores           Stores
 	// Quarantine holds the parts of prompts that crash instances; nil if there is none.
 	Quarantine *quarantine.List
+	// Trials grants the trials of suspected parts; nil if this node shares the list with no other one.
+	Trials *quarantine.Trials
 	// Limiter keeps the limits that instances name; nil if they name none.
 	Limiter *upstreamlimit.Limiter
 	// Evacuations returns the list of evacuated zones, nil if there is none; nil if zones are never evacuated.
@@ -188,6 +190,9 @@
 	if options.Memory == nil {
 		options.Memory = bytebudget.New(defaultMemory)
 	}
+	if options.Trials == nil {
+		options.Trials = quarantine.NewTrials(quarantine.TrialsOptions{})
+	}
 	if options.EventBytes == 0 {
 		options.EventBytes = defaultEventBytes
 	}
@@ -247,6 +252,8 @@
 	memory *bytebudget.Holder
 	// parts are the keys of the shared parts of the prompt.
 	parts []uint64
+	// trials are the parts for which the next send is a trial.
+	trials []uint64
 	// answerBy is the earlier of the caller's deadline and the end of the route's timeout.
 	answerBy time.Time
 	// deadline is when the caller stops waiting.
--- a/gateway/meters.go
+++ b/gateway/meters.go
@@ -3,7 +3,7 @@
 import gometrics "github.com/rcrowley/go-metrics"
 
 type meters struct {
-	requests, failed, refused, retries, broken, resumed, crashes, quarantined, aboveShare, shortages, readAhead, slowCallers gometrics.Counter
+	requests, failed, refused, retries, broken, resumed, crashes, quarantined, trials, aboveShare, shortages, readAhead, slowCallers gometrics.Counter
 	// cached, fetched and recomputed count prompt tokens as estimated when requests were sent.
 	cached, fetched, recomputed gometrics.Counter
 	firstByte, total            gometrics.Timer
@@ -17,6 +17,7 @@
 		cached: gometrics.GetOrRegisterCounter("gateway.cached_tokens", r), fetched: gometrics.GetOrRegisterCounter("gateway.fetched_tokens", r),
 		recomputed: gometrics.GetOrRegisterCounter("gateway.reread_tokens", r),
 		crashes:    gometrics.GetOrRegisterCounter("gateway.crashes", r), quarantined: gometrics.GetOrRegisterCounter("gateway.quarantined", r),
+		trials:     gometrics.GetOrRegisterCounter("gateway.quarantine_trials", r),
 		aboveShare: gometrics.GetOrRegisterCounter("gateway.above_share", r), shortages: gometrics.GetOrRegisterCounter("gateway.shortages", r),
 		readAhead: gometrics.GetOrRegisterCounter("gateway.read_ahead", r), slowCallers: gometrics.GetOrRegisterCounter("gateway.slow_callers", r),
 		firstByte: gometrics.GetOrRegisterTimer("gateway.first_byte", r), total: gometrics.GetOrRegisterTimer("gateway.total", r),
--- a/node/adopt.go
+++ b/node/adopt.go
@@ -99,7 +99,7 @@
 			}
 		})
 		n.loadExchange.SetPeers(peers)
-		n.setLimiterNodes(peers, now)
+		n.setOwners(peers, now)
 	}
 	n.limiter.Confirm(n.directory.View(), now)
 	n.cold.Retain(n.directory.View(), now)
--- a/node/node.go
+++ b/node/node.go
@@ -155,6 +155,7 @@
 	loadExchange      *peerload.Exchange
 	budget            *retrybudget.Budget
 	limiter           *upstreamlimit.Limiter
+	trials            *quarantine.Trials
 	cold              *coldstart.Guard
 	// shares is nil unless accounts are limited to shares.
 	shares  *fairshare.Ledger
@@ -206,7 +207,9 @@
 	n.storeCoordinator.Withdrawn = n.stores.Withdrawn
 	n.storeCoordinator.IsSaltUsable, n.storeCoordinator.AcceptedEpoch = n.isSaltUsable, n.stores.AcceptedEpoch
 	suspects := quarantine.New(config.Name)
-	n.limiter = upstreamlimit.New(upstreamlimit.Options{Self: config.Internal, Ask: askPermits(rpcpool.New(rpcpool.Options{DialTimeout: permitDialTimeout})), ColdPerSecond: n.coldPerSecond, Log: log, Metrics: registry})
+	owners := rpcpool.New(rpcpool.Options{DialTimeout: permitDialTimeout})
+	n.trials = quarantine.NewTrials(quarantine.TrialsOptions{Self: config.Internal, Ask: askTrials(owners), Log: log})
+	n.limiter = upstreamlimit.New(upstreamlimit.Options{Self: config.Internal, Ask: askPermits(owners), ColdPerSecond: n.coldPerSecond, Log: log, Metrics: registry})
 	n.limiter.SetColdBound(config.ColdBound)
 	n.cold = coldstart.New(coldstart.Options{Directory: n.directory, ListLag: config.ListLag, Limit: n.coldLimit, Zone: n.zoneState, Log: log, Metrics: registry})
 	exchange := peerload.Options{
@@ -219,7 +222,7 @@
 	}
 	n.loadExchange = peerload.New(exchange)
 	n.gateway = gateway.New(gateway.Options{
-		AvailabilityZone: config.AvailabilityZone, Dialect: parts.Dialect, Sets: n, Directory: n.directory, Tracker: n.tracker, Stores: n.stores, Quarantine: suspects,
+		AvailabilityZone: config.AvailabilityZone, Dialect: parts.Dialect, Sets: n, Directory: n.directory, Tracker: n.tracker, Stores: n.stores, Quarantine: suspects, Trials: n.trials,
 		Limiter: n.limiter, Evacuations: n.Evacuations, Cold: n.cold, Shares: n.shares,
 		Pool: upstreamconn.NewPool(upstreamconn.Options{MaxHeadBytes: config.UpstreamLimits.HeadBytes}), Budget: n.budget,
 		AnswerBytes: config.UpstreamLimits.AnswerBytes, EventBytes: config.UpstreamLimits.EventBytes,
@@ -257,7 +260,7 @@
 	running, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	mux := drpcmux.New()
-	server := &fleetview.Server{Group: n.group, Directory: n.directory, Reader: n.reader, Placement: n.placement, EngineClock: n.storeCoordinator.EngineClock, Permits: n.limiter.Serve, Log: n.log, Metrics: n.metrics, LinkMbps: n.config.LinkMbps}
+	server := &fleetview.Server{Group: n.group, Directory: n.directory, Reader: n.reader, Placement: n.placement, EngineClock: n.storeCoordinator.EngineClock, Permits: n.limiter.Serve, Trials: n.trials.Grant, Log: n.log, Metrics: n.metrics, LinkMbps: n.config.LinkMbps}
 	if err := errors.Join(nodepb.DRPCRegisterNode(mux, server), n.group.Register(mux)); err != nil {
 		return failure.Wrap(err, failure.Internal, failure.NotRun, "register the services of the node")
 	}
--- a/node/permits.go
+++ b/node/permits.go
@@ -22,9 +22,19 @@
 	}
 }
 
-// setLimiterNodes tells the limiter at which addresses the nodes are asked: that of their load reports with the port for other nodes, which is
+// askTrials returns a function that asks another node for the trial of a part of prompts.
+func askTrials(pool *rpcpool.Pool) func(ctx context.Context, address string, part uint64) (time.Duration, error) {
+	return func(ctx context.Context, address string, part uint64) (time.Duration, error) {
+		conn := pool.Get(ctx, address)
+		defer func() { _ = conn.Close() }()
+		reply, err := nodepb.NewDRPCNodeClient(conn).TakeTrial(ctx, &nodepb.TrialRequest{Part: part})
+		return time.Duration(reply.GetWaitMs()) * time.Millisecond, err
+	}
+}
+
+// setOwners tells the limiter and the trials at which addresses the nodes are asked: that of their load reports with the port for other nodes, which is
 // the same on all of them.
-func (n *Node) setLimiterNodes(peers []peerload.Peer, now time.Time) {
+func (n *Node) setOwners(peers []peerload.Peer, now time.Time) {
 	_, port, err := net.SplitHostPort(n.config.Internal)
 	if err != nil {
 		// The listener on this address has been opened, so it is well-formed.
@@ -37,4 +47,5 @@
 		}
 	}
 	n.limiter.SetNodes(addresses, now)
+	n.trials.SetNodes(addresses)
 }
--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -105,7 +105,7 @@
 		}
 	}
 	l.evict()
-	return l.newlyBlocked()
+	return l.newlyBlocked(now)
 }
 
 // merge adds received crashes. The caller holds the lock.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -6,6 +6,9 @@
 // answer is blocked, unless another such part accounts for all its crashes. Crashes that follow each other at once are not
 // enough, because a rack or a zone that loses power names whatever was in progress there.
 //
+// Parts that came together in all crashes cannot be told apart by them. A prompt that has only some of them is sent as a trial, one at a time of those
+// at all nodes (Trials): an answer shows that its parts are sound, a crash that one of them is the cause.
+//
 // A block lasts longer with each crash. At its end the part is tried again, at one node after the other in an order that
 // differs from part to part, and with one prompt at a time: an answer ends the block, a crash prolongs it.
 //
@@ -39,6 +42,8 @@
 	// long nothing is recorded after that: what was waiting in sockets has no known age.
 	pauseGap     = time.Second
 	resumePeriod = 500 * time.Millisecond
+	// maxNewsDelay is the time in which news of a crash reaches all nodes that are in touch.
+	maxNewsDelay = 3 * time.Second
 	// expireInterval is the interval at which expired suspects are removed.
 	expireInterval = time.Second
 )
@@ -61,6 +66,8 @@
 	Crashes int
 	// RetryAfter is the time until the part is tried again.
 	RetryAfter time.Duration
+	// Doubtful are the parts for which the prompt needs a trial (see Trials); it is not sent without. If they are set, no other part keeps it back.
+	Doubtful []uint64
 }
 
 // List holds the suspected parts. Its methods may be called concurrently.
@@ -101,7 +108,7 @@
 		l.applyAnswers(part, s, now)
 	}
 	l.evict()
-	return l.newlyBlocked()
+	return l.newlyBlocked(now)
 }
 
 // RecordAnswer records that an instance answered a prompt with these parts. The time is that of the answer's first
@@ -126,43 +133,91 @@
 	}
 }
 
-// Check reports whether a prompt may be sent now. It is called right before each send, and only once for it: at the end
-// of a block, the call that returns true starts the trial, and calls return false until the trial has ended.
-func (l *List) Check(parts []uint64, now time.Time) (Verdict, bool) {
+// Check reports whether a prompt may be sent now, with trials for the given parts. It is called right before each send, and returns true only once for
+// it: at the end of a block, the call that returns true starts the trial of this node, and calls return false until that has ended.
+func (l *List) Check(parts []uint64, now time.Time, trials ...uint64) (Verdict, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.suspects) == 0 {
 		return Verdict{}, true
 	}
-	var trials []*suspect
+	var ended []*suspect
+	var needed Verdict
 	for _, part := range parts {
 		s := l.suspects[part]
-		if s == nil || !l.isBlocked(part, s) {
+		if s == nil {
+			continue
+		}
+		switch l.standing(part, s, parts, now) {
+		case sound:
+			continue
+		case doubtful:
+			if !slices.Contains(trials, part) {
+				needed.Part, needed.Crashes = part, len(s.open())
+				needed.Doubtful = append(needed.Doubtful, part)
+			}
 			continue
+		case blocked:
 		}
 		if wait := s.heldUntil(l.node, part).Sub(now); wait > 0 {
 			return Verdict{Part: part, Crashes: len(s.open()), RetryAfter: wait}, false
 		}
-		trials = append(trials, s)
+		ended = append(ended, s)
 	}
-	for _, s := range trials {
+	if len(needed.Doubtful) > 0 {
+		return needed, false
+	}
+	for _, s := range ended {
 		s.trialUntil = now.Add(trialTimeout)
 	}
 	return Verdict{}, true
 }
 
-// isBlocked reports whether a part is blocked: whether it is unanswered and no other such part accounts for all its
-// crashes. The caller holds the lock.
-func (l *List) isBlocked(part uint64, s *suspect) bool {
+// standing is what is known of a part of a prompt.
+type standing int
+
+const (
+	sound standing = iota
+	// doubtful is a part whose crashes may be due to another one, which the prompt does not have.
+	doubtful
+	blocked
+)
+
+// standing returns what is known of a part of a prompt: a part without an answer is blocked, unless its crashes may be due to another such part. If that is the
+// likelier cause, this one is sound; if the prompt does not have the other part, sending it tells. The caller holds the lock.
+func (l *List) standing(part uint64, s *suspect, prompt []uint64, now time.Time) standing {
 	if !s.isUnanswered() {
-		return false
+		return sound
 	}
+	isExplained, isDoubtful := false, false
 	for other, cause := range l.suspects {
-		if other != part && cause.isUnanswered() && l.isLikelier(other, part) && cause.explains(s) {
-			return false
+		if other == part || !cause.isUnanswered() {
+			continue
 		}
+		if l.isLikelier(other, part) && cause.explains(s) {
+			if l.isClearlyLikelier(other, part, now) {
+				return sound
+			}
+			isExplained = true
+		}
+		isDoubtful = isDoubtful || !slices.Contains(prompt, other) && cause.mayExplain(s)
+	}
+	switch {
+	case isDoubtful && !s.hasFailedTrials(now):
+		return doubtful
+	case isExplained && !isDoubtful:
+		return sound
 	}
-	return true
+	return blocked
+}
+
+// isClearlyLikelier reports whether a likelier cause leaves no doubt about another part: it crashed again without that one. Otherwise, news of the newest crash
+// may have reached this node for one of the two only. A part that was answered before has maxNewsDelay to be answered again, after which it is as
+// suspicious as one that never was: it may be sound no longer. The caller holds the lock.
+func (l *List) isClearlyLikelier(part, other uint64, now time.Time) bool {
+	cause, s := l.suspects[part], l.suspects[other]
+	isNew, wasAnswered := now.Sub(cause.last()) <= maxNewsDelay, !l.lastAnswer(other).IsZero()
+	return isNew == wasAnswered || occasions(without(cause.open(), s.crashes)) >= minOccasions
 }
 
 // isLikelier reports whether one unanswered part is more likely than another one to be the cause of crashes that both
@@ -178,15 +233,15 @@
 	return answer.Before(otherAnswer) && 4*crashes >= 3*otherCrashes
 }
 
-// newlyBlocked returns the parts that were not blocked before. The caller holds the lock.
-func (l *List) newlyBlocked() (blocked []uint64) {
+// newlyBlocked returns the parts that are blocked or doubtful and were neither before. The caller holds the lock.
+func (l *List) newlyBlocked(now time.Time) (out []uint64) {
 	for part, s := range l.suspects {
-		if !s.blocked && l.isBlocked(part, s) {
+		if !s.blocked && l.standing(part, s, nil, now) != sound {
 			s.blocked = true
-			blocked = append(blocked, part)
+			out = append(out, part)
 		}
 	}
-	return blocked
+	return out
 }
 
 // isResuming reports whether the process has been paused until a moment ago. The caller holds the lock.
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -44,6 +44,11 @@
 	minSpread = 30 * time.Second
 	// trialTimeout ends a trial that had neither an answer nor a crash, for example because its caller left.
 	trialTimeout = 10 * time.Second
+	// failedTrialDelay is the time from the manyCrashes-th crash after which further ones follow trials: sends before the block have ended. After
+	// maxFailedTrials of them within failedTrialMemory, the part is not tried.
+	failedTrialDelay  = 3 * time.Second
+	maxFailedTrials   = 2
+	failedTrialMemory = time.Minute
 	// suspicion is how long a part that is not blocked stays suspected after a crash.
 	suspicion = 2 * time.Minute
 )
@@ -165,28 +170,52 @@
 // isUnanswered reports whether the part had enough crashes, on enough occasions, since the last answer.
 func (s *suspect) isUnanswered() bool {
 	crashes := s.open()
-	occasions, start := 0, time.Time{}
+	return len(crashes) >= minCrashes && occasions(crashes) >= minOccasions
+}
+
+// occasions counts the occasions of some crashes, which are ordered by time.
+func occasions(crashes []crash) (n int) {
+	var start time.Time
 	for _, c := range crashes {
-		if occasions == 0 || c.at.Sub(start) >= sameOccasion {
-			occasions, start = occasions+1, c.at
+		if n == 0 || c.at.Sub(start) >= sameOccasion {
+			n, start = n+1, c.at
 		}
 	}
-	return len(crashes) >= minCrashes && occasions >= minOccasions
+	return n
 }
 
 // explains reports whether each crash of another part since its last answer was at about the time of one of this part.
-// Not all crashes of a part are kept, so times are compared and not instances.
-func (s *suspect) explains(other *suspect) bool {
-	crashes := s.open()
-	for _, c := range other.open() {
-		for len(crashes) > 0 && crashes[0].at.Before(c.at) && !crashes[0].isNear(c) {
-			crashes = crashes[1:]
+func (s *suspect) explains(other *suspect) bool { return len(without(other.open(), s.open())) == 0 }
+
+// without returns the crashes of one part that were not at about the time of one of another part. Not all crashes of a part are kept, so times are compared
+// and not instances.
+func without(crashes, others []crash) (out []crash) {
+	for _, c := range crashes {
+		for len(others) > 0 && others[0].at.Before(c.at) && !others[0].isNear(c) {
+			others = others[1:]
 		}
-		if len(crashes) == 0 || !crashes[0].isNear(c) {
-			return false
+		if len(others) == 0 || !others[0].isNear(c) {
+			out = append(out, c)
 		}
 	}
-	return true
+	return out
+}
+
+// mayExplain reports whether this part may be the cause of the crashes of another one: of all of them, or of all but those of one occasion, which may
+// have had another cause. It is not if all its own crashes are due to the other part instead.
+func (s *suspect) mayExplain(other *suspect) bool {
+	rest := without(other.open(), s.open())
+	return len(rest) == 0 || occasions(rest) < minOccasions && !other.explains(s)
+}
+
+// hasFailedTrials reports whether the part had too many crashes lately that followed trials.
+func (s *suspect) hasFailedTrials(now time.Time) bool {
+	crashes := s.open()
+	if len(crashes) <= manyCrashes {
+		return false
+	}
+	from := crashes[manyCrashes-1].at.Add(failedTrialDelay)
+	return lo.CountBy(crashes, func(c crash) bool { return c.at.After(from) && now.Sub(c.at) < failedTrialMemory }) >= maxFailedTrials
 }
 
 // blockTime returns the length of a block after a number of crashes.
