--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -88,6 +88,9 @@
 	switch {
 	case i >= 0:
 		known := &s.crashes[i]
+		if !c.at.Before(known.at) && c.cleared == known.cleared {
+			return false
+		}
 		if c.at.Before(known.at) {
 			known.at = c.at
 		}
