quarantine: late news of a crash is not another crash

What would be seen: with news between nodes late by more than 1 s, one crash counts again and again, with the part blocked after two rounds and its block growing without end. Cause: a crash is known by its instance and its time to 2 s, and each transfer makes the time later. After two transfers it comes back as a new one, which is sent on. Change: each observation of a crash has an id, which is sent along; news with a known id is the same crash whatever its age.

--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// maxSentCrashes limits the crashes in one message, which then has at most about 2 kB.
+	// maxSentCrashes limits the crashes in one message, which then has at most about 2.5 kB.
 	maxSentCrashes = 128
 	// maxSentAtEnds limits the oldest and the newest crashes that are sent of one part. They tell its occasions and the
 	// end of its block.
@@ -74,6 +74,7 @@
 	for _, c := range crashes {
 		encoded.Instances = append(encoded.Instances, c.instance)
 		encoded.AgesMs = append(encoded.AgesMs, encodeAge(now.Sub(c.at)))
+		encoded.Observations = append(encoded.Observations, lo.FirstOrEmpty(c.observations))
 	}
 	return append(out, encoded)
 }
@@ -118,7 +119,7 @@
 	}
 }
 
-// decode returns the crashes of a received part; nil if its lists don't match.
+// decode returns the crashes of a received part; nil if its lists don't match. Nodes of earlier versions send no observations.
 func decode(encoded *nodepb.SuspectPart, now time.Time) []crash {
 	instances, ages, answered := encoded.GetInstances(), encoded.GetAgesMs(), encoded.GetAnsweredMs()
 	if len(instances) != len(ages) || len(instances) > maxCrashes {
@@ -126,9 +127,15 @@
 	}
 	var out []crash
 	for i, ms := range ages {
-		if age := time.Duration(ms) * time.Millisecond; age <= maxAge {
-			out = append(out, crash{instance: instances[i], at: now.Add(-age), cleared: answered > 0 && ms >= answered-1})
+		age := time.Duration(ms) * time.Millisecond
+		if age > maxAge {
+			continue
+		}
+		c := crash{instance: instances[i], at: now.Add(-age), cleared: answered > 0 && ms >= answered-1}
+		if id := lo.NthOrEmpty(encoded.GetObservations(), i); id != 0 {
+			c.observations = []uint32{id}
 		}
+		out = append(out, c)
 	}
 	return out
 }
--- a/quarantine/merge_test.go
+++ b/quarantine/merge_test.go
@@ -158,3 +158,43 @@
 	require.Empty(t, l.Suspects(now))
 	require.Equal(t, parts, l.Apply(other.Suspects(now.Add(time.Second)), now.Add(time.Second)))
 }
+
+// Guards against news that is late on each way: a crash that comes back seconds older than it is must not count as another one.
+func TestLateNewsOfACrashIsOneCrash(t *testing.T) {
+	for _, late := range []time.Duration{100 * time.Millisecond, 700 * time.Millisecond, 1100 * time.Millisecond, 1900 * time.Millisecond, 2900 * time.Millisecond} {
+		t.Run(fmt.Sprint(late), func(t *testing.T) {
+			start := time.Unix(1_000_000, 0)
+			nodes := []*List{New("a"), New("b"), New("c")}
+			// Two nodes see the same crash.
+			nodes[0].RecordCrash("i", []uint64{testRare}, start)
+			nodes[1].RecordCrash("i", []uint64{testRare}, start.Add(50*time.Millisecond))
+			type message struct {
+				to       *List
+				suspects []*nodepb.SuspectPart
+			}
+			var waiting [][]message
+			const interval = 100 * time.Millisecond
+			for round := range 300 {
+				now := start.Add(time.Duration(round+1) * interval)
+				var sent []message
+				for i, from := range nodes {
+					from.Revision(now)
+					for j, to := range nodes {
+						if i != j {
+							sent = append(sent, message{to, from.Suspects(now)})
+						}
+					}
+				}
+				if waiting = append(waiting, sent); len(waiting) > int(late/interval) {
+					for _, m := range waiting[0] {
+						m.to.Apply(m.suspects, now)
+					}
+					waiting = waiting[1:]
+				}
+			}
+			for _, l := range nodes {
+				require.Len(t, l.suspects[testRare].crashes, 1)
+			}
+		})
+	}
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -13,8 +13,8 @@
 // differs from part to part, and with one prompt at a time: an answer ends the block, a crash prolongs it.
 //
 // Nodes exchange crashes and which of them are cleared. A crash is identified by its part and instance and by its time, up
-// to the tolerance sameCrash; merging keeps the union of the crashes. Clocks of nodes differ, so ages are sent, and each
-// transfer makes a time a little later. A node therefore compares times of answers only with those of the crashes that
+// to the tolerance sameCrash, or by an id of the node that observed it; merging keeps the union of the crashes. Clocks of nodes
+// differ, so ages are sent, and each transfer makes a time a little later. A node therefore compares times of answers only with those of the crashes that
 // it knows, and tells others which crashes are cleared and not when the answer came.
 package quarantine
 
@@ -22,6 +22,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -98,10 +99,10 @@
 	if l.isResuming(now) {
 		return nil
 	}
-	key := uint32(xxhash.Sum64String(instance))
+	observed := crash{instance: uint32(xxhash.Sum64String(instance)), at: now, observations: []uint32{l.observation(instance, now)}}
 	for _, part := range lo.Uniq(parts) {
 		s := l.suspect(part)
-		if s.add(crash{instance: key, at: now}, now) {
+		if s.add(observed, now) {
 			s.changedAt = now
 			l.changedHere()
 		}
@@ -111,6 +112,11 @@
 	return l.newlyBlocked(now)
 }
 
+// observation returns an id for a crash that this node observes.
+func (l *List) observation(instance string, now time.Time) uint32 {
+	return max(1, uint32(xxhash.Sum64String(l.node+" "+instance+" "+strconv.FormatInt(now.UnixNano(), 16))))
+}
+
 // RecordAnswer records that an instance answered a prompt with these parts. The time is that of the answer's first
 // event, or of its end if it has no events; it may be in the past.
 func (l *List) RecordAnswer(parts []uint64, now time.Time) {
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -11,8 +11,10 @@
 )
 
 const (
-	// sameCrash is the time within which nodes notice the same crash. An instance needs longer to come back.
-	sameCrash = 2 * time.Second
+	// sameCrash is the time within which nodes notice the same crash, or hear of it from each other. An instance needs longer to come back.
+	sameCrash = maxNewsDelay
+	// maxObservations limits the observations of one crash that are kept.
+	maxObservations = 8
 	// sameOccasion is the time within which crashes of several instances count as one occasion. It also leaves other
 	// nodes the time to report an answer that followed the first crash.
 	sameOccasion = 400 * time.Millisecond
@@ -57,13 +59,27 @@
 type crash struct {
 	instance uint32
 	at       time.Time
+	// observations are ids of what nodes observed, in order. News of a crash that comes back to a node may be much later than the crash.
+	observations []uint32
 	// cleared is set after an answer to a later prompt with the part. Other nodes are told of it until tellUntil.
 	cleared   bool
 	tellUntil time.Time
 }
 
 func (c crash) isSame(other crash) bool {
-	return c.instance == other.instance && c.at.Sub(other.at).Abs() <= sameCrash
+	return c.instance == other.instance && (c.at.Sub(other.at).Abs() <= sameCrash || lo.Some(c.observations, other.observations))
+}
+
+// learn adds what another record of the same crash says of its time and its observations, and reports whether that is new.
+func (c *crash) learn(other crash) (changed bool) {
+	if other.at.Before(c.at) {
+		c.at, changed = other.at, true
+	}
+	if !lo.Every(c.observations, other.observations) {
+		all := slices.Sorted(slices.Values(lo.Union(c.observations, other.observations)))
+		c.observations, changed = all[:min(len(all), maxObservations)], true
+	}
+	return changed
 }
 
 func (c crash) isNear(other crash) bool { return c.at.Sub(other.at).Abs() <= sameOccasion }
@@ -88,12 +104,9 @@
 	switch {
 	case i >= 0:
 		known := &s.crashes[i]
-		if !c.at.Before(known.at) && c.cleared == known.cleared {
+		if !known.learn(c) && c.cleared == known.cleared {
 			return false
 		}
-		if c.at.Before(known.at) {
-			known.at = c.at
-		}
 		if c.cleared != known.cleared {
 			changed = c.cleared
 			known.cleared, known.tellUntil = true, now.Add(sendPeriod)
