quarantine: try parts that may be each other's cause one after the other

Cause: trials of the document and of the part that came with it could run at the same instance at the same time; its crash then told nothing. With news late by 1.5 s and more, crashes before the block also counted as failed trials. Change: such parts have one trial in common. Crashes count as failed trials only from 6 s after the fifth crash on.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -67,7 +67,8 @@
 	Crashes int
 	// RetryAfter is the time until the part is tried again.
 	RetryAfter time.Duration
-	// Doubtful are the parts for which the prompt needs a trial (see Trials); it is not sent without. If they are set, no other part keeps it back.
+	// Doubtful are the parts for which the prompt needs a trial (see Trials); it is not sent without. If they are set, no other part keeps it back. Parts
+	// that may be each other's cause have one of them in common: if prompts with either were tried at the same instance, a crash would tell nothing.
 	Doubtful []uint64
 }
 
@@ -160,7 +161,7 @@
 		case doubtful:
 			if !slices.Contains(trials, part) {
 				needed.Part, needed.Crashes = part, len(s.open())
-				needed.Doubtful = append(needed.Doubtful, part)
+				needed.Doubtful = append(needed.Doubtful, part, l.firstPossibleCause(part, s))
 			}
 			continue
 		case blocked:
@@ -171,6 +172,7 @@
 		ended = append(ended, s)
 	}
 	if len(needed.Doubtful) > 0 {
+		needed.Doubtful = lo.Uniq(needed.Doubtful)
 		return needed, false
 	}
 	for _, s := range ended {
@@ -217,6 +219,17 @@
 	return blocked
 }
 
+// firstPossibleCause returns the smallest key of the part and of those that may be the cause of its crashes. The caller holds the lock.
+func (l *List) firstPossibleCause(part uint64, s *suspect) uint64 {
+	first := part
+	for other, cause := range l.suspects {
+		if other < first && cause.isUnanswered() && cause.mayExplain(s) {
+			first = other
+		}
+	}
+	return first
+}
+
 // isClearlyLikelier reports whether a likelier cause leaves no doubt about another part: it crashed again without that one. Otherwise, news of the newest crash
 // may have reached this node for one of the two only. A part that was answered before has maxNewsDelay to be answered again, after which it is as
 // suspicious as one that never was: it may be sound no longer. The caller holds the lock.
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -46,9 +46,9 @@
 	minSpread = 30 * time.Second
 	// trialTimeout ends a trial that had neither an answer nor a crash, for example because its caller left.
 	trialTimeout = 10 * time.Second
-	// failedTrialDelay is the time from the manyCrashes-th crash after which further ones follow trials: sends before the block have ended. After
+	// failedTrialDelay is the time from the manyCrashes-th crash after which further ones follow trials: all nodes know of the block, and sends before it have ended. After
 	// maxFailedTrials of them within failedTrialMemory, the part is not tried.
-	failedTrialDelay  = 3 * time.Second
+	failedTrialDelay  = 2 * maxNewsDelay
 	maxFailedTrials   = 2
 	failedTrialMemory = time.Minute
 	// suspicion is how long a part that is not blocked stays suspected after a crash.
