quarantine: try a part whose crashes were all at one moment

Cause: crashes within 0.4 s are one occasion, and a part with one occasion is free, however many crashes it has, since an outage looks the same. Change: such a part is doubtful: all nodes together send one prompt with it at a time, until an answer or a second occasion. A part that was answered right before stays free, as the first part of a route after an outage, unless another part with five or more crashes explains its own. The time from one trial to the next is that in which news reaches all nodes. The case 'engines that crash together' of TestBlockedParts expected the part to be free, which is the fault; a second case now guards the part in constant use. TestCrashesForOtherReasons is unchanged and passes.

--- a/fleetview/server.go
+++ b/fleetview/server.go
@@ -50,8 +50,8 @@
 	EngineClock func() float64
 	// Permits answers the questions of other nodes for permits to send to instances with limits.
 	Permits func(q *nodepb.PermitRequest) (*nodepb.PermitReply, error)
-	// Trials answers the questions of other nodes for the trial of a part of prompts.
-	Trials func(part uint64, now time.Time) (wait time.Duration)
+	// Trials answers the questions of other nodes for trials of prompts.
+	Trials func(key uint64, now time.Time) (wait time.Duration)
 	Log    *zap.Logger
 	// Metrics is the registry for the counter of sent sets; nil for none.
 	Metrics gometrics.Registry
@@ -95,7 +95,7 @@
 // TakeTrial implements the node service.
 func (s *Server) TakeTrial(_ context.Context, q *nodepb.TrialRequest) (*nodepb.TrialReply, error) {
 	// Rounded up, so that nobody asks too early.
-	wait := s.Trials(q.GetPart(), time.Now()) + time.Millisecond - 1
+	wait := s.Trials(q.GetKey(), time.Now()) + time.Millisecond - 1
 	return &nodepb.TrialReply{WaitMs: uint32(wait.Milliseconds())}, nil
 }
 
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -84,7 +84,7 @@
 			rejections++
 		} else {
 			c.earlierMayHaveRun = true
-			c.trials = nil
+			c.tried = nil
 			if runs++; !c.mayRetry(runs) {
 				return last
 			}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -252,8 +252,8 @@
 	memory *bytebudget.Holder
 	// parts are the keys of the shared parts of the prompt.
 	parts []uint64
-	// trials are the parts for which the next send is a trial.
-	trials []uint64
+	// tried are the doubtful parts for which the next send is a trial.
+	tried []uint64
 	// answerBy is the earlier of the caller's deadline and the end of the route's timeout.
 	answerBy time.Time
 	// deadline is when the caller stops waiting.
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -19,7 +19,7 @@
 	if list == nil || c.attributes.Generation == nil {
 		return nil
 	}
-	verdict, allowed := list.Check(c.parts, time.Now(), c.trials...)
+	verdict, allowed := list.Check(c.parts, time.Now(), c.tried...)
 	if allowed {
 		return nil
 	}
@@ -41,11 +41,11 @@
 // takeTrials takes the trials that the prompt needs and checks it again: a crash or an answer may have become known meanwhile.
 func (c *call) takeTrials(ctx context.Context, verdict quarantine.Verdict) (quarantine.Verdict, bool) {
 	o := c.gateway.options
-	if verdict.RetryAfter = o.Trials.Acquire(ctx, verdict.Doubtful); verdict.RetryAfter > 0 {
+	if verdict.RetryAfter = o.Trials.Acquire(ctx, verdict.Trials); verdict.RetryAfter > 0 {
 		return verdict, false
 	}
 	c.gateway.metrics.trials.Inc(1)
 	o.Log.Info("prompt with suspected parts is tried", zap.String("request", c.attributes.ID), zap.Strings("parts", formatParts(firstOf(verdict.Doubtful))))
-	c.trials = append(c.trials, verdict.Doubtful...)
-	return o.Quarantine.Check(c.parts, time.Now(), c.trials...)
+	c.tried = append(c.tried, verdict.Doubtful...)
+	return o.Quarantine.Check(c.parts, time.Now(), c.tried...)
 }
--- a/node/permits.go
+++ b/node/permits.go
@@ -22,12 +22,12 @@
 	}
 }
 
-// askTrials returns a function that asks another node for the trial of a part of prompts.
-func askTrials(pool *rpcpool.Pool) func(ctx context.Context, address string, part uint64) (time.Duration, error) {
-	return func(ctx context.Context, address string, part uint64) (time.Duration, error) {
+// askTrials returns a function that asks another node for a trial of a prompt.
+func askTrials(pool *rpcpool.Pool) func(ctx context.Context, address string, key uint64) (time.Duration, error) {
+	return func(ctx context.Context, address string, key uint64) (time.Duration, error) {
 		conn := pool.Get(ctx, address)
 		defer func() { _ = conn.Close() }()
-		reply, err := nodepb.NewDRPCNodeClient(conn).TakeTrial(ctx, &nodepb.TrialRequest{Part: part})
+		reply, err := nodepb.NewDRPCNodeClient(conn).TakeTrial(ctx, &nodepb.TrialRequest{Key: key})
 		return time.Duration(reply.GetWaitMs()) * time.Millisecond, err
 	}
 }
--- a/quarantine/companions_test.go
+++ b/quarantine/companions_test.go
@@ -152,3 +152,24 @@
 		}
 	}
 }
+
+// Guards against a part that is sent on because all engines that it crashed did so at the same moment, as in an outage.
+func TestPartThatCrashesManyEnginesAtOnce(t *testing.T) {
+	for _, nodes := range []int{3, 30} {
+		for seed := range uint64(10) {
+			t.Run(fmt.Sprint(nodes, " nodes, ", seed), func(t *testing.T) {
+				t.Parallel()
+				batch := func(from time.Duration) *simStream {
+					return &simStream{parts: []string{"annex"}, rate: 300, from: from, until: from + 100*time.Millisecond}
+				}
+				document := &simStream{parts: []string{"doc"}, rate: 10, from: companionsFrom, until: 20 * time.Second}
+				c := companionCase{deadly: "annex", streams: []*simStream{batch(companionsFrom), batch(8 * time.Second), batch(14 * time.Second), document}}
+				s := newSimulation(seed, nodes, 12)
+				s.runStreams(c.deadly, c.streams, 22*time.Second)
+				t.Logf("%d crashes, %d late sends", len(s.deadlyCrashes), s.lateSends())
+				require.GreaterOrEqual(t, len(s.deadlyCrashes), 5)
+				requireCompanionsBegin(t, s, c)
+			})
+		}
+	}
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -3,11 +3,12 @@
 //
 // A crash takes along everything in progress at an instance, so each crash names several parts, most of them sound. An
 // answer tells them apart: it clears all earlier crashes of the parts of its prompt. A part with three crashes and no
-// answer is blocked, unless another such part accounts for all its crashes. Crashes that follow each other at once are not
-// enough, because a rack or a zone that loses power names whatever was in progress there.
+// answer is blocked, unless another such part accounts for all its crashes.
 //
-// Parts that came together in all crashes cannot be told apart by them. A prompt that has only some of them is sent as a trial, one at a time of those
-// at all nodes (Trials): an answer shows that its parts are sound, a crash that one of them is the cause.
+// Some parts are doubtful: those whose crashes all followed each other at once, because a rack or a zone that loses power names
+// whatever was in progress there, and those that came together in all crashes, for a prompt that has only some of them. A prompt with doubtful parts is
+// sent as a trial, one at a time of those at all nodes (Trials): an answer shows that its parts are sound, a crash that one of
+// them is the cause.
 //
 // A block lasts longer with each crash. At its end the part is tried again, at one node after the other in an order that
 // differs from part to part, and with one prompt at a time: an answer ends the block, a crash prolongs it.
@@ -67,9 +68,11 @@
 	Crashes int
 	// RetryAfter is the time until the part is tried again.
 	RetryAfter time.Duration
-	// Doubtful are the parts for which the prompt needs a trial (see Trials); it is not sent without. If they are set, no other part keeps it back. Parts
-	// that may be each other's cause have one of them in common: if prompts with either were tried at the same instance, a crash would tell nothing.
+	// Doubtful are the parts that may crash instances or only came with one that does. If they are set, no other part keeps the prompt back.
 	Doubtful []uint64
+	// Trials are the keys of the trials without which a prompt with doubtful parts is not sent. Parts that may be each other's cause have one in common: if
+	// prompts with either were tried at the same instance, a crash would tell nothing.
+	Trials []uint64
 }
 
 // List holds the suspected parts. Its methods may be called concurrently.
@@ -140,9 +143,9 @@
 	}
 }
 
-// Check reports whether a prompt may be sent now, with trials for the given parts. It is called right before each send, and returns true only once for
+// Check reports whether a prompt may be sent now, after trials of the given doubtful parts were granted. It is called right before each send, and returns true only once for
 // it: at the end of a block, the call that returns true starts the trial of this node, and calls return false until that has ended.
-func (l *List) Check(parts []uint64, now time.Time, trials ...uint64) (Verdict, bool) {
+func (l *List) Check(parts []uint64, now time.Time, tried ...uint64) (Verdict, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.suspects) == 0 {
@@ -159,9 +162,10 @@
 		case sound:
 			continue
 		case doubtful:
-			if !slices.Contains(trials, part) {
+			if !slices.Contains(tried, part) {
 				needed.Part, needed.Crashes = part, len(s.open())
-				needed.Doubtful = append(needed.Doubtful, part, l.firstPossibleCause(part, s))
+				needed.Doubtful = append(needed.Doubtful, part)
+				needed.Trials = append(needed.Trials, l.trials(part, s)...)
 			}
 			continue
 		case blocked:
@@ -172,7 +176,7 @@
 		ended = append(ended, s)
 	}
 	if len(needed.Doubtful) > 0 {
-		needed.Doubtful = lo.Uniq(needed.Doubtful)
+		needed.Trials = lo.Uniq(needed.Trials)
 		return needed, false
 	}
 	for _, s := range ended {
@@ -191,10 +195,14 @@
 	blocked
 )
 
-// standing returns what is known of a part of a prompt: a part without an answer is blocked, unless its crashes may be due to another such part. If that is the
+// standing returns what is known of a part of a prompt: a part whose crashes were all on one occasion is tried, as an outage may be their cause, unless it is
+// so common that this node saw an answer right before. One with more occasions is blocked, unless its crashes may be due to another such part. If that is the
 // likelier cause, this one is sound; if the prompt does not have the other part, sending it tells. The caller holds the lock.
 func (l *List) standing(part uint64, s *suspect, prompt []uint64, now time.Time) standing {
-	if !s.isUnanswered() {
+	switch {
+	case s.crashedAtOnce() && (!s.answeredBefore || now.Sub(s.last()) > maxNewsDelay && l.isExplained(s)):
+		return doubtful
+	case !s.isUnanswered():
 		return sound
 	}
 	isExplained, isDoubtful := false, false
@@ -219,15 +227,29 @@
 	return blocked
 }
 
-// firstPossibleCause returns the smallest key of the part and of those that may be the cause of its crashes. The caller holds the lock.
-func (l *List) firstPossibleCause(part uint64, s *suspect) uint64 {
-	first := part
+// isExplained reports whether another unanswered part, which outages alone rarely give so many crashes, explains those of a part. The caller holds the lock.
+func (l *List) isExplained(s *suspect) bool {
+	for _, cause := range l.suspects {
+		if cause != s && cause.isUnanswered() && len(cause.open()) >= manyCrashes && cause.explains(s) {
+			return true
+		}
+	}
+	return false
+}
+
+// trials returns the trials that a prompt with a doubtful part needs: that of the part, and one in common with the parts that may as likely be the cause of
+// its crashes. A likelier one is blocked and not tried. The caller holds the lock.
+func (l *List) trials(part uint64, s *suspect) []uint64 {
+	first, isShared := part, false
 	for other, cause := range l.suspects {
-		if other < first && cause.isUnanswered() && cause.mayExplain(s) {
-			first = other
+		if cause != s && cause.isUnanswered() && !l.isLikelier(other, part) && cause.mayExplain(s) {
+			first, isShared = min(first, other), true
 		}
 	}
-	return first
+	if !isShared {
+		return []uint64{part}
+	}
+	return []uint64{part, ^first}
 }
 
 // isClearlyLikelier reports whether a likelier cause leaves no doubt about another part: it crashed again without that one. Otherwise, news of the newest crash
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -81,7 +81,13 @@
 			},
 		},
 		"engines that crash together": {
-			steps: []step{crashed(0, "a", testRare), crashed(50*time.Millisecond, "b", testRare), crashed(300*time.Millisecond, "c", testRare)},
+			steps:        []step{crashed(0, "a", testRare), crashed(50*time.Millisecond, "b", testRare), crashed(300*time.Millisecond, "c", testRare)},
+			doubtfulSoon: []uint64{testRare}, doubtfulLater: []uint64{testRare},
+		},
+		"engines that crash together beside a part in constant use": {
+			steps: []step{
+				answered(-time.Second, testShared), crashed(0, "a", testShared), crashed(50*time.Millisecond, "b", testShared), crashed(300*time.Millisecond, "c", testShared),
+			},
 		},
 		"one crash that is noticed twice": {
 			steps: []step{crashed(0, "a", testRare), crashed(time.Second, "b", testRare), crashed(1500*time.Millisecond, "a", testRare)},
@@ -116,7 +122,8 @@
 					verdict, ok := l.Check([]uint64{part}, start.Add(check.at))
 					if slices.Contains(check.doubtful, part) {
 						require.False(t, ok, "part %d at %v", part, check.at)
-						require.Contains(t, verdict.Doubtful, part)
+						require.Equal(t, []uint64{part}, verdict.Doubtful)
+						require.Contains(t, verdict.Trials, part)
 						continue
 					}
 					require.Equal(t, !slices.Contains(test.blocked, part), ok, "part %d at %v", part, check.at)
--- a/quarantine/sim_test.go
+++ b/quarantine/sim_test.go
@@ -262,7 +262,7 @@
 	}
 	verdict, ok := r.node.list.Check(r.parts, s.time())
 	if len(verdict.Doubtful) > 0 {
-		s.askForTrials(r, verdict, slices.Sorted(slices.Values(verdict.Doubtful)))
+		s.askForTrials(r, verdict, slices.Sorted(slices.Values(verdict.Trials)))
 		return
 	}
 	if !ok {
@@ -278,9 +278,9 @@
 	s.after(s.uniform(100*time.Millisecond, 400*time.Millisecond), func() { s.attempt(r) })
 }
 
-// askForTrials asks the owners of parts one after the other, and sends the request if all grant the trial.
-func (s *simulation) askForTrials(r *simRequest, verdict Verdict, parts []uint64) {
-	if len(parts) == 0 {
+// askForTrials asks the owners of trials one after the other, and sends the request if all grant the trial.
+func (s *simulation) askForTrials(r *simRequest, verdict Verdict, keys []uint64) {
+	if len(keys) == 0 {
 		s.on(r.node, func() {
 			up := slices.DeleteFunc(slices.Clone(s.engines), func(e *simEngine) bool { return !e.up })
 			if again, ok := r.node.list.Check(r.parts, s.time(), verdict.Doubtful...); !ok || len(up) == 0 {
@@ -292,17 +292,17 @@
 		return
 	}
 	names := lo.Map(s.nodes, func(n *simNode, _ int) string { return n.name })
-	first, _ := upstreamlimit.Owners(uint32(parts[0]), names)
+	first, _ := upstreamlimit.Owners(uint32(keys[0]), names)
 	owner, _ := lo.Find(s.nodes, func(n *simNode) bool { return n.name == first })
 	s.afterTransfer(func() {
 		s.on(owner, func() {
-			wait := owner.trials.Grant(parts[0], s.time())
+			wait := owner.trials.Grant(keys[0], s.time())
 			s.afterTransfer(func() {
 				if wait > 0 {
 					s.on(r.node, func() { s.refuse(r, verdict) })
 					return
 				}
-				s.askForTrials(r, verdict, parts[1:])
+				s.askForTrials(r, verdict, keys[1:])
 			})
 		})
 	})
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -189,6 +189,9 @@
 	return len(crashes) >= minCrashes && occasions(crashes) >= minOccasions
 }
 
+// crashedAtOnce reports whether the part had enough crashes since the last answer, but all on one occasion.
+func (s *suspect) crashedAtOnce() bool { return len(s.open()) >= minCrashes && !s.isUnanswered() }
+
 // occasions counts the occasions of some crashes, which are ordered by time.
 func occasions(crashes []crash) (n int) {
 	var start time.Time
--- a/quarantine/trials.go
+++ b/quarantine/trials.go
@@ -14,12 +14,12 @@
 
 const (
 	// trialInterval is the time from one trial of a doubtful part to the next. It covers a prompt's wait for the answer, and its news.
-	trialInterval = 2 * time.Second
+	trialInterval = maxNewsDelay
 	// askTimeout limits the time for which a prompt waits for the word of one owner: a round trip between regions, and a lost packet.
 	askTimeout = 400 * time.Millisecond
 	// noOwnerWait is the retry advice if no owner answers: the list of nodes changes within seconds.
 	noOwnerWait = time.Second
-	// maxTrials limits the parts that are tried at a time.
+	// maxTrials limits the keys that an owner keeps.
 	maxTrials = 1024
 )
 
@@ -27,8 +27,8 @@
 type TrialsOptions struct {
 	// Self is the address at which other nodes ask this one.
 	Self string
-	// Ask asks another node for the trial of a part. It returns 0 if that is granted, and otherwise the time after which to ask again.
-	Ask func(ctx context.Context, address string, part uint64) (wait time.Duration, err error)
+	// Ask asks another node for a trial. It returns 0 if that is granted, and otherwise the time after which to ask again.
+	Ask func(ctx context.Context, address string, key uint64) (wait time.Duration, err error)
 	Log *zap.Logger
 }
 
@@ -40,7 +40,7 @@
 
 	mu    sync.Mutex
 	nodes []string
-	// next is when the next trial of a part that this node owns may begin.
+	// next is when the next trial of a key that this node owns may begin.
 	next map[uint64]time.Time
 }
 
@@ -56,11 +56,11 @@
 	t.nodes = slices.Clone(addresses)
 }
 
-// Grant grants the trial of a part to a node and returns 0, or returns the time after which to ask again.
-func (t *Trials) Grant(part uint64, now time.Time) (wait time.Duration) {
+// Grant grants a trial to a node and returns 0, or returns the time after which to ask again.
+func (t *Trials) Grant(key uint64, now time.Time) (wait time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if wait = t.next[part].Sub(now); wait > 0 {
+	if wait = t.next[key].Sub(now); wait > 0 {
 		return wait
 	}
 	if len(t.next) >= maxTrials {
@@ -69,32 +69,32 @@
 	if len(t.next) >= maxTrials {
 		return trialInterval
 	}
-	t.next[part] = now.Add(trialInterval)
+	t.next[key] = now.Add(trialInterval)
 	return 0
 }
 
-// Acquire takes the trials of some parts for one prompt and returns 0, or returns the time after which to ask again.
-func (t *Trials) Acquire(ctx context.Context, parts []uint64) (wait time.Duration) {
-	// All nodes take them in the same order, so that of two prompts with the same parts one gets all.
-	for _, part := range slices.Sorted(slices.Values(parts)) {
-		if wait = t.acquire(ctx, part); wait > 0 {
+// Acquire takes some trials for one prompt and returns 0, or returns the time after which to ask again.
+func (t *Trials) Acquire(ctx context.Context, keys []uint64) (wait time.Duration) {
+	// All nodes take them in the same order, so that of two prompts that need the same ones one gets all.
+	for _, key := range slices.Sorted(slices.Values(keys)) {
+		if wait = t.acquire(ctx, key); wait > 0 {
 			return wait
 		}
 	}
 	return 0
 }
 
-func (t *Trials) acquire(ctx context.Context, part uint64) (wait time.Duration) {
-	first, second := t.owners(part)
+func (t *Trials) acquire(ctx context.Context, key uint64) (wait time.Duration) {
+	first, second := t.owners(key)
 	for _, owner := range []string{first, second} {
 		if owner == t.options.Self {
-			return t.Grant(part, time.Now())
+			return t.Grant(key, time.Now())
 		}
 		if owner == "" || ctx.Err() != nil {
 			break
 		}
 		askCtx, cancel := context.WithTimeout(ctx, askTimeout)
-		wait, err := t.options.Ask(askCtx, owner, part)
+		wait, err := t.options.Ask(askCtx, owner, key)
 		cancel()
 		if err == nil {
 			return wait
@@ -104,8 +104,8 @@
 	return noOwnerWait
 }
 
-func (t *Trials) owners(part uint64) (first, second string) {
+func (t *Trials) owners(key uint64) (first, second string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return upstreamlimit.Owners(uint32(part), t.nodes)
+	return upstreamlimit.Owners(uint32(key), t.nodes)
 }
