--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -162,6 +162,18 @@
 	return s.call("POST", path, "", func(r *http.Request) { r.Header.Set("Parts", parts) })
 }
 
+// crashOn crashes as many instances as block a part, on separate occasions, with prompts that have some parts.
+func (s *crashSystem) crashOn(shared ...string) {
+	ticker := time.NewTicker(nextOccasion)
+	defer ticker.Stop()
+	for range blockingCrashes {
+		status, _, err := s.prompt("/once/", shared...)
+		require.NoError(s.t, err)
+		require.Equal(s.t, 502, status)
+		<-ticker.C
+	}
+}
+
 // Guards against prompts with one part crashing one instance after the other, and against refusing sound prompts that share
 // the account and all other parts.
 func TestPartThatCrashesInstancesIsQuarantined(t *testing.T) {
@@ -204,14 +216,7 @@
 	for name, shared := range map[string][]string{"document first": {"doc", deadlyPart}, "deadly part first": {deadlyPart, "doc"}} {
 		t.Run(name, func(t *testing.T) {
 			s := newCrashSystem(t, 6, good)
-			ticker := time.NewTicker(nextOccasion)
-			defer ticker.Stop()
-			for range blockingCrashes {
-				status, _, err := s.prompt("/once/", shared...)
-				require.NoError(t, err)
-				require.Equal(t, 502, status)
-				<-ticker.C
-			}
+			s.crashOn(shared...)
 			for range 3 {
 				status, body, err := s.prompt("/once/", "doc")
 				require.NoError(t, err)
@@ -232,14 +237,7 @@
 // Guards against more than one prompt at a time that is sent to find out whether its part is deadly, and against a second one after a crash.
 func TestDeadlyPartIsTriedOnce(t *testing.T) {
 	s := newCrashSystem(t, 6, good)
-	ticker := time.NewTicker(nextOccasion)
-	defer ticker.Stop()
-	for range blockingCrashes {
-		status, _, err := s.prompt("/once/", "doc", deadlyPart)
-		require.NoError(t, err)
-		require.Equal(t, 502, status)
-		<-ticker.C
-	}
+	s.crashOn("doc", deadlyPart)
 	// The second instance crashes on a prompt that may be repeated only if it is sent there.
 	status, _, err := s.prompt("/safe/", deadlyPart)
 	require.NoError(t, err)
@@ -258,14 +256,7 @@
 // Guards against a trial that is lost because the instance chosen first refuses connections.
 func TestTrialGoesToAnotherInstance(t *testing.T) {
 	s := newCrashSystem(t, 6, good)
-	ticker := time.NewTicker(nextOccasion)
-	defer ticker.Stop()
-	for range blockingCrashes {
-		status, _, err := s.prompt("/once/", "doc", deadlyPart)
-		require.NoError(t, err)
-		require.Equal(t, 502, status)
-		<-ticker.C
-	}
+	s.crashOn("doc", deadlyPart)
 	running := 0
 	for _, e := range s.engines {
 		if conn, err := net.Dial("tcp", e.address); err == nil {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -143,8 +143,8 @@
 	}
 }
 
-// Check reports whether a prompt may be sent now, after trials of the given doubtful parts were granted. It is called right before each send, and returns true only once for
-// it: at the end of a block, the call that returns true starts the trial of this node, and calls return false until that has ended.
+// Check reports whether a prompt may be sent now. The trials of the doubtful parts in tried have been granted to it. Check is called right before each send: at
+// the end of a block, a call that returns true begins this node's own trial of the part, and calls return false until that has ended.
 func (l *List) Check(parts []uint64, now time.Time, tried ...uint64) (Verdict, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -185,19 +185,19 @@
 	return Verdict{}, true
 }
 
-// standing is what is known of a part of a prompt.
+// standing tells whether a prompt may be sent with one of its parts.
 type standing int
 
 const (
 	sound standing = iota
-	// doubtful is a part whose crashes may be due to another one, which the prompt does not have.
+	// doubtful is a part whose crashes may be due to an outage or to another part, which the prompt does not have.
 	doubtful
 	blocked
 )
 
-// standing returns what is known of a part of a prompt: a part whose crashes were all on one occasion is tried, as an outage may be their cause, unless it is
-// so common that this node saw an answer right before. One with more occasions is blocked, unless its crashes may be due to another such part. If that is the
-// likelier cause, this one is sound; if the prompt does not have the other part, sending it tells. The caller holds the lock.
+// standing returns the standing of a part of a prompt. A part whose crashes were all on one occasion is doubtful, as an outage may be their cause, unless it is so
+// common that this node saw an answer right before. One with more occasions is blocked, unless another such part may be the cause: if that is likelier, this one is
+// sound; if the prompt does not have the other part, this one is doubtful. The caller holds the lock.
 func (l *List) standing(part uint64, s *suspect, prompt []uint64, now time.Time) standing {
 	switch {
 	case s.crashedAtOnce() && (!s.answeredBefore || now.Sub(s.last()) > maxNewsDelay && l.isExplained(s)):
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -46,8 +46,8 @@
 	minSpread = 30 * time.Second
 	// trialTimeout ends a trial that had neither an answer nor a crash, for example because its caller left.
 	trialTimeout = 10 * time.Second
-	// failedTrialDelay is the time from the manyCrashes-th crash after which further ones follow trials: all nodes know of the block, and sends before it have ended. After
-	// maxFailedTrials of them within failedTrialMemory, the part is not tried.
+	// failedTrialDelay is the time from the manyCrashes-th crash after which further ones follow trials: all nodes know of the block by
+	// then, and sends before it have ended. After maxFailedTrials of them within failedTrialMemory, the part is not tried.
 	failedTrialDelay  = 2 * maxNewsDelay
 	maxFailedTrials   = 2
 	failedTrialMemory = time.Minute
