quarantine: names that say what they ask for

Cause: isExplained was a method and another thing in a variable beside it, and trials a method next to the type Trials. Change: hasLikelyCause, hasLikelier, trialKeys.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -165,7 +165,7 @@
 			if !slices.Contains(tried, part) {
 				needed.Part, needed.Crashes = part, len(s.open())
 				needed.Doubtful = append(needed.Doubtful, part)
-				needed.Trials = append(needed.Trials, l.trials(part, s)...)
+				needed.Trials = append(needed.Trials, l.trialKeys(part, s)...)
 			}
 			continue
 		case blocked:
@@ -200,12 +200,12 @@
 // sound; if the prompt does not have the other part, this one is doubtful. The caller holds the lock.
 func (l *List) standing(part uint64, s *suspect, prompt []uint64, now time.Time) standing {
 	switch {
-	case s.crashedAtOnce() && (!s.answeredBefore || now.Sub(s.last()) > maxNewsDelay && l.isExplained(s)):
+	case s.crashedAtOnce() && (!s.answeredBefore || now.Sub(s.last()) > maxNewsDelay && l.hasLikelyCause(s)):
 		return doubtful
 	case !s.isUnanswered():
 		return sound
 	}
-	isExplained, isDoubtful := false, false
+	hasLikelier, isDoubtful := false, false
 	for other, cause := range l.suspects {
 		if other == part || !cause.isUnanswered() {
 			continue
@@ -214,21 +214,21 @@
 			if l.isClearlyLikelier(other, part, now) {
 				return sound
 			}
-			isExplained = true
+			hasLikelier = true
 		}
 		isDoubtful = isDoubtful || !slices.Contains(prompt, other) && cause.mayExplain(s)
 	}
 	switch {
 	case isDoubtful && !s.hasFailedTrials(now):
 		return doubtful
-	case isExplained && !isDoubtful:
+	case hasLikelier && !isDoubtful:
 		return sound
 	}
 	return blocked
 }
 
-// isExplained reports whether another unanswered part, which outages alone rarely give so many crashes, explains those of a part. The caller holds the lock.
-func (l *List) isExplained(s *suspect) bool {
+// hasLikelyCause reports whether another unanswered part explains the crashes of a part and has more than outages alone usually give it. The caller holds the lock.
+func (l *List) hasLikelyCause(s *suspect) bool {
 	for _, cause := range l.suspects {
 		if cause != s && cause.isUnanswered() && len(cause.open()) >= manyCrashes && cause.explains(s) {
 			return true
@@ -237,9 +237,9 @@
 	return false
 }
 
-// trials returns the trials that a prompt with a doubtful part needs: that of the part, and one in common with the parts that may as likely be the cause of
+// trialKeys returns the keys of the trials that a prompt with a doubtful part needs: that of the part, and one in common with the parts that may as likely be the cause of
 // its crashes. A likelier one is blocked and not tried. The caller holds the lock.
-func (l *List) trials(part uint64, s *suspect) []uint64 {
+func (l *List) trialKeys(part uint64, s *suspect) []uint64 {
 	first, isShared := part, false
 	for other, cause := range l.suspects {
 		if cause != s && cause.isUnanswered() && !l.isLikelier(other, part) && cause.mayExplain(s) {
