rollout, node, gateway, placement: each weight version keeps a time limit of its own

Cause: a node kept one time for each model, since when the newest version was named (namedWeights.since). A newer version overwrote it, so the limit of the one before began anew, and an engine that came back with weights two versions old got requests again. No other state of the choice depends on the version. Change: rollout.Named keeps each version with the time of its naming until its limit has passed. Requests may begin on any version from the newest one past its limit on (Sets.RequiredVersion), so engines with the version between still serve. TestWeightsNeverGoBack reads the limit through time that passes instead of a field that is gone; what it requires is the same.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -204,13 +204,13 @@
 	o := c.gateway.options
 	g := c.attributes.Generation
 	q.Model, q.Parts, q.Tokens, q.CacheTokens = g.Model, g.Parts, g.PromptTokens, c.service.Engine.CacheTokens
-	q.WantedVersion, q.RequireWantedVersion = o.Sets.WantedVersion(g.Model), o.Sets.RequireWantedVersion(g.Model)
+	q.RequiredVersion = o.Sets.RequiredVersion(g.Model)
 	set, account := c.newestAccount()
 	q.SharedCache = set.SharedCache()
 	if account != nil && account.Isolated {
 		q.Isolated = account.Name
 	}
-	q.StoredVersion = max(1, q.WantedVersion)
+	q.StoredVersion = max(1, o.Sets.WantedVersion(g.Model))
 	q.TokenTransfer = c.service.Engine.TokenTransfer()
 	if o.Stores != nil && len(g.Parts) > 1 {
 		q.Stored = o.Stores.Locate(q.Salt(q.StoredVersion), g.Parts[:len(g.Parts)-1], c.maxFetchTime(), o.Tracker)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -111,10 +111,10 @@
 	Confirmed() <-chan struct{}
 	// Outdated reports whether a newer set must be in force by now.
 	Outdated() bool
-	// WantedVersion returns the weight version that operators have named for a model.
+	// WantedVersion returns the newest weight version that operators have named for a model.
 	WantedVersion(model string) uint64
-	// RequireWantedVersion reports whether requests must not use older weights any more.
-	RequireWantedVersion(model string) bool
+	// RequiredVersion returns the oldest weight version of a model on which requests may begin, 0 if any may.
+	RequiredVersion(model string) uint64
 }
 
 // Stores decides which parts of prompts engines fetch from and save to KV cache stores.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -71,9 +71,9 @@
 	return func() { close(confirmed) }
 }
 
-func (s *testSets) Set() *trafficset.Set             { return s.set.Load() }
-func (s *testSets) WantedVersion(string) uint64      { return 0 }
-func (s *testSets) RequireWantedVersion(string) bool { return false }
+func (s *testSets) Set() *trafficset.Set          { return s.set.Load() }
+func (s *testSets) WantedVersion(string) uint64   { return 0 }
+func (s *testSets) RequiredVersion(string) uint64 { return 0 }
 
 // system is a gateway with test upstreams.
 type system struct {
--- a/node/adopt.go
+++ b/node/adopt.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"maps"
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
@@ -42,27 +41,21 @@
 }
 
 // WantedVersion implements gateway.Sets.
-func (n *Node) WantedVersion(model string) uint64 { return (*n.weights.Load())[model].version }
+func (n *Node) WantedVersion(model string) uint64 { return n.weights.Load().Newest(model) }
 
 // weightsMargin is the time before the end of WeightsWithin from which no request starts on older weights.
 const weightsMargin = time.Second
 
-// RequireWantedVersion implements gateway.Sets.
-func (n *Node) RequireWantedVersion(model string) bool {
-	named, ok := (*n.weights.Load())[model]
-	return ok && n.config.WeightsWithin > 0 && time.Since(named.since) > n.config.WeightsWithin-weightsMargin
-}
+// weightsLimit returns the time from the naming of a weight version until requests must not start on older ones, 0 for no such time.
+func weightsLimit(within time.Duration) time.Duration { return max(within-weightsMargin, within/2) }
 
-// WantedVersions returns the weight version that operators have named for each model.
-func (n *Node) WantedVersions() map[string]uint64 {
-	return lo.MapValues(*n.weights.Load(), func(named namedWeights, _ string) uint64 { return named.version })
+// RequiredVersion implements gateway.Sets.
+func (n *Node) RequiredVersion(model string) uint64 {
+	return n.weights.Load().Required(model, time.Now())
 }
 
-// namedWeights is a weight version that operators have named, and when this node first received it.
-type namedWeights struct {
-	version uint64
-	since   time.Time
-}
+// WantedVersions returns the newest weight version that operators have named for each model.
+func (n *Node) WantedVersions() map[string]uint64 { return n.weights.Load().NewestOfAll() }
 
 // applyUpdate applies an update of a core member. Versions never go back.
 func (n *Node) applyUpdate(from string, u *nodepb.WatchUpdate) {
@@ -71,7 +64,7 @@
 	n.applyEvacuations(from, u, time.Now())
 	n.lag.announce(u.GetSetVersion(), time.Now())
 	n.recordLag()
-	n.applyWeights(u.GetWeights())
+	n.applyWeights(u)
 	if leader := u.GetLeaderAddress(); leader != "" && u.GetFresh() {
 		n.group.SetLeaderHint(leader)
 	}
@@ -187,19 +180,12 @@
 // behindSamples is the number of values in the sample of the times for which the node was behind.
 const behindSamples = 256
 
-func (n *Node) applyWeights(named []*nodepb.WeightVersion) {
-	current := *n.weights.Load()
-	next := maps.Clone(current)
-	changed := false
-	for _, w := range named {
-		if w.GetVersion() > next[w.GetModel()].version {
-			next[w.GetModel()] = namedWeights{version: w.GetVersion(), since: time.Now()}
-			changed = true
-			n.log.Info("weights named", zap.String("model", w.GetModel()), zap.Uint64("weight_version", w.GetVersion()))
-		}
-	}
-	if changed {
-		n.weights.Store(&next)
+// applyWeights applies the weight versions of an update. The caller holds updateMu.
+func (n *Node) applyWeights(u *nodepb.WatchUpdate) {
+	named, added := n.weights.Load().Accept(fleetview.DecodeNamings(u), time.Now())
+	n.weights.Store(named)
+	for _, naming := range added {
+		n.log.Info("weights named", zap.String("model", naming.Model), zap.Uint64("weight_version", naming.Version))
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -121,7 +121,7 @@
 
 	seeds   atomic.Pointer[[]string]
 	set     atomic.Pointer[trafficset.Set]
-	weights atomic.Pointer[map[string]namedWeights]
+	weights atomic.Pointer[rollout.Named]
 	// evacuations is nil until a list arrives; evacuationsConfirmed is when a fresh update last arrived, nil before the first one. Both are
 	// written with updateMu held.
 	evacuations          atomic.Pointer[evacuation.List]
@@ -184,7 +184,7 @@
 	n.SetSeeds(config.Seeds)
 	n.SetZones(config.Zones)
 	n.nodes.Store(initialNodes)
-	n.weights.Store(&map[string]namedWeights{})
+	n.weights.Store(rollout.NewNamed(weightsLimit(config.WeightsWithin)))
 	n.group = coregroup.New(coregroup.Options{
 		Dir: config.DataDir, FS: parts.FS, Address: config.Internal, AvailabilityZone: config.AvailabilityZone, Seeds: n.Seeds, FirstStart: config.FirstStart,
 		Tolerance: config.Tolerance, DiskBytes: config.DiskBytes, Log: log, Metrics: registry,
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
@@ -111,19 +112,41 @@
 // Guards against a named version that is replaced by an older one, and against requests on old weights after their
 // time limit.
 func TestWeightsNeverGoBack(t *testing.T) {
+	// The meters of a node leave a goroutine behind, for whose end the bubble would wait.
 	n := newNode()
-	named := func(version uint64) *nodepb.WatchUpdate {
-		return &nodepb.WatchUpdate{Weights: []*nodepb.WeightVersion{{Model: "m", Version: version}}}
-	}
-	n.receive("a", named(2))
-	n.receive("b", named(1))
-	require.EqualValues(t, 2, n.WantedVersion("m"))
-	require.Equal(t, map[string]uint64{"m": 2}, n.WantedVersions())
-	require.False(t, n.RequireWantedVersion("m"))
-	require.False(t, n.RequireWantedVersion("other"))
-	late := map[string]namedWeights{"m": {version: 2, since: time.Now().Add(-10 * time.Second)}}
-	n.weights.Store(&late)
-	require.True(t, n.RequireWantedVersion("m"))
+	synctest.Test(t, func(t *testing.T) {
+		n.receive("a", weightsNamed("m", 2))
+		n.receive("b", weightsNamed("m", 1))
+		require.EqualValues(t, 2, n.WantedVersion("m"))
+		require.Equal(t, map[string]uint64{"m": 2}, n.WantedVersions())
+		require.Zero(t, n.RequiredVersion("m"))
+		time.Sleep(10 * time.Second)
+		n.receive("b", weightsNamed("m", 1))
+		require.EqualValues(t, 2, n.RequiredVersion("m"))
+		require.Zero(t, n.RequiredVersion("other"))
+	})
+}
+
+func weightsNamed(model string, version uint64) *nodepb.WatchUpdate {
+	return &nodepb.WatchUpdate{Weights: []*nodepb.WeightVersion{{Model: model, Version: version}}}
+}
+
+// Guards against a newer weight version that lifts the time limit of the one before: an engine that returned with weights two versions old got
+// requests again.
+func TestNewerWeightsDoNotLiftTheLimitOfOlderOnes(t *testing.T) {
+	// The meters of a node leave a goroutine behind, for whose end the bubble would wait.
+	n := newNode()
+	synctest.Test(t, func(t *testing.T) {
+		n.receive("a", weightsNamed("m", 2))
+		time.Sleep(12 * time.Second)
+		require.EqualValues(t, 2, n.RequiredVersion("m"))
+		n.receive("a", weightsNamed("m", 3))
+		require.EqualValues(t, 2, n.RequiredVersion("m"), "version 3 was named just now")
+		time.Sleep(5 * time.Second)
+		require.EqualValues(t, 2, n.RequiredVersion("m"))
+		time.Sleep(5 * time.Second)
+		require.EqualValues(t, 3, n.RequiredVersion("m"))
+	})
 }
 
 // Guards against a node that is never ready because the set arrives after the word of a core member that names it, and against
--- a/placement/choiceworld_test.go
+++ b/placement/choiceworld_test.go
@@ -253,8 +253,12 @@
 
 // request returns a random request and pauses for a list of instances.
 func (w *choiceWorld) request(list []*upstreams.Instance) (*Request, Pauses) {
+	zone, model, required := w.zone(), w.model(), w.version()
+	if !w.chance(w.share) {
+		required = 0
+	}
 	q := &Request{
-		Zone: w.zone(), Model: w.model(), WantedVersion: w.version(), RequireWantedVersion: w.chance(w.share), SharedCache: "all", Seed: fmt.Sprint("request-", w.random.Int()),
+		Zone: zone, Model: model, RequiredVersion: required, SharedCache: "all", Seed: fmt.Sprint("request-", w.random.Int()),
 		Urgency: Urgency{Priority: w.random.IntN(3)}, Exclude: map[string]bool{}, Evacuated: map[string]bool{},
 		Target: w.duration(2 * time.Second), GapTarget: w.duration(time.Second),
 	}
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -201,9 +201,9 @@
 			d.marks[i].set(isEvacuated, zone == int32(number))
 		}
 	}
-	if q.RequireWantedVersion {
+	if q.RequiredVersion > 0 {
 		for i, version := range d.versions.values {
-			d.marks[i].set(isOutdated, version < q.WantedVersion)
+			d.marks[i].set(isOutdated, version < q.RequiredVersion)
 		}
 	}
 }
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -10,10 +10,8 @@
 type Request struct {
 	Zone  string
 	Model string
-	// WantedVersion is the newest version of the model's weights that operators have named.
-	WantedVersion uint64
-	// RequireWantedVersion is set when older weights must not be used any more.
-	RequireWantedVersion bool
+	// RequiredVersion is the oldest version of the model's weights that may be used, 0 if any may.
+	RequiredVersion uint64
 	// Isolated names the account whose cache is kept apart, or is empty.
 	Isolated string
 	// SharedCache names the cache that the accounts share that are not isolated; see trafficset.Set.SharedCache.
--- a/placement/pick_test.go
+++ b/placement/pick_test.go
@@ -45,8 +45,12 @@
 			}
 		}, ""},
 		"a failing one only if idle":  {plain, func(l []Candidate) { l[0].FailureShare = 0.5; l[1].Requests = 2; l[2].Requests = 9 }, "i1"},
-		"old weights while allowed":   {&Request{Model: "m", WantedVersion: 2, CacheTokens: 1000}, func(l []Candidate) { l[0].Version = 2; l[0].AheadTokens = 100_000 }, "i1"},
-		"no old weights past the end": {&Request{Model: "m", WantedVersion: 2, RequireWantedVersion: true, CacheTokens: 1000}, func(l []Candidate) { l[0].Version = 2; l[0].AheadTokens = 100_000 }, "i0"},
+		"old weights while allowed":   {&Request{Model: "m", RequiredVersion: 1, CacheTokens: 1000}, func(l []Candidate) { l[0].Version = 2; l[0].AheadTokens = 100_000 }, "i1"},
+		"no old weights past the end": {&Request{Model: "m", RequiredVersion: 2, CacheTokens: 1000}, func(l []Candidate) { l[0].Version = 2; l[0].AheadTokens = 100_000 }, "i0"},
+		"the limit of a version, while a newer one has none yet": {&Request{Model: "m", RequiredVersion: 2, CacheTokens: 1000}, func(l []Candidate) {
+			l[0].Version, l[1].Version = 3, 2
+			l[0].AheadTokens, l[1].AheadTokens = 100_000, 10
+		}, "i1"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			list := candidates(3)
--- a/placement/reference_test.go
+++ b/placement/reference_test.go
@@ -51,7 +51,7 @@
 func referenceIsSameIncarnation(_ *Request, c *Candidate) bool { return !c.Replaced }
 
 func referenceIsRecentEnough(q *Request, c *Candidate) bool {
-	return !q.RequireWantedVersion || c.Version >= q.WantedVersion
+	return c.Version >= q.RequiredVersion
 }
 
 func referenceIsAvailableInPool(c *Candidate) bool {
--- a/placement/selection.go
+++ b/placement/selection.go
@@ -19,7 +19,7 @@
 	isExcluded
 	// isReplaced is set if another incarnation runs at the address.
 	isReplaced
-	// isOutdated is set for old weights once these must not be used any more.
+	// isOutdated is set for weights that are too old to be used.
 	isOutdated
 	isEvacuated
 	isEjected
@@ -67,7 +67,7 @@
 		m.set(isPaused, c.PauseLeft != 0)
 		m.set(isExcluded, q.Exclude[c.Instance.ID])
 		m.set(isReplaced, c.Replaced)
-		m.set(isOutdated, q.RequireWantedVersion && c.Version < q.WantedVersion)
+		m.set(isOutdated, c.Version < q.RequiredVersion)
 		m.set(isEvacuated, c.Evacuated)
 		m.set(isEjected, c.Ejected)
 		m.set(isUpdating, c.Instance.Updating)
