coregroup: a command keeps the whole rest of the state

Cause: machine.Apply listed the fields that the next state takes over, and evacuations_changed_unix_ms was not among them; any later field would have been forgotten in the same way. Change: the next state is a shallow copy of the last one with all its fields, known or not.

--- a/coregroup/machine.go
+++ b/coregroup/machine.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
 
 	"github.com/wasabishunt/wasabishunt/failure"
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
@@ -34,10 +35,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	// The state is replaced and never changed in place, because readers and snapshots may hold the old one.
-	next := &nodepb.State{
-		SetVersion: m.state.GetSetVersion(), Document: m.state.GetDocument(), Weights: m.state.GetWeights(), Formed: m.state.GetFormed(),
-		EvacuationsRevision: m.state.GetEvacuationsRevision(), EvacuatedZones: m.state.GetEvacuatedZones(), EvacuationCalls: m.state.GetEvacuationCalls(),
-	}
+	next := shallowCopy(m.state)
 	if !apply(next, command) {
 		return &nodepb.Result{}
 	}
@@ -45,6 +43,17 @@
 	return &nodepb.Result{Changed: true}
 }
 
+// shallowCopy returns a state with the values of another one, also of fields that this release does not know. Lists and the document are shared.
+func shallowCopy(state *nodepb.State) *nodepb.State {
+	next := &nodepb.State{}
+	state.ProtoReflect().Range(func(field protoreflect.FieldDescriptor, value protoreflect.Value) bool {
+		next.ProtoReflect().Set(field, value)
+		return true
+	})
+	next.ProtoReflect().SetUnknown(state.ProtoReflect().GetUnknown())
+	return next
+}
+
 func apply(next *nodepb.State, command *nodepb.Command) (changed bool) {
 	switch change := command.GetChange().(type) {
 	case *nodepb.Command_Publish:
