coregroup, fleetview, node: nodes that start know which weights are outdated

Cause: the time limit of a version counted from when the running process first heard of it. Nothing replicated or sent told that the version was old, so each start, of one node or of all, allowed older weights for another 9 s. A node without a disk that starts alone while the core runs does the same, without any restart of the core (second part of the test). Change: the leader records in the replicated state each version whose limit has passed (Command.require_weights), and every update tells how long its sender has known the versions (NamedWeights). A node takes the earliest naming that it hears of. Ages are rounded down, measured on steady clocks and leave out the transit, so a version is never taken for older than it is: one that was named a moment before a start gets its whole limit. A state or an update of an earlier release has neither field and counts as before. Test: TestStartedNodesKnowOutdatedWeights, real nodes over TCP: a node that starts later and three restarted core members require version 2 at once, and not version 3, which was named before the second restart. TestNodesLearnWhenWeightsWereNamed, TestRecordedWeightsAreRequiredAtOnce, TestRequiredWeightsOfTheMachine; guards in docs/guards/platform.txt are proved.

--- a/coregroup/machine.go
+++ b/coregroup/machine.go
@@ -12,8 +12,8 @@
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
 )
 
-// machine is the state machine of the group. It keeps the highest version of the object set and of each model's weights, and the evacuated
-// availability zones.
+// machine is the state machine of the group. It keeps the highest version of the object set and of each model's weights, the weights that are
+// outdated, and the evacuated availability zones.
 // machine.mu is a leaf lock: no other lock is acquired while it is held.
 type machine struct {
 	mu    sync.RWMutex
@@ -64,6 +64,8 @@
 		return true
 	case *nodepb.Command_NameWeights:
 		return nameWeights(next, change.NameWeights)
+	case *nodepb.Command_RequireWeights:
+		return requireWeights(next, change.RequireWeights)
 	case *nodepb.Command_Formed:
 		changed = !next.GetFormed()
 		next.Formed = true
@@ -74,20 +76,6 @@
 	return false
 }
 
-// nameWeights sets the weight version of a model, unless the state has the same or a higher version.
-func nameWeights(next *nodepb.State, added *nodepb.WeightVersion) bool {
-	weights := make([]*nodepb.WeightVersion, 0, len(next.GetWeights())+1)
-	for _, w := range next.GetWeights() {
-		if w.GetModel() != added.GetModel() {
-			weights = append(weights, w)
-		} else if w.GetVersion() >= added.GetVersion() {
-			return false
-		}
-	}
-	next.Weights = append(weights, added)
-	return true
-}
-
 func (m *machine) replace(next *nodepb.State) {
 	m.state = next
 	m.notify()
--- a/fleetview/server.go
+++ b/fleetview/server.go
@@ -17,6 +17,7 @@
 	"github.com/wasabishunt/wasabishunt/clock"
 	"github.com/wasabishunt/wasabishunt/coregroup"
 	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/rollout"
 	"github.com/wasabishunt/wasabishunt/rpc/nodepb"
 	"github.com/wasabishunt/wasabishunt/rpc/raftpb"
 	"github.com/wasabishunt/wasabishunt/supervise"
@@ -48,6 +49,8 @@
 	Placement *Placements
 	// EngineClock returns the time on the engines' clock in ms, 0 if it is unknown.
 	EngineClock func() float64
+	// Namings returns what this node knows of the weight versions that operators have named.
+	Namings func(now time.Time) []rollout.Naming
 	// Permits answers the questions of other nodes for permits to send to instances with limits.
 	Permits func(q *nodepb.PermitRequest) (*nodepb.PermitReply, error)
 	// Trials answers the questions of other nodes for trials of prompts.
@@ -207,7 +210,7 @@
 	u := &nodepb.WatchUpdate{
 		Term: s.Group.Term(), LeaderAddress: s.Group.Leader(), Fresh: s.Group.Fresh(), SetVersion: state.GetSetVersion(), Weights: state.GetWeights(),
 		EvacuationsRevision: state.GetEvacuationsRevision(), EvacuatedZones: state.GetEvacuatedZones(),
-		EvacuationsChangedUnixMs: state.GetEvacuationsChangedUnixMs(),
+		EvacuationsChangedUnixMs: state.GetEvacuationsChangedUnixMs(), NamedWeights: encodeNamings(state, s.Namings(time.Now())),
 	}
 	members := lo.Map(s.Group.Members(), func(m *raftpb.Member, _ int) *nodepb.CoreMember {
 		return &nodepb.CoreMember{Id: m.GetId(), Address: m.GetAddress(), Learner: m.GetLearner(), AvailabilityZone: m.GetAvailabilityZone()}
--- a/node/adopt.go
+++ b/node/adopt.go
@@ -40,23 +40,6 @@
 	}
 }
 
-// WantedVersion implements gateway.Sets.
-func (n *Node) WantedVersion(model string) uint64 { return n.weights.Load().Newest(model) }
-
-// weightsMargin is the time before the end of WeightsWithin from which no request starts on older weights.
-const weightsMargin = time.Second
-
-// weightsLimit returns the time from the naming of a weight version until requests must not start on older ones, 0 for no such time.
-func weightsLimit(within time.Duration) time.Duration { return max(within-weightsMargin, within/2) }
-
-// RequiredVersion implements gateway.Sets.
-func (n *Node) RequiredVersion(model string) uint64 {
-	return n.weights.Load().Required(model, time.Now())
-}
-
-// WantedVersions returns the newest weight version that operators have named for each model.
-func (n *Node) WantedVersions() map[string]uint64 { return n.weights.Load().NewestOfAll() }
-
 // applyUpdate applies an update of a core member. Versions never go back.
 func (n *Node) applyUpdate(from string, u *nodepb.WatchUpdate) {
 	n.updateMu.Lock()
@@ -64,7 +47,7 @@
 	n.applyEvacuations(from, u, time.Now())
 	n.lag.announce(u.GetSetVersion(), time.Now())
 	n.recordLag()
-	n.applyWeights(u)
+	n.applyWeights(from, u)
 	if leader := u.GetLeaderAddress(); leader != "" && u.GetFresh() {
 		n.group.SetLeaderHint(leader)
 	}
@@ -180,15 +163,6 @@
 // behindSamples is the number of values in the sample of the times for which the node was behind.
 const behindSamples = 256
 
-// applyWeights applies the weight versions of an update. The caller holds updateMu.
-func (n *Node) applyWeights(u *nodepb.WatchUpdate) {
-	named, added := n.weights.Load().Accept(fleetview.DecodeNamings(u), time.Now())
-	n.weights.Store(named)
-	for _, naming := range added {
-		n.log.Info("weights named", zap.String("model", naming.Model), zap.Uint64("weight_version", naming.Version))
-	}
-}
-
 // isSaltUsable reports whether requests may still use parts of KV cache with a salt: whether an engine still has its
 // weight version or an older one.
 func (n *Node) isSaltUsable(salt string) bool {
--- a/node/node.go
+++ b/node/node.go
@@ -260,7 +260,7 @@
 	running, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	mux := drpcmux.New()
-	server := &fleetview.Server{Group: n.group, Directory: n.directory, Reader: n.reader, Placement: n.placement, EngineClock: n.storeCoordinator.EngineClock, Permits: n.limiter.Serve, Trials: n.trials.Grant, Log: n.log, Metrics: n.metrics, LinkMbps: n.config.LinkMbps}
+	server := &fleetview.Server{Group: n.group, Directory: n.directory, Reader: n.reader, Placement: n.placement, EngineClock: n.storeCoordinator.EngineClock, Permits: n.limiter.Serve, Trials: n.trials.Grant, Namings: n.Namings, Log: n.log, Metrics: n.metrics, LinkMbps: n.config.LinkMbps}
 	if err := errors.Join(nodepb.DRPCRegisterNode(mux, server), n.group.Register(mux)); err != nil {
 		return failure.Wrap(err, failure.Internal, failure.NotRun, "register the services of the node")
 	}
@@ -280,6 +280,7 @@
 		"stores":            func() { n.storeCoordinator.Run(running) },
 		"silent instances":  func() { n.gateway.ProbeUnresponsive(running) },
 		"orders to engines": func() { n.rolloutController.Run(running) },
+		"outdated weights":  func() { n.recordRequiredWeights(running) },
 		"load reports":      func() { n.loadExchange.Run(running, listeners.loads) },
 		"watch":             func() { watcher.Run(running) },
 	} {
--- a/rollout/named.go
+++ b/rollout/named.go
@@ -78,8 +78,14 @@
 	return namings
 }
 
-// Accept returns what is known with further namings, and those of a version that was not known before. It returns n itself if nothing changes.
-func (n *Named) Accept(namings []Naming, now time.Time) (next *Named, added []Naming) {
+// Change is the difference between two states of Named.
+type Change struct {
+	// Named are the namings of versions that were not known before, Required those of versions that were not required before.
+	Named, Required []Naming
+}
+
+// Accept returns what is known with further namings. It returns n itself if nothing changes.
+func (n *Named) Accept(namings []Naming, now time.Time) (next *Named, change Change) {
 	next = n
 	for _, naming := range namings {
 		old := next.models[naming.Model]
@@ -96,7 +102,10 @@
 			continue
 		}
 		if naming.Version > old.newest() {
-			added = append(added, naming)
+			change.Named = append(change.Named, naming)
+		}
+		if changed.required > old.required {
+			change.Required = append(change.Required, Naming{Model: naming.Model, Version: changed.required, Required: true})
 		}
 		models := maps.Clone(next.models)
 		if models == nil {
@@ -105,7 +114,7 @@
 		models[naming.Model] = changed
 		next = &Named{limit: next.limit, models: models}
 	}
-	return next, added
+	return next, change
 }
 
 func (v modelVersions) newest() uint64 {
