gateway: no send begins on weights that became outdated after the choice

A request that was chosen just before the time limit of a version begins on older weights once its connection is open and a permit granted, which the margin of 1 s need not cover. Cause: the version of the weights was checked at the choice only, as the evacuated zones once were. Answers that have begun go on.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -260,6 +260,10 @@
 		conn.PutBack()
 		return c.withdrawnEvacuated(instance)
 	}
+	if c.isOutdated(chosen) {
+		conn.PutBack()
+		return c.withdrawnOutdated(chosen)
+	}
 	c.dropEvacuatedSources(chosen)
 	out := c.outbound(chosen)
 	attempt := o.Tracker.Begin(instance, work)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -58,6 +58,7 @@
 	// confirmed holds a channel that is closed once the set is known to be the newest one.
 	confirmed atomic.Pointer[chan struct{}]
 	outdated  atomic.Bool
+	required  atomic.Uint64
 }
 
 func (s *testSets) Outdated() bool { return s.outdated.Load() }
@@ -73,7 +74,7 @@
 
 func (s *testSets) Set() *trafficset.Set          { return s.set.Load() }
 func (s *testSets) WantedVersion(string) uint64   { return 0 }
-func (s *testSets) RequiredVersion(string) uint64 { return 0 }
+func (s *testSets) RequiredVersion(string) uint64 { return s.required.Load() }
 
 // system is a gateway with test upstreams.
 type system struct {
