gateway, upstreams, fleetview, replica: times since an event use the steady clock

Cause: six times since an event were kept as Unix ns and compared with the time of day. After a step back by some seconds, a leader that could no longer read the instance list vouched for its old one for that much longer, and a watcher did not look for replaced core members; after a step ahead, streams counted as silent, a link as dead, and a stopping node refused or took requests by the wrong end. Change: each keeps its steady reading in a time.Time.

--- a/fleetview/firstcontact_test.go
+++ b/fleetview/firstcontact_test.go
@@ -43,7 +43,7 @@
 		watcher := runWatcher(t, seed, func(address string) { dialed <- address })
 		require.Equal(t, seed, <-dialed)
 		began := time.Now()
-		watcher.lastUpdate.Store(began.UnixNano())
+		watcher.lastUpdate.Store(&began)
 		watcher.setMembers([]*nodepb.CoreMember{{Id: 1, Address: seed}, {Id: 2, Address: other}})
 		for address := range dialed {
 			if address == other {
--- a/fleetview/watcher.go
+++ b/fleetview/watcher.go
@@ -64,8 +64,8 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	Log  *zap.Logger
 
-	// lastUpdate is the Unix time of the last update in ns.
-	lastUpdate atomic.Int64
+	// lastUpdate is when the last update arrived, nil before the first one.
+	lastUpdate atomic.Pointer[time.Time]
 	sets       *setFetcher
 	views      *viewCopies
 	mu         sync.Mutex
@@ -118,7 +118,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
-	silent := now.UnixNano()-w.lastUpdate.Load() > int64(2*streamTimeout)
+	lastUpdate := w.lastUpdate.Load()
+	silent := lastUpdate == nil || now.Sub(*lastUpdate) > 2*streamTimeout
 	if silent {
 		// All known members may have been replaced: start again from the contacts and seeds.
 		w.members = nil
@@ -200,7 +201,7 @@
 }
 
 func (w *Watcher) reconnectDelay() time.Duration {
-	if w.lastUpdate.Load() == 0 {
+	if w.lastUpdate.Load() == nil {
 		return firstReconnectDelay
 	}
 	return reconnectDelay
@@ -246,7 +247,7 @@
 			return rpcpool.DialTCP(ctx, "", address, dialTimeout)
 		}
 	}
-	if w.lastUpdate.Load() != 0 {
+	if w.lastUpdate.Load() != nil {
 		return dial(ctx, address)
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
@@ -282,7 +283,8 @@
 		progress.recordMessage()
 		connected()
 		// Before setMembers: the members are forgotten while no update has arrived lately.
-		w.lastUpdate.Store(time.Now().UnixNano())
+		now := time.Now()
+		w.lastUpdate.Store(&now)
 		if update.GetFresh() {
 			w.setMembers(update.GetMembers())
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -169,8 +169,8 @@
 	started time.Time
 	// closing is set once answers must close the callers' connections.
 	closing atomic.Bool
-	// finishBy is when a stop cuts requests in progress, in Unix ns; 0 until requests must end by then.
-	finishBy atomic.Int64
+	// finishBy is when a stop cuts requests in progress, nil until requests must end by then.
+	finishBy atomic.Pointer[time.Time]
 	// running ends with EndRequests.
 	running    context.Context
 	endRunning context.CancelCauseFunc
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -61,7 +61,9 @@
 // again afterwards.
 func (m *mover) mayMove(target *moveTarget, isSilent func() bool) bool {
 	c, instance := m.call, target.chosen.instance
-	isDue := func() bool { return isSilent() && c.takesRequests(instance) && !c.isEvacuated(instance) && !c.isOutdated(target.chosen) }
+	isDue := func() bool {
+		return isSilent() && c.takesRequests(instance) && !c.isEvacuated(instance) && !c.isOutdated(target.chosen)
+	}
 	return isDue() && c.acquirePermit(m.ctx, target.chosen) == 0 && isDue() && c.gateway.options.Budget.TakeRepeat(c.service.Name)
 }
 
--- a/gateway/readahead.go
+++ b/gateway/readahead.go
@@ -65,8 +65,8 @@
 	gaps     *gapMeter
 	buffer   []byte
 	state    atomic.Int32
-	// writeSince is when the last write began, in Unix ns. armed is set while timer runs.
-	writeSince atomic.Int64
+	// writeSince is when the last write began. armed is set while timer runs.
+	writeSince atomic.Pointer[time.Time]
 	armed      atomic.Bool
 	timer      *time.Timer
 
@@ -122,7 +122,8 @@
 
 // beginWrite is called before a write to the caller.
 func (a *readAhead) beginWrite() {
-	a.writeSince.Store(time.Now().UnixNano())
+	now := time.Now()
+	a.writeSince.Store(&now)
 	if a.state.CompareAndSwap(stateRelay, stateWriting) {
 		a.arm(slowCheckInterval)
 	}
@@ -190,7 +191,7 @@
 	if a.state.Load() != stateWriting {
 		return
 	}
-	if left := slowWriteDelay - time.Since(time.Unix(0, a.writeSince.Load())); left > 0 {
+	if left := slowWriteDelay - time.Since(*a.writeSince.Load()); left > 0 {
 		a.arm(left)
 		return
 	}
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -14,7 +14,7 @@
 func (g *Gateway) BeginClosing() { g.closing.Store(true) }
 
 // FinishBy refuses further requests that may last beyond a time, at which a stop cuts requests in progress.
-func (g *Gateway) FinishBy(t time.Time) { g.finishBy.Store(t.UnixNano()) }
+func (g *Gateway) FinishBy(t time.Time) { g.finishBy.Store(&t) }
 
 // errStopEnds ends the requests that are still in progress shortly before the end of a stop.
 var errStopEnds = failure.New(failure.Draining, failure.Unknown, "the node stops before the upstream has answered")
@@ -36,7 +36,7 @@
 // checkStop refuses a request that may last beyond the end of the stop in progress.
 func (c *call) checkStop() error {
 	by := c.gateway.finishBy.Load()
-	if by == 0 || c.answerBy.UnixNano() <= by {
+	if by == nil || !c.answerBy.After(*by) {
 		return nil
 	}
 	e := failure.New(failure.Draining, failure.NotRun, "the node is stopping")
--- a/gateway/unresponsive.go
+++ b/gateway/unresponsive.go
@@ -19,8 +19,8 @@
 	mover          *mover
 	abort          func()
 	timer          *time.Timer
-	// progressAt is when something last arrived from the instance, in Unix ns.
-	progressAt atomic.Int64
+	// progressAt is when something last arrived from the instance.
+	progressAt atomic.Pointer[time.Time]
 }
 
 func newUnresponsiveTimeout(attempt *placement.Attempt, mover *mover, abort func()) *unresponsiveTimeout {
@@ -33,11 +33,14 @@
 	return w
 }
 
-func (w *unresponsiveTimeout) recordProgress() { w.progressAt.Store(time.Now().UnixNano()) }
+func (w *unresponsiveTimeout) recordProgress() {
+	now := time.Now()
+	w.progressAt.Store(&now)
+}
 
 // remaining returns the time until the send has been silent for long enough.
 func (w *unresponsiveTimeout) remaining() time.Duration {
-	return max(0, unresponsiveSilence-time.Since(time.Unix(0, w.progressAt.Load())))
+	return max(0, unresponsiveSilence-time.Since(*w.progressAt.Load()))
 }
 
 func (w *unresponsiveTimeout) check() {
--- a/internal/docscheck/docs_test.go
+++ b/internal/docscheck/docs_test.go
@@ -24,8 +24,19 @@
 // excludedDirs are directories whose code is part of no program that operators run.
 var excludedDirs = []string{"internal", "bench", "rpc", "tools", "scenarios", ".git", "bin", "docs", "cmd/wasabishunt-standin"}
 
-// visitCalls visits each call in the source of the programs.
+// visitCalls visits each call with arguments in the source of the programs.
 func visitCalls(t *testing.T, visit func(dir string, name string, receiver string, call *ast.CallExpr)) {
+	t.Helper()
+	visitNodes(t, func(dir string, n ast.Node) {
+		if call, ok := n.(*ast.CallExpr); ok && len(call.Args) > 0 {
+			name, receiver := calledName(call.Fun)
+			visit(dir, name, receiver, call)
+		}
+	})
+}
+
+// visitNodes visits each node in the source of the programs.
+func visitNodes(t *testing.T, visit func(dir string, n ast.Node)) {
 	t.Helper()
 	require.NoError(t, filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
 		require.NoError(t, err)
@@ -40,10 +51,7 @@
 		file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.SkipObjectResolution)
 		require.NoError(t, err)
 		ast.Inspect(file, func(n ast.Node) bool {
-			if call, ok := n.(*ast.CallExpr); ok && len(call.Args) > 0 {
-				name, receiver := calledName(call.Fun)
-				visit(filepath.Dir(relative), name, receiver, call)
-			}
+			visit(filepath.Dir(relative), n)
 			return true
 		})
 		return nil
--- a/replica/transport.go
+++ b/replica/transport.go
@@ -194,8 +194,8 @@
 type link struct {
 	conn   *drpcconn.Conn
 	stream raftpb.DRPCRaft_ExchangeClient
-	// lastAck is the Unix time in ns of the last acknowledgement; broken is set when the stream has ended.
-	lastAck atomic.Int64
+	// lastAck is when the last acknowledgement arrived, nil before; broken is set when the stream has ended.
+	lastAck atomic.Pointer[time.Time]
 	broken  atomic.Bool
 	// waitingSince is the time of the first message whose acknowledgement is due and missing, zero if there is none.
 	waitingSince time.Time
@@ -264,11 +264,11 @@
 // dead reports whether the stream has ended, or a due acknowledgement is missing for longer than the limit, as on a
 // half-open connection. An acknowledgement is due for a message sent at least 2*ackInterval after the last one.
 func (l *link) dead(limit time.Duration) bool {
-	now := time.Now()
+	now, lastAck := time.Now(), l.lastAck.Load()
 	switch {
 	case l.broken.Load():
 		return true
-	case now.UnixNano()-l.lastAck.Load() < int64(2*ackInterval):
+	case lastAck != nil && now.Sub(*lastAck) < 2*ackInterval:
 		l.waitingSince = time.Time{}
 		return false
 	case l.waitingSince.IsZero():
@@ -317,7 +317,8 @@
 		if _, err := l.stream.Recv(); err != nil {
 			return
 		}
-		l.lastAck.Store(time.Now().UnixNano())
+		now := time.Now()
+		l.lastAck.Store(&now)
 	}
 }
 
--- a/upstreams/upstreams.go
+++ b/upstreams/upstreams.go
@@ -278,13 +278,14 @@
 	Lister      Lister
 	ReadsForAll func() bool
 	Log         *zap.Logger
-	// confirmed is the last successful read by this node, in Unix ns.
-	confirmed atomic.Int64
+	// confirmed is the last successful read by this node, nil before the first one.
+	confirmed atomic.Pointer[time.Time]
 }
 
 // Current reports whether this node reads the list and its last read is recent.
 func (r *Reader) Current() bool {
-	return r.ReadsForAll() && time.Now().UnixNano()-r.confirmed.Load() < int64(fallbackReadAge)
+	last := r.confirmed.Load()
+	return r.ReadsForAll() && last != nil && time.Since(*last) < fallbackReadAge
 }
 
 // Run reads until the context ends.
@@ -323,7 +324,7 @@
 		return err
 	}
 	now := time.Now()
-	r.confirmed.Store(now.UnixNano())
+	r.confirmed.Store(&now)
 	if r.Directory.ApplyList(instances, now) {
 		r.Log.Info("instance list changed", zap.Uint64("revision", r.Directory.View().Revision), zap.Int("instances", len(instances)))
 	}
