agent, serving/versionlimit: newer sets do not prolong the grace period of older ones

Cause: an agent kept one time, since when it has the newest set, so each newer set began the grace period of all older ones anew. Change: rollout's list of versions with a time limit each moves to serving/versionlimit, and the agent uses it for its sets: work is refused once the first newer set is older than the grace period. Test: TestNewerSetsDoNotProlongTheGracePeriod fails before (accepted 7.5 s after the next set, 6 s allowed). TestSetVersionBehind is unchanged. Result: ./agent, ./rollout, ./serving/... and ./node pass.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -10,7 +10,6 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
@@ -30,6 +29,7 @@
 	"github.com/wasabishunt/wasabishunt/rpc/agentpb"
 	"github.com/wasabishunt/wasabishunt/rpc/controlpb"
 	"github.com/wasabishunt/wasabishunt/sched"
+	"github.com/wasabishunt/wasabishunt/serving/versionlimit"
 	"github.com/wasabishunt/wasabishunt/supervise"
 	"github.com/wasabishunt/wasabishunt/upstream/engine"
 	"github.com/wasabishunt/wasabishunt/upstream/service"
@@ -91,9 +91,8 @@
 	wakeup chan struct{}
 	// serviceUnreachable is true while the last connection attempt to the plain service failed.
 	serviceUnreachable atomic.Bool
-	// setVersion is the newest set version observed, and adoptedAt the time of its first observation.
-	setVersion uint64
-	adoptedAt  time.Time
+	// setVersions holds the set versions observed.
+	setVersions versionlimit.Versions
 	// configuredVersion is the set version from which the queue is configured; only watchSet uses it.
 	configuredVersion uint64
 }
@@ -180,15 +179,17 @@
 	return changed
 }
 
-// recordSetVersion records the first observation of a set version. It returns when the newest version was first observed.
-func (a *Agent) recordSetVersion(version uint64) time.Time {
+// recordSetVersion records the observation of a set version. It returns the oldest version under which work may be sent: one that was replaced less
+// than SetGrace ago.
+func (a *Agent) recordSetVersion(version uint64) (oldest uint64) {
+	now := a.deps.Clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if version > a.setVersion {
-		a.setVersion = version
-		a.adoptedAt = a.deps.Clock.Now()
+	a.setVersions = a.setVersions.After(a.options.SetGrace, now)
+	if version > a.setVersions.Newest() {
+		a.setVersions = a.setVersions.Record(version, now)
 	}
-	return a.adoptedAt
+	return a.setVersions.Required()
 }
 
 // isLeaving reports whether control marks this agent as leaving. The state of an earlier incarnation does not count: after
--- a/agent/check.go
+++ b/agent/check.go
@@ -24,9 +24,7 @@
 	if header.GetUpstreamEpoch() > view.Epoch {
 		return view, retryable(failure.Fenced, "a newer incarnation of this agent has epoch %d", header.GetUpstreamEpoch())
 	}
-	adoptedAt := a.recordSetVersion(view.Version)
-	behind := header.GetSetVersion() < view.Version
-	if behind && a.deps.Clock.Now().Sub(adoptedAt) > a.options.SetGrace {
+	if header.GetSetVersion() < a.recordSetVersion(view.Version) {
 		return view, retryable(failure.SetVersionBehind, "sent under set version %d; the current version is %d", header.GetSetVersion(), view.Version)
 	}
 	return view, nil
--- a/agent/generate_test.go
+++ b/agent/generate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/wasabishunt/wasabishunt/agent"
 	"github.com/wasabishunt/wasabishunt/controlclient"
 	"github.com/wasabishunt/wasabishunt/failure"
+	"github.com/wasabishunt/wasabishunt/internal/clocktest"
 	"github.com/wasabishunt/wasabishunt/rpc/agentpb"
 	"github.com/wasabishunt/wasabishunt/upstream/engine"
 )
@@ -68,6 +70,26 @@
 	}
 }
 
+// TestNewerSetsDoNotProlongTheGracePeriod guards against sets in quick succession under which work of a set that was replaced long ago is accepted.
+func TestNewerSetsDoNotProlongTheGracePeriod(t *testing.T) {
+	clock := clocktest.NewManual(time.Now())
+	f := startAgent(t, agent.Options{SetGrace: 6 * time.Second}, agent.Dependencies{Clock: clock})
+	for i := range 3 {
+		f.view.Publish(testSet())
+		got := f.generate(request(fmt.Sprint("first-", i)))
+		require.NotNil(t, got.end, "%v; the set after the first one is younger than the grace period", got.refusal)
+		clock.Advance(2500 * time.Millisecond)
+	}
+	refusal := f.generate(request("late")).refusal
+	require.NotNil(t, refusal)
+	require.Equal(t, string(failure.SetVersionBehind), refusal.GetKind())
+	require.Len(t, f.engine.received(), 3, "refused work ran")
+	second := request("second")
+	second.Header.SetVersion = 2
+	got := f.generate(second)
+	require.NotNil(t, got.end, "%v; the set after the second one is younger", got.refusal)
+}
+
 // TestWholeAnswer guards against a lost token, a wrong count, and a cache scope that lacks the account.
 func TestWholeAnswer(t *testing.T) {
 	f := startAgent(t, agent.Options{}, agent.Dependencies{})
--- a/agent/options.go
+++ b/agent/options.go
@@ -30,7 +30,7 @@
 	WriteTimeout time.Duration
 	// Heartbeat is the time between heartbeats on a stream without events; default 1 s.
 	Heartbeat time.Duration
-	// SetGrace is how long work sent under an older set version is accepted after a newer one was adopted; default 1 s.
+	// SetGrace is how long work sent under a set version is accepted after the first newer one was adopted; default 1 s.
 	SetGrace time.Duration
 	// SetVersionTimeout is how long a prompt waits for a newer set version that its sender has; default 500 ms, because the
 	// entry can use another upstream.
--- a/rollout/named_test.go
+++ b/rollout/named_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"github.com/wasabishunt/wasabishunt/serving/versionlimit"
 )
 
 const testLimit = 9 * time.Second
@@ -77,7 +79,7 @@
 	n := NewNamed(testLimit)
 	for i := range 3000 {
 		n = n.with(at(float64(i)/100), Naming{Model: "m", Version: uint64(i + 1)})
-		require.LessOrEqual(t, len(n.Namings(at(float64(i)/100))), 4+2*int(testLimit/resolution))
+		require.LessOrEqual(t, len(n.Namings(at(float64(i)/100))), 4+2*int(testLimit/versionlimit.Resolution))
 	}
 	required := n.Required("m", at(30))
 	require.LessOrEqual(t, required, uint64(2101))
@@ -117,7 +119,7 @@
 			all = append(all, event{naming.Version, now.Add(-naming.Age)})
 			required := n.Required("m", now)
 			require.LessOrEqual(t, required, requiredBy(now))
-			require.GreaterOrEqual(t, required, requiredBy(now.Add(-resolution-minGain)))
+			require.GreaterOrEqual(t, required, requiredBy(now.Add(-versionlimit.Resolution-time.Second/50)))
 			require.GreaterOrEqual(t, required, before.Required("m", now))
 			require.Equal(t, version, n.Newest("m"))
 		}
