Show that a deadly part is forgotten when all processes are killed

Cause: nodes keep the parts of prompts that crash engines in memory only and hand them to each other. After the end of all processes nobody knows them.

No code of the product is changed.

--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -16,6 +16,7 @@
 
 // cases are the scripted cases by name. They report whether the rule was broken.
 var cases = map[string]func(record *os.File, trouble bool) (broken bool, err error){
+	"deadly":   deadly,
 	"founding": founding,
 }
 
