Show that entries of another writer take all engines out of use

Cause: the list of instances is keyed by id and start only. An entry with the id of a sound engine, a service that no set names and the state draining marks the sound engine as draining too, and the mark is renewed for as long as the engine is listed.

No code of the product is changed.

--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -59,6 +59,8 @@
 	engines []*engine
 	// firstSeed is the index of the first of the seeds.
 	firstSeed int
+	// otherWriter returns the entry of another writer of the list for an engine; nil if there is none.
+	otherWriter func(entry map[string]any) map[string]any
 	// onRequest replaces an engine's answer if it returns true.
 	onRequest func(e *engine, w http.ResponseWriter, q *http.Request) bool
 
@@ -248,6 +250,9 @@
 			}
 			if up || now.Sub(r.lastUp[e.address]) < crashedListed {
 				entries = append(entries, entry)
+				if r.otherWriter != nil {
+					entries = append(entries, r.otherWriter(entry))
+				}
 			}
 		}
 		body, _ := json.Marshal(map[string]any{"instances": entries, "next": nil})
