Show that an acknowledged set is lost with one disk after a late start

Cause: a new group that waits for a voter for 6 s is marked as formed with the voters that it has. With two of three, the loss of one disk leaves a single voter of two, which never leads again, even when all machines are back.

No code of the product is changed.

--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(record *os.File, trouble bool) (broken bool, err error){
 	"deadly":   deadly,
 	"founding": founding,
+	"shrunk":   shrunk,
 	"writer":   writer,
 }
 
