Show that a disk lost after a planned replacement loses the set

Cause: the successor of a member stays a learner until the member that was stopped has been silent for 2 s. A member that stops does not leave the group, so in that time it still counts as one of three voters.

No code of the product is changed.

Result: a member is replaced as planned, and a second after its end another one loses its disk.

--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -19,6 +19,7 @@
 	"deadly":   deadly,
 	"founding": founding,
 	"shrunk":   shrunk,
+	"swapped":  swapped,
 	"writer":   writer,
 }
 
