review: a node that ends by itself makes a scripted case exit with 2

Cause: a case whose nodes end at their start has not run, but case 14 would have exited with 1 for it.

--- a/review/rig3/deadly.go
+++ b/review/rig3/deadly.go
@@ -125,7 +125,7 @@
 	r.log("sound requests: %d served, %d not", served.Load(), failed.Load())
 	if len(crashes) < fifth {
 		r.log("only %d engines crashed", len(crashes))
-		return false, nil
+		return false, r.checkRunning(nil)
 	}
 	from := crashes[fifth-1].Add(contactWindow)
 	late := 0
@@ -139,5 +139,5 @@
 		}
 	}
 	r.log("requests with the deadly part that reached engines more than %v after the fifth crash: %d, allowed: %d", contactWindow, late, maxLate)
-	return late > maxLate, nil
+	return late > maxLate, r.checkRunning(nil)
 }
--- a/review/rig3/founding.go
+++ b/review/rig3/founding.go
@@ -70,7 +70,7 @@
 		}
 	}
 	r.log("%d of %d requests served, %.1f s after the start", served, len(r.nodes), time.Since(begun).Seconds())
-	return served == 0, nil
+	return served == 0, r.checkRunning(nil)
 }
 
 // awaitListening waits until an address accepts connections.
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -372,6 +372,21 @@
 	return nil
 }
 
+// checkRunning returns an error if the process of a node has ended by itself; gone is the node that is meant to have ended, or nil.
+func (r *rig) checkRunning(gone *node) error {
+	for _, n := range r.nodes {
+		if n == gone || n.process == nil {
+			continue
+		}
+		select {
+		case <-n.process.Exited():
+			return fmt.Errorf("%s has ended by itself with exit code %d", n.name, n.process.ExitCode())
+		default:
+		}
+	}
+	return nil
+}
+
 // stop ends all that the rig started.
 func (r *rig) stop() {
 	for _, n := range r.nodes {
--- a/review/rig3/shrunk.go
+++ b/review/rig3/shrunk.go
@@ -75,7 +75,7 @@
 		}
 	}
 	r.log("the desired state that was acknowledged can't be read back at any machine, %.0f s after all machines are back", (recovery + readFor).Seconds())
-	return true, nil
+	return true, r.checkRunning(nil)
 }
 
 // readAll reads the desired state at each node and reports whether one of them answers with it.
--- a/review/rig3/writer.go
+++ b/review/rig3/writer.go
@@ -77,5 +77,5 @@
 		}
 	}
 	r.log("answers by status: %v", statuses)
-	return statuses[http.StatusOK] == 0, nil
+	return statuses[http.StatusOK] == 0, r.checkRunning(nil)
 }
